--- /dev/null
+++ b/internal/jobs/wire_test.go
@@ -0,0 +1,39 @@
+package jobs_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+func TestWireKeepsEveryField(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		is := is.New(rt)
+		moment := rapid.Custom(func(rt *rapid.T) time.Time {
+			if rapid.Bool().Draw(rt, "never") {
+				return time.Time{}
+			}
+			return time.Unix(rapid.Int64Range(1, 1<<32).Draw(rt, "second"), 5).UTC()
+		})
+		rc := jobs.Record{
+			Spec: jobs.Spec{
+				ID: rapid.String().Draw(rt, "id"), Workspace: "ws", Caller: "crew", Key: "k",
+				Shape:   spec.Shape{Tasks: rapid.IntRange(1, 32).Draw(rt, "tasks"), Accelerators: 8, Adjacency: spec.SameRack},
+				RunTime: time.Duration(rapid.Int64().Draw(rt, "run")), Priority: jobs.Urgent,
+				Repeatable: rapid.Bool().Draw(rt, "repeatable"), Checkpoint: rapid.Bool().Draw(rt, "checkpoint"),
+				Command: []string{"run", "it"},
+			},
+			State: jobs.Running, Attempt: 3, Tasks: []jobs.Task{{Worker: "w1", Address: "127.0.0.1:1"}},
+			Code: codes.JobRunning, Detail: "d", Cancelled: rapid.Bool().Draw(rt, "cancelled"),
+			Submitted: moment.Draw(rt, "submitted"), Started: moment.Draw(rt, "started"), Ended: moment.Draw(rt, "ended"),
+			Held: time.Hour, Lost: time.Minute,
+		}
+		is.Equal(jobs.FromWire(jobs.ToWire(rc)), rc)
+	})
+}
--- /dev/null
+++ b/internal/plat/plat.go
@@ -0,0 +1,85 @@
+// Package plat describes the platform's lagging list of live and leaving
+// hosts: one value of the store per availability zone.
+//
+// The list is a hint. A listed host may be dead and a live one not listed yet,
+// so whoever uses it asks the host itself.
+package plat
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Kind says what a host of the list is.
+type Kind string
+
+// State is what the platform last knew of a host.
+type State string
+
+// Host is one host of the list.
+type Host struct {
+	Name         string `json:"name"`
+	Kind         Kind   `json:"kind"`
+	Address      string `json:"address"` // IP:port of its HTTP interface
+	State        State  `json:"state"`
+	Rack         string `json:"rack,omitempty"`
+	Accelerators int    `json:"accelerators,omitempty"` // of a worker
+	Service      string `json:"service,omitempty"`      // of an endpoint
+}
+
+// List is the value of one availability zone.
+type List struct {
+	Zone  string `json:"zone"`
+	Hosts []Host `json:"hosts"`
+}
+
+// The kinds and states.
+const (
+	KindWorker   Kind = "worker"
+	KindEndpoint Kind = "endpoint"
+
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+const keyPrefix = "platform/hosts/"
+
+// Key returns the key of an availability zone's list.
+func Key(zone string) string { return keyPrefix + zone }
+
+// Decode reads a list; an empty value is an empty list.
+func Decode(value []byte) (List, error) {
+	if len(value) == 0 {
+		return List{}, nil
+	}
+	var li List
+	if err := json.Unmarshal(value, &li); err != nil {
+		return List{}, fmt.Errorf("platform's host list: %w", err)
+	}
+	return li, nil
+}
+
+// Encode writes a list.
+func (li List) Encode() ([]byte, error) { return json.Marshal(li) }
+
+// Of returns the hosts of one kind, in the order of the list.
+func (li List) Of(kind Kind) []Host {
+	var hs []Host
+	for _, ho := range li.Hosts {
+		if ho.Kind == kind {
+			hs = append(hs, ho)
+		}
+	}
+	return hs
+}
+
+// With returns a list in which ho is added, or replaces the host of its name.
+func (li List) With(ho Host) List {
+	hs := make([]Host, 0, len(li.Hosts)+1)
+	for _, old := range li.Hosts {
+		if old.Name != ho.Name {
+			hs = append(hs, old)
+		}
+	}
+	return List{Zone: li.Zone, Hosts: append(hs, ho)}
+}
