--- /dev/null
+++ b/internal/report/account.go
@@ -0,0 +1,165 @@
+package report
+
+import (
+	"math"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/wire"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+type (
+	// AccountConfig describes the host whose work an Account counts.
+	AccountConfig struct {
+		Host        string
+		Zone        string
+		Incarnation uint64                // start time of the process, nanoseconds
+		Location    func() *time.Location // of the declarations in force; UTC if nil
+	}
+
+	// Account counts the work of one incarnation of a host. It implements
+	// Recorder and is safe for concurrent use.
+	Account struct {
+		cfg    AccountConfig
+		rows   sync.Map // rowKey to *row
+		count  atomic.Int64
+		faults atomic.Int64
+
+		mu       sync.Mutex // guards the rest
+		sequence int64
+		closed   bool
+		seen     map[rowKey]seenRow
+	}
+
+	// Ticket is one piece of work that was offered and has not ended.
+	Ticket struct {
+		account *Account
+		row     *row
+		ended   atomic.Bool
+	}
+
+	// rowKey names what is counted together.
+	rowKey struct {
+		day       string
+		workspace string
+		service   string
+	}
+
+	// row holds the counters of one key.
+	row struct {
+		offered     atomic.Int64
+		slotNanos   atomic.Int64
+		regionBytes atomic.Int64
+		repeats     atomic.Int64
+		ended       []atomic.Int64 // by index of codes.All
+	}
+
+	// seenRow is a row as the last snapshot saw it, and the sequence of the
+	// snapshot that found it changed.
+	seenRow struct {
+		row     *wire.AccountRow
+		changed int64
+	}
+)
+
+const (
+	// DayFormat is the layout of days.
+	DayFormat = time.DateOnly
+
+	// OtherWorkspace takes the work of further workspaces when an account has
+	// reached its bound of rows.
+	OtherWorkspace = "(other)"
+
+	maxRows    = 8192
+	retainDays = 8
+
+	// closedSequence marks the last snapshot of an incarnation.
+	closedSequence = math.MaxInt64
+)
+
+var (
+	codeIndex, codeList = indexCodes()
+
+	_ Recorder = (*Account)(nil)
+)
+
+// NewAccount returns an empty account.
+func NewAccount(cfg AccountConfig) *Account {
+	return &Account{cfg: cfg, seen: make(map[rowKey]seenRow)}
+}
+
+// Offer counts a piece of work on the day of now.
+func (ac *Account) Offer(now time.Time, workspace, service string) *Ticket {
+	rw := ac.row(rowKey{day: ac.day(now), workspace: workspace, service: service})
+	rw.offered.Add(1)
+	return &Ticket{account: ac, row: rw}
+}
+
+// Faults returns how many calls of End were refused.
+func (ac *Account) Faults() int64 { return ac.faults.Load() }
+
+// End counts the outcome. A second End, and one with a code that belongs to
+// work in progress, is refused and counted as a fault.
+func (ti *Ticket) End(out Outcome) {
+	at, ok := codeIndex[out.Code]
+	if !ok {
+		at = codeIndex[codes.InternalFailure]
+	}
+	if codeList[at].Class() == codes.InProgress || !ti.ended.CompareAndSwap(false, true) {
+		ti.account.faults.Add(1)
+		return
+	}
+	ti.row.slotNanos.Add(int64(max(out.SlotTime, 0)))
+	ti.row.regionBytes.Add(max(out.RegionBytes, 0))
+	ti.row.repeats.Add(int64(max(out.Repeats, 0)))
+	ti.row.ended[at].Add(1)
+}
+
+func (ac *Account) day(now time.Time) string {
+	return DayOf(now, ac.location())
+}
+
+func (ac *Account) location() *time.Location {
+	if ac.cfg.Location == nil {
+		return time.UTC
+	}
+	if loc := ac.cfg.Location(); loc != nil {
+		return loc
+	}
+	return time.UTC
+}
+
+// row returns the counters of a key. Past the bound of rows, workspaces share
+// one row for each day and service.
+func (ac *Account) row(key rowKey) *row {
+	if rw, ok := ac.rows.Load(key); ok {
+		return rw.(*row)
+	}
+	if ac.count.Load() >= maxRows && key.workspace != OtherWorkspace {
+		return ac.row(rowKey{day: key.day, workspace: OtherWorkspace})
+	}
+	key.workspace = strings.Clone(key.workspace)
+	key.service = strings.Clone(key.service)
+	rw, loaded := ac.rows.LoadOrStore(key, &row{ended: make([]atomic.Int64, len(codeList))})
+	if !loaded {
+		ac.count.Add(1)
+	}
+	return rw.(*row)
+}
+
+// DayOf returns the day on which a moment falls.
+func DayOf(at time.Time, loc *time.Location) string { return at.In(loc).Format(DayFormat) }
+
+func indexCodes() (map[codes.Code]int, []codes.Code) {
+	all := codes.All()
+	idx := make(map[codes.Code]int, len(all))
+	list := make([]codes.Code, len(all))
+	for i, inf := range all {
+		idx[inf.Code] = i
+		list[i] = inf.Code
+	}
+	return idx, list
+}
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -1,10 +1,15 @@
 // Package report keeps the account of requests and jobs and draws the daily
 // report from it.
 //
-// The account is a set of counters that only grow. At every moment, for every
-// workspace and service: offered = done + failed + notRun + unknown + in
-// progress. Both readings of the report, revenue and capacity, are sums over
-// the same rows.
+// The account of a host is a set of counters that only grow. At every moment,
+// for every day, workspace and service: offered = done + failed + notRun +
+// unknown + in progress. Because no counter ever shrinks, two copies of an
+// account are merged counter by counter, the larger one winning, in any order
+// and however often.
+//
+// Jobs that were accepted are counted from the records of the zones'
+// schedulers; everything else from the accounts of the hosts. Both readings of
+// the report, revenue and capacity, are sums over the same rows.
 package report
 
 import (
@@ -14,17 +19,14 @@
 )
 
 // Recorder counts what becomes of work on one host. Offer is called once when
-// work arrives and End exactly once when its outcome is known.
+// work arrives and returns the ticket on which its outcome is entered. The day
+// of the offer is the day of the outcome, too.
+//
+// Service is empty for a submission of a job. Only those submissions are
+// recorded that were not accepted, since accepted ones are counted from the
+// records of the jobs.
 type Recorder interface {
-	Offer(now time.Time, wk Work)
-	End(now time.Time, wk Work, out Outcome)
-}
-
-// Work names what is counted together.
-type Work struct {
-	Day       string // as given by Offer's day; empty until then
-	Workspace string
-	Service   string // empty for jobs
+	Offer(now time.Time, workspace, service string) *Ticket
 }
 
 // Outcome is how a piece of work ended.
