Parse declarations and settings with every fault and its position

Hosts and the command line need both parsers, and an operator should see all faults of a file at once. The decoder of goccy/go-yaml stops at the first one, so its strict mode was ruled out; a walk over its syntax tree along the struct types collects unknown and doubled keys, wrong types and missing values with line and column. The checks that need no packing follow, and both example deployments pass them.

--- /dev/null
+++ b/internal/setup/parse.go
@@ -0,0 +1,162 @@
+package setup
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cicadawharf/cicadawharf/internal/strict"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+// The values of settings that a file leaves out.
+const (
+	DefaultLevel       = "info"
+	DefaultStoreWait   = 2 * time.Second
+	DefaultRequests    = 4096
+	DefaultHeaderBytes = 64 << 10
+	DefaultBodyBytes   = 16 << 20
+	DefaultReadTimeout = 10 * time.Second
+	DefaultQueueTime   = time.Second
+	DefaultStopDelay   = 5 * time.Second
+	DefaultStopBound   = 60 * time.Second
+)
+
+const (
+	maxRequests    = 1 << 20
+	maxHeaderBytes = 1 << 20
+	maxBodyBytes   = 1 << 30
+	maxWait        = time.Hour
+)
+
+// Load reads and checks a file. An error of its content is spec.Faults.
+func Load(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, merry.Prepend(err, "settings")
+	}
+	return Parse(file, data)
+}
+
+// Parse checks the content of a file. The error is spec.Faults.
+func Parse(file string, data []byte) (Settings, error) {
+	se := defaults()
+	tree := strict.Decode(file, data, &se)
+	if tree.Err() == nil {
+		check(tree, &se)
+	}
+	if err := tree.Err(); err != nil {
+		return Settings{}, err
+	}
+	return se, nil
+}
+
+func defaults() Settings {
+	return Settings{
+		Store: Store{Timeout: DefaultStoreWait},
+		Log:   Log{Level: DefaultLevel},
+		Limits: Limits{
+			Requests:    DefaultRequests,
+			HeaderBytes: DefaultHeaderBytes,
+			BodyBytes:   DefaultBodyBytes,
+			ReadTimeout: DefaultReadTimeout,
+			QueueTime:   DefaultQueueTime,
+		},
+		Stop: Stop{Delay: DefaultStopDelay, Bound: DefaultStopBound},
+	}
+}
+
+func check(tree *strict.Document, se *Settings) {
+	checkName(tree, "$.host.name", se.Host.Name)
+	checkName(tree, "$.host.zone", se.Host.Zone)
+	checkName(tree, "$.host.region", se.Host.Region)
+	checkAddress(tree, "$.host.httpAddress", se.Host.HTTPAddress)
+	checkAddress(tree, "$.host.peerAddress", se.Host.PeerAddress)
+	if se.Host.HTTPAddress != "" && se.Host.HTTPAddress == se.Host.PeerAddress {
+		tree.Report("$.host.peerAddress", "peerAddress must differ from httpAddress")
+	}
+	for i, ad := range se.Seeds {
+		checkAddress(tree, strict.Index("$.seeds", i), ad)
+	}
+	checkStore(tree, se.Store)
+	switch se.Log.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		tree.Report("$.log.level", "level %q must be one of debug, info, warn, error", se.Log.Level)
+	}
+	checkLimits(tree, se.Limits)
+	checkDuration(tree, "$.stop.delay", se.Stop.Delay, 0)
+	checkDuration(tree, "$.stop.bound", se.Stop.Bound, 1)
+}
+
+func checkStore(tree *strict.Document, st Store) {
+	if len(st.Addresses) == 0 {
+		tree.Report("$.store.addresses", "at least one address of the store is needed")
+	}
+	for i, ad := range st.Addresses {
+		checkAddress(tree, strict.Index("$.store.addresses", i), ad)
+	}
+	checkDuration(tree, "$.store.timeout", st.Timeout, 1)
+}
+
+func checkLimits(tree *strict.Document, li Limits) {
+	checkBound(tree, "$.limits.requests", int64(li.Requests), maxRequests)
+	checkBound(tree, "$.limits.headerBytes", int64(li.HeaderBytes), maxHeaderBytes)
+	checkBound(tree, "$.limits.bodyBytes", li.BodyBytes, maxBodyBytes)
+	checkDuration(tree, "$.limits.readTimeout", li.ReadTimeout, 1)
+	checkDuration(tree, "$.limits.queueTime", li.QueueTime, 1)
+}
+
+func checkName(tree *strict.Document, path, name string) {
+	switch {
+	case !tree.Has(path):
+		tree.Report(path, "%q is missing", last(path))
+	case !spec.ValidName(name):
+		tree.Report(path, "%s %q must have 1 to 63 lower-case letters, digits and hyphens, with none of the hyphens at an end", last(path), name)
+	}
+}
+
+func checkAddress(tree *strict.Document, path, address string) {
+	if !tree.Has(path) {
+		tree.Report(path, "%q is missing", last(path))
+		return
+	}
+	if err := CheckAddress(address); err != nil {
+		tree.Report(path, "%v", err)
+	}
+}
+
+func checkBound(tree *strict.Document, path string, value, most int64) {
+	if value < 1 || value > most {
+		tree.Report(path, "%s must be within 1 and %d", last(path), most)
+	}
+}
+
+func checkDuration(tree *strict.Document, path string, value, least time.Duration) {
+	switch {
+	case value > maxWait:
+		tree.Report(path, "%s must be at most %v", last(path), maxWait)
+	case value < least && least > 0:
+		tree.Report(path, "%s must be positive", last(path))
+	case value < least:
+		tree.Report(path, "%s must not be negative", last(path))
+	}
+}
+
+// CheckAddress tells what is wrong with an address that should be IP:port.
+func CheckAddress(address string) error {
+	ap, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return fmt.Errorf("address %q must be IP:port, such as 10.1.0.4:7080", address)
+	}
+	if ap.Port() == 0 {
+		return fmt.Errorf("address %q needs a port other than zero", address)
+	}
+	return nil
+}
+
+func last(path string) string { return path[strings.LastIndex(path, ".")+1:] }
--- /dev/null
+++ b/internal/strict/decode.go
@@ -0,0 +1,225 @@
+package strict
+
+import (
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+// decoder walks a syntax tree along the type that it fills.
+type decoder struct {
+	doc *Document
+}
+
+var durationType = reflect.TypeFor[time.Duration]()
+
+// value fills one value. Its position has been marked by the caller.
+func (de decoder) value(path string, nd ast.Node, into reflect.Value) {
+	if why := refused(nd); why != "" {
+		de.doc.reportAt(markNode(nd), "%s", why)
+		return
+	}
+	switch {
+	case into.Type() == durationType:
+		de.duration(nd, into)
+	case into.Kind() == reflect.Struct:
+		de.mapping(path, nd, into)
+	case into.Kind() == reflect.Slice:
+		de.sequence(path, nd, into)
+	default:
+		de.scalar(nd, into)
+	}
+}
+
+func (de decoder) mapping(path string, nd ast.Node, into reflect.Value) {
+	entries, ok := entriesOf(nd)
+	if !ok {
+		de.wrong(nd, "a mapping of keys to values")
+		return
+	}
+	seen := make(map[string]bool, len(entries))
+	for _, en := range entries {
+		key, ok := de.key(en)
+		if !ok {
+			continue
+		}
+		at := markNode(en)
+		fd, known := field(into, key)
+		switch {
+		case seen[key]:
+			de.doc.reportAt(at, "key %q is doubled", key)
+			continue
+		case !known:
+			de.doc.reportAt(at, "unknown key %q; known here are %s", key, strings.Join(keys(into.Type()), ", "))
+			continue
+		}
+		seen[key] = true
+		de.entry(Key(path, key), en, fd)
+	}
+}
+
+// entry fills the value of a key and marks it: a scalar at itself, anything
+// larger at its key.
+func (de decoder) entry(path string, en *ast.MappingValueNode, into reflect.Value) {
+	at := markNode(en)
+	if scalar(en.Value) {
+		at = markNode(en.Value)
+	}
+	de.doc.marks[path] = at
+	if en.Value == nil || en.Value.Type() == ast.NullType {
+		de.doc.reportAt(markNode(en), "key %q has no value", path[strings.LastIndex(path, ".")+1:])
+		return
+	}
+	de.value(path, en.Value, into)
+}
+
+// key returns the text of a plain key.
+func (de decoder) key(en *ast.MappingValueNode) (string, bool) {
+	if sn, ok := en.Key.(*ast.StringNode); ok {
+		return sn.Value, true
+	}
+	de.doc.reportAt(markNode(en), "a key must be plain text")
+	return "", false
+}
+
+func (de decoder) sequence(path string, nd ast.Node, into reflect.Value) {
+	sq, ok := nd.(*ast.SequenceNode)
+	if !ok {
+		de.wrong(nd, "a list")
+		return
+	}
+	list := reflect.MakeSlice(into.Type(), len(sq.Values), len(sq.Values))
+	for i, vl := range sq.Values {
+		item := Index(path, i)
+		if vl == nil || vl.Type() == ast.NullType {
+			de.doc.reportAt(markNode(sq), "element %d of the list has no value", i+1)
+			continue
+		}
+		de.doc.marks[item] = markNode(vl)
+		de.value(item, vl, list.Index(i))
+	}
+	into.Set(list)
+}
+
+func (de decoder) duration(nd ast.Node, into reflect.Value) {
+	text, ok := textOf(nd)
+	if !ok {
+		de.wrong(nd, "a duration with a unit, such as 30s")
+		return
+	}
+	du, err := time.ParseDuration(text)
+	if err != nil {
+		de.doc.reportAt(markNode(nd), "%q is not a duration with a unit, such as 30s", text)
+		return
+	}
+	into.SetInt(int64(du))
+}
+
+func (de decoder) scalar(nd ast.Node, into reflect.Value) {
+	switch into.Kind() {
+	case reflect.String:
+		text, ok := textOf(nd)
+		if !ok {
+			de.wrong(nd, "text, in quotes where it looks like something else")
+			return
+		}
+		into.SetString(text)
+	case reflect.Bool:
+		bn, ok := nd.(*ast.BoolNode)
+		if !ok {
+			de.wrong(nd, "true or false")
+			return
+		}
+		into.SetBool(bn.Value)
+	case reflect.Int, reflect.Int64:
+		num, ok := intOf(nd)
+		if !ok || into.OverflowInt(num) {
+			de.wrong(nd, "a whole number")
+			return
+		}
+		into.SetInt(num)
+	default:
+		panic("strict: no decoding into " + into.Type().String())
+	}
+}
+
+func (de decoder) wrong(nd ast.Node, want string) {
+	de.doc.reportAt(markNode(nd), "the value must be %s", want)
+}
+
+// refused tells why a kind of node is not taken at all, if it is not.
+func refused(nd ast.Node) string {
+	switch nd.Type() {
+	case ast.AnchorType, ast.AliasType, ast.MergeKeyType:
+		return "anchors, aliases and merges are not supported"
+	case ast.TagType:
+		return "tags are not supported"
+	case ast.DirectiveType:
+		return "directives are not supported"
+	default:
+		return ""
+	}
+}
+
+func scalar(nd ast.Node) bool {
+	_, ok := nd.(ast.ScalarNode)
+	return ok && nd.Type() != ast.NullType
+}
+
+func entriesOf(nd ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch nd := nd.(type) {
+	case *ast.MappingNode:
+		return nd.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{nd}, true
+	default:
+		return nil, false
+	}
+}
+
+func textOf(nd ast.Node) (string, bool) {
+	switch nd := nd.(type) {
+	case *ast.StringNode:
+		return nd.Value, true
+	case *ast.LiteralNode:
+		return nd.Value.Value, true
+	default:
+		return "", false
+	}
+}
+
+func intOf(nd ast.Node) (int64, bool) {
+	in, ok := nd.(*ast.IntegerNode)
+	if !ok {
+		return 0, false
+	}
+	switch num := in.Value.(type) {
+	case int64:
+		return num, true
+	case uint64:
+		return int64(num), num <= 1<<63-1
+	default:
+		return 0, false
+	}
+}
+
+// field returns the field of a struct that a key names.
+func field(into reflect.Value, key string) (reflect.Value, bool) {
+	at := slices.Index(keys(into.Type()), key)
+	if at < 0 {
+		return reflect.Value{}, false
+	}
+	return into.Field(at), true
+}
+
+// keys returns the keys of a struct's fields in their order.
+func keys(ty reflect.Type) []string {
+	ks := make([]string, ty.NumField())
+	for i := range ks {
+		ks[i], _, _ = strings.Cut(ty.Field(i).Tag.Get("yaml"), ",")
+	}
+	return ks
+}
--- /dev/null
+++ b/internal/strict/strict.go
@@ -0,0 +1,252 @@
+// Package strict decodes YAML files into structs and reports every fault of a
+// file at once, each with its position.
+//
+// Unknown and doubled keys, values of another type, empty values, several
+// documents, anchors, aliases, merges and tags are faults. Durations need a
+// unit. Decoding never panics on a malformed file, and never reads past the
+// bounds on its size and nesting.
+package strict
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+)
+
+type (
+	// Fault is one fault of a file.
+	Fault struct {
+		File    string
+		Line    int // from one
+		Column  int // from one
+		Message string
+	}
+
+	// Faults are all faults of a file in the order of their positions.
+	Faults []Fault
+
+	// Document is a decoded file. It maps the YAML paths of the file, such as
+	// $.zones[1].name, to positions and collects faults.
+	Document struct {
+		file   string
+		marks  map[string]mark
+		faults Faults
+	}
+
+	// mark is the position of a value.
+	mark struct {
+		line   int
+		column int
+	}
+)
+
+const (
+	// Root is the path of a whole document.
+	Root = "$"
+
+	// maxBytes bounds the size of a file.
+	maxBytes = 4 << 20
+	// maxNesting bounds the depth of a file, since the parser is recursive.
+	maxNesting = 64
+)
+
+// Decode reads data into the struct that into points to. The fields take their
+// keys from yaml tags. Faults are kept in the document; fields with faults keep
+// the value they had.
+func Decode(file string, data []byte, into any) *Document {
+	doc := &Document{file: file, marks: map[string]mark{Root: {line: 1, column: 1}}}
+	body, ok := doc.parse(data)
+	if !ok {
+		return doc
+	}
+	de := decoder{doc: doc}
+	de.value(Root, body, reflect.ValueOf(into).Elem())
+	return doc
+}
+
+// Has tells whether the file holds a value at path.
+func (doc *Document) Has(path string) bool {
+	_, ok := doc.marks[path]
+	return ok
+}
+
+// Position returns the line and column of the value at path, or of the closest
+// value around it if the file has none there.
+func (doc *Document) Position(path string) (line, column int) {
+	for {
+		if mk, ok := doc.marks[path]; ok {
+			return mk.line, mk.column
+		}
+		at := strings.LastIndexAny(path, ".[")
+		if at <= 0 {
+			return 1, 1
+		}
+		path = path[:at]
+	}
+}
+
+// Fault returns a fault at path without adding it.
+func (doc *Document) Fault(path, message string) Fault {
+	line, column := doc.Position(path)
+	return Fault{File: doc.file, Line: line, Column: column, Message: message}
+}
+
+// Report adds a fault at path.
+func (doc *Document) Report(path, format string, args ...any) {
+	doc.faults = append(doc.faults, doc.Fault(path, fmt.Sprintf(format, args...)))
+}
+
+// Err returns the collected Faults in the order of their positions, or nil if
+// there are none.
+func (doc *Document) Err() error {
+	if len(doc.faults) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(doc.faults, func(a, b Fault) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+	return slices.Clone(doc.faults)
+}
+
+// Error implements error with one line for each fault.
+func (fs Faults) Error() string {
+	lines := make([]string, len(fs))
+	for i, ft := range fs {
+		lines[i] = ft.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// String returns the fault as file:line:column: message.
+func (ft Fault) String() string {
+	return fmt.Sprintf("%s:%d:%d: %s", ft.File, ft.Line, ft.Column, ft.Message)
+}
+
+// Key returns the path of a key within a mapping.
+func Key(path, key string) string { return path + "." + key }
+
+// Index returns the path of an element of a sequence.
+func Index(path string, i int) string { return fmt.Sprintf("%s[%d]", path, i) }
+
+func (doc *Document) reportAt(mk mark, format string, args ...any) {
+	doc.faults = append(doc.faults, Fault{
+		File: doc.file, Line: mk.line, Column: mk.column, Message: fmt.Sprintf(format, args...),
+	})
+}
+
+// parse returns the one document of a file.
+func (doc *Document) parse(data []byte) (ast.Node, bool) {
+	if len(data) > maxBytes {
+		doc.Report(Root, "the file is larger than %d bytes", maxBytes)
+		return nil, false
+	}
+	tokens := lexer.Tokenize(string(data))
+	if tk := tooDeep(tokens); tk != nil {
+		doc.reportAt(markOf(tk), "the file is nested deeper than %d levels", maxNesting)
+		return nil, false
+	}
+	file, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		doc.reportSyntax(err)
+		return nil, false
+	}
+	return doc.only(file)
+}
+
+// only returns the body of the single document of a file.
+func (doc *Document) only(file *ast.File) (ast.Node, bool) {
+	bodies := make([]ast.Node, 0, 1)
+	for _, dc := range file.Docs {
+		if dc.Body == nil || dc.Body.Type() == ast.CommentType {
+			continue
+		}
+		bodies = append(bodies, dc.Body)
+	}
+	switch {
+	case len(bodies) == 0:
+		doc.Report(Root, "the file is empty")
+		return nil, false
+	case len(bodies) > 1:
+		doc.reportAt(markNode(bodies[1]), "the file holds more than one document")
+		return nil, false
+	}
+	return bodies[0], true
+}
+
+func (doc *Document) reportSyntax(err error) {
+	var ye yaml.Error
+	if !errors.As(err, &ye) || ye.GetToken() == nil {
+		doc.Report(Root, "%s", firstLine(err.Error()))
+		return
+	}
+	doc.reportAt(markOf(ye.GetToken()), "%s", firstLine(ye.GetMessage()))
+}
+
+// tooDeep returns the first token that opens a level past maxNesting. Block
+// levels show as columns, flow levels as brackets; both are counted so that no
+// way of nesting escapes the bound.
+func tooDeep(tokens token.Tokens) *token.Token {
+	var columns []int
+	flow := 0
+	for _, tk := range tokens {
+		switch tk.Type {
+		case token.SequenceStartType, token.MappingStartType:
+			flow++
+		case token.SequenceEndType, token.MappingEndType:
+			flow = max(flow-1, 0)
+		case token.SequenceEntryType, token.MappingKeyType, token.MappingValueType, token.TagType, token.AnchorType:
+			columns = openColumns(columns, tk)
+		}
+		if flow+len(columns) > maxNesting {
+			return tk
+		}
+	}
+	return nil
+}
+
+// openColumns returns the columns of the block levels that are open at tk.
+func openColumns(columns []int, tk *token.Token) []int {
+	column := tk.Position.Column
+	if tk.Type == token.MappingValueType {
+		column = max(tk.Position.IndentNum+1, 1)
+	}
+	for len(columns) > 0 && columns[len(columns)-1] >= column {
+		columns = columns[:len(columns)-1]
+	}
+	return append(columns, column)
+}
+
+func markOf(tk *token.Token) mark {
+	if tk == nil || tk.Position == nil {
+		return mark{line: 1, column: 1}
+	}
+	return mark{line: max(tk.Position.Line, 1), column: max(tk.Position.Column, 1)}
+}
+
+// markNode returns where a node begins. A block mapping begins at its first
+// key, though its token is the colon.
+func markNode(nd ast.Node) mark {
+	switch nd := nd.(type) {
+	case *ast.MappingNode:
+		if !nd.IsFlowStyle && len(nd.Values) > 0 {
+			return markNode(nd.Values[0])
+		}
+	case *ast.MappingValueNode:
+		return markOf(nd.Key.GetToken())
+	}
+	return markOf(nd.GetToken())
+}
+
+func firstLine(text string) string {
+	line, _, _ := strings.Cut(text, "\n")
+	return line
+}
--- /dev/null
+++ b/pkg/spec/check.go
@@ -0,0 +1,270 @@
+package spec
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/strict"
+)
+
+// checker collects the faults of declarations that decoded well.
+type checker struct {
+	tree *strict.Document
+	de   *Declarations
+}
+
+// The bounds of what a file may declare.
+const (
+	maxNameLength   = 63
+	maxRacks        = 256       // per zone
+	maxWorkers      = 1024      // per rack
+	maxAccelerators = 8         // per worker
+	maxCores        = 4096      // per worker
+	maxMemoryGiB    = 64 * 1024 // per worker
+	maxWeight       = 1_000_000
+	maxQuota        = maxRacks * maxWorkers * maxAccelerators
+	maxCount        = maxQuota
+	maxSlots        = 100_000 // per endpoint, and guaranteed per zone
+	minTimeout      = time.Millisecond
+	maxTimeout      = time.Hour
+	maxMaxBody      = 1 << 30
+)
+
+var (
+	adjacencies = []Adjacency{SameWorker, SameRack, SameZone}
+	spills      = []Spill{SpillNone, SpillRegion, SpillAny}
+)
+
+// ValidName tells whether a name has only lower-case letters, digits and
+// hyphens, begins and ends with a letter or digit, and has at most 63 of them.
+func ValidName(name string) bool {
+	if name == "" || len(name) > maxNameLength {
+		return false
+	}
+	if name[0] == '-' || name[len(name)-1] == '-' {
+		return false
+	}
+	return !strings.ContainsFunc(name, foreign)
+}
+
+func foreign(ch rune) bool {
+	return (ch < 'a' || ch > 'z') && (ch < '0' || ch > '9') && ch != '-'
+}
+
+func check(tree *strict.Document, de *Declarations) {
+	ch := checker{tree: tree, de: de}
+	ch.timeZone()
+	ch.zones()
+	ch.services()
+	ch.workspaces()
+}
+
+func (ch checker) timeZone() {
+	const path = "$.timeZone"
+	if !ch.required(strict.Root, "timeZone") {
+		return
+	}
+	name := ch.de.TimeZone
+	if name == "" || name == "Local" {
+		ch.tree.Report(path, "time zone %q is not an IANA name, such as America/Lima", name)
+		return
+	}
+	if _, err := time.LoadLocation(name); err != nil {
+		ch.tree.Report(path, "time zone %q is not known", name)
+	}
+}
+
+func (ch checker) zones() {
+	if len(ch.de.Zones) == 0 {
+		ch.tree.Report("$.zones", "at least one zone must be declared")
+	}
+	seen := names{}
+	for i, zn := range ch.de.Zones {
+		path := zonePath(i)
+		ch.name(path, "zone", zn.Name, seen)
+		if ch.required(path, "region") && !ValidName(zn.Region) {
+			ch.tree.Report(strict.Key(path, "region"), "region %q %s", zn.Region, nameRule)
+		}
+		ch.racks(path, zn)
+	}
+}
+
+func (ch checker) racks(zone string, zn Zone) {
+	path := strict.Key(zone, "racks")
+	ch.within(path, "the number of racks", len(zn.Racks), 1, maxRacks)
+	seen := names{}
+	for i, rk := range zn.Racks {
+		at := strict.Index(path, i)
+		ch.name(at, "rack", rk.Name, seen)
+		ch.field(at, "workers", rk.Workers, 1, maxWorkers)
+		ch.field(at, "accelerators", rk.Accelerators, 0, maxAccelerators)
+		ch.field(at, "cores", rk.Cores, 1, maxCores)
+		ch.field(at, "memoryGiB", rk.MemoryGiB, 1, maxMemoryGiB)
+	}
+}
+
+func (ch checker) services() {
+	seen := names{}
+	for i, sv := range ch.de.Services {
+		path := servicePath(i)
+		ch.name(path, "service", sv.Name, seen)
+		slotsValid := ch.field(path, "slots", sv.Slots, 1, maxSlots)
+		if ch.field(path, "connections", sv.Connections, 1, maxSlots) && slotsValid && sv.Connections < sv.Slots {
+			ch.tree.Report(strict.Key(path, "connections"), "%d connections are fewer than the %d slots", sv.Connections, sv.Slots)
+		}
+		ch.required(path, "repeatable")
+		oneOf(ch, strict.Key(path, "spill"), "spill", sv.Spill, spills)
+		if sv.Timeout < minTimeout || sv.Timeout > maxTimeout {
+			ch.tree.Report(strict.Key(path, "timeout"), "timeout must be within %v and %v", minTimeout, maxTimeout)
+		}
+		if sv.MaxBody < 0 || sv.MaxBody > maxMaxBody {
+			ch.tree.Report(strict.Key(path, "maxBody"), "maxBody must be within 0 and %d", maxMaxBody)
+		}
+	}
+}
+
+func (ch checker) workspaces() {
+	seen := names{}
+	for i, ws := range ch.de.Workspaces {
+		path := workspacePath(i)
+		ch.name(path, "workspace", ws.Name, seen)
+		ch.within(strict.Key(path, "weight"), "weight", ws.Weight, 1, maxWeight)
+		ch.within(strict.Key(path, "quota"), "quota", ws.Quota, 0, maxQuota)
+		valid := true
+		for j, gu := range ws.Guarantees {
+			valid = ch.guarantee(guaranteePath(path, j), gu) && valid
+		}
+		if valid {
+			ch.quota(path, ws)
+		}
+		ch.uses(strict.Key(path, "services"), ws.Services)
+	}
+}
+
+func (ch checker) guarantee(path string, gu Guarantee) bool {
+	count := ch.field(path, "count", gu.Count, 1, maxCount)
+	zone := ch.required(path, "zone")
+	shape := ch.required(path, "shape")
+	if !zone || !shape {
+		return false
+	}
+	zn, known := ch.de.Zone(gu.Zone)
+	if !known {
+		ch.tree.Report(strict.Key(path, "zone"), "zone %q is not declared", gu.Zone)
+	}
+	at := strict.Key(path, "shape")
+	return ch.shape(at, gu.Shape) && known && ch.fits(at, zn, gu.Shape) && count
+}
+
+func (ch checker) shape(path string, sh Shape) bool {
+	tasks := ch.field(path, "tasks", sh.Tasks, 1, MaxTasks)
+	accelerators := ch.field(path, "accelerators", sh.Accelerators, 0, maxAccelerators)
+	adjacency := oneOf(ch, strict.Key(path, "adjacency"), "adjacency", sh.Adjacency, adjacencies)
+	return tasks && accelerators && adjacency
+}
+
+func (ch checker) fits(path string, zn Zone, sh Shape) bool {
+	if zn.Fits(sh) {
+		return true
+	}
+	most := 0
+	for _, rk := range zn.Racks {
+		most = max(most, rk.Accelerators)
+	}
+	if sh.Accelerators > most {
+		ch.tree.Report(strict.Key(path, "accelerators"), "%d accelerators per task are more than a worker of zone %s has (%d)", sh.Accelerators, zn.Name, most)
+		return false
+	}
+	ch.tree.Report(path, "a gang of %d tasks with %d accelerators each does not fit one %s of zone %s", sh.Tasks, sh.Accelerators, sh.Adjacency, zn.Name)
+	return false
+}
+
+// quota checks that a workspace may use what it is guaranteed.
+func (ch checker) quota(path string, ws Workspace) {
+	totals := make(map[string]int, len(ch.de.Zones))
+	for i, gu := range ws.Guarantees {
+		totals[gu.Zone] += gu.Count * gu.Shape.Total()
+		if totals[gu.Zone] > ws.Quota {
+			ch.tree.Report(guaranteePath(path, i), "the guarantees of workspace %s in zone %s need %d accelerators, past its quota of %d", ws.Name, gu.Zone, totals[gu.Zone], ws.Quota)
+			return
+		}
+	}
+}
+
+func (ch checker) uses(path string, uses []ServiceUse) {
+	seen := names{}
+	for i, su := range uses {
+		at := strict.Index(path, i)
+		ch.within(strict.Key(at, "slots"), "slots", su.Slots, 0, maxSlots)
+		if !ch.required(at, "name") {
+			continue
+		}
+		if _, known := ch.de.Service(su.Name); !known {
+			ch.tree.Report(strict.Key(at, "name"), "service %q is not declared", su.Name)
+		}
+		if seen.add(su.Name) {
+			ch.tree.Report(strict.Key(at, "name"), "service %q is named twice", su.Name)
+		}
+	}
+}
+
+const nameRule = "must have 1 to 63 lower-case letters, digits and hyphens, with none of the hyphens at an end"
+
+// names are those of one kind of object.
+type names map[string]bool
+
+// add tells whether the name was there before.
+func (na names) add(name string) bool {
+	doubled := na[name]
+	na[name] = true
+	return doubled
+}
+
+func (ch checker) name(path, kind, name string, seen names) {
+	if !ch.required(path, "name") {
+		return
+	}
+	at := strict.Key(path, "name")
+	if !ValidName(name) {
+		ch.tree.Report(at, "%s name %q %s", kind, name, nameRule)
+		return
+	}
+	if seen.add(name) {
+		ch.tree.Report(at, "%s %q is declared twice", kind, name)
+	}
+}
+
+func (ch checker) required(path, key string) bool {
+	if ch.tree.Has(strict.Key(path, key)) {
+		return true
+	}
+	ch.tree.Report(path, "%q is missing", key)
+	return false
+}
+
+// field checks the bounds of a field that must be given.
+func (ch checker) field(path, key string, value, least, most int) bool {
+	return ch.required(path, key) && ch.within(strict.Key(path, key), key, value, least, most)
+}
+
+func (ch checker) within(path, what string, value, least, most int) bool {
+	if value >= least && value <= most {
+		return true
+	}
+	ch.tree.Report(path, "%s must be within %d and %d", what, least, most)
+	return false
+}
+
+func oneOf[T ~string](ch checker, path, what string, value T, valid []T) bool {
+	if slices.Contains(valid, value) {
+		return true
+	}
+	texts := make([]string, len(valid))
+	for i, vl := range valid {
+		texts[i] = fmt.Sprint(vl)
+	}
+	ch.tree.Report(path, "%s %q must be one of %s", what, value, strings.Join(texts, ", "))
+	return false
+}
--- /dev/null
+++ b/pkg/spec/compare.go
@@ -0,0 +1,110 @@
+package spec
+
+import (
+	"fmt"
+	"reflect"
+)
+
+type (
+	// ChangeKind says how an object differs between two declarations.
+	ChangeKind string
+
+	// ObjectKind says what an object of declarations is.
+	ObjectKind string
+
+	// Change is one object that differs.
+	Change struct {
+		Kind   ChangeKind `json:"kind"`
+		Object ObjectKind `json:"object"`
+		Name   string     `json:"name"`
+	}
+)
+
+// The kinds of changes.
+const (
+	ChangeAdded   ChangeKind = "added"
+	ChangeRemoved ChangeKind = "removed"
+	ChangeChanged ChangeKind = "changed"
+)
+
+// The kinds of objects.
+const (
+	ObjectTimeZone  ObjectKind = "timeZone"
+	ObjectZone      ObjectKind = "zone"
+	ObjectWorkspace ObjectKind = "workspace"
+	ObjectService   ObjectKind = "service"
+)
+
+// Compare returns what differs between the declarations in force and the next
+// ones: objects of next in their order, then those that are gone. The order of
+// objects within a file has no meaning and makes no change. A nil current
+// stands for declarations that hold nothing.
+func Compare(current, next *Declarations) []Change {
+	if current == nil {
+		current = &Declarations{}
+	}
+	var cs []Change
+	if current.TimeZone != next.TimeZone {
+		cs = append(cs, Change{Kind: ChangeChanged, Object: ObjectTimeZone, Name: next.TimeZone})
+	}
+	cs = append(cs, compareObjects(ObjectZone, current.Zones, next.Zones, func(zn Zone) string { return zn.Name })...)
+	cs = append(cs, compareObjects(ObjectService, current.Services, next.Services, func(sv Service) string { return sv.Name })...)
+	return append(cs, compareObjects(ObjectWorkspace, current.Workspaces, next.Workspaces, func(ws Workspace) string { return ws.Name })...)
+}
+
+// String returns the change as a line for people, such as "changed zone sur-1".
+func (cg Change) String() string {
+	return fmt.Sprintf("%s %s %s", cg.Kind, cg.Object, cg.Name)
+}
+
+func compareObjects[T any](ok ObjectKind, current, next []T, nameOf func(T) string) []Change {
+	var cs []Change
+	old := make(map[string]T, len(current))
+	for _, ob := range current {
+		old[nameOf(ob)] = ob
+	}
+	for _, ob := range next {
+		name := nameOf(ob)
+		was, found := old[name]
+		delete(old, name)
+		switch {
+		case !found:
+			cs = append(cs, Change{Kind: ChangeAdded, Object: ok, Name: name})
+		case !same(reflect.ValueOf(was), reflect.ValueOf(ob)):
+			cs = append(cs, Change{Kind: ChangeChanged, Object: ok, Name: name})
+		}
+	}
+	for _, ob := range current {
+		name := nameOf(ob)
+		if _, gone := old[name]; gone {
+			cs = append(cs, Change{Kind: ChangeRemoved, Object: ok, Name: name})
+		}
+	}
+	return cs
+}
+
+// same compares two values of one type; unlike reflect.DeepEqual it takes a
+// nil list for an empty one.
+func same(a, b reflect.Value) bool {
+	switch a.Kind() {
+	case reflect.Struct:
+		for i := range a.NumField() {
+			if !same(a.Field(i), b.Field(i)) {
+				return false
+			}
+		}
+		return true
+	case reflect.Slice:
+		if a.Len() != b.Len() {
+			return false
+		}
+		for i := range a.Len() {
+			if !same(a.Index(i), b.Index(i)) {
+				return false
+			}
+		}
+		return true
+	default:
+		return a.Equal(b)
+	}
+}
--- /dev/null
+++ b/pkg/spec/parse_test.go
@@ -0,0 +1,215 @@
+package spec_test
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+const valid = `timeZone: America/Lima
+zones:
+  - name: a-1
+    region: a
+    racks:
+      - {name: r1, workers: 2, accelerators: 8, cores: 64, memoryGiB: 128}
+      - {name: r2, workers: 4, accelerators: 4, cores: 64, memoryGiB: 128}
+services:
+  - name: quotes
+    slots: 8
+    connections: 60
+    repeatable: true
+workspaces:
+  - name: w
+    guarantees:
+      - zone: a-1
+        shape: {tasks: 2, accelerators: 8}
+        count: 1
+    services:
+      - {name: quotes, slots: 4}
+`
+
+func TestParseExamples(t *testing.T) {
+	for _, file := range []string{"sacos.yaml", "velas.yaml"} {
+		t.Run(file, func(t *testing.T) {
+			is := is.New(t)
+			data, err := os.ReadFile("../../examples/" + file)
+			is.NoErr(err)
+			doc, err := spec.Parse(file, data)
+			is.NoErr(err)
+			workers := 0
+			for _, zn := range doc.Declarations.Zones {
+				workers += zn.Workers()
+			}
+			is.Equal(workers, 48)
+			is.Equal(len(doc.Declarations.Zones), 3)
+			is.Equal(len(doc.Declarations.Workspaces), 4)
+		})
+	}
+}
+
+func TestParseDefaultsAndPositions(t *testing.T) {
+	is := is.New(t)
+	doc, err := spec.Parse("f.yaml", []byte(valid))
+	is.NoErr(err)
+	de := doc.Declarations
+	is.Equal(de.Workspaces[0].Weight, 1)
+	is.Equal(de.Workspaces[0].Quota, 32)
+	is.Equal(de.Workspaces[0].Guarantees[0].Shape.Adjacency, spec.SameZone)
+	is.Equal(de.Services[0].Spill, spec.SpillNone)
+	is.Equal(de.Services[0].Timeout, 30*time.Second)
+	is.Equal(de.Services[0].MaxBody, int64(1<<20))
+
+	for _, tc := range []struct {
+		path         string
+		line, column int
+	}{
+		{"$", 1, 1},
+		{"$.timeZone", 1, 11},
+		{"$.zones[0]", 3, 5},
+		{"$.zones[0].racks[1]", 7, 9},
+		{"$.zones[0].racks[1].workers", 7, 29},
+		{"$.workspaces[0].guarantees", 15, 5},
+		{"$.workspaces[0].guarantees[0]", 16, 9},
+		{"$.workspaces[0].guarantees[0].shape.adjacency", 17, 9},
+		{"$.workspaces[0].guarantees[7].count", 15, 5},
+		{"$.nowhere", 1, 1},
+		{"", 1, 1},
+	} {
+		line, column := doc.Position(tc.path)
+		is.Equal([2]int{line, column}, [2]int{tc.line, tc.column}) // position of the path
+	}
+}
+
+func TestParseFaults(t *testing.T) {
+	for _, tc := range []struct{ name, old, replacement, want string }{
+		{"unknown key", "    region: a\n", "    region: a\n    regoin: b\n", `f.yaml:5:5: unknown key "regoin"; known here are name, region, racks`},
+		{"doubled key", "    region: a\n", "    region: a\n    region: b\n", `f.yaml:5:5: key "region" is doubled`},
+		{"time zone", "America/Lima", "America/Limo", `f.yaml:1:11: time zone "America/Limo" is not known`},
+		{"time zone of the host", "America/Lima", "Local", `f.yaml:1:11: time zone "Local" is not an IANA name`},
+		{"dot in a name", "name: r1", "name: r.1", `f.yaml:6:16: rack name "r.1" must have`},
+		{"upper case", "region: a\n", "region: A\n", `f.yaml:4:13: region "A" must have`},
+		{"long name", "name: w\n", "name: " + strings.Repeat("w", 64) + "\n", `f.yaml:14:11: workspace name "www`},
+		{"number for a name", "name: w\n", "name: 7\n", `f.yaml:14:11: the value must be text`},
+		{"doubled rack", "name: r2", "name: r1", `f.yaml:7:16: rack "r1" is declared twice`},
+		{"missing field", "    slots: 8\n", "", `f.yaml:9:5: "slots" is missing`},
+		{"no slots", "slots: 8", "slots: 0", `f.yaml:10:12: slots must be within 1 and 100000`},
+		{"connections", "connections: 60", "connections: 7", `f.yaml:11:18: 7 connections are fewer than the 8 slots`},
+		{"repeatable", "    repeatable: true\n", "", `f.yaml:9:5: "repeatable" is missing`},
+		{"spill", "repeatable: true\n", "repeatable: true\n    spill: all\n", `f.yaml:13:12: spill "all" must be one of none, region, any`},
+		{"no unit", "repeatable: true\n", "repeatable: true\n    timeout: 30\n", `f.yaml:13:14: the value must be a duration with a unit`},
+		{"no duration", "repeatable: true\n", "repeatable: true\n    timeout: soon\n", `f.yaml:13:14: "soon" is not a duration with a unit`},
+		{"zero timeout", "repeatable: true\n", "repeatable: true\n    timeout: 0s\n", `f.yaml:13:14: timeout must be within 1ms and 1h0m0s`},
+		{"unknown zone", "zone: a-1", "zone: b-1", `f.yaml:16:15: zone "b-1" is not declared`},
+		{"unknown service", "{name: quotes", "{name: orders", `f.yaml:20:16: service "orders" is not declared`},
+		{"tasks", "tasks: 2", "tasks: 33", `f.yaml:17:24: tasks must be within 1 and 32`},
+		{"adjacency", "accelerators: 8}\n        count", "accelerators: 8, adjacency: near}\n        count", `f.yaml:17:55: adjacency "near" must be one of worker, rack, zone`},
+		{"worker too small", "accelerators: 8}\n        count", "accelerators: 8, adjacency: worker}\n        count", `f.yaml:17:9: a gang of 2 tasks with 8 accelerators each does not fit one worker of zone a-1`},
+		{"rack too small", "tasks: 2, accelerators: 8", "tasks: 3, accelerators: 8, adjacency: rack", `f.yaml:17:9: a gang of 3 tasks with 8 accelerators each does not fit one rack of zone a-1`},
+		{"too many per task", "accelerators: 8, cores", "accelerators: 4, cores", `f.yaml:17:41: 8 accelerators per task are more than a worker of zone a-1 has (4)`},
+		{"count", "count: 1", "count: 0", `f.yaml:18:16: count must be within 1 and`},
+		{"quota", "  - name: w\n", "  - name: w\n    quota: 15\n", `f.yaml:17:9: the guarantees of workspace w in zone a-1 need 16 accelerators, past its quota of 15`},
+		{"zero weight", "  - name: w\n", "  - name: w\n    weight: 0\n", `f.yaml:15:13: weight must be within 1 and`},
+		{"fraction", "slots: 8", "slots: 8.5", `f.yaml:10:12: the value must be a whole number`},
+		{"huge number", "slots: 8", "slots: 99999999999999999999", `f.yaml:10:12: the value must be a whole number`},
+		{"empty value", "slots: 8", "slots:", `f.yaml:10:5: key "slots" has no value`},
+		{"alias", "region: a", "region: *a", `f.yaml:4:13: anchors, aliases and merges are not supported`},
+		{"two documents", "services:", "---\nservices:", `f.yaml:9:1: the file holds more than one document`},
+		{"syntax", "services:", "services: [", `f.yaml:`},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(strings.Contains(valid, tc.old)) // the replacement applies
+			_, err := spec.Parse("f.yaml", []byte(strings.Replace(valid, tc.old, tc.replacement, 1)))
+			var fs spec.Faults
+			is.True(errors.As(err, &fs))
+			is.Equal(len(fs), 1) // faults
+			if !strings.HasPrefix(err.Error(), tc.want) {
+				t.Errorf("got  %s\nwant %s", err, tc.want)
+			}
+		})
+	}
+}
+
+func TestParseReportsAllFaultsInOrder(t *testing.T) {
+	is := is.New(t)
+	text := strings.NewReplacer("slots: 8", "slots: 0", "name: a-1", "name: A", "count: 1", "count: -1").Replace(valid)
+	_, err := spec.Parse("f.yaml", []byte(text))
+	var fs spec.Faults
+	is.True(errors.As(err, &fs))
+	lines := make([]int, len(fs))
+	for i, ft := range fs {
+		lines[i] = ft.Line
+	}
+	is.Equal(lines, []int{3, 10, 16, 18}) // zone, slots, reference to the zone, count
+}
+
+func TestParseBounds(t *testing.T) {
+	for name, text := range map[string]string{
+		"empty":          "",
+		"comment":        "# nothing\n",
+		"list":           "- a\n",
+		"flow depth":     strings.Repeat("[", 200_000),
+		"flow map depth": strings.Repeat("{a: ", 200_000),
+		"block depth":    strings.Repeat("- ", 200_000),
+		"key depth":      strings.Repeat("? ", 100_000),
+		"tag depth":      strings.Repeat("!a ", 100_000),
+		"anchor depth":   strings.Repeat("&a ", 100_000),
+		"size":           strings.Repeat("#", 5<<20),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := spec.Parse("f.yaml", []byte(text))
+			var fs spec.Faults
+			is.True(errors.As(err, &fs))
+			is.Equal(len(fs), 1) // faults
+		})
+	}
+}
+
+func TestCompare(t *testing.T) {
+	is := is.New(t)
+	current, err := spec.Parse("a", []byte(valid))
+	is.NoErr(err)
+	text := strings.NewReplacer("workers: 4", "workers: 5", "name: w\n", "name: v\n").Replace(valid)
+	next, err := spec.Parse("b", []byte(text+"      []\n"))
+	is.True(err != nil) // trailing text
+	next, err = spec.Parse("b", []byte(text))
+	is.NoErr(err)
+	is.Equal(spec.Compare(current.Declarations, current.Declarations), nil)
+	is.Equal(spec.Compare(current.Declarations, next.Declarations), []spec.Change{
+		{Kind: spec.ChangeChanged, Object: spec.ObjectZone, Name: "a-1"},
+		{Kind: spec.ChangeAdded, Object: spec.ObjectWorkspace, Name: "v"},
+		{Kind: spec.ChangeRemoved, Object: spec.ObjectWorkspace, Name: "w"},
+	})
+	is.Equal(len(spec.Compare(nil, next.Declarations)), 4)
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte("a: &x [*x]\n<<: *x\n"))
+	f.Add([]byte("? [a]\n: !!str b\n---\n...\n%YAML 1.2\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		doc, err := spec.Parse("f.yaml", data)
+		if err == nil {
+			if doc.Declarations == nil || len(doc.Declarations.Zones) == 0 {
+				t.Fatal("accepted without a zone")
+			}
+			return
+		}
+		var fs spec.Faults
+		if !errors.As(err, &fs) || len(fs) == 0 {
+			t.Fatalf("error is not Faults: %v", err)
+		}
+		for _, ft := range fs {
+			if ft.Line < 1 || ft.Column < 1 || strings.Contains(ft.Message, "\n") {
+				t.Fatalf("malformed fault %+v", ft)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/spec/shape.go
@@ -0,0 +1,52 @@
+package spec
+
+// Fits tells whether the racks of the zone, when empty, could hold one gang of
+// the shape.
+func (zn Zone) Fits(sh Shape) bool {
+	places := 0
+	for _, rk := range zn.Racks {
+		inRack := rk.places(sh.Accelerators)
+		switch sh.Adjacency {
+		case SameWorker:
+			inRack = min(inRack, rk.placesPerWorker(sh.Accelerators))
+			places = max(places, inRack)
+		case SameRack:
+			places = max(places, inRack)
+		default:
+			places += inRack
+		}
+	}
+	return places >= sh.Tasks
+}
+
+// Accelerators returns the accelerators of all workers of the zone.
+func (zn Zone) Accelerators() int {
+	total := 0
+	for _, rk := range zn.Racks {
+		total += rk.Workers * rk.Accelerators
+	}
+	return total
+}
+
+// Workers returns the number of workers of the zone.
+func (zn Zone) Workers() int {
+	total := 0
+	for _, rk := range zn.Racks {
+		total += rk.Workers
+	}
+	return total
+}
+
+// places returns how many tasks with a number of accelerators the rack holds.
+func (rk Rack) places(accelerators int) int {
+	return rk.Workers * rk.placesPerWorker(accelerators)
+}
+
+// placesPerWorker returns how many tasks with a number of accelerators one
+// worker holds. Tasks without accelerators are bounded by the gang alone.
+func (rk Rack) placesPerWorker(accelerators int) int {
+	if accelerators == 0 {
+		return MaxTasks
+	}
+	return rk.Accelerators / accelerators
+}
