Reach the platform's store over its HTTP gateway

The system had the interface of the store but nothing behind it. The client makes one HTTP request a call, through the transport alone, so that no redirect is followed, and without GetBody, so that net/http has nothing to repeat a write with; http.Client and retries inside the client were ruled out for that reason. Only an address that gave no connection is skipped. SwapSettled reads again after a lost answer and repeats the identical swap only while the expected revision stands, where at most one of the two can take effect. The stand-in kvsim serves the same protocol with faults on demand.

--- /dev/null
+++ b/internal/fakes/kvsim/calls.go
@@ -0,0 +1,163 @@
+package kvsim
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/store/kvapi"
+)
+
+// result is what a call gives: an answer, or an error of the service.
+type result struct {
+	answer any
+	fault  *kvapi.Error
+	wrote  bool // it changed something, or would have
+}
+
+// handle makes the handler of one kind of call.
+func handle[Req any](sv *Server, count *atomic.Int64, fn func(now time.Time, req Req) result) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		count.Add(1)
+		var req Req
+		if !decode(w, r, &req) {
+			return
+		}
+		if !sv.beforeEffect(r.Context()) {
+			panic(http.ErrAbortHandler)
+		}
+		res := sv.perform(func(now time.Time) result { return fn(now, req) })
+		if res.wrote && sv.loseAnswer() {
+			panic(http.ErrAbortHandler)
+		}
+		if res.fault != nil {
+			writeError(w, *res.fault)
+			return
+		}
+		writeJSON(w, http.StatusOK, res.answer)
+	}
+}
+
+// perform runs one call on the state.
+func (sv *Server) perform(fn func(now time.Time) result) result {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.expire()
+	before := sv.state.revision
+	res := fn(sv.clock())
+	if sv.state.revision != before {
+		sv.announce()
+	}
+	return res
+}
+
+func (sv *Server) handleRange(_ time.Time, req kvapi.RangeRequest) result {
+	return result{answer: sv.state.rangeOf(req)}
+}
+
+func (sv *Server) handleTxn(_ time.Time, req kvapi.TxnRequest) result {
+	if ke := sv.state.check(req); ke != nil {
+		return result{fault: ke}
+	}
+	return result{answer: sv.state.txn(req), wrote: true}
+}
+
+func (sv *Server) handleGrant(now time.Time, req kvapi.GrantRequest) result {
+	if req.TTL <= 0 {
+		return result{fault: &kvapi.Error{Code: kvapi.CodeInvalidArgument, Message: "TTL is not positive"}}
+	}
+	id := req.ID
+	if id == 0 {
+		id = sv.state.nextLease
+		sv.state.nextLease++
+	}
+	ttl := time.Duration(req.TTL) * time.Second
+	sv.state.leases[id] = lease{ttl: ttl, expires: now.Add(ttl)}
+	return result{answer: sv.leaseAnswer(id, req.TTL), wrote: true}
+}
+
+func (sv *Server) handleKeepAlive(now time.Time, req kvapi.LeaseRequest) result {
+	fr := kvapi.Frame[kvapi.LeaseResponse]{Result: sv.leaseAnswer(req.ID, 0)}
+	if le, ok := sv.state.leases[req.ID]; ok {
+		sv.state.leases[req.ID] = lease{ttl: le.ttl, expires: now.Add(le.ttl)}
+		fr.Result.TTL = int64(le.ttl / time.Second)
+	}
+	return result{answer: fr, wrote: true}
+}
+
+func (sv *Server) handleRevoke(_ time.Time, req kvapi.LeaseRequest) result {
+	if _, ok := sv.state.leases[req.ID]; !ok {
+		return result{fault: &kvapi.Error{Code: kvapi.CodeNotFound, Message: kvapi.MessageLeaseNotFound}}
+	}
+	sv.state.endLease(req.ID)
+	return result{answer: sv.leaseAnswer(0, 0), wrote: true}
+}
+
+func (sv *Server) leaseAnswer(id, ttl int64) kvapi.LeaseResponse {
+	return kvapi.LeaseResponse{Header: kvapi.Header{Revision: sv.state.revision}, ID: id, TTL: ttl}
+}
+
+func (sv *Server) handleFaults(w http.ResponseWriter, r *http.Request) {
+	var fm faultMessage
+	if !decode(w, r, &fm) {
+		return
+	}
+	sv.SetFaults(Faults{
+		Down: fm.Down, Slow: time.Duration(fm.SlowMillis) * time.Millisecond,
+		LoseAnswers: fm.LoseAnswers, RefuseFirst: fm.RefuseFirst, FreezeWatches: fm.FreezeWatches,
+	})
+	writeJSON(w, http.StatusOK, fm)
+}
+
+func (sv *Server) handleSnapshot(w http.ResponseWriter, _ *http.Request) {
+	sn := sv.Snapshot()
+	sv.mu.Lock()
+	sv.saved = &sn
+	sv.mu.Unlock()
+	writeJSON(w, http.StatusOK, kvapi.Header{Revision: sn.st.revision})
+}
+
+func (sv *Server) handleRestore(w http.ResponseWriter, _ *http.Request) {
+	sv.mu.Lock()
+	sn := sv.saved
+	sv.mu.Unlock()
+	if sn == nil {
+		writeError(w, kvapi.Error{Code: kvapi.CodeInvalidArgument, Message: "there is no snapshot"})
+		return
+	}
+	sv.Restore(*sn)
+	writeJSON(w, http.StatusOK, kvapi.Header{Revision: sn.st.revision})
+}
+
+func (sv *Server) handleCalls(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, sv.Calls())
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err != nil {
+		writeError(w, kvapi.Error{Code: kvapi.CodeInvalidArgument, Message: kvapi.MessageTooLarge})
+		return false
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		writeError(w, kvapi.Error{Code: kvapi.CodeInvalidArgument, Message: err.Error()})
+		return false
+	}
+	return true
+}
+
+func writeError(w http.ResponseWriter, ke kvapi.Error) {
+	status := http.StatusBadRequest
+	if ke.Code == kvapi.CodeNotFound {
+		status = http.StatusNotFound
+	}
+	writeJSON(w, status, ke)
+}
+
+func writeJSON(w http.ResponseWriter, status int, answer any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(answer)
+}
--- /dev/null
+++ b/internal/fakes/kvsim/kvsim.go
@@ -0,0 +1,180 @@
+// Package kvsim is a stand-in for the platform's key-value service: the etcd
+// v3 HTTP gateway, as far as package store uses it, held in memory.
+//
+// Every write gets a revision from one counter. A watch gets each change after
+// its start revision once and in order, unless a fault is set. Faults are set
+// by SetFaults or, from another process, by POST /standin/faults; they never
+// touch the paths under /standin.
+package kvsim
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/gorilla/mux"
+
+	"github.com/cicadawharf/cicadawharf/internal/store/kvapi"
+)
+
+type (
+	// Config says where to listen.
+	Config struct {
+		Listen string // IP:port; port 0 picks a free one
+		Log    *slog.Logger
+		Clock  func() time.Time // time.Now if nil
+	}
+
+	// Server is the stand-in.
+	Server struct {
+		log      *slog.Logger
+		clock    func() time.Time
+		listener net.Listener
+		http     *http.Server
+		done     chan struct{}
+		closing  sync.Once
+		counters counters
+
+		mu       sync.Mutex
+		state    state
+		faults   Faults
+		saved    *Snapshot // by POST /standin/snapshot
+		changed  chan struct{}
+		watchers map[*watcher]struct{}
+		conns    map[*connState]net.Conn
+	}
+)
+
+const (
+	maxValueBytes   = 1 << 20
+	maxRequestBytes = 4 << 20
+
+	// expiryPeriod is how often leases are looked at when no call arrives.
+	expiryPeriod = 100 * time.Millisecond
+)
+
+// New listens. Calls are answered once Run is called.
+func New(cf Config) (*Server, error) {
+	ln, err := net.Listen("tcp", cf.Listen)
+	if err != nil {
+		return nil, merry.Prepend(err, "stand-in of the store")
+	}
+	sv := &Server{
+		log: cf.Log, clock: cf.Clock, listener: ln,
+		done: make(chan struct{}), state: newState(), changed: make(chan struct{}),
+		watchers: map[*watcher]struct{}{}, conns: map[*connState]net.Conn{},
+	}
+	if sv.log == nil {
+		sv.log = slog.New(slog.DiscardHandler)
+	}
+	if sv.clock == nil {
+		sv.clock = time.Now
+	}
+	sv.http = &http.Server{
+		Handler:           sv.routes(),
+		ReadHeaderTimeout: 10 * time.Second,
+		ErrorLog:          slog.NewLogLogger(sv.log.Handler(), slog.LevelDebug),
+		ConnContext:       sv.trackConn,
+		ConnState: func(nc net.Conn, cs http.ConnState) {
+			if cs == http.StateClosed || cs == http.StateHijacked {
+				sv.forgetConn(nc)
+			}
+		},
+	}
+	return sv, nil
+}
+
+// Addr returns the address that the server listens on.
+func (sv *Server) Addr() string { return sv.listener.Addr().String() }
+
+// Run answers calls until ctx ends or Close is called.
+func (sv *Server) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = sv.Close() })
+	defer stop()
+	go sv.expireLeases()
+	sv.log.Info("store stand-in listens", "address", sv.Addr())
+	if err := sv.http.Serve(sv.listener); !errors.Is(err, http.ErrServerClosed) {
+		return merry.Prepend(err, "stand-in of the store")
+	}
+	return nil
+}
+
+// Close stops listening and drops every connection.
+func (sv *Server) Close() error {
+	var err error
+	sv.closing.Do(func() {
+		close(sv.done)
+		err = sv.http.Close()
+		_ = sv.listener.Close()
+	})
+	return err
+}
+
+// Put sets a key, as the platform itself does with its lists.
+func (sv *Server) Put(key string, value []byte) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.state.put(kvapi.PutRequest{Key: []byte(key), Value: value})
+	sv.announce()
+}
+
+// Delete deletes a key.
+func (sv *Server) Delete(key string) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.state.delete(key)
+	sv.announce()
+}
+
+// Value returns the value of a key.
+func (sv *Server) Value(key string) ([]byte, bool) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.expire()
+	kv, ok := sv.state.keys[key]
+	return kv.Value, ok
+}
+
+func (sv *Server) routes() http.Handler {
+	rt := mux.NewRouter()
+	post := func(path string, fn http.HandlerFunc) { rt.HandleFunc(path, fn).Methods(http.MethodPost) }
+	co := &sv.counters
+	post(kvapi.PathRange, handle(sv, &co.rng, sv.handleRange))
+	post(kvapi.PathTxn, handle(sv, &co.txn, sv.handleTxn))
+	post(kvapi.PathGrant, handle(sv, &co.grant, sv.handleGrant))
+	post(kvapi.PathKeepAlive, handle(sv, &co.keepAlive, sv.handleKeepAlive))
+	post(kvapi.PathRevoke, handle(sv, &co.revoke, sv.handleRevoke))
+	post(kvapi.PathRevokeOlder, handle(sv, &co.revoke, sv.handleRevoke))
+	post(kvapi.PathWatch, sv.handleWatch)
+	post("/standin/faults", sv.handleFaults)
+	post("/standin/snapshot", sv.handleSnapshot)
+	post("/standin/restore", sv.handleRestore)
+	rt.HandleFunc("/standin/calls", sv.handleCalls).Methods(http.MethodGet)
+	return rt
+}
+
+func (sv *Server) expireLeases() {
+	for sv.sleep(expiryPeriod) {
+		sv.mu.Lock()
+		sv.expire()
+		sv.mu.Unlock()
+	}
+}
+
+// expire ends the leases whose time has come. The caller holds the lock.
+func (sv *Server) expire() {
+	if sv.state.expire(sv.clock()) {
+		sv.announce()
+	}
+}
+
+// announce wakes the watches. The caller holds the lock.
+func (sv *Server) announce() {
+	close(sv.changed)
+	sv.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/fakes/kvsim/state.go
@@ -0,0 +1,229 @@
+package kvsim
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/store/kvapi"
+)
+
+type (
+	// state is the content of the service. It does no locking and reads no
+	// clock.
+	state struct {
+		revision  int64
+		nextLease int64
+		keys      map[string]kvapi.KeyValue
+		leases    map[int64]lease
+		history   []change
+		compacted int64 // the largest revision whose changes are forgotten
+		bytes     int   // held by history
+	}
+
+	lease struct {
+		ttl     time.Duration
+		expires time.Time
+	}
+
+	change struct {
+		revision int64
+		event    kvapi.Event
+	}
+
+	// Snapshot is a copy of the content at one moment.
+	Snapshot struct {
+		st state
+	}
+)
+
+// The bounds of the history that watches can start from.
+const (
+	maxHistory      = 4096
+	maxHistoryBytes = 64 << 20
+)
+
+func newState() state {
+	return state{revision: 1, nextLease: 1, keys: map[string]kvapi.KeyValue{}, leases: map[int64]lease{}}
+}
+
+func (st *state) clone() state {
+	cp := *st
+	cp.keys = maps.Clone(st.keys)
+	cp.leases = maps.Clone(st.leases)
+	cp.history = slices.Clone(st.history)
+	return cp
+}
+
+// expire ends the leases whose time has come and tells whether any did.
+func (st *state) expire(now time.Time) bool {
+	var ended []int64
+	for id, le := range st.leases {
+		if !now.Before(le.expires) {
+			ended = append(ended, id)
+		}
+	}
+	slices.Sort(ended)
+	for _, id := range ended {
+		st.endLease(id)
+	}
+	return len(ended) > 0
+}
+
+// endLease deletes the keys of a lease under one revision, as the service does.
+func (st *state) endLease(id int64) {
+	delete(st.leases, id)
+	var names []string
+	for name, kv := range st.keys {
+		if kv.Lease == id {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return
+	}
+	slices.Sort(names)
+	st.revision++
+	for _, name := range names {
+		st.remove(name)
+	}
+}
+
+func (st *state) put(req kvapi.PutRequest) {
+	st.revision++
+	name := string(req.Key)
+	kv := kvapi.KeyValue{
+		Key: req.Key, Value: req.Value, Lease: req.Lease,
+		CreateRevision: st.revision, ModRevision: st.revision, Version: 1,
+	}
+	if old, ok := st.keys[name]; ok {
+		kv.CreateRevision = old.CreateRevision
+		kv.Version = old.Version + 1
+	}
+	st.keys[name] = kv
+	st.record(kvapi.Event{Type: kvapi.EventPut, KV: kv})
+}
+
+func (st *state) delete(name string) {
+	if _, ok := st.keys[name]; !ok {
+		return
+	}
+	st.revision++
+	st.remove(name)
+}
+
+func (st *state) remove(name string) {
+	delete(st.keys, name)
+	gone := kvapi.KeyValue{Key: []byte(name), ModRevision: st.revision}
+	st.record(kvapi.Event{Type: kvapi.EventDelete, KV: gone})
+}
+
+func (st *state) record(ev kvapi.Event) {
+	st.history = append(st.history, change{st.revision, ev})
+	st.bytes += len(ev.KV.Value)
+	for len(st.history) > maxHistory || st.bytes > maxHistoryBytes {
+		st.compacted = st.history[0].revision
+		st.bytes -= len(st.history[0].event.KV.Value)
+		st.history = st.history[1:]
+	}
+}
+
+func (st *state) rangeOf(req kvapi.RangeRequest) kvapi.RangeResponse {
+	rep := kvapi.RangeResponse{Header: kvapi.Header{Revision: st.revision}}
+	if len(req.RangeEnd) == 0 {
+		if kv, ok := st.keys[string(req.Key)]; ok {
+			rep.KVs = append(rep.KVs, kv)
+		}
+	} else {
+		for name, kv := range st.keys {
+			if inRange(name, req.Key, req.RangeEnd) {
+				rep.KVs = append(rep.KVs, kv)
+			}
+		}
+		slices.SortFunc(rep.KVs, func(a, b kvapi.KeyValue) int { return slices.Compare(a.Key, b.Key) })
+	}
+	rep.Count = int64(len(rep.KVs))
+	return rep
+}
+
+// txn performs a transaction that check has accepted.
+func (st *state) txn(req kvapi.TxnRequest) kvapi.TxnResponse {
+	rep := kvapi.TxnResponse{Succeeded: true}
+	for _, cp := range req.Compare {
+		if st.keys[string(cp.Key)].ModRevision != cp.ModRevision {
+			rep.Succeeded = false
+		}
+	}
+	ops := req.Success
+	if !rep.Succeeded {
+		ops = req.Failure
+	}
+	for _, op := range ops {
+		rep.Responses = append(rep.Responses, st.operate(op))
+	}
+	rep.Header.Revision = st.revision
+	return rep
+}
+
+func (st *state) operate(op kvapi.RequestOp) kvapi.ResponseOp {
+	switch {
+	case op.Put != nil:
+		st.put(*op.Put)
+		return kvapi.ResponseOp{Put: &kvapi.WriteResponse{Header: kvapi.Header{Revision: st.revision}}}
+	case op.Delete != nil:
+		st.delete(string(op.Delete.Key))
+		return kvapi.ResponseOp{Delete: &kvapi.WriteResponse{Header: kvapi.Header{Revision: st.revision}}}
+	default:
+		rr := st.rangeOf(*op.Range)
+		return kvapi.ResponseOp{Range: &rr}
+	}
+}
+
+// check returns what is wrong with a transaction, or nil. Nothing of a
+// transaction that has a fault takes effect.
+func (st *state) check(req kvapi.TxnRequest) *kvapi.Error {
+	for _, cp := range req.Compare {
+		if cp.Target != kvapi.TargetMod || cp.Result != kvapi.ResultEqual {
+			return &kvapi.Error{Code: kvapi.CodeInvalidArgument, Message: "only MOD EQUAL is understood"}
+		}
+	}
+	for _, op := range append(slices.Clone(req.Success), req.Failure...) {
+		if op.Put == nil && op.Delete == nil && op.Range == nil {
+			return &kvapi.Error{Code: kvapi.CodeInvalidArgument, Message: "operation is empty"}
+		}
+		if op.Put == nil {
+			continue
+		}
+		if len(op.Put.Value) > maxValueBytes {
+			return &kvapi.Error{Code: kvapi.CodeInvalidArgument, Message: kvapi.MessageTooLarge}
+		}
+		if _, ok := st.leases[op.Put.Lease]; op.Put.Lease != 0 && !ok {
+			return &kvapi.Error{Code: kvapi.CodeNotFound, Message: kvapi.MessageLeaseNotFound}
+		}
+	}
+	return nil
+}
+
+// since returns the changes after a revision within a range of keys.
+func (st *state) since(after int64, key, end []byte) []kvapi.Event {
+	var evs []kvapi.Event
+	at, _ := slices.BinarySearchFunc(st.history, after+1, func(ch change, rev int64) int {
+		return int(ch.revision - rev)
+	})
+	for _, ch := range st.history[at:] {
+		if inRange(string(ch.event.KV.Key), key, end) {
+			evs = append(evs, ch.event)
+		}
+	}
+	return evs
+}
+
+func inRange(name string, key, end []byte) bool {
+	if len(end) == 0 {
+		return name == string(key)
+	}
+	if name < string(key) {
+		return false
+	}
+	return string(end) == "\x00" || name < string(end)
+}
--- /dev/null
+++ b/internal/store/client_test.go
@@ -0,0 +1,190 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/fakes/kvsim"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+)
+
+// callTimeout is far longer than a call takes on a busy machine.
+const callTimeout = 10 * time.Second
+
+// start runs a stand-in and returns it with a client of it.
+func start(t *testing.T, cf kvsim.Config) (*kvsim.Server, *store.Client) {
+	t.Helper()
+	cf.Listen = "127.0.0.1:0"
+	sv, err := kvsim.New(cf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- sv.Run(context.Background()) }()
+	t.Cleanup(func() {
+		_ = sv.Close()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return sv, client(t, callTimeout, sv.Addr())
+}
+
+func client(t *testing.T, timeout time.Duration, addresses ...string) *store.Client {
+	t.Helper()
+	cl := store.New(store.Config{Addresses: addresses, Timeout: timeout})
+	t.Cleanup(cl.Close)
+	return cl
+}
+
+func TestSwapComparesTheRevision(t *testing.T) {
+	is := is.New(t)
+	_, cl := start(t, kvsim.Config{})
+	ctx := t.Context()
+
+	missing, at, err := cl.Get(ctx, "a")
+	is.NoErr(err)
+	is.Equal(missing, store.Entry{Key: "a"})
+	is.True(at > 0)
+
+	one, err := cl.Swap(ctx, store.SwapRequest{Key: "a", Value: []byte("one")})
+	is.NoErr(err)
+	is.True(one.Revision > at)
+
+	stands, err := cl.Swap(ctx, store.SwapRequest{Key: "a", Value: []byte("two")})
+	is.True(errors.Is(err, store.ErrConflict))
+	is.Equal(stands, one)
+
+	empty, err := cl.Swap(ctx, store.SwapRequest{Key: "a", Value: []byte{}, Expect: one.Revision})
+	is.NoErr(err)
+	got, _, err := cl.Get(ctx, "a")
+	is.NoErr(err)
+	is.Equal(got, empty) // an empty value is not a missing key
+
+	_, err = cl.Swap(ctx, store.SwapRequest{Key: "a", Expect: empty.Revision})
+	is.NoErr(err)
+	got, _, err = cl.Get(ctx, "a")
+	is.NoErr(err)
+	is.Equal(got, store.Entry{Key: "a"})
+}
+
+func TestListReadsAPrefixInOrder(t *testing.T) {
+	is := is.New(t)
+	sv, cl := start(t, kvsim.Config{})
+	for _, key := range []string{"b/2", "a", "b/1", "c", "b0"} {
+		sv.Put(key, []byte(key))
+	}
+	ents, _, err := cl.List(t.Context(), "b/")
+	is.NoErr(err)
+	is.Equal(len(ents), 2)
+	is.Equal(ents[0].Key, "b/1")
+	is.Equal(string(ents[1].Value), "b/2")
+	all, _, err := cl.List(t.Context(), "")
+	is.NoErr(err)
+	is.Equal(len(all), 5)
+}
+
+func TestSwapRefusesValuesPastTheLimit(t *testing.T) {
+	is := is.New(t)
+	sv, cl := start(t, kvsim.Config{})
+	_, err := cl.Swap(t.Context(), store.SwapRequest{Key: "a", Value: make([]byte, store.MaxValue+1)})
+	is.True(errors.Is(err, store.ErrTooLarge))
+	is.Equal(sv.Calls().Total(), int64(0))
+	_, err = cl.Swap(t.Context(), store.SwapRequest{Key: "a", Value: make([]byte, store.MaxValue)})
+	is.NoErr(err)
+}
+
+func TestLeaseDeletesItsKeys(t *testing.T) {
+	is := is.New(t)
+	clk := newClock()
+	_, cl := start(t, kvsim.Config{Clock: clk.now})
+	ctx := t.Context()
+	held := func() bool {
+		ent, _, err := cl.Get(ctx, "role")
+		is.NoErr(err)
+		return ent.Revision > 0
+	}
+
+	id, err := cl.Grant(ctx, 4500*time.Millisecond) // rounded up to 5 s
+	is.NoErr(err)
+	_, err = cl.Swap(ctx, store.SwapRequest{Key: "role", Value: []byte("me"), Lease: id})
+	is.NoErr(err)
+	clk.advance(4 * time.Second)
+	is.NoErr(cl.Renew(ctx, id))
+	clk.advance(4 * time.Second)
+	is.True(held())
+	clk.advance(time.Second)
+	is.True(!held())
+	is.True(errors.Is(cl.Renew(ctx, id), store.ErrLapsed))
+	_, err = cl.Swap(ctx, store.SwapRequest{Key: "role", Value: []byte("me"), Lease: id})
+	is.True(errors.Is(err, store.ErrLapsed))
+
+	id, err = cl.Grant(ctx, 5*time.Second)
+	is.NoErr(err)
+	_, err = cl.Swap(ctx, store.SwapRequest{Key: "role", Value: []byte("me"), Lease: id})
+	is.NoErr(err)
+	is.NoErr(cl.Revoke(ctx, id))
+	is.True(!held())
+	is.True(errors.Is(cl.Revoke(ctx, id), store.ErrLapsed))
+}
+
+func TestWatchDeliversEveryChangeInOrder(t *testing.T) {
+	is := is.New(t)
+	sv, cl := start(t, kvsim.Config{})
+	sv.Put("w/a", []byte("before"))
+	_, at, err := cl.Get(t.Context(), "w/a")
+	is.NoErr(err)
+	sv.Put("w/a", []byte("1"))
+	sv.Put("other", []byte("not watched"))
+	sv.Delete("w/a")
+
+	enough := errors.New("enough")
+	var seen []store.Entry
+	err = cl.Watch(t.Context(), "w/", at, func(ent store.Entry) error {
+		seen = append(seen, ent)
+		switch len(seen) {
+		case 2:
+			sv.Put("w/b", []byte{})
+		case 3:
+			return enough
+		}
+		return nil
+	})
+	is.Equal(err, enough)
+	is.Equal(string(seen[0].Value), "1")
+	is.True(seen[1].Value == nil) // deleted
+	is.Equal(seen[2].Key, "w/b")
+	is.True(seen[2].Value != nil) // empty, not deleted
+	is.True(seen[0].Revision < seen[1].Revision && seen[1].Revision < seen[2].Revision)
+}
+
+func TestWatchTellsThatChangesAreGone(t *testing.T) {
+	is := is.New(t)
+	sv, cl := start(t, kvsim.Config{})
+	for range 5000 {
+		sv.Put("a", nil)
+	}
+	err := cl.Watch(t.Context(), "a", 0, func(store.Entry) error { return nil })
+	is.True(errors.Is(err, store.ErrCompacted))
+}
+
+func TestOneCallIsOneRequest(t *testing.T) {
+	is := is.New(t)
+	sv, cl := start(t, kvsim.Config{})
+	ctx := t.Context()
+	_, _, err := cl.Get(ctx, "a")
+	is.NoErr(err)
+	_, _, err = cl.List(ctx, "a")
+	is.NoErr(err)
+	_, err = cl.Swap(ctx, store.SwapRequest{Key: "a", Value: []byte("v")})
+	is.NoErr(err)
+	id, err := cl.Grant(ctx, time.Second)
+	is.NoErr(err)
+	is.NoErr(cl.Renew(ctx, id))
+	is.NoErr(cl.Revoke(ctx, id))
+	is.Equal(sv.Calls(), kvsim.Calls{Range: 2, Txn: 1, Grant: 1, KeepAlive: 1, Revoke: 1})
+}
--- /dev/null
+++ b/internal/store/fault_test.go
@@ -0,0 +1,265 @@
+package store_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/fakes/kvsim"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+)
+
+// clock is a time that tests advance.
+type clock struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func newClock() *clock { return &clock{at: time.Unix(1_800_000_000, 0)} }
+
+func (cl *clock) now() time.Time {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.at
+}
+
+func (cl *clock) advance(by time.Duration) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.at = cl.at.Add(by)
+}
+
+// swapA creates the key "a".
+var swapA = store.SwapRequest{Key: "a", Value: []byte("v")}
+
+// shortTimeout is for calls that are meant to run into their timeout.
+const shortTimeout = 200 * time.Millisecond
+
+func TestFaultsOfTheService(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults kvsim.Faults
+		read   error
+		write  error
+		stands bool // whether the write took effect
+	}{
+		{"down", kvsim.Faults{Down: true}, store.ErrUnavailable, store.ErrLost, false},
+		{"refused", kvsim.Faults{RefuseFirst: 2}, store.ErrUnavailable, store.ErrLost, false},
+		{"answer lost", kvsim.Faults{LoseAnswers: 1}, nil, store.ErrLost, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			sv, cl := start(t, kvsim.Config{})
+			sv.SetFaults(tt.faults)
+			_, _, err := cl.Get(t.Context(), "a")
+			is.True(errors.Is(err, tt.read))
+			_, err = cl.Swap(t.Context(), swapA)
+			is.True(errors.Is(err, tt.write))
+			is.Equal(sv.Calls().Txn, int64(1))
+			_, stands := sv.Value("a")
+			is.Equal(stands, tt.stands)
+		})
+	}
+}
+
+func TestSlowWriteIsLostAndMayTakeEffectLater(t *testing.T) {
+	is := is.New(t)
+	sv, _ := start(t, kvsim.Config{})
+	cl := client(t, shortTimeout, sv.Addr())
+	sv.SetFaults(kvsim.Faults{Slow: 2 * shortTimeout})
+	_, err := cl.Swap(t.Context(), swapA)
+	is.True(errors.Is(err, store.ErrLost))
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	eventually(t, func() bool { _, ok := sv.Value("a"); return ok })
+}
+
+func TestRefusedConnectionIsSkipped(t *testing.T) {
+	is := is.New(t)
+	sv, _ := start(t, kvsim.Config{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	closed := ln.Addr().String()
+	is.NoErr(ln.Close())
+
+	_, err = client(t, callTimeout, closed, sv.Addr()).Swap(t.Context(), swapA)
+	is.NoErr(err)
+	_, err = client(t, callTimeout, closed).Swap(t.Context(), swapA)
+	is.True(errors.Is(err, store.ErrUnavailable)) // nothing was sent
+	is.Equal(sv.Calls().Txn, int64(1))
+}
+
+func TestSilentConnectionIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	sv, _ := start(t, kvsim.Config{})
+	cl := client(t, shortTimeout, sv.Addr())
+	eventually(t, func() bool { _, _, err := cl.Get(t.Context(), "a"); return err == nil })
+	sv.SilenceConnections()
+	_, err := cl.Swap(t.Context(), swapA)
+	is.True(errors.Is(err, store.ErrLost))
+	eventually(t, func() bool { _, _, err := cl.Get(t.Context(), "a"); return err == nil })
+}
+
+func TestEndedContextSendsNothing(t *testing.T) {
+	is := is.New(t)
+	sv, cl := start(t, kvsim.Config{})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := cl.Swap(ctx, swapA)
+	is.True(errors.Is(err, store.ErrUnavailable))
+	is.Equal(sv.Calls().Total(), int64(0))
+}
+
+func TestWatchIsCutWhenTheServiceGoesDown(t *testing.T) {
+	is := is.New(t)
+	sv, cl := start(t, kvsim.Config{})
+	sv.Put("a", nil)
+	err := cl.Watch(t.Context(), "a", 0, func(store.Entry) error {
+		sv.SetFaults(kvsim.Faults{Down: true})
+		return nil
+	})
+	is.True(errors.Is(err, store.ErrUnavailable))
+}
+
+// TestNoWriteIsRepeated serves the first request of each connection and then
+// fails in the ways after which net/http repeats requests that it may repeat.
+func TestNoWriteIsRepeated(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 18\r\n\r\n{\"succeeded\":true}"
+	tests := []struct {
+		name   string
+		second string // answer to the second request; empty to close the connection
+	}{
+		{"closed without an answer", ""},
+		{"redirected", "HTTP/1.1 307 Temporary Redirect\r\nLocation: /v3/kv/txn\r\nContent-Length: 0\r\n\r\n"},
+		{"server error", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"},
+		{"broken answer", "HTTP/1.1 200 OK\r\nContent-Length: 18\r\n\r\n{\"succ"},
+		{"not JSON", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nGone"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var received atomic.Int64
+			address := serveRaw(t, func(nc net.Conn, br *bufio.Reader) {
+				for _, answer := range []string{ok, tt.second} {
+					if !readRequest(br) {
+						return
+					}
+					received.Add(1)
+					_, _ = io.WriteString(nc, answer)
+				}
+			})
+			cl := client(t, callTimeout, address, address)
+			_, err := cl.Swap(t.Context(), swapA)
+			is.NoErr(err)
+			_, err = cl.Swap(t.Context(), swapA)
+			is.True(errors.Is(err, store.ErrLost))
+			is.Equal(received.Load(), int64(2))
+		})
+	}
+}
+
+func TestSettledSwapFindsOutAfterALostAnswer(t *testing.T) {
+	isMine := func(ent store.Entry) bool { return string(ent.Value) == "v" }
+	tests := []struct {
+		name   string
+		faults kvsim.Faults
+		want   error
+	}{
+		{"the write stands", kvsim.Faults{LoseAnswers: 1}, nil},
+		{"the write did not arrive", kvsim.Faults{RefuseFirst: 1}, nil},
+		{"every answer is lost", kvsim.Faults{LoseAnswers: 100}, nil},
+		{"it can't be known", kvsim.Faults{Down: true}, store.ErrLost},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			sv, cl := start(t, kvsim.Config{})
+			sv.SetFaults(tt.faults)
+			ent, err := store.SwapSettled(t.Context(), cl, swapA, isMine)
+			is.True(errors.Is(err, tt.want))
+			if tt.want == nil {
+				is.Equal(string(ent.Value), "v")
+				is.True(ent.Revision > 0)
+			}
+		})
+	}
+}
+
+func TestSettledSwapOfALateWriteTakesEffectOnce(t *testing.T) {
+	is := is.New(t)
+	sv, _ := start(t, kvsim.Config{})
+	cl := client(t, shortTimeout, sv.Addr())
+	sv.SetFaults(kvsim.Faults{Slow: 2 * shortTimeout})
+	go func() {
+		time.Sleep(shortTimeout / 2)
+		sv.SetFaults(kvsim.Faults{})
+	}()
+	one, err := store.SwapSettled(t.Context(), cl, swapA, func(ent store.Entry) bool { return string(ent.Value) == "v" })
+	is.NoErr(err)
+	time.Sleep(3 * shortTimeout) // the late request arrives and must fail
+	now, _, err := client(t, callTimeout, sv.Addr()).Get(t.Context(), "a")
+	is.NoErr(err)
+	is.Equal(now.Revision, one.Revision)
+}
+
+func TestSettledSwapLosesToAnother(t *testing.T) {
+	is := is.New(t)
+	sv, cl := start(t, kvsim.Config{})
+	sv.Put("a", []byte("theirs"))
+	sv.SetFaults(kvsim.Faults{RefuseFirst: 1})
+	ent, err := store.SwapSettled(t.Context(), cl, swapA, func(ent store.Entry) bool { return string(ent.Value) == "v" })
+	is.True(errors.Is(err, store.ErrConflict))
+	is.Equal(string(ent.Value), "theirs")
+}
+
+// serveRaw accepts connections and hands each to fn, then closes it.
+func serveRaw(t *testing.T, fn func(net.Conn, *bufio.Reader)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				fn(nc, bufio.NewReader(nc))
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func readRequest(br *bufio.Reader) bool {
+	req, err := http.ReadRequest(br)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return err == nil
+}
+
+// eventually waits for a condition that another goroutine brings about.
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(callTimeout); time.Now().Before(limit); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatal("condition does not hold in time")
+}
--- /dev/null
+++ b/internal/store/send.go
@@ -0,0 +1,149 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cicadawharf/cicadawharf/internal/store/kvapi"
+)
+
+// kind names a call in metrics and errors.
+type kind string
+
+const (
+	kindGet    kind = "get"
+	kindList   kind = "list"
+	kindSwap   kind = "swap"
+	kindGrant  kind = "grant"
+	kindRenew  kind = "renew"
+	kindRevoke kind = "revoke"
+	kindWatch  kind = "watch"
+)
+
+// lost returns the error of a call that was sent and not answered. A read has
+// no effect, so it is merely unavailable.
+func (kd kind) lost() error {
+	switch kd {
+	case kindGet, kindList, kindWatch:
+		return ErrUnavailable
+	default:
+		return ErrLost
+	}
+}
+
+func (kd kind) sent() {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`cicadawharf_store_calls_total{kind=%q}`, string(kd))).Inc()
+}
+
+func (kd kind) failed(err error) error {
+	name := fmt.Sprintf(`cicadawharf_store_failures_total{kind=%q,cause=%q}`, string(kd), causeOf(err))
+	metrics.GetOrCreateCounter(name).Inc()
+	return err
+}
+
+func causeOf(err error) string {
+	switch {
+	case errors.Is(err, ErrLost):
+		return "lost"
+	case errors.Is(err, ErrLapsed):
+		return "lapsed"
+	case errors.Is(err, ErrTooLarge):
+		return "tooLarge"
+	default:
+		return "unavailable"
+	}
+}
+
+// send makes one HTTP request. It goes on to the next address only while
+// nothing was sent, which is known because no connection was obtained.
+//
+// The transport is used without http.Client, so no redirect is followed. It
+// repeats a request by itself in two cases, both only on a reused connection:
+// when the request is safe or carries an idempotency key, and when no byte of
+// it was written and its body can be had again. The calls here are POST,
+// carry no such key and have no GetBody, so neither case arises.
+func (cl *Client) send(ctx context.Context, kd kind, path string, msg any) (*http.Response, error) {
+	body, err := json.Marshal(msg)
+	if err != nil {
+		return nil, wrap(ErrUnavailable, kd, err)
+	}
+	kd.sent()
+	cause := errors.New("no address is set")
+	first := int(cl.preferred.Load())
+	for i := range cl.addresses {
+		at := (first + i) % len(cl.addresses)
+		res, connected, err := cl.sendTo(ctx, cl.addresses[at], path, body)
+		if err == nil {
+			cl.preferred.CompareAndSwap(uint32(first), uint32(at))
+			return res, nil
+		}
+		cause = err
+		if connected {
+			cl.distrust()
+			return nil, kd.failed(wrap(kd.lost(), kd, err))
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, kd.failed(wrap(ErrUnavailable, kd, cause))
+}
+
+// sendTo makes one HTTP request to one address and tells whether it obtained a
+// connection, before which nothing is sent.
+func (cl *Client) sendTo(ctx context.Context, address, path string, body []byte) (*http.Response, bool, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(
+		httptrace.WithClientTrace(ctx, trace), http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, false, err
+	}
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	res, err := cl.transport.RoundTrip(req)
+	return res, connected.Load(), err
+}
+
+// classify gives the error of an answer other than 200. A write that the
+// service refused by a client error had no effect; a server error leaves that
+// open.
+func classify(kd kind, status int, ke kvapi.Error) error {
+	cause := fmt.Errorf("status %d, code %d: %s", status, ke.Code, ke.Message)
+	switch {
+	case strings.Contains(ke.Message, kvapi.MessageLeaseNotFound):
+		return wrap(ErrLapsed, kd, cause)
+	case strings.Contains(ke.Message, kvapi.MessageTooLarge):
+		return wrap(ErrTooLarge, kd, cause)
+	case status >= http.StatusInternalServerError:
+		return wrap(kd.lost(), kd, cause)
+	case status < http.StatusBadRequest:
+		return wrap(kd.lost(), kd, cause)
+	default:
+		return wrap(ErrUnavailable, kd, cause)
+	}
+}
+
+func decodeError(data []byte) kvapi.Error {
+	var ke kvapi.Error
+	if err := json.Unmarshal(data, &ke); err != nil {
+		ke.Message = string(data[:min(len(data), 200)])
+	}
+	return ke
+}
+
+// drain reads what is left of a body, so that its connection can be reused.
+func drain(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, maxHeaderBytes)
+	_ = body.Close()
+}
--- /dev/null
+++ b/internal/store/settle.go
@@ -0,0 +1,73 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+const (
+	// maxSettleReads bounds how often a lost swap is looked into.
+	maxSettleReads = 4
+
+	// settlePause is the wait after the first read that fails; it doubles.
+	settlePause = 25 * time.Millisecond
+)
+
+// SwapSettled performs a swap and, if its answer is lost, finds out whether it
+// stands. ErrLost is returned only if that can't be known within ctx.
+//
+// isMine tells whether an entry shows that this write took effect. Others may
+// have written since, so it has to recognise the write in later values, too,
+// for example by a write number that they carry on. It is also asked about a
+// missing key (Revision zero) when the swap deletes.
+//
+// If the key still has the revision that was expected, the lost request may be
+// on its way yet. The same swap is then made again: as both expect one
+// revision, at most one of them takes effect, and the later answer is final.
+func SwapSettled(ctx context.Context, st Store, req SwapRequest, isMine func(Entry) bool) (Entry, error) {
+	ent, err := st.Swap(ctx, req)
+	if !errors.Is(err, ErrLost) {
+		return ent, err
+	}
+	lost := err
+	for i := range maxSettleReads {
+		ent, _, err = st.Get(ctx, req.Key)
+		if err != nil {
+			if !pause(ctx, settlePause<<i) {
+				break
+			}
+			continue
+		}
+		if ent.Revision != req.Expect {
+			return settled(ent, isMine)
+		}
+		ent, err = st.Swap(ctx, req)
+		switch {
+		case err == nil:
+			return ent, nil
+		case errors.Is(err, ErrConflict):
+			return settled(ent, isMine)
+		}
+	}
+	return Entry{}, lost
+}
+
+func settled(ent Entry, isMine func(Entry) bool) (Entry, error) {
+	if isMine(ent) {
+		return ent, nil
+	}
+	return ent, ErrConflict
+}
+
+// pause waits and tells whether ctx lasted as long.
+func pause(ctx context.Context, wait time.Duration) bool {
+	tm := time.NewTimer(wait)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/store/watch.go
@@ -0,0 +1,68 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/store/kvapi"
+)
+
+// Watch implements Store. A stream can go silent without an end, so whoever
+// watches also reads now and then. ErrCompacted says that changes after the
+// revision are gone.
+func (cl *Client) Watch(ctx context.Context, prefix string, after Revision, fn func(Entry) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	opening := time.AfterFunc(cl.timeout, cancel)
+	defer opening.Stop()
+	req := kvapi.WatchRequest{Create: kvapi.WatchCreate{
+		Key: []byte(prefix), RangeEnd: kvapi.PrefixEnd(prefix), StartRevision: int64(after) + 1,
+	}}
+	res, err := cl.send(ctx, kindWatch, kvapi.PathWatch, req)
+	if err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK {
+		data, _ := io.ReadAll(io.LimitReader(res.Body, maxHeaderBytes))
+		drain(res.Body)
+		return kindWatch.failed(classify(kindWatch, res.StatusCode, decodeError(data)))
+	}
+	defer res.Body.Close()
+	dec := json.NewDecoder(res.Body)
+	for {
+		var fr kvapi.Frame[kvapi.WatchResponse]
+		if err := dec.Decode(&fr); err != nil {
+			return kindWatch.failed(wrap(ErrUnavailable, kindWatch, err))
+		}
+		opening.Stop()
+		if err := deliver(fr, fn); err != nil {
+			return err
+		}
+	}
+}
+
+func deliver(fr kvapi.Frame[kvapi.WatchResponse], fn func(Entry) error) error {
+	if fr.Error != nil {
+		return kindWatch.failed(classify(kindWatch, http.StatusInternalServerError, *fr.Error))
+	}
+	if fr.Result.CompactRevision > 0 {
+		return kindWatch.failed(wrap(ErrCompacted, kindWatch, nil))
+	}
+	if fr.Result.Canceled {
+		return kindWatch.failed(wrap(ErrUnavailable, kindWatch, errors.New("the service ended the watch")))
+	}
+	for _, ev := range fr.Result.Events {
+		ent := toEntry(ev.KV)
+		if ev.Type == kvapi.EventDelete {
+			ent.Value = nil
+		}
+		if err := fn(ent); err != nil {
+			return err
+		}
+	}
+	return nil
+}
