Add the worker client and a worker stand-in

The scheduler needs to reach workers and tests need workers whose behaviour is known. A caller must tell a call that was never sent from one whose answer was lost; a dial error alone was ruled out as the criterion, since a call may also end while it waits for a connection, so a trace of the connection decides. The stand-in's lease table is a pure state machine with fencing by epochs, checkpoints and lapsing leases; its HTTP server adds faults on demand and keeps every start that happened.

--- /dev/null
+++ b/internal/fakes/wksim/plan.go
@@ -0,0 +1,102 @@
+package wksim
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// plan is what a task does once it is started.
+type plan struct {
+	work       time.Duration // at full speed; endless if negative
+	failure    string        // how it ends; empty for success
+	checkpoint time.Duration
+}
+
+const (
+	endless           = time.Duration(-1)
+	defaultCheckpoint = 200 * time.Millisecond
+	checkpointOption  = "checkpoint="
+)
+
+// parsePlan reads a task's command: sleep DURATION, fail DURATION, forever or
+// exit STATUS, and checkpoint=DURATION after it. A command that it does not
+// know fails at once, as an executable that is missing does.
+func parsePlan(command []string, scale float64) plan {
+	pl := plan{checkpoint: defaultCheckpoint}
+	var words []string
+	for _, wd := range command {
+		text, found := strings.CutPrefix(wd, checkpointOption)
+		if !found {
+			words = append(words, wd)
+			continue
+		}
+		dur, err := time.ParseDuration(text)
+		if err != nil || dur < 0 {
+			return plan{failure: fmt.Sprintf("option %q is not a duration", wd)}
+		}
+		pl.checkpoint = dur
+	}
+	if err := pl.read(words, scale); err != nil {
+		return plan{failure: err.Error()}
+	}
+	return pl
+}
+
+func (pl *plan) read(words []string, scale float64) error {
+	name, arg := "", ""
+	switch len(words) {
+	case 0:
+	case 1:
+		name = words[0]
+	case 2:
+		name, arg = words[0], words[1]
+	default:
+		return fmt.Errorf("command %q has too many words", words)
+	}
+	switch {
+	case name == "forever" && arg == "":
+		pl.work = endless
+		return nil
+	case name == "exit":
+		return pl.exit(arg)
+	case name == "sleep":
+		return pl.sleep(arg, scale)
+	case name == "fail":
+		pl.failure = "failed as commanded"
+		return pl.sleep(arg, scale)
+	default:
+		return fmt.Errorf("command %q is unknown", words)
+	}
+}
+
+func (pl *plan) exit(arg string) error {
+	status, err := strconv.Atoi(arg)
+	if err != nil {
+		return fmt.Errorf("exit status %q is not a number", arg)
+	}
+	if status != 0 {
+		pl.failure = fmt.Sprintf("exit status %d", status)
+	}
+	return nil
+}
+
+func (pl *plan) sleep(arg string, scale float64) error {
+	dur, err := time.ParseDuration(arg)
+	if err != nil || dur < 0 {
+		return fmt.Errorf("run time %q is not a duration", arg)
+	}
+	pl.work = scaled(dur, scale)
+	return nil
+}
+
+// scaled multiplies a duration and stops at the largest one.
+func scaled(dur time.Duration, factor float64) time.Duration {
+	product := float64(dur) * factor
+	if product >= math.MaxInt64 {
+		return math.MaxInt64
+	}
+	return time.Duration(product)
+}
--- /dev/null
+++ b/internal/fakes/wksim/server.go
@@ -0,0 +1,167 @@
+package wksim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cicadawharf/cicadawharf/internal/worker"
+)
+
+type (
+	// Config configures a Server.
+	Config struct {
+		Name         string
+		Listen       string // IP:port; port zero picks a free one
+		Accelerators int
+		RunScale     float64
+		UsageLag     time.Duration
+		Log          *slog.Logger
+		Clock        func() time.Time // time.Now if nil
+	}
+
+	// Faults is what goes wrong with a worker. The zero value is a sound one.
+	Faults struct {
+		FailStarts bool `json:"failStarts"` // every task fails as soon as it is started
+		Frozen     bool `json:"frozen"`     // calls are taken, and wait until this ends
+		DropAfter  int  `json:"dropAfter"`  // as many calls take effect and lose their answer
+		Draining   bool `json:"draining"`   // planned leave: no new reservations
+	}
+
+	// Server is a worker stand-in.
+	Server struct {
+		cfg      Config
+		listener net.Listener
+		http     *http.Server
+		closed   chan struct{}
+		once     sync.Once
+
+		mu      sync.Mutex
+		table   *Table
+		faults  Faults
+		boots   int
+		changed chan struct{} // closed at the next change
+	}
+)
+
+const headerTimeout = 10 * time.Second
+
+// New returns a server that listens, and answers once Run is called.
+func New(cfg Config) (*Server, error) {
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = time.Now
+	}
+	li, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, merry.Prependf(err, "worker %s", cfg.Name)
+	}
+	sv := &Server{
+		cfg: cfg, listener: li,
+		closed: make(chan struct{}), changed: make(chan struct{}),
+	}
+	sv.table = NewTable(TableConfig{
+		Worker: cfg.Name, Boot: sv.nextBoot(), Accelerators: cfg.Accelerators,
+		RunScale: cfg.RunScale, UsageLag: cfg.UsageLag, Version: cfg.Clock().UnixNano(),
+	})
+	sv.http = &http.Server{Handler: sv.routes(), ReadHeaderTimeout: headerTimeout}
+	return sv, nil
+}
+
+// Name returns the name of the worker.
+func (sv *Server) Name() string { return sv.cfg.Name }
+
+// Addr returns the IP:port that the server listens on.
+func (sv *Server) Addr() string { return sv.listener.Addr().String() }
+
+// Run serves until ctx ends or the server is closed.
+func (sv *Server) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, sv.Close)
+	defer stop()
+	err := sv.http.Serve(sv.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return merry.Prependf(err, "worker %s", sv.cfg.Name)
+}
+
+// Close cuts every connection, as the death of the worker does.
+func (sv *Server) Close() {
+	sv.once.Do(func() {
+		close(sv.closed)
+		_ = sv.http.Close()
+		_ = sv.listener.Close()
+	})
+}
+
+// SetFaults replaces the faults.
+func (sv *Server) SetFaults(fa Faults) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.faults = fa
+	sv.table.SetDraining(fa.Draining)
+	sv.table.SetFailStarts(fa.FailStarts)
+	sv.broadcast()
+	sv.cfg.Log.Info("worker faults set", "worker", sv.cfg.Name, "failStarts", fa.FailStarts,
+		"frozen", fa.Frozen, "dropAfter", fa.DropAfter, "draining", fa.Draining)
+}
+
+// Faults returns the faults in force.
+func (sv *Server) Faults() Faults {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.faults
+}
+
+// Restart kills every task and comes back with an empty table and a new boot
+// name. The largest epoch seen is kept unless it is to be forgotten, too.
+func (sv *Server) Restart(forgetEpoch bool) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.table.Restart(sv.cfg.Clock(), sv.nextBoot(), forgetEpoch)
+	sv.broadcast()
+	sv.cfg.Log.Info("worker restarted", "worker", sv.cfg.Name, "forgetEpoch", forgetEpoch)
+}
+
+// Runs returns every start that truly happened, in order.
+func (sv *Server) Runs() []Run {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.table.Advance(sv.cfg.Clock())
+	return sv.table.Runs()
+}
+
+// Tasks returns the lease table as it stands.
+func (sv *Server) Tasks() []worker.Task {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.table.Tasks(sv.table.Advance(sv.cfg.Clock()))
+}
+
+// Free returns the accelerators that no task holds.
+func (sv *Server) Free() int {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.table.Advance(sv.cfg.Clock())
+	return sv.table.Free()
+}
+
+// nextBoot and broadcast are called with mu held.
+func (sv *Server) nextBoot() string {
+	sv.boots++
+	return fmt.Sprintf("%d-%d", sv.cfg.Clock().UnixNano(), sv.boots)
+}
+
+func (sv *Server) broadcast() {
+	close(sv.changed)
+	sv.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/fakes/wksim/table.go
@@ -0,0 +1,239 @@
+// Package wksim is a stand-in for a worker of the platform.
+//
+// Table is the lease table as a pure state machine: calls and the present time
+// in, replies out. Server puts it behind the HTTP interface of
+// internal/worker and adds faults on demand.
+//
+// Invariants: the tasks that have not ended hold no more accelerators than the
+// worker has; a call with an epoch smaller than the largest seen changes
+// nothing; only a task whose reservation has not lapsed can be started; an
+// ended task stays until it is acknowledged, and its Run for good.
+package wksim
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/worker"
+)
+
+type (
+	// TableConfig configures a Table.
+	TableConfig struct {
+		Worker       string
+		Boot         string
+		Accelerators int
+		RunScale     float64       // factor on the run times of commands; one if zero
+		UsageLag     time.Duration // age of the usage that is reported
+		Version      int64         // to begin with
+	}
+
+	// Table is the lease table of one worker. It is not safe for concurrent
+	// use.
+	Table struct {
+		cfg        TableConfig
+		now        time.Time
+		epoch      int64
+		version    int64
+		draining   bool
+		failStarts bool
+		tasks      []*task // in the order of their reservation
+		runs       []Run
+		runOf      map[worker.TaskID]int // of started tasks that are in the table
+	}
+)
+
+const (
+	failStartsError = "worker fails every task"
+	restartError    = "worker restarted"
+)
+
+// NewTable returns an empty table.
+func NewTable(cfg TableConfig) *Table {
+	if cfg.RunScale <= 0 {
+		cfg.RunScale = 1
+	}
+	return &Table{cfg: cfg, version: cfg.Version + 1, runOf: map[worker.TaskID]int{}}
+}
+
+// Apply answers one call. The error is worker.ErrStaleEpoch or wraps
+// worker.ErrRefused, and then the call had no effect.
+func (tb *Table) Apply(now time.Time, req worker.Request) (worker.Reply, error) {
+	now = tb.Advance(now)
+	if err := check(req); err != nil {
+		return worker.Reply{}, err
+	}
+	if req.Epoch < tb.epoch {
+		return tb.header(), worker.ErrStaleEpoch
+	}
+	tb.epoch = req.Epoch
+	tb.renew(now, req.Lease)
+	results := make([]worker.Result, 0, len(req.Commands))
+	for _, cm := range req.Commands {
+		results = append(results, tb.command(now, cm))
+		tb.Advance(now)
+	}
+	reply := tb.header()
+	reply.Results = results
+	if reply.Version != req.Version {
+		reply.Tasks = tb.Tasks(now)
+	}
+	return reply, nil
+}
+
+// Advance lets the time pass: leases lapse, tasks finish and checkpoints end,
+// each at its own moment. It returns the table's time, which never goes back.
+func (tb *Table) Advance(now time.Time) time.Time {
+	if now.Before(tb.now) {
+		now = tb.now
+	}
+	tb.now = now
+	for _, ta := range tb.tasks {
+		at, phase, changes := ta.next()
+		if changes && !at.After(now) {
+			tb.end(ta, at, phase)
+		}
+	}
+	return now
+}
+
+// Next returns the earliest time at which Advance will change a row.
+func (tb *Table) Next() (time.Time, bool) {
+	var earliest time.Time
+	found := false
+	for _, ta := range tb.tasks {
+		at, _, changes := ta.next()
+		if changes && (!found || at.Before(earliest)) {
+			earliest, found = at, true
+		}
+	}
+	return earliest, found
+}
+
+// Tasks returns the rows as they are reported at a time.
+func (tb *Table) Tasks(now time.Time) []worker.Task {
+	rows := make([]worker.Task, 0, len(tb.tasks))
+	for _, ta := range tb.tasks {
+		rows = append(rows, ta.view(now, tb.cfg.UsageLag))
+	}
+	return rows
+}
+
+// Free returns the accelerators that no task holds.
+func (tb *Table) Free() int {
+	free := tb.cfg.Accelerators
+	for _, ta := range tb.tasks {
+		free -= ta.holds()
+	}
+	return free
+}
+
+// SetDraining says whether new reservations are refused.
+func (tb *Table) SetDraining(draining bool) {
+	if tb.draining != draining {
+		tb.draining = draining
+		tb.version++
+	}
+}
+
+// SetFailStarts says whether every task fails as soon as it is started.
+func (tb *Table) SetFailStarts(fail bool) { tb.failStarts = fail }
+
+// Restart kills every task and empties the table under a new boot name. The
+// largest epoch seen is kept unless it is to be forgotten, too.
+func (tb *Table) Restart(now time.Time, boot string, forgetEpoch bool) {
+	now = tb.Advance(now)
+	for _, ta := range tb.tasks {
+		if !ta.row.Phase.Ended() {
+			ta.plan.failure = restartError
+			tb.end(ta, now, worker.PhaseFailed)
+		}
+	}
+	tb.cfg.Boot = boot
+	tb.tasks = nil
+	tb.runOf = map[worker.TaskID]int{}
+	tb.version++
+	if forgetEpoch {
+		tb.epoch = 0
+	}
+}
+
+// Runs returns every start that truly happened, in order.
+func (tb *Table) Runs() []Run { return slices.Clone(tb.runs) }
+
+func (tb *Table) header() worker.Reply {
+	return worker.Reply{
+		Worker: tb.cfg.Worker, Boot: tb.cfg.Boot, Epoch: tb.epoch, Version: tb.version,
+		Accelerators: tb.cfg.Accelerators, Draining: tb.draining,
+	}
+}
+
+func (tb *Table) renew(now time.Time, lease time.Duration) {
+	if lease <= 0 {
+		return
+	}
+	for _, ta := range tb.tasks {
+		ta.renew(now, lease)
+	}
+}
+
+func (tb *Table) find(id worker.TaskID) *task {
+	for _, ta := range tb.tasks {
+		if ta.row.ID == id {
+			return ta
+		}
+	}
+	return nil
+}
+
+func (tb *Table) remove(ta *task) {
+	tb.tasks = slices.DeleteFunc(tb.tasks, func(other *task) bool { return other == ta })
+	delete(tb.runOf, ta.row.ID)
+	tb.version++
+}
+
+func (tb *Table) end(ta *task, at time.Time, phase worker.Phase) {
+	ta.end(at, phase)
+	tb.version++
+	if i, ran := tb.runOf[ta.row.ID]; ran {
+		tb.runs[i].Ended = at
+		tb.runs[i].Phase = phase
+	}
+}
+
+// check finds faults of a call's form.
+func check(req worker.Request) error {
+	if req.Epoch <= 0 {
+		return fmt.Errorf("%w: epoch %d", worker.ErrRefused, req.Epoch)
+	}
+	if req.Wait < 0 || req.Lease < 0 {
+		return fmt.Errorf("%w: negative duration", worker.ErrRefused)
+	}
+	for _, cm := range req.Commands {
+		if err := checkCommand(cm); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkCommand(cm worker.Command) error {
+	if cm.Task.Job == "" || cm.Accelerators < 0 || cm.Lease < 0 || cm.Bound < 0 {
+		return fmt.Errorf("%w: command %s", worker.ErrRefused, cm.Op)
+	}
+	switch cm.Op {
+	case worker.OpReserve:
+		if cm.Lease == 0 {
+			return fmt.Errorf("%w: reservation without a lease", worker.ErrRefused)
+		}
+	case worker.OpThrottle:
+		if !(cm.Rate >= 0 && cm.Rate <= 1) {
+			return fmt.Errorf("%w: rate %v", worker.ErrRefused, cm.Rate)
+		}
+	case worker.OpStart, worker.OpRelease, worker.OpStop, worker.OpAck:
+	default:
+		return fmt.Errorf("%w: operation %q", worker.ErrRefused, cm.Op)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/worker/errors.go
@@ -0,0 +1,28 @@
+package worker
+
+import "errors"
+
+// NotSentError says that a call provably did not reach the worker, since no
+// connection to it could be had.
+type NotSentError struct {
+	Address string
+	Err     error
+}
+
+// The ways in which a worker turns a whole call away. Neither had an effect.
+var (
+	ErrStaleEpoch = errors.New("epoch is smaller than the largest that the worker has seen")
+	ErrRefused    = errors.New("worker refused a malformed call")
+)
+
+// ReasonActive is the Reason of an OpRelease of a task that has started, and of
+// an OpAck of one that has not ended.
+const ReasonActive = "active"
+
+// Error implements error.
+func (ns *NotSentError) Error() string {
+	return "call to worker " + ns.Address + " was not sent: " + ns.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (ns *NotSentError) Unwrap() error { return ns.Err }
--- /dev/null
+++ b/internal/worker/http.go
@@ -0,0 +1,144 @@
+package worker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+type (
+	// HTTPConfig configures an HTTPCaller.
+	HTTPConfig struct {
+		Timeout time.Duration // of one call, past the Wait of its request
+		Log     *slog.Logger
+	}
+
+	// HTTPCaller is the Caller that the system runs with.
+	//
+	// The transport may by itself repeat a request whose reused connection
+	// failed before any byte of an answer came. That is harmless because every
+	// command is idempotent. A call that exceeds its time closes its connection,
+	// so that a connection that has gone silent is used once at most.
+	HTTPCaller struct {
+		timeout   time.Duration
+		log       *slog.Logger
+		transport *http.Transport
+		client    *http.Client
+	}
+)
+
+// TasksPath is the path of calls on a worker.
+const TasksPath = "/v1/tasks"
+
+const (
+	defaultTimeout     = 2 * time.Second
+	idleTimeout        = 90 * time.Second
+	connectionsPerHost = 4 // a waiting call and commands beside it
+	idlePerHost        = 2
+	maxReplyBytes      = 8 << 20
+	maxDetailBytes     = 512
+)
+
+// NewHTTPCaller returns a caller with a connection pool of its own.
+func NewHTTPCaller(cfg HTTPConfig) *HTTPCaller {
+	if cfg.Timeout <= 0 {
+		cfg.Timeout = defaultTimeout
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	tr := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: cfg.Timeout}).DialContext,
+		MaxConnsPerHost:     connectionsPerHost,
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	cl := &http.Client{
+		Transport: tr,
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+	return &HTTPCaller{timeout: cfg.Timeout, log: cfg.Log, transport: tr, client: cl}
+}
+
+// Close closes the idle connections.
+func (hc *HTTPCaller) Close() { hc.transport.CloseIdleConnections() }
+
+// Call implements Caller.
+func (hc *HTTPCaller) Call(ctx context.Context, address string, req Request) (Reply, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return Reply{}, merry.Wrap(fmt.Errorf("%w: %w", ErrRefused, err))
+	}
+	ctx, cancel := context.WithTimeout(ctx, hc.timeout+max(req.Wait, 0))
+	defer cancel()
+	reply, err := hc.post(ctx, address, body)
+	if err != nil {
+		hc.log.Debug("worker call failed", "address", address, "epoch", req.Epoch,
+			"commands", len(req.Commands), "error", err)
+		return reply, merry.Prependf(err, "worker %s", address)
+	}
+	return reply, nil
+}
+
+func (hc *HTTPCaller) post(ctx context.Context, address string, body []byte) (Reply, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+TasksPath, bytes.NewReader(body))
+	if err != nil {
+		return Reply{}, &NotSentError{Address: address, Err: err}
+	}
+	hr.Header.Set("Content-Type", "application/json")
+	resp, err := hc.client.Do(hr)
+	if err != nil {
+		if connected.Load() {
+			return Reply{}, err
+		}
+		return Reply{}, &NotSentError{Address: address, Err: err}
+	}
+	defer resp.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	if err != nil {
+		return Reply{}, merry.Prepend(err, "reading the reply")
+	}
+	return decodeReply(resp.StatusCode, content)
+}
+
+func decodeReply(status int, content []byte) (Reply, error) {
+	switch status {
+	case http.StatusOK, http.StatusConflict:
+	case http.StatusBadRequest:
+		return Reply{}, fmt.Errorf("%w: %s", ErrRefused, detail(content))
+	default:
+		return Reply{}, merry.Errorf("status %d: %s", status, detail(content))
+	}
+	if len(content) > maxReplyBytes {
+		return Reply{}, merry.Errorf("reply exceeds %d bytes", maxReplyBytes)
+	}
+	var reply Reply
+	if err := json.Unmarshal(content, &reply); err != nil {
+		return Reply{}, merry.Prependf(err, "reply of status %d", status)
+	}
+	if status == http.StatusConflict {
+		return Reply{Worker: reply.Worker, Boot: reply.Boot, Epoch: reply.Epoch}, ErrStaleEpoch
+	}
+	return reply, nil
+}
+
+func detail(content []byte) string {
+	return string(bytes.TrimSpace(content[:min(len(content), maxDetailBytes)]))
+}
