--- /dev/null
+++ b/internal/peers/beat.go
@@ -0,0 +1,202 @@
+package peers
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cicadawharf/cicadawharf/internal/wire"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+const (
+	firstGossip  = 32 // members told in each of the first heartbeats of a session
+	laterGossip  = 1  // members told in one of gossipEvery further ones
+	gossipEvery  = 8
+	maxLeaving   = 16 // endpoints told in one heartbeat
+	announceTime = time.Second
+)
+
+// Announce sends a heartbeat to every host at once. Hosts call it when their
+// state has changed, above all when they are leaving.
+func (ms *Mesh) Announce() {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	if ms.run == nil || ms.ended {
+		return
+	}
+	for _, ta := range ms.targets {
+		select {
+		case ta.poke <- struct{}{}:
+		default:
+		}
+	}
+	run := ms.run
+	for _, links := range ms.links {
+		for _, li := range links {
+			if !li.dialled {
+				ms.spawn(func() { ms.announce(run, li) })
+			}
+		}
+	}
+}
+
+// announce sends a heartbeat over a session that the other side has dialled.
+func (ms *Mesh) announce(ctx context.Context, li *link) {
+	ctx, cancel := context.WithTimeout(ctx, announceTime)
+	defer cancel()
+	me := li.member()
+	payload, err := proto.Marshal(ms.heartbeat(time.Now(), me.Name, me.Zone, confirmingBeats+1))
+	if err != nil {
+		ms.cfg.Log.Error("can't encode a heartbeat", "error", err)
+		return
+	}
+	if _, err := li.call(ctx, me.Name, MethodHeartbeat, payload); err != nil {
+		ms.cfg.Log.Debug("announcement was not answered", "peer", me.Name, "error", err)
+	}
+}
+
+// heartbeat returns the message to a host that may not be known yet.
+func (ms *Mesh) heartbeat(now time.Time, told, zone string, count int) *wire.Heartbeat {
+	hb := &wire.Heartbeat{Self: ms.cfg.Self().ToWire()}
+	if zone == ms.zone {
+		hb.LeavingEndpoints = rotate(ms.cfg.LeavingEndpoints(), int(ms.gossip.Load()), maxLeaving)
+	}
+	bound := laterGossip
+	if count <= confirmingBeats {
+		bound = firstGossip
+	} else if count%gossipEvery != 0 {
+		bound = 0
+	}
+	if bound == 0 {
+		ms.gossip.Add(1)
+		return hb
+	}
+	from := int(ms.gossip.Add(int64(bound)))
+	ms.mu.Lock()
+	others := ms.roster.Gossip(now, told, from, bound)
+	ms.mu.Unlock()
+	for _, me := range others {
+		hb.Others = append(hb.Others, me.ToWire())
+	}
+	return hb
+}
+
+// beat sends one heartbeat and takes its answer.
+func (ms *Mesh) beat(li *link, ta *target, wr io.Writer, rd *bufio.Reader) (Member, error) {
+	count := li.beatCount() + 1
+	payload, err := proto.Marshal(ms.heartbeat(time.Now(), ta.name, ta.zone, count))
+	if err != nil {
+		return Member{}, err
+	}
+	ca := &wire.Call{Method: MethodHeartbeat, Payload: payload}
+	if err := writeMessage(wr, ca); err != nil {
+		return Member{}, merry.Prepend(err, "send heartbeat")
+	}
+	an := new(wire.Answer)
+	if err := readMessage(rd, an); err != nil {
+		return Member{}, merry.Prepend(err, "await answer of heartbeat")
+	}
+	if an.GetCode() != 0 {
+		return Member{}, answerError(an)
+	}
+	hb := new(wire.Heartbeat)
+	if err := proto.Unmarshal(an.GetPayload(), hb); err != nil {
+		return Member{}, merry.Prepend(err, "answer of heartbeat")
+	}
+	me := MemberFromWire(hb.GetSelf())
+	if me.Name == ms.name {
+		return Member{}, errSelf
+	}
+	if !ms.take(time.Now(), li, hb) {
+		return Member{}, merry.New("heartbeat of an older incarnation")
+	}
+	return me, nil
+}
+
+// answerBeat takes a heartbeat and returns the one that answers it.
+func (ms *Mesh) answerBeat(li *link, payload []byte) ([]byte, error) {
+	hb := new(wire.Heartbeat)
+	if err := proto.Unmarshal(payload, hb); err != nil {
+		return nil, codes.New(codes.BadRequest, "heartbeat: %v", err)
+	}
+	now := time.Now()
+	me := hb.GetSelf()
+	if me.GetName() != ms.name && !ms.take(now, li, hb) {
+		return nil, codes.New(codes.BadRequest, "heartbeat of an older incarnation of %s", me.GetName())
+	}
+	return proto.Marshal(ms.heartbeat(now, me.GetName(), me.GetZone(), li.beatCount()))
+}
+
+// take enters a heartbeat that came over a session. It is refused if a newer
+// incarnation of its sender is known.
+func (ms *Mesh) take(now time.Time, li *link, hb *wire.Heartbeat) bool {
+	me := MemberFromWire(hb.GetSelf())
+	_, confirmed := li.beaten(now, me)
+	if confirmed {
+		ms.mu.Lock()
+		vd := ms.roster.Heard(now, me)
+		ms.addTarget(me.PeerAddress, false)
+		ms.mu.Unlock()
+		if vd == Stale {
+			return false
+		}
+		ms.logVerdict(vd, me)
+		ms.enlist(li, me)
+	}
+	ms.learn(now, hb.GetOthers())
+	if names := hb.GetLeavingEndpoints(); len(names) > 0 && me.Zone == ms.zone {
+		ms.cfg.OnLeavingEndpoints(names)
+	}
+	return true
+}
+
+func (ms *Mesh) learn(now time.Time, others []*wire.Member) {
+	if len(others) > firstGossip {
+		others = others[:firstGossip]
+	}
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	for _, wm := range others {
+		me := MemberFromWire(wm)
+		if ms.roster.Learned(now, me) == Appeared {
+			ms.addTarget(me.PeerAddress, false)
+		}
+	}
+}
+
+func (ms *Mesh) logVerdict(vd Verdict, me Member) {
+	if vd == Known || vd == Stale {
+		return
+	}
+	ms.cfg.Log.Info("peer has changed", "peer", me.Name, "zone", me.Zone, "address", me.PeerAddress,
+		"incarnation", me.Incarnation, "ready", me.Ready, "leaving", me.Leaving, "returned", vd == Returned)
+}
+
+func (li *link) beatCount() int {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	return li.beats
+}
+
+func (li *link) member() Member {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	return li.peer
+}
+
+// rotate returns at most count of the names, beginning at from.
+func rotate(names []string, from, count int) []string {
+	if len(names) <= count {
+		return names
+	}
+	out := make([]string, 0, count)
+	for i := range count {
+		out = append(out, names[(from+i)%len(names)])
+	}
+	return out
+}
--- /dev/null
+++ b/internal/peers/fakenet_test.go
@@ -0,0 +1,255 @@
+package peers_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cicadawharf/cicadawharf/internal/peers"
+)
+
+type (
+	// network is a fake network of hosts whose links can be cut. A cut link
+	// holds the bytes back, as TCP does, and delivers them when it is mended.
+	network struct {
+		mu        sync.Mutex
+		listeners map[string]*listener
+		cut       map[route]bool
+		changed   chan struct{}
+		accepting map[string]bool // hosts whose kernel accepts while they are cut off
+	}
+
+	route struct{ from, to string }
+
+	listener struct {
+		address string
+		conns   chan net.Conn
+		done    chan struct{}
+		once    sync.Once
+	}
+
+	// host is one mesh on the network.
+	host struct {
+		*peers.Mesh
+		name   string
+		cancel context.CancelFunc
+		ended  chan error
+
+		mu   sync.Mutex
+		self peers.Member
+	}
+)
+
+func newNetwork() *network {
+	return &network{
+		listeners: make(map[string]*listener), cut: make(map[route]bool),
+		changed: make(chan struct{}), accepting: make(map[string]bool),
+	}
+}
+
+// setCut cuts or mends the direction from one host to another.
+func (nw *network) setCut(from, to string, cut bool) {
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	nw.cut[route{from, to}] = cut
+	close(nw.changed)
+	nw.changed = make(chan struct{})
+}
+
+func (nw *network) setFrozen(name string, others []string, frozen bool) {
+	nw.mu.Lock()
+	nw.accepting[name] = frozen
+	nw.mu.Unlock()
+	for _, ot := range others {
+		nw.setCut(name, ot, frozen)
+		nw.setCut(ot, name, frozen)
+	}
+}
+
+func (nw *network) isCut(rt route) (bool, <-chan struct{}) {
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	return nw.cut[rt], nw.changed
+}
+
+func (nw *network) listen(address string) *listener {
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	ln := &listener{address: address, conns: make(chan net.Conn, 64), done: make(chan struct{})}
+	nw.listeners[address] = ln
+	return ln
+}
+
+func (nw *network) dialer(from string) func(context.Context, string) (net.Conn, error) {
+	return func(ctx context.Context, to string) (net.Conn, error) {
+		for {
+			nw.mu.Lock()
+			blocked := (nw.cut[route{from, to}] || nw.cut[route{to, from}]) && !nw.accepting[to]
+			ln, changed := nw.listeners[to], nw.changed
+			nw.mu.Unlock()
+			if !blocked {
+				return nw.connect(from, to, ln)
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
+	}
+}
+
+func (nw *network) connect(from, to string, ln *listener) (net.Conn, error) {
+	refused := errors.New("connection refused")
+	if ln == nil {
+		return nil, refused
+	}
+	near, nearEnd := net.Pipe()
+	far, farEnd := net.Pipe()
+	select {
+	case <-ln.done:
+		return nil, refused
+	case ln.conns <- far:
+	}
+	go nw.pump(route{from, to}, nearEnd, farEnd)
+	go nw.pump(route{to, from}, farEnd, nearEnd)
+	select {
+	case <-ln.done:
+		ln.drain()
+	default:
+	}
+	return near, nil
+}
+
+// pump carries one direction. What its reader has closed can't be cut.
+func (nw *network) pump(rt route, src, dst net.Conn) {
+	buf := make([]byte, 64<<10)
+	deadline := time.Now().Add(time.Hour)
+	for {
+		n, err := src.Read(buf)
+		for {
+			cut, changed := nw.isCut(rt)
+			if !cut || time.Now().After(deadline) {
+				break
+			}
+			select {
+			case <-changed:
+			case <-time.After(time.Minute):
+			}
+		}
+		if n > 0 {
+			if _, werr := dst.Write(buf[:n]); werr != nil {
+				src.Close()
+				return
+			}
+		}
+		if err != nil {
+			dst.Close()
+			return
+		}
+	}
+}
+
+func (ln *listener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-ln.conns:
+		return conn, nil
+	case <-ln.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (ln *listener) Close() error {
+	ln.once.Do(func() { close(ln.done) })
+	ln.drain()
+	return nil
+}
+
+// drain breaks the connections that nobody will accept.
+func (ln *listener) drain() {
+	for {
+		select {
+		case conn := <-ln.conns:
+			conn.Close()
+		default:
+			return
+		}
+	}
+}
+
+func (ln *listener) Addr() net.Addr { return &net.UnixAddr{Name: ln.address} }
+
+// start runs a host whose name is its address; "zone/name" gives the zone.
+func (nw *network) start(name string, seeds []string, edit func(*peers.Config)) *host {
+	zone, _, _ := strings.Cut(name, "/")
+	ho := &host{name: name, ended: make(chan error, 1)}
+	ho.self = peers.Member{
+		Name: name, Zone: zone, Region: "r", PeerAddress: name, HTTPAddress: "127.0.0.1:8080",
+		Incarnation: uint64(time.Now().UnixNano()), Ready: true, ConfigRevision: 12345, SchedulerEpoch: 77, Scheduler: zone + "/a",
+	}
+	cfg := peers.Config{
+		Self: func() peers.Member {
+			ho.mu.Lock()
+			defer ho.mu.Unlock()
+			return ho.self
+		},
+		Listener: nw.listen(name), Dial: nw.dialer(name), Seeds: seeds,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics.NewSet(),
+	}
+	if edit != nil {
+		edit(&cfg)
+	}
+	ho.Mesh = peers.New(cfg)
+	ctx, cancel := context.WithCancel(context.Background())
+	ho.cancel = cancel
+	go func() { ho.ended <- ho.Run(ctx) }()
+	return ho
+}
+
+func (ho *host) stop() error {
+	ho.cancel()
+	return <-ho.ended
+}
+
+func (ho *host) set(edit func(*peers.Member)) {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	edit(&ho.self)
+}
+
+// sees returns the member of a name, as the host sees it now.
+func (ho *host) sees(name string) peers.Member {
+	for _, me := range ho.Members(time.Now()) {
+		if me.Name == name {
+			return me
+		}
+	}
+	return peers.Member{}
+}
+
+func (ho *host) alive() []string {
+	var names []string
+	for _, me := range ho.Members(time.Now()) {
+		if me.Alive {
+			names = append(names, me.Name)
+		}
+	}
+	return names
+}
+
+// dropPools empties the pool of timers of yamux: a timer that was made in one
+// bubble of synctest may not be used in another.
+func dropPools(t *testing.T) {
+	t.Helper()
+	runtime.GC()
+	runtime.GC()
+}
--- /dev/null
+++ b/internal/peers/http.go
@@ -0,0 +1,126 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+type (
+	// httpListener hands out the connections of HTTP that peers open.
+	httpListener struct {
+		address httpAddress
+		conns   chan net.Conn
+		once    sync.Once
+		done    chan struct{}
+	}
+
+	// httpAddress is the peer address of the host.
+	httpAddress string
+)
+
+// maxWaitingConns bounds the connections that nobody has accepted yet.
+const maxWaitingConns = 256
+
+// DialHTTP opens a connection for HTTP to another host, or to this one. A
+// failure is a *NotSentError.
+func (ms *Mesh) DialHTTP(ctx context.Context, host string) (net.Conn, error) {
+	if host == ms.name {
+		near, far := net.Pipe()
+		ms.http.offer(ctx, far)
+		return near, nil
+	}
+	li := ms.pick(host)
+	if li == nil {
+		return nil, &NotSentError{Host: host, Err: errNoSession}
+	}
+	st, err := li.openStream(ctx, func() {})
+	if err != nil {
+		return nil, &NotSentError{Host: host, Err: err}
+	}
+	if _, err := st.Write([]byte{kindHTTP}); err != nil {
+		st.Close()
+		return nil, &NotSentError{Host: host, Err: err}
+	}
+	return ms.countHTTP(st), nil
+}
+
+// HTTPListener returns the listener of the connections that other hosts open
+// by DialHTTP. It is closed when Run ends.
+func (ms *Mesh) HTTPListener() net.Listener { return ms.http }
+
+func (ms *Mesh) countHTTP(conn net.Conn) net.Conn {
+	return httpConn{Conn: conn, sent: ms.httpSent}
+}
+
+// httpConn counts the bytes that a stream of HTTP sends, as far as they were
+// accepted for sending.
+type httpConn struct {
+	net.Conn
+	sent *metrics.Counter
+}
+
+// Write implements net.Conn.
+func (hc httpConn) Write(data []byte) (int, error) {
+	n, err := hc.Conn.Write(data)
+	hc.sent.Add(n)
+	return n, err
+}
+
+func newHTTPListener(address string) *httpListener {
+	return &httpListener{
+		address: httpAddress(address),
+		conns:   make(chan net.Conn, maxWaitingConns),
+		done:    make(chan struct{}),
+	}
+}
+
+// offer queues a connection for Accept, and closes it if there is no room.
+func (hl *httpListener) offer(ctx context.Context, conn net.Conn) {
+	select {
+	case <-hl.done:
+		conn.Close()
+		return
+	case <-ctx.Done():
+		conn.Close()
+		return
+	default:
+	}
+	select {
+	case hl.conns <- conn:
+	default:
+		conn.Close()
+	}
+}
+
+// Accept implements net.Listener.
+func (hl *httpListener) Accept() (net.Conn, error) {
+	select {
+	case <-hl.done:
+		return nil, net.ErrClosed
+	default:
+	}
+	select {
+	case conn := <-hl.conns:
+		return conn, nil
+	case <-hl.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (hl *httpListener) Close() error {
+	hl.once.Do(func() { close(hl.done) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (hl *httpListener) Addr() net.Addr { return hl.address }
+
+// Network implements net.Addr.
+func (ha httpAddress) Network() string { return "peers" }
+
+// String implements net.Addr.
+func (ha httpAddress) String() string { return string(ha) }
--- /dev/null
+++ b/internal/peers/link.go
@@ -0,0 +1,273 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/yamux"
+)
+
+type (
+	// link is one session with another host. Whoever dialled it sends the
+	// heartbeats; the other side closes it when they stay away.
+	link struct {
+		mesh    *Mesh
+		sess    *yamux.Session
+		dialled bool
+		slots   chan struct{} // calls in progress
+
+		mu       sync.Mutex // guards the rest
+		peer     Member     // as of its last heartbeat
+		beats    int
+		lastBeat time.Time
+		retiring bool // another session serves the peer
+		watchdog *time.Timer
+	}
+
+	// countingConn counts the bytes that it sends.
+	countingConn struct {
+		net.Conn
+		sent *metrics.Counter
+	}
+
+	// yamuxLogger passes the lines of yamux on.
+	yamuxLogger struct {
+		log *slog.Logger
+	}
+)
+
+const (
+	maxLinkCalls   = 256 // in progress over one session, from this side
+	maxLinkStreams = 512 // served over one session
+	writeTimeout   = time.Second
+	closeTimeout   = 30 * time.Second
+
+	// A heartbeat is only sent when the one before was answered, so the
+	// second proves that both directions work.
+	confirmingBeats = 2
+)
+
+func (ms *Mesh) yamuxConfig() *yamux.Config {
+	yc := yamux.DefaultConfig()
+	yc.EnableKeepAlive = false
+	yc.ConnectionWriteTimeout = writeTimeout
+	yc.StreamOpenTimeout = 0
+	yc.StreamCloseTimeout = closeTimeout
+	yc.LogOutput = nil
+	yc.Logger = yamuxLogger{log: ms.cfg.Log}
+	return yc
+}
+
+// newLink puts a session on a connection, which it closes if that fails.
+func (ms *Mesh) newLink(conn net.Conn, dialled bool) (*link, error) {
+	cc := countingConn{Conn: conn, sent: ms.sent}
+	open := yamux.Server
+	if dialled {
+		open = yamux.Client
+	}
+	sess, err := open(cc, ms.yamuxConfig())
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	li := &link{mesh: ms, sess: sess, dialled: dialled, slots: make(chan struct{}, maxLinkCalls)}
+	li.watchdog = time.AfterFunc(ms.cfg.RemoteSuspectAfter, li.lapse)
+	return li, nil
+}
+
+// serveConn serves a session that another host has dialled.
+func (ms *Mesh) serveConn(ctx context.Context, conn net.Conn) {
+	li, err := ms.newLink(conn, false)
+	if err != nil {
+		ms.cfg.Log.Warn("can't open a session", "error", err)
+		return
+	}
+	defer li.close()
+	stop := context.AfterFunc(ctx, li.close)
+	defer stop()
+	li.serve(ctx)
+}
+
+// serve answers the streams that the other side opens until the session ends.
+func (li *link) serve(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	busy := make(chan struct{}, maxLinkStreams)
+	for {
+		st, err := li.sess.AcceptStream()
+		if li.sess.IsClosed() {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		select {
+		case busy <- struct{}{}:
+		case <-li.sess.CloseChan():
+			return
+		}
+		li.mesh.spawn(func() {
+			defer func() { <-busy }()
+			li.serveStream(ctx, st)
+		})
+	}
+}
+
+// lapse ends a session whose heartbeats stay away.
+func (li *link) lapse() {
+	if li.sess.IsClosed() {
+		return
+	}
+	li.mesh.cfg.Log.Info("session of a peer is silent", "peer", li.name(), "dialled", li.dialled)
+	li.close()
+}
+
+func (li *link) close() {
+	li.watchdog.Stop()
+	li.mesh.unlink(li)
+	li.sess.Close()
+}
+
+func (li *link) name() string {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	return li.peer.Name
+}
+
+// beaten notes a heartbeat of the other side and tells whether the session is
+// confirmed in both directions.
+func (li *link) beaten(now time.Time, me Member) (count int, confirmed bool) {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	li.peer = me
+	li.beats++
+	li.lastBeat = now
+	if !li.sess.IsClosed() {
+		li.watchdog.Reset(li.mesh.roster.SuspectAfter(me.Zone))
+	}
+	return li.beats, li.dialled || li.beats >= confirmingBeats
+}
+
+func (li *link) last() time.Time {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	return li.lastBeat
+}
+
+func (li *link) isRetiring() bool {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	return li.retiring
+}
+
+func (li *link) incarnation() uint64 {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	return li.peer.Incarnation
+}
+
+// enlist makes a confirmed session usable for calls, and closes those of
+// older incarnations of the same host.
+func (ms *Mesh) enlist(li *link, me Member) {
+	var old []*link
+	ms.mu.Lock()
+	kept := ms.links[me.Name][:0:0]
+	known := false
+	for _, lk := range ms.links[me.Name] {
+		switch {
+		case lk == li:
+			known = true
+			kept = append(kept, lk)
+		case lk.incarnation() < me.Incarnation:
+			old = append(old, lk)
+		default:
+			kept = append(kept, lk)
+		}
+	}
+	if !known && !li.isRetiring() && !li.sess.IsClosed() {
+		kept = append(kept, li)
+	}
+	ms.links[me.Name] = kept
+	ms.mu.Unlock()
+	for _, lk := range old {
+		lk.close()
+	}
+}
+
+// unlink takes a session out of use for new calls.
+func (ms *Mesh) unlink(li *link) {
+	name := li.name()
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	kept := ms.links[name][:0:0]
+	for _, lk := range ms.links[name] {
+		if lk != li {
+			kept = append(kept, lk)
+		}
+	}
+	if len(kept) == 0 {
+		delete(ms.links, name)
+		return
+	}
+	ms.links[name] = kept
+}
+
+// retire takes a session out of use and tells whether it was in use before.
+func (li *link) retire() bool {
+	li.mu.Lock()
+	before := li.retiring
+	li.retiring = true
+	li.mu.Unlock()
+	li.mesh.unlink(li)
+	return !before
+}
+
+// pick returns the session to a host that was heard of last, or nil.
+func (ms *Mesh) pick(host string) *link {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	var best *link
+	for _, li := range ms.links[host] {
+		if !li.sess.IsClosed() && (best == nil || li.last().After(best.last())) {
+			best = li
+		}
+	}
+	return best
+}
+
+// Write implements net.Conn.
+func (cc countingConn) Write(data []byte) (int, error) {
+	n, err := cc.Conn.Write(data)
+	cc.sent.Add(n)
+	return n, err
+}
+
+// Print implements yamux.Logger.
+func (yl yamuxLogger) Print(args ...any) { yl.line("session event", args...) }
+
+// Printf implements yamux.Logger.
+func (yl yamuxLogger) Printf(format string, args ...any) { yl.line(format, args...) }
+
+// Println implements yamux.Logger.
+func (yl yamuxLogger) Println(args ...any) { yl.line("session event", args...) }
+
+// line writes an event of yamux at debug level: a session that ends is
+// reported by its link.
+func (yl yamuxLogger) line(format string, args ...any) {
+	yl.log.Debug("yamux", "event", strings.TrimPrefix(format, "[ERR] yamux: "), "args", args)
+}
+
+func isTemporary(err error) bool {
+	var ne net.Error
+	if errors.As(err, &ne) && ne.Timeout() {
+		return true
+	}
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED)
+}
--- /dev/null
+++ b/internal/peers/mesh.go
@@ -0,0 +1,266 @@
+package peers
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/ansel1/merry/v2"
+)
+
+type (
+	// Config describes a Mesh.
+	Config struct {
+		// Self returns the present state of this host. Its name, zone, peer
+		// address and incarnation never change.
+		Self func() Member
+
+		Listener      net.Listener // closed by Run
+		ListenAddress string       // listened on if Listener is nil
+		Dial          func(ctx context.Context, address string) (net.Conn, error)
+		Seeds         []string // peer addresses, dialled for ever
+
+		HeartbeatEvery       time.Duration
+		RemoteHeartbeatEvery time.Duration // to hosts of other availability zones
+		SuspectAfter         time.Duration
+		RemoteSuspectAfter   time.Duration
+		ForgetAfter          time.Duration
+
+		// LeavingEndpoints names the endpoints of the zone that said of
+		// themselves that they are leaving; OnLeavingEndpoints is told what
+		// the other hosts of the zone have seen.
+		LeavingEndpoints   func() []string
+		OnLeavingEndpoints func(names []string)
+
+		Log     *slog.Logger
+		Metrics *metrics.Set
+	}
+
+	// Mesh is one host's side of the sessions between the hosts. It
+	// implements Caller and Registry.
+	Mesh struct {
+		cfg      Config
+		name     string
+		zone     string
+		http     *httpListener
+		sent     *metrics.Counter
+		httpSent *metrics.Counter
+		gossip   atomic.Int64 // position of the next gossip
+		accepted chan struct{}
+
+		hmu      sync.RWMutex
+		handlers map[string]RawHandler
+
+		mu      sync.Mutex // guards the rest; never held during I/O
+		run     context.Context
+		ended   bool // no task is spawned any more but by tasks
+		tasks   sync.WaitGroup
+		roster  *Roster
+		links   map[string][]*link // confirmed sessions by the peer's name
+		targets map[string]*target // by address
+	}
+)
+
+const (
+	defaultHeartbeatEvery       = 500 * time.Millisecond
+	defaultRemoteHeartbeatEvery = 2 * time.Second
+	defaultSuspectAfter         = 2 * time.Second
+	defaultRemoteSuspectAfter   = 8 * time.Second
+	defaultForgetAfter          = 10 * time.Minute
+
+	forgetEvery  = time.Second
+	maxAccepted  = 2048 // sessions that others have dialled
+	acceptPause  = 50 * time.Millisecond
+	sentName     = "cicadawharf_peer_sent_bytes_total"
+	httpSentName = "cicadawharf_peer_http_sent_bytes_total"
+)
+
+var (
+	_ Caller   = (*Mesh)(nil)
+	_ Registry = (*Mesh)(nil)
+)
+
+// New returns a mesh that is not connected yet.
+func New(cfg Config) *Mesh {
+	cfg = cfg.withDefaults()
+	self := cfg.Self()
+	return &Mesh{
+		cfg:      cfg,
+		name:     self.Name,
+		zone:     self.Zone,
+		http:     newHTTPListener(self.PeerAddress),
+		sent:     cfg.Metrics.GetOrCreateCounter(sentName),
+		httpSent: cfg.Metrics.GetOrCreateCounter(httpSentName),
+		accepted: make(chan struct{}, maxAccepted),
+		handlers: make(map[string]RawHandler),
+		roster: NewRoster(RosterConfig{
+			Self: self.Name, Zone: self.Zone,
+			SuspectAfter: cfg.SuspectAfter, RemoteSuspectAfter: cfg.RemoteSuspectAfter,
+			ForgetAfter: cfg.ForgetAfter,
+		}),
+		links:   make(map[string][]*link),
+		targets: make(map[string]*target),
+	}
+}
+
+// Run accepts and dials sessions until ctx ends, and returns when every
+// session is closed. It is called once.
+func (ms *Mesh) Run(ctx context.Context) error {
+	ln := ms.cfg.Listener
+	if ln == nil {
+		var err error
+		if ln, err = net.Listen("tcp", ms.cfg.ListenAddress); err != nil {
+			return merry.Prepend(err, "peer address")
+		}
+	}
+	run, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ms.mu.Lock()
+	ms.run = run
+	for _, ad := range ms.cfg.Seeds {
+		ms.addTarget(ad, true)
+	}
+	ms.mu.Unlock()
+	ms.spawn(func() { ms.forgetLoop(run) })
+	stop := context.AfterFunc(run, func() { ln.Close() })
+	defer stop()
+	err := ms.acceptLoop(run, ln)
+	cancel()
+	ln.Close()
+	ms.http.Close()
+	ms.mu.Lock()
+	ms.ended = true
+	ms.mu.Unlock()
+	ms.tasks.Wait()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// Handle implements Registry.
+func (ms *Mesh) Handle(method string, fn RawHandler) {
+	ms.hmu.Lock()
+	defer ms.hmu.Unlock()
+	ms.handlers[method] = fn
+}
+
+// Members returns every known host and this one, sorted by name.
+func (ms *Mesh) Members(now time.Time) []Member {
+	self := ms.cfg.Self()
+	self.LastHeard = now
+	self.Alive = true
+	ms.mu.Lock()
+	all := append(ms.roster.Members(now), self)
+	ms.mu.Unlock()
+	slices.SortFunc(all, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return all
+}
+
+// ControlBytes returns how many bytes were sent to other hosts, without those
+// that streams of HTTP carried.
+func (ms *Mesh) ControlBytes() uint64 { return ms.sent.Get() - ms.httpSent.Get() }
+
+func (cfg Config) withDefaults() Config {
+	setDefault(&cfg.HeartbeatEvery, defaultHeartbeatEvery)
+	setDefault(&cfg.RemoteHeartbeatEvery, defaultRemoteHeartbeatEvery)
+	setDefault(&cfg.SuspectAfter, defaultSuspectAfter)
+	setDefault(&cfg.RemoteSuspectAfter, defaultRemoteSuspectAfter)
+	setDefault(&cfg.ForgetAfter, defaultForgetAfter)
+	if cfg.Dial == nil {
+		var dr net.Dialer
+		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dr.DialContext(ctx, "tcp", address)
+		}
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.Default()
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewSet()
+	}
+	if cfg.LeavingEndpoints == nil {
+		cfg.LeavingEndpoints = func() []string { return nil }
+	}
+	if cfg.OnLeavingEndpoints == nil {
+		cfg.OnLeavingEndpoints = func([]string) {}
+	}
+	return cfg
+}
+
+func setDefault(field *time.Duration, value time.Duration) {
+	if *field <= 0 {
+		*field = value
+	}
+}
+
+// spawn runs fn until Run ends. The callers are tasks of Run themselves, so
+// that the count can't fall to zero in between.
+func (ms *Mesh) spawn(fn func()) { ms.tasks.Go(fn) }
+
+func (ms *Mesh) acceptLoop(ctx context.Context, ln net.Listener) error {
+	for {
+		conn, err := ln.Accept()
+		if ctx.Err() != nil {
+			if err == nil {
+				conn.Close()
+			}
+			return nil
+		}
+		if err != nil {
+			if !isTemporary(err) {
+				return merry.Prepend(err, "accept from peers")
+			}
+			ms.cfg.Log.Warn("can't accept from peers", "error", err)
+			sleep(ctx, acceptPause)
+			continue
+		}
+		select {
+		case ms.accepted <- struct{}{}:
+			ms.spawn(func() {
+				defer func() { <-ms.accepted }()
+				ms.serveConn(ctx, conn)
+			})
+		default:
+			ms.cfg.Log.Warn("too many sessions of peers", "address", conn.RemoteAddr().String())
+			conn.Close()
+		}
+	}
+}
+
+func (ms *Mesh) forgetLoop(ctx context.Context) {
+	for sleep(ctx, forgetEvery) {
+		ms.mu.Lock()
+		gone := ms.roster.Forget(time.Now())
+		ms.mu.Unlock()
+		for _, me := range gone {
+			ms.cfg.Log.Info("peer is forgotten", "peer", me.Name, "address", me.PeerAddress)
+		}
+	}
+}
+
+// every returns the interval of heartbeats to a zone.
+func (ms *Mesh) every(zone string) time.Duration {
+	if zone == ms.zone {
+		return ms.cfg.HeartbeatEvery
+	}
+	return ms.cfg.RemoteHeartbeatEvery
+}
+
+// sleep waits and tells whether ctx is still in force.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	tm := time.NewTimer(wait)
+	defer tm.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-tm.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/peers/mesh_test.go
@@ -0,0 +1,229 @@
+package peers_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/peers"
+	"github.com/cicadawharf/cicadawharf/internal/wire"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+func echo(_ context.Context, from string, req *wire.GetJob) (*wire.Job, error) {
+	return &wire.Job{Id: req.GetId(), Caller: from}, nil
+}
+
+// inBubble runs a test of hosts under synctest.
+func inBubble(t *testing.T, fn func(t *testing.T, nw *network)) {
+	t.Helper()
+	dropPools(t)
+	synctest.Test(t, func(t *testing.T) { fn(t, newNetwork()) })
+}
+
+func startAll(nw *network, names ...string) []*host {
+	var hs []*host
+	for _, nm := range names {
+		hs = append(hs, nw.start(nm, names[:1], nil))
+	}
+	time.Sleep(5 * time.Second)
+	return hs
+}
+
+func stopAll(t *testing.T, hs []*host) {
+	t.Helper()
+	for _, ho := range hs {
+		if err := ho.stop(); err != nil {
+			t.Errorf("stop of %s: %v", ho.name, err)
+		}
+	}
+}
+
+func TestHostsThatShareOneSeedFindEachOther(t *testing.T) {
+	inBubble(t, func(t *testing.T, nw *network) {
+		is := is.New(t)
+		hs := startAll(nw, "z1/a", "z1/b", "z1/c", "z2/d")
+		for _, ho := range hs {
+			is.Equal(ho.alive(), []string{"z1/a", "z1/b", "z1/c", "z2/d"})
+		}
+		for _, ho := range hs {
+			peers.Handle(ho, peers.MethodGetJob, echo)
+		}
+		for _, ho := range hs {
+			for _, ot := range hs {
+				reply := new(wire.Job)
+				is.NoErr(ho.Call(t.Context(), ot.name, peers.MethodGetJob, &wire.GetJob{Id: "j"}, reply))
+				is.Equal(reply.GetCaller(), ho.name)
+			}
+		}
+		stopAll(t, hs)
+	})
+}
+
+func TestErrorsOfCalls(t *testing.T) {
+	inBubble(t, func(t *testing.T, nw *network) {
+		is := is.New(t)
+		hs := startAll(nw, "z1/a", "z1/b")
+		peers.Handle(hs[1], peers.MethodGetJob, func(context.Context, string, *wire.GetJob) (*wire.Job, error) {
+			return nil, codes.New(codes.Overloaded, "full").WithRetryAfter(3 * time.Second)
+		})
+		var gotDeadline time.Time
+		peers.Handle(hs[1], peers.MethodListJobs, func(ctx context.Context, _ string, _ *wire.ListJobs) (*wire.JobList, error) {
+			gotDeadline, _ = ctx.Deadline()
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		peers.Handle(hs[1], peers.MethodCancelJob, func(context.Context, string, *wire.CancelJob) (*wire.Job, error) {
+			panic("fault")
+		})
+
+		err := hs[0].Call(t.Context(), "z1/b", peers.MethodGetJob, &wire.GetJob{}, new(wire.Job))
+		var ce *codes.Error
+		is.True(errors.As(err, &ce))
+		is.Equal(*ce, codes.Error{Code: codes.Overloaded, Detail: "full", RetryAfter: 3 * time.Second})
+
+		err = hs[0].Call(t.Context(), "z1/b", peers.MethodCancelJob, &wire.CancelJob{}, new(wire.Job))
+		is.True(errors.As(err, &ce))
+		is.Equal(ce.Code, codes.InternalFailure)
+
+		var ns *peers.NotSentError
+		err = hs[0].Call(t.Context(), "z1/none", peers.MethodGetJob, &wire.GetJob{}, new(wire.Job))
+		is.True(errors.As(err, &ns))
+		err = hs[0].Call(t.Context(), "z1/b", peers.MethodGetJob, &wire.GetJob{Id: string(make([]byte, 9<<20))}, new(wire.Job))
+		is.True(errors.As(err, &ns))
+
+		ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		err = hs[0].Call(ctx, "z1/b", peers.MethodListJobs, &wire.ListJobs{}, new(wire.JobList))
+		is.True(errors.Is(err, context.DeadlineExceeded)) // open whether it took effect
+		is.True(!errors.As(err, &ns))
+		is.Equal(time.Since(began), 700*time.Millisecond)
+		synctest.Wait()
+		is.True(!gotDeadline.After(began.Add(700 * time.Millisecond)))
+		stopAll(t, hs)
+	})
+}
+
+// TestFaultsOfOneHost makes one host of three fail and come back.
+func TestFaultsOfOneHost(t *testing.T) {
+	others := []string{"z1/a", "z1/c"}
+	cutAll := func(nw *network, in, out, cut bool) {
+		for _, ot := range others {
+			if in {
+				nw.setCut(ot, "z1/b", cut)
+			}
+			if out {
+				nw.setCut("z1/b", ot, cut)
+			}
+		}
+	}
+	for _, tc := range []struct {
+		name      string
+		set       func(nw *network, failed bool)
+		wholeView bool // the failed host, too, sees that it is alone
+	}{
+		{"cutBothWays", func(nw *network, failed bool) { cutAll(nw, true, true, failed) }, true},
+		{"cutTowardsIt", func(nw *network, failed bool) { cutAll(nw, true, false, failed) }, true},
+		{"cutFromIt", func(nw *network, failed bool) { cutAll(nw, false, true, failed) }, true},
+		{"frozen", func(nw *network, failed bool) { nw.setFrozen("z1/b", others, failed) }, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, nw *network) {
+				is := is.New(t)
+				hs := startAll(nw, "z1/a", "z1/b", "z1/c")
+				for _, ho := range hs {
+					peers.Handle(ho, peers.MethodGetJob, echo)
+				}
+				tc.set(nw, true)
+				time.Sleep(3 * time.Second)
+				for range 5 { // and it stays so
+					is.Equal(hs[0].alive(), others)
+					is.Equal(hs[2].alive(), others)
+					if tc.wholeView {
+						is.Equal(hs[1].alive(), []string{"z1/b"})
+					}
+					is.NoErr(hs[0].Call(t.Context(), "z1/c", peers.MethodGetJob, &wire.GetJob{}, new(wire.Job)))
+					time.Sleep(4 * time.Second)
+				}
+				tc.set(nw, false)
+				time.Sleep(3 * time.Second)
+				for _, ho := range hs {
+					is.Equal(ho.alive(), []string{"z1/a", "z1/b", "z1/c"})
+					is.NoErr(ho.Call(t.Context(), "z1/b", peers.MethodGetJob, &wire.GetJob{}, new(wire.Job)))
+				}
+				stopAll(t, hs)
+			})
+		})
+	}
+}
+
+func TestKilledHostIsOutAndItsSuccessorIsIn(t *testing.T) {
+	inBubble(t, func(t *testing.T, nw *network) {
+		is := is.New(t)
+		hs := startAll(nw, "z1/a", "z1/b", "z1/c")
+		first := hs[0].sees("z1/b").Incarnation
+		is.NoErr(hs[1].stop())
+		time.Sleep(3 * time.Second)
+		is.Equal(hs[0].alive(), []string{"z1/a", "z1/c"})
+		var ns *peers.NotSentError
+		err := hs[0].Call(t.Context(), "z1/b", peers.MethodGetJob, &wire.GetJob{}, new(wire.Job))
+		is.True(errors.As(err, &ns))
+
+		time.Sleep(5 * time.Minute) // back-off is bounded
+		hs[1] = nw.start("z1/b", nil, nil)
+		time.Sleep(3 * time.Second)
+		for _, ho := range hs {
+			is.Equal(ho.alive(), []string{"z1/a", "z1/b", "z1/c"})
+		}
+		is.True(hs[0].sees("z1/b").Incarnation > first)
+
+		is.NoErr(hs[2].stop())
+		time.Sleep(20 * time.Minute) // the seed is dialled for ever, others are forgotten
+		is.Equal(hs[1].sees("z1/c").Name, "")
+		hs[2] = nw.start("z1/c", []string{"z1/a"}, nil)
+		time.Sleep(3 * time.Second)
+		is.Equal(hs[1].alive(), []string{"z1/a", "z1/b", "z1/c"})
+		stopAll(t, hs)
+	})
+}
+
+func TestLeavingIsKnownAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T, nw *network) {
+		is := is.New(t)
+		hs := startAll(nw, "z1/a", "z1/b", "z2/c")
+		hs[1].set(func(me *peers.Member) { me.Leaving = true })
+		hs[1].Announce()
+		synctest.Wait()
+		is.True(hs[0].sees("z1/b").Leaving)
+		is.True(hs[2].sees("z1/b").Leaving)
+		stopAll(t, hs)
+	})
+}
+
+func TestLeavingEndpointsReachTheHostsOfTheZone(t *testing.T) {
+	inBubble(t, func(t *testing.T, nw *network) {
+		is := is.New(t)
+		got := make(chan []string, 100)
+		collect := func(cfg *peers.Config) {
+			cfg.OnLeavingEndpoints = func(names []string) { got <- names }
+		}
+		hs := []*host{
+			nw.start("z1/a", nil, func(cfg *peers.Config) {
+				cfg.LeavingEndpoints = func() []string { return []string{"e1", "e2"} }
+			}),
+			nw.start("z1/b", []string{"z1/a"}, collect),
+			nw.start("z2/c", []string{"z1/a"}, func(cfg *peers.Config) {
+				cfg.OnLeavingEndpoints = func([]string) { t.Error("endpoint of another zone") }
+			}),
+		}
+		time.Sleep(time.Second)
+		is.Equal(<-got, []string{"e1", "e2"})
+		time.Sleep(3 * time.Second)
+		stopAll(t, hs)
+	})
+}
--- /dev/null
+++ b/internal/peers/roster.go
@@ -0,0 +1,197 @@
+package peers
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+type (
+	// RosterConfig bounds how long silence is taken for life.
+	RosterConfig struct {
+		Self               string // name of this host; never an entry of its own roster
+		Zone               string // of this host
+		SuspectAfter       time.Duration
+		RemoteSuspectAfter time.Duration // for hosts of other availability zones
+		ForgetAfter        time.Duration
+	}
+
+	// Roster is what one host knows of the others. It decides from what it is
+	// told and the present time alone, and is not safe for concurrent use.
+	//
+	// Only a host's own heartbeat makes it alive. Hearsay makes a host known,
+	// and tells that it is leaving.
+	Roster struct {
+		cfg     RosterConfig
+		entries map[string]rosterEntry
+	}
+
+	// Verdict says what a roster made of news.
+	Verdict uint8
+
+	rosterEntry struct {
+		member  Member
+		touched time.Time // of the last news, by itself or by hearsay
+	}
+)
+
+// The verdicts.
+const (
+	Stale    Verdict = iota // of an older incarnation, or of this host itself; not taken
+	Known                   // nothing but the time has changed
+	Changed                 // the same incarnation, in another state
+	Appeared                // a host, or an incarnation of it, that was not known
+	Returned                // was known and suspected, and is alive again
+)
+
+// maxMembers bounds the roster against hearsay that never ends.
+const maxMembers = 1024
+
+// NewRoster returns an empty roster.
+func NewRoster(cfg RosterConfig) *Roster {
+	return &Roster{cfg: cfg, entries: make(map[string]rosterEntry)}
+}
+
+// SuspectAfter returns how long a host of a zone may be silent.
+func (ro *Roster) SuspectAfter(zone string) time.Duration {
+	if zone == ro.cfg.Zone {
+		return ro.cfg.SuspectAfter
+	}
+	return ro.cfg.RemoteSuspectAfter
+}
+
+// Heard takes a host's own heartbeat.
+func (ro *Roster) Heard(now time.Time, me Member) Verdict {
+	if me.Name == "" || me.Name == ro.cfg.Self {
+		return Stale
+	}
+	old, ok := ro.entries[me.Name]
+	if !ok && len(ro.entries) >= maxMembers {
+		return Stale
+	}
+	if ok && me.Incarnation < old.member.Incarnation {
+		return Stale
+	}
+	vd := judge(old.member, me, ok, ro.alive(now, old.member))
+	if ok && me.Incarnation == old.member.Incarnation {
+		me = me.advanced(old.member)
+	}
+	me.LastHeard = now
+	me.Alive = false // computed when asked for
+	ro.entries[me.Name] = rosterEntry{member: me, touched: now}
+	return vd
+}
+
+// Learned takes what another host says of a third. It never makes that one
+// alive.
+func (ro *Roster) Learned(now time.Time, me Member) Verdict {
+	if me.Name == "" || me.Name == ro.cfg.Self {
+		return Stale
+	}
+	old, ok := ro.entries[me.Name]
+	switch {
+	case !ok && len(ro.entries) >= maxMembers, ok && me.Incarnation < old.member.Incarnation:
+		return Stale
+	case !ok || me.Incarnation > old.member.Incarnation:
+		me.LastHeard = time.Time{}
+		me.Alive = false
+		ro.entries[me.Name] = rosterEntry{member: me, touched: now}
+		return Appeared
+	case me.Leaving && !old.member.Leaving:
+		old.member.Leaving = true
+		old.touched = now
+		ro.entries[me.Name] = old
+		return Changed
+	default:
+		return Known
+	}
+}
+
+// Forget removes hosts that nothing was heard of for long, and returns them.
+func (ro *Roster) Forget(now time.Time) []Member {
+	var gone []Member
+	for name, en := range ro.entries {
+		if now.Sub(en.touched) >= ro.cfg.ForgetAfter {
+			gone = append(gone, en.member)
+			delete(ro.entries, name)
+		}
+	}
+	return gone
+}
+
+// Get returns one host.
+func (ro *Roster) Get(now time.Time, name string) (Member, bool) {
+	en, ok := ro.entries[name]
+	en.member.Alive = ok && ro.alive(now, en.member)
+	return en.member, ok
+}
+
+// Members returns the other hosts, sorted by name.
+func (ro *Roster) Members(now time.Time) []Member {
+	ms := make([]Member, 0, len(ro.entries))
+	for _, en := range ro.entries {
+		en.member.Alive = ro.alive(now, en.member)
+		ms = append(ms, en.member)
+	}
+	slices.SortFunc(ms, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return ms
+}
+
+// HasAddress tells whether a known host has this peer address.
+func (ro *Roster) HasAddress(address string) bool {
+	for en := range maps.Values(ro.entries) {
+		if en.member.PeerAddress == address {
+			return true
+		}
+	}
+	return false
+}
+
+// Gossip returns at most count living hosts other than the one that is told,
+// beginning at a position that the caller moves on from message to message.
+func (ro *Roster) Gossip(now time.Time, told string, from, count int) []Member {
+	var alive []Member
+	for _, me := range ro.Members(now) {
+		if me.Alive && me.Name != told {
+			alive = append(alive, me)
+		}
+	}
+	count = min(count, len(alive))
+	out := make([]Member, 0, count)
+	for i := range count {
+		out = append(out, alive[(from+i)%len(alive)])
+	}
+	return out
+}
+
+func (ro *Roster) alive(now time.Time, me Member) bool {
+	return !me.LastHeard.IsZero() && now.Sub(me.LastHeard) < ro.SuspectAfter(me.Zone)
+}
+
+// advanced returns the member with what only grows during one incarnation kept
+// at its largest. Heartbeats over two sessions may arrive out of order.
+func (me Member) advanced(old Member) Member {
+	me.Leaving = me.Leaving || old.Leaving
+	me.ConfigRevision = max(me.ConfigRevision, old.ConfigRevision)
+	if me.SchedulerEpoch < old.SchedulerEpoch {
+		me.SchedulerEpoch = old.SchedulerEpoch
+		me.Scheduler = old.Scheduler
+	}
+	return me
+}
+
+func judge(old, me Member, known, alive bool) Verdict {
+	switch {
+	case !known || old.Incarnation != me.Incarnation:
+		return Appeared
+	case old.LastHeard.IsZero():
+		return Appeared
+	case !alive:
+		return Returned
+	case old.Ready != me.Ready || old.Leaving != me.Leaving || old.PeerAddress != me.PeerAddress:
+		return Changed
+	default:
+		return Known
+	}
+}
--- /dev/null
+++ b/internal/peers/target.go
@@ -0,0 +1,214 @@
+package peers
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// target is a peer address that this host dials.
+type target struct {
+	address string
+	seed    bool
+	name    string // of the host that answered last
+	zone    string
+	poke    chan struct{} // asks for a heartbeat at once
+}
+
+const (
+	minBackoff       = 100 * time.Millisecond
+	maxBackoff       = time.Second
+	maxRemoteBackoff = 10 * time.Second
+	idleCheck        = 500 * time.Millisecond
+)
+
+var (
+	errRetired = errors.New("another session with the host serves")
+	errSelf    = errors.New("address is that of this host")
+)
+
+// addTarget begins to dial an address. The caller holds mu.
+func (ms *Mesh) addTarget(address string, seed bool) {
+	if address == "" || address == ms.cfg.Self().PeerAddress || ms.run == nil || ms.ended {
+		return
+	}
+	if _, ok := ms.targets[address]; ok {
+		return
+	}
+	ta := &target{address: address, seed: seed, poke: make(chan struct{}, 1)}
+	ms.targets[address] = ta
+	run := ms.run
+	ms.spawn(func() { ms.dialLoop(run, ta) })
+}
+
+// dialLoop keeps a session with the address while one is wanted.
+func (ms *Mesh) dialLoop(ctx context.Context, ta *target) {
+	backoff := minBackoff
+	for ms.keep(ta) {
+		if !ms.wanted(ta) {
+			backoff = minBackoff
+			if !sleep(ctx, jitter(idleCheck)) {
+				return
+			}
+			continue
+		}
+		began := time.Now()
+		err := ms.connect(ctx, ta)
+		if ctx.Err() != nil {
+			return
+		}
+		if time.Since(began) > ms.suspectAfter(ta) {
+			backoff = minBackoff
+		}
+		if !errors.Is(err, errRetired) {
+			ms.cfg.Log.Debug("no session with a peer", "address", ta.address, "peer", ta.name, "error", err)
+		}
+		if errors.Is(err, errSelf) {
+			backoff = maxRemoteBackoff
+		}
+		if !sleep(ctx, jitter(backoff)) {
+			return
+		}
+		backoff = min(2*backoff, ms.maxBackoff(ta))
+	}
+}
+
+// keep tells whether the address is still to be dialled, and drops it if not.
+func (ms *Mesh) keep(ta *target) bool {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	if ta.seed || ms.roster.HasAddress(ta.address) {
+		return true
+	}
+	delete(ms.targets, ta.address)
+	return false
+}
+
+// wanted tells whether this host should dial. Of two hosts, the one with the
+// smaller name dials; the other does so, too, while it has no session.
+func (ms *Mesh) wanted(ta *target) bool {
+	if ta.name == "" {
+		return true
+	}
+	if ta.name < ms.name {
+		return !ms.hasLink(ta.name, false)
+	}
+	return !ms.hasLink(ta.name, true)
+}
+
+func (ms *Mesh) hasLink(name string, dialled bool) bool {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	for _, li := range ms.links[name] {
+		if li.dialled == dialled && !li.sess.IsClosed() {
+			return true
+		}
+	}
+	return false
+}
+
+// connect dials, and sends heartbeats until the session fails or is not
+// wanted any more.
+func (ms *Mesh) connect(ctx context.Context, ta *target) error {
+	dctx, cancel := context.WithTimeout(ctx, ms.suspectAfter(ta))
+	defer cancel()
+	conn, err := ms.cfg.Dial(dctx, ta.address)
+	if err != nil {
+		return merry.Prepend(err, "dial")
+	}
+	li, err := ms.newLink(conn, true)
+	if err != nil {
+		return merry.Prepend(err, "open session")
+	}
+	defer li.close()
+	stop := context.AfterFunc(ctx, li.close)
+	defer stop()
+	ms.spawn(func() { li.serve(ctx) })
+	return ms.beatLoop(ctx, ta, li)
+}
+
+func (ms *Mesh) beatLoop(ctx context.Context, ta *target, li *link) error {
+	st, err := li.sess.OpenStream()
+	if err != nil {
+		return merry.Prepend(err, "open stream of heartbeats")
+	}
+	defer st.Close()
+	if err := st.SetWriteDeadline(time.Now().Add(ms.suspectAfter(ta))); err != nil {
+		return err
+	}
+	if _, err := st.Write([]byte{kindCall}); err != nil {
+		return err
+	}
+	rd := bufio.NewReader(st)
+	for sent := 1; ; sent++ {
+		if err := st.SetDeadline(time.Now().Add(ms.suspectAfter(ta))); err != nil {
+			return err
+		}
+		me, err := ms.beat(li, ta, st, rd)
+		if err != nil {
+			return err
+		}
+		ta.name, ta.zone = me.Name, me.Zone
+		if sent < confirmingBeats {
+			continue
+		}
+		if ms.retire(li, me) {
+			return errRetired
+		}
+		if !ta.wait(ctx, li, jitter(ms.every(me.Zone))) {
+			return merry.New("session has ended")
+		}
+	}
+}
+
+// retire takes a session out of use when the other host has dialled one, and
+// tells whether nothing is in progress over it any more.
+func (ms *Mesh) retire(li *link, me Member) bool {
+	if me.Name > ms.name || !ms.hasLink(me.Name, false) {
+		return false
+	}
+	if li.retire() {
+		return false // calls that have picked it get one more interval
+	}
+	return li.sess.NumStreams() <= 1
+}
+
+// wait waits for the next heartbeat and tells whether the session stands.
+func (ta *target) wait(ctx context.Context, li *link, pause time.Duration) bool {
+	tm := time.NewTimer(pause)
+	defer tm.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-li.sess.CloseChan():
+		return false
+	case <-ta.poke:
+		return true
+	case <-tm.C:
+		return true
+	}
+}
+
+func (ms *Mesh) suspectAfter(ta *target) time.Duration {
+	if ta.zone == "" {
+		return ms.cfg.SuspectAfter
+	}
+	return ms.roster.SuspectAfter(ta.zone)
+}
+
+func (ms *Mesh) maxBackoff(ta *target) time.Duration {
+	if ta.zone == ms.zone {
+		return maxBackoff
+	}
+	return maxRemoteBackoff
+}
+
+// jitter spreads a pause over 90 to 110 per cent of it, so that hosts that
+// started together part.
+func jitter(pause time.Duration) time.Duration {
+	return time.Duration(float64(pause) * (0.9 + 0.2*rand.Float64()))
+}
