Add the Go client of callers and operators

A caller must learn truthfully whether its request ran, and net/http repeats a request by itself: on a reused connection, whenever an idempotency key is set and the body can be read anew. Dropping GetBody alone was ruled out, since a request without a body is repeated too. What may run only once therefore goes over connections that are never reused, redirects are not followed, and a test pins both behaviours. Other addresses are tried only when nothing can have run.

--- /dev/null
+++ b/pkg/client/client_test.go
@@ -0,0 +1,326 @@
+package client_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+// seen is what a server saw of a request.
+type seen struct {
+	method, uri, body string
+	header            http.Header
+}
+
+// serve answers every request alike and returns a client and what was seen.
+func serve(t *testing.T, status int, header map[string]string, body string) (*client.Client, *seen) {
+	t.Helper()
+	sn := &seen{}
+	sv := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
+		data, _ := io.ReadAll(rq.Body)
+		*sn = seen{method: rq.Method, uri: rq.RequestURI, body: string(data), header: rq.Header}
+		for key, value := range header {
+			rw.Header().Set(key, value)
+		}
+		rw.WriteHeader(status)
+		_, _ = io.WriteString(rw, body)
+	}))
+	t.Cleanup(sv.Close)
+	return newClient(t, sv.Listener.Addr().String()), sn
+}
+
+func newClient(t *testing.T, addresses ...string) *client.Client {
+	t.Helper()
+	cl := client.New(client.Config{Addresses: addresses, Workspace: "ws", Caller: "me", Operator: "op"})
+	t.Cleanup(cl.Close)
+	return cl
+}
+
+func TestSubmitSendsHeadersAndBody(t *testing.T) {
+	is := is.New(t)
+	cl, sn := serve(t, 202, nil, `{"code":1000,"name":"jobAccepted","class":"inProgress","id":"z.1","state":"queued"}`)
+	yes := true
+	jb, err := cl.Submit(t.Context(), client.SubmitRequest{
+		Shape: spec.Shape{Tasks: 2, Accelerators: 8, Adjacency: spec.SameRack}, RunTime: "1h", Repeatable: &yes, Command: []string{"run"},
+	}, "k1")
+	is.NoErr(err)
+	is.Equal(jb.ID, "z.1")
+	is.Equal(jb.Code, codes.JobAccepted)
+	is.Equal(sn.method+" "+sn.uri, "POST /v1/jobs")
+	is.Equal(sn.header.Get(client.HeaderKey), "k1")
+	is.Equal(sn.header.Get(client.HeaderWorkspace), "ws")
+	is.Equal(sn.header.Get(client.HeaderCaller), "me")
+	var req client.SubmitRequest
+	is.NoErr(json.Unmarshal([]byte(sn.body), &req))
+	is.Equal(req.Shape.Tasks, 2)
+}
+
+func TestPaths(t *testing.T) {
+	for name, tc := range map[string]struct {
+		do   func(ctx context.Context, cl *client.Client) error
+		want string
+	}{
+		"job": {func(ctx context.Context, cl *client.Client) error {
+			_, err := cl.Job(ctx, "z.a/b", 30*time.Second)
+			return err
+		}, "GET /v1/jobs/z.a%2Fb?wait=30s"},
+		"jobs": {func(ctx context.Context, cl *client.Client) error {
+			_, err := cl.Jobs(ctx, client.JobFilter{Workspace: "w", Active: true})
+			return err
+		}, "GET /v1/jobs?active=true&workspace=w"},
+		"cancel": {func(ctx context.Context, cl *client.Client) error {
+			_, err := cl.Cancel(ctx, "z.1")
+			return err
+		}, "DELETE /v1/jobs/z.1"},
+		"apply": {func(ctx context.Context, cl *client.Client) error {
+			_, err := cl.Apply(ctx, []byte("a"), 7, 10*time.Second)
+			return err
+		}, "PUT /v1/declarations?expect=7&wait=10s"},
+		"apply any": {func(ctx context.Context, cl *client.Client) error {
+			_, err := cl.Apply(ctx, []byte("a"), client.AnyRevision, 0)
+			return err
+		}, "PUT /v1/declarations"},
+		"check": {func(ctx context.Context, cl *client.Client) error {
+			_, err := cl.Check(ctx, []byte("a"))
+			return err
+		}, "POST /v1/declarations/check"},
+		"declarations": {func(ctx context.Context, cl *client.Client) error {
+			inf, err := cl.Declarations(ctx)
+			if inf.Revision != 9 {
+				return errors.New("wrong revision")
+			}
+			return err
+		}, "GET /v1/declarations"},
+		"status": {func(ctx context.Context, cl *client.Client) error {
+			_, err := cl.Status(ctx)
+			return err
+		}, "GET /v1/status"},
+		"report": {func(ctx context.Context, cl *client.Client) error {
+			_, err := cl.Report(ctx, "2026-12-04", true)
+			return err
+		}, "GET /v1/report?day=2026-12-04"},
+		"call": {func(ctx context.Context, cl *client.Client) error {
+			_, err := cl.Call(ctx, "s", "PATCH", "/a%20b?x=1", nil, client.CallOptions{})
+			return err
+		}, "PATCH /v1/services/s/a%20b?x=1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cl, sn := serve(t, 200, map[string]string{client.HeaderRevision: "9", client.HeaderCode: "2000"}, `{}`)
+			is.NoErr(tc.do(t.Context(), cl))
+			is.Equal(sn.method+" "+sn.uri, tc.want)
+		})
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	for name, tc := range map[string]struct {
+		status int
+		header map[string]string
+		body   string
+		code   codes.Code
+		retry  time.Duration
+	}{
+		"from the body":         {429, nil, `{"code":4008,"detail":"d","retryAfterMillis":1500}`, codes.Overloaded, 1500 * time.Millisecond},
+		"from the headers":      {429, map[string]string{client.HeaderCode: "4008", client.HeaderRetryAfter: "250"}, "", codes.Overloaded, 250 * time.Millisecond},
+		"seconds":               {503, map[string]string{client.HeaderCode: "4009", "Retry-After": "2"}, "", codes.NoEndpoint, 2 * time.Second},
+		"no code":               {502, nil, "<html>", codes.SubmitUnknown, 0},
+		"success that is none":  {202, nil, "<html>", codes.SubmitUnknown, 0},
+		"redirect not followed": {307, map[string]string{"Location": "/v1/jobs"}, "", codes.SubmitUnknown, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			cl, _ := serve(t, tc.status, tc.header, tc.body)
+			_, err := cl.Submit(t.Context(), client.SubmitRequest{}, "k")
+			var ce *codes.Error
+			is.True(errors.As(err, &ce))
+			is.Equal(ce.Code, tc.code)
+			is.Equal(ce.RetryAfter, tc.retry)
+		})
+	}
+}
+
+func TestCallGivesAnswerOfEndpoint(t *testing.T) {
+	is := is.New(t)
+	cl, sn := serve(t, 500, map[string]string{client.HeaderCode: "3000", client.HeaderRequest: "r1"}, "oops")
+	no := false
+	an, err := cl.Call(t.Context(), "s", "POST", "p", []byte("b"), client.CallOptions{
+		Repeatable: &no, Timeout: 2 * time.Second, Priority: "urgent", Key: "k", Header: http.Header{"X-A": {"1"}},
+	})
+	is.NoErr(err)
+	is.Equal(an.Code, codes.EndpointError)
+	is.Equal(an.Status, 500)
+	is.Equal(string(an.Body), "oops")
+	is.Equal(an.Request, "r1")
+	is.Equal(sn.header.Get(client.HeaderRepeatable), "false")
+	is.Equal(sn.header.Get(client.HeaderTimeout), "2s")
+	is.Equal(sn.header.Get(client.HeaderPriority), "urgent")
+	is.Equal(sn.header.Get("X-A"), "1")
+}
+
+func TestAppliedFaultsComeWithTheError(t *testing.T) {
+	is := is.New(t)
+	cl, _ := serve(t, 422, nil, `{"code":4023,"revision":4,"faults":[{"line":2,"column":3,"message":"m"}]}`)
+	ap, err := cl.Apply(t.Context(), nil, 4, 0)
+	is.Equal(codes.Of(err).Code, codes.InvalidDeclaration)
+	is.Equal(ap.Revision, int64(4))
+	is.Equal(ap.Faults, []client.Fault{{Line: 2, Column: 3, Message: "m"}})
+}
+
+// rawServer answers the n-th request of all its connections with fn(n), and
+// closes the connection when that is empty or says so. It returns the count of requests.
+func rawServer(t *testing.T, fn func(n int64) string) (string, *atomic.Int64) {
+	t.Helper()
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ls.Close() })
+	count := &atomic.Int64{}
+	go func() {
+		for {
+			cn, err := ls.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer cn.Close()
+				rd := bufio.NewReader(cn)
+				for {
+					rq, err := http.ReadRequest(rd)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, rq.Body)
+					answer := fn(count.Add(1))
+					if _, err := io.WriteString(cn, answer); err != nil || answer == "" || strings.Contains(answer, "Connection: close") {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ls.Addr().String(), count
+}
+
+const whole = "HTTP/1.1 200 OK\r\nCicadawharf-Code: 2000\r\nContent-Length: 2\r\n\r\n{}"
+
+func firstOnly(n int64) string {
+	if n == 1 {
+		return whole
+	}
+	return ""
+}
+
+// A transport of net/http repeats a request with an idempotency key by itself
+// on a connection that it reuses. This pins the reason for the client's choice
+// of connections.
+func TestNetHTTPRepeatsRequestWithKey(t *testing.T) {
+	is := is.New(t)
+	address, count := rawServer(t, firstOnly)
+	tr := &http.Transport{}
+	defer tr.CloseIdleConnections()
+	for range 2 {
+		req, err := http.NewRequest("POST", "http://"+address, strings.NewReader("b"))
+		is.NoErr(err)
+		req.Header.Set("Idempotency-Key", "k")
+		rs, err := (&http.Client{Transport: tr}).Do(req)
+		if err == nil {
+			_, _ = io.Copy(io.Discard, rs.Body)
+			rs.Body.Close()
+		}
+	}
+	is.Equal(count.Load(), int64(3)) // the second was sent twice
+}
+
+func TestRequestThatMayNotBeRepeatedIsSentOnce(t *testing.T) {
+	for name, do := range map[string]func(ctx context.Context, cl *client.Client) error{
+		"call": func(ctx context.Context, cl *client.Client) error {
+			_, err := cl.Call(ctx, "s", "POST", "p", []byte("b"), client.CallOptions{Key: "k"})
+			return err
+		},
+		"call without body": func(ctx context.Context, cl *client.Client) error {
+			_, err := cl.Call(ctx, "s", "GET", "p", nil, client.CallOptions{Key: "k"})
+			return err
+		},
+		"submit": func(ctx context.Context, cl *client.Client) error {
+			_, err := cl.Submit(ctx, client.SubmitRequest{}, "k")
+			return err
+		},
+		"apply": func(ctx context.Context, cl *client.Client) error {
+			_, err := cl.Apply(ctx, []byte("b"), 1, 0)
+			return err
+		},
+		"cancel": func(ctx context.Context, cl *client.Client) error {
+			_, err := cl.Cancel(ctx, "z.1")
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, count := rawServer(t, firstOnly)
+			cl := newClient(t, address, address)
+			is.NoErr(do(t.Context(), cl))
+			err := do(t.Context(), cl)
+			is.Equal(codes.Of(err).Code.Class(), codes.Unknown)
+			is.Equal(count.Load(), int64(2))
+		})
+	}
+}
+
+func TestTruncatedAnswerIsBroken(t *testing.T) {
+	is := is.New(t)
+	address, _ := rawServer(t, func(int64) string {
+		return "HTTP/1.1 200 OK\r\nCicadawharf-Code: 2000\r\nContent-Length: 9\r\nConnection: close\r\n\r\npart"
+	})
+	cl := newClient(t, address)
+	_, err := cl.Call(t.Context(), "s", "POST", "p", nil, client.CallOptions{})
+	is.Equal(codes.Of(err).Code, codes.AnswerBroken)
+	_, err = cl.Submit(t.Context(), client.SubmitRequest{}, "")
+	is.Equal(codes.Of(err).Code, codes.SubmitUnknown)
+}
+
+func TestGoesOnOnlyWhereNothingRan(t *testing.T) {
+	is := is.New(t)
+	refused, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	dead := refused.Addr().String()
+	refused.Close()
+	stopping, count := rawServer(t, func(int64) string {
+		return "HTTP/1.1 503 Service Unavailable\r\nCicadawharf-Code: 4013\r\nContent-Length: 0\r\n\r\n"
+	})
+	live, served := rawServer(t, func(int64) string { return whole })
+
+	cl := newClient(t, dead, stopping, live)
+	_, err = cl.Call(t.Context(), "s", "POST", "p", nil, client.CallOptions{})
+	is.NoErr(err)
+	is.Equal([2]int64{count.Load(), served.Load()}, [2]int64{1, 1})
+
+	_, err = newClient(t, dead, stopping, dead).Submit(t.Context(), client.SubmitRequest{}, "")
+	is.Equal(codes.Of(err).Code, codes.Stopping)
+
+	_, err = newClient(t, dead).Submit(t.Context(), client.SubmitRequest{}, "")
+	var ue *client.UnreachableError
+	is.True(errors.As(err, &ue))
+
+	silent, _ := rawServer(t, func(int64) string { return "" })
+	_, err = newClient(t, silent, live).Status(t.Context())
+	is.NoErr(err) // a read goes on after a lost answer
+	_, err = newClient(t, silent, live).Cancel(t.Context(), "z.1")
+	is.Equal(codes.Of(err).Code, codes.CancelUnknown)
+}
--- /dev/null
+++ b/pkg/client/operate.go
@@ -0,0 +1,125 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+// InForce is the content of declarations in force.
+type InForce struct {
+	Revision int64
+	Content  []byte // YAML, as it was applied
+}
+
+const (
+	// HeaderOperator names who applies declarations.
+	HeaderOperator = "Cicadawharf-Operator"
+
+	// AnyRevision applies declarations over whatever is in force.
+	AnyRevision = -1
+
+	pathDeclarations = "/v1/declarations"
+	typeYAML         = "application/yaml"
+)
+
+// Apply replaces the declarations if the revision in force is expect. With a
+// positive wait the answer tells whether all hosts have them by then; if not,
+// its code is PartialRollout. A refusal returns, with the error, the faults
+// and the revision in force.
+func (cl *Client) Apply(ctx context.Context, content []byte, expect int64, wait time.Duration) (Applied, error) {
+	query := url.Values{}
+	if expect != AnyRevision {
+		query.Set("expect", strconv.FormatInt(expect, 10))
+	}
+	if wait > 0 {
+		query.Set("wait", wait.String())
+	}
+	path := pathDeclarations
+	if len(query) > 0 {
+		path += "?" + query.Encode()
+	}
+	header := cl.header()
+	header.Set("Content-Type", typeYAML)
+	setHeader(header, HeaderOperator, cl.cfg.Operator)
+	return cl.applied(ctx, call{
+		method: http.MethodPut, path: path, header: header, body: content, timeout: wait, lost: codes.ApplyUnknown,
+	})
+}
+
+// Check examines declarations as Apply would, against the configuration and
+// fleet of the running system, without any effect. A refusal returns, with the
+// error, the faults.
+func (cl *Client) Check(ctx context.Context, content []byte) (Applied, error) {
+	header := cl.header()
+	header.Set("Content-Type", typeYAML)
+	return cl.applied(ctx, call{
+		method: http.MethodPost, path: pathDeclarations + "/check", header: header, body: content,
+		read: true, lost: codes.OutcomeUnknown,
+	})
+}
+
+// Declarations returns the declarations in force.
+func (cl *Client) Declarations(ctx context.Context) (InForce, error) {
+	ca := cl.read(pathDeclarations, 0)
+	rp, err := cl.do(ctx, ca)
+	if err != nil {
+		return InForce{}, err
+	}
+	if rp.status != http.StatusOK {
+		return InForce{}, refusal(rp, ca)
+	}
+	revision, err := strconv.ParseInt(rp.header.Get(HeaderRevision), 10, 64)
+	if err != nil {
+		return InForce{}, codes.New(ca.lost, "answer has no revision: %v", err)
+	}
+	return InForce{Revision: revision, Content: rp.body}, nil
+}
+
+// Status returns what the answering host knows of the system.
+func (cl *Client) Status(ctx context.Context) (Status, error) {
+	return exchange[Status](ctx, cl, cl.read("/v1/status", 0))
+}
+
+// Report returns the report of a day, YYYY-MM-DD, or of the running day if it
+// is empty, as JSON or as text.
+func (cl *Client) Report(ctx context.Context, day string, asText bool) ([]byte, error) {
+	path := "/v1/report"
+	if day != "" {
+		path += "?day=" + url.QueryEscape(day)
+	}
+	ca := cl.read(path, 0)
+	ca.header.Set("Accept", "application/json")
+	if asText {
+		ca.header.Set("Accept", "text/plain")
+	}
+	rp, err := cl.do(ctx, ca)
+	if err != nil {
+		return nil, err
+	}
+	if rp.status != http.StatusOK {
+		return nil, refusal(rp, ca)
+	}
+	return rp.body, nil
+}
+
+// applied makes a call that answers Applied, of a refusal too.
+func (cl *Client) applied(ctx context.Context, ca call) (Applied, error) {
+	rp, err := cl.do(ctx, ca)
+	if err != nil {
+		return Applied{}, err
+	}
+	ap, err := decode[Applied](rp, ca)
+	if err == nil {
+		return ap, nil
+	}
+	if json.Unmarshal(rp.body, &ap) != nil {
+		return Applied{}, err
+	}
+	return ap, err
+}
--- /dev/null
+++ b/pkg/client/service.go
@@ -0,0 +1,80 @@
+package client
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+type (
+	// CallOptions are the options of one request to a service.
+	CallOptions struct {
+		Repeatable *bool         // nil leaves it to the service's declaration
+		Timeout    time.Duration // zero leaves it to the service's declaration
+		Priority   string        // low, normal or urgent; empty for normal
+		Key        string        // idempotency key
+		Header     http.Header   // passed on to the endpoint
+	}
+
+	// CallAnswer is the whole answer of an endpoint.
+	CallAnswer struct {
+		Code    codes.Code // RequestDone, or EndpointError for a server error
+		Request string     // identifier in the log
+		Status  int
+		Header  http.Header
+		Body    []byte
+	}
+)
+
+// Call sends a request to a service and returns the whole answer of its
+// endpoint, a server error of the endpoint too. Path may have a query. An
+// error is *UnreachableError if nothing was sent, else a *codes.Error, whose
+// class tells whether the request may have run.
+func (cl *Client) Call(ctx context.Context, service, method, path string, body []byte, op CallOptions) (CallAnswer, error) {
+	ca := cl.serviceCall(service, method, path, body, op)
+	rp, err := cl.do(ctx, ca)
+	if err != nil {
+		return CallAnswer{}, err
+	}
+	an := CallAnswer{
+		Code: codeOf(rp.header), Request: rp.header.Get(HeaderRequest),
+		Status: rp.status, Header: rp.header, Body: rp.body,
+	}
+	switch an.Code {
+	case codes.RequestDone, codes.EndpointError:
+		return an, nil
+	default:
+		return an, refusal(rp, ca)
+	}
+}
+
+func (cl *Client) serviceCall(service, method, path string, body []byte, op CallOptions) call {
+	header := op.Header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	for key, vs := range cl.header() {
+		header[key] = vs
+	}
+	setHeader(header, HeaderPriority, op.Priority)
+	setHeader(header, HeaderKey, op.Key)
+	if op.Repeatable != nil {
+		header.Set(HeaderRepeatable, strconv.FormatBool(*op.Repeatable))
+	}
+	if op.Timeout > 0 {
+		header.Set(HeaderTimeout, op.Timeout.String())
+	}
+	return call{
+		method: method,
+		path:   "/v1/services/" + url.PathEscape(service) + "/" + strings.TrimPrefix(path, "/"),
+		header: header, body: body,
+		repeatable: op.Repeatable != nil && *op.Repeatable,
+		timeout:    op.Timeout,
+		lost:       codes.OutcomeUnknown,
+	}
+}
