Add an endpoint stand-in with faults on demand

Tests of routing have to compare what callers were told with what truly ran, so the stand-in records each request before it answers, and refuses past its slots and connections before running. Closing surplus connections was ruled out: the caller could not tell such a request from one that ran. A silent connection discards reads and writes and is kept open, as one is that a middle box has lost track of.

--- /dev/null
+++ b/internal/fakes/epsim/epsim_test.go
@@ -0,0 +1,225 @@
+package epsim_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/fakes/epsim"
+	"github.com/cicadawharf/cicadawharf/internal/plat"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+)
+
+type (
+	// answer is what a request of a test has come to.
+	answer struct {
+		status int
+		header http.Header
+		body   string
+		err    error // of sending or of reading the answer
+	}
+
+	// caller sends requests over a pool of its own.
+	caller struct {
+		address   string
+		transport *http.Transport
+	}
+)
+
+// patience bounds waits that end much sooner unless something is broken.
+const patience = 30 * time.Second
+
+func serve(t *testing.T, slots, connections int) (*epsim.Server, caller) {
+	t.Helper()
+	is := is.New(t)
+	sv, err := epsim.New(epsim.Config{
+		Name: "e1", Service: "pricing", Listen: "127.0.0.1:0", Slots: slots, Connections: connections,
+	})
+	is.NoErr(err)
+	ended := make(chan error, 1)
+	go func() { ended <- sv.Run(t.Context()) }()
+	ca := caller{address: sv.Addr(), transport: &http.Transport{}}
+	t.Cleanup(func() {
+		sv.Close()
+		is.NoErr(<-ended)
+		ca.transport.CloseIdleConnections()
+	})
+	return sv, ca
+}
+
+func (ca caller) send(ctx context.Context, method, path string, body io.Reader, header map[string]string) answer {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+ca.address+path, body)
+	if err != nil {
+		return answer{err: err}
+	}
+	for key, value := range header {
+		req.Header.Set(key, value)
+	}
+	resp, err := ca.transport.RoundTrip(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	content, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(content), err: err}
+}
+
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	t.Fatalf("%s did not come about", what)
+}
+
+func TestBehaviours(t *testing.T) {
+	tests := []struct {
+		name   string
+		header map[string]string
+		body   string
+		status int
+		want   string // of the answer's body
+		broken bool
+		ran    bool
+	}{
+		{"echo", nil, "sacks", 200, "sacks", false, true},
+		{"names itself", nil, "", 200, `{"endpoint":"e1","service":"pricing","request":"r1"}`, false, true},
+		{"status", map[string]string{epsim.HeaderStatus: "500"}, "x", 500, "x", false, true},
+		{"no content", map[string]string{epsim.HeaderStatus: "204"}, "x", 204, "", false, true},
+		{"size", map[string]string{epsim.HeaderSize: "5"}, "x", 200, "r1\nr1", false, true},
+		{"delay", map[string]string{epsim.HeaderDelay: "1ms"}, "x", 200, "x", false, true},
+		{"half", map[string]string{epsim.HeaderFault: epsim.FaultHalf}, "1234", 200, "12", true, true},
+		{"drop before", map[string]string{epsim.HeaderFault: epsim.FaultDropBefore}, "x", 0, "", true, false},
+		{"drop after", map[string]string{epsim.HeaderFault: epsim.FaultDropAfter}, "x", 0, "", true, true},
+		{"misspelt fault", map[string]string{epsim.HeaderFault: "halve"}, "x", 400, "fault \"halve\"\n", false, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			sv, ca := serve(t, 1, 4)
+			header := map[string]string{plat.HeaderRequest: "r1", client.HeaderWorkspace: "velas"}
+			for key, value := range tc.header {
+				header[key] = value
+			}
+			an := ca.send(t.Context(), http.MethodPost, "/quotes", strings.NewReader(tc.body), header)
+			is.Equal(an.status, tc.status)
+			is.Equal(an.body, tc.want)
+			is.Equal(an.err != nil, tc.broken)
+			runs := sv.Runs()
+			is.Equal(len(runs) == 1, tc.ran)
+			if tc.ran {
+				is.Equal(runs[0].Request, "r1")
+				is.Equal(runs[0].Workspace, "velas")
+				is.Equal(runs[0].Count, 1)
+			}
+			await(t, "free slot", func() bool { return sv.Busy() == 0 })
+		})
+	}
+}
+
+func TestRefusesPastSlotsAndWhileLeaving(t *testing.T) {
+	is := is.New(t)
+	sv, ca := serve(t, 1, 8)
+	ctx, cancel := context.WithCancel(t.Context())
+	hung := make(chan answer, 1)
+	go func() {
+		hung <- ca.send(ctx, http.MethodPost, "/", strings.NewReader("x"), map[string]string{epsim.HeaderFault: epsim.FaultHang})
+	}()
+	await(t, "busy slot", func() bool { return sv.Busy() == 1 })
+	an := ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil)
+	is.NoErr(an.err)
+	is.Equal(an.status, http.StatusServiceUnavailable)
+	is.Equal(an.header.Get(plat.HeaderRefused), plat.RefusedBusy)
+	is.Equal(an.header.Get(plat.HeaderState), string(plat.StateLive))
+
+	is.Equal(ca.send(t.Context(), http.MethodPost, epsim.LeavePath, nil, nil).status, http.StatusNoContent)
+	an = ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil)
+	is.Equal(an.header.Get(plat.HeaderRefused), plat.RefusedLeaving)
+	an = ca.send(t.Context(), http.MethodGet, plat.ProbePath, nil, nil)
+	is.Equal(an.status, http.StatusOK)
+	is.Equal(an.header.Get(plat.HeaderState), string(plat.StateLeaving))
+	is.Equal(sv.Busy(), 1) // the one in progress goes on
+	cancel()
+	is.True(errors.Is((<-hung).err, context.Canceled))
+	is.Equal(len(sv.Runs()), 1)
+}
+
+func TestRequestInProgressFinishesWhileLeaving(t *testing.T) {
+	is := is.New(t)
+	sv, ca := serve(t, 1, 8)
+	body, sender := io.Pipe()
+	finished := make(chan answer, 1)
+	go func() { finished <- ca.send(t.Context(), http.MethodPost, "/", body, nil) }()
+	await(t, "busy slot", func() bool { return sv.Busy() == 1 })
+	sv.Leave()
+	_, err := sender.Write([]byte("x"))
+	is.NoErr(err)
+	is.NoErr(sender.Close())
+	an := <-finished
+	is.NoErr(an.err)
+	is.Equal(an.body, "x")
+	is.Equal(an.header.Get(plat.HeaderState), string(plat.StateLeaving))
+}
+
+func TestRefusesPastConnections(t *testing.T) {
+	is := is.New(t)
+	sv, ca := serve(t, 8, 1)
+	is.NoErr(ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil).err)
+	second := caller{address: sv.Addr(), transport: &http.Transport{}}
+	an := second.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil)
+	is.NoErr(an.err)
+	is.Equal(an.header.Get(plat.HeaderRefused), plat.RefusedBusy)
+	is.Equal(ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("y"), nil).body, "y") // the first still serves
+	is.Equal(len(sv.Runs()), 2)
+}
+
+func TestSilentConnectionsSwallowWhileNewOnesWork(t *testing.T) {
+	is := is.New(t)
+	sv, old := serve(t, 8, 1)
+	is.NoErr(old.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil).err)
+	sv.SilenceConnections()
+	brief, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	an := old.send(brief, http.MethodPost, "/", strings.NewReader("lost"), nil)
+	is.True(errors.Is(an.err, context.DeadlineExceeded))
+	fresh := caller{address: sv.Addr(), transport: &http.Transport{}}
+	an = fresh.send(t.Context(), http.MethodPost, "/", strings.NewReader("y"), nil)
+	is.NoErr(an.err)
+	is.Equal(an.body, "y")
+	is.Equal(len(sv.Runs()), 2) // the swallowed request did not run
+}
+
+func TestDownAndUp(t *testing.T) {
+	is := is.New(t)
+	sv, ca := serve(t, 8, 8)
+	is.NoErr(ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil).err)
+	sv.SetFaults(epsim.Faults{Down: true})
+	is.True(ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil).err != nil)
+	sv.SetFaults(epsim.Faults{})
+	is.NoErr(ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil).err)
+	is.Equal(len(sv.Runs()), 2)
+}
+
+func TestRunsAndFaultsByHTTP(t *testing.T) {
+	is := is.New(t)
+	_, ca := serve(t, 8, 8)
+	body, err := json.Marshal(epsim.FaultsRequest{Faults: epsim.Faults{Down: true}, DownFor: time.Millisecond})
+	is.NoErr(err)
+	ca.send(t.Context(), http.MethodPost, epsim.FaultsPath, bytes.NewReader(body), nil)
+	await(t, "answer", func() bool { return ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil).err == nil })
+	ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil)
+	var runs []epsim.Run
+	an := ca.send(t.Context(), http.MethodGet, epsim.RunsPath, nil, nil)
+	is.NoErr(json.NewDecoder(bytes.NewBufferString(an.body)).Decode(&runs))
+	is.Equal(runs[len(runs)-1].Count, len(runs))
+}
--- /dev/null
+++ b/internal/fakes/epsim/handler.go
@@ -0,0 +1,260 @@
+package epsim
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/cicadawharf/cicadawharf/internal/plat"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+)
+
+type (
+	// Answer is the body of an answer to a request that has no body of its
+	// own and asks for no size.
+	Answer struct {
+		Endpoint string `json:"endpoint"`
+		Service  string `json:"service"`
+		Request  string `json:"request"`
+	}
+
+	// FaultsRequest is the body of POST FaultsPath. It replaces the faults.
+	FaultsRequest struct {
+		Faults
+		DownFor            time.Duration `json:"downFor"`            // with Down, after which it ends; nanoseconds
+		SilenceConnections bool          `json:"silenceConnections"` // those that are open now
+	}
+
+	// behaviour is what the headers of a request ask for.
+	behaviour struct {
+		delay  time.Duration
+		status int
+		size   int // of the answer; negative if not asked for
+		fault  string
+	}
+)
+
+// The headers by which a request asks for a behaviour, and those of answers.
+const (
+	HeaderDelay    = "Standin-Delay"    // Go duration
+	HeaderStatus   = "Standin-Status"   // number
+	HeaderSize     = "Standin-Size"     // of the answer, bytes
+	HeaderFault    = "Standin-Fault"    // one of the Fault constants
+	HeaderEndpoint = "Standin-Endpoint" // in answers: name of the endpoint
+)
+
+// The faults of one request.
+const (
+	FaultHalf       = "half"       // sends half of the answer and cuts the connection
+	FaultHang       = "hang"       // runs, and never answers
+	FaultDropBefore = "dropBefore" // cuts the connection instead of running
+	FaultDropAfter  = "dropAfter"  // runs, and cuts the connection instead of answering
+)
+
+// The paths by which tests reach a stand-in in another process.
+const (
+	FaultsPath = "/standin/faults"
+	RunsPath   = "/standin/runs"
+	LeavePath  = "/standin/leave"
+)
+
+const (
+	maxBodyBytes   = 64 << 20
+	maxAnswerBytes = 64 << 20
+)
+
+func (sv *Server) routes() http.Handler {
+	rt := mux.NewRouter().SkipClean(true)
+	rt.HandleFunc(plat.ProbePath, sv.serveProbe)
+	rt.HandleFunc(RunsPath, sv.serveRuns).Methods(http.MethodGet)
+	rt.HandleFunc(LeavePath, sv.serveLeave).Methods(http.MethodPost)
+	rt.HandleFunc(FaultsPath, sv.serveFaults).Methods(http.MethodPost)
+	rt.PathPrefix("/").HandlerFunc(sv.serveRequest)
+	return rt
+}
+
+// serveRequest refuses a request or runs it.
+func (sv *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	be, err := readBehaviour(r.Header)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if be.fault == FaultDropBefore {
+		panic(http.ErrAbortHandler)
+	}
+	if isExcess(r.Context()) {
+		w.Header().Set("Connection", "close")
+		sv.refuse(w, plat.RefusedBusy)
+		return
+	}
+	if sv.leaving.Load() {
+		sv.refuse(w, plat.RefusedLeaving)
+		return
+	}
+	if !sv.take() {
+		sv.refuse(w, plat.RefusedBusy)
+		return
+	}
+	defer sv.free()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		panic(http.ErrAbortHandler) // the sender is gone, or sends too much
+	}
+	sv.run(w, r, be, body)
+}
+
+func (sv *Server) run(w http.ResponseWriter, r *http.Request, be behaviour, body []byte) {
+	request := r.Header.Get(plat.HeaderRequest)
+	sv.log.add(Run{
+		Endpoint: sv.cfg.Name, Request: request, Workspace: r.Header.Get(client.HeaderWorkspace),
+		Method: r.Method, Path: r.URL.Path, Key: r.Header.Get(client.HeaderKey), Started: time.Now(),
+	})
+	sv.cfg.Log.Debug("request runs", "endpoint", sv.cfg.Name, "request", request, "fault", be.fault)
+	sv.pause(be.delay + time.Duration(sv.delay.Load()))
+	switch be.fault {
+	case FaultHang:
+		sv.hang(r.Context())
+		panic(http.ErrAbortHandler)
+	case FaultDropAfter:
+		panic(http.ErrAbortHandler)
+	}
+	answer, kind := sv.answer(request, be, body)
+	sv.writeHeaders(w)
+	if !bodyAllowed(be.status) {
+		w.WriteHeader(be.status)
+		return
+	}
+	w.Header().Set("Content-Type", kind)
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	w.WriteHeader(be.status)
+	if be.fault == FaultHalf {
+		_, _ = w.Write(answer[:len(answer)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(answer)
+}
+
+// answer returns the body of an answer and its content type: the bytes of the
+// size asked for, made of the request's identifier, or the request's body, or
+// an Answer.
+func (sv *Server) answer(request string, be behaviour, body []byte) (content []byte, kind string) {
+	if be.size >= 0 {
+		unit := []byte(request + "\n")
+		return bytes.Repeat(unit, be.size/len(unit)+1)[:be.size], "text/plain"
+	}
+	if len(body) > 0 {
+		return body, "application/octet-stream"
+	}
+	content, _ = json.Marshal(Answer{Endpoint: sv.cfg.Name, Service: sv.cfg.Service, Request: request})
+	return content, "application/json"
+}
+
+// bodyAllowed tells whether an answer of a status may have a body.
+func bodyAllowed(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+func (sv *Server) refuse(w http.ResponseWriter, reason string) {
+	sv.writeHeaders(w)
+	w.Header().Set(plat.HeaderRefused, reason)
+	http.Error(w, reason, http.StatusServiceUnavailable)
+}
+
+func (sv *Server) writeHeaders(w http.ResponseWriter) {
+	state := plat.StateLive
+	if sv.leaving.Load() {
+		state = plat.StateLeaving
+	}
+	w.Header().Set(plat.HeaderState, string(state))
+	w.Header().Set(HeaderEndpoint, sv.cfg.Name)
+}
+
+// pause lets a request take its time. It runs to its end even if its caller
+// has left.
+func (sv *Server) pause(delay time.Duration) {
+	if delay <= 0 {
+		return
+	}
+	tm := time.NewTimer(delay)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+	case <-sv.closed:
+	}
+}
+
+func (sv *Server) hang(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-sv.closed:
+	}
+}
+
+func (sv *Server) serveProbe(w http.ResponseWriter, _ *http.Request) {
+	sv.writeHeaders(w)
+	w.WriteHeader(http.StatusOK)
+}
+
+func (sv *Server) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(sv.Runs())
+}
+
+func (sv *Server) serveLeave(w http.ResponseWriter, _ *http.Request) {
+	sv.Leave()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (sv *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var req FaultsRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+	_ = http.NewResponseController(w).Flush()
+	sv.SetFaults(req.Faults)
+	if req.Down && req.DownFor > 0 {
+		time.AfterFunc(req.DownFor, func() { sv.listener.setDown(false) })
+	}
+	if req.SilenceConnections {
+		sv.SilenceConnections()
+	}
+}
+
+// readBehaviour reads the headers of a request. What it can't read is refused,
+// so that a test with a misspelt header fails.
+func readBehaviour(hd http.Header) (behaviour, error) {
+	be := behaviour{status: http.StatusOK, size: -1, fault: hd.Get(HeaderFault)}
+	var err error
+	if text := hd.Get(HeaderDelay); text != "" {
+		if be.delay, err = time.ParseDuration(text); err != nil {
+			return be, err
+		}
+	}
+	if text := hd.Get(HeaderStatus); text != "" {
+		if be.status, err = strconv.Atoi(text); err != nil || be.status < 200 || be.status > 999 {
+			return be, fmt.Errorf("status %q", text)
+		}
+	}
+	if text := hd.Get(HeaderSize); text != "" {
+		if be.size, err = strconv.Atoi(text); err != nil || be.size < 0 || be.size > maxAnswerBytes {
+			return be, fmt.Errorf("size %q", text)
+		}
+	}
+	switch be.fault {
+	case "", FaultHalf, FaultHang, FaultDropBefore, FaultDropAfter:
+		return be, nil
+	default:
+		return be, fmt.Errorf("fault %q", be.fault)
+	}
+}
--- a/internal/fakes/wksim/table_test.go
+++ b/internal/fakes/wksim/table_test.go
@@ -25,9 +25,8 @@
 	other = worker.TaskID{Job: "centro.b", Attempt: 1}
 )
 
-// TestMain fixes the seed of the property tests.
+// TestMain fixes the seed of the property tests; -rapid.seed overrides it.
 func TestMain(m *testing.M) {
-	flag.Parse()
 	if err := flag.Set("rapid.seed", "20260301"); err != nil {
 		panic(err)
 	}
