Draw the daily report from accounts that outlive their hosts

Counters of a host were lost with it, and with its copies too once each replica had been replaced, which happens to every host about twice a day. Accounts are now merged counter by counter, so order, doubles and partial copies do no harm, and holders pass on the accounts of hosts that have gone to the present replicas. The report draws revenue and capacity from one set of rows and checks both.

--- a/internal/report/account.go
+++ b/internal/report/account.go
@@ -30,8 +30,6 @@
 
 		mu       sync.Mutex // guards the rest
 		sequence int64
-		closed   bool
-		seen     map[rowKey]seenRow
 	}
 
 	// Ticket is one piece of work that was offered and has not ended.
@@ -56,25 +54,14 @@
 		repeats     atomic.Int64
 		ended       []atomic.Int64 // by index of codes.All
 	}
-
-	// seenRow is a row as the last snapshot saw it, and the sequence of the
-	// snapshot that found it changed.
-	seenRow struct {
-		row     *wire.AccountRow
-		changed int64
-	}
 )
 
 const (
-	// DayFormat is the layout of days.
-	DayFormat = time.DateOnly
-
 	// OtherWorkspace takes the work of further workspaces when an account has
 	// reached its bound of rows.
 	OtherWorkspace = "(other)"
 
-	maxRows    = 8192
-	retainDays = 8
+	maxRows = 8192
 
 	// closedSequence marks the last snapshot of an incarnation.
 	closedSequence = math.MaxInt64
@@ -88,7 +75,7 @@
 
 // NewAccount returns an empty account.
 func NewAccount(cfg AccountConfig) *Account {
-	return &Account{cfg: cfg, seen: make(map[rowKey]seenRow)}
+	return &Account{cfg: cfg}
 }
 
 // Offer counts a piece of work on the day of now.
@@ -118,6 +105,66 @@
 	ti.row.ended[at].Add(1)
 }
 
+// Snapshot returns all that was counted. In every row the outcomes are read
+// before the offers, so that no outcome appears without its offer.
+func (ac *Account) Snapshot(now time.Time) *wire.Account {
+	ac.mu.Lock()
+	defer ac.mu.Unlock()
+	if ac.sequence != closedSequence {
+		ac.sequence++
+	}
+	return ac.snapshot(now)
+}
+
+// Close returns the last snapshot, which tells that the host has ended by
+// plan and that nothing is missing.
+func (ac *Account) Close(now time.Time) *wire.Account {
+	ac.mu.Lock()
+	defer ac.mu.Unlock()
+	ac.sequence = closedSequence
+	return ac.snapshot(now)
+}
+
+// Forget drops the rows of days that are reported no more.
+func (ac *Account) Forget(now time.Time) {
+	oldest := oldestDay(now, ac.location())
+	ac.rows.Range(func(key, _ any) bool {
+		if key.(rowKey).day < oldest {
+			ac.rows.Delete(key)
+			ac.count.Add(-1)
+		}
+		return true
+	})
+}
+
+// snapshot is called with mu held, so that snapshots are in one order.
+func (ac *Account) snapshot(now time.Time) *wire.Account {
+	wa := &wire.Account{
+		Host: ac.cfg.Host, Zone: ac.cfg.Zone, Incarnation: ac.cfg.Incarnation,
+		Sequence: ac.sequence, AtNanos: now.UnixNano(),
+	}
+	ac.rows.Range(func(key, value any) bool {
+		wa.Rows = append(wa.Rows, value.(*row).toWire(key.(rowKey)))
+		return true
+	})
+	sortRows(wa.Rows)
+	return wa
+}
+
+func (rw *row) toWire(key rowKey) *wire.AccountRow {
+	wr := &wire.AccountRow{Day: key.day, Workspace: key.workspace, Service: key.service, Ended: make(map[int32]int64)}
+	for i := range rw.ended {
+		if n := rw.ended[i].Load(); n > 0 {
+			wr.Ended[int32(codeList[i])] = n
+		}
+	}
+	wr.SlotNanos = rw.slotNanos.Load()
+	wr.RegionBytes = rw.regionBytes.Load()
+	wr.Repeats = rw.repeats.Load()
+	wr.Offered = rw.offered.Load()
+	return wr
+}
+
 func (ac *Account) day(now time.Time) string {
 	return DayOf(now, ac.location())
 }
@@ -150,9 +197,6 @@
 	return rw.(*row)
 }
 
-// DayOf returns the day on which a moment falls.
-func DayOf(at time.Time, loc *time.Location) string { return at.In(loc).Format(DayFormat) }
-
 func indexCodes() (map[codes.Code]int, []codes.Code) {
 	all := codes.All()
 	idx := make(map[codes.Code]int, len(all))
--- /dev/null
+++ b/internal/report/encode.go
@@ -0,0 +1,94 @@
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+const (
+	columnGap = 2
+	jobsLabel = "(jobs)"
+)
+
+// WriteJSON writes the report as one indented object.
+func (da Daily) WriteJSON(wr io.Writer) error {
+	en := json.NewEncoder(wr)
+	en.SetIndent("", "  ")
+	return en.Encode(da)
+}
+
+// WriteText writes the report as aligned tables.
+func (da Daily) WriteText(wr io.Writer) error {
+	tw := tabwriter.NewWriter(wr, 0, 0, columnGap, ' ', 0)
+	fmt.Fprintf(tw, "Report of %s (%s), up to %s\n", da.Day, da.TimeZone, da.Until.Format(time.RFC3339))
+	da.writeRows(tw)
+	da.writeRevenue(tw)
+	da.writeCapacity(tw)
+	fmt.Fprintf(tw, "\nFleet: %d accelerators, %s available, %s busy, %s idle\n",
+		da.Fleet.Accelerators, da.Fleet.Available, da.Fleet.Busy, da.Fleet.Idle)
+	for _, ga := range da.Gaps {
+		fmt.Fprintln(tw, ga.String())
+	}
+	return tw.Flush()
+}
+
+// String describes the gap in one line.
+func (ga Gap) String() string {
+	seconds := strconv.FormatFloat(time.Duration(ga.AtMost).Seconds(), 'f', 0, 64)
+	switch {
+	case ga.Last.IsZero():
+		return fmt.Sprintf("Could not ask %s: lost at most %s s of counters", ga.Host, seconds)
+	case ga.Replaced:
+		return fmt.Sprintf("Lost at most %s s of counters of host %s, whose last snapshot is of %s",
+			seconds, ga.Host, ga.Last.Format(time.RFC3339))
+	default:
+		return fmt.Sprintf("Lost at most %s s of counters of host %s if it has died, whose last snapshot is of %s; if it is cut off, its later counters are still to come",
+			seconds, ga.Host, ga.Last.Format(time.RFC3339))
+	}
+}
+
+func (da Daily) writeRows(wr io.Writer) {
+	line(wr, "\nworkspace", "service", "offered", "done", "failed", "notRun", "unknown", "inProgress", "codes")
+	for _, rw := range da.Rows {
+		service := rw.Service
+		if service == "" {
+			service = jobsLabel
+		}
+		line(wr, rw.Workspace, service, rw.Offered, rw.Done, rw.Failed, rw.NotRun, rw.Unknown, rw.InProgress, list(rw.Codes))
+	}
+}
+
+func (da Daily) writeRevenue(wr io.Writer) {
+	line(wr, "\nrevenue", "promised", "delivered", "failed", "refused", "unknown", "inProgress", "reasons")
+	for _, re := range da.Revenue {
+		line(wr, re.Workspace, re.Promised, re.Delivered, re.Failed, re.Refused, re.Unknown, re.InProgress, list(re.Reasons))
+	}
+}
+
+func (da Daily) writeCapacity(wr io.Writer) {
+	line(wr, "\ncapacity", "ran", "notRun", "inProgress", "slotTime", "held", "lost", "regionBytes", "repeats")
+	for _, ca := range da.Capacity {
+		line(wr, ca.Workspace, ca.Ran, ca.NotRun, ca.InProgress, ca.SlotTime, ca.Held, ca.Lost, ca.RegionBytes, ca.Repeats)
+	}
+}
+
+func line(wr io.Writer, cells ...any) {
+	texts := make([]string, len(cells))
+	for i, ce := range cells {
+		texts[i] = fmt.Sprint(ce)
+	}
+	fmt.Fprintln(wr, strings.Join(texts, "\t"))
+}
+
+func list(cs []CodeCount) string {
+	texts := make([]string, len(cs))
+	for i, cc := range cs {
+		texts[i] = fmt.Sprintf("%d=%d", int(cc.Code), cc.Count)
+	}
+	return strings.Join(texts, " ")
+}
--- /dev/null
+++ b/internal/report/ledger.go
@@ -0,0 +1,185 @@
+package report
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/wire"
+)
+
+type (
+	// Ledger holds the accounts of hosts, this one and others, for longer
+	// than the hosts themselves last. It is safe for concurrent use.
+	//
+	// The rows that it holds are never changed, only replaced.
+	Ledger struct {
+		mu      sync.Mutex
+		version int64 // grows with every change of a row
+		held    map[accountKey]*heldAccount
+	}
+
+	// accountKey names one incarnation of a host.
+	accountKey struct {
+		host        string
+		incarnation uint64
+	}
+
+	heldAccount struct {
+		zone     string
+		sequence int64
+		atNanos  int64
+		version  int64 // of the ledger when anything but the time last changed
+		rows     map[rowKey]heldRow
+	}
+
+	heldRow struct {
+		row     *wire.AccountRow
+		version int64 // of the ledger when the row last changed
+	}
+)
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger { return &Ledger{held: make(map[accountKey]*heldAccount)} }
+
+// Merge takes an account, or a part of one: every row is complete in itself,
+// and rows that are left out stand as they are. Of each counter the larger
+// value is kept, so older copies change nothing.
+func (le *Ledger) Merge(ac *wire.Account) {
+	key := accountKey{host: ac.GetHost(), incarnation: ac.GetIncarnation()}
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	ha := le.held[key]
+	if ha == nil {
+		ha = &heldAccount{zone: ac.GetZone(), rows: make(map[rowKey]heldRow)}
+		le.held[key] = ha
+	}
+	if ac.GetSequence() > ha.sequence {
+		ha.sequence = ac.GetSequence()
+		le.version++
+		ha.version = le.version
+	}
+	ha.atNanos = max(ha.atNanos, ac.GetAtNanos())
+	for _, wr := range ac.GetRows() {
+		le.mergeRow(ha, wr)
+	}
+}
+
+func (le *Ledger) mergeRow(ha *heldAccount, wr *wire.AccountRow) {
+	key := rowKey{day: wr.GetDay(), workspace: wr.GetWorkspace(), service: wr.GetService()}
+	old, ok := ha.rows[key]
+	merged, changed := largest(old.row, wr)
+	if ok && !changed {
+		return
+	}
+	le.version++
+	ha.version = le.version
+	ha.rows[key] = heldRow{row: merged, version: le.version}
+}
+
+// Accounts returns what is held of every host for a day.
+func (le *Ledger) Accounts(day string) []*wire.Account {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	var as []*wire.Account
+	for key, ha := range le.held {
+		as = append(as, ha.toWire(key, func(rk rowKey, _ heldRow) bool { return rk.day == day }))
+	}
+	sortAccounts(as)
+	return as
+}
+
+// Forget drops the rows of days that are reported no more, and the accounts
+// that have neither rows nor been refreshed since.
+func (le *Ledger) Forget(now time.Time, loc *time.Location) {
+	oldest := oldestDay(now, loc)
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	for key, ha := range le.held {
+		maps.DeleteFunc(ha.rows, func(rk rowKey, _ heldRow) bool { return rk.day < oldest })
+		if len(ha.rows) == 0 && DayOf(time.Unix(0, ha.atNanos), loc) < oldest {
+			delete(le.held, key)
+		}
+	}
+}
+
+// changes returns the rows of one host's account that changed after a version
+// of the ledger, the version up to which they are complete, and whether there
+// is anything new in them. The account is nil if it is not held.
+func (le *Ledger) changes(key accountKey, after int64) (ac *wire.Account, version int64, changed bool) {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	ha := le.held[key]
+	if ha == nil {
+		return nil, le.version, false
+	}
+	ac = ha.toWire(key, func(_ rowKey, hr heldRow) bool { return hr.version > after })
+	return ac, le.version, ha.version > after
+}
+
+func (le *Ledger) holds(key accountKey) bool {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	return le.held[key] != nil
+}
+
+func (le *Ledger) keys() []accountKey {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	return slices.Collect(maps.Keys(le.held))
+}
+
+func (ha *heldAccount) toWire(key accountKey, pick func(rowKey, heldRow) bool) *wire.Account {
+	wa := &wire.Account{
+		Host: key.host, Incarnation: key.incarnation, Zone: ha.zone,
+		Sequence: ha.sequence, AtNanos: ha.atNanos,
+	}
+	for rk, hr := range ha.rows {
+		if pick(rk, hr) {
+			wa.Rows = append(wa.Rows, hr.row)
+		}
+	}
+	sortRows(wa.Rows)
+	return wa
+}
+
+// largest returns a row with the larger value of each counter, and whether it
+// differs from old, which may be nil.
+func largest(old, wr *wire.AccountRow) (*wire.AccountRow, bool) {
+	out := &wire.AccountRow{
+		Day: wr.GetDay(), Workspace: wr.GetWorkspace(), Service: wr.GetService(),
+		Offered:     max(old.GetOffered(), wr.GetOffered()),
+		SlotNanos:   max(old.GetSlotNanos(), wr.GetSlotNanos()),
+		RegionBytes: max(old.GetRegionBytes(), wr.GetRegionBytes()),
+		Repeats:     max(old.GetRepeats(), wr.GetRepeats()),
+		Ended:       make(map[int32]int64, len(wr.GetEnded())),
+	}
+	maps.Copy(out.Ended, old.GetEnded())
+	changed := out.Offered != old.GetOffered() || out.SlotNanos != old.GetSlotNanos() ||
+		out.RegionBytes != old.GetRegionBytes() || out.Repeats != old.GetRepeats()
+	for cd, n := range wr.GetEnded() {
+		if n > out.Ended[cd] {
+			out.Ended[cd] = n
+			changed = true
+		}
+	}
+	return out, changed
+}
+
+func sortRows(rows []*wire.AccountRow) {
+	slices.SortFunc(rows, func(a, b *wire.AccountRow) int {
+		return cmp.Or(
+			cmp.Compare(a.GetDay(), b.GetDay()),
+			cmp.Compare(a.GetWorkspace(), b.GetWorkspace()),
+			cmp.Compare(a.GetService(), b.GetService()),
+		)
+	})
+}
+
+func sortAccounts(as []*wire.Account) {
+	slices.SortFunc(as, func(a, b *wire.Account) int {
+		return cmp.Or(cmp.Compare(a.GetHost(), b.GetHost()), cmp.Compare(a.GetIncarnation(), b.GetIncarnation()))
+	})
+}
--- /dev/null
+++ b/internal/report/read.go
@@ -0,0 +1,103 @@
+package report
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+// readRevenue sums the rows, which are sorted, by workspace.
+func readRevenue(rows []Row) []Revenue {
+	var rs []Revenue
+	reasons := make(map[codes.Code]int64)
+	for i, rw := range rows {
+		if i == 0 || rows[i-1].Workspace != rw.Workspace {
+			rs = append(rs, Revenue{Workspace: rw.Workspace})
+			clear(reasons)
+		}
+		re := &rs[len(rs)-1]
+		re.Promised += rw.Offered
+		re.Delivered += rw.Done
+		re.Failed += rw.Failed
+		re.Refused += rw.NotRun
+		re.Unknown += rw.Unknown
+		re.InProgress += rw.InProgress
+		for _, cc := range rw.Codes {
+			if cc.Class == codes.NotRun {
+				reasons[cc.Code] += cc.Count
+			}
+		}
+		re.Reasons = countCodes(reasons)
+	}
+	return rs
+}
+
+// readCapacity sums the rows, which are sorted, by workspace.
+func readCapacity(rows []Row) []Capacity {
+	var cs []Capacity
+	for i, rw := range rows {
+		if i == 0 || rows[i-1].Workspace != rw.Workspace {
+			cs = append(cs, Capacity{Workspace: rw.Workspace})
+		}
+		ca := &cs[len(cs)-1]
+		ca.Ran += rw.Done + rw.Failed + rw.Unknown
+		ca.NotRun += rw.NotRun
+		ca.InProgress += rw.InProgress
+		ca.SlotTime += rw.SlotTime
+		ca.Held += rw.Held
+		ca.Lost += rw.Lost
+		ca.RegionBytes += rw.RegionBytes
+		ca.Repeats += rw.Repeats
+	}
+	return cs
+}
+
+// Check verifies the identity of every row, that the codes of a row give its
+// classes, and that both readings agree with the rows and with each other.
+func (da Daily) Check() error {
+	var errs []error
+	for _, rw := range da.Rows {
+		errs = append(errs, rw.check())
+	}
+	if len(da.Revenue) != len(da.Capacity) {
+		errs = append(errs, fmt.Errorf("revenue has %d workspaces and capacity %d", len(da.Revenue), len(da.Capacity)))
+		return errors.Join(errs...)
+	}
+	for i, re := range da.Revenue {
+		ca := da.Capacity[i]
+		if re.Workspace != ca.Workspace || re.Promised != ca.Ran+ca.NotRun+ca.InProgress || re.Refused != ca.NotRun ||
+			re.Delivered+re.Failed+re.Unknown != ca.Ran {
+			errs = append(errs, fmt.Errorf("workspace %q: the readings of revenue and capacity differ", re.Workspace))
+		}
+	}
+	if !reflect.DeepEqual(da.Revenue, readRevenue(da.Rows)) {
+		errs = append(errs, errors.New("the reading of revenue is not the sum of the rows"))
+	}
+	if !reflect.DeepEqual(da.Capacity, readCapacity(da.Rows)) {
+		errs = append(errs, errors.New("the reading of capacity is not the sum of the rows"))
+	}
+	return errors.Join(errs...)
+}
+
+func (rw Row) check() error {
+	sum := rw.Done + rw.Failed + rw.NotRun + rw.Unknown + rw.InProgress
+	if rw.Offered != sum {
+		return fmt.Errorf("workspace %q, service %q: %d offered, %d accounted for", rw.Workspace, rw.Service, rw.Offered, sum)
+	}
+	if min(rw.Done, rw.Failed, rw.NotRun, rw.Unknown, rw.InProgress) < 0 {
+		return fmt.Errorf("workspace %q, service %q: a count is negative", rw.Workspace, rw.Service)
+	}
+	var byClass [codes.Unknown + 1]int64
+	for _, cc := range rw.Codes {
+		if cc.Class <= codes.Unknown {
+			byClass[cc.Class] += cc.Count
+		}
+	}
+	if byClass[codes.Done] != rw.Done || byClass[codes.Failed] != rw.Failed ||
+		byClass[codes.NotRun] != rw.NotRun || byClass[codes.Unknown] != rw.Unknown {
+		return fmt.Errorf("workspace %q, service %q: the codes don't give the classes", rw.Workspace, rw.Service)
+	}
+	return nil
+}
