Add the command line by flaggy with checked exit codes

Scripts rely on exit codes and on single clear lines, while flaggy prints and exits by itself on a missing value, an unknown command or a conflict. Its panic mode was ruled out, since it is global and loses the message. Arguments are examined first against the flags that are declared to it, so that it sees only what it accepts; help is rendered from its model.

--- /dev/null
+++ b/internal/cmds/jobs.go
@@ -0,0 +1,297 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+type (
+	// submitOptions are the flags of submit.
+	submitOptions struct {
+		remote
+		output
+		req        client.SubmitRequest
+		adjacency  string
+		runTime    time.Duration
+		repeatable string
+		key        string
+		wait       time.Duration
+	}
+
+	// jobsOptions are the flags of jobs and cancel.
+	jobsOptions struct {
+		remote
+		output
+		id     string
+		active bool
+		wait   time.Duration
+	}
+)
+
+const (
+	maxWait  = 24 * time.Hour
+	pollWait = 30 * time.Second // of one question for the end of a job
+	minPoll  = 500 * time.Millisecond
+)
+
+func (en *env) submitCommand() *command {
+	op := submitOptions{adjacency: string(spec.DefaultAdjacency)}
+	op.req.Shape.Tasks = 1
+	op.req.Shape.Accelerators = 1
+	return &command{
+		name:        "submit",
+		description: "submits a job",
+		usage:       "--run-time DURATION --repeatable true|false -- COMMAND...",
+		trailing:    &op.req.Command,
+		flags: func(sc *flaggy.Subcommand) {
+			sc.Int(&op.req.Shape.Tasks, "", "tasks", "tasks of the gang")
+			sc.Int(&op.req.Shape.Accelerators, "", "accelerators", "accelerators per task")
+			sc.String(&op.adjacency, "", "adjacency", "how close the tasks must be: worker, rack or zone")
+			sc.Duration(&op.runTime, "", "run-time", "expected run time (needed)")
+			sc.String(&op.req.Priority, "", "priority", "low, normal or urgent")
+			sc.String(&op.repeatable, "", "repeatable", "whether the job may run twice: true or false (needed)")
+			sc.Bool(&op.req.Checkpoint, "", "checkpoint", "the job can be stopped and resumed without losing its work")
+			sc.String(&op.key, "", "key", "idempotency key")
+			sc.String(&op.req.Zone, "", "zone", "availability zone; that of the entry host if left out")
+			sc.Duration(&op.wait, "", "wait", "how long to wait for the end of the job")
+			op.remote.flags(sc)
+			op.output.flags(sc)
+		},
+		run: func(ctx context.Context) error { return en.submit(ctx, &op) },
+	}
+}
+
+func (en *env) submit(ctx context.Context, op *submitOptions) error {
+	if err := op.check(en); err != nil {
+		return err
+	}
+	if err := op.complete(); err != nil {
+		return err
+	}
+	cl, err := op.client()
+	if err != nil {
+		return err
+	}
+	defer cl.Close()
+	jb, err := cl.Submit(ctx, op.req, op.key)
+	if err != nil {
+		return err
+	}
+	if op.wait > 0 {
+		fmt.Fprintf(en.errOut, "%s %s: waiting for job %s\n", program, "submit", jb.ID)
+		if jb, err = awaitJob(ctx, cl, jb, op.wait); err != nil {
+			return err
+		}
+	}
+	return en.emitJob(jb)
+}
+
+// complete checks the flags and fills the request from them.
+func (op *submitOptions) complete() error {
+	repeatable, err := parseBool("repeatable", op.repeatable)
+	if err != nil {
+		return err
+	}
+	op.req.Repeatable = &repeatable
+	op.req.RunTime = op.runTime.String()
+	op.req.Shape.Adjacency = spec.Adjacency(op.adjacency)
+	_, priority := jobs.ParsePriority(op.req.Priority)
+	switch {
+	case op.workspace == "":
+		return usage("flag --workspace is needed")
+	case op.runTime <= 0:
+		return usage("flag --run-time is needed: a positive duration")
+	case op.req.Shape.Tasks < 1 || op.req.Shape.Tasks > spec.MaxTasks:
+		return usage("flag --tasks: must be within 1 and %d", spec.MaxTasks)
+	case op.req.Shape.Accelerators < 0:
+		return usage("flag --accelerators: must not be negative")
+	case !op.req.Shape.Adjacency.Valid():
+		return usage("flag --adjacency: %q must be worker, rack or zone", op.adjacency)
+	case !priority:
+		return usage("flag --priority: %q must be low, normal or urgent", op.req.Priority)
+	case op.req.Zone != "" && !spec.ValidName(op.req.Zone):
+		return usage("flag --zone: %q is not the name of a zone", op.req.Zone)
+	case len(op.req.Command) == 0:
+		return usage("the command of the job is missing; it follows --")
+	}
+	return checkWait(op.wait)
+}
+
+// awaitJob asks for a job until it has ended or the wait is over.
+func awaitJob(ctx context.Context, cl *client.Client, jb client.Job, wait time.Duration) (client.Job, error) {
+	end := time.Now().Add(wait)
+	for jb.State != jobs.Ended.String() {
+		left := time.Until(end)
+		if left <= 0 {
+			return jb, nil
+		}
+		asked := time.Now()
+		next, err := cl.Job(ctx, jb.ID, min(left, pollWait))
+		if err != nil {
+			return jb, err
+		}
+		jb = next
+		if jb.State != jobs.Ended.String() {
+			pause(ctx, min(minPoll-time.Since(asked), time.Until(end)))
+		}
+	}
+	return jb, nil
+}
+
+func pause(ctx context.Context, du time.Duration) {
+	if du <= 0 {
+		return
+	}
+	tm := time.NewTimer(du)
+	defer tm.Stop()
+	select {
+	case <-ctx.Done():
+	case <-tm.C:
+	}
+}
+
+func (en *env) jobsCommand() *command {
+	var op jobsOptions
+	return &command{
+		name:        "jobs",
+		description: "lists jobs, or shows one",
+		usage:       "[ID]",
+		positionals: []positional{{&op.id, "id", "job to show", false}},
+		flags: func(sc *flaggy.Subcommand) {
+			sc.Bool(&op.active, "", "active", "only jobs that have not ended")
+			sc.Duration(&op.wait, "", "wait", "with an id: how long to wait for the end of the job")
+			op.remote.flags(sc)
+			op.output.flags(sc)
+		},
+		run: func(ctx context.Context) error { return en.jobs(ctx, &op) },
+	}
+}
+
+func (en *env) jobs(ctx context.Context, op *jobsOptions) error {
+	if err := op.check(en); err != nil {
+		return err
+	}
+	if err := checkWait(op.wait); err != nil {
+		return err
+	}
+	cl, err := op.client()
+	if err != nil {
+		return err
+	}
+	defer cl.Close()
+	if op.id != "" {
+		return en.showJob(ctx, cl, op)
+	}
+	if op.wait > 0 {
+		return usage("flag --wait needs the id of a job")
+	}
+	li, err := cl.Jobs(ctx, client.JobFilter{Workspace: op.workspace, Active: op.active})
+	if err != nil {
+		return err
+	}
+	for _, zn := range li.Unreachable {
+		fmt.Fprintf(en.errOut, "%s jobs: zone %s can't be asked, its jobs are missing\n", program, zn)
+	}
+	return emit(en, li, writeJobs)
+}
+
+func (en *env) showJob(ctx context.Context, cl *client.Client, op *jobsOptions) error {
+	jb, err := cl.Job(ctx, op.id, 0)
+	if err != nil {
+		return err
+	}
+	if op.wait > 0 {
+		if jb, err = awaitJob(ctx, cl, jb, op.wait); err != nil {
+			return err
+		}
+	}
+	return en.emitJob(jb)
+}
+
+func (en *env) cancelCommand() *command {
+	var op jobsOptions
+	return &command{
+		name:        "cancel",
+		description: "cancels a job",
+		usage:       "ID",
+		positionals: []positional{{&op.id, "id", "job to cancel (needed)", true}},
+		flags: func(sc *flaggy.Subcommand) {
+			op.remote.flags(sc)
+			op.output.flags(sc)
+		},
+		run: func(ctx context.Context) error { return en.cancel(ctx, &op) },
+	}
+}
+
+func (en *env) cancel(ctx context.Context, op *jobsOptions) error {
+	if err := op.check(en); err != nil {
+		return err
+	}
+	cl, err := op.client()
+	if err != nil {
+		return err
+	}
+	defer cl.Close()
+	jb, err := cl.Cancel(ctx, op.id)
+	if err != nil {
+		return err
+	}
+	return emit(en, jb, writeJob)
+}
+
+// emitJob writes a job. One that has ended without success is an error.
+func (en *env) emitJob(jb client.Job) error {
+	if err := emit(en, jb, writeJob); err != nil {
+		return err
+	}
+	switch jb.Code.Class() {
+	case codes.Done, codes.InProgress:
+		return nil
+	default:
+		return &codes.Error{Code: jb.Code, Detail: jb.Detail}
+	}
+}
+
+func writeJob(out io.Writer, jb client.Job) error {
+	return writeJobs(out, client.JobList{Jobs: []client.Job{jb}})
+}
+
+func writeJobs(out io.Writer, li client.JobList) error {
+	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "ID\tSTATE\tCODE\tWORKSPACE\tPRIORITY\tSHAPE\tATTEMPT\tSUBMITTED\tWORKERS\tDETAIL")
+	for _, jb := range li.Jobs {
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n",
+			jb.ID, jb.State, jb.Code, jb.Workspace, jb.Priority, shapeText(jb.Shape), jb.Attempt,
+			jb.Submitted.UTC().Format(time.RFC3339), orDash(strings.Join(jb.Workers, ",")), orDash(oneLine(jb.Detail)))
+	}
+	return tw.Flush()
+}
+
+func shapeText(sh spec.Shape) string {
+	return fmt.Sprintf("%dx%d/%s", sh.Tasks, sh.Accelerators, sh.Adjacency)
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+func checkWait(wait time.Duration) error {
+	if wait < 0 || wait > maxWait {
+		return usage("flag --wait: must be within 0s and %v", maxWait)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cmds/parse.go
@@ -0,0 +1,220 @@
+package cmds
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+)
+
+type (
+	// command is one command with its flags and arguments.
+	command struct {
+		name        string
+		description string
+		usage       string // what follows the name
+		positionals []positional
+		trailing    *[]string                   // takes what follows --, nil if nothing may
+		flags       func(sc *flaggy.Subcommand) // declares the flags
+		run         func(ctx context.Context) error
+	}
+
+	// positional is an argument without a name.
+	positional struct {
+		target      *string
+		name        string
+		description string
+		required    bool
+	}
+)
+
+const endOfFlags = "--"
+
+// commands returns the commands in the order of the help.
+func (en *env) commands() []*command {
+	return []*command{
+		en.serveCommand(), en.checkCommand(), en.applyCommand(), en.statusCommand(),
+		en.submitCommand(), en.jobsCommand(), en.cancelCommand(), en.callCommand(),
+		en.reportCommand(), en.localCommand(), en.standinCommand(), en.versionCommand(),
+	}
+}
+
+func (en *env) command(name string) (*command, bool) {
+	for _, cm := range en.commands() {
+		if cm.name == name {
+			return cm, true
+		}
+	}
+	return nil, false
+}
+
+// printHelp prints the help of the program.
+func (en *env) printHelp() {
+	pr := newParser()
+	for _, cm := range en.commands() {
+		pr.AttachSubcommand(cm.subcommand(), 1)
+	}
+	render(pr, en.out)
+}
+
+// parse examines the arguments and has them parsed. It returns true if help was
+// asked for and printed.
+func (cm *command) parse(en *env) (helped bool, err error) {
+	sc := cm.subcommand()
+	pr := newParser()
+	pr.AttachSubcommand(sc, 1)
+	ex := examiner{command: cm, flags: sc.Flags}
+	if err := ex.examine(en.args); err != nil {
+		return false, err
+	}
+	args := en.args
+	if ex.help {
+		args = nil
+	}
+	if err := pr.ParseArgs(append([]string{cm.name}, args...)); err != nil {
+		return false, usage("%v; see %s %s --help", err, program, cm.name)
+	}
+	if ex.help {
+		render(pr, en.out)
+		return true, nil
+	}
+	if cm.trailing != nil {
+		*cm.trailing = pr.TrailingArguments
+	}
+	return false, nil
+}
+
+// subcommand declares the command to flaggy.
+func (cm *command) subcommand() *flaggy.Subcommand {
+	sc := flaggy.NewSubcommand(cm.name)
+	sc.Description = cm.description
+	sc.AdditionalHelpPrepend = "\n  " + strings.TrimSpace(program+" "+cm.name+" [flags] "+cm.usage)
+	for i, po := range cm.positionals {
+		sc.AddPositionalValue(po.target, po.name, i+1, false, po.description)
+	}
+	if cm.flags != nil {
+		cm.flags(sc)
+	}
+	return sc
+}
+
+// newParser returns a parser that neither prints nor exits on what examine
+// has let pass.
+func newParser() *flaggy.Parser {
+	pr := flaggy.NewParser(program)
+	pr.Description = "routes requests to endpoints and places gang jobs on workers"
+	pr.ShowHelpOnUnexpected = false
+	pr.ShowHelpWithHFlag = false
+	pr.ShowVersionWithVersionFlag = false
+	pr.ShowCompletion = false
+	return pr
+}
+
+// render prints the help of the subcommand that was parsed last.
+func render(pr *flaggy.Parser, out io.Writer) {
+	pr.ShowHelpWithHFlag = true
+	var he flaggy.Help
+	he.ExtractValues(pr, "")
+	_, _ = io.WriteString(out, strings.TrimPrefix(strings.Join(he.Lines, "\n"), "\n"))
+}
+
+// examiner checks arguments against the flags of a command.
+type examiner struct {
+	command *command
+	flags   []*flaggy.Flag
+	help    bool
+	found   int // arguments without a name
+}
+
+func (ex *examiner) examine(args []string) error {
+	for i := 0; i < len(args); i++ {
+		switch {
+		case args[i] == endOfFlags:
+			return ex.end(args[i+1:])
+		case isHelp(args[i]):
+			ex.help = true
+			return nil
+		case strings.HasPrefix(args[i], "-"):
+			used, err := ex.flag(args[i:])
+			if err != nil {
+				return err
+			}
+			i += used - 1
+		default:
+			ex.found++
+			if ex.found > len(ex.command.positionals) {
+				return usage("unexpected argument %q; see %s %s --help", args[i], program, ex.command.name)
+			}
+		}
+	}
+	return ex.end(nil)
+}
+
+// flag checks the flag that args begin with and returns how many of them it
+// takes.
+func (ex *examiner) flag(args []string) (int, error) {
+	name, value, joined := strings.Cut(strings.TrimPrefix(strings.TrimPrefix(args[0], "-"), "-"), "=")
+	fl := ex.lookup(name)
+	if fl == nil || (len(args[0]) > 1 && !strings.HasPrefix(args[0], "--")) {
+		flag, _, _ := strings.Cut(args[0], "=")
+		return 0, usage("unknown flag %s; see %s %s --help", flag, program, ex.command.name)
+	}
+	if joined {
+		return 1, checkValue(fl, value)
+	}
+	if _, isBool := fl.AssignmentVar.(*bool); isBool {
+		return 1, nil
+	}
+	if len(args) < 2 {
+		return 0, usage("flag --%s needs a value", name)
+	}
+	return 2, checkValue(fl, args[1])
+}
+
+func (ex *examiner) lookup(name string) *flaggy.Flag {
+	for _, fl := range ex.flags {
+		if name != "" && fl.LongName == name {
+			return fl
+		}
+	}
+	return nil
+}
+
+// end checks what must be there once all flags are read.
+func (ex *examiner) end(trailing []string) error {
+	if len(trailing) > 0 && ex.command.trailing == nil {
+		return usage("unexpected argument %q after --", trailing[0])
+	}
+	for i, po := range ex.command.positionals {
+		if po.required && i >= ex.found {
+			return usage("argument %s is missing; see %s %s --help", po.name, program, ex.command.name)
+		}
+	}
+	return nil
+}
+
+// checkValue tells whether flaggy can assign the text to a flag.
+func checkValue(fl *flaggy.Flag, text string) error {
+	switch fl.AssignmentVar.(type) {
+	case *int, *int64:
+		if _, err := strconv.ParseInt(text, 10, 64); err != nil {
+			return usage("flag --%s: %q is not a whole number", fl.LongName, text)
+		}
+	case *float64:
+		if _, err := strconv.ParseFloat(text, 64); err != nil {
+			return usage("flag --%s: %q is not a number", fl.LongName, text)
+		}
+	case *time.Duration:
+		if _, err := time.ParseDuration(text); err != nil {
+			return usage("flag --%s: %q is not a duration with a unit, such as 30s", fl.LongName, text)
+		}
+	case *bool:
+		if _, err := strconv.ParseBool(text); err != nil {
+			return usage("flag --%s: %q is not true or false", fl.LongName, text)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cmds/procs.go
@@ -0,0 +1,203 @@
+package cmds
+
+import (
+	"context"
+	"io"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/cicadawharf/cicadawharf/internal/setup"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+type (
+	// LocalOptions are the flags of local, which runs a small deployment in
+	// one process.
+	LocalOptions struct {
+		Declarations string // file, relative to the working directory
+		Content      []byte // of the file, checked
+		Once         bool   // run a sample of work and end
+		BasePort     int    // the first of the ports that are used
+		Out          io.Writer
+		Log          io.Writer
+	}
+
+	// StandinKind says what part of the platform a stand-in takes the place of.
+	StandinKind string
+
+	// StandinOptions are the flags of standin.
+	StandinOptions struct {
+		Kind         StandinKind
+		Listen       string   // IP:port
+		Store        []string // IP:port of the store, where the host is listed
+		Name         string
+		Zone         string
+		Rack         string  // of a worker
+		Accelerators int     // of a worker
+		Service      string  // of an endpoint
+		Slots        int     // of an endpoint
+		Connections  int     // of an endpoint
+		RunScale     float64 // factor of a worker's run times
+		Log          io.Writer
+	}
+)
+
+// The kinds of stand-ins.
+const (
+	StandinStore    StandinKind = "store"
+	StandinWorker   StandinKind = "worker"
+	StandinEndpoint StandinKind = "endpoint"
+)
+
+const (
+	defaultDeclarations = "examples/sacos.yaml"
+	defaultBasePort     = 7080
+	maxBasePort         = 60000
+
+	defaultAccelerators = 8
+	maxAccelerators     = 8
+	defaultSlots        = 8
+	defaultConnections  = 60
+)
+
+func (en *env) serveCommand() *command {
+	var file string
+	return &command{
+		name:        "serve",
+		description: "runs an entry host",
+		usage:       "FILE",
+		positionals: []positional{{&file, "file", "settings file (needed)", true}},
+		run: func(ctx context.Context) error {
+			data, err := readFile(file)
+			if err != nil {
+				return err
+			}
+			se, err := setup.Parse(file, data)
+			if err != nil {
+				return err
+			}
+			return en.run.Serve(ctx, se, en.errOut)
+		},
+	}
+}
+
+func (en *env) localCommand() *command {
+	op := LocalOptions{Declarations: defaultDeclarations, BasePort: defaultBasePort}
+	return &command{
+		name:        "local",
+		description: "runs a small deployment with stand-ins of the platform on this machine",
+		flags: func(sc *flaggy.Subcommand) {
+			sc.String(&op.Declarations, "", "declarations", "declarations file")
+			sc.Bool(&op.Once, "", "once", "run a sample of work, print the report and end")
+			sc.Int(&op.BasePort, "", "base-port", "first of the ports that are used")
+		},
+		run: func(ctx context.Context) error {
+			if op.BasePort < 1024 || op.BasePort > maxBasePort {
+				return usage("flag --base-port: must be within 1024 and %d", maxBasePort)
+			}
+			data, _, err := loadDeclarations(op.Declarations)
+			if err != nil {
+				return err
+			}
+			op.Content, op.Out, op.Log = data, en.out, en.errOut
+			return en.run.Local(ctx, op)
+		},
+	}
+}
+
+func (en *env) standinCommand() *command {
+	op := StandinOptions{
+		Accelerators: defaultAccelerators, Slots: defaultSlots, Connections: defaultConnections, RunScale: 1,
+	}
+	var kind string
+	return &command{
+		name:        "standin",
+		description: "runs a stand-in of the platform, for tests",
+		usage:       "store|worker|endpoint",
+		positionals: []positional{{&kind, "kind", "store, worker or endpoint (needed)", true}},
+		flags: func(sc *flaggy.Subcommand) {
+			sc.String(&op.Listen, "", "listen", "IP:port to listen on (needed)")
+			sc.StringSlice(&op.Store, "", "store", "IP:port of the store, may be repeated (needed for worker and endpoint)")
+			sc.String(&op.Name, "", "name", "name of the host (needed for worker and endpoint)")
+			sc.String(&op.Zone, "", "zone", "availability zone (needed for worker and endpoint)")
+			sc.String(&op.Rack, "", "rack", "rack (needed for worker)")
+			sc.Int(&op.Accelerators, "", "accelerators", "accelerators of a worker")
+			sc.String(&op.Service, "", "service", "service (needed for endpoint)")
+			sc.Int(&op.Slots, "", "slots", "slots of an endpoint")
+			sc.Int(&op.Connections, "", "connections", "connections that an endpoint accepts")
+			sc.Float64(&op.RunScale, "", "run-scale", "factor of the run times of a worker's tasks")
+		},
+		run: func(ctx context.Context) error {
+			op.Kind, op.Log = StandinKind(kind), en.errOut
+			if err := op.check(); err != nil {
+				return err
+			}
+			return en.run.Standin(ctx, op)
+		},
+	}
+}
+
+// check tells what is wrong with the flags of a stand-in.
+func (op *StandinOptions) check() error {
+	if op.Listen == "" {
+		return usage("flag --listen is needed")
+	}
+	if err := setup.CheckAddress(op.Listen); err != nil {
+		return usage("flag --listen: %v", err)
+	}
+	switch op.Kind {
+	case StandinStore:
+		return nil
+	case StandinWorker:
+		if err := checkNames(name{"rack", op.Rack}); err != nil {
+			return err
+		}
+		if op.Accelerators < 0 || op.Accelerators > maxAccelerators {
+			return usage("flag --accelerators: must be within 0 and %d", maxAccelerators)
+		}
+		if !(op.RunScale > 0) {
+			return usage("flag --run-scale: must be positive")
+		}
+	case StandinEndpoint:
+		if err := checkNames(name{"service", op.Service}); err != nil {
+			return err
+		}
+		if op.Slots < 1 || op.Connections < op.Slots {
+			return usage("flag --slots: must be at least 1 and at most --connections")
+		}
+	default:
+		return usage("kind %q must be store, worker or endpoint", op.Kind)
+	}
+	return op.checkListed()
+}
+
+// checkListed checks the flags of a host that the platform lists.
+func (op *StandinOptions) checkListed() error {
+	if len(op.Store) == 0 {
+		return usage("flag --store is needed")
+	}
+	for _, ad := range op.Store {
+		if err := setup.CheckAddress(ad); err != nil {
+			return usage("flag --store: %v", err)
+		}
+	}
+	return checkNames(name{"name", op.Name}, name{"zone", op.Zone})
+}
+
+// name is the value of a flag that must be a name.
+type name struct {
+	flag string
+	text string
+}
+
+func checkNames(ns ...name) error {
+	for _, na := range ns {
+		if na.text == "" {
+			return usage("flag --%s is needed", na.flag)
+		}
+		if !spec.ValidName(na.text) {
+			return usage("flag --%s: %q must have lower-case letters, digits and hyphens only", na.flag, na.text)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cmds/remote.go
@@ -0,0 +1,112 @@
+package cmds
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"io/fs"
+	"os"
+	"strconv"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/cicadawharf/cicadawharf/internal/setup"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+)
+
+// remote holds the flags of commands that ask a running system.
+type remote struct {
+	addresses []string
+	workspace string
+	caller    string
+	operator  string
+}
+
+// output holds the flag that chooses the form of results.
+type output struct {
+	format string
+}
+
+const (
+	defaultAddress = "127.0.0.1:7080"
+
+	formatJSON = "json"
+	formatText = "text"
+)
+
+func (re *remote) flags(sc *flaggy.Subcommand) {
+	sc.StringSlice(&re.addresses, "", "address", "IP:port of an entry host, may be repeated; "+defaultAddress+" if none is given")
+	sc.String(&re.workspace, "", "workspace", "workspace that asks")
+	sc.String(&re.caller, "", "caller", "caller within the workspace")
+}
+
+// client returns a client of the entry hosts.
+func (re *remote) client() (*client.Client, error) {
+	if len(re.addresses) == 0 {
+		re.addresses = []string{defaultAddress}
+	}
+	for _, ad := range re.addresses {
+		if err := setup.CheckAddress(ad); err != nil {
+			return nil, usage("flag --address: %v", err)
+		}
+	}
+	return client.New(client.Config{
+		Addresses: re.addresses, Workspace: re.workspace, Caller: re.caller, Operator: re.operator,
+	}), nil
+}
+
+func (op *output) flags(sc *flaggy.Subcommand) {
+	op.format = formatText
+	sc.String(&op.format, "", "output", "form of the result: text or json")
+}
+
+// check tells whether the form is known, and has errors written in it.
+func (op *output) check(en *env) error {
+	switch op.format {
+	case formatJSON, formatText:
+		en.json = op.format == formatJSON
+		return nil
+	default:
+		return usage("flag --output: %q must be text or json", op.format)
+	}
+}
+
+// emit writes a result in the form that was asked for.
+func emit[T any](en *env, value T, text func(out io.Writer, value T) error) error {
+	en.emitted = true
+	if en.json {
+		return writeJSON(en.out, value)
+	}
+	return text(en.out, value)
+}
+
+func writeJSON(out io.Writer, value any) error {
+	ec := json.NewEncoder(out)
+	ec.SetIndent("", "  ")
+	return ec.Encode(value)
+}
+
+// readFile reads a file that the caller has named.
+func readFile(name string) ([]byte, error) {
+	data, err := os.ReadFile(name)
+	if err == nil {
+		return data, nil
+	}
+	var pe *fs.PathError
+	if errors.As(err, &pe) {
+		return nil, usage("%s: %v", name, pe.Err)
+	}
+	return nil, usage("%s: %v", name, err)
+}
+
+// parseBool reads a flag that must be given as true or false.
+func parseBool(flag, text string) (bool, error) {
+	switch text {
+	case "true", "false":
+		return strconv.ParseBool(text)
+	case "":
+		return false, usage("flag --%s is needed: true or false", flag)
+	default:
+		return false, usage("flag --%s: %q must be true or false", flag, text)
+	}
+}
--- a/internal/setup/parse.go
+++ b/internal/setup/parse.go
@@ -15,15 +15,15 @@
 
 // The values of settings that a file leaves out.
 const (
-	DefaultLevel       = "info"
-	DefaultStoreWait   = 2 * time.Second
-	DefaultRequests    = 4096
-	DefaultHeaderBytes = 64 << 10
-	DefaultBodyBytes   = 16 << 20
-	DefaultReadTimeout = 10 * time.Second
-	DefaultQueueTime   = time.Second
-	DefaultStopDelay   = 5 * time.Second
-	DefaultStopBound   = 60 * time.Second
+	DefaultLevel        = "info"
+	DefaultStoreTimeout = 2 * time.Second
+	DefaultRequests     = 4096
+	DefaultHeaderBytes  = 64 << 10
+	DefaultBodyBytes    = 16 << 20
+	DefaultReadTimeout  = 10 * time.Second
+	DefaultQueueTime    = time.Second
+	DefaultStopDelay    = 5 * time.Second
+	DefaultStopBound    = 60 * time.Second
 )
 
 const (
@@ -57,7 +57,7 @@
 
 func defaults() Settings {
 	return Settings{
-		Store: Store{Timeout: DefaultStoreWait},
+		Store: Store{Timeout: DefaultStoreTimeout},
 		Log:   Log{Level: DefaultLevel},
 		Limits: Limits{
 			Requests:    DefaultRequests,
--- /dev/null
+++ b/internal/setup/setup_test.go
@@ -0,0 +1,99 @@
+package setup_test
+
+import (
+	"errors"
+	"io/fs"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/setup"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+const minimal = `host:
+  name: h1
+  zone: a-1
+  region: a
+  httpAddress: 127.0.0.1:7080
+  peerAddress: 127.0.0.1:7090
+store:
+  addresses: [127.0.0.1:2379]
+`
+
+func TestLoadExample(t *testing.T) {
+	is := is.New(t)
+	se, err := setup.Load("../../examples/entry.yaml")
+	is.NoErr(err)
+	is.Equal(se.Host.Name, "entry-centro-1a")
+	is.Equal(len(se.Seeds), 3)
+	is.Equal(se.Stop.Bound, time.Minute)
+}
+
+func TestLoadMissingFile(t *testing.T) {
+	is := is.New(t)
+	_, err := setup.Load("none.yaml")
+	is.True(errors.Is(err, fs.ErrNotExist))
+}
+
+func TestParseDefaults(t *testing.T) {
+	is := is.New(t)
+	se, err := setup.Parse("s", []byte(minimal))
+	is.NoErr(err)
+	is.Equal(se.Log.Level, setup.DefaultLevel)
+	is.Equal(se.Store.Timeout, setup.DefaultStoreTimeout)
+	is.Equal(se.Limits, setup.Limits{
+		Requests: setup.DefaultRequests, HeaderBytes: setup.DefaultHeaderBytes, BodyBytes: setup.DefaultBodyBytes,
+		ReadTimeout: setup.DefaultReadTimeout, QueueTime: setup.DefaultQueueTime,
+	})
+	is.Equal(se.Stop, setup.Stop{Delay: setup.DefaultStopDelay, Bound: setup.DefaultStopBound})
+}
+
+func TestParseFaults(t *testing.T) {
+	for _, tc := range []struct{ name, old, replacement, want string }{
+		{"unknown key", "zone:", "zona:", `s:3:3: unknown key "zona"`},
+		{"missing name", "  name: h1\n", "", `s:1:1: "name" is missing`},
+		{"malformed zone", "zone: a-1", "zone: a.1", `s:3:9: zone "a.1" must have`},
+		{"host name for an address", "127.0.0.1:7080", "localhost:7080", `s:5:16: address "localhost:7080" must be IP:port`},
+		{"port zero", "127.0.0.1:7080", "127.0.0.1:0", `s:5:16: address "127.0.0.1:0" needs a port`},
+		{"same address", "7090", "7080", `s:6:16: peerAddress must differ from httpAddress`},
+		{"malformed seed", "store:", "seeds: [x]\nstore:", `s:7:9: address "x" must be IP:port`},
+		{"no store", "[127.0.0.1:2379]", "[]", `s:8:3: at least one address of the store`},
+		{"level", "store:", "log: {level: loud}\nstore:", `s:7:14: level "loud" must be one of`},
+		{"bound", "store:", "limits: {requests: 0}\nstore:", `s:7:20: requests must be within 1 and`},
+		{"negative delay", "store:", "stop: {delay: -1s}\nstore:", `s:7:15: delay must not be negative`},
+		{"zero bound", "store:", "stop: {bound: 0s}\nstore:", `s:7:15: bound must be positive`},
+		{"huge bound", "store:", "stop: {bound: 9000h}\nstore:", `s:7:15: bound must be at most`},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(strings.Contains(minimal, tc.old)) // the replacement applies
+			_, err := setup.Parse("s", []byte(strings.Replace(minimal, tc.old, tc.replacement, 1)))
+			var fs spec.Faults
+			is.True(errors.As(err, &fs))
+			if !strings.HasPrefix(err.Error(), tc.want) {
+				t.Errorf("got  %s\nwant %s", err, tc.want)
+			}
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(minimal))
+	f.Add([]byte("host: {name: [}\nseeds: 1\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		se, err := setup.Parse("s", data)
+		if err == nil {
+			if se.Host.Name == "" || setup.CheckAddress(se.Host.HTTPAddress) != nil {
+				t.Fatalf("accepted %+v", se.Host)
+			}
+			return
+		}
+		var fs spec.Faults
+		if !errors.As(err, &fs) || len(fs) == 0 {
+			t.Fatalf("error is not Faults: %v", err)
+		}
+	})
+}
--- a/pkg/spec/shape.go
+++ b/pkg/spec/shape.go
@@ -1,5 +1,7 @@
 package spec
 
+import "slices"
+
 // Fits tells whether the racks of the zone, when empty, could hold one gang of
 // the shape.
 func (zn Zone) Fits(sh Shape) bool {
@@ -50,3 +52,6 @@
 	}
 	return rk.Accelerators / accelerators
 }
+
+// Valid tells whether the adjacency is one of the kinds.
+func (ad Adjacency) Valid() bool { return slices.Contains(adjacencies, ad) }
