--- /dev/null
+++ b/internal/entry/body.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+// maxBuffered bounds the bodies that a host holds in memory at a time, bytes.
+const maxBuffered = 256 << 20
+
+// readBody reads a body within bound and the read time-out. What it holds is
+// given back by calling release, also after an error.
+func (sr *Server) readBody(w http.ResponseWriter, r *http.Request, bound int64) (body []byte, release func(), er *codes.Error) {
+	release = func() {}
+	bound = min(bound, sr.cfg.Limits.BodyBytes)
+	if r.ContentLength > bound {
+		return nil, release, codes.New(codes.BodyTooLarge, "%d bytes where %d are permitted", r.ContentLength, bound)
+	}
+	if r.ContentLength == 0 {
+		return nil, release, nil
+	}
+	if sr.reading.Add(1) > int64(sr.cfg.Limits.Requests) {
+		sr.reading.Add(-1)
+		return nil, release, codes.New(codes.Overloaded, "too many bodies are being sent")
+	}
+	defer sr.reading.Add(-1)
+	reserved := r.ContentLength
+	if reserved < 0 {
+		reserved = bound
+	}
+	if sr.buffered.Add(reserved) > maxBuffered {
+		sr.buffered.Add(-reserved)
+		return nil, release, codes.New(codes.Overloaded, "too many bodies are held")
+	}
+	release = func() { sr.buffered.Add(-reserved) }
+	body, er = sr.receive(w, r, bound)
+	return body, release, er
+}
+
+func (sr *Server) receive(w http.ResponseWriter, r *http.Request, bound int64) ([]byte, *codes.Error) {
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(sr.cfg.Limits.ReadTimeout)); err != nil {
+		return nil, codes.New(codes.InternalFailure, "the read deadline can't be set: %v", err)
+	}
+	body, err := readExactly(r, http.MaxBytesReader(w, r.Body, bound))
+	if err == nil {
+		err = control.SetReadDeadline(time.Time{})
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
+		return nil, codes.New(codes.BodyTooLarge, "more than %d bytes", bound)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, codes.New(codes.SlowSender, "the body did not arrive within %v", sr.cfg.Limits.ReadTimeout)
+	case errors.Is(err, io.ErrUnexpectedEOF), r.Context().Err() != nil:
+		return nil, codes.New(codes.CallerGone, "the body ended early")
+	default:
+		return nil, codes.New(codes.BadRequest, "the body can't be read: %v", err)
+	}
+}
+
+// readExactly reads a body of known length into one buffer of that size.
+func readExactly(r *http.Request, rd io.Reader) ([]byte, error) {
+	if r.ContentLength < 0 {
+		return io.ReadAll(rd)
+	}
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(rd, body); err != nil {
+		return nil, err
+	}
+	// The end must be seen for the server to watch the connection.
+	if _, err := rd.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/entry/call.go
@@ -0,0 +1,280 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/cicadawharf/cicadawharf/internal/admit"
+	"github.com/cicadawharf/cicadawharf/internal/plat"
+	"github.com/cicadawharf/cicadawharf/internal/report"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+// call is one request to a service while it is in progress.
+type call struct {
+	sr    *Server
+	w     http.ResponseWriter
+	r     *http.Request
+	id    string
+	began time.Time
+	hop   string // zone that passed it on; empty if it came from its caller
+
+	hd         headers
+	workspace  string // as accounted
+	service    string // as accounted
+	sd         spec.Service
+	sv         *service
+	repeatable bool
+	target     string // path and query for the endpoint
+	body       []byte
+
+	ticket   *report.Ticket // nil if another host accounts for the request
+	out      report.Outcome
+	attempts int
+	claim    *Claim // held, and not settled yet
+	slot     *admit.Admit
+	slotFrom time.Time
+	answered bool // the answer to the caller has begun
+}
+
+const (
+	pathServices = "/v1/services/"
+
+	// undeclared stands in the account for names that nobody declared.
+	undeclared = "undeclared"
+
+	// workPart is how many requests a host may hold for each that it may
+	// serve: those whose bodies are being read come on top.
+	workPart = 2
+)
+
+func (sr *Server) serveService(w http.ResponseWriter, r *http.Request) {
+	sr.serveCall(&call{sr: sr, w: w, r: r, id: sr.newID(), began: time.Now()})
+}
+
+func (sr *Server) serveHop(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(plat.HeaderRequest)
+	if id == "" {
+		id = sr.newID()
+	}
+	sr.serveCall(&call{sr: sr, w: w, r: r, id: id, began: time.Now(), hop: r.Header.Get(headerHop)})
+}
+
+// serveCall takes a request to its one outcome.
+func (sr *Server) serveCall(cl *call) {
+	cl.out.Code = codes.InternalFailure
+	cl.r.Header.Del(headerHop)
+	ok, stopped := sr.work.begin(workPart * sr.cfg.Limits.Requests)
+	cl.identify()
+	defer cl.end(ok)
+	switch {
+	case stopped:
+		cl.refuse(codes.New(codes.Stopping, "the host is being stopped"))
+		return
+	case !ok:
+		cl.refuse(codes.New(codes.Overloaded, "the host holds as many requests as it may"))
+		return
+	}
+	if er := cl.run(); er != nil {
+		cl.refuse(er)
+	}
+}
+
+// identify finds out what the request is accounted under.
+func (cl *call) identify() {
+	cl.workspace, cl.service = undeclared, undeclared
+	if de, _ := cl.sr.cfg.Declarations(); de != nil {
+		if ws, ok := de.Workspace(cl.r.Header.Get(client.HeaderWorkspace)); ok {
+			cl.workspace = ws.Name
+		}
+		if sd, ok := de.Service(mux.Vars(cl.r)["service"]); ok {
+			cl.service = sd.Name
+		}
+	}
+	if cl.hop == "" && cl.sr.cfg.Account != nil {
+		cl.ticket = cl.sr.cfg.Account.Offer(cl.began, cl.workspace, cl.service)
+	}
+}
+
+// run serves the request. An error is the outcome, still to be answered.
+func (cl *call) run() *codes.Error {
+	if er := cl.check(); er != nil {
+		return er
+	}
+	body, release, er := cl.sr.readBody(cl.w, cl.r, cl.sd.MaxBody)
+	defer release()
+	if er != nil {
+		return er
+	}
+	cl.body = body
+	defer cl.sr.serving.Add(-1)
+	if cl.sr.serving.Add(1) > int64(cl.sr.cfg.Limits.Requests) {
+		return codes.New(codes.Overloaded, "the host serves as many requests as it may")
+	}
+	ctx, cancel := context.WithDeadline(cl.r.Context(), cl.deadline())
+	defer cancel()
+	return cl.dispatch(ctx)
+}
+
+// check compares the request with the declarations.
+func (cl *call) check() *codes.Error {
+	if size := headerBytes(cl.r); size > cl.sr.cfg.Limits.HeaderBytes {
+		return codes.New(codes.HeaderTooLarge, "%d bytes where %d are permitted", size, cl.sr.cfg.Limits.HeaderBytes)
+	}
+	de, _ := cl.sr.cfg.Declarations()
+	if de == nil {
+		return codes.New(codes.NotReady, "the host has no declarations yet")
+	}
+	var er *codes.Error
+	if cl.hd, er = parseHeaders(cl.r); er != nil {
+		return er
+	}
+	if cl.hd.workspace == "" {
+		return codes.New(codes.BadRequest, "header %s is missing", client.HeaderWorkspace)
+	}
+	ws, ok := de.Workspace(cl.hd.workspace)
+	if !ok {
+		return codes.New(codes.UnknownWorkspace, "workspace %q", cl.hd.workspace)
+	}
+	name := mux.Vars(cl.r)["service"]
+	if cl.sd, ok = de.Service(name); !ok {
+		return codes.New(codes.UnknownService, "service %q", name)
+	}
+	if _, ok = ws.Use(name); !ok {
+		return codes.New(codes.ServiceNotAllowed, "workspace %q does not use service %q", ws.Name, name)
+	}
+	if cl.sv = cl.sr.service(cl.began, name); cl.sv == nil {
+		return codes.New(codes.NotReady, "service %q is being opened", name)
+	}
+	cl.repeatable = cl.sd.Repeatable
+	if cl.hd.repeatable != nil {
+		cl.repeatable = *cl.hd.repeatable
+	}
+	cl.target = targetOf(cl.r, name)
+	return nil
+}
+
+func (cl *call) deadline() time.Time {
+	timeout := cl.sd.Timeout
+	if cl.hd.timeout > 0 && (cl.hd.timeout < timeout || timeout <= 0) {
+		timeout = cl.hd.timeout
+	}
+	return cl.began.Add(timeout)
+}
+
+// dispatch serves the request in the own zone, or in another one if no
+// endpoint of the own zone is usable.
+func (cl *call) dispatch(ctx context.Context) *codes.Error {
+	er := codes.New(codes.NoEndpoint, "no endpoint of the zone is usable")
+	if cl.sv.usable(time.Now()) > 0 {
+		er = cl.serveLocal(ctx)
+		cl.release()
+	}
+	if er == nil || er.Code != codes.NoEndpoint || cl.hop != "" {
+		return er
+	}
+	return cl.serveElsewhere(ctx, er)
+}
+
+// admit takes a slot, which release returns.
+func (cl *call) admit(ctx context.Context) *codes.Error {
+	deadline, _ := ctx.Deadline()
+	ad, er := cl.sv.admit(ctx, admit.Ticket{
+		Workspace: cl.hd.workspace,
+		Caller:    cl.hd.caller,
+		Urgency:   int(cl.hd.priority) - 1,
+		Deadline:  deadline,
+	})
+	if er != nil {
+		return er
+	}
+	cl.slot = &ad
+	cl.slotFrom = time.Now()
+	cl.sr.metrics.waited(cl.service, ad.Waited)
+	return nil
+}
+
+// release returns the slot, if the request still holds one.
+func (cl *call) release() {
+	if cl.slot == nil {
+		return
+	}
+	cl.out.SlotTime += time.Since(cl.slotFrom)
+	cl.sv.finish(*cl.slot)
+	cl.slot = nil
+}
+
+// refuse answers with a code of the system.
+func (cl *call) refuse(er *codes.Error) {
+	cl.out.Code = er.Code
+	if er.Code.Class() == codes.NotRun {
+		// The caller may use the key again as soon as it has the answer.
+		cl.settle()
+	}
+	cl.answered = true
+	cl.sr.writeError(cl.w, cl.id, er)
+	cl.sr.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "request refused",
+		slog.String("event", "refuse"), slog.String("request", cl.id),
+		slog.String("workspace", cl.workspace), slog.String("service", cl.service),
+		slog.Int("code", int(er.Code)), slog.String("detail", er.Detail),
+		slog.Duration("retryAfter", er.RetryAfter), slog.Duration("duration", time.Since(cl.began)))
+}
+
+// end accounts for the request, whatever became of it.
+func (cl *call) end(counted bool) {
+	fault := recover()
+	cl.release()
+	if fault != nil && fault != http.ErrAbortHandler {
+		cl.sr.cfg.Log.Error("request failed", "event", "panic", "request", cl.id, "error", fault)
+		cl.out.Code = codes.InternalFailure
+	}
+	cl.out.Repeats = max(cl.attempts-1, 0)
+	if cl.ticket != nil {
+		cl.ticket.End(cl.out)
+	}
+	cl.sr.metrics.ended(cl.service, cl.out.Code, time.Since(cl.began))
+	cl.endWork(counted)
+	switch {
+	case fault == nil:
+	case cl.answered:
+		panic(http.ErrAbortHandler)
+	default:
+		cl.sr.writeError(cl.w, cl.id, codes.New(codes.InternalFailure, "see the log"))
+	}
+}
+
+// endWork lets a stop go on, once the claim is settled. The answer does not
+// wait for that.
+func (cl *call) endWork(counted bool) {
+	if cl.claim == nil {
+		if counted {
+			cl.sr.work.end()
+		}
+		return
+	}
+	go func() {
+		cl.settle()
+		if counted {
+			cl.sr.work.end()
+		}
+	}()
+}
+
+// targetOf returns the path and query that the endpoint is asked for.
+func targetOf(r *http.Request, service string) string {
+	path := strings.TrimPrefix(r.URL.EscapedPath(), pathServices+service)
+	if path == "" {
+		path = "/"
+	}
+	if r.URL.RawQuery != "" || r.URL.ForceQuery {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
--- /dev/null
+++ b/internal/entry/call_test.go
@@ -0,0 +1,278 @@
+package entry_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/entry"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/epsim"
+	"github.com/cicadawharf/cicadawharf/internal/plat"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+func TestForward(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 2, nil)
+	an, err := be.call(http.MethodPost, "/v1/services/orders/a%2Fb?x=1", "crates=1")
+	is.NoErr(err)
+	is.NoErr(an.err)
+	is.Equal(an.code, codes.RequestDone)
+	is.Equal(an.class, "done")
+	is.Equal(an.body, "crates=1")
+	is.Equal(be.runs()[an.request], 1)
+	is.Equal(len(be.log.lines("event=route request="+an.request)), 1)
+	be.checkAccount(is, map[codes.Code]int{codes.RequestDone: 1})
+}
+
+// TestOutcomes compares, for each fault of an endpoint, what the caller is told
+// with what truly ran.
+func TestOutcomes(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		headers    []string
+		repeatable bool
+		code       codes.Code
+		runs       int // over all attempts
+	}{
+		{"done", nil, false, codes.RequestDone, 1},
+		{"server error", []string{epsim.HeaderStatus, "500"}, false, codes.EndpointError, 1},
+		{"server error, repeatable", []string{epsim.HeaderStatus, "503"}, true, codes.EndpointError, 1},
+		{"cut before it ran", []string{epsim.HeaderFault, epsim.FaultDropBefore}, false, codes.OutcomeUnknown, 0},
+		{"cut after it ran", []string{epsim.HeaderFault, epsim.FaultDropAfter}, false, codes.OutcomeUnknown, 1},
+		{"cut after it ran, repeatable", []string{epsim.HeaderFault, epsim.FaultDropAfter}, true, codes.OutcomeUnknown, 3},
+		{"half a small answer", []string{epsim.HeaderFault, epsim.FaultHalf}, false, codes.AnswerBroken, 1},
+		{"hangs", []string{epsim.HeaderFault, epsim.FaultHang, client.HeaderTimeout, "200ms"}, false, codes.DeadlineInFlight, 1},
+		{"hangs, repeatable", []string{epsim.HeaderFault, epsim.FaultHang, client.HeaderTimeout, "200ms"}, true, codes.DeadlineInFlight, 1},
+		{"no time at all", []string{client.HeaderTimeout, "-1s"}, true, codes.DeadlinePassed, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			be := newBench(t, 3, nil)
+			repeatable := "false"
+			if tc.repeatable {
+				repeatable = "true"
+			}
+			an, err := be.order(append(tc.headers, client.HeaderRepeatable, repeatable)...)
+			is.NoErr(err)
+			is.NoErr(an.err)
+			is.Equal(an.code, tc.code)
+			is.Equal(an.class, tc.code.Class().String())
+			is.Equal(be.runs()[an.request], tc.runs)
+			be.checkAccount(is, map[codes.Code]int{tc.code: 1})
+		})
+	}
+}
+
+func TestLargeAnswer(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 1, nil)
+	an, err := be.order(epsim.HeaderSize, "1000000")
+	is.NoErr(err)
+	is.NoErr(an.err)
+	is.Equal(len(an.body), 1000000)
+	is.True(strings.HasPrefix(an.body, an.request+"\n")) // the answer to this very request
+
+	an, err = be.order(epsim.HeaderSize, "1000000", epsim.HeaderFault, epsim.FaultHalf)
+	is.NoErr(err)
+	is.True(an.err != nil) // half an answer must not look whole
+	eventually(t, "accounted", func() bool { return len(be.log.lines("code=3001")) == 1 })
+	be.checkAccount(is, map[codes.Code]int{codes.RequestDone: 1, codes.AnswerBroken: 1})
+}
+
+func TestRefusals(t *testing.T) {
+	long := strings.Repeat("x", 20<<10)
+	for _, tc := range []struct {
+		name    string
+		method  string
+		path    string
+		body    string
+		headers []string
+		code    codes.Code
+	}{
+		{"second workspace", "GET", "/v1/services/orders/", "", []string{client.HeaderWorkspace, "hotels"}, codes.BadRequest},
+		{"doubled mark", "GET", "/v1/services/orders/", "", []string{client.HeaderRepeatable, "true", client.HeaderRepeatable, "false"}, codes.BadRequest},
+		{"bad mark", "GET", "/v1/services/orders/", "", []string{client.HeaderRepeatable, "yes"}, codes.BadRequest},
+		{"bad time-out", "GET", "/v1/services/orders/", "", []string{client.HeaderTimeout, "5"}, codes.BadRequest},
+		{"bad priority", "GET", "/v1/services/orders/", "", []string{client.HeaderPriority, "now"}, codes.BadRequest},
+		{"bad key", "GET", "/v1/services/orders/", "", []string{client.HeaderKey, "a b"}, codes.BadRequest},
+		{"long header", "GET", "/v1/services/orders/", "", []string{"X-Long", long}, codes.HeaderTooLarge},
+		{"long body", "POST", "/v1/services/orders/", strings.Repeat("x", 1<<20+1), nil, codes.BodyTooLarge},
+		{"unknown service", "GET", "/v1/services/other/", "", nil, codes.UnknownService},
+		{"unknown path", "GET", "/v2", "", nil, codes.PathNotFound},
+		{"wrong method", "POST", "/v1/status", "", nil, codes.MethodNotAllowed},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			be := newBench(t, 1, nil)
+			an, err := be.call(tc.method, tc.path, tc.body, tc.headers...)
+			is.NoErr(err)
+			is.Equal(an.code, tc.code)
+			is.Equal(an.status, tc.code.Info().HTTPStatus)
+			is.True(strings.Contains(an.body, tc.code.Info().Name))
+			is.Equal(len(be.runs()), 0)
+		})
+	}
+}
+
+func TestRefusedWorkspaces(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 1, nil)
+	for workspace, cd := range map[string]codes.Code{
+		"":       codes.BadRequest,
+		"nobody": codes.UnknownWorkspace,
+		"idle":   codes.ServiceNotAllowed,
+	} {
+		rq, err := http.NewRequest(http.MethodGet, be.url+"/v1/services/orders/", nil)
+		is.NoErr(err)
+		if workspace != "" {
+			rq.Header.Set(client.HeaderWorkspace, workspace)
+		}
+		rs, err := http.DefaultTransport.RoundTrip(rq)
+		is.NoErr(err)
+		is.NoErr(rs.Body.Close())
+		is.Equal(rs.StatusCode, cd.Info().HTTPStatus)
+	}
+	be.checkAccount(is, map[codes.Code]int{codes.BadRequest: 1, codes.UnknownWorkspace: 1, codes.ServiceNotAllowed: 1})
+}
+
+func TestBusyEndpointsDidNotRun(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 1, func(_ *entry.Config, de *spec.Declarations) {
+		de.Services[0].Slots = 16 // more than the endpoint has
+	})
+	told := make(chan answer)
+	for range 12 {
+		go func() {
+			an, _ := be.order(epsim.HeaderDelay, "300ms", client.HeaderRepeatable, "false")
+			told <- an
+		}()
+	}
+	counts := make(map[codes.Code]int)
+	answers := make(map[string]codes.Code)
+	for range 12 {
+		an := <-told
+		counts[an.code]++
+		answers[an.request] = an.code
+	}
+	is.Equal(counts[codes.RequestDone], 8)
+	is.Equal(counts[codes.EndpointBusy], 4)
+	runs := be.runs()
+	for request, cd := range answers {
+		is.Equal(runs[request] == 1, cd == codes.RequestDone)
+	}
+	be.checkAccount(is, counts)
+}
+
+func TestIdempotencyKey(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 2, nil)
+	keyed := []string{client.HeaderRepeatable, "false", client.HeaderKey, "k1"}
+	first, err := be.order(keyed...)
+	is.NoErr(err)
+	is.Equal(first.code, codes.RequestDone)
+	again, err := be.order(keyed...)
+	is.NoErr(err)
+	is.Equal(again.code, codes.DuplicateKey)
+	other, err := be.call(http.MethodPost, "/v1/services/orders/buy", "crates=2", keyed...)
+	is.NoErr(err)
+	is.Equal(other.code, codes.KeyMismatch)
+	is.Equal(len(be.runs()), 1)
+
+	be.claims.err = codes.New(codes.StoreUnavailable, "down")
+	down, err := be.order(client.HeaderRepeatable, "false", client.HeaderKey, "k2")
+	is.NoErr(err)
+	is.Equal(down.code, codes.StoreUnavailable)
+	is.Equal(len(be.runs()), 1)
+}
+
+func TestKeyIsFreeAfterNotRun(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 1, nil)
+	be.endpoints[0].Leave()
+	keyed := []string{client.HeaderRepeatable, "false", client.HeaderKey, "k1"}
+	an, err := be.order(keyed...)
+	is.NoErr(err)
+	is.Equal(an.code, codes.NoEndpoint)
+	prior, err := be.claims.Take(t.Context(), entry.Claim{Workspace: "parish", Key: "k1"})
+	is.NoErr(err)
+	is.Equal(prior, nil)
+}
+
+func TestLeavingEndpointGetsNothingNew(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 2, nil)
+	inProgress := make(chan answer, 1)
+	go func() {
+		an, _ := be.order(epsim.HeaderDelay, "1s")
+		inProgress <- an
+	}()
+	eventually(t, "runs", func() bool { return len(be.runs()) == 1 })
+	leaving, staying := be.endpoints[0], be.endpoints[1]
+	if leaving.Busy() == 0 {
+		leaving, staying = staying, leaving
+	}
+	leaving.Leave()
+	eventually(t, "seen", func() bool { return len(be.server.LeavingEndpoints()) == 1 })
+	before := len(leaving.Runs())
+	for range 20 {
+		an, err := be.order()
+		is.NoErr(err)
+		is.Equal(an.code, codes.RequestDone)
+	}
+	is.Equal(len(leaving.Runs()), before)
+	is.Equal(len(staying.Runs()), 20)
+	is.Equal((<-inProgress).code, codes.RequestDone) // ended in peace
+}
+
+func TestDeadEndpointIsAvoided(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 3, nil)
+	be.endpoints[0].Close()
+	for range 30 {
+		an, err := be.order(client.HeaderRepeatable, "false")
+		is.NoErr(err)
+		is.Equal(an.code, codes.RequestDone) // a refused connection did not run
+	}
+	for _, n := range be.runs() {
+		is.Equal(n, 1)
+	}
+}
+
+func TestSilentConnections(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 1, nil)
+	for range 3 {
+		_, err := be.order()
+		is.NoErr(err)
+	}
+	be.endpoints[0].SilenceConnections()
+	// Within two seconds the silent connections have been found by probes.
+	time.Sleep(2 * time.Second)
+	an, err := be.order(client.HeaderTimeout, "2s", client.HeaderRepeatable, "false")
+	is.NoErr(err)
+	is.Equal(an.code, codes.RequestDone)
+}
+
+func TestNotReadyWithoutDeclarations(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 1, func(cfg *entry.Config, _ *spec.Declarations) {
+		cfg.Declarations = func() (*spec.Declarations, int64) { return nil, 0 }
+		cfg.Endpoints = func() []plat.Host { return nil }
+	})
+	an, err := be.order()
+	is.NoErr(err)
+	is.Equal(an.code, codes.NotReady)
+	is.True(an.header.Get(client.HeaderRetryAfter) != "")
+	an, err = be.call(http.MethodGet, "/readyz", "")
+	is.NoErr(err)
+	is.Equal(an.status, http.StatusServiceUnavailable)
+	an, err = be.call(http.MethodGet, "/healthz", "")
+	is.NoErr(err)
+	is.Equal(an.status, http.StatusOK)
+}
--- /dev/null
+++ b/internal/entry/claim.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+const settleTimeout = 2 * time.Second
+
+// takeClaim claims the idempotency key of a request that may not be repeated,
+// before it is sent anywhere. A host that passes a request on has done so.
+func (cl *call) takeClaim(ctx context.Context) *codes.Error {
+	if cl.repeatable || cl.hd.key == "" || cl.hop != "" || cl.claim != nil {
+		return nil
+	}
+	if cl.sr.cfg.Claims == nil {
+		return codes.New(codes.StoreUnavailable, "idempotency keys can't be claimed")
+	}
+	claim := Claim{Workspace: cl.hd.workspace, Key: cl.hd.key, Digest: cl.digest(), Request: cl.id}
+	prior, err := cl.sr.cfg.Claims.Take(ctx, claim)
+	switch {
+	case err != nil:
+		er := codes.Of(err)
+		return codes.New(codes.StoreUnavailable, "the idempotency key can't be claimed: %s", er.Detail).WithRetryAfter(er.RetryAfter)
+	case prior == nil:
+		cl.claim = &claim
+		return nil
+	case prior.Digest != claim.Digest:
+		return codes.New(codes.KeyMismatch, "the key was used by request %s", prior.Request)
+	case prior.Code == 0:
+		return codes.New(codes.DuplicateKey, "request %s has the key, and its end is not known", prior.Request)
+	default:
+		return codes.New(codes.DuplicateKey, "request %s had the key and ended as %v", prior.Request, prior.Code)
+	}
+}
+
+// settle records how the request ended under its key.
+func (cl *call) settle() {
+	if cl.claim == nil {
+		return
+	}
+	claim := *cl.claim
+	claim.Code = cl.out.Code
+	cl.claim = nil
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(cl.r.Context()), settleTimeout)
+	defer cancel()
+	if err := cl.sr.cfg.Claims.Settle(ctx, claim); err != nil {
+		cl.sr.cfg.Log.Warn("claim not settled", "event", "claim", "request", cl.id, "error", err)
+	}
+}
+
+// digest returns the digest of all that makes two requests the same.
+func (cl *call) digest() string {
+	head, err := json.Marshal([]string{cl.sd.Name, cl.r.Method, cl.target})
+	if err != nil {
+		return cl.id // equal to no other request's
+	}
+	sum := sha256.New()
+	sum.Write(head)
+	sum.Write(cl.body)
+	return hex.EncodeToString(sum.Sum(nil))
+}
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,172 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/relay"
+	"github.com/cicadawharf/cicadawharf/internal/route"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+const (
+	maxAttempts = 4
+
+	// hangPart is the part of a service's time-out after which an endpoint
+	// without an answer counts as hanging.
+	hangPart = 2
+)
+
+// serveLocal sends the request to endpoints of the own zone. It returns nil
+// once the answer to the caller has been written.
+func (cl *call) serveLocal(ctx context.Context) *codes.Error {
+	if er := cl.admit(ctx); er != nil {
+		return er
+	}
+	if er := cl.takeClaim(ctx); er != nil {
+		return er
+	}
+	var tried []string
+	var last *codes.Error
+	for {
+		if !cl.countAttempt() {
+			return last
+		}
+		choice, pool := cl.sv.pick(tried)
+		ch, ok := choice.(route.Chosen)
+		if !ok {
+			cl.attempts--
+			return cl.noChoice(choice, last)
+		}
+		tried = append(tried, ch.Endpoint.Name)
+		fa := cl.attempt(ctx, ch, pool)
+		if fa == nil {
+			return nil
+		}
+		last = codes.New(fa.Code, "endpoint %s: %v", ch.Endpoint.Name, fa)
+		if !cl.mayRepeat(fa) {
+			return last
+		}
+	}
+}
+
+// countAttempt enters an attempt and tells whether it may be made.
+func (cl *call) countAttempt() bool {
+	switch {
+	case cl.attempts == 0:
+		cl.sv.firstAttempt()
+	case cl.attempts >= maxAttempts || !cl.sv.spendRepeat():
+		return false
+	default:
+		cl.sr.metrics.repeated(cl.service)
+	}
+	cl.attempts++
+	return true
+}
+
+func (cl *call) mayRepeat(fa *relay.Failure) bool {
+	if fa.Cause == relay.CauseCaller || fa.Cause == relay.CauseDeadline {
+		return false
+	}
+	return route.MayRepeat(route.Attempt{NotRun: fa.Code.Class() == codes.NotRun, Answered: cl.answered}, cl.repeatable)
+}
+
+// noChoice returns the outcome when no endpoint is left. That of an attempt
+// tells more than that there is no other.
+func (cl *call) noChoice(choice route.Choice, last *codes.Error) *codes.Error {
+	none, ok := choice.(route.None)
+	if !ok {
+		return codes.New(codes.InternalFailure, "choice %T", choice)
+	}
+	cl.logRoute(routeLine{zone: cl.sr.cfg.Zone, of: none.Of, losers: none.Losers.String(), code: codes.NoEndpoint})
+	switch {
+	case last != nil:
+		return last
+	case none.Losers.Full > 0:
+		return codes.New(codes.EndpointBusy, "no endpoint has a free slot: %s", none.Losers)
+	default:
+		return codes.New(codes.NoEndpoint, "no endpoint is usable: %s", none.Losers)
+	}
+}
+
+// attempt sends the request to one endpoint. It returns nil once the answer to
+// the caller has been written, and panics with http.ErrAbortHandler if that
+// answer had to be broken off.
+func (cl *call) attempt(ctx context.Context, ch route.Chosen, pool *relay.Pool) *relay.Failure {
+	from := time.Now()
+	rp, fa := exchange(ctx, pool, cl.request(ctx))
+	if fa == nil {
+		rp.code = codes.RequestDone
+		if rp.answer.Status >= http.StatusInternalServerError {
+			rp.code = codes.EndpointError
+		}
+		fa = cl.stream(rp)
+	}
+	evs := []route.Evidence{cl.evidence(rp, fa, time.Since(from))}
+	if rp.answer != nil && rp.answer.Leaving {
+		evs = append(evs, route.Leaves{})
+	}
+	cl.sv.done(ch.Endpoint.Name, evs...)
+	cl.logRoute(routeLine{
+		endpoint: ch.Endpoint.Name, zone: cl.sr.cfg.Zone, of: ch.Of, losers: ch.Losers.String(),
+		code: outcomeOf(rp, fa), cause: causeOf(fa), duration: time.Since(from),
+	})
+	return cl.conclude(rp, fa)
+}
+
+// request returns what is sent to an endpoint or another entry host.
+func (cl *call) request(ctx context.Context) relay.Request {
+	hd := cl.r.Header.Clone()
+	if deadline, ok := ctx.Deadline(); ok {
+		hd.Set(client.HeaderTimeout, max(time.Until(deadline), time.Millisecond).String())
+	}
+	return relay.Request{
+		ID: cl.id, Method: cl.r.Method, Target: cl.target, Host: cl.r.Host,
+		Header: hd, Body: cl.body, Repeatable: cl.repeatable,
+	}
+}
+
+// evidence returns what an attempt has shown of the endpoint.
+func (cl *call) evidence(rp reply, fa *relay.Failure, took time.Duration) route.Evidence {
+	if fa == nil {
+		return route.Answered{ServerError: rp.answer.Status >= http.StatusInternalServerError}
+	}
+	switch fa.Cause {
+	case relay.CauseDial:
+		return route.Unreachable{}
+	case relay.CauseBusy:
+		return route.Busy{}
+	case relay.CauseLeaving:
+		return route.Leaves{}
+	case relay.CauseLost, relay.CauseBroken, relay.CauseMismatch:
+		return route.Broken{}
+	case relay.CauseDeadline:
+		if fa.Code.Class() != codes.NotRun && took >= cl.sd.Timeout/hangPart {
+			return route.Broken{}
+		}
+	}
+	return route.Nothing{}
+}
+
+// routeLine is the log line of one routing decision.
+type routeLine struct {
+	endpoint string
+	zone     string
+	of       int
+	losers   string
+	code     codes.Code
+	cause    string
+	duration time.Duration
+}
+
+func (cl *call) logRoute(li routeLine) {
+	cl.sr.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "request routed",
+		slog.String("event", "route"), slog.String("request", cl.id),
+		slog.String("workspace", cl.workspace), slog.String("service", cl.service),
+		slog.String("endpoint", li.endpoint), slog.String("zone", li.zone),
+		slog.Int("attempt", cl.attempts), slog.Int("of", li.of), slog.String("losers", li.losers),
+		slog.Int("code", int(li.code)), slog.String("cause", li.cause), slog.Duration("duration", li.duration))
+}
--- /dev/null
+++ b/internal/entry/header.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+// headers is what a caller's headers say.
+type headers struct {
+	workspace  string
+	caller     string
+	key        string
+	repeatable *bool         // nil if not said
+	timeout    time.Duration // zero if not said
+	priority   jobs.Priority
+}
+
+const (
+	maxNameLength = 128
+	maxKeyLength  = 128
+
+	// headerHop names the zone that passed a request on. It is only believed
+	// of requests that come through the spill listener.
+	headerHop = "Cicadawharf-Hop"
+)
+
+// single lists the headers that may not be doubled.
+var single = []string{
+	client.HeaderWorkspace, client.HeaderCaller, client.HeaderRepeatable, client.HeaderTimeout,
+	client.HeaderPriority, client.HeaderKey, client.HeaderOperator, "Content-Type",
+}
+
+// parseHeaders reads and checks the headers of a caller.
+func parseHeaders(r *http.Request) (headers, *codes.Error) {
+	var hd headers
+	for _, name := range single {
+		if len(r.Header[http.CanonicalHeaderKey(name)]) > 1 {
+			return hd, codes.New(codes.BadRequest, "header %s is doubled", name)
+		}
+	}
+	hd.workspace = r.Header.Get(client.HeaderWorkspace)
+	hd.caller = r.Header.Get(client.HeaderCaller)
+	hd.key = r.Header.Get(client.HeaderKey)
+	for _, tx := range []struct {
+		name, value string
+		bound       int
+	}{
+		{client.HeaderWorkspace, hd.workspace, maxNameLength},
+		{client.HeaderCaller, hd.caller, maxNameLength},
+		{client.HeaderKey, hd.key, maxKeyLength},
+	} {
+		_, given := r.Header[http.CanonicalHeaderKey(tx.name)]
+		if given && !visible(tx.value, tx.bound) {
+			return hd, codes.New(codes.BadRequest, "header %s must have 1 to %d visible ASCII characters", tx.name, tx.bound)
+		}
+	}
+	if er := hd.parseMarks(r.Header); er != nil {
+		return hd, er
+	}
+	return hd, hd.parseTimeout(r.Header)
+}
+
+func (hd *headers) parseMarks(raw http.Header) *codes.Error {
+	switch value := raw.Get(client.HeaderRepeatable); value {
+	case "":
+	case "true", "false":
+		repeatable := value == "true"
+		hd.repeatable = &repeatable
+	default:
+		return codes.New(codes.BadRequest, "header %s must be true or false", client.HeaderRepeatable)
+	}
+	var ok bool
+	if hd.priority, ok = jobs.ParsePriority(raw.Get(client.HeaderPriority)); !ok {
+		return codes.New(codes.BadRequest, "header %s must be low, normal or urgent", client.HeaderPriority)
+	}
+	return nil
+}
+
+func (hd *headers) parseTimeout(raw http.Header) *codes.Error {
+	value := raw.Get(client.HeaderTimeout)
+	if value == "" {
+		return nil
+	}
+	timeout, err := time.ParseDuration(value)
+	switch {
+	case err != nil:
+		return codes.New(codes.BadRequest, "header %s is not a duration such as 800ms", client.HeaderTimeout)
+	case timeout <= 0:
+		return codes.New(codes.DeadlinePassed, "header %s leaves no time", client.HeaderTimeout)
+	}
+	hd.timeout = timeout
+	return nil
+}
+
+// headerBytes returns the size of a request's line and headers as sent.
+func headerBytes(r *http.Request) int {
+	const around = len(": ") + len("\r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host) + 2*around
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + around
+		}
+	}
+	return size
+}
+
+func visible(text string, bound int) bool {
+	if text == "" || len(text) > bound {
+		return false
+	}
+	return !strings.ContainsFunc(text, func(ch rune) bool { return ch <= ' ' || ch > '~' })
+}
--- a/internal/entry/iface.go
+++ b/internal/entry/iface.go
@@ -77,6 +77,12 @@
 	Wait     time.Duration // for hosts to report the new revision
 }
 
+// ZoneLister is implemented by a jobs.Service that asks several zones and can
+// name those that it could not ask.
+type ZoneLister interface {
+	ListZones(ctx context.Context, fi jobs.Filter) (rcs []jobs.Record, unreachable []string, err error)
+}
+
 // Operators is what operators ask of the system. Errors are *codes.Error.
 type Operators interface {
 	// Apply returns with an error also what is known, such as faults.
@@ -87,9 +93,10 @@
 	Declarations(ctx context.Context) (content []byte, revision int64, err error)
 	Status(ctx context.Context) (client.Status, error)
 	// Report returns the report of a day, YYYY-MM-DD, or of the running day
-	// if it is empty, as a value to be written as JSON.
+	// if it is empty, as a value to be written as JSON, or as text if it is a
+	// fmt.Stringer and text is asked for.
 	Report(ctx context.Context, day string) (any, error)
 }
 
 // AnyRevision as ApplyRequest.Expect applies over whatever is in force.
-const AnyRevision = -1
+const AnyRevision = client.AnyRevision
--- /dev/null
+++ b/internal/entry/jobs.go
@@ -0,0 +1,334 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/report"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+const (
+	maxJobBody      = 256 << 10 // bytes
+	maxAccelerators = 8         // per task
+	maxRunTime      = 90 * 24 * time.Hour
+	maxCommand      = 1024     // words
+	maxCommandBytes = 64 << 10 // of all words
+)
+
+// submitJob serves POST /v1/jobs. A submission that is not accepted is entered
+// into the account here; an accepted one is counted from its record.
+func (sr *Server) submitJob(ctx context.Context, as *ask) *codes.Error {
+	rc, er := as.submit(ctx)
+	if er == nil {
+		if rc.State == jobs.Queued && !rc.Cancelled {
+			rc.Code = codes.JobAccepted
+		}
+		as.writeJob(rc)
+		return nil
+	}
+	if sr.cfg.Account != nil {
+		sr.cfg.Account.Offer(as.began, as.accounted(), "").End(report.Outcome{Code: er.Code})
+	}
+	return er
+}
+
+func (as *ask) accounted() string {
+	if de, _ := as.sr.cfg.Declarations(); de != nil {
+		if ws, ok := de.Workspace(as.hd.workspace); ok {
+			return ws.Name
+		}
+	}
+	return undeclared
+}
+
+func (as *ask) submit(ctx context.Context) (jobs.Record, *codes.Error) {
+	de, er := as.declared()
+	if er != nil {
+		return jobs.Record{}, er
+	}
+	content, release, er := as.body(maxJobBody)
+	defer release()
+	if er != nil {
+		return jobs.Record{}, er
+	}
+	req, er := decodeSubmit(content)
+	if er != nil {
+		return jobs.Record{}, er
+	}
+	sp, er := as.jobSpec(de, req)
+	if er != nil {
+		return jobs.Record{}, er
+	}
+	rc, err := as.sr.cfg.Jobs.Submit(ctx, sp)
+	switch {
+	case err != nil:
+		return rc, submitError(err)
+	case !sameJob(rc.Spec, sp):
+		return rc, codes.New(codes.KeyMismatch, "job %s has the key", rc.ID)
+	}
+	return rc, nil
+}
+
+// declared checks that the workspace is declared.
+func (as *ask) declared() (*spec.Declarations, *codes.Error) {
+	de, _ := as.sr.cfg.Declarations()
+	if de == nil {
+		return nil, codes.New(codes.NotReady, "the host has no declarations yet")
+	}
+	if as.hd.workspace == "" {
+		return nil, codes.New(codes.BadRequest, "header %s is missing", client.HeaderWorkspace)
+	}
+	if _, ok := de.Workspace(as.hd.workspace); !ok {
+		return nil, codes.New(codes.UnknownWorkspace, "workspace %q", as.hd.workspace)
+	}
+	return de, nil
+}
+
+func decodeSubmit(content []byte) (client.SubmitRequest, *codes.Error) {
+	var req client.SubmitRequest
+	if er := checkKeys(content); er != nil {
+		return req, er
+	}
+	dc := json.NewDecoder(bytes.NewReader(content))
+	dc.DisallowUnknownFields()
+	if err := dc.Decode(&req); err != nil {
+		return req, codes.New(codes.BadRequest, "the body is not a job: %v", err)
+	}
+	if _, err := dc.Token(); !errors.Is(err, io.EOF) {
+		return req, codes.New(codes.BadRequest, "the body goes on after the job")
+	}
+	return req, nil
+}
+
+// jobSpec checks what was asked for and names the job.
+func (as *ask) jobSpec(de *spec.Declarations, req client.SubmitRequest) (jobs.Spec, *codes.Error) {
+	if er := checkJob(req); er != nil {
+		return jobs.Spec{}, er
+	}
+	runTime, err := time.ParseDuration(req.RunTime)
+	if err != nil || runTime <= 0 || runTime > maxRunTime {
+		return jobs.Spec{}, codes.New(codes.BadRequest, "runTime must be a duration such as 45m, at most %v", maxRunTime)
+	}
+	priority, ok := jobs.ParsePriority(req.Priority)
+	if !ok {
+		return jobs.Spec{}, codes.New(codes.BadRequest, "priority must be low, normal or urgent")
+	}
+	zone := req.Zone
+	if zone == "" {
+		zone = as.sr.cfg.Zone
+	}
+	if _, ok := de.Zone(zone); !ok {
+		return jobs.Spec{}, codes.New(codes.BadRequest, "zone %q is not declared", zone)
+	}
+	if as.hd.key != "" && req.Zone == "" {
+		return jobs.Spec{}, codes.New(codes.BadRequest, "a job with an idempotency key must name its zone, so that every entry host finds it")
+	}
+	return jobs.Spec{
+		ID: jobs.NewID(zone, as.jobName()), Workspace: as.hd.workspace, Caller: as.hd.caller, Key: as.hd.key,
+		Shape: req.Shape, RunTime: runTime, Priority: priority,
+		Repeatable: *req.Repeatable, Checkpoint: req.Checkpoint, Command: req.Command,
+	}, nil
+}
+
+// jobName returns a name that is the same for the same key of a workspace.
+func (as *ask) jobName() string {
+	if as.hd.key == "" {
+		return uuid.NewString()
+	}
+	sum := sha256.Sum256([]byte(as.hd.workspace + "\x00" + as.hd.key))
+	return hex.EncodeToString(sum[:16])
+}
+
+func checkJob(req client.SubmitRequest) *codes.Error {
+	size := 0
+	for _, word := range req.Command {
+		size += len(word)
+	}
+	sh := req.Shape
+	switch {
+	case req.Repeatable == nil:
+		return codes.New(codes.BadRequest, "repeatable is missing")
+	case len(req.Command) == 0:
+		return codes.New(codes.BadRequest, "command is missing")
+	case len(req.Command) > maxCommand || size > maxCommandBytes:
+		return codes.New(codes.BadRequest, "command may have %d words and %d bytes", maxCommand, maxCommandBytes)
+	case sh.Tasks < 1 || sh.Accelerators < 0:
+		return codes.New(codes.BadRequest, "shape must have at least one task and no negative number")
+	case sh.Tasks > spec.MaxTasks:
+		return codes.New(codes.ShapeTooLarge, "%d tasks where %d are permitted", sh.Tasks, spec.MaxTasks)
+	case sh.Accelerators > maxAccelerators:
+		return codes.New(codes.ShapeTooLarge, "%d accelerators per task where %d are permitted", sh.Accelerators, maxAccelerators)
+	}
+	switch sh.Adjacency {
+	case spec.SameWorker, spec.SameRack, spec.SameZone:
+		return nil
+	default:
+		return codes.New(codes.BadRequest, "shape.adjacency must be worker, rack or zone")
+	}
+}
+
+// submitError returns the code of a failed submission. What has no code may
+// have been recorded.
+func submitError(err error) *codes.Error {
+	er := codes.Of(err)
+	if er.Code == codes.InternalFailure {
+		return codes.New(codes.SubmitUnknown, "%s", er.Detail)
+	}
+	return er
+}
+
+// sameJob tells whether two submissions under one name ask for the same.
+func sameJob(a, b jobs.Spec) bool {
+	a.Caller, b.Caller = "", ""
+	return slices.Equal(a.Command, b.Command) && reflect.DeepEqual(withoutCommand(a), withoutCommand(b))
+}
+
+func withoutCommand(sp jobs.Spec) jobs.Spec {
+	sp.Command = nil
+	return sp
+}
+
+// getJob serves GET /v1/jobs/{id}.
+func (sr *Server) getJob(ctx context.Context, as *ask) *codes.Error {
+	wait, er := as.wait()
+	if er != nil {
+		return er
+	}
+	id := mux.Vars(as.r)["id"]
+	waiting, cancel := as.untilHalt(ctx)
+	defer cancel()
+	rc, err := sr.cfg.Jobs.Get(waiting, id, wait)
+	if err != nil && waiting.Err() != nil && ctx.Err() == nil {
+		rc, err = sr.cfg.Jobs.Get(ctx, id, 0)
+	}
+	if err != nil {
+		return codes.Of(err)
+	}
+	if er := as.owns(rc); er != nil {
+		return er
+	}
+	as.writeJob(rc)
+	return nil
+}
+
+// cancelJob serves DELETE /v1/jobs/{id}.
+func (sr *Server) cancelJob(ctx context.Context, as *ask) *codes.Error {
+	id := mux.Vars(as.r)["id"]
+	if as.hd.workspace != "" {
+		rc, err := sr.cfg.Jobs.Get(ctx, id, 0)
+		if err != nil {
+			return codes.Of(err)
+		}
+		if er := as.owns(rc); er != nil {
+			return er
+		}
+	}
+	rc, err := sr.cfg.Jobs.Cancel(ctx, id)
+	if err != nil {
+		er := codes.Of(err)
+		if er.Code == codes.InternalFailure {
+			return codes.New(codes.CancelUnknown, "%s", er.Detail)
+		}
+		return er
+	}
+	as.writeJob(rc)
+	return nil
+}
+
+// owns hides the jobs of other workspaces from one that names itself.
+func (as *ask) owns(rc jobs.Record) *codes.Error {
+	if as.hd.workspace != "" && as.hd.workspace != rc.Workspace {
+		return codes.New(codes.JobNotFound, "job %q", rc.ID)
+	}
+	return nil
+}
+
+// listJobs serves GET /v1/jobs.
+func (sr *Server) listJobs(ctx context.Context, as *ask) *codes.Error {
+	fi, er := as.filter()
+	if er != nil {
+		return er
+	}
+	rcs, unreachable, err := sr.listZones(ctx, fi)
+	if err != nil {
+		return codes.Of(err)
+	}
+	list := client.JobList{Jobs: make([]client.Job, 0, len(rcs)), Unreachable: unreachable}
+	for _, rc := range rcs {
+		list.Jobs = append(list.Jobs, as.job(rc))
+	}
+	as.write(&codes.Error{Code: codes.RequestDone}, list)
+	return nil
+}
+
+func (sr *Server) listZones(ctx context.Context, fi jobs.Filter) ([]jobs.Record, []string, error) {
+	if zl, ok := sr.cfg.Jobs.(ZoneLister); ok {
+		return zl.ListZones(ctx, fi)
+	}
+	rcs, err := sr.cfg.Jobs.List(ctx, fi)
+	return rcs, nil, err
+}
+
+func (as *ask) filter() (jobs.Filter, *codes.Error) {
+	fi := jobs.Filter{Workspace: as.hd.workspace}
+	named, er := as.query("workspace")
+	if er != nil {
+		return fi, er
+	}
+	if named != "" && fi.Workspace != "" && named != fi.Workspace {
+		return fi, codes.New(codes.BadRequest, "header and parameter name different workspaces")
+	}
+	if named != "" {
+		fi.Workspace = named
+	}
+	active, er := as.query("active")
+	switch {
+	case er != nil:
+		return fi, er
+	case active != "" && active != "true" && active != "false":
+		return fi, codes.New(codes.BadRequest, "parameter active must be true or false")
+	}
+	fi.Active = active == "true"
+	return fi, nil
+}
+
+func (as *ask) writeJob(rc jobs.Record) {
+	as.write(&codes.Error{Code: rc.Code}, as.job(rc))
+}
+
+// job returns a record as callers see it.
+func (as *ask) job(rc jobs.Record) client.Job {
+	jb := client.Job{
+		Answer: newAnswer(as.id, &codes.Error{Code: rc.Code, Detail: rc.Detail}),
+		ID:     rc.ID, Workspace: rc.Workspace, Caller: rc.Caller, Zone: jobs.ZoneOf(rc.ID),
+		State: rc.State.String(), Shape: rc.Shape, Priority: rc.Priority.String(),
+		Repeatable: rc.Repeatable, Checkpoint: rc.Checkpoint, Attempt: rc.Attempt,
+		Submitted: rc.Submitted, Started: timeOf(rc.Started), Ended: timeOf(rc.Ended),
+	}
+	for _, ta := range rc.Tasks {
+		jb.Workers = append(jb.Workers, ta.Worker)
+	}
+	return jb
+}
+
+func timeOf(at time.Time) *time.Time {
+	if at.IsZero() {
+		return nil
+	}
+	return &at
+}
--- /dev/null
+++ b/internal/entry/jobs_test.go
@@ -0,0 +1,90 @@
+package entry_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+const goodJob = `{"zone":"lima","shape":{"tasks":4,"accelerators":8,"adjacency":"rack"},"runTime":"45m","repeatable":true,"command":["sort"]}`
+
+func TestSubmitJob(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 0, nil)
+	an, err := be.call(http.MethodPost, "/v1/jobs", goodJob, client.HeaderKey, "j1")
+	is.NoErr(err)
+	is.Equal(an.code, codes.JobAccepted)
+	var jb client.Job
+	is.NoErr(json.Unmarshal([]byte(an.body), &jb))
+	is.Equal(jb.Zone, "lima")
+	is.Equal(jb.State, "queued")
+
+	again, err := be.call(http.MethodPost, "/v1/jobs", goodJob, client.HeaderKey, "j1")
+	is.NoErr(err)
+	var same client.Job
+	is.NoErr(json.Unmarshal([]byte(again.body), &same))
+	is.Equal(same.ID, jb.ID)
+
+	other := `{"zone":"lima","shape":{"tasks":1,"accelerators":8,"adjacency":"rack"},"runTime":"45m","repeatable":true,"command":["sort"]}`
+	an, err = be.call(http.MethodPost, "/v1/jobs", other, client.HeaderKey, "j1")
+	is.NoErr(err)
+	is.Equal(an.code, codes.KeyMismatch)
+
+	an, err = be.call(http.MethodGet, "/v1/jobs/"+jb.ID+"?wait=1ms", "")
+	is.NoErr(err)
+	is.Equal(an.code, codes.JobQueued)
+	an, err = be.call(http.MethodDelete, "/v1/jobs/"+jb.ID, "")
+	is.NoErr(err)
+	is.Equal(an.code, codes.CancelledUnstarted)
+	an, err = be.call(http.MethodGet, "/v1/jobs?active=true", "")
+	is.NoErr(err)
+	is.Equal(an.body, `{"jobs":[]}`+"\n")
+}
+
+func TestRefusedJobs(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		body string
+		code codes.Code
+	}{
+		{"unknown key", `{"tasks":1}`, codes.BadRequest},
+		{"doubled key", `{"command":["a"],"command":["b"]}`, codes.BadRequest},
+		{"two jobs", goodJob + goodJob, codes.BadRequest},
+		{"not JSON", `tasks: 1`, codes.BadRequest},
+		{"no mark", `{"shape":{"tasks":1,"accelerators":1,"adjacency":"rack"},"runTime":"1m","command":["a"]}`, codes.BadRequest},
+		{"no run time", `{"shape":{"tasks":1,"accelerators":1,"adjacency":"rack"},"runTime":"0s","repeatable":true,"command":["a"]}`, codes.BadRequest},
+		{"33 tasks", `{"shape":{"tasks":33,"accelerators":1,"adjacency":"rack"},"runTime":"1m","repeatable":true,"command":["a"]}`, codes.ShapeTooLarge},
+		{"9 accelerators", `{"shape":{"tasks":1,"accelerators":9,"adjacency":"rack"},"runTime":"1m","repeatable":true,"command":["a"]}`, codes.ShapeTooLarge},
+		{"unknown zone", `{"zone":"ica","shape":{"tasks":1,"accelerators":1,"adjacency":"rack"},"runTime":"1m","repeatable":true,"command":["a"]}`, codes.BadRequest},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			be := newBench(t, 0, nil)
+			an, err := be.call(http.MethodPost, "/v1/jobs", tc.body)
+			is.NoErr(err)
+			is.Equal(an.code, tc.code)
+			be.checkAccount(is, map[codes.Code]int{tc.code: 1})
+		})
+	}
+}
+
+func TestJobsOfOthersAreHidden(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 0, nil)
+	an, err := be.call(http.MethodPost, "/v1/jobs", goodJob)
+	is.NoErr(err)
+	var jb client.Job
+	is.NoErr(json.Unmarshal([]byte(an.body), &jb))
+	rq, err := http.NewRequest(http.MethodDelete, be.url+"/v1/jobs/"+jb.ID, nil)
+	is.NoErr(err)
+	rq.Header.Set(client.HeaderWorkspace, "hotels")
+	rs, err := http.DefaultTransport.RoundTrip(rq)
+	is.NoErr(err)
+	is.NoErr(rs.Body.Close())
+	is.Equal(rs.StatusCode, http.StatusNotFound)
+}
--- /dev/null
+++ b/internal/entry/reply.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/cicadawharf/cicadawharf/internal/plat"
+	"github.com/cicadawharf/cicadawharf/internal/relay"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+// reply is the answer to one attempt.
+type reply struct {
+	answer *relay.Answer
+	code   codes.Code
+	whole  bool   // body holds all of it
+	body   []byte // if whole
+}
+
+const (
+	// maxWhole is the largest body that is read to its end before anything of
+	// the answer is passed on, in bytes. Of such an answer the caller gets all
+	// or a code.
+	maxWhole = 64 << 10
+
+	copyBuffer = 32 << 10 // bytes
+)
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
+
+// exchange sends a request and reads the answer to its end if it is small.
+func exchange(ctx context.Context, pool *relay.Pool, rq relay.Request) (reply, *relay.Failure) {
+	an, fa := pool.Send(ctx, rq)
+	if fa != nil {
+		return reply{}, fa
+	}
+	rp := reply{answer: an}
+	if rq.Method != http.MethodHead && (an.Length < 0 || an.Length > maxWhole) {
+		return rp, nil
+	}
+	defer an.Close()
+	body, err := io.ReadAll(an)
+	if err != nil {
+		return rp, failureOf(err)
+	}
+	rp.whole, rp.body = true, body
+	return rp, nil
+}
+
+// stream passes a large answer on as it arrives. Others are passed on by
+// conclude, once their slot has been given back.
+func (cl *call) stream(rp reply) *relay.Failure {
+	if rp.whole {
+		return nil
+	}
+	defer rp.answer.Close()
+	cl.writeHead(rp)
+	control := http.NewResponseController(cl.w)
+	buffer := copyBuffers.Get().(*[copyBuffer]byte)
+	defer copyBuffers.Put(buffer)
+	for {
+		n, err := rp.answer.Read(buffer[:])
+		if n > 0 {
+			if werr := cl.write(control, buffer[:n], rp.answer.Length < 0); werr != nil {
+				return &relay.Failure{Code: codes.CallerLeft, Cause: relay.CauseCaller, Err: werr}
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return failureOf(err)
+		}
+	}
+}
+
+func (cl *call) write(control *http.ResponseController, part []byte, flush bool) error {
+	if err := control.SetWriteDeadline(cl.deadline()); err != nil {
+		return err
+	}
+	if _, err := cl.w.Write(part); err != nil {
+		return err
+	}
+	if flush {
+		return control.Flush()
+	}
+	return nil
+}
+
+// conclude ends an attempt: it passes a whole answer on, or returns the
+// failure of one of which nothing was passed on.
+func (cl *call) conclude(rp reply, fa *relay.Failure) *relay.Failure {
+	if fa != nil && !cl.answered {
+		return fa
+	}
+	cl.out.Code = outcomeOf(rp, fa)
+	cl.release()
+	if fa != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if rp.whole {
+		cl.writeHead(rp)
+		_, _ = cl.w.Write(rp.body)
+	}
+	return nil
+}
+
+// writeHead writes the status and the headers of an answer.
+func (cl *call) writeHead(rp reply) {
+	cl.answered = true
+	hd := cl.w.Header()
+	for name, values := range rp.answer.Header {
+		hd[name] = values
+	}
+	for _, name := range []string{plat.HeaderState, plat.HeaderRefused, client.HeaderRetryAfter} {
+		hd.Del(name)
+	}
+	if _, ok := hd["Content-Type"]; !ok {
+		hd["Content-Type"] = nil // keeps the server from guessing one
+	}
+	if rp.answer.Length >= 0 && rp.answer.Status != http.StatusNoContent {
+		hd.Set("Content-Length", strconv.FormatInt(rp.answer.Length, 10))
+	}
+	if cl.sr.leaving.Load() {
+		hd.Set("Connection", "close")
+	}
+	setOutcome(hd, cl.id, rp.code, 0)
+	cl.w.WriteHeader(rp.answer.Status)
+}
+
+func outcomeOf(rp reply, fa *relay.Failure) codes.Code {
+	if fa != nil {
+		return fa.Code
+	}
+	return rp.code
+}
+
+func causeOf(fa *relay.Failure) string {
+	if fa == nil {
+		return ""
+	}
+	return fa.Error()
+}
+
+// failureOf returns the failure that reading an answer gave.
+func failureOf(err error) *relay.Failure {
+	var fa *relay.Failure
+	if errors.As(err, &fa) {
+		return fa
+	}
+	return &relay.Failure{Code: codes.AnswerBroken, Cause: relay.CauseBroken, Err: err}
+}
--- /dev/null
+++ b/internal/entry/routes.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+// routes returns the handler of the whole interface.
+func (sr *Server) routes() http.Handler {
+	rt := newRouter(sr)
+	handleServices(rt, sr.serveService)
+
+	rt.HandleFunc("/v1/jobs", sr.bounded(sr.submitJob)).Methods(http.MethodPost)
+	rt.HandleFunc("/v1/jobs", sr.bounded(sr.listJobs)).Methods(http.MethodGet)
+	rt.HandleFunc("/v1/jobs/{id}", sr.bounded(sr.getJob)).Methods(http.MethodGet)
+	rt.HandleFunc("/v1/jobs/{id}", sr.bounded(sr.cancelJob)).Methods(http.MethodDelete)
+
+	rt.HandleFunc("/v1/declarations", sr.bounded(sr.applyDeclarations)).Methods(http.MethodPut)
+	rt.HandleFunc("/v1/declarations", sr.bounded(sr.getDeclarations)).Methods(http.MethodGet)
+	rt.HandleFunc("/v1/declarations/check", sr.bounded(sr.checkDeclarations)).Methods(http.MethodPost)
+	rt.HandleFunc("/v1/status", sr.bounded(sr.getStatus)).Methods(http.MethodGet)
+	rt.HandleFunc("/v1/report", sr.bounded(sr.getReport)).Methods(http.MethodGet)
+
+	rt.HandleFunc("/healthz", sr.serveHealth).Methods(http.MethodGet, http.MethodHead)
+	rt.HandleFunc("/readyz", sr.serveReady).Methods(http.MethodGet, http.MethodHead)
+	rt.HandleFunc("/metrics", sr.serveMetrics).Methods(http.MethodGet)
+	return rt
+}
+
+// newRouter returns a router that answers with codes where nothing matches. It
+// leaves paths as they were sent.
+func newRouter(sr *Server) *mux.Router {
+	rt := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	rt.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		sr.writeError(w, sr.newID(), codes.New(codes.PathNotFound, ""))
+	})
+	rt.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		sr.writeError(w, sr.newID(), codes.New(codes.MethodNotAllowed, "%s", r.Method))
+	})
+	return rt
+}
+
+func handleServices(rt *mux.Router, fn http.HandlerFunc) {
+	rt.HandleFunc(pathServices+"{service}", fn)
+	rt.HandleFunc(pathServices+"{service}/{path:.*}", fn)
+}
+
+// serveHealth answers while the process lives.
+func (sr *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", typeText)
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+// serveReady answers whether the balancer may send callers here.
+func (sr *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case sr.leaving.Load():
+		sr.writeError(w, sr.newID(), codes.New(codes.Stopping, "the host is being stopped"))
+	case !sr.Ready():
+		sr.writeError(w, sr.newID(), codes.New(codes.NotReady, "the host has no declarations yet"))
+	default:
+		sr.serveHealth(w, nil)
+	}
+}
+
+func (sr *Server) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", typeText)
+	sr.metrics.write(w)
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -2,30 +2,328 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cicadawharf/cicadawharf/internal/peers"
+	"github.com/cicadawharf/cicadawharf/internal/relay"
 )
 
-// Server is the HTTP interface of one entry host.
-type Server struct {
-	cfg Config
-}
+type (
+	// Server is the HTTP interface of one entry host.
+	Server struct {
+		cfg     Config
+		start   time.Time
+		metrics *meters
+		handler http.Handler
+		spill   http.Handler
+
+		refreshing sync.Mutex
+		mu         sync.RWMutex
+		services   map[string]*service
+		hops       map[string]*relay.Pool // by the name of the other host
+		rnd        *rand.Rand             // guarded by mu
+
+		requests atomic.Uint64 // numbers the requests
+		reading  atomic.Int64  // bodies being read
+		buffered atomic.Int64  // bytes of bodies held
+		serving  atomic.Int64  // requests past their body
+		leaving  atomic.Bool   // not ready any more
+		work     workCount
+	}
+
+	// workCount counts what is in progress and can refuse more.
+	workCount struct {
+		mu      sync.Mutex
+		count   int
+		stopped bool
+		idle    chan struct{} // closed when stopped and nothing is in progress
+		halt    chan struct{} // closed when stopped
+	}
+)
+
+const (
+	refreshInterval = 200 * time.Millisecond
+	probeInterval   = 500 * time.Millisecond
+	idleTimeout     = 90 * time.Second // of a caller's connection
+	closeBound      = time.Second      // for answered connections to close
+	headerSlack     = 4                // past the bound, to answer with a code
+)
 
 // New returns a server that serves once Run is called.
-func New(cfg Config) *Server { return &Server{cfg: cfg} }
+func New(cfg Config) *Server {
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	sr := &Server{
+		cfg:      cfg,
+		start:    time.Now(),
+		metrics:  newMeters(),
+		services: make(map[string]*service),
+		hops:     make(map[string]*relay.Pool),
+		rnd:      rand.New(rand.NewPCG(cfg.Seed, 0)),
+		work:     workCount{idle: make(chan struct{}), halt: make(chan struct{})},
+	}
+	sr.handler = sr.routes()
+	sr.spill = sr.spillRoutes()
+	sr.metrics.watch(sr)
+	sr.refresh(time.Now())
+	return sr
+}
 
 // Handler returns the handler of callers, operators and the balancer.
-func (sr *Server) Handler() http.Handler { return http.NotFoundHandler() }
+func (sr *Server) Handler() http.Handler { return sr.handler }
 
 // SpillHandler returns the handler of requests that another zone's entry host
 // passes on. Such a request is never passed on again.
-func (sr *Server) SpillHandler() http.Handler { return http.NotFoundHandler() }
+func (sr *Server) SpillHandler() http.Handler { return sr.spill }
+
+// Ready tells whether the balancer may send callers here.
+func (sr *Server) Ready() bool {
+	de, _ := sr.cfg.Declarations()
+	return de != nil && !sr.leaving.Load()
+}
+
+// Leaving tells whether the host is being stopped.
+func (sr *Server) Leaving() bool { return sr.leaving.Load() }
 
 // LeavingEndpoints returns the names of endpoints that have told this host
 // that they are leaving.
-func (sr *Server) LeavingEndpoints() []string { return nil }
+func (sr *Server) LeavingEndpoints() []string {
+	sr.mu.RLock()
+	defer sr.mu.RUnlock()
+	var names []string
+	for _, sv := range sr.services {
+		names = append(names, sv.leavingEndpoints()...)
+	}
+	return names
+}
 
-// Run serves until ctx ends, then stops gracefully and returns nil.
+// Run serves until ctx ends, then stops gracefully and returns nil: it turns
+// unready, goes on serving for Stop.Delay, then refuses new work, and returns
+// when every request in progress has been answered or Stop.Bound has passed.
 func (sr *Server) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var loops sync.WaitGroup
+	defer loops.Wait()
+	defer cancel()
+	loops.Go(func() { sr.refreshLoop(background) })
+	loops.Go(func() { sr.probeLoop(background) })
+
+	failed := make(chan error, 2)
+	servers := []*http.Server{sr.serve(sr.cfg.Listener, sr.handler, failed)}
+	if sr.cfg.SpillListener != nil {
+		servers = append(servers, sr.serve(sr.cfg.SpillListener, sr.spill, failed))
+	}
+	var err error
+	select {
+	case <-ctx.Done():
+		sr.drain()
+	case err = <-failed:
+	}
+	for _, hs := range servers {
+		shutdown(hs)
+	}
+	sr.closePools()
+	return err
+}
+
+func (sr *Server) serve(ln net.Listener, handler http.Handler, failed chan<- error) *http.Server {
+	hs := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: sr.cfg.Limits.ReadTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerSlack * sr.cfg.Limits.HeaderBytes,
+		ErrorLog:          slog.NewLogLogger(sr.cfg.Log.Handler(), slog.LevelDebug),
+	}
+	go func() {
+		if err := hs.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			failed <- merry.Prependf(err, "serve on %v", ln.Addr())
+		}
+	}()
+	return hs
+}
+
+// drain stops taking work and waits for what is in progress. The listeners
+// stay open, so that late callers hear that the host is stopping.
+func (sr *Server) drain() {
+	sr.leaving.Store(true)
+	sr.cfg.Log.Info("not ready", "event", "stop", "delay", sr.cfg.Stop.Delay)
+	time.Sleep(sr.cfg.Stop.Delay)
+	sr.cfg.Log.Info("refusing new work", "event", "stop", "inProgress", sr.work.stop())
+	bound := time.NewTimer(sr.cfg.Stop.Bound)
+	defer bound.Stop()
+	select {
+	case <-sr.work.idle:
+		sr.cfg.Log.Info("every request finished", "event", "stop")
+	case <-bound.C:
+		sr.cfg.Log.Error("requests cut by the bound", "event", "stop", "bound", sr.cfg.Stop.Bound, "inProgress", sr.work.inProgress())
+	}
+}
+
+func shutdown(hs *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeBound)
+	defer cancel()
+	if hs.Shutdown(ctx) != nil {
+		_ = hs.Close()
+	}
+}
+
+func (sr *Server) refreshLoop(ctx context.Context) {
+	tick := time.NewTicker(refreshInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			sr.refresh(now)
+		}
+	}
+}
+
+func (sr *Server) probeLoop(ctx context.Context) {
+	tick := time.NewTicker(probeInterval)
+	defer tick.Stop()
+	for {
+		sr.mu.RLock()
+		for _, sv := range sr.services {
+			sv.probe(ctx)
+		}
+		sr.mu.RUnlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// refresh brings services, endpoints and members up to date.
+func (sr *Server) refresh(now time.Time) {
+	sr.refreshing.Lock()
+	defer sr.refreshing.Unlock()
+	de, _ := sr.cfg.Declarations()
+	if de == nil {
+		return
+	}
+	members := sr.members(now)
+	view := newZoneView(sr.cfg, de, members)
+	declared := make(map[string]bool, len(de.Services))
+	for _, sd := range de.Services {
+		declared[sd.Name] = true
+		sr.openService(sd.Name).refresh(now, sd, view)
+	}
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	for name, sv := range sr.services {
+		if !declared[name] {
+			sv.close()
+			sr.metrics.close(sv)
+			delete(sr.services, name)
+		}
+	}
+	sr.dropHops(members)
+}
+
+func (sr *Server) openService(name string) *service {
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	sv, ok := sr.services[name]
+	if !ok {
+		sv = newService(sr.cfg, name)
+		sr.services[name] = sv
+		sr.metrics.open(sv)
+	}
+	return sv
+}
+
+// service returns a declared service. One that was declared since the last
+// refresh is opened now.
+func (sr *Server) service(now time.Time, name string) *service {
+	if sv := sr.opened(name); sv != nil {
+		return sv
+	}
+	sr.refresh(now)
+	return sr.opened(name)
+}
+
+func (sr *Server) opened(name string) *service {
+	sr.mu.RLock()
+	defer sr.mu.RUnlock()
+	return sr.services[name]
+}
+
+func (sr *Server) members(now time.Time) []peers.Member {
+	if sr.cfg.Members == nil {
+		return nil
+	}
+	return sr.cfg.Members(now)
+}
+
+func (sr *Server) closePools() {
+	sr.mu.Lock()
+	defer sr.mu.Unlock()
+	for _, sv := range sr.services {
+		sv.close()
+	}
+	for _, po := range sr.hops {
+		po.Close()
+	}
+}
+
+// newID names a request: unique over hosts and their restarts.
+func (sr *Server) newID() string {
+	return fmt.Sprintf("%s-%x-%d", sr.cfg.Host, sr.start.UnixMicro(), sr.requests.Add(1))
+}
+
+// begin counts a piece of work, up to limit. It returns false when that many
+// are in progress, and stopped when none is taken any more.
+func (wc *workCount) begin(limit int) (ok, stopped bool) {
+	wc.mu.Lock()
+	defer wc.mu.Unlock()
+	if wc.stopped || wc.count >= limit {
+		return false, wc.stopped
+	}
+	wc.count++
+	return true, false
+}
+
+func (wc *workCount) end() {
+	wc.mu.Lock()
+	defer wc.mu.Unlock()
+	wc.count--
+	if wc.stopped && wc.count == 0 {
+		close(wc.idle)
+	}
+}
+
+// stop refuses further work and returns how much is in progress.
+func (wc *workCount) stop() int {
+	wc.mu.Lock()
+	defer wc.mu.Unlock()
+	if wc.stopped {
+		return wc.count
+	}
+	wc.stopped = true
+	close(wc.halt)
+	if wc.count == 0 {
+		close(wc.idle)
+	}
+	return wc.count
+}
+
+func (wc *workCount) inProgress() int {
+	wc.mu.Lock()
+	defer wc.mu.Unlock()
+	return wc.count
 }
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,339 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/admit"
+	"github.com/cicadawharf/cicadawharf/internal/peers"
+	"github.com/cicadawharf/cicadawharf/internal/plat"
+	"github.com/cicadawharf/cicadawharf/internal/relay"
+	"github.com/cicadawharf/cicadawharf/internal/route"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+type (
+	// service is the path of requests to the endpoints of one service.
+	service struct {
+		name string
+
+		mu      sync.Mutex
+		gate    *admit.Gate
+		table   *route.Table
+		budget  *route.Budget
+		waiters map[uint64]chan admit.Decision
+		tickets uint64
+		targets map[string]*target // by endpoint
+		rule    spec.Spill
+		zones   []route.Zone
+	}
+
+	// target is the way to one endpoint.
+	target struct {
+		address string
+		pool    *relay.Pool
+		probing atomic.Bool
+	}
+
+	// zoneView is what one refresh has seen.
+	zoneView struct {
+		declarations *spec.Declarations
+		endpoints    []plat.Host
+		leaving      map[string]bool // endpoints, by other hosts
+		hosts        []string        // live entry hosts of the own zone
+		zones        []route.Zone    // others
+	}
+)
+
+// queuePart is the part of a host's requests that may wait for one service.
+const queuePart = 2
+
+func newService(cfg Config, name string) *service {
+	return &service{
+		name: name,
+		gate: admit.New(admit.Config{
+			MaxQueue:  max(cfg.Limits.Requests/queuePart, 1),
+			QueueTime: cfg.Limits.QueueTime,
+			Seed:      cfg.Seed,
+		}),
+		table:   route.New(route.Config{Host: cfg.Host, Seed: cfg.Seed}),
+		budget:  route.NewBudget(),
+		waiters: make(map[uint64]chan admit.Decision),
+		targets: make(map[string]*target),
+	}
+}
+
+func newZoneView(cfg Config, de *spec.Declarations, members []peers.Member) zoneView {
+	vw := zoneView{declarations: de, leaving: make(map[string]bool)}
+	if cfg.Endpoints != nil {
+		vw.endpoints = cfg.Endpoints()
+	}
+	if cfg.PeerLeaving != nil {
+		for _, name := range cfg.PeerLeaving() {
+			vw.leaving[name] = true
+		}
+	}
+	others := make(map[string][]string)
+	for _, me := range members {
+		switch {
+		case !me.Alive || me.Leaving || me.Name == cfg.Host:
+		case me.Zone == cfg.Zone:
+			vw.hosts = append(vw.hosts, me.Name)
+		case me.Ready:
+			others[me.Zone] = append(others[me.Zone], me.Name)
+		}
+	}
+	for _, zn := range de.Zones {
+		if hosts := others[zn.Name]; len(hosts) > 0 {
+			vw.zones = append(vw.zones, route.Zone{Name: zn.Name, Region: zn.Region, Hosts: hosts})
+		}
+	}
+	return vw
+}
+
+func (sv *service) refresh(now time.Time, sd spec.Service, vw zoneView) {
+	var endpoints []route.Endpoint
+	for _, ho := range vw.endpoints {
+		if ho.Service == sd.Name {
+			endpoints = append(endpoints, route.Endpoint{
+				Name: ho.Name, Address: ho.Address, Slots: sd.Slots, Connections: sd.Connections,
+				Leaving: ho.State == plat.StateLeaving || vw.leaving[ho.Name],
+			})
+		}
+	}
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.rule, sv.zones = sd.Spill, vw.zones
+	sv.table.Update(endpoints, vw.hosts)
+	sv.updateTargets(endpoints)
+	sv.gate.SetShares(sv.shares(now, vw.declarations))
+	sv.resize(now)
+	sv.dispatch(sv.gate.Expire(now))
+}
+
+// shares returns the guarantees of the workspaces on this host: its part of
+// the zone's slots.
+func (sv *service) shares(now time.Time, de *spec.Declarations) []admit.Share {
+	part := 0.0
+	if all := sv.table.Slots(); all > 0 {
+		part = float64(sv.table.Usable(now)) / float64(all)
+	}
+	var shares []admit.Share
+	for _, ws := range de.Workspaces {
+		if us, ok := ws.Use(sv.name); ok {
+			shares = append(shares, admit.Share{Workspace: ws.Name, Slots: part * float64(us.Slots), Weight: ws.Weight})
+		}
+	}
+	return shares
+}
+
+func (sv *service) updateTargets(endpoints []route.Endpoint) {
+	kept := make(map[string]*target, len(endpoints))
+	for _, ep := range endpoints {
+		tg, ok := sv.targets[ep.Name]
+		if !ok || tg.address != ep.Address {
+			tg = &target{address: ep.Address, pool: relay.NewPool(relay.Config{Address: ep.Address})}
+		} else {
+			delete(sv.targets, ep.Name)
+		}
+		tg.pool.SetConnections(sv.table.Connections(ep.Name))
+		kept[ep.Name] = tg
+	}
+	for _, tg := range sv.targets {
+		tg.pool.Close()
+	}
+	sv.targets = kept
+}
+
+func (sv *service) close() {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	for _, tg := range sv.targets {
+		tg.pool.Close()
+	}
+}
+
+func (sv *service) leavingEndpoints() []string {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.table.Leaving()
+}
+
+// usable returns the slots that new requests can use, and whom to ask in
+// other zones if there are none.
+func (sv *service) usable(now time.Time) int {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.table.Usable(now)
+}
+
+// admit waits for a slot. The ticket returned must be finished.
+func (sv *service) admit(ctx context.Context, ti admit.Ticket) (admit.Admit, *codes.Error) {
+	sv.mu.Lock()
+	sv.tickets++
+	ti.ID = sv.tickets
+	ds := sv.gate.Offer(time.Now(), ti)
+	var ready chan admit.Decision
+	if _, ok := ds[0].(admit.Wait); ok {
+		ready = make(chan admit.Decision, 1)
+		sv.waiters[ti.ID] = ready
+	}
+	sv.dispatch(ds[1:])
+	sv.mu.Unlock()
+	switch de := ds[0].(type) {
+	case admit.Wait:
+		return sv.await(ctx, de, ready)
+	default:
+		return settled(de)
+	}
+}
+
+// await returns the decision on a waiting ticket.
+func (sv *service) await(ctx context.Context, wt admit.Wait, ready chan admit.Decision) (admit.Admit, *codes.Error) {
+	timer := time.NewTimer(time.Until(wt.Until))
+	defer timer.Stop()
+	for {
+		select {
+		case de := <-ready:
+			return settled(de)
+		case <-timer.C:
+			sv.mu.Lock()
+			sv.dispatch(sv.gate.Expire(time.Now()))
+			sv.mu.Unlock()
+			timer.Reset(time.Millisecond)
+		case <-ctx.Done():
+			return sv.withdraw(ctx, wt, ready)
+		}
+	}
+}
+
+func (sv *service) withdraw(ctx context.Context, wt admit.Wait, ready chan admit.Decision) (admit.Admit, *codes.Error) {
+	sv.mu.Lock()
+	withdrawn := sv.gate.Withdraw(wt.ID)
+	delete(sv.waiters, wt.ID)
+	sv.mu.Unlock()
+	if !withdrawn {
+		if de, ok := (<-ready).(admit.Admit); ok {
+			sv.finish(de)
+		}
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return admit.Admit{}, codes.New(codes.DeadlinePassed, "the deadline passed in the queue")
+	}
+	return admit.Admit{}, codes.New(codes.CallerGone, "")
+}
+
+// settled returns the result of a decision that is final.
+func settled(de admit.Decision) (admit.Admit, *codes.Error) {
+	switch de := de.(type) {
+	case admit.Admit:
+		return de, nil
+	case admit.Refuse:
+		return admit.Admit{}, de.Err
+	default:
+		return admit.Admit{}, codes.New(codes.InternalFailure, "decision %T", de)
+	}
+}
+
+// dispatch tells the waiting requests of decisions. The lock is held.
+func (sv *service) dispatch(ds []admit.Decision) {
+	for _, de := range ds {
+		id := de.Of().ID
+		if ready, ok := sv.waiters[id]; ok {
+			ready <- de
+			delete(sv.waiters, id)
+		}
+	}
+}
+
+// finish returns the slot of an admitted request.
+func (sv *service) finish(ad admit.Admit) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.dispatch(sv.gate.Finish(time.Now(), ad.ID))
+}
+
+// resize follows the slots that can be used. The lock is held.
+func (sv *service) resize(now time.Time) {
+	if slots := sv.table.Capacity(now); slots != sv.gate.Capacity() {
+		sv.dispatch(sv.gate.Resize(now, slots))
+	}
+}
+
+// pick chooses the endpoint of an attempt. Each choice must be given back
+// through done.
+func (sv *service) pick(tried []string) (route.Choice, *relay.Pool) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	now := time.Now()
+	choice := sv.table.Pick(now, tried)
+	ch, ok := choice.(route.Chosen)
+	if !ok {
+		return choice, nil
+	}
+	return ch, sv.targets[ch.Endpoint.Name].pool
+}
+
+// done gives back the slot at an endpoint and enters what was seen there.
+func (sv *service) done(endpoint string, evs ...route.Evidence) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	now := time.Now()
+	sv.table.Done(now, endpoint, evs[0])
+	for _, ev := range evs[1:] {
+		sv.table.Probed(now, endpoint, ev)
+	}
+	sv.resize(now)
+}
+
+// firstAttempt enters an attempt that is not a repetition.
+func (sv *service) firstAttempt() {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.budget.First()
+}
+
+// spendRepeat tells whether the budget permits a repetition.
+func (sv *service) spendRepeat() bool {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.budget.Spend()
+}
+
+// probe begins a probe of each endpoint that is not being probed.
+func (sv *service) probe(ctx context.Context) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	for name, tg := range sv.targets {
+		if tg.probing.CompareAndSwap(false, true) {
+			go func() {
+				defer tg.probing.Store(false)
+				sv.probed(ctx, name, tg.pool.Probe(ctx))
+			}()
+		}
+	}
+}
+
+func (sv *service) probed(ctx context.Context, endpoint string, he relay.Health) {
+	if ctx.Err() != nil {
+		return
+	}
+	var ev route.Evidence = route.Reachable{}
+	switch {
+	case !he.Reachable:
+		ev = route.Unreachable{}
+	case he.Leaving:
+		ev = route.Leaves{}
+	case he.Stated:
+		ev = route.Live{}
+	}
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	now := time.Now()
+	sv.table.Probed(now, endpoint, ev)
+	sv.resize(now)
+}
--- /dev/null
+++ b/internal/relay/dial_other.go
@@ -0,0 +1,9 @@
+//go:build !linux
+
+package relay
+
+import "syscall"
+
+// setUserTimeout does nothing where the option does not exist; keep-alive and
+// write time-outs remain.
+func setUserTimeout(_, _ string, _ syscall.RawConn) error { return nil }
--- /dev/null
+++ b/internal/relay/failure.go
@@ -0,0 +1,115 @@
+package relay
+
+import (
+	"context"
+	"errors"
+
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+type (
+	// Cause says why an attempt has no answer.
+	Cause uint8
+
+	// Failure is an attempt without a whole answer.
+	Failure struct {
+		Code  codes.Code
+		Cause Cause
+		Err   error // what failed below; may be nil
+	}
+)
+
+// The causes. Up to CauseUnsent the request did not run.
+const (
+	CauseDial        Cause = iota + 1 // the endpoint can't be reached
+	CauseConnections                  // every permitted connection is in use
+	CauseBusy                         // the endpoint refused for want of a slot
+	CauseLeaving                      // the endpoint refused because it leaves
+	CauseUnsent                       // the connection failed before the first byte
+	CauseLost                         // the connection failed before an answer
+	CauseBroken                       // the answer ended early
+	CauseMismatch                     // the answer belongs to another request
+	CauseDeadline                     // the deadline passed
+	CauseCaller                       // the caller has gone
+)
+
+var causeCodes = [...]codes.Code{
+	CauseDial:        codes.NoEndpoint,
+	CauseConnections: codes.EndpointBusy,
+	CauseBusy:        codes.EndpointBusy,
+	CauseLeaving:     codes.NoEndpoint,
+	CauseUnsent:      codes.NoEndpoint,
+	CauseLost:        codes.OutcomeUnknown,
+	CauseBroken:      codes.AnswerBroken,
+	CauseMismatch:    codes.OutcomeUnknown,
+	CauseDeadline:    codes.DeadlineInFlight,
+	CauseCaller:      codes.CallerLeft,
+}
+
+var causeNames = [...]string{
+	CauseDial:        "dial",
+	CauseConnections: "connections",
+	CauseBusy:        "busy",
+	CauseLeaving:     "leaving",
+	CauseUnsent:      "unsent",
+	CauseLost:        "lost",
+	CauseBroken:      "broken",
+	CauseMismatch:    "mismatch",
+	CauseDeadline:    "deadline",
+	CauseCaller:      "caller",
+}
+
+// String returns the name of the cause in the log.
+func (ca Cause) String() string {
+	if int(ca) < len(causeNames) && ca != 0 {
+		return causeNames[ca]
+	}
+	return "none"
+}
+
+// Error implements error.
+func (fa *Failure) Error() string {
+	if fa.Err == nil {
+		return fa.Cause.String()
+	}
+	return fa.Cause.String() + ": " + fa.Err.Error()
+}
+
+// Unwrap returns what failed below.
+func (fa *Failure) Unwrap() error { return fa.Err }
+
+func newFailure(ca Cause, err error) *Failure {
+	return &Failure{Code: causeCodes[ca], Cause: ca, Err: err}
+}
+
+// unsent returns the failure of a request of which no byte was sent.
+func unsent(ctx context.Context, ca Cause, err error) *Failure {
+	switch ended := ctx.Err(); {
+	case errors.Is(ended, context.DeadlineExceeded):
+		return &Failure{Code: codes.DeadlinePassed, Cause: CauseDeadline, Err: err}
+	case ended != nil:
+		return &Failure{Code: codes.CallerGone, Cause: CauseCaller, Err: err}
+	}
+	return newFailure(ca, err)
+}
+
+// sent returns the failure of a request that may have reached the endpoint.
+func sent(ctx context.Context, ca Cause, err error) *Failure {
+	switch ended := ctx.Err(); {
+	case errors.Is(ended, context.DeadlineExceeded):
+		return newFailure(CauseDeadline, err)
+	case ended != nil:
+		return newFailure(CauseCaller, err)
+	}
+	return newFailure(ca, err)
+}
+
+// broken returns the failure of an answer that ended early. The endpoint has
+// run the request, whatever ended the answer, unless it was the caller.
+func broken(ctx context.Context, err error) *Failure {
+	fa := sent(ctx, CauseBroken, err)
+	if fa.Cause == CauseDeadline {
+		fa.Code = codes.AnswerBroken
+	}
+	return fa
+}
--- /dev/null
+++ b/internal/relay/pool.go
@@ -0,0 +1,169 @@
+// Package relay sends requests to one endpoint and brings its answers back,
+// over net/http's Transport.
+//
+// The Transport repeats a request by itself when a reused connection fails
+// under it. No request may be repeated behind the back of the retry policy, so
+// each connection gets a Transport of its own that can't open another one: a
+// repetition finds no connection and fails. Whether a request was sent is read
+// off the connection, which counts the bytes it was given: a request has not
+// run only if no byte was, or if the endpoint says so.
+//
+// A request that may not be repeated goes on a connection that has answered
+// within Config.FreshFor, or on a new one. Idle connections are probed, so that
+// one that has gone silent is found before a request rides on it, and writes
+// are bounded. In flight, TCP keep-alive and user time-outs find lost peers.
+package relay
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+)
+
+type (
+	// Config says how to reach one endpoint. Zero durations stand for the
+	// defaults.
+	Config struct {
+		Address      string
+		Dial         func(ctx context.Context, address string) (net.Conn, error) // nil for TCP
+		DialTimeout  time.Duration
+		WriteTimeout time.Duration // for each part of a request to be taken
+		ProbeTimeout time.Duration
+		FreshFor     time.Duration // after an answer, for requests that may not be repeated
+		IdleFor      time.Duration // since the last request, before a connection is closed
+		Connections  int           // open at a time
+	}
+
+	// Pool holds the connections to one endpoint.
+	Pool struct {
+		cfg    Config
+		mu     sync.Mutex
+		idle   []*link // the most recently used one last
+		open   int
+		limit  int
+		closed bool
+	}
+)
+
+// The defaults of Config.
+const (
+	DefaultDialTimeout  = 700 * time.Millisecond
+	DefaultWriteTimeout = 1500 * time.Millisecond
+	DefaultProbeTimeout = 700 * time.Millisecond
+	DefaultFreshFor     = time.Second
+	DefaultIdleFor      = 10 * time.Second
+
+	// repeatableFreshFor is how long ago an idle connection may have answered
+	// to be used for a request that may be repeated.
+	repeatableFreshFor = 2 * time.Second
+)
+
+// NewPool returns a pool without connections.
+func NewPool(cfg Config) *Pool {
+	setDefault(&cfg.DialTimeout, DefaultDialTimeout)
+	setDefault(&cfg.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&cfg.ProbeTimeout, DefaultProbeTimeout)
+	setDefault(&cfg.FreshFor, DefaultFreshFor)
+	setDefault(&cfg.IdleFor, DefaultIdleFor)
+	if cfg.Dial == nil {
+		cfg.Dial = dialTCP
+	}
+	return &Pool{cfg: cfg, limit: max(cfg.Connections, 1)}
+}
+
+// SetConnections changes how many connections may be open. Those past the
+// bound are closed when their request ends.
+func (po *Pool) SetConnections(limit int) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.limit = max(limit, 1)
+}
+
+// Close closes the idle connections, and the others when their requests end.
+func (po *Pool) Close() {
+	po.mu.Lock()
+	idle := po.idle
+	po.idle = nil
+	po.closed = true
+	po.open -= len(idle)
+	po.mu.Unlock()
+	for _, li := range idle {
+		li.close()
+	}
+}
+
+// Open returns the number of open connections.
+func (po *Pool) Open() int {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	return po.open
+}
+
+// take returns a connection that has answered within fresh, or a new one.
+func (po *Pool) take(ctx context.Context, fresh time.Duration) (*link, *Failure) {
+	po.mu.Lock()
+	now := time.Now()
+	if n := len(po.idle); n > 0 && now.Sub(po.idle[n-1].answered) <= fresh {
+		li := po.idle[n-1]
+		po.idle = po.idle[:n-1]
+		po.mu.Unlock()
+		return li, nil
+	}
+	var stale *link
+	if po.open >= po.limit && len(po.idle) > 0 {
+		stale = po.idle[0]
+		po.idle = slices.Delete(po.idle, 0, 1)
+		po.open--
+	}
+	if po.open >= po.limit {
+		po.mu.Unlock()
+		return nil, newFailure(CauseConnections, nil)
+	}
+	po.open++
+	po.mu.Unlock()
+	if stale != nil {
+		stale.close()
+	}
+	return po.dial(ctx)
+}
+
+func (po *Pool) dial(ctx context.Context) (*link, *Failure) {
+	dctx, cancel := context.WithTimeout(ctx, po.cfg.DialTimeout)
+	defer cancel()
+	cn, err := po.cfg.Dial(dctx, po.cfg.Address)
+	if err != nil {
+		po.drop(nil)
+		return nil, unsent(ctx, CauseDial, err)
+	}
+	return newLink(cn, po.cfg), nil
+}
+
+// put returns a connection that has just answered, for another request.
+func (po *Pool) put(li *link) {
+	po.mu.Lock()
+	if po.closed || po.open > po.limit {
+		po.mu.Unlock()
+		po.drop(li)
+		return
+	}
+	po.idle = append(po.idle, li)
+	po.mu.Unlock()
+}
+
+// drop closes a connection for good; nil stands for one that never opened.
+func (po *Pool) drop(li *link) {
+	if li != nil {
+		li.close()
+	}
+	po.mu.Lock()
+	po.open--
+	po.mu.Unlock()
+}
+
+func setDefault(du *time.Duration, value time.Duration) {
+	if *du == 0 {
+		*du = value
+	}
+}
--- /dev/null
+++ b/internal/relay/probe.go
@@ -0,0 +1,88 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/plat"
+)
+
+// Health is what a probe has found out about an endpoint.
+type Health struct {
+	Reachable bool
+	Stated    bool // the endpoint said where it stands
+	Leaving   bool
+}
+
+// probeAfter is how long ago an idle connection has answered when it is
+// probed.
+const probeAfter = 400 * time.Millisecond
+
+// Probe asks the endpoint on each idle connection that has not answered
+// lately and closes those that stay silent. If none answers, it asks on a new
+// connection, which decides.
+func (po *Pool) Probe(ctx context.Context) Health {
+	links := po.doubtful(time.Now())
+	found := make([]Health, len(links))
+	var wg sync.WaitGroup
+	for i, li := range links {
+		wg.Go(func() { found[i] = po.ask(ctx, li) })
+	}
+	wg.Wait()
+	for _, he := range found {
+		if he.Reachable {
+			return he
+		}
+	}
+	li, fa := po.take(ctx, probeAfter)
+	if fa != nil {
+		// With every connection busy there is no doubt to be settled.
+		return Health{Reachable: fa.Cause == CauseConnections}
+	}
+	return po.ask(ctx, li)
+}
+
+// doubtful takes the idle connections that are to be probed and closes those
+// that no request has used for long, but for one.
+func (po *Pool) doubtful(now time.Time) []*link {
+	po.mu.Lock()
+	var doubt, fresh, unused []*link
+	for i, li := range po.idle {
+		last := i == len(po.idle)-1
+		switch {
+		case now.Sub(li.used) > po.cfg.IdleFor && !last:
+			unused = append(unused, li)
+		case now.Sub(li.answered) >= probeAfter:
+			doubt = append(doubt, li)
+		default:
+			fresh = append(fresh, li)
+		}
+	}
+	po.idle = fresh
+	po.mu.Unlock()
+	for _, li := range unused {
+		po.drop(li)
+	}
+	return doubt
+}
+
+// ask sends a probe on a connection that it owns.
+func (po *Pool) ask(ctx context.Context, li *link) Health {
+	ctx, cancel := context.WithTimeout(ctx, po.cfg.ProbeTimeout)
+	defer cancel()
+	an, fa := po.exchange(ctx, li, Request{
+		ID: "probe", Method: http.MethodGet, Target: plat.ProbePath, Host: po.cfg.Address,
+		Header: http.Header{}, Repeatable: true,
+	})
+	if fa != nil {
+		return Health{}
+	}
+	defer an.Close()
+	if _, err := io.Copy(io.Discard, an); err != nil {
+		return Health{}
+	}
+	return Health{Reachable: an.Status == http.StatusOK, Stated: an.Stated, Leaving: an.Leaving}
+}
--- /dev/null
+++ b/internal/relay/send.go
@@ -0,0 +1,208 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/plat"
+)
+
+type (
+	// Request is one request for an endpoint. Header is not changed.
+	Request struct {
+		ID         string // sent along; an answer with another one is refused
+		Method     string
+		Target     string // path and query as on the request line
+		Host       string
+		Header     http.Header
+		Body       []byte
+		Repeatable bool
+	}
+
+	// Answer is the answer of an endpoint. Its Body must be closed.
+	Answer struct {
+		Status  int
+		Header  http.Header // without those of the connection
+		Length  int64       // of the body; negative if not known
+		Leaving bool        // the endpoint says that it leaves
+		Stated  bool        // the endpoint says where it stands
+
+		ctx  context.Context
+		po   *Pool
+		li   *link
+		body io.ReadCloser
+		keep bool  // the connection can be used again after the whole body
+		read int64 // bytes of the body
+		err  error
+	}
+)
+
+const (
+	refusalBody = 4 << 10 // bytes that are read of a refusal's body
+	maxStatus   = 999
+)
+
+// errDelimited is the failure of an answer whose end can't be told from a cut.
+var errDelimited = errors.New("the answer has neither length nor chunks")
+
+// Send sends a request once and returns the beginning of the answer. It fails
+// with a Failure, whose class of code says whether the request ran.
+func (po *Pool) Send(ctx context.Context, rq Request) (*Answer, *Failure) {
+	fresh := po.cfg.FreshFor
+	if rq.Repeatable {
+		fresh = max(fresh, repeatableFreshFor)
+	}
+	li, fa := po.take(ctx, fresh)
+	if fa != nil {
+		return nil, fa
+	}
+	li.used = time.Now()
+	return po.exchange(ctx, li, rq)
+}
+
+// exchange sends a request on a connection that it owns.
+func (po *Pool) exchange(ctx context.Context, li *link, rq Request) (*Answer, *Failure) {
+	before := li.cn.offered.Load()
+	rs, err := li.tr.RoundTrip(rq.toHTTP(ctx, po.cfg.Address))
+	if err != nil {
+		po.drop(li)
+		if li.cn.offered.Load() == before {
+			return nil, unsent(ctx, CauseUnsent, err)
+		}
+		return nil, sent(ctx, CauseLost, err)
+	}
+	an := &Answer{
+		Status:  rs.StatusCode,
+		Header:  endToEnd(rs.Header),
+		Length:  rs.ContentLength,
+		Leaving: rs.Header.Get(plat.HeaderState) == string(plat.StateLeaving),
+		Stated:  rs.Header.Get(plat.HeaderState) != "",
+		ctx:     ctx, po: po, li: li, body: rs.Body,
+		keep: !rs.Close,
+	}
+	return an.check(rq, rs)
+}
+
+// check turns answers that are none into failures.
+func (an *Answer) check(rq Request, rs *http.Response) (*Answer, *Failure) {
+	refused := rs.Header.Get(plat.HeaderRefused)
+	switch id := rs.Header.Get(plat.HeaderRequest); {
+	case id != "" && id != rq.ID:
+		an.fail(errSpent)
+		return nil, newFailure(CauseMismatch, errors.New("the answer names request "+id))
+	case refused != "" && an.Status == http.StatusServiceUnavailable:
+		_, _ = io.CopyN(io.Discard, an, refusalBody)
+		an.Close()
+		if refused == plat.RefusedLeaving {
+			return nil, newFailure(CauseLeaving, nil)
+		}
+		return nil, newFailure(CauseBusy, nil)
+	case an.Status < http.StatusOK, an.Status > maxStatus, delimited(rq, rs):
+		an.fail(errDelimited)
+		return nil, newFailure(CauseBroken, errDelimited)
+	}
+	return an, nil
+}
+
+// Read implements io.Reader for the body. It returns io.EOF only after the
+// whole body, and a *Failure if the answer ends early.
+func (an *Answer) Read(p []byte) (int, error) {
+	if an.err != nil {
+		return 0, an.err
+	}
+	n, err := an.body.Read(p)
+	an.read += int64(n)
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
+		an.finish()
+	default:
+		an.fail(broken(an.ctx, err))
+	}
+	return n, an.err
+}
+
+// Received returns the size of the answer as far as it has been read.
+func (an *Answer) Received() int64 {
+	size := an.read
+	for name, values := range an.Header {
+		for _, value := range values {
+			size += int64(len(name) + len(value))
+		}
+	}
+	return size
+}
+
+// Close gives the connection back if the whole body was read, and closes it
+// otherwise.
+func (an *Answer) Close() {
+	if an.err == nil {
+		an.fail(errClosed)
+	}
+}
+
+// finish ends the answer after its whole body.
+func (an *Answer) finish() {
+	an.err = io.EOF
+	_ = an.body.Close()
+	an.li.answered = time.Now()
+	if an.keep {
+		an.po.put(an.li)
+	} else {
+		an.po.drop(an.li)
+	}
+}
+
+func (an *Answer) fail(err error) {
+	an.err = err
+	an.po.drop(an.li)
+	_ = an.body.Close()
+}
+
+// toHTTP returns the request for the Transport. It names no GetBody.
+func (rq Request) toHTTP(ctx context.Context, address string) *http.Request {
+	hd := endToEnd(rq.Header)
+	hd.Set(plat.HeaderRequest, rq.ID)
+	if _, ok := hd["User-Agent"]; !ok {
+		hd["User-Agent"] = nil // keeps the Transport from adding its own
+	}
+	hr := &http.Request{
+		Method: rq.Method,
+		URL:    targetURL(address, rq.Target),
+		Host:   rq.Host,
+		Header: hd,
+	}
+	if len(rq.Body) > 0 {
+		hr.Body = io.NopCloser(bytes.NewReader(rq.Body))
+		hr.ContentLength = int64(len(rq.Body))
+	}
+	return hr.WithContext(ctx)
+}
+
+// targetURL returns the URL that gives the same request line again.
+func targetURL(address, target string) *url.URL {
+	raw, query, asked := strings.Cut(target, "?")
+	path, err := url.PathUnescape(raw)
+	if err != nil {
+		path = raw
+	}
+	return &url.URL{
+		Scheme: "http", Host: address, Path: path, RawPath: raw,
+		RawQuery: query, ForceQuery: asked && query == "",
+	}
+}
+
+// delimited tells whether the end of the body is the end of the connection,
+// which looks the same as a cut.
+func delimited(rq Request, rs *http.Response) bool {
+	if rq.Method == http.MethodHead || rs.StatusCode == http.StatusNoContent || rs.StatusCode == http.StatusNotModified {
+		return false
+	}
+	return rs.ContentLength < 0 && len(rs.TransferEncoding) == 0
+}
