Accept declarations by compare-and-swap and follow them

Nothing accepted a file or told hosts of it. Apply replaces one manifest against the revision that the operator saw and settles lost answers by an identifier that later manifests carry on; a retry without that was ruled out, as it would report a conflict for a file that stood. Chunks belong to one call, since shared ones could be deleted under a racing operator. A follower learns by watch, polls and peers, takes larger revisions only, and writes the declarations back into a store that was restored from an older copy.

--- /dev/null
+++ b/internal/conf/chunks.go
@@ -0,0 +1,87 @@
+package conf
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/google/uuid"
+
+	"github.com/cicadawharf/cicadawharf/internal/store"
+)
+
+// orphanAge is how long after its call began a chunk may still be waiting for
+// its manifest.
+const orphanAge = time.Hour
+
+// load returns the content of a manifest.
+func load(ctx context.Context, st store.Store, mf manifest) ([]byte, error) {
+	content := mf.Content
+	if len(mf.Chunks) > 0 {
+		var buf bytes.Buffer
+		for _, dg := range mf.Chunks {
+			ent, _, err := st.Get(ctx, chunkKey(mf.Apply, dg))
+			if err != nil {
+				return nil, err
+			}
+			buf.Write(ent.Value)
+		}
+		content = buf.Bytes()
+	}
+	if digest(content) != mf.Digest {
+		return nil, merry.Errorf("content of revision %d does not have its digest", mf.Revision)
+	}
+	return content, nil
+}
+
+// deleteChunks deletes the chunks of a manifest that is not in force, as far
+// as the store answers. What is left over is deleted by a later sweep.
+func (ap applier) deleteChunks(ctx context.Context, mf manifest) {
+	for _, dg := range mf.Chunks {
+		key := chunkKey(mf.Apply, dg)
+		ent, _, err := ap.st.Get(ctx, key)
+		if err != nil {
+			return
+		}
+		if ent.Revision == 0 {
+			continue
+		}
+		if _, err := ap.st.Swap(ctx, store.SwapRequest{Key: key, Expect: ent.Revision}); err != nil {
+			return
+		}
+	}
+}
+
+// sweep deletes the chunks that calls long past have left without a manifest.
+// It is only worth its calls when the content in force has chunks itself.
+func (ap applier) sweep(ctx context.Context, inForce manifest) {
+	if len(inForce.Chunks) == 0 {
+		return
+	}
+	ents, _, err := ap.st.List(ctx, chunkPrefix)
+	if err != nil {
+		return
+	}
+	for _, ent := range ents {
+		if !ap.orphan(ent.Key, inForce) {
+			continue
+		}
+		if _, err := ap.st.Swap(ctx, store.SwapRequest{Key: ent.Key, Expect: ent.Revision}); err != nil {
+			return
+		}
+	}
+}
+
+// orphan tells whether a chunk can't belong to a manifest in force, now or
+// soon: its call began long ago.
+func (ap applier) orphan(key string, inForce manifest) bool {
+	apply, _, _ := strings.Cut(strings.TrimPrefix(key, chunkPrefix), "/")
+	id, err := uuid.Parse(apply)
+	if err != nil || apply == inForce.Apply {
+		return false
+	}
+	began := time.Unix(id.Time().UnixTime())
+	return ap.now.Sub(began) > orphanAge
+}
--- /dev/null
+++ b/internal/conf/follow.go
@@ -0,0 +1,163 @@
+package conf
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cicadawharf/cicadawharf/internal/store"
+)
+
+type (
+	// FollowerConfig says where a Follower learns of declarations.
+	FollowerConfig struct {
+		Store store.Store
+
+		// Peers asks the other hosts for declarations that are newer than a
+		// revision; nil, nil if they have none. It is asked often, so it
+		// should make no call while their heartbeats show nothing newer. The
+		// field may be nil.
+		Peers func(ctx context.Context, revision int64) (*Current, error)
+
+		PollEvery time.Duration // between reads of the store, on average
+		Log       *slog.Logger
+		Seed      uint64 // of the jitter
+	}
+
+	// Follower keeps the declarations in force on one host. It learns of
+	// newer ones by a watch, by slow polls, as a watch can go silent, and
+	// from other hosts. It is safe for concurrent use.
+	Follower struct {
+		st        store.Store
+		peers     func(ctx context.Context, revision int64) (*Current, error)
+		pollEvery time.Duration
+		log       *slog.Logger
+		current   atomic.Pointer[Current]
+		storeUp   atomic.Bool
+
+		mu       sync.Mutex
+		rnd      *rand.Rand
+		changed  chan struct{}
+		endWatch context.CancelFunc // of the watch that is open
+	}
+)
+
+const (
+	defaultPollEvery = 10 * time.Second
+
+	// peersEvery is between two questions to the other hosts. With their
+	// heartbeats it bounds how long a host without the store is behind.
+	peersEvery = 500 * time.Millisecond
+
+	minWatchPause = 200 * time.Millisecond
+	maxWatchPause = 3 * time.Second
+
+	// callBound is for one look at the store or the other hosts.
+	callBound = 5 * time.Second
+)
+
+// NewFollower returns a Follower that has no declarations yet.
+func NewFollower(cf FollowerConfig) *Follower {
+	fo := &Follower{
+		st: cf.Store, peers: cf.Peers, pollEvery: cf.PollEvery, log: cf.Log,
+		rnd:     rand.New(rand.NewPCG(cf.Seed, cf.Seed)),
+		changed: make(chan struct{}),
+	}
+	if fo.pollEvery <= 0 {
+		fo.pollEvery = defaultPollEvery
+	}
+	if fo.log == nil {
+		fo.log = slog.New(slog.DiscardHandler)
+	}
+	return fo
+}
+
+// Current returns the declarations in force, nil before the first. It costs an
+// atomic load.
+func (fo *Follower) Current() *Current { return fo.current.Load() }
+
+// Revision returns the revision in force, zero before the first.
+func (fo *Follower) Revision() int64 {
+	if cur := fo.Current(); cur != nil {
+		return cur.Revision
+	}
+	return 0
+}
+
+// StoreUp tells whether the store answered when it was last asked.
+func (fo *Follower) StoreUp() bool { return fo.storeUp.Load() }
+
+// Changed returns a channel that is closed at the next change.
+func (fo *Follower) Changed() <-chan struct{} {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return fo.changed
+}
+
+// Adopt puts declarations in force on this host if their revision is larger
+// than that of those in force, and tells whether it did.
+func (fo *Follower) Adopt(now time.Time, cur Current) bool {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if cur.Revision <= fo.Revision() {
+		return false
+	}
+	fo.current.Store(&cur)
+	close(fo.changed)
+	fo.changed = make(chan struct{})
+	fo.log.Info("declarations in force", "revision", cur.Revision, "appliedBy", cur.AppliedBy, "delay", now.Sub(cur.AppliedAt))
+	return true
+}
+
+// Run follows until ctx ends.
+func (fo *Follower) Run(ctx context.Context) error {
+	eg, ctx := errgroup.WithContext(ctx)
+	eg.Go(func() error { fo.watchLoop(ctx); return nil })
+	eg.Go(func() error { fo.pollLoop(ctx); return nil })
+	if fo.peers != nil {
+		eg.Go(func() error { fo.peerLoop(ctx); return nil })
+	}
+	return eg.Wait()
+}
+
+func (fo *Follower) peerLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		fo.askPeers(ctx)
+		fo.pause(ctx, peersEvery)
+	}
+}
+
+func (fo *Follower) askPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callBound)
+	defer cancel()
+	cur, err := fo.peers(ctx, fo.Revision())
+	if err != nil {
+		fo.log.Debug("peers gave no declarations", "error", err)
+		return
+	}
+	if cur != nil {
+		fo.Adopt(time.Now(), *cur)
+	}
+}
+
+// jitter returns a time between three and five quarters of mean.
+func (fo *Follower) jitter(mean time.Duration) time.Duration {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return mean*3/4 + time.Duration(fo.rnd.Int64N(int64(mean/2)+1))
+}
+
+// pause waits about as long as mean, or until ctx ends.
+func (fo *Follower) pause(ctx context.Context, mean time.Duration) {
+	tm := time.NewTimer(fo.jitter(mean))
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/conf/follow_test.go
@@ -0,0 +1,237 @@
+package conf_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/cicadawharf/cicadawharf/internal/conf"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/kvsim"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+)
+
+// away is a store that can't be reached.
+type away struct{ store.Store }
+
+// Get implements store.Store.
+func (away) Get(context.Context, string) (store.Entry, store.Revision, error) {
+	return store.Entry{}, 0, store.ErrUnavailable
+}
+
+// follow runs a Follower until the test ends.
+func follow(t *testing.T, cf conf.FollowerConfig) *conf.Follower {
+	t.Helper()
+	fo := conf.NewFollower(cf)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- fo.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return fo
+}
+
+func accepted(t *testing.T, revision int64, name string) conf.Current {
+	t.Helper()
+	cur, err := conf.Parse(revision, variant(name), "ana", noon)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cur
+}
+
+func TestAdoptTakesOnlyLargerRevisions(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		is := is.New(rt)
+		fo := conf.NewFollower(conf.FollowerConfig{})
+		largest := int64(0)
+		for _, rev := range rapid.SliceOf(rapid.Int64Range(-1, 9)).Draw(rt, "revisions") {
+			changed := fo.Changed()
+			took := fo.Adopt(noon, conf.Current{Revision: rev})
+			is.Equal(took, rev > largest)
+			select {
+			case <-changed:
+				is.True(took)
+			default:
+				is.True(!took)
+			}
+			largest = max(largest, rev)
+			is.Equal(fo.Revision(), largest)
+		}
+	})
+}
+
+func TestFollowerLearnsByWatch(t *testing.T) {
+	is := is.New(t)
+	_, st := start(t)
+	fo := follow(t, conf.FollowerConfig{Store: st, PollEvery: time.Hour})
+	is.True(fo.Current() == nil)
+	for i, name := range []string{"1", "2", "3"} {
+		changed := fo.Changed()
+		_, _, err := apply(t.Context(), st, "ana", variant(name))
+		is.NoErr(err)
+		<-changed
+		is.Equal(fo.Revision(), int64(i+1))
+		is.Equal(string(fo.Current().Content), string(variant(name)))
+	}
+	is.True(fo.StoreUp())
+}
+
+func TestFollowerLearnsByPollsWhenTheWatchIsSilent(t *testing.T) {
+	is := is.New(t)
+	sv, st := start(t)
+	fo := follow(t, conf.FollowerConfig{Store: st, PollEvery: 50 * time.Millisecond})
+	eventually(t, func() bool { return sv.Calls().Watch > 0 })
+	sv.SetFaults(kvsim.Faults{FreezeWatches: true})
+	_, _, err := apply(t.Context(), st, "ana", variant("1"))
+	is.NoErr(err)
+	eventually(t, func() bool { return fo.Revision() == 1 })
+	eventually(t, func() bool { return sv.Calls().Watch > 1 }) // the silent one is replaced
+}
+
+func TestFollowerComesBackAfterAnOutage(t *testing.T) {
+	is := is.New(t)
+	sv, st := start(t)
+	fo := follow(t, conf.FollowerConfig{Store: st, PollEvery: 50 * time.Millisecond})
+	eventually(t, fo.StoreUp)
+	sv.SetFaults(kvsim.Faults{Down: true})
+	eventually(t, func() bool { return !fo.StoreUp() })
+	sv.SetFaults(kvsim.Faults{})
+	_, _, err := apply(t.Context(), st, "ana", variant("1"))
+	is.NoErr(err)
+	eventually(t, func() bool { return fo.Revision() == 1 && fo.StoreUp() })
+}
+
+func TestFollowerLearnsFromPeersWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var newest atomic.Pointer[conf.Current]
+		fo := conf.NewFollower(conf.FollowerConfig{
+			Store: away{},
+			Peers: func(_ context.Context, revision int64) (*conf.Current, error) {
+				cur := newest.Load()
+				if cur == nil || cur.Revision <= revision {
+					return nil, errors.New("no peer has newer ones")
+				}
+				return cur, nil
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- fo.Run(ctx) }()
+		for rev := int64(1); rev <= 3; rev++ {
+			synctest.Wait()
+			cur := accepted(t, rev, "a")
+			newest.Store(&cur)
+			time.Sleep(time.Second)
+			synctest.Wait()
+			is.Equal(fo.Revision(), rev)
+		}
+		stale := accepted(t, 1, "stale")
+		newest.Store(&stale)
+		time.Sleep(time.Minute)
+		is.Equal(fo.Revision(), int64(3))
+		is.True(!fo.StoreUp())
+		cancel()
+		is.NoErr(<-ended)
+	})
+}
+
+func TestStalePeerTakesNothingBack(t *testing.T) {
+	is := is.New(t)
+	_, st := start(t)
+	for _, name := range []string{"1", "2"} {
+		_, _, err := apply(t.Context(), st, "ana", variant(name))
+		is.NoErr(err)
+	}
+	stale := accepted(t, 1, "1")
+	asked := make(chan struct{}, 1000)
+	fo := follow(t, conf.FollowerConfig{Store: st, Peers: func(context.Context, int64) (*conf.Current, error) {
+		asked <- struct{}{}
+		return &stale, nil
+	}})
+	eventually(t, func() bool { return fo.Revision() == 2 })
+	for range 3 {
+		<-asked
+		is.Equal(fo.Revision(), int64(2))
+	}
+}
+
+func TestRestoredStoreTakesNothingBack(t *testing.T) {
+	is := is.New(t)
+	sv, st := start(t)
+	ctx := t.Context()
+	_, _, err := apply(ctx, st, "ana", variant("1"))
+	is.NoErr(err)
+	old := sv.Snapshot()
+	for _, name := range []string{"2", "3"} {
+		_, _, err = apply(ctx, st, "ana", variant(name))
+		is.NoErr(err)
+	}
+	fo := follow(t, conf.FollowerConfig{Store: st, PollEvery: 50 * time.Millisecond})
+	eventually(t, func() bool { return fo.Revision() == 3 })
+
+	sv.Restore(old)
+	// The store gets back what was in force, for hosts that start now.
+	eventually(t, func() bool {
+		cur, unchanged, err := conf.Apply(ctx, noon, st, conf.ApplyRequest{
+			File: "f.yaml", Content: variant("3"), Expect: new(int64), Known: 3,
+		})
+		return err == nil && unchanged && cur.Revision == 3
+	})
+	is.Equal(fo.Revision(), int64(3))
+}
+
+func TestApplyToARestoredStoreIsInForceEverywhere(t *testing.T) {
+	for _, names := range [][]string{{"2"}, {"2", "3"}} { // fork at the same and at a smaller revision
+		is := is.New(t)
+		sv, st := start(t)
+		ctx := t.Context()
+		_, _, err := apply(ctx, st, "ana", variant("1"))
+		is.NoErr(err)
+		old := sv.Snapshot()
+		var newest conf.Current
+		for _, name := range names {
+			newest, _, err = apply(ctx, st, "ana", variant(name))
+			is.NoErr(err)
+		}
+		sv.Restore(old)
+		// A host that has just started knows only what the store says.
+		_, _, err = conf.Apply(ctx, noon.Add(time.Minute), st, conf.ApplyRequest{File: "f.yaml", Content: variant("new"), By: "eva"})
+		is.NoErr(err)
+		late := follow(t, conf.FollowerConfig{Store: st, PollEvery: 50 * time.Millisecond})
+		eventually(t, func() bool { return late.Revision() == 2 })
+
+		fo := conf.NewFollower(conf.FollowerConfig{Store: st, PollEvery: 50 * time.Millisecond})
+		fo.Adopt(noon, newest)
+		runCtx, cancel := context.WithCancel(ctx)
+		ended := make(chan error, 1)
+		go func() { ended <- fo.Run(runCtx) }()
+		for _, host := range []*conf.Follower{fo, late} {
+			eventually(t, func() bool { return string(host.Current().Content) == string(variant("new")) })
+			eventually(t, func() bool { return host.Revision() == newest.Revision+1 })
+		}
+		cancel()
+		is.NoErr(<-ended)
+	}
+}
+
+func TestApplyGoesPastWhatTheHostKnows(t *testing.T) {
+	is := is.New(t)
+	_, st := start(t)
+	seen := int64(7)
+	cur, _, err := conf.Apply(t.Context(), noon, st, conf.ApplyRequest{
+		File: "f.yaml", Content: variant("1"), Expect: &seen, Known: 7,
+	})
+	is.NoErr(err)
+	is.Equal(cur.Revision, int64(8))
+}
--- /dev/null
+++ b/internal/conf/watch.go
@@ -0,0 +1,159 @@
+package conf
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/cicadawharf/cicadawharf/internal/store"
+)
+
+// errWatchEnded says that a watch ended without an error of its own.
+var errWatchEnded = errors.New("watch ended")
+
+// watchLoop reads the manifest and then waits for its changes, again and again.
+func (fo *Follower) watchLoop(ctx context.Context) {
+	wait := minWatchPause
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := fo.watch(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		fo.log.Debug("watch of the declarations broke", "error", err)
+		if time.Since(began) > maxWatchPause {
+			wait = minWatchPause
+		}
+		fo.pause(ctx, wait)
+		wait = min(2*wait, maxWatchPause)
+	}
+}
+
+func (fo *Follower) watch(ctx context.Context) error {
+	at, _, err := fo.look(ctx)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	fo.mu.Lock()
+	fo.endWatch = cancel
+	fo.mu.Unlock()
+	err = fo.st.Watch(ctx, ManifestKey, at, func(ent store.Entry) error {
+		fo.storeUp.Store(true)
+		_, err := fo.take(ctx, ent)
+		return err
+	})
+	if err == nil {
+		err = errWatchEnded
+	}
+	return err
+}
+
+// pollLoop reads the manifest now and then. When that finds what the watch has
+// not told, the watch is opened anew.
+func (fo *Follower) pollLoop(ctx context.Context) {
+	for {
+		fo.pause(ctx, fo.pollEvery)
+		if ctx.Err() != nil {
+			return
+		}
+		_, news, err := fo.look(ctx)
+		if err != nil {
+			fo.log.Warn("store did not give the declarations", "error", err)
+		}
+		if news {
+			fo.restartWatch()
+		}
+	}
+}
+
+func (fo *Follower) restartWatch() {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if fo.endWatch != nil {
+		fo.endWatch()
+	}
+}
+
+// look reads the manifest once and takes what it says. It returns the store's
+// revision, and whether there were newer declarations.
+func (fo *Follower) look(ctx context.Context) (store.Revision, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, callBound)
+	defer cancel()
+	before := fo.Current()
+	ent, at, err := fo.st.Get(ctx, ManifestKey)
+	fo.storeUp.Store(err == nil)
+	if err != nil {
+		return 0, false, err
+	}
+	news, err := fo.take(ctx, ent)
+	if err != nil {
+		return 0, false, err
+	}
+	if before != nil {
+		fo.heal(ctx, ent, before)
+	}
+	return at, news, nil
+}
+
+// take adopts the declarations of a manifest if they are newer.
+func (fo *Follower) take(ctx context.Context, ent store.Entry) (bool, error) {
+	mf, err := decodeManifest(ent)
+	if err != nil {
+		return false, err
+	}
+	if mf.Revision <= fo.Revision() {
+		return false, nil
+	}
+	content, err := load(ctx, fo.st, mf)
+	if err != nil {
+		return false, err
+	}
+	cur, err := Parse(mf.Revision, content, mf.AppliedBy, mf.AppliedAt)
+	if err != nil {
+		fo.log.Error("declarations are not understood", "revision", mf.Revision, "error", err)
+		return false, err
+	}
+	return fo.Adopt(time.Now(), cur), nil
+}
+
+// heal mends a store that was restored from an older copy: it holds less than
+// was in force here before it was read, which a store never does by itself.
+//
+// The declarations that were accepted last stay in force. If those are the
+// ones of this host, they are written back under their revision. If an
+// operator has had others accepted since the store was restored, these get a
+// revision that every host takes, and so does either if both have the same
+// revision. All hosts attempt the same, and the swap lets one of them do it.
+func (fo *Follower) heal(ctx context.Context, ent store.Entry, before *Current) {
+	mf, err := decodeManifest(ent)
+	if err != nil || mf.Revision > before.Revision || mf.same(before) {
+		return
+	}
+	id, err := uuid.NewV7()
+	if err != nil {
+		return
+	}
+	ap := applier{st: fo.st, id: id.String(), now: time.Now()}
+	next := mf.successor(before.Revision, ap.id)
+	content := before.Content
+	next.AppliedBy, next.AppliedAt = before.AppliedBy, before.AppliedAt
+	later := mf.AppliedAt.After(before.AppliedAt)
+	if later {
+		if content, err = load(ctx, fo.st, mf); err != nil {
+			return
+		}
+		next.AppliedBy, next.AppliedAt = mf.AppliedBy, mf.AppliedAt
+	}
+	if later || mf.Revision == before.Revision {
+		next.Revision++
+	}
+	fo.log.Warn("store holds older declarations", "held", mf.Revision, "inForce", before.Revision, "written", next.Revision)
+	next, chunks := next.withContent(content)
+	if err := ap.replace(ctx, ent.Revision, mf, next, chunks); err != nil {
+		fo.log.Warn("older declarations were not replaced", "error", err)
+	}
+}
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -1,7 +1,6 @@
 package store_test
 
 import (
-	"context"
 	"errors"
 	"testing"
 	"time"
@@ -18,19 +17,7 @@
 // start runs a stand-in and returns it with a client of it.
 func start(t *testing.T, cf kvsim.Config) (*kvsim.Server, *store.Client) {
 	t.Helper()
-	cf.Listen = "127.0.0.1:0"
-	sv, err := kvsim.New(cf)
-	if err != nil {
-		t.Fatal(err)
-	}
-	ended := make(chan error, 1)
-	go func() { ended <- sv.Run(context.Background()) }()
-	t.Cleanup(func() {
-		_ = sv.Close()
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-	})
+	sv := kvsim.Start(t, cf)
 	return sv, client(t, callTimeout, sv.Addr())
 }
 
