Leave calls to silent hosts at their deadline

A goroutine takes these steps now, and an atomic flag settles whether anything was sent when the caller leaves. A roster that compared raw heartbeats reported a leaving host as changed again and again; it compares what it keeps.

--- a/internal/peers/call.go
+++ b/internal/peers/call.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -17,6 +18,22 @@
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
+type (
+	// outgoingCall is one call over a session. Whoever sets sending first
+	// decides: the caller that leaves, or the goroutine that begins to send.
+	outgoingCall struct {
+		host    string
+		call    *wire.Call
+		sending atomic.Bool
+		result  chan callResult
+	}
+
+	callResult struct {
+		payload []byte
+		err     error
+	}
+)
+
 // The first byte of a stream says what it carries.
 const (
 	kindCall = 'c' // calls and their answers, in turn
@@ -59,92 +76,77 @@
 	return li.call(ctx, host, method, payload)
 }
 
-// call makes one call over a stream of its own.
+// call makes one call over a stream of its own. Each step may block while a
+// silent host leaves it unanswered, so a goroutine takes the steps, and the
+// caller leaves when ctx ends.
 func (li *link) call(ctx context.Context, host, method string, payload []byte) ([]byte, error) {
 	if len(payload) > maxMessage-envelopeRoom {
 		return nil, &NotSentError{Host: host, Err: merry.Errorf("call of %d bytes exceeds the bound", len(payload))}
 	}
-	st, err := li.open(ctx)
-	if err != nil {
-		return nil, &NotSentError{Host: host, Err: err}
+	select {
+	case li.slots <- struct{}{}:
+	case <-ctx.Done():
+		return nil, &NotSentError{Host: host, Err: ctx.Err()}
+	case <-li.sess.CloseChan():
+		return nil, &NotSentError{Host: host, Err: errNoSession}
 	}
-	defer func() {
-		st.Close()
-		<-li.slots
+	self := li.mesh.cfg.Self()
+	oc := &outgoingCall{
+		host: host,
+		call: &wire.Call{
+			Method: method, From: self.Name, Incarnation: self.Incarnation,
+			TimeoutMillis: timeLeft(ctx), Payload: payload,
+		},
+		result: make(chan callResult, 1),
+	}
+	go func() {
+		defer func() { <-li.slots }()
+		li.exchange(ctx, oc)
 	}()
+	select {
+	case re := <-oc.result:
+		return re.payload, re.err
+	case <-ctx.Done():
+		if oc.sending.CompareAndSwap(false, true) {
+			return nil, &NotSentError{Host: host, Err: ctx.Err()}
+		}
+		return nil, oc.unknown(ctx.Err())
+	}
+}
+
+// exchange opens a stream, sends the call and takes the answer. It sends
+// nothing if the caller has left before.
+func (li *link) exchange(ctx context.Context, oc *outgoingCall) {
+	st, err := li.sess.OpenStream()
+	if err != nil {
+		oc.result <- callResult{err: &NotSentError{Host: oc.host, Err: err}}
+		return
+	}
+	defer st.Close()
+	if !oc.sending.CompareAndSwap(false, true) {
+		return
+	}
 	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	self := li.mesh.cfg.Self()
-	ca := &wire.Call{
-		Method: method, From: self.Name, Incarnation: self.Incarnation,
-		TimeoutMillis: timeLeft(ctx), Payload: payload,
-	}
-	if err := writeMessage(st, ca, kindCall); err != nil {
-		return nil, li.failed(ctx, method, err)
+	if err := writeMessage(st, oc.call, kindCall); err != nil {
+		oc.result <- callResult{err: oc.unknown(err)}
+		return
 	}
 	an := new(wire.Answer)
 	if err := readMessage(bufio.NewReader(st), an); err != nil {
-		return nil, li.failed(ctx, method, err)
+		oc.result <- callResult{err: oc.unknown(err)}
+		return
 	}
 	if an.GetCode() != 0 {
-		return nil, answerError(an)
-	}
-	return an.GetPayload(), nil
-}
-
-// failed describes a call of which it is open whether it took effect.
-func (li *link) failed(ctx context.Context, method string, err error) error {
-	if ctx.Err() != nil {
-		err = ctx.Err()
-	}
-	return merry.Prependf(err, "outcome of %s at %s is unknown", method, li.name())
-}
-
-// open takes a slot and opens a stream. The caller gives the slot back. An
-// attempt that ctx cuts short is cleaned up when it ends.
-func (li *link) open(ctx context.Context) (*yamux.Stream, error) {
-	select {
-	case li.slots <- struct{}{}:
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-li.sess.CloseChan():
-		return nil, errNoSession
+		oc.result <- callResult{err: answerError(an)}
+		return
 	}
-	st, err := li.openStream(ctx, func() { <-li.slots })
-	return st, err
+	oc.result <- callResult{payload: an.GetPayload()}
 }
 
-// openStream opens a stream and calls failed when it has not. Opening blocks
-// while a silent host leaves many streams unconfirmed.
-func (li *link) openStream(ctx context.Context, failed func()) (*yamux.Stream, error) {
-	type opened struct {
-		st  *yamux.Stream
-		err error
-	}
-	if err := ctx.Err(); err != nil {
-		failed()
-		return nil, err
-	}
-	ch := make(chan opened, 1)
-	go func() {
-		st, err := li.sess.OpenStream()
-		ch <- opened{st, err}
-	}()
-	select {
-	case op := <-ch:
-		if op.err != nil {
-			failed()
-		}
-		return op.st, op.err
-	case <-ctx.Done():
-		go func() {
-			if op := <-ch; op.err == nil {
-				op.st.Close()
-			}
-			failed()
-		}()
-		return nil, ctx.Err()
-	}
+// unknown describes a call of which it is open whether it took effect.
+func (oc *outgoingCall) unknown(err error) error {
+	return merry.Prependf(err, "outcome of %s at %s is unknown", oc.call.GetMethod(), oc.host)
 }
 
 // serveStream serves what the other side opened a stream for.
--- a/internal/peers/fakenet_test.go
+++ b/internal/peers/fakenet_test.go
@@ -1,6 +1,7 @@
 package peers_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -49,6 +50,9 @@
 	}
 )
 
+// bufferedChunks is how many writes a direction takes while it is cut.
+const bufferedChunks = 200
+
 func newNetwork() *network {
 	return &network{
 		listeners: make(map[string]*listener), cut: make(map[route]bool),
@@ -130,32 +134,42 @@
 	return near, nil
 }
 
-// pump carries one direction. What its reader has closed can't be cut.
+// pump carries one direction through a buffer, as the kernels of both ends
+// have one.
 func (nw *network) pump(rt route, src, dst net.Conn) {
-	buf := make([]byte, 64<<10)
-	deadline := time.Now().Add(time.Hour)
-	for {
-		n, err := src.Read(buf)
+	chunks := make(chan []byte, bufferedChunks)
+	go func() {
+		defer close(chunks)
+		buf := make([]byte, 64<<10)
 		for {
-			cut, changed := nw.isCut(rt)
-			if !cut || time.Now().After(deadline) {
-				break
-			}
-			select {
-			case <-changed:
-			case <-time.After(time.Minute):
+			n, err := src.Read(buf)
+			if n > 0 {
+				chunks <- bytes.Clone(buf[:n])
 			}
-		}
-		if n > 0 {
-			if _, werr := dst.Write(buf[:n]); werr != nil {
-				src.Close()
+			if err != nil {
 				return
 			}
 		}
-		if err != nil {
-			dst.Close()
+	}()
+	broken := false
+	for ch := range chunks {
+		nw.awaitMended(rt)
+		if _, err := dst.Write(ch); err != nil && !broken {
+			broken = true
+			src.Close()
+		}
+	}
+	nw.awaitMended(rt)
+	dst.Close()
+}
+
+func (nw *network) awaitMended(rt route) {
+	for {
+		cut, changed := nw.isCut(rt)
+		if !cut {
 			return
 		}
+		<-changed
 	}
 }
 
--- a/internal/peers/http.go
+++ b/internal/peers/http.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/yamux"
 )
 
 type (
@@ -17,6 +18,11 @@
 		done    chan struct{}
 	}
 
+	httpOpened struct {
+		st  *yamux.Stream
+		err error
+	}
+
 	// httpAddress is the peer address of the host.
 	httpAddress string
 )
@@ -36,15 +42,38 @@
 	if li == nil {
 		return nil, &NotSentError{Host: host, Err: errNoSession}
 	}
-	st, err := li.openStream(ctx, func() {})
+	opened := make(chan httpOpened, 1)
+	go func() {
+		st, err := li.openHTTP()
+		opened <- httpOpened{st, err}
+	}()
+	select {
+	case op := <-opened:
+		if op.err != nil {
+			return nil, &NotSentError{Host: host, Err: op.err}
+		}
+		return ms.countHTTP(op.st), nil
+	case <-ctx.Done():
+		go func() {
+			if op := <-opened; op.err == nil {
+				op.st.Close()
+			}
+		}()
+		return nil, &NotSentError{Host: host, Err: ctx.Err()}
+	}
+}
+
+// openHTTP opens a stream of HTTP. It may block while the host is silent.
+func (li *link) openHTTP() (*yamux.Stream, error) {
+	st, err := li.sess.OpenStream()
 	if err != nil {
-		return nil, &NotSentError{Host: host, Err: err}
+		return nil, err
 	}
 	if _, err := st.Write([]byte{kindHTTP}); err != nil {
 		st.Close()
-		return nil, &NotSentError{Host: host, Err: err}
+		return nil, err
 	}
-	return ms.countHTTP(st), nil
+	return st, nil
 }
 
 // HTTPListener returns the listener of the connections that other hosts open
--- a/internal/peers/roster.go
+++ b/internal/peers/roster.go
@@ -73,10 +73,10 @@
 	if ok && me.Incarnation < old.member.Incarnation {
 		return Stale
 	}
-	vd := judge(old.member, me, ok, ro.alive(now, old.member))
 	if ok && me.Incarnation == old.member.Incarnation {
 		me = me.advanced(old.member)
 	}
+	vd := judge(old.member, me, ok, ro.alive(now, old.member))
 	me.LastHeard = now
 	me.Alive = false // computed when asked for
 	ro.entries[me.Name] = rosterEntry{member: me, touched: now}
--- /dev/null
+++ b/internal/peers/roster_test.go
@@ -0,0 +1,120 @@
+package peers_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/cicadawharf/cicadawharf/internal/peers"
+)
+
+var began = time.Date(2026, 7, 1, 12, 0, 0, 0, time.UTC)
+
+func newRoster() *peers.Roster {
+	return peers.NewRoster(peers.RosterConfig{
+		Self: "self", Zone: "z", SuspectAfter: 2 * time.Second, RemoteSuspectAfter: 8 * time.Second, ForgetAfter: time.Minute,
+	})
+}
+
+func TestRoster(t *testing.T) {
+	is := is.New(t)
+	ro := newRoster()
+	at := func(seconds float64) time.Time { return began.Add(time.Duration(seconds * float64(time.Second))) }
+	alive := func(now time.Time, name string) bool {
+		me, _ := ro.Get(now, name)
+		return me.Alive
+	}
+	a := peers.Member{Name: "a", Zone: "z", Incarnation: 5, PeerAddress: "a:1", ConfigRevision: 3, SchedulerEpoch: 2, Scheduler: "a"}
+
+	is.Equal(ro.Heard(at(0), peers.Member{Name: "self"}), peers.Stale)
+	is.Equal(ro.Heard(at(0), peers.Member{}), peers.Stale)
+	is.Equal(ro.Learned(at(0), a), peers.Appeared)
+	is.True(!alive(at(0), "a")) // hearsay makes nobody alive
+	is.Equal(ro.Learned(at(0), a), peers.Known)
+	is.Equal(ro.Heard(at(0), a), peers.Appeared)
+	is.True(alive(at(1.9), "a"))
+	is.True(!alive(at(2), "a"))
+	is.Equal(ro.Heard(at(3), a), peers.Returned)
+
+	leaving := a
+	leaving.Leaving = true
+	is.Equal(ro.Learned(at(3), leaving), peers.Changed) // known at once, from anybody
+	is.Equal(ro.Heard(at(3), a), peers.Known)           // and is not taken back
+	me, _ := ro.Get(at(3), "a")
+	is.True(me.Leaving)
+
+	older, newer := a, a
+	older.Incarnation, newer.Incarnation = 4, 6
+	newer.ConfigRevision = 0
+	is.Equal(ro.Heard(at(3), older), peers.Stale)
+	is.Equal(ro.Learned(at(3), older), peers.Stale)
+	is.Equal(ro.Learned(at(3), newer), peers.Appeared)
+	is.True(!alive(at(3), "a")) // the old process has ended
+	is.Equal(ro.Heard(at(3), newer), peers.Appeared)
+	me, _ = ro.Get(at(3), "a")
+	is.True(me.Alive && !me.Leaving)
+	is.Equal(me.ConfigRevision, int64(0))
+
+	far := peers.Member{Name: "b", Zone: "other", PeerAddress: "b:1"}
+	ro.Heard(at(3), far)
+	is.True(alive(at(10.9), "b"))
+	is.True(!alive(at(11), "b"))
+
+	is.Equal(len(ro.Forget(at(62))), 0)
+	is.Equal(len(ro.Forget(at(63))), 2)
+	is.True(!ro.HasAddress("a:1"))
+}
+
+// TestRosterNeverGoesBack feeds news in any order.
+func TestRosterNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		is := is.New(t)
+		ro := newRoster()
+		now := began
+		var best peers.Member
+		for range rapid.IntRange(1, 50).Draw(rt, "news") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "millis")) * time.Millisecond)
+			me := peers.Member{
+				Name: "a", Zone: "z", Incarnation: uint64(rapid.IntRange(1, 3).Draw(rt, "incarnation")),
+				Leaving: rapid.Bool().Draw(rt, "leaving"), ConfigRevision: int64(rapid.IntRange(0, 9).Draw(rt, "revision")),
+			}
+			heard := rapid.Bool().Draw(rt, "heard")
+			if heard {
+				ro.Heard(now, me)
+			} else {
+				ro.Learned(now, me)
+			}
+			got, ok := ro.Get(now, "a")
+			is.True(ok)
+			is.True(got.Incarnation >= best.Incarnation)
+			is.True(got.Incarnation >= me.Incarnation)
+			if got.Incarnation == best.Incarnation {
+				is.True(got.ConfigRevision >= best.ConfigRevision)
+				is.True(got.Leaving || !best.Leaving)
+			}
+			if heard && me.Incarnation == got.Incarnation {
+				is.True(got.Alive)
+			}
+			best = got
+		}
+	})
+}
+
+func TestGossipTellsEveryLivingHostInTurn(t *testing.T) {
+	is := is.New(t)
+	ro := newRoster()
+	for _, nm := range []string{"a", "b", "c", "d"} {
+		ro.Heard(began, peers.Member{Name: nm, Zone: "z"})
+	}
+	ro.Learned(began, peers.Member{Name: "e", Zone: "z"})
+	told := make(map[string]bool)
+	for i := range 3 {
+		for _, me := range ro.Gossip(began, "a", i, 1) {
+			told[me.Name] = true
+		}
+	}
+	is.Equal(told, map[string]bool{"b": true, "c": true, "d": true})
+	is.Equal(len(ro.Gossip(began, "a", 0, 32)), 3)
+}
--- a/internal/peers/target.go
+++ b/internal/peers/target.go
@@ -131,12 +131,13 @@
 	return ms.beatLoop(ctx, ta, li)
 }
 
+// beatLoop leaves its stream to the end of the session: closing it would wait
+// for a peer that is silent.
 func (ms *Mesh) beatLoop(ctx context.Context, ta *target, li *link) error {
 	st, err := li.sess.OpenStream()
 	if err != nil {
 		return merry.Prepend(err, "open stream of heartbeats")
 	}
-	defer st.Close()
 	if err := st.SetWriteDeadline(time.Now().Add(ms.suspectAfter(ta))); err != nil {
 		return err
 	}
