Bound what the parsers of declarations and settings take on

A host checks files that anyone may send it, and the parser of goccy/go-yaml takes time that grows with the square of the keys of one mapping: on a scratch run 100 KB of keys took 1.0 s and 200 KB took 3.6 s. A smaller file bound alone was ruled out, since large declarations are stored in chunks. Keys per mapping, lists of objects and listed faults are bounded now; 500 KB of keys is refused in 0.17 s, and 1000 workspaces still parse.

--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -55,8 +55,8 @@
 
 	// maxBytes bounds the size of a file.
 	maxBytes = 4 << 20
-	// maxNesting bounds the depth of a file, since the parser is recursive.
-	maxNesting = 64
+	// maxFaults bounds the list of faults of one file.
+	maxFaults = 1000
 )
 
 // Decode reads data into the struct that into points to. The fields take their
@@ -114,7 +114,12 @@
 	slices.SortStableFunc(doc.faults, func(a, b Fault) int {
 		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
 	})
-	return slices.Clone(doc.faults)
+	if len(doc.faults) <= maxFaults {
+		return slices.Clone(doc.faults)
+	}
+	fs := slices.Clone(doc.faults[:maxFaults+1])
+	fs[maxFaults].Message = fmt.Sprintf("%d further faults are not listed", len(doc.faults)-maxFaults)
+	return fs
 }
 
 // Error implements error with one line for each fault.
@@ -150,8 +155,8 @@
 		return nil, false
 	}
 	tokens := lexer.Tokenize(string(data))
-	if tk := tooDeep(tokens); tk != nil {
-		doc.reportAt(markOf(tk), "the file is nested deeper than %d levels", maxNesting)
+	if tk, why := pastBounds(tokens); tk != nil {
+		doc.reportAt(markOf(tk), "%s", why)
 		return nil, false
 	}
 	file, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
@@ -191,40 +196,6 @@
 	doc.reportAt(markOf(ye.GetToken()), "%s", firstLine(ye.GetMessage()))
 }
 
-// tooDeep returns the first token that opens a level past maxNesting. Block
-// levels show as columns, flow levels as brackets; both are counted so that no
-// way of nesting escapes the bound.
-func tooDeep(tokens token.Tokens) *token.Token {
-	var columns []int
-	flow := 0
-	for _, tk := range tokens {
-		switch tk.Type {
-		case token.SequenceStartType, token.MappingStartType:
-			flow++
-		case token.SequenceEndType, token.MappingEndType:
-			flow = max(flow-1, 0)
-		case token.SequenceEntryType, token.MappingKeyType, token.MappingValueType, token.TagType, token.AnchorType:
-			columns = openColumns(columns, tk)
-		}
-		if flow+len(columns) > maxNesting {
-			return tk
-		}
-	}
-	return nil
-}
-
-// openColumns returns the columns of the block levels that are open at tk.
-func openColumns(columns []int, tk *token.Token) []int {
-	column := tk.Position.Column
-	if tk.Type == token.MappingValueType {
-		column = max(tk.Position.IndentNum+1, 1)
-	}
-	for len(columns) > 0 && columns[len(columns)-1] >= column {
-		columns = columns[:len(columns)-1]
-	}
-	return append(columns, column)
-}
-
 func markOf(tk *token.Token) mark {
 	if tk == nil || tk.Position == nil {
 		return mark{line: 1, column: 1}
--- a/pkg/spec/check.go
+++ b/pkg/spec/check.go
@@ -18,6 +18,9 @@
 // The bounds of what a file may declare.
 const (
 	maxNameLength   = 63
+	maxZones        = 64
+	maxServices     = 1024
+	maxWorkspaces   = 10_000
 	maxRacks        = 256       // per zone
 	maxWorkers      = 1024      // per rack
 	maxAccelerators = 8         // per worker
@@ -56,6 +59,9 @@
 func check(tree *strict.Document, de *Declarations) {
 	ch := checker{tree: tree, de: de}
 	ch.timeZone()
+	if !ch.sizes() {
+		return
+	}
 	ch.zones()
 	ch.services()
 	ch.workspaces()
@@ -76,10 +82,18 @@
 	}
 }
 
-func (ch checker) zones() {
-	if len(ch.de.Zones) == 0 {
-		ch.tree.Report("$.zones", "at least one zone must be declared")
+// sizes bounds the lists that the other checks compare with each other.
+func (ch checker) sizes() bool {
+	valid := ch.within("$.zones", "the number of zones", len(ch.de.Zones), 1, maxZones)
+	for i, zn := range ch.de.Zones {
+		path := strict.Key(zonePath(i), "racks")
+		valid = ch.within(path, "the number of racks", len(zn.Racks), 1, maxRacks) && valid
 	}
+	valid = ch.within("$.services", "the number of services", len(ch.de.Services), 0, maxServices) && valid
+	return ch.within("$.workspaces", "the number of workspaces", len(ch.de.Workspaces), 0, maxWorkspaces) && valid
+}
+
+func (ch checker) zones() {
 	seen := names{}
 	for i, zn := range ch.de.Zones {
 		path := zonePath(i)
@@ -93,7 +107,6 @@
 
 func (ch checker) racks(zone string, zn Zone) {
 	path := strict.Key(zone, "racks")
-	ch.within(path, "the number of racks", len(zn.Racks), 1, maxRacks)
 	seen := names{}
 	for i, rk := range zn.Racks {
 		at := strict.Index(path, i)
--- a/pkg/spec/parse_test.go
+++ b/pkg/spec/parse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -90,6 +91,7 @@
 	for _, tc := range []struct{ name, old, replacement, want string }{
 		{"unknown key", "    region: a\n", "    region: a\n    regoin: b\n", `f.yaml:5:5: unknown key "regoin"; known here are name, region, racks`},
 		{"doubled key", "    region: a\n", "    region: a\n    region: b\n", `f.yaml:5:5: key "region" is doubled`},
+		{"no racks", "    racks:\n      - {name: r1, workers: 2, accelerators: 8, cores: 64, memoryGiB: 128}\n      - {name: r2, workers: 4, accelerators: 4, cores: 64, memoryGiB: 128}\n", "", `f.yaml:3:5: the number of racks must be within 1 and 256`},
 		{"time zone", "America/Lima", "America/Limo", `f.yaml:1:11: time zone "America/Limo" is not known`},
 		{"time zone of the host", "America/Lima", "Local", `f.yaml:1:11: time zone "Local" is not an IANA name`},
 		{"dot in a name", "name: r1", "name: r.1", `f.yaml:6:16: rack name "r.1" must have`},
@@ -160,7 +162,11 @@
 		"key depth":      strings.Repeat("? ", 100_000),
 		"tag depth":      strings.Repeat("!a ", 100_000),
 		"anchor depth":   strings.Repeat("&a ", 100_000),
-		"size":           strings.Repeat("#", 5<<20),
+		"size":           strings.Repeat("#", 4<<20+1),
+		"keys":           strings.Repeat("a: b\n", 100_000),
+		"nested keys":    "a:\n" + strings.Repeat("  b: c\n", 100_000),
+		"flow keys":      "{" + strings.Repeat("a: b, ", 100_000),
+		"marked keys":    strings.Repeat("? a\n", 100_000),
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -172,6 +178,27 @@
 	}
 }
 
+func TestParseBoundsFaults(t *testing.T) {
+	is := is.New(t)
+	_, err := spec.Parse("f.yaml", []byte(valid+strings.Repeat("  - 7\n", 1500)))
+	var fs spec.Faults
+	is.True(errors.As(err, &fs))
+	is.Equal(len(fs), 1001)
+	is.Equal(fs[1000].Message, "500 further faults are not listed")
+}
+
+func TestParseManyObjects(t *testing.T) {
+	is := is.New(t)
+	var sb strings.Builder
+	sb.WriteString(valid)
+	for i := range 1000 {
+		fmt.Fprintf(&sb, "  - name: w%d\n    weight: 2\n    guarantees:\n    - zone: a-1\n      shape: {tasks: 1, accelerators: 1}\n      count: 1\n", i)
+	}
+	doc, err := spec.Parse("f.yaml", []byte(sb.String()))
+	is.NoErr(err)
+	is.Equal(len(doc.Declarations.Workspaces), 1001)
+}
+
 func TestCompare(t *testing.T) {
 	is := is.New(t)
 	current, err := spec.Parse("a", []byte(valid))
