Answer refused senders and account before the answer

A caller whose body was past the bound often saw its connection reset in place of code 4004, because the host closed while bytes were arriving: it now goes on reading for a bounded time after the answer. And a caller could have its answer before the outcome stood in the account: the outcome is now entered first. The admission policy gets its tests, floods of either urgency included.

--- /dev/null
+++ b/internal/admit/gate_test.go
@@ -0,0 +1,264 @@
+package admit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/cicadawharf/cicadawharf/internal/admit"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+var epoch = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+
+// load is one caller's requests at an even rate.
+type load struct {
+	workspace string
+	caller    string
+	urgency   int
+	every     time.Duration
+}
+
+// result counts what became of a load.
+type result struct {
+	offered int
+	served  int
+	waits   time.Duration
+}
+
+// simulate offers loads to a gate for a while of virtual time, with a fixed
+// service time, and returns the result of each load.
+func simulate(t testing.TB, ga *admit.Gate, service, length time.Duration, loads ...load) []result {
+	const step = time.Millisecond
+	results := make([]result, len(loads))
+	owner := make(map[uint64]int)
+	ends := make(map[time.Duration][]uint64)
+	next := make([]time.Duration, len(loads))
+	id := uint64(0)
+	enter := func(at time.Duration, ds []admit.Decision) {
+		for _, de := range ds {
+			if ad, ok := de.(admit.Admit); ok {
+				re := &results[owner[ad.ID]]
+				re.served++
+				re.waits += ad.Waited
+				ends[at+service] = append(ends[at+service], ad.ID)
+			}
+		}
+		if ga.InUse() > ga.Capacity() {
+			t.Fatalf("%d slots in use of %d", ga.InUse(), ga.Capacity())
+		}
+	}
+	for at := time.Duration(0); at < length; at += step {
+		now := epoch.Add(at)
+		for _, done := range ends[at] {
+			enter(at, ga.Finish(now, done))
+		}
+		enter(at, ga.Expire(now))
+		for i, lo := range loads {
+			for ; next[i] <= at; next[i] += lo.every {
+				id++
+				owner[id] = i
+				results[i].offered++
+				enter(at, ga.Offer(now, admit.Ticket{
+					ID: id, Workspace: lo.workspace, Caller: lo.caller, Urgency: lo.urgency, Deadline: now.Add(5 * time.Second),
+				}))
+			}
+		}
+	}
+	return results
+}
+
+func newGate(slots int, shares ...admit.Share) *admit.Gate {
+	ga := admit.New(admit.Config{MaxQueue: 200, QueueTime: time.Second, Seed: 1})
+	ga.SetShares(shares)
+	ga.Resize(epoch, slots)
+	return ga
+}
+
+func (re result) rate() float64 { return float64(re.served) / float64(re.offered) }
+
+// TestFloodLeavesOthersTheirService floods with the most and with the least
+// urgent requests, at ten times the capacity.
+func TestFloodLeavesOthersTheirService(t *testing.T) {
+	for _, urgency := range []int{0, admit.MaxUrgency} {
+		t.Run(fmt.Sprintf("urgency %d", urgency), func(t *testing.T) {
+			is := is.New(t)
+			ga := newGate(
+				10,
+				admit.Share{Workspace: "hotels", Weight: 1},
+				admit.Share{Workspace: "parish", Weight: 1},
+				admit.Share{Workspace: "chapel", Slots: 2, Weight: 1},
+			)
+			// Ten slots at 50 ms serve 200 a second.
+			re := simulate(
+				t, ga, 50*time.Millisecond, 10*time.Second,
+				load{"hotels", "flood", urgency, 500 * time.Microsecond},
+				load{"parish", "a", 1, 40 * time.Millisecond},
+				load{"chapel", "b", 0, 40 * time.Millisecond},
+			)
+			is.True(re[1].rate() >= 0.99)
+			is.True(re[2].rate() >= 0.99)
+			is.True(re[1].waits/time.Duration(re[1].served) < 50*time.Millisecond)
+			total := re[0].served + re[1].served + re[2].served
+			is.True(total >= 1900) // useful work of a capacity of 2000
+		})
+	}
+}
+
+func TestSmallCallersBesideLargeOne(t *testing.T) {
+	is := is.New(t)
+	ga := newGate(10, admit.Share{Workspace: "parish", Weight: 1})
+	loads := []load{{"parish", "large", 2, time.Millisecond}}
+	for i := range 10 {
+		loads = append(loads, load{"parish", fmt.Sprintf("small-%d", i), 0, 50 * time.Millisecond})
+	}
+	re := simulate(t, ga, 50*time.Millisecond, 10*time.Second, loads...)
+	// The fair share of eleven callers is 18 a second; the small ones ask for 20.
+	sum, squares := 0.0, 0.0
+	for _, small := range re[1:] {
+		sum += small.rate()
+		squares += small.rate() * small.rate()
+	}
+	is.True(sum/10 >= 0.85)
+	is.True(sum*sum/(10*squares) >= 0.95) // Jain's index
+}
+
+func TestGuaranteeGoesFirst(t *testing.T) {
+	is := is.New(t)
+	ga := newGate(10, admit.Share{Workspace: "hotels", Slots: 7, Weight: 1}, admit.Share{Workspace: "parish", Weight: 5})
+	re := simulate(
+		t, ga, 50*time.Millisecond, 10*time.Second,
+		load{"hotels", "a", 0, 2 * time.Millisecond},
+		load{"parish", "b", 2, 2 * time.Millisecond},
+	)
+	is.True(re[0].served >= 1400) // seven slots of ten
+	is.True(re[1].served >= 400)
+}
+
+func TestUrgencyOrdersWithinCaller(t *testing.T) {
+	is := is.New(t)
+	ga := newGate(1, admit.Share{Workspace: "parish", Weight: 1})
+	offer := func(id uint64, urgency int) admit.Decision {
+		return ga.Offer(epoch, admit.Ticket{ID: id, Workspace: "parish", Caller: "a", Urgency: urgency})[0]
+	}
+	_, ok := offer(1, 0).(admit.Admit)
+	is.True(ok)
+	offer(2, 0)
+	offer(3, 1)
+	offer(4, 2)
+	offer(5, 2)
+	var order []uint64
+	for running := uint64(1); len(order) < 4; {
+		ds := ga.Finish(epoch, running)
+		running = ds[0].Of().ID
+		order = append(order, running)
+	}
+	is.Equal(order, []uint64{4, 5, 3, 2})
+}
+
+func TestLowUrgencyIsNotStarvedWithinCaller(t *testing.T) {
+	is := is.New(t)
+	ga := newGate(4, admit.Share{Workspace: "parish", Weight: 1})
+	re := simulate(
+		t, ga, 20*time.Millisecond, 5*time.Second,
+		load{"parish", "a", 2, 2 * time.Millisecond},
+		load{"parish", "a", 0, 50 * time.Millisecond},
+	)
+	is.True(re[1].served > 0)
+}
+
+func TestHopelessIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	ga := newGate(1, admit.Share{Workspace: "parish", Weight: 1})
+	simulate(t, ga, 400*time.Millisecond, 5*time.Second, load{"parish", "a", 0, 100 * time.Millisecond})
+	now := epoch.Add(5 * time.Second)
+	waits := make(map[time.Duration]bool)
+	for id := range uint64(50) {
+		ds := ga.Offer(now, admit.Ticket{ID: 1000 + id, Workspace: "parish", Caller: "a", Deadline: now.Add(100 * time.Millisecond)})
+		re, ok := ds[0].(admit.Refuse)
+		is.True(ok)
+		is.Equal(re.Err.Code.Class(), codes.NotRun)
+		is.True(re.Err.RetryAfter >= 400*time.Millisecond) // at least one service time
+		is.True(re.Err.RetryAfter < 10*time.Second)
+		waits[re.Err.RetryAfter] = true
+	}
+	is.True(len(waits) > 25) // spread out
+}
+
+func TestPastDeadline(t *testing.T) {
+	is := is.New(t)
+	ga := newGate(1)
+	re, ok := ga.Offer(epoch, admit.Ticket{ID: 1, Deadline: epoch})[0].(admit.Refuse)
+	is.True(ok)
+	is.Equal(re.Err.Code, codes.DeadlinePassed)
+}
+
+// TestInvariants drives a gate at random: slots are never exceeded, none is
+// idle while a request waits, and each ticket gets exactly one final decision.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ga := admit.New(admit.Config{MaxQueue: 8, QueueTime: 100 * time.Millisecond, Seed: 1})
+		ga.SetShares([]admit.Share{{Workspace: "a", Slots: 1.5, Weight: 2}, {Workspace: "b", Weight: 1}})
+		now := epoch
+		state := make(map[uint64]string)
+		var running []uint64
+		enter := func(ds []admit.Decision) {
+			for _, de := range ds {
+				id := de.Of().ID
+				if state[id] == "final" {
+					t.Fatalf("ticket %d was decided before", id)
+				}
+				switch de.(type) {
+				case admit.Wait:
+					state[id] = "waits"
+				case admit.Admit:
+					state[id] = "final"
+					running = append(running, id)
+				case admit.Refuse:
+					state[id] = "final"
+				}
+			}
+		}
+		for id := range uint64(rapid.IntRange(1, 100).Draw(t, "steps")) {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "pause")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				enter(ga.Resize(now, rapid.IntRange(0, 4).Draw(t, "slots")))
+			case 1:
+				enter(ga.Expire(now))
+			case 2:
+				if len(running) > 0 {
+					enter(ga.Finish(now, running[0]))
+					running = running[1:]
+				}
+			default:
+				enter(ga.Offer(now, admit.Ticket{
+					ID:        id,
+					Workspace: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace"),
+					Caller:    rapid.SampledFrom([]string{"x", "y"}).Draw(t, "caller"),
+					Urgency:   rapid.IntRange(0, 2).Draw(t, "urgency"),
+					Deadline:  now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "left")) * time.Millisecond),
+				}))
+			}
+			if ga.Waiting() > 8 || ga.InUse() != len(running) || (ga.Waiting() > 0 && ga.InUse() < ga.Capacity()) {
+				t.Fatalf("waiting %d, in use %d of %d, running %d", ga.Waiting(), ga.InUse(), ga.Capacity(), len(running))
+			}
+		}
+		waiting := 0
+		for _, st := range state {
+			if st == "waits" {
+				waiting++
+			}
+		}
+		if waiting != ga.Waiting() {
+			t.Fatalf("%d tickets have no decision, %d wait", waiting, ga.Waiting())
+		}
+		enter(ga.Expire(now.Add(time.Second)))
+		if ga.Waiting() != 0 {
+			t.Fatal("tickets outlive the queue time")
+		}
+	})
+}
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -10,8 +10,14 @@
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
-// maxBuffered bounds the bodies that a host holds in memory at a time, bytes.
-const maxBuffered = 256 << 20
+const (
+	maxBuffered = 256 << 20 // bytes of bodies that a host holds at a time
+
+	// A caller that is refused while it sends is listened to for a while, or
+	// it would see its connection reset in place of the answer.
+	maxDiscard  = 32 << 20 // bytes
+	discardTime = time.Second
+)
 
 // readBody reads a body within bound and the read time-out. What it holds is
 // given back by calling release, also after an error.
@@ -81,3 +87,23 @@
 	}
 	return body, nil
 }
+
+// refuse answers a request whose body may still be arriving.
+func (sr *Server) refuse(w http.ResponseWriter, r *http.Request, request string, er *codes.Error) {
+	if r.ContentLength == 0 || er.Code == codes.SlowSender || er.Code == codes.CallerGone {
+		sr.writeError(w, request, er)
+		return
+	}
+	control := http.NewResponseController(w)
+	if control.EnableFullDuplex() != nil {
+		sr.writeError(w, request, er)
+		return
+	}
+	sr.writeError(w, request, er)
+	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(discardTime)) != nil {
+		return
+	}
+	if _, err := io.CopyN(io.Discard, r.Body, maxDiscard); errors.Is(err, io.EOF) {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -42,6 +42,7 @@
 	slot     *admit.Admit
 	slotFrom time.Time
 	answered bool // the answer to the caller has begun
+	entered  bool // the outcome is in the account
 }
 
 const (
@@ -219,7 +220,8 @@
 		cl.settle()
 	}
 	cl.answered = true
-	cl.sr.writeError(cl.w, cl.id, er)
+	cl.enter()
+	cl.sr.refuse(cl.w, cl.r, cl.id, er)
 	cl.sr.cfg.Log.LogAttrs(context.Background(), slog.LevelInfo, "request refused",
 		slog.String("event", "refuse"), slog.String("request", cl.id),
 		slog.String("workspace", cl.workspace), slog.String("service", cl.service),
@@ -235,11 +237,7 @@
 		cl.sr.cfg.Log.Error("request failed", "event", "panic", "request", cl.id, "error", fault)
 		cl.out.Code = codes.InternalFailure
 	}
-	cl.out.Repeats = max(cl.attempts-1, 0)
-	if cl.ticket != nil {
-		cl.ticket.End(cl.out)
-	}
-	cl.sr.metrics.ended(cl.service, cl.out.Code, time.Since(cl.began))
+	cl.enter()
 	cl.endWork(counted)
 	switch {
 	case fault == nil:
@@ -250,6 +248,19 @@
 	}
 }
 
+// enter enters the outcome into the account, before the caller can have it.
+func (cl *call) enter() {
+	if cl.entered {
+		return
+	}
+	cl.entered = true
+	cl.out.Repeats = max(cl.attempts-1, 0)
+	if cl.ticket != nil {
+		cl.ticket.End(cl.out)
+	}
+	cl.sr.metrics.ended(cl.service, cl.out.Code, time.Since(cl.began))
+}
+
 // endWork lets a stop go on, once the claim is settled. The answer does not
 // wait for that.
 func (cl *call) endWork(counted bool) {
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -63,7 +63,7 @@
 	return fn(ctx, as)
 }
 
-func (as *ask) refuse(er *codes.Error) { as.sr.writeError(as.w, as.id, er) }
+func (as *ask) refuse(er *codes.Error) { as.sr.refuse(as.w, as.r, as.id, er) }
 
 // write answers with a body that embeds the answer of its code.
 func (as *ask) write(er *codes.Error, body any) { as.sr.writeJSON(as.w, as.id, er, body) }
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -103,6 +103,7 @@
 	if fa != nil {
 		panic(http.ErrAbortHandler)
 	}
+	cl.enter()
 	if rp.whole {
 		cl.writeHead(rp)
 		_, _ = cl.w.Write(rp.body)
