Prove routing and forwarding by tests

The choice of endpoints and the forwarding of one request had no tests of their own. For the relay, scripted endpoints on net.Pipe with synthetic time use every kind of request that net/http repeats on a reused connection: each is sent once. Silent, closed and stalled connections, late and half answers and answers of other requests are covered.

--- /dev/null
+++ b/internal/admit/main_test.go
@@ -0,0 +1,15 @@
+package admit_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,359 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/plat"
+	"github.com/cicadawharf/cicadawharf/internal/relay"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+// script is what an endpoint does with the requests of one connection.
+type script func(rq *http.Request, cn net.Conn)
+
+// endpoint serves connections made of net.Pipe by a script and counts the
+// requests that it has read.
+type endpoint struct {
+	script script
+	dials  atomic.Int64
+	ran    atomic.Int64
+	mu     sync.Mutex
+	conns  []*pipe
+}
+
+// pipe is the caller's end of a connection that can go silent.
+type pipe struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+func (ep *endpoint) dial(context.Context, string) (net.Conn, error) {
+	ep.dials.Add(1)
+	near, far := net.Pipe()
+	go ep.serve(far)
+	pi := &pipe{Conn: near}
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	ep.conns = append(ep.conns, pi)
+	return pi, nil
+}
+
+func (ep *endpoint) serve(cn net.Conn) {
+	defer cn.Close()
+	rd := bufio.NewReader(cn)
+	for {
+		rq, err := http.ReadRequest(rd)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, rq.Body); err != nil {
+			return
+		}
+		if rq.URL.Path == plat.ProbePath {
+			fmt.Fprintf(cn, "HTTP/1.1 200 OK\r\nEndpoint-State: live\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		ep.ran.Add(1)
+		ep.script(rq, cn)
+	}
+}
+
+func (ep *endpoint) silence() {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	for _, pi := range ep.conns {
+		pi.silent.Store(true)
+	}
+}
+
+// Write swallows everything once the connection is silent.
+func (pi *pipe) Write(p []byte) (int, error) {
+	if pi.silent.Load() {
+		return len(p), nil
+	}
+	return pi.Conn.Write(p)
+}
+
+func reply(text string) script {
+	return func(_ *http.Request, cn net.Conn) { _, _ = io.WriteString(cn, text) }
+}
+
+const okReply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func newPool(ep *endpoint) *relay.Pool {
+	return relay.NewPool(relay.Config{Address: "endpoint", Dial: ep.dial, Connections: 4})
+}
+
+func post(id string, headers ...string) relay.Request {
+	hd := http.Header{}
+	for i := 0; i < len(headers); i += 2 {
+		hd.Add(headers[i], headers[i+1])
+	}
+	return relay.Request{ID: id, Method: http.MethodPost, Target: "/buy", Header: hd, Body: []byte("crates=1")}
+}
+
+// send sends a request and reads the answer to its end.
+func send(ctx context.Context, po *relay.Pool, rq relay.Request) (string, *relay.Failure) {
+	an, fa := po.Send(ctx, rq)
+	if fa != nil {
+		return "", fa
+	}
+	defer an.Close()
+	body, err := io.ReadAll(an)
+	if err != nil && !errors.As(err, &fa) {
+		fa = &relay.Failure{Err: err}
+	}
+	return string(body), fa
+}
+
+// TestNothingIsSentTwice uses each kind of request that net/http would repeat
+// on a reused connection that fails under it.
+func TestNothingIsSentTwice(t *testing.T) {
+	for _, rq := range []relay.Request{
+		{ID: "a", Method: http.MethodGet, Target: "/", Header: http.Header{}},
+		{ID: "b", Method: http.MethodHead, Target: "/", Header: http.Header{}},
+		{ID: "c", Method: http.MethodPost, Target: "/", Header: http.Header{"Idempotency-Key": {"k"}}},
+		post("d", "Idempotency-Key", "k"),
+		post("e", "X-Idempotency-Key", "k"),
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ep := &endpoint{}
+			ep.script = func(rq *http.Request, cn net.Conn) {
+				if ep.ran.Load() == 1 {
+					reply(okReply)(rq, cn)
+					return
+				}
+				_ = cn.Close() // on the reused connection, without an answer
+			}
+			po := newPool(ep)
+			defer po.Close()
+			_, fa := send(t.Context(), po, post("first"))
+			is.Equal(fa, nil)
+			_, fa = send(t.Context(), po, rq)
+			is.True(fa != nil)
+			is.Equal(fa.Code, codes.OutcomeUnknown)
+			is.Equal(ep.ran.Load(), int64(2)) // the first one and this one, once
+			is.Equal(ep.dials.Load(), int64(1))
+		})
+	}
+}
+
+// TestClosedIdleConnection sends after the endpoint has closed the connection.
+func TestClosedIdleConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ep := &endpoint{}
+		ep.script = func(rq *http.Request, cn net.Conn) {
+			reply(okReply)(rq, cn)
+			_ = cn.Close()
+		}
+		po := newPool(ep)
+		defer po.Close()
+		_, fa := send(t.Context(), po, post("first"))
+		is.Equal(fa, nil)
+		synctest.Wait()
+		_, fa = send(t.Context(), po, post("second"))
+		is.True(fa != nil)
+		is.Equal(fa.Cause, relay.CauseUnsent)
+		is.Equal(fa.Code.Class(), codes.NotRun)
+		is.Equal(ep.ran.Load(), int64(1))
+	})
+}
+
+func TestDoubtfulConnectionIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ep := &endpoint{script: reply(okReply)}
+		po := newPool(ep)
+		defer po.Close()
+		_, fa := send(t.Context(), po, post("first"))
+		is.Equal(fa, nil)
+		time.Sleep(1500 * time.Millisecond)
+		rq := post("repeatable")
+		rq.Repeatable = true
+		_, fa = send(t.Context(), po, rq)
+		is.Equal(fa, nil)
+		is.Equal(ep.dials.Load(), int64(1)) // young enough for this one
+		time.Sleep(1500 * time.Millisecond)
+		_, fa = send(t.Context(), po, post("once"))
+		is.Equal(fa, nil)
+		is.Equal(ep.dials.Load(), int64(2)) // but not for this one
+	})
+}
+
+// TestSilentConnectionIsFound probes every half second, as entry hosts do.
+func TestSilentConnectionIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ep := &endpoint{script: reply(okReply)}
+		po := newPool(ep)
+		defer po.Close()
+		_, fa := send(t.Context(), po, post("first"))
+		is.Equal(fa, nil)
+		ep.silence()
+		begin := time.Now()
+		time.Sleep(500 * time.Millisecond)
+		is.True(po.Probe(t.Context()).Reachable) // on a new connection
+		is.True(time.Since(begin) < 2*time.Second)
+		_, fa = send(t.Context(), po, post("second"))
+		is.Equal(fa, nil)
+		is.Equal(po.Open(), 1)
+	})
+}
+
+// TestStalledWrite sends to an endpoint that takes nothing any more.
+func TestStalledWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		near, far := net.Pipe() // nobody reads
+		defer far.Close()
+		po := relay.NewPool(relay.Config{
+			Address: "endpoint", Connections: 1,
+			Dial: func(context.Context, string) (net.Conn, error) { return near, nil },
+		})
+		defer po.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		begin := time.Now()
+		_, fa := send(ctx, po, post("once"))
+		is.Equal(fa.Code, codes.OutcomeUnknown) // a part may have arrived
+		is.True(time.Since(begin) <= 2*time.Second)
+	})
+}
+
+func TestFailures(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		reply string
+		cause relay.Cause
+		class codes.Class
+	}{
+		{"busy", "HTTP/1.1 503 x\r\nEndpoint-Refused: busy\r\nContent-Length: 0\r\n\r\n", relay.CauseBusy, codes.NotRun},
+		{"leaving", "HTTP/1.1 503 x\r\nEndpoint-Refused: leaving\r\nContent-Length: 0\r\n\r\n", relay.CauseLeaving, codes.NotRun},
+		{"no answer", "", relay.CauseLost, codes.Unknown},
+		{"no HTTP", "hello\r\n\r\n", relay.CauseLost, codes.Unknown},
+		{"half the headers", "HTTP/1.1 200 OK\r\nContent-", relay.CauseLost, codes.Unknown},
+		{"half the body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", relay.CauseBroken, codes.Failed},
+		{"half the chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", relay.CauseBroken, codes.Failed},
+		{"end not marked", "HTTP/1.1 200 OK\r\n\r\nhalf?", relay.CauseBroken, codes.Failed},
+		{"switched protocol", "HTTP/1.1 101 x\r\nUpgrade: y\r\nConnection: upgrade\r\n\r\n", relay.CauseBroken, codes.Failed},
+		{"of another request", "HTTP/1.1 200 OK\r\nCicadawharf-Request: other\r\nContent-Length: 0\r\n\r\n", relay.CauseMismatch, codes.Unknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ep := &endpoint{script: func(rq *http.Request, cn net.Conn) {
+					reply(tc.reply)(rq, cn)
+					_ = cn.Close()
+				}}
+				po := newPool(ep)
+				defer po.Close()
+				_, fa := send(t.Context(), po, post("once"))
+				is.True(fa != nil)
+				is.Equal(fa.Cause, tc.cause)
+				is.Equal(fa.Code.Class(), tc.class)
+				is.Equal(ep.ran.Load(), int64(1))
+			})
+		})
+	}
+}
+
+// TestLateAnswerReachesNobody gives up on a request whose answer comes later,
+// and sends another one.
+func TestLateAnswerReachesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ep := &endpoint{script: func(rq *http.Request, cn net.Conn) {
+			id := rq.Header.Get(plat.HeaderRequest)
+			if id == "slow" {
+				time.Sleep(time.Second)
+			}
+			fmt.Fprintf(cn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+		}}
+		po := newPool(ep)
+		defer po.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, fa := send(ctx, po, post("slow"))
+		is.Equal(fa.Code, codes.DeadlineInFlight)
+		for range 3 {
+			body, fa := send(t.Context(), po, post("quick"))
+			is.Equal(fa, nil)
+			is.Equal(body, "quick")
+			time.Sleep(600 * time.Millisecond)
+		}
+	})
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ep := &endpoint{script: func(rq *http.Request, cn net.Conn) {
+			time.Sleep(time.Second)
+			reply(okReply)(rq, cn)
+		}}
+		po := newPool(ep)
+		defer po.Close()
+		var refused atomic.Int64
+		var wg sync.WaitGroup
+		for i := range 6 {
+			wg.Go(func() {
+				_, fa := send(t.Context(), po, post(fmt.Sprint(i)))
+				if fa != nil && fa.Cause == relay.CauseConnections && fa.Code == codes.EndpointBusy {
+					refused.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		is.Equal(refused.Load(), int64(2))
+		is.Equal(ep.ran.Load(), int64(4))
+		is.Equal(po.Open(), 4)
+		po.SetConnections(1)
+		_, fa := send(t.Context(), po, post("last"))
+		is.Equal(fa, nil)
+		is.True(po.Open() <= 4)
+	})
+}
+
+func TestHeadersOfOneConnectionStay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		seen := make(chan *http.Request, 1)
+		ep := &endpoint{script: func(rq *http.Request, cn net.Conn) {
+			seen <- rq
+			_, _ = io.WriteString(cn, "HTTP/1.1 200 OK\r\nConnection: X-Own\r\nX-Own: 1\r\nX-Far: 1\r\nKeep-Alive: 5\r\nContent-Length: 0\r\n\r\n")
+		}}
+		po := newPool(ep)
+		defer po.Close()
+		rq := post("a", "Connection", "X-Mine, close", "X-Mine", "1", "X-Far", "1", "Te", "trailers", "Upgrade", "h2c", "Expect", "100-continue")
+		rq.Target = "//a%2Fb/?q=%20&"
+		an, fa := po.Send(t.Context(), rq)
+		is.Equal(fa, nil)
+		defer an.Close()
+		is.Equal(an.Header.Get("X-Far"), "1")
+		for _, name := range []string{"X-Own", "Keep-Alive", "Connection"} {
+			is.Equal(an.Header.Get(name), "")
+		}
+		got := <-seen
+		is.Equal(got.RequestURI, "//a%2Fb/?q=%20&")
+		is.Equal(got.Header.Get("X-Far"), "1")
+		for _, name := range []string{"X-Mine", "Te", "Upgrade", "Expect", "User-Agent", "Accept-Encoding"} {
+			is.Equal(strings.Join(got.Header[name], ","), "")
+		}
+	})
+}
