Prove stopping, spilling and slow senders by tests

Planned stops, callers that leave, slow senders and requests passed to another zone were not tested. The tests stop a host under load and count cut connections, hold more slow senders than there are slots, and check that a request passed on runs once under one identifier and is counted once, with the bytes between regions. Slots of one endpoint shared by two hosts never gave a busy refusal.

--- /dev/null
+++ b/internal/entry/stop_test.go
@@ -0,0 +1,270 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/entry"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/epsim"
+	"github.com/cicadawharf/cicadawharf/internal/peers"
+	"github.com/cicadawharf/cicadawharf/internal/plat"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+// TestStopFinishesRequests stops a host under load: callers who come late are
+// told so, and no connection is cut.
+func TestStopFinishesRequests(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 2, func(cfg *entry.Config, _ *spec.Declarations) { cfg.Stop.Delay = 300 * time.Millisecond })
+	var mu sync.Mutex
+	told := make(map[codes.Code]int)
+	tell := func(an answer) {
+		mu.Lock()
+		defer mu.Unlock()
+		told[an.code]++
+	}
+	var long, short sync.WaitGroup
+	var cut atomic.Int64
+	for range 4 {
+		long.Go(func() {
+			an, err := be.order(epsim.HeaderDelay, "1200ms", client.HeaderRepeatable, "false")
+			if err != nil || an.err != nil {
+				cut.Add(1)
+			}
+			tell(an)
+		})
+	}
+	eventually(t, "all run", func() bool { return len(be.runs()) == 4 })
+	stopping := make(chan struct{})
+	for range 4 {
+		short.Go(func() {
+			for {
+				select {
+				case <-stopping:
+					return
+				default:
+				}
+				an, err := be.order()
+				if err != nil || an.err != nil {
+					cut.Add(1)
+				}
+				tell(an)
+			}
+		})
+	}
+	be.stop()
+	eventually(t, "unready", func() bool {
+		an, err := be.call(http.MethodGet, "/readyz", "")
+		return err == nil && an.code == codes.Stopping
+	})
+	an, err := be.order()
+	is.NoErr(err)
+	is.Equal(an.code, codes.RequestDone) // still serving for Stop.Delay
+	tell(an)
+	eventually(t, "refused", func() bool {
+		an, err := be.order()
+		tell(an)
+		return err == nil && an.code == codes.Stopping
+	})
+	close(stopping)
+	short.Wait()
+	long.Wait()
+	err = <-be.stopped
+	be.stopped <- err
+	is.NoErr(err)
+	is.Equal(cut.Load(), int64(0))
+	is.True(told[codes.RequestDone] >= 5)
+	is.Equal(len(be.runs()), told[codes.RequestDone])
+	be.checkAccount(is, told)
+}
+
+func TestStopIsBounded(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 1, func(cfg *entry.Config, _ *spec.Declarations) { cfg.Stop.Bound = 200 * time.Millisecond })
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = be.order(epsim.HeaderFault, epsim.FaultHang, client.HeaderTimeout, "8s")
+	}()
+	eventually(t, "runs", func() bool { return len(be.runs()) == 1 })
+	begin := time.Now()
+	be.stop()
+	err := <-be.stopped
+	be.stopped <- err
+	is.NoErr(err)
+	is.True(time.Since(begin) < 6*time.Second)
+	<-done
+}
+
+// TestSlowSendersHoldNoSlot lets more callers send slowly than there are slots.
+func TestSlowSendersHoldNoSlot(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 1, func(cfg *entry.Config, _ *spec.Declarations) { cfg.Limits.ReadTimeout = time.Second })
+	var slow []net.Conn
+	for range 20 {
+		cn, err := net.Dial("tcp", be.url[len("http://"):])
+		is.NoErr(err)
+		defer cn.Close()
+		_, err = fmt.Fprintf(cn, "POST /v1/services/orders/ HTTP/1.1\r\nHost: x\r\n%s: hotels\r\nContent-Length: 100\r\n\r\nhalf", client.HeaderWorkspace)
+		is.NoErr(err)
+		slow = append(slow, cn)
+	}
+	an, err := be.order()
+	is.NoErr(err)
+	is.Equal(an.code, codes.RequestDone)
+	for _, cn := range slow {
+		rs, err := http.ReadResponse(bufio.NewReader(cn), nil)
+		is.NoErr(err)
+		is.Equal(rs.Header.Get(client.HeaderCode), strconv.Itoa(int(codes.SlowSender)))
+	}
+	is.Equal(len(be.runs()), 1)
+}
+
+// TestCallersGoAway closes connections while requests wait and run.
+func TestCallersGoAway(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 1, nil)
+	ctx, leave := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for range 12 { // eight run, four wait
+		wg.Go(func() {
+			rq, _ := http.NewRequestWithContext(ctx, http.MethodGet, be.url+"/v1/services/orders/", nil)
+			rq.Header.Set(client.HeaderWorkspace, "parish")
+			rq.Header.Set(epsim.HeaderDelay, "500ms")
+			if rs, err := http.DefaultTransport.RoundTrip(rq); err == nil {
+				_ = rs.Body.Close()
+			}
+		})
+	}
+	eventually(t, "eight run", func() bool { return len(be.runs()) == 8 })
+	time.Sleep(100 * time.Millisecond) // for the others to queue
+	leave()
+	wg.Wait()
+	eventually(t, "outcomes", func() bool { return len(be.log.lines("event=refuse")) == 12 })
+	be.checkAccount(is, map[codes.Code]int{codes.CallerLeft: 8, codes.CallerGone: 4})
+	is.Equal(len(be.runs()), 8)
+	eventually(t, "slots free", func() bool { return be.endpoints[0].Busy() == 0 })
+	an, err := be.order()
+	is.NoErr(err)
+	is.Equal(an.code, codes.RequestDone)
+}
+
+// TestSpill passes requests to another zone while the own one has no endpoint.
+func TestSpill(t *testing.T) {
+	is := is.New(t)
+	spillListener := listen(t)
+	far := newBench(t, 2, func(cfg *entry.Config, _ *spec.Declarations) {
+		cfg.Host, cfg.Zone, cfg.Region = "talca-a", "talca", "chile"
+		cfg.SpillListener = spillListener
+	})
+	near := newBench(t, 0, func(cfg *entry.Config, _ *spec.Declarations) {
+		cfg.Members = func(now time.Time) []peers.Member {
+			return []peers.Member{{Name: "talca-a", Zone: "talca", Region: "chile", Alive: true, Ready: true, LastHeard: now}}
+		}
+		cfg.SpillDial = func(ctx context.Context, _ string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", spillListener.Addr().String())
+		}
+	})
+	for _, tc := range []struct {
+		headers []string
+		code    codes.Code
+	}{
+		{nil, codes.RequestDone},
+		{[]string{epsim.HeaderSize, "500000"}, codes.RequestDone},
+		{[]string{epsim.HeaderStatus, "500"}, codes.EndpointError},
+		{[]string{epsim.HeaderFault, epsim.FaultDropAfter}, codes.OutcomeUnknown},
+		{[]string{epsim.HeaderFault, epsim.FaultHalf}, codes.AnswerBroken},
+	} {
+		an, err := near.order(append(tc.headers, client.HeaderRepeatable, "false")...)
+		is.NoErr(err)
+		is.NoErr(an.err)
+		is.Equal(an.code, tc.code)
+		is.Equal(far.runs()[an.request], 1) // under the same identifier
+	}
+	near.checkAccount(is, map[codes.Code]int{
+		codes.RequestDone: 2, codes.EndpointError: 1, codes.OutcomeUnknown: 1, codes.AnswerBroken: 1,
+	})
+	is.Equal(len(far.account.Snapshot(time.Now()).GetRows()), 0) // counted once, where it came in
+	var bytes int64
+	for _, row := range near.account.Snapshot(time.Now()).GetRows() {
+		bytes += row.GetRegionBytes()
+	}
+	is.True(bytes > 500000 && bytes < 510000)
+
+	for _, ep := range far.endpoints {
+		ep.Leave()
+	}
+	eventually(t, "gone", func() bool { return len(far.server.LeavingEndpoints()) == 2 })
+	an, err := near.order()
+	is.NoErr(err)
+	is.Equal(an.code, codes.NoEndpoint) // and not passed on for ever
+}
+
+func TestSpillNeedsPermission(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 0, func(cfg *entry.Config, de *spec.Declarations) {
+		de.Services[0].Spill = spec.SpillRegion
+		cfg.Members = func(time.Time) []peers.Member {
+			return []peers.Member{{Name: "talca-a", Zone: "talca", Region: "chile", Alive: true, Ready: true}}
+		}
+		cfg.SpillDial = func(context.Context, string) (net.Conn, error) {
+			t.Error("dialled another region")
+			return nil, net.ErrClosed
+		}
+	})
+	an, err := be.order()
+	is.NoErr(err)
+	is.Equal(an.code, codes.NoEndpoint)
+	is.True(an.header.Get("Retry-After") != "")
+}
+
+// TestTwoHostsShareSlots floods two hosts of a zone that share an endpoint.
+func TestTwoHostsShareSlots(t *testing.T) {
+	is := is.New(t)
+	ep := startEndpoint(t, "ep-shared")
+	share := func(host string) func(cfg *entry.Config, _ *spec.Declarations) {
+		return func(cfg *entry.Config, _ *spec.Declarations) {
+			cfg.Host = host
+			cfg.Endpoints = func() []plat.Host {
+				return []plat.Host{{Name: ep.Name(), Kind: plat.KindEndpoint, Address: ep.Addr(), Service: "orders"}}
+			}
+			cfg.Members = func(time.Time) []peers.Member {
+				return []peers.Member{
+					{Name: "lima-a", Zone: "lima", Alive: true, Ready: true},
+					{Name: "lima-b", Zone: "lima", Alive: true, Ready: true},
+				}
+			}
+		}
+	}
+	benches := []*bench{newBench(t, 0, share("lima-a")), newBench(t, 0, share("lima-b"))}
+	var done, other atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Go(func() {
+			an, err := benches[i%2].order(epsim.HeaderDelay, "50ms", client.HeaderRepeatable, "false")
+			if err == nil && an.code == codes.RequestDone {
+				done.Add(1)
+			} else {
+				other.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(other.Load(), int64(0)) // never past the endpoint's slots
+	is.Equal(done.Load(), int64(40))
+	for _, be := range benches {
+		is.Equal(len(be.log.lines("cause=busy")), 0)
+	}
+}
