Wait for refused slots and rescue requests on silent connections

Two weak points of the request path. While hosts come and go, endpoints refuse for want of a slot that a host counts as its own; the request then used up its attempts within microseconds and was refused. An endpoint that refused is now left alone for 50 ms and more, and the request waits within its queue time, holding its place. And a request in flight on a connection that went silent hung until its deadline: when a probe finds a sibling connection silent while another works, those with repeatable requests that wait are closed, so that they are sent again. Requests that may not be repeated are left to TCP's time-outs, since their connection may be sound.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"time"
@@ -15,6 +16,10 @@
 const (
 	maxAttempts = 4
 
+	// fullPause is the time between two looks for a free slot, when the
+	// endpoints have fewer than this host counts on.
+	fullPause = 20 * time.Millisecond
+
 	// hangPart is the part of a service's time-out after which an endpoint
 	// without an answer counts as hanging.
 	hangPart = 2
@@ -32,17 +37,22 @@
 	var tried []string
 	var last *codes.Error
 	for {
-		if !cl.countAttempt() {
-			return last
-		}
 		choice, pool := cl.sv.pick(tried)
 		ch, ok := choice.(route.Chosen)
 		if !ok {
-			cl.attempts--
-			return cl.noChoice(choice, last)
+			if cl.waitForSlot(ctx, choice) {
+				continue
+			}
+			return cl.noChoice(ctx, choice, last)
+		}
+		if !cl.countAttempt() {
+			cl.sv.done(ch.Endpoint.Name, route.Nothing{})
+			return last
 		}
-		tried = append(tried, ch.Endpoint.Name)
 		fa := cl.attempt(ctx, ch, pool)
+		if fa != nil && fa.Cause != relay.CauseBusy {
+			tried = append(tried, ch.Endpoint.Name)
+		}
 		if fa == nil {
 			return nil
 		}
@@ -53,6 +63,23 @@
 	}
 }
 
+// waitForSlot waits a little if endpoints are left out only for want of a slot,
+// for as long as the request might have waited in the queue.
+func (cl *call) waitForSlot(ctx context.Context, choice route.Choice) bool {
+	none, ok := choice.(route.None)
+	if !ok || none.Losers.Full == 0 || time.Since(cl.began) > cl.sr.cfg.Limits.QueueTime {
+		return false
+	}
+	timer := time.NewTimer(fullPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // countAttempt enters an attempt and tells whether it may be made.
 func (cl *call) countAttempt() bool {
 	switch {
@@ -76,7 +103,7 @@
 
 // noChoice returns the outcome when no endpoint is left. That of an attempt
 // tells more than that there is no other.
-func (cl *call) noChoice(choice route.Choice, last *codes.Error) *codes.Error {
+func (cl *call) noChoice(ctx context.Context, choice route.Choice, last *codes.Error) *codes.Error {
 	none, ok := choice.(route.None)
 	if !ok {
 		return codes.New(codes.InternalFailure, "choice %T", choice)
@@ -85,6 +112,10 @@
 	switch {
 	case last != nil:
 		return last
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return codes.New(codes.DeadlinePassed, "the deadline passed while no endpoint had a free slot")
+	case ctx.Err() != nil:
+		return codes.New(codes.CallerGone, "")
 	case none.Losers.Full > 0:
 		return codes.New(codes.EndpointBusy, "no endpoint has a free slot: %s", none.Losers)
 	default:
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -18,12 +18,13 @@
 		used     time.Time // last request that was not a probe
 	}
 
-	// countedConn counts what it was given to send, bounds each write, and
-	// sends nothing once closed.
+	// countedConn counts what it was given to send, bounds each write, sends
+	// nothing once closed, and notes when it has last heard of the other end.
 	countedConn struct {
 		net.Conn
 		writeTimeout time.Duration
 		offered      atomic.Int64 // bytes
+		heard        atomic.Int64 // time of the last read, nanoseconds since 1970
 		closed       atomic.Bool
 	}
 )
@@ -52,6 +53,7 @@
 		MaxIdleConnsPerHost: 1,
 	}
 	now := time.Now()
+	cc.heard.Store(now.UnixNano())
 	return &link{tr: tr, cn: cc, answered: now, used: now}
 }
 
@@ -82,6 +84,17 @@
 	return sent, nil
 }
 
+// Read implements net.Conn.
+func (cc *countedConn) Read(p []byte) (int, error) {
+	n, err := cc.Conn.Read(p)
+	if n > 0 {
+		cc.heard.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+func (cc *countedConn) heardBefore(at time.Time) bool { return cc.heard.Load() < at.UnixNano() }
+
 // Close implements net.Conn.
 func (cc *countedConn) Close() error {
 	cc.closed.Store(true)
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -40,7 +40,8 @@
 	Pool struct {
 		cfg    Config
 		mu     sync.Mutex
-		idle   []*link // the most recently used one last
+		idle   []*link        // the most recently used one last
+		flying map[*link]bool // with a request; whether that may be repeated
 		open   int
 		limit  int
 		closed bool
@@ -70,7 +71,7 @@
 	if cfg.Dial == nil {
 		cfg.Dial = dialTCP
 	}
-	return &Pool{cfg: cfg, limit: max(cfg.Connections, 1)}
+	return &Pool{cfg: cfg, limit: max(cfg.Connections, 1), flying: make(map[*link]bool)}
 }
 
 // SetConnections changes how many connections may be open. Those past the
@@ -143,6 +144,7 @@
 // put returns a connection that has just answered, for another request.
 func (po *Pool) put(li *link) {
 	po.mu.Lock()
+	delete(po.flying, li)
 	if po.closed || po.open > po.limit {
 		po.mu.Unlock()
 		po.drop(li)
@@ -158,10 +160,24 @@
 		li.close()
 	}
 	po.mu.Lock()
+	delete(po.flying, li)
 	po.open--
 	po.mu.Unlock()
 }
 
+// cutSilent closes the connections on which a request that may be repeated
+// waits and nothing was heard since. Their requests fail with CauseLost or
+// CauseBroken.
+func (po *Pool) cutSilent(since time.Time) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	for li, repeatable := range po.flying {
+		if repeatable && li.used.Before(since) && li.cn.heardBefore(since) {
+			_ = li.cn.Close()
+		}
+	}
+}
+
 func setDefault(du *time.Duration, value time.Duration) {
 	if *du == 0 {
 		*du = value
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -15,6 +15,8 @@
 	Reachable bool
 	Stated    bool // the endpoint said where it stands
 	Leaving   bool
+
+	silent bool // the connection took the probe and gave no answer
 }
 
 // probeAfter is how long ago an idle connection has answered when it is
@@ -23,7 +25,8 @@
 
 // Probe asks the endpoint on each idle connection that has not answered
 // lately and closes those that stay silent. If none answers, it asks on a new
-// connection, which decides.
+// connection, which decides. If one works where another was silent, those that
+// keep a request that may be repeated waiting are closed, too.
 func (po *Pool) Probe(ctx context.Context) Health {
 	links := po.doubtful(time.Now())
 	found := make([]Health, len(links))
@@ -32,11 +35,26 @@
 		wg.Go(func() { found[i] = po.ask(ctx, li) })
 	}
 	wg.Wait()
-	for _, he := range found {
-		if he.Reachable {
-			return he
+	begin := time.Now()
+	var he Health
+	silent := false
+	for _, fo := range found {
+		silent = silent || fo.silent
+		if fo.Reachable {
+			he = fo
 		}
 	}
+	if !he.Reachable {
+		he = po.askAnew(ctx)
+	}
+	if silent && he.Reachable {
+		po.cutSilent(begin.Add(-po.cfg.ProbeTimeout))
+	}
+	return he
+}
+
+// askAnew sends a probe on a connection that has just answered, or a new one.
+func (po *Pool) askAnew(ctx context.Context) Health {
 	li, fa := po.take(ctx, probeAfter)
 	if fa != nil {
 		// With every connection busy there is no doubt to be settled.
@@ -78,7 +96,7 @@
 		Header: http.Header{}, Repeatable: true,
 	})
 	if fa != nil {
-		return Health{}
+		return Health{silent: fa.Cause == CauseDeadline}
 	}
 	defer an.Close()
 	if _, err := io.Copy(io.Discard, an); err != nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -216,6 +216,47 @@
 	})
 }
 
+// TestSilenceInFlight silences connections with requests on them. The one that
+// may be repeated fails within two seconds; the other one goes on waiting, since
+// its connection may be sound.
+func TestSilenceInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ep := &endpoint{script: func(rq *http.Request, cn net.Conn) {
+			if rq.Header.Get("X-Hang") == "" {
+				time.Sleep(10 * time.Millisecond)
+				reply(okReply)(rq, cn)
+			}
+		}}
+		po := newPool(ep)
+		defer po.Close()
+		var wg sync.WaitGroup
+		for range 3 {
+			wg.Go(func() { _, _ = send(t.Context(), po, post("first")) })
+		}
+		wg.Wait()
+		begin := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		for _, repeatable := range []bool{true, false} {
+			wg.Go(func() {
+				rq := post("hangs", "X-Hang", "1")
+				rq.Repeatable = repeatable
+				_, fa := send(ctx, po, rq)
+				is.Equal(fa.Cause == relay.CauseLost && time.Since(begin) < 2*time.Second, repeatable)
+				is.Equal(fa.Cause == relay.CauseDeadline, !repeatable)
+			})
+		}
+		synctest.Wait()
+		ep.silence()
+		for range 2 {
+			time.Sleep(500 * time.Millisecond)
+			is.True(po.Probe(t.Context()).Reachable)
+		}
+		wg.Wait()
+	})
+}
+
 // TestStalledWrite sends to an endpoint that takes nothing any more.
 func TestStalledWrite(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -62,7 +62,10 @@
 	if fa != nil {
 		return nil, fa
 	}
+	po.mu.Lock()
 	li.used = time.Now()
+	po.flying[li] = rq.Repeatable
+	po.mu.Unlock()
 	return po.exchange(ctx, li, rq)
 }
 
--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -40,6 +40,8 @@
 		successes int // on probation, in a row
 		rounds    int // times put aside in a row
 		until     time.Time
+		refusals  int       // for want of a slot, in a row
+		fullUntil time.Time // after such a refusal
 	}
 
 	standing uint8
@@ -65,6 +67,11 @@
 	// blame and no endpoint is put aside for bad answers.
 	badTraffic = 0.5
 	badShare   = 0.02 // of one attempt in the part that fails
+
+	// After a refusal for want of a slot, an endpoint is left alone for a
+	// while: other hosts use slots that this one counts as its own.
+	minFull         = 50 * time.Millisecond
+	maxFullDoubling = 4
 )
 
 // aside tells whether the endpoint takes nothing new.
@@ -86,7 +93,7 @@
 	he := &st.health
 	switch ev := ev.(type) {
 	case Answered:
-		he.misses = 0
+		he.misses, he.refusals = 0, 0
 		if ev.ServerError {
 			ta.fail(now, st)
 			return
@@ -106,6 +113,9 @@
 		he.misses = 0
 	case Busy:
 		he.misses = 0
+		wait := minFull << min(he.refusals, maxFullDoubling)
+		he.fullUntil = now.Add(wait + time.Duration(ta.rnd.Int64N(int64(wait/2))))
+		he.refusals++
 	case Unreachable:
 		he.misses++
 		if he.misses >= maxMisses || he.standing == probation {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -58,7 +58,7 @@
 		Leaving int // get nothing new
 		Aside   int // failed before
 		Tried   int // by this request
-		Full    int // no own slot is free
+		Full    int // no own slot is free, or refused for want of one lately
 		Loaded  int // more in use than the chosen one
 	}
 
@@ -164,7 +164,7 @@
 			lo.Tried++
 		case st.health.aside(now):
 			lo.Aside++
-		case st.inUse >= st.room(now):
+		case st.inUse >= st.room(now) || now.Before(st.health.fullUntil):
 			lo.Full++
 		case best == nil || st.load() < best.load():
 			lo.Loaded += bool2int(best != nil)
