Follow the platform's host list and run a fleet of stand-ins

Hosts enter the list by compare-and-swap; a lost answer is settled by reading the list again, so each registration writes once. The watcher keeps what it last knew through outages, refuses older lists, and reads anew at intervals, since a watch can go silent without an error; relying on the watch alone was ruled out for that. The fleet starts the workers and endpoints of the declarations in one process with one write per zone.

--- /dev/null
+++ b/internal/fakes/fleet/fleet.go
@@ -0,0 +1,187 @@
+// Package fleet runs stand-ins for all the workers and endpoints that the
+// declarations tell of, in one process, and enters them into the platform's
+// list: one write for each availability zone.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/fakes/epsim"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/wksim"
+	"github.com/cicadawharf/cicadawharf/internal/plat"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+type (
+	// Config configures a Fleet.
+	Config struct {
+		Declarations     *spec.Declarations
+		Store            store.Store
+		EndpointsPerZone int     // of each service, at most; one a worker if there are fewer
+		RunScale         float64 // factor on the run times of tasks; one if zero
+		UsageLag         time.Duration
+		Log              *slog.Logger
+	}
+
+	// Fleet is a set of running stand-ins.
+	Fleet struct {
+		cfg       Config
+		zones     []zone
+		workers   []*wksim.Server
+		endpoints []*epsim.Server
+		running   sync.WaitGroup
+		cancel    context.CancelFunc
+	}
+
+	zone struct {
+		name  string
+		hosts []plat.Host
+	}
+
+	server interface {
+		Run(context.Context) error
+	}
+)
+
+const (
+	defaultEndpoints = 16
+	listen           = "127.0.0.1:0"
+)
+
+// Start starts the stand-ins and returns when the lists are written, which it
+// tries until ctx ends. They run until Close.
+func Start(ctx context.Context, cfg Config) (*Fleet, error) {
+	if cfg.EndpointsPerZone <= 0 {
+		cfg.EndpointsPerZone = defaultEndpoints
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	fl := &Fleet{cfg: cfg, cancel: cancel}
+	if err := fl.start(ctx, run); err != nil {
+		fl.Close()
+		return nil, err
+	}
+	return fl, nil
+}
+
+// Workers returns the workers in the order of the declarations.
+func (fl *Fleet) Workers() []*wksim.Server { return fl.workers }
+
+// Endpoints returns the endpoints in the order of the declarations.
+func (fl *Fleet) Endpoints() []*epsim.Server { return fl.endpoints }
+
+// Runs returns the starts of tasks on all workers.
+func (fl *Fleet) Runs() []wksim.Run {
+	var runs []wksim.Run
+	for _, sv := range fl.workers {
+		runs = append(runs, sv.Runs()...)
+	}
+	return runs
+}
+
+// Requests returns the requests that ran at all endpoints.
+func (fl *Fleet) Requests() []epsim.Run {
+	var runs []epsim.Run
+	for _, sv := range fl.endpoints {
+		runs = append(runs, sv.Runs()...)
+	}
+	return runs
+}
+
+// Close ends all stand-ins at once and leaves the lists as they are.
+func (fl *Fleet) Close() {
+	fl.cancel()
+	for _, sv := range fl.workers {
+		sv.Close()
+	}
+	for _, sv := range fl.endpoints {
+		sv.Close()
+	}
+	fl.running.Wait()
+}
+
+func (fl *Fleet) start(ctx, run context.Context) error {
+	for _, zn := range fl.cfg.Declarations.Zones {
+		if err := fl.startZone(run, zn); err != nil {
+			return err
+		}
+	}
+	for _, zn := range fl.zones {
+		if err := plat.Register(ctx, fl.cfg.Store, zn.name, zn.hosts...); err != nil {
+			return err
+		}
+		fl.cfg.Log.Info("zone registered", "zone", zn.name, "hosts", len(zn.hosts))
+	}
+	return nil
+}
+
+func (fl *Fleet) startZone(run context.Context, zn spec.Zone) error {
+	started := zone{name: zn.Name}
+	for _, rk := range zn.Racks {
+		for number := range rk.Workers {
+			ho, err := fl.startWorker(run, zn, rk, number)
+			if err != nil {
+				return err
+			}
+			started.hosts = append(started.hosts, ho)
+		}
+	}
+	count := min(len(started.hosts), fl.cfg.EndpointsPerZone)
+	for _, se := range fl.cfg.Declarations.Services {
+		for number := range count {
+			ho, err := fl.startEndpoint(run, zn, se, number)
+			if err != nil {
+				return err
+			}
+			started.hosts = append(started.hosts, ho)
+		}
+	}
+	fl.zones = append(fl.zones, started)
+	return nil
+}
+
+func (fl *Fleet) startWorker(run context.Context, zn spec.Zone, rk spec.Rack, number int) (plat.Host, error) {
+	sv, err := wksim.New(wksim.Config{
+		Name: fmt.Sprintf("%s-%s-%d", zn.Name, rk.Name, number), Listen: listen, Accelerators: rk.Accelerators,
+		RunScale: fl.cfg.RunScale, UsageLag: fl.cfg.UsageLag, Log: fl.cfg.Log,
+	})
+	if err != nil {
+		return plat.Host{}, err
+	}
+	fl.workers = append(fl.workers, sv)
+	fl.serve(run, sv)
+	return plat.Host{
+		Name: sv.Name(), Kind: plat.KindWorker, Address: sv.Addr(), State: plat.StateLive,
+		Rack: rk.Name, Accelerators: rk.Accelerators,
+	}, nil
+}
+
+func (fl *Fleet) startEndpoint(run context.Context, zn spec.Zone, se spec.Service, number int) (plat.Host, error) {
+	sv, err := epsim.New(epsim.Config{
+		Name: fmt.Sprintf("%s-%s-%d", zn.Name, se.Name, number), Service: se.Name, Listen: listen,
+		Slots: se.Slots, Connections: se.Connections, Log: fl.cfg.Log,
+	})
+	if err != nil {
+		return plat.Host{}, err
+	}
+	fl.endpoints = append(fl.endpoints, sv)
+	fl.serve(run, sv)
+	return plat.Host{
+		Name: sv.Name(), Kind: plat.KindEndpoint, Address: sv.Addr(), State: plat.StateLive, Service: se.Name,
+	}, nil
+}
+
+func (fl *Fleet) serve(run context.Context, sv server) {
+	fl.running.Go(func() {
+		if err := sv.Run(run); err != nil {
+			fl.cfg.Log.Error("stand-in ended", "error", err)
+		}
+	})
+}
--- a/internal/fakes/wksim/table.go
+++ b/internal/fakes/wksim/table.go
@@ -34,6 +34,7 @@
 	Table struct {
 		cfg        TableConfig
 		now        time.Time
+		origin     time.Time // zero of the clock that replies state
 		epoch      int64
 		version    int64
 		draining   bool
@@ -68,9 +69,17 @@
 		return tb.header(), worker.ErrStaleEpoch
 	}
 	tb.epoch = req.Epoch
-	tb.renew(now, req.Lease)
+	age, valid := tb.age(now, req)
+	if valid {
+		tb.renew(now, req.Lease-age)
+	}
 	results := make([]worker.Result, 0, len(req.Commands))
 	for _, cm := range req.Commands {
+		if cm.Lease > 0 && (!valid || cm.Lease <= age) {
+			results = append(results, worker.Result{Reason: worker.ReasonLate})
+			continue
+		}
+		cm.Lease = max(0, cm.Lease-age)
 		results = append(results, tb.command(now, cm))
 		tb.Advance(now)
 	}
@@ -82,6 +91,15 @@
 	return reply, nil
 }
 
+// age tells how long a call was on its way by the clock that it states, so
+// that its leases begin when it was sent. A call of another boot grants none.
+func (tb *Table) age(now time.Time, req worker.Request) (age time.Duration, valid bool) {
+	if req.Boot == "" {
+		return 0, true
+	}
+	return max(0, now.Sub(tb.origin)-req.Sent), req.Boot == tb.cfg.Boot
+}
+
 // Advance lets the time pass: leases lapse, tasks finish and checkpoints end,
 // each at its own moment. It returns the table's time, which never goes back.
 func (tb *Table) Advance(now time.Time) time.Time {
@@ -89,6 +107,9 @@
 		now = tb.now
 	}
 	tb.now = now
+	if tb.origin.IsZero() {
+		tb.origin = now
+	}
 	for _, ta := range tb.tasks {
 		at, phase, changes := ta.next()
 		if changes && !at.After(now) {
@@ -164,7 +185,7 @@
 
 func (tb *Table) header() worker.Reply {
 	return worker.Reply{
-		Worker: tb.cfg.Worker, Boot: tb.cfg.Boot, Epoch: tb.epoch, Version: tb.version,
+		Worker: tb.cfg.Worker, Boot: tb.cfg.Boot, Clock: tb.now.Sub(tb.origin), Epoch: tb.epoch, Version: tb.version,
 		Accelerators: tb.cfg.Accelerators, Draining: tb.draining,
 	}
 }
--- /dev/null
+++ b/internal/plat/enter.go
@@ -0,0 +1,114 @@
+package plat
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cicadawharf/cicadawharf/internal/store"
+)
+
+// ErrNoHost says that a host is not on its zone's list.
+var ErrNoHost = errors.New("host is not on the list")
+
+const (
+	firstPause = 20 * time.Millisecond
+	lastPause  = 2 * time.Second
+)
+
+// Register enters hosts into their availability zone's list, or replaces those
+// of the same names, in one write. It tries until ctx ends; after a lost answer
+// the list is read again, which tells whether the write stands.
+func Register(ctx context.Context, st store.Store, zone string, hosts ...Host) error {
+	return update(ctx, st, zone, func(li List) (List, error) {
+		for _, ho := range hosts {
+			if old, found := li.Find(ho.Name); !found || old != ho {
+				li = li.With(ho)
+			}
+		}
+		return li, nil
+	})
+}
+
+// SetState changes the state of one host. The error is ErrNoHost if it is not
+// on the list; otherwise it behaves as Register.
+func SetState(ctx context.Context, st store.Store, zone, name string, state State) error {
+	return update(ctx, st, zone, func(li List) (List, error) {
+		ho, found := li.Find(name)
+		if !found {
+			return li, merry.Prependf(ErrNoHost, "%s", name)
+		}
+		if ho.State == state {
+			return li, nil
+		}
+		ho.State = state
+		return li.With(ho), nil
+	})
+}
+
+// Remove takes hosts off the list in one write. Absent ones are no error;
+// otherwise it behaves as Register.
+func Remove(ctx context.Context, st store.Store, zone string, names ...string) error {
+	return update(ctx, st, zone, func(li List) (List, error) {
+		for _, name := range names {
+			li = li.Without(name)
+		}
+		return li, nil
+	})
+}
+
+// update swaps a zone's list for what change makes of it. Change is idempotent,
+// so that a repeat after a lost answer ends without a further write.
+func update(ctx context.Context, st store.Store, zone string, change func(List) (List, error)) error {
+	for pause := firstPause; ; pause = min(2*pause, lastPause) {
+		err := updateOnce(ctx, st, zone, change)
+		if !retryable(err) {
+			return merry.Prependf(err, "host list of %s", zone)
+		}
+		if errors.Is(err, store.ErrConflict) {
+			pause = firstPause
+		}
+		select {
+		case <-time.After(jitter(pause)):
+		case <-ctx.Done():
+			return merry.Prependf(errors.Join(ctx.Err(), err), "host list of %s", zone)
+		}
+	}
+}
+
+func updateOnce(ctx context.Context, st store.Store, zone string, change func(List) (List, error)) error {
+	en, _, err := st.Get(ctx, Key(zone))
+	if err != nil {
+		return err
+	}
+	old, err := Decode(en.Value)
+	if err != nil {
+		return err
+	}
+	old.Zone = zone
+	li, err := change(old)
+	if err != nil || li.Equal(old) {
+		return err
+	}
+	value, err := li.Encode()
+	if err != nil {
+		return err
+	}
+	if len(value) > store.MaxValue {
+		return merry.Prependf(store.ErrTooLarge, "%d hosts", len(li.Hosts))
+	}
+	_, err = st.Swap(ctx, store.SwapRequest{Key: Key(zone), Value: value, Expect: en.Revision})
+	return err
+}
+
+func retryable(err error) bool {
+	return errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrLost) || errors.Is(err, store.ErrUnavailable)
+}
+
+// jitter returns between half of a duration and all of it.
+func jitter(dur time.Duration) time.Duration {
+	return dur/2 + rand.N(dur/2+1)
+}
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 )
 
 // Kind says what a host of the list is.
@@ -83,3 +84,29 @@
 	}
 	return List{Zone: li.Zone, Hosts: append(hs, ho)}
 }
+
+// Without returns a list without the host of a name.
+func (li List) Without(name string) List {
+	hs := make([]Host, 0, len(li.Hosts))
+	for _, ho := range li.Hosts {
+		if ho.Name != name {
+			hs = append(hs, ho)
+		}
+	}
+	return List{Zone: li.Zone, Hosts: hs}
+}
+
+// Find returns the host of a name.
+func (li List) Find(name string) (Host, bool) {
+	for _, ho := range li.Hosts {
+		if ho.Name == name {
+			return ho, true
+		}
+	}
+	return Host{}, false
+}
+
+// Equal tells whether two lists say the same.
+func (li List) Equal(other List) bool {
+	return li.Zone == other.Zone && slices.Equal(li.Hosts, other.Hosts)
+}
--- /dev/null
+++ b/internal/plat/plat_test.go
@@ -0,0 +1,251 @@
+package plat_test
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/plat"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+)
+
+// memory is a store with one key, and failures that happen once each. What a
+// test does not need is not implemented.
+type memory struct {
+	store.Store
+
+	mu       sync.Mutex
+	entry    store.Entry
+	swaps    int
+	getErrs  []error
+	swapErrs []error
+	down     bool
+	deaf     bool // watches deliver nothing
+	changed  chan struct{}
+}
+
+const zone = "centro"
+
+func newMemory() *memory { return &memory{changed: make(chan struct{})} }
+
+func (me *memory) Get(_ context.Context, key string) (store.Entry, store.Revision, error) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	if err := me.fail(&me.getErrs); err != nil {
+		return store.Entry{}, 0, err
+	}
+	en := me.entry
+	en.Key = key
+	return en, en.Revision, nil
+}
+
+func (me *memory) Swap(_ context.Context, req store.SwapRequest) (store.Entry, error) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	err := me.fail(&me.swapErrs)
+	if err != nil && !errors.Is(err, store.ErrLost) {
+		return store.Entry{}, err
+	}
+	if req.Expect != me.entry.Revision {
+		return me.entry, store.ErrConflict
+	}
+	me.swaps++
+	me.entry = store.Entry{Key: req.Key, Value: req.Value, Revision: me.entry.Revision + 1}
+	close(me.changed)
+	me.changed = make(chan struct{})
+	return me.entry, err
+}
+
+func (me *memory) Watch(ctx context.Context, _ string, after store.Revision, fn func(store.Entry) error) error {
+	for {
+		me.mu.Lock()
+		en, changed, down, deaf := me.entry, me.changed, me.down, me.deaf
+		me.mu.Unlock()
+		if down {
+			return store.ErrUnavailable
+		}
+		if en.Revision > after && !deaf {
+			after = en.Revision
+			if err := fn(en); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (me *memory) set(change func(*memory)) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	change(me)
+	close(me.changed)
+	me.changed = make(chan struct{})
+}
+
+func (me *memory) hosts(is *is.I) []plat.Host {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	li, err := plat.Decode(me.entry.Value)
+	is.NoErr(err)
+	return li.Hosts
+}
+
+// fail takes the next failure, with mu held.
+func (me *memory) fail(errs *[]error) error {
+	if me.down {
+		return store.ErrUnavailable
+	}
+	if len(*errs) == 0 {
+		return nil
+	}
+	err := (*errs)[0]
+	*errs = (*errs)[1:]
+	return err
+}
+
+func host(name string) plat.Host {
+	return plat.Host{Name: name, Kind: plat.KindWorker, Address: "127.0.0.1:1", State: plat.StateLive}
+}
+
+func TestRegisterThroughFailures(t *testing.T) {
+	tests := []struct {
+		name     string
+		getErrs  []error
+		swapErrs []error
+	}{
+		{"sound", nil, nil},
+		{"unavailable", []error{store.ErrUnavailable}, []error{store.ErrUnavailable}},
+		{"conflict", nil, []error{store.ErrConflict}},
+		{"lost after the write", nil, []error{store.ErrLost}},
+		{"lost, then unavailable", []error{nil, store.ErrUnavailable}, []error{store.ErrLost}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				me := newMemory()
+				me.getErrs, me.swapErrs = tc.getErrs, tc.swapErrs
+				is.NoErr(plat.Register(t.Context(), me, zone, host("w1"), host("w2")))
+				is.Equal(me.hosts(is), []plat.Host{host("w1"), host("w2")})
+				is.Equal(me.swaps, 1) // one write, never a second
+			})
+		})
+	}
+}
+
+func TestConcurrentRegistrationsAllStand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		me := newMemory()
+		errs := make(chan error)
+		for i := range 20 {
+			go func() { errs <- plat.Register(t.Context(), me, zone, host(strconv.Itoa(i))) }()
+		}
+		for range 20 {
+			is.NoErr(<-errs)
+		}
+		is.Equal(len(me.hosts(is)), 20)
+	})
+}
+
+func TestSetStateAndRemove(t *testing.T) {
+	is := is.New(t)
+	me := newMemory()
+	is.True(errors.Is(plat.SetState(t.Context(), me, zone, "w1", plat.StateLeaving), plat.ErrNoHost))
+	is.NoErr(plat.Register(t.Context(), me, zone, host("w1"), host("w2")))
+	is.NoErr(plat.SetState(t.Context(), me, zone, "w1", plat.StateLeaving))
+	is.NoErr(plat.SetState(t.Context(), me, zone, "w1", plat.StateLeaving))
+	is.Equal(me.swaps, 2)
+	is.Equal(me.hosts(is)[1].State, plat.StateLeaving)
+	is.NoErr(plat.Remove(t.Context(), me, zone, "w1", "w9"))
+	is.Equal(me.hosts(is), []plat.Host{host("w2")})
+}
+
+func TestRegisterGivesUpWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		me := newMemory()
+		me.down = true
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		err := plat.Register(ctx, me, zone, host("w1"))
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		is.True(errors.Is(err, store.ErrUnavailable))
+	})
+}
+
+func TestWatcher(t *testing.T) {
+	const poll = 10 * time.Second
+	tests := []struct {
+		name   string
+		before func(*memory)
+		after  func(*memory)
+		within time.Duration // of the sound state
+		kept   bool          // the list as it stood is known meanwhile
+	}{
+		{"by watch", func(*memory) {}, func(*memory) {}, 0, false},
+		{"through an outage", func(me *memory) { me.down = true }, func(me *memory) { me.down = false }, poll, true},
+		{"with a silent watch", func(me *memory) { me.deaf = true }, func(*memory) {}, poll, true},
+		{"over a malformed value", func(me *memory) { me.entry.Value = []byte("{"); me.entry.Revision++ }, func(*memory) {}, 0, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				me := newMemory()
+				wa := plat.NewWatcher(plat.WatcherConfig{Store: me, Zone: zone, PollEvery: poll})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go wa.Run(ctx)
+				is.NoErr(plat.Register(ctx, me, zone, host("w1")))
+				synctest.Wait()
+				is.Equal(wa.List().Hosts, []plat.Host{host("w1")})
+
+				changed := wa.Changed()
+				me.set(tc.before)
+				time.Sleep(time.Hour)
+				is.Equal(wa.List().Hosts, []plat.Host{host("w1")})
+				me.set(func(me *memory) {
+					tc.after(me)
+					value, err := plat.List{Zone: zone}.With(host("w2")).Encode()
+					is.NoErr(err)
+					me.entry = store.Entry{Key: plat.Key(zone), Value: value, Revision: me.entry.Revision + 1}
+				})
+				if tc.kept {
+					is.Equal(wa.List().Hosts, []plat.Host{host("w1")})
+				}
+				time.Sleep(tc.within)
+				synctest.Wait()
+				is.Equal(wa.List().Hosts, []plat.Host{host("w2")})
+				<-changed
+			})
+		})
+	}
+}
+
+func TestWatcherIgnoresOlderLists(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		me := newMemory()
+		wa := plat.NewWatcher(plat.WatcherConfig{Store: me, Zone: zone, PollEvery: time.Second})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		is.NoErr(plat.Register(ctx, me, zone, host("w1")))
+		is.NoErr(plat.Register(ctx, me, zone, host("w2")))
+		go wa.Run(ctx)
+		synctest.Wait()
+		me.set(func(me *memory) { me.entry = store.Entry{Revision: 1} }) // read from a replica that lags
+		time.Sleep(time.Minute)
+		is.Equal(len(wa.List().Hosts), 2)
+	})
+}
--- a/internal/worker/http.go
+++ b/internal/worker/http.go
@@ -40,13 +40,16 @@
 // TasksPath is the path of calls on a worker.
 const TasksPath = "/v1/tasks"
 
+// ConnectionsPerWorker bounds the connections to one worker: one for a call
+// that waits, and others for commands beside it.
+const ConnectionsPerWorker = 4
+
 const (
-	defaultTimeout     = 2 * time.Second
-	idleTimeout        = 90 * time.Second
-	connectionsPerHost = 4 // a waiting call and commands beside it
-	idlePerHost        = 2
-	maxReplyBytes      = 8 << 20
-	maxDetailBytes     = 512
+	defaultTimeout = 2 * time.Second
+	idleTimeout    = 90 * time.Second
+	idlePerHost    = 2
+	maxReplyBytes  = 8 << 20
+	maxDetailBytes = 512
 )
 
 // NewHTTPCaller returns a caller with a connection pool of its own.
@@ -59,7 +62,7 @@
 	}
 	tr := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: cfg.Timeout}).DialContext,
-		MaxConnsPerHost:     connectionsPerHost,
+		MaxConnsPerHost:     ConnectionsPerWorker,
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -6,6 +6,11 @@
 // call carries the caller's epoch: a worker refuses one that is smaller than
 // the largest it has seen, so that a deposed scheduler can change nothing.
 //
+// Leases are counted on the worker's own clock, which every reply states. A call
+// says when it was sent by that clock, and a lease that it grants begins there,
+// however late the call arrives. A holder that has sent nothing since some
+// moment therefore knows when every lease that it granted is over.
+//
 // A task goes reserved, running, ended. A reservation or a running task whose
 // lease is not renewed in time is stopped by the worker itself. Ended tasks
 // stay in the table until they are acknowledged.
@@ -47,6 +52,8 @@
 	Epoch    int64         `json:"epoch"`
 	Holder   string        `json:"holder"` // name of the calling host, for the worker's log
 	Version  int64         `json:"version"`
+	Boot     string        `json:"boot,omitempty"` // that Sent belongs to; empty if no reply was seen yet
+	Sent     time.Duration `json:"sent,omitempty"` // the worker's clock when the call was sent, at most
 	Wait     time.Duration `json:"wait"`
 	Lease    time.Duration `json:"lease"` // renews every lease of the table by this much if not zero
 	Commands []Command     `json:"commands,omitempty"`
@@ -75,14 +82,15 @@
 // Reply is the answer to a call. Tasks is omitted when Version equals that of
 // the request.
 type Reply struct {
-	Worker       string   `json:"worker"`
-	Boot         string   `json:"boot"` // changes when the worker restarts with an empty table
-	Epoch        int64    `json:"epoch"`
-	Version      int64    `json:"version"`
-	Accelerators int      `json:"accelerators"`
-	Draining     bool     `json:"draining"`
-	Tasks        []Task   `json:"tasks,omitempty"`
-	Results      []Result `json:"results,omitempty"`
+	Worker       string        `json:"worker"`
+	Boot         string        `json:"boot"`  // changes when the worker restarts with an empty table
+	Clock        time.Duration `json:"clock"` // runs evenly within one boot
+	Epoch        int64         `json:"epoch"`
+	Version      int64         `json:"version"`
+	Accelerators int           `json:"accelerators"`
+	Draining     bool          `json:"draining"`
+	Tasks        []Task        `json:"tasks,omitempty"`
+	Results      []Result      `json:"results,omitempty"`
 }
 
 // Caller makes calls to workers by their address. Errors are ErrStaleEpoch
@@ -119,6 +127,7 @@
 	ReasonNoTask   = "noTask"
 	ReasonDraining = "draining"
 	ReasonEnded    = "ended"
+	ReasonLate     = "late" // the lease was over when the call arrived, or belongs to another boot
 )
 
 // Ended tells whether a task in this phase is over.
