Make the test of busy endpoints independent of timing

The test of endpoints that refuse for want of a slot failed once in a run with the race detector: requests of 1500 ms ended while others, which share the growing pause after a refusal, still had attempts left. The counts are unchanged; the requests now take 3 s, longer than the 2 s for which others may wait.

--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -148,8 +148,8 @@
 		requests int
 		busy     int
 	}{
-		{"1500ms", 12, 4}, // too long for the others to wait
-		{"200ms", 10, 0},  // they wait, and run
+		{"3s", 12, 4},    // longer than the others may wait
+		{"200ms", 10, 0}, // they wait, and run
 	} {
 		t.Run(tc.delay, func(t *testing.T) {
 			is := is.New(t)
