Test that a renewal moves the end of a lease only forward

A trial change that left renewals out passed the tests of the worker stand-in, so a lease that is never renewed could have gone unnoticed by everything that builds on it. The rest of the table's tests were ruled out as covering it: they renew only through repeated commands.

--- a/internal/fakes/wksim/table_test.go
+++ b/internal/fakes/wksim/table_test.go
@@ -138,6 +138,20 @@
 	}
 }
 
+func TestRenewalMovesTheEndOfTheLease(t *testing.T) {
+	is := is.New(t)
+	tb := newTable()
+	_, err := tb.Apply(start, worker.Request{Epoch: 1, Commands: []worker.Command{reserve(first, 4)}})
+	is.NoErr(err)
+	renewed := start.Add(lease / 2)
+	_, err = tb.Apply(renewed, worker.Request{Epoch: 1, Lease: lease})
+	is.NoErr(err)
+	_, err = tb.Apply(renewed, worker.Request{Epoch: 1, Lease: time.Nanosecond}) // never back
+	is.NoErr(err)
+	is.Equal(tb.Tasks(tb.Advance(renewed.Add(lease - 1)))[0].Phase, worker.PhaseReserved)
+	is.Equal(tb.Tasks(tb.Advance(renewed.Add(lease)))[0].Phase, worker.PhaseLapsed)
+}
+
 func TestUsageLags(t *testing.T) {
 	is := is.New(t)
 	tb := newTable()
