--- a/internal/fakes/wksim/table_test.go
+++ b/internal/fakes/wksim/table_test.go
@@ -152,6 +152,41 @@
 	is.Equal(tb.Tasks(tb.Advance(renewed.Add(lease)))[0].Phase, worker.PhaseLapsed)
 }
 
+// TestLeasesBeginWhenTheCallWasSent delivers a reservation that was sent when
+// the worker's clock stood at 10 s.
+func TestLeasesBeginWhenTheCallWasSent(t *testing.T) {
+	const sent = 10 * time.Second
+	tests := []struct {
+		name    string
+		boot    string
+		arrives time.Duration // by the worker's clock
+		reason  string
+		ends    time.Duration
+	}{
+		{"in time", "b1", sent + time.Second, "", sent + lease},
+		{"clock estimated too high", "b1", sent - time.Second, "", sent - time.Second + lease},
+		{"just late", "b1", sent + lease, worker.ReasonLate, 0},
+		{"of another boot", "b0", sent, worker.ReasonLate, 0},
+		{"without a clock", "", sent + lease, "", sent + 2*lease},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			tb := newTable()
+			tb.Advance(start)
+			reply, err := tb.Apply(start.Add(tc.arrives), worker.Request{
+				Epoch: 1, Boot: tc.boot, Sent: sent, Commands: []worker.Command{reserve(first, 4)},
+			})
+			is.NoErr(err)
+			is.Equal(reply.Clock, tc.arrives)
+			is.Equal(reply.Results[0].Reason, tc.reason)
+			at, held := tb.Next()
+			is.Equal(held, tc.reason == "")
+			is.True(!held || at.Equal(start.Add(tc.ends)))
+		})
+	}
+}
+
 func TestUsageLags(t *testing.T) {
 	is := is.New(t)
 	tb := newTable()
