Use idle slots of other hosts while requests wait

A host whose own slots were in use let requests wait while endpoints of the zone were free, since their slots belonged to hosts with nothing to do. Ruled out load reports between hosts, which lag by a heartbeat, and a central counter, which would be a second thing to agree on. A host whose requests wait at three reviews in a row now tries a few slots of others, twice as many at each review, up to half of theirs at any endpoint; a refusal, which is a safe not-run, halves that and holds off for a second and longer.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -164,8 +164,8 @@
 
 func (cl *call) deadline() time.Time {
 	timeout := cl.sd.Timeout
-	if cl.hd.timeout > 0 && (cl.hd.timeout < timeout || timeout <= 0) {
-		timeout = cl.hd.timeout
+	if cl.hd.timeout > 0 {
+		timeout = min(timeout, cl.hd.timeout)
 	}
 	return cl.began.Add(timeout)
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -142,7 +142,7 @@
 	}
 	cl.sv.done(ch.Endpoint.Name, evs...)
 	cl.logRoute(routeLine{
-		endpoint: ch.Endpoint.Name, zone: cl.sr.cfg.Zone, of: ch.Of, losers: ch.Losers.String(),
+		endpoint: ch.Endpoint.Name, zone: cl.sr.cfg.Zone, of: ch.Of, losers: ch.Losers.String(), loan: ch.Loan,
 		code: outcomeOf(rp, fa), cause: causeOf(fa), duration: time.Since(from),
 	})
 	return cl.conclude(rp, fa)
@@ -188,6 +188,7 @@
 	zone     string
 	of       int
 	losers   string
+	loan     bool // of a slot that another host owns
 	code     codes.Code
 	cause    string
 	duration time.Duration
@@ -198,6 +199,6 @@
 		slog.String("event", "route"), slog.String("request", cl.id),
 		slog.String("workspace", cl.workspace), slog.String("service", cl.service),
 		slog.String("endpoint", li.endpoint), slog.String("zone", li.zone),
-		slog.Int("attempt", cl.attempts), slog.Int("of", li.of), slog.String("losers", li.losers),
+		slog.Int("attempt", cl.attempts), slog.Int("of", li.of), slog.String("losers", li.losers), slog.Bool("loan", li.loan),
 		slog.Int("code", int(li.code)), slog.String("cause", li.cause), slog.Duration("duration", li.duration))
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -110,6 +110,7 @@
 	sv.rule, sv.zones = sd.Spill, vw.zones
 	sv.table.Update(endpoints, vw.hosts)
 	sv.updateTargets(endpoints)
+	sv.table.Review(now, sv.gate.Waiting())
 	sv.gate.SetShares(sv.shares(now, vw.declarations))
 	sv.resize(now)
 	sv.dispatch(sv.gate.Expire(now))
--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -116,6 +116,7 @@
 		wait := minFull << min(he.refusals, maxFullDoubling)
 		he.fullUntil = now.Add(wait + time.Duration(ta.rnd.Int64N(int64(wait/2))))
 		he.refusals++
+		ta.loans.refused(now)
 	case Unreachable:
 		he.misses++
 		if he.misses >= maxMisses || he.standing == probation {
--- /dev/null
+++ b/internal/route/loan_test.go
@@ -0,0 +1,107 @@
+package route_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/route"
+)
+
+// zone simulates hosts that share endpoints of one slot count. Each request
+// takes one step.
+type zone struct {
+	tables []*route.Table
+	inUse  map[string]int
+	slots  int
+	now    time.Time
+}
+
+func newZone(count, slots int, hosts ...string) *zone {
+	zn := &zone{inUse: make(map[string]int), slots: slots, now: epoch}
+	for _, ho := range hosts {
+		ta := route.New(route.Config{Host: ho, Seed: 1})
+		ta.Update(endpoints(count, slots), hosts)
+		zn.tables = append(zn.tables, ta)
+	}
+	return zn
+}
+
+// step has each host send as many requests as wants says, and returns how many
+// of them ran and how many were refused by a full endpoint.
+func (zn *zone) step(wants ...int) (ran, refused []int) {
+	ran, refused = make([]int, len(wants)), make([]int, len(wants))
+	type running struct {
+		host     int
+		endpoint string
+	}
+	var all []running
+	for sent := true; sent; {
+		sent = false
+		for ho, ta := range zn.tables {
+			if ran[ho]+refused[ho] >= wants[ho] {
+				continue
+			}
+			name, ok := pick(ta, zn.now)
+			if !ok {
+				continue
+			}
+			sent = true
+			if zn.inUse[name] == zn.slots {
+				refused[ho]++
+				ta.Done(zn.now, name, route.Busy{})
+				continue
+			}
+			zn.inUse[name]++
+			ran[ho]++
+			all = append(all, running{ho, name})
+		}
+	}
+	for _, ru := range all {
+		zn.inUse[ru.endpoint]--
+		zn.tables[ru.host].Done(zn.now, ru.endpoint, route.Answered{})
+	}
+	for ho, ta := range zn.tables {
+		ta.Review(zn.now, max(wants[ho]-ran[ho], 0))
+	}
+	zn.now = zn.now.Add(200 * time.Millisecond)
+	return ran, refused
+}
+
+// TestLoans floods one host of three, then the others, too.
+func TestLoans(t *testing.T) {
+	is := is.New(t)
+	zn := newZone(16, 8, "a", "b", "c") // 128 slots
+	first, _ := zn.step(200, 0, 0)
+	is.True(first[0] < 64) // its own slots only
+	var ran, refused []int
+	for range 20 {
+		ran, refused = zn.step(200, 0, 0)
+	}
+	is.True(ran[0] >= first[0]+(128-first[0])/3) // a good part of the idle ones
+	is.Equal(refused[0], 0)
+	t.Logf("host a ran %d with its own slots, %d with loans", first[0], ran[0])
+
+	refusals := 0
+	for range 25 { // five seconds
+		ran, refused = zn.step(200, 200, 200)
+		refusals += refused[0] + refused[1] + refused[2]
+	}
+	t.Logf("host a ran %d once the others needed their slots, %d refusals of %d", ran[0], refusals, 25*128)
+	is.Equal(ran[0]+ran[1]+ran[2], 128)
+	is.True(ran[0] <= first[0]+2) // the owners have their slots again
+	is.True(refusals < 25*128/10) // less than a tenth of the traffic
+}
+
+// TestNoLoansWithoutNeed keeps to the own slots while requests do not wait.
+func TestNoLoansWithoutNeed(t *testing.T) {
+	is := is.New(t)
+	zn := newZone(4, 8, "a", "b")
+	own := zn.tables[0].Capacity(epoch)
+	for range 20 {
+		ran, _ := zn.step(own, 0)
+		is.Equal(ran[0], own)
+	}
+	is.Equal(zn.tables[0].Capacity(zn.now), own)
+}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -4,7 +4,8 @@
 // Every slot of an endpoint belongs to exactly one entry host of the zone, by
 // rendezvous hashing over the hosts that are alive. Hosts that see the same
 // members never use more than an endpoint's slots together, without speaking
-// to each other, and a host that comes or goes moves only its own slots.
+// to each other, and a host that comes or goes moves only its own slots. A host
+// whose requests wait may use slots of others that are idle, see loans.
 //
 // Endpoints are put aside by evidence: those that can't be reached until a
 // probe reaches them, those that answer badly until a back-off has passed. Both
@@ -45,6 +46,7 @@
 		Endpoint Endpoint
 		Of       int    // endpoints that were looked at
 		Losers   Losers // why the others were not chosen
+		Loan     bool   // a slot of another host
 	}
 
 	// None says that no endpoint takes the request.
@@ -69,6 +71,7 @@
 		hosts  []string
 		states []*state // by name
 		bad    float64  // moving part of attempts that failed at the endpoint
+		loans  loans
 	}
 
 	// state is what is known of one endpoint.
@@ -127,7 +130,7 @@
 	for _, st := range ta.states {
 		total += max(st.room(now), st.inUse)
 	}
-	return total
+	return total + max(ta.loans.limit-ta.borrowed(), 0)
 }
 
 // Usable returns the slots at endpoints that take new requests, in use or not.
@@ -150,8 +153,9 @@
 	return total
 }
 
-// Pick chooses the endpoint with the smallest part of its own slots in use.
-// Those named in tried are left out.
+// Pick chooses the endpoint with the smallest part of its own slots in use, or
+// if none is free, a slot of another host as far as loans go. Endpoints named
+// in tried are left out.
 func (ta *Table) Pick(now time.Time, tried []string) Choice {
 	var best *state
 	var lo Losers
@@ -179,11 +183,15 @@
 			}
 		}
 	}
+	loan := best == nil
+	if loan {
+		best = ta.pickLoan(now, tried)
+	}
 	if best == nil {
 		return None{Of: len(ta.states), Losers: lo}
 	}
 	best.inUse++
-	return Chosen{Endpoint: best.Endpoint, Of: len(ta.states), Losers: lo}
+	return Chosen{Endpoint: best.Endpoint, Of: len(ta.states), Losers: lo, Loan: loan}
 }
 
 // Done gives back the slot of a chosen endpoint and enters what was seen.
@@ -253,6 +261,11 @@
 	}
 }
 
+// takes tells whether the endpoint may get another request, slots aside.
+func (st *state) takes(now time.Time, tried []string) bool {
+	return !st.leaves() && !slices.Contains(tried, st.Name) && !st.health.aside(now) && !now.Before(st.health.fullUntil)
+}
+
 func (st *state) load() float64 { return float64(st.inUse) / float64(st.owned) }
 
 func withHost(hosts []string, host string) []string {
