--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -45,10 +45,12 @@
 type Record struct {
 	Spec
 	State     State
-	Attempt   int // of the last start; zero before the first
+	Attempt   int   // of the last start; zero before the first
+	Epoch     int64 // of the scheduler that began it
 	Tasks     []Task
 	Code      codes.Code
 	Detail    string // why it waits, or how it ended
+	Doubt     bool   // an attempt may have run of which nothing is known
 	Cancelled bool   // cancellation was asked for
 	Submitted time.Time
 	Started   time.Time // of the last attempt
@@ -129,6 +131,9 @@
 	return 0, false
 }
 
+// Movable tells whether a job may be stopped and run again as promised.
+func (sp Spec) Movable() bool { return sp.Repeatable || sp.Checkpoint }
+
 // Active tells whether the job has not ended.
 func (rc Record) Active() bool { return rc.State != Ended }
 
@@ -145,8 +150,9 @@
 }
 
 // WithAttempt returns the record with its next attempt placed on tasks.
-func (rc Record) WithAttempt(now time.Time, tasks []Task) Record {
+func (rc Record) WithAttempt(now time.Time, epoch int64, tasks []Task) Record {
 	rc.Attempt++
+	rc.Epoch = epoch
 	rc.Tasks = tasks
 	rc.Started = now
 	return rc.WithState(Starting)
--- a/internal/jobs/wire_test.go
+++ b/internal/jobs/wire_test.go
@@ -29,8 +29,8 @@
 				Repeatable: rapid.Bool().Draw(rt, "repeatable"), Checkpoint: rapid.Bool().Draw(rt, "checkpoint"),
 				Command: []string{"run", "it"},
 			},
-			State: jobs.Running, Attempt: 3, Tasks: []jobs.Task{{Worker: "w1", Address: "127.0.0.1:1"}},
-			Code: codes.JobRunning, Detail: "d", Cancelled: rapid.Bool().Draw(rt, "cancelled"),
+			State: jobs.Running, Attempt: 3, Epoch: 9, Tasks: []jobs.Task{{Worker: "w1", Address: "127.0.0.1:1"}},
+			Code: codes.JobRunning, Detail: "d", Cancelled: rapid.Bool().Draw(rt, "cancelled"), Doubt: rapid.Bool().Draw(rt, "doubt"),
 			Submitted: moment.Draw(rt, "submitted"), Started: moment.Draw(rt, "started"), Ended: moment.Draw(rt, "ended"),
 			Held: time.Hour, Lost: time.Minute,
 		}
--- /dev/null
+++ b/internal/sched/caller.go
@@ -0,0 +1,113 @@
+package sched
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/place"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+// maxWaiting bounds the waiting jobs of a zone.
+const maxWaiting = 20000
+
+// submit records a job, or refuses it.
+func (co *Core) submit(now time.Time, ev Submitted) {
+	if jb, ok := co.jobs[ev.Spec.ID]; ok {
+		co.submitAgain(now, jb, ev)
+		return
+	}
+	if er := co.admit(ev.Spec); er != nil {
+		co.emit(Answer{Ticket: ev.Ticket, Err: er})
+		return
+	}
+	rc := jobs.Record{Spec: ev.Spec, Submitted: now}.WithState(jobs.Queued)
+	jb := &job{rec: rc, bucket: co.bucketOf(rc.ID), unit: place.NoUnit}
+	jb.tickets = []ticket{{id: ev.Ticket, until: now.Add(ticketTime)}}
+	co.jobs[rc.ID] = jb
+	co.dirty(jb)
+}
+
+// submitAgain answers a submission whose name is taken.
+func (co *Core) submitAgain(now time.Time, jb *job, ev Submitted) {
+	switch {
+	case !reflect.DeepEqual(jb.rec.Spec, ev.Spec):
+		co.emit(Answer{Ticket: ev.Ticket, Err: codes.New(codes.KeyMismatch, "job %s was submitted with other content", ev.Spec.ID)})
+	case jb.saved.ID != "":
+		co.emit(Answer{Ticket: ev.Ticket, Record: jb.visible()})
+	default:
+		jb.tickets = append(jb.tickets, ticket{id: ev.Ticket, until: now.Add(ticketTime)})
+	}
+}
+
+// admit tells why a job is refused, or nil.
+func (co *Core) admit(sp jobs.Spec) *codes.Error {
+	if co.decl == nil {
+		return codes.New(codes.NotReady, "no declarations").WithRetryAfter(storeWait)
+	}
+	ws, ok := co.decl.Workspace(sp.Workspace)
+	if !ok {
+		return codes.New(codes.UnknownWorkspace, "workspace %q", sp.Workspace)
+	}
+	if er := checkShape(sp.Shape); er != nil {
+		return er
+	}
+	if ws.Quota > 0 && sp.Shape.Total() > ws.Quota {
+		return codes.New(codes.QuotaExceeded, "the gang holds %d accelerators, the quota is %d", sp.Shape.Total(), ws.Quota)
+	}
+	if er := co.checkFits(sp); er != nil {
+		return er
+	}
+	if co.storeAway() {
+		return codes.New(codes.StoreUnavailable, "new jobs can't be recorded").WithRetryAfter(storeWait)
+	}
+	if len(co.jobs) >= maxWaiting {
+		return codes.New(codes.QueueFull, "%d jobs", len(co.jobs)).WithRetryAfter(storeWait)
+	}
+	return nil
+}
+
+// checkFits refuses what could not run on the declared workers if nothing else
+// did: because of its shape, or because it could not make room for guarantees.
+func (co *Core) checkFits(sp jobs.Spec) *codes.Error {
+	zn, ok := co.decl.Zone(co.zone)
+	if !ok {
+		return codes.New(codes.ShapeNeverFits, "availability zone %s is not declared", co.zone)
+	}
+	fl := place.NewFleet(place.DeclaredWorkers(zn), place.UnitsOf(co.decl, co.zone))
+	rq := place.Request{Job: sp.ID, Workspace: sp.Workspace, Shape: sp.Shape, Priority: sp.Priority, Movable: sp.Movable()}
+	de := fl.Decide(time.Time{}, rq)
+	if wa, ok := de.(place.Waits); ok {
+		return codes.New(codes.ShapeNeverFits, "%d tasks of %d accelerators within one %s of %s: %s",
+			sp.Shape.Tasks, sp.Shape.Accelerators, sp.Shape.Adjacency, co.zone, wa.Reason)
+	}
+	return nil
+}
+
+func checkShape(sh spec.Shape) *codes.Error {
+	if sh.Tasks < 1 || sh.Tasks > spec.MaxTasks || sh.Accelerators < 0 {
+		return codes.New(codes.ShapeTooLarge, "%d tasks of %d accelerators", sh.Tasks, sh.Accelerators)
+	}
+	return nil
+}
+
+// cancel marks a job; its gang is stopped by what follows.
+func (co *Core) cancel(now time.Time, ev CancelAsked) {
+	jb, ok := co.jobs[ev.ID]
+	if !ok {
+		co.emit(Answer{Ticket: ev.Ticket, Err: codes.New(codes.JobNotFound, "job %q", ev.ID)})
+		return
+	}
+	if jb.saved.State == jobs.Ended || jb.saved.Cancelled {
+		co.emit(Answer{Ticket: ev.Ticket, Record: jb.visible()})
+		return
+	}
+	if !jb.rec.Cancelled && jb.rec.Active() {
+		jb.rec = jb.rec.WithCancelled()
+	}
+	jb.tickets = append(jb.tickets, ticket{id: ev.Ticket, cancel: true, until: now.Add(ticketTime)})
+	co.dirty(jb)
+	co.touch(ev.ID)
+}
--- /dev/null
+++ b/internal/sched/core.go
@@ -0,0 +1,288 @@
+package sched
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/place"
+	"github.com/cicadawharf/cicadawharf/internal/worker"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+type (
+	// Config constructs a Core.
+	Config struct {
+		Zone         string
+		Epoch        int64
+		Buckets      int
+		Records      []jobs.Record // as loaded from the store under Epoch
+		Declarations *spec.Declarations
+	}
+
+	// Core is the state of one scheduler under one epoch. It is not safe for
+	// concurrent use.
+	Core struct {
+		zone        string
+		epoch       int64
+		began       time.Time
+		decl        *spec.Declarations
+		jobs        map[string]*job
+		machines    map[string]*machine
+		buckets     []bucket
+		fleet       *place.Fleet   // nil when it has to be built anew
+		index       map[string]int // worker's place in the fleet
+		pass        bool           // a placement pass is due
+		touched     map[string]bool
+		effects     []Effect
+		resigned    bool
+		inventoried bool // placing has begun
+	}
+
+	// job is a record with what this core knows beyond it.
+	job struct {
+		rec         jobs.Record
+		saved       jobs.Record // as it stands in the store; no ID if it does not
+		change      int         // counts the changes of rec
+		savedChange int         // that saved holds
+		bucket      int
+		adopted     bool // the attempt was begun by an earlier core
+		reserved    []bool
+		sent        bool // starts were sent
+		begun       time.Time
+		startBy     time.Time
+		cause       cause
+		unit        int
+		earmark     *earmark
+		after       time.Time // not placed before
+		avoid       []string
+		failures    int
+		tickets     []ticket
+		doubtful    bool // its first record may be in the store
+	}
+
+	// cause is why an attempt is stopped.
+	cause struct {
+		code    codes.Code // of the end, unless the job is queued again
+		requeue bool
+		yields  bool // to other work, so that a checkpoint is taken
+		detail  string
+	}
+
+	// earmark is ground that is kept for a job while others are stopped.
+	earmark struct {
+		workers []int
+		unit    int
+		until   time.Time
+	}
+
+	ticket struct {
+		id     Ticket
+		cancel bool
+		until  time.Time
+	}
+)
+
+// MaxAttempts bounds how often a job is begun again after its gang was cut
+// short by failing workers.
+const MaxAttempts = 20
+
+// New returns a core that has taken inventory of nothing yet.
+func New(now time.Time, cf Config) *Core {
+	co := &Core{
+		zone: cf.Zone, epoch: cf.Epoch, began: now, decl: cf.Declarations,
+		jobs: map[string]*job{}, machines: map[string]*machine{},
+		buckets: make([]bucket, cf.Buckets), touched: map[string]bool{},
+	}
+	for _, rc := range cf.Records {
+		jb := &job{rec: rc, saved: rc, bucket: co.bucketOf(rc.ID), unit: place.NoUnit, adopted: true}
+		jb.reserved = make([]bool, len(rc.Tasks))
+		for i := range jb.reserved {
+			jb.reserved[i] = true
+		}
+		jb.begun = now
+		jb.startBy = now.Add(inventoryTime + startTime)
+		if rc.State == jobs.Stopping {
+			jb.cause = cause{requeue: true, detail: "was being stopped when the scheduler changed"}
+		}
+		co.jobs[rc.ID] = jb
+		co.touched[rc.ID] = true
+	}
+	return co
+}
+
+// Handle takes one event and returns what is to be done.
+func (co *Core) Handle(now time.Time, ev Event) []Effect {
+	if co.resigned {
+		return nil
+	}
+	switch ev := ev.(type) {
+	case Declared:
+		co.decl = ev.Declarations
+		co.rebuild()
+	case Listed:
+		co.list(now, ev.Workers)
+	case Submitted:
+		co.submit(now, ev)
+	case CancelAsked:
+		co.cancel(now, ev)
+	case Reported:
+		co.report(now, ev)
+	case Unanswered:
+		co.unanswered(now, ev)
+	case Written:
+		co.written(now, ev)
+	case Ticked:
+		co.tick(now)
+	}
+	co.settle(now)
+	effects := co.effects
+	co.effects = nil
+	return effects
+}
+
+// Get returns the record of a job as it stands in the store.
+func (co *Core) Get(id string) (jobs.Record, bool) {
+	jb, ok := co.jobs[id]
+	if !ok || jb.saved.ID == "" {
+		return jobs.Record{}, false
+	}
+	return jb.visible(), true
+}
+
+// List returns the records that pass the filter, the oldest first.
+func (co *Core) List(fi jobs.Filter) []jobs.Record {
+	var rcs []jobs.Record
+	for _, jb := range co.jobs {
+		rc := jb.visible()
+		if jb.saved.ID == "" || (fi.Workspace != "" && rc.Workspace != fi.Workspace) || (fi.Active && !rc.Active()) {
+			continue
+		}
+		rcs = append(rcs, rc)
+	}
+	slices.SortFunc(rcs, func(a, b jobs.Record) int {
+		if c := a.Submitted.Compare(b.Submitted); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	return rcs
+}
+
+// Summary counts what the zone's status shows.
+func (co *Core) Summary(now time.Time) Summary {
+	sm := Summary{Epoch: co.epoch}
+	for _, ma := range co.machines {
+		if ma.usable(now) {
+			sm.Workers++
+		}
+	}
+	for _, jb := range co.jobs {
+		switch jb.rec.State {
+		case jobs.Queued:
+			sm.Waiting++
+		case jobs.Starting, jobs.Running, jobs.Stopping:
+			sm.Running++
+		}
+	}
+	if co.fleet != nil {
+		sm.FreeAccelerators = co.fleet.Free()
+	}
+	return sm
+}
+
+// Summary is the present state of a zone in numbers.
+type Summary struct {
+	Epoch            int64
+	Workers          int // usable ones
+	FreeAccelerators int
+	Waiting          int
+	Running          int
+}
+
+// visible is what callers may be told: an end only once it is in the store.
+func (jb *job) visible() jobs.Record {
+	if jb.rec.State == jobs.Ended && jb.saved.State != jobs.Ended {
+		return jb.saved.WithDetail("its end is being recorded")
+	}
+	return jb.rec
+}
+
+// settle carries the consequences of an event to their end.
+func (co *Core) settle(now time.Time) {
+	co.evaluateTouched(now)
+	if co.pass && co.ready(now) {
+		co.pass = false
+		co.placeWaiting(now)
+		co.evaluateTouched(now)
+	}
+	co.sendCommands(now)
+	co.flushBuckets(now)
+}
+
+func (co *Core) evaluateTouched(now time.Time) {
+	for len(co.touched) > 0 {
+		ids := slices.Sorted(maps.Keys(co.touched))
+		clear(co.touched)
+		for _, id := range ids {
+			if jb, ok := co.jobs[id]; ok {
+				co.evaluate(now, jb)
+			}
+		}
+	}
+}
+
+// tick looks again at everything that waits for time to pass.
+func (co *Core) tick(now time.Time) {
+	for id, jb := range co.jobs {
+		switch {
+		case jb.rec.State != jobs.Ended && jb.rec.State != jobs.Queued, jb.earmark != nil:
+			co.touched[id] = true
+		case jb.rec.State == jobs.Queued:
+			co.pass = true
+		case jb.clean() && now.Sub(jb.rec.Ended) > recordTime:
+			co.dirty(jb)
+			delete(co.jobs, id)
+		}
+		co.expireTickets(now, jb)
+	}
+	co.watchMachines(now)
+}
+
+// resign ends the core and answers whoever waits.
+func (co *Core) resign(reason string) {
+	co.resigned = true
+	for _, jb := range co.jobs {
+		for _, tk := range jb.tickets {
+			co.answerUnknown(jb, tk)
+		}
+		jb.tickets = nil
+	}
+	co.emit(Resign{Reason: reason})
+}
+
+func (co *Core) emit(ef Effect) { co.effects = append(co.effects, ef) }
+
+func (co *Core) touch(id string) { co.touched[id] = true }
+
+func (co *Core) rebuild() {
+	co.fleet = nil
+	co.pass = true
+}
+
+func (co *Core) note(jb *job, decision, reason string) {
+	no := Noted{Job: jb.rec.ID, Workspace: jb.rec.Workspace, Decision: decision, Reason: reason, Attempt: jb.rec.Attempt}
+	for _, ta := range jb.rec.Tasks {
+		if len(no.Workers) == 0 || no.Workers[len(no.Workers)-1] != ta.Worker {
+			no.Workers = append(no.Workers, ta.Worker)
+		}
+	}
+	co.emit(no)
+}
+
+func (jb *job) taskID(at int) worker.TaskID {
+	return worker.TaskID{Job: jb.rec.ID, Attempt: jb.rec.Attempt, Index: at}
+}
--- /dev/null
+++ b/internal/sched/event.go
@@ -0,0 +1,189 @@
+// Package sched is the core of an availability zone's scheduler: the state of
+// its jobs and workers, and the rules by which both move. It does no I/O and
+// reads no clock. An event and the present time go in, effects come out, and
+// the surrounding shell carries them out.
+//
+// The core compares, for each job, what its record says with what the lease
+// tables of the workers say, and asks for whatever is missing between the two.
+// Commands are idempotent, so an answer that was lost is met by looking again.
+// These hold after every event:
+//
+//   - A task is only started when every task of its gang is reserved.
+//   - An attempt of a job that may not be repeated is started only when its
+//     record is in the store, and only if no earlier attempt may have run.
+//   - A caller is told of a step only when the step is in the store.
+//   - The rows of an attempt stay on the workers until its outcome is in the
+//     store.
+//   - All is done under one epoch. Whoever holds a larger one ends this core.
+package sched
+
+import (
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/plat"
+	"github.com/cicadawharf/cicadawharf/internal/worker"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+type (
+	// Ticket names a caller who waits for an answer.
+	Ticket uint64
+
+	// Event is something that the core is told. The types below are all.
+	Event interface{ event() }
+
+	// Declared brings the declarations in force.
+	Declared struct{ Declarations *spec.Declarations }
+
+	// Listed brings the workers of the platform's list.
+	Listed struct{ Workers []plat.Host }
+
+	// Submitted asks to record a job.
+	Submitted struct {
+		Ticket Ticket
+		Spec   jobs.Spec
+	}
+
+	// CancelAsked asks to end a job.
+	CancelAsked struct {
+		Ticket Ticket
+		ID     string
+	}
+
+	// Reported brings an answer of a worker. Commands are those that the
+	// answer's results belong to; none for a renewal.
+	Reported struct {
+		Worker   string
+		Reply    worker.Reply
+		Commands []worker.Command
+		Same     bool // the table has not changed, and the reply omits it
+	}
+
+	// Unanswered says that a call to a worker failed. Commands may have taken
+	// effect.
+	Unanswered struct {
+		Worker   string
+		Commands []worker.Command
+	}
+
+	// Written says what became of a write.
+	Written struct {
+		Bucket int
+		Write  int64
+		Result WriteResult
+	}
+
+	// Ticked lets time pass.
+	Ticked struct{}
+
+	// WriteResult is what is known of a write.
+	WriteResult uint8
+
+	// Effect is something that the shell is to do. The types below are all.
+	Effect interface{ effect() }
+
+	// Write asks to replace a bucket in the store.
+	Write struct {
+		Bucket int
+		Write  int64
+		Jobs   []jobs.Record
+	}
+
+	// Send asks to call a worker with commands.
+	Send struct {
+		Worker   string
+		Address  string
+		Commands []worker.Command
+	}
+
+	// Answer tells a caller how its request went. Err is nil or a
+	// *codes.Error.
+	Answer struct {
+		Ticket Ticket
+		Record jobs.Record
+		Err    error
+	}
+
+	// Finished says that a job's end is in the store.
+	Finished struct{ Record jobs.Record }
+
+	// Noted is a placement decision for the log.
+	Noted struct {
+		Job       string
+		Workspace string
+		Decision  string // placed, reclaim, waits, started, stopping, requeued, ended
+		Workers   []string
+		From      int // how many spots there were
+		Victims   []string
+		Reason    string
+		Attempt   int
+	}
+
+	// Resign ends the core: another one holds a larger epoch.
+	Resign struct{ Reason string }
+)
+
+// The results of a write.
+const (
+	WriteStands   WriteResult = iota + 1
+	WriteFailed               // it had no effect
+	WriteUnknown              // it may stand
+	WriteConflict             // another scheduler has written
+	WriteTooLarge             // the value is past the limit; it had no effect
+)
+
+// The periods that the core works with.
+const (
+	// TaskLease is how long a worker keeps a task without renewal.
+	TaskLease = 10 * time.Second
+	// RenewEvery is how often a worker's leases are renewed at least.
+	RenewEvery = 4 * time.Second
+	// RenewGrace is for how long after a worker's last answer a call may still
+	// grant leases there.
+	RenewGrace = 6 * time.Second
+	// leaseMargin covers the difference between the rates of two clocks.
+	leaseMargin = time.Second
+	// silentAfter is when a worker's tasks are certain to be over.
+	silentAfter = RenewGrace + TaskLease + leaseMargin
+	// doubtAfter is when a worker gets no new work.
+	doubtAfter = 2500 * time.Millisecond
+	// inventoryTime is how long placing waits for workers to be heard.
+	inventoryTime = 2 * time.Second
+	// reserveTime bounds the reservation of a gang.
+	reserveTime = 1500 * time.Millisecond
+	// startTime bounds the start of a reserved gang.
+	startTime = 3 * time.Second
+	// checkpointTime bounds a checkpoint before a stop.
+	checkpointTime = 2 * time.Second
+	// earmarkTime bounds how long ground is kept for a gang while its victims
+	// are stopped.
+	earmarkTime = 8 * time.Second
+	// requeueDelay keeps a job that was just undone from being placed again
+	// in the same instant.
+	requeueDelay = 200 * time.Millisecond
+	// ticketTime bounds how long a caller waits for the store.
+	ticketTime = 3 * time.Second
+	// writeGap is the least time between two writes of a bucket.
+	writeGap = 100 * time.Millisecond
+	// writeRetry is the pause after a write that failed.
+	writeRetry = 500 * time.Millisecond
+	// recordTime is how long ended jobs are kept.
+	recordTime = 48 * time.Hour
+)
+
+func (Declared) event()    {}
+func (Listed) event()      {}
+func (Submitted) event()   {}
+func (CancelAsked) event() {}
+func (Reported) event()    {}
+func (Unanswered) event()  {}
+func (Written) event()     {}
+func (Ticked) event()      {}
+
+func (Write) effect()    {}
+func (Send) effect()     {}
+func (Answer) effect()   {}
+func (Finished) effect() {}
+func (Noted) effect()    {}
+func (Resign) effect()   {}
--- /dev/null
+++ b/internal/sched/machine.go
@@ -0,0 +1,394 @@
+package sched
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/place"
+	"github.com/cicadawharf/cicadawharf/internal/plat"
+	"github.com/cicadawharf/cicadawharf/internal/worker"
+)
+
+// machine is what the core knows of one worker.
+type machine struct {
+	host     plat.Host
+	listed   bool
+	since    time.Time // when it was first listed
+	heard    time.Time // last answer under this epoch; zero for none
+	boot     string
+	version  int64 // of the table, within one boot
+	capacity int
+	draining bool
+	rows     map[worker.TaskID]worker.Task
+	busy     bool // a call with commands is on its way
+	doubtful bool // the last call failed
+	wanted   map[worker.TaskID]worker.Command
+	record   evidence
+	wasFit   bool // usable when the fleet was built
+}
+
+// taskSlots bounds the tasks on a worker, whatever their accelerators.
+const taskSlots = 64
+
+// list takes the platform's list. Workers that are not on it any more are kept
+// while they are heard of, but get no new work.
+func (co *Core) list(now time.Time, hosts []plat.Host) {
+	for _, ma := range co.machines {
+		ma.listed = false
+	}
+	for _, ho := range hosts {
+		if ho.Kind != plat.KindWorker {
+			continue
+		}
+		ma, ok := co.machines[ho.Name]
+		if !ok {
+			ma = &machine{since: now, rows: map[worker.TaskID]worker.Task{}, wanted: map[worker.TaskID]worker.Command{}}
+			co.machines[ho.Name] = ma
+		}
+		ma.host = ho
+		ma.listed = true
+		if ma.capacity == 0 {
+			ma.capacity = ho.Accelerators
+		}
+	}
+	co.rebuild()
+}
+
+// report takes a worker's answer.
+func (co *Core) report(now time.Time, ev Reported) {
+	ma, ok := co.machines[ev.Worker]
+	if !ok {
+		return
+	}
+	if ev.Reply.Epoch > co.epoch {
+		co.resign("worker " + ev.Worker + " has seen a larger epoch")
+		return
+	}
+	if len(ev.Commands) > 0 {
+		ma.busy = false
+	}
+	ma.heard = now
+	ma.doubtful = false
+	ma.draining = ev.Reply.Draining
+	if ev.Reply.Accelerators > 0 {
+		ma.capacity = ev.Reply.Accelerators
+	}
+	co.takeRows(ma, ev)
+	co.takeResults(ma, ev)
+	if ma.usable(now) != ma.wasFit {
+		co.rebuild()
+	}
+	co.touchMachine(ma)
+}
+
+// takeRows takes the table of an answer, unless a later one overtook it.
+func (co *Core) takeRows(ma *machine, ev Reported) {
+	overtaken := ev.Reply.Boot == ma.boot && ev.Reply.Version < ma.version
+	if ev.Same || overtaken {
+		return
+	}
+	ma.boot = ev.Reply.Boot
+	ma.version = ev.Reply.Version
+	for id := range ma.rows {
+		co.touch(id.Job)
+	}
+	clear(ma.rows)
+	for _, ta := range ev.Reply.Tasks {
+		ma.rows[ta.ID] = ta
+		co.touch(ta.ID.Job)
+	}
+}
+
+// takeResults notes which reservations stand.
+func (co *Core) takeResults(ma *machine, ev Reported) {
+	for i, cm := range ev.Commands {
+		if i >= len(ev.Reply.Results) {
+			return
+		}
+		jb, ok := co.jobs[cm.Task.Job]
+		if !ok || cm.Task.Attempt != jb.rec.Attempt || cm.Task.Index >= len(jb.reserved) {
+			continue
+		}
+		rs := ev.Reply.Results[i]
+		if cm.Op == worker.OpReserve && rs.OK {
+			jb.reserved[cm.Task.Index] = true
+		}
+		if cm.Op == worker.OpReserve && !rs.OK && jb.rec.State == jobs.Starting {
+			co.stop(jb, cause{requeue: true, detail: "worker " + ma.host.Name + " refused: " + rs.Reason})
+			if !slices.Contains(jb.avoid, ma.host.Name) {
+				jb.avoid = append(jb.avoid, ma.host.Name)
+			}
+		}
+	}
+}
+
+// unanswered takes note of a call that failed. The next renewal shows what
+// became of its commands.
+func (co *Core) unanswered(now time.Time, ev Unanswered) {
+	ma, ok := co.machines[ev.Worker]
+	if !ok {
+		return
+	}
+	if len(ev.Commands) > 0 {
+		ma.busy = false
+	}
+	ma.doubtful = true
+	if ma.usable(now) != ma.wasFit {
+		co.rebuild()
+	}
+	co.touchMachine(ma)
+}
+
+// watchMachines notices workers that fell silent and forgets lost ones.
+func (co *Core) watchMachines(now time.Time) {
+	for name, ma := range co.machines {
+		if ma.usable(now) != ma.wasFit {
+			co.rebuild()
+		}
+		if !ma.listed && ma.lost(now) {
+			co.touchMachine(ma)
+			delete(co.machines, name)
+			co.rebuild()
+		}
+	}
+}
+
+// touchMachine has the jobs with tasks on a worker looked at.
+func (co *Core) touchMachine(ma *machine) {
+	for id := range ma.rows {
+		co.touch(id.Job)
+	}
+	for id, jb := range co.jobs {
+		if jb.rec.State == jobs.Queued || jb.rec.State == jobs.Ended {
+			continue
+		}
+		for _, ta := range jb.rec.Tasks {
+			if ta.Worker == ma.host.Name {
+				co.touch(id)
+				break
+			}
+		}
+	}
+	co.wantStrays(ma)
+}
+
+// touchStrays looks for rows that nothing needs any more, after a write.
+func (co *Core) touchStrays(time.Time) {
+	for _, ma := range co.machines {
+		co.wantStrays(ma)
+	}
+}
+
+// wantStrays clears the rows that don't belong to the present attempt of a
+// job. Ended ones are acknowledged once the store knows what came after.
+func (co *Core) wantStrays(ma *machine) {
+	for id, ta := range ma.rows {
+		jb := co.jobs[id.Job]
+		if jb != nil && jb.holds(ta, ma.host.Name) {
+			continue
+		}
+		if jb != nil && jb.mayAdopt(ta) && !co.inventoried {
+			continue
+		}
+		switch {
+		case ta.Phase == worker.PhaseReserved:
+			ma.wanted[id] = worker.Command{Op: worker.OpRelease, Task: id}
+		case !ta.Phase.Ended():
+			ma.wanted[id] = worker.Command{Op: worker.OpStop, Task: id}
+		case jb == nil || jb.clean():
+			ma.wanted[id] = worker.Command{Op: worker.OpAck, Task: id}
+		}
+	}
+}
+
+// holds tells whether a task belongs to the present attempt on that worker.
+func (jb *job) holds(ta worker.Task, name string) bool {
+	if jb.rec.State == jobs.Queued || jb.rec.State == jobs.Ended {
+		return false
+	}
+	if ta.ID.Attempt != jb.rec.Attempt || ta.Epoch != jb.rec.Epoch || ta.ID.Index >= len(jb.rec.Tasks) {
+		return false
+	}
+	return jb.rec.Tasks[ta.ID.Index].Worker == name
+}
+
+// mayAdopt tells whether a row belongs to an attempt that an earlier core
+// began but could not record.
+func (jb *job) mayAdopt(ta worker.Task) bool {
+	return jb.adopted && jb.rec.State == jobs.Queued && ta.ID.Attempt > jb.rec.Attempt
+}
+
+// forgetRows acknowledges the tasks of a job that has ended.
+func (co *Core) forgetRows(jb *job) {
+	for _, ta := range jb.rec.Tasks {
+		if ma, ok := co.machines[ta.Worker]; ok {
+			co.wantStrays(ma)
+		}
+	}
+}
+
+// sendCommands sends what is wanted of each worker, one call at a time.
+func (co *Core) sendCommands(now time.Time) {
+	for _, name := range slices.Sorted(maps.Keys(co.machines)) {
+		ma := co.machines[name]
+		if ma.busy || len(ma.wanted) == 0 || ma.heard.IsZero() {
+			continue
+		}
+		quiet := now.Sub(ma.heard)
+		if quiet > RenewGrace || (ma.doubtful && quiet > doubtAfter) {
+			continue
+		}
+		cms := make([]worker.Command, 0, len(ma.wanted))
+		for _, cm := range ma.wanted {
+			cms = append(cms, cm)
+		}
+		clear(ma.wanted)
+		slices.SortFunc(cms, compareCommands)
+		ma.busy = true
+		co.emit(Send{Worker: name, Address: ma.host.Address, Commands: cms})
+	}
+}
+
+// compareCommands puts those that free accelerators before those that take
+// them.
+func compareCommands(a, b worker.Command) int {
+	return cmp.Or(
+		cmp.Compare(opRank(a.Op), opRank(b.Op)),
+		cmp.Compare(a.Task.Job, b.Task.Job),
+		cmp.Compare(a.Task.Attempt, b.Task.Attempt),
+		cmp.Compare(a.Task.Index, b.Task.Index),
+	)
+}
+
+func opRank(op worker.Op) int {
+	if op == worker.OpReserve || op == worker.OpStart {
+		return 1
+	}
+	return 0
+}
+
+// usable tells whether a worker may get new work.
+func (ma *machine) usable(now time.Time) bool {
+	return ma.listed && !ma.heard.IsZero() && now.Sub(ma.heard) < RenewGrace && !ma.doubtful &&
+		!ma.draining && ma.host.State != plat.StateLeaving && !ma.record.aside(now)
+}
+
+// lost tells whether a worker's leases have certainly run out.
+func (ma *machine) lost(now time.Time) bool {
+	last := ma.heard
+	if last.IsZero() {
+		last = ma.since
+	}
+	return now.Sub(last) > silentAfter
+}
+
+// ready tells whether placing may begin: every listed worker was heard, or has
+// had the time to be.
+func (co *Core) ready(now time.Time) bool {
+	if co.inventoried {
+		return true
+	}
+	if co.decl == nil || len(co.machines) == 0 {
+		return false
+	}
+	if now.Sub(co.began) < inventoryTime {
+		for _, ma := range co.machines {
+			if ma.heard.IsZero() {
+				return false
+			}
+		}
+	}
+	co.inventoried = true
+	co.adoptUnrecorded()
+	return true
+}
+
+// adoptUnrecorded takes over the attempts that an earlier core began while
+// the store was away. Only whole gangs are kept.
+func (co *Core) adoptUnrecorded() {
+	for id, jb := range co.jobs {
+		if jb.rec.State != jobs.Queued {
+			continue
+		}
+		attempt, epoch := co.findAttempt(jb)
+		if attempt == 0 {
+			continue
+		}
+		tasks := co.tasksOf(jb, attempt, epoch)
+		if !slices.ContainsFunc(tasks, func(ta jobs.Task) bool { return ta.Worker == "" }) {
+			jb.rec.Tasks = tasks
+			jb.rec.Started = jb.begun
+			jb.rec = jb.rec.WithState(jobs.Starting)
+			jb.reserved = slices.Repeat([]bool{true}, len(tasks))
+		}
+		jb.rec.Attempt = attempt
+		jb.rec.Epoch = epoch
+		co.dirty(jb)
+		co.touch(id)
+	}
+	for _, ma := range co.machines {
+		co.wantStrays(ma)
+	}
+}
+
+// findAttempt returns the last unrecorded attempt of a job that the tables
+// show, with its epoch; zero if there is none.
+func (co *Core) findAttempt(jb *job) (attempt int, epoch int64) {
+	for _, ma := range co.machines {
+		for id, ta := range ma.rows {
+			if id.Job != jb.rec.ID || id.Attempt <= jb.rec.Attempt {
+				continue
+			}
+			if id.Attempt > attempt || (id.Attempt == attempt && ta.Epoch > epoch) {
+				attempt, epoch = id.Attempt, ta.Epoch
+			}
+		}
+	}
+	return attempt, epoch
+}
+
+// tasksOf returns the tasks of an attempt that have not been cut short; the
+// others stay empty.
+func (co *Core) tasksOf(jb *job, attempt int, epoch int64) []jobs.Task {
+	tasks := make([]jobs.Task, jb.rec.Shape.Tasks)
+	for _, ma := range co.machines {
+		for id, ta := range ma.rows {
+			whole := ta.Phase == worker.PhaseRunning || ta.Phase == worker.PhaseSucceeded
+			if id.Job == jb.rec.ID && id.Attempt == attempt && ta.Epoch == epoch && id.Index < len(tasks) && whole {
+				tasks[id.Index] = jobs.Task{Worker: ma.host.Name, Address: ma.host.Address}
+			}
+		}
+	}
+	return tasks
+}
+
+// buildFleet makes the placement's view of the zone from what is known.
+func (co *Core) buildFleet(now time.Time) {
+	names := slices.Sorted(maps.Keys(co.machines))
+	workers := make([]place.Worker, 0, len(names))
+	co.index = make(map[string]int, len(names))
+	for i, name := range names {
+		ma := co.machines[name]
+		ma.wasFit = ma.usable(now)
+		co.index[name] = i
+		workers = append(workers, place.Worker{
+			Name: name, Rack: ma.host.Rack, Address: ma.host.Address,
+			Accelerators: ma.capacity, Tasks: taskSlots, Usable: ma.wasFit,
+		})
+	}
+	co.fleet = place.NewFleet(workers, place.UnitsOf(co.decl, co.zone))
+	for _, id := range slices.Sorted(maps.Keys(co.jobs)) {
+		jb := co.jobs[id]
+		if jb.earmark != nil {
+			jb.earmark = nil
+			co.pass = true
+		}
+		if jb.rec.State != jobs.Queued && jb.rec.State != jobs.Ended {
+			jb.unit = co.fleet.UnitFor(jb.rec.Workspace, jb.rec.Shape)
+			co.fleet.Add(co.gang(jb))
+		}
+	}
+}
--- /dev/null
+++ b/internal/sched/queue.go
@@ -0,0 +1,256 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/place"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+type (
+	// line is the waiting jobs of one workspace, in their order.
+	line struct {
+		workspace string
+		weight    int
+		jobs      []*job
+	}
+
+	// demand is what makes two jobs alike to the placement, so that one that
+	// follows a failed one need not be tried.
+	demand struct {
+		workspace string
+		shape     spec.Shape
+		priority  jobs.Priority
+		movable   bool
+		avoids    int
+	}
+)
+
+// placeWaiting goes once through the waiting jobs. The workspace that holds
+// least for its weight comes first, and within it the most urgent job, then
+// the oldest.
+func (co *Core) placeWaiting(now time.Time) {
+	if co.fleet == nil {
+		co.buildFleet(now)
+	}
+	lines := co.lines(now)
+	failed := map[demand]place.WaitReason{}
+	for len(lines) > 0 {
+		slices.SortFunc(lines, co.compareLines)
+		li := &lines[0]
+		jb := li.jobs[0]
+		li.jobs = li.jobs[1:]
+		if len(li.jobs) == 0 {
+			lines = lines[1:]
+		}
+		co.placeOne(now, jb, failed)
+	}
+}
+
+func (co *Core) lines(now time.Time) []line {
+	byName := map[string]*line{}
+	for id, jb := range co.jobs {
+		waits := jb.rec.State == jobs.Queued && jb.earmark == nil && !jb.rec.Cancelled
+		if !waits || jb.saved.ID == "" || now.Before(jb.after) {
+			continue
+		}
+		li := byName[jb.rec.Workspace]
+		if li == nil {
+			li = &line{workspace: jb.rec.Workspace, weight: co.weight(jb.rec.Workspace)}
+			byName[jb.rec.Workspace] = li
+		}
+		li.jobs = append(li.jobs, co.jobs[id])
+	}
+	lines := make([]line, 0, len(byName))
+	for _, li := range byName {
+		slices.SortFunc(li.jobs, compareWaiting)
+		lines = append(lines, *li)
+	}
+	return lines
+}
+
+// compareWaiting orders the jobs of one workspace.
+func compareWaiting(a, b *job) int {
+	return cmp.Or(
+		cmp.Compare(b.rec.Priority, a.rec.Priority),
+		a.rec.Submitted.Compare(b.rec.Submitted),
+		cmp.Compare(a.rec.ID, b.rec.ID),
+	)
+}
+
+func (co *Core) compareLines(a, b line) int {
+	return cmp.Or(
+		cmp.Compare(co.fleet.Held(a.workspace)*b.weight, co.fleet.Held(b.workspace)*a.weight),
+		cmp.Compare(a.workspace, b.workspace),
+	)
+}
+
+func (co *Core) weight(workspace string) int {
+	if ws, ok := co.decl.Workspace(workspace); ok {
+		return max(1, ws.Weight)
+	}
+	return 1
+}
+
+func (co *Core) placeOne(now time.Time, jb *job, failed map[demand]place.WaitReason) {
+	dm := demand{jb.rec.Workspace, jb.rec.Shape, jb.rec.Priority, jb.rec.Movable(), len(jb.avoid)}
+	if reason, ok := failed[dm]; ok {
+		jb.rec = jb.rec.WithDetail(string(reason))
+		return
+	}
+	ws, ok := co.decl.Workspace(jb.rec.Workspace)
+	if !ok {
+		jb.rec = jb.rec.WithDetail("its workspace is no longer declared")
+		return
+	}
+	if ws.Quota > 0 && co.fleet.Held(ws.Name)+jb.rec.Shape.Total() > ws.Quota {
+		co.waits(jb, dm, failed, waitsForQuota)
+		return
+	}
+	if !jb.rec.Repeatable && co.buckets[jb.bucket].failing {
+		jb.rec = jb.rec.WithDetail("waits for the store, as it may not be repeated")
+		return
+	}
+	co.carryOut(now, jb, dm, failed)
+}
+
+const waitsForQuota place.WaitReason = "quota"
+
+func (co *Core) carryOut(now time.Time, jb *job, dm demand, failed map[demand]place.WaitReason) {
+	rq := place.Request{
+		Job: jb.rec.ID, Workspace: jb.rec.Workspace, Shape: jb.rec.Shape, Priority: jb.rec.Priority,
+		Movable: jb.rec.Movable(), Avoid: jb.avoid, Share: co.share(jb.rec.Workspace), Shares: co.share,
+	}
+	switch de := co.fleet.Decide(now, rq).(type) {
+	case place.Placed:
+		co.begin(now, jb, de.Workers, de.Unit, de.From)
+	case place.Reclaim:
+		co.reclaim(now, jb, de)
+	case place.Waits:
+		jb.avoid = nil
+		reason := de.Reason
+		if !co.fleet.Fits(jb.rec.Shape) {
+			reason = place.WaitsForever
+		}
+		co.waits(jb, dm, failed, reason)
+	}
+}
+
+func (co *Core) waits(jb *job, dm demand, failed map[demand]place.WaitReason, reason place.WaitReason) {
+	failed[dm] = reason
+	if jb.rec.Detail == string(reason) {
+		return
+	}
+	jb.rec = jb.rec.WithDetail(string(reason))
+	co.note(jb, "waits", string(reason))
+}
+
+// share is the part of the zone's accelerators that a workspace may claim by
+// urgency: its weight's part of all, within its quota.
+func (co *Core) share(workspace string) int {
+	sum := 0
+	for _, ws := range co.decl.Workspaces {
+		sum += max(1, ws.Weight)
+	}
+	part := co.fleet.Accelerators() * co.weight(workspace) / max(1, sum)
+	if ws, ok := co.decl.Workspace(workspace); ok && ws.Quota > 0 {
+		return min(part, ws.Quota)
+	}
+	return part
+}
+
+// begin records the next attempt and has its gang reserved.
+func (co *Core) begin(now time.Time, jb *job, workers []int, unit, from int) {
+	tasks := make([]jobs.Task, len(workers))
+	for i, at := range workers {
+		wo := co.fleet.Worker(at)
+		tasks[i] = jobs.Task{Worker: wo.Name, Address: wo.Address}
+	}
+	jb.rec = jb.rec.WithAttempt(now, co.epoch, tasks).WithDetail("")
+	jb.unit = unit
+	jb.adopted = false
+	jb.sent = false
+	jb.begun = now
+	jb.startBy = now.Add(reserveTime + startTime)
+	jb.reserved = make([]bool, len(tasks))
+	jb.cause = cause{}
+	jb.earmark = nil
+	co.fleet.Add(co.gang(jb))
+	co.dirty(jb)
+	co.touch(jb.rec.ID)
+	no := Noted{Job: jb.rec.ID, Workspace: jb.rec.Workspace, Decision: "placed", From: from, Attempt: jb.rec.Attempt}
+	if unit != place.NoUnit {
+		no.Reason = "guaranteed"
+	}
+	for _, ta := range tasks {
+		no.Workers = append(no.Workers, ta.Worker)
+	}
+	no.Workers = slices.Compact(no.Workers)
+	co.emit(no)
+}
+
+// reclaim stops the victims and keeps their ground for the job.
+func (co *Core) reclaim(now time.Time, jb *job, de place.Reclaim) {
+	for _, id := range de.Victims {
+		if victim, ok := co.jobs[id]; ok {
+			co.stop(victim, cause{requeue: true, yields: true, detail: "yields to " + jb.rec.ID})
+		}
+	}
+	jb.earmark = &earmark{workers: de.Workers, unit: de.Unit, until: now.Add(earmarkTime)}
+	ga := co.gang(jb)
+	ga.Workers = de.Workers
+	ga.Unit = de.Unit
+	ga.Busy = true
+	co.fleet.Add(ga)
+	jb.rec = jb.rec.WithDetail("waits for other work to yield")
+	co.emit(Noted{
+		Job: jb.rec.ID, Workspace: jb.rec.Workspace, Decision: "reclaim", Victims: de.Victims,
+		Reason: "lost work " + de.Lost.String(), Attempt: jb.rec.Attempt,
+	})
+	co.touch(jb.rec.ID)
+}
+
+// claimEarmark begins the attempt when the kept ground is free.
+func (co *Core) claimEarmark(now time.Time, jb *job) {
+	if co.fleet == nil {
+		return
+	}
+	if co.fleet.Clear(jb.earmark.workers) {
+		em := jb.earmark
+		co.begin(now, jb, em.workers, em.unit, 1)
+		return
+	}
+	if now.After(jb.earmark.until) {
+		co.dropEarmark(jb)
+		co.note(jb, "waits", "other work did not yield in time")
+	}
+}
+
+func (co *Core) dropEarmark(jb *job) {
+	if jb.earmark == nil {
+		return
+	}
+	jb.earmark = nil
+	if co.fleet != nil {
+		co.fleet.Remove(jb.rec.ID)
+	}
+	co.pass = true
+}
+
+// gang is the placement's view of a job that has ground.
+func (co *Core) gang(jb *job) place.Gang {
+	ga := place.Gang{
+		Job: jb.rec.ID, Workspace: jb.rec.Workspace, Shape: jb.rec.Shape, Priority: jb.rec.Priority,
+		Unit: jb.unit, Movable: jb.rec.Movable(), Busy: jb.rec.State == jobs.Stopping,
+		Started: jb.rec.Started, Lossless: jb.rec.Checkpoint,
+	}
+	for _, ta := range jb.rec.Tasks {
+		if at, ok := co.index[ta.Worker]; ok {
+			ga.Workers = append(ga.Workers, at)
+		}
+	}
+	return ga
+}
--- /dev/null
+++ b/internal/zone/elect.go
@@ -0,0 +1,273 @@
+package zone
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/sched"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+const (
+	leaseTime   = 3 * time.Second
+	leaseRenew  = time.Second
+	electRetry  = 500 * time.Millisecond
+	electPoll   = 5 * time.Second // in case that a watch has gone silent
+	handOffTime = 2 * time.Second
+)
+
+// holderKey holds a Holder under a lease; epochKey the last epoch for ever.
+func holderKey(zone string) string { return "zone/" + zone + "/holder" }
+func epochKey(zone string) string  { return "zone/" + zone + "/epoch" }
+
+// Run takes part in the election and schedules the zone while it holds the
+// epoch, until ctx ends. It then writes what is due and gives the lease up.
+func (zo *Zone) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		lease, epoch, err := zo.acquire(ctx)
+		if err != nil {
+			zo.waitForVacancy(ctx)
+			continue
+		}
+		zo.serve(ctx, lease, epoch)
+	}
+	return nil
+}
+
+// acquire obtains the next epoch and the lease under it.
+func (zo *Zone) acquire(ctx context.Context) (store.LeaseID, int64, error) {
+	if zo.cfg.Declarations() == nil {
+		return 0, 0, merry.New("no declarations yet")
+	}
+	en, _, err := zo.cfg.Store.Get(ctx, holderKey(zo.cfg.Zone))
+	if err != nil {
+		return 0, 0, merry.Prepend(err, "read the holder")
+	}
+	if en.Revision != 0 {
+		zo.noteHolder(en.Value)
+		return 0, 0, merry.New("another host holds the lease")
+	}
+	epoch, err := zo.nextEpoch(ctx)
+	if err != nil {
+		return 0, 0, merry.Prepend(err, "obtain an epoch")
+	}
+	lease, err := zo.cfg.Store.Grant(ctx, leaseTime)
+	if err != nil {
+		return 0, 0, merry.Prepend(err, "obtain a lease")
+	}
+	value, err := json.Marshal(Holder{Host: zo.cfg.Host, Epoch: epoch})
+	if err != nil {
+		return 0, 0, merry.Wrap(err)
+	}
+	rq := store.SwapRequest{Key: holderKey(zo.cfg.Zone), Value: value, Lease: lease}
+	mine := func(en store.Entry) bool { return string(en.Value) == string(value) }
+	if _, err := store.SwapSettled(ctx, zo.cfg.Store, rq, mine); err != nil {
+		return 0, 0, merry.Prepend(err, "take the lease")
+	}
+	return lease, epoch, nil
+}
+
+// nextEpoch raises the counter past every epoch that is known.
+func (zo *Zone) nextEpoch(ctx context.Context) (int64, error) {
+	key := epochKey(zo.cfg.Zone)
+	en, _, err := zo.cfg.Store.Get(ctx, key)
+	if err != nil {
+		return 0, err
+	}
+	var last Holder
+	if len(en.Value) > 0 {
+		if err := json.Unmarshal(en.Value, &last); err != nil {
+			return 0, merry.Prepend(err, "value of "+key)
+		}
+	}
+	zo.mu.Lock()
+	next := Holder{Host: zo.cfg.Host, Epoch: max(last.Epoch, zo.highest, zo.holder.Epoch) + 1}
+	zo.mu.Unlock()
+	value, err := json.Marshal(next)
+	if err != nil {
+		return 0, err
+	}
+	mine := func(en store.Entry) bool { return string(en.Value) == string(value) }
+	_, err = store.SwapSettled(ctx, zo.cfg.Store, store.SwapRequest{Key: key, Value: value, Expect: en.Revision}, mine)
+	return next.Epoch, err
+}
+
+func (zo *Zone) noteHolder(value []byte) {
+	var ho Holder
+	if json.Unmarshal(value, &ho) != nil {
+		return
+	}
+	zo.mu.Lock()
+	defer zo.mu.Unlock()
+	if ho.Epoch >= zo.holder.Epoch {
+		zo.holder = ho
+	}
+	zo.highest = max(zo.highest, ho.Epoch)
+}
+
+// waitForVacancy returns when the lease may be free.
+func (zo *Zone) waitForVacancy(ctx context.Context) {
+	if zo.cfg.Declarations() == nil {
+		pause(ctx, electRetry)
+		return
+	}
+	key := holderKey(zo.cfg.Zone)
+	en, at, err := zo.cfg.Store.Get(ctx, key)
+	if err != nil || en.Revision == 0 {
+		pause(ctx, electRetry)
+		return
+	}
+	zo.noteHolder(en.Value)
+	watch, stop := context.WithTimeout(ctx, electPoll)
+	defer stop()
+	vacant := errors.New("vacant")
+	err = zo.cfg.Store.Watch(watch, key, at, func(en store.Entry) error {
+		if en.Value == nil {
+			return vacant
+		}
+		zo.noteHolder(en.Value)
+		return nil
+	})
+	if err != nil && !errors.Is(err, vacant) && watch.Err() == nil {
+		pause(ctx, electRetry)
+	}
+}
+
+// serve schedules under one epoch until ctx ends, the lease lapses or a larger
+// epoch shows.
+func (zo *Zone) serve(ctx context.Context, lease store.LeaseID, epoch int64) {
+	log := zo.cfg.Log.With("zone", zo.cfg.Zone, "epoch", epoch)
+	held, resign := context.WithCancel(context.WithoutCancel(ctx))
+	defer resign()
+	go zo.keepLease(held, lease, resign)
+	ld, rcs, err := openLedger(held, zo.cfg.Store, zo.cfg.Zone, epoch)
+	if err != nil {
+		log.Warn("scheduler could not load its jobs", "event", "elect", "error", err)
+		zo.giveUp(lease)
+		pause(ctx, electRetry)
+		return
+	}
+	zo.begin(held, ld, rcs, epoch, resign)
+	log.Info("scheduler begins", "event", "elect", "host", zo.cfg.Host, "jobs", len(rcs))
+	zo.loop(ctx, held)
+	if ctx.Err() != nil {
+		zo.handOff(held)
+	}
+	resign()
+	zo.finish()
+	zo.giveUp(lease)
+	log.Info("scheduler ends", "event", "elect", "host", zo.cfg.Host)
+}
+
+func (zo *Zone) begin(held context.Context, ld *ledger, rcs []jobs.Record, epoch int64, resign context.CancelFunc) {
+	zo.mu.Lock()
+	zo.holder = Holder{Host: zo.cfg.Host, Epoch: epoch}
+	zo.resign = resign
+	zo.ledger = ld
+	ld.done = func(ev sched.Written) { zo.handle(ev) }
+	zo.callers = newCallers(held, zo, epoch)
+	zo.core = sched.New(time.Now(), sched.Config{
+		Zone: zo.cfg.Zone, Epoch: epoch, Buckets: Buckets, Records: rcs, Declarations: zo.cfg.Declarations(),
+	})
+	zo.mu.Unlock()
+}
+
+// loop lets time pass for the core and tells it what changes around it.
+func (zo *Zone) loop(ctx, held context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	declared := zo.cfg.Changed()
+	listed := zo.cfg.HostsChanged()
+	zo.handle(sched.Declared{Declarations: zo.cfg.Declarations()})
+	zo.listWorkers()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-held.Done():
+			return
+		case <-declared:
+			declared = zo.cfg.Changed()
+			zo.handle(sched.Declared{Declarations: zo.cfg.Declarations()})
+		case <-listed:
+			listed = zo.cfg.HostsChanged()
+			zo.listWorkers()
+		case <-ticker.C:
+			zo.handle(sched.Ticked{})
+		}
+	}
+}
+
+func (zo *Zone) listWorkers() {
+	li := zo.cfg.Hosts()
+	zo.callers.follow(li)
+	zo.handle(sched.Listed{Workers: li.Hosts})
+}
+
+// keepLease renews the lease. While the store does not answer nobody else can
+// take it, so only a lapse that the store states ends the term.
+func (zo *Zone) keepLease(held context.Context, lease store.LeaseID, resign context.CancelFunc) {
+	for held.Err() == nil {
+		pause(held, leaseRenew)
+		err := zo.cfg.Store.Renew(held, lease)
+		if errors.Is(err, store.ErrLapsed) {
+			zo.cfg.Log.Warn("scheduler's lease lapsed", "event", "resign", "zone", zo.cfg.Zone)
+			resign()
+			return
+		}
+	}
+}
+
+// handOff gives writes that are due a bounded time before the lease goes.
+func (zo *Zone) handOff(held context.Context) {
+	ctx, stop := context.WithTimeout(held, handOffTime)
+	defer stop()
+	for ctx.Err() == nil && zo.unsaved() {
+		zo.handle(sched.Ticked{})
+		pause(ctx, tickEvery/10)
+	}
+}
+
+func (zo *Zone) unsaved() bool {
+	zo.mu.Lock()
+	defer zo.mu.Unlock()
+	return zo.core != nil && zo.core.Unsaved()
+}
+
+// finish ends the term and answers whoever waits.
+func (zo *Zone) finish() {
+	zo.mu.Lock()
+	defer zo.mu.Unlock()
+	zo.core = nil
+	zo.callers.stop()
+	for tk, pe := range zo.tickets {
+		pe.answer <- sched.Answer{Ticket: tk, Err: codes.New(pe.lost, "the scheduler changed").WithRetryAfter(noHolder)}
+		delete(zo.tickets, tk)
+	}
+	for id := range zo.waits {
+		zo.wake(id)
+	}
+}
+
+func (zo *Zone) giveUp(lease store.LeaseID) {
+	ctx, stop := context.WithTimeout(context.Background(), handOffTime)
+	defer stop()
+	if err := zo.cfg.Store.Revoke(ctx, lease); err != nil {
+		zo.cfg.Log.Debug("lease was not revoked", "event", "elect", "zone", zo.cfg.Zone, "error", err)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/zone/zone.go
@@ -0,0 +1,279 @@
+// Package zone runs the scheduler of an availability zone around the core of
+// package sched: the election of one entry host, the writes to the store, the
+// calls to workers, and the callers' waits.
+//
+// Every entry host runs a Zone, and the platform's store lets one of them
+// hold the lease. With the lease comes an epoch from a counter that only
+// grows. The holder rewrites every bucket under its epoch before it acts, so
+// that no write of an earlier holder can succeed any more, and every worker
+// refuses an epoch smaller than the largest it has seen. While the store is
+// away nobody can obtain a larger epoch, and the holder goes on.
+package zone
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/plat"
+	"github.com/cicadawharf/cicadawharf/internal/sched"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+	"github.com/cicadawharf/cicadawharf/internal/worker"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+type (
+	// Config constructs a Zone.
+	Config struct {
+		Host         string
+		Zone         string
+		Store        store.Store
+		Workers      worker.Caller
+		Declarations func() *spec.Declarations // nil until there are any
+		Changed      func() <-chan struct{}    // closed at the next change of the declarations
+		Hosts        func() plat.List
+		HostsChanged func() <-chan struct{}
+		Log          *slog.Logger
+	}
+
+	// Holder says which host holds a zone's epoch.
+	Holder struct {
+		Host  string `json:"host"`
+		Epoch int64  `json:"epoch"`
+	}
+
+	// Zone is the scheduler of one availability zone as one entry host runs
+	// it. It implements jobs.Service while it holds the epoch; otherwise its
+	// methods return NoScheduler.
+	Zone struct {
+		cfg     Config
+		mu      sync.Mutex
+		core    *sched.Core // nil while another host holds the epoch
+		ledger  *ledger
+		callers *callers
+		waits   map[string][]chan struct{}
+		tickets map[sched.Ticket]pending
+		last    sched.Ticket
+		holder  Holder
+		highest int64 // largest epoch that was heard of
+		resign  context.CancelFunc
+	}
+
+	// pending is a caller who waits for an answer of the core.
+	pending struct {
+		answer chan sched.Answer
+		lost   codes.Code // said if the core goes before it has answered
+	}
+)
+
+const (
+	// Buckets is the number of values that hold a zone's jobs.
+	Buckets = 8
+
+	tickEvery = 250 * time.Millisecond
+	noHolder  = time.Second // told to callers who come while there is none
+)
+
+// New returns a zone that does nothing until Run.
+func New(cfg Config) *Zone {
+	return &Zone{
+		cfg:     cfg,
+		waits:   map[string][]chan struct{}{},
+		tickets: map[sched.Ticket]pending{},
+	}
+}
+
+// Holder returns the holder of the epoch as far as this host knows.
+func (zo *Zone) Holder() Holder {
+	zo.mu.Lock()
+	defer zo.mu.Unlock()
+	return zo.holder
+}
+
+// Holds tells whether this host is the scheduler.
+func (zo *Zone) Holds() bool {
+	zo.mu.Lock()
+	defer zo.mu.Unlock()
+	return zo.core != nil
+}
+
+// Summary returns the zone's numbers; false if this host does not schedule it.
+func (zo *Zone) Summary(now time.Time) (sched.Summary, bool) {
+	zo.mu.Lock()
+	defer zo.mu.Unlock()
+	if zo.core == nil {
+		return sched.Summary{}, false
+	}
+	return zo.core.Summary(now), true
+}
+
+// Submit implements jobs.Service.
+func (zo *Zone) Submit(ctx context.Context, sp jobs.Spec) (jobs.Record, error) {
+	return zo.ask(ctx, codes.SubmitUnknown, func(tk sched.Ticket) sched.Event {
+		return sched.Submitted{Ticket: tk, Spec: sp}
+	})
+}
+
+// Cancel implements jobs.Service.
+func (zo *Zone) Cancel(ctx context.Context, id string) (jobs.Record, error) {
+	return zo.ask(ctx, codes.CancelUnknown, func(tk sched.Ticket) sched.Event {
+		return sched.CancelAsked{Ticket: tk, ID: id}
+	})
+}
+
+// Get implements jobs.Service.
+func (zo *Zone) Get(ctx context.Context, id string, wait time.Duration) (jobs.Record, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		rc, ended, err := zo.look(id)
+		if err != nil || !rc.Active() || wait <= 0 {
+			return rc, err
+		}
+		select {
+		case <-ended:
+		case <-timer.C:
+			wait = 0
+		case <-ctx.Done():
+			return rc, nil
+		}
+	}
+}
+
+// List implements jobs.Service.
+func (zo *Zone) List(_ context.Context, fi jobs.Filter) ([]jobs.Record, error) {
+	zo.mu.Lock()
+	defer zo.mu.Unlock()
+	if zo.core == nil {
+		return nil, zo.noScheduler()
+	}
+	return zo.core.List(fi), nil
+}
+
+// look returns a record and a channel that is closed when the job ends or this
+// host stops being the scheduler.
+func (zo *Zone) look(id string) (jobs.Record, <-chan struct{}, error) {
+	zo.mu.Lock()
+	defer zo.mu.Unlock()
+	if zo.core == nil {
+		return jobs.Record{}, nil, zo.noScheduler()
+	}
+	rc, ok := zo.core.Get(id)
+	if !ok {
+		return jobs.Record{}, nil, codes.New(codes.JobNotFound, "job %q", id)
+	}
+	ended := make(chan struct{})
+	if rc.Active() {
+		zo.waits[id] = append(zo.waits[id], ended)
+	}
+	return rc, ended, nil
+}
+
+// ask hands an event with a ticket to the core and waits for its answer.
+func (zo *Zone) ask(ctx context.Context, lost codes.Code, make func(sched.Ticket) sched.Event) (jobs.Record, error) {
+	tk, answer, err := zo.ticket(lost)
+	if err != nil {
+		return jobs.Record{}, err
+	}
+	zo.handle(make(tk))
+	select {
+	case an := <-answer:
+		return an.Record, an.Err
+	case <-ctx.Done():
+		zo.mu.Lock()
+		delete(zo.tickets, tk)
+		zo.mu.Unlock()
+		return jobs.Record{}, codes.New(lost, "%v", ctx.Err())
+	}
+}
+
+func (zo *Zone) ticket(lost codes.Code) (sched.Ticket, <-chan sched.Answer, error) {
+	zo.mu.Lock()
+	defer zo.mu.Unlock()
+	if zo.core == nil {
+		return 0, nil, zo.noScheduler()
+	}
+	zo.last++
+	answer := make(chan sched.Answer, 1)
+	zo.tickets[zo.last] = pending{answer: answer, lost: lost}
+	return zo.last, answer, nil
+}
+
+func (zo *Zone) noScheduler() error {
+	return codes.New(codes.NoScheduler, "host %s does not schedule availability zone %s", zo.cfg.Host, zo.cfg.Zone).WithRetryAfter(noHolder)
+}
+
+// handle gives one event to the core and carries its effects out. Events that
+// come after the core has gone are dropped, and their tickets were answered.
+func (zo *Zone) handle(ev sched.Event) {
+	zo.mu.Lock()
+	defer zo.mu.Unlock()
+	if zo.core == nil {
+		return
+	}
+	for _, ef := range zo.core.Handle(time.Now(), ev) {
+		zo.perform(ef)
+	}
+}
+
+// perform starts what an effect asks for and does not wait for it.
+func (zo *Zone) perform(ef sched.Effect) {
+	switch ef := ef.(type) {
+	case sched.Write:
+		zo.ledger.write(ef)
+	case sched.Send:
+		zo.callers.send(ef)
+	case sched.Answer:
+		if pe, ok := zo.tickets[ef.Ticket]; ok {
+			pe.answer <- ef
+			delete(zo.tickets, ef.Ticket)
+		}
+	case sched.Finished:
+		zo.wake(ef.Record.ID)
+	case sched.Noted:
+		zo.logNote(ef)
+	case sched.Resign:
+		zo.cfg.Log.Warn("scheduler resigns", "event", "resign", "zone", zo.cfg.Zone, "reason", ef.Reason)
+		zo.resign()
+	}
+}
+
+func (zo *Zone) wake(id string) {
+	for _, ended := range zo.waits[id] {
+		close(ended)
+	}
+	delete(zo.waits, id)
+}
+
+// logNote writes the line of a placement decision.
+func (zo *Zone) logNote(no sched.Noted) {
+	zo.cfg.Log.Info("placement", "event", "place", "zone", zo.cfg.Zone, "decision", no.Decision, "job", no.Job,
+		"workspace", no.Workspace, "attempt", no.Attempt, "workers", no.Workers, "from", no.From,
+		"victims", no.Victims, "reason", no.Reason)
+}
+
+// heard notes the largest epoch that anyone has spoken of.
+func (zo *Zone) heard(epoch int64) {
+	zo.mu.Lock()
+	defer zo.mu.Unlock()
+	zo.highest = max(zo.highest, epoch)
+}
+
+// Heard tells the zone of an epoch that a peer knows of. A holder of a smaller
+// one resigns.
+func (zo *Zone) Heard(ho Holder) {
+	zo.mu.Lock()
+	defer zo.mu.Unlock()
+	zo.highest = max(zo.highest, ho.Epoch)
+	if zo.core != nil && ho.Epoch > zo.holder.Epoch {
+		zo.cfg.Log.Warn("scheduler resigns", "event", "resign", "zone", zo.cfg.Zone, "reason", "a peer knows a larger epoch")
+		zo.resign()
+		return
+	}
+	if ho.Epoch > zo.holder.Epoch {
+		zo.holder = ho
+	}
+}
--- a/pkg/codes/codes.go
+++ b/pkg/codes/codes.go
@@ -103,6 +103,7 @@
 	CancelUnknown    Code = 5006
 	InternalFailure  Code = 5007
 	DeadlineInFlight Code = 5008
+	CancelledInDoubt Code = 5009
 )
 
 // statusCallerGone is the customary status of a request whose client has
@@ -165,6 +166,7 @@
 		{CancelUnknown, "cancelUnknown", Unknown, 503, false, "The cancellation may not have been recorded.", "Cancel again; that is safe."},
 		{InternalFailure, "internalFailure", Unknown, 500, false, "A fault of the system itself.", "Report it with the log line that carries the same identifier."},
 		{DeadlineInFlight, "deadlineInFlight", Unknown, 504, false, "The deadline passed while the request was at the endpoint.", "Find out by the service's own means before repeating it."},
+		{CancelledInDoubt, "cancelledInDoubt", Unknown, 200, false, "The job was cancelled, and whether a part of it had run can't be known.", "Find out by the job's own means."},
 	}
 	byCode     = indexTable()
 	classNames = [...]string{InProgress: "inProgress", Done: "done", Failed: "failed", NotRun: "notRun", Unknown: "unknown"}
