Assemble the entry host and run the whole path locally

Cause: the parts stood alone; a request and a gang job had no way through all of them. Ruled out: wiring by a shared registry, as parts would then know each other; each gets functions instead.

--- a/cmd/cicadawharf/main.go
+++ b/cmd/cicadawharf/main.go
@@ -2,4 +2,39 @@
 // workers, and is the operators' and callers' tool for it.
 package main
 
-func main() {}
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/cmds"
+	"github.com/cicadawharf/cicadawharf/internal/host"
+	"github.com/cicadawharf/cicadawharf/internal/local"
+	"github.com/cicadawharf/cicadawharf/internal/setup"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	run := cmds.Runners{Serve: serve, Local: local.Run, Standin: local.Standin}
+	code := cmds.Main(ctx, os.Args[1:], os.Stdout, os.Stderr, run)
+	stop()
+	os.Exit(code)
+}
+
+// serve runs one entry host until ctx ends.
+func serve(ctx context.Context, se setup.Settings, log io.Writer) error {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(se.Log.Level)); err != nil {
+		return err
+	}
+	logger := slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: level}))
+	ho, err := host.New(time.Now(), host.Config{Settings: se, Log: logger})
+	if err != nil {
+		return err
+	}
+	return ho.Run(ctx)
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,233 @@
+// Package host assembles an entry host: one process that takes requests and
+// jobs, knows its peers, follows the declarations, and takes part in the
+// election of its availability zone's scheduler.
+//
+// The parts don't know each other. What one needs of another is handed to it
+// here as a function, so that each can be tested alone.
+package host
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cicadawharf/cicadawharf/internal/claim"
+	"github.com/cicadawharf/cicadawharf/internal/conf"
+	"github.com/cicadawharf/cicadawharf/internal/entry"
+	"github.com/cicadawharf/cicadawharf/internal/peers"
+	"github.com/cicadawharf/cicadawharf/internal/plat"
+	"github.com/cicadawharf/cicadawharf/internal/report"
+	"github.com/cicadawharf/cicadawharf/internal/setup"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+	"github.com/cicadawharf/cicadawharf/internal/worker"
+	"github.com/cicadawharf/cicadawharf/internal/zone"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+type (
+	// Config constructs a Host. The listeners are those of the settings'
+	// addresses if they are nil.
+	Config struct {
+		Settings     setup.Settings
+		HTTPListener net.Listener
+		PeerListener net.Listener
+		Log          *slog.Logger
+	}
+
+	// Host is one entry host.
+	Host struct {
+		se          setup.Settings
+		log         *slog.Logger
+		incarnation uint64
+		store       *store.Client
+		follower    *conf.Follower
+		watcher     *plat.Watcher
+		workers     *worker.HTTPCaller
+		zone        *zone.Zone
+		mesh        *peers.Mesh
+		claims      *claim.Table
+		account     *report.Account
+		exchange    *report.Exchange
+		router      *router
+		server      *entry.Server
+		leaving     leavingSet
+	}
+)
+
+const (
+	workerTimeout = 2 * time.Second
+	heardEvery    = 500 * time.Millisecond
+	closeTime     = 2 * time.Second
+)
+
+// New binds the addresses and returns a host that does nothing until Run.
+func New(now time.Time, cfg Config) (*Host, error) {
+	se := cfg.Settings
+	ho := &Host{
+		se: se, incarnation: uint64(now.UnixNano()),
+		log: cfg.Log.With("host", se.Host.Name),
+	}
+	if err := cfg.listen(); err != nil {
+		return nil, err
+	}
+	ho.store = store.New(store.Config{Addresses: se.Store.Addresses, Timeout: se.Store.Timeout, Log: ho.log})
+	ho.follower = conf.NewFollower(conf.FollowerConfig{Store: ho.store, Peers: ho.askPeers, Log: ho.log, Seed: ho.incarnation})
+	ho.watcher = plat.NewWatcher(plat.WatcherConfig{Store: ho.store, Zone: se.Host.Zone, Log: ho.log})
+	ho.workers = worker.NewHTTPCaller(worker.HTTPConfig{Timeout: workerTimeout, Log: ho.log})
+	ho.zone = zone.New(zone.Config{
+		Host: se.Host.Name, Zone: se.Host.Zone, Store: ho.store, Workers: ho.workers,
+		Declarations: ho.specInForce, Changed: ho.follower.Changed,
+		Hosts: ho.watcher.List, HostsChanged: ho.watcher.Changed, Log: ho.log,
+	})
+	ho.mesh = peers.New(peers.Config{
+		Self: ho.self, Listener: cfg.PeerListener, Seeds: se.Seeds, Log: ho.log,
+		LeavingEndpoints: ho.leavingEndpoints, OnLeavingEndpoints: ho.leaving.add,
+	})
+	ho.claims = claim.New(claim.Config{Store: ho.store, Host: se.Host.Name, Log: ho.log})
+	ho.account = report.NewAccount(report.AccountConfig{
+		Host: se.Host.Name, Zone: se.Host.Zone, Incarnation: ho.incarnation, Location: ho.location,
+	})
+	ho.exchange = report.NewExchange(report.ExchangeConfig{
+		Account: ho.account, Ledger: report.NewLedger(), Caller: ho.mesh, Members: ho.mesh.Members, Log: ho.log,
+	})
+	ho.router = newRouter(se.Host.Zone, ho.zone, ho.mesh, ho.mesh.Members)
+	ho.server = entry.New(ho.entryConfig(cfg.HTTPListener))
+	ho.register()
+	return ho, nil
+}
+
+// Run serves until ctx ends and then stops gracefully: the scheduler's role is
+// given up, requests in progress are finished, and the account is handed on.
+func (ho *Host) Run(ctx context.Context) error {
+	base, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var rest errgroup.Group
+	rest.Go(func() error { return ho.mesh.Run(base) })
+	rest.Go(func() error { return ho.follower.Run(base) })
+	rest.Go(func() error { ho.watcher.Run(base); return nil })
+	rest.Go(func() error { return ho.claims.Run(base) })
+	rest.Go(func() error { return ho.exchange.Run(base) })
+	rest.Go(func() error { ho.spreadEpochs(base); return nil })
+	term := make(chan error, 1)
+	go func() { term <- ho.zone.Run(ctx) }()
+	ho.log.Info("host begins", "event", "start", "zone", ho.se.Host.Zone, "region", ho.se.Host.Region,
+		"http", ho.se.Host.HTTPAddress, "peers", ho.se.Host.PeerAddress)
+
+	err := ho.server.Run(ctx)
+	if zoneErr := <-term; err == nil {
+		err = zoneErr
+	}
+	closing, done := context.WithTimeout(base, closeTime)
+	handed := ho.exchange.Close(closing, time.Now())
+	done()
+	stop()
+	if restErr := rest.Wait(); err == nil {
+		err = restErr
+	}
+	ho.workers.Close()
+	ho.log.Info("host ends", "event", "stop", "accountHandedOn", handed, "error", err)
+	return err
+}
+
+// HTTPAddress returns the address for callers and operators.
+func (ho *Host) HTTPAddress() string { return ho.se.Host.HTTPAddress }
+
+// listen opens the listeners that are not given.
+func (cfg *Config) listen() error {
+	var err error
+	if cfg.HTTPListener == nil {
+		cfg.HTTPListener, err = net.Listen("tcp", cfg.Settings.Host.HTTPAddress)
+		if err != nil {
+			return merry.Prepend(err, "address for callers")
+		}
+	}
+	if cfg.PeerListener == nil {
+		cfg.PeerListener, err = net.Listen("tcp", cfg.Settings.Host.PeerAddress)
+		if err != nil {
+			return merry.Prepend(err, "address for peers")
+		}
+	}
+	return nil
+}
+
+func (ho *Host) entryConfig(listener net.Listener) entry.Config {
+	return entry.Config{
+		Host: ho.se.Host.Name, Zone: ho.se.Host.Zone, Region: ho.se.Host.Region,
+		Listener: listener, SpillListener: ho.mesh.HTTPListener(),
+		Limits: ho.se.Limits, Stop: ho.se.Stop,
+		Declarations: ho.declarations, Endpoints: ho.endpoints, PeerLeaving: ho.leaving.names,
+		Members: ho.mesh.Members, SpillDial: ho.mesh.DialHTTP,
+		Jobs: ho.router, Claims: claims{ho.claims}, Account: ho.account, Operators: operators{ho},
+		Log: ho.log, Seed: ho.incarnation,
+	}
+}
+
+// self is what the host tells its peers of itself.
+func (ho *Host) self() peers.Member {
+	holder := ho.zone.Holder()
+	me := peers.Member{
+		Name: ho.se.Host.Name, Zone: ho.se.Host.Zone, Region: ho.se.Host.Region,
+		PeerAddress: ho.se.Host.PeerAddress, HTTPAddress: ho.se.Host.HTTPAddress,
+		Incarnation: ho.incarnation, ConfigRevision: ho.follower.Revision(),
+		SchedulerEpoch: holder.Epoch, Scheduler: holder.Host,
+	}
+	if ho.server != nil {
+		me.Ready = ho.server.Ready()
+		me.Leaving = ho.server.Leaving()
+	}
+	return me
+}
+
+// spreadEpochs tells the zone of the epochs that peers know, so that a holder
+// that was replaced stops even while it can't reach the store.
+func (ho *Host) spreadEpochs(ctx context.Context) {
+	ticker := time.NewTicker(heardEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, me := range ho.mesh.Members(now) {
+				if me.Zone == ho.se.Host.Zone && me.Name != ho.se.Host.Name {
+					ho.zone.Heard(zone.Holder{Host: me.Scheduler, Epoch: me.SchedulerEpoch})
+				}
+			}
+		}
+	}
+}
+
+func (ho *Host) declarations() (*spec.Declarations, int64) {
+	cur := ho.follower.Current()
+	if cur == nil {
+		return nil, 0
+	}
+	return cur.Declarations, cur.Revision
+}
+
+func (ho *Host) specInForce() *spec.Declarations {
+	de, _ := ho.declarations()
+	return de
+}
+
+func (ho *Host) endpoints() []plat.Host { return ho.watcher.List().Of(plat.KindEndpoint) }
+
+func (ho *Host) leavingEndpoints() []string {
+	if ho.server == nil {
+		return nil
+	}
+	return ho.server.LeavingEndpoints()
+}
+
+func (ho *Host) location() *time.Location {
+	de, _ := ho.declarations()
+	loc, err := report.Location(de)
+	if err != nil {
+		return time.UTC
+	}
+	return loc
+}
--- /dev/null
+++ b/internal/host/operate.go
@@ -0,0 +1,241 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/conf"
+	"github.com/cicadawharf/cicadawharf/internal/entry"
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/place"
+	"github.com/cicadawharf/cicadawharf/internal/report"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+type (
+	// operators implements what operators ask of the system.
+	operators struct{ ho *Host }
+
+	// dailyReport is written as JSON, or as text by its String.
+	dailyReport struct{ report.Daily }
+)
+
+const (
+	appliedFile = "declarations"
+	rolloutPoll = 50 * time.Millisecond
+)
+
+// Apply implements entry.Operators.
+func (op operators) Apply(ctx context.Context, rq entry.ApplyRequest) (client.Applied, error) {
+	ask := conf.ApplyRequest{
+		File: appliedFile, Content: rq.Content, By: rq.Operator,
+		Known: op.ho.follower.Revision(), Check: checkGuarantees,
+	}
+	if rq.Expect != entry.AnyRevision {
+		ask.Expect = &rq.Expect
+	}
+	cur, unchanged, err := conf.Apply(ctx, time.Now(), op.ho.store, ask)
+	if err != nil {
+		return client.Applied{Revision: op.ho.follower.Revision(), Faults: faultsOf(err)}, err
+	}
+	op.ho.follower.Adopt(time.Now(), cur)
+	op.ho.mesh.Announce()
+	ad := client.Applied{Revision: cur.Revision}
+	ad.Code = codes.Applied
+	if unchanged {
+		ad.Code = codes.Unchanged
+	}
+	if rq.Wait > 0 {
+		if late := op.awaitRollout(ctx, cur.Revision, rq.Wait); len(late) > 0 {
+			ad.Code = codes.PartialRollout
+			ad.Detail = "not reported by " + strings.Join(late, ", ")
+		}
+	}
+	op.ho.log.Info("declarations applied", "event", "apply", "revision", cur.Revision, "by", rq.Operator, "code", int(ad.Code), "detail", ad.Detail)
+	return ad, nil
+}
+
+// awaitRollout waits until every host that is known runs a revision, and names
+// those that have not said so in time.
+func (op operators) awaitRollout(ctx context.Context, revision int64, wait time.Duration) []string {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		var late []string
+		for _, me := range op.ho.mesh.Members(time.Now()) {
+			if me.Name != op.ho.se.Host.Name && me.ConfigRevision < revision {
+				late = append(late, me.Zone+"/"+me.Name)
+			}
+		}
+		if len(late) == 0 || !sleep(ctx, rolloutPoll) {
+			return late
+		}
+	}
+}
+
+// Check implements entry.Operators.
+func (op operators) Check(_ context.Context, content []byte) (client.Applied, error) {
+	ad := client.Applied{Revision: op.ho.follower.Revision()}
+	doc, err := spec.Parse(appliedFile, content)
+	if err == nil {
+		if fas := checkGuarantees(doc); len(fas) > 0 {
+			err = fas
+		}
+	}
+	if err != nil {
+		ad.Faults = faultsOf(err)
+		return ad, codes.New(codes.InvalidDeclaration, "%d faults", len(ad.Faults))
+	}
+	ad.Code = codes.RequestDone
+	return ad, nil
+}
+
+// Declarations implements entry.Operators.
+func (op operators) Declarations(context.Context) ([]byte, int64, error) {
+	cur := op.ho.follower.Current()
+	if cur == nil {
+		return nil, 0, codes.New(codes.NotReady, "no declarations have been applied").WithRetryAfter(comeBack)
+	}
+	return cur.Content, cur.Revision, nil
+}
+
+// Status implements entry.Operators.
+func (op operators) Status(ctx context.Context) (client.Status, error) {
+	now := time.Now()
+	st := client.Status{Host: op.ho.se.Host.Name, Revision: op.ho.follower.Revision(), StoreUp: op.ho.follower.StoreUp()}
+	reach := map[string]client.ZoneStatus{}
+	for _, me := range op.ho.mesh.Members(now) {
+		st.Hosts = append(st.Hosts, client.HostStatus{
+			Name: me.Name, Zone: me.Zone, Address: me.HTTPAddress, Revision: me.ConfigRevision,
+			Ready: me.Ready, Leaving: me.Leaving, Reachable: me.Alive,
+		})
+		zs := reach[me.Zone]
+		zs.Reachable = zs.Reachable || me.Alive
+		if me.SchedulerEpoch > zs.Epoch {
+			zs.Epoch = me.SchedulerEpoch
+			zs.Scheduler = me.Scheduler
+		}
+		reach[me.Zone] = zs
+	}
+	if de := op.ho.specInForce(); de != nil {
+		for _, zn := range de.Zones {
+			zs := reach[zn.Name]
+			zs.Name = zn.Name
+			zs.Region = zn.Region
+			st.Zones = append(st.Zones, op.count(ctx, now, zs))
+		}
+	}
+	return st, nil
+}
+
+// count fills in the numbers of a zone: its scheduler's own, or those that
+// the list of its jobs gives.
+func (op operators) count(ctx context.Context, now time.Time, zs client.ZoneStatus) client.ZoneStatus {
+	if sm, ok := op.ho.zone.Summary(now); ok && zs.Name == op.ho.se.Host.Zone {
+		zs.Workers = sm.Workers
+		zs.FreeAccelerators = sm.FreeAccelerators
+		zs.Waiting = sm.Waiting
+		zs.Running = sm.Running
+		return zs
+	}
+	if !zs.Reachable {
+		return zs
+	}
+	rcs, err := op.ho.router.ListZone(ctx, zs.Name, jobs.Filter{Active: true})
+	if err != nil {
+		return zs
+	}
+	for _, rc := range rcs {
+		if rc.State == jobs.Queued {
+			zs.Waiting++
+		} else {
+			zs.Running++
+		}
+	}
+	return zs
+}
+
+// Report implements entry.Operators.
+func (op operators) Report(ctx context.Context, name string) (any, error) {
+	now := time.Now()
+	loc := op.ho.location()
+	if name == "" {
+		name = report.DayOf(now, loc)
+	}
+	day, err := report.ParseDay(name, loc)
+	if err != nil {
+		return nil, codes.New(codes.BadRequest, "%v", err)
+	}
+	accounts, missing := op.ho.exchange.Collect(ctx, now, day.Name)
+	in := report.Input{Accounts: accounts, Missing: missing, Declarations: op.ho.specInForce(), Now: now}
+	rcs, unreached, err := op.ho.router.ListZones(ctx, jobs.Filter{})
+	if err != nil {
+		return nil, err
+	}
+	in.Jobs = rcs
+	for _, zn := range unreached {
+		in.Missing = append(in.Missing, "availability zone "+zn)
+	}
+	return dailyReport{report.Draw(day, in)}, nil
+}
+
+// String returns the report as a text of aligned columns.
+func (dr dailyReport) String() string {
+	var sb strings.Builder
+	if err := dr.WriteText(&sb); err != nil {
+		return err.Error()
+	}
+	return sb.String()
+}
+
+// ListZones implements entry.ZoneLister over the zones that hosts are known of.
+func (ro *router) ListZones(ctx context.Context, fi jobs.Filter) ([]jobs.Record, []string, error) {
+	var rcs []jobs.Record
+	var unreached []string
+	seen := map[string]bool{ro.zone: true}
+	zones := []string{ro.zone}
+	for _, me := range ro.members(time.Now()) {
+		if !seen[me.Zone] {
+			seen[me.Zone] = true
+			zones = append(zones, me.Zone)
+		}
+	}
+	for _, zn := range zones {
+		found, err := ro.ListZone(ctx, zn, fi)
+		if err != nil {
+			unreached = append(unreached, zn)
+			continue
+		}
+		rcs = append(rcs, found...)
+	}
+	return rcs, unreached, nil
+}
+
+// checkGuarantees finds the zones whose racks can't hold all that is
+// guaranteed in them.
+func checkGuarantees(doc *spec.Document) spec.Faults {
+	var fas spec.Faults
+	for i, zn := range doc.Declarations.Zones {
+		if err := place.CheckGuarantees(doc.Declarations, zn.Name); err != nil {
+			fas = append(fas, doc.Fault(fmt.Sprintf("$.zones[%d]", i), err.Error()))
+		}
+	}
+	return fas
+}
+
+func faultsOf(err error) []client.Fault {
+	var fas spec.Faults
+	if !errors.As(err, &fas) {
+		return nil
+	}
+	out := make([]client.Fault, 0, len(fas))
+	for _, fa := range fas {
+		out = append(out, client.Fault{Line: fa.Line, Column: fa.Column, Message: fa.Message})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/host/router.go
@@ -0,0 +1,198 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/peers"
+	"github.com/cicadawharf/cicadawharf/internal/wire"
+	"github.com/cicadawharf/cicadawharf/internal/zone"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+// router is the jobs.Service of all zones: it finds the scheduler of the zone
+// that a job's name tells, here or on another host.
+type router struct {
+	zone    string
+	local   *zone.Zone
+	caller  peers.Caller
+	members func(now time.Time) []peers.Member
+}
+
+const (
+	// schedulerWait covers a change of the scheduler.
+	schedulerWait  = 2 * time.Second
+	schedulerRetry = 100 * time.Millisecond
+	comeBack       = 2 * time.Second
+)
+
+func newRouter(zn string, local *zone.Zone, caller peers.Caller, members func(time.Time) []peers.Member) *router {
+	return &router{zone: zn, local: local, caller: caller, members: members}
+}
+
+// Submit implements jobs.Service.
+func (ro *router) Submit(ctx context.Context, sp jobs.Spec) (jobs.Record, error) {
+	if sp.ID == "" {
+		return jobs.Record{}, codes.New(codes.BadRequest, "job without a name")
+	}
+	local := func() (jobs.Record, error) { return ro.local.Submit(ctx, sp) }
+	rq := &wire.SubmitJob{Job: jobs.ToWire(jobs.Record{Spec: sp})}
+	return ro.one(ctx, jobs.ZoneOf(sp.ID), peers.MethodSubmitJob, rq, codes.SubmitUnknown, local)
+}
+
+// Get implements jobs.Service.
+func (ro *router) Get(ctx context.Context, id string, wait time.Duration) (jobs.Record, error) {
+	local := func() (jobs.Record, error) { return ro.local.Get(ctx, id, wait) }
+	rq := &wire.GetJob{Id: id, WaitMillis: wait.Milliseconds()}
+	return ro.one(ctx, jobs.ZoneOf(id), peers.MethodGetJob, rq, codes.ZoneUnreachable, local)
+}
+
+// Cancel implements jobs.Service.
+func (ro *router) Cancel(ctx context.Context, id string) (jobs.Record, error) {
+	local := func() (jobs.Record, error) { return ro.local.Cancel(ctx, id) }
+	return ro.one(ctx, jobs.ZoneOf(id), peers.MethodCancelJob, &wire.CancelJob{Id: id}, codes.CancelUnknown, local)
+}
+
+// List implements jobs.Service for the own zone.
+func (ro *router) List(ctx context.Context, fi jobs.Filter) ([]jobs.Record, error) {
+	return ro.ListZone(ctx, ro.zone, fi)
+}
+
+// ListZone returns the records of one zone.
+func (ro *router) ListZone(ctx context.Context, zn string, fi jobs.Filter) ([]jobs.Record, error) {
+	var rcs []jobs.Record
+	err := ro.try(ctx, zn, codes.ZoneUnreachable, func() error {
+		var err error
+		rcs, err = ro.local.List(ctx, fi)
+		return err
+	}, func(host string) error {
+		var reply wire.JobList
+		rq := &wire.ListJobs{Workspace: fi.Workspace, Active: fi.Active}
+		if err := ro.caller.Call(ctx, host, peers.MethodListJobs, rq, &reply); err != nil {
+			return err
+		}
+		rcs = nil
+		for _, jb := range reply.GetJobs() {
+			rcs = append(rcs, jobs.FromWire(jb))
+		}
+		return nil
+	})
+	return rcs, err
+}
+
+// one makes a call that concerns one job.
+func (ro *router) one(
+	ctx context.Context, zn, method string, rq proto.Message, lost codes.Code, local func() (jobs.Record, error),
+) (jobs.Record, error) {
+	var rc jobs.Record
+	err := ro.try(ctx, zn, lost, func() error {
+		var err error
+		rc, err = local()
+		return err
+	}, func(host string) error {
+		var reply wire.Job
+		if err := ro.caller.Call(ctx, host, method, rq, &reply); err != nil {
+			return err
+		}
+		rc = jobs.FromWire(&reply)
+		return nil
+	})
+	return rc, err
+}
+
+// try makes a call at the scheduler of a zone, wherever it is. It is made again
+// only if it provably had no effect, because it was not sent or the host said
+// that it is not the scheduler. A failure that leaves the effect open is given
+// the code lost.
+func (ro *router) try(ctx context.Context, zn string, lost codes.Code, local func() error, remote func(host string) error) error {
+	bound, cancel := context.WithTimeout(ctx, schedulerWait)
+	defer cancel()
+	for {
+		host, known := ro.schedulerOf(time.Now(), zn)
+		var err error
+		switch {
+		case !known:
+			err = codes.New(codes.ZoneUnreachable, "no host of availability zone %s can be reached", zn)
+		case host == "":
+			err = local()
+		default:
+			err = remote(host)
+		}
+		if !safeToRepeat(err) {
+			return withCode(err, lost)
+		}
+		if !sleep(bound, schedulerRetry) {
+			return refusal(err, zn)
+		}
+	}
+}
+
+// schedulerOf names the host that a zone's members take for its scheduler; an
+// empty name stands for this one. False means that no host of it is reached.
+func (ro *router) schedulerOf(now time.Time, zn string) (string, bool) {
+	if zn == ro.zone && ro.local.Holds() {
+		return "", true
+	}
+	best := peers.Member{}
+	var alive []peers.Member
+	for _, me := range ro.members(now) {
+		if me.Zone != zn || !me.Alive {
+			continue
+		}
+		alive = append(alive, me)
+		if me.SchedulerEpoch > best.SchedulerEpoch {
+			best = me
+		}
+	}
+	if len(alive) == 0 {
+		return "", false
+	}
+	if slices.ContainsFunc(alive, func(me peers.Member) bool { return me.Name == best.Scheduler }) {
+		return best.Scheduler, true
+	}
+	if zn == ro.zone {
+		return "", true // the local answer says that there is none
+	}
+	return alive[0].Name, true
+}
+
+func safeToRepeat(err error) bool {
+	var unsent *peers.NotSentError
+	if errors.As(err, &unsent) {
+		return true
+	}
+	var er *codes.Error
+	return errors.As(err, &er) && (er.Code == codes.NoScheduler || er.Code == codes.ZoneUnreachable)
+}
+
+func withCode(err error, lost codes.Code) error {
+	var er *codes.Error
+	if err == nil || errors.As(err, &er) {
+		return err
+	}
+	return codes.New(lost, "%v", err).WithRetryAfter(comeBack)
+}
+
+func refusal(err error, zn string) error {
+	var er *codes.Error
+	if errors.As(err, &er) {
+		return er.WithRetryAfter(comeBack)
+	}
+	return codes.New(codes.ZoneUnreachable, "availability zone %s: %v", zn, err).WithRetryAfter(comeBack)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/host/serve.go
@@ -0,0 +1,98 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/claim"
+	"github.com/cicadawharf/cicadawharf/internal/conf"
+	"github.com/cicadawharf/cicadawharf/internal/entry"
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/peers"
+	"github.com/cicadawharf/cicadawharf/internal/wire"
+)
+
+// claims adapts the table of claims to the entry server.
+type claims struct{ table *claim.Table }
+
+// Take implements entry.Claims.
+func (cl claims) Take(ctx context.Context, want entry.Claim) (*entry.Claim, error) {
+	prior, err := cl.table.Take(ctx, claim.Claim(want))
+	if prior == nil {
+		return nil, err
+	}
+	found := entry.Claim(*prior)
+	return &found, err
+}
+
+// Settle implements entry.Claims.
+func (cl claims) Settle(ctx context.Context, done entry.Claim) error {
+	return cl.table.Settle(ctx, claim.Claim(done))
+}
+
+// register answers the calls of other hosts. Those that concern jobs are
+// answered by the local scheduler alone: a host that does not hold the epoch
+// says so, and the caller looks for the one that does.
+func (ho *Host) register() {
+	peers.Handle(ho.mesh, peers.MethodSubmitJob, func(ctx context.Context, _ string, rq *wire.SubmitJob) (*wire.Job, error) {
+		rc, err := ho.zone.Submit(ctx, jobs.FromWire(rq.GetJob()).Spec)
+		return jobs.ToWire(rc), err
+	})
+	peers.Handle(ho.mesh, peers.MethodGetJob, func(ctx context.Context, _ string, rq *wire.GetJob) (*wire.Job, error) {
+		rc, err := ho.zone.Get(ctx, rq.GetId(), time.Duration(rq.GetWaitMillis())*time.Millisecond)
+		return jobs.ToWire(rc), err
+	})
+	peers.Handle(ho.mesh, peers.MethodCancelJob, func(ctx context.Context, _ string, rq *wire.CancelJob) (*wire.Job, error) {
+		rc, err := ho.zone.Cancel(ctx, rq.GetId())
+		return jobs.ToWire(rc), err
+	})
+	peers.Handle(ho.mesh, peers.MethodListJobs, func(ctx context.Context, _ string, rq *wire.ListJobs) (*wire.JobList, error) {
+		rcs, err := ho.zone.List(ctx, jobs.Filter{Workspace: rq.GetWorkspace(), Active: rq.GetActive()})
+		reply := &wire.JobList{}
+		for _, rc := range rcs {
+			reply.Jobs = append(reply.Jobs, jobs.ToWire(rc))
+		}
+		return reply, err
+	})
+	peers.Handle(ho.mesh, peers.MethodGetConfig, func(_ context.Context, _ string, rq *wire.GetConfig) (*wire.Config, error) {
+		return ho.newerConfig(rq.GetRevision()), nil
+	})
+	ho.exchange.Register(ho.mesh)
+}
+
+// newerConfig returns the declarations in force if they are newer than a
+// revision, and an empty message otherwise.
+func (ho *Host) newerConfig(revision int64) *wire.Config {
+	cur := ho.follower.Current()
+	if cur == nil || cur.Revision <= revision {
+		return &wire.Config{}
+	}
+	return &wire.Config{
+		Revision: cur.Revision, Content: cur.Content, AppliedBy: cur.AppliedBy, AppliedNanos: cur.AppliedAt.UnixNano(),
+	}
+}
+
+// askPeers gets newer declarations from the peer that has the newest.
+func (ho *Host) askPeers(ctx context.Context, revision int64) (*conf.Current, error) {
+	best := peers.Member{ConfigRevision: revision}
+	for _, me := range ho.mesh.Members(time.Now()) {
+		if me.Alive && me.ConfigRevision > best.ConfigRevision {
+			best = me
+		}
+	}
+	if best.Name == "" || best.Name == ho.se.Host.Name {
+		return nil, nil
+	}
+	var reply wire.Config
+	if err := ho.mesh.Call(ctx, best.Name, peers.MethodGetConfig, &wire.GetConfig{Revision: revision}, &reply); err != nil {
+		return nil, err
+	}
+	if reply.GetRevision() <= revision {
+		return nil, nil
+	}
+	cur, err := conf.Parse(reply.GetRevision(), reply.GetContent(), reply.GetAppliedBy(), time.Unix(0, reply.GetAppliedNanos()).UTC())
+	if err != nil {
+		return nil, err
+	}
+	return &cur, nil
+}
--- /dev/null
+++ b/internal/local/local.go
@@ -0,0 +1,236 @@
+// Package local runs a small deployment in one process, for trying the system
+// out: the stand-ins of the platform, and two entry hosts in each availability
+// zone that the declarations name. All of them talk over TCP on loopback, as
+// separate processes would.
+package local
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cicadawharf/cicadawharf/internal/cmds"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/fleet"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/kvsim"
+	"github.com/cicadawharf/cicadawharf/internal/host"
+	"github.com/cicadawharf/cicadawharf/internal/setup"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+// deployment is all that runs in the process.
+type deployment struct {
+	decl  *spec.Declarations
+	kv    *kvsim.Server
+	store *store.Client
+	fleet *fleet.Fleet
+	hosts []*host.Host
+}
+
+const (
+	loopback      = "127.0.0.1"
+	hostsPerZone  = 2
+	storeTimeout  = 2 * time.Second
+	startTime     = 20 * time.Second
+	readyPoll     = 50 * time.Millisecond
+	stopBound     = 20 * time.Second
+	operatorName  = "local"
+	rolloutTime   = 10 * time.Second
+	endpointsHere = 8 // of each service in a zone, at most
+)
+
+// Run starts the deployment, applies the declarations and serves until ctx
+// ends, or with Once until a sample of work has ended.
+func Run(ctx context.Context, op cmds.LocalOptions) error {
+	out := &lines{wr: op.Out}
+	logs := slog.New(slog.NewTextHandler(op.Log, nil))
+	var kept *keeper
+	if op.Once {
+		kept = &keeper{}
+		logs = slog.New(slog.NewTextHandler(kept, nil))
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	dp, group, err := start(ctx, op, logs)
+	if err != nil {
+		return err
+	}
+	defer dp.close()
+	err = dp.serve(ctx, op, out, kept)
+	cancel()
+	if waitErr := group.Wait(); err == nil {
+		err = waitErr
+	}
+	return err
+}
+
+// start brings up the stand-ins and the entry hosts.
+func start(ctx context.Context, op cmds.LocalOptions, logs *slog.Logger) (*deployment, *errgroup.Group, error) {
+	doc, err := spec.Parse(op.Declarations, op.Content)
+	if err != nil {
+		return nil, nil, err
+	}
+	dp := &deployment{decl: doc.Declarations}
+	dp.kv, err = kvsim.New(kvsim.Config{Listen: net.JoinHostPort(loopback, "0"), Log: logs})
+	if err != nil {
+		return nil, nil, err
+	}
+	// The stand-ins outlive ctx, so that the hosts can stop gracefully.
+	go dp.kv.Run(context.WithoutCancel(ctx))
+	dp.store = store.New(store.Config{Addresses: []string{dp.kv.Addr()}, Timeout: storeTimeout, Log: logs})
+	listing, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	dp.fleet, err = fleet.Start(listing, fleet.Config{
+		Declarations: dp.decl, Store: dp.store, EndpointsPerZone: endpointsHere, Log: logs,
+	})
+	if err != nil {
+		dp.close()
+		return nil, nil, err
+	}
+	group, err := dp.startHosts(ctx, op.BasePort, logs)
+	if err != nil {
+		dp.close()
+		return nil, nil, err
+	}
+	return dp, group, nil
+}
+
+// startHosts starts the entry hosts. Callers' ports count up from the base,
+// peers' ports are free ones.
+func (dp *deployment) startHosts(ctx context.Context, base int, logs *slog.Logger) (*errgroup.Group, error) {
+	var group errgroup.Group
+	var seeds []string
+	for i := range hostsPerZone * len(dp.decl.Zones) {
+		zn := dp.decl.Zones[i%len(dp.decl.Zones)]
+		address := net.JoinHostPort(loopback, fmt.Sprint(base+i))
+		callers, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, merry.Prepend(err, "port for callers")
+		}
+		others, err := net.Listen("tcp", net.JoinHostPort(loopback, "0"))
+		if err != nil {
+			return nil, merry.Prepend(err, "port for peers")
+		}
+		se := dp.settings(fmt.Sprintf("entry-%s-%d", zn.Name, i/len(dp.decl.Zones)+1), zn, address, others.Addr().String(), seeds)
+		seeds = append(seeds, se.Host.PeerAddress)
+		ho, err := host.New(time.Now(), host.Config{Settings: se, HTTPListener: callers, PeerListener: others, Log: logs})
+		if err != nil {
+			return nil, err
+		}
+		dp.hosts = append(dp.hosts, ho)
+		group.Go(func() error { return ho.Run(ctx) })
+	}
+	return &group, nil
+}
+
+func (dp *deployment) settings(name string, zn spec.Zone, callers, others string, seeds []string) setup.Settings {
+	return setup.Settings{
+		Host:  setup.Host{Name: name, Zone: zn.Name, Region: zn.Region, HTTPAddress: callers, PeerAddress: others},
+		Seeds: seeds,
+		Store: setup.Store{Addresses: []string{dp.kv.Addr()}, Timeout: storeTimeout},
+		Log:   setup.Log{Level: "info"},
+		Limits: setup.Limits{
+			Requests: setup.DefaultRequests, HeaderBytes: setup.DefaultHeaderBytes, BodyBytes: setup.DefaultBodyBytes,
+			ReadTimeout: setup.DefaultReadTimeout, QueueTime: setup.DefaultQueueTime,
+		},
+		Stop: setup.Stop{Delay: 0, Bound: stopBound},
+	}
+}
+
+// serve applies the declarations and then waits, or runs the sample of work.
+func (dp *deployment) serve(ctx context.Context, op cmds.LocalOptions, out *lines, kept *keeper) error {
+	cl := client.New(client.Config{Addresses: dp.addresses(), Operator: operatorName})
+	defer cl.Close()
+	if err := dp.apply(ctx, cl, op.Content); err != nil {
+		return err
+	}
+	if err := dp.awaitReady(ctx, cl); err != nil {
+		return err
+	}
+	for _, ho := range dp.hosts {
+		out.say("entry host http://%s", ho.HTTPAddress())
+	}
+	out.say("store stand-in http://%s, %d workers, %d endpoints", dp.kv.Addr(), len(dp.fleet.Workers()), len(dp.fleet.Endpoints()))
+	if op.Once {
+		return dp.sample(ctx, out, kept)
+	}
+	out.say("serving until interrupted")
+	<-ctx.Done()
+	return out.err
+}
+
+func (dp *deployment) addresses() []string {
+	var as []string
+	for _, ho := range dp.hosts {
+		as = append(as, ho.HTTPAddress())
+	}
+	return as
+}
+
+func (dp *deployment) apply(ctx context.Context, cl *client.Client, content []byte) error {
+	ad, err := cl.Apply(ctx, content, 0, rolloutTime)
+	if err != nil {
+		return merry.Prependf(err, "apply of revision %d", ad.Revision)
+	}
+	return nil
+}
+
+// awaitReady waits until every zone has a scheduler that reaches its workers.
+func (dp *deployment) awaitReady(ctx context.Context, cl *client.Client) error {
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	for {
+		st, err := cl.Status(ctx)
+		if err == nil && ready(st, len(dp.hosts)) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return merry.Errorf("the deployment did not become ready within %v", startTime)
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+func ready(st client.Status, hosts int) bool {
+	up := 0
+	for _, hs := range st.Hosts {
+		if hs.Ready && hs.Reachable && hs.Revision == st.Revision {
+			up++
+		}
+	}
+	for _, zs := range st.Zones {
+		if zs.Scheduler == "" {
+			return false
+		}
+	}
+	return up == hosts && len(st.Zones) > 0
+}
+
+func (dp *deployment) close() {
+	if dp.fleet != nil {
+		dp.fleet.Close()
+	}
+	if dp.kv != nil {
+		dp.kv.Close()
+	}
+}
+
+// lines writes lines to a user and keeps the first error.
+type lines struct {
+	wr  io.Writer
+	err error
+}
+
+func (li *lines) say(format string, args ...any) {
+	if _, err := fmt.Fprintf(li.wr, format+"\n", args...); err != nil && li.err == nil {
+		li.err = err
+	}
+}
--- /dev/null
+++ b/internal/local/sample.go
@@ -0,0 +1,182 @@
+package local
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/report"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+// keeper keeps the lines of the log.
+type keeper struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+const (
+	sampleTasks  = 4
+	sampleTime   = 30 * time.Second
+	sampleBody   = `{"sacks":120,"grade":"B"}`
+	sampleCaller = "local"
+	reportTime   = 10 * time.Second // for the account to show the work
+)
+
+// sample sends a request and a gang job, waits for both, and prints how they
+// ended, the decisions, and the report of the day. It fails unless each ended
+// as promised, once, and the report agrees.
+func (dp *deployment) sample(ctx context.Context, out *lines, kept *keeper) error {
+	ws, service, err := dp.sampleWorkspace()
+	if err != nil {
+		return err
+	}
+	cl := client.New(client.Config{Addresses: dp.addresses(), Workspace: ws.Name, Caller: sampleCaller})
+	defer cl.Close()
+	an, err := cl.Call(ctx, service, http.MethodPost, "/check", []byte(sampleBody), client.CallOptions{})
+	if err != nil {
+		return merry.Prepend(err, "sample request")
+	}
+	out.say("request %s: %s, status %d, %d bytes", an.Request, an.Code, an.Status, len(an.Body))
+	jb, err := dp.sampleJob(ctx, cl)
+	if err != nil {
+		return merry.Prepend(err, "sample job")
+	}
+	out.say("job %s: %s, %d tasks on %s", jb.ID, jb.Code, jb.Shape.Tasks, strings.Join(jb.Workers, " "))
+	out.say("decisions:")
+	for _, ln := range kept.decisions() {
+		out.say("  %s", ln)
+	}
+	if err := dp.checkWork(an, jb); err != nil {
+		return err
+	}
+	if err := dp.sampleReport(ctx, cl, out, ws.Name, service); err != nil {
+		return err
+	}
+	return out.err
+}
+
+// sampleWorkspace picks the first workspace that may use a service.
+func (dp *deployment) sampleWorkspace() (spec.Workspace, string, error) {
+	for _, ws := range dp.decl.Workspaces {
+		if len(ws.Services) > 0 {
+			return ws, ws.Services[0].Name, nil
+		}
+	}
+	return spec.Workspace{}, "", merry.New("no workspace of the declarations may use a service")
+}
+
+func (dp *deployment) sampleJob(ctx context.Context, cl *client.Client) (client.Job, error) {
+	once := false
+	jb, err := cl.Submit(ctx, client.SubmitRequest{
+		Shape:   spec.Shape{Tasks: sampleTasks, Accelerators: 1, Adjacency: spec.SameRack},
+		RunTime: "1s", Repeatable: &once, Command: []string{"sleep", "500ms"},
+	}, "")
+	if err != nil {
+		return jb, err
+	}
+	return cl.Job(ctx, jb.ID, sampleTime)
+}
+
+// checkWork compares what was answered with what the stand-ins have run.
+func (dp *deployment) checkWork(an client.CallAnswer, jb client.Job) error {
+	if an.Code != codes.RequestDone {
+		return merry.Errorf("the request ended %s", an.Code)
+	}
+	if jb.State != jobs.Ended.String() || jb.Code != codes.JobDone {
+		return merry.Errorf("the job is %s with %s", jb.State, jb.Code)
+	}
+	ran := 0
+	for _, ru := range dp.fleet.Requests() {
+		if ru.Request == an.Request {
+			ran++
+		}
+	}
+	if ran != 1 {
+		return merry.Errorf("the endpoints ran the request %d times", ran)
+	}
+	tasks := 0
+	for _, ru := range dp.fleet.Runs() {
+		if ru.Task.Job == jb.ID {
+			tasks++
+		}
+	}
+	if tasks != sampleTasks {
+		return merry.Errorf("the workers ran %d tasks of the job", tasks)
+	}
+	return nil
+}
+
+// sampleReport prints the report of the day when it shows the work, and checks
+// its sums.
+func (dp *deployment) sampleReport(ctx context.Context, cl *client.Client, out *lines, workspace, service string) error {
+	ctx, cancel := context.WithTimeout(ctx, reportTime)
+	defer cancel()
+	for {
+		da, err := readReport(ctx, cl)
+		if err != nil {
+			return merry.Prepend(err, "report")
+		}
+		if counted(da, workspace, service) && counted(da, workspace, "") {
+			text, err := cl.Report(ctx, "", true)
+			if err != nil {
+				return merry.Prepend(err, "report")
+			}
+			out.say("report:\n%s", text)
+			return da.Check()
+		}
+		select {
+		case <-ctx.Done():
+			return merry.Errorf("the report does not show the work within %v", reportTime)
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+func readReport(ctx context.Context, cl *client.Client) (report.Daily, error) {
+	var da report.Daily
+	content, err := cl.Report(ctx, "", false)
+	if err != nil {
+		return da, err
+	}
+	return da, json.Unmarshal(content, &da)
+}
+
+// counted tells whether exactly one piece of work is done in a row.
+func counted(da report.Daily, workspace, service string) bool {
+	for _, ro := range da.Rows {
+		if ro.Workspace == workspace && ro.Service == service {
+			return ro.Offered == 1 && ro.Done == 1
+		}
+	}
+	return false
+}
+
+// Write implements io.Writer.
+func (ke *keeper) Write(content []byte) (int, error) {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	return ke.buf.Write(content)
+}
+
+// decisions returns the lines of routing and placement.
+func (ke *keeper) decisions() []string {
+	ke.mu.Lock()
+	defer ke.mu.Unlock()
+	var found []string
+	for ln := range strings.Lines(ke.buf.String()) {
+		if strings.Contains(ln, " event=route ") || strings.Contains(ln, " event=place ") {
+			found = append(found, strings.TrimSpace(ln))
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/local/standin.go
@@ -0,0 +1,82 @@
+package local
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/cmds"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/epsim"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/kvsim"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/wksim"
+	"github.com/cicadawharf/cicadawharf/internal/plat"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+)
+
+// server is a stand-in of a process of its own.
+type server interface {
+	Addr() string
+	Run(ctx context.Context) error
+}
+
+// Standin runs one stand-in of the platform until ctx ends. Workers and
+// endpoints enter themselves into the platform's list.
+func Standin(ctx context.Context, op cmds.StandinOptions) error {
+	logs := slog.New(slog.NewTextHandler(op.Log, nil)).With("standin", op.Name)
+	sv, listed, err := newStandin(op, logs)
+	if err != nil {
+		return err
+	}
+	logs.Info("stand-in listens", "event", "start", "kind", string(op.Kind), "address", sv.Addr())
+	if op.Kind != cmds.StandinStore {
+		go enter(ctx, op, listed, logs)
+	}
+	return sv.Run(ctx)
+}
+
+func newStandin(op cmds.StandinOptions, logs *slog.Logger) (server, plat.Host, error) {
+	listed := plat.Host{Name: op.Name, State: plat.StateLive}
+	switch op.Kind {
+	case cmds.StandinStore:
+		sv, err := kvsim.New(kvsim.Config{Listen: op.Listen, Log: logs})
+		return sv, listed, err
+	case cmds.StandinWorker:
+		sv, err := wksim.New(wksim.Config{
+			Name: op.Name, Listen: op.Listen, Accelerators: op.Accelerators, RunScale: op.RunScale, Log: logs,
+		})
+		if err != nil {
+			return nil, listed, err
+		}
+		listed.Kind = plat.KindWorker
+		listed.Address = sv.Addr()
+		listed.Rack = op.Rack
+		listed.Accelerators = op.Accelerators
+		return sv, listed, nil
+	default:
+		sv, err := epsim.New(epsim.Config{
+			Name: op.Name, Service: op.Service, Listen: op.Listen, Slots: op.Slots, Connections: op.Connections, Log: logs,
+		})
+		if err != nil {
+			return nil, listed, err
+		}
+		listed.Kind = plat.KindEndpoint
+		listed.Address = sv.Addr()
+		listed.Service = op.Service
+		return sv, listed, nil
+	}
+}
+
+// enter puts a host on the platform's list, however long the store takes.
+func enter(ctx context.Context, op cmds.StandinOptions, listed plat.Host, logs *slog.Logger) {
+	st := store.New(store.Config{Addresses: op.Store, Timeout: storeTimeout, Log: logs})
+	for ctx.Err() == nil {
+		bound, cancel := context.WithTimeout(ctx, startTime)
+		err := plat.Register(bound, st, op.Zone, listed)
+		cancel()
+		if err == nil {
+			return
+		}
+		logs.Warn("host is not listed yet", "event", "list", "error", err)
+		time.Sleep(readyPoll)
+	}
+}
