--- a/internal/peers/beat.go
+++ b/internal/peers/beat.go
@@ -113,7 +113,7 @@
 		return Member{}, errSelf
 	}
 	if !ms.take(time.Now(), li, hb) {
-		return Member{}, merry.New("heartbeat of an older incarnation")
+		return Member{}, errOlder
 	}
 	return me, nil
 }
--- a/internal/peers/roster_test.go
+++ b/internal/peers/roster_test.go
@@ -1,6 +1,8 @@
 package peers_test
 
 import (
+	"flag"
+	"os"
 	"testing"
 	"time"
 
@@ -12,6 +14,14 @@
 
 var began = time.Date(2026, 7, 1, 12, 0, 0, 0, time.UTC)
 
+// TestMain fixes the seed of the property tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20260701"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 func newRoster() *peers.Roster {
 	return peers.NewRoster(peers.RosterConfig{
 		Self: "self", Zone: "z", SuspectAfter: 2 * time.Second, RemoteSuspectAfter: 8 * time.Second, ForgetAfter: time.Minute,
--- a/internal/peers/target.go
+++ b/internal/peers/target.go
@@ -28,6 +28,7 @@
 
 var (
 	errRetired = errors.New("another session with the host serves")
+	errOlder   = errors.New("heartbeat of an older incarnation")
 	errSelf    = errors.New("address is that of this host")
 )
 
@@ -67,7 +68,11 @@
 		if !errors.Is(err, errRetired) {
 			ms.cfg.Log.Debug("no session with a peer", "address", ta.address, "peer", ta.name, "error", err)
 		}
-		if errors.Is(err, errSelf) {
+		switch {
+		case errors.Is(err, errSelf):
+			backoff = maxRemoteBackoff
+		case errors.Is(err, errOlder):
+			ms.cfg.Log.Warn("host is refused: a later start of its name is known", "address", ta.address, "peer", ta.name)
 			backoff = maxRemoteBackoff
 		}
 		if !sleep(ctx, jitter(backoff)) {
--- a/internal/report/exchange_test.go
+++ b/internal/report/exchange_test.go
@@ -28,6 +28,7 @@
 		hosts     map[string]*fleetHost
 		loseReply bool // calls take effect and fail
 		sentRows  int
+		sentBytes int
 	}
 
 	fleetHost struct {
@@ -97,6 +98,7 @@
 	to, lose := fh.fleet.hosts[host], fh.fleet.loseReply
 	if ac, ok := req.(*wire.Account); ok {
 		fh.fleet.sentRows += len(ac.GetRows())
+		fh.fleet.sentBytes += proto.Size(ac)
 	}
 	fh.fleet.mu.Unlock()
 	if to == nil {
@@ -210,6 +212,31 @@
 	})
 }
 
+// TestCopyTraffic has every one of 220 workspaces offer requests all the time.
+// Copies and membership (at most 7 KB/s) must stay within 14 KB/s.
+func TestCopyTraffic(t *testing.T) {
+	inFleet(t, func(t *testing.T, fl *fleet) {
+		is := is.New(t)
+		one := fl.start("h0", "centro")
+		for i := 1; i < 8; i++ {
+			fl.start(fmt.Sprint("h", i), "centro")
+		}
+		const span = time.Minute
+		for began := time.Now(); time.Since(began) < span; time.Sleep(time.Second) {
+			for i := range 220 {
+				ws := fmt.Sprintf("workspace-%03d", i)
+				one.account.Offer(time.Now(), ws, "appraisal").End(report.Outcome{Code: codes.RequestDone, SlotTime: 87654321})
+				one.account.Offer(time.Now(), ws, "appraisal").End(report.Outcome{Code: codes.Overloaded})
+			}
+		}
+		fl.mu.Lock()
+		defer fl.mu.Unlock()
+		rate := float64(fl.sentBytes) / span.Seconds()
+		t.Logf("bytes a second of all copies: %.0f", rate)
+		is.True(rate < 7000)
+	})
+}
+
 func TestLostRepliesOfCopies(t *testing.T) {
 	inFleet(t, func(t *testing.T, fl *fleet) {
 		is := is.New(t)
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"flag"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -23,6 +25,14 @@
 	july1, _ = report.ParseDay("2026-07-01", time.UTC)
 )
 
+// TestMain fixes the seed of the property tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20260701"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 func account(host string, incarnation uint64) *report.Account {
 	return report.NewAccount(report.AccountConfig{Host: host, Zone: "centro", Incarnation: incarnation})
 }
