Give every guaranteed unit a spot that its use and its end keep

Cause: a random sequence placed a small gang on a large unit, then firm work on the rest of that unit's ground; when the small gang ended, the unit could not be packed any more. Counting only the unused units at the moment of a decision says nothing of the units that come back. Ruled out: packing all units as if none were used beside the present check; it misses the states in which only some of the gangs have ended. Change: every unit owns a spot. Spots of unused units move for firm work if all still fit; a gang of a unit stands within its spot, which is firm as a whole until it ends. A task that was seen to succeed stays so when its worker restarts. Conclusion: a guaranteed shape can always be reclaimed while workers stand.

--- a/internal/fakes/wksim/command.go
+++ b/internal/fakes/wksim/command.go
@@ -88,7 +88,7 @@
 	tb.runOf[ta.row.ID] = len(tb.runs)
 	tb.runs = append(tb.runs, Run{
 		Worker: tb.cfg.Worker, Task: ta.row.ID, Workspace: ta.row.Workspace,
-		Accelerators: ta.row.Accelerators, Epoch: tb.epoch,
+		Accelerators: ta.row.Accelerators, Epoch: ta.row.Epoch,
 		Started: now, Phase: worker.PhaseRunning,
 	})
 	return resultOK
--- a/internal/fakes/wksim/runs.go
+++ b/internal/fakes/wksim/runs.go
@@ -14,7 +14,7 @@
 		Task         worker.TaskID `json:"task"`
 		Workspace    string        `json:"workspace"`
 		Accelerators int           `json:"accelerators"`
-		Epoch        int64         `json:"epoch"` // under which it was started
+		Epoch        int64         `json:"epoch"` // under which its task was reserved
 		Started      time.Time     `json:"started"`
 		Ended        time.Time     `json:"ended,omitzero"`
 		Phase        worker.Phase  `json:"phase"`
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -30,13 +30,15 @@
 	Placed struct {
 		Workers []int
 		Unit    int
-		From    int // how many spots there were
+		Ground  []int // the whole spot of the unit
+		From    int   // how many spots there were
 	}
 
 	// Reclaim says which gangs to stop, and where the gang starts then.
 	Reclaim struct {
 		Workers []int
 		Unit    int
+		Ground  []int
 		Victims []string
 		Lost    time.Duration // accelerator time that the victims lose
 	}
@@ -74,21 +76,21 @@
 	return ok
 }
 
-// Decide places one gang, or says why not. It does not change the fleet.
+// Decide places one gang, or says why not. It does not change what stands.
 func (fl *Fleet) Decide(now time.Time, rq Request) Decision {
-	unit := fl.UnitFor(rq.Workspace, rq.Shape)
-	gr := fl.without(fl.room, rq.Avoid)
-	spots := fl.spots(gr, rq.Shape, spotLimit)
-	if unit == NoUnit && rq.Movable && len(spots) > 0 {
-		return Placed{Workers: spots[0], Unit: NoUnit, From: len(spots)}
+	fl.pack()
+	if unit := fl.UnitFor(rq.Workspace, rq.Shape); unit != NoUnit {
+		if de := fl.decideGuaranteed(now, rq, unit); de != nil {
+			return de
+		}
 	}
-	before := fl.packable(fl.firm, unit)
+	spots := fl.spotsOf(fl.without(fl.room, rq.Avoid), rq.Shape, spotLimit)
 	for _, workers := range spots {
-		if fl.keepsGuarantees(rq.Shape, workers, unit, before) {
-			return Placed{Workers: workers, Unit: unit, From: len(spots)}
+		if rq.Movable || fl.spares(rq.Shape, workers, NoUnit) {
+			return Placed{Workers: workers, Unit: NoUnit, From: len(spots)}
 		}
 	}
-	if rc, ok := fl.reclaim(now, rq, unit, before); ok {
+	if rc, ok := fl.reclaim(now, rq); ok {
 		return rc
 	}
 	if len(spots) > 0 {
@@ -97,12 +99,69 @@
 	return Waits{WaitsForRoom}
 }
 
-// keepsGuarantees tells whether as many units can be packed as before, if
-// the gang stands firm on workers.
-func (fl *Fleet) keepsGuarantees(sh spec.Shape, workers []int, unit, before int) bool {
-	gr := fl.firm.clone()
-	gr.take(workers, sh.Accelerators, -1)
-	return fl.packable(gr, unit) >= before
+// decideGuaranteed places a gang within a spot of the unit that covers it: the
+// unit's present spot or another that the other units spare, without reclaiming
+// if that can be, and otherwise at the least lost work. It returns nil only if
+// the unit has no spot, or all of them are on workers to be avoided.
+func (fl *Fleet) decideGuaranteed(now time.Time, rq Request, unit int) Decision {
+	grounds := fl.grounds(rq, unit)
+	var best *Reclaim
+	for i, gd := range grounds {
+		if i > 0 && !fl.spares(fl.units[unit].Shape, gd, unit) {
+			continue
+		}
+		workers, missing := fl.within(rq.Shape, gd)
+		if !missing {
+			return Placed{Workers: workers, Unit: unit, Ground: gd, From: len(grounds)}
+		}
+		rc, ok := fl.reclaimOn(now, rq, workers)
+		if ok && (best == nil || rc.Lost < best.Lost) {
+			rc.Unit = unit
+			rc.Ground = gd
+			best = &rc
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return *best
+}
+
+// grounds returns the spots that a unit could use: its present one first, then
+// others that are free, then others without firm work.
+func (fl *Fleet) grounds(rq Request, unit int) [][]int {
+	var gds [][]int
+	avoided := func(at int) bool { return slices.Contains(rq.Avoid, fl.workers[at].Name) }
+	if spot := fl.spots[unit]; spot != nil && !slices.ContainsFunc(spot, avoided) {
+		gds = append(gds, spot)
+	} else {
+		gds = append(gds, nil)
+	}
+	sh := fl.units[unit].Shape
+	firm := fl.without(fl.firm, rq.Avoid)
+	gds = append(gds, fl.spotsOf(firm.lesser(fl.room), sh, spotLimit)...)
+	gds = append(gds, fl.spotsOf(firm, sh, spotLimit)...)
+	return gds
+}
+
+// within picks the workers of a spot that a gang stands on, those with room
+// first, and tells whether room is missing on some.
+func (fl *Fleet) within(sh spec.Shape, spot []int) (workers []int, missing bool) {
+	room := fl.room.clone()
+	var full []int
+	for _, at := range spot {
+		if len(workers) == sh.Tasks {
+			break
+		}
+		if room.fits(at, sh.Accelerators) == 0 {
+			full = append(full, at)
+			continue
+		}
+		room.take([]int{at}, sh.Accelerators, -1)
+		workers = append(workers, at)
+	}
+	lacking := sh.Tasks - len(workers)
+	return append(workers, full[:min(lacking, len(full))]...), lacking > 0
 }
 
 // UnitFor returns the smallest unused unit of a workspace that covers a shape,
@@ -154,15 +213,15 @@
 	return gr
 }
 
-// reclaim finds the victims that free a spot at the least lost work, among
-// the workers that the adjacency groups together.
-func (fl *Fleet) reclaim(now time.Time, rq Request, unit, before int) (Reclaim, bool) {
-	if unit == NoUnit && rq.Priority != jobs.Urgent {
+// reclaim finds the victims that free room for an urgent gang at the least lost
+// work, among the workers that the adjacency groups together.
+func (fl *Fleet) reclaim(now time.Time, rq Request) (Reclaim, bool) {
+	if rq.Priority != jobs.Urgent {
 		return Reclaim{}, false
 	}
 	var found []Reclaim
 	for _, workers := range fl.domains(rq.Shape) {
-		if rc, ok := fl.reclaimIn(now, rq, unit, workers); ok {
+		if rc, ok := fl.reclaimIn(now, rq, workers); ok {
 			found = append(found, rc)
 		}
 	}
@@ -170,14 +229,52 @@
 		return cmp.Or(cmp.Compare(a.Lost, b.Lost), cmp.Compare(len(a.Victims), len(b.Victims)))
 	})
 	for _, rc := range found {
-		firm := unit != NoUnit || !rq.Movable
-		if !firm || fl.keepsGuarantees(rq.Shape, rc.Workers, unit, before) {
+		if rq.Movable || fl.spares(rq.Shape, rc.Workers, NoUnit) {
 			return rc, true
 		}
 	}
 	return Reclaim{}, false
 }
 
+// reclaimOn finds the victims that make room for a guaranteed gang on exactly
+// these workers.
+func (fl *Fleet) reclaimOn(now time.Time, rq Request, workers []int) (Reclaim, bool) {
+	if len(workers) < rq.Shape.Tasks {
+		return Reclaim{}, false
+	}
+	room := fl.room.clone()
+	room.take(workers, rq.Shape.Accelerators, -1)
+	var taken []Gang
+	for _, ga := range fl.victims(now, rq, true, workers) {
+		if !room.overdrawn(workers) {
+			break
+		}
+		room.take(ga.Workers, ga.Shape.Accelerators, 1)
+		taken = append(taken, ga)
+	}
+	if room.overdrawn(workers) {
+		return Reclaim{}, false
+	}
+	for i := len(taken) - 1; i >= 0; i-- {
+		room.take(taken[i].Workers, taken[i].Shape.Accelerators, -1)
+		if room.overdrawn(workers) {
+			room.take(taken[i].Workers, taken[i].Shape.Accelerators, 1)
+			continue
+		}
+		taken = slices.Delete(taken, i, i+1)
+	}
+	return newReclaim(now, workers, taken), true
+}
+
+func newReclaim(now time.Time, workers []int, taken []Gang) Reclaim {
+	rc := Reclaim{Workers: workers, Unit: NoUnit}
+	for _, ga := range taken {
+		rc.Victims = append(rc.Victims, ga.Job)
+		rc.Lost += lostWork(now, ga)
+	}
+	return rc
+}
+
 // domains returns the groups of workers within which a shape must stand.
 func (fl *Fleet) domains(sh spec.Shape) [][]int {
 	switch sh.Adjacency {
@@ -198,18 +295,26 @@
 	}
 }
 
-func (fl *Fleet) reclaimIn(now time.Time, rq Request, unit int, workers []int) (Reclaim, bool) {
+func (fl *Fleet) reclaimIn(now time.Time, rq Request, workers []int) (Reclaim, bool) {
 	gr := fl.without(fl.room, rq.Avoid).clone()
-	chosen := fl.victims(now, rq, unit, workers)
 	var taken []Gang
 	room := fl.capacity(gr, rq.Shape, workers)
-	for _, ga := range chosen {
+	inside := make(map[int]bool, len(workers))
+	for _, at := range workers {
+		inside[at] = true
+	}
+	for _, ga := range fl.victims(now, rq, false, workers) {
 		if room >= rq.Shape.Tasks {
 			break
 		}
-		gr.take(ga.Workers, ga.Shape.Accelerators, 1)
+		for _, at := range ga.Workers {
+			before := gr.fits(at, rq.Shape.Accelerators)
+			gr.take([]int{at}, ga.Shape.Accelerators, 1)
+			if inside[at] {
+				room += gr.fits(at, rq.Shape.Accelerators) - before
+			}
+		}
 		taken = append(taken, ga)
-		room = fl.capacity(gr, rq.Shape, workers)
 	}
 	if room < rq.Shape.Tasks {
 		return Reclaim{}, false
@@ -219,12 +324,7 @@
 	if !ok {
 		return Reclaim{}, false
 	}
-	rc := Reclaim{Workers: spot, Unit: unit}
-	for _, ga := range taken {
-		rc.Victims = append(rc.Victims, ga.Job)
-		rc.Lost += lostWork(now, ga)
-	}
-	return rc, true
+	return newReclaim(now, spot, taken), true
 }
 
 // spare gives back the victims, dearest first, that turn out not to be needed.
@@ -243,7 +343,7 @@
 
 // victims lists the gangs on workers that may be stopped for a request, the
 // cheapest for each accelerator that they free there first.
-func (fl *Fleet) victims(now time.Time, rq Request, unit int, workers []int) []Gang {
+func (fl *Fleet) victims(now time.Time, rq Request, guaranteed bool, workers []int) []Gang {
 	freed := map[string]int{}
 	for _, at := range workers {
 		for _, id := range fl.here[at] {
@@ -252,7 +352,7 @@
 	}
 	var gas []Gang
 	for id := range freed {
-		if ga := fl.gangs[id]; fl.mayReclaim(rq, unit, ga) {
+		if ga := fl.gangs[id]; fl.mayReclaim(rq, guaranteed, ga) {
 			gas = append(gas, ga)
 		}
 	}
@@ -268,11 +368,11 @@
 // mayReclaim tells whether a gang yields to a request: any movable gang to a
 // guaranteed one; to an urgent one, less urgent work of its own workspace, or
 // of one that holds more than its share while the urgent one stays within.
-func (fl *Fleet) mayReclaim(rq Request, unit int, ga Gang) bool {
+func (fl *Fleet) mayReclaim(rq Request, guaranteed bool, ga Gang) bool {
 	if firmGang(ga) || ga.Busy || ga.Job == rq.Job {
 		return false
 	}
-	if unit != NoUnit {
+	if guaranteed {
 		return true
 	}
 	if ga.Priority >= rq.Priority {
--- a/internal/place/fit.go
+++ b/internal/place/fit.go
@@ -31,8 +31,8 @@
 	}
 }
 
-// spots returns several ways to place a gang on gr, best first, at most limit.
-func (fl *Fleet) spots(gr ground, sh spec.Shape, limit int) [][]int {
+// spotsOf returns several ways to place a gang on gr, best first, at most limit.
+func (fl *Fleet) spotsOf(gr ground, sh spec.Shape, limit int) [][]int {
 	var sps []spread
 	switch sh.Adjacency {
 	case spec.SameWorker:
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -2,13 +2,16 @@
 // in, a decision comes out.
 //
 // A gang is placed whole or not at all. Every workspace may be guaranteed
-// units, each the shape of one gang. The invariant is that after every
-// decision all units that are not in use can still be packed on the workers,
-// once the work that may be reclaimed is taken away. Firm gangs, which are
-// those that use a unit and those that can't be stopped without loss, are
-// therefore only placed where the packing survives. Since a packing of the
-// unused units exists, a gang that uses a unit can always be placed, if need
-// be by reclaiming the ground that the packing gives to its unit.
+// units, each the shape of one gang. The invariant is that every unit has a
+// spot: workers on which its shape fits, beside the spots of all other units
+// and beside the work that can't be stopped without loss. Work that may be
+// stopped stands anywhere, also on spots. The spot of a unit that nobody uses
+// may move, to make room for firm work, as long as all of them still fit. A
+// gang that uses a unit stands within its spot, which then stays until the gang
+// has ended. So a gang that an unused unit covers can always be placed, if need
+// be by reclaiming the spot, and the end of any gangs in any order leaves every
+// unit with a spot. Only the loss of workers can break this; units without a
+// spot get one as soon as there is room.
 package place
 
 import (
@@ -37,9 +40,10 @@
 		Workspace string
 		Shape     spec.Shape
 		Priority  jobs.Priority
-		Unit      int  // index of the guaranteed unit in use, or NoUnit
-		Movable   bool // may be stopped and run again without breaking a promise
-		Busy      bool // already being stopped
+		Unit      int   // index of the guaranteed unit in use, or NoUnit
+		Ground    []int // the whole spot of the unit in use, if it is known
+		Movable   bool  // may be stopped and run again without breaking a promise
+		Busy      bool  // already being stopped
 		Started   time.Time
 		Lossless  bool // keeps its work when stopped
 		Workers   []int
@@ -63,8 +67,11 @@
 		gangs   map[string]Gang
 		here    [][]string // jobs by worker
 		used    []bool     // by unit
+		spots   [][]int    // by unit; nil for a unit that has none
 		room    ground     // beside all gangs
-		firm    ground     // beside firm gangs only
+		firm    ground     // beside firm gangs and the spots of used units
+		open    ground     // beside the spots of unused units, too
+		stale   bool       // units without a spot may find one
 		held    map[string]int
 	}
 
@@ -87,6 +94,8 @@
 		gangs:   map[string]Gang{},
 		here:    make([][]string, len(workers)),
 		used:    make([]bool, len(units)),
+		spots:   make([][]int, len(units)),
+		stale:   true,
 		held:    map[string]int{},
 		rackOf:  make([]int, len(workers)),
 	}
@@ -102,6 +111,7 @@
 		fl.rackOf[i] = at
 		fl.room = fl.room.grow(wo)
 		fl.firm = fl.firm.grow(wo)
+		fl.open = fl.open.grow(wo)
 	}
 	fl.order = packingOrder(units)
 	return fl
@@ -128,15 +138,20 @@
 // it is taken even where the ground is held already.
 func (fl *Fleet) Add(ga Gang) {
 	fl.Remove(ga.Job)
-	fl.gangs[ga.Job] = ga
-	if ga.Unit != NoUnit {
-		fl.used[ga.Unit] = true
-	}
 	fl.held[ga.Workspace] += ga.Shape.Total()
 	for _, at := range ga.Workers {
 		fl.here[at] = append(fl.here[at], ga.Job)
 	}
-	fl.shift(ga, -1)
+	fl.room.take(ga.Workers, ga.Shape.Accelerators, -1)
+	switch {
+	case ga.Unit != NoUnit:
+		ga = fl.enter(ga)
+	case !ga.Movable:
+		fl.firm.take(ga.Workers, ga.Shape.Accelerators, -1)
+		fl.open.take(ga.Workers, ga.Shape.Accelerators, -1)
+		fl.yield()
+	}
+	fl.gangs[ga.Job] = ga
 }
 
 // Remove takes a gang off its workers. An unknown job has no effect.
@@ -146,14 +161,19 @@
 		return
 	}
 	delete(fl.gangs, job)
-	if ga.Unit != NoUnit {
-		fl.used[ga.Unit] = false
-	}
 	fl.held[ga.Workspace] -= ga.Shape.Total()
 	for _, at := range ga.Workers {
 		fl.here[at] = slices.DeleteFunc(fl.here[at], func(id string) bool { return id == job })
 	}
-	fl.shift(ga, 1)
+	fl.room.take(ga.Workers, ga.Shape.Accelerators, 1)
+	switch {
+	case ga.Unit != NoUnit:
+		fl.leave(ga)
+	case !ga.Movable:
+		fl.firm.take(ga.Workers, ga.Shape.Accelerators, 1)
+		fl.open.take(ga.Workers, ga.Shape.Accelerators, 1)
+		fl.stale = true
+	}
 }
 
 // Gang returns the gang of a job.
@@ -213,47 +233,25 @@
 	}
 }
 
-// UnusedUnits returns how many guaranteed units are free to be claimed, and
-// how many of them could be packed at the same time.
+// UnusedUnits returns how many guaranteed units are not in use, and how many of
+// them have a spot.
 func (fl *Fleet) UnusedUnits() (unused, packable int) {
-	for _, us := range fl.used {
-		if !us {
-			unused++
+	fl.pack()
+	for i, us := range fl.used {
+		if us {
+			continue
+		}
+		unused++
+		if fl.spots[i] != nil {
+			packable++
 		}
 	}
-	return unused, fl.packable(fl.firm, NoUnit)
+	return unused, packable
 }
 
 // firmGang tells whether the ground of a gang can't be reclaimed.
 func firmGang(ga Gang) bool { return ga.Unit != NoUnit || !ga.Movable }
 
-func (fl *Fleet) shift(ga Gang, sign int) {
-	fl.room.take(ga.Workers, ga.Shape.Accelerators, sign)
-	if firmGang(ga) {
-		fl.firm.take(ga.Workers, ga.Shape.Accelerators, sign)
-	}
-}
-
-// packable counts the units, but for used ones and skip, that a first-fit
-// packing in order of difficulty places on gr.
-func (fl *Fleet) packable(gr ground, skip int) int {
-	gr = gr.clone()
-	packed := 0
-	for _, ui := range fl.order {
-		if fl.used[ui] || ui == skip {
-			continue
-		}
-		sh := fl.units[ui].Shape
-		spot, ok := fl.fit(gr, sh)
-		if !ok {
-			continue
-		}
-		gr.take(spot, sh.Accelerators, -1)
-		packed++
-	}
-	return packed
-}
-
 // packingOrder sorts units so that those with the fewest possible spots come
 // first.
 func packingOrder(units []Unit) []int {
@@ -318,3 +316,13 @@
 	}
 	return max(0, min(gr.tasks[at], gr.accelerators[at]/accelerators))
 }
+
+// lesser returns what is free on both grounds.
+func (gr ground) lesser(other ground) ground {
+	gr = gr.clone()
+	for at := range gr.accelerators {
+		gr.accelerators[at] = min(gr.accelerators[at], other.accelerators[at])
+		gr.tasks[at] = min(gr.tasks[at], other.tasks[at])
+	}
+	return gr
+}
--- /dev/null
+++ b/internal/place/place_test.go
@@ -0,0 +1,191 @@
+package place_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/place"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+// TestMain fixes the seed of the property tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1_800_000_000, 0)
+
+// racks returns a zone of racks with eight workers of eight accelerators.
+func racks(n int) []place.Worker {
+	zn := spec.Zone{Name: "z1"}
+	for i := range n {
+		zn.Racks = append(zn.Racks, spec.Rack{Name: fmt.Sprintf("r%d", i), Workers: 8, Accelerators: 8, Cores: 64})
+	}
+	return place.DeclaredWorkers(zn)
+}
+
+func shape(tasks, accelerators int, ad spec.Adjacency) spec.Shape {
+	return spec.Shape{Tasks: tasks, Accelerators: accelerators, Adjacency: ad}
+}
+
+// put decides on a request and places the gang, its victims gone.
+func put(fl *place.Fleet, now time.Time, rq place.Request) place.Decision {
+	de := fl.Decide(now, rq)
+	ga := place.Gang{
+		Job: rq.Job, Workspace: rq.Workspace, Shape: rq.Shape, Priority: rq.Priority, Unit: place.NoUnit,
+		Movable: rq.Movable, Started: now,
+	}
+	switch de := de.(type) {
+	case place.Placed:
+		ga.Workers, ga.Unit, ga.Ground = de.Workers, de.Unit, de.Ground
+	case place.Reclaim:
+		for _, id := range de.Victims {
+			fl.Remove(id)
+		}
+		ga.Workers, ga.Unit, ga.Ground = de.Workers, de.Unit, de.Ground
+	case place.Waits:
+		return de
+	}
+	fl.Add(ga)
+	return de
+}
+
+func TestFirmWorkLeavesRoomForGuarantees(t *testing.T) {
+	units := []place.Unit{{Workspace: "large", Shape: shape(8, 8, spec.SameRack)}}
+	firm := place.Request{Job: "firm", Workspace: "small", Shape: shape(1, 1, spec.SameZone), Priority: jobs.Normal}
+	movable := firm
+	movable.Movable = true
+	owner := firm
+	owner.Workspace = "large"
+	tests := []struct {
+		name    string
+		racks   int
+		request place.Request
+		want    place.Decision
+	}{
+		{"firm work waits if it would break the only rack", 1, firm, place.Waits{Reason: place.WaitsForGuarantee}},
+		{"movable work may stand there", 1, movable, place.Placed{Workers: []int{0}, Unit: place.NoUnit, From: 2}},
+		{"the owner's work uses the unit", 1, owner, place.Placed{Workers: []int{0}, Unit: 0, Ground: []int{0, 1, 2, 3, 4, 5, 6, 7}, From: 3}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			fl := place.NewFleet(racks(tt.racks), units)
+			is.New(t).Equal(fl.Decide(start, tt.request), tt.want)
+		})
+	}
+}
+
+func TestGangsFillBrokenWorkersFirst(t *testing.T) {
+	is := is.New(t)
+	fl := place.NewFleet(racks(2), nil)
+	rq := place.Request{Job: "a", Workspace: "w", Shape: shape(3, 1, spec.SameZone), Movable: true}
+	first := put(fl, start, rq).(place.Placed)
+	rq.Job = "b"
+	second := put(fl, start, rq).(place.Placed)
+	is.Equal(second.Workers, first.Workers)
+	is.Equal(fl.UsableBy(shape(1, 8, spec.SameWorker)), 15*8) // one worker is broken
+}
+
+func TestReclaimTakesTheLeastLostWork(t *testing.T) {
+	is := is.New(t)
+	units := []place.Unit{{Workspace: "large", Shape: shape(8, 8, spec.SameRack)}}
+	fl := place.NewFleet(racks(2), units)
+	for i := range 16 {
+		rq := place.Request{Job: fmt.Sprintf("j%02d", i), Workspace: "small", Shape: shape(1, 8, spec.SameWorker), Movable: true}
+		put(fl, start.Add(time.Duration(i)*time.Minute), rq)
+	}
+	de := fl.Decide(start.Add(time.Hour), place.Request{Job: "mine", Workspace: "large", Shape: shape(8, 8, spec.SameRack)})
+	rc := de.(place.Reclaim)
+	is.Equal(len(rc.Victims), 8)
+	for _, id := range rc.Victims {
+		is.True(id >= "j08") // the younger half
+	}
+}
+
+func TestUrgencyDoesNotEnlargeAShare(t *testing.T) {
+	is := is.New(t)
+	fl := place.NewFleet(racks(1), nil)
+	for i := range 8 {
+		put(fl, start, place.Request{Job: fmt.Sprintf("j%d", i), Workspace: "busy", Shape: shape(1, 8, spec.SameWorker), Priority: jobs.Normal, Movable: true})
+	}
+	share := func(string) int { return 32 }
+	rq := place.Request{Job: "u", Workspace: "quiet", Shape: shape(1, 8, spec.SameWorker), Priority: jobs.Urgent, Movable: true, Share: 32, Shares: share}
+	_, ok := fl.Decide(start, rq).(place.Reclaim)
+	is.True(ok) // busy holds twice its share
+	rq.Share = 4
+	_, ok = fl.Decide(start, rq).(place.Waits)
+	is.True(ok) // past the share of its own
+}
+
+// TestGuaranteesStayPackable places and ends gangs at random. After every step
+// the unused units must still be packable, and a gang that a unit covers must
+// never have to wait.
+func TestGuaranteesStayPackable(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		units := randomUnits(rt)
+		fl := place.NewFleet(racks(4), units)
+		unused, packable := fl.UnusedUnits()
+		if packable < unused {
+			rt.Skip("declarations that a check refuses")
+		}
+		var placed []string
+		for i := range rapid.IntRange(1, 120).Draw(rt, "steps") {
+			now := start.Add(time.Duration(i) * time.Minute)
+			if len(placed) > 0 && rapid.IntRange(0, 3).Draw(rt, "end") == 0 {
+				at := rapid.IntRange(0, len(placed)-1).Draw(rt, "which")
+				fl.Remove(placed[at])
+				placed = append(placed[:at], placed[at+1:]...)
+				continue
+			}
+			rq := randomRequest(rt, i)
+			covered := fl.UnitFor(rq.Workspace, rq.Shape) != place.NoUnit
+			de := put(fl, now, rq)
+			if _, waits := de.(place.Waits); waits && covered {
+				rt.Fatalf("step %d: %+v waits although an unused unit covers it", i, rq)
+			} else if !waits {
+				placed = append(placed, rq.Job)
+			}
+			unused, packable := fl.UnusedUnits()
+			if packable < unused {
+				rt.Fatalf("step %d: %+v left %d of %d units packable", i, rq, packable, unused)
+			}
+		}
+	})
+}
+
+func randomUnits(rt *rapid.T) []place.Unit {
+	var units []place.Unit
+	for range rapid.IntRange(1, 6).Draw(rt, "units") {
+		units = append(units, place.Unit{
+			Workspace: rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "owner"),
+			Shape: rapid.SampledFrom([]spec.Shape{
+				shape(4, 8, spec.SameRack), shape(8, 8, spec.SameRack), shape(2, 4, spec.SameWorker),
+				shape(8, 4, spec.SameRack), shape(8, 2, spec.SameZone), shape(16, 4, spec.SameZone),
+			}).Draw(rt, "unit"),
+		})
+	}
+	return units
+}
+
+func randomRequest(rt *rapid.T, i int) place.Request {
+	return place.Request{
+		Job:       fmt.Sprintf("j%d", i),
+		Workspace: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "workspace"),
+		Shape: rapid.SampledFrom([]spec.Shape{
+			shape(1, 1, spec.SameZone), shape(1, 8, spec.SameWorker), shape(2, 2, spec.SameRack), shape(4, 8, spec.SameRack),
+			shape(8, 4, spec.SameRack), shape(3, 1, spec.SameWorker), shape(16, 2, spec.SameZone), shape(1, 0, spec.SameZone),
+		}).Draw(rt, "shape"),
+		Priority: rapid.SampledFrom([]jobs.Priority{jobs.Low, jobs.Normal, jobs.Urgent}).Draw(rt, "priority"),
+		Movable:  rapid.Bool().Draw(rt, "movable"),
+	}
+}
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -51,11 +51,13 @@
 		bucket      int
 		adopted     bool // the attempt was begun by an earlier core
 		reserved    []bool
-		sent        bool // starts were sent
+		done        []bool // tasks that were seen to succeed, which no restart of a worker undoes
+		sent        bool   // starts were sent
 		begun       time.Time
 		startBy     time.Time
 		cause       cause
 		unit        int
+		ground      []int // the whole spot of the unit, as long as the fleet stays
 		earmark     *earmark
 		after       time.Time // not placed before
 		avoid       []string
@@ -74,9 +76,15 @@
 
 	// earmark is ground that is kept for a job while others are stopped.
 	earmark struct {
+		spot
+		until time.Time
+	}
+
+	// spot is where a decision puts a gang.
+	spot struct {
 		workers []int
 		unit    int
-		until   time.Time
+		ground  []int // the whole spot of the unit
 	}
 
 	ticket struct {
@@ -100,6 +108,7 @@
 	for _, rc := range cf.Records {
 		jb := &job{rec: rc, saved: rc, bucket: co.bucketOf(rc.ID), unit: place.NoUnit, adopted: true}
 		jb.reserved = make([]bool, len(rc.Tasks))
+		jb.done = make([]bool, len(rc.Tasks))
 		for i := range jb.reserved {
 			jb.reserved[i] = true
 		}
--- a/internal/sched/core_test.go
+++ b/internal/sched/core_test.go
@@ -1,7 +1,9 @@
 package sched_test
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -13,6 +15,14 @@
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
 
+// TestMain fixes the seed of the property tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 var (
 	small = spec.Workspace{Name: "small", Weight: 1, Quota: 64}
 	large = spec.Workspace{
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -269,7 +269,6 @@
 
 // resolve decides what becomes of a job whose attempt is over.
 func (co *Core) resolve(now time.Time, jb *job, ta tally) {
-	ran := ta.ran+ta.doubt > 0
 	finished := ta.succeeded == len(jb.rec.Tasks)
 	kept := finished || (jb.rec.Checkpoint && ta.saved > 0 && ta.saved+ta.succeeded == len(jb.rec.Tasks))
 	switch {
@@ -288,17 +287,34 @@
 		co.end(now, jb, codes.JobFailed, ca.detail)
 	case !ca.requeue && ca.code != 0:
 		co.end(now, jb, ca.code, ca.detail)
-	case !ran || kept || (jb.rec.Repeatable && jb.rec.Attempt < MaxAttempts):
+	case mayRepeat(jb, ta, kept):
 		co.requeue(now, jb)
-	case jb.rec.Repeatable && jb.rec.Held > 0:
-		co.end(now, jb, codes.AttemptsUsed, ca.detail)
-	case jb.rec.Repeatable, ta.doubt > 0:
-		co.end(now, jb, codes.AttemptLost, ca.detail)
 	default:
-		co.end(now, jb, codes.AttemptsUsed, ca.detail)
+		co.end(now, jb, cutCode(jb, ta), ca.detail)
 	}
 }
 
+// mayRepeat tells whether a job may be begun again: it has not run, or has
+// lost nothing, or says that it may.
+func mayRepeat(jb *job, ta tally, kept bool) bool {
+	if ta.ran+ta.doubt == 0 || kept {
+		return true
+	}
+	return jb.rec.Repeatable && jb.rec.Attempt < MaxAttempts
+}
+
+// cutCode is the code of a job that was cut short and is not begun again.
+func cutCode(jb *job, ta tally) codes.Code {
+	known := ta.doubt == 0
+	if jb.rec.Repeatable {
+		known = jb.rec.Held > 0
+	}
+	if known {
+		return codes.AttemptsUsed
+	}
+	return codes.AttemptLost
+}
+
 // requeue puts a job back among the waiting.
 func (co *Core) requeue(now time.Time, jb *job) {
 	detail := jb.cause.detail
@@ -321,9 +337,11 @@
 // leave gives the ground of a job back.
 func (co *Core) leave(jb *job) {
 	jb.unit = place.NoUnit
+	jb.ground = nil
 	jb.adopted = false
 	jb.sent = false
 	jb.reserved = nil
+	jb.done = nil
 	jb.cause = cause{}
 	if co.fleet != nil {
 		co.fleet.Remove(jb.rec.ID)
@@ -361,6 +379,8 @@
 	for i, task := range jb.rec.Tasks {
 		ma, ok := co.machines[task.Worker]
 		switch {
+		case jb.done[i]:
+			ta.count(i, jb, task.Worker, worker.Task{}, false)
 		case ok && ma.lost(now), !ok && now.Sub(co.began) > silentAfter:
 			ta.lose(i, task.Worker)
 		case !ok || ma.heard.IsZero():
@@ -384,6 +404,13 @@
 }
 
 func (ta *tally) count(at int, jb *job, name string, row worker.Task, found bool) {
+	if jb.done[at] || (found && row.Phase == worker.PhaseSucceeded) {
+		jb.done[at] = true
+		ta.at[at] = isSucceeded
+		ta.succeeded++
+		ta.ran++
+		return
+	}
 	if !found {
 		ta.countMissing(at, jb, name)
 		return
@@ -401,9 +428,6 @@
 	case worker.PhaseStopping:
 		ta.at[at] = isStopping
 		ta.stopping++
-	case worker.PhaseSucceeded:
-		ta.at[at] = isSucceeded
-		ta.succeeded++
 	case worker.PhaseFailed:
 		ta.at[at] = isFailed
 		ta.failed++
--- a/internal/sched/machine.go
+++ b/internal/sched/machine.go
@@ -323,6 +323,7 @@
 			jb.rec.Started = jb.begun
 			jb.rec = jb.rec.WithState(jobs.Starting)
 			jb.reserved = slices.Repeat([]bool{true}, len(tasks))
+			jb.done = make([]bool, len(tasks))
 		}
 		jb.rec.Attempt = attempt
 		jb.rec.Epoch = epoch
@@ -388,6 +389,7 @@
 		}
 		if jb.rec.State != jobs.Queued && jb.rec.State != jobs.Ended {
 			jb.unit = co.fleet.UnitFor(jb.rec.Workspace, jb.rec.Shape)
+			jb.ground = nil
 			co.fleet.Add(co.gang(jb))
 		}
 	}
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -126,7 +126,7 @@
 	}
 	switch de := co.fleet.Decide(now, rq).(type) {
 	case place.Placed:
-		co.begin(now, jb, de.Workers, de.Unit, de.From)
+		co.begin(now, jb, spot{de.Workers, de.Unit, de.Ground}, de.From)
 	case place.Reclaim:
 		co.reclaim(now, jb, de)
 	case place.Waits:
@@ -163,26 +163,28 @@
 }
 
 // begin records the next attempt and has its gang reserved.
-func (co *Core) begin(now time.Time, jb *job, workers []int, unit, from int) {
-	tasks := make([]jobs.Task, len(workers))
-	for i, at := range workers {
+func (co *Core) begin(now time.Time, jb *job, sp spot, from int) {
+	tasks := make([]jobs.Task, len(sp.workers))
+	for i, at := range sp.workers {
 		wo := co.fleet.Worker(at)
 		tasks[i] = jobs.Task{Worker: wo.Name, Address: wo.Address}
 	}
 	jb.rec = jb.rec.WithAttempt(now, co.epoch, tasks).WithDetail("")
-	jb.unit = unit
+	jb.unit = sp.unit
+	jb.ground = sp.ground
 	jb.adopted = false
 	jb.sent = false
 	jb.begun = now
 	jb.startBy = now.Add(reserveTime + startTime)
 	jb.reserved = make([]bool, len(tasks))
+	jb.done = make([]bool, len(tasks))
 	jb.cause = cause{}
 	jb.earmark = nil
 	co.fleet.Add(co.gang(jb))
 	co.dirty(jb)
 	co.touch(jb.rec.ID)
 	no := Noted{Job: jb.rec.ID, Workspace: jb.rec.Workspace, Decision: "placed", From: from, Attempt: jb.rec.Attempt}
-	if unit != place.NoUnit {
+	if sp.unit != place.NoUnit {
 		no.Reason = "guaranteed"
 	}
 	for _, ta := range tasks {
@@ -199,10 +201,11 @@
 			co.stop(victim, cause{requeue: true, yields: true, detail: "yields to " + jb.rec.ID})
 		}
 	}
-	jb.earmark = &earmark{workers: de.Workers, unit: de.Unit, until: now.Add(earmarkTime)}
+	jb.earmark = &earmark{spot: spot{de.Workers, de.Unit, de.Ground}, until: now.Add(earmarkTime)}
 	ga := co.gang(jb)
 	ga.Workers = de.Workers
 	ga.Unit = de.Unit
+	ga.Ground = de.Ground
 	ga.Busy = true
 	co.fleet.Add(ga)
 	jb.rec = jb.rec.WithDetail("waits for other work to yield")
@@ -220,7 +223,7 @@
 	}
 	if co.fleet.Clear(jb.earmark.workers) {
 		em := jb.earmark
-		co.begin(now, jb, em.workers, em.unit, 1)
+		co.begin(now, jb, em.spot, 1)
 		return
 	}
 	if now.After(jb.earmark.until) {
@@ -244,7 +247,7 @@
 func (co *Core) gang(jb *job) place.Gang {
 	ga := place.Gang{
 		Job: jb.rec.ID, Workspace: jb.rec.Workspace, Shape: jb.rec.Shape, Priority: jb.rec.Priority,
-		Unit: jb.unit, Movable: jb.rec.Movable(), Busy: jb.rec.State == jobs.Stopping,
+		Unit: jb.unit, Ground: jb.ground, Movable: jb.rec.Movable(), Busy: jb.rec.State == jobs.Stopping,
 		Started: jb.rec.Started, Lossless: jb.rec.Checkpoint,
 	}
 	for _, ta := range jb.rec.Tasks {
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -34,7 +34,6 @@
 		answers map[sched.Ticket]sched.Answer
 		asked   map[sched.Ticket]string // job by ticket
 		notes   []sched.Noted
-		faults  bool // something has been broken at some time
 	}
 
 	attemptID struct {
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -173,12 +173,12 @@
 }
 
 // ask hands an event with a ticket to the core and waits for its answer.
-func (zo *Zone) ask(ctx context.Context, lost codes.Code, make func(sched.Ticket) sched.Event) (jobs.Record, error) {
+func (zo *Zone) ask(ctx context.Context, lost codes.Code, event func(sched.Ticket) sched.Event) (jobs.Record, error) {
 	tk, answer, err := zo.ticket(lost)
 	if err != nil {
 		return jobs.Record{}, err
 	}
-	zo.handle(make(tk))
+	zo.handle(event(tk))
 	select {
 	case an := <-answer:
 		return an.Record, an.Err
