Order the queue in the placement and keep ground for aged jobs

Cause: small jobs could pass a large waiting gang for ever, as each pass placed whatever fitted; declared run times say little on when ground comes free. Ruled out: strict arrival order, which leaves accelerators idle behind the head. Change: place.Queue orders by held share, urgency and age; a job that has waited 20 minutes gets ground reserved where gangs are expected to end first, by observed over declared run times, and others are backfilled there only if they end before. Conclusion: an aged gang can't be passed by work that would delay it.

--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -18,8 +18,9 @@
 		Shape     spec.Shape
 		Priority  jobs.Priority
 		Movable   bool
-		Avoid     []string // names of workers on which its attempts have failed
-		Share     int      // accelerators that the workspace may claim by urgency
+		Ends      time.Time // as expected, if it starts now
+		Avoid     []string  // names of workers on which its attempts have failed
+		Share     int       // accelerators that the workspace may claim by urgency
 		Shares    func(workspace string) int
 	}
 
@@ -84,7 +85,7 @@
 			return de
 		}
 	}
-	spots := fl.spotsOf(fl.without(fl.room, rq.Avoid), rq.Shape, spotLimit)
+	spots := fl.spotsOf(fl.without(fl.shaded(fl.room, rq.Ends), rq.Avoid), rq.Shape, spotLimit)
 	for _, workers := range spots {
 		if rq.Movable || fl.spares(rq.Shape, workers, NoUnit) {
 			return Placed{Workers: workers, Unit: NoUnit, From: len(spots)}
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -45,7 +45,8 @@
 		Movable   bool  // may be stopped and run again without breaking a promise
 		Busy      bool  // already being stopped
 		Started   time.Time
-		Lossless  bool // keeps its work when stopped
+		Ends      time.Time // as expected
+		Lossless  bool      // keeps its work when stopped
 		Workers   []int
 	}
 
@@ -73,6 +74,7 @@
 		open    ground     // beside the spots of unused units, too
 		stale   bool       // units without a spot may find one
 		held    map[string]int
+		shadows []shadow
 	}
 
 	// ground is what is free on each worker.
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -37,6 +37,7 @@
 		index       map[string]int // worker's place in the fleet
 		pass        bool           // a placement pass is due
 		touched     map[string]bool
+		runTimes    runTimes
 		effects     []Effect
 		resigned    bool
 		inventoried bool // placing has begun
@@ -103,7 +104,7 @@
 	co := &Core{
 		zone: cf.Zone, epoch: cf.Epoch, began: now, decl: cf.Declarations,
 		jobs: map[string]*job{}, machines: map[string]*machine{},
-		buckets: make([]bucket, cf.Buckets), touched: map[string]bool{},
+		buckets: make([]bucket, cf.Buckets), touched: map[string]bool{}, runTimes: runTimes{},
 	}
 	for _, rc := range cf.Records {
 		jb := &job{rec: rc, saved: rc, bucket: co.bucketOf(rc.ID), unit: place.NoUnit, adopted: true}
@@ -118,6 +119,9 @@
 			jb.cause = cause{requeue: true, detail: "was being stopped when the scheduler changed"}
 		}
 		co.jobs[rc.ID] = jb
+		if rc.Code == codes.JobDone {
+			co.runTimes.observe(rc)
+		}
 		co.touched[rc.ID] = true
 	}
 	return co
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -329,6 +329,9 @@
 // end puts a job into its last state.
 func (co *Core) end(now time.Time, jb *job, cd codes.Code, detail string) {
 	jb.rec = jb.rec.WithEnd(now, cd, detail)
+	if cd == codes.JobDone {
+		co.runTimes.observe(jb.rec)
+	}
 	co.leave(jb)
 	co.dirty(jb)
 	co.note(jb, "ended", cd.String())
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -1,7 +1,7 @@
 package sched
 
 import (
-	"cmp"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -10,82 +10,51 @@
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
 
-type (
-	// line is the waiting jobs of one workspace, in their order.
-	line struct {
-		workspace string
-		weight    int
-		jobs      []*job
-	}
-
-	// demand is what makes two jobs alike to the placement, so that one that
-	// follows a failed one need not be tried.
-	demand struct {
-		workspace string
-		shape     spec.Shape
-		priority  jobs.Priority
-		movable   bool
-		avoids    int
-	}
-)
+// demand is what makes two jobs alike to the placement, so that one that
+// follows a failed one need not be tried.
+type demand struct {
+	workspace string
+	shape     spec.Shape
+	priority  jobs.Priority
+	movable   bool
+	avoids    int
+	length    int // magnitude of the expected run time
+}
 
-// placeWaiting goes once through the waiting jobs. The workspace that holds
-// least for its weight comes first, and within it the most urgent job, then
-// the oldest.
+// placeWaiting goes once through the waiting jobs.
 func (co *Core) placeWaiting(now time.Time) {
 	if co.fleet == nil {
 		co.buildFleet(now)
 	}
-	lines := co.lines(now)
 	failed := map[demand]place.WaitReason{}
-	for len(lines) > 0 {
-		slices.SortFunc(lines, co.compareLines)
-		li := &lines[0]
-		jb := li.jobs[0]
-		li.jobs = li.jobs[1:]
-		if len(li.jobs) == 0 {
-			lines = lines[1:]
+	qu := place.NewQueue(now, co.fleet, co.weight, co.waiting(now))
+	for {
+		wa, aged, ok := qu.Next()
+		if !ok {
+			break
 		}
+		jb := co.jobs[wa.Job]
 		co.placeOne(now, jb, failed)
+		if aged && jb.rec.State == jobs.Queued && jb.earmark == nil {
+			co.fleet.Reserve(now, co.request(now, jb))
+		}
 	}
+	co.fleet.ClearReserved()
 }
 
-func (co *Core) lines(now time.Time) []line {
-	byName := map[string]*line{}
+// waiting lists the jobs that may be placed now.
+func (co *Core) waiting(now time.Time) []place.Waiting {
+	var was []place.Waiting
 	for id, jb := range co.jobs {
 		waits := jb.rec.State == jobs.Queued && jb.earmark == nil && !jb.rec.Cancelled
 		if !waits || jb.saved.ID == "" || now.Before(jb.after) {
 			continue
 		}
-		li := byName[jb.rec.Workspace]
-		if li == nil {
-			li = &line{workspace: jb.rec.Workspace, weight: co.weight(jb.rec.Workspace)}
-			byName[jb.rec.Workspace] = li
-		}
-		li.jobs = append(li.jobs, co.jobs[id])
+		was = append(was, place.Waiting{
+			Job: id, Workspace: jb.rec.Workspace, Priority: jb.rec.Priority, Submitted: jb.rec.Submitted,
+		})
 	}
-	lines := make([]line, 0, len(byName))
-	for _, li := range byName {
-		slices.SortFunc(li.jobs, compareWaiting)
-		lines = append(lines, *li)
-	}
-	return lines
-}
-
-// compareWaiting orders the jobs of one workspace.
-func compareWaiting(a, b *job) int {
-	return cmp.Or(
-		cmp.Compare(b.rec.Priority, a.rec.Priority),
-		a.rec.Submitted.Compare(b.rec.Submitted),
-		cmp.Compare(a.rec.ID, b.rec.ID),
-	)
-}
-
-func (co *Core) compareLines(a, b line) int {
-	return cmp.Or(
-		cmp.Compare(co.fleet.Held(a.workspace)*b.weight, co.fleet.Held(b.workspace)*a.weight),
-		cmp.Compare(a.workspace, b.workspace),
-	)
+	return was
 }
 
 func (co *Core) weight(workspace string) int {
@@ -96,7 +65,7 @@
 }
 
 func (co *Core) placeOne(now time.Time, jb *job, failed map[demand]place.WaitReason) {
-	dm := demand{jb.rec.Workspace, jb.rec.Shape, jb.rec.Priority, jb.rec.Movable(), len(jb.avoid)}
+	dm := demand{jb.rec.Workspace, jb.rec.Shape, jb.rec.Priority, jb.rec.Movable(), len(jb.avoid), bits.Len64(uint64(co.runTimes.expect(jb.rec.Spec)))}
 	if reason, ok := failed[dm]; ok {
 		jb.rec = jb.rec.WithDetail(string(reason))
 		return
@@ -120,11 +89,7 @@
 const waitsForQuota place.WaitReason = "quota"
 
 func (co *Core) carryOut(now time.Time, jb *job, dm demand, failed map[demand]place.WaitReason) {
-	rq := place.Request{
-		Job: jb.rec.ID, Workspace: jb.rec.Workspace, Shape: jb.rec.Shape, Priority: jb.rec.Priority,
-		Movable: jb.rec.Movable(), Avoid: jb.avoid, Share: co.share(jb.rec.Workspace), Shares: co.share,
-	}
-	switch de := co.fleet.Decide(now, rq).(type) {
+	switch de := co.fleet.Decide(now, co.request(now, jb)).(type) {
 	case place.Placed:
 		co.begin(now, jb, spot{de.Workers, de.Unit, de.Ground}, de.From)
 	case place.Reclaim:
@@ -139,6 +104,14 @@
 	}
 }
 
+func (co *Core) request(now time.Time, jb *job) place.Request {
+	return place.Request{
+		Job: jb.rec.ID, Workspace: jb.rec.Workspace, Shape: jb.rec.Shape, Priority: jb.rec.Priority,
+		Movable: jb.rec.Movable(), Ends: now.Add(co.runTimes.expect(jb.rec.Spec)), Avoid: jb.avoid,
+		Share: co.share(jb.rec.Workspace), Shares: co.share,
+	}
+}
+
 func (co *Core) waits(jb *job, dm demand, failed map[demand]place.WaitReason, reason place.WaitReason) {
 	failed[dm] = reason
 	if jb.rec.Detail == string(reason) {
@@ -248,7 +221,7 @@
 	ga := place.Gang{
 		Job: jb.rec.ID, Workspace: jb.rec.Workspace, Shape: jb.rec.Shape, Priority: jb.rec.Priority,
 		Unit: jb.unit, Ground: jb.ground, Movable: jb.rec.Movable(), Busy: jb.rec.State == jobs.Stopping,
-		Started: jb.rec.Started, Lossless: jb.rec.Checkpoint,
+		Started: jb.rec.Started, Ends: jb.rec.Started.Add(co.runTimes.expect(jb.rec.Spec)), Lossless: jb.rec.Checkpoint,
 	}
 	for _, ta := range jb.rec.Tasks {
 		if at, ok := co.index[ta.Worker]; ok {
--- /dev/null
+++ b/internal/sched/runtime.go
@@ -0,0 +1,64 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+)
+
+type (
+	// runTimes tells how long jobs are expected to run from how long those
+	// like them have run. Declared run times are far off, but for jobs of one
+	// workspace and program they tend to be off by a like factor.
+	runTimes map[kind]ratio
+
+	// kind groups jobs that are alike.
+	kind struct {
+		workspace string
+		program   string
+	}
+
+	// ratio is the moving average of observed over declared run times.
+	ratio float64
+)
+
+const (
+	newestWeight = 0.25
+	maxRatio     = 50
+	maxKinds     = 4096
+)
+
+// observe learns from a job that has ended well.
+func (rt runTimes) observe(rc jobs.Record) {
+	declared := rc.RunTime
+	ran := rc.Ended.Sub(rc.Started)
+	if declared <= 0 || ran <= 0 {
+		return
+	}
+	ki := kindOf(rc.Spec)
+	seen := min(maxRatio, ratio(float64(ran)/float64(declared)))
+	old, ok := rt[ki]
+	switch {
+	case !ok && len(rt) >= maxKinds:
+	case !ok:
+		rt[ki] = seen
+	default:
+		rt[ki] = old*(1-newestWeight) + seen*newestWeight
+	}
+}
+
+// expect returns the run time that is expected of a job.
+func (rt runTimes) expect(sp jobs.Spec) time.Duration {
+	if ra, ok := rt[kindOf(sp)]; ok {
+		return time.Duration(float64(sp.RunTime) * float64(ra))
+	}
+	return sp.RunTime
+}
+
+func kindOf(sp jobs.Spec) kind {
+	ki := kind{workspace: sp.Workspace}
+	if len(sp.Command) > 0 {
+		ki.program = sp.Command[0]
+	}
+	return ki
+}
