--- /dev/null
+++ b/test/procs/process_test.go
@@ -0,0 +1,175 @@
+package procs_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+type (
+	// process is one running child.
+	process struct {
+		name string
+		cmd  *exec.Cmd
+		log  string        // file
+		done chan struct{} // closed once it has ended
+		code int           // exit code, once done; -1 if ended by a signal
+	}
+
+	// ended is how a command of the command line went.
+	ended struct {
+		code   int
+		out    string
+		errOut string
+	}
+)
+
+const (
+	patience  = 60 * time.Second // bound of every wait
+	pollEvery = 50 * time.Millisecond
+	logTail   = 24 << 10 // bytes of a log that are shown
+
+	// The ports are below those that the system gives to outgoing connections.
+	firstPort = 12_000
+	ports     = 20_000
+)
+
+var portsTaken atomic.Int64
+
+// freeAddress returns an address on loopback that nothing listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	for range ports {
+		at := (int64(os.Getpid())*131 + portsTaken.Add(1)) % ports
+		address := net.JoinHostPort("127.0.0.1", fmt.Sprint(firstPort+at))
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = ln.Close()
+		return address
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+// spawn starts the program. It is killed when the test ends, and its log shown
+// if the test has failed.
+func spawn(t *testing.T, dir, name string, args ...string) *process {
+	t.Helper()
+	pr := &process{name: name, log: filepath.Join(dir, name+".log"), done: make(chan struct{})}
+	file, err := os.Create(pr.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pr.cmd = exec.Command(binary, args...)
+	pr.cmd.Stdout, pr.cmd.Stderr = file, file
+	pr.cmd.SysProcAttr = attributes()
+	if err := pr.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		_ = pr.cmd.Wait()
+		_ = file.Close()
+		pr.code = pr.cmd.ProcessState.ExitCode()
+		close(pr.done)
+	}()
+	t.Cleanup(func() {
+		pr.kill()
+		if t.Failed() {
+			t.Logf("log of %s (exit code %d):\n%s", name, pr.code, tail(pr.text()))
+		}
+	})
+	return pr
+}
+
+// kill ends the process at once, also when it is suspended.
+func (pr *process) kill() {
+	_ = pr.cmd.Process.Kill()
+	<-pr.done
+}
+
+func (pr *process) signal(t *testing.T, sg syscall.Signal) {
+	t.Helper()
+	if err := pr.cmd.Process.Signal(sg); err != nil {
+		t.Fatalf("signal to %s: %v", pr.name, err)
+	}
+}
+
+// stop asks the process to end and returns its exit code.
+func (pr *process) stop(t *testing.T) int {
+	t.Helper()
+	pr.signal(t, syscall.SIGTERM)
+	select {
+	case <-pr.done:
+		return pr.code
+	case <-time.After(patience):
+		t.Fatalf("%s did not end within %v", pr.name, patience)
+		return -1
+	}
+}
+
+// text returns what the process has logged so far.
+func (pr *process) text() []byte {
+	content, err := os.ReadFile(pr.log)
+	if err != nil {
+		return []byte(err.Error())
+	}
+	return content
+}
+
+// logged tells whether one line of the log holds all of the parts.
+func (pr *process) logged(parts ...string) bool {
+	for line := range bytes.Lines(pr.text()) {
+		found := true
+		for _, part := range parts {
+			found = found && bytes.Contains(line, []byte(part))
+		}
+		if found {
+			return true
+		}
+	}
+	return false
+}
+
+func tail(content []byte) []byte { return content[max(0, len(content)-logTail):] }
+
+// command runs the program to its end.
+func command(t *testing.T, args ...string) ended {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var out, errOut bytes.Buffer
+	cmd := exec.CommandContext(ctx, binary, args...)
+	cmd.Stdout, cmd.Stderr = &out, &errOut
+	cmd.SysProcAttr = attributes()
+	if err := cmd.Run(); cmd.ProcessState == nil {
+		t.Errorf("%v: %v", args, err)
+		return ended{code: -1}
+	}
+	return ended{code: cmd.ProcessState.ExitCode(), out: out.String(), errOut: errOut.String()}
+}
+
+// eventually polls until fn gives no error.
+func eventually(t *testing.T, what string, fn func() error) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for {
+		err := fn()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: not within %v: %v", what, patience, err)
+		}
+		time.Sleep(pollEvery)
+	}
+}
--- /dev/null
+++ b/test/procs/store_test.go
@@ -0,0 +1,100 @@
+package procs_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/worker"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+func TestStoreAway(t *testing.T) {
+	is := is.New(t)
+	sy := start(t)
+	var ids []string
+	for _, zn := range zones {
+		holder, _ := sy.scheduler(t, zn)
+		jb := holder.submit(t, gang(zn, false, 6*time.Second))
+		holder.awaitState(t, jb.ID, jobs.Running)
+		ids = append(ids, jb.ID)
+	}
+	sy.setStoreDown(t, true)
+	for _, eh := range sy.hosts {
+		eventually(t, eh.host+" sees that the store is away", func() error { return storeIs(eh, false) })
+	}
+
+	for _, eh := range sy.hosts {
+		checkStoreAway(t, sy, eh)
+	}
+	eventually(t, "the jobs finish on their workers", func() error {
+		for _, rn := range sy.taskRuns(t, "") {
+			if rn.Phase != worker.PhaseSucceeded {
+				return fmt.Errorf("run %+v", rn)
+			}
+		}
+		return nil
+	})
+	for _, id := range ids { // their end is not in the store yet
+		jb, err := sy.hosts[0].job(id)
+		is.NoErr(err)
+		is.Equal(jb.Class, codes.InProgress)
+	}
+
+	sy.setStoreDown(t, false)
+	for _, id := range ids {
+		for _, eh := range sy.hosts {
+			is.Equal(eh.awaitState(t, id, jobs.Ended).Code, codes.JobDone)
+		}
+		sy.checkOnce(t, id)
+	}
+	list, err := sy.hosts[0].client().Jobs(context.Background(), client.JobFilter{})
+	is.NoErr(err)
+	is.Equal(len(list.Jobs), len(ids)) // no refused job was recorded
+	eventually(t, "new jobs are taken again", func() error {
+		_, err := sy.hosts[0].client().Submit(context.Background(), gang(lima, true, time.Second), "")
+		return err
+	})
+}
+
+// checkStoreAway verifies what one host answers while the store is away.
+func checkStoreAway(t *testing.T, sy *system, eh *entryHost) {
+	t.Helper()
+	is := is.New(t)
+	cl := eh.client()
+	defer cl.Close()
+	for _, key := range []string{"", "key-" + eh.host} {
+		_, err := cl.Submit(context.Background(), gang(eh.zone, true, time.Second), key)
+		cd, err := refused(err)
+		is.NoErr(err)
+		is.Equal(cd, codes.StoreUnavailable)
+	}
+
+	an, err := eh.order("/plain", client.CallOptions{})
+	is.NoErr(err)
+	is.Equal(an.Code, codes.RequestDone)
+	is.Equal(sy.runsOf(t)[an.Request], 1)
+
+	path := "/keyed-" + eh.host
+	_, err = eh.order(path, client.CallOptions{Key: "key-" + eh.host})
+	cd, err := refused(err)
+	is.NoErr(err)
+	is.Equal(cd, codes.StoreUnavailable)
+	is.Equal(sy.runsAt(t, path), 0)
+}
+
+func storeIs(eh *entryHost, up bool) error {
+	cl := eh.client()
+	defer cl.Close()
+	st, err := cl.Status(context.Background())
+	if err == nil && st.StoreUp != up {
+		err = errors.New("it says otherwise")
+	}
+	return err
+}
--- /dev/null
+++ b/test/procs/whole_test.go
@@ -0,0 +1,93 @@
+package procs_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/report"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+// told is when callers of one host were told that their requests are done.
+type told []time.Time
+
+// before returns how many were told before a moment.
+func (to told) before(at time.Time) int64 {
+	count := int64(0)
+	for _, when := range to {
+		if when.Before(at) {
+			count++
+		}
+	}
+	return count
+}
+
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	sy := start(t)
+	holder, other := sy.scheduler(t, lima)
+	jb := holder.submit(t, gang(lima, false, 12*time.Second))
+	holder.awaitState(t, jb.ID, jobs.Running)
+
+	// Long enough for the host to have copied a part of its account.
+	atHolder := orderFor(t, sy, holder, report.SnapshotEvery+time.Second)
+	atOther := orderFor(t, sy, other, time.Second)
+	holder.kill()
+
+	jb = other.awaitState(t, jb.ID, jobs.Ended)
+	is.Equal(jb.Code, codes.JobDone)
+	is.Equal(jb.Attempt, 1)
+	sy.checkOnce(t, jb.ID)
+
+	var gap report.Gap
+	var da report.Daily
+	eventually(t, "the report states the gap", func() error {
+		var err error
+		if da, err = other.report(); err != nil {
+			return err
+		}
+		for _, ga := range da.Gaps {
+			if ga.Host == holder.host {
+				gap = ga
+				return nil
+			}
+		}
+		return fmt.Errorf("gaps are %+v", da.Gaps)
+	})
+	is.True(gap.AtMost > 0)
+	jobRow := row(da, "")
+	is.Equal(jobRow.Offered, int64(1))
+	is.Equal(jobRow.Done, int64(1))
+	done := row(da, orders).Done
+	all := int64(len(atHolder) + len(atOther))
+	t.Logf("%d of %d requests counted, the gap begins after %d of %d", done, all, atHolder.before(gap.Last), len(atHolder))
+	is.True(done >= int64(len(atOther))+atHolder.before(gap.Last)) // what was told before the last copy is counted
+	is.True(done <= all)                                           // nothing is invented
+}
+
+// orderFor makes requests at a host for a while; each must be done and run once.
+func orderFor(t *testing.T, sy *system, eh *entryHost, span time.Duration) told {
+	t.Helper()
+	var to told
+	var names []string
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(pollEvery) {
+		an, err := eh.order("/sacks", client.CallOptions{})
+		if err != nil || an.Code != codes.RequestDone {
+			t.Fatalf("request at %s: %v, %v", eh.host, an.Code, err)
+		}
+		to = append(to, time.Now())
+		names = append(names, an.Request)
+	}
+	counts := sy.runsOf(t)
+	for _, nm := range names {
+		if counts[nm] != 1 {
+			t.Errorf("request %s ran %d times", nm, counts[nm])
+		}
+	}
+	return to
+}
--- /dev/null
+++ b/test/procs/work_test.go
@@ -0,0 +1,133 @@
+package procs_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/fakes/wksim"
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/worker"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+const gangTasks = 4
+
+// gang returns a gang job of four tasks, which need a worker each.
+func gang(zn string, repeatable bool, run time.Duration) client.SubmitRequest {
+	return gangOf(5, zn, repeatable, run)
+}
+
+// gangOf returns a gang job of four tasks with so many accelerators each.
+func gangOf(each int, zn string, repeatable bool, run time.Duration) client.SubmitRequest {
+	return client.SubmitRequest{
+		Zone:    zn,
+		Shape:   spec.Shape{Tasks: gangTasks, Accelerators: each, Adjacency: spec.SameRack},
+		RunTime: run.String(), Repeatable: &repeatable, Command: []string{"sleep", run.String()},
+	}
+}
+
+// submit has a job accepted.
+func (eh *entryHost) submit(t *testing.T, rq client.SubmitRequest) client.Job {
+	t.Helper()
+	cl := eh.client()
+	defer cl.Close()
+	jb, err := cl.Submit(context.Background(), rq, "")
+	if err != nil {
+		t.Fatalf("submit at %s: %v", eh.host, err)
+	}
+	return jb
+}
+
+func (eh *entryHost) job(id string) (client.Job, error) {
+	cl := eh.client()
+	defer cl.Close()
+	return cl.Job(context.Background(), id, 0)
+}
+
+// awaitState waits until a host says that a job is in a state.
+func (eh *entryHost) awaitState(t *testing.T, id string, st jobs.State) client.Job {
+	t.Helper()
+	var jb client.Job
+	eventually(t, fmt.Sprintf("job %s is %s, as %s says", id, st, eh.host), func() error {
+		var err error
+		jb, err = eh.job(id)
+		if err == nil && jb.State != st.String() {
+			err = fmt.Errorf("it is %s: %s", jb.State, jb.Detail)
+		}
+		return err
+	})
+	return jb
+}
+
+// order makes one request that may not be repeated.
+func (eh *entryHost) order(path string, op client.CallOptions) (client.CallAnswer, error) {
+	cl := eh.client()
+	defer cl.Close()
+	return cl.Call(context.Background(), orders, "POST", path, []byte("wax"), op)
+}
+
+// checkOnce verifies that each task of a job ran once, to its end.
+func (sy *system) checkOnce(t *testing.T, id string) {
+	t.Helper()
+	rns := sy.taskRuns(t, id)
+	seen := map[int]bool{}
+	for _, rn := range rns {
+		if rn.Phase != worker.PhaseSucceeded || seen[rn.Task.Index] || rn.Task.Attempt != 1 {
+			t.Errorf("unexpected run %+v", rn)
+		}
+		seen[rn.Task.Index] = true
+	}
+	if len(rns) != gangTasks {
+		t.Errorf("%d tasks of job %s ran: %+v", len(rns), id, rns)
+	}
+	sy.checkOverlaps(t)
+}
+
+func (sy *system) checkOverlaps(t *testing.T) {
+	t.Helper()
+	for _, ov := range wksim.Overlaps(sy.taskRuns(t, "")) {
+		t.Errorf("runs of one job overlap: %+v", ov)
+	}
+}
+
+// runsOf returns how often the endpoints ran each request.
+func (sy *system) runsOf(t *testing.T) map[string]int {
+	t.Helper()
+	counts := map[string]int{}
+	for _, rn := range sy.requestRuns(t) {
+		counts[rn.Request]++
+	}
+	return counts
+}
+
+// runsAt returns how often the endpoints ran requests of a path.
+func (sy *system) runsAt(t *testing.T, path string) int {
+	t.Helper()
+	count := 0
+	for _, rn := range sy.requestRuns(t) {
+		if rn.Path == path {
+			count++
+		}
+	}
+	return count
+}
+
+// refused returns the code of an error, which must be a refusal that tells
+// when to come back.
+func refused(err error) (codes.Code, error) {
+	var ce *codes.Error
+	switch {
+	case !errors.As(err, &ce):
+		return 0, fmt.Errorf("no result code: %v", err)
+	case ce.Code.Class() != codes.NotRun:
+		return ce.Code, fmt.Errorf("not a refusal: %w", err)
+	case ce.RetryAfter <= 0:
+		return ce.Code, fmt.Errorf("no time to come back: %w", err)
+	}
+	return ce.Code, nil
+}
