Refuse new jobs once the lease of the scheduler can't be renewed

While the store was away, the first job that a scheduler was given was answered 5001, although its renewals of the lease had failed for seconds, because only a failed write of a bucket told the core of the outage. Ruled out: the follower's view of the store, which after one slow poll stays down until the next one. The zone now takes note of each renewal, logs the change, and answers a job that is not recorded yet with 4011 and a time to come back; a job that is recorded is still found by its name.

--- a/internal/zone/elect.go
+++ b/internal/zone/elect.go
@@ -168,6 +168,7 @@
 func (zo *Zone) begin(held context.Context, ld *ledger, rcs []jobs.Record, epoch int64, resign context.CancelFunc) {
 	zo.mu.Lock()
 	zo.holder = Holder{Host: zo.cfg.Host, Epoch: epoch}
+	zo.storeAway = false
 	zo.resign = resign
 	zo.ledger = ld
 	ld.done = func(ev sched.Written) { zo.handle(ev) }
@@ -216,6 +217,10 @@
 	for held.Err() == nil {
 		pause(held, leaseRenew)
 		err := zo.cfg.Store.Renew(held, lease)
+		if held.Err() != nil {
+			return
+		}
+		zo.noteStore(err == nil || errors.Is(err, store.ErrLapsed))
 		if errors.Is(err, store.ErrLapsed) {
 			zo.cfg.Log.Warn("scheduler's lease lapsed", "event", "resign", "zone", zo.cfg.Zone)
 			resign()
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -60,6 +60,8 @@
 		holder  Holder
 		highest int64 // largest epoch that was heard of
 		resign  context.CancelFunc
+
+		storeAway bool // as of the last renewal of the lease
 	}
 
 	// pending is a caller who waits for an answer of the core.
@@ -112,6 +114,9 @@
 
 // Submit implements jobs.Service.
 func (zo *Zone) Submit(ctx context.Context, sp jobs.Spec) (jobs.Record, error) {
+	if err := zo.refuseNew(sp.ID); err != nil {
+		return jobs.Record{}, err
+	}
 	return zo.ask(ctx, codes.SubmitUnknown, func(tk sched.Ticket) sched.Event {
 		return sched.Submitted{Ticket: tk, Spec: sp}
 	})
--- a/test/procs/store_test.go
+++ b/test/procs/store_test.go
@@ -19,17 +19,28 @@
 	is := is.New(t)
 	sy := start(t)
 	var ids []string
+	var holders []*entryHost
 	for _, zn := range zones {
 		holder, _ := sy.scheduler(t, zn)
 		jb := holder.submit(t, gang(zn, false, 6*time.Second))
 		holder.awaitState(t, jb.ID, jobs.Running)
 		ids = append(ids, jb.ID)
+		holders = append(holders, holder)
 	}
 	sy.setStoreDown(t, true)
 	for _, eh := range sy.hosts {
 		eventually(t, eh.host+" sees that the store is away", func() error { return storeIs(eh, false) })
 	}
 
+	for _, eh := range holders { // until then, a job that is refused might have been recorded
+		eventually(t, eh.host+" can't renew its lease", func() error {
+			if !eh.logged("event=store", "store does not answer the scheduler") {
+				return errors.New("not logged")
+			}
+			return nil
+		})
+	}
+
 	for _, eh := range sy.hosts {
 		checkStoreAway(t, sy, eh)
 	}
