Claim idempotency keys in batches over all entry hosts

A key claimed in host memory dies with its host, and one write a request would outgrow the store. Claims are collected for a short time and one bucket is replaced by compare-and-swap, within a bound of writes a second. Lost answers are settled by reading again for host and request; a claim that may be stored though its caller was refused is released by a write that also defeats a late one. Serving a prior claim from the cache was ruled out, since it may have been released.

--- /dev/null
+++ b/internal/claim/claim_test.go
@@ -0,0 +1,377 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/claim"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/kvsim"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+// patience is far longer than anything here takes on a busy machine.
+const patience = 20 * time.Second
+
+// host is one entry host's table, running until the test ends.
+type host struct {
+	*claim.Table
+	stop func()
+}
+
+func start(t *testing.T, sv *kvsim.Server, cf claim.Config) host {
+	t.Helper()
+	return startWith(t, sv, patience, cf)
+}
+
+func startWith(t *testing.T, sv *kvsim.Server, timeout time.Duration, cf claim.Config) host {
+	t.Helper()
+	cf.Store = newClient(t, sv, timeout)
+	return run(t, cf)
+}
+
+func newClient(t *testing.T, sv *kvsim.Server, timeout time.Duration) *store.Client {
+	t.Helper()
+	cl := store.New(store.Config{Addresses: []string{sv.Addr()}, Timeout: timeout})
+	t.Cleanup(cl.Close)
+	return cl
+}
+
+func run(t *testing.T, cf claim.Config) host {
+	t.Helper()
+	if cf.WritesPerSecond == 0 {
+		cf.WritesPerSecond = 10_000
+	}
+	if cf.BatchEvery == 0 {
+		cf.BatchEvery = time.Millisecond
+	}
+	tb := claim.New(cf)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- tb.Run(ctx) }()
+	stop := sync.OnceFunc(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	t.Cleanup(stop)
+	return host{tb, stop}
+}
+
+func use(key, request string) claim.Claim {
+	return claim.Claim{Workspace: "w", Key: key, Digest: "d", Request: request}
+}
+
+func TestPriorClaimStandsOnEveryHost(t *testing.T) {
+	is := is.New(t)
+	sv := kvsim.Start(t, kvsim.Config{})
+	one, two := start(t, sv, claim.Config{Host: "h1"}), start(t, sv, claim.Config{Host: "h2"})
+	ctx := t.Context()
+	first := use("k", "r1")
+
+	prior, err := one.Take(ctx, first)
+	is.NoErr(err)
+	is.True(prior == nil)
+	for i, ho := range []host{one, two} {
+		prior, err = ho.Take(ctx, use("k", fmt.Sprint("again", i)))
+		is.NoErr(err)
+		is.Equal(*prior, first)
+	}
+	other := use("k", "r4")
+	other.Digest = "another"
+	prior, err = two.Take(ctx, other)
+	is.NoErr(err)
+	is.True(prior.Digest != other.Digest)
+
+	other.Workspace = "w2"
+	prior, err = two.Take(ctx, other)
+	is.NoErr(err)
+	is.True(prior == nil) // keys belong to workspaces
+
+	first.Code = codes.RequestDone
+	is.NoErr(one.Settle(ctx, first))
+	eventually(t, func() bool {
+		prior, err := two.Take(ctx, use("k", "r5"))
+		return err == nil && prior.Code == codes.RequestDone
+	})
+}
+
+func TestOutcomeNotRunReleasesTheClaim(t *testing.T) {
+	is := is.New(t)
+	sv := kvsim.Start(t, kvsim.Config{})
+	one, two := start(t, sv, claim.Config{Host: "h1"}), start(t, sv, claim.Config{Host: "h2"})
+	first := use("k", "r1")
+	_, err := one.Take(t.Context(), first)
+	is.NoErr(err)
+	notHolder := use("k", "r2")
+	notHolder.Code = codes.EndpointBusy
+	is.NoErr(two.Settle(t.Context(), notHolder)) // has no effect
+	prior, err := two.Take(t.Context(), use("k", "r3"))
+	is.NoErr(err)
+	is.True(prior != nil)
+	first.Code = codes.EndpointBusy
+	is.NoErr(one.Settle(t.Context(), first))
+	eventually(t, func() bool {
+		prior, err := two.Take(t.Context(), use("k", "r4"))
+		return err == nil && prior == nil
+	})
+}
+
+func TestClaimsExpireAndAreDropped(t *testing.T) {
+	is := is.New(t)
+	sv := kvsim.Start(t, kvsim.Config{})
+	take := func(at time.Duration, key string) *claim.Claim {
+		ho := start(t, sv, claim.Config{
+			Host: "h1", Expiry: time.Hour, Buckets: 1,
+			Clock: func() time.Time { return time.Now().Add(at) },
+		})
+		defer ho.stop()
+		prior, err := ho.Take(t.Context(), use(key, "r1"))
+		is.NoErr(err)
+		return prior
+	}
+	is.True(take(0, "a") == nil)
+	is.True(take(30*time.Minute, "a") != nil)
+	size := func() int { value, _ := sv.Value("claims/0000"); return len(value) }
+	before := size()
+	is.True(take(2*time.Hour, "b") == nil)
+	is.Equal(size(), before) // the claim of a is gone
+	is.True(take(2*time.Hour, "a") == nil)
+}
+
+func TestCallsGrowWithBatches(t *testing.T) {
+	is := is.New(t)
+	sv := kvsim.Start(t, kvsim.Config{})
+	ho := start(t, sv, claim.Config{Host: "h1", Buckets: 4, BatchEvery: 50 * time.Millisecond})
+	const requests = 400
+	var wg sync.WaitGroup
+	for i := range requests {
+		wg.Go(func() {
+			if prior, err := ho.Take(t.Context(), use(fmt.Sprint("k", i), fmt.Sprint("r", i))); prior != nil || err != nil {
+				t.Error(prior, err)
+			}
+		})
+	}
+	wg.Wait()
+	is.True(sv.Calls().Total() < requests/4)
+}
+
+func TestWritesAreBounded(t *testing.T) {
+	is := is.New(t)
+	sv := kvsim.Start(t, kvsim.Config{})
+	ho := start(t, sv, claim.Config{Host: "h1", Buckets: 64, WritesPerSecond: 20})
+	began := time.Now()
+	var wg sync.WaitGroup
+	for i := range 30 {
+		wg.Go(func() { _, _ = ho.Take(t.Context(), use(fmt.Sprint("k", i), "r")) })
+	}
+	wg.Wait()
+	is.True(float64(sv.Calls().Txn) <= 20*time.Since(began).Seconds()+1)
+}
+
+func TestOutcomesAreWrittenBeforeTheEnd(t *testing.T) {
+	is := is.New(t)
+	sv := kvsim.Start(t, kvsim.Config{})
+	one := start(t, sv, claim.Config{Host: "h1", BatchEvery: 10 * time.Millisecond})
+	cl := use("k", "r1")
+	_, err := one.Take(t.Context(), cl)
+	is.NoErr(err)
+	cl.Code = codes.RequestDone
+	is.NoErr(one.Settle(t.Context(), cl))
+	one.stop()
+	prior, err := start(t, sv, claim.Config{Host: "h2"}).Take(t.Context(), use("k", "r2"))
+	is.NoErr(err)
+	is.Equal(prior.Code, codes.RequestDone)
+	_, err = one.Take(t.Context(), use("other", "r3"))
+	is.Equal(codes.Of(err).Code, codes.Stopping)
+}
+
+func TestTakeUnderFaults(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults kvsim.Faults
+		want   error
+	}{
+		{"answer lost", kvsim.Faults{LoseAnswers: 1}, nil},
+		{"every answer lost", kvsim.Faults{LoseAnswers: 1000}, nil},
+		{"write dropped", kvsim.Faults{RefuseFirst: 1}, nil},
+		{"store down", kvsim.Faults{Down: true}, codes.New(codes.StoreUnavailable, "")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			sv := kvsim.Start(t, kvsim.Config{})
+			ho := start(t, sv, claim.Config{Host: "h1", Buckets: 1})
+			_, err := ho.Take(t.Context(), use("before", "r0")) // so that the bucket is known
+			is.NoErr(err)
+			sv.SetFaults(tt.faults)
+			prior, err := ho.Take(t.Context(), use("k", "r1"))
+			is.True(prior == nil)
+			is.Equal(err == nil, tt.want == nil)
+			if tt.want != nil {
+				is.Equal(codes.Of(err).Code, codes.Of(tt.want).Code)
+			}
+			sv.SetFaults(kvsim.Faults{})
+			// A claim that was not taken gets free, whatever became of its write.
+			eventually(t, func() bool {
+				prior, err := ho.Take(t.Context(), use("k", "r2"))
+				return err == nil && (prior == nil) == (tt.want != nil)
+			})
+		})
+	}
+}
+
+// TestLateWriteOfAFailedTake lets a write take effect long after its caller
+// was told that the claim is not taken.
+func TestLateWriteOfAFailedTake(t *testing.T) {
+	is := is.New(t)
+	const timeout = 100 * time.Millisecond
+	sv := kvsim.Start(t, kvsim.Config{})
+	ho := startWith(t, sv, timeout, claim.Config{Host: "h1", Buckets: 1})
+	eventually(t, func() bool { _, err := ho.Take(t.Context(), use("before", "r0")); return err == nil })
+	sv.SetFaults(kvsim.Faults{Slow: 10 * timeout})
+	_, err := ho.Take(t.Context(), use("k", "r1"))
+	is.Equal(codes.Of(err).Code, codes.StoreUnavailable)
+	sv.SetFaults(kvsim.Faults{})
+	two := start(t, sv, claim.Config{Host: "h2", Buckets: 1})
+	eventually(t, func() bool {
+		prior, err := two.Take(t.Context(), use("k", "r2"))
+		return err == nil && prior == nil
+	})
+	time.Sleep(12 * timeout) // the late write has arrived
+	prior, err := two.Take(t.Context(), use("k", "r3"))
+	is.NoErr(err)
+	is.Equal(prior.Request, "r2")
+}
+
+// hooked is a store whose swaps a test takes part in.
+type hooked struct {
+	store.Store
+	swap func(ctx context.Context, st store.Store, req store.SwapRequest) (store.Entry, error)
+}
+
+// Swap implements store.Store.
+func (ho hooked) Swap(ctx context.Context, req store.SwapRequest) (store.Entry, error) {
+	return ho.swap(ctx, ho.Store, req)
+}
+
+func TestAbandonedTakeIsReleased(t *testing.T) {
+	is := is.New(t)
+	sv := kvsim.Start(t, kvsim.Config{})
+	ctx, cancel := context.WithCancel(t.Context())
+	left, stored := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	one := run(t, claim.Config{Host: "h1", Store: hooked{newClient(t, sv, patience), func(
+		ctx context.Context, st store.Store, req store.SwapRequest,
+	) (store.Entry, error) {
+		cancel()
+		<-left
+		ent, err := st.Swap(ctx, req)
+		once.Do(func() { close(stored) })
+		return ent, err
+	}}})
+	_, err := one.Take(ctx, use("k", "r1"))
+	is.Equal(codes.Of(err).Code, codes.StoreUnavailable)
+	close(left)
+	<-stored
+	two := start(t, sv, claim.Config{Host: "h2"})
+	eventually(t, func() bool {
+		prior, err := two.Take(t.Context(), use("k", "r2"))
+		return err == nil && prior == nil
+	})
+}
+
+// TestStoredClaimOfAFailedTakeIsReleased lets the store go down between a write
+// and its answer.
+func TestStoredClaimOfAFailedTakeIsReleased(t *testing.T) {
+	is := is.New(t)
+	sv := kvsim.Start(t, kvsim.Config{})
+	var once sync.Once
+	one := run(t, claim.Config{Host: "h1", Store: hooked{newClient(t, sv, patience), func(
+		ctx context.Context, st store.Store, req store.SwapRequest,
+	) (store.Entry, error) {
+		ent, err := st.Swap(ctx, req)
+		once.Do(func() {
+			sv.SetFaults(kvsim.Faults{Down: true})
+			ent, err = store.Entry{}, store.ErrLost
+		})
+		return ent, err
+	}}})
+	_, err := one.Take(t.Context(), use("k", "r1"))
+	is.Equal(codes.Of(err).Code, codes.StoreUnavailable)
+	sv.SetFaults(kvsim.Faults{})
+	two := start(t, sv, claim.Config{Host: "h2"})
+	eventually(t, func() bool {
+		prior, err := two.Take(t.Context(), use("k", "r2"))
+		return err == nil && prior == nil
+	})
+}
+
+// TestKeysAreTakenAtMostOnce lets two hosts race for the same keys while
+// answers are lost and calls dropped.
+func TestKeysAreTakenAtMostOnce(t *testing.T) {
+	const keys, tries = 60, 3
+	for seed := uint64(1); seed <= 4; seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			is := is.New(t)
+			sv := kvsim.Start(t, kvsim.Config{})
+			var mu sync.Mutex
+			holders := map[string][]string{}
+			var wg sync.WaitGroup
+			for i := range 2 {
+				name := fmt.Sprint("h", i)
+				ho := start(t, sv, claim.Config{Host: name, Buckets: 2})
+				for key := range keys {
+					wg.Go(func() {
+						cl := use(fmt.Sprint("k", key), name)
+						prior, err := ho.Take(t.Context(), cl)
+						for try := 0; err != nil && try < tries; try++ {
+							cl.Request = fmt.Sprint(name, try)
+							prior, err = ho.Take(t.Context(), cl)
+						}
+						if err != nil || prior != nil {
+							return
+						}
+						mu.Lock()
+						defer mu.Unlock()
+						holders[cl.Key] = append(holders[cl.Key], cl.Request)
+					})
+				}
+			}
+			rnd := rand.New(rand.NewPCG(seed, seed))
+			for range 20 {
+				sv.SetFaults(kvsim.Faults{LoseAnswers: rnd.IntN(4), RefuseFirst: rnd.IntN(4), Down: rnd.IntN(4) == 0})
+				time.Sleep(time.Duration(rnd.IntN(4)) * time.Millisecond)
+			}
+			sv.SetFaults(kvsim.Faults{})
+			wg.Wait()
+			is.True(len(holders) > 0)
+			check := start(t, sv, claim.Config{Host: "check", Buckets: 2})
+			for key, requests := range holders {
+				is.Equal(len(requests), 1)
+				prior, err := check.Take(t.Context(), use(key, "check"))
+				is.NoErr(err)
+				is.True(prior != nil)
+				is.Equal(prior.Request, requests[0])
+			}
+		})
+	}
+}
+
+// eventually waits for a condition that another goroutine brings about.
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(patience); time.Now().Before(limit); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Error("condition does not hold in time")
+}
--- /dev/null
+++ b/internal/claim/flush.go
@@ -0,0 +1,281 @@
+package claim
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cicadawharf/cicadawharf/internal/store"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+var (
+	batchCount    = metrics.GetOrCreateCounter("cicadawharf_claim_batches_total")
+	takeCount     = metrics.GetOrCreateCounter("cicadawharf_claim_takes_total")
+	conflictCount = metrics.GetOrCreateCounter("cicadawharf_claim_conflicts_total")
+)
+
+// Run writes batches until ctx ends, then what is still pending, once.
+func (tb *Table) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sh, wait := tb.nextDue(tb.clock())
+		if sh == nil {
+			tb.sleep(ctx, wait)
+			continue
+		}
+		if err := tb.limiter.Wait(ctx); err != nil {
+			tb.release(sh)
+			break
+		}
+		tb.flushes.Go(func() { tb.flush(ctx, sh) })
+	}
+	tb.flushes.Wait()
+	tb.finish(context.WithoutCancel(ctx))
+	return nil
+}
+
+// finish writes what is pending, and ends the Table.
+func (tb *Table) finish(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushBound)
+	defer cancel()
+	tb.mu.Lock()
+	tb.stopped = true
+	tb.mu.Unlock()
+	for _, sh := range tb.shards {
+		if ba := tb.drain(sh); len(ba.takes)+len(ba.settlements) > 0 {
+			tb.work(ctx, sh, ba)
+		}
+	}
+}
+
+// nextDue returns the shard that has been due for longest and marks it busy,
+// or how long to wait for one.
+func (tb *Table) nextDue(now time.Time) (*shard, time.Duration) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	var first *shard
+	for _, sh := range tb.shards {
+		if sh.busy || sh.due.IsZero() {
+			continue
+		}
+		if first == nil || sh.due.Before(first.due) {
+			first = sh
+		}
+	}
+	if first == nil {
+		return nil, time.Hour
+	}
+	if wait := first.due.Sub(now); wait > 0 {
+		return nil, wait
+	}
+	first.busy = true
+	return first, 0
+}
+
+func (tb *Table) release(sh *shard) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	sh.busy = false
+	if !sh.due.IsZero() {
+		select {
+		case tb.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// sleep waits for a change of what is due.
+func (tb *Table) sleep(ctx context.Context, wait time.Duration) {
+	tm := time.NewTimer(wait)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+	case <-tb.wake:
+	case <-ctx.Done():
+	}
+}
+
+// drain takes what is pending of a shard, without the takes that nobody waits
+// for any more.
+func (tb *Table) drain(sh *shard) batch {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	ba := batch{settlements: sh.pending.settlements}
+	for _, tk := range sh.pending.takes {
+		if !tk.abandoned {
+			ba.takes = append(ba.takes, tk)
+		}
+	}
+	sh.pending = batch{}
+	sh.due = time.Time{}
+	return ba
+}
+
+func (tb *Table) flush(ctx context.Context, sh *shard) {
+	defer tb.release(sh)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushBound)
+	defer cancel()
+	tb.work(ctx, sh, tb.drain(sh))
+}
+
+// work performs one batch on its bucket, again after each lost race.
+func (tb *Table) work(ctx context.Context, sh *shard, ba batch) {
+	if len(ba.takes)+len(ba.settlements) == 0 {
+		return
+	}
+	batchCount.Inc()
+	takeCount.Add(len(ba.takes))
+	fresh := false
+	for {
+		if !sh.cached.known {
+			if err := tb.read(ctx, sh); err != nil {
+				tb.fail(sh, ba, nil, err)
+				return
+			}
+			fresh = true
+		}
+		pl := sh.cached.bucket.plan(tb.clock(), ba, tb.recordOf)
+		if len(pl.priors) > 0 && !fresh {
+			sh.cached.known = false // a prior claim may have been released since
+			continue
+		}
+		err := tb.write(ctx, sh, pl)
+		if errors.Is(err, store.ErrConflict) {
+			conflictCount.Inc()
+			fresh = true
+			if err = tb.limiter.Wait(ctx); err == nil {
+				continue
+			}
+		}
+		if err != nil {
+			tb.fail(sh, ba, pl.added, err)
+			return
+		}
+		tb.deliver(sh, pl)
+		return
+	}
+}
+
+func (tb *Table) read(ctx context.Context, sh *shard) error {
+	ent, _, err := tb.st.Get(ctx, sh.key)
+	if err != nil {
+		return err
+	}
+	return sh.see(ent)
+}
+
+// see remembers an entry of the bucket.
+func (sh *shard) see(ent store.Entry) error {
+	sh.cached = cached{}
+	bk, err := decodeBucket(ent)
+	if err != nil {
+		return err
+	}
+	sh.cached = cached{known: true, revision: ent.Revision, bucket: bk}
+	return nil
+}
+
+// write stores the bucket of a plan. On ErrConflict the cache holds the bucket
+// that was in the way; on any other error nothing is known of it.
+func (tb *Table) write(ctx context.Context, sh *shard, pl plan) error {
+	if !pl.changed {
+		return nil
+	}
+	value, err := json.Marshal(pl.next)
+	if err != nil {
+		return err
+	}
+	if len(value) > store.MaxValue {
+		return fmt.Errorf("bucket of claims is full: %w", store.ErrTooLarge)
+	}
+	req := store.SwapRequest{Key: sh.key, Value: value, Expect: sh.cached.revision}
+	ent, err := store.SwapSettled(ctx, tb.st, req, func(ent store.Entry) bool { return tb.holds(ent, pl) })
+	if err != nil && !errors.Is(err, store.ErrConflict) {
+		sh.cached = cached{}
+		return err
+	}
+	if err == nil && bytes.Equal(ent.Value, value) {
+		sh.cached = cached{known: true, revision: ent.Revision, bucket: pl.next}
+		return nil
+	}
+	if seen := sh.see(ent); seen != nil {
+		return seen
+	}
+	return err
+}
+
+// holds tells whether a bucket shows that a plan was written: it has the
+// claims that the plan added. A plan without any is written again if in doubt.
+func (tb *Table) holds(ent store.Entry, pl plan) bool {
+	bk, err := decodeBucket(ent)
+	if err != nil || len(pl.added) == 0 {
+		return false
+	}
+	for _, tk := range pl.added {
+		if bk.Claims[tk.id].Holder != tb.holder(tk.claim) {
+			return false
+		}
+	}
+	return true
+}
+
+// deliver ends the takes of a batch that was written. Claims for which nobody
+// waits any more are released.
+func (tb *Table) deliver(sh *shard, pl plan) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	for _, tk := range pl.added {
+		if tk.abandoned {
+			tb.releaseLater(sh, tk)
+			continue
+		}
+		close(tk.done)
+	}
+	for tk, prior := range pl.priors {
+		tk.prior = &prior
+		close(tk.done)
+	}
+}
+
+// fail ends the takes of a batch that was not, or may not have been, written.
+// Outcomes stay pending.
+func (tb *Table) fail(sh *shard, ba batch, added []*take, cause error) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.log.Warn("claims not stored", "bucket", sh.key, "claims", len(ba.takes), "error", cause)
+	if errors.Is(cause, store.ErrLost) {
+		for _, tk := range added {
+			tb.releaseLater(sh, tk)
+		}
+	}
+	for _, tk := range ba.takes {
+		tk.err = unavailable(cause.Error())
+		close(tk.done)
+	}
+	if len(ba.settlements) > 0 {
+		sh.pending.settlements = append(ba.settlements, sh.pending.settlements...)
+		tb.schedule(sh, tb.clock().Add(retryEvery))
+	}
+}
+
+// releaseLater notes that a claim that may be stored is not in use. The caller
+// holds the lock.
+func (tb *Table) releaseLater(sh *shard, tk *take) {
+	sh.pending.settlements = append(sh.pending.settlements, settlement{
+		id: tk.id, holder: tb.holder(tk.claim), code: codes.StoreUnavailable, fence: true,
+	})
+	tb.schedule(sh, tb.clock().Add(tb.batchEvery))
+}
+
+func (tb *Table) recordOf(tk *take) record {
+	return record{
+		Digest:  shortHash(tk.claim.Digest),
+		Holder:  tb.holder(tk.claim),
+		Expires: tb.clock().Add(tb.expiry).Unix(),
+	}
+}
