--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -222,6 +222,9 @@
 	}
 	var found []Reclaim
 	for _, workers := range fl.domains(rq.Shape) {
+		if len(found) > 0 && len(workers) == len(fl.workers) {
+			break // the whole zone is only asked if no rack suffices
+		}
 		if rc, ok := fl.reclaimIn(now, rq, workers); ok {
 			found = append(found, rc)
 		}
@@ -345,27 +348,49 @@
 // victims lists the gangs on workers that may be stopped for a request, the
 // cheapest for each accelerator that they free there first.
 func (fl *Fleet) victims(now time.Time, rq Request, guaranteed bool, workers []int) []Gang {
-	freed := map[string]int{}
-	for _, at := range workers {
-		for _, id := range fl.here[at] {
-			freed[id]++
-		}
-	}
-	var gas []Gang
-	for id := range freed {
+	freed := fl.tasksOn(workers)
+	offers := make([]offer, 0, len(freed))
+	for id, n := range freed {
 		if ga := fl.gangs[id]; fl.mayReclaim(rq, guaranteed, ga) {
-			gas = append(gas, ga)
+			price := float64(lostWork(now, ga)) / float64(max(1, n*ga.Shape.Accelerators))
+			offers = append(offers, offer{job: id, price: price})
 		}
 	}
-	price := func(ga Gang) float64 {
-		return float64(lostWork(now, ga)) / float64(max(1, freed[ga.Job]*ga.Shape.Accelerators))
-	}
-	slices.SortFunc(gas, func(a, b Gang) int {
-		return cmp.Or(cmp.Compare(price(a), price(b)), cmp.Compare(a.Job, b.Job))
+	slices.SortFunc(offers, func(a, b offer) int {
+		return cmp.Or(cmp.Compare(a.price, b.price), cmp.Compare(a.job, b.job))
 	})
+	gas := make([]Gang, len(offers))
+	for i, of := range offers {
+		gas[i] = fl.gangs[of.job]
+	}
 	return gas
 }
 
+// tasksOn counts the tasks of each job on some workers.
+func (fl *Fleet) tasksOn(workers []int) map[string]int {
+	if len(workers) == len(fl.workers) {
+		all := make(map[string]int, len(fl.gangs))
+		for id, ga := range fl.gangs {
+			all[id] = len(ga.Workers)
+		}
+		return all
+	}
+	some := map[string]int{}
+	for _, at := range workers {
+		for _, id := range fl.here[at] {
+			some[id]++
+		}
+	}
+	return some
+}
+
+// offer is a gang that may be stopped, with the work that is lost for each
+// accelerator it frees.
+type offer struct {
+	job   string
+	price float64
+}
+
 // mayReclaim tells whether a gang yields to a request: any movable gang to a
 // guaranteed one; to an urgent one, less urgent work of its own workspace, or
 // of one that holds more than its share while the urgent one stays within.
--- a/internal/place/fit.go
+++ b/internal/place/fit.go
@@ -21,16 +21,29 @@
 	case spec.SameWorker:
 		return fl.fitWorker(gr, sh)
 	case spec.SameRack:
-		sps := fl.rackSpreads(gr, sh)
-		if len(sps) == 0 {
-			return nil, false
-		}
-		return slices.MinFunc(sps, compareSpreads).workers, true
+		return fl.fitRack(gr, sh)
 	default:
 		return fl.fitZone(gr, sh)
 	}
 }
 
+// fitRack takes the rack with the least room that suffices.
+func (fl *Fleet) fitRack(gr ground, sh spec.Shape) ([]int, bool) {
+	best := -1
+	least := 0
+	for i, rack := range fl.racks {
+		room := fl.capacity(gr, sh, rack)
+		if room >= sh.Tasks && (best < 0 || room < least) {
+			best = i
+			least = room
+		}
+	}
+	if best < 0 {
+		return nil, false
+	}
+	return fill(gr, sh, slices.Clone(fl.racks[best]))
+}
+
 // spotsOf returns several ways to place a gang on gr, best first, at most limit.
 func (fl *Fleet) spotsOf(gr ground, sh spec.Shape, limit int) [][]int {
 	var sps []spread
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -190,6 +190,9 @@
 // Held returns the accelerators that the gangs of a workspace hold.
 func (fl *Fleet) Held(workspace string) int { return fl.held[workspace] }
 
+// Fitting returns how many tasks of so many accelerators a worker takes now.
+func (fl *Fleet) Fitting(at, accelerators int) int { return fl.room.fits(at, accelerators) }
+
 // Accelerators returns those of all usable workers.
 func (fl *Fleet) Accelerators() int {
 	sum := 0
