Check guarantees against the racks off line and say why spots lost

Cause: check accepted a file that apply refused, because only the system packed the guarantees; the log line of a placement gave the number of spots, not why they lost. Ruled out: a packing in package spec, which would stand twice. Change: place.Check reports with positions and is used by check, apply and local; placed lines name how many spots ranked lower and how many a guarantee needs. Conclusion: what check accepts, apply accepts, other operators apart.

--- a/internal/cmds/declare.go
+++ b/internal/cmds/declare.go
@@ -8,6 +8,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/cicadawharf/cicadawharf/internal/place"
 	"github.com/cicadawharf/cicadawharf/pkg/client"
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
@@ -207,7 +208,13 @@
 		return nil, nil, err
 	}
 	doc, err := spec.Parse(file, data)
-	return data, doc, err
+	if err != nil {
+		return nil, nil, err
+	}
+	if fas := place.Check(doc); len(fas) > 0 {
+		return nil, nil, fas
+	}
+	return data, doc, nil
 }
 
 // emitFaults writes the faults of a file for scripts and returns err.
--- a/internal/host/operate.go
+++ b/internal/host/operate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"strings"
 	"time"
 
@@ -34,7 +33,7 @@
 func (op operators) Apply(ctx context.Context, rq entry.ApplyRequest) (client.Applied, error) {
 	ask := conf.ApplyRequest{
 		File: appliedFile, Content: rq.Content, By: rq.Operator,
-		Known: op.ho.follower.Revision(), Check: checkGuarantees,
+		Known: op.ho.follower.Revision(), Check: place.Check,
 	}
 	if rq.Expect != entry.AnyRevision {
 		ask.Expect = &rq.Expect
@@ -83,7 +82,7 @@
 	ad := client.Applied{Revision: op.ho.follower.Revision()}
 	doc, err := spec.Parse(appliedFile, content)
 	if err == nil {
-		if fas := checkGuarantees(doc); len(fas) > 0 {
+		if fas := place.Check(doc); len(fas) > 0 {
 			err = fas
 		}
 	}
@@ -216,18 +215,6 @@
 	return rcs, unreached, nil
 }
 
-// checkGuarantees finds the zones whose racks can't hold all that is
-// guaranteed in them.
-func checkGuarantees(doc *spec.Document) spec.Faults {
-	var fas spec.Faults
-	for i, zn := range doc.Declarations.Zones {
-		if err := place.CheckGuarantees(doc.Declarations, zn.Name); err != nil {
-			fas = append(fas, doc.Fault(fmt.Sprintf("$.zones[%d]", i), err.Error()))
-		}
-	}
-	return fas
-}
-
 func faultsOf(err error) []client.Fault {
 	var fas spec.Faults
 	if !errors.As(err, &fas) {
--- /dev/null
+++ b/internal/place/check.go
@@ -0,0 +1,49 @@
+package place
+
+import (
+	"fmt"
+
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+// Check finds the availability zones of a document whose racks can't hold all
+// that is guaranteed in them.
+func Check(doc *spec.Document) spec.Faults {
+	var fas spec.Faults
+	for i, zn := range doc.Declarations.Zones {
+		if err := CheckGuarantees(doc.Declarations, zn.Name); err != nil {
+			fas = append(fas, doc.Fault(fmt.Sprintf("$.zones[%d]", i), err.Error()))
+		}
+	}
+	return fas
+}
+
+// CheckGuarantees tells whether the guarantees of one availability zone can
+// all be kept by its declared racks, and if not, how many of them can.
+func CheckGuarantees(de *spec.Declarations, zone string) error {
+	zn, ok := de.Zone(zone)
+	if !ok {
+		return fmt.Errorf("availability zone %q is not declared", zone)
+	}
+	units := UnitsOf(de, zone)
+	fl := NewFleet(DeclaredWorkers(zn), units)
+	unused, packable := fl.UnusedUnits()
+	if packable == unused {
+		return nil
+	}
+	return fmt.Errorf("availability zone %q can hold only %d of the %d gangs guaranteed in it", zone, packable, unused)
+}
+
+// DeclaredWorkers returns the workers that a zone should have.
+func DeclaredWorkers(zn spec.Zone) []Worker {
+	var wos []Worker
+	for _, ra := range zn.Racks {
+		for i := range ra.Workers {
+			wos = append(wos, Worker{
+				Name: fmt.Sprintf("%s-%s-%d", zn.Name, ra.Name, i+1), Rack: ra.Name,
+				Accelerators: ra.Accelerators, Tasks: ra.Cores, Usable: true,
+			})
+		}
+	}
+	return wos
+}
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
@@ -33,6 +32,7 @@
 		Unit    int
 		Ground  []int // the whole spot of the unit
 		From    int   // how many spots there were
+		Refused int   // of them, those that a guarantee needs; the rest ranked lower
 	}
 
 	// Reclaim says which gangs to stop, and where the gang starts then.
@@ -86,9 +86,9 @@
 		}
 	}
 	spots := fl.spotsOf(fl.without(fl.shaded(fl.room, rq.Ends), rq.Avoid), rq.Shape, spotLimit)
-	for _, workers := range spots {
+	for i, workers := range spots {
 		if rq.Movable || fl.spares(rq.Shape, workers, NoUnit) {
-			return Placed{Workers: workers, Unit: NoUnit, From: len(spots)}
+			return Placed{Workers: workers, Unit: NoUnit, From: len(spots), Refused: i}
 		}
 	}
 	if rc, ok := fl.reclaim(now, rq); ok {
@@ -107,13 +107,15 @@
 func (fl *Fleet) decideGuaranteed(now time.Time, rq Request, unit int) Decision {
 	grounds := fl.grounds(rq, unit)
 	var best *Reclaim
+	refused := 0
 	for i, gd := range grounds {
 		if i > 0 && !fl.spares(fl.units[unit].Shape, gd, unit) {
+			refused++
 			continue
 		}
 		workers, missing := fl.within(rq.Shape, gd)
 		if !missing {
-			return Placed{Workers: workers, Unit: unit, Ground: gd, From: len(grounds)}
+			return Placed{Workers: workers, Unit: unit, Ground: gd, From: len(grounds), Refused: refused}
 		}
 		rc, ok := fl.reclaimOn(now, rq, workers)
 		if ok && (best == nil || rc.Lost < best.Lost) {
@@ -419,33 +421,3 @@
 	}
 	return now.Sub(ga.Started) * time.Duration(ga.Shape.Total())
 }
-
-// CheckGuarantees tells whether the guarantees of one availability zone can
-// all be kept by its declared racks, and if not, how many of them can.
-func CheckGuarantees(de *spec.Declarations, zone string) error {
-	zn, ok := de.Zone(zone)
-	if !ok {
-		return fmt.Errorf("availability zone %q is not declared", zone)
-	}
-	units := UnitsOf(de, zone)
-	fl := NewFleet(DeclaredWorkers(zn), units)
-	unused, packable := fl.UnusedUnits()
-	if packable == unused {
-		return nil
-	}
-	return fmt.Errorf("availability zone %q can hold only %d of the %d gangs guaranteed in it", zone, packable, unused)
-}
-
-// DeclaredWorkers returns the workers that a zone should have.
-func DeclaredWorkers(zn spec.Zone) []Worker {
-	var wos []Worker
-	for _, ra := range zn.Racks {
-		for i := range ra.Workers {
-			wos = append(wos, Worker{
-				Name: fmt.Sprintf("%s-%s-%d", zn.Name, ra.Name, i+1), Rack: ra.Name,
-				Accelerators: ra.Accelerators, Tasks: ra.Cores, Usable: true,
-			})
-		}
-	}
-	return wos
-}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -96,6 +96,26 @@
 	is.Equal(fl.UsableBy(shape(1, 8, spec.SameWorker)), 15*8) // one worker is broken
 }
 
+func TestCheckNamesTheZoneThatIsTooSmall(t *testing.T) {
+	const file = `timeZone: UTC
+zones:
+  - {name: z1, region: r, racks: [{name: a, workers: 4, accelerators: 8, cores: 64, memoryGiB: 64}]}
+  - {name: z2, region: r, racks: [{name: a, workers: 4, accelerators: 8, cores: 64, memoryGiB: 64}]}
+workspaces:
+  - name: w
+    guarantees:
+      - {zone: z1, shape: {tasks: 4, accelerators: 8, adjacency: rack}, count: 1}
+      - {zone: z2, shape: {tasks: 4, accelerators: 8, adjacency: rack}, count: 2}
+services: []
+`
+	is := is.New(t)
+	doc, err := spec.Parse("file", []byte(file))
+	is.NoErr(err)
+	fas := place.Check(doc)
+	is.Equal(len(fas), 1)
+	is.Equal(fas[0].Line, 4)
+}
+
 func TestReclaimTakesTheLeastLostWork(t *testing.T) {
 	is := is.New(t)
 	units := []place.Unit{{Workspace: "large", Shape: shape(8, 8, spec.SameRack)}}
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -114,7 +114,8 @@
 		Workspace string
 		Decision  string // placed, reclaim, waits, started, stopping, requeued, ended
 		Workers   []string
-		From      int // how many spots there were
+		From      int    // how many spots there were
+		Losers    string // why the other spots lost, as reason:count
 		Victims   []string
 		Reason    string
 		Attempt   int
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"math/bits"
 	"slices"
 	"time"
@@ -91,7 +92,7 @@
 func (co *Core) carryOut(now time.Time, jb *job, dm demand, failed map[demand]place.WaitReason) {
 	switch de := co.fleet.Decide(now, co.request(now, jb)).(type) {
 	case place.Placed:
-		co.begin(now, jb, spot{de.Workers, de.Unit, de.Ground}, de.From)
+		co.begin(now, jb, spot{de.Workers, de.Unit, de.Ground}, de)
 	case place.Reclaim:
 		co.reclaim(now, jb, de)
 	case place.Waits:
@@ -136,7 +137,7 @@
 }
 
 // begin records the next attempt and has its gang reserved.
-func (co *Core) begin(now time.Time, jb *job, sp spot, from int) {
+func (co *Core) begin(now time.Time, jb *job, sp spot, de place.Placed) {
 	tasks := make([]jobs.Task, len(sp.workers))
 	for i, at := range sp.workers {
 		wo := co.fleet.Worker(at)
@@ -156,7 +157,7 @@
 	co.fleet.Add(co.gang(jb))
 	co.dirty(jb)
 	co.touch(jb.rec.ID)
-	no := Noted{Job: jb.rec.ID, Workspace: jb.rec.Workspace, Decision: "placed", From: from, Attempt: jb.rec.Attempt}
+	no := Noted{Job: jb.rec.ID, Workspace: jb.rec.Workspace, Decision: "placed", From: de.From, Losers: losers(de), Attempt: jb.rec.Attempt}
 	if sp.unit != place.NoUnit {
 		no.Reason = "guaranteed"
 	}
@@ -167,6 +168,12 @@
 	co.emit(no)
 }
 
+// losers tells why the spots that were not taken lost.
+func losers(de place.Placed) string {
+	ranked := max(0, de.From-de.Refused-1)
+	return fmt.Sprintf("rankedLower:%d guaranteedToOthers:%d", ranked, de.Refused)
+}
+
 // reclaim stops the victims and keeps their ground for the job.
 func (co *Core) reclaim(now time.Time, jb *job, de place.Reclaim) {
 	for _, id := range de.Victims {
@@ -196,7 +203,7 @@
 	}
 	if co.fleet.Clear(jb.earmark.workers) {
 		em := jb.earmark
-		co.begin(now, jb, em.spot, 1)
+		co.begin(now, jb, em.spot, place.Placed{From: 1})
 		return
 	}
 	if now.After(jb.earmark.until) {
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -256,7 +256,7 @@
 // logNote writes the line of a placement decision.
 func (zo *Zone) logNote(no sched.Noted) {
 	zo.cfg.Log.Info("placement", "event", "place", "zone", zo.cfg.Zone, "decision", no.Decision, "job", no.Job,
-		"workspace", no.Workspace, "attempt", no.Attempt, "workers", no.Workers, "from", no.From,
+		"workspace", no.Workspace, "attempt", no.Attempt, "workers", no.Workers, "from", no.From, "losers", no.Losers,
 		"victims", no.Victims, "reason", no.Reason)
 }
 
