Let outcomes of claims wait for a batch to go with

Fewer buckets were ruled out, because every write then carries a larger value. The wait is now a setting, ten seconds unless set; releases still go at once, since their callers may come back. The tests pass twice with the race detector.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -31,6 +31,7 @@
 		Host            string        // name of this entry host
 		Expiry          time.Duration // of a claim, from its start
 		BatchEvery      time.Duration // for how long claims are collected
+		SettleEvery     time.Duration // for how long outcomes wait for a batch to go with
 		Buckets         int           // the same on all hosts
 		WritesPerSecond int           // bounds the calls of this host; batches grow instead
 		Clock           func() time.Time
@@ -49,15 +50,16 @@
 	// Table takes and settles claims. It is safe for concurrent use. Nothing
 	// is written before Run.
 	Table struct {
-		st         store.Store
-		host       string
-		expiry     time.Duration
-		batchEvery time.Duration
-		limiter    *rate.Limiter
-		clock      func() time.Time
-		log        *slog.Logger
-		wake       chan struct{}
-		flushes    sync.WaitGroup
+		st          store.Store
+		host        string
+		expiry      time.Duration
+		batchEvery  time.Duration
+		settleEvery time.Duration
+		limiter     *rate.Limiter
+		clock       func() time.Time
+		log         *slog.Logger
+		wake        chan struct{}
+		flushes     sync.WaitGroup
 
 		mu      sync.Mutex
 		shards  []*shard
@@ -85,14 +87,12 @@
 const (
 	DefaultExpiry          = 10 * time.Minute
 	DefaultBatchEvery      = 25 * time.Millisecond
+	DefaultSettleEvery     = 10 * time.Second
 	DefaultBuckets         = 64
 	DefaultWritesPerSecond = 40
 )
 
 const (
-	// settleEvery is how long outcomes wait for a flush of their bucket.
-	settleEvery = 2 * time.Second
-
 	// retryEvery is the pause before a flush that failed is made again for
 	// the sake of outcomes and releases.
 	retryEvery = time.Second
@@ -108,10 +108,11 @@
 func New(cf Config) *Table {
 	tb := &Table{
 		st: cf.Store, host: cf.Host, clock: cf.Clock, log: cf.Log,
-		expiry:     orDefault(cf.Expiry, DefaultExpiry),
-		batchEvery: orDefault(cf.BatchEvery, DefaultBatchEvery),
-		limiter:    rate.NewLimiter(rate.Limit(orDefault(cf.WritesPerSecond, DefaultWritesPerSecond)), 1),
-		wake:       make(chan struct{}, 1),
+		expiry:      orDefault(cf.Expiry, DefaultExpiry),
+		batchEvery:  orDefault(cf.BatchEvery, DefaultBatchEvery),
+		settleEvery: orDefault(cf.SettleEvery, DefaultSettleEvery),
+		limiter:     rate.NewLimiter(rate.Limit(orDefault(cf.WritesPerSecond, DefaultWritesPerSecond)), 1),
+		wake:        make(chan struct{}, 1),
 	}
 	if tb.clock == nil {
 		tb.clock = time.Now
@@ -148,7 +149,7 @@
 // code of class NotRun releases the claim. It returns at once, and the outcome
 // is written with one of the next batches.
 func (tb *Table) Settle(_ context.Context, cl Claim) error {
-	wait := settleEvery
+	wait := tb.settleEvery
 	if cl.Code.Class() == codes.NotRun {
 		wait = tb.batchEvery // its caller may come back soon
 	}
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -41,6 +41,7 @@
 	if cf.BatchEvery == 0 {
 		cf.BatchEvery = time.Millisecond
 	}
+	cf.SettleEvery = 20 * cf.BatchEvery
 	tb := claim.New(cf)
 	return host{tb, kvsim.Background(t, tb.Run)}
 }
