Close unprobed connections and give panics a code

Three weak points found by reading and by tests. Connections to entry hosts of other zones are not probed and were never closed when too old to be used, so that they piled up to the bound: those older than two seconds are now closed when the next one is needed, which also covers a process that was paused. A handler of jobs or operators that panicked cut the connection without a code.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -90,12 +90,9 @@
 
 // refuse answers a request whose body may still be arriving.
 func (sr *Server) refuse(w http.ResponseWriter, r *http.Request, request string, er *codes.Error) {
-	if r.ContentLength == 0 || er.Code == codes.SlowSender || er.Code == codes.CallerGone {
-		sr.writeError(w, request, er)
-		return
-	}
 	control := http.NewResponseController(w)
-	if control.EnableFullDuplex() != nil {
+	sending := r.ContentLength != 0 && er.Code != codes.SlowSender && er.Code != codes.CallerGone
+	if !sending || control.EnableFullDuplex() != nil {
 		sr.writeError(w, request, er)
 		return
 	}
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -40,6 +40,7 @@
 			return
 		}
 		defer sr.work.end()
+		defer as.recovered()
 		if er := as.run(fn); er != nil {
 			as.refuse(er)
 		}
@@ -63,6 +64,14 @@
 	return fn(ctx, as)
 }
 
+// recovered answers with a code where a handler has panicked.
+func (as *ask) recovered() {
+	if fault := recover(); fault != nil {
+		as.sr.cfg.Log.Error("request failed", "event", "panic", "request", as.id, "error", fault)
+		as.refuse(codes.New(codes.InternalFailure, "see the log"))
+	}
+}
+
 func (as *ask) refuse(er *codes.Error) { as.sr.refuse(as.w, as.r, as.id, er) }
 
 // write answers with a body that embeds the answer of its code.
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -7,8 +7,11 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cicadawharf/cicadawharf/internal/entry"
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
 	"github.com/cicadawharf/cicadawharf/pkg/client"
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
 
 const goodJob = `{"zone":"lima","shape":{"tasks":4,"accelerators":8,"adjacency":"rack"},"runTime":"45m","repeatable":true,"command":["sort"]}`
@@ -88,3 +91,14 @@
 	is.NoErr(rs.Body.Close())
 	is.Equal(rs.StatusCode, http.StatusNotFound)
 }
+
+// brokenJobs panics when asked.
+type brokenJobs struct{ jobs.Service }
+
+func TestPanicHasCode(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 0, func(cfg *entry.Config, _ *spec.Declarations) { cfg.Jobs = brokenJobs{} })
+	an, err := be.call(http.MethodGet, "/v1/jobs/lima.1", "")
+	is.NoErr(err)
+	is.Equal(an.code, codes.InternalFailure)
+}
--- a/internal/entry/keep_test.go
+++ b/internal/entry/keep_test.go
@@ -1,7 +1,10 @@
 package entry_test
 
 import (
+	"bufio"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -12,6 +15,7 @@
 
 	"github.com/cicadawharf/cicadawharf/internal/fakes/epsim"
 	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
 // TestConnectionOutlivesDeadline sends a second request on a caller's
@@ -39,3 +43,25 @@
 	}
 	is.True(reused)
 }
+
+// TestRefusalOfExpectedBody neither asks for the body nor waits for it
+// for long.
+func TestRefusalOfExpectedBody(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 1, nil)
+	cn, err := net.Dial("tcp", be.url[len("http://"):])
+	is.NoErr(err)
+	defer cn.Close()
+	is.NoErr(cn.SetDeadline(time.Now().Add(5 * time.Second)))
+	_, err = fmt.Fprintf(cn, "POST /v1/services/none/ HTTP/1.1\r\nHost: x\r\n%s: parish\r\nExpect: 100-continue\r\nContent-Length: 100\r\n\r\n", client.HeaderWorkspace)
+	is.NoErr(err)
+	rd := bufio.NewReader(cn)
+	rs, err := http.ReadResponse(rd, nil)
+	is.NoErr(err)
+	is.Equal(rs.StatusCode, codes.UnknownService.Info().HTTPStatus)
+	_, err = io.Copy(io.Discard, rs.Body)
+	is.NoErr(err)
+	rest, err := io.ReadAll(rd) // the host closes
+	is.NoErr(err)
+	is.Equal(string(rest), "")
+}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -90,9 +90,7 @@
 	po.closed = true
 	po.open -= len(idle)
 	po.mu.Unlock()
-	for _, li := range idle {
-		li.close()
-	}
+	closeAll(idle)
 }
 
 // Open returns the number of open connections.
@@ -102,7 +100,9 @@
 	return po.open
 }
 
-// take returns a connection that has answered within fresh, or a new one.
+// take returns a connection that has answered within fresh, or a new one. It
+// closes connections that nobody has probed for so long that no request would
+// use them, as after the process was paused.
 func (po *Pool) take(ctx context.Context, fresh time.Duration) (*link, *Failure) {
 	po.mu.Lock()
 	now := time.Now()
@@ -112,24 +112,44 @@
 		po.mu.Unlock()
 		return li, nil
 	}
-	var stale *link
-	if po.open >= po.limit && len(po.idle) > 0 {
-		stale = po.idle[0]
-		po.idle = slices.Delete(po.idle, 0, 1)
-		po.open--
-	}
+	stale := po.removeStale(now)
 	if po.open >= po.limit {
 		po.mu.Unlock()
+		closeAll(stale)
 		return nil, newFailure(CauseConnections, nil)
 	}
 	po.open++
 	po.mu.Unlock()
-	if stale != nil {
-		stale.close()
-	}
+	closeAll(stale)
 	return po.dial(ctx)
 }
 
+// removeStale takes out idle connections that are too old for any request,
+// and one more if that is needed for a new one. The lock is held.
+func (po *Pool) removeStale(now time.Time) []*link {
+	var stale []*link
+	po.idle = slices.DeleteFunc(po.idle, func(li *link) bool {
+		old := now.Sub(li.answered) > repeatableFreshFor
+		if old {
+			stale = append(stale, li)
+		}
+		return old
+	})
+	po.open -= len(stale)
+	if po.open >= po.limit && len(po.idle) > 0 {
+		stale = append(stale, po.idle[0])
+		po.idle = slices.Delete(po.idle, 0, 1)
+		po.open--
+	}
+	return stale
+}
+
+func closeAll(links []*link) {
+	for _, li := range links {
+		li.close()
+	}
+}
+
 func (po *Pool) dial(ctx context.Context) (*link, *Failure) {
 	dctx, cancel := context.WithTimeout(ctx, po.cfg.DialTimeout)
 	defer cancel()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -371,6 +371,22 @@
 	})
 }
 
+// TestUnprobedConnectionsDoNotPile uses a pool now and then that nobody probes.
+func TestUnprobedConnectionsDoNotPile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ep := &endpoint{script: reply(okReply)}
+		po := newPool(ep)
+		defer po.Close()
+		for range 4 {
+			_, fa := send(t.Context(), po, post("once"))
+			is.Equal(fa, nil)
+			time.Sleep(5 * time.Second)
+		}
+		is.Equal(po.Open(), 1)
+	})
+}
+
 func TestHeadersOfOneConnectionStay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
