Order the departures in the test of callers that leave

Under GOMAXPROCS=2 with the race detector the test failed three times in three runs of the package: all twelve callers left at once, so that a slot freed by one let a waiting request start before its own departure was seen, which is a true outcome that the fixed counts did not allow. Ruled out a fault of the host, whose account agreed with what ran. The waiting callers now leave first and the running ones after them; the counts are the same and no timing is left in them. Eight runs of the test and three of the package passed under the same conditions.

--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -131,25 +132,36 @@
 	is.Equal(len(be.runs()), 1)
 }
 
-// TestCallersGoAway closes connections while requests wait and run.
+// TestCallersGoAway closes the connections of requests that wait, then of those
+// that run.
 func TestCallersGoAway(t *testing.T) {
 	is := is.New(t)
 	be := newBench(t, 1, nil)
-	ctx, leave := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
-	for range 12 { // eight run, four wait
-		wg.Go(func() {
-			rq, _ := http.NewRequestWithContext(ctx, http.MethodGet, be.url+"/v1/services/orders/", nil)
-			rq.Header.Set(client.HeaderWorkspace, "parish")
-			rq.Header.Set(epsim.HeaderDelay, "500ms")
-			if rs, err := http.DefaultTransport.RoundTrip(rq); err == nil {
-				_ = rs.Body.Close()
-			}
-		})
+	start := func(ctx context.Context, count int) {
+		for range count {
+			wg.Go(func() {
+				rq, _ := http.NewRequestWithContext(ctx, http.MethodGet, be.url+"/v1/services/orders/", nil)
+				rq.Header.Set(client.HeaderWorkspace, "parish")
+				rq.Header.Set(epsim.HeaderDelay, "2s")
+				if rs, err := http.DefaultTransport.RoundTrip(rq); err == nil {
+					_ = rs.Body.Close()
+				}
+			})
+		}
 	}
+	running, leaveRunning := context.WithCancel(t.Context())
+	waiting, leaveWaiting := context.WithCancel(t.Context())
+	start(running, 8)
 	eventually(t, "eight run", func() bool { return len(be.runs()) == 8 })
-	time.Sleep(100 * time.Millisecond) // for the others to queue
-	leave()
+	start(waiting, 4)
+	eventually(t, "four wait", func() bool {
+		an, err := be.call(http.MethodGet, "/metrics", "")
+		return err == nil && strings.Contains(an.body, "cicadawharf_requests_waiting{service=\"orders\"} 4\n")
+	})
+	leaveWaiting()
+	eventually(t, "four gone", func() bool { return len(be.log.lines("code=4024")) == 4 })
+	leaveRunning()
 	wg.Wait()
 	eventually(t, "outcomes", func() bool { return len(be.log.lines("event=refuse")) == 12 })
 	be.checkAccount(is, map[codes.Code]int{codes.CallerLeft: 8, codes.CallerGone: 4})
