--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -10,6 +10,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -55,6 +56,13 @@
 		router      *router
 		server      *entry.Server
 		leaving     leavingSet
+		dayZone     atomic.Pointer[dayZone]
+	}
+
+	// dayZone is the time zone in which some declarations cut the days.
+	dayZone struct {
+		of       *spec.Declarations
+		location *time.Location
 	}
 )
 
@@ -225,9 +233,13 @@
 
 func (ho *Host) location() *time.Location {
 	de, _ := ho.declarations()
+	if known := ho.dayZone.Load(); known != nil && known.of == de {
+		return known.location
+	}
 	loc, err := report.Location(de)
 	if err != nil {
-		return time.UTC
+		loc = time.UTC
 	}
+	ho.dayZone.Store(&dayZone{of: de, location: loc})
 	return loc
 }
--- a/internal/sched/core_test.go
+++ b/internal/sched/core_test.go
@@ -24,7 +24,11 @@
 }
 
 var (
-	small = spec.Workspace{Name: "small", Weight: 1, Quota: 64}
+	small  = spec.Workspace{Name: "small", Weight: 1, Quota: 64}
+	claims = spec.Workspace{
+		Name: "claims", Weight: 1, Quota: 64,
+		Guarantees: []spec.Guarantee{{Zone: sampleZone, Count: 1, Shape: spec.Shape{Tasks: 4, Accelerators: 8, Adjacency: spec.SameRack}}},
+	}
 	large = spec.Workspace{
 		Name: "large", Weight: 4, Quota: 256,
 		Guarantees: []spec.Guarantee{{Zone: sampleZone, Count: 1, Shape: spec.Shape{Tasks: 4, Accelerators: 8, Adjacency: spec.SameRack}}},
@@ -158,6 +162,29 @@
 	is.Equal(len(wd.runsOf("z1.again")), 4)
 }
 
+// TestUnrecordedAttemptDoesNotStart takes the store away between the placement
+// and the write of a job that may not be repeated, and then the scheduler.
+func TestUnrecordedAttemptDoesNotStart(t *testing.T) {
+	is := is.New(t)
+	wd := newWorld(1, small)
+	wd.run(time.Second)
+	once := gang("z1.once", 2, 8, "sleep", "3s")
+	once.Repeatable = false
+	wd.submit(once)
+	wd.run(50 * time.Millisecond) // accepted and reserved, but its attempt is not written
+	rc, _ := wd.record("z1.once")
+	is.Equal(rc.State, jobs.Queued)
+	wd.store.down = true
+	wd.run(5 * time.Second)
+	is.Equal(len(wd.runsOf("z1.once")), 0)
+	wd.current().gone = true
+	wd.store.down = false
+	wd.takeOver()
+	wd.run(30 * time.Second)
+	expect(t, wd, "z1.once", codes.JobDone)
+	is.Equal(len(wd.runsOf("z1.once")), 2)
+}
+
 // TestReclaimGivesTheGuaranteedShape fills the zone with other work first.
 func TestReclaimGivesTheGuaranteedShape(t *testing.T) {
 	is := is.New(t)
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -156,7 +156,7 @@
 	// startTime bounds the start of a reserved gang.
 	startTime = 3 * time.Second
 	// checkpointTime bounds a checkpoint before a stop.
-	checkpointTime = 2 * time.Second
+	checkpointTime = 1500 * time.Millisecond
 	// earmarkTime bounds how long ground is kept for a gang while its victims
 	// are stopped.
 	earmarkTime = 8 * time.Second
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -251,11 +251,38 @@
 		}
 	}
 	if ta.unknown+ta.reserved+ta.running+ta.stopping > 0 || co.underway(jb) {
+		co.vacate(jb, ta)
 		return
 	}
 	co.resolve(now, jb, ta)
 }
 
+// vacate gives back the ground of the tasks that are over, while others of the
+// gang are not, so that a silent worker does not hold up who waits for the rest.
+func (co *Core) vacate(jb *job, ta tally) {
+	if co.fleet == nil {
+		return
+	}
+	ga, ok := co.fleet.Gang(jb.rec.ID)
+	if !ok {
+		return
+	}
+	ga.Workers = nil
+	for i, st := range ta.at {
+		at, known := co.index[jb.rec.Tasks[i].Worker]
+		over := st == isCut || st == isSucceeded || st == isFailed || st == isMissing
+		if known && !over {
+			ga.Workers = append(ga.Workers, at)
+		}
+	}
+	co.fleet.Add(ga)
+	for id, other := range co.jobs {
+		if other.earmark != nil {
+			co.touch(id)
+		}
+	}
+}
+
 // underway tells whether a call that may change a task of the job has not
 // been answered yet.
 func (co *Core) underway(jb *job) bool {
@@ -359,7 +386,8 @@
 
 // settleHeld adds the accelerator time of an attempt to the record.
 func (co *Core) settleHeld(now time.Time, jb *job, kept bool) {
-	held := max(time.Nanosecond, now.Sub(jb.rec.Started)) * time.Duration(max(1, jb.rec.Shape.Total()))
+	// At least one, as it also tells that an attempt has run.
+	held := max(1, now.Sub(jb.rec.Started)*time.Duration(jb.rec.Shape.Total()))
 	jb.rec.Held += held
 	if !kept {
 		jb.rec.Lost += held
--- /dev/null
+++ b/internal/sched/urgent_test.go
@@ -0,0 +1,66 @@
+package sched_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+// urgentTime is how soon urgent work has to start.
+const urgentTime = 4900 * time.Millisecond
+
+// TestUrgentStart fills the zone and submits a guaranteed urgent gang.
+func TestUrgentStart(t *testing.T) {
+	tests := []struct {
+		name  string
+		fill  int // tasks of each gang that fills the zone
+		slow  bool
+		fault func(wd *world)
+	}{
+		{"full zone", 1, false, func(*world) {}},
+		{"checkpoints that take too long", 1, true, func(*world) {}},
+		{"gangs across racks", 4, true, func(*world) {}},
+		{"one silent worker", 1, true, func(wd *world) { wd.cut[wd.hosts[1].Name] = true }},
+		{"one silent worker under a wide gang", 4, true, func(wd *world) { wd.cut[wd.hosts[5].Name] = true }},
+		{"one worker that loses answers", 1, true, func(wd *world) { wd.lossy[wd.hosts[2].Name] = true }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			wd := newWorld(3, large, claims)
+			wd.run(time.Second)
+			for i := range 96 / 8 / tt.fill {
+				sp := gang(fmt.Sprintf("z1.fill%d", i), tt.fill, 8, "sleep", "10m")
+				sp.Workspace = "large"
+				sp.Checkpoint = true
+				if tt.slow {
+					sp.Command = append(sp.Command, "checkpoint=10s")
+				}
+				wd.submit(sp)
+				wd.run(20 * time.Millisecond)
+			}
+			wd.run(5 * time.Second)
+			is.Equal(wd.current().core.Summary(wd.now).FreeAccelerators, 0)
+			tt.fault(wd)
+			begin := wd.now
+			sp := gang("z1.urgent", 4, 8, "sleep", "2s")
+			sp.Workspace = "claims"
+			sp.Shape.Adjacency = spec.SameRack
+			sp.Priority = jobs.Urgent
+			sp.Repeatable = false
+			wd.submit(sp)
+			wd.run(10 * time.Second)
+			expect(t, wd, "z1.urgent", codes.JobDone)
+			rus := wd.runsOf("z1.urgent")
+			took := rus[0].Started.Sub(begin)
+			t.Logf("started after %v", took)
+			is.True(took < urgentTime)
+		})
+	}
+}
