--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -131,6 +131,16 @@
 	wd.now = end
 }
 
+// runMoments lets a number of things happen.
+func (wd *world) runMoments(n int) {
+	for range n {
+		mo := wd.moments[0]
+		wd.moments = wd.moments[1:]
+		wd.now = mo.at
+		mo.do()
+	}
+}
+
 // takeOver elects a new holder. Earlier ones go on until they notice.
 func (wd *world) takeOver() *holder {
 	wd.store.epoch++
