Add a load command that offers requests in an open loop

Cause: nothing of the project measured requests at a rate that does not depend on the answers; a closed loop hides waits, as it sends less when the system is slow. Ruled out: a goroutine for each class, whose timers drift apart; waiting for room when the bound of concurrency is reached, which closes the loop. What is due then is counted as withheld. Change: cicadawharf load with Poisson arrivals from a seed, counts by result code and class, latency from the intended time, time to refusal, the named times to come back, and Jain's index over classes of equal demand. Only loopback addresses are asked. Conclusion: the measures of requests can be built on it.

--- /dev/null
+++ b/internal/cmds/load_test.go
@@ -0,0 +1,52 @@
+package cmds_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/cmds"
+	"github.com/cicadawharf/cicadawharf/internal/load"
+)
+
+func TestLoadUsage(t *testing.T) {
+	good := "--class=workspace=w,caller=c,rate=1"
+	tests := []struct {
+		name string
+		args []string
+		want string
+	}{
+		{"another machine", []string{"--service", "s", good, "--address", "10.1.0.4:7080"}, "not of this machine"},
+		{"a name", []string{"--service", "s", good, "--address", "localhost:7080"}, "must be IP:port"},
+		{"no service", []string{good}, "a service is needed"},
+		{"no class", []string{"--service", "s"}, "0 classes"},
+		{"faulty class", []string{"--service", "s", "--class", "rate=1"}, "flag --class"},
+		{"too long", []string{"--service", "s", good, "--duration", "1h"}, "duration"},
+		{"no concurrency", []string{"--service", "s", good, "--concurrency", "0"}, "concurrency"},
+		{"no path", []string{"--service", "s", good, "--path", "quotes"}, "path"},
+		{"output", []string{"--service", "s", good, "--output", "xml"}, "flag --output"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			rs := run(t, append([]string{"load"}, tc.args...)...)
+			is.Equal(rs.exit, cmds.ExitUsage)
+			is.True(strings.Contains(rs.err, tc.want)) // standard error
+			is.Equal(rs.out, "")
+		})
+	}
+}
+
+func TestLoadCountsAsJSON(t *testing.T) {
+	is := is.New(t)
+	sy := newSystem(t, map[string]string{"POST /v1/services/quotes/offer": `{"endpoint":"e"}`})
+	rs := run(t, "load", "--address", sy.address, "--service", "quotes", "--path", "/offer", "--duration", "300ms",
+		"--concurrency", "1", "--class", "workspace=w,caller=c,rate=100", "--output", "json")
+	is.Equal(rs.exit, cmds.ExitOK)
+	var rp load.Report
+	is.NoErr(json.Unmarshal([]byte(rs.out), &rp))
+	is.True(rp.Classes[0].Done > 0)
+	is.Equal(rp.Classes[0].Done, int64(len(sy.seen)))
+}
--- a/internal/cmds/parse.go
+++ b/internal/cmds/parse.go
@@ -38,7 +38,7 @@
 	return []*command{
 		en.serveCommand(), en.checkCommand(), en.applyCommand(), en.statusCommand(),
 		en.submitCommand(), en.jobsCommand(), en.cancelCommand(), en.callCommand(),
-		en.reportCommand(), en.localCommand(), en.standinCommand(), en.versionCommand(),
+		en.reportCommand(), en.loadCommand(), en.localCommand(), en.standinCommand(), en.versionCommand(),
 	}
 }
 
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,222 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+type (
+	// Report is the account of a run. Times are in milliseconds.
+	Report struct {
+		Seed    uint64        `json:"seed"`
+		Seconds float64       `json:"seconds"` // in which requests were offered
+		Classes []ClassReport `json:"classes"`
+		Equal   []EqualReport `json:"equalDemands,omitempty"`
+	}
+
+	// ClassReport is the account of one class.
+	ClassReport struct {
+		Class
+		Offered    int64        `json:"offered"`  // due, withheld ones included
+		Withheld   int64        `json:"withheld"` // not sent, for the bound of concurrency
+		Done       int64        `json:"done"`
+		Failed     int64        `json:"failed"`
+		NotRun     int64        `json:"notRun"`
+		Unknown    int64        `json:"unknown"`
+		Codes      []CodeCount  `json:"codes"`
+		Latency    Distribution `json:"latencyMillis"`    // of requests done
+		Refusal    Distribution `json:"refusalMillis"`    // of requests that did not run
+		RetryAfter Distribution `json:"retryAfterMillis"` // that refusals named
+	}
+
+	// CodeCount is the number of answers with one result code. Code zero
+	// stands for exchanges without one.
+	CodeCount struct {
+		Code  codes.Code  `json:"code"`
+		Name  string      `json:"name"`
+		Class codes.Class `json:"class"`
+		Count int64       `json:"count"`
+	}
+
+	// Distribution sums up durations.
+	Distribution struct {
+		Count int64   `json:"count"`
+		P50   float64 `json:"p50"`
+		P90   float64 `json:"p90"`
+		P99   float64 `json:"p99"`
+		P999  float64 `json:"p999"`
+		Max   float64 `json:"max"`
+	}
+
+	// EqualReport compares what part of their requests classes of equal demand
+	// got done.
+	EqualReport struct {
+		Callers []string `json:"callers"`
+		Jain    float64  `json:"jain"`
+	}
+
+	// tally counts the requests of one class.
+	tally struct {
+		mu         sync.Mutex
+		withheld   int64
+		codes      []CodeCount
+		latency    *hdrhistogram.Histogram
+		refusal    *hdrhistogram.Histogram
+		retryAfter *hdrhistogram.Histogram
+	}
+)
+
+const (
+	longest = 10 * time.Minute // in a histogram
+	digits  = 3
+
+	noCode = "noCode"
+)
+
+func newTally() *tally {
+	histogram := func() *hdrhistogram.Histogram {
+		return hdrhistogram.New(1, longest.Microseconds(), digits)
+	}
+	return &tally{latency: histogram(), refusal: histogram(), retryAfter: histogram()}
+}
+
+func (ta *tally) withhold() {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ta.withheld++
+}
+
+func (ta *tally) enter(oc outcome) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ta.count(oc)
+	switch oc.class {
+	case codes.Done:
+		record(ta.latency, oc.latency)
+	case codes.NotRun:
+		record(ta.refusal, oc.latency)
+	}
+	if oc.retryAfter > 0 {
+		record(ta.retryAfter, oc.retryAfter)
+	}
+}
+
+func (ta *tally) count(oc outcome) {
+	at := slices.IndexFunc(ta.codes, func(cc CodeCount) bool { return cc.Code == oc.code && cc.Class == oc.class })
+	if at < 0 {
+		name := noCode
+		if oc.code != 0 {
+			name = oc.code.Info().Name
+		}
+		at = len(ta.codes)
+		ta.codes = append(ta.codes, CodeCount{Code: oc.code, Name: name, Class: oc.class})
+	}
+	ta.codes[at].Count++
+}
+
+func record(hi *hdrhistogram.Histogram, du time.Duration) {
+	_ = hi.RecordValue(min(max(du, time.Microsecond), longest).Microseconds())
+}
+
+func newReport(cfg Config, took time.Duration, tallies []*tally) Report {
+	rp := Report{Seed: cfg.Seed, Seconds: took.Seconds()}
+	for i, ta := range tallies {
+		rp.Classes = append(rp.Classes, ta.report(cfg.Classes[i]))
+	}
+	for _, group := range EqualDemands(cfg.Classes) {
+		var eq EqualReport
+		var shares []float64
+		for _, at := range group {
+			cr := rp.Classes[at]
+			eq.Callers = append(eq.Callers, cr.Workspace+"/"+cr.Caller)
+			shares = append(shares, float64(cr.Done)/float64(max(cr.Offered, 1)))
+		}
+		eq.Jain = Jain(shares)
+		rp.Equal = append(rp.Equal, eq)
+	}
+	return rp
+}
+
+func (ta *tally) report(cl Class) ClassReport {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	cr := ClassReport{
+		Class: cl, Offered: ta.withheld, Withheld: ta.withheld, Codes: slices.Clone(ta.codes),
+		Latency: distribution(ta.latency), Refusal: distribution(ta.refusal), RetryAfter: distribution(ta.retryAfter),
+	}
+	slices.SortFunc(cr.Codes, func(a, b CodeCount) int { return int(a.Code) - int(b.Code) })
+	for _, cc := range cr.Codes {
+		cr.Offered += cc.Count
+		switch cc.Class {
+		case codes.Done:
+			cr.Done += cc.Count
+		case codes.Failed:
+			cr.Failed += cc.Count
+		case codes.NotRun:
+			cr.NotRun += cc.Count
+		default:
+			cr.Unknown += cc.Count
+		}
+	}
+	return cr
+}
+
+func distribution(hi *hdrhistogram.Histogram) Distribution {
+	millis := func(value int64) float64 { return float64(value) / 1000 }
+	return Distribution{
+		Count: hi.TotalCount(), P50: millis(hi.ValueAtQuantile(50)), P90: millis(hi.ValueAtQuantile(90)),
+		P99: millis(hi.ValueAtQuantile(99)), P999: millis(hi.ValueAtQuantile(99.9)), Max: millis(hi.Max()),
+	}
+}
+
+// Jain returns Jain's index of fairness: one if all values are equal, and one
+// divided by their number if a single one is above zero. It is zero without
+// any value above zero.
+func Jain(values []float64) float64 {
+	var sum, squares float64
+	for _, va := range values {
+		sum += va
+		squares += va * va
+	}
+	if squares == 0 {
+		return 0
+	}
+	return sum * sum / (float64(len(values)) * squares)
+}
+
+// WriteText writes the report as tables.
+func (rp Report) WriteText(out io.Writer) error {
+	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(tw, "seed %d, %.1f s; times in ms\n\n", rp.Seed, rp.Seconds)
+	fmt.Fprintln(tw, "WORKSPACE\tCALLER\tRATE\tOFFERED\tDONE\tFAILED\tNOT RUN\tUNKNOWN\tWITHHELD\tP50\tP90\tP99\tP99.9\tMAX")
+	for _, cr := range rp.Classes {
+		la := cr.Latency
+		fmt.Fprintf(tw, "%s\t%s\t%g\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\n", cr.Workspace, cr.Caller, cr.Rate,
+			cr.Offered, cr.Done, cr.Failed, cr.NotRun, cr.Unknown, cr.Withheld, la.P50, la.P90, la.P99, la.P999, la.Max)
+	}
+	fmt.Fprintln(tw, "\nWORKSPACE\tCALLER\tCODE\tCLASS\tCOUNT")
+	for _, cr := range rp.Classes {
+		for _, cc := range cr.Codes {
+			fmt.Fprintf(tw, "%s\t%s\t%d %s\t%s\t%d\n", cr.Workspace, cr.Caller, int(cc.Code), cc.Name, cc.Class, cc.Count)
+		}
+	}
+	fmt.Fprintln(tw, "\nWORKSPACE\tCALLER\tREFUSAL P50\tP99\tRETRY-AFTER P50\tMAX")
+	for _, cr := range rp.Classes {
+		if cr.Refusal.Count > 0 {
+			fmt.Fprintf(tw, "%s\t%s\t%.2f\t%.2f\t%.0f\t%.0f\n", cr.Workspace, cr.Caller,
+				cr.Refusal.P50, cr.Refusal.P99, cr.RetryAfter.P50, cr.RetryAfter.Max)
+		}
+	}
+	for _, eq := range rp.Equal {
+		fmt.Fprintf(tw, "\nJain's index over the %d classes of equal demand from %s on: %.4f\n", len(eq.Callers), eq.Callers[0], eq.Jain)
+	}
+	return tw.Flush()
+}
