Ask each zone's scheduler for the numbers of the status

Cause: status showed zero workers and accelerators for every zone but that of the host that answered, as it counted other zones from their lists of jobs. Ruled out: the numbers in every heartbeat, which cost bytes that nobody reads. Change: a call to the scheduler of the zone, found like that of a job; an operator without a name is told as such in the refusal of a lost race. Conclusion: status says the same on every host.

--- a/internal/conf/apply.go
+++ b/internal/conf/apply.go
@@ -176,6 +176,9 @@
 		cur.AppliedBy, cur.AppliedAt = winner.AppliedBy, winner.AppliedAt
 		by = winner.AppliedBy
 	}
+	if by == "" {
+		by = "an operator who gave no name"
+	}
 	return cur, false, codes.New(codes.RevisionConflict, "revision %d by %s is in force", inForce, by)
 }
 
--- a/internal/host/operate.go
+++ b/internal/host/operate.go
@@ -132,30 +132,21 @@
 	return st, nil
 }
 
-// count fills in the numbers of a zone: its scheduler's own, or those that
-// the list of its jobs gives.
+// count fills in the numbers that a zone's scheduler gives. They stay out for a
+// zone that can't be asked.
 func (op operators) count(ctx context.Context, now time.Time, zs client.ZoneStatus) client.ZoneStatus {
-	if sm, ok := op.ho.zone.Summary(now); ok && zs.Name == op.ho.se.Host.Zone {
-		zs.Workers = sm.Workers
-		zs.FreeAccelerators = sm.FreeAccelerators
-		zs.Waiting = sm.Waiting
-		zs.Running = sm.Running
-		return zs
-	}
 	if !zs.Reachable {
 		return zs
 	}
-	rcs, err := op.ho.router.ListZone(ctx, zs.Name, jobs.Filter{Active: true})
+	sm, err := op.ho.router.Summary(ctx, now, zs.Name)
 	if err != nil {
+		op.ho.log.Warn("zone gives no summary", "event", "status", "zone", zs.Name, "error", err)
 		return zs
 	}
-	for _, rc := range rcs {
-		if rc.State == jobs.Queued {
-			zs.Waiting++
-		} else {
-			zs.Running++
-		}
-	}
+	zs.Workers = sm.Workers
+	zs.FreeAccelerators = sm.FreeAccelerators
+	zs.Waiting = sm.Waiting
+	zs.Running = sm.Running
 	return zs
 }
 
--- a/internal/host/router.go
+++ b/internal/host/router.go
@@ -10,6 +10,7 @@
 
 	"github.com/cicadawharf/cicadawharf/internal/jobs"
 	"github.com/cicadawharf/cicadawharf/internal/peers"
+	"github.com/cicadawharf/cicadawharf/internal/sched"
 	"github.com/cicadawharf/cicadawharf/internal/wire"
 	"github.com/cicadawharf/cicadawharf/internal/zone"
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
@@ -85,6 +86,29 @@
 	return rcs, err
 }
 
+// Summary returns a zone's state in numbers, from its scheduler.
+func (ro *router) Summary(ctx context.Context, now time.Time, zn string) (sched.Summary, error) {
+	var sm sched.Summary
+	err := ro.try(ctx, zn, codes.ZoneUnreachable, func() error {
+		var ok bool
+		if sm, ok = ro.local.Summary(now); !ok {
+			return codes.New(codes.NoScheduler, "availability zone %s has no scheduler", zn)
+		}
+		return nil
+	}, func(host string) error {
+		var reply wire.Summary
+		if err := ro.caller.Call(ctx, host, peers.MethodGetSummary, &wire.GetSummary{}, &reply); err != nil {
+			return err
+		}
+		sm = sched.Summary{
+			Epoch: reply.GetEpoch(), Workers: int(reply.GetWorkers()), FreeAccelerators: int(reply.GetFreeAccelerators()),
+			Waiting: int(reply.GetWaiting()), Running: int(reply.GetRunning()),
+		}
+		return nil
+	})
+	return sm, err
+}
+
 // one makes a call that concerns one job.
 func (ro *router) one(
 	ctx context.Context, zn, method string, rq proto.Message, lost codes.Code, local func() (jobs.Record, error),
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -10,6 +10,7 @@
 	"github.com/cicadawharf/cicadawharf/internal/jobs"
 	"github.com/cicadawharf/cicadawharf/internal/peers"
 	"github.com/cicadawharf/cicadawharf/internal/wire"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
 // claims adapts the table of claims to the entry server.
@@ -57,6 +58,16 @@
 	peers.Handle(ho.mesh, peers.MethodGetConfig, func(_ context.Context, _ string, rq *wire.GetConfig) (*wire.Config, error) {
 		return ho.newerConfig(rq.GetRevision()), nil
 	})
+	peers.Handle(ho.mesh, peers.MethodGetSummary, func(context.Context, string, *wire.GetSummary) (*wire.Summary, error) {
+		sm, ok := ho.zone.Summary(time.Now())
+		if !ok {
+			return nil, codes.New(codes.NoScheduler, "host %s does not schedule its zone", ho.se.Host.Name)
+		}
+		return &wire.Summary{
+			Epoch: sm.Epoch, Workers: int32(sm.Workers), FreeAccelerators: int32(sm.FreeAccelerators),
+			Waiting: int32(sm.Waiting), Running: int32(sm.Running),
+		}, nil
+	})
 	ho.exchange.Register(ho.mesh)
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -65,6 +65,7 @@
 	MethodGetConfig   = "getConfig"
 	MethodGetAccounts = "getAccounts"
 	MethodPutAccount  = "putAccount"
+	MethodGetSummary  = "getSummary"
 )
 
 // Handle registers a handler of typed messages.
