Move jobs together for a large gang that has waited long

Cause: large gangs waited for whole workers while free accelerators lay scattered over partly held ones; keeping ground for them only helps as others end. Change: for an aged gang, gangs that keep their work when stopped are moved if all of them fit elsewhere at once; ground that guarantees need is left alone.

--- a/internal/place/day_test.go
+++ b/internal/place/day_test.go
@@ -23,6 +23,7 @@
 		run      time.Duration
 		declared time.Duration
 		movable  bool
+		lossless bool          // keeps its work when stopped
 		left     time.Duration // still to run
 		begun    time.Time     // of the present attempt
 		first    time.Time     // of the first one
@@ -100,7 +101,7 @@
 			Job: fmt.Sprintf("j%03d", i), Workspace: fmt.Sprintf("w%d", rnd.IntN(benchWorkspaces/5)), Submitted: at,
 			Priority: []jobs.Priority{jobs.Low, jobs.Normal, jobs.Normal, jobs.Normal, jobs.Urgent}[rnd.IntN(5)],
 		},
-		shape: shape(tasks, accelerators, spec.SameZone), run: run, left: run, movable: rnd.IntN(10) > 0,
+		shape: shape(tasks, accelerators, spec.SameZone), run: run, left: run, movable: rnd.IntN(10) > 0, lossless: rnd.IntN(2) == 0,
 		declared: time.Duration(float64(run) * []float64{0.1, 0.5, 1, 2, 10}[rnd.IntN(5)]),
 	}
 	if tasks*accelerators <= 32 && rnd.IntN(2) == 0 {
@@ -161,23 +162,27 @@
 	dy.queue = slices.DeleteFunc(dy.queue, func(other *dayJob) bool { return other == jb })
 	dy.fleet.Add(place.Gang{
 		Job: jb.Job, Workspace: jb.Workspace, Shape: jb.shape, Priority: jb.Priority, Unit: unit, Ground: ground,
-		Movable: jb.movable, Started: dy.now, Ends: dy.now.Add(jb.declared), Workers: workers,
+		Movable: jb.movable, Lossless: jb.lossless, Started: dy.now, Ends: dy.now.Add(jb.declared), Workers: workers,
 	})
 	dy.push(dy.now.Add(jb.left), jb)
 }
 
-// stop takes a victim off its ground; what it has run is lost.
+// stop takes a victim off its ground. What it has run is lost unless it takes
+// a checkpoint.
 func (dy *day) stop(id string) {
 	jb := dy.jobs[id]
+	if jb.lossless {
+		jb.left -= max(0, dy.now.Sub(jb.begun)-checkpointed)
+	}
 	jb.begun = time.Time{}
 	dy.fleet.Remove(id)
 	dy.queue = append(dy.queue, jb)
 }
 
-func (dy *day) request(jb *dayJob) place.Request {
+func (dy *day) request(jb *dayJob, aged bool) place.Request {
 	share := func(string) int { return dayRacks * 64 / (benchWorkspaces / 5) }
 	return place.Request{
-		Job: jb.Job, Workspace: jb.Workspace, Shape: jb.shape, Priority: jb.Priority, Movable: jb.movable,
+		Job: jb.Job, Workspace: jb.Workspace, Shape: jb.shape, Priority: jb.Priority, Movable: jb.movable, Aged: aged,
 		Ends: dy.now.Add(jb.declared), Share: share(""), Shares: share,
 	}
 }
@@ -191,7 +196,7 @@
 	qu := place.NewQueue(dy.now, dy.fleet, func(string) int { return 1 }, waiting)
 	for wa, aged, ok := qu.Next(); ok; wa, aged, ok = qu.Next() {
 		jb := dy.jobs[wa.Job]
-		switch de := dy.fleet.Decide(dy.now, dy.request(jb)).(type) {
+		switch de := dy.fleet.Decide(dy.now, dy.request(jb, aged)).(type) {
 		case place.Placed:
 			dy.begin(jb, de.Workers, de.Unit, de.Ground)
 		case place.Reclaim:
@@ -199,9 +204,12 @@
 				dy.stop(id)
 			}
 			dy.begin(jb, de.Workers, de.Unit, de.Ground)
+			dy.fleet.ClearReserved()
+			fullPolicy(dy) // the victims are queued again
+			return
 		case place.Waits:
 			if aged {
-				dy.fleet.Reserve(dy.now, dy.request(jb))
+				dy.fleet.Reserve(dy.now, dy.request(jb, aged))
 			}
 		}
 	}
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -17,6 +17,7 @@
 		Shape     spec.Shape
 		Priority  jobs.Priority
 		Movable   bool
+		Aged      bool      // has waited for the ageing time
 		Ends      time.Time // as expected, if it starts now
 		Avoid     []string  // names of workers on which its attempts have failed
 		Share     int       // accelerators that the workspace may claim by urgency
@@ -94,6 +95,11 @@
 	if rc, ok := fl.reclaim(now, rq); ok {
 		return rc
 	}
+	if rq.Aged {
+		if rc, ok := fl.compact(now, rq); ok {
+			return rc
+		}
+	}
 	if len(spots) > 0 {
 		return Waits{WaitsForGuarantee}
 	}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -132,6 +132,46 @@
 	}
 }
 
+func TestCompactionMovesWhatKeepsItsWork(t *testing.T) {
+	later := start.Add(time.Hour)
+	wide := place.Request{Job: "wide", Workspace: "w", Shape: shape(1, 8, spec.SameWorker), Movable: true, Aged: true}
+	young := wide
+	young.Aged = false
+	tests := []struct {
+		name     string
+		lossless bool
+		parts    int // accelerators that each worker's gang holds
+		request  place.Request
+		victims  int
+	}{
+		{"small gangs move together", true, 3, wide, 1},
+		{"not for a job that has not aged", true, 3, young, 0},
+		{"not if they would lose their work", false, 3, wide, 0},
+		{"not without room elsewhere", true, 5, wide, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			fl := place.NewFleet(racks(1), nil)
+			for at := range 8 {
+				fl.Add(place.Gang{
+					Job: fmt.Sprintf("g%d", at), Workspace: "w", Shape: shape(1, tt.parts, spec.SameZone), Unit: place.NoUnit,
+					Movable: true, Lossless: tt.lossless, Started: start, Workers: []int{at},
+				})
+			}
+			switch de := fl.Decide(later, tt.request).(type) {
+			case place.Reclaim:
+				is.Equal(len(de.Victims), tt.victims)
+				is.Equal(de.Lost, time.Duration(0))
+			default:
+				is.Equal(tt.victims, 0)
+				_, waits := de.(place.Waits)
+				is.True(waits)
+			}
+		})
+	}
+}
+
 func TestUrgencyDoesNotEnlargeAShare(t *testing.T) {
 	is := is.New(t)
 	fl := place.NewFleet(racks(1), nil)
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -19,6 +19,7 @@
 	priority  jobs.Priority
 	movable   bool
 	avoids    int
+	aged      bool
 	length    int // magnitude of the expected run time
 }
 
@@ -35,9 +36,9 @@
 			break
 		}
 		jb := co.jobs[wa.Job]
-		co.placeOne(now, jb, failed)
+		co.placeOne(now, jb, aged, failed)
 		if aged && jb.rec.State == jobs.Queued && jb.earmark == nil {
-			co.fleet.Reserve(now, co.request(now, jb))
+			co.fleet.Reserve(now, co.request(now, jb, aged))
 		}
 	}
 	co.fleet.ClearReserved()
@@ -65,8 +66,8 @@
 	return 1
 }
 
-func (co *Core) placeOne(now time.Time, jb *job, failed map[demand]place.WaitReason) {
-	dm := demand{jb.rec.Workspace, jb.rec.Shape, jb.rec.Priority, jb.rec.Movable(), len(jb.avoid), bits.Len64(uint64(co.runTimes.expect(jb.rec.Spec)))}
+func (co *Core) placeOne(now time.Time, jb *job, aged bool, failed map[demand]place.WaitReason) {
+	dm := demand{jb.rec.Workspace, jb.rec.Shape, jb.rec.Priority, jb.rec.Movable(), len(jb.avoid), aged, bits.Len64(uint64(co.runTimes.expect(jb.rec.Spec)))}
 	if reason, ok := failed[dm]; ok {
 		jb.rec = jb.rec.WithDetail(string(reason))
 		return
@@ -84,13 +85,13 @@
 		jb.rec = jb.rec.WithDetail("waits for the store, as it may not be repeated")
 		return
 	}
-	co.carryOut(now, jb, dm, failed)
+	co.carryOut(now, jb, co.request(now, jb, aged), dm, failed)
 }
 
 const waitsForQuota place.WaitReason = "quota"
 
-func (co *Core) carryOut(now time.Time, jb *job, dm demand, failed map[demand]place.WaitReason) {
-	switch de := co.fleet.Decide(now, co.request(now, jb)).(type) {
+func (co *Core) carryOut(now time.Time, jb *job, rq place.Request, dm demand, failed map[demand]place.WaitReason) {
+	switch de := co.fleet.Decide(now, rq).(type) {
 	case place.Placed:
 		co.begin(now, jb, spot{de.Workers, de.Unit, de.Ground}, de)
 	case place.Reclaim:
@@ -105,10 +106,10 @@
 	}
 }
 
-func (co *Core) request(now time.Time, jb *job) place.Request {
+func (co *Core) request(now time.Time, jb *job, aged bool) place.Request {
 	return place.Request{
 		Job: jb.rec.ID, Workspace: jb.rec.Workspace, Shape: jb.rec.Shape, Priority: jb.rec.Priority,
-		Movable: jb.rec.Movable(), Ends: now.Add(co.runTimes.expect(jb.rec.Spec)), Avoid: jb.avoid,
+		Movable: jb.rec.Movable(), Aged: aged, Ends: now.Add(co.runTimes.expect(jb.rec.Spec)), Avoid: jb.avoid,
 		Share: co.share(jb.rec.Workspace), Shares: co.share,
 	}
 }
