--- a/internal/zone/elect.go
+++ b/internal/zone/elect.go
@@ -149,6 +149,10 @@
 	ld, rcs, err := openLedger(held, zo.cfg.Store, zo.cfg.Zone, epoch)
 	if err != nil {
 		log.Warn("scheduler could not load its jobs", "event", "elect", "error", err)
+		var newer *newerEpochError
+		if errors.As(err, &newer) {
+			zo.heard(newer.epoch)
+		}
 		zo.giveUp(lease)
 		pause(ctx, electRetry)
 		return
--- a/internal/zone/ledger.go
+++ b/internal/zone/ledger.go
@@ -38,6 +38,14 @@
 
 func bucketKey(zone string, bucket int) string { return fmt.Sprintf("jobs/%s/%d", zone, bucket) }
 
+// newerEpochError says that a bucket was written under a larger epoch.
+type newerEpochError struct{ epoch int64 }
+
+// Error implements error.
+func (ne *newerEpochError) Error() string {
+	return fmt.Sprintf("written under the larger epoch %d", ne.epoch)
+}
+
 // openLedger reads every bucket and rewrites it under the new epoch, which
 // fences every earlier holder.
 func openLedger(ctx context.Context, st store.Store, zone string, epoch int64) (*ledger, []jobs.Record, error) {
@@ -63,7 +71,7 @@
 		return nil, merry.Wrap(err)
 	}
 	if jb.GetEpoch() > ld.epoch {
-		return nil, merry.Errorf("written under the larger epoch %d", jb.GetEpoch())
+		return nil, merry.Wrap(&newerEpochError{epoch: jb.GetEpoch()})
 	}
 	ld.buckets[bucket].revision = en.Revision
 	var rcs []jobs.Record
