Warn of running work that new declarations would affect

Ruled out: refusing such declarations, as operators do remove workspaces. Text and JSON carry the warnings. Conclusion: an operator sees what an apply would cost before it is made.

--- a/internal/cmds/declare.go
+++ b/internal/cmds/declare.go
@@ -27,6 +27,7 @@
 	checkResult struct {
 		Valid    bool           `json:"valid"`
 		Faults   []client.Fault `json:"faults,omitempty"`
+		Warnings []string       `json:"warnings,omitempty"`
 		Revision *int64         `json:"revision,omitempty"` // in force, with --against
 		Changes  []spec.Change  `json:"changes,omitempty"`
 	}
@@ -85,7 +86,8 @@
 		return checkResult{}, err
 	}
 	defer cl.Close()
-	if ap, err := cl.Check(ctx, data); err != nil {
+	ap, err := cl.Check(ctx, data)
+	if err != nil {
 		en.printFaults(op.file, ap.Faults)
 		return checkResult{}, err
 	}
@@ -97,7 +99,9 @@
 	if err != nil {
 		return checkResult{}, codes.New(codes.InternalFailure, "the declarations in force can't be read: %v", err)
 	}
-	return checkResult{Valid: true, Revision: &inf.Revision, Changes: spec.Compare(doc.Declarations, next)}, nil
+	return checkResult{
+		Valid: true, Revision: &inf.Revision, Changes: spec.Compare(doc.Declarations, next), Warnings: ap.Warnings,
+	}, nil
 }
 
 func writeCheck(out io.Writer, rs checkResult) error {
@@ -113,6 +117,11 @@
 			return err
 		}
 	}
+	for _, wa := range rs.Warnings {
+		if _, err := fmt.Fprintln(out, "warning: "+wa); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/internal/host/operate.go
+++ b/internal/host/operate.go
@@ -78,7 +78,7 @@
 }
 
 // Check implements entry.Operators.
-func (op operators) Check(_ context.Context, content []byte) (client.Applied, error) {
+func (op operators) Check(ctx context.Context, content []byte) (client.Applied, error) {
 	ad := client.Applied{Revision: op.ho.follower.Revision()}
 	doc, err := spec.Parse(appliedFile, content)
 	if err == nil {
@@ -91,6 +91,7 @@
 		return ad, codes.New(codes.InvalidDeclaration, "%d faults", len(ad.Faults))
 	}
 	ad.Code = codes.RequestDone
+	ad.Warnings = op.affected(ctx, doc.Declarations)
 	return ad, nil
 }
 
--- a/pkg/client/types.go
+++ b/pkg/client/types.go
@@ -60,8 +60,9 @@
 // Applied is the body of PUT /v1/declarations.
 type Applied struct {
 	Answer
-	Revision int64   `json:"revision"` // accepted, or in force if refused
-	Faults   []Fault `json:"faults,omitempty"`
+	Revision int64    `json:"revision"` // accepted, or in force if refused
+	Faults   []Fault  `json:"faults,omitempty"`
+	Warnings []string `json:"warnings,omitempty"` // of a check: running work that is affected
 }
 
 // Fault is one fault of a declarations file.
