Test lapses, writes in doubt and refusals of the zone one by one

Cause: trial mutations of the zone's shell on a scratch copy, which ignored a lapsed lease, forgot that a write was in doubt, or left the refusal of new jobs out, passed its tests, because another signal ended the same way. Ruled out: faults of the shell; the added tests pass without a change of it. Change: one test for each, in which no other signal comes, and the house format of the harness.

--- a/internal/zone/harness_test.go
+++ b/internal/zone/harness_test.go
@@ -35,6 +35,7 @@
 		down   bool   // calls fail without effect
 		lose   int    // so many swaps take effect and lose their answer
 		losing string // prefix of the keys that this concerns
+		cut    bool   // with a lost answer it goes down
 		stall  string // prefix of keys whose swaps do not take effect and wait
 	}
 
@@ -70,7 +71,7 @@
 	zoneName  = "lima"
 	workers   = 4
 	callDelay = 50 * time.Millisecond
-	storeTime = 2 * time.Second // of a call that waits
+	storeTime = 2 * time.Second  // of a call that waits
 	bound     = 30 * time.Second // of every wait, by the clock of the test
 )
 
@@ -188,6 +189,7 @@
 	en := ke.put(rq.Key, rq.Value, rq.Lease)
 	if ke.lose > 0 && strings.HasPrefix(rq.Key, ke.losing) {
 		ke.lose--
+		ke.down = ke.down || ke.cut
 		return store.Entry{}, store.ErrLost
 	}
 	return en, nil
--- a/internal/zone/zone_test.go
+++ b/internal/zone/zone_test.go
@@ -107,6 +107,35 @@
 	}
 }
 
+func TestLapseAloneEndsTheTerm(t *testing.T) {
+	within(t, func(t *testing.T, ri *rig) {
+		ho := ri.elected("entry-1")
+		ri.store.lapse()
+		ri.await("the next term", func() bool { return ho.Holds() && ho.Holder().Epoch == 2 })
+		runsToEnd(t, ri, ho, "a")
+	})
+}
+
+func TestWriteThatStayedInDoubtIsSettledLater(t *testing.T) {
+	within(t, func(t *testing.T, ri *rig) {
+		is := is.New(t)
+		ctx := context.Background()
+		ho := ri.elected("entry-1")
+		ri.store.set(func() { ri.store.losing, ri.store.lose, ri.store.cut = "jobs/", 1, true })
+		_, err := ho.Submit(ctx, job("a", time.Second))
+		is.Equal(codeOf(err), codes.SubmitUnknown)
+		is.Equal(len(ri.recorded()), 1) // it stands
+		ri.store.set(func() { ri.store.down = false })
+		rc, err := ho.Submit(ctx, job("a", time.Second))
+		is.NoErr(err)
+		rc, err = ho.Get(ctx, rc.ID, bound)
+		is.NoErr(err)
+		is.Equal(rc.Code, codes.JobDone)
+		is.Equal(ri.crew.runs(rc.ID), 1)
+		is.Equal(ho.Holder().Epoch, int64(1)) // own writes are no conflict
+	})
+}
+
 // fence rewrites every bucket under a larger epoch, as a successor does.
 func fence(t *testing.T, ri *rig, epoch int64) {
 	t.Helper()
@@ -124,7 +153,6 @@
 		fence(t, ri, 2)
 		rc, err := ho.Submit(context.Background(), job("a", time.Second))
 		is.True(err != nil)
-		t.Logf("told: %v", err)
 		ri.await("a later term begins", func() bool { return ho.Holds() && ho.Holder().Epoch > 1 })
 		time.Sleep(bound)
 		is.Equal(ri.crew.runs(rc.ID), 0)
@@ -197,7 +225,9 @@
 		ri.store.set(func() { ri.store.down = true })
 		time.Sleep(bound)
 		is.True(ho.Holds()) // nobody else can take over
-		_, err = ho.Submit(ctx, job("new", time.Second))
+		begun := time.Now()
+		_, err = ho.Submit(ctx, job("refused", time.Second))
+		is.Equal(time.Since(begun), time.Duration(0)) // at once
 		var er *codes.Error
 		is.True(errors.As(err, &er))
 		is.Equal(er.Code, codes.StoreUnavailable)
@@ -216,6 +246,24 @@
 			return err == nil
 		})
 		is.Equal(ho.Holder().Epoch, int64(1))
+		_, ok := ri.recorded()[zoneName+".refused"]
+		is.True(!ok)
+	})
+}
+
+func TestJobIsRefusedThoughNoWriteHasFailed(t *testing.T) {
+	within(t, func(t *testing.T, ri *rig) {
+		is := is.New(t)
+		ho := ri.elected("entry-1")
+		ri.store.set(func() { ri.store.down = true })
+		time.Sleep(5 * time.Second) // renewals fail
+		begun := time.Now()
+		_, err := ho.Submit(context.Background(), job("refused", time.Second))
+		is.Equal(codeOf(err), codes.StoreUnavailable)
+		is.Equal(time.Since(begun), time.Duration(0))
+		ri.store.set(func() { ri.store.down = false })
+		time.Sleep(bound)
+		is.Equal(len(ri.recorded()), 0)
 	})
 }
 
