--- a/internal/sched/bucket.go
+++ b/internal/sched/bucket.go
@@ -90,7 +90,7 @@
 	switch ev.Result {
 	case WriteStands:
 		bu.failing = false
-		co.stands(now, bu.sent)
+		co.stands(bu.sent)
 	case WriteConflict:
 		co.resign("another scheduler has written bucket")
 	case WriteFailed:
@@ -113,7 +113,7 @@
 }
 
 // stands takes note of what a write has put into the store.
-func (co *Core) stands(now time.Time, sent map[string]snapshot) {
+func (co *Core) stands(sent map[string]snapshot) {
 	for id, sn := range sent {
 		jb, ok := co.jobs[id]
 		if !ok {
@@ -133,7 +133,7 @@
 			co.pass = true
 		}
 	}
-	co.touchStrays(now)
+	co.touchStrays()
 }
 
 // dropUnsaved removes the jobs that were to be recorded for the first time by
--- a/internal/sched/machine.go
+++ b/internal/sched/machine.go
@@ -176,7 +176,7 @@
 }
 
 // touchStrays looks for rows that nothing needs any more, after a write.
-func (co *Core) touchStrays(time.Time) {
+func (co *Core) touchStrays() {
 	for _, ma := range co.machines {
 		co.wantStrays(ma)
 	}
