Measure the path of requests against a plain forwarder

Cause: the targets of latency, throughput, overload, fairness and retries had no figures. Ruled out: entry hosts in the process of the load, whose processor time can't be told from that of the endpoints. Change: a benchmark that starts the endpoint stand-ins, two entry hosts and a forwarder of a few lines, each under measure in a process of its own, and alternates between them.

--- /dev/null
+++ b/internal/load/bench_test.go
@@ -0,0 +1,396 @@
+package load_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/fakes/epsim"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/fleet"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/kvsim"
+	"github.com/cicadawharf/cicadawharf/internal/load"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+// bed is one availability zone: endpoint stand-ins in this process, two entry
+// hosts and a plain forwarder in processes of their own.
+type bed struct {
+	fleet     *fleet.Fleet
+	entries   []*child
+	forwarder *child
+}
+
+const (
+	endpointCount = 8
+	slotsOfEach   = 8
+	service       = "pricing"
+
+	longDelay  = 80 * time.Millisecond // under overload
+	shortDelay = 20 * time.Millisecond // for latency
+	rounds     = 3
+
+	declarations = `
+timeZone: America/Lima
+zones:
+  - name: lima
+    region: lima
+    racks: [{name: rack-1, workers: 8, accelerators: 8, cores: 64, memoryGiB: 128}]
+services:
+  - {name: pricing, slots: 8, connections: 60, repeatable: true, spill: none, timeout: 5s, maxBody: 1048576}
+workspaces:
+  - {name: quiet, weight: 1, services: [{name: pricing, slots: 20}]}
+  - {name: flood, weight: 1, services: [{name: pricing, slots: 20}]}
+`
+)
+
+// capacity is how many requests a second the endpoints can serve.
+func capacity(delay time.Duration) float64 {
+	return endpointCount * slotsOfEach / delay.Seconds()
+}
+
+// BenchmarkRequests measures the path of requests against a plain forwarder.
+// Run it with -benchtime 1x: each part takes a fixed time.
+func BenchmarkRequests(b *testing.B) {
+	bd := newBed(b)
+	b.Run("Latency", bd.latency)
+	b.Run("Throughput", bd.throughput)
+	b.Run("Overload", bd.overload)
+	b.Run("Callers", bd.callers)
+	b.Run("Retries", bd.retries)
+}
+
+func newBed(tb testing.TB) *bed {
+	tb.Helper()
+	doc, err := spec.Parse("declarations", []byte(declarations))
+	must(tb, err)
+	kv, err := kvsim.New(kvsim.Config{Listen: "127.0.0.1:0"})
+	must(tb, err)
+	tb.Cleanup(func() { kv.Close() })
+	go func() { _ = kv.Run(context.Background()) }()
+	st := store.New(store.Config{Addresses: []string{kv.Addr()}, Timeout: 2 * time.Second})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	bd := &bed{}
+	bd.fleet, err = fleet.Start(ctx, fleet.Config{Declarations: doc.Declarations, Store: st, EndpointsPerZone: endpointCount})
+	must(tb, err)
+	tb.Cleanup(bd.fleet.Close)
+	var endpoints []string
+	for _, ep := range bd.fleet.Endpoints() {
+		endpoints = append(endpoints, ep.Addr())
+	}
+	bd.forwarder = spawn(tb, role{Endpoints: endpoints})
+	var seeds []string
+	for _, name := range []string{"lima-a", "lima-b"} {
+		ch := spawn(tb, role{Name: name, Zone: "lima", Store: kv.Addr(), Seeds: seeds})
+		seeds = append(seeds, ch.Peer)
+		bd.entries = append(bd.entries, ch)
+	}
+	cl := client.New(client.Config{Addresses: bd.addresses()})
+	defer cl.Close()
+	_, err = cl.Apply(ctx, []byte(declarations), 0, 10*time.Second)
+	must(tb, err)
+	bd.awaitShares(ctx, tb)
+	return bd
+}
+
+// awaitShares waits until each entry host owns its half of the slots.
+func (bd *bed) awaitShares(ctx context.Context, tb testing.TB) {
+	tb.Helper()
+	half := float64(endpointCount * slotsOfEach / len(bd.entries))
+	for {
+		settled := true
+		for _, ch := range bd.entries {
+			settled = settled && metric(tb, ch, "cicadawharf_slots{") == half
+		}
+		if settled {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			tb.Fatal("the hosts don't share the slots")
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+func (bd *bed) addresses() []string {
+	var as []string
+	for _, ch := range bd.entries {
+		as = append(as, ch.HTTP)
+	}
+	return as
+}
+
+// metric returns the sum of the metrics of one name.
+func metric(tb testing.TB, ch *child, prefix string) float64 {
+	tb.Helper()
+	rp, err := http.Get("http://" + ch.HTTP + "/metrics")
+	must(tb, err)
+	defer rp.Body.Close()
+	sum := 0.0
+	for sc := bufio.NewScanner(rp.Body); sc.Scan(); {
+		if strings.HasPrefix(sc.Text(), prefix) {
+			value, err := strconv.ParseFloat(sc.Text()[strings.LastIndexByte(sc.Text(), ' ')+1:], 64)
+			must(tb, err)
+			sum += value
+		}
+	}
+	return sum
+}
+
+func (bd *bed) offer(tb testing.TB, seed uint64, du time.Duration, classes ...load.Class) load.Report {
+	tb.Helper()
+	return bd.offerTo(tb, bd.addresses(), seed, du, classes...)
+}
+
+func (bd *bed) offerTo(tb testing.TB, addresses []string, seed uint64, du time.Duration, classes ...load.Class) load.Report {
+	tb.Helper()
+	rp, err := load.Run(context.Background(), load.Config{
+		Addresses: addresses, Service: service, Path: "/quote", Classes: classes, Duration: du,
+		Concurrency: 8192, Seed: seed, Plain: addresses[0] == bd.forwarder.HTTP,
+	})
+	must(tb, err)
+	return rp
+}
+
+// latency compares the latency at half of the capacity, in rounds that
+// alternate.
+func (bd *bed) latency(b *testing.B) {
+	cl := load.Class{Workspace: "quiet", Caller: "c", Rate: capacity(shortDelay) / 2, Delay: shortDelay}
+	var added []float64
+	for ro := range uint64(rounds) {
+		plain := bd.offerTo(b, []string{bd.forwarder.HTTP}, ro, 3*time.Second, cl).Classes[0]
+		entry := bd.offer(b, ro, 3*time.Second, cl).Classes[0]
+		added = append(added, entry.Latency.P50-plain.Latency.P50)
+		b.Logf("| %d | %.2f | %.2f | %.2f | %.2f | %.2f | %d | %d |", ro, plain.Latency.P50, entry.Latency.P50,
+			entry.Latency.P50-plain.Latency.P50, plain.Latency.P99, entry.Latency.P99, entry.Done, entry.Offered)
+	}
+	b.ReportMetric(middle(added), "added-ms")
+}
+
+// throughput compares the requests for each second of processor time, in a
+// closed loop that keeps half of the slots busy.
+func (bd *bed) throughput(b *testing.B) {
+	var ratios []float64
+	bd.closedLoop(b, []*child{bd.forwarder}, time.Second)
+	bd.closedLoop(b, bd.entries, time.Second)
+	for ro := range rounds {
+		plain := bd.closedLoop(b, []*child{bd.forwarder}, 2*time.Second)
+		entry := bd.closedLoop(b, bd.entries, 2*time.Second)
+		ratios = append(ratios, entry/plain)
+		b.Logf("| %d | %.0f | %.0f | %.2f |", ro, plain, entry, entry/plain)
+	}
+	b.ReportMetric(middle(ratios), "ratio")
+}
+
+// closedLoop returns the requests done for each second of processor time.
+func (bd *bed) closedLoop(tb testing.TB, under []*child, du time.Duration) float64 {
+	tb.Helper()
+	const callers = endpointCount * slotsOfEach / 2
+	transport := &http.Transport{MaxIdleConnsPerHost: callers}
+	defer transport.CloseIdleConnections()
+	before := processorTime(tb, under)
+	end := time.Now().Add(du)
+	counts := make([]int, callers)
+	var group sync.WaitGroup
+	for i := range callers {
+		url := "http://" + under[i%len(under)].HTTP + "/v1/services/" + service + "/quote"
+		group.Go(func() {
+			for time.Now().Before(end) {
+				rq, _ := http.NewRequest(http.MethodPost, url, http.NoBody)
+				rq.Header.Set(client.HeaderWorkspace, "quiet")
+				rp, err := transport.RoundTrip(rq)
+				if err != nil {
+					continue
+				}
+				_, err = io.Copy(io.Discard, rp.Body)
+				_ = rp.Body.Close()
+				if err == nil && rp.StatusCode == http.StatusOK {
+					counts[i]++
+				}
+			}
+		})
+	}
+	group.Wait()
+	done := 0
+	for _, count := range counts {
+		done += count
+	}
+	return float64(done) / (processorTime(tb, under) - before).Seconds()
+}
+
+func processorTime(tb testing.TB, under []*child) time.Duration {
+	tb.Helper()
+	var sum time.Duration
+	for _, ch := range under {
+		sum += ch.used(tb)
+	}
+	return sum
+}
+
+// overload has an urgent flood beside a quiet workspace.
+func (bd *bed) overload(b *testing.B) {
+	const settle, length = time.Second, 4 * time.Second
+	full := capacity(longDelay)
+	quiet := load.Class{Workspace: "quiet", Caller: "c", Rate: full / 4, Delay: longDelay, Priority: "normal"}
+	for ro := range uint64(rounds) {
+		alone := bd.offer(b, ro, length, quiet).Classes[0]
+		for _, times := range []float64{2, 5, 10} {
+			flood := load.Class{Workspace: "flood", Caller: "f", Rate: times*full - quiet.Rate, Delay: longDelay, Priority: "urgent"}
+			began := time.Now()
+			rp := bd.offer(b, ro, length, quiet, flood)
+			kept, noisy := bd.useful(rp, began.Add(settle), began.Add(length)), rp.Classes[0]
+			share := share(noisy) / share(alone)
+			b.Logf("| %d | %.0f | %.3f | %.3f | %.1f | %.1f | %.2f | %d | %d | %.1f | %.1f | %.0f |", ro, times, kept/full, share,
+				alone.Latency.P99, noisy.Latency.P99, noisy.Latency.P99/alone.Latency.P99, rp.Classes[1].Unknown+noisy.Unknown,
+				rp.Classes[1].Withheld, rp.Classes[1].Refusal.P50, rp.Classes[1].Refusal.P99, rp.Classes[1].RetryAfter.P50)
+		}
+	}
+}
+
+// useful returns the requests a second that began at the endpoints within a
+// time, less the part of all runs of which the callers got no answer.
+func (bd *bed) useful(rp load.Report, from, to time.Time) float64 {
+	began := from.Add(-time.Second)
+	all, within := 0, 0
+	for _, rn := range bd.fleet.Requests() {
+		if rn.Started.Before(began) {
+			continue
+		}
+		all++
+		if !rn.Started.Before(from) && rn.Started.Before(to) {
+			within++
+		}
+	}
+	done := 0
+	for _, cr := range rp.Classes {
+		done += int(cr.Done)
+	}
+	return float64(within) / to.Sub(from).Seconds() * min(float64(done)/float64(max(all, 1)), 1)
+}
+
+func share(cr load.ClassReport) float64 { return float64(cr.Done) / float64(max(cr.Offered, 1)) }
+
+// callers has ten small callers beside one that asks for fifty times as much,
+// in one workspace.
+func (bd *bed) callers(b *testing.B) {
+	const small, times = 10, 50
+	rate := capacity(longDelay) * 0.3 / small
+	var classes []load.Class
+	for i := range small {
+		classes = append(classes, load.Class{Workspace: "quiet", Caller: fmt.Sprintf("small-%d", i), Rate: rate, Delay: longDelay})
+	}
+	classes = append(classes, load.Class{Workspace: "quiet", Caller: "large", Rate: times * rate, Delay: longDelay})
+	for ro := range uint64(rounds) {
+		rp := bd.offer(b, ro, 4*time.Second, classes...)
+		least := 1.0
+		for _, cr := range rp.Classes[:small] {
+			least = min(least, share(cr))
+		}
+		b.Logf("| %d | %.4f | %.3f | %.3f |", ro, rp.Equal[0].Jain, least, share(rp.Classes[small]))
+	}
+}
+
+// retries counts repetitions while two endpoints die and come back, and while
+// two others have their slots taken by somebody else.
+func (bd *bed) retries(b *testing.B) {
+	yes, no := true, false
+	rate := capacity(shortDelay) / 4
+	classes := []load.Class{
+		{Workspace: "quiet", Caller: "again", Rate: rate, Delay: shortDelay, Repeatable: &yes},
+		{Workspace: "quiet", Caller: "once", Rate: rate, Delay: shortDelay, Repeatable: &no},
+	}
+	faults := []struct {
+		name  string
+		cause func(ctx context.Context)
+	}{
+		{"none", func(context.Context) {}},
+		{"die and come back", bd.die},
+		{"refuse", bd.occupy},
+	}
+	for _, fa := range faults {
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		group.Go(func() { fa.cause(ctx) })
+		repeats, all := bd.count(b, "cicadawharf_repeats_total"), bd.count(b, "cicadawharf_requests_total")
+		rp := bd.offer(b, 1, 5*time.Second, classes...)
+		repeats, all = bd.count(b, "cicadawharf_repeats_total")-repeats, bd.count(b, "cicadawharf_requests_total")-all
+		cancel()
+		group.Wait()
+		for _, cr := range rp.Classes {
+			b.Logf("| %s | %s | %d | %d | %d | %d | %d | %.4f | %s |", fa.name, cr.Caller, cr.Offered, cr.Done, cr.Failed,
+				cr.NotRun, cr.Unknown, repeats/all, codesOf(cr))
+		}
+	}
+}
+
+func codesOf(cr load.ClassReport) string {
+	var parts []string
+	for _, cc := range cr.Codes {
+		if cc.Class != codes.Done {
+			parts = append(parts, fmt.Sprintf("%d:%d", int(cc.Code), cc.Count))
+		}
+	}
+	return strings.Join(parts, " ")
+}
+
+func (bd *bed) count(tb testing.TB, name string) float64 {
+	tb.Helper()
+	sum := 0.0
+	for _, ch := range bd.entries {
+		sum += metric(tb, ch, name)
+	}
+	return sum
+}
+
+// die has two endpoints reset their connections for half of each second.
+func (bd *bed) die(ctx context.Context) {
+	two := bd.fleet.Endpoints()[:2]
+	for down := true; ctx.Err() == nil; down = !down {
+		for _, ep := range two {
+			ep.SetFaults(epsim.Faults{Down: down})
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(500 * time.Millisecond):
+		}
+	}
+	for _, ep := range two {
+		ep.SetFaults(epsim.Faults{})
+	}
+}
+
+// occupy takes the slots of two endpoints, past the entry hosts.
+func (bd *bed) occupy(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, ep := range bd.fleet.Endpoints()[2:4] {
+		for range slotsOfEach {
+			group.Go(func() {
+				for ctx.Err() == nil {
+					rq, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+ep.Addr()+"/", http.NoBody)
+					rq.Header.Set(epsim.HeaderDelay, "50ms")
+					if rp, err := http.DefaultClient.Do(rq); err == nil {
+						_ = rp.Body.Close()
+					}
+				}
+			})
+		}
+	}
+	group.Wait()
+}
+
+func middle(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
--- /dev/null
+++ b/internal/load/children_test.go
@@ -0,0 +1,178 @@
+package load_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/host"
+	"github.com/cicadawharf/cicadawharf/internal/setup"
+)
+
+type (
+	// role is what a child process of the measures does.
+	role struct {
+		Name      string   // of the entry host; empty for the plain forwarder
+		Zone      string   // of the entry host
+		Store     string   // of the entry host
+		Seeds     []string // of the entry host
+		Endpoints []string // of the plain forwarder
+	}
+
+	// ports is the first line of a child.
+	ports struct{ HTTP, Peer string }
+
+	// child is a process under measure, the same binary in another role.
+	child struct {
+		ports
+		stdin  io.WriteCloser
+		stdout *bufio.Scanner
+	}
+)
+
+const (
+	roleVariable = "CICADAWHARF_LOAD_ROLE"
+	childProcs   = 2 // GOMAXPROCS of each child
+)
+
+func TestMain(m *testing.M) {
+	if text := os.Getenv(roleVariable); text != "" {
+		if err := play(text); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// play serves in a role until the standard input ends, and answers each line
+// of it with the processor time used so far.
+func play(text string) error {
+	var ro role
+	if err := json.Unmarshal([]byte(text), &ro); err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	others, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	pt := ports{HTTP: callers.Addr().String(), Peer: others.Addr().String()}
+	if ro.Name == "" {
+		go func() { _ = http.Serve(callers, newForwarder(ro.Endpoints)) }()
+	} else {
+		ho, err := host.New(time.Now(), host.Config{
+			Settings: ro.settings(pt), HTTPListener: callers, PeerListener: others,
+			Log: slog.New(slog.NewTextHandler(os.Stderr, nil)),
+		})
+		if err != nil {
+			return err
+		}
+		go func() { _ = ho.Run(context.Background()) }()
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(pt); err != nil {
+		return err
+	}
+	for sc := bufio.NewScanner(os.Stdin); sc.Scan(); {
+		var ru syscall.Rusage
+		if err := syscall.Getrusage(syscall.RUSAGE_SELF, &ru); err != nil {
+			return err
+		}
+		fmt.Println(ru.Utime.Nano() + ru.Stime.Nano())
+	}
+	return nil
+}
+
+func (ro role) settings(pt ports) setup.Settings {
+	return setup.Settings{
+		Host:  setup.Host{Name: ro.Name, Zone: ro.Zone, Region: ro.Zone, HTTPAddress: pt.HTTP, PeerAddress: pt.Peer},
+		Seeds: ro.Seeds,
+		Store: setup.Store{Addresses: []string{ro.Store}, Timeout: 2 * time.Second},
+		Log:   setup.Log{Level: "info"},
+		Limits: setup.Limits{
+			Requests: setup.DefaultRequests, HeaderBytes: setup.DefaultHeaderBytes, BodyBytes: setup.DefaultBodyBytes,
+			ReadTimeout: setup.DefaultReadTimeout, QueueTime: setup.DefaultQueueTime,
+		},
+		Stop: setup.Stop{Bound: time.Second},
+	}
+}
+
+// spawn starts a child. Its log lines are written to the null device.
+func spawn(tb testing.TB, ro role) *child {
+	tb.Helper()
+	text, err := json.Marshal(ro)
+	must(tb, err)
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), roleVariable+"="+string(text), "GOMAXPROCS="+strconv.Itoa(childProcs))
+	stdin, err := cmd.StdinPipe()
+	must(tb, err)
+	stdout, err := cmd.StdoutPipe()
+	must(tb, err)
+	must(tb, cmd.Start())
+	ch := &child{stdin: stdin, stdout: bufio.NewScanner(stdout)}
+	tb.Cleanup(func() {
+		_ = stdin.Close()
+		_ = cmd.Wait()
+	})
+	ch.stdout.Scan()
+	must(tb, json.Unmarshal(ch.stdout.Bytes(), &ch.ports))
+	return ch
+}
+
+// used returns the processor time of the child so far.
+func (ch *child) used(tb testing.TB) time.Duration {
+	tb.Helper()
+	_, err := fmt.Fprintln(ch.stdin)
+	must(tb, err)
+	ch.stdout.Scan()
+	nanos, err := strconv.ParseInt(ch.stdout.Text(), 10, 64)
+	must(tb, err)
+	return time.Duration(nanos)
+}
+
+// newForwarder returns the plain forwarder: endpoints in turn, headers and
+// body passed on, nothing else.
+func newForwarder(endpoints []string) http.Handler {
+	var turn atomic.Uint64
+	transport := &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rq := r.Clone(r.Context())
+		rq.URL.Scheme = "http"
+		rq.URL.Host = endpoints[turn.Add(1)%uint64(len(endpoints))]
+		rq.RequestURI = ""
+		rp, err := transport.RoundTrip(rq)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+		defer rp.Body.Close()
+		for key, values := range rp.Header {
+			w.Header()[key] = values
+		}
+		w.WriteHeader(rp.StatusCode)
+		_, _ = io.Copy(w, rp.Body)
+	})
+}
+
+func must(tb testing.TB, err error) {
+	tb.Helper()
+	if err != nil {
+		tb.Fatal(err)
+	}
+}
