Test that new jobs are refused before their write hangs

Ruled out: a fault of the refusal itself. Change: the test has writes hang while renewals fail, as a store that is cut does, so that only the refusal can answer at once.

--- a/internal/zone/harness_test.go
+++ b/internal/zone/harness_test.go
@@ -168,9 +168,6 @@
 func (ke *keeper) Swap(ctx context.Context, rq store.SwapRequest) (store.Entry, error) {
 	ke.mu.Lock()
 	defer ke.mu.Unlock()
-	if err := ke.enter(); err != nil {
-		return store.Entry{}, err
-	}
 	if ke.stall != "" && strings.HasPrefix(rq.Key, ke.stall) {
 		ke.mu.Unlock()
 		select {
@@ -180,6 +177,9 @@
 		ke.mu.Lock()
 		return store.Entry{}, store.ErrLost
 	}
+	if err := ke.enter(); err != nil {
+		return store.Entry{}, err
+	}
 	if en := ke.standing(rq.Key); en.Revision != rq.Expect {
 		return en, store.ErrConflict
 	}
--- a/internal/zone/zone_test.go
+++ b/internal/zone/zone_test.go
@@ -251,17 +251,17 @@
 	})
 }
 
-func TestJobIsRefusedThoughNoWriteHasFailed(t *testing.T) {
+func TestNewJobIsRefusedBeforeItsWriteHangs(t *testing.T) {
 	within(t, func(t *testing.T, ri *rig) {
 		is := is.New(t)
 		ho := ri.elected("entry-1")
-		ri.store.set(func() { ri.store.down = true })
+		ri.store.set(func() { ri.store.down, ri.store.stall = true, "jobs/" })
 		time.Sleep(5 * time.Second) // renewals fail
 		begun := time.Now()
 		_, err := ho.Submit(context.Background(), job("refused", time.Second))
 		is.Equal(codeOf(err), codes.StoreUnavailable)
 		is.Equal(time.Since(begun), time.Duration(0))
-		ri.store.set(func() { ri.store.down = false })
+		ri.store.set(func() { ri.store.down, ri.store.stall = false, "" })
 		time.Sleep(bound)
 		is.Equal(len(ri.recorded()), 0)
 	})
