Test how calls find the scheduler of an availability zone

Cause: the router of calls that concern jobs had no tests, though it decides what is asked again. It could not be built outside of its package. Change: Router is exported with a configuration and the interface of the local scheduler, and tests drive submit, cancel, get, list and summary over hosts in memory in virtual time: the scheduler here and elsewhere, a change of it, none within the bound, an open effect, which is never asked again and gets its own code, answers that are kept, and zones that can't be reached.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -53,7 +53,7 @@
 		claims      *claim.Table
 		account     *report.Account
 		exchange    *report.Exchange
-		router      *router
+		router      *Router
 		server      *entry.Server
 		leaving     leavingSet
 		dayZone     atomic.Pointer[dayZone]
@@ -102,7 +102,7 @@
 	ho.exchange = report.NewExchange(report.ExchangeConfig{
 		Account: ho.account, Ledger: report.NewLedger(), Caller: ho.mesh, Members: ho.mesh.Members, Log: ho.log,
 	})
-	ho.router = newRouter(se.Host.Zone, ho.zone, ho.mesh, ho.mesh.Members)
+	ho.router = NewRouter(RouterConfig{Zone: se.Host.Zone, Local: ho.zone, Caller: ho.mesh, Members: ho.mesh.Members})
 	ho.server = entry.New(ho.entryConfig(cfg.HTTPListener))
 	ho.register()
 	return ho, nil
--- a/internal/host/operate.go
+++ b/internal/host/operate.go
@@ -185,12 +185,12 @@
 }
 
 // ListZones implements entry.ZoneLister over the zones that hosts are known of.
-func (ro *router) ListZones(ctx context.Context, fi jobs.Filter) ([]jobs.Record, []string, error) {
+func (ro *Router) ListZones(ctx context.Context, fi jobs.Filter) ([]jobs.Record, []string, error) {
 	var rcs []jobs.Record
 	var unreached []string
-	seen := map[string]bool{ro.zone: true}
-	zones := []string{ro.zone}
-	for _, me := range ro.members(time.Now()) {
+	seen := map[string]bool{ro.cfg.Zone: true}
+	zones := []string{ro.cfg.Zone}
+	for _, me := range ro.cfg.Members(time.Now()) {
 		if !seen[me.Zone] {
 			seen[me.Zone] = true
 			zones = append(zones, me.Zone)
--- a/internal/host/router.go
+++ b/internal/host/router.go
@@ -12,18 +12,32 @@
 	"github.com/cicadawharf/cicadawharf/internal/peers"
 	"github.com/cicadawharf/cicadawharf/internal/sched"
 	"github.com/cicadawharf/cicadawharf/internal/wire"
-	"github.com/cicadawharf/cicadawharf/internal/zone"
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
-// router is the jobs.Service of all zones: it finds the scheduler of the zone
-// that a job's name tells, here or on another host.
-type router struct {
-	zone    string
-	local   *zone.Zone
-	caller  peers.Caller
-	members func(now time.Time) []peers.Member
-}
+type (
+	// RouterConfig constructs a Router.
+	RouterConfig struct {
+		Zone    string // of this host
+		Local   LocalScheduler
+		Caller  peers.Caller
+		Members func(now time.Time) []peers.Member
+	}
+
+	// LocalScheduler is the scheduler of the own zone as this host runs it. It
+	// refuses with NoScheduler while another host holds the epoch.
+	LocalScheduler interface {
+		jobs.Service
+		Holds() bool
+		// Summary returns the zone's numbers; false if this host does not
+		// schedule it.
+		Summary(now time.Time) (sched.Summary, bool)
+	}
+
+	// Router is the jobs.Service of all zones: it finds the scheduler of the
+	// zone that a job's name tells, here or on another host.
+	Router struct{ cfg RouterConfig }
+)
 
 const (
 	// schedulerWait covers a change of the scheduler.
@@ -32,49 +46,48 @@
 	comeBack       = 2 * time.Second
 )
 
-func newRouter(zn string, local *zone.Zone, caller peers.Caller, members func(time.Time) []peers.Member) *router {
-	return &router{zone: zn, local: local, caller: caller, members: members}
-}
+// NewRouter returns a router.
+func NewRouter(cfg RouterConfig) *Router { return &Router{cfg: cfg} }
 
 // Submit implements jobs.Service.
-func (ro *router) Submit(ctx context.Context, sp jobs.Spec) (jobs.Record, error) {
+func (ro *Router) Submit(ctx context.Context, sp jobs.Spec) (jobs.Record, error) {
 	if sp.ID == "" {
 		return jobs.Record{}, codes.New(codes.BadRequest, "job without a name")
 	}
-	local := func() (jobs.Record, error) { return ro.local.Submit(ctx, sp) }
+	local := func() (jobs.Record, error) { return ro.cfg.Local.Submit(ctx, sp) }
 	rq := &wire.SubmitJob{Job: jobs.ToWire(jobs.Record{Spec: sp})}
 	return ro.one(ctx, jobs.ZoneOf(sp.ID), peers.MethodSubmitJob, rq, codes.SubmitUnknown, local)
 }
 
 // Get implements jobs.Service.
-func (ro *router) Get(ctx context.Context, id string, wait time.Duration) (jobs.Record, error) {
-	local := func() (jobs.Record, error) { return ro.local.Get(ctx, id, wait) }
+func (ro *Router) Get(ctx context.Context, id string, wait time.Duration) (jobs.Record, error) {
+	local := func() (jobs.Record, error) { return ro.cfg.Local.Get(ctx, id, wait) }
 	rq := &wire.GetJob{Id: id, WaitMillis: wait.Milliseconds()}
 	return ro.one(ctx, jobs.ZoneOf(id), peers.MethodGetJob, rq, codes.ZoneUnreachable, local)
 }
 
 // Cancel implements jobs.Service.
-func (ro *router) Cancel(ctx context.Context, id string) (jobs.Record, error) {
-	local := func() (jobs.Record, error) { return ro.local.Cancel(ctx, id) }
+func (ro *Router) Cancel(ctx context.Context, id string) (jobs.Record, error) {
+	local := func() (jobs.Record, error) { return ro.cfg.Local.Cancel(ctx, id) }
 	return ro.one(ctx, jobs.ZoneOf(id), peers.MethodCancelJob, &wire.CancelJob{Id: id}, codes.CancelUnknown, local)
 }
 
 // List implements jobs.Service for the own zone.
-func (ro *router) List(ctx context.Context, fi jobs.Filter) ([]jobs.Record, error) {
-	return ro.ListZone(ctx, ro.zone, fi)
+func (ro *Router) List(ctx context.Context, fi jobs.Filter) ([]jobs.Record, error) {
+	return ro.ListZone(ctx, ro.cfg.Zone, fi)
 }
 
 // ListZone returns the records of one zone.
-func (ro *router) ListZone(ctx context.Context, zn string, fi jobs.Filter) ([]jobs.Record, error) {
+func (ro *Router) ListZone(ctx context.Context, zn string, fi jobs.Filter) ([]jobs.Record, error) {
 	var rcs []jobs.Record
 	err := ro.try(ctx, zn, codes.ZoneUnreachable, func() error {
 		var err error
-		rcs, err = ro.local.List(ctx, fi)
+		rcs, err = ro.cfg.Local.List(ctx, fi)
 		return err
 	}, func(host string) error {
 		var reply wire.JobList
 		rq := &wire.ListJobs{Workspace: fi.Workspace, Active: fi.Active}
-		if err := ro.caller.Call(ctx, host, peers.MethodListJobs, rq, &reply); err != nil {
+		if err := ro.cfg.Caller.Call(ctx, host, peers.MethodListJobs, rq, &reply); err != nil {
 			return err
 		}
 		rcs = nil
@@ -87,17 +100,17 @@
 }
 
 // Summary returns a zone's state in numbers, from its scheduler.
-func (ro *router) Summary(ctx context.Context, now time.Time, zn string) (sched.Summary, error) {
+func (ro *Router) Summary(ctx context.Context, now time.Time, zn string) (sched.Summary, error) {
 	var sm sched.Summary
 	err := ro.try(ctx, zn, codes.ZoneUnreachable, func() error {
 		var ok bool
-		if sm, ok = ro.local.Summary(now); !ok {
+		if sm, ok = ro.cfg.Local.Summary(now); !ok {
 			return codes.New(codes.NoScheduler, "availability zone %s has no scheduler", zn)
 		}
 		return nil
 	}, func(host string) error {
 		var reply wire.Summary
-		if err := ro.caller.Call(ctx, host, peers.MethodGetSummary, &wire.GetSummary{}, &reply); err != nil {
+		if err := ro.cfg.Caller.Call(ctx, host, peers.MethodGetSummary, &wire.GetSummary{}, &reply); err != nil {
 			return err
 		}
 		sm = sched.Summary{
@@ -110,7 +123,7 @@
 }
 
 // one makes a call that concerns one job.
-func (ro *router) one(
+func (ro *Router) one(
 	ctx context.Context, zn, method string, rq proto.Message, lost codes.Code, local func() (jobs.Record, error),
 ) (jobs.Record, error) {
 	var rc jobs.Record
@@ -120,7 +133,7 @@
 		return err
 	}, func(host string) error {
 		var reply wire.Job
-		if err := ro.caller.Call(ctx, host, method, rq, &reply); err != nil {
+		if err := ro.cfg.Caller.Call(ctx, host, method, rq, &reply); err != nil {
 			return err
 		}
 		rc = jobs.FromWire(&reply)
@@ -133,7 +146,7 @@
 // only if it provably had no effect, because it was not sent or the host said
 // that it is not the scheduler. A failure that leaves the effect open is given
 // the code lost.
-func (ro *router) try(ctx context.Context, zn string, lost codes.Code, local func() error, remote func(host string) error) error {
+func (ro *Router) try(ctx context.Context, zn string, lost codes.Code, local func() error, remote func(host string) error) error {
 	bound, cancel := context.WithTimeout(ctx, schedulerWait)
 	defer cancel()
 	for {
@@ -158,13 +171,13 @@
 
 // schedulerOf names the host that a zone's members take for its scheduler; an
 // empty name stands for this one. False means that no host of it is reached.
-func (ro *router) schedulerOf(now time.Time, zn string) (string, bool) {
-	if zn == ro.zone && ro.local.Holds() {
+func (ro *Router) schedulerOf(now time.Time, zn string) (string, bool) {
+	if zn == ro.cfg.Zone && ro.cfg.Local.Holds() {
 		return "", true
 	}
 	best := peers.Member{}
 	var alive []peers.Member
-	for _, me := range ro.members(now) {
+	for _, me := range ro.cfg.Members(now) {
 		if me.Zone != zn || !me.Alive {
 			continue
 		}
@@ -179,7 +192,7 @@
 	if slices.ContainsFunc(alive, func(me peers.Member) bool { return me.Name == best.Scheduler }) {
 		return best.Scheduler, true
 	}
-	if zn == ro.zone {
+	if zn == ro.cfg.Zone {
 		return "", true // the local answer says that there is none
 	}
 	return alive[0].Name, true
--- /dev/null
+++ b/internal/host/router_test.go
@@ -0,0 +1,304 @@
+package host_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cicadawharf/cicadawharf/internal/host"
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/peers"
+	"github.com/cicadawharf/cicadawharf/internal/sched"
+	"github.com/cicadawharf/cicadawharf/internal/wire"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+type (
+	// scheduler is the scheduler of one host. It counts what reaches it.
+	scheduler struct {
+		holds bool
+		calls int
+		err   error // of every call while it holds the epoch
+	}
+
+	// network reaches the schedulers of other hosts.
+	network struct {
+		hosts   map[string]*scheduler
+		lost    error // returned although the call took effect
+		unsent  bool  // no call reaches any host
+		members []peers.Member
+		asked   []string // hosts, in order
+	}
+)
+
+var (
+	errLost   = errors.New("session broke")
+	errUnsent = errors.New("no session")
+)
+
+func (sc *scheduler) enter() error {
+	if !sc.holds {
+		return codes.New(codes.NoScheduler, "not here").WithRetryAfter(time.Second)
+	}
+	sc.calls++
+	return sc.err
+}
+
+func (sc *scheduler) Holds() bool { return sc.holds }
+
+func (sc *scheduler) Submit(_ context.Context, sp jobs.Spec) (jobs.Record, error) {
+	return jobs.Record{Spec: sp}, sc.enter()
+}
+
+func (sc *scheduler) Get(_ context.Context, id string, _ time.Duration) (jobs.Record, error) {
+	return jobs.Record{Spec: jobs.Spec{ID: id}}, sc.enter()
+}
+
+func (sc *scheduler) List(context.Context, jobs.Filter) ([]jobs.Record, error) {
+	return []jobs.Record{{Spec: jobs.Spec{ID: "listed"}}}, sc.enter()
+}
+
+func (sc *scheduler) Cancel(_ context.Context, id string) (jobs.Record, error) {
+	return jobs.Record{Spec: jobs.Spec{ID: id}}, sc.enter()
+}
+
+func (sc *scheduler) Summary(time.Time) (sched.Summary, bool) {
+	return sched.Summary{Workers: 3}, sc.enter() == nil
+}
+
+// Call implements peers.Caller.
+func (nw *network) Call(ctx context.Context, to, method string, rq, reply proto.Message) error {
+	nw.asked = append(nw.asked, to)
+	sc, ok := nw.hosts[to]
+	if !ok || nw.unsent {
+		return &peers.NotSentError{Host: to, Err: errUnsent}
+	}
+	var rc jobs.Record
+	var err error
+	switch rq := rq.(type) {
+	case *wire.SubmitJob:
+		rc, err = sc.Submit(ctx, jobs.FromWire(rq.GetJob()).Spec)
+	case *wire.GetJob:
+		rc, err = sc.Get(ctx, rq.GetId(), 0)
+	case *wire.CancelJob:
+		rc, err = sc.Cancel(ctx, rq.GetId())
+	case *wire.ListJobs:
+		rcs, err := sc.List(ctx, jobs.Filter{})
+		reply.(*wire.JobList).Jobs = []*wire.Job{jobs.ToWire(rcs[0])}
+		return errors.Join(err, nw.lost)
+	case *wire.GetSummary:
+		reply.(*wire.Summary).Workers = 3
+		return errors.Join(sc.enter(), nw.lost)
+	default:
+		return fmt.Errorf("method %s", method)
+	}
+	if err != nil {
+		return err
+	}
+	if nw.lost != nil {
+		return nw.lost
+	}
+	proto.Merge(reply, jobs.ToWire(rc))
+	return nil
+}
+
+// member returns a host that is alive and takes another for the scheduler.
+func member(name, zn string, epoch int64, holder string) peers.Member {
+	return peers.Member{Name: name, Zone: zn, Alive: true, SchedulerEpoch: epoch, Scheduler: holder}
+}
+
+// cusco returns a network of a zone with two hosts, the second its scheduler.
+func cusco() *network {
+	return &network{
+		hosts: map[string]*scheduler{"c1": {}, "c2": {holds: true}},
+		members: []peers.Member{
+			member("l1", "lima", 1, "l1"), member("c1", "cusco", 1, "c1"), member("c2", "cusco", 2, "c2"),
+		},
+	}
+}
+
+// router returns the router of host l1 in zone lima.
+func (nw *network) router(local *scheduler) *host.Router {
+	return host.NewRouter(host.RouterConfig{
+		Zone: "lima", Local: local, Caller: nw, Members: func(time.Time) []peers.Member { return nw.members },
+	})
+}
+
+// operation is one call that concerns a job.
+type operation struct {
+	name string
+	do   func(ctx context.Context, ro *host.Router, id string) error
+	lost codes.Code
+}
+
+var operations = []operation{
+	{"submit", func(ctx context.Context, ro *host.Router, id string) error {
+		rc, err := ro.Submit(ctx, jobs.Spec{ID: id})
+		return checkID(rc, id, err)
+	}, codes.SubmitUnknown},
+	{"cancel", func(ctx context.Context, ro *host.Router, id string) error {
+		rc, err := ro.Cancel(ctx, id)
+		return checkID(rc, id, err)
+	}, codes.CancelUnknown},
+	{"get", func(ctx context.Context, ro *host.Router, id string) error {
+		rc, err := ro.Get(ctx, id, 0)
+		return checkID(rc, id, err)
+	}, codes.ZoneUnreachable},
+	{"list", func(ctx context.Context, ro *host.Router, id string) error {
+		_, err := ro.ListZone(ctx, jobs.ZoneOf(id), jobs.Filter{})
+		return err
+	}, codes.ZoneUnreachable},
+	{"summary", func(ctx context.Context, ro *host.Router, id string) error {
+		sm, err := ro.Summary(ctx, time.Now(), jobs.ZoneOf(id))
+		if err == nil && sm.Workers != 3 {
+			return fmt.Errorf("summary %+v", sm)
+		}
+		return err
+	}, codes.ZoneUnreachable},
+}
+
+func checkID(rc jobs.Record, id string, err error) error {
+	if err == nil && rc.ID != id {
+		return fmt.Errorf("record of %q", rc.ID)
+	}
+	return err
+}
+
+// each runs a test for each operation in a bubble of its own time.
+func each(t *testing.T, fn func(t *testing.T, op operation)) {
+	for _, op := range operations {
+		t.Run(op.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { fn(t, op) })
+		})
+	}
+}
+
+// checkRefused verifies an error with its code and a time to come back.
+func checkRefused(t *testing.T, err error, cd codes.Code) {
+	t.Helper()
+	is := is.New(t)
+	var er *codes.Error
+	is.True(errors.As(err, &er))
+	is.Equal(er.Code, cd)
+	is.True(er.RetryAfter > 0)
+}
+
+func TestFindsTheSchedulerOfAnotherZone(t *testing.T) {
+	each(t, func(t *testing.T, op operation) {
+		is := is.New(t)
+		nw := cusco()
+		is.NoErr(op.do(t.Context(), nw.router(&scheduler{}), "cusco.a"))
+		is.Equal(nw.asked, []string{"c2"}) // the largest epoch that is told of
+		is.Equal(nw.hosts["c2"].calls, 1)
+	})
+}
+
+func TestFindsTheSchedulerOfTheOwnZone(t *testing.T) {
+	each(t, func(t *testing.T, op operation) {
+		is := is.New(t)
+		nw := cusco()
+		local := &scheduler{holds: true}
+		is.NoErr(op.do(t.Context(), nw.router(local), "lima.a"))
+		is.Equal(local.calls, 1)
+		is.Equal(len(nw.asked), 0)
+
+		local.holds = false
+		nw.hosts["l2"] = &scheduler{holds: true}
+		nw.members = append(nw.members, member("l2", "lima", 3, "l2"))
+		is.NoErr(op.do(t.Context(), nw.router(local), "lima.a"))
+		is.Equal(nw.asked, []string{"l2"})
+	})
+}
+
+func TestNoSchedulerIsAskedAgainWithinTheBound(t *testing.T) {
+	each(t, func(t *testing.T, op operation) {
+		is := is.New(t)
+		nw := cusco()
+		c2 := nw.hosts["c2"]
+		c2.holds = false
+		time.AfterFunc(time.Second, func() { c2.holds = true })
+		is.NoErr(op.do(t.Context(), nw.router(&scheduler{}), "cusco.a"))
+		is.Equal(c2.calls, 1)
+		is.True(len(nw.asked) > 1)
+
+		c2.holds = false
+		begun := time.Now()
+		checkRefused(t, op.do(t.Context(), nw.router(&scheduler{}), "cusco.a"), codes.NoScheduler)
+		is.True(time.Since(begun) < 3*time.Second)
+		is.Equal(c2.calls, 1)
+	})
+}
+
+func TestCallWithAnOpenEffectIsNotRepeated(t *testing.T) {
+	each(t, func(t *testing.T, op operation) {
+		is := is.New(t)
+		nw := cusco()
+		nw.lost = errLost
+		checkRefused(t, op.do(t.Context(), nw.router(&scheduler{}), "cusco.a"), op.lost)
+		is.Equal(len(nw.asked), 1)
+		is.Equal(nw.hosts["c2"].calls, 1)
+	})
+}
+
+func TestAnswerOfTheSchedulerIsKept(t *testing.T) {
+	each(t, func(t *testing.T, op operation) {
+		is := is.New(t)
+		nw := cusco()
+		nw.hosts["c2"].err = codes.New(codes.QuotaExceeded, "enough").WithRetryAfter(time.Minute)
+		err := op.do(t.Context(), nw.router(&scheduler{}), "cusco.a")
+		is.True(errors.Is(err, nw.hosts["c2"].err))
+		is.Equal(len(nw.asked), 1)
+	})
+}
+
+func TestUnreachableZone(t *testing.T) {
+	each(t, func(t *testing.T, op operation) {
+		is := is.New(t)
+		nw := cusco()
+		for i := range nw.members {
+			nw.members[i].Alive = nw.members[i].Zone == "lima"
+		}
+		begun := time.Now()
+		checkRefused(t, op.do(t.Context(), nw.router(&scheduler{}), "cusco.a"), codes.ZoneUnreachable)
+		is.Equal(len(nw.asked), 0)
+		is.True(time.Since(begun) < 3*time.Second)
+
+		nw = cusco() // its hosts seem alive, but no call reaches them
+		nw.unsent = true
+		checkRefused(t, op.do(t.Context(), nw.router(&scheduler{}), "cusco.a"), codes.ZoneUnreachable)
+		is.Equal(nw.hosts["c2"].calls, 0)
+	})
+}
+
+func TestDeadSchedulerIsPassedOver(t *testing.T) {
+	each(t, func(t *testing.T, op operation) {
+		is := is.New(t)
+		nw := cusco()
+		nw.members[2].Alive = false
+		time.AfterFunc(time.Second, func() {
+			nw.hosts["c1"].holds = true
+			nw.members[1] = member("c1", "cusco", 3, "c1")
+		})
+		is.NoErr(op.do(t.Context(), nw.router(&scheduler{}), "cusco.a"))
+		is.Equal(nw.hosts["c1"].calls, 1)
+		is.Equal(nw.hosts["c2"].calls, 0)
+	})
+}
+
+func TestListZonesNamesWhatItCannotAsk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		nw := cusco()
+		nw.unsent = true
+		rcs, unreached, err := nw.router(&scheduler{holds: true}).ListZones(t.Context(), jobs.Filter{})
+		is.NoErr(err)
+		is.Equal(len(rcs), 1)
+		is.Equal(unreached, []string{"cusco"})
+	})
+}
