Archive the accounts of each zone in the platform's store

Cause: accounts are copied to two hosts of the zone; when all of them die, as with a lost zone, what they had counted is lost from the report. Ruled out: copies in other zones for all accounts, which cost billed bytes all the time and are lost with the regions' link; a write per host, which grows with the hosts. Conclusion: a lost zone costs the report a minute of counters at most.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -53,6 +53,7 @@
 		claims      *claim.Table
 		account     *report.Account
 		exchange    *report.Exchange
+		archive     *report.Archive
 		router      *Router
 		server      *entry.Server
 		leaving     leavingSet
@@ -102,6 +103,9 @@
 	ho.exchange = report.NewExchange(report.ExchangeConfig{
 		Account: ho.account, Ledger: report.NewLedger(), Caller: ho.mesh, Members: ho.mesh.Members, Log: ho.log,
 	})
+	ho.archive = report.NewArchive(report.ArchiveConfig{
+		Store: ho.store, Zone: se.Host.Zone, Exchange: ho.exchange, Writes: ho.zone.Holds, Location: ho.location, Log: ho.log,
+	})
 	ho.router = NewRouter(RouterConfig{Zone: se.Host.Zone, Local: ho.zone, Caller: ho.mesh, Members: ho.mesh.Members})
 	ho.server = entry.New(ho.entryConfig(cfg.HTTPListener))
 	ho.register()
@@ -119,6 +123,7 @@
 	rest.Go(func() error { ho.watcher.Run(base); return nil })
 	rest.Go(func() error { return ho.claims.Run(base) })
 	rest.Go(func() error { return ho.exchange.Run(base) })
+	rest.Go(func() error { return ho.archive.Run(base) })
 	rest.Go(func() error { ho.spreadEpochs(base); return nil })
 	term := make(chan error, 1)
 	go func() { term <- ho.zone.Run(ctx) }()
--- a/internal/host/operate.go
+++ b/internal/host/operate.go
@@ -163,7 +163,11 @@
 		return nil, codes.New(codes.BadRequest, "%v", err)
 	}
 	accounts, missing := op.ho.exchange.Collect(ctx, now, day.Name)
-	in := report.Input{Accounts: accounts, Missing: missing, Declarations: op.ho.specInForce(), Now: now}
+	archived, err := op.ho.archive.Read(ctx, day.Name)
+	if err != nil {
+		missing = append(missing, "the archive of accounts")
+	}
+	in := report.Input{Accounts: append(accounts, archived...), Missing: missing, Declarations: op.ho.specInForce(), Now: now}
 	rcs, unreached, err := op.ho.router.ListZones(ctx, jobs.Filter{})
 	if err != nil {
 		return nil, err
--- a/internal/host/router_test.go
+++ b/internal/host/router_test.go
@@ -34,6 +34,9 @@
 		unsent  bool  // no call reaches any host
 		members []peers.Member
 		asked   []string // hosts, in order
+
+		changes time.Time // when change is due
+		change  func()
 	}
 )
 
@@ -123,10 +126,25 @@
 	}
 }
 
+// seen returns the members at a time, and carries out what is due.
+func (nw *network) seen(now time.Time) []peers.Member {
+	if nw.change != nil && !now.Before(nw.changes) {
+		nw.change()
+		nw.change = nil
+	}
+	return nw.members
+}
+
+// after has something happen on the goroutine of the calls.
+func (nw *network) after(d time.Duration, do func()) {
+	nw.changes = time.Now().Add(d)
+	nw.change = do
+}
+
 // router returns the router of host l1 in zone lima.
 func (nw *network) router(local *scheduler) *host.Router {
 	return host.NewRouter(host.RouterConfig{
-		Zone: "lima", Local: local, Caller: nw, Members: func(time.Time) []peers.Member { return nw.members },
+		Zone: "lima", Local: local, Caller: nw, Members: nw.seen,
 	})
 }
 
@@ -222,7 +240,7 @@
 		nw := cusco()
 		c2 := nw.hosts["c2"]
 		c2.holds = false
-		time.AfterFunc(time.Second, func() { c2.holds = true })
+		nw.after(time.Second, func() { c2.holds = true })
 		is.NoErr(op.do(t.Context(), nw.router(&scheduler{}), "cusco.a"))
 		is.Equal(c2.calls, 1)
 		is.True(len(nw.asked) > 1)
@@ -281,7 +299,7 @@
 		is := is.New(t)
 		nw := cusco()
 		nw.members[2].Alive = false
-		time.AfterFunc(time.Second, func() {
+		nw.after(time.Second, func() {
 			nw.hosts["c1"].holds = true
 			nw.members[1] = member("c1", "cusco", 3, "c1")
 		})
--- /dev/null
+++ b/internal/report/archive_test.go
@@ -0,0 +1,100 @@
+package report_test
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/report"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+// shelf is a store in memory. Swaps may lose their answer or lose a race.
+type shelf struct {
+	store.Store
+	entries map[string]store.Entry
+	last    store.Revision
+	fault   error
+}
+
+// Get implements store.Store.
+func (sh *shelf) Get(_ context.Context, key string) (store.Entry, store.Revision, error) {
+	return sh.entries[key], sh.last, nil
+}
+
+// List implements store.Store.
+func (sh *shelf) List(_ context.Context, prefix string) ([]store.Entry, store.Revision, error) {
+	var ens []store.Entry
+	for key, en := range sh.entries {
+		if strings.HasPrefix(key, prefix) {
+			ens = append(ens, en)
+		}
+	}
+	slices.SortFunc(ens, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return ens, sh.last, nil
+}
+
+// Swap implements store.Store.
+func (sh *shelf) Swap(_ context.Context, rq store.SwapRequest) (store.Entry, error) {
+	if sh.entries[rq.Key].Revision != rq.Expect {
+		return sh.entries[rq.Key], store.ErrConflict
+	}
+	sh.last++
+	if rq.Value == nil {
+		delete(sh.entries, rq.Key)
+	} else {
+		sh.entries[rq.Key] = store.Entry{Key: rq.Key, Value: rq.Value, Revision: sh.last}
+	}
+	return sh.entries[rq.Key], sh.fault
+}
+
+// TestArchiveOutlivesEveryHost kills all hosts of a zone and draws the report
+// from what another zone finds in the store.
+func TestArchiveOutlivesEveryHost(t *testing.T) {
+	for name, fault := range map[string]error{"sound": nil, "answer lost": store.ErrLost} {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, func(t *testing.T, fl *fleet) {
+				is := is.New(t)
+				sh := &shelf{entries: map[string]store.Entry{}, fault: fault}
+				archive := func(fh *fleetHost, zone string) *report.Archive {
+					return report.NewArchive(report.ArchiveConfig{
+						Store: sh, Zone: zone, Exchange: fh.exchange, Location: func() *time.Location { return time.UTC },
+					})
+				}
+				a, b := fl.start("a", "lima"), fl.start("b", "lima")
+				day := report.DayOf(time.Now(), time.UTC)
+				a.account.Offer(time.Now(), "w", "orders").End(report.Outcome{Code: codes.RequestDone})
+				b.account.Offer(time.Now(), "w", "orders").End(report.Outcome{Code: codes.RequestDone})
+				b.account.Offer(time.Now(), "w", "orders")
+				is.True(errors.Is(archive(a, "lima").Save(t.Context(), time.Now()), fault))
+				fl.killAll()
+
+				// A later host of the zone knows nothing, and takes nothing back.
+				c := fl.start("c", "lima")
+				c.account.Offer(time.Now(), "w", "orders").End(report.Outcome{Code: codes.RequestDone})
+				is.True(errors.Is(archive(c, "lima").Save(t.Context(), time.Now()), fault))
+				accounts, err := archive(fl.start("d", "cusco"), "cusco").Read(t.Context(), day)
+				is.NoErr(err)
+				offered := int64(0)
+				for _, ac := range accounts {
+					for _, row := range ac.GetRows() {
+						offered += row.GetOffered()
+					}
+				}
+				is.Equal(offered, int64(4))
+				is.Equal(len(accounts), 3)
+
+				is.True(errors.Is(archive(c, "lima").Save(t.Context(), time.Now().AddDate(0, 0, 9)), fault))
+				accounts, err = archive(c, "lima").Read(t.Context(), day)
+				is.NoErr(err)
+				is.Equal(len(accounts), 0) // days long past are dropped
+			})
+		})
+	}
+}
--- a/internal/report/exchange.go
+++ b/internal/report/exchange.go
@@ -116,7 +116,14 @@
 // Collect asks every host for what it holds of a day, and names the hosts that
 // did not answer.
 func (ex *Exchange) Collect(ctx context.Context, now time.Time, day string) (accounts []*wire.Account, missing []string) {
-	members := ex.cfg.Members(now)
+	return ex.collect(ctx, now, day, func(peers.Member) bool { return true })
+}
+
+// collect asks the hosts that pass a filter.
+func (ex *Exchange) collect(
+	ctx context.Context, now time.Time, day string, asks func(peers.Member) bool,
+) (accounts []*wire.Account, missing []string) {
+	members := slices.DeleteFunc(ex.cfg.Members(now), func(me peers.Member) bool { return !asks(me) })
 	replies := make([][]*wire.Account, len(members))
 	errs := make([]error, len(members))
 	var wg sync.WaitGroup
