--- /dev/null
+++ b/internal/sched/adopt.go
@@ -0,0 +1,96 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/worker"
+)
+
+// ready tells whether placing may begin: every listed worker was heard, or has
+// had the time to be.
+func (co *Core) ready(now time.Time) bool {
+	if co.inventoried {
+		return true
+	}
+	if co.decl == nil || len(co.machines) == 0 {
+		return false
+	}
+	if now.Sub(co.began) < inventoryTime {
+		for _, ma := range co.machines {
+			if ma.heard.IsZero() {
+				return false
+			}
+		}
+	}
+	co.inventoried = true
+	co.adoptUnrecorded()
+	return true
+}
+
+// adoptUnrecorded takes over the attempts that an earlier core began while
+// the store was away. Only whole gangs are kept.
+func (co *Core) adoptUnrecorded() {
+	for id, jb := range co.jobs {
+		if jb.rec.State != jobs.Queued {
+			continue
+		}
+		attempt, epoch := co.findAttempt(jb)
+		if attempt == 0 {
+			continue
+		}
+		tasks := co.tasksOf(jb, attempt, epoch)
+		if !slices.ContainsFunc(tasks, func(ta jobs.Task) bool { return ta.Worker == "" }) {
+			jb.rec.Tasks = tasks
+			jb.rec.Started = jb.begun
+			jb.rec = jb.rec.WithState(jobs.Starting)
+			jb.reserved = slices.Repeat([]bool{true}, len(tasks))
+			jb.done = make([]bool, len(tasks))
+		}
+		jb.rec.Attempt = attempt
+		jb.rec.Epoch = epoch
+		co.dirty(jb)
+		co.touch(id)
+	}
+	for _, ma := range co.machines {
+		co.wantStrays(ma)
+	}
+}
+
+// findAttempt returns the last unrecorded attempt of a job that the tables
+// show, with its epoch; zero if there is none.
+func (co *Core) findAttempt(jb *job) (attempt int, epoch int64) {
+	for _, ma := range co.machines {
+		for id, ta := range ma.rows {
+			if id.Job != jb.rec.ID || id.Attempt <= jb.rec.Attempt {
+				continue
+			}
+			if id.Attempt > attempt || (id.Attempt == attempt && ta.Epoch > epoch) {
+				attempt, epoch = id.Attempt, ta.Epoch
+			}
+		}
+	}
+	return attempt, epoch
+}
+
+// tasksOf returns the tasks of an attempt that have not been cut short; the
+// others stay empty.
+func (co *Core) tasksOf(jb *job, attempt int, epoch int64) []jobs.Task {
+	tasks := make([]jobs.Task, jb.rec.Shape.Tasks)
+	for _, ma := range co.machines {
+		for id, ta := range ma.rows {
+			whole := ta.Phase == worker.PhaseRunning || ta.Phase == worker.PhaseSucceeded
+			if id.Job == jb.rec.ID && id.Attempt == attempt && ta.Epoch == epoch && id.Index < len(tasks) && whole {
+				tasks[id.Index] = jobs.Task{Worker: ma.host.Name, Address: ma.host.Address}
+			}
+		}
+	}
+	return tasks
+}
+
+// mayAdopt tells whether a row belongs to an attempt that an earlier core
+// began but could not record.
+func (jb *job) mayAdopt(ta worker.Task) bool {
+	return jb.adopted && jb.rec.State == jobs.Queued && ta.ID.Attempt > jb.rec.Attempt
+}
--- a/internal/sched/machine.go
+++ b/internal/sched/machine.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/jobs"
-	"github.com/cicadawharf/cicadawharf/internal/place"
 	"github.com/cicadawharf/cicadawharf/internal/plat"
 	"github.com/cicadawharf/cicadawharf/internal/worker"
 )
@@ -215,12 +214,6 @@
 	return jb.rec.Tasks[ta.ID.Index].Worker == name
 }
 
-// mayAdopt tells whether a row belongs to an attempt that an earlier core
-// began but could not record.
-func (jb *job) mayAdopt(ta worker.Task) bool {
-	return jb.adopted && jb.rec.State == jobs.Queued && ta.ID.Attempt > jb.rec.Attempt
-}
-
 // forgetRows acknowledges the tasks of a job that has ended.
 func (co *Core) forgetRows(jb *job) {
 	for _, ta := range jb.rec.Tasks {
@@ -284,113 +277,3 @@
 	}
 	return now.Sub(last) > silentAfter
 }
-
-// ready tells whether placing may begin: every listed worker was heard, or has
-// had the time to be.
-func (co *Core) ready(now time.Time) bool {
-	if co.inventoried {
-		return true
-	}
-	if co.decl == nil || len(co.machines) == 0 {
-		return false
-	}
-	if now.Sub(co.began) < inventoryTime {
-		for _, ma := range co.machines {
-			if ma.heard.IsZero() {
-				return false
-			}
-		}
-	}
-	co.inventoried = true
-	co.adoptUnrecorded()
-	return true
-}
-
-// adoptUnrecorded takes over the attempts that an earlier core began while
-// the store was away. Only whole gangs are kept.
-func (co *Core) adoptUnrecorded() {
-	for id, jb := range co.jobs {
-		if jb.rec.State != jobs.Queued {
-			continue
-		}
-		attempt, epoch := co.findAttempt(jb)
-		if attempt == 0 {
-			continue
-		}
-		tasks := co.tasksOf(jb, attempt, epoch)
-		if !slices.ContainsFunc(tasks, func(ta jobs.Task) bool { return ta.Worker == "" }) {
-			jb.rec.Tasks = tasks
-			jb.rec.Started = jb.begun
-			jb.rec = jb.rec.WithState(jobs.Starting)
-			jb.reserved = slices.Repeat([]bool{true}, len(tasks))
-			jb.done = make([]bool, len(tasks))
-		}
-		jb.rec.Attempt = attempt
-		jb.rec.Epoch = epoch
-		co.dirty(jb)
-		co.touch(id)
-	}
-	for _, ma := range co.machines {
-		co.wantStrays(ma)
-	}
-}
-
-// findAttempt returns the last unrecorded attempt of a job that the tables
-// show, with its epoch; zero if there is none.
-func (co *Core) findAttempt(jb *job) (attempt int, epoch int64) {
-	for _, ma := range co.machines {
-		for id, ta := range ma.rows {
-			if id.Job != jb.rec.ID || id.Attempt <= jb.rec.Attempt {
-				continue
-			}
-			if id.Attempt > attempt || (id.Attempt == attempt && ta.Epoch > epoch) {
-				attempt, epoch = id.Attempt, ta.Epoch
-			}
-		}
-	}
-	return attempt, epoch
-}
-
-// tasksOf returns the tasks of an attempt that have not been cut short; the
-// others stay empty.
-func (co *Core) tasksOf(jb *job, attempt int, epoch int64) []jobs.Task {
-	tasks := make([]jobs.Task, jb.rec.Shape.Tasks)
-	for _, ma := range co.machines {
-		for id, ta := range ma.rows {
-			whole := ta.Phase == worker.PhaseRunning || ta.Phase == worker.PhaseSucceeded
-			if id.Job == jb.rec.ID && id.Attempt == attempt && ta.Epoch == epoch && id.Index < len(tasks) && whole {
-				tasks[id.Index] = jobs.Task{Worker: ma.host.Name, Address: ma.host.Address}
-			}
-		}
-	}
-	return tasks
-}
-
-// buildFleet makes the placement's view of the zone from what is known.
-func (co *Core) buildFleet(now time.Time) {
-	names := slices.Sorted(maps.Keys(co.machines))
-	workers := make([]place.Worker, 0, len(names))
-	co.index = make(map[string]int, len(names))
-	for i, name := range names {
-		ma := co.machines[name]
-		ma.wasFit = ma.usable(now)
-		co.index[name] = i
-		workers = append(workers, place.Worker{
-			Name: name, Rack: ma.host.Rack, Address: ma.host.Address,
-			Accelerators: ma.capacity, Tasks: taskSlots, Usable: ma.wasFit,
-		})
-	}
-	co.fleet = place.NewFleet(workers, place.UnitsOf(co.decl, co.zone))
-	for _, id := range slices.Sorted(maps.Keys(co.jobs)) {
-		jb := co.jobs[id]
-		if jb.earmark != nil {
-			jb.earmark = nil
-			co.pass = true
-		}
-		if jb.rec.State != jobs.Queued && jb.rec.State != jobs.Ended {
-			jb.unit = co.fleet.UnitFor(jb.rec.Workspace, jb.rec.Shape)
-			jb.ground = nil
-			co.fleet.Add(co.gang(jb))
-		}
-	}
-}
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/bits"
 	"slices"
 	"time"
@@ -238,3 +239,32 @@
 	}
 	return ga
 }
+
+// buildFleet makes the placement's view of the zone from what is known.
+func (co *Core) buildFleet(now time.Time) {
+	names := slices.Sorted(maps.Keys(co.machines))
+	workers := make([]place.Worker, 0, len(names))
+	co.index = make(map[string]int, len(names))
+	for i, name := range names {
+		ma := co.machines[name]
+		ma.wasFit = ma.usable(now)
+		co.index[name] = i
+		workers = append(workers, place.Worker{
+			Name: name, Rack: ma.host.Rack, Address: ma.host.Address,
+			Accelerators: ma.capacity, Tasks: taskSlots, Usable: ma.wasFit,
+		})
+	}
+	co.fleet = place.NewFleet(workers, place.UnitsOf(co.decl, co.zone))
+	for _, id := range slices.Sorted(maps.Keys(co.jobs)) {
+		jb := co.jobs[id]
+		if jb.earmark != nil {
+			jb.earmark = nil
+			co.pass = true
+		}
+		if jb.rec.State != jobs.Queued && jb.rec.State != jobs.Ended {
+			jb.unit = co.fleet.UnitFor(jb.rec.Workspace, jb.rec.Shape)
+			jb.ground = nil
+			co.fleet.Add(co.gang(jb))
+		}
+	}
+}
