Move gangs that keep their work off workers that are leaving

Ruled out: stopping gangs that lose their work, which may still end in time. Change: a running gang that can take a checkpoint is stopped with one and queued again as soon as the worker or the platform's list says that the worker is leaving. Conclusion: a planned replacement costs such a gang a checkpoint.

--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -129,6 +129,19 @@
 		co.stop(jb, cause{code: codes.JobCancelled, detail: "cancelled"})
 	case ta.failed > 0 || ta.cut > 0:
 		co.stop(jb, co.blame(now, jb, ta))
+	case jb.rec.Checkpoint:
+		co.evacuate(jb)
+	}
+}
+
+// evacuate moves a gang that keeps its work off workers that are leaving. Other
+// gangs stay, in the hope that they end before the worker does.
+func (co *Core) evacuate(jb *job) {
+	for _, ta := range jb.rec.Tasks {
+		if ma, ok := co.machines[ta.Worker]; ok && ma.leaving() {
+			co.stop(jb, cause{requeue: true, yields: true, detail: "worker " + ta.Worker + " is leaving"})
+			return
+		}
 	}
 }
 
--- a/internal/sched/machine.go
+++ b/internal/sched/machine.go
@@ -266,9 +266,12 @@
 // usable tells whether a worker may get new work.
 func (ma *machine) usable(now time.Time) bool {
 	return ma.listed && !ma.heard.IsZero() && now.Sub(ma.heard) < RenewGrace && !ma.doubtful &&
-		!ma.draining && ma.host.State != plat.StateLeaving && !ma.record.aside(now)
+		!ma.leaving() && !ma.record.aside(now)
 }
 
+// leaving tells whether the platform or the worker itself says that it goes.
+func (ma *machine) leaving() bool { return ma.draining || ma.host.State == plat.StateLeaving }
+
 // lost tells whether a worker's leases have certainly run out.
 func (ma *machine) lost(now time.Time) bool {
 	last := ma.heard
--- a/internal/sched/waves_test.go
+++ b/internal/sched/waves_test.go
@@ -168,6 +168,31 @@
 	is.Equal(wd.checkInvariants(), nil)
 }
 
+// TestLeavingWorkerIsEvacuated drains a worker under gangs that can and that
+// can't be moved without loss.
+func TestLeavingWorkerIsEvacuated(t *testing.T) {
+	is := is.New(t)
+	wd := newWorld(2, small)
+	wd.run(time.Second)
+	for _, checkpoint := range []bool{true, false} {
+		sp := gang(fmt.Sprintf("z1.e%v", checkpoint), 1, 4, "sleep", "1m")
+		sp.Checkpoint = checkpoint
+		wd.submit(sp)
+	}
+	wd.run(3 * time.Second)
+	name := wd.runs()[0].Worker
+	is.Equal(wd.runs()[1].Worker, name)
+	wd.tables[name].SetDraining(true)
+	wd.run(5 * time.Second)
+	moved := wd.runsOf("z1.etrue")
+	is.Equal(len(moved), 2)
+	is.True(moved[1].Worker != name && moved[1].Ended.IsZero() || moved[0].Worker != name && moved[0].Ended.IsZero())
+	is.Equal(len(wd.runsOf("z1.efalse")), 1) // it stays and goes on
+	wd.run(2 * time.Minute)
+	is.Equal(ended(wd), map[codes.Code]int{codes.JobDone: 2})
+	is.Equal(wd.checkInvariants(), nil)
+}
+
 // TestZoneCutOffFromThePlatform lets the store go away for an hour under all
 // kinds of work.
 func TestZoneCutOffFromThePlatform(t *testing.T) {
