--- a/internal/cmds/ask.go
+++ b/internal/cmds/ask.go
@@ -1,11 +1,14 @@
 package cmds
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"strings"
@@ -15,6 +18,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/report"
 	"github.com/cicadawharf/cicadawharf/pkg/client"
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
@@ -24,7 +28,8 @@
 	askOptions struct {
 		remote
 		output
-		day string
+		day   string
+		chart string
 	}
 
 	// callOptions are the flags of call.
@@ -101,6 +106,7 @@
 		description: "prints the report of a day",
 		flags: func(sc *flaggy.Subcommand) {
 			sc.String(&op.day, "", "day", "day as YYYY-MM-DD in the time zone of the declarations; the running one if left out")
+			sc.String(&op.chart, "", "chart", "SVG file to draw the day's work into")
 			op.remote.flags(sc)
 			op.output.flags(sc)
 		},
@@ -124,11 +130,39 @@
 	if err != nil {
 		return err
 	}
+	if op.chart != "" {
+		if err := drawReport(ctx, cl, op); err != nil {
+			return err
+		}
+	}
 	en.emitted = true
 	_, err = en.out.Write(body)
 	return err
 }
 
+// drawReport writes the chart of a day into a file.
+func drawReport(ctx context.Context, cl *client.Client, op *askOptions) error {
+	body, err := cl.Report(ctx, op.day, false)
+	if err != nil {
+		return err
+	}
+	var da report.Daily
+	if err := json.Unmarshal(body, &da); err != nil {
+		return codes.New(codes.InternalFailure, "the report can't be read: %v", err)
+	}
+	var picture bytes.Buffer
+	if err := da.WriteChart(&picture); err != nil {
+		return usage("flag --chart: %v", err)
+	}
+	if err := os.WriteFile(op.chart, picture.Bytes(), chartMode); err != nil {
+		return usage("flag --chart: %v", err)
+	}
+	return nil
+}
+
+// chartMode lets everybody read a chart.
+const chartMode = 0o644
+
 func (en *env) callCommand() *command {
 	var op callOptions
 	return &command{
--- /dev/null
+++ b/internal/report/chart.go
@@ -0,0 +1,80 @@
+package report
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/ansel1/merry/v2"
+	chart "github.com/wcharczuk/go-chart/v2"
+	paint "github.com/wcharczuk/go-chart/v2/drawing"
+)
+
+const (
+	chartHeight  = 480
+	chartMargin  = 160 // for the axis and the names
+	chartLeast   = 480 // width, so that the title fits
+	chartPadding = 50
+	titlePoints  = 12
+	labelPoints  = 9
+	barWidth     = 110
+	barGap       = 40
+)
+
+// The colours of the parts of a bar.
+var (
+	deliveredColor  = paint.ColorFromHex("2e7d32")
+	failedColor     = paint.ColorFromHex("c62828")
+	refusedColor    = paint.ColorFromHex("f9a825")
+	unknownColor    = paint.ColorFromHex("6a1b9a")
+	inProgressColor = paint.ColorFromHex("90a4ae")
+)
+
+// WriteChart writes the revenue reading as an SVG picture: a bar for each
+// workspace, parted by how its work ended. Each bar shows shares of what was
+// promised; its label has the number.
+func (da Daily) WriteChart(wr io.Writer) error {
+	ch := chart.StackedBarChart{
+		Title:      "Work of " + da.Day + ", by how it ended",
+		TitleStyle: chart.Style{FontSize: titlePoints},
+		Background: chart.Style{Padding: chart.Box{Top: chartPadding, Left: chartPadding, Right: chartPadding, Bottom: chartPadding}},
+		Height:     chartHeight,
+		BarSpacing: barGap,
+		XAxis:      chart.Style{TextWrap: chart.TextWrapWord},
+	}
+	for _, re := range da.Revenue {
+		if re.Promised > 0 {
+			ch.Bars = append(ch.Bars, re.bar())
+		}
+	}
+	if len(ch.Bars) == 0 {
+		return merry.Errorf("no work of %s to draw", da.Day)
+	}
+	ch.Width = max(chartLeast, chartMargin+len(ch.Bars)*(barWidth+barGap))
+	return merry.Prepend(ch.Render(chart.SVG, wr), "chart")
+}
+
+// bar draws the parts from the bottom up.
+func (re Revenue) bar() chart.StackedBar {
+	parts := []struct {
+		name  string
+		count int64
+		color paint.Color
+	}{
+		{"delivered", re.Delivered, deliveredColor},
+		{"failed", re.Failed, failedColor},
+		{"refused", re.Refused, refusedColor},
+		{"unknown", re.Unknown, unknownColor},
+		{"in progress", re.InProgress, inProgressColor},
+	}
+	sb := chart.StackedBar{Name: re.Workspace, Width: barWidth}
+	for _, pa := range parts {
+		if pa.count == 0 {
+			continue
+		}
+		sb.Values = append(sb.Values, chart.Value{
+			Label: fmt.Sprintf("%s %d", pa.name, pa.count), Value: float64(pa.count),
+			Style: chart.Style{FillColor: pa.color, StrokeColor: pa.color, FontColor: paint.ColorWhite, FontSize: labelPoints},
+		})
+	}
+	return sb
+}
