Measure what an entry host spends by workers and workspaces

One process with its stand-ins can't tell them apart, so store, workers and entry host run as children of the test binary, and the kernel's counts of each are read. Benchmarks only; a plain go test runs nothing new.

--- /dev/null
+++ b/test/size/follow_test.go
@@ -0,0 +1,50 @@
+//go:build linux
+
+package size_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/conf"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/kvsim"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+)
+
+// BenchmarkFollow gives what a host spends on the store to follow the
+// declarations of so many workspaces while they do not change.
+func BenchmarkFollow(b *testing.B) {
+	const (
+		hosts = 40
+		span  = 20 * time.Second
+	)
+	for _, workspaces := range []int{55, 110, 220} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			kv := spawn(b, order{Role: roleStore})
+			open := func() *store.Client {
+				st := store.New(store.Config{Addresses: []string{kv.address}, Timeout: kvsim.Patience})
+				b.Cleanup(st.Close)
+				return st
+			}
+			content := []byte(declare(94, workspaces, true))
+			revision := apply(b, open(), content)
+			var fos []*conf.Follower
+			for i := range hosts {
+				fo := conf.NewFollower(conf.FollowerConfig{Store: open(), Seed: uint64(i), Log: quiet})
+				kvsim.Background(b, fo.Run)
+				fos = append(fos, fo)
+			}
+			kvsim.Eventually(b, func() bool { return allHave(fos, revision) })
+			for b.Loop() {
+				used, calls := kv.usage(b), kv.calls(b)
+				time.Sleep(span)
+				bytes := kv.usage(b).bytes - used.bytes
+				reads := kv.calls(b).Range - calls.Range
+				b.ReportMetric(float64(len(content)), "fileB")
+				b.ReportMetric(bytes/hosts/span.Seconds(), "B/s/host")
+				b.ReportMetric(float64(reads)/hosts/span.Seconds(), "reads/s/host")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/test/size/main_test.go
@@ -0,0 +1,161 @@
+//go:build linux
+
+// Package size_test measures what the roles of the system cost, for
+// docs/CAPACITY.md. Each entry host, the platform's store and the workers run
+// in processes of their own, so that the kernel's counts of processor time and
+// of bytes tell them apart.
+package size_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/fakes/fleet"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/kvsim"
+	"github.com/cicadawharf/cicadawharf/internal/host"
+	"github.com/cicadawharf/cicadawharf/internal/setup"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+type (
+	// role is what a child process does.
+	role string
+
+	// order tells a child process what to run.
+	order struct {
+		Role         role
+		Store        string // address
+		Declarations string // content of a file
+		Name         string // of an entry host
+	}
+)
+
+const (
+	roleStore role = "store"
+	roleFleet role = "fleet"
+	roleHost  role = "host"
+
+	orderVariable = "CICADAWHARF_SIZE_ORDER"
+	anyPort       = "127.0.0.1:0"
+	storeTimeout  = 2 * time.Second
+	startTime     = 30 * time.Second
+)
+
+// quiet formats every log line as in operation and drops it, so that it does
+// not count as bytes sent.
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+func TestMain(m *testing.M) {
+	content := os.Getenv(orderVariable)
+	if content == "" {
+		os.Exit(m.Run())
+	}
+	var or order
+	if err := json.Unmarshal([]byte(content), &or); err != nil {
+		fail(err)
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer cancel()
+	go endWithParent(cancel)
+	if err := or.run(ctx); err != nil {
+		fail(err)
+	}
+}
+
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(1)
+}
+
+// endWithParent ends a child whose parent has closed its standard input.
+func endWithParent(cancel context.CancelFunc) {
+	_, _ = io.Copy(io.Discard, os.Stdin)
+	cancel()
+}
+
+func (or order) run(ctx context.Context) error {
+	switch or.Role {
+	case roleStore:
+		return runStore(ctx)
+	case roleFleet:
+		return or.runFleet(ctx)
+	default:
+		return or.runHost(ctx)
+	}
+}
+
+// ready tells the parent the address of a child that serves.
+func ready(address string) { fmt.Println(address) }
+
+func runStore(ctx context.Context) error {
+	sv, err := kvsim.New(kvsim.Config{Listen: anyPort, Log: quiet})
+	if err != nil {
+		return err
+	}
+	ready(sv.Addr())
+	return sv.Run(ctx)
+}
+
+func (or order) runFleet(ctx context.Context) error {
+	doc, err := spec.Parse("fleet", []byte(or.Declarations))
+	if err != nil {
+		return err
+	}
+	st := store.New(store.Config{Addresses: []string{or.Store}, Timeout: storeTimeout, Log: quiet})
+	defer st.Close()
+	bound, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	fl, err := fleet.Start(bound, fleet.Config{Declarations: doc.Declarations, Store: st, EndpointsPerZone: 8, Log: quiet})
+	if err != nil {
+		return err
+	}
+	defer fl.Close()
+	ready("fleet")
+	<-ctx.Done()
+	return nil
+}
+
+func (or order) runHost(ctx context.Context) error {
+	callers, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return err
+	}
+	others, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return err
+	}
+	ho, err := host.New(time.Now(), host.Config{
+		Settings: or.settings(callers, others), HTTPListener: callers, PeerListener: others, Log: quiet,
+	})
+	if err != nil {
+		return err
+	}
+	ready(ho.HTTPAddress())
+	return ho.Run(ctx)
+}
+
+func (or order) settings(callers, others net.Listener) setup.Settings {
+	return setup.Settings{
+		Host: setup.Host{
+			Name: or.Name, Zone: zoneName, Region: "region",
+			HTTPAddress: callers.Addr().String(), PeerAddress: others.Addr().String(),
+		},
+		Store: setup.Store{Addresses: []string{or.Store}, Timeout: storeTimeout},
+		Log:   setup.Log{Level: "info"},
+		Limits: setup.Limits{
+			Requests: setup.DefaultRequests, HeaderBytes: setup.DefaultHeaderBytes, BodyBytes: setup.DefaultBodyBytes,
+			ReadTimeout: setup.DefaultReadTimeout, QueueTime: setup.DefaultQueueTime,
+		},
+		Stop: setup.Stop{Bound: time.Second},
+	}
+}
--- /dev/null
+++ b/test/size/role_test.go
@@ -0,0 +1,120 @@
+//go:build linux
+
+package size_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+)
+
+// BenchmarkScheduler gives what an entry host spends that schedules a zone of
+// so many workers: first with running work alone, then with short jobs.
+func BenchmarkScheduler(b *testing.B) {
+	for _, workers := range []int{24, 94, 188} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			sy := start(b, workers, 220, false)
+			sy.fill(b, workers)
+			time.Sleep(settleTime)
+			for b.Loop() {
+				sy.measureScheduler(b)
+			}
+		})
+	}
+}
+
+func (sy *system) measureScheduler(b *testing.B) {
+	b.Helper()
+	const (
+		idleSpan = 16 * time.Second
+		jobs     = 24
+		gap      = 400 * time.Millisecond
+		drain    = 4 * time.Second
+	)
+	began := sy.sample(b)
+	time.Sleep(idleSpan)
+	idle := sy.sample(b)
+	for i := range jobs {
+		sy.submit(b, fmt.Sprint("load-", i), "1s", 0)
+		time.Sleep(gap)
+	}
+	time.Sleep(drain)
+	loaded := sy.sample(b)
+	report(b, "", began, idle)
+	more := loaded.at.Sub(idle.at).Seconds() / idle.at.Sub(began.at).Seconds()
+	perJob := func(metric string, base, all float64) { b.ReportMetric((all-base*more)/jobs, metric+"/job") }
+	perJob("ms", float64(idle.host.processor-began.host.processor)/1e6, float64(loaded.host.processor-idle.host.processor)/1e6)
+	perJob("workerB", idle.fleet.bytes-began.fleet.bytes, loaded.fleet.bytes-idle.fleet.bytes)
+	perJob("storeB", idle.store.bytes-began.store.bytes, loaded.store.bytes-idle.store.bytes)
+	perJob("calls", float64(idle.calls.Total()-began.calls.Total()), float64(loaded.calls.Total()-idle.calls.Total()))
+}
+
+// BenchmarkEntry gives what an entry host spends that forwards requests of so
+// many workspaces, idle and under load. It also schedules eight workers.
+func BenchmarkEntry(b *testing.B) {
+	for _, workspaces := range []int{55, 110, 220} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			sy := start(b, 8, workspaces, true)
+			time.Sleep(settleTime)
+			for b.Loop() {
+				sy.measureEntry(b, workspaces)
+			}
+		})
+	}
+}
+
+func (sy *system) measureEntry(b *testing.B, workspaces int) {
+	b.Helper()
+	const span = 8 * time.Second
+	began := sy.sample(b)
+	time.Sleep(span)
+	idle := sy.sample(b)
+	done := sy.load(b, workspaces, span)
+	loaded := sy.sample(b)
+	report(b, "", began, idle)
+	b.ReportMetric(loaded.host.resident/1e6, "loadedMB")
+	b.ReportMetric(done/loaded.at.Sub(idle.at).Seconds(), "requests/s")
+	b.ReportMetric(float64(loaded.host.processor-idle.host.processor)/float64(time.Microsecond)/done, "us/request")
+}
+
+// load sends requests of all workspaces at a steady rate and returns how many
+// were answered.
+func (sy *system) load(b *testing.B, workspaces int, span time.Duration) float64 {
+	b.Helper()
+	const (
+		callers = 16
+		pace    = 40 * time.Millisecond // between the requests of one caller
+	)
+	ctx, cancel := context.WithTimeout(b.Context(), span)
+	defer cancel()
+	var done, failed atomic.Int64
+	var wg sync.WaitGroup
+	for at := range callers {
+		wg.Go(func() {
+			for i := at; ctx.Err() == nil; i += callers {
+				cl := client.New(client.Config{
+					Addresses: []string{sy.host.address}, Caller: "caller", Workspace: fmt.Sprint("team-", i%workspaces),
+				})
+				_, err := cl.Call(b.Context(), "orders", http.MethodPost, "/", []byte("candles"), client.CallOptions{})
+				cl.Close()
+				if err == nil {
+					done.Add(1)
+				} else {
+					failed.Add(1)
+				}
+				time.Sleep(pace)
+			}
+		})
+	}
+	wg.Wait()
+	if failed.Load() > 0 {
+		b.Errorf("%d requests failed", failed.Load())
+	}
+	return float64(done.Load())
+}
