Call moved workers at one address, and unlisted ones while tasks may go on

Cause: a replaced worker kept a loop of calls to its old address for ever; each failure marked the worker as doubtful, so that it lost its new work now and then. And a new scheduler took the worker of a running job for lost when the platform's list, which lags, left it out: the job ended as unknown while it ran on. Ruled out: ignoring the list's addresses, as workers do move. Change: loops follow the core's workers by name and address; the core expects the workers of recorded attempts before the list names them, and gives them up after their leases.

--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -119,6 +119,7 @@
 			jb.cause = cause{requeue: true, detail: "was being stopped when the scheduler changed"}
 		}
 		co.jobs[rc.ID] = jb
+		co.expectWorkers(now, rc)
 		if rc.Code == codes.JobDone {
 			co.runTimes.observe(rc)
 		}
--- a/internal/sched/machine.go
+++ b/internal/sched/machine.go
@@ -44,7 +44,7 @@
 		}
 		ma, ok := co.machines[ho.Name]
 		if !ok {
-			ma = &machine{since: now, rows: map[worker.TaskID]worker.Task{}, wanted: map[worker.TaskID]worker.Command{}}
+			ma = newMachine(now)
 			co.machines[ho.Name] = ma
 		}
 		ma.host = ho
@@ -56,6 +56,39 @@
 	co.rebuild()
 }
 
+// expectWorkers makes the workers of an attempt known before the list names
+// them: the list lags, and tasks may go on where it names nobody.
+func (co *Core) expectWorkers(now time.Time, rc jobs.Record) {
+	if !rc.Active() {
+		return
+	}
+	for _, ta := range rc.Tasks {
+		if _, ok := co.machines[ta.Worker]; ok {
+			continue
+		}
+		ma := newMachine(now)
+		ma.host = plat.Host{Name: ta.Worker, Kind: plat.KindWorker, Address: ta.Address}
+		co.machines[ta.Worker] = ma
+	}
+}
+
+func newMachine(now time.Time) *machine {
+	return &machine{since: now, rows: map[worker.TaskID]worker.Task{}, wanted: map[worker.TaskID]worker.Command{}}
+}
+
+// WorkerCount returns how many workers are to be called.
+func (co *Core) WorkerCount() int { return len(co.machines) }
+
+// Workers returns every worker that is to be called: the listed ones and those
+// on which tasks may go on.
+func (co *Core) Workers() []plat.Host {
+	hosts := make([]plat.Host, 0, len(co.machines))
+	for _, name := range slices.Sorted(maps.Keys(co.machines)) {
+		hosts = append(hosts, co.machines[name].host)
+	}
+	return hosts
+}
+
 // report takes a worker's answer.
 func (co *Core) report(now time.Time, ev Reported) {
 	ma, ok := co.machines[ev.Worker]
--- a/internal/sched/waves_test.go
+++ b/internal/sched/waves_test.go
@@ -168,6 +168,22 @@
 	is.Equal(wd.checkInvariants(), nil)
 }
 
+// TestListThatLagsLosesNoJob changes the scheduler while the platform's list
+// leaves out a worker with a running job.
+func TestListThatLagsLosesNoJob(t *testing.T) {
+	wd := newWorld(2, small)
+	wd.run(time.Second)
+	sp := gang("z1.a", 1, 8, "sleep", "40s")
+	sp.Repeatable = false
+	wd.submit(sp)
+	wd.run(2 * time.Second)
+	wd.unlisted = wd.runs()[0].Worker
+	wd.current().gone = true
+	wd.takeOver()
+	wd.run(time.Minute)
+	expect(t, wd, "z1.a", codes.JobDone)
+}
+
 // TestLeavingWorkerIsEvacuated drains a worker under gangs that can and that
 // can't be moved without loss.
 func TestLeavingWorkerIsEvacuated(t *testing.T) {
--- a/internal/sched/world_test.go
+++ b/internal/sched/world_test.go
@@ -19,21 +19,22 @@
 	// world drives cores against lease tables and a store in virtual time. All
 	// that happens is on one list of moments, so a run repeats exactly.
 	world struct {
-		now     time.Time
-		moments []moment
-		order   int
-		decl    *spec.Declarations
-		hosts   []plat.Host
-		tables  map[string]*wksim.Table
-		cut     map[string]bool // workers that nobody reaches
-		lossy   map[string]bool // workers whose answers are lost
-		slow    map[string]bool // workers that take calls late, after the caller has given up
-		store   keeper
-		cores   []*holder
-		ticket  sched.Ticket
-		answers map[sched.Ticket]sched.Answer
-		asked   map[sched.Ticket]string // job by ticket
-		notes   []sched.Noted
+		now      time.Time
+		moments  []moment
+		order    int
+		decl     *spec.Declarations
+		hosts    []plat.Host
+		tables   map[string]*wksim.Table
+		cut      map[string]bool // workers that nobody reaches
+		lossy    map[string]bool // workers whose answers are lost
+		unlisted string          // worker that the platform's list leaves out
+		slow     map[string]bool // workers that take calls late, after the caller has given up
+		store    keeper
+		cores    []*holder
+		ticket   sched.Ticket
+		answers  map[sched.Ticket]sched.Answer
+		asked    map[sched.Ticket]string // job by ticket
+		notes    []sched.Noted
 	}
 
 	attemptID struct {
@@ -153,7 +154,8 @@
 		Zone: sampleZone, Epoch: ho.epoch, Buckets: len(wd.store.buckets), Records: rcs, Declarations: wd.decl,
 	})
 	wd.cores = append(wd.cores, ho)
-	wd.tell(ho, sched.Listed{Workers: wd.hosts})
+	listed := slices.DeleteFunc(slices.Clone(wd.hosts), func(hs plat.Host) bool { return hs.Name == wd.unlisted })
+	wd.tell(ho, sched.Listed{Workers: listed})
 	for _, hs := range wd.hosts {
 		wd.renew(ho, hs.Name)
 	}
--- a/internal/zone/calls.go
+++ b/internal/zone/calls.go
@@ -19,7 +19,7 @@
 		zone  *Zone
 		epoch int64
 		mu    sync.Mutex
-		loops map[string]context.CancelFunc // by name and address
+		loops map[target]context.CancelFunc
 		seen  map[target]sight
 	}
 
@@ -44,24 +44,40 @@
 )
 
 func newCallers(ctx context.Context, zo *Zone, epoch int64) *callers {
-	return &callers{ctx: ctx, zone: zo, epoch: epoch, loops: map[string]context.CancelFunc{}, seen: map[target]sight{}}
+	return &callers{ctx: ctx, zone: zo, epoch: epoch, loops: map[target]context.CancelFunc{}, seen: map[target]sight{}}
 }
 
-// follow keeps one renewing loop for every listed worker. Loops of workers
-// that are not listed any more go on while their calls succeed.
-func (ca *callers) follow(li plat.List) {
+// follow keeps one renewing loop for every worker. A worker that has moved to
+// another address is not called at the old one any more, and one that has gone
+// from the list only as long as it answers or its leases may last.
+func (ca *callers) follow(workers []plat.Host) {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
-	for _, ho := range li.Of(plat.KindWorker) {
+	current := map[string]target{}
+	for _, ho := range workers {
 		tg := target{name: ho.Name, address: ho.Address}
-		id := tg.name + " " + tg.address
-		if _, ok := ca.loops[id]; ok {
+		current[tg.name] = tg
+		if _, ok := ca.loops[tg]; ok {
 			continue
 		}
 		ctx, cancel := context.WithCancel(ca.ctx)
-		ca.loops[id] = cancel
+		ca.loops[tg] = cancel
 		go ca.renew(ctx, tg)
 	}
+	for tg, cancel := range ca.loops {
+		if current[tg.name] != tg {
+			cancel()
+			delete(ca.loops, tg)
+			delete(ca.seen, tg)
+		}
+	}
+}
+
+// count returns how many workers are called.
+func (ca *callers) count() int {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	return len(ca.loops)
 }
 
 func (ca *callers) stop() {
--- a/internal/zone/elect.go
+++ b/internal/zone/elect.go
@@ -205,14 +205,27 @@
 			zo.listWorkers()
 		case <-ticker.C:
 			zo.handle(sched.Ticked{})
+			zo.dropWorkers()
 		}
 	}
 }
 
+// dropWorkers ends the calls to workers that the core has given up.
+func (zo *Zone) dropWorkers() {
+	zo.mu.Lock()
+	defer zo.mu.Unlock()
+	if zo.core != nil && zo.callers.count() != zo.core.WorkerCount() {
+		zo.callers.follow(zo.core.Workers())
+	}
+}
+
 func (zo *Zone) listWorkers() {
-	li := zo.cfg.Hosts()
-	zo.callers.follow(li)
-	zo.handle(sched.Listed{Workers: li.Hosts})
+	zo.handle(sched.Listed{Workers: zo.cfg.Hosts().Hosts})
+	zo.mu.Lock()
+	defer zo.mu.Unlock()
+	if zo.core != nil {
+		zo.callers.follow(zo.core.Workers())
+	}
 }
 
 // keepLease renews the lease. While the store does not answer nobody else can
--- a/internal/zone/harness_test.go
+++ b/internal/zone/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"strings"
 	"sync"
@@ -48,15 +49,18 @@
 	crew struct {
 		mu     sync.Mutex
 		tables map[string]*wksim.Table
+		strays int // calls to addresses where nobody listens
 	}
 
 	// rig is the surroundings of the hosts of one zone.
 	rig struct {
-		t     *testing.T
-		store *keeper
-		crew  *crew
-		list  plat.List
-		decl  *spec.Declarations
+		t      *testing.T
+		store  *keeper
+		crew   *crew
+		mu     sync.Mutex // guards list and listed
+		list   plat.List
+		listed chan struct{} // closed at the next change of list
+		decl   *spec.Declarations
 	}
 
 	// host is one host's zone that runs.
@@ -260,7 +264,13 @@
 	time.Sleep(callDelay)
 	for end := time.Now().Add(rq.Wait); ; time.Sleep(callDelay) {
 		cr.mu.Lock()
-		reply, err := cr.tables[address].Apply(time.Now(), rq)
+		tb := cr.tables[address]
+		if tb == nil {
+			cr.strays++
+			cr.mu.Unlock()
+			return worker.Reply{}, &worker.NotSentError{Address: address, Err: io.EOF}
+		}
+		reply, err := tb.Apply(time.Now(), rq)
 		cr.mu.Unlock()
 		if ctx.Err() != nil {
 			return worker.Reply{}, ctx.Err()
@@ -289,7 +299,7 @@
 // within runs a test against a new rig in a bubble of its own time.
 func within(t *testing.T, fn func(t *testing.T, ri *rig)) {
 	synctest.Test(t, func(t *testing.T) {
-		ri := &rig{t: t, store: newKeeper(), crew: &crew{tables: map[string]*wksim.Table{}}, list: plat.List{Zone: zoneName}}
+		ri := &rig{t: t, store: newKeeper(), crew: &crew{tables: map[string]*wksim.Table{}}, list: plat.List{Zone: zoneName}, listed: make(chan struct{})}
 		rack := spec.Rack{Name: "r1", Workers: workers, Accelerators: 8, Cores: 64}
 		ri.decl = &spec.Declarations{
 			Zones:      []spec.Zone{{Name: zoneName, Region: zoneName, Racks: []spec.Rack{rack}}},
@@ -306,13 +316,40 @@
 	})
 }
 
+func (ri *rig) hosts() plat.List {
+	ri.mu.Lock()
+	defer ri.mu.Unlock()
+	return ri.list
+}
+
+func (ri *rig) hostsChanged() <-chan struct{} {
+	ri.mu.Lock()
+	defer ri.mu.Unlock()
+	return ri.listed
+}
+
+// move gives a worker another address, with its table.
+func (ri *rig) move(name, address string) {
+	ri.crew.mu.Lock()
+	ri.crew.tables[address] = ri.crew.tables[name]
+	delete(ri.crew.tables, name)
+	ri.crew.mu.Unlock()
+	ri.mu.Lock()
+	defer ri.mu.Unlock()
+	ho, _ := ri.list.Find(name)
+	ho.Address = address
+	ri.list = ri.list.With(ho)
+	close(ri.listed)
+	ri.listed = make(chan struct{})
+}
+
 // start runs a host until the test ends or it is stopped.
 func (ri *rig) start(name string) *host {
 	never := make(chan struct{})
 	zo := zone.New(zone.Config{
 		Host: name, Zone: zoneName, Store: ri.store, Workers: ri.crew,
 		Declarations: func() *spec.Declarations { return ri.decl }, Changed: func() <-chan struct{} { return never },
-		Hosts: func() plat.List { return ri.list }, HostsChanged: func() <-chan struct{} { return never },
+		Hosts: ri.hosts, HostsChanged: ri.hostsChanged,
 		Log: slog.New(slog.DiscardHandler),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/zone/zone_test.go
+++ b/internal/zone/zone_test.go
@@ -319,3 +319,26 @@
 		ri.store.set(func() { ri.store.stall = "" })
 	})
 }
+
+// TestMovedWorkerIsCalledAtItsNewAddressOnly gives a worker another address.
+func TestMovedWorkerIsCalledAtItsNewAddressOnly(t *testing.T) {
+	within(t, func(t *testing.T, ri *rig) {
+		is := is.New(t)
+		ho := ri.elected("entry-1")
+		ri.move("w1", "w1-moved")
+		ri.await("every worker is heard", func() bool {
+			sm, _ := ho.Summary(time.Now())
+			return sm.Workers == workers
+		})
+		time.Sleep(bound)
+		ri.crew.mu.Lock()
+		before := ri.crew.strays
+		ri.crew.mu.Unlock()
+		time.Sleep(bound)
+		ri.crew.mu.Lock()
+		defer ri.crew.mu.Unlock()
+		is.Equal(ri.crew.strays, before)
+		sm, _ := ho.Summary(time.Now())
+		is.Equal(sm.Workers, workers)
+	})
+}
