Keep declarations out of the manifest that every poll reads

Every host reads the manifest each ten seconds or so, and the manifest held the declarations themselves, encoded twice: 3,559 B/s a host at 220 workspaces, of 14 KB/s for all control, growing with the file (1,524 at 55, 2,198 at 110; go test ./test/size -bench Follow). Reading keys only was ruled out as it needs another call of the store. Content over 4 KiB now goes into chunks, as that over half a megabyte did before: 62 B/s at every size. An apply takes 2.8 swaps and one chunk read a host instead of one swap.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -59,8 +59,9 @@
 	chunkPrefix = "config/chunk/"
 
 	// maxInlineBytes is the largest content that the manifest holds itself.
-	// It leaves room for base64 and for the other fields.
-	maxInlineBytes = store.MaxValue / 2
+	// Every host reads the manifest at each poll, and the chunks only when
+	// the revision is new to it.
+	maxInlineBytes = 4 << 10
 
 	chunkBytes      = store.MaxValue / 2
 	maxContentBytes = 16 << 20
