Leave the user agent out of calls on workers

A scheduler of 94 workers spent 12,950 B/s on renewals, 553 bytes a call, of 14 KB/s for all control (go test ./test/size -bench Scheduler). The name of the HTTP client tells a worker nothing, and the holder is in the body. Shorter field names were ruled out, as they belong to the platform's interface. The test of the headers fails without the change; 32 bytes a call are saved.

--- a/internal/worker/http.go
+++ b/internal/worker/http.go
@@ -106,6 +106,7 @@
 		return Reply{}, &NotSentError{Address: address, Err: err}
 	}
 	hr.Header.Set("Content-Type", "application/json")
+	hr.Header.Set("User-Agent", "") // not sent: renewals are most of a scheduler's bytes
 	resp, err := hc.client.Do(hr)
 	if err != nil {
 		if connected.Load() {
--- a/internal/worker/http_test.go
+++ b/internal/worker/http_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -122,3 +124,20 @@
 	_, err = hc.Call(t.Context(), sv.Listener.Addr().String(), worker.Request{Epoch: 1, Wait: patience})
 	is.NoErr(err)
 }
+
+// TestCallsAreSmall bounds the headers of a call, which every worker gets every
+// few seconds.
+func TestCallsAreSmall(t *testing.T) {
+	is := is.New(t)
+	names := make(chan []string, 1)
+	sv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		names <- slices.Sorted(maps.Keys(r.Header))
+		_, _ = w.Write([]byte("{}"))
+	}))
+	defer sv.Close()
+	hc := worker.NewHTTPCaller(worker.HTTPConfig{Timeout: patience})
+	defer hc.Close()
+	_, err := hc.Call(t.Context(), sv.Listener.Addr().String(), worker.Request{Epoch: 1})
+	is.NoErr(err)
+	is.Equal(<-names, []string{"Content-Length", "Content-Type"})
+}
