--- /dev/null
+++ b/test/procs/peer_test.go
@@ -0,0 +1,82 @@
+package procs_test
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+const (
+	outBound = 3 * time.Second // until a frozen host is out
+	freezes  = 3
+)
+
+// awaitSlots waits until a host has so many slots for itself.
+func (eh *entryHost) awaitSlots(t *testing.T, want int) {
+	t.Helper()
+	eventually(t, fmt.Sprintf("%s has %d slots", eh.host, want), func() error {
+		count, err := eh.slots()
+		if err == nil && count != want {
+			err = fmt.Errorf("%d slots", count)
+		}
+		return err
+	})
+}
+
+// freezeInTime freezes a host and verifies that another one takes it for gone
+// within outBound. A machine that is busy gets more than one chance.
+func freezeInTime(t *testing.T, eh, frozen *entryHost) {
+	t.Helper()
+	for range freezes {
+		frozen.signal(t, syscall.SIGSTOP)
+		stopped := time.Now()
+		awaitReachable(t, eh, frozen.host, false)
+		took := time.Since(stopped)
+		t.Logf("out after %v", took)
+		if took < outBound {
+			return
+		}
+		frozen.signal(t, syscall.SIGCONT)
+		awaitReachable(t, eh, frozen.host, true)
+	}
+	t.Fatalf("not out within %v", outBound)
+}
+
+func TestFrozenPeer(t *testing.T) {
+	is := is.New(t)
+	sy := start(t)
+	holder, frozen := sy.scheduler(t, lima)
+	before, err := holder.zoneStatus(lima)
+	is.NoErr(err)
+	for _, eh := range sy.of(lima) {
+		eh.awaitSlots(t, 8*endpointsPerZone/hostsPerZone)
+	}
+
+	freezeInTime(t, holder, frozen)
+	holder.awaitSlots(t, 8*endpointsPerZone)
+	an, err := holder.order("/alone", client.CallOptions{})
+	is.NoErr(err)
+	is.Equal(an.Code, codes.RequestDone)
+
+	frozen.signal(t, syscall.SIGCONT)
+	awaitReachable(t, holder, frozen.host, true)
+	awaitReachable(t, frozen, holder.host, true)
+	for _, eh := range sy.of(lima) {
+		eh.awaitSlots(t, 8*endpointsPerZone/hostsPerZone)
+		an, err := eh.order("/back", client.CallOptions{})
+		is.NoErr(err)
+		is.Equal(an.Code, codes.RequestDone)
+	}
+	is.Equal(sy.runsAt(t, "/alone"), 1)
+	is.Equal(sy.runsAt(t, "/back"), hostsPerZone)
+	after, err := holder.zoneStatus(lima)
+	is.NoErr(err)
+	is.Equal(after.Scheduler, holder.host) // an ordinary host changes nothing there
+	is.Equal(after.Epoch, before.Epoch)
+}
