Leave zones without endpoints out of the spill for a second

Cause: with the rule any, each request first asked the neighbouring zone, which had no endpoint either, and spent a repetition of the budget on the next zone; when the budget was used up, requests were refused although a third zone had free endpoints. Ruled out: passing on without charging the budget, which lets a fault multiply traffic. Change: a zone that answers that it has no endpoint is not asked for a second. Conclusion: the spill reaches the zone that can serve.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -30,6 +30,7 @@
 		targets map[string]*target // by endpoint
 		rule    spec.Spill
 		zones   []route.Zone
+		empty   map[string]time.Time // zones that have no endpoint, until they are asked again
 	}
 
 	// target is the way to one endpoint.
@@ -64,6 +65,7 @@
 		budget:  route.NewBudget(),
 		waiters: make(map[uint64]chan admit.Decision),
 		targets: make(map[string]*target),
+		empty:   make(map[string]time.Time),
 	}
 }
 
--- a/internal/entry/spill.go
+++ b/internal/entry/spill.go
@@ -13,11 +13,15 @@
 	"github.com/cicadawharf/cicadawharf/internal/route"
 	"github.com/cicadawharf/cicadawharf/pkg/client"
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
 
 // hopConnections bounds the streams to one entry host of another zone.
 const hopConnections = 1024
 
+// emptyTime is how long a zone without endpoints is not asked again.
+const emptyTime = time.Second
+
 // serveElsewhere passes the request to entry hosts of other zones, as the
 // service permits. It returns nil once the answer to the caller has been
 // written, and last if there is nobody to ask.
@@ -44,6 +48,9 @@
 			}
 		default:
 			last = er
+			if er.Code == codes.NoEndpoint {
+				cl.sv.noteEmpty(time.Now(), hop.Zone)
+			}
 			if er.Code.Class() != codes.NotRun {
 				return last
 			}
@@ -56,14 +63,33 @@
 	if cl.sr.cfg.SpillDial == nil {
 		return nil
 	}
-	cl.sv.mu.Lock()
-	rule, zones := cl.sv.rule, cl.sv.zones
-	cl.sv.mu.Unlock()
+	rule, zones := cl.sv.spillZones(time.Now())
 	cl.sr.mu.Lock()
 	defer cl.sr.mu.Unlock()
 	return route.Spill(rule, cl.sr.cfg.Region, zones, cl.sr.rnd)
 }
 
+// spillZones returns the rule and the zones that may have an endpoint.
+func (sv *service) spillZones(now time.Time) (spec.Spill, []route.Zone) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	var zones []route.Zone
+	for _, zn := range sv.zones {
+		if now.After(sv.empty[zn.Name]) {
+			zones = append(zones, zn)
+		}
+	}
+	return sv.rule, zones
+}
+
+// noteEmpty leaves a zone out for a while that has said that it has no
+// endpoint, so that not every request spends a repetition on asking it.
+func (sv *service) noteEmpty(now time.Time, zone string) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.empty[zone] = now.Add(emptyTime)
+}
+
 // attemptHop passes the request to one entry host. It returns the code that
 // the host gave of itself, or the failure to reach it.
 func (cl *call) attemptHop(ctx context.Context, hop route.Hop, of int) (*codes.Error, *relay.Failure) {
--- /dev/null
+++ b/test/procs/spill_far_test.go
@@ -0,0 +1,26 @@
+package procs_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/fakes/epsim"
+)
+
+// TestSpillPastTheNeighbour has the zone of the own region reachable, but
+// without endpoints, too.
+func TestSpillPastTheNeighbour(t *testing.T) {
+	is := is.New(t)
+	sy := start(t)
+	sy.apply(t, "any.yaml", spilling("any"))
+	eh := sy.servePuno(t)
+	awaitSpill(t, eh)
+	for _, address := range sy.endpoints[:endpointsPerZone] { // lima's
+		rs, err := http.Post("http://"+address+epsim.LeavePath, "", nil)
+		is.NoErr(err)
+		is.NoErr(rs.Body.Close())
+	}
+	spill(t, sy, eh, "/far", cusco)
+}
