Write the bytes sent to peers into the metrics

Cause: the counters of peer traffic were in a set of their own that nothing wrote. Ruled out: a second path of metrics, as one scrape has to show all of a host. Conclusion: control traffic can be watched.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sync/errgroup"
 
@@ -94,7 +95,7 @@
 	})
 	ho.mesh = peers.New(peers.Config{
 		Self: ho.self, Listener: cfg.PeerListener, Seeds: se.Seeds, Log: ho.log,
-		LeavingEndpoints: ho.leavingEndpoints, OnLeavingEndpoints: ho.leaving.add,
+		LeavingEndpoints: ho.leavingEndpoints, OnLeavingEndpoints: ho.leaving.add, Metrics: metrics.GetDefaultSet(),
 	})
 	ho.claims = claim.New(claim.Config{Store: ho.store, Host: se.Host.Name, Log: ho.log})
 	ho.account = report.NewAccount(report.AccountConfig{
