--- a/internal/cmds/ask.go
+++ b/internal/cmds/ask.go
@@ -69,19 +69,13 @@
 }
 
 func (en *env) status(ctx context.Context, op *askOptions) error {
-	if err := op.check(en); err != nil {
-		return err
-	}
-	cl, err := op.client()
-	if err != nil {
-		return err
-	}
-	defer cl.Close()
-	st, err := cl.Status(ctx)
-	if err != nil {
-		return err
-	}
-	return emit(en, st, writeStatus)
+	return en.ask(op, func(cl *client.Client) error {
+		st, err := cl.Status(ctx)
+		if err != nil {
+			return err
+		}
+		return emit(en, st, writeStatus)
+	})
 }
 
 func writeStatus(out io.Writer, st client.Status) error {
--- a/internal/cmds/jobs.go
+++ b/internal/cmds/jobs.go
@@ -11,6 +11,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/pause"
 	"github.com/cicadawharf/cicadawharf/pkg/client"
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
@@ -143,24 +144,12 @@
 		}
 		jb = next
 		if jb.State != jobs.Ended.String() {
-			pause(ctx, min(minPoll-time.Since(asked), time.Until(end)))
+			pause.For(ctx, min(minPoll-time.Since(asked), time.Until(end)))
 		}
 	}
 	return jb, nil
 }
 
-func pause(ctx context.Context, du time.Duration) {
-	if du <= 0 {
-		return
-	}
-	tm := time.NewTimer(du)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-	case <-tm.C:
-	}
-}
-
 func (en *env) jobsCommand() *command {
 	var op jobsOptions
 	return &command{
@@ -235,19 +224,13 @@
 }
 
 func (en *env) cancel(ctx context.Context, op *jobsOptions) error {
-	if err := op.check(en); err != nil {
-		return err
-	}
-	cl, err := op.client()
-	if err != nil {
-		return err
-	}
-	defer cl.Close()
-	jb, err := cl.Cancel(ctx, op.id)
-	if err != nil {
-		return err
-	}
-	return emit(en, jb, writeJob)
+	return en.ask(op, func(cl *client.Client) error {
+		jb, err := cl.Cancel(ctx, op.id)
+		if err != nil {
+			return err
+		}
+		return emit(en, jb, writeJob)
+	})
 }
 
 // emitJob writes a job. One that has ended without success is an error.
--- a/internal/cmds/remote.go
+++ b/internal/cmds/remote.go
@@ -22,6 +22,12 @@
 	operator  string
 }
 
+// asker is a command with the flags of both.
+type asker interface {
+	check(en *env) error
+	client() (*client.Client, error)
+}
+
 // output holds the flag that chooses the form of results.
 type output struct {
 	format string
@@ -55,6 +61,19 @@
 	}), nil
 }
 
+// ask checks the flags of a command and hands it a client of the system.
+func (en *env) ask(op asker, fn func(cl *client.Client) error) error {
+	if err := op.check(en); err != nil {
+		return err
+	}
+	cl, err := op.client()
+	if err != nil {
+		return err
+	}
+	defer cl.Close()
+	return fn(cl)
+}
+
 func (op *output) flags(sc *flaggy.Subcommand) {
 	op.format = formatText
 	sc.String(&op.format, "", "output", "form of the result: text or json")
--- a/internal/host/operate.go
+++ b/internal/host/operate.go
@@ -9,6 +9,7 @@
 	"github.com/cicadawharf/cicadawharf/internal/conf"
 	"github.com/cicadawharf/cicadawharf/internal/entry"
 	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/pause"
 	"github.com/cicadawharf/cicadawharf/internal/place"
 	"github.com/cicadawharf/cicadawharf/internal/report"
 	"github.com/cicadawharf/cicadawharf/pkg/client"
@@ -71,7 +72,7 @@
 				late = append(late, me.Zone+"/"+me.Name)
 			}
 		}
-		if len(late) == 0 || !sleep(ctx, rolloutPoll) {
+		if len(late) == 0 || !pause.For(ctx, rolloutPoll) {
 			return late
 		}
 	}
--- a/internal/host/router.go
+++ b/internal/host/router.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/pause"
 	"github.com/cicadawharf/cicadawharf/internal/peers"
 	"github.com/cicadawharf/cicadawharf/internal/sched"
 	"github.com/cicadawharf/cicadawharf/internal/wire"
@@ -163,7 +164,7 @@
 		if !safeToRepeat(err) {
 			return withCode(err, lost)
 		}
-		if !sleep(bound, schedulerRetry) {
+		if !pause.For(bound, schedulerRetry) {
 			return refusal(err, zn)
 		}
 	}
@@ -222,14 +223,3 @@
 	}
 	return codes.New(codes.ZoneUnreachable, "availability zone %s: %v", zn, err).WithRetryAfter(comeBack)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -12,6 +12,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/ansel1/merry/v2"
+
+	"github.com/cicadawharf/cicadawharf/internal/pause"
 )
 
 type (
@@ -218,7 +220,7 @@
 				return merry.Prepend(err, "accept from peers")
 			}
 			ms.cfg.Log.Warn("can't accept from peers", "error", err)
-			sleep(ctx, acceptPause)
+			pause.For(ctx, acceptPause)
 			continue
 		}
 		select {
@@ -235,7 +237,7 @@
 }
 
 func (ms *Mesh) forgetLoop(ctx context.Context) {
-	for sleep(ctx, forgetEvery) {
+	for pause.For(ctx, forgetEvery) {
 		ms.mu.Lock()
 		gone := ms.roster.Forget(time.Now())
 		ms.mu.Unlock()
@@ -252,15 +254,3 @@
 	}
 	return ms.cfg.RemoteHeartbeatEvery
 }
-
-// sleep waits and tells whether ctx is still in force.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	tm := time.NewTimer(wait)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-tm.C:
-		return true
-	}
-}
--- a/internal/peers/target.go
+++ b/internal/peers/target.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/cicadawharf/cicadawharf/internal/pause"
 )
 
 // target is a peer address that this host dials.
@@ -52,7 +54,7 @@
 	for ms.keep(ta) {
 		if !ms.wanted(ta) {
 			backoff = minBackoff
-			if !sleep(ctx, jitter(idleCheck)) {
+			if !pause.For(ctx, jitter(idleCheck)) {
 				return
 			}
 			continue
@@ -75,7 +77,7 @@
 			ms.cfg.Log.Warn("host is refused: a later start of its name is known", "address", ta.address, "peer", ta.name)
 			backoff = maxRemoteBackoff
 		}
-		if !sleep(ctx, jitter(backoff)) {
+		if !pause.For(ctx, jitter(backoff)) {
 			return
 		}
 		backoff = min(2*backoff, ms.maxBackoff(ta))
--- a/internal/store/settle.go
+++ b/internal/store/settle.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/pause"
 )
 
 const (
@@ -34,7 +36,7 @@
 	for i := range maxSettleReads {
 		ent, _, err = st.Get(ctx, req.Key)
 		if err != nil {
-			if !pause(ctx, settlePause<<i) {
+			if !pause.For(ctx, settlePause<<i) {
 				break
 			}
 			continue
@@ -59,15 +61,3 @@
 	}
 	return ent, ErrConflict
 }
-
-// pause waits and tells whether ctx lasted as long.
-func pause(ctx context.Context, wait time.Duration) bool {
-	tm := time.NewTimer(wait)
-	defer tm.Stop()
-	select {
-	case <-tm.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/zone/calls.go
+++ b/internal/zone/calls.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cicadawharf/cicadawharf/internal/pause"
 	"github.com/cicadawharf/cicadawharf/internal/plat"
 	"github.com/cicadawharf/cicadawharf/internal/sched"
 	"github.com/cicadawharf/cicadawharf/internal/worker"
@@ -108,7 +109,7 @@
 		}
 		if !ca.report(tg, reply, err, nil, version == reply.Version && boot == reply.Boot) {
 			version = -1
-			pause(ctx, renewalPause)
+			pause.For(ctx, renewalPause)
 			continue
 		}
 		version = reply.Version
--- a/internal/zone/elect.go
+++ b/internal/zone/elect.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/cicadawharf/cicadawharf/internal/jobs"
+	"github.com/cicadawharf/cicadawharf/internal/pause"
 	"github.com/cicadawharf/cicadawharf/internal/sched"
 	"github.com/cicadawharf/cicadawharf/internal/store"
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
@@ -114,13 +115,13 @@
 // waitForVacancy returns when the lease may be free.
 func (zo *Zone) waitForVacancy(ctx context.Context) {
 	if zo.cfg.Declarations() == nil {
-		pause(ctx, electRetry)
+		pause.For(ctx, electRetry)
 		return
 	}
 	key := holderKey(zo.cfg.Zone)
 	en, at, err := zo.cfg.Store.Get(ctx, key)
 	if err != nil || en.Revision == 0 {
-		pause(ctx, electRetry)
+		pause.For(ctx, electRetry)
 		return
 	}
 	zo.noteHolder(en.Value)
@@ -135,7 +136,7 @@
 		return nil
 	})
 	if err != nil && !errors.Is(err, vacant) && watch.Err() == nil {
-		pause(ctx, electRetry)
+		pause.For(ctx, electRetry)
 	}
 }
 
@@ -154,7 +155,7 @@
 			zo.heard(newer.epoch)
 		}
 		zo.giveUp(lease)
-		pause(ctx, electRetry)
+		pause.For(ctx, electRetry)
 		return
 	}
 	zo.begin(held, ld, rcs, epoch, resign)
@@ -232,7 +233,7 @@
 // take it, so only a lapse that the store states ends the term.
 func (zo *Zone) keepLease(held context.Context, lease store.LeaseID, resign context.CancelFunc) {
 	for held.Err() == nil {
-		pause(held, leaseRenew)
+		pause.For(held, leaseRenew)
 		err := zo.cfg.Store.Renew(held, lease)
 		if held.Err() != nil {
 			return
@@ -252,7 +253,7 @@
 	defer stop()
 	for ctx.Err() == nil && zo.unsaved() {
 		zo.handle(sched.Ticked{})
-		pause(ctx, tickEvery/10)
+		pause.For(ctx, tickEvery/10)
 	}
 }
 
@@ -284,12 +285,3 @@
 		zo.cfg.Log.Debug("lease was not revoked", "event", "elect", "zone", zo.cfg.Zone, "error", err)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
