Keep a part of the queue's time in reserve, so that refusals come at once

Cause: under a flood more than one refusal in a hundred came only after the whole second of the queue: requests were let in up to an estimated wait of one second, and later ones with a better claim made the wait longer. Ruled out: dropping the waiting at each turn, which costs a walk over the queue and still refuses late. Change: a request is refused at once when its wait would use more than three quarters of the queue's time.

--- a/internal/admit/gate_test.go
+++ b/internal/admit/gate_test.go
@@ -299,3 +299,20 @@
 		}
 	})
 }
+
+// TestRefusalsOfAFloodComeAtOnce floods a gate whose queue is bounded by time
+// alone, while another workspace takes slots that the estimates did not know of.
+func TestRefusalsOfAFloodComeAtOnce(t *testing.T) {
+	is := is.New(t)
+	ga := admit.New(admit.Config{MaxQueue: 100000, QueueTime: time.Second, Seed: 1})
+	ga.SetShares([]admit.Share{{Workspace: "hotels", Weight: 1}, {Workspace: "parish", Slots: 4, Weight: 1}})
+	ga.Resize(epoch, 32)
+	re := simulate(
+		t, ga, 100*time.Millisecond, 10*time.Second,
+		load{"hotels", "flood", 0, 700 * time.Microsecond},
+		load{"parish", "a", 0, 20 * time.Millisecond},
+	)
+	t.Logf("offered %d, served %d, lapsed %d", re[0].offered, re[0].served, re[0].lapsed)
+	is.True(re[0].lapsed*1000 <= re[0].offered)
+	is.True(re[0].served+re[1].served >= 3040) // 95% of the capacity
+}
--- a/internal/admit/refuse.go
+++ b/internal/admit/refuse.go
@@ -10,6 +10,11 @@
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
 	noSlotRetry   = time.Second
+
+	// queueReserve is the part of the queue's time, as a divisor, that no
+	// estimate may use up: requests that come later with a better claim make the
+	// wait longer, and a ticket that lapses was refused late.
+	queueReserve = 4
 )
 
 // hopeless tells why a ticket that would have to wait can't be served in time.
@@ -19,7 +24,7 @@
 	}
 	wait := ga.estimate(rq)
 	switch {
-	case wait > ga.cfg.QueueTime:
+	case wait > ga.cfg.QueueTime-ga.cfg.QueueTime/queueReserve:
 		er := codes.New(codes.Overloaded, "the wait for a slot would be %v", wait.Round(time.Millisecond))
 		return ga.spread(er, wait)
 	case !rq.Deadline.IsZero() && now.Add(wait).After(rq.Deadline):
