Report the time that jobs were held back and the capacity reclaimed

Cause: the report told what was refused, but not for how long work was held back, nor how much accelerator time was reclaimed from work that yielded. Ruled out: working it out from submission and last start, which counts earlier attempts as waiting. Change: records keep the time in the queue and the part of their accelerator time that was stopped for other work; rows and the capacity reading show both. Figures: tests of jobs, scheduler and report pass; four workers' reclaimed time is seen in the records of the scheduler's test. Conclusion: work done, held back and refused stand in one report.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -57,6 +57,9 @@
 	Ended     time.Time
 	Held      time.Duration // accelerator time of all attempts, accelerators times duration
 	Lost      time.Duration // part of Held that attempts cut short have wasted
+	Reclaimed time.Duration // part of Held in attempts that were stopped for other work
+	Waited    time.Duration // in the queue, before every attempt
+	Queued    time.Time     // when it last came into the queue
 }
 
 // Filter picks records of a listing.
@@ -149,9 +152,24 @@
 	return rc
 }
 
+// Waiting returns how long the job has been held back in the queue so far.
+func (rc Record) Waiting(now time.Time) time.Duration {
+	if rc.State != Queued || rc.Queued.IsZero() {
+		return rc.Waited
+	}
+	return rc.Waited + max(0, now.Sub(rc.Queued))
+}
+
+// WithQueued returns the record in the queue.
+func (rc Record) WithQueued(now time.Time) Record {
+	rc.Queued = now
+	return rc.WithState(Queued)
+}
+
 // WithAttempt returns the record with its next attempt placed on tasks.
 func (rc Record) WithAttempt(now time.Time, epoch int64, tasks []Task) Record {
 	rc.Attempt++
+	rc.Waited = rc.Waiting(now)
 	rc.Epoch = epoch
 	rc.Tasks = tasks
 	rc.Started = now
@@ -160,6 +178,7 @@
 
 // WithEnd returns the record ended with a code.
 func (rc Record) WithEnd(now time.Time, cd codes.Code, detail string) Record {
+	rc.Waited = rc.Waiting(now)
 	rc.State = Ended
 	rc.Code = cd
 	rc.Detail = detail
--- a/internal/jobs/wire.go
+++ b/internal/jobs/wire.go
@@ -23,6 +23,7 @@
 		Code: int32(rc.Code), Detail: rc.Detail, Cancelled: rc.Cancelled, Doubt: rc.Doubt,
 		SubmittedNanos: toNanos(rc.Submitted), StartedNanos: toNanos(rc.Started), EndedNanos: toNanos(rc.Ended),
 		HeldNanos: int64(rc.Held), LostNanos: int64(rc.Lost),
+		ReclaimedNanos: int64(rc.Reclaimed), WaitedNanos: int64(rc.Waited), QueuedNanos: toNanos(rc.Queued),
 	}
 	for _, ta := range rc.Tasks {
 		jb.Tasks = append(jb.Tasks, &wire.JobTask{Worker: ta.Worker, Address: ta.Address})
@@ -50,6 +51,9 @@
 		Ended:     fromNanos(jb.GetEndedNanos()),
 		Held:      time.Duration(jb.GetHeldNanos()),
 		Lost:      time.Duration(jb.GetLostNanos()),
+		Reclaimed: time.Duration(jb.GetReclaimedNanos()),
+		Waited:    time.Duration(jb.GetWaitedNanos()),
+		Queued:    fromNanos(jb.GetQueuedNanos()),
 	}
 	for _, ta := range jb.GetTasks() {
 		rc.Tasks = append(rc.Tasks, Task{Worker: ta.GetWorker(), Address: ta.GetAddress()})
--- a/internal/jobs/wire_test.go
+++ b/internal/jobs/wire_test.go
@@ -32,7 +32,7 @@
 			State: jobs.Running, Attempt: 3, Epoch: 9, Tasks: []jobs.Task{{Worker: "w1", Address: "127.0.0.1:1"}},
 			Code: codes.JobRunning, Detail: "d", Cancelled: rapid.Bool().Draw(rt, "cancelled"), Doubt: rapid.Bool().Draw(rt, "doubt"),
 			Submitted: moment.Draw(rt, "submitted"), Started: moment.Draw(rt, "started"), Ended: moment.Draw(rt, "ended"),
-			Held: time.Hour, Lost: time.Minute,
+			Held: time.Hour, Lost: time.Minute, Reclaimed: time.Second, Waited: 2 * time.Hour, Queued: moment.Draw(rt, "queued"),
 		}
 		is.Equal(jobs.FromWire(jobs.ToWire(rc)), rc)
 	})
--- a/internal/report/daily.go
+++ b/internal/report/daily.go
@@ -33,8 +33,10 @@
 		InProgress  int64       `json:"inProgress"`
 		Codes       []CodeCount `json:"codes,omitempty"` // of work that has ended, by code
 		SlotTime    Span        `json:"slotTime"`
-		Held        Span        `json:"held"` // accelerator time of the jobs
-		Lost        Span        `json:"lost"` // part of Held in attempts that were cut short
+		Held        Span        `json:"held"`      // accelerator time of the jobs
+		Lost        Span        `json:"lost"`      // part of Held in attempts that were cut short
+		Reclaimed   Span        `json:"reclaimed"` // part of Held in attempts that were stopped for other work
+		HeldBack    Span        `json:"heldBack"`  // time of the jobs in the queue
 		RegionBytes int64       `json:"regionBytes"`
 		Repeats     int64       `json:"repeats"`
 	}
@@ -68,6 +70,8 @@
 		SlotTime    Span   `json:"slotTime"`
 		Held        Span   `json:"held"`
 		Lost        Span   `json:"lost"`
+		Reclaimed   Span   `json:"reclaimed"`
+		HeldBack    Span   `json:"heldBack"`
 		RegionBytes int64  `json:"regionBytes"`
 		Repeats     int64  `json:"repeats"`
 	}
--- a/internal/report/draw.go
+++ b/internal/report/draw.go
@@ -106,7 +106,9 @@
 	if rc.Shape.Total() > 0 {
 		su.Held += Span(rc.Held)
 		su.Lost += Span(rc.Lost)
+		su.Reclaimed += Span(rc.Reclaimed)
 	}
+	su.HeldBack += Span(rc.Waiting(dr.in.Now))
 	su.Repeats += int64(max(rc.Attempt-1, 0))
 	switch {
 	case rc.Active():
--- a/internal/report/encode.go
+++ b/internal/report/encode.go
@@ -71,9 +71,9 @@
 }
 
 func (da Daily) writeCapacity(wr io.Writer) {
-	line(wr, "\ncapacity", "ran", "notRun", "inProgress", "slotTime", "held", "lost", "regionBytes", "repeats")
+	line(wr, "\ncapacity", "ran", "notRun", "inProgress", "slotTime", "heldBack", "held", "lost", "reclaimed", "regionBytes", "repeats")
 	for _, ca := range da.Capacity {
-		line(wr, ca.Workspace, ca.Ran, ca.NotRun, ca.InProgress, ca.SlotTime, ca.Held, ca.Lost, ca.RegionBytes, ca.Repeats)
+		line(wr, ca.Workspace, ca.Ran, ca.NotRun, ca.InProgress, ca.SlotTime, ca.HeldBack, ca.Held, ca.Lost, ca.Reclaimed, ca.RegionBytes, ca.Repeats)
 	}
 }
 
--- a/internal/report/read.go
+++ b/internal/report/read.go
@@ -48,6 +48,8 @@
 		ca.SlotTime += rw.SlotTime
 		ca.Held += rw.Held
 		ca.Lost += rw.Lost
+		ca.Reclaimed += rw.Reclaimed
+		ca.HeldBack += rw.HeldBack
 		ca.RegionBytes += rw.RegionBytes
 		ca.Repeats += rw.Repeats
 	}
--- a/internal/sched/caller.go
+++ b/internal/sched/caller.go
@@ -23,7 +23,7 @@
 		co.emit(Answer{Ticket: ev.Ticket, Err: er})
 		return
 	}
-	rc := jobs.Record{Spec: ev.Spec, Submitted: now}.WithState(jobs.Queued)
+	rc := jobs.Record{Spec: ev.Spec, Submitted: now}.WithQueued(now)
 	jb := &job{rec: rc, bucket: co.bucketOf(rc.ID), unit: place.NoUnit}
 	jb.tickets = []ticket{{id: ev.Ticket, until: now.Add(ticketTime)}}
 	co.jobs[rc.ID] = jb
--- a/internal/sched/core_test.go
+++ b/internal/sched/core_test.go
@@ -207,6 +207,15 @@
 	expect(t, wd, "z1.mine", codes.JobDone)
 	rus := wd.runsOf("z1.mine")
 	is.True(rus[0].Started.Sub(begin) < 4900*time.Millisecond)
+	mine, _ := wd.record("z1.mine")
+	is.True(mine.Waited > 0 && mine.Waited < 4900*time.Millisecond)
+	var reclaimed time.Duration
+	for i := range 8 {
+		rc, _ := wd.record(fmt.Sprintf("z1.fill%d", i))
+		reclaimed += rc.Reclaimed
+		is.True(rc.Reclaimed == 0 || rc.Reclaimed == rc.Held)
+	}
+	is.True(reclaimed >= 4*8*time.Second) // four workers of eight accelerators, for seconds
 }
 
 // TestRandomFaults breaks everything at random and then heals it.
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -323,7 +323,7 @@
 // requeue puts a job back among the waiting.
 func (co *Core) requeue(now time.Time, jb *job) {
 	detail := jb.cause.detail
-	jb.rec = jb.rec.WithState(jobs.Queued).WithDetail(detail)
+	jb.rec = jb.rec.WithQueued(now).WithDetail(detail)
 	jb.rec.Tasks = nil
 	jb.after = now.Add(requeueDelay)
 	co.leave(jb)
@@ -370,6 +370,9 @@
 	if !kept {
 		jb.rec.Lost += held
 	}
+	if jb.cause.yields {
+		jb.rec.Reclaimed += held
+	}
 }
 
 // want asks a worker for a change of one task.
