Keep no ground for jobs that wait for something else than room

Ruled out: skipping jobs past their quota when the queue is made, as the quota changes within a pass. Change: a try to place a job returns why it waits; only those that wait for room or for guarantees get ground. The reasons are names like the others. Conclusion: a quota no longer costs other workspaces their backfilling.

--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -37,8 +37,8 @@
 			break
 		}
 		jb := co.jobs[wa.Job]
-		co.placeOne(now, jb, aged, failed)
-		if aged && jb.rec.State == jobs.Queued && jb.earmark == nil {
+		reason := co.placeOne(now, jb, aged, failed)
+		if aged && (reason == place.WaitsForRoom || reason == place.WaitsForGuarantee) {
 			co.fleet.Reserve(now, co.request(now, jb, aged))
 		}
 	}
@@ -67,31 +67,36 @@
 	return 1
 }
 
-func (co *Core) placeOne(now time.Time, jb *job, aged bool, failed map[demand]place.WaitReason) {
+// placeOne tries to place a job and returns why it waits, or nothing if it is
+// placed or others yield to it.
+func (co *Core) placeOne(now time.Time, jb *job, aged bool, failed map[demand]place.WaitReason) place.WaitReason {
 	dm := demand{jb.rec.Workspace, jb.rec.Shape, jb.rec.Priority, jb.rec.Movable(), len(jb.avoid), aged, bits.Len64(uint64(co.runTimes.expect(jb.rec.Spec)))}
 	if reason, ok := failed[dm]; ok {
 		jb.rec = jb.rec.WithDetail(string(reason))
-		return
+		return reason
 	}
 	ws, ok := co.decl.Workspace(jb.rec.Workspace)
 	if !ok {
-		jb.rec = jb.rec.WithDetail("its workspace is no longer declared")
-		return
+		return co.waits(jb, dm, failed, waitsForWorkspace)
 	}
 	if ws.Quota > 0 && co.fleet.Held(ws.Name)+jb.rec.Shape.Total() > ws.Quota {
-		co.waits(jb, dm, failed, waitsForQuota)
-		return
+		return co.waits(jb, dm, failed, waitsForQuota)
 	}
 	if !jb.rec.Repeatable && co.buckets[jb.bucket].failing {
-		jb.rec = jb.rec.WithDetail("waits for the store, as it may not be repeated")
-		return
+		jb.rec = jb.rec.WithDetail(string(waitsForStore))
+		return waitsForStore
 	}
-	co.carryOut(now, jb, co.request(now, jb, aged), dm, failed)
+	return co.carryOut(now, jb, co.request(now, jb, aged), dm, failed)
 }
 
-const waitsForQuota place.WaitReason = "quota"
+// The reasons to wait that no placement changes.
+const (
+	waitsForQuota     place.WaitReason = "quota"
+	waitsForWorkspace place.WaitReason = "workspaceNotDeclared"
+	waitsForStore     place.WaitReason = "storeAway" // it may not be repeated, so its attempt must be recorded
+)
 
-func (co *Core) carryOut(now time.Time, jb *job, rq place.Request, dm demand, failed map[demand]place.WaitReason) {
+func (co *Core) carryOut(now time.Time, jb *job, rq place.Request, dm demand, failed map[demand]place.WaitReason) place.WaitReason {
 	switch de := co.fleet.Decide(now, rq).(type) {
 	case place.Placed:
 		co.begin(now, jb, spot{de.Workers, de.Unit, de.Ground}, de)
@@ -103,8 +108,9 @@
 		if !co.fleet.Fits(jb.rec.Shape) {
 			reason = place.WaitsForever
 		}
-		co.waits(jb, dm, failed, reason)
+		return co.waits(jb, dm, failed, reason)
 	}
+	return ""
 }
 
 func (co *Core) request(now time.Time, jb *job, aged bool) place.Request {
@@ -115,13 +121,13 @@
 	}
 }
 
-func (co *Core) waits(jb *job, dm demand, failed map[demand]place.WaitReason, reason place.WaitReason) {
+func (co *Core) waits(jb *job, dm demand, failed map[demand]place.WaitReason, reason place.WaitReason) place.WaitReason {
 	failed[dm] = reason
-	if jb.rec.Detail == string(reason) {
-		return
+	if jb.rec.Detail != string(reason) {
+		jb.rec = jb.rec.WithDetail(string(reason))
+		co.note(jb, "waits", string(reason))
 	}
-	jb.rec = jb.rec.WithDetail(string(reason))
-	co.note(jb, "waits", string(reason))
+	return reason
 }
 
 // share is the part of the zone's accelerators that a workspace may claim by
--- a/internal/sched/waves_test.go
+++ b/internal/sched/waves_test.go
@@ -98,6 +98,27 @@
 	is.Equal(wd.checkInvariants(), nil)
 }
 
+// TestQuotaKeepsNoGround lets a gang that its quota holds back grow old beside
+// long work of another workspace.
+func TestQuotaKeepsNoGround(t *testing.T) {
+	is := is.New(t)
+	wd := newWorld(1, spec.Workspace{Name: "small", Weight: 1, Quota: 32}, spec.Workspace{Name: "large", Weight: 1})
+	wd.run(time.Second)
+	long := func(id, workspace string, tasks int, run time.Duration) jobs.Spec {
+		sp := gang(id, tasks, 8, "sleep", run.String())
+		sp.Workspace = workspace
+		sp.RunTime = run
+		return sp
+	}
+	wd.submit(long("z1.first", "small", 1, 3*time.Hour))
+	wd.submit(long("z1.wide", "small", 4, time.Minute))
+	wd.run(30 * time.Minute)
+	wd.submit(long("z1.other", "large", 1, 5*time.Hour))
+	wd.run(time.Minute)
+	is.Equal(len(wd.runsOf("z1.other")), 1)
+	is.Equal(len(wd.runsOf("z1.wide")), 0)
+}
+
 // TestWaveOfCancellations cancels every second job of a full zone and its
 // queue at once.
 func TestWaveOfCancellations(t *testing.T) {
