Open connections that notice silence in a package of their own

Cause: the platform's adapter needs the same keep-alive and user time-out that package relay sets on connections to endpoints; a second copy was ruled out. Change: dial.TCP and dial.Context move to internal/dial, relay uses them. No behaviour changes.

--- a/internal/relay/dial.go
+++ b/internal/dial/dial.go
@@ -1,4 +1,6 @@
-package relay
+// Package dial opens TCP connections that notice when the other end, or
+// something between, has lost track of them.
+package dial
 
 import (
 	"context"
@@ -24,6 +26,13 @@
 	Control: setUserTimeout,
 }
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+// TCP opens a connection to IP:port. One whose peer acknowledges nothing for
+// about two seconds fails.
+func TCP(ctx context.Context, address string) (net.Conn, error) {
 	return dialer.DialContext(ctx, "tcp", address)
 }
+
+// Context is TCP in the form of net/http.
+func Context(ctx context.Context, _, address string) (net.Conn, error) {
+	return TCP(ctx, address)
+}
--- a/internal/relay/dial_linux.go
+++ b/internal/dial/dial_linux.go
@@ -1,4 +1,4 @@
-package relay
+package dial
 
 import "syscall"
 
--- a/internal/relay/dial_other.go
+++ b/internal/dial/dial_other.go
@@ -1,6 +1,6 @@
 //go:build !linux
 
-package relay
+package dial
 
 import "syscall"
 
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -20,6 +20,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/dial"
 )
 
 type (
@@ -69,7 +71,7 @@
 	setDefault(&cfg.FreshFor, DefaultFreshFor)
 	setDefault(&cfg.IdleFor, DefaultIdleFor)
 	if cfg.Dial == nil {
-		cfg.Dial = dialTCP
+		cfg.Dial = dial.TCP
 	}
 	return &Pool{cfg: cfg, limit: max(cfg.Connections, 1), flying: make(map[*link]bool)}
 }
