--- /dev/null
+++ b/cmd/cicadawharf/domain.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/drive"
+	"github.com/cicadawharf/cicadawharf/internal/intake"
+	"github.com/cicadawharf/cicadawharf/internal/member"
+	"github.com/cicadawharf/cicadawharf/internal/setup"
+	"github.com/cicadawharf/cicadawharf/internal/uptime"
+	"github.com/cicadawharf/cicadawharf/platform"
+)
+
+const (
+	megabyte = 1 << 20
+	// heapShare of the memory is where the collector begins to work harder.
+	heapShare = 0.6
+	// trustMargin is kept from the time after which a key must not work any
+	// more, for a call that is being answered.
+	trustMargin = 1500 * time.Millisecond
+)
+
+// domain runs one host of a scheduling domain until ctx ends.
+func domain(ctx context.Context, file string, out io.Writer) error {
+	se, err := setup.LoadDomain(file)
+	if err != nil {
+		return err
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(se.Log.Level)); err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(1) // a host has less than one core
+	if se.Memory > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(se.Memory) * megabyte))
+	}
+	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level}))
+	go reload(ctx, file, log)
+	return newMember(se, log).Run(ctx)
+}
+
+func newMember(se setup.Domain, log *slog.Logger) *member.Member {
+	st := platform.NewStore(se.Store.Address)
+	layout := platform.Layout()
+	in := intake.New(intake.Config{
+		Store: st, PolicyKey: layout.PolicyKey, Decode: layout.Policy,
+		TrustFor: max(0, se.Timing.Revoke-trustMargin), Log: log,
+	})
+	sc := drive.New(time.Now(), drive.Config{
+		Host: se.Host.Name, Store: st, Workers: platform.NewWorkers(), Layout: layout, Log: log,
+	})
+	return member.New(member.Config{
+		Settings: se, Scheduler: sc, Intake: in, Log: log, Readiness: platform.Ready,
+		Callers: platform.NewFront(platform.FrontConfig{Intake: in, Uptime: uptime.Now, Log: log}),
+	})
+}
+
+// reload reads the settings again at SIGHUP. None of them changes while the
+// process runs, so they are only checked.
+func reload(ctx context.Context, file string, log *slog.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			se, err := setup.LoadDomain(file)
+			log.Info("settings are read again", "event", "reload", "host", se.Host.Name, "error", err)
+		}
+	}
+}
--- a/cmd/cicadawharf/main.go
+++ b/cmd/cicadawharf/main.go
@@ -19,7 +19,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	run := cmds.Runners{Serve: serve, Local: local.Run, Standin: local.Standin}
+	run := cmds.Runners{Serve: serve, Domain: domain, Local: local.Run, Standin: local.Standin}
 	code := cmds.Main(ctx, os.Args[1:], os.Stdout, os.Stderr, run)
 	stop()
 	os.Exit(code)
--- /dev/null
+++ b/internal/batch/codec.go
@@ -0,0 +1,38 @@
+package batch
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+type (
+	// Waiting counts the jobs of each queue of which nothing has started.
+	Waiting struct {
+		At     time.Time      `json:"at"`
+		Queues map[string]int `json:"queues"`
+	}
+)
+
+// Encode returns the stored form of a value of this package.
+func Encode[T Job | Record | Waiting](value T) ([]byte, error) {
+	data, err := json.Marshal(value)
+	return data, merry.Prepend(err, "encode for the store")
+}
+
+// Decode reads the stored form of a value.
+func Decode[T Job | Record | Waiting](data []byte) (T, error) {
+	var value T
+	err := json.Unmarshal(data, &value)
+	return value, merry.Prepend(err, "value of the store")
+}
+
+// DecodeJob reads a job and checks it.
+func DecodeJob(data []byte) (Job, error) {
+	jb, err := Decode[Job](data)
+	if err != nil {
+		return Job{}, err
+	}
+	return jb, merry.Prepend(jb.Check(), "job of the store")
+}
--- a/internal/cmds/main.go
+++ b/internal/cmds/main.go
@@ -27,6 +27,7 @@
 	// Runners start the processes of the commands that are one.
 	Runners struct {
 		Serve   func(ctx context.Context, se setup.Settings, log io.Writer) error
+		Domain  func(ctx context.Context, file string, log io.Writer) error
 		Local   func(ctx context.Context, op LocalOptions) error
 		Standin func(ctx context.Context, op StandinOptions) error
 	}
--- a/internal/cmds/procs.go
+++ b/internal/cmds/procs.go
@@ -81,6 +81,22 @@
 	}
 }
 
+func (en *env) domainCommand() *command {
+	var file string
+	return &command{
+		name:        "domain",
+		description: "runs a host of a scheduling domain on the platform",
+		usage:       "FILE",
+		positionals: []positional{{&file, "file", "settings file (needed)", true}},
+		run: func(ctx context.Context) error {
+			if file == "" {
+				return usage("a settings file is needed; see %s domain --help", program)
+			}
+			return en.run.Domain(ctx, file, en.out)
+		},
+	}
+}
+
 func (en *env) localCommand() *command {
 	op := LocalOptions{Declarations: defaultDeclarations, BasePort: defaultBasePort}
 	return &command{
--- /dev/null
+++ b/internal/domain/core.go
@@ -0,0 +1,183 @@
+package domain
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
+)
+
+type (
+	// Config constructs a Core from what stands in the store.
+	Config struct {
+		Token     int64 // larger than that of every former core
+		Policy    *batch.Policy
+		Jobs      []batch.Job
+		Cancelled []string
+		Records   []batch.Record
+		Workers   []runner.Worker
+	}
+
+	// Core is the state of a scheduling domain under one token. It is not safe
+	// for concurrent use.
+	Core struct {
+		token   int64
+		began   time.Time
+		policy  *batch.Policy
+		jobs    map[string]*job
+		nodes   map[string]*node
+		changed map[*unit]bool // to be evaluated
+		pass    bool           // a placement pass is due
+		book    book
+		effects []Effect
+		gone    bool // resigned
+	}
+)
+
+// New returns a core that has heard of no worker yet.
+func New(now time.Time, cf Config) *Core {
+	co := &Core{
+		token: cf.Token, began: now, policy: cf.Policy,
+		jobs: map[string]*job{}, nodes: map[string]*node{}, changed: map[*unit]bool{},
+		book: newBook(),
+	}
+	for _, wk := range cf.Workers {
+		co.list(now, wk)
+	}
+	for _, jb := range cf.Jobs {
+		co.jobs[jb.ID] = newJob(jb, now)
+	}
+	for _, rc := range cf.Records {
+		if jb, ok := co.jobs[rc.ID]; ok {
+			co.adopt(now, jb, rc)
+		}
+	}
+	for _, id := range cf.Cancelled {
+		co.cancel(now, id)
+	}
+	co.pass = true
+	return co
+}
+
+// Handle takes one event and returns what is to be done.
+func (co *Core) Handle(now time.Time, ev Event) []Effect {
+	if co.gone {
+		return nil
+	}
+	switch ev := ev.(type) {
+	case Configured:
+		co.policy = ev.Policy
+		co.pass = true
+	case Accepted:
+		co.accept(now, ev.Job)
+	case CancelAsked:
+		co.cancel(now, ev.ID)
+	case Listed:
+		co.list(now, ev.Worker)
+	case Unlisted:
+		co.unlist(now, ev.ID)
+	case Looked:
+		co.looked(now, ev)
+	case Started:
+		co.started(now, ev)
+	case Stopped:
+		co.stopped(now, ev)
+	case Committed:
+		co.committed(now, ev)
+	case Ticked:
+		co.tick(now)
+	}
+	co.settle(now)
+	effects := co.effects
+	co.effects = nil
+	return effects
+}
+
+// Busy tells whether something waits for time to pass.
+func (co *Core) Busy() bool {
+	if len(co.book.dirty) > 0 || co.book.open {
+		return true
+	}
+	for _, jb := range co.jobs {
+		if !jb.state.Final() {
+			return true
+		}
+	}
+	for _, nd := range co.nodes {
+		if len(nd.runs) > 0 || !nd.listed {
+			return true
+		}
+	}
+	return false
+}
+
+// settle carries the consequences of an event to their end.
+func (co *Core) settle(now time.Time) {
+	co.evaluateChanged(now)
+	if co.pass && co.ready(now) {
+		co.pass = false
+		co.placeWaiting(now)
+		co.evaluateChanged(now)
+	}
+	co.sendLooks(now)
+	co.flush(now)
+}
+
+func (co *Core) evaluateChanged(now time.Time) {
+	for len(co.changed) > 0 {
+		units := slices.SortedFunc(maps.Keys(co.changed), compareUnits)
+		clear(co.changed)
+		for _, un := range units {
+			co.evaluate(now, un)
+		}
+	}
+}
+
+// tick looks again at everything that waits for time to pass.
+func (co *Core) tick(now time.Time) {
+	for _, nd := range co.nodes {
+		co.expire(now, nd)
+		co.retryStops(now, nd)
+		co.watchProgress(now, nd)
+	}
+	for id, jb := range co.jobs {
+		if jb.state.Final() && jb.savedVersion == jb.version && now.Sub(jb.ended) > keepEnded {
+			delete(co.jobs, id)
+			co.emit(Forget{ID: id})
+		}
+	}
+	co.pass = true
+}
+
+// ready tells whether enough workers have been heard to place work. Until
+// then the takeover goes on, and what runs where is not known.
+func (co *Core) ready(now time.Time) bool {
+	if now.Sub(co.began) > takeoverTime {
+		return true
+	}
+	for _, nd := range co.nodes {
+		if nd.listed && nd.answered.IsZero() && nd.failed.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
+// takeoverTime bounds how long placing waits for the first look at each
+// worker.
+const takeoverTime = 600 * time.Millisecond
+
+func (co *Core) resign(reason string) {
+	co.gone = true
+	co.emit(Resign{Reason: reason})
+}
+
+func (co *Core) emit(ef Effect) { co.effects = append(co.effects, ef) }
+
+func (co *Core) touch(un *unit) {
+	if un != nil {
+		co.changed[un] = true
+	}
+}
--- /dev/null
+++ b/internal/domain/event.go
@@ -0,0 +1,179 @@
+// Package domain is the core of a scheduling domain: the availability zones
+// whose workers one scheduler uses. It holds the state of jobs, units and
+// workers, and decides what is started where and what is stopped. It does no
+// I/O and reads no clock. An event and the present time go in, effects come
+// out, and the surrounding shell carries them out.
+//
+// These hold after every event:
+//
+//   - An attempt is started only after its record, which names the workers, is
+//     in the store.
+//   - A unit has at most one attempt that may run. The next one is begun only
+//     when every task of the last one is certain to be over, on each worker.
+//   - Room on a worker stays taken until the worker has said that a task is
+//     over, or its lease is over by the slowest clock.
+//   - An end is acknowledged to the worker only after the record that counts
+//     it is in the store.
+//   - All is done under one token. Whoever holds a larger one ends this core.
+package domain
+
+import (
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
+)
+
+type (
+	// Event is something that the core is told. The types below are all.
+	Event interface{ event() }
+
+	// Configured brings the policy in force.
+	Configured struct{ Policy *batch.Policy }
+
+	// Accepted brings a job that stands in the store.
+	Accepted struct{ Job batch.Job }
+
+	// CancelAsked brings the cancellation of a job.
+	CancelAsked struct{ ID string }
+
+	// Listed brings the entry of a worker on the platform's list.
+	Listed struct{ Worker runner.Worker }
+
+	// Unlisted says that a worker has left the platform's list.
+	Unlisted struct{ ID string }
+
+	// Looked is the outcome of a Look.
+	Looked struct {
+		Call Look
+		Look runner.Look
+		Err  error
+	}
+
+	// Started is the outcome of a Start.
+	Started struct {
+		Call Start
+		Err  error
+	}
+
+	// Stopped is the outcome of a Stop.
+	Stopped struct {
+		Call Stop
+		Err  error
+	}
+
+	// Committed says that a Commit stands in the store.
+	Committed struct{ Seq int64 }
+
+	// Ticked lets time pass.
+	Ticked struct{}
+
+	// Effect is something that the shell is to do. The types below are all.
+	Effect interface{ effect() }
+
+	// Commit asks to write records. There is one at a time, and the next
+	// comes only after Committed.
+	Commit struct {
+		Seq     int64
+		Records []batch.Record
+		Waiting *batch.Waiting // nil if it has not changed
+	}
+
+	// Look asks to look at a worker.
+	Look struct {
+		Worker  runner.Worker
+		Sent    time.Time
+		Request runner.LookRequest
+		Extra   bool // beside the one that waits for ends
+	}
+
+	// Start asks to start an attempt of a task.
+	Start struct {
+		Worker  runner.Worker
+		Request runner.StartRequest
+	}
+
+	// Stop asks to stop an attempt of a task.
+	Stop struct {
+		Worker  runner.Worker
+		Request runner.StopRequest
+	}
+
+	// Forget asks to delete the keys of a job that ended long ago.
+	Forget struct{ ID string }
+
+	// Noted is a decision for the log.
+	Noted struct {
+		Decision string // placed, preempts, starts, ends, stops, jobEnds, suspects, silent
+		Job      string
+		Task     string
+		Attempt  int
+		Worker   string
+		Workers  []string
+		Reason   string
+	}
+
+	// Resign ends the core: another one holds a larger token.
+	Resign struct{ Reason string }
+)
+
+// The periods that the core works with.
+const (
+	// HoldTime is how far ahead of a worker's clock leases are granted. It
+	// covers the change of the scheduler with a look that went unanswered.
+	HoldTime = 6 * time.Second
+	// RenewTime is how long a scheduler goes on to renew leases on workers
+	// after it last renewed its own.
+	RenewTime = 8 * time.Second
+	// clockSlack is the share by which a worker's clock may be slow.
+	clockSlack = 0.02
+	// clockMargin covers the time that answers take.
+	clockMargin = 200 * time.Millisecond
+	// formerLease is when leases of a former scheduler are over on a worker
+	// that was never reached.
+	formerLease = RenewTime + HoldTime + time.Second
+
+	// lookWait is how long a look waits for an end.
+	lookWait = 2 * time.Second
+	// lookGap is the least pause between two looks while an end waits for the
+	// store.
+	lookGap = 400 * time.Millisecond
+	// retryLook is the pause after a look that failed.
+	retryLook = 500 * time.Millisecond
+	// retryStop is the pause after a stop that failed.
+	retryStop = 400 * time.Millisecond
+
+	// commitGap is the least time between two commits.
+	commitGap = 30 * time.Millisecond
+	// idleGap is the same if no start waits for the commit.
+	idleGap = 150 * time.Millisecond
+	// waitingGap is the least time between two counts of waiting jobs, and the
+	// age from which a job is counted.
+	waitingGap = time.Second
+	// commitRecords bounds the records of a commit, so that its expectations
+	// and puts fit into one transaction of the store.
+	commitRecords = 14
+	// keepEnded is how long ended jobs can be asked for.
+	keepEnded = 10 * time.Minute
+	// refusedPause is how long a worker that has refused a start gets no other.
+	refusedPause = 500 * time.Millisecond
+)
+
+func (Configured) event()  {}
+func (Accepted) event()    {}
+func (CancelAsked) event() {}
+func (Listed) event()      {}
+func (Unlisted) event()    {}
+func (Looked) event()      {}
+func (Started) event()     {}
+func (Stopped) event()     {}
+func (Committed) event()   {}
+func (Ticked) event()      {}
+
+func (Commit) effect() {}
+func (Look) effect()   {}
+func (Start) effect()  {}
+func (Stop) effect()   {}
+func (Forget) effect() {}
+func (Noted) effect()  {}
+func (Resign) effect() {}
--- /dev/null
+++ b/internal/domain/job.go
@@ -0,0 +1,228 @@
+package domain
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+)
+
+type (
+	// job is an accepted job with the units that it is made of.
+	job struct {
+		batch.Job
+		state        batch.State
+		units        []*unit // by occurrence, step and index
+		left         int     // units that are not done; lasting ones never are
+		known        time.Time
+		ended        time.Time
+		started      bool // some unit was started at least once
+		version      int  // counts the changes of what must last
+		savedVersion int  // that stands in the store
+	}
+
+	// unit is what is started as one: a gang, or a single task.
+	unit struct {
+		job        *job
+		occurrence int
+		at         int // index of the step
+		index      int // of the task; zero for a gang
+		step       *batch.Step
+		tasks      int
+		phase      phase
+		attempt    int
+		failures   int
+		counted    bool // a failure of this attempt is in failures
+		checkpoint string
+		runs       []*run // of the present attempt, by task
+		version    int    // of the job, that records the attempt
+		avoid      map[string]bool
+		assured    bool // counts against the guarantee of its workspace
+		claim      []*node
+		after      time.Time // not placed before
+	}
+
+	// phase is where a unit stands.
+	phase uint8
+)
+
+// The phases.
+const (
+	waiting  phase = iota
+	placed         // its attempt is being recorded
+	live           // its starts were sent
+	stopping       // some task is over or is to be stopped, so all are
+	finished
+)
+
+// lateFactor times the objective is when a job stops earning anything.
+const lateFactor = 3
+
+func newJob(jb batch.Job, now time.Time) *job {
+	jo := &job{Job: jb, state: batch.Queued, known: now}
+	for oc := range jb.Occurrences() {
+		for at := range jb.Steps {
+			jo.addUnits(oc, at)
+		}
+	}
+	jo.left = len(jo.units)
+	return jo
+}
+
+func (jb *job) addUnits(occurrence, at int) {
+	step := &jb.Steps[at]
+	count, tasks := step.Tasks, 1
+	if step.Gang {
+		count, tasks = 1, step.Tasks
+	}
+	for i := range count {
+		un := &unit{job: jb, occurrence: occurrence, at: at, index: i, step: step, tasks: tasks, avoid: map[string]bool{}}
+		jb.units = append(jb.units, un)
+	}
+}
+
+// accept takes in a job that is new to this core.
+func (co *Core) accept(now time.Time, jb batch.Job) {
+	if _, ok := co.jobs[jb.ID]; ok {
+		return
+	}
+	co.jobs[jb.ID] = newJob(jb, now)
+	co.pass = true
+}
+
+// cancel ends a job at the wish of its caller.
+func (co *Core) cancel(now time.Time, id string) {
+	jb, ok := co.jobs[id]
+	if !ok || jb.state.Final() {
+		return
+	}
+	co.endJob(now, jb, batch.Cancelled, "cancelled by its caller")
+}
+
+// endJob gives a job its final state and stops whatever runs of it.
+func (co *Core) endJob(now time.Time, jb *job, st batch.State, reason string) {
+	jb.state = st
+	jb.ended = now
+	co.dirty(jb)
+	co.emit(Noted{Decision: "jobEnds", Job: jb.ID, Reason: st.String() + ": " + reason})
+	for _, un := range jb.units {
+		co.release(un)
+		co.touch(un)
+	}
+	co.pass = true
+}
+
+// record returns what must last of a job.
+func (jb *job) record() batch.Record {
+	rc := batch.Record{ID: jb.ID, State: jb.state}
+	for _, un := range jb.units {
+		if un.attempt == 0 {
+			continue
+		}
+		ur := batch.UnitRecord{
+			Occurrence: un.occurrence, Step: un.at, Index: un.index,
+			Attempt: un.attempt, Failures: un.failures, Checkpoint: un.checkpoint,
+			Done: un.phase == finished, Counted: un.counted,
+		}
+		for _, ru := range un.runs {
+			ur.Live = ur.Live || ru.stage != over
+			ur.Workers = append(ur.Workers, ru.node.worker.ID)
+		}
+		if !ur.Live {
+			ur.Workers = nil
+		}
+		rc.Units = append(rc.Units, ur)
+	}
+	return rc
+}
+
+// adopt takes over the progress that a former core has recorded.
+func (co *Core) adopt(now time.Time, jb *job, rc batch.Record) {
+	jb.state = rc.State
+	if rc.State.Final() {
+		jb.ended = now
+	}
+	byPlace := make(map[[3]int]*unit, len(jb.units))
+	for _, un := range jb.units {
+		byPlace[[3]int{un.occurrence, un.at, un.index}] = un
+	}
+	for _, ur := range rc.Units {
+		if un, ok := byPlace[[3]int{ur.Occurrence, ur.Step, ur.Index}]; ok {
+			co.adoptUnit(now, un, ur)
+		}
+	}
+}
+
+func (co *Core) adoptUnit(now time.Time, un *unit, ur batch.UnitRecord) {
+	un.attempt = ur.Attempt
+	un.failures = ur.Failures
+	un.counted = ur.Counted
+	un.checkpoint = ur.Checkpoint
+	un.job.started = true
+	if ur.Done {
+		un.phase = finished
+		un.job.left--
+	}
+	if !ur.Live {
+		return
+	}
+	if un.phase != finished {
+		un.phase = live
+	}
+	for i, id := range ur.Workers {
+		ru := &run{unit: un, task: un.taskID(i), attempt: un.attempt, stage: adopted}
+		co.put(ru, co.nodeFor(now, id))
+		un.runs = append(un.runs, ru)
+	}
+	co.touch(un)
+}
+
+// taskID names the task at an index of the unit's runs.
+func (un *unit) taskID(i int) batch.TaskID {
+	return batch.TaskID{Job: un.job.ID, Occurrence: un.occurrence, Step: un.at, Index: un.index + i}
+}
+
+// ready tells whether a unit waits for nothing but room.
+func (un *unit) ready(now time.Time) bool {
+	if un.phase != waiting || un.job.state.Final() || now.Before(un.after) {
+		return false
+	}
+	if due := un.job.Due(un.occurrence); now.Before(due) {
+		return false
+	}
+	for _, before := range un.step.After {
+		if !un.job.stepDone(un.occurrence, before) {
+			return false
+		}
+	}
+	return true
+}
+
+func (jb *job) stepDone(occurrence, at int) bool {
+	for _, un := range jb.units {
+		if un.occurrence == occurrence && un.at == at && un.phase != finished {
+			return false
+		}
+	}
+	return true
+}
+
+// submitted is when the objective of an occurrence begins to count.
+func (un *unit) submitted() time.Time {
+	if due := un.job.Due(un.occurrence); !due.IsZero() {
+		return due
+	}
+	return un.job.known
+}
+
+// goal is until when the unit's job meets its objective.
+func (un *unit) goal() time.Time {
+	return un.submitted().Add(un.job.Queue.Objective(un.job.LongestChain()))
+}
+
+func compareUnits(a, b *unit) int {
+	return cmp.Or(
+		a.job.known.Compare(b.job.known), cmp.Compare(a.job.ID, b.job.ID),
+		cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.at, b.at), cmp.Compare(a.index, b.index),
+	)
+}
--- /dev/null
+++ b/internal/domain/node.go
@@ -0,0 +1,372 @@
+package domain
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
+)
+
+type (
+	// node is what the core knows of one worker.
+	node struct {
+		worker    runner.Worker
+		listed    bool
+		runs      map[runKey]*run // that are not over
+		used      batch.Resources // by runs and claims
+		clock     time.Duration   // the worker's, at clockAt or a little later
+		clockAt   time.Time
+		answered  time.Time // last answered look
+		failed    time.Time // last failed call
+		refused   time.Time // last refused start
+		leaseEnd  time.Time // when every lease that was granted here is over
+		looking   bool      // the look that waits for ends is under way
+		nextLook  time.Time // not before
+		processed int64     // number of the last end that was taken in
+		ends      []heldEnd // taken in and not in the store
+		seen      int64     // number of the last end that is in the store
+		told      int64     // the same, as the worker was told
+		health    health
+	}
+
+	runKey struct {
+		task    batch.TaskID
+		attempt int
+	}
+
+	// heldEnd is an end that is acknowledged once a version of a job is saved.
+	heldEnd struct {
+		number  int64
+		job     *job // nil if it changed nothing
+		version int
+	}
+)
+
+// list takes in the entry of a worker.
+func (co *Core) list(now time.Time, wk runner.Worker) {
+	nd, ok := co.nodes[wk.ID]
+	if !ok {
+		nd = co.nodeFor(now, wk.ID)
+	}
+	if nd.worker.Born != 0 && wk.Born != 0 && nd.worker.Born != wk.Born {
+		co.reborn(now, nd, wk.Born)
+	}
+	nd.worker = wk
+	nd.listed = true
+	co.replaceAt(now, wk)
+	co.pass = true
+}
+
+// replaceAt ends the life of a former worker at the same address.
+func (co *Core) replaceAt(now time.Time, wk runner.Worker) {
+	for id, nd := range co.nodes {
+		if id != wk.ID && nd.worker.Address == wk.Address && nd.worker.Born < wk.Born {
+			nd.listed = false
+			co.endLife(now, nd)
+		}
+	}
+}
+
+// nodeFor returns the node of a worker, which need not be listed.
+func (co *Core) nodeFor(now time.Time, id string) *node {
+	nd, ok := co.nodes[id]
+	if !ok {
+		nd = &node{worker: runner.Worker{ID: id}, runs: map[runKey]*run{}, leaseEnd: now.Add(formerLease)}
+		co.nodes[id] = nd
+	}
+	return nd
+}
+
+func (co *Core) unlist(now time.Time, id string) {
+	nd, ok := co.nodes[id]
+	if !ok {
+		return
+	}
+	nd.listed = false
+	co.emit(Noted{Decision: "unlisted", Worker: id, Reason: "the platform's list has dropped it"})
+	co.expire(now, nd)
+}
+
+// reborn notes that a worker has lost all that it knew and ran. Starts that
+// went unanswered may yet reach the new life.
+func (co *Core) reborn(now time.Time, nd *node, born int64) {
+	co.emit(Noted{Decision: "reborn", Worker: nd.worker.ID, Reason: "the worker has started anew"})
+	for _, ru := range nd.sortedRuns() {
+		if ru.stage == starting || !ru.lostAt.IsZero() {
+			ru.stop = stopState{}
+			ru.stage = starting
+			ru.lostAt = now
+			co.stopLone(now, ru)
+			continue
+		}
+		co.finishRun(ru)
+	}
+	nd.worker.Born = born
+	nd.processed, nd.seen, nd.told = 0, 0, 0
+	nd.ends = nil
+	nd.answered = time.Time{}
+	nd.clockAt = time.Time{}
+	nd.nextLook = now
+}
+
+// stopLone stops a run, and with it its unit.
+func (co *Core) stopLone(now time.Time, ru *run) {
+	if un := ru.unit; un != nil && un.phase == live {
+		co.stopUnit(now, un, "a start was lost")
+		return
+	}
+	co.stopRun(now, ru)
+}
+
+// endLife notes that nothing runs on a worker any more.
+func (co *Core) endLife(now time.Time, nd *node) {
+	for _, ru := range nd.sortedRuns() {
+		co.finishRun(ru)
+	}
+	nd.ends = nil
+	if !nd.listed {
+		delete(co.nodes, nd.worker.ID)
+	}
+	nd.nextLook = now
+}
+
+// expire ends what a silent worker ran, once no lease can be left there.
+func (co *Core) expire(now time.Time, nd *node) {
+	silent := nd.answered.IsZero() || nd.failed.After(nd.answered) || !nd.listed
+	if !silent || now.Before(nd.leaseEnd) {
+		return
+	}
+	if len(nd.runs) > 0 {
+		co.emit(Noted{Decision: "silent", Worker: nd.worker.ID, Reason: "every lease there is over"})
+	}
+	if len(nd.runs) > 0 || !nd.listed {
+		co.endLife(now, nd)
+	}
+}
+
+// grant returns a new deadline on the worker's clock and notes by when the
+// leases that it grants are over.
+func (nd *node) grant(now time.Time) time.Duration {
+	if nd.clockAt.IsZero() {
+		return 0
+	}
+	deadline := nd.clock + now.Sub(nd.clockAt) + HoldTime
+	span := time.Duration(float64(deadline-nd.clock)/(1-clockSlack)) + clockMargin
+	if end := nd.clockAt.Add(span); end.After(nd.leaseEnd) {
+		nd.leaseEnd = end
+	}
+	return deadline
+}
+
+func (co *Core) put(ru *run, nd *node) {
+	ru.node = nd
+	nd.runs[runKey{ru.task, ru.attempt}] = ru
+	nd.used = nd.used.Plus(ru.unit.step.Occupied())
+}
+
+func (nd *node) drop(ru *run) {
+	delete(nd.runs, runKey{ru.task, ru.attempt})
+	if ru.unit != nil {
+		nd.used = nd.used.Minus(ru.unit.step.Occupied())
+	}
+}
+
+func (nd *node) free() batch.Resources { return nd.worker.Capacity.Minus(nd.used) }
+
+func (nd *node) sortedRuns() []*run {
+	rus := make([]*run, 0, len(nd.runs))
+	for _, ru := range nd.runs {
+		rus = append(rus, ru)
+	}
+	slices.SortFunc(rus, func(a, b *run) int { return compareTasks(a.task, b.task) })
+	return rus
+}
+
+func (co *Core) find(worker string, task batch.TaskID, attempt int) (*node, *run) {
+	nd, ok := co.nodes[worker]
+	if !ok {
+		return nil, nil
+	}
+	return nd, nd.runs[runKey{task, attempt}]
+}
+
+// sendLooks starts the looks that are due.
+func (co *Core) sendLooks(now time.Time) {
+	for _, nd := range co.nodes {
+		if nd.looking || now.Before(nd.nextLook) || nd.worker.Address == "" {
+			continue
+		}
+		rq := runner.LookRequest{Token: co.token, Seen: nd.seen}
+		switch {
+		case nd.answered.IsZero():
+		case len(nd.runs) > 0 && nd.failed.After(nd.answered):
+			// Grants no leases, since nothing would bound them while the
+			// worker is silent.
+		case len(nd.runs) > 0:
+			rq.Deadline = nd.grant(now)
+			rq.Wait = lookWait
+			if len(nd.ends) > 0 {
+				rq.Wait = 0
+			}
+		case nd.seen > nd.told:
+		default:
+			continue
+		}
+		nd.looking = true
+		co.emit(Look{Worker: nd.worker, Sent: now, Request: rq})
+	}
+}
+
+// lookExtra looks at a worker at once, beside a look that waits.
+func (co *Core) lookExtra(now time.Time, nd *node) {
+	rq := runner.LookRequest{Token: co.token, Seen: nd.seen}
+	co.emit(Look{Worker: nd.worker, Sent: now, Request: rq, Extra: true})
+}
+
+// looked takes the outcome of a look.
+func (co *Core) looked(now time.Time, ev Looked) {
+	if errors.Is(ev.Err, runner.ErrFenced) {
+		co.resign("worker " + ev.Call.Worker.ID + " has seen a larger token")
+		return
+	}
+	nd, ok := co.nodes[ev.Call.Worker.ID]
+	if !ok {
+		return
+	}
+	if !ev.Call.Extra {
+		nd.looking = false
+	}
+	if ev.Err != nil {
+		co.lookFailed(now, nd, ev)
+		return
+	}
+	if ev.Look.Born != 0 && nd.worker.Born != 0 && ev.Look.Born < nd.worker.Born {
+		return // of a former life
+	}
+	if ev.Look.Born > nd.worker.Born && nd.worker.Born != 0 {
+		co.reborn(now, nd, ev.Look.Born)
+	}
+	if nd.worker.Born == 0 {
+		nd.worker.Born = ev.Look.Born
+	}
+	if nd.answered.IsZero() || nd.failed.After(nd.answered) {
+		co.pass = true
+	}
+	nd.answered = now
+	nd.clock, nd.clockAt = ev.Look.Clock, now
+	nd.told = max(nd.told, ev.Call.Request.Seen)
+	co.compare(now, nd, ev)
+	nd.nextLook = now
+	if len(nd.ends) > 0 {
+		nd.nextLook = now.Add(lookGap)
+	}
+}
+
+func (co *Core) lookFailed(now time.Time, nd *node, ev Looked) {
+	nd.nextLook = now.Add(retryLook)
+	if nd.failed.Before(nd.answered) || nd.failed.IsZero() {
+		co.emit(Noted{Decision: "lookFails", Worker: nd.worker.ID, Reason: ev.Err.Error()})
+	}
+	nd.failed = now
+	if errors.Is(ev.Err, runner.ErrOtherLife) {
+		nd.listed = false
+		co.endLife(now, nd)
+	}
+}
+
+// compare brings the runs of a worker in line with what it has listed.
+func (co *Core) compare(now time.Time, nd *node, ev Looked) {
+	listed := make(map[runKey]bool, len(ev.Look.Running))
+	for _, rn := range ev.Look.Running {
+		key := runKey{rn.Task, rn.Attempt}
+		listed[key] = true
+		co.observe(now, nd, key, rn)
+	}
+	for _, en := range ev.Look.Ended {
+		if en.Number <= nd.processed {
+			continue
+		}
+		nd.processed = en.Number
+		co.ended(now, nd, en)
+		nd.ends = append(nd.ends, co.hold(en))
+	}
+	for key, ru := range nd.runs {
+		if !listed[key] {
+			co.unseen(now, ru, ev.Call.Sent)
+		}
+	}
+	co.acknowledge(nd)
+}
+
+// observe takes a run that a worker has listed. One that no record names, or
+// that should not run, is stopped.
+func (co *Core) observe(now time.Time, nd *node, key runKey, rn runner.Run) {
+	ru, ok := nd.runs[key]
+	if !ok {
+		co.stray(now, nd, rn)
+		return
+	}
+	if ru.stage == starting || ru.stage == adopted {
+		ru.stage = running
+		ru.movedAt = now
+	}
+	ru.lostAt = time.Time{}
+	if ru.seenAt.IsZero() {
+		ru.seenAt = now
+	}
+	if rn.Percent != ru.percent {
+		ru.percent = rn.Percent
+		ru.movedAt = now
+	}
+	if ru.unit != nil && ru.unit.attempt == ru.attempt {
+		ru.unit.keep(ru, rn.Checkpoint)
+	}
+}
+
+// stray stops a run that this core does not know, and keeps its room taken.
+func (co *Core) stray(now time.Time, nd *node, rn runner.Run) {
+	ru := &run{task: rn.Task, attempt: rn.Attempt, node: nd, stage: running, seenAt: now}
+	nd.runs[runKey{rn.Task, rn.Attempt}] = ru
+	co.emit(Noted{Decision: "stops", Job: rn.Task.Job, Task: rn.Task.String(), Attempt: rn.Attempt, Worker: nd.worker.ID, Reason: "no record names it"})
+	co.stopRun(now, ru)
+}
+
+// unseen judges a run that a look, sent at a certain time, has not listed.
+func (co *Core) unseen(now time.Time, ru *run, sent time.Time) {
+	switch {
+	case ru.stage == adopted:
+		// The look carries the larger token, so a start of the former core can't
+		// take effect any more.
+		co.finishRun(ru)
+	case !ru.seenAt.IsZero() && ru.seenAt.Before(sent):
+		co.finishRun(ru)
+	case !ru.stop.acked.IsZero() && ru.stop.acked.Before(sent):
+		co.finishRun(ru)
+	case !ru.lostAt.IsZero() && ru.lostAt.Before(sent):
+		co.stopLone(now, ru)
+	}
+}
+
+// hold ties an end to the version of its job that counts it.
+func (co *Core) hold(en runner.End) heldEnd {
+	he := heldEnd{number: en.Number}
+	if jb, ok := co.jobs[en.Task.Job]; ok && jb.savedVersion < jb.version {
+		he.job = jb
+		he.version = jb.version
+	}
+	return he
+}
+
+// acknowledge moves past the ends that are in the store.
+func (co *Core) acknowledge(nd *node) {
+	for len(nd.ends) > 0 {
+		he := nd.ends[0]
+		if he.job != nil && he.job.savedVersion < he.version {
+			return
+		}
+		nd.seen = he.number
+		nd.ends = nd.ends[1:]
+	}
+}
--- /dev/null
+++ b/internal/domain/order.go
@@ -0,0 +1,76 @@
+package domain
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// rank says in which order units that wait are placed. Work within a guarantee
+// comes first, since it must begin at once. Work whose objective is lost comes
+// last, so that it takes no room from work that can still meet its own.
+type rank struct {
+	un       *unit
+	class    int
+	priority int
+}
+
+const (
+	classAssured = iota
+	classTimely
+	classLate
+)
+
+// waitingUnits lists the units that could be started, in their order.
+func (co *Core) waitingUnits(now time.Time) []rank {
+	var ras []rank
+	held := map[string]int{}
+	for _, jb := range co.jobs {
+		if jb.state.Final() {
+			continue
+		}
+		for _, un := range jb.units {
+			if un.claim == nil && un.ready(now) {
+				ras = append(ras, rank{un: un, priority: co.queueOf(jb).Priority})
+			}
+		}
+	}
+	slices.SortFunc(ras, func(a, b rank) int { return compareUnits(a.un, b.un) })
+	for i := range ras {
+		ras[i].class = co.classify(now, ras[i], held)
+	}
+	slices.SortStableFunc(ras, func(a, b rank) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority))
+	})
+	return ras
+}
+
+// classify gives a unit its class, and counts what it takes of its
+// workspace's guarantee.
+func (co *Core) classify(now time.Time, ra rank, held map[string]int) int {
+	un := ra.un
+	un.assured = false
+	if ra.priority == 0 && co.policy != nil {
+		ws := un.job.Workspace
+		if _, ok := held[ws]; !ok {
+			held[ws] = co.held(ws)
+		}
+		need := un.tasks * un.step.Needs.Accelerators
+		if held[ws]+need <= co.policy.Guaranteed(ws) {
+			held[ws] += need
+			un.assured = true
+			return classAssured
+		}
+	}
+	if !un.step.Lasting && un.hopeless(now) {
+		return classLate
+	}
+	return classTimely
+}
+
+// hopeless tells whether a unit started now would end after its job has stopped
+// earning anything.
+func (un *unit) hopeless(now time.Time) bool {
+	objective := un.goal().Sub(un.submitted())
+	return now.Add(un.step.RunTime).After(un.submitted().Add(lateFactor * objective))
+}
--- /dev/null
+++ b/internal/domain/place.go
@@ -0,0 +1,264 @@
+package domain
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+)
+
+type (
+	// pass is one round over the units that wait. Room only shrinks in it, so
+	// that what has not fitted once need not be tried again.
+	pass struct {
+		now     time.Time
+		service map[string][]*node
+		full    map[shape]bool
+	}
+
+	// shape is what decides whether a unit fits.
+	shape struct {
+		service   string
+		needs     batch.Resources
+		tasks     int
+		label     string
+		rack      string
+		perWorker string // of a step that bounds its tasks on a worker
+		far       bool
+		class     int
+	}
+
+	// slot is a worker with the number of tasks that it takes.
+	slot struct {
+		node *node
+		fits int
+	}
+)
+
+// nearShare is the part of a unit's slack that it waits for room near its data
+// before it goes elsewhere.
+const nearShare = 0.4
+
+// maxNearWait bounds the same for work within a guarantee, which has to begin
+// soon.
+const maxNearWait = 500 * time.Millisecond
+
+// placeWaiting starts whatever fits, in order.
+func (co *Core) placeWaiting(now time.Time) {
+	co.placeClaims(now)
+	ps := &pass{now: now, service: map[string][]*node{}, full: map[shape]bool{}}
+	for _, ra := range co.waitingUnits(now) {
+		un := ra.un
+		key := co.shapeOf(ps, ra)
+		if ps.full[key] {
+			continue
+		}
+		if nodes := co.choose(ps, un, key); nodes != nil {
+			co.place(now, un, nodes)
+			continue
+		}
+		if ra.class == classAssured && co.preempt(ps, un, key) {
+			continue
+		}
+		ps.full[key] = true
+	}
+}
+
+func (co *Core) shapeOf(ps *pass, ra rank) shape {
+	un := ra.un
+	key := shape{
+		service: co.queueOf(un.job).Service, needs: un.step.Occupied(), tasks: un.tasks,
+		label: un.step.Label, rack: un.step.Rack, far: un.mayGoFar(ps.now), class: ra.class,
+	}
+	if un.step.PerWorker > 0 || len(un.avoid) > 0 {
+		key.perWorker = un.taskID(0).String()
+	}
+	return key
+}
+
+// mayGoFar tells whether a unit has waited long enough for room near its data.
+func (un *unit) mayGoFar(now time.Time) bool {
+	if un.step.Rack == "" && !(un.step.Gang && un.step.OneRack) {
+		return true
+	}
+	slack := un.goal().Sub(un.submitted()) - un.step.RunTime
+	wait := max(0, time.Duration(nearShare*float64(slack)))
+	if un.assured {
+		wait = min(wait, maxNearWait)
+	}
+	return now.Sub(un.submitted()) >= wait
+}
+
+// usable returns the workers of a service that take new work.
+func (co *Core) usable(ps *pass, service string) []*node {
+	if nds, ok := ps.service[service]; ok {
+		return nds
+	}
+	var nds []*node
+	for _, nd := range co.nodes {
+		if nd.worker.Service == service && nd.takesWork(ps.now) {
+			nds = append(nds, nd)
+		}
+	}
+	slices.SortFunc(nds, func(a, b *node) int { return strings.Compare(a.worker.ID, b.worker.ID) })
+	ps.service[service] = nds
+	return nds
+}
+
+func (nd *node) takesWork(now time.Time) bool {
+	switch {
+	case !nd.listed, nd.worker.Draining, nd.answered.IsZero(), nd.failed.After(nd.answered):
+		return false
+	case now.Sub(nd.refused) < refusedPause && !nd.refused.IsZero():
+		return false
+	default:
+		return nd.health.usable(now)
+	}
+}
+
+// choose returns a worker for each task of a unit, or nil.
+func (co *Core) choose(ps *pass, un *unit, key shape) []*node {
+	sls := un.slots(co.usable(ps, key.service), func(nd *node) batch.Resources { return nd.free() })
+	fresh := slices.DeleteFunc(slices.Clone(sls), func(sl slot) bool { return un.avoid[sl.node.worker.ID] })
+	if nodes := un.pick(fresh, key.far); nodes != nil {
+		return nodes
+	}
+	if len(fresh) == len(sls) {
+		return nil
+	}
+	return un.pick(sls, key.far)
+}
+
+// slots lists the workers that take a task of a unit.
+func (un *unit) slots(nds []*node, room func(*node) batch.Resources) []slot {
+	var sls []slot
+	for _, nd := range nds {
+		if un.step.Label != "" && !slices.Contains(nd.worker.Labels, un.step.Label) {
+			continue
+		}
+		if n := un.fits(nd, room(nd)); n > 0 {
+			sls = append(sls, slot{nd, n})
+		}
+	}
+	return sls
+}
+
+// fits counts the tasks of a unit that a worker takes.
+func (un *unit) fits(nd *node, room batch.Resources) int {
+	n := 0
+	limit := un.tasks
+	if un.step.PerWorker > 0 {
+		limit = min(limit, un.step.PerWorker-nd.tasksOf(un))
+	}
+	needs := un.step.Occupied()
+	for n < limit && room.Holds(needs) {
+		room = room.Minus(needs)
+		n++
+	}
+	return n
+}
+
+// tasksOf counts the tasks of a unit's step that a worker holds.
+func (nd *node) tasksOf(un *unit) int {
+	n := 0
+	for _, ru := range nd.runs {
+		if ru.unit != nil && ru.unit.job == un.job && ru.unit.at == un.at && ru.unit.occurrence == un.occurrence {
+			n++
+		}
+	}
+	return n
+}
+
+// pick chooses among slots: those near the data, or of one rack for a gang that
+// needs it, and others only if far permits.
+func (un *unit) pick(sls []slot, far bool) []*node {
+	if rack := un.step.Rack; rack != "" {
+		near := slices.DeleteFunc(slices.Clone(sls), func(sl slot) bool { return sl.node.worker.Rack != rack })
+		if nodes := un.fill(near); nodes != nil {
+			return nodes
+		}
+		if !far {
+			return nil
+		}
+	}
+	if un.step.Gang && un.step.OneRack {
+		if nodes := un.fillRack(sls); nodes != nil || !far {
+			return nodes
+		}
+	}
+	return un.fill(sls)
+}
+
+// fillRack takes the rack with the least room that suffices.
+func (un *unit) fillRack(sls []slot) []*node {
+	byRack := map[string][]slot{}
+	room := map[string]int{}
+	for _, sl := range sls {
+		rack := sl.node.worker.Rack
+		byRack[rack] = append(byRack[rack], sl)
+		room[rack] += sl.fits
+	}
+	best := ""
+	found := false
+	for rack, n := range room {
+		if n < un.tasks {
+			continue
+		}
+		if !found || n < room[best] || (n == room[best] && rack < best) {
+			best, found = rack, true
+		}
+	}
+	if !found {
+		return nil
+	}
+	return un.fill(byRack[best])
+}
+
+// fill puts tasks on the workers with the least room, so that whole workers
+// stay free for large tasks.
+func (un *unit) fill(sls []slot) []*node {
+	slices.SortFunc(sls, func(a, b slot) int {
+		ra, rb := a.node.free(), b.node.free()
+		return cmp.Or(
+			cmp.Compare(ra.Accelerators, rb.Accelerators), cmp.Compare(ra.MilliCPU, rb.MilliCPU),
+			strings.Compare(a.node.worker.ID, b.node.worker.ID),
+		)
+	})
+	var nodes []*node
+	for _, sl := range sls {
+		for range min(sl.fits, un.tasks-len(nodes)) {
+			nodes = append(nodes, sl.node)
+		}
+		if len(nodes) == un.tasks {
+			return nodes
+		}
+	}
+	return nil
+}
+
+// place begins the next attempt of a unit.
+func (co *Core) place(now time.Time, un *unit, nodes []*node) {
+	un.attempt++
+	un.counted = false
+	un.phase = placed
+	un.runs = nil
+	un.job.started = true
+	if un.job.state == batch.Queued {
+		un.job.state = batch.Running
+	}
+	names := make([]string, len(nodes))
+	for i, nd := range nodes {
+		ru := &run{unit: un, task: un.taskID(i), attempt: un.attempt, stage: planned}
+		co.put(ru, nd)
+		un.runs = append(un.runs, ru)
+		names[i] = nd.worker.ID
+	}
+	co.dirty(un.job)
+	un.version = un.job.version
+	co.emit(Noted{
+		Decision: "placed", Job: un.job.ID, Task: un.taskID(0).String(), Attempt: un.attempt, Workers: slices.Compact(names),
+		Reason: "waited " + now.Sub(un.submitted()).Round(time.Millisecond).String(),
+	})
+}
--- /dev/null
+++ b/internal/domain/preempt.go
@@ -0,0 +1,208 @@
+package domain
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+)
+
+type (
+	// victim is a unit that may be stopped, with the work that is lost by it.
+	victim struct {
+		un   *unit
+		lost time.Duration // of processor time; an accelerator counts as several cores
+	}
+
+	// clearing is what making room on some workers takes.
+	clearing struct {
+		nodes   []*node
+		victims map[*unit]bool
+		lost    time.Duration
+	}
+)
+
+// acceleratorCores is how many cores an accelerator counts for in lost work.
+const acceleratorCores = 8
+
+// preempt makes room for a unit within a guarantee by stopping other work. The
+// unit keeps a claim on the workers until they are clear.
+func (co *Core) preempt(ps *pass, un *unit, key shape) bool {
+	nds := co.usable(ps, key.service)
+	var best *clearing
+	for _, group := range groups(un, nds) {
+		cl := co.clear(ps.now, un, group)
+		if cl != nil && (best == nil || cl.lost < best.lost) {
+			best = cl
+		}
+	}
+	if best == nil {
+		best = co.clear(ps.now, un, nds)
+	}
+	if best == nil {
+		return false
+	}
+	for vi := range best.victims {
+		co.stopUnit(ps.now, vi, "guaranteed work of "+un.job.Workspace+" needs the room")
+	}
+	un.claim = best.nodes
+	for _, nd := range un.claim {
+		nd.used = nd.used.Plus(un.step.Occupied())
+	}
+	co.emit(Noted{Decision: "preempts", Job: un.job.ID, Task: un.taskID(0).String(), Reason: "work within a guarantee"})
+	return true
+}
+
+// groups returns the workers near a unit's data, or each rack.
+func groups(un *unit, nds []*node) [][]*node {
+	if un.step.Rack == "" && !un.step.OneRack {
+		return nil
+	}
+	byRack := map[string][]*node{}
+	var racks []string
+	for _, nd := range nds {
+		if un.step.Rack != "" && nd.worker.Rack != un.step.Rack {
+			continue
+		}
+		if byRack[nd.worker.Rack] == nil {
+			racks = append(racks, nd.worker.Rack)
+		}
+		byRack[nd.worker.Rack] = append(byRack[nd.worker.Rack], nd)
+	}
+	slices.Sort(racks)
+	out := make([][]*node, len(racks))
+	for i, rack := range racks {
+		out[i] = byRack[rack]
+	}
+	return out
+}
+
+// clear finds what has to be stopped on some workers for a unit to fit, at
+// little lost work; nil if that can't be.
+func (co *Core) clear(now time.Time, un *unit, nds []*node) *clearing {
+	cl := &clearing{victims: map[*unit]bool{}}
+	freed := map[*node]batch.Resources{}
+	taken := map[*node]int{}
+	for len(cl.nodes) < un.tasks {
+		var (
+			bestNode *node
+			bestCost time.Duration
+			bestSet  []victim
+		)
+		for _, nd := range nds {
+			set, cost, ok := co.clearOne(now, un, nd, cl, freed[nd], taken[nd])
+			if ok && (bestNode == nil || cost < bestCost) {
+				bestNode, bestCost, bestSet = nd, cost, set
+			}
+		}
+		if bestNode == nil {
+			return nil
+		}
+		for _, vi := range bestSet {
+			cl.victims[vi.un] = true
+			for _, ru := range vi.un.runs {
+				freed[ru.node] = freed[ru.node].Plus(vi.un.step.Occupied())
+			}
+		}
+		cl.lost += bestCost
+		taken[bestNode]++
+		freed[bestNode] = freed[bestNode].Minus(un.step.Occupied())
+		cl.nodes = append(cl.nodes, bestNode)
+	}
+	return cl
+}
+
+// clearOne finds what has to be stopped on one worker for one more task.
+func (co *Core) clearOne(now time.Time, un *unit, nd *node, cl *clearing, freed batch.Resources, taken int) ([]victim, time.Duration, bool) {
+	if un.step.Label != "" && !slices.Contains(nd.worker.Labels, un.step.Label) {
+		return nil, 0, false
+	}
+	if un.step.PerWorker > 0 && nd.tasksOf(un)+taken >= un.step.PerWorker {
+		return nil, 0, false
+	}
+	needs := un.step.Occupied()
+	room := nd.free().Plus(freed)
+	if room.Holds(needs) {
+		return nil, 0, true
+	}
+	var set []victim
+	var cost time.Duration
+	for _, vi := range co.victimsOn(now, nd) {
+		if cl.victims[vi.un] {
+			continue
+		}
+		set = append(set, vi)
+		cost += vi.lost
+		for _, ru := range vi.un.runs {
+			if ru.node == nd {
+				room = room.Plus(vi.un.step.Occupied())
+			}
+		}
+		if room.Holds(needs) {
+			return set, cost, true
+		}
+	}
+	return nil, 0, false
+}
+
+// victimsOn lists the units on a worker that yield to guaranteed work, those
+// that lose least first.
+func (co *Core) victimsOn(now time.Time, nd *node) []victim {
+	var vis []victim
+	seen := map[*unit]bool{}
+	for _, ru := range nd.runs {
+		un := ru.unit
+		if un == nil || seen[un] || un.assured || un.phase != live {
+			continue
+		}
+		seen[un] = true
+		vis = append(vis, victim{un: un, lost: un.lostWork(now)})
+	}
+	slices.SortFunc(vis, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.lost, b.lost), compareUnits(a.un, b.un))
+	})
+	return vis
+}
+
+// lostWork is the work that stopping a unit wastes.
+func (un *unit) lostWork(now time.Time) time.Duration {
+	since := un.allSeen()
+	if since.IsZero() || un.step.Checkpoints {
+		return 0
+	}
+	cores := un.step.Needs.MilliCPU/1000 + acceleratorCores*un.step.Needs.Accelerators
+	return now.Sub(since) * time.Duration(cores*un.tasks)
+}
+
+// placeClaims starts the units whose claims are clear.
+func (co *Core) placeClaims(now time.Time) {
+	for _, jb := range co.jobs {
+		if jb.state.Final() {
+			continue
+		}
+		for _, un := range jb.units {
+			if un.claim == nil {
+				continue
+			}
+			if slices.ContainsFunc(un.claim, func(nd *node) bool { return !nd.takesWork(now) }) {
+				co.release(un)
+				continue
+			}
+			if slices.ContainsFunc(un.claim, func(nd *node) bool { return !nd.free().Holds(batch.Resources{}) }) {
+				continue
+			}
+			nodes := un.claim
+			co.release(un)
+			co.place(now, un, nodes)
+		}
+	}
+}
+
+// release gives up the claim of a unit.
+func (co *Core) release(un *unit) {
+	for _, nd := range un.claim {
+		nd.used = nd.used.Minus(un.step.Occupied())
+	}
+	un.claim = nil
+}
--- /dev/null
+++ b/internal/drive/drive.go
@@ -0,0 +1,219 @@
+// Package drive runs the scheduler of a domain around the core of package
+// domain: the election of one host, the writes to the store, the calls to
+// workers, and what has to be followed in the store.
+//
+// Every host runs a Scheduler, and the platform's store lets one of them hold
+// the holder's key under a lease. The revision at which it wrote the key is its
+// token. Every write to the store expects the key at that revision, and every
+// worker refuses a smaller token than the largest it has seen, so that a former
+// holder can change nothing any more, neither in the store nor on a worker that
+// the present one has reached.
+package drive
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/domain"
+	"github.com/cicadawharf/cicadawharf/internal/pause"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+)
+
+type (
+	// Layout says where the platform keeps its own data in the store, and
+	// decodes it.
+	Layout struct {
+		PolicyKey    string
+		WorkerPrefix string
+		Policy       func(value []byte) (*batch.Policy, error)
+		Worker       func(id string, value []byte) (runner.Worker, error)
+	}
+
+	// Config constructs a Scheduler.
+	Config struct {
+		Host    string
+		Store   store.Committer
+		Workers runner.Client
+		Layout  Layout
+		Log     *slog.Logger
+	}
+
+	// Scheduler takes part in the election and schedules while it holds.
+	Scheduler struct {
+		cfg   Config
+		holds atomic.Bool
+		life  int64 // tells the processes of one host apart
+	}
+
+	// term is the time for which a Scheduler holds.
+	term struct {
+		*Scheduler
+		log     *slog.Logger
+		ctx     context.Context
+		end     context.CancelFunc
+		token   store.Revision
+		lease   store.LeaseID
+		renewed atomic.Int64 // nanoseconds from began to the sending of the last renewal that succeeded
+		began   time.Time
+		core    *domain.Core
+		events  chan domain.Event
+		ledger  *ledger
+	}
+)
+
+const (
+	eventQueue = 256
+	tickTime   = 100 * time.Millisecond
+	idleTick   = time.Second
+	callTime   = time.Second // for a call to a worker, beside the wait that it asks for
+)
+
+// New returns a scheduler that does nothing until Run.
+func New(now time.Time, cf Config) *Scheduler {
+	return &Scheduler{cfg: cf, life: now.UnixNano()}
+}
+
+// Holds tells whether this host schedules.
+func (sc *Scheduler) Holds() bool { return sc.holds.Load() }
+
+// Run schedules whenever this host is elected, until ctx ends. It then gives
+// its lease up.
+func (sc *Scheduler) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		te, err := sc.elect(ctx)
+		if err != nil {
+			sc.cfg.Log.Debug("not elected", "event", "election", "reason", err)
+			sc.awaitVacancy(ctx)
+			continue
+		}
+		te.run(ctx)
+	}
+}
+
+// run schedules until the term or ctx ends.
+func (te *term) run(ctx context.Context) {
+	defer te.end()
+	te.log.Info("scheduler begins", "event", "termBegins")
+	go te.keepLease()
+	cf, fo, err := te.load()
+	if err != nil {
+		te.log.Warn("scheduler gives up", "event", "termEnds", "reason", err)
+		te.resign()
+		return
+	}
+	te.Scheduler.holds.Store(true)
+	defer te.Scheduler.holds.Store(false)
+	te.core = domain.New(time.Now(), cf)
+	te.log.Info("state is loaded", "event", "loaded", "jobs", len(cf.Jobs), "records", len(cf.Records),
+		"workers", len(cf.Workers), "took", time.Since(te.began).Round(time.Millisecond))
+	fo.start(te)
+	te.loop(ctx)
+	te.resign()
+}
+
+// loop hands events to the core, one at a time.
+func (te *term) loop(ctx context.Context) {
+	tick := time.NewTicker(tickTime)
+	defer tick.Stop()
+	last := time.Now()
+	te.handle(domain.Ticked{})
+	for {
+		select {
+		case <-ctx.Done():
+			te.log.Info("scheduler ends", "event", "termEnds", "reason", "the host stops")
+			return
+		case <-te.ctx.Done():
+			te.log.Warn("scheduler ends", "event", "termEnds", "reason", context.Cause(te.ctx))
+			return
+		case ev := <-te.events:
+			te.handle(ev)
+		case now := <-tick.C:
+			if te.core.Busy() || now.Sub(last) >= idleTick {
+				last = now
+				te.handle(domain.Ticked{})
+			}
+		}
+	}
+}
+
+func (te *term) handle(ev domain.Event) {
+	for _, ef := range te.core.Handle(time.Now(), ev) {
+		te.perform(ef)
+	}
+}
+
+// tell hands an event to the loop.
+func (te *term) tell(ev domain.Event) {
+	select {
+	case te.events <- ev:
+	case <-te.ctx.Done():
+	}
+}
+
+// perform begins what an effect asks for and does not wait for it.
+func (te *term) perform(ef domain.Effect) {
+	switch ef := ef.(type) {
+	case domain.Commit:
+		go te.commit(ef)
+	case domain.Forget:
+		go te.forget(ef.ID)
+	case domain.Look:
+		go te.look(ef)
+	case domain.Start:
+		go te.start(ef)
+	case domain.Stop:
+		go te.stop(ef)
+	case domain.Noted:
+		te.note(ef)
+	case domain.Resign:
+		te.log.Warn("scheduler resigns", "event", "resigns", "reason", ef.Reason)
+		te.end()
+	}
+}
+
+func (te *term) look(ef domain.Look) {
+	ctx, cancel := context.WithTimeout(te.ctx, callTime+ef.Request.Wait)
+	defer cancel()
+	lo, err := te.cfg.Workers.Look(ctx, ef.Worker, ef.Request)
+	te.tell(domain.Looked{Call: ef, Look: lo, Err: err})
+}
+
+func (te *term) start(ef domain.Start) {
+	ctx, cancel := context.WithTimeout(te.ctx, callTime)
+	defer cancel()
+	te.tell(domain.Started{Call: ef, Err: te.cfg.Workers.Start(ctx, ef.Worker, ef.Request)})
+}
+
+func (te *term) stop(ef domain.Stop) {
+	ctx, cancel := context.WithTimeout(te.ctx, callTime)
+	defer cancel()
+	te.tell(domain.Stopped{Call: ef, Err: te.cfg.Workers.Stop(ctx, ef.Worker, ef.Request)})
+}
+
+// note writes the line of a decision.
+func (te *term) note(no domain.Noted) {
+	args := []any{"event", no.Decision}
+	add := func(key, value string) {
+		if value != "" {
+			args = append(args, key, value)
+		}
+	}
+	add("job", no.Job)
+	add("task", no.Task)
+	if no.Attempt > 0 {
+		args = append(args, "attempt", no.Attempt)
+	}
+	add("worker", no.Worker)
+	if len(no.Workers) > 0 {
+		args = append(args, "workers", no.Workers)
+	}
+	add("reason", no.Reason)
+	te.log.Info("decision", args...)
+}
+
+// pauseFor waits and tells whether the term goes on.
+func (te *term) pauseFor(d time.Duration) bool { return pause.For(te.ctx, d) }
--- /dev/null
+++ b/internal/drive/elect.go
@@ -0,0 +1,135 @@
+package drive
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/domain"
+	"github.com/cicadawharf/cicadawharf/internal/pause"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+)
+
+const (
+	// leaseTime is how long the holder's key outlives its holder.
+	leaseTime = 1500 * time.Millisecond
+	// leaseRenew leaves room for two renewals that fail.
+	leaseRenew = 450 * time.Millisecond
+	// electRetry is the pause after an election that failed.
+	electRetry = 300 * time.Millisecond
+	// electTime bounds the calls of an election.
+	electTime = 2 * time.Second
+	// handOffTime bounds the call that gives the lease up.
+	handOffTime = 500 * time.Millisecond
+)
+
+var (
+	errHeld   = errors.New("another host holds")
+	errVacant = errors.New("the holder's key is gone")
+)
+
+// elect tries to become the holder.
+func (sc *Scheduler) elect(ctx context.Context) (*term, error) {
+	ctx, cancel := context.WithTimeout(ctx, electTime)
+	defer cancel()
+	en, _, err := sc.cfg.Store.Get(ctx, batch.HolderKey)
+	if err != nil {
+		return nil, merry.Prepend(err, "read the holder")
+	}
+	if en.Revision != 0 {
+		return nil, errHeld
+	}
+	sent := time.Now()
+	lease, err := sc.cfg.Store.Grant(ctx, leaseTime)
+	if err != nil {
+		return nil, merry.Prepend(err, "obtain a lease")
+	}
+	token, err := sc.takeKey(ctx, lease)
+	if err != nil {
+		return nil, merry.Prepend(err, "take the holder's key")
+	}
+	te := &term{
+		Scheduler: sc, token: token, lease: lease, began: sent,
+		events: make(chan domain.Event, eventQueue), ledger: newLedger(),
+		log: sc.cfg.Log.With("token", token),
+	}
+	te.ctx, te.end = context.WithCancel(context.Background())
+	return te, nil
+}
+
+// takeKey creates the holder's key and returns the revision of that.
+func (sc *Scheduler) takeKey(ctx context.Context, lease store.LeaseID) (store.Revision, error) {
+	value := fmt.Appendf(nil, "%s %d %d", sc.cfg.Host, sc.life, lease)
+	tx := store.Txn{
+		Expect: []store.Expectation{{Key: batch.HolderKey}},
+		Puts:   []store.Put{{Key: batch.HolderKey, Value: value, Lease: lease}},
+	}
+	rev, ents, err := sc.cfg.Store.Commit(ctx, tx)
+	if errors.Is(err, store.ErrLost) {
+		// Either the write stands, or this one decides.
+		rev, ents, err = sc.cfg.Store.Commit(ctx, tx)
+	}
+	if errors.Is(err, store.ErrConflict) && len(ents) > 0 && bytes.Equal(ents[0].Value, value) {
+		return ents[0].Revision, nil
+	}
+	return rev, err
+}
+
+// awaitVacancy returns when the holder's key may be free.
+func (sc *Scheduler) awaitVacancy(ctx context.Context) {
+	en, at, err := sc.cfg.Store.Get(ctx, batch.HolderKey)
+	if err != nil {
+		pause.For(ctx, electRetry)
+		return
+	}
+	if en.Revision == 0 {
+		pause.For(ctx, electRetry/10)
+		return
+	}
+	err = sc.cfg.Store.Watch(ctx, batch.HolderKey, at, func(en store.Entry) error {
+		if en.Value == nil {
+			return errVacant
+		}
+		return nil
+	})
+	if !errors.Is(err, errVacant) {
+		pause.For(ctx, electRetry)
+	}
+}
+
+// keepLease renews the holder's lease. The term ends when the store says that
+// the lease has ended, or has said nothing for so long that workers must not
+// be kept from the next holder.
+func (te *term) keepLease() {
+	for te.pauseFor(leaseRenew) {
+		sent := time.Now()
+		ctx, cancel := context.WithTimeout(te.ctx, leaseTime/2)
+		err := te.cfg.Store.Renew(ctx, te.lease)
+		cancel()
+		switch {
+		case err == nil:
+			te.renewed.Store(int64(sent.Sub(te.began)))
+		case errors.Is(err, store.ErrLapsed):
+			te.log.Warn("lease has lapsed", "event", "leaseLapsed")
+			te.end()
+		case time.Since(te.began)-time.Duration(te.renewed.Load()) > domain.RenewTime:
+			te.log.Warn("lease was not renewed", "event", "leaseUnknown", "reason", err)
+			te.end()
+		}
+	}
+}
+
+// resign ends the term and frees the holder's key for the next one.
+func (te *term) resign() {
+	te.end()
+	ctx, cancel := context.WithTimeout(context.Background(), handOffTime)
+	defer cancel()
+	if err := te.cfg.Store.Revoke(ctx, te.lease); err != nil && !errors.Is(err, store.ErrLapsed) {
+		te.log.Warn("lease was not given up", "event", "leaseLeft", "reason", err)
+	}
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,214 @@
+// Package intake takes jobs in on any host, whichever host schedules. It
+// writes a job to the store itself, and reads states and cancels there.
+//
+// Every answer rests on a policy that is known to be in force: a call that
+// needs it first confirms the policy that this host knows, unless that was
+// done a moment ago. A job is written on condition that the policy is still
+// the one by which it was let in.
+package intake
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+type (
+	// Config constructs an Intake.
+	Config struct {
+		Store     store.Committer
+		PolicyKey string
+		Decode    func(value []byte) (*batch.Policy, error)
+		// TrustFor is for how long a policy may be relied on while the store
+		// can't confirm it.
+		TrustFor time.Duration
+		Log      *slog.Logger
+	}
+
+	// Intake answers callers. It is safe for concurrent use.
+	Intake struct {
+		cfg     Config
+		confirm singleflight.Group
+		path    path
+		mu      sync.Mutex
+		known   known
+	}
+
+	// known is the policy that this host relies on. Uptimes include the time
+	// for which the host was suspended.
+	known struct {
+		policy   *batch.Policy
+		revision store.Revision
+		asOf     time.Duration // uptime when the read that confirmed it was sent
+	}
+
+	// Access is what a caller may do with a queue.
+	Access struct {
+		Queue     batch.Queue
+		Workspace string // empty for an anonymous caller
+		BodyBytes int64
+		revision  store.Revision // of the policy that says so
+	}
+)
+
+const (
+	// confirmFor is for how long a confirmed policy is relied on without
+	// another look.
+	confirmFor = 1200 * time.Millisecond
+	// readTime bounds one read of the store.
+	readTime = 800 * time.Millisecond
+	// comeBack is told to callers when the store can't be reached.
+	comeBack = time.Second
+)
+
+// New returns an intake that knows no policy yet.
+func New(cf Config) *Intake { return &Intake{cfg: cf} }
+
+// Ready tells whether this host can serve calls: it knows a policy and has not
+// lost the store.
+func (in *Intake) Ready(up time.Duration) bool {
+	in.mu.Lock()
+	loaded := in.known.policy != nil
+	in.mu.Unlock()
+	return loaded && !in.path.lost(up)
+}
+
+// Open finds the queue that a call is for and checks the caller's key.
+func (in *Intake) Open(ctx context.Context, up time.Duration, host, path, key string) (Access, error) {
+	kn, err := in.current(ctx, up)
+	if err != nil {
+		return Access{}, err
+	}
+	qu, ok := kn.policy.Route(host, path)
+	if !ok {
+		return Access{}, codes.New(codes.PathNotFound, "no queue has this host and path")
+	}
+	ac := Access{Queue: qu, BodyBytes: kn.policy.BodyBytes, revision: kn.revision}
+	ws, ok := kn.policy.ByKey(key)
+	if ok {
+		ac.Workspace = ws.Name
+	}
+	if !ok && !qu.Anonymous {
+		return Access{}, codes.New(codes.UnknownWorkspace, "the key belongs to no workspace")
+	}
+	return ac, nil
+}
+
+// Warm reads the policy once, so that the host becomes ready before its first
+// call.
+func (in *Intake) Warm(ctx context.Context, up time.Duration) error {
+	_, err := in.current(ctx, up)
+	return err
+}
+
+// current returns the policy in force.
+func (in *Intake) current(ctx context.Context, up time.Duration) (known, error) {
+	in.mu.Lock()
+	kn := in.known
+	in.mu.Unlock()
+	if kn.policy != nil && up-kn.asOf < confirmFor {
+		return kn, nil
+	}
+	err := in.refresh(ctx, up)
+	in.mu.Lock()
+	kn = in.known
+	in.mu.Unlock()
+	switch {
+	case err == nil && kn.policy != nil:
+		return kn, nil
+	case kn.policy == nil:
+		return known{}, codes.New(codes.NotReady, "no policy is known yet").WithRetryAfter(comeBack)
+	case up-kn.asOf < in.cfg.TrustFor:
+		return kn, nil
+	default:
+		return known{}, codes.New(codes.StoreUnavailable, "the policy can't be confirmed").WithRetryAfter(comeBack)
+	}
+}
+
+// refresh reads the policy. Calls that come meanwhile share one read.
+func (in *Intake) refresh(ctx context.Context, up time.Duration) error {
+	if !in.path.allows(up) {
+		return store.ErrUnavailable
+	}
+	ch := in.confirm.DoChan("policy", func() (any, error) {
+		rctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTime)
+		defer cancel()
+		en, _, err := in.cfg.Store.Get(rctx, in.cfg.PolicyKey)
+		in.path.note(up, err)
+		if err != nil {
+			return nil, err
+		}
+		return nil, in.adopt(up, en)
+	})
+	select {
+	case res := <-ch:
+		return res.Err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// adopt takes an entry of the policy that was read at an uptime. An older
+// version than the one that is known is never gone back to.
+func (in *Intake) adopt(up time.Duration, en store.Entry) error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if en.Revision < in.known.revision {
+		return nil
+	}
+	if en.Revision == in.known.revision {
+		in.known.asOf = max(in.known.asOf, up)
+		return nil
+	}
+	po, err := in.cfg.Decode(en.Value)
+	if err != nil {
+		in.cfg.Log.Warn("policy can't be read", "event", "policyFails", "revision", en.Revision, "reason", err)
+		return err
+	}
+	in.cfg.Log.Info("policy is in force", "event", "policy", "version", po.Version, "revision", en.Revision)
+	in.known = known{policy: po, revision: en.Revision, asOf: max(in.known.asOf, up)}
+	return nil
+}
+
+// Waiting returns how many jobs of a queue have not begun.
+func (in *Intake) Waiting(ctx context.Context, up time.Duration, queue string) (int, error) {
+	en, err := in.read(ctx, up, batch.WaitingKey)
+	if err != nil || en.Revision == 0 {
+		return 0, err
+	}
+	wa, err := batch.Decode[batch.Waiting](en.Value)
+	if err != nil {
+		return 0, codes.New(codes.InternalFailure, "%v", err)
+	}
+	return wa.Queues[queue], nil
+}
+
+// read reads one key, or says why that can't be done.
+func (in *Intake) read(ctx context.Context, up time.Duration, key string) (store.Entry, error) {
+	if !in.path.allows(up) {
+		return store.Entry{}, unavailable()
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTime)
+	defer cancel()
+	en, _, err := in.cfg.Store.Get(ctx, key)
+	in.path.note(up, err)
+	if err != nil {
+		return store.Entry{}, unavailable()
+	}
+	return en, nil
+}
+
+func unavailable() error {
+	return codes.New(codes.StoreUnavailable, "the store does not answer this host").WithRetryAfter(comeBack)
+}
+
+// isConflict tells whether a commit found other revisions than it expected.
+func isConflict(err error) bool { return errors.Is(err, store.ErrConflict) }
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,136 @@
+// Package member is one host of a scheduling domain: it takes callers' jobs in,
+// and schedules while it is elected.
+package member
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cicadawharf/cicadawharf/internal/drive"
+	"github.com/cicadawharf/cicadawharf/internal/intake"
+	"github.com/cicadawharf/cicadawharf/internal/pause"
+	"github.com/cicadawharf/cicadawharf/internal/setup"
+	"github.com/cicadawharf/cicadawharf/internal/uptime"
+)
+
+type (
+	// Config constructs a Member.
+	Config struct {
+		Settings  setup.Domain
+		Scheduler *drive.Scheduler
+		Intake    *intake.Intake
+		Callers   http.Handler
+		Readiness func(ready func() bool) http.Handler
+		Log       *slog.Logger
+	}
+
+	// Member is one host of a domain.
+	Member struct {
+		cfg      Config
+		stopping atomic.Bool
+	}
+)
+
+const (
+	// noticeShare of the grace is left for the balancer to notice that the host
+	// is not ready, and the rest for calls in progress.
+	noticeShare = 0.45
+	finishShare = 0.85
+
+	headerTime = 5 * time.Second
+	idleTime   = 60 * time.Second
+	warmRetry  = 200 * time.Millisecond
+	warmTime   = time.Second
+)
+
+// New returns a member that does nothing until Run.
+func New(cf Config) *Member { return &Member{cfg: cf} }
+
+// Ready tells whether the balancer may send calls to this host.
+func (me *Member) Ready() bool {
+	return !me.stopping.Load() && me.cfg.Intake.Ready(uptime.Now())
+}
+
+// Run serves until ctx ends, and then stops without cutting a call off.
+func (me *Member) Run(ctx context.Context) error {
+	se := me.cfg.Settings
+	servers := map[string]*http.Server{
+		se.Host.CallersAddress:   {Handler: me.cfg.Callers, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime},
+		se.Host.ReadinessAddress: {Handler: me.cfg.Readiness(me.Ready), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime},
+	}
+	if se.Host.MetricsAddress != "" {
+		servers[se.Host.MetricsAddress] = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTime}
+	}
+	failed := make(chan error, len(servers))
+	for address, sv := range servers {
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			return merry.Prepend(err, "listen")
+		}
+		go func() { failed <- sv.Serve(ln) }()
+	}
+	me.cfg.Log.Info("host begins", "event", "begins", "host", se.Host.Name, "zone", se.Host.Zone, "callers", se.Host.CallersAddress)
+	sctx, resign := context.WithCancel(ctx)
+	defer resign()
+	var wg sync.WaitGroup
+	wg.Go(func() { me.cfg.Scheduler.Run(sctx) })
+	go me.warm(ctx)
+	select {
+	case err := <-failed:
+		return merry.Prepend(err, "serve")
+	case <-ctx.Done():
+	}
+	return me.stop(servers, &wg)
+}
+
+// stop first has the balancer send no more calls here, and gives the scheduler's
+// lease up meanwhile.
+func (me *Member) stop(servers map[string]*http.Server, wg *sync.WaitGroup) error {
+	began := time.Now()
+	grace := float64(me.cfg.Settings.Timing.StopGrace)
+	me.cfg.Log.Info("host stops", "event", "stops", "grace", me.cfg.Settings.Timing.StopGrace)
+	me.stopping.Store(true)
+	for _, sv := range servers {
+		sv.SetKeepAlivesEnabled(false)
+	}
+	time.Sleep(time.Duration(noticeShare * grace))
+	wg.Wait()
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration(finishShare*grace)))
+	defer cancel()
+	var errs []error
+	for _, sv := range servers {
+		errs = append(errs, sv.Shutdown(ctx))
+	}
+	err := errors.Join(errs...)
+	me.cfg.Log.Info("host ends", "event", "ends", "took", time.Since(began).Round(time.Millisecond), "error", err)
+	return err
+}
+
+// warm reads the policy until it is known, so that the host becomes ready.
+func (me *Member) warm(ctx context.Context) {
+	for ctx.Err() == nil {
+		cctx, cancel := context.WithTimeout(ctx, warmTime)
+		err := me.cfg.Intake.Warm(cctx, uptime.Now())
+		cancel()
+		if err == nil || !pause.For(ctx, warmRetry) {
+			return
+		}
+	}
+}
+
+func metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(wr http.ResponseWriter, _ *http.Request) {
+		metrics.WritePrometheus(wr, true)
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/runner/runner.go
@@ -0,0 +1,129 @@
+// Package runner says what a scheduler asks of workers that run single tasks:
+// to start an attempt of a task, to stop it, and to look at what runs and what
+// has ended.
+//
+// Everything that runs holds a lease on the worker's own steady clock. A look
+// extends the lease of all that runs there. A worker refuses a token that is
+// smaller than the largest it has seen, and keeps each end until a look
+// acknowledges it.
+//
+// A call that gets no answer may take effect, also seconds later. A stopped
+// attempt, and any lower one of its task, can't start on that worker any more.
+package runner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+)
+
+type (
+	// Worker is one lifetime of a worker as the platform lists it.
+	Worker struct {
+		ID       string
+		Address  string
+		Service  string
+		Zone     string
+		Rack     string
+		Labels   []string
+		Capacity batch.Resources
+		Draining bool
+		Leaves   time.Duration // while it drains: how much longer it stays at least
+		Born     int64         // changes when the worker starts anew under the same ID
+	}
+
+	// LookRequest asks for what runs and what has ended.
+	LookRequest struct {
+		Token    int64
+		Deadline time.Duration // on the worker's clock, of all that runs there; zero leaves leases alone
+		Seen     int64         // ends up to this number are forgotten
+		Wait     time.Duration // for an end, if there is none yet
+	}
+
+	// Look is what a worker says of itself.
+	Look struct {
+		Clock   time.Duration
+		Born    int64
+		Running []Run
+		Ended   []End
+	}
+
+	// Run is an attempt that holds a lease.
+	Run struct {
+		Task       batch.TaskID
+		Attempt    int
+		Checkpoint string // newest
+		Percent    int    // of its work
+	}
+
+	// End is how an attempt ended. Numbers rise within a lifetime.
+	End struct {
+		Number     int64
+		Task       batch.TaskID
+		Attempt    int
+		How        How
+		Checkpoint string
+	}
+
+	// How says how an attempt ended.
+	How uint8
+
+	// StartRequest asks to start one attempt.
+	StartRequest struct {
+		Token      int64
+		Task       batch.TaskID
+		Attempt    int
+		Payload    string
+		Checkpoint string        // to resume from; empty for none
+		Deadline   time.Duration // on the worker's clock
+	}
+
+	// StopRequest asks to stop one attempt.
+	StopRequest struct {
+		Token   int64
+		Task    batch.TaskID
+		Attempt int
+	}
+
+	// Client makes the calls. Its errors wrap one of the Err values.
+	Client interface {
+		Look(ctx context.Context, wk Worker, rq LookRequest) (Look, error)
+		Start(ctx context.Context, wk Worker, rq StartRequest) error
+		Stop(ctx context.Context, wk Worker, rq StopRequest) error
+	}
+)
+
+// The ways in which an attempt ends.
+const (
+	Succeeded How = iota + 1
+	Failed
+	Stopped
+	Lapsed // its lease ran out
+	Broken // another task of its gang ended
+	Alone  // the rest of its gang did not come in time
+)
+
+// The ways in which a call fails. All but ErrLost and ErrOtherLife say that
+// the call had no effect.
+var (
+	ErrFenced      = errors.New("a larger token has been seen")
+	ErrOld         = errors.New("the attempt, or a higher one, was stopped or ended there")
+	ErrLate        = errors.New("the deadline has passed")
+	ErrNoRoom      = errors.New("the worker has no room")
+	ErrRefused     = errors.New("the worker refuses")
+	ErrUnreachable = errors.New("the worker can't be reached") // nothing was sent
+	ErrOtherLife   = errors.New("the worker has started anew")
+	ErrLost        = errors.New("the answer was lost")
+)
+
+var howNames = [...]string{Succeeded: "succeeded", Failed: "failed", Stopped: "stopped", Lapsed: "lapsed", Broken: "broken", Alone: "alone"}
+
+// String returns the name for logs.
+func (ho How) String() string {
+	if ho < Succeeded || ho > Alone {
+		return "none"
+	}
+	return howNames[ho]
+}
--- /dev/null
+++ b/internal/setup/domain.go
@@ -0,0 +1,93 @@
+package setup
+
+import (
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cicadawharf/cicadawharf/internal/strict"
+)
+
+type (
+	// Domain is what one host of a scheduling domain is told.
+	Domain struct {
+		Host   DomainHost  `yaml:"host"`
+		Store  DomainStore `yaml:"store"`
+		Log    Log         `yaml:"log"`
+		Memory int         `yaml:"memoryMegabytes"` // of the process; zero for no limit
+		Timing Timing      `yaml:"timing"`
+	}
+
+	// DomainHost says who and where the process is.
+	DomainHost struct {
+		Name             string `yaml:"name"`
+		Zone             string `yaml:"zone"`
+		Region           string `yaml:"region"`
+		CallersAddress   string `yaml:"callersAddress"`   // IP:port
+		ReadinessAddress string `yaml:"readinessAddress"` // IP:port
+		MetricsAddress   string `yaml:"metricsAddress"`   // IP:port; empty for none
+	}
+
+	// DomainStore says how to reach the platform's store.
+	DomainStore struct {
+		Address string `yaml:"address"` // IP:port
+	}
+
+	// Timing holds the bounds that the operators have set.
+	Timing struct {
+		Revoke    time.Duration `yaml:"revoke"`    // after which a key that was taken away must not work
+		StopGrace time.Duration `yaml:"stopGrace"` // between SIGTERM and SIGKILL
+	}
+)
+
+// The values of settings that a file leaves out.
+const (
+	DefaultRevoke    = 5 * time.Second
+	DefaultStopGrace = 6 * time.Second
+)
+
+const maxMemory = 1 << 20 // megabytes
+
+// LoadDomain reads and checks a file. An error of its content is spec.Faults.
+func LoadDomain(file string) (Domain, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Domain{}, merry.Prepend(err, "settings")
+	}
+	return ParseDomain(file, data)
+}
+
+// ParseDomain checks the content of a file. The error is spec.Faults.
+func ParseDomain(file string, data []byte) (Domain, error) {
+	do := Domain{
+		Log:    Log{Level: DefaultLevel},
+		Timing: Timing{Revoke: DefaultRevoke, StopGrace: DefaultStopGrace},
+	}
+	tree := strict.Decode(file, data, &do)
+	if tree.Err() == nil {
+		checkDomain(tree, &do)
+	}
+	if err := tree.Err(); err != nil {
+		return Domain{}, err
+	}
+	return do, nil
+}
+
+func checkDomain(tree *strict.Document, do *Domain) {
+	checkName(tree, "$.host.name", do.Host.Name)
+	checkName(tree, "$.host.zone", do.Host.Zone)
+	checkName(tree, "$.host.region", do.Host.Region)
+	checkAddress(tree, "$.host.callersAddress", do.Host.CallersAddress)
+	checkAddress(tree, "$.host.readinessAddress", do.Host.ReadinessAddress)
+	if do.Host.MetricsAddress != "" {
+		checkAddress(tree, "$.host.metricsAddress", do.Host.MetricsAddress)
+	}
+	checkAddress(tree, "$.store.address", do.Store.Address)
+	checkLevel(tree, do.Log.Level)
+	if do.Memory < 0 || do.Memory > maxMemory {
+		tree.Report("$.memoryMegabytes", "memoryMegabytes must be within 0 and %d", maxMemory)
+	}
+	checkDuration(tree, "$.timing.revoke", do.Timing.Revoke, 1)
+	checkDuration(tree, "$.timing.stopGrace", do.Timing.StopGrace, 1)
+}
--- a/internal/setup/parse.go
+++ b/internal/setup/parse.go
@@ -83,16 +83,20 @@
 		checkAddress(tree, strict.Index("$.seeds", i), ad)
 	}
 	checkStore(tree, se.Store)
-	switch se.Log.Level {
-	case "debug", "info", "warn", "error":
-	default:
-		tree.Report("$.log.level", "level %q must be one of debug, info, warn, error", se.Log.Level)
-	}
+	checkLevel(tree, se.Log.Level)
 	checkLimits(tree, se.Limits)
 	checkDuration(tree, "$.stop.delay", se.Stop.Delay, 0)
 	checkDuration(tree, "$.stop.bound", se.Stop.Bound, 1)
 }
 
+func checkLevel(tree *strict.Document, level string) {
+	switch level {
+	case "debug", "info", "warn", "error":
+	default:
+		tree.Report("$.log.level", "level %q must be one of debug, info, warn, error", level)
+	}
+}
+
 func checkStore(tree *strict.Document, st Store) {
 	if len(st.Addresses) == 0 {
 		tree.Report("$.store.addresses", "at least one address of the store is needed")
--- a/internal/store/send.go
+++ b/internal/store/send.go
@@ -28,6 +28,7 @@
 	kindRenew  kind = "renew"
 	kindRevoke kind = "revoke"
 	kindWatch  kind = "watch"
+	kindCommit kind = "commit"
 )
 
 // lost returns the error of a call that was sent and not answered. A read has
--- /dev/null
+++ b/internal/store/txn.go
@@ -0,0 +1,78 @@
+package store
+
+import (
+	"context"
+
+	"github.com/cicadawharf/cicadawharf/internal/store/kvapi"
+)
+
+type (
+	// Txn changes several keys at once, or nothing. It is performed if each key
+	// of Expect has the revision given there, zero for a missing key. Keys that
+	// are not in Expect change whatever they hold.
+	Txn struct {
+		Expect  []Expectation
+		Puts    []Put
+		Deletes []string
+	}
+
+	// Expectation is a key and the revision that it must have.
+	Expectation struct {
+		Key      string
+		Revision Revision
+	}
+
+	// Put is a value for a key.
+	Put struct {
+		Key   string
+		Value []byte
+		Lease LeaseID // zero for none
+	}
+
+	// Committer performs transactions. On ErrConflict the entries are the keys
+	// of Expect as they stand now, a missing one with Revision zero.
+	Committer interface {
+		Store
+		Commit(ctx context.Context, tx Txn) (Revision, []Entry, error)
+	}
+)
+
+// MaxTxn is the largest number of expectations, puts and deletes together.
+const MaxTxn = 32
+
+// Commit implements Committer.
+func (cl *Client) Commit(ctx context.Context, tx Txn) (Revision, []Entry, error) {
+	var rep kvapi.TxnResponse
+	if err := cl.call(ctx, kindCommit, kvapi.PathTxn, tx.toAPI(), &rep); err != nil {
+		return 0, nil, err
+	}
+	if rep.Succeeded {
+		return Revision(rep.Header.Revision), nil, nil
+	}
+	var ents []Entry
+	for i, re := range rep.Responses {
+		if re.Range != nil && i < len(tx.Expect) {
+			ents = append(ents, firstEntry(tx.Expect[i].Key, re.Range.KVs))
+		}
+	}
+	return 0, ents, wrap(ErrConflict, kindCommit, nil)
+}
+
+func (tx Txn) toAPI() kvapi.TxnRequest {
+	var req kvapi.TxnRequest
+	for _, ex := range tx.Expect {
+		key := []byte(ex.Key)
+		req.Compare = append(req.Compare, kvapi.Compare{
+			Key: key, Target: kvapi.TargetMod, Result: kvapi.ResultEqual, ModRevision: int64(ex.Revision),
+		})
+		req.Failure = append(req.Failure, kvapi.RequestOp{Range: &kvapi.RangeRequest{Key: key}})
+	}
+	for _, pu := range tx.Puts {
+		op := kvapi.PutRequest{Key: []byte(pu.Key), Value: pu.Value, Lease: int64(pu.Lease)}
+		req.Success = append(req.Success, kvapi.RequestOp{Put: &op})
+	}
+	for _, key := range tx.Deletes {
+		req.Success = append(req.Success, kvapi.RequestOp{Delete: &kvapi.DeleteRequest{Key: []byte(key)}})
+	}
+	return req
+}
