Prove the core of a domain against stand-in workers in virtual time

Iteration over maps made runs of one seed differ; jobs and workers are now visited in order. Ruled out as faults of the core, and corrected in the model: a late call that outlives the worker's process, an acknowledgement that counts again while a look waits, an end that was acknowledged after the lease had lapsed (the users' rules name that case).

--- a/internal/domain/book.go
+++ b/internal/domain/book.go
@@ -1,6 +1,7 @@
 package domain
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -129,4 +130,9 @@
 	return true
 }
 
-func compareTasks(a, b batch.TaskID) int { return strings.Compare(a.String(), b.String()) }
+func compareTasks(a, b batch.TaskID) int {
+	return cmp.Or(
+		strings.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence),
+		cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index),
+	)
+}
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
@@ -27,7 +28,9 @@
 		began   time.Time
 		policy  *batch.Policy
 		jobs    map[string]*job
+		order   []*job // jobs as they came
 		nodes   map[string]*node
+		sorted  []*node        // nodes by ID; nil if it has to be made anew
 		changed map[*unit]bool // to be evaluated
 		pass    bool           // a placement pass is due
 		book    book
@@ -47,7 +50,7 @@
 		co.list(now, wk)
 	}
 	for _, jb := range cf.Jobs {
-		co.jobs[jb.ID] = newJob(jb, now)
+		co.add(newJob(jb, now))
 	}
 	for _, rc := range cf.Records {
 		if jb, ok := co.jobs[rc.ID]; ok {
@@ -137,20 +140,42 @@
 
 // tick looks again at everything that waits for time to pass.
 func (co *Core) tick(now time.Time) {
-	for _, nd := range co.nodes {
+	for _, nd := range co.byID() {
 		co.expire(now, nd)
 		co.retryStops(now, nd)
 		co.watchProgress(now, nd)
 	}
-	for id, jb := range co.jobs {
-		if jb.state.Final() && jb.savedVersion == jb.version && now.Sub(jb.ended) > keepEnded {
-			delete(co.jobs, id)
-			co.emit(Forget{ID: id})
-		}
-	}
+	co.forgetEnded(now)
 	co.pass = true
 }
 
+// forgetEnded drops the jobs that ended long ago.
+func (co *Core) forgetEnded(now time.Time) {
+	co.order = slices.DeleteFunc(co.order, func(jb *job) bool {
+		old := jb.state.Final() && jb.savedVersion == jb.version && now.Sub(jb.ended) > keepEnded
+		if old {
+			delete(co.jobs, jb.ID)
+			co.emit(Forget{ID: jb.ID})
+		}
+		return old
+	})
+}
+
+func (co *Core) add(jb *job) {
+	co.jobs[jb.ID] = jb
+	co.order = append(co.order, jb)
+}
+
+// byID returns the nodes in the order of their IDs.
+func (co *Core) byID() []*node {
+	if co.sorted == nil {
+		co.sorted = slices.SortedFunc(maps.Values(co.nodes), func(a, b *node) int {
+			return strings.Compare(a.worker.ID, b.worker.ID)
+		})
+	}
+	return co.sorted
+}
+
 // ready tells whether enough workers have been heard to place work. Until
 // then the takeover goes on, and what runs where is not known.
 func (co *Core) ready(now time.Time) bool {
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -132,6 +132,11 @@
 	// formerLease is when leases of a former scheduler are over on a worker
 	// that was never reached.
 	formerLease = RenewTime + HoldTime + time.Second
+	// lateCall is how late a call that got no answer may be carried out, and
+	// maxHold the longest lease that it grants if its deadline is of another
+	// life of the worker.
+	lateCall = 12 * time.Second
+	maxHold  = 10*time.Second + 400*time.Millisecond
 
 	// lookWait is how long a look waits for an end.
 	lookWait = 2 * time.Second
--- a/internal/domain/health.go
+++ b/internal/domain/health.go
@@ -55,7 +55,7 @@
 	if nd.answered.IsZero() || nd.failed.After(nd.answered) {
 		return
 	}
-	for _, ru := range nd.runs {
+	for _, ru := range nd.sortedRuns() {
 		un := ru.unit
 		if un == nil || un.phase != live || ru.stage != running || un.step.Lasting || !un.allRunning() {
 			continue
@@ -95,7 +95,7 @@
 // held returns the accelerators that a workspace's assured units take.
 func (co *Core) held(workspace string) int {
 	sum := 0
-	for _, jb := range co.jobs {
+	for _, jb := range co.order {
 		if jb.Workspace != workspace || jb.state == batch.Done {
 			continue
 		}
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -86,7 +86,7 @@
 	if _, ok := co.jobs[jb.ID]; ok {
 		return
 	}
-	co.jobs[jb.ID] = newJob(jb, now)
+	co.add(newJob(jb, now))
 	co.pass = true
 }
 
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -1,6 +1,7 @@
 package domain
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"time"
@@ -61,8 +62,8 @@
 
 // replaceAt ends the life of a former worker at the same address.
 func (co *Core) replaceAt(now time.Time, wk runner.Worker) {
-	for id, nd := range co.nodes {
-		if id != wk.ID && nd.worker.Address == wk.Address && nd.worker.Born < wk.Born {
+	for _, nd := range co.byID() {
+		if nd.worker.ID != wk.ID && nd.worker.Address == wk.Address && nd.worker.Born < wk.Born {
 			nd.listed = false
 			co.endLife(now, nd)
 		}
@@ -75,6 +76,7 @@
 	if !ok {
 		nd = &node{worker: runner.Worker{ID: id}, runs: map[runKey]*run{}, leaseEnd: now.Add(formerLease)}
 		co.nodes[id] = nd
+		co.sorted = nil
 	}
 	return nd
 }
@@ -89,19 +91,16 @@
 	co.expire(now, nd)
 }
 
-// reborn notes that a worker has lost all that it knew and ran. Starts that
-// went unanswered may yet reach the new life.
+// reborn notes that a worker has lost all that it knew and ran. A start may
+// have reached the new life before this was known, or may reach it yet, so the
+// next look decides what runs there.
 func (co *Core) reborn(now time.Time, nd *node, born int64) {
 	co.emit(Noted{Decision: "reborn", Worker: nd.worker.ID, Reason: "the worker has started anew"})
-	for _, ru := range nd.sortedRuns() {
-		if ru.stage == starting || !ru.lostAt.IsZero() {
-			ru.stop = stopState{}
-			ru.stage = starting
-			ru.lostAt = now
-			co.stopLone(now, ru)
-			continue
-		}
-		co.finishRun(ru)
+	for _, ru := range nd.runs {
+		ru.stop.acked = time.Time{}
+	}
+	if end := now.Add(lateCall + maxHold); len(nd.runs) > 0 && end.After(nd.leaseEnd) {
+		nd.leaseEnd = end
 	}
 	nd.worker.Born = born
 	nd.processed, nd.seen, nd.told = 0, 0, 0
@@ -128,6 +127,7 @@
 	nd.ends = nil
 	if !nd.listed {
 		delete(co.nodes, nd.worker.ID)
+		co.sorted = nil
 	}
 	nd.nextLook = now
 }
@@ -180,7 +180,7 @@
 	for _, ru := range nd.runs {
 		rus = append(rus, ru)
 	}
-	slices.SortFunc(rus, func(a, b *run) int { return compareTasks(a.task, b.task) })
+	slices.SortFunc(rus, func(a, b *run) int { return cmp.Or(compareTasks(a.task, b.task), cmp.Compare(a.attempt, b.attempt)) })
 	return rus
 }
 
@@ -194,7 +194,7 @@
 
 // sendLooks starts the looks that are due.
 func (co *Core) sendLooks(now time.Time) {
-	for _, nd := range co.nodes {
+	for _, nd := range co.byID() {
 		if nd.looking || now.Before(nd.nextLook) || nd.worker.Address == "" {
 			continue
 		}
@@ -292,8 +292,8 @@
 		co.ended(now, nd, en)
 		nd.ends = append(nd.ends, co.hold(en))
 	}
-	for key, ru := range nd.runs {
-		if !listed[key] {
+	for _, ru := range nd.sortedRuns() {
+		if !listed[runKey{ru.task, ru.attempt}] {
 			co.unseen(now, ru, ev.Call.Sent)
 		}
 	}
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -25,7 +25,7 @@
 func (co *Core) waitingUnits(now time.Time) []rank {
 	var ras []rank
 	held := map[string]int{}
-	for _, jb := range co.jobs {
+	for _, jb := range co.order {
 		if jb.state.Final() {
 			continue
 		}
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -97,12 +97,11 @@
 		return nds
 	}
 	var nds []*node
-	for _, nd := range co.nodes {
+	for _, nd := range co.byID() {
 		if nd.worker.Service == service && nd.takesWork(ps.now) {
 			nds = append(nds, nd)
 		}
 	}
-	slices.SortFunc(nds, func(a, b *node) int { return strings.Compare(a.worker.ID, b.worker.ID) })
 	ps.service[service] = nds
 	return nds
 }
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -43,7 +44,7 @@
 	if best == nil {
 		return false
 	}
-	for vi := range best.victims {
+	for _, vi := range slices.SortedFunc(maps.Keys(best.victims), compareUnits) {
 		co.stopUnit(ps.now, vi, "guaranteed work of "+un.job.Workspace+" needs the room")
 	}
 	un.claim = best.nodes
@@ -177,7 +178,7 @@
 
 // placeClaims starts the units whose claims are clear.
 func (co *Core) placeClaims(now time.Time) {
-	for _, jb := range co.jobs {
+	for _, jb := range co.order {
 		if jb.state.Final() {
 			continue
 		}
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -141,7 +141,7 @@
 
 // retryStops repeats the stops on a worker that went unanswered.
 func (co *Core) retryStops(now time.Time, nd *node) {
-	for _, ru := range nd.runs {
+	for _, ru := range nd.sortedRuns() {
 		st := ru.stop
 		if st.wanted && !st.open && st.acked.IsZero() && now.Sub(st.tried) >= retryStop {
 			co.sendStop(now, ru)
--- /dev/null
+++ b/internal/drive/drive_test.go
@@ -0,0 +1,196 @@
+package drive_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/drive"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/kvsim"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/runsim"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
+)
+
+// site is a domain of stand-ins with hosts that schedule it.
+type site struct {
+	t       *testing.T
+	store   *kvsim.Server
+	workers *runsim.Client
+	jobs    map[string]batch.Job
+}
+
+const (
+	policyKey    = "policy"
+	workerPrefix = "workers/"
+	work         = 300 * time.Millisecond
+)
+
+func newSite(t *testing.T, workers int) *site {
+	si := &site{t: t, store: kvsim.Start(t, kvsim.Config{}), jobs: map[string]batch.Job{}}
+	fl := runsim.NewFleet(time.Now(), runsim.Config{
+		MaxHold: 10 * time.Second, GangTimeout: 3 * time.Second, Saves: time.Second,
+		Plan: func(ti batch.TaskID) runsim.Plan {
+			return runsim.Plan{Work: work, Payload: "do " + ti.Job, Needs: batch.Resources{Accelerators: 1}}
+		},
+	})
+	si.workers = runsim.NewClient(fl)
+	si.put(policyKey, batch.Policy{Version: 1, Queues: []batch.Queue{{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2}}})
+	for i := range workers {
+		id := fmt.Sprintf("w%d", i)
+		wk := runner.Worker{ID: id, Address: id + ":1", Service: "svc", Capacity: batch.Resources{Accelerators: 8}}
+		si.workers.With(func(now time.Time, fl *runsim.Fleet) { wk.Born = fl.Add(now, id, wk.Capacity, 1) })
+		si.put(workerPrefix+id, wk)
+	}
+	return si
+}
+
+func (si *site) put(key string, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		si.t.Fatal(err)
+	}
+	si.store.Put(key, data)
+}
+
+// host runs a scheduler until the function that it returns is called.
+func (si *site) host(name string) (stop func()) {
+	sc := drive.New(time.Now(), drive.Config{
+		Host: name, Store: si.store.Client(si.t, time.Second), Workers: si.workers,
+		Log: slog.New(slog.DiscardHandler),
+		Layout: drive.Layout{
+			PolicyKey: policyKey, WorkerPrefix: workerPrefix,
+			Policy: func(value []byte) (*batch.Policy, error) {
+				var po batch.Policy
+				return &po, json.Unmarshal(value, &po)
+			},
+			Worker: func(id string, value []byte) (wk runner.Worker, err error) {
+				err = json.Unmarshal(value, &wk)
+				wk.ID = id
+				return wk, err
+			},
+		},
+	})
+	return kvsim.Background(si.t, func(ctx context.Context) error {
+		sc.Run(ctx)
+		return nil
+	})
+}
+
+func (si *site) submit(id string, tasks int) {
+	jb := batch.Job{
+		ID: id, Queue: batch.Queue{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2}, Payload: "do " + id,
+		Steps: []batch.Step{{Tasks: tasks, Needs: batch.Resources{Accelerators: 1}, RunTime: work}},
+	}
+	si.jobs[id] = jb
+	si.put(batch.JobKey(id), jb)
+}
+
+func (si *site) state(id string) batch.State {
+	data, ok := si.store.Value(batch.ProgressKey(id))
+	if !ok {
+		return batch.Queued
+	}
+	rc, err := batch.Decode[batch.Record](data)
+	if err != nil {
+		si.t.Error(err)
+	}
+	return rc.State
+}
+
+func (si *site) await(id string, st batch.State) {
+	si.t.Helper()
+	kvsim.Eventually(si.t, func() bool { return si.state(id) == st })
+}
+
+func (si *site) unbroken() {
+	si.t.Helper()
+	si.workers.With(func(_ time.Time, fl *runsim.Fleet) {
+		if len(fl.Broken) > 0 {
+			si.t.Errorf("rules are broken: %s", strings.Join(fl.Broken, "; "))
+		}
+	})
+}
+
+func TestJobsRunAndAreCancelled(t *testing.T) {
+	si := newSite(t, 2)
+	si.submit("before", 3)
+	si.host("a")
+	si.await("before", batch.Done)
+	si.submit("later", 16)
+	si.await("later", batch.Done)
+	si.submit("gone", 4)
+	si.await("gone", batch.Running)
+	si.store.Put(batch.CancelKey("gone"), []byte{})
+	si.await("gone", batch.Cancelled)
+	si.unbroken()
+}
+
+// TestNextHostGoesOn stops the holder in the middle of its work. The next one
+// takes what runs over and starts nothing twice.
+func TestNextHostGoesOn(t *testing.T) {
+	is := is.New(t)
+	si := newSite(t, 2)
+	stop := si.host("a")
+	kvsim.Eventually(t, func() bool { _, ok := si.store.Value(batch.HolderKey); return ok })
+	si.host("b")
+	si.submit("j", 40)
+	si.await("j", batch.Running)
+	stop()
+	si.await("j", batch.Done)
+	si.unbroken()
+	value, ok := si.store.Value(batch.HolderKey)
+	is.True(ok)
+	is.True(strings.HasPrefix(string(value), "b "))
+	si.workers.With(func(_ time.Time, fl *runsim.Fleet) { is.Equal(fl.Starts, 40) })
+}
+
+// TestLostAnswersOfTheStore loses the answers of writes that took effect.
+func TestLostAnswersOfTheStore(t *testing.T) {
+	si := newSite(t, 2)
+	si.host("a")
+	si.submit("first", 1)
+	si.await("first", batch.Done)
+	for i := range 5 {
+		id := fmt.Sprintf("j%d", i)
+		si.submit(id, 3)
+		si.store.SetFaults(kvsim.Faults{LoseAnswers: 2})
+		si.await(id, batch.Done)
+	}
+	si.unbroken()
+}
+
+// TestStoreAway takes the store away while work runs. The holder goes on with
+// what runs and ends it once the store is back.
+func TestStoreAway(t *testing.T) {
+	is := is.New(t)
+	si := newSite(t, 2)
+	si.host("a")
+	si.submit("j", 8)
+	si.await("j", batch.Running)
+	si.store.SetFaults(kvsim.Faults{Down: true})
+	time.Sleep(2 * work)
+	si.store.SetFaults(kvsim.Faults{})
+	si.await("j", batch.Done)
+	si.unbroken()
+	si.workers.With(func(_ time.Time, fl *runsim.Fleet) { is.Equal(fl.Starts, 8) })
+}
+
+// TestForeignEntriesAreNoWorkers puts entries beside those of the workers that
+// can't be read.
+func TestForeignEntriesAreNoWorkers(t *testing.T) {
+	si := newSite(t, 1)
+	si.store.Put(workerPrefix+"odd", []byte("?"))
+	si.store.Put(batch.AcceptedPrefix+"odd", []byte("?"))
+	si.store.Put(batch.JobKey("bad"), []byte(`{"id":"bad","steps":[]}`))
+	si.host("a")
+	si.submit("j", 2)
+	si.await("j", batch.Done)
+	si.unbroken()
+}
--- /dev/null
+++ b/internal/fakes/runsim/client.go
@@ -0,0 +1,62 @@
+package runsim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/pause"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
+)
+
+// Client makes calls to a fleet in real time. It implements runner.Client and
+// is safe for concurrent use.
+type Client struct {
+	mu    sync.Mutex
+	fleet *Fleet
+}
+
+// lookStep is how often a look that waits looks for an end.
+const lookStep = 5 * time.Millisecond
+
+// NewClient returns a client of a fleet, which must not be used beside it but
+// within With.
+func NewClient(fl *Fleet) *Client { return &Client{fleet: fl} }
+
+// With gives access to the fleet.
+func (cl *Client) With(fn func(now time.Time, fl *Fleet)) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	now := time.Now()
+	cl.fleet.Advance(now)
+	fn(now, cl.fleet)
+}
+
+// Look implements runner.Client.
+func (cl *Client) Look(ctx context.Context, wk runner.Worker, rq runner.LookRequest) (runner.Look, error) {
+	until := time.Now().Add(rq.Wait)
+	for {
+		var lo runner.Look
+		var err error
+		cl.With(func(now time.Time, fl *Fleet) { lo, err = fl.Look(now, wk.ID, rq) })
+		if err != nil || len(lo.Ended) > 0 || !time.Now().Before(until) {
+			return lo, err
+		}
+		rq.Seen, rq.Deadline = 0, 0 // these count when the call arrives
+		if !pause.For(ctx, lookStep) {
+			return runner.Look{}, runner.ErrLost
+		}
+	}
+}
+
+// Start implements runner.Client.
+func (cl *Client) Start(_ context.Context, wk runner.Worker, rq runner.StartRequest) (err error) {
+	cl.With(func(now time.Time, fl *Fleet) { err = fl.Start(now, wk.ID, rq) })
+	return err
+}
+
+// Stop implements runner.Client.
+func (cl *Client) Stop(_ context.Context, wk runner.Worker, rq runner.StopRequest) (err error) {
+	cl.With(func(now time.Time, fl *Fleet) { err = fl.Stop(now, wk.ID, rq) })
+	return err
+}
--- /dev/null
+++ b/internal/fakes/runsim/fleet.go
@@ -0,0 +1,426 @@
+// Package runsim is a stand-in of workers that run single tasks under leases,
+// as package runner describes them. It is a model without I/O and without a
+// clock of its own, and it keeps a record of every rule that a scheduler has
+// broken.
+package runsim
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
+)
+
+type (
+	// Config constructs a Fleet.
+	Config struct {
+		MaxHold     time.Duration // longest lease
+		GangTimeout time.Duration // for which tasks of a gang wait for each other
+		Saves       time.Duration // work between two checkpoints
+		Plan        func(ti batch.TaskID) Plan
+	}
+
+	// Plan is what a task does.
+	Plan struct {
+		Work        time.Duration
+		Fails       bool // each attempt fails when its work is over
+		Gang        int  // tasks of its gang; zero for none
+		Needs       batch.Resources
+		MaxAttempts int
+		After       []batch.TaskID // must have succeeded before
+		Saves       bool
+		Payload     string
+	}
+
+	// Fleet is a number of workers.
+	Fleet struct {
+		cfg      Config
+		now      time.Time
+		workers  map[string]*worker
+		failures map[batch.TaskID]int  // that were acknowledged
+		done     map[batch.TaskID]bool // successes that were acknowledged
+		ended    map[batch.TaskID]bool // successes, acknowledged or not
+		Broken   []string              // rules that were broken
+		Starts   int
+	}
+
+	worker struct {
+		id       string
+		capacity batch.Resources
+		rate     float64 // of its clock
+		fails    bool    // every attempt fails at once
+		began    time.Time
+		born     int64
+		token    int64
+		deadline time.Duration
+		runs     map[batch.TaskID]*run
+		over     map[batch.TaskID]int // highest attempt that was stopped or has ended
+		list     []runner.End
+		numbers  int64
+		endedAt  []time.Time // of list
+		lapsedAt time.Time   // when the last lease that was not renewed in time ended
+	}
+
+	run struct {
+		worker  *worker
+		task    batch.TaskID
+		attempt int
+		plan    Plan
+		since   time.Time     // when it began to work; zero while it waits for its gang
+		joined  time.Time     // when it was started
+		saved   time.Duration // work of former attempts
+	}
+)
+
+// NewFleet returns a fleet without workers.
+func NewFleet(now time.Time, cf Config) *Fleet {
+	return &Fleet{
+		cfg: cf, now: now, workers: map[string]*worker{}, failures: map[batch.TaskID]int{},
+		done: map[batch.TaskID]bool{}, ended: map[batch.TaskID]bool{},
+	}
+}
+
+// Add starts a worker. Its clock runs at a rate of true time. One that exists
+// under the ID starts anew and has lost everything.
+func (fl *Fleet) Add(now time.Time, id string, capacity batch.Resources, rate float64) int64 {
+	fl.Remove(now, id)
+	wo := &worker{
+		id: id, capacity: capacity, rate: rate, began: now, born: now.UnixMilli(),
+		runs: map[batch.TaskID]*run{}, over: map[batch.TaskID]int{},
+	}
+	fl.workers[id] = wo
+	return wo.born
+}
+
+// Remove ends a worker with all that it runs, which breaks the gangs that had
+// tasks there.
+func (fl *Fleet) Remove(now time.Time, id string) {
+	fl.Advance(now)
+	wo, ok := fl.workers[id]
+	if !ok {
+		return
+	}
+	for _, ru := range wo.sorted() {
+		fl.end(ru, runner.Broken)
+	}
+	delete(fl.workers, id)
+}
+
+// Fail makes each attempt on a worker fail at once.
+func (fl *Fleet) Fail(id string, fails bool) {
+	if wo, ok := fl.workers[id]; ok {
+		wo.fails = fails
+	}
+}
+
+// Running counts the attempts of a job that run.
+func (fl *Fleet) Running(job string) int {
+	n := 0
+	for _, wo := range fl.workers {
+		for ti := range wo.runs {
+			if ti.Job == job {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Done tells whether a task has succeeded.
+func (fl *Fleet) Done(ti batch.TaskID) bool { return fl.ended[ti] }
+
+// Start performs a start.
+func (fl *Fleet) Start(now time.Time, id string, rq runner.StartRequest) error {
+	fl.Advance(now)
+	wo, ok := fl.workers[id]
+	if !ok {
+		return runner.ErrUnreachable
+	}
+	if rq.Token < wo.token {
+		return runner.ErrFenced
+	}
+	wo.token = rq.Token
+	wo.hold(now, rq.Deadline, fl.cfg.MaxHold)
+	if ru, ok := wo.runs[rq.Task]; ok && ru.attempt == rq.Attempt {
+		return nil
+	}
+	if rq.Attempt <= wo.over[rq.Task] {
+		return runner.ErrOld
+	}
+	if rq.Deadline <= wo.clock(now) {
+		return runner.ErrLate
+	}
+	fl.begin(now, wo, rq)
+	return nil
+}
+
+func (fl *Fleet) begin(now time.Time, wo *worker, rq runner.StartRequest) {
+	pl := fl.cfg.Plan(rq.Task)
+	fl.check(wo, rq, pl)
+	fl.Starts++
+	ru := &run{worker: wo, task: rq.Task, attempt: rq.Attempt, plan: pl, joined: now}
+	if rq.Checkpoint != "" {
+		if _, err := fmt.Sscanf(rq.Checkpoint, rq.Task.Job+"/%d", &ru.saved); err != nil {
+			fl.broke("%s attempt %d carries the foreign checkpoint %q", rq.Task, rq.Attempt, rq.Checkpoint)
+		}
+	}
+	wo.runs[rq.Task] = ru
+	if mates := fl.mates(ru); len(mates) == max(1, pl.Gang) {
+		for _, mate := range mates {
+			mate.since = now
+		}
+	}
+}
+
+// check notes the rules that a start breaks.
+func (fl *Fleet) check(wo *worker, rq runner.StartRequest, pl Plan) {
+	for _, other := range fl.workers {
+		if ru, ok := other.runs[rq.Task]; ok {
+			fl.broke("%s runs twice: attempt %d on %s, attempt %d on %s", rq.Task, ru.attempt, other.id, rq.Attempt, wo.id)
+		}
+	}
+	if fl.done[rq.Task] {
+		fl.broke("%s attempt %d starts after it had succeeded", rq.Task, rq.Attempt)
+	}
+	if pl.MaxAttempts > 0 && fl.failures[rq.Task] >= pl.MaxAttempts {
+		fl.broke("%s attempt %d starts after %d failures", rq.Task, rq.Attempt, fl.failures[rq.Task])
+	}
+	if rq.Payload != pl.Payload {
+		fl.broke("%s starts with the payload %q", rq.Task, rq.Payload)
+	}
+	for _, before := range pl.After {
+		if !fl.ended[before] {
+			fl.broke("%s starts before %s has succeeded", rq.Task, before)
+		}
+	}
+	used := pl.Needs
+	for _, ru := range wo.runs {
+		used = used.Plus(ru.plan.Needs)
+	}
+	if !wo.capacity.Holds(used) {
+		fl.broke("%s attempt %d brings %s over its capacity: %v", rq.Task, rq.Attempt, wo.id, used)
+	}
+}
+
+func (fl *Fleet) broke(format string, args ...any) {
+	fl.Broken = append(fl.Broken, fmt.Sprintf("%v: ", fl.now.Format("05.000"))+fmt.Sprintf(format, args...))
+}
+
+// mates returns the runs of a gang's attempt, or the run alone.
+func (fl *Fleet) mates(ru *run) []*run {
+	if ru.plan.Gang == 0 {
+		return []*run{ru}
+	}
+	var out []*run
+	for _, wo := range fl.workers {
+		for ti, other := range wo.runs {
+			if ti.Job == ru.task.Job && ti.Occurrence == ru.task.Occurrence && ti.Step == ru.task.Step && other.attempt == ru.attempt {
+				out = append(out, other)
+			}
+		}
+	}
+	return out
+}
+
+// Stop performs a stop.
+func (fl *Fleet) Stop(now time.Time, id string, rq runner.StopRequest) error {
+	fl.Advance(now)
+	wo, ok := fl.workers[id]
+	if !ok {
+		return runner.ErrUnreachable
+	}
+	if rq.Token < wo.token {
+		return runner.ErrFenced
+	}
+	wo.token = rq.Token
+	if ru, ok := wo.runs[rq.Task]; ok && ru.attempt <= rq.Attempt {
+		fl.end(ru, runner.Stopped)
+	}
+	wo.over[rq.Task] = max(wo.over[rq.Task], rq.Attempt)
+	return nil
+}
+
+// Look performs a look, without its wait.
+func (fl *Fleet) Look(now time.Time, id string, rq runner.LookRequest) (runner.Look, error) {
+	fl.Advance(now)
+	wo, ok := fl.workers[id]
+	if !ok {
+		return runner.Look{}, runner.ErrUnreachable
+	}
+	if rq.Token < wo.token {
+		return runner.Look{}, runner.ErrFenced
+	}
+	wo.token = rq.Token
+	wo.hold(now, rq.Deadline, fl.cfg.MaxHold)
+	fl.acknowledge(wo, rq.Seen)
+	lo := runner.Look{Clock: wo.clock(now), Born: wo.born, Ended: slices.Clone(wo.list)}
+	for _, ru := range wo.sorted() {
+		percent := 0
+		if work := ru.worked(now); work > 0 {
+			percent = int(100 * work / ru.plan.Work)
+		}
+		lo.Running = append(lo.Running, runner.Run{Task: ru.task, Attempt: ru.attempt, Checkpoint: ru.checkpoint(now, fl.cfg.Saves, false), Percent: percent})
+	}
+	return lo, nil
+}
+
+func (fl *Fleet) acknowledge(wo *worker, seen int64) {
+	for len(wo.list) > 0 && wo.list[0].Number <= seen {
+		en, at := wo.list[0], wo.endedAt[0]
+		wo.list, wo.endedAt = wo.list[1:], wo.endedAt[1:]
+		switch {
+		case !wo.lapsedAt.Before(at):
+			// Whoever acknowledges it has lost touch in between, and may have
+			// begun the task anew.
+		case en.How == runner.Succeeded:
+			fl.done[en.Task] = true
+		case en.How == runner.Failed:
+			fl.failures[en.Task]++
+		}
+	}
+}
+
+// Advance lets everything happen that is due by a time.
+func (fl *Fleet) Advance(now time.Time) {
+	for {
+		at, do := fl.next()
+		if do == nil || at.After(now) {
+			fl.now = now
+			return
+		}
+		fl.now = at
+		do()
+	}
+}
+
+// next returns what happens next of itself, and when.
+func (fl *Fleet) next() (time.Time, func()) {
+	var first time.Time
+	var what func()
+	offer := func(at time.Time, do func()) {
+		if what == nil || at.Before(first) {
+			first, what = at, do
+		}
+	}
+	for _, id := range fl.ids() {
+		wo := fl.workers[id]
+		for _, ru := range wo.sorted() {
+			offer(wo.leaseEnd(), func() { fl.lapse(wo) })
+			switch {
+			case ru.since.IsZero():
+				offer(ru.joined.Add(fl.cfg.GangTimeout), func() { fl.end(ru, runner.Alone) })
+			case wo.fails:
+				offer(ru.since.Add(10*time.Millisecond), func() { fl.end(ru, runner.Failed) })
+			case ru.plan.Fails:
+				offer(ru.since.Add(ru.plan.Work-ru.saved), func() { fl.end(ru, runner.Failed) })
+			default:
+				offer(ru.since.Add(ru.plan.Work-ru.saved), func() { fl.end(ru, runner.Succeeded) })
+			}
+		}
+	}
+	return first, what
+}
+
+func (fl *Fleet) ids() []string {
+	ids := make([]string, 0, len(fl.workers))
+	for id := range fl.workers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (fl *Fleet) lapse(wo *worker) {
+	for _, ru := range wo.sorted() {
+		fl.end(ru, runner.Lapsed)
+	}
+}
+
+// end ends a run, and with it the rest of its gang.
+func (fl *Fleet) end(ru *run, how runner.How) {
+	mates := fl.mates(ru)
+	fl.endOne(ru, how)
+	if ru.plan.Gang == 0 || ru.since.IsZero() {
+		return
+	}
+	for _, mate := range mates {
+		if mate == ru {
+			continue
+		}
+		if how == runner.Succeeded {
+			fl.endOne(mate, runner.Succeeded)
+			continue
+		}
+		fl.endOne(mate, runner.Broken)
+	}
+}
+
+func (fl *Fleet) endOne(ru *run, how runner.How) {
+	wo := ru.worker
+	if wo.runs[ru.task] != ru {
+		return
+	}
+	delete(wo.runs, ru.task)
+	wo.over[ru.task] = max(wo.over[ru.task], ru.attempt)
+	if how == runner.Succeeded {
+		fl.ended[ru.task] = true
+	}
+	wo.numbers++
+	wo.endedAt = append(wo.endedAt, fl.now)
+	wo.list = append(wo.list, runner.End{
+		Number: wo.numbers, Task: ru.task, Attempt: ru.attempt, How: how,
+		Checkpoint: ru.checkpoint(fl.now, fl.cfg.Saves, how == runner.Stopped),
+	})
+}
+
+func (wo *worker) clock(now time.Time) time.Duration {
+	return time.Duration(float64(now.Sub(wo.began)) * wo.rate)
+}
+
+// leaseEnd returns when the leases end in true time.
+func (wo *worker) leaseEnd() time.Time {
+	return wo.began.Add(time.Duration(float64(wo.deadline) / wo.rate))
+}
+
+func (wo *worker) hold(now time.Time, deadline, most time.Duration) {
+	if wo.deadline > 0 && now.After(wo.leaseEnd()) {
+		wo.lapsedAt = wo.leaseEnd()
+	}
+	wo.deadline = max(wo.deadline, min(deadline, wo.clock(now)+most))
+}
+
+func (wo *worker) sorted() []*run {
+	rus := make([]*run, 0, len(wo.runs))
+	for _, ru := range wo.runs {
+		rus = append(rus, ru)
+	}
+	slices.SortFunc(rus, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.task.String(), b.task.String()), cmp.Compare(a.attempt, b.attempt))
+	})
+	return rus
+}
+
+func (ru *run) worked(now time.Time) time.Duration {
+	if ru.since.IsZero() {
+		return ru.saved
+	}
+	return ru.saved + now.Sub(ru.since)
+}
+
+// checkpoint returns the newest checkpoint, which names its job.
+func (ru *run) checkpoint(now time.Time, every time.Duration, stopped bool) string {
+	if !ru.plan.Saves {
+		return ""
+	}
+	work := ru.worked(now)
+	if !stopped {
+		work = work.Truncate(every)
+	}
+	if work == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%s/%d", ru.task.Job, work)
+}
