--- a/internal/domain/book.go
+++ b/internal/domain/book.go
@@ -107,7 +107,7 @@
 	co.book.waitingAt = now
 	counts := map[string]int{}
 	for _, jb := range co.jobs {
-		if !jb.started && !jb.state.Final() && jb.Schedule == nil && now.Sub(jb.known) >= waitingGap {
+		if !jb.begun && !jb.state.Final() && jb.Schedule == nil && now.Sub(jb.known) >= waitingGap {
 			counts[jb.Queue.Name]++
 		}
 	}
--- a/internal/domain/domain_test.go
+++ b/internal/domain/domain_test.go
@@ -274,6 +274,24 @@
 	wo.submit(jb, plans...)
 }
 
+// TestJobsWhoseStartsAreLostWait counts a job as waiting until a task of it is
+// known to run, however often it was placed.
+func TestJobsWhoseStartsAreLostWait(t *testing.T) {
+	is := is.New(t)
+	wo := calm(2)
+	wo.faults = faults{drop: 1}
+	jb, pl := single("j1", 1, 2, time.Second)
+	wo.submit(jb, pl)
+	wo.run(4 * time.Second)
+	is.Equal(wo.waiting, map[string]int{"q1": 1})
+	wo.faults = faults{}
+	wo.run(time.Second)
+	is.Equal(wo.fleet.Running("j1"), 2) // a lost start delays its task by little
+	wo.run(3 * time.Second)
+	is.Equal(wo.waiting, map[string]int{})
+	is.Equal(wo.state("j1"), batch.Done)
+}
+
 func TestEarlyOccurrencesWait(t *testing.T) {
 	is := is.New(t)
 	wo := calm(2)
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -16,7 +16,7 @@
 		left         int     // units that are not done; lasting ones never are
 		known        time.Time
 		ended        time.Time
-		started      bool // some unit was started at least once
+		begun        bool // some task is known to have run
 		version      int  // counts the changes of what must last
 		savedVersion int  // that stands in the store
 	}
@@ -158,7 +158,7 @@
 	un.failures = ur.Failures
 	un.counted = ur.Counted
 	un.checkpoint = ur.Checkpoint
-	un.job.started = true
+	un.job.begun = un.job.begun || ur.Done || ur.Failures > 0 || ur.Checkpoint != ""
 	if ur.Done {
 		un.phase = finished
 		un.job.left--
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -321,6 +321,7 @@
 		ru.movedAt = now
 	}
 	if ru.unit != nil && ru.unit.attempt == ru.attempt {
+		ru.unit.job.begun = true
 		ru.unit.keep(ru, rn.Checkpoint)
 	}
 }
@@ -340,15 +341,17 @@
 		// The look carries the larger token, so a start of the former core can't
 		// take effect any more.
 		co.finishRun(ru)
-	case !ru.seenAt.IsZero() && ru.seenAt.Before(sent):
+	case known(ru.seenAt, sent), known(ru.stop.acked, sent):
 		co.finishRun(ru)
-	case !ru.stop.acked.IsZero() && ru.stop.acked.Before(sent):
-		co.finishRun(ru)
-	case !ru.lostAt.IsZero() && ru.lostAt.Before(sent):
+	case known(ru.lostAt, sent):
 		co.stopLone(now, ru)
 	}
 }
 
+// known tells whether something had happened by the time at which a look was
+// sent.
+func known(at, sent time.Time) bool { return !at.IsZero() && !at.After(sent) }
+
 // hold ties an end to the version of its job that counts it.
 func (co *Core) hold(en runner.End) heldEnd {
 	he := heldEnd{number: en.Number}
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -243,7 +243,6 @@
 	un.counted = false
 	un.phase = placed
 	un.runs = nil
-	un.job.started = true
 	if un.job.state == batch.Queued {
 		un.job.state = batch.Running
 	}
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -175,6 +175,7 @@
 		ru.stage = running
 		ru.seenAt = now
 		ru.movedAt = now
+		ru.unit.job.begun = true
 	case errors.Is(ev.Err, runner.ErrLost):
 		ru.lostAt = now
 		nd.failed = now
@@ -229,6 +230,7 @@
 		return
 	}
 	un.keep(ru, en.Checkpoint)
+	un.job.begun = true
 	co.dirty(un.job)
 	switch en.How {
 	case runner.Succeeded:
--- a/internal/domain/world_test.go
+++ b/internal/domain/world_test.go
@@ -32,6 +32,7 @@
 		accepts []string
 		cancels map[string]time.Time
 		records map[string]batch.Record
+		waiting map[string]int // jobs that have not begun, by queue
 		token   int64
 		holder  *holder
 		faults  faults
@@ -256,6 +257,9 @@
 	for _, rc := range cm.Records {
 		wo.records[rc.ID] = rc
 	}
+	if cm.Waiting != nil {
+		wo.waiting = cm.Waiting.Queues
+	}
 	wo.after(storeTime, func() { wo.give(ho, domain.Committed{Seq: cm.Seq}) })
 }
 
