Keep workers for gangs that wait, and wait for room near the data

Change: for up to three units that find no room, workers of the roomiest group are kept from work that comes after them. Units within a guarantee wait up to 1.4 s for room near their data before they run three times as long elsewhere, and clear other racks only then.

--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -16,6 +16,8 @@
 		now     time.Time
 		service map[string][]*node
 		full    map[shape]bool
+		keeps   int            // gangs for which workers are kept
+		kept    map[*node]bool // for gangs that wait
 	}
 
 	// shape is what decides whether a unit fits.
@@ -39,16 +41,24 @@
 
 // nearShare is the part of a unit's slack that it waits for room near its data
 // before it goes elsewhere.
-const nearShare = 0.4
+const nearShare = 0.8
 
 // maxNearWait bounds the same for work within a guarantee, which has to begin
 // soon.
-const maxNearWait = 500 * time.Millisecond
+const maxNearWait = 1400 * time.Millisecond
+
+const (
+	// maxKeeps bounds the gangs that workers are kept for, since kept room is
+	// idle until there is enough of it.
+	maxKeeps = 3
+	// wideTask is from how many accelerators a single task is treated as a gang.
+	wideTask = 4
+)
 
 // placeWaiting starts whatever fits, in order.
 func (co *Core) placeWaiting(now time.Time) {
 	co.placeClaims(now)
-	ps := &pass{now: now, service: map[string][]*node{}, full: map[shape]bool{}}
+	ps := &pass{now: now, service: map[string][]*node{}, full: map[shape]bool{}, kept: map[*node]bool{}}
 	for _, ra := range co.waitingUnits(now) {
 		un := ra.un
 		key := co.shapeOf(ps, ra)
@@ -63,9 +73,59 @@
 			continue
 		}
 		ps.full[key] = true
+		co.keep(ps, un, key)
+	}
+}
+
+// keep reserves workers for a gang that waits, so that smaller work that comes
+// after it does not take the room that is becoming free there.
+func (co *Core) keep(ps *pass, un *unit, key shape) {
+	if un.tasks == 1 && !un.wide() || ps.keeps == maxKeeps || key.class == classLate {
+		return
+	}
+	ps.keeps++
+	var best []*node
+	bestFits := -1
+	for _, group := range append(groups(un, co.usable(ps, key.service)), co.usable(ps, key.service)) {
+		nodes, fits := un.roomiest(group, ps.kept)
+		if nodes != nil && fits > bestFits {
+			best, bestFits = nodes, fits
+		}
+	}
+	for _, nd := range best {
+		ps.kept[nd] = true
 	}
 }
 
+// wide tells whether a task of the unit needs most of a worker.
+func (un *unit) wide() bool { return un.step.Needs.Accelerators >= wideTask }
+
+// roomiest returns the workers of a group that would hold a unit if they were
+// empty, those with the most room first, and how many tasks fit there now.
+func (un *unit) roomiest(group []*node, kept map[*node]bool) ([]*node, int) {
+	nds := slices.Clone(group)
+	now := make(map[*node]int, len(nds))
+	for _, nd := range nds {
+		now[nd] = un.fits(nd, nd.free())
+	}
+	slices.SortStableFunc(nds, func(a, b *node) int { return cmp.Compare(now[b], now[a]) })
+	var out []*node
+	fits, held := 0, 0
+	for _, nd := range nds {
+		n := un.fits(nd, nd.worker.Capacity)
+		if kept[nd] || n == 0 || (un.step.Label != "" && !slices.Contains(nd.worker.Labels, un.step.Label)) {
+			continue
+		}
+		out = append(out, nd)
+		fits += now[nd]
+		held += n
+		if held >= un.tasks {
+			return out, fits
+		}
+	}
+	return nil, 0
+}
+
 func (co *Core) shapeOf(ps *pass, ra rank) shape {
 	un := ra.un
 	key := shape{
@@ -120,6 +180,9 @@
 // choose returns a worker for each task of a unit, or nil.
 func (co *Core) choose(ps *pass, un *unit, key shape) []*node {
 	sls := un.slots(co.usable(ps, key.service), func(nd *node) batch.Resources { return nd.free() })
+	if key.class != classAssured {
+		sls = slices.DeleteFunc(sls, func(sl slot) bool { return ps.kept[sl.node] })
+	}
 	fresh := slices.DeleteFunc(slices.Clone(sls), func(sl slot) bool { return un.avoid[sl.node.worker.ID] })
 	if nodes := un.pick(fresh, key.far); nodes != nil {
 		return nodes
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -24,8 +24,13 @@
 	}
 )
 
-// acceleratorCores is how many cores an accelerator counts for in lost work.
-const acceleratorCores = 8
+const (
+	// acceleratorCores is how many cores an accelerator counts for in lost work.
+	acceleratorCores = 8
+	// yieldPenalty is added to the lost work of a unit for each time that it was
+	// stopped before, so that not the same ones are stopped again and again.
+	yieldPenalty = 500 * time.Millisecond
+)
 
 // preempt makes room for a unit within a guarantee by stopping other work. The
 // unit keeps a claim on the workers until they are clear.
@@ -38,13 +43,14 @@
 			best = cl
 		}
 	}
-	if best == nil {
+	if best == nil && key.far {
 		best = co.clear(ps.now, un, nds)
 	}
 	if best == nil {
 		return false
 	}
 	for _, vi := range slices.SortedFunc(maps.Keys(best.victims), compareUnits) {
+		vi.yielded++
 		co.stopUnit(ps.now, vi, "guaranteed work of "+un.job.Workspace+" needs the room")
 	}
 	un.claim = best.nodes
@@ -169,11 +175,14 @@
 // lostWork is the work that stopping a unit wastes.
 func (un *unit) lostWork(now time.Time) time.Duration {
 	since := un.allSeen()
-	if since.IsZero() || un.step.Checkpoints {
+	if since.IsZero() {
 		return 0
 	}
+	if un.step.Checkpoints {
+		since = now
+	}
 	cores := un.step.Needs.MilliCPU/1000 + acceleratorCores*un.step.Needs.Accelerators
-	return now.Sub(since) * time.Duration(cores*un.tasks)
+	return (now.Sub(since) + time.Duration(un.yielded)*yieldPenalty) * time.Duration(cores*un.tasks)
 }
 
 // placeClaims starts the units whose claims are clear.
