--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -50,7 +50,7 @@
 const (
 	// maxKeeps bounds the gangs that workers are kept for, since kept room is
 	// idle until there is enough of it.
-	maxKeeps = 3
+	maxKeeps = 12
 	// wideTask is from how many accelerators a single task is treated as a gang.
 	wideTask = 4
 )
