Stop the work that loses least, and let urgent work take what loses little

Cause: victims were chosen by their time at work alone, room that was already being cleared was not counted (so that one claim stopped ever more work), and urgent work beyond its workspace's guarantee waited behind work that could be stopped for next to nothing. Change: stopping a unit costs what it has done since its checkpoint, and its whole work if it then misses its goal.

--- a/internal/domain/domain_test.go
+++ b/internal/domain/domain_test.go
@@ -116,6 +116,24 @@
 	is.Equal(wo.check(), nil)
 }
 
+// TestPreemptionKeepsTasksApart fills the fleet and asks, within the guarantee,
+// for tasks of which one may be on each worker.
+func TestPreemptionKeepsTasksApart(t *testing.T) {
+	is := is.New(t)
+	wo := calm(4)
+	fill, pl := single("fill", 2, 32, time.Minute)
+	fill.Steps[0].Checkpoints = true // stopping it loses nothing
+	fill.Workspace = "b"
+	wo.submit(fill, pl)
+	wo.run(time.Second)
+	jb, pl := single("apart", 0, 4, time.Second)
+	jb.Steps[0].PerWorker = 1
+	wo.submit(jb, pl)
+	wo.run(3 * time.Second)
+	is.Equal(wo.state("apart"), batch.Done)
+	is.Equal(wo.check(), nil)
+}
+
 // TestWorkerThatFailsEverythingIsSuspended bounds what one bad worker does to
 // many jobs.
 func TestWorkerThatFailsEverythingIsSuspended(t *testing.T) {
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -37,7 +37,7 @@
 		runs       []*run // of the present attempt, by task
 		version    int    // of the job, that records the attempt
 		avoid      map[string]bool
-		yielded    int // times that it was stopped for other work
+		yielded    int  // times that it was stopped for other work
 		assured    bool // counts against the guarantee of its workspace
 		claim      []*node
 		after      time.Time // not placed before
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -69,7 +69,7 @@
 			co.place(now, un, nodes)
 			continue
 		}
-		if ra.class == classAssured && co.preempt(ps, un, key) {
+		if (ra.class == classAssured || ra.class == classTimely && ra.priority == 0) && co.preempt(ps, un, key) {
 			continue
 		}
 		ps.full[key] = true
@@ -230,6 +230,22 @@
 			n++
 		}
 	}
+	return n + nd.claimsOf(un)
+}
+
+// claimsOf counts the tasks of a unit's step that have a claim on a worker.
+func (nd *node) claimsOf(un *unit) int {
+	n := 0
+	for _, other := range un.job.units {
+		if other.at != un.at || other.occurrence != un.occurrence {
+			continue
+		}
+		for _, claimed := range other.claim {
+			if claimed == nd {
+				n++
+			}
+		}
+	}
 	return n
 }
 
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -29,6 +29,8 @@
 	acceleratorCores = 8
 	// yieldPenalty is added to the lost work of a unit for each time that it was
 	// stopped before, so that not the same ones are stopped again and again.
+	// restartTime is how long a unit that was stopped waits at least.
+	restartTime  = time.Second
 	yieldPenalty = 500 * time.Millisecond
 )
 
@@ -46,7 +48,7 @@
 	if best == nil && key.far {
 		best = co.clear(ps.now, un, nds)
 	}
-	if best == nil {
+	if best == nil || key.class != classAssured && best.lost > time.Duration(un.cores())*un.step.RunTime/2 {
 		return false
 	}
 	for _, vi := range slices.SortedFunc(maps.Keys(best.victims), compareUnits) {
@@ -120,6 +122,17 @@
 	return cl
 }
 
+// leaving is what the tasks that are being stopped on a worker will free.
+func (nd *node) leaving() batch.Resources {
+	var rs batch.Resources
+	for _, ru := range nd.runs {
+		if ru.unit != nil && ru.stop.wanted {
+			rs = rs.Plus(ru.unit.step.Occupied())
+		}
+	}
+	return rs
+}
+
 // clearOne finds what has to be stopped on one worker for one more task.
 func (co *Core) clearOne(now time.Time, un *unit, nd *node, cl *clearing, freed batch.Resources, taken int) ([]victim, time.Duration, bool) {
 	if un.step.Label != "" && !slices.Contains(nd.worker.Labels, un.step.Label) {
@@ -129,13 +142,13 @@
 		return nil, 0, false
 	}
 	needs := un.step.Occupied()
-	room := nd.free().Plus(freed)
+	room := nd.free().Plus(nd.leaving()).Plus(freed)
 	if room.Holds(needs) {
 		return nil, 0, true
 	}
 	var set []victim
 	var cost time.Duration
-	for _, vi := range co.victimsOn(now, nd) {
+	for _, vi := range co.victimsOn(now, un, nd) {
 		if cl.victims[vi.un] {
 			continue
 		}
@@ -155,7 +168,7 @@
 
 // victimsOn lists the units on a worker that yield to guaranteed work, those
 // that lose least first.
-func (co *Core) victimsOn(now time.Time, nd *node) []victim {
+func (co *Core) victimsOn(now time.Time, by *unit, nd *node) []victim {
 	var vis []victim
 	seen := map[*unit]bool{}
 	for _, ru := range nd.runs {
@@ -163,6 +176,9 @@
 		if un == nil || seen[un] || un.assured || un.phase != live {
 			continue
 		}
+		if !by.assured && co.queueOf(un.job).Priority <= co.queueOf(by.job).Priority {
+			continue
+		}
 		seen[un] = true
 		vis = append(vis, victim{un: un, lost: un.lostWork(now)})
 	}
@@ -178,11 +194,22 @@
 	if since.IsZero() {
 		return 0
 	}
+	done := now.Sub(since)
+	left := max(0, un.step.RunTime-done)
+	again := un.step.RunTime
 	if un.step.Checkpoints {
-		since = now
+		done, again = 0, left
+	}
+	lost := done + time.Duration(un.yielded)*yieldPenalty
+	if !now.Add(left).After(un.goal()) && now.Add(again+restartTime).After(un.goal()) {
+		lost += un.step.RunTime
 	}
-	cores := un.step.Needs.MilliCPU/1000 + acceleratorCores*un.step.Needs.Accelerators
-	return (now.Sub(since) + time.Duration(un.yielded)*yieldPenalty) * time.Duration(cores*un.tasks)
+	return lost * time.Duration(un.cores())
+}
+
+// cores is what a unit takes, in cores.
+func (un *unit) cores() int {
+	return un.tasks * (un.step.Needs.MilliCPU/1000 + acceleratorCores*un.step.Needs.Accelerators)
 }
 
 // placeClaims starts the units whose claims are clear.
--- a/internal/domain/world_test.go
+++ b/internal/domain/world_test.go
@@ -123,7 +123,7 @@
 	do := wo.plans[ti.Job][ti.Step]
 	pl := runsim.Plan{
 		Work: do.work, Fails: do.fails, Needs: step.Occupied(), MaxAttempts: jb.Queue.MaxAttempts, Saves: step.Checkpoints,
-		Payload: jb.Payload,
+		Payload: jb.Payload, PerWorker: step.PerWorker,
 	}
 	if step.Gang {
 		pl.Gang = step.Tasks
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -33,6 +33,7 @@
 		After       []batch.TaskID // must have succeeded before
 		Saves       bool
 		Payload     string
+		PerWorker   int // most tasks of its step on one worker; zero for any number
 	}
 
 	// Fleet is a number of workers.
@@ -196,9 +197,15 @@
 			fl.broke("%s starts before %s has succeeded", rq.Task, before)
 		}
 	}
-	used := pl.Needs
-	for _, ru := range wo.runs {
+	used, beside := pl.Needs, 0
+	for ti, ru := range wo.runs {
 		used = used.Plus(ru.plan.Needs)
+		if ti.Job == rq.Task.Job && ti.Occurrence == rq.Task.Occurrence && ti.Step == rq.Task.Step {
+			beside++
+		}
+	}
+	if pl.PerWorker > 0 && beside >= pl.PerWorker {
+		fl.broke("%s attempt %d starts on %s beside %d tasks of its step", rq.Task, rq.Attempt, wo.id, beside)
 	}
 	if !wo.capacity.Holds(used) {
 		fl.broke("%s attempt %d brings %s over its capacity: %v", rq.Task, rq.Attempt, wo.id, used)
