Follow advice, let filling work make way, and bound interruptions of lasting steps

Ruled out: filling work never beside work that serves (it would not run where serving work is everywhere). Pace is not used: work is stopped in place of slowed down. Waves of upkeep and pools that are switched on are not built.

--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -54,9 +54,11 @@
 		Store: st, PolicyKey: layout.PolicyKey, Decode: layout.Policy,
 		TrustFor: max(0, se.Timing.Revoke-trustMargin), Log: log,
 	})
-	sc := drive.New(time.Now(), drive.Config{
-		Host: se.Host.Name, Store: st, Workers: platform.NewWorkers(), Layout: layout, Log: log,
-	})
+	dc := drive.Config{Host: se.Host.Name, Store: st, Workers: platform.NewWorkers(), Layout: layout, Log: log}
+	if se.Advice.Address != "" {
+		dc.Adviser = platform.NewAdviser(se.Advice.Address)
+	}
+	sc := drive.New(time.Now(), dc)
 	return member.New(member.Config{
 		Settings: se, Scheduler: sc, Intake: in, Log: log, Readiness: platform.Ready,
 		Callers: platform.NewFront(platform.FrontConfig{Intake: in, Uptime: uptime.Now, Log: log}),
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -38,6 +38,7 @@
 		PerWorker   int           `json:"perWorker,omitempty"` // bound of its tasks on one worker; zero for none
 		Lasting     bool          `json:"lasting,omitempty"`   // runs until the job is cancelled
 		Filling     bool          `json:"filling,omitempty"`   // uses processors that others leave idle
+		Target      time.Duration `json:"target,omitempty"`    // of the slow responses of a lasting step that serves others
 		MayMiss     int           `json:"mayMiss,omitempty"`   // tasks of a lasting step that may be interrupted at a time
 	}
 
--- /dev/null
+++ b/internal/domain/advise.go
@@ -0,0 +1,136 @@
+package domain
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/runner"
+)
+
+type (
+	stepKey struct {
+		occurrence, at int
+	}
+
+	// advice is what is known of the workers that may run a step.
+	advice struct {
+		open    bool      // a call is under way
+		after   time.Time // no call before
+		refused map[string]bool
+		tickets map[string]ticket
+	}
+
+	ticket struct {
+		text  string
+		until time.Time
+	}
+)
+
+const (
+	// adviseWorkers is how many workers one call asks about: each costs time.
+	adviseWorkers = 24
+	// adviseCalls bounds the calls under way, which the service takes in turn.
+	adviseCalls = 4
+	// advisePause is the pause before the next call for a step.
+	advisePause = 500 * time.Millisecond
+	// ticketMargin is kept from the end of a ticket for the start to arrive.
+	ticketMargin = 500 * time.Millisecond
+)
+
+// hasAdvice tells whether a unit may be placed: its queue needs no advice, or
+// some worker has a ticket for it. If not, advice is asked for.
+func (co *Core) hasAdvice(ps *pass, un *unit) bool {
+	if !co.queueOf(un.job).Advised {
+		un.job.advice = nil
+		return true
+	}
+	if un.job.advice == nil {
+		un.job.advice = map[stepKey]*advice{}
+	}
+	key := stepKey{un.occurrence, un.at}
+	ad, ok := un.job.advice[key]
+	if !ok {
+		ad = &advice{refused: map[string]bool{}, tickets: map[string]ticket{}}
+		un.job.advice[key] = ad
+	}
+	ad.expire(ps.now)
+	if co.choose(ps, un, co.shapeOf(ps, rank{un: un})) == nil {
+		co.askAdvice(ps, un, ad)
+	}
+	return len(ad.tickets) > 0
+}
+
+func (ad *advice) expire(now time.Time) {
+	for id, ti := range ad.tickets {
+		if !now.Before(ti.until) {
+			delete(ad.tickets, id)
+		}
+	}
+}
+
+// askAdvice asks about the workers with the most room that nothing is known of.
+func (co *Core) askAdvice(ps *pass, un *unit, ad *advice) {
+	if ad.open || co.asking >= adviseCalls || ps.now.Before(ad.after) {
+		return
+	}
+	var nds []*node
+	for _, nd := range co.usable(ps, co.queueOf(un.job).Service) {
+		_, known := ad.tickets[nd.worker.ID]
+		if !known && !ad.refused[nd.worker.ID] && un.fits(nd, nd.worker.Capacity) > 0 {
+			nds = append(nds, nd)
+		}
+	}
+	if len(nds) == 0 {
+		return
+	}
+	slices.SortStableFunc(nds, func(a, b *node) int {
+		return cmp.Or(cmp.Compare(un.fits(b, b.free()), un.fits(a, a.free())), cmp.Compare(b.free().Accelerators, a.free().Accelerators))
+	})
+	rq := runner.AdviceRequest{Job: un.job.ID, Occurrence: un.occurrence, Step: un.at}
+	for _, nd := range nds[:min(adviseWorkers, len(nds))] {
+		rq.Workers = append(rq.Workers, nd.worker.ID)
+	}
+	ad.open = true
+	co.asking++
+	co.emit(Advise{Sent: ps.now, Request: rq})
+}
+
+// advised takes the outcome of a call for advice.
+func (co *Core) advised(now time.Time, ev Advised) {
+	co.asking--
+	rq := ev.Call.Request
+	jb, ok := co.jobs[rq.Job]
+	if !ok {
+		return
+	}
+	ad, ok := jb.advice[stepKey{rq.Occurrence, rq.Step}]
+	if !ok {
+		return
+	}
+	ad.open = false
+	ad.after = now.Add(advisePause)
+	co.pass = true
+	if ev.Err != nil {
+		co.emit(Noted{Decision: "adviceFails", Job: rq.Job, Reason: ev.Err.Error()})
+		return
+	}
+	ad.after = now
+	until := now.Add(ev.Advice.ValidFor - ticketMargin)
+	for _, id := range rq.Workers {
+		if text, good := ev.Advice.Tickets[id]; good {
+			ad.tickets[id] = ticket{text: text, until: until}
+			continue
+		}
+		ad.refused[id] = true
+	}
+}
+
+// ticket returns the ticket of a unit for a worker; empty if there is none.
+func (un *unit) ticket(nd *node) string {
+	ad, ok := un.job.advice[stepKey{un.occurrence, un.at}]
+	if !ok {
+		return ""
+	}
+	return ad.tickets[nd.worker.ID].text
+}
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -34,6 +34,7 @@
 		changed map[*unit]bool // to be evaluated
 		pass    bool           // a placement pass is due
 		book    book
+		asking  int // calls for advice under way
 		effects []Effect
 		gone    bool // resigned
 	}
@@ -87,6 +88,8 @@
 		co.started(now, ev)
 	case Stopped:
 		co.stopped(now, ev)
+	case Advised:
+		co.advised(now, ev)
 	case Committed:
 		co.committed(now, ev)
 	case Ticked:
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -62,6 +62,13 @@
 		Err  error
 	}
 
+	// Advised is the outcome of an Advise.
+	Advised struct {
+		Call   Advise
+		Advice runner.Advice
+		Err    error
+	}
+
 	// Committed says that a Commit stands in the store.
 	Committed struct{ Seq int64 }
 
@@ -99,6 +106,12 @@
 		Request runner.StopRequest
 	}
 
+	// Advise asks which workers may run a step.
+	Advise struct {
+		Sent    time.Time
+		Request runner.AdviceRequest
+	}
+
 	// Forget asks to delete the keys of a job that ended long ago.
 	Forget struct{ ID string }
 
@@ -172,6 +185,7 @@
 func (Looked) event()      {}
 func (Started) event()     {}
 func (Stopped) event()     {}
+func (Advised) event()     {}
 func (Committed) event()   {}
 func (Ticked) event()      {}
 
@@ -179,6 +193,7 @@
 func (Look) effect()   {}
 func (Start) effect()  {}
 func (Stop) effect()   {}
+func (Advise) effect() {}
 func (Forget) effect() {}
 func (Noted) effect()  {}
 func (Resign) effect() {}
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -16,6 +16,7 @@
 		left         int     // units that are not done; lasting ones never are
 		known        time.Time
 		ended        time.Time
+		advice       map[stepKey]*advice
 		begun        bool // some task is known to have run
 		version      int  // counts the changes of what must last
 		savedVersion int  // that stands in the store
@@ -183,6 +184,35 @@
 	return batch.TaskID{Job: un.job.ID, Occurrence: un.occurrence, Step: un.at, Index: un.index + i}
 }
 
+// away counts the other tasks of a unit's step that are not at work.
+func (jb *job) away(un *unit) int {
+	n := 0
+	for _, other := range jb.units {
+		if other != un && other.at == un.at && other.occurrence == un.occurrence && !other.atWork() {
+			n += other.tasks
+		}
+	}
+	return n
+}
+
+// atWork tells whether every task of a lasting unit is past its startup.
+func (un *unit) atWork() bool {
+	if un.phase != live {
+		return false
+	}
+	for _, ru := range un.runs {
+		if ru.stage != running || ru.percent < 100 {
+			return false
+		}
+	}
+	return true
+}
+
+// mayInterrupt tells whether a unit may be stopped for other work.
+func (un *unit) mayInterrupt() bool {
+	return !un.step.Lasting || un.step.MayMiss == 0 || un.job.away(un) < un.step.MayMiss
+}
+
 // ready tells whether a unit waits for nothing but room.
 func (un *unit) ready(now time.Time) bool {
 	if un.phase != waiting || un.job.state.Final() || now.Before(un.after) {
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -30,6 +30,7 @@
 		seen      int64     // number of the last end that is in the store
 		told      int64     // the same, as the worker was told
 		health    health
+		harmed    time.Time // no filling work before; see fill.go
 	}
 
 	runKey struct {
@@ -322,6 +323,7 @@
 	}
 	if ru.unit != nil && ru.unit.attempt == ru.attempt {
 		ru.unit.job.begun = true
+		co.observeLoad(now, ru, rn.Load)
 		ru.unit.keep(ru, rn.Checkpoint)
 	}
 }
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -62,7 +62,7 @@
 	for _, ra := range co.waitingUnits(now) {
 		un := ra.un
 		key := co.shapeOf(ps, ra)
-		if ps.full[key] {
+		if ps.full[key] || !co.hasAdvice(ps, un) {
 			continue
 		}
 		if nodes := co.choose(ps, un, key); nodes != nil {
@@ -113,7 +113,7 @@
 	fits, held := 0, 0
 	for _, nd := range nds {
 		n := un.fits(nd, nd.worker.Capacity)
-		if kept[nd] || n == 0 || (un.step.Label != "" && !slices.Contains(nd.worker.Labels, un.step.Label)) {
+		if kept[nd] || n == 0 || !un.suits(nd) {
 			continue
 		}
 		out = append(out, nd)
@@ -132,7 +132,7 @@
 		service: co.queueOf(un.job).Service, needs: un.step.Occupied(), tasks: un.tasks,
 		label: un.step.Label, rack: un.step.Rack, far: un.mayGoFar(ps.now), class: ra.class,
 	}
-	if un.step.PerWorker > 0 || len(un.avoid) > 0 {
+	if un.step.PerWorker > 0 || len(un.avoid) > 0 || un.job.advice != nil {
 		key.perWorker = un.taskID(0).String()
 	}
 	return key
@@ -197,7 +197,7 @@
 func (un *unit) slots(nds []*node, room func(*node) batch.Resources) []slot {
 	var sls []slot
 	for _, nd := range nds {
-		if un.step.Label != "" && !slices.Contains(nd.worker.Labels, un.step.Label) {
+		if !un.suits(nd) {
 			continue
 		}
 		if n := un.fits(nd, room(nd)); n > 0 {
@@ -207,6 +207,17 @@
 	return sls
 }
 
+// suits tells whether a worker may run a unit if it has the room.
+func (un *unit) suits(nd *node) bool {
+	if un.step.Label != "" && !slices.Contains(nd.worker.Labels, un.step.Label) {
+		return false
+	}
+	if un.job.advice != nil && un.ticket(nd) == "" {
+		return false
+	}
+	return !un.disturbs(nd)
+}
+
 // fits counts the tasks of a unit that a worker takes.
 func (un *unit) fits(nd *node, room batch.Resources) int {
 	n := 0
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -22,6 +22,11 @@
 		victims map[*unit]bool
 		lost    time.Duration
 	}
+
+	stepOf struct {
+		job *job
+		at  int
+	}
 )
 
 const (
@@ -51,6 +56,9 @@
 	if best == nil || key.class != classAssured && best.lost > time.Duration(un.cores())*un.step.RunTime/2 {
 		return false
 	}
+	if !best.permitted() {
+		return false
+	}
 	for _, vi := range slices.SortedFunc(maps.Keys(best.victims), compareUnits) {
 		vi.yielded++
 		co.stopUnit(ps.now, vi, "guaranteed work of "+un.job.Workspace+" needs the room")
@@ -63,6 +71,23 @@
 	return true
 }
 
+// permitted tells whether no lasting step loses more tasks at a time than it
+// may miss.
+func (cl *clearing) permitted() bool {
+	lost := map[stepOf]int{}
+	for un := range cl.victims {
+		if un.step.Lasting && un.step.MayMiss > 0 {
+			lost[stepOf{un.job, un.at}] += un.tasks
+		}
+	}
+	for un := range cl.victims {
+		if n := lost[stepOf{un.job, un.at}]; n > 0 && un.job.away(un)+n > un.step.MayMiss {
+			return false
+		}
+	}
+	return true
+}
+
 // groups returns the workers near a unit's data, or each rack.
 func groups(un *unit, nds []*node) [][]*node {
 	if un.step.Rack == "" && !un.step.OneRack {
@@ -135,7 +160,7 @@
 
 // clearOne finds what has to be stopped on one worker for one more task.
 func (co *Core) clearOne(now time.Time, un *unit, nd *node, cl *clearing, freed batch.Resources, taken int) ([]victim, time.Duration, bool) {
-	if un.step.Label != "" && !slices.Contains(nd.worker.Labels, un.step.Label) {
+	if !un.suits(nd) {
 		return nil, 0, false
 	}
 	if un.step.PerWorker > 0 && nd.tasksOf(un)+taken >= un.step.PerWorker {
@@ -173,7 +198,7 @@
 	seen := map[*unit]bool{}
 	for _, ru := range nd.runs {
 		un := ru.unit
-		if un == nil || seen[un] || un.assured || un.phase != live {
+		if un == nil || seen[un] || un.assured || un.phase != live || !un.mayInterrupt() {
 			continue
 		}
 		if !by.assured && co.queueOf(un.job).Priority <= co.queueOf(by.job).Priority {
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -109,7 +109,7 @@
 		ru.stage = starting
 		co.emit(Start{Worker: ru.node.worker, Request: runner.StartRequest{
 			Token: co.token, Task: ru.task, Attempt: ru.attempt, Payload: un.job.Payload,
-			Checkpoint: un.checkpoint, Deadline: ru.node.grant(now),
+			Checkpoint: un.checkpoint, Ticket: un.ticket(ru.node), Deadline: ru.node.grant(now),
 		}})
 	}
 }
--- a/internal/domain/world_test.go
+++ b/internal/domain/world_test.go
@@ -37,6 +37,8 @@
 		holder  *holder
 		faults  faults
 		notes   []domain.Noted
+		tickets map[string]map[string]string // of jobs whose queue needs advice, by worker
+		advised int                          // calls for advice
 		log     []string
 	}
 
@@ -123,7 +125,7 @@
 	do := wo.plans[ti.Job][ti.Step]
 	pl := runsim.Plan{
 		Work: do.work, Fails: do.fails, Needs: step.Occupied(), MaxAttempts: jb.Queue.MaxAttempts, Saves: step.Checkpoints,
-		Payload: jb.Payload, PerWorker: step.PerWorker,
+		Payload: jb.Payload, PerWorker: step.PerWorker, Lasting: step.Lasting, Tickets: wo.tickets[ti.Job],
 	}
 	if step.Gang {
 		pl.Gang = step.Tasks
@@ -233,6 +235,8 @@
 	case domain.Stop:
 		wo.call(ho, ef.Worker.ID, func() error { return wo.fleet.Stop(wo.now, ef.Worker.ID, ef.Request) },
 			func(err error) domain.Event { return domain.Stopped{Call: ef, Err: err} })
+	case domain.Advise:
+		wo.advise(ho, ef)
 	case domain.Noted:
 		wo.notes = append(wo.notes, ef)
 		wo.log = append(wo.log, fmt.Sprintf("%s token %d %+v", wo.now.Format("05.000"), ho.token, ef))
@@ -241,6 +245,18 @@
 	}
 }
 
+// advise answers as the service does that knows which workers a queue allows.
+func (wo *world) advise(ho *holder, ef domain.Advise) {
+	wo.advised++
+	ad := runner.Advice{Tickets: map[string]string{}, ValidFor: 3 * time.Second}
+	for _, id := range ef.Request.Workers {
+		if text, good := wo.tickets[ef.Request.Job][id]; good {
+			ad.Tickets[id] = text
+		}
+	}
+	wo.after(100*time.Millisecond, func() { wo.give(ho, domain.Advised{Call: ef, Advice: ad}) })
+}
+
 // commit writes records if the holder is the present one.
 func (wo *world) commit(ho *holder, cm domain.Commit) {
 	if ho.dead {
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,7 @@
 		Host    string
 		Store   store.Committer
 		Workers runner.Client
+		Adviser runner.Adviser // nil if no queue needs advice
 		Layout  Layout
 		Log     *slog.Logger
 	}
@@ -70,8 +72,11 @@
 	tickTime   = 100 * time.Millisecond
 	idleTick   = time.Second
 	callTime   = time.Second // for a call to a worker, beside the wait that it asks for
+	adviceTime = 5 * time.Second
 )
 
+var errNoAdviser = errors.New("no service for advice is set")
+
 // New returns a scheduler that does nothing until Run.
 func New(now time.Time, cf Config) *Scheduler {
 	return &Scheduler{cfg: cf, life: now.UnixNano()}
@@ -167,6 +172,8 @@
 		go te.start(ef)
 	case domain.Stop:
 		go te.stop(ef)
+	case domain.Advise:
+		go te.advise(ef)
 	case domain.Noted:
 		te.note(ef)
 	case domain.Resign:
@@ -194,6 +201,18 @@
 	te.tell(domain.Stopped{Call: ef, Err: te.cfg.Workers.Stop(ctx, ef.Worker, ef.Request)})
 }
 
+// advise asks for advice, which takes the service a while.
+func (te *term) advise(ef domain.Advise) {
+	if te.cfg.Adviser == nil {
+		te.tell(domain.Advised{Call: ef, Err: errNoAdviser})
+		return
+	}
+	ctx, cancel := context.WithTimeout(te.ctx, adviceTime)
+	defer cancel()
+	ad, err := te.cfg.Adviser.Advise(ctx, ef.Request)
+	te.tell(domain.Advised{Call: ef, Advice: ad, Err: err})
+}
+
 // note writes the line of a decision.
 func (te *term) note(no domain.Noted) {
 	args := []any{"event", no.Decision}
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -33,7 +33,9 @@
 		After       []batch.TaskID // must have succeeded before
 		Saves       bool
 		Payload     string
-		PerWorker   int // most tasks of its step on one worker; zero for any number
+		Lasting     bool
+		Tickets     map[string]string // by worker; nil if a start needs none
+		PerWorker   int               // most tasks of its step on one worker; zero for any number
 	}
 
 	// Fleet is a number of workers.
@@ -44,7 +46,9 @@
 		failures map[batch.TaskID]int  // that were acknowledged
 		done     map[batch.TaskID]bool // successes that were acknowledged
 		ended    map[batch.TaskID]bool // successes, acknowledged or not
+		Loads    map[batch.TaskID]int  // slow responses of tasks that serve others, in milliseconds
 		Broken   []string              // rules that were broken
+		Refused  int                   // starts without a ticket
 		Starts   int
 	}
 
@@ -80,7 +84,7 @@
 func NewFleet(now time.Time, cf Config) *Fleet {
 	return &Fleet{
 		cfg: cf, now: now, workers: map[string]*worker{}, failures: map[batch.TaskID]int{},
-		done: map[batch.TaskID]bool{}, ended: map[batch.TaskID]bool{},
+		done: map[batch.TaskID]bool{}, ended: map[batch.TaskID]bool{}, Loads: map[batch.TaskID]int{},
 	}
 }
 
@@ -130,6 +134,16 @@
 	return n
 }
 
+// Beside counts the attempts on the worker that runs a task, that one included.
+func (fl *Fleet) Beside(ti batch.TaskID) int {
+	for _, wo := range fl.workers {
+		if _, ok := wo.runs[ti]; ok {
+			return len(wo.runs)
+		}
+	}
+	return 0
+}
+
 // Done tells whether a task has succeeded.
 func (fl *Fleet) Done(ti batch.TaskID) bool { return fl.ended[ti] }
 
@@ -154,6 +168,10 @@
 	if rq.Deadline <= wo.clock(now) {
 		return runner.ErrLate
 	}
+	if pl := fl.cfg.Plan(rq.Task); pl.Tickets != nil && (rq.Ticket == "" || rq.Ticket != pl.Tickets[id]) {
+		fl.Refused++
+		return runner.ErrRefused
+	}
 	fl.begin(now, wo, rq)
 	return nil
 }
@@ -266,10 +284,12 @@
 	lo := runner.Look{Clock: wo.clock(now), Born: wo.born, Ended: slices.Clone(wo.list)}
 	for _, ru := range wo.sorted() {
 		percent := 0
-		if work := ru.worked(now); work > 0 {
+		if ru.plan.Lasting {
+			percent = 100
+		} else if work := ru.worked(now); work > 0 {
 			percent = int(100 * work / ru.plan.Work)
 		}
-		lo.Running = append(lo.Running, runner.Run{Task: ru.task, Attempt: ru.attempt, Checkpoint: ru.checkpoint(now, fl.cfg.Saves, false), Percent: percent})
+		lo.Running = append(lo.Running, runner.Run{Task: ru.task, Attempt: ru.attempt, Checkpoint: ru.checkpoint(now, fl.cfg.Saves, false), Percent: percent, Load: fl.Loads[ru.task]})
 	}
 	return lo, nil
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -56,6 +56,7 @@
 		Attempt    int
 		Checkpoint string // newest
 		Percent    int    // of its work
+		Load       int    // of a task that serves others: its slow responses, in milliseconds
 	}
 
 	// End is how an attempt ended. Numbers rise within a lifetime.
@@ -77,6 +78,7 @@
 		Attempt    int
 		Payload    string
 		Checkpoint string        // to resume from; empty for none
+		Ticket     string        // from an Adviser; empty if the queue needs none
 		Deadline   time.Duration // on the worker's clock
 	}
 
@@ -87,6 +89,27 @@
 		Attempt int
 	}
 
+	// AdviceRequest asks which of some workers may run a step.
+	AdviceRequest struct {
+		Job        string
+		Occurrence int
+		Step       int
+		Workers    []string
+	}
+
+	// Advice names the workers that may run a step, each with the ticket that a
+	// start there needs.
+	Advice struct {
+		Tickets  map[string]string
+		ValidFor time.Duration
+	}
+
+	// Adviser knows which workers a queue's policy allows. Its errors wrap
+	// ErrRefused, ErrUnreachable or ErrLost.
+	Adviser interface {
+		Advise(ctx context.Context, rq AdviceRequest) (Advice, error)
+	}
+
 	// Client makes the calls. Its errors wrap one of the Err values.
 	Client interface {
 		Look(ctx context.Context, wk Worker, rq LookRequest) (Look, error)
--- a/internal/setup/domain.go
+++ b/internal/setup/domain.go
@@ -14,6 +14,7 @@
 	Domain struct {
 		Host   DomainHost  `yaml:"host"`
 		Store  DomainStore `yaml:"store"`
+		Advice Advice      `yaml:"advice"`
 		Log    Log         `yaml:"log"`
 		Memory int         `yaml:"memoryMegabytes"` // of the process; zero for no limit
 		Timing Timing      `yaml:"timing"`
@@ -34,6 +35,12 @@
 		Address string `yaml:"address"` // IP:port
 	}
 
+	// Advice says how to reach the service that knows which workers a queue
+	// allows.
+	Advice struct {
+		Address string `yaml:"address"` // IP:port; empty for none
+	}
+
 	// Timing holds the bounds that the operators have set.
 	Timing struct {
 		Revoke    time.Duration `yaml:"revoke"`    // after which a key that was taken away must not work
@@ -84,6 +91,9 @@
 		checkAddress(tree, "$.host.metricsAddress", do.Host.MetricsAddress)
 	}
 	checkAddress(tree, "$.store.address", do.Store.Address)
+	if do.Advice.Address != "" {
+		checkAddress(tree, "$.advice.address", do.Advice.Address)
+	}
 	checkLevel(tree, do.Log.Level)
 	if do.Memory < 0 || do.Memory > maxMemory {
 		tree.Report("$.memoryMegabytes", "memoryMegabytes must be within 0 and %d", maxMemory)
