Never wait for the log, and show a job of two steps locally

Cause: a reader of standard output that stalls would have held up the scheduler, which logs each decision; and nothing showed a job of steps outside the bench. The layout of a stand-in platform is shared with the tests of package drive.

--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -13,6 +13,7 @@
 
 	"github.com/cicadawharf/cicadawharf/internal/drive"
 	"github.com/cicadawharf/cicadawharf/internal/intake"
+	"github.com/cicadawharf/cicadawharf/internal/logbuf"
 	"github.com/cicadawharf/cicadawharf/internal/member"
 	"github.com/cicadawharf/cicadawharf/internal/setup"
 	"github.com/cicadawharf/cicadawharf/internal/uptime"
@@ -23,6 +24,8 @@
 	megabyte = 1 << 20
 	// heapShare of the memory is where the collector begins to work harder.
 	heapShare = 0.6
+	// logTime bounds how long the end of the process waits for its log.
+	logTime = 300 * time.Millisecond
 	// trustMargin is kept from the time after which a key must not work any
 	// more, for a call that is being answered.
 	trustMargin = 1500 * time.Millisecond
@@ -42,7 +45,9 @@
 	if se.Memory > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(se.Memory) * megabyte))
 	}
-	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level}))
+	lines := logbuf.New(logbuf.Config{To: out})
+	defer lines.Close(logTime)
+	log := slog.New(slog.NewTextHandler(lines, &slog.HandlerOptions{Level: level}))
 	go reload(ctx, file, log)
 	return newMember(se, log).Run(ctx)
 }
--- a/internal/drive/drive_test.go
+++ b/internal/drive/drive_test.go
@@ -26,11 +26,7 @@
 	jobs    map[string]batch.Job
 }
 
-const (
-	policyKey    = "policy"
-	workerPrefix = "workers/"
-	work         = 300 * time.Millisecond
-)
+const work = 300 * time.Millisecond
 
 func newSite(t *testing.T, workers int) *site {
 	si := &site{t: t, store: kvsim.Start(t, kvsim.Config{}), jobs: map[string]batch.Job{}}
@@ -41,12 +37,12 @@
 		},
 	})
 	si.workers = runsim.NewClient(fl)
-	si.put(policyKey, batch.Policy{Version: 1, Queues: []batch.Queue{{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2}}})
+	si.put(runsim.PolicyKey, batch.Policy{Version: 1, Queues: []batch.Queue{{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2}}})
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i)
 		wk := runner.Worker{ID: id, Address: id + ":1", Service: "svc", Capacity: batch.Resources{Accelerators: 8}}
 		si.workers.With(func(now time.Time, fl *runsim.Fleet) { wk.Born = fl.Add(now, id, wk.Capacity, 1) })
-		si.put(workerPrefix+id, wk)
+		si.put(runsim.WorkerPrefix+id, wk)
 	}
 	return si
 }
@@ -64,18 +60,7 @@
 	sc := drive.New(time.Now(), drive.Config{
 		Host: name, Store: si.store.Client(si.t, time.Second), Workers: si.workers,
 		Log: slog.New(slog.DiscardHandler),
-		Layout: drive.Layout{
-			PolicyKey: policyKey, WorkerPrefix: workerPrefix,
-			Policy: func(value []byte) (*batch.Policy, error) {
-				var po batch.Policy
-				return &po, json.Unmarshal(value, &po)
-			},
-			Worker: func(id string, value []byte) (wk runner.Worker, err error) {
-				err = json.Unmarshal(value, &wk)
-				wk.ID = id
-				return wk, err
-			},
-		},
+		Layout: runsim.Layout(),
 	})
 	return kvsim.Background(si.t, func(ctx context.Context) error {
 		sc.Run(ctx)
@@ -186,7 +171,7 @@
 // can't be read.
 func TestForeignEntriesAreNoWorkers(t *testing.T) {
 	si := newSite(t, 1)
-	si.store.Put(workerPrefix+"odd", []byte("?"))
+	si.store.Put(runsim.WorkerPrefix+"odd", []byte("?"))
 	si.store.Put(batch.AcceptedPrefix+"odd", []byte("?"))
 	si.store.Put(batch.JobKey("bad"), []byte(`{"id":"bad","steps":[]}`))
 	si.host("a")
--- /dev/null
+++ b/internal/fakes/runsim/layout.go
@@ -0,0 +1,53 @@
+package runsim
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/drive"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+)
+
+// The keys under which a stand-in of a platform keeps its data.
+const (
+	PolicyKey    = "policy"
+	WorkerPrefix = "workers/"
+)
+
+// Layout says how a stand-in of a platform keeps its data: policy and workers
+// as JSON of their types.
+func Layout() drive.Layout {
+	return drive.Layout{
+		PolicyKey: PolicyKey, WorkerPrefix: WorkerPrefix,
+		Policy: func(value []byte) (*batch.Policy, error) {
+			var po batch.Policy
+			return &po, json.Unmarshal(value, &po)
+		},
+		Worker: func(id string, value []byte) (wk runner.Worker, err error) {
+			err = json.Unmarshal(value, &wk)
+			wk.ID = id
+			return wk, err
+		},
+	}
+}
+
+// Enter puts a value of the platform into its store.
+func Enter(ctx context.Context, st store.Store, key string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return merry.Prepend(err, key)
+	}
+	_, err = st.Swap(ctx, store.SwapRequest{Key: key, Value: data})
+	return merry.Prepend(err, key)
+}
+
+// AddWorker starts a worker and enters it into the platform's list.
+func (cl *Client) AddWorker(ctx context.Context, st store.Store, wk runner.Worker) error {
+	cl.With(func(now time.Time, fl *Fleet) { wk.Born = fl.Add(now, wk.ID, wk.Capacity, 1) })
+	return Enter(ctx, st, WorkerPrefix+wk.ID, wk)
+}
--- a/internal/local/sample.go
+++ b/internal/local/sample.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"log/slog"
 	"net/http"
 	"strings"
 	"sync"
@@ -52,6 +53,9 @@
 		return merry.Prepend(err, "sample job")
 	}
 	out.say("job %s: %s, %d tasks on %s", jb.ID, jb.Code, jb.Shape.Tasks, strings.Join(jb.Workers, " "))
+	if err := dp.sampleSteps(ctx, out, slog.New(slog.NewTextHandler(kept, nil))); err != nil {
+		return err
+	}
 	out.say("decisions:")
 	for _, ln := range kept.decisions() {
 		out.say("  %s", ln)
--- /dev/null
+++ b/internal/logbuf/logbuf_test.go
@@ -0,0 +1,51 @@
+package logbuf_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/logbuf"
+)
+
+// TestReaderThatStallsCostsNoTime logs into a pipe that nobody reads.
+func TestReaderThatStallsCostsNoTime(t *testing.T) {
+	is := is.New(t)
+	reader, writer := io.Pipe()
+	wr := logbuf.New(logbuf.Config{To: writer, PerSecond: 1 << 20})
+	log := slog.New(slog.NewTextHandler(wr, nil))
+	began := time.Now()
+	for i := range 20000 {
+		log.Info("line", "i", i)
+	}
+	is.True(time.Since(began) < 10*time.Second) // it would wait for ever
+	is.NoErr(reader.Close())                    // lets the writer end
+	wr.Close(10 * time.Second)
+}
+
+// TestBudget writes more lines in a second than are permitted.
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var buf bytes.Buffer
+		wr := logbuf.New(logbuf.Config{To: &buf, PerSecond: 10})
+		for i := range 25 {
+			_, err := fmt.Fprintf(wr, "line %d\n", i)
+			is.NoErr(err)
+		}
+		time.Sleep(time.Second)
+		_, err := io.WriteString(wr, "later\n")
+		is.NoErr(err)
+		wr.Close(time.Second)
+		is.Equal(strings.Count(buf.String(), "line "), 10)
+		is.True(strings.Contains(buf.String(), "event=leftOut lines=15"))
+		is.True(strings.HasSuffix(buf.String(), "later\n"))
+	})
+}
