--- a/internal/drive/drive_test.go
+++ b/internal/drive/drive_test.go
@@ -59,7 +59,7 @@
 func (si *site) host(name string) (stop func()) {
 	sc := drive.New(time.Now(), drive.Config{
 		Host: name, Store: si.store.Client(si.t, time.Second), Workers: si.workers,
-		Log: slog.New(slog.DiscardHandler),
+		Log:    slog.New(slog.DiscardHandler),
 		Layout: runsim.Layout(),
 	})
 	return kvsim.Background(si.t, func(ctx context.Context) error {
