Let the last attempt of a unit avoid the workers on which it has failed

Change: further attempts prefer other workers; the last one that the queue permits takes no worker on which the unit has failed while others could hold it, and goes far from its data for that. The record names the workers, so that a change of the scheduler forgets none. TestSecondAttemptAvoidsTheWorker fails with the former choice.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -91,7 +91,8 @@
 		Checkpoint string   `json:"checkpoint,omitempty"`
 		Live       bool     `json:"live,omitempty"`
 		Done       bool     `json:"done,omitempty"`
-		Counted    bool     `json:"counted,omitempty"` // a failure of this attempt is in Failures
+		FailedOn   []string `json:"failedOn,omitempty"` // workers on which attempts have failed
+		Counted    bool     `json:"counted,omitempty"`  // a failure of this attempt is in Failures
 	}
 )
 
--- a/internal/domain/domain_test.go
+++ b/internal/domain/domain_test.go
@@ -153,6 +153,27 @@
 	is.Equal(wo.check(), nil)
 }
 
+// TestSecondAttemptAvoidsTheWorker fails the first attempt of a unit near its
+// data, and changes the scheduler. The last attempt goes elsewhere, though far
+// from the data.
+func TestSecondAttemptAvoidsTheWorker(t *testing.T) {
+	is := is.New(t)
+	wo := calm(4)
+	wo.fleet.Fail("w00", true)
+	wo.fleet.Remove(wo.now, "w02") // the other worker of the rack
+	wo.tell(domain.Unlisted{ID: "w02"})
+	wo.run(100 * time.Millisecond)
+	jb, pl := single("j", 1, 1, time.Second)
+	jb.Steps[0].Rack = "r0"
+	jb.Queue.MaxAttempts = 2
+	wo.submit(jb, pl)
+	wo.run(70 * time.Millisecond)
+	wo.elect()
+	wo.run(6 * time.Second)
+	is.Equal(wo.state("j"), batch.Done)
+	is.Equal(wo.check(), nil)
+}
+
 // TestTakeoverStartsNothingTwice kills the holder at many moments of a gang's
 // start and of its end.
 func TestTakeoverStartsNothingTwice(t *testing.T) {
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
@@ -125,6 +127,7 @@
 			Occurrence: un.occurrence, Step: un.at, Index: un.index,
 			Attempt: un.attempt, Failures: un.failures, Checkpoint: un.checkpoint,
 			Done: un.phase == finished, Counted: un.counted,
+			FailedOn: slices.Sorted(maps.Keys(un.avoid)),
 		}
 		for _, ru := range un.runs {
 			ur.Live = ur.Live || ru.stage != over
@@ -159,6 +162,9 @@
 	un.attempt = ur.Attempt
 	un.failures = ur.Failures
 	un.counted = ur.Counted
+	for _, id := range ur.FailedOn {
+		un.avoid[id] = true
+	}
 	un.checkpoint = ur.Checkpoint
 	un.job.begun = un.job.begun || ur.Done || ur.Failures > 0 || ur.Checkpoint != ""
 	if ur.Done {
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -183,16 +183,33 @@
 	if key.class != classAssured {
 		sls = slices.DeleteFunc(sls, func(sl slot) bool { return ps.kept[sl.node] })
 	}
+	if len(un.avoid) == 0 {
+		return un.pick(sls, key.far)
+	}
 	fresh := slices.DeleteFunc(slices.Clone(sls), func(sl slot) bool { return un.avoid[sl.node.worker.ID] })
-	if nodes := un.pick(fresh, key.far); nodes != nil {
+	last := un.failures+1 >= co.maxAttempts(un.job)
+	if nodes := un.pick(fresh, key.far || last); nodes != nil {
 		return nodes
 	}
-	if len(fresh) == len(sls) {
+	if last && un.hasOthers(co.usable(ps, key.service)) {
 		return nil
 	}
 	return un.pick(sls, key.far)
 }
 
+// hasOthers tells whether a unit would fit on workers that it need not avoid,
+// if they were empty. It then waits for them: an attempt that fails once more
+// on a bad worker may be the last.
+func (un *unit) hasOthers(nds []*node) bool {
+	n := 0
+	for _, nd := range nds {
+		if !un.avoid[nd.worker.ID] && un.suits(nd) {
+			n += un.fits(nd, nd.worker.Capacity)
+		}
+	}
+	return n >= un.tasks
+}
+
 // slots lists the workers that take a task of a unit.
 func (un *unit) slots(nds []*node, room func(*node) batch.Resources) []slot {
 	var sls []slot
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -160,7 +160,7 @@
 
 // clearOne finds what has to be stopped on one worker for one more task.
 func (co *Core) clearOne(now time.Time, un *unit, nd *node, cl *clearing, freed batch.Resources, taken int) ([]victim, time.Duration, bool) {
-	if !un.suits(nd) {
+	if !un.suits(nd) || un.avoid[nd.worker.ID] {
 		return nil, 0, false
 	}
 	if un.step.PerWorker > 0 && nd.tasksOf(un)+taken >= un.step.PerWorker {
