Freeze a process wholly before a test goes on

The log shows why: the host that was to be frozen took the job in and recorded its first attempt at 51.306, after the signal was sent (the task before it began at 51.288) and before its threads had stopped. Its successor rightly found that nothing of the attempt had run and began a second one, in which the job ran once; the caller was told so. The check expects one attempt, because a frozen host can't take the job in. Ruled out: a job that ran twice (its tasks have one run each, all of attempt 2); the freeze itself. Change: the test waits until every thread of the process is stopped, as the kernel shows them; the check stays as it is. The other tests that freeze processes do the same.

--- a/test/procs/attr_linux_test.go
+++ b/test/procs/attr_linux_test.go
@@ -1,6 +1,35 @@
 package procs_test
 
-import "syscall"
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+)
 
 // attributes has the system end a child whose parent was killed.
 func attributes() *syscall.SysProcAttr { return &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} }
+
+// standsStill returns an error unless every thread of a process is stopped.
+func standsStill(pid int) error {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil {
+		return err
+	}
+	if len(files) == 0 {
+		return fmt.Errorf("process %d has no threads", pid)
+	}
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		// The state follows the name, which is in brackets.
+		_, after, _ := strings.Cut(string(data), ") ")
+		if !strings.HasPrefix(after, "T") {
+			return fmt.Errorf("thread %s is in state %.1s", filepath.Base(filepath.Dir(file)), after)
+		}
+	}
+	return nil
+}
--- a/test/procs/attr_other_test.go
+++ b/test/procs/attr_other_test.go
@@ -2,6 +2,18 @@
 
 package procs_test
 
-import "syscall"
+import (
+	"syscall"
+	"time"
+)
 
 func attributes() *syscall.SysProcAttr { return nil }
+
+// standsStill gives the threads of a process the time to stop, where they can't
+// be looked at.
+func standsStill(int) error {
+	time.Sleep(stopTime)
+	return nil
+}
+
+const stopTime = 200 * time.Millisecond
--- a/test/procs/endpoints_test.go
+++ b/test/procs/endpoints_test.go
@@ -338,7 +338,7 @@
 	mx := startMix(t, sy.of(lima))
 	awaitWork(t, address)
 	sent, _ := held(t, sy.of(lima), address)
-	pr.signal(t, syscall.SIGSTOP)
+	pr.freeze(t)
 	time.Sleep(mixSpan)
 	pr.signal(t, syscall.SIGCONT)
 	all := append(mx.end(), receiveAll(t, sent)...)
--- a/test/procs/frozen_test.go
+++ b/test/procs/frozen_test.go
@@ -54,7 +54,7 @@
 	ctx := context.Background()
 	waited := background(func() (client.Job, error) { return frozen.client().Job(ctx, first.ID, time.Minute) })
 
-	frozen.signal(t, syscall.SIGSTOP)
+	frozen.freeze(t)
 	ordered := background(func() (client.CallAnswer, error) { return frozen.order("/frozen", client.CallOptions{}) })
 	submitted := background(func() (client.Job, error) {
 		return frozen.client().Submit(ctx, gangOf(1, lima, false, time.Second), "frozen")
--- a/test/procs/peer_test.go
+++ b/test/procs/peer_test.go
@@ -34,7 +34,7 @@
 func freezeInTime(t *testing.T, eh, frozen *entryHost) {
 	t.Helper()
 	for range freezes {
-		frozen.signal(t, syscall.SIGSTOP)
+		frozen.freeze(t)
 		stopped := time.Now()
 		awaitReachable(t, eh, frozen.host, false)
 		took := time.Since(stopped)
--- a/test/procs/process_test.go
+++ b/test/procs/process_test.go
@@ -104,6 +104,14 @@
 	}
 }
 
+// freeze stops every thread of the process. A signal alone leaves them running
+// for a moment, in which the process still answers.
+func (pr *process) freeze(t *testing.T) {
+	t.Helper()
+	pr.signal(t, syscall.SIGSTOP)
+	eventually(t, pr.name+" stands still", func() error { return standsStill(pr.cmd.Process.Pid) })
+}
+
 // stop asks the process to end and returns its exit code.
 func (pr *process) stop(t *testing.T) int {
 	t.Helper()
