--- a/test/pages/pages_test.go
+++ b/test/pages/pages_test.go
@@ -197,7 +197,7 @@
 
 func TestNamedTestsExist(t *testing.T) {
 	sc := readSource(t)
-	for _, name := range []string{"docs/FAULTS.md", "docs/OPERATE.md", "docs/DESIGN.md"} {
+	for _, name := range []string{"docs/FAULTS.md", "docs/FAULTS-PLATFORM.md", "docs/INCIDENTS.md", "docs/OPERATE.md", "docs/DESIGN.md"} {
 		found := testName.FindAllStringSubmatch(page(t, name), -1)
 		is.New(t).True(len(found) > 0)
 		for _, fo := range found {
