Test that tasks that stand still are moved

Change: the stand-in workers can stall; TestStalledTaskIsMoved covers single tasks and gangs. The core is unchanged.

--- a/internal/domain/domain_test.go
+++ b/internal/domain/domain_test.go
@@ -175,6 +175,24 @@
 	is.Equal(wo.check(), nil)
 }
 
+// TestStalledTaskIsMoved lets the tasks of one worker stand still. They are
+// begun anew elsewhere, and the worker gets nothing new for a while.
+func TestStalledTaskIsMoved(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		is := is.New(t)
+		wo := calm(4)
+		jb, pl := single("j", 1, 4, 4*time.Second)
+		jb.Steps[0].Gang = gang
+		jb.Steps[0].Needs.Accelerators = 4
+		wo.submit(jb, pl)
+		wo.run(time.Second)
+		wo.fleet.Stall(wo.now, "w00", true)
+		wo.run(14 * time.Second)
+		is.Equal(wo.state("j"), batch.Done)
+		is.Equal(wo.check(), nil)
+	}
+}
+
 // TestSecondAttemptAvoidsTheWorker fails the first attempt of a unit near its
 // data, and changes the scheduler. The last attempt goes elsewhere, though far
 // from the data.
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -57,6 +57,7 @@
 		capacity batch.Resources
 		rate     float64 // of its clock
 		fails    bool    // every attempt fails at once
+		stalled  bool    // nothing that runs makes progress
 		began    time.Time
 		born     int64
 		token    int64
@@ -76,7 +77,7 @@
 		plan    Plan
 		since   time.Time     // when it began to work; zero while it waits for its gang
 		joined  time.Time     // when it was started
-		saved   time.Duration // work of former attempts
+		saved   time.Duration // work of former attempts, and before a stall
 	}
 )
 
@@ -121,6 +122,24 @@
 	}
 }
 
+// Stall lets everything on a worker stand still, or go on.
+func (fl *Fleet) Stall(now time.Time, id string, stalled bool) {
+	fl.Advance(now)
+	wo, ok := fl.workers[id]
+	if !ok || wo.stalled == stalled {
+		return
+	}
+	for _, ru := range wo.runs {
+		if stalled {
+			ru.saved = ru.worked(now)
+		}
+		if !ru.since.IsZero() {
+			ru.since = now
+		}
+	}
+	wo.stalled = stalled
+}
+
 // Running counts the attempts of a job that run.
 func (fl *Fleet) Running(job string) int {
 	n := 0
@@ -337,6 +356,7 @@
 		for _, ru := range wo.sorted() {
 			offer(wo.leaseEnd(), func() { fl.lapse(wo) })
 			switch {
+			case wo.stalled && !ru.since.IsZero():
 			case ru.since.IsZero():
 				offer(ru.joined.Add(fl.cfg.GangTimeout), func() { fl.end(ru, runner.Alone) })
 			case wo.fails:
@@ -431,7 +451,7 @@
 }
 
 func (ru *run) worked(now time.Time) time.Duration {
-	if ru.since.IsZero() {
+	if ru.since.IsZero() || ru.worker.stalled {
 		return ru.saved
 	}
 	return ru.saved + now.Sub(ru.since)
