--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -11,8 +11,10 @@
 package batch
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -132,6 +134,14 @@
 	return fmt.Sprintf("%s.%d.%d.%d", ti.Job, ti.Occurrence, ti.Step, ti.Index)
 }
 
+// Compare orders tasks by job, occurrence, step and index.
+func (ti TaskID) Compare(other TaskID) int {
+	return cmp.Or(
+		strings.Compare(ti.Job, other.Job), cmp.Compare(ti.Occurrence, other.Occurrence),
+		cmp.Compare(ti.Step, other.Step), cmp.Compare(ti.Index, other.Index),
+	)
+}
+
 // WithState returns the record in another state.
 func (rc Record) WithState(st State) Record {
 	rc.State = st
--- a/internal/domain/book.go
+++ b/internal/domain/book.go
@@ -1,9 +1,7 @@
 package domain
 
 import (
-	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
@@ -16,6 +14,7 @@
 	last      time.Time
 	dirty     []*job // in the order in which they changed
 	queued    map[*job]bool
+	urgent    bool         // a start waits for the next commit
 	versions  map[*job]int // of the jobs in the open commit
 	waiting   map[string]int
 	waitingAt time.Time
@@ -54,6 +53,7 @@
 		delete(bo.queued, jb)
 	}
 	bo.dirty = slices.Clone(bo.dirty[n:])
+	bo.urgent = bo.urgent && len(bo.dirty) > 0
 	bo.seq++
 	cm.Seq = bo.seq
 	bo.open = true
@@ -63,12 +63,8 @@
 
 // gap is the least time between two commits: short if a start waits.
 func (co *Core) gap() time.Duration {
-	for _, jb := range co.book.dirty {
-		for _, un := range jb.units {
-			if un.phase == placed {
-				return commitGap
-			}
-		}
+	if co.book.urgent {
+		return commitGap
 	}
 	return idleGap
 }
@@ -129,10 +125,3 @@
 	}
 	return true
 }
-
-func compareTasks(a, b batch.TaskID) int {
-	return cmp.Or(
-		strings.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence),
-		cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index),
-	)
-}
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -33,6 +33,7 @@
 		sorted  []*node        // nodes by ID; nil if it has to be made anew
 		changed map[*unit]bool // to be evaluated
 		pass    bool           // a placement pass is due
+		passed  time.Time      // when the last one was
 		book    book
 		asking  int // calls for advice under way
 		effects []Effect
@@ -94,6 +95,7 @@
 		co.committed(now, ev)
 	case Ticked:
 		co.tick(now)
+	case Prompted:
 	}
 	co.settle(now)
 	effects := co.effects
@@ -119,11 +121,17 @@
 	return false
 }
 
+// Soon tells whether something waits for a few milliseconds to pass.
+func (co *Core) Soon() bool {
+	return co.pass || (len(co.book.dirty) > 0 && !co.book.open)
+}
+
 // settle carries the consequences of an event to their end.
 func (co *Core) settle(now time.Time) {
 	co.evaluateChanged(now)
-	if co.pass && co.ready(now) {
+	if co.pass && now.Sub(co.passed) >= passGap && co.ready(now) {
 		co.pass = false
+		co.passed = now
 		co.placeWaiting(now)
 		co.evaluateChanged(now)
 	}
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -75,6 +75,9 @@
 	// Ticked lets time pass.
 	Ticked struct{}
 
+	// Prompted lets the core go on with what it has put off; see Core.Soon.
+	Prompted struct{}
+
 	// Effect is something that the shell is to do. The types below are all.
 	Effect interface{ effect() }
 
@@ -164,6 +167,9 @@
 	// retryStop is the pause after a stop that failed.
 	retryStop = 400 * time.Millisecond
 
+	// passGap is the least time between two rounds over the work that waits. A
+	// round looks at all of it, so that one for each event would be too dear.
+	passGap = 15 * time.Millisecond
 	// commitGap is the least time between two commits.
 	commitGap = 30 * time.Millisecond
 	// idleGap is the same if no start waits for the commit.
@@ -191,6 +197,7 @@
 func (Advised) event()     {}
 func (Committed) event()   {}
 func (Ticked) event()      {}
+func (Prompted) event()    {}
 
 func (Commit) effect() {}
 func (Look) effect()   {}
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -14,8 +14,10 @@
 	job struct {
 		batch.Job
 		state        batch.State
-		units        []*unit // by occurrence, step and index
-		left         int     // units that are not done; lasting ones never are
+		units        []*unit       // by occurrence, step and index
+		chain        time.Duration // declared run time of its longest chain of steps
+		stepLeft     []int         // units that are not done, by occurrence and step
+		left         int           // units that are not done; lasting ones never are
 		known        time.Time
 		ended        time.Time
 		advice       map[stepKey]*advice
@@ -64,7 +66,10 @@
 const lateFactor = 3
 
 func newJob(jb batch.Job, now time.Time) *job {
-	jo := &job{Job: jb, state: batch.Queued, known: now}
+	jo := &job{
+		Job: jb, state: batch.Queued, known: now, chain: jb.LongestChain(),
+		stepLeft: make([]int, jb.Occurrences()*len(jb.Steps)),
+	}
 	for oc := range jb.Occurrences() {
 		for at := range jb.Steps {
 			jo.addUnits(oc, at)
@@ -84,6 +89,7 @@
 		un := &unit{job: jb, occurrence: occurrence, at: at, index: i, step: step, tasks: tasks, avoid: map[string]bool{}}
 		jb.units = append(jb.units, un)
 	}
+	jb.stepLeft[occurrence*len(jb.Steps)+at] = count
 }
 
 // accept takes in a job that is new to this core.
@@ -173,8 +179,7 @@
 	un.checkpoint = ur.Checkpoint
 	un.job.begun = un.job.begun || ur.Done || ur.Failures > 0 || ur.Checkpoint != ""
 	if ur.Done {
-		un.phase = finished
-		un.job.left--
+		un.finish()
 	}
 	if !ur.Live {
 		return
@@ -252,12 +257,14 @@
 }
 
 func (jb *job) stepDone(occurrence, at int) bool {
-	for _, un := range jb.units {
-		if un.occurrence == occurrence && un.at == at && un.phase != finished {
-			return false
-		}
-	}
-	return true
+	return jb.stepLeft[occurrence*len(jb.Steps)+at] == 0
+}
+
+// finish notes that the unit has succeeded.
+func (un *unit) finish() {
+	un.phase = finished
+	un.job.left--
+	un.job.stepLeft[un.occurrence*len(un.job.Steps)+un.at]--
 }
 
 // submitted is when the objective of an occurrence begins to count.
@@ -270,7 +277,7 @@
 
 // goal is until when the unit's job meets its objective.
 func (un *unit) goal() time.Time {
-	return un.submitted().Add(un.job.Queue.Objective(un.job.LongestChain()))
+	return un.submitted().Add(un.job.Queue.Objective(un.job.chain))
 }
 
 func compareUnits(a, b *unit) int {
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -192,7 +192,7 @@
 	for _, ru := range nd.runs {
 		rus = append(rus, ru)
 	}
-	slices.SortFunc(rus, func(a, b *run) int { return cmp.Or(compareTasks(a.task, b.task), cmp.Compare(a.attempt, b.attempt)) })
+	slices.SortFunc(rus, func(a, b *run) int { return cmp.Or(a.task.Compare(b.task), cmp.Compare(a.attempt, b.attempt)) })
 	return rus
 }
 
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -26,16 +26,16 @@
 	var ras []rank
 	held := map[string]int{}
 	for _, jb := range co.order {
-		if jb.state.Final() {
+		if jb.state.Final() || jb.left == 0 {
 			continue
 		}
+		priority := co.queueOf(jb).Priority
 		for _, un := range jb.units {
 			if un.claim == nil && un.ready(now) {
-				ras = append(ras, rank{un: un, priority: co.queueOf(jb).Priority})
+				ras = append(ras, rank{un: un, priority: priority})
 			}
 		}
 	}
-	slices.SortFunc(ras, func(a, b rank) int { return compareUnits(a.un, b.un) })
 	for i := range ras {
 		ras[i].class = co.classify(now, ras[i], held)
 	}
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -361,6 +361,7 @@
 		names[i] = nd.worker.ID
 	}
 	co.dirty(un.job)
+	co.book.urgent = true
 	un.version = un.job.version
 	co.emit(Noted{
 		Decision: "placed", Job: un.job.ID, Task: un.taskID(0).String(), Attempt: un.attempt, Workers: slices.Compact(names),
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -278,8 +278,7 @@
 }
 
 func (co *Core) finishUnit(now time.Time, un *unit) {
-	un.phase = finished
-	un.job.left--
+	un.finish()
 	if un.job.left == 0 && !un.job.state.Final() {
 		co.endJob(now, un.job, batch.Done, "every task has succeeded")
 	}
--- a/internal/domain/world_test.go
+++ b/internal/domain/world_test.go
@@ -40,6 +40,7 @@
 		tickets map[string]map[string]string // of jobs whose queue needs advice, by worker
 		advised int                          // calls for advice
 		log     []string
+		spent   []time.Duration // real time of each event in the core
 	}
 
 	planned struct {
@@ -60,6 +61,7 @@
 		token int64
 		dead  bool
 		cut   bool // from the store
+		soon  bool // a tick is due for what the core has put off
 	}
 
 	event struct {
@@ -76,6 +78,7 @@
 	storeTime   = 5 * time.Millisecond
 	callTimeout = time.Second
 	tickTime    = 100 * time.Millisecond
+	soonTime    = 15 * time.Millisecond
 )
 
 var start = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
@@ -218,9 +221,19 @@
 	if ho.dead {
 		return
 	}
-	for _, ef := range ho.core.Handle(wo.now, ev) {
+	began := time.Now()
+	effects := ho.core.Handle(wo.now, ev)
+	wo.spent = append(wo.spent, time.Since(began))
+	for _, ef := range effects {
 		wo.perform(ho, ef)
 	}
+	if ho.core.Soon() && !ho.soon {
+		ho.soon = true
+		wo.after(soonTime, func() {
+			ho.soon = false
+			wo.give(ho, domain.Prompted{})
+		})
+	}
 }
 
 func (wo *world) perform(ho *holder, ef domain.Effect) {
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -71,6 +71,7 @@
 	eventQueue = 256
 	tickTime   = 100 * time.Millisecond
 	idleTick   = time.Second
+	soonTime   = 15 * time.Millisecond // for what the core has put off
 	callTime   = time.Second // for a call to a worker, beside the wait that it asks for
 	adviceTime = 5 * time.Second
 )
@@ -126,6 +127,9 @@
 	defer tick.Stop()
 	last := time.Now()
 	te.handle(domain.Ticked{})
+	soon := time.NewTimer(soonTime)
+	waits := true // for soon
+	defer soon.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -136,6 +140,15 @@
 			return
 		case ev := <-te.events:
 			te.handle(ev)
+			if te.core.Soon() && !waits {
+				soon.Reset(soonTime)
+				waits = true
+			}
+		case <-soon.C:
+			te.handle(domain.Prompted{})
+			if waits = te.core.Soon(); waits {
+				soon.Reset(soonTime)
+			}
 		case now := <-tick.C:
 			if te.core.Busy() || now.Sub(last) >= idleTick {
 				last = now
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -445,7 +445,7 @@
 		rus = append(rus, ru)
 	}
 	slices.SortFunc(rus, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.task.String(), b.task.String()), cmp.Compare(a.attempt, b.attempt))
+		return cmp.Or(a.task.Compare(b.task), cmp.Compare(a.attempt, b.attempt))
 	})
 	return rus
 }
