Ask idle workers that were silent again, and search for victims once a round

Cause: a worker whose calls had failed got no work until it answered, and nothing asked it any more once its tasks were given up: it stayed idle for good. Besides: on the grown installations the scheduler spent its time in searches for work that could make way. The list of a worker's victims is made once a round, one unit searches at most every 100 ms, and the pause between rounds grows with the work that waits (20 us a unit).

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -34,6 +34,7 @@
 		changed map[*unit]bool // to be evaluated
 		pass    bool           // a placement pass is due
 		passed  time.Time      // when the last one was
+		waiting int            // units that waited then
 		book    book
 		asking  int // calls for advice under way
 		effects []Effect
@@ -121,6 +122,12 @@
 	return false
 }
 
+// passGap is the least time between two rounds. It grows with the work that
+// waits, since a round looks at all of it.
+func (co *Core) passGap() time.Duration {
+	return minPassGap + time.Duration(co.waiting)*passGapEach
+}
+
 // Soon tells whether something waits for a few milliseconds to pass.
 func (co *Core) Soon() bool {
 	return co.pass || (len(co.book.dirty) > 0 && !co.book.open)
@@ -129,7 +136,7 @@
 // settle carries the consequences of an event to their end.
 func (co *Core) settle(now time.Time) {
 	co.evaluateChanged(now)
-	if co.pass && now.Sub(co.passed) >= passGap && co.ready(now) {
+	if co.pass && now.Sub(co.passed) >= co.passGap() && co.ready(now) {
 		co.pass = false
 		co.passed = now
 		co.placeWaiting(now)
--- a/internal/domain/domain_test.go
+++ b/internal/domain/domain_test.go
@@ -94,6 +94,22 @@
 	}
 }
 
+// TestIdleWorkerComesBack makes a worker silent until its tasks are given up. It
+// gets work again once it answers, although nothing runs there.
+func TestIdleWorkerComesBack(t *testing.T) {
+	is := is.New(t)
+	wo := calm(1)
+	jb, pl := single("j1", 1, 8, time.Second)
+	wo.submit(jb, pl)
+	wo.run(500 * time.Millisecond)
+	wo.silent["w00"] = true
+	wo.run(10 * time.Second)
+	delete(wo.silent, "w00")
+	wo.run(5 * time.Second)
+	is.Equal(wo.state("j1"), batch.Done)
+	is.Equal(wo.check(), nil)
+}
+
 // TestBrokenGangIsNotWaitedFor loses the worker of one task of a gang. The
 // other tasks break, which tells that this one is over, before its lease is.
 func TestBrokenGangIsNotWaitedFor(t *testing.T) {
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -167,9 +167,13 @@
 	// retryStop is the pause after a stop that failed.
 	retryStop = 400 * time.Millisecond
 
-	// passGap is the least time between two rounds over the work that waits. A
-	// round looks at all of it, so that one for each event would be too dear.
-	passGap = 15 * time.Millisecond
+	// minPassGap is the least time between two rounds over the work that waits,
+	// and passGapEach what each unit that waits adds to it.
+	minPassGap  = 15 * time.Millisecond
+	passGapEach = 20 * time.Microsecond
+	// preemptGap is the least time between two searches for work that could make
+	// way for the same unit.
+	preemptGap = 100 * time.Millisecond
 	// commitGap is the least time between two commits.
 	commitGap = 30 * time.Millisecond
 	// idleGap is the same if no start waits for the commit.
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -42,8 +42,9 @@
 		runs       []*run // of the present attempt, by task
 		version    int    // of the job, that records the attempt
 		avoid      map[string]bool
-		yielded    int  // times that it was stopped for other work
-		assured    bool // counts against the guarantee of its workspace
+		yielded    int       // times that it was stopped for other work
+		preempted  time.Time // when it last searched for work that could make way
+		assured    bool      // counts against the guarantee of its workspace
 		claim      []*node
 		broken     bool      // a task of the present attempt is over that runs do not name
 		after      time.Time // not placed before
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -212,10 +212,9 @@
 		}
 		rq := runner.LookRequest{Token: co.token, Seen: nd.seen}
 		switch {
-		case nd.answered.IsZero():
-		case len(nd.runs) > 0 && nd.failed.After(nd.answered):
+		case nd.silent() && (nd.listed || len(nd.runs) > 0):
 			// Grants no leases, since nothing would bound them while the
-			// worker is silent.
+			// worker is silent. An idle one is asked, too, until it answers.
 		case len(nd.runs) > 0:
 			rq.Deadline = nd.grant(now)
 			rq.Wait = lookWait
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -18,6 +18,7 @@
 		full    map[shape]bool
 		keeps   int            // gangs for which workers are kept
 		kept    map[*node]bool // for gangs that wait
+		victims map[*node][]victim
 	}
 
 	// shape is what decides whether a unit fits.
@@ -58,8 +59,10 @@
 // placeWaiting starts whatever fits, in order.
 func (co *Core) placeWaiting(now time.Time) {
 	co.placeClaims(now)
-	ps := &pass{now: now, service: map[string][]*node{}, full: map[shape]bool{}, kept: map[*node]bool{}}
-	for _, ra := range co.waitingUnits(now) {
+	ps := &pass{now: now, service: map[string][]*node{}, full: map[shape]bool{}, kept: map[*node]bool{}, victims: map[*node][]victim{}}
+	ras := co.waitingUnits(now)
+	co.waiting = len(ras)
+	for _, ra := range ras {
 		un := ra.un
 		key := co.shapeOf(ps, ra)
 		if ps.full[key] || !co.hasAdvice(ps, un) {
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -42,16 +42,20 @@
 // preempt makes room for a unit within a guarantee by stopping other work. The
 // unit keeps a claim on the workers until they are clear.
 func (co *Core) preempt(ps *pass, un *unit, key shape) bool {
+	if ps.now.Sub(un.preempted) < preemptGap {
+		return false
+	}
+	un.preempted = ps.now
 	nds := co.usable(ps, key.service)
 	var best *clearing
 	for _, group := range groups(un, nds) {
-		cl := co.clear(ps.now, un, group)
+		cl := co.clear(ps, un, group)
 		if cl != nil && (best == nil || cl.lost < best.lost) {
 			best = cl
 		}
 	}
 	if best == nil && key.far {
-		best = co.clear(ps.now, un, nds)
+		best = co.clear(ps, un, nds)
 	}
 	if best == nil || key.class != classAssured && best.lost > time.Duration(un.cores())*un.step.RunTime/2 {
 		return false
@@ -114,7 +118,7 @@
 
 // clear finds what has to be stopped on some workers for a unit to fit, at
 // little lost work; nil if that can't be.
-func (co *Core) clear(now time.Time, un *unit, nds []*node) *clearing {
+func (co *Core) clear(ps *pass, un *unit, nds []*node) *clearing {
 	cl := &clearing{victims: map[*unit]bool{}}
 	freed := map[*node]batch.Resources{}
 	taken := map[*node]int{}
@@ -125,7 +129,7 @@
 			bestSet  []victim
 		)
 		for _, nd := range nds {
-			set, cost, ok := co.clearOne(now, un, nd, cl, freed[nd], taken[nd])
+			set, cost, ok := co.clearOne(ps, un, nd, cl, freed[nd], taken[nd])
 			if ok && (bestNode == nil || cost < bestCost) {
 				bestNode, bestCost, bestSet = nd, cost, set
 			}
@@ -159,7 +163,7 @@
 }
 
 // clearOne finds what has to be stopped on one worker for one more task.
-func (co *Core) clearOne(now time.Time, un *unit, nd *node, cl *clearing, freed batch.Resources, taken int) ([]victim, time.Duration, bool) {
+func (co *Core) clearOne(ps *pass, un *unit, nd *node, cl *clearing, freed batch.Resources, taken int) ([]victim, time.Duration, bool) {
 	if !un.suits(nd) || un.avoid[nd.worker.ID] {
 		return nil, 0, false
 	}
@@ -173,8 +177,8 @@
 	}
 	var set []victim
 	var cost time.Duration
-	for _, vi := range co.victimsOn(now, un, nd) {
-		if cl.victims[vi.un] {
+	for _, vi := range co.victimsOn(ps, nd) {
+		if cl.victims[vi.un] || !co.yields(vi.un, un) {
 			continue
 		}
 		set = append(set, vi)
@@ -193,7 +197,10 @@
 
 // victimsOn lists the units on a worker that yield to guaranteed work, those
 // that lose least first.
-func (co *Core) victimsOn(now time.Time, by *unit, nd *node) []victim {
+func (co *Core) victimsOn(ps *pass, nd *node) []victim {
+	if vis, ok := ps.victims[nd]; ok {
+		return vis
+	}
 	var vis []victim
 	seen := map[*unit]bool{}
 	for _, ru := range nd.runs {
@@ -201,18 +208,26 @@
 		if un == nil || seen[un] || un.assured || un.phase != live || !un.mayInterrupt() {
 			continue
 		}
-		if !by.assured && co.queueOf(un.job).Priority <= co.queueOf(by.job).Priority {
-			continue
-		}
 		seen[un] = true
-		vis = append(vis, victim{un: un, lost: un.lostWork(now)})
+		vis = append(vis, victim{un: un, lost: un.lostWork(ps.now)})
 	}
 	slices.SortFunc(vis, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(a.lost, b.lost), compareUnits(a.un, b.un))
 	})
+	ps.victims[nd] = vis
 	return vis
 }
 
+// yields tells whether a unit that may be stopped makes way for another: any
+// does for work within a guarantee, and less urgent work for the rest. A unit
+// that was stopped since the list was made does so no more.
+func (co *Core) yields(victim, by *unit) bool {
+	if victim.phase != live {
+		return false
+	}
+	return by.assured || co.queueOf(victim.job).Priority > co.queueOf(by.job).Priority
+}
+
 // lostWork is the work that stopping a unit wastes.
 func (un *unit) lostWork(now time.Time) time.Duration {
 	since := un.allSeen()
