--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -72,7 +72,7 @@
 	tickTime   = 100 * time.Millisecond
 	idleTick   = time.Second
 	soonTime   = 15 * time.Millisecond // for what the core has put off
-	callTime   = time.Second // for a call to a worker, beside the wait that it asks for
+	callTime   = time.Second           // for a call to a worker, beside the wait that it asks for
 	adviceTime = 5 * time.Second
 )
 
