--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -21,6 +21,12 @@
 	classLate
 )
 
+// mayPreempt tells whether other work is stopped for a unit: for work within a
+// guarantee, and for the most urgent work while it can still earn something.
+func (ra rank) mayPreempt() bool {
+	return ra.class == classAssured || (ra.class == classTimely && ra.priority == 0)
+}
+
 // waitingUnits lists the units that could be started, in their order.
 func (co *Core) waitingUnits(now time.Time) []rank {
 	var ras []rank
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -166,17 +166,26 @@
 // Done tells whether a task has succeeded.
 func (fl *Fleet) Done(ti batch.TaskID) bool { return fl.ended[ti] }
 
-// Start performs a start.
-func (fl *Fleet) Start(now time.Time, id string, rq runner.StartRequest) error {
-	fl.Advance(now)
+// reach returns a worker for a call under a token.
+func (fl *Fleet) reach(id string, token int64) (*worker, error) {
 	wo, ok := fl.workers[id]
 	if !ok {
-		return runner.ErrUnreachable
+		return nil, runner.ErrUnreachable
 	}
-	if rq.Token < wo.token {
-		return runner.ErrFenced
+	if token < wo.token {
+		return nil, runner.ErrFenced
+	}
+	wo.token = token
+	return wo, nil
+}
+
+// Start performs a start.
+func (fl *Fleet) Start(now time.Time, id string, rq runner.StartRequest) error {
+	fl.Advance(now)
+	wo, err := fl.reach(id, rq.Token)
+	if err != nil {
+		return err
 	}
-	wo.token = rq.Token
 	wo.hold(now, rq.Deadline, fl.cfg.MaxHold)
 	if ru, ok := wo.runs[rq.Task]; ok && ru.attempt == rq.Attempt {
 		return nil
@@ -272,14 +281,10 @@
 // Stop performs a stop.
 func (fl *Fleet) Stop(now time.Time, id string, rq runner.StopRequest) error {
 	fl.Advance(now)
-	wo, ok := fl.workers[id]
-	if !ok {
-		return runner.ErrUnreachable
-	}
-	if rq.Token < wo.token {
-		return runner.ErrFenced
+	wo, err := fl.reach(id, rq.Token)
+	if err != nil {
+		return err
 	}
-	wo.token = rq.Token
 	if ru, ok := wo.runs[rq.Task]; ok && ru.attempt <= rq.Attempt {
 		fl.end(ru, runner.Stopped)
 	}
@@ -290,14 +295,10 @@
 // Look performs a look, without its wait.
 func (fl *Fleet) Look(now time.Time, id string, rq runner.LookRequest) (runner.Look, error) {
 	fl.Advance(now)
-	wo, ok := fl.workers[id]
-	if !ok {
-		return runner.Look{}, runner.ErrUnreachable
-	}
-	if rq.Token < wo.token {
-		return runner.Look{}, runner.ErrFenced
+	wo, err := fl.reach(id, rq.Token)
+	if err != nil {
+		return runner.Look{}, err
 	}
-	wo.token = rq.Token
 	wo.hold(now, rq.Deadline, fl.cfg.MaxHold)
 	fl.acknowledge(wo, rq.Seen)
 	lo := runner.Look{Clock: wo.clock(now), Born: wo.born, Ended: slices.Clone(wo.list)}
