Make a round over a full fleet cheap

Cause: on installations of 350 workers the scheduler's rounds took most of its host. The queue of events stood full (256), mostly with entries of workers that the platform writes anew every second or so without a change; each of them asked for another round. Answers of workers were taken in seconds late, and leases lapsed (LOST).

Ruled out: the search for victims (1 to 11 ms, a few times a second), the list of waiting units (0.4 ms), the commits (no line of a commit that was repeated).

Change: a round remembers, for each demand, the workers that have room for one task of it, and only shrinks that list; workers kept for gangs are left out of it. An entry of a worker that says the same as before changes nothing.

TestRepeatedEntriesCauseNoRound fails without the change.

--- /dev/null
+++ b/internal/domain/full_test.go
@@ -0,0 +1,92 @@
+package domain_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/domain"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
+)
+
+const perWorker = 8
+
+// fullFleet returns a core whose workers are all in use, with tasks that wait
+// and have each failed on another worker.
+func fullFleet(now time.Time, workers, waiting int) (*domain.Core, []runner.Worker) {
+	cf := domain.Config{Token: 1, Policy: newWorld(1).policy}
+	looks := map[string]runner.Look{}
+	runs := batch.Job{ID: "runs", Queue: queueOf(2), Steps: []batch.Step{oneAccelerator(workers * perWorker)}}
+	waits := batch.Job{ID: "waits", Queue: queueOf(2), Steps: []batch.Step{oneAccelerator(waiting)}}
+	running := batch.Record{ID: "runs", State: batch.Running}
+	failed := batch.Record{ID: "waits", State: batch.Running}
+	for i := range workers * perWorker {
+		id := workerID(i / perWorker)
+		running.Units = append(running.Units, batch.UnitRecord{Index: i, Attempt: 1, Workers: []string{id}, Live: true})
+		lo := looks[id]
+		lo.Born = 1
+		lo.Running = append(lo.Running, runner.Run{Task: batch.TaskID{Job: "runs", Index: i}, Attempt: 1})
+		looks[id] = lo
+	}
+	for i := range waiting {
+		failed.Units = append(failed.Units, batch.UnitRecord{Index: i, Attempt: 1, Failures: 1, FailedOn: []string{workerID(i % workers)}})
+	}
+	cf.Jobs = []batch.Job{runs, waits}
+	cf.Records = []batch.Record{running, failed}
+	for i := range workers {
+		id := workerID(i)
+		cf.Workers = append(cf.Workers, runner.Worker{
+			ID: id, Address: id + ":1", Service: "svc", Born: 1, Rack: fmt.Sprint(i / 8),
+			Capacity: batch.Resources{Accelerators: perWorker},
+		})
+	}
+	co := domain.New(now, cf)
+	for _, ef := range co.Handle(now, domain.Ticked{}) {
+		if lo, ok := ef.(domain.Look); ok {
+			co.Handle(now, domain.Looked{Call: lo, Look: looks[lo.Worker.ID]})
+		}
+	}
+	return co, cf.Workers
+}
+
+func oneAccelerator(tasks int) batch.Step {
+	return batch.Step{Tasks: tasks, Needs: batch.Resources{Accelerators: 1}, RunTime: time.Minute}
+}
+
+func workerID(i int) string { return fmt.Sprintf("w%03d", i) }
+
+// TestRepeatedEntriesCauseNoRound renews the entries of workers that have not
+// changed, as the platform does every second or so.
+func TestRepeatedEntriesCauseNoRound(t *testing.T) {
+	is := is.New(t)
+	co, workers := fullFleet(start, 8, 10)
+	now := start.Add(time.Second)
+	co.Handle(now, domain.Ticked{})
+	is.True(!co.Soon()) // the round is over
+	for _, wk := range workers {
+		co.Handle(now, domain.Listed{Worker: wk})
+	}
+	is.True(!co.Soon())
+	changed := workers[0]
+	changed.Draining = true
+	co.Handle(now, domain.Listed{Worker: changed})
+	is.True(co.Soon())
+}
+
+// BenchmarkFullFleet measures a round over tasks that each wait for another
+// worker, on a fleet without room.
+func BenchmarkFullFleet(b *testing.B) {
+	for _, workers := range []int{48, 350} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			now := start
+			co, _ := fullFleet(now, workers, workers)
+			for b.Loop() {
+				now = now.Add(100 * time.Millisecond)
+				co.Handle(now, domain.Ticked{})
+			}
+		})
+	}
+}
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -49,6 +49,9 @@
 // list takes in the entry of a worker.
 func (co *Core) list(now time.Time, wk runner.Worker) {
 	nd, ok := co.nodes[wk.ID]
+	if ok && nd.listed && nd.worker.Equal(wk) {
+		return // the platform writes entries anew that have not changed
+	}
 	if !ok {
 		nd = co.nodeFor(now, wk.ID)
 	}
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -15,6 +15,7 @@
 	pass struct {
 		now     time.Time
 		service map[string][]*node
+		roomy   map[demand][]*node // workers that had room for one task when last asked for
 		full    map[shape]bool
 		keeps   int            // gangs for which workers are kept
 		kept    map[*node]bool // for gangs that wait
@@ -28,11 +29,18 @@
 		tasks   int
 		label   string
 		rack    string
-		only    string // the unit itself, if more than the rest decides about it
+		only    *unit // the unit itself, if more than the rest decides about it
 		far     bool
 		class   int
 	}
 
+	// demand is what decides whether a worker has room for one task.
+	demand struct {
+		service string
+		needs   batch.Resources
+		assured bool // may use workers that are kept for gangs
+	}
+
 	// slot is a worker with the number of tasks that it takes.
 	slot struct {
 		node *node
@@ -48,10 +56,17 @@
 // soon.
 const maxNearWait = 1400 * time.Millisecond
 
+func newPass(now time.Time) *pass {
+	return &pass{
+		now: now, service: map[string][]*node{}, roomy: map[demand][]*node{}, full: map[shape]bool{},
+		kept: map[*node]bool{}, victims: map[*node][]victim{},
+	}
+}
+
 // placeWaiting starts whatever fits, in order.
 func (co *Core) placeWaiting(now time.Time) {
 	co.placeClaims(now)
-	ps := &pass{now: now, service: map[string][]*node{}, full: map[shape]bool{}, kept: map[*node]bool{}, victims: map[*node][]victim{}}
+	ps := newPass(now)
 	ras := co.waitingUnits(now)
 	co.waiting = len(ras)
 	for _, ra := range ras {
@@ -79,7 +94,7 @@
 		label: un.step.Label, rack: un.step.Rack, far: un.mayGoFar(ps.now), class: ra.class,
 	}
 	if un.step.PerWorker > 0 || len(un.avoid) > 0 || un.job.advice != nil {
-		key.only = un.taskID(0).String()
+		key.only = un
 	}
 	return key
 }
@@ -112,6 +127,20 @@
 	return nds
 }
 
+// withRoom returns the workers of a service that have room for one task.
+func (co *Core) withRoom(ps *pass, key shape) []*node {
+	de := demand{service: key.service, needs: key.needs, assured: key.class == classAssured}
+	nds, ok := ps.roomy[de]
+	if !ok {
+		nds = slices.Clone(co.usable(ps, key.service))
+	}
+	nds = slices.DeleteFunc(nds, func(nd *node) bool {
+		return !nd.free().Holds(de.needs) || (ps.kept[nd] && !de.assured)
+	})
+	ps.roomy[de] = nds
+	return nds
+}
+
 func (nd *node) takesWork(now time.Time) bool {
 	switch {
 	case !nd.listed, nd.worker.Draining, nd.answered.IsZero(), nd.failed.After(nd.answered):
@@ -125,10 +154,11 @@
 
 // choose returns a worker for each task of a unit, or nil.
 func (co *Core) choose(ps *pass, un *unit, key shape) []*node {
-	sls := un.slots(co.usable(ps, key.service), func(nd *node) batch.Resources { return nd.free() })
-	if key.class != classAssured {
-		sls = slices.DeleteFunc(sls, func(sl slot) bool { return ps.kept[sl.node] })
+	nds := co.withRoom(ps, key)
+	if len(nds) == 0 {
+		return nil
 	}
+	sls := un.slots(nds)
 	if len(un.avoid) == 0 {
 		return un.pick(sls, key.far)
 	}
@@ -152,18 +182,21 @@
 		if !un.avoid[nd.worker.ID] && un.suits(nd) {
 			n += un.fits(nd, nd.worker.Capacity)
 		}
+		if n >= un.tasks {
+			return true
+		}
 	}
-	return n >= un.tasks
+	return false
 }
 
 // slots lists the workers that take a task of a unit.
-func (un *unit) slots(nds []*node, room func(*node) batch.Resources) []slot {
+func (un *unit) slots(nds []*node) []slot {
 	var sls []slot
 	for _, nd := range nds {
 		if !un.suits(nd) {
 			continue
 		}
-		if n := un.fits(nd, room(nd)); n > 0 {
+		if n := un.fits(nd, nd.free()); n > 0 {
 			sls = append(sls, slot{nd, n})
 		}
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
@@ -143,6 +144,14 @@
 
 var howNames = [...]string{Succeeded: "succeeded", Failed: "failed", Stopped: "stopped", Lapsed: "lapsed", Broken: "broken", Alone: "alone"}
 
+// Equal tells whether two entries say the same.
+func (wk Worker) Equal(other Worker) bool {
+	return wk.ID == other.ID && wk.Address == other.Address && wk.Service == other.Service &&
+		wk.Zone == other.Zone && wk.Rack == other.Rack && slices.Equal(wk.Labels, other.Labels) &&
+		wk.Capacity == other.Capacity && wk.Draining == other.Draining &&
+		wk.Leaves == other.Leaves && wk.Born == other.Born
+}
+
 // String returns the name for logs.
 func (ho How) String() string {
 	if ho < Succeeded || ho > Alone {
