Let stronger hosts win the election of the scheduler

Cause: on grown installations most hosts have 0.192 of a core and 10 Mbit/s, a few have 0.8.

Change: a host stands back from an election for 40 ms times (1/cores - 1), 300 ms at most. What a process may use is a setting (processor.share and .cores), filled in from the deployment's limits.

Ruled out: handing a term over to a stronger host while work runs; not tried.

Before and after: TestStrongerHostSchedules fails without the delay (weak host won in the first of four rounds) and passes three times with it.

--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -59,7 +59,10 @@
 		Store: st, PolicyKey: layout.PolicyKey, Decode: layout.Policy,
 		TrustFor: max(0, se.Timing.Revoke-trustMargin), Log: log,
 	})
-	dc := drive.Config{Host: se.Host.Name, Store: st, Workers: platform.NewWorkers(), Layout: layout, Log: log}
+	dc := drive.Config{
+		Host: se.Host.Name, Cores: se.Processor.Speed(), Store: st, Workers: platform.NewWorkers(),
+		Layout: layout, Log: log,
+	}
 	if se.Advice.Address != "" {
 		dc.Adviser = platform.NewAdviser(se.Advice.Address)
 	}
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -37,6 +37,7 @@
 	// Config constructs a Scheduler.
 	Config struct {
 		Host    string
+		Cores   float64 // what the process may use; zero if that is unknown
 		Store   store.Committer
 		Workers runner.Client
 		Adviser runner.Adviser // nil if no queue needs advice
@@ -89,7 +90,7 @@
 // Run schedules whenever this host is elected, until ctx ends. It then gives
 // its lease up.
 func (sc *Scheduler) Run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for pause.For(ctx, handicap(sc.cfg.Cores)) {
 		te, err := sc.elect(ctx)
 		if err != nil {
 			sc.cfg.Log.Debug("not elected", "event", "election", "reason", err)
--- a/internal/drive/drive_test.go
+++ b/internal/drive/drive_test.go
@@ -56,9 +56,11 @@
 }
 
 // host runs a scheduler until the function that it returns is called.
-func (si *site) host(name string) (stop func()) {
+func (si *site) host(name string) (stop func()) { return si.hostOf(name, 1) }
+
+func (si *site) hostOf(name string, cores float64) (stop func()) {
 	sc := drive.New(time.Now(), drive.Config{
-		Host: name, Store: si.store.Client(si.t, time.Second), Workers: si.workers,
+		Host: name, Cores: cores, Store: si.store.Client(si.t, time.Second), Workers: si.workers,
 		Log:    slog.New(slog.DiscardHandler),
 		Layout: runsim.Layout(),
 	})
@@ -179,3 +181,24 @@
 	si.await("j", batch.Done)
 	si.unbroken()
 }
+
+// TestStrongerHostSchedules lets a weak and a strong host wait for the holder's
+// key and leaves it vacant.
+func TestStrongerHostSchedules(t *testing.T) {
+	for range 4 {
+		is := is.New(t)
+		si := newSite(t, 1)
+		si.store.Put(batch.HolderKey, []byte("former 1 1"))
+		si.hostOf("weak", 0.2)
+		si.hostOf("strong", 0.8)
+		time.Sleep(2 * work) // both wait for the key
+		si.store.Delete(batch.HolderKey)
+		holder := ""
+		kvsim.Eventually(t, func() bool {
+			value, ok := si.store.Value(batch.HolderKey)
+			holder = string(value)
+			return ok
+		})
+		is.True(strings.HasPrefix(holder, "strong "))
+	}
+}
--- a/internal/drive/elect.go
+++ b/internal/drive/elect.go
@@ -20,6 +20,10 @@
 	leaseRenew = 450 * time.Millisecond
 	// electRetry is the pause after an election that failed.
 	electRetry = 300 * time.Millisecond
+	// handicapUnit is how long a host of half a core lets stronger ones stand
+	// for election first, and maxHandicap bounds that of the weakest.
+	handicapUnit = 40 * time.Millisecond
+	maxHandicap  = 300 * time.Millisecond
 	// electTime bounds the calls of an election.
 	electTime = 2 * time.Second
 	// handOffTime bounds the call that gives the lease up.
@@ -31,6 +35,15 @@
 	errVacant = errors.New("the holder's key is gone")
 )
 
+// handicap returns for how long a host with some cores stands back from an
+// election, so that one that can carry the work of a large domain wins it.
+func handicap(cores float64) time.Duration {
+	if cores <= 0 || cores >= 1 {
+		return 0
+	}
+	return min(maxHandicap, time.Duration((1/cores-1)*float64(handicapUnit)))
+}
+
 // elect tries to become the holder.
 func (sc *Scheduler) elect(ctx context.Context) (*term, error) {
 	ctx, cancel := context.WithTimeout(ctx, electTime)
--- a/internal/setup/domain.go
+++ b/internal/setup/domain.go
@@ -12,12 +12,19 @@
 type (
 	// Domain is what one host of a scheduling domain is told.
 	Domain struct {
-		Host   DomainHost  `yaml:"host"`
-		Store  DomainStore `yaml:"store"`
-		Advice Advice      `yaml:"advice"`
-		Log    Log         `yaml:"log"`
-		Memory int         `yaml:"memoryMegabytes"` // of the process; zero for no limit
-		Timing Timing      `yaml:"timing"`
+		Host      DomainHost  `yaml:"host"`
+		Store     DomainStore `yaml:"store"`
+		Advice    Advice      `yaml:"advice"`
+		Log       Log         `yaml:"log"`
+		Memory    int         `yaml:"memoryMegabytes"` // of the process; zero for no limit
+		Processor Processor   `yaml:"processor"`
+		Timing    Timing      `yaml:"timing"`
+	}
+
+	// Processor says what the process may use of the host's processor.
+	Processor struct {
+		Share float64 `yaml:"share"` // of the time
+		Cores int     `yaml:"cores"`
 	}
 
 	// DomainHost says who and where the process is.
@@ -54,7 +61,11 @@
 	DefaultStopGrace = 6 * time.Second
 )
 
-const maxMemory = 1 << 20 // megabytes
+// The bounds of settings.
+const (
+	maxMemory = 1 << 20 // megabytes
+	maxCores  = 1 << 10
+)
 
 // LoadDomain reads and checks a file. An error of its content is spec.Faults.
 func LoadDomain(file string) (Domain, error) {
@@ -68,8 +79,9 @@
 // ParseDomain checks the content of a file. The error is spec.Faults.
 func ParseDomain(file string, data []byte) (Domain, error) {
 	do := Domain{
-		Log:    Log{Level: DefaultLevel},
-		Timing: Timing{Revoke: DefaultRevoke, StopGrace: DefaultStopGrace},
+		Log:       Log{Level: DefaultLevel},
+		Processor: Processor{Share: 1, Cores: 1},
+		Timing:    Timing{Revoke: DefaultRevoke, StopGrace: DefaultStopGrace},
 	}
 	tree := strict.Decode(file, data, &do)
 	if tree.Err() == nil {
@@ -98,6 +110,15 @@
 	if do.Memory < 0 || do.Memory > maxMemory {
 		tree.Report("$.memoryMegabytes", "memoryMegabytes must be within 0 and %d", maxMemory)
 	}
+	if do.Processor.Share <= 0 || do.Processor.Share > 1 {
+		tree.Report("$.processor.share", "share must be above 0 and at most 1")
+	}
+	if do.Processor.Cores < 1 || do.Processor.Cores > maxCores {
+		tree.Report("$.processor.cores", "cores must be within 1 and %d", maxCores)
+	}
 	checkDuration(tree, "$.timing.revoke", do.Timing.Revoke, 1)
 	checkDuration(tree, "$.timing.stopGrace", do.Timing.StopGrace, 1)
 }
+
+// Speed returns what the process may use, in cores.
+func (pr Processor) Speed() float64 { return pr.Share * float64(pr.Cores) }
--- a/internal/strict/decode.go
+++ b/internal/strict/decode.go
@@ -141,6 +141,13 @@
 			return
 		}
 		into.SetInt(num)
+	case reflect.Float64:
+		num, ok := floatOf(nd)
+		if !ok {
+			de.wrong(nd, "a number")
+			return
+		}
+		into.SetFloat(num)
 	default:
 		panic("strict: no decoding into " + into.Type().String())
 	}
@@ -223,3 +230,11 @@
 	}
 	return ks
 }
+
+func floatOf(nd ast.Node) (float64, bool) {
+	if fn, ok := nd.(*ast.FloatNode); ok {
+		return fn.Value, true
+	}
+	num, ok := intOf(nd)
+	return float64(num), ok
+}
