Take jobs of steps on the product's own interface

Change: jobs.Spec lists the steps that follow its first (Then), jobs.Record says which is the present one. When a gang has succeeded and a step follows, the job is queued for it.

Ruled out: putting the domain's scheduler under the zone. The workers' protocols differ (reservation of a gang before its start against gangs that the workers form), as do reclaim, waves and evidence; 1,900 lines of tests state them.

Found on the way: an attempt of a step that is not recorded must not start while the store is away, or the next scheduler takes it for one of the step before. TestUnrecordedStepWaits fails without that rule (6 tasks ran where 4 may).

--- a/internal/cmds/jobs.go
+++ b/internal/cmds/jobs.go
@@ -27,6 +27,7 @@
 		runTime    time.Duration
 		repeatable string
 		key        string
+		then       string // file of the steps that follow
 		wait       time.Duration
 	}
 
@@ -63,6 +64,7 @@
 			sc.String(&op.req.Priority, "", "priority", "low, normal or urgent")
 			sc.String(&op.repeatable, "", "repeatable", "whether the job may run twice: true or false (needed)")
 			sc.Bool(&op.req.Checkpoint, "", "checkpoint", "the job can be stopped and resumed without losing its work")
+			sc.String(&op.then, "", "then", "file of the steps that follow, in YAML")
 			sc.String(&op.key, "", "key", "idempotency key")
 			sc.String(&op.req.Zone, "", "zone", "availability zone; that of the entry host if left out")
 			sc.Duration(&op.wait, "", "wait", "how long to wait for the end of the job")
@@ -80,6 +82,11 @@
 	if err := op.complete(); err != nil {
 		return err
 	}
+	then, err := loadSteps(op.then)
+	if err != nil {
+		return err
+	}
+	op.req.Then = then
 	cl, err := op.client()
 	if err != nil {
 		return err
@@ -252,10 +259,10 @@
 
 func writeJobs(out io.Writer, li client.JobList) error {
 	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(tw, "ID\tSTATE\tCODE\tWORKSPACE\tPRIORITY\tSHAPE\tATTEMPT\tSUBMITTED\tWORKERS\tDETAIL")
+	fmt.Fprintln(tw, "ID\tSTATE\tCODE\tWORKSPACE\tPRIORITY\tSTEP\tSHAPE\tATTEMPT\tSUBMITTED\tWORKERS\tDETAIL")
 	for _, jb := range li.Jobs {
-		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n",
-			jb.ID, jb.State, jb.Code, jb.Workspace, jb.Priority, shapeText(jb.Shape), jb.Attempt,
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%s\t%d/%d\t%s\t%d\t%s\t%s\t%s\n",
+			jb.ID, jb.State, jb.Code, jb.Workspace, jb.Priority, jb.Step, jb.Steps, shapeText(jb.Shape), jb.Attempt,
 			jb.Submitted.UTC().Format(time.RFC3339), orDash(strings.Join(jb.Workers, ",")), orDash(oneLine(jb.Detail)))
 	}
 	return tw.Flush()
--- a/internal/cmds/main_test.go
+++ b/internal/cmds/main_test.go
@@ -115,6 +115,8 @@
 		{"tasks", with("--tasks", "33", "--", "run"), "cicadawharf submit: flag --tasks: must be within 1 and 32"},
 		{"adjacency", with("--adjacency", "near", "--", "run"), `cicadawharf submit: flag --adjacency: "near" must be`},
 		{"priority", with("--priority", "top", "--", "run"), `cicadawharf submit: flag --priority: "top" must be`},
+		{"faulty steps", with("--then", faulty, "--", "run"), faulty + ":1:1: "},
+		{"no steps file", with("--then", faulty+".gone", "--", "run"), "cicadawharf submit: flag --then: open "},
 		{"negative wait", with("--wait", "-1s", "--", "run"), "cicadawharf submit: flag --wait: must be within"},
 		{"wait without id", []string{"jobs", "--wait", "1s"}, "cicadawharf jobs: flag --wait needs the id of a job"},
 		{"two bodies", []string{"call", "s", "p", "--workspace", "w", "--data", "a", "--data-file", sacos}, "cicadawharf call: flags --data and --data-file exclude each other"},
@@ -246,6 +248,12 @@
 	is.Equal(*req.Repeatable, false)
 	is.True(req.Checkpoint)
 
+	rs = run(t, append(args, "--then", "../../examples/steps.yaml", "--", "sort")...)
+	is.Equal(rs.exit, cmds.ExitOK)
+	is.NoErr(json.Unmarshal([]byte(sy.bodies[1]), &req))
+	is.Equal(len(req.Then), 2)
+	is.Equal(req.Then[1].Command, []string{"publish", "--lot", "7"})
+
 	rs = run(t, append(args, "--wait", "1h", "--", "sort")...)
 	is.Equal(rs.exit, cmds.ExitRefused)
 	is.True(strings.Contains(rs.err, "cicadawharf submit: 3002 jobFailed: task 0 failed\n"))
--- /dev/null
+++ b/internal/cmds/steps.go
@@ -0,0 +1,37 @@
+package cmds
+
+import (
+	"os"
+
+	"github.com/cicadawharf/cicadawharf/internal/strict"
+	"github.com/cicadawharf/cicadawharf/pkg/client"
+	"github.com/cicadawharf/cicadawharf/pkg/spec"
+)
+
+// stepsFile is the content of a file of steps.
+type stepsFile struct {
+	Steps []client.Step `yaml:"steps"`
+}
+
+// loadSteps reads the steps that follow the first; none without a file. An
+// error of the content is spec.Faults.
+func loadSteps(file string) ([]client.Step, error) {
+	if file == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, usage("flag --then: %v", err)
+	}
+	var sf stepsFile
+	tree := strict.Decode(file, data, &sf)
+	if tree.Err() == nil && len(sf.Steps) == 0 {
+		tree.Report("$.steps", "steps must name one at least")
+	}
+	for i := range sf.Steps {
+		if sf.Steps[i].Shape.Adjacency == "" {
+			sf.Steps[i].Shape.Adjacency = spec.DefaultAdjacency
+		}
+	}
+	return sf.Steps, tree.Err()
+}
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -28,6 +28,7 @@
 	maxRunTime      = 90 * 24 * time.Hour
 	maxCommand      = 1024     // words
 	maxCommandBytes = 64 << 10 // of all words
+	maxSteps        = 64
 )
 
 // submitJob serves POST /v1/jobs. A submission that is not accepted is entered
@@ -120,9 +121,13 @@
 	if er := checkJob(req); er != nil {
 		return jobs.Spec{}, er
 	}
-	runTime, err := time.ParseDuration(req.RunTime)
-	if err != nil || runTime <= 0 || runTime > maxRunTime {
-		return jobs.Spec{}, codes.New(codes.BadRequest, "runTime must be a duration such as 45m, at most %v", maxRunTime)
+	runTime, er := parseRunTime(req.RunTime)
+	if er != nil {
+		return jobs.Spec{}, er
+	}
+	then, er := checkThen(req.Then)
+	if er != nil {
+		return jobs.Spec{}, er
 	}
 	priority, ok := jobs.ParsePriority(req.Priority)
 	if !ok {
@@ -141,10 +146,37 @@
 	return jobs.Spec{
 		ID: jobs.NewID(zone, as.jobName()), Workspace: as.hd.workspace, Caller: as.hd.caller, Key: as.hd.key,
 		Shape: req.Shape, RunTime: runTime, Priority: priority,
-		Repeatable: *req.Repeatable, Checkpoint: req.Checkpoint, Command: req.Command,
+		Repeatable: *req.Repeatable, Checkpoint: req.Checkpoint, Command: req.Command, Then: then,
 	}, nil
 }
 
+func parseRunTime(text string) (time.Duration, *codes.Error) {
+	runTime, err := time.ParseDuration(text)
+	if err != nil || runTime <= 0 || runTime > maxRunTime {
+		return 0, codes.New(codes.BadRequest, "runTime must be a duration such as 45m, at most %v", maxRunTime)
+	}
+	return runTime, nil
+}
+
+// checkThen checks the steps that follow the first.
+func checkThen(steps []client.Step) ([]jobs.Step, *codes.Error) {
+	if len(steps) >= maxSteps {
+		return nil, codes.New(codes.BadRequest, "a job may have %d steps, not %d", maxSteps, len(steps)+1)
+	}
+	var then []jobs.Step
+	for i, st := range steps {
+		runTime, er := parseRunTime(st.RunTime)
+		if er == nil {
+			er = checkGang(st.Shape, st.Command)
+		}
+		if er != nil {
+			return nil, codes.New(er.Code, "step %d: %s", i+2, er.Detail)
+		}
+		then = append(then, jobs.Step{Shape: st.Shape, RunTime: runTime, Command: st.Command})
+	}
+	return then, nil
+}
+
 // jobName returns a name that is the same for the same key of a workspace.
 func (as *ask) jobName() string {
 	if as.hd.key == "" {
@@ -155,17 +187,22 @@
 }
 
 func checkJob(req client.SubmitRequest) *codes.Error {
+	if req.Repeatable == nil {
+		return codes.New(codes.BadRequest, "repeatable is missing")
+	}
+	return checkGang(req.Shape, req.Command)
+}
+
+// checkGang checks what one step asks for.
+func checkGang(sh spec.Shape, command []string) *codes.Error {
 	size := 0
-	for _, word := range req.Command {
+	for _, word := range command {
 		size += len(word)
 	}
-	sh := req.Shape
 	switch {
-	case req.Repeatable == nil:
-		return codes.New(codes.BadRequest, "repeatable is missing")
-	case len(req.Command) == 0:
+	case len(command) == 0:
 		return codes.New(codes.BadRequest, "command is missing")
-	case len(req.Command) > maxCommand || size > maxCommandBytes:
+	case len(command) > maxCommand || size > maxCommandBytes:
 		return codes.New(codes.BadRequest, "command may have %d words and %d bytes", maxCommand, maxCommandBytes)
 	case sh.Tasks < 1 || sh.Accelerators < 0:
 		return codes.New(codes.BadRequest, "shape must have at least one task and no negative number")
@@ -316,7 +353,7 @@
 	jb := client.Job{
 		Answer: newAnswer(as.id, &codes.Error{Code: rc.Code, Detail: rc.Detail}),
 		ID:     rc.ID, Workspace: rc.Workspace, Caller: rc.Caller, Zone: jobs.ZoneOf(rc.ID),
-		State: rc.State.String(), Shape: rc.Shape, Priority: rc.Priority.String(),
+		State: rc.State.String(), Shape: rc.Present().Shape, Step: rc.Step + 1, Steps: len(rc.Then) + 1, Priority: rc.Priority.String(),
 		Repeatable: rc.Repeatable, Checkpoint: rc.Checkpoint, Attempt: rc.Attempt,
 		Submitted: rc.Submitted, Started: timeOf(rc.Started), Ended: timeOf(rc.Ended),
 	}
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -49,6 +50,25 @@
 	is.Equal(an.body, `{"jobs":[]}`+"\n")
 }
 
+func TestSubmitSteps(t *testing.T) {
+	is := is.New(t)
+	be := newBench(t, 0, nil)
+	steps := goodJob[:len(goodJob)-1] + `,"then":[{"shape":{"tasks":1,"accelerators":2,"adjacency":"zone"},"runTime":"5m","command":["sum"]}]}`
+	an, err := be.call(http.MethodPost, "/v1/jobs", steps, client.HeaderKey, "j1")
+	is.NoErr(err)
+	is.Equal(an.code, codes.JobAccepted)
+	var jb client.Job
+	is.NoErr(json.Unmarshal([]byte(an.body), &jb))
+	is.Equal(jb.Step, 1)
+	is.Equal(jb.Steps, 2)
+	an, err = be.call(http.MethodPost, "/v1/jobs", steps, client.HeaderKey, "j1")
+	is.NoErr(err)
+	is.Equal(an.code, codes.JobAccepted) // the same job
+	an, err = be.call(http.MethodPost, "/v1/jobs", goodJob, client.HeaderKey, "j1")
+	is.NoErr(err)
+	is.Equal(an.code, codes.KeyMismatch) // without its second step
+}
+
 func TestRefusedJobs(t *testing.T) {
 	for _, tc := range []struct {
 		name string
@@ -63,6 +83,9 @@
 		{"no run time", `{"shape":{"tasks":1,"accelerators":1,"adjacency":"rack"},"runTime":"0s","repeatable":true,"command":["a"]}`, codes.BadRequest},
 		{"33 tasks", `{"shape":{"tasks":33,"accelerators":1,"adjacency":"rack"},"runTime":"1m","repeatable":true,"command":["a"]}`, codes.ShapeTooLarge},
 		{"9 accelerators", `{"shape":{"tasks":1,"accelerators":9,"adjacency":"rack"},"runTime":"1m","repeatable":true,"command":["a"]}`, codes.ShapeTooLarge},
+		{"bad second step", goodJob[:len(goodJob)-1] + `,"then":[{"shape":{"tasks":1,"accelerators":1,"adjacency":"rack"},"runTime":"1m","command":[]}]}`, codes.BadRequest},
+		{"no run time of the second step", goodJob[:len(goodJob)-1] + `,"then":[{"shape":{"tasks":1,"accelerators":1,"adjacency":"rack"},"command":["a"]}]}`, codes.BadRequest},
+		{"65 steps", goodJob[:len(goodJob)-1] + `,"then":[{}` + strings.Repeat(",{}", 63) + `]}`, codes.BadRequest},
 		{"unknown zone", `{"zone":"ica","shape":{"tasks":1,"accelerators":1,"adjacency":"rack"},"runTime":"1m","repeatable":true,"command":["a"]}`, codes.BadRequest},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/host/affected.go
+++ b/internal/host/affected.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		key := ws.Name + " in " + zn
-		held[key] += rc.Shape.Total()
+		held[key] += rc.Present().Shape.Total()
 		if ws.Quota > 0 && held[key] > ws.Quota {
 			count("running jobs are past the quota of workspace " + key)
 		}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -3,11 +3,13 @@
 //
 // A record is immutable; each step of a job gives a new one. Its state only
 // moves forward, but for a repeatable job whose attempt was cut short, which
-// is queued again with a larger attempt number.
+// is queued again with a larger attempt number, and for a job that has another
+// step, which is queued for that.
 package jobs
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -21,7 +23,14 @@
 // Priority orders the jobs of one workspace.
 type Priority uint8
 
-// Spec is what a caller asked for.
+// Step is a gang with what it runs.
+type Step struct {
+	Shape   spec.Shape
+	RunTime time.Duration // as declared; may be far off
+	Command []string
+}
+
+// Spec is what a caller asked for: a step, and those that follow it.
 type Spec struct {
 	ID         string
 	Workspace  string
@@ -33,6 +42,7 @@
 	Repeatable bool
 	Checkpoint bool // can be stopped and resumed without losing its work
 	Command    []string
+	Then       []Step // each begins once the one before it has succeeded
 }
 
 // Task is where one task of an attempt stands.
@@ -45,6 +55,7 @@
 type Record struct {
 	Spec
 	State     State
+	Step      int   // the present one; zero is the first
 	Attempt   int   // of the last start; zero before the first
 	Epoch     int64 // of the scheduler that began it
 	Tasks     []Task
@@ -137,6 +148,27 @@
 // Movable tells whether a job may be stopped and run again as promised.
 func (sp Spec) Movable() bool { return sp.Repeatable || sp.Checkpoint }
 
+// Steps returns every step in order.
+func (sp Spec) Steps() []Step {
+	return append([]Step{{Shape: sp.Shape, RunTime: sp.RunTime, Command: sp.Command}}, sp.Then...)
+}
+
+// Accelerated tells whether any step uses accelerators.
+func (sp Spec) Accelerated() bool {
+	return slices.ContainsFunc(sp.Steps(), func(st Step) bool { return st.Shape.Total() > 0 })
+}
+
+// Present returns the present step.
+func (rc Record) Present() Step {
+	if rc.Step == 0 {
+		return Step{Shape: rc.Shape, RunTime: rc.RunTime, Command: rc.Command}
+	}
+	return rc.Then[rc.Step-1]
+}
+
+// LastStep tells whether no step follows the present one.
+func (rc Record) LastStep() bool { return rc.Step == len(rc.Then) }
+
 // Active tells whether the job has not ended.
 func (rc Record) Active() bool { return rc.State != Ended }
 
@@ -176,6 +208,14 @@
 	return rc.WithState(Starting)
 }
 
+// WithNextStep returns the record in the queue for its next step.
+func (rc Record) WithNextStep(now time.Time) Record {
+	rc.Step++
+	rc.Tasks = nil
+	rc.Detail = ""
+	return rc.WithQueued(now)
+}
+
 // WithEnd returns the record ended with a code.
 func (rc Record) WithEnd(now time.Time, cd codes.Code, detail string) Record {
 	rc.Waited = rc.Waiting(now)
--- a/internal/jobs/wire.go
+++ b/internal/jobs/wire.go
@@ -12,11 +12,7 @@
 func ToWire(rc Record) *wire.Job {
 	jb := &wire.Job{
 		Id: rc.ID, Workspace: rc.Workspace, Caller: rc.Caller, Key: rc.Key,
-		Shape: &wire.Shape{
-			Tasks:        int32(rc.Shape.Tasks),
-			Accelerators: int32(rc.Shape.Accelerators),
-			Adjacency:    string(rc.Shape.Adjacency),
-		},
+		Shape: shapeToWire(rc.Shape), Step: int32(rc.Step),
 		RunTimeNanos: int64(rc.RunTime), Priority: int32(rc.Priority),
 		Repeatable: rc.Repeatable, Checkpoint: rc.Checkpoint, Command: rc.Command,
 		State: int32(rc.State), Attempt: int32(rc.Attempt), Epoch: rc.Epoch,
@@ -28,6 +24,9 @@
 	for _, ta := range rc.Tasks {
 		jb.Tasks = append(jb.Tasks, &wire.JobTask{Worker: ta.Worker, Address: ta.Address})
 	}
+	for _, st := range rc.Then {
+		jb.Then = append(jb.Then, &wire.JobStep{Shape: shapeToWire(st.Shape), RunTimeNanos: int64(st.RunTime), Command: st.Command})
+	}
 	return jb
 }
 
@@ -36,15 +35,11 @@
 	rc := Record{
 		Spec: Spec{
 			ID: jb.GetId(), Workspace: jb.GetWorkspace(), Caller: jb.GetCaller(), Key: jb.GetKey(),
-			Shape: spec.Shape{
-				Tasks:        int(jb.GetShape().GetTasks()),
-				Accelerators: int(jb.GetShape().GetAccelerators()),
-				Adjacency:    spec.Adjacency(jb.GetShape().GetAdjacency()),
-			},
+			Shape:   shapeFromWire(jb.GetShape()),
 			RunTime: time.Duration(jb.GetRunTimeNanos()), Priority: Priority(jb.GetPriority()),
 			Repeatable: jb.GetRepeatable(), Checkpoint: jb.GetCheckpoint(), Command: jb.GetCommand(),
 		},
-		State: State(jb.GetState()), Attempt: int(jb.GetAttempt()), Epoch: jb.GetEpoch(),
+		State: State(jb.GetState()), Step: int(jb.GetStep()), Attempt: int(jb.GetAttempt()), Epoch: jb.GetEpoch(),
 		Code: codes.Code(jb.GetCode()), Detail: jb.GetDetail(), Cancelled: jb.GetCancelled(), Doubt: jb.GetDoubt(),
 		Submitted: fromNanos(jb.GetSubmittedNanos()),
 		Started:   fromNanos(jb.GetStartedNanos()),
@@ -58,9 +53,26 @@
 	for _, ta := range jb.GetTasks() {
 		rc.Tasks = append(rc.Tasks, Task{Worker: ta.GetWorker(), Address: ta.GetAddress()})
 	}
+	for _, st := range jb.GetThen() {
+		rc.Then = append(rc.Then, Step{
+			Shape: shapeFromWire(st.GetShape()), RunTime: time.Duration(st.GetRunTimeNanos()), Command: st.GetCommand(),
+		})
+	}
+	rc.Step = min(max(rc.Step, 0), len(rc.Then)) // whatever a foreign value says
 	return rc
 }
 
+func shapeToWire(sh spec.Shape) *wire.Shape {
+	return &wire.Shape{Tasks: int32(sh.Tasks), Accelerators: int32(sh.Accelerators), Adjacency: string(sh.Adjacency)}
+}
+
+func shapeFromWire(sh *wire.Shape) spec.Shape {
+	return spec.Shape{
+		Tasks: int(sh.GetTasks()), Accelerators: int(sh.GetAccelerators()),
+		Adjacency: spec.Adjacency(sh.GetAdjacency()),
+	}
+}
+
 // toNanos keeps the zero time apart from 1970.
 func toNanos(at time.Time) int64 {
 	if at.IsZero() {
--- a/internal/local/sample.go
+++ b/internal/local/sample.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return merry.Prepend(err, "sample job")
 	}
-	out.say("job %s: %s, %d tasks on %s", jb.ID, jb.Code, jb.Shape.Tasks, strings.Join(jb.Workers, " "))
+	out.say("job %s: %s in %d steps, the last with %d task on %s", jb.ID, jb.Code, jb.Steps, jb.Shape.Tasks, strings.Join(jb.Workers, " "))
 	if err := dp.sampleSteps(ctx, out, slog.New(slog.NewTextHandler(kept, nil))); err != nil {
 		return err
 	}
@@ -84,6 +84,10 @@
 	jb, err := cl.Submit(ctx, client.SubmitRequest{
 		Shape:   spec.Shape{Tasks: sampleTasks, Accelerators: 1, Adjacency: spec.SameRack},
 		RunTime: "1s", Repeatable: &once, Command: []string{"sleep", "500ms"},
+		Then: []client.Step{{
+			Shape:   spec.Shape{Tasks: 1, Accelerators: 1, Adjacency: spec.SameRack},
+			RunTime: "1s", Command: []string{"sleep", "100ms"},
+		}},
 	}, "")
 	if err != nil {
 		return jb, err
@@ -114,7 +118,7 @@
 			tasks++
 		}
 	}
-	if tasks != sampleTasks {
+	if tasks != sampleTasks+1 { // the second step has one
 		return merry.Errorf("the workers ran %d tasks of the job", tasks)
 	}
 	return nil
--- a/internal/report/draw.go
+++ b/internal/report/draw.go
@@ -103,13 +103,13 @@
 	}
 	su := dr.row(rc.Workspace, "")
 	su.Offered++
-	if rc.Shape.Total() > 0 {
+	if rc.Accelerated() {
 		su.Held += Span(rc.Held)
 		su.Lost += Span(rc.Lost)
 		su.Reclaimed += Span(rc.Reclaimed)
 	}
 	su.HeldBack += Span(rc.Waiting(dr.in.Now))
-	su.Repeats += int64(max(rc.Attempt-1, 0))
+	su.Repeats += int64(max(rc.Attempt-1-rc.Step, 0))
 	switch {
 	case rc.Active():
 		su.InProgress++
@@ -181,8 +181,8 @@
 // busy returns the accelerator time of a job that fell on the day. That of the
 // last attempt is exact; what is left of the time held is spread evenly.
 func (dr *drawing) busy(rc jobs.Record) time.Duration {
-	total := time.Duration(rc.Shape.Total())
-	if rc.Started.IsZero() || total == 0 {
+	total := time.Duration(rc.Present().Shape.Total())
+	if rc.Started.IsZero() || !rc.Accelerated() {
 		return 0
 	}
 	switch rc.State {
--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -77,7 +77,7 @@
 // tasksOf returns the tasks of an attempt that have not been cut short; the
 // others stay empty.
 func (co *Core) tasksOf(jb *job, attempt int, epoch int64) []jobs.Task {
-	tasks := make([]jobs.Task, jb.rec.Shape.Tasks)
+	tasks := make([]jobs.Task, jb.rec.Present().Shape.Tasks)
 	for _, ma := range co.machines {
 		for id, ta := range ma.rows {
 			whole := ta.Phase == worker.PhaseRunning || ta.Phase == worker.PhaseSucceeded
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -121,7 +121,7 @@
 		co.jobs[rc.ID] = jb
 		co.expectWorkers(now, rc)
 		if rc.Code == codes.JobDone {
-			co.runTimes.observe(rc)
+			co.runTimes.observe(rc, rc.Ended.Sub(rc.Started))
 		}
 		co.touched[rc.ID] = true
 	}
--- a/internal/sched/core_test.go
+++ b/internal/sched/core_test.go
@@ -295,3 +295,78 @@
 	}
 	return sp
 }
+
+func twoSteps(id string) jobs.Spec {
+	sp := gang(id, 4, 8, "sleep", "1s")
+	sp.Then = []jobs.Step{{
+		Shape:   spec.Shape{Tasks: 2, Accelerators: 4, Adjacency: spec.SameRack},
+		RunTime: time.Minute, Command: []string{"sleep", "20s"},
+	}}
+	return sp
+}
+
+// TestStepsRunInOrder runs a job whose second gang is smaller, under faults.
+// Each gang runs whole, the second after the first, and neither twice.
+func TestStepsRunInOrder(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(wd *world)
+		after time.Duration // from submission to the fault
+		runs  int
+		want  codes.Code
+	}{
+		{"no fault", func(*world) {}, 0, 6, codes.JobDone},
+		{"scheduler dies in the first step", killHolder, 500 * time.Millisecond, 6, codes.JobDone},
+		{"scheduler dies when the first step ends", killHolder, 1050 * time.Millisecond, 6, codes.JobDone},
+		{"scheduler dies in the second step", killHolder, 10 * time.Second, 6, codes.JobDone},
+		{"store goes away in the first step", storeAway(20 * time.Second), 500 * time.Millisecond, 6, codes.JobDone},
+		{"store goes away in the second step", storeAway(20 * time.Second), 10 * time.Second, 6, codes.JobDone},
+		{"cancelled in the first step", cancelIt, 500 * time.Millisecond, 4, codes.JobCancelled},
+		{"cancelled in the second step", cancelIt, 10 * time.Second, 6, codes.JobCancelled},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			wd := newWorld(2, small, large)
+			wd.run(time.Second)
+			wd.submit(twoSteps("z1.a"))
+			wd.run(tt.after)
+			tt.fault(wd)
+			wd.run(time.Minute)
+			expect(t, wd, "z1.a", tt.want)
+			is.New(t).Equal(len(wd.runsOf("z1.a")), tt.runs)
+		})
+	}
+}
+
+// TestUnrecordedStepWaits lets the store go away before the end of a step is
+// recorded, and the scheduler die. The next one must not take a task of the
+// second step for one of the first.
+func TestUnrecordedStepWaits(t *testing.T) {
+	is := is.New(t)
+	wd := newWorld(2, small, large)
+	wd.run(time.Second)
+	wd.submit(twoSteps("z1.a"))
+	wd.run(900 * time.Millisecond)
+	wd.store.down = true
+	wd.run(3 * time.Second)
+	is.Equal(len(wd.runsOf("z1.a")), 4) // the second step waits for the store
+	wd.current().gone = true
+	wd.store.down = false
+	wd.takeOver()
+	wd.run(time.Minute)
+	expect(t, wd, "z1.a", codes.JobDone)
+	is.Equal(len(wd.runsOf("z1.a")), 6)
+}
+
+// TestStepThatNeverFits refuses a job for its second step.
+func TestStepThatNeverFits(t *testing.T) {
+	is := is.New(t)
+	wd := newWorld(2, small, large)
+	wd.run(time.Second)
+	sp := twoSteps("z1.a")
+	sp.Then[0].Shape = spec.Shape{Tasks: 32, Accelerators: 8, Adjacency: spec.SameWorker}
+	wd.submit(sp)
+	wd.run(time.Second)
+	_, known := wd.record("z1.a")
+	is.True(!known)
+}
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -84,7 +84,7 @@
 		if st == isMissing {
 			co.want(jb, i, worker.Command{
 				Op: worker.OpReserve, Workspace: jb.rec.Workspace,
-				Accelerators: jb.rec.Shape.Accelerators, Lease: TaskLease,
+				Accelerators: jb.rec.Present().Shape.Accelerators, Lease: TaskLease,
 			})
 		}
 	}
@@ -104,18 +104,20 @@
 	}
 	for i, st := range ta.at {
 		if st == isReserved {
-			co.want(jb, i, worker.Command{Op: worker.OpStart, Workspace: jb.rec.Workspace, Lease: TaskLease, Command: jb.rec.Command})
+			co.want(jb, i, worker.Command{Op: worker.OpStart, Workspace: jb.rec.Workspace, Lease: TaskLease, Command: jb.rec.Present().Command})
 		}
 	}
 }
 
 // mayStart tells whether the attempt may run now: it is in the store, or the
-// store is away and the job may be repeated.
+// store is away and the job may be repeated. That its step has come must be in
+// the store in any case, so that the next core takes the attempt for what it is.
 func (co *Core) mayStart(jb *job) bool {
 	if jb.saved.Attempt == jb.rec.Attempt && jb.saved.State != jobs.Queued {
 		return true
 	}
-	return jb.rec.Repeatable && jb.saved.ID != "" && co.buckets[jb.bucket].failing
+	recorded := jb.saved.ID != "" && jb.saved.Step == jb.rec.Step
+	return jb.rec.Repeatable && recorded && co.buckets[jb.bucket].failing
 }
 
 func (co *Core) evaluateRunning(now time.Time, jb *job) {
@@ -124,7 +126,7 @@
 	case ta.succeeded == len(jb.rec.Tasks):
 		co.settleHeld(now, jb, true)
 		co.praise(jb)
-		co.end(now, jb, codes.JobDone, "")
+		co.succeed(now, jb)
 	case jb.rec.Cancelled:
 		co.stop(jb, cause{code: codes.JobCancelled, detail: "cancelled"})
 	case ta.failed > 0 || ta.cut > 0:
@@ -285,7 +287,7 @@
 	ca := jb.cause
 	switch {
 	case finished:
-		co.end(now, jb, codes.JobDone, "")
+		co.succeed(now, jb)
 	case jb.rec.Cancelled:
 		co.end(now, jb, cancelCode(jb), "cancelled")
 	case ta.failed > 0 && !jb.rec.Repeatable:
@@ -305,7 +307,7 @@
 	if ta.ran+ta.doubt == 0 || kept {
 		return true
 	}
-	return jb.rec.Repeatable && jb.rec.Attempt < MaxAttempts
+	return jb.rec.Repeatable && jb.rec.Attempt-jb.rec.Step < MaxAttempts
 }
 
 // cutCode is the code of a job that was cut short and is not begun again.
@@ -331,12 +333,26 @@
 	co.note(jb, "requeued", detail)
 }
 
+// succeed queues a job whose step has succeeded for the next one, and ends it
+// after the last.
+func (co *Core) succeed(now time.Time, jb *job) {
+	co.runTimes.observe(jb.rec, now.Sub(jb.rec.Started))
+	if jb.rec.LastStep() {
+		co.end(now, jb, codes.JobDone, "")
+		return
+	}
+	jb.rec = jb.rec.WithNextStep(now)
+	jb.failures = 0
+	jb.avoid = nil
+	co.leave(jb)
+	co.dirty(jb)
+	co.touch(jb.rec.ID)
+	co.note(jb, "stepDone", fmt.Sprintf("step %d of %d is next", jb.rec.Step+1, len(jb.rec.Then)+1))
+}
+
 // end puts a job into its last state.
 func (co *Core) end(now time.Time, jb *job, cd codes.Code, detail string) {
 	jb.rec = jb.rec.WithEnd(now, cd, detail)
-	if cd == codes.JobDone {
-		co.runTimes.observe(jb.rec)
-	}
 	co.leave(jb)
 	co.dirty(jb)
 	co.note(jb, "ended", cd.String())
@@ -365,7 +381,7 @@
 // settleHeld adds the accelerator time of an attempt to the record.
 func (co *Core) settleHeld(now time.Time, jb *job, kept bool) {
 	// At least one, as it also tells that an attempt has run.
-	held := max(1, now.Sub(jb.rec.Started)*time.Duration(jb.rec.Shape.Total()))
+	held := max(1, now.Sub(jb.rec.Started)*time.Duration(jb.rec.Present().Shape.Total()))
 	jb.rec.Held += held
 	if !kept {
 		jb.rec.Lost += held
--- a/pkg/client/types.go
+++ b/pkg/client/types.go
@@ -30,6 +30,14 @@
 	Repeatable *bool      `json:"repeatable"`         // required: whether it may run twice
 	Checkpoint bool       `json:"checkpoint,omitempty"`
 	Command    []string   `json:"command"`
+	Then       []Step     `json:"then,omitempty"`
+}
+
+// Step is a gang that a job runs once the one before it has succeeded.
+type Step struct {
+	Shape   spec.Shape `json:"shape" yaml:"shape"`
+	RunTime string     `json:"runTime" yaml:"runTime"` // Go duration, declared
+	Command []string   `json:"command" yaml:"command"`
 }
 
 // Job is one job as callers see it.
@@ -40,7 +48,9 @@
 	Caller     string     `json:"caller,omitempty"`
 	Zone       string     `json:"zone"`
 	State      string     `json:"state"`
-	Shape      spec.Shape `json:"shape"`
+	Shape      spec.Shape `json:"shape"` // of the present step
+	Step       int        `json:"step"`  // the present one, from 1
+	Steps      int        `json:"steps"`
 	Priority   string     `json:"priority"`
 	Repeatable bool       `json:"repeatable"`
 	Checkpoint bool       `json:"checkpoint,omitempty"`
