--- a/internal/cmds/procs.go
+++ b/internal/cmds/procs.go
@@ -6,6 +6,7 @@
 
 	"github.com/integrii/flaggy"
 
+	sacos "github.com/cicadawharf/cicadawharf/examples"
 	"github.com/cicadawharf/cicadawharf/internal/setup"
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
@@ -14,7 +15,7 @@
 	// LocalOptions are the flags of local, which runs a small deployment in
 	// one process.
 	LocalOptions struct {
-		Declarations string // file, relative to the working directory
+		Declarations string // file; empty for the one that the program carries
 		Content      []byte // of the file, checked
 		Once         bool   // run a sample of work and end
 		BasePort     int    // the first of the ports that are used
@@ -50,9 +51,8 @@
 )
 
 const (
-	defaultDeclarations = "examples/sacos.yaml"
-	defaultBasePort     = 7080
-	maxBasePort         = 60000
+	defaultBasePort = 7080
+	maxBasePort     = 60000
 
 	defaultAccelerators = 8
 	maxAccelerators     = 8
@@ -98,12 +98,12 @@
 }
 
 func (en *env) localCommand() *command {
-	op := LocalOptions{Declarations: defaultDeclarations, BasePort: defaultBasePort}
+	op := LocalOptions{BasePort: defaultBasePort}
 	return &command{
 		name:        "local",
 		description: "runs a small deployment with stand-ins of the platform on this machine",
 		flags: func(sc *flaggy.Subcommand) {
-			sc.String(&op.Declarations, "", "declarations", "declarations file")
+			sc.String(&op.Declarations, "", "declarations", "declarations file; "+sacos.Name+" if left out")
 			sc.Bool(&op.Once, "", "once", "run a sample of work, print the report and end")
 			sc.Int(&op.BasePort, "", "base-port", "first of the ports that are used")
 		},
@@ -111,16 +111,27 @@
 			if op.BasePort < 1024 || op.BasePort > maxBasePort {
 				return usage("flag --base-port: must be within 1024 and %d", maxBasePort)
 			}
-			data, _, err := loadDeclarations(op.Declarations)
-			if err != nil {
+			if err := op.load(); err != nil {
 				return err
 			}
-			op.Content, op.Out, op.Log = data, en.out, en.errOut
+			op.Out, op.Log = en.out, en.errOut
 			return en.run.Local(ctx, op)
 		},
 	}
 }
 
+// load reads the declarations: those that the program carries, unless a file is
+// named.
+func (op *LocalOptions) load() error {
+	if op.Declarations == "" {
+		op.Declarations, op.Content = sacos.Name, sacos.Declarations
+		return nil
+	}
+	data, _, err := loadDeclarations(op.Declarations)
+	op.Content = data
+	return err
+}
+
 func (en *env) standinCommand() *command {
 	op := StandinOptions{
 		Accelerators: defaultAccelerators, Slots: defaultSlots, Connections: defaultConnections, RunScale: 1,
