Leave gangs alone whose short tasks have done their part

Cause: a gang ends when its longest task has done its part; the others stand at 100 percent until then. The core took each that had stood so for three seconds for one that makes no progress, stopped the gang, lost its work and suspended the worker.

Change: a task of a gang at 100 percent is not watched. The line of a placement names the queue, that of a suspicion the percent. The stand-in workers end a gang when all of its tasks are through, as the platform does, and not with the first.

TestUnevenGangIsLeftAlone fails without the change.

--- a/internal/domain/domain_test.go
+++ b/internal/domain/domain_test.go
@@ -209,6 +209,21 @@
 	}
 }
 
+// TestUnevenGangIsLeftAlone runs a gang of which one task has much more to do
+// than the others. They stand at 100 percent until it is done.
+func TestUnevenGangIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	wo := calm(4)
+	jb, pl := single("j", 1, 4, 4*time.Second)
+	jb.Steps[0].Gang = true
+	pl.longest = 16 * time.Second
+	wo.submit(jb, pl)
+	wo.run(17 * time.Second)
+	is.Equal(wo.state("j"), batch.Done)
+	is.Equal(wo.fleet.Starts, 4)
+	is.Equal(wo.check(), nil)
+}
+
 // TestSecondAttemptAvoidsTheWorker fails the first attempt of a unit near its
 // data, and changes the scheduler. The last attempt goes elsewhere, though far
 // from the data.
--- a/internal/domain/health.go
+++ b/internal/domain/health.go
@@ -1,6 +1,7 @@
 package domain
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
@@ -57,20 +58,24 @@
 	}
 	for _, ru := range nd.sortedRuns() {
 		un := ru.unit
-		if un == nil || un.phase != live || ru.stage != running || un.step.Lasting || !un.allRunning() {
+		if un == nil || un.phase != live || ru.stage != running || un.step.Lasting || !un.allRunning() || un.waitsForMates(ru) {
 			continue
 		}
 		patience := max(stallTime, time.Duration(stallShare*float64(un.step.RunTime)))
 		if nd.answered.Sub(ru.movedAt) < patience || now.Sub(un.allSeen()) < patience {
 			continue
 		}
-		co.emit(Noted{Decision: "suspects", Job: un.job.ID, Task: ru.task.String(), Attempt: ru.attempt, Worker: nd.worker.ID, Reason: "the task makes no progress"})
+		co.emit(Noted{Decision: "suspects", Job: un.job.ID, Task: ru.task.String(), Attempt: ru.attempt, Worker: nd.worker.ID, Reason: fmt.Sprintf("the task stands at %d percent", ru.percent)})
 		nd.health.suspend(now)
 		un.avoid[nd.worker.ID] = true
 		co.stopUnit(now, un, "a task makes no progress")
 	}
 }
 
+// waitsForMates tells whether a task of a gang has done its part. It stands at
+// 100 percent until the others have done theirs.
+func (un *unit) waitsForMates(ru *run) bool { return un.step.Gang && ru.percent >= 100 }
+
 // allRunning tells whether every task of a unit was seen to run.
 func (un *unit) allRunning() bool {
 	for _, ru := range un.runs {
--- a/internal/domain/world_test.go
+++ b/internal/domain/world_test.go
@@ -44,8 +44,9 @@
 	}
 
 	planned struct {
-		work  time.Duration
-		fails bool
+		work    time.Duration
+		longest time.Duration // of the first task, if it differs
+		fails   bool
 	}
 
 	// faults are the shares of calls that go wrong.
@@ -133,6 +134,9 @@
 	if step.Gang {
 		pl.Gang = step.Tasks
 	}
+	if ti.Index == 0 && do.longest > 0 {
+		pl.Work = do.longest
+	}
 	for _, before := range step.After {
 		for i := range jb.Steps[before].Tasks {
 			pl.After = append(pl.After, batch.TaskID{Job: ti.Job, Occurrence: ti.Occurrence, Step: before, Index: i})
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -251,6 +251,7 @@
 	}
 	add("job", no.Job)
 	add("task", no.Task)
+	add("queue", no.Queue)
 	if no.Attempt > 0 {
 		args = append(args, "attempt", no.Attempt)
 	}
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -307,7 +307,7 @@
 		if ru.plan.Lasting {
 			percent = 100
 		} else if work := ru.worked(now); work > 0 {
-			percent = int(100 * work / ru.plan.Work)
+			percent = min(100, int(100*work/ru.plan.Work))
 		}
 		lo.Running = append(lo.Running, runner.Run{Task: ru.task, Attempt: ru.attempt, Checkpoint: ru.checkpoint(now, fl.cfg.Saves, false), Percent: percent, Load: fl.Loads[ru.task]})
 	}
@@ -365,13 +365,31 @@
 			case ru.plan.Fails:
 				offer(ru.since.Add(ru.plan.Work-ru.saved), func() { fl.end(ru, runner.Failed) })
 			default:
-				offer(ru.since.Add(ru.plan.Work-ru.saved), func() { fl.end(ru, runner.Succeeded) })
+				if at, ok := fl.allDone(ru); ok {
+					offer(at, func() { fl.end(ru, runner.Succeeded) })
+				}
 			}
 		}
 	}
 	return first, what
 }
 
+// allDone returns when the work of a run is over, and that of its gang: a task
+// that has less to do than the others stands at 100 percent until then. It is
+// false while one of them stands still.
+func (fl *Fleet) allDone(ru *run) (time.Time, bool) {
+	var latest time.Time
+	for _, mate := range fl.mates(ru) {
+		if mate.since.IsZero() || mate.worker.stalled {
+			return latest, false
+		}
+		if at := mate.since.Add(mate.plan.Work - mate.saved); at.After(latest) {
+			latest = at
+		}
+	}
+	return latest, true
+}
+
 func (fl *Fleet) ids() []string {
 	ids := make([]string, 0, len(fl.workers))
 	for id := range fl.workers {
