Move work off workers that leave, if it would not end there

Ruled out: stopping everything at the notice, which throws away what would have ended.

TestWorkerLeaves: three of its four cases fail without the change.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -162,6 +162,7 @@
 		co.expire(now, nd)
 		co.retryStops(now, nd)
 		co.watchProgress(now, nd)
+		co.evacuate(now, nd)
 	}
 	co.forgetEnded(now)
 	co.pass = true
--- /dev/null
+++ b/internal/domain/leave_test.go
@@ -0,0 +1,65 @@
+package domain_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/domain"
+)
+
+// TestWorkerLeaves gives notice that a worker leaves three seconds later, while
+// a task of several seconds runs there.
+func TestWorkerLeaves(t *testing.T) {
+	tests := []struct {
+		name        string
+		work        time.Duration
+		checkpoints bool
+		gang        bool
+		starts      int
+		end         time.Duration // at most, from the notice
+	}{
+		{"ends in time", 3 * time.Second, false, false, 1, 3 * time.Second},
+		{"begins anew at once", 8 * time.Second, false, false, 2, 9500 * time.Millisecond},
+		{"goes on from its checkpoint", 8 * time.Second, true, false, 2, 8500 * time.Millisecond},
+		{"gang goes on from its checkpoint", 8 * time.Second, true, true, 8, 8500 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			wo := calm(3)
+			jb, pl := single("j", 1, 1, tt.work)
+			jb.Steps[0].Checkpoints = tt.checkpoints
+			jb.Steps[0].Needs.Accelerators = 4
+			if tt.gang {
+				jb.Steps[0].Gang = true
+				jb.Steps[0].Tasks = 4
+			}
+			wo.submit(jb, pl)
+			wo.run(time.Second)
+			wo.leave(wo.workerOf("j"), 3*time.Second)
+			wo.run(tt.end)
+			is.Equal(wo.state("j"), batch.Done)
+			is.Equal(wo.fleet.Starts, tt.starts)
+			is.Equal(wo.check(), nil)
+		})
+	}
+}
+
+// workerOf returns the worker of the first task of a job.
+func (wo *world) workerOf(job string) string { return wo.records[job].Units[0].Workers[0] }
+
+// leave gives notice that a worker leaves, and takes it away when that time is
+// over.
+func (wo *world) leave(id string, left time.Duration) {
+	wk := wo.workers[id]
+	wk.Draining, wk.Leaves = true, left
+	wo.workers[id] = wk
+	wo.tell(domain.Listed{Worker: wk})
+	wo.after(left, func() {
+		wo.fleet.Remove(wo.now, id)
+		wo.tell(domain.Unlisted{ID: id})
+	})
+}
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -31,6 +31,7 @@
 		told      int64     // the same, as the worker was told
 		health    health
 		harmed    time.Time // no filling work before; see fill.go
+		leaves    time.Time // it may be gone from then on; zero if that is unknown
 	}
 
 	runKey struct {
@@ -60,6 +61,8 @@
 	}
 	nd.worker = wk
 	nd.listed = true
+	nd.noteLeaving(now)
+	co.evacuate(now, nd)
 	co.replaceAt(now, wk)
 	co.pass = true
 }
@@ -330,6 +333,9 @@
 	if ru.seenAt.IsZero() {
 		ru.seenAt = now
 	}
+	if ru.firstAt.IsZero() {
+		ru.firstAt, ru.firstPercent = now, rn.Percent
+	}
 	if rn.Percent != ru.percent {
 		ru.percent = rn.Percent
 		ru.movedAt = now
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -12,17 +12,19 @@
 	// run is an attempt of one task on one worker. It holds its room there
 	// until it is over.
 	run struct {
-		unit    *unit // nil if no record names it
-		task    batch.TaskID
-		attempt int
-		node    *node
-		stage   stage
-		lostAt  time.Time // when the answer to its start was lost
-		seenAt  time.Time // when its start was answered, or a look has first shown it
-		stop    stopState
-		how     runner.How // it has ended, if the worker has listed its end
-		percent int
-		movedAt time.Time // when percent last rose
+		unit         *unit // nil if no record names it
+		task         batch.TaskID
+		attempt      int
+		node         *node
+		stage        stage
+		lostAt       time.Time // when the answer to its start was lost
+		seenAt       time.Time // when its start was answered, or a look has first shown it
+		stop         stopState
+		how          runner.How // it has ended, if the worker has listed its end
+		percent      int
+		movedAt      time.Time // when percent last rose
+		firstPercent int       // when it was first listed as running
+		firstAt      time.Time
 	}
 
 	// stage is where a run stands.
