Carry out waves of upkeep

Change: package upkeep decides which machines are next, clears them a round ahead, orders them down within the bound of the wave and in its time, and says how far it is; drive carries that out within a scheduler's term and keeps what has begun in the store; platform translates machines, waves and their state. The domain's core gives a worker that is to be clear no new work and moves the rest as it does for one that leaves; lasting work moves only as far as its bound.

Found on the way: an answered order was first taken for the end of all that ran there. An order that had been carried out before is answered alike, so after a change of the scheduler tasks of the new worker would have been started a second time. Now only a list that shows the machine down, or with another worker, ends them; the model of upkeep_test checks it.

Ruled out: ordering all machines at once after a change of the scheduler; the platform answers, but each would have been cleared first.

Moves between pools and pace are not built.

--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -67,6 +67,9 @@
 	if se.Advice.Address != "" {
 		dc.Adviser = platform.NewAdviser(se.Advice.Address)
 	}
+	if se.Machines.Address != "" {
+		dc.Machines = platform.NewMachines(se.Machines.Address)
+	}
 	sc := drive.New(time.Now(), dc)
 	return member.New(member.Config{
 		Settings: se, Scheduler: sc, Intake: in, Log: log, Readiness: platform.Ready,
--- a/internal/batch/keys.go
+++ b/internal/batch/keys.go
@@ -9,6 +9,7 @@
 	ProgressPrefix = "at/"
 	HolderKey      = "holder"
 	WaitingKey     = "waiting"
+	UpkeepPrefix   = "upkeep/" // followed by the number of a wave
 
 	jobSuffix    = "/job"
 	cancelSuffix = "/cancel"
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -84,6 +84,10 @@
 		co.list(now, ev.Worker)
 	case Unlisted:
 		co.unlist(now, ev.ID)
+	case Emptying:
+		co.empty(now, ev.By)
+	case Downed:
+		co.downed(now, ev.Worker)
 	case Looked:
 		co.looked(now, ev)
 	case Started:
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -43,6 +43,13 @@
 	// Unlisted says that a worker has left the platform's list.
 	Unlisted struct{ ID string }
 
+	// Emptying names the workers that get no new work, and by when each should
+	// be clear of it. It replaces the former one.
+	Emptying struct{ By map[string]time.Time }
+
+	// Downed says that everything that ran on a worker is over.
+	Downed struct{ Worker string }
+
 	// Looked is the outcome of a Look.
 	Looked struct {
 		Call Look
@@ -198,6 +205,8 @@
 func (Listed) event()      {}
 func (Unlisted) event()    {}
 func (Looked) event()      {}
+func (Emptying) event()    {}
+func (Downed) event()      {}
 func (Started) event()     {}
 func (Stopped) event()     {}
 func (Advised) event()     {}
--- a/internal/domain/leave.go
+++ b/internal/domain/leave.go
@@ -29,14 +29,56 @@
 	}
 }
 
-// evacuate moves work off a worker that leaves, if it would not end there in
-// time. Work with checkpoints goes on until just before; what would be lost
-// anyway begins anew elsewhere at once.
+// empty takes the workers that should be clear of work for their upkeep.
+func (co *Core) empty(now time.Time, by map[string]time.Time) {
+	for _, nd := range co.byID() {
+		at := by[nd.worker.ID]
+		co.pass = co.pass || at.IsZero() != nd.emptyBy.IsZero()
+		nd.emptyBy = at
+		co.evacuate(now, nd)
+	}
+}
+
+// downed ends all that ran on a worker whose machine has gone down on request.
+func (co *Core) downed(now time.Time, id string) {
+	if nd, ok := co.nodes[id]; ok {
+		nd.listed = false
+		co.endLife(now, nd)
+	}
+}
+
+// Standing tells whether a worker is free of work, whether some of its work may
+// not be interrupted now, and whether the worker drains in any case.
+func (co *Core) Standing(worker string) (idle, pinned, draining bool) {
+	nd, ok := co.nodes[worker]
+	if !ok {
+		return true, false, false
+	}
+	for _, ru := range nd.runs {
+		if un := ru.unit; un != nil && un.step.Lasting && !un.mayInterrupt() {
+			pinned = true
+		}
+	}
+	return len(nd.runs) == 0, pinned, nd.worker.Draining
+}
+
+// emptyAt is when a worker should be clear of work; zero if it need not be.
+func (nd *node) emptyAt() time.Time {
+	if nd.leaves.IsZero() || (!nd.emptyBy.IsZero() && nd.emptyBy.Before(nd.leaves)) {
+		return nd.emptyBy
+	}
+	return nd.leaves
+}
+
+// evacuate moves work off a worker that leaves or goes down, if it would not end
+// there in time. Work with checkpoints goes on until just before; what would be
+// lost anyway begins anew elsewhere at once.
 func (co *Core) evacuate(now time.Time, nd *node) {
-	if nd.leaves.IsZero() || nd.silent() {
+	at := nd.emptyAt()
+	if at.IsZero() || nd.silent() {
 		return
 	}
-	left := nd.leaves.Sub(now)
+	left := at.Sub(now)
 	for _, ru := range nd.sortedRuns() {
 		un := ru.unit
 		if un == nil || un.phase != live || !un.allRunning() {
@@ -48,7 +90,10 @@
 		if un.step.Checkpoints && left > saveTime {
 			continue
 		}
-		co.stopUnit(now, un, fmt.Sprintf("worker %s leaves in %v", nd.worker.ID, left.Round(time.Millisecond)))
+		if un.step.Lasting && !nd.worker.Draining && !un.mayInterrupt() {
+			continue
+		}
+		co.stopUnit(now, un, fmt.Sprintf("worker %s goes in %v", nd.worker.ID, left.Round(time.Millisecond)))
 	}
 }
 
--- a/internal/domain/leave_test.go
+++ b/internal/domain/leave_test.go
@@ -63,3 +63,34 @@
 		wo.tell(domain.Unlisted{ID: id})
 	})
 }
+
+// TestEmptiedWorker clears workers for their upkeep: they get no new work, and
+// lasting work moves only as far as it may be interrupted.
+func TestEmptiedWorker(t *testing.T) {
+	is := is.New(t)
+	wo := calm(3)
+	jb, pl := single("serves", 1, 2, time.Hour)
+	jb.Steps[0].Lasting = true
+	jb.Steps[0].MayMiss = 1
+	jb.Steps[0].Needs.Accelerators = 8
+	wo.submit(jb, pl)
+	wo.run(3 * time.Second) // at work
+	by := map[string]time.Time{}
+	for _, un := range wo.records["serves"].Units {
+		by[un.Workers[0]] = wo.now.Add(time.Second)
+	}
+	is.Equal(len(by), 2)
+	wo.tell(domain.Emptying{By: by})
+	for range 200 {
+		wo.run(20 * time.Millisecond)
+		is.True(wo.fleet.Running("serves") >= 1) // the other one may be missed
+	}
+	for id := range by {
+		is.Equal(wo.fleet.RunningOn(id), 0) // one runs elsewhere, the other waits for room
+	}
+	wo.tell(domain.Emptying{})
+	wo.submit(single("later", 1, 4, time.Second))
+	wo.run(3 * time.Second)
+	is.Equal(wo.state("later"), batch.Done)
+	is.Equal(wo.check(), nil)
+}
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -32,6 +32,7 @@
 		health    health
 		harmed    time.Time // no filling work before; see fill.go
 		leaves    time.Time // it may be gone from then on; zero if that is unknown
+		emptyBy   time.Time // it should be clear of work by then; zero if it need not be
 	}
 
 	runKey struct {
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -22,6 +22,7 @@
 	"github.com/cicadawharf/cicadawharf/internal/pause"
 	"github.com/cicadawharf/cicadawharf/internal/runner"
 	"github.com/cicadawharf/cicadawharf/internal/store"
+	"github.com/cicadawharf/cicadawharf/internal/upkeep"
 )
 
 type (
@@ -32,17 +33,19 @@
 		WorkerPrefix string
 		Policy       func(value []byte) (*batch.Policy, error)
 		Worker       func(id string, value []byte) (runner.Worker, error)
+		Waves        WaveLayout // empty if the platform asks for no upkeep
 	}
 
 	// Config constructs a Scheduler.
 	Config struct {
-		Host    string
-		Cores   float64 // what the process may use; zero if that is unknown
-		Store   store.Committer
-		Workers runner.Client
-		Adviser runner.Adviser // nil if no queue needs advice
-		Layout  Layout
-		Log     *slog.Logger
+		Host     string
+		Cores    float64 // what the process may use; zero if that is unknown
+		Store    store.Committer
+		Workers  runner.Client
+		Adviser  runner.Adviser // nil if no queue needs advice
+		Machines upkeep.Client  // nil if no machine needs upkeep
+		Layout   Layout
+		Log      *slog.Logger
 	}
 
 	// Scheduler takes part in the election and schedules while it holds.
@@ -65,6 +68,7 @@
 		core    *domain.Core
 		events  chan domain.Event
 		ledger  *ledger
+		duty    *duty // nil if no machine needs upkeep
 	}
 )
 
@@ -113,6 +117,11 @@
 		te.resign()
 		return
 	}
+	if te.duty, err = te.loadDuty(time.Now()); err != nil {
+		te.log.Warn("scheduler gives up", "event", "termEnds", "reason", err)
+		te.resign()
+		return
+	}
 	te.Scheduler.holds.Store(true)
 	defer te.Scheduler.holds.Store(false)
 	te.core = domain.New(time.Now(), cf)
@@ -120,6 +129,9 @@
 	te.log.Info("state is loaded", "event", "loaded", "jobs", len(cf.Jobs), "records", len(cf.Records),
 		"workers", len(cf.Workers), "took", time.Since(te.began).Round(time.Millisecond))
 	fo.start(te)
+	if te.duty != nil {
+		te.duty.start()
+	}
 	te.loop(ctx)
 	te.resign()
 }
@@ -152,7 +164,12 @@
 			if waits = te.core.Soon(); waits {
 				soon.Reset(soonTime)
 			}
+		case ev := <-te.dutyEvents():
+			te.duty.handle(ev)
 		case now := <-tick.C:
+			if te.duty != nil {
+				te.duty.handle(upkeep.Ticked{})
+			}
 			if te.core.Busy() || now.Sub(last) >= idleTick {
 				last = now
 				te.handle(domain.Ticked{})
@@ -161,6 +178,14 @@
 	}
 }
 
+// dutyEvents returns a channel that never has anything if there is no duty.
+func (te *term) dutyEvents() <-chan upkeep.Event {
+	if te.duty == nil {
+		return nil
+	}
+	return te.duty.events
+}
+
 func (te *term) handle(ev domain.Event) {
 	began := time.Now()
 	effects := te.core.Handle(began, ev)
--- /dev/null
+++ b/internal/drive/duty_test.go
@@ -0,0 +1,139 @@
+package drive_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/drive"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/kvsim"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/runsim"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
+	"github.com/cicadawharf/cicadawharf/internal/upkeep"
+)
+
+// yard is a stand-in of the platform's machines, one under each worker of a
+// site.
+type yard struct {
+	si     *site
+	mu     sync.Mutex
+	upAt   map[string]time.Time
+	lives  map[string]int
+	had    map[string]bool
+	most   int // machines that were down at a time
+	orders int
+}
+
+const downTime = 200 * time.Millisecond
+
+func newYard(si *site, machines int) *yard {
+	ya := &yard{si: si, upAt: map[string]time.Time{}, lives: map[string]int{}, had: map[string]bool{}}
+	for i := range machines {
+		ya.upAt[fmt.Sprint("m", i)] = time.Time{}
+	}
+	return ya
+}
+
+// worker names the worker of a machine, which changes with each upkeep.
+func (ya *yard) worker(machine string) string {
+	name := "w" + machine[1:]
+	if n := ya.lives[machine]; n > 0 {
+		name += fmt.Sprint("-", n)
+	}
+	return name
+}
+
+func (ya *yard) Machines(context.Context) ([]upkeep.Machine, error) {
+	ya.mu.Lock()
+	defer ya.mu.Unlock()
+	var mas []upkeep.Machine
+	for id, at := range ya.upAt {
+		mas = append(mas, upkeep.Machine{ID: id, Worker: ya.worker(id), Up: time.Now().After(at)})
+	}
+	return mas, nil
+}
+
+func (ya *yard) Upkeep(_ context.Context, or upkeep.Order, _ string, _ int64) error {
+	ya.mu.Lock()
+	defer ya.mu.Unlock()
+	if ya.had[or.Machine] {
+		return nil
+	}
+	ya.had[or.Machine] = true
+	ya.orders++
+	old := ya.worker(or.Machine)
+	ya.upAt[or.Machine] = time.Now().Add(downTime)
+	ya.lives[or.Machine]++
+	down := 0
+	for _, at := range ya.upAt {
+		if time.Now().Before(at) {
+			down++
+		}
+	}
+	ya.most = max(ya.most, down)
+	ya.si.workers.With(func(now time.Time, fl *runsim.Fleet) { fl.Remove(now, old) })
+	ya.si.store.Delete(runsim.WorkerPrefix + old)
+	wk := runner.Worker{ID: ya.worker(or.Machine), Address: or.Machine + ":1", Service: "svc", Capacity: batch.Resources{Accelerators: 8}}
+	ya.si.workers.With(func(now time.Time, fl *runsim.Fleet) { wk.Born = fl.Add(now, wk.ID, wk.Capacity, 1) })
+	ya.si.put(runsim.WorkerPrefix+wk.ID, wk)
+	return nil
+}
+
+// duties says where the stand-in keeps waves: as JSON of their types.
+func duties() drive.Layout {
+	la := runsim.Layout()
+	la.Waves = drive.WaveLayout{
+		Prefix: "waves/", StatusPrefix: "status/",
+		Wave:   func(value []byte) (wa upkeep.Wave, err error) { return wa, json.Unmarshal(value, &wa) },
+		Encode: func(pr upkeep.Progress) []byte { return fmt.Append(nil, int(pr)) },
+		Decode: func(value []byte) (pr upkeep.Progress, err error) { return pr, json.Unmarshal(value, &pr) },
+	}
+	return la
+}
+
+// TestWaveAcrossHosts carries a wave out while jobs run, and changes the
+// scheduler in the middle of it.
+func TestWaveAcrossHosts(t *testing.T) {
+	is := is.New(t)
+	si := newSite(t, 6)
+	ya := newYard(si, 6)
+	host := func(name string) func() {
+		sc := drive.New(time.Now(), drive.Config{
+			Host: name, Store: si.store.Client(t, time.Second), Workers: si.workers, Machines: ya,
+			Log: slog.New(slog.DiscardHandler), Layout: duties(),
+		})
+		return kvsim.Background(t, func(ctx context.Context) error {
+			sc.Run(ctx)
+			return nil
+		})
+	}
+	stop := host("a")
+	si.submit("before", 20)
+	si.await("before", batch.Running)
+	si.put("waves/1", upkeep.Wave{Number: 1, Machines: []string{"m0", "m1", "m2", "m3", "m4", "m5"}, Duration: 20 * time.Second, AtOnce: 2})
+	had := func() int {
+		ya.mu.Lock()
+		defer ya.mu.Unlock()
+		return ya.orders
+	}
+	kvsim.Eventually(t, func() bool { return had() >= 2 })
+	stop()
+	host("b")
+	si.submit("later", 20)
+	status := func() string { value, _ := si.store.Value("status/1"); return string(value) }
+	kvsim.Eventually(t, func() bool { return status() == fmt.Sprint(int(upkeep.Completed)) })
+	si.await("before", batch.Done)
+	si.await("later", batch.Done)
+	si.unbroken()
+	is.Equal(had(), 6)
+	is.True(ya.most <= 2)
+	_, kept := si.store.Value(batch.UpkeepPrefix + "1")
+	is.True(!kept) // nothing is left of a wave that is completed
+}
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -153,6 +153,14 @@
 	return n
 }
 
+// RunningOn counts the attempts that run on a worker.
+func (fl *Fleet) RunningOn(id string) int {
+	if wo, ok := fl.workers[id]; ok {
+		return len(wo.runs)
+	}
+	return 0
+}
+
 // Beside counts the attempts on the worker that runs a task, that one included.
 func (fl *Fleet) Beside(ti batch.TaskID) int {
 	for _, wo := range fl.workers {
--- a/internal/setup/domain.go
+++ b/internal/setup/domain.go
@@ -15,6 +15,7 @@
 		Host      DomainHost  `yaml:"host"`
 		Store     DomainStore `yaml:"store"`
 		Advice    Advice      `yaml:"advice"`
+		Machines  Machines    `yaml:"machines"`
 		Log       Log         `yaml:"log"`
 		Memory    int         `yaml:"memoryMegabytes"` // of the process; zero for no limit
 		Processor Processor   `yaml:"processor"`
@@ -48,6 +49,12 @@
 		Address string `yaml:"address"` // IP:port; empty for none
 	}
 
+	// Machines says how to reach the platform's interface for the machines under
+	// the workers.
+	Machines struct {
+		Address string `yaml:"address"` // IP:port; empty if no machine needs upkeep
+	}
+
 	// Timing holds the bounds that the operators have set.
 	Timing struct {
 		Revoke    time.Duration `yaml:"revoke"`    // after which a key that was taken away must not work
@@ -106,6 +113,9 @@
 	if do.Advice.Address != "" {
 		checkAddress(tree, "$.advice.address", do.Advice.Address)
 	}
+	if do.Machines.Address != "" {
+		checkAddress(tree, "$.machines.address", do.Machines.Address)
+	}
 	checkLevel(tree, do.Log.Level)
 	if do.Memory < 0 || do.Memory > maxMemory {
 		tree.Report("$.memoryMegabytes", "memoryMegabytes must be within 0 and %d", maxMemory)
--- /dev/null
+++ b/internal/upkeep/upkeep_test.go
@@ -0,0 +1,229 @@
+package upkeep_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/upkeep"
+)
+
+type (
+	// site is a number of machines with work, in virtual time.
+	site struct {
+		rng      *rand.Rand
+		now      time.Time
+		core     *upkeep.Core
+		machines map[string]*machine
+		atOnce   int
+		reports  []upkeep.Progress
+		records  map[int]upkeep.Record
+		gone     map[string]bool // workers whose work is taken to be over
+		orders   int
+		broken   []string
+		lose     float64 // share of orders that are done and not answered
+		busy     float64 // share of orders that are refused
+	}
+
+	machine struct {
+		worker string
+		busyTo time.Time // its work ends
+		upAt   time.Time // up again
+		had    bool
+	}
+)
+
+var start = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+
+const (
+	upkeepTime = 2 * time.Second
+	tick       = 100 * time.Millisecond
+)
+
+func newSite(machines, atOnce int, work time.Duration) *site {
+	si := &site{rng: rand.New(rand.NewPCG(1, 1)), now: start, machines: map[string]*machine{}, atOnce: atOnce, records: map[int]upkeep.Record{}, gone: map[string]bool{}}
+	for i := range machines {
+		si.machines[id(i)] = &machine{worker: "w" + id(i), busyTo: start.Add(work)}
+	}
+	si.core = upkeep.New(start, upkeep.Config{Standing: si.standing})
+	return si
+}
+
+func id(i int) string { return fmt.Sprintf("m%02d", i) }
+
+func (si *site) standing(worker string) upkeep.Standing {
+	for _, ma := range si.machines {
+		if ma.worker == worker {
+			return upkeep.Standing{Idle: !si.now.Before(ma.busyTo)}
+		}
+	}
+	return upkeep.Standing{Idle: true}
+}
+
+func (si *site) wave(duration time.Duration) upkeep.Wave {
+	wa := upkeep.Wave{Number: 1, Duration: duration, AtOnce: si.atOnce}
+	for i := range len(si.machines) {
+		wa.Machines = append(wa.Machines, id(i))
+	}
+	return wa
+}
+
+func (si *site) tell(ev upkeep.Event) {
+	for _, ef := range si.core.Handle(si.now, ev) {
+		switch ef := ef.(type) {
+		case upkeep.List:
+			si.tell(upkeep.Listed{Sent: ef.Sent, Machines: si.list()})
+		case upkeep.Report:
+			si.reports = append(si.reports, ef.Progress)
+		case upkeep.Save:
+			si.records[ef.Record.Number] = ef.Record
+		case upkeep.Gone:
+			si.over(ef.Worker)
+		case upkeep.Order:
+			si.tell(upkeep.Answered{Order: ef, Err: si.order(ef)})
+		}
+	}
+}
+
+// over checks that a worker whose work is taken to be over is none any more.
+func (si *site) over(worker string) {
+	si.gone[worker] = true
+	for _, ma := range si.machines {
+		if ma.worker == worker && !si.now.Before(ma.upAt) {
+			si.broken = append(si.broken, worker+" is taken to be over and runs")
+		}
+	}
+}
+
+func (si *site) list() []upkeep.Machine {
+	var mas []upkeep.Machine
+	for i := range len(si.machines) {
+		ma := si.machines[id(i)]
+		mas = append(mas, upkeep.Machine{ID: id(i), Worker: ma.worker, Up: !si.now.Before(ma.upAt)})
+	}
+	return mas
+}
+
+// order performs an order as the platform does.
+func (si *site) order(or upkeep.Order) error {
+	ma := si.machines[or.Machine]
+	if ma.had {
+		return nil
+	}
+	if si.rng.Float64() < si.busy {
+		return upkeep.ErrBusy
+	}
+	down := 0
+	for _, other := range si.machines {
+		if si.now.Before(other.upAt) {
+			down++
+		}
+	}
+	if down >= si.atOnce {
+		si.broken = append(si.broken, fmt.Sprintf("%s goes down beside %d", or.Machine, down))
+	}
+	ma.had = true
+	ma.upAt = si.now.Add(upkeepTime)
+	ma.worker += "'"
+	si.orders++
+	if si.rng.Float64() < si.lose {
+		return upkeep.ErrLost
+	}
+	return nil
+}
+
+func (si *site) run(d time.Duration) {
+	for end := si.now.Add(d); si.now.Before(end); {
+		si.now = si.now.Add(tick)
+		si.tell(upkeep.Ticked{})
+	}
+}
+
+func (si *site) had() int {
+	n := 0
+	for _, ma := range si.machines {
+		if ma.had {
+			n++
+		}
+	}
+	return n
+}
+
+func TestWaves(t *testing.T) {
+	tests := []struct {
+		name             string
+		machines, atOnce int
+		work             time.Duration // what runs there when the wave comes
+		duration         time.Duration
+		lose, busy       float64
+	}{
+		{"idle machines", 10, 2, 0, 30 * time.Second, 0, 0},
+		{"work that ends in time", 4, 2, 5 * time.Second, 30 * time.Second, 0, 0},
+		{"work that does not end", 4, 1, time.Hour, 30 * time.Second, 0, 0},
+		{"all at once", 5, 5, time.Hour, 10 * time.Second, 0, 0},
+		{"answers are lost", 8, 2, time.Second, 40 * time.Second, 0.5, 0},
+		{"orders are refused", 8, 2, time.Second, 40 * time.Second, 0, 0.5},
+		{"both", 8, 3, time.Second, 40 * time.Second, 0.3, 0.3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			si := newSite(tt.machines, tt.atOnce, tt.work)
+			si.lose, si.busy = tt.lose, tt.busy
+			si.tell(upkeep.Asked{Wave: si.wave(tt.duration)})
+			si.run(tt.duration)
+			is.Equal(si.had(), tt.machines)
+			is.Equal(si.orders, tt.machines)
+			is.Equal(si.broken, nil)
+			si.run(10 * time.Second)
+			is.Equal(si.reports, []upkeep.Progress{upkeep.Running, upkeep.Completed})
+			is.Equal(len(si.gone), tt.machines)
+		})
+	}
+}
+
+// TestWorkIsLetEnd gives work the time to end that the wave has.
+func TestWorkIsLetEnd(t *testing.T) {
+	is := is.New(t)
+	si := newSite(1, 1, 5*time.Second)
+	si.tell(upkeep.Asked{Wave: si.wave(30 * time.Second)})
+	si.run(4900 * time.Millisecond)
+	is.Equal(si.had(), 0)
+	si.run(200 * time.Millisecond)
+	is.Equal(si.had(), 1)
+}
+
+// TestTakeover goes on with a wave under a new core, with and without the record
+// of the former one: that may have been lost with it.
+func TestTakeover(t *testing.T) {
+	for _, recorded := range []bool{false, true} {
+		is := is.New(t)
+		si := newSite(6, 2, 0)
+		wa := si.wave(30 * time.Second)
+		si.tell(upkeep.Asked{Wave: wa})
+		si.run(4 * time.Second)
+		is.True(si.had() > 2)
+		cf := upkeep.Config{Waves: []upkeep.Wave{wa}, Standing: si.standing}
+		if recorded {
+			cf.Records = []upkeep.Record{si.records[1]}
+		}
+		si.core = upkeep.New(si.now, cf)
+		si.run(25 * time.Second)
+		is.Equal(si.had(), 6)
+		is.Equal(si.orders, 6)
+		is.Equal(si.broken, nil)
+	}
+}
+
+// TestCompletedWave leaves a wave alone that was reported as completed.
+func TestCompletedWave(t *testing.T) {
+	is := is.New(t)
+	si := newSite(2, 1, 0)
+	si.core = upkeep.New(si.now, upkeep.Config{Waves: []upkeep.Wave{si.wave(time.Minute)}, Completed: []int{1}, Standing: si.standing})
+	si.run(5 * time.Second)
+	is.Equal(si.orders, 0)
+	is.Equal(len(si.reports), 0)
+}
