--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -94,7 +94,9 @@
 // Run schedules whenever this host is elected, until ctx ends. It then gives
 // its lease up.
 func (sc *Scheduler) Run(ctx context.Context) {
-	for pause.For(ctx, handicap(sc.cfg.Cores)) {
+	back := firstFactor * handicap(sc.cfg.Cores)
+	for pause.For(ctx, back) {
+		back = handicap(sc.cfg.Cores)
 		te, err := sc.elect(ctx)
 		if err != nil {
 			sc.cfg.Log.Debug("not elected", "event", "election", "reason", err)
--- a/internal/drive/drive_test.go
+++ b/internal/drive/drive_test.go
@@ -189,6 +189,19 @@
 	si.unbroken()
 }
 
+// TestStrongerHostOfTwoThatStart starts a strong host a little after a weak one.
+func TestStrongerHostOfTwoThatStart(t *testing.T) {
+	for range 3 {
+		is := is.New(t)
+		si := newSite(t, 1)
+		si.hostOf("weak", 0.2)
+		time.Sleep(work)
+		si.hostOf("strong", 0.8)
+		kvsim.Eventually(t, func() bool { return si.holder() != "" })
+		is.Equal(si.holder(), "strong")
+	}
+}
+
 // TestStrongerHostSchedules lets a weak and a strong host wait for the holder's
 // key and leaves it vacant.
 func TestStrongerHostSchedules(t *testing.T) {
--- a/internal/drive/elect.go
+++ b/internal/drive/elect.go
@@ -24,6 +24,9 @@
 	// for election first, and maxHandicap bounds that of the weakest.
 	handicapUnit = 40 * time.Millisecond
 	maxHandicap  = 300 * time.Millisecond
+	// firstFactor multiplies it for the first election of a process, since
+	// hosts that start together do so some hundred milliseconds apart.
+	firstFactor = 3
 	// electTime bounds the calls of an election.
 	electTime = 2 * time.Second
 	// handOffTime bounds the call that gives the lease up.
