Count only the time since a system began as available

Change: the manifest of the declarations keeps when the first file was applied, hosts pass it on with the declarations, and the report counts from then.

TestYoungSystem and the new lines of TestApplyGrowsTheRevision need the change.

--- a/internal/conf/apply.go
+++ b/internal/conf/apply.go
@@ -115,6 +115,9 @@
 	next, chunks := prev.successor(inForce+1, ap.id).withContent(ap.req.Content)
 	next.AppliedBy = ap.req.By
 	next.AppliedAt = ap.now
+	if inForce == 0 {
+		next.Since = ap.now
+	}
 	err = ap.replace(ctx, ent.Revision, prev, next, chunks)
 	var lost *lostRaceError
 	switch {
@@ -197,7 +200,7 @@
 func (ap applier) current(mf manifest) Current {
 	return Current{
 		Revision: mf.Revision, Content: ap.req.Content, Declarations: ap.de,
-		AppliedBy: mf.AppliedBy, AppliedAt: mf.AppliedAt,
+		AppliedBy: mf.AppliedBy, AppliedAt: mf.AppliedAt, Since: mf.Since,
 	}
 }
 
--- a/internal/conf/apply_test.go
+++ b/internal/conf/apply_test.go
@@ -63,6 +63,8 @@
 	two, _, err := apply(t.Context(), st, "eva", variant("2"))
 	is.NoErr(err)
 	is.Equal(two.Revision, int64(2))
+	is.True(one.Since.Equal(noon))
+	is.True(two.Since.Equal(noon)) // of the first
 }
 
 func TestApplyRefusesFaults(t *testing.T) {
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -29,6 +29,7 @@
 		Declarations *spec.Declarations
 		AppliedBy    string
 		AppliedAt    time.Time
+		Since        time.Time // when the first file was applied; zero if that is not known
 	}
 
 	// manifest is the value of ManifestKey.
@@ -40,6 +41,7 @@
 		Chunks    []string  `json:"chunks,omitempty"` // digests, in order, if there is no Content
 		AppliedBy string    `json:"appliedBy"`
 		AppliedAt time.Time `json:"appliedAt"`
+		Since     time.Time `json:"since,omitzero"`    // when the first one was applied
 		Apply     string    `json:"apply"`             // unique to one call of Apply
 		Earlier   []applied `json:"earlier,omitempty"` // those before, latest first
 	}
@@ -79,6 +81,12 @@
 	}, nil
 }
 
+// WithSince returns the file with the time at which the first one was applied.
+func (cur Current) WithSince(since time.Time) Current {
+	cur.Since = since
+	return cur
+}
+
 // decodeManifest reads the value of ManifestKey; a missing key gives a
 // manifest with revision zero.
 func decodeManifest(ent store.Entry) (manifest, error) {
@@ -94,7 +102,7 @@
 
 // successor returns the manifest that replaces mf, without content.
 func (mf manifest) successor(revision int64, apply string) manifest {
-	next := manifest{Revision: revision, Apply: apply}
+	next := manifest{Revision: revision, Apply: apply, Since: mf.Since}
 	if mf.Revision > 0 {
 		next.Earlier = append(next.Earlier, applied{mf.Revision, mf.Apply})
 	}
--- a/internal/conf/watch.go
+++ b/internal/conf/watch.go
@@ -117,7 +117,7 @@
 		fo.log.Error("declarations are not understood", "revision", mf.Revision, "error", err)
 		return false, err
 	}
-	return fo.Adopt(time.Now(), cur), nil
+	return fo.Adopt(time.Now(), cur.WithSince(mf.Since)), nil
 }
 
 // heal mends a store that was restored from an older copy: it holds less than
@@ -140,7 +140,7 @@
 	ap := applier{st: fo.st, id: id.String(), now: time.Now()}
 	next := mf.successor(before.Revision, ap.id)
 	content := before.Content
-	next.AppliedBy, next.AppliedAt = before.AppliedBy, before.AppliedAt
+	next.AppliedBy, next.AppliedAt, next.Since = before.AppliedBy, before.AppliedAt, before.Since
 	later := mf.AppliedAt.After(before.AppliedAt)
 	if later {
 		if content, err = load(ctx, fo.st, mf); err != nil {
--- a/internal/host/operate.go
+++ b/internal/host/operate.go
@@ -169,6 +169,9 @@
 		missing = append(missing, "the archive of accounts")
 	}
 	in := report.Input{Accounts: append(accounts, archived...), Missing: missing, Declarations: op.ho.specInForce(), Now: now}
+	if cur := op.ho.follower.Current(); cur != nil {
+		in.Since = cur.Since
+	}
 	rcs, unreached, err := op.ho.router.ListZones(ctx, jobs.Filter{})
 	if err != nil {
 		return nil, err
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -80,6 +80,7 @@
 	}
 	return &wire.Config{
 		Revision: cur.Revision, Content: cur.Content, AppliedBy: cur.AppliedBy, AppliedNanos: cur.AppliedAt.UnixNano(),
+		SinceNanos: sinceNanos(cur.Since),
 	}
 }
 
@@ -105,5 +106,16 @@
 	if err != nil {
 		return nil, err
 	}
+	if nanos := reply.GetSinceNanos(); nanos != 0 {
+		cur = cur.WithSince(time.Unix(0, nanos).UTC())
+	}
 	return &cur, nil
 }
+
+// sinceNanos keeps a time that is not known apart from 1970.
+func sinceNanos(since time.Time) int64 {
+	if since.IsZero() {
+		return 0
+	}
+	return since.UnixNano()
+}
--- a/internal/report/draw.go
+++ b/internal/report/draw.go
@@ -19,6 +19,7 @@
 		Declarations *spec.Declarations
 		Missing      []string // hosts and zones that could not be asked
 		Now          time.Time
+		Since        time.Time // when the system began; zero if that is not known
 	}
 
 	// drawing collects rows.
@@ -170,7 +171,7 @@
 			}
 		}
 	}
-	fl.Available = Span(dr.day.Span(dr.in.Now)) * Span(fl.Accelerators)
+	fl.Available = Span(dr.day.overlap(dr.in.Since, dr.in.Now)) * Span(fl.Accelerators)
 	for _, rc := range dr.in.Jobs {
 		fl.Busy += Span(dr.busy(rc))
 	}
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -247,6 +247,17 @@
 	is.True(strings.Contains(buf.String(), "4008=1 4017=1"))
 }
 
+// TestYoungSystem draws the report of a system that has begun on the day.
+func TestYoungSystem(t *testing.T) {
+	is := is.New(t)
+	in := exampleInput()
+	in.Jobs = nil
+	in.Since = noon.Add(-5 * time.Second)
+	is.Equal(report.Draw(july1, in).Fleet.Available, report.Span(32*5*time.Second))
+	in.Since = july1.Start.Add(-time.Hour)
+	is.Equal(report.Draw(july1, in).Fleet.Available, report.Span(32*12*time.Hour))
+}
+
 func TestCheckFindsEveryKindOfFault(t *testing.T) {
 	for name, spoil := range map[string]func(*report.Daily){
 		"offered":  func(da *report.Daily) { da.Rows[0].Offered++ },
