Have several commits under way

Records of jobs go to the store in commits of 14, one at a time; with a far store that is some 190 records a second, and a thousand jobs change at once.

Change: up to four commits are under way, each with records of other jobs. One beside others has to be full, so that a calm domain makes no more calls. The stand-in store of the random runs answers commits out of order now.

Ruled out: the processor (the scheduler's host used a quarter of a core), idle connections to workers (two in place of four changed memory, not service).

--- a/internal/domain/book.go
+++ b/internal/domain/book.go
@@ -10,18 +10,26 @@
 // book keeps what has to be written to the store.
 type book struct {
 	seq       int64
-	open      bool // a commit is under way
+	open      map[int64][]savedJob // the commits under way
+	away      map[*job]bool        // jobs in these
 	last      time.Time
 	dirty     []*job // in the order in which they changed
 	queued    map[*job]bool
-	urgent    bool         // a start waits for the next commit
-	versions  map[*job]int // of the jobs in the open commit
+	urgent    bool // a start waits for the next commit
 	waiting   map[string]int
 	waitingAt time.Time
 }
 
+// savedJob is a version of a job that a commit writes.
+type savedJob struct {
+	job     *job
+	version int
+}
+
 func newBook() book {
-	return book{queued: map[*job]bool{}, versions: map[*job]int{}, waiting: map[string]int{}}
+	return book{
+		open: map[int64][]savedJob{}, away: map[*job]bool{}, queued: map[*job]bool{}, waiting: map[string]int{},
+	}
 }
 
 // dirty notes that what must last of a job has changed.
@@ -33,30 +41,41 @@
 	}
 }
 
-// flush begins a commit if one is due.
+// takes tells whether another commit may begin. One beside others has to be
+// full, so that a calm domain makes few calls to the store.
+func (bo *book) takes() bool {
+	return len(bo.open) == 0 || (len(bo.open) < maxCommits && len(bo.dirty) >= commitRecords)
+}
+
+// flush begins a commit if one is due. A job is in one commit at a time, so that
+// its versions are written in order.
 func (co *Core) flush(now time.Time) {
 	bo := &co.book
-	if bo.open || now.Sub(bo.last) < co.gap() {
-		return
-	}
-	count := co.countWaiting(now)
-	if len(bo.dirty) == 0 && count == nil {
+	if !bo.takes() || now.Sub(bo.last) < co.gap() {
 		return
 	}
+	cm := Commit{Waiting: co.countWaiting(now)}
 	slices.SortStableFunc(bo.dirty, func(a, b *job) int { return a.Queue.Priority - b.Queue.Priority })
-	n := min(commitRecords, len(bo.dirty))
-	cm := Commit{Waiting: count}
-	clear(bo.versions)
-	for _, jb := range bo.dirty[:n] {
+	var saved []savedJob
+	var rest []*job
+	for _, jb := range bo.dirty {
+		if bo.away[jb] || len(saved) == commitRecords {
+			rest = append(rest, jb)
+			continue
+		}
 		cm.Records = append(cm.Records, jb.record())
-		bo.versions[jb] = jb.version
+		saved = append(saved, savedJob{jb, jb.version})
+		bo.away[jb] = true
 		delete(bo.queued, jb)
 	}
-	bo.dirty = slices.Clone(bo.dirty[n:])
-	bo.urgent = bo.urgent && len(bo.dirty) > 0
+	if len(saved) == 0 && cm.Waiting == nil {
+		return
+	}
+	bo.dirty = rest
+	bo.urgent = bo.urgent && len(rest) > 0
 	bo.seq++
 	cm.Seq = bo.seq
-	bo.open = true
+	bo.open[bo.seq] = saved
 	bo.last = now
 	co.emit(cm)
 }
@@ -71,13 +90,15 @@
 
 // committed takes the success of a commit.
 func (co *Core) committed(now time.Time, ev Committed) {
-	if !co.book.open || ev.Seq != co.book.seq {
+	saved, ok := co.book.open[ev.Seq]
+	if !ok {
 		return
 	}
-	co.book.open = false
-	for jb, version := range co.book.versions {
-		jb.savedVersion = version
-		for _, un := range jb.units {
+	delete(co.book.open, ev.Seq)
+	for _, sj := range saved {
+		sj.job.savedVersion = sj.version
+		delete(co.book.away, sj.job)
+		for _, un := range sj.job.units {
 			if un.phase == placed {
 				co.touch(un)
 			}
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -110,7 +110,7 @@
 
 // Busy tells whether something waits for time to pass.
 func (co *Core) Busy() bool {
-	if len(co.book.dirty) > 0 || co.book.open {
+	if len(co.book.dirty) > 0 || len(co.book.open) > 0 {
 		return true
 	}
 	for _, jb := range co.jobs {
@@ -134,7 +134,7 @@
 
 // Soon tells whether something waits for a few milliseconds to pass.
 func (co *Core) Soon() bool {
-	return co.pass || (len(co.book.dirty) > 0 && !co.book.open)
+	return co.pass || (len(co.book.dirty) > 0 && co.book.takes())
 }
 
 // settle carries the consequences of an event to their end.
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -88,8 +88,8 @@
 	// Effect is something that the shell is to do. The types below are all.
 	Effect interface{ effect() }
 
-	// Commit asks to write records. There is one at a time, and the next
-	// comes only after Committed.
+	// Commit asks to write records. Several may be under way, each with records
+	// of other jobs.
 	Commit struct {
 		Seq     int64
 		Records []batch.Record
@@ -193,6 +193,8 @@
 	// commitRecords bounds the records of a commit, so that its expectations
 	// and puts fit into one transaction of the store.
 	commitRecords = 14
+	// maxCommits bounds the commits under way.
+	maxCommits = 4
 	// keepEnded is how long ended jobs can be asked for.
 	keepEnded = 10 * time.Minute
 	// refusedPause is how long a worker that has refused a start gets no other.
--- a/internal/domain/world_test.go
+++ b/internal/domain/world_test.go
@@ -293,7 +293,8 @@
 	if cm.Waiting != nil {
 		wo.waiting = cm.Waiting.Queues
 	}
-	wo.after(storeTime, func() { wo.give(ho, domain.Committed{Seq: cm.Seq}) })
+	took := storeTime + time.Duration(wo.rng.Int64N(int64(5*storeTime)))
+	wo.after(took, func() { wo.give(ho, domain.Committed{Seq: cm.Seq}) })
 }
 
 const commitRetry = 200 * time.Millisecond
