--- a/internal/domain/leave.go
+++ b/internal/domain/leave.go
@@ -5,6 +5,13 @@
 	"time"
 )
 
+// Standing is what runs on a worker.
+type Standing struct {
+	Idle     bool // nothing
+	Pinned   bool // some work that may not be interrupted now
+	Draining bool // the worker gets no new work in any case
+}
+
 const (
 	// saveTime is how long before its worker leaves a task with checkpoints is
 	// stopped: for the stop, and for the look that brings its last checkpoint.
@@ -47,19 +54,19 @@
 	}
 }
 
-// Standing tells whether a worker is free of work, whether some of its work may
-// not be interrupted now, and whether the worker drains in any case.
-func (co *Core) Standing(worker string) (idle, pinned, draining bool) {
+// Standing returns what runs on a worker.
+func (co *Core) Standing(worker string) Standing {
 	nd, ok := co.nodes[worker]
 	if !ok {
-		return true, false, false
+		return Standing{Idle: true}
 	}
+	st := Standing{Idle: len(nd.runs) == 0, Draining: nd.worker.Draining}
 	for _, ru := range nd.runs {
 		if un := ru.unit; un != nil && un.step.Lasting && !un.mayInterrupt() {
-			pinned = true
+			st.Pinned = true
 		}
 	}
-	return len(nd.runs) == 0, pinned, nd.worker.Draining
+	return st
 }
 
 // emptyAt is when a worker should be clear of work; zero if it need not be.
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -119,11 +119,6 @@
 		te.resign()
 		return
 	}
-	if te.duty, err = te.loadDuty(time.Now()); err != nil {
-		te.log.Warn("scheduler gives up", "event", "termEnds", "reason", err)
-		te.resign()
-		return
-	}
 	te.Scheduler.holds.Store(true)
 	defer te.Scheduler.holds.Store(false)
 	te.core = domain.New(time.Now(), cf)
--- a/internal/drive/duty.go
+++ b/internal/drive/duty.go
@@ -141,8 +141,8 @@
 
 // standing tells what runs on a worker, for the loop's goroutine only.
 func (te *term) standing(worker string) upkeep.Standing {
-	idle, pinned, draining := te.core.Standing(worker)
-	return upkeep.Standing{Idle: idle, Pinned: pinned, Draining: draining}
+	st := te.core.Standing(worker)
+	return upkeep.Standing{Idle: st.Idle, Pinned: st.Pinned, Draining: st.Draining}
 }
 
 func (du *duty) handle(ev upkeep.Event) {
--- a/internal/drive/follow.go
+++ b/internal/drive/follow.go
@@ -47,6 +47,10 @@
 		policy, fo.policy, err = te.cfg.Store.Get(te.ctx, te.cfg.Layout.PolicyKey)
 		return merry.Prepend(err, "read the policy")
 	})
+	gr.Go(func() (err error) {
+		te.duty, err = te.loadDuty(time.Now())
+		return err
+	})
 	if err := gr.Wait(); err != nil {
 		return domain.Config{}, nil, err
 	}
