--- a/internal/domain/leave.go
+++ b/internal/domain/leave.go
@@ -7,7 +7,7 @@
 
 // Standing is what runs on a worker.
 type Standing struct {
-	Idle     bool // nothing
+	Idle     bool // nothing, as the worker has said itself
 	Pinned   bool // some work that may not be interrupted now
 	Draining bool // the worker gets no new work in any case
 }
@@ -60,7 +60,7 @@
 	if !ok {
 		return Standing{Idle: true}
 	}
-	st := Standing{Idle: len(nd.runs) == 0, Draining: nd.worker.Draining}
+	st := Standing{Idle: len(nd.runs) == 0 && !nd.silent(), Draining: nd.worker.Draining}
 	for _, ru := range nd.runs {
 		if un := ru.unit; un != nil && un.step.Lasting && !un.mayInterrupt() {
 			st.Pinned = true
--- a/internal/domain/leave_test.go
+++ b/internal/domain/leave_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
 	"github.com/cicadawharf/cicadawharf/internal/domain"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
 )
 
 // TestWorkerLeaves gives notice that a worker leaves three seconds later, while
@@ -94,3 +95,17 @@
 	is.Equal(wo.state("later"), batch.Done)
 	is.Equal(wo.check(), nil)
 }
+
+// TestUnheardWorkerIsNotIdle asks what stands on workers that have not answered
+// a new core yet, or not any more.
+func TestUnheardWorkerIsNotIdle(t *testing.T) {
+	is := is.New(t)
+	wo := calm(2)
+	is.True(wo.holder.core.Standing("w00").Idle)
+	wo.silent["w00"] = true
+	wo.submit(single("j", 1, 16, time.Hour)) // a call to each
+	wo.run(3 * time.Second)
+	is.True(!wo.holder.core.Standing("w00").Idle)
+	fresh := domain.New(wo.now, domain.Config{Token: 9, Workers: []runner.Worker{wo.workers["w11"]}})
+	is.True(!fresh.Standing("w11").Idle)
+}
--- a/internal/drive/duty.go
+++ b/internal/drive/duty.go
@@ -64,18 +64,7 @@
 		return nil, merry.Prepend(err, "list "+la.Prefix)
 	}
 	du.after = rev
-	cf := upkeep.Config{Standing: te.standing}
-	for _, en := range reports {
-		number, err := strconv.Atoi(strings.TrimPrefix(en.Key, la.StatusPrefix))
-		progress, err2 := la.Decode(en.Value)
-		if err != nil || err2 != nil {
-			te.foreign(en.Key, merry.New("no report of a wave"))
-			continue
-		}
-		if progress == upkeep.Completed {
-			cf.Completed = append(cf.Completed, number)
-		}
-	}
+	cf := upkeep.Config{Standing: te.standing, Completed: du.completed(reports)}
 	for _, en := range records {
 		rc, err := decodeUpkeep(en.Value)
 		if err != nil {
@@ -93,6 +82,27 @@
 	return du, nil
 }
 
+// completed returns the waves that were reported as completed.
+func (du *duty) completed(reports []store.Entry) []int {
+	var numbers []int
+	for _, en := range reports {
+		number, err := strconv.Atoi(strings.TrimPrefix(en.Key, du.layout.StatusPrefix))
+		if err != nil {
+			du.foreign(en.Key, err)
+			continue
+		}
+		progress, err := du.layout.Decode(en.Value)
+		if err != nil {
+			du.foreign(en.Key, err)
+			continue
+		}
+		if progress == upkeep.Completed {
+			numbers = append(numbers, number)
+		}
+	}
+	return numbers
+}
+
 func (du *duty) start() {
 	go du.write()
 	go du.follow(du.layout.Prefix, du.after, du.tellWave, du.reread)
--- a/internal/sched/caller.go
+++ b/internal/sched/caller.go
@@ -51,8 +51,13 @@
 	if !ok {
 		return codes.New(codes.UnknownWorkspace, "workspace %q", sp.Workspace)
 	}
+	zn, ok := co.decl.Zone(co.zone)
+	if !ok {
+		return codes.New(codes.ShapeNeverFits, "availability zone %s is not declared", co.zone)
+	}
+	empty := place.NewFleet(place.DeclaredWorkers(zn), place.UnitsOf(co.decl, co.zone))
 	for _, st := range sp.Steps() {
-		if er := co.admitGang(ws, sp, st.Shape); er != nil {
+		if er := co.admitGang(ws, empty, sp, st.Shape); er != nil {
 			return er
 		}
 	}
@@ -65,27 +70,23 @@
 	return nil
 }
 
-// admitGang tells why the gang of a step is refused, or nil.
-func (co *Core) admitGang(ws spec.Workspace, sp jobs.Spec, sh spec.Shape) *codes.Error {
+// admitGang tells why the gang of a step is refused, or nil. The fleet has the
+// declared workers and no work.
+func (co *Core) admitGang(ws spec.Workspace, empty *place.Fleet, sp jobs.Spec, sh spec.Shape) *codes.Error {
 	if er := checkShape(sh); er != nil {
 		return er
 	}
 	if ws.Quota > 0 && sh.Total() > ws.Quota {
 		return codes.New(codes.QuotaExceeded, "the gang holds %d accelerators, the quota is %d", sh.Total(), ws.Quota)
 	}
-	return co.checkFits(sp, sh)
+	return co.checkFits(empty, sp, sh)
 }
 
 // checkFits refuses what could not run on the declared workers if nothing else
 // did: because of its shape, or because it could not make room for guarantees.
-func (co *Core) checkFits(sp jobs.Spec, sh spec.Shape) *codes.Error {
-	zn, ok := co.decl.Zone(co.zone)
-	if !ok {
-		return codes.New(codes.ShapeNeverFits, "availability zone %s is not declared", co.zone)
-	}
-	fl := place.NewFleet(place.DeclaredWorkers(zn), place.UnitsOf(co.decl, co.zone))
+func (co *Core) checkFits(empty *place.Fleet, sp jobs.Spec, sh spec.Shape) *codes.Error {
 	rq := place.Request{Job: sp.ID, Workspace: sp.Workspace, Shape: sh, Priority: sp.Priority, Movable: sp.Movable()}
-	de := fl.Decide(time.Time{}, rq)
+	de := empty.Decide(time.Time{}, rq)
 	if wa, ok := de.(place.Waits); ok {
 		return codes.New(codes.ShapeNeverFits, "%d tasks of %d accelerators within one %s of %s: %s",
 			sh.Tasks, sh.Accelerators, sh.Adjacency, co.zone, wa.Reason)
