Tell what waits for room, what is kept, and what stops lose

A domain's scheduler now writes event=waits once a second, for each queue and rank in which units wait, and says the processor time lost by each stop and, at the end of a job, its wait, stops and losses; gauges and counters say the same. No decision changes. Tests of domain, drive and pages pass; domain.TestWaitsTellWhatWaitsAndWhatRoomIsKept is new.

--- /dev/null
+++ b/internal/domain/backlog.go
@@ -0,0 +1,95 @@
+package domain
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+type (
+	// Backlog is the units of one queue and rank that wait for room.
+	Backlog struct {
+		Queue        string
+		Rank         string // assured, timely or late
+		Units        int
+		Accelerators int           // that they need
+		Oldest       time.Duration // since the job of the oldest one is known
+	}
+
+	// Accelerators is what the workers that take work have.
+	Accelerators struct {
+		Total int
+		Free  int
+		Kept  int // of the free ones, kept for units that need several
+	}
+
+	backlogKey struct {
+		queue string
+		class int
+	}
+)
+
+// reportGap is the least time between two reports of what waits.
+const reportGap = time.Second
+
+var classNames = [...]string{classAssured: "assured", classTimely: "timely", classLate: "late"}
+
+// report tells what waits after a round, and once that nothing does any more.
+func (co *Core) report(ps *pass, ras []rank) {
+	if ps.now.Sub(co.reported) < reportGap {
+		return
+	}
+	backlogs := backlogsOf(ps.now, ras)
+	if len(backlogs) == 0 && !co.backlogged {
+		return
+	}
+	co.reported = ps.now
+	co.backlogged = len(backlogs) > 0
+	co.emit(Waits{Backlogs: backlogs, Accelerators: co.accelerators(ps)})
+}
+
+// backlogsOf adds up the ranked units that were not placed.
+func backlogsOf(now time.Time, ras []rank) []Backlog {
+	sums := map[backlogKey]*Backlog{}
+	for _, ra := range ras {
+		un := ra.un
+		if un.phase != waiting || un.claim != nil {
+			continue
+		}
+		key := backlogKey{queue: un.job.Queue.Name, class: ra.class}
+		if sums[key] == nil {
+			sums[key] = &Backlog{Queue: key.queue, Rank: classNames[key.class]}
+		}
+		sums[key].add(now, un)
+	}
+	backlogs := make([]Backlog, 0, len(sums))
+	for _, sum := range sums {
+		backlogs = append(backlogs, *sum)
+	}
+	slices.SortFunc(backlogs, func(a, b Backlog) int {
+		return cmp.Or(cmp.Compare(a.Queue, b.Queue), cmp.Compare(a.Rank, b.Rank))
+	})
+	return backlogs
+}
+
+func (bl *Backlog) add(now time.Time, un *unit) {
+	bl.Units++
+	bl.Accelerators += un.tasks * un.step.Needs.Accelerators
+	bl.Oldest = max(bl.Oldest, now.Sub(un.submitted()))
+}
+
+// accelerators adds up those of the workers that a round has looked at.
+func (co *Core) accelerators(ps *pass) Accelerators {
+	var sum Accelerators
+	for _, nds := range ps.service {
+		for _, nd := range nds {
+			free := max(0, nd.free().Accelerators)
+			sum.Total += nd.worker.Capacity.Accelerators
+			sum.Free += free
+			if ps.kept[nd] {
+				sum.Kept += free
+			}
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/domain/backlog_test.go
@@ -0,0 +1,40 @@
+package domain_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/domain"
+)
+
+// TestWaitsTellWhatWaitsAndWhatRoomIsKept fills a fleet and lets a gang of whole
+// workers and a single task wait.
+func TestWaitsTellWhatWaitsAndWhatRoomIsKept(t *testing.T) {
+	is := is.New(t)
+	wo := calm(2)
+	fill, pl := single("fill", 1, 12, 10*time.Second)
+	wo.submit(fill, pl)
+	wo.run(time.Second)
+	gang, pl := single("gang", 1, 2, time.Second)
+	gang.Steps[0].Gang = true
+	gang.Steps[0].Needs.Accelerators = 8
+	wo.submit(gang, pl)
+	small, pl := single("small", 2, 1, time.Second)
+	wo.submit(small, pl)
+	wo.waits = nil
+	wo.run(900 * time.Millisecond)
+	is.Equal(len(wo.waits), 1) // no more than one a second
+	wa := wo.waits[0]
+	is.Equal(wa.Accelerators, domain.Accelerators{Total: 16, Free: 4, Kept: 4})
+	is.Equal(len(wa.Backlogs), 2)
+	is.True(wa.Backlogs[0].Oldest > 0)
+	wa.Backlogs[0].Oldest, wa.Backlogs[1].Oldest = 0, 0
+	is.Equal(wa.Backlogs, []domain.Backlog{
+		{Queue: "q1", Rank: "timely", Units: 1, Accelerators: 16},
+		{Queue: "q2", Rank: "timely", Units: 1, Accelerators: 1},
+	})
+	wo.run(20 * time.Second)
+	is.Equal(wo.waits[len(wo.waits)-1].Backlogs, []domain.Backlog{}) // told once that nothing waits
+}
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -24,21 +24,23 @@
 	// Core is the state of a scheduling domain under one token. It is not safe
 	// for concurrent use.
 	Core struct {
-		token   int64
-		began   time.Time
-		policy  *batch.Policy
-		jobs    map[string]*job
-		order   []*job // jobs as they came
-		nodes   map[string]*node
-		sorted  []*node        // nodes by ID; nil if it has to be made anew
-		changed map[*unit]bool // to be evaluated
-		pass    bool           // a placement pass is due
-		passed  time.Time      // when the last one was
-		waiting int            // units that waited then
-		book    book
-		asking  int // calls for advice under way
-		effects []Effect
-		gone    bool // resigned
+		token      int64
+		began      time.Time
+		policy     *batch.Policy
+		jobs       map[string]*job
+		order      []*job // jobs as they came
+		nodes      map[string]*node
+		sorted     []*node        // nodes by ID; nil if it has to be made anew
+		changed    map[*unit]bool // to be evaluated
+		pass       bool           // a placement pass is due
+		passed     time.Time      // when the last one was
+		waiting    int            // units that waited then
+		reported   time.Time      // when what waits was last told
+		backlogged bool           // something waited then
+		book       book
+		asking     int // calls for advice under way
+		effects    []Effect
+		gone       bool // resigned
 	}
 )
 
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -131,13 +131,22 @@
 		Job      string
 		Task     string
 		Queue    string        // of a placed unit
-		Waited   time.Duration // of a placed unit
+		Waited   time.Duration // of a placed unit, or of a job that ends until its first start
+		Took     time.Duration // of a job that ends, since it is known
+		Lost     time.Duration // of processor time, by a stop or by all stops of a job
+		Stops    int           // of a job that ends: attempts that were stopped for other work
 		Attempt  int
 		Worker   string
 		Workers  []string
 		Reason   string
 	}
 
+	// Waits says once a second what waits for room, and what room there is.
+	Waits struct {
+		Backlogs     []Backlog
+		Accelerators Accelerators
+	}
+
 	// Resign ends the core: another one holds a larger token.
 	Resign struct{ Reason string }
 )
@@ -223,4 +232,5 @@
 func (Advise) effect() {}
 func (Forget) effect() {}
 func (Noted) effect()  {}
+func (Waits) effect()  {}
 func (Resign) effect() {}
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -21,9 +21,12 @@
 		known        time.Time
 		ended        time.Time
 		advice       map[stepKey]*advice
-		begun        bool // some task is known to have run
-		version      int  // counts the changes of what must last
-		savedVersion int  // that stands in the store
+		begun        bool          // some task is known to have run
+		firstStart   time.Time     // when the first task was placed, under this core
+		stops        int           // attempts that were stopped for other work, under this core
+		lost         time.Duration // of processor time, by these
+		version      int           // counts the changes of what must last
+		savedVersion int           // that stands in the store
 	}
 
 	// unit is what is started as one: a gang, or a single task.
@@ -116,7 +119,10 @@
 	jb.state = st
 	jb.ended = now
 	co.dirty(jb)
-	co.emit(Noted{Decision: "jobEnds", Job: jb.ID, Reason: st.String() + ": " + reason})
+	co.emit(Noted{
+		Decision: "jobEnds", Job: jb.ID, Queue: jb.Queue.Name, Waited: jb.waited(now), Took: now.Sub(jb.known),
+		Stops: jb.stops, Lost: jb.lost, Reason: st.String() + ": " + reason,
+	})
 	for _, un := range jb.units {
 		co.release(un)
 		co.touch(un)
@@ -124,6 +130,14 @@
 	co.pass = true
 }
 
+// waited returns how long a job has waited for its first start.
+func (jb *job) waited(now time.Time) time.Duration {
+	if jb.firstStart.IsZero() {
+		return now.Sub(jb.known)
+	}
+	return jb.firstStart.Sub(jb.known)
+}
+
 // record returns what must last of a job.
 func (jb *job) record() batch.Record {
 	rc := batch.Record{ID: jb.ID, State: jb.state}
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -85,6 +85,7 @@
 		ps.full[key] = true
 		co.keep(ps, un, key)
 	}
+	co.report(ps, ras)
 }
 
 func (co *Core) shapeOf(ps *pass, ra rank) shape {
@@ -331,6 +332,7 @@
 	un.runs = nil
 	if un.job.state == batch.Queued {
 		un.job.state = batch.Running
+		un.job.firstStart = now
 	}
 	names := make([]string, len(nodes))
 	for i, nd := range nodes {
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -65,6 +65,8 @@
 	}
 	for _, vi := range slices.SortedFunc(maps.Keys(best.victims), compareUnits) {
 		vi.yielded++
+		vi.job.stops++
+		vi.job.lost += vi.unsaved(ps.now)
 		co.stopUnit(ps.now, vi, "guaranteed work of "+un.job.Workspace+" needs the room")
 	}
 	un.claim = best.nodes
@@ -247,6 +249,15 @@
 	return lost * time.Duration(un.cores())
 }
 
+// unsaved is the processor time that a unit has taken and no checkpoint holds.
+func (un *unit) unsaved(now time.Time) time.Duration {
+	since := un.allSeen()
+	if since.IsZero() || un.step.Checkpoints {
+		return 0
+	}
+	return now.Sub(since) * time.Duration(un.cores())
+}
+
 // cores is what a unit takes, in cores.
 func (un *unit) cores() int {
 	return un.tasks * (un.step.Needs.MilliCPU/1000 + acceleratorCores*un.step.Needs.Accelerators)
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -121,10 +121,14 @@
 // stopUnit stops every task of a unit that is not over.
 func (co *Core) stopUnit(now time.Time, un *unit, reason string) {
 	un.phase = stopping
+	lost := un.unsaved(now)
 	for _, ru := range un.runs {
 		co.stopRun(now, ru)
 	}
-	co.emit(Noted{Decision: "stops", Job: un.job.ID, Task: un.taskID(0).String(), Attempt: un.attempt, Reason: reason})
+	co.emit(Noted{
+		Decision: "stops", Job: un.job.ID, Task: un.taskID(0).String(), Queue: un.job.Queue.Name, Attempt: un.attempt,
+		Lost: lost, Reason: reason,
+	})
 }
 
 func (co *Core) stopRun(now time.Time, ru *run) {
--- a/internal/domain/world_test.go
+++ b/internal/domain/world_test.go
@@ -37,6 +37,7 @@
 		holder  *holder
 		faults  faults
 		notes   []domain.Noted
+		waits   []domain.Waits
 		tickets map[string]map[string]string // of jobs whose queue needs advice, by worker
 		advised int                          // calls for advice
 		log     []string
@@ -257,6 +258,8 @@
 	case domain.Noted:
 		wo.notes = append(wo.notes, ef)
 		wo.log = append(wo.log, fmt.Sprintf("%s token %d %+v", wo.now.Format("05.000"), ho.token, ef))
+	case domain.Waits:
+		wo.waits = append(wo.waits, ef)
 	case domain.Resign:
 		ho.dead = true
 	}
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -68,7 +68,8 @@
 		core    *domain.Core
 		events  chan domain.Event
 		ledger  *ledger
-		duty    *duty // nil if no machine needs upkeep
+		duty    *duty           // nil if no machine needs upkeep
+		gauged  map[string]bool // gauges of waiting work that are set
 	}
 )
 
@@ -218,6 +219,9 @@
 	case domain.Noted:
 		countDecision(ef)
 		te.note(ef)
+	case domain.Waits:
+		te.gaugeWaits(ef)
+		te.reportWaits(ef)
 	case domain.Resign:
 		te.log.Warn("scheduler resigns", "event", "resigns", "reason", ef.Reason)
 		te.end()
@@ -263,27 +267,5 @@
 	te.tell(domain.Advised{Call: ef, Advice: ad, Err: err})
 }
 
-// note writes the line of a decision.
-func (te *term) note(no domain.Noted) {
-	args := []any{"event", no.Decision}
-	add := func(key, value string) {
-		if value != "" {
-			args = append(args, key, value)
-		}
-	}
-	add("job", no.Job)
-	add("task", no.Task)
-	add("queue", no.Queue)
-	if no.Attempt > 0 {
-		args = append(args, "attempt", no.Attempt)
-	}
-	add("worker", no.Worker)
-	if len(no.Workers) > 0 {
-		args = append(args, "workers", no.Workers)
-	}
-	add("reason", no.Reason)
-	te.log.Info("decision", args...)
-}
-
 // pauseFor waits and tells whether the term goes on.
 func (te *term) pauseFor(d time.Duration) bool { return pause.For(te.ctx, d) }
--- a/internal/drive/meters.go
+++ b/internal/drive/meters.go
@@ -26,6 +26,36 @@
 	if no.Decision == "placed" && no.Attempt == 1 {
 		metrics.GetOrCreateHistogram(fmt.Sprintf("cicadawharf_domain_wait_seconds{queue=%q}", no.Queue)).Update(no.Waited.Seconds())
 	}
+	switch no.Decision {
+	case "stops":
+		metrics.GetOrCreateFloatCounter(fmt.Sprintf("cicadawharf_domain_lost_core_seconds_total{queue=%q}", no.Queue)).Add(no.Lost.Seconds())
+	case "jobEnds":
+		metrics.GetOrCreateHistogram(fmt.Sprintf("cicadawharf_domain_job_seconds{queue=%q}", no.Queue)).Update(no.Took.Seconds())
+	}
+}
+
+// gaugeWaits sets the gauges of what waits, and clears those of queues and ranks
+// in which nothing waits any more.
+func (te *term) gaugeWaits(wa domain.Waits) {
+	present := map[string]bool{}
+	for _, bl := range wa.Backlogs {
+		name := fmt.Sprintf("cicadawharf_domain_waiting_units{queue=%q,rank=%q}", bl.Queue, bl.Rank)
+		present[name] = true
+		metrics.GetOrCreateGauge(name, nil).Set(float64(bl.Units))
+	}
+	for name := range te.gauged {
+		if !present[name] {
+			metrics.UnregisterMetric(name)
+		}
+	}
+	te.gauged = present
+	acceleratorGauge("total").Set(float64(wa.Accelerators.Total))
+	acceleratorGauge("free").Set(float64(wa.Accelerators.Free))
+	acceleratorGauge("kept").Set(float64(wa.Accelerators.Kept))
+}
+
+func acceleratorGauge(state string) *metrics.Gauge {
+	return metrics.GetOrCreateGauge(fmt.Sprintf("cicadawharf_domain_accelerators{state=%q}", state), nil)
 }
 
 // countCall counts and times a call to a worker.
--- /dev/null
+++ b/internal/drive/note.go
@@ -0,0 +1,49 @@
+package drive
+
+import (
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/domain"
+)
+
+// note writes the line of a decision.
+func (te *term) note(no domain.Noted) {
+	args := []any{"event", no.Decision}
+	add := func(key, value string) {
+		if value != "" {
+			args = append(args, key, value)
+		}
+	}
+	add("job", no.Job)
+	add("task", no.Task)
+	add("queue", no.Queue)
+	if no.Attempt > 0 {
+		args = append(args, "attempt", no.Attempt)
+	}
+	addTime := func(key string, d time.Duration) {
+		if d > 0 {
+			args = append(args, key, d.Round(time.Millisecond))
+		}
+	}
+	add("worker", no.Worker)
+	if len(no.Workers) > 0 {
+		args = append(args, "workers", no.Workers)
+	}
+	if no.Decision == "jobEnds" {
+		addTime("took", no.Took)
+		addTime("waited", no.Waited)
+		args = append(args, "stops", no.Stops)
+	}
+	addTime("lost", no.Lost)
+	add("reason", no.Reason)
+	te.log.Info("decision", args...)
+}
+
+// reportWaits writes a line for each queue and rank in which units wait.
+func (te *term) reportWaits(wa domain.Waits) {
+	for _, bl := range wa.Backlogs {
+		te.log.Info("work waits", "event", "waits", "queue", bl.Queue, "rank", bl.Rank, "units", bl.Units,
+			"accelerators", bl.Accelerators, "oldest", bl.Oldest.Round(time.Millisecond),
+			"free", wa.Accelerators.Free, "kept", wa.Accelerators.Kept, "total", wa.Accelerators.Total)
+	}
+}
