--- /dev/null
+++ b/internal/domain/starve_test.go
@@ -0,0 +1,64 @@
+package domain_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+)
+
+// TestUrgentWorkStarvesTheLastQueue lets gangs of a more urgent queue come as
+// fast as the fleet can run them, and hands in small jobs of the last queue.
+// Each of these has to meet its objective, which is three times its work.
+func TestUrgentWorkStarvesTheLastQueue(t *testing.T) {
+	is := is.New(t)
+	wo := calm(8)
+	var small []string
+	for i := range 60 {
+		gang, pl := single(fmt.Sprintf("gang%02d", i), 1, 2, 4*time.Second)
+		gang.Steps[0].Gang = true
+		gang.Steps[0].Needs.Accelerators = 8
+		wo.submit(gang, pl)
+		if i >= 8 && i%8 == 0 {
+			jb, pl := single(fmt.Sprintf("small%02d", i), 2, 6, 4*time.Second)
+			jb.Workspace = "b"
+			wo.submit(jb, pl)
+			small = append(small, jb.ID)
+		}
+		wo.run(900 * time.Millisecond)
+	}
+	for _, id := range small {
+		jb := wo.jobs[id]
+		took := wo.took(id)
+		t.Logf("%s: %v, %v", id, wo.state(id), took)
+		is.Equal(wo.state(id), batch.Done)                     // it was not starved
+		is.True(took <= jb.Queue.Objective(jb.LongestChain())) // and met its objective
+	}
+	is.Equal(wo.check(), nil)
+}
+
+// TestTakeoverForgetsHowLongJobsHaveWaited lets one job after the other wait for
+// a full fleet, and changes the scheduler. They begin as they came.
+func TestTakeoverForgetsHowLongJobsHaveWaited(t *testing.T) {
+	is := is.New(t)
+	wo := calm(1)
+	fill, pl := single("fill", 1, 8, 12*time.Second)
+	wo.submit(fill, pl)
+	wo.run(time.Second)
+	for _, id := range []string{"c", "b", "a"} { // not in the order of their IDs
+		jb, pl := single(id, 1, 8, time.Second)
+		wo.submit(jb, pl)
+		wo.run(time.Second)
+	}
+	wo.elect()
+	wo.waits = nil
+	wo.run(time.Second)
+	is.True(len(wo.waits) > 0)
+	is.True(wo.waits[0].Backlogs[0].Oldest >= 3*time.Second)
+	wo.run(20 * time.Second)
+	is.True(wo.endOf("c").Before(wo.endOf("b")))
+	is.True(wo.endOf("b").Before(wo.endOf("a")))
+}
--- a/internal/domain/world_test.go
+++ b/internal/domain/world_test.go
@@ -32,7 +32,8 @@
 		accepts []string
 		cancels map[string]time.Time
 		records map[string]batch.Record
-		waiting map[string]int // jobs that have not begun, by queue
+		waiting map[string]int       // jobs that have not begun, by queue
+		ends    map[string]time.Time // of jobs, as the store shows them
 		token   int64
 		holder  *holder
 		faults  faults
@@ -105,7 +106,7 @@
 	wo := &world{
 		rng: rand.New(rand.NewPCG(seed, 1)), now: start, workers: map[string]runner.Worker{}, silent: map[string]bool{},
 		jobs: map[string]batch.Job{}, plans: map[string][]planned{}, cancels: map[string]time.Time{},
-		records: map[string]batch.Record{},
+		records: map[string]batch.Record{}, ends: map[string]time.Time{},
 		policy: &batch.Policy{Version: 1, Queues: []batch.Queue{
 			queueOf(0), queueOf(1), queueOf(2),
 		}, Workspaces: []batch.Workspace{{Name: "a", Guaranteed: 16}, {Name: "b", Guaranteed: 16}}},
@@ -292,6 +293,9 @@
 	}
 	for _, rc := range cm.Records {
 		wo.records[rc.ID] = rc
+		if _, ended := wo.ends[rc.ID]; rc.State.Final() && !ended {
+			wo.ends[rc.ID] = wo.now
+		}
 	}
 	if cm.Waiting != nil {
 		wo.waiting = cm.Waiting.Queues
@@ -385,6 +389,17 @@
 	return batch.Queued
 }
 
+// endOf returns when a job was first shown to have ended, or now.
+func (wo *world) endOf(id string) time.Time {
+	if at, ok := wo.ends[id]; ok {
+		return at
+	}
+	return wo.now
+}
+
+// took returns how long a job has taken from its submission to its end.
+func (wo *world) took(id string) time.Duration { return wo.endOf(id).Sub(wo.jobs[id].Accepted) }
+
 // check returns what is wrong: broken rules, and jobs whose shown state does not
 // agree with what has run.
 func (wo *world) check() []string {
