Keep the age of jobs over a change of the scheduler

What callers saw: after a change of the scheduler, jobs that had waited longest stood behind jobs that came last, and all had their objective begin anew. Cause: the core counts the age of a job from when it hears of it, and a new core hears of all of them at once, in the order of their IDs. Nothing carried the age over, though the job says when it was accepted. Why this works: a core that begins takes the age of what stands in the store from the time of acceptance and sorts by it. Jobs that come later are counted from when they are heard of, as before, so that clocks that differ by seconds matter only at a takeover.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -55,8 +55,9 @@
 		co.list(now, wk)
 	}
 	for _, jb := range cf.Jobs {
-		co.add(newJob(jb, now))
+		co.add(newJob(jb, now.Add(-ageOf(now, jb))))
 	}
+	slices.SortFunc(co.order, compareJobs)
 	for _, rc := range cf.Records {
 		if jb, ok := co.jobs[rc.ID]; ok {
 			co.adopt(now, jb, rc)
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -18,7 +18,7 @@
 		chain        time.Duration // declared run time of its longest chain of steps
 		stepLeft     []int         // units that are not done, by occurrence and step
 		left         int           // units that are not done; lasting ones never are
-		known        time.Time
+		known        time.Time // when it was accepted
 		ended        time.Time
 		advice       map[stepKey]*advice
 		begun        bool          // some task is known to have run
@@ -96,6 +96,12 @@
 	jb.stepLeft[occurrence*len(jb.Steps)+at] = count
 }
 
+// ageOf returns how long ago a job was accepted. The clocks of the host that
+// accepted it and of this one may differ by seconds.
+func ageOf(now time.Time, jb batch.Job) time.Duration {
+	return max(0, now.Sub(jb.Accepted))
+}
+
 // accept takes in a job that is new to this core.
 func (co *Core) accept(now time.Time, jb batch.Job) {
 	if _, ok := co.jobs[jb.ID]; ok {
@@ -295,9 +301,14 @@
 	return un.submitted().Add(un.job.Queue.Objective(un.job.chain))
 }
 
+// compareJobs orders jobs as they came.
+func compareJobs(a, b *job) int {
+	return cmp.Or(a.known.Compare(b.known), cmp.Compare(a.ID, b.ID))
+}
+
 func compareUnits(a, b *unit) int {
 	return cmp.Or(
-		a.job.known.Compare(b.job.known), cmp.Compare(a.job.ID, b.job.ID),
+		compareJobs(a.job, b.job),
 		cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.at, b.at), cmp.Compare(a.index, b.index),
 	)
 }
