Keep guarantees over a change of the scheduler

What callers saw: after a change of the scheduler, work within one workspace's guarantee was stopped for another's, and begun anew elsewhere by stopping more; and a workspace could run its guarantee once more beside what it already ran. Cause: which units count against a guarantee is known to the running core alone. A new core adopts what runs without it, so guaranteed work yields like any other, and the guarantee looks unused. Why this works: a new core counts the most urgent units that it adopts against the guarantees of their workspaces, oldest first, by the same rule as when they were placed. Evidence: domain.TestTakeoverForgetsWhatIsGuaranteed: without the change all 16 guaranteed tasks of one workspace are stopped (16 != 0) when another asks for its guarantee, though 16 tasks without one run beside them; with it none is.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -63,6 +63,7 @@
 			co.adopt(now, jb, rc)
 		}
 	}
+	co.assureAdopted()
 	for _, id := range cf.Cancelled {
 		co.cancel(now, id)
 	}
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -18,7 +18,7 @@
 		chain        time.Duration // declared run time of its longest chain of steps
 		stepLeft     []int         // units that are not done, by occurrence and step
 		left         int           // units that are not done; lasting ones never are
-		known        time.Time // when it was accepted
+		known        time.Time     // when it was accepted
 		ended        time.Time
 		advice       map[stepKey]*advice
 		begun        bool          // some task is known to have run
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -56,17 +56,8 @@
 func (co *Core) classify(now time.Time, ra rank, held map[string]int) int {
 	un := ra.un
 	un.assured = false
-	if ra.priority == 0 && co.policy != nil {
-		ws := un.job.Workspace
-		if _, ok := held[ws]; !ok {
-			held[ws] = co.held(ws)
-		}
-		need := un.tasks * un.step.Needs.Accelerators
-		if held[ws]+need <= co.policy.Guaranteed(ws) {
-			held[ws] += need
-			un.assured = true
-			return classAssured
-		}
+	if ra.priority == 0 && co.assure(un, held) {
+		return classAssured
 	}
 	if !un.step.Lasting && un.hopeless(now) {
 		return classLate
@@ -74,6 +65,41 @@
 	return classTimely
 }
 
+// assure counts a unit against the guarantee of its workspace if that has room
+// for it, and tells whether it does. What the workspaces hold is added up once.
+func (co *Core) assure(un *unit, held map[string]int) bool {
+	if co.policy == nil {
+		return false
+	}
+	ws := un.job.Workspace
+	if _, ok := held[ws]; !ok {
+		held[ws] = co.held(ws)
+	}
+	need := un.tasks * un.step.Needs.Accelerators
+	if held[ws]+need > co.policy.Guaranteed(ws) {
+		return false
+	}
+	held[ws] += need
+	un.assured = true
+	return true
+}
+
+// assureAdopted does so for the most urgent units that a former core has
+// started, so that they keep their room and fill their guarantee.
+func (co *Core) assureAdopted() {
+	held := map[string]int{}
+	for _, jb := range co.order {
+		if jb.state.Final() || co.queueOf(jb).Priority != 0 {
+			continue
+		}
+		for _, un := range jb.units {
+			if len(un.runs) > 0 {
+				co.assure(un, held)
+			}
+		}
+	}
+}
+
 // hopeless tells whether a unit started now would end after its job has stopped
 // earning anything.
 func (un *unit) hopeless(now time.Time) bool {
--- a/internal/domain/starve_test.go
+++ b/internal/domain/starve_test.go
@@ -62,3 +62,27 @@
 	is.True(wo.endOf("c").Before(wo.endOf("b")))
 	is.True(wo.endOf("b").Before(wo.endOf("a")))
 }
+
+// TestTakeoverForgetsWhatIsGuaranteed lets two workspaces run as much as they
+// are guaranteed, one after the other, with a change of the scheduler between.
+// The second makes its room of other work, and none of what the first runs.
+func TestTakeoverForgetsWhatIsGuaranteed(t *testing.T) {
+	is := is.New(t)
+	wo := calm(4)
+	first, pl := single("first", 0, 16, 40*time.Second)
+	wo.submit(first, pl)
+	wo.run(time.Second)
+	fill, pl := single("fill", 2, 16, 40*time.Second)
+	fill.Workspace = "c"
+	wo.submit(fill, pl)
+	wo.run(10 * time.Second)
+	wo.elect()
+	wo.run(2 * time.Second)
+	other, pl := single("other", 0, 16, 10*time.Second)
+	other.Workspace = "b"
+	wo.submit(other, pl)
+	wo.run(2 * time.Second)
+	is.Equal(wo.fleet.Running("other"), 16)
+	is.Equal(wo.stops("first"), 0)
+	is.Equal(wo.check(), nil)
+}
--- a/internal/domain/world_test.go
+++ b/internal/domain/world_test.go
@@ -397,6 +397,17 @@
 	return wo.now
 }
 
+// stops counts the attempts of a job that were stopped.
+func (wo *world) stops(id string) int {
+	n := 0
+	for _, no := range wo.notes {
+		if no.Decision == "stops" && no.Job == id {
+			n++
+		}
+	}
+	return n
+}
+
 // took returns how long a job has taken from its submission to its end.
 func (wo *world) took(id string) time.Duration { return wo.endOf(id).Sub(wo.jobs[id].Accepted) }
 
