Keep the work of tasks in mind over a change of the scheduler

What callers saw: after a change of the scheduler, long tasks that were nearly done were stopped for urgent work, since stopping them seemed to lose nothing. Cause: the work that a stop loses is counted from when a task was first seen, and a new core sees all of them for the first time. Why this works: a task that is first seen in a look is taken to have worked for the part of its declared run time that its percent says. When it was seen stays apart from that, since it decides what a later look proves.

--- a/internal/domain/health.go
+++ b/internal/domain/health.go
@@ -97,6 +97,17 @@
 	return latest
 }
 
+// worksSince is since when every task of a unit that was seen to run works.
+func (un *unit) worksSince() time.Time {
+	var latest time.Time
+	for _, ru := range un.runs {
+		if ru.began.After(latest) {
+			latest = ru.began
+		}
+	}
+	return latest
+}
+
 // held returns the accelerators that a workspace's assured units take.
 func (co *Core) held(workspace string) int {
 	sum := 0
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -333,6 +333,10 @@
 	ru.lostAt = time.Time{}
 	if ru.seenAt.IsZero() {
 		ru.seenAt = now
+		ru.began = now
+		if ru.unit != nil {
+			ru.began = now.Add(-ru.unit.step.RunTime * time.Duration(rn.Percent) / 100)
+		}
 	}
 	if ru.firstAt.IsZero() {
 		ru.firstAt, ru.firstPercent = now, rn.Percent
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -232,7 +232,7 @@
 
 // lostWork is the work that stopping a unit wastes.
 func (un *unit) lostWork(now time.Time) time.Duration {
-	since := un.allSeen()
+	since := un.worksSince()
 	if since.IsZero() {
 		return 0
 	}
@@ -251,7 +251,7 @@
 
 // unsaved is the processor time that a unit has taken and no checkpoint holds.
 func (un *unit) unsaved(now time.Time) time.Duration {
-	since := un.allSeen()
+	since := un.worksSince()
 	if since.IsZero() || un.step.Checkpoints {
 		return 0
 	}
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -19,6 +19,7 @@
 		stage        stage
 		lostAt       time.Time // when the answer to its start was lost
 		seenAt       time.Time // when its start was answered, or a look has first shown it
+		began        time.Time // when it began to work, as far as its percent tells
 		stop         stopState
 		how          runner.How // it has ended, if the worker has listed its end
 		percent      int
@@ -182,6 +183,7 @@
 	case ev.Err == nil:
 		ru.stage = running
 		ru.seenAt = now
+		ru.began = now
 		ru.movedAt = now
 		ru.unit.job.begun = true
 	case errors.Is(ev.Err, runner.ErrLost):
--- a/internal/domain/starve_test.go
+++ b/internal/domain/starve_test.go
@@ -86,3 +86,21 @@
 	is.Equal(wo.stops("first"), 0)
 	is.Equal(wo.check(), nil)
 }
+
+// TestTakeoverForgetsHowLongTasksHaveRun asks for room beyond a guarantee after a
+// change of the scheduler. Work that would lose much is left alone, as before.
+func TestTakeoverForgetsHowLongTasksHaveRun(t *testing.T) {
+	is := is.New(t)
+	wo := calm(2)
+	fill, pl := single("fill", 2, 16, 40*time.Second)
+	wo.submit(fill, pl)
+	wo.run(30 * time.Second)
+	wo.elect()
+	wo.run(2 * time.Second)
+	jb, pl := single("more", 0, 4, 5*time.Second)
+	jb.Workspace = "c" // has no guarantee
+	wo.submit(jb, pl)
+	wo.run(2 * time.Second)
+	is.Equal(wo.fleet.Running("fill"), 16)
+	is.Equal(wo.check(), nil)
+}
