Give each queue a share of the workers, so that none is starved

Cause: starvation by strict priority. All waiting units of a more urgent queue came first, at any age, and up to twelve of its gangs kept workers from others until they fit; so while more urgent work came as fast as room did, the last queue got none. Gangs whose objective was lost long ago kept workers from work that could still meet its own. Change: four tenths of a service's workers are shared alike among the queues with work, within its share a queue's oldest job comes first; the rest goes by what can still be earned, with jobs that would miss their objective and have not begun behind those that would not, and then by priority. Why it works: a queue below its share is served before all work that is not guaranteed, whatever the others bring; the last unit may exceed the share, so that a large gang is not left out.

--- a/internal/domain/backlog.go
+++ b/internal/domain/backlog.go
@@ -10,7 +10,7 @@
 	// Backlog is the units of one queue and rank that wait for room.
 	Backlog struct {
 		Queue        string
-		Rank         string // assured, timely or late
+		Rank         string // assured, timely, overdue or late
 		Units        int
 		Accelerators int           // that they need
 		Oldest       time.Duration // since the job of the oldest one is known
@@ -32,7 +32,7 @@
 // reportGap is the least time between two reports of what waits.
 const reportGap = time.Second
 
-var classNames = [...]string{classAssured: "assured", classTimely: "timely", classLate: "late"}
+var classNames = [...]string{classAssured: "assured", classTimely: "timely", classOverdue: "overdue", classLate: "late"}
 
 // report tells what waits after a round, and once that nothing does any more.
 func (co *Core) report(ps *pass, ras []rank) {
--- a/internal/domain/backlog_test.go
+++ b/internal/domain/backlog_test.go
@@ -1,6 +1,7 @@
 package domain_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,13 +10,15 @@
 	"github.com/cicadawharf/cicadawharf/internal/domain"
 )
 
-// TestWaitsTellWhatWaitsAndWhatRoomIsKept fills a fleet and lets a gang of whole
-// workers and a single task wait.
+// TestWaitsTellWhatWaitsAndWhatRoomIsKept fills a fleet with work of two queues
+// and lets a gang of whole workers of one and a single task of the other wait.
 func TestWaitsTellWhatWaitsAndWhatRoomIsKept(t *testing.T) {
 	is := is.New(t)
 	wo := calm(2)
-	fill, pl := single("fill", 1, 12, 10*time.Second)
-	wo.submit(fill, pl)
+	for priority, tasks := range map[int]int{1: 8, 2: 4} {
+		fill, pl := single(fmt.Sprintf("fill%d", priority), priority, tasks, 10*time.Second)
+		wo.submit(fill, pl)
+	}
 	wo.run(time.Second)
 	gang, pl := single("gang", 1, 2, time.Second)
 	gang.Steps[0].Gang = true
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -30,13 +30,14 @@
 		jobs       map[string]*job
 		order      []*job // jobs as they came
 		nodes      map[string]*node
-		sorted     []*node        // nodes by ID; nil if it has to be made anew
-		changed    map[*unit]bool // to be evaluated
-		pass       bool           // a placement pass is due
-		passed     time.Time      // when the last one was
-		waiting    int            // units that waited then
-		reported   time.Time      // when what waits was last told
-		backlogged bool           // something waited then
+		sorted     []*node          // nodes by ID; nil if it has to be made anew
+		changed    map[*unit]bool   // to be evaluated
+		pass       bool             // a placement pass is due
+		passed     time.Time        // when the last one was
+		waiting    int              // units that waited then
+		reported   time.Time        // when what waits was last told
+		backlogged bool             // something waited then
+		used       map[string]usage // by queue
 		book       book
 		asking     int // calls for advice under way
 		effects    []Effect
@@ -49,7 +50,7 @@
 	co := &Core{
 		token: cf.Token, began: now, policy: cf.Policy,
 		jobs: map[string]*job{}, nodes: map[string]*node{}, changed: map[*unit]bool{},
-		book: newBook(),
+		used: map[string]usage{}, book: newBook(),
 	}
 	for _, wk := range cf.Workers {
 		co.list(now, wk)
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -183,6 +183,16 @@
 	ru.node = nd
 	nd.runs[runKey{ru.task, ru.attempt}] = ru
 	nd.used = nd.used.Plus(ru.unit.step.Occupied())
+	co.use(ru.unit, ru.unit.step.Occupied())
+}
+
+// use adds what a run takes to what its queue uses.
+func (co *Core) use(un *unit, rs batch.Resources) {
+	name := un.job.Queue.Name
+	us := co.used[name]
+	us.service = co.queueOf(un.job).Service
+	us.resources = us.resources.Plus(rs)
+	co.used[name] = us
 }
 
 func (nd *node) drop(ru *run) {
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -7,22 +7,26 @@
 )
 
 // rank says in which order units that wait are placed. Work within a guarantee
-// comes first, since it must begin at once. Work whose objective is lost comes
-// last, so that it takes no room from work that can still meet its own.
+// comes first, since it must begin at once, and then what its queue's share of
+// the workers is for, so that no queue waits for ever. The rest goes by what can
+// still be earned, and then by priority.
 type rank struct {
 	un       *unit
+	service  string // whose workers may run it
+	priority int    // of its queue
 	class    int
-	priority int
+	shared   bool // within its queue's share
 }
 
 const (
 	classAssured = iota
 	classTimely
+	classOverdue // its objective is lost, and something can still be earned
 	classLate
 )
 
 // mayPreempt tells whether other work is stopped for a unit: for work within a
-// guarantee, and for the most urgent work while it can still earn something.
+// guarantee, and for the most urgent work while it can meet its objective.
 func (ra rank) mayPreempt() bool {
 	return ra.class == classAssured || (ra.class == classTimely && ra.priority == 0)
 }
@@ -35,22 +39,38 @@
 		if jb.state.Final() || jb.left == 0 {
 			continue
 		}
-		priority := co.queueOf(jb).Priority
+		qu := co.queueOf(jb)
 		for _, un := range jb.units {
 			if un.claim == nil && un.ready(now) {
-				ras = append(ras, rank{un: un, priority: priority})
+				ras = append(ras, rank{un: un, service: qu.Service, priority: qu.Priority})
 			}
 		}
 	}
 	for i := range ras {
 		ras[i].class = co.classify(now, ras[i], held)
 	}
+	co.share(now, ras)
 	slices.SortStableFunc(ras, func(a, b rank) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority))
+		return cmp.Or(
+			cmp.Compare(a.turn(), b.turn()), cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority),
+		)
 	})
 	return ras
 }
 
+// turn parts the units within a guarantee from those within their queue's share,
+// and these from the rest.
+func (ra rank) turn() int {
+	switch {
+	case ra.class == classAssured:
+		return 0
+	case ra.shared:
+		return 1
+	default:
+		return 2
+	}
+}
+
 // classify gives a unit its class, and counts what it takes of its
 // workspace's guarantee.
 func (co *Core) classify(now time.Time, ra rank, held map[string]int) int {
@@ -59,10 +79,16 @@
 	if ra.priority == 0 && co.assure(un, held) {
 		return classAssured
 	}
-	if !un.step.Lasting && un.hopeless(now) {
+	switch {
+	case un.step.Lasting:
+		return classTimely
+	case un.hopeless(now):
 		return classLate
+	case !un.job.begun && now.Add(un.step.RunTime).After(un.goal()):
+		return classOverdue
+	default:
+		return classTimely
 	}
-	return classTimely
 }
 
 // assure counts a unit against the guarantee of its workspace if that has room
--- a/internal/domain/starve_test.go
+++ b/internal/domain/starve_test.go
@@ -11,33 +11,39 @@
 )
 
 // TestUrgentWorkStarvesTheLastQueue lets gangs of a more urgent queue come as
-// fast as the fleet can run them, and hands in small jobs of the last queue.
-// Each of these has to meet its objective, which is three times its work.
+// fast as the fleet can run them, and hands in jobs of the last queue. Each of
+// these has to meet its objective, which is three times its work and a second.
 func TestUrgentWorkStarvesTheLastQueue(t *testing.T) {
-	is := is.New(t)
-	wo := calm(8)
-	var small []string
-	for i := range 60 {
-		gang, pl := single(fmt.Sprintf("gang%02d", i), 1, 2, 4*time.Second)
-		gang.Steps[0].Gang = true
-		gang.Steps[0].Needs.Accelerators = 8
-		wo.submit(gang, pl)
-		if i%8 == 0 && i > 0 && i < 50 {
-			jb, pl := single(fmt.Sprintf("small%02d", i), 2, 6, 4*time.Second)
-			jb.Workspace = "b"
-			wo.submit(jb, pl)
-			small = append(small, jb.ID)
-		}
-		wo.run(900 * time.Millisecond)
-	}
-	for _, id := range small {
-		jb := wo.jobs[id]
-		took := wo.took(id)
-		t.Logf("%s: %v, %v", id, wo.state(id), took)
-		is.Equal(wo.state(id), batch.Done)                     // it was not starved
-		is.True(took <= jb.Queue.Objective(jb.LongestChain())) // and met its objective
+	for name, shape := range map[string]struct{ tasks, accelerators, every int }{
+		"small tasks": {6, 1, 8}, "a gang larger than the queue's share": {4, 8, 16},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			wo := calm(8)
+			var last []string
+			for i := range 60 {
+				gang, pl := single(fmt.Sprintf("gang%02d", i), 1, 2, 4*time.Second)
+				gang.Steps[0].Gang = true
+				gang.Steps[0].Needs.Accelerators = 8
+				wo.submit(gang, pl)
+				if i > 0 && i%shape.every == 0 && i < 50 {
+					jb, pl := single(fmt.Sprintf("last%02d", i), 2, shape.tasks, 4*time.Second)
+					jb.Workspace = "b"
+					jb.Steps[0].Gang = shape.accelerators > 1
+					jb.Steps[0].Needs.Accelerators = shape.accelerators
+					wo.submit(jb, pl)
+					last = append(last, jb.ID)
+				}
+				wo.run(900 * time.Millisecond)
+			}
+			for _, id := range last {
+				jb := wo.jobs[id]
+				is.Equal(wo.state(id), batch.Done)                            // it was not starved
+				is.True(wo.took(id) <= jb.Queue.Objective(jb.LongestChain())) // and met its objective
+			}
+			is.Equal(wo.check(), nil)
+		})
 	}
-	is.Equal(wo.check(), nil)
 }
 
 // TestTakeoverForgetsHowLongJobsHaveWaited lets one job after the other wait for
