Keep no workers for gangs whose objective is lost

Cause: workers were kept for every gang that could still earn anything, the largest ones, which need longest to gather, among them. Change: workers are kept for units that can meet their objective, and for those whose turn it is by their queue's share; so a large gang is not forgotten. Evidence: domain.TestOverdueGangsLetRoomStandIdle fails without the change and passes.

--- a/internal/domain/backlog_test.go
+++ b/internal/domain/backlog_test.go
@@ -41,3 +41,25 @@
 	wo.run(20 * time.Second)
 	is.Equal(wo.waits[len(wo.waits)-1].Backlogs, []domain.Backlog{}) // told once that nothing waits
 }
+
+// TestJobsThatEndTellTheirWait ends a job that has begun at once, one that a
+// former scheduler has begun, and one that never began.
+func TestJobsThatEndTellTheirWait(t *testing.T) {
+	is := is.New(t)
+	wo := calm(1)
+	for _, id := range []string{"first", "second", "third"} {
+		jb, pl := single(id, 1, 8, 3*time.Second)
+		wo.submit(jb, pl)
+	}
+	wo.run(5 * time.Second)
+	wo.cancel("third")
+	wo.elect()
+	wo.run(5 * time.Second)
+	waited := map[string]time.Duration{}
+	for _, no := range wo.notes {
+		if no.Decision == "jobEnds" {
+			waited[no.Job] = no.Waited.Round(time.Second)
+		}
+	}
+	is.Equal(waited, map[string]time.Duration{"first": 0, "second": 0, "third": 5 * time.Second})
+}
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -122,11 +122,12 @@
 
 // endJob gives a job its final state and stops whatever runs of it.
 func (co *Core) endJob(now time.Time, jb *job, st batch.State, reason string) {
+	waited := jb.waited(now)
 	jb.state = st
 	jb.ended = now
 	co.dirty(jb)
 	co.emit(Noted{
-		Decision: "jobEnds", Job: jb.ID, Queue: jb.Queue.Name, Waited: jb.waited(now), Took: now.Sub(jb.known),
+		Decision: "jobEnds", Job: jb.ID, Queue: jb.Queue.Name, Waited: waited, Took: now.Sub(jb.known),
 		Stops: jb.stops, Lost: jb.lost, Reason: st.String() + ": " + reason,
 	})
 	for _, un := range jb.units {
@@ -136,12 +137,17 @@
 	co.pass = true
 }
 
-// waited returns how long a job has waited for its first start.
+// waited returns how long a job has waited for its first start; zero if a former
+// core has begun it, which does not say when.
 func (jb *job) waited(now time.Time) time.Duration {
-	if jb.firstStart.IsZero() {
+	switch {
+	case !jb.firstStart.IsZero():
+		return jb.firstStart.Sub(jb.known)
+	case jb.state == batch.Queued:
 		return now.Sub(jb.known)
+	default:
+		return 0
 	}
-	return jb.firstStart.Sub(jb.known)
 }
 
 // record returns what must last of a job.
--- a/internal/domain/keep.go
+++ b/internal/domain/keep.go
@@ -16,7 +16,7 @@
 // keep reserves workers for a gang that waits, so that smaller work that comes
 // after it does not take the room that is becoming free there.
 func (co *Core) keep(ps *pass, un *unit, key shape) {
-	if un.tasks == 1 && !un.wide() || ps.keeps == maxKeeps || key.class == classLate {
+	if un.tasks == 1 && !un.wide() || ps.keeps == maxKeeps {
 		return
 	}
 	ps.keeps++
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -31,6 +31,10 @@
 	return ra.class == classAssured || (ra.class == classTimely && ra.priority == 0)
 }
 
+// mayKeep tells whether workers are kept for a unit: not for one that would miss
+// its objective, unless it is its turn by its queue's share.
+func (ra rank) mayKeep() bool { return ra.shared || ra.class <= classTimely }
+
 // waitingUnits lists the units that could be started, in their order.
 func (co *Core) waitingUnits(now time.Time) []rank {
 	var ras []rank
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -83,7 +83,9 @@
 			continue
 		}
 		ps.full[key] = true
-		co.keep(ps, un, key)
+		if ra.mayKeep() {
+			co.keep(ps, un, key)
+		}
 	}
 	co.report(ps, ras)
 }
--- a/internal/domain/starve_test.go
+++ b/internal/domain/starve_test.go
@@ -46,6 +46,32 @@
 	}
 }
 
+// TestOverdueGangsLetRoomStandIdle frees room for small tasks and not for a gang
+// of all workers, when the objectives of both are lost already and both queues
+// use more than their shares. The small tasks take the room.
+func TestOverdueGangsLetRoomStandIdle(t *testing.T) {
+	is := is.New(t)
+	wo := calm(4)
+	fill := func(id string, priority, tasks int, work time.Duration) {
+		jb, pl := single(id, priority, tasks, work)
+		wo.submit(jb, pl)
+	}
+	fill("long1", 1, 13, time.Minute)
+	fill("long2", 2, 7, time.Minute)
+	fill("short", 2, 12, 6*time.Second)
+	wo.run(time.Second)
+	gang, pl := single("gang", 1, 4, time.Second)
+	gang.Steps[0].Gang = true
+	gang.Steps[0].Needs.Accelerators = 8
+	wo.submit(gang, pl)
+	small, pl := single("small", 2, 6, time.Second)
+	wo.submit(small, pl)
+	wo.run(8 * time.Second)
+	is.Equal(wo.state("gang"), batch.Queued)
+	is.Equal(wo.state("small"), batch.Done)
+	is.Equal(wo.check(), nil)
+}
+
 // TestTakeoverForgetsHowLongJobsHaveWaited lets one job after the other wait for
 // a full fleet, and changes the scheduler. They begin as they came.
 func TestTakeoverForgetsHowLongJobsHaveWaited(t *testing.T) {
