--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -99,6 +99,9 @@
 // ageOf returns how long ago a job was accepted. The clocks of the host that
 // accepted it and of this one may differ by seconds.
 func ageOf(now time.Time, jb batch.Job) time.Duration {
+	if jb.Accepted.IsZero() {
+		return 0
+	}
 	return max(0, now.Sub(jb.Accepted))
 }
 
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -122,6 +122,7 @@
 	}
 	te.Scheduler.holds.Store(true)
 	defer te.Scheduler.holds.Store(false)
+	defer te.gaugeWaits(domain.Waits{})
 	te.core = domain.New(time.Now(), cf)
 	takeoverTime.UpdateDuration(te.began)
 	te.log.Info("state is loaded", "event", "loaded", "jobs", len(cf.Jobs), "records", len(cf.Records),
--- a/internal/drive/meters.go
+++ b/internal/drive/meters.go
@@ -34,8 +34,8 @@
 	}
 }
 
-// gaugeWaits sets the gauges of what waits, and clears those of queues and ranks
-// in which nothing waits any more.
+// gaugeWaits sets the gauges of what waits, and drops those of queues and ranks in
+// which nothing waits any more, so that a former scheduler shows nothing.
 func (te *term) gaugeWaits(wa domain.Waits) {
 	present := map[string]bool{}
 	for _, bl := range wa.Backlogs {
--- a/internal/drive/note.go
+++ b/internal/drive/note.go
@@ -14,17 +14,17 @@
 			args = append(args, key, value)
 		}
 	}
+	addTime := func(key string, d time.Duration) {
+		if d > 0 {
+			args = append(args, key, d.Round(time.Millisecond))
+		}
+	}
 	add("job", no.Job)
 	add("task", no.Task)
 	add("queue", no.Queue)
 	if no.Attempt > 0 {
 		args = append(args, "attempt", no.Attempt)
 	}
-	addTime := func(key string, d time.Duration) {
-		if d > 0 {
-			args = append(args, key, d.Round(time.Millisecond))
-		}
-	}
 	add("worker", no.Worker)
 	if len(no.Workers) > 0 {
 		args = append(args, "workers", no.Workers)
