Read the share of queues as a newcomer

Change: what a queue uses is counted in one place, share.go, and forgotten once nothing of it runs, so that queues which the operators remove leave nothing behind; the part of a declared run time that a percent stands for no longer overflows for run times of years. No decision changes. Tests of domain pass.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -37,7 +37,7 @@
 		waiting    int              // units that waited then
 		reported   time.Time        // when what waits was last told
 		backlogged bool             // something waited then
-		used       map[string]usage // by queue
+		used       map[string]usage // by queue; none for a queue of which nothing runs
 		book       book
 		asking     int // calls for advice under way
 		effects    []Effect
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -183,16 +183,7 @@
 	ru.node = nd
 	nd.runs[runKey{ru.task, ru.attempt}] = ru
 	nd.used = nd.used.Plus(ru.unit.step.Occupied())
-	co.use(ru.unit, ru.unit.step.Occupied())
-}
-
-// use adds what a run takes to what its queue uses.
-func (co *Core) use(un *unit, rs batch.Resources) {
-	name := un.job.Queue.Name
-	us := co.used[name]
-	us.service = co.queueOf(un.job).Service
-	us.resources = us.resources.Plus(rs)
-	co.used[name] = us
+	co.use(ru.unit.job, ru.unit.step.Occupied())
 }
 
 func (nd *node) drop(ru *run) {
@@ -345,7 +336,7 @@
 		ru.seenAt = now
 		ru.began = now
 		if ru.unit != nil {
-			ru.began = now.Add(-ru.unit.step.RunTime * time.Duration(rn.Percent) / 100)
+			ru.began = now.Add(-ru.unit.step.RunTime / 100 * time.Duration(rn.Percent))
 		}
 	}
 	if ru.firstAt.IsZero() {
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -166,7 +166,7 @@
 	ru.stage = over
 	ru.node.drop(ru)
 	if ru.unit != nil {
-		co.use(ru.unit, batch.Resources{}.Minus(ru.unit.step.Occupied()))
+		co.use(ru.unit.job, batch.Resources{}.Minus(ru.unit.step.Occupied()))
 	}
 	co.touch(ru.unit)
 	co.pass = true
--- a/internal/domain/share.go
+++ b/internal/domain/share.go
@@ -26,6 +26,18 @@
 // the most urgent work.
 const sharedPart = 0.4
 
+// use adds what a run takes, or frees as a negative amount, to what the queue of
+// its job uses.
+func (co *Core) use(jb *job, rs batch.Resources) {
+	name := jb.Queue.Name
+	sum := co.used[name].resources.Plus(rs)
+	if sum == (batch.Resources{}) {
+		delete(co.used, name)
+		return
+	}
+	co.used[name] = usage{service: co.queueOf(jb).Service, resources: sum}
+}
+
 // sharesOf returns the shares of the queues, less what they use.
 func (co *Core) sharesOf(now time.Time, ras []rank) shares {
 	services := co.servicesOf(ras)
@@ -46,9 +58,7 @@
 func (co *Core) servicesOf(ras []rank) map[string]string {
 	services := map[string]string{}
 	for queue, us := range co.used {
-		if us.resources != (batch.Resources{}) {
-			services[queue] = us.service
-		}
+		services[queue] = us.service
 	}
 	for _, ra := range ras {
 		services[ra.un.job.Queue.Name] = ra.service
