--- a/internal/domain/starve_test.go
+++ b/internal/domain/starve_test.go
@@ -136,3 +136,26 @@
 	is.Equal(wo.fleet.Running("fill"), 16)
 	is.Equal(wo.check(), nil)
 }
+
+// TestTakeoverBesideClocksThatDiffer accepts jobs by a clock that is seconds
+// ahead or behind, or wrong altogether, and changes the scheduler while they run
+// and wait. All of them end, and the one that waits keeps its place.
+func TestTakeoverBesideClocksThatDiffer(t *testing.T) {
+	for _, skew := range []time.Duration{3 * time.Second, -3 * time.Second, time.Hour, -24 * time.Hour} {
+		is := is.New(t)
+		wo := calm(1)
+		wo.skew = skew
+		for _, id := range []string{"runs", "waits"} {
+			jb, pl := single(id, 1, 8, 3*time.Second)
+			wo.submit(jb, pl)
+			wo.run(time.Second)
+		}
+		wo.elect()
+		wo.run(10 * time.Second)
+		is.Equal(wo.state("runs"), batch.Done)
+		is.Equal(wo.state("waits"), batch.Done)
+		is.True(wo.endOf("runs").Before(wo.endOf("waits")))
+		is.Equal(wo.fleet.Starts, 16) // none twice
+		is.Equal(wo.check(), nil)
+	}
+}
--- a/internal/domain/world_test.go
+++ b/internal/domain/world_test.go
@@ -37,6 +37,7 @@
 		token   int64
 		holder  *holder
 		faults  faults
+		skew    time.Duration // of the clock of the host that accepts jobs
 		notes   []domain.Noted
 		waits   []domain.Waits
 		tickets map[string]map[string]string // of jobs whose queue needs advice, by worker
@@ -163,7 +164,7 @@
 }
 
 func (wo *world) submit(jb batch.Job, plans ...planned) {
-	jb.Accepted = wo.now
+	jb.Accepted = wo.now.Add(wo.skew)
 	wo.jobs[jb.ID] = jb
 	wo.plans[jb.ID] = plans
 	wo.accepts = append(wo.accepts, jb.ID)
@@ -409,7 +410,9 @@
 }
 
 // took returns how long a job has taken from its submission to its end.
-func (wo *world) took(id string) time.Duration { return wo.endOf(id).Sub(wo.jobs[id].Accepted) }
+func (wo *world) took(id string) time.Duration {
+	return wo.endOf(id).Sub(wo.jobs[id].Accepted.Add(-wo.skew))
+}
 
 // check returns what is wrong: broken rules, and jobs whose shown state does not
 // agree with what has run.
--- a/internal/drive/drive_test.go
+++ b/internal/drive/drive_test.go
@@ -189,6 +189,21 @@
 	si.unbroken()
 }
 
+// TestForeignEntryOfABusyWorker overwrites the entry of a worker that runs a long
+// job. The job is cancelled there as before, and another one runs.
+func TestForeignEntryOfABusyWorker(t *testing.T) {
+	si := newSite(t, 1)
+	si.host("a")
+	si.submit("gone", 80)
+	si.await("gone", batch.Running)
+	si.store.Put(runsim.WorkerPrefix+"w0", []byte("?"))
+	si.store.Put(batch.CancelKey("gone"), []byte{})
+	si.await("gone", batch.Cancelled)
+	si.submit("j", 4)
+	si.await("j", batch.Done)
+	si.unbroken()
+}
+
 // TestStrongerHostOfTwoThatStart starts a strong host a little after a weak one.
 func TestStrongerHostOfTwoThatStart(t *testing.T) {
 	for range 3 {
--- a/test/pages/pages_test.go
+++ b/test/pages/pages_test.go
@@ -197,7 +197,7 @@
 
 func TestNamedTestsExist(t *testing.T) {
 	sc := readSource(t)
-	for _, name := range []string{"docs/FAULTS.md", "docs/FAULTS-PLATFORM.md", "docs/INCIDENTS.md", "docs/OPERATE.md", "docs/DESIGN.md"} {
+	for _, name := range []string{"docs/FAULTS.md", "docs/FAULTS-PLATFORM.md", "docs/incidents/recorded-days.md", "docs/incidents/2026-12-04-short.md", "docs/OPERATIONS.md", "docs/DESIGN.md"} {
 		found := testName.FindAllStringSubmatch(page(t, name), -1)
 		is.New(t).True(len(found) > 0)
 		for _, fo := range found {
@@ -253,14 +253,14 @@
 
 func TestMetricsAreDescribed(t *testing.T) {
 	described := map[string]bool{}
-	for _, nm := range metricName.FindAllString(page(t, "docs/OPERATE.md"), -1) {
+	for _, nm := range metricName.FindAllString(page(t, "docs/OPERATIONS.md"), -1) {
 		described[nm] = true
 	}
 	is.New(t).Equal(described, readSource(t).metrics)
 }
 
 func TestEventsAreDescribed(t *testing.T) {
-	content := page(t, "docs/OPERATE.md")
+	content := page(t, "docs/OPERATIONS.md")
 	sc := readSource(t)
 	is.New(t).True(len(sc.events) > 0)
 	for ev := range sc.events {
@@ -288,7 +288,7 @@
 		page string
 		file any
 	}{
-		{"docs/OPERATE.md", setup.Settings{}},
+		{"docs/OPERATIONS.md", setup.Settings{}},
 		{"docs/DECLARATIONS.md", spec.Declarations{}},
 	} {
 		content := page(t, tc.page)
