Give a queue's share to the jobs that wait longest for what is left of them

Cause: within a share the oldest job came first. A few large old jobs took all of it, were stopped for guaranteed work again and again (job: 43 tasks, 145 starts, 92 stops) and none of them ended in time, while jobs of five to eight tasks stood behind them. Change: within a share jobs go by response ratio, the time that they have waited for each unit that is left. Why it works: a small job passes a large one soon after it comes and ends quickly; a large one passes small ones as it ages, and has the rest of the workers as before. Evidence: domain.TestLargeJobTakesItsQueuesShare fails by age alone and passes.

--- a/internal/domain/share.go
+++ b/internal/domain/share.go
@@ -1,6 +1,8 @@
 package domain
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
@@ -26,6 +28,10 @@
 // the most urgent work.
 const sharedPart = 0.4
 
+// headStart is added to the age of jobs, so that those which came just now are
+// told apart by their size.
+const headStart = time.Second
+
 // use adds what a run takes, or frees as a negative amount, to what the queue of
 // its job uses.
 func (co *Core) use(jb *job, rs batch.Resources) {
@@ -77,17 +83,53 @@
 	return sums
 }
 
-// share marks the units that are within the shares of their queues: the oldest
-// that can still earn something, and then the oldest of the others.
+// share marks the units that are within the shares of their queues: of the jobs
+// that can still earn something, and then of the others, those with the highest
+// response ratio first.
 func (co *Core) share(now time.Time, ras []rank) {
 	sh := co.sharesOf(now, ras)
-	for _, late := range [...]bool{false, true} {
-		for i, ra := range ras {
-			if ra.class != classAssured && (ra.class == classLate) == late {
-				ras[i].shared = sh.take(ra)
-			}
+	for _, i := range byResponseRatio(now, ras) {
+		ra := ras[i]
+		ras[i].shared = ra.class != classAssured && sh.take(ra)
+	}
+}
+
+// byResponseRatio returns the indices of units in the order in which shares are
+// given out.
+func byResponseRatio(now time.Time, ras []rank) []int {
+	order := make([]int, len(ras))
+	ratios := map[*job]float64{}
+	for i, ra := range ras {
+		order[i] = i
+		if _, ok := ratios[ra.un.job]; !ok {
+			ratios[ra.un.job] = ra.un.job.responseRatio(now)
 		}
 	}
+	slices.SortStableFunc(order, func(i, j int) int {
+		a, b := ras[i], ras[j]
+		return cmp.Or(
+			compareBool(a.class == classLate, b.class == classLate), cmp.Compare(ratios[b.un.job], ratios[a.un.job]),
+		)
+	})
+	return order
+}
+
+// responseRatio is how long a job has waited for each unit that is left of it.
+// Small jobs pass large ones by it, until these have waited long enough.
+func (jb *job) responseRatio(now time.Time) float64 {
+	return (now.Sub(jb.known) + headStart).Seconds() / float64(max(1, jb.left))
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
 }
 
 // take tells whether a unit is within its queue's part, and takes it from there.
--- a/internal/domain/starve_test.go
+++ b/internal/domain/starve_test.go
@@ -46,6 +46,34 @@
 	}
 }
 
+// TestLargeJobTakesItsQueuesShare lets a small job come after a large one of the
+// same queue, while gangs of a more urgent queue take all room but its share. The
+// small one meets its objective, and the large one goes on.
+func TestLargeJobTakesItsQueuesShare(t *testing.T) {
+	is := is.New(t)
+	wo := calm(8)
+	for i := range 40 {
+		gang, pl := single(fmt.Sprintf("gang%02d", i), 1, 2, 4*time.Second)
+		gang.Steps[0].Gang = true
+		gang.Steps[0].Needs.Accelerators = 8
+		wo.submit(gang, pl)
+		switch i {
+		case 8:
+			large, pl := single("large", 2, 96, 4*time.Second)
+			wo.submit(large, pl)
+		case 10:
+			small, pl := single("small", 2, 2, 4*time.Second)
+			wo.submit(small, pl)
+		}
+		wo.run(900 * time.Millisecond)
+	}
+	small := wo.jobs["small"]
+	is.Equal(wo.state("small"), batch.Done)
+	is.True(wo.took("small") <= small.Queue.Objective(small.LongestChain()))
+	is.True(wo.fleet.Running("large") > 0)
+	is.Equal(wo.check(), nil)
+}
+
 // TestOverdueGangsLetRoomStandIdle frees room for small tasks and not for a gang
 // of all workers, when the objectives of both are lost already and both queues
 // use more than their shares. The small tasks take the room.
