Start nothing in an availability zone that an operator empties

Change: the scheduler reads the requests before it places anything and follows them (drive/evac.go). The platform's key is known to platform/ alone.

Open: what runs in such a zone runs on until it ends; no command yet.

--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -56,6 +56,9 @@
 func newMember(se setup.Domain, log *slog.Logger) *member.Member {
 	st := store.Meter(platform.NewStore(se.Store.Address))
 	layout := platform.Layout()
+	if se.Timing.Evacuate == 0 {
+		layout.EvacuationPrefix = ""
+	}
 	in := intake.New(intake.Config{
 		Store: st, PolicyKey: layout.PolicyKey, Decode: layout.Policy,
 		TrustFor: max(0, se.Timing.Revoke-trustMargin), Log: log,
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -18,7 +18,8 @@
 		Cancelled []string
 		Records   []batch.Record
 		Workers   []runner.Worker
-		Cores     float64 // that the core may use; zero if that is unknown
+		Evacuated []string // availability zones that are to be emptied
+		Cores     float64  // that the core may use; zero if that is unknown
 	}
 
 	// Core is the state of a scheduling domain under one token. It is not safe
@@ -32,13 +33,14 @@
 		nodes      map[string]*node
 		sorted     []*node // nodes by ID
 		addresses  map[string][]*node
-		holding    map[*node]bool // nodes with ends that are not acknowledged
-		woken      []*node        // nodes where a look may be due
-		changed    map[*unit]bool // to be evaluated
-		claimed    []*unit        // that have claims on workers, or had them
-		pass       bool           // a placement pass is due
-		passed     time.Time      // when the last one was
-		waiting    int            // ranks of units that waited then
+		evacuated  map[string]bool // availability zones that are to be emptied
+		holding    map[*node]bool  // nodes with ends that are not acknowledged
+		woken      []*node         // nodes where a look may be due
+		changed    map[*unit]bool  // to be evaluated
+		claimed    []*unit         // that have claims on workers, or had them
+		pass       bool            // a placement pass is due
+		passed     time.Time       // when the last one was
+		waiting    int             // ranks of units that waited then
 		cores      float64
 		reported   time.Time        // when what waits was last told
 		backlogged bool             // something waited then
@@ -61,6 +63,9 @@
 	for _, wk := range cf.Workers {
 		co.list(now, wk)
 	}
+	if len(cf.Evacuated) > 0 {
+		co.setEvacuated(cf.Evacuated)
+	}
 	for _, jb := range cf.Jobs {
 		co.add(newJob(jb, now.Add(-ageOf(now, jb))))
 	}
@@ -95,6 +100,8 @@
 		co.list(now, ev.Worker)
 	case Unlisted:
 		co.unlist(now, ev.ID)
+	case Evacuated:
+		co.setEvacuated(ev.Zones)
 	case Emptying:
 		co.empty(now, ev.By)
 	case Downed:
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -47,6 +47,10 @@
 	// be clear of it. It replaces the former one.
 	Emptying struct{ By map[string]time.Time }
 
+	// Evacuated names the availability zones whose workers get no new work, since
+	// an operator has asked to empty them. It replaces the former one.
+	Evacuated struct{ Zones []string }
+
 	// Downed says that everything that ran on a worker is over.
 	Downed struct{ Worker string }
 
@@ -127,7 +131,7 @@
 
 	// Noted is a decision for the log.
 	Noted struct {
-		Decision string // placed, preempts, starts, ends, endsLate, stops, overdue, jobEnds, suspects, silent
+		Decision string // placed, preempts, starts, ends, endsLate, stops, overdue, jobEnds, suspects, silent, evacuation
 		Job      string
 		Task     string
 		Queue    string        // of a placed unit
@@ -223,6 +227,7 @@
 func (Unlisted) event()    {}
 func (Looked) event()      {}
 func (Emptying) event()    {}
+func (Evacuated) event()   {}
 func (Downed) event()      {}
 func (Started) event()     {}
 func (Stopped) event()     {}
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -33,6 +33,7 @@
 		health    health
 		harmed    time.Time // no filling work before; see fill.go
 		leaves    time.Time // it may be gone from then on; zero if that is unknown
+		evacuated bool      // its availability zone is to be emptied
 		emptyBy   time.Time // it should be clear of work by then; zero if it need not be
 	}
 
@@ -98,6 +99,7 @@
 		co.addresses[wk.Address] = append(co.addresses[wk.Address], nd)
 	}
 	nd.worker = wk
+	nd.evacuated = co.evacuated[wk.Zone]
 	co.wake(nd)
 }
 
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -184,7 +184,7 @@
 
 func (nd *node) takesWork(now time.Time) bool {
 	switch {
-	case !nd.listed, nd.worker.Draining, !nd.emptyBy.IsZero(), nd.answered.IsZero(), nd.failed.After(nd.answered):
+	case !nd.listed, nd.worker.Draining, nd.evacuated, !nd.emptyBy.IsZero(), nd.answered.IsZero(), nd.failed.After(nd.answered):
 		return false
 	case now.Sub(nd.refused) < refusedPause && !nd.refused.IsZero():
 		return false
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -57,6 +57,8 @@
 			co.stopUnit(now, un, "the job has ended")
 		} else if un.anyOver() {
 			co.stopUnit(now, un, "a worker of it has gone before its start")
+		} else if un.onEvacuated() {
+			co.stopUnit(now, un, "the availability zone of its worker is to be emptied")
 		} else if un.job.savedVersion >= un.version {
 			co.sendStarts(now, un)
 		}
--- a/internal/domain/world_test.go
+++ b/internal/domain/world_test.go
@@ -19,31 +19,32 @@
 	// world plays cores against stand-in workers and a model of the store, in
 	// virtual time.
 	world struct {
-		rng     *rand.Rand
-		now     time.Time
-		queue   queue
-		order   int
-		fleet   *runsim.Fleet
-		workers map[string]runner.Worker
-		silent  map[string]bool // workers that nobody reaches
-		policy  *batch.Policy
-		jobs    map[string]batch.Job
-		plans   map[string][]planned // by job and step
-		accepts []string
-		cancels map[string]time.Time
-		records map[string]batch.Record
-		waiting map[string]int       // jobs that have not begun, by queue
-		ends    map[string]time.Time // of jobs, as the store shows them
-		token   int64
-		holder  *holder
-		faults  faults
-		skew    time.Duration // of the clock of the host that accepts jobs
-		notes   []domain.Noted
-		waits   []domain.Waits
-		tickets map[string]map[string]string // of jobs whose queue needs advice, by worker
-		advised int                          // calls for advice
-		log     []string
-		spent   []time.Duration // real time of each event in the core
+		rng       *rand.Rand
+		now       time.Time
+		queue     queue
+		order     int
+		fleet     *runsim.Fleet
+		workers   map[string]runner.Worker
+		silent    map[string]bool // workers that nobody reaches
+		policy    *batch.Policy
+		jobs      map[string]batch.Job
+		plans     map[string][]planned // by job and step
+		accepts   []string
+		cancels   map[string]time.Time
+		records   map[string]batch.Record
+		waiting   map[string]int       // jobs that have not begun, by queue
+		ends      map[string]time.Time // of jobs, as the store shows them
+		token     int64
+		holder    *holder
+		faults    faults
+		evacuated []string      // availability zones
+		skew      time.Duration // of the clock of the host that accepts jobs
+		notes     []domain.Noted
+		waits     []domain.Waits
+		tickets   map[string]map[string]string // of jobs whose queue needs advice, by worker
+		advised   int                          // calls for advice
+		log       []string
+		spent     []time.Duration // real time of each event in the core
 	}
 
 	planned struct {
@@ -194,7 +195,7 @@
 // or goes on without the store if it is cut off.
 func (wo *world) elect() *holder {
 	wo.token += 10
-	cf := domain.Config{Token: wo.token, Policy: wo.policy}
+	cf := domain.Config{Token: wo.token, Policy: wo.policy, Evacuated: wo.evacuated}
 	for _, id := range wo.accepts {
 		cf.Jobs = append(cf.Jobs, wo.jobs[id])
 		if _, ok := wo.cancels[id]; ok {
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -30,11 +30,12 @@
 	// Layout says where the platform keeps its own data in the store, and
 	// decodes it.
 	Layout struct {
-		PolicyKey    string
-		WorkerPrefix string
-		Policy       func(value []byte) (*batch.Policy, error)
-		Worker       func(id string, value []byte) (runner.Worker, error)
-		Waves        WaveLayout // empty if the platform asks for no upkeep
+		PolicyKey        string
+		WorkerPrefix     string
+		EvacuationPrefix string // followed by an availability zone; empty if none is ever emptied
+		Policy           func(value []byte) (*batch.Policy, error)
+		Worker           func(id string, value []byte) (runner.Worker, error)
+		Waves            WaveLayout // empty if the platform asks for no upkeep
 	}
 
 	// Config constructs a Scheduler.
@@ -68,7 +69,7 @@
 		began   time.Time
 		core    *domain.Core
 		events  chan queued
-		urgent  chan queued // goes before events: what callers have asked for, and what is in the store
+		urgent  chan queued // goes before events: what callers and operators have asked for, and what is in the store
 		ledger  *ledger
 		duty    *duty           // nil if no machine needs upkeep
 		gauged  map[string]bool // gauges of waiting work that are set
@@ -228,7 +229,7 @@
 func (te *term) tell(ev domain.Event) {
 	queue := te.events
 	switch ev.(type) {
-	case domain.Accepted, domain.CancelAsked, domain.Committed:
+	case domain.Accepted, domain.CancelAsked, domain.Committed, domain.Evacuated:
 		queue = te.urgent
 	}
 	select {
--- a/internal/drive/drive_test.go
+++ b/internal/drive/drive_test.go
@@ -176,6 +176,38 @@
 	si.workers.With(func(_ time.Time, fl *runsim.Fleet) { is.Equal(fl.Starts, 8) })
 }
 
+// TestEvacuationIsReadAndFollowed guards against a scheduler that starts work in
+// an availability zone before it has read that the zone is to be emptied, or
+// that misses when it is taken back.
+func TestEvacuationIsReadAndFollowed(t *testing.T) {
+	is := is.New(t)
+	si := newSite(t, 1)
+	wk := runner.Worker{ID: "far", Address: "far:1", Service: "svc", Zone: "z", Capacity: batch.Resources{Accelerators: 64}}
+	si.workers.With(func(now time.Time, fl *runsim.Fleet) { wk.Born = fl.Add(now, wk.ID, wk.Capacity, 1) })
+	si.put(runsim.WorkerPrefix+wk.ID, wk)
+	si.store.Put(runsim.EvacuationPrefix+"z", []byte("{}"))
+	runsThere := func() bool {
+		n := 0
+		si.workers.With(func(_ time.Time, fl *runsim.Fleet) { n = fl.RunningOn(wk.ID) })
+		return n > 0
+	}
+	si.submit("before", 16)
+	stop := si.host("a")
+	si.await("before", batch.Done)
+	is.True(!runsThere())
+	si.store.Delete(runsim.EvacuationPrefix + "z")
+	si.submit("back", 64)
+	kvsim.Eventually(t, runsThere)
+	si.await("back", batch.Done)
+	stop()
+	si.store.Put(runsim.EvacuationPrefix+"z", []byte("{}"))
+	si.host("b")
+	si.submit("again", 16)
+	si.await("again", batch.Done)
+	is.True(!runsThere())
+	si.unbroken()
+}
+
 // TestForeignEntriesAreNoWorkers puts entries beside those of the workers that
 // can't be read.
 func TestForeignEntriesAreNoWorkers(t *testing.T) {
--- /dev/null
+++ b/internal/drive/evac.go
@@ -0,0 +1,72 @@
+package drive
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cicadawharf/cicadawharf/internal/domain"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+)
+
+// evacuations follows the operators' requests to empty availability zones. A
+// zone is to be emptied as long as its key is in the store.
+type evacuations struct {
+	*term
+	prefix string
+	zones  map[string]bool
+	after  store.Revision
+}
+
+// loadEvacuations reads the requests in force.
+func (te *term) loadEvacuations() (*evacuations, error) {
+	ev := &evacuations{term: te, prefix: te.cfg.Layout.EvacuationPrefix, zones: map[string]bool{}}
+	if ev.prefix == "" {
+		return ev, nil
+	}
+	ents, rev, err := te.cfg.Store.List(te.ctx, ev.prefix)
+	if err != nil {
+		return nil, merry.Prepend(err, "list "+ev.prefix)
+	}
+	ev.after = rev
+	ev.set(ents)
+	return ev, nil
+}
+
+func (ev *evacuations) start() {
+	if ev.prefix != "" {
+		go ev.follow(ev.prefix, ev.after, 0, ev.tell, ev.reread)
+	}
+}
+
+func (ev *evacuations) set(ents []store.Entry) {
+	clear(ev.zones)
+	for _, en := range ents {
+		ev.zones[ev.zone(en)] = true
+	}
+}
+
+func (ev *evacuations) zone(en store.Entry) string { return strings.TrimPrefix(en.Key, ev.prefix) }
+
+func (ev *evacuations) list() []string { return slices.Sorted(maps.Keys(ev.zones)) }
+
+func (ev *evacuations) tell(en store.Entry) {
+	if en.Value == nil {
+		delete(ev.zones, ev.zone(en))
+	} else {
+		ev.zones[ev.zone(en)] = true
+	}
+	ev.term.tell(domain.Evacuated{Zones: ev.list()})
+}
+
+func (ev *evacuations) reread() (store.Revision, error) {
+	ents, rev, err := ev.cfg.Store.List(ev.ctx, ev.prefix)
+	if err != nil {
+		return 0, err
+	}
+	ev.set(ents)
+	ev.term.tell(domain.Evacuated{Zones: ev.list()})
+	return rev, nil
+}
--- a/internal/drive/follow.go
+++ b/internal/drive/follow.go
@@ -18,6 +18,7 @@
 type followed struct {
 	accepted, policy, workers store.Revision // up to which each is known
 	listed                    map[string]bool
+	evacuations               *evacuations
 }
 
 const (
@@ -52,6 +53,10 @@
 		policy, fo.policy, err = te.cfg.Store.Get(te.ctx, te.cfg.Layout.PolicyKey)
 		return merry.Prepend(err, "read the policy")
 	})
+	gr.Go(func() (err error) {
+		fo.evacuations, err = te.loadEvacuations()
+		return err
+	})
 	gr.Go(func() (err error) {
 		te.duty, err = te.loadDuty(time.Now())
 		return err
@@ -59,7 +64,9 @@
 	if err := gr.Wait(); err != nil {
 		return domain.Config{}, nil, err
 	}
-	cf := domain.Config{Token: int64(te.token), Cores: te.cfg.Cores, Policy: te.readPolicy(policy)}
+	cf := domain.Config{
+		Token: int64(te.token), Cores: te.cfg.Cores, Policy: te.readPolicy(policy), Evacuated: fo.evacuations.list(),
+	}
 	for _, en := range accepted {
 		te.readAccepted(en, &cf)
 	}
@@ -132,6 +139,7 @@
 func (fo *followed) start(te *term) {
 	go te.follow(batch.AcceptedPrefix, fo.accepted, 0, te.tellAccepted, te.relistAccepted)
 	go te.follow(te.cfg.Layout.PolicyKey, fo.policy, 0, te.tellPolicy, te.rereadPolicy)
+	fo.evacuations.start()
 	known := &directory{term: te, ids: fo.listed}
 	go te.follow(te.cfg.Layout.WorkerPrefix, fo.workers, workerGap, known.tell, known.relist)
 }
--- a/internal/fakes/runsim/layout.go
+++ b/internal/fakes/runsim/layout.go
@@ -15,15 +15,16 @@
 
 // The keys under which a stand-in of a platform keeps its data.
 const (
-	PolicyKey    = "policy"
-	WorkerPrefix = "workers/"
+	PolicyKey        = "policy"
+	WorkerPrefix     = "workers/"
+	EvacuationPrefix = "evacuated/" // followed by an availability zone
 )
 
 // Layout says how a stand-in of a platform keeps its data: policy and workers
 // as JSON of their types.
 func Layout() drive.Layout {
 	return drive.Layout{
-		PolicyKey: PolicyKey, WorkerPrefix: WorkerPrefix,
+		PolicyKey: PolicyKey, WorkerPrefix: WorkerPrefix, EvacuationPrefix: EvacuationPrefix,
 		Policy: func(value []byte) (*batch.Policy, error) {
 			var po batch.Policy
 			return &po, json.Unmarshal(value, &po)
--- a/internal/setup/domain.go
+++ b/internal/setup/domain.go
@@ -59,6 +59,7 @@
 	Timing struct {
 		Revoke    time.Duration `yaml:"revoke"`    // after which a key that was taken away must not work
 		StopGrace time.Duration `yaml:"stopGrace"` // between SIGTERM and SIGKILL
+		Evacuate  time.Duration `yaml:"evacuate"`  // after which nothing starts in an availability zone that is to be emptied; zero if none ever is
 	}
 )
 
@@ -128,6 +129,7 @@
 	}
 	checkDuration(tree, "$.timing.revoke", do.Timing.Revoke, 1)
 	checkDuration(tree, "$.timing.stopGrace", do.Timing.StopGrace, 1)
+	checkDuration(tree, "$.timing.evacuate", do.Timing.Evacuate, 0)
 }
 
 // Speed returns what the process may use, in cores.
