Part the outcomes of effects from the other events of a domain's core

Cause: Core.Handle exceeded the bound on cyclomatic complexity with the event of evacuations. Change: outcomes of effects have a switch of their own. No behaviour changes; the linter and the tests of the package pass.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -106,6 +106,21 @@
 		co.empty(now, ev.By)
 	case Downed:
 		co.downed(now, ev.Worker)
+	case Looked, Started, Stopped, Advised, Committed:
+		co.outcome(now, ev)
+	case Ticked:
+		co.tick(now)
+	case Prompted:
+	}
+	co.settle(now)
+	effects := co.effects
+	co.effects = nil
+	return effects
+}
+
+// outcome takes the outcome of an effect.
+func (co *Core) outcome(now time.Time, ev Event) {
+	switch ev := ev.(type) {
 	case Looked:
 		co.looked(now, ev)
 	case Started:
@@ -116,14 +131,7 @@
 		co.advised(now, ev)
 	case Committed:
 		co.committed(now, ev)
-	case Ticked:
-		co.tick(now)
-	case Prompted:
 	}
-	co.settle(now)
-	effects := co.effects
-	co.effects = nil
-	return effects
 }
 
 // Busy tells whether something waits for time to pass.
