Let renewals of the scheduler's lease overlap

Cause: a renewal was sent 0.45 s after the last one had ended, and one without an answer ended after 0.75 s. So a single renewal that the store did not carry out used up 1.65 s of a lease of 1.5 s, and the scheduler changed.

Change: a renewal is sent every 0.35 s, whether the last one was answered or not. TestRenewalsThatAreLost fails without the change.

--- a/internal/drive/elect.go
+++ b/internal/drive/elect.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// leaseRenew leaves room for two renewals that fail.
-	leaseRenew = 450 * time.Millisecond
+	// leaseRenew is the time between two renewals, which may overlap. A lease
+	// lasts for three that get no answer.
+	leaseRenew = 350 * time.Millisecond
 	// electRetry is the pause after an election that failed.
 	electRetry = 300 * time.Millisecond
 	// handicapUnit is how long a host of half a core lets stronger ones stand
@@ -126,23 +127,38 @@
 // be kept from the next holder.
 func (te *term) keepLease() {
 	for te.pauseFor(leaseRenew) {
-		sent := time.Now()
-		ctx, cancel := context.WithTimeout(te.ctx, domain.LeaseTime/2)
-		err := te.cfg.Store.Renew(ctx, te.lease)
-		cancel()
-		switch {
-		case err == nil:
-			te.renewed.Store(int64(sent.Sub(te.began)))
-		case errors.Is(err, store.ErrLapsed):
-			te.log.Warn("lease has lapsed", "event", "leaseLapsed")
-			te.end()
-		case time.Since(te.began)-time.Duration(te.renewed.Load()) > domain.RenewTime:
-			te.log.Warn("lease was not renewed", "event", "leaseUnknown", "reason", err)
+		go te.renewLease(time.Since(te.began))
+		if time.Since(te.began)-time.Duration(te.renewed.Load()) > domain.RenewTime {
+			te.log.Warn("lease was not renewed", "event", "leaseUnknown")
 			te.end()
 		}
 	}
 }
 
+// renewLease renews the lease by a call that is sent at a time of the term.
+func (te *term) renewLease(sent time.Duration) {
+	ctx, cancel := context.WithTimeout(te.ctx, domain.LeaseTime)
+	defer cancel()
+	err := te.cfg.Store.Renew(ctx, te.lease)
+	switch {
+	case err == nil:
+		te.noteRenewed(sent)
+	case errors.Is(err, store.ErrLapsed):
+		te.log.Warn("lease has lapsed", "event", "leaseLapsed")
+		te.end()
+	}
+}
+
+// noteRenewed notes a renewal that has succeeded. Answers may come out of order.
+func (te *term) noteRenewed(sent time.Duration) {
+	for {
+		last := te.renewed.Load()
+		if int64(sent) <= last || te.renewed.CompareAndSwap(last, int64(sent)) {
+			return
+		}
+	}
+}
+
 // resign ends the term and frees the holder's key for the next one.
 func (te *term) resign() {
 	te.end()
--- a/internal/drive/takeover_test.go
+++ b/internal/drive/takeover_test.go
@@ -8,6 +8,10 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/domain"
 	"github.com/cicadawharf/cicadawharf/internal/drive"
 	"github.com/cicadawharf/cicadawharf/internal/fakes/kvsim"
 	"github.com/cicadawharf/cicadawharf/internal/fakes/runsim"
@@ -117,6 +121,44 @@
 // nor be told.
 func TestNextHostAfterKill(t *testing.T) { takeover(t) }
 
+// lossyStore loses two of three renewals of a lease: they are not carried out,
+// and not answered.
+type lossyStore struct {
+	store.Committer
+	renewals atomic.Int64
+}
+
+func (lo *lossyStore) Renew(ctx context.Context, id store.LeaseID) error {
+	if lo.renewals.Add(1)%3 != 0 {
+		<-ctx.Done()
+		return store.ErrLost
+	}
+	return lo.Committer.Renew(ctx, id)
+}
+
+// TestRenewalsThatAreLost guards against a change of the scheduler for two
+// renewals that are not answered.
+func TestRenewalsThatAreLost(t *testing.T) {
+	is := is.New(t)
+	si := newSite(t, 1)
+	sc := drive.New(time.Now(), drive.Config{
+		Host: "a", Cores: 1, Store: &lossyStore{Committer: si.store.Client(t, time.Second)}, Workers: si.workers,
+		Log: slog.New(slog.DiscardHandler), Layout: runsim.Layout(),
+	})
+	kvsim.Background(t, func(ctx context.Context) error {
+		sc.Run(ctx)
+		return nil
+	})
+	kvsim.Eventually(t, sc.Holds)
+	first, _ := si.store.Value(batch.HolderKey)
+	for range 4 {
+		time.Sleep(domain.LeaseTime / 2)
+		now, held := si.store.Value(batch.HolderKey)
+		is.True(held)
+		is.Equal(string(now), string(first)) // with the same lease
+	}
+}
+
 // BenchmarkTakeover reports the median time from the kill of the holder to the
 // first start by the next one. The leases of the stand-in store last whole
 // seconds, so that of a holder takes up to half a second more than it asks for.
