Part calls over sessions from the mesh of peers

Calls between hosts of a domain need the same streams, messages and distinction of what was not sent, but no heartbeats. They move to package session; the mesh uses them from there and behaves as before.

--- a/internal/peers/beat.go
+++ b/internal/peers/beat.go
@@ -9,6 +9,7 @@
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/cicadawharf/cicadawharf/internal/session"
 	"github.com/cicadawharf/cicadawharf/internal/wire"
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
@@ -94,15 +95,15 @@
 		return Member{}, err
 	}
 	ca := &wire.Call{Method: MethodHeartbeat, Payload: payload}
-	if err := writeMessage(wr, ca); err != nil {
+	if err := session.WriteMessage(wr, ca); err != nil {
 		return Member{}, merry.Prepend(err, "send heartbeat")
 	}
 	an := new(wire.Answer)
-	if err := readMessage(rd, an); err != nil {
+	if err := session.ReadMessage(rd, an, maxMessage); err != nil {
 		return Member{}, merry.Prepend(err, "await answer of heartbeat")
 	}
-	if an.GetCode() != 0 {
-		return Member{}, answerError(an)
+	if err := session.AnswerError(an); err != nil {
+		return Member{}, err
 	}
 	hb := new(wire.Heartbeat)
 	if err := proto.Unmarshal(an.GetPayload(), hb); err != nil {
--- a/internal/peers/call.go
+++ b/internal/peers/call.go
@@ -6,34 +6,17 @@
 	"errors"
 	"io"
 	"runtime/debug"
-	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/hashicorp/yamux"
-	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/cicadawharf/cicadawharf/internal/session"
 	"github.com/cicadawharf/cicadawharf/internal/wire"
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
-type (
-	// outgoingCall is one call over a session. Whoever sets sending first
-	// decides: the caller that leaves, or the goroutine that begins to send.
-	outgoingCall struct {
-		host    string
-		call    *wire.Call
-		sending atomic.Bool
-		result  chan callResult
-	}
-
-	callResult struct {
-		payload []byte
-		err     error
-	}
-)
-
 // The first byte of a stream says what it carries.
 const (
 	kindCall = 'c' // calls and their answers, in turn
@@ -76,9 +59,8 @@
 	return li.call(ctx, host, method, payload)
 }
 
-// call makes one call over a stream of its own. Each step may block while a
-// silent host leaves it unanswered, so a goroutine takes the steps, and the
-// caller leaves when ctx ends.
+// call makes one call over a stream of its own, once one of the session's slots
+// is free.
 func (li *link) call(ctx context.Context, host, method string, payload []byte) ([]byte, error) {
 	if len(payload) > maxMessage-envelopeRoom {
 		return nil, &NotSentError{Host: host, Err: merry.Errorf("call of %d bytes exceeds the bound", len(payload))}
@@ -91,62 +73,14 @@
 		return nil, &NotSentError{Host: host, Err: errNoSession}
 	}
 	self := li.mesh.cfg.Self()
-	oc := &outgoingCall{
-		host: host,
-		call: &wire.Call{
+	return session.Call{
+		Session: li.sess, Host: host, Prefix: []byte{kindCall}, Bound: maxMessage,
+		Message: &wire.Call{
 			Method: method, From: self.Name, Incarnation: self.Incarnation,
-			TimeoutMillis: timeLeft(ctx), Payload: payload,
+			TimeoutMillis: session.TimeLeft(ctx), Payload: payload,
 		},
-		result: make(chan callResult, 1),
-	}
-	go func() {
-		defer func() { <-li.slots }()
-		li.exchange(ctx, oc)
-	}()
-	select {
-	case re := <-oc.result:
-		return re.payload, re.err
-	case <-ctx.Done():
-		if oc.sending.CompareAndSwap(false, true) {
-			return nil, &NotSentError{Host: host, Err: ctx.Err()}
-		}
-		return nil, oc.unknown(ctx.Err())
-	}
-}
-
-// exchange opens a stream, sends the call and takes the answer. It sends
-// nothing if the caller has left before.
-func (li *link) exchange(ctx context.Context, oc *outgoingCall) {
-	st, err := li.sess.OpenStream()
-	if err != nil {
-		oc.result <- callResult{err: &NotSentError{Host: oc.host, Err: err}}
-		return
-	}
-	defer st.Close()
-	if !oc.sending.CompareAndSwap(false, true) {
-		return
-	}
-	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if err := writeMessage(st, oc.call, kindCall); err != nil {
-		oc.result <- callResult{err: oc.unknown(err)}
-		return
-	}
-	an := new(wire.Answer)
-	if err := readMessage(bufio.NewReader(st), an); err != nil {
-		oc.result <- callResult{err: oc.unknown(err)}
-		return
-	}
-	if an.GetCode() != 0 {
-		oc.result <- callResult{err: answerError(an)}
-		return
-	}
-	oc.result <- callResult{payload: an.GetPayload()}
-}
-
-// unknown describes a call of which it is open whether it took effect.
-func (oc *outgoingCall) unknown(err error) error {
-	return merry.Prependf(err, "outcome of %s at %s is unknown", oc.call.GetMethod(), oc.host)
+		Done: func() { <-li.slots },
+	}.Do(ctx)
 }
 
 // serveStream serves what the other side opened a stream for.
@@ -175,12 +109,12 @@
 	rd := bufio.NewReader(st)
 	for {
 		ca := new(wire.Call)
-		if err := readMessage(rd, ca); err != nil {
+		if err := session.ReadMessage(rd, ca, maxMessage); err != nil {
 			return
 		}
 		an := li.answer(ctx, ca)
 		_ = st.SetWriteDeadline(time.Now().Add(receiveTimeout))
-		if err := writeMessage(st, an); err != nil {
+		if err := session.WriteMessage(st, an); err != nil {
 			li.mesh.cfg.Log.Debug("answer was not sent", "peer", ca.GetFrom(), "method", ca.GetMethod(), "error", err)
 			return
 		}
@@ -205,14 +139,7 @@
 	if err == nil && len(payload) > maxMessage-envelopeRoom {
 		err = codes.New(codes.InternalFailure, "answer of %d bytes exceeds the bound", len(payload))
 	}
-	if err != nil {
-		ce := codes.Of(err)
-		return &wire.Answer{
-			Code: int32(ce.Code), Detail: ce.Detail,
-			RetryAfterMillis: ce.RetryAfter.Milliseconds(),
-		}
-	}
-	return &wire.Answer{Payload: payload}
+	return session.AnswerOf(payload, err)
 }
 
 // dispatch runs the handler of a method. A handler that panics fails its own
@@ -236,43 +163,3 @@
 	}
 	return answer, nil
 }
-
-func answerError(an *wire.Answer) *codes.Error {
-	return &codes.Error{
-		Code: codes.Code(an.GetCode()), Detail: an.GetDetail(),
-		RetryAfter: time.Duration(an.GetRetryAfterMillis()) * time.Millisecond,
-	}
-}
-
-// timeLeft returns what is left until the deadline of ctx in milliseconds, at
-// least one, and zero if there is none.
-func timeLeft(ctx context.Context) int64 {
-	at, ok := ctx.Deadline()
-	if !ok {
-		return 0
-	}
-	return max(time.Until(at).Milliseconds(), 1)
-}
-
-// writeMessage writes a message in one piece, behind prefix.
-func writeMessage(wr io.Writer, msg proto.Message, prefix ...byte) error {
-	buf := sliceWriter(prefix)
-	if _, err := protodelim.MarshalTo(&buf, msg); err != nil {
-		return err
-	}
-	_, err := wr.Write(buf)
-	return err
-}
-
-func readMessage(rd *bufio.Reader, msg proto.Message) error {
-	return protodelim.UnmarshalOptions{MaxSize: maxMessage}.UnmarshalFrom(rd, msg)
-}
-
-// sliceWriter collects what is written.
-type sliceWriter []byte
-
-// Write implements io.Writer.
-func (sw *sliceWriter) Write(data []byte) (int, error) {
-	*sw = append(*sw, data...)
-	return len(data), nil
-}
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -3,15 +3,15 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"net"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/yamux"
+
+	"github.com/cicadawharf/cicadawharf/internal/session"
 )
 
 type (
@@ -36,35 +36,17 @@
 		net.Conn
 		sent *metrics.Counter
 	}
-
-	// yamuxLogger passes the lines of yamux on.
-	yamuxLogger struct {
-		log *slog.Logger
-	}
 )
 
 const (
 	maxLinkCalls   = 256 // in progress over one session, from this side
 	maxLinkStreams = 512 // served over one session
-	writeTimeout   = time.Second
-	closeTimeout   = 30 * time.Second
 
 	// A heartbeat is only sent when the one before was answered, so the
 	// second proves that both directions work.
 	confirmingBeats = 2
 )
 
-func (ms *Mesh) yamuxConfig() *yamux.Config {
-	yc := yamux.DefaultConfig()
-	yc.EnableKeepAlive = false
-	yc.ConnectionWriteTimeout = writeTimeout
-	yc.StreamOpenTimeout = 0
-	yc.StreamCloseTimeout = closeTimeout
-	yc.LogOutput = nil
-	yc.Logger = yamuxLogger{log: ms.cfg.Log}
-	return yc
-}
-
 // newLink puts a session on a connection, which it closes if that fails.
 func (ms *Mesh) newLink(conn net.Conn, dialled bool) (*link, error) {
 	cc := countingConn{Conn: conn, sent: ms.sent}
@@ -72,7 +54,7 @@
 	if dialled {
 		open = yamux.Client
 	}
-	sess, err := open(cc, ms.yamuxConfig())
+	sess, err := open(cc, session.Config(ms.cfg.Log))
 	if err != nil {
 		conn.Close()
 		return nil, err
@@ -249,21 +231,6 @@
 	return n, err
 }
 
-// Print implements yamux.Logger.
-func (yl yamuxLogger) Print(args ...any) { yl.line("session event", args...) }
-
-// Printf implements yamux.Logger.
-func (yl yamuxLogger) Printf(format string, args ...any) { yl.line(format, args...) }
-
-// Println implements yamux.Logger.
-func (yl yamuxLogger) Println(args ...any) { yl.line("session event", args...) }
-
-// line writes an event of yamux at debug level: a session that ends is
-// reported by its link.
-func (yl yamuxLogger) line(format string, args ...any) {
-	yl.log.Debug("yamux", "event", strings.TrimPrefix(format, "[ERR] yamux: "), "args", args)
-}
-
 func isTemporary(err error) bool {
 	var ne net.Error
 	if errors.As(err, &ne) && ne.Timeout() {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -13,6 +13,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/cicadawharf/cicadawharf/internal/session"
 	"github.com/cicadawharf/cicadawharf/internal/wire"
 )
 
@@ -50,10 +51,7 @@
 type RawHandler func(ctx context.Context, from string, payload []byte) ([]byte, error)
 
 // NotSentError says that a call did not reach the other host.
-type NotSentError struct {
-	Host string
-	Err  error
-}
+type NotSentError = session.NotSentError
 
 // The methods.
 const (
@@ -85,14 +83,6 @@
 	})
 }
 
-// Error implements error.
-func (ns *NotSentError) Error() string {
-	return "call to " + ns.Host + " was not sent: " + ns.Err.Error()
-}
-
-// Unwrap returns the cause.
-func (ns *NotSentError) Unwrap() error { return ns.Err }
-
 // ToWire returns the message of a member.
 func (me Member) ToWire() *wire.Member {
 	return &wire.Member{
