Tell why a call can't be decided, and judge by a fresh policy on demand

A call that this host can't decide (policy not confirmed, store silent, own write in doubt) was told by its code alone, which refusals share. CauseOf names the cause. OpenFresh judges by a policy that was read after the call came, for calls that other hosts forward.

A host that had lost the store tried it again only when a caller came, but a balancer sends none to a host that is not ready.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -80,7 +80,20 @@
 	in.mu.Lock()
 	loaded := in.known.policy != nil
 	in.mu.Unlock()
-	return loaded && !in.path.lost(up)
+	return loaded && in.Reaches(up) == nil
+}
+
+// Reaches returns the refusal of a call if this host has lost the store. Being
+// asked then makes it try the store now and then: nothing else may do so, since
+// callers are sent elsewhere.
+func (in *Intake) Reaches(up time.Duration) error {
+	if !in.path.lost(up) {
+		return nil
+	}
+	if in.path.allows(up) {
+		go func() { _ = in.reread(context.Background(), up) }()
+	}
+	return unavailable()
 }
 
 // Open finds the queue that a call is for and checks the caller's key.
@@ -90,6 +103,11 @@
 	if err != nil {
 		return Access{}, err
 	}
+	return kn.open(host, path, key)
+}
+
+// open finds the queue of a call in a policy and checks the key.
+func (kn known) open(host, path, key string) (Access, error) {
 	qu, ok := kn.policy.Route(host, path)
 	if !ok {
 		return Access{}, codes.New(codes.PathNotFound, "no queue has this host and path")
@@ -129,11 +147,11 @@
 	}
 	switch {
 	case kn.policy == nil:
-		return known{}, codes.New(codes.NotReady, "no policy is known yet").WithRetryAfter(comeBack)
+		return known{}, cannotDecide(PolicyUnconfirmed, codes.NotReady, "no policy is known yet")
 	case kn.confirmed(up), up-kn.asOf < in.cfg.TrustFor:
 		return kn, nil
 	default:
-		return known{}, codes.New(codes.StoreUnavailable, "the policy can't be confirmed").WithRetryAfter(comeBack)
+		return known{}, cannotDecide(PolicyUnconfirmed, codes.StoreUnavailable, "the policy can't be confirmed")
 	}
 }
 
@@ -153,6 +171,10 @@
 	if !in.path.allows(up) {
 		return store.ErrUnavailable
 	}
+	return in.reread(ctx, up)
+}
+
+func (in *Intake) reread(ctx context.Context, up time.Duration) error {
 	ch := in.confirm.DoChan("policy", func() (any, error) {
 		rctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readTime)
 		defer cancel()
@@ -222,7 +244,7 @@
 }
 
 func unavailable() error {
-	return codes.New(codes.StoreUnavailable, "the store does not answer this host").WithRetryAfter(comeBack)
+	return cannotDecide(StoreSilent, codes.StoreUnavailable, "the store does not answer this host")
 }
 
 // isConflict tells whether a commit found other revisions than it expected.
--- a/internal/intake/jobs.go
+++ b/internal/intake/jobs.go
@@ -69,7 +69,7 @@
 		}
 	}
 	if lost {
-		return codes.New(codes.SubmitUnknown, "the store's answer was lost").WithRetryAfter(comeBack)
+		return cannotDecide(OutcomeUnknown, codes.SubmitUnknown, "the store's answer was lost")
 	}
 	return unavailable()
 }
@@ -174,7 +174,7 @@
 		}
 		in.path.note(up+time.Since(began), err)
 		if !pause.For(ctx, writeRetry) {
-			return codes.New(codes.CancelUnknown, "the store does not answer").WithRetryAfter(comeBack)
+			return cannotDecide(OutcomeUnknown, codes.CancelUnknown, "the store does not answer")
 		}
 	}
 }
--- /dev/null
+++ b/internal/intake/undecided.go
@@ -0,0 +1,79 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+type (
+	// Cause says why a host can't decide a call that another one could.
+	Cause string
+
+	// undecided is the error of a call that this host can't decide.
+	undecided struct {
+		cause  Cause
+		answer *codes.Error // for the caller
+	}
+)
+
+// The causes.
+const (
+	PolicyUnconfirmed Cause = "policy"  // no policy is known, or it can't be confirmed
+	StoreSilent       Cause = "store"   // the store does not answer, and nothing was done
+	OutcomeUnknown    Cause = "outcome" // a write may have taken effect
+)
+
+// Known tells whether a cause is one of those.
+func (ca Cause) Known() bool {
+	return ca == PolicyUnconfirmed || ca == StoreSilent || ca == OutcomeUnknown
+}
+
+// CauseOf returns why a host could not decide a call, if that is what an error
+// says.
+func CauseOf(err error) (Cause, bool) {
+	var un undecided
+	if !errors.As(err, &un) {
+		return "", false
+	}
+	return un.cause, true
+}
+
+// Error implements error.
+func (un undecided) Error() string { return un.answer.Error() }
+
+// Unwrap returns the code for the caller.
+func (un undecided) Unwrap() error { return un.answer }
+
+func cannotDecide(cause Cause, code codes.Code, detail string) error {
+	return undecided{cause: cause, answer: codes.New(code, "%s", detail).WithRetryAfter(comeBack)}
+}
+
+// OpenFresh is Open by a policy that was read after an uptime, whatever was
+// known before: for calls that another host forwards, since that host may have
+// judged by an older one.
+func (in *Intake) OpenFresh(ctx context.Context, up time.Duration, host, path, key string) (_ Access, err error) {
+	defer func(began time.Time) { countCall("open", began, err) }(time.Now())
+	kn, err := in.fresh(ctx, up)
+	if err != nil {
+		return Access{}, err
+	}
+	return kn.open(host, path, key)
+}
+
+// fresh returns the policy by a read that began after an uptime. A read that was
+// under way then is shared, and followed by another one.
+func (in *Intake) fresh(ctx context.Context, up time.Duration) (known, error) {
+	began := time.Now()
+	for range confirmTries {
+		if err := in.refresh(ctx, up+time.Since(began)); err != nil {
+			break
+		}
+		if kn := in.latest(); kn.policy != nil && kn.asOf >= up {
+			return kn, nil
+		}
+	}
+	return known{}, cannotDecide(PolicyUnconfirmed, codes.StoreUnavailable, "the policy can't be confirmed")
+}
