Forward the calls of a host that does not reach the store

With host.peerAddress set, a host registers in the store under a lease and reads who the others are. A call that it can't decide goes to at most two of them in turn, nearer ones first, over a yamux session that is opened for it. The receiver judges by a policy that it reads after the call has come and never passes it on; it refuses at once without a store or beyond its bound. A doubt about an earlier write is only settled by an acceptance, so a refusal elsewhere does not become "not accepted".

--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -15,6 +15,7 @@
 	"github.com/cicadawharf/cicadawharf/internal/intake"
 	"github.com/cicadawharf/cicadawharf/internal/logbuf"
 	"github.com/cicadawharf/cicadawharf/internal/member"
+	"github.com/cicadawharf/cicadawharf/internal/remote"
 	"github.com/cicadawharf/cicadawharf/internal/setup"
 	"github.com/cicadawharf/cicadawharf/internal/store"
 	"github.com/cicadawharf/cicadawharf/internal/uptime"
@@ -70,10 +71,30 @@
 	if se.Machines.Address != "" {
 		dc.Machines = platform.NewMachines(se.Machines.Address)
 	}
-	sc := drive.New(time.Now(), dc)
+	fc := platform.FrontConfig{Intake: in, Uptime: uptime.Now, Log: log}
+	pe := newPeer(se, st, in, log)
+	if pe != nil {
+		fc.Others = pe
+	}
+	fr := platform.NewFront(fc)
 	return member.New(member.Config{
-		Settings: se, Scheduler: sc, Intake: in, Log: log, Readiness: platform.Ready,
-		Callers: platform.NewFront(platform.FrontConfig{Intake: in, Uptime: uptime.Now, Log: log}),
+		Settings: se, Scheduler: drive.New(time.Now(), dc), Intake: in, Log: log, Readiness: platform.Ready,
+		Callers: fr, Remote: pe, Forwarded: fr,
+	})
+}
+
+// newPeer returns what answers the calls of other hosts and asks them; nil if
+// the settings name no address for that.
+func newPeer(se setup.Domain, st store.Committer, in *intake.Intake, log *slog.Logger) *remote.Peer {
+	if se.Host.PeerAddress == "" {
+		return nil
+	}
+	return remote.New(remote.Config{
+		Self: remote.Member{
+			Name: se.Host.Name, Address: se.Host.PeerAddress, Zone: se.Host.Zone, Region: se.Host.Region,
+			Started: time.Now().UnixNano(),
+		},
+		Store: st, Cores: se.Processor.Speed(), Ready: func() bool { return in.Ready(uptime.Now()) }, Log: log,
 	})
 }
 
--- a/internal/batch/keys.go
+++ b/internal/batch/keys.go
@@ -12,6 +12,7 @@
 	OfferKey       = "holder/offer"  // which answers
 	WaitingKey     = "waiting"
 	UpkeepPrefix   = "upkeep/" // followed by the number of a wave
+	HostPrefix     = "host/"   // followed by the name of a host that takes forwarded calls
 
 	jobSuffix    = "/job"
 	cancelSuffix = "/cancel"
@@ -26,6 +27,9 @@
 // ProgressKey returns the key of a job's Record.
 func ProgressKey(id string) string { return ProgressPrefix + id }
 
+// HostKey returns the key under which a host registers.
+func HostKey(name string) string { return HostPrefix + name }
+
 // ParseAccepted tells what a key under AcceptedPrefix is of.
 func ParseAccepted(key string) (id string, cancel, ok bool) {
 	rest, found := strings.CutPrefix(key, AcceptedPrefix)
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -1,4 +1,4 @@
-// Package dial opens TCP connections that notice when the other end, or
+// Package dial opens and accepts TCP connections that notice when the other end, or
 // something between, has lost track of them.
 package dial
 
@@ -36,3 +36,9 @@
 func Context(ctx context.Context, _, address string) (net.Conn, error) {
 	return TCP(ctx, address)
 }
+
+// Listen accepts TCP connections that notice as much as those of TCP do.
+func Listen(ctx context.Context, address string) (net.Listener, error) {
+	lc := net.ListenConfig{KeepAliveConfig: dialer.KeepAliveConfig, Control: setUserTimeout}
+	return lc.Listen(ctx, "tcp", address)
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -18,6 +18,7 @@
 	"github.com/cicadawharf/cicadawharf/internal/drive"
 	"github.com/cicadawharf/cicadawharf/internal/intake"
 	"github.com/cicadawharf/cicadawharf/internal/pause"
+	"github.com/cicadawharf/cicadawharf/internal/remote"
 	"github.com/cicadawharf/cicadawharf/internal/setup"
 	"github.com/cicadawharf/cicadawharf/internal/uptime"
 )
@@ -29,6 +30,8 @@
 		Scheduler *drive.Scheduler
 		Intake    *intake.Intake
 		Callers   http.Handler
+		Remote    *remote.Peer   // nil if calls are not forwarded
+		Forwarded remote.Handler // of the calls of other hosts
 		Readiness func(ready func() bool) http.Handler
 		Log       *slog.Logger
 	}
@@ -70,7 +73,7 @@
 	if se.Host.MetricsAddress != "" {
 		servers[se.Host.MetricsAddress] = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTime}
 	}
-	failed := make(chan error, len(servers))
+	failed := make(chan error, len(servers)+1)
 	for address, sv := range servers {
 		ln, err := net.Listen("tcp", address)
 		if err != nil {
@@ -83,6 +86,13 @@
 	defer resign()
 	var wg sync.WaitGroup
 	wg.Go(func() { me.cfg.Scheduler.Run(sctx) })
+	if me.cfg.Remote != nil {
+		wg.Go(func() {
+			if err := me.cfg.Remote.Run(ctx, me.cfg.Forwarded); err != nil {
+				failed <- err
+			}
+		})
+	}
 	go me.warm(ctx)
 	select {
 	case err := <-failed:
@@ -110,6 +120,9 @@
 	for _, sv := range servers {
 		errs = append(errs, sv.Shutdown(ctx))
 	}
+	if me.cfg.Remote != nil {
+		me.cfg.Remote.Close(ctx)
+	}
 	err := errors.Join(errs...)
 	me.cfg.Log.Info("host ends", "event", "ends", "took", time.Since(began).Round(time.Millisecond), "error", err)
 	return err
--- /dev/null
+++ b/internal/remote/meters.go
@@ -0,0 +1,23 @@
+package remote
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cicadawharf/cicadawharf/internal/intake"
+)
+
+// role is the part of a host in a forwarded call.
+type role string
+
+// The roles.
+const (
+	forwarder role = "forwarder"
+	receiver  role = "receiver"
+)
+
+// countCall counts a forwarded call, or a try of one.
+func countCall(ro role, cause intake.Cause, oc outcome) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("cicadawharf_remote_calls_total{role=%q,cause=%q,outcome=%q}", ro, cause, oc)).Inc()
+}
--- /dev/null
+++ b/internal/remote/peer.go
@@ -0,0 +1,122 @@
+package remote
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/cicadawharf/cicadawharf/internal/dial"
+	"github.com/cicadawharf/cicadawharf/internal/store"
+)
+
+type (
+	// Config constructs a Peer.
+	Config struct {
+		Self  Member
+		Store store.Committer
+		Cores float64     // what the process may use
+		Ready func() bool // whether this host has the store
+		Log   *slog.Logger
+		// Dial opens a connection to IP:port; dial.TCP if nil.
+		Dial func(ctx context.Context, address string) (net.Conn, error)
+	}
+
+	// Peer is one host's side of the calls between hosts.
+	Peer struct {
+		cfg  Config
+		gate *gate
+		pool *pool
+
+		over context.Context // ends when the sessions of others are closed
+		end  context.CancelFunc
+
+		mu     sync.Mutex // guards the roster; never held during I/O
+		roster *Roster
+	}
+)
+
+// New returns a peer that does nothing until Run.
+func New(cf Config) *Peer {
+	if cf.Dial == nil {
+		cf.Dial = dial.TCP
+	}
+	over, end := context.WithCancel(context.Background())
+	return &Peer{
+		cfg: cf, gate: newGate(cf.Cores), pool: newPool(cf.Log, cf.Dial), roster: NewRoster(cf.Self),
+		over: over, end: end,
+	}
+}
+
+// Run registers the host and answers forwarded calls until ctx ends. Calls in
+// progress go on, and this host's own callers are served as before, until Close,
+// which has to follow.
+func (pe *Peer) Run(ctx context.Context, ha Handler) error {
+	ln, err := dial.Listen(ctx, pe.cfg.Self.Address)
+	if err != nil {
+		return merry.Prepend(err, "listen for other hosts")
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { pe.register(ctx) })
+	defer wg.Wait()
+	return pe.serve(ctx, ln, ha)
+}
+
+// Close waits until forwarded calls in progress are answered, or ctx ends, and
+// closes the connections.
+func (pe *Peer) Close(ctx context.Context) {
+	pe.gate.stop()
+	select {
+	case <-pe.gate.drained:
+	case <-ctx.Done():
+	}
+	pe.end()
+	pe.pool.closeAll()
+}
+
+// Enter counts a call of one of this host's own callers until leave is called.
+func (pe *Peer) Enter() (leave func()) {
+	pe.gate.enter()
+	return pe.gate.leave
+}
+
+// TimeAlone returns how much of a caller's time this host may use before it asks
+// others: all of it while there is none to ask.
+func (pe *Peer) TimeAlone(left time.Duration) time.Duration {
+	if _, ok := pe.choose(nil); !ok {
+		return left
+	}
+	return timeAlone(left)
+}
+
+// Members returns the other hosts that are known, the nearest first.
+func (pe *Peer) Members() []Member {
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	return pe.roster.Members()
+}
+
+// Learn takes hosts that another one knows.
+func (pe *Peer) Learn(members []Member) {
+	if len(members) == 0 {
+		return
+	}
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	pe.roster.Learned(time.Now(), members[:min(len(members), maxMembers)])
+}
+
+func (pe *Peer) listed(members []Member) {
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	pe.roster.Listed(time.Now(), members)
+}
+
+func (pe *Peer) choose(tried []Member) (Member, bool) {
+	pe.mu.Lock()
+	defer pe.mu.Unlock()
+	return pe.roster.Choose(time.Now(), tried)
+}
--- /dev/null
+++ b/internal/remote/peer_test.go
@@ -0,0 +1,339 @@
+package remote_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/fakes/kvsim"
+	"github.com/cicadawharf/cicadawharf/internal/intake"
+	"github.com/cicadawharf/cicadawharf/internal/remote"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+type (
+	// host answers forwarded calls as a test says.
+	host struct {
+		*remote.Peer
+		self    remote.Member
+		answers func(ctx context.Context) error
+		calls   atomic.Int64
+		stop    func()
+	}
+
+	// halfDeaf is a connection on which nothing arrives.
+	halfDeaf struct{ net.Conn }
+
+	// counted counts the connections that are open.
+	counted struct {
+		net.Conn
+		open *atomic.Int64
+	}
+)
+
+var (
+	submit = remote.Call{Op: remote.Submit, Job: "j", Host: "h", Path: "/j", Key: "k", Body: []byte("{}")}
+	look   = remote.Call{Op: remote.Look, Job: "j"}
+	noWay  = codes.New(codes.StoreUnavailable, "here").WithRetryAfter(time.Second)
+	inVain = codes.New(codes.SubmitUnknown, "here").WithRetryAfter(time.Second)
+)
+
+func (ho *host) AnswerForwarded(ctx context.Context, _ remote.Call) (remote.Result, error) {
+	ho.calls.Add(1)
+	return remote.Result{State: batch.Running}, ho.answers(ctx)
+}
+
+func accepts(context.Context) error { return nil }
+
+func answersBy(err error) func(context.Context) error {
+	return func(context.Context) error { return err }
+}
+
+func freeAddress(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// start runs a host. Change adapts its configuration.
+func start(t *testing.T, sv *kvsim.Server, name, zone string, answers func(context.Context) error, change func(cf *remote.Config)) *host {
+	ho := &host{answers: answers, self: remote.Member{Name: name, Address: freeAddress(t), Zone: zone, Region: "r", Started: 1}}
+	cf := remote.Config{
+		Self: ho.self, Store: sv.Client(t, time.Second), Cores: 0.2, Ready: func() bool { return true },
+		Log: slog.New(slog.DiscardHandler),
+	}
+	if change != nil {
+		change(&cf)
+	}
+	ho.Peer = remote.New(cf)
+	ho.stop = kvsim.Background(t, func(ctx context.Context) error { return ho.Run(ctx, ho) })
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		ho.Close(ctx)
+	})
+	kvsim.Eventually(t, func() bool {
+		_, ok := sv.Value(batch.HostKey(name))
+		return ok
+	})
+	return ho
+}
+
+func forward(t *testing.T, from *host, ca remote.Call, cause intake.Cause, err error) (remote.Result, error) {
+	ctx, cancel := context.WithTimeout(t.Context(), 1900*time.Millisecond)
+	defer cancel()
+	return from.Forward(ctx, ca, cause, err)
+}
+
+func codeOf(err error) codes.Code {
+	if err == nil {
+		return 0
+	}
+	return codes.Of(err).Code
+}
+
+// TestMembershipByTheStore guards against hosts that don't find each other, and
+// against an entry that outlasts its host.
+func TestMembershipByTheStore(t *testing.T) {
+	is := is.New(t)
+	sv := kvsim.Start(t, kvsim.Config{})
+	sv.Put(batch.HostKey("other"), []byte("?")) // an entry that can't be read
+	a := start(t, sv, "a", "z1", accepts, nil)
+	b := start(t, sv, "b", "z2", accepts, nil)
+	kvsim.Eventually(t, func() bool { return len(a.Members()) == 1 && len(b.Members()) == 1 })
+	is.Equal(a.Members(), []remote.Member{b.self})
+	re, err := forward(t, a, look, intake.StoreSilent, noWay)
+	is.NoErr(err)
+	is.Equal(re.State, batch.Running)
+	b.stop()
+	_, ok := sv.Value(batch.HostKey("b"))
+	is.True(!ok)
+	_, err = forward(t, a, look, intake.StoreSilent, noWay) // it is being shut down
+	is.Equal(err, error(noWay))
+}
+
+// TestVerdicts guards against a refusal by another host that hides that a job
+// may have been accepted, and against an answer that is no refusal being lost.
+func TestVerdicts(t *testing.T) {
+	sv := kvsim.Start(t, kvsim.Config{})
+	judged := codes.New(codes.UnknownWorkspace, "there")
+	away := codes.New(codes.StoreUnavailable, "there").WithRetryAfter(time.Second)
+	unsure := codes.New(codes.SubmitUnknown, "there")
+	for _, tc := range []struct {
+		name          string
+		ca            remote.Call
+		local         *codes.Error
+		first, second error
+		want          codes.Code
+		calls         int64 // at the second host
+	}{
+		{"accepted", submit, noWay, nil, nil, 0, 0},
+		{"judged", submit, noWay, judged, nil, codes.UnknownWorkspace, 0},
+		{"first without a store", submit, noWay, away, nil, 0, 1},
+		{"none has the store", submit, noWay, away, away, codes.StoreUnavailable, 1},
+		{"doubt here, refused there", submit, inVain, away, away, codes.SubmitUnknown, 1},
+		{"doubt here, judged there", submit, inVain, judged, nil, codes.SubmitUnknown, 0},
+		{"doubt here, accepted there", submit, inVain, nil, nil, 0, 0},
+		{"doubt there, refused", submit, noWay, unsure, away, codes.SubmitUnknown, 1},
+		{"doubt there, accepted", submit, noWay, unsure, nil, 0, 1},
+		{"unready while the policy changes", submit, noWay, codes.New(codes.NotReady, ""), nil, 0, 1},
+		{"look", look, noWay, away, nil, 0, 1},
+		{"doubt of a cancel", remote.Call{Op: remote.Cancel}, codes.New(codes.CancelUnknown, ""), away, away, codes.CancelUnknown, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			a := start(t, sv, "a", "z1", accepts, nil)
+			b := start(t, sv, "b", "z1", answersBy(tc.first), nil)
+			c := start(t, sv, "c", "z2", answersBy(tc.second), nil)
+			a.Learn([]remote.Member{b.self, c.self})
+			cause := intake.StoreSilent
+			if tc.local != noWay {
+				cause = intake.OutcomeUnknown
+			}
+			_, err := forward(t, a, tc.ca, cause, tc.local)
+			is.Equal(codeOf(err), tc.want)
+			is.Equal(b.calls.Load(), int64(1))
+			is.Equal(c.calls.Load(), tc.calls)
+			is.Equal(a.calls.Load(), int64(0)) // nothing comes back
+		})
+	}
+}
+
+// TestReceiverFails guards against a first host that uses up the caller's time,
+// or whose silence is taken for a refusal.
+func TestReceiverFails(t *testing.T) {
+	sv := kvsim.Start(t, kvsim.Config{})
+	thaw := make(chan struct{})
+	t.Cleanup(func() { close(thaw) })
+	frozen := func(ctx context.Context) error {
+		<-thaw // whatever time the call has
+		return nil
+	}
+	severed := func(ctx context.Context, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	deaf := func(ctx context.Context, address string) (net.Conn, error) {
+		nc, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+		return halfDeaf{nc}, err
+	}
+	for _, tc := range []struct {
+		name   string
+		first  func(context.Context) error
+		dial   func(context.Context, string) (net.Conn, error) // to the first
+		within time.Duration
+		alone  codes.Code // what is told if there is no second
+	}{
+		{"frozen", frozen, nil, 1300 * time.Millisecond, codes.SubmitUnknown},
+		{"severed", accepts, severed, 500 * time.Millisecond, codes.StoreUnavailable},
+		{"one way", accepts, deaf, 1300 * time.Millisecond, codes.SubmitUnknown},
+		{"panics", func(context.Context) error { panic("fault") }, nil, 500 * time.Millisecond, codes.SubmitUnknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			b := start(t, sv, "b", "z1", tc.first, nil)
+			c := start(t, sv, "c", "z2", accepts, nil)
+			dial := func(ctx context.Context, address string) (net.Conn, error) {
+				if address == b.self.Address && tc.dial != nil {
+					return tc.dial(ctx, address)
+				}
+				return new(net.Dialer).DialContext(ctx, "tcp", address)
+			}
+			a := start(t, sv, "a", "z1", accepts, func(cf *remote.Config) { cf.Dial = dial })
+			a.Learn([]remote.Member{b.self, c.self})
+			began := time.Now()
+			_, err := forward(t, a, submit, intake.StoreSilent, noWay)
+			is.NoErr(err)
+			is.True(time.Since(began) < tc.within)
+			is.Equal(c.calls.Load(), int64(1))
+			if tc.name != "panics" {
+				began = time.Now()
+				_, err = forward(t, a, submit, intake.StoreSilent, noWay)
+				is.NoErr(err)
+				is.True(time.Since(began) < 300*time.Millisecond) // the first is passed over
+			}
+			alone := start(t, sv, "d", "z1", accepts, func(cf *remote.Config) { cf.Dial = dial })
+			alone.Learn([]remote.Member{b.self})
+			_, err = forward(t, alone, submit, intake.StoreSilent, noWay)
+			is.Equal(codeOf(err), tc.alone)
+		})
+	}
+}
+
+// TestReceiverIsKilled guards against a host whose end during a call, before or
+// after its commit, is taken for a refusal.
+func TestReceiverIsKilled(t *testing.T) {
+	is := is.New(t)
+	sv := kvsim.Start(t, kvsim.Config{})
+	var b *host
+	b = start(t, sv, "b", "z1", func(context.Context) error {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		b.Close(ctx) // cuts the session
+		time.Sleep(100 * time.Millisecond)
+		return nil
+	}, nil)
+	a := start(t, sv, "a", "z1", accepts, nil)
+	a.Learn([]remote.Member{b.self})
+	began := time.Now()
+	_, err := forward(t, a, submit, intake.StoreSilent, noWay)
+	is.Equal(codeOf(err), codes.SubmitUnknown)
+	is.True(time.Since(began) < time.Second)
+	_, err = forward(t, a, submit, intake.StoreSilent, noWay) // it is passed over, and no other is there
+	is.Equal(err, error(noWay))
+}
+
+// TestOwnCallersComeFirst guards against forwarded calls that take a host from
+// its own callers.
+func TestOwnCallersComeFirst(t *testing.T) {
+	is := is.New(t)
+	sv := kvsim.Start(t, kvsim.Config{})
+	b := start(t, sv, "b", "z1", accepts, nil)
+	for range 12 {
+		defer b.Enter()()
+	}
+	a := start(t, sv, "a", "z1", accepts, nil)
+	a.Learn([]remote.Member{b.self})
+	began := time.Now()
+	_, err := forward(t, a, submit, intake.StoreSilent, noWay)
+	is.Equal(err, error(noWay))
+	is.Equal(b.calls.Load(), int64(0))
+	is.True(time.Since(began) < 300*time.Millisecond)
+}
+
+// TestHostWithoutStoreRefusesAtOnce guards against two hosts that each believe
+// that the other has the store and wait for each other.
+func TestHostWithoutStoreRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	sv := kvsim.Start(t, kvsim.Config{})
+	lost := func(cf *remote.Config) { cf.Ready = func() bool { return false } }
+	a := start(t, sv, "a", "z1", accepts, lost)
+	b := start(t, sv, "b", "z1", accepts, lost)
+	a.Learn([]remote.Member{b.self})
+	b.Learn([]remote.Member{a.self})
+	for _, ho := range []*host{a, b} {
+		began := time.Now()
+		_, err := forward(t, ho, submit, intake.StoreSilent, noWay)
+		is.Equal(err, error(noWay))
+		is.True(time.Since(began) < 300*time.Millisecond)
+		is.Equal(ho.calls.Load(), int64(0))
+	}
+	is.Equal(a.TimeAlone(time.Second), time.Second) // there is none left to ask
+}
+
+// TestConnectionsAreOpenOnDemand guards against connections that are held while
+// no call needs them.
+func TestConnectionsAreOpenOnDemand(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	sv := kvsim.Start(t, kvsim.Config{})
+	b := start(t, sv, "b", "z1", accepts, nil)
+	var open atomic.Int64
+	a := start(t, sv, "a", "z1", accepts, func(cf *remote.Config) {
+		cf.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			nc, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+			open.Add(1)
+			return counted{nc, &open}, err
+		}
+	})
+	kvsim.Eventually(t, func() bool { return len(a.Members()) == 1 })
+	is.Equal(open.Load(), int64(0))
+	for range 3 {
+		_, err := forward(t, a, submit, intake.StoreSilent, noWay)
+		is.NoErr(err)
+	}
+	is.Equal(open.Load(), int64(1))
+	kvsim.Eventually(t, func() bool { return open.Load() == 0 })
+	_, err := forward(t, a, submit, intake.StoreSilent, noWay)
+	is.NoErr(err)
+	is.Equal(b.calls.Load(), int64(4))
+}
+
+// Close implements net.Conn.
+func (co counted) Close() error {
+	err := co.Conn.Close()
+	if err == nil { // else it was closed before
+		co.open.Add(-1)
+	}
+	return err
+}
+
+// Read implements net.Conn.
+func (hd halfDeaf) Read(buf []byte) (int, error) {
+	for {
+		if _, err := hd.Conn.Read(buf); err != nil {
+			return 0, errors.Join(io.EOF, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/remote/pool.go
@@ -0,0 +1,172 @@
+package remote
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"github.com/cicadawharf/cicadawharf/internal/session"
+)
+
+type (
+	// pool holds the sessions that this host has opened. One is opened by the
+	// first call to an address and closed when it is idle.
+	pool struct {
+		dial  func(ctx context.Context, address string) (net.Conn, error)
+		log   *slog.Logger
+		mu    sync.Mutex
+		links map[string]*link // by address
+	}
+
+	// link is a session, or the attempt to open one.
+	link struct {
+		address string
+		ready   chan struct{} // closed when sess or err is set
+		sess    *yamux.Session
+		err     error
+
+		busy    int  // calls in progress; guarded by the pool
+		retired bool // not for new calls
+		idle    *time.Timer
+	}
+)
+
+const (
+	// dialTime bounds the opening of a connection: a caller waits three seconds,
+	// and hosts are a few tens of milliseconds away.
+	dialTime = 300 * time.Millisecond
+	// idleTime is after which a session without calls is closed.
+	idleTime = 5 * time.Second
+)
+
+func newPool(log *slog.Logger, dial func(context.Context, string) (net.Conn, error)) *pool {
+	return &pool{dial: dial, log: log, links: map[string]*link{}}
+}
+
+// get returns the session to an address for one call, which ends by release.
+func (po *pool) get(ctx context.Context, address string) (*link, error) {
+	li := po.take(address)
+	select {
+	case <-li.ready:
+	case <-ctx.Done():
+		po.release(li)
+		return nil, ctx.Err()
+	}
+	if li.err != nil {
+		po.retire(li)
+		po.release(li)
+		return nil, li.err
+	}
+	return li, nil
+}
+
+// take returns the link to an address, and begins to open it if there is none.
+func (po *pool) take(address string) *link {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	li := po.links[address]
+	if li == nil || li.ended() {
+		li = &link{address: address, ready: make(chan struct{})}
+		po.links[address] = li
+		go po.open(li)
+	}
+	li.busy++
+	if li.idle != nil {
+		li.idle.Stop()
+	}
+	return li
+}
+
+// ended tells whether a session that was open has ended.
+func (li *link) ended() bool {
+	select {
+	case <-li.ready:
+		return li.err != nil || li.sess.IsClosed()
+	default:
+		return false
+	}
+}
+
+func (po *pool) open(li *link) {
+	defer close(li.ready)
+	ctx, cancel := context.WithTimeout(context.Background(), dialTime)
+	defer cancel()
+	conn, err := po.dial(ctx, li.address)
+	if err != nil {
+		li.err = err
+		return
+	}
+	if li.sess, li.err = yamux.Client(conn, session.Config(po.log)); li.err != nil {
+		conn.Close()
+	}
+}
+
+// release ends a call over a link.
+func (po *pool) release(li *link) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	li.busy--
+	switch {
+	case li.busy > 0:
+	case li.retired:
+		go po.close(li)
+	case li.idle == nil:
+		li.idle = time.AfterFunc(idleTime, func() { po.lapse(li) })
+	default:
+		li.idle.Reset(idleTime)
+	}
+}
+
+// lapse closes a session that is idle.
+func (po *pool) lapse(li *link) {
+	po.mu.Lock()
+	if li.busy > 0 {
+		po.mu.Unlock()
+		return
+	}
+	po.forget(li)
+	po.mu.Unlock()
+	po.close(li)
+}
+
+// retire takes a session out of use for new calls. It is closed when those in
+// progress have ended.
+func (po *pool) retire(li *link) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.forget(li)
+}
+
+// forget is retire for a caller that holds the lock.
+func (po *pool) forget(li *link) {
+	li.retired = true
+	if po.links[li.address] == li {
+		delete(po.links, li.address)
+	}
+}
+
+// close ends a session. It waits for the attempt to open it.
+func (po *pool) close(li *link) {
+	<-li.ready
+	if li.sess != nil {
+		li.sess.Close()
+	}
+}
+
+// closeAll ends every session.
+func (po *pool) closeAll() {
+	po.mu.Lock()
+	var all []*link
+	for _, li := range po.links {
+		po.forget(li)
+		all = append(all, li)
+	}
+	po.mu.Unlock()
+	for _, li := range all {
+		po.close(li)
+	}
+}
--- /dev/null
+++ b/internal/remote/roster.go
@@ -0,0 +1,150 @@
+package remote
+
+import (
+	"slices"
+	"time"
+)
+
+type (
+	// Roster is what a host knows of the others, and whom it asks. It is bounded
+	// and does no I/O; its user guards it.
+	Roster struct {
+		self    Member
+		entries []entry // in the order in which they are asked
+	}
+
+	entry struct {
+		member    Member
+		known     time.Time // when it was last listed
+		passUntil time.Time // not asked before
+	}
+)
+
+const (
+	// maxMembers bounds the roster.
+	maxMembers = 12
+	// maxInZone and maxInRegion leave room for hosts that don't share the zone's
+	// or the region's way to the store.
+	maxInZone   = 5
+	maxInRegion = 4
+	// forgetAfter is when an entry expires that no list confirms. It outlasts the
+	// partitions in which the roster is needed.
+	forgetAfter = 15 * time.Minute
+	// silentFor is for how long a host that did not answer is passed over.
+	silentFor = 1500 * time.Millisecond
+	// minRefusedFor and maxRefusedFor bound how long a host that refused is.
+	minRefusedFor = 100 * time.Millisecond
+	maxRefusedFor = 2 * time.Second
+)
+
+// NewRoster returns the roster of a host that knows no other.
+func NewRoster(self Member) *Roster { return &Roster{self: self} }
+
+// Listed takes the whole list of hosts from the store: those that are missing
+// from it have gone.
+func (ro *Roster) Listed(now time.Time, members []Member) {
+	old := ro.entries
+	ro.entries = nil
+	for _, me := range members {
+		for _, en := range old {
+			if en.member.Name == me.Name {
+				ro.entries = append(ro.entries, en)
+			}
+		}
+	}
+	ro.Learned(now, members)
+}
+
+// Learned takes hosts that another one knows.
+func (ro *Roster) Learned(now time.Time, members []Member) {
+	for _, me := range members {
+		if me.valid() && me.Name != ro.self.Name && me.Address != ro.self.Address {
+			ro.learn(now, me)
+		}
+	}
+	ro.entries = slices.DeleteFunc(ro.entries, func(en entry) bool { return now.Sub(en.known) >= forgetAfter })
+	slices.SortFunc(ro.entries, func(a, b entry) int { return ro.self.compare(a.member, b.member) })
+	ro.trim()
+}
+
+// learn enters a host. A later start replaces an earlier one, with what was
+// noted of it.
+func (ro *Roster) learn(now time.Time, me Member) {
+	at := slices.IndexFunc(ro.entries, func(en entry) bool { return en.member.Name == me.Name })
+	switch {
+	case at < 0:
+		ro.entries = append(ro.entries, entry{member: me, known: now})
+	case ro.entries[at].member == me:
+		ro.entries[at].known = now
+	case me.Started >= ro.entries[at].member.Started:
+		ro.entries[at] = entry{member: me, known: now}
+	}
+}
+
+// trim drops the last of those that exceed the bounds. Room that a distance does
+// not use is for the nearest others.
+func (ro *Roster) trim() {
+	if len(ro.entries) <= maxMembers {
+		return
+	}
+	bounds := [distances]int{sameZone: maxInZone, sameRegion: maxInRegion, elsewhere: maxMembers}
+	var counts [distances]int
+	var kept, rest []entry
+	for _, en := range ro.entries {
+		di := ro.self.distanceTo(en.member)
+		counts[di]++
+		if counts[di] <= bounds[di] && len(kept) < maxMembers {
+			kept = append(kept, en)
+		} else {
+			rest = append(rest, en)
+		}
+	}
+	ro.entries = append(kept, rest[:maxMembers-len(kept)]...)
+	slices.SortFunc(ro.entries, func(a, b entry) int { return ro.self.compare(a.member, b.member) })
+}
+
+// Members returns the hosts that are known, the nearest first.
+func (ro *Roster) Members() []Member {
+	members := make([]Member, len(ro.entries))
+	for i, en := range ro.entries {
+		members[i] = en.member
+	}
+	return members
+}
+
+// Choose returns whom to ask next, if there is anyone: the nearest host that has
+// not been tried and is not passed over. After one has failed, hosts of other
+// zones come first, since a zone may be without the store as a whole.
+func (ro *Roster) Choose(now time.Time, tried []Member) (Member, bool) {
+	var second Member
+	found := false
+	for _, en := range ro.entries {
+		me := en.member
+		if now.Before(en.passUntil) || slices.ContainsFunc(tried, func(tr Member) bool { return tr.Name == me.Name }) {
+			continue
+		}
+		if !slices.ContainsFunc(tried, func(tr Member) bool { return tr.Zone == me.Zone }) {
+			return me, true
+		}
+		if !found {
+			second, found = me, true
+		}
+	}
+	return second, found
+}
+
+// Silent notes that a host did not answer.
+func (ro *Roster) Silent(now time.Time, me Member) { ro.pass(now, me, silentFor) }
+
+// Refused notes that a host refused, and when it may be asked again.
+func (ro *Roster) Refused(now time.Time, me Member, wait time.Duration) {
+	ro.pass(now, me, min(max(wait, minRefusedFor), maxRefusedFor))
+}
+
+func (ro *Roster) pass(now time.Time, me Member, span time.Duration) {
+	for i := range ro.entries {
+		if ro.entries[i].member == me {
+			ro.entries[i].passUntil = now.Add(span)
+		}
+	}
+}
--- /dev/null
+++ b/internal/remote/serve.go
@@ -0,0 +1,164 @@
+package remote
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net"
+	"runtime/debug"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/hashicorp/yamux"
+
+	"github.com/cicadawharf/cicadawharf/internal/pause"
+	"github.com/cicadawharf/cicadawharf/internal/session"
+	"github.com/cicadawharf/cicadawharf/internal/wire"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+const (
+	maxSessions = 64 // that others have opened
+	acceptPause = 50 * time.Millisecond
+	// readTime bounds the arrival of a call whose stream is open, and writeTime
+	// the sending of its answer.
+	readTime  = 500 * time.Millisecond
+	writeTime = 500 * time.Millisecond
+	// storeWait is told to hosts that ask one without the store.
+	storeWait = time.Second
+	// maxTime bounds what a forwarded call may ask for.
+	maxTime = 5 * time.Second
+)
+
+// serve takes the sessions of other hosts until ctx ends. Those that are open
+// then stand until Close, and what comes over them is refused.
+func (pe *Peer) serve(ctx context.Context, ln net.Listener, ha Handler) error {
+	stop := context.AfterFunc(ctx, func() {
+		pe.gate.stop()
+		ln.Close()
+	})
+	defer stop()
+	slots := make(chan struct{}, maxSessions)
+	for {
+		conn, err := ln.Accept()
+		if ctx.Err() != nil {
+			if err == nil {
+				conn.Close()
+			}
+			return nil
+		}
+		if err != nil {
+			pe.cfg.Log.Warn("can't accept from other hosts", "event", "acceptFails", "reason", err)
+			pause.For(ctx, acceptPause)
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+			go func() {
+				defer func() { <-slots }()
+				pe.serveConn(conn, ha)
+			}()
+		default:
+			conn.Close()
+		}
+	}
+}
+
+func (pe *Peer) serveConn(conn net.Conn, ha Handler) {
+	sess, err := yamux.Server(conn, session.Config(pe.cfg.Log))
+	if err != nil {
+		conn.Close()
+		return
+	}
+	defer sess.Close()
+	stop := context.AfterFunc(pe.over, func() { sess.Close() })
+	defer stop()
+	for {
+		st, err := sess.AcceptStream()
+		if err != nil {
+			return
+		}
+		if err := pe.gate.admit(); err != nil {
+			countCall(receiver, "", refused)
+			pe.answer(st, nil, err)
+			continue
+		}
+		go func() {
+			defer pe.gate.release()
+			pe.serveCall(st, ha)
+		}()
+	}
+}
+
+func (pe *Peer) answer(st *yamux.Stream, payload []byte, err error) {
+	defer st.Close()
+	_ = st.SetWriteDeadline(time.Now().Add(writeTime))
+	if err := session.WriteMessage(st, session.AnswerOf(payload, err)); err != nil {
+		pe.cfg.Log.Debug("other host is gone", "event", "answerLost", "reason", err)
+	}
+}
+
+// serveCall reads and answers one call. It may outlast the session, so that what
+// was begun has an end.
+func (pe *Peer) serveCall(st *yamux.Stream, ha Handler) {
+	_ = st.SetReadDeadline(time.Now().Add(readTime))
+	msg := new(wire.Call)
+	if err := session.ReadMessage(bufio.NewReader(st), msg, maxMessage); err != nil {
+		st.Close()
+		return
+	}
+	began := time.Now()
+	within := min(max(time.Duration(msg.GetTimeoutMillis())*time.Millisecond, 0), maxTime)
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	rq, re, err := pe.perform(ctx, msg, ha)
+	oc := outcomeOf(rq.Call.Op, err)
+	countCall(receiver, rq.Cause, oc)
+	args := []any{
+		"event", "served", "job", rq.Call.Job, "op", rq.Call.Op, "cause", rq.Cause,
+		"from", msg.GetFrom(), "outcome", oc, "took", time.Since(began).Round(time.Millisecond),
+	}
+	if err != nil {
+		args = append(args, "reason", err)
+	}
+	pe.cfg.Log.Info("forwarded call", args...)
+	rp := reply{Result: re}
+	if rq.Learn {
+		rp.Members = append(pe.Members(), pe.cfg.Self)
+	}
+	payload, encodeErr := json.Marshal(rp)
+	if err == nil {
+		err = encodeErr
+	}
+	pe.answer(st, payload, err)
+}
+
+// perform answers a forwarded call, or refuses it at once.
+func (pe *Peer) perform(ctx context.Context, msg *wire.Call, ha Handler) (request, Result, error) {
+	var rq request
+	if msg.GetMethod() != methodForwarded {
+		return rq, Result{}, codes.New(codes.PathNotFound, "method %q", msg.GetMethod())
+	}
+	if err := json.Unmarshal(msg.GetPayload(), &rq); err != nil {
+		return rq, Result{}, codes.New(codes.BadRequest, "%v", merry.Prepend(err, "forwarded call"))
+	}
+	if !rq.Cause.Known() {
+		rq.Cause = ""
+	}
+	if !pe.cfg.Ready() {
+		return rq, Result{}, codes.New(codes.StoreUnavailable, "this host has no store either").WithRetryAfter(storeWait)
+	}
+	re, err := pe.handle(ctx, rq.Call, ha)
+	return rq, re, err
+}
+
+// handle runs the handler. One that panics fails its own call only.
+func (pe *Peer) handle(ctx context.Context, ca Call, ha Handler) (re Result, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			pe.cfg.Log.Error("handler has panicked", "event", "panic", "job", ca.Job, "cause", cause, "stack", string(debug.Stack()))
+			err = codes.New(codes.InternalFailure, "the handler has panicked")
+		}
+	}()
+	return ha.AnswerForwarded(ctx, ca)
+}
--- a/internal/setup/domain.go
+++ b/internal/setup/domain.go
@@ -36,6 +36,7 @@
 		CallersAddress   string `yaml:"callersAddress"`   // IP:port
 		ReadinessAddress string `yaml:"readinessAddress"` // IP:port
 		MetricsAddress   string `yaml:"metricsAddress"`   // IP:port; empty for none
+		PeerAddress      string `yaml:"peerAddress"`      // IP:port for other hosts; empty if calls are not forwarded
 	}
 
 	// DomainStore says how to reach the platform's store.
@@ -109,6 +110,9 @@
 	if do.Host.MetricsAddress != "" {
 		checkAddress(tree, "$.host.metricsAddress", do.Host.MetricsAddress)
 	}
+	if do.Host.PeerAddress != "" {
+		checkAddress(tree, "$.host.peerAddress", do.Host.PeerAddress)
+	}
 	checkAddress(tree, "$.store.address", do.Store.Address)
 	if do.Advice.Address != "" {
 		checkAddress(tree, "$.advice.address", do.Advice.Address)
