--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -96,6 +96,10 @@
 	return unavailable()
 }
 
+// Answers counts the answers of the store to this host. A number that does not
+// change while a call waits says that the store is silent rather than slow.
+func (in *Intake) Answers() uint64 { return in.path.answers() }
+
 // Open finds the queue that a call is for and checks the caller's key.
 func (in *Intake) Open(ctx context.Context, up time.Duration, host, path, key string) (_ Access, err error) {
 	defer func(began time.Time) { countCall("open", began, err) }(time.Now())
--- a/internal/intake/path.go
+++ b/internal/intake/path.go
@@ -12,6 +12,7 @@
 	since time.Duration // uptime of the first failure after the last success
 	fails int
 	tried time.Duration
+	done  uint64 // calls that were answered
 }
 
 const (
@@ -29,6 +30,7 @@
 	defer pa.mu.Unlock()
 	if err == nil {
 		pa.fails = 0
+		pa.done++
 		return
 	}
 	if pa.fails == 0 {
@@ -37,6 +39,13 @@
 	pa.fails++
 }
 
+// answers counts the calls that were answered.
+func (pa *path) answers() uint64 {
+	pa.mu.Lock()
+	defer pa.mu.Unlock()
+	return pa.done
+}
+
 // lost tells whether the store can't be reached.
 func (pa *path) lost(up time.Duration) bool {
 	pa.mu.Lock()
--- a/internal/remote/forward.go
+++ b/internal/remote/forward.go
@@ -47,7 +47,7 @@
 func timeLeft(ctx context.Context) time.Duration {
 	at, ok := ctx.Deadline()
 	if !ok {
-		return localTime
+		return maxTime
 	}
 	return time.Until(at)
 }
@@ -67,7 +67,7 @@
 		"to", me.Name, "outcome", oc, "took", time.Since(began).Round(time.Millisecond),
 	}
 	if err != nil {
-		args = append(args, "reason", err)
+		args = append(args, "reason", err.Error())
 	}
 	pe.cfg.Log.Info("call is forwarded", args...)
 	return rp.Result, oc, err
--- a/internal/remote/peer.go
+++ b/internal/remote/peer.go
@@ -83,11 +83,16 @@
 	return pe.gate.leave
 }
 
+// Known tells whether there are other hosts, whether or not they may be asked
+// now.
+func (pe *Peer) Known() bool { return len(pe.Members()) > 0 }
+
 // TimeAlone returns how much of a caller's time this host may use before it asks
-// others: all of it while there is none to ask.
-func (pe *Peer) TimeAlone(left time.Duration) time.Duration {
+// others, in all and while the store is silent: all of it while there is none to
+// ask.
+func (pe *Peer) TimeAlone(left time.Duration) (whole, silent time.Duration) {
 	if _, ok := pe.choose(nil); !ok {
-		return left
+		return left, left
 	}
 	return timeAlone(left)
 }
--- a/internal/remote/peer_test.go
+++ b/internal/remote/peer_test.go
@@ -123,6 +123,21 @@
 	is.Equal(err, error(noWay))
 }
 
+// TestMembersAreToldByOthers guards against a host that has started without the
+// store and knows too few others.
+func TestMembersAreToldByOthers(t *testing.T) {
+	is := is.New(t)
+	sv := kvsim.Start(t, kvsim.Config{})
+	a := start(t, sv, "a", "z1", accepts, nil)
+	b := start(t, sv, "b", "z2", accepts, nil)
+	third := remote.Member{Name: "c", Address: "127.0.0.1:1", Zone: "z3", Region: "r", Started: 1}
+	a.Learn([]remote.Member{b.self})
+	b.Learn([]remote.Member{third, a.self})
+	_, err := forward(t, a, look, intake.StoreSilent, noWay)
+	is.NoErr(err)
+	is.Equal(len(a.Members()), 2)
+}
+
 // TestVerdicts guards against a refusal by another host that hides that a job
 // may have been accepted, and against an answer that is no refusal being lost.
 func TestVerdicts(t *testing.T) {
@@ -289,7 +304,8 @@
 		is.True(time.Since(began) < 300*time.Millisecond)
 		is.Equal(ho.calls.Load(), int64(0))
 	}
-	is.Equal(a.TimeAlone(time.Second), time.Second) // there is none left to ask
+	whole, silent := a.TimeAlone(time.Second)
+	is.True(whole == time.Second && silent == time.Second) // there is none left to ask
 }
 
 // TestConnectionsAreOpenOnDemand guards against connections that are held while
--- a/internal/remote/serve.go
+++ b/internal/remote/serve.go
@@ -119,7 +119,7 @@
 		"from", msg.GetFrom(), "outcome", oc, "took", time.Since(began).Round(time.Millisecond),
 	}
 	if err != nil {
-		args = append(args, "reason", err)
+		args = append(args, "reason", err.Error())
 	}
 	pe.cfg.Log.Info("forwarded call", args...)
 	rp := reply{Result: re}
--- a/internal/remote/times.go
+++ b/internal/remote/times.go
@@ -5,12 +5,17 @@
 const (
 	// maxTries is how many hosts are asked for one call.
 	maxTries = 2
-	// localTime bounds what a host spends on a call itself while there are others
-	// to ask, and localShare is its part of a shorter deadline.
-	localTime  = 1100 * time.Millisecond
-	localShare = 0.4
-	// firstShare of the time is for the first host that is asked.
+	// silentTime bounds what a host spends on a call itself while the store is
+	// silent and there are others to ask, and silentShare is its part of a shorter
+	// deadline.
+	silentTime  = 1100 * time.Millisecond
+	silentShare = 0.4
+	// wholeShare is the part of a call that waits for a slow store.
+	wholeShare = 0.75
+	// firstShare of the time is for the first host that is asked, and no more than
+	// firstTime: one that has the store answers in some ten milliseconds.
 	firstShare = 0.55
+	firstTime  = time.Second
 	// leastTry is the least time in which another host is asked.
 	leastTry = 60 * time.Millisecond
 	// wayBack is kept of a try for the answer to arrive.
@@ -19,8 +24,8 @@
 
 // timeAlone returns how much of a caller's time this host uses itself before it
 // asks others.
-func timeAlone(left time.Duration) time.Duration {
-	return min(localTime, time.Duration(localShare*float64(left)))
+func timeAlone(left time.Duration) (whole, silent time.Duration) {
+	return time.Duration(wholeShare * float64(left)), min(silentTime, time.Duration(silentShare*float64(left)))
 }
 
 // timeFor returns how much of what is left a try may use; zero if that is too
@@ -30,7 +35,7 @@
 		return 0
 	}
 	if try < maxTries-1 {
-		return max(leastTry, time.Duration(firstShare*float64(left)))
+		return min(max(leastTry, time.Duration(firstShare*float64(left))), firstTime)
 	}
 	return left
 }
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -126,7 +126,7 @@
 
 // unknown describes a call of which it is open whether it took effect.
 func (og *outgoing) unknown(err error) error {
-	return merry.Prependf(err, "outcome of %s at %s is unknown", og.Message.GetMethod(), og.Host)
+	return merry.Wrap(err, merry.NoCaptureStack(), merry.PrependMessagef("outcome of %s at %s is unknown", og.Message.GetMethod(), og.Host))
 }
 
 // AnswerOf returns the message of a call's outcome.
--- a/internal/setup/domain_test.go
+++ b/internal/setup/domain_test.go
@@ -11,6 +11,7 @@
 
 const domainFile = `host:
   name: host-1
+  peerAddress: 10.0.0.1:82
   zone: zone-1
   region: region-1
   callersAddress: 10.0.0.1:80
@@ -49,3 +50,15 @@
 		})
 	}
 }
+
+// TestPeerAddress guards against a host that begins with an address on which no
+// other host can reach it.
+func TestPeerAddress(t *testing.T) {
+	is := is.New(t)
+	do, err := setup.ParseDomain("settings", []byte(domainFile))
+	is.NoErr(err)
+	is.Equal(do.Host.PeerAddress, "10.0.0.1:82")
+	_, err = setup.ParseDomain("settings", []byte(strings.ReplaceAll(domainFile, "10.0.0.1:82", "here")))
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), `"here"`))
+}
