--- a/internal/remote/peer_test.go
+++ b/internal/remote/peer_test.go
@@ -269,6 +269,37 @@
 	is.Equal(err, error(noWay))
 }
 
+// TestReceiverStops guards against a planned stop that cuts a forwarded call off.
+func TestReceiverStops(t *testing.T) {
+	is := is.New(t)
+	sv := kvsim.Start(t, kvsim.Config{})
+	begun, goOn := make(chan struct{}), make(chan struct{})
+	b := start(t, sv, "b", "z1", func(context.Context) error {
+		close(begun)
+		<-goOn
+		return nil
+	}, nil)
+	a := start(t, sv, "a", "z1", accepts, nil)
+	a.Learn([]remote.Member{b.self})
+	done := make(chan error, 1)
+	go func() {
+		_, err := forward(t, a, submit, intake.StoreSilent, noWay)
+		done <- err
+	}()
+	<-begun
+	b.stop()
+	_, err := forward(t, a, submit, intake.StoreSilent, noWay)
+	is.Equal(err, error(noWay)) // refused at once over the session that stands
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		b.Close(context.Background())
+	}()
+	close(goOn)
+	is.NoErr(<-done)
+	<-closed
+}
+
 // TestOwnCallersComeFirst guards against forwarded calls that take a host from
 // its own callers.
 func TestOwnCallersComeFirst(t *testing.T) {
