Move work out of a zone that is emptied, and prefer workers that are not cold

Cause: what ran in a zone that an operator empties ran on until it ended, so lasting work never left it. Workers of a zone that comes back are slow for some seconds (cold_remaining_ms in their entries), and were used like any other.

Change: after each round the core moves one unit out of such zones if the whole of it has room elsewhere that no waiting unit takes (domain/evac.go): work with checkpoints that has more than the bound left, within 300 ms of a new checkpoint, and lasting work within MayMiss; never work within a guarantee. The room is claimed before the unit is stopped, for at most 2 s, for at most four units at a time; work within a guarantee takes it back. What is left in each zone goes to the log and metrics as an effect and into the store beside the counts of waiting jobs. Workers that are cold come last where a worker is chosen (domain/cold.go); with none, the order is unchanged. The method of leave.go is now clearWorker.

--- a/internal/batch/codec.go
+++ b/internal/batch/codec.go
@@ -8,10 +8,12 @@
 )
 
 type (
-	// Waiting counts the jobs of each queue of which nothing has started.
+	// Waiting counts the jobs of each queue of which nothing has started, and the
+	// tasks that run in availability zones which are to be emptied.
 	Waiting struct {
 		At     time.Time      `json:"at"`
 		Queues map[string]int `json:"queues"`
+		Left   map[string]int `json:"left,omitempty"` // by availability zone
 	}
 )
 
--- a/internal/domain/book.go
+++ b/internal/domain/book.go
@@ -1,6 +1,7 @@
 package domain
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -17,6 +18,7 @@
 	queued    map[*job]bool
 	urgent    bool // a start waits for the next commit
 	waiting   map[string]int
+	left      map[string]int // tasks in availability zones that are to be emptied
 	waitingAt time.Time
 }
 
@@ -129,27 +131,16 @@
 		return nil
 	}
 	co.book.waitingAt = now
+	left := co.leftByZone()
 	counts := map[string]int{}
 	for _, jb := range co.jobs {
 		if !jb.begun && !jb.state.Final() && jb.Schedule == nil && now.Sub(jb.known) >= waitingGap {
 			counts[jb.Queue.Name]++
 		}
 	}
-	if equalCounts(counts, co.book.waiting) {
+	if maps.Equal(counts, co.book.waiting) && maps.Equal(left, co.book.left) {
 		return nil
 	}
-	co.book.waiting = counts
-	return &batch.Waiting{At: now, Queues: counts}
-}
-
-func equalCounts(a, b map[string]int) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for key, n := range a {
-		if b[key] != n {
-			return false
-		}
-	}
-	return true
+	co.book.waiting, co.book.left = counts, left
+	return &batch.Waiting{At: now, Queues: counts, Left: left}
 }
--- /dev/null
+++ b/internal/domain/cold.go
@@ -0,0 +1,41 @@
+package domain
+
+import "time"
+
+// noteCold notes until when a worker is slow. The platform says how much longer
+// that is in each entry of the worker.
+func (nd *node) noteCold(now time.Time) {
+	nd.coldUntil = now.Add(nd.worker.Cold)
+	nd.cold = nd.worker.Cold > 0
+}
+
+// noteWarm notes that a worker is slow no more, once it is.
+func (nd *node) noteWarm(now time.Time) { nd.cold = nd.cold && now.Before(nd.coldUntil) }
+
+// compareWarm orders workers that are slow behind all others, and otherwise as
+// compare does.
+func compareWarm(compare func(a, b slot) int) func(a, b slot) int {
+	return func(a, b slot) int {
+		if a.node.cold != b.node.cold {
+			return compareBool(a.node.cold, b.node.cold)
+		}
+		return compare(a, b)
+	}
+}
+
+// fillWarmRack takes a rack that has the room on workers which are not slow, and
+// any other one if there is none.
+func (un *unit) fillWarmRack(sls []slot) []*node {
+	var warm []slot
+	for _, sl := range sls {
+		if !sl.node.cold {
+			warm = append(warm, sl)
+		}
+	}
+	if len(warm) < len(sls) {
+		if nodes := un.fillRack(warm); nodes != nil {
+			return nodes
+		}
+	}
+	return un.fillRack(sls)
+}
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -20,6 +20,9 @@
 		Workers   []runner.Worker
 		Evacuated []string // availability zones that are to be emptied
 		Cores     float64  // that the core may use; zero if that is unknown
+		// Evacuate is from how much time left work with checkpoints is moved out
+		// of these zones.
+		Evacuate time.Duration
 	}
 
 	// Core is the state of a scheduling domain under one token. It is not safe
@@ -34,6 +37,7 @@
 		sorted     []*node // nodes by ID
 		addresses  map[string][]*node
 		evacuated  map[string]bool // availability zones that are to be emptied
+		draining   draining        // of these
 		holding    map[*node]bool  // nodes with ends that are not acknowledged
 		woken      []*node         // nodes where a look may be due
 		changed    map[*unit]bool  // to be evaluated
@@ -56,7 +60,7 @@
 // New returns a core that has heard of no worker yet.
 func New(now time.Time, cf Config) *Core {
 	co := &Core{
-		token: cf.Token, began: now, cores: min(1, cf.Cores), policy: cf.Policy,
+		token: cf.Token, began: now, cores: min(1, cf.Cores), policy: cf.Policy, draining: draining{over: cf.Evacuate},
 		jobs: map[string]*job{}, nodes: map[string]*node{}, changed: map[*unit]bool{},
 		addresses: map[string][]*node{}, holding: map[*node]bool{}, used: map[string]usage{}, book: newBook(),
 	}
@@ -83,7 +87,8 @@
 	return co
 }
 
-// Handle takes one event and returns what is to be done.
+// Handle takes one event and returns what is to be done. Prompted brings only the
+// time.
 func (co *Core) Handle(now time.Time, ev Event) []Effect {
 	if co.gone {
 		return nil
@@ -118,7 +123,6 @@
 		co.committed(now, ev)
 	case Ticked:
 		co.tick(now)
-	case Prompted:
 	}
 	co.settle(now)
 	effects := co.effects
@@ -189,9 +193,11 @@
 		co.expire(now, nd)
 		co.retryStops(now, nd)
 		co.watchProgress(now, nd)
-		co.evacuate(now, nd)
+		co.clearWorker(now, nd)
+		nd.noteWarm(now)
 	}
 	co.woken = append(co.woken[:0], co.byID()...)
+	co.reportLeft(now)
 	co.forgetEnded(now)
 	co.reportOverdue(now)
 	co.pass = true
--- a/internal/domain/evac.go
+++ b/internal/domain/evac.go
@@ -1,10 +1,44 @@
 package domain
 
 import (
+	"maps"
 	"slices"
 	"strings"
+	"time"
 )
 
+type (
+	// ZoneLeft is what runs in an availability zone that is to be emptied.
+	ZoneLeft struct {
+		Zone    string
+		Workers int // that are listed
+		Tasks   int
+	}
+
+	// draining is how far emptying such zones has come.
+	draining struct {
+		over   time.Duration // see Config.Evacuate
+		left   []ZoneLeft    // as last told
+		leftAt time.Time
+	}
+)
+
+const (
+	// freshSave is for how long after it was listed a checkpoint counts as new.
+	// A round comes with every tick, and less often on a weak host.
+	freshSave = 300 * time.Millisecond
+	// maxMoves bounds the units that are moved out of such zones at a time: each
+	// of them stands still for about a second, and holds room twice.
+	maxMoves = 4
+	// moveTime bounds for how long room elsewhere is held for a unit whose stop
+	// is not confirmed.
+	moveTime = 2 * time.Second
+	// leftGap is the least time between two reports of what runs in such zones.
+	leftGap = time.Second
+)
+
+func (Evacuation) effect() {}
+
 // setEvacuated takes the availability zones that are to be emptied.
 func (co *Core) setEvacuated(zones []string) {
 	co.evacuated = map[string]bool{}
@@ -39,3 +73,152 @@
 func (un *unit) onEvacuated() bool {
 	return slices.ContainsFunc(un.runs, func(ru *run) bool { return ru.node.evacuated })
 }
+
+// noteSave notes that a task has listed a checkpoint that is new.
+func (co *Core) noteSave(now time.Time, ru *run, checkpoint string) {
+	un := ru.unit
+	if checkpoint == "" || checkpoint == un.checkpoint || ru.task.Index != un.index {
+		return
+	}
+	un.savedAt = now
+	co.pass = co.pass || un.onEvacuated()
+}
+
+// drain moves one unit out of the zones that are to be emptied, into room that
+// the units which wait have left free in this round.
+func (co *Core) drain(ps *pass) {
+	if len(co.evacuated) == 0 || co.moves() >= maxMoves {
+		return
+	}
+	for _, nd := range co.byID() {
+		if !nd.evacuated || nd.silent() {
+			continue
+		}
+		for _, ru := range nd.sortedRuns() {
+			if un := ru.unit; un != nil && un.mayMove(ps.now, co.draining.over) && co.move(ps, un) {
+				co.pass = true // for the next one
+				return
+			}
+		}
+	}
+}
+
+// mayMove tells whether a unit is to be moved out of its zone now. Nothing has to
+// be clear by any time, so it is only what loses little by it and would stay
+// longer than a bound: work that has just saved a checkpoint, and lasting work as
+// far as it may be interrupted.
+func (un *unit) mayMove(now time.Time, over time.Duration) bool {
+	switch {
+	case un.phase != live, un.assured, !un.allRunning():
+		return false
+	case un.step.Lasting:
+		return un.step.MayMiss == 0 || un.job.away(un)+un.tasks <= un.step.MayMiss
+	default:
+		return un.step.Checkpoints && !un.savedAt.IsZero() && now.Sub(un.savedAt) <= freshSave && un.timeLeft(now) > over
+	}
+}
+
+// move stops a unit if the whole of it has room elsewhere, and claims that room.
+func (co *Core) move(ps *pass, un *unit) bool {
+	key := co.shapeOf(ps, rank{class: un.class(ps.now)}, un)
+	if ps.full[key] || !co.hasAdvice(ps, un) {
+		return false
+	}
+	nodes := co.choose(ps, un, key)
+	if nodes == nil {
+		ps.full[key] = true
+		return false
+	}
+	co.stopUnit(ps.now, un, "it is moved out of an availability zone that is to be emptied")
+	un.claim = nodes
+	co.claimed = append(co.claimed, un)
+	names := make([]string, len(nodes))
+	for i, nd := range nodes {
+		nd.used = nd.used.Plus(un.step.Occupied())
+		names[i] = nd.worker.ID
+	}
+	co.emit(Noted{
+		Decision: "evacuation", Job: un.job.ID, Task: un.taskID(0).String(), Queue: un.job.Queue.Name, Attempt: un.attempt,
+		Workers: slices.Compact(names), Reason: "moves to other availability zones",
+	})
+	return true
+}
+
+// moves counts the units that are being stopped to be moved.
+func (co *Core) moves() int {
+	n := 0
+	for _, un := range co.claimed {
+		if un.isMoving() {
+			n++
+		}
+	}
+	return n
+}
+
+// isMoving tells whether a unit is being stopped while room is held for it.
+func (un *unit) isMoving() bool { return un.claim != nil && un.phase == stopping }
+
+// holdMove keeps the room that a unit moves to until it has stopped.
+func (co *Core) holdMove(now time.Time, un *unit) {
+	if un.phase != stopping || now.Sub(un.stopped) > moveTime {
+		co.release(un)
+		return
+	}
+	co.claimed = append(co.claimed, un)
+}
+
+// dropMoves gives up the room that is held for moves, since work within a
+// guarantee finds none.
+func (co *Core) dropMoves() {
+	for _, un := range co.claimed {
+		if un.isMoving() {
+			co.release(un)
+		}
+	}
+}
+
+// leftByZone counts the tasks in the zones that are to be emptied.
+func (co *Core) leftByZone() map[string]int {
+	if len(co.evacuated) == 0 {
+		return nil
+	}
+	left := map[string]int{}
+	for zone := range co.evacuated {
+		left[zone] = 0
+	}
+	for _, nd := range co.nodes {
+		if nd.evacuated {
+			left[nd.worker.Zone] += len(nd.runs)
+		}
+	}
+	return left
+}
+
+// reportLeft tells what runs in the zones that are to be emptied if that has
+// changed.
+func (co *Core) reportLeft(now time.Time) {
+	if len(co.evacuated)+len(co.draining.left) == 0 || now.Sub(co.draining.leftAt) < leftGap {
+		return
+	}
+	left := co.zonesLeft()
+	if slices.Equal(left, co.draining.left) {
+		return
+	}
+	co.draining.left, co.draining.leftAt = left, now
+	co.emit(Evacuation{Zones: left})
+}
+
+func (co *Core) zonesLeft() []ZoneLeft {
+	workers := map[string]int{}
+	for _, nd := range co.nodes {
+		if nd.evacuated && nd.listed {
+			workers[nd.worker.Zone]++
+		}
+	}
+	tasks := co.leftByZone()
+	left := make([]ZoneLeft, 0, len(tasks))
+	for _, zone := range slices.Sorted(maps.Keys(tasks)) {
+		left = append(left, ZoneLeft{Zone: zone, Workers: workers[zone], Tasks: tasks[zone]})
+	}
+	return left
+}
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -151,6 +151,10 @@
 		Accelerators Accelerators
 	}
 
+	// Evacuation says, at most once a second, what runs in availability zones that
+	// are to be emptied, whenever that has changed.
+	Evacuation struct{ Zones []ZoneLeft }
+
 	// Resign ends the core: another one holds a larger token.
 	Resign struct{ Reason string }
 )
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -46,8 +46,9 @@
 		failures   int
 		counted    bool // a failure of this attempt is in failures
 		checkpoint string
-		runs       []*run // of the present attempt, by task
-		version    int    // of the job, that records the attempt
+		savedAt    time.Time // when a new checkpoint was last listed
+		runs       []*run    // of the present attempt, by task
+		version    int       // of the job, that records the attempt
 		avoid      map[string]bool
 		yielded    int       // times that it was stopped for other work
 		preempted  time.Time // when it last searched for work that could make way
--- a/internal/domain/leave.go
+++ b/internal/domain/leave.go
@@ -42,7 +42,7 @@
 		at := by[nd.worker.ID]
 		co.pass = co.pass || at.IsZero() != nd.emptyBy.IsZero()
 		nd.emptyBy = at
-		co.evacuate(now, nd)
+		co.clearWorker(now, nd)
 	}
 }
 
@@ -77,10 +77,10 @@
 	return nd.leaves
 }
 
-// evacuate moves work off a worker that leaves or goes down, if it would not end
+// clearWorker moves work off a worker that leaves or goes down, if it would not end
 // there in time. Work with checkpoints goes on until just before; what would be
 // lost anyway begins anew elsewhere at once.
-func (co *Core) evacuate(now time.Time, nd *node) {
+func (co *Core) clearWorker(now time.Time, nd *node) {
 	at := nd.emptyAt()
 	if at.IsZero() || nd.silent() {
 		return
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -34,6 +34,8 @@
 		harmed    time.Time // no filling work before; see fill.go
 		leaves    time.Time // it may be gone from then on; zero if that is unknown
 		evacuated bool      // its availability zone is to be emptied
+		coldUntil time.Time // see cold.go
+		cold      bool      // it was before then when last looked at
 		emptyBy   time.Time // it should be clear of work by then; zero if it need not be
 	}
 
@@ -65,7 +67,8 @@
 	co.setWorker(nd, wk)
 	nd.listed = true
 	nd.noteLeaving(now)
-	co.evacuate(now, nd)
+	nd.noteCold(now)
+	co.clearWorker(now, nd)
 	co.replaceAt(now, wk)
 	co.pass = true
 }
--- a/internal/domain/pick.go
+++ b/internal/domain/pick.go
@@ -11,7 +11,7 @@
 // spread returns workers for as many tasks like a unit's as slots take, up to a
 // number: first near its data, and elsewhere only if far permits.
 func (un *unit) spread(sls []slot, number int, far bool) []*node {
-	slices.SortFunc(sls, compareRoom)
+	slices.SortFunc(sls, compareWarm(compareRoom))
 	if un.step.Rack == "" {
 		return takeFrom(sls, number)
 	}
@@ -144,7 +144,7 @@
 		}
 	}
 	if un.step.Gang && un.step.OneRack {
-		if nodes := un.fillRack(sls); nodes != nil || !far {
+		if nodes := un.fillWarmRack(sls); nodes != nil || !far {
 			return nodes
 		}
 	}
@@ -179,7 +179,7 @@
 // fill returns a worker for each task of a unit, or nil if not all fit. A gang
 // ends with any worker of it, so it takes as few as it can.
 func (un *unit) fill(sls []slot) []*node {
-	slices.SortFunc(sls, func(a, b slot) int { return cmp.Or(cmp.Compare(b.fits, a.fits), compareRoom(a, b)) })
+	slices.SortFunc(sls, compareWarm(func(a, b slot) int { return cmp.Or(cmp.Compare(b.fits, a.fits), compareRoom(a, b)) }))
 	if nodes := takeFrom(sls, un.tasks); len(nodes) == un.tasks {
 		return nodes
 	}
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -71,6 +71,7 @@
 	for _, ra := range ras {
 		co.placeRank(ps, ra)
 	}
+	co.drain(ps)
 	co.report(ps, ras)
 }
 
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -55,6 +55,9 @@
 		return false
 	}
 	un.preempted = ps.now
+	if key.assured() {
+		co.dropMoves()
+	}
 	nds := co.usable(ps, key.service)
 	var best *clearing
 	for _, group := range co.groups(ps, un, key.service) {
@@ -314,6 +317,8 @@
 		case un.claim == nil: // given up since
 		case slices.ContainsFunc(un.claim, func(nd *node) bool { return !nd.takesWork(now) }):
 			co.release(un)
+		case un.phase != waiting:
+			co.holdMove(now, un)
 		case slices.ContainsFunc(un.claim, func(nd *node) bool { return !nd.free().Holds(batch.Resources{}) }):
 			co.claimed = append(co.claimed, un)
 		default:
--- a/internal/domain/world_test.go
+++ b/internal/domain/world_test.go
@@ -33,11 +33,15 @@
 		cancels   map[string]time.Time
 		records   map[string]batch.Record
 		waiting   map[string]int       // jobs that have not begun, by queue
+		stayed    map[string]int       // tasks in evacuated zones
 		ends      map[string]time.Time // of jobs, as the store shows them
 		token     int64
 		holder    *holder
 		faults    faults
-		evacuated []string      // availability zones
+		evacuated []string  // availability zones
+		marked    time.Time // when that last changed
+		left      []domain.Evacuation
+		late      []string      // starts in evacuated zones
 		skew      time.Duration // of the clock of the host that accepts jobs
 		notes     []domain.Noted
 		waits     []domain.Waits
@@ -157,7 +161,7 @@
 	capacity := batch.Resources{MilliCPU: 8000 * accelerators, MemoryMB: 1000 * accelerators, Accelerators: accelerators}
 	born := wo.fleet.Add(wo.now, id, capacity, 1-0.02*wo.rng.Float64())
 	wk := runner.Worker{
-		ID: id, Address: id + ":1", Service: "svc", Rack: "r" + id[1:2], Labels: []string{"a", "r" + id[1:2]},
+		ID: id, Address: id + ":1", Service: "svc", Zone: "z" + id[1:2], Rack: "r" + id[1:2], Labels: []string{"a", "r" + id[1:2]},
 		Capacity: capacity, Born: born,
 	}
 	wo.workers[id] = wk
@@ -195,7 +199,7 @@
 // or goes on without the store if it is cut off.
 func (wo *world) elect() *holder {
 	wo.token += 10
-	cf := domain.Config{Token: wo.token, Policy: wo.policy, Evacuated: wo.evacuated}
+	cf := domain.Config{Token: wo.token, Policy: wo.policy, Evacuated: wo.evacuated, Evacuate: moveOver}
 	for _, id := range wo.accepts {
 		cf.Jobs = append(cf.Jobs, wo.jobs[id])
 		if _, ok := wo.cancels[id]; ok {
@@ -263,6 +267,7 @@
 	case domain.Look:
 		wo.look(ho, ef)
 	case domain.Start:
+		wo.noteStart(ef.Worker)
 		wo.call(ho, ef.Worker.ID, func() error { return wo.fleet.Start(wo.now, ef.Worker.ID, ef.Request) },
 			func(err error) domain.Event { return domain.Started{Call: ef, Err: err} })
 	case domain.Stop:
@@ -275,6 +280,8 @@
 		wo.log = append(wo.log, fmt.Sprintf("%s token %d %+v", wo.now.Format("05.000"), ho.token, ef))
 	case domain.Waits:
 		wo.waits = append(wo.waits, ef)
+	case domain.Evacuation:
+		wo.left = append(wo.left, ef)
 	case domain.Resign:
 		ho.dead = true
 	}
@@ -312,7 +319,7 @@
 		}
 	}
 	if cm.Waiting != nil {
-		wo.waiting = cm.Waiting.Queues
+		wo.waiting, wo.stayed = cm.Waiting.Queues, cm.Waiting.Left
 	}
 	took := storeTime + time.Duration(wo.rng.Int64N(int64(5*storeTime)))
 	wo.after(took, func() { wo.give(ho, domain.Committed{Seq: cm.Seq}) })
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -32,6 +32,7 @@
 		Capacity batch.Resources
 		Draining bool
 		Leaves   time.Duration // while it drains: how much longer it stays at least
+		Cold     time.Duration // how much longer its tasks are slow, after its zone came back to service
 		Born     int64         // changes when the worker starts anew under the same ID
 	}
 
@@ -149,7 +150,7 @@
 	return wk.ID == other.ID && wk.Address == other.Address && wk.Service == other.Service &&
 		wk.Zone == other.Zone && wk.Rack == other.Rack && slices.Equal(wk.Labels, other.Labels) &&
 		wk.Capacity == other.Capacity && wk.Draining == other.Draining &&
-		wk.Leaves == other.Leaves && wk.Born == other.Born
+		wk.Leaves == other.Leaves && wk.Cold == other.Cold && wk.Born == other.Born
 }
 
 // String returns the name for logs.
