Let operators empty availability zones by a command, and show what is left

Cause: a zone could be emptied only by who writes the platform's store, and nothing showed how far it was. A host of a domain had no interface for operators.

All of it is read from and written to the store, so every host will do. The scheduler writes the tasks left beside the counts of waiting jobs, in lines event=evacuation, and in cicadawharf_domain_evacuated_zones and cicadawharf_domain_evacuated_tasks. A store that answers 403 gives the new code 4028 writeForbidden; a write whose outcome is unknown is read again and repeated, and is 5010 evacuateUnknown if that does not clear it up.

--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -15,6 +15,7 @@
 	"github.com/cicadawharf/cicadawharf/internal/intake"
 	"github.com/cicadawharf/cicadawharf/internal/logbuf"
 	"github.com/cicadawharf/cicadawharf/internal/member"
+	"github.com/cicadawharf/cicadawharf/internal/operate"
 	"github.com/cicadawharf/cicadawharf/internal/setup"
 	"github.com/cicadawharf/cicadawharf/internal/store"
 	"github.com/cicadawharf/cicadawharf/internal/uptime"
@@ -65,7 +66,7 @@
 	})
 	dc := drive.Config{
 		Host: se.Host.Name, Cores: se.Processor.Speed(), Store: st, Workers: platform.NewWorkers(),
-		Layout: layout, Log: log,
+		Layout: layout, Evacuate: se.Timing.Evacuate, Log: log,
 	}
 	if se.Advice.Address != "" {
 		dc.Adviser = platform.NewAdviser(se.Advice.Address)
@@ -76,7 +77,8 @@
 	sc := drive.New(time.Now(), dc)
 	return member.New(member.Config{
 		Settings: se, Scheduler: sc, Intake: in, Log: log, Readiness: platform.Ready,
-		Callers: platform.NewFront(platform.FrontConfig{Intake: in, Uptime: uptime.Now, Log: log}),
+		Callers:   platform.NewFront(platform.FrontConfig{Intake: in, Uptime: uptime.Now, Log: log}),
+		Operators: operate.New(operate.Config{Host: se.Host.Name, Store: st, Layout: layout, Log: log}),
 	})
 }
 
--- a/internal/cmds/ask.go
+++ b/internal/cmds/ask.go
@@ -59,7 +59,7 @@
 	var op askOptions
 	return &command{
 		name:        "status",
-		description: "shows the hosts, zones and revision of the running system",
+		description: "shows the hosts, zones and revision of the running system; of a domain, its scheduler and the zones that are emptied",
 		flags: func(sc *flaggy.Subcommand) {
 			op.remote.flags(sc)
 			op.output.flags(sc)
@@ -79,6 +79,9 @@
 }
 
 func writeStatus(out io.Writer, st client.Status) error {
+	if st.Domain != nil {
+		return writeDomain(out, st)
+	}
 	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(tw, "host %s, revision %d, store %s\n\n", st.Host, st.Revision, choose(st.StoreUp, "up", "down"))
 	fmt.Fprintln(tw, "HOST\tZONE\tADDRESS\tREVISION\tREADY\tLEAVING\tREACHABLE")
--- a/internal/cmds/main_test.go
+++ b/internal/cmds/main_test.go
@@ -107,6 +107,7 @@
 		{"faulty settings", []string{"serve", faulty}, faulty + `:1:1: unknown key "zonas"`},
 		{"address", []string{"status", "--address", "localhost:1"}, `cicadawharf status: flag --address: address "localhost:1" must be IP:port`},
 		{"day", []string{"report", "--day", "today"}, `cicadawharf report: flag --day: "today" is not a day`},
+		{"no zone", []string{"evacuate", "--back"}, "cicadawharf evacuate: flag --back needs a zone"},
 		{"no repeatable", []string{"submit", "--workspace", "w", "--run-time", "1h", "--", "run"}, "cicadawharf submit: flag --repeatable is needed"},
 		{"repeatable", []string{"submit", "--workspace", "w", "--run-time", "1h", "--repeatable", "1", "--", "run"}, `cicadawharf submit: flag --repeatable: "1" must be true or false`},
 		{"no run time", []string{"submit", "--workspace", "w", "--repeatable", "true", "--", "run"}, "cicadawharf submit: flag --run-time is needed"},
@@ -142,7 +143,7 @@
 func TestHelp(t *testing.T) {
 	all := run(t, "--help")
 	is.New(t).Equal(all.exit, cmds.ExitOK)
-	for _, name := range []string{"serve", "check", "apply", "status", "submit", "jobs", "cancel", "call", "report", "local", "standin", "version"} {
+	for _, name := range []string{"serve", "check", "apply", "status", "evacuate", "submit", "jobs", "cancel", "call", "report", "local", "standin", "version"} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			is.True(strings.Contains(all.out, "    "+name+" "))
@@ -276,13 +277,17 @@
 
 func TestReading(t *testing.T) {
 	sy := newSystem(t, map[string]string{
-		"GET /v1/status":         `{"host":"h1","revision":3,"storeUp":true,"hosts":[{"name":"h1","zone":"z"}],"zones":[{"name":"z"}]}`,
-		"GET /v1/report":         "offered 5\n",
-		"GET /v1/jobs":           `{"jobs":[{"id":"z.1","state":"running"}],"unreachable":["y"]}`,
-		"DELETE /v1/jobs/z.1":    `{"code":1002,"id":"z.1","state":"stopping"}`,
-		"POST /v1/services/s/p":  "answer",
-		"GET /v1/services/s/bad": `{"code":3000}`,
-		"GET /v1/services/s/no":  `{"code":4008}`,
+		"GET /v1/status":            `{"host":"h1","revision":3,"storeUp":true,"hosts":[{"name":"h1","zone":"z"}],"zones":[{"name":"z"}]}`,
+		"GET /v1/report":            "offered 5\n",
+		"GET /v1/evacuations":       `{"evacuations":[{"zone":"z1","workers":9,"tasks":4},{"zone":"z2"}]}`,
+		"PUT /v1/evacuations/z1":    `{"code":2004,"zone":"z1","workers":0}`,
+		"PUT /v1/evacuations/z2":    `{"code":4028,"detail":"the store refuses"}`,
+		"DELETE /v1/evacuations/z1": `{"code":2005,"zone":"z1"}`,
+		"GET /v1/jobs":              `{"jobs":[{"id":"z.1","state":"running"}],"unreachable":["y"]}`,
+		"DELETE /v1/jobs/z.1":       `{"code":1002,"id":"z.1","state":"stopping"}`,
+		"POST /v1/services/s/p":     "answer",
+		"GET /v1/services/s/bad":    `{"code":3000}`,
+		"GET /v1/services/s/no":     `{"code":4008}`,
 	})
 	for _, tc := range []struct {
 		args          []string
@@ -291,6 +296,10 @@
 		wantSeenFirst string
 	}{
 		{[]string{"status"}, 0, "host h1, revision 3, store up", "", "GET /v1/status"},
+		{[]string{"evacuate"}, 0, "z1            9        4\nz2            -        -\n", "", "GET /v1/evacuations"},
+		{[]string{"evacuate", "z1"}, 0, "zone z1 is out of service\n", "no worker is listed in zone z1", "PUT /v1/evacuations/z1"},
+		{[]string{"evacuate", "z1", "--back"}, 0, "zone z1 is in service\n", "", "DELETE /v1/evacuations/z1"},
+		{[]string{"evacuate", "z2"}, 1, "", "4028 writeForbidden: the store refuses", "PUT /v1/evacuations/z2"},
 		{[]string{"report", "--day", "2026-12-04"}, 0, "offered 5\n", "", "GET /v1/report?day=2026-12-04"},
 		{[]string{"jobs", "--active"}, 0, "z.1  running", "zone y can't be asked", "GET /v1/jobs?active=true"},
 		{[]string{"cancel", "z.1"}, 0, "stopping", "", "DELETE /v1/jobs/z.1"},
--- a/internal/cmds/parse.go
+++ b/internal/cmds/parse.go
@@ -36,7 +36,7 @@
 // commands returns the commands in the order of the help.
 func (en *env) commands() []*command {
 	return []*command{
-		en.serveCommand(), en.domainCommand(), en.checkCommand(), en.applyCommand(), en.statusCommand(),
+		en.serveCommand(), en.domainCommand(), en.checkCommand(), en.applyCommand(), en.statusCommand(), en.evacuateCommand(),
 		en.submitCommand(), en.jobsCommand(), en.cancelCommand(), en.callCommand(),
 		en.reportCommand(), en.loadCommand(), en.localCommand(), en.standinCommand(), en.versionCommand(),
 	}
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -33,6 +33,7 @@
 		PolicyKey        string
 		WorkerPrefix     string
 		EvacuationPrefix string // followed by an availability zone; empty if none is ever emptied
+		EvacuationMark   []byte // the value there
 		Policy           func(value []byte) (*batch.Policy, error)
 		Worker           func(id string, value []byte) (runner.Worker, error)
 		Waves            WaveLayout // empty if the platform asks for no upkeep
@@ -46,6 +47,7 @@
 		Workers  runner.Client
 		Adviser  runner.Adviser // nil if no queue needs advice
 		Machines upkeep.Client  // nil if no machine needs upkeep
+		Evacuate time.Duration  // see domain.Config
 		Layout   Layout
 		Log      *slog.Logger
 	}
@@ -73,6 +75,7 @@
 		ledger  *ledger
 		duty    *duty           // nil if no machine needs upkeep
 		gauged  map[string]bool // gauges of waiting work that are set
+		zones   map[string]bool // gauges of evacuated zones that are set
 		strain  strain
 	}
 )
@@ -136,6 +139,7 @@
 	te.Scheduler.holds.Store(true)
 	defer te.Scheduler.holds.Store(false)
 	defer te.gaugeWaits(domain.Waits{})
+	defer te.gaugeEvacuation(domain.Evacuation{})
 	te.core = domain.New(time.Now(), cf)
 	takeoverTime.UpdateDuration(te.began)
 	te.log.Info("state is loaded", "event", "loaded", "jobs", len(cf.Jobs), "records", len(cf.Records),
@@ -259,6 +263,9 @@
 	case domain.Waits:
 		te.gaugeWaits(ef)
 		te.reportWaits(ef)
+	case domain.Evacuation:
+		te.gaugeEvacuation(ef)
+		te.reportEvacuation(ef)
 	case domain.Resign:
 		te.log.Warn("scheduler resigns", "event", "resigns", "reason", ef.Reason)
 		te.end()
--- a/internal/drive/follow.go
+++ b/internal/drive/follow.go
@@ -66,6 +66,7 @@
 	}
 	cf := domain.Config{
 		Token: int64(te.token), Cores: te.cfg.Cores, Policy: te.readPolicy(policy), Evacuated: fo.evacuations.list(),
+		Evacuate: te.cfg.Evacuate,
 	}
 	for _, en := range accepted {
 		te.readAccepted(en, &cf)
--- a/internal/drive/meters.go
+++ b/internal/drive/meters.go
@@ -43,15 +43,33 @@
 		present[name] = true
 		metrics.GetOrCreateGauge(name, nil).Set(float64(bl.Units))
 	}
-	for name := range te.gauged {
+	te.gauged = dropGauges(te.gauged, present)
+	acceleratorGauge("total").Set(float64(wa.Accelerators.Total))
+	acceleratorGauge("free").Set(float64(wa.Accelerators.Free))
+	acceleratorGauge("kept").Set(float64(wa.Accelerators.Kept))
+}
+
+// gaugeEvacuation sets the gauges of what runs in availability zones that are to
+// be emptied, and drops those of other zones.
+func (te *term) gaugeEvacuation(ev domain.Evacuation) {
+	present := map[string]bool{}
+	for _, zl := range ev.Zones {
+		name := fmt.Sprintf("cicadawharf_domain_evacuated_tasks{zone=%q}", zl.Zone)
+		present[name] = true
+		metrics.GetOrCreateGauge(name, nil).Set(float64(zl.Tasks))
+	}
+	te.zones = dropGauges(te.zones, present)
+	metrics.GetOrCreateGauge("cicadawharf_domain_evacuated_zones", nil).Set(float64(len(ev.Zones)))
+}
+
+// dropGauges drops those that are not present any more, and returns the others.
+func dropGauges(former, present map[string]bool) map[string]bool {
+	for name := range former {
 		if !present[name] {
 			metrics.UnregisterMetric(name)
 		}
 	}
-	te.gauged = present
-	acceleratorGauge("total").Set(float64(wa.Accelerators.Total))
-	acceleratorGauge("free").Set(float64(wa.Accelerators.Free))
-	acceleratorGauge("kept").Set(float64(wa.Accelerators.Kept))
+	return present
 }
 
 func acceleratorGauge(state string) *metrics.Gauge {
--- a/internal/drive/note.go
+++ b/internal/drive/note.go
@@ -47,3 +47,10 @@
 			"free", wa.Accelerators.Free, "kept", wa.Accelerators.Kept, "total", wa.Accelerators.Total)
 	}
 }
+
+// reportEvacuation writes a line for each availability zone that is to be emptied.
+func (te *term) reportEvacuation(ev domain.Evacuation) {
+	for _, zl := range ev.Zones {
+		te.log.Info("availability zone is to be emptied", "event", "evacuation", "zone", zl.Zone, "workers", zl.Workers, "tasks", zl.Tasks)
+	}
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -29,6 +29,7 @@
 		Scheduler *drive.Scheduler
 		Intake    *intake.Intake
 		Callers   http.Handler
+		Operators http.Handler // used if the settings have an address for it
 		Readiness func(ready func() bool) http.Handler
 		Log       *slog.Logger
 	}
@@ -70,6 +71,9 @@
 	if se.Host.MetricsAddress != "" {
 		servers[se.Host.MetricsAddress] = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTime}
 	}
+	if se.Host.OperatorsAddress != "" {
+		servers[se.Host.OperatorsAddress] = &http.Server{Handler: me.cfg.Operators, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	}
 	failed := make(chan error, len(servers))
 	for address, sv := range servers {
 		ln, err := net.Listen("tcp", address)
--- /dev/null
+++ b/internal/operate/mark.go
@@ -0,0 +1,55 @@
+package operate
+
+import (
+	"context"
+	"errors"
+
+	"github.com/cicadawharf/cicadawharf/internal/store"
+	"github.com/cicadawharf/cicadawharf/pkg/codes"
+)
+
+// markTries bounds the writes for one request. Further ones follow a lost answer
+// or another operator's write.
+const markTries = 3
+
+// mark sets or deletes the mark of a zone, and tells whether that changed it. The
+// key is read before each write, so that a lost answer is cleared up.
+func (de *desk) mark(ctx context.Context, zone string, set bool) (bool, error) {
+	key := de.cfg.Layout.EvacuationPrefix + zone
+	lost := false
+	var last error
+	for range markTries {
+		en, _, err := de.cfg.Store.Get(ctx, key)
+		if err != nil {
+			return false, failure(err, lost)
+		}
+		if (en.Revision != 0) == set {
+			return lost, nil
+		}
+		rq := store.SwapRequest{Key: key, Expect: en.Revision}
+		if set {
+			rq.Value = de.cfg.Layout.EvacuationMark
+		}
+		_, last = de.cfg.Store.Swap(ctx, rq)
+		switch {
+		case last == nil:
+			return true, nil
+		case errors.Is(last, store.ErrForbidden):
+			return false, codes.New(codes.WriteForbidden, "the store refuses to change %s", key)
+		case errors.Is(last, store.ErrLost):
+			lost = true
+		case !errors.Is(last, store.ErrConflict):
+			return false, failure(last, lost)
+		}
+	}
+	return false, failure(last, lost)
+}
+
+// failure returns the error of a write that did not succeed. A write before it
+// whose answer was lost may yet take effect.
+func failure(err error, lost bool) error {
+	if lost {
+		return codes.New(codes.EvacuateUnknown, "%v", err)
+	}
+	return unavailable(err)
+}
--- a/internal/setup/domain.go
+++ b/internal/setup/domain.go
@@ -36,6 +36,7 @@
 		CallersAddress   string `yaml:"callersAddress"`   // IP:port
 		ReadinessAddress string `yaml:"readinessAddress"` // IP:port
 		MetricsAddress   string `yaml:"metricsAddress"`   // IP:port; empty for none
+		OperatorsAddress string `yaml:"operatorsAddress"` // IP:port; empty for no interface for operators
 	}
 
 	// DomainStore says how to reach the platform's store.
@@ -110,6 +111,9 @@
 	if do.Host.MetricsAddress != "" {
 		checkAddress(tree, "$.host.metricsAddress", do.Host.MetricsAddress)
 	}
+	if do.Host.OperatorsAddress != "" {
+		checkAddress(tree, "$.host.operatorsAddress", do.Host.OperatorsAddress)
+	}
 	checkAddress(tree, "$.store.address", do.Store.Address)
 	if do.Advice.Address != "" {
 		checkAddress(tree, "$.advice.address", do.Advice.Address)
--- a/internal/store/send.go
+++ b/internal/store/send.go
@@ -125,6 +125,9 @@
 // open.
 func classify(kd kind, status int, ke kvapi.Error) error {
 	cause := fmt.Errorf("status %d, code %d: %s", status, ke.Code, ke.Message)
+	if status == http.StatusForbidden {
+		return wrap(ErrUnavailable, kd, fmt.Errorf("%w: %w", ErrForbidden, cause))
+	}
 	switch {
 	case strings.Contains(ke.Message, kvapi.MessageLeaseNotFound):
 		return wrap(ErrLapsed, kd, cause)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -66,6 +66,7 @@
 	ErrConflict    = errors.New("key has another revision") // the swap had no effect
 	ErrLapsed      = errors.New("lease has lapsed")
 	ErrTooLarge    = errors.New("value exceeds the limit of the store")
+	ErrForbidden   = errors.New("store permits no such write")
 	ErrCompacted   = errors.New("store no longer holds the changes asked for") // read anew, then watch
 )
 
--- a/pkg/client/operate.go
+++ b/pkg/client/operate.go
@@ -25,6 +25,7 @@
 	AnyRevision = -1
 
 	pathDeclarations = "/v1/declarations"
+	pathEvacuations  = "/v1/evacuations"
 	typeYAML         = "application/yaml"
 )
 
@@ -86,6 +87,24 @@
 	return exchange[Status](ctx, cl, cl.read("/v1/status", 0))
 }
 
+// Evacuate asks for an availability zone to be emptied, or takes that back. Both
+// may be repeated.
+func (cl *Client) Evacuate(ctx context.Context, zone string, back bool) (Evacuated, error) {
+	method := http.MethodPut
+	if back {
+		method = http.MethodDelete
+	}
+	return exchange[Evacuated](ctx, cl, call{
+		method: method, path: pathEvacuations + "/" + url.PathEscape(zone), header: cl.header(), repeatable: true,
+		lost: codes.EvacuateUnknown,
+	})
+}
+
+// Evacuations lists the availability zones that are to be emptied.
+func (cl *Client) Evacuations(ctx context.Context) (EvacuationList, error) {
+	return exchange[EvacuationList](ctx, cl, cl.read(pathEvacuations, 0))
+}
+
 // Report returns the report of a day, YYYY-MM-DD, or of the running day if it
 // is empty, as JSON or as text.
 func (cl *Client) Report(ctx context.Context, day string, asText bool) ([]byte, error) {
--- a/pkg/client/types.go
+++ b/pkg/client/types.go
@@ -89,6 +89,31 @@
 	StoreUp  bool         `json:"storeUp"`
 	Hosts    []HostStatus `json:"hosts"`
 	Zones    []ZoneStatus `json:"zones"`
+	Domain   *Domain      `json:"domain,omitempty"` // of a host of a domain, which names no hosts and zones
+}
+
+// Domain is what a host of a scheduling domain knows of it.
+type Domain struct {
+	Scheduler   string       `json:"scheduler,omitempty"` // host; empty if there is none now
+	Evacuations []Evacuation `json:"evacuations"`
+}
+
+// Evacuation is an availability zone that is to be emptied, or was asked about.
+type Evacuation struct {
+	Zone    string `json:"zone"`
+	Workers *int   `json:"workers,omitempty"` // that are listed there; nil if that is not known
+	Tasks   *int   `json:"tasks,omitempty"`   // that are left there, as the scheduler last said; nil if it has not
+}
+
+// Evacuated is the body of PUT and DELETE /v1/evacuations/ZONE.
+type Evacuated struct {
+	Answer
+	Evacuation
+}
+
+// EvacuationList is the body of GET /v1/evacuations.
+type EvacuationList struct {
+	Evacuations []Evacuation `json:"evacuations"`
 }
 
 // HostStatus is what the answering host knows of an entry host.
--- a/pkg/codes/codes.go
+++ b/pkg/codes/codes.go
@@ -57,6 +57,8 @@
 	JobDone     Code = 2001
 	Applied     Code = 2002
 	Unchanged   Code = 2003
+	ZoneEmptied Code = 2004
+	ZoneServes  Code = 2005
 
 	EndpointError  Code = 3000
 	AnswerBroken   Code = 3001
@@ -93,6 +95,7 @@
 	PathNotFound       Code = 4025
 	MethodNotAllowed   Code = 4026
 	QueueFull          Code = 4027
+	WriteForbidden     Code = 4028
 
 	OutcomeUnknown   Code = 5000
 	SubmitUnknown    Code = 5001
@@ -104,6 +107,7 @@
 	InternalFailure  Code = 5007
 	DeadlineInFlight Code = 5008
 	CancelledInDoubt Code = 5009
+	EvacuateUnknown  Code = 5010
 )
 
 // statusCallerGone is the customary status of a request whose client has
@@ -120,6 +124,8 @@
 		{JobDone, "jobDone", Done, 200, false, "Every task of the job ended with success.", "Collect the results."},
 		{Applied, "applied", Done, 200, false, "The declarations are accepted under a new revision.", "Nothing."},
 		{Unchanged, "unchanged", Done, 200, false, "The same declarations are in force already.", "Nothing."},
+		{ZoneEmptied, "zoneEmptied", Done, 200, false, "The availability zone is marked for evacuation.", "See the status for what still runs there."},
+		{ZoneServes, "zoneServes", Done, 200, false, "The availability zone is not marked for evacuation.", "Nothing."},
 
 		{EndpointError, "endpointError", Failed, 502, false, "The endpoint ran the request and answered with a server error, which follows.", "Read the answer of the service."},
 		{AnswerBroken, "answerBroken", Failed, 502, false, "The endpoint ran the request, but its answer ended early; the connection to the caller is broken off.", "Repeat the request if that is safe."},
@@ -156,6 +162,7 @@
 		{PathNotFound, "pathNotFound", NotRun, 404, false, "The path is not part of the interface.", "See docs/API.md."},
 		{MethodNotAllowed, "methodNotAllowed", NotRun, 405, false, "The path does not take this method.", "See docs/API.md."},
 		{QueueFull, "queueFull", NotRun, 429, true, "The zone holds as many waiting jobs as it may.", "Come back after the time given."},
+		{WriteForbidden, "writeForbidden", NotRun, 403, false, "The platform does not permit this write to its store.", "Ask the platform for the permission, or have the key written by those who have it."},
 
 		{OutcomeUnknown, "outcomeUnknown", Unknown, 502, false, "The request was sent on, and the connection failed before an answer.", "Find out by the service's own means before repeating it."},
 		{SubmitUnknown, "submitUnknown", Unknown, 503, false, "The job may have been recorded; the store's answer was lost.", "Ask for the job by its name, or submit again with the same key."},
@@ -167,6 +174,7 @@
 		{InternalFailure, "internalFailure", Unknown, 500, false, "A fault of the system itself.", "Report it with the log line that carries the same identifier."},
 		{DeadlineInFlight, "deadlineInFlight", Unknown, 504, false, "The deadline passed while the request was at the endpoint.", "Find out by the service's own means before repeating it."},
 		{CancelledInDoubt, "cancelledInDoubt", Unknown, 200, false, "The job was cancelled, and whether a part of it had run can't be known.", "Find out by the job's own means."},
+		{EvacuateUnknown, "evacuateUnknown", Unknown, 503, false, "The store failed while the mark of an availability zone was being changed.", "Ask for the same again; that is safe."},
 	}
 	byCode     = indexTable()
 	classNames = [...]string{InProgress: "inProgress", Done: "done", Failed: "failed", NotRun: "notRun", Unknown: "unknown"}
