--- a/internal/domain/evac.go
+++ b/internal/domain/evac.go
@@ -28,7 +28,7 @@
 	// A round comes with every tick, and less often on a weak host.
 	freshSave = 300 * time.Millisecond
 	// maxMoves bounds the units that are moved out of such zones at a time: each
-	// of them stands still for about a second, and holds room twice.
+	// of them stands still meanwhile, and holds room twice.
 	maxMoves = 4
 	// moveTime bounds for how long room elsewhere is held for a unit whose stop
 	// is not confirmed.
--- a/internal/drive/drive_test.go
+++ b/internal/drive/drive_test.go
@@ -195,6 +195,8 @@
 	stop := si.host("a")
 	si.await("before", batch.Done)
 	is.True(!runsThere())
+	is.True(strings.Contains(exposed(), "cicadawharf_domain_evacuated_zones 1"))
+	is.True(strings.Contains(exposed(), `cicadawharf_domain_evacuated_tasks{zone="z"} 0`))
 	si.store.Delete(runsim.EvacuationPrefix + "z")
 	si.submit("back", 64)
 	kvsim.Eventually(t, runsThere)
