--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -15,6 +15,7 @@
 	"github.com/cicadawharf/cicadawharf/internal/intake"
 	"github.com/cicadawharf/cicadawharf/internal/logbuf"
 	"github.com/cicadawharf/cicadawharf/internal/member"
+	"github.com/cicadawharf/cicadawharf/internal/operate"
 	"github.com/cicadawharf/cicadawharf/internal/remote"
 	"github.com/cicadawharf/cicadawharf/internal/setup"
 	"github.com/cicadawharf/cicadawharf/internal/store"
@@ -66,7 +67,7 @@
 	})
 	dc := drive.Config{
 		Host: se.Host.Name, Cores: se.Processor.Speed(), Store: st, Workers: platform.NewWorkers(),
-		Layout: layout, Log: log,
+		Layout: layout, Evacuate: se.Timing.Evacuate, Log: log,
 	}
 	if se.Advice.Address != "" {
 		dc.Adviser = platform.NewAdviser(se.Advice.Address)
@@ -83,6 +84,7 @@
 	return member.New(member.Config{
 		Settings: se, Scheduler: drive.New(time.Now(), dc), Intake: in, Log: log, Readiness: platform.Ready,
 		Callers: fr, Remote: pe, Forwarded: fr,
+		Operators: operate.New(operate.Config{Host: se.Host.Name, Store: st, Layout: layout, Log: log}),
 	})
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -32,6 +32,7 @@
 		Callers   http.Handler
 		Remote    *remote.Peer   // nil if calls are not forwarded
 		Forwarded remote.Handler // of the calls of other hosts
+		Operators http.Handler   // used if the settings have an address for it
 		Readiness func(ready func() bool) http.Handler
 		Log       *slog.Logger
 	}
@@ -73,6 +74,9 @@
 	if se.Host.MetricsAddress != "" {
 		servers[se.Host.MetricsAddress] = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTime}
 	}
+	if se.Host.OperatorsAddress != "" {
+		servers[se.Host.OperatorsAddress] = &http.Server{Handler: me.cfg.Operators, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	}
 	failed := make(chan error, len(servers)+1)
 	for address, sv := range servers {
 		ln, err := net.Listen("tcp", address)
--- a/internal/setup/domain.go
+++ b/internal/setup/domain.go
@@ -37,6 +37,7 @@
 		ReadinessAddress string `yaml:"readinessAddress"` // IP:port
 		MetricsAddress   string `yaml:"metricsAddress"`   // IP:port; empty for none
 		PeerAddress      string `yaml:"peerAddress"`      // IP:port for other hosts; empty if calls are not forwarded
+		OperatorsAddress string `yaml:"operatorsAddress"` // IP:port; empty for no interface for operators
 	}
 
 	// DomainStore says how to reach the platform's store.
@@ -114,6 +115,9 @@
 	if do.Host.PeerAddress != "" {
 		checkAddress(tree, "$.host.peerAddress", do.Host.PeerAddress)
 	}
+	if do.Host.OperatorsAddress != "" {
+		checkAddress(tree, "$.host.operatorsAddress", do.Host.OperatorsAddress)
+	}
 	checkAddress(tree, "$.store.address", do.Store.Address)
 	if do.Advice.Address != "" {
 		checkAddress(tree, "$.advice.address", do.Advice.Address)
