Ask hosts that failed lately last, and give a lone one the whole time

A host that failed is now asked after the others for 10 s. Where there is no second host to ask, the first has all of the time that is left. A call whose caller has hung up opens no connection any more.

TestHostWithoutStoreAnswersAsOthers failed once on the busy machine, and again with six cores kept busy on purpose: the process stood still for longer than the second that the only other host then had.

--- a/internal/remote/decide_test.go
+++ b/internal/remote/decide_test.go
@@ -89,6 +89,12 @@
 	again, ok := ro.Choose(noon.Add(2*time.Second), nil)
 	is.True(ok)
 	is.Equal(again, first)
+	ro.Answered(last) // it comes before those that failed, however near
+	again, _ = ro.Choose(noon.Add(2*time.Second), nil)
+	is.Equal(again, last)
+	again, _ = ro.Choose(noon.Add(11*time.Second), nil)
+	is.Equal(again, first)
+	ro.Silent(noon, last)
 	ro.Listed(noon, ro.Members()) // a new list keeps what was noted
 	_, ok = ro.Choose(noon.Add(time.Second), nil)
 	is.True(!ok)
--- a/internal/remote/forward.go
+++ b/internal/remote/forward.go
@@ -23,21 +23,22 @@
 	var tried []Member
 	for try := range maxTries {
 		me, ok := pe.choose(tried)
-		if !ok {
+		if !ok || ctx.Err() != nil {
 			break
 		}
-		span := timeFor(try, timeLeft(ctx))
+		tried = append(tried, me)
+		_, more := pe.choose(tried)
+		span := timeFor(timeLeft(ctx), more && try < maxTries-1)
 		if span == 0 {
 			break
 		}
-		tried = append(tried, me)
 		re, oc, err := pe.ask(ctx, me, span, request{Call: ca, Cause: cause, Learn: len(pe.Members()) < fewMembers})
 		var decided bool
 		if ve, decided = ve.With(oc, err); decided {
 			return re, ve.Err()
 		}
 	}
-	if len(tried) == 0 {
+	if len(tried) == 0 && !hungUp(ctx) {
 		countCall(forwarder, cause, nobody)
 	}
 	return Result{}, ve.Err()
@@ -82,6 +83,8 @@
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
 	switch {
+	case oc == answered:
+		pe.roster.Answered(me)
 	case oc == refused:
 		pe.roster.Refused(time.Now(), me, codes.Of(err).RetryAfter)
 	case (oc == unreachable || oc == lost) && !gone:
--- a/internal/remote/peer.go
+++ b/internal/remote/peer.go
@@ -21,6 +21,9 @@
 		Cores float64     // what the process may use
 		Ready func() bool // whether this host has the store
 		Log   *slog.Logger
+		// Listener takes the connections of others and is closed by Run; that of
+		// Self.Address if nil.
+		Listener net.Listener
 		// Dial opens a connection to IP:port; dial.TCP if nil.
 		Dial func(ctx context.Context, address string) (net.Conn, error)
 	}
@@ -55,9 +58,12 @@
 // progress go on, and this host's own callers are served as before, until Close,
 // which has to follow.
 func (pe *Peer) Run(ctx context.Context, ha Handler) error {
-	ln, err := dial.Listen(ctx, pe.cfg.Self.Address)
-	if err != nil {
-		return merry.Prepend(err, "listen for other hosts")
+	ln := pe.cfg.Listener
+	if ln == nil {
+		var err error
+		if ln, err = dial.Listen(ctx, pe.cfg.Self.Address); err != nil {
+			return merry.Prepend(err, "listen for other hosts")
+		}
 	}
 	var wg sync.WaitGroup
 	wg.Go(func() { pe.register(ctx) })
--- a/internal/remote/roster.go
+++ b/internal/remote/roster.go
@@ -17,6 +17,7 @@
 		member    Member
 		known     time.Time // when it was last listed
 		passUntil time.Time // not asked before
+		lastUntil time.Time // asked after others before
 	}
 )
 
@@ -32,6 +33,9 @@
 	forgetAfter = 15 * time.Minute
 	// silentFor is for how long a host that did not answer is passed over.
 	silentFor = 1500 * time.Millisecond
+	// doubtedFor is for how long a host that failed is asked after others: a
+	// partition lasts longer than a host is passed over, and there are two tries.
+	doubtedFor = 10 * time.Second
 	// minRefusedFor and maxRefusedFor bound how long a host that refused is.
 	minRefusedFor = 100 * time.Millisecond
 	maxRefusedFor = 2 * time.Second
@@ -113,24 +117,38 @@
 }
 
 // Choose returns whom to ask next, if there is anyone: the nearest host that has
-// not been tried and is not passed over. After one has failed, hosts of other
-// zones come first, since a zone may be without the store as a whole.
+// not been tried and is not passed over. Those that failed lately come last, and
+// after one has failed, hosts of other zones come first, since a zone may be
+// without the store as a whole.
 func (ro *Roster) Choose(now time.Time, tried []Member) (Member, bool) {
-	var second Member
-	found := false
+	var best Member
+	least := -1
 	for _, en := range ro.entries {
 		me := en.member
 		if now.Before(en.passUntil) || slices.ContainsFunc(tried, func(tr Member) bool { return tr.Name == me.Name }) {
 			continue
 		}
-		if !slices.ContainsFunc(tried, func(tr Member) bool { return tr.Zone == me.Zone }) {
-			return me, true
+		rank := 0
+		if slices.ContainsFunc(tried, func(tr Member) bool { return tr.Zone == me.Zone }) {
+			rank++
 		}
-		if !found {
-			second, found = me, true
+		if now.Before(en.lastUntil) {
+			rank += 2
+		}
+		if least < 0 || rank < least {
+			best, least = me, rank
+		}
+	}
+	return best, least >= 0
+}
+
+// Answered notes that a host has decided a call.
+func (ro *Roster) Answered(me Member) {
+	for i := range ro.entries {
+		if ro.entries[i].member == me {
+			ro.entries[i].passUntil, ro.entries[i].lastUntil = time.Time{}, time.Time{}
 		}
 	}
-	return second, found
 }
 
 // Silent notes that a host did not answer.
@@ -144,7 +162,7 @@
 func (ro *Roster) pass(now time.Time, me Member, span time.Duration) {
 	for i := range ro.entries {
 		if ro.entries[i].member == me {
-			ro.entries[i].passUntil = now.Add(span)
+			ro.entries[i].passUntil, ro.entries[i].lastUntil = now.Add(span), now.Add(doubtedFor)
 		}
 	}
 }
--- a/internal/remote/times.go
+++ b/internal/remote/times.go
@@ -29,15 +29,16 @@
 }
 
 // timeFor returns how much of what is left a try may use; zero if that is too
-// little.
-func timeFor(try int, left time.Duration) time.Duration {
-	if left < leastTry {
+// little. More says that another host may be asked after it.
+func timeFor(left time.Duration, more bool) time.Duration {
+	switch {
+	case left < leastTry:
 		return 0
-	}
-	if try < maxTries-1 {
+	case more:
 		return min(max(leastTry, time.Duration(firstShare*float64(left))), firstTime)
+	default:
+		return left
 	}
-	return left
 }
 
 // timeThere returns within which time the other host has to answer.
