Don't judge by an own policy after another host has judged by a newer one

Cause: a host without the store relies on the policy that it knows for a while and has other hosts decide what it can't. Their answers may come from a newer policy, and the next call that it can judge alone (an unknown path or key) was answered by the older one: callers would have seen the policy revert.

Ruled out: forwarded calls themselves, which are judged after a fresh read.

Change: after another host has decided, the own policy counts only once it is confirmed by a read that was sent later (Intake.Doubt).

TestPolicyIsDoubtedAfterAnotherHostHasJudged fails without the check of when the confirmation was sent.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -48,6 +48,7 @@
 		policy   *batch.Policy
 		revision store.Revision
 		asOf     time.Duration // uptime when the read that confirmed it was sent
+		doubted  time.Duration // uptime from which a confirmation counts; zero for any
 	}
 
 	// Access is what a caller may do with a queue.
@@ -152,7 +153,7 @@
 	switch {
 	case kn.policy == nil:
 		return known{}, cannotDecide(PolicyUnconfirmed, codes.NotReady, "no policy is known yet")
-	case kn.confirmed(up), up-kn.asOf < in.cfg.TrustFor:
+	case kn.confirmed(up), kn.trusted(up, in.cfg.TrustFor):
 		return kn, nil
 	default:
 		return known{}, cannotDecide(PolicyUnconfirmed, codes.StoreUnavailable, "the policy can't be confirmed")
@@ -166,8 +167,21 @@
 }
 
 // confirmed tells whether the policy was confirmed a moment before an uptime.
-func (kn known) confirmed(up time.Duration) bool {
-	return kn.policy != nil && up-kn.asOf < confirmFor
+func (kn known) confirmed(up time.Duration) bool { return kn.trusted(up, confirmFor) }
+
+// trusted tells whether the policy was confirmed within a time before an uptime,
+// and no other host has judged by its own since.
+func (kn known) trusted(up, within time.Duration) bool {
+	return kn.policy != nil && up-kn.asOf < within && kn.asOf >= kn.doubted
+}
+
+// Doubt says that another host has judged a call of this one by its own policy,
+// which may be newer. The known policy is not relied on until it is confirmed
+// again, so that callers never see an older one after that.
+func (in *Intake) Doubt(up time.Duration) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.known.doubted = up
 }
 
 // refresh reads the policy. Calls that come meanwhile share one read.
@@ -215,7 +229,7 @@
 		return err
 	}
 	in.cfg.Log.Info("policy is in force", "event", "policy", "version", po.Version, "revision", en.Revision)
-	in.known = known{policy: po, revision: en.Revision, asOf: max(in.known.asOf, up)}
+	in.known = known{policy: po, revision: en.Revision, asOf: max(in.known.asOf, up), doubted: in.known.doubted}
 	return nil
 }
 
