Have the stand-in fleet skip idle time; let a share of attempts fail

Each event of a test in virtual time asked every run of every worker whether something was due. The fleet now remembers until when nothing happens by itself.

--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"fmt"
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -42,6 +43,7 @@
 	Fleet struct {
 		cfg      Config
 		now      time.Time
+		quiet    time.Time // nothing happens of itself before; zero if that is unknown
 		workers  map[string]*worker
 		former   map[string]bool       // IDs whose addresses other workers have now
 		failures map[batch.TaskID]int  // that were acknowledged
@@ -58,6 +60,7 @@
 		capacity batch.Resources
 		rate     float64 // of its clock
 		fails    bool    // every attempt fails at once
+		share    float64 // of the attempts that fail when half of their work is done
 		stalled  bool    // nothing that runs makes progress
 		deaf     bool    // stops are lost
 		began    time.Time
@@ -100,6 +103,7 @@
 		runs: map[batch.TaskID]*run{}, over: map[batch.TaskID]int{},
 	}
 	fl.workers[id] = wo
+	fl.quiet = time.Time{}
 	return wo.born
 }
 
@@ -127,11 +131,32 @@
 
 // Fail makes each attempt on a worker fail at once.
 func (fl *Fleet) Fail(id string, fails bool) {
+	fl.quiet = time.Time{}
 	if wo, ok := fl.workers[id]; ok {
 		wo.fails = fails
 	}
 }
 
+// FailShare makes a share of the attempts on a worker fail when half of their work
+// is done.
+func (fl *Fleet) FailShare(id string, share float64) {
+	fl.quiet = time.Time{}
+	if wo, ok := fl.workers[id]; ok {
+		wo.share = share
+	}
+}
+
+// hits tells whether an attempt is within the share that fails. It is the same
+// whenever it is asked.
+func (wo *worker) hits(ru *run) bool {
+	if wo.share == 0 {
+		return false
+	}
+	sum := fnv.New32a()
+	fmt.Fprint(sum, wo.id, ru.task, ru.attempt)
+	return float64(sum.Sum32()%1000) < 1000*wo.share
+}
+
 // Deafen lets a worker lose every stop.
 func (fl *Fleet) Deafen(id string) {
 	if wo, ok := fl.workers[id]; ok {
@@ -142,6 +167,7 @@
 // Stall lets everything on a worker stand still, or go on.
 func (fl *Fleet) Stall(now time.Time, id string, stalled bool) {
 	fl.Advance(now)
+	fl.quiet = time.Time{}
 	wo, ok := fl.workers[id]
 	if !ok || wo.stalled == stalled {
 		return
@@ -233,6 +259,7 @@
 }
 
 func (fl *Fleet) begin(now time.Time, wo *worker, rq runner.StartRequest) {
+	fl.quiet = time.Time{}
 	pl := fl.cfg.Plan(rq.Task)
 	fl.check(wo, rq, pl)
 	fl.Starts++
@@ -364,11 +391,19 @@
 // Advance lets everything happen that is due by a time.
 func (fl *Fleet) Advance(now time.Time) {
 	for {
-		at, do := fl.next()
-		if do == nil || at.After(now) {
+		if now.Before(fl.quiet) {
 			fl.now = now
 			return
 		}
+		at, do := fl.next()
+		if do == nil {
+			at = now.Add(time.Hour)
+		}
+		if at.After(now) {
+			fl.quiet = at
+			continue
+		}
+		fl.quiet = time.Time{}
 		fl.now = at
 		do()
 	}
@@ -393,6 +428,8 @@
 				offer(ru.joined.Add(fl.cfg.GangTimeout), func() { fl.end(ru, runner.Alone) })
 			case wo.fails:
 				offer(ru.since.Add(10*time.Millisecond), func() { fl.end(ru, runner.Failed) })
+			case wo.hits(ru):
+				offer(ru.since.Add(ru.plan.Work/2-ru.saved), func() { fl.end(ru, runner.Failed) })
 			case ru.plan.Fails:
 				offer(ru.since.Add(ru.plan.Work-ru.saved), func() { fl.end(ru, runner.Failed) })
 			default:
@@ -456,6 +493,7 @@
 }
 
 func (fl *Fleet) endOne(ru *run, how runner.How) {
+	fl.quiet = time.Time{}
 	wo := ru.worker
 	if wo.runs[ru.task] != ru {
 		return
