Judge workers by evidence; spend last attempts on proven ones

A worker was suspended when tasks of two jobs had failed there with no success between. One that fails a part of its attempts was rarely found, racks were not considered, jobs at fault suspended sound workers, and a last attempt was placed like any other. Ends now add to a decayed score that compares a worker with the failure rate of the queue. A score puts the worker in doubt or suspends it, at most a third of a service; it returns through work that can bear a failure. A step that fails on two sound workers counts against none. Last attempts ask for workers that have succeeded of late, of another rack than the one that failed them, and wait for these while the objective can be met. A last attempt that waited for workers which stay full for ever now takes what there is when its job can earn nothing more.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -44,6 +44,7 @@
 		backlogged bool             // something waited then
 		overdueAt  time.Time        // when attempts that don't end were last looked for
 		used       map[string]usage // by queue; none for a queue of which nothing runs
+		evidence   evidence
 		book       book
 		asking     int // calls for advice under way
 		effects    []Effect
@@ -56,7 +57,7 @@
 	co := &Core{
 		token: cf.Token, began: now, cores: min(1, cf.Cores), policy: cf.Policy,
 		jobs: map[string]*job{}, nodes: map[string]*node{}, changed: map[*unit]bool{},
-		addresses: map[string][]*node{}, holding: map[*node]bool{}, used: map[string]usage{}, book: newBook(),
+		addresses: map[string][]*node{}, holding: map[*node]bool{}, used: map[string]usage{}, evidence: newEvidence(), book: newBook(),
 	}
 	for _, wk := range cf.Workers {
 		co.list(now, wk)
@@ -155,6 +156,9 @@
 
 // settle carries the consequences of an event to their end.
 func (co *Core) settle(now time.Time) {
+	if co.evidence.due {
+		co.judge(now)
+	}
 	co.evaluateChanged(now)
 	if co.pass && now.Sub(co.passed) >= co.passGap() && co.ready(now) {
 		co.pass = false
@@ -184,6 +188,8 @@
 		co.watchProgress(now, nd)
 		co.evacuate(now, nd)
 	}
+	co.judge(now)
+	co.reportSuspects(now)
 	co.woken = append(co.woken[:0], co.byID()...)
 	co.forgetEnded(now)
 	co.reportOverdue(now)
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -127,7 +127,7 @@
 
 	// Noted is a decision for the log.
 	Noted struct {
-		Decision string // placed, preempts, starts, ends, endsLate, stops, overdue, jobEnds, suspects, silent
+		Decision string // placed, preempts, starts, ends, endsLate, stops, overdue, jobEnds, hangs, suspects, reinstates, silent
 		Job      string
 		Task     string
 		Queue    string        // of a placed unit
@@ -147,6 +147,14 @@
 		Accelerators Accelerators
 	}
 
+	// Suspects says how many workers there is evidence against, at most once a
+	// second and when that has changed.
+	Suspects struct {
+		Doubted     int // others are preferred
+		Suspended   int // they get no work
+		OnProbation int // they get work that can bear a failure
+	}
+
 	// Resign ends the core: another one holds a larger token.
 	Resign struct{ Reason string }
 )
@@ -231,12 +239,13 @@
 func (Ticked) event()      {}
 func (Prompted) event()    {}
 
-func (Commit) effect() {}
-func (Look) effect()   {}
-func (Start) effect()  {}
-func (Stop) effect()   {}
-func (Advise) effect() {}
-func (Forget) effect() {}
-func (Noted) effect()  {}
-func (Waits) effect()  {}
-func (Resign) effect() {}
+func (Commit) effect()   {}
+func (Look) effect()     {}
+func (Start) effect()    {}
+func (Stop) effect()     {}
+func (Advise) effect()   {}
+func (Forget) effect()   {}
+func (Noted) effect()    {}
+func (Waits) effect()    {}
+func (Suspects) effect() {}
+func (Resign) effect()   {}
--- a/internal/domain/health.go
+++ b/internal/domain/health.go
@@ -7,20 +7,7 @@
 	"github.com/cicadawharf/cicadawharf/internal/batch"
 )
 
-// health is the evidence on whether a worker does its work.
-type health struct {
-	jobs      map[string]bool // whose tasks have failed there since the last success
-	suspended time.Time       // no new work before
-	times     int             // suspensions in a row
-}
-
 const (
-	// suspectJobs is how many different jobs have to fail on a worker, with no
-	// success between, for it to be suspended. One job may be at fault itself.
-	suspectJobs = 2
-	// suspension is how long the first suspension lasts; it doubles.
-	suspension    = 4 * time.Second
-	maxSuspension = 16 * time.Second
 	// stallTime is how long a task may stand still before it is moved.
 	stallTime = 3 * time.Second
 	// stallShare of the declared run time is the same for long tasks, whose
@@ -28,29 +15,6 @@
 	stallShare = 0.04
 )
 
-func (he *health) succeeded() { *he = health{} }
-
-// failed notes a failure and tells whether the worker is suspended for it.
-func (he *health) failed(now time.Time, job string) bool {
-	if he.jobs == nil {
-		he.jobs = map[string]bool{}
-	}
-	he.jobs[job] = true
-	if len(he.jobs) < suspectJobs {
-		return false
-	}
-	he.suspend(now)
-	return true
-}
-
-func (he *health) suspend(now time.Time) {
-	he.suspended = now.Add(min(maxSuspension, suspension<<min(he.times, 4)))
-	he.times++
-	he.jobs = nil
-}
-
-func (he *health) usable(now time.Time) bool { return !now.Before(he.suspended) }
-
 // watchProgress moves tasks that stand still while their worker answers.
 func (co *Core) watchProgress(now time.Time, nd *node) {
 	if nd.answered.IsZero() || nd.failed.After(nd.answered) {
@@ -65,8 +29,8 @@
 		if nd.answered.Sub(ru.movedAt) < patience || now.Sub(un.allSeen()) < patience {
 			continue
 		}
-		co.emit(Noted{Decision: "suspects", Job: un.job.ID, Task: ru.task.String(), Attempt: ru.attempt, Worker: nd.worker.ID, Reason: fmt.Sprintf("the task stands at %d percent", ru.percent)})
-		nd.health.suspend(now)
+		co.emit(Noted{Decision: "hangs", Job: un.job.ID, Task: ru.task.String(), Attempt: ru.attempt, Worker: nd.worker.ID, Reason: fmt.Sprintf("the task stands at %d percent", ru.percent)})
+		co.blameLife(now, nd, hangScore)
 		un.shun(nd.worker.ID)
 		co.stopUnit(now, un, "a task makes no progress")
 	}
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -25,12 +25,13 @@
 		known        time.Time     // when it was accepted
 		ended        time.Time
 		advice       map[stepKey]*advice
-		begun        bool          // some task is known to have run
-		firstStart   time.Time     // when the first task was placed, under this core
-		stops        int           // attempts that were stopped for other work, under this core
-		lost         time.Duration // of processor time, by these
-		version      int           // counts the changes of what must last
-		savedVersion int           // that stands in the store
+		begun        bool              // some task is known to have run
+		firstStart   time.Time         // when the first task was placed, under this core
+		ends         map[int]*stepEnds // by step
+		stops        int               // attempts that were stopped for other work, under this core
+		lost         time.Duration     // of processor time, by these
+		version      int               // counts the changes of what must last
+		savedVersion int               // that stands in the store
 	}
 
 	// unit is what is started as one: a gang, or a single task.
@@ -244,6 +245,7 @@
 	for _, id := range ur.FailedOn {
 		un.shun(id)
 	}
+	co.adoptFailures(now, un, ur.FailedOn)
 	un.checkpoint = ur.Checkpoint
 	un.job.begun = un.job.begun || ur.Done || ur.Failures > 0 || ur.Checkpoint != ""
 	if ur.Done {
--- a/internal/domain/keep.go
+++ b/internal/domain/keep.go
@@ -20,8 +20,8 @@
 		return
 	}
 	ps.keeps++
-	waits := co.waitsForOthers(ps, un, key.service)
-	accepts := func(nd *node) bool { return un.suits(nd) && (!waits || !un.avoid[nd.worker.ID]) }
+	least := co.least(ps, un, key.service)
+	accepts := func(nd *node) bool { return co.trusts(ps.now, un, nd, least) && un.suits(nd) }
 	var best []*node
 	bestFits := -1
 	for _, group := range append(co.groups(ps, un, key.service), co.usable(ps, key.service)) {
--- a/internal/domain/pick.go
+++ b/internal/domain/pick.go
@@ -31,42 +31,16 @@
 		return nil
 	}
 	sls := un.slots(nds, un.tasks)
-	if len(un.avoid) == 0 {
-		return un.pick(sls, key.far)
-	}
-	fresh := slices.DeleteFunc(slices.Clone(sls), func(sl slot) bool { return un.avoid[sl.node.worker.ID] })
-	if nodes := un.pick(fresh, key.far || co.lastAttempt(un)); nodes != nil {
-		return nodes
-	}
-	if co.waitsForOthers(ps, un, key.service) {
-		return nil
-	}
-	return un.pick(sls, key.far)
-}
-
-// lastAttempt tells whether one more failure of a unit fails its job.
-func (co *Core) lastAttempt(un *unit) bool { return un.failures+1 >= co.maxAttempts(un.job) }
-
-// waitsForOthers tells whether a unit is placed only on workers that it need not
-// avoid.
-func (co *Core) waitsForOthers(ps *pass, un *unit, service string) bool {
-	return len(un.avoid) > 0 && co.lastAttempt(un) && un.hasOthers(co.usable(ps, service))
-}
-
-// hasOthers tells whether a unit would fit on workers that it need not avoid,
-// if they were empty. It then waits for them: an attempt that fails once more
-// on a bad worker may be the last.
-func (un *unit) hasOthers(nds []*node) bool {
-	n := 0
-	for _, nd := range nds {
-		if !un.avoid[nd.worker.ID] && un.suits(nd) {
-			n += un.fits(nd, nd.worker.Capacity, un.tasks)
+	for _, tr := range co.demands(ps, un, key.service) {
+		if tr == trustAny {
+			return un.pick(sls, key.far)
 		}
-		if n >= un.tasks {
-			return true
+		trusted := slices.DeleteFunc(slices.Clone(sls), func(sl slot) bool { return !co.trusts(ps.now, un, sl.node, tr) })
+		if nodes := un.pick(trusted, key.far || co.lastAttempt(un)); nodes != nil {
+			return nodes
 		}
 	}
-	return false
+	return nil
 }
 
 // assured tells whether the shape is of a unit within a guarantee.
@@ -194,11 +168,12 @@
 	return nil
 }
 
-// compareRoom orders workers with little room first, so that whole workers stay
-// free for large tasks.
+// compareRoom orders workers in no doubt before others, and of these the ones with
+// little room first, so that whole workers stay free for large tasks.
 func compareRoom(a, b slot) int {
 	ra, rb := a.node.free(), b.node.free()
 	return cmp.Or(
+		compareBool(a.node.health.doubted, b.node.health.doubted),
 		cmp.Compare(ra.Accelerators, rb.Accelerators), cmp.Compare(ra.MilliCPU, rb.MilliCPU),
 		strings.Compare(a.node.worker.ID, b.node.worker.ID),
 	)
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -19,6 +19,7 @@
 		keeps   int            // gangs for which workers are kept
 		kept    map[*node]bool // for gangs that wait
 		victims map[*node][]victim
+		least   map[*unit]trust
 	}
 
 	// shape is what decides whether a unit fits.
@@ -58,7 +59,7 @@
 func newPass(now time.Time) *pass {
 	return &pass{
 		now: now, service: map[string][]*node{}, racks: map[string][][]*node{}, roomy: map[demand][]*node{}, full: map[shape]bool{},
-		kept: map[*node]bool{}, victims: map[*node][]victim{},
+		kept: map[*node]bool{}, victims: map[*node][]victim{}, least: map[*unit]trust{},
 	}
 }
 
@@ -68,6 +69,7 @@
 	ps := newPass(now)
 	ras := co.waitingUnits(now)
 	co.waiting = len(ras)
+	ras = co.placeTrials(ps, ras)
 	for _, ra := range ras {
 		co.placeRank(ps, ra)
 	}
@@ -110,7 +112,7 @@
 func (co *Core) placeAlike(ps *pass, ra rank) []*unit {
 	un := ra.units[0]
 	key := co.shapeOf(ps, ra, un)
-	if un.tasks > 1 || !un.plain() || ps.full[key] || co.queueOf(un.job).Advised {
+	if un.tasks > 1 || !un.plain() || co.scarce(un, key.service) || ps.full[key] || co.queueOf(un.job).Advised {
 		return ra.units
 	}
 	n := 0
@@ -134,7 +136,7 @@
 		service: co.queueOf(un.job).Service, needs: un.step.Occupied(), tasks: un.tasks,
 		label: un.step.Label, rack: un.step.Rack, far: un.mayGoFar(ps.now), class: ra.class,
 	}
-	if !un.plain() {
+	if !un.plain() || co.scarce(un, key.service) {
 		key.only = un
 	}
 	return key
@@ -182,14 +184,17 @@
 	return nds
 }
 
-func (nd *node) takesWork(now time.Time) bool {
+func (nd *node) takesWork(now time.Time) bool { return nd.health.usable() && nd.mayTake(now) }
+
+// mayTake tells whether a worker takes work, whatever the evidence on it is.
+func (nd *node) mayTake(now time.Time) bool {
 	switch {
 	case !nd.listed, nd.worker.Draining, !nd.emptyBy.IsZero(), nd.answered.IsZero(), nd.failed.After(nd.answered):
 		return false
 	case now.Sub(nd.refused) < refusedPause && !nd.refused.IsZero():
 		return false
 	default:
-		return nd.health.usable(now)
+		return true
 	}
 }
 
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -208,7 +208,7 @@
 
 // clearOne finds what has to be stopped on one worker for one more task.
 func (co *Core) clearOne(ps *pass, un *unit, nd *node, cl *clearing) option {
-	if !un.suits(nd) || un.avoid[nd.worker.ID] {
+	if !un.suits(nd) || co.declines(ps, un, nd) {
 		return option{}
 	}
 	if un.step.PerWorker > 0 && nd.tasksOf(un)+cl.taken[nd] >= un.step.PerWorker {
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -227,6 +227,7 @@
 	case errors.Is(ev.Err, runner.ErrLost):
 		ru.lostAt = now
 		nd.failed = now
+		co.blameWorker(now, nd, ru.unit, weightLost)
 		co.lookExtra(now, nd)
 	default:
 		nd.refused = now
@@ -234,6 +235,9 @@
 			nd.failed = now
 		}
 		ru.unit.shun(nd.worker.ID)
+		if ru.unit.job.advice == nil { // else its ticket may be at fault
+			co.blameWorker(now, nd, ru.unit, weightRefused)
+		}
 		co.finishRun(ru)
 	}
 	if ev.Err != nil {
@@ -284,7 +288,7 @@
 	co.dirty(un.job)
 	switch en.How {
 	case runner.Succeeded:
-		nd.health.succeeded()
+		co.creditWorker(now, nd, un)
 		if !un.step.Lasting {
 			co.finishUnit(now, un)
 		}
@@ -356,9 +360,8 @@
 // failed counts the failure of an attempt, once for a gang.
 func (co *Core) failed(now time.Time, nd *node, un *unit) {
 	un.shun(nd.worker.ID)
-	if nd.health.failed(now, un.job.ID) {
-		co.emit(Noted{Decision: "suspects", Worker: nd.worker.ID, Reason: "tasks of different jobs have failed there"})
-	}
+	co.noteFailure(now, nd, un)
+	co.blameWorker(now, nd, un, weightFailed)
 	if un.counted || un.step.Lasting {
 		return
 	}
--- /dev/null
+++ b/internal/domain/standing.go
@@ -0,0 +1,326 @@
+package domain
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+)
+
+type (
+	// standing says which work a worker gets.
+	standing uint8
+
+	// evidence is what is known beyond single workers.
+	evidence struct {
+		baselines map[string]baseline // by queue
+		nodes     map[*node]bool      // with a score, or not in good standing
+		doubts    map[string]bool     // services with workers in doubt, or out of use
+		due       bool                // standings are to be set anew
+		reported  Suspects
+		toldAt    time.Time // when that was
+	}
+
+	// places counts the workers of a rack, a zone or a service.
+	places struct{ all, bad int }
+
+	placeKey struct{ service, zone, rack string }
+)
+
+// The standings.
+const (
+	inUse       standing = iota
+	suspended            // gets no work
+	onProbation          // gets only work that can bear a failure
+)
+
+const (
+	// suspension is how long the first suspension lasts; it doubles.
+	suspension    = 4 * time.Second
+	maxSuspension = 16 * time.Second
+	// calmTime is how long a worker has been in use again when its next suspension
+	// is a first one.
+	calmTime = time.Minute
+	// probationTime is how long a worker waits for work on probation before it is
+	// used again, after all others.
+	probationTime = 20 * time.Second
+	// maxSuspended is the part of a service's workers that are out of use at most.
+	maxSuspended = 1.0 / 3
+	// spreadBad workers, and spreadPart of those of a rack or zone, speak against the
+	// others there if that is spreadFactor times the part elsewhere.
+	spreadBad    = 3
+	spreadPart   = 0.3
+	spreadFactor = 3
+	// spreadScore is what this counts for.
+	spreadScore = doubtScore
+	// recordScore is what the record of a job that has failed on a worker counts for
+	// after a change of the scheduler.
+	recordScore = 1.5
+)
+
+func newEvidence() evidence {
+	return evidence{baselines: map[string]baseline{}, nodes: map[*node]bool{}, doubts: map[string]bool{}}
+}
+
+func (he *health) usable() bool { return he.standing == inUse }
+
+// judge sets the standings of workers by the evidence. It does nothing as long as
+// there is none.
+func (co *Core) judge(now time.Time) {
+	co.evidence.due = false
+	if len(co.evidence.nodes) == 0 {
+		return
+	}
+	clear(co.evidence.doubts)
+	counts := co.countPlaces(now)
+	nds := slices.SortedFunc(maps.Keys(co.evidence.nodes), func(a, b *node) int {
+		return cmp.Or(cmp.Compare(b.health.scoreAt(now), a.health.scoreAt(now)), compareNodes(a, b))
+	})
+	out := map[string]int{} // of use, by service
+	for _, nd := range nds {
+		if co.nodes[nd.worker.ID] != nd {
+			delete(co.evidence.nodes, nd)
+			continue
+		}
+		most := int(maxSuspended * float64(counts[placeKey{service: nd.worker.Service}].all))
+		co.judgeOne(now, nd, counts.spread(nd), out[nd.worker.Service] < most)
+		if !nd.health.usable() {
+			out[nd.worker.Service]++
+		}
+		if nd.health.doubted || !nd.health.usable() {
+			co.evidence.doubts[nd.worker.Service] = true
+		}
+	}
+	co.doubtPlaces(now, counts)
+}
+
+// judgeOne moves one worker between the standings.
+func (co *Core) judgeOne(now time.Time, nd *node, spread, mayRest bool) {
+	he := &nd.health
+	score := he.scoreAt(now)
+	if spread {
+		score += spreadScore
+	}
+	he.doubted = score >= doubtScore
+	switch he.standing {
+	case inUse:
+		if score >= suspendScore && mayRest {
+			co.suspend(now, nd)
+		} else if he.scoreAt(now) < noScore {
+			delete(co.evidence.nodes, nd)
+		}
+	case suspended:
+		if !mayRest || score < doubtScore {
+			co.resume(now, nd, "the evidence is gone, or too many are out of use")
+		} else if !now.Before(he.until) {
+			he.standing = onProbation
+			he.passed = 0
+		}
+	case onProbation:
+		switch {
+		case he.passed >= he.trials():
+			he.setScore(now, 0)
+			he.jobs, he.doubted, he.restored = nil, false, now
+			co.resume(now, nd, "it has passed its probation")
+		case !mayRest || now.Sub(he.until) > probationTime:
+			he.setScore(now, max(doubtScore, score/2))
+			co.resume(now, nd, "no work has come that could be tried there")
+		}
+	}
+}
+
+// trials is how many attempts have to succeed on probation.
+func (he *health) trials() int { return min(4, 1+he.times) }
+
+// atOnce is how many of these may have begun: the first one runs alone.
+func (he *health) atOnce() int {
+	if he.passed == 0 {
+		return 1
+	}
+	return he.trials()
+}
+
+func (co *Core) suspend(now time.Time, nd *node) {
+	he := &nd.health
+	if !he.restored.IsZero() && now.Sub(he.restored) > calmTime {
+		he.times = 0
+	}
+	he.standing = suspended
+	he.until = now.Add(min(maxSuspension, suspension<<min(he.times, 4)))
+	he.times++
+	co.pass = true
+	co.emit(Noted{Decision: "suspects", Worker: nd.worker.ID, Reason: he.describe(now)})
+}
+
+func (co *Core) resume(now time.Time, nd *node, reason string) {
+	nd.health.standing = inUse
+	co.pass = true
+	co.emit(Noted{Decision: "reinstates", Worker: nd.worker.ID, Reason: reason})
+}
+
+type placeCounts map[placeKey]places
+
+// countPlaces counts the workers of services, zones and racks, and those in doubt.
+func (co *Core) countPlaces(now time.Time) placeCounts {
+	counts := placeCounts{}
+	for _, nd := range co.sorted {
+		if !nd.listed {
+			continue
+		}
+		bad := co.evidence.nodes[nd] && nd.health.scoreAt(now) >= doubtScore
+		for _, key := range nd.placeKeys() {
+			pl := counts[key]
+			pl.all++
+			if bad {
+				pl.bad++
+			}
+			counts[key] = pl
+		}
+	}
+	return counts
+}
+
+func (nd *node) placeKeys() []placeKey {
+	wk := nd.worker
+	keys := []placeKey{{service: wk.Service}}
+	if wk.Zone != "" {
+		keys = append(keys, placeKey{wk.Service, wk.Zone, ""})
+	}
+	if wk.Rack != "" {
+		keys = append(keys, placeKey{wk.Service, wk.Zone, wk.Rack})
+	}
+	return keys
+}
+
+// spread tells whether the evidence against others in a worker's rack or zone
+// speaks against it.
+func (pc placeCounts) spread(nd *node) bool {
+	keys := nd.placeKeys()
+	total := pc[keys[0]]
+	for _, key := range keys[1:] {
+		here := pc[key]
+		rest := places{total.all - here.all, total.bad - here.bad}
+		if here.bad < spreadBad || float64(here.bad) < spreadPart*float64(here.all) || rest.all == 0 {
+			continue
+		}
+		if float64(here.bad)*float64(rest.all) >= spreadFactor*float64(rest.bad)*float64(here.all) {
+			return true
+		}
+	}
+	return false
+}
+
+// doubtPlaces puts workers without evidence of their own in doubt where several
+// others are, unless they have succeeded of late.
+func (co *Core) doubtPlaces(now time.Time, counts placeCounts) {
+	for _, nd := range co.sorted {
+		if co.evidence.nodes[nd] {
+			continue
+		}
+		he := &nd.health
+		he.doubted = counts.spread(nd) && now.Sub(he.succeeded) > suspension
+		if he.doubted {
+			co.evidence.doubts[nd.worker.Service] = true
+		}
+	}
+}
+
+// blameWorker notes what speaks against a worker, by an attempt of a unit.
+func (co *Core) blameWorker(now time.Time, nd *node, un *unit, weight float64) {
+	jb := un.job
+	if jb.failsEverywhere(un.at) {
+		return
+	}
+	name := jb.Queue.Name
+	bl := co.evidence.baselines[name]
+	amount := weight * blame(bl.rate(now))
+	if nd.health.scoreAt(now) < doubtScore {
+		co.evidence.baselines[name] = bl.with(now, weight)
+	}
+	nd.health.note(now, jb.ID, amount)
+	if nd.health.standing == onProbation {
+		co.suspend(now, nd)
+	}
+	co.evidence.nodes[nd] = true
+	co.evidence.due = true
+}
+
+// blameLife notes what speaks against a worker without a job in question.
+func (co *Core) blameLife(now time.Time, nd *node, score float64) {
+	nd.health.setScore(now, nd.health.scoreAt(now)+score)
+	co.evidence.nodes[nd] = true
+	co.evidence.due = true
+}
+
+// creditWorker notes the success of an attempt.
+func (co *Core) creditWorker(now time.Time, nd *node, un *unit) {
+	co.clearStep(now, un)
+	he := &nd.health
+	name := un.job.Queue.Name
+	if !he.doubted {
+		co.evidence.baselines[name] = co.evidence.baselines[name].with(now, 0)
+	}
+	he.succeeded = now
+	he.note(now, un.job.ID, -credit)
+	if he.standing == onProbation {
+		he.passed++
+	}
+	co.evidence.due = co.evidence.due || co.evidence.nodes[nd]
+}
+
+// relive begins the evidence on a worker that has started anew. What was held
+// against it before counts half.
+func (co *Core) relive(now time.Time, nd *node, lost bool) {
+	score := nd.health.scoreAt(now) / 2
+	if lost {
+		score += weightBroken * maxBlame
+	}
+	nd.health = health{}
+	if score >= noScore {
+		nd.health.setScore(now, score)
+		co.evidence.nodes[nd] = true
+	}
+}
+
+// adoptFailures takes from a record which workers have failed a unit. Records do
+// not say when, so this puts workers in doubt and suspends none.
+func (co *Core) adoptFailures(now time.Time, un *unit, failedOn []string) {
+	if un.failures == 0 || len(failedOn) > un.failures || un.job.state != batch.Running {
+		return
+	}
+	for _, id := range failedOn {
+		nd, ok := co.nodes[id]
+		if !ok {
+			continue
+		}
+		nd.health.note(now, un.job.ID, recordScore)
+		nd.health.setScore(now, min(nd.health.score, suspendScore-noScore))
+		co.evidence.nodes[nd] = true
+	}
+}
+
+// reportSuspects tells how many workers there is evidence against.
+func (co *Core) reportSuspects(now time.Time) {
+	ev := &co.evidence
+	if now.Sub(ev.toldAt) < reportGap || (len(ev.nodes) == 0 && ev.reported == Suspects{}) {
+		return
+	}
+	var su Suspects
+	for _, nd := range co.sorted {
+		switch {
+		case nd.health.standing == suspended:
+			su.Suspended++
+		case nd.health.standing == onProbation:
+			su.OnProbation++
+		case nd.health.doubted:
+			su.Doubted++
+		}
+	}
+	if su == ev.reported {
+		return
+	}
+	ev.reported, ev.toldAt = su, now
+	co.emit(su)
+}
--- a/internal/domain/world_test.go
+++ b/internal/domain/world_test.go
@@ -19,31 +19,33 @@
 	// world plays cores against stand-in workers and a model of the store, in
 	// virtual time.
 	world struct {
-		rng     *rand.Rand
-		now     time.Time
-		queue   queue
-		order   int
-		fleet   *runsim.Fleet
-		workers map[string]runner.Worker
-		silent  map[string]bool // workers that nobody reaches
-		policy  *batch.Policy
-		jobs    map[string]batch.Job
-		plans   map[string][]planned // by job and step
-		accepts []string
-		cancels map[string]time.Time
-		records map[string]batch.Record
-		waiting map[string]int       // jobs that have not begun, by queue
-		ends    map[string]time.Time // of jobs, as the store shows them
-		token   int64
-		holder  *holder
-		faults  faults
-		skew    time.Duration // of the clock of the host that accepts jobs
-		notes   []domain.Noted
-		waits   []domain.Waits
-		tickets map[string]map[string]string // of jobs whose queue needs advice, by worker
-		advised int                          // calls for advice
-		log     []string
-		spent   []time.Duration // real time of each event in the core
+		rng      *rand.Rand
+		now      time.Time
+		queue    queue
+		order    int
+		fleet    *runsim.Fleet
+		workers  map[string]runner.Worker
+		silent   map[string]bool // workers that nobody reaches
+		policy   *batch.Policy
+		jobs     map[string]batch.Job
+		plans    map[string][]planned // by job and step
+		accepts  []string
+		cancels  map[string]time.Time
+		records  map[string]batch.Record
+		waiting  map[string]int       // jobs that have not begun, by queue
+		ends     map[string]time.Time // of jobs, as the store shows them
+		token    int64
+		holder   *holder
+		faults   faults
+		skew     time.Duration // of the clock of the host that accepts jobs
+		notes    []domain.Noted
+		waits    []domain.Waits
+		suspects []domain.Suspects
+		tickets  map[string]map[string]string // of jobs whose queue needs advice, by worker
+		advised  int                          // calls for advice
+		log      []string
+		spent    []time.Duration // real time of each event in the core
+		poison   bool            // every other urgent job fails everywhere
 	}
 
 	planned struct {
@@ -274,6 +276,8 @@
 		wo.log = append(wo.log, fmt.Sprintf("%s token %d %+v", wo.now.Format("05.000"), ho.token, ef))
 	case domain.Waits:
 		wo.waits = append(wo.waits, ef)
+	case domain.Suspects:
+		wo.suspects = append(wo.suspects, ef)
 	case domain.Resign:
 		ho.dead = true
 	}
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -135,6 +135,7 @@
 	te.Scheduler.holds.Store(true)
 	defer te.Scheduler.holds.Store(false)
 	defer te.gaugeWaits(domain.Waits{})
+	defer gaugeSuspects(domain.Suspects{})
 	te.core = domain.New(time.Now(), cf)
 	takeoverTime.UpdateDuration(te.began)
 	te.log.Info("state is loaded", "event", "loaded", "jobs", len(cf.Jobs), "records", len(cf.Records),
@@ -258,6 +259,9 @@
 	case domain.Waits:
 		te.gaugeWaits(ef)
 		te.reportWaits(ef)
+	case domain.Suspects:
+		gaugeSuspects(ef)
+		te.reportSuspects(ef)
 	case domain.Resign:
 		te.log.Warn("scheduler resigns", "event", "resigns", "reason", ef.Reason)
 		te.end()
--- a/internal/drive/meters.go
+++ b/internal/drive/meters.go
@@ -58,6 +58,13 @@
 	return metrics.GetOrCreateGauge(fmt.Sprintf("cicadawharf_domain_accelerators{state=%q}", state), nil)
 }
 
+// gaugeSuspects sets the gauges of the workers that there is evidence against.
+func gaugeSuspects(su domain.Suspects) {
+	for state, n := range map[string]int{"doubted": su.Doubted, "suspended": su.Suspended, "probation": su.OnProbation} {
+		metrics.GetOrCreateGauge(fmt.Sprintf("cicadawharf_domain_suspect_workers{state=%q}", state), nil).Set(float64(n))
+	}
+}
+
 // countCall counts and times a call to a worker.
 func countCall(call string, began time.Time, err error) {
 	metrics.GetOrCreateHistogram(fmt.Sprintf("cicadawharf_worker_call_seconds{call=%q}", call)).UpdateDuration(began)
--- a/internal/drive/note.go
+++ b/internal/drive/note.go
@@ -47,3 +47,8 @@
 			"free", wa.Accelerators.Free, "kept", wa.Accelerators.Kept, "total", wa.Accelerators.Total)
 	}
 }
+
+// reportSuspects writes how many workers there is evidence against.
+func (te *term) reportSuspects(su domain.Suspects) {
+	te.log.Info("evidence against workers", "event", "evidence", "doubted", su.Doubted, "suspended", su.Suspended, "probation", su.OnProbation)
+}
