--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -50,6 +50,7 @@
 		backlogged bool             // something waited then
 		overdueAt  time.Time        // when attempts that don't end were last looked for
 		used       map[string]usage // by queue; none for a queue of which nothing runs
+		evidence   evidence
 		book       book
 		asking     int // calls for advice under way
 		effects    []Effect
@@ -62,7 +63,7 @@
 	co := &Core{
 		token: cf.Token, began: now, cores: min(1, cf.Cores), policy: cf.Policy, draining: draining{over: cf.Evacuate},
 		jobs: map[string]*job{}, nodes: map[string]*node{}, changed: map[*unit]bool{},
-		addresses: map[string][]*node{}, holding: map[*node]bool{}, used: map[string]usage{}, book: newBook(),
+		addresses: map[string][]*node{}, holding: map[*node]bool{}, used: map[string]usage{}, evidence: newEvidence(), book: newBook(),
 	}
 	for _, wk := range cf.Workers {
 		co.list(now, wk)
@@ -175,6 +176,9 @@
 
 // settle carries the consequences of an event to their end.
 func (co *Core) settle(now time.Time) {
+	if co.evidence.due {
+		co.judge(now)
+	}
 	co.evaluateChanged(now)
 	if co.pass && now.Sub(co.passed) >= co.passGap() && co.ready(now) {
 		co.pass = false
@@ -205,6 +209,8 @@
 		co.clearWorker(now, nd)
 		nd.noteWarm(now)
 	}
+	co.judge(now)
+	co.reportSuspects(now)
 	co.woken = append(co.woken[:0], co.byID()...)
 	co.reportLeft(now)
 	co.forgetEnded(now)
--- a/internal/domain/world_test.go
+++ b/internal/domain/world_test.go
@@ -45,10 +45,12 @@
 		skew      time.Duration // of the clock of the host that accepts jobs
 		notes     []domain.Noted
 		waits     []domain.Waits
+		suspects  []domain.Suspects
 		tickets   map[string]map[string]string // of jobs whose queue needs advice, by worker
 		advised   int                          // calls for advice
 		log       []string
 		spent     []time.Duration // real time of each event in the core
+		poison    bool            // every other urgent job fails everywhere
 	}
 
 	planned struct {
@@ -282,6 +284,8 @@
 		wo.waits = append(wo.waits, ef)
 	case domain.Evacuation:
 		wo.left = append(wo.left, ef)
+	case domain.Suspects:
+		wo.suspects = append(wo.suspects, ef)
 	case domain.Resign:
 		ho.dead = true
 	}
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -140,6 +140,7 @@
 	defer te.Scheduler.holds.Store(false)
 	defer te.gaugeWaits(domain.Waits{})
 	defer te.gaugeEvacuation(domain.Evacuation{})
+	defer gaugeSuspects(domain.Suspects{})
 	te.core = domain.New(time.Now(), cf)
 	takeoverTime.UpdateDuration(te.began)
 	te.log.Info("state is loaded", "event", "loaded", "jobs", len(cf.Jobs), "records", len(cf.Records),
@@ -266,6 +267,9 @@
 	case domain.Evacuation:
 		te.gaugeEvacuation(ef)
 		te.reportEvacuation(ef)
+	case domain.Suspects:
+		gaugeSuspects(ef)
+		te.reportSuspects(ef)
 	case domain.Resign:
 		te.log.Warn("scheduler resigns", "event", "resigns", "reason", ef.Reason)
 		te.end()
--- a/internal/drive/note.go
+++ b/internal/drive/note.go
@@ -54,3 +54,8 @@
 		te.log.Info("availability zone is to be emptied", "event", "evacuation", "zone", zl.Zone, "workers", zl.Workers, "tasks", zl.Tasks)
 	}
 }
+
+// reportSuspects writes how many workers there is evidence against.
+func (te *term) reportSuspects(su domain.Suspects) {
+	te.log.Info("evidence against workers", "event", "evidence", "doubted", su.Doubted, "suspended", su.Suspended, "probation", su.OnProbation)
+}
