Set standings once an event; state what evidence has changed

Standings were set anew at each end on a worker with evidence, and the decay of every score was computed in each comparison. Both are done once an event now, and credits of workers in no doubt wait for the next tick.

--- a/internal/domain/scarce.go
+++ b/internal/domain/scarce.go
@@ -67,7 +67,7 @@
 // for proven workers while it can meet its objective, and for others that have not
 // failed it and are in no doubt while it can still earn something.
 func (co *Core) demands(ps *pass, un *unit, service string) []trust {
-	doubts := co.evidence.doubts[service]
+	doubts := co.doubts(service)
 	switch {
 	case len(un.avoid) == 0 && !doubts:
 		return anyWorker
@@ -97,7 +97,12 @@
 // scarce tells whether an attempt of a unit is its last one while workers are in
 // doubt, so that it is placed on its own.
 func (co *Core) scarce(un *unit, service string) bool {
-	return co.evidence.doubts[service] && co.lastAttempt(un)
+	return co.doubts(service) && co.lastAttempt(un)
+}
+
+// doubts tells whether workers of a service are in doubt or out of use.
+func (co *Core) doubts(service string) bool {
+	return len(co.evidence.doubts) > 0 && co.evidence.doubts[service]
 }
 
 // lastAttempt tells whether one more failure of a unit fails its job.
@@ -105,7 +110,7 @@
 
 // least returns the loosest demand on workers that a unit makes at present.
 func (co *Core) least(ps *pass, un *unit, service string) trust {
-	if len(un.avoid) == 0 && !co.evidence.doubts[service] {
+	if len(un.avoid) == 0 && !co.doubts(service) {
 		return trustAny
 	}
 	if tr, ok := ps.least[un]; ok {
--- a/internal/domain/standing.go
+++ b/internal/domain/standing.go
@@ -74,9 +74,12 @@
 		return
 	}
 	clear(co.evidence.doubts)
-	counts := co.countPlaces(now)
+	for nd := range co.evidence.nodes {
+		nd.health.setScore(now, nd.health.scoreAt(now))
+	}
+	counts := co.countPlaces()
 	nds := slices.SortedFunc(maps.Keys(co.evidence.nodes), func(a, b *node) int {
-		return cmp.Or(cmp.Compare(b.health.scoreAt(now), a.health.scoreAt(now)), compareNodes(a, b))
+		return cmp.Or(cmp.Compare(b.health.score, a.health.score), compareNodes(a, b))
 	})
 	out := map[string]int{} // of use, by service
 	for _, nd := range nds {
@@ -84,7 +87,7 @@
 			delete(co.evidence.nodes, nd)
 			continue
 		}
-		most := int(maxSuspended * float64(counts[placeKey{service: nd.worker.Service}].all))
+		most := int(maxSuspended * float64(counts.at(placeKey{service: nd.worker.Service}).all))
 		co.judgeOne(now, nd, counts.spread(nd), out[nd.worker.Service] < most)
 		if !nd.health.usable() {
 			out[nd.worker.Service]++
@@ -99,7 +102,7 @@
 // judgeOne moves one worker between the standings.
 func (co *Core) judgeOne(now time.Time, nd *node, spread, mayRest bool) {
 	he := &nd.health
-	score := he.scoreAt(now)
+	score := he.score
 	if spread {
 		score += spreadScore
 	}
@@ -108,7 +111,7 @@
 	case inUse:
 		if score >= suspendScore && mayRest {
 			co.suspend(now, nd)
-		} else if he.scoreAt(now) < noScore {
+		} else if he.score < noScore {
 			delete(co.evidence.nodes, nd)
 		}
 	case suspended:
@@ -160,28 +163,38 @@
 	co.emit(Noted{Decision: "reinstates", Worker: nd.worker.ID, Reason: reason})
 }
 
-type placeCounts map[placeKey]places
+type placeCounts map[placeKey]*places
 
 // countPlaces counts the workers of services, zones and racks, and those in doubt.
-func (co *Core) countPlaces(now time.Time) placeCounts {
+func (co *Core) countPlaces() placeCounts {
 	counts := placeCounts{}
 	for _, nd := range co.sorted {
 		if !nd.listed {
 			continue
 		}
-		bad := co.evidence.nodes[nd] && nd.health.scoreAt(now) >= doubtScore
+		bad := co.evidence.nodes[nd] && nd.health.score >= doubtScore
 		for _, key := range nd.placeKeys() {
-			pl := counts[key]
+			pl, ok := counts[key]
+			if !ok {
+				pl = &places{}
+				counts[key] = pl
+			}
 			pl.all++
 			if bad {
 				pl.bad++
 			}
-			counts[key] = pl
 		}
 	}
 	return counts
 }
 
+func (pc placeCounts) at(key placeKey) places {
+	if pl, ok := pc[key]; ok {
+		return *pl
+	}
+	return places{}
+}
+
 func (nd *node) placeKeys() []placeKey {
 	wk := nd.worker
 	keys := []placeKey{{service: wk.Service}}
@@ -198,9 +211,9 @@
 // speaks against it.
 func (pc placeCounts) spread(nd *node) bool {
 	keys := nd.placeKeys()
-	total := pc[keys[0]]
+	total := pc.at(keys[0])
 	for _, key := range keys[1:] {
-		here := pc[key]
+		here := pc.at(key)
 		rest := places{total.all - here.all, total.bad - here.bad}
 		if here.bad < spreadBad || float64(here.bad) < spreadPart*float64(here.all) || rest.all == 0 {
 			continue
@@ -267,7 +280,7 @@
 	if he.standing == onProbation {
 		he.passed++
 	}
-	co.evidence.due = co.evidence.due || co.evidence.nodes[nd]
+	co.evidence.due = co.evidence.due || he.doubted || !he.usable()
 }
 
 // relive begins the evidence on a worker that has started anew. What was held
