Replay an overload of uneven workspaces in virtual time

How a scheduling policy treats workspaces under load could not be judged over many seeds: the stand-in of workers looked at every run of the fleet for each event and each task of a gang, and three replays of 50 s did not end in ten minutes. It now keeps what happens next until something changes, and groups the runs of gangs once.

--- /dev/null
+++ b/internal/domain/replay_test.go
@@ -0,0 +1,326 @@
+package domain_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+)
+
+type (
+	// replay is a load in virtual time: workspaces with uneven demand hand in
+	// three kinds of work in bursts that exceed what the fleet can do.
+	replay struct {
+		seed    uint64
+		workers int
+		load    float64 // of the fleet's capacity in a burst
+		burst   time.Duration
+		calm    time.Duration // between bursts, at calmLoad
+		length  time.Duration
+		demand  []float64 // parts of the load by workspace
+	}
+
+	// kind is one kind of work.
+	kind struct {
+		name  string
+		part  float64 // of the load, in accelerator time
+		queue batch.Queue
+		make  func(rng *rand.Rand) []batch.Step
+	}
+
+	// earning is what the jobs of a workspace or kind were worth, in
+	// accelerator-seconds.
+	earning struct {
+		offered, earned float64
+		jobs, inTime    int
+	}
+
+	// outcome is what a replay has come to.
+	outcome struct {
+		byWorkspace, byKind, byBoth map[string]earning
+		owed                        map[string]float64 // by workspace
+		thrownAway                  time.Duration      // processor time
+		idle                        float64            // free part of the accelerators while work waits
+		rules                       []string           // that were broken
+	}
+)
+
+const (
+	calmLoad   = 0.9
+	workspaces = "abcdefghij"
+)
+
+var replays = flag.Int("domain.replays", 1, "seeds of the replayed loads")
+
+// skewed has a tenth of the workspaces hand in half of the load.
+var skewed = []float64{0.5, 0.14, 0.1, 0.07, 0.055, 0.04, 0.035, 0.03, 0.02, 0.01}
+
+// kindsOfWork are those of docs/UNDER-LOAD.md.
+var kindsOfWork = []kind{
+	{name: "urgent", part: 0.25, queue: replayQueue(0, 2, 1.5, 500*time.Millisecond), make: func(rng *rand.Rand) []batch.Step {
+		return []batch.Step{replayStep(5, []int{1, 1, 1, 2, 2, 4, 8}[rng.IntN(7)], 2500*time.Millisecond, false)}
+	}},
+	{name: "gang", part: 0.35, queue: replayQueue(1, 3, 3, 1200*time.Millisecond), make: func(rng *rand.Rand) []batch.Step {
+		st := replayStep(13, []int{1, 1, 2, 4}[rng.IntN(4)], 11*time.Second, false)
+		st.Gang = true
+		return []batch.Step{st}
+	}},
+	{name: "bulk", part: 0.4, queue: replayQueue(2, 3, 3, 3*time.Second), make: func(rng *rand.Rand) []batch.Step {
+		saves := rng.IntN(2) == 0
+		steps := []batch.Step{replayStep(39, 1, 6*time.Second, saves)}
+		if rng.IntN(10) < 3 {
+			second := replayStep(39, 1, 6*time.Second, saves)
+			second.After = []int{0}
+			steps = append(steps, second)
+		}
+		return steps
+	}},
+}
+
+func replayQueue(priority, attempts int, stretch float64, allowance time.Duration) batch.Queue {
+	qu := queueOf(priority)
+	qu.MaxAttempts, qu.Stretch, qu.Allowance = attempts, stretch, allowance
+	return qu
+}
+
+func replayStep(tasks, accelerators int, work time.Duration, saves bool) batch.Step {
+	return batch.Step{Tasks: tasks, RunTime: work, Checkpoints: saves, Needs: batch.Resources{
+		MilliCPU: 1000 * accelerators, MemoryMB: 500 * accelerators, Accelerators: accelerators,
+	}}
+}
+
+// costOf is the accelerator time of a job, in seconds.
+func costOf(jb batch.Job) float64 {
+	sum := 0.0
+	for _, st := range jb.Steps {
+		sum += float64(st.Tasks*st.Needs.Accelerators) * st.RunTime.Seconds()
+	}
+	return sum
+}
+
+// begin returns a world with the fleet and the policy of a replay.
+func (re replay) begin() *world {
+	wo := newWorld(re.seed)
+	wo.policy = &batch.Policy{Version: 1}
+	for _, ki := range kindsOfWork {
+		wo.policy.Queues = append(wo.policy.Queues, ki.queue)
+	}
+	for i, name := range workspaces {
+		wo.policy.Workspaces = append(wo.policy.Workspaces, batch.Workspace{
+			Name: string(name), Guaranteed: re.workers * []int{6, 4, 0, 4, 4}[i%5] / 24,
+		})
+	}
+	for i := range re.workers {
+		wo.addWorker(fmt.Sprintf("w%d%03d", i/8%10, i), 8)
+	}
+	wo.elect()
+	wo.run(time.Second)
+	return wo
+}
+
+// play hands the load in and lets what waits come to its end.
+func (re replay) play(wo *world) outcome {
+	kinds := map[string]string{}
+	rng := rand.New(rand.NewPCG(re.seed, 2)) // of its own, so that each policy gets the same load
+	for elapsed := time.Duration(0); elapsed < re.length; elapsed += tickTime {
+		load := calmLoad
+		if elapsed%(re.burst+re.calm) < re.burst {
+			load = re.load
+		}
+		for _, ki := range kindsOfWork {
+			re.handIn(wo, rng, ki, load*ki.part*float64(8*re.workers)*tickTime.Seconds(), kinds)
+		}
+		wo.run(tickTime)
+	}
+	wo.run(40 * time.Second)
+	return re.judge(wo, kinds)
+}
+
+// handIn submits jobs of a kind for an expected amount of accelerator time.
+func (re replay) handIn(wo *world, rng *rand.Rand, ki kind, amount float64, kinds map[string]string) {
+	for amount > 0 {
+		steps := ki.make(rng)
+		jb := batch.Job{
+			ID: fmt.Sprintf("%s%05d", ki.name, len(wo.accepts)), Workspace: re.workspace(rng),
+			Queue: ki.queue, Payload: "x", Steps: steps,
+		}
+		cost := costOf(jb)
+		if rng.Float64()*cost > amount {
+			return
+		}
+		amount -= cost
+		plans := make([]planned, len(steps))
+		for i, st := range steps {
+			plans[i] = planned{work: time.Duration(float64(st.RunTime) * (0.85 + 0.2*rng.Float64()))}
+		}
+		kinds[jb.ID] = ki.name
+		wo.submit(jb, plans...)
+	}
+}
+
+// workspace draws one by demand.
+func (re replay) workspace(rng *rand.Rand) string {
+	at := rng.Float64()
+	for i, part := range re.demand {
+		if at -= part; at < 0 {
+			return workspaces[i : i+1]
+		}
+	}
+	return workspaces[:1]
+}
+
+// worth is the part of its value that a job has earned.
+func (wo *world) worth(id string) float64 {
+	jb := wo.jobs[id]
+	if wo.state(id) != batch.Done {
+		return 0
+	}
+	over := float64(wo.took(id)) / float64(jb.Queue.Objective(jb.LongestChain()))
+	return min(1, max(0, (3-over)/2))
+}
+
+func (re replay) judge(wo *world, kinds map[string]string) outcome {
+	oc := outcome{
+		byWorkspace: map[string]earning{}, byKind: map[string]earning{}, byBoth: map[string]earning{},
+		owed: map[string]float64{}, rules: wo.check(),
+	}
+	for _, id := range wo.accepts {
+		ws, worth, cost := wo.jobs[id].Workspace, wo.worth(id), costOf(wo.jobs[id])
+		add := func(sums map[string]earning, key string) {
+			ea := sums[key]
+			ea.offered += cost
+			ea.earned += worth * cost
+			ea.jobs++
+			if worth == 1 {
+				ea.inTime++
+			}
+			sums[key] = ea
+		}
+		add(oc.byWorkspace, ws)
+		add(oc.byKind, kinds[id])
+		add(oc.byBoth, ws+" "+kinds[id])
+	}
+	oc.share(wo, float64(8*re.workers)*re.length.Seconds())
+	for _, no := range wo.notes {
+		if no.Decision == "stops" {
+			oc.thrownAway += no.Lost
+		}
+	}
+	for _, wa := range wo.waits {
+		if wa.Accelerators.Total > 0 {
+			oc.idle += float64(wa.Accelerators.Free) / float64(wa.Accelerators.Total) / float64(len(wo.waits))
+		}
+	}
+	return oc
+}
+
+// share gives each workspace what it is owed of an amount: its part by weight,
+// or what it has offered if that is less, and the rest to the others.
+func (oc outcome) share(wo *world, amount float64) {
+	weights := map[string]float64{}
+	least := 0
+	for _, ws := range wo.policy.Workspaces {
+		if ws.Guaranteed > 0 && (least == 0 || ws.Guaranteed < least) {
+			least = ws.Guaranteed
+		}
+	}
+	for _, ws := range wo.policy.Workspaces {
+		if oc.byWorkspace[ws.Name].offered > 0 {
+			weights[ws.Name] = float64(max(1, least, ws.Guaranteed))
+		}
+	}
+	for again := true; again; {
+		again = false
+		sum := 0.0
+		for _, weight := range weights {
+			sum += weight
+		}
+		for name, weight := range weights {
+			if offered := oc.byWorkspace[name].offered; offered <= amount*weight/sum {
+				oc.owed[name] = offered
+				amount -= offered
+				delete(weights, name)
+				again = true
+				break
+			}
+			oc.owed[name] = amount * weight / sum
+		}
+	}
+}
+
+// received is what a workspace has earned of what it is owed.
+func (oc outcome) received(workspace string) float64 {
+	if oc.owed[workspace] == 0 {
+		return 1
+	}
+	return min(1, oc.byWorkspace[workspace].earned/oc.owed[workspace])
+}
+
+// worst is the least that a workspace has received.
+func (oc outcome) worst() float64 {
+	least := 1.0
+	for ws := range oc.byWorkspace {
+		least = min(least, oc.received(ws))
+	}
+	return least
+}
+
+func (oc outcome) String() string {
+	var sb strings.Builder
+	line := func(name string, ea earning) {
+		fmt.Fprintf(&sb, "%-9s value %4.2f in time %4.2f of %4d", name, ea.earned/max(1, ea.offered), float64(ea.inTime)/max(1, float64(ea.jobs)), ea.jobs)
+	}
+	for _, ws := range strings.Split(workspaces, "") {
+		line(ws, oc.byWorkspace[ws])
+		fmt.Fprintf(&sb, " received %4.2f |", oc.received(ws))
+		for _, ki := range kindsOfWork {
+			ea := oc.byBoth[ws+" "+ki.name]
+			fmt.Fprintf(&sb, " %s %4.2f", ki.name, ea.earned/max(1, ea.offered))
+		}
+		sb.WriteString("\n")
+	}
+	for _, ki := range kindsOfWork {
+		line(ki.name, oc.byKind[ki.name])
+		sb.WriteString("\n")
+	}
+	fmt.Fprintf(&sb, "worst %4.2f, thrown away %v, idle %4.2f", oc.worst(), oc.thrownAway.Round(time.Second), oc.idle)
+	return sb.String()
+}
+
+// TestReplayOfOverload prints what a policy earns over seeds and loads, and
+// guards the rules of the workers under them.
+func TestReplayOfOverload(t *testing.T) {
+	is := is.New(t)
+	worst := []float64{}
+	kinds := map[string]earning{}
+	var thrown time.Duration
+	idle := 0.0
+	for seed := range *replays {
+		re := replay{
+			seed: uint64(seed), workers: 48 + seed%2*16, load: 1.3 + 0.2*float64(seed%3), burst: 20 * time.Second, calm: 8 * time.Second,
+			length: 84 * time.Second, demand: skewed,
+		}
+		oc := re.play(re.begin())
+		t.Logf("seed %d, %d workers, load %.1f\n%v", seed, re.workers, re.load, oc)
+		is.Equal(oc.rules, nil)
+		worst = append(worst, oc.worst())
+		thrown += oc.thrownAway
+		idle += oc.idle / float64(*replays)
+		for name, ea := range oc.byKind {
+			sum := kinds[name]
+			kinds[name] = earning{sum.offered + ea.offered, sum.earned + ea.earned, sum.jobs + ea.jobs, sum.inTime + ea.inTime}
+		}
+	}
+	slices.Sort(worst)
+	t.Logf("least received: %.2f, in the middle %.2f; thrown away %v, idle %.3f", worst[0], worst[len(worst)/2], thrown.Round(time.Second), idle)
+	for name, ea := range kinds {
+		t.Logf("%s: value %.3f, in time %.3f of %d", name, ea.earned/ea.offered, float64(ea.inTime)/float64(ea.jobs), ea.jobs)
+	}
+}
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -51,6 +51,16 @@
 		Broken   []string              // rules that were broken
 		Refused  int                   // starts without a ticket
 		Starts   int
+		planned  bool // due and what hold; nothing has changed since
+		due      time.Time
+		what     func()
+	}
+
+	// gangKey names an attempt of a gang.
+	gangKey struct {
+		job              string
+		occurrence, step int
+		attempt          int
 	}
 
 	worker struct {
@@ -94,6 +104,7 @@
 // Add starts a worker. Its clock runs at a rate of true time. One that exists
 // under the ID starts anew and has lost everything.
 func (fl *Fleet) Add(now time.Time, id string, capacity batch.Resources, rate float64) int64 {
+	defer fl.replan()
 	fl.Remove(now, id)
 	wo := &worker{
 		id: id, capacity: capacity, rate: rate, began: now, born: now.UnixMilli(),
@@ -106,6 +117,7 @@
 // Remove ends a worker with all that it runs, which breaks the gangs that had
 // tasks there.
 func (fl *Fleet) Remove(now time.Time, id string) {
+	defer fl.replan()
 	fl.Advance(now)
 	wo, ok := fl.workers[id]
 	if !ok {
@@ -127,6 +139,7 @@
 
 // Fail makes each attempt on a worker fail at once.
 func (fl *Fleet) Fail(id string, fails bool) {
+	fl.planned = false
 	if wo, ok := fl.workers[id]; ok {
 		wo.fails = fails
 	}
@@ -141,6 +154,7 @@
 
 // Stall lets everything on a worker stand still, or go on.
 func (fl *Fleet) Stall(now time.Time, id string, stalled bool) {
+	defer fl.replan()
 	fl.Advance(now)
 	wo, ok := fl.workers[id]
 	if !ok || wo.stalled == stalled {
@@ -209,6 +223,7 @@
 
 // Start performs a start.
 func (fl *Fleet) Start(now time.Time, id string, rq runner.StartRequest) error {
+	defer fl.replan()
 	fl.Advance(now)
 	wo, err := fl.reach(id, rq.Token)
 	if err != nil {
@@ -308,6 +323,7 @@
 
 // Stop performs a stop.
 func (fl *Fleet) Stop(now time.Time, id string, rq runner.StopRequest) error {
+	defer fl.replan()
 	fl.Advance(now)
 	wo, err := fl.reach(id, rq.Token)
 	if err != nil {
@@ -330,6 +346,9 @@
 	if err != nil {
 		return runner.Look{}, err
 	}
+	if rq.Deadline > 0 {
+		defer fl.replan()
+	}
 	wo.hold(now, rq.Deadline, fl.cfg.MaxHold)
 	fl.acknowledge(wo, rq.Seen)
 	lo := runner.Look{Clock: wo.clock(now), Born: wo.born, Ended: slices.Clone(wo.list)}
@@ -364,16 +383,24 @@
 // Advance lets everything happen that is due by a time.
 func (fl *Fleet) Advance(now time.Time) {
 	for {
-		at, do := fl.next()
+		if !fl.planned {
+			fl.due, fl.what = fl.next()
+			fl.planned = true
+		}
+		at, do := fl.due, fl.what
 		if do == nil || at.After(now) {
 			fl.now = now
 			return
 		}
 		fl.now = at
+		fl.planned = false
 		do()
 	}
 }
 
+// replan has what happens next looked for anew.
+func (fl *Fleet) replan() { fl.planned = false }
+
 // next returns what happens next of itself, and when.
 func (fl *Fleet) next() (time.Time, func()) {
 	var first time.Time
@@ -383,6 +410,7 @@
 			first, what = at, do
 		}
 	}
+	gangs := fl.gangs()
 	for _, id := range fl.ids() {
 		wo := fl.workers[id]
 		for _, ru := range wo.sorted() {
@@ -396,7 +424,7 @@
 			case ru.plan.Fails:
 				offer(ru.since.Add(ru.plan.Work-ru.saved), func() { fl.end(ru, runner.Failed) })
 			default:
-				if at, ok := fl.allDone(ru); ok {
+				if at, ok := allDone(gangs[ru.gang()], ru); ok {
 					offer(at, func() { fl.end(ru, runner.Succeeded) })
 				}
 			}
@@ -408,9 +436,12 @@
 // allDone returns when the work of a run is over, and that of its gang: a task
 // that has less to do than the others stands at 100 percent until then. It is
 // false while one of them stands still.
-func (fl *Fleet) allDone(ru *run) (time.Time, bool) {
+func allDone(mates []*run, ru *run) (time.Time, bool) {
 	var latest time.Time
-	for _, mate := range fl.mates(ru) {
+	if ru.plan.Gang == 0 {
+		mates = []*run{ru}
+	}
+	for _, mate := range mates {
 		if mate.since.IsZero() || mate.worker.stalled {
 			return latest, false
 		}
@@ -421,6 +452,23 @@
 	return latest, true
 }
 
+// gangs returns the runs of each attempt of a gang.
+func (fl *Fleet) gangs() map[gangKey][]*run {
+	out := map[gangKey][]*run{}
+	for _, wo := range fl.workers {
+		for _, ru := range wo.runs {
+			if ru.plan.Gang > 0 {
+				out[ru.gang()] = append(out[ru.gang()], ru)
+			}
+		}
+	}
+	return out
+}
+
+func (ru *run) gang() gangKey {
+	return gangKey{ru.task.Job, ru.task.Occurrence, ru.task.Step, ru.attempt}
+}
+
 func (fl *Fleet) ids() []string {
 	ids := make([]string, 0, len(fl.workers))
 	for id := range fl.workers {
