Order work of like urgency by fair shares among workspaces

Only guarantees told workspaces apart, so a burst of one held the fleet against the others: work of one turn, class and priority began as it came. It now begins by how far its workspace is below its fair share of the service, and so does what a queue's share is given out to. What is granted in a round counts at once. A group of ranks that is of one workspace keeps the order that it had.

Operators see per workspace what it is entitled to, uses, borrows and waits for, in one log line a second and in gauges.

--- a/internal/domain/backlog.go
+++ b/internal/domain/backlog.go
@@ -45,7 +45,7 @@
 	}
 	co.reported = ps.now
 	co.backlogged = len(backlogs) > 0
-	co.emit(Waits{Backlogs: backlogs, Accelerators: co.accelerators(ps)})
+	co.emit(Waits{Backlogs: backlogs, Shares: co.reportShares(ps, ras), Accelerators: co.accelerators(ps)})
 }
 
 // backlogsOf adds up the ranked units that were not placed.
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -44,6 +44,7 @@
 		backlogged bool             // something waited then
 		overdueAt  time.Time        // when attempts that don't end were last looked for
 		used       map[string]usage // by queue; none for a queue of which nothing runs
+		fair       *fairness
 		book       book
 		asking     int // calls for advice under way
 		effects    []Effect
@@ -56,7 +57,7 @@
 	co := &Core{
 		token: cf.Token, began: now, cores: min(1, cf.Cores), policy: cf.Policy,
 		jobs: map[string]*job{}, nodes: map[string]*node{}, changed: map[*unit]bool{},
-		addresses: map[string][]*node{}, holding: map[*node]bool{}, used: map[string]usage{}, book: newBook(),
+		addresses: map[string][]*node{}, holding: map[*node]bool{}, used: map[string]usage{}, fair: newFairness(), book: newBook(),
 	}
 	for _, wk := range cf.Workers {
 		co.list(now, wk)
@@ -86,6 +87,7 @@
 	switch ev := ev.(type) {
 	case Configured:
 		co.policy = ev.Policy
+		co.recount()
 		co.pass = true
 	case Accepted:
 		co.accept(now, ev.Job)
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -144,6 +144,7 @@
 	// Waits says once a second what waits for room, and what room there is.
 	Waits struct {
 		Backlogs     []Backlog
+		Shares       []Share // by service and workspace
 		Accelerators Accelerators
 	}
 
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -39,8 +39,9 @@
 func (ra rank) mayKeep() bool { return ra.shared || ra.class <= classTimely }
 
 // waitingUnits lists the units that could be started, in their order.
-func (co *Core) waitingUnits(now time.Time) []rank {
+func (co *Core) waitingUnits(ps *pass) []rank {
 	var ras []rank
+	now := ps.now
 	held := co.held()
 	for _, jb := range co.order {
 		if jb.state.Final() || jb.waiting == 0 {
@@ -51,15 +52,19 @@
 			ras = append(ras, co.classify(now, qu, units, held)...)
 		}
 	}
-	ras = co.share(now, ras)
-	slices.SortStableFunc(ras, func(a, b rank) int {
-		return cmp.Or(
-			cmp.Compare(a.turn(), b.turn()), cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority),
-		)
-	})
+	ps.capacity = co.capacities(now)
+	co.fair.begin(now, co.policy, ps.capacity, ras)
+	ras = co.share(ps, ras)
+	slices.SortStableFunc(ras, compareRanks)
 	return ras
 }
 
+func compareRanks(a, b rank) int {
+	return cmp.Or(
+		cmp.Compare(a.turn(), b.turn()), cmp.Compare(a.class, b.class), cmp.Compare(a.priority, b.priority),
+	)
+}
+
 // readySteps lists the units of a job that wait for nothing but room, by step.
 func (jb *job) readySteps(now time.Time) [][]*unit {
 	var steps [][]*unit
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -19,6 +19,8 @@
 		keeps   int            // gangs for which workers are kept
 		kept    map[*node]bool // for gangs that wait
 		victims map[*node][]victim
+
+		capacity map[string]batch.Resources // of what takes new work, by service
 	}
 
 	// shape is what decides whether a unit fits.
@@ -66,11 +68,9 @@
 func (co *Core) placeWaiting(now time.Time) {
 	co.placeClaims(now)
 	ps := newPass(now)
-	ras := co.waitingUnits(now)
+	ras := co.waitingUnits(ps)
 	co.waiting = len(ras)
-	for _, ra := range ras {
-		co.placeRank(ps, ra)
-	}
+	co.placeRanks(ps, ras)
 	co.report(ps, ras)
 }
 
--- a/internal/domain/share.go
+++ b/internal/domain/share.go
@@ -35,6 +35,7 @@
 // use adds what a run takes, or frees as a negative amount, to what the queue of
 // its job uses.
 func (co *Core) use(jb *job, rs batch.Resources) {
+	co.fair.use(co.tenantOf(jb), rs)
 	name := jb.Queue.Name
 	sum := co.used[name].resources.Plus(rs)
 	if sum == (batch.Resources{}) {
@@ -45,13 +46,13 @@
 }
 
 // sharesOf returns the shares of the queues, less what they use.
-func (co *Core) sharesOf(now time.Time, ras []rank) shares {
+func (co *Core) sharesOf(ps *pass, ras []rank) shares {
 	services := co.servicesOf(ras)
 	queues := map[string]int{} // by service
 	for _, service := range services {
 		queues[service]++
 	}
-	sh := shares{capacity: co.capacities(now), left: map[string]float64{}}
+	sh := shares{capacity: ps.capacity, left: map[string]float64{}}
 	for queue, service := range services {
 		used := dominant(co.used[queue].resources, sh.capacity[service])
 		sh.left[queue] = sharedPart/float64(queues[service]) - used
@@ -86,14 +87,13 @@
 // share marks the units that are within the shares of their queues: of the jobs
 // that can still earn something, and then of the others, those with the highest
 // response ratio first. A rank of which only a part is within is split.
-func (co *Core) share(now time.Time, ras []rank) []rank {
-	sh := co.sharesOf(now, ras)
+func (co *Core) share(ps *pass, ras []rank) []rank {
+	sh := co.sharesOf(ps, ras)
 	within := make([]int, len(ras))
-	for _, i := range byResponseRatio(now, ras) {
-		if ras[i].class != classAssured {
-			within[i] = sh.take(ras[i])
-		}
-	}
+	co.takeFairly(sh, ras, byResponseRatio(ps.now, ras), func(i int) float64 {
+		within[i] = sh.take(ras[i])
+		return float64(within[i]) * ras[i].part(sh.capacity)
+	})
 	out := make([]rank, 0, len(ras)+len(sh.left))
 	for i, ra := range ras {
 		n := within[i]
--- /dev/null
+++ b/internal/domain/standing.go
@@ -0,0 +1,60 @@
+package domain
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Share is what a workspace that runs or waits has of a service. Entitled, Used
+// and Borrowed are parts of the service's workers, by the resource of which the
+// workspace uses most.
+type Share struct {
+	Workspace    string
+	Service      string
+	Entitled     float64 // by its weight, among the workspaces with work
+	Used         float64
+	Borrowed     float64       // of what is used, beyond what it is entitled to
+	Excess       float64       // use now and of the last seconds for what it is entitled to
+	Units        int           // that wait
+	Accelerators int           // that these need
+	Oldest       time.Duration // since the job of the oldest one is known
+}
+
+// reportShares lists the workspaces that run or wait after a round.
+func (co *Core) reportShares(ps *pass, ras []rank) []Share {
+	waits := map[tenant]*Backlog{}
+	for _, ra := range ras {
+		te := ra.tenant()
+		if waits[te] == nil {
+			waits[te] = &Backlog{}
+		}
+		for _, un := range ra.units {
+			if un.phase == waiting && un.claim == nil {
+				waits[te].add(ps.now, un)
+			}
+		}
+	}
+	var shs []Share
+	for te, ac := range co.fair.tenants {
+		sum := co.fair.shares[te.service]
+		sh := Share{
+			Workspace: te.workspace, Service: te.service, Used: dominant(ac.resources, ps.capacity[te.service]),
+			Excess: co.fair.excess(te.workspace),
+		}
+		if sum > 0 {
+			sh.Entitled = co.fair.weightOf(te.workspace) / sum
+		}
+		sh.Borrowed = max(0, sh.Used-sh.Entitled)
+		if bl := waits[te]; bl != nil {
+			sh.Units, sh.Accelerators, sh.Oldest = bl.Units, bl.Accelerators, bl.Oldest
+		}
+		if sh.Used > 0 || sh.Units > 0 {
+			shs = append(shs, sh)
+		}
+	}
+	slices.SortFunc(shs, func(a, b Share) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	return shs
+}
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -258,6 +258,7 @@
 	case domain.Waits:
 		te.gaugeWaits(ef)
 		te.reportWaits(ef)
+		te.reportShares(ef)
 	case domain.Resign:
 		te.log.Warn("scheduler resigns", "event", "resigns", "reason", ef.Reason)
 		te.end()
--- a/internal/drive/meters.go
+++ b/internal/drive/meters.go
@@ -34,14 +34,25 @@
 	}
 }
 
-// gaugeWaits sets the gauges of what waits, and drops those of queues and ranks in
-// which nothing waits any more, so that a former scheduler shows nothing.
+// gaugeWaits sets the gauges of what waits, and drops those of queues, ranks and
+// workspaces of which nothing is told any more, so that a former scheduler shows
+// nothing.
 func (te *term) gaugeWaits(wa domain.Waits) {
 	present := map[string]bool{}
-	for _, bl := range wa.Backlogs {
-		name := fmt.Sprintf("cicadawharf_domain_waiting_units{queue=%q,rank=%q}", bl.Queue, bl.Rank)
+	set := func(value float64, format string, labels ...any) {
+		name := fmt.Sprintf(format, labels...)
 		present[name] = true
-		metrics.GetOrCreateGauge(name, nil).Set(float64(bl.Units))
+		metrics.GetOrCreateGauge(name, nil).Set(value)
+	}
+	for _, bl := range wa.Backlogs {
+		set(float64(bl.Units), "cicadawharf_domain_waiting_units{queue=%q,rank=%q}", bl.Queue, bl.Rank)
+	}
+	for _, sh := range wa.Shares {
+		set(sh.Entitled, "cicadawharf_domain_workspace_share{workspace=%q,service=%q,part=\"entitled\"}", sh.Workspace, sh.Service)
+		set(sh.Used, "cicadawharf_domain_workspace_share{workspace=%q,service=%q,part=\"used\"}", sh.Workspace, sh.Service)
+		set(sh.Borrowed, "cicadawharf_domain_workspace_share{workspace=%q,service=%q,part=\"borrowed\"}", sh.Workspace, sh.Service)
+		set(float64(sh.Accelerators), "cicadawharf_domain_workspace_waiting_accelerators{workspace=%q,service=%q}", sh.Workspace, sh.Service)
+		set(sh.Oldest.Seconds(), "cicadawharf_domain_workspace_oldest_wait_seconds{workspace=%q,service=%q}", sh.Workspace, sh.Service)
 	}
 	for name := range te.gauged {
 		if !present[name] {
--- a/internal/drive/note.go
+++ b/internal/drive/note.go
@@ -1,6 +1,9 @@
 package drive
 
 import (
+	"cmp"
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/domain"
@@ -47,3 +50,22 @@
 			"free", wa.Accelerators.Free, "kept", wa.Accelerators.Kept, "total", wa.Accelerators.Total)
 	}
 }
+
+// maxShares bounds the workspaces that a line tells of.
+const maxShares = 10
+
+// reportShares writes a line that tells of the workspaces which wait, those that
+// have waited longest first, if there are several.
+func (te *term) reportShares(wa domain.Waits) {
+	waiting := slices.DeleteFunc(slices.Clone(wa.Shares), func(sh domain.Share) bool { return sh.Units == 0 })
+	if len(waiting) < 2 {
+		return
+	}
+	slices.SortStableFunc(waiting, func(a, b domain.Share) int { return cmp.Compare(b.Oldest, a.Oldest) })
+	var lines []string
+	for _, sh := range waiting[:min(maxShares, len(waiting))] {
+		lines = append(lines, fmt.Sprintf("%s entitled=%.3f used=%.3f borrowed=%.3f excess=%.2f units=%d accelerators=%d oldest=%v",
+			sh.Workspace, sh.Entitled, sh.Used, sh.Borrowed, sh.Excess, sh.Units, sh.Accelerators, sh.Oldest.Round(time.Millisecond)))
+	}
+	te.log.Info("workspaces wait", "event", "shares", "workspaces", len(waiting), "longest", lines)
+}
