Test that a takeover does not forgive who has the fleet

Use is not written to the store; a new scheduler takes it from what runs. A workspace that has the whole fleet at a takeover still comes after one that has had nothing.

--- a/internal/domain/fair_test.go
+++ b/internal/domain/fair_test.go
@@ -60,6 +60,24 @@
 	is.Equal(wo.check(), nil)
 }
 
+// TestTakeoverForgetsWhoHasTheFleet changes the scheduler while one workspace has
+// the whole fleet. Another one that has had nothing still begins before it.
+func TestTakeoverForgetsWhoHasTheFleet(t *testing.T) {
+	is := is.New(t)
+	wo := calm(1)
+	for i, id := range []string{"fill", "again", "other"} {
+		jb, pl := single(id, 1, 8, 3*time.Second)
+		jb.Workspace = []string{"a", "a", "b"}[i]
+		jb.Steps[0].Gang = true
+		wo.submit(jb, pl)
+		wo.run(300 * time.Millisecond)
+	}
+	wo.elect()
+	wo.run(12 * time.Second)
+	is.True(wo.endOf("other").Before(wo.endOf("again")))
+	is.Equal(wo.check(), nil)
+}
+
 // TestOneWorkspaceKeepsTheOldOrder lets jobs of one workspace wait while another
 // one runs and does not wait. They begin as they came.
 func TestOneWorkspaceKeepsTheOldOrder(t *testing.T) {
