--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -67,7 +67,7 @@
 	})
 	dc := drive.Config{
 		Host: se.Host.Name, Cores: se.Processor.Speed(), Store: st, Workers: platform.NewWorkers(),
-		Layout: layout, Evacuate: se.Timing.Evacuate, Log: log,
+		Layout: layout, Evacuate: se.Timing.Evacuate, FairShares: se.Scheduling.FairShares, Log: log,
 	}
 	if se.Advice.Address != "" {
 		dc.Adviser = platform.NewAdviser(se.Advice.Address)
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -23,6 +23,9 @@
 		// Evacuate is from how much time left work with checkpoints is moved out
 		// of these zones.
 		Evacuate time.Duration
+		// FairShares orders work of like urgency by how far its workspace is below
+		// its fair share.
+		FairShares bool
 	}
 
 	// Core is the state of a scheduling domain under one token. It is not safe
@@ -51,6 +54,8 @@
 		overdueAt  time.Time        // when attempts that don't end were last looked for
 		used       map[string]usage // by queue; none for a queue of which nothing runs
 		evidence   evidence
+		fair       *fairness
+		fairShares bool // see Config
 		book       book
 		asking     int // calls for advice under way
 		effects    []Effect
@@ -63,7 +68,7 @@
 	co := &Core{
 		token: cf.Token, began: now, cores: min(1, cf.Cores), policy: cf.Policy, draining: draining{over: cf.Evacuate},
 		jobs: map[string]*job{}, nodes: map[string]*node{}, changed: map[*unit]bool{},
-		addresses: map[string][]*node{}, holding: map[*node]bool{}, used: map[string]usage{}, evidence: newEvidence(), book: newBook(),
+		addresses: map[string][]*node{}, holding: map[*node]bool{}, used: map[string]usage{}, evidence: newEvidence(), fair: newFairness(), fairShares: cf.FairShares, book: newBook(),
 	}
 	for _, wk := range cf.Workers {
 		co.list(now, wk)
@@ -97,6 +102,7 @@
 	switch ev := ev.(type) {
 	case Configured:
 		co.policy = ev.Policy
+		co.recount()
 		co.pass = true
 	case Accepted:
 		co.accept(now, ev.Job)
--- a/internal/domain/domain_test.go
+++ b/internal/domain/domain_test.go
@@ -22,8 +22,10 @@
 	return jb, planned{work: work}
 }
 
-func calm(workers int) *world {
-	wo := newWorld(1)
+func calm(workers int) *world { return newWorld(1).calm(workers) }
+
+// calm adds workers and has a first scheduler take over.
+func (wo *world) calm(workers int) *world {
 	for i := range workers {
 		wo.addWorker(fmt.Sprintf("w%d%d", i%2, i), 8)
 	}
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -20,6 +20,8 @@
 		kept    map[*node]bool // for gangs that wait
 		victims map[*node][]victim
 		least   map[*unit]trust
+
+		capacity map[string]batch.Resources // of what takes new work, by service
 	}
 
 	// shape is what decides whether a unit fits.
@@ -67,12 +69,10 @@
 func (co *Core) placeWaiting(now time.Time) {
 	co.placeClaims(now)
 	ps := newPass(now)
-	ras := co.waitingUnits(now)
+	ras := co.waitingUnits(ps)
 	co.waiting = len(ras)
 	ras = co.placeTrials(ps, ras)
-	for _, ra := range ras {
-		co.placeRank(ps, ra)
-	}
+	co.placeRanks(ps, ras)
 	co.drain(ps)
 	co.report(ps, ras)
 }
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -47,9 +47,11 @@
 		Workers  runner.Client
 		Adviser  runner.Adviser // nil if no queue needs advice
 		Machines upkeep.Client  // nil if no machine needs upkeep
-		Evacuate time.Duration  // see domain.Config
-		Layout   Layout
-		Log      *slog.Logger
+		// FairShares orders work of like urgency by fair shares among workspaces.
+		FairShares bool
+		Evacuate   time.Duration // see domain.Config
+		Layout     Layout
+		Log        *slog.Logger
 	}
 
 	// Scheduler takes part in the election and schedules while it holds.
@@ -264,6 +266,7 @@
 	case domain.Waits:
 		te.gaugeWaits(ef)
 		te.reportWaits(ef)
+		te.reportShares(ef)
 	case domain.Evacuation:
 		te.gaugeEvacuation(ef)
 		te.reportEvacuation(ef)
--- a/internal/setup/domain.go
+++ b/internal/setup/domain.go
@@ -20,6 +20,8 @@
 		Memory    int         `yaml:"memoryMegabytes"` // of the process; zero for no limit
 		Processor Processor   `yaml:"processor"`
 		Timing    Timing      `yaml:"timing"`
+
+		Scheduling Scheduling `yaml:"scheduling"`
 	}
 
 	// Processor says what the process may use of the host's processor.
@@ -57,6 +59,11 @@
 		Address string `yaml:"address"` // IP:port; empty if no machine needs upkeep
 	}
 
+	// Scheduling says what a scheduler takes into account.
+	Scheduling struct {
+		FairShares bool `yaml:"fairShares"` // among workspaces, for work of like urgency
+	}
+
 	// Timing holds the bounds that the operators have set.
 	Timing struct {
 		Revoke    time.Duration `yaml:"revoke"`    // after which a key that was taken away must not work
