Give a gang that has waited for 30 s its turn

Cause: a gang whose job is late has no workers kept for it unless its queue's share has room for it, and it is ranked behind late work of more urgent queues.

Ruled out: evidence against workers; no worker was in doubt there.

Change: of the late gangs the one that has waited longest, if that is over 30 s, is placed after guaranteed work and before everything else, so that workers are kept for it (starve.go).

--- a/internal/domain/domain_test.go
+++ b/internal/domain/domain_test.go
@@ -269,9 +269,18 @@
 // TestRandomFaults plays jobs of all kinds while calls are lost and late,
 // workers crash, start anew and fall silent, holders are killed and cut off. No
 // rule is broken, and once the faults are over every job ends. One seed is played
-// by -run 'RandomFaults/^580$' -domain.seeds 581.
+// by -run 'RandomFaults/^580$' -domain.seeds 581. The seeds that have failed are
+// played in any case: 580 as workers were kept for a gang's last attempt that it
+// refused, 215 and 428 as late gangs were passed by late small work without end.
 func TestRandomFaults(t *testing.T) {
+	played := map[int]bool{}
+	for _, seed := range []int{215, 428, 580} {
+		played[seed] = true
+	}
 	for seed := range *seeds {
+		played[seed] = true
+	}
+	for seed := range played {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			playRandom(t, uint64(seed))
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -19,6 +19,7 @@
 	priority int    // of their queue
 	class    int
 	shared   bool // within their queue's share
+	starves  bool // see starve.go
 }
 
 const (
@@ -92,16 +93,18 @@
 	return ready
 }
 
-// turn parts the units within a guarantee from those within their queue's share,
-// and these from the rest.
+// turn parts the units within a guarantee from a gang that has waited too long,
+// this from those within their queue's share, and these from the rest.
 func (ra rank) turn() int {
 	switch {
 	case ra.class == classAssured:
 		return 0
-	case ra.shared:
+	case ra.starves:
 		return 1
-	default:
+	case ra.shared:
 		return 2
+	default:
+		return 3
 	}
 }
 
--- a/internal/domain/share.go
+++ b/internal/domain/share.go
@@ -94,6 +94,10 @@
 		within[i] = sh.take(ras[i])
 		return float64(within[i]) * ras[i].part(sh.capacity)
 	})
+	if i := starving(ps.now, ras); i >= 0 {
+		within[i] = max(within[i], 1)
+		ras[i].starves = true
+	}
 	out := make([]rank, 0, len(ras)+len(sh.left))
 	for i, ra := range ras {
 		n := within[i]
