Name files, types and constants of the new parts by what they hold

Some names collided or misled: turns.go held lanes of workspaces beside rank.turn, health.go held the watch for hung tasks, draining was used for evacuated zones and for workers that drain, desk was a handler, and scarce said which units are placed apart from their rank. Comments that were hard to parse are stated anew, and doc comments that were missing are added. The list of evacuations is read by one method instead of two. No behaviour changes.

--- a/internal/domain/cold.go
+++ b/internal/domain/cold.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// noteCold notes until when a worker is slow. The platform says how much longer
-// that is in each entry of the worker.
+// noteCold notes until when a worker is slow. Each entry of the worker says for how
+// much longer it is.
 func (nd *node) noteCold(now time.Time) {
 	nd.coldUntil = now.Add(nd.worker.Cold)
 	nd.cold = nd.worker.Cold > 0
 }
 
-// noteWarm notes that a worker is slow no more, once it is.
+// noteWarm clears the mark of a worker whose slow time is over.
 func (nd *node) noteWarm(now time.Time) { nd.cold = nd.cold && now.Before(nd.coldUntil) }
 
 // compareWarm orders workers that are slow behind all others, and otherwise as
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -40,7 +40,7 @@
 		sorted     []*node // nodes by ID
 		addresses  map[string][]*node
 		evacuated  map[string]bool // availability zones that are to be emptied
-		draining   draining        // of these
+		evacuation evacuation      // of these
 		holding    map[*node]bool  // nodes with ends that are not acknowledged
 		woken      []*node         // nodes where a look may be due
 		changed    map[*unit]bool  // to be evaluated
@@ -66,7 +66,7 @@
 // New returns a core that has heard of no worker yet.
 func New(now time.Time, cf Config) *Core {
 	co := &Core{
-		token: cf.Token, began: now, cores: min(1, cf.Cores), policy: cf.Policy, draining: draining{over: cf.Evacuate},
+		token: cf.Token, began: now, cores: min(1, cf.Cores), policy: cf.Policy, evacuation: evacuation{minLeft: cf.Evacuate},
 		jobs: map[string]*job{}, nodes: map[string]*node{}, changed: map[*unit]bool{},
 		addresses: map[string][]*node{}, holding: map[*node]bool{}, used: map[string]usage{}, evidence: newEvidence(), fair: newFairness(), fairShares: cf.FairShares, book: newBook(),
 	}
@@ -102,7 +102,7 @@
 	switch ev := ev.(type) {
 	case Configured:
 		co.policy = ev.Policy
-		co.recount()
+		co.recountUsage()
 		co.pass = true
 	case Accepted:
 		co.accept(now, ev.Job)
--- a/internal/domain/evac.go
+++ b/internal/domain/evac.go
@@ -15,18 +15,18 @@
 		Tasks   int
 	}
 
-	// draining is how far emptying such zones has come.
-	draining struct {
-		over   time.Duration // see Config.Evacuate
-		left   []ZoneLeft    // as last told
-		leftAt time.Time
+	// evacuation is how far emptying such zones has come.
+	evacuation struct {
+		minLeft time.Duration // see Config.Evacuate
+		left    []ZoneLeft    // as last told
+		leftAt  time.Time
 	}
 )
 
 const (
-	// freshSave is for how long after it was listed a checkpoint counts as new.
+	// freshCheckpoint is for how long after it was listed a checkpoint counts as new.
 	// A round comes with every tick, and less often on a weak host.
-	freshSave = 300 * time.Millisecond
+	freshCheckpoint = 300 * time.Millisecond
 	// maxMoves bounds the units that are moved out of such zones at a time: each
 	// of them stands still meanwhile, and holds room twice.
 	maxMoves = 4
@@ -40,8 +40,6 @@
 	moveGap = 500 * time.Millisecond
 )
 
-func (Evacuation) effect() {}
-
 // setEvacuated takes the availability zones that are to be emptied.
 func (co *Core) setEvacuated(zones []string) {
 	co.evacuated = map[string]bool{}
@@ -77,13 +75,13 @@
 	return slices.ContainsFunc(un.runs, func(ru *run) bool { return ru.node.evacuated })
 }
 
-// noteSave notes that a task has listed a checkpoint that is new.
-func (co *Core) noteSave(now time.Time, ru *run, checkpoint string) {
+// noteCheckpoint notes when a unit has listed a new checkpoint.
+func (co *Core) noteCheckpoint(now time.Time, ru *run, checkpoint string) {
 	un := ru.unit
 	if checkpoint == "" || checkpoint == un.checkpoint || ru.task.Index != un.index {
 		return
 	}
-	un.savedAt = now
+	un.checkpointAt = now
 	co.pass = co.pass || un.onEvacuated()
 }
 
@@ -98,7 +96,7 @@
 			continue
 		}
 		for _, ru := range nd.sortedRuns() {
-			if un := ru.unit; un != nil && un.mayMove(ps.now, co.draining.over) && co.move(ps, un) {
+			if un := ru.unit; un != nil && un.mayMove(ps.now, co.evacuation.minLeft) && co.move(ps, un) {
 				co.pass = true // for the next one
 				return
 			}
@@ -106,18 +104,18 @@
 	}
 }
 
-// mayMove tells whether a unit is to be moved out of its zone now. Nothing has to
-// be clear by any time, so it is only what loses little by it and would stay
-// longer than a bound: work that has just saved a checkpoint, and lasting work as
-// far as it may be interrupted.
-func (un *unit) mayMove(now time.Time, over time.Duration) bool {
+// mayMove tells whether a unit is to be moved out of its zone now. A zone has no
+// deadline for being empty, so only work that loses little is moved: work that has
+// just listed a checkpoint and has more than a bound left, and lasting work as far
+// as it may be interrupted.
+func (un *unit) mayMove(now time.Time, minLeft time.Duration) bool {
 	switch {
 	case un.phase != live, un.assured, !un.allRunning():
 		return false
 	case un.step.Lasting:
-		return now.Sub(un.stayed) >= moveGap && (un.step.MayMiss == 0 || un.job.away(un)+un.tasks <= un.step.MayMiss)
+		return now.Sub(un.moveFailed) >= moveGap && (un.step.MayMiss == 0 || un.job.away(un)+un.tasks <= un.step.MayMiss)
 	default:
-		return un.step.Checkpoints && !un.savedAt.IsZero() && now.Sub(un.savedAt) <= freshSave && un.timeLeft(now) > over
+		return un.step.Checkpoints && !un.checkpointAt.IsZero() && now.Sub(un.checkpointAt) <= freshCheckpoint && un.timeLeft(now) > minLeft
 	}
 }
 
@@ -130,7 +128,7 @@
 	nodes := co.choose(ps, un, key)
 	if nodes == nil {
 		ps.full[key] = true
-		un.stayed = ps.now
+		un.moveFailed = ps.now
 		return false
 	}
 	co.stopUnit(ps.now, un, "it is moved out of an availability zone that is to be emptied")
@@ -171,8 +169,8 @@
 	co.claimed = append(co.claimed, un)
 }
 
-// dropMoves gives up the room that is held for moves, since work within a
-// guarantee finds none.
+// dropMoves gives up the room that is held for moves, for work within a guarantee
+// that finds no other room.
 func (co *Core) dropMoves() {
 	for _, un := range co.claimed {
 		if un.isMoving() {
@@ -201,17 +199,18 @@
 // reportLeft tells what runs in the zones that are to be emptied if that has
 // changed.
 func (co *Core) reportLeft(now time.Time) {
-	if len(co.evacuated)+len(co.draining.left) == 0 || now.Sub(co.draining.leftAt) < leftGap {
+	if len(co.evacuated)+len(co.evacuation.left) == 0 || now.Sub(co.evacuation.leftAt) < leftGap {
 		return
 	}
 	left := co.zonesLeft()
-	if slices.Equal(left, co.draining.left) {
+	if slices.Equal(left, co.evacuation.left) {
 		return
 	}
-	co.draining.left, co.draining.leftAt = left, now
+	co.evacuation.left, co.evacuation.leftAt = left, now
 	co.emit(Evacuation{Zones: left})
 }
 
+// zonesLeft returns what is left in each zone that is to be emptied.
 func (co *Core) zonesLeft() []ZoneLeft {
 	workers := map[string]int{}
 	for _, nd := range co.nodes {
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -249,13 +249,14 @@
 func (Ticked) event()      {}
 func (Prompted) event()    {}
 
-func (Commit) effect()   {}
-func (Look) effect()     {}
-func (Start) effect()    {}
-func (Stop) effect()     {}
-func (Advise) effect()   {}
-func (Forget) effect()   {}
-func (Noted) effect()    {}
-func (Waits) effect()    {}
-func (Suspects) effect() {}
-func (Resign) effect()   {}
+func (Commit) effect()     {}
+func (Look) effect()       {}
+func (Start) effect()      {}
+func (Stop) effect()       {}
+func (Advise) effect()     {}
+func (Forget) effect()     {}
+func (Noted) effect()      {}
+func (Waits) effect()      {}
+func (Evacuation) effect() {}
+func (Suspects) effect()   {}
+func (Resign) effect()     {}
--- a/internal/domain/evidence.go
+++ b/internal/domain/evidence.go
@@ -10,9 +10,9 @@
 
 type (
 	// health is the evidence on whether a worker does its work, in one of its
-	// lifetimes. Its score is the logarithm of how much likelier the ends of late are
-	// if the worker fails half of what would succeed elsewhere than if it is sound,
-	// and not below zero.
+	// lifetimes. Its score is a log-likelihood ratio, decayed and not below zero: how
+	// much likelier the recent ends are if the worker fails half of what would
+	// succeed elsewhere than if it is sound.
 	health struct {
 		score     float64
 		scoredAt  time.Time
@@ -56,16 +56,16 @@
 	maxBlame  = 2.0
 	maxCredit = 1.4
 	maxScore  = 8.0
-	// doubtScore is from when other workers are preferred, and suspendScore from
-	// when a worker is suspended. One job alone does not reach the second.
+	// From doubtScore on other workers are preferred, and from suspendScore on a
+	// worker is suspended. One job alone does not reach the second.
 	doubtScore   = 1.0
 	suspendScore = 3.0
-	// noScore is below which evidence is forgotten.
+	// Evidence below noScore is forgotten.
 	noScore = 0.2
 	// tallyTime is how long the tally of a job is kept after its last end.
 	tallyTime  = time.Minute
 	maxTallies = 64
-	// provenTime is for how long a success speaks for a worker.
+	// provenTime is how long a worker counts as proven after a success.
 	provenTime = 30 * time.Second
 )
 
@@ -111,11 +111,13 @@
 	return he.score * halved(now.Sub(he.scoredAt), evidenceHalf)
 }
 
+// setScore sets the score within its bounds, with no decay yet.
 func (he *health) setScore(now time.Time, score float64) {
 	he.score, he.scoredAt = min(maxScore, max(0, score)), now
 }
 
-// note adds what an end of a job's attempt says: blame above zero, credit below.
+// note adds what the end of an attempt of a job says of the worker: an amount above
+// zero speaks against it.
 func (he *health) note(now time.Time, job string, amount float64) {
 	ta := he.tallyOf(now, job)
 	ta.sum = min(maxBlame, max(-maxCredit, ta.sum+amount))
@@ -129,6 +131,7 @@
 	ta.applied = ta.sum
 }
 
+// tallyOf returns the tally of a job, and begins it if there is none.
 func (he *health) tallyOf(now time.Time, job string) *tally {
 	if he.jobs == nil {
 		he.jobs = map[string]*tally{}
@@ -183,7 +186,7 @@
 	return score
 }
 
-// proven tells whether a worker is in no doubt and has succeeded of late.
+// proven tells whether a worker is in no doubt and has succeeded lately.
 func (he *health) proven(now time.Time) bool {
 	return !he.doubted && !he.succeeded.IsZero() && now.Sub(he.succeeded) < provenTime
 }
--- a/internal/domain/fair.go
+++ b/internal/domain/fair.go
@@ -25,7 +25,7 @@
 	// account is what a tenant uses.
 	account struct {
 		resources batch.Resources // of its runs
-		used      float64         // dominant part of the service that these were when the round began
+		used      float64         // the dominant share of the service that these were when the round began
 		recent    float64         // the same over the last seconds
 		planned   float64         // for units that got claims, or for which workers are kept, in this round
 		waits     bool
@@ -47,6 +47,7 @@
 	ac.resources = ac.resources.Plus(rs)
 }
 
+// account returns the account of a tenant, and opens it if there is none.
 func (fa *fairness) account(te tenant) *account {
 	ac, ok := fa.tenants[te]
 	if !ok {
@@ -56,9 +57,9 @@
 	return ac
 }
 
-// recount takes a policy that changes weights, and perhaps the services of
-// queues.
-func (co *Core) recount() {
+// recountUsage counts usage and weights anew after a change of the policy, which may
+// move queues to other services.
+func (co *Core) recountUsage() {
 	for _, ac := range co.fair.tenants {
 		ac.resources = batch.Resources{}
 	}
@@ -72,6 +73,7 @@
 	co.fair.weights = nil
 }
 
+// tenantOf returns the tenant that a job counts for.
 func (co *Core) tenantOf(jb *job) tenant {
 	return tenant{jb.Workspace, co.queueOf(jb).Service}
 }
@@ -95,6 +97,7 @@
 	}
 }
 
+// weightOf returns the weight of a workspace.
 func (fa *fairness) weightOf(workspace string) float64 {
 	if weight, ok := fa.weights[workspace]; ok {
 		return weight
@@ -134,9 +137,9 @@
 	fa.at = now
 }
 
-// level is how much of a service a tenant uses for its fair share of it; above 1
-// it is over that share. What it uses now and what it has used lately count
-// alike, and what the round has granted in full.
+// level is the usage of a service by a tenant, divided by its fair share; above 1 it
+// is over that share. Usage is the mean of present and decayed usage, and all that
+// this round has granted.
 func (fa *fairness) level(te tenant) float64 {
 	ac, ok := fa.tenants[te]
 	if !ok || fa.shares[te.service] == 0 {
@@ -151,11 +154,11 @@
 	return part * fa.shares[te.service] / fa.weightOf(te.workspace)
 }
 
-// plan counts units as used for the rest of a round.
+// plan counts a part of a service as used for the rest of a round.
 func (fa *fairness) plan(te tenant, part float64) { fa.account(te).planned += part }
 
-// excess returns what a workspace uses now and has used lately for its fair share,
-// at the service where that is most; above 1 it is over its share.
+// excess returns the present and decayed usage of a workspace, divided by its fair
+// share, at the service where that is highest; above 1 it is over its share.
 func (fa *fairness) excess(workspace string) float64 {
 	most := 0.0
 	for te, ac := range fa.tenants {
@@ -169,7 +172,7 @@
 
 func (ra rank) tenant() tenant { return tenant{ra.units[0].job.Workspace, ra.service} }
 
-// part is the dominant part of a service that a unit of the rank takes.
+// part is the dominant share of a service that a unit of the rank takes.
 func (ra rank) part(capacity map[string]batch.Resources) float64 {
 	un := ra.units[0]
 	return float64(un.tasks) * dominant(un.step.Occupied(), capacity[ra.service])
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -36,30 +36,30 @@
 
 	// unit is what is started as one: a gang, or a single task.
 	unit struct {
-		job        *job
-		occurrence int
-		at         int // index of the step
-		index      int // of the task; zero for a gang
-		step       *batch.Step
-		tasks      int
-		phase      phase
-		attempt    int
-		failures   int
-		counted    bool // a failure of this attempt is in failures
-		checkpoint string
-		savedAt    time.Time // when a new checkpoint was last listed
-		stayed     time.Time // when it last found no room to be moved to
-		runs       []*run    // of the present attempt, by task
-		version    int       // of the job, that records the attempt
-		avoid      map[string]bool
-		yielded    int       // times that it was stopped for other work
-		preempted  time.Time // when it last searched for work that could make way
-		assured    bool      // counts against the guarantee of its workspace
-		claim      []*node
-		broken     bool      // a task of the present attempt is over that runs do not name
-		after      time.Time // not placed before
-		stopped    time.Time // when its present attempt was to be stopped
-		overdue    bool      // it was said that the stop takes too long
+		job          *job
+		occurrence   int
+		at           int // index of the step
+		index        int // of the task; zero for a gang
+		step         *batch.Step
+		tasks        int
+		phase        phase
+		attempt      int
+		failures     int
+		counted      bool // a failure of this attempt is in failures
+		checkpoint   string
+		checkpointAt time.Time // when a new checkpoint was last listed
+		moveFailed   time.Time // when it last found no room to be moved to
+		runs         []*run    // of the present attempt, by task
+		version      int       // of the job, that records the attempt
+		avoid        map[string]bool
+		yielded      int       // times that it was stopped for other work
+		preempted    time.Time // when it last searched for work that could make way
+		assured      bool      // counts against the guarantee of its workspace
+		claim        []*node
+		broken       bool      // a task of the present attempt is over that runs do not name
+		after        time.Time // not placed before
+		stopped      time.Time // when its present attempt was to be stopped
+		overdue      bool      // it was said that the stop takes too long
 	}
 
 	// phase is where a unit stands.
--- a/internal/domain/keep.go
+++ b/internal/domain/keep.go
@@ -21,7 +21,7 @@
 	}
 	ps.keeps++
 	least := co.least(ps, un, key.service)
-	accepts := func(nd *node) bool { return co.trusts(ps.now, un, nd, least) && un.suits(nd) }
+	accepts := func(nd *node) bool { return co.meets(ps.now, un, nd, least) && un.suits(nd) }
 	var best []*node
 	bestFits := -1
 	for _, group := range append(co.groups(ps, un, key.service), co.usable(ps, key.service)) {
--- a/internal/domain/turns.go
+++ b/internal/domain/lanes.go
@@ -77,7 +77,7 @@
 		}
 	}
 	for _, order := range [][]int{begun, others} {
-		co.takeTurns(co.lanesOf(ras, order), func(la *lane) float64 { return co.grant(ps, ras, la) })
+		co.fillLanes(co.lanesOf(ras, order), func(la *lane) float64 { return co.grant(ps, ras, la) })
 	}
 }
 
@@ -120,20 +120,20 @@
 // several workspaces have work in a queue, first by the one that is furthest
 // below its fair share. Jobs that can earn nothing any more come last.
 func (co *Core) takeFairly(sh shares, ras []rank, order []int, take func(i int) float64) {
-	type part struct {
+	type shareKey struct {
 		queue string
 		late  bool
 	}
-	byPart := map[part][]int{}
+	byKey := map[shareKey][]int{}
 	for _, i := range order {
 		if ras[i].class != classAssured {
-			pa := part{ras[i].queue(), ras[i].class == classLate}
-			byPart[pa] = append(byPart[pa], i)
+			key := shareKey{ras[i].queue(), ras[i].class == classLate}
+			byKey[key] = append(byKey[key], i)
 		}
 	}
 	for queue := range sh.left {
 		for _, late := range []bool{false, true} {
-			co.takeTurns(co.lanesOf(ras, byPart[part{queue, late}]), func(la *lane) float64 {
+			co.fillLanes(co.lanesOf(ras, byKey[shareKey{queue, late}]), func(la *lane) float64 {
 				i := la.ranks[0]
 				la.ranks = la.ranks[1:]
 				return take(i)
@@ -142,9 +142,9 @@
 	}
 }
 
-// takeTurns lets lanes take something, always the one that is furthest below its
-// fair share, until nothing is left in them.
-func (co *Core) takeTurns(lanes []*lane, take func(la *lane) float64) {
+// fillLanes lets the lane that is furthest below its fair share take something,
+// again and again, until nothing is left in any (progressive filling).
+func (co *Core) fillLanes(lanes []*lane, take func(la *lane) float64) {
 	for len(lanes) > 0 {
 		la := lanes[0]
 		lanes = lanes[1:]
--- a/internal/domain/look.go
+++ b/internal/domain/look.go
@@ -149,7 +149,7 @@
 	if ru.unit != nil && ru.unit.attempt == ru.attempt {
 		ru.unit.job.begun = true
 		co.observeLoad(now, ru, rn.Load)
-		co.noteSave(now, ru, rn.Checkpoint)
+		co.noteCheckpoint(now, ru, rn.Checkpoint)
 		ru.unit.keep(ru, rn.Checkpoint)
 	}
 }
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -154,7 +154,7 @@
 	if end := now.Add(lateCall + maxHold); len(nd.runs) > 0 && end.After(nd.leaseEnd) {
 		nd.leaseEnd = end
 	}
-	co.relive(now, nd, len(nd.runs) > 0)
+	co.resetHealth(now, nd, len(nd.runs) > 0)
 	nd.worker.Born = born
 	nd.processed, nd.seen, nd.told = 0, 0, 0
 	nd.ends = nil
@@ -205,7 +205,7 @@
 	}
 	if len(nd.runs) > 0 {
 		co.emit(Noted{Decision: "silent", Worker: nd.worker.ID, Reason: "every lease there is over"})
-		co.blameLife(now, nd, weightBroken*maxBlame)
+		co.blameWithoutJob(now, nd, weightBroken*maxBlame)
 	}
 	if len(nd.runs) > 0 || !nd.listed {
 		co.endLife(now, nd)
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -141,6 +141,22 @@
 	}
 }
 
+// held returns the accelerators that the assured units of each workspace take.
+func (co *Core) held() map[string]int {
+	sums := map[string]int{}
+	for _, jb := range co.order {
+		if !jb.assured || jb.state == batch.Done {
+			continue
+		}
+		for _, un := range jb.units {
+			if un.assured && (len(un.runs) > 0 || un.claim != nil) {
+				sums[jb.Workspace] += un.tasks * un.step.Needs.Accelerators
+			}
+		}
+	}
+	return sums
+}
+
 // assure counts a unit against the guarantee of its workspace if that has room
 // for it beside what is held, and tells whether it does.
 func (co *Core) assure(un *unit, held map[string]int) bool {
--- a/internal/domain/pick.go
+++ b/internal/domain/pick.go
@@ -31,12 +31,12 @@
 		return nil
 	}
 	sls := un.slots(nds, un.tasks)
-	for _, tr := range co.demands(ps, un, key.service) {
+	for _, tr := range co.trustLevels(ps, un, key.service) {
 		if tr == trustAny {
 			return un.pick(sls, key.far)
 		}
-		trusted := slices.DeleteFunc(slices.Clone(sls), func(sl slot) bool { return !co.trusts(ps.now, un, sl.node, tr) })
-		if nodes := un.pick(trusted, key.far || co.lastAttempt(un)); nodes != nil {
+		suited := slices.DeleteFunc(slices.Clone(sls), func(sl slot) bool { return !co.meets(ps.now, un, sl.node, tr) })
+		if nodes := un.pick(suited, key.far || co.lastAttempt(un)); nodes != nil {
 			return nodes
 		}
 	}
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -113,7 +113,7 @@
 func (co *Core) placeAlike(ps *pass, ra rank) []*unit {
 	un := ra.units[0]
 	key := co.shapeOf(ps, ra, un)
-	if un.tasks > 1 || !un.plain() || co.scarce(un, key.service) || ps.full[key] || co.queueOf(un.job).Advised {
+	if un.tasks > 1 || !un.plain() || co.placedSingly(un, key.service) || ps.full[key] || co.queueOf(un.job).Advised {
 		return ra.units
 	}
 	n := 0
@@ -137,7 +137,7 @@
 		service: co.queueOf(un.job).Service, needs: un.step.Occupied(), tasks: un.tasks,
 		label: un.step.Label, rack: un.step.Rack, far: un.mayGoFar(ps.now), class: ra.class,
 	}
-	if !un.plain() || co.scarce(un, key.service) {
+	if !un.plain() || co.placedSingly(un, key.service) {
 		key.only = un
 	}
 	return key
--- a/internal/domain/poison.go
+++ b/internal/domain/poison.go
@@ -13,6 +13,7 @@
 // with no success, for the fault to be its own.
 const poisonWorkers = 2
 
+// endsOf returns how attempts of a step have ended.
 func (jb *job) endsOf(at int) *stepEnds {
 	if jb.ends == nil {
 		jb.ends = map[int]*stepEnds{}
@@ -31,8 +32,8 @@
 	return ok && se.poisoned
 }
 
-// noteFailure notes on which worker a step has failed, and takes what it says
-// against workers back once it has failed on several that are sound otherwise.
+// noteFailure notes on which worker a step has failed. Once it has failed on
+// several that are in no doubt otherwise, its failures count against none.
 func (co *Core) noteFailure(now time.Time, nd *node, un *unit) {
 	se := un.job.endsOf(un.at)
 	se.failedOn[nd.worker.ID] = true
--- a/internal/domain/health.go
+++ b/internal/domain/progress.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"time"
-
-	"github.com/cicadawharf/cicadawharf/internal/batch"
 )
 
 const (
@@ -30,7 +28,7 @@
 			continue
 		}
 		co.emit(Noted{Decision: "hangs", Job: un.job.ID, Task: ru.task.String(), Attempt: ru.attempt, Worker: nd.worker.ID, Reason: fmt.Sprintf("the task stands at %d percent", ru.percent)})
-		co.blameLife(now, nd, hangScore)
+		co.blameWithoutJob(now, nd, hangScore)
 		un.shun(nd.worker.ID)
 		co.stopUnit(now, un, "a task makes no progress")
 	}
@@ -71,19 +69,3 @@
 	}
 	return latest
 }
-
-// held returns the accelerators that the assured units of each workspace take.
-func (co *Core) held() map[string]int {
-	sums := map[string]int{}
-	for _, jb := range co.order {
-		if !jb.assured || jb.state == batch.Done {
-			continue
-		}
-		for _, un := range jb.units {
-			if un.assured && (len(un.runs) > 0 || un.claim != nil) {
-				sums[jb.Workspace] += un.tasks * un.step.Needs.Accelerators
-			}
-		}
-	}
-	return sums
-}
--- a/internal/domain/standing.go
+++ b/internal/domain/standing.go
@@ -13,7 +13,7 @@
 	// standing says which work a worker gets.
 	standing uint8
 
-	// evidence is what is known beyond single workers.
+	// evidence is what is known of all workers together.
 	evidence struct {
 		baselines map[string]baseline // by queue
 		nodes     map[*node]bool      // with a score, or not in good standing
@@ -40,20 +40,20 @@
 	// suspension is how long the first suspension lasts; it doubles.
 	suspension    = 4 * time.Second
 	maxSuspension = 16 * time.Second
-	// calmTime is how long a worker has been in use again when its next suspension
-	// is a first one.
+	// After calmTime in use a worker's next suspension is as short as a first one.
 	calmTime = time.Minute
 	// probationTime is how long a worker waits for work on probation before it is
 	// used again, after all others.
 	probationTime = 20 * time.Second
 	// maxSuspended is the part of a service's workers that are out of use at most.
 	maxSuspended = 1.0 / 3
-	// spreadBad workers, and spreadPart of those of a rack or zone, speak against the
-	// others there if that is spreadFactor times the part elsewhere.
+	// At least spreadBad workers in doubt, which are spreadPart of those of a rack or
+	// zone, speak against the others there if their part is spreadFactor times the
+	// part elsewhere.
 	spreadBad    = 3
 	spreadPart   = 0.3
 	spreadFactor = 3
-	// spreadScore is what this counts for.
+	// spreadScore is what that adds to the score of each of the others.
 	spreadScore = doubtScore
 	// recordScore is what the record of a job that has failed on a worker counts for
 	// after a change of the scheduler.
@@ -64,6 +64,7 @@
 	return evidence{baselines: map[string]baseline{}, nodes: map[*node]bool{}, doubts: map[string]bool{}}
 }
 
+// usable tells whether the worker gets work as others do.
 func (he *health) usable() bool { return he.standing == inUse }
 
 // judge sets the standings of workers by the evidence. It does nothing as long as
@@ -81,7 +82,7 @@
 	nds := slices.SortedFunc(maps.Keys(co.evidence.nodes), func(a, b *node) int {
 		return cmp.Or(cmp.Compare(b.health.score, a.health.score), compareNodes(a, b))
 	})
-	out := map[string]int{} // of use, by service
+	out := map[string]int{} // workers out of use, by service
 	for _, nd := range nds {
 		if co.nodes[nd.worker.ID] != nd {
 			delete(co.evidence.nodes, nd)
@@ -137,7 +138,8 @@
 // trials is how many attempts have to succeed on probation.
 func (he *health) trials() int { return min(4, 1+he.times) }
 
-// atOnce is how many of these may have begun: the first one runs alone.
+// atOnce is how many attempts on probation may have succeeded or be running: the
+// first one runs alone.
 func (he *health) atOnce() int {
 	if he.passed == 0 {
 		return 1
@@ -145,6 +147,7 @@
 	return he.trials()
 }
 
+// suspend begins a suspension, which is twice as long as the last one.
 func (co *Core) suspend(now time.Time, nd *node) {
 	he := &nd.health
 	if !he.restored.IsZero() && now.Sub(he.restored) > calmTime {
@@ -157,6 +160,7 @@
 	co.emit(Noted{Decision: "suspects", Worker: nd.worker.ID, Reason: he.describe(now)})
 }
 
+// resume puts a worker back into use.
 func (co *Core) resume(now time.Time, nd *node, reason string) {
 	nd.health.standing = inUse
 	co.pass = true
@@ -226,7 +230,7 @@
 }
 
 // doubtPlaces puts workers without evidence of their own in doubt where several
-// others are, unless they have succeeded of late.
+// others are, unless they have succeeded lately.
 func (co *Core) doubtPlaces(now time.Time, counts placeCounts) {
 	for _, nd := range co.sorted {
 		if co.evidence.nodes[nd] {
@@ -260,8 +264,8 @@
 	co.evidence.due = true
 }
 
-// blameLife notes what speaks against a worker without a job in question.
-func (co *Core) blameLife(now time.Time, nd *node, score float64) {
+// blameWithoutJob notes what speaks against a worker without a job in question.
+func (co *Core) blameWithoutJob(now time.Time, nd *node, score float64) {
 	nd.health.setScore(now, nd.health.scoreAt(now)+score)
 	co.evidence.nodes[nd] = true
 	co.evidence.due = true
@@ -283,9 +287,9 @@
 	co.evidence.due = co.evidence.due || he.doubted || !he.usable()
 }
 
-// relive begins the evidence on a worker that has started anew. What was held
-// against it before counts half.
-func (co *Core) relive(now time.Time, nd *node, lost bool) {
+// resetHealth drops the evidence on a worker that has started anew, but for half of
+// its score. A worker that has lost work by that is blamed for it.
+func (co *Core) resetHealth(now time.Time, nd *node, lost bool) {
 	score := nd.health.scoreAt(now) / 2
 	if lost {
 		score += weightBroken * maxBlame
--- a/internal/domain/workspace.go
+++ b/internal/domain/workspace.go
@@ -15,7 +15,7 @@
 	Entitled     float64 // by its weight, among the workspaces with work
 	Used         float64
 	Borrowed     float64       // of what is used, beyond what it is entitled to
-	Excess       float64       // use now and of the last seconds for what it is entitled to
+	Excess       float64       // of the workspace, at any service; see fairness.excess
 	Units        int           // that wait
 	Accelerators int           // that these need
 	Oldest       time.Duration // since the job of the oldest one is known
--- a/internal/drive/evac.go
+++ b/internal/drive/evac.go
@@ -26,32 +26,36 @@
 	if ev.prefix == "" {
 		return ev, nil
 	}
-	ents, rev, err := te.cfg.Store.List(te.ctx, ev.prefix)
-	if err != nil {
-		return nil, merry.Prepend(err, "list "+ev.prefix)
-	}
-	ev.after = rev
-	ev.set(ents)
-	return ev, nil
+	var err error
+	ev.after, err = ev.read()
+	return ev, merry.Prepend(err, "list "+ev.prefix)
 }
 
+// start follows changes of the requests.
 func (ev *evacuations) start() {
 	if ev.prefix != "" {
 		go ev.follow(ev.prefix, ev.after, 0, ev.tell, ev.reread)
 	}
 }
 
-func (ev *evacuations) set(ents []store.Entry) {
+// read takes all requests in force, as of the revision that it returns.
+func (ev *evacuations) read() (store.Revision, error) {
+	ents, rev, err := ev.cfg.Store.List(ev.ctx, ev.prefix)
+	if err != nil {
+		return 0, err
+	}
 	clear(ev.zones)
 	for _, en := range ents {
 		ev.zones[ev.zone(en)] = true
 	}
+	return rev, nil
 }
 
 func (ev *evacuations) zone(en store.Entry) string { return strings.TrimPrefix(en.Key, ev.prefix) }
 
 func (ev *evacuations) list() []string { return slices.Sorted(maps.Keys(ev.zones)) }
 
+// tell takes a change of one request.
 func (ev *evacuations) tell(en store.Entry) {
 	if en.Value == nil {
 		delete(ev.zones, ev.zone(en))
@@ -61,12 +65,12 @@
 	ev.term.tell(domain.Evacuated{Zones: ev.list()})
 }
 
+// reread takes all requests anew after the watch has lost its place.
 func (ev *evacuations) reread() (store.Revision, error) {
-	ents, rev, err := ev.cfg.Store.List(ev.ctx, ev.prefix)
+	rev, err := ev.read()
 	if err != nil {
 		return 0, err
 	}
-	ev.set(ents)
 	ev.term.tell(domain.Evacuated{Zones: ev.list()})
 	return rev, nil
 }
--- a/internal/intake/undecided.go
+++ b/internal/intake/undecided.go
@@ -26,7 +26,7 @@
 	OutcomeUnknown    Cause = "outcome" // a write may have taken effect
 )
 
-// Known tells whether a cause is one of those.
+// Known tells whether a cause is one of the defined ones.
 func (ca Cause) Known() bool {
 	return ca == PolicyUnconfirmed || ca == StoreSilent || ca == OutcomeUnknown
 }
@@ -47,13 +47,15 @@
 // Unwrap returns the code for the caller.
 func (un undecided) Unwrap() error { return un.answer }
 
+// cannotDecide returns the error of a call that this host can't decide, with what
+// the caller is told unless another host decides.
 func cannotDecide(cause Cause, code codes.Code, detail string) error {
 	return undecided{cause: cause, answer: codes.New(code, "%s", detail).WithRetryAfter(comeBack)}
 }
 
-// OpenFresh is Open by a policy that was read after an uptime, whatever was
-// known before: for calls that another host forwards, since that host may have
-// judged by an older one.
+// OpenFresh is Open by a policy that was read after an uptime, whatever was known
+// before. It is for forwarded calls: the caller may have been judged by a newer
+// policy than this host knows.
 func (in *Intake) OpenFresh(ctx context.Context, up time.Duration, host, path, key string) (_ Access, err error) {
 	defer func(began time.Time) { countCall("open", began, err) }(time.Now())
 	kn, err := in.fresh(ctx, up)
--- a/internal/operate/http.go
+++ b/internal/operate/http.go
@@ -17,94 +17,94 @@
 const (
 	// requestTime bounds a request.
 	requestTime = 8 * time.Second
-	// comeBack is told to operators when the store can't be reached.
-	comeBack = time.Second
+	// retryAfter is after which operators may ask again if the store can't be reached.
+	retryAfter = time.Second
 )
 
 // New returns the handler.
 func New(cf Config) http.Handler {
-	de := &desk{cfg: cf}
+	ha := &handler{cfg: cf}
 	rt := mux.NewRouter()
-	rt.HandleFunc("/v1/status", de.getStatus).Methods(http.MethodGet)
-	rt.HandleFunc("/v1/evacuations", de.getEvacuations).Methods(http.MethodGet)
-	rt.HandleFunc("/v1/evacuations/{zone}", de.evacuate(true)).Methods(http.MethodPut)
-	rt.HandleFunc("/v1/evacuations/{zone}", de.evacuate(false)).Methods(http.MethodDelete)
-	rt.NotFoundHandler = de.refuse(codes.PathNotFound)
-	rt.MethodNotAllowedHandler = de.refuse(codes.MethodNotAllowed)
+	rt.HandleFunc("/v1/status", ha.getStatus).Methods(http.MethodGet)
+	rt.HandleFunc("/v1/evacuations", ha.getEvacuations).Methods(http.MethodGet)
+	rt.HandleFunc("/v1/evacuations/{zone}", ha.evacuate(true)).Methods(http.MethodPut)
+	rt.HandleFunc("/v1/evacuations/{zone}", ha.evacuate(false)).Methods(http.MethodDelete)
+	rt.NotFoundHandler = ha.refuse(codes.PathNotFound)
+	rt.MethodNotAllowedHandler = ha.refuse(codes.MethodNotAllowed)
 	return rt
 }
 
-func (de *desk) getStatus(wr http.ResponseWriter, rq *http.Request) {
+func (ha *handler) getStatus(wr http.ResponseWriter, rq *http.Request) {
 	ctx, cancel := context.WithTimeout(rq.Context(), requestTime)
 	defer cancel()
-	de.write(wr, codes.RequestDone, de.status(ctx))
+	ha.write(wr, codes.RequestDone, ha.status(ctx))
 }
 
-func (de *desk) getEvacuations(wr http.ResponseWriter, rq *http.Request) {
+func (ha *handler) getEvacuations(wr http.ResponseWriter, rq *http.Request) {
 	ctx, cancel := context.WithTimeout(rq.Context(), requestTime)
 	defer cancel()
-	evs, err := de.evacuations(ctx)
+	evs, err := ha.evacuations(ctx)
 	if err != nil {
-		de.writeError(wr, codes.Of(err))
+		ha.writeError(wr, codes.Of(err))
 		return
 	}
-	de.write(wr, codes.RequestDone, client.EvacuationList{Evacuations: evs})
+	ha.write(wr, codes.RequestDone, client.EvacuationList{Evacuations: evs})
 }
 
 // evacuate serves the requests that set or delete the mark of a zone.
-func (de *desk) evacuate(set bool) http.HandlerFunc {
+func (ha *handler) evacuate(set bool) http.HandlerFunc {
 	return func(wr http.ResponseWriter, rq *http.Request) {
 		ctx, cancel := context.WithTimeout(rq.Context(), requestTime)
 		defer cancel()
 		zone := mux.Vars(rq)["zone"]
-		changed, err := de.change(ctx, zone, set)
-		de.cfg.Log.Info("operator's request", "event", "evacuation", "zone", zone, "back", !set, "changed", changed, "error", err)
+		changed, err := ha.change(ctx, zone, set)
+		ha.cfg.Log.Info("operator's request", "event", "evacuation", "zone", zone, "back", !set, "changed", changed, "error", err)
 		if err != nil {
-			de.writeError(wr, codes.Of(err))
+			ha.writeError(wr, codes.Of(err))
 			return
 		}
 		cd := codes.ZoneServes
 		if set {
 			cd = codes.ZoneEmptied
 		}
-		body := client.Evacuated{Answer: answer(&codes.Error{Code: cd}), Evacuation: client.Evacuation{Zone: zone, Workers: de.workers(ctx)(zone)}}
-		de.write(wr, cd, body)
+		body := client.Evacuated{Answer: answer(&codes.Error{Code: cd}), Evacuation: client.Evacuation{Zone: zone, Workers: ha.workers(ctx)(zone)}}
+		ha.write(wr, cd, body)
 	}
 }
 
 // change checks a request before it is carried out.
-func (de *desk) change(ctx context.Context, zone string, set bool) (bool, error) {
+func (ha *handler) change(ctx context.Context, zone string, set bool) (bool, error) {
 	switch {
 	case !spec.ValidName(zone):
 		return false, codes.New(codes.BadRequest, "%q is not the name of a zone", zone)
-	case de.cfg.Layout.EvacuationPrefix == "":
+	case ha.cfg.Layout.EvacuationPrefix == "":
 		return false, codes.New(codes.BadRequest, "the settings of this host have no timing.evacuate, so no zone is ever emptied")
 	default:
-		return de.mark(ctx, zone, set)
+		return ha.mark(ctx, zone, set)
 	}
 }
 
-func (de *desk) refuse(cd codes.Code) http.Handler {
+func (ha *handler) refuse(cd codes.Code) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
-		de.writeError(wr, codes.New(cd, "%s %s", rq.Method, rq.URL.Path))
+		ha.writeError(wr, codes.New(cd, "%s %s", rq.Method, rq.URL.Path))
 	})
 }
 
-func (de *desk) writeError(wr http.ResponseWriter, er *codes.Error) {
+func (ha *handler) writeError(wr http.ResponseWriter, er *codes.Error) {
 	if er.RetryAfter > 0 {
 		wr.Header().Set(client.HeaderRetryAfter, strconv.FormatInt(er.RetryAfter.Milliseconds(), 10))
 	}
-	de.write(wr, er.Code, answer(er))
+	ha.write(wr, er.Code, answer(er))
 }
 
-func (de *desk) write(wr http.ResponseWriter, cd codes.Code, body any) {
+func (ha *handler) write(wr http.ResponseWriter, cd codes.Code, body any) {
 	hd := wr.Header()
 	hd.Set(client.HeaderCode, strconv.Itoa(int(cd)))
 	hd.Set(client.HeaderClass, cd.Class().String())
 	hd.Set("Content-Type", "application/json")
 	wr.WriteHeader(cd.Info().HTTPStatus)
 	if err := json.NewEncoder(wr).Encode(body); err != nil {
-		de.cfg.Log.Info("the operator was gone before the answer", "event", "answerLost", "error", err)
+		ha.cfg.Log.Info("the operator was gone before the answer", "event", "answerLost", "error", err)
 	}
 }
 
--- a/internal/operate/mark.go
+++ b/internal/operate/mark.go
@@ -14,12 +14,12 @@
 
 // mark sets or deletes the mark of a zone, and tells whether that changed it. The
 // key is read before each write, so that a lost answer is cleared up.
-func (de *desk) mark(ctx context.Context, zone string, set bool) (bool, error) {
-	key := de.cfg.Layout.EvacuationPrefix + zone
+func (ha *handler) mark(ctx context.Context, zone string, set bool) (bool, error) {
+	key := ha.cfg.Layout.EvacuationPrefix + zone
 	lost := false
 	var last error
 	for range markTries {
-		en, _, err := de.cfg.Store.Get(ctx, key)
+		en, _, err := ha.cfg.Store.Get(ctx, key)
 		if err != nil {
 			return false, failure(err, lost)
 		}
@@ -28,9 +28,9 @@
 		}
 		rq := store.SwapRequest{Key: key, Expect: en.Revision}
 		if set {
-			rq.Value = de.cfg.Layout.EvacuationMark
+			rq.Value = ha.cfg.Layout.EvacuationMark
 		}
-		_, last = de.cfg.Store.Swap(ctx, rq)
+		_, last = ha.cfg.Store.Swap(ctx, rq)
 		switch {
 		case last == nil:
 			return true, nil
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -1,7 +1,7 @@
-// Package operate is what a host of a scheduling domain offers its operators: to
-// ask for availability zones to be emptied, to take that back, and to see how far
-// it has come. It needs no scheduler on this host, since all of it is in the
-// store.
+// Package operate is the HTTP interface of a host of a scheduling domain for its
+// operators: they ask for availability zones to be emptied, take that back, and see
+// what is left there. Any host serves it, whether or not it schedules, since all
+// state is in the store.
 package operate
 
 import (
@@ -26,8 +26,8 @@
 		Log    *slog.Logger
 	}
 
-	// desk answers operators.
-	desk struct {
+	// handler answers the calls of operators.
+	handler struct {
 		cfg Config
 	}
 )
@@ -38,17 +38,17 @@
 
 // status returns what this host knows of the domain. A store that does not answer
 // is part of that.
-func (de *desk) status(ctx context.Context) client.Status {
+func (ha *handler) status(ctx context.Context) client.Status {
 	st := client.Status{
-		Host: de.cfg.Host, Hosts: []client.HostStatus{}, Zones: []client.ZoneStatus{},
+		Host: ha.cfg.Host, Hosts: []client.HostStatus{}, Zones: []client.ZoneStatus{},
 		Domain: &client.Domain{Evacuations: []client.Evacuation{}},
 	}
-	holder, _, err := de.cfg.Store.Get(ctx, batch.HolderKey)
+	holder, _, err := ha.cfg.Store.Get(ctx, batch.HolderKey)
 	if err != nil {
 		return st
 	}
 	st.Domain.Scheduler, _, _ = strings.Cut(string(holder.Value), " ")
-	evs, err := de.evacuations(ctx)
+	evs, err := ha.evacuations(ctx)
 	if err != nil {
 		return st
 	}
@@ -58,22 +58,22 @@
 }
 
 // evacuations lists the zones that are to be emptied, with what is left there.
-func (de *desk) evacuations(ctx context.Context) ([]client.Evacuation, error) {
+func (ha *handler) evacuations(ctx context.Context) ([]client.Evacuation, error) {
 	evs := []client.Evacuation{}
-	if de.cfg.Layout.EvacuationPrefix == "" {
+	if ha.cfg.Layout.EvacuationPrefix == "" {
 		return evs, nil
 	}
-	ents, _, err := de.cfg.Store.List(ctx, de.cfg.Layout.EvacuationPrefix)
+	ents, _, err := ha.cfg.Store.List(ctx, ha.cfg.Layout.EvacuationPrefix)
 	if err != nil {
 		return nil, unavailable(err)
 	}
 	if len(ents) == 0 {
 		return evs, nil
 	}
-	left := de.left(ctx)
-	workers := de.workers(ctx)
+	left := ha.left(ctx)
+	workers := ha.workers(ctx)
 	for _, en := range ents {
-		zone := strings.TrimPrefix(en.Key, de.cfg.Layout.EvacuationPrefix)
+		zone := strings.TrimPrefix(en.Key, ha.cfg.Layout.EvacuationPrefix)
 		evs = append(evs, client.Evacuation{Zone: zone, Workers: workers(zone), Tasks: known(left, zone)})
 	}
 	return evs, nil
@@ -81,30 +81,30 @@
 
 // left returns the tasks in zones that are to be emptied, as the scheduler last
 // counted them.
-func (de *desk) left(ctx context.Context) map[string]int {
-	en, _, err := de.cfg.Store.Get(ctx, batch.WaitingKey)
+func (ha *handler) left(ctx context.Context) map[string]int {
+	en, _, err := ha.cfg.Store.Get(ctx, batch.WaitingKey)
 	if err != nil || en.Revision == 0 {
 		return nil
 	}
 	wa, err := batch.Decode[batch.Waiting](en.Value)
 	if err != nil {
-		de.cfg.Log.Warn("entry of the store is not used", "event", "foreignEntry", "key", en.Key, "reason", err)
+		ha.cfg.Log.Warn("entry of the store is not used", "event", "foreignEntry", "key", en.Key, "reason", err)
 	}
 	return wa.Left
 }
 
 // workers returns a function that counts the workers which are listed in a zone;
 // nil if they can't be read.
-func (de *desk) workers(ctx context.Context) func(zone string) *int {
+func (ha *handler) workers(ctx context.Context) func(zone string) *int {
 	ctx, cancel := context.WithTimeout(ctx, workersTime)
 	defer cancel()
-	ents, _, err := de.cfg.Store.List(ctx, de.cfg.Layout.WorkerPrefix)
+	ents, _, err := ha.cfg.Store.List(ctx, ha.cfg.Layout.WorkerPrefix)
 	if err != nil {
 		return func(string) *int { return nil }
 	}
 	counts := map[string]int{}
 	for _, en := range ents {
-		wk, err := de.cfg.Layout.Worker(strings.TrimPrefix(en.Key, de.cfg.Layout.WorkerPrefix), en.Value)
+		wk, err := ha.cfg.Layout.Worker(strings.TrimPrefix(en.Key, ha.cfg.Layout.WorkerPrefix), en.Value)
 		if err == nil { // else the scheduler reports it
 			counts[wk.Zone]++
 		}
@@ -115,6 +115,7 @@
 	}
 }
 
+// known returns the count of a zone; nil if there is none.
 func known(counts map[string]int, zone string) *int {
 	n, ok := counts[zone]
 	if !ok {
@@ -123,6 +124,7 @@
 	return &n
 }
 
+// unavailable returns the refusal of a call for which the store gave no answer.
 func unavailable(err error) error {
-	return codes.New(codes.StoreUnavailable, "the store does not answer this host: %v", err).WithRetryAfter(comeBack)
+	return codes.New(codes.StoreUnavailable, "the store does not answer this host: %v", err).WithRetryAfter(retryAfter)
 }
--- a/internal/remote/forward.go
+++ b/internal/remote/forward.go
@@ -13,7 +13,7 @@
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
-// fewMembers is how many known hosts are so few that others are asked for more.
+// A host that knows fewer than fewMembers asks others for those that they know.
 const fewMembers = 3
 
 // Forward has other hosts decide a call that this one could not, for a cause and
--- a/internal/remote/gate.go
+++ b/internal/remote/gate.go
@@ -24,8 +24,8 @@
 	callsPerCore = 64
 	minCalls     = 12
 	maxCalls     = 64
-	// busyWait is told to hosts whose calls exceed the bound, and stopWait by one
-	// that stops.
+	// busyWait is after which hosts may ask again whose calls exceed the bound, and
+	// stopWait is the same for a host that stops.
 	busyWait = 500 * time.Millisecond
 	stopWait = 2 * time.Second
 )
@@ -44,6 +44,7 @@
 	ga.own++
 }
 
+// leave ends a call of an own caller.
 func (ga *gate) leave() {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
@@ -64,6 +65,7 @@
 	return nil
 }
 
+// release ends a forwarded call.
 func (ga *gate) release() {
 	ga.mu.Lock()
 	defer ga.mu.Unlock()
--- a/internal/remote/pool.go
+++ b/internal/remote/pool.go
@@ -39,7 +39,7 @@
 	// dialTime bounds the opening of a connection: a caller waits three seconds,
 	// and hosts are a few tens of milliseconds away.
 	dialTime = 300 * time.Millisecond
-	// idleTime is after which a session without calls is closed.
+	// idleTime is how long a session without calls stays open.
 	idleTime = 5 * time.Second
 )
 
@@ -91,6 +91,7 @@
 	}
 }
 
+// open connects a link.
 func (po *pool) open(li *link) {
 	defer close(li.ready)
 	ctx, cancel := context.WithTimeout(context.Background(), dialTime)
--- a/internal/remote/register.go
+++ b/internal/remote/register.go
@@ -13,10 +13,10 @@
 
 // registrar keeps the host's entry in the store, and the list of the others.
 type registrar struct {
-	peer  *Peer
-	lease store.LeaseID // zero for none
-	bound time.Time     // when the lease is renewed, or granted
-	list  time.Time     // when the list is read
+	peer    *Peer
+	lease   store.LeaseID // zero for none
+	renewAt time.Time     // when the lease is to be renewed, or granted
+	listAt  time.Time     // when the list is to be read
 }
 
 const (
@@ -36,18 +36,18 @@
 // register keeps the host registered until ctx ends, and removes its entry then.
 func (pe *Peer) register(ctx context.Context) {
 	now := time.Now()
-	re := &registrar{peer: pe, bound: now, list: now.Add(jitter(firstList))}
+	re := &registrar{peer: pe, renewAt: now, listAt: now.Add(jitter(firstList))}
 	for {
 		now := time.Now()
-		if !now.Before(re.bound) {
-			re.bound = now.Add(jitter(re.renew(ctx)))
+		if !now.Before(re.renewAt) {
+			re.renewAt = now.Add(jitter(re.renew(ctx)))
 		}
-		if !now.Before(re.list) {
-			re.list = now.Add(jitter(re.read(ctx)))
+		if !now.Before(re.listAt) {
+			re.listAt = now.Add(jitter(re.read(ctx)))
 		}
-		next := re.bound
-		if re.list.Before(next) {
-			next = re.list
+		next := re.renewAt
+		if re.listAt.Before(next) {
+			next = re.listAt
 		}
 		if !pause.For(ctx, time.Until(next)) {
 			re.leave()
--- a/internal/remote/roster.go
+++ b/internal/remote/roster.go
@@ -16,8 +16,8 @@
 	entry struct {
 		member    Member
 		known     time.Time // when it was last listed
-		passUntil time.Time // not asked before
-		lastUntil time.Time // asked after others before
+		passUntil time.Time // until when it is not asked
+		lastUntil time.Time // until when it is asked after all others
 	}
 )
 
@@ -28,7 +28,7 @@
 	// or the region's way to the store.
 	maxInZone   = 5
 	maxInRegion = 4
-	// forgetAfter is when an entry expires that no list confirms. It outlasts the
+	// forgetAfter is how long an entry lasts that no list confirms: longer than the
 	// partitions in which the roster is needed.
 	forgetAfter = 15 * time.Minute
 	// silentFor is for how long a host that did not answer is passed over.
@@ -36,7 +36,8 @@
 	// doubtedFor is for how long a host that failed is asked after others: a
 	// partition lasts longer than a host is passed over, and there are two tries.
 	doubtedFor = 10 * time.Second
-	// minRefusedFor and maxRefusedFor bound how long a host that refused is.
+	// minRefusedFor and maxRefusedFor bound how long a host that refused is passed
+	// over.
 	minRefusedFor = 100 * time.Millisecond
 	maxRefusedFor = 2 * time.Second
 )
@@ -159,6 +160,7 @@
 	ro.pass(now, me, min(max(wait, minRefusedFor), maxRefusedFor))
 }
 
+// pass has a host passed over for a time, and asked last for a longer one.
 func (ro *Roster) pass(now time.Time, me Member, span time.Duration) {
 	for i := range ro.entries {
 		if ro.entries[i].member == me {
--- a/internal/remote/serve.go
+++ b/internal/remote/serve.go
@@ -24,7 +24,7 @@
 	// the sending of its answer.
 	readTime  = 500 * time.Millisecond
 	writeTime = 500 * time.Millisecond
-	// storeWait is told to hosts that ask one without the store.
+	// storeWait is after which hosts may ask again one that has lost the store.
 	storeWait = time.Second
 	// maxTime bounds what a forwarded call may ask for.
 	maxTime = 5 * time.Second
@@ -64,6 +64,7 @@
 	}
 }
 
+// serveConn answers the calls that come over one connection.
 func (pe *Peer) serveConn(conn net.Conn, ha Handler) {
 	sess, err := yamux.Server(conn, session.Config(pe.cfg.Log))
 	if err != nil {
@@ -90,6 +91,7 @@
 	}
 }
 
+// answer sends the outcome of a call and ends its stream.
 func (pe *Peer) answer(st *yamux.Stream, payload []byte, err error) {
 	defer st.Close()
 	_ = st.SetWriteDeadline(time.Now().Add(writeTime))
--- a/internal/remote/verdict.go
+++ b/internal/remote/verdict.go
@@ -31,8 +31,8 @@
 	nobody      outcome = "nobody"      // there was none to ask
 )
 
-// tellAgain is told to callers whose call is in doubt.
-const tellAgain = time.Second
+// doubtWait is after which callers whose call is in doubt are told to ask again.
+const doubtWait = time.Second
 
 // undecidedCodes are the answers by which a host says that it can't decide.
 var undecidedCodes = map[codes.Code]bool{
@@ -89,8 +89,8 @@
 	case !ve.doubt:
 		return ve.err
 	case ve.op == Cancel:
-		return codes.New(codes.CancelUnknown, "no host has confirmed it").WithRetryAfter(tellAgain)
+		return codes.New(codes.CancelUnknown, "no host has confirmed it").WithRetryAfter(doubtWait)
 	default:
-		return codes.New(codes.SubmitUnknown, "no host has confirmed it").WithRetryAfter(tellAgain)
+		return codes.New(codes.SubmitUnknown, "no host has confirmed it").WithRetryAfter(doubtWait)
 	}
 }
