State in doc comments what the parts of the new packages do

Functions without a doc comment got one where the name leaves it open, and a few comments that could be misread are mended: a hang does suspend a worker by itself, and lanes without fair shares are one for each service.

--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -48,7 +48,7 @@
 	Emptying struct{ By map[string]time.Time }
 
 	// Evacuated names the availability zones whose workers get no new work, since
-	// an operator has asked to empty them. It replaces the former one.
+	// an operator has asked to empty them. It replaces the former set.
 	Evacuated struct{ Zones []string }
 
 	// Downed says that everything that ran on a worker is over.
--- a/internal/domain/evidence.go
+++ b/internal/domain/evidence.go
@@ -57,7 +57,8 @@
 	maxCredit = 1.4
 	maxScore  = 8.0
 	// From doubtScore on other workers are preferred, and from suspendScore on a
-	// worker is suspended. One job alone does not reach the second.
+	// worker is suspended. The ends of one job alone do not reach the second; a hang
+	// does.
 	doubtScore   = 1.0
 	suspendScore = 3.0
 	// Evidence below noScore is forgotten.
@@ -69,8 +70,8 @@
 	provenTime = 30 * time.Second
 )
 
-// The weights of what speaks against a worker, as parts of a failure. A hang
-// suspends at once, since each attempt there takes seconds to be found.
+// The weights of what speaks against a worker, as parts of a failure, and the score
+// of a hang. A hang suspends at once, since it takes seconds to be found.
 const (
 	weightFailed  = 1.0
 	weightRefused = 0.3
--- a/internal/domain/lanes.go
+++ b/internal/domain/lanes.go
@@ -155,8 +155,9 @@
 	}
 }
 
-// lanesOf parts ranks by tenant, those furthest below their fair shares first.
-// Without fair shares they are one lane.
+// lanesOf returns the ranks in an order as one lane for each tenant, those furthest
+// below their fair shares first. Without fair shares there is one lane for each
+// service.
 func (co *Core) lanesOf(ras []rank, order []int) []*lane {
 	var lanes []*lane
 	byTenant := map[tenant]*lane{}
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -35,7 +35,7 @@
 		leaves    time.Time // it may be gone from then on; zero if that is unknown
 		evacuated bool      // its availability zone is to be emptied
 		coldUntil time.Time // see cold.go
-		cold      bool      // it was before then when last looked at
+		cold      bool      // coldUntil was in the future when last looked at
 		emptyBy   time.Time // it should be clear of work by then; zero if it need not be
 	}
 
--- a/internal/domain/standing.go
+++ b/internal/domain/standing.go
@@ -192,6 +192,7 @@
 	return counts
 }
 
+// at returns the counts of a place.
 func (pc placeCounts) at(key placeKey) places {
 	if pl, ok := pc[key]; ok {
 		return *pl
@@ -199,6 +200,8 @@
 	return places{}
 }
 
+// placeKeys returns the places that a worker is in: its service first, then its zone
+// and its rack.
 func (nd *node) placeKeys() []placeKey {
 	wk := nd.worker
 	keys := []placeKey{{service: wk.Service}}
@@ -229,8 +232,8 @@
 	return false
 }
 
-// doubtPlaces puts workers without evidence of their own in doubt where several
-// others are, unless they have succeeded lately.
+// doubtPlaces puts workers without evidence of their own in doubt if several others
+// of their rack or zone are, unless they have succeeded lately.
 func (co *Core) doubtPlaces(now time.Time, counts placeCounts) {
 	for _, nd := range co.sorted {
 		if co.evidence.nodes[nd] {
--- a/internal/domain/trials.go
+++ b/internal/domain/trials.go
@@ -24,6 +24,8 @@
 	return ras
 }
 
+// placeTrial gives a worker the first unit in the order that can bear a failure and
+// fits there.
 func (co *Core) placeTrial(ps *pass, ras []rank, nd *node) []rank {
 	for i, ra := range ras {
 		if ra.service != nd.worker.Service || ra.class == classAssured {
--- a/internal/operate/http.go
+++ b/internal/operate/http.go
@@ -84,12 +84,14 @@
 	}
 }
 
+// refuse serves requests that nothing is served for.
 func (ha *handler) refuse(cd codes.Code) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
 		ha.writeError(wr, codes.New(cd, "%s %s", rq.Method, rq.URL.Path))
 	})
 }
 
+// writeError writes a refusal, with the time after which to ask again.
 func (ha *handler) writeError(wr http.ResponseWriter, er *codes.Error) {
 	if er.RetryAfter > 0 {
 		wr.Header().Set(client.HeaderRetryAfter, strconv.FormatInt(er.RetryAfter.Milliseconds(), 10))
@@ -108,6 +110,7 @@
 	}
 }
 
+// answer returns the common part of every body.
 func answer(er *codes.Error) client.Answer {
 	inf := er.Code.Info()
 	return client.Answer{
--- a/internal/remote/gate.go
+++ b/internal/remote/gate.go
@@ -30,6 +30,7 @@
 	stopWait = 2 * time.Second
 )
 
+// newGate returns the gate of a host that may use so many cores.
 func newGate(cores float64) *gate {
 	return &gate{capacity: min(max(int(callsPerCore*cores), minCalls), maxCalls), drained: make(chan struct{})}
 }
--- a/internal/remote/member.go
+++ b/internal/remote/member.go
@@ -54,6 +54,7 @@
 	return me, nil
 }
 
+// valid tells whether a member has a name and an address, and no text too long.
 func (me Member) valid() bool {
 	for _, text := range []string{me.Name, me.Address} {
 		if text == "" || len(text) > maxText {
--- a/internal/remote/peer.go
+++ b/internal/remote/peer.go
@@ -34,8 +34,8 @@
 		gate *gate
 		pool *pool
 
-		over context.Context // ends when the sessions of others are closed
-		end  context.CancelFunc
+		over context.Context    // ends when the sessions of others are to be closed
+		end  context.CancelFunc // of over
 
 		mu     sync.Mutex // guards the roster; never held during I/O
 		roster *Roster
@@ -120,12 +120,14 @@
 	pe.roster.Learned(time.Now(), members[:min(len(members), maxMembers)])
 }
 
+// listed takes the whole list of hosts from the store.
 func (pe *Peer) listed(members []Member) {
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
 	pe.roster.Listed(time.Now(), members)
 }
 
+// choose returns whom to ask next, beside those that have been tried.
 func (pe *Peer) choose(tried []Member) (Member, bool) {
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
--- a/internal/remote/register.go
+++ b/internal/remote/register.go
@@ -110,6 +110,7 @@
 	return listEvery
 }
 
+// failed reports a failure and returns when to try again.
 func (re *registrar) failed(msg string, err error) time.Duration {
 	re.peer.cfg.Log.Info(msg, "event", "registerFails", "reason", err)
 	return retryAfter
