--- a/internal/domain/standing.go
+++ b/internal/domain/standing.go
@@ -290,8 +290,9 @@
 	co.evidence.due = co.evidence.due || he.doubted || !he.usable()
 }
 
-// resetHealth drops the evidence on a worker that has started anew, but for half of
-// its score. A worker that has lost work by that is blamed for it.
+// resetHealth drops the evidence on a worker that has started anew, and its
+// standing, but for half of its score. A worker that has lost work by that is
+// blamed for it.
 func (co *Core) resetHealth(now time.Time, nd *node, lost bool) {
 	score := nd.health.scoreAt(now) / 2
 	if lost {
--- a/internal/intake/undecided.go
+++ b/internal/intake/undecided.go
@@ -54,8 +54,8 @@
 }
 
 // OpenFresh is Open by a policy that was read after an uptime, whatever was known
-// before. It is for forwarded calls: the caller may have been judged by a newer
-// policy than this host knows.
+// before. It is for calls that another host forwards, which are judged by a policy
+// no older than the call, so that a key which was revoked before does not work.
 func (in *Intake) OpenFresh(ctx context.Context, up time.Duration, host, path, key string) (_ Access, err error) {
 	defer func(began time.Time) { countCall("open", began, err) }(time.Now())
 	kn, err := in.fresh(ctx, up)
