--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -48,7 +48,7 @@
 	Emptying struct{ By map[string]time.Time }
 
 	// Evacuated names the availability zones whose workers get no new work, since
-	// an operator has asked to empty them. It replaces the former one.
+	// an operator has asked to empty them. It replaces the former set.
 	Evacuated struct{ Zones []string }
 
 	// Downed says that everything that ran on a worker is over.
@@ -249,13 +249,14 @@
 func (Ticked) event()      {}
 func (Prompted) event()    {}
 
-func (Commit) effect()   {}
-func (Look) effect()     {}
-func (Start) effect()    {}
-func (Stop) effect()     {}
-func (Advise) effect()   {}
-func (Forget) effect()   {}
-func (Noted) effect()    {}
-func (Waits) effect()    {}
-func (Suspects) effect() {}
-func (Resign) effect()   {}
+func (Commit) effect()     {}
+func (Look) effect()       {}
+func (Start) effect()      {}
+func (Stop) effect()       {}
+func (Advise) effect()     {}
+func (Forget) effect()     {}
+func (Noted) effect()      {}
+func (Waits) effect()      {}
+func (Evacuation) effect() {}
+func (Suspects) effect()   {}
+func (Resign) effect()     {}
