--- a/internal/drive/elect.go
+++ b/internal/drive/elect.go
@@ -129,7 +129,7 @@
 	for te.pauseFor(leaseRenew) {
 		go te.renewLease(time.Since(te.began))
 		if time.Since(te.began)-time.Duration(te.renewed.Load()) > domain.RenewTime {
-			te.log.Warn("lease was not renewed", "event", "leaseUnknown")
+			te.log.Warn("lease was not renewed", "event", "leaseUnknown", "reason", "no renewal was answered")
 			te.end()
 		}
 	}
