--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -11,11 +11,11 @@
 	"syscall"
 	"time"
 
+	"github.com/cicadawharf/cicadawharf/internal/admin"
 	"github.com/cicadawharf/cicadawharf/internal/drive"
 	"github.com/cicadawharf/cicadawharf/internal/intake"
 	"github.com/cicadawharf/cicadawharf/internal/logbuf"
 	"github.com/cicadawharf/cicadawharf/internal/member"
-	"github.com/cicadawharf/cicadawharf/internal/operate"
 	"github.com/cicadawharf/cicadawharf/internal/remote"
 	"github.com/cicadawharf/cicadawharf/internal/setup"
 	"github.com/cicadawharf/cicadawharf/internal/store"
@@ -84,7 +84,7 @@
 	return member.New(member.Config{
 		Settings: se, Scheduler: drive.New(time.Now(), dc), Intake: in, Log: log, Readiness: platform.Ready,
 		Callers: fr, Remote: pe, Forwarded: fr,
-		Operators: operate.New(operate.Config{Host: se.Host.Name, Store: st, Layout: layout, Log: log}),
+		Operators: admin.New(admin.Config{Host: se.Host.Name, Store: st, Layout: layout, Log: log}),
 	})
 }
 
--- a/internal/operate/operate.go
+++ b/internal/admin/admin.go
@@ -1,8 +1,8 @@
-// Package operate is the HTTP interface of a host of a scheduling domain for its
+// Package admin is the HTTP interface of a host of a scheduling domain for its
 // operators: they ask for availability zones to be emptied, take that back, and see
 // what is left there. Any host serves it, whether or not it schedules, since all
 // state is in the store.
-package operate
+package admin
 
 import (
 	"context"
--- a/internal/operate/operate_test.go
+++ b/internal/admin/admin_test.go
@@ -1,4 +1,4 @@
-package operate_test
+package admin_test
 
 import (
 	"context"
@@ -10,10 +10,10 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cicadawharf/cicadawharf/internal/admin"
 	"github.com/cicadawharf/cicadawharf/internal/batch"
 	"github.com/cicadawharf/cicadawharf/internal/fakes/kvsim"
 	"github.com/cicadawharf/cicadawharf/internal/fakes/runsim"
-	"github.com/cicadawharf/cicadawharf/internal/operate"
 	"github.com/cicadawharf/cicadawharf/internal/store"
 	"github.com/cicadawharf/cicadawharf/pkg/client"
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
@@ -21,7 +21,7 @@
 
 // open serves the interface over a store.
 func open(t *testing.T, st store.Store) *client.Client {
-	sv := httptest.NewServer(operate.New(operate.Config{
+	sv := httptest.NewServer(admin.New(admin.Config{
 		Host: "a", Store: st, Layout: runsim.Layout(), Log: slog.New(slog.DiscardHandler),
 	}))
 	t.Cleanup(sv.Close)
--- a/internal/operate/mark.go
+++ b/internal/admin/mark.go
@@ -1,4 +1,4 @@
-package operate
+package admin
 
 import (
 	"context"
--- a/internal/session/session.go
+++ b/internal/calls/calls.go
@@ -1,6 +1,6 @@
-// Package session makes calls over yamux sessions with protobuf messages: each
+// Package calls makes calls over yamux sessions with protobuf messages: each
 // call and its answer have a stream of their own.
-package session
+package calls
 
 import (
 	"bufio"
--- a/internal/peers/beat.go
+++ b/internal/peers/beat.go
@@ -9,7 +9,7 @@
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cicadawharf/cicadawharf/internal/session"
+	"github.com/cicadawharf/cicadawharf/internal/calls"
 	"github.com/cicadawharf/cicadawharf/internal/wire"
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
@@ -95,14 +95,14 @@
 		return Member{}, err
 	}
 	ca := &wire.Call{Method: MethodHeartbeat, Payload: payload}
-	if err := session.WriteMessage(wr, ca); err != nil {
+	if err := calls.WriteMessage(wr, ca); err != nil {
 		return Member{}, merry.Prepend(err, "send heartbeat")
 	}
 	an := new(wire.Answer)
-	if err := session.ReadMessage(rd, an, maxMessage); err != nil {
+	if err := calls.ReadMessage(rd, an, maxMessage); err != nil {
 		return Member{}, merry.Prepend(err, "await answer of heartbeat")
 	}
-	if err := session.AnswerError(an); err != nil {
+	if err := calls.AnswerError(an); err != nil {
 		return Member{}, err
 	}
 	hb := new(wire.Heartbeat)
--- a/internal/peers/call.go
+++ b/internal/peers/call.go
@@ -12,7 +12,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cicadawharf/cicadawharf/internal/session"
+	"github.com/cicadawharf/cicadawharf/internal/calls"
 	"github.com/cicadawharf/cicadawharf/internal/wire"
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
@@ -73,11 +73,11 @@
 		return nil, &NotSentError{Host: host, Err: errNoSession}
 	}
 	self := li.mesh.cfg.Self()
-	return session.Call{
+	return calls.Call{
 		Session: li.sess, Host: host, Prefix: []byte{kindCall}, Bound: maxMessage,
 		Message: &wire.Call{
 			Method: method, From: self.Name, Incarnation: self.Incarnation,
-			TimeoutMillis: session.TimeLeft(ctx), Payload: payload,
+			TimeoutMillis: calls.TimeLeft(ctx), Payload: payload,
 		},
 		Done: func() { <-li.slots },
 	}.Do(ctx)
@@ -109,12 +109,12 @@
 	rd := bufio.NewReader(st)
 	for {
 		ca := new(wire.Call)
-		if err := session.ReadMessage(rd, ca, maxMessage); err != nil {
+		if err := calls.ReadMessage(rd, ca, maxMessage); err != nil {
 			return
 		}
 		an := li.answer(ctx, ca)
 		_ = st.SetWriteDeadline(time.Now().Add(receiveTimeout))
-		if err := session.WriteMessage(st, an); err != nil {
+		if err := calls.WriteMessage(st, an); err != nil {
 			li.mesh.cfg.Log.Debug("answer was not sent", "peer", ca.GetFrom(), "method", ca.GetMethod(), "error", err)
 			return
 		}
@@ -139,7 +139,7 @@
 	if err == nil && len(payload) > maxMessage-envelopeRoom {
 		err = codes.New(codes.InternalFailure, "answer of %d bytes exceeds the bound", len(payload))
 	}
-	return session.AnswerOf(payload, err)
+	return calls.AnswerOf(payload, err)
 }
 
 // dispatch runs the handler of a method. A handler that panics fails its own
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -11,7 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/yamux"
 
-	"github.com/cicadawharf/cicadawharf/internal/session"
+	"github.com/cicadawharf/cicadawharf/internal/calls"
 )
 
 type (
@@ -54,7 +54,7 @@
 	if dialled {
 		open = yamux.Client
 	}
-	sess, err := open(cc, session.Config(ms.cfg.Log))
+	sess, err := open(cc, calls.Config(ms.cfg.Log))
 	if err != nil {
 		conn.Close()
 		return nil, err
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -13,7 +13,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/cicadawharf/cicadawharf/internal/session"
+	"github.com/cicadawharf/cicadawharf/internal/calls"
 	"github.com/cicadawharf/cicadawharf/internal/wire"
 )
 
@@ -51,7 +51,7 @@
 type RawHandler func(ctx context.Context, from string, payload []byte) ([]byte, error)
 
 // NotSentError says that a call did not reach the other host.
-type NotSentError = session.NotSentError
+type NotSentError = calls.NotSentError
 
 // The methods.
 const (
--- a/internal/remote/forward.go
+++ b/internal/remote/forward.go
@@ -8,8 +8,8 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/cicadawharf/cicadawharf/internal/calls"
 	"github.com/cicadawharf/cicadawharf/internal/intake"
-	"github.com/cicadawharf/cicadawharf/internal/session"
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
@@ -96,13 +96,13 @@
 func (pe *Peer) exchange(ctx context.Context, me Member, span time.Duration, rq request) (reply, error) {
 	msg, err := rq.toWire(pe.cfg.Self, timeThere(span))
 	if err != nil {
-		return reply{}, &session.NotSentError{Host: me.Name, Err: err}
+		return reply{}, &calls.NotSentError{Host: me.Name, Err: err}
 	}
 	li, err := pe.pool.get(ctx, me.Address)
 	if err != nil {
-		return reply{}, &session.NotSentError{Host: me.Name, Err: err}
+		return reply{}, &calls.NotSentError{Host: me.Name, Err: err}
 	}
-	payload, err := session.Call{
+	payload, err := calls.Call{
 		Session: li.sess, Host: me.Name, Message: msg, Bound: maxMessage,
 		Done: func() { pe.pool.release(li) },
 	}.Do(ctx)
--- a/internal/remote/pool.go
+++ b/internal/remote/pool.go
@@ -9,7 +9,7 @@
 
 	"github.com/hashicorp/yamux"
 
-	"github.com/cicadawharf/cicadawharf/internal/session"
+	"github.com/cicadawharf/cicadawharf/internal/calls"
 )
 
 type (
@@ -101,7 +101,7 @@
 		li.err = err
 		return
 	}
-	if li.sess, li.err = yamux.Client(conn, session.Config(po.log)); li.err != nil {
+	if li.sess, li.err = yamux.Client(conn, calls.Config(po.log)); li.err != nil {
 		conn.Close()
 	}
 }
--- a/internal/remote/serve.go
+++ b/internal/remote/serve.go
@@ -11,8 +11,8 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/hashicorp/yamux"
 
+	"github.com/cicadawharf/cicadawharf/internal/calls"
 	"github.com/cicadawharf/cicadawharf/internal/pause"
-	"github.com/cicadawharf/cicadawharf/internal/session"
 	"github.com/cicadawharf/cicadawharf/internal/wire"
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
@@ -66,7 +66,7 @@
 
 // serveConn answers the calls that come over one connection.
 func (pe *Peer) serveConn(conn net.Conn, ha Handler) {
-	sess, err := yamux.Server(conn, session.Config(pe.cfg.Log))
+	sess, err := yamux.Server(conn, calls.Config(pe.cfg.Log))
 	if err != nil {
 		conn.Close()
 		return
@@ -95,7 +95,7 @@
 func (pe *Peer) answer(st *yamux.Stream, payload []byte, err error) {
 	defer st.Close()
 	_ = st.SetWriteDeadline(time.Now().Add(writeTime))
-	if err := session.WriteMessage(st, session.AnswerOf(payload, err)); err != nil {
+	if err := calls.WriteMessage(st, calls.AnswerOf(payload, err)); err != nil {
 		pe.cfg.Log.Debug("other host is gone", "event", "answerLost", "reason", err)
 	}
 }
@@ -105,7 +105,7 @@
 func (pe *Peer) serveCall(st *yamux.Stream, ha Handler) {
 	_ = st.SetReadDeadline(time.Now().Add(readTime))
 	msg := new(wire.Call)
-	if err := session.ReadMessage(bufio.NewReader(st), msg, maxMessage); err != nil {
+	if err := calls.ReadMessage(bufio.NewReader(st), msg, maxMessage); err != nil {
 		st.Close()
 		return
 	}
--- a/internal/remote/verdict.go
+++ b/internal/remote/verdict.go
@@ -4,8 +4,8 @@
 	"errors"
 	"time"
 
+	"github.com/cicadawharf/cicadawharf/internal/calls"
 	"github.com/cicadawharf/cicadawharf/internal/intake"
-	"github.com/cicadawharf/cicadawharf/internal/session"
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
@@ -46,7 +46,7 @@
 
 // outcomeOf tells how a try has ended by its error.
 func outcomeOf(op Op, err error) outcome {
-	var unsent *session.NotSentError
+	var unsent *calls.NotSentError
 	var ce *codes.Error
 	switch {
 	case err == nil:
