epsim: name responses and content types as such

Cause: the test called a response an answer, and the handler called a content type a kind and a repeated line a unit.

--- a/internal/fakes/epsim/epsim_test.go
+++ b/internal/fakes/epsim/epsim_test.go
@@ -19,8 +19,8 @@
 )
 
 type (
-	// answer is the outcome of a test request.
-	answer struct {
+	// response is the outcome of a test request.
+	response struct {
 		status int
 		header http.Header
 		body   string
@@ -37,7 +37,7 @@
 // waitTimeout bounds waits that take far less time unless something is broken.
 const waitTimeout = 30 * time.Second
 
-func serve(t *testing.T, slots, connections int) (*epsim.Server, caller) {
+func startServer(t *testing.T, slots, connections int) (*epsim.Server, caller) {
 	t.Helper()
 	is := is.New(t)
 	sv, err := epsim.New(epsim.Config{
@@ -55,21 +55,21 @@
 	return sv, ca
 }
 
-func (ca caller) send(ctx context.Context, method, path string, body io.Reader, header map[string]string) answer {
+func (ca caller) send(ctx context.Context, method, path string, body io.Reader, header map[string]string) response {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+ca.address+path, body)
 	if err != nil {
-		return answer{err: err}
+		return response{err: err}
 	}
 	for key, value := range header {
 		req.Header.Set(key, value)
 	}
 	resp, err := ca.transport.RoundTrip(req)
 	if err != nil {
-		return answer{err: err}
+		return response{err: err}
 	}
 	defer resp.Body.Close()
 	content, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, header: resp.Header, body: string(content), err: err}
+	return response{status: resp.StatusCode, header: resp.Header, body: string(content), err: err}
 }
 
 func waitFor(t *testing.T, what string, done func() bool) {
@@ -106,15 +106,15 @@
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			sv, ca := serve(t, 1, 4)
+			sv, ca := startServer(t, 1, 4)
 			header := map[string]string{plat.HeaderRequest: "r1", client.HeaderWorkspace: "velas"}
 			for key, value := range tc.header {
 				header[key] = value
 			}
-			an := ca.send(t.Context(), http.MethodPost, "/quotes", strings.NewReader(tc.body), header)
-			is.Equal(an.status, tc.status)
-			is.Equal(an.body, tc.want)
-			is.Equal(an.err != nil, tc.broken)
+			rs := ca.send(t.Context(), http.MethodPost, "/quotes", strings.NewReader(tc.body), header)
+			is.Equal(rs.status, tc.status)
+			is.Equal(rs.body, tc.want)
+			is.Equal(rs.err != nil, tc.broken)
 			runs := sv.Runs()
 			is.Equal(len(runs) == 1, tc.ran)
 			if tc.ran {
@@ -129,25 +129,25 @@
 
 func TestRefusesBeyondSlotsAndWhileLeaving(t *testing.T) {
 	is := is.New(t)
-	sv, ca := serve(t, 1, 8)
+	sv, ca := startServer(t, 1, 8)
 	ctx, cancel := context.WithCancel(t.Context())
-	hung := make(chan answer, 1)
+	hung := make(chan response, 1)
 	go func() {
 		hung <- ca.send(ctx, http.MethodPost, "/", strings.NewReader("x"), map[string]string{epsim.HeaderFault: epsim.FaultHang})
 	}()
 	waitFor(t, "busy slot", func() bool { return sv.Busy() == 1 })
-	an := ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil)
-	is.NoErr(an.err)
-	is.Equal(an.status, http.StatusServiceUnavailable)
-	is.Equal(an.header.Get(plat.HeaderRefused), plat.RefusedBusy)
-	is.Equal(an.header.Get(plat.HeaderState), string(plat.StateLive))
+	rs := ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil)
+	is.NoErr(rs.err)
+	is.Equal(rs.status, http.StatusServiceUnavailable)
+	is.Equal(rs.header.Get(plat.HeaderRefused), plat.RefusedBusy)
+	is.Equal(rs.header.Get(plat.HeaderState), string(plat.StateLive))
 
 	is.Equal(ca.send(t.Context(), http.MethodPost, epsim.LeavePath, nil, nil).status, http.StatusNoContent)
-	an = ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil)
-	is.Equal(an.header.Get(plat.HeaderRefused), plat.RefusedLeaving)
-	an = ca.send(t.Context(), http.MethodGet, plat.ProbePath, nil, nil)
-	is.Equal(an.status, http.StatusOK)
-	is.Equal(an.header.Get(plat.HeaderState), string(plat.StateLeaving))
+	rs = ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil)
+	is.Equal(rs.header.Get(plat.HeaderRefused), plat.RefusedLeaving)
+	rs = ca.send(t.Context(), http.MethodGet, plat.ProbePath, nil, nil)
+	is.Equal(rs.status, http.StatusOK)
+	is.Equal(rs.header.Get(plat.HeaderState), string(plat.StateLeaving))
 	is.Equal(sv.Busy(), 1) // the request in progress continues
 	cancel()
 	is.True(errors.Is((<-hung).err, context.Canceled))
@@ -156,52 +156,52 @@
 
 func TestRequestInProgressFinishesWhileLeaving(t *testing.T) {
 	is := is.New(t)
-	sv, ca := serve(t, 1, 8)
+	sv, ca := startServer(t, 1, 8)
 	body, sender := io.Pipe()
-	finished := make(chan answer, 1)
+	finished := make(chan response, 1)
 	go func() { finished <- ca.send(t.Context(), http.MethodPost, "/", body, nil) }()
 	waitFor(t, "busy slot", func() bool { return sv.Busy() == 1 })
 	sv.Leave()
 	_, err := sender.Write([]byte("x"))
 	is.NoErr(err)
 	is.NoErr(sender.Close())
-	an := <-finished
-	is.NoErr(an.err)
-	is.Equal(an.body, "x")
-	is.Equal(an.header.Get(plat.HeaderState), string(plat.StateLeaving))
+	rs := <-finished
+	is.NoErr(rs.err)
+	is.Equal(rs.body, "x")
+	is.Equal(rs.header.Get(plat.HeaderState), string(plat.StateLeaving))
 }
 
 func TestRefusesBeyondConnectionLimit(t *testing.T) {
 	is := is.New(t)
-	sv, ca := serve(t, 8, 1)
+	sv, ca := startServer(t, 8, 1)
 	is.NoErr(ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil).err)
 	second := caller{address: sv.Addr(), transport: &http.Transport{}}
-	an := second.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil)
-	is.NoErr(an.err)
-	is.Equal(an.header.Get(plat.HeaderRefused), plat.RefusedBusy)
+	rs := second.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil)
+	is.NoErr(rs.err)
+	is.Equal(rs.header.Get(plat.HeaderRefused), plat.RefusedBusy)
 	is.Equal(ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("y"), nil).body, "y") // the first connection still works
 	is.Equal(len(sv.Runs()), 2)
 }
 
 func TestSilencedConnectionsDiscardDataWhileNewOnesWork(t *testing.T) {
 	is := is.New(t)
-	sv, old := serve(t, 8, 1)
+	sv, old := startServer(t, 8, 1)
 	is.NoErr(old.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil).err)
 	sv.SilenceConnections()
 	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	an := old.send(short, http.MethodPost, "/", strings.NewReader("lost"), nil)
-	is.True(errors.Is(an.err, context.DeadlineExceeded))
+	rs := old.send(short, http.MethodPost, "/", strings.NewReader("lost"), nil)
+	is.True(errors.Is(rs.err, context.DeadlineExceeded))
 	fresh := caller{address: sv.Addr(), transport: &http.Transport{}}
-	an = fresh.send(t.Context(), http.MethodPost, "/", strings.NewReader("y"), nil)
-	is.NoErr(an.err)
-	is.Equal(an.body, "y")
+	rs = fresh.send(t.Context(), http.MethodPost, "/", strings.NewReader("y"), nil)
+	is.NoErr(rs.err)
+	is.Equal(rs.body, "y")
 	is.Equal(len(sv.Runs()), 2) // the discarded request was not executed
 }
 
 func TestDownAndUp(t *testing.T) {
 	is := is.New(t)
-	sv, ca := serve(t, 8, 8)
+	sv, ca := startServer(t, 8, 8)
 	is.NoErr(ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil).err)
 	sv.SetFaults(epsim.Faults{Down: true})
 	is.True(ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil).err != nil)
@@ -212,14 +212,14 @@
 
 func TestRunsAndFaultsByHTTP(t *testing.T) {
 	is := is.New(t)
-	_, ca := serve(t, 8, 8)
+	_, ca := startServer(t, 8, 8)
 	body, err := json.Marshal(epsim.FaultsRequest{Faults: epsim.Faults{Down: true}, DownFor: time.Millisecond})
 	is.NoErr(err)
 	ca.send(t.Context(), http.MethodPost, epsim.FaultsPath, bytes.NewReader(body), nil)
 	waitFor(t, "answer", func() bool { return ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil).err == nil })
 	ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil)
 	var runs []epsim.Run
-	an := ca.send(t.Context(), http.MethodGet, epsim.RunsPath, nil, nil)
-	is.NoErr(json.NewDecoder(bytes.NewBufferString(an.body)).Decode(&runs))
+	rs := ca.send(t.Context(), http.MethodGet, epsim.RunsPath, nil, nil)
+	is.NoErr(json.NewDecoder(bytes.NewBufferString(rs.body)).Decode(&runs))
 	is.Equal(runs[len(runs)-1].Count, len(runs))
 }
--- a/internal/fakes/epsim/handler.go
+++ b/internal/fakes/epsim/handler.go
@@ -127,30 +127,30 @@
 	case FaultDropAfter:
 		panic(http.ErrAbortHandler)
 	}
-	answer, kind := sv.responseBody(request, be, body)
+	content, contentType := sv.responseBody(request, be, body)
 	sv.writeHeaders(w)
 	if !bodyAllowed(be.status) {
 		w.WriteHeader(be.status)
 		return
 	}
-	w.Header().Set("Content-Type", kind)
-	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	w.Header().Set("Content-Type", contentType)
+	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	w.WriteHeader(be.status)
 	if be.fault == FaultHalf {
-		_, _ = w.Write(answer[:len(answer)/2])
+		_, _ = w.Write(content[:len(content)/2])
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = w.Write(answer)
+	_, _ = w.Write(content)
 }
 
 // responseBody returns the response body and its content type: the request's
 // identifier repeated up to the requested size, or the request's body, or an
 // Answer.
-func (sv *Server) responseBody(request string, be behaviour, body []byte) (content []byte, kind string) {
+func (sv *Server) responseBody(request string, be behaviour, body []byte) (content []byte, contentType string) {
 	if be.size >= 0 {
-		unit := []byte(request + "\n")
-		return bytes.Repeat(unit, be.size/len(unit)+1)[:be.size], "text/plain"
+		line := []byte(request + "\n")
+		return bytes.Repeat(line, be.size/len(line)+1)[:be.size], "text/plain"
 	}
 	if len(body) > 0 {
 		return body, "application/octet-stream"
