kvsim: call keys keys and an aborted watch aborted

Cause: the state called the keys names, a delete event's value gone and a cancelled stream cut, and a call's error response had the name of injected faults. Change: keys, tombstone, aborted, err and response replace these, and the history limit states its unit in its name.

--- a/internal/fakes/kvsim/calls.go
+++ b/internal/fakes/kvsim/calls.go
@@ -12,9 +12,9 @@
 
 // result is the outcome of a call: a response, or an error of the service.
 type result struct {
-	answer  any
-	fault   *kvapi.Error
-	isWrite bool // the call is a write, whether or not it changed anything
+	response any
+	err      *kvapi.Error
+	isWrite  bool // the call is a write, whether or not it changed anything
 }
 
 // handler returns the HTTP handler of one kind of call.
@@ -32,11 +32,11 @@
 		if res.isWrite && sv.dropResponse() {
 			panic(http.ErrAbortHandler)
 		}
-		if res.fault != nil {
-			writeError(w, *res.fault)
+		if res.err != nil {
+			writeError(w, *res.err)
 			return
 		}
-		writeJSON(w, http.StatusOK, res.answer)
+		writeJSON(w, http.StatusOK, res.response)
 	}
 }
 
@@ -55,19 +55,19 @@
 }
 
 func (sv *Server) handleRange(_ time.Time, req kvapi.RangeRequest) result {
-	return result{answer: sv.state.rangeKeys(req)}
+	return result{response: sv.state.rangeKeys(req)}
 }
 
 func (sv *Server) handleTxn(_ time.Time, req kvapi.TxnRequest) result {
 	if ke := sv.state.validate(req); ke != nil {
-		return result{fault: ke}
+		return result{err: ke}
 	}
-	return result{answer: sv.state.txn(req), isWrite: true}
+	return result{response: sv.state.txn(req), isWrite: true}
 }
 
 func (sv *Server) handleGrant(now time.Time, req kvapi.GrantRequest) result {
 	if req.TTL <= 0 {
-		return result{fault: &kvapi.Error{Code: kvapi.CodeInvalidArgument, Message: "TTL must be positive"}}
+		return result{err: &kvapi.Error{Code: kvapi.CodeInvalidArgument, Message: "TTL must be positive"}}
 	}
 	id := req.ID
 	if id == 0 {
@@ -76,7 +76,7 @@
 	}
 	ttl := time.Duration(req.TTL) * time.Second
 	sv.state.leases[id] = lease{ttl: ttl, expires: now.Add(ttl)}
-	return result{answer: sv.leaseResponse(id, req.TTL), isWrite: true}
+	return result{response: sv.leaseResponse(id, req.TTL), isWrite: true}
 }
 
 func (sv *Server) handleKeepAlive(now time.Time, req kvapi.LeaseRequest) result {
@@ -85,15 +85,15 @@
 		sv.state.leases[req.ID] = lease{ttl: le.ttl, expires: now.Add(le.ttl)}
 		fr.Result.TTL = int64(le.ttl / time.Second)
 	}
-	return result{answer: fr, isWrite: true}
+	return result{response: fr, isWrite: true}
 }
 
 func (sv *Server) handleRevoke(_ time.Time, req kvapi.LeaseRequest) result {
 	if _, ok := sv.state.leases[req.ID]; !ok {
-		return result{fault: &kvapi.Error{Code: kvapi.CodeNotFound, Message: kvapi.MessageLeaseNotFound}}
+		return result{err: &kvapi.Error{Code: kvapi.CodeNotFound, Message: kvapi.MessageLeaseNotFound}}
 	}
 	sv.state.endLease(req.ID)
-	return result{answer: sv.leaseResponse(0, 0), isWrite: true}
+	return result{response: sv.leaseResponse(0, 0), isWrite: true}
 }
 
 func (sv *Server) leaseResponse(id, ttl int64) kvapi.LeaseResponse {
@@ -157,8 +157,8 @@
 	writeJSON(w, status, ke)
 }
 
-func writeJSON(w http.ResponseWriter, status int, answer any) {
+func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(answer)
+	_ = json.NewEncoder(w).Encode(body)
 }
--- a/internal/fakes/kvsim/faults.go
+++ b/internal/fakes/kvsim/faults.go
@@ -55,7 +55,7 @@
 	defer sv.mu.Unlock()
 	sv.faults = fa
 	if fa.Down {
-		sv.cutWatches()
+		sv.abortWatches()
 	}
 	if fa.FreezeWatches {
 		for wa := range sv.watchers {
@@ -106,7 +106,7 @@
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	sv.state = sn.st.clone()
-	sv.cutWatches()
+	sv.abortWatches()
 }
 
 // applyFaults applies the faults that precede a call's effect and reports
--- a/internal/fakes/kvsim/protocol_test.go
+++ b/internal/fakes/kvsim/protocol_test.go
@@ -33,7 +33,7 @@
 	tests := []struct {
 		path, request string
 		status        int
-		answer        string
+		response      string
 	}{
 		{"/v3/kv/range", `{"key":"Zm9v"}`, 200, `{"header":{"revision":"1"}}`},
 		{
@@ -55,9 +55,9 @@
 	}
 	for _, tt := range tests {
 		is := is.New(t)
-		status, answer := post(t, sv, tt.path, tt.request)
+		status, response := post(t, sv, tt.path, tt.request)
 		is.Equal(status, tt.status)
-		is.Equal(answer, tt.answer)
+		is.Equal(response, tt.response)
 	}
 }
 
--- a/internal/fakes/kvsim/state.go
+++ b/internal/fakes/kvsim/state.go
@@ -39,8 +39,8 @@
 
 // The limits on the history that watches can start from.
 const (
-	maxHistory      = 4096
-	maxHistoryBytes = 64 << 20
+	maxHistoryChanges = 4096
+	maxHistoryBytes   = 64 << 20
 )
 
 func newState() state {
@@ -73,55 +73,55 @@
 // endLease deletes a lease and its keys under one revision, as etcd does.
 func (st *state) endLease(id int64) {
 	delete(st.leases, id)
-	var names []string
-	for name, kv := range st.keys {
+	var keys []string
+	for key, kv := range st.keys {
 		if kv.Lease == id {
-			names = append(names, name)
+			keys = append(keys, key)
 		}
 	}
-	if len(names) == 0 {
+	if len(keys) == 0 {
 		return
 	}
-	slices.Sort(names)
+	slices.Sort(keys)
 	st.revision++
-	for _, name := range names {
-		st.remove(name)
+	for _, key := range keys {
+		st.remove(key)
 	}
 }
 
 func (st *state) put(req kvapi.PutRequest) {
 	st.revision++
-	name := string(req.Key)
+	key := string(req.Key)
 	kv := kvapi.KeyValue{
 		Key: req.Key, Value: req.Value, Lease: req.Lease,
 		CreateRevision: st.revision, ModRevision: st.revision, Version: 1,
 	}
-	if old, ok := st.keys[name]; ok {
+	if old, ok := st.keys[key]; ok {
 		kv.CreateRevision = old.CreateRevision
 		kv.Version = old.Version + 1
 	}
-	st.keys[name] = kv
+	st.keys[key] = kv
 	st.record(kvapi.Event{Type: kvapi.EventPut, KV: kv})
 }
 
-func (st *state) delete(name string) {
-	if _, ok := st.keys[name]; !ok {
+func (st *state) delete(key string) {
+	if _, ok := st.keys[key]; !ok {
 		return
 	}
 	st.revision++
-	st.remove(name)
+	st.remove(key)
 }
 
-func (st *state) remove(name string) {
-	delete(st.keys, name)
-	gone := kvapi.KeyValue{Key: []byte(name), ModRevision: st.revision}
-	st.record(kvapi.Event{Type: kvapi.EventDelete, KV: gone})
+func (st *state) remove(key string) {
+	delete(st.keys, key)
+	tombstone := kvapi.KeyValue{Key: []byte(key), ModRevision: st.revision}
+	st.record(kvapi.Event{Type: kvapi.EventDelete, KV: tombstone})
 }
 
 func (st *state) record(ev kvapi.Event) {
 	st.history = append(st.history, change{st.revision, ev})
 	st.bytes += len(ev.KV.Value)
-	for len(st.history) > maxHistory || st.bytes > maxHistoryBytes {
+	for len(st.history) > maxHistoryChanges || st.bytes > maxHistoryBytes {
 		st.compacted = st.history[0].revision
 		st.bytes -= len(st.history[0].event.KV.Value)
 		st.history = st.history[1:]
@@ -135,8 +135,8 @@
 			rep.KVs = append(rep.KVs, kv)
 		}
 	} else {
-		for name, kv := range st.keys {
-			if inRange(name, req.Key, req.RangeEnd) {
+		for key, kv := range st.keys {
+			if inRange(key, req.Key, req.RangeEnd) {
 				rep.KVs = append(rep.KVs, kv)
 			}
 		}
@@ -205,25 +205,25 @@
 }
 
 // changesSince returns the changes after a revision to a range of keys.
-func (st *state) changesSince(after int64, key, end []byte) []kvapi.Event {
+func (st *state) changesSince(after int64, start, end []byte) []kvapi.Event {
 	var evs []kvapi.Event
 	at, _ := slices.BinarySearchFunc(st.history, after+1, func(ch change, rev int64) int {
 		return int(ch.revision - rev)
 	})
 	for _, ch := range st.history[at:] {
-		if inRange(string(ch.event.KV.Key), key, end) {
+		if inRange(string(ch.event.KV.Key), start, end) {
 			evs = append(evs, ch.event)
 		}
 	}
 	return evs
 }
 
-func inRange(name string, key, end []byte) bool {
+func inRange(key string, start, end []byte) bool {
 	if len(end) == 0 {
-		return name == string(key)
+		return key == string(start)
 	}
-	if name < string(key) {
+	if key < string(start) {
 		return false
 	}
-	return string(end) == "\x00" || name < string(end)
+	return string(end) == "\x00" || key < string(end)
 }
--- a/internal/fakes/kvsim/watch.go
+++ b/internal/fakes/kvsim/watch.go
@@ -9,16 +9,16 @@
 
 // watcher is an open watch stream.
 type watcher struct {
-	req    kvapi.WatchCreate
-	after  int64 // the largest revision sent
-	frozen bool
-	cut    chan struct{}
+	req     kvapi.WatchCreate
+	after   int64 // the largest revision sent
+	frozen  bool
+	aborted chan struct{}
 }
 
-// cutWatches aborts every stream. The caller holds mu.
-func (sv *Server) cutWatches() {
+// abortWatches aborts every stream. The caller holds mu.
+func (sv *Server) abortWatches() {
 	for wa := range sv.watchers {
-		close(wa.cut)
+		close(wa.aborted)
 		delete(sv.watchers, wa)
 	}
 }
@@ -53,7 +53,7 @@
 		}
 		select {
 		case <-changed:
-		case <-wa.cut:
+		case <-wa.aborted:
 			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
@@ -68,7 +68,7 @@
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	sv.expire()
-	wa := &watcher{req: req, after: req.StartRevision - 1, frozen: sv.faults.FreezeWatches, cut: make(chan struct{})}
+	wa := &watcher{req: req, after: req.StartRevision - 1, frozen: sv.faults.FreezeWatches, aborted: make(chan struct{})}
 	if req.StartRevision == 0 {
 		wa.after = sv.state.revision
 	}
