runsim: name parameters after what they hold

Cause: the parameters seen, most, every, what, do and offer did not say that they hold an acknowledged number, the longest lease, the checkpoint interval and events. Change: they are acked, maxLease, interval, event and consider.

--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -374,8 +374,8 @@
 	return st, nil
 }
 
-func (fl *Fleet) acknowledge(wo *worker, seen int64) {
-	for len(wo.ends) > 0 && wo.ends[0].Number <= seen {
+func (fl *Fleet) acknowledge(wo *worker, acked int64) {
+	for len(wo.ends) > 0 && wo.ends[0].Number <= acked {
 		en, at := wo.ends[0], wo.endedAt[0]
 		wo.ends, wo.endedAt = wo.ends[1:], wo.endedAt[1:]
 		switch {
@@ -397,8 +397,8 @@
 			fl.now = now
 			return
 		}
-		at, do := fl.nextEvent()
-		if do == nil {
+		at, event := fl.nextEvent()
+		if event == nil {
 			at = now.Add(time.Hour)
 		}
 		if at.After(now) {
@@ -407,41 +407,41 @@
 		}
 		fl.idleUntil = time.Time{}
 		fl.now = at
-		do()
+		event()
 	}
 }
 
 // nextEvent returns the next time-driven event and its time.
 func (fl *Fleet) nextEvent() (time.Time, func()) {
 	var first time.Time
-	var what func()
-	offer := func(at time.Time, do func()) {
-		if what == nil || at.Before(first) {
-			first, what = at, do
+	var event func()
+	consider := func(at time.Time, fn func()) {
+		if event == nil || at.Before(first) {
+			first, event = at, fn
 		}
 	}
 	for _, id := range fl.workerIDs() {
 		wo := fl.workers[id]
 		for _, ru := range wo.sortedRuns() {
-			offer(wo.leaseEnd(), func() { fl.expireLeases(wo) })
+			consider(wo.leaseEnd(), func() { fl.expireLeases(wo) })
 			switch {
 			case wo.stalled && !ru.runningSince.IsZero():
 			case ru.runningSince.IsZero():
-				offer(ru.startedAt.Add(fl.cfg.GangTimeout), func() { fl.endRun(ru, runner.GangTimeout) })
+				consider(ru.startedAt.Add(fl.cfg.GangTimeout), func() { fl.endRun(ru, runner.GangTimeout) })
 			case wo.failAll:
-				offer(ru.runningSince.Add(10*time.Millisecond), func() { fl.endRun(ru, runner.Failed) })
+				consider(ru.runningSince.Add(10*time.Millisecond), func() { fl.endRun(ru, runner.Failed) })
 			case wo.failsEarly(ru):
-				offer(ru.runningSince.Add(ru.plan.Work/2-ru.priorWork), func() { fl.endRun(ru, runner.Failed) })
+				consider(ru.runningSince.Add(ru.plan.Work/2-ru.priorWork), func() { fl.endRun(ru, runner.Failed) })
 			case ru.plan.Fails:
-				offer(ru.runningSince.Add(ru.plan.Work-ru.priorWork), func() { fl.endRun(ru, runner.Failed) })
+				consider(ru.runningSince.Add(ru.plan.Work-ru.priorWork), func() { fl.endRun(ru, runner.Failed) })
 			default:
 				if at, ok := fl.gangDoneAt(ru); ok {
-					offer(at, func() { fl.endRun(ru, runner.Succeeded) })
+					consider(at, func() { fl.endRun(ru, runner.Succeeded) })
 				}
 			}
 		}
 	}
-	return first, what
+	return first, event
 }
 
 // gangDoneAt returns when a run and its whole gang have completed their work: a
@@ -522,11 +522,11 @@
 	return wo.started.Add(time.Duration(float64(wo.deadline) / wo.rate))
 }
 
-func (wo *worker) extendLease(now time.Time, deadline, most time.Duration) {
+func (wo *worker) extendLease(now time.Time, deadline, maxLease time.Duration) {
 	if wo.deadline > 0 && now.After(wo.leaseEnd()) {
 		wo.lapsedAt = wo.leaseEnd()
 	}
-	wo.deadline = max(wo.deadline, min(deadline, wo.clock(now)+most))
+	wo.deadline = max(wo.deadline, min(deadline, wo.clock(now)+maxLease))
 }
 
 func (wo *worker) sortedRuns() []*run {
@@ -549,13 +549,13 @@
 
 // checkpoint returns the newest checkpoint in the form JOB/WORK, or an empty
 // string.
-func (ru *run) checkpoint(now time.Time, every time.Duration, stopped bool) string {
+func (ru *run) checkpoint(now time.Time, interval time.Duration, stopped bool) string {
 	if !ru.plan.Checkpoints {
 		return ""
 	}
 	work := ru.workDone(now)
 	if !stopped {
-		work = work.Truncate(every)
+		work = work.Truncate(interval)
 	}
 	if work == 0 {
 		return ""
