wksim: call the checkpoint timeout a timeout

Cause: the protocol calls the limit of a checkpoint CheckpointTimeout, while the simulator and its tests called it bound.

--- a/internal/fakes/wksim/command.go
+++ b/internal/fakes/wksim/command.go
@@ -107,7 +107,7 @@
 	return resultOK
 }
 
-func (tb *Table) stop(now time.Time, ta *task, bound time.Duration) worker.Result {
+func (tb *Table) stop(now time.Time, ta *task, timeout time.Duration) worker.Result {
 	switch {
 	case ta == nil:
 		return refused(worker.ReasonNoTask)
@@ -119,7 +119,7 @@
 	case ta.row.Phase == worker.PhaseRunning:
 		tb.version++
 	}
-	ta.stop(now, bound)
+	ta.stop(now, timeout)
 	return resultOK
 }
 
--- a/internal/fakes/wksim/server_test.go
+++ b/internal/fakes/wksim/server_test.go
@@ -18,7 +18,7 @@
 // waitTimeout bounds waits that take far less time unless something is broken.
 const waitTimeout = 30 * time.Second
 
-func serve(t *testing.T) (*wksim.Server, *worker.HTTPCaller) {
+func startServer(t *testing.T) (*wksim.Server, *worker.HTTPCaller) {
 	t.Helper()
 	is := is.New(t)
 	sv, err := wksim.New(wksim.Config{Name: "w", Listen: "127.0.0.1:0", Accelerators: 8})
@@ -36,7 +36,7 @@
 
 func TestCallRoundTrip(t *testing.T) {
 	is := is.New(t)
-	sv, hc := serve(t)
+	sv, hc := startServer(t)
 	reply, err := hc.Call(t.Context(), sv.Addr(), worker.Request{Epoch: 1, Commands: []worker.Command{reserve(first, 3), run(first, "forever")}})
 	is.NoErr(err)
 	is.Equal(reply.Results, []worker.Result{{OK: true}, {OK: true}})
@@ -50,7 +50,7 @@
 
 func TestStaleEpochReplyCarriesLargestEpoch(t *testing.T) {
 	is := is.New(t)
-	sv, hc := serve(t)
+	sv, hc := startServer(t)
 	_, err := hc.Call(t.Context(), sv.Addr(), worker.Request{Epoch: 7})
 	is.NoErr(err)
 	reply, err := hc.Call(t.Context(), sv.Addr(), worker.Request{Epoch: 6, Commands: []worker.Command{reserve(first, 1)}})
@@ -87,7 +87,7 @@
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			sv, hc := serve(t)
+			sv, hc := startServer(t)
 			reply, err := hc.Call(t.Context(), sv.Addr(), worker.Request{Epoch: 1})
 			is.NoErr(err)
 			changed := make(chan error, 1)
@@ -102,7 +102,7 @@
 
 func TestCallTakesEffectWhenResponseIsLost(t *testing.T) {
 	is := is.New(t)
-	sv, hc := serve(t)
+	sv, hc := startServer(t)
 	sv.SetFaults(wksim.Faults{DropAfter: 1})
 	_, err := hc.Call(t.Context(), sv.Addr(), worker.Request{Epoch: 1, Commands: []worker.Command{reserve(first, 1), run(first, "forever")}})
 	var ns *worker.NotSentError
@@ -112,15 +112,15 @@
 
 func TestFrozenWorkerRespondsAfterThaw(t *testing.T) {
 	is := is.New(t)
-	sv, hc := serve(t)
+	sv, hc := startServer(t)
 	sv.SetFaults(wksim.Faults{Frozen: true})
 	answered := make(chan error, 1)
 	go func() {
 		_, err := hc.Call(context.Background(), sv.Addr(), worker.Request{Epoch: 1, Commands: []worker.Command{reserve(first, 1)}})
 		answered <- err
 	}()
-	impatient := worker.NewHTTPCaller(worker.HTTPConfig{Timeout: 20 * time.Millisecond})
-	_, err := impatient.Call(t.Context(), sv.Addr(), worker.Request{Epoch: 1})
+	brief := worker.NewHTTPCaller(worker.HTTPConfig{Timeout: 20 * time.Millisecond})
+	_, err := brief.Call(t.Context(), sv.Addr(), worker.Request{Epoch: 1})
 	is.True(errors.Is(err, context.DeadlineExceeded))
 	is.Equal(len(sv.Tasks()), 0)
 	sv.SetFaults(wksim.Faults{})
@@ -130,7 +130,7 @@
 
 func TestUnreachableWorkerReturnsNotSentError(t *testing.T) {
 	is := is.New(t)
-	sv, hc := serve(t)
+	sv, hc := startServer(t)
 	sv.Close()
 	_, err := hc.Call(t.Context(), sv.Addr(), worker.Request{Epoch: 1})
 	var ns *worker.NotSentError
@@ -140,7 +140,7 @@
 
 func TestFaultsByHTTP(t *testing.T) {
 	is := is.New(t)
-	sv, hc := serve(t)
+	sv, hc := startServer(t)
 	before, err := hc.Call(t.Context(), sv.Addr(), worker.Request{Epoch: 1})
 	is.NoErr(err)
 	body, err := json.Marshal(wksim.FaultsRequest{Faults: wksim.Faults{FailStarts: true}, Restart: true})
--- a/internal/fakes/wksim/table_test.go
+++ b/internal/fakes/wksim/table_test.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	lease = time.Minute
-	bound = time.Second
+	lease             = time.Minute
+	checkpointTimeout = time.Second
 )
 
 var (
@@ -45,8 +45,8 @@
 	return worker.Command{Op: worker.OpStart, Task: id, Command: command}
 }
 
-func stop(id worker.TaskID, bound time.Duration) worker.Command {
-	return worker.Command{Op: worker.OpStop, Task: id, CheckpointTimeout: bound}
+func stop(id worker.TaskID, timeout time.Duration) worker.Command {
+	return worker.Command{Op: worker.OpStop, Task: id, CheckpointTimeout: timeout}
 }
 
 func command(op worker.Op, id worker.TaskID) worker.Command { return worker.Command{Op: op, Task: id} }
@@ -86,9 +86,9 @@
 		{"release started", []worker.Command{reserve(first, 8), run(first, "forever"), command(worker.OpRelease, first)}, 0, worker.ReasonActive, worker.PhaseRunning, time.Second, false},
 		{"stop reserved", []worker.Command{reserve(first, 8), stop(first, 0)}, 0, "", worker.PhaseStopped, 0, false},
 		{"stop at once", []worker.Command{reserve(first, 8), run(first, "forever"), stop(first, 0)}, 0, "", worker.PhaseStopped, time.Second, false},
-		{"stopping", []worker.Command{reserve(first, 8), run(first, "forever"), stop(first, bound)}, 100 * time.Millisecond, "", worker.PhaseStopping, 1100 * time.Millisecond, false},
-		{"checkpoint", []worker.Command{reserve(first, 8), run(first, "forever"), stop(first, bound)}, bound, "", worker.PhaseStopped, 1200 * time.Millisecond, true},
-		{"checkpoint too slow", []worker.Command{reserve(first, 8), run(first, "forever", "checkpoint=1h"), stop(first, bound)}, bound, "", worker.PhaseStopped, 2 * time.Second, false},
+		{"stopping", []worker.Command{reserve(first, 8), run(first, "forever"), stop(first, checkpointTimeout)}, 100 * time.Millisecond, "", worker.PhaseStopping, 1100 * time.Millisecond, false},
+		{"checkpoint", []worker.Command{reserve(first, 8), run(first, "forever"), stop(first, checkpointTimeout)}, checkpointTimeout, "", worker.PhaseStopped, 1200 * time.Millisecond, true},
+		{"checkpoint too slow", []worker.Command{reserve(first, 8), run(first, "forever", "checkpoint=1h"), stop(first, checkpointTimeout)}, checkpointTimeout, "", worker.PhaseStopped, 2 * time.Second, false},
 		{"ack active", []worker.Command{reserve(first, 8), command(worker.OpAck, first)}, 0, worker.ReasonActive, worker.PhaseReserved, 0, false},
 		{"ack ended", []worker.Command{reserve(first, 8), stop(first, 0), command(worker.OpAck, first)}, 0, "", "", 0, false},
 		{"throttle", []worker.Command{reserve(first, 8), run(first, "sleep", "3s"), throttle}, time.Hour, "", worker.PhaseSucceeded, 5 * time.Second, false},
--- a/internal/fakes/wksim/task.go
+++ b/internal/fakes/wksim/task.go
@@ -89,13 +89,13 @@
 
 // stop starts a checkpoint that takes no longer than bound. A second stop can
 // only shorten the first.
-func (ta *task) stop(now time.Time, bound time.Duration) {
+func (ta *task) stop(now time.Time, timeout time.Duration) {
 	if ta.row.Phase == worker.PhaseRunning {
 		ta.row.Phase = worker.PhaseStopping
 		ta.stopBy = now.Add(ta.plan.checkpoint)
-		ta.checkpointed = bound > 0
+		ta.checkpointed = timeout > 0
 	}
-	limit := now.Add(bound)
+	limit := now.Add(timeout)
 	if limit.Before(ta.stopBy) {
 		ta.stopBy = limit
 		ta.checkpointed = false
@@ -141,11 +141,11 @@
 		}
 		row.Runtime = until.Sub(ta.started)
 	}
-	for _, up := range ta.usage {
-		if up.at.After(now.Add(-lag)) {
+	for _, us := range ta.usage {
+		if us.at.After(now.Add(-lag)) {
 			break
 		}
-		row.Usage = up.value
+		row.Usage = us.value
 	}
 	return row
 }
