fleet: tell the context of the servers from that of the start

Cause: the context under which the simulators run was called run, like the method that takes it, beside the ctx of the start. Change: the parameter is runCtx everywhere in the package.

--- a/internal/fakes/fleet/fleet.go
+++ b/internal/fakes/fleet/fleet.go
@@ -62,9 +62,9 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
-	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	fl := &Fleet{cfg: cfg, cancel: cancel}
-	if err := fl.start(ctx, run); err != nil {
+	if err := fl.start(ctx, runCtx); err != nil {
 		fl.Close()
 		return nil, err
 	}
@@ -107,9 +107,9 @@
 	fl.running.Wait()
 }
 
-func (fl *Fleet) start(ctx, run context.Context) error {
+func (fl *Fleet) start(ctx, runCtx context.Context) error {
 	for _, zn := range fl.cfg.Declarations.Zones {
-		if err := fl.startZone(run, zn); err != nil {
+		if err := fl.startZone(runCtx, zn); err != nil {
 			return err
 		}
 	}
@@ -122,11 +122,11 @@
 	return nil
 }
 
-func (fl *Fleet) startZone(run context.Context, zn spec.Zone) error {
+func (fl *Fleet) startZone(runCtx context.Context, zn spec.Zone) error {
 	started := zone{name: zn.Name}
 	for _, rk := range zn.Racks {
 		for number := range rk.Workers {
-			ho, err := fl.startWorker(run, zn, rk, number)
+			ho, err := fl.startWorker(runCtx, zn, rk, number)
 			if err != nil {
 				return err
 			}
@@ -136,7 +136,7 @@
 	count := min(len(started.hosts), fl.cfg.EndpointsPerZone)
 	for _, se := range fl.cfg.Declarations.Services {
 		for number := range count {
-			ho, err := fl.startEndpoint(run, zn, se, number)
+			ho, err := fl.startEndpoint(runCtx, zn, se, number)
 			if err != nil {
 				return err
 			}
@@ -147,7 +147,7 @@
 	return nil
 }
 
-func (fl *Fleet) startWorker(run context.Context, zn spec.Zone, rk spec.Rack, number int) (plat.Host, error) {
+func (fl *Fleet) startWorker(runCtx context.Context, zn spec.Zone, rk spec.Rack, number int) (plat.Host, error) {
 	sv, err := wksim.New(wksim.Config{
 		Name: fmt.Sprintf("%s-%s-%d", zn.Name, rk.Name, number), Listen: listenAddress, Accelerators: rk.Accelerators,
 		RunScale: fl.cfg.RunScale, UsageLag: fl.cfg.UsageLag, Log: fl.cfg.Log,
@@ -156,14 +156,14 @@
 		return plat.Host{}, err
 	}
 	fl.workers = append(fl.workers, sv)
-	fl.serve(run, sv)
+	fl.serve(runCtx, sv)
 	return plat.Host{
 		Name: sv.Name(), Kind: plat.KindWorker, Address: sv.Addr(), State: plat.StateLive,
 		Rack: rk.Name, Accelerators: rk.Accelerators,
 	}, nil
 }
 
-func (fl *Fleet) startEndpoint(run context.Context, zn spec.Zone, se spec.Service, number int) (plat.Host, error) {
+func (fl *Fleet) startEndpoint(runCtx context.Context, zn spec.Zone, se spec.Service, number int) (plat.Host, error) {
 	sv, err := epsim.New(epsim.Config{
 		Name: fmt.Sprintf("%s-%s-%d", zn.Name, se.Name, number), Service: se.Name, Listen: listenAddress,
 		Slots: se.Slots, Connections: se.Connections, Log: fl.cfg.Log,
@@ -172,15 +172,15 @@
 		return plat.Host{}, err
 	}
 	fl.endpoints = append(fl.endpoints, sv)
-	fl.serve(run, sv)
+	fl.serve(runCtx, sv)
 	return plat.Host{
 		Name: sv.Name(), Kind: plat.KindEndpoint, Address: sv.Addr(), State: plat.StateLive, Service: se.Name,
 	}, nil
 }
 
-func (fl *Fleet) serve(run context.Context, sv server) {
+func (fl *Fleet) serve(runCtx context.Context, sv server) {
 	fl.running.Go(func() {
-		if err := sv.Run(run); err != nil {
+		if err := sv.Run(runCtx); err != nil {
 			fl.cfg.Log.Error("simulator failed", "error", err)
 		}
 	})
