fakes: state limits, errors and units where a reader needs them

Cause: a newcomer had to read the code to learn which faults reset open connections, when a lease counts from, what a watch channel signals and which errors a call returns. Change: doc comments say so, errors name the header, command or limit at fault, and subtests are named after the failure that they check; one comment contradicted its method, which counts the task itself.

--- a/internal/fakes/epsim/conn.go
+++ b/internal/fakes/epsim/conn.go
@@ -24,7 +24,8 @@
 	}
 
 	// conn is an open connection. A silent one discards all data in both
-	// directions, and is closed only by the peer or with the listener.
+	// directions and ignores Close and read deadlines: it ends only when the
+	// peer or the listener closes it.
 	conn struct {
 		net.Conn
 		listener  *listener
@@ -35,6 +36,7 @@
 	connKey struct{}
 )
 
+// newListener returns a listener that marks the connections beyond a limit.
 func newListener(li net.Listener, limit int) *listener {
 	return &listener{Listener: li, maxConns: limit, conns: map[*conn]struct{}{}}
 }
@@ -64,6 +66,8 @@
 	return li.Listener.Close()
 }
 
+// admit registers a new connection, or resets it and returns nil while the
+// listener is down or closed.
 func (li *listener) admit(raw net.Conn) *conn {
 	li.mu.Lock()
 	defer li.mu.Unlock()
@@ -87,6 +91,8 @@
 	return count
 }
 
+// setDown sets whether new connections are reset. Going down resets the open
+// ones too.
 func (li *listener) setDown(down bool) {
 	li.mu.Lock()
 	defer li.mu.Unlock()
@@ -99,6 +105,7 @@
 	}
 }
 
+// silence makes every open connection silent and returns their number.
 func (li *listener) silence() int {
 	li.mu.Lock()
 	defer li.mu.Unlock()
@@ -160,6 +167,7 @@
 	_ = raw.Close()
 }
 
+// withConn puts a connection into the context of the requests that arrive on it.
 func withConn(ctx context.Context, raw net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, raw)
 }
--- a/internal/fakes/epsim/epsim.go
+++ b/internal/fakes/epsim/epsim.go
@@ -29,15 +29,15 @@
 		Name        string
 		Service     string
 		Listen      string // IP:port; port 0 selects a free one
-		Slots       int
-		Connections int
+		Slots       int    // requests executed at the same time; must be positive
+		Connections int    // open at the same time, requests on any others are refused; must be positive
 		Log         *slog.Logger
 	}
 
 	// Faults lists the faults injected into an endpoint. The zero value
 	// injects none.
 	Faults struct {
-		Down  bool          `json:"down"`  // connections are reset
+		Down  bool          `json:"down"`  // open and new connections are reset
 		Delay time.Duration `json:"delay"` // added to each request, nanoseconds
 	}
 
@@ -57,10 +57,11 @@
 const headerTimeout = 10 * time.Second
 
 // New returns a server that is listening. It serves requests once Run is
-// called.
+// called. It returns an error if a limit isn't positive or the address can't be
+// listened on.
 func New(cfg Config) (*Server, error) {
 	if cfg.Slots <= 0 || cfg.Connections <= 0 {
-		return nil, merry.Errorf("endpoint %s: %d slots and %d connections", cfg.Name, cfg.Slots, cfg.Connections)
+		return nil, merry.Errorf("endpoint %s: %d slots and %d connections, both must be positive", cfg.Name, cfg.Slots, cfg.Connections)
 	}
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
@@ -105,8 +106,7 @@
 	sv.cfg.Log.Info("endpoint connections silenced", "endpoint", sv.cfg.Name, "connections", count)
 }
 
-// Runs returns the recorded requests that were executed, in order of their
-// start.
+// Runs returns the records of the executed requests, in order of their start.
 func (sv *Server) Runs() []Run { return sv.runs.all() }
 
 // acquireSlot takes a slot and reports whether one was free.
--- a/internal/fakes/epsim/epsim_test.go
+++ b/internal/fakes/epsim/epsim_test.go
@@ -19,7 +19,7 @@
 )
 
 type (
-	// response is the outcome of a test request.
+	// response is the response to a test request, or the error that prevented it.
 	response struct {
 		status int
 		header http.Header
@@ -89,8 +89,8 @@
 		body   string
 		status int
 		want   string // response body
-		broken bool
-		ran    bool
+		broken bool   // sending the request or reading the response fails
+		ran    bool   // the request was executed
 	}{
 		{"echo", nil, "sacks", 200, "sacks", false, true},
 		{"default body", nil, "", 200, `{"endpoint":"e1","service":"pricing","request":"r1"}`, false, true},
@@ -216,7 +216,7 @@
 	body, err := json.Marshal(epsim.FaultsRequest{Faults: epsim.Faults{Down: true}, DownFor: time.Millisecond})
 	is.NoErr(err)
 	ca.send(t.Context(), http.MethodPost, epsim.FaultsPath, bytes.NewReader(body), nil)
-	waitFor(t, "answer", func() bool { return ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil).err == nil })
+	waitFor(t, "a response after the endpoint is up again", func() bool { return ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil).err == nil })
 	ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil)
 	var runs []epsim.Run
 	rs := ca.send(t.Context(), http.MethodGet, epsim.RunsPath, nil, nil)
--- a/internal/fakes/epsim/handler.go
+++ b/internal/fakes/epsim/handler.go
@@ -33,7 +33,7 @@
 		SilenceConnections bool          `json:"silenceConnections"` // the connections open now
 	}
 
-	// behaviour holds the values of a request's simulator headers.
+	// behaviour is what a request's headers ask the simulator to do.
 	behaviour struct {
 		delay  time.Duration
 		status int
@@ -164,6 +164,7 @@
 	return status != http.StatusNoContent && status != http.StatusNotModified
 }
 
+// refuse responds that the request was not executed.
 func (sv *Server) refuse(w http.ResponseWriter, reason string) {
 	sv.writeHeaders(w)
 	w.Header().Set(plat.HeaderRefused, reason)
@@ -179,7 +180,7 @@
 	w.Header().Set(HeaderEndpoint, sv.cfg.Name)
 }
 
-// sleep delays a request. The delay isn't cut short when the caller disconnects.
+// sleep delays a request, even if its caller disconnects meanwhile.
 func (sv *Server) sleep(delay time.Duration) {
 	if delay <= 0 {
 		return
@@ -192,6 +193,7 @@
 	}
 }
 
+// hang blocks until the caller disconnects or the server is closed.
 func (sv *Server) hang(ctx context.Context) {
 	select {
 	case <-ctx.Done():
@@ -214,6 +216,8 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// serveFaults responds before it sets the faults, which may break the connection
+// of the request itself.
 func (sv *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
 	var req FaultsRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&req); err != nil {
@@ -231,8 +235,8 @@
 	}
 }
 
-// readBehaviour parses the headers of a request. Invalid values are an error,
-// so that a test with a misspelt value fails.
+// readBehaviour parses the headers that select a behaviour. An invalid value is
+// an error, so that a test with a misspelt value fails.
 func readBehaviour(hd http.Header) (behaviour, error) {
 	be := behaviour{status: http.StatusOK, size: -1, fault: hd.Get(HeaderFault)}
 	var err error
@@ -243,12 +247,12 @@
 	}
 	if text := hd.Get(HeaderStatus); text != "" {
 		if be.status, err = strconv.Atoi(text); err != nil || be.status < 200 || be.status > 999 {
-			return be, fmt.Errorf("invalid status %q", text)
+			return be, fmt.Errorf("invalid status code %q", text)
 		}
 	}
 	if text := hd.Get(HeaderSize); text != "" {
 		if be.size, err = strconv.Atoi(text); err != nil || be.size < 0 || be.size > maxResponseBytes {
-			return be, fmt.Errorf("invalid size %q", text)
+			return be, fmt.Errorf("invalid response size %q", text)
 		}
 	}
 	switch be.fault {
--- a/internal/fakes/epsim/runs.go
+++ b/internal/fakes/epsim/runs.go
@@ -31,6 +31,7 @@
 // oldest half is discarded.
 const maxRuns = 1 << 18
 
+// add sets the count of a run and records it.
 func (rl *runLog) add(rn Run) {
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
@@ -45,6 +46,8 @@
 	rl.runs = append(rl.runs, rn)
 }
 
+// evictOldest discards the oldest runs, and the counts of requests that have no
+// other run.
 func (rl *runLog) evictOldest(count int) {
 	rl.runs = slices.Clone(rl.runs[count:])
 	kept := map[string]int{}
--- a/internal/fakes/fleet/fleet.go
+++ b/internal/fakes/fleet/fleet.go
@@ -22,9 +22,9 @@
 	Config struct {
 		Declarations     *spec.Declarations
 		Store            store.Store
-		EndpointsPerZone int     // of each service, limited to the number of workers; 16 if zero
-		RunScale         float64 // factor on the run times of tasks; 1 if zero
-		UsageLag         time.Duration
+		EndpointsPerZone int           // of each service, limited to the number of workers; 16 if zero
+		RunScale         float64       // factor on the run times of tasks; 1 if zero
+		UsageLag         time.Duration // delay with which workers report usage
 		Log              *slog.Logger
 	}
 
@@ -35,9 +35,10 @@
 		workers   []*wksim.Server
 		endpoints []*epsim.Server
 		running   sync.WaitGroup
-		cancel    context.CancelFunc
+		cancel    context.CancelFunc // ends the context of all servers
 	}
 
+	// zone lists the simulators to register in an availability zone.
 	zone struct {
 		name  string
 		hosts []plat.Host
@@ -53,8 +54,8 @@
 	listenAddress           = "127.0.0.1:0"
 )
 
-// Start starts the simulators and registers them, which it retries until ctx
-// ends. They run until Close is called.
+// Start starts the simulators and registers them, retrying the registration
+// until ctx ends. The simulators run until Close is called.
 func Start(ctx context.Context, cfg Config) (*Fleet, error) {
 	if cfg.EndpointsPerZone <= 0 {
 		cfg.EndpointsPerZone = defaultEndpointsPerZone
@@ -178,6 +179,7 @@
 	}, nil
 }
 
+// serve runs a server in the background.
 func (fl *Fleet) serve(runCtx context.Context, sv server) {
 	fl.running.Go(func() {
 		if err := sv.Run(runCtx); err != nil {
--- a/internal/fakes/kvsim/calls.go
+++ b/internal/fakes/kvsim/calls.go
@@ -10,14 +10,16 @@
 	"github.com/cicadawharf/cicadawharf/internal/store/kvapi"
 )
 
-// result is the outcome of a call: a response, or an error of the service.
+// result is the outcome of a call: a response, or the error that the service
+// returns instead.
 type result struct {
 	response any
 	err      *kvapi.Error
 	isWrite  bool // the call is a write, whether or not it changed anything
 }
 
-// handler returns the HTTP handler of one kind of call.
+// handler returns the HTTP handler of one kind of call, which fn executes with mu
+// held.
 func handler[Req any](sv *Server, count *atomic.Int64, fn func(now time.Time, req Req) result) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		count.Add(1)
--- a/internal/fakes/kvsim/faults.go
+++ b/internal/fakes/kvsim/faults.go
@@ -39,6 +39,7 @@
 
 	connKey struct{}
 
+	// counters counts the received calls of each kind.
 	counters struct {
 		rng, txn, grant, keepAlive, revoke, watch atomic.Int64
 	}
@@ -93,15 +94,15 @@
 	}
 }
 
-// Snapshot returns a copy of the content.
+// Snapshot returns a copy of the service's content.
 func (sv *Server) Snapshot() Snapshot {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	return Snapshot{st: sv.state.clone()}
 }
 
-// Restore replaces the content, as when the service is restored from a backup.
-// Revisions go back, and every watch is aborted.
+// Restore replaces the content, as when the service is restored from a backup:
+// the revision counter goes back, and every watch is aborted.
 func (sv *Server) Restore(sn Snapshot) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
@@ -135,7 +136,7 @@
 }
 
 // dropResponse reports whether the response to a write that took effect is to
-// be dropped, and counts it.
+// be dropped, and if so, decrements the number of responses to drop.
 func (sv *Server) dropResponse() bool {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
--- a/internal/fakes/kvsim/kvsim.go
+++ b/internal/fakes/kvsim/kvsim.go
@@ -41,8 +41,8 @@
 		mu       sync.Mutex
 		state    state
 		faults   Faults
-		saved    *Snapshot // by POST /standin/snapshot
-		changed  chan struct{}
+		saved    *Snapshot     // by POST /standin/snapshot
+		changed  chan struct{} // closed at the next change
 		watchers map[*watcher]struct{}
 		conns    map[*connState]net.Conn
 	}
@@ -95,7 +95,7 @@
 	return sv.Server.Run(ctx)
 }
 
-// Put sets a key directly, like a write by the platform.
+// Put sets a key directly, like a write by the platform. Faults don't affect it.
 func (sv *Server) Put(key string, value []byte) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
@@ -103,7 +103,8 @@
 	sv.notifyWatches()
 }
 
-// Delete deletes a key directly, like a write by the platform.
+// Delete deletes a key directly, like a write by the platform. Faults don't
+// affect it.
 func (sv *Server) Delete(key string) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
@@ -111,7 +112,7 @@
 	sv.notifyWatches()
 }
 
-// Value returns the value of a key.
+// Value returns the value of a key and whether the key exists.
 func (sv *Server) Value(key string) ([]byte, bool) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
@@ -138,6 +139,7 @@
 	return rt
 }
 
+// expireLeases ends due leases periodically until the server is closed.
 func (sv *Server) expireLeases() {
 	for sv.sleep(expiryPeriod) {
 		sv.mu.Lock()
--- a/internal/fakes/kvsim/protocol_test.go
+++ b/internal/fakes/kvsim/protocol_test.go
@@ -11,6 +11,8 @@
 	"github.com/cicadawharf/cicadawharf/internal/fakes/kvsim"
 )
 
+// post returns the status and the body of the response, or zero and the error if
+// there was none.
 func post(t *testing.T, sv *kvsim.Server, path, body string) (int, string) {
 	t.Helper()
 	res, err := http.Post("http://"+sv.Addr()+path, "application/json", strings.NewReader(body))
@@ -25,9 +27,9 @@
 	return res.StatusCode, strings.TrimSpace(string(data))
 }
 
-// TestMessagesMatchGateway checks the JSON against the published protocol:
-// client and simulator share their message types, so they would agree on a
-// mistake. Zm9v is foo, YmFy is bar.
+// TestMessagesMatchGateway checks the JSON against the published protocol.
+// Client and simulator share their message types, so a mistake in these would
+// otherwise go unnoticed. In base64, Zm9v is foo and YmFy is bar.
 func TestMessagesMatchGateway(t *testing.T) {
 	sv := kvsim.Start(t, kvsim.Config{})
 	tests := []struct {
--- a/internal/fakes/kvsim/start.go
+++ b/internal/fakes/kvsim/start.go
@@ -16,7 +16,8 @@
 		Fatal(args ...any)
 	}
 
-	// HookedStore is a store that passes Swap calls to a hook.
+	// HookedStore is a store that passes Swap calls to OnSwap, together with
+	// the store that it wraps.
 	HookedStore struct {
 		store.Store
 		OnSwap func(ctx context.Context, st store.Store, req store.SwapRequest) (store.Entry, error)
@@ -24,8 +25,8 @@
 )
 
 const (
-	// Timeout is a timeout that far exceeds the duration of a call, even on a
-	// busy machine.
+	// Timeout bounds calls and waits in tests. It far exceeds the duration of a
+	// call, even on a busy machine.
 	Timeout = 20 * time.Second
 
 	eventuallyPeriod = 5 * time.Millisecond
@@ -52,8 +53,8 @@
 }
 
 // Background runs fn until stop is called or the test ends, and reports its
-// error to the test. Function stop waits for fn to return; further calls have
-// no effect.
+// error to the test. Function stop cancels the context of fn and waits until fn
+// returns; further calls have no effect.
 func Background(t TB, fn func(ctx context.Context) error) (stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/fakes/kvsim/state.go
+++ b/internal/fakes/kvsim/state.go
@@ -23,9 +23,10 @@
 
 	lease struct {
 		ttl     time.Duration
-		expires time.Time
+		expires time.Time // unless renewed
 	}
 
+	// change is one event in the history.
 	change struct {
 		revision int64
 		event    kvapi.Event
@@ -70,7 +71,8 @@
 	return len(ended) > 0
 }
 
-// endLease deletes a lease and its keys under one revision, as etcd does.
+// endLease deletes a lease and the keys attached to it under one revision, as
+// etcd does.
 func (st *state) endLease(id int64) {
 	delete(st.leases, id)
 	var keys []string
@@ -112,12 +114,15 @@
 	st.remove(key)
 }
 
+// remove deletes a key under the current revision.
 func (st *state) remove(key string) {
 	delete(st.keys, key)
 	tombstone := kvapi.KeyValue{Key: []byte(key), ModRevision: st.revision}
 	st.record(kvapi.Event{Type: kvapi.EventDelete, KV: tombstone})
 }
 
+// record appends an event to the history, and discards the oldest events beyond
+// its limits.
 func (st *state) record(ev kvapi.Event) {
 	st.history = append(st.history, change{st.revision, ev})
 	st.bytes += len(ev.KV.Value)
@@ -204,7 +209,7 @@
 	return nil
 }
 
-// changesSince returns the changes after a revision to a range of keys.
+// changesSince returns the events after a revision for a range of keys.
 func (st *state) changesSince(after int64, start, end []byte) []kvapi.Event {
 	var evs []kvapi.Event
 	at, _ := slices.BinarySearchFunc(st.history, after+1, func(ch change, rev int64) int {
@@ -218,6 +223,8 @@
 	return evs
 }
 
+// inRange reports whether a key is in a range as etcd defines it: without an end,
+// the range is the start key alone; the end "\x00" means no upper bound.
 func inRange(key string, start, end []byte) bool {
 	if len(end) == 0 {
 		return key == string(start)
--- a/internal/fakes/kvsim/watch.go
+++ b/internal/fakes/kvsim/watch.go
@@ -10,9 +10,9 @@
 // watcher is an open watch stream.
 type watcher struct {
 	req     kvapi.WatchCreate
-	after   int64 // the largest revision sent
-	frozen  bool
-	aborted chan struct{}
+	after   int64         // the largest revision sent
+	frozen  bool          // sends no events
+	aborted chan struct{} // closed when the stream is aborted
 }
 
 // abortWatches aborts every stream. The caller holds mu.
--- a/internal/fakes/runsim/client.go
+++ b/internal/fakes/runsim/client.go
@@ -23,7 +23,8 @@
 // accessed through With.
 func NewClient(fl *Fleet) *Client { return &Client{fleet: fl} }
 
-// With calls fn with exclusive access to the fleet, advanced to now.
+// With calls fn with the present time and exclusive access to the fleet, after
+// advancing the fleet to that time.
 func (cl *Client) With(fn func(now time.Time, fl *Fleet)) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -15,7 +15,7 @@
 )
 
 type (
-	// Config constructs a Fleet.
+	// Config configures a Fleet.
 	Config struct {
 		MaxHold            time.Duration // longest lease
 		GangTimeout        time.Duration // how long the tasks of a gang wait for the rest of it
@@ -25,55 +25,56 @@
 
 	// Plan describes what a task does and which rules its starts must obey.
 	Plan struct {
-		Work        time.Duration
-		Fails       bool // each attempt fails when its work is done
-		Gang        int  // number of tasks in its gang; zero for none
+		Work        time.Duration // run time from the beginning, without a checkpoint
+		Fails       bool          // each attempt fails when its work is done
+		Gang        int           // number of tasks in its gang; zero for none
 		Needs       batch.Resources
 		MaxAttempts int
-		After       []batch.TaskID // tasks that must succeed before it starts
-		Checkpoints bool
-		Payload     string
-		LongRunning bool
+		After       []batch.TaskID    // tasks that must succeed before it starts
+		Checkpoints bool              // the task reports checkpoints
+		Payload     string            // that a start must carry
+		LongRunning bool              // the task's progress is always 100 percent
 		Tickets     map[string]string // by worker ID; nil if a start needs none
-		PerWorker   int               // most tasks of its step on one worker; zero for no limit
+		PerWorker   int               // maximum number of tasks of its step on one worker; zero for no limit
 	}
 
-	// Fleet is a set of workers.
+	// Fleet is a set of simulated workers. It is not safe for concurrent use.
 	Fleet struct {
 		cfg            Config
 		now            time.Time
-		idleUntil      time.Time // no time-driven event is due before; zero if unknown
+		idleUntil      time.Time // no time-driven event is due before this time; zero if unknown
 		workers        map[string]*worker
 		replaced       map[string]bool       // IDs of workers whose addresses others have taken over
 		ackedFailures  map[batch.TaskID]int  // acknowledged failures
 		ackedSuccesses map[batch.TaskID]bool // acknowledged successes
 		succeeded      map[batch.TaskID]bool // all successes, acknowledged or not
-		Loads          map[batch.TaskID]int  // load reported for long-running tasks: slow responses, in milliseconds
-		Violations     []string              // recorded violations
+		Loads          map[batch.TaskID]int  // load that workers report for long-running tasks: latency of slow responses, in milliseconds
+		Violations     []string              // descriptions of the scheduler's violations of the protocol
 		RefusedStarts  int                   // starts refused for lack of a valid ticket
-		Starts         int
+		Starts         int                   // attempts started
 	}
 
 	worker struct {
 		id           string
 		capacity     batch.Resources
 		rate         float64 // of its clock, relative to true time
-		failAll      bool    // every attempt fails at once
+		failAll      bool    // every attempt fails 10 ms after it began to work
 		failShare    float64 // share of the attempts that fail when half of their work is done
 		stalled      bool    // running tasks make no progress
 		losesStops   bool    // stop calls are lost
 		started      time.Time
-		born         int64
-		token        int64
-		deadline     time.Duration
+		born         int64         // start time in Unix milliseconds
+		token        int64         // largest fencing token seen
+		deadline     time.Duration // when its leases expire, on its clock
 		runs         map[batch.TaskID]*run
 		lastAttempts map[batch.TaskID]int // highest attempt that has been stopped or has ended
-		ends         []runner.End
-		lastNumber   int64
-		endedAt      []time.Time // times of ends
-		lapsedAt     time.Time   // when the last lease that wasn't renewed in time expired
+		ends         []runner.End         // not yet acknowledged, in order
+		lastNumber   int64                // of an end
+		endedAt      []time.Time          // times of ends
+		lapsedAt     time.Time            // when the last lease that wasn't renewed in time expired
 	}
 
+	// run is an attempt on a worker, running or waiting for its gang.
 	run struct {
 		worker       *worker
 		task         batch.TaskID
@@ -81,7 +82,7 @@
 		plan         Plan
 		runningSince time.Time     // when it began to work; zero while it waits for its gang
 		startedAt    time.Time     // when the start call arrived
-		priorWork    time.Duration // work done in earlier attempts and before a stall
+		priorWork    time.Duration // work done in earlier attempts, and in this one before a stall
 	}
 )
 
@@ -121,15 +122,16 @@
 	delete(fl.workers, id)
 }
 
-// Replace ends a worker and starts another one at its address. Calls for the
-// former one are refused from then on.
+// Replace ends a worker and starts another one at its address, whose start time
+// it returns as Add does. Calls for the former one fail with ErrRestarted from
+// then on.
 func (fl *Fleet) Replace(now time.Time, former, id string, capacity batch.Resources, rate float64) int64 {
 	fl.Remove(now, former)
 	fl.replaced[former] = true
 	return fl.Add(now, id, capacity, rate)
 }
 
-// Fail sets whether every attempt on a worker fails at once.
+// Fail sets whether every attempt on a worker fails 10 ms after it began to work.
 func (fl *Fleet) Fail(id string, fails bool) {
 	fl.idleUntil = time.Time{}
 	if wo, ok := fl.workers[id]; ok {
@@ -157,7 +159,8 @@
 	return float64(sum.Sum32()%1000) < 1000*wo.failShare
 }
 
-// LoseStops makes a worker lose every stop call.
+// LoseStops makes a worker lose every stop call: the call has no effect and fails
+// with ErrOutcomeUnknown.
 func (fl *Fleet) LoseStops(id string) {
 	if wo, ok := fl.workers[id]; ok {
 		wo.losesStops = true
@@ -183,7 +186,8 @@
 	wo.stalled = stalled
 }
 
-// Running returns the number of running attempts of a job.
+// Running returns the number of attempts of a job that run or wait for their
+// gang.
 func (fl *Fleet) Running(job string) int {
 	n := 0
 	for _, wo := range fl.workers {
@@ -196,7 +200,8 @@
 	return n
 }
 
-// RunningOn returns the number of running attempts on a worker.
+// RunningOn returns the number of attempts on a worker that run or wait for their
+// gang.
 func (fl *Fleet) RunningOn(id string) int {
 	if wo, ok := fl.workers[id]; ok {
 		return len(wo.runs)
@@ -205,7 +210,7 @@
 }
 
 // AttemptsBeside returns the number of attempts on the worker that runs a task,
-// including that task's.
+// with that task's own included, or zero if no worker runs it.
 func (fl *Fleet) AttemptsBeside(ti batch.TaskID) int {
 	for _, wo := range fl.workers {
 		if _, ok := wo.runs[ti]; ok {
@@ -218,7 +223,8 @@
 // Succeeded reports whether a task has succeeded.
 func (fl *Fleet) Succeeded(ti batch.TaskID) bool { return fl.succeeded[ti] }
 
-// workerFor returns the worker that a call under a fencing token addresses.
+// workerFor returns the worker that a call addresses and records the call's
+// fencing token. The error is ErrRestarted, ErrUnreachable or ErrFenced.
 func (fl *Fleet) workerFor(id string, token int64) (*worker, error) {
 	wo, ok := fl.workers[id]
 	switch {
@@ -234,7 +240,7 @@
 	return wo, nil
 }
 
-// Start performs a start call.
+// Start performs a start call. Its error is one of package runner.
 func (fl *Fleet) Start(now time.Time, id string, rq runner.StartRequest) error {
 	fl.Advance(now)
 	wo, err := fl.workerFor(id, rq.Token)
@@ -267,7 +273,7 @@
 	ru := &run{worker: wo, task: rq.Task, attempt: rq.Attempt, plan: pl, startedAt: now}
 	if rq.Checkpoint != "" {
 		if _, err := fmt.Sscanf(rq.Checkpoint, rq.Task.Job+"/%d", &ru.priorWork); err != nil {
-			fl.recordViolation("%s attempt %d has the checkpoint %q of another job", rq.Task, rq.Attempt, rq.Checkpoint)
+			fl.recordViolation("%s attempt %d has checkpoint %q, which isn't one of its job", rq.Task, rq.Attempt, rq.Checkpoint)
 		}
 	}
 	wo.runs[rq.Task] = ru
@@ -278,7 +284,7 @@
 	}
 }
 
-// checkStart records the rules that a start violates.
+// checkStart records a violation for each rule that a start breaks.
 func (fl *Fleet) checkStart(wo *worker, rq runner.StartRequest, pl Plan) {
 	for _, other := range fl.workers {
 		if ru, ok := other.runs[rq.Task]; ok {
@@ -335,7 +341,7 @@
 	return out
 }
 
-// Stop performs a stop call.
+// Stop performs a stop call. Its error is one of package runner.
 func (fl *Fleet) Stop(now time.Time, id string, rq runner.StopRequest) error {
 	fl.Advance(now)
 	wo, err := fl.workerFor(id, rq.Token)
@@ -352,7 +358,8 @@
 	return nil
 }
 
-// Poll performs a poll, without its wait.
+// Poll performs a poll without waiting for an end. Its error is one of package
+// runner.
 func (fl *Fleet) Poll(now time.Time, id string, rq runner.PollRequest) (runner.Status, error) {
 	fl.Advance(now)
 	wo, err := fl.workerFor(id, rq.Token)
@@ -374,6 +381,8 @@
 	return st, nil
 }
 
+// acknowledge drops the ends up to a number, and counts them as known to the
+// scheduler.
 func (fl *Fleet) acknowledge(wo *worker, acked int64) {
 	for len(wo.ends) > 0 && wo.ends[0].Number <= acked {
 		en, at := wo.ends[0], wo.endedAt[0]
@@ -399,7 +408,7 @@
 		}
 		at, event := fl.nextEvent()
 		if event == nil {
-			at = now.Add(time.Hour)
+			at = now.Add(time.Hour) // whatever adds an event resets idleUntil
 		}
 		if at.After(now) {
 			fl.idleUntil = at
@@ -411,7 +420,8 @@
 	}
 }
 
-// nextEvent returns the next time-driven event and its time.
+// nextEvent returns the next time-driven event and its time. The event is nil if
+// there is none.
 func (fl *Fleet) nextEvent() (time.Time, func()) {
 	var first time.Time
 	var event func()
@@ -444,9 +454,9 @@
 	return first, event
 }
 
-// gangDoneAt returns when a run and its whole gang have completed their work: a
-// task that has less to do than the others stays at 100 percent until then. The
-// result is false while one of them is waiting or stalled.
+// gangDoneAt returns when a run and its whole gang will have completed their work:
+// a task that has less to do than the others stays at 100 percent until then. It
+// returns false while one of them is waiting or stalled.
 func (fl *Fleet) gangDoneAt(ru *run) (time.Time, bool) {
 	var latest time.Time
 	for _, member := range fl.gangMembers(ru) {
@@ -475,7 +485,7 @@
 	}
 }
 
-// endRun ends a run and the rest of its gang.
+// endRun ends a run and, if it has begun to work, the rest of its gang.
 func (fl *Fleet) endRun(ru *run, reason runner.EndReason) {
 	members := fl.gangMembers(ru)
 	fl.endSingleRun(ru, reason)
@@ -513,6 +523,7 @@
 	})
 }
 
+// clock returns the reading of the worker's clock.
 func (wo *worker) clock(now time.Time) time.Duration {
 	return time.Duration(float64(now.Sub(wo.started)) * wo.rate)
 }
@@ -522,6 +533,8 @@
 	return wo.started.Add(time.Duration(float64(wo.deadline) / wo.rate))
 }
 
+// extendLease moves the end of the worker's leases to a deadline on its clock, but
+// never back and no further than maxLease from now.
 func (wo *worker) extendLease(now time.Time, deadline, maxLease time.Duration) {
 	if wo.deadline > 0 && now.After(wo.leaseEnd()) {
 		wo.lapsedAt = wo.leaseEnd()
@@ -547,8 +560,9 @@
 	return ru.priorWork + now.Sub(ru.runningSince)
 }
 
-// checkpoint returns the newest checkpoint in the form JOB/WORK, or an empty
-// string.
+// checkpoint returns the latest checkpoint in the form JOB/WORK, with the work in
+// nanoseconds, or an empty string if there is none. A stopped attempt saves all of
+// its work, any other only that of whole intervals.
 func (ru *run) checkpoint(now time.Time, interval time.Duration, stopped bool) string {
 	if !ru.plan.Checkpoints {
 		return ""
--- a/internal/fakes/runsim/layout.go
+++ b/internal/fakes/runsim/layout.go
@@ -20,8 +20,8 @@
 	EvacuationPrefix = "evacuated/" // followed by an availability zone
 )
 
-// Layout returns the storage layout of the simulated platform: policy and
-// workers are the JSON encoding of their types.
+// Layout returns the storage layout of the simulated platform, which stores the
+// policy and the workers as JSON.
 func Layout() drive.StoreLayout {
 	return drive.StoreLayout{
 		PolicyKey: PolicyKey, WorkerPrefix: WorkerPrefix, EvacuationPrefix: EvacuationPrefix, EvacuationValue: []byte("{}"),
@@ -37,7 +37,8 @@
 	}
 }
 
-// Put stores a value of the platform as JSON under a new key.
+// Put stores a value of the platform as JSON under a new key. The error is
+// store.ErrConflict if the key exists.
 func Put(ctx context.Context, st store.Store, key string, value any) error {
 	data, err := json.Marshal(value)
 	if err != nil {
@@ -47,7 +48,8 @@
 	return merry.Prepend(err, key)
 }
 
-// AddWorker starts a worker and adds it to the platform's list of workers.
+// AddWorker starts a worker and adds it to the platform's list of workers, with
+// Born set to its start time.
 func (cl *Client) AddWorker(ctx context.Context, st store.Store, wk runner.Worker) error {
 	cl.With(func(now time.Time, fl *Fleet) { wk.Born = fl.Add(now, wk.ID, wk.Capacity, 1) })
 	return Put(ctx, st, WorkerPrefix+wk.ID, wk)
--- a/internal/fakes/serve/serve.go
+++ b/internal/fakes/serve/serve.go
@@ -13,7 +13,7 @@
 )
 
 type (
-	// Config constructs a Server.
+	// Config configures a Server.
 	Config struct {
 		Name     string // prefix of errors
 		Listener net.Listener
@@ -34,7 +34,8 @@
 // Addr returns the IP:port that the server listens on.
 func (sv *Server) Addr() string { return sv.cfg.Listener.Addr().String() }
 
-// Run serves until ctx ends or the server is closed.
+// Run serves until ctx ends or the server is closed, and then returns nil. Any
+// other error of the HTTP server is returned with the server's name.
 func (sv *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, sv.Close)
 	defer stop()
--- a/internal/fakes/wksim/command.go
+++ b/internal/fakes/wksim/command.go
@@ -54,6 +54,8 @@
 	return resultOK
 }
 
+// reserveAgain repeats a reservation. It renews the lease, and a task that hasn't
+// been started takes over the current epoch.
 func (tb *Table) reserveAgain(now time.Time, ta *task, cm worker.Command) worker.Result {
 	if ta.row.Phase.Ended() {
 		return refused(worker.ReasonEnded)
--- a/internal/fakes/wksim/plan.go
+++ b/internal/fakes/wksim/plan.go
@@ -13,7 +13,7 @@
 type plan struct {
 	runTime    time.Duration // at full speed; unlimited if negative
 	failure    string        // error that it ends with; empty for success
-	checkpoint time.Duration
+	checkpoint time.Duration // that a checkpoint takes
 }
 
 const (
--- a/internal/fakes/wksim/server.go
+++ b/internal/fakes/wksim/server.go
@@ -11,7 +11,6 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/cicadawharf/cicadawharf/internal/fakes/serve"
-
 	"github.com/cicadawharf/cicadawharf/internal/worker"
 )
 
@@ -21,8 +20,8 @@
 		Name         string
 		Listen       string // IP:port; port 0 selects a free one
 		Accelerators int
-		RunScale     float64
-		UsageLag     time.Duration
+		RunScale     float64       // factor on the run times of commands; 1 if zero
+		UsageLag     time.Duration // delay with which usage is reported
 		Log          *slog.Logger
 		Clock        func() time.Time // time.Now if nil
 	}
@@ -44,7 +43,7 @@
 		mu      sync.Mutex
 		table   *Table
 		faults  Faults
-		boots   int
+		boots   int           // number of boots so far
 		changed chan struct{} // closed at the next change
 	}
 )
@@ -96,8 +95,8 @@
 	return sv.faults
 }
 
-// Restart kills every task and continues with an empty table and a new boot
-// name. The largest epoch seen is kept unless forgetEpoch is set.
+// Restart ends every task as failed and continues with an empty table and a new
+// boot name. The largest epoch seen is kept unless forgetEpoch is set.
 func (sv *Server) Restart(forgetEpoch bool) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
@@ -129,13 +128,13 @@
 	return sv.table.Free()
 }
 
-// nextBoot returns a new boot name. The caller of nextBoot and broadcast holds
-// mu.
+// nextBoot returns a new boot name. The caller holds mu.
 func (sv *Server) nextBoot() string {
 	sv.boots++
 	return fmt.Sprintf("%d-%d", sv.cfg.Clock().UnixNano(), sv.boots)
 }
 
+// broadcast wakes the waiting calls after a change. The caller holds mu.
 func (sv *Server) broadcast() {
 	close(sv.changed)
 	sv.changed = make(chan struct{})
--- a/internal/fakes/wksim/table.go
+++ b/internal/fakes/wksim/table.go
@@ -1,6 +1,6 @@
 // Package wksim simulates a worker of the platform.
 //
-// Table is the lease table as a pure state machine: it takes calls and the
+// Table is the lease table as a state machine without I/O: it takes calls and the
 // current time, and returns replies. Server exposes it through the HTTP
 // interface of internal/worker and injects faults on demand.
 //
@@ -90,9 +90,9 @@
 	return reply, nil
 }
 
-// requestAge returns how long ago a call was sent according to its own clock
-// reading, so that its leases count from the time of sending. A call for another
-// boot grants no leases; valid is false.
+// requestAge returns how long ago a call was sent, by the clock reading that it
+// carries, since its leases count from that time. A call for another boot grants
+// no leases: valid is false.
 func (tb *Table) requestAge(now time.Time, req worker.Request) (age time.Duration, valid bool) {
 	if req.Boot == "" {
 		return 0, true
@@ -162,8 +162,8 @@
 // SetFailStarts sets whether every task fails as soon as it is started.
 func (tb *Table) SetFailStarts(fail bool) { tb.failStarts = fail }
 
-// Restart kills every task and empties the table under a new boot name. The
-// largest epoch seen is kept unless forgetEpoch is set.
+// Restart ends every task as failed and empties the table under a new boot name.
+// The largest epoch seen is kept unless forgetEpoch is set.
 func (tb *Table) Restart(now time.Time, boot string, forgetEpoch bool) {
 	now = tb.Advance(now)
 	for _, ta := range tb.tasks {
@@ -184,6 +184,7 @@
 // Runs returns the record of every task started, in order of start.
 func (tb *Table) Runs() []Run { return slices.Clone(tb.runs) }
 
+// header returns a reply without results and rows.
 func (tb *Table) header() worker.Reply {
 	return worker.Reply{
 		Worker: tb.cfg.Worker, Boot: tb.cfg.Boot, Clock: tb.now.Sub(tb.origin), Epoch: tb.epoch, Version: tb.version,
@@ -191,6 +192,7 @@
 	}
 }
 
+// renew extends the leases of all tasks.
 func (tb *Table) renew(now time.Time, lease time.Duration) {
 	if lease <= 0 {
 		return
@@ -215,6 +217,7 @@
 	tb.version++
 }
 
+// end ends a task and completes its Run.
 func (tb *Table) end(ta *task, at time.Time, phase worker.Phase) {
 	ta.end(at, phase)
 	tb.version++
@@ -230,7 +233,7 @@
 		return fmt.Errorf("%w: epoch %d is not positive", worker.ErrRefused, req.Epoch)
 	}
 	if req.Wait < 0 || req.Lease < 0 {
-		return fmt.Errorf("%w: negative duration", worker.ErrRefused)
+		return fmt.Errorf("%w: negative wait or lease", worker.ErrRefused)
 	}
 	for _, cm := range req.Commands {
 		if err := validateCommand(cm); err != nil {
@@ -242,7 +245,7 @@
 
 func validateCommand(cm worker.Command) error {
 	if cm.Task.Job == "" || cm.Accelerators < 0 || cm.Lease < 0 || cm.CheckpointTimeout < 0 {
-		return fmt.Errorf("%w: invalid command %s", worker.ErrRefused, cm.Op)
+		return fmt.Errorf("%w: command %s without a job or with a negative value", worker.ErrRefused, cm.Op)
 	}
 	switch cm.Op {
 	case worker.OpReserve:
--- a/internal/fakes/wksim/table_test.go
+++ b/internal/fakes/wksim/table_test.go
@@ -77,8 +77,8 @@
 		{"exit zero", []worker.Command{reserve(first, 1), run(first, "exit", "0")}, 0, "", worker.PhaseSucceeded, 0, false},
 		{"exit status", []worker.Command{reserve(first, 1), run(first, "exit", "3")}, 0, "", worker.PhaseFailed, 0, false},
 		{"a user's program", []worker.Command{reserve(first, 1), run(first, "appraise", "--lot", "7")}, 2 * time.Second, "", worker.PhaseSucceeded, 2 * time.Second, false},
-		{"too many words", []worker.Command{reserve(first, 1), run(first, "sleep", "2s", "3s")}, 0, "", worker.PhaseFailed, 0, false},
-		{"forever and more", []worker.Command{reserve(first, 1), run(first, "forever", "2s")}, 0, "", worker.PhaseFailed, 0, false},
+		{"sleep with two durations", []worker.Command{reserve(first, 1), run(first, "sleep", "2s", "3s")}, 0, "", worker.PhaseFailed, 0, false},
+		{"forever with an argument", []worker.Command{reserve(first, 1), run(first, "forever", "2s")}, 0, "", worker.PhaseFailed, 0, false},
 		{"no command", []worker.Command{reserve(first, 1), run(first)}, 0, "", worker.PhaseFailed, 0, false},
 		{"running lapses", []worker.Command{reserve(first, 1), run(first, "forever")}, lease, "", worker.PhaseLapsed, lease - time.Second, false},
 		{"start again", []worker.Command{reserve(first, 1), run(first, "sleep", "2s"), run(first, "sleep", "2s")}, time.Second, "", worker.PhaseSucceeded, 2 * time.Second, false},
@@ -121,13 +121,13 @@
 
 func TestMalformedCallsAreRejected(t *testing.T) {
 	tests := map[string]worker.Request{
-		"epoch":    {},
-		"wait":     {Epoch: 1, Wait: -1},
-		"op":       {Epoch: 1, Commands: []worker.Command{command("fly", first)}},
-		"job":      {Epoch: 1, Commands: []worker.Command{command(worker.OpStart, worker.TaskID{})}},
-		"no lease": {Epoch: 1, Commands: []worker.Command{command(worker.OpReserve, first)}},
-		"rate":     {Epoch: 1, Commands: []worker.Command{{Op: worker.OpThrottle, Task: first, Rate: 2}}},
-		"second":   {Epoch: 1, Commands: []worker.Command{reserve(first, 1), command("fly", first)}},
+		"epoch":                  {},
+		"wait":                   {Epoch: 1, Wait: -1},
+		"op":                     {Epoch: 1, Commands: []worker.Command{command("fly", first)}},
+		"job":                    {Epoch: 1, Commands: []worker.Command{command(worker.OpStart, worker.TaskID{})}},
+		"no lease":               {Epoch: 1, Commands: []worker.Command{command(worker.OpReserve, first)}},
+		"rate":                   {Epoch: 1, Commands: []worker.Command{{Op: worker.OpThrottle, Task: first, Rate: 2}}},
+		"second of two commands": {Epoch: 1, Commands: []worker.Command{reserve(first, 1), command("fly", first)}},
 	}
 	for name, req := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -154,8 +154,9 @@
 	is.Equal(tb.Tasks(tb.Advance(renewed.Add(lease)))[0].Phase, worker.PhaseLapsed)
 }
 
-// TestLeaseStartsWhenCallWasSent delivers a reservation that was sent when the
-// worker's clock read 10 s.
+// TestLeaseStartsWhenCallWasSent delivers a reservation, sent when the worker's
+// clock read 10 s, at various times. A lease counted from its arrival would hold
+// accelerators for longer than the scheduler assumes.
 func TestLeaseStartsWhenCallWasSent(t *testing.T) {
 	const sent = 10 * time.Second
 	tests := []struct {
@@ -167,7 +168,7 @@
 	}{
 		{"in time", "b1", sent + time.Second, "", sent + lease},
 		{"clock estimated too high", "b1", sent - time.Second, "", sent - time.Second + lease},
-		{"just late", "b1", sent + lease, worker.ReasonLate, 0},
+		{"at the end of its lease", "b1", sent + lease, worker.ReasonLate, 0},
 		{"of another boot", "b0", sent, worker.ReasonLate, 0},
 		{"without a clock", "", sent + lease, "", sent + 2*lease},
 	}
@@ -271,7 +272,7 @@
 			Task:              rapid.SampledFrom(ids).Draw(rt, "task"),
 			Accelerators:      rapid.IntRange(0, 8).Draw(rt, "accelerators"),
 			Lease:             time.Duration(rapid.IntRange(1, 20).Draw(rt, "lease")) * time.Second,
-			CheckpointTimeout: time.Duration(rapid.IntRange(0, 2).Draw(rt, "bound")) * time.Second,
+			CheckpointTimeout: time.Duration(rapid.IntRange(0, 2).Draw(rt, "checkpoint timeout")) * time.Second,
 			Rate:              rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(rt, "rate"),
 			Command:           rapid.SampledFrom([][]string{{"sleep", "3s"}, {"fail", "1s"}, {"forever"}, {"exit", "3"}}).Draw(rt, "command"),
 		}
--- a/internal/fakes/wksim/task.go
+++ b/internal/fakes/wksim/task.go
@@ -23,6 +23,7 @@
 		usage        []usageSample
 	}
 
+	// usageSample is a task's usage from a time on, in accelerators.
 	usageSample struct {
 		at    time.Time
 		value float64
@@ -78,6 +79,7 @@
 	ta.recordUsage(now)
 }
 
+// setRate changes the rate, which applies to the work that remains.
 func (ta *task) setRate(now time.Time, rate float64) {
 	if ta.row.Phase == worker.PhaseRunning && ta.remaining > 0 {
 		ta.remaining = max(0, ta.remaining-scaled(now.Sub(ta.updated), ta.rate))
@@ -87,8 +89,8 @@
 	ta.recordUsage(now)
 }
 
-// stop starts a checkpoint that takes no longer than bound. A second stop can
-// only shorten the first.
+// stop starts a checkpoint, which is abandoned after the timeout. A second stop
+// can only shorten the first.
 func (ta *task) stop(now time.Time, timeout time.Duration) {
 	if ta.row.Phase == worker.PhaseRunning {
 		ta.row.Phase = worker.PhaseStopping
@@ -130,7 +132,7 @@
 	ta.usage = append(ta.usage, usageSample{at: now, value: value})
 }
 
-// report returns the row as reported at a time, with the usage as of lag
+// report returns the row as reported at a time, with the usage that applied lag
 // earlier.
 func (ta *task) report(now time.Time, lag time.Duration) worker.Task {
 	row := ta.row
