--- a/internal/fakes/epsim/epsim_test.go
+++ b/internal/fakes/epsim/epsim_test.go
@@ -82,7 +82,7 @@
 	t.Fatalf("timed out waiting for %s", what)
 }
 
-func TestBehaviours(t *testing.T) {
+func TestHeadersSelectBehaviour(t *testing.T) {
 	tests := []struct {
 		name   string
 		header map[string]string
@@ -199,7 +199,7 @@
 	is.Equal(len(sv.Runs()), 2) // the discarded request was not executed
 }
 
-func TestDownAndUp(t *testing.T) {
+func TestDownEndpointResetsConnections(t *testing.T) {
 	is := is.New(t)
 	sv, ca := startServer(t, 8, 8)
 	is.NoErr(ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil).err)
