size: name listeners, contexts and spans after what they are

Cause: the two listeners of a host were called callers and others, a context bound, a ratio of time spans more, and the pauses gap and pace. Change: httpListener, peerListener, startCtx, spanRatio, pause and a few more replace these.

--- a/test/size/config_test.go
+++ b/test/size/config_test.go
@@ -34,23 +34,23 @@
 			kvsim.Eventually(b, func() bool { return sv.Calls().Watch >= hosts })
 			content := declarations(94, workspaces, true)
 			before := sv.Calls()
-			var applies, worst, sum time.Duration
+			var applyTime, worst, rolloutTime time.Duration
 			number := 0
 			for b.Loop() {
 				number++
 				began := time.Now()
 				revision := apply(b, st, fmt.Appendf(nil, "%s# %d\n", content, number))
-				applies += time.Since(began)
+				applyTime += time.Since(began)
 				kvsim.Eventually(b, func() bool { return allAtRevision(fos, revision) })
 				took := time.Since(began)
 				worst = max(worst, took)
-				sum += took
+				rolloutTime += took
 			}
 			after := sv.Calls()
 			count := float64(number)
 			b.ReportMetric(float64(len(content)), "fileB")
-			b.ReportMetric(float64(applies.Milliseconds())/count, "apply-ms")
-			b.ReportMetric(float64(sum.Milliseconds())/count, "everywhere-ms")
+			b.ReportMetric(float64(applyTime.Milliseconds())/count, "apply-ms")
+			b.ReportMetric(float64(rolloutTime.Milliseconds())/count, "everywhere-ms")
 			b.ReportMetric(float64(worst.Milliseconds()), "worst-ms")
 			b.ReportMetric(float64(after.Txn-before.Txn)/count, "swaps/apply")
 			b.ReportMetric(float64(after.Range-before.Range)/count, "reads/apply")
--- a/test/size/main_test.go
+++ b/test/size/main_test.go
@@ -47,7 +47,7 @@
 	roleHost  role = "host"
 
 	configVariable = "CICADAWHARF_SIZE_ORDER"
-	anyPort        = "127.0.0.1:0"
+	listenAddress  = "127.0.0.1:0"
 	storeTimeout   = 2 * time.Second
 	startTime      = 30 * time.Second
 )
@@ -99,7 +99,7 @@
 func reportReady(address string) { fmt.Println(address) }
 
 func runStore(ctx context.Context) error {
-	sv, err := kvsim.New(kvsim.Config{Listen: anyPort, Log: discardLog})
+	sv, err := kvsim.New(kvsim.Config{Listen: listenAddress, Log: discardLog})
 	if err != nil {
 		return err
 	}
@@ -114,9 +114,9 @@
 	}
 	st := store.New(store.Config{Addresses: []string{cc.Store}, Timeout: storeTimeout, Log: discardLog})
 	defer st.Close()
-	bound, cancel := context.WithTimeout(ctx, startTime)
+	startCtx, cancel := context.WithTimeout(ctx, startTime)
 	defer cancel()
-	fl, err := fleet.Start(bound, fleet.Config{Declarations: doc.Declarations, Store: st, EndpointsPerZone: cc.Endpoints, Log: discardLog})
+	fl, err := fleet.Start(startCtx, fleet.Config{Declarations: doc.Declarations, Store: st, EndpointsPerZone: cc.Endpoints, Log: discardLog})
 	if err != nil {
 		return err
 	}
@@ -127,16 +127,16 @@
 }
 
 func (cc childConfig) runHost(ctx context.Context) error {
-	callers, err := net.Listen("tcp", anyPort)
+	httpListener, err := net.Listen("tcp", listenAddress)
 	if err != nil {
 		return err
 	}
-	others, err := net.Listen("tcp", anyPort)
+	peerListener, err := net.Listen("tcp", listenAddress)
 	if err != nil {
 		return err
 	}
 	ho, err := host.New(time.Now(), host.Config{
-		Settings: cc.settings(callers, others), HTTPListener: callers, PeerListener: others, Log: discardLog,
+		Settings: cc.settings(httpListener, peerListener), HTTPListener: httpListener, PeerListener: peerListener, Log: discardLog,
 	})
 	if err != nil {
 		return err
@@ -145,11 +145,11 @@
 	return ho.Run(ctx)
 }
 
-func (cc childConfig) settings(callers, others net.Listener) setup.Settings {
+func (cc childConfig) settings(httpListener, peerListener net.Listener) setup.Settings {
 	return setup.Settings{
 		Host: setup.Host{
 			Name: cc.Name, Zone: zoneName, Region: "region",
-			HTTPAddress: callers.Addr().String(), PeerAddress: others.Addr().String(),
+			HTTPAddress: httpListener.Addr().String(), PeerAddress: peerListener.Addr().String(),
 		},
 		Store: setup.Store{Addresses: []string{cc.Store}, Timeout: storeTimeout},
 		Log:   setup.Log{Level: "info"},
--- a/test/size/role_test.go
+++ b/test/size/role_test.go
@@ -33,23 +33,23 @@
 func (sy *system) measureScheduler(b *testing.B) {
 	b.Helper()
 	const (
-		idleSpan = 16 * time.Second
-		jobs     = 24
-		gap      = 400 * time.Millisecond
-		drain    = 4 * time.Second
+		idleSpan  = 16 * time.Second
+		jobs      = 24
+		pause     = 400 * time.Millisecond
+		drainTime = 4 * time.Second
 	)
 	began := sy.sample(b)
 	time.Sleep(idleSpan)
 	idle := sy.sample(b)
 	for i := range jobs {
 		sy.submit(b, fmt.Sprint("load-", i), "1s", 0)
-		time.Sleep(gap)
+		time.Sleep(pause)
 	}
-	time.Sleep(drain)
+	time.Sleep(drainTime)
 	loaded := sy.sample(b)
 	report(b, "", began, idle)
-	more := loaded.at.Sub(idle.at).Seconds() / idle.at.Sub(began.at).Seconds()
-	perJob := func(metric string, base, all float64) { b.ReportMetric((all-base*more)/jobs, metric+"/job") }
+	spanRatio := loaded.at.Sub(idle.at).Seconds() / idle.at.Sub(began.at).Seconds()
+	perJob := func(metric string, base, all float64) { b.ReportMetric((all-base*spanRatio)/jobs, metric+"/job") }
 	perJob("ms", float64(idle.host.processor-began.host.processor)/1e6, float64(loaded.host.processor-idle.host.processor)/1e6)
 	perJob("workerB", idle.fleet.bytes-began.fleet.bytes, loaded.fleet.bytes-idle.fleet.bytes)
 	perJob("storeB", idle.store.bytes-began.store.bytes, loaded.store.bytes-idle.store.bytes)
@@ -109,7 +109,7 @@
 	b.Helper()
 	const (
 		callers = 16
-		pace    = 40 * time.Millisecond // pause between the requests of a caller
+		pause   = 40 * time.Millisecond // pause between the requests of a caller
 	)
 	ctx, cancel := context.WithTimeout(b.Context(), span)
 	defer cancel()
@@ -128,7 +128,7 @@
 				} else {
 					failed.Add(1)
 				}
-				time.Sleep(pace)
+				time.Sleep(pause)
 			}
 		})
 	}
--- a/test/size/system_test.go
+++ b/test/size/system_test.go
@@ -47,9 +47,9 @@
 	var sb strings.Builder
 	sb.WriteString("timeZone: America/Lima\nzones:\n")
 	fmt.Fprintf(&sb, "  - name: %s\n    region: region\n    racks:\n", zoneName)
-	for at, left := 0, workers; left > 0; at, left = at+1, left-workersPerRack {
+	for rack, remaining := 0, workers; remaining > 0; rack, remaining = rack+1, remaining-workersPerRack {
 		fmt.Fprintf(&sb, "      - {name: rack-%d, workers: %d, accelerators: %d, cores: 64, memoryGiB: 128}\n",
-			at, min(left, workersPerRack), acceleratorsPerWorker)
+			rack, min(remaining, workersPerRack), acceleratorsPerWorker)
 	}
 	if serves {
 		sb.WriteString("services:\n  - {name: orders, slots: 8, connections: 60, repeatable: true, spill: none, timeout: 5s, maxBody: 1048576}\n")
@@ -97,7 +97,7 @@
 }
 
 // submit submits one gang.
-func (sy *system) submit(b *testing.B, key, runs string, accelerators int) {
+func (sy *system) submit(b *testing.B, key, runTime string, accelerators int) {
 	b.Helper()
 	ctx, cancel := context.WithTimeout(b.Context(), startTime)
 	defer cancel()
@@ -105,7 +105,7 @@
 	_, err := sy.client.Submit(ctx, client.SubmitRequest{
 		Zone:    zoneName,
 		Shape:   spec.Shape{Tasks: gangTasks, Accelerators: accelerators, Adjacency: spec.SameZone},
-		RunTime: runs, Repeatable: &repeatable, Command: []string{"sleep", runs},
+		RunTime: runTime, Repeatable: &repeatable, Command: []string{"sleep", runTime},
 	}, key)
 	if err != nil {
 		b.Fatal(err)
