procs: name requests, addresses and hosts after what they are

Change: startSlowRequests, address, removed, buildAndRun, setHosts and notRepeatable replace these, and the comments that name them and a temporary file follow.

--- a/test/procs/check_test.go
+++ b/test/procs/check_test.go
@@ -25,8 +25,8 @@
 	is.True(!strings.Contains(same.out, "warning:"))
 
 	renamed := strings.ReplaceAll(declarations(1), "name: "+workspace+"\n", "name: another\n")
-	gone := command(t, "check", "--against", "--address", eh.http, sy.write(t, "gone.yaml", renamed))
-	is.Equal(gone.code, 0)
-	is.True(strings.Contains(gone.out, "warning: workspace "+workspace+" is removed"))
-	is.True(strings.Contains(gone.out, "warning: 1 active jobs belong to workspace "+workspace))
+	removed := command(t, "check", "--against", "--address", eh.http, sy.write(t, "removed.yaml", renamed))
+	is.Equal(removed.code, 0)
+	is.True(strings.Contains(removed.out, "warning: workspace "+workspace+" is removed"))
+	is.True(strings.Contains(removed.out, "warning: 1 active jobs belong to workspace "+workspace))
 }
--- a/test/procs/command_test.go
+++ b/test/procs/command_test.go
@@ -40,7 +40,7 @@
 
 func TestCommandLine(t *testing.T) {
 	sy := start(t)
-	at := sy.hosts[0].http
+	address := sy.hosts[0].http
 	good := sy.write(t, "good.yaml", declarations(7))
 	unknown := sy.write(t, "unknown.yaml", strings.Replace(declarations(7), "    racks:", "    rakcs:", 1))
 	bad := sy.write(t, "bad.yaml", strings.Replace(declarations(7), "workers: 4", "workers: many", 1))
@@ -48,44 +48,44 @@
 		"  httpAddress: 127.0.0.1:1\n  peerAddress: 127.0.0.1:2\nstore:\n  addresses: [127.0.0.1:3]\n")
 	missing := filepath.Join(sy.dir, "missing.yaml")
 	submit := func(flags ...string) []string {
-		args := []string{"submit", "--address", at, "--workspace", workspace, "--run-time", "1s", "--repeatable", "true"}
+		args := []string{"submit", "--address", address, "--workspace", workspace, "--run-time", "1s", "--repeatable", "true"}
 		return append(append(args, flags...), "--", "sleep", "100ms")
 	}
 	for _, cc := range []commandCase{
 		{"version", []string{"version"}, 0, "cicadawharf ", ""},
 		{"check", []string{"check", good}, 0, "valid\n", ""},
-		{"status", []string{"status", "--address", at}, 0, sy.hosts[0].host, ""},
+		{"status", []string{"status", "--address", address}, 0, sy.hosts[0].host, ""},
 		{"job", submit("--wait", "30s"), 0, "2001 jobDone", "cicadawharf submit: waiting for job lima."},
-		{"call", []string{"call", orders, "/sacks", "--address", at, "--workspace", workspace, "--data", "wax"}, 0, "wax", "cicadawharf call: 2000 requestDone, status 200, request "},
-		{"report", []string{"report", "--address", at}, 0, workspace, ""},
+		{"call", []string{"call", orders, "/sacks", "--address", address, "--workspace", workspace, "--data", "wax"}, 0, "wax", "cicadawharf call: 2000 requestDone, status 200, request "},
+		{"report", []string{"report", "--address", address}, 0, workspace, ""},
 
-		{"unknown workspace", []string{"call", orders, "/", "--address", at, "--workspace", "none"}, 1, "", "cicadawharf call: 4001 unknownWorkspace: "},
-		{"unknown service", []string{"call", "none", "/", "--address", at, "--workspace", workspace}, 1, "", "cicadawharf call: 4002 unknownService: "},
-		{"unknown job", []string{"jobs", "lima.none", "--address", at}, 1, "", "cicadawharf jobs: 4020 jobNotFound: "},
+		{"unknown workspace", []string{"call", orders, "/", "--address", address, "--workspace", "none"}, 1, "", "cicadawharf call: 4001 unknownWorkspace: "},
+		{"unknown service", []string{"call", "none", "/", "--address", address, "--workspace", workspace}, 1, "", "cicadawharf call: 4002 unknownService: "},
+		{"unknown job", []string{"jobs", "lima.none", "--address", address}, 1, "", "cicadawharf jobs: 4020 jobNotFound: "},
 		{"shape", submit("--accelerators", "8", "--tasks", "5"), 1, "", "cicadawharf submit: 4017 shapeNeverFits: "},
-		{"stale revision", []string{"apply", good, "--expect", "7", "--address", at}, 1, "", "cicadawharf apply: 4022 revisionConflict: revision 1 "},
+		{"stale revision", []string{"apply", good, "--expect", "7", "--address", address}, 1, "", "cicadawharf apply: 4022 revisionConflict: revision 1 "},
 		{"unreachable host", []string{"status", "--address", freeAddress(t)}, 1, "", "cicadawharf status: no entry host could be reached"},
 
 		{"no command", nil, 2, "", "cicadawharf: a command is required"},
 		{"unknown command", []string{"sevre"}, 2, "", `cicadawharf: unknown command "sevre"`},
-		{"unknown flag", []string{"status", "--adress", at}, 2, "", "cicadawharf status: unknown flag --adress;"},
-		{"missing argument", []string{"apply", "--address", at}, 2, "", "cicadawharf apply: argument file is missing"},
-		{"missing file", []string{"apply", missing, "--address", at}, 2, "", "cicadawharf apply: " + missing + ": no such file"},
+		{"unknown flag", []string{"status", "--adress", address}, 2, "", "cicadawharf status: unknown flag --adress;"},
+		{"missing argument", []string{"apply", "--address", address}, 2, "", "cicadawharf apply: argument file is missing"},
+		{"missing file", []string{"apply", missing, "--address", address}, 2, "", "cicadawharf apply: " + missing + ": no such file"},
 		{"missing settings", []string{"serve", missing}, 2, "", "cicadawharf serve: " + missing + ": no such file"},
 		{"unknown field", []string{"check", unknown}, 2, "", unknown + `:5:5: unknown key "rakcs"`},
-		{"bad field", []string{"apply", bad, "--address", at}, 2, "", bad + ":6:33: "},
+		{"bad field", []string{"apply", bad, "--address", address}, 2, "", bad + ":6:33: "},
 		{"bad settings", []string{"serve", settings}, 2, "", settings + ":2:9: "},
 	} {
 		t.Run(cc.name, cc.run)
 	}
-	t.Run("refusal as JSON", func(t *testing.T) { checkRefusalJSON(t, at, good) })
+	t.Run("refusal as JSON", func(t *testing.T) { checkRefusalJSON(t, address, good) })
 	t.Run("port is taken", func(t *testing.T) { checkTakenPort(t, sy) })
 }
 
 // checkRefusalJSON checks that the JSON output contains the code of a refusal.
-func checkRefusalJSON(t *testing.T, at, file string) {
+func checkRefusalJSON(t *testing.T, address, file string) {
 	is := is.New(t)
-	cr := command(t, "apply", file, "--expect", "7", "--output", "json", "--address", at)
+	cr := command(t, "apply", file, "--expect", "7", "--output", "json", "--address", address)
 	is.Equal(cr.code, 1)
 	var ad client.Applied
 	is.NoErr(json.Unmarshal([]byte(cr.out), &ad))
--- a/test/procs/endpoints_test.go
+++ b/test/procs/endpoints_test.go
@@ -203,9 +203,9 @@
 	})
 }
 
-// held makes slow requests of both kinds until an endpoint is processing one of
+// startSlowRequests makes slow requests of both kinds until an endpoint is processing one of
 // each, and returns the pending results and the paths in progress there.
-func held(t *testing.T, ehs []*entryHost, address string) (all []<-chan result[callRecord], paths map[string]bool) {
+func startSlowRequests(t *testing.T, ehs []*entryHost, address string) (all []<-chan result[callRecord], paths map[string]bool) {
 	t.Helper()
 	eventually(t, "the endpoint holds requests of both kinds", func() error {
 		for _, repeatable := range []bool{true, false} {
@@ -289,7 +289,7 @@
 	is.NoErr(err)
 	is.NoErr(rs.Body.Close())
 	is.Equal(rs.StatusCode, http.StatusNoContent)
-	left := time.Now()
+	leftAt := time.Now()
 	time.Sleep(leaveBound + mixSpan)
 
 	all := mx.end()
@@ -303,12 +303,12 @@
 	for _, eh := range sy.hostsIn(lima) {
 		later := 0
 		for _, at := range eh.attempts(t) {
-			if at.began.Before(left.Add(leaveBound)) {
+			if at.began.Before(leftAt.Add(leaveBound)) {
 				continue
 			}
 			later++
 			if at.endpoint == name {
-				t.Errorf("%s sent a request %v after the endpoint began to leave", eh.host, at.began.Sub(left))
+				t.Errorf("%s sent a request %v after the endpoint began to leave", eh.host, at.began.Sub(leftAt))
 			}
 		}
 		is.True(later > 0)
@@ -320,7 +320,7 @@
 	pr, address := sy.addEndpoint(t)
 	mx := startMixedLoad(t, sy.hostsIn(lima))
 	awaitRequests(t, address)
-	sent, paths := held(t, sy.hostsIn(lima), address)
+	sent, paths := startSlowRequests(t, sy.hostsIn(lima), address)
 	pr.kill()
 	time.Sleep(mixSpan)
 	all := append(mx.end(), receiveAll(t, sent)...)
@@ -337,7 +337,7 @@
 	pr, address := sy.addEndpoint(t)
 	mx := startMixedLoad(t, sy.hostsIn(lima))
 	awaitRequests(t, address)
-	sent, _ := held(t, sy.hostsIn(lima), address)
+	sent, _ := startSlowRequests(t, sy.hostsIn(lima), address)
 	pr.freeze(t)
 	time.Sleep(mixSpan)
 	pr.signal(t, syscall.SIGCONT)
--- a/test/procs/main_test.go
+++ b/test/procs/main_test.go
@@ -28,10 +28,10 @@
 // binary is the path of the program under test.
 var binary string
 
-func TestMain(m *testing.M) { os.Exit(build(m)) }
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
 
-// build builds the program once, runs the tests and returns the exit code.
-func build(m *testing.M) int {
+// buildAndRun builds the program once, runs the tests and returns the exit code.
+func buildAndRun(m *testing.M) int {
 	dir, err := os.MkdirTemp("", "cicadawharf")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/test/procs/rolling_test.go
+++ b/test/procs/rolling_test.go
@@ -43,7 +43,7 @@
 	slowDelay   = 2500 * time.Millisecond
 )
 
-func (ba *balancer) set(ehs []*entryHost) {
+func (ba *balancer) setHosts(ehs []*entryHost) {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
 	ba.hosts = nil
@@ -142,7 +142,7 @@
 	is := is.New(t)
 	sy := start(t)
 	ba := &balancer{}
-	ba.set(sy.hosts)
+	ba.setHosts(sy.hosts)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go ba.watch(ctx)
@@ -160,7 +160,7 @@
 		sy.hosts[i] = next
 		sy.serve(t, next)
 		sy.awaitHealthy(t, next)
-		ba.set(sy.hosts)
+		ba.setHosts(sy.hosts)
 		sy.awaitReady(t)
 		for _, zn := range zones {
 			sy.scheduler(t, zn)
--- a/test/procs/work_test.go
+++ b/test/procs/work_test.go
@@ -24,10 +24,10 @@
 
 // gangOf returns a gang job of four tasks with the given number of accelerators
 // each.
-func gangOf(each int, zn string, repeatable bool, run time.Duration) client.SubmitRequest {
+func gangOf(perTask int, zn string, repeatable bool, run time.Duration) client.SubmitRequest {
 	return client.SubmitRequest{
 		Zone:    zn,
-		Shape:   spec.Shape{Tasks: gangTasks, Accelerators: each, Adjacency: spec.SameRack},
+		Shape:   spec.Shape{Tasks: gangTasks, Accelerators: perTask, Adjacency: spec.SameRack},
 		RunTime: run.String(), Repeatable: &repeatable, Command: []string{"sleep", run.String()},
 	}
 }
--- a/test/procs/zone_test.go
+++ b/test/procs/zone_test.go
@@ -22,8 +22,8 @@
 	lost, near := sy.hostsIn(cusco), sy.hostsIn(lima)[0]
 	holder, _ := sy.scheduler(t, cusco)
 	repeatable := holder.submit(t, gang(cusco, true, 12*time.Second))
-	single := holder.submit(t, gangOf(2, cusco, false, time.Minute))
-	for _, jb := range []client.Job{repeatable, single} {
+	notRepeatable := holder.submit(t, gangOf(2, cusco, false, time.Minute))
+	for _, jb := range []client.Job{repeatable, notRepeatable} {
 		holder.awaitState(t, jb.ID, jobs.Running)
 	}
 	for _, eh := range lost {
@@ -34,7 +34,7 @@
 		_, err := near.job(repeatable.ID)
 		return isUnreachable(err)
 	})
-	_, err := near.job(single.ID)
+	_, err := near.job(notRepeatable.ID)
 	is.NoErr(isUnreachable(err))
 	_, err = near.client().Submit(ctx, gang(cusco, true, time.Second), "later")
 	is.NoErr(isUnreachable(err))
@@ -43,7 +43,7 @@
 	is.True(slices.Contains(list.Unreachable, cusco))
 	checkZoneServes(t, sy, lima)
 	eventually(t, "the leases of the zone's tasks lapse", func() error {
-		for _, rn := range sy.taskRuns(t, single.ID) {
+		for _, rn := range sy.taskRuns(t, notRepeatable.ID) {
 			if rn.Phase != worker.PhaseLapsed {
 				return fmt.Errorf("run %+v", rn)
 			}
@@ -56,7 +56,7 @@
 	}
 	sy.awaitReady(t)
 	is.Equal(near.awaitState(t, repeatable.ID, jobs.Ended).Code, codes.JobDone)
-	checkAbortedJob(t, sy, near.awaitState(t, single.ID, jobs.Ended))
+	checkAbortedJob(t, sy, near.awaitState(t, notRepeatable.ID, jobs.Ended))
 	sy.checkOverlaps(t)
 	list, err = near.client().Jobs(ctx, client.JobFilter{Workspace: workspace})
 	is.NoErr(err)
