--- a/test/pages/pages_test.go
+++ b/test/pages/pages_test.go
@@ -24,7 +24,7 @@
 )
 
 type (
-	// source holds the names and texts in Go files to which pages refer.
+	// source holds the names and texts in Go files that pages refer to.
 	source struct {
 		tests    map[string]bool            // as package.TestName
 		cases    map[string]map[string]bool // string literals in a package's tests
@@ -33,7 +33,8 @@
 		messages map[string]bool // string literals outside of tests
 	}
 
-	// matrix is a table of FAULTS.md.
+	// matrix is a table of FAULTS.md: a row for each fault, a column for each
+	// step, and in the cells the tests of a fault during a step.
 	matrix struct {
 		title string
 		steps []string
@@ -70,6 +71,7 @@
 	}
 )
 
+// page returns the content of a page, whose name is relative to the root.
 func page(t *testing.T, name string) string {
 	t.Helper()
 	content, err := os.ReadFile(filepath.Join(root, name))
@@ -102,6 +104,7 @@
 	return sc
 }
 
+// add records the names and texts of a parsed file.
 func (sc source) add(path string, fl *ast.File) {
 	pkg := strings.TrimSuffix(fl.Name.Name, "_test")
 	isTest := strings.HasSuffix(path, "_test.go")
@@ -125,6 +128,7 @@
 	})
 }
 
+// addText records a string literal, and the metrics that it names.
 func (sc source) addText(pkg string, isTest bool, li *ast.BasicLit) {
 	text, err := strconv.Unquote(li.Value)
 	if err != nil || li.Kind != token.STRING {
@@ -149,6 +153,8 @@
 	}
 }
 
+// stringValue returns the value of a string literal, or an empty string for any
+// other expression.
 func stringValue(ex ast.Expr) string {
 	if li, ok := ex.(*ast.BasicLit); ok && li.Kind == token.STRING {
 		text, _ := strconv.Unquote(li.Value)
@@ -176,6 +182,7 @@
 	return ms
 }
 
+// cellsOf returns the trimmed cells of a table row.
 func cellsOf(line string) []string {
 	cells := strings.Split(strings.Trim(line, "|"), "|")
 	for i := range cells {
@@ -184,6 +191,7 @@
 	return cells
 }
 
+// count returns the numbers of open cells and of all cells.
 func (mx matrix) count() (open, all int) {
 	for _, rw := range mx.rows {
 		for _, ce := range rw[1:] {
@@ -213,6 +221,8 @@
 	}
 }
 
+// TestMatrixIsComplete checks that FAULTS.md has every required step and fault, and
+// that every cell names tests or is open.
 func TestMatrixIsComplete(t *testing.T) {
 	is := is.New(t)
 	content := page(t, "docs/FAULTS.md")
@@ -240,6 +250,7 @@
 	}
 }
 
+// TestCountOfOpenCells checks the counts at the end of FAULTS.md against its tables.
 func TestCountOfOpenCells(t *testing.T) {
 	var args []any
 	open, all := 0, 0
--- a/test/procs/attr_linux_test.go
+++ b/test/procs/attr_linux_test.go
@@ -29,7 +29,7 @@
 		// The state follows the command name, which is in parentheses.
 		_, after, _ := strings.Cut(string(data), ") ")
 		if !strings.HasPrefix(after, "T") {
-			return fmt.Errorf("thread %s is in state %.1s", filepath.Base(filepath.Dir(file)), after)
+			return fmt.Errorf("thread %s of the process is in state %.1s, not stopped", filepath.Base(filepath.Dir(file)), after)
 		}
 	}
 	return nil
--- a/test/procs/attr_other_test.go
+++ b/test/procs/attr_other_test.go
@@ -7,6 +7,7 @@
 	"time"
 )
 
+// childAttributes returns no attributes: children outlive a parent that is killed.
 func childAttributes() *syscall.SysProcAttr { return nil }
 
 // checkThreadsStopped gives the threads of a process time to stop, where their
@@ -16,4 +17,5 @@
 	return nil
 }
 
+// stopTime is the time that threads get to stop.
 const stopTime = 200 * time.Millisecond
--- a/test/procs/check_test.go
+++ b/test/procs/check_test.go
@@ -10,8 +10,8 @@
 	"github.com/cicadawharf/cicadawharf/internal/jobs"
 )
 
-// TestCheckAgainst checks which effects of new declarations on running jobs the
-// check command reports.
+// TestCheckAgainst checks that the check command compares a file with the applied
+// declarations, and warns if running jobs would lose their workspace.
 func TestCheckAgainst(t *testing.T) {
 	is := is.New(t)
 	sy := start(t)
--- a/test/procs/command_test.go
+++ b/test/procs/command_test.go
@@ -38,6 +38,8 @@
 	is.True(strings.HasPrefix(cr.errOut, cc.errLine))
 }
 
+// TestCommandLine checks the exit code and the output of each command, and that a
+// failure is reported in a single line that says what is wrong.
 func TestCommandLine(t *testing.T) {
 	sy := start(t)
 	address := sy.hosts[0].http
--- a/test/procs/endpoints_test.go
+++ b/test/procs/endpoints_test.go
@@ -25,7 +25,7 @@
 		path       string // unique to the request
 		repeatable bool
 		code       codes.Code // zero if there was none
-		endpoint   string     // that responded
+		endpoint   string     // that responded; empty if none did
 		err        error
 	}
 
@@ -49,8 +49,8 @@
 	mixCallers    = 3 // at each host
 	mixPause      = 30 * time.Millisecond
 	mixDelay      = 150 * time.Millisecond // of every second pair of requests
-	mixSpan       = 4 * time.Second        // load after a fault
-	leaveBound    = 3 * time.Second        // time by which no host sends new requests to a leaving endpoint
+	mixSpan       = 4 * time.Second        // for which the load continues after a fault
+	leaveBound    = 3 * time.Second        // time after which no host may send new requests to a leaving endpoint
 	spareEndpoint = "endpoint-spare"
 )
 
@@ -65,6 +65,7 @@
 	return mx
 }
 
+// call makes requests at a host until the load ends.
 func (mx *mixedLoad) call(eh *entryHost, base string) {
 	for i := range maxCalls {
 		select {
@@ -118,17 +119,17 @@
 	case cr.code == 0:
 		return fmt.Errorf("no result code: %w", cr.err)
 	case cr.repeatable && cr.code != codes.RequestDone:
-		return fmt.Errorf("repeatable request told %v", cr.code)
+		return fmt.Errorf("repeatable request ended with %v", cr.code)
 	case !cr.repeatable && count > 1:
-		return fmt.Errorf("told %v, ran %d times", cr.code, count)
+		return fmt.Errorf("caller got %v, request ran %d times", cr.code, count)
 	case cr.code.Class() == codes.NotRun && count != 0:
-		return fmt.Errorf("told %v, ran %d times", cr.code, count)
+		return fmt.Errorf("caller got %v, request ran %d times", cr.code, count)
 	case cr.code.Class() == codes.Done && count == 0:
-		return fmt.Errorf("told %v, did not run", cr.code)
+		return fmt.Errorf("caller got %v, request did not run", cr.code)
 	case cr.code.Class() == codes.Unknown && lost != "" && count != 0:
-		return fmt.Errorf("told %v, ran at an endpoint that is well", cr.code)
+		return fmt.Errorf("caller got %v, request ran at an endpoint that was not lost", cr.code)
 	case cr.code.Class() == codes.Failed:
-		return fmt.Errorf("told %v", cr.code)
+		return fmt.Errorf("caller got %v", cr.code)
 	}
 	return nil
 }
@@ -149,7 +150,7 @@
 		delete(byPath, cr.path)
 	}
 	for path, rns := range byPath {
-		t.Errorf("%s ran %d times, but was never requested", path, len(rns))
+		t.Errorf("%s ran %d times, but no caller requested it", path, len(rns))
 	}
 	t.Logf("%d requests, by class %v", len(all), byClass)
 }
@@ -185,7 +186,7 @@
 			sum += count
 		}
 		if sum != 8*(endpointsPerZone+1) {
-			return fmt.Errorf("%d slots", sum)
+			return fmt.Errorf("%d slots are assigned", sum)
 		}
 		return nil
 	})
@@ -207,7 +208,7 @@
 // each, and returns the pending results and the paths in progress there.
 func startSlowRequests(t *testing.T, ehs []*entryHost, address string) (all []<-chan result[callRecord], paths map[string]bool) {
 	t.Helper()
-	eventually(t, "the endpoint holds requests of both kinds", func() error {
+	eventually(t, "the endpoint is processing requests of both kinds", func() error {
 		for _, repeatable := range []bool{true, false} {
 			eh := ehs[len(all)/2%len(ehs)]
 			path := fmt.Sprintf("/held/%t/%d", repeatable, len(all))
@@ -222,7 +223,7 @@
 			}
 		}
 		if len(kinds) != 2 {
-			return fmt.Errorf("held are %v", paths)
+			return fmt.Errorf("requests in progress: %v", paths)
 		}
 		return nil
 	})
@@ -266,6 +267,8 @@
 	return found
 }
 
+// TestEndpointLeaves checks that every request succeeds while an endpoint leaves:
+// those in progress at it are completed, and after leaveBound it gets no others.
 func TestEndpointLeaves(t *testing.T) {
 	is := is.New(t)
 	sy := start(t)
@@ -283,7 +286,7 @@
 				return nil
 			}
 		}
-		return errors.New("none")
+		return errors.New("no slow request runs")
 	})
 	rs, err := http.Post("http://"+address+epsim.LeavePath, "", nil)
 	is.NoErr(err)
@@ -315,6 +318,9 @@
 	}
 }
 
+// TestEndpointKilled checks that no request runs twice unless it is repeatable, and
+// that callers of requests in progress at a killed endpoint learn that the outcome
+// is unknown.
 func TestEndpointKilled(t *testing.T) {
 	sy := start(t)
 	pr, address := sy.addEndpoint(t)
@@ -332,6 +338,8 @@
 	}
 }
 
+// TestEndpointFrozen checks that the responses to callers agree with what ran at an
+// endpoint that was suspended, and that it gets requests again after it resumes.
 func TestEndpointFrozen(t *testing.T) {
 	sy := start(t)
 	pr, address := sy.addEndpoint(t)
@@ -343,8 +351,8 @@
 	pr.signal(t, syscall.SIGCONT)
 	all := append(mx.end(), receiveAll(t, sent)...)
 	sy.endpoints = append(sy.endpoints, address)
-	count := -1 // what lay in its sockets runs now
-	eventually(t, "the endpoint has caught up", func() error {
+	count := -1 // the requests that waited in its sockets run now
+	eventually(t, "the endpoint has run the requests that waited", func() error {
 		last := count
 		count = len(sy.requestRuns(t))
 		if last != count {
@@ -354,7 +362,7 @@
 		return nil
 	})
 	checkRecords(t, sy, all, "")
-	eventually(t, "the endpoint gets work again", func() error {
+	eventually(t, "the endpoint gets requests again", func() error {
 		before := len(fetch[epsim.Run](t, []string{address}, epsim.RunsPath))
 		for i := range 2 * 8 {
 			_, err := sy.hostsIn(lima)[i%hostsPerZone].call("/again", client.CallOptions{})
@@ -363,7 +371,7 @@
 			}
 		}
 		if len(fetch[epsim.Run](t, []string{address}, epsim.RunsPath)) == before {
-			return errors.New("none yet")
+			return errors.New("no new request ran")
 		}
 		return nil
 	})
--- a/test/procs/frozen_test.go
+++ b/test/procs/frozen_test.go
@@ -43,6 +43,8 @@
 	}
 }
 
+// TestFrozenScheduler checks that a scheduler that resumes after another host has
+// taken over gives up its role, and that its late calls run no job twice.
 func TestFrozenScheduler(t *testing.T) {
 	is := is.New(t)
 	sy := start(t)
@@ -82,7 +84,7 @@
 
 	eventually(t, "the old scheduler gives up its role", func() error {
 		if !frozen.logContains("event=resign") || !frozen.logContains(`msg="scheduler ends"`) {
-			return errors.New("not logged")
+			return errors.New("the old scheduler has not logged that it ends")
 		}
 		return nil
 	})
@@ -123,7 +125,7 @@
 	case cd == 0:
 		t.Errorf("no result code: %v", err)
 	case class == codes.Done && runs != 1, class == codes.NotRun && runs != 0, runs > 1:
-		t.Errorf("told %v, ran %d times", cd, runs)
+		t.Errorf("caller got %v, request ran %d times", cd, runs)
 	}
 }
 
--- a/test/procs/keys_test.go
+++ b/test/procs/keys_test.go
@@ -22,6 +22,8 @@
 	return an.Code
 }
 
+// TestIdempotencyKeyAcrossHosts checks that of simultaneous requests with the same
+// idempotency key, one at each host, exactly one runs.
 func TestIdempotencyKeyAcrossHosts(t *testing.T) {
 	is := is.New(t)
 	sy := start(t)
--- a/test/procs/killed_test.go
+++ b/test/procs/killed_test.go
@@ -28,6 +28,8 @@
 	return count
 }
 
+// TestKilledScheduler checks that a running job survives the death of its
+// scheduler, and that the report states the gap in the counts of that host.
 func TestKilledScheduler(t *testing.T) {
 	is := is.New(t)
 	sy := start(t)
@@ -35,7 +37,7 @@
 	jb := holder.submit(t, gang(lima, false, 12*time.Second))
 	holder.awaitState(t, jb.ID, jobs.Running)
 
-	// Long enough for the host to store a snapshot of its usage counts.
+	// The requests go on until the host has stored a snapshot of its usage counts.
 	atHolder := callFor(t, sy, holder, report.SnapshotEvery+time.Second)
 	atOther := callFor(t, sy, other, time.Second)
 	holder.kill()
--- a/test/procs/operators_test.go
+++ b/test/procs/operators_test.go
@@ -12,6 +12,8 @@
 
 const concurrentOperators = 6
 
+// TestOperatorsRace checks that of several operators who apply declarations to the
+// same revision at once, exactly one succeeds and every host uses what it applied.
 func TestOperatorsRace(t *testing.T) {
 	is := is.New(t)
 	sy := start(t)
--- a/test/procs/peer_test.go
+++ b/test/procs/peer_test.go
@@ -49,6 +49,8 @@
 	t.Fatalf("not detected within %v", detectionBound)
 }
 
+// TestFrozenPeer checks that the other host of a zone takes over the slots of a
+// suspended host, and that the slots are divided again after it resumes.
 func TestFrozenPeer(t *testing.T) {
 	is := is.New(t)
 	sy := start(t)
--- a/test/procs/process_test.go
+++ b/test/procs/process_test.go
@@ -149,6 +149,7 @@
 	return false
 }
 
+// tail returns the end of a log, at most logTail bytes.
 func tail(content []byte) []byte { return content[max(0, len(content)-logTail):] }
 
 // command runs the program and waits until it exits.
--- a/test/procs/rolling_test.go
+++ b/test/procs/rolling_test.go
@@ -16,7 +16,8 @@
 )
 
 type (
-	// balancer tracks the hosts that were ready at its last check.
+	// balancer holds the addresses of the hosts, and of those that were ready
+	// at its last check.
 	balancer struct {
 		mu    sync.Mutex
 		hosts []string
@@ -119,12 +120,14 @@
 	}
 }
 
+// callOnce sends a request with a new client that knows only the given hosts.
 func callOnce(hosts []string, op client.CallOptions) (client.CallAnswer, error) {
 	cl := client.New(client.Config{Addresses: hosts, Workspace: workspace, Timeout: waitTimeout})
 	defer cl.Close()
 	return cl.Call(context.Background(), orders, "POST", "/crates", []byte("wax"), op)
 }
 
+// record records the result of a request.
 func (st *stream) record(an client.CallAnswer, err error) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -138,6 +141,8 @@
 	}
 }
 
+// TestRollingReplacement checks that no request fails or runs twice while the hosts
+// are replaced one after the other.
 func TestRollingReplacement(t *testing.T) {
 	is := is.New(t)
 	sy := start(t)
@@ -148,7 +153,7 @@
 	go ba.watch(ctx)
 	eventually(t, "the balancer finds all hosts", func() error {
 		if ready := ba.pick(); len(ready) != len(sy.hosts) {
-			return fmt.Errorf("%v", ready)
+			return fmt.Errorf("ready hosts are %v", ready)
 		}
 		return nil
 	})
--- a/test/procs/spill_test.go
+++ b/test/procs/spill_test.go
@@ -132,6 +132,9 @@
 	return bytes
 }
 
+// TestSpill checks that the requests of a zone without endpoints run only where the
+// spill rule of the service allows, and that the report counts the bytes that they
+// transfer between regions.
 func TestSpill(t *testing.T) {
 	is := is.New(t)
 	sy := start(t)
--- a/test/procs/store_test.go
+++ b/test/procs/store_test.go
@@ -15,6 +15,8 @@
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
+// TestStoreUnavailable checks that hosts refuse what needs the store while it is
+// down, that running jobs finish, and that their ends are recorded afterwards.
 func TestStoreUnavailable(t *testing.T) {
 	is := is.New(t)
 	sy := start(t)
@@ -100,12 +102,13 @@
 	is.Equal(sy.runsOfPath(t, path), 0)
 }
 
+// checkStoreUp returns an error unless a host reports the given state of the store.
 func checkStoreUp(eh *entryHost, up bool) error {
 	cl := eh.client()
 	defer cl.Close()
 	st, err := cl.Status(context.Background())
 	if err == nil && st.StoreUp != up {
-		err = errors.New("unexpected store status")
+		err = errors.New("the host reports the opposite state of the store")
 	}
 	return err
 }
--- a/test/procs/system_test.go
+++ b/test/procs/system_test.go
@@ -33,10 +33,10 @@
 	// entryHost is an entry host, running or not.
 	entryHost struct {
 		*process
-		host  string
+		host  string // name
 		zone  string
-		http  string
-		peers string
+		http  string // address for callers
+		peers string // address for other entry hosts
 	}
 )
 
@@ -116,6 +116,7 @@
 	return sy
 }
 
+// startSimulators starts the workers and the endpoints of a zone.
 func (sy *system) startSimulators(t *testing.T, zn string) {
 	t.Helper()
 	for i := range workersPerZone {
@@ -149,6 +150,7 @@
 	eh.process = spawn(t, sy.dir, name, "serve", sy.write(t, name+".yaml", sb.String()))
 }
 
+// write writes a file in the system's directory and returns its path.
 func (sy *system) write(t *testing.T, name, content string) string {
 	t.Helper()
 	file := filepath.Join(sy.dir, name)
@@ -179,6 +181,8 @@
 	}
 }
 
+// checkReady returns an error unless a host is ready, has slots and reports that
+// the deployment is complete.
 func (sy *system) checkReady(eh *entryHost) error {
 	if _, err := get(eh.http, "/readyz"); err != nil {
 		return err
@@ -216,12 +220,13 @@
 			return fmt.Errorf("no scheduler of %s: %+v", zs.Name, zs)
 		}
 		if zs.Scheduler == eh.host && zs.Workers != workersPerZone {
-			return fmt.Errorf("workers of %s: %+v", zs.Name, zs)
+			return fmt.Errorf("scheduler of %s does not reach all workers: %+v", zs.Name, zs)
 		}
 	}
 	return nil
 }
 
+// running returns the hosts whose process has not exited.
 func (sy *system) running() []*entryHost {
 	var ehs []*entryHost
 	for _, eh := range sy.hosts {
@@ -287,6 +292,7 @@
 	return client.New(client.Config{Addresses: []string{eh.http}, Workspace: workspace, Timeout: waitTimeout})
 }
 
+// zoneStatus returns the status of a zone according to the host.
 func (eh *entryHost) zoneStatus(zn string) (client.ZoneStatus, error) {
 	cl := eh.client()
 	defer cl.Close()
@@ -360,6 +366,7 @@
 	}
 }
 
+// fetch gets a JSON list from each address and returns all elements.
 func fetch[T any](t *testing.T, addresses []string, path string) []T {
 	t.Helper()
 	var all []T
--- a/test/procs/work_test.go
+++ b/test/procs/work_test.go
@@ -44,6 +44,7 @@
 	return jb
 }
 
+// job returns a job as the host reports it now.
 func (eh *entryHost) job(id string) (client.Job, error) {
 	cl := eh.client()
 	defer cl.Close()
@@ -89,6 +90,7 @@
 	sy.checkOverlaps(t)
 }
 
+// checkOverlaps checks that no two runs of a job overlap that must not.
 func (sy *system) checkOverlaps(t *testing.T) {
 	t.Helper()
 	for _, ov := range wksim.Overlaps(sy.taskRuns(t, "")) {
--- a/test/procs/zone_test.go
+++ b/test/procs/zone_test.go
@@ -15,6 +15,9 @@
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
+// TestZoneUnreachable checks what the other zone does while all hosts of a zone are
+// dead: it reports the zone's jobs as unreachable, refuses new ones for the zone
+// and serves its own. Once the hosts are back, the zone's jobs end.
 func TestZoneUnreachable(t *testing.T) {
 	is := is.New(t)
 	sy := start(t)
@@ -90,6 +93,8 @@
 	is.True(jb.Class == codes.Unknown || jb.Class == codes.Failed)
 }
 
+// isUnreachable returns an error unless err is a refusal because the zone is
+// unreachable.
 func isUnreachable(err error) error {
 	cd, err := refusalCode(err)
 	if err == nil && cd != codes.ZoneUnreachable {
--- a/test/size/config_test.go
+++ b/test/size/config_test.go
@@ -58,6 +58,7 @@
 	}
 }
 
+// apply applies declarations and returns their revision.
 func apply(b *testing.B, st store.Store, content []byte) int64 {
 	b.Helper()
 	cur, _, err := conf.Apply(context.Background(), time.Now(), st, conf.ApplyRequest{File: "f", Content: content, By: "operator"})
@@ -67,6 +68,7 @@
 	return cur.Revision
 }
 
+// allAtRevision reports whether all followers have reached a revision.
 func allAtRevision(fos []*conf.Follower, revision int64) bool {
 	for _, fo := range fos {
 		if fo.Revision() < revision {
--- a/test/size/main_test.go
+++ b/test/size/main_test.go
@@ -46,10 +46,10 @@
 	roleFleet role = "fleet"
 	roleHost  role = "host"
 
-	configVariable = "CICADAWHARF_SIZE_ORDER"
+	configVariable = "CICADAWHARF_SIZE_ORDER" // environment variable with the childConfig as JSON
 	listenAddress  = "127.0.0.1:0"
 	storeTimeout   = 2 * time.Second
-	startTime      = 30 * time.Second
+	startTime      = 30 * time.Second // bounds the start and the stop of a child
 )
 
 // discardLog formats every log line as in production and discards it, so that it
--- a/test/size/process_test.go
+++ b/test/size/process_test.go
@@ -64,7 +64,7 @@
 	})
 	address, err := bufio.NewReader(output).ReadString('\n')
 	if err != nil {
-		b.Fatalf("%s did not start: %v", cc.Role, err)
+		b.Fatalf("child process %s did not start: %v", cc.Role, err)
 	}
 	return &process{cmd: cmd, address: strings.TrimSpace(address)}
 }
@@ -82,6 +82,7 @@
 	}
 }
 
+// file returns the content of a file in the process's /proc directory.
 func (pr *process) file(b *testing.B, name string) string {
 	b.Helper()
 	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", pr.cmd.Process.Pid, name))
@@ -91,6 +92,8 @@
 	return string(content)
 }
 
+// field returns the number that follows a key in a file of the process's /proc
+// directory.
 func (pr *process) field(b *testing.B, file, key string) float64 {
 	b.Helper()
 	for ln := range strings.Lines(pr.file(b, file)) {
@@ -99,7 +102,7 @@
 			return number(b, fields[1])
 		}
 	}
-	b.Fatalf("no %s in %s", key, file)
+	b.Fatalf("no field %s in the /proc file %s", key, file)
 	return 0
 }
 
--- a/test/size/role_test.go
+++ b/test/size/role_test.go
@@ -30,12 +30,14 @@
 	}
 }
 
+// measureScheduler reports the idle usage per second and the additional usage per
+// short job.
 func (sy *system) measureScheduler(b *testing.B) {
 	b.Helper()
 	const (
 		idleSpan  = 16 * time.Second
 		jobs      = 24
-		pause     = 400 * time.Millisecond
+		pause     = 400 * time.Millisecond // between two submissions
 		drainTime = 4 * time.Second
 	)
 	began := sy.sample(b)
@@ -71,6 +73,8 @@
 	}
 }
 
+// measureEntry reports the idle usage per second and the processor time per
+// request.
 func (sy *system) measureEntry(b *testing.B, workspaces int) {
 	b.Helper()
 	const span = 8 * time.Second
@@ -103,13 +107,13 @@
 	}
 }
 
-// load sends requests of all workspaces at a steady rate and returns the number
-// of successful ones.
+// load sends requests of all workspaces from a fixed number of callers and returns
+// the number of successful ones.
 func (sy *system) load(b *testing.B, workspaces int, span time.Duration) float64 {
 	b.Helper()
 	const (
 		callers = 16
-		pause   = 40 * time.Millisecond // pause between the requests of a caller
+		pause   = 40 * time.Millisecond // between the requests of a caller
 	)
 	ctx, cancel := context.WithTimeout(b.Context(), span)
 	defer cancel()
--- a/test/size/system_test.go
+++ b/test/size/system_test.go
@@ -36,7 +36,7 @@
 	gangTasks             = 16
 	tasksPerWorker        = 21
 	workersPerRack        = 8
-	acceleratorsPerWorker = 8 // accelerators
+	acceleratorsPerWorker = 8
 	settleTime            = 8 * time.Second
 )
 
@@ -90,7 +90,7 @@
 			return sy
 		}
 		if ctx.Err() != nil {
-			b.Fatalf("no scheduler: %v", err)
+			b.Fatalf("the zone has no scheduler: %v", err)
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
@@ -150,6 +150,7 @@
 	}
 }
 
+// sample reads all counters.
 func (sy *system) sample(b *testing.B) sample {
 	b.Helper()
 	return sample{
