--- a/internal/fakes/wksim/command.go
+++ b/internal/fakes/wksim/command.go
@@ -54,6 +54,8 @@
 	return resultOK
 }
 
+// reserveAgain repeats a reservation. It renews the lease, and a task that hasn't
+// been started takes over the current epoch.
 func (tb *Table) reserveAgain(now time.Time, ta *task, cm worker.Command) worker.Result {
 	if ta.row.Phase.Ended() {
 		return refused(worker.ReasonEnded)
@@ -107,7 +109,7 @@
 	return resultOK
 }
 
-func (tb *Table) stop(now time.Time, ta *task, bound time.Duration) worker.Result {
+func (tb *Table) stop(now time.Time, ta *task, timeout time.Duration) worker.Result {
 	switch {
 	case ta == nil:
 		return refused(worker.ReasonNoTask)
@@ -119,7 +121,7 @@
 	case ta.row.Phase == worker.PhaseRunning:
 		tb.version++
 	}
-	ta.stop(now, bound)
+	ta.stop(now, timeout)
 	return resultOK
 }
 
--- a/test/procs/check_test.go
+++ b/test/procs/check_test.go
@@ -10,8 +10,8 @@
 	"github.com/cicadawharf/cicadawharf/internal/jobs"
 )
 
-// TestCheckAgainst checks which effects of new declarations on running jobs the
-// check command reports.
+// TestCheckAgainst checks that the check command compares a file with the applied
+// declarations, and warns if running jobs would lose their workspace.
 func TestCheckAgainst(t *testing.T) {
 	is := is.New(t)
 	sy := start(t)
@@ -25,8 +25,8 @@
 	is.True(!strings.Contains(same.out, "warning:"))
 
 	renamed := strings.ReplaceAll(declarations(1), "name: "+workspace+"\n", "name: another\n")
-	gone := command(t, "check", "--against", "--address", eh.http, sy.write(t, "gone.yaml", renamed))
-	is.Equal(gone.code, 0)
-	is.True(strings.Contains(gone.out, "warning: workspace "+workspace+" is removed"))
-	is.True(strings.Contains(gone.out, "warning: 1 active jobs belong to workspace "+workspace))
+	removed := command(t, "check", "--against", "--address", eh.http, sy.write(t, "removed.yaml", renamed))
+	is.Equal(removed.code, 0)
+	is.True(strings.Contains(removed.out, "warning: workspace "+workspace+" is removed"))
+	is.True(strings.Contains(removed.out, "warning: 1 active jobs belong to workspace "+workspace))
 }
--- a/test/procs/endpoints_test.go
+++ b/test/procs/endpoints_test.go
@@ -25,7 +25,7 @@
 		path       string // unique to the request
 		repeatable bool
 		code       codes.Code // zero if there was none
-		endpoint   string     // that responded
+		endpoint   string     // that responded; empty if none did
 		err        error
 	}
 
@@ -49,8 +49,8 @@
 	mixCallers    = 3 // at each host
 	mixPause      = 30 * time.Millisecond
 	mixDelay      = 150 * time.Millisecond // of every second pair of requests
-	mixSpan       = 4 * time.Second        // load after a fault
-	leaveBound    = 3 * time.Second        // time by which no host sends new requests to a leaving endpoint
+	mixSpan       = 4 * time.Second        // for which the load continues after a fault
+	leaveBound    = 3 * time.Second        // time after which no host may send new requests to a leaving endpoint
 	spareEndpoint = "endpoint-spare"
 )
 
@@ -65,6 +65,7 @@
 	return mx
 }
 
+// call makes requests at a host until the load ends.
 func (mx *mixedLoad) call(eh *entryHost, base string) {
 	for i := range maxCalls {
 		select {
@@ -118,17 +119,17 @@
 	case cr.code == 0:
 		return fmt.Errorf("no result code: %w", cr.err)
 	case cr.repeatable && cr.code != codes.RequestDone:
-		return fmt.Errorf("repeatable request told %v", cr.code)
+		return fmt.Errorf("repeatable request ended with %v", cr.code)
 	case !cr.repeatable && count > 1:
-		return fmt.Errorf("told %v, ran %d times", cr.code, count)
+		return fmt.Errorf("caller got %v, request ran %d times", cr.code, count)
 	case cr.code.Class() == codes.NotRun && count != 0:
-		return fmt.Errorf("told %v, ran %d times", cr.code, count)
+		return fmt.Errorf("caller got %v, request ran %d times", cr.code, count)
 	case cr.code.Class() == codes.Done && count == 0:
-		return fmt.Errorf("told %v, did not run", cr.code)
+		return fmt.Errorf("caller got %v, request did not run", cr.code)
 	case cr.code.Class() == codes.Unknown && lost != "" && count != 0:
-		return fmt.Errorf("told %v, ran at an endpoint that is well", cr.code)
+		return fmt.Errorf("caller got %v, request ran at an endpoint that was not lost", cr.code)
 	case cr.code.Class() == codes.Failed:
-		return fmt.Errorf("told %v", cr.code)
+		return fmt.Errorf("caller got %v", cr.code)
 	}
 	return nil
 }
@@ -149,7 +150,7 @@
 		delete(byPath, cr.path)
 	}
 	for path, rns := range byPath {
-		t.Errorf("%s ran %d times, but was never requested", path, len(rns))
+		t.Errorf("%s ran %d times, but no caller requested it", path, len(rns))
 	}
 	t.Logf("%d requests, by class %v", len(all), byClass)
 }
@@ -185,7 +186,7 @@
 			sum += count
 		}
 		if sum != 8*(endpointsPerZone+1) {
-			return fmt.Errorf("%d slots", sum)
+			return fmt.Errorf("%d slots are assigned", sum)
 		}
 		return nil
 	})
@@ -203,11 +204,11 @@
 	})
 }
 
-// held makes slow requests of both kinds until an endpoint is processing one of
+// startSlowRequests makes slow requests of both kinds until an endpoint is processing one of
 // each, and returns the pending results and the paths in progress there.
-func held(t *testing.T, ehs []*entryHost, address string) (all []<-chan result[callRecord], paths map[string]bool) {
+func startSlowRequests(t *testing.T, ehs []*entryHost, address string) (all []<-chan result[callRecord], paths map[string]bool) {
 	t.Helper()
-	eventually(t, "the endpoint holds requests of both kinds", func() error {
+	eventually(t, "the endpoint is processing requests of both kinds", func() error {
 		for _, repeatable := range []bool{true, false} {
 			eh := ehs[len(all)/2%len(ehs)]
 			path := fmt.Sprintf("/held/%t/%d", repeatable, len(all))
@@ -222,7 +223,7 @@
 			}
 		}
 		if len(kinds) != 2 {
-			return fmt.Errorf("held are %v", paths)
+			return fmt.Errorf("requests in progress: %v", paths)
 		}
 		return nil
 	})
@@ -266,6 +267,8 @@
 	return found
 }
 
+// TestEndpointLeaves checks that every request succeeds while an endpoint leaves:
+// those in progress at it are completed, and after leaveBound it gets no others.
 func TestEndpointLeaves(t *testing.T) {
 	is := is.New(t)
 	sy := start(t)
@@ -283,13 +286,13 @@
 				return nil
 			}
 		}
-		return errors.New("none")
+		return errors.New("no slow request runs")
 	})
 	rs, err := http.Post("http://"+address+epsim.LeavePath, "", nil)
 	is.NoErr(err)
 	is.NoErr(rs.Body.Close())
 	is.Equal(rs.StatusCode, http.StatusNoContent)
-	left := time.Now()
+	leftAt := time.Now()
 	time.Sleep(leaveBound + mixSpan)
 
 	all := mx.end()
@@ -303,24 +306,27 @@
 	for _, eh := range sy.hostsIn(lima) {
 		later := 0
 		for _, at := range eh.attempts(t) {
-			if at.began.Before(left.Add(leaveBound)) {
+			if at.began.Before(leftAt.Add(leaveBound)) {
 				continue
 			}
 			later++
 			if at.endpoint == name {
-				t.Errorf("%s sent a request %v after the endpoint began to leave", eh.host, at.began.Sub(left))
+				t.Errorf("%s sent a request %v after the endpoint began to leave", eh.host, at.began.Sub(leftAt))
 			}
 		}
 		is.True(later > 0)
 	}
 }
 
+// TestEndpointKilled checks that no request runs twice unless it is repeatable, and
+// that callers of requests in progress at a killed endpoint learn that the outcome
+// is unknown.
 func TestEndpointKilled(t *testing.T) {
 	sy := start(t)
 	pr, address := sy.addEndpoint(t)
 	mx := startMixedLoad(t, sy.hostsIn(lima))
 	awaitRequests(t, address)
-	sent, paths := held(t, sy.hostsIn(lima), address)
+	sent, paths := startSlowRequests(t, sy.hostsIn(lima), address)
 	pr.kill()
 	time.Sleep(mixSpan)
 	all := append(mx.end(), receiveAll(t, sent)...)
@@ -332,19 +338,21 @@
 	}
 }
 
+// TestEndpointFrozen checks that the responses to callers agree with what ran at an
+// endpoint that was suspended, and that it gets requests again after it resumes.
 func TestEndpointFrozen(t *testing.T) {
 	sy := start(t)
 	pr, address := sy.addEndpoint(t)
 	mx := startMixedLoad(t, sy.hostsIn(lima))
 	awaitRequests(t, address)
-	sent, _ := held(t, sy.hostsIn(lima), address)
+	sent, _ := startSlowRequests(t, sy.hostsIn(lima), address)
 	pr.freeze(t)
 	time.Sleep(mixSpan)
 	pr.signal(t, syscall.SIGCONT)
 	all := append(mx.end(), receiveAll(t, sent)...)
 	sy.endpoints = append(sy.endpoints, address)
-	count := -1 // what lay in its sockets runs now
-	eventually(t, "the endpoint has caught up", func() error {
+	count := -1 // the requests that waited in its sockets run now
+	eventually(t, "the endpoint has run the requests that waited", func() error {
 		last := count
 		count = len(sy.requestRuns(t))
 		if last != count {
@@ -354,7 +362,7 @@
 		return nil
 	})
 	checkRecords(t, sy, all, "")
-	eventually(t, "the endpoint gets work again", func() error {
+	eventually(t, "the endpoint gets requests again", func() error {
 		before := len(fetch[epsim.Run](t, []string{address}, epsim.RunsPath))
 		for i := range 2 * 8 {
 			_, err := sy.hostsIn(lima)[i%hostsPerZone].call("/again", client.CallOptions{})
@@ -363,7 +371,7 @@
 			}
 		}
 		if len(fetch[epsim.Run](t, []string{address}, epsim.RunsPath)) == before {
-			return errors.New("none yet")
+			return errors.New("no new request ran")
 		}
 		return nil
 	})
--- a/test/procs/work_test.go
+++ b/test/procs/work_test.go
@@ -24,10 +24,10 @@
 
 // gangOf returns a gang job of four tasks with the given number of accelerators
 // each.
-func gangOf(each int, zn string, repeatable bool, run time.Duration) client.SubmitRequest {
+func gangOf(perTask int, zn string, repeatable bool, run time.Duration) client.SubmitRequest {
 	return client.SubmitRequest{
 		Zone:    zn,
-		Shape:   spec.Shape{Tasks: gangTasks, Accelerators: each, Adjacency: spec.SameRack},
+		Shape:   spec.Shape{Tasks: gangTasks, Accelerators: perTask, Adjacency: spec.SameRack},
 		RunTime: run.String(), Repeatable: &repeatable, Command: []string{"sleep", run.String()},
 	}
 }
@@ -44,6 +44,7 @@
 	return jb
 }
 
+// job returns a job as the host reports it now.
 func (eh *entryHost) job(id string) (client.Job, error) {
 	cl := eh.client()
 	defer cl.Close()
@@ -89,6 +90,7 @@
 	sy.checkOverlaps(t)
 }
 
+// checkOverlaps checks that no two runs of a job overlap that must not.
 func (sy *system) checkOverlaps(t *testing.T) {
 	t.Helper()
 	for _, ov := range wksim.Overlaps(sy.taskRuns(t, "")) {
