--- a/internal/domain/advise.go
+++ b/internal/domain/advise.go
@@ -86,7 +86,7 @@
 	var nds []*node
 	for _, nd := range co.schedulableNodes(ps, co.queueOf(un.job).Service) {
 		_, known := ad.tickets[nd.worker.ID]
-		if !known && !ad.refused[nd.worker.ID] && un.fits(nd, nd.worker.Capacity, un.tasks) > 0 {
+		if !known && !ad.refused[nd.worker.ID] && un.fitCount(nd, nd.worker.Capacity, un.tasks) > 0 {
 			nds = append(nds, nd)
 		}
 	}
@@ -94,7 +94,7 @@
 		return
 	}
 	slices.SortStableFunc(nds, func(a, b *node) int {
-		return cmp.Or(cmp.Compare(un.fits(b, b.free(), un.tasks), un.fits(a, a.free(), un.tasks)), cmp.Compare(b.free().Accelerators, a.free().Accelerators))
+		return cmp.Or(cmp.Compare(un.fitCount(b, b.free(), un.tasks), un.fitCount(a, a.free(), un.tasks)), cmp.Compare(b.free().Accelerators, a.free().Accelerators))
 	})
 	rq := runner.AdviceRequest{Job: un.job.ID, Occurrence: un.occurrence, Step: un.stepIndex}
 	for _, nd := range nds[:min(maxAdviceWorkers, len(nds))] {
@@ -127,7 +127,7 @@
 	ad.notBefore = now
 	until := now.Add(ev.Advice.ValidFor - ticketMargin)
 	for _, id := range rq.Workers {
-		if text, good := ev.Advice.Tickets[id]; good {
+		if text, allowed := ev.Advice.Tickets[id]; allowed {
 			ad.tickets[id] = ticket{text: text, until: until}
 			continue
 		}
--- a/internal/domain/attempt_test.go
+++ b/internal/domain/attempt_test.go
@@ -100,11 +100,11 @@
 		sim.run(maxAttemptDelay + 10*time.Second) // plus the run time of the work
 		for id := range sim.jobs {
 			if !sim.state(id).Final() {
-				rt.Fatalf("job %s is %v\n%s", id, sim.state(id), sim.tail())
+				rt.Fatalf("job %s is %v\n%s", id, sim.state(id), sim.logTail())
 			}
 		}
 		if violations := sim.check(); len(violations) > 0 {
-			rt.Fatalf("violations: %v\n%s", violations, sim.tail())
+			rt.Fatalf("violations: %v\n%s", violations, sim.logTail())
 		}
 	})
 }
--- a/internal/domain/backlog.go
+++ b/internal/domain/backlog.go
@@ -34,9 +34,9 @@
 
 var classNames = [...]string{classGuaranteed: "assured", classTimely: "timely", classOverdue: "overdue", classLate: "late"}
 
-// report emits the backlog after a pass, and once more when it has become
+// reportBacklog emits the backlog after a pass, and once more when it has become
 // empty.
-func (co *Core) report(ps *pass, ugs []unitGroup) {
+func (co *Core) reportBacklog(ps *pass, ugs []unitGroup) {
 	if ps.now.Sub(co.backlogReportedAt) < reportInterval {
 		return
 	}
@@ -46,7 +46,7 @@
 	}
 	co.backlogReportedAt = ps.now
 	co.backlogged = len(backlogs) > 0
-	co.emit(BacklogReport{Backlogs: backlogs, Shares: co.reportUsage(ps, ugs), Accelerators: co.accelerators(ps)})
+	co.emit(BacklogReport{Backlogs: backlogs, Shares: co.reportUsage(ps, ugs), Accelerators: co.countAccelerators(ps)})
 }
 
 // backlogsOf sums up the units that were not placed, by queue and class.
@@ -80,8 +80,8 @@
 	bl.Oldest = max(bl.Oldest, now.Sub(un.objectiveStart()))
 }
 
-// accelerators sums up the accelerators of the nodes that a pass has examined.
-func (co *Core) accelerators(ps *pass) Accelerators {
+// countAccelerators sums up the accelerators of the nodes that a pass has examined.
+func (co *Core) countAccelerators(ps *pass) Accelerators {
 	var sum Accelerators
 	for _, nds := range ps.nodesByService {
 		for _, nd := range nds {
--- a/internal/domain/bench_test.go
+++ b/internal/domain/bench_test.go
@@ -41,7 +41,7 @@
 		sum += d
 	}
 	slices.Sort(sim.handleTimes)
-	b.ReportMetric(sum.Seconds()/sim.now.Sub(start).Seconds(), "cores")
+	b.ReportMetric(sum.Seconds()/sim.now.Sub(startTime).Seconds(), "cores")
 	b.ReportMetric(float64(sim.handleTimes[len(sim.handleTimes)*99/100].Microseconds()), "p99-us")
 	b.ReportMetric(float64(sim.handleTimes[len(sim.handleTimes)-1].Microseconds()), "max-us")
 }
--- a/internal/domain/besteffort.go
+++ b/internal/domain/besteffort.go
@@ -8,13 +8,13 @@
 // after that.
 const bestEffortBackoff = 15 * time.Second
 
-// observeLoad stops the best-effort work on the worker of a task that serves
+// observeLatency stops the best-effort work on the worker of a task that serves
 // requests if the task's tail latency exceeds its target. The target may be
 // missed for a few seconds only, and polls show it with a delay of up to half of
 // that, so the first excess counts.
-func (co *Core) observeLoad(now time.Time, ru *run, load int) {
+func (co *Core) observeLatency(now time.Time, ru *run, latencyMillis int) {
 	target := ru.unit.step.TargetLatency
-	if target == 0 || time.Duration(load)*time.Millisecond <= target {
+	if target == 0 || time.Duration(latencyMillis)*time.Millisecond <= target {
 		return
 	}
 	nd := ru.node
--- a/internal/domain/commit_test.go
+++ b/internal/domain/commit_test.go
@@ -29,8 +29,8 @@
 )
 
 func newSlowStore(accelerators int) *slowStore {
-	ss := &slowStore{now: start, replies: map[time.Time][]domain.Committed{}, written: map[string]time.Time{}}
-	ss.core = domain.New(start, domain.Config{Token: 1, Policy: newSimulation(1).policy, Workers: []runner.Worker{
+	ss := &slowStore{now: startTime, replies: map[time.Time][]domain.Committed{}, written: map[string]time.Time{}}
+	ss.core = domain.New(startTime, domain.Config{Token: 1, Policy: newSimulation(1).policy, Workers: []runner.Worker{
 		{ID: "w1", Address: "w1:1", Service: "svc", Born: 1, Capacity: batch.Resources{Accelerators: accelerators}},
 	}})
 	ss.handle(domain.Ticked{})
@@ -70,8 +70,8 @@
 // step advances the time by storeStep.
 func (ss *slowStore) step() {
 	ss.now = ss.now.Add(storeStep)
-	for _, an := range ss.replies[ss.now] {
-		ss.handle(an)
+	for _, ev := range ss.replies[ss.now] {
+		ss.handle(ev)
 	}
 	ss.handle(domain.Prompted{})
 }
@@ -89,7 +89,7 @@
 	for i := range count {
 		ss.submit(fmt.Sprintf("j%03d", i), 1)
 	}
-	for ss.now.Before(start.Add(allBegun)) {
+	for ss.now.Before(startTime.Add(allBegun)) {
 		ss.step()
 	}
 	is.Equal(ss.starts, count)
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -48,7 +48,7 @@
 		claimed             []*unit        // units with claims on nodes; some may have been released since
 		passDue             bool
 		lastPass            time.Time
-		waitingGroups       int // number of groups in the last pass
+		groupCount          int // number of groups in the last pass
 		coreFraction        float64
 		backlogReportedAt   time.Time
 		backlogged          bool             // some units waited at the last report
@@ -170,7 +170,7 @@
 // the number of groups and nodes that a pass examines, and on hosts with less
 // than one core, so that passes leave time for other work.
 func (co *Core) passInterval() time.Duration {
-	work := time.Duration(co.waitingGroups)*passTimePerGroup + time.Duration(len(co.nodes))*passTimePerNode
+	work := time.Duration(co.groupCount)*passTimePerGroup + time.Duration(len(co.nodes))*passTimePerNode
 	if co.coreFraction > 0 {
 		work = time.Duration(float64(work) / co.coreFraction)
 	}
--- a/internal/domain/domain_test.go
+++ b/internal/domain/domain_test.go
@@ -256,13 +256,13 @@
 		jb, pl := oneStepJob("j1", 1, 8, 500*time.Millisecond)
 		jb.Steps[0].Gang = true
 		sim.submit(jb, pl)
-		two, pl2 := oneStepJob("j2", 1, 5, 300*time.Millisecond)
-		sim.submit(two, pl2)
+		other, pl2 := oneStepJob("j2", 1, 5, 300*time.Millisecond)
+		sim.submit(other, pl2)
 		sim.run(at)
 		sim.elect()
 		sim.run(20 * time.Second)
 		if violations := sim.check(); len(violations) > 0 || sim.state("j1") != batch.Done || sim.state("j2") != batch.Done {
-			t.Fatalf("killed at %v: %v %v %v\n%s", at, sim.state("j1"), sim.state("j2"), violations, sim.tail())
+			t.Fatalf("killed at %v: %v %v %v\n%s", at, sim.state("j1"), sim.state("j2"), violations, sim.logTail())
 		}
 	}
 }
@@ -275,14 +275,14 @@
 // for a gang whose last attempt rejects them, 215 and 428 late small work that
 // overtakes late gangs again and again.
 func TestRandomFaults(t *testing.T) {
-	played := map[int]bool{}
+	chosen := map[int]bool{}
 	for _, seed := range []int{215, 428, 580} {
-		played[seed] = true
+		chosen[seed] = true
 	}
 	for seed := range *seeds {
-		played[seed] = true
+		chosen[seed] = true
 	}
-	for seed := range played {
+	for seed := range chosen {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			runRandomFaults(t, uint64(seed))
@@ -302,7 +302,7 @@
 		sim.run(time.Duration(sim.rng.IntN(500)) * time.Millisecond)
 		sim.injectRandomFault(step, ids)
 		if violations := sim.check(); len(violations) > 0 {
-			t.Fatalf("violations: %v\n%s", violations, sim.tail())
+			t.Fatalf("violations: %v\n%s", violations, sim.logTail())
 		}
 	}
 	sim.faults = faults{}
@@ -315,11 +315,11 @@
 	}
 	sim.run(2 * time.Minute)
 	if violations := sim.check(); len(violations) > 0 {
-		t.Fatalf("violations: %v\n%s", violations, sim.tail())
+		t.Fatalf("violations: %v\n%s", violations, sim.logTail())
 	}
 	for id := range sim.jobs {
 		if !sim.state(id).Final() {
-			t.Errorf("job %s is %v at the end\n%s", id, sim.state(id), sim.tail())
+			t.Errorf("job %s is %v at the end\n%s", id, sim.state(id), sim.logTail())
 		}
 		if n := sim.fleet.Running(id); n > 0 {
 			t.Errorf("%d tasks of the ended job %s still run", n, id)
--- a/internal/domain/evac.go
+++ b/internal/domain/evac.go
@@ -170,7 +170,7 @@
 // updateMoveClaim keeps the claim of a unit that is being stopped to be moved,
 // and releases it if the stop takes longer than moveClaimTimeout.
 func (co *Core) updateMoveClaim(now time.Time, un *unit) {
-	if un.phase != stopping || now.Sub(un.stoppedAt) > moveClaimTimeout {
+	if un.phase != stopping || now.Sub(un.stopRequestedAt) > moveClaimTimeout {
 		co.releaseClaim(un)
 		return
 	}
--- a/internal/domain/evac_test.go
+++ b/internal/domain/evac_test.go
@@ -149,7 +149,7 @@
 			}
 			sim.run(20 * time.Second)
 			is.Equal(sim.state("j"), batch.Done)
-			is.True(sim.took("j") < tt.work+5*time.Second) // resumes from its checkpoint
+			is.True(sim.turnaround("j") < tt.work+5*time.Second) // resumes from its checkpoint
 			is.Equal(sim.lateStarts, nil)
 			is.Equal(sim.check(), nil)
 		})
@@ -173,11 +173,11 @@
 	is.True(least >= 10) // some wait for the record of their next attempt
 	is.Equal(sim.runningIn("z1"), 0)
 	is.Equal(sim.evacuatedTasks, map[string]int{"z1": 0})
-	is.Equal(sim.evacuations[len(sim.evacuations)-1].Zones, []domain.ZoneStatus{{Zone: "z1", Workers: 2}})
+	is.Equal(sim.evacuationReports[len(sim.evacuationReports)-1].Zones, []domain.ZoneStatus{{Zone: "z1", Workers: 2}})
 	sim.evacuate()
 	sim.run(20 * time.Second)
 	is.Equal(sim.evacuatedTasks, nil)
-	is.Equal(sim.evacuations[len(sim.evacuations)-1].Zones, []domain.ZoneStatus{})
+	is.Equal(sim.evacuationReports[len(sim.evacuationReports)-1].Zones, []domain.ZoneStatus{})
 	is.Equal(sim.state("j"), batch.Done)
 	is.Equal(sim.stops("j"), 16)
 	is.Equal(sim.check(), nil)
@@ -231,8 +231,8 @@
 	is.Equal(sim.check(), nil)
 }
 
-// movingJob returns a simulation in which a unit is being moved from z1 to z0.
-func movingJob(is *is.I) *simulation {
+// simulateMove returns a simulation in which a unit is being moved from z1 to z0.
+func simulateMove(is *is.I) *simulation {
 	sim := startSimulation(4)
 	jb, pl := oneStepJob("j", 1, 2, 10*time.Second)
 	jb.Steps[0].Checkpoints = true
@@ -267,7 +267,7 @@
 		t.Run(name, func(t *testing.T) {
 			for ms := 0; ms < 40; ms += 4 {
 				is := is.New(t)
-				sim := movingJob(is)
+				sim := simulateMove(is)
 				sim.run(time.Duration(ms) * time.Millisecond)
 				change(sim)
 				sim.run(40 * time.Second)
@@ -404,11 +404,11 @@
 		sim.run(maxAttemptDelay + 30*time.Second)
 		for id := range sim.jobs {
 			if !sim.state(id).Final() {
-				rt.Fatalf("job %s is %v\n%s", id, sim.state(id), sim.tail())
+				rt.Fatalf("job %s is %v\n%s", id, sim.state(id), sim.logTail())
 			}
 		}
 		if violations := append(sim.check(), sim.lateStarts...); len(violations) > 0 {
-			rt.Fatalf("violations: %v\n%s", violations, sim.tail())
+			rt.Fatalf("violations: %v\n%s", violations, sim.logTail())
 		}
 	})
 }
--- a/internal/domain/fair_test.go
+++ b/internal/domain/fair_test.go
@@ -40,7 +40,7 @@
 			sim.submit(small, pl)
 			sim.run(20 * time.Second)
 			is.Equal(sim.state("small"), batch.Done)
-			is.True(sim.took("small") <= small.Queue.Objective(small.CriticalPath()))
+			is.True(sim.turnaround("small") <= small.Queue.Objective(small.CriticalPath()))
 			is.Equal(sim.check(), nil)
 		})
 	}
@@ -151,12 +151,12 @@
 	su := re.run(re.start())
 	t.Log("\n" + su.String())
 	is.Equal(su.violations, nil)
-	earned, owed := 0.0, 0.0
+	earned, entitled := 0.0, 0.0
 	for _, ws := range []string{"f", "g", "h", "i", "j"} {
 		earned += su.byWorkspace[ws].earned
-		owed += su.entitled[ws]
+		entitled += su.entitled[ws]
 	}
-	is.True(earned >= 0.85*owed)
+	is.True(earned >= 0.85*entitled)
 }
 
 // TestGuaranteeDespiteBorrowedCapacity makes workspaces borrow all workers, and
--- a/internal/domain/fairplace.go
+++ b/internal/domain/fairplace.go
@@ -30,7 +30,7 @@
 // work is not lost.
 func (ug unitGroup) finishesStep(capacity map[string]batch.Resources) bool {
 	un := ug.units[0]
-	return un.job.begun && len(ug.units) < un.job.unitsOf(un.stepIndex) && float64(len(ug.units))*ug.unitShare(capacity) <= maxFinishShare
+	return un.job.begun && len(ug.units) < un.job.unitCount(un.stepIndex) && float64(len(ug.units))*ug.unitShare(capacity) <= maxFinishShare
 }
 
 // contended reports whether fair shares apply and groups belong to at least two
@@ -119,10 +119,10 @@
 	return float64(placed)*each + planned
 }
 
-// takeSharesFairly assigns the queues' shares to groups in the given order. If
+// assignShares assigns the queues' shares to groups in the given order. If
 // several workspaces have work in a queue, the one furthest below its fair
 // share comes first. Jobs without any value left come last.
-func (co *Core) takeSharesFairly(qas queueAllowances, ugs []unitGroup, order []int, take func(i int) float64) {
+func (co *Core) assignShares(qs queueShares, ugs []unitGroup, order []int, take func(i int) float64) {
 	type shareKey struct {
 		queue string
 		late  bool
@@ -134,7 +134,7 @@
 			byKey[key] = append(byKey[key], i)
 		}
 	}
-	for queue := range qas.remaining {
+	for queue := range qs.remaining {
 		for _, late := range []bool{false, true} {
 			co.fillProgressively(co.tenantQueues(ugs, byKey[shareKey{queue, late}]), func(tq *tenantQueue) float64 {
 				i := tq.groups[0]
--- a/internal/domain/faultyworkers_test.go
+++ b/internal/domain/faultyworkers_test.go
@@ -29,10 +29,10 @@
 )
 
 const (
-	replayRacks   = 6
-	replayPerRack = 6
-	replayTime    = 40 * time.Second
-	settleTime    = 60 * time.Second
+	rackCount      = 6
+	workersPerRack = 6
+	submitTime     = 40 * time.Second
+	settleTime     = 60 * time.Second
 	// minKnownJobs is the number of different jobs that have to fail on a
 	// worker for it to be known to fail.
 	minKnownJobs = 2
@@ -46,7 +46,7 @@
 		}
 	}},
 	{name: "rack fails everything", failed: 2, timely: 0.97, repeatedFailures: 35, inject: func(sim *simulation, ids []string) {
-		for _, id := range ids[replayPerRack : 2*replayPerRack] {
+		for _, id := range ids[workersPerRack : 2*workersPerRack] {
 			sim.fleet.Fail(id, true)
 		}
 	}},
@@ -91,8 +91,8 @@
 	sim := newSimulation(seed)
 	sim.policy = replayPolicy()
 	var ids []string
-	for i := range replayRacks * replayPerRack {
-		id := fmt.Sprintf("w%d%02d", i/replayPerRack, i)
+	for i := range rackCount * workersPerRack {
+		id := fmt.Sprintf("w%d%02d", i/workersPerRack, i)
 		sim.addWorker(id, 8)
 		ids = append(ids, id)
 	}
@@ -100,9 +100,9 @@
 	sim.run(time.Second)
 	sim.after(5*time.Second, func() { ff.inject(sim, ids) })
 	sim.submitKinds()
-	sim.run(replayTime + settleTime)
+	sim.run(submitTime + settleTime)
 	if violations := sim.check(); len(violations) > 0 {
-		t.Fatalf("violations: %v\n%s", violations, sim.tail())
+		t.Fatalf("violations: %v\n%s", violations, sim.logTail())
 	}
 	return sim.result(t)
 }
@@ -134,7 +134,7 @@
 	at := time.Duration(0)
 	for i := 0; ; i++ {
 		at += time.Duration(sim.rng.ExpFloat64() / rate * float64(time.Second))
-		if at > replayTime {
+		if at > submitTime {
 			return
 		}
 		jb := batch.Job{
@@ -170,7 +170,7 @@
 		case batch.Failed:
 			out.failed++
 		case batch.Done:
-			if sim.took(id) <= jb.Queue.Objective(jb.CriticalPath()) {
+			if sim.turnaround(id) <= jb.Queue.Objective(jb.CriticalPath()) {
 				out.timely++
 			}
 		default:
--- a/internal/domain/fullfleet_test.go
+++ b/internal/domain/fullfleet_test.go
@@ -12,19 +12,19 @@
 	"github.com/cicadawharf/cicadawharf/internal/runner"
 )
 
-const perWorker = 8
+const acceleratorsPerWorker = 8
 
 // fullFleet returns a core whose workers are all in use, with waiting tasks
 // that have each failed on another worker.
 func fullFleet(now time.Time, workers, waiting int) (*domain.Core, []runner.Worker) {
 	cf := domain.Config{Token: 1, Policy: newSimulation(1).policy}
 	statuses := map[string]runner.Status{}
-	runs := batch.Job{ID: "runs", Queue: queueOf(2), Steps: []batch.Step{oneAccelerator(workers * perWorker)}}
+	runs := batch.Job{ID: "runs", Queue: queueOf(2), Steps: []batch.Step{oneAccelerator(workers * acceleratorsPerWorker)}}
 	waits := batch.Job{ID: "waits", Queue: queueOf(2), Steps: []batch.Step{oneAccelerator(waiting)}}
 	running := batch.Record{ID: "runs", State: batch.Running}
 	failed := batch.Record{ID: "waits", State: batch.Running}
-	for i := range workers * perWorker {
-		id := workerID(i / perWorker)
+	for i := range workers * acceleratorsPerWorker {
+		id := workerID(i / acceleratorsPerWorker)
 		running.Units = append(running.Units, batch.UnitRecord{Index: i, Attempt: 1, Workers: []string{id}, Live: true})
 		st := statuses[id]
 		st.Born = 1
@@ -40,7 +40,7 @@
 		id := workerID(i)
 		cf.Workers = append(cf.Workers, runner.Worker{
 			ID: id, Address: id + ":1", Service: "svc", Born: 1, Rack: fmt.Sprint(i / 8),
-			Capacity: batch.Resources{Accelerators: perWorker},
+			Capacity: batch.Resources{Accelerators: acceleratorsPerWorker},
 		})
 	}
 	co := domain.New(now, cf)
@@ -62,8 +62,8 @@
 // change, as the platform does about once a second.
 func TestUnchangedEntriesCauseNoPass(t *testing.T) {
 	is := is.New(t)
-	co, workers := fullFleet(start, 8, 10)
-	now := start.Add(time.Second)
+	co, workers := fullFleet(startTime, 8, 10)
+	now := startTime.Add(time.Second)
 	co.Handle(now, domain.Ticked{})
 	is.True(!co.NeedsPrompt()) // the pass is over
 	for _, wk := range workers {
@@ -81,7 +81,7 @@
 func BenchmarkFullFleet(b *testing.B) {
 	for _, workers := range []int{48, 350} {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
-			now := start
+			now := startTime
 			co, _ := fullFleet(now, workers, workers)
 			for b.Loop() {
 				now = now.Add(100 * time.Millisecond)
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -58,7 +58,7 @@
 		claim             []*node   // workers where capacity is allocated for its next attempt, by task
 		memberEnded       bool      // a task had ended when the attempt was recorded, so it has no run
 		notBefore         time.Time // earliest time of placement
-		stoppedAt         time.Time // when the stop of the current attempt was requested
+		stopRequestedAt   time.Time // when the stop of the current attempt was requested
 		stuckStopReported bool      // see reportStuckStops
 	}
 
@@ -79,9 +79,9 @@
 // any more.
 const noValueFactor = 3
 
-func newJob(jb batch.Job, now time.Time) *job {
+func newJob(jb batch.Job, acceptedAt time.Time) *job {
 	jo := &job{
-		Job: jb, state: batch.Queued, acceptedAt: now, criticalPath: jb.CriticalPath(),
+		Job: jb, state: batch.Queued, acceptedAt: acceptedAt, criticalPath: jb.CriticalPath(),
 		stepUnitsLeft: make([]int, jb.Occurrences()*len(jb.Steps)),
 	}
 	for oc := range jb.Occurrences() {
@@ -96,7 +96,7 @@
 
 func (jb *job) addUnits(occurrence, stepIndex int) {
 	step := &jb.Steps[stepIndex]
-	count, tasks := jb.unitsOf(stepIndex), 1
+	count, tasks := jb.unitCount(stepIndex), 1
 	if step.Gang {
 		tasks = step.Tasks
 	}
@@ -106,8 +106,8 @@
 	jb.stepUnitsLeft[occurrence*len(jb.Steps)+stepIndex] = count
 }
 
-// unitsOf returns the number of units of a step in each occurrence.
-func (jb *job) unitsOf(stepIndex int) int {
+// unitCount returns the number of units of a step in each occurrence.
+func (jb *job) unitCount(stepIndex int) int {
 	if jb.Steps[stepIndex].Gang {
 		return 1
 	}
@@ -122,15 +122,15 @@
 	unitsPerOccurrence, before := 0, 0
 	for stepIndex := range jb.Steps {
 		if stepIndex < ti.Step {
-			before += jb.unitsOf(stepIndex)
+			before += jb.unitCount(stepIndex)
 		}
-		unitsPerOccurrence += jb.unitsOf(stepIndex)
+		unitsPerOccurrence += jb.unitCount(stepIndex)
 	}
 	index := ti.Index
 	if jb.Steps[ti.Step].Gang {
 		index = 0
 	}
-	if index < 0 || index >= jb.unitsOf(ti.Step) {
+	if index < 0 || index >= jb.unitCount(ti.Step) {
 		return nil
 	}
 	return jb.units[ti.Occurrence*unitsPerOccurrence+before+index]
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -40,9 +40,9 @@
 // can meet its objective, or is within its queue's share.
 func (ug unitGroup) mayReserve() bool { return ug.withinShare || ug.class <= classTimely }
 
-// waitingUnits returns the units that could be started, in the order of
+// waitingGroups returns the units that could be started, in the order of
 // placement.
-func (co *Core) waitingUnits(ps *pass) []unitGroup {
+func (co *Core) waitingGroups(ps *pass) []unitGroup {
 	var ugs []unitGroup
 	now := ps.now
 	used := co.guaranteeUsage()
@@ -74,7 +74,7 @@
 	rest := jb.units
 	for len(rest) > 0 {
 		first := rest[0]
-		n := jb.unitsOf(first.stepIndex)
+		n := jb.unitCount(first.stepIndex)
 		if first.stepReady(now) {
 			if units := readyUnits(now, rest[:n]); len(units) > 0 {
 				steps = append(steps, units)
--- a/internal/domain/passbench_test.go
+++ b/internal/domain/passbench_test.go
@@ -23,7 +23,7 @@
 // newInstantWorkers returns a core over some workers, with work for more than
 // twice their capacity, so that some of it waits.
 func newInstantWorkers(workers int) *instantWorkers {
-	iw := &instantWorkers{now: start, running: map[string][]runner.Run{}, lastEnds: map[string]int64{}}
+	iw := &instantWorkers{now: startTime, running: map[string][]runner.Run{}, lastEnds: map[string]int64{}}
 	for i := range workers {
 		iw.workers = append(iw.workers, runner.Worker{
 			ID: fmt.Sprintf("w%05d", i), Address: fmt.Sprintf("w%05d:1", i), Service: "svc", Born: 1,
@@ -55,7 +55,7 @@
 	add := func(kind string, priority int, step batch.Step) {
 		jobs = append(jobs, batch.Job{
 			ID: fmt.Sprintf("%s%05d", kind, len(jobs)), Workspace: string(rune('a' + len(jobs)%10)),
-			Queue: queueOf(priority), Payload: "x", Accepted: start, Steps: []batch.Step{step},
+			Queue: queueOf(priority), Payload: "x", Accepted: startTime, Steps: []batch.Step{step},
 		})
 	}
 	for i := range workers {
--- a/internal/domain/pick.go
+++ b/internal/domain/pick.go
@@ -36,8 +36,8 @@
 		if tr == trustAny {
 			return un.pick(sls, key.anyRack)
 		}
-		suited := slices.DeleteFunc(slices.Clone(sls), func(sl slot) bool { return !co.meetsTrust(ps.now, un, sl.node, tr) })
-		if nodes := un.pick(suited, key.anyRack || co.lastAttempt(un)); nodes != nil {
+		trusted := slices.DeleteFunc(slices.Clone(sls), func(sl slot) bool { return !co.meetsTrust(ps.now, un, sl.node, tr) })
+		if nodes := un.pick(trusted, key.anyRack || co.lastAttempt(un)); nodes != nil {
 			return nodes
 		}
 	}
@@ -55,7 +55,7 @@
 		if !un.suits(nd) {
 			continue
 		}
-		if n := un.fits(nd, nd.free(), limit); n > 0 {
+		if n := un.fitCount(nd, nd.free(), limit); n > 0 {
 			sls = append(sls, slot{nd, n})
 		}
 	}
@@ -75,12 +75,12 @@
 	return !un.bestEffortBlocked(nd)
 }
 
-// fits returns how many tasks of a unit fit into the free resources of a
+// fitCount returns how many tasks of a unit fit into the free resources of a
 // worker, up to a limit.
-func (un *unit) fits(nd *node, free batch.Resources, limit int) int {
+func (un *unit) fitCount(nd *node, free batch.Resources, limit int) int {
 	n := 0
 	if un.step.PerWorker > 0 {
-		limit = min(limit, un.step.PerWorker-nd.tasksOf(un))
+		limit = min(limit, un.step.PerWorker-nd.taskCount(un))
 	}
 	needs := un.step.Occupied()
 	for n < limit && free.Covers(needs) {
@@ -90,20 +90,20 @@
 	return n
 }
 
-// tasksOf counts the tasks of a unit's step that run or have a claim on a
+// taskCount counts the tasks of a unit's step that run or have a claim on a
 // worker.
-func (nd *node) tasksOf(un *unit) int {
+func (nd *node) taskCount(un *unit) int {
 	n := 0
 	for _, ru := range nd.runs {
 		if ru.unit != nil && ru.unit.job == un.job && ru.unit.stepIndex == un.stepIndex && ru.unit.occurrence == un.occurrence {
 			n++
 		}
 	}
-	return n + nd.claimsOf(un)
+	return n + nd.claimCount(un)
 }
 
-// claimsOf counts the tasks of a unit's step that have a claim on a worker.
-func (nd *node) claimsOf(un *unit) int {
+// claimCount counts the tasks of a unit's step that have a claim on a worker.
+func (nd *node) claimCount(un *unit) int {
 	n := 0
 	for _, other := range un.job.units {
 		if other.stepIndex != un.stepIndex || other.occurrence != un.occurrence {
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -71,12 +71,12 @@
 func (co *Core) placeWaiting(now time.Time) {
 	co.placeClaimed(now)
 	ps := newPass(now)
-	ugs := co.waitingUnits(ps)
-	co.waitingGroups = len(ugs)
+	ugs := co.waitingGroups(ps)
+	co.groupCount = len(ugs)
 	ugs = co.placeOnProbation(ps, ugs)
 	co.placeGroups(ps, ugs)
 	co.evacuateNext(ps)
-	co.report(ps, ugs)
+	co.reportBacklog(ps, ugs)
 }
 
 // placeGroup places the units of a group that fit. If an interchangeable unit
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -96,10 +96,10 @@
 
 // reconcile updates the runs of a worker by its reply to a poll.
 func (co *Core) reconcile(now time.Time, nd *node, ev Polled) {
-	listed := make(map[runKey]bool, len(ev.Status.Running))
+	reported := make(map[runKey]bool, len(ev.Status.Running))
 	for _, rn := range ev.Status.Running {
 		key := runKey{rn.Task, rn.Attempt}
-		listed[key] = true
+		reported[key] = true
 		co.observeRun(now, nd, key, rn)
 	}
 	for _, en := range ev.Status.Ended {
@@ -112,7 +112,7 @@
 		co.unsavedEnds[nd] = true
 	}
 	for _, ru := range nd.sortedRuns() {
-		if !listed[runKey{ru.task, ru.attempt}] {
+		if !reported[runKey{ru.task, ru.attempt}] {
 			co.handleMissing(now, ru, ev.Call.Sent)
 		}
 	}
@@ -148,10 +148,10 @@
 	}
 	if ru.unit != nil && ru.unit.attempt == ru.attempt {
 		ru.unit.job.begun = true
-		co.observeLoad(now, ru, rn.Load)
+		co.observeLatency(now, ru, rn.Load)
 		// In this order, since only a checkpoint that is not saved yet is fresh.
 		co.markCheckpointFresh(now, ru, rn.Checkpoint)
-		ru.unit.saveCheckpoint(ru, rn.Checkpoint)
+		ru.unit.setCheckpoint(ru, rn.Checkpoint)
 	}
 }
 
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -79,11 +79,11 @@
 	if !best.withinDisruptionLimits() {
 		return false
 	}
-	for _, vi := range slices.SortedFunc(maps.Keys(best.victims), compareUnits) {
-		vi.preemptions++
-		vi.job.preemptions++
-		vi.job.lostTime += vi.unsavedWork(ps.now)
-		co.stopUnit(ps.now, vi, "workspace "+un.job.Workspace+" needs the capacity for guaranteed or more urgent work")
+	for _, target := range slices.SortedFunc(maps.Keys(best.victims), compareUnits) {
+		target.preemptions++
+		target.job.preemptions++
+		target.job.lostTime += target.lossIfStopped(ps.now)
+		co.stopUnit(ps.now, target, "workspace "+un.job.Workspace+" needs the capacity for guaranteed or more urgent work")
 	}
 	un.claim = best.nodes
 	co.claimed = append(co.claimed, un)
@@ -219,7 +219,7 @@
 	if !un.suits(nd) || co.rejects(ps, un, nd) {
 		return nodeOption{}
 	}
-	if un.step.PerWorker > 0 && nd.tasksOf(un)+pp.taken[nd] >= un.step.PerWorker {
+	if un.step.PerWorker > 0 && nd.taskCount(un)+pp.taken[nd] >= un.step.PerWorker {
 		return nodeOption{}
 	}
 	needs := un.step.Occupied()
@@ -301,9 +301,9 @@
 	return cost * time.Duration(un.coreEquivalents())
 }
 
-// unsavedWork returns the processor time that a unit has used and no checkpoint
+// lossIfStopped returns the processor time that a unit has used and no checkpoint
 // covers.
-func (un *unit) unsavedWork(now time.Time) time.Duration {
+func (un *unit) lossIfStopped(now time.Time) time.Duration {
 	since := un.workingSince()
 	if since.IsZero() || un.step.Checkpoints {
 		return 0
--- a/internal/domain/preempt_test.go
+++ b/internal/domain/preempt_test.go
@@ -63,18 +63,18 @@
 // TestUrgentWorkBeyondGuaranteePreemptsLittle submits more than is guaranteed.
 // Work that would lose much is not preempted, work that loses little is.
 func TestUrgentWorkBeyondGuaranteePreemptsLittle(t *testing.T) {
-	for _, saves := range []bool{true, false} {
+	for _, checkpoints := range []bool{true, false} {
 		is := is.New(t)
 		sim := startSimulation(2)
 		fill, pl := oneStepJob("fill", 2, 16, 40*time.Second)
-		fill.Steps[0].Checkpoints = saves
+		fill.Steps[0].Checkpoints = checkpoints
 		sim.submit(fill, pl)
 		sim.run(30 * time.Second)
 		jb, pl := oneStepJob("more", 0, 4, 2*time.Second)
 		jb.Workspace = "c" // has no guarantee
 		sim.submit(jb, pl)
 		sim.run(time.Second)
-		if saves {
+		if checkpoints {
 			is.Equal(sim.fleet.Running("more"), 4)
 		} else {
 			is.Equal(sim.fleet.Running("fill"), 16)
--- a/internal/domain/probation.go
+++ b/internal/domain/probation.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		un := ug.units[0]
-		if !co.toleratesFailure(ps.now, un) || un.avoided[nd.worker.ID] || !un.suits(nd) || un.fits(nd, nd.free(), 1) == 0 {
+		if !co.toleratesFailure(ps.now, un) || un.avoided[nd.worker.ID] || !un.suits(nd) || un.fitCount(nd, nd.free(), 1) == 0 {
 			continue
 		}
 		co.place(ps.now, un, []*node{nd})
--- a/internal/domain/replay_test.go
+++ b/internal/domain/replay_test.go
@@ -76,10 +76,10 @@
 		return []batch.Step{st}
 	}},
 	{name: "bulk", share: 0.4, queue: replayQueue(2, 3, 3, 3*time.Second), make: func(rng *rand.Rand) []batch.Step {
-		saves := rng.IntN(2) == 0
-		steps := []batch.Step{replayStep(39, 1, 6*time.Second, saves)}
+		checkpoints := rng.IntN(2) == 0
+		steps := []batch.Step{replayStep(39, 1, 6*time.Second, checkpoints)}
 		if rng.IntN(10) < 3 {
-			second := replayStep(39, 1, 6*time.Second, saves)
+			second := replayStep(39, 1, 6*time.Second, checkpoints)
 			second.After = []int{0}
 			steps = append(steps, second)
 		}
@@ -93,8 +93,8 @@
 	return qu
 }
 
-func replayStep(tasks, accelerators int, work time.Duration, saves bool) batch.Step {
-	return batch.Step{Tasks: tasks, RunTime: work, Checkpoints: saves, Needs: batch.Resources{
+func replayStep(tasks, accelerators int, work time.Duration, checkpoints bool) batch.Step {
+	return batch.Step{Tasks: tasks, RunTime: work, Checkpoints: checkpoints, Needs: batch.Resources{
 		MilliCPU: 1000 * accelerators, MemoryMB: 500 * accelerators, Accelerators: accelerators,
 	}}
 }
@@ -189,7 +189,7 @@
 	if sim.state(id) != batch.Done {
 		return 0
 	}
-	over := float64(sim.took(id)) / float64(jb.Queue.Objective(jb.CriticalPath()))
+	over := float64(sim.turnaround(id)) / float64(jb.Queue.Objective(jb.CriticalPath()))
 	return min(1, max(0, (3-over)/2))
 }
 
@@ -199,13 +199,13 @@
 		entitled: map[string]float64{}, violations: sim.check(),
 	}
 	for _, id := range sim.accepted {
-		ws, worth, cost := sim.jobs[id].Workspace, sim.earnedFraction(id), acceleratorSeconds(sim.jobs[id])
+		ws, fraction, cost := sim.jobs[id].Workspace, sim.earnedFraction(id), acceleratorSeconds(sim.jobs[id])
 		add := func(sums map[string]earnings, key string) {
 			ea := sums[key]
 			ea.offered += cost
-			ea.earned += worth * cost
+			ea.earned += fraction * cost
 			ea.jobs++
-			if worth == 1 {
+			if fraction == 1 {
 				ea.inTime++
 			}
 			sums[key] = ea
--- a/internal/domain/reserve.go
+++ b/internal/domain/reserve.go
@@ -9,9 +9,9 @@
 	// maxReservations bounds the gangs with reserved workers, since reserved
 	// capacity is idle until there is enough of it.
 	maxReservations = 12
-	// wideTaskAccelerators is the number of accelerators from which a single
+	// largeTaskAccelerators is the number of accelerators from which a single
 	// task is treated like a gang.
-	wideTaskAccelerators = 4
+	largeTaskAccelerators = 4
 )
 
 // reserveNodes reserves workers for a waiting gang for the rest of a pass, so
@@ -19,7 +19,7 @@
 // there. Unlike a claim (unit.claim), a reservation allocates nothing and is
 // made anew by each pass.
 func (co *Core) reserveNodes(ps *pass, un *unit, key fitKey) {
-	if un.tasks == 1 && !un.wide() || ps.reservations == maxReservations {
+	if un.tasks == 1 && !un.large() || ps.reservations == maxReservations {
 		return
 	}
 	ps.reservations++
@@ -38,8 +38,8 @@
 	}
 }
 
-// wide reports whether a task of the unit needs most of a worker.
-func (un *unit) wide() bool { return un.step.Needs.Accelerators >= wideTaskAccelerators }
+// large reports whether a task of the unit needs most of a worker.
+func (un *unit) large() bool { return un.step.Needs.Accelerators >= largeTaskAccelerators }
 
 // mostFree returns the workers of a group that could hold a unit if they were
 // empty, and how many of its tasks fit there now. Only workers that are
@@ -49,14 +49,14 @@
 	sls := make([]slot, 0, len(group))
 	for _, nd := range group {
 		if !reserved[nd] && accepts(nd) {
-			sls = append(sls, slot{nd, un.fits(nd, nd.free(), un.tasks)})
+			sls = append(sls, slot{nd, un.fitCount(nd, nd.free(), un.tasks)})
 		}
 	}
 	slices.SortStableFunc(sls, func(a, b slot) int { return cmp.Compare(b.tasks, a.tasks) })
 	var out []*node
 	fits, capacity := 0, 0
 	for _, sl := range sls {
-		n := un.fits(sl.node, sl.node.worker.Capacity, un.tasks)
+		n := un.fitCount(sl.node, sl.node.worker.Capacity, un.tasks)
 		if n == 0 {
 			continue
 		}
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -129,8 +129,8 @@
 // stopUnit stops every task of a unit that has not ended.
 func (co *Core) stopUnit(now time.Time, un *unit, reason string) {
 	un.setPhase(stopping)
-	un.stoppedAt, un.stuckStopReported = now, false
-	lost := un.unsavedWork(now)
+	un.stopRequestedAt, un.stuckStopReported = now, false
+	lost := un.lossIfStopped(now)
 	for _, ru := range un.runs {
 		co.stopRun(now, ru)
 	}
@@ -165,7 +165,7 @@
 	co.stuckStopsCheckedAt = now
 	for _, jb := range co.arrivals {
 		for _, un := range jb.units {
-			if un.phase != stopping || un.stuckStopReported || now.Sub(un.stoppedAt) <= maxCallDelay+maxLeaseTime {
+			if un.phase != stopping || un.stuckStopReported || now.Sub(un.stopRequestedAt) <= maxCallDelay+maxLeaseTime {
 				continue
 			}
 			un.stuckStopReported = true
@@ -278,7 +278,7 @@
 func (co *Core) handleEnd(now time.Time, nd *node, en runner.End) {
 	ru := nd.runs[runKey{en.Task, en.Attempt}]
 	if ru == nil {
-		co.handleEndAfterGiveUp(now, nd, en)
+		co.handleLateEnd(now, nd, en)
 		return
 	}
 	co.emit(LogDecision{Decision: "ends", Job: en.Task.Job, Task: en.Task.String(), Attempt: en.Attempt, Worker: nd.worker.ID, Reason: en.Reason.String()})
@@ -288,7 +288,7 @@
 	if un == nil || un.phase == finished || un.attempt != ru.attempt {
 		return
 	}
-	un.saveCheckpoint(ru, en.Checkpoint)
+	un.setCheckpoint(ru, en.Checkpoint)
 	un.job.begun = true
 	co.markDirty(un.job)
 	switch en.Reason {
@@ -304,10 +304,10 @@
 	}
 }
 
-// handleEndAfterGiveUp processes the end of an attempt that was given up because
+// handleLateEnd processes the end of an attempt that was given up because
 // its worker was unresponsive. If the attempt succeeded, the unit is finished
 // and not run again.
-func (co *Core) handleEndAfterGiveUp(now time.Time, nd *node, en runner.End) {
+func (co *Core) handleLateEnd(now time.Time, nd *node, en runner.End) {
 	jb, ok := co.jobs[en.Task.Job]
 	if !ok || jb.state.Final() || en.Reason != runner.Succeeded {
 		return
@@ -349,10 +349,10 @@
 	}
 }
 
-// saveCheckpoint stores the newest checkpoint. Only checkpoints of the first
+// setCheckpoint stores the newest checkpoint. Only checkpoints of the first
 // task of a gang count, so that those of different gang members are never
 // mixed.
-func (un *unit) saveCheckpoint(ru *run, checkpoint string) {
+func (un *unit) setCheckpoint(ru *run, checkpoint string) {
 	if checkpoint != "" && ru.task.Index == un.index {
 		un.checkpoint = checkpoint
 	}
--- a/internal/domain/share.go
+++ b/internal/domain/share.go
@@ -15,9 +15,9 @@
 		resources batch.Resources
 	}
 
-	// queueAllowances holds what the queues with work may still take of their
+	// queueShares holds what the queues with work may still take of their
 	// shares in a pass. A share is a fraction of the workers of a service.
-	queueAllowances struct {
+	queueShares struct {
 		capacity  map[string]batch.Resources // by service
 		remaining map[string]float64         // by queue
 	}
@@ -45,19 +45,19 @@
 	co.queueUsage[name] = usage{service: co.queueOf(jb).Service, resources: sum}
 }
 
-// allowancesOf returns the shares of the queues, less what they use.
-func (co *Core) allowancesOf(ps *pass, ugs []unitGroup) queueAllowances {
+// remainingShares returns the shares of the queues, less what they use.
+func (co *Core) remainingShares(ps *pass, ugs []unitGroup) queueShares {
 	services := co.servicesOf(ugs)
 	queues := map[string]int{} // by service
 	for _, service := range services {
 		queues[service]++
 	}
-	qas := queueAllowances{capacity: ps.capacity, remaining: map[string]float64{}}
+	qs := queueShares{capacity: ps.capacity, remaining: map[string]float64{}}
 	for queue, service := range services {
-		used := dominantShare(co.queueUsage[queue].resources, qas.capacity[service])
-		qas.remaining[queue] = equallyDividedFraction/float64(queues[service]) - used
+		used := dominantShare(co.queueUsage[queue].resources, qs.capacity[service])
+		qs.remaining[queue] = equallyDividedFraction/float64(queues[service]) - used
 	}
-	return qas
+	return qs
 }
 
 // servicesOf returns the services of the queues with running or waiting work.
@@ -87,17 +87,17 @@
 // first those of jobs that still have some value, and within these by descending
 // response ratio. A group that is only partly within its share is split.
 func (co *Core) markWithinShare(ps *pass, ugs []unitGroup) []unitGroup {
-	qas := co.allowancesOf(ps, ugs)
+	qs := co.remainingShares(ps, ugs)
 	within := make([]int, len(ugs))
-	co.takeSharesFairly(qas, ugs, byResponseRatio(ps.now, ugs), func(i int) float64 {
-		within[i] = qas.take(ugs[i])
-		return float64(within[i]) * ugs[i].unitShare(qas.capacity)
+	co.assignShares(qs, ugs, byResponseRatio(ps.now, ugs), func(i int) float64 {
+		within[i] = qs.take(ugs[i])
+		return float64(within[i]) * ugs[i].unitShare(qs.capacity)
 	})
 	if i := starving(ps.now, ugs); i >= 0 {
 		within[i] = max(within[i], 1)
 		ugs[i].starves = true
 	}
-	out := make([]unitGroup, 0, len(ugs)+len(qas.remaining))
+	out := make([]unitGroup, 0, len(ugs)+len(qs.remaining))
 	for i, ug := range ugs {
 		n := within[i]
 		if n > 0 {
@@ -155,13 +155,13 @@
 // take returns how many units of a group are within its queue's share, and
 // subtracts them from the share. The last unit may exceed the share, so that
 // large units are not excluded.
-func (qas queueAllowances) take(ug unitGroup) int {
+func (qs queueShares) take(ug unitGroup) int {
 	queue := ug.queue()
 	un := ug.units[0]
-	each := float64(un.tasks) * dominantShare(un.step.Occupied(), qas.capacity[ug.service])
+	each := float64(un.tasks) * dominantShare(un.step.Occupied(), qs.capacity[ug.service])
 	n := 0
-	for n < len(ug.units) && qas.remaining[queue] > 0 {
-		qas.remaining[queue] -= each
+	for n < len(ug.units) && qs.remaining[queue] > 0 {
+		qs.remaining[queue] -= each
 		n++
 	}
 	return n
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -19,39 +19,39 @@
 	// simulation runs cores with simulated workers and a model of the store, in
 	// simulated time.
 	simulation struct {
-		rng            *rand.Rand
-		now            time.Time
-		queue          eventQueue
-		lastOrder      int
-		fleet          *runsim.Fleet
-		workers        map[string]runner.Worker
-		unreachable    map[string]bool // workers that can't be called
-		policy         *batch.Policy
-		jobs           map[string]batch.Job
-		plans          map[string][]taskPlan // by job and step
-		accepted       []string
-		cancelled      map[string]time.Time
-		records        map[string]batch.Record
-		waiting        map[string]int       // number of jobs that have not begun, by queue
-		evacuatedTasks map[string]int       // tasks left in evacuated zones, as stored
-		endTimes       map[string]time.Time // of jobs, as stored
-		token          int64
-		leader         *leader
-		faults         faults
-		evacuated      []string  // availability zones
-		evacuatedAt    time.Time // when evacuated last changed
-		evacuations    []domain.EvacuationReport
-		lateStarts     []string      // workers in evacuated zones to which starts were sent too late
-		clockSkew      time.Duration // of the clock of the host that accepts jobs
-		decisions      []domain.LogDecision
-		backlogReports []domain.BacklogReport
-		healthReports  []domain.HealthReport
-		tickets        map[string]map[string]string // by job and worker, for queues that need advice
-		adviceCalls    int                          // number of calls
-		log            []string
-		handleTimes    []time.Duration // real time that the core took for each event
-		fairShares     bool            // see domain.Config
-		failUrgent     bool            // every other urgent job fails on every worker
+		rng               *rand.Rand
+		now               time.Time
+		queue             eventQueue
+		lastOrder         int
+		fleet             *runsim.Fleet
+		workers           map[string]runner.Worker
+		unreachable       map[string]bool // workers that can't be called
+		policy            *batch.Policy
+		jobs              map[string]batch.Job
+		plans             map[string][]taskPlan // by job and step
+		accepted          []string
+		cancelled         map[string]time.Time
+		records           map[string]batch.Record
+		waiting           map[string]int       // number of jobs that have not begun, by queue
+		evacuatedTasks    map[string]int       // tasks left in evacuated zones, as stored
+		endTimes          map[string]time.Time // of jobs, as stored
+		token             int64
+		leader            *leader
+		faults            faults
+		evacuated         []string  // availability zones
+		evacuatedAt       time.Time // when evacuated last changed
+		evacuationReports []domain.EvacuationReport
+		lateStarts        []string      // workers in evacuated zones to which starts were sent too late
+		clockSkew         time.Duration // of the clock of the host that accepts jobs
+		decisions         []domain.LogDecision
+		backlogReports    []domain.BacklogReport
+		healthReports     []domain.HealthReport
+		tickets           map[string]map[string]string // by job and worker, for queues that need advice
+		adviceCalls       int                          // number of calls
+		log               []string
+		handleTimes       []time.Duration // real time that the core took for each event
+		fairShares        bool            // see domain.Config
+		failUrgent        bool            // every other urgent job fails on every worker
 	}
 
 	taskPlan struct {
@@ -93,7 +93,7 @@
 	promptDelay  = 15 * time.Millisecond
 )
 
-var start = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+var startTime = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
 
 func (eq eventQueue) Len() int { return len(eq) }
 func (eq eventQueue) Less(i, j int) bool {
@@ -113,14 +113,14 @@
 
 func newSimulation(seed uint64) *simulation {
 	sim := &simulation{
-		rng: rand.New(rand.NewPCG(seed, 1)), now: start, workers: map[string]runner.Worker{}, unreachable: map[string]bool{},
+		rng: rand.New(rand.NewPCG(seed, 1)), now: startTime, workers: map[string]runner.Worker{}, unreachable: map[string]bool{},
 		jobs: map[string]batch.Job{}, plans: map[string][]taskPlan{}, cancelled: map[string]time.Time{},
 		records: map[string]batch.Record{}, endTimes: map[string]time.Time{},
 		policy: &batch.Policy{Version: 1, Queues: []batch.Queue{
 			queueOf(0), queueOf(1), queueOf(2),
 		}, Workspaces: []batch.Workspace{{Name: "a", Guaranteed: 16}, {Name: "b", Guaranteed: 16}}},
 	}
-	sim.fleet = runsim.NewFleet(start, runsim.Config{
+	sim.fleet = runsim.NewFleet(startTime, runsim.Config{
 		MaxHold: 10 * time.Second, GangTimeout: 3 * time.Second, CheckpointInterval: 2 * time.Second, Plan: sim.planOf,
 	})
 	return sim
@@ -137,16 +137,16 @@
 func (sim *simulation) planOf(ti batch.TaskID) runsim.Plan {
 	jb := sim.jobs[ti.Job]
 	step := jb.Steps[ti.Step]
-	do := sim.plans[ti.Job][ti.Step]
+	tp := sim.plans[ti.Job][ti.Step]
 	pl := runsim.Plan{
-		Work: do.work, Fails: do.fails, Needs: step.Occupied(), MaxAttempts: jb.Queue.MaxAttempts, Checkpoints: step.Checkpoints,
+		Work: tp.work, Fails: tp.fails, Needs: step.Occupied(), MaxAttempts: jb.Queue.MaxAttempts, Checkpoints: step.Checkpoints,
 		Payload: jb.Payload, PerWorker: step.PerWorker, LongRunning: step.LongRunning, Tickets: sim.tickets[ti.Job],
 	}
 	if step.Gang {
 		pl.Gang = step.Tasks
 	}
-	if ti.Index == 0 && do.firstTaskWork > 0 {
-		pl.Work = do.firstTaskWork
+	if ti.Index == 0 && tp.firstTaskWork > 0 {
+		pl.Work = tp.firstTaskWork
 	}
 	for _, before := range step.After {
 		for i := range jb.Steps[before].Tasks {
@@ -284,7 +284,7 @@
 	case domain.BacklogReport:
 		sim.backlogReports = append(sim.backlogReports, ef)
 	case domain.EvacuationReport:
-		sim.evacuations = append(sim.evacuations, ef)
+		sim.evacuationReports = append(sim.evacuationReports, ef)
 	case domain.HealthReport:
 		sim.healthReports = append(sim.healthReports, ef)
 	case domain.Resign:
@@ -297,7 +297,7 @@
 	sim.adviceCalls++
 	ad := runner.Advice{Tickets: map[string]string{}, ValidFor: 3 * time.Second}
 	for _, id := range ef.Request.Workers {
-		if text, good := sim.tickets[ef.Request.Job][id]; good {
+		if text, allowed := sim.tickets[ef.Request.Job][id]; allowed {
 			ad.Tickets[id] = text
 		}
 	}
@@ -434,8 +434,8 @@
 	return n
 }
 
-// took returns the time from the submission of a job to its end.
-func (sim *simulation) took(id string) time.Duration {
+// turnaround returns the time from the submission of a job to its end.
+func (sim *simulation) turnaround(id string) time.Duration {
 	return sim.endOf(id).Sub(sim.jobs[id].Accepted.Add(-sim.clockSkew))
 }
 
@@ -460,6 +460,6 @@
 	return violations
 }
 
-func (sim *simulation) tail() string {
+func (sim *simulation) logTail() string {
 	return strings.Join(sim.log[max(0, len(sim.log)-60):], "\n")
 }
--- a/internal/domain/starve.go
+++ b/internal/domain/starve.go
@@ -14,7 +14,7 @@
 	longest, index := starveTime, -1
 	for i, ug := range ugs {
 		un := ug.units[0]
-		if ug.class != classLate || un.tasks == 1 && !un.wide() {
+		if ug.class != classLate || un.tasks == 1 && !un.large() {
 			continue
 		}
 		if waited := now.Sub(un.objectiveStart()); waited > longest {
--- a/internal/domain/starve_test.go
+++ b/internal/domain/starve_test.go
@@ -39,8 +39,8 @@
 			}
 			for _, id := range last {
 				jb := sim.jobs[id]
-				is.Equal(sim.state(id), batch.Done)                            // not starved
-				is.True(sim.took(id) <= jb.Queue.Objective(jb.CriticalPath())) // and met its objective
+				is.Equal(sim.state(id), batch.Done)                                  // not starved
+				is.True(sim.turnaround(id) <= jb.Queue.Objective(jb.CriticalPath())) // and met its objective
 			}
 			is.Equal(sim.check(), nil)
 		})
@@ -71,7 +71,7 @@
 	}
 	small := sim.jobs["small"]
 	is.Equal(sim.state("small"), batch.Done)
-	is.True(sim.took("small") <= small.Queue.Objective(small.CriticalPath()))
+	is.True(sim.turnaround("small") <= small.Queue.Objective(small.CriticalPath()))
 	is.True(sim.fleet.Running("large") > 0)
 	is.Equal(sim.check(), nil)
 }
--- a/internal/domain/trust.go
+++ b/internal/domain/trust.go
@@ -11,7 +11,7 @@
 
 const (
 	trustAny          trust = iota
-	trustNotFailed          // has not failed the unit
+	trustNotAvoided         // has not failed the unit
 	trustNotSuspected       // and is not suspected
 	trustProven             // and has succeeded recently
 	trustOtherRack          // and is not in the rack of a worker that has failed the unit
@@ -23,9 +23,9 @@
 
 var (
 	anyWorker         = []trust{trustAny}
-	notFailedFirst    = []trust{trustNotFailed, trustAny}
-	notSuspectedFirst = []trust{trustNotSuspected, trustNotFailed, trustAny}
-	provenFirst       = []trust{trustOtherRack, trustProven, trustNotSuspected, trustNotFailed, trustAny}
+	notAvoidedFirst   = []trust{trustNotAvoided, trustAny}
+	notSuspectedFirst = []trust{trustNotSuspected, trustNotAvoided, trustAny}
+	provenFirst       = []trust{trustOtherRack, trustProven, trustNotSuspected, trustNotAvoided, trustAny}
 )
 
 // meetsTrust reports whether a worker meets a level of trust for a unit.
@@ -35,7 +35,7 @@
 		return true
 	case un.avoided[nd.worker.ID]:
 		return false
-	case tr == trustNotFailed:
+	case tr == trustNotAvoided:
 		return true
 	case tr == trustNotSuspected:
 		return !nd.health.suspected
@@ -73,14 +73,14 @@
 		if impaired {
 			return notSuspectedFirst
 		}
-		return notFailedFirst
+		return notAvoidedFirst
 	case un.infeasible(ps.now):
 		// The job has no value any more, so the last attempt does not wait.
 		return provenFirst
 	}
 	levels := provenFirst
 	if !impaired {
-		levels = notFailedFirst
+		levels = notAvoidedFirst
 	}
 	for i, tr := range levels {
 		// It waits for proven workers only for a part of its slack, and for
@@ -138,7 +138,7 @@
 	n := 0
 	for _, nd := range co.schedulableNodes(ps, service) {
 		if co.meetsTrust(ps.now, un, nd, tr) && un.suits(nd) {
-			n += un.fits(nd, nd.worker.Capacity, un.tasks)
+			n += un.fitCount(nd, nd.worker.Capacity, un.tasks)
 		}
 		if n >= un.tasks {
 			return true
