--- a/internal/domain/advise.go
+++ b/internal/domain/advise.go
@@ -9,6 +9,7 @@
 )
 
 type (
+	// stepKey identifies a step in one occurrence of a job.
 	stepKey struct {
 		occurrence, stepIndex int
 	}
--- a/internal/domain/backlog.go
+++ b/internal/domain/backlog.go
@@ -10,7 +10,7 @@
 	// Backlog sums up the waiting units of one queue and class.
 	Backlog struct {
 		Queue        string
-		Class        string // assured, timely, overdue or late; see unitGroup
+		Class        string // assured (within a guarantee), timely, overdue or late
 		Units        int
 		Accelerators int           // requested
 		Oldest       time.Duration // since the oldest unit's due time or, without one, acceptance
@@ -20,7 +20,7 @@
 	Accelerators struct {
 		Total    int
 		Free     int
-		Reserved int // the free ones that are reserved for gangs and wide tasks; see reserve.go
+		Reserved int // the free ones that are reserved for gangs and large tasks; see reserve.go
 	}
 
 	backlogKey struct {
@@ -34,8 +34,8 @@
 
 var classNames = [...]string{classGuaranteed: "assured", classTimely: "timely", classOverdue: "overdue", classLate: "late"}
 
-// reportBacklog emits the backlog after a pass, and once more when it has become
-// empty.
+// reportBacklog emits a BacklogReport after a pass if units wait, and once more
+// when none waits any longer.
 func (co *Core) reportBacklog(ps *pass, ugs []unitGroup) {
 	if ps.now.Sub(co.backlogReportedAt) < reportInterval {
 		return
@@ -80,7 +80,8 @@
 	bl.Oldest = max(bl.Oldest, now.Sub(un.objectiveStart()))
 }
 
-// countAccelerators sums up the accelerators of the nodes that a pass has examined.
+// countAccelerators sums up the accelerators of the workers that a pass has
+// examined.
 func (co *Core) countAccelerators(ps *pass) Accelerators {
 	var sum Accelerators
 	for _, nds := range ps.nodesByService {
--- a/internal/domain/besteffort.go
+++ b/internal/domain/besteffort.go
@@ -9,9 +9,9 @@
 const bestEffortBackoff = 15 * time.Second
 
 // observeLatency stops the best-effort work on the worker of a task that serves
-// requests if the task's tail latency exceeds its target. The target may be
-// missed for a few seconds only, and polls show it with a delay of up to half of
-// that, so the first excess counts.
+// requests if the task's tail latency, in milliseconds, exceeds its target. The
+// target may be missed for a few seconds only, and polls show it with a delay
+// of up to half of that, so the first excess counts.
 func (co *Core) observeLatency(now time.Time, ru *run, latencyMillis int) {
 	target := ru.unit.step.TargetLatency
 	if target == 0 || time.Duration(latencyMillis)*time.Millisecond <= target {
@@ -26,8 +26,9 @@
 	}
 }
 
-// bestEffortBlocked reports whether a unit is best-effort work and a worker gets
-// none because it interfered there recently.
+// bestEffortBlocked reports whether a unit is best-effort work and a worker
+// gets none because such work interfered there recently, as of the worker's
+// last reply to a poll.
 func (un *unit) bestEffortBlocked(nd *node) bool {
 	return un.step.BestEffort && nd.clockAt.Before(nd.bestEffortBlockedUntil)
 }
--- a/internal/domain/commit.go
+++ b/internal/domain/commit.go
@@ -11,16 +11,16 @@
 // commitQueue holds the changed jobs that have to be written to the store, and
 // the commits in flight.
 type commitQueue struct {
-	seq            int64
+	seq            int64                  // of the last commit
 	inFlight       map[int64][]jobVersion // by sequence number
 	inFlightJobs   map[*job]bool          // jobs in these commits
 	lastCommit     time.Time
 	dirty          []*job // in the order of their first change
 	dirtySet       map[*job]bool
-	urgent         bool // a start waits for the next commit
-	waitingCounts  map[string]int
+	urgent         bool           // a start waits for the next commit
+	waitingCounts  map[string]int // as last written, by queue; see countWaiting
 	evacuatedTasks map[string]int // as last written, by evacuated availability zone
-	countedAt      time.Time
+	countedAt      time.Time      // when countWaiting last counted
 }
 
 // jobVersion is the version of a job that a commit writes.
@@ -35,7 +35,7 @@
 	}
 }
 
-// markDirty marks a job whose stored state has changed.
+// markDirty marks a job whose state has changed and has to be stored.
 func (co *Core) markDirty(jb *job) {
 	jb.version++
 	if !co.commits.dirtySet[jb] {
@@ -44,14 +44,14 @@
 	}
 }
 
-// canCommit reports whether another commit may begin. While others are in
+// canCommit reports whether another commit may be emitted. While others are in
 // flight it has to be full, so that a lightly loaded domain makes few calls to
 // the store.
 func (cq *commitQueue) canCommit() bool {
 	return len(cq.inFlight) == 0 || (len(cq.inFlight) < maxCommitsInFlight && len(cq.dirty) >= maxCommitRecords)
 }
 
-// flush begins a commit if one is due. A job is in at most one commit at a
+// flush emits a commit if one is due. A job is in at most one commit at a
 // time, so that its versions are written in order.
 func (co *Core) flush(now time.Time) {
 	cq := &co.commits
@@ -101,7 +101,8 @@
 	return routineCommitInterval
 }
 
-// handleCommit processes the success of a commit.
+// handleCommit processes the success of a commit. Attempts that it has recorded
+// can be started, and ends that it accounts for can be acknowledged.
 func (co *Core) handleCommit(now time.Time, ev Committed) {
 	versions, ok := co.commits.inFlight[ev.Seq]
 	if !ok {
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -43,7 +43,7 @@
 		evacuatedZones      map[string]bool // availability zones to be evacuated
 		evacuation          evacuationState
 		unsavedEnds         map[*node]bool // nodes with ends that are not in the store yet
-		pollCandidates      []*node        // nodes to be polled if their next poll is due
+		pollCandidates      []*node        // nodes to be polled if their next poll is due; may contain duplicates
 		changed             map[*unit]bool // units to be evaluated
 		claimed             []*unit        // units with claims on nodes; some may have been released since
 		passDue             bool
@@ -166,9 +166,10 @@
 	return false
 }
 
-// passInterval is the minimum time between two placement passes. It grows with
-// the number of groups and nodes that a pass examines, and on hosts with less
-// than one core, so that passes leave time for other work.
+// passInterval returns the minimum time between the beginnings of two placement
+// passes. It grows with the number of groups and nodes that a pass examines,
+// and is longer on hosts with less than one core, so that passes leave time for
+// other work.
 func (co *Core) passInterval() time.Duration {
 	work := time.Duration(co.groupCount)*passTimePerGroup + time.Duration(len(co.nodes))*passTimePerNode
 	if co.coreFraction > 0 {
@@ -210,7 +211,8 @@
 	}
 }
 
-// tick runs all checks that depend on the passage of time.
+// tick runs all checks that depend on the passage of time, and makes a pass
+// due.
 func (co *Core) tick(now time.Time) {
 	for _, nd := range co.nodesByID() {
 		co.expireLeases(now, nd)
@@ -249,8 +251,8 @@
 func (co *Core) nodesByID() []*node { return co.sortedNodes }
 
 // takeoverDone reports whether every listed worker has been polled, or
-// takeoverTimeout is over. Until then it is unknown what runs where, and nothing
-// is placed.
+// takeoverTimeout has passed. Until then it is unknown what runs where, and
+// nothing is placed.
 func (co *Core) takeoverDone(now time.Time) bool {
 	if now.Sub(co.beganAt) > takeoverTimeout {
 		return true
@@ -267,6 +269,7 @@
 // worker.
 const takeoverTimeout = 600 * time.Millisecond
 
+// resign ends the core after another one has taken over.
 func (co *Core) resign(reason string) {
 	co.resigned = true
 	co.emit(Resign{Reason: reason})
@@ -274,6 +277,8 @@
 
 func (co *Core) emit(ef Effect) { co.effects = append(co.effects, ef) }
 
+// markChanged marks a unit for evaluation; nil, for a run without a unit, is
+// ignored.
 func (co *Core) markChanged(un *unit) {
 	if un != nil {
 		co.changed[un] = true
--- a/internal/domain/detector.go
+++ b/internal/domain/detector.go
@@ -18,7 +18,7 @@
 		baselines        map[string]baseline // by queue
 		withEvidence     map[*node]bool      // nodes that have a score or are out of service
 		impairedServices map[string]bool     // services with workers that are suspected or out of service
-		due              bool                // the states have to be updated
+		due              bool                // the health states have to be updated
 		lastReport       HealthReport
 		reportedAt       time.Time
 	}
@@ -26,6 +26,8 @@
 	// locationCount counts the workers of a rack, a zone or a service.
 	locationCount struct{ total, suspected int }
 
+	// locationKey identifies a rack or, with an empty rack, a zone or, with
+	// both empty, a service.
 	locationKey struct{ service, zone, rack string }
 )
 
@@ -53,7 +55,8 @@
 	// minCorrelated, correlatedShare and correlatedFactor define correlated
 	// failures: at least minCorrelated workers of a rack or zone are suspected,
 	// which are at least the fraction correlatedShare of those there, and that
-	// fraction is at least correlatedFactor times the one elsewhere.
+	// fraction is at least correlatedFactor times the one among the service's
+	// other workers.
 	minCorrelated    = 3
 	correlatedShare  = 0.3
 	correlatedFactor = 3
@@ -72,8 +75,9 @@
 // isInService reports whether the worker is neither suspended nor on probation.
 func (he *health) isInService() bool { return he.state == inService }
 
-// evaluateHealth updates the health states of workers by the evidence. It does
-// nothing as long as there is none.
+// evaluateHealth updates the health states of workers by the evidence, those
+// with the highest score first, since only some of them may be suspended. It
+// does nothing as long as there is no evidence.
 func (co *Core) evaluateHealth(now time.Time) {
 	co.detector.due = false
 	if len(co.detector.withEvidence) == 0 {
@@ -105,7 +109,8 @@
 	co.suspectCorrelated(now, counts)
 }
 
-// updateHealth advances the health state of one worker.
+// updateHealth advances the health state of one worker. maySuspend is false if
+// workers with higher scores use up maxSuspendedShare of its service already.
 func (co *Core) updateHealth(now time.Time, nd *node, correlated, maySuspend bool) {
 	he := &nd.health
 	score := he.score
@@ -121,7 +126,6 @@
 			delete(co.detector.withEvidence, nd)
 		}
 	case suspended:
-		// Without maySuspend, too many workers of the service are out of service.
 		if !maySuspend || score < suspectScore {
 			co.reinstate(now, nd, "its score has decayed, or too many workers are out of service")
 		} else if !now.Before(he.suspendedUntil) {
@@ -222,8 +226,8 @@
 	return keys
 }
 
-// failuresCorrelated reports whether failures are failuresCorrelated in a worker's rack or
-// zone.
+// failuresCorrelated reports whether failures are correlated in a worker's rack
+// or zone; see minCorrelated.
 func (lcs locationCounts) failuresCorrelated(nd *node) bool {
 	keys := nd.locationKeys()
 	total := lcs.at(keys[0])
@@ -277,8 +281,8 @@
 	co.detector.due = true
 }
 
-// recordNodeFailure records a failure against a worker that can't be caused by
-// a job.
+// recordNodeFailure records a failure that can't be caused by a job against a
+// worker, and adds the given amount to its score.
 func (co *Core) recordNodeFailure(now time.Time, nd *node, score float64) {
 	nd.health.setScore(now, nd.health.scoreAt(now)+score)
 	co.detector.withEvidence[nd] = true
@@ -316,11 +320,11 @@
 	}
 }
 
-// restoreFailures records the failures of a unit by the record of an earlier
+// restoreFailures records the failures of a unit from the record of an earlier
 // term. Records contain no times, so these failures make workers suspected but
-// don't suspend them. failedOn also contains workers that refused a start or let
-// a task hang, which failures does not count. If there are more workers than
-// failures, it is unknown which of them failed, so none is recorded.
+// don't suspend them. failedOn also contains workers that refused a start or
+// let a task hang, which failures does not count. If there are more workers
+// than failures, it is unknown which of them failed, so none is recorded.
 func (co *Core) restoreFailures(now time.Time, un *unit, failedOn []string) {
 	if un.failures == 0 || len(failedOn) > un.failures || un.job.state != batch.Running {
 		return
--- a/internal/domain/doc.go
+++ b/internal/domain/doc.go
@@ -2,14 +2,14 @@
 // whose workers one scheduler uses. It holds the state of jobs, units and
 // workers, and decides which tasks are started where and which are stopped. It
 // does no I/O and reads no clock: it takes an event and the current time, and
-// returns effects for the surrounding shell to carry out.
+// returns effects for package drive to carry out.
 //
 // It schedules jobs of queues with priorities over several zones. Package sched
 // holds another core, which schedules the jobs of a single zone.
 //
-// A job has its full value if it ends by its objective, and none after
-// noValueFactor times that. In between, it still has some value. The order of
-// placement depends on this remaining value; see unitGroup.
+// A job has its full value if it ends within its objective, and none after
+// noValueFactor times that time. In between, it still has some value. The order
+// of placement depends on this remaining value; see unitGroup.
 //
 // These invariants hold after every event:
 //
@@ -18,8 +18,8 @@
 //   - A unit has at most one attempt that may run. The next attempt begins only
 //     when every task of the last one has certainly ended, on every worker.
 //   - Capacity on a worker stays allocated until the worker reports that the
-//     task has ended, or until the lease of the task has expired by the slowest
-//     possible clock.
+//     task has ended, or until the lease of the task has expired even on the
+//     slowest clock that is allowed for (maxClockDrift).
 //   - The end of a task is acknowledged to the worker only after the record
 //     that accounts for it is in the store.
 //   - Every action carries the fencing token of one term. The holder of a
--- a/internal/domain/drain.go
+++ b/internal/domain/drain.go
@@ -9,12 +9,12 @@
 type Occupancy struct {
 	Idle            bool // nothing runs, by the worker's own report
 	Uninterruptible bool // some long-running work can't be interrupted now
-	Draining        bool // the worker gets no new work anyway
+	Draining        bool // the platform has announced that the worker leaves
 }
 
 const (
-	// checkpointLead is how long before the drain deadline of its worker a task
-	// with checkpoints is stopped. It covers the stop and the poll that returns
+	// checkpointLead is how long before its worker's drain deadline a task with
+	// checkpoints is stopped. It covers the stop and the poll that returns
 	// the last checkpoint.
 	checkpointLead = 1200 * time.Millisecond
 	// finishMargin is the minimum time between the expected end of a task and
--- a/internal/domain/evac.go
+++ b/internal/domain/evac.go
@@ -8,25 +8,25 @@
 )
 
 type (
-	// ZoneStatus is what runs in an evacuated availability zone.
+	// ZoneStatus counts what is left in an availability zone that is evacuated.
 	ZoneStatus struct {
 		Zone    string
-		Workers int // listed ones
-		Tasks   int
+		Workers int // that the platform lists
+		Tasks   int // that have not ended
 	}
 
-	// evacuationState is the progress of the evacuation of availability zones.
+	// evacuationState holds the settings and the last report of evacuations.
 	evacuationState struct {
 		minRemaining time.Duration // see Config.MinMoveRunTime
-		reported     []ZoneStatus
+		reported     []ZoneStatus  // the last report
 		reportedAt   time.Time
 	}
 )
 
 const (
-	// checkpointFreshness is for how long after it was reported a checkpoint
-	// counts as fresh. Passes happen on every tick, and less often on a slow
-	// host.
+	// checkpointFreshness is for how long a checkpoint counts as fresh after a
+	// poll first showed it. It has to exceed the time between two passes, which
+	// happen on every tick, and less often on a slow host.
 	checkpointFreshness = 300 * time.Millisecond
 	// maxMoves bounds the units that are moved out of evacuated zones at a
 	// time. A unit makes no progress while it is moved, and occupies capacity
@@ -79,8 +79,8 @@
 	return slices.ContainsFunc(un.runs, func(ru *run) bool { return ru.node.evacuated })
 }
 
-// markCheckpointFresh stores the time at which a unit reported a checkpoint that
-// differs from the saved one. It is called before saveCheckpoint.
+// markCheckpointFresh sets checkpointAt if a unit reports a checkpoint that
+// differs from the last one. It has to be called before setCheckpoint.
 func (co *Core) markCheckpointFresh(now time.Time, ru *run, checkpoint string) {
 	un := ru.unit
 	if checkpoint == "" || checkpoint == un.checkpoint || ru.task.Index != un.index {
@@ -109,10 +109,10 @@
 	}
 }
 
-// mayMove reports whether a unit should be moved out of its zone now. An
+// mayMove reports whether a unit may be moved out of its zone now. An
 // evacuation has no deadline, so only work that loses little is moved: work
-// with a fresh checkpoint and more remaining time than a bound, and long-running
-// work within the number of tasks that may be missing.
+// with a fresh checkpoint and more than minRemaining left to run, and
+// long-running work within its disruption limit (MaxUnavailable).
 func (un *unit) mayMove(now time.Time, minRemaining time.Duration) bool {
 	switch {
 	case un.phase != live, un.guaranteed, !un.allRunning():
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -8,7 +8,8 @@
 )
 
 type (
-	// Event is an input of the core. The types below are all of them.
+	// Event is an input of the core. The types from Configured to Prompted are
+	// all of them.
 	Event interface{ event() }
 
 	// Configured replaces the policy in force.
@@ -23,7 +24,7 @@
 	// Listed adds or updates the platform's entry of a worker.
 	Listed struct{ Worker runner.Worker }
 
-	// Unlisted reports that the platform's list no longer contains a worker.
+	// Unlisted reports that the platform no longer lists a worker.
 	Unlisted struct{ ID string }
 
 	// DrainRequested names the workers that get no new work, with the time by
@@ -75,14 +76,14 @@
 	// since every event is followed by that work.
 	Prompted struct{}
 
-	// Effect is an action for the shell to carry out. The types below are all
-	// of them.
+	// Effect is an action for package drive to carry out. The types from Commit
+	// to Resign are all of them.
 	Effect interface{ effect() }
 
-	// Commit writes records to the store. Several commits may be in flight,
-	// each with records of different jobs.
+	// Commit writes records to the store. Committed confirms it. Several
+	// commits may be in flight, each with records of different jobs.
 	Commit struct {
-		Seq     int64
+		Seq     int64 // identifies the commit within the term
 		Records []batch.Record
 		Backlog *batch.Backlog // nil if unchanged
 	}
@@ -92,7 +93,7 @@
 		Worker  runner.Worker
 		Sent    time.Time
 		Request runner.PollRequest
-		Extra   bool // in addition to the long poll for ends
+		Extra   bool // sent at once, besides the long poll that may be in flight
 	}
 
 	// Start starts an attempt of a task.
@@ -107,7 +108,8 @@
 		Request runner.StopRequest
 	}
 
-	// Advise asks the advice service which workers may run a step.
+	// Advise asks the advice service which workers may run a step, and for
+	// tickets that permit it.
 	Advise struct {
 		Sent    time.Time
 		Request runner.AdviceRequest
@@ -117,24 +119,46 @@
 	// endedJobRetention ago.
 	Forget struct{ ID string }
 
-	// LogDecision requests a log line about a decision.
+	// LogDecision requests a log line about a decision or an observation of the
+	// core. Fields that don't apply to it are zero. Decision is one of these:
+	//
+	//   - placed: an attempt of a unit was placed, and its record is written next
+	//   - startFails: a start was refused, failed, or got no reply
+	//   - ends: a worker has reported the end of a run
+	//   - endsLate: an attempt succeeded although it had been given up
+	//   - stops: an attempt, or a run that no record names, is being stopped
+	//   - overdue: a stop is not confirmed although all leases have expired
+	//   - hangs: a task makes no progress
+	//   - preempts: other work is being stopped for a unit
+	//   - evacuation: the set of evacuated zones has changed, or a unit is being
+	//     moved out of one
+	//   - jobEnds: a job has reached its final state
+	//   - lookFails: a poll has failed; of several failures in a row, only the first
+	//     is logged
+	//   - silent: the leases on an unresponsive worker have expired
+	//   - reborn: a worker has restarted
+	//   - unlisted: the platform no longer lists a worker
+	//   - suspects: a worker is suspended
+	//   - reinstates: a worker returns to service
+	//   - adviceFails: a call to the advice service has failed
 	LogDecision struct {
-		Decision    string // placed, preempts, startFails, ends, endsLate, stops, overdue, jobEnds, hangs, suspects, reinstates, silent, evacuation, unlisted, reborn, lookFails, adviceFails
+		Decision    string
 		Job         string
 		Task        string
-		Queue       string        // of a placed unit
-		Waited      time.Duration // by a placed unit since its due time or acceptance, earlier attempts included; by a job that ends until its first start
+		Queue       string        // of the unit or job
+		Waited      time.Duration // by a placed unit since its due time or acceptance, earlier attempts included; by a job that ends, until its first start
 		Duration    time.Duration // by a job that ends, since its acceptance
 		Lost        time.Duration // processor time in core equivalents, by a stop, or by all preemptions of a job that ends
 		Preemptions int           // of a job that ends: its preempted attempts, in this term
 		Attempt     int
-		Worker      string
-		Workers     []string
+		Worker      string   // of a run, or that the decision is about
+		Workers     []string // of a unit's tasks
 		Reason      string
 	}
 
-	// BacklogReport reports, once a second, the waiting work and the free
-	// capacity.
+	// BacklogReport reports the waiting work and the free capacity after a
+	// pass, at most once a second while units wait, and once more when none
+	// does.
 	BacklogReport struct {
 		Backlogs     []Backlog
 		Shares       []WorkspaceUsage // by service and workspace
@@ -153,7 +177,7 @@
 		OnProbation int // get only work that tolerates a failure
 	}
 
-	// Resign ends the core: leadership is lost to the holder of a larger token.
+	// Resign ends the term: leadership is lost to the holder of a larger token.
 	Resign struct{ Reason string }
 )
 
@@ -190,11 +214,12 @@
 	// pollWait is how long a poll waits for an end.
 	pollWait = 2 * time.Second
 	// pendingEndPollDelay is the minimum time between the reply to a poll and
-	// the next poll while an end is not in the store yet.
+	// the next poll while an end that it reported is not in the store yet.
 	pendingEndPollDelay = 400 * time.Millisecond
 	// pollRetryDelay is the pause after a failed poll.
 	pollRetryDelay = 500 * time.Millisecond
-	// stopRetryDelay is the pause after a failed stop.
+	// stopRetryDelay is the minimum time between two calls to stop the same
+	// run.
 	stopRetryDelay = 400 * time.Millisecond
 
 	// minPassInterval is the minimum time between two placement passes.
--- a/internal/domain/fair.go
+++ b/internal/domain/fair.go
@@ -9,7 +9,8 @@
 
 type (
 	// fairness tracks how far each workspace is above or below its fair share
-	// of the workers of each service. It is not stored.
+	// of the workers of each service. It is not stored: a new term takes the
+	// usage at its first pass as the former usage.
 	fairness struct {
 		tenants       map[tenant]*tenantUsage
 		capacity      map[string]batch.Resources // of schedulable workers, by service
@@ -31,7 +32,7 @@
 		used      float64         // dominant share of resources at the beginning of the pass
 		recent    float64         // the same with exponential decay
 		planned   float64         // dominant share granted in this pass by claims and reservations
-		waiting   bool
+		waiting   bool            // some of its units wait
 	}
 )
 
--- a/internal/domain/fairplace.go
+++ b/internal/domain/fairplace.go
@@ -7,18 +7,18 @@
 	"github.com/cicadawharf/cicadawharf/internal/batch"
 )
 
-// tenantQueue holds the groups of one tenant, or those of one of its queues, in
-// order.
+// tenantQueue holds groups of one tenant in the order in which they are
+// considered.
 type tenantQueue struct {
 	tenant tenant
-	usage  float64
-	groups []int
+	usage  float64 // relative to the fair share; see fairness.relativeUsage
+	groups []int   // indices of the groups
 }
 
 const (
 	// maxGrantShare bounds the share of a service that is granted to a
-	// workspace at a time, so that a wide step does not take all of a pass's
-	// free capacity.
+	// workspace at a time, so that a step of many tasks does not take all of a
+	// pass's free capacity.
 	maxGrantShare = 1.0 / 16
 	// maxFinishShare is the share of a service up to which the remaining units
 	// of a begun step are placed before work that has not begun.
@@ -119,9 +119,10 @@
 	return float64(placed)*each + planned
 }
 
-// assignShares assigns the queues' shares to groups in the given order. If
-// several workspaces have work in a queue, the one furthest below its fair
-// share comes first. Jobs without any value left come last.
+// assignShares assigns the queues' shares to groups by calling take for each
+// group. With fair shares, the workspace furthest below its own comes first in
+// each queue. Within a workspace, and without fair shares, the given order
+// applies. Jobs without any value left come last.
 func (co *Core) assignShares(qs queueShares, ugs []unitGroup, order []int, take func(i int) float64) {
 	type shareKey struct {
 		queue string
@@ -145,8 +146,9 @@
 	}
 }
 
-// fillProgressively lets the tenant furthest below its fair share take
-// something, repeatedly, until all queues are empty (progressive filling).
+// fillProgressively calls take for the tenant furthest below its fair share,
+// and adds the result to its usage, until all queues are empty (progressive
+// filling).
 func (co *Core) fillProgressively(tqs []*tenantQueue, take func(tq *tenantQueue) float64) {
 	for len(tqs) > 0 {
 		tq := tqs[0]
--- a/internal/domain/faultystep.go
+++ b/internal/domain/faultystep.go
@@ -4,7 +4,7 @@
 
 // stepOutcomes holds the outcomes of the attempts of a job's step in this term.
 type stepOutcomes struct {
-	failedOn  map[string]bool // by worker
+	failedOn  map[string]bool // by worker ID
 	succeeded bool
 	faulty    bool // the step is considered to cause its failures itself
 }
@@ -65,9 +65,9 @@
 	}
 }
 
-// updateExclusion removes the evidence of a step's job against the workers on
-// which the step has failed from their scores, or adds it back. That includes
-// evidence by other steps of the job.
+// updateExclusion removes the evidence of a step's job from the scores of the
+// workers on which the step has failed, or adds it back if the step is no
+// longer considered faulty. That includes evidence by other steps of the job.
 func (co *Core) updateExclusion(now time.Time, un *unit, so *stepOutcomes) {
 	for id := range so.failedOn {
 		if nd, ok := co.nodes[id]; ok {
--- a/internal/domain/health.go
+++ b/internal/domain/health.go
@@ -16,7 +16,7 @@
 	health struct {
 		score          float64
 		scoredAt       time.Time
-		tallies        map[string]*jobTally
+		tallies        map[string]*jobTally // by job
 		lastSuccess    time.Time
 		state          healthState
 		suspected      bool // other workers are preferred
@@ -30,8 +30,8 @@
 	// since the job itself may be faulty.
 	jobTally struct {
 		sum      float64
-		applied  float64 // part of sum that is in the score
-		at       time.Time
+		applied  float64   // part of sum that is in the score
+		at       time.Time // of the last outcome
 		failures int
 		excluded bool // a step of the job is considered faulty; see faultystep.go
 	}
@@ -39,8 +39,8 @@
 	// baseline is the failure rate of a queue's attempts on workers that are
 	// not suspected.
 	baseline struct {
-		failed, total float64
-		at            time.Time
+		failed, total float64   // attempts, with exponential decay
+		at            time.Time // of the last attempt
 	}
 )
 
@@ -65,10 +65,12 @@
 	suspendScore = 3.0
 	// negligibleScore is the score below which evidence is dropped.
 	negligibleScore = 0.2
-	// tallyRetention is how long the tally of a job is kept after its last
-	// outcome.
+	// tallyRetention is the minimum time for which the tally of a job is kept
+	// after its last outcome, unless the worker has maxTallies more recent
+	// ones.
 	tallyRetention = time.Minute
-	maxTallies     = 64
+	// maxTallies bounds the number of tallies of a worker.
+	maxTallies = 64
 	// provenWindow is how long a worker counts as proven after a success.
 	provenWindow = 30 * time.Second
 )
@@ -86,7 +88,7 @@
 	hangScore            = suspendScore
 )
 
-// failureRate returns the fraction of attempts that fail.
+// failureRate returns the fraction of attempts that fail, including the prior.
 func (bl baseline) failureRate(now time.Time) float64 {
 	left := decay(now.Sub(bl.at), baselineHalfLife)
 	return (left*bl.failed + priorFailures) / (left*bl.total + priorAttempts)
@@ -108,7 +110,8 @@
 // on a faulty worker, at any baseline failure rate.
 const successCredit = math.Ln2
 
-// decay returns the fraction of a weight that is left after a time.
+// decay returns the fraction of a value that is left after a time, given its
+// half-life.
 func decay(elapsed, halfLife time.Duration) float64 {
 	if elapsed <= 0 {
 		return 1
@@ -141,7 +144,8 @@
 	jt.applied = jt.sum
 }
 
-// tallyOf returns the tally of a job, and adds one if there is none.
+// tallyOf returns the tally of a job, for an outcome now. It adds one if there
+// is none.
 func (he *health) tallyOf(now time.Time, job string) *jobTally {
 	if he.tallies == nil {
 		he.tallies = map[string]*jobTally{}
@@ -158,7 +162,8 @@
 	return jt
 }
 
-// dropTallies drops the tallies of jobs without recent outcomes.
+// dropTallies drops the tallies of jobs without recent outcomes, or all of them
+// if that leaves too many. What they have added to the score remains.
 func (he *health) dropTallies(now time.Time) {
 	for job, jt := range he.tallies {
 		if now.Sub(jt.at) > tallyRetention {
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -48,18 +48,18 @@
 		failureCounted    bool // failures includes a failure of the current attempt
 		checkpoint        string
 		checkpointAt      time.Time       // when a new checkpoint was last reported
-		moveFailedAt      time.Time       // when no capacity was last found to move it to
+		moveFailedAt      time.Time       // when a search for capacity to move it to last found none
 		runs              []*run          // of the current attempt, by task
 		recordVersion     int             // version of the job that records the attempt
 		avoided           map[string]bool // IDs of workers that failed it, let it hang or refused its start
-		preemptions       int
-		preemptTriedAt    time.Time // when victims were last searched for
-		guaranteed        bool      // counts against the guarantee of its workspace, so it can't be preempted
-		claim             []*node   // workers where capacity is allocated for its next attempt, by task
-		memberEnded       bool      // a task had ended when the attempt was recorded, so it has no run
-		notBefore         time.Time // earliest time of placement
-		stopRequestedAt   time.Time // when the stop of the current attempt was requested
-		stuckStopReported bool      // see reportStuckStops
+		preemptions       int             // in this term
+		preemptTriedAt    time.Time       // when victims were last searched for
+		guaranteed        bool            // counts against the guarantee of its workspace, so it can't be preempted
+		claim             []*node         // workers where capacity is allocated for its next attempt, by task
+		memberEnded       bool            // a task had ended when the attempt was recorded, so it has no run
+		notBefore         time.Time       // earliest time of placement
+		stopRequestedAt   time.Time       // when the stop of the current attempt was requested
+		stuckStopReported bool            // see reportStuckStops
 	}
 
 	// unitPhase is the state of a unit. The state of each of its runs is a stage.
@@ -364,7 +364,7 @@
 }
 
 // objectiveStart returns the time from which the objective of a unit's
-// occurrence is measured.
+// occurrence is measured: its due time or, without one, the acceptance.
 func (un *unit) objectiveStart() time.Time {
 	if due := un.job.Due(un.occurrence); !due.IsZero() {
 		return due
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -18,7 +18,7 @@
 		runs                   map[runKey]*run // that have not ended
 		runsByTask             []*run          // nil if outdated; see sortedRuns
 		used                   batch.Resources // by runs and claims
-		clock                  time.Duration   // the worker's, read at clockAt or shortly before
+		clock                  time.Duration   // the worker's clock, read at clockAt or shortly before
 		clockAt                time.Time
 		lastResponse           time.Time    // to a poll
 		lastFailure            time.Time    // of a call
@@ -33,7 +33,7 @@
 		health                 health
 		bestEffortBlockedUntil time.Time // see besteffort.go
 		departsAt              time.Time // when the platform may take the worker away at the earliest; zero if unknown
-		evacuated              bool      // its availability zone is evacuated
+		evacuated              bool      // its availability zone is to be evacuated
 		coldUntil              time.Time // see cold.go
 		cold                   bool      // coldUntil was in the future when last checked
 		drainBy                time.Time // when it should be free of work for maintenance; zero if there is no deadline
@@ -179,7 +179,7 @@
 }
 
 // endIncarnation ends all runs of a worker that certainly runs nothing any
-// more.
+// more, and removes the worker unless it is listed.
 func (co *Core) endIncarnation(now time.Time, nd *node) {
 	for _, ru := range nd.sortedRuns() {
 		co.endRun(ru)
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -10,23 +10,26 @@
 
 // unitGroup holds waiting units of one step that are equal for placement, with
 // their place in the order of placement. Work within a guarantee comes first,
-// since it has to begin at once. Work within its queue's share of the workers
-// comes next, so that no queue starves. The rest is ordered by its remaining
-// value, and then by priority.
+// since it has to begin at once. A gang that starves is next, and then work
+// within its queue's share of the workers, so that no queue starves. The rest,
+// and work of the same kind, is ordered by its remaining value, and then by
+// priority.
 type unitGroup struct {
 	units       []*unit
 	service     string // whose workers may run the units
 	priority    int    // of their queue; zero is the most urgent
-	class       int
-	withinShare bool // within their queue's share
-	starves     bool // see starve.go
+	class       int    // one of the constants below
+	withinShare bool   // within their queue's share
+	starves     bool   // its gang or large task takes precedence; see starving
 }
 
+// The classes of units, by what their jobs would be worth if the units started
+// now.
 const (
-	classGuaranteed = iota
-	classTimely
-	classOverdue // misses its objective, but still has some value
-	classLate    // has lost all value
+	classGuaranteed = iota // within the guarantee of the workspace
+	classTimely            // meets the objective, is long-running, or its job has begun
+	classOverdue           // misses the objective, but still has some value
+	classLate              // ends after the job has lost all value
 )
 
 // mayPreempt reports whether other work may be stopped for the group: for work
@@ -40,8 +43,9 @@
 // can meet its objective, or is within its queue's share.
 func (ug unitGroup) mayReserve() bool { return ug.withinShare || ug.class <= classTimely }
 
-// waitingGroups returns the units that could be started, in the order of
-// placement.
+// waitingGroups returns the units that could be started, in groups and in the
+// order of placement. It also computes the capacities and fair shares that the
+// pass uses.
 func (co *Core) waitingGroups(ps *pass) []unitGroup {
 	var ugs []unitGroup
 	now := ps.now
@@ -95,8 +99,9 @@
 	return ready
 }
 
-// tier returns the first criterion of the order: units within a guarantee, then
-// a starving gang, then units within their queue's share, then all others.
+// tier returns the first criterion of the order, lowest first: units within a
+// guarantee, a starving gang or large task, units within their queue's share,
+// and all others.
 func (ug unitGroup) tier() int {
 	switch {
 	case ug.class == classGuaranteed:
@@ -110,8 +115,8 @@
 	}
 }
 
-// classify groups the units of a step by class, and adds to the accelerators
-// used of their workspace's guarantee.
+// classify groups the units of a step by class. It adds the accelerators of
+// those within a guarantee to used, by workspace.
 func (co *Core) classify(now time.Time, qu *batch.Queue, units []*unit, used map[string]int) []unitGroup {
 	var covered, others []*unit
 	for _, un := range units {
@@ -132,8 +137,7 @@
 	return ugs
 }
 
-// class returns the class of a unit that is not within a guarantee, by its
-// remaining value.
+// class returns the class of a unit that is not within a guarantee.
 func (un *unit) class(now time.Time) int {
 	switch {
 	case un.step.LongRunning:
--- a/internal/domain/pick.go
+++ b/internal/domain/pick.go
@@ -9,8 +9,8 @@
 )
 
 // packTasks returns workers for up to a number of tasks like the unit's: first
-// those near its data, and others only if any rack is allowed. Of these it
-// fills the workers with the least free capacity first.
+// those near its data, and others only if any rack is allowed. Of both it fills
+// the workers with the least free capacity first.
 func (un *unit) packTasks(sls []slot, number int, anyRack bool) []*node {
 	slices.SortFunc(sls, preferWarm(compareFree))
 	if un.step.Rack == "" {
@@ -26,6 +26,7 @@
 }
 
 // chooseNodes returns a worker for each task of a unit, or nil if not all fit.
+// It tries the highest level of trust first.
 func (co *Core) chooseNodes(ps *pass, un *unit, key fitKey) []*node {
 	nds := co.nodesWithCapacity(ps, key)
 	if len(nds) == 0 {
@@ -47,8 +48,8 @@
 // guaranteed reports whether the key belongs to a unit within a guarantee.
 func (fk fitKey) guaranteed() bool { return fk.class == classGuaranteed }
 
-// slots returns the workers where tasks of a unit fit, each with their number
-// up to a limit.
+// slots returns the workers where tasks of a unit fit, each with the number
+// that fits, up to a limit.
 func (un *unit) slots(nds []*node, limit int) []slot {
 	var sls []slot
 	for _, nd := range nds {
@@ -64,7 +65,7 @@
 
 // suits reports whether a worker may run a unit, regardless of its free
 // capacity. A unit is placed on workers that suit it, that meet the required
-// level of trust (meetsTrust), and where enough of its tasks fit (fits).
+// level of trust (meetsTrust), and where enough of its tasks fit (fitCount).
 func (un *unit) suits(nd *node) bool {
 	if un.step.Label != "" && !slices.Contains(nd.worker.Labels, un.step.Label) {
 		return false
@@ -75,8 +76,8 @@
 	return !un.bestEffortBlocked(nd)
 }
 
-// fitCount returns how many tasks of a unit fit into the free resources of a
-// worker, up to a limit.
+// fitCount returns how many tasks of a unit fit into the given resources of a
+// worker, up to a limit and to the number that its step may have there.
 func (un *unit) fitCount(nd *node, free batch.Resources, limit int) int {
 	n := 0
 	if un.step.PerWorker > 0 {
@@ -118,8 +119,9 @@
 	return n
 }
 
-// pick returns workers from slots: those near the data, or of one rack for a
-// gang that needs it. Others are taken only if any rack is allowed.
+// pick returns a worker for each task of a unit: workers near its data, or of
+// one rack for a gang that needs it. Others are taken only if any rack is
+// allowed. It returns nil if not all tasks fit.
 func (un *unit) pick(sls []slot, anyRack bool) []*node {
 	if rack := un.step.Rack; rack != "" {
 		near := slices.DeleteFunc(slices.Clone(sls), func(sl slot) bool { return sl.node.worker.Rack != rack })
@@ -138,8 +140,8 @@
 	return un.assign(sls)
 }
 
-// assignRack assigns a unit to the rack with the least free capacity that
-// suffices.
+// assignRack returns workers of the rack with the least free capacity that
+// suffices for a unit, or nil if there is none.
 func (un *unit) assignRack(sls []slot) []*node {
 	byRack := map[string][]slot{}
 	free := map[string]int{}
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -9,18 +9,18 @@
 
 type (
 	// pass is the state of one placement pass over the waiting units. Free
-	// capacity only shrinks during a pass, so a unit is not tried again whose
-	// key did not fit once.
+	// capacity only shrinks during a pass, so once a unit did not fit, others
+	// with the same key are not tried.
 	pass struct {
 		now            time.Time
-		nodesByService map[string][]*node
+		nodesByService map[string][]*node   // schedulable workers
 		racksByService map[string][][]*node // schedulable workers by rack, sorted by the name of the rack
 		nodesByDemand  map[demand][]*node   // workers with enough free capacity for one task, as of the last query
 		unplaceable    map[fitKey]bool
-		reservations   int            // number of gangs with reserved workers
-		reserved       map[*node]bool // for waiting gangs
-		victims        map[*node][]victim
-		minTrust       map[*unit]trust
+		reservations   int                // number of units with reserved workers
+		reserved       map[*node]bool     // for waiting gangs and large tasks
+		victims        map[*node][]victim // see victimsOn
+		minTrust       map[*unit]trust    // see Core.minTrust
 
 		capacity map[string]batch.Resources // of schedulable workers, by service
 	}
@@ -34,8 +34,8 @@
 		label    string
 		rack     string
 		uniqueTo *unit // the unit, if whether it fits depends on more than the other fields; nil otherwise
-		anyRack  bool
-		class    int
+		anyRack  bool  // may be placed outside the rack of its data, or on several racks
+		class    int   // see unitGroup
 	}
 
 	// demand determines whether a worker has enough free capacity for one task.
@@ -191,7 +191,7 @@
 }
 
 // schedulable reports whether a worker takes new work: it is in service, and
-// nothing else prevents that.
+// acceptsWorkIfHealthy.
 func (nd *node) schedulable(now time.Time) bool {
 	return nd.health.isInService() && nd.acceptsWorkIfHealthy(now)
 }
@@ -209,8 +209,9 @@
 	}
 }
 
-// place begins the next attempt of a unit. The logged wait is the time since the
-// unit's due time or acceptance, which includes earlier attempts.
+// place begins the next attempt of a unit on the given workers, one per task.
+// The logged wait is the time since the unit's due time or acceptance, which
+// includes earlier attempts.
 func (co *Core) place(now time.Time, un *unit, nodes []*node) {
 	un.attempt++
 	un.failureCounted = false
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -19,8 +19,9 @@
 		rq := runner.PollRequest{Token: co.token, Acked: nd.savedEnd}
 		switch {
 		case nd.unresponsive() && (nd.listed || len(nd.runs) > 0):
-			// Grants no lease, since nothing would bound it while the worker is
-			// unresponsive. An idle worker is polled, too, until it replies.
+			// This poll grants no lease, since repeated polls would extend the
+			// leases of an unresponsive worker without bound. An idle worker is
+			// polled, too, until it replies.
 		case len(nd.runs) > 0:
 			rq.Deadline = nd.grantLease(now)
 			rq.Wait = pollWait
@@ -94,7 +95,7 @@
 	}
 }
 
-// reconcile updates the runs of a worker by its reply to a poll.
+// reconcile updates the runs of a worker from its reply to a poll.
 func (co *Core) reconcile(now time.Time, nd *node, ev Polled) {
 	reported := make(map[runKey]bool, len(ev.Status.Running))
 	for _, rn := range ev.Status.Running {
@@ -149,7 +150,8 @@
 	if ru.unit != nil && ru.unit.attempt == ru.attempt {
 		ru.unit.job.begun = true
 		co.observeLatency(now, ru, rn.Load)
-		// In this order, since only a checkpoint that is not saved yet is fresh.
+		// In this order, since a checkpoint is fresh only if it was not set
+		// yet.
 		co.markCheckpointFresh(now, ru, rn.Checkpoint)
 		ru.unit.setCheckpoint(ru, rn.Checkpoint)
 	}
@@ -179,7 +181,8 @@
 	}
 }
 
-// happenedBefore reports whether something had happened when a poll was sent.
+// happenedBefore reports whether something happened before a poll was sent. A
+// zero time means that it has not happened.
 func happenedBefore(at, sent time.Time) bool { return !at.IsZero() && !at.After(sent) }
 
 // newPendingEnd returns an end with the version of its job that accounts for
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -10,7 +10,7 @@
 )
 
 type (
-	// victim is a unit that may be preempted, with the cost of that.
+	// victim is a unit that may be preempted, with the cost of preempting it.
 	victim struct {
 		un   *unit
 		cost time.Duration // see preemptionCost
@@ -20,7 +20,7 @@
 	preemptionPlan struct {
 		nodes   []*node // one per task
 		victims map[*unit]bool
-		cost    time.Duration
+		cost    time.Duration             // see preemptionCost
 		freed   map[*node]batch.Resources // by victims, less what the new tasks take
 		taken   map[*node]int             // number of new tasks
 	}
@@ -29,9 +29,10 @@
 	nodeOption struct {
 		possible bool
 		victims  []victim
-		cost     time.Duration
+		cost     time.Duration // sum over the victims
 	}
 
+	// jobStep is a step of a job, over all occurrences.
 	jobStep struct {
 		job       *job
 		stepIndex int
@@ -94,8 +95,8 @@
 	return true
 }
 
-// withinDisruptionLimits reports whether no long-running step loses more tasks
-// at a time than may be missing.
+// withinDisruptionLimits reports whether no long-running step would have more
+// tasks unavailable than its MaxUnavailable.
 func (pp *preemptionPlan) withinDisruptionLimits() bool {
 	lost := map[jobStep]int{}
 	for un := range pp.victims {
@@ -146,8 +147,9 @@
 	return racks
 }
 
-// planPreemption returns a plan of low cost for a unit to fit on some workers,
-// which are sorted by ID; nil if there is none.
+// planPreemption returns a plan for a unit to fit on some workers, which are
+// sorted by ID; nil if there is none. It is greedy: the cost is low, but not
+// always the lowest possible.
 func (co *Core) planPreemption(ps *pass, un *unit, nds []*node) *preemptionPlan {
 	pp := &preemptionPlan{victims: map[*unit]bool{}, freed: map[*node]batch.Resources{}, taken: map[*node]int{}}
 	options := make([]nodeOption, len(nds))
@@ -214,7 +216,8 @@
 	return rs
 }
 
-// optionOn returns what has to be stopped on a worker for one more task.
+// optionOn returns what has to be stopped on a worker for one more task of a
+// unit, beside what a plan stops and places already.
 func (co *Core) optionOn(ps *pass, un *unit, nd *node, pp *preemptionPlan) nodeOption {
 	if !un.suits(nd) || co.rejects(ps, un, nd) {
 		return nodeOption{}
@@ -301,8 +304,9 @@
 	return cost * time.Duration(un.coreEquivalents())
 }
 
-// lossIfStopped returns the processor time that a unit has used and no checkpoint
-// covers.
+// lossIfStopped returns the processor time that is lost if a unit is stopped,
+// in core equivalents. It is zero for a step with checkpoints, although the
+// time since the last one is lost.
 func (un *unit) lossIfStopped(now time.Time) time.Duration {
 	since := un.workingSince()
 	if since.IsZero() || un.step.Checkpoints {
--- a/internal/domain/probation.go
+++ b/internal/domain/probation.go
@@ -7,8 +7,8 @@
 	"github.com/cicadawharf/cicadawharf/internal/batch"
 )
 
-// placeOnProbation gives workers on probation work that tolerates a failure,
-// and returns the groups without it.
+// placeOnProbation places work that tolerates a failure on workers on
+// probation, and returns the groups without it.
 func (co *Core) placeOnProbation(ps *pass, ugs []unitGroup) []unitGroup {
 	if len(co.detector.withEvidence) == 0 {
 		return ugs
@@ -24,8 +24,9 @@
 	return ugs
 }
 
-// placeTrialOn places the first unit on a worker that tolerates a failure and
-// fits there.
+// placeTrialOn places on a worker the first unit that fits there, tolerates a
+// failure and is not within a guarantee. It returns the groups without that
+// unit.
 func (co *Core) placeTrialOn(ps *pass, ugs []unitGroup, nd *node) []unitGroup {
 	for i, ug := range ugs {
 		if ug.service != nd.worker.Service || ug.class == classGuaranteed {
@@ -45,9 +46,11 @@
 	return ugs
 }
 
-// toleratesFailure reports whether a failure of a unit does little harm: the
-// unit has attempts left after that, is not within a guarantee, delays no other
-// unit, and does not miss its objective because of it.
+// toleratesFailure reports whether a failure of a unit does little harm: it is
+// a single task without special requirements, its attempt after a failure is
+// not the last one, and there is time for that one and all dependent steps
+// before the deadline. The time is irrelevant if the unit misses its deadline
+// anyway.
 func (co *Core) toleratesFailure(now time.Time, un *unit) bool {
 	if un.tasks > 1 || un.step.LongRunning || un.step.PerWorker > 0 || un.step.Rack != "" || un.job.advice != nil || co.queueOf(un.job).Advised {
 		return false
--- a/internal/domain/reserve.go
+++ b/internal/domain/reserve.go
@@ -6,18 +6,18 @@
 )
 
 const (
-	// maxReservations bounds the gangs with reserved workers, since reserved
-	// capacity is idle until there is enough of it.
+	// maxReservations bounds the units with reserved workers in a pass, since
+	// reserved capacity is idle until there is enough of it.
 	maxReservations = 12
 	// largeTaskAccelerators is the number of accelerators from which a single
 	// task is treated like a gang.
 	largeTaskAccelerators = 4
 )
 
-// reserveNodes reserves workers for a waiting gang for the rest of a pass, so
-// that smaller work after it does not take the capacity that becomes free
-// there. Unlike a claim (unit.claim), a reservation allocates nothing and is
-// made anew by each pass.
+// reserveNodes reserves workers for a waiting gang or large task for the rest
+// of a pass, so that smaller work after it does not take the capacity that has
+// become free there. Unlike a claim (unit.claim), a reservation allocates
+// nothing and is made anew by each pass.
 func (co *Core) reserveNodes(ps *pass, un *unit, key fitKey) {
 	if un.tasks == 1 && !un.large() || ps.reservations == maxReservations {
 		return
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -34,9 +34,9 @@
 	// stopState is the state of the request to stop a run.
 	stopState struct {
 		requested bool
-		inFlight  bool // a call is in flight
-		triedAt   time.Time
-		ackedAt   time.Time // zero until the worker has replied
+		inFlight  bool      // a call is in flight
+		triedAt   time.Time // when the last call was sent
+		ackedAt   time.Time // when the worker replied; zero before
 	}
 )
 
@@ -304,9 +304,9 @@
 	}
 }
 
-// handleLateEnd processes the end of an attempt that was given up because
-// its worker was unresponsive. If the attempt succeeded, the unit is finished
-// and not run again.
+// handleLateEnd processes the end of an attempt that was given up because its
+// worker was unresponsive. If the attempt succeeded, the unit is finished, and
+// what runs of a later attempt is stopped.
 func (co *Core) handleLateEnd(now time.Time, nd *node, en runner.End) {
 	jb, ok := co.jobs[en.Task.Job]
 	if !ok || jb.state.Final() || en.Reason != runner.Succeeded {
@@ -349,8 +349,8 @@
 	}
 }
 
-// setCheckpoint stores the newest checkpoint. Only checkpoints of the first
-// task of a gang count, so that those of different gang members are never
+// setCheckpoint sets the newest checkpoint of a unit. Only checkpoints of the
+// first task of a gang count, so that those of different gang members are never
 // mixed.
 func (un *unit) setCheckpoint(ru *run, checkpoint string) {
 	if checkpoint != "" && ru.task.Index == un.index {
@@ -365,7 +365,8 @@
 	}
 }
 
-// handleFailure counts the failure of an attempt, once per gang.
+// handleFailure counts the failure of an attempt, once per gang, and records it
+// against the step and the worker.
 func (co *Core) handleFailure(now time.Time, nd *node, un *unit) {
 	un.avoidWorker(nd.worker.ID)
 	co.recordStepFailure(now, nd, un)
--- a/internal/domain/share.go
+++ b/internal/domain/share.go
@@ -9,7 +9,7 @@
 )
 
 type (
-	// usage is the resources allocated to the runs of a queue.
+	// usage holds the resources allocated to the runs of a queue.
 	usage struct {
 		service   string
 		resources batch.Resources
@@ -45,7 +45,8 @@
 	co.queueUsage[name] = usage{service: co.queueOf(jb).Service, resources: sum}
 }
 
-// remainingShares returns the shares of the queues, less what they use.
+// remainingShares returns the shares of the queues, less what they use. It is
+// negative for a queue that uses more than its share.
 func (co *Core) remainingShares(ps *pass, ugs []unitGroup) queueShares {
 	services := co.servicesOf(ugs)
 	queues := map[string]int{} // by service
@@ -84,8 +85,9 @@
 }
 
 // markWithinShare marks the units that are within the shares of their queues:
-// first those of jobs that still have some value, and within these by descending
-// response ratio. A group that is only partly within its share is split.
+// first those of jobs that still have some value, and within these by
+// descending response ratio. A group that is only partly within its share is
+// split. One unit of a starving group counts as within, too.
 func (co *Core) markWithinShare(ps *pass, ugs []unitGroup) []unitGroup {
 	qs := co.remainingShares(ps, ugs)
 	within := make([]int, len(ugs))
@@ -134,8 +136,9 @@
 	return order
 }
 
-// responseRatio returns a job's waiting time per remaining unit. By it small
-// jobs overtake large ones until these have waited long enough.
+// responseRatio returns a job's waiting time in seconds, plus ageOffset, per
+// remaining unit. Ordered by it, small jobs overtake large ones until these
+// have waited long enough.
 func (jb *job) responseRatio(now time.Time) float64 {
 	return (now.Sub(jb.acceptedAt) + ageOffset).Seconds() / float64(max(1, jb.unitsLeft))
 }
--- a/internal/domain/trust.go
+++ b/internal/domain/trust.go
@@ -11,10 +11,10 @@
 
 const (
 	trustAny          trust = iota
-	trustNotAvoided         // has not failed the unit
+	trustNotAvoided         // is not avoided by the unit; see unit.avoided
 	trustNotSuspected       // and is not suspected
 	trustProven             // and has succeeded recently
-	trustOtherRack          // and is not in the rack of a worker that has failed the unit
+	trustOtherRack          // and is not in the rack of a worker that the unit avoids
 )
 
 // lastAttemptWaitShare is the fraction of a unit's slack for which its last
@@ -46,8 +46,8 @@
 	}
 }
 
-// sharesRack reports whether a worker is in the rack of one that has failed a
-// unit. Workers of a rack often fail within a second of each other, so a recent
+// sharesRack reports whether a worker is in the rack of one that a unit avoids.
+// Workers of a rack often fail within a second of each other, so a recent
 // success there proves little.
 func (co *Core) sharesRack(un *unit, nd *node) bool {
 	if nd.worker.Rack == "" || un.step.Rack != "" {
@@ -61,9 +61,9 @@
 	return false
 }
 
-// trustLevels returns the levels of trust to be tried for a unit, in order. For
-// a last attempt, levels below one that enough workers meet are left out, so
-// that it waits for these workers.
+// trustLevels returns the levels of trust to be tried for a unit, highest
+// first. For a last attempt, levels below one that enough workers meet are left
+// out, so that it waits for these workers.
 func (co *Core) trustLevels(ps *pass, un *unit, service string) []trust {
 	impaired := co.isImpaired(service)
 	switch {
@@ -84,8 +84,8 @@
 	}
 	for i, tr := range levels {
 		// It waits for proven workers only for a part of its slack, and for
-		// those that have not failed it and are not suspected until its job has
-		// lost all value.
+		// those that it does not avoid and that are not suspected until its job
+		// has lost all value.
 		if tr == trustAny || tr >= trustProven && !un.mayWaitForProven(ps.now) {
 			continue
 		}
@@ -103,8 +103,8 @@
 	return co.isImpaired(service) && co.lastAttempt(un)
 }
 
-// isImpaired reports whether any workers of a service are suspected or out of
-// service.
+// isImpaired reports whether any worker of a service is suspected, suspended or
+// on probation.
 func (co *Core) isImpaired(service string) bool {
 	return len(co.detector.impairedServices) > 0 && co.detector.impairedServices[service]
 }
@@ -112,7 +112,7 @@
 // lastAttempt reports whether one more failure of a unit fails its job.
 func (co *Core) lastAttempt(un *unit) bool { return un.failures+1 >= co.maxAttempts(un.job) }
 
-// minTrust returns the lowest level of trust that a unit accepts at present.
+// minTrust returns the lowest level of trust that a unit accepts in a pass.
 func (co *Core) minTrust(ps *pass, un *unit, service string) trust {
 	if len(un.avoided) == 0 && !co.isImpaired(service) {
 		return trustAny
--- a/internal/domain/workspace.go
+++ b/internal/domain/workspace.go
@@ -15,7 +15,7 @@
 	Entitled     float64 // by weight, among the workspaces with work
 	Used         float64
 	Borrowed     float64       // used beyond the entitlement
-	Excess       float64       // usage relative to the fair share, at any service; see fairness.maxRelativeUsage
+	Excess       float64       // usage relative to the fair share, at the service where it is highest; see fairness.maxRelativeUsage
 	Units        int           // waiting
 	Accelerators int           // requested by the waiting units
 	Oldest       time.Duration // since the oldest waiting unit's due time or, without one, acceptance
