domain: Say at the head of tests which failure they guard against

Some test heads described the steps of a test, but not the failure that it detects, and a few did not fit the test: the backlog test does not fill all workers, moved stops are lost by all workers rather than by those of one zone, and the replayed jobs without a guarantee were called more than is guaranteed. Fields of the simulations and replays lacked units.

Comments now name the failure, units and the meaning of each field, and the flag of the random seeds mentions the seeds that are always run. No statement or bound of a test changed.

--- a/internal/domain/attempt_test.go
+++ b/internal/domain/attempt_test.go
@@ -60,8 +60,8 @@
 	return slices.ContainsFunc(sim.decisions, func(ld domain.LogDecision) bool { return ld.Decision == decision && ld.Job == job })
 }
 
-// TestUnconfirmedStopIsReported makes a worker lose every stop. The attempt is
-// reported once, and not before every lease must have expired.
+// TestUnconfirmedStopIsReported makes a worker lose every stop call. The
+// attempt is reported once, and not before every lease must have expired.
 func TestUnconfirmedStopIsReported(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(1)
@@ -182,7 +182,8 @@
 
 // TestLateSuccessCounts makes a worker unreachable until its attempt is given
 // up. Its task succeeds meanwhile, and the worker reports that once it is
-// reachable again: the next attempt is not started, or not waited for.
+// reachable again. It guards against running the task again: a next attempt
+// that has begun is stopped.
 func TestLateSuccessCounts(t *testing.T) {
 	for _, gang := range []bool{false, true} {
 		is := is.New(t)
--- a/internal/domain/backlog_test.go
+++ b/internal/domain/backlog_test.go
@@ -10,8 +10,9 @@
 	"github.com/cicadawharf/cicadawharf/internal/domain"
 )
 
-// TestBacklogReport fills all workers with work of two queues. A gang of whole
-// workers of one queue and a single task of the other wait.
+// TestBacklogReport fills most of the workers with work of two queues. A gang
+// of whole workers of one queue waits, and so does a single task of the other
+// queue, since the free capacity is reserved for the gang.
 func TestBacklogReport(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(2)
@@ -43,7 +44,8 @@
 }
 
 // TestEndedJobsReportWaitTime ends a job that has begun at once, one that was
-// begun by an earlier scheduler, and one that has never begun.
+// begun by an earlier scheduler, whose wait is not known, and one that has
+// never begun.
 func TestEndedJobsReportWaitTime(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(1)
--- a/internal/domain/bench_test.go
+++ b/internal/domain/bench_test.go
@@ -10,8 +10,8 @@
 )
 
 // BenchmarkOverload simulates half a minute in which workers get twice the work
-// that they can do: gangs of whole workers, small urgent gangs, and wide steps
-// of small tasks. The measured time includes that of the simulated workers.
+// that they can do: gangs of two queues, and steps of many small tasks of the
+// third. The measured time includes that of the simulated workers.
 func BenchmarkOverload(b *testing.B) {
 	for _, workers := range []int{48, 350} {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
@@ -46,6 +46,7 @@
 	b.ReportMetric(float64(sim.handleTimes[len(sim.handleTimes)-1].Microseconds()), "max-us")
 }
 
+// submitOverload submits random jobs for 30 simulated seconds.
 func submitOverload(sim *simulation, workers int) {
 	rate := workers * 8 / 100 // jobs per second
 	for i := range 30 * rate {
--- a/internal/domain/cold_test.go
+++ b/internal/domain/cold_test.go
@@ -22,7 +22,7 @@
 }
 
 // TestColdWorkersAreLastChoice guards against work on cold workers while others
-// have free capacity, and against cold workers that are never used.
+// have enough free capacity, and against cold workers that are never used.
 func TestColdWorkersAreLastChoice(t *testing.T) {
 	for _, kind := range []string{"tasks", "gang", "rack"} {
 		for _, tasks := range []int{4, 16, 20} {
--- a/internal/domain/commit_test.go
+++ b/internal/domain/commit_test.go
@@ -17,15 +17,15 @@
 type slowStore struct {
 	core    *domain.Core
 	now     time.Time
-	replies map[time.Time][]domain.Committed
-	polled  bool                 // the worker was polled
-	starts  int                  // number of tasks started
-	written map[string]time.Time // time of the first commit, by job
+	replies map[time.Time][]domain.Committed // by the time at which they arrive
+	polled  bool                             // the worker was polled
+	starts  int                              // number of tasks started
+	written map[string]time.Time             // time of the first commit, by job
 }
 
 const (
-	storeLatency = 90 * time.Millisecond
-	storeStep    = 5 * time.Millisecond
+	storeLatency = 90 * time.Millisecond // of a commit
+	storeStep    = 5 * time.Millisecond  // of the simulated time
 )
 
 func newSlowStore(accelerators int) *slowStore {
@@ -96,8 +96,9 @@
 	is.Equal(len(ss.written), count)
 }
 
-// TestUrgentCommitsDoNotStarveOthers starts more urgent jobs than the store
-// takes records of. The record of another job is written nevertheless.
+// TestUrgentCommitsDoNotStarveOthers submits urgent jobs faster than the store
+// takes their records. The record of another job is written within a second
+// nevertheless.
 func TestUrgentCommitsDoNotStarveOthers(t *testing.T) {
 	const (
 		steps   = 300
--- a/internal/domain/detector_test.go
+++ b/internal/domain/detector_test.go
@@ -114,6 +114,6 @@
 	sim.elect()
 	sim.run(4 * time.Second)
 	is.Equal(sim.fleet.Running("j"), 0)
-	sim.run(12 * time.Second) // three times the objective
+	sim.run(12 * time.Second) // until three times the objective is over
 	is.Equal(sim.state("j"), batch.Done)
 }
--- a/internal/domain/domain_test.go
+++ b/internal/domain/domain_test.go
@@ -13,8 +13,10 @@
 	"github.com/cicadawharf/cicadawharf/internal/domain"
 )
 
-var seeds = flag.Int("domain.seeds", 40, "number of seeds of TestRandomFaults")
+var seeds = flag.Int("domain.seeds", 40, "number of seeds of TestRandomFaults, beside those that are always run")
 
+// oneStepJob returns a job of one step whose tasks need one accelerator each,
+// and the plan of that step.
 func oneStepJob(id string, priority, tasks int, work time.Duration) (batch.Job, taskPlan) {
 	jb := batch.Job{ID: id, Workspace: "a", Queue: queueOf(priority), Payload: "do " + id, Steps: []batch.Step{{
 		Tasks: tasks, Needs: batch.Resources{MilliCPU: 1000, MemoryMB: 500, Accelerators: 1}, RunTime: work,
@@ -22,9 +24,12 @@
 	return jb, taskPlan{work: work}
 }
 
+// startSimulation returns a simulation with some workers of 8 accelerators, in
+// up to two zones of one rack each, and a scheduler.
 func startSimulation(workers int) *simulation { return newSimulation(1).start(workers) }
 
-// start adds workers and elects a first scheduler.
+// start adds workers and elects a first scheduler. Worker w13 is the fourth
+// one, in zone z1 and rack r1.
 func (sim *simulation) start(workers int) *simulation {
 	for i := range workers {
 		sim.addWorker(fmt.Sprintf("w%d%d", i%2, i), 8)
@@ -74,8 +79,9 @@
 	is.Equal(sim.state("j1"), batch.Cancelled)
 }
 
-// TestUnresponsiveWorkerLosesItsTasks guards against polls that continue to
-// grant leases to a worker that has left, so that its tasks are never given up.
+// TestUnresponsiveWorkerLosesItsTasks removes a worker, with and without the
+// platform's notice. It guards against polls that continue to grant leases to a
+// worker that has left, so that its tasks are never given up.
 func TestUnresponsiveWorkerLosesItsTasks(t *testing.T) {
 	for _, listed := range []bool{true, false} {
 		t.Run(fmt.Sprintf("listed=%v", listed), func(t *testing.T) {
@@ -97,7 +103,8 @@
 }
 
 // TestRecoveredWorkerGetsWork makes a worker unreachable until its tasks are
-// given up. It gets work again once it replies, although nothing runs there.
+// given up. It guards against a worker that gets no work any more since it is
+// no longer polled: without a task there, no other event shows that it replies.
 func TestRecoveredWorkerGetsWork(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(1)
@@ -114,7 +121,7 @@
 
 // TestBrokenGangRestartsBeforeLeaseExpiry loses the worker of one task of a
 // gang. The other gang members end as broken, which shows that this task has
-// ended, before its lease has expired.
+// ended, before its lease has expired. The gang has to be restarted by then.
 func TestBrokenGangRestartsBeforeLeaseExpiry(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(4)
@@ -127,7 +134,7 @@
 	sim.fleet.Remove(sim.now, "w02")
 	sim.notify(domain.Unlisted{ID: "w02"})
 	sim.run(1200 * time.Millisecond)
-	sim.elect() // the next scheduler can tell, too
+	sim.elect() // the next scheduler has to come to the same conclusion
 	sim.run(1500 * time.Millisecond)
 	is.Equal(sim.fleet.Running("j"), 3)
 	sim.run(3 * time.Second)
@@ -158,7 +165,8 @@
 }
 
 // TestPreemptionRespectsPerWorkerLimit fills all workers and submits, within
-// the guarantee, tasks of which each worker may run one.
+// the guarantee, tasks of which each worker may run one. It guards against
+// preemption for more than one of them on the same worker.
 func TestPreemptionRespectsPerWorkerLimit(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(4)
@@ -176,7 +184,8 @@
 }
 
 // TestWorkerThatFailsEverythingIsSuspended bounds the failures that one faulty
-// worker causes to many jobs.
+// worker causes to many jobs. Since its tasks end at once, it soon has free
+// capacity for the next ones.
 func TestWorkerThatFailsEverythingIsSuspended(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(4)
@@ -190,12 +199,12 @@
 	for id := range sim.jobs {
 		is.Equal(sim.state(id), batch.Done)
 	}
-	is.True(sim.fleet.Starts <= 20+6)
+	is.True(sim.fleet.Starts <= 20+6) // at most 6 failures of 20 jobs
 	is.Equal(sim.check(), nil)
 }
 
 // TestHungTaskIsRestarted makes the tasks of one worker hang. They are
-// restarted elsewhere, and the worker gets no new work for a while.
+// restarted elsewhere, so that the job ends.
 func TestHungTaskIsRestarted(t *testing.T) {
 	for _, gang := range []bool{false, true} {
 		is := is.New(t)
@@ -212,8 +221,9 @@
 	}
 }
 
-// TestUnevenGangIsNotHung runs a gang with one task that takes much longer
-// than the others, which stay at 100 percent until it is done.
+// TestUnevenGangIsNotHung runs a gang with one task that takes much longer than
+// the others, which stay at 100 percent until it is done. It guards against
+// stopping the gang because these make no progress.
 func TestUnevenGangIsNotHung(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(4)
@@ -249,7 +259,8 @@
 }
 
 // TestTakeoverStartsNothingTwice kills the leader at many moments of a gang's
-// start and of its end.
+// start and of its end. It guards against a successor that starts a task a
+// second time, or loses one.
 func TestTakeoverStartsNothingTwice(t *testing.T) {
 	for at := time.Duration(0); at < 1200*time.Millisecond; at += 7 * time.Millisecond {
 		sim := startSimulation(4)
@@ -327,7 +338,8 @@
 	}
 }
 
-// injectRandomFault submits or cancels a job, or injects a random fault.
+// injectRandomFault submits or cancels a job, or injects or ends a random
+// fault.
 func (sim *simulation) injectRandomFault(step int, ids []string) {
 	id := ids[sim.rng.IntN(len(ids))]
 	switch n := sim.rng.IntN(100); {
@@ -336,7 +348,7 @@
 	case n < 52 && len(sim.accepted) > 0:
 		sim.cancel(sim.accepted[sim.rng.IntN(len(sim.accepted))])
 	case n < 57:
-		sim.addWorker(id, 8) // restarts under the same ID
+		sim.addWorker(id, 8) // restarts it under the same ID
 	case n < 62:
 		sim.fleet.Fail(id, true)
 	case n < 70:
@@ -356,8 +368,8 @@
 	}
 }
 
-// partitionLeader cuts the leader off from the store. It continues for a while
-// beside its successor.
+// partitionLeader cuts the leader off from the store. It continues beside its
+// successor until MaxRenewalAge is over.
 func (sim *simulation) partitionLeader() {
 	former := sim.leader
 	former.partitioned = true
@@ -369,6 +381,7 @@
 	sim.after(domain.MaxRenewalAge, func() { former.dead = true })
 }
 
+// submitRandom submits a job of random shape.
 func (sim *simulation) submitRandom(id string) {
 	rng := sim.rng
 	jb := batch.Job{ID: id, Workspace: []string{"a", "b", "c"}[rng.IntN(3)], Queue: queueOf(rng.IntN(3)), Payload: "p" + id}
@@ -398,8 +411,9 @@
 	sim.submit(jb, plans...)
 }
 
-// TestJobWithLostStartsCountsAsWaiting counts a job as waiting until a task of
-// it is known to run, however often it was placed.
+// TestJobWithLostStartsCountsAsWaiting loses all calls to the workers. The job
+// has to count as waiting until a task of it is known to run, although it was
+// placed.
 func TestJobWithLostStartsCountsAsWaiting(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(2)
--- a/internal/domain/drain_test.go
+++ b/internal/domain/drain_test.go
@@ -12,7 +12,9 @@
 )
 
 // TestLeavingWorkerIsDrained announces that a worker leaves in three seconds,
-// while a task of several seconds runs there.
+// while a task of several seconds runs there. It guards against stopping work
+// that would end in time, and against losing more of the other work than
+// necessary.
 func TestLeavingWorkerIsDrained(t *testing.T) {
 	tests := []struct {
 		name        string
@@ -84,7 +86,7 @@
 	sim.notify(domain.DrainRequested{By: by})
 	for range 200 {
 		sim.run(20 * time.Millisecond)
-		is.True(sim.fleet.Running("serves") >= 1) // the other one may be missing
+		is.True(sim.fleet.Running("serves") >= 1) // the other one may be unavailable
 	}
 	for id := range by {
 		is.Equal(sim.fleet.RunningOn(id), 0) // one runs elsewhere, the other waits for capacity
@@ -96,8 +98,9 @@
 	is.Equal(sim.check(), nil)
 }
 
-// TestUnresponsiveWorkerIsNotIdle checks the occupancy of workers that have not
-// replied to a new core yet, or no longer reply.
+// TestUnresponsiveWorkerIsNotIdle guards against reporting a worker as idle
+// that has not replied to a new core yet, or no longer replies: work may run
+// there.
 func TestUnresponsiveWorkerIsNotIdle(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(2)
--- a/internal/domain/evac_test.go
+++ b/internal/domain/evac_test.go
@@ -22,6 +22,7 @@
 	maxEvacuationDelay = 50 * time.Millisecond
 )
 
+// evacuate replaces the set of zones to be evacuated.
 func (sim *simulation) evacuate(zones ...string) {
 	sim.evacuated, sim.evacuatedAt = zones, sim.now
 	sim.notify(domain.EvacuationSet{Zones: zones})
@@ -46,9 +47,9 @@
 	return n
 }
 
-// TestNothingStartsInAnEvacuatedZone guards against starts there, also after a
-// change of the scheduler, and against a zone that is not used after it has
-// returned to service.
+// TestNothingStartsInAnEvacuatedZone guards against starts there, also by a new
+// scheduler, and against a zone that is not used after it has returned to
+// service.
 func TestNothingStartsInAnEvacuatedZone(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(4)
@@ -157,7 +158,7 @@
 }
 
 // TestEvacuationMovesAreBounded guards against stopping all work of a zone at
-// once.
+// once, since moved work makes no progress meanwhile.
 func TestEvacuationMovesAreBounded(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(4)
@@ -170,7 +171,7 @@
 		sim.run(5 * time.Millisecond)
 		least = min(least, sim.fleet.Running("j"))
 	}
-	is.True(least >= 10) // some wait for the record of their next attempt
+	is.True(least >= 10) // 4 are being moved, and some wait for the record of their next attempt
 	is.Equal(sim.runningIn("z1"), 0)
 	is.Equal(sim.evacuatedTasks, map[string]int{"z1": 0})
 	is.Equal(sim.evacuationReports[len(sim.evacuationReports)-1].Zones, []domain.ZoneStatus{{Zone: "z1", Workers: 2}})
@@ -183,8 +184,8 @@
 	is.Equal(sim.check(), nil)
 }
 
-// TestEvacuationRespectsDisruptionLimit guards against more tasks of a
-// long-running step unavailable than may be missing.
+// TestEvacuationRespectsDisruptionLimit guards against moves that make more
+// tasks of a long-running step unavailable than its MaxUnavailable.
 func TestEvacuationRespectsDisruptionLimit(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(4)
@@ -231,7 +232,8 @@
 	is.Equal(sim.check(), nil)
 }
 
-// simulateMove returns a simulation in which a unit is being moved from z1 to z0.
+// simulateMove returns a simulation in which a gang is being moved from z1 to
+// z0.
 func simulateMove(is *is.I) *simulation {
 	sim := startSimulation(4)
 	jb, pl := oneStepJob("j", 1, 2, 10*time.Second)
@@ -245,13 +247,14 @@
 		}
 		sim.run(time.Millisecond)
 	}
-	is.Fail() // nothing moves
+	is.Fail() // nothing is moved
 	return sim
 }
 
 // TestChangesDuringMove makes a change at each of the first moments of a move:
 // for example the zone returns to service, its target is evacuated as well, or
-// the scheduler is killed.
+// the scheduler is killed. It guards against jobs that never end, starts in
+// evacuated zones, and claims that are not released.
 func TestChangesDuringMove(t *testing.T) {
 	changes := map[string]func(sim *simulation){
 		"reinstated": func(sim *simulation) { sim.evacuate() },
@@ -305,7 +308,8 @@
 }
 
 // TestOverlappingEvacuations evacuates two zones with an overlap in time, as in
-// the maintenance of a region.
+// the maintenance of a region. Nothing runs in them, and a third zone is used
+// fully.
 func TestOverlappingEvacuations(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(4)
@@ -333,9 +337,9 @@
 	is.Equal(sim.check(), nil)
 }
 
-// TestUnconfirmedMovesReleaseClaims makes the workers of a zone lose their
-// stops. Only few units are stopped for moves, and the capacity claimed for
-// them is available to work within a guarantee at once, and to other work soon.
+// TestUnconfirmedMovesReleaseClaims makes all workers lose their stop calls.
+// Only few units are stopped for moves, and the capacity claimed for them is
+// available to work within a guarantee at once, and to other work soon.
 func TestUnconfirmedMovesReleaseClaims(t *testing.T) {
 	tests := []struct {
 		name     string
--- a/internal/domain/fair_test.go
+++ b/internal/domain/fair_test.go
@@ -22,7 +22,7 @@
 
 // TestBurstDoesNotDelayOtherWorkspaces makes one workspace submit far more than
 // the workers can do, and another one submit a little a second later. Without
-// fair sharing that would wait behind all work of the first one.
+// fair shares, the latter would wait behind all work of the first one.
 func TestBurstDoesNotDelayOtherWorkspaces(t *testing.T) {
 	for name, gang := range map[string]bool{"small tasks": false, "a gang": true} {
 		t.Run(name, func(t *testing.T) {
@@ -105,7 +105,7 @@
 }
 
 // TestWorkspaceShareReport makes two workspaces wait while one of them uses all
-// workers, and checks the report about both.
+// workers, and checks the usage that is reported for both.
 func TestWorkspaceShareReport(t *testing.T) {
 	is := is.New(t)
 	sim := startFairSimulation(1)
@@ -130,8 +130,8 @@
 }
 
 // TestZoneLossDuringOverload removes a third of the workers at the end of a
-// burst. Workspaces with little demand still get most of their entitlement, and
-// no invariant is violated.
+// burst. The five workspaces with the least demand still earn at least 85
+// percent of their entitlements together, and no invariant is violated.
 func TestZoneLossDuringOverload(t *testing.T) {
 	is := is.New(t)
 	re := replay{
@@ -160,7 +160,8 @@
 }
 
 // TestGuaranteeDespiteBorrowedCapacity makes workspaces borrow all workers, and
-// uses the guarantee of another one. All of its work begins in time.
+// uses the guarantee of another one. All of its work is running 1.5 s after its
+// submission.
 func TestGuaranteeDespiteBorrowedCapacity(t *testing.T) {
 	is := is.New(t)
 	sim := startFairSimulation(6)
--- a/internal/domain/faultyworkers_test.go
+++ b/internal/domain/faultyworkers_test.go
@@ -22,7 +22,8 @@
 		repeatedFailures int                                 // maximum number of failed attempts on workers known to fail, per seed
 	}
 
-	// replayResult is the result of a replay, over the jobs that could succeed.
+	// replayResult is the result of a replay. Only starts counts jobs that
+	// can't succeed, too.
 	replayResult struct {
 		jobs, failed, timely, repeatedFailures, starts int
 	}
@@ -31,8 +32,8 @@
 const (
 	rackCount      = 6
 	workersPerRack = 6
-	submitTime     = 40 * time.Second
-	settleTime     = 60 * time.Second
+	submitTime     = 40 * time.Second // in which jobs are submitted
+	settleTime     = 60 * time.Second // after that, for all jobs to end
 	// minKnownJobs is the number of different jobs that have to fail on a
 	// worker for it to be known to fail.
 	minKnownJobs = 2
@@ -87,6 +88,7 @@
 	}
 }
 
+// run replays the load with a seed and returns the result.
 func (ff faultyFleet) run(t *testing.T, seed uint64) replayResult {
 	sim := newSimulation(seed)
 	sim.policy = replayPolicy()
@@ -107,6 +109,7 @@
 	return sim.result(t)
 }
 
+// replayPolicy returns queues like those of workKinds, and two guarantees.
 func replayPolicy() *batch.Policy {
 	queue := func(priority, attempts int, stretch float64, allowance time.Duration) batch.Queue {
 		return batch.Queue{
@@ -119,7 +122,7 @@
 	}, Workspaces: []batch.Workspace{{Name: "a", Guaranteed: 24}, {Name: "b", Guaranteed: 24}}}
 }
 
-// submitKinds submits work for two thirds of the workers.
+// submitKinds submits work that uses about two thirds of the accelerators.
 func (sim *simulation) submitKinds() {
 	sim.submitKind("urgent", 3, batch.Step{Tasks: 5, RunTime: 2500 * time.Millisecond})
 	sim.submitKind("gang", 0.5, batch.Step{Tasks: 13, Gang: true, RunTime: 11 * time.Second})
@@ -147,7 +150,8 @@
 	}
 }
 
-// flap takes a worker down and restarts it, repeatedly.
+// flap takes a worker down and restarts it after a period, repeatedly. It is up
+// for the same period.
 func (sim *simulation) flap(id string, period time.Duration) {
 	sim.fleet.Remove(sim.now, id)
 	sim.unreachable[id] = true
@@ -158,6 +162,7 @@
 	})
 }
 
+// result counts the outcomes of the jobs that could succeed.
 func (sim *simulation) result(t *testing.T) replayResult {
 	out := replayResult{starts: sim.fleet.Starts, repeatedFailures: sim.repeatedFailures()}
 	for _, id := range sim.accepted {
--- a/internal/domain/fullfleet_test.go
+++ b/internal/domain/fullfleet_test.go
@@ -52,6 +52,7 @@
 	return co, cf.Workers
 }
 
+// oneAccelerator returns a step whose tasks need one accelerator each.
 func oneAccelerator(tasks int) batch.Step {
 	return batch.Step{Tasks: tasks, Needs: batch.Resources{Accelerators: 1}, RunTime: time.Minute}
 }
@@ -59,7 +60,8 @@
 func workerID(i int) string { return fmt.Sprintf("w%03d", i) }
 
 // TestUnchangedEntriesCauseNoPass repeats the entries of workers without a
-// change, as the platform does about once a second.
+// change, as the platform does about once a second. It guards against a
+// placement pass for each of them.
 func TestUnchangedEntriesCauseNoPass(t *testing.T) {
 	is := is.New(t)
 	co, workers := fullFleet(startTime, 8, 10)
--- a/internal/domain/passbench_test.go
+++ b/internal/domain/passbench_test.go
@@ -17,7 +17,7 @@
 	now      time.Time
 	workers  []runner.Worker
 	running  map[string][]runner.Run // by worker
-	lastEnds map[string]int64        // last number used, by worker
+	lastEnds map[string]int64        // number of the last end, by worker
 }
 
 // newInstantWorkers returns a core over some workers, with work for more than
@@ -48,8 +48,8 @@
 	}}
 }
 
-// jobs returns gangs that need several whole workers, small urgent jobs, and
-// wide jobs of small tasks, as in the backlog of a large installation.
+// jobs returns gangs of many tasks, small urgent gangs, and jobs of many small
+// tasks, as in the backlog of a large installation.
 func (iw *instantWorkers) jobs(workers int) []batch.Job {
 	var jobs []batch.Job
 	add := func(kind string, priority int, step batch.Step) {
--- a/internal/domain/preempt_test.go
+++ b/internal/domain/preempt_test.go
@@ -37,7 +37,7 @@
 
 // TestCheapestVictimsArePreempted fills one worker with work that writes
 // checkpoints and one with work that does not, and submits work within a
-// guarantee.
+// guarantee. Only the work with checkpoints is preempted.
 func TestCheapestVictimsArePreempted(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(2)
@@ -60,8 +60,9 @@
 	is.Equal(sim.check(), nil)
 }
 
-// TestUrgentWorkBeyondGuaranteePreemptsLittle submits more than is guaranteed.
-// Work that would lose much is not preempted, work that loses little is.
+// TestUrgentWorkBeyondGuaranteePreemptsLittle submits urgent work of a
+// workspace without a guarantee. Work that would lose much is not preempted,
+// work that loses little is.
 func TestUrgentWorkBeyondGuaranteePreemptsLittle(t *testing.T) {
 	for _, checkpoints := range []bool{true, false} {
 		is := is.New(t)
@@ -83,9 +84,9 @@
 	}
 }
 
-// TestGangUsesFewWorkers leaves a little free capacity on most workers and
-// enough for the gang on two. The gang uses a single worker, since it fails
-// with any of its workers.
+// TestGangUsesFewWorkers leaves a little free capacity on two workers and
+// enough for the gang on the two others. The gang uses a single worker, since
+// it fails with any of its workers.
 func TestGangUsesFewWorkers(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(4)
--- a/internal/domain/replay_test.go
+++ b/internal/domain/replay_test.go
@@ -19,13 +19,13 @@
 	// three kinds of work in bursts that exceed the capacity of the workers.
 	replay struct {
 		seed    uint64
-		workers int
-		load    float64 // during a burst, relative to the capacity of the workers
-		burst   time.Duration
-		pause   time.Duration // between bursts, at pauseLoad
-		length  time.Duration
-		demand  []float64 // fractions of the load by workspace
-		during  func(sim *simulation, elapsed time.Duration)
+		workers int                                          // of 8 accelerators
+		load    float64                                      // during a burst, relative to the capacity of the workers
+		burst   time.Duration                                // length of a burst
+		pause   time.Duration                                // between bursts, with pauseLoad
+		length  time.Duration                                // of the time in which jobs are submitted
+		demand  []float64                                    // fractions of the load by workspace
+		during  func(sim *simulation, elapsed time.Duration) // called after each submission; may be nil
 	}
 
 	// workKind is one kind of work.
@@ -33,7 +33,7 @@
 		name  string
 		share float64 // of the load, in accelerator time
 		queue batch.Queue
-		make  func(rng *rand.Rand) []batch.Step
+		make  func(rng *rand.Rand) []batch.Step // returns the steps of a job
 	}
 
 	// earnings is the value of the jobs of a workspace or kind, in
@@ -41,22 +41,22 @@
 	// they ended; see earnedFraction.
 	earnings struct {
 		offered, earned float64
-		jobs, inTime    int
+		jobs, inTime    int // number of jobs, and of those that met their objectives
 	}
 
 	// summary is the result of a replay.
 	summary struct {
-		byWorkspace, byKind, byBoth map[string]earnings
-		entitled                    map[string]float64 // by workspace
-		wasted                      time.Duration      // processor time
-		idle                        float64            // mean fraction of free accelerators while work waits
-		violations                  []string           // of invariants
+		byWorkspace, byKind, byBoth map[string]earnings // byBoth has keys like "a urgent"
+		entitled                    map[string]float64  // accelerator-seconds by workspace
+		wasted                      time.Duration       // processor time lost by stops, in core equivalents
+		idle                        float64             // mean fraction of free accelerators while work waits
+		violations                  []string            // of invariants
 	}
 )
 
 const (
-	pauseLoad  = 0.9
-	workspaces = "abcdefghij"
+	pauseLoad  = 0.9          // relative to the capacity of the workers
+	workspaces = "abcdefghij" // their names, of one letter each
 )
 
 var overloads = flag.Int("domain.overloads", 1, "number of seeds of the replayed loads")
@@ -183,7 +183,8 @@
 	return workspaces[:1]
 }
 
-// earnedFraction returns the fraction of its value that a job has earned.
+// earnedFraction returns the fraction of its value that a job has earned: all
+// if it met its objective, and none after three times that.
 func (sim *simulation) earnedFraction(id string) float64 {
 	jb := sim.jobs[id]
 	if sim.state(id) != batch.Done {
@@ -193,6 +194,8 @@
 	return min(1, max(0, (3-over)/2))
 }
 
+// summarize sums up what the jobs have earned. kinds holds the kind of each
+// job.
 func (re replay) summarize(sim *simulation, kinds map[string]string) summary {
 	su := summary{
 		byWorkspace: map[string]earnings{}, byKind: map[string]earnings{}, byBoth: map[string]earnings{},
@@ -228,9 +231,9 @@
 	return su
 }
 
-// assignEntitlements divides an amount among the workspaces by weight. A
-// workspace that has offered less than its part gets that, and the rest goes to
-// the others.
+// assignEntitlements divides an amount, in accelerator-seconds, among the
+// workspaces by weight. A workspace that has offered less than its part gets
+// what it has offered, and the rest goes to the others.
 func (su summary) assignEntitlements(sim *simulation, amount float64) {
 	weights := map[string]float64{}
 	least := 0
@@ -303,8 +306,9 @@
 	return sb.String()
 }
 
-// TestReplayOfOverload prints what a policy earns over seeds and loads, and
-// checks the invariants of the workers.
+// TestReplayOfOverload replays loads beyond the capacity of the workers, and
+// guards against violated invariants of the workers. It prints the value earned
+// by workspace and by kind of work, for the comparison of policies.
 func TestReplayOfOverload(t *testing.T) {
 	is := is.New(t)
 	worst := []float64{}
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -22,20 +22,20 @@
 		rng               *rand.Rand
 		now               time.Time
 		queue             eventQueue
-		lastOrder         int
+		lastOrder         int // order of the last event
 		fleet             *runsim.Fleet
 		workers           map[string]runner.Worker
 		unreachable       map[string]bool // workers that can't be called
 		policy            *batch.Policy
 		jobs              map[string]batch.Job
-		plans             map[string][]taskPlan // by job and step
-		accepted          []string
-		cancelled         map[string]time.Time
-		records           map[string]batch.Record
-		waiting           map[string]int       // number of jobs that have not begun, by queue
-		evacuatedTasks    map[string]int       // tasks left in evacuated zones, as stored
-		endTimes          map[string]time.Time // of jobs, as stored
-		token             int64
+		plans             map[string][]taskPlan   // by job and step
+		accepted          []string                // IDs of jobs, in order of submission
+		cancelled         map[string]time.Time    // time of the cancellation, by job
+		records           map[string]batch.Record // as stored, by job
+		waiting           map[string]int          // number of jobs that have not begun, by queue
+		evacuatedTasks    map[string]int          // tasks left in evacuated zones, as stored
+		endTimes          map[string]time.Time    // of jobs, as stored
+		token             int64                   // of the current leader
 		leader            *leader
 		faults            faults
 		evacuated         []string  // availability zones
@@ -47,20 +47,21 @@
 		backlogReports    []domain.BacklogReport
 		healthReports     []domain.HealthReport
 		tickets           map[string]map[string]string // by job and worker, for queues that need advice
-		adviceCalls       int                          // number of calls
-		log               []string
-		handleTimes       []time.Duration // real time that the core took for each event
-		fairShares        bool            // see domain.Config
-		failUrgent        bool            // every other urgent job fails on every worker
+		adviceCalls       int                          // number of calls to the advice service
+		log               []string                     // decisions of all leaders
+		handleTimes       []time.Duration              // real time that the core took for each event
+		fairShares        bool                         // see domain.Config
+		failUrgent        bool                         // every other urgent job fails on every worker
 	}
 
+	// taskPlan is the simulated behavior of the tasks of a step.
 	taskPlan struct {
-		work          time.Duration
+		work          time.Duration // actual run time
 		firstTaskWork time.Duration // overrides the work of the first task unless zero
 		fails         bool
 	}
 
-	// faults are the fractions of calls with faults.
+	// faults holds the fractions of calls that get no reply.
 	faults struct {
 		lost float64 // carried out without a reply
 		late float64 // carried out seconds later without a reply
@@ -76,12 +77,15 @@
 		promptPending bool // a Prompted event is scheduled
 	}
 
+	// event is a function to be called at a simulated time. Events of the same
+	// time are processed by order.
 	event struct {
 		at    time.Time
 		order int
 		do    func()
 	}
 
+	// eventQueue is a heap, earliest event first.
 	eventQueue []event
 )
 
@@ -159,7 +163,8 @@
 	return pl
 }
 
-// addWorker starts or restarts a worker.
+// addWorker starts or restarts a worker. The second character of its ID is the
+// number of its zone and rack.
 func (sim *simulation) addWorker(id string, accelerators int) {
 	capacity := batch.Resources{MilliCPU: 8000 * accelerators, MemoryMB: 1000 * accelerators, Accelerators: accelerators}
 	born := sim.fleet.Add(sim.now, id, capacity, 1-0.02*sim.rng.Float64())
@@ -225,6 +230,7 @@
 	return le
 }
 
+// tick sends Ticked events to a leader until it is dead.
 func (sim *simulation) tick(le *leader) {
 	if le.dead {
 		return
@@ -244,6 +250,7 @@
 	}
 }
 
+// handle passes an event to a leader's core and performs the resulting effects.
 func (sim *simulation) handle(le *leader, ev domain.Event) {
 	if le.dead {
 		return
@@ -292,7 +299,8 @@
 	}
 }
 
-// advise replies like the service that knows which workers a queue allows.
+// advise replies like the advice service, with tickets for the workers in
+// tickets.
 func (sim *simulation) advise(le *leader, ef domain.Advise) {
 	sim.adviceCalls++
 	ad := runner.Advice{Tickets: map[string]string{}, ValidFor: 3 * time.Second}
@@ -304,7 +312,8 @@
 	sim.after(100*time.Millisecond, func() { sim.handle(le, domain.Advised{Call: ef, Advice: ad}) })
 }
 
-// commit writes records if the leader is the current one.
+// commit writes records if the leader is the current one, and ends it
+// otherwise. A partitioned leader retries.
 func (sim *simulation) commit(le *leader, cm domain.Commit) {
 	if le.dead {
 		return
@@ -373,7 +382,7 @@
 			return
 		}
 		st, err := sim.fleet.Poll(sim.now, id, rq)
-		rq.Acked, rq.Deadline = 0, 0 // only the arrival of the call counts
+		rq.Acked, rq.Deadline = 0, 0 // applied once, when the call arrives
 		if err == nil && len(st.Ended) == 0 && sim.now.Before(until) {
 			sim.after(50*time.Millisecond, try)
 			return
@@ -389,6 +398,7 @@
 	sim.after(networkDelay, try)
 }
 
+// after schedules a function.
 func (sim *simulation) after(d time.Duration, do func()) {
 	sim.lastOrder++
 	heap.Push(&sim.queue, event{at: sim.now.Add(d), order: sim.lastOrder, do: do})
@@ -460,6 +470,7 @@
 	return violations
 }
 
+// logTail returns the last 60 lines of the log.
 func (sim *simulation) logTail() string {
 	return strings.Join(sim.log[max(0, len(sim.log)-60):], "\n")
 }
--- a/internal/domain/starve_test.go
+++ b/internal/domain/starve_test.go
@@ -78,8 +78,8 @@
 
 // TestOverdueGangsDoNotBlockSmallTasks frees enough capacity for small tasks,
 // but not for a gang that needs all workers. Both can't meet their objectives
-// any more, and both queues use more than their shares. The small tasks use the
-// capacity.
+// any more, and both queues use more than their shares. It guards against
+// capacity that is reserved for the gang: the small tasks use it.
 func TestOverdueGangsDoNotBlockSmallTasks(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(4)
@@ -104,7 +104,8 @@
 }
 
 // TestTakeoverKeepsWaitTimes makes jobs wait for capacity, and elects a new
-// scheduler. They begin in the order of their submission.
+// scheduler. They begin in the order of their submission, and their reported
+// wait includes the time before.
 func TestTakeoverKeepsWaitTimes(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(1)
@@ -151,7 +152,8 @@
 }
 
 // TestTakeoverKeepsRunTimes submits work beyond a guarantee after a change of
-// the scheduler. Work that would lose much is still not preempted.
+// the scheduler. Work that would lose much is still not preempted: its run time
+// is estimated from its progress.
 func TestTakeoverKeepsRunTimes(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(2)
--- a/internal/domain/stepkinds_test.go
+++ b/internal/domain/stepkinds_test.go
@@ -34,7 +34,9 @@
 }
 
 // TestPreemptionRespectsDisruptionLimit submits work within a guarantee that
-// needs capacity which only long-running tasks use.
+// needs capacity which only long-running tasks use. It guards against
+// preemptions that make more of these unavailable than the MaxUnavailable of
+// their step.
 func TestPreemptionRespectsDisruptionLimit(t *testing.T) {
 	for maxUnavailable, want := range map[int]int{1: 15, 4: 12} {
 		is := is.New(t)
@@ -55,9 +57,9 @@
 	}
 }
 
-// TestBestEffortWorkYieldsToServing makes best-effort work slow down a task that
-// serves requests. It is stopped on that worker within the time for which the target
-// latency may be missed.
+// TestBestEffortWorkYieldsToServing raises the latency of a task that serves
+// requests beside best-effort work. That work is stopped on its worker within
+// the time for which the target latency may be missed, and restarted elsewhere.
 func TestBestEffortWorkYieldsToServing(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(2)
@@ -99,6 +101,8 @@
 }
 
 // TestTicketsAreRenewed makes a job wait for longer than its tickets are valid.
+// It guards against starts with expired tickets, and against an advice call in
+// every pass.
 func TestTicketsAreRenewed(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(2)
