domain: Name the time of a job's first placement firstPlacedAt

The field was called firstStart, but it holds the time at which the first attempt was placed, before its record is written and the start is sent. The two can differ by the latency of a commit.

--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -26,7 +26,7 @@
 		endedAt        time.Time
 		advice         map[stepKey]*advice
 		begun          bool                  // some task is known to have run
-		firstStart     time.Time             // when the first task was placed, in this term
+		firstPlacedAt  time.Time             // when the first task was placed, in this term
 		stepOutcomes   map[int]*stepOutcomes // by step
 		preemptions    int                   // attempts that were stopped for other work, in this term
 		lostTime       time.Duration         // processor time lost by preemptions, in core equivalents
@@ -185,8 +185,8 @@
 // time.
 func (jb *job) waited(now time.Time) time.Duration {
 	switch {
-	case !jb.firstStart.IsZero():
-		return jb.firstStart.Sub(jb.acceptedAt)
+	case !jb.firstPlacedAt.IsZero():
+		return jb.firstPlacedAt.Sub(jb.acceptedAt)
 	case jb.state == batch.Queued:
 		return now.Sub(jb.acceptedAt)
 	default:
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -219,7 +219,7 @@
 	un.runs = nil
 	if un.job.state == batch.Queued {
 		un.job.state = batch.Running
-		un.job.firstStart = now
+		un.job.firstPlacedAt = now
 	}
 	names := make([]string, len(nodes))
 	for i, nd := range nodes {
