--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -38,18 +38,18 @@
 		jobs                map[string]*job
 		arrivals            []*job // in order of acceptance
 		nodes               map[string]*node
-		sortedNodes         []*node // by ID
-		addresses           map[string][]*node
-		evacuatedZones      map[string]bool // availability zones to be evacuated
+		sortedNodes         []*node            // by ID
+		addresses           map[string][]*node // nodes by address
+		evacuatedZones      map[string]bool    // availability zones to be evacuated
 		evacuation          evacuationState
 		unsavedEnds         map[*node]bool // nodes with ends that are not in the store yet
 		pollCandidates      []*node        // nodes to be polled if their next poll is due; may contain duplicates
 		changed             map[*unit]bool // units to be evaluated
 		claimed             []*unit        // units with claims on nodes; some may have been released since
-		passDue             bool
+		passDue             bool           // a placement pass is to follow as soon as passInterval permits
 		lastPass            time.Time
-		groupCount          int // number of groups in the last pass
-		coreFraction        float64
+		groupCount          int     // number of groups in the last pass
+		coreFraction        float64 // CPU cores available to the scheduler, at most 1; zero if unknown
 		backlogReportedAt   time.Time
 		backlogged          bool             // some units waited at the last report
 		stuckStopsCheckedAt time.Time        // when unconfirmed stops were last searched for
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -146,14 +146,14 @@
 		Job         string
 		Task        string
 		Queue       string        // of the unit or job
-		Waited      time.Duration // by a placed unit since its due time or acceptance, earlier attempts included; by a job that ends, until its first start
+		Waited      time.Duration // by a placed unit since its due time or acceptance, earlier attempts included; by a job that ends, until its first placement
 		Duration    time.Duration // by a job that ends, since its acceptance
 		Lost        time.Duration // processor time in core equivalents, by a stop, or by all preemptions of a job that ends
 		Preemptions int           // of a job that ends: its preempted attempts, in this term
 		Attempt     int
 		Worker      string   // of a run, or that the decision is about
 		Workers     []string // of a unit's tasks
-		Reason      string
+		Reason      string   // free text for operators
 	}
 
 	// BacklogReport reports the waiting work and the free capacity after a
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -41,7 +41,7 @@
 		stepIndex         int
 		index             int // of the task; zero for a gang
 		step              *batch.Step
-		tasks             int
+		tasks             int // number of tasks
 		phase             unitPhase
 		attempt           int
 		failures          int
@@ -79,6 +79,8 @@
 // any more.
 const noValueFactor = 3
 
+// newJob returns a queued job with all of its units. acceptedAt is by the local
+// clock; see ageOf.
 func newJob(jb batch.Job, acceptedAt time.Time) *job {
 	jo := &job{
 		Job: jb, state: batch.Queued, acceptedAt: acceptedAt, criticalPath: jb.CriticalPath(),
@@ -180,9 +182,8 @@
 	co.passDue = true
 }
 
-// waited returns how long a job waited for its first start. It returns zero if
-// the job was started in an earlier term, since records don't contain that
-// time.
+// waited returns how long a job waited for its first placement. It returns zero
+// if that was in an earlier term, since records don't contain the time.
 func (jb *job) waited(now time.Time) time.Duration {
 	switch {
 	case !jb.firstPlacedAt.IsZero():
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -137,6 +137,8 @@
 // due.
 func (co *Core) considerPoll(nd *node) { co.pollCandidates = append(co.pollCandidates, nd) }
 
+// unlistWorker marks a worker as unlisted. It is removed once its leases have
+// expired.
 func (co *Core) unlistWorker(now time.Time, id string) {
 	nd, ok := co.nodes[id]
 	if !ok {
@@ -235,6 +237,7 @@
 	return deadline
 }
 
+// addRun adds a run to a node and allocates its capacity.
 func (co *Core) addRun(ru *run, nd *node) {
 	ru.node = nd
 	nd.attach(ru)
@@ -248,6 +251,8 @@
 	nd.runsByTask = nil
 }
 
+// detach removes a run from a node and frees its capacity. A run without a unit
+// has none allocated.
 func (nd *node) detach(ru *run) {
 	delete(nd.runs, runKey{ru.task, ru.attempt})
 	nd.runsByTask = nil
@@ -273,6 +278,8 @@
 	return rus
 }
 
+// findRun returns the node of a worker and its run of an attempt; nil for what
+// does not exist.
 func (co *Core) findRun(worker string, task batch.TaskID, attempt int) (*node, *run) {
 	nd, ok := co.nodes[worker]
 	if !ok {
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -83,6 +83,8 @@
 	}
 }
 
+// handlePollFailure processes a failed poll. runner.ErrRestarted shows that
+// everything that ran on the worker has ended.
 func (co *Core) handlePollFailure(now time.Time, nd *node, ev Polled) {
 	nd.nextPoll = now.Add(pollRetryDelay)
 	if nd.lastFailure.Before(nd.lastResponse) || nd.lastFailure.IsZero() {
@@ -157,8 +159,8 @@
 	}
 }
 
-// stopUnknown stops a run that the core does not know, and counts it as running
-// on the worker until it has ended.
+// stopUnknown stops a run that no record names, and tracks it until it has
+// ended. No capacity is allocated for it.
 func (co *Core) stopUnknown(now time.Time, nd *node, rn runner.Run) {
 	ru := &run{task: rn.Task, attempt: rn.Attempt, node: nd, stage: running, confirmedAt: now}
 	nd.attach(ru)
