--- a/internal/domain/commit_test.go
+++ b/internal/domain/commit_test.go
@@ -17,20 +17,20 @@
 type slowStore struct {
 	core    *domain.Core
 	now     time.Time
-	replies map[time.Time][]domain.Committed
-	polled  bool                 // the worker was polled
-	starts  int                  // number of tasks started
-	written map[string]time.Time // time of the first commit, by job
+	replies map[time.Time][]domain.Committed // by the time at which they arrive
+	polled  bool                             // the worker was polled
+	starts  int                              // number of tasks started
+	written map[string]time.Time             // time of the first commit, by job
 }
 
 const (
-	storeLatency = 90 * time.Millisecond
-	storeStep    = 5 * time.Millisecond
+	storeLatency = 90 * time.Millisecond // of a commit
+	storeStep    = 5 * time.Millisecond  // of the simulated time
 )
 
 func newSlowStore(accelerators int) *slowStore {
-	ss := &slowStore{now: start, replies: map[time.Time][]domain.Committed{}, written: map[string]time.Time{}}
-	ss.core = domain.New(start, domain.Config{Token: 1, Policy: newSimulation(1).policy, Workers: []runner.Worker{
+	ss := &slowStore{now: startTime, replies: map[time.Time][]domain.Committed{}, written: map[string]time.Time{}}
+	ss.core = domain.New(startTime, domain.Config{Token: 1, Policy: newSimulation(1).policy, Workers: []runner.Worker{
 		{ID: "w1", Address: "w1:1", Service: "svc", Born: 1, Capacity: batch.Resources{Accelerators: accelerators}},
 	}})
 	ss.handle(domain.Ticked{})
@@ -70,8 +70,8 @@
 // step advances the time by storeStep.
 func (ss *slowStore) step() {
 	ss.now = ss.now.Add(storeStep)
-	for _, an := range ss.replies[ss.now] {
-		ss.handle(an)
+	for _, ev := range ss.replies[ss.now] {
+		ss.handle(ev)
 	}
 	ss.handle(domain.Prompted{})
 }
@@ -89,15 +89,16 @@
 	for i := range count {
 		ss.submit(fmt.Sprintf("j%03d", i), 1)
 	}
-	for ss.now.Before(start.Add(allBegun)) {
+	for ss.now.Before(startTime.Add(allBegun)) {
 		ss.step()
 	}
 	is.Equal(ss.starts, count)
 	is.Equal(len(ss.written), count)
 }
 
-// TestUrgentCommitsDoNotStarveOthers starts more urgent jobs than the store
-// takes records of. The record of another job is written nevertheless.
+// TestUrgentCommitsDoNotStarveOthers submits urgent jobs faster than the store
+// takes their records. The record of another job is written within a second
+// nevertheless.
 func TestUrgentCommitsDoNotStarveOthers(t *testing.T) {
 	const (
 		steps   = 300
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -26,7 +26,7 @@
 		endedAt        time.Time
 		advice         map[stepKey]*advice
 		begun          bool                  // some task is known to have run
-		firstStart     time.Time             // when the first task was placed, in this term
+		firstPlacedAt  time.Time             // when the first task was placed, in this term
 		stepOutcomes   map[int]*stepOutcomes // by step
 		preemptions    int                   // attempts that were stopped for other work, in this term
 		lostTime       time.Duration         // processor time lost by preemptions, in core equivalents
@@ -41,25 +41,25 @@
 		stepIndex         int
 		index             int // of the task; zero for a gang
 		step              *batch.Step
-		tasks             int
+		tasks             int // number of tasks
 		phase             unitPhase
 		attempt           int
 		failures          int
 		failureCounted    bool // failures includes a failure of the current attempt
 		checkpoint        string
 		checkpointAt      time.Time       // when a new checkpoint was last reported
-		moveFailedAt      time.Time       // when no capacity was last found to move it to
+		moveFailedAt      time.Time       // when a search for capacity to move it to last found none
 		runs              []*run          // of the current attempt, by task
 		recordVersion     int             // version of the job that records the attempt
 		avoided           map[string]bool // IDs of workers that failed it, let it hang or refused its start
-		preemptions       int
-		preemptTriedAt    time.Time // when victims were last searched for
-		guaranteed        bool      // counts against the guarantee of its workspace, so it can't be preempted
-		claim             []*node   // workers where capacity is allocated for its next attempt, by task
-		memberEnded       bool      // a task had ended when the attempt was recorded, so it has no run
-		notBefore         time.Time // earliest time of placement
-		stoppedAt         time.Time // when the stop of the current attempt was requested
-		stuckStopReported bool      // see reportStuckStops
+		preemptions       int             // in this term
+		preemptTriedAt    time.Time       // when victims were last searched for
+		guaranteed        bool            // counts against the guarantee of its workspace, so it can't be preempted
+		claim             []*node         // workers where capacity is allocated for its next attempt, by task
+		memberEnded       bool            // a task had ended when the attempt was recorded, so it has no run
+		notBefore         time.Time       // earliest time of placement
+		stopRequestedAt   time.Time       // when the stop of the current attempt was requested
+		stuckStopReported bool            // see reportStuckStops
 	}
 
 	// unitPhase is the state of a unit. The state of each of its runs is a stage.
@@ -79,9 +79,11 @@
 // any more.
 const noValueFactor = 3
 
-func newJob(jb batch.Job, now time.Time) *job {
+// newJob returns a queued job with all of its units. acceptedAt is by the local
+// clock; see ageOf.
+func newJob(jb batch.Job, acceptedAt time.Time) *job {
 	jo := &job{
-		Job: jb, state: batch.Queued, acceptedAt: now, criticalPath: jb.CriticalPath(),
+		Job: jb, state: batch.Queued, acceptedAt: acceptedAt, criticalPath: jb.CriticalPath(),
 		stepUnitsLeft: make([]int, jb.Occurrences()*len(jb.Steps)),
 	}
 	for oc := range jb.Occurrences() {
@@ -96,7 +98,7 @@
 
 func (jb *job) addUnits(occurrence, stepIndex int) {
 	step := &jb.Steps[stepIndex]
-	count, tasks := jb.unitsOf(stepIndex), 1
+	count, tasks := jb.unitCount(stepIndex), 1
 	if step.Gang {
 		tasks = step.Tasks
 	}
@@ -106,8 +108,8 @@
 	jb.stepUnitsLeft[occurrence*len(jb.Steps)+stepIndex] = count
 }
 
-// unitsOf returns the number of units of a step in each occurrence.
-func (jb *job) unitsOf(stepIndex int) int {
+// unitCount returns the number of units of a step in each occurrence.
+func (jb *job) unitCount(stepIndex int) int {
 	if jb.Steps[stepIndex].Gang {
 		return 1
 	}
@@ -122,15 +124,15 @@
 	unitsPerOccurrence, before := 0, 0
 	for stepIndex := range jb.Steps {
 		if stepIndex < ti.Step {
-			before += jb.unitsOf(stepIndex)
+			before += jb.unitCount(stepIndex)
 		}
-		unitsPerOccurrence += jb.unitsOf(stepIndex)
+		unitsPerOccurrence += jb.unitCount(stepIndex)
 	}
 	index := ti.Index
 	if jb.Steps[ti.Step].Gang {
 		index = 0
 	}
-	if index < 0 || index >= jb.unitsOf(ti.Step) {
+	if index < 0 || index >= jb.unitCount(ti.Step) {
 		return nil
 	}
 	return jb.units[ti.Occurrence*unitsPerOccurrence+before+index]
@@ -180,13 +182,12 @@
 	co.passDue = true
 }
 
-// waited returns how long a job waited for its first start. It returns zero if
-// the job was started in an earlier term, since records don't contain that
-// time.
+// waited returns how long a job waited for its first placement. It returns zero
+// if that was in an earlier term, since records don't contain the time.
 func (jb *job) waited(now time.Time) time.Duration {
 	switch {
-	case !jb.firstStart.IsZero():
-		return jb.firstStart.Sub(jb.acceptedAt)
+	case !jb.firstPlacedAt.IsZero():
+		return jb.firstPlacedAt.Sub(jb.acceptedAt)
 	case jb.state == batch.Queued:
 		return now.Sub(jb.acceptedAt)
 	default:
@@ -364,7 +365,7 @@
 }
 
 // objectiveStart returns the time from which the objective of a unit's
-// occurrence is measured.
+// occurrence is measured: its due time or, without one, the acceptance.
 func (un *unit) objectiveStart() time.Time {
 	if due := un.job.Due(un.occurrence); !due.IsZero() {
 		return due
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -18,7 +18,7 @@
 		runs                   map[runKey]*run // that have not ended
 		runsByTask             []*run          // nil if outdated; see sortedRuns
 		used                   batch.Resources // by runs and claims
-		clock                  time.Duration   // the worker's, read at clockAt or shortly before
+		clock                  time.Duration   // the worker's clock, read at clockAt or shortly before
 		clockAt                time.Time
 		lastResponse           time.Time    // to a poll
 		lastFailure            time.Time    // of a call
@@ -33,7 +33,7 @@
 		health                 health
 		bestEffortBlockedUntil time.Time // see besteffort.go
 		departsAt              time.Time // when the platform may take the worker away at the earliest; zero if unknown
-		evacuated              bool      // its availability zone is evacuated
+		evacuated              bool      // its availability zone is to be evacuated
 		coldUntil              time.Time // see cold.go
 		cold                   bool      // coldUntil was in the future when last checked
 		drainBy                time.Time // when it should be free of work for maintenance; zero if there is no deadline
@@ -137,6 +137,8 @@
 // due.
 func (co *Core) considerPoll(nd *node) { co.pollCandidates = append(co.pollCandidates, nd) }
 
+// unlistWorker marks a worker as unlisted. It is removed once its leases have
+// expired.
 func (co *Core) unlistWorker(now time.Time, id string) {
 	nd, ok := co.nodes[id]
 	if !ok {
@@ -179,7 +181,7 @@
 }
 
 // endIncarnation ends all runs of a worker that certainly runs nothing any
-// more.
+// more, and removes the worker unless it is listed.
 func (co *Core) endIncarnation(now time.Time, nd *node) {
 	for _, ru := range nd.sortedRuns() {
 		co.endRun(ru)
@@ -235,6 +237,7 @@
 	return deadline
 }
 
+// addRun adds a run to a node and allocates its capacity.
 func (co *Core) addRun(ru *run, nd *node) {
 	ru.node = nd
 	nd.attach(ru)
@@ -248,6 +251,8 @@
 	nd.runsByTask = nil
 }
 
+// detach removes a run from a node and frees its capacity. A run without a unit
+// has none allocated.
 func (nd *node) detach(ru *run) {
 	delete(nd.runs, runKey{ru.task, ru.attempt})
 	nd.runsByTask = nil
@@ -273,6 +278,8 @@
 	return rus
 }
 
+// findRun returns the node of a worker and its run of an attempt; nil for what
+// does not exist.
 func (co *Core) findRun(worker string, task batch.TaskID, attempt int) (*node, *run) {
 	nd, ok := co.nodes[worker]
 	if !ok {
--- a/internal/domain/passbench_test.go
+++ b/internal/domain/passbench_test.go
@@ -17,13 +17,13 @@
 	now      time.Time
 	workers  []runner.Worker
 	running  map[string][]runner.Run // by worker
-	lastEnds map[string]int64        // last number used, by worker
+	lastEnds map[string]int64        // number of the last end, by worker
 }
 
 // newInstantWorkers returns a core over some workers, with work for more than
 // twice their capacity, so that some of it waits.
 func newInstantWorkers(workers int) *instantWorkers {
-	iw := &instantWorkers{now: start, running: map[string][]runner.Run{}, lastEnds: map[string]int64{}}
+	iw := &instantWorkers{now: startTime, running: map[string][]runner.Run{}, lastEnds: map[string]int64{}}
 	for i := range workers {
 		iw.workers = append(iw.workers, runner.Worker{
 			ID: fmt.Sprintf("w%05d", i), Address: fmt.Sprintf("w%05d:1", i), Service: "svc", Born: 1,
@@ -48,14 +48,14 @@
 	}}
 }
 
-// jobs returns gangs that need several whole workers, small urgent jobs, and
-// wide jobs of small tasks, as in the backlog of a large installation.
+// jobs returns gangs of many tasks, small urgent gangs, and jobs of many small
+// tasks, as in the backlog of a large installation.
 func (iw *instantWorkers) jobs(workers int) []batch.Job {
 	var jobs []batch.Job
 	add := func(kind string, priority int, step batch.Step) {
 		jobs = append(jobs, batch.Job{
 			ID: fmt.Sprintf("%s%05d", kind, len(jobs)), Workspace: string(rune('a' + len(jobs)%10)),
-			Queue: queueOf(priority), Payload: "x", Accepted: start, Steps: []batch.Step{step},
+			Queue: queueOf(priority), Payload: "x", Accepted: startTime, Steps: []batch.Step{step},
 		})
 	}
 	for i := range workers {
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -19,8 +19,9 @@
 		rq := runner.PollRequest{Token: co.token, Acked: nd.savedEnd}
 		switch {
 		case nd.unresponsive() && (nd.listed || len(nd.runs) > 0):
-			// Grants no lease, since nothing would bound it while the worker is
-			// unresponsive. An idle worker is polled, too, until it replies.
+			// This poll grants no lease, since repeated polls would extend the
+			// leases of an unresponsive worker without bound. An idle worker is
+			// polled, too, until it replies.
 		case len(nd.runs) > 0:
 			rq.Deadline = nd.grantLease(now)
 			rq.Wait = pollWait
@@ -82,6 +83,8 @@
 	}
 }
 
+// handlePollFailure processes a failed poll. runner.ErrRestarted shows that
+// everything that ran on the worker has ended.
 func (co *Core) handlePollFailure(now time.Time, nd *node, ev Polled) {
 	nd.nextPoll = now.Add(pollRetryDelay)
 	if nd.lastFailure.Before(nd.lastResponse) || nd.lastFailure.IsZero() {
@@ -94,12 +97,12 @@
 	}
 }
 
-// reconcile updates the runs of a worker by its reply to a poll.
+// reconcile updates the runs of a worker from its reply to a poll.
 func (co *Core) reconcile(now time.Time, nd *node, ev Polled) {
-	listed := make(map[runKey]bool, len(ev.Status.Running))
+	reported := make(map[runKey]bool, len(ev.Status.Running))
 	for _, rn := range ev.Status.Running {
 		key := runKey{rn.Task, rn.Attempt}
-		listed[key] = true
+		reported[key] = true
 		co.observeRun(now, nd, key, rn)
 	}
 	for _, en := range ev.Status.Ended {
@@ -112,7 +115,7 @@
 		co.unsavedEnds[nd] = true
 	}
 	for _, ru := range nd.sortedRuns() {
-		if !listed[runKey{ru.task, ru.attempt}] {
+		if !reported[runKey{ru.task, ru.attempt}] {
 			co.handleMissing(now, ru, ev.Call.Sent)
 		}
 	}
@@ -148,15 +151,16 @@
 	}
 	if ru.unit != nil && ru.unit.attempt == ru.attempt {
 		ru.unit.job.begun = true
-		co.observeLoad(now, ru, rn.Load)
-		// In this order, since only a checkpoint that is not saved yet is fresh.
+		co.observeLatency(now, ru, rn.Load)
+		// In this order, since a checkpoint is fresh only if it was not set
+		// yet.
 		co.markCheckpointFresh(now, ru, rn.Checkpoint)
-		ru.unit.saveCheckpoint(ru, rn.Checkpoint)
+		ru.unit.setCheckpoint(ru, rn.Checkpoint)
 	}
 }
 
-// stopUnknown stops a run that the core does not know, and counts it as running
-// on the worker until it has ended.
+// stopUnknown stops a run that no record names, and tracks it until it has
+// ended. No capacity is allocated for it.
 func (co *Core) stopUnknown(now time.Time, nd *node, rn runner.Run) {
 	ru := &run{task: rn.Task, attempt: rn.Attempt, node: nd, stage: running, confirmedAt: now}
 	nd.attach(ru)
@@ -179,7 +183,8 @@
 	}
 }
 
-// happenedBefore reports whether something had happened when a poll was sent.
+// happenedBefore reports whether something happened before a poll was sent. A
+// zero time means that it has not happened.
 func happenedBefore(at, sent time.Time) bool { return !at.IsZero() && !at.After(sent) }
 
 // newPendingEnd returns an end with the version of its job that accounts for
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -19,48 +19,49 @@
 	// simulation runs cores with simulated workers and a model of the store, in
 	// simulated time.
 	simulation struct {
-		rng            *rand.Rand
-		now            time.Time
-		queue          eventQueue
-		lastOrder      int
-		fleet          *runsim.Fleet
-		workers        map[string]runner.Worker
-		unreachable    map[string]bool // workers that can't be called
-		policy         *batch.Policy
-		jobs           map[string]batch.Job
-		plans          map[string][]taskPlan // by job and step
-		accepted       []string
-		cancelled      map[string]time.Time
-		records        map[string]batch.Record
-		waiting        map[string]int       // number of jobs that have not begun, by queue
-		evacuatedTasks map[string]int       // tasks left in evacuated zones, as stored
-		endTimes       map[string]time.Time // of jobs, as stored
-		token          int64
-		leader         *leader
-		faults         faults
-		evacuated      []string  // availability zones
-		evacuatedAt    time.Time // when evacuated last changed
-		evacuations    []domain.EvacuationReport
-		lateStarts     []string      // workers in evacuated zones to which starts were sent too late
-		clockSkew      time.Duration // of the clock of the host that accepts jobs
-		decisions      []domain.LogDecision
-		backlogReports []domain.BacklogReport
-		healthReports  []domain.HealthReport
-		tickets        map[string]map[string]string // by job and worker, for queues that need advice
-		adviceCalls    int                          // number of calls
-		log            []string
-		handleTimes    []time.Duration // real time that the core took for each event
-		fairShares     bool            // see domain.Config
-		failUrgent     bool            // every other urgent job fails on every worker
-	}
-
+		rng               *rand.Rand
+		now               time.Time
+		queue             eventQueue
+		lastOrder         int // order of the last event
+		fleet             *runsim.Fleet
+		workers           map[string]runner.Worker
+		unreachable       map[string]bool // workers that can't be called
+		policy            *batch.Policy
+		jobs              map[string]batch.Job
+		plans             map[string][]taskPlan   // by job and step
+		accepted          []string                // IDs of jobs, in order of submission
+		cancelled         map[string]time.Time    // time of the cancellation, by job
+		records           map[string]batch.Record // as stored, by job
+		waiting           map[string]int          // number of jobs that have not begun, by queue
+		evacuatedTasks    map[string]int          // tasks left in evacuated zones, as stored
+		endTimes          map[string]time.Time    // of jobs, as stored
+		token             int64                   // of the current leader
+		leader            *leader
+		faults            faults
+		evacuated         []string  // availability zones
+		evacuatedAt       time.Time // when evacuated last changed
+		evacuationReports []domain.EvacuationReport
+		lateStarts        []string      // workers in evacuated zones to which starts were sent too late
+		clockSkew         time.Duration // of the clock of the host that accepts jobs
+		decisions         []domain.LogDecision
+		backlogReports    []domain.BacklogReport
+		healthReports     []domain.HealthReport
+		tickets           map[string]map[string]string // by job and worker, for queues that need advice
+		adviceCalls       int                          // number of calls to the advice service
+		log               []string                     // decisions of all leaders
+		handleTimes       []time.Duration              // real time that the core took for each event
+		fairShares        bool                         // see domain.Config
+		failUrgent        bool                         // every other urgent job fails on every worker
+	}
+
+	// taskPlan is the simulated behavior of the tasks of a step.
 	taskPlan struct {
-		work          time.Duration
+		work          time.Duration // actual run time
 		firstTaskWork time.Duration // overrides the work of the first task unless zero
 		fails         bool
 	}
 
-	// faults are the fractions of calls with faults.
+	// faults holds the fractions of calls that get no reply.
 	faults struct {
 		lost float64 // carried out without a reply
 		late float64 // carried out seconds later without a reply
@@ -76,12 +77,15 @@
 		promptPending bool // a Prompted event is scheduled
 	}
 
+	// event is a function to be called at a simulated time. Events of the same
+	// time are processed by order.
 	event struct {
 		at    time.Time
 		order int
 		do    func()
 	}
 
+	// eventQueue is a heap, earliest event first.
 	eventQueue []event
 )
 
@@ -93,7 +97,7 @@
 	promptDelay  = 15 * time.Millisecond
 )
 
-var start = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+var startTime = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
 
 func (eq eventQueue) Len() int { return len(eq) }
 func (eq eventQueue) Less(i, j int) bool {
@@ -113,14 +117,14 @@
 
 func newSimulation(seed uint64) *simulation {
 	sim := &simulation{
-		rng: rand.New(rand.NewPCG(seed, 1)), now: start, workers: map[string]runner.Worker{}, unreachable: map[string]bool{},
+		rng: rand.New(rand.NewPCG(seed, 1)), now: startTime, workers: map[string]runner.Worker{}, unreachable: map[string]bool{},
 		jobs: map[string]batch.Job{}, plans: map[string][]taskPlan{}, cancelled: map[string]time.Time{},
 		records: map[string]batch.Record{}, endTimes: map[string]time.Time{},
 		policy: &batch.Policy{Version: 1, Queues: []batch.Queue{
 			queueOf(0), queueOf(1), queueOf(2),
 		}, Workspaces: []batch.Workspace{{Name: "a", Guaranteed: 16}, {Name: "b", Guaranteed: 16}}},
 	}
-	sim.fleet = runsim.NewFleet(start, runsim.Config{
+	sim.fleet = runsim.NewFleet(startTime, runsim.Config{
 		MaxHold: 10 * time.Second, GangTimeout: 3 * time.Second, CheckpointInterval: 2 * time.Second, Plan: sim.planOf,
 	})
 	return sim
@@ -137,16 +141,16 @@
 func (sim *simulation) planOf(ti batch.TaskID) runsim.Plan {
 	jb := sim.jobs[ti.Job]
 	step := jb.Steps[ti.Step]
-	do := sim.plans[ti.Job][ti.Step]
+	tp := sim.plans[ti.Job][ti.Step]
 	pl := runsim.Plan{
-		Work: do.work, Fails: do.fails, Needs: step.Occupied(), MaxAttempts: jb.Queue.MaxAttempts, Checkpoints: step.Checkpoints,
+		Work: tp.work, Fails: tp.fails, Needs: step.Occupied(), MaxAttempts: jb.Queue.MaxAttempts, Checkpoints: step.Checkpoints,
 		Payload: jb.Payload, PerWorker: step.PerWorker, LongRunning: step.LongRunning, Tickets: sim.tickets[ti.Job],
 	}
 	if step.Gang {
 		pl.Gang = step.Tasks
 	}
-	if ti.Index == 0 && do.firstTaskWork > 0 {
-		pl.Work = do.firstTaskWork
+	if ti.Index == 0 && tp.firstTaskWork > 0 {
+		pl.Work = tp.firstTaskWork
 	}
 	for _, before := range step.After {
 		for i := range jb.Steps[before].Tasks {
@@ -159,7 +163,8 @@
 	return pl
 }
 
-// addWorker starts or restarts a worker.
+// addWorker starts or restarts a worker. The second character of its ID is the
+// number of its zone and rack.
 func (sim *simulation) addWorker(id string, accelerators int) {
 	capacity := batch.Resources{MilliCPU: 8000 * accelerators, MemoryMB: 1000 * accelerators, Accelerators: accelerators}
 	born := sim.fleet.Add(sim.now, id, capacity, 1-0.02*sim.rng.Float64())
@@ -225,6 +230,7 @@
 	return le
 }
 
+// tick sends Ticked events to a leader until it is dead.
 func (sim *simulation) tick(le *leader) {
 	if le.dead {
 		return
@@ -244,6 +250,7 @@
 	}
 }
 
+// handle passes an event to a leader's core and performs the resulting effects.
 func (sim *simulation) handle(le *leader, ev domain.Event) {
 	if le.dead {
 		return
@@ -284,7 +291,7 @@
 	case domain.BacklogReport:
 		sim.backlogReports = append(sim.backlogReports, ef)
 	case domain.EvacuationReport:
-		sim.evacuations = append(sim.evacuations, ef)
+		sim.evacuationReports = append(sim.evacuationReports, ef)
 	case domain.HealthReport:
 		sim.healthReports = append(sim.healthReports, ef)
 	case domain.Resign:
@@ -292,19 +299,21 @@
 	}
 }
 
-// advise replies like the service that knows which workers a queue allows.
+// advise replies like the advice service, with tickets for the workers in
+// tickets.
 func (sim *simulation) advise(le *leader, ef domain.Advise) {
 	sim.adviceCalls++
 	ad := runner.Advice{Tickets: map[string]string{}, ValidFor: 3 * time.Second}
 	for _, id := range ef.Request.Workers {
-		if text, good := sim.tickets[ef.Request.Job][id]; good {
+		if text, allowed := sim.tickets[ef.Request.Job][id]; allowed {
 			ad.Tickets[id] = text
 		}
 	}
 	sim.after(100*time.Millisecond, func() { sim.handle(le, domain.Advised{Call: ef, Advice: ad}) })
 }
 
-// commit writes records if the leader is the current one.
+// commit writes records if the leader is the current one, and ends it
+// otherwise. A partitioned leader retries.
 func (sim *simulation) commit(le *leader, cm domain.Commit) {
 	if le.dead {
 		return
@@ -373,7 +382,7 @@
 			return
 		}
 		st, err := sim.fleet.Poll(sim.now, id, rq)
-		rq.Acked, rq.Deadline = 0, 0 // only the arrival of the call counts
+		rq.Acked, rq.Deadline = 0, 0 // applied once, when the call arrives
 		if err == nil && len(st.Ended) == 0 && sim.now.Before(until) {
 			sim.after(50*time.Millisecond, try)
 			return
@@ -389,6 +398,7 @@
 	sim.after(networkDelay, try)
 }
 
+// after schedules a function.
 func (sim *simulation) after(d time.Duration, do func()) {
 	sim.lastOrder++
 	heap.Push(&sim.queue, event{at: sim.now.Add(d), order: sim.lastOrder, do: do})
@@ -434,8 +444,8 @@
 	return n
 }
 
-// took returns the time from the submission of a job to its end.
-func (sim *simulation) took(id string) time.Duration {
+// turnaround returns the time from the submission of a job to its end.
+func (sim *simulation) turnaround(id string) time.Duration {
 	return sim.endOf(id).Sub(sim.jobs[id].Accepted.Add(-sim.clockSkew))
 }
 
@@ -460,6 +470,7 @@
 	return violations
 }
 
-func (sim *simulation) tail() string {
+// logTail returns the last 60 lines of the log.
+func (sim *simulation) logTail() string {
 	return strings.Join(sim.log[max(0, len(sim.log)-60):], "\n")
 }
--- a/internal/domain/starve_test.go
+++ b/internal/domain/starve_test.go
@@ -39,8 +39,8 @@
 			}
 			for _, id := range last {
 				jb := sim.jobs[id]
-				is.Equal(sim.state(id), batch.Done)                            // not starved
-				is.True(sim.took(id) <= jb.Queue.Objective(jb.CriticalPath())) // and met its objective
+				is.Equal(sim.state(id), batch.Done)                                  // not starved
+				is.True(sim.turnaround(id) <= jb.Queue.Objective(jb.CriticalPath())) // and met its objective
 			}
 			is.Equal(sim.check(), nil)
 		})
@@ -71,15 +71,15 @@
 	}
 	small := sim.jobs["small"]
 	is.Equal(sim.state("small"), batch.Done)
-	is.True(sim.took("small") <= small.Queue.Objective(small.CriticalPath()))
+	is.True(sim.turnaround("small") <= small.Queue.Objective(small.CriticalPath()))
 	is.True(sim.fleet.Running("large") > 0)
 	is.Equal(sim.check(), nil)
 }
 
 // TestOverdueGangsDoNotBlockSmallTasks frees enough capacity for small tasks,
 // but not for a gang that needs all workers. Both can't meet their objectives
-// any more, and both queues use more than their shares. The small tasks use the
-// capacity.
+// any more, and both queues use more than their shares. It guards against
+// capacity that is reserved for the gang: the small tasks use it.
 func TestOverdueGangsDoNotBlockSmallTasks(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(4)
@@ -104,7 +104,8 @@
 }
 
 // TestTakeoverKeepsWaitTimes makes jobs wait for capacity, and elects a new
-// scheduler. They begin in the order of their submission.
+// scheduler. They begin in the order of their submission, and their reported
+// wait includes the time before.
 func TestTakeoverKeepsWaitTimes(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(1)
@@ -151,7 +152,8 @@
 }
 
 // TestTakeoverKeepsRunTimes submits work beyond a guarantee after a change of
-// the scheduler. Work that would lose much is still not preempted.
+// the scheduler. Work that would lose much is still not preempted: its run time
+// is estimated from its progress.
 func TestTakeoverKeepsRunTimes(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(2)
