Rename tickets of package sched to request IDs and pending requests

A ticket was both the number of a caller's request and the caller that waits for its record to be stored, and package admit has tickets of another kind. The number is now sched.RequestID, and the waiting callers of a job are its pending requests; package zone follows.

--- a/internal/sched/bucket.go
+++ b/internal/sched/bucket.go
@@ -149,8 +149,8 @@
 			continue
 		}
 		er := codes.New(cd, "%s", detail).WithRetryAfter(retryAfter)
-		for _, tk := range jb.tickets {
-			co.emit(Answer{Ticket: tk.id, Err: er})
+		for _, pr := range jb.pendingRequests {
+			co.emit(Answer{RequestID: pr.id, Err: er})
 		}
 		delete(co.jobs, id)
 	}
@@ -167,38 +167,38 @@
 		if jb.saved.ID == "" {
 			jb.indeterminate = true
 		}
-		for _, tk := range jb.tickets {
-			co.answerUnknown(jb, tk)
+		for _, pr := range jb.pendingRequests {
+			co.answerUnknown(jb, pr)
 		}
-		jb.tickets = nil
+		jb.pendingRequests = nil
 	}
 }
 
 // answerUnknown tells a caller that the outcome of its request is unknown.
-func (co *Core) answerUnknown(jb *job, tk ticket) {
+func (co *Core) answerUnknown(jb *job, pr pendingRequest) {
 	cd := codes.SubmitUnknown
-	if tk.cancel {
+	if pr.cancel {
 		cd = codes.CancelUnknown
 	}
-	co.emit(Answer{Ticket: tk.id, Record: jb.rec, Err: codes.New(cd, "it is unknown whether the request for job %s was recorded", jb.rec.ID).WithRetryAfter(retryAfter)})
+	co.emit(Answer{RequestID: pr.id, Record: jb.rec, Err: codes.New(cd, "it is unknown whether the request for job %s was recorded", jb.rec.ID).WithRetryAfter(retryAfter)})
 }
 
 // answerSaved answers the callers whose request is in the store now.
 func (co *Core) answerSaved(jb *job) {
-	jb.tickets = slices.DeleteFunc(jb.tickets, func(tk ticket) bool {
-		if tk.cancel && !jb.saved.Cancelled && jb.saved.State != jobs.Ended {
+	jb.pendingRequests = slices.DeleteFunc(jb.pendingRequests, func(pr pendingRequest) bool {
+		if pr.cancel && !jb.saved.Cancelled && jb.saved.State != jobs.Ended {
 			return false
 		}
-		co.emit(Answer{Ticket: tk.id, Record: jb.visible()})
+		co.emit(Answer{RequestID: pr.id, Record: jb.visible()})
 		return true
 	})
 }
 
-// expireTickets answers the callers that have waited for the store for longer
-// than storeTimeout.
-func (co *Core) expireTickets(now time.Time, jb *job) {
-	late := func(tk ticket) bool { return now.After(tk.until) }
-	if !slices.ContainsFunc(jb.tickets, late) {
+// expirePendingRequests answers the callers that have waited for the store for
+// longer than storeTimeout.
+func (co *Core) expirePendingRequests(now time.Time, jb *job) {
+	expired := func(pr pendingRequest) bool { return now.After(pr.until) }
+	if !slices.ContainsFunc(jb.pendingRequests, expired) {
 		return
 	}
 	bu := co.buckets[jb.bucket]
@@ -207,13 +207,13 @@
 		co.rejectUnsaved(map[string]snapshot{jb.rec.ID: {}}, codes.StoreUnavailable, "the store does not respond")
 		return
 	}
-	for _, tk := range jb.tickets {
-		if late(tk) {
-			co.answerUnknown(jb, tk)
+	for _, pr := range jb.pendingRequests {
+		if expired(pr) {
+			co.answerUnknown(jb, pr)
 		}
 	}
 	if jb.saved.ID == "" {
 		jb.indeterminate = true
 	}
-	jb.tickets = slices.DeleteFunc(jb.tickets, late)
+	jb.pendingRequests = slices.DeleteFunc(jb.pendingRequests, expired)
 }
--- a/internal/sched/caller.go
+++ b/internal/sched/caller.go
@@ -22,12 +22,12 @@
 		return
 	}
 	if er := co.checkAdmission(ev.Spec); er != nil {
-		co.emit(Answer{Ticket: ev.Ticket, Err: er})
+		co.emit(Answer{RequestID: ev.RequestID, Err: er})
 		return
 	}
 	rc := jobs.Record{Spec: ev.Spec, Submitted: now}.WithQueued(now)
 	jb := &job{rec: rc, bucket: co.bucketOf(rc.ID), unit: place.NoUnit}
-	jb.tickets = []ticket{{id: ev.Ticket, until: now.Add(storeTimeout)}}
+	jb.pendingRequests = []pendingRequest{{id: ev.RequestID, until: now.Add(storeTimeout)}}
 	co.jobs[rc.ID] = jb
 	co.markUnsaved(jb)
 }
@@ -36,11 +36,11 @@
 func (co *Core) resubmit(now time.Time, jb *job, ev Submitted) {
 	switch {
 	case !reflect.DeepEqual(jb.rec.Spec, ev.Spec):
-		co.emit(Answer{Ticket: ev.Ticket, Err: codes.New(codes.KeyMismatch, "job %s was submitted with other content", ev.Spec.ID)})
+		co.emit(Answer{RequestID: ev.RequestID, Err: codes.New(codes.KeyMismatch, "job %s was submitted with other content", ev.Spec.ID)})
 	case jb.saved.ID != "":
-		co.emit(Answer{Ticket: ev.Ticket, Record: jb.visible()})
+		co.emit(Answer{RequestID: ev.RequestID, Record: jb.visible()})
 	default:
-		jb.tickets = append(jb.tickets, ticket{id: ev.Ticket, until: now.Add(storeTimeout)})
+		jb.pendingRequests = append(jb.pendingRequests, pendingRequest{id: ev.RequestID, until: now.Add(storeTimeout)})
 	}
 }
 
@@ -110,17 +110,17 @@
 func (co *Core) cancel(now time.Time, ev CancelRequested) {
 	jb, ok := co.jobs[ev.ID]
 	if !ok {
-		co.emit(Answer{Ticket: ev.Ticket, Err: codes.New(codes.JobNotFound, "job %q does not exist", ev.ID)})
+		co.emit(Answer{RequestID: ev.RequestID, Err: codes.New(codes.JobNotFound, "job %q does not exist", ev.ID)})
 		return
 	}
 	if jb.saved.State == jobs.Ended || jb.saved.Cancelled {
-		co.emit(Answer{Ticket: ev.Ticket, Record: jb.visible()})
+		co.emit(Answer{RequestID: ev.RequestID, Record: jb.visible()})
 		return
 	}
 	if !jb.rec.Cancelled && jb.rec.Active() {
 		jb.rec = jb.rec.WithCancelled()
 	}
-	jb.tickets = append(jb.tickets, ticket{id: ev.Ticket, cancel: true, until: now.Add(storeTimeout)})
+	jb.pendingRequests = append(jb.pendingRequests, pendingRequest{id: ev.RequestID, cancel: true, until: now.Add(storeTimeout)})
 	co.markUnsaved(jb)
 	co.markChanged(ev.ID)
 }
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -63,7 +63,7 @@
 		notBefore        time.Time         // earliest time of the next placement
 		avoid            []string          // names of workers not to be used by the next attempt
 		failures         int               // attempts of the current step of which a task failed
-		tickets          []ticket
+		pendingRequests  []pendingRequest
 		indeterminate    bool // it is unknown whether its first record is in the store
 	}
 
@@ -91,9 +91,9 @@
 		unitWorkers []int // all workers reserved for the unit
 	}
 
-	// ticket is a caller that waits for its request to be in the store.
-	ticket struct {
-		id     Ticket
+	// pendingRequest is a caller that waits for its request to be in the store.
+	pendingRequest struct {
+		id     RequestID
 		cancel bool
 		until  time.Time
 	}
@@ -269,7 +269,7 @@
 			co.markUnsaved(jb)
 			delete(co.jobs, id)
 		}
-		co.expireTickets(now, jb)
+		co.expirePendingRequests(now, jb)
 	}
 	co.checkWorkers(now)
 }
@@ -279,10 +279,10 @@
 func (co *Core) resign(reason string) {
 	co.resigned = true
 	for _, jb := range co.jobs {
-		for _, tk := range jb.tickets {
-			co.answerUnknown(jb, tk)
+		for _, pr := range jb.pendingRequests {
+			co.answerUnknown(jb, pr)
 		}
-		jb.tickets = nil
+		jb.pendingRequests = nil
 	}
 	co.emit(Resign{Reason: reason})
 }
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -34,8 +34,8 @@
 )
 
 type (
-	// Ticket identifies the pending request of a caller.
-	Ticket uint64
+	// RequestID identifies the pending request of a caller.
+	RequestID uint64
 
 	// Event is an input of the core. The types up to Tick are events.
 	Event interface{ event() }
@@ -48,14 +48,14 @@
 
 	// Submitted is a caller's request to run a job.
 	Submitted struct {
-		Ticket Ticket
-		Spec   jobs.Spec
+		RequestID RequestID
+		Spec      jobs.Spec
 	}
 
 	// CancelRequested is a caller's request to cancel a job.
 	CancelRequested struct {
-		Ticket Ticket
-		ID     string
+		RequestID RequestID
+		ID        string
 	}
 
 	// WorkerReplied carries the reply of a worker. Commands are those of the
@@ -107,9 +107,9 @@
 
 	// Answer is the reply to a caller's request. Err is nil or a *codes.Error.
 	Answer struct {
-		Ticket Ticket
-		Record jobs.Record
-		Err    error
+		RequestID RequestID
+		Record    jobs.Record
+		Err       error
 	}
 
 	// Finished says that the end of a job is in the store.
--- a/internal/sched/faults_test.go
+++ b/internal/sched/faults_test.go
@@ -120,7 +120,7 @@
 	sim.submit(gang("z1.first", 8, 8, "sleep", "100ms"))
 	sp := gang("z1.a", 3, 8, "sleep", "300ms")
 	sp.Repeatable = repeatable
-	tk := sim.submit(sp)
+	rid := sim.submit(sp)
 	sim.runEvents(events)
 	step := stepOf(sim)
 	seen[step]++
@@ -133,7 +133,7 @@
 	if violations := sim.checkInvariants(); len(violations) > 0 {
 		t.Fatalf("after %d events, at step %s: %v", events, step, violations[0])
 	}
-	checkStepEnd(t, sim, sf, repeatable, tk, fmt.Sprintf("after %d events, at step %s", events, step))
+	checkStepEnd(t, sim, sf, repeatable, rid, fmt.Sprintf("after %d events, at step %s", events, step))
 	rc, ok := sim.record("z1.a")
 	return !ok || step != jobs.Ended.String() || rc.State != jobs.Ended
 }
@@ -141,14 +141,14 @@
 // checkStepEnd checks the job's code against those that the fault allows. A job
 // may be missing if it was refused, or if its caller was told that the outcome
 // is unknown.
-func checkStepEnd(t *testing.T, sim *simulation, sf stepFault, repeatable bool, tk sched.Ticket, where string) {
+func checkStepEnd(t *testing.T, sim *simulation, sf stepFault, repeatable bool, rid sched.RequestID, where string) {
 	t.Helper()
 	allowed := sf.notRepeatable
 	if repeatable {
 		allowed = sf.repeatable
 	}
 	rc, ok := sim.record("z1.a")
-	an, answered := sim.answers[tk]
+	an, answered := sim.answers[rid]
 	switch {
 	case !ok && answered && an.Err == nil:
 		t.Fatalf("%s: the job was accepted and is missing", where)
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -273,9 +273,9 @@
 			is := is.New(t)
 			sp := gang(fmt.Sprintf("z1.x%d", i), 1, 8, "sleep", "1s")
 			tt.change(&sp)
-			tk := sim.submit(sp)
+			rid := sim.submit(sp)
 			sim.run(time.Second)
-			is.Equal(codes.Of(sim.answers[tk].Err).Code.String(), tt.want.String())
+			is.Equal(codes.Of(sim.answers[rid].Err).Code.String(), tt.want.String())
 			is.Equal(len(ended(sim)), 0)
 		})
 	}
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -19,22 +19,22 @@
 	// simulation runs cores against fake workers and a fake store in virtual
 	// time. All events are in one ordered list, so runs are deterministic.
 	simulation struct {
-		now          time.Time
-		events       []simEvent
-		order        int
-		decl         *spec.Declarations
-		hosts        []plat.Host
-		tables       map[string]*wksim.Table
-		partitioned  map[string]bool // workers that can't be reached
-		losesReplies map[string]bool // workers whose replies are lost
-		unlisted     string          // worker missing from the platform's list
-		slow         map[string]bool // workers that handle calls only after the caller's timeout
-		store        fakeStore
-		leaders      []*leader
-		ticket       sched.Ticket
-		answers      map[sched.Ticket]sched.Answer
-		submitted    map[sched.Ticket]string // ID of the job by ticket
-		decisions    []sched.Decision
+		now           time.Time
+		events        []simEvent
+		order         int
+		decl          *spec.Declarations
+		hosts         []plat.Host
+		tables        map[string]*wksim.Table
+		partitioned   map[string]bool // workers that can't be reached
+		losesReplies  map[string]bool // workers whose replies are lost
+		unlisted      string          // worker missing from the platform's list
+		slow          map[string]bool // workers that handle calls only after the caller's timeout
+		store         fakeStore
+		leaders       []*leader
+		lastRequestID sched.RequestID
+		answers       map[sched.RequestID]sched.Answer
+		submitted     map[sched.RequestID]string // ID of the job by request
+		decisions     []sched.Decision
 	}
 
 	attemptID struct {
@@ -93,7 +93,7 @@
 	sim := &simulation{
 		now: time.Unix(1_800_000_000, 0), tables: map[string]*wksim.Table{},
 		partitioned: map[string]bool{}, losesReplies: map[string]bool{}, slow: map[string]bool{},
-		answers: map[sched.Ticket]sched.Answer{}, submitted: map[sched.Ticket]string{},
+		answers: map[sched.RequestID]sched.Answer{}, submitted: map[sched.RequestID]string{},
 	}
 	zn := spec.Zone{Name: testZone, Region: "r1"}
 	for ra := range racks {
@@ -192,7 +192,7 @@
 		case sched.Send:
 			sim.call(ld, ef.Worker, ef.Commands)
 		case sched.Answer:
-			sim.answers[ef.Ticket] = ef
+			sim.answers[ef.RequestID] = ef
 		case sched.Decision:
 			sim.decisions = append(sim.decisions, ef)
 		case sched.Resign:
@@ -275,17 +275,17 @@
 }
 
 // submit submits a job to the current leader.
-func (sim *simulation) submit(sp jobs.Spec) sched.Ticket {
-	sim.ticket++
-	sim.submitted[sim.ticket] = sp.ID
-	sim.dispatch(sim.current(), sched.Submitted{Ticket: sim.ticket, Spec: sp})
-	return sim.ticket
+func (sim *simulation) submit(sp jobs.Spec) sched.RequestID {
+	sim.lastRequestID++
+	sim.submitted[sim.lastRequestID] = sp.ID
+	sim.dispatch(sim.current(), sched.Submitted{RequestID: sim.lastRequestID, Spec: sp})
+	return sim.lastRequestID
 }
 
-func (sim *simulation) cancel(id string) sched.Ticket {
-	sim.ticket++
-	sim.dispatch(sim.current(), sched.CancelRequested{Ticket: sim.ticket, ID: id})
-	return sim.ticket
+func (sim *simulation) cancel(id string) sched.RequestID {
+	sim.lastRequestID++
+	sim.dispatch(sim.current(), sched.CancelRequested{RequestID: sim.lastRequestID, ID: id})
+	return sim.lastRequestID
 }
 
 // record returns the record of a job in the store.
@@ -355,8 +355,8 @@
 			violations = append(violations, sim.checkJob(rc, byJob[rc.ID])...)
 		}
 	}
-	for tk, an := range sim.answers {
-		id := sim.submitted[tk]
+	for rid, an := range sim.answers {
+		id := sim.submitted[rid]
 		if an.Err != nil && codes.Of(an.Err).Code.Class() == codes.NotRun && codes.Of(an.Err).Code != codes.KeyMismatch && len(byJob[id]) > 0 {
 			violations = append(violations, fmt.Sprintf("job %s was told %v but ran", id, an.Err))
 		}
--- a/internal/zone/elect.go
+++ b/internal/zone/elect.go
@@ -283,9 +283,9 @@
 	defer zo.mu.Unlock()
 	zo.core = nil
 	zo.calls.stop()
-	for tk, pr := range zo.tickets {
-		pr.answer <- sched.Answer{Ticket: tk, Err: codes.New(pr.unknownCode, "the scheduler's term of leadership ended before it answered").WithRetryAfter(noSchedulerRetryAfter)}
-		delete(zo.tickets, tk)
+	for rid, pr := range zo.pendingRequests {
+		pr.answer <- sched.Answer{RequestID: rid, Err: codes.New(pr.unknownCode, "the scheduler's term of leadership ended before it answered").WithRetryAfter(noSchedulerRetryAfter)}
+		delete(zo.pendingRequests, rid)
 	}
 	for id := range zo.endWaits {
 		zo.notifyEnd(id)
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -50,17 +50,17 @@
 	// entry host. It implements jobs.Service; unless this host is the leader,
 	// the methods return codes.NoScheduler.
 	Zone struct {
-		cfg        Config
-		mu         sync.Mutex
-		core       *sched.Core // nil unless this host is the leader
-		buckets    *bucketStore
-		calls      *workerCalls
-		endWaits   map[string][]chan struct{} // channels to be closed at the end of a job, by its ID
-		tickets    map[sched.Ticket]pendingRequest
-		lastTicket sched.Ticket
-		holder     Holder             // last leader known to this host
-		maxEpoch   int64              // largest epoch seen
-		resign     context.CancelFunc // ends the term
+		cfg             Config
+		mu              sync.Mutex
+		core            *sched.Core // nil unless this host is the leader
+		buckets         *bucketStore
+		calls           *workerCalls
+		endWaits        map[string][]chan struct{} // channels to be closed at the end of a job, by its ID
+		pendingRequests map[sched.RequestID]pendingRequest
+		lastRequestID   sched.RequestID
+		holder          Holder             // last leader known to this host
+		maxEpoch        int64              // largest epoch seen
+		resign          context.CancelFunc // ends the term
 
 		storeUnavailable bool // as of the last renewal of the lease
 	}
@@ -83,9 +83,9 @@
 // New returns a zone that does nothing until Run is called.
 func New(cfg Config) *Zone {
 	return &Zone{
-		cfg:      cfg,
-		endWaits: map[string][]chan struct{}{},
-		tickets:  map[sched.Ticket]pendingRequest{},
+		cfg:             cfg,
+		endWaits:        map[string][]chan struct{}{},
+		pendingRequests: map[sched.RequestID]pendingRequest{},
 	}
 }
 
@@ -119,15 +119,15 @@
 	if err := zo.checkNewJob(sp.ID); err != nil {
 		return jobs.Record{}, err
 	}
-	return zo.request(ctx, codes.SubmitUnknown, func(tk sched.Ticket) sched.Event {
-		return sched.Submitted{Ticket: tk, Spec: sp}
+	return zo.request(ctx, codes.SubmitUnknown, func(rid sched.RequestID) sched.Event {
+		return sched.Submitted{RequestID: rid, Spec: sp}
 	})
 }
 
 // Cancel implements jobs.Service.
 func (zo *Zone) Cancel(ctx context.Context, id string) (jobs.Record, error) {
-	return zo.request(ctx, codes.CancelUnknown, func(tk sched.Ticket) sched.Event {
-		return sched.CancelRequested{Ticket: tk, ID: id}
+	return zo.request(ctx, codes.CancelUnknown, func(rid sched.RequestID) sched.Event {
+		return sched.CancelRequested{RequestID: rid, ID: id}
 	})
 }
 
@@ -179,35 +179,35 @@
 	return rc, ended, nil
 }
 
-// request passes an event with a new ticket to the core and waits for its
+// request passes an event with a new request ID to the core and waits for its
 // answer. If none comes, it returns an error with unknownCode.
-func (zo *Zone) request(ctx context.Context, unknownCode codes.Code, event func(sched.Ticket) sched.Event) (jobs.Record, error) {
-	tk, answer, err := zo.newTicket(unknownCode)
+func (zo *Zone) request(ctx context.Context, unknownCode codes.Code, event func(sched.RequestID) sched.Event) (jobs.Record, error) {
+	rid, answer, err := zo.addPendingRequest(unknownCode)
 	if err != nil {
 		return jobs.Record{}, err
 	}
-	zo.handle(event(tk))
+	zo.handle(event(rid))
 	select {
 	case an := <-answer:
 		return an.Record, an.Err
 	case <-ctx.Done():
 		zo.mu.Lock()
-		delete(zo.tickets, tk)
+		delete(zo.pendingRequests, rid)
 		zo.mu.Unlock()
 		return jobs.Record{}, codes.New(unknownCode, "%v", ctx.Err())
 	}
 }
 
-func (zo *Zone) newTicket(unknownCode codes.Code) (sched.Ticket, <-chan sched.Answer, error) {
+func (zo *Zone) addPendingRequest(unknownCode codes.Code) (sched.RequestID, <-chan sched.Answer, error) {
 	zo.mu.Lock()
 	defer zo.mu.Unlock()
 	if zo.core == nil {
 		return 0, nil, zo.noScheduler()
 	}
-	zo.lastTicket++
+	zo.lastRequestID++
 	answer := make(chan sched.Answer, 1)
-	zo.tickets[zo.lastTicket] = pendingRequest{answer: answer, unknownCode: unknownCode}
-	return zo.lastTicket, answer, nil
+	zo.pendingRequests[zo.lastRequestID] = pendingRequest{answer: answer, unknownCode: unknownCode}
+	return zo.lastRequestID, answer, nil
 }
 
 func (zo *Zone) noScheduler() error {
@@ -235,9 +235,9 @@
 	case sched.Send:
 		zo.calls.send(ef)
 	case sched.Answer:
-		if pr, ok := zo.tickets[ef.Ticket]; ok {
+		if pr, ok := zo.pendingRequests[ef.RequestID]; ok {
 			pr.answer <- ef
-			delete(zo.tickets, ef.Ticket)
+			delete(zo.pendingRequests, ef.RequestID)
 		}
 	case sched.Finished:
 		zo.notifyEnd(ef.Record.ID)
