Use the terms of the field for names in package place

Cause: overdrawn and touched are figurative, one order had two names, and Free does not say what is free.

--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -267,18 +267,18 @@
 	free.adjust(workers, rq.Shape.Accelerators, -1)
 	var victims []Gang
 	for _, ga := range fl.victims(now, rq, true, workers) {
-		if !free.overdrawn(workers) {
+		if !free.overcommitted(workers) {
 			break
 		}
 		free.adjust(ga.Workers, ga.Shape.Accelerators, 1)
 		victims = append(victims, ga)
 	}
-	if free.overdrawn(workers) {
+	if free.overcommitted(workers) {
 		return Preempt{}, false
 	}
 	for i := len(victims) - 1; i >= 0; i-- {
 		free.adjust(victims[i].Workers, victims[i].Shape.Accelerators, -1)
-		if free.overdrawn(workers) {
+		if free.overcommitted(workers) {
 			free.adjust(victims[i].Workers, victims[i].Shape.Accelerators, 1)
 			continue
 		}
@@ -391,19 +391,19 @@
 // tasksOn counts the tasks of each job on some workers.
 func (fl *Fleet) tasksOn(workers []int) map[string]int {
 	if len(workers) == len(fl.workers) {
-		all := make(map[string]int, len(fl.gangs))
+		counts := make(map[string]int, len(fl.gangs))
 		for id, ga := range fl.gangs {
-			all[id] = len(ga.Workers)
+			counts[id] = len(ga.Workers)
 		}
-		return all
+		return counts
 	}
-	some := map[string]int{}
+	counts := map[string]int{}
 	for _, at := range workers {
 		for _, id := range fl.jobsOn[at] {
-			some[id]++
+			counts[id]++
 		}
 	}
-	return some
+	return counts
 }
 
 // victim is a gang that may be preempted. Its cost is the accelerator time, in
--- a/internal/place/fit.go
+++ b/internal/place/fit.go
@@ -151,14 +151,14 @@
 // assess returns the placement on workers with its fragmentation.
 func (fl *Fleet) assess(fc freeCapacity, sh spec.Shape, workers []int) placement {
 	pl := placement{workers: workers}
-	touched := map[int]bool{}
+	racks := map[int]bool{}
 	for i, at := range workers {
 		if fc.accelerators[at] == fl.workers[at].Accelerators && !slices.Contains(workers[:i], at) {
 			pl.newlyUsed++
 		}
-		touched[fl.rackOf[at]] = true
+		racks[fl.rackOf[at]] = true
 	}
-	for ra := range touched {
+	for ra := range racks {
 		for _, at := range fl.racks[ra] {
 			pl.leftFree += max(0, fc.accelerators[at])
 		}
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -67,7 +67,7 @@
 		racks            [][]int // indices of the workers of each rack
 		rackOf           []int
 		units            []Unit
-		reserveOrder     []int // units in the order in which they get reservations, most difficult first
+		reservationOrder []int // units in the order in which they get reservations, most difficult first
 		gangs            map[string]Gang
 		jobsOn           [][]string     // IDs of the jobs on each worker
 		unitUsed         []bool         // by unit
@@ -119,7 +119,7 @@
 		fl.reclaimable = fl.reclaimable.withWorker(wo)
 		fl.unreserved = fl.unreserved.withWorker(wo)
 	}
-	fl.reserveOrder = reservingOrder(units)
+	fl.reservationOrder = reservationOrder(units)
 	return fl
 }
 
@@ -155,7 +155,7 @@
 	case !ga.Preemptible:
 		fl.reclaimable.adjust(ga.Workers, ga.Shape.Accelerators, -1)
 		fl.unreserved.adjust(ga.Workers, ga.Shape.Accelerators, -1)
-		fl.reassignOverdrawn()
+		fl.reassignOvercommitted()
 	}
 	fl.gangs[ga.Job] = ga
 }
@@ -209,8 +209,8 @@
 	return sum
 }
 
-// Free returns the number of accelerators of usable workers that no gang uses.
-func (fl *Fleet) Free() int {
+// FreeAccelerators returns the number of accelerators of usable workers that no gang uses.
+func (fl *Fleet) FreeAccelerators() int {
 	sum := 0
 	for i := range fl.workers {
 		sum += max(0, fl.free.accelerators[i])
@@ -263,9 +263,9 @@
 // protected reports whether a gang can't be preempted.
 func protected(ga Gang) bool { return ga.Unit != NoUnit || !ga.Preemptible }
 
-// reservingOrder returns the indices of units sorted so that those with the
+// reservationOrder returns the indices of units sorted so that those with the
 // fewest possible placements come first.
-func reservingOrder(units []Unit) []int {
+func reservationOrder(units []Unit) []int {
 	order := make([]int, len(units))
 	for i := range order {
 		order[i] = i
--- a/internal/place/simulate_test.go
+++ b/internal/place/simulate_test.go
@@ -153,7 +153,7 @@
 	probe := largest.shape
 	probe.Tasks = 1 // task by task, as the whole gang doesn't fit
 	sm.usable += span * time.Duration(sm.fleet.UsableAccelerators(probe))
-	sm.free += span * time.Duration(sm.fleet.Free())
+	sm.free += span * time.Duration(sm.fleet.FreeAccelerators())
 }
 
 func (sm *simulation) startAttempt(jb *simJob, workers []int, unit int, unitWorkers []int) {
--- a/internal/place/units.go
+++ b/internal/place/units.go
@@ -18,7 +18,7 @@
 	}
 	fl.reclaimable.adjust(ga.UnitWorkers, sh.Accelerators, -1)
 	fl.unreserved.adjust(ga.UnitWorkers, sh.Accelerators, -1)
-	fl.reassignOverdrawn()
+	fl.reassignOvercommitted()
 	return ga
 }
 
@@ -76,9 +76,9 @@
 	}
 }
 
-// reassignOverdrawn moves the reservations of unused units if the protected work
+// reassignOvercommitted moves the reservations of unused units if the protected work
 // on some worker leaves too little capacity for those reserved there.
-func (fl *Fleet) reassignOverdrawn() {
+func (fl *Fleet) reassignOvercommitted() {
 	for at := range fl.workers {
 		if fl.unreserved.accelerators[at] < 0 || fl.unreserved.tasks[at] < 0 {
 			fl.unitWorkers = fl.reassignUnits(fl.reclaimable, NoUnit)
@@ -109,7 +109,7 @@
 	}
 	fl.reserveDue = false
 	lacking := 0
-	for _, ui := range fl.reserveOrder {
+	for _, ui := range fl.reservationOrder {
 		if fl.unitUsed[ui] || fl.unitWorkers[ui] != nil {
 			continue
 		}
@@ -138,7 +138,7 @@
 func (fl *Fleet) reassignUnits(fc freeCapacity, skip int) [][]int {
 	fc = fc.clone()
 	reserved := make([][]int, len(fl.units))
-	for _, ui := range fl.reserveOrder {
+	for _, ui := range fl.reservationOrder {
 		if fl.unitUsed[ui] || ui == skip {
 			continue
 		}
@@ -160,19 +160,19 @@
 		unreserved.adjust(fl.unitWorkers[skip], fl.units[skip].Shape.Accelerators, 1)
 	}
 	unreserved.adjust(workers, sh.Accelerators, -1)
-	if !unreserved.overdrawn(workers) {
+	if !unreserved.overcommitted(workers) {
 		return true
 	}
-	had := countReserved(fl.unitWorkers)
+	before := countReserved(fl.unitWorkers)
 	if skip != NoUnit && fl.unitWorkers[skip] != nil {
-		had--
+		before--
 	}
 	reclaimable := fl.reclaimable.clone()
 	reclaimable.adjust(workers, sh.Accelerators, -1)
-	if reclaimable.overdrawn(workers) {
+	if reclaimable.overcommitted(workers) {
 		return false
 	}
-	return countReserved(fl.reassignUnits(reclaimable, skip)) >= had
+	return countReserved(fl.reassignUnits(reclaimable, skip)) >= before
 }
 
 // countReserved counts the units that have a reservation.
@@ -186,8 +186,8 @@
 	return n
 }
 
-// overdrawn reports whether more is in use on one of the workers than it has.
-func (fc freeCapacity) overdrawn(workers []int) bool {
+// overcommitted reports whether more is in use on one of the workers than it has.
+func (fc freeCapacity) overcommitted(workers []int) bool {
 	for _, at := range workers {
 		if fc.accelerators[at] < 0 || fc.tasks[at] < 0 {
 			return true
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -208,7 +208,7 @@
 		}
 	}
 	if co.fleet != nil {
-		sm.FreeAccelerators = co.fleet.Free()
+		sm.FreeAccelerators = co.fleet.FreeAccelerators()
 	}
 	return sm
 }
