Say in package place what plans, searches and tests do

Cause: some comments called a plan an action, left open whose workers or which list is meant, or promised more than the code does (placements are bounded for each search, not each decision; preemption disregards aged reservations). Change: these comments, and heads of tests that say which failure they guard against.

--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -60,8 +60,8 @@
 	NeverFits         WaitReason = "neverFits"          // infeasible even on empty workers; set by the caller of Decide
 )
 
-// maxCandidates bounds how many placements are checked against the guarantees
-// in one decision.
+// maxCandidates bounds the placements that one search returns, as each of them
+// is checked against the guarantees.
 const maxCandidates = 8
 
 func (Placed) decision()  {}
@@ -80,8 +80,8 @@
 	return ok
 }
 
-// Decide decides where one gang is placed, or why it waits. It doesn't add,
-// move or remove gangs.
+// Decide decides where one gang is placed, or why it waits. It may assign
+// reservations to units, but doesn't add, move or remove gangs.
 func (fl *Fleet) Decide(now time.Time, rq Request) Decision {
 	fl.reserveUnits()
 	if unit := fl.UnitFor(rq.Workspace, rq.Shape); unit != NoUnit {
@@ -179,8 +179,8 @@
 	return append(workers, full[:min(lacking, len(full))]...), lacking > 0
 }
 
-// UnitFor returns the smallest unused unit of a workspace that covers a shape,
-// or NoUnit.
+// UnitFor returns the index of the smallest unused unit of a workspace that
+// covers a shape, or NoUnit.
 func (fl *Fleet) UnitFor(workspace string, sh spec.Shape) int {
 	best := NoUnit
 	for i, un := range fl.units {
@@ -231,8 +231,8 @@
 	return fc
 }
 
-// planPreemption finds the victims that free capacity for an urgent gang with
-// the least lost work, within one adjacency group. It stops nothing.
+// planPreemption finds the victims for an urgent gang within the adjacency group
+// in which the least work is lost. It stops nothing.
 func (fl *Fleet) planPreemption(now time.Time, rq Request) (Preempt, bool) {
 	if rq.Priority != jobs.Urgent {
 		return Preempt{}, false
@@ -257,8 +257,8 @@
 	return Preempt{}, false
 }
 
-// planPreemptionOn finds the victims that free capacity for a guaranteed gang on
-// exactly these workers.
+// planPreemptionOn finds the victims for a guaranteed gang that is to run on
+// exactly these workers, one entry for each task.
 func (fl *Fleet) planPreemptionOn(now time.Time, rq Request, workers []int) (Preempt, bool) {
 	if len(workers) < rq.Shape.Tasks {
 		return Preempt{}, false
@@ -318,8 +318,8 @@
 	}
 }
 
-// planPreemptionWithin finds the victims that free capacity for a gang anywhere
-// on some workers.
+// planPreemptionWithin finds the victims for a gang that may run on any of the
+// given workers.
 func (fl *Fleet) planPreemptionWithin(now time.Time, rq Request, workers []int) (Preempt, bool) {
 	fc := fl.withoutWorkers(fl.free, rq.Avoid).clone()
 	var victims []Gang
@@ -352,8 +352,9 @@
 	return newPreempt(now, chosen, victims), true
 }
 
-// dropUnneeded removes the victims that turn out not to be needed, starting
-// with the most costly one.
+// dropUnneeded returns the victims without those that turn out not to be needed,
+// and takes the capacity of these from fc again. It starts at the end of the
+// list, where the most costly ones are.
 func (fl *Fleet) dropUnneeded(fc freeCapacity, sh spec.Shape, workers []int, victims []Gang) []Gang {
 	for i := len(victims) - 1; i >= 0; i-- {
 		ga := victims[i]
@@ -367,8 +368,8 @@
 	return victims
 }
 
-// victims lists the gangs on workers that may be preempted for a request,
-// ordered by lost work for each accelerator freed on these workers.
+// victims lists the gangs on the given workers that may be preempted for a
+// request, ordered by lost work for each accelerator freed on these workers.
 func (fl *Fleet) victims(now time.Time, rq Request, guaranteed bool, workers []int) []Gang {
 	freed := fl.tasksOn(workers)
 	ranked := make([]victim, 0, len(freed))
@@ -388,7 +389,7 @@
 	return gas
 }
 
-// tasksOn counts the tasks of each job on some workers.
+// tasksOn counts the tasks of each job on the given workers.
 func (fl *Fleet) tasksOn(workers []int) map[string]int {
 	if len(workers) == len(fl.workers) {
 		counts := make(map[string]int, len(fl.gangs))
--- a/internal/place/defragment.go
+++ b/internal/place/defragment.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// defragment frees workers for an aged gang by stopping gangs that lose no work
-// when stopped and that would fit elsewhere at once. The stopped gangs are
-// queued again; no capacity is reserved for them. Fragmented free capacity
-// therefore does not starve a large gang.
+// defragment plans to free workers for an aged gang by stopping gangs that lose
+// no work when stopped and that would fit elsewhere at once. The stopped gangs
+// are to be queued again; no capacity is reserved for them. Fragmented free
+// capacity therefore does not starve a large gang.
 func (fl *Fleet) defragment(now time.Time, rq Request) (Preempt, bool) {
 	var best Preempt
 	least := 0
@@ -23,8 +23,8 @@
 	return best, best.Workers != nil
 }
 
-// defragmentWithin frees capacity on some workers and returns how many
-// accelerators the moved gangs use.
+// defragmentWithin plans to free capacity on the given workers and returns how
+// many accelerators the gangs to be moved use.
 func (fl *Fleet) defragmentWithin(now time.Time, rq Request, workers []int) (pr Preempt, moved int, ok bool) {
 	fc := fl.withoutWorkers(fl.free, rq.Avoid).clone()
 	var moving []Gang
@@ -62,8 +62,8 @@
 // it.
 const minRunTimeBeforeMove = 10 * time.Minute
 
-// movableGangs lists the gangs on workers that defragmentation may move,
-// smallest first.
+// movableGangs lists the gangs on the given workers that defragmentation may
+// move, smallest first.
 func (fl *Fleet) movableGangs(now time.Time, workers []int) []Gang {
 	var gas []Gang
 	for id := range fl.tasksOn(workers) {
--- a/internal/place/fit.go
+++ b/internal/place/fit.go
@@ -7,17 +7,16 @@
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
 
-// placement is one way to place a gang, with the fragmentation that it causes:
-// first the workers that are no longer entirely free, then the free accelerators
-// left in the racks used.
+// placement is one way to place a gang, with the fragmentation that it causes.
+// Placements are compared by newlyUsed first and then by leftFree.
 type placement struct {
 	workers   []int // one for each task
 	newlyUsed int   // workers that were entirely free and aren't any more
 	leftFree  int   // accelerators that stay free in the racks used
 }
 
-// fit places a gang on fc by best fit, so that whole workers and racks stay
-// free. The result has one worker for each task.
+// fit places a gang on the free capacity fc by best fit, so that whole workers
+// and racks stay free. The result has one worker for each task.
 func (fl *Fleet) fit(fc freeCapacity, sh spec.Shape) ([]int, bool) {
 	switch sh.Adjacency {
 	case spec.SameWorker:
@@ -46,8 +45,8 @@
 	return fill(fc, sh, slices.Clone(fl.racks[best]))
 }
 
-// placements returns up to limit ways to place a gang on fc, the one with the
-// least fragmentation first.
+// placements returns up to limit ways to place a gang on the free capacity fc,
+// the one with the least fragmentation first.
 func (fl *Fleet) placements(fc freeCapacity, sh spec.Shape, limit int) [][]int {
 	var pls []placement
 	switch sh.Adjacency {
@@ -139,7 +138,7 @@
 	return nil, false
 }
 
-// countFitting counts the tasks of a shape that fit on some workers.
+// countFitting counts the tasks of a shape that fit on the given workers.
 func (fl *Fleet) countFitting(fc freeCapacity, sh spec.Shape, workers []int) int {
 	sum := 0
 	for _, at := range workers {
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -65,9 +65,9 @@
 	Fleet struct {
 		workers          []Worker
 		racks            [][]int // indices of the workers of each rack
-		rackOf           []int
+		rackOf           []int   // index of the rack of each worker
 		units            []Unit
-		reservationOrder []int // units in the order in which they get reservations, most difficult first
+		reservationOrder []int // indices of the units in the order in which they get reservations, most difficult first
 		gangs            map[string]Gang
 		jobsOn           [][]string     // IDs of the jobs on each worker
 		unitUsed         []bool         // by unit
@@ -263,8 +263,8 @@
 // protected reports whether a gang can't be preempted.
 func protected(ga Gang) bool { return ga.Unit != NoUnit || !ga.Preemptible }
 
-// reservationOrder returns the indices of units sorted so that those with the
-// fewest possible placements come first.
+// reservationOrder returns the indices of units sorted so that those that are
+// most difficult to place come first.
 func reservationOrder(units []Unit) []int {
 	order := make([]int, len(units))
 	for i := range order {
@@ -331,7 +331,7 @@
 	return max(0, min(fc.tasks[at], fc.accelerators[at]/accelerators))
 }
 
-// intersect returns the capacity that is free in both.
+// intersect returns the capacity that is free in both fc and other.
 func (fc freeCapacity) intersect(other freeCapacity) freeCapacity {
 	fc = fc.clone()
 	for at := range fc.accelerators {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -61,6 +61,8 @@
 	return de
 }
 
+// TestNonPreemptibleWorkKeepsGuarantees submits work to a rack of which all
+// accelerators are guaranteed to another workspace.
 func TestNonPreemptibleWorkKeepsGuarantees(t *testing.T) {
 	units := []place.Unit{{Workspace: "large", Shape: shape(8, 8, spec.SameRack)}}
 	nonPreemptible := place.Request{Job: "gang", Workspace: "small", Shape: shape(1, 1, spec.SameZone), Priority: jobs.Normal}
@@ -86,6 +88,8 @@
 	}
 }
 
+// TestGangsFillPartlyUsedWorkersFirst checks that small gangs don't spread over
+// workers and so leave none entirely free for a gang that needs a whole one.
 func TestGangsFillPartlyUsedWorkersFirst(t *testing.T) {
 	is := is.New(t)
 	fl := place.NewFleet(racks(2), nil)
@@ -117,6 +121,8 @@
 	is.Equal(fas[0].Line, 4)
 }
 
+// TestPreemptionLosesLeastWork fills two racks with gangs that started one after
+// the other. A guaranteed gang must preempt those that have run for less time.
 func TestPreemptionLosesLeastWork(t *testing.T) {
 	is := is.New(t)
 	units := []place.Unit{{Workspace: "large", Shape: shape(8, 8, spec.SameRack)}}
@@ -133,6 +139,9 @@
 	}
 }
 
+// TestDefragmentationMovesLosslessGangs partly fills every worker, so that no
+// gang that needs a whole worker fits. Gangs may be moved for it only if it has
+// aged, they lose no work, and they fit elsewhere.
 func TestDefragmentationMovesLosslessGangs(t *testing.T) {
 	later := start.Add(time.Hour)
 	wide := place.Request{Job: "wide", Workspace: "w", Shape: shape(1, 8, spec.SameWorker), Preemptible: true, Aged: true}
@@ -173,6 +182,9 @@
 	}
 }
 
+// TestUrgentJobsStayWithinFairShare checks that an urgent job preempts work of a
+// workspace above its fair share, but not if its own workspace would then exceed
+// its own share.
 func TestUrgentJobsStayWithinFairShare(t *testing.T) {
 	is := is.New(t)
 	fl := place.NewFleet(racks(1), nil)
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -20,10 +20,10 @@
 
 	// Queue returns waiting jobs in the order in which the scheduler tries to
 	// place them. Jobs that have waited for AgeingTime come first, the oldest
-	// first. Of the others, the workspace with the least usage for
-	// its weight comes first (weighted fair sharing), and within it the most
-	// urgent job, then the oldest. A workspace with many jobs therefore can't
-	// starve one with few.
+	// first. Of the others, the workspace with the least usage for its weight
+	// comes first (weighted fair sharing), and within it the most urgent job,
+	// then the oldest. A workspace with many jobs therefore can't starve one
+	// with few.
 	Queue struct {
 		fleet    *Fleet
 		weight   func(workspace string) int
@@ -31,7 +31,8 @@
 		backlogs []backlog
 	}
 
-	// backlog is the list of waiting jobs of one workspace, next one first.
+	// backlog is the list of waiting jobs of one workspace, in the order in
+	// which Next returns them.
 	backlog struct {
 		workspace string
 		weight    int
@@ -39,8 +40,8 @@
 	}
 )
 
-// AgeingTime is how long a job waits before it takes precedence over all
-// younger jobs, and no job is placed that would delay it further.
+// AgeingTime is how long a job waits before it takes precedence over all younger
+// jobs, and may get workers reserved by Reserve.
 const AgeingTime = 20 * time.Minute
 
 // NewQueue returns a queue of the waiting jobs, which it reorders. Gangs may be
@@ -92,7 +93,7 @@
 	return qj, false, true
 }
 
-// compareBacklogs compares usage divided by weight.
+// compareBacklogs orders backlogs by the workspace's usage divided by its weight.
 func (qu *Queue) compareBacklogs(a, b backlog) int {
 	return cmp.Or(
 		cmp.Compare(qu.fleet.Usage(a.workspace)*b.weight, qu.fleet.Usage(b.workspace)*a.weight),
--- a/internal/place/reserve.go
+++ b/internal/place/reserve.go
@@ -20,9 +20,9 @@
 
 // Reserve reserves the workers on which a waiting gang can start earliest by
 // the expected ends of the gangs running there. Until ClearReservations is
-// called, another gang is placed on them only if it is expected to end before
-// that time (backfilling), or if it uses a guaranteed unit. Reserve reports whether it
-// made a reservation.
+// called, another gang is placed on them without preemption only if it is
+// expected to end before that time (backfilling), or if it uses a guaranteed
+// unit. Reserve reports whether it made a reservation.
 func (fl *Fleet) Reserve(now time.Time, rq Request) bool {
 	if len(fl.agedReservations) >= maxAgedReservations {
 		return false
@@ -60,7 +60,7 @@
 	return agedReservation{workers: chosen, accelerators: rq.Shape.Accelerators, from: from}, ok
 }
 
-// byEnd returns the gangs on some workers ordered by expected end.
+// byEnd returns the gangs on the given workers ordered by expected end.
 func (fl *Fleet) byEnd(workers []int) []Gang {
 	seen := map[string]bool{}
 	var gas []Gang
--- a/internal/place/simulate_test.go
+++ b/internal/place/simulate_test.go
@@ -20,8 +20,8 @@
 	simJob struct {
 		place.QueuedJob
 		shape       spec.Shape
-		run         time.Duration
-		declared    time.Duration
+		run         time.Duration // actual run time
+		declared    time.Duration // run time that the scheduler expects
 		preemptible bool
 		lossless    bool          // loses no work when stopped
 		remaining   time.Duration // run time still to do
@@ -48,24 +48,25 @@
 		queue   []*simJob
 		usable  time.Duration // free accelerators that the largest waiting gang could use, integrated over time
 		free    time.Duration // free accelerators while a gang waits, integrated over time
-		sampled time.Time
+		sampled time.Time     // time up to which usable and free are integrated
 	}
 
-	// simResult holds completion and wait times in hours, and the share of the
-	// free accelerators that the largest waiting gang could use.
+	// simResult is the result of a simulation: the hours from submission to end
+	// of small and large jobs, and those from submission to the first start of
+	// urgent ones.
 	simResult struct {
 		small, large, urgent []float64
-		fragmentation        float64
-		unfinished           int
+		fragmentation        float64 // share of the free accelerators that the largest waiting gang could use
+		unfinished           int     // jobs that have not ended
 	}
 )
 
 const (
 	simSeed        = 11
-	simJobs        = 1600 / 5
-	simRacks       = 12 // of eight workers; a fifth of 470 workers
-	largeTotal     = 32 // least accelerators of a large gang
-	checkpointTime = 2 * time.Second
+	simJobs        = 1600 / 5        // scaled like simRacks
+	simRacks       = 12              // of eight workers; a fifth of 470 workers
+	largeTotal     = 32              // least accelerators of a large gang
+	checkpointTime = 2 * time.Second // run time that a checkpoint costs
 )
 
 // newSimulation generates the jobs of one zone. Most run for hours, gangs have
@@ -294,7 +295,8 @@
 }
 
 // TestSimulatedDay compares the scheduler's policy with first fit on the same
-// workload of a day. Its results are logged.
+// workload of a day. It fails if a job starves, if small jobs take longer than
+// with first fit, or if large ones take over 10 % longer. The results are logged.
 func TestSimulatedDay(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(3) {
--- a/internal/place/units.go
+++ b/internal/place/units.go
@@ -8,7 +8,8 @@
 
 // markUsed marks a gang's unit as used, so that its reservation can't move and
 // its workers can't be taken by other protected work. If the reserved workers are
-// unknown or incomplete, it reserves workers that include those of the gang.
+// unknown or incomplete, it reserves workers that include those of the gang. It
+// returns the gang with the reserved workers.
 func (fl *Fleet) markUsed(ga Gang) Gang {
 	fl.dropReservation(ga.Unit)
 	fl.unitUsed[ga.Unit] = true
@@ -101,8 +102,8 @@
 }
 
 // reserveUnits reserves workers for the unused units that have none: on
-// unreserved capacity, or else by moving all reservations if more units then have
-// one.
+// unreserved capacity, or else by computing the reservations of all unused units
+// anew if more units then have one.
 func (fl *Fleet) reserveUnits() {
 	if !fl.reserveDue {
 		return
