Name locals of package sched after what they hold

Cause: failed, finished, live, seen, overtaken and silence said something else or were figurative, waiting returned only the jobs that may be placed, and ta stood for tasks and for tallies.

--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -83,8 +83,8 @@
 	tasks := make([]jobs.Task, jb.rec.CurrentStep().Shape.Tasks)
 	for _, wst := range co.workers {
 		for id, ta := range wst.tasks {
-			live := ta.Phase == worker.PhaseRunning || ta.Phase == worker.PhaseSucceeded
-			if id.Job == jb.rec.ID && id.Attempt == attempt && ta.Epoch == epoch && id.Index < len(tasks) && live {
+			adoptable := ta.Phase == worker.PhaseRunning || ta.Phase == worker.PhaseSucceeded
+			if id.Job == jb.rec.ID && id.Attempt == attempt && ta.Epoch == epoch && id.Index < len(tasks) && adoptable {
 				tasks[id.Index] = jobs.Task{Worker: wst.host.Name, Address: wst.host.Address}
 			}
 		}
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -298,13 +298,13 @@
 }
 
 func (co *Core) logDecision(jb *job, decision, reason string) {
-	pd := Decision{Job: jb.rec.ID, Workspace: jb.rec.Workspace, Decision: decision, Reason: reason, Attempt: jb.rec.Attempt}
+	dec := Decision{Job: jb.rec.ID, Workspace: jb.rec.Workspace, Decision: decision, Reason: reason, Attempt: jb.rec.Attempt}
 	for _, ta := range jb.rec.Tasks {
-		if len(pd.Workers) == 0 || pd.Workers[len(pd.Workers)-1] != ta.Worker {
-			pd.Workers = append(pd.Workers, ta.Worker)
+		if len(dec.Workers) == 0 || dec.Workers[len(dec.Workers)-1] != ta.Worker {
+			dec.Workers = append(dec.Workers, ta.Worker)
 		}
 	}
-	co.emit(pd)
+	co.emit(dec)
 }
 
 func (jb *job) taskID(at int) worker.TaskID {
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -54,34 +54,34 @@
 }
 
 func (co *Core) evaluateStarting(now time.Time, jb *job) {
-	ta := co.tally(now, jb)
+	tl := co.tally(now, jb)
 	total := len(jb.rec.Tasks)
 	switch {
 	case jb.rec.Cancelled:
 		co.stop(jb, cause{code: codes.JobCancelled, detail: "cancelled"})
-	case ta.failed > 0 || ta.interrupted > 0:
-		co.stop(jb, co.failureCause(now, jb, ta))
-	case ta.running+ta.succeeded == total:
+	case tl.failed > 0 || tl.interrupted > 0:
+		co.stop(jb, co.failureCause(now, jb, tl))
+	case tl.running+tl.succeeded == total:
 		jb.rec = jb.rec.WithState(jobs.Running).WithDetail("")
 		co.markUnsaved(jb)
 		co.logDecision(jb, "started", "")
 		co.markChanged(jb.rec.ID)
-	case now.After(jb.startDeadline) && ta.unknown == 0:
+	case now.After(jb.startDeadline) && tl.unknown == 0:
 		co.stop(jb, cause{requeue: true, detail: "the gang did not start in time"})
-	case ta.reserved+ta.running+ta.succeeded == total:
-		co.startGang(now, jb, ta)
+	case tl.reserved+tl.running+tl.succeeded == total:
+		co.startGang(now, jb, tl)
 	default:
-		co.reserveGang(now, jb, ta)
+		co.reserveGang(now, jb, tl)
 	}
 }
 
 // reserveGang queues commands for the missing reservations.
-func (co *Core) reserveGang(now time.Time, jb *job, ta tally) {
+func (co *Core) reserveGang(now time.Time, jb *job, tl tally) {
 	if !jb.fromEarlierEpoch && now.Sub(jb.begunAt) > reserveTimeout {
 		co.stop(jb, cause{requeue: true, detail: "not every worker made its reservation in time"})
 		return
 	}
-	for i, st := range ta.states {
+	for i, st := range tl.states {
 		if st == taskMissing {
 			co.queueCommand(jb, i, worker.Command{
 				Op: worker.OpReserve, Workspace: jb.rec.Workspace,
@@ -93,9 +93,9 @@
 
 // startGang starts the reserved tasks of a fully reserved gang if the attempt
 // may run.
-func (co *Core) startGang(now time.Time, jb *job, ta tally) {
+func (co *Core) startGang(now time.Time, jb *job, tl tally) {
 	if !co.mayStart(jb) {
-		if co.storeUnavailable() && !jb.startSent && ta.ran == 0 {
+		if co.storeUnavailable() && !jb.startSent && tl.ran == 0 {
 			co.stop(jb, cause{requeue: true, detail: "the store is unavailable, and the job may not be repeated"})
 		}
 		return
@@ -104,7 +104,7 @@
 		jb.startSent = true
 		jb.startDeadline = now.Add(startTimeout)
 	}
-	for i, st := range ta.states {
+	for i, st := range tl.states {
 		if st == taskReserved {
 			co.queueCommand(jb, i, worker.Command{Op: worker.OpStart, Workspace: jb.rec.Workspace, Lease: TaskLease, Command: jb.rec.CurrentStep().Command})
 		}
@@ -123,16 +123,16 @@
 }
 
 func (co *Core) evaluateRunning(now time.Time, jb *job) {
-	ta := co.tally(now, jb)
+	tl := co.tally(now, jb)
 	switch {
-	case ta.succeeded == len(jb.rec.Tasks):
+	case tl.succeeded == len(jb.rec.Tasks):
 		co.accountUsage(now, jb, true)
 		co.recordSuccess(jb)
 		co.succeed(now, jb)
 	case jb.rec.Cancelled:
 		co.stop(jb, cause{code: codes.JobCancelled, detail: "cancelled"})
-	case ta.failed > 0 || ta.interrupted > 0:
-		co.stop(jb, co.failureCause(now, jb, ta))
+	case tl.failed > 0 || tl.interrupted > 0:
+		co.stop(jb, co.failureCause(now, jb, tl))
 	case jb.rec.Checkpoint:
 		co.moveOffDraining(jb)
 	}
@@ -152,15 +152,15 @@
 
 // failureCause returns the cause for stopping an attempt of which a task has
 // failed or was interrupted, and records failures against the worker.
-func (co *Core) failureCause(now time.Time, jb *job, ta tally) cause {
-	if ta.failed == 0 {
-		return cause{requeue: true, detail: "a task was interrupted on worker " + ta.failedOn}
+func (co *Core) failureCause(now time.Time, jb *job, tl tally) cause {
+	if tl.failed == 0 {
+		return cause{requeue: true, detail: "a task was interrupted on worker " + tl.failedOn}
 	}
 	jb.failures++
-	co.recordFailure(now, jb, ta.failedOn)
-	detail := fmt.Sprintf("a task failed on worker %s: %s", ta.failedOn, ta.failure)
+	co.recordFailure(now, jb, tl.failedOn)
+	detail := fmt.Sprintf("a task failed on worker %s: %s", tl.failedOn, tl.failure)
 	if jb.rec.Repeatable && jb.failures <= maxFailureRetries {
-		jb.avoid = append(jb.avoid, ta.failedOn)
+		jb.avoid = append(jb.avoid, tl.failedOn)
 		return cause{requeue: true, code: codes.JobFailed, detail: detail}
 	}
 	return cause{code: codes.JobFailed, detail: detail}
@@ -219,7 +219,7 @@
 // evaluateStopping stops each task, and finishes the attempt when all tasks are
 // known to have ended.
 func (co *Core) evaluateStopping(now time.Time, jb *job) {
-	ta := co.tally(now, jb)
+	tl := co.tally(now, jb)
 	if !jb.startSent && !jb.fromEarlierEpoch {
 		// No start was sent: reservations that can't be released expire.
 		co.finishAttempt(now, jb, tally{})
@@ -229,7 +229,7 @@
 	if jb.cause.preempted && jb.rec.Checkpoint && !jb.rec.Cancelled {
 		timeout = checkpointTimeout
 	}
-	for i, st := range ta.states {
+	for i, st := range tl.states {
 		switch st {
 		case taskReserved:
 			co.queueCommand(jb, i, worker.Command{Op: worker.OpRelease})
@@ -237,17 +237,17 @@
 			co.queueCommand(jb, i, worker.Command{Op: worker.OpStop, CheckpointTimeout: timeout})
 		}
 	}
-	if ta.unknown+ta.reserved+ta.running+ta.stopping > 0 || co.hasCallInFlight(jb) {
-		co.freeEndedTasks(jb, ta)
+	if tl.unknown+tl.reserved+tl.running+tl.stopping > 0 || co.hasCallInFlight(jb) {
+		co.freeEndedTasks(jb, tl)
 		return
 	}
-	co.finishAttempt(now, jb, ta)
+	co.finishAttempt(now, jb, tl)
 }
 
 // freeEndedTasks frees the capacity of the tasks that have ended while other
 // gang members have not, so that an unresponsive worker does not delay a job
 // that waits for the rest.
-func (co *Core) freeEndedTasks(jb *job, ta tally) {
+func (co *Core) freeEndedTasks(jb *job, tl tally) {
 	if co.fleet == nil {
 		return
 	}
@@ -256,7 +256,7 @@
 		return
 	}
 	ga.Workers = nil
-	for i, st := range ta.states {
+	for i, st := range tl.states {
 		at, known := co.fleetIndex[jb.rec.Tasks[i].Worker]
 		ended := st == taskInterrupted || st == taskSucceeded || st == taskFailed || st == taskMissing
 		if known && !ended {
@@ -284,37 +284,37 @@
 
 // finishAttempt ends or requeues a job whose attempt is over. A cancellation
 // takes precedence over every other cause.
-func (co *Core) finishAttempt(now time.Time, jb *job, ta tally) {
-	finished := ta.succeeded == len(jb.rec.Tasks)
-	workKept := finished || (jb.rec.Checkpoint && ta.checkpointed > 0 && ta.checkpointed+ta.succeeded == len(jb.rec.Tasks))
+func (co *Core) finishAttempt(now time.Time, jb *job, tl tally) {
+	allSucceeded := tl.succeeded == len(jb.rec.Tasks)
+	workKept := allSucceeded || (jb.rec.Checkpoint && tl.checkpointed > 0 && tl.checkpointed+tl.succeeded == len(jb.rec.Tasks))
 	switch {
-	case ta.ran > 0:
+	case tl.ran > 0:
 		co.accountUsage(now, jb, workKept)
-	case ta.mayHaveRun > 0:
+	case tl.mayHaveRun > 0:
 		jb.rec.MayHaveRun = true
 	}
 	ca := jb.cause
 	switch {
-	case finished:
+	case allSucceeded:
 		co.succeed(now, jb)
 	case jb.rec.Cancelled:
 		co.end(now, jb, cancelCode(jb), "cancelled")
-	case ta.failed > 0 && !jb.rec.Repeatable:
+	case tl.failed > 0 && !jb.rec.Repeatable:
 		co.end(now, jb, codes.JobFailed, ca.detail)
 	case !ca.requeue && ca.code != 0:
 		co.end(now, jb, ca.code, ca.detail)
-	case mayRepeat(jb, ta, workKept):
+	case mayRepeat(jb, tl, workKept):
 		co.requeue(now, jb)
 	default:
-		co.end(now, jb, interruptedCode(jb, ta), ca.detail)
+		co.end(now, jb, interruptedCode(jb, tl), ca.detail)
 	}
 }
 
 // mayRepeat reports whether a job may run again: it has not run, or has lost no
 // work, or is repeatable and has attempts left. The first attempt of each further
 // step doesn't count.
-func mayRepeat(jb *job, ta tally, workKept bool) bool {
-	if ta.ran+ta.mayHaveRun == 0 || workKept {
+func mayRepeat(jb *job, tl tally, workKept bool) bool {
+	if tl.ran+tl.mayHaveRun == 0 || workKept {
 		return true
 	}
 	return jb.rec.Repeatable && jb.rec.Attempt-jb.rec.Step < MaxAttempts
@@ -324,8 +324,8 @@
 // that may not run again: AttemptLost if it is unknown whether it ran, otherwise
 // AttemptsUsed. For a repeatable job that is known once any attempt has run, for
 // any other job if it is known of every task of this attempt.
-func interruptedCode(jb *job, ta tally) codes.Code {
-	known := ta.mayHaveRun == 0
+func interruptedCode(jb *job, tl tally) codes.Code {
+	known := tl.mayHaveRun == 0
 	if jb.rec.Repeatable {
 		known = jb.rec.AcceleratorTime > 0
 	}
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -31,15 +31,15 @@
 	if co.fleet == nil {
 		co.buildFleet(now)
 	}
-	failed := map[requestClass]place.WaitReason{}
-	qu := place.NewQueue(now, co.fleet, co.weight, co.waiting(now))
+	reasons := map[requestClass]place.WaitReason{}
+	qu := place.NewQueue(now, co.fleet, co.weight, co.placeable(now))
 	for {
 		qj, aged, ok := qu.Next()
 		if !ok {
 			break
 		}
 		jb := co.jobs[qj.Job]
-		reason := co.placeOne(now, jb, aged, failed)
+		reason := co.placeOne(now, jb, aged, reasons)
 		if aged && (reason == place.WaitsForCapacity || reason == place.WaitsForGuarantee) {
 			co.fleet.Reserve(now, co.request(now, jb, aged))
 		}
@@ -47,8 +47,8 @@
 	co.fleet.ClearReservations()
 }
 
-// waiting returns the jobs that may be placed now.
-func (co *Core) waiting(now time.Time) []place.QueuedJob {
+// placeable returns the jobs that may be placed now.
+func (co *Core) placeable(now time.Time) []place.QueuedJob {
 	var qjs []place.QueuedJob
 	for id, jb := range co.jobs {
 		mayPlace := jb.rec.State == jobs.Queued && jb.pending == nil && !jb.rec.Cancelled
@@ -72,24 +72,24 @@
 
 // placeOne tries to place a job. It returns why the job waits, or an empty
 // reason if it is placed or preempts others.
-func (co *Core) placeOne(now time.Time, jb *job, aged bool, failed map[requestClass]place.WaitReason) place.WaitReason {
+func (co *Core) placeOne(now time.Time, jb *job, aged bool, reasons map[requestClass]place.WaitReason) place.WaitReason {
 	rcl := requestClass{jb.rec.Workspace, jb.rec.CurrentStep().Shape, jb.rec.Priority, jb.rec.Preemptible(), len(jb.avoid), aged, bits.Len64(uint64(co.runTimes.expect(jb.rec)))}
-	if reason, ok := failed[rcl]; ok {
+	if reason, ok := reasons[rcl]; ok {
 		jb.rec = jb.rec.WithDetail(string(reason))
 		return reason
 	}
 	ws, ok := co.decl.Workspace(jb.rec.Workspace)
 	if !ok {
-		return co.recordWait(jb, rcl, failed, waitsForWorkspace)
+		return co.recordWait(jb, rcl, reasons, waitsForWorkspace)
 	}
 	if ws.Quota > 0 && co.fleet.Usage(ws.Name)+jb.rec.CurrentStep().Shape.Total() > ws.Quota {
-		return co.recordWait(jb, rcl, failed, waitsForQuota)
+		return co.recordWait(jb, rcl, reasons, waitsForQuota)
 	}
 	if !jb.rec.Repeatable && co.buckets[jb.bucket].failing {
 		jb.rec = jb.rec.WithDetail(string(waitsForStore))
 		return waitsForStore
 	}
-	return co.decide(now, jb, co.request(now, jb, aged), rcl, failed)
+	return co.decide(now, jb, co.request(now, jb, aged), rcl, reasons)
 }
 
 // The reasons for waiting that are independent of free capacity.
@@ -100,7 +100,7 @@
 )
 
 // decide has the fleet decide on a request, and carries the decision out.
-func (co *Core) decide(now time.Time, jb *job, rq place.Request, rcl requestClass, failed map[requestClass]place.WaitReason) place.WaitReason {
+func (co *Core) decide(now time.Time, jb *job, rq place.Request, rcl requestClass, reasons map[requestClass]place.WaitReason) place.WaitReason {
 	switch de := co.fleet.Decide(now, rq).(type) {
 	case place.Placed:
 		co.startAttempt(now, jb, placement{de.Workers, de.Unit, de.UnitWorkers}, de)
@@ -113,7 +113,7 @@
 		if !co.fleet.Fits(jb.rec.CurrentStep().Shape) {
 			reason = place.NeverFits
 		}
-		return co.recordWait(jb, rcl, failed, reason)
+		return co.recordWait(jb, rcl, reasons, reason)
 	}
 	return ""
 }
@@ -128,8 +128,8 @@
 
 // recordWait records why a job waits, for the job and for those like it, and logs
 // the reason if it has changed.
-func (co *Core) recordWait(jb *job, rcl requestClass, failed map[requestClass]place.WaitReason, reason place.WaitReason) place.WaitReason {
-	failed[rcl] = reason
+func (co *Core) recordWait(jb *job, rcl requestClass, reasons map[requestClass]place.WaitReason, reason place.WaitReason) place.WaitReason {
+	reasons[rcl] = reason
 	if jb.rec.Detail != string(reason) {
 		jb.rec = jb.rec.WithDetail(string(reason))
 		co.logDecision(jb, "waits", string(reason))
@@ -154,15 +154,15 @@
 
 // startAttempt begins the next attempt of a job on its placement. Its tasks are
 // reserved when the job is evaluated next.
-func (co *Core) startAttempt(now time.Time, jb *job, sp placement, de place.Placed) {
-	tasks := make([]jobs.Task, len(sp.workers))
-	for i, at := range sp.workers {
+func (co *Core) startAttempt(now time.Time, jb *job, pl placement, de place.Placed) {
+	tasks := make([]jobs.Task, len(pl.workers))
+	for i, at := range pl.workers {
 		wo := co.fleet.Worker(at)
 		tasks[i] = jobs.Task{Worker: wo.Name, Address: wo.Address}
 	}
 	jb.rec = jb.rec.WithAttempt(now, co.epoch, tasks).WithDetail("")
-	jb.unit = sp.unit
-	jb.unitWorkers = sp.unitWorkers
+	jb.unit = pl.unit
+	jb.unitWorkers = pl.unitWorkers
 	jb.fromEarlierEpoch = false
 	jb.startSent = false
 	jb.begunAt = now
@@ -174,21 +174,21 @@
 	co.fleet.Add(co.gang(jb))
 	co.markUnsaved(jb)
 	co.markChanged(jb.rec.ID)
-	pd := Decision{Job: jb.rec.ID, Workspace: jb.rec.Workspace, Decision: "placed", Candidates: de.Candidates, Rejected: rejectedSummary(de), Attempt: jb.rec.Attempt}
-	if sp.unit != place.NoUnit {
-		pd.Reason = "guaranteed"
+	dec := Decision{Job: jb.rec.ID, Workspace: jb.rec.Workspace, Decision: "placed", Candidates: de.Candidates, Rejected: rejectedSummary(de), Attempt: jb.rec.Attempt}
+	if pl.unit != place.NoUnit {
+		dec.Reason = "guaranteed"
 	}
 	for _, ta := range tasks {
-		pd.Workers = append(pd.Workers, ta.Worker)
+		dec.Workers = append(dec.Workers, ta.Worker)
 	}
-	pd.Workers = slices.Compact(pd.Workers)
-	co.emit(pd)
+	dec.Workers = slices.Compact(dec.Workers)
+	co.emit(dec)
 }
 
 // rejectedSummary returns why the other candidate placements were rejected.
 func rejectedSummary(de place.Placed) string {
-	ranked := max(0, de.Candidates-de.Rejected-1)
-	return fmt.Sprintf("rankedLower:%d guaranteedToOthers:%d", ranked, de.Rejected)
+	rankedLower := max(0, de.Candidates-de.Rejected-1)
+	return fmt.Sprintf("rankedLower:%d guaranteedToOthers:%d", rankedLower, de.Rejected)
 }
 
 // preempt stops the victims and reserves the placement for the job.
--- a/internal/sched/runtime.go
+++ b/internal/sched/runtime.go
@@ -37,14 +37,14 @@
 		return
 	}
 	jc := classOf(rc)
-	seen := min(maxRatio, ratio(float64(ran)/float64(declared)))
+	observed := min(maxRatio, ratio(float64(ran)/float64(declared)))
 	old, ok := rt[jc]
 	switch {
 	case !ok && len(rt) >= maxClasses:
 	case !ok:
-		rt[jc] = seen
+		rt[jc] = observed
 	default:
-		rt[jc] = old*(1-ratioWeight) + seen*ratioWeight
+		rt[jc] = old*(1-ratioWeight) + observed*ratioWeight
 	}
 }
 
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -378,11 +378,11 @@
 	if !rc.Repeatable && !rc.Checkpoint && len(attempts) > 1 {
 		violations = append(violations, fmt.Sprintf("job %s may not be repeated and ran %d times", rc.ID, len(attempts)))
 	}
-	whole := 0
+	complete := 0
 	for at, ofAttempt := range attempts {
 		violations = append(violations, sim.checkGang(rc, at, ofAttempt)...)
 		if succeeded(ofAttempt) == rc.Shape.Tasks {
-			whole++
+			complete++
 		}
 	}
 	if rc.State != jobs.Ended {
@@ -391,10 +391,10 @@
 	switch cl := rc.Code.Class(); {
 	case cl == codes.NotRun && len(rus) > 0:
 		violations = append(violations, fmt.Sprintf("job %s ended %v but ran", rc.ID, rc.Code))
-	case cl == codes.Done && (whole == 0 || whole > 1 && !rc.Repeatable):
+	case cl == codes.Done && (complete == 0 || complete > 1 && !rc.Repeatable):
 		// A worker that restarts may lose the only record of a success; a
 		// repeatable job then runs again.
-		violations = append(violations, fmt.Sprintf("job %s ended %v with %d whole runs", rc.ID, rc.Code, whole))
+		violations = append(violations, fmt.Sprintf("job %s ended %v with %d whole runs", rc.ID, rc.Code, complete))
 	case cl == codes.Failed && len(rus) == 0:
 		violations = append(violations, fmt.Sprintf("job %s ended %v but never ran", rc.ID, rc.Code))
 	}
--- a/internal/sched/tally.go
+++ b/internal/sched/tally.go
@@ -45,86 +45,86 @@
 
 // tally looks up every task of the current attempt in the lease tables.
 func (co *Core) tally(now time.Time, jb *job) tally {
-	ta := tally{states: make([]taskState, len(jb.rec.Tasks))}
+	tl := tally{states: make([]taskState, len(jb.rec.Tasks))}
 	for i, task := range jb.rec.Tasks {
 		wst, ok := co.workers[task.Worker]
 		switch {
 		case jb.done[i]:
-			ta.count(i, jb, task.Worker, worker.Task{}, false)
+			tl.count(i, jb, task.Worker, worker.Task{}, false)
 		case ok && wst.lost(now), !ok && now.Sub(co.startedAt) > lostAfter:
-			ta.countLost(i, task.Worker)
+			tl.countLost(i, task.Worker)
 		case !ok || wst.lastReply.IsZero():
-			ta.unknown++
+			tl.unknown++
 		default:
 			entry, found := wst.tasks[jb.taskID(i)]
 			found = found && entry.Epoch == jb.rec.Epoch
-			ta.count(i, jb, task.Worker, entry, found)
+			tl.count(i, jb, task.Worker, entry, found)
 		}
 	}
-	return ta
+	return tl
 }
 
 // countLost counts a task on a worker whose leases have certainly expired.
-func (ta *tally) countLost(at int, name string) {
-	ta.states[at] = taskInterrupted
-	ta.interrupted++
-	ta.lost++
-	ta.mayHaveRun++
-	ta.failedOn = name
+func (tl *tally) countLost(at int, name string) {
+	tl.states[at] = taskInterrupted
+	tl.interrupted++
+	tl.lost++
+	tl.mayHaveRun++
+	tl.failedOn = name
 }
 
-func (ta *tally) count(at int, jb *job, name string, entry worker.Task, found bool) {
+func (tl *tally) count(at int, jb *job, name string, entry worker.Task, found bool) {
 	if jb.done[at] || (found && entry.Phase == worker.PhaseSucceeded) {
 		jb.done[at] = true
-		ta.states[at] = taskSucceeded
-		ta.succeeded++
-		ta.ran++
+		tl.states[at] = taskSucceeded
+		tl.succeeded++
+		tl.ran++
 		return
 	}
 	if !found {
-		ta.countMissing(at, jb, name)
+		tl.countMissing(at, jb, name)
 		return
 	}
 	if entry.Started {
-		ta.ran++
+		tl.ran++
 	}
 	switch entry.Phase {
 	case worker.PhaseReserved:
-		ta.states[at] = taskReserved
-		ta.reserved++
+		tl.states[at] = taskReserved
+		tl.reserved++
 	case worker.PhaseRunning:
-		ta.states[at] = taskRunning
-		ta.running++
+		tl.states[at] = taskRunning
+		tl.running++
 	case worker.PhaseStopping:
-		ta.states[at] = taskStopping
-		ta.stopping++
+		tl.states[at] = taskStopping
+		tl.stopping++
 	case worker.PhaseFailed:
-		ta.states[at] = taskFailed
-		ta.failed++
-		ta.failure = entry.Error
-		ta.failedOn = name
+		tl.states[at] = taskFailed
+		tl.failed++
+		tl.failure = entry.Error
+		tl.failedOn = name
 	default:
-		ta.states[at] = taskInterrupted
-		ta.interrupted++
-		ta.failedOn = name
+		tl.states[at] = taskInterrupted
+		tl.interrupted++
+		tl.failedOn = name
 		if entry.Checkpointed {
-			ta.checkpointed++
+			tl.checkpointed++
 		}
 	}
 }
 
 // countMissing counts a task that is not in its worker's table. If it had been
 // reserved, the worker has lost its table, and the task may have run.
-func (ta *tally) countMissing(at int, jb *job, name string) {
+func (tl *tally) countMissing(at int, jb *job, name string) {
 	if !jb.reserved[at] {
-		ta.missing++
-		ta.states[at] = taskMissing
+		tl.missing++
+		tl.states[at] = taskMissing
 		return
 	}
-	ta.interrupted++
-	ta.states[at] = taskInterrupted
-	ta.failedOn = name
+	tl.interrupted++
+	tl.states[at] = taskInterrupted
+	tl.failedOn = name
 	if jb.startSent || jb.fromEarlierEpoch {
-		ta.mayHaveRun++
+		tl.mayHaveRun++
 	}
 }
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -120,8 +120,8 @@
 // updateTasks applies the lease table of a reply, unless a newer one was applied
 // before.
 func (co *Core) updateTasks(wst *workerState, ev WorkerReplied) {
-	overtaken := ev.Reply.Boot == wst.incarnation && ev.Reply.Version < wst.version
-	if ev.Unchanged || overtaken {
+	outdated := ev.Reply.Boot == wst.incarnation && ev.Reply.Version < wst.version
+	if ev.Unchanged || outdated {
 		return
 	}
 	wst.incarnation = ev.Reply.Boot
@@ -270,8 +270,8 @@
 		if wst.callInFlight || len(wst.commands) == 0 || wst.lastReply.IsZero() {
 			continue
 		}
-		silence := now.Sub(wst.lastReply)
-		if silence > MaxReplyAge || (wst.lastCallFailed && silence > unresponsiveAfter) {
+		sinceReply := now.Sub(wst.lastReply)
+		if sinceReply > MaxReplyAge || (wst.lastCallFailed && sinceReply > unresponsiveAfter) {
 			continue
 		}
 		cms := make([]worker.Command, 0, len(wst.commands))
