Call the local of a sched.Decision dec in package zone

Cause: pd abbreviated a type name that no longer exists, and package sched now calls these locals dec.

--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -258,10 +258,10 @@
 }
 
 // logDecision logs a scheduling decision.
-func (zo *Zone) logDecision(pd sched.Decision) {
-	zo.cfg.Log.Info("scheduling decision", "event", "place", "zone", zo.cfg.Zone, "decision", pd.Decision, "job", pd.Job,
-		"workspace", pd.Workspace, "attempt", pd.Attempt, "workers", pd.Workers, "from", pd.Candidates, "losers", pd.Rejected,
-		"victims", pd.Victims, "reason", pd.Reason)
+func (zo *Zone) logDecision(dec sched.Decision) {
+	zo.cfg.Log.Info("scheduling decision", "event", "place", "zone", zo.cfg.Zone, "decision", dec.Decision, "job", dec.Job,
+		"workspace", dec.Workspace, "attempt", dec.Attempt, "workers", dec.Workers, "from", dec.Candidates, "losers", dec.Rejected,
+		"victims", dec.Victims, "reason", dec.Reason)
 }
 
 // observeEpoch records an epoch that a worker or a bucket has.
