Say in package sched what fields, transitions and tests mean

Cause: several fields had no meaning given, the state transitions had no doc comments, and heads of tests named the fault but not what must hold after it. Change: comments of these, and two messages of tests that were hard to read.

--- a/internal/sched/bucket.go
+++ b/internal/sched/bucket.go
@@ -16,9 +16,9 @@
 // the next one, so that the number of calls to the store is bounded by time and
 // does not grow with the number of jobs.
 type bucket struct {
-	writeDue  bool
-	inFlight  bool
-	writeSeq  int64
+	writeDue  bool                // a record has changed since the last write was sent
+	inFlight  bool                // a write is unanswered
+	writeSeq  int64               // sequence number of the last write
 	sent      map[string]snapshot // content of the write in flight
 	notBefore time.Time           // earliest time of the next write
 	failing   bool                // the last write failed, was too large, or has an unknown outcome
@@ -27,12 +27,13 @@
 // snapshot is a record as contained in a write.
 type snapshot struct {
 	rec      jobs.Record
-	revision int
+	revision int // of the job when the write was sent
 }
 
 // retryAfter is the retry delay given to callers whose request may succeed later.
 const retryAfter = 2 * time.Second
 
+// bucketOf returns the index of the bucket that holds a job's record.
 func (co *Core) bucketOf(id string) int {
 	return int(xxhash.Sum64String(id) % uint64(len(co.buckets)))
 }
@@ -49,8 +50,8 @@
 	return slices.ContainsFunc(co.buckets, func(bu bucket) bool { return bu.failing })
 }
 
-// isSaved reports whether the store has the current record. The detail of why
-// a job waits is ignored, as it doesn't justify a write.
+// isSaved reports whether the store has the current record. A change of only the
+// detail of why a job waits is ignored, as it doesn't justify a write.
 func (jb *job) isSaved() bool { return jb.saved.ID != "" && jb.savedRevision == jb.revision }
 
 // HasUnsaved reports whether any change may not be in the store yet.
@@ -83,6 +84,7 @@
 	}
 }
 
+// handleWrite handles the result of a write, unless it isn't the last one sent.
 func (co *Core) handleWrite(now time.Time, ev WriteDone) {
 	bu := &co.buckets[ev.Bucket]
 	if !bu.inFlight || ev.Seq != bu.writeSeq {
@@ -141,7 +143,8 @@
 }
 
 // rejectUnsaved removes the jobs whose first record was in a write that had no
-// effect, and tells their callers. They were not accepted and have not started.
+// effect, and answers their callers with an error. These jobs were not accepted
+// and have not started.
 func (co *Core) rejectUnsaved(sent map[string]snapshot, cd codes.Code, detail string) {
 	for id := range sent {
 		jb, ok := co.jobs[id]
@@ -195,7 +198,8 @@
 }
 
 // expirePendingRequests answers the callers that have waited for the store for
-// longer than storeTimeout.
+// longer than storeTimeout. A new job that no write can have stored is rejected;
+// otherwise the answer is that the outcome is unknown.
 func (co *Core) expirePendingRequests(now time.Time, jb *job) {
 	expired := func(pr pendingRequest) bool { return now.After(pr.until) }
 	if !slices.ContainsFunc(jb.pendingRequests, expired) {
--- a/internal/sched/caller.go
+++ b/internal/sched/caller.go
@@ -74,7 +74,7 @@
 }
 
 // checkGang returns the reason for which the gang of a step is refused, or nil.
-// The fleet has the declared workers and no work.
+// The empty fleet has the declared workers and no gangs.
 func (co *Core) checkGang(ws spec.Workspace, empty *place.Fleet, sp jobs.Spec, sh spec.Shape) *codes.Error {
 	if er := checkShape(sh); er != nil {
 		return er
@@ -98,6 +98,7 @@
 	return nil
 }
 
+// checkShape refuses a gang with an invalid number of tasks or accelerators.
 func checkShape(sh spec.Shape) *codes.Error {
 	if sh.Tasks < 1 || sh.Tasks > spec.MaxTasks || sh.Accelerators < 0 {
 		return codes.New(codes.ShapeTooLarge, "a gang can't have %d tasks with %d accelerators each", sh.Tasks, sh.Accelerators)
@@ -105,8 +106,8 @@
 	return nil
 }
 
-// cancel marks a job as cancelled. Its gang is stopped when the job is
-// evaluated next.
+// cancel marks a job as cancelled and answers the caller when the store has that.
+// Its gang is stopped when the job is evaluated next.
 func (co *Core) cancel(now time.Time, ev CancelRequested) {
 	jb, ok := co.jobs[ev.ID]
 	if !ok {
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -18,7 +18,7 @@
 	Config struct {
 		Zone         string
 		Epoch        int64
-		Buckets      int
+		Buckets      int           // number of buckets, among which the records are divided
 		Records      []jobs.Record // loaded from the store under Epoch
 		Declarations *spec.Declarations
 	}
@@ -30,13 +30,13 @@
 		epoch        int64
 		startedAt    time.Time
 		decl         *spec.Declarations
-		jobs         map[string]*job
-		workers      map[string]*workerState
+		jobs         map[string]*job         // by ID
+		workers      map[string]*workerState // by name
 		buckets      []bucket
-		fleet        *place.Fleet   // nil if it has to be rebuilt
-		fleetIndex   map[string]int // index in the fleet by name of the worker
-		placementDue bool           // a placement pass is due
-		changed      map[string]bool
+		fleet        *place.Fleet    // nil if it has to be rebuilt
+		fleetIndex   map[string]int  // index in the fleet by name of the worker
+		placementDue bool            // a placement pass is due
+		changed      map[string]bool // IDs of the jobs to be evaluated
 		runTimes     runTimes
 		effects      []Effect
 		resigned     bool
@@ -50,12 +50,12 @@
 		revision         int         // number of changes of rec
 		savedRevision    int         // revision of saved
 		bucket           int
-		fromEarlierEpoch bool      // loaded from the store; this core has neither begun nor ended an attempt since
-		reserved         []bool    // by task: its worker has made the reservation
-		done             []bool    // tasks known to have succeeded, also after a restart of their worker
-		startSent        bool      // commands to start tasks were sent
-		begunAt          time.Time // start of the attempt, or of this core for an attempt of an earlier one
-		startDeadline    time.Time
+		fromEarlierEpoch bool              // loaded from the store; this core has neither begun nor ended an attempt since
+		reserved         []bool            // by task: its worker has made the reservation
+		done             []bool            // tasks known to have succeeded, also after a restart of their worker
+		startSent        bool              // commands to start tasks were sent
+		begunAt          time.Time         // start of the attempt, or of this core for an attempt of an earlier one
+		startDeadline    time.Time         // for the start of all tasks
 		cause            cause             // why the attempt is stopped
 		unit             int               // index of the guaranteed unit in use, or place.NoUnit
 		unitWorkers      []int             // all workers reserved for the unit; valid for the current fleet
@@ -81,7 +81,7 @@
 	// being stopped.
 	pendingPlacement struct {
 		placement
-		until time.Time
+		until time.Time // time at which it is dropped if victims are still running
 	}
 
 	// placement is where a gang is placed.
@@ -94,8 +94,8 @@
 	// pendingRequest is a caller that waits for its request to be in the store.
 	pendingRequest struct {
 		id     RequestID
-		cancel bool
-		until  time.Time
+		cancel bool      // it asks to cancel the job, not to submit it
+		until  time.Time // time at which the caller is answered even if the store has not responded
 	}
 )
 
@@ -103,8 +103,8 @@
 // interrupted by failures.
 const MaxAttempts = 20
 
-// New returns a core with the recorded jobs. It places jobs only after the
-// workers have replied, or after a timeout.
+// New returns a core with the recorded jobs. It places jobs only after all known
+// workers have replied, or after takeoverTimeout.
 func New(now time.Time, cf Config) *Core {
 	co := &Core{
 		zone: cf.Zone, epoch: cf.Epoch, startedAt: now, decl: cf.Declarations,
@@ -219,10 +219,10 @@
 	Workers          int // usable ones
 	FreeAccelerators int
 	Waiting          int
-	Running          int
+	Running          int // starting, running or stopping
 }
 
-// visible returns the record that callers may see. The end of a job is visible
+// visible returns the record that callers may see. They see the end of a job
 // only once it is in the store.
 func (jb *job) visible() jobs.Record {
 	if jb.rec.State == jobs.Ended && jb.saved.State != jobs.Ended {
@@ -274,8 +274,8 @@
 	co.checkWorkers(now)
 }
 
-// resign ends the core after leadership was lost. Waiting callers are told that
-// the outcome is unknown.
+// resign ends the core after leadership was lost. The callers of pending requests
+// are told that the outcome is unknown.
 func (co *Core) resign(reason string) {
 	co.resigned = true
 	for _, jb := range co.jobs {
@@ -297,6 +297,7 @@
 	co.placementDue = true
 }
 
+// logDecision emits a decision about a job, with the workers of its attempt.
 func (co *Core) logDecision(jb *job, decision, reason string) {
 	dec := Decision{Job: jb.rec.ID, Workspace: jb.rec.Workspace, Decision: decision, Reason: reason, Attempt: jb.rec.Attempt}
 	for _, ta := range jb.rec.Tasks {
--- a/internal/sched/core_test.go
+++ b/internal/sched/core_test.go
@@ -52,6 +52,8 @@
 	is.Equal(sim.checkInvariants(), nil)
 }
 
+// TestGangRunsOnce checks that without faults every task of a gang is started
+// exactly once.
 func TestGangRunsOnce(t *testing.T) {
 	sim := newSimulation(2, small, large)
 	sim.run(time.Second)
@@ -61,6 +63,8 @@
 	is.New(t).Equal(len(sim.runsOf("z1.a")), 4)
 }
 
+// TestGangFaults injects one fault into the life of a gang and checks the code
+// with which the job ends.
 func TestGangFaults(t *testing.T) {
 	once := func(sp jobs.Spec) jobs.Spec { sp.Repeatable = false; return sp }
 	tests := []struct {
@@ -120,7 +124,8 @@
 }
 
 // TestPausedLeaderChangesNothing pauses a leader while another one takes over.
-// When it resumes, it must not start tasks or overwrite records.
+// When it resumes with the events received meanwhile, it must not start tasks or
+// overwrite records.
 func TestPausedLeaderChangesNothing(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulation(2, small, large)
@@ -140,7 +145,8 @@
 }
 
 // TestStoreOutageStartsOnlyRepeatableJobs submits jobs before and during an
-// outage of the store.
+// outage of the store. A repeatable job must start without a record, one that may
+// not be repeated must wait for the store, and a new job must be refused.
 func TestStoreOutageStartsOnlyRepeatableJobs(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulation(1, small)
@@ -165,8 +171,9 @@
 }
 
 // TestUnrecordedAttemptDoesNotStart makes the store unavailable between the
-// placement of a job that may not be repeated and its write, and then kills the
-// scheduler.
+// placement of a job that may not be repeated and the write of its attempt, and
+// then kills the scheduler. If the attempt had started, the next scheduler would
+// run the job a second time.
 func TestUnrecordedAttemptDoesNotStart(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulation(1, small)
@@ -189,7 +196,8 @@
 }
 
 // TestPreemptionForGuaranteedGang fills the zone with other work, and then
-// submits a guaranteed gang.
+// submits a guaranteed gang. It must start within 4.9 s, and the accelerator time
+// of the preempted attempts must be accounted as preempted.
 func TestPreemptionForGuaranteedGang(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulation(2, small, large)
@@ -363,7 +371,8 @@
 	is.Equal(len(sim.runsOf("z1.a")), 6)
 }
 
-// TestStepThatNeverFits submits a job whose second step is infeasible.
+// TestStepThatNeverFits submits a job whose second step is infeasible. It must be
+// refused as a whole, not fail after its first step.
 func TestStepThatNeverFits(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulation(2, small, large)
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -34,7 +34,8 @@
 )
 
 type (
-	// RequestID identifies the pending request of a caller.
+	// RequestID identifies a caller's request to submit or cancel a job until it
+	// is answered.
 	RequestID uint64
 
 	// Event is an input of the core. The types up to Tick are events.
--- a/internal/sched/faults_test.go
+++ b/internal/sched/faults_test.go
@@ -92,7 +92,9 @@
 }
 
 // TestEveryFaultAtEveryStep submits a gang and injects each fault after a number
-// of events, which grows by stride until the job has ended before.
+// of events, which grows by stride until the job ends before the fault. No
+// invariant may be violated, and the job must end with a code that the fault
+// allows.
 func TestEveryFaultAtEveryStep(t *testing.T) {
 	for i, sf := range stepFaults {
 		for _, repeatable := range []bool{true, false} {
@@ -103,7 +105,7 @@
 				}
 				for _, step := range []string{"submit", "queued", "starting", "start", "running", "ended"} {
 					if seen[step] == 0 {
-						t.Errorf("no fault came at step %s: %v", step, seen)
+						t.Errorf("no fault was injected at step %s: %v", step, seen)
 					}
 				}
 			})
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -30,6 +30,8 @@
 	}
 }
 
+// evaluateQueued ends a cancelled job, and starts a pending placement if its
+// capacity is free.
 func (co *Core) evaluateQueued(now time.Time, jb *job) {
 	if jb.rec.Cancelled {
 		co.dropPending(jb)
@@ -53,6 +55,9 @@
 	return codes.CancelledUnstarted
 }
 
+// evaluateStarting reserves the missing tasks and then starts the reserved ones.
+// It stops the attempt if that fails or takes too long, or if the job was
+// cancelled.
 func (co *Core) evaluateStarting(now time.Time, jb *job) {
 	tl := co.tally(now, jb)
 	total := len(jb.rec.Tasks)
@@ -122,6 +127,9 @@
 	return jb.rec.Repeatable && recorded && co.buckets[jb.bucket].failing
 }
 
+// evaluateRunning ends the step if all tasks have succeeded. It stops the attempt
+// if a task has failed or was interrupted, if the job was cancelled, or if its
+// gang can move off a draining worker.
 func (co *Core) evaluateRunning(now time.Time, jb *job) {
 	tl := co.tally(now, jb)
 	switch {
@@ -244,9 +252,9 @@
 	co.finishAttempt(now, jb, tl)
 }
 
-// freeEndedTasks frees the capacity of the tasks that have ended while other
-// gang members have not, so that an unresponsive worker does not delay a job
-// that waits for the rest.
+// freeEndedTasks frees the capacity of the tasks that have ended while others of
+// the gang have not, so that an unresponsive worker does not delay a job that
+// waits for capacity on the other workers.
 func (co *Core) freeEndedTasks(jb *job, tl tally) {
 	if co.fleet == nil {
 		return
@@ -310,9 +318,9 @@
 	}
 }
 
-// mayRepeat reports whether a job may run again: it has not run, or has lost no
-// work, or is repeatable and has attempts left. The first attempt of each further
-// step doesn't count.
+// mayRepeat reports whether a job may run again after an attempt: the attempt has
+// not run, or has lost no work, or the job is repeatable and has attempts left.
+// The first attempt of each further step doesn't count.
 func mayRepeat(jb *job, tl tally, workKept bool) bool {
 	if tl.ran+tl.mayHaveRun == 0 || workKept {
 		return true
@@ -371,8 +379,8 @@
 	co.logDecision(jb, "ended", cd.String())
 }
 
-// releaseCapacity frees the capacity of a job and resets the state of its
-// attempt.
+// releaseCapacity frees the capacity of a job, resets the state of its attempt,
+// and has other jobs placed.
 func (co *Core) releaseCapacity(jb *job) {
 	jb.unit = place.NoUnit
 	jb.unitWorkers = nil
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -71,7 +71,8 @@
 }
 
 // TestLargeGangDoesNotStarve keeps the zone busy with small jobs while a gang
-// waits that needs a whole rack.
+// waits that needs a whole rack. The gang must get a reservation when it has
+// aged, and end within 40 minutes.
 func TestLargeGangDoesNotStarve(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulation(1, spec.Workspace{Name: "large", Weight: 1}, spec.Workspace{Name: "small", Weight: 1})
@@ -120,7 +121,9 @@
 	is.Equal(len(sim.runsOf("z1.wide")), 0)
 }
 
-// TestMassCancellation cancels every second job of a full zone and its queue.
+// TestMassCancellation cancels every second job of a full zone and its queue. The
+// code of a cancelled job must say whether it has run, and all others must
+// complete.
 func TestMassCancellation(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulation(2, small, large)
@@ -140,7 +143,8 @@
 	is.Equal(sim.checkInvariants(), nil)
 }
 
-// TestRackLost disconnects a whole rack with running gangs.
+// TestRackLost disconnects a whole rack with running gangs. Every job must end,
+// either by running again elsewhere or as lost.
 func TestRackLost(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulation(3, small)
@@ -191,7 +195,8 @@
 }
 
 // TestUnlistedWorkerKeepsItsJob replaces the scheduler while the platform's list
-// lacks a worker with a running job.
+// lacks a worker with a running job. The job must complete there and not be taken
+// for lost.
 func TestUnlistedWorkerKeepsItsJob(t *testing.T) {
 	sim := newSimulation(2, small)
 	sim.run(time.Second)
@@ -207,7 +212,8 @@
 }
 
 // TestDrainingWorkerIsVacated drains a worker with one gang that can be moved
-// without lost work and one that can't.
+// without lost work and one that can't. Only the first may be stopped and run
+// elsewhere.
 func TestDrainingWorkerIsVacated(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulation(2, small)
@@ -232,7 +238,7 @@
 }
 
 // TestLongStoreOutage makes the store unavailable for an hour while jobs wait
-// and run.
+// and run. All of them must complete.
 func TestLongStoreOutage(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulation(2, small, large)
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -71,7 +71,8 @@
 }
 
 // placeOne tries to place a job. It returns why the job waits, or an empty
-// reason if it is placed or preempts others.
+// reason if it is placed or preempts others. The reasons are those of the classes
+// that could not be placed in this pass.
 func (co *Core) placeOne(now time.Time, jb *job, aged bool, reasons map[requestClass]place.WaitReason) place.WaitReason {
 	rcl := requestClass{jb.rec.Workspace, jb.rec.CurrentStep().Shape, jb.rec.Priority, jb.rec.Preemptible(), len(jb.avoid), aged, bits.Len64(uint64(co.runTimes.expect(jb.rec)))}
 	if reason, ok := reasons[rcl]; ok {
@@ -118,6 +119,7 @@
 	return ""
 }
 
+// request returns the request of package place for a job's current step.
 func (co *Core) request(now time.Time, jb *job, aged bool) place.Request {
 	return place.Request{
 		Job: jb.rec.ID, Workspace: jb.rec.Workspace, Shape: jb.rec.CurrentStep().Shape, Priority: jb.rec.Priority,
@@ -126,8 +128,8 @@
 	}
 }
 
-// recordWait records why a job waits, for the job and for those like it, and logs
-// the reason if it has changed.
+// recordWait records why a job waits, for the job and for those of its class, and
+// logs the reason if it has changed. It returns the reason.
 func (co *Core) recordWait(jb *job, rcl requestClass, reasons map[requestClass]place.WaitReason, reason place.WaitReason) place.WaitReason {
 	reasons[rcl] = reason
 	if jb.rec.Detail != string(reason) {
@@ -185,7 +187,8 @@
 	co.emit(dec)
 }
 
-// rejectedSummary returns why the other candidate placements were rejected.
+// rejectedSummary counts the candidate placements that were not chosen, by
+// reason.
 func rejectedSummary(de place.Placed) string {
 	rankedLower := max(0, de.Candidates-de.Rejected-1)
 	return fmt.Sprintf("rankedLower:%d guaranteedToOthers:%d", rankedLower, de.Rejected)
@@ -213,8 +216,8 @@
 	co.markChanged(jb.rec.ID)
 }
 
-// startPending starts the attempt once the victims have freed the reserved
-// capacity, and drops the reservation after victimStopTimeout.
+// startPending starts the attempt once the victims have freed the capacity of the
+// pending placement, and drops the placement after victimStopTimeout.
 func (co *Core) startPending(now time.Time, jb *job) {
 	if co.fleet == nil {
 		return
@@ -242,7 +245,8 @@
 	co.placementDue = true
 }
 
-// gang returns a placed job as a gang of package place.
+// gang returns a job as a gang of package place, on the workers of its current
+// attempt.
 func (co *Core) gang(jb *job) place.Gang {
 	ga := place.Gang{
 		Job: jb.rec.ID, Workspace: jb.rec.Workspace, Shape: jb.rec.CurrentStep().Shape, Priority: jb.rec.Priority,
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -20,8 +20,8 @@
 	// time. All events are in one ordered list, so runs are deterministic.
 	simulation struct {
 		now           time.Time
-		events        []simEvent
-		order         int
+		events        []simEvent // sorted by time
+		order         int        // number of events scheduled so far
 		decl          *spec.Declarations
 		hosts         []plat.Host
 		tables        map[string]*wksim.Table
@@ -37,22 +37,25 @@
 		decisions     []sched.Decision
 	}
 
+	// attemptID identifies an attempt of a job. Two schedulers may begin attempts
+	// with the same number under different epochs.
 	attemptID struct {
 		attempt int
 		epoch   int64
 	}
 
+	// simEvent is a function to be run at a simulated time.
 	simEvent struct {
 		at    time.Time
-		order int
+		order int // order of insertion, for events at the same time
 		run   func()
 	}
 
-	// fakeStore is the store: one value for each bucket, and the epoch that may
+	// fakeStore is the store: the records of each bucket, and the epoch that may
 	// write them.
 	fakeStore struct {
 		down         bool
-		losesReplies bool
+		losesReplies bool // writes take effect, but their outcome is reported as unknown
 		epoch        int64
 		buckets      [4][]jobs.Record
 		writes       int
@@ -394,7 +397,7 @@
 	case cl == codes.Done && (complete == 0 || complete > 1 && !rc.Repeatable):
 		// A worker that restarts may lose the only record of a success; a
 		// repeatable job then runs again.
-		violations = append(violations, fmt.Sprintf("job %s ended %v with %d whole runs", rc.ID, rc.Code, complete))
+		violations = append(violations, fmt.Sprintf("job %s ended %v after %d attempts of which all tasks succeeded", rc.ID, rc.Code, complete))
 	case cl == codes.Failed && len(rus) == 0:
 		violations = append(violations, fmt.Sprintf("job %s ended %v but never ran", rc.ID, rc.Code))
 	}
--- a/internal/sched/suspend.go
+++ b/internal/sched/suspend.go
@@ -8,12 +8,12 @@
 // failureHistory holds the recent failures on a worker and the suspension that
 // they caused. Failures of one job count once, and a success clears them, so
 // that a faulty job does not suspend a healthy worker. A suspended worker is used
-// again after a period that doubles each time. It is then on probation until its
-// next success: one failure suspends it again.
+// again after a period that doubles with every suspension until the next success.
+// Until then it is on probation: one failure suspends it again.
 type failureHistory struct {
-	failedJobs     []string // jobs that failed on the worker since its last success
-	suspendedUntil time.Time
-	suspensionTime time.Duration
+	failedJobs     []string      // IDs of the jobs that failed on the worker since its last success or suspension
+	suspendedUntil time.Time     // end of the last suspension
+	suspensionTime time.Duration // length of the last suspension
 	probation      bool
 }
 
@@ -26,7 +26,8 @@
 	suspensionFactor = 2
 )
 
-// recordSuccess returns the history after a task has succeeded.
+// recordSuccess returns the history after a gang with a task on the worker has
+// succeeded.
 func (fh failureHistory) recordSuccess() failureHistory { return failureHistory{} }
 
 // recordFailure returns the history after a task of a job has failed, and whether
--- a/internal/sched/tally.go
+++ b/internal/sched/tally.go
@@ -22,12 +22,12 @@
 		stopping     int
 		succeeded    int
 		failed       int
-		interrupted  int // stopped, lease expired, missing after a reservation, or lost
-		lost         int // part of interrupted: the leases on the worker have expired
-		ran          int // known to have run
-		mayHaveRun   int // of which it is unknown whether they ran
-		checkpointed int // stopped after a checkpoint
-		failure      string
+		interrupted  int    // stopped, lease expired, missing after a reservation, or lost
+		lost         int    // part of interrupted: the leases on the worker have expired
+		ran          int    // known to have run
+		mayHaveRun   int    // of which it is unknown whether they ran
+		checkpointed int    // stopped after a checkpoint
+		failure      string // error of the last task that failed
 		failedOn     string // worker of the last task that failed or was interrupted
 	}
 )
@@ -73,6 +73,7 @@
 	tl.failedOn = name
 }
 
+// count counts a task by its entry in the worker's lease table, if one was found.
 func (tl *tally) count(at int, jb *job, name string, entry worker.Task, found bool) {
 	if jb.done[at] || (found && entry.Phase == worker.PhaseSucceeded) {
 		jb.done[at] = true
--- a/internal/sched/urgent_test.go
+++ b/internal/sched/urgent_test.go
@@ -20,8 +20,8 @@
 func TestUrgentStart(t *testing.T) {
 	tests := []struct {
 		name  string
-		fill  int // tasks of each gang that fills the zone
-		slow  bool
+		fill  int  // tasks of each gang that fills the zone
+		slow  bool // these gangs take 10 s for a checkpoint, longer than they are given
 		fault func(sim *simulation)
 	}{
 		{"full zone", 1, false, func(*simulation) {}},
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -17,14 +17,14 @@
 	listed         bool
 	addedAt        time.Time // when it became known
 	lastReply      time.Time // last reply under this epoch; zero if none
-	incarnation    string
-	version        int64 // of the table, within one incarnation
+	incarnation    string    // changes when the worker restarts with an empty table
+	version        int64     // of the table, within one incarnation
 	accelerators   int
-	draining       bool
+	draining       bool // according to the worker's last reply
 	tasks          map[worker.TaskID]worker.Task
-	callInFlight   bool // a call with commands is unanswered
-	lastCallFailed bool // the last call failed
-	commands       map[worker.TaskID]worker.Command
+	callInFlight   bool                             // a call with commands is unanswered
+	lastCallFailed bool                             // until the next reply
+	commands       map[worker.TaskID]worker.Command // to be sent with the next call
 	failures       failureHistory
 	wasUsable      bool // whether it was usable when the fleet was built
 }
@@ -90,7 +90,8 @@
 	return hosts
 }
 
-// handleReply handles the reply of a worker.
+// handleReply handles the reply of a worker, or ends the core if the worker has
+// seen a larger epoch.
 func (co *Core) handleReply(now time.Time, ev WorkerReplied) {
 	wst, ok := co.workers[ev.Worker]
 	if !ok {
@@ -137,7 +138,7 @@
 }
 
 // handleResults records which reservations were made, and stops attempts of
-// which one was refused.
+// which one was refused. The next attempt avoids the worker that refused.
 func (co *Core) handleResults(wst *workerState, ev WorkerReplied) {
 	for i, cm := range ev.Commands {
 		if i >= len(ev.Reply.Results) {
@@ -296,6 +297,7 @@
 	)
 }
 
+// opRank returns the rank of an operation for compareCommands.
 func opRank(op worker.Op) int {
 	if op == worker.OpReserve || op == worker.OpStart {
 		return 1
