Tell contexts from calls and leases by name in package zone

Cause: call and watch were contexts although methods of the same names exist, and last did not say of what.

--- a/internal/zone/calls.go
+++ b/internal/zone/calls.go
@@ -104,8 +104,8 @@
 		if version < 0 {
 			rq.Wait = 0
 		}
-		call, cancel := context.WithTimeout(ctx, rq.Wait+renewalMargin)
-		reply, err := wc.call(call, wa, rq)
+		callCtx, cancel := context.WithTimeout(ctx, rq.Wait+renewalMargin)
+		reply, err := wc.call(callCtx, wa, rq)
 		cancel()
 		if ctx.Err() != nil {
 			return
--- a/internal/zone/elect.go
+++ b/internal/zone/elect.go
@@ -132,17 +132,17 @@
 		return
 	}
 	zo.observeHolder(en.Value)
-	watch, stop := context.WithTimeout(ctx, electionPollInterval)
+	watchCtx, stop := context.WithTimeout(ctx, electionPollInterval)
 	defer stop()
 	vacant := errors.New("vacant")
-	err = zo.cfg.Store.Watch(watch, key, at, func(en store.Entry) error {
+	err = zo.cfg.Store.Watch(watchCtx, key, at, func(en store.Entry) error {
 		if en.Value == nil {
 			return vacant
 		}
 		zo.observeHolder(en.Value)
 		return nil
 	})
-	if err != nil && !errors.Is(err, vacant) && watch.Err() == nil {
+	if err != nil && !errors.Is(err, vacant) && watchCtx.Err() == nil {
 		pause.For(ctx, electionRetryDelay)
 	}
 }
--- a/internal/zone/harness_test.go
+++ b/internal/zone/harness_test.go
@@ -26,12 +26,12 @@
 type (
 	// fakeStore is a store in memory into which faults can be injected.
 	fakeStore struct {
-		mu       sync.Mutex
-		entries  map[string]store.Entry
-		revision store.Revision
-		leases   map[store.LeaseID]*lease
-		last     store.LeaseID
-		changed  chan struct{} // closed at the next change
+		mu        sync.Mutex
+		entries   map[string]store.Entry
+		revision  store.Revision
+		leases    map[store.LeaseID]*lease
+		lastLease store.LeaseID
+		changed   chan struct{} // closed at the next change
 
 		down        bool   // all calls fail without effect
 		loseReplies int    // number of swaps that take effect and lose their reply
@@ -205,9 +205,9 @@
 	if err := fs.check(); err != nil {
 		return 0, err
 	}
-	fs.last++
-	fs.leases[fs.last] = &lease{ttl: ttl, ends: time.Now().Add(ttl)}
-	return fs.last, nil
+	fs.lastLease++
+	fs.leases[fs.lastLease] = &lease{ttl: ttl, ends: time.Now().Add(ttl)}
+	return fs.lastLease, nil
 }
 
 func (fs *fakeStore) Renew(_ context.Context, id store.LeaseID) error {
