Say in package zone what holds, ends and fails

Cause: fields, locking and some results of package zone had no comment, and most tests did not say which failure they guard against. Change: these comments and heads of tests.

--- a/internal/zone/buckets.go
+++ b/internal/zone/buckets.go
@@ -18,12 +18,12 @@
 // Each value contains the epoch and the sequence number of its write, so that
 // the outcome of a write whose reply was lost is found by reading the value.
 type bucketStore struct {
-	ctx       context.Context
+	ctx       context.Context // ends with the term
 	store     store.Store
 	zone      string
 	epoch     int64
 	buckets   []bucketState
-	onWritten func(sched.WriteDone)
+	onWritten func(sched.WriteDone) // called with the result of each write
 }
 
 // bucketState is the last known revision of a bucket.
@@ -101,6 +101,7 @@
 	}()
 }
 
+// writeResult returns the result of a write for the core.
 func writeResult(err error) sched.WriteResult {
 	switch {
 	case err == nil:
@@ -116,8 +117,8 @@
 	}
 }
 
-// swap replaces a bucket if its revision is the last known one, which it reads
-// first if the outcome of an earlier write is unknown.
+// swap replaces a bucket if its revision in the store is the last known one. If
+// the outcome of an earlier write is unknown, it first reads the revision.
 func (bs *bucketStore) swap(bucket int, seq int64, wjs []*wire.Job) error {
 	st := &bs.buckets[bucket]
 	if st.indeterminate {
@@ -145,10 +146,10 @@
 }
 
 // resolveIndeterminate reads which of this epoch's writes took effect last. A
-// value of another epoch was written by another scheduler and is reported as
-// ErrConflict, since a successful write of this epoch is replaced only by later
-// ones. A failed read is reported as ErrUnavailable: the bucket stays
-// indeterminate, and the write for which it was read is not sent.
+// value of another epoch was written by another scheduler, since a successful
+// write of this epoch is replaced only by later ones of it; it is reported as
+// store.ErrConflict. A failed read is reported as store.ErrUnavailable: the bucket
+// stays indeterminate, and the write for which it was read is not sent.
 func (bs *bucketStore) resolveIndeterminate(bucket int) error {
 	en, _, err := bs.store.Get(bs.ctx, bucketKey(bs.zone, bucket))
 	if err != nil {
--- a/internal/zone/calls.go
+++ b/internal/zone/calls.go
@@ -17,16 +17,17 @@
 	// loop of long polls renews the leases and waits for changes of the lease
 	// table; commands are sent in separate calls.
 	workerCalls struct {
-		ctx    context.Context
+		ctx    context.Context // ends with the term
 		zone   *Zone
 		epoch  int64
-		mu     sync.Mutex
-		loops  map[workerAddress]context.CancelFunc
+		mu     sync.Mutex                           // guards loops and clocks
+		loops  map[workerAddress]context.CancelFunc // end the renewal loops
 		clocks map[workerAddress]clockSample
 	}
 
-	// clockSample is the worker's clock in its last reply, and when that came.
-	// The present time of the worker's clock is estimated from it.
+	// clockSample is the worker's clock in its last reply, and the time at which
+	// that was received. The present time of the worker's clock is estimated from
+	// it.
 	clockSample struct {
 		incarnation string
 		clock       time.Duration
@@ -164,8 +165,9 @@
 	return reply, nil
 }
 
-// report passes the result of a call to the core, and reports whether the call
-// succeeded.
+// report passes the result of a call to the core, and returns whether the call
+// succeeded. unchanged says that the reply has the same lease table as the one
+// before.
 func (wc *workerCalls) report(wa workerAddress, reply worker.Reply, err error, cms []worker.Command, unchanged bool) bool {
 	if errors.Is(err, worker.ErrStaleEpoch) {
 		wc.zone.observeEpoch(reply.Epoch)
--- a/internal/zone/elect.go
+++ b/internal/zone/elect.go
@@ -44,8 +44,8 @@
 	return nil
 }
 
-// acquire obtains the next epoch and the lease, unless another host is the
-// leader.
+// acquire obtains the next epoch and the lease. It returns an error if another
+// host is the leader, if there are no declarations yet, or if the store fails.
 func (zo *Zone) acquire(ctx context.Context) (store.LeaseID, int64, error) {
 	if zo.cfg.Declarations() == nil {
 		return 0, 0, merry.New("no declarations yet")
@@ -104,7 +104,7 @@
 	return next.Epoch, err
 }
 
-// observeHolder records the leader in a value of holderKey.
+// observeHolder records the leader that a value of holderKey names.
 func (zo *Zone) observeHolder(value []byte) {
 	var ho Holder
 	if json.Unmarshal(value, &ho) != nil {
@@ -192,7 +192,8 @@
 	zo.mu.Unlock()
 }
 
-// loop passes ticks and changes of declarations and hosts to the core.
+// loop passes ticks and changes of declarations and hosts to the core until ctx or
+// the term ends.
 func (zo *Zone) loop(ctx, termCtx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -230,8 +231,8 @@
 	}
 }
 
-// listWorkers passes the platform's list of hosts to the core, and calls the
-// workers that the core then has.
+// listWorkers passes the platform's list of hosts to the core, and has the
+// workers called that the core then has.
 func (zo *Zone) listWorkers() {
 	zo.handle(sched.HostsListed{Hosts: zo.cfg.Hosts().Hosts})
 	zo.mu.Lock()
@@ -270,6 +271,7 @@
 	}
 }
 
+// hasUnsaved reports whether the core has changes that may not be in the store.
 func (zo *Zone) hasUnsaved() bool {
 	zo.mu.Lock()
 	defer zo.mu.Unlock()
@@ -277,7 +279,7 @@
 }
 
 // endTerm drops the core, tells the callers with pending requests that the
-// outcome is unknown, and wakes those that wait for the end of a job.
+// outcome is unknown, and notifies those that wait for the end of a job.
 func (zo *Zone) endTerm() {
 	zo.mu.Lock()
 	defer zo.mu.Unlock()
--- a/internal/zone/harness_test.go
+++ b/internal/zone/harness_test.go
@@ -40,6 +40,7 @@
 		stallPrefix string // prefix of the keys whose swaps hang and have no effect
 	}
 
+	// lease is a lease of fakeStore.
 	lease struct {
 		ttl  time.Duration
 		ends time.Time
@@ -98,6 +99,7 @@
 	}
 }
 
+// endLease ends a lease and deletes its keys, with mu held.
 func (fs *fakeStore) endLease(id store.LeaseID) {
 	delete(fs.leases, id)
 	for key, en := range fs.entries {
@@ -118,6 +120,7 @@
 	return en
 }
 
+// put writes an entry, with mu held.
 func (fs *fakeStore) put(key string, value []byte, id store.LeaseID) store.Entry {
 	fs.revision++
 	en := store.Entry{Key: key, Value: value, Revision: fs.revision, Lease: id}
@@ -133,6 +136,7 @@
 	fs.put(key, value, 0)
 }
 
+// set runs a function that changes fields, with mu held.
 func (fs *fakeStore) set(fn func()) {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
@@ -148,6 +152,8 @@
 	}
 }
 
+// check ends the leases whose time is over, and returns an error if the store is
+// down, with mu held.
 func (fs *fakeStore) check() error {
 	fs.expire()
 	if fs.down {
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -51,7 +51,7 @@
 	// the methods return codes.NoScheduler.
 	Zone struct {
 		cfg             Config
-		mu              sync.Mutex
+		mu              sync.Mutex  // guards the fields below
 		core            *sched.Core // nil unless this host is the leader
 		buckets         *bucketStore
 		calls           *workerCalls
@@ -180,7 +180,7 @@
 }
 
 // request passes an event with a new request ID to the core and waits for its
-// answer. If none comes, it returns an error with unknownCode.
+// answer. If ctx or the term ends before that, the error has unknownCode.
 func (zo *Zone) request(ctx context.Context, unknownCode codes.Code, event func(sched.RequestID) sched.Event) (jobs.Record, error) {
 	rid, answer, err := zo.addPendingRequest(unknownCode)
 	if err != nil {
@@ -198,6 +198,8 @@
 	}
 }
 
+// addPendingRequest assigns a request ID and returns the channel on which the
+// answer to the request will be sent.
 func (zo *Zone) addPendingRequest(unknownCode codes.Code) (sched.RequestID, <-chan sched.Answer, error) {
 	zo.mu.Lock()
 	defer zo.mu.Unlock()
@@ -227,7 +229,7 @@
 	}
 }
 
-// perform carries out an effect without waiting for I/O.
+// perform carries out an effect without waiting for I/O. The caller holds mu.
 func (zo *Zone) perform(ef sched.Effect) {
 	switch ef := ef.(type) {
 	case sched.Write:
@@ -249,7 +251,8 @@
 	}
 }
 
-// notifyEnd wakes the callers that wait for the end of a job, with mu held.
+// notifyEnd notifies the callers that wait for the end of a job. The caller holds
+// mu.
 func (zo *Zone) notifyEnd(id string) {
 	for _, ended := range zo.endWaits[id] {
 		close(ended)
@@ -271,8 +274,8 @@
 	zo.maxEpoch = max(zo.maxEpoch, epoch)
 }
 
-// ObserveLeader records the leader known to a peer. If this host is the leader with a
-// smaller epoch, it resigns.
+// ObserveLeader records the leader known to a peer. If this host is the leader
+// with a smaller epoch, it resigns.
 func (zo *Zone) ObserveLeader(ho Holder) {
 	zo.mu.Lock()
 	defer zo.mu.Unlock()
--- a/internal/zone/zone_test.go
+++ b/internal/zone/zone_test.go
@@ -53,6 +53,8 @@
 	is.Equal(ha.workers.runs(rc.ID), 1)
 }
 
+// TestOnlyLeaderSchedules checks that a host that isn't the leader refuses jobs,
+// and that it takes over the records when the leader stops.
 func TestOnlyLeaderSchedules(t *testing.T) {
 	withHarness(t, func(t *testing.T, ha *harness) {
 		is := is.New(t)
@@ -75,6 +77,8 @@
 	})
 }
 
+// TestLeaseExpiryMovesLeadership lets the leader's lease expire. Another host must
+// become the leader, and the first must resign for good.
 func TestLeaseExpiryMovesLeadership(t *testing.T) {
 	withHarness(t, func(t *testing.T, ha *harness) {
 		is := is.New(t)
@@ -91,6 +95,9 @@
 	})
 }
 
+// TestLostStoreRepliesAreResolved loses the replies of writes that took effect.
+// The leader must recognize these writes as its own, and neither lose its term nor
+// run a job twice.
 func TestLostStoreRepliesAreResolved(t *testing.T) {
 	for _, key := range []string{"zone/lima/epoch", "zone/lima/holder", "jobs/"} {
 		t.Run(key, func(t *testing.T) {
@@ -107,6 +114,8 @@
 	}
 }
 
+// TestLeaseExpiryOfOnlyHost lets the lease expire without another host. The same
+// host must begin a new term.
 func TestLeaseExpiryOfOnlyHost(t *testing.T) {
 	withHarness(t, func(t *testing.T, ha *harness) {
 		ho := ha.startElected("entry-1")
@@ -116,6 +125,9 @@
 	})
 }
 
+// TestIndeterminateWriteIsResolvedLater loses the reply of a write and makes the
+// store unavailable at once, so that its outcome can't be read. When the store is
+// available again, the leader must not take the write for a conflict.
 func TestIndeterminateWriteIsResolvedLater(t *testing.T) {
 	withHarness(t, func(t *testing.T, ha *harness) {
 		is := is.New(t)
@@ -146,6 +158,9 @@
 	}
 }
 
+// TestWriteConflictEndsTerm rewrites the buckets under a larger epoch while a
+// leader runs. Its next write must fail and end its term, and the job of that
+// write must not run.
 func TestWriteConflictEndsTerm(t *testing.T) {
 	withHarness(t, func(t *testing.T, ha *harness) {
 		is := is.New(t)
@@ -160,6 +175,9 @@
 	})
 }
 
+// TestNextEpochExceedsEpochOfBuckets starts a host on buckets with a larger epoch
+// than the one last assigned, as after the restore of a backup. Without a larger
+// epoch it could never load them.
 func TestNextEpochExceedsEpochOfBuckets(t *testing.T) {
 	withHarness(t, func(t *testing.T, ha *harness) {
 		fence(t, ha, 1000)
@@ -169,6 +187,8 @@
 	})
 }
 
+// TestNextEpochExceedsEpochOfWorkers starts a host with a worker that has seen a
+// larger epoch than the one last assigned, and would refuse every call.
 func TestNextEpochExceedsEpochOfWorkers(t *testing.T) {
 	withHarness(t, func(t *testing.T, ha *harness) {
 		_, err := ha.workers.tables["w3"].Apply(time.Now(), worker.Request{Epoch: 1000})
@@ -179,6 +199,8 @@
 	})
 }
 
+// TestLeaderResignsOnLargerEpochOfPeer checks that a leader that a peer has
+// replaced resigns, and that its next term has an epoch larger than the peer's.
 func TestLeaderResignsOnLargerEpochOfPeer(t *testing.T) {
 	withHarness(t, func(t *testing.T, ha *harness) {
 		is := is.New(t)
@@ -189,6 +211,9 @@
 	})
 }
 
+// TestGracefulStopFlushesWrites stops the leader while writes are due. All
+// submitted jobs must be recorded, and the lease must be revoked, so that another
+// host takes over at once.
 func TestGracefulStopFlushesWrites(t *testing.T) {
 	withHarness(t, func(t *testing.T, ha *harness) {
 		is := is.New(t)
@@ -215,6 +240,9 @@
 	})
 }
 
+// TestStoreOutage makes the store unavailable for a while. The leader must stay
+// the leader, complete recorded jobs, refuse new ones at once, and accept them
+// again afterwards.
 func TestStoreOutage(t *testing.T) {
 	withHarness(t, func(t *testing.T, ha *harness) {
 		is := is.New(t)
@@ -251,6 +279,8 @@
 	})
 }
 
+// TestStoreOutageRefusesNewJobsAtOnce makes writes hang during an outage. A new
+// job must be refused without a write, as its outcome would be unknown.
 func TestStoreOutageRefusesNewJobsAtOnce(t *testing.T) {
 	withHarness(t, func(t *testing.T, ha *harness) {
 		is := is.New(t)
@@ -267,6 +297,8 @@
 	})
 }
 
+// TestGetWaitsForEnd checks that a waiting Get returns when the job has ended, when
+// its wait is over, and when the term ends.
 func TestGetWaitsForEnd(t *testing.T) {
 	withHarness(t, func(t *testing.T, ha *harness) {
 		is := is.New(t)
@@ -298,6 +330,8 @@
 	})
 }
 
+// TestEndOfTermAnswersPendingCalls ends the term while writes hang. The callers
+// must be told that the outcome is unknown, without waiting for the writes.
 func TestEndOfTermAnswersPendingCalls(t *testing.T) {
 	withHarness(t, func(t *testing.T, ha *harness) {
 		is := is.New(t)
