Say in packages jobs and worker what fields and errors mean

Cause: parts of the worker protocol, the codes of jobs.Service and several constants had no meaning given, and tests did not say what they guard against. Change: comments of these, and heads of tests.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -57,17 +57,17 @@
 	State           State
 	Step            int   // the current one; zero is the first
 	Attempt         int   // number of the last attempt; zero before the first
-	Epoch           int64 // of the scheduler that started the attempt
+	Epoch           int64 // of the scheduler that started the last attempt
 	Tasks           []Task
 	Code            codes.Code
-	Detail          string // why it waits, or how it ended, for people
+	Detail          string // why it waits or is stopped, or how it ended, as text for people
 	MayHaveRun      bool   // it is unknown whether an attempt has run
 	Cancelled       bool   // cancellation was requested
 	Submitted       time.Time
 	Started         time.Time // of the last attempt
 	Ended           time.Time
-	AcceleratorTime time.Duration // accelerator time of all attempts, accelerators times duration
-	LostTime        time.Duration // part of AcceleratorTime that was lost by interrupted attempts
+	AcceleratorTime time.Duration // of all attempts: number of accelerators times duration
+	LostTime        time.Duration // part of AcceleratorTime in attempts whose work was lost
 	PreemptedTime   time.Duration // part of AcceleratorTime in attempts that were preempted or moved
 	Waited          time.Duration // total time in the queue, before all attempts
 	Queued          time.Time     // when it was last queued
@@ -83,13 +83,18 @@
 // *codes.Error.
 type Service interface {
 	// Submit records a job. Submitting the same job again returns its current
-	// record.
+	// record. The code is codes.KeyMismatch if the ID has other content, and
+	// codes.SubmitUnknown if it is unknown whether the job was recorded.
 	Submit(ctx context.Context, sp Spec) (Record, error)
 	// Get returns a record. With a positive wait it returns when the job has
-	// ended, or after that time.
+	// ended, after that time, or when ctx ends. The code is codes.JobNotFound if
+	// there is no such job.
 	Get(ctx context.Context, id string, wait time.Duration) (Record, error)
+	// List returns the records that match the filter, the oldest first.
 	List(ctx context.Context, fi Filter) ([]Record, error)
 	// Cancel requests the cancellation of a job and returns its current record.
+	// The code is codes.JobNotFound if there is no such job, and
+	// codes.CancelUnknown if it is unknown whether the request was recorded.
 	Cancel(ctx context.Context, id string) (Record, error)
 }
 
@@ -121,7 +126,8 @@
 // NewID returns the ID of a job in an availability zone.
 func NewID(zone, unique string) string { return zone + idSeparator + unique }
 
-// ZoneOf returns the availability zone in a job's ID.
+// ZoneOf returns the availability zone in a job's ID: all of it up to the first
+// dot.
 func ZoneOf(id string) string {
 	zone, _, _ := strings.Cut(id, idSeparator)
 	return zone
@@ -133,7 +139,8 @@
 // String returns the camelCase name of the priority.
 func (pr Priority) String() string { return name(priorityNames[:], int(pr)) }
 
-// ParsePriority parses the name of a priority; an empty text is Normal.
+// ParsePriority parses the name of a priority; an empty text is Normal. It returns
+// false if there is no priority of that name.
 func ParsePriority(text string) (Priority, bool) {
 	if text == "" {
 		return Normal, true
@@ -200,7 +207,8 @@
 	return rc.WithState(Queued)
 }
 
-// WithAttempt returns the record with its next attempt starting on tasks.
+// WithAttempt returns the record with its next attempt, which starts on the
+// workers of the given tasks.
 func (rc Record) WithAttempt(now time.Time, epoch int64, tasks []Task) Record {
 	rc.Attempt++
 	rc.Waited = rc.QueueTime(now)
@@ -240,6 +248,7 @@
 	return rc
 }
 
+// name returns the name at an index, or "none" if the index has none.
 func name(names []string, at int) string {
 	if at <= 0 || at >= len(names) {
 		return "none"
--- a/internal/jobs/wire.go
+++ b/internal/jobs/wire.go
@@ -58,7 +58,7 @@
 			Shape: shapeFromWire(st.GetShape()), RunTime: time.Duration(st.GetRunTimeNanos()), Command: st.GetCommand(),
 		})
 	}
-	rc.Step = min(max(rc.Step, 0), len(rc.Then)) // a foreign value may be out of range
+	rc.Step = min(max(rc.Step, 0), len(rc.Then)) // a stored value may be out of range
 	return rc
 }
 
@@ -73,7 +73,7 @@
 	}
 }
 
-// toNanos encodes a time in nanoseconds since 1970; zero is the zero time.
+// toNanos encodes a time in nanoseconds since 1970; zero encodes the zero time.
 func toNanos(at time.Time) int64 {
 	if at.IsZero() {
 		return 0
--- a/internal/jobs/wire_test.go
+++ b/internal/jobs/wire_test.go
@@ -12,6 +12,8 @@
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
 
+// TestWireKeepsEveryField checks that a record is the same after it was encoded
+// and decoded, so that no field is lost when the next scheduler loads it.
 func TestWireKeepsEveryField(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		is := is.New(rt)
--- a/internal/worker/errors.go
+++ b/internal/worker/errors.go
@@ -15,8 +15,8 @@
 	ErrRefused    = errors.New("worker refused a malformed call")
 )
 
-// ReasonActive is the Reason of an OpRelease of a task that has started, and of
-// an OpAck of one that has not ended.
+// ReasonActive is the reason for which a worker refuses an OpRelease of a task
+// that has started, and an OpAck of one that has not ended.
 const ReasonActive = "active"
 
 // Error implements error.
@@ -24,5 +24,5 @@
 	return "call to worker " + ns.Address + " was not sent: " + ns.Err.Error()
 }
 
-// Unwrap returns the cause.
+// Unwrap returns Err.
 func (ns *NotSentError) Unwrap() error { return ns.Err }
--- a/internal/worker/http.go
+++ b/internal/worker/http.go
@@ -20,7 +20,7 @@
 	// HTTPConfig configures an HTTPCaller.
 	HTTPConfig struct {
 		Timeout time.Duration // of one call, in addition to the Wait of its request; 2 s if not positive
-		Log     *slog.Logger
+		Log     *slog.Logger  // gets calls that failed; nothing is logged if it is nil
 	}
 
 	// HTTPCaller is a Caller that uses HTTP.
@@ -46,10 +46,10 @@
 
 const (
 	defaultTimeout = 2 * time.Second
-	idleTimeout    = 90 * time.Second
-	idlePerHost    = 2
+	idleTimeout    = 90 * time.Second // of an unused connection
+	idlePerHost    = 2                // unused connections kept open to each worker
 	maxReplyBytes  = 8 << 20
-	maxDetailBytes = 512
+	maxDetailBytes = 512 // part of an error's response body that the error quotes
 )
 
 // NewHTTPCaller returns a caller with its own connection pool.
@@ -96,6 +96,8 @@
 	return reply, nil
 }
 
+// post sends a call and returns its reply. Without a connection the error is a
+// NotSentError.
 func (hc *HTTPCaller) post(ctx context.Context, address string, body []byte) (Reply, error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -122,6 +124,7 @@
 	return decodeReply(resp.StatusCode, content)
 }
 
+// decodeReply decodes a response. A reply with ErrStaleEpoch has no lease table.
 func decodeReply(status int, content []byte) (Reply, error) {
 	switch status {
 	case http.StatusOK, http.StatusConflict:
@@ -143,6 +146,7 @@
 	return reply, nil
 }
 
+// detail returns the beginning of a response body, to be quoted in an error.
 func detail(content []byte) string {
 	return string(bytes.TrimSpace(content[:min(len(content), maxDetailBytes)]))
 }
--- a/internal/worker/http_test.go
+++ b/internal/worker/http_test.go
@@ -19,6 +19,8 @@
 
 const testTimeout = 30 * time.Second
 
+// TestReplies checks the reply and the error for each kind of response. Only the
+// errors for which a call is known to have had no effect may say so.
 func TestReplies(t *testing.T) {
 	truncated := func(w http.ResponseWriter) {
 		w.Header().Set("Content-Length", "100")
@@ -75,7 +77,8 @@
 }
 
 // TestCallWithoutConnectionIsNotSent makes a call while every connection to the
-// worker is in use.
+// worker is in use. It must fail with NotSentError, and calls that are cancelled
+// after they were sent must not.
 func TestCallWithoutConnectionIsNotSent(t *testing.T) {
 	is := is.New(t)
 	arrived := make(chan struct{})
@@ -111,6 +114,8 @@
 	}
 }
 
+// TestTimeoutIsAddedToWait checks that a long poll doesn't time out while the
+// worker may still wait for a change.
 func TestTimeoutIsAddedToWait(t *testing.T) {
 	is := is.New(t)
 	sv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -51,8 +51,8 @@
 // Wait for the table to differ from Version. Durations are in nanoseconds.
 type Request struct {
 	Epoch    int64         `json:"epoch"`
-	Holder   string        `json:"holder"` // name of the calling host, for the worker's log
-	Version  int64         `json:"version"`
+	Holder   string        `json:"holder"`         // name of the calling host, for the worker's log
+	Version  int64         `json:"version"`        // of the table that the caller has; -1 if it has none
 	Boot     string        `json:"boot,omitempty"` // incarnation to which Sent refers; empty before the first reply
 	Sent     time.Duration `json:"sent,omitempty"` // the worker's clock when the call was sent, or earlier
 	Wait     time.Duration `json:"wait"`
@@ -72,11 +72,11 @@
 	Workspace    string        `json:"workspace"`
 	Accelerators int           `json:"accelerators"`
 	Phase        Phase         `json:"phase"`
-	Epoch        int64         `json:"epoch"`   // under which it was reserved
-	Runtime      time.Duration `json:"runtime"` // since its start, nanoseconds
-	Usage        float64       `json:"usage"`   // accelerators busy; may lag
-	Error        string        `json:"error,omitempty"`
-	Started      bool          `json:"started"` // whether it ever ran
+	Epoch        int64         `json:"epoch"`           // of the scheduler that reserved it
+	Runtime      time.Duration `json:"runtime"`         // since its start, nanoseconds
+	Usage        float64       `json:"usage"`           // accelerators busy; may lag
+	Error        string        `json:"error,omitempty"` // why it failed
+	Started      bool          `json:"started"`         // whether it ever ran
 	Checkpointed bool          `json:"checkpointed,omitempty"`
 }
 
@@ -84,19 +84,20 @@
 // request.
 type Reply struct {
 	Worker       string        `json:"worker"`
-	Boot         string        `json:"boot"`  // incarnation; changes when the worker restarts with an empty table
-	Clock        time.Duration `json:"clock"` // monotonic within one incarnation, nanoseconds
-	Epoch        int64         `json:"epoch"`
-	Version      int64         `json:"version"`
+	Boot         string        `json:"boot"`    // incarnation; changes when the worker restarts with an empty table
+	Clock        time.Duration `json:"clock"`   // monotonic within one incarnation, nanoseconds
+	Epoch        int64         `json:"epoch"`   // the largest that the worker has seen
+	Version      int64         `json:"version"` // of the lease table, within one incarnation
 	Accelerators int           `json:"accelerators"`
 	Draining     bool          `json:"draining"`
 	Tasks        []Task        `json:"tasks,omitempty"`
 	Results      []Result      `json:"results,omitempty"`
 }
 
-// Caller makes calls to workers by address. Errors are ErrStaleEpoch (with the
-// reply's Epoch set), ErrRefused for a malformed call, NotSentError if the call
-// was not sent, or any other error if its outcome is unknown.
+// Caller makes calls to workers by address. The error is or wraps ErrStaleEpoch
+// (with the reply's Epoch set), ErrRefused if the call is malformed, or a
+// *NotSentError if the call was not sent. With any other error it is unknown
+// whether the commands took effect.
 type Caller interface {
 	Call(ctx context.Context, address string, req Request) (Reply, error)
 }
@@ -124,11 +125,11 @@
 
 // The reasons of a Result that is not OK.
 const (
-	ReasonNoRoom   = "noRoom"
-	ReasonNoTask   = "noTask"
-	ReasonDraining = "draining"
-	ReasonEnded    = "ended"
-	ReasonLate     = "late" // the lease had expired when the call arrived, or is of another incarnation
+	ReasonNoRoom   = "noRoom"   // too few accelerators are free
+	ReasonNoTask   = "noTask"   // the task is not in the lease table
+	ReasonDraining = "draining" // the worker makes no new reservations
+	ReasonEnded    = "ended"    // the task has ended already
+	ReasonLate     = "late"     // the lease had expired when the call arrived, or is of another incarnation
 )
 
 // Ended reports whether a task in this phase has ended.
