Name the indices of racks and backlogs in package place

Cause: two maps were called byName although one maps racks and the other workspaces, and at was the index of a rack where it is a worker's elsewhere.

--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -105,16 +105,16 @@
 		usage:       map[string]int{},
 		rackOf:      make([]int, len(workers)),
 	}
-	byName := map[string]int{}
+	rackIndex := map[string]int{}
 	for i, wo := range workers {
-		at, ok := byName[wo.Rack]
+		ra, ok := rackIndex[wo.Rack]
 		if !ok {
-			at = len(fl.racks)
-			byName[wo.Rack] = at
+			ra = len(fl.racks)
+			rackIndex[wo.Rack] = ra
 			fl.racks = append(fl.racks, nil)
 		}
-		fl.racks[at] = append(fl.racks[at], i)
-		fl.rackOf[i] = at
+		fl.racks[ra] = append(fl.racks[ra], i)
+		fl.rackOf[i] = ra
 		fl.free = fl.free.withWorker(wo)
 		fl.reclaimable = fl.reclaimable.withWorker(wo)
 		fl.unreserved = fl.unreserved.withWorker(wo)
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -48,17 +48,17 @@
 // added to and removed from the fleet between calls of Next.
 func NewQueue(now time.Time, fl *Fleet, weight func(workspace string) int, waiting []QueuedJob) *Queue {
 	qu := &Queue{fleet: fl, weight: weight}
-	byName := map[string]int{}
+	backlogIndex := map[string]int{}
 	slices.SortFunc(waiting, compareQueued)
 	for _, qj := range waiting {
 		if now.Sub(qj.Submitted) >= AgeingTime {
 			qu.aged = append(qu.aged, qj)
 			continue
 		}
-		at, ok := byName[qj.Workspace]
+		at, ok := backlogIndex[qj.Workspace]
 		if !ok {
 			at = len(qu.backlogs)
-			byName[qj.Workspace] = at
+			backlogIndex[qj.Workspace] = at
 			qu.backlogs = append(qu.backlogs, backlog{workspace: qj.Workspace, weight: max(1, weight(qj.Workspace))})
 		}
 		qu.backlogs[at].jobs = append(qu.backlogs[at].jobs, qj)
