Call the succeeded tasks of a job by that name in package sched

Cause: the field done held the tasks that have succeeded, while a task whose attempt failed or was stopped is done as well.

--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -49,7 +49,7 @@
 			jb.rec.Started = jb.begunAt
 			jb.rec = jb.rec.WithState(jobs.Starting)
 			jb.reserved = slices.Repeat([]bool{true}, len(tasks))
-			jb.done = make([]bool, len(tasks))
+			jb.succeeded = make([]bool, len(tasks))
 		}
 		jb.rec.Attempt = attempt
 		jb.rec.Epoch = epoch
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -52,7 +52,7 @@
 		bucket           int
 		fromEarlierEpoch bool              // loaded from the store; this core has neither begun nor ended an attempt since
 		reserved         []bool            // by task: its worker has made the reservation
-		done             []bool            // tasks known to have succeeded, also after a restart of their worker
+		succeeded        []bool            // tasks known to have succeeded, also after a restart of their worker
 		startSent        bool              // commands to start tasks were sent
 		begunAt          time.Time         // start of the attempt, or of this core for an attempt of an earlier one
 		startDeadline    time.Time         // for the start of all tasks
@@ -114,7 +114,7 @@
 	for _, rc := range cf.Records {
 		jb := &job{rec: rc, saved: rc, bucket: co.bucketOf(rc.ID), unit: place.NoUnit, fromEarlierEpoch: true}
 		jb.reserved = make([]bool, len(rc.Tasks))
-		jb.done = make([]bool, len(rc.Tasks))
+		jb.succeeded = make([]bool, len(rc.Tasks))
 		for i := range jb.reserved {
 			jb.reserved[i] = true
 		}
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -387,7 +387,7 @@
 	jb.fromEarlierEpoch = false
 	jb.startSent = false
 	jb.reserved = nil
-	jb.done = nil
+	jb.succeeded = nil
 	jb.cause = cause{}
 	if co.fleet != nil {
 		co.fleet.Remove(jb.rec.ID)
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -170,7 +170,7 @@
 	jb.begunAt = now
 	jb.startDeadline = now.Add(reserveTimeout + startTimeout)
 	jb.reserved = make([]bool, len(tasks))
-	jb.done = make([]bool, len(tasks))
+	jb.succeeded = make([]bool, len(tasks))
 	jb.cause = cause{}
 	jb.pending = nil
 	co.fleet.Add(co.gang(jb))
--- a/internal/sched/tally.go
+++ b/internal/sched/tally.go
@@ -49,7 +49,7 @@
 	for i, task := range jb.rec.Tasks {
 		wst, ok := co.workers[task.Worker]
 		switch {
-		case jb.done[i]:
+		case jb.succeeded[i]:
 			tl.count(i, jb, task.Worker, worker.Task{}, false)
 		case ok && wst.lost(now), !ok && now.Sub(co.startedAt) > lostAfter:
 			tl.countLost(i, task.Worker)
@@ -75,8 +75,8 @@
 
 // count counts a task by its entry in the worker's lease table, if one was found.
 func (tl *tally) count(at int, jb *job, name string, entry worker.Task, found bool) {
-	if jb.done[at] || (found && entry.Phase == worker.PhaseSucceeded) {
-		jb.done[at] = true
+	if jb.succeeded[at] || (found && entry.Phase == worker.PhaseSucceeded) {
+		jb.succeeded[at] = true
 		tl.states[at] = taskSucceeded
 		tl.succeeded++
 		tl.ran++
