Call the effect for a recorded end sched.JobEnded

Cause: a job's last state is Ended everywhere, only the effect that announces it was called Finished, which is also what a step and a gang do.

--- a/internal/sched/bucket.go
+++ b/internal/sched/bucket.go
@@ -132,7 +132,7 @@
 		co.markChanged(id)
 		co.answerSaved(jb)
 		if ended {
-			co.emit(Finished{Record: rc})
+			co.emit(JobEnded{Record: rc})
 			co.releaseEnded(jb)
 		}
 		if jb.rec.State == jobs.Queued {
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -113,8 +113,8 @@
 		Err       error
 	}
 
-	// Finished says that the end of a job is in the store.
-	Finished struct{ Record jobs.Record }
+	// JobEnded says that the end of a job is in the store.
+	JobEnded struct{ Record jobs.Record }
 
 	// Decision is a decision about a job or a worker, for the log.
 	Decision struct {
@@ -197,6 +197,6 @@
 func (Write) effect()    {}
 func (Send) effect()     {}
 func (Answer) effect()   {}
-func (Finished) effect() {}
+func (JobEnded) effect() {}
 func (Decision) effect() {}
 func (Resign) effect()   {}
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -241,7 +241,7 @@
 			pr.answer <- ef
 			delete(zo.pendingRequests, ef.RequestID)
 		}
-	case sched.Finished:
+	case sched.JobEnded:
 		zo.notifyEnd(ef.Record.ID)
 	case sched.Decision:
 		zo.logDecision(ef)
