Reword comments of package sched that had to be read twice

Cause: the code of an interrupted job, the cause of a stop and the source of a worker's figures could be misread. Change: these comments, and two in tests.

--- a/internal/sched/core_test.go
+++ b/internal/sched/core_test.go
@@ -139,7 +139,7 @@
 	sim.run(2 * time.Second)
 	sim.resume(old)
 	sim.run(20 * time.Second)
-	is.True(old.stopped)                   // it has noticed its successor
+	is.True(old.stopped)                   // it has resigned
 	is.Equal(len(sim.runsOf("z1.old")), 0) // and has not started anything
 	checkEnd(t, sim, "z1.new", codes.JobDone)
 }
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -159,7 +159,7 @@
 }
 
 // failureCause returns the cause for stopping an attempt of which a task has
-// failed or was interrupted, and records failures against the worker.
+// failed or was interrupted, and records a failure against its worker.
 func (co *Core) failureCause(now time.Time, jb *job, tl tally) cause {
 	if tl.failed == 0 {
 		return cause{requeue: true, detail: "a task was interrupted on worker " + tl.failedOn}
@@ -196,7 +196,8 @@
 	}
 }
 
-// recordSuccess records the success of a gang for its workers.
+// recordSuccess records the success of a gang in the failure histories of its
+// workers.
 func (co *Core) recordSuccess(jb *job) {
 	for _, ta := range jb.rec.Tasks {
 		if wst, ok := co.workers[ta.Worker]; ok {
@@ -329,9 +330,9 @@
 }
 
 // interruptedCode returns the code of a job whose attempt was interrupted and
-// that may not run again: AttemptLost if it is unknown whether it ran, otherwise
-// AttemptsUsed. For a repeatable job that is known once any attempt has run, for
-// any other job if it is known of every task of this attempt.
+// that may not run again: AttemptsUsed if it is known whether the job has run,
+// otherwise AttemptLost. Of a repeatable job that is known once any attempt has
+// run; of any other job, if it is known of every task of this attempt.
 func interruptedCode(jb *job, tl tally) codes.Code {
 	known := tl.mayHaveRun == 0
 	if jb.rec.Repeatable {
@@ -380,7 +381,7 @@
 }
 
 // releaseCapacity frees the capacity of a job, resets the state of its attempt,
-// and has other jobs placed.
+// and makes a placement pass due.
 func (co *Core) releaseCapacity(jb *job) {
 	jb.unit = place.NoUnit
 	jb.unitWorkers = nil
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -148,7 +148,7 @@
 	}
 }
 
-// takeOver elects a new leader. Earlier leaders keep running until they notice.
+// takeOver elects a new leader. Earlier leaders keep running until they resign.
 func (sim *simulation) takeOver() *leader {
 	sim.store.epoch++
 	ld := &leader{epoch: sim.store.epoch, clocks: map[string]clockSample{}}
--- a/internal/sched/tally.go
+++ b/internal/sched/tally.go
@@ -114,8 +114,8 @@
 	}
 }
 
-// countMissing counts a task that is not in its worker's table. If it had been
-// reserved, the worker has lost its table, and the task may have run.
+// countMissing counts a task that is not in its worker's lease table. If it had
+// been reserved, the worker has lost the table, and the task may have run.
 func (tl *tally) countMissing(at int, jb *job, name string) {
 	if !jb.reserved[at] {
 		tl.missing++
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -11,16 +11,16 @@
 	"github.com/cicadawharf/cicadawharf/internal/worker"
 )
 
-// workerState is the state of one worker as known to the core.
+// workerState is the last known state of one worker.
 type workerState struct {
 	host           plat.Host
-	listed         bool
+	listed         bool      // in the platform's last list of hosts
 	addedAt        time.Time // when it became known
 	lastReply      time.Time // last reply under this epoch; zero if none
 	incarnation    string    // changes when the worker restarts with an empty table
 	version        int64     // of the table, within one incarnation
-	accelerators   int
-	draining       bool // according to the worker's last reply
+	accelerators   int       // according to the worker's last reply, or the platform before the first one
+	draining       bool      // according to the worker's last reply
 	tasks          map[worker.TaskID]worker.Task
 	callInFlight   bool                             // a call with commands is unanswered
 	lastCallFailed bool                             // until the next reply
--- a/internal/zone/harness_test.go
+++ b/internal/zone/harness_test.go
@@ -46,7 +46,8 @@
 		ends time.Time
 	}
 
-	// fakeWorkers is the workers of the zone, called without a network.
+	// fakeWorkers holds the workers of the zone, which are called without a
+	// network.
 	fakeWorkers struct {
 		mu          sync.Mutex
 		tables      map[string]*wksim.Table
