Tell aged reservations from those of units in package place

Cause: Reserve and ClearReservations concern only the reservations of aged jobs, but units have reservations as well; and UsableAccelerators counted by shape, not by usable workers.

--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -229,9 +229,9 @@
 	return true
 }
 
-// UsableAccelerators returns how many of the free accelerators gangs of a shape
+// FittingAccelerators returns how many of the free accelerators gangs of a shape
 // could use now, a measure of fragmentation.
-func (fl *Fleet) UsableAccelerators(sh spec.Shape) int {
+func (fl *Fleet) FittingAccelerators(sh spec.Shape) int {
 	fc := fl.free.clone()
 	sum := 0
 	for {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -98,7 +98,7 @@
 	rq.Job = "b"
 	second := decideAndApply(fl, start, rq).(place.Placed)
 	is.Equal(second.Workers, first.Workers)
-	is.Equal(fl.UsableAccelerators(shape(1, 8, spec.SameWorker)), 15*8) // only one worker is partly used
+	is.Equal(fl.FittingAccelerators(shape(1, 8, spec.SameWorker)), 15*8) // only one worker is partly used
 }
 
 func TestCheckReportsZoneTooSmallForGuarantees(t *testing.T) {
--- a/internal/place/reserve.go
+++ b/internal/place/reserve.go
@@ -18,12 +18,12 @@
 // of the zone stays available for backfilling.
 const maxAgedReservations = 4
 
-// Reserve reserves the workers on which a waiting gang can start earliest by
+// ReserveForAged reserves the workers on which a waiting gang can start earliest by
 // the expected ends of the gangs running there. Until ClearReservations is
 // called, another gang is placed on them without preemption only if it is
 // expected to end before that time (backfilling), or if it uses a guaranteed
-// unit. Reserve reports whether it made a reservation.
-func (fl *Fleet) Reserve(now time.Time, rq Request) bool {
+// unit. ReserveForAged reports whether it made a reservation.
+func (fl *Fleet) ReserveForAged(now time.Time, rq Request) bool {
 	if len(fl.agedReservations) >= maxAgedReservations {
 		return false
 	}
@@ -40,8 +40,8 @@
 	return true
 }
 
-// ClearReservations removes all reservations made by Reserve.
-func (fl *Fleet) ClearReservations() { fl.agedReservations = nil }
+// ClearAgedReservations removes all reservations made by Reserve.
+func (fl *Fleet) ClearAgedReservations() { fl.agedReservations = nil }
 
 // earliestStart finds the earliest time at which a gang fits on a group of
 // workers. It returns false if the gang would not fit even after all gangs there
--- a/internal/place/simulate_test.go
+++ b/internal/place/simulate_test.go
@@ -153,7 +153,7 @@
 	largest := slices.MaxFunc(sm.queue, func(a, b *simJob) int { return cmp.Compare(a.shape.Total(), b.shape.Total()) })
 	probe := largest.shape
 	probe.Tasks = 1 // task by task, as the whole gang doesn't fit
-	sm.usable += span * time.Duration(sm.fleet.UsableAccelerators(probe))
+	sm.usable += span * time.Duration(sm.fleet.FittingAccelerators(probe))
 	sm.free += span * time.Duration(sm.fleet.FreeAccelerators())
 }
 
@@ -208,16 +208,16 @@
 				sm.stop(id)
 			}
 			sm.startAttempt(jb, de.Workers, de.Unit, de.UnitWorkers)
-			sm.fleet.ClearReservations()
+			sm.fleet.ClearAgedReservations()
 			schedulerPolicy(sm) // places the queued victims
 			return
 		case place.Waits:
 			if aged {
-				sm.fleet.Reserve(sm.now, sm.request(jb, aged))
+				sm.fleet.ReserveForAged(sm.now, sm.request(jb, aged))
 			}
 		}
 	}
-	sm.fleet.ClearReservations()
+	sm.fleet.ClearAgedReservations()
 }
 
 // firstFit is the baseline: strict first in, first out, each job on the first
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -41,10 +41,10 @@
 		jb := co.jobs[qj.Job]
 		reason := co.placeOne(now, jb, aged, reasons)
 		if aged && (reason == place.WaitsForCapacity || reason == place.WaitsForGuarantee) {
-			co.fleet.Reserve(now, co.request(now, jb, aged))
+			co.fleet.ReserveForAged(now, co.request(now, jb, aged))
 		}
 	}
-	co.fleet.ClearReservations()
+	co.fleet.ClearAgedReservations()
 }
 
 // placeable returns the jobs that may be placed now.
