Call a predicate of jobs.Record IsLastStep

Cause: LastStep looked like CurrentStep, which returns a step, but it reports whether the current step is the last one.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -174,8 +174,8 @@
 	return rc.Then[rc.Step-1]
 }
 
-// LastStep reports whether the current step is the last one.
-func (rc Record) LastStep() bool { return rc.Step == len(rc.Then) }
+// IsLastStep reports whether the current step is the last one.
+func (rc Record) IsLastStep() bool { return rc.Step == len(rc.Then) }
 
 // Active reports whether the job has not ended.
 func (rc Record) Active() bool { return rc.State != Ended }
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -359,7 +359,7 @@
 // or ends it after the last one.
 func (co *Core) succeed(now time.Time, jb *job) {
 	co.runTimes.observe(jb.rec, now.Sub(jb.rec.Started))
-	if jb.rec.LastStep() {
+	if jb.rec.IsLastStep() {
 		co.end(now, jb, codes.JobDone, "")
 		return
 	}
