Say who has not answered when a request's context ends

Cause: the error detail of a submission or cancellation whose context ends was only the context's error, and some comments still had the former names of the aged reservations. Change: the detail begins with the scheduler has not answered yet; the code stays.

--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -41,7 +41,7 @@
 )
 
 // AgeingTime is how long a job waits before it takes precedence over all younger
-// jobs, and may get workers reserved by Reserve.
+// jobs, and may get workers reserved by ReserveForAged.
 const AgeingTime = 20 * time.Minute
 
 // NewQueue returns a queue of the waiting jobs, which it reorders. Gangs may be
--- a/internal/place/reserve.go
+++ b/internal/place/reserve.go
@@ -18,8 +18,8 @@
 // of the zone stays available for backfilling.
 const maxAgedReservations = 4
 
-// ReserveForAged reserves the workers on which a waiting gang can start earliest by
-// the expected ends of the gangs running there. Until ClearReservations is
+// ReserveForAged reserves the workers on which an aged gang can start earliest by
+// the expected ends of the gangs running there. Until ClearAgedReservations is
 // called, another gang is placed on them without preemption only if it is
 // expected to end before that time (backfilling), or if it uses a guaranteed
 // unit. ReserveForAged reports whether it made a reservation.
@@ -40,7 +40,7 @@
 	return true
 }
 
-// ClearAgedReservations removes all reservations made by Reserve.
+// ClearAgedReservations removes all reservations made by ReserveForAged.
 func (fl *Fleet) ClearAgedReservations() { fl.agedReservations = nil }
 
 // earliestStart finds the earliest time at which a gang fits on a group of
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -361,7 +361,7 @@
 	for rid, an := range sim.answers {
 		id := sim.submitted[rid]
 		if an.Err != nil && codes.Of(an.Err).Code.Class() == codes.NotRun && codes.Of(an.Err).Code != codes.KeyMismatch && len(byJob[id]) > 0 {
-			violations = append(violations, fmt.Sprintf("job %s was told %v but ran", id, an.Err))
+			violations = append(violations, fmt.Sprintf("the caller of job %s was told %v, but it ran", id, an.Err))
 		}
 		if _, ok := sim.record(id); id != "" && an.Err == nil && !ok {
 			violations = append(violations, "accepted job is missing: "+id)
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -194,7 +194,7 @@
 		zo.mu.Lock()
 		delete(zo.pendingRequests, rid)
 		zo.mu.Unlock()
-		return jobs.Record{}, codes.New(unknownCode, "%v", ctx.Err())
+		return jobs.Record{}, codes.New(unknownCode, "the scheduler has not answered yet: %v", ctx.Err())
 	}
 }
 
