Complete comments on evaluation and worker checks in package sched

Cause: a class's run time bits had no purpose given, and the checks of workers and changed jobs did more than their comments said. Change: these comments.

--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -244,6 +244,7 @@
 	co.flushBuckets(now)
 }
 
+// evaluateChanged evaluates changed jobs until no evaluation changes another one.
 func (co *Core) evaluateChanged(now time.Time) {
 	for len(co.changed) > 0 {
 		ids := slices.Sorted(maps.Keys(co.changed))
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -15,7 +15,7 @@
 // requestClass identifies jobs that are placed alike, so that once one of them
 // can't be placed, the others are skipped in the same pass. Of the workers to be
 // avoided only the number is compared: a job that avoids other workers may be
-// skipped, too, until a later pass.
+// skipped as well, until a later pass.
 type requestClass struct {
 	workspace   string
 	shape       spec.Shape
@@ -23,7 +23,7 @@
 	preemptible bool
 	avoidCount  int
 	aged        bool
-	runTimeBits int // bit length of the expected run time in nanoseconds
+	runTimeBits int // bit length of the expected run time in nanoseconds, which groups similar run times
 }
 
 // placeWaiting tries once to place every waiting job.
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -178,8 +178,8 @@
 	co.markJobsChanged(wst)
 }
 
-// checkWorkers detects workers that are no longer usable, and removes unlisted
-// workers that are lost.
+// checkWorkers detects workers that have become usable or unusable, and removes
+// unlisted workers that are lost.
 func (co *Core) checkWorkers(now time.Time) {
 	for name, wst := range co.workers {
 		if wst.usable(now) != wst.wasUsable {
@@ -193,7 +193,8 @@
 	}
 }
 
-// markJobsChanged has the jobs with tasks on a worker evaluated again.
+// markJobsChanged has the jobs with tasks on a worker evaluated again, and calls
+// releaseUnowned for the worker.
 func (co *Core) markJobsChanged(wst *workerState) {
 	for id := range wst.tasks {
 		co.markChanged(id.Job)
