--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -65,9 +65,9 @@
 	Fleet struct {
 		workers          []Worker
 		racks            [][]int // indices of the workers of each rack
-		rackOf           []int
+		rackOf           []int   // index of the rack of each worker
 		units            []Unit
-		reserveOrder     []int // units in the order in which they get reservations, most difficult first
+		reservationOrder []int // indices of the units in the order in which they get reservations, most difficult first
 		gangs            map[string]Gang
 		jobsOn           [][]string     // IDs of the jobs on each worker
 		unitUsed         []bool         // by unit
@@ -105,21 +105,21 @@
 		usage:       map[string]int{},
 		rackOf:      make([]int, len(workers)),
 	}
-	byName := map[string]int{}
+	rackIndex := map[string]int{}
 	for i, wo := range workers {
-		at, ok := byName[wo.Rack]
+		ra, ok := rackIndex[wo.Rack]
 		if !ok {
-			at = len(fl.racks)
-			byName[wo.Rack] = at
+			ra = len(fl.racks)
+			rackIndex[wo.Rack] = ra
 			fl.racks = append(fl.racks, nil)
 		}
-		fl.racks[at] = append(fl.racks[at], i)
-		fl.rackOf[i] = at
+		fl.racks[ra] = append(fl.racks[ra], i)
+		fl.rackOf[i] = ra
 		fl.free = fl.free.withWorker(wo)
 		fl.reclaimable = fl.reclaimable.withWorker(wo)
 		fl.unreserved = fl.unreserved.withWorker(wo)
 	}
-	fl.reserveOrder = reservingOrder(units)
+	fl.reservationOrder = reservationOrder(units)
 	return fl
 }
 
@@ -155,7 +155,7 @@
 	case !ga.Preemptible:
 		fl.reclaimable.adjust(ga.Workers, ga.Shape.Accelerators, -1)
 		fl.unreserved.adjust(ga.Workers, ga.Shape.Accelerators, -1)
-		fl.reassignOverdrawn()
+		fl.reassignOvercommitted()
 	}
 	fl.gangs[ga.Job] = ga
 }
@@ -209,8 +209,8 @@
 	return sum
 }
 
-// Free returns the number of accelerators of usable workers that no gang uses.
-func (fl *Fleet) Free() int {
+// FreeAccelerators returns the number of accelerators of usable workers that no gang uses.
+func (fl *Fleet) FreeAccelerators() int {
 	sum := 0
 	for i := range fl.workers {
 		sum += max(0, fl.free.accelerators[i])
@@ -229,9 +229,9 @@
 	return true
 }
 
-// UsableAccelerators returns how many of the free accelerators gangs of a shape
+// FittingAccelerators returns how many of the free accelerators gangs of a shape
 // could use now, a measure of fragmentation.
-func (fl *Fleet) UsableAccelerators(sh spec.Shape) int {
+func (fl *Fleet) FittingAccelerators(sh spec.Shape) int {
 	fc := fl.free.clone()
 	sum := 0
 	for {
@@ -263,9 +263,9 @@
 // protected reports whether a gang can't be preempted.
 func protected(ga Gang) bool { return ga.Unit != NoUnit || !ga.Preemptible }
 
-// reservingOrder returns the indices of units sorted so that those with the
-// fewest possible placements come first.
-func reservingOrder(units []Unit) []int {
+// reservationOrder returns the indices of units sorted so that those that are
+// most difficult to place come first.
+func reservationOrder(units []Unit) []int {
 	order := make([]int, len(units))
 	for i := range order {
 		order[i] = i
@@ -331,7 +331,7 @@
 	return max(0, min(fc.tasks[at], fc.accelerators[at]/accelerators))
 }
 
-// intersect returns the capacity that is free in both.
+// intersect returns the capacity that is free in both fc and other.
 func (fc freeCapacity) intersect(other freeCapacity) freeCapacity {
 	fc = fc.clone()
 	for at := range fc.accelerators {
--- a/internal/place/queue.go
+++ b/internal/place/queue.go
@@ -20,10 +20,10 @@
 
 	// Queue returns waiting jobs in the order in which the scheduler tries to
 	// place them. Jobs that have waited for AgeingTime come first, the oldest
-	// first. Of the others, the workspace with the least usage for
-	// its weight comes first (weighted fair sharing), and within it the most
-	// urgent job, then the oldest. A workspace with many jobs therefore can't
-	// starve one with few.
+	// first. Of the others, the workspace with the least usage for its weight
+	// comes first (weighted fair sharing), and within it the most urgent job,
+	// then the oldest. A workspace with many jobs therefore can't starve one
+	// with few.
 	Queue struct {
 		fleet    *Fleet
 		weight   func(workspace string) int
@@ -31,7 +31,8 @@
 		backlogs []backlog
 	}
 
-	// backlog is the list of waiting jobs of one workspace, next one first.
+	// backlog is the list of waiting jobs of one workspace, in the order in
+	// which Next returns them.
 	backlog struct {
 		workspace string
 		weight    int
@@ -39,25 +40,25 @@
 	}
 )
 
-// AgeingTime is how long a job waits before it takes precedence over all
-// younger jobs, and no job is placed that would delay it further.
+// AgeingTime is how long a job waits before it takes precedence over all younger
+// jobs, and may get workers reserved by ReserveForAged.
 const AgeingTime = 20 * time.Minute
 
 // NewQueue returns a queue of the waiting jobs, which it reorders. Gangs may be
 // added to and removed from the fleet between calls of Next.
 func NewQueue(now time.Time, fl *Fleet, weight func(workspace string) int, waiting []QueuedJob) *Queue {
 	qu := &Queue{fleet: fl, weight: weight}
-	byName := map[string]int{}
+	backlogIndex := map[string]int{}
 	slices.SortFunc(waiting, compareQueued)
 	for _, qj := range waiting {
 		if now.Sub(qj.Submitted) >= AgeingTime {
 			qu.aged = append(qu.aged, qj)
 			continue
 		}
-		at, ok := byName[qj.Workspace]
+		at, ok := backlogIndex[qj.Workspace]
 		if !ok {
 			at = len(qu.backlogs)
-			byName[qj.Workspace] = at
+			backlogIndex[qj.Workspace] = at
 			qu.backlogs = append(qu.backlogs, backlog{workspace: qj.Workspace, weight: max(1, weight(qj.Workspace))})
 		}
 		qu.backlogs[at].jobs = append(qu.backlogs[at].jobs, qj)
@@ -92,7 +93,7 @@
 	return qj, false, true
 }
 
-// compareBacklogs compares usage divided by weight.
+// compareBacklogs orders backlogs by the workspace's usage divided by its weight.
 func (qu *Queue) compareBacklogs(a, b backlog) int {
 	return cmp.Or(
 		cmp.Compare(qu.fleet.Usage(a.workspace)*b.weight, qu.fleet.Usage(b.workspace)*a.weight),
--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -49,7 +49,7 @@
 			jb.rec.Started = jb.begunAt
 			jb.rec = jb.rec.WithState(jobs.Starting)
 			jb.reserved = slices.Repeat([]bool{true}, len(tasks))
-			jb.done = make([]bool, len(tasks))
+			jb.succeeded = make([]bool, len(tasks))
 		}
 		jb.rec.Attempt = attempt
 		jb.rec.Epoch = epoch
@@ -83,8 +83,8 @@
 	tasks := make([]jobs.Task, jb.rec.CurrentStep().Shape.Tasks)
 	for _, wst := range co.workers {
 		for id, ta := range wst.tasks {
-			live := ta.Phase == worker.PhaseRunning || ta.Phase == worker.PhaseSucceeded
-			if id.Job == jb.rec.ID && id.Attempt == attempt && ta.Epoch == epoch && id.Index < len(tasks) && live {
+			adoptable := ta.Phase == worker.PhaseRunning || ta.Phase == worker.PhaseSucceeded
+			if id.Job == jb.rec.ID && id.Attempt == attempt && ta.Epoch == epoch && id.Index < len(tasks) && adoptable {
 				tasks[id.Index] = jobs.Task{Worker: wst.host.Name, Address: wst.host.Address}
 			}
 		}
--- a/internal/sched/bucket.go
+++ b/internal/sched/bucket.go
@@ -16,9 +16,9 @@
 // the next one, so that the number of calls to the store is bounded by time and
 // does not grow with the number of jobs.
 type bucket struct {
-	writeDue  bool
-	inFlight  bool
-	writeSeq  int64
+	writeDue  bool                // a record has changed since the last write was sent
+	inFlight  bool                // a write is unanswered
+	writeSeq  int64               // sequence number of the last write
 	sent      map[string]snapshot // content of the write in flight
 	notBefore time.Time           // earliest time of the next write
 	failing   bool                // the last write failed, was too large, or has an unknown outcome
@@ -27,12 +27,13 @@
 // snapshot is a record as contained in a write.
 type snapshot struct {
 	rec      jobs.Record
-	revision int
+	revision int // of the job when the write was sent
 }
 
 // retryAfter is the retry delay given to callers whose request may succeed later.
 const retryAfter = 2 * time.Second
 
+// bucketOf returns the index of the bucket that holds a job's record.
 func (co *Core) bucketOf(id string) int {
 	return int(xxhash.Sum64String(id) % uint64(len(co.buckets)))
 }
@@ -49,8 +50,8 @@
 	return slices.ContainsFunc(co.buckets, func(bu bucket) bool { return bu.failing })
 }
 
-// isSaved reports whether the store has the current record. The detail of why
-// a job waits is ignored, as it doesn't justify a write.
+// isSaved reports whether the store has the current record. A change of only the
+// detail of why a job waits is ignored, as it doesn't justify a write.
 func (jb *job) isSaved() bool { return jb.saved.ID != "" && jb.savedRevision == jb.revision }
 
 // HasUnsaved reports whether any change may not be in the store yet.
@@ -83,6 +84,7 @@
 	}
 }
 
+// handleWrite handles the result of a write, unless it isn't the last one sent.
 func (co *Core) handleWrite(now time.Time, ev WriteDone) {
 	bu := &co.buckets[ev.Bucket]
 	if !bu.inFlight || ev.Seq != bu.writeSeq {
@@ -130,7 +132,7 @@
 		co.markChanged(id)
 		co.answerSaved(jb)
 		if ended {
-			co.emit(Finished{Record: rc})
+			co.emit(JobEnded{Record: rc})
 			co.releaseEnded(jb)
 		}
 		if jb.rec.State == jobs.Queued {
@@ -141,7 +143,8 @@
 }
 
 // rejectUnsaved removes the jobs whose first record was in a write that had no
-// effect, and tells their callers. They were not accepted and have not started.
+// effect, and answers their callers with an error. These jobs were not accepted
+// and have not started.
 func (co *Core) rejectUnsaved(sent map[string]snapshot, cd codes.Code, detail string) {
 	for id := range sent {
 		jb, ok := co.jobs[id]
@@ -149,8 +152,8 @@
 			continue
 		}
 		er := codes.New(cd, "%s", detail).WithRetryAfter(retryAfter)
-		for _, tk := range jb.tickets {
-			co.emit(Answer{Ticket: tk.id, Err: er})
+		for _, pr := range jb.pendingRequests {
+			co.emit(Answer{RequestID: pr.id, Err: er})
 		}
 		delete(co.jobs, id)
 	}
@@ -167,38 +170,39 @@
 		if jb.saved.ID == "" {
 			jb.indeterminate = true
 		}
-		for _, tk := range jb.tickets {
-			co.answerUnknown(jb, tk)
+		for _, pr := range jb.pendingRequests {
+			co.answerUnknown(jb, pr)
 		}
-		jb.tickets = nil
+		jb.pendingRequests = nil
 	}
 }
 
 // answerUnknown tells a caller that the outcome of its request is unknown.
-func (co *Core) answerUnknown(jb *job, tk ticket) {
+func (co *Core) answerUnknown(jb *job, pr pendingRequest) {
 	cd := codes.SubmitUnknown
-	if tk.cancel {
+	if pr.cancel {
 		cd = codes.CancelUnknown
 	}
-	co.emit(Answer{Ticket: tk.id, Record: jb.rec, Err: codes.New(cd, "it is unknown whether the request for job %s was recorded", jb.rec.ID).WithRetryAfter(retryAfter)})
+	co.emit(Answer{RequestID: pr.id, Record: jb.rec, Err: codes.New(cd, "it is unknown whether the request for job %s was recorded", jb.rec.ID).WithRetryAfter(retryAfter)})
 }
 
 // answerSaved answers the callers whose request is in the store now.
 func (co *Core) answerSaved(jb *job) {
-	jb.tickets = slices.DeleteFunc(jb.tickets, func(tk ticket) bool {
-		if tk.cancel && !jb.saved.Cancelled && jb.saved.State != jobs.Ended {
+	jb.pendingRequests = slices.DeleteFunc(jb.pendingRequests, func(pr pendingRequest) bool {
+		if pr.cancel && !jb.saved.Cancelled && jb.saved.State != jobs.Ended {
 			return false
 		}
-		co.emit(Answer{Ticket: tk.id, Record: jb.visible()})
+		co.emit(Answer{RequestID: pr.id, Record: jb.visible()})
 		return true
 	})
 }
 
-// expireTickets answers the callers that have waited for the store for longer
-// than storeTimeout.
-func (co *Core) expireTickets(now time.Time, jb *job) {
-	late := func(tk ticket) bool { return now.After(tk.until) }
-	if !slices.ContainsFunc(jb.tickets, late) {
+// expirePendingRequests answers the callers that have waited for the store for
+// longer than storeTimeout. A new job that no write can have stored is rejected;
+// otherwise the answer is that the outcome is unknown.
+func (co *Core) expirePendingRequests(now time.Time, jb *job) {
+	expired := func(pr pendingRequest) bool { return now.After(pr.until) }
+	if !slices.ContainsFunc(jb.pendingRequests, expired) {
 		return
 	}
 	bu := co.buckets[jb.bucket]
@@ -207,13 +211,13 @@
 		co.rejectUnsaved(map[string]snapshot{jb.rec.ID: {}}, codes.StoreUnavailable, "the store does not respond")
 		return
 	}
-	for _, tk := range jb.tickets {
-		if late(tk) {
-			co.answerUnknown(jb, tk)
+	for _, pr := range jb.pendingRequests {
+		if expired(pr) {
+			co.answerUnknown(jb, pr)
 		}
 	}
 	if jb.saved.ID == "" {
 		jb.indeterminate = true
 	}
-	jb.tickets = slices.DeleteFunc(jb.tickets, late)
+	jb.pendingRequests = slices.DeleteFunc(jb.pendingRequests, expired)
 }
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -18,7 +18,7 @@
 	Config struct {
 		Zone         string
 		Epoch        int64
-		Buckets      int
+		Buckets      int           // number of buckets, among which the records are divided
 		Records      []jobs.Record // loaded from the store under Epoch
 		Declarations *spec.Declarations
 	}
@@ -30,13 +30,13 @@
 		epoch        int64
 		startedAt    time.Time
 		decl         *spec.Declarations
-		jobs         map[string]*job
-		workers      map[string]*workerState
+		jobs         map[string]*job         // by ID
+		workers      map[string]*workerState // by name
 		buckets      []bucket
-		fleet        *place.Fleet   // nil if it has to be rebuilt
-		fleetIndex   map[string]int // index in the fleet by name of the worker
-		placementDue bool           // a placement pass is due
-		changed      map[string]bool
+		fleet        *place.Fleet    // nil if it has to be rebuilt
+		fleetIndex   map[string]int  // index in the fleet by name of the worker
+		placementDue bool            // a placement pass is due
+		changed      map[string]bool // IDs of the jobs to be evaluated
 		runTimes     runTimes
 		effects      []Effect
 		resigned     bool
@@ -50,12 +50,12 @@
 		revision         int         // number of changes of rec
 		savedRevision    int         // revision of saved
 		bucket           int
-		fromEarlierEpoch bool      // loaded from the store; this core has neither begun nor ended an attempt since
-		reserved         []bool    // by task: its worker has made the reservation
-		done             []bool    // tasks known to have succeeded, also after a restart of their worker
-		startSent        bool      // commands to start tasks were sent
-		begunAt          time.Time // start of the attempt, or of this core for an attempt of an earlier one
-		startDeadline    time.Time
+		fromEarlierEpoch bool              // loaded from the store; this core has neither begun nor ended an attempt since
+		reserved         []bool            // by task: its worker has made the reservation
+		succeeded        []bool            // tasks known to have succeeded, also after a restart of their worker
+		startSent        bool              // commands to start tasks were sent
+		begunAt          time.Time         // start of the attempt, or of this core for an attempt of an earlier one
+		startDeadline    time.Time         // for the start of all tasks
 		cause            cause             // why the attempt is stopped
 		unit             int               // index of the guaranteed unit in use, or place.NoUnit
 		unitWorkers      []int             // all workers reserved for the unit; valid for the current fleet
@@ -63,7 +63,7 @@
 		notBefore        time.Time         // earliest time of the next placement
 		avoid            []string          // names of workers not to be used by the next attempt
 		failures         int               // attempts of the current step of which a task failed
-		tickets          []ticket
+		pendingRequests  []pendingRequest
 		indeterminate    bool // it is unknown whether its first record is in the store
 	}
 
@@ -81,7 +81,7 @@
 	// being stopped.
 	pendingPlacement struct {
 		placement
-		until time.Time
+		until time.Time // time at which it is dropped if victims are still running
 	}
 
 	// placement is where a gang is placed.
@@ -91,11 +91,11 @@
 		unitWorkers []int // all workers reserved for the unit
 	}
 
-	// ticket is a caller that waits for its request to be in the store.
-	ticket struct {
-		id     Ticket
-		cancel bool
-		until  time.Time
+	// pendingRequest is a caller that waits for its request to be in the store.
+	pendingRequest struct {
+		id     RequestID
+		cancel bool      // it asks to cancel the job, not to submit it
+		until  time.Time // time at which the caller is answered even if the store has not responded
 	}
 )
 
@@ -103,8 +103,8 @@
 // interrupted by failures.
 const MaxAttempts = 20
 
-// New returns a core with the recorded jobs. It places jobs only after the
-// workers have replied, or after a timeout.
+// New returns a core with the recorded jobs. It places jobs only after all known
+// workers have replied, or after takeoverTimeout.
 func New(now time.Time, cf Config) *Core {
 	co := &Core{
 		zone: cf.Zone, epoch: cf.Epoch, startedAt: now, decl: cf.Declarations,
@@ -114,7 +114,7 @@
 	for _, rc := range cf.Records {
 		jb := &job{rec: rc, saved: rc, bucket: co.bucketOf(rc.ID), unit: place.NoUnit, fromEarlierEpoch: true}
 		jb.reserved = make([]bool, len(rc.Tasks))
-		jb.done = make([]bool, len(rc.Tasks))
+		jb.succeeded = make([]bool, len(rc.Tasks))
 		for i := range jb.reserved {
 			jb.reserved[i] = true
 		}
@@ -208,7 +208,7 @@
 		}
 	}
 	if co.fleet != nil {
-		sm.FreeAccelerators = co.fleet.Free()
+		sm.FreeAccelerators = co.fleet.FreeAccelerators()
 	}
 	return sm
 }
@@ -219,10 +219,10 @@
 	Workers          int // usable ones
 	FreeAccelerators int
 	Waiting          int
-	Running          int
+	Running          int // starting, running or stopping
 }
 
-// visible returns the record that callers may see. The end of a job is visible
+// visible returns the record that callers may see. They see the end of a job
 // only once it is in the store.
 func (jb *job) visible() jobs.Record {
 	if jb.rec.State == jobs.Ended && jb.saved.State != jobs.Ended {
@@ -244,6 +244,7 @@
 	co.flushBuckets(now)
 }
 
+// evaluateChanged evaluates changed jobs until no evaluation changes another one.
 func (co *Core) evaluateChanged(now time.Time) {
 	for len(co.changed) > 0 {
 		ids := slices.Sorted(maps.Keys(co.changed))
@@ -269,20 +270,20 @@
 			co.markUnsaved(jb)
 			delete(co.jobs, id)
 		}
-		co.expireTickets(now, jb)
+		co.expirePendingRequests(now, jb)
 	}
 	co.checkWorkers(now)
 }
 
-// resign ends the core after leadership was lost. Waiting callers are told that
-// the outcome is unknown.
+// resign ends the core after leadership was lost. The callers of pending requests
+// are told that the outcome is unknown.
 func (co *Core) resign(reason string) {
 	co.resigned = true
 	for _, jb := range co.jobs {
-		for _, tk := range jb.tickets {
-			co.answerUnknown(jb, tk)
+		for _, pr := range jb.pendingRequests {
+			co.answerUnknown(jb, pr)
 		}
-		jb.tickets = nil
+		jb.pendingRequests = nil
 	}
 	co.emit(Resign{Reason: reason})
 }
@@ -297,14 +298,15 @@
 	co.placementDue = true
 }
 
+// logDecision emits a decision about a job, with the workers of its attempt.
 func (co *Core) logDecision(jb *job, decision, reason string) {
-	pd := Decision{Job: jb.rec.ID, Workspace: jb.rec.Workspace, Decision: decision, Reason: reason, Attempt: jb.rec.Attempt}
+	dec := Decision{Job: jb.rec.ID, Workspace: jb.rec.Workspace, Decision: decision, Reason: reason, Attempt: jb.rec.Attempt}
 	for _, ta := range jb.rec.Tasks {
-		if len(pd.Workers) == 0 || pd.Workers[len(pd.Workers)-1] != ta.Worker {
-			pd.Workers = append(pd.Workers, ta.Worker)
+		if len(dec.Workers) == 0 || dec.Workers[len(dec.Workers)-1] != ta.Worker {
+			dec.Workers = append(dec.Workers, ta.Worker)
 		}
 	}
-	co.emit(pd)
+	co.emit(dec)
 }
 
 func (jb *job) taskID(at int) worker.TaskID {
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -34,8 +34,9 @@
 )
 
 type (
-	// Ticket identifies the pending request of a caller.
-	Ticket uint64
+	// RequestID identifies a caller's request to submit or cancel a job until it
+	// is answered.
+	RequestID uint64
 
 	// Event is an input of the core. The types up to Tick are events.
 	Event interface{ event() }
@@ -48,14 +49,14 @@
 
 	// Submitted is a caller's request to run a job.
 	Submitted struct {
-		Ticket Ticket
-		Spec   jobs.Spec
+		RequestID RequestID
+		Spec      jobs.Spec
 	}
 
 	// CancelRequested is a caller's request to cancel a job.
 	CancelRequested struct {
-		Ticket Ticket
-		ID     string
+		RequestID RequestID
+		ID        string
 	}
 
 	// WorkerReplied carries the reply of a worker. Commands are those of the
@@ -107,13 +108,13 @@
 
 	// Answer is the reply to a caller's request. Err is nil or a *codes.Error.
 	Answer struct {
-		Ticket Ticket
-		Record jobs.Record
-		Err    error
+		RequestID RequestID
+		Record    jobs.Record
+		Err       error
 	}
 
-	// Finished says that the end of a job is in the store.
-	Finished struct{ Record jobs.Record }
+	// JobEnded says that the end of a job is in the store.
+	JobEnded struct{ Record jobs.Record }
 
 	// Decision is a decision about a job or a worker, for the log.
 	Decision struct {
@@ -196,6 +197,6 @@
 func (Write) effect()    {}
 func (Send) effect()     {}
 func (Answer) effect()   {}
-func (Finished) effect() {}
+func (JobEnded) effect() {}
 func (Decision) effect() {}
 func (Resign) effect()   {}
--- a/internal/sched/faults_test.go
+++ b/internal/sched/faults_test.go
@@ -92,7 +92,9 @@
 }
 
 // TestEveryFaultAtEveryStep submits a gang and injects each fault after a number
-// of events, which grows by stride until the job has ended before.
+// of events, which grows by stride until the job ends before the fault. No
+// invariant may be violated, and the job must end with a code that the fault
+// allows.
 func TestEveryFaultAtEveryStep(t *testing.T) {
 	for i, sf := range stepFaults {
 		for _, repeatable := range []bool{true, false} {
@@ -103,7 +105,7 @@
 				}
 				for _, step := range []string{"submit", "queued", "starting", "start", "running", "ended"} {
 					if seen[step] == 0 {
-						t.Errorf("no fault came at step %s: %v", step, seen)
+						t.Errorf("no fault was injected at step %s: %v", step, seen)
 					}
 				}
 			})
@@ -120,7 +122,7 @@
 	sim.submit(gang("z1.first", 8, 8, "sleep", "100ms"))
 	sp := gang("z1.a", 3, 8, "sleep", "300ms")
 	sp.Repeatable = repeatable
-	tk := sim.submit(sp)
+	rid := sim.submit(sp)
 	sim.runEvents(events)
 	step := stepOf(sim)
 	seen[step]++
@@ -133,7 +135,7 @@
 	if violations := sim.checkInvariants(); len(violations) > 0 {
 		t.Fatalf("after %d events, at step %s: %v", events, step, violations[0])
 	}
-	checkStepEnd(t, sim, sf, repeatable, tk, fmt.Sprintf("after %d events, at step %s", events, step))
+	checkStepEnd(t, sim, sf, repeatable, rid, fmt.Sprintf("after %d events, at step %s", events, step))
 	rc, ok := sim.record("z1.a")
 	return !ok || step != jobs.Ended.String() || rc.State != jobs.Ended
 }
@@ -141,14 +143,14 @@
 // checkStepEnd checks the job's code against those that the fault allows. A job
 // may be missing if it was refused, or if its caller was told that the outcome
 // is unknown.
-func checkStepEnd(t *testing.T, sim *simulation, sf stepFault, repeatable bool, tk sched.Ticket, where string) {
+func checkStepEnd(t *testing.T, sim *simulation, sf stepFault, repeatable bool, rid sched.RequestID, where string) {
 	t.Helper()
 	allowed := sf.notRepeatable
 	if repeatable {
 		allowed = sf.repeatable
 	}
 	rc, ok := sim.record("z1.a")
-	an, answered := sim.answers[tk]
+	an, answered := sim.answers[rid]
 	switch {
 	case !ok && answered && an.Err == nil:
 		t.Fatalf("%s: the job was accepted and is missing", where)
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -19,40 +19,43 @@
 	// simulation runs cores against fake workers and a fake store in virtual
 	// time. All events are in one ordered list, so runs are deterministic.
 	simulation struct {
-		now          time.Time
-		events       []simEvent
-		order        int
-		decl         *spec.Declarations
-		hosts        []plat.Host
-		tables       map[string]*wksim.Table
-		partitioned  map[string]bool // workers that can't be reached
-		losesReplies map[string]bool // workers whose replies are lost
-		unlisted     string          // worker missing from the platform's list
-		slow         map[string]bool // workers that handle calls only after the caller's timeout
-		store        fakeStore
-		leaders      []*leader
-		ticket       sched.Ticket
-		answers      map[sched.Ticket]sched.Answer
-		submitted    map[sched.Ticket]string // ID of the job by ticket
-		decisions    []sched.Decision
+		now           time.Time
+		events        []simEvent // sorted by time
+		order         int        // number of events scheduled so far
+		decl          *spec.Declarations
+		hosts         []plat.Host
+		tables        map[string]*wksim.Table
+		partitioned   map[string]bool // workers that can't be reached
+		losesReplies  map[string]bool // workers whose replies are lost
+		unlisted      string          // worker missing from the platform's list
+		slow          map[string]bool // workers that handle calls only after the caller's timeout
+		store         fakeStore
+		leaders       []*leader
+		lastRequestID sched.RequestID
+		answers       map[sched.RequestID]sched.Answer
+		submitted     map[sched.RequestID]string // ID of the job by request
+		decisions     []sched.Decision
 	}
 
+	// attemptID identifies an attempt of a job. Two schedulers may begin attempts
+	// with the same number under different epochs.
 	attemptID struct {
 		attempt int
 		epoch   int64
 	}
 
+	// simEvent is a function to be run at a simulated time.
 	simEvent struct {
 		at    time.Time
-		order int
+		order int // order of insertion, for events at the same time
 		run   func()
 	}
 
-	// fakeStore is the store: one value for each bucket, and the epoch that may
+	// fakeStore is the store: the records of each bucket, and the epoch that may
 	// write them.
 	fakeStore struct {
 		down         bool
-		losesReplies bool
+		losesReplies bool // writes take effect, but their outcome is reported as unknown
 		epoch        int64
 		buckets      [4][]jobs.Record
 		writes       int
@@ -93,7 +96,7 @@
 	sim := &simulation{
 		now: time.Unix(1_800_000_000, 0), tables: map[string]*wksim.Table{},
 		partitioned: map[string]bool{}, losesReplies: map[string]bool{}, slow: map[string]bool{},
-		answers: map[sched.Ticket]sched.Answer{}, submitted: map[sched.Ticket]string{},
+		answers: map[sched.RequestID]sched.Answer{}, submitted: map[sched.RequestID]string{},
 	}
 	zn := spec.Zone{Name: testZone, Region: "r1"}
 	for ra := range racks {
@@ -145,7 +148,7 @@
 	}
 }
 
-// takeOver elects a new leader. Earlier leaders keep running until they notice.
+// takeOver elects a new leader. Earlier leaders keep running until they resign.
 func (sim *simulation) takeOver() *leader {
 	sim.store.epoch++
 	ld := &leader{epoch: sim.store.epoch, clocks: map[string]clockSample{}}
@@ -192,7 +195,7 @@
 		case sched.Send:
 			sim.call(ld, ef.Worker, ef.Commands)
 		case sched.Answer:
-			sim.answers[ef.Ticket] = ef
+			sim.answers[ef.RequestID] = ef
 		case sched.Decision:
 			sim.decisions = append(sim.decisions, ef)
 		case sched.Resign:
@@ -275,17 +278,17 @@
 }
 
 // submit submits a job to the current leader.
-func (sim *simulation) submit(sp jobs.Spec) sched.Ticket {
-	sim.ticket++
-	sim.submitted[sim.ticket] = sp.ID
-	sim.dispatch(sim.current(), sched.Submitted{Ticket: sim.ticket, Spec: sp})
-	return sim.ticket
+func (sim *simulation) submit(sp jobs.Spec) sched.RequestID {
+	sim.lastRequestID++
+	sim.submitted[sim.lastRequestID] = sp.ID
+	sim.dispatch(sim.current(), sched.Submitted{RequestID: sim.lastRequestID, Spec: sp})
+	return sim.lastRequestID
 }
 
-func (sim *simulation) cancel(id string) sched.Ticket {
-	sim.ticket++
-	sim.dispatch(sim.current(), sched.CancelRequested{Ticket: sim.ticket, ID: id})
-	return sim.ticket
+func (sim *simulation) cancel(id string) sched.RequestID {
+	sim.lastRequestID++
+	sim.dispatch(sim.current(), sched.CancelRequested{RequestID: sim.lastRequestID, ID: id})
+	return sim.lastRequestID
 }
 
 // record returns the record of a job in the store.
@@ -355,10 +358,10 @@
 			violations = append(violations, sim.checkJob(rc, byJob[rc.ID])...)
 		}
 	}
-	for tk, an := range sim.answers {
-		id := sim.submitted[tk]
+	for rid, an := range sim.answers {
+		id := sim.submitted[rid]
 		if an.Err != nil && codes.Of(an.Err).Code.Class() == codes.NotRun && codes.Of(an.Err).Code != codes.KeyMismatch && len(byJob[id]) > 0 {
-			violations = append(violations, fmt.Sprintf("job %s was told %v but ran", id, an.Err))
+			violations = append(violations, fmt.Sprintf("the caller of job %s was told %v, but it ran", id, an.Err))
 		}
 		if _, ok := sim.record(id); id != "" && an.Err == nil && !ok {
 			violations = append(violations, "accepted job is missing: "+id)
@@ -378,11 +381,11 @@
 	if !rc.Repeatable && !rc.Checkpoint && len(attempts) > 1 {
 		violations = append(violations, fmt.Sprintf("job %s may not be repeated and ran %d times", rc.ID, len(attempts)))
 	}
-	whole := 0
+	complete := 0
 	for at, ofAttempt := range attempts {
 		violations = append(violations, sim.checkGang(rc, at, ofAttempt)...)
 		if succeeded(ofAttempt) == rc.Shape.Tasks {
-			whole++
+			complete++
 		}
 	}
 	if rc.State != jobs.Ended {
@@ -391,10 +394,10 @@
 	switch cl := rc.Code.Class(); {
 	case cl == codes.NotRun && len(rus) > 0:
 		violations = append(violations, fmt.Sprintf("job %s ended %v but ran", rc.ID, rc.Code))
-	case cl == codes.Done && (whole == 0 || whole > 1 && !rc.Repeatable):
+	case cl == codes.Done && (complete == 0 || complete > 1 && !rc.Repeatable):
 		// A worker that restarts may lose the only record of a success; a
 		// repeatable job then runs again.
-		violations = append(violations, fmt.Sprintf("job %s ended %v with %d whole runs", rc.ID, rc.Code, whole))
+		violations = append(violations, fmt.Sprintf("job %s ended %v after %d attempts of which all tasks succeeded", rc.ID, rc.Code, complete))
 	case cl == codes.Failed && len(rus) == 0:
 		violations = append(violations, fmt.Sprintf("job %s ended %v but never ran", rc.ID, rc.Code))
 	}
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -11,20 +11,20 @@
 	"github.com/cicadawharf/cicadawharf/internal/worker"
 )
 
-// workerState is the state of one worker as known to the core.
+// workerState is the last known state of one worker.
 type workerState struct {
 	host           plat.Host
-	listed         bool
+	listed         bool      // in the platform's last list of hosts
 	addedAt        time.Time // when it became known
 	lastReply      time.Time // last reply under this epoch; zero if none
-	incarnation    string
-	version        int64 // of the table, within one incarnation
-	accelerators   int
-	draining       bool
+	incarnation    string    // changes when the worker restarts with an empty table
+	version        int64     // of the table, within one incarnation
+	accelerators   int       // according to the worker's last reply, or the platform before the first one
+	draining       bool      // according to the worker's last reply
 	tasks          map[worker.TaskID]worker.Task
-	callInFlight   bool // a call with commands is unanswered
-	lastCallFailed bool // the last call failed
-	commands       map[worker.TaskID]worker.Command
+	callInFlight   bool                             // a call with commands is unanswered
+	lastCallFailed bool                             // until the next reply
+	commands       map[worker.TaskID]worker.Command // to be sent with the next call
 	failures       failureHistory
 	wasUsable      bool // whether it was usable when the fleet was built
 }
@@ -90,7 +90,8 @@
 	return hosts
 }
 
-// handleReply handles the reply of a worker.
+// handleReply handles the reply of a worker, or ends the core if the worker has
+// seen a larger epoch.
 func (co *Core) handleReply(now time.Time, ev WorkerReplied) {
 	wst, ok := co.workers[ev.Worker]
 	if !ok {
@@ -120,8 +121,8 @@
 // updateTasks applies the lease table of a reply, unless a newer one was applied
 // before.
 func (co *Core) updateTasks(wst *workerState, ev WorkerReplied) {
-	overtaken := ev.Reply.Boot == wst.incarnation && ev.Reply.Version < wst.version
-	if ev.Unchanged || overtaken {
+	outdated := ev.Reply.Boot == wst.incarnation && ev.Reply.Version < wst.version
+	if ev.Unchanged || outdated {
 		return
 	}
 	wst.incarnation = ev.Reply.Boot
@@ -137,7 +138,7 @@
 }
 
 // handleResults records which reservations were made, and stops attempts of
-// which one was refused.
+// which one was refused. The next attempt avoids the worker that refused.
 func (co *Core) handleResults(wst *workerState, ev WorkerReplied) {
 	for i, cm := range ev.Commands {
 		if i >= len(ev.Reply.Results) {
@@ -177,8 +178,8 @@
 	co.markJobsChanged(wst)
 }
 
-// checkWorkers detects workers that are no longer usable, and removes unlisted
-// workers that are lost.
+// checkWorkers detects workers that have become usable or unusable, and removes
+// unlisted workers that are lost.
 func (co *Core) checkWorkers(now time.Time) {
 	for name, wst := range co.workers {
 		if wst.usable(now) != wst.wasUsable {
@@ -192,7 +193,8 @@
 	}
 }
 
-// markJobsChanged has the jobs with tasks on a worker evaluated again.
+// markJobsChanged has the jobs with tasks on a worker evaluated again, and calls
+// releaseUnowned for the worker.
 func (co *Core) markJobsChanged(wst *workerState) {
 	for id := range wst.tasks {
 		co.markChanged(id.Job)
@@ -270,8 +272,8 @@
 		if wst.callInFlight || len(wst.commands) == 0 || wst.lastReply.IsZero() {
 			continue
 		}
-		silence := now.Sub(wst.lastReply)
-		if silence > MaxReplyAge || (wst.lastCallFailed && silence > unresponsiveAfter) {
+		sinceReply := now.Sub(wst.lastReply)
+		if sinceReply > MaxReplyAge || (wst.lastCallFailed && sinceReply > unresponsiveAfter) {
 			continue
 		}
 		cms := make([]worker.Command, 0, len(wst.commands))
@@ -296,6 +298,7 @@
 	)
 }
 
+// opRank returns the rank of an operation for compareCommands.
 func opRank(op worker.Op) int {
 	if op == worker.OpReserve || op == worker.OpStart {
 		return 1
--- a/internal/zone/harness_test.go
+++ b/internal/zone/harness_test.go
@@ -26,12 +26,12 @@
 type (
 	// fakeStore is a store in memory into which faults can be injected.
 	fakeStore struct {
-		mu       sync.Mutex
-		entries  map[string]store.Entry
-		revision store.Revision
-		leases   map[store.LeaseID]*lease
-		last     store.LeaseID
-		changed  chan struct{} // closed at the next change
+		mu        sync.Mutex
+		entries   map[string]store.Entry
+		revision  store.Revision
+		leases    map[store.LeaseID]*lease
+		lastLease store.LeaseID
+		changed   chan struct{} // closed at the next change
 
 		down        bool   // all calls fail without effect
 		loseReplies int    // number of swaps that take effect and lose their reply
@@ -40,12 +40,14 @@
 		stallPrefix string // prefix of the keys whose swaps hang and have no effect
 	}
 
+	// lease is a lease of fakeStore.
 	lease struct {
 		ttl  time.Duration
 		ends time.Time
 	}
 
-	// fakeWorkers is the workers of the zone, called without a network.
+	// fakeWorkers holds the workers of the zone, which are called without a
+	// network.
 	fakeWorkers struct {
 		mu          sync.Mutex
 		tables      map[string]*wksim.Table
@@ -98,6 +100,7 @@
 	}
 }
 
+// endLease ends a lease and deletes its keys, with mu held.
 func (fs *fakeStore) endLease(id store.LeaseID) {
 	delete(fs.leases, id)
 	for key, en := range fs.entries {
@@ -118,6 +121,7 @@
 	return en
 }
 
+// put writes an entry, with mu held.
 func (fs *fakeStore) put(key string, value []byte, id store.LeaseID) store.Entry {
 	fs.revision++
 	en := store.Entry{Key: key, Value: value, Revision: fs.revision, Lease: id}
@@ -133,6 +137,7 @@
 	fs.put(key, value, 0)
 }
 
+// set runs a function that changes fields, with mu held.
 func (fs *fakeStore) set(fn func()) {
 	fs.mu.Lock()
 	defer fs.mu.Unlock()
@@ -148,6 +153,8 @@
 	}
 }
 
+// check ends the leases whose time is over, and returns an error if the store is
+// down, with mu held.
 func (fs *fakeStore) check() error {
 	fs.expire()
 	if fs.down {
@@ -205,9 +212,9 @@
 	if err := fs.check(); err != nil {
 		return 0, err
 	}
-	fs.last++
-	fs.leases[fs.last] = &lease{ttl: ttl, ends: time.Now().Add(ttl)}
-	return fs.last, nil
+	fs.lastLease++
+	fs.leases[fs.lastLease] = &lease{ttl: ttl, ends: time.Now().Add(ttl)}
+	return fs.lastLease, nil
 }
 
 func (fs *fakeStore) Renew(_ context.Context, id store.LeaseID) error {
