Name documents and YAML paths in spec by what they hold

Cause: the checker held a strict.Document under the name tree, which it isn't, and local variables called at held the YAML paths of different values; compareObjects called an object kind ok. Change: these are now doc, source, kind and the path that is meant, such as shapePath.

--- a/pkg/spec/check.go
+++ b/pkg/spec/check.go
@@ -11,8 +11,8 @@
 
 // checker validates decoded declarations and reports their faults.
 type checker struct {
-	tree *strict.Document
-	de   *Declarations
+	doc *strict.Document
+	de  *Declarations
 }
 
 // The limits of a declarations file.
@@ -56,8 +56,8 @@
 	return (ch < 'a' || ch > 'z') && (ch < '0' || ch > '9') && ch != '-'
 }
 
-func check(tree *strict.Document, de *Declarations) {
-	ch := checker{tree: tree, de: de}
+func check(doc *strict.Document, de *Declarations) {
+	ch := checker{doc: doc, de: de}
 	ch.timeZone()
 	if !ch.listSizes() {
 		return
@@ -74,11 +74,11 @@
 	}
 	name := ch.de.TimeZone
 	if name == "" || name == "Local" {
-		ch.tree.Report(path, "time zone %q is not an IANA name, such as America/Lima", name)
+		ch.doc.Report(path, "time zone %q is not an IANA name, such as America/Lima", name)
 		return
 	}
 	if _, err := time.LoadLocation(name); err != nil {
-		ch.tree.Report(path, "unknown time zone %q", name)
+		ch.doc.Report(path, "unknown time zone %q", name)
 	}
 }
 
@@ -100,22 +100,22 @@
 		path := zonePath(i)
 		ch.name(path, "zone", zn.Name, seen)
 		if ch.required(path, "region") && !ValidName(zn.Region) {
-			ch.tree.Report(strict.Key(path, "region"), "region %q %s", zn.Region, nameRule)
+			ch.doc.Report(strict.Key(path, "region"), "region %q %s", zn.Region, nameRule)
 		}
 		ch.racks(path, zn)
 	}
 }
 
-func (ch checker) racks(zone string, zn Zone) {
-	path := strict.Key(zone, "racks")
+func (ch checker) racks(parent string, zn Zone) {
+	path := strict.Key(parent, "racks")
 	seen := names{}
 	for i, rk := range zn.Racks {
-		at := strict.Index(path, i)
-		ch.name(at, "rack", rk.Name, seen)
-		ch.field(at, "workers", rk.Workers, 1, maxWorkers)
-		ch.field(at, "accelerators", rk.Accelerators, 0, maxAccelerators)
-		ch.field(at, "cores", rk.Cores, 1, maxCores)
-		ch.field(at, "memoryGiB", rk.MemoryGiB, 1, maxMemoryGiB)
+		rackPath := strict.Index(path, i)
+		ch.name(rackPath, "rack", rk.Name, seen)
+		ch.field(rackPath, "workers", rk.Workers, 1, maxWorkers)
+		ch.field(rackPath, "accelerators", rk.Accelerators, 0, maxAccelerators)
+		ch.field(rackPath, "cores", rk.Cores, 1, maxCores)
+		ch.field(rackPath, "memoryGiB", rk.MemoryGiB, 1, maxMemoryGiB)
 	}
 }
 
@@ -126,15 +126,15 @@
 		ch.name(path, "service", sv.Name, seen)
 		slotsValid := ch.field(path, "slots", sv.Slots, 1, maxSlots)
 		if ch.field(path, "connections", sv.Connections, 1, maxSlots) && slotsValid && sv.Connections < sv.Slots {
-			ch.tree.Report(strict.Key(path, "connections"), "%d connections are fewer than the %d slots", sv.Connections, sv.Slots)
+			ch.doc.Report(strict.Key(path, "connections"), "%d connections are fewer than the %d slots", sv.Connections, sv.Slots)
 		}
 		ch.required(path, "repeatable")
 		oneOf(ch, strict.Key(path, "spill"), "spill", sv.Spill, spillRules)
 		if sv.Timeout < minTimeout || sv.Timeout > maxTimeout {
-			ch.tree.Report(strict.Key(path, "timeout"), "timeout must be between %v and %v", minTimeout, maxTimeout)
+			ch.doc.Report(strict.Key(path, "timeout"), "timeout must be between %v and %v", minTimeout, maxTimeout)
 		}
 		if sv.MaxBody < 0 || sv.MaxBody > maxMaxBody {
-			ch.tree.Report(strict.Key(path, "maxBody"), "maxBody must be between 0 and %d", maxMaxBody)
+			ch.doc.Report(strict.Key(path, "maxBody"), "maxBody must be between 0 and %d", maxMaxBody)
 		}
 	}
 }
@@ -145,8 +145,8 @@
 		path := workspacePath(i)
 		ch.name(path, "workspace", ws.Name, seen)
 		ch.within(strict.Key(path, "weight"), "weight", ws.Weight, 1, maxWeight)
-		if at := strict.Key(path, "quota"); ch.tree.Has(at) {
-			ch.within(at, "quota", ws.Quota, 1, maxQuota)
+		if quotaPath := strict.Key(path, "quota"); ch.doc.Has(quotaPath) {
+			ch.within(quotaPath, "quota", ws.Quota, 1, maxQuota)
 		}
 		valid := true
 		for j, gu := range ws.Guarantees {
@@ -168,10 +168,10 @@
 	}
 	zn, known := ch.de.Zone(gu.Zone)
 	if !known {
-		ch.tree.Report(strict.Key(path, "zone"), "zone %q is not declared", gu.Zone)
+		ch.doc.Report(strict.Key(path, "zone"), "zone %q is not declared", gu.Zone)
 	}
-	at := strict.Key(path, "shape")
-	return ch.shape(at, gu.Shape) && known && ch.fits(at, zn, gu.Shape) && count
+	shapePath := strict.Key(path, "shape")
+	return ch.shape(shapePath, gu.Shape) && known && ch.fits(shapePath, zn, gu.Shape) && count
 }
 
 func (ch checker) shape(path string, sh Shape) bool {
@@ -185,15 +185,15 @@
 	if zn.Fits(sh) {
 		return true
 	}
-	most := 0
+	maxPerWorker := 0
 	for _, rk := range zn.Racks {
-		most = max(most, rk.Accelerators)
+		maxPerWorker = max(maxPerWorker, rk.Accelerators)
 	}
-	if sh.Accelerators > most {
-		ch.tree.Report(strict.Key(path, "accelerators"), "%d accelerators per task are more than a worker of zone %s has (%d)", sh.Accelerators, zn.Name, most)
+	if sh.Accelerators > maxPerWorker {
+		ch.doc.Report(strict.Key(path, "accelerators"), "%d accelerators per task are more than a worker of zone %s has (%d)", sh.Accelerators, zn.Name, maxPerWorker)
 		return false
 	}
-	ch.tree.Report(path, "a gang of %d tasks with %d accelerators each does not fit one %s of zone %s", sh.Tasks, sh.Accelerators, sh.Adjacency, zn.Name)
+	ch.doc.Report(path, "a gang of %d tasks with %d accelerators each does not fit one %s of zone %s", sh.Tasks, sh.Accelerators, sh.Adjacency, zn.Name)
 	return false
 }
 
@@ -203,7 +203,7 @@
 	for i, gu := range ws.Guarantees {
 		totals[gu.Zone] += gu.Count * gu.Shape.Total()
 		if totals[gu.Zone] > ws.Quota {
-			ch.tree.Report(guaranteePath(path, i), "the guarantees of workspace %s in zone %s need %d accelerators, more than its quota of %d", ws.Name, gu.Zone, totals[gu.Zone], ws.Quota)
+			ch.doc.Report(guaranteePath(path, i), "the guarantees of workspace %s in zone %s need %d accelerators, more than its quota of %d", ws.Name, gu.Zone, totals[gu.Zone], ws.Quota)
 			return
 		}
 	}
@@ -212,16 +212,16 @@
 func (ch checker) uses(path string, uses []ServiceUse) {
 	seen := names{}
 	for i, su := range uses {
-		at := strict.Index(path, i)
-		ch.within(strict.Key(at, "slots"), "slots", su.Slots, 0, maxSlots)
-		if !ch.required(at, "name") {
+		usePath := strict.Index(path, i)
+		ch.within(strict.Key(usePath, "slots"), "slots", su.Slots, 0, maxSlots)
+		if !ch.required(usePath, "name") {
 			continue
 		}
 		if _, known := ch.de.Service(su.Name); !known {
-			ch.tree.Report(strict.Key(at, "name"), "service %q is not declared", su.Name)
+			ch.doc.Report(strict.Key(usePath, "name"), "service %q is not declared", su.Name)
 		}
 		if seen.add(su.Name) {
-			ch.tree.Report(strict.Key(at, "name"), "service %q is listed twice", su.Name)
+			ch.doc.Report(strict.Key(usePath, "name"), "service %q is listed twice", su.Name)
 		}
 	}
 }
@@ -242,21 +242,21 @@
 	if !ch.required(path, "name") {
 		return
 	}
-	at := strict.Key(path, "name")
+	namePath := strict.Key(path, "name")
 	if !ValidName(name) {
-		ch.tree.Report(at, "%s name %q %s", kind, name, nameRule)
+		ch.doc.Report(namePath, "%s name %q %s", kind, name, nameRule)
 		return
 	}
 	if seen.add(name) {
-		ch.tree.Report(at, "%s %q is declared twice", kind, name)
+		ch.doc.Report(namePath, "%s %q is declared twice", kind, name)
 	}
 }
 
 func (ch checker) required(path, key string) bool {
-	if ch.tree.Has(strict.Key(path, key)) {
+	if ch.doc.Has(strict.Key(path, key)) {
 		return true
 	}
-	ch.tree.Report(path, "%q is missing", key)
+	ch.doc.Report(path, "%q is missing", key)
 	return false
 }
 
@@ -269,7 +269,7 @@
 	if value >= least && value <= most {
 		return true
 	}
-	ch.tree.Report(path, "%s must be between %d and %d", what, least, most)
+	ch.doc.Report(path, "%s must be between %d and %d", what, least, most)
 	return false
 }
 
@@ -281,6 +281,6 @@
 	for i, vl := range valid {
 		texts[i] = fmt.Sprint(vl)
 	}
-	ch.tree.Report(path, "%s %q must be one of %s", what, value, strings.Join(texts, ", "))
+	ch.doc.Report(path, "%s %q must be one of %s", what, value, strings.Join(texts, ", "))
 	return false
 }
--- a/pkg/spec/compare.go
+++ b/pkg/spec/compare.go
@@ -59,7 +59,7 @@
 	return fmt.Sprintf("%s %s %s", cg.Kind, cg.Object, cg.Name)
 }
 
-func compareObjects[T any](ok ObjectKind, current, next []T, nameOf func(T) string) []Change {
+func compareObjects[T any](kind ObjectKind, current, next []T, nameOf func(T) string) []Change {
 	var cs []Change
 	old := make(map[string]T, len(current))
 	for _, ob := range current {
@@ -71,15 +71,15 @@
 		delete(old, name)
 		switch {
 		case !found:
-			cs = append(cs, Change{Kind: ChangeAdded, Object: ok, Name: name})
+			cs = append(cs, Change{Kind: ChangeAdded, Object: kind, Name: name})
 		case !equal(reflect.ValueOf(prev), reflect.ValueOf(ob)):
-			cs = append(cs, Change{Kind: ChangeChanged, Object: ok, Name: name})
+			cs = append(cs, Change{Kind: ChangeChanged, Object: kind, Name: name})
 		}
 	}
 	for _, ob := range current {
 		name := nameOf(ob)
 		if _, removed := old[name]; removed {
-			cs = append(cs, Change{Kind: ChangeRemoved, Object: ok, Name: name})
+			cs = append(cs, Change{Kind: ChangeRemoved, Object: kind, Name: name})
 		}
 	}
 	return cs
--- a/pkg/spec/parse.go
+++ b/pkg/spec/parse.go
@@ -19,7 +19,7 @@
 	Document struct {
 		Declarations *Declarations
 
-		tree *strict.Document
+		source *strict.Document
 	}
 )
 
@@ -37,58 +37,58 @@
 // detected.
 func Parse(file string, data []byte) (*Document, error) {
 	var de Declarations
-	tree := strict.Decode(file, data, &de)
-	if tree.Err() == nil {
-		setDefaults(tree, &de)
-		check(tree, &de)
+	doc := strict.Decode(file, data, &de)
+	if doc.Err() == nil {
+		setDefaults(doc, &de)
+		check(doc, &de)
 	}
-	if err := tree.Err(); err != nil {
+	if err := doc.Err(); err != nil {
 		return nil, err
 	}
-	return &Document{Declarations: &de, tree: tree}, nil
+	return &Document{Declarations: &de, source: doc}, nil
 }
 
 // Position returns the line and column of the value at a YAML path, such as
 // $.workspaces[1].guarantees[0], or of the innermost enclosing value if the file
 // has none there.
 func (doc *Document) Position(path string) (line, column int) {
-	return doc.tree.Position(path)
+	return doc.source.Position(path)
 }
 
 // Fault returns a fault at a YAML path, for checks in other packages.
 func (doc *Document) Fault(path, message string) Fault {
-	return doc.tree.Fault(path, message)
+	return doc.source.Fault(path, message)
 }
 
-func setDefaults(tree *strict.Document, de *Declarations) {
+func setDefaults(doc *strict.Document, de *Declarations) {
 	for i := range de.Workspaces {
-		setWorkspaceDefaults(tree, workspacePath(i), &de.Workspaces[i])
+		setWorkspaceDefaults(doc, workspacePath(i), &de.Workspaces[i])
 	}
 	for i := range de.Services {
-		setServiceDefaults(tree, servicePath(i), &de.Services[i])
+		setServiceDefaults(doc, servicePath(i), &de.Services[i])
 	}
 }
 
-func setWorkspaceDefaults(tree *strict.Document, path string, ws *Workspace) {
-	if !tree.Has(strict.Key(path, "weight")) {
+func setWorkspaceDefaults(doc *strict.Document, path string, ws *Workspace) {
+	if !doc.Has(strict.Key(path, "weight")) {
 		ws.Weight = DefaultWeight
 	}
 	for i := range ws.Guarantees {
-		at := strict.Key(guaranteePath(path, i), "shape.adjacency")
-		if !tree.Has(at) {
+		adjacencyPath := strict.Key(guaranteePath(path, i), "shape.adjacency")
+		if !doc.Has(adjacencyPath) {
 			ws.Guarantees[i].Shape.Adjacency = DefaultAdjacency
 		}
 	}
 }
 
-func setServiceDefaults(tree *strict.Document, path string, sv *Service) {
-	if !tree.Has(strict.Key(path, "spill")) {
+func setServiceDefaults(doc *strict.Document, path string, sv *Service) {
+	if !doc.Has(strict.Key(path, "spill")) {
 		sv.Spill = DefaultSpill
 	}
-	if !tree.Has(strict.Key(path, "timeout")) {
+	if !doc.Has(strict.Key(path, "timeout")) {
 		sv.Timeout = DefaultTimeout
 	}
-	if !tree.Has(strict.Key(path, "maxBody")) {
+	if !doc.Has(strict.Key(path, "maxBody")) {
 		sv.MaxBody = DefaultMaxBody
 	}
 }
