Name the limit check and the positions in strict

Cause: exceedsBounds reads like a predicate but returns a token, and at held positions, indices and columns in turn; key and keyAt count keys. Change: checkLimits, track, countKey, countKeyAt, openBlock; pos and idx for the locals.

--- a/internal/strict/bounds.go
+++ b/internal/strict/bounds.go
@@ -32,12 +32,12 @@
 	maxKeys = 256
 )
 
-// exceedsBounds returns the first token that exceeds a limit and a description
+// checkLimits returns the first token that exceeds a limit and a description
 // of the limit, or nil if there is none.
-func exceedsBounds(tokens token.Tokens) (*token.Token, string) {
+func checkLimits(tokens token.Tokens) (*token.Token, string) {
 	var ns nesting
 	for _, tk := range tokens {
-		ns.count(tk)
+		ns.track(tk)
 		if len(ns.flows)+len(ns.blocks) > maxNesting {
 			return tk, fmt.Sprintf("the file is nested deeper than %d levels", maxNesting)
 		}
@@ -48,41 +48,41 @@
 	return nil, ""
 }
 
-func (ns *nesting) count(tk *token.Token) {
+func (ns *nesting) track(tk *token.Token) {
 	switch tk.Type {
 	case token.SequenceStartType, token.MappingStartType:
 		ns.flows = append(ns.flows, 0)
 	case token.SequenceEndType, token.MappingEndType:
 		ns.flows = ns.flows[:max(len(ns.flows)-1, 0)]
 	case token.MappingValueType:
-		ns.key(tk)
+		ns.countKey(tk)
 	case token.MappingKeyType:
-		ns.keyAt(tk.Position.Column)
+		ns.countKeyAt(tk.Position.Column)
 	case token.SequenceEntryType, token.TagType, token.AnchorType:
-		ns.open(tk.Position.Column)
+		ns.openBlock(tk.Position.Column)
 	}
 }
 
-// key counts a key, given the token of its colon.
-func (ns *nesting) key(tk *token.Token) {
+// countKey counts a key, given the token of its colon.
+func (ns *nesting) countKey(tk *token.Token) {
 	column := tk.Position.Column
 	if tk.Prev != nil && tk.Prev.Position.Line == tk.Position.Line {
 		column = tk.Prev.Position.Column
 	}
-	ns.keyAt(column)
+	ns.countKeyAt(column)
 }
 
-func (ns *nesting) keyAt(column int) {
+func (ns *nesting) countKeyAt(column int) {
 	if len(ns.flows) > 0 {
 		ns.flows[len(ns.flows)-1]++
 		return
 	}
-	ns.open(column)
+	ns.openBlock(column)
 	ns.blocks[len(ns.blocks)-1].keys++
 }
 
-// open opens the block level of a column and closes those further right.
-func (ns *nesting) open(column int) {
+// openBlock opens the block level of a column and closes those further right.
+func (ns *nesting) openBlock(column int) {
 	for len(ns.blocks) > 0 && ns.blocks[len(ns.blocks)-1].column > column {
 		ns.blocks = ns.blocks[:len(ns.blocks)-1]
 	}
--- a/internal/strict/decode.go
+++ b/internal/strict/decode.go
@@ -46,14 +46,14 @@
 		if !ok {
 			continue
 		}
-		at := nodePosition(en)
+		pos := nodePosition(en)
 		fd, known := field(into, key)
 		switch {
 		case seen[key]:
-			de.doc.reportAt(at, "duplicate key %q", key)
+			de.doc.reportAt(pos, "duplicate key %q", key)
 			continue
 		case !known:
-			de.doc.reportAt(at, "unknown key %q; valid keys are %s", key, strings.Join(keys(into.Type()), ", "))
+			de.doc.reportAt(pos, "unknown key %q; valid keys are %s", key, strings.Join(keys(into.Type()), ", "))
 			continue
 		}
 		seen[key] = true
@@ -64,11 +64,11 @@
 // entry decodes the value of a key and records its position: that of the value
 // for a scalar, that of the key for a mapping or sequence.
 func (de decoder) entry(path string, en *ast.MappingValueNode, into reflect.Value) {
-	at := nodePosition(en)
+	pos := nodePosition(en)
 	if isScalar(en.Value) {
-		at = nodePosition(en.Value)
+		pos = nodePosition(en.Value)
 	}
-	de.doc.positions[path] = at
+	de.doc.positions[path] = pos
 	if en.Value == nil || en.Value.Type() == ast.NullType {
 		de.doc.reportAt(nodePosition(en), "key %q has no value", path[strings.LastIndex(path, ".")+1:])
 		return
@@ -216,11 +216,11 @@
 
 // field returns the field of a struct whose yaml tag is key.
 func field(into reflect.Value, key string) (reflect.Value, bool) {
-	at := slices.Index(keys(into.Type()), key)
-	if at < 0 {
+	idx := slices.Index(keys(into.Type()), key)
+	if idx < 0 {
 		return reflect.Value{}, false
 	}
-	return into.Field(at), true
+	return into.Field(idx), true
 }
 
 // keys returns the yaml keys of the fields of a struct type, in their order.
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -86,11 +86,11 @@
 		if pos, ok := doc.positions[path]; ok {
 			return pos.line, pos.column
 		}
-		at := strings.LastIndexAny(path, ".[")
-		if at <= 0 {
+		idx := strings.LastIndexAny(path, ".[")
+		if idx <= 0 {
 			return 1, 1
 		}
-		path = path[:at]
+		path = path[:idx]
 	}
 }
 
@@ -157,7 +157,7 @@
 		return nil, false
 	}
 	tokens := lexer.Tokenize(string(data))
-	if tk, reason := exceedsBounds(tokens); tk != nil {
+	if tk, reason := checkLimits(tokens); tk != nil {
 		doc.reportAt(tokenPosition(tk), "%s", reason)
 		return nil, false
 	}
