--- a/internal/strict/bounds.go
+++ b/internal/strict/bounds.go
@@ -48,6 +48,7 @@
 	return nil, ""
 }
 
+// track updates the nesting levels and key counts by the next token.
 func (ns *nesting) track(tk *token.Token) {
 	switch tk.Type {
 	case token.SequenceStartType, token.MappingStartType:
@@ -72,6 +73,7 @@
 	ns.countKeyAt(column)
 }
 
+// countKeyAt counts a key that begins at a column.
 func (ns *nesting) countKeyAt(column int) {
 	if len(ns.flows) > 0 {
 		ns.flows[len(ns.flows)-1]++
--- a/internal/strict/decode.go
+++ b/internal/strict/decode.go
@@ -9,7 +9,8 @@
 	"github.com/goccy/go-yaml/ast"
 )
 
-// decoder walks a syntax tree and the target value in parallel.
+// decoder walks a syntax tree and the target value in parallel. It reports
+// faults to the document and records the positions of values there.
 type decoder struct {
 	doc *Document
 }
@@ -157,8 +158,7 @@
 	de.doc.reportAt(nodePosition(nd), "the value must be %s", want)
 }
 
-// unsupported returns why a kind of node is not supported, or an empty string if
-// it is.
+// unsupported returns why a node is not supported, or an empty string if it is.
 func unsupported(nd ast.Node) string {
 	switch nd.Type() {
 	case ast.AnchorType, ast.AliasType, ast.MergeKeyType:
@@ -214,7 +214,7 @@
 	}
 }
 
-// field returns the field of a struct whose yaml tag is key.
+// field returns the field with the yaml tag key of the struct into.
 func field(into reflect.Value, key string) (reflect.Value, bool) {
 	idx := slices.Index(keys(into.Type()), key)
 	if idx < 0 {
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -106,8 +106,8 @@
 }
 
 // Err returns the collected Faults, sorted by position, or nil if there are
-// none. A list longer than maxFaults is cut off, and a last fault says how many
-// are missing.
+// none. Those beyond the first maxFaults are replaced by one fault that states
+// their number.
 func (doc *Document) Err() error {
 	if len(doc.faults) == 0 {
 		return nil
@@ -169,8 +169,8 @@
 	return doc.singleBody(file)
 }
 
-// singleBody returns the body of the only document of a file and reports if there
-// is none or more than one.
+// singleBody returns the body of the only document of a file. It reports a
+// file with no or multiple documents.
 func (doc *Document) singleBody(file *ast.File) (ast.Node, bool) {
 	bodies := make([]ast.Node, 0, 1)
 	for _, dc := range file.Docs {
--- a/pkg/spec/check.go
+++ b/pkg/spec/check.go
@@ -15,7 +15,7 @@
 	de  *Declarations
 }
 
-// The limits of a declarations file.
+// The limits of the values in a declarations file.
 const (
 	maxNameLength   = 63
 	maxZones        = 64
@@ -32,7 +32,7 @@
 	maxSlots        = 100_000 // per endpoint, and guaranteed per zone
 	minTimeout      = time.Millisecond
 	maxTimeout      = time.Hour
-	maxMaxBody      = 1 << 30
+	maxMaxBody      = 1 << 30 // bytes
 )
 
 var (
@@ -82,8 +82,8 @@
 	}
 }
 
-// listSizes checks the lengths of lists before the other checks, which compare
-// lists with each other.
+// listSizes checks the lengths of the lists. The other checks search one list
+// for each element of another, so they only run on lists of limited length.
 func (ch checker) listSizes() bool {
 	valid := ch.within("$.zones", "the number of zones", len(ch.de.Zones), 1, maxZones)
 	for i, zn := range ch.de.Zones {
@@ -181,6 +181,7 @@
 	return tasks && accelerators && adjacency
 }
 
+// fits checks that an idle zone has capacity for one gang of the shape.
 func (ch checker) fits(path string, zn Zone, sh Shape) bool {
 	if zn.Fits(sh) {
 		return true
@@ -209,6 +210,7 @@
 	}
 }
 
+// uses checks the services that a workspace may use.
 func (ch checker) uses(path string, uses []ServiceUse) {
 	seen := names{}
 	for i, su := range uses {
@@ -238,6 +240,8 @@
 	return duplicate
 }
 
+// name checks the name of the object at path, whose kind is only used in
+// messages. The set seen holds the names of the preceding objects of that kind.
 func (ch checker) name(path, kind, name string, seen names) {
 	if !ch.required(path, "name") {
 		return
@@ -252,6 +256,7 @@
 	}
 }
 
+// required checks that the mapping at path has a key.
 func (ch checker) required(path, key string) bool {
 	if ch.doc.Has(strict.Key(path, key)) {
 		return true
@@ -260,7 +265,7 @@
 	return false
 }
 
-// field checks that a required field is present and within its limits.
+// field checks that a required integer field is present and within its limits.
 func (ch checker) field(path, key string, value, least, most int) bool {
 	return ch.required(path, key) && ch.within(strict.Key(path, key), key, value, least, most)
 }
--- a/pkg/spec/compare.go
+++ b/pkg/spec/compare.go
@@ -6,14 +6,13 @@
 )
 
 type (
-	// ChangeKind is the way in which an object differs between two
-	// declarations.
+	// ChangeKind tells whether an object was added, removed or changed.
 	ChangeKind string
 
-	// ObjectKind is the type of a declared object.
+	// ObjectKind is the kind of a declared object.
 	ObjectKind string
 
-	// Change is one difference between two declarations.
+	// Change is one difference between two Declarations values.
 	Change struct {
 		Kind   ChangeKind `json:"kind"`
 		Object ObjectKind `json:"object"`
--- a/pkg/spec/parse_test.go
+++ b/pkg/spec/parse_test.go
@@ -87,43 +87,45 @@
 	}
 }
 
+// TestParseFaults makes one error at a time in a valid file and guards against
+// an error that is accepted, reported twice or reported at a wrong position.
 func TestParseFaults(t *testing.T) {
 	for _, tc := range []struct{ name, old, replacement, want string }{
 		{"unknown key", "    region: a\n", "    region: a\n    regoin: b\n", `f.yaml:5:5: unknown key "regoin"; valid keys are name, region, racks`},
 		{"duplicate key", "    region: a\n", "    region: a\n    region: b\n", `f.yaml:5:5: duplicate key "region"`},
-		{"no racks", "    racks:\n      - {name: r1, workers: 2, accelerators: 8, cores: 64, memoryGiB: 128}\n      - {name: r2, workers: 4, accelerators: 4, cores: 64, memoryGiB: 128}\n", "", `f.yaml:3:5: the number of racks must be between 1 and 256`},
-		{"time zone", "America/Lima", "America/Limo", `f.yaml:1:11: unknown time zone "America/Limo"`},
+		{"missing racks", "    racks:\n      - {name: r1, workers: 2, accelerators: 8, cores: 64, memoryGiB: 128}\n      - {name: r2, workers: 4, accelerators: 4, cores: 64, memoryGiB: 128}\n", "", `f.yaml:3:5: the number of racks must be between 1 and 256`},
+		{"unknown time zone", "America/Lima", "America/Limo", `f.yaml:1:11: unknown time zone "America/Limo"`},
 		{"time zone of the host", "America/Lima", "Local", `f.yaml:1:11: time zone "Local" is not an IANA name`},
 		{"dot in a name", "name: r1", "name: r.1", `f.yaml:6:16: rack name "r.1" must consist of`},
-		{"upper case", "region: a\n", "region: A\n", `f.yaml:4:13: region "A" must consist of`},
+		{"upper-case region", "region: a\n", "region: A\n", `f.yaml:4:13: region "A" must consist of`},
 		{"long name", "name: w\n", "name: " + strings.Repeat("w", 64) + "\n", `f.yaml:14:11: workspace name "www`},
 		{"number for a name", "name: w\n", "name: 7\n", `f.yaml:14:11: the value must be text`},
 		{"duplicate rack", "name: r2", "name: r1", `f.yaml:7:16: rack "r1" is declared twice`},
 		{"missing field", "    slots: 8\n", "", `f.yaml:9:5: "slots" is missing`},
-		{"no slots", "slots: 8", "slots: 0", `f.yaml:10:12: slots must be between 1 and 100000`},
-		{"connections", "connections: 60", "connections: 7", `f.yaml:11:18: 7 connections are fewer than the 8 slots`},
-		{"repeatable", "    repeatable: true\n", "", `f.yaml:9:5: "repeatable" is missing`},
-		{"spill", "repeatable: true\n", "repeatable: true\n    spill: all\n", `f.yaml:13:12: spill "all" must be one of none, region, any`},
-		{"no unit", "repeatable: true\n", "repeatable: true\n    timeout: 30\n", `f.yaml:13:14: the value must be a duration with a unit`},
+		{"zero slots", "slots: 8", "slots: 0", `f.yaml:10:12: slots must be between 1 and 100000`},
+		{"fewer connections than slots", "connections: 60", "connections: 7", `f.yaml:11:18: 7 connections are fewer than the 8 slots`},
+		{"missing repeatable", "    repeatable: true\n", "", `f.yaml:9:5: "repeatable" is missing`},
+		{"unknown spill rule", "repeatable: true\n", "repeatable: true\n    spill: all\n", `f.yaml:13:12: spill "all" must be one of none, region, any`},
+		{"duration without unit", "repeatable: true\n", "repeatable: true\n    timeout: 30\n", `f.yaml:13:14: the value must be a duration with a unit`},
 		{"invalid duration", "repeatable: true\n", "repeatable: true\n    timeout: soon\n", `f.yaml:13:14: "soon" is not a duration with a unit`},
 		{"zero timeout", "repeatable: true\n", "repeatable: true\n    timeout: 0s\n", `f.yaml:13:14: timeout must be between 1ms and 1h0m0s`},
 		{"unknown zone", "zone: a-1", "zone: b-1", `f.yaml:16:15: zone "b-1" is not declared`},
 		{"unknown service", "{name: quotes", "{name: orders", `f.yaml:20:16: service "orders" is not declared`},
-		{"tasks", "tasks: 2", "tasks: 33", `f.yaml:17:24: tasks must be between 1 and 32`},
-		{"adjacency", "accelerators: 8}\n        count", "accelerators: 8, adjacency: near}\n        count", `f.yaml:17:55: adjacency "near" must be one of worker, rack, zone`},
+		{"too many tasks", "tasks: 2", "tasks: 33", `f.yaml:17:24: tasks must be between 1 and 32`},
+		{"unknown adjacency", "accelerators: 8}\n        count", "accelerators: 8, adjacency: near}\n        count", `f.yaml:17:55: adjacency "near" must be one of worker, rack, zone`},
 		{"worker too small", "accelerators: 8}\n        count", "accelerators: 8, adjacency: worker}\n        count", `f.yaml:17:9: a gang of 2 tasks with 8 accelerators each does not fit one worker of zone a-1`},
 		{"rack too small", "tasks: 2, accelerators: 8", "tasks: 3, accelerators: 8, adjacency: rack", `f.yaml:17:9: a gang of 3 tasks with 8 accelerators each does not fit one rack of zone a-1`},
-		{"too many per task", "accelerators: 8, cores", "accelerators: 4, cores", `f.yaml:17:41: 8 accelerators per task are more than a worker of zone a-1 has (4)`},
-		{"count", "count: 1", "count: 0", `f.yaml:18:16: count must be between 1 and`},
-		{"quota", "  - name: w\n", "  - name: w\n    quota: 15\n", `f.yaml:17:9: the guarantees of workspace w in zone a-1 need 16 accelerators, more than its quota of 15`},
+		{"too many accelerators per task", "accelerators: 8, cores", "accelerators: 4, cores", `f.yaml:17:41: 8 accelerators per task are more than a worker of zone a-1 has (4)`},
+		{"zero count", "count: 1", "count: 0", `f.yaml:18:16: count must be between 1 and`},
+		{"guarantees exceed the quota", "  - name: w\n", "  - name: w\n    quota: 15\n", `f.yaml:17:9: the guarantees of workspace w in zone a-1 need 16 accelerators, more than its quota of 15`},
 		{"zero quota", "  - name: w\n", "  - name: w\n    quota: 0\n", `f.yaml:15:12: quota must be between 1 and`},
 		{"zero weight", "  - name: w\n", "  - name: w\n    weight: 0\n", `f.yaml:15:13: weight must be between 1 and`},
-		{"fraction", "slots: 8", "slots: 8.5", `f.yaml:10:12: the value must be an integer`},
+		{"fraction for an integer", "slots: 8", "slots: 8.5", `f.yaml:10:12: the value must be an integer`},
 		{"huge number", "slots: 8", "slots: 99999999999999999999", `f.yaml:10:12: the value must be an integer`},
 		{"empty value", "slots: 8", "slots:", `f.yaml:10:5: key "slots" has no value`},
 		{"alias", "region: a", "region: *a", `f.yaml:4:13: anchors, aliases and merges are not supported`},
 		{"two documents", "services:", "---\nservices:", `f.yaml:9:1: the file holds more than one document`},
-		{"syntax", "services:", "services: [", `f.yaml:`},
+		{"syntax error", "services:", "services: [", `f.yaml:`},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
@@ -152,6 +154,8 @@
 	is.Equal(lines, []int{3, 10, 16, 18}) // zone, slots, reference to the zone, count
 }
 
+// TestParseLimits guards against files whose nesting overflows the stack of the
+// recursive parser, or whose number of keys keeps it busy for quadratic time.
 func TestParseLimits(t *testing.T) {
 	for name, text := range map[string]string{
 		"empty":          "",
@@ -179,6 +183,8 @@
 	}
 }
 
+// TestParseTruncatesFaults guards against an unbounded list of faults for a file
+// in which every element is wrong.
 func TestParseTruncatesFaults(t *testing.T) {
 	is := is.New(t)
 	_, err := spec.Parse("f.yaml", []byte(valid+strings.Repeat("  - 7\n", 1500)))
@@ -188,6 +194,8 @@
 	is.Equal(fs[1000].Message, "500 further faults are not listed")
 }
 
+// TestParseManyObjects guards against limits on nesting and keys that reject a
+// long list of small objects.
 func TestParseManyObjects(t *testing.T) {
 	is := is.New(t)
 	var sb strings.Builder
@@ -213,9 +221,11 @@
 		{Kind: spec.ChangeAdded, Object: spec.ObjectWorkspace, Name: "v"},
 		{Kind: spec.ChangeRemoved, Object: spec.ObjectWorkspace, Name: "w"},
 	})
-	is.Equal(len(spec.Compare(nil, next.Declarations)), 4)
+	is.Equal(len(spec.Compare(nil, next.Declarations)), 4) // the time zone, zone, service and workspace
 }
 
+// FuzzParse guards against a panic, an accepted file without zones, an error of
+// another type than Faults and a fault without a position.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(valid))
 	f.Add([]byte("a: &x [*x]\n<<: *x\n"))
--- a/pkg/spec/shape.go
+++ b/pkg/spec/shape.go
@@ -46,8 +46,8 @@
 }
 
 // workerCapacity returns how many tasks with the given number of accelerators
-// fit onto one worker. Tasks without accelerators are limited only by the size
-// of a gang.
+// fit onto one worker. Without accelerators it is MaxTasks, the size of the
+// largest gang.
 func (rk Rack) workerCapacity(accelerators int) int {
 	if accelerators == 0 {
 		return MaxTasks
--- a/pkg/spec/spec.go
+++ b/pkg/spec/spec.go
@@ -77,9 +77,9 @@
 	Name        string        `yaml:"name" json:"name"`
 	Slots       int           `yaml:"slots" json:"slots"`             // per endpoint
 	Connections int           `yaml:"connections" json:"connections"` // per endpoint
-	Repeatable  bool          `yaml:"repeatable" json:"repeatable"`   // default for whether a request may run twice
+	Repeatable  bool          `yaml:"repeatable" json:"repeatable"`   // whether a request may run twice, unless it says otherwise
 	Spill       Spill         `yaml:"spill" json:"spill"`
-	Timeout     time.Duration `yaml:"timeout" json:"timeout"` // of one request, which may set a shorter one
+	Timeout     time.Duration `yaml:"timeout" json:"timeout"` // of one request, unless it sets a shorter one
 	MaxBody     int64         `yaml:"maxBody" json:"maxBody"` // size limit of a request body, bytes
 }
 
