Correct and complete the comments of the client

Cause: the comments called the error of the first address tried that of the last one and the timeout of one attempt that of a whole request; the errors of the methods were described in one place only, and tests had no heads. Change: these comments, test heads, case names, and the error text of a submission that can't be encoded.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -20,13 +20,16 @@
 		Workspace string
 		Caller    string
 		Operator  string        // name recorded with applied declarations
-		Timeout   time.Duration // of one request, in addition to its wait; DefaultTimeout if zero
+		Timeout   time.Duration // of one attempt of a request, in addition to the wait that it asks for; DefaultTimeout if zero
 		// Dial opens connections; nil for a net.Dialer.
 		Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	}
 
 	// Client is a client of the HTTP API. It is safe for concurrent use.
 	//
+	// The methods return an *UnreachableError if nothing was sent, otherwise a
+	// *codes.Error, whose class tells whether the request may have run.
+	//
 	// A request fails over to the next address only if it provably did not run
 	// at the previous one: no connection was established, or the host responded
 	// that it is stopping or not ready. Read-only requests also fail over after
@@ -43,7 +46,7 @@
 	// UnreachableError is returned if no entry host could be reached, so that
 	// nothing was sent.
 	UnreachableError struct {
-		Err error // of the last address
+		Err error // of the first address tried
 	}
 
 	// call is one request of the API.
@@ -66,12 +69,13 @@
 	}
 )
 
-// DefaultTimeout bounds a request, in addition to the wait that it asks for.
+// DefaultTimeout bounds one attempt of a request, in addition to the wait that
+// the request asks for.
 const DefaultTimeout = 30 * time.Second
 
 const (
 	dialTimeout            = 3 * time.Second
-	idleTimeout            = 10 * time.Second // beyond it, a connection may be dead without notice
+	idleTimeout            = 10 * time.Second // after a longer time, the path may have dropped the connection unnoticed
 	maxIdlePerHost         = 4
 	maxResponseHeaderBytes = 1 << 20
 )
@@ -102,7 +106,7 @@
 // Unwrap returns the cause.
 func (ue *UnreachableError) Unwrap() error { return ue.Err }
 
-// newHTTP returns an HTTP client, whose connections are not reused if unpooled
+// newHTTP returns an HTTP client, which does not reuse connections if unpooled
 // is set. A transport of net/http retries a request whose reused connection
 // fails, also a POST if it has an Idempotency-Key header and a rewindable body.
 // Requests that must not run twice are therefore sent without reusing
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -28,7 +28,7 @@
 }
 
 // serve starts a server that gives every request the same response. It returns
-// a client of the server and the last request received.
+// a client of the server and a record of the last request received.
 func serve(t *testing.T, status int, header map[string]string, body string) (*client.Client, *recordedRequest) {
 	t.Helper()
 	rr := &recordedRequest{}
@@ -71,6 +71,8 @@
 	is.Equal(req.Shape.Tasks, 2)
 }
 
+// TestPaths guards against a method, path or query other than those of the API,
+// and against path elements that are not escaped.
 func TestPaths(t *testing.T) {
 	for name, tc := range map[string]struct {
 		do   func(ctx context.Context, cl *client.Client) error
@@ -137,12 +139,12 @@
 		code   codes.Code
 		retry  time.Duration
 	}{
-		"from the body":         {429, nil, `{"code":4008,"detail":"d","retryAfterMillis":1500}`, codes.Overloaded, 1500 * time.Millisecond},
-		"from the headers":      {429, map[string]string{client.HeaderCode: "4008", client.HeaderRetryAfter: "250"}, "", codes.Overloaded, 250 * time.Millisecond},
-		"seconds":               {503, map[string]string{client.HeaderCode: "4009", "Retry-After": "2"}, "", codes.NoEndpoint, 2 * time.Second},
-		"no code":               {502, nil, "<html>", codes.SubmitUnknown, 0},
-		"malformed success":     {202, nil, "<html>", codes.SubmitUnknown, 0},
-		"redirect not followed": {307, map[string]string{"Location": "/v1/jobs"}, "", codes.SubmitUnknown, 0},
+		"code in the body":       {429, nil, `{"code":4008,"detail":"d","retryAfterMillis":1500}`, codes.Overloaded, 1500 * time.Millisecond},
+		"code in the headers":    {429, map[string]string{client.HeaderCode: "4008", client.HeaderRetryAfter: "250"}, "", codes.Overloaded, 250 * time.Millisecond},
+		"retry delay in seconds": {503, map[string]string{client.HeaderCode: "4009", "Retry-After": "2"}, "", codes.NoEndpoint, 2 * time.Second},
+		"no code":                {502, nil, "<html>", codes.SubmitUnknown, 0},
+		"malformed success":      {202, nil, "<html>", codes.SubmitUnknown, 0},
+		"redirect not followed":  {307, map[string]string{"Location": "/v1/jobs"}, "", codes.SubmitUnknown, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -156,6 +158,9 @@
 	}
 }
 
+// TestCallReturnsEndpointResponse guards against a server error of the endpoint
+// that is returned as an error of the call, and against options that are not
+// sent.
 func TestCallReturnsEndpointResponse(t *testing.T) {
 	is := is.New(t)
 	cl, rr := serve(t, 500, map[string]string{client.HeaderCode: "3000", client.HeaderRequest: "r1"}, "oops")
@@ -184,8 +189,9 @@
 }
 
 // rawServer starts a server that writes fn(n) in response to its n-th request,
-// counted over all connections. It closes the connection after an empty response
-// or one with "Connection: close". It returns its address and the request count.
+// counted over all connections. The server closes the connection after an empty
+// response or one with "Connection: close". rawServer returns the address of the
+// server and its request count.
 func rawServer(t *testing.T, fn func(n int64) string) (string, *atomic.Int64) {
 	t.Helper()
 	ls, err := net.Listen("tcp", "127.0.0.1:0")
@@ -250,6 +256,9 @@
 	is.Equal(count.Load(), int64(3)) // the second request was sent twice
 }
 
+// TestNonRepeatableRequestIsSentOnce guards against a request that runs twice:
+// its connection is closed without a response, and the client must neither
+// resend it nor send it to another host.
 func TestNonRepeatableRequestIsSentOnce(t *testing.T) {
 	for name, do := range map[string]func(ctx context.Context, cl *client.Client) error{
 		"call": func(ctx context.Context, cl *client.Client) error {
@@ -285,6 +294,8 @@
 	}
 }
 
+// TestTruncatedResponse guards against the result code of a truncated response
+// being returned as if the response were complete.
 func TestTruncatedResponse(t *testing.T) {
 	is := is.New(t)
 	address, _ := rawServer(t, func(int64) string {
@@ -297,6 +308,8 @@
 	is.Equal(codes.Of(err).Code, codes.SubmitUnknown)
 }
 
+// TestFailoverOnlyIfNotRun guards against a request that is sent to another host
+// although it may have run at the previous one.
 func TestFailoverOnlyIfNotRun(t *testing.T) {
 	is := is.New(t)
 	refused, err := net.Listen("tcp", "127.0.0.1:0")
--- a/pkg/client/jobs.go
+++ b/pkg/client/jobs.go
@@ -24,7 +24,7 @@
 func (cl *Client) Submit(ctx context.Context, req SubmitRequest, key string) (Job, error) {
 	body, err := json.Marshal(req)
 	if err != nil {
-		return Job{}, merry.Prepend(err, "submit")
+		return Job{}, merry.Prepend(err, "encode the job")
 	}
 	header := cl.header()
 	header.Set("Content-Type", "application/json")
--- a/pkg/client/operator.go
+++ b/pkg/client/operator.go
@@ -101,7 +101,7 @@
 	})
 }
 
-// Evacuations lists the availability zones that are evacuated.
+// Evacuations lists the availability zones that are marked for evacuation.
 func (cl *Client) Evacuations(ctx context.Context) (EvacuationList, error) {
 	return roundTrip[EvacuationList](ctx, cl, cl.getCall(pathEvacuations, 0))
 }
--- a/pkg/client/response.go
+++ b/pkg/client/response.go
@@ -69,9 +69,8 @@
 	return ca.indeterminate
 }
 
-// responseError returns the error that a response of the system other than a
-// success stands for. A code in the headers takes precedence over one in the
-// body.
+// responseError returns the error of an unsuccessful response of the system. A
+// code in the headers takes precedence over one in the body.
 func responseError(rp reply, ca call) *codes.Error {
 	var an Answer
 	decoded := json.Unmarshal(rp.body, &an) == nil
