Name the servers and errors of the client by their role

Cause: do kept in last the error that is most informative, not the last one; a test server that closes its connections was called silent, and a response an answer. Change: failure, closing, closed, rejected, response and TestSubmitErrors.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -133,27 +133,27 @@
 		return reply{}, &UnreachableError{Err: errNoAddress}
 	}
 	first := int(cl.next.Add(1)-1) % len(cl.cfg.Addresses)
-	var last error
+	var failure error
 	for i := range cl.cfg.Addresses {
 		rp, sent, err := cl.send(ctx, cl.cfg.Addresses[(first+i)%len(cl.cfg.Addresses)], ca)
 		switch {
 		case err == nil && !hostUnavailable(rp):
 			return rp, nil
 		case err == nil:
-			last = responseError(rp, ca)
+			failure = responseError(rp, ca)
 		case sent:
-			last = indeterminateError(rp, ca, err)
+			failure = indeterminateError(rp, ca, err)
 			if !ca.readOnly {
-				return reply{}, last
+				return reply{}, failure
 			}
-		case last == nil:
-			last = &UnreachableError{Err: err}
+		case failure == nil:
+			failure = &UnreachableError{Err: err}
 		}
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	return reply{}, last
+	return reply{}, failure
 }
 
 // send makes one attempt at an address and reports whether any part of the
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -131,7 +131,7 @@
 	}
 }
 
-func TestRefusals(t *testing.T) {
+func TestSubmitErrors(t *testing.T) {
 	for name, tc := range map[string]struct {
 		status int
 		header map[string]string
@@ -215,8 +215,8 @@
 						return
 					}
 					_, _ = io.Copy(io.Discard, rq.Body)
-					answer := fn(count.Add(1))
-					if _, err := io.WriteString(cn, answer); err != nil || answer == "" || strings.Contains(answer, "Connection: close") {
+					response := fn(count.Add(1))
+					if _, err := io.WriteString(cn, response); err != nil || response == "" || strings.Contains(response, "Connection: close") {
 						return
 					}
 				}
@@ -312,11 +312,11 @@
 // although it may have run at the previous one.
 func TestFailoverOnlyIfNotRun(t *testing.T) {
 	is := is.New(t)
-	refused, err := net.Listen("tcp", "127.0.0.1:0")
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	refusing := refused.Addr().String()
-	refused.Close()
-	stopping, count := rawServer(t, func(int64) string {
+	refusing := closed.Addr().String()
+	closed.Close()
+	stopping, rejected := rawServer(t, func(int64) string {
 		return "HTTP/1.1 503 Service Unavailable\r\nCicadawharf-Code: 4013\r\nContent-Length: 0\r\n\r\n"
 	})
 	live, served := rawServer(t, func(int64) string { return completeResponse })
@@ -324,7 +324,7 @@
 	cl := newClient(t, refusing, stopping, live)
 	_, err = cl.Call(t.Context(), "s", "POST", "p", nil, client.CallOptions{})
 	is.NoErr(err)
-	is.Equal([2]int64{count.Load(), served.Load()}, [2]int64{1, 1})
+	is.Equal([2]int64{rejected.Load(), served.Load()}, [2]int64{1, 1})
 
 	_, err = newClient(t, refusing, stopping, refusing).Submit(t.Context(), client.SubmitRequest{}, "")
 	is.Equal(codes.Of(err).Code, codes.Stopping)
@@ -333,9 +333,9 @@
 	var ue *client.UnreachableError
 	is.True(errors.As(err, &ue))
 
-	silent, _ := rawServer(t, func(int64) string { return "" })
-	_, err = newClient(t, silent, live).Status(t.Context())
+	closing, _ := rawServer(t, func(int64) string { return "" })
+	_, err = newClient(t, closing, live).Status(t.Context())
 	is.NoErr(err) // a read-only request fails over after a lost response
-	_, err = newClient(t, silent, live).Cancel(t.Context(), "z.1")
+	_, err = newClient(t, closing, live).Cancel(t.Context(), "z.1")
 	is.Equal(codes.Of(err).Code, codes.CancelUnknown)
 }
