Call a decoded settings file doc in setup

Cause: setup held a strict.Document, which maps paths to positions and collects faults, under the name tree, while strict itself and spec call it doc. Change: the locals and parameters of that type are called doc. Renames only.

--- a/internal/setup/domain.go
+++ b/internal/setup/domain.go
@@ -103,51 +103,51 @@
 		Processor: Processor{Share: 1, Cores: 1},
 		Timing:    Timing{Revoke: DefaultRevoke, StopGrace: DefaultStopGrace},
 	}
-	tree := strict.Decode(file, data, &do)
-	if tree.Err() == nil {
-		checkDomain(tree, &do)
+	doc := strict.Decode(file, data, &do)
+	if doc.Err() == nil {
+		checkDomain(doc, &do)
 	}
-	if err := tree.Err(); err != nil {
+	if err := doc.Err(); err != nil {
 		return Domain{}, err
 	}
 	return do, nil
 }
 
-func checkDomain(tree *strict.Document, do *Domain) {
-	checkName(tree, "$.host.name", do.Host.Name)
-	checkName(tree, "$.host.zone", do.Host.Zone)
-	checkName(tree, "$.host.region", do.Host.Region)
-	checkAddress(tree, "$.host.callersAddress", do.Host.CallersAddress)
-	checkAddress(tree, "$.host.readinessAddress", do.Host.ReadinessAddress)
+func checkDomain(doc *strict.Document, do *Domain) {
+	checkName(doc, "$.host.name", do.Host.Name)
+	checkName(doc, "$.host.zone", do.Host.Zone)
+	checkName(doc, "$.host.region", do.Host.Region)
+	checkAddress(doc, "$.host.callersAddress", do.Host.CallersAddress)
+	checkAddress(doc, "$.host.readinessAddress", do.Host.ReadinessAddress)
 	if do.Host.MetricsAddress != "" {
-		checkAddress(tree, "$.host.metricsAddress", do.Host.MetricsAddress)
+		checkAddress(doc, "$.host.metricsAddress", do.Host.MetricsAddress)
 	}
 	if do.Host.PeerAddress != "" {
-		checkAddress(tree, "$.host.peerAddress", do.Host.PeerAddress)
+		checkAddress(doc, "$.host.peerAddress", do.Host.PeerAddress)
 	}
 	if do.Host.OperatorsAddress != "" {
-		checkAddress(tree, "$.host.operatorsAddress", do.Host.OperatorsAddress)
+		checkAddress(doc, "$.host.operatorsAddress", do.Host.OperatorsAddress)
 	}
-	checkAddress(tree, "$.store.address", do.Store.Address)
+	checkAddress(doc, "$.store.address", do.Store.Address)
 	if do.Advice.Address != "" {
-		checkAddress(tree, "$.advice.address", do.Advice.Address)
+		checkAddress(doc, "$.advice.address", do.Advice.Address)
 	}
 	if do.Machines.Address != "" {
-		checkAddress(tree, "$.machines.address", do.Machines.Address)
+		checkAddress(doc, "$.machines.address", do.Machines.Address)
 	}
-	checkLevel(tree, do.Log.Level)
+	checkLevel(doc, do.Log.Level)
 	if do.Memory < 0 || do.Memory > maxMemory {
-		tree.Report("$.memoryMegabytes", "memoryMegabytes must be between 0 and %d", maxMemory)
+		doc.Report("$.memoryMegabytes", "memoryMegabytes must be between 0 and %d", maxMemory)
 	}
 	if do.Processor.Share <= 0 || do.Processor.Share > 1 {
-		tree.Report("$.processor.share", "share must be above 0 and at most 1")
+		doc.Report("$.processor.share", "share must be above 0 and at most 1")
 	}
 	if do.Processor.Cores < 1 || do.Processor.Cores > maxCores {
-		tree.Report("$.processor.cores", "cores must be between 1 and %d", maxCores)
+		doc.Report("$.processor.cores", "cores must be between 1 and %d", maxCores)
 	}
-	checkDuration(tree, "$.timing.revoke", do.Timing.Revoke, 1)
-	checkDuration(tree, "$.timing.stopGrace", do.Timing.StopGrace, 1)
-	checkDuration(tree, "$.timing.evacuate", do.Timing.Evacuate, 0)
+	checkDuration(doc, "$.timing.revoke", do.Timing.Revoke, 1)
+	checkDuration(doc, "$.timing.stopGrace", do.Timing.StopGrace, 1)
+	checkDuration(doc, "$.timing.evacuate", do.Timing.Evacuate, 0)
 }
 
 // AvailableCores returns the CPU quota of the process, in cores.
--- a/internal/setup/parse.go
+++ b/internal/setup/parse.go
@@ -47,11 +47,11 @@
 // type spec.Faults.
 func Parse(file string, data []byte) (Settings, error) {
 	se := defaults()
-	tree := strict.Decode(file, data, &se)
-	if tree.Err() == nil {
-		check(tree, &se)
+	doc := strict.Decode(file, data, &se)
+	if doc.Err() == nil {
+		check(doc, &se)
 	}
-	if err := tree.Err(); err != nil {
+	if err := doc.Err(); err != nil {
 		return Settings{}, err
 	}
 	return se, nil
@@ -72,84 +72,84 @@
 	}
 }
 
-func check(tree *strict.Document, se *Settings) {
-	checkName(tree, "$.host.name", se.Host.Name)
-	checkName(tree, "$.host.zone", se.Host.Zone)
-	checkName(tree, "$.host.region", se.Host.Region)
-	checkAddress(tree, "$.host.httpAddress", se.Host.HTTPAddress)
-	checkAddress(tree, "$.host.peerAddress", se.Host.PeerAddress)
+func check(doc *strict.Document, se *Settings) {
+	checkName(doc, "$.host.name", se.Host.Name)
+	checkName(doc, "$.host.zone", se.Host.Zone)
+	checkName(doc, "$.host.region", se.Host.Region)
+	checkAddress(doc, "$.host.httpAddress", se.Host.HTTPAddress)
+	checkAddress(doc, "$.host.peerAddress", se.Host.PeerAddress)
 	if se.Host.HTTPAddress != "" && se.Host.HTTPAddress == se.Host.PeerAddress {
-		tree.Report("$.host.peerAddress", "peerAddress must differ from httpAddress")
+		doc.Report("$.host.peerAddress", "peerAddress must differ from httpAddress")
 	}
 	for i, ad := range se.Seeds {
-		checkAddress(tree, strict.Index("$.seeds", i), ad)
+		checkAddress(doc, strict.Index("$.seeds", i), ad)
 	}
-	checkStore(tree, se.Store)
-	checkLevel(tree, se.Log.Level)
-	checkLimits(tree, se.Limits)
-	checkDuration(tree, "$.stop.delay", se.Stop.Delay, 0)
-	checkDuration(tree, "$.stop.bound", se.Stop.Bound, 1)
+	checkStore(doc, se.Store)
+	checkLevel(doc, se.Log.Level)
+	checkLimits(doc, se.Limits)
+	checkDuration(doc, "$.stop.delay", se.Stop.Delay, 0)
+	checkDuration(doc, "$.stop.bound", se.Stop.Bound, 1)
 }
 
-func checkLevel(tree *strict.Document, level string) {
+func checkLevel(doc *strict.Document, level string) {
 	switch level {
 	case "debug", "info", "warn", "error":
 	default:
-		tree.Report("$.log.level", "level %q must be one of debug, info, warn, error", level)
+		doc.Report("$.log.level", "level %q must be one of debug, info, warn, error", level)
 	}
 }
 
-func checkStore(tree *strict.Document, st Store) {
+func checkStore(doc *strict.Document, st Store) {
 	if len(st.Addresses) == 0 {
-		tree.Report("$.store.addresses", "at least one address of the store is required")
+		doc.Report("$.store.addresses", "at least one address of the store is required")
 	}
 	for i, ad := range st.Addresses {
-		checkAddress(tree, strict.Index("$.store.addresses", i), ad)
+		checkAddress(doc, strict.Index("$.store.addresses", i), ad)
 	}
-	checkDuration(tree, "$.store.timeout", st.Timeout, 1)
+	checkDuration(doc, "$.store.timeout", st.Timeout, 1)
 }
 
-func checkLimits(tree *strict.Document, li Limits) {
-	checkLimit(tree, "$.limits.requests", int64(li.Requests), maxRequests)
-	checkLimit(tree, "$.limits.headerBytes", int64(li.HeaderBytes), maxHeaderBytes)
-	checkLimit(tree, "$.limits.bodyBytes", li.BodyBytes, maxBodyBytes)
-	checkDuration(tree, "$.limits.readTimeout", li.ReadTimeout, 1)
-	checkDuration(tree, "$.limits.queueTime", li.QueueTime, 1)
+func checkLimits(doc *strict.Document, li Limits) {
+	checkLimit(doc, "$.limits.requests", int64(li.Requests), maxRequests)
+	checkLimit(doc, "$.limits.headerBytes", int64(li.HeaderBytes), maxHeaderBytes)
+	checkLimit(doc, "$.limits.bodyBytes", li.BodyBytes, maxBodyBytes)
+	checkDuration(doc, "$.limits.readTimeout", li.ReadTimeout, 1)
+	checkDuration(doc, "$.limits.queueTime", li.QueueTime, 1)
 }
 
-func checkName(tree *strict.Document, path, name string) {
+func checkName(doc *strict.Document, path, name string) {
 	switch {
-	case !tree.Has(path):
-		tree.Report(path, "%q is missing", fieldName(path))
+	case !doc.Has(path):
+		doc.Report(path, "%q is missing", fieldName(path))
 	case !spec.ValidName(name):
-		tree.Report(path, "%s %q must consist of 1 to 63 lower-case letters, digits and hyphens, and not begin or end with a hyphen", fieldName(path), name)
+		doc.Report(path, "%s %q must consist of 1 to 63 lower-case letters, digits and hyphens, and not begin or end with a hyphen", fieldName(path), name)
 	}
 }
 
-func checkAddress(tree *strict.Document, path, address string) {
-	if !tree.Has(path) {
-		tree.Report(path, "%q is missing", fieldName(path))
+func checkAddress(doc *strict.Document, path, address string) {
+	if !doc.Has(path) {
+		doc.Report(path, "%q is missing", fieldName(path))
 		return
 	}
 	if err := CheckAddress(address); err != nil {
-		tree.Report(path, "%v", err)
+		doc.Report(path, "%v", err)
 	}
 }
 
-func checkLimit(tree *strict.Document, path string, value, most int64) {
+func checkLimit(doc *strict.Document, path string, value, most int64) {
 	if value < 1 || value > most {
-		tree.Report(path, "%s must be between 1 and %d", fieldName(path), most)
+		doc.Report(path, "%s must be between 1 and %d", fieldName(path), most)
 	}
 }
 
-func checkDuration(tree *strict.Document, path string, value, least time.Duration) {
+func checkDuration(doc *strict.Document, path string, value, least time.Duration) {
 	switch {
 	case value > maxDuration:
-		tree.Report(path, "%s must be at most %v", fieldName(path), maxDuration)
+		doc.Report(path, "%s must be at most %v", fieldName(path), maxDuration)
 	case value < least && least > 0:
-		tree.Report(path, "%s must be positive", fieldName(path))
+		doc.Report(path, "%s must be positive", fieldName(path))
 	case value < least:
-		tree.Report(path, "%s must not be negative", fieldName(path))
+		doc.Report(path, "%s must not be negative", fieldName(path))
 	}
 }
 
