State units, errors and purposes in the texts of setup

Cause: the comments of Load and LoadDomain did not name the error of a missing file, whose text began with the bare word settings; the memory limit had no unit, and some cases of tests were named after a field instead of the error. Change: comments, the prefix of one error text, case names and heads of tests.

--- a/internal/setup/domain.go
+++ b/internal/setup/domain.go
@@ -17,7 +17,7 @@
 		Advice    Advice      `yaml:"advice"`
 		Machines  Machines    `yaml:"machines"`
 		Log       Log         `yaml:"log"`
-		Memory    int         `yaml:"memoryMegabytes"` // memory limit of the process; zero for no limit
+		Memory    int         `yaml:"memoryMegabytes"` // memory limit of the process, MiB; zero for no limit
 		Processor Processor   `yaml:"processor"`
 		Timing    Timing      `yaml:"timing"`
 
@@ -26,8 +26,8 @@
 
 	// Processor is the CPU quota of the process.
 	Processor struct {
-		Share float64 `yaml:"share"` // fraction of the CPU time of the cores
-		Cores int     `yaml:"cores"`
+		Share float64 `yaml:"share"` // fraction of the CPU time of the cores, above 0 and at most 1
+		Cores int     `yaml:"cores"` // number of cores that the share refers to
 	}
 
 	// DomainHost identifies a host of a scheduling domain, its location and its
@@ -79,18 +79,18 @@
 	DefaultStopGrace = 6 * time.Second
 )
 
-// The upper limits of settings.
+// The upper limits of the settings of a host of a scheduling domain.
 const (
 	maxMemory = 1 << 20 // megabytes
 	maxCores  = 1 << 10
 )
 
-// LoadDomain reads and validates a settings file. An invalid content is reported
-// as spec.Faults.
+// LoadDomain reads and validates a settings file. The error wraps that of
+// reading the file, or is of type spec.Faults if the content is invalid.
 func LoadDomain(file string) (Domain, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return Domain{}, merry.Prepend(err, "settings")
+		return Domain{}, merry.Prepend(err, "read the settings")
 	}
 	return ParseDomain(file, data)
 }
--- a/internal/setup/domain_test.go
+++ b/internal/setup/domain_test.go
@@ -33,8 +33,8 @@
 		{name: "zero share", extra: "processor: {share: 0}\n", fault: "share must be above 0"},
 		{name: "share is text", extra: "processor: {share: half}\n", fault: "must be a number"},
 		{name: "zero cores", extra: "processor: {cores: 0}\n", fault: "cores must be between"},
-		{name: "memory", extra: "memoryMegabytes: -1\n", fault: "memoryMegabytes must be between"},
-		{name: "unknown", extra: "speed: 1\n", fault: "speed"},
+		{name: "negative memory", extra: "memoryMegabytes: -1\n", fault: "memoryMegabytes must be between"},
+		{name: "unknown key", extra: "speed: 1\n", fault: "speed"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/setup/parse.go
+++ b/internal/setup/parse.go
@@ -26,6 +26,7 @@
 	DefaultStopBound    = 60 * time.Second
 )
 
+// The upper limits of the settings of an entry host.
 const (
 	maxRequests    = 1 << 20
 	maxHeaderBytes = 1 << 20
@@ -33,12 +34,12 @@
 	maxDuration    = time.Hour
 )
 
-// Load reads and validates a settings file. An invalid content is reported as
-// spec.Faults.
+// Load reads and validates a settings file. The error wraps that of reading the
+// file, or is of type spec.Faults if the content is invalid.
 func Load(file string) (Settings, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return Settings{}, merry.Prepend(err, "settings")
+		return Settings{}, merry.Prepend(err, "read the settings")
 	}
 	return Parse(file, data)
 }
@@ -142,6 +143,8 @@
 	}
 }
 
+// checkDuration reports a duration that is longer than maxDuration or shorter
+// than least, which is 0, or 1 if the duration must be positive.
 func checkDuration(doc *strict.Document, path string, value, least time.Duration) {
 	switch {
 	case value > maxDuration:
@@ -166,4 +169,5 @@
 	return nil
 }
 
+// fieldName returns the last key of a YAML path.
 func fieldName(path string) string { return path[strings.LastIndex(path, ".")+1:] }
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -51,6 +51,8 @@
 	is.Equal(se.Stop, setup.Stop{Delay: setup.DefaultStopDelay, Bound: setup.DefaultStopBound})
 }
 
+// TestParseFaults makes one error at a time in a valid file and guards against
+// an error that is accepted or reported at a wrong position.
 func TestParseFaults(t *testing.T) {
 	for _, tc := range []struct{ name, old, replacement, want string }{
 		{"unknown key", "zone:", "zona:", `s:3:3: unknown key "zona"`},
@@ -61,8 +63,8 @@
 		{"same address", "7090", "7080", `s:6:16: peerAddress must differ from httpAddress`},
 		{"malformed seed", "store:", "seeds: [x]\nstore:", `s:7:9: address "x" must be IP:port`},
 		{"no store", "[127.0.0.1:2379]", "[]", `s:8:3: at least one address of the store`},
-		{"level", "store:", "log: {level: loud}\nstore:", `s:7:14: level "loud" must be one of`},
-		{"bound", "store:", "limits: {requests: 0}\nstore:", `s:7:20: requests must be between 1 and`},
+		{"unknown level", "store:", "log: {level: loud}\nstore:", `s:7:14: level "loud" must be one of`},
+		{"zero requests", "store:", "limits: {requests: 0}\nstore:", `s:7:20: requests must be between 1 and`},
 		{"negative delay", "store:", "stop: {delay: -1s}\nstore:", `s:7:15: delay must not be negative`},
 		{"zero bound", "store:", "stop: {bound: 0s}\nstore:", `s:7:15: bound must be positive`},
 		{"huge bound", "store:", "stop: {bound: 9000h}\nstore:", `s:7:15: bound must be at most`},
@@ -80,6 +82,8 @@
 	}
 }
 
+// FuzzParse guards against a panic, an accepted file without a host name or with
+// an invalid address, and an error of another type than Faults.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(minimal))
 	f.Add([]byte("host: {name: [}\nseeds: 1\n"))
