Name the errors and exit codes of the commands by what they are

Cause: usage was both the help text of a command and the constructor of a usage error, the exit code for refused and for failed work was called ExitRefused, and priority held whether a priority is valid. Change: usageErrorf, ExitFailure, printCodeError, nameFlag, remoteOptions, priorityValid and some locals.

--- a/internal/cmds/declare.go
+++ b/internal/cmds/declare.go
@@ -149,7 +149,7 @@
 		return err
 	}
 	if op.expect < expectCurrent {
-		return usage("flag --expect: a revision must not be negative")
+		return usageErrorf("flag --expect: a revision must not be negative")
 	}
 	if err := checkWait(op.wait); err != nil {
 		return err
@@ -222,8 +222,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if fas := place.Check(doc); len(fas) > 0 {
-		return nil, nil, fas
+	if fs := place.Check(doc); len(fs) > 0 {
+		return nil, nil, fs
 	}
 	return data, doc, nil
 }
--- a/internal/cmds/evacuate.go
+++ b/internal/cmds/evacuate.go
@@ -41,9 +41,9 @@
 func (en *env) evacuate(ctx context.Context, op *evacuateOptions) error {
 	switch {
 	case op.zone == "" && op.back:
-		return usage("flag --back requires a zone")
+		return usageErrorf("flag --back requires a zone")
 	case op.zone != "" && !spec.ValidName(op.zone):
-		return usage("%q is not a valid zone name", op.zone)
+		return usageErrorf("%q is not a valid zone name", op.zone)
 	}
 	return en.withClient(op, func(cl *client.Client) error {
 		if op.zone == "" {
@@ -86,11 +86,11 @@
 	return tw.Flush()
 }
 
-func numberOrDash(n *int) string {
-	if n == nil {
+func numberOrDash(num *int) string {
+	if num == nil {
 		return orDash("")
 	}
-	return strconv.Itoa(*n)
+	return strconv.Itoa(*num)
 }
 
 // writeDomain writes the status of a host of a scheduling domain.
--- a/internal/cmds/jobs.go
+++ b/internal/cmds/jobs.go
@@ -114,24 +114,24 @@
 	op.req.Repeatable = &repeatable
 	op.req.RunTime = op.runTime.String()
 	op.req.Shape.Adjacency = spec.Adjacency(op.adjacency)
-	_, priority := jobs.ParsePriority(op.req.Priority)
+	_, priorityValid := jobs.ParsePriority(op.req.Priority)
 	switch {
 	case op.workspace == "":
-		return usage("flag --workspace is required")
+		return usageErrorf("flag --workspace is required")
 	case op.runTime <= 0:
-		return usage("flag --run-time is required: a positive duration")
+		return usageErrorf("flag --run-time is required: a positive duration")
 	case op.req.Shape.Tasks < 1 || op.req.Shape.Tasks > spec.MaxTasks:
-		return usage("flag --tasks: must be between 1 and %d", spec.MaxTasks)
+		return usageErrorf("flag --tasks: must be between 1 and %d", spec.MaxTasks)
 	case op.req.Shape.Accelerators < 0:
-		return usage("flag --accelerators: must not be negative")
+		return usageErrorf("flag --accelerators: must not be negative")
 	case !op.req.Shape.Adjacency.Valid():
-		return usage("flag --adjacency: %q must be worker, rack or zone", op.adjacency)
-	case !priority:
-		return usage("flag --priority: %q must be low, normal or urgent", op.req.Priority)
+		return usageErrorf("flag --adjacency: %q must be worker, rack or zone", op.adjacency)
+	case !priorityValid:
+		return usageErrorf("flag --priority: %q must be low, normal or urgent", op.req.Priority)
 	case op.req.Zone != "" && !spec.ValidName(op.req.Zone):
-		return usage("flag --zone: %q is not a valid zone name", op.req.Zone)
+		return usageErrorf("flag --zone: %q is not a valid zone name", op.req.Zone)
 	case len(op.req.Command) == 0:
-		return usage("the command of the job is missing; it follows --")
+		return usageErrorf("the command of the job is missing; it follows --")
 	}
 	return checkWait(op.wait)
 }
@@ -191,7 +191,7 @@
 		return en.showJob(ctx, cl, op)
 	}
 	if op.wait > 0 {
-		return usage("flag --wait requires the id of a job")
+		return usageErrorf("flag --wait requires the id of a job")
 	}
 	li, err := cl.Jobs(ctx, client.JobFilter{Workspace: op.workspace, Active: op.active})
 	if err != nil {
@@ -282,7 +282,7 @@
 
 func checkWait(wait time.Duration) error {
 	if wait < 0 || wait > maxWait {
-		return usage("flag --wait: must be between 0s and %v", maxWait)
+		return usageErrorf("flag --wait: must be between 0s and %v", maxWait)
 	}
 	return nil
 }
--- a/internal/cmds/load.go
+++ b/internal/cmds/load.go
@@ -53,7 +53,7 @@
 	for _, text := range op.classes {
 		cl, err := load.ParseClass(text)
 		if err != nil {
-			return usage("flag --class: %v", err)
+			return usageErrorf("flag --class: %v", err)
 		}
 		op.cfg.Classes = append(op.cfg.Classes, cl)
 	}
@@ -62,7 +62,7 @@
 	}
 	op.cfg.Seed = uint64(op.seed)
 	if err := op.cfg.Check(); err != nil {
-		return usage("%v", err)
+		return usageErrorf("%v", err)
 	}
 	rp, err := load.Run(ctx, op.cfg)
 	if err != nil {
--- a/internal/cmds/load_test.go
+++ b/internal/cmds/load_test.go
@@ -12,21 +12,21 @@
 )
 
 func TestLoadUsage(t *testing.T) {
-	good := "--class=workspace=w,caller=c,rate=1"
+	class := "--class=workspace=w,caller=c,rate=1"
 	tests := []struct {
 		name string
 		args []string
 		want string
 	}{
-		{"another machine", []string{"--service", "s", good, "--address", "10.1.0.4:7080"}, "not of this machine"},
-		{"a name", []string{"--service", "s", good, "--address", "localhost:7080"}, "must be IP:port"},
-		{"no service", []string{good}, "a service is required"},
+		{"another machine", []string{"--service", "s", class, "--address", "10.1.0.4:7080"}, "not of this machine"},
+		{"a name", []string{"--service", "s", class, "--address", "localhost:7080"}, "must be IP:port"},
+		{"no service", []string{class}, "a service is required"},
 		{"no class", []string{"--service", "s"}, "0 classes"},
 		{"invalid class", []string{"--service", "s", "--class", "rate=1"}, "flag --class"},
-		{"too long", []string{"--service", "s", good, "--duration", "1h"}, "duration"},
-		{"no concurrency", []string{"--service", "s", good, "--concurrency", "0"}, "concurrency"},
-		{"no path", []string{"--service", "s", good, "--path", "quotes"}, "path"},
-		{"output", []string{"--service", "s", good, "--output", "xml"}, "flag --output"},
+		{"too long", []string{"--service", "s", class, "--duration", "1h"}, "duration"},
+		{"no concurrency", []string{"--service", "s", class, "--concurrency", "0"}, "concurrency"},
+		{"no path", []string{"--service", "s", class, "--path", "quotes"}, "path"},
+		{"output", []string{"--service", "s", class, "--output", "xml"}, "flag --output"},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/cmds/main.go
+++ b/internal/cmds/main.go
@@ -52,7 +52,7 @@
 // The exit codes.
 const (
 	ExitOK      = 0
-	ExitRefused = 1
+	ExitFailure = 1
 	ExitUsage   = 2
 )
 
@@ -63,7 +63,7 @@
 func Main(ctx context.Context, args []string, out, errOut io.Writer, run Runners) int {
 	en := &env{out: out, errOut: errOut, run: run}
 	if len(args) == 0 {
-		return en.finish(program, usage("a command is required; see %s --help", program))
+		return en.finish(program, usageErrorf("a command is required; see %s --help", program))
 	}
 	if isHelp(args[0]) {
 		en.printHelp()
@@ -71,7 +71,7 @@
 	}
 	cm, ok := en.command(args[0])
 	if !ok {
-		return en.finish(program, usage("unknown command %q; see %s --help", args[0], program))
+		return en.finish(program, usageErrorf("unknown command %q; see %s --help", args[0], program))
 	}
 	en.args = args[1:]
 	return en.finish(program+" "+cm.name, en.execute(ctx, cm))
@@ -103,17 +103,17 @@
 		fmt.Fprintln(en.errOut, fs.Error())
 		return ExitUsage
 	case errors.As(err, &ce):
-		en.finishCode(name, ce)
-		return ExitRefused
+		en.printCodeError(name, ce)
+		return ExitFailure
 	default:
 		fmt.Fprintf(en.errOut, "%s: %s\n", name, oneLine(err.Error()))
-		return ExitRefused
+		return ExitFailure
 	}
 }
 
-// finishCode prints an error with a result code to standard error and, with
+// printCodeError prints an error with a result code to standard error and, with
 // --output json, as JSON to standard output unless a result has been written.
-func (en *env) finishCode(name string, ce *codes.Error) {
+func (en *env) printCodeError(name string, ce *codes.Error) {
 	line := oneLine(ce.Error())
 	if ce.RetryAfter > 0 {
 		line += fmt.Sprintf(" (retry after %v)", ce.RetryAfter)
@@ -135,7 +135,7 @@
 // Error implements error.
 func (us *usageError) Error() string { return us.text }
 
-func usage(format string, args ...any) error {
+func usageErrorf(format string, args ...any) error {
 	return &usageError{text: fmt.Sprintf(format, args...)}
 }
 
--- a/internal/cmds/main_test.go
+++ b/internal/cmds/main_test.go
@@ -48,19 +48,19 @@
 	bodies   []string
 }
 
-func newSystem(t *testing.T, answers map[string]string) *system {
+func newSystem(t *testing.T, responses map[string]string) *system {
 	t.Helper()
 	sy := &system{}
 	sv := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
 		body, _ := io.ReadAll(rq.Body)
 		sy.requests = append(sy.requests, rq.Method+" "+rq.RequestURI)
 		sy.bodies = append(sy.bodies, string(body))
-		answer, ok := answers[rq.Method+" "+rq.URL.Path]
+		response, ok := responses[rq.Method+" "+rq.URL.Path]
 		if !ok {
-			answer = `{"code":4025}`
+			response = `{"code":4025}`
 		}
 		var an client.Answer
-		_ = json.Unmarshal([]byte(answer), &an)
+		_ = json.Unmarshal([]byte(response), &an)
 		if an.Code != 0 {
 			rw.Header().Set(client.HeaderCode, strings.Fields(an.Code.String())[0])
 			rw.WriteHeader(an.Code.Info().HTTPStatus)
@@ -68,7 +68,7 @@
 			rw.Header().Set(client.HeaderRevision, "7")
 			rw.Header().Set(client.HeaderCode, "2000")
 		}
-		_, _ = io.WriteString(rw, answer)
+		_, _ = io.WriteString(rw, response)
 	}))
 	t.Cleanup(sv.Close)
 	sy.address = sv.Listener.Addr().String()
@@ -186,11 +186,11 @@
 
 func TestApply(t *testing.T) {
 	for name, tc := range map[string]struct {
-		answers  map[string]string
-		args     []string
-		exit     int
-		out, err string
-		uri      string
+		responses map[string]string
+		args      []string
+		exit      int
+		out, err  string
+		uri       string
 	}{
 		"over the revision found": {
 			map[string]string{"PUT /v1/declarations": `{"code":2002,"revision":8}`, "GET /v1/declarations": "x"},
@@ -219,7 +219,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			sy := newSystem(t, tc.answers)
+			sy := newSystem(t, tc.responses)
 			rs := run(t, append([]string{"apply", sacos, "--address", sy.address}, tc.args...)...)
 			is.Equal(rs, result{exit: tc.exit, out: tc.out, err: tc.err})
 			is.Equal(sy.requests[len(sy.requests)-1], tc.uri)
@@ -257,11 +257,11 @@
 	is.Equal(req.Then[1].Command, []string{"publish", "--lot", "7"})
 
 	rs = run(t, append(args, "--wait", "1h", "--", "sort")...)
-	is.Equal(rs.exit, cmds.ExitRefused)
+	is.Equal(rs.exit, cmds.ExitFailure)
 	is.True(strings.Contains(rs.err, "cicadawharf submit: 3002 jobFailed: task 0 failed\n"))
 }
 
-func TestRefusal(t *testing.T) {
+func TestClientErrors(t *testing.T) {
 	is := is.New(t)
 	sy := newSystem(t, map[string]string{"GET /v1/jobs": `{"code":4012,"retryAfterMillis":2000}`})
 	rs := run(t, "jobs", "--address", sy.address)
@@ -272,7 +272,7 @@
 	is.Equal(an.Class, codes.NotRun)
 
 	rs = run(t, "status", "--address", "127.0.0.1:1")
-	is.Equal(rs.exit, cmds.ExitRefused)
+	is.Equal(rs.exit, cmds.ExitFailure)
 	is.True(strings.HasPrefix(rs.err, "cicadawharf status: no entry host could be reached, nothing was sent: "))
 }
 
--- a/internal/cmds/parse.go
+++ b/internal/cmds/parse.go
@@ -75,7 +75,7 @@
 		args = nil
 	}
 	if err := pr.ParseArgs(append([]string{cm.name}, args...)); err != nil {
-		return false, usage("%v; see %s %s --help", err, program, cm.name)
+		return false, usageErrorf("%v; see %s %s --help", err, program, cm.name)
 	}
 	if ac.helpFlag {
 		render(pr, en.out)
@@ -146,7 +146,7 @@
 		default:
 			ac.positionalCount++
 			if ac.positionalCount > len(ac.command.positionals) {
-				return usage("unexpected argument %q; see %s %s --help", args[i], program, ac.command.name)
+				return usageErrorf("unexpected argument %q; see %s %s --help", args[i], program, ac.command.name)
 			}
 		}
 	}
@@ -160,7 +160,7 @@
 	fl := ac.lookup(name)
 	if fl == nil || (len(args[0]) > 1 && !strings.HasPrefix(args[0], "--")) {
 		flag, _, _ := strings.Cut(args[0], "=")
-		return 0, usage("unknown flag %s; see %s %s --help", flag, program, ac.command.name)
+		return 0, usageErrorf("unknown flag %s; see %s %s --help", flag, program, ac.command.name)
 	}
 	if joined {
 		return 1, checkValue(fl, value)
@@ -169,7 +169,7 @@
 		return 1, nil
 	}
 	if len(args) < 2 {
-		return 0, usage("flag --%s requires a value", name)
+		return 0, usageErrorf("flag --%s requires a value", name)
 	}
 	return 2, checkValue(fl, args[1])
 }
@@ -187,11 +187,11 @@
 // that arguments after -- are allowed.
 func (ac *argChecker) checkEnd(trailing []string) error {
 	if len(trailing) > 0 && ac.command.trailing == nil {
-		return usage("unexpected argument %q after --", trailing[0])
+		return usageErrorf("unexpected argument %q after --", trailing[0])
 	}
 	for i, po := range ac.command.positionals {
 		if po.required && i >= ac.positionalCount {
-			return usage("argument %s is missing; see %s %s --help", po.name, program, ac.command.name)
+			return usageErrorf("argument %s is missing; see %s %s --help", po.name, program, ac.command.name)
 		}
 	}
 	return nil
@@ -202,19 +202,19 @@
 	switch fl.AssignmentVar.(type) {
 	case *int, *int64:
 		if _, err := strconv.ParseInt(text, 10, 64); err != nil {
-			return usage("flag --%s: %q is not an integer", fl.LongName, text)
+			return usageErrorf("flag --%s: %q is not an integer", fl.LongName, text)
 		}
 	case *float64:
 		if _, err := strconv.ParseFloat(text, 64); err != nil {
-			return usage("flag --%s: %q is not a number", fl.LongName, text)
+			return usageErrorf("flag --%s: %q is not a number", fl.LongName, text)
 		}
 	case *time.Duration:
 		if _, err := time.ParseDuration(text); err != nil {
-			return usage("flag --%s: %q is not a duration with a unit, such as 30s", fl.LongName, text)
+			return usageErrorf("flag --%s: %q is not a duration with a unit, such as 30s", fl.LongName, text)
 		}
 	case *bool:
 		if _, err := strconv.ParseBool(text); err != nil {
-			return usage("flag --%s: %q is not true or false", fl.LongName, text)
+			return usageErrorf("flag --%s: %q is not true or false", fl.LongName, text)
 		}
 	}
 	return nil
--- a/internal/cmds/procs.go
+++ b/internal/cmds/procs.go
@@ -90,7 +90,7 @@
 		positionals: []positional{{&file, "file", "settings file (required)", true}},
 		run: func(ctx context.Context) error {
 			if file == "" {
-				return usage("a settings file is required; see %s domain --help", program)
+				return usageErrorf("a settings file is required; see %s domain --help", program)
 			}
 			return en.run.Domain(ctx, file, en.out)
 		},
@@ -109,7 +109,7 @@
 		},
 		run: func(ctx context.Context) error {
 			if op.BasePort < 1024 || op.BasePort > maxBasePort {
-				return usage("flag --base-port: must be between 1024 and %d", maxBasePort)
+				return usageErrorf("flag --base-port: must be between 1024 and %d", maxBasePort)
 			}
 			if err := op.load(); err != nil {
 				return err
@@ -167,33 +167,33 @@
 // check validates the flags of a stand-in.
 func (op *StandinOptions) check() error {
 	if op.Listen == "" {
-		return usage("flag --listen is required")
+		return usageErrorf("flag --listen is required")
 	}
 	if err := setup.CheckAddress(op.Listen); err != nil {
-		return usage("flag --listen: %v", err)
+		return usageErrorf("flag --listen: %v", err)
 	}
 	switch op.Kind {
 	case StandinStore:
 		return nil
 	case StandinWorker:
-		if err := checkNames(name{"rack", op.Rack}); err != nil {
+		if err := checkNames(nameFlag{"rack", op.Rack}); err != nil {
 			return err
 		}
 		if op.Accelerators < 0 || op.Accelerators > maxAccelerators {
-			return usage("flag --accelerators: must be between 0 and %d", maxAccelerators)
+			return usageErrorf("flag --accelerators: must be between 0 and %d", maxAccelerators)
 		}
 		if !(op.RunScale > 0) {
-			return usage("flag --run-scale: must be positive")
+			return usageErrorf("flag --run-scale: must be positive")
 		}
 	case StandinEndpoint:
-		if err := checkNames(name{"service", op.Service}); err != nil {
+		if err := checkNames(nameFlag{"service", op.Service}); err != nil {
 			return err
 		}
 		if op.Slots < 1 || op.Connections < op.Slots {
-			return usage("flag --slots: must be at least 1 and at most --connections")
+			return usageErrorf("flag --slots: must be at least 1 and at most --connections")
 		}
 	default:
-		return usage("kind %q must be store, worker or endpoint", op.Kind)
+		return usageErrorf("kind %q must be store, worker or endpoint", op.Kind)
 	}
 	return op.checkRegistration()
 }
@@ -202,29 +202,29 @@
 // store.
 func (op *StandinOptions) checkRegistration() error {
 	if len(op.Store) == 0 {
-		return usage("flag --store is required")
+		return usageErrorf("flag --store is required")
 	}
 	for _, ad := range op.Store {
 		if err := setup.CheckAddress(ad); err != nil {
-			return usage("flag --store: %v", err)
+			return usageErrorf("flag --store: %v", err)
 		}
 	}
-	return checkNames(name{"name", op.Name}, name{"zone", op.Zone})
+	return checkNames(nameFlag{"name", op.Name}, nameFlag{"zone", op.Zone})
 }
 
-// name is the value of a flag that must be a valid name.
-type name struct {
+// nameFlag is the value of a flag that must be a valid name.
+type nameFlag struct {
 	flag string
 	text string
 }
 
-func checkNames(ns ...name) error {
+func checkNames(ns ...nameFlag) error {
 	for _, na := range ns {
 		if na.text == "" {
-			return usage("flag --%s is required", na.flag)
+			return usageErrorf("flag --%s is required", na.flag)
 		}
 		if !spec.ValidName(na.text) {
-			return usage("flag --%s: %q must consist of lower-case letters, digits and hyphens", na.flag, na.text)
+			return usageErrorf("flag --%s: %q must consist of lower-case letters, digits and hyphens", na.flag, na.text)
 		}
 	}
 	return nil
--- a/internal/cmds/query.go
+++ b/internal/cmds/query.go
@@ -116,7 +116,7 @@
 		return err
 	}
 	if _, err := time.Parse(time.DateOnly, op.day); op.day != "" && err != nil {
-		return usage("flag --day: %q is not a day of the form YYYY-MM-DD", op.day)
+		return usageErrorf("flag --day: %q is not a day of the form YYYY-MM-DD", op.day)
 	}
 	cl, err := op.client()
 	if err != nil {
@@ -147,12 +147,12 @@
 	if err := json.Unmarshal(body, &da); err != nil {
 		return codes.New(codes.InternalFailure, "the report can't be decoded: %v", err)
 	}
-	var picture bytes.Buffer
-	if err := da.WriteChart(&picture); err != nil {
-		return usage("flag --chart: %v", err)
+	var svg bytes.Buffer
+	if err := da.WriteChart(&svg); err != nil {
+		return usageErrorf("flag --chart: %v", err)
 	}
-	if err := os.WriteFile(op.chart, picture.Bytes(), chartMode); err != nil {
-		return usage("flag --chart: %v", err)
+	if err := os.WriteFile(op.chart, svg.Bytes(), chartMode); err != nil {
+		return usageErrorf("flag --chart: %v", err)
 	}
 	return nil
 }
@@ -244,7 +244,7 @@
 	var body []byte
 	switch {
 	case op.data != "" && op.dataFile != "":
-		return nil, usage("flags --data and --data-file are mutually exclusive")
+		return nil, usageErrorf("flags --data and --data-file are mutually exclusive")
 	case op.data != "":
 		body = []byte(op.data)
 	case op.dataFile != "":
@@ -263,13 +263,13 @@
 func (op *callOptions) options() (client.CallOptions, error) {
 	co := client.CallOptions{Timeout: op.timeout, Priority: op.priority, Key: op.key, Header: http.Header{}}
 	if op.workspace == "" {
-		return co, usage("flag --workspace is required")
+		return co, usageErrorf("flag --workspace is required")
 	}
 	if op.timeout < 0 {
-		return co, usage("flag --timeout: must not be negative")
+		return co, usageErrorf("flag --timeout: must not be negative")
 	}
 	if _, ok := jobs.ParsePriority(op.priority); !ok {
-		return co, usage("flag --priority: %q must be low, normal or urgent", op.priority)
+		return co, usageErrorf("flag --priority: %q must be low, normal or urgent", op.priority)
 	}
 	if op.repeatable != "" {
 		repeatable, err := parseBool("repeatable", op.repeatable)
@@ -281,7 +281,7 @@
 	for _, he := range op.headers {
 		name, value, ok := strings.Cut(he, ":")
 		if !ok || strings.TrimSpace(name) == "" {
-			return co, usage("flag --header: %q must have the form Name: value", he)
+			return co, usageErrorf("flag --header: %q must have the form Name: value", he)
 		}
 		co.Header.Add(strings.TrimSpace(name), strings.TrimSpace(value))
 	}
--- a/internal/cmds/remote.go
+++ b/internal/cmds/remote.go
@@ -22,9 +22,9 @@
 	operator  string
 }
 
-// remoteCommand is implemented by the options of commands that embed both remote
+// remoteOptions is implemented by the options of commands that embed both remote
 // and output.
-type remoteCommand interface {
+type remoteOptions interface {
 	check(en *env) error
 	client() (*client.Client, error)
 }
@@ -54,7 +54,7 @@
 	}
 	for _, ad := range re.addresses {
 		if err := setup.CheckAddress(ad); err != nil {
-			return nil, usage("flag --address: %v", err)
+			return nil, usageErrorf("flag --address: %v", err)
 		}
 	}
 	return client.New(client.Config{
@@ -64,7 +64,7 @@
 
 // withClient validates the flags of a command and calls fn with a client of the
 // system.
-func (en *env) withClient(op remoteCommand, fn func(cl *client.Client) error) error {
+func (en *env) withClient(op remoteOptions, fn func(cl *client.Client) error) error {
 	if err := op.check(en); err != nil {
 		return err
 	}
@@ -88,7 +88,7 @@
 		en.json = op.format == formatJSON
 		return nil
 	default:
-		return usage("flag --output: %q must be text or json", op.format)
+		return usageErrorf("flag --output: %q must be text or json", op.format)
 	}
 }
 
@@ -115,9 +115,9 @@
 	}
 	var pe *fs.PathError
 	if errors.As(err, &pe) {
-		return nil, usage("%s: %v", name, pe.Err)
+		return nil, usageErrorf("%s: %v", name, pe.Err)
 	}
-	return nil, usage("%s: %v", name, err)
+	return nil, usageErrorf("%s: %v", name, err)
 }
 
 // parseBool parses a required flag whose value must be true or false.
@@ -126,8 +126,8 @@
 	case "true", "false":
 		return strconv.ParseBool(text)
 	case "":
-		return false, usage("flag --%s is required: true or false", flag)
+		return false, usageErrorf("flag --%s is required: true or false", flag)
 	default:
-		return false, usage("flag --%s: %q must be true or false", flag, text)
+		return false, usageErrorf("flag --%s: %q must be true or false", flag, text)
 	}
 }
--- a/internal/cmds/steps.go
+++ b/internal/cmds/steps.go
@@ -21,17 +21,17 @@
 	}
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return nil, usage("flag --then: %v", err)
+		return nil, usageErrorf("flag --then: %v", err)
 	}
 	var sf stepsFile
-	tree := strict.Decode(file, data, &sf)
-	if tree.Err() == nil && len(sf.Steps) == 0 {
-		tree.Report("$.steps", "steps must have at least one element")
+	doc := strict.Decode(file, data, &sf)
+	if doc.Err() == nil && len(sf.Steps) == 0 {
+		doc.Report("$.steps", "steps must have at least one element")
 	}
 	for i := range sf.Steps {
 		if sf.Steps[i].Shape.Adjacency == "" {
 			sf.Steps[i].Shape.Adjacency = spec.DefaultAdjacency
 		}
 	}
-	return sf.Steps, tree.Err()
+	return sf.Steps, doc.Err()
 }
