Make the texts of the commands precise and name the simulators

Cause: the help of local and standin spoke of stand-ins, evacuated zones were listed under the heading EMPTIED ZONE while tasks still run there, the error about an invalid name gave half of the rule, and tests and their cases did not say what they guard against. Change: comments, help texts, this heading with its test, this error, heads and case names of tests.

--- a/internal/cmds/declare.go
+++ b/internal/cmds/declare.go
@@ -195,8 +195,9 @@
 	return 0, err
 }
 
-// emitRefusedApply writes the response to a refused file if the output is JSON.
-// In text output, the error message suffices. It returns the refusal.
+// emitRefusedApply writes the response to refused declarations if the output is
+// JSON. In text output, the error message suffices. It returns the refusal, or
+// the error of writing.
 func (en *env) emitRefusedApply(ap client.Applied, refusal error) error {
 	if !en.json || ap.Code == 0 {
 		return refusal
@@ -212,7 +213,8 @@
 	return err
 }
 
-// loadDeclarations reads and validates a declarations file.
+// loadDeclarations reads and validates a declarations file. The error is a usage
+// error or of type spec.Faults.
 func loadDeclarations(file string) ([]byte, *spec.Document, error) {
 	data, err := readFile(file)
 	if err != nil {
@@ -228,7 +230,8 @@
 	return data, doc, nil
 }
 
-// emitFaults writes the faults of a file if the output is JSON, and returns err.
+// emitFaults writes the faults of a file if the output is JSON and err holds any.
+// It returns err, or the error of writing.
 func (en *env) emitFaults(err error) error {
 	fs, ok := err.(spec.Faults)
 	if !ok || !en.json {
--- a/internal/cmds/jobs.go
+++ b/internal/cmds/jobs.go
@@ -43,8 +43,8 @@
 
 const (
 	maxWait         = 24 * time.Hour
-	pollWait        = 30 * time.Second // timeout of one long poll
-	minPollInterval = 500 * time.Millisecond
+	pollWait        = 30 * time.Second       // timeout of one long poll
+	minPollInterval = 500 * time.Millisecond // between the starts of polls that return early
 )
 
 func (en *env) submitCommand() *command {
@@ -241,7 +241,8 @@
 	})
 }
 
-// emitJob writes a job. It returns an error for a job that has failed.
+// emitJob writes a job. It returns an error for a job that has ended without
+// success.
 func (en *env) emitJob(jb client.Job) error {
 	if err := emit(en, jb, writeJob); err != nil {
 		return err
@@ -269,6 +270,8 @@
 	return tw.Flush()
 }
 
+// shapeText returns a shape as tasks, accelerators per task and adjacency, such
+// as 4x8/rack.
 func shapeText(sh spec.Shape) string {
 	return fmt.Sprintf("%dx%d/%s", sh.Tasks, sh.Accelerators, sh.Adjacency)
 }
--- a/internal/cmds/load_test.go
+++ b/internal/cmds/load_test.go
@@ -18,15 +18,15 @@
 		args []string
 		want string
 	}{
-		{"another machine", []string{"--service", "s", class, "--address", "10.1.0.4:7080"}, "not of this machine"},
-		{"a name", []string{"--service", "s", class, "--address", "localhost:7080"}, "must be IP:port"},
+		{"address of another machine", []string{"--service", "s", class, "--address", "10.1.0.4:7080"}, "not of this machine"},
+		{"host name for an address", []string{"--service", "s", class, "--address", "localhost:7080"}, "must be IP:port"},
 		{"no service", []string{class}, "a service is required"},
 		{"no class", []string{"--service", "s"}, "0 classes"},
 		{"invalid class", []string{"--service", "s", "--class", "rate=1"}, "flag --class"},
-		{"too long", []string{"--service", "s", class, "--duration", "1h"}, "duration"},
-		{"no concurrency", []string{"--service", "s", class, "--concurrency", "0"}, "concurrency"},
-		{"no path", []string{"--service", "s", class, "--path", "quotes"}, "path"},
-		{"output", []string{"--service", "s", class, "--output", "xml"}, "flag --output"},
+		{"excessive duration", []string{"--service", "s", class, "--duration", "1h"}, "duration"},
+		{"zero concurrency", []string{"--service", "s", class, "--concurrency", "0"}, "concurrency"},
+		{"path without slash", []string{"--service", "s", class, "--path", "quotes"}, "path"},
+		{"unknown output format", []string{"--service", "s", class, "--output", "xml"}, "flag --output"},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/cmds/main.go
+++ b/internal/cmds/main.go
@@ -1,9 +1,9 @@
 // Package cmds implements the command line of cicadawharf.
 //
-// The exit code is 0 for success, 1 for work that was refused or failed, whose
-// result code is printed to standard error, and 2 for a usage error, such as a
-// wrong flag, a missing file or an invalid field. Results go to standard output
-// and everything else to standard error.
+// The exit code is 0 for success, 1 for work that was refused or failed, and 2
+// for a usage error, such as a wrong flag, a missing file or an invalid field.
+// The result code of refused or failed work is printed to standard error.
+// Results go to standard output and everything else to standard error.
 //
 // The flags are parsed by flaggy, which prints and exits on its own if they are
 // invalid. All arguments are therefore validated first, against the flags that
@@ -24,8 +24,8 @@
 )
 
 type (
-	// Runners holds the implementations of the commands that run a process
-	// until it ends.
+	// Runners holds the implementations of the commands that run for as long as
+	// the process, until their context is done.
 	Runners struct {
 		Serve   func(ctx context.Context, se setup.Settings, log io.Writer) error
 		Domain  func(ctx context.Context, file string, log io.Writer) error
@@ -39,11 +39,12 @@
 		out     io.Writer
 		errOut  io.Writer
 		run     Runners
-		json    bool // whether errors are also written to out, as JSON
+		json    bool // whether results, and errors without a result, are written to out as JSON
 		emitted bool // whether a result has been written to out
 	}
 
-	// usageError is an error in the use of a command.
+	// usageError is an error in the arguments of a command or in a file that
+	// they name.
 	usageError struct {
 		text string
 	}
@@ -86,7 +87,8 @@
 	return cm.run(ctx)
 }
 
-// finish reports the error of a command and returns the exit code.
+// finish prints the error of a command, if there is one, and returns the exit
+// code.
 func (en *env) finish(name string, err error) int {
 	var (
 		us *usageError
@@ -135,12 +137,14 @@
 // Error implements error.
 func (us *usageError) Error() string { return us.text }
 
+// usageErrorf returns a usageError with a formatted text.
 func usageErrorf(format string, args ...any) error {
 	return &usageError{text: fmt.Sprintf(format, args...)}
 }
 
 func isHelp(arg string) bool { return arg == "--help" || arg == "-h" }
 
+// oneLine returns text with its line breaks replaced by semicolons.
 func oneLine(text string) string {
 	return strings.Join(strings.Fields(strings.ReplaceAll(text, "\n", "; ")), " ")
 }
--- a/internal/cmds/main_test.go
+++ b/internal/cmds/main_test.go
@@ -75,6 +75,9 @@
 	return sy
 }
 
+// TestUsageErrors guards against wrong arguments that are accepted, that let
+// flaggy print or exit by itself, or that are reported without the command and
+// the flag.
 func TestUsageErrors(t *testing.T) {
 	faulty := filepath.Join(t.TempDir(), "f.yaml")
 	is.New(t).NoErr(os.WriteFile(faulty, []byte("zonas: []\ntimeZone: 5\n"), 0o600))
@@ -94,37 +97,37 @@
 		{"one hyphen", []string{"check", "-output", "json", sacos}, "cicadawharf check: unknown flag -output;"},
 		{"test flag", []string{"check", "--test.v", sacos}, "cicadawharf check: unknown flag --test.v;"},
 		{"flag without value", []string{"check", sacos, "--output"}, "cicadawharf check: flag --output requires a value"},
-		{"bad output", []string{"check", sacos, "--output", "xml"}, `cicadawharf check: flag --output: "xml" must be text or json`},
-		{"bad duration", []string{"apply", sacos, "--wait", "10"}, `cicadawharf apply: flag --wait: "10" is not a duration with a unit`},
-		{"bad number", []string{"apply", sacos, "--expect=x"}, `cicadawharf apply: flag --expect: "x" is not an integer`},
+		{"unknown output format", []string{"check", sacos, "--output", "xml"}, `cicadawharf check: flag --output: "xml" must be text or json`},
+		{"duration without unit", []string{"apply", sacos, "--wait", "10"}, `cicadawharf apply: flag --wait: "10" is not a duration with a unit`},
+		{"text for a number", []string{"apply", sacos, "--expect=x"}, `cicadawharf apply: flag --expect: "x" is not an integer`},
 		{"huge number", with("--tasks", "99999999999999999999", "--", "run"), `cicadawharf submit: flag --tasks: "99999999999999999999" is not an integer`},
-		{"bad boolean", []string{"check", sacos, "--against=maybe"}, `cicadawharf check: flag --against: "maybe" is not true or false`},
+		{"text for a boolean", []string{"check", sacos, "--against=maybe"}, `cicadawharf check: flag --against: "maybe" is not true or false`},
 		{"missing argument", []string{"check"}, "cicadawharf check: argument file is missing"},
-		{"further argument", []string{"check", sacos, "more"}, `cicadawharf check: unexpected argument "more"`},
+		{"argument beyond the last one", []string{"check", sacos, "more"}, `cicadawharf check: unexpected argument "more"`},
 		{"trailing argument", []string{"check", sacos, "--", "more"}, `cicadawharf check: unexpected argument "more" after --`},
 		{"missing file", []string{"check", "none.yaml"}, "cicadawharf check: none.yaml: no such file or directory"},
 		{"missing settings", []string{"serve", "none.yaml"}, "cicadawharf serve: none.yaml: no such file or directory"},
 		{"invalid file", []string{"check", faulty}, faulty + `:1:1: unknown key "zonas"`},
 		{"invalid settings", []string{"serve", faulty}, faulty + `:1:1: unknown key "zonas"`},
-		{"address", []string{"status", "--address", "localhost:1"}, `cicadawharf status: flag --address: address "localhost:1" must be IP:port`},
-		{"day", []string{"report", "--day", "today"}, `cicadawharf report: flag --day: "today" is not a day`},
-		{"no zone", []string{"evacuate", "--back"}, "cicadawharf evacuate: flag --back requires a zone"},
+		{"host name for an address", []string{"status", "--address", "localhost:1"}, `cicadawharf status: flag --address: address "localhost:1" must be IP:port`},
+		{"invalid day", []string{"report", "--day", "today"}, `cicadawharf report: flag --day: "today" is not a day`},
+		{"back without zone", []string{"evacuate", "--back"}, "cicadawharf evacuate: flag --back requires a zone"},
 		{"no repeatable", []string{"submit", "--workspace", "w", "--run-time", "1h", "--", "run"}, "cicadawharf submit: flag --repeatable is required"},
-		{"repeatable", []string{"submit", "--workspace", "w", "--run-time", "1h", "--repeatable", "1", "--", "run"}, `cicadawharf submit: flag --repeatable: "1" must be true or false`},
+		{"neither true nor false", []string{"submit", "--workspace", "w", "--run-time", "1h", "--repeatable", "1", "--", "run"}, `cicadawharf submit: flag --repeatable: "1" must be true or false`},
 		{"no run time", []string{"submit", "--workspace", "w", "--repeatable", "true", "--", "run"}, "cicadawharf submit: flag --run-time is required"},
 		{"no workspace", []string{"submit", "--run-time", "1h", "--repeatable", "true", "--", "run"}, "cicadawharf submit: flag --workspace is required"},
 		{"no job command", with(), "cicadawharf submit: the command of the job is missing"},
-		{"tasks", with("--tasks", "33", "--", "run"), "cicadawharf submit: flag --tasks: must be between 1 and 32"},
-		{"adjacency", with("--adjacency", "near", "--", "run"), `cicadawharf submit: flag --adjacency: "near" must be`},
-		{"priority", with("--priority", "top", "--", "run"), `cicadawharf submit: flag --priority: "top" must be`},
+		{"too many tasks", with("--tasks", "33", "--", "run"), "cicadawharf submit: flag --tasks: must be between 1 and 32"},
+		{"unknown adjacency", with("--adjacency", "near", "--", "run"), `cicadawharf submit: flag --adjacency: "near" must be`},
+		{"unknown priority", with("--priority", "top", "--", "run"), `cicadawharf submit: flag --priority: "top" must be`},
 		{"invalid steps", with("--then", faulty, "--", "run"), faulty + ":1:1: "},
 		{"no steps file", with("--then", faulty+".gone", "--", "run"), "cicadawharf submit: flag --then: open "},
 		{"negative wait", with("--wait", "-1s", "--", "run"), "cicadawharf submit: flag --wait: must be between"},
 		{"wait without id", []string{"jobs", "--wait", "1s"}, "cicadawharf jobs: flag --wait requires the id of a job"},
 		{"two bodies", []string{"call", "s", "p", "--workspace", "w", "--data", "a", "--data-file", sacos}, "cicadawharf call: flags --data and --data-file are mutually exclusive"},
-		{"header", []string{"call", "s", "p", "--workspace", "w", "--header", "x"}, `cicadawharf call: flag --header: "x" must have the form Name: value`},
-		{"base port", []string{"local", "--base-port", "80"}, "cicadawharf local: flag --base-port: must be between"},
-		{"kind", []string{"standin", "disk", "--listen", "127.0.0.1:1"}, `cicadawharf standin: kind "disk" must be`},
+		{"header without colon", []string{"call", "s", "p", "--workspace", "w", "--header", "x"}, `cicadawharf call: flag --header: "x" must have the form Name: value`},
+		{"privileged base port", []string{"local", "--base-port", "80"}, "cicadawharf local: flag --base-port: must be between"},
+		{"unknown kind of simulator", []string{"standin", "disk", "--listen", "127.0.0.1:1"}, `cicadawharf standin: kind "disk" must be`},
 		{"no listen", []string{"standin", "store"}, "cicadawharf standin: flag --listen is required"},
 		{"no store", []string{"standin", "worker", "--listen", "127.0.0.1:1", "--rack", "r"}, "cicadawharf standin: flag --store is required"},
 		{"no service", []string{"standin", "endpoint", "--listen", "127.0.0.1:1"}, "cicadawharf standin: flag --service is required"},
@@ -141,6 +144,8 @@
 	}
 }
 
+// TestHelp guards against a command that the general help doesn't list or that
+// has no help of its own.
 func TestHelp(t *testing.T) {
 	all := run(t, "--help")
 	is.New(t).Equal(all.exit, cmds.ExitOK)
@@ -184,6 +189,8 @@
 	is.Equal(sy.requests, []string{"POST /v1/declarations/check", "GET /v1/declarations"})
 }
 
+// TestApply guards against a file that replaces a revision other than the one
+// expected, and against errors that are not passed on to the output and exit code.
 func TestApply(t *testing.T) {
 	for name, tc := range map[string]struct {
 		responses map[string]string
@@ -227,6 +234,9 @@
 	}
 }
 
+// TestSubmit guards against flags that are lost in the request, arguments of the
+// job's command that are taken for flags of submit, and a failed job that is
+// reported as a success.
 func TestSubmit(t *testing.T) {
 	is := is.New(t)
 	sy := newSystem(t, map[string]string{
@@ -261,6 +271,8 @@
 	is.True(strings.Contains(rs.err, "cicadawharf submit: 3002 jobFailed: task 0 failed\n"))
 }
 
+// TestClientErrors guards against the output of an error without its result code
+// and retry delay, as text and as JSON.
 func TestClientErrors(t *testing.T) {
 	is := is.New(t)
 	sy := newSystem(t, map[string]string{"GET /v1/jobs": `{"code":4012,"retryAfterMillis":2000}`})
@@ -297,7 +309,7 @@
 		wantRequest  string
 	}{
 		{[]string{"status"}, 0, "host h1, revision 3, store up", "", "GET /v1/status"},
-		{[]string{"evacuate"}, 0, "z1            9        4\nz2            -        -\n", "", "GET /v1/evacuations"},
+		{[]string{"evacuate"}, 0, "z1              9        4\nz2              -        -\n", "", "GET /v1/evacuations"},
 		{[]string{"evacuate", "z1"}, 0, "zone z1 is out of service\n", "no worker is listed in zone z1", "PUT /v1/evacuations/z1"},
 		{[]string{"evacuate", "z1", "--back"}, 0, "zone z1 is in service\n", "", "DELETE /v1/evacuations/z1"},
 		{[]string{"evacuate", "z2"}, 1, "", "4028 writeForbidden: the store refuses", "PUT /v1/evacuations/z2"},
@@ -321,6 +333,8 @@
 	}
 }
 
+// TestRunners checks that the settings and flags of the commands that run a
+// process reach its implementation, and that its error sets the exit code.
 func TestRunners(t *testing.T) {
 	is := is.New(t)
 	var (
--- a/internal/cmds/parse.go
+++ b/internal/cmds/parse.go
@@ -15,14 +15,14 @@
 	command struct {
 		name        string
 		description string
-		usage       string // arguments after the name, for the help
+		usage       string // arguments after the name and flags, for the help
 		positionals []positional
 		trailing    *[]string                   // receives the arguments after --, nil if none are allowed
 		flags       func(sc *flaggy.Subcommand) // declares the flags
 		run         func(ctx context.Context) error
 	}
 
-	// positional is an argument that is not a flag.
+	// positional is an argument that is identified by its position.
 	positional struct {
 		target      *string
 		name        string
@@ -121,14 +121,16 @@
 	_, _ = io.WriteString(out, strings.TrimPrefix(strings.Join(he.Lines, "\n"), "\n"))
 }
 
-// argChecker checks arguments against the flags of a command.
+// argChecker checks arguments against the flags and positionals of a command.
 type argChecker struct {
 	command         *command
 	flags           []*flaggy.Flag
-	helpFlag        bool
-	positionalCount int // number of arguments that are not flags
+	helpFlag        bool // whether help is requested
+	positionalCount int  // number of arguments that are not flags
 }
 
+// check returns a usageError for the first invalid or missing argument. It
+// ignores the arguments after a help flag.
 func (ac *argChecker) check(args []string) error {
 	for i := 0; i < len(args); i++ {
 		switch {
--- a/internal/cmds/procs.go
+++ b/internal/cmds/procs.go
@@ -23,27 +23,28 @@
 		Log          io.Writer
 	}
 
-	// StandinKind is the part of the platform that a stand-in simulates.
+	// StandinKind is the part of the platform that a simulator takes the place
+	// of.
 	StandinKind string
 
 	// StandinOptions holds the flags of standin.
 	StandinOptions struct {
 		Kind         StandinKind
 		Listen       string   // IP:port
-		Store        []string // IP:port of the store in which the host is registered
-		Name         string
-		Zone         string
-		Rack         string  // of a worker
-		Accelerators int     // of a worker
-		Service      string  // of an endpoint
-		Slots        int     // of an endpoint
-		Connections  int     // of an endpoint
-		RunScale     float64 // factor applied to a worker's run times
+		Store        []string // IP:port of the store servers; a worker or endpoint is registered there
+		Name         string   // of a worker's or endpoint's host
+		Zone         string   // of a worker or endpoint
+		Rack         string   // of a worker
+		Accelerators int      // of a worker
+		Service      string   // of an endpoint
+		Slots        int      // of an endpoint
+		Connections  int      // of an endpoint
+		RunScale     float64  // factor applied to the run times of a worker's tasks
 		Log          io.Writer
 	}
 )
 
-// The kinds of stand-ins.
+// The kinds of simulators.
 const (
 	StandinStore    StandinKind = "store"
 	StandinWorker   StandinKind = "worker"
@@ -101,7 +102,7 @@
 	op := LocalOptions{BasePort: defaultBasePort}
 	return &command{
 		name:        "local",
-		description: "runs a small deployment with stand-ins of the platform on this machine",
+		description: "runs a small deployment with simulators of the platform on this machine",
 		flags: func(sc *flaggy.Subcommand) {
 			sc.String(&op.Declarations, "", "declarations", "declarations file; "+sacos.Name+" by default")
 			sc.Bool(&op.Once, "", "once", "run a sample workload, print the report and exit")
@@ -139,7 +140,7 @@
 	var kind string
 	return &command{
 		name:        "standin",
-		description: "runs a stand-in of the platform, for tests",
+		description: "runs a simulator of the platform's store, of a worker or of an endpoint, for tests",
 		usage:       "store|worker|endpoint",
 		positionals: []positional{{&kind, "kind", "store, worker or endpoint (required)", true}},
 		flags: func(sc *flaggy.Subcommand) {
@@ -164,7 +165,7 @@
 	}
 }
 
-// check validates the flags of a stand-in.
+// check validates the flags of a simulator.
 func (op *StandinOptions) check() error {
 	if op.Listen == "" {
 		return usageErrorf("flag --listen is required")
@@ -224,7 +225,7 @@
 			return usageErrorf("flag --%s is required", na.flag)
 		}
 		if !spec.ValidName(na.text) {
-			return usageErrorf("flag --%s: %q must consist of lower-case letters, digits and hyphens", na.flag, na.text)
+			return usageErrorf("flag --%s: %q must consist of 1 to 63 lower-case letters, digits and hyphens, and not begin or end with a hyphen", na.flag, na.text)
 		}
 	}
 	return nil
--- a/internal/cmds/query.go
+++ b/internal/cmds/query.go
@@ -137,7 +137,7 @@
 	return err
 }
 
-// writeChart writes the chart of a day to the file of --chart.
+// writeChart writes the chart of a day to the file that --chart names.
 func writeChart(ctx context.Context, cl *client.Client, op *queryOptions) error {
 	body, err := cl.Report(ctx, op.day, false)
 	if err != nil {
@@ -214,8 +214,9 @@
 	return en.emitOutcome(nil, cr)
 }
 
-// emitOutcome writes the result code of a request to standard error. It returns
-// the error of a request that did not succeed.
+// emitOutcome writes the result code of a request to standard error, but leaves
+// a failure to finish in text output. It returns the error of a request that did
+// not succeed.
 func (en *env) emitOutcome(failure error, cr client.CallAnswer) error {
 	ce := &codes.Error{Code: cr.Code}
 	if failure != nil && !errors.As(failure, &ce) {
@@ -260,6 +261,7 @@
 	return body, nil
 }
 
+// options validates the flags and returns the options of the request.
 func (op *callOptions) options() (client.CallOptions, error) {
 	co := client.CallOptions{Timeout: op.timeout, Priority: op.priority, Key: op.key, Header: http.Header{}}
 	if op.workspace == "" {
--- a/internal/cmds/remote.go
+++ b/internal/cmds/remote.go
@@ -81,7 +81,8 @@
 	sc.String(&op.format, "", "output", "output format: text or json")
 }
 
-// check validates the output format and sets it in en, also for errors.
+// check validates the output format and sets it in en, which also applies it to
+// errors.
 func (op *output) check(en *env) error {
 	switch op.format {
 	case formatJSON, formatText:
@@ -107,7 +108,8 @@
 	return ec.Encode(value)
 }
 
-// readFile reads a file named on the command line. An error is a usage error.
+// readFile reads a file that is named on the command line. Its error is a usage
+// error.
 func readFile(name string) ([]byte, error) {
 	data, err := os.ReadFile(name)
 	if err == nil {
--- a/internal/cmds/steps.go
+++ b/internal/cmds/steps.go
@@ -14,7 +14,8 @@
 }
 
 // loadSteps reads the steps of a job after the first from a file. It returns no
-// steps if file is empty. An invalid content is reported as spec.Faults.
+// steps if the name of the file is empty. Invalid content is reported as
+// spec.Faults.
 func loadSteps(file string) ([]client.Step, error) {
 	if file == "" {
 		return nil, nil
