--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -50,15 +50,15 @@
 // done or, with Once, until the sample workload has ended.
 func Run(ctx context.Context, op cmds.LocalOptions) error {
 	out := &printer{wr: op.Out}
-	logs := slog.New(slog.NewTextHandler(op.Log, nil))
+	log := slog.New(slog.NewTextHandler(op.Log, nil))
 	var captured *logCapture
 	if op.Once {
 		captured = &logCapture{}
-		logs = slog.New(slog.NewTextHandler(captured, nil))
+		log = slog.New(slog.NewTextHandler(captured, nil))
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	dp, group, err := start(ctx, op, logs)
+	dp, group, err := start(ctx, op, log)
 	if err != nil {
 		return err
 	}
@@ -72,29 +72,29 @@
 }
 
 // start starts the stand-ins and the entry hosts.
-func start(ctx context.Context, op cmds.LocalOptions, logs *slog.Logger) (*deployment, *errgroup.Group, error) {
+func start(ctx context.Context, op cmds.LocalOptions, log *slog.Logger) (*deployment, *errgroup.Group, error) {
 	doc, err := spec.Parse(op.Declarations, op.Content)
 	if err != nil {
 		return nil, nil, err
 	}
 	dp := &deployment{decl: doc.Declarations}
-	dp.kv, err = kvsim.New(kvsim.Config{Listen: net.JoinHostPort(loopback, "0"), Log: logs})
+	dp.kv, err = kvsim.New(kvsim.Config{Listen: net.JoinHostPort(loopback, "0"), Log: log})
 	if err != nil {
 		return nil, nil, err
 	}
 	// The stand-ins outlive ctx, so that the hosts can shut down gracefully.
 	go dp.kv.Run(context.WithoutCancel(ctx))
-	dp.store = store.New(store.Config{Addresses: []string{dp.kv.Addr()}, Timeout: storeTimeout, Log: logs})
+	dp.store = store.New(store.Config{Addresses: []string{dp.kv.Addr()}, Timeout: storeTimeout, Log: log})
 	fleetCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	dp.fleet, err = fleet.Start(fleetCtx, fleet.Config{
-		Declarations: dp.decl, Store: dp.store, EndpointsPerZone: maxEndpointsPerZone, Log: logs,
+		Declarations: dp.decl, Store: dp.store, EndpointsPerZone: maxEndpointsPerZone, Log: log,
 	})
 	if err != nil {
 		dp.close()
 		return nil, nil, err
 	}
-	group, err := dp.startHosts(ctx, op.BasePort, logs)
+	group, err := dp.startHosts(ctx, op.BasePort, log)
 	if err != nil {
 		dp.close()
 		return nil, nil, err
@@ -103,24 +103,24 @@
 }
 
 // startHosts starts the entry hosts. Their ports for callers are consecutive
-// from base; their ports for peers are chosen by the kernel.
-func (dp *deployment) startHosts(ctx context.Context, base int, logs *slog.Logger) (*errgroup.Group, error) {
+// from basePort; their ports for peers are chosen by the kernel.
+func (dp *deployment) startHosts(ctx context.Context, basePort int, log *slog.Logger) (*errgroup.Group, error) {
 	var group errgroup.Group
 	var seeds []string
 	for i := range hostsPerZone * len(dp.decl.Zones) {
 		zn := dp.decl.Zones[i%len(dp.decl.Zones)]
-		address := net.JoinHostPort(loopback, fmt.Sprint(base+i))
-		callers, err := net.Listen("tcp", address)
+		address := net.JoinHostPort(loopback, fmt.Sprint(basePort+i))
+		httpListener, err := net.Listen("tcp", address)
 		if err != nil {
 			return nil, merry.Prepend(err, "listen for callers")
 		}
-		peers, err := net.Listen("tcp", net.JoinHostPort(loopback, "0"))
+		peerListener, err := net.Listen("tcp", net.JoinHostPort(loopback, "0"))
 		if err != nil {
 			return nil, merry.Prepend(err, "listen for peers")
 		}
-		se := dp.settings(fmt.Sprintf("entry-%s-%d", zn.Name, i/len(dp.decl.Zones)+1), zn, address, peers.Addr().String(), seeds)
+		se := dp.settings(fmt.Sprintf("entry-%s-%d", zn.Name, i/len(dp.decl.Zones)+1), zn, address, peerListener.Addr().String(), seeds)
 		seeds = append(seeds, se.Host.PeerAddress)
-		ho, err := host.New(time.Now(), host.Config{Settings: se, HTTPListener: callers, PeerListener: peers, Log: logs})
+		ho, err := host.New(time.Now(), host.Config{Settings: se, HTTPListener: httpListener, PeerListener: peerListener, Log: log})
 		if err != nil {
 			return nil, err
 		}
@@ -130,9 +130,9 @@
 	return &group, nil
 }
 
-func (dp *deployment) settings(name string, zn spec.Zone, callers, peers string, seeds []string) setup.Settings {
+func (dp *deployment) settings(name string, zn spec.Zone, httpAddress, peerAddress string, seeds []string) setup.Settings {
 	return setup.Settings{
-		Host:  setup.Host{Name: name, Zone: zn.Name, Region: zn.Region, HTTPAddress: callers, PeerAddress: peers},
+		Host:  setup.Host{Name: name, Zone: zn.Name, Region: zn.Region, HTTPAddress: httpAddress, PeerAddress: peerAddress},
 		Seeds: seeds,
 		Store: setup.Store{Addresses: []string{dp.kv.Addr()}, Timeout: storeTimeout},
 		Log:   setup.Log{Level: "info"},
@@ -202,10 +202,10 @@
 }
 
 func ready(st client.Status, hosts int) bool {
-	up := 0
+	readyHosts := 0
 	for _, hs := range st.Hosts {
 		if hs.Ready && hs.Reachable && hs.Revision == st.Revision {
-			up++
+			readyHosts++
 		}
 	}
 	for _, zs := range st.Zones {
@@ -213,7 +213,7 @@
 			return false
 		}
 	}
-	return up == hosts && len(st.Zones) > 0
+	return readyHosts == hosts && len(st.Zones) > 0
 }
 
 func (dp *deployment) close() {
