Name the counter of accepted lines in logbuf

Cause: the field written counts the lines that the rate limit has accepted in the current second, whether or not they are written later, as its comment said. Change: the field is called accepted.

--- a/internal/logbuf/logbuf.go
+++ b/internal/logbuf/logbuf.go
@@ -26,7 +26,7 @@
 		mu          sync.Mutex
 		closed      bool
 		windowStart time.Time // start of the current second of the rate limit
-		written     int       // lines accepted since windowStart
+		accepted    int       // lines accepted since windowStart
 		dropped     int       // lines dropped and not yet reported
 	}
 )
@@ -58,14 +58,14 @@
 	}
 	if now := time.Now(); now.Sub(wr.windowStart) >= time.Second {
 		wr.windowStart = now
-		wr.written = 0
+		wr.accepted = 0
 		wr.reportDropped(now)
 	}
-	if wr.written >= wr.cfg.PerSecond {
+	if wr.accepted >= wr.cfg.PerSecond {
 		wr.dropped++
 		return len(line), nil
 	}
-	wr.written++
+	wr.accepted++
 	wr.enqueue(append([]byte(nil), line...))
 	return len(line), nil
 }
