Call the duration of a pause wait

Cause: the parameter had a name of one letter, and the comment left open what happens with a duration of zero. Change: the parameter is called wait, and the comment says that zero or less does not wait.

--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// For waits for d and returns true, or returns false as soon as ctx is done. It
-// does not wait if d is negative.
-func For(ctx context.Context, d time.Duration) bool {
-	tm := time.NewTimer(d)
+// For waits and returns true, or returns false as soon as ctx is done. It does
+// not wait if wait is zero or negative.
+func For(ctx context.Context, wait time.Duration) bool {
+	tm := time.NewTimer(wait)
 	defer tm.Stop()
 	select {
 	case <-ctx.Done():
