Say what the process functions take and log

Cause: after SIGHUP the log line settings file validated was also written for a file that is invalid, and the comments did not say where the settings come from and the log goes to. Change: the message is settings file checked; comments and the unit of a constant.

--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	megabyte = 1 << 20
+	megabyte = 1 << 20 // bytes
 	// memoryLimitShare is the fraction of the configured memory that is set as
 	// the soft memory limit of the Go runtime.
 	memoryLimitShare = 0.8
@@ -35,7 +35,8 @@
 	policyAgeMargin = 1500 * time.Millisecond
 )
 
-// domain runs a host of a scheduling domain until ctx is done.
+// domain runs a host of a scheduling domain, whose settings are in file, until
+// ctx is done. It writes the log to out.
 func domain(ctx context.Context, file string, out io.Writer) error {
 	se, err := setup.LoadDomain(file)
 	if err != nil {
@@ -56,6 +57,8 @@
 	return newMember(se, log).Run(ctx)
 }
 
+// newMember returns a host of a scheduling domain with its clients, scheduler
+// and servers.
 func newMember(se setup.Domain, log *slog.Logger) *member.Member {
 	st := store.Meter(platform.NewStore(se.Store.Address))
 	layout := platform.Layout()
@@ -104,8 +107,8 @@
 	})
 }
 
-// checkSettingsOnHangup rereads and validates the settings file on SIGHUP. The
-// settings of a running process never change, so the result is only logged.
+// checkSettingsOnHangup rereads and validates the settings file on SIGHUP and
+// logs the result. The settings of the running process don't change.
 func checkSettingsOnHangup(ctx context.Context, file string, log *slog.Logger) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
@@ -116,7 +119,7 @@
 			return
 		case <-hup:
 			se, err := setup.LoadDomain(file)
-			log.Info("settings file validated", "event", "reload", "host", se.Host.Name, "error", err)
+			log.Info("settings file checked", "event", "reload", "host", se.Host.Name, "error", err)
 		}
 	}
 }
--- a/cmd/cicadawharf/main.go
+++ b/cmd/cicadawharf/main.go
@@ -25,7 +25,7 @@
 	os.Exit(code)
 }
 
-// serve runs an entry host until ctx is done.
+// serve runs an entry host until ctx is done. It writes the log to log.
 func serve(ctx context.Context, se setup.Settings, log io.Writer) error {
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(se.Log.Level)); err != nil {
