--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -1,7 +1,7 @@
 // Package local runs a small deployment in one process to try out the system.
-// The deployment consists of stand-ins for the platform and of two entry hosts
-// in each declared availability zone. They communicate over TCP on the loopback
-// interface, as separate processes would.
+// The deployment consists of simulators of the platform's store, workers and
+// endpoints and of two entry hosts in each declared availability zone. They
+// communicate over TCP on the loopback interface, as separate processes would.
 package local
 
 import (
@@ -25,7 +25,7 @@
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
 
-// deployment holds the components that run in the process.
+// deployment holds the simulators and entry hosts that run in the process.
 type deployment struct {
 	decl  *spec.Declarations
 	kv    *kvsim.Server
@@ -47,7 +47,8 @@
 )
 
 // Run starts the deployment, applies the declarations and serves until ctx is
-// done or, with Once, until the sample workload has ended.
+// done or, with Once, until the sample workload has ended. It returns the first
+// error of the start, the workload or an entry host.
 func Run(ctx context.Context, op cmds.LocalOptions) error {
 	out := &printer{wr: op.Out}
 	log := slog.New(slog.NewTextHandler(op.Log, nil))
@@ -71,7 +72,8 @@
 	return err
 }
 
-// start starts the stand-ins and the entry hosts.
+// start starts the simulators and the entry hosts. The group waits for the end
+// of the hosts.
 func start(ctx context.Context, op cmds.LocalOptions, log *slog.Logger) (*deployment, *errgroup.Group, error) {
 	doc, err := spec.Parse(op.Declarations, op.Content)
 	if err != nil {
@@ -82,7 +84,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	// The stand-ins outlive ctx, so that the hosts can shut down gracefully.
+	// The simulators outlive ctx, so that the hosts can shut down gracefully.
 	go dp.kv.Run(context.WithoutCancel(ctx))
 	dp.store = store.New(store.Config{Addresses: []string{dp.kv.Addr()}, Timeout: storeTimeout, Log: log})
 	fleetCtx, cancel := context.WithTimeout(ctx, startTimeout)
@@ -102,8 +104,9 @@
 	return dp, group, nil
 }
 
-// startHosts starts the entry hosts. Their ports for callers are consecutive
-// from basePort; their ports for peers are chosen by the kernel.
+// startHosts starts the entry hosts. Each has the hosts started before it as
+// seeds. Their ports for callers are consecutive from basePort; their ports for
+// peers are chosen by the kernel.
 func (dp *deployment) startHosts(ctx context.Context, basePort int, log *slog.Logger) (*errgroup.Group, error) {
 	var group errgroup.Group
 	var seeds []string
@@ -130,6 +133,7 @@
 	return &group, nil
 }
 
+// settings returns the settings of an entry host.
 func (dp *deployment) settings(name string, zn spec.Zone, httpAddress, peerAddress string, seeds []string) setup.Settings {
 	return setup.Settings{
 		Host:  setup.Host{Name: name, Zone: zn.Name, Region: zn.Region, HTTPAddress: httpAddress, PeerAddress: peerAddress},
@@ -158,7 +162,7 @@
 	for _, ho := range dp.hosts {
 		out.printf("entry host http://%s", ho.HTTPAddress())
 	}
-	out.printf("store stand-in http://%s, %d workers, %d endpoints", dp.kv.Addr(), len(dp.fleet.Workers()), len(dp.fleet.Endpoints()))
+	out.printf("store simulator http://%s, %d workers, %d endpoints", dp.kv.Addr(), len(dp.fleet.Workers()), len(dp.fleet.Endpoints()))
 	if op.Once {
 		return dp.sample(ctx, out, captured)
 	}
@@ -178,7 +182,7 @@
 func (dp *deployment) apply(ctx context.Context, cl *client.Client, content []byte) error {
 	ap, err := cl.Apply(ctx, content, 0, rolloutTimeout)
 	if err != nil {
-		return merry.Prependf(err, "apply revision %d", ap.Revision)
+		return merry.Prependf(err, "apply declarations over revision %d", ap.Revision)
 	}
 	return nil
 }
@@ -201,6 +205,8 @@
 	}
 }
 
+// ready reports whether all hosts are ready and reachable with the current
+// revision and every zone has a scheduler.
 func ready(st client.Status, hosts int) bool {
 	readyHosts := 0
 	for _, hs := range st.Hosts {
@@ -225,7 +231,7 @@
 	}
 }
 
-// printer prints lines for the user and keeps the first error.
+// printer prints lines for the user and keeps the first write error.
 type printer struct {
 	wr  io.Writer
 	err error
--- a/internal/local/sample.go
+++ b/internal/local/sample.go
@@ -31,13 +31,13 @@
 	sampleTimeout = 30 * time.Second
 	sampleBody    = `{"sacks":120,"grade":"B"}`
 	sampleCaller  = "local"
-	reportTimeout = 10 * time.Second // for the report to include the work
+	reportTimeout = 10 * time.Second // for the report to include the request and the job
 )
 
 // sample runs a request, a gang job and a job of a scheduling domain, and prints
 // their results, the routing and placement decisions and the report of the day.
 // It returns an error unless each ran exactly once with success and the report
-// agrees.
+// counts the request and the gang job.
 func (dp *deployment) sample(ctx context.Context, out *printer, captured *logCapture) error {
 	ws, service, err := dp.sampleWorkspace()
 	if err != nil {
@@ -82,6 +82,8 @@
 	return spec.Workspace{}, "", merry.New("no workspace of the declarations may use a service")
 }
 
+// sampleJob submits a gang job with a second step of one task and returns its
+// state at its end, or after sampleTimeout.
 func (dp *deployment) sampleJob(ctx context.Context, cl *client.Client) (client.Job, error) {
 	repeatable := false
 	jb, err := cl.Submit(ctx, client.SubmitRequest{
@@ -98,8 +100,8 @@
 	return cl.Job(ctx, jb.ID, sampleTimeout)
 }
 
-// checkRuns checks that the request and the job succeeded and that the stand-ins
-// ran each exactly once.
+// checkRuns checks that the request and the job succeeded and that the simulators
+// ran the request once and as many tasks as the job has.
 func (dp *deployment) checkRuns(cr client.CallAnswer, jb client.Job) error {
 	if cr.Code != codes.RequestDone {
 		return merry.Errorf("the request ended with %s", cr.Code)
@@ -128,8 +130,8 @@
 	return nil
 }
 
-// sampleReport waits until the report of the day includes the work, prints the
-// report and checks its sums.
+// sampleReport waits until the report of the day includes the request and the
+// job, prints the report and checks its sums.
 func (dp *deployment) sampleReport(ctx context.Context, cl *client.Client, out *printer, workspace, service string) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -164,7 +166,8 @@
 }
 
 // countsOne reports whether the row of a workspace and service counts exactly
-// one piece of work, which is done.
+// one request, which is done. An empty service selects the row of jobs, which
+// then counts exactly one job.
 func countsOne(da report.Daily, workspace, service string) bool {
 	for _, ro := range da.Rows {
 		if ro.Workspace == workspace && ro.Service == service {
--- a/internal/local/standin.go
+++ b/internal/local/standin.go
@@ -20,21 +20,23 @@
 	Run(ctx context.Context) error
 }
 
-// Standin runs a stand-in of the platform until ctx is done. Workers and
-// endpoints register themselves in the store.
+// Standin runs a simulator of the platform's store, of a worker or of an endpoint
+// until ctx is done. It registers a worker or endpoint in the store.
 func Standin(ctx context.Context, op cmds.StandinOptions) error {
 	log := slog.New(slog.NewTextHandler(op.Log, nil)).With("standin", op.Name)
 	sv, ph, err := newSimulator(op, log)
 	if err != nil {
 		return err
 	}
-	log.Info("stand-in is listening", "event", "start", "kind", string(op.Kind), "address", sv.Addr())
+	log.Info("simulator is listening", "event", "start", "kind", string(op.Kind), "address", sv.Addr())
 	if op.Kind != cmds.StandinStore {
 		go register(ctx, op, ph, log)
 	}
 	return sv.Run(ctx)
 }
 
+// newSimulator returns a listening simulator and the host to register in the
+// store, which only has a kind if it is a worker or endpoint.
 func newSimulator(op cmds.StandinOptions, log *slog.Logger) (simulator, plat.Host, error) {
 	ph := plat.Host{Name: op.Name, State: plat.StateLive}
 	switch op.Kind {
@@ -68,7 +70,7 @@
 }
 
 // register adds a host to the platform's list of hosts in the store. It retries
-// until it succeeds or ctx is done.
+// every pollInterval until it succeeds or ctx is done.
 func register(ctx context.Context, op cmds.StandinOptions, ph plat.Host, log *slog.Logger) {
 	st := store.New(store.Config{Addresses: op.Store, Timeout: storeTimeout, Log: log})
 	for ctx.Err() == nil {
--- a/internal/local/steps.go
+++ b/internal/local/steps.go
@@ -26,7 +26,7 @@
 	stepsTimeout = 15 * time.Second
 )
 
-// stepsJob returns a job of four single tasks that are followed by a gang.
+// stepsJob returns a job of four independent tasks that are followed by a gang.
 func stepsJob(queue batch.Queue) batch.Job {
 	return batch.Job{
 		ID: uuid.NewString(), Queue: queue, Payload: "sample", Accepted: time.Now(),
@@ -37,7 +37,7 @@
 	}
 }
 
-// sampleSteps runs a job of two steps in a scheduling domain of stand-in workers
+// sampleSteps runs a job of two steps in a scheduling domain of simulated workers
 // and prints its result. It returns an error unless each task ran exactly once
 // and in order.
 func (dp *deployment) sampleSteps(ctx context.Context, out *printer, log *slog.Logger) error {
@@ -74,6 +74,8 @@
 	return checkSteps(workers, jb, st)
 }
 
+// stepsPlan returns what the simulated workers do for a task of the job and the
+// rules that its starts must obey.
 func stepsPlan(jb batch.Job, ti batch.TaskID) runsim.Plan {
 	step := jb.Steps[ti.Step]
 	pl := runsim.Plan{Work: stepsRunTime, Needs: step.Occupied(), Payload: jb.Payload}
@@ -110,6 +112,8 @@
 	}
 }
 
+// checkSteps checks that the job succeeded, that its tasks were started once each
+// and that no start violated the rules of its plan.
 func checkSteps(workers *runsim.Client, jb batch.Job, st batch.State) (err error) {
 	want := 0
 	for _, step := range jb.Steps {
