Complete the comments of dial and logbuf

Cause: logbuf spoke of a slow reader where the output is slow, and did not say that lines after Close are dropped uncounted; dial did not name the missing option on other systems. Change: comments and heads of tests only.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -33,13 +33,14 @@
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
-// Context is TCP with the signature of http.Transport.DialContext.
+// Context is TCP with the signature of http.Transport.DialContext. It ignores the
+// network.
 func Context(ctx context.Context, _, address string) (net.Conn, error) {
 	return TCP(ctx, address)
 }
 
-// Listen listens on a TCP address. The accepted connections detect unresponsive
-// peers like those of TCP.
+// Listen listens on IP:port. The accepted connections fail like those of TCP
+// after about two seconds without an acknowledgement from their peer.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
 	lc := net.ListenConfig{KeepAliveConfig: dialer.KeepAliveConfig, Control: setUserTimeout}
 	return lc.Listen(ctx, "tcp", address)
--- a/internal/dial/dial_other.go
+++ b/internal/dial/dial_other.go
@@ -4,6 +4,6 @@
 
 import "syscall"
 
-// setUserTimeout does nothing on systems without the option, where only
-// keep-alive and write timeouts apply.
+// setUserTimeout does nothing, since TCP_USER_TIMEOUT only exists on Linux.
+// Elsewhere, only keep-alive and write timeouts detect an unresponsive peer.
 func setUserTimeout(_, _ string, _ syscall.RawConn) error { return nil }
--- a/internal/logbuf/logbuf.go
+++ b/internal/logbuf/logbuf.go
@@ -1,5 +1,5 @@
 // Package logbuf provides a non-blocking writer for log lines. Lines beyond a
-// rate limit, and lines that don't fit into the queue because the reader is
+// rate limit, and lines that don't fit into the queue because the output is
 // slow, are dropped and counted.
 package logbuf
 
@@ -32,13 +32,16 @@
 )
 
 const (
-	// DefaultPerSecond is several times the peak log rate of a host.
+	// DefaultPerSecond is the default rate limit, several times the peak log
+	// rate of a host.
 	DefaultPerSecond = 3000
 
+	// queueLines is the capacity of the queue in lines.
 	queueLines = 8192
 )
 
-// New returns a Writer, which writes in the background until Close.
+// New returns a Writer, which writes queued lines to the output in the background
+// until Close.
 func New(cf Config) *Writer {
 	if cf.PerSecond <= 0 {
 		cf.PerSecond = DefaultPerSecond
@@ -49,7 +52,8 @@
 }
 
 // Write queues a copy of a line or drops the line. It never blocks on the
-// output and always succeeds.
+// output and always succeeds. Lines after Close are dropped without being
+// counted.
 func (wr *Writer) Write(line []byte) (int, error) {
 	wr.mu.Lock()
 	defer wr.mu.Unlock()
@@ -84,6 +88,8 @@
 	}
 }
 
+// enqueue queues a line, or counts it as dropped and returns false if the queue
+// is full.
 func (wr *Writer) enqueue(line []byte) bool {
 	select {
 	case wr.queue <- line:
--- a/internal/logbuf/logbuf_test.go
+++ b/internal/logbuf/logbuf_test.go
@@ -15,8 +15,8 @@
 	"github.com/cicadawharf/cicadawharf/internal/logbuf"
 )
 
-// TestStalledReaderDoesNotBlock guards against a log call that blocks: it logs
-// into a pipe that nobody reads.
+// TestStalledReaderDoesNotBlock guards against a log call that blocks because
+// the output does: it logs into a pipe that nobody reads.
 func TestStalledReaderDoesNotBlock(t *testing.T) {
 	is := is.New(t)
 	reader, writer := io.Pipe()
@@ -31,8 +31,9 @@
 	wr.Close(10 * time.Second)
 }
 
-// TestLinesPerSecond writes more lines in a second than the limit and checks
-// that the excess lines are dropped and counted.
+// TestLinesPerSecond guards against a rate limit that drops too many or too few
+// lines, or that drops lines without reporting their number: it writes more lines
+// in a second than the limit.
 func TestLinesPerSecond(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
