Document the classes of codes and the fields of the API types

Cause: the classes of result codes had a comment for one of five, the fields of jobs, hosts and zones did not say what they count or belong to, and checks of declarations did not say what their result means. Change: comments, and heads of two tests of codes.

--- a/internal/cmds/parse.go
+++ b/internal/cmds/parse.go
@@ -87,7 +87,8 @@
 	return false, nil
 }
 
-// subcommand declares the command to flaggy.
+// subcommand declares the command to flaggy. argChecker and not flaggy checks that
+// required positionals are present.
 func (cm *command) subcommand() *flaggy.Subcommand {
 	sc := flaggy.NewSubcommand(cm.name)
 	sc.Description = cm.description
@@ -113,7 +114,8 @@
 	return pr
 }
 
-// render prints the help of the subcommand that was parsed last.
+// render prints the help of the subcommand that was parsed last, or of the
+// program if none was.
 func render(pr *flaggy.Parser, out io.Writer) {
 	pr.ShowHelpWithHFlag = true
 	var he flaggy.Help
--- a/internal/cmds/procs.go
+++ b/internal/cmds/procs.go
@@ -32,7 +32,7 @@
 		Kind         StandinKind
 		Listen       string   // IP:port
 		Store        []string // IP:port of the store servers; a worker or endpoint is registered there
-		Name         string   // of a worker's or endpoint's host
+		Name         string   // of a worker or endpoint
 		Zone         string   // of a worker or endpoint
 		Rack         string   // of a worker
 		Accelerators int      // of a worker
--- a/pkg/client/types.go
+++ b/pkg/client/types.go
@@ -25,10 +25,10 @@
 type SubmitRequest struct {
 	Zone       string     `json:"zone,omitempty"` // empty for the zone of the entry host
 	Shape      spec.Shape `json:"shape"`
-	RunTime    string     `json:"runTime"`            // expected run time, a Go duration
-	Priority   string     `json:"priority,omitempty"` // low, normal (default) or urgent
-	Repeatable *bool      `json:"repeatable"`         // required: whether the job may run twice
-	Checkpoint bool       `json:"checkpoint,omitempty"`
+	RunTime    string     `json:"runTime"`              // expected run time, a Go duration
+	Priority   string     `json:"priority,omitempty"`   // low, normal (default) or urgent
+	Repeatable *bool      `json:"repeatable"`           // required: whether the job may run twice
+	Checkpoint bool       `json:"checkpoint,omitempty"` // the job saves checkpoints and resumes from them after a stop
 	Command    []string   `json:"command"`
 	Then       []Step     `json:"then,omitempty"`
 }
@@ -54,10 +54,10 @@
 	Priority   string     `json:"priority"`
 	Repeatable bool       `json:"repeatable"`
 	Checkpoint bool       `json:"checkpoint,omitempty"`
-	Attempt    int        `json:"attempt"`
-	Workers    []string   `json:"workers,omitempty"`
+	Attempt    int        `json:"attempt"`           // number of the last attempt; zero before the first
+	Workers    []string   `json:"workers,omitempty"` // of the tasks of the last attempt
 	Submitted  time.Time  `json:"submitted"`
-	Started    *time.Time `json:"started,omitempty"`
+	Started    *time.Time `json:"started,omitempty"` // of the last attempt
 	Ended      *time.Time `json:"ended,omitempty"`
 }
 
@@ -123,9 +123,9 @@
 	Name      string `json:"name"`
 	Zone      string `json:"zone"`
 	Address   string `json:"address"`
-	Revision  int64  `json:"revision"`
+	Revision  int64  `json:"revision"` // of the declarations it has loaded
 	Ready     bool   `json:"ready"`
-	Leaving   bool   `json:"leaving"`
+	Leaving   bool   `json:"leaving"` // it is being shut down
 	Reachable bool   `json:"reachable"`
 }
 
@@ -134,13 +134,13 @@
 type ZoneStatus struct {
 	Name             string `json:"name"`
 	Region           string `json:"region"`
-	Scheduler        string `json:"scheduler,omitempty"`
-	Epoch            int64  `json:"epoch"`
-	Reachable        bool   `json:"reachable"` // whether at least one of its hosts is reachable
-	Workers          int    `json:"workers,omitempty"`
+	Scheduler        string `json:"scheduler,omitempty"` // name of the leader in the epoch; empty if none is known
+	Epoch            int64  `json:"epoch"`               // largest known epoch of the zone's scheduler
+	Reachable        bool   `json:"reachable"`           // whether at least one of its hosts is reachable
+	Workers          int    `json:"workers,omitempty"`   // usable ones
 	FreeAccelerators int    `json:"freeAccelerators,omitempty"`
-	Waiting          int    `json:"waiting,omitempty"`
-	Running          int    `json:"running,omitempty"`
+	Waiting          int    `json:"waiting,omitempty"` // jobs
+	Running          int    `json:"running,omitempty"` // jobs
 }
 
 // The headers of the HTTP API.
--- a/pkg/codes/codes.go
+++ b/pkg/codes/codes.go
@@ -39,13 +39,13 @@
 	RetryAfter time.Duration // delay before a retry; zero if a retry is pointless
 }
 
-// The classes of codes. InProgress is the class of work that has not ended.
+// The classes of codes.
 const (
-	InProgress Class = iota + 1
-	Done
-	Failed
-	NotRun
-	Unknown
+	InProgress Class = iota + 1 // the work has not ended
+	Done                        // it ended with success
+	Failed                      // it was executed, at least in part, without success
+	NotRun                      // it was not executed
+	Unknown                     // it may have been executed
 )
 
 // The result codes. docs/CODES.md gives the meaning of each.
--- a/pkg/codes/codes_test.go
+++ b/pkg/codes/codes_test.go
@@ -20,6 +20,8 @@
 	5: codes.Unknown,
 }
 
+// TestTableIsConsistent guards against a code that is out of order, reuses a name
+// or belongs to another class than its first digit says.
 func TestTableIsConsistent(t *testing.T) {
 	is := is.New(t)
 	seen := map[string]bool{}
@@ -58,6 +60,8 @@
 	is.Equal(documented, coded)
 }
 
+// TestOf guards against a wrapped error that loses its code, and against an error
+// without a code that counts as work that has not run.
 func TestOf(t *testing.T) {
 	is := is.New(t)
 	is.True(codes.Of(nil) == nil)
--- a/pkg/spec/check.go
+++ b/pkg/spec/check.go
@@ -9,7 +9,8 @@
 	"github.com/cicadawharf/cicadawharf/internal/strict"
 )
 
-// checker validates decoded declarations and reports their faults.
+// checker validates decoded declarations and reports their faults to the
+// document. Its methods that return a bool return false after reporting a fault.
 type checker struct {
 	doc *strict.Document
 	de  *Declarations
@@ -159,6 +160,7 @@
 	}
 }
 
+// guarantee checks one guarantee of a workspace.
 func (ch checker) guarantee(path string, gu Guarantee) bool {
 	count := ch.field(path, "count", gu.Count, 1, maxCount)
 	zone := ch.required(path, "zone")
@@ -230,7 +232,7 @@
 
 const nameRule = "must consist of 1 to 63 lower-case letters, digits and hyphens, and not begin or end with a hyphen"
 
-// names is the set of names seen so far of one kind of object.
+// names is a set of the names of the objects of one kind that were checked.
 type names map[string]bool
 
 // add adds a name and reports whether it was present before.
@@ -270,6 +272,7 @@
 	return ch.required(path, key) && ch.within(strict.Key(path, key), key, value, least, most)
 }
 
+// within checks that a value, which messages call what, is within its limits.
 func (ch checker) within(path, what string, value, least, most int) bool {
 	if value >= least && value <= most {
 		return true
@@ -278,6 +281,7 @@
 	return false
 }
 
+// oneOf checks that a value, which messages call what, is one of the valid ones.
 func oneOf[T ~string](ch checker, path, what string, value T, valid []T) bool {
 	if slices.Contains(valid, value) {
 		return true
