Say what the last tests of commands and settings guard against

Cause: some tests of cmds, setup and spec still had no head, and fields of the local deployment and of the log writer did not say which part they are. Change: comments only.

--- a/internal/cmds/load_test.go
+++ b/internal/cmds/load_test.go
@@ -11,6 +11,8 @@
 	"github.com/cicadawharf/cicadawharf/internal/load"
 )
 
+// TestLoadUsage guards against a load that starts although a flag is missing or
+// invalid, above all against another machine.
 func TestLoadUsage(t *testing.T) {
 	class := "--class=workspace=w,caller=c,rate=1"
 	tests := []struct {
@@ -39,6 +41,8 @@
 	}
 }
 
+// TestLoadReportsCountsAsJSON guards against a report that counts fewer or more
+// successes than the server received requests.
 func TestLoadReportsCountsAsJSON(t *testing.T) {
 	is := is.New(t)
 	sy := newSystem(t, map[string]string{"POST /v1/services/quotes/offer": `{"endpoint":"e"}`})
--- a/internal/cmds/main_test.go
+++ b/internal/cmds/main_test.go
@@ -40,14 +40,16 @@
 	return result{exit: exit, out: out.String(), err: errOut.String()}
 }
 
-// system is a test server that responds by method and path and records its
-// requests in order.
+// system is a test server that responds by method and path and records the
+// requests and their bodies in order.
 type system struct {
 	address  string
 	requests []string
 	bodies   []string
 }
 
+// newSystem starts a system with the response bodies for "METHOD path". Its other
+// responses are pathNotFound.
 func newSystem(t *testing.T, responses map[string]string) *system {
 	t.Helper()
 	sy := &system{}
@@ -163,6 +165,8 @@
 	is.New(t).True(strings.Contains(run(t, "submit", "--help").out, "--accelerators"))
 }
 
+// TestCheck guards against an exit code or output that does not tell a valid file
+// from an invalid one.
 func TestCheck(t *testing.T) {
 	is := is.New(t)
 	is.Equal(run(t, "check", sacos), result{out: "valid\n"})
@@ -176,6 +180,8 @@
 	is.True(strings.Contains(rs.out, `"column": 1`))
 }
 
+// TestCheckAgainst guards against a comparison in the wrong direction and against
+// a file that is only checked locally.
 func TestCheckAgainst(t *testing.T) {
 	is := is.New(t)
 	velas, err := os.ReadFile("../../examples/velas.yaml")
@@ -288,6 +294,8 @@
 	is.True(strings.HasPrefix(rs.err, "cicadawharf status: no entry host could be reached, nothing was sent: "))
 }
 
+// TestClientCommands guards against a command that sends another request than its
+// arguments ask for, or does not pass on the response, warnings and result code.
 func TestClientCommands(t *testing.T) {
 	sy := newSystem(t, map[string]string{
 		"GET /v1/status":            `{"host":"h1","revision":3,"storeUp":true,"hosts":[{"name":"h1","zone":"z"}],"zones":[{"name":"z"}]}`,
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -28,9 +28,9 @@
 // deployment holds the simulators and entry hosts that run in the process.
 type deployment struct {
 	decl  *spec.Declarations
-	kv    *kvsim.Server
+	kv    *kvsim.Server // simulator of the store
 	store *store.Client
-	fleet *fleet.Fleet
+	fleet *fleet.Fleet // simulators of the workers and endpoints
 	hosts []*host.Host
 }
 
--- a/internal/logbuf/logbuf.go
+++ b/internal/logbuf/logbuf.go
@@ -13,8 +13,8 @@
 type (
 	// Config configures a Writer.
 	Config struct {
-		To        io.Writer
-		PerSecond int // maximum number of lines per second; zero for DefaultPerSecond
+		To        io.Writer // output of the lines
+		PerSecond int       // maximum number of lines per second; zero for DefaultPerSecond
 	}
 
 	// Writer is an io.Writer that expects one whole line per Write. It is safe
--- a/internal/setup/domain_test.go
+++ b/internal/setup/domain_test.go
@@ -20,6 +20,8 @@
   address: 10.0.0.2:90
 `
 
+// TestParseDomain guards against an invalid setting that is accepted and against a
+// CPU quota other than the share of the cores.
 func TestParseDomain(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/pkg/spec/parse_test.go
+++ b/pkg/spec/parse_test.go
@@ -208,6 +208,8 @@
 	is.Equal(len(doc.Declarations.Workspaces), 1001)
 }
 
+// TestCompare guards against changes that are missed, reported for equal
+// declarations or attributed to another object.
 func TestCompare(t *testing.T) {
 	is := is.New(t)
 	current, err := spec.Parse("a", []byte(valid))
