--- a/internal/cmds/evacuate.go
+++ b/internal/cmds/evacuate.go
@@ -79,7 +79,7 @@
 		return err
 	}
 	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(tw, "EVACUATED ZONE\tWORKERS\tTASKS LEFT")
+	fmt.Fprintln(tw, "EMPTIED ZONE\tWORKERS\tTASKS LEFT")
 	for _, ev := range li.Evacuations {
 		fmt.Fprintf(tw, "%s\t%s\t%s\n", ev.Zone, numberOrDash(ev.Workers), numberOrDash(ev.Tasks))
 	}
--- a/internal/cmds/main_test.go
+++ b/internal/cmds/main_test.go
@@ -317,7 +317,7 @@
 		wantRequest  string
 	}{
 		{[]string{"status"}, 0, "host h1, revision 3, store up", "", "GET /v1/status"},
-		{[]string{"evacuate"}, 0, "z1              9        4\nz2              -        -\n", "", "GET /v1/evacuations"},
+		{[]string{"evacuate"}, 0, "z1            9        4\nz2            -        -\n", "", "GET /v1/evacuations"},
 		{[]string{"evacuate", "z1"}, 0, "zone z1 is out of service\n", "no worker is listed in zone z1", "PUT /v1/evacuations/z1"},
 		{[]string{"evacuate", "z1", "--back"}, 0, "zone z1 is in service\n", "", "DELETE /v1/evacuations/z1"},
 		{[]string{"evacuate", "z2"}, 1, "", "4028 writeForbidden: the store refuses", "PUT /v1/evacuations/z2"},
