--- a/internal/cmds/declare.go
+++ b/internal/cmds/declare.go
@@ -149,7 +149,7 @@
 		return err
 	}
 	if op.expect < expectCurrent {
-		return usage("flag --expect: a revision must not be negative")
+		return usageErrorf("flag --expect: a revision must not be negative")
 	}
 	if err := checkWait(op.wait); err != nil {
 		return err
@@ -195,8 +195,9 @@
 	return 0, err
 }
 
-// emitRefusedApply writes the response to a refused file if the output is JSON.
-// In text output, the error message suffices. It returns the refusal.
+// emitRefusedApply writes the response to refused declarations if the output is
+// JSON. In text output, the error message suffices. It returns the refusal, or
+// the error of writing.
 func (en *env) emitRefusedApply(ap client.Applied, refusal error) error {
 	if !en.json || ap.Code == 0 {
 		return refusal
@@ -212,7 +213,8 @@
 	return err
 }
 
-// loadDeclarations reads and validates a declarations file.
+// loadDeclarations reads and validates a declarations file. The error is a usage
+// error or of type spec.Faults.
 func loadDeclarations(file string) ([]byte, *spec.Document, error) {
 	data, err := readFile(file)
 	if err != nil {
@@ -222,13 +224,14 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if fas := place.Check(doc); len(fas) > 0 {
-		return nil, nil, fas
+	if fs := place.Check(doc); len(fs) > 0 {
+		return nil, nil, fs
 	}
 	return data, doc, nil
 }
 
-// emitFaults writes the faults of a file if the output is JSON, and returns err.
+// emitFaults writes the faults of a file if the output is JSON and err holds any.
+// It returns err, or the error of writing.
 func (en *env) emitFaults(err error) error {
 	fs, ok := err.(spec.Faults)
 	if !ok || !en.json {
--- a/internal/cmds/load_test.go
+++ b/internal/cmds/load_test.go
@@ -11,22 +11,24 @@
 	"github.com/cicadawharf/cicadawharf/internal/load"
 )
 
+// TestLoadUsage guards against a load that starts although a flag is missing or
+// invalid, above all against another machine.
 func TestLoadUsage(t *testing.T) {
-	good := "--class=workspace=w,caller=c,rate=1"
+	class := "--class=workspace=w,caller=c,rate=1"
 	tests := []struct {
 		name string
 		args []string
 		want string
 	}{
-		{"another machine", []string{"--service", "s", good, "--address", "10.1.0.4:7080"}, "not of this machine"},
-		{"a name", []string{"--service", "s", good, "--address", "localhost:7080"}, "must be IP:port"},
-		{"no service", []string{good}, "a service is required"},
+		{"address of another machine", []string{"--service", "s", class, "--address", "10.1.0.4:7080"}, "not of this machine"},
+		{"host name for an address", []string{"--service", "s", class, "--address", "localhost:7080"}, "must be IP:port"},
+		{"no service", []string{class}, "a service is required"},
 		{"no class", []string{"--service", "s"}, "0 classes"},
 		{"invalid class", []string{"--service", "s", "--class", "rate=1"}, "flag --class"},
-		{"too long", []string{"--service", "s", good, "--duration", "1h"}, "duration"},
-		{"no concurrency", []string{"--service", "s", good, "--concurrency", "0"}, "concurrency"},
-		{"no path", []string{"--service", "s", good, "--path", "quotes"}, "path"},
-		{"output", []string{"--service", "s", good, "--output", "xml"}, "flag --output"},
+		{"excessive duration", []string{"--service", "s", class, "--duration", "1h"}, "duration"},
+		{"zero concurrency", []string{"--service", "s", class, "--concurrency", "0"}, "concurrency"},
+		{"path without slash", []string{"--service", "s", class, "--path", "quotes"}, "path"},
+		{"unknown output format", []string{"--service", "s", class, "--output", "xml"}, "flag --output"},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -39,6 +41,8 @@
 	}
 }
 
+// TestLoadReportsCountsAsJSON guards against a report that counts fewer or more
+// successes than the server received requests.
 func TestLoadReportsCountsAsJSON(t *testing.T) {
 	is := is.New(t)
 	sy := newSystem(t, map[string]string{"POST /v1/services/quotes/offer": `{"endpoint":"e"}`})
--- a/internal/cmds/main_test.go
+++ b/internal/cmds/main_test.go
@@ -40,27 +40,29 @@
 	return result{exit: exit, out: out.String(), err: errOut.String()}
 }
 
-// system is a test server that responds by method and path and records its
-// requests in order.
+// system is a test server that responds by method and path and records the
+// requests and their bodies in order.
 type system struct {
 	address  string
 	requests []string
 	bodies   []string
 }
 
-func newSystem(t *testing.T, answers map[string]string) *system {
+// newSystem starts a system with the response bodies for "METHOD path". Its other
+// responses are pathNotFound.
+func newSystem(t *testing.T, responses map[string]string) *system {
 	t.Helper()
 	sy := &system{}
 	sv := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, rq *http.Request) {
 		body, _ := io.ReadAll(rq.Body)
 		sy.requests = append(sy.requests, rq.Method+" "+rq.RequestURI)
 		sy.bodies = append(sy.bodies, string(body))
-		answer, ok := answers[rq.Method+" "+rq.URL.Path]
+		response, ok := responses[rq.Method+" "+rq.URL.Path]
 		if !ok {
-			answer = `{"code":4025}`
+			response = `{"code":4025}`
 		}
 		var an client.Answer
-		_ = json.Unmarshal([]byte(answer), &an)
+		_ = json.Unmarshal([]byte(response), &an)
 		if an.Code != 0 {
 			rw.Header().Set(client.HeaderCode, strings.Fields(an.Code.String())[0])
 			rw.WriteHeader(an.Code.Info().HTTPStatus)
@@ -68,13 +70,16 @@
 			rw.Header().Set(client.HeaderRevision, "7")
 			rw.Header().Set(client.HeaderCode, "2000")
 		}
-		_, _ = io.WriteString(rw, answer)
+		_, _ = io.WriteString(rw, response)
 	}))
 	t.Cleanup(sv.Close)
 	sy.address = sv.Listener.Addr().String()
 	return sy
 }
 
+// TestUsageErrors guards against wrong arguments that are accepted, that let
+// flaggy print or exit by itself, or that are reported without the command and
+// the flag.
 func TestUsageErrors(t *testing.T) {
 	faulty := filepath.Join(t.TempDir(), "f.yaml")
 	is.New(t).NoErr(os.WriteFile(faulty, []byte("zonas: []\ntimeZone: 5\n"), 0o600))
@@ -94,37 +99,37 @@
 		{"one hyphen", []string{"check", "-output", "json", sacos}, "cicadawharf check: unknown flag -output;"},
 		{"test flag", []string{"check", "--test.v", sacos}, "cicadawharf check: unknown flag --test.v;"},
 		{"flag without value", []string{"check", sacos, "--output"}, "cicadawharf check: flag --output requires a value"},
-		{"bad output", []string{"check", sacos, "--output", "xml"}, `cicadawharf check: flag --output: "xml" must be text or json`},
-		{"bad duration", []string{"apply", sacos, "--wait", "10"}, `cicadawharf apply: flag --wait: "10" is not a duration with a unit`},
-		{"bad number", []string{"apply", sacos, "--expect=x"}, `cicadawharf apply: flag --expect: "x" is not an integer`},
+		{"unknown output format", []string{"check", sacos, "--output", "xml"}, `cicadawharf check: flag --output: "xml" must be text or json`},
+		{"duration without unit", []string{"apply", sacos, "--wait", "10"}, `cicadawharf apply: flag --wait: "10" is not a duration with a unit`},
+		{"text for a number", []string{"apply", sacos, "--expect=x"}, `cicadawharf apply: flag --expect: "x" is not an integer`},
 		{"huge number", with("--tasks", "99999999999999999999", "--", "run"), `cicadawharf submit: flag --tasks: "99999999999999999999" is not an integer`},
-		{"bad boolean", []string{"check", sacos, "--against=maybe"}, `cicadawharf check: flag --against: "maybe" is not true or false`},
+		{"text for a boolean", []string{"check", sacos, "--against=maybe"}, `cicadawharf check: flag --against: "maybe" is not true or false`},
 		{"missing argument", []string{"check"}, "cicadawharf check: argument file is missing"},
-		{"further argument", []string{"check", sacos, "more"}, `cicadawharf check: unexpected argument "more"`},
+		{"argument beyond the last one", []string{"check", sacos, "more"}, `cicadawharf check: unexpected argument "more"`},
 		{"trailing argument", []string{"check", sacos, "--", "more"}, `cicadawharf check: unexpected argument "more" after --`},
 		{"missing file", []string{"check", "none.yaml"}, "cicadawharf check: none.yaml: no such file or directory"},
 		{"missing settings", []string{"serve", "none.yaml"}, "cicadawharf serve: none.yaml: no such file or directory"},
 		{"invalid file", []string{"check", faulty}, faulty + `:1:1: unknown key "zonas"`},
 		{"invalid settings", []string{"serve", faulty}, faulty + `:1:1: unknown key "zonas"`},
-		{"address", []string{"status", "--address", "localhost:1"}, `cicadawharf status: flag --address: address "localhost:1" must be IP:port`},
-		{"day", []string{"report", "--day", "today"}, `cicadawharf report: flag --day: "today" is not a day`},
-		{"no zone", []string{"evacuate", "--back"}, "cicadawharf evacuate: flag --back requires a zone"},
+		{"host name for an address", []string{"status", "--address", "localhost:1"}, `cicadawharf status: flag --address: address "localhost:1" must be IP:port`},
+		{"invalid day", []string{"report", "--day", "today"}, `cicadawharf report: flag --day: "today" is not a day`},
+		{"back without zone", []string{"evacuate", "--back"}, "cicadawharf evacuate: flag --back requires a zone"},
 		{"no repeatable", []string{"submit", "--workspace", "w", "--run-time", "1h", "--", "run"}, "cicadawharf submit: flag --repeatable is required"},
-		{"repeatable", []string{"submit", "--workspace", "w", "--run-time", "1h", "--repeatable", "1", "--", "run"}, `cicadawharf submit: flag --repeatable: "1" must be true or false`},
+		{"neither true nor false", []string{"submit", "--workspace", "w", "--run-time", "1h", "--repeatable", "1", "--", "run"}, `cicadawharf submit: flag --repeatable: "1" must be true or false`},
 		{"no run time", []string{"submit", "--workspace", "w", "--repeatable", "true", "--", "run"}, "cicadawharf submit: flag --run-time is required"},
 		{"no workspace", []string{"submit", "--run-time", "1h", "--repeatable", "true", "--", "run"}, "cicadawharf submit: flag --workspace is required"},
 		{"no job command", with(), "cicadawharf submit: the command of the job is missing"},
-		{"tasks", with("--tasks", "33", "--", "run"), "cicadawharf submit: flag --tasks: must be between 1 and 32"},
-		{"adjacency", with("--adjacency", "near", "--", "run"), `cicadawharf submit: flag --adjacency: "near" must be`},
-		{"priority", with("--priority", "top", "--", "run"), `cicadawharf submit: flag --priority: "top" must be`},
+		{"too many tasks", with("--tasks", "33", "--", "run"), "cicadawharf submit: flag --tasks: must be between 1 and 32"},
+		{"unknown adjacency", with("--adjacency", "near", "--", "run"), `cicadawharf submit: flag --adjacency: "near" must be`},
+		{"unknown priority", with("--priority", "top", "--", "run"), `cicadawharf submit: flag --priority: "top" must be`},
 		{"invalid steps", with("--then", faulty, "--", "run"), faulty + ":1:1: "},
 		{"no steps file", with("--then", faulty+".gone", "--", "run"), "cicadawharf submit: flag --then: open "},
 		{"negative wait", with("--wait", "-1s", "--", "run"), "cicadawharf submit: flag --wait: must be between"},
 		{"wait without id", []string{"jobs", "--wait", "1s"}, "cicadawharf jobs: flag --wait requires the id of a job"},
 		{"two bodies", []string{"call", "s", "p", "--workspace", "w", "--data", "a", "--data-file", sacos}, "cicadawharf call: flags --data and --data-file are mutually exclusive"},
-		{"header", []string{"call", "s", "p", "--workspace", "w", "--header", "x"}, `cicadawharf call: flag --header: "x" must have the form Name: value`},
-		{"base port", []string{"local", "--base-port", "80"}, "cicadawharf local: flag --base-port: must be between"},
-		{"kind", []string{"standin", "disk", "--listen", "127.0.0.1:1"}, `cicadawharf standin: kind "disk" must be`},
+		{"header without colon", []string{"call", "s", "p", "--workspace", "w", "--header", "x"}, `cicadawharf call: flag --header: "x" must have the form Name: value`},
+		{"privileged base port", []string{"local", "--base-port", "80"}, "cicadawharf local: flag --base-port: must be between"},
+		{"unknown kind of simulator", []string{"standin", "disk", "--listen", "127.0.0.1:1"}, `cicadawharf standin: kind "disk" must be`},
 		{"no listen", []string{"standin", "store"}, "cicadawharf standin: flag --listen is required"},
 		{"no store", []string{"standin", "worker", "--listen", "127.0.0.1:1", "--rack", "r"}, "cicadawharf standin: flag --store is required"},
 		{"no service", []string{"standin", "endpoint", "--listen", "127.0.0.1:1"}, "cicadawharf standin: flag --service is required"},
@@ -141,6 +146,8 @@
 	}
 }
 
+// TestHelp guards against a command that the general help doesn't list or that
+// has no help of its own.
 func TestHelp(t *testing.T) {
 	all := run(t, "--help")
 	is.New(t).Equal(all.exit, cmds.ExitOK)
@@ -158,6 +165,8 @@
 	is.New(t).True(strings.Contains(run(t, "submit", "--help").out, "--accelerators"))
 }
 
+// TestCheck guards against an exit code or output that does not tell a valid file
+// from an invalid one.
 func TestCheck(t *testing.T) {
 	is := is.New(t)
 	is.Equal(run(t, "check", sacos), result{out: "valid\n"})
@@ -171,6 +180,8 @@
 	is.True(strings.Contains(rs.out, `"column": 1`))
 }
 
+// TestCheckAgainst guards against a comparison in the wrong direction and against
+// a file that is only checked locally.
 func TestCheckAgainst(t *testing.T) {
 	is := is.New(t)
 	velas, err := os.ReadFile("../../examples/velas.yaml")
@@ -184,13 +195,15 @@
 	is.Equal(sy.requests, []string{"POST /v1/declarations/check", "GET /v1/declarations"})
 }
 
+// TestApply guards against a file that replaces a revision other than the one
+// expected, and against errors that are not passed on to the output and exit code.
 func TestApply(t *testing.T) {
 	for name, tc := range map[string]struct {
-		answers  map[string]string
-		args     []string
-		exit     int
-		out, err string
-		uri      string
+		responses map[string]string
+		args      []string
+		exit      int
+		out, err  string
+		uri       string
 	}{
 		"over the revision found": {
 			map[string]string{"PUT /v1/declarations": `{"code":2002,"revision":8}`, "GET /v1/declarations": "x"},
@@ -219,7 +232,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			sy := newSystem(t, tc.answers)
+			sy := newSystem(t, tc.responses)
 			rs := run(t, append([]string{"apply", sacos, "--address", sy.address}, tc.args...)...)
 			is.Equal(rs, result{exit: tc.exit, out: tc.out, err: tc.err})
 			is.Equal(sy.requests[len(sy.requests)-1], tc.uri)
@@ -227,6 +240,9 @@
 	}
 }
 
+// TestSubmit guards against flags that are lost in the request, arguments of the
+// job's command that are taken for flags of submit, and a failed job that is
+// reported as a success.
 func TestSubmit(t *testing.T) {
 	is := is.New(t)
 	sy := newSystem(t, map[string]string{
@@ -257,11 +273,13 @@
 	is.Equal(req.Then[1].Command, []string{"publish", "--lot", "7"})
 
 	rs = run(t, append(args, "--wait", "1h", "--", "sort")...)
-	is.Equal(rs.exit, cmds.ExitRefused)
+	is.Equal(rs.exit, cmds.ExitFailure)
 	is.True(strings.Contains(rs.err, "cicadawharf submit: 3002 jobFailed: task 0 failed\n"))
 }
 
-func TestRefusal(t *testing.T) {
+// TestClientErrors guards against the output of an error without its result code
+// and retry delay, as text and as JSON.
+func TestClientErrors(t *testing.T) {
 	is := is.New(t)
 	sy := newSystem(t, map[string]string{"GET /v1/jobs": `{"code":4012,"retryAfterMillis":2000}`})
 	rs := run(t, "jobs", "--address", sy.address)
@@ -272,10 +290,12 @@
 	is.Equal(an.Class, codes.NotRun)
 
 	rs = run(t, "status", "--address", "127.0.0.1:1")
-	is.Equal(rs.exit, cmds.ExitRefused)
+	is.Equal(rs.exit, cmds.ExitFailure)
 	is.True(strings.HasPrefix(rs.err, "cicadawharf status: no entry host could be reached, nothing was sent: "))
 }
 
+// TestClientCommands guards against a command that sends another request than its
+// arguments ask for, or does not pass on the response, warnings and result code.
 func TestClientCommands(t *testing.T) {
 	sy := newSystem(t, map[string]string{
 		"GET /v1/status":            `{"host":"h1","revision":3,"storeUp":true,"hosts":[{"name":"h1","zone":"z"}],"zones":[{"name":"z"}]}`,
@@ -321,6 +341,8 @@
 	}
 }
 
+// TestRunners checks that the settings and flags of the commands that run a
+// process reach its implementation, and that its error sets the exit code.
 func TestRunners(t *testing.T) {
 	is := is.New(t)
 	var (
--- a/internal/cmds/parse.go
+++ b/internal/cmds/parse.go
@@ -15,14 +15,14 @@
 	command struct {
 		name        string
 		description string
-		usage       string // arguments after the name, for the help
+		usage       string // arguments after the name and flags, for the help
 		positionals []positional
 		trailing    *[]string                   // receives the arguments after --, nil if none are allowed
 		flags       func(sc *flaggy.Subcommand) // declares the flags
 		run         func(ctx context.Context) error
 	}
 
-	// positional is an argument that is not a flag.
+	// positional is an argument that is identified by its position.
 	positional struct {
 		target      *string
 		name        string
@@ -75,7 +75,7 @@
 		args = nil
 	}
 	if err := pr.ParseArgs(append([]string{cm.name}, args...)); err != nil {
-		return false, usage("%v; see %s %s --help", err, program, cm.name)
+		return false, usageErrorf("%v; see %s %s --help", err, program, cm.name)
 	}
 	if ac.helpFlag {
 		render(pr, en.out)
@@ -87,7 +87,8 @@
 	return false, nil
 }
 
-// subcommand declares the command to flaggy.
+// subcommand declares the command to flaggy. argChecker and not flaggy checks that
+// required positionals are present.
 func (cm *command) subcommand() *flaggy.Subcommand {
 	sc := flaggy.NewSubcommand(cm.name)
 	sc.Description = cm.description
@@ -113,7 +114,8 @@
 	return pr
 }
 
-// render prints the help of the subcommand that was parsed last.
+// render prints the help of the subcommand that was parsed last, or of the
+// program if none was.
 func render(pr *flaggy.Parser, out io.Writer) {
 	pr.ShowHelpWithHFlag = true
 	var he flaggy.Help
@@ -121,14 +123,16 @@
 	_, _ = io.WriteString(out, strings.TrimPrefix(strings.Join(he.Lines, "\n"), "\n"))
 }
 
-// argChecker checks arguments against the flags of a command.
+// argChecker checks arguments against the flags and positionals of a command.
 type argChecker struct {
 	command         *command
 	flags           []*flaggy.Flag
-	helpFlag        bool
-	positionalCount int // number of arguments that are not flags
+	helpFlag        bool // whether help is requested
+	positionalCount int  // number of arguments that are not flags
 }
 
+// check returns a usageError for the first invalid or missing argument. It
+// ignores the arguments after a help flag.
 func (ac *argChecker) check(args []string) error {
 	for i := 0; i < len(args); i++ {
 		switch {
@@ -146,7 +150,7 @@
 		default:
 			ac.positionalCount++
 			if ac.positionalCount > len(ac.command.positionals) {
-				return usage("unexpected argument %q; see %s %s --help", args[i], program, ac.command.name)
+				return usageErrorf("unexpected argument %q; see %s %s --help", args[i], program, ac.command.name)
 			}
 		}
 	}
@@ -160,7 +164,7 @@
 	fl := ac.lookup(name)
 	if fl == nil || (len(args[0]) > 1 && !strings.HasPrefix(args[0], "--")) {
 		flag, _, _ := strings.Cut(args[0], "=")
-		return 0, usage("unknown flag %s; see %s %s --help", flag, program, ac.command.name)
+		return 0, usageErrorf("unknown flag %s; see %s %s --help", flag, program, ac.command.name)
 	}
 	if joined {
 		return 1, checkValue(fl, value)
@@ -169,7 +173,7 @@
 		return 1, nil
 	}
 	if len(args) < 2 {
-		return 0, usage("flag --%s requires a value", name)
+		return 0, usageErrorf("flag --%s requires a value", name)
 	}
 	return 2, checkValue(fl, args[1])
 }
@@ -187,11 +191,11 @@
 // that arguments after -- are allowed.
 func (ac *argChecker) checkEnd(trailing []string) error {
 	if len(trailing) > 0 && ac.command.trailing == nil {
-		return usage("unexpected argument %q after --", trailing[0])
+		return usageErrorf("unexpected argument %q after --", trailing[0])
 	}
 	for i, po := range ac.command.positionals {
 		if po.required && i >= ac.positionalCount {
-			return usage("argument %s is missing; see %s %s --help", po.name, program, ac.command.name)
+			return usageErrorf("argument %s is missing; see %s %s --help", po.name, program, ac.command.name)
 		}
 	}
 	return nil
@@ -202,19 +206,19 @@
 	switch fl.AssignmentVar.(type) {
 	case *int, *int64:
 		if _, err := strconv.ParseInt(text, 10, 64); err != nil {
-			return usage("flag --%s: %q is not an integer", fl.LongName, text)
+			return usageErrorf("flag --%s: %q is not an integer", fl.LongName, text)
 		}
 	case *float64:
 		if _, err := strconv.ParseFloat(text, 64); err != nil {
-			return usage("flag --%s: %q is not a number", fl.LongName, text)
+			return usageErrorf("flag --%s: %q is not a number", fl.LongName, text)
 		}
 	case *time.Duration:
 		if _, err := time.ParseDuration(text); err != nil {
-			return usage("flag --%s: %q is not a duration with a unit, such as 30s", fl.LongName, text)
+			return usageErrorf("flag --%s: %q is not a duration with a unit, such as 30s", fl.LongName, text)
 		}
 	case *bool:
 		if _, err := strconv.ParseBool(text); err != nil {
-			return usage("flag --%s: %q is not true or false", fl.LongName, text)
+			return usageErrorf("flag --%s: %q is not true or false", fl.LongName, text)
 		}
 	}
 	return nil
--- a/internal/cmds/steps.go
+++ b/internal/cmds/steps.go
@@ -14,24 +14,25 @@
 }
 
 // loadSteps reads the steps of a job after the first from a file. It returns no
-// steps if file is empty. An invalid content is reported as spec.Faults.
+// steps if the name of the file is empty. Invalid content is reported as
+// spec.Faults.
 func loadSteps(file string) ([]client.Step, error) {
 	if file == "" {
 		return nil, nil
 	}
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return nil, usage("flag --then: %v", err)
+		return nil, usageErrorf("flag --then: %v", err)
 	}
 	var sf stepsFile
-	tree := strict.Decode(file, data, &sf)
-	if tree.Err() == nil && len(sf.Steps) == 0 {
-		tree.Report("$.steps", "steps must have at least one element")
+	doc := strict.Decode(file, data, &sf)
+	if doc.Err() == nil && len(sf.Steps) == 0 {
+		doc.Report("$.steps", "steps must have at least one element")
 	}
 	for i := range sf.Steps {
 		if sf.Steps[i].Shape.Adjacency == "" {
 			sf.Steps[i].Shape.Adjacency = spec.DefaultAdjacency
 		}
 	}
-	return sf.Steps, tree.Err()
+	return sf.Steps, doc.Err()
 }
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -1,7 +1,7 @@
 // Package local runs a small deployment in one process to try out the system.
-// The deployment consists of stand-ins for the platform and of two entry hosts
-// in each declared availability zone. They communicate over TCP on the loopback
-// interface, as separate processes would.
+// The deployment consists of simulators of the platform's store, workers and
+// endpoints and of two entry hosts in each declared availability zone. They
+// communicate over TCP on the loopback interface, as separate processes would.
 package local
 
 import (
@@ -25,12 +25,12 @@
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
 
-// deployment holds the components that run in the process.
+// deployment holds the simulators and entry hosts that run in the process.
 type deployment struct {
 	decl  *spec.Declarations
-	kv    *kvsim.Server
+	kv    *kvsim.Server // simulator of the store
 	store *store.Client
-	fleet *fleet.Fleet
+	fleet *fleet.Fleet // simulators of the workers and endpoints
 	hosts []*host.Host
 }
 
@@ -47,18 +47,19 @@
 )
 
 // Run starts the deployment, applies the declarations and serves until ctx is
-// done or, with Once, until the sample workload has ended.
+// done or, with Once, until the sample workload has ended. It returns the first
+// error of the start, the workload or an entry host.
 func Run(ctx context.Context, op cmds.LocalOptions) error {
 	out := &printer{wr: op.Out}
-	logs := slog.New(slog.NewTextHandler(op.Log, nil))
+	log := slog.New(slog.NewTextHandler(op.Log, nil))
 	var captured *logCapture
 	if op.Once {
 		captured = &logCapture{}
-		logs = slog.New(slog.NewTextHandler(captured, nil))
+		log = slog.New(slog.NewTextHandler(captured, nil))
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	dp, group, err := start(ctx, op, logs)
+	dp, group, err := start(ctx, op, log)
 	if err != nil {
 		return err
 	}
@@ -71,30 +72,31 @@
 	return err
 }
 
-// start starts the stand-ins and the entry hosts.
-func start(ctx context.Context, op cmds.LocalOptions, logs *slog.Logger) (*deployment, *errgroup.Group, error) {
+// start starts the simulators and the entry hosts. The group waits for the end
+// of the hosts.
+func start(ctx context.Context, op cmds.LocalOptions, log *slog.Logger) (*deployment, *errgroup.Group, error) {
 	doc, err := spec.Parse(op.Declarations, op.Content)
 	if err != nil {
 		return nil, nil, err
 	}
 	dp := &deployment{decl: doc.Declarations}
-	dp.kv, err = kvsim.New(kvsim.Config{Listen: net.JoinHostPort(loopback, "0"), Log: logs})
+	dp.kv, err = kvsim.New(kvsim.Config{Listen: net.JoinHostPort(loopback, "0"), Log: log})
 	if err != nil {
 		return nil, nil, err
 	}
-	// The stand-ins outlive ctx, so that the hosts can shut down gracefully.
+	// The simulators outlive ctx, so that the hosts can shut down gracefully.
 	go dp.kv.Run(context.WithoutCancel(ctx))
-	dp.store = store.New(store.Config{Addresses: []string{dp.kv.Addr()}, Timeout: storeTimeout, Log: logs})
+	dp.store = store.New(store.Config{Addresses: []string{dp.kv.Addr()}, Timeout: storeTimeout, Log: log})
 	fleetCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	dp.fleet, err = fleet.Start(fleetCtx, fleet.Config{
-		Declarations: dp.decl, Store: dp.store, EndpointsPerZone: maxEndpointsPerZone, Log: logs,
+		Declarations: dp.decl, Store: dp.store, EndpointsPerZone: maxEndpointsPerZone, Log: log,
 	})
 	if err != nil {
 		dp.close()
 		return nil, nil, err
 	}
-	group, err := dp.startHosts(ctx, op.BasePort, logs)
+	group, err := dp.startHosts(ctx, op.BasePort, log)
 	if err != nil {
 		dp.close()
 		return nil, nil, err
@@ -102,25 +104,26 @@
 	return dp, group, nil
 }
 
-// startHosts starts the entry hosts. Their ports for callers are consecutive
-// from base; their ports for peers are chosen by the kernel.
-func (dp *deployment) startHosts(ctx context.Context, base int, logs *slog.Logger) (*errgroup.Group, error) {
+// startHosts starts the entry hosts. Each has the hosts started before it as
+// seeds. Their ports for callers are consecutive from basePort; their ports for
+// peers are chosen by the kernel.
+func (dp *deployment) startHosts(ctx context.Context, basePort int, log *slog.Logger) (*errgroup.Group, error) {
 	var group errgroup.Group
 	var seeds []string
 	for i := range hostsPerZone * len(dp.decl.Zones) {
 		zn := dp.decl.Zones[i%len(dp.decl.Zones)]
-		address := net.JoinHostPort(loopback, fmt.Sprint(base+i))
-		callers, err := net.Listen("tcp", address)
+		address := net.JoinHostPort(loopback, fmt.Sprint(basePort+i))
+		httpListener, err := net.Listen("tcp", address)
 		if err != nil {
 			return nil, merry.Prepend(err, "listen for callers")
 		}
-		peers, err := net.Listen("tcp", net.JoinHostPort(loopback, "0"))
+		peerListener, err := net.Listen("tcp", net.JoinHostPort(loopback, "0"))
 		if err != nil {
 			return nil, merry.Prepend(err, "listen for peers")
 		}
-		se := dp.settings(fmt.Sprintf("entry-%s-%d", zn.Name, i/len(dp.decl.Zones)+1), zn, address, peers.Addr().String(), seeds)
+		se := dp.settings(fmt.Sprintf("entry-%s-%d", zn.Name, i/len(dp.decl.Zones)+1), zn, address, peerListener.Addr().String(), seeds)
 		seeds = append(seeds, se.Host.PeerAddress)
-		ho, err := host.New(time.Now(), host.Config{Settings: se, HTTPListener: callers, PeerListener: peers, Log: logs})
+		ho, err := host.New(time.Now(), host.Config{Settings: se, HTTPListener: httpListener, PeerListener: peerListener, Log: log})
 		if err != nil {
 			return nil, err
 		}
@@ -130,9 +133,10 @@
 	return &group, nil
 }
 
-func (dp *deployment) settings(name string, zn spec.Zone, callers, peers string, seeds []string) setup.Settings {
+// settings returns the settings of an entry host.
+func (dp *deployment) settings(name string, zn spec.Zone, httpAddress, peerAddress string, seeds []string) setup.Settings {
 	return setup.Settings{
-		Host:  setup.Host{Name: name, Zone: zn.Name, Region: zn.Region, HTTPAddress: callers, PeerAddress: peers},
+		Host:  setup.Host{Name: name, Zone: zn.Name, Region: zn.Region, HTTPAddress: httpAddress, PeerAddress: peerAddress},
 		Seeds: seeds,
 		Store: setup.Store{Addresses: []string{dp.kv.Addr()}, Timeout: storeTimeout},
 		Log:   setup.Log{Level: "info"},
@@ -158,7 +162,7 @@
 	for _, ho := range dp.hosts {
 		out.printf("entry host http://%s", ho.HTTPAddress())
 	}
-	out.printf("store stand-in http://%s, %d workers, %d endpoints", dp.kv.Addr(), len(dp.fleet.Workers()), len(dp.fleet.Endpoints()))
+	out.printf("store simulator http://%s, %d workers, %d endpoints", dp.kv.Addr(), len(dp.fleet.Workers()), len(dp.fleet.Endpoints()))
 	if op.Once {
 		return dp.sample(ctx, out, captured)
 	}
@@ -178,7 +182,7 @@
 func (dp *deployment) apply(ctx context.Context, cl *client.Client, content []byte) error {
 	ap, err := cl.Apply(ctx, content, 0, rolloutTimeout)
 	if err != nil {
-		return merry.Prependf(err, "apply revision %d", ap.Revision)
+		return merry.Prependf(err, "apply declarations over revision %d", ap.Revision)
 	}
 	return nil
 }
@@ -201,11 +205,13 @@
 	}
 }
 
+// ready reports whether all hosts are ready and reachable with the current
+// revision and every zone has a scheduler.
 func ready(st client.Status, hosts int) bool {
-	up := 0
+	readyHosts := 0
 	for _, hs := range st.Hosts {
 		if hs.Ready && hs.Reachable && hs.Revision == st.Revision {
-			up++
+			readyHosts++
 		}
 	}
 	for _, zs := range st.Zones {
@@ -213,7 +219,7 @@
 			return false
 		}
 	}
-	return up == hosts && len(st.Zones) > 0
+	return readyHosts == hosts && len(st.Zones) > 0
 }
 
 func (dp *deployment) close() {
@@ -225,7 +231,7 @@
 	}
 }
 
-// printer prints lines for the user and keeps the first error.
+// printer prints lines for the user and keeps the first write error.
 type printer struct {
 	wr  io.Writer
 	err error
--- a/internal/setup/domain.go
+++ b/internal/setup/domain.go
@@ -17,7 +17,7 @@
 		Advice    Advice      `yaml:"advice"`
 		Machines  Machines    `yaml:"machines"`
 		Log       Log         `yaml:"log"`
-		Memory    int         `yaml:"memoryMegabytes"` // memory limit of the process; zero for no limit
+		Memory    int         `yaml:"memoryMegabytes"` // memory limit of the process, MiB; zero for no limit
 		Processor Processor   `yaml:"processor"`
 		Timing    Timing      `yaml:"timing"`
 
@@ -26,8 +26,8 @@
 
 	// Processor is the CPU quota of the process.
 	Processor struct {
-		Share float64 `yaml:"share"` // fraction of the CPU time of the cores
-		Cores int     `yaml:"cores"`
+		Share float64 `yaml:"share"` // fraction of the CPU time of the cores, above 0 and at most 1
+		Cores int     `yaml:"cores"` // number of cores that the share refers to
 	}
 
 	// DomainHost identifies a host of a scheduling domain, its location and its
@@ -79,18 +79,18 @@
 	DefaultStopGrace = 6 * time.Second
 )
 
-// The upper limits of settings.
+// The upper limits of the settings of a host of a scheduling domain.
 const (
 	maxMemory = 1 << 20 // megabytes
 	maxCores  = 1 << 10
 )
 
-// LoadDomain reads and validates a settings file. An invalid content is reported
-// as spec.Faults.
+// LoadDomain reads and validates a settings file. The error wraps that of
+// reading the file, or is of type spec.Faults if the content is invalid.
 func LoadDomain(file string) (Domain, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return Domain{}, merry.Prepend(err, "settings")
+		return Domain{}, merry.Prepend(err, "read the settings")
 	}
 	return ParseDomain(file, data)
 }
@@ -103,51 +103,51 @@
 		Processor: Processor{Share: 1, Cores: 1},
 		Timing:    Timing{Revoke: DefaultRevoke, StopGrace: DefaultStopGrace},
 	}
-	tree := strict.Decode(file, data, &do)
-	if tree.Err() == nil {
-		checkDomain(tree, &do)
+	doc := strict.Decode(file, data, &do)
+	if doc.Err() == nil {
+		checkDomain(doc, &do)
 	}
-	if err := tree.Err(); err != nil {
+	if err := doc.Err(); err != nil {
 		return Domain{}, err
 	}
 	return do, nil
 }
 
-func checkDomain(tree *strict.Document, do *Domain) {
-	checkName(tree, "$.host.name", do.Host.Name)
-	checkName(tree, "$.host.zone", do.Host.Zone)
-	checkName(tree, "$.host.region", do.Host.Region)
-	checkAddress(tree, "$.host.callersAddress", do.Host.CallersAddress)
-	checkAddress(tree, "$.host.readinessAddress", do.Host.ReadinessAddress)
+func checkDomain(doc *strict.Document, do *Domain) {
+	checkName(doc, "$.host.name", do.Host.Name)
+	checkName(doc, "$.host.zone", do.Host.Zone)
+	checkName(doc, "$.host.region", do.Host.Region)
+	checkAddress(doc, "$.host.callersAddress", do.Host.CallersAddress)
+	checkAddress(doc, "$.host.readinessAddress", do.Host.ReadinessAddress)
 	if do.Host.MetricsAddress != "" {
-		checkAddress(tree, "$.host.metricsAddress", do.Host.MetricsAddress)
+		checkAddress(doc, "$.host.metricsAddress", do.Host.MetricsAddress)
 	}
 	if do.Host.PeerAddress != "" {
-		checkAddress(tree, "$.host.peerAddress", do.Host.PeerAddress)
+		checkAddress(doc, "$.host.peerAddress", do.Host.PeerAddress)
 	}
 	if do.Host.OperatorsAddress != "" {
-		checkAddress(tree, "$.host.operatorsAddress", do.Host.OperatorsAddress)
+		checkAddress(doc, "$.host.operatorsAddress", do.Host.OperatorsAddress)
 	}
-	checkAddress(tree, "$.store.address", do.Store.Address)
+	checkAddress(doc, "$.store.address", do.Store.Address)
 	if do.Advice.Address != "" {
-		checkAddress(tree, "$.advice.address", do.Advice.Address)
+		checkAddress(doc, "$.advice.address", do.Advice.Address)
 	}
 	if do.Machines.Address != "" {
-		checkAddress(tree, "$.machines.address", do.Machines.Address)
+		checkAddress(doc, "$.machines.address", do.Machines.Address)
 	}
-	checkLevel(tree, do.Log.Level)
+	checkLevel(doc, do.Log.Level)
 	if do.Memory < 0 || do.Memory > maxMemory {
-		tree.Report("$.memoryMegabytes", "memoryMegabytes must be between 0 and %d", maxMemory)
+		doc.Report("$.memoryMegabytes", "memoryMegabytes must be between 0 and %d", maxMemory)
 	}
 	if do.Processor.Share <= 0 || do.Processor.Share > 1 {
-		tree.Report("$.processor.share", "share must be above 0 and at most 1")
+		doc.Report("$.processor.share", "share must be above 0 and at most 1")
 	}
 	if do.Processor.Cores < 1 || do.Processor.Cores > maxCores {
-		tree.Report("$.processor.cores", "cores must be between 1 and %d", maxCores)
+		doc.Report("$.processor.cores", "cores must be between 1 and %d", maxCores)
 	}
-	checkDuration(tree, "$.timing.revoke", do.Timing.Revoke, 1)
-	checkDuration(tree, "$.timing.stopGrace", do.Timing.StopGrace, 1)
-	checkDuration(tree, "$.timing.evacuate", do.Timing.Evacuate, 0)
+	checkDuration(doc, "$.timing.revoke", do.Timing.Revoke, 1)
+	checkDuration(doc, "$.timing.stopGrace", do.Timing.StopGrace, 1)
+	checkDuration(doc, "$.timing.evacuate", do.Timing.Evacuate, 0)
 }
 
 // AvailableCores returns the CPU quota of the process, in cores.
--- a/internal/strict/decode.go
+++ b/internal/strict/decode.go
@@ -9,7 +9,8 @@
 	"github.com/goccy/go-yaml/ast"
 )
 
-// decoder walks a syntax tree and the target value in parallel.
+// decoder walks a syntax tree and the target value in parallel. It reports
+// faults to the document and records the positions of values there.
 type decoder struct {
 	doc *Document
 }
@@ -46,14 +47,14 @@
 		if !ok {
 			continue
 		}
-		at := nodePosition(en)
+		pos := nodePosition(en)
 		fd, known := field(into, key)
 		switch {
 		case seen[key]:
-			de.doc.reportAt(at, "duplicate key %q", key)
+			de.doc.reportAt(pos, "duplicate key %q", key)
 			continue
 		case !known:
-			de.doc.reportAt(at, "unknown key %q; valid keys are %s", key, strings.Join(keys(into.Type()), ", "))
+			de.doc.reportAt(pos, "unknown key %q; valid keys are %s", key, strings.Join(keys(into.Type()), ", "))
 			continue
 		}
 		seen[key] = true
@@ -64,11 +65,11 @@
 // entry decodes the value of a key and records its position: that of the value
 // for a scalar, that of the key for a mapping or sequence.
 func (de decoder) entry(path string, en *ast.MappingValueNode, into reflect.Value) {
-	at := nodePosition(en)
+	pos := nodePosition(en)
 	if isScalar(en.Value) {
-		at = nodePosition(en.Value)
+		pos = nodePosition(en.Value)
 	}
-	de.doc.positions[path] = at
+	de.doc.positions[path] = pos
 	if en.Value == nil || en.Value.Type() == ast.NullType {
 		de.doc.reportAt(nodePosition(en), "key %q has no value", path[strings.LastIndex(path, ".")+1:])
 		return
@@ -157,8 +158,7 @@
 	de.doc.reportAt(nodePosition(nd), "the value must be %s", want)
 }
 
-// unsupported returns why a kind of node is not supported, or an empty string if
-// it is.
+// unsupported returns why a node is not supported, or an empty string if it is.
 func unsupported(nd ast.Node) string {
 	switch nd.Type() {
 	case ast.AnchorType, ast.AliasType, ast.MergeKeyType:
@@ -214,13 +214,13 @@
 	}
 }
 
-// field returns the field of a struct whose yaml tag is key.
+// field returns the field with the yaml tag key of the struct into.
 func field(into reflect.Value, key string) (reflect.Value, bool) {
-	at := slices.Index(keys(into.Type()), key)
-	if at < 0 {
+	idx := slices.Index(keys(into.Type()), key)
+	if idx < 0 {
 		return reflect.Value{}, false
 	}
-	return into.Field(at), true
+	return into.Field(idx), true
 }
 
 // keys returns the yaml keys of the fields of a struct type, in their order.
