--- a/internal/cmds/main.go
+++ b/internal/cmds/main.go
@@ -24,8 +24,9 @@
 )
 
 type (
-	// Runners holds the implementations of the commands that run for as long as
-	// the process, until their context is done.
+	// Runners holds the implementations of the commands that run hosts or
+	// simulators in the process. They return when ctx is done or their work has
+	// ended.
 	Runners struct {
 		Serve   func(ctx context.Context, se setup.Settings, log io.Writer) error
 		Domain  func(ctx context.Context, file string, log io.Writer) error
--- a/internal/dial/dial_other.go
+++ b/internal/dial/dial_other.go
@@ -4,6 +4,6 @@
 
 import "syscall"
 
-// setUserTimeout does nothing, since TCP_USER_TIMEOUT only exists on Linux.
+// setUserTimeout does nothing, since TCP_USER_TIMEOUT is an option of Linux.
 // Elsewhere, only keep-alive and write timeouts detect an unresponsive peer.
 func setUserTimeout(_, _ string, _ syscall.RawConn) error { return nil }
