Name admission types after requests and their decisions

The package admit called a request for a slot a ticket and its decisions by verbs, so that a reader had to learn a second word for a request, and Wait looked like an action. Ticket is now Request, the decisions are Admitted, Queued and Refused, Waiting is QueueLength, and the tracked state of a request is trackedRequest. Only identifiers change.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -45,8 +45,8 @@
 		Weight    int     // for the division of slots beyond the guarantees
 	}
 
-	// Ticket is one request for a slot.
-	Ticket struct {
+	// Request is one request for a slot.
+	Request struct {
 		ID        uint64
 		Workspace string
 		Caller    string
@@ -57,23 +57,23 @@
 	// Decision is the result for one ticket, which is admitted, queued or refused.
 	// The method is called Subject because the decisions embed a field with the
 	// name Ticket.
-	Decision interface{ Subject() Ticket }
+	Decision interface{ Subject() Request }
 
-	// Admit grants the ticket a slot, which Release returns.
-	Admit struct {
-		Ticket
+	// Admitted grants the ticket a slot, which Release returns.
+	Admitted struct {
+		Request
 		Waited time.Duration
 	}
 
-	// Wait says that the ticket is queued. Expire refuses it at ExpiresAt.
-	Wait struct {
-		Ticket
+	// Queued says that the ticket is queued. Expire refuses it at ExpiresAt.
+	Queued struct {
+		Request
 		ExpiresAt time.Time
 	}
 
-	// Refuse says that the ticket is refused. It is final.
-	Refuse struct {
-		Ticket
+	// Refused says that the ticket is refused. It is final.
+	Refused struct {
+		Request
 		Err *codes.Error
 	}
 
@@ -87,8 +87,8 @@
 		virtualTime     float64       // start tag of the workspace served last, see workspace.finishTag
 		meanServiceTime time.Duration // moving average
 		workspaces      map[string]*workspace
-		running         map[uint64]*request
-		queued          map[uint64]*request
+		running         map[uint64]*trackedRequest
+		queued          map[uint64]*trackedRequest
 		nextExpiry      time.Time // no queued request expires earlier
 		lastSweep       time.Time // when idle callers were last dropped
 	}
@@ -109,13 +109,13 @@
 		cfg:        cfg,
 		rnd:        rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		workspaces: make(map[string]*workspace),
-		running:    make(map[uint64]*request),
-		queued:     make(map[uint64]*request),
+		running:    make(map[uint64]*trackedRequest),
+		queued:     make(map[uint64]*trackedRequest),
 	}
 }
 
 // Subject returns the ticket that a decision is about.
-func (ti Ticket) Subject() Ticket { return ti }
+func (rq Request) Subject() Request { return rq }
 
 // Resize sets the number of slots. It returns decisions on the tickets that the
 // added slots admit.
@@ -139,45 +139,45 @@
 
 // Offer decides on a new ticket. The first decision is on that ticket; the
 // others are on tickets that were queued before.
-func (co *Controller) Offer(now time.Time, ti Ticket) []Decision {
-	ti.Urgency = min(max(ti.Urgency, 0), MaxUrgency)
-	ws := co.workspace(ti.Workspace)
-	ca := ws.caller(ti.Caller)
-	rq := &request{Ticket: ti, offered: now, ws: ws, ca: ca}
-	if !ti.Deadline.IsZero() && !now.Before(ti.Deadline) {
-		return []Decision{co.refuse(rq, codes.DeadlinePassed, "the deadline has passed")}
+func (co *Controller) Offer(now time.Time, rq Request) []Decision {
+	rq.Urgency = min(max(rq.Urgency, 0), MaxUrgency)
+	ws := co.workspace(rq.Workspace)
+	ca := ws.caller(rq.Caller)
+	tr := &trackedRequest{Request: rq, offered: now, ws: ws, ca: ca}
+	if !rq.Deadline.IsZero() && !now.Before(rq.Deadline) {
+		return []Decision{co.refuse(tr, codes.DeadlinePassed, "the deadline has passed")}
 	}
 	ws.lastSeen = now
 	if co.canTakeSlot(now, ws) {
 		if co.queueLen == 0 {
-			return []Decision{co.admit(now, rq)}
+			return []Decision{co.admit(now, tr)}
 		}
-		co.enqueue(now, rq)
-		return co.dispatchNew(now, rq)
+		co.enqueue(now, tr)
+		return co.dispatchNew(now, tr)
 	}
-	if err := co.checkFeasible(now, rq); err != nil {
-		return []Decision{Refuse{Ticket: ti, Err: err}}
+	if err := co.checkFeasible(now, tr); err != nil {
+		return []Decision{Refused{Request: rq, Err: err}}
 	}
 	var evicted []Decision
 	if co.queueLen >= co.cfg.MaxQueue {
-		victim := co.victim(rq)
+		victim := co.victim(tr)
 		if victim == nil {
-			return []Decision{co.refuse(rq, codes.Overloaded, "the queue is full")}
+			return []Decision{co.refuse(tr, codes.Overloaded, "the queue is full")}
 		}
 		co.remove(victim)
 		evicted = append(evicted, co.refuse(victim, codes.Overloaded, "the queue is full"))
 	}
-	co.enqueue(now, rq)
-	return append([]Decision{Wait{Ticket: ti, ExpiresAt: rq.expiresAt}}, evicted...)
+	co.enqueue(now, tr)
+	return append([]Decision{Queued{Request: rq, ExpiresAt: tr.expiresAt}}, evicted...)
 }
 
-// dispatchNew assigns free slots after rq was queued although a slot was free.
-// The first decision is on rq.
-func (co *Controller) dispatchNew(now time.Time, rq *request) []Decision {
+// dispatchNew assigns free slots after tr was queued although a slot was free.
+// The first decision is on tr.
+func (co *Controller) dispatchNew(now time.Time, tr *trackedRequest) []Decision {
 	ds := co.dispatch(now, nil)
-	own := slices.IndexFunc(ds, func(de Decision) bool { return de.Subject().ID == rq.ID })
+	own := slices.IndexFunc(ds, func(de Decision) bool { return de.Subject().ID == tr.ID })
 	if own < 0 {
-		return append([]Decision{Wait{Ticket: rq.Ticket, ExpiresAt: rq.expiresAt}}, ds...)
+		return append([]Decision{Queued{Request: tr.Request, ExpiresAt: tr.expiresAt}}, ds...)
 	}
 	ds[0], ds[own] = ds[own], ds[0]
 	return ds
@@ -186,31 +186,31 @@
 // Release returns the slot of an admitted ticket. It returns decisions on the
 // queued tickets that take the slot or have expired.
 func (co *Controller) Release(now time.Time, id uint64) []Decision {
-	rq, ok := co.running[id]
+	tr, ok := co.running[id]
 	if !ok {
 		return nil
 	}
 	delete(co.running, id)
 	co.inUse--
-	rq.ws.inUse--
-	held := now.Sub(rq.admitted)
-	rq.ca.finishTag += (held - rq.charged).Seconds()
-	if rq.overGuarantee {
-		rq.ws.finishTag += (held - rq.charged).Seconds() / float64(rq.ws.share.Weight)
+	tr.ws.inUse--
+	held := now.Sub(tr.admitted)
+	tr.ca.finishTag += (held - tr.charged).Seconds()
+	if tr.overGuarantee {
+		tr.ws.finishTag += (held - tr.charged).Seconds() / float64(tr.ws.share.Weight)
 	}
 	co.observeServiceTime(held)
-	rq.ca.inUse--
-	rq.ca.lastSeen = now
-	rq.ws.lastSeen = now
+	tr.ca.inUse--
+	tr.ca.lastSeen = now
+	tr.ws.lastSeen = now
 	return co.dispatch(now, nil)
 }
 
 // Cancel removes a queued ticket, for example because its caller has
 // disconnected, and reports whether the ticket was queued.
 func (co *Controller) Cancel(id uint64) bool {
-	rq, ok := co.queued[id]
+	tr, ok := co.queued[id]
 	if ok {
-		co.remove(rq)
+		co.remove(tr)
 	}
 	return ok
 }
@@ -221,9 +221,9 @@
 	var ds []Decision
 	if co.queueLen > 0 && !now.Before(co.nextExpiry) {
 		co.nextExpiry = time.Time{}
-		for _, rq := range co.collectExpired(now) {
-			co.remove(rq)
-			ds = append(ds, co.refuseExpired(now, rq))
+		for _, tr := range co.collectExpired(now) {
+			co.remove(tr)
+			ds = append(ds, co.refuseExpired(now, tr))
 		}
 	}
 	if now.Sub(co.lastSweep) >= sweepInterval {
@@ -235,8 +235,8 @@
 	return ds
 }
 
-// Waiting returns the number of queued tickets.
-func (co *Controller) Waiting() int { return co.queueLen }
+// QueueLength returns the number of queued tickets.
+func (co *Controller) QueueLength() int { return co.queueLen }
 
 // InUse returns the number of admitted tickets.
 func (co *Controller) InUse() int { return co.inUse }
@@ -261,35 +261,35 @@
 		if ws == nil {
 			break
 		}
-		rq := ws.nextRequest()
-		co.remove(rq)
-		if !rq.Deadline.IsZero() && !now.Before(rq.Deadline) {
-			ds = append(ds, co.refuseExpired(now, rq))
+		tr := ws.nextRequest()
+		co.remove(tr)
+		if !tr.Deadline.IsZero() && !now.Before(tr.Deadline) {
+			ds = append(ds, co.refuseExpired(now, tr))
 			continue
 		}
-		ds = append(ds, co.admit(now, rq))
+		ds = append(ds, co.admit(now, tr))
 	}
 	return ds
 }
 
-func (co *Controller) admit(now time.Time, rq *request) Decision {
-	rq.admitted = now
-	rq.charged = co.meanServiceTime
+func (co *Controller) admit(now time.Time, tr *trackedRequest) Decision {
+	tr.admitted = now
+	tr.charged = co.meanServiceTime
 	co.inUse++
-	co.running[rq.ID] = rq
-	ws, ca := rq.ws, rq.ca
+	co.running[tr.ID] = tr
+	ws, ca := tr.ws, tr.ca
 	ca.finishTag = max(ca.finishTag, ws.virtualTime)
 	ws.virtualTime = ca.finishTag
-	ca.finishTag += rq.charged.Seconds()
+	ca.finishTag += tr.charged.Seconds()
 	ca.inUse++
-	rq.overGuarantee = float64(ws.inUse) >= ws.share.Slots
-	if rq.overGuarantee {
+	tr.overGuarantee = float64(ws.inUse) >= ws.share.Slots
+	if tr.overGuarantee {
 		ws.finishTag = max(ws.finishTag, co.virtualTime)
 		co.virtualTime = ws.finishTag
-		ws.finishTag += rq.charged.Seconds() / float64(ws.share.Weight)
+		ws.finishTag += tr.charged.Seconds() / float64(ws.share.Weight)
 	}
 	ws.inUse++
-	return Admit{Ticket: rq.Ticket, Waited: now.Sub(rq.offered)}
+	return Admitted{Request: tr.Request, Waited: now.Sub(tr.offered)}
 }
 
 func (co *Controller) observeServiceTime(held time.Duration) {
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -45,13 +45,13 @@
 		for _, de := range ds {
 			re := &results[owner[de.Subject().ID]]
 			switch de := de.(type) {
-			case admit.Admit:
+			case admit.Admitted:
 				re.served++
 				re.waits = append(re.waits, de.Waited)
 				ends[at+service] = append(ends[at+service], de.ID)
-			case admit.Wait:
+			case admit.Queued:
 				waiting[de.ID] = true
-			case admit.Refuse:
+			case admit.Refused:
 				if waiting[de.ID] {
 					re.expired++
 				}
@@ -72,7 +72,7 @@
 				id++
 				owner[id] = i
 				results[i].offered++
-				apply(at, co.Offer(now, admit.Ticket{
+				apply(at, co.Offer(now, admit.Request{
 					ID: id, Workspace: lo.workspace, Caller: lo.caller, Urgency: lo.urgency, Deadline: now.Add(5 * time.Second),
 				}))
 			}
@@ -181,9 +181,9 @@
 	is := is.New(t)
 	co := newController(1, admit.Share{Workspace: "parish", Weight: 1})
 	offer := func(id uint64, urgency int) admit.Decision {
-		return co.Offer(epoch, admit.Ticket{ID: id, Workspace: "parish", Caller: "a", Urgency: urgency})[0]
+		return co.Offer(epoch, admit.Request{ID: id, Workspace: "parish", Caller: "a", Urgency: urgency})[0]
 	}
-	_, ok := offer(1, 0).(admit.Admit)
+	_, ok := offer(1, 0).(admit.Admitted)
 	is.True(ok)
 	offer(2, 0)
 	offer(3, 1)
@@ -216,8 +216,8 @@
 	now := epoch.Add(5 * time.Second)
 	waits := make(map[time.Duration]bool)
 	for id := range uint64(50) {
-		ds := co.Offer(now, admit.Ticket{ID: 1000 + id, Workspace: "parish", Caller: "a", Deadline: now.Add(100 * time.Millisecond)})
-		re, ok := ds[0].(admit.Refuse)
+		ds := co.Offer(now, admit.Request{ID: 1000 + id, Workspace: "parish", Caller: "a", Deadline: now.Add(100 * time.Millisecond)})
+		re, ok := ds[0].(admit.Refused)
 		is.True(ok)
 		is.Equal(re.Err.Code.Class(), codes.NotRun)
 		is.True(re.Err.RetryAfter >= 400*time.Millisecond) // at least one service time
@@ -230,7 +230,7 @@
 func TestPastDeadline(t *testing.T) {
 	is := is.New(t)
 	co := newController(1)
-	re, ok := co.Offer(epoch, admit.Ticket{ID: 1, Deadline: epoch})[0].(admit.Refuse)
+	re, ok := co.Offer(epoch, admit.Request{ID: 1, Deadline: epoch})[0].(admit.Refused)
 	is.True(ok)
 	is.Equal(re.Err.Code, codes.DeadlinePassed)
 }
@@ -252,12 +252,12 @@
 					t.Fatalf("ticket %d was decided before", id)
 				}
 				switch de.(type) {
-				case admit.Wait:
+				case admit.Queued:
 					state[id] = "waits"
-				case admit.Admit:
+				case admit.Admitted:
 					state[id] = "final"
 					running = append(running, id)
-				case admit.Refuse:
+				case admit.Refused:
 					state[id] = "final"
 				}
 			}
@@ -275,7 +275,7 @@
 					running = running[1:]
 				}
 			default:
-				apply(co.Offer(now, admit.Ticket{
+				apply(co.Offer(now, admit.Request{
 					ID:        id,
 					Workspace: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace"),
 					Caller:    rapid.SampledFrom([]string{"x", "y"}).Draw(t, "caller"),
@@ -283,8 +283,8 @@
 					Deadline:  now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "left")) * time.Millisecond),
 				}))
 			}
-			if co.Waiting() > 8 || co.InUse() != len(running) || (co.Waiting() > 0 && co.InUse() < co.Capacity()) {
-				t.Fatalf("waiting %d, in use %d of %d, running %d", co.Waiting(), co.InUse(), co.Capacity(), len(running))
+			if co.QueueLength() > 8 || co.InUse() != len(running) || (co.QueueLength() > 0 && co.InUse() < co.Capacity()) {
+				t.Fatalf("waiting %d, in use %d of %d, running %d", co.QueueLength(), co.InUse(), co.Capacity(), len(running))
 			}
 		}
 		waiting := 0
@@ -293,11 +293,11 @@
 				waiting++
 			}
 		}
-		if waiting != co.Waiting() {
-			t.Fatalf("%d tickets have no decision, %d wait", waiting, co.Waiting())
+		if waiting != co.QueueLength() {
+			t.Fatalf("%d tickets have no decision, %d wait", waiting, co.QueueLength())
 		}
 		apply(co.Expire(now.Add(time.Second)))
-		if co.Waiting() != 0 {
+		if co.QueueLength() != 0 {
 			t.Fatal("tickets outlive the queue time")
 		}
 	})
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -6,9 +6,9 @@
 )
 
 type (
-	// request is a queued or running ticket.
-	request struct {
-		Ticket
+	// trackedRequest is a queued or running ticket.
+	trackedRequest struct {
+		Request
 		offered       time.Time
 		expiresAt     time.Time
 		admitted      time.Time
@@ -41,7 +41,7 @@
 		inUse     int
 		picks     int // calls of pickRequest
 		lastSeen  time.Time
-		queues    [MaxUrgency + 1][]*request // by urgency, oldest first
+		queues    [MaxUrgency + 1][]*trackedRequest // by urgency, oldest first
 	}
 )
 
@@ -89,71 +89,71 @@
 // collectExpired returns the queued requests whose time in the queue is over,
 // and sets nextExpiry to the earliest expiry of the others. Expire clears
 // nextExpiry before, and removes the returned requests from the queue.
-func (co *Controller) collectExpired(now time.Time) []*request {
-	var rqs []*request
-	for _, rq := range co.queued {
+func (co *Controller) collectExpired(now time.Time) []*trackedRequest {
+	var trs []*trackedRequest
+	for _, tr := range co.queued {
 		switch {
-		case !now.Before(rq.expiresAt):
-			rqs = append(rqs, rq)
-		case co.nextExpiry.IsZero() || rq.expiresAt.Before(co.nextExpiry):
-			co.nextExpiry = rq.expiresAt
+		case !now.Before(tr.expiresAt):
+			trs = append(trs, tr)
+		case co.nextExpiry.IsZero() || tr.expiresAt.Before(co.nextExpiry):
+			co.nextExpiry = tr.expiresAt
 		}
 	}
-	slices.SortFunc(rqs, func(a, b *request) int { return a.expiresAt.Compare(b.expiresAt) })
-	return rqs
+	slices.SortFunc(trs, func(a, b *trackedRequest) int { return a.expiresAt.Compare(b.expiresAt) })
+	return trs
 }
 
-func (co *Controller) enqueue(now time.Time, rq *request) {
-	rq.expiresAt = now.Add(co.cfg.QueueTime)
-	if !rq.Deadline.IsZero() && rq.Deadline.Before(rq.expiresAt) {
-		rq.expiresAt = rq.Deadline
+func (co *Controller) enqueue(now time.Time, tr *trackedRequest) {
+	tr.expiresAt = now.Add(co.cfg.QueueTime)
+	if !tr.Deadline.IsZero() && tr.Deadline.Before(tr.expiresAt) {
+		tr.expiresAt = tr.Deadline
 	}
-	if co.queueLen == 0 || rq.expiresAt.Before(co.nextExpiry) {
-		co.nextExpiry = rq.expiresAt
+	if co.queueLen == 0 || tr.expiresAt.Before(co.nextExpiry) {
+		co.nextExpiry = tr.expiresAt
 	}
-	if rq.ca.queueLen() == 0 {
-		rq.ws.active = append(rq.ws.active, rq.ca)
+	if tr.ca.queueLen() == 0 {
+		tr.ws.active = append(tr.ws.active, tr.ca)
 	}
-	rq.ca.queues[rq.Urgency] = append(rq.ca.queues[rq.Urgency], rq)
-	rq.ws.queueLen++
+	tr.ca.queues[tr.Urgency] = append(tr.ca.queues[tr.Urgency], tr)
+	tr.ws.queueLen++
 	co.queueLen++
-	co.queued[rq.ID] = rq
+	co.queued[tr.ID] = tr
 }
 
-func (co *Controller) remove(rq *request) {
-	qu := rq.ca.queues[rq.Urgency]
-	rq.ca.queues[rq.Urgency] = slices.Delete(qu, slices.Index(qu, rq), slices.Index(qu, rq)+1)
-	if rq.ca.queueLen() == 0 {
-		at := slices.Index(rq.ws.active, rq.ca)
-		rq.ws.active = slices.Delete(rq.ws.active, at, at+1)
+func (co *Controller) remove(tr *trackedRequest) {
+	qu := tr.ca.queues[tr.Urgency]
+	tr.ca.queues[tr.Urgency] = slices.Delete(qu, slices.Index(qu, tr), slices.Index(qu, tr)+1)
+	if tr.ca.queueLen() == 0 {
+		at := slices.Index(tr.ws.active, tr.ca)
+		tr.ws.active = slices.Delete(tr.ws.active, at, at+1)
 	}
-	rq.ws.queueLen--
+	tr.ws.queueLen--
 	co.queueLen--
-	delete(co.queued, rq.ID)
+	delete(co.queued, tr.ID)
 }
 
-// victim returns the queued request to evict from a full queue in favor of rq:
+// victim returns the queued request to evict from a full queue in favor of tr:
 // the newest of the least urgent requests of the caller with the largest
 // backlog in the workspace with the largest backlog per weight. It returns nil
-// if rq itself is to be refused.
-func (co *Controller) victim(rq *request) *request {
-	longest := rq.ws
+// if tr itself is to be refused.
+func (co *Controller) victim(tr *trackedRequest) *trackedRequest {
+	longest := tr.ws
 	for _, ws := range co.workspaces {
-		if ws.backlog(rq) > longest.backlog(rq) {
+		if ws.backlog(tr) > longest.backlog(tr) {
 			longest = ws
 		}
 	}
-	busiest := rq.ca
-	if longest != rq.ws {
+	busiest := tr.ca
+	if longest != tr.ws {
 		busiest = longest.active[0]
 	}
 	for _, ca := range longest.active {
-		if ca.backlog(rq) > busiest.backlog(rq) {
+		if ca.backlog(tr) > busiest.backlog(tr) {
 			busiest = ca
 		}
 	}
 	last := busiest.leastUrgent()
-	if busiest == rq.ca && (last == nil || last.Urgency >= rq.Urgency) {
+	if busiest == tr.ca && (last == nil || last.Urgency >= tr.Urgency) {
 		return nil
 	}
 	return last
@@ -173,7 +173,7 @@
 
 // backlog returns the number of queued requests per weight, counting extra as
 // queued.
-func (ws *workspace) backlog(extra *request) float64 {
+func (ws *workspace) backlog(extra *trackedRequest) float64 {
 	if extra.ws == ws {
 		return ws.perWeight(ws.queueLen + 1)
 	}
@@ -191,7 +191,7 @@
 
 // nextRequest returns the next request of the caller with the earliest start
 // tag.
-func (ws *workspace) nextRequest() *request {
+func (ws *workspace) nextRequest() *trackedRequest {
 	best := ws.active[0]
 	for _, ca := range ws.active[1:] {
 		if max(ca.finishTag, ws.virtualTime) < max(best.finishTag, ws.virtualTime) {
@@ -222,7 +222,7 @@
 }
 
 // backlog returns the number of queued requests, counting extra as queued.
-func (ca *caller) backlog(extra *request) int {
+func (ca *caller) backlog(extra *trackedRequest) int {
 	if extra.ca == ca {
 		return ca.queueLen() + 1
 	}
@@ -232,16 +232,16 @@
 // pickRequest returns the oldest of the most urgent requests, or every
 // oldestFirstInterval calls the oldest request overall. It counts the call in
 // picks.
-func (ca *caller) pickRequest() *request {
+func (ca *caller) pickRequest() *trackedRequest {
 	ca.picks++
-	var best *request
+	var best *trackedRequest
 	for urgency := MaxUrgency; urgency >= 0; urgency-- {
 		if len(ca.queues[urgency]) == 0 {
 			continue
 		}
-		rq := ca.queues[urgency][0]
-		if best == nil || (ca.picks%oldestFirstInterval == 0 && rq.offered.Before(best.offered)) {
-			best = rq
+		tr := ca.queues[urgency][0]
+		if best == nil || (ca.picks%oldestFirstInterval == 0 && tr.offered.Before(best.offered)) {
+			best = tr
 		}
 	}
 	return best
@@ -249,7 +249,7 @@
 
 // leastUrgent returns the newest of the least urgent requests, or nil if none
 // is queued.
-func (ca *caller) leastUrgent() *request {
+func (ca *caller) leastUrgent() *trackedRequest {
 	for _, qu := range ca.queues {
 		if len(qu) > 0 {
 			return qu[len(qu)-1]
--- a/internal/admit/refusal.go
+++ b/internal/admit/refusal.go
@@ -21,51 +21,51 @@
 // checkFeasible returns an error if a request that would be queued is not
 // expected to get a slot before its deadline or within the queue time less the
 // safety margin, and nil otherwise.
-func (co *Controller) checkFeasible(now time.Time, rq *request) *codes.Error {
+func (co *Controller) checkFeasible(now time.Time, tr *trackedRequest) *codes.Error {
 	if co.capacity == 0 {
 		return co.withJitter(codes.New(codes.NoEndpoint, "no endpoint is usable"), noEndpointRetryAfter)
 	}
-	wait := co.estimateWait(rq)
+	wait := co.estimateWait(tr)
 	switch {
 	case wait > co.cfg.QueueTime-co.cfg.QueueTime/estimateMarginDivisor:
 		er := codes.New(codes.Overloaded, "the expected wait of %v for a slot is longer than the queue allows", wait.Round(time.Millisecond))
 		return co.withJitter(er, wait)
-	case !rq.Deadline.IsZero() && now.Add(wait).After(rq.Deadline):
+	case !tr.Deadline.IsZero() && now.Add(wait).After(tr.Deadline):
 		er := codes.New(codes.DeadlinePassed, "the expected wait of %v for a slot ends after the deadline", wait.Round(time.Millisecond))
 		return co.withJitter(er, wait)
 	}
 	return nil
 }
 
-func (co *Controller) refuse(rq *request, cd codes.Code, detail string) Decision {
-	return Refuse{Ticket: rq.Ticket, Err: co.withJitter(codes.New(cd, "%s", detail), co.estimateWait(rq))}
+func (co *Controller) refuse(tr *trackedRequest, cd codes.Code, detail string) Decision {
+	return Refused{Request: tr.Request, Err: co.withJitter(codes.New(cd, "%s", detail), co.estimateWait(tr))}
 }
 
 // refuseExpired refuses a ticket whose time in the queue is over.
-func (co *Controller) refuseExpired(now time.Time, rq *request) Decision {
-	if !rq.Deadline.IsZero() && !now.Before(rq.Deadline) {
-		return co.refuse(rq, codes.DeadlinePassed, "the deadline passed in the queue")
+func (co *Controller) refuseExpired(now time.Time, tr *trackedRequest) Decision {
+	if !tr.Deadline.IsZero() && !now.Before(tr.Deadline) {
+		return co.refuse(tr, codes.DeadlinePassed, "the deadline passed in the queue")
 	}
-	return co.refuse(rq, codes.Overloaded, "no slot became free in time")
+	return co.refuse(tr, codes.Overloaded, "no slot became free in time")
 }
 
-// estimateWait returns the expected time until rq gets a slot: the estimated
-// number of requests of its workspace up to and including rq, times the mean
+// estimateWait returns the expected time until tr gets a slot: the estimated
+// number of requests of its workspace up to and including tr, times the mean
 // service time, divided by the slots that the workspace is expected to get.
-// The number is the position of rq among the requests of its caller that are at
+// The number is the position of tr among the requests of its caller that are at
 // least as urgent, times the number of callers with queued requests, and at
-// most the number of all queued requests of the workspace plus rq.
-func (co *Controller) estimateWait(rq *request) time.Duration {
+// most the number of all queued requests of the workspace plus tr.
+func (co *Controller) estimateWait(tr *trackedRequest) time.Duration {
 	ahead := 1
-	for urgency := rq.Urgency; urgency <= MaxUrgency; urgency++ {
-		ahead += len(rq.ca.queues[urgency])
+	for urgency := tr.Urgency; urgency <= MaxUrgency; urgency++ {
+		ahead += len(tr.ca.queues[urgency])
 	}
-	callers := len(rq.ws.active)
-	if rq.ca.queueLen() == 0 {
+	callers := len(tr.ws.active)
+	if tr.ca.queueLen() == 0 {
 		callers++
 	}
-	ahead = min(ahead*callers, rq.ws.queueLen+1)
-	return time.Duration(float64(ahead) * float64(co.meanServiceTime) / co.expectedSlots(rq.ws))
+	ahead = min(ahead*callers, tr.ws.queueLen+1)
+	return time.Duration(float64(ahead) * float64(co.meanServiceTime) / co.expectedSlots(tr.ws))
 }
 
 // expectedSlots returns the slots that ws gets as long as the workspaces that
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -38,8 +38,8 @@
 	ticket          *report.Work // nil if another host accounts for the request
 	outcome         report.Outcome
 	attempts        int
-	claim           *Claim       // acquired, and its outcome is not recorded yet
-	slot            *admit.Admit // nil if the request holds no slot
+	claim           *Claim          // acquired, and its outcome is not recorded yet
+	slot            *admit.Admitted // nil if the request holds no slot
 	slotSince       time.Time
 	responseStarted bool // part of the response may have been written to the caller
 	accounted       bool // the outcome has been recorded
@@ -193,7 +193,7 @@
 // admit waits for a slot, which releaseSlot returns.
 func (cl *call) admit(ctx context.Context) *codes.Error {
 	deadline, _ := ctx.Deadline()
-	ad, er := cl.sv.admit(ctx, admit.Ticket{
+	ad, er := cl.sv.admit(ctx, admit.Request{
 		Workspace: cl.hd.workspace,
 		Caller:    cl.hd.caller,
 		Urgency:   int(cl.hd.priority) - 1,
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -41,7 +41,7 @@
 	}{
 		{gaugeSlots, sv.admission.Capacity},
 		{gaugeInUse, sv.admission.InUse},
-		{gaugeWaiting, sv.admission.Waiting},
+		{gaugeWaiting, sv.admission.QueueLength},
 	} {
 		sm.set.NewGauge(serviceMetric(ga.name, sv.name), func() float64 {
 			sv.mu.Lock()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -22,16 +22,16 @@
 	service struct {
 		name string
 
-		mu         sync.Mutex
-		admission  *admit.Controller
-		table      *route.Table
-		budget     *route.RetryBudget
-		waiters    map[uint64]chan admit.Decision
-		lastTicket uint64
-		upstreams  map[string]*upstream // by endpoint
-		spillRule  spec.Spill
-		zones      []route.Zone
-		emptyUntil map[string]time.Time // by zone without a usable endpoint: no request is forwarded to it before
+		mu          sync.Mutex
+		admission   *admit.Controller
+		table       *route.Table
+		budget      *route.RetryBudget
+		waiters     map[uint64]chan admit.Decision
+		lastRequest uint64
+		upstreams   map[string]*upstream // by endpoint
+		spillRule   spec.Spill
+		zones       []route.Zone
+		emptyUntil  map[string]time.Time // by zone without a usable endpoint: no request is forwarded to it before
 	}
 
 	// upstream holds the connections to one endpoint.
@@ -125,7 +125,7 @@
 	sv.spillRule, sv.zones = sd.Spill, vw.zones
 	sv.table.Update(endpoints, vw.hosts)
 	sv.updateUpstreams(endpoints)
-	sv.table.AdjustBorrowing(now, sv.admission.Waiting())
+	sv.table.AdjustBorrowing(now, sv.admission.QueueLength())
 	sv.admission.SetShares(sv.shares(now, vw.declarations))
 	sv.updateCapacity(now)
 	sv.deliver(sv.admission.Expire(now))
@@ -190,20 +190,20 @@
 }
 
 // admit waits for a slot, which releaseSlot returns.
-func (sv *service) admit(ctx context.Context, ti admit.Ticket) (admit.Admit, *codes.Error) {
+func (sv *service) admit(ctx context.Context, rq admit.Request) (admit.Admitted, *codes.Error) {
 	sv.mu.Lock()
-	sv.lastTicket++
-	ti.ID = sv.lastTicket
-	ds := sv.admission.Offer(time.Now(), ti)
+	sv.lastRequest++
+	rq.ID = sv.lastRequest
+	ds := sv.admission.Offer(time.Now(), rq)
 	var ready chan admit.Decision
-	if _, ok := ds[0].(admit.Wait); ok {
+	if _, ok := ds[0].(admit.Queued); ok {
 		ready = make(chan admit.Decision, 1)
-		sv.waiters[ti.ID] = ready
+		sv.waiters[rq.ID] = ready
 	}
 	sv.deliver(ds[1:])
 	sv.mu.Unlock()
 	switch de := ds[0].(type) {
-	case admit.Wait:
+	case admit.Queued:
 		return sv.await(ctx, de, ready)
 	default:
 		return finalResult(de)
@@ -211,8 +211,8 @@
 }
 
 // await waits for the final decision on a queued ticket.
-func (sv *service) await(ctx context.Context, wt admit.Wait, ready chan admit.Decision) (admit.Admit, *codes.Error) {
-	timer := time.NewTimer(time.Until(wt.ExpiresAt))
+func (sv *service) await(ctx context.Context, qd admit.Queued, ready chan admit.Decision) (admit.Admitted, *codes.Error) {
+	timer := time.NewTimer(time.Until(qd.ExpiresAt))
 	defer timer.Stop()
 	for {
 		select {
@@ -224,38 +224,38 @@
 			sv.mu.Unlock()
 			timer.Reset(time.Millisecond)
 		case <-ctx.Done():
-			return sv.cancel(ctx, wt, ready)
+			return sv.cancel(ctx, qd, ready)
 		}
 	}
 }
 
 // cancel removes a queued ticket whose context has ended. If the ticket was
 // admitted in the meantime, it releases the slot.
-func (sv *service) cancel(ctx context.Context, wt admit.Wait, ready chan admit.Decision) (admit.Admit, *codes.Error) {
+func (sv *service) cancel(ctx context.Context, qd admit.Queued, ready chan admit.Decision) (admit.Admitted, *codes.Error) {
 	sv.mu.Lock()
-	cancelled := sv.admission.Cancel(wt.ID)
-	delete(sv.waiters, wt.ID)
+	cancelled := sv.admission.Cancel(qd.ID)
+	delete(sv.waiters, qd.ID)
 	sv.mu.Unlock()
 	if !cancelled {
-		if de, ok := (<-ready).(admit.Admit); ok {
+		if de, ok := (<-ready).(admit.Admitted); ok {
 			sv.releaseSlot(de)
 		}
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return admit.Admit{}, codes.New(codes.DeadlinePassed, "the deadline passed in the queue")
+		return admit.Admitted{}, codes.New(codes.DeadlinePassed, "the deadline passed in the queue")
 	}
-	return admit.Admit{}, codes.New(codes.CallerGone, "")
+	return admit.Admitted{}, codes.New(codes.CallerGone, "")
 }
 
 // finalResult returns the result of a final decision.
-func finalResult(de admit.Decision) (admit.Admit, *codes.Error) {
+func finalResult(de admit.Decision) (admit.Admitted, *codes.Error) {
 	switch de := de.(type) {
-	case admit.Admit:
+	case admit.Admitted:
 		return de, nil
-	case admit.Refuse:
-		return admit.Admit{}, de.Err
+	case admit.Refused:
+		return admit.Admitted{}, de.Err
 	default:
-		return admit.Admit{}, codes.New(codes.InternalFailure, "decision %T", de)
+		return admit.Admitted{}, codes.New(codes.InternalFailure, "decision %T", de)
 	}
 }
 
@@ -271,7 +271,7 @@
 }
 
 // releaseSlot returns the slot of an admitted request.
-func (sv *service) releaseSlot(ad admit.Admit) {
+func (sv *service) releaseSlot(ad admit.Admitted) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	sv.deliver(sv.admission.Release(time.Now(), ad.ID))
