Name forwarding targets and a full endpoint in route by what they are

Zone and Hop in the package route were a zone and a host that a request may be forwarded to, which their names did not say, Busy did not say that the endpoint has no free slot, and Table.Draining read like a question. They are now ForwardZone, ForwardTarget, NoFreeSlot and DrainingNames; SpillHops is ForwardTargets, and the locals near, far and hop follow. Only identifiers change.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -173,7 +173,7 @@
 	case relay.CauseDial:
 		return route.Unreachable{}
 	case relay.CauseBusy:
-		return route.Busy{}
+		return route.NoFreeSlot{}
 	case relay.CauseLeaving:
 		return route.Draining{}
 	case relay.CauseNoResponse, relay.CauseTruncated, relay.CauseMismatch:
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -30,7 +30,7 @@
 		lastRequest uint64
 		upstreams   map[string]*upstream // by endpoint
 		spillRule   spec.Spill
-		zones       []route.Zone
+		zones       []route.ForwardZone
 		emptyUntil  map[string]time.Time // by zone without a usable endpoint: no request is forwarded to it before
 	}
 
@@ -47,9 +47,9 @@
 	zoneView struct {
 		declarations *spec.Declarations
 		endpoints    []plat.Host
-		draining     map[string]bool // endpoints, as reported by other hosts
-		hosts        []string        // other live entry hosts of the local zone
-		zones        []route.Zone    // other zones with ready entry hosts
+		draining     map[string]bool     // endpoints, as reported by other hosts
+		hosts        []string            // other live entry hosts of the local zone
+		zones        []route.ForwardZone // other zones with ready entry hosts
 	}
 )
 
@@ -102,7 +102,7 @@
 	}
 	for _, zn := range de.Zones {
 		if hosts := others[zn.Name]; len(hosts) > 0 {
-			vw.zones = append(vw.zones, route.Zone{Name: zn.Name, Region: zn.Region, Hosts: hosts})
+			vw.zones = append(vw.zones, route.ForwardZone{Name: zn.Name, Region: zn.Region, Hosts: hosts})
 		}
 	}
 	return vw
@@ -179,7 +179,7 @@
 func (sv *service) drainingEndpoints() []string {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	return sv.table.Draining()
+	return sv.table.DrainingNames()
 }
 
 // usableSlots returns the number of slots at endpoints that take new requests.
--- a/internal/entry/spill.go
+++ b/internal/entry/spill.go
@@ -61,22 +61,22 @@
 }
 
 // spillHops returns the entry hosts to forward to, in order.
-func (cl *call) spillHops() []route.Hop {
+func (cl *call) spillHops() []route.ForwardTarget {
 	if cl.sr.cfg.SpillDial == nil {
 		return nil
 	}
 	rule, zones := cl.sv.spillZones(time.Now())
 	cl.sr.mu.Lock()
 	defer cl.sr.mu.Unlock()
-	return route.SpillHops(rule, cl.sr.cfg.Region, zones, cl.sr.rnd)
+	return route.ForwardTargets(rule, cl.sr.cfg.Region, zones, cl.sr.rnd)
 }
 
 // spillZones returns the spill rule and the zones that may have a usable
 // endpoint.
-func (sv *service) spillZones(now time.Time) (spec.Spill, []route.Zone) {
+func (sv *service) spillZones(now time.Time) (spec.Spill, []route.ForwardZone) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	var zones []route.Zone
+	var zones []route.ForwardZone
 	for _, zn := range sv.zones {
 		if now.After(sv.emptyUntil[zn.Name]) {
 			zones = append(zones, zn)
@@ -96,7 +96,7 @@
 // attemptHop forwards the request to one entry host. It returns the error that
 // the host itself gave, or the failure to get its response. Both are nil once
 // the response to the caller has been written.
-func (cl *call) attemptHop(ctx context.Context, hop route.Hop, candidates int) (*codes.Error, *relay.Failure) {
+func (cl *call) attemptHop(ctx context.Context, hop route.ForwardTarget, candidates int) (*codes.Error, *relay.Failure) {
 	start := time.Now()
 	rq := cl.request(ctx)
 	rq.Header.Set(headerHop, cl.sr.cfg.Zone)
@@ -125,7 +125,7 @@
 
 // accountHop accounts for the slot time and the bytes between regions of a
 // forwarded request.
-func (cl *call) accountHop(hop route.Hop, rq relay.Request, rp upstreamResponse, took time.Duration) {
+func (cl *call) accountHop(hop route.ForwardTarget, rq relay.Request, rp upstreamResponse, took time.Duration) {
 	if rp.response == nil {
 		return
 	}
--- a/internal/route/borrow.go
+++ b/internal/route/borrow.go
@@ -7,14 +7,14 @@
 // that it does not own. If the endpoint refuses, the request provably did not
 // run, the owners are using their slots, and the host backs off.
 type borrowing struct {
-	limit      int // maximum number of borrowed slots
-	busyRounds int // consecutive calls of AdjustBorrowing with queued requests
-	holdOff    time.Duration
-	growAfter  time.Time // earliest time at which the limit may grow
+	limit        int // maximum number of borrowed slots
+	queuedRounds int // consecutive calls of AdjustBorrowing with queued requests
+	holdOff      time.Duration
+	growAfter    time.Time // earliest time at which the limit may grow
 }
 
 const (
-	minBusyRounds     = 3 // consecutive calls with queued requests before slots are borrowed
+	minQueuedRounds   = 3 // consecutive calls with queued requests before slots are borrowed
 	minHoldOff        = time.Second
 	maxHoldOff        = 8 * time.Second
 	borrowableDivisor = 2 // one in this many slots of other hosts at an endpoint may be borrowed
@@ -25,15 +25,15 @@
 // one. From the minBusyRounds-th call in a row with queued requests on, it
 // doubles the maximum, starting with 1, up to borrowable and not before
 // growAfter. It is meant to be called at regular intervals.
-func (ta *Table) AdjustBorrowing(now time.Time, waiting int) {
+func (ta *Table) AdjustBorrowing(now time.Time, queueLength int) {
 	bo := &ta.borrowing
-	if waiting == 0 {
-		bo.busyRounds, bo.holdOff = 0, 0
+	if queueLength == 0 {
+		bo.queuedRounds, bo.holdOff = 0, 0
 		bo.limit = max(bo.limit-1, 0)
 		return
 	}
-	bo.busyRounds++
-	if bo.busyRounds < minBusyRounds || now.Before(bo.growAfter) {
+	bo.queuedRounds++
+	if bo.queuedRounds < minQueuedRounds || now.Before(bo.growAfter) {
 		return
 	}
 	bo.limit = min(max(2*bo.limit, 1), ta.borrowable(now))
--- a/internal/route/borrow_test.go
+++ b/internal/route/borrow_test.go
@@ -51,7 +51,7 @@
 			sent = true
 			if zn.inUse[name] == zn.slots {
 				refused[ho]++
-				ta.Release(zn.now, name, route.Busy{})
+				ta.Release(zn.now, name, route.NoFreeSlot{})
 				continue
 			}
 			zn.inUse[name]++
--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -22,8 +22,8 @@
 	// down.
 	Draining struct{}
 
-	// Busy is a refusal because the endpoint has no free slot.
-	Busy struct{}
+	// NoFreeSlot is a refusal because the endpoint has no free slot.
+	NoFreeSlot struct{}
 
 	// Unreachable is a connection that could not be opened, or a probe without
 	// a response.
@@ -121,7 +121,7 @@
 	case Draining:
 		st.announcedDraining = true
 		he.connectFailures = 0
-	case Busy:
+	case NoFreeSlot:
 		he.connectFailures = 0
 		wait := minFullWait << min(he.fullRefusals, maxFullDoublings)
 		he.fullUntil = now.Add(wait + time.Duration(ta.rnd.Int64N(int64(wait/2))))
@@ -204,7 +204,7 @@
 func (Reachable) isObservation()    {}
 func (Serving) isObservation()      {}
 func (Draining) isObservation()     {}
-func (Busy) isObservation()         {}
+func (NoFreeSlot) isObservation()   {}
 func (Unreachable) isObservation()  {}
 func (Failed) isObservation()       {}
 func (Inconclusive) isObservation() {}
--- a/internal/route/retry.go
+++ b/internal/route/retry.go
@@ -17,16 +17,16 @@
 		ResponseStarted bool // at least a part of a response was passed on to the caller
 	}
 
-	// Zone is an availability zone other than the local one, with its entry hosts
+	// ForwardZone is an availability zone other than the local one, with its entry hosts
 	// that accept forwarded requests.
-	Zone struct {
+	ForwardZone struct {
 		Name   string
 		Region string
 		Hosts  []string
 	}
 
-	// Hop is an entry host of another zone to which a request may be forwarded.
-	Hop struct {
+	// ForwardTarget is an entry host of another zone to which a request may be forwarded.
+	ForwardTarget struct {
 		Zone   string
 		Region string
 		Host   string
@@ -60,25 +60,25 @@
 	return ar.NotRun || (repeatable && !ar.ResponseStarted)
 }
 
-// SpillHops returns the entry hosts to forward a request to, in the order in
+// ForwardTargets returns the entry hosts to forward a request to, in the order in
 // which they are tried: a random one of each zone that the spill rule permits,
 // zones of the same region first, otherwise in random order.
-func SpillHops(rule spec.Spill, region string, zones []Zone, rnd *rand.Rand) []Hop {
+func ForwardTargets(rule spec.Spill, region string, zones []ForwardZone, rnd *rand.Rand) []ForwardTarget {
 	if rule != spec.SpillRegion && rule != spec.SpillAny {
 		return nil
 	}
-	var near, far []Hop
+	var sameRegion, otherRegions []ForwardTarget
 	for _, at := range rnd.Perm(len(zones)) {
 		zn := zones[at]
 		if len(zn.Hosts) == 0 {
 			continue
 		}
-		hop := Hop{Zone: zn.Name, Region: zn.Region, Host: zn.Hosts[rnd.IntN(len(zn.Hosts))]}
+		ft := ForwardTarget{Zone: zn.Name, Region: zn.Region, Host: zn.Hosts[rnd.IntN(len(zn.Hosts))]}
 		if zn.Region == region {
-			near = append(near, hop)
+			sameRegion = append(sameRegion, ft)
 		} else if rule == spec.SpillAny {
-			far = append(far, hop)
+			otherRegions = append(otherRegions, ft)
 		}
 	}
-	return append(near, far...)
+	return append(sameRegion, otherRegions...)
 }
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -99,7 +99,7 @@
 	ta := newTable(2, 2)
 	name, _ := pick(ta, epoch)
 	ta.Release(epoch, name, route.Draining{})
-	is.Equal(ta.Draining(), []string{name})
+	is.Equal(ta.DrainingNames(), []string{name})
 	is.Equal(ta.UsableSlots(epoch), 2)
 	for range 2 {
 		other, ok := pick(ta, epoch)
@@ -227,7 +227,7 @@
 }
 
 func TestForwardingOrder(t *testing.T) {
-	zones := []route.Zone{
+	zones := []route.ForwardZone{
 		{Name: "talca", Region: "chile", Hosts: []string{"t"}},
 		{Name: "cusco", Region: "peru", Hosts: []string{"c"}},
 		{Name: "empty", Region: "peru"},
@@ -242,8 +242,8 @@
 	} {
 		is := is.New(t)
 		var got []string
-		for _, hop := range route.SpillHops(tc.rule, "peru", zones, rand.New(rand.NewPCG(1, 1))) {
-			got = append(got, hop.Host)
+		for _, ft := range route.ForwardTargets(tc.rule, "peru", zones, rand.New(rand.NewPCG(1, 1))) {
+			got = append(got, ft.Host)
 		}
 		is.Equal(got, tc.want)
 	}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -221,9 +221,9 @@
 	}
 }
 
-// Draining returns the names of the endpoints that have stated that they are
+// DrainingNames returns the names of the endpoints that have stated that they are
 // shutting down.
-func (ta *Table) Draining() []string {
+func (ta *Table) DrainingNames() []string {
 	var names []string
 	for _, st := range ta.states {
 		if st.announcedDraining {
