Name relay causes, probe results and connections in usual terms

The package relay named a draining endpoint leaving, a refusal for want of a slot busy, and a disconnected caller gone; a probe's result was called Health, and a connection with its Transport a link, while the comments call it a connection. The names are now CauseDraining, CauseNoFreeSlot, CauseCallerDisconnected, Response.Draining, ProbeResult and clientConn, in conn.go. Log texts and headers keep their values. Only identifiers change.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -50,7 +50,7 @@
 			return last
 		}
 		fa := cl.attempt(ctx, ch, pool)
-		if fa != nil && fa.Cause != relay.CauseBusy {
+		if fa != nil && fa.Cause != relay.CauseNoFreeSlot {
 			tried = append(tried, ch.Endpoint.Name)
 		}
 		if fa == nil {
@@ -99,7 +99,7 @@
 
 // mayRetry reports whether the request may be sent again after a failed attempt.
 func (cl *call) mayRetry(fa *relay.Failure) bool {
-	if fa.Cause == relay.CauseCallerGone || fa.Cause == relay.CauseDeadline {
+	if fa.Cause == relay.CauseCallerDisconnected || fa.Cause == relay.CauseDeadline {
 		return false
 	}
 	return route.MayRetry(route.AttemptResult{NotRun: fa.Code.Class() == codes.NotRun, ResponseStarted: cl.responseStarted}, cl.repeatable)
@@ -141,7 +141,7 @@
 		fa = cl.stream(rp)
 	}
 	obs := []route.Observation{cl.observation(rp, fa, time.Since(start))}
-	if rp.response != nil && rp.response.Leaving {
+	if rp.response != nil && rp.response.Draining {
 		obs = append(obs, route.Draining{})
 	}
 	cl.sv.endAttempt(ch.Endpoint.Name, obs...)
@@ -172,9 +172,9 @@
 	switch fa.Cause {
 	case relay.CauseDial:
 		return route.Unreachable{}
-	case relay.CauseBusy:
+	case relay.CauseNoFreeSlot:
 		return route.NoFreeSlot{}
-	case relay.CauseLeaving:
+	case relay.CauseDraining:
 		return route.Draining{}
 	case relay.CauseNoResponse, relay.CauseTruncated, relay.CauseMismatch:
 		return route.Failed{}
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -67,7 +67,7 @@
 		n, err := rp.response.Read(buffer[:])
 		if n > 0 {
 			if werr := cl.write(control, buffer[:n], rp.response.Length < 0); werr != nil {
-				return &relay.Failure{Code: codes.CallerLeft, Cause: relay.CauseCallerGone, Err: werr}
+				return &relay.Failure{Code: codes.CallerLeft, Cause: relay.CauseCallerDisconnected, Err: werr}
 			}
 		}
 		switch {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -354,17 +354,17 @@
 }
 
 // recordProbe records the result of a probe.
-func (sv *service) recordProbe(ctx context.Context, endpoint string, he relay.Health) {
+func (sv *service) recordProbe(ctx context.Context, endpoint string, pr relay.ProbeResult) {
 	if ctx.Err() != nil {
 		return
 	}
 	var ob route.Observation = route.Reachable{}
 	switch {
-	case !he.Reachable:
+	case !pr.Reachable:
 		ob = route.Unreachable{}
-	case he.Leaving:
+	case pr.Draining:
 		ob = route.Draining{}
-	case he.HasState:
+	case pr.HasState:
 		ob = route.Serving{}
 	}
 	sv.mu.Lock()
--- a/internal/relay/link.go
+++ b/internal/relay/conn.go
@@ -10,8 +10,8 @@
 )
 
 type (
-	// link is one connection and the Transport that uses it exclusively.
-	link struct {
+	// clientConn is one connection and the Transport that uses it exclusively.
+	clientConn struct {
 		tr           *http.Transport
 		cn           *trackedConn
 		lastResponse time.Time // last complete response, or when the connection was opened
@@ -40,8 +40,8 @@
 	errConnClosed  = errors.New("the connection is closed")
 )
 
-// newLink returns a link over an open connection.
-func newLink(cn net.Conn, cfg Config) *link {
+// newClientConn returns a link over an open connection.
+func newClientConn(cn net.Conn, cfg Config) *clientConn {
 	tc := &trackedConn{Conn: cn, writeTimeout: cfg.WriteTimeout}
 	var dialled atomic.Bool
 	tr := &http.Transport{
@@ -57,12 +57,12 @@
 	}
 	now := time.Now()
 	tc.lastRead.Store(now.UnixNano())
-	return &link{tr: tr, cn: tc, lastResponse: now, lastRequest: now}
+	return &clientConn{tr: tr, cn: tc, lastResponse: now, lastRequest: now}
 }
 
-func (li *link) close() {
-	_ = li.cn.Close()
-	li.tr.CloseIdleConnections()
+func (cc *clientConn) close() {
+	_ = cc.cn.Close()
+	cc.tr.CloseIdleConnections()
 }
 
 // Write implements net.Conn. It counts the bytes before it sends any, so a
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -20,45 +20,45 @@
 )
 
 // The causes. The request did not run if the cause is one of CauseDial to
-// CauseNotSent. For CauseDeadline and CauseCallerGone, Failure.Code tells
+// CauseNotSent. For CauseDeadline and CauseCallerDisconnected, Failure.Code tells
 // whether it may have run.
 const (
-	CauseDial        Cause = iota + 1 // the endpoint is unreachable
-	CauseConnections                  // all permitted connections are in use
-	CauseBusy                         // the endpoint refused because it has no free slot
-	CauseLeaving                      // the endpoint refused because it is draining
-	CauseNotSent                      // the connection failed before the first byte was sent
-	CauseNoResponse                   // the connection failed before a response
-	CauseTruncated                    // the response ended early
-	CauseMismatch                     // the response belongs to another request
-	CauseDeadline                     // the deadline passed
-	CauseCallerGone                   // the caller disconnected
+	CauseDial               Cause = iota + 1 // the endpoint is unreachable
+	CauseConnections                         // all permitted connections are in use
+	CauseNoFreeSlot                          // the endpoint refused because it has no free slot
+	CauseDraining                            // the endpoint refused because it is draining
+	CauseNotSent                             // the connection failed before the first byte was sent
+	CauseNoResponse                          // the connection failed before a response
+	CauseTruncated                           // the response ended early
+	CauseMismatch                            // the response belongs to another request
+	CauseDeadline                            // the deadline passed
+	CauseCallerDisconnected                  // the caller disconnected
 )
 
 var causeCodes = [...]codes.Code{
-	CauseDial:        codes.NoEndpoint,
-	CauseConnections: codes.EndpointBusy,
-	CauseBusy:        codes.EndpointBusy,
-	CauseLeaving:     codes.NoEndpoint,
-	CauseNotSent:     codes.NoEndpoint,
-	CauseNoResponse:  codes.OutcomeUnknown,
-	CauseTruncated:   codes.AnswerBroken,
-	CauseMismatch:    codes.OutcomeUnknown,
-	CauseDeadline:    codes.DeadlineInFlight,
-	CauseCallerGone:  codes.CallerLeft,
+	CauseDial:               codes.NoEndpoint,
+	CauseConnections:        codes.EndpointBusy,
+	CauseNoFreeSlot:         codes.EndpointBusy,
+	CauseDraining:           codes.NoEndpoint,
+	CauseNotSent:            codes.NoEndpoint,
+	CauseNoResponse:         codes.OutcomeUnknown,
+	CauseTruncated:          codes.AnswerBroken,
+	CauseMismatch:           codes.OutcomeUnknown,
+	CauseDeadline:           codes.DeadlineInFlight,
+	CauseCallerDisconnected: codes.CallerLeft,
 }
 
 var causeNames = [...]string{
-	CauseDial:        "dial",
-	CauseConnections: "connections",
-	CauseBusy:        "busy",
-	CauseLeaving:     "leaving",
-	CauseNotSent:     "unsent",
-	CauseNoResponse:  "lost",
-	CauseTruncated:   "broken",
-	CauseMismatch:    "mismatch",
-	CauseDeadline:    "deadline",
-	CauseCallerGone:  "caller",
+	CauseDial:               "dial",
+	CauseConnections:        "connections",
+	CauseNoFreeSlot:         "busy",
+	CauseDraining:           "leaving",
+	CauseNotSent:            "unsent",
+	CauseNoResponse:         "lost",
+	CauseTruncated:          "broken",
+	CauseMismatch:           "mismatch",
+	CauseDeadline:           "deadline",
+	CauseCallerDisconnected: "caller",
 }
 
 // String returns the name of the cause for logs.
@@ -91,7 +91,7 @@
 	case errors.Is(ended, context.DeadlineExceeded):
 		return &Failure{Code: codes.DeadlinePassed, Cause: CauseDeadline, Err: err}
 	case ended != nil:
-		return &Failure{Code: codes.CallerGone, Cause: CauseCallerGone, Err: err}
+		return &Failure{Code: codes.CallerGone, Cause: CauseCallerDisconnected, Err: err}
 	}
 	return newFailure(ca, err)
 }
@@ -103,7 +103,7 @@
 	case errors.Is(ended, context.DeadlineExceeded):
 		return newFailure(CauseDeadline, err)
 	case ended != nil:
-		return newFailure(CauseCallerGone, err)
+		return newFailure(CauseCallerDisconnected, err)
 	}
 	return newFailure(ca, err)
 }
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -43,8 +43,8 @@
 	Pool struct {
 		cfg      Config
 		mu       sync.Mutex
-		idle     []*link        // most recently used last
-		inFlight map[*link]bool // connections with a request in flight, and whether it is repeatable
+		idle     []*clientConn        // most recently used last
+		inFlight map[*clientConn]bool // connections with a request in flight, and whether it is repeatable
 		open     int
 		limit    int
 		closed   bool
@@ -74,7 +74,7 @@
 	if cfg.Dial == nil {
 		cfg.Dial = dial.TCP
 	}
-	return &Pool{cfg: cfg, limit: max(cfg.Connections, 1), inFlight: make(map[*link]bool)}
+	return &Pool{cfg: cfg, limit: max(cfg.Connections, 1), inFlight: make(map[*clientConn]bool)}
 }
 
 // SetConnections sets the maximum number of open connections, at least one.
@@ -107,14 +107,14 @@
 // new one. Before it opens one, it closes the idle connections whose last
 // response is too old for any request, as when the process was suspended and
 // nothing probed them.
-func (po *Pool) acquire(ctx context.Context, maxAge time.Duration) (*link, *Failure) {
+func (po *Pool) acquire(ctx context.Context, maxAge time.Duration) (*clientConn, *Failure) {
 	po.mu.Lock()
 	now := time.Now()
 	if n := len(po.idle); n > 0 && now.Sub(po.idle[n-1].lastResponse) <= maxAge {
-		li := po.idle[n-1]
+		cc := po.idle[n-1]
 		po.idle = po.idle[:n-1]
 		po.mu.Unlock()
-		return li, nil
+		return cc, nil
 	}
 	stale := po.takeStale(now)
 	if po.open >= po.limit {
@@ -131,12 +131,12 @@
 // takeStale removes and returns the idle connections whose last response is too
 // old for any request, and the least recently used one if the pool is still at
 // its limit. The caller holds po.mu.
-func (po *Pool) takeStale(now time.Time) []*link {
-	var stale []*link
-	po.idle = slices.DeleteFunc(po.idle, func(li *link) bool {
-		old := now.Sub(li.lastResponse) > repeatableMaxResponseAge
+func (po *Pool) takeStale(now time.Time) []*clientConn {
+	var stale []*clientConn
+	po.idle = slices.DeleteFunc(po.idle, func(cc *clientConn) bool {
+		old := now.Sub(cc.lastResponse) > repeatableMaxResponseAge
 		if old {
-			stale = append(stale, li)
+			stale = append(stale, cc)
 		}
 		return old
 	})
@@ -150,14 +150,14 @@
 }
 
 // closeAll closes connections that have been removed from the pool.
-func closeAll(links []*link) {
-	for _, li := range links {
-		li.close()
+func closeAll(conns []*clientConn) {
+	for _, cc := range conns {
+		cc.close()
 	}
 }
 
 // dial opens a connection that the caller has counted in po.open.
-func (po *Pool) dial(ctx context.Context) (*link, *Failure) {
+func (po *Pool) dial(ctx context.Context) (*clientConn, *Failure) {
 	dctx, cancel := context.WithTimeout(ctx, po.cfg.DialTimeout)
 	defer cancel()
 	cn, err := po.cfg.Dial(dctx, po.cfg.Address)
@@ -165,30 +165,30 @@
 		po.discard(nil)
 		return nil, failureNotSent(ctx, CauseDial, err)
 	}
-	return newLink(cn, po.cfg), nil
+	return newClientConn(cn, po.cfg), nil
 }
 
 // release returns a connection to the pool after a complete response.
-func (po *Pool) release(li *link) {
+func (po *Pool) release(cc *clientConn) {
 	po.mu.Lock()
-	delete(po.inFlight, li)
+	delete(po.inFlight, cc)
 	if po.closed || po.open > po.limit {
 		po.mu.Unlock()
-		po.discard(li)
+		po.discard(cc)
 		return
 	}
-	po.idle = append(po.idle, li)
+	po.idle = append(po.idle, cc)
 	po.mu.Unlock()
 }
 
-// discard closes a connection and frees its place in the pool. li is nil if the
+// discard closes a connection and frees its place in the pool. cc is nil if the
 // connection failed to open.
-func (po *Pool) discard(li *link) {
-	if li != nil {
-		li.close()
+func (po *Pool) discard(cc *clientConn) {
+	if cc != nil {
+		cc.close()
 	}
 	po.mu.Lock()
-	delete(po.inFlight, li)
+	delete(po.inFlight, cc)
 	po.open--
 	po.mu.Unlock()
 }
@@ -199,9 +199,9 @@
 func (po *Pool) closeUnresponsive(cutoff time.Time) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
-	for li, repeatable := range po.inFlight {
-		if repeatable && li.lastRequest.Before(cutoff) && li.cn.lastReadBefore(cutoff) {
-			_ = li.cn.Close()
+	for cc, repeatable := range po.inFlight {
+		if repeatable && cc.lastRequest.Before(cutoff) && cc.cn.lastReadBefore(cutoff) {
+			_ = cc.cn.Close()
 		}
 	}
 }
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -10,11 +10,11 @@
 	"github.com/cicadawharf/cicadawharf/internal/plat"
 )
 
-// Health is the result of a probe of an endpoint.
-type Health struct {
+// ProbeResult is the result of a probe of an endpoint.
+type ProbeResult struct {
 	Reachable bool // a probe got the status OK, or every connection is in use
 	HasState  bool // the response gave the endpoint's state
-	Leaving   bool // the endpoint is draining
+	Draining  bool // the endpoint is draining
 
 	unresponsive bool // the probe was sent but got no response in time
 }
@@ -28,81 +28,81 @@
 // connection. If a probe times out although the endpoint is reachable,
 // connections with a repeatable request in flight that have received nothing
 // for Config.ProbeTimeout are closed, too.
-func (po *Pool) Probe(ctx context.Context) Health {
-	links := po.takeForProbe(time.Now())
-	results := make([]Health, len(links))
+func (po *Pool) Probe(ctx context.Context) ProbeResult {
+	conns := po.takeForProbe(time.Now())
+	results := make([]ProbeResult, len(conns))
 	var wg sync.WaitGroup
-	for i, li := range links {
-		wg.Go(func() { results[i] = po.probe(ctx, li) })
+	for i, cc := range conns {
+		wg.Go(func() { results[i] = po.probe(ctx, cc) })
 	}
 	wg.Wait()
 	begin := time.Now()
-	var he Health
+	var pr ProbeResult
 	unresponsive := false
 	for _, rs := range results {
 		unresponsive = unresponsive || rs.unresponsive
 		if rs.Reachable {
-			he = rs
+			pr = rs
 		}
 	}
-	if !he.Reachable {
-		he = po.probeFresh(ctx)
+	if !pr.Reachable {
+		pr = po.probeFresh(ctx)
 	}
-	if unresponsive && he.Reachable {
+	if unresponsive && pr.Reachable {
 		po.closeUnresponsive(begin.Add(-po.cfg.ProbeTimeout))
 	}
-	return he
+	return pr
 }
 
 // probeFresh sends a probe on a connection with a recent response, or on a new
 // one.
-func (po *Pool) probeFresh(ctx context.Context) Health {
-	li, fa := po.acquire(ctx, probeAfter)
+func (po *Pool) probeFresh(ctx context.Context) ProbeResult {
+	cc, fa := po.acquire(ctx, probeAfter)
 	if fa != nil {
 		// Every connection is in use, so there is no idle one to verify.
-		return Health{Reachable: fa.Cause == CauseConnections}
+		return ProbeResult{Reachable: fa.Cause == CauseConnections}
 	}
-	return po.probe(ctx, li)
+	return po.probe(ctx, cc)
 }
 
 // takeForProbe removes and returns the idle connections to be probed. It closes
 // those without a request for Config.IdleTimeout, except the last.
-func (po *Pool) takeForProbe(now time.Time) []*link {
+func (po *Pool) takeForProbe(now time.Time) []*clientConn {
 	po.mu.Lock()
-	var toProbe, fresh, unused []*link
-	for i, li := range po.idle {
+	var toProbe, fresh, unused []*clientConn
+	for i, cc := range po.idle {
 		last := i == len(po.idle)-1
 		switch {
-		case now.Sub(li.lastRequest) > po.cfg.IdleTimeout && !last:
-			unused = append(unused, li)
-		case now.Sub(li.lastResponse) >= probeAfter:
-			toProbe = append(toProbe, li)
+		case now.Sub(cc.lastRequest) > po.cfg.IdleTimeout && !last:
+			unused = append(unused, cc)
+		case now.Sub(cc.lastResponse) >= probeAfter:
+			toProbe = append(toProbe, cc)
 		default:
-			fresh = append(fresh, li)
+			fresh = append(fresh, cc)
 		}
 	}
 	po.idle = fresh
 	po.mu.Unlock()
-	for _, li := range unused {
-		po.discard(li)
+	for _, cc := range unused {
+		po.discard(cc)
 	}
 	return toProbe
 }
 
 // probe sends a probe on a connection that is not in the pool.
-func (po *Pool) probe(ctx context.Context, li *link) Health {
+func (po *Pool) probe(ctx context.Context, cc *clientConn) ProbeResult {
 	ctx, cancel := context.WithTimeout(ctx, po.cfg.ProbeTimeout)
 	defer cancel()
-	re, fa := po.exchange(ctx, li, Request{
+	re, fa := po.exchange(ctx, cc, Request{
 		ID: "probe", Method: http.MethodGet, Target: plat.ProbePath, Host: po.cfg.Address,
 		Header: http.Header{}, Repeatable: true,
 	})
 	if fa != nil {
-		return Health{unresponsive: fa.Cause == CauseDeadline}
+		return ProbeResult{unresponsive: fa.Cause == CauseDeadline}
 	}
 	defer re.Close()
 	if _, err := io.Copy(io.Discard, re); err != nil {
-		return Health{}
+		return ProbeResult{}
 	}
-	return Health{Reachable: re.Status == http.StatusOK, HasState: re.HasState, Leaving: re.Leaving}
+	return ProbeResult{Reachable: re.Status == http.StatusOK, HasState: re.HasState, Draining: re.Draining}
 }
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -30,12 +30,12 @@
 		Status   int
 		Header   http.Header // without hop-by-hop headers
 		Length   int64       // of the body; negative if unknown
-		Leaving  bool        // the response says that the endpoint is draining
+		Draining bool        // the response says that the endpoint is draining
 		HasState bool        // the response gave the endpoint's state
 
 		ctx      context.Context
 		po       *Pool
-		li       *link
+		cc       *clientConn
 		body     io.ReadCloser
 		reusable bool  // the connection can be reused after the whole body
 		read     int64 // bytes of the body read so far
@@ -59,24 +59,24 @@
 	if rq.Repeatable {
 		maxAge = max(maxAge, repeatableMaxResponseAge)
 	}
-	li, fa := po.acquire(ctx, maxAge)
+	cc, fa := po.acquire(ctx, maxAge)
 	if fa != nil {
 		return nil, fa
 	}
 	po.mu.Lock()
-	li.lastRequest = time.Now()
-	po.inFlight[li] = rq.Repeatable
+	cc.lastRequest = time.Now()
+	po.inFlight[cc] = rq.Repeatable
 	po.mu.Unlock()
-	return po.exchange(ctx, li, rq)
+	return po.exchange(ctx, cc, rq)
 }
 
 // exchange sends a request on a connection that is not in the pool.
-func (po *Pool) exchange(ctx context.Context, li *link, rq Request) (*Response, *Failure) {
-	before := li.cn.attemptedBytes.Load()
-	rs, err := li.tr.RoundTrip(rq.toHTTP(ctx, po.cfg.Address))
+func (po *Pool) exchange(ctx context.Context, cc *clientConn, rq Request) (*Response, *Failure) {
+	before := cc.cn.attemptedBytes.Load()
+	rs, err := cc.tr.RoundTrip(rq.toHTTP(ctx, po.cfg.Address))
 	if err != nil {
-		po.discard(li)
-		if li.cn.attemptedBytes.Load() == before {
+		po.discard(cc)
+		if cc.cn.attemptedBytes.Load() == before {
 			return nil, failureNotSent(ctx, CauseNotSent, err)
 		}
 		return nil, failureMaybeSent(ctx, CauseNoResponse, err)
@@ -85,9 +85,9 @@
 		Status:   rs.StatusCode,
 		Header:   endToEnd(rs.Header),
 		Length:   rs.ContentLength,
-		Leaving:  rs.Header.Get(plat.HeaderState) == string(plat.StateLeaving),
+		Draining: rs.Header.Get(plat.HeaderState) == string(plat.StateLeaving),
 		HasState: rs.Header.Get(plat.HeaderState) != "",
-		ctx:      ctx, po: po, li: li, body: rs.Body,
+		ctx:      ctx, po: po, cc: cc, body: rs.Body,
 		reusable: !rs.Close,
 	}
 	return re.validate(rq, rs)
@@ -105,9 +105,9 @@
 		_, _ = io.CopyN(io.Discard, re, maxRefusalBody)
 		re.Close()
 		if refused == plat.RefusedLeaving {
-			return nil, newFailure(CauseLeaving, nil)
+			return nil, newFailure(CauseDraining, nil)
 		}
-		return nil, newFailure(CauseBusy, nil)
+		return nil, newFailure(CauseNoFreeSlot, nil)
 	case re.Status < http.StatusOK, re.Status > maxStatus, closeDelimited(rq, rs):
 		re.fail(errNoLength)
 		return nil, newFailure(CauseTruncated, errNoLength)
@@ -158,18 +158,18 @@
 func (re *Response) finish() {
 	re.err = io.EOF
 	_ = re.body.Close()
-	re.li.lastResponse = time.Now()
+	re.cc.lastResponse = time.Now()
 	if re.reusable {
-		re.po.release(re.li)
+		re.po.release(re.cc)
 	} else {
-		re.po.discard(re.li)
+		re.po.discard(re.cc)
 	}
 }
 
 // fail ends the response with an error and closes the connection.
 func (re *Response) fail(err error) {
 	re.err = err
-	re.po.discard(re.li)
+	re.po.discard(re.cc)
 	_ = re.body.Close()
 }
 
