Name the request counter, forwarding and steps in entry by what they are

In the package entry the count of requests in progress was called work, the word that a report.Work now takes in place of ticket; forwarding to another zone was called hop, spill or forwarding by turns; and checkThen, isName and sending did not say that they parse, that a key follows, or that a body is pending. The names are now requestCounter, forward..., parseThen, expectKey and bodyPending. Only identifiers change.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -29,8 +29,8 @@
 	}
 }
 
-// withRetry sets the retry-after time of a retryable code that has none.
-func (sr *Server) withRetry(er *codes.Error) *codes.Error {
+// withRetryAfter sets the retry-after time of a retryable code that has none.
+func (sr *Server) withRetryAfter(er *codes.Error) *codes.Error {
 	if !er.Code.Info().Retryable {
 		return er
 	}
@@ -62,7 +62,7 @@
 
 // writeError writes a response with a code that the system itself gives.
 func (sr *Server) writeError(w http.ResponseWriter, request string, er *codes.Error) {
-	er = sr.withRetry(er)
+	er = sr.withRetryAfter(er)
 	if closesConnection(er.Code) {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -33,7 +33,7 @@
 func (sr *Server) handleAPI(fn handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		ar := &apiRequest{sr: sr, w: w, r: r, id: sr.newID(), began: time.Now()}
-		ok, stopped := sr.work.begin(inProgressFactor * sr.cfg.Limits.Requests)
+		ok, stopped := sr.inProgress.begin(inProgressFactor * sr.cfg.Limits.Requests)
 		switch {
 		case stopped:
 			ar.refuse(codes.New(codes.Stopping, "the host is being stopped"))
@@ -42,7 +42,7 @@
 			ar.refuse(codes.New(codes.Overloaded, "the host has too many requests in progress"))
 			return
 		}
-		defer sr.work.end()
+		defer sr.inProgress.end()
 		defer ar.recoverPanic()
 		if er := ar.run(fn); er != nil {
 			ar.refuse(er)
@@ -119,7 +119,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
 		select {
-		case <-ar.sr.work.stopping:
+		case <-ar.sr.inProgress.stopping:
 			cancel()
 		case <-ctx.Done():
 		}
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -95,8 +95,8 @@
 // completely.
 func (sr *Server) refuse(w http.ResponseWriter, r *http.Request, request string, er *codes.Error) {
 	control := http.NewResponseController(w)
-	sending := r.ContentLength != 0 && er.Code != codes.SlowSender && er.Code != codes.CallerGone
-	if !sending || control.EnableFullDuplex() != nil {
+	bodyPending := r.ContentLength != 0 && er.Code != codes.SlowSender && er.Code != codes.CallerGone
+	if !bodyPending || control.EnableFullDuplex() != nil {
 		sr.writeError(w, request, er)
 		return
 	}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -35,7 +35,7 @@
 	target     string // path and query sent to the endpoint
 	body       []byte
 
-	ticket          *report.Work // nil if another host accounts for the request
+	work            *report.Work // nil if another host accounts for the request
 	outcome         report.Outcome
 	attempts        int
 	claim           *Claim          // acquired, and its outcome is not recorded yet
@@ -75,7 +75,7 @@
 func (sr *Server) serveCall(cl *call) {
 	cl.outcome.Code = codes.InternalFailure
 	cl.r.Header.Del(headerHop)
-	ok, stopped := sr.work.begin(inProgressFactor * sr.cfg.Limits.Requests)
+	ok, stopped := sr.inProgress.begin(inProgressFactor * sr.cfg.Limits.Requests)
 	cl.identify()
 	defer cl.finish(ok)
 	switch {
@@ -104,7 +104,7 @@
 		}
 	}
 	if cl.originZone == "" && cl.sr.cfg.Account != nil {
-		cl.ticket = cl.sr.cfg.Account.Offer(cl.began, cl.workspace, cl.service)
+		cl.work = cl.sr.cfg.Account.Offer(cl.began, cl.workspace, cl.service)
 	}
 }
 
@@ -245,7 +245,7 @@
 		cl.outcome.Code = codes.InternalFailure
 	}
 	cl.account()
-	cl.finishWork(counted)
+	cl.endRequest(counted)
 	switch {
 	case fault == nil:
 	case cl.responseStarted:
@@ -263,26 +263,26 @@
 	}
 	cl.accounted = true
 	cl.outcome.Repeats = max(cl.attempts-1, 0)
-	if cl.ticket != nil {
-		cl.ticket.End(cl.outcome)
+	if cl.work != nil {
+		cl.work.End(cl.outcome)
 	}
 	cl.sr.metrics.countRequest(cl.service, cl.outcome.Code, time.Since(cl.began))
 }
 
-// finishWork records the outcome of the claim and then marks the request as no
+// endRequest records the outcome of the claim and then marks the request as no
 // longer in progress, so that a graceful stop waits for it. The response does
 // not wait.
-func (cl *call) finishWork(counted bool) {
+func (cl *call) endRequest(counted bool) {
 	if cl.claim == nil {
 		if counted {
-			cl.sr.work.end()
+			cl.sr.inProgress.end()
 		}
 		return
 	}
 	go func() {
 		cl.recordClaimOutcome()
 		if counted {
-			cl.sr.work.end()
+			cl.sr.inProgress.end()
 		}
 	}()
 }
--- a/internal/entry/dupkeys.go
+++ b/internal/entry/dupkeys.go
@@ -11,8 +11,8 @@
 
 // jsonScope is an object or array that encloses the current token.
 type jsonScope struct {
-	keys   map[string]bool // nil in an array
-	isName bool            // the next token is a key
+	keys      map[string]bool // nil in an array
+	expectKey bool            // the next token is a key
 }
 
 // checkDuplicateKeys rejects JSON in which an object has the same key twice.
@@ -45,13 +45,13 @@
 func enterOrLeave(scopes []*jsonScope, de json.Delim) []*jsonScope {
 	switch de {
 	case '{':
-		return append(scopes, &jsonScope{keys: make(map[string]bool), isName: true})
+		return append(scopes, &jsonScope{keys: make(map[string]bool), expectKey: true})
 	case '[':
 		return append(scopes, &jsonScope{})
 	}
 	scopes = scopes[:len(scopes)-1]
 	if len(scopes) > 0 {
-		scopes[len(scopes)-1].isName = true
+		scopes[len(scopes)-1].expectKey = true
 	}
 	return scopes
 }
@@ -59,13 +59,13 @@
 // visit processes a key or a plain value. It returns a key that the object
 // already has.
 func (js *jsonScope) visit(token json.Token) (name string, duplicate bool) {
-	if js.keys == nil || !js.isName {
-		js.isName = true
+	if js.keys == nil || !js.expectKey {
+		js.expectKey = true
 		return "", false
 	}
 	name, _ = token.(string)
 	duplicate = js.keys[name]
 	js.keys[name] = true
-	js.isName = false
+	js.expectKey = false
 	return name, duplicate
 }
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -129,7 +129,7 @@
 	if er != nil {
 		return jobs.Spec{}, er
 	}
-	then, er := checkThen(req.Then)
+	then, er := parseThen(req.Then)
 	if er != nil {
 		return jobs.Spec{}, er
 	}
@@ -162,8 +162,8 @@
 	return runTime, nil
 }
 
-// checkThen validates the steps after the first one.
-func checkThen(steps []client.Step) ([]jobs.Step, *codes.Error) {
+// parseThen validates the steps after the first one.
+func parseThen(steps []client.Step) ([]jobs.Step, *codes.Error) {
 	if len(steps) >= maxSteps {
 		return nil, codes.New(codes.BadRequest, "a job may have %d steps, not %d", maxSteps, len(steps)+1)
 	}
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -62,7 +62,7 @@
 		}
 		er = &codes.Error{Code: cd, Detail: ap.Detail}
 	}
-	er = ar.sr.withRetry(er)
+	er = ar.sr.withRetryAfter(er)
 	ap.Answer = newAnswer(ar.id, er)
 	ar.w.Header().Set(client.HeaderRevision, strconv.FormatInt(ap.Revision, 10))
 	ar.write(er, ap)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -27,24 +27,24 @@
 		handler      http.Handler
 		spillHandler http.Handler
 
-		refreshMu sync.Mutex   // held during a refresh
-		mu        sync.RWMutex // guards services, hopPools and rnd
-		services  map[string]*service
-		hopPools  map[string]*relay.Pool // by name of the other entry host
-		rnd       *rand.Rand
+		refreshMu    sync.Mutex   // held during a refresh
+		mu           sync.RWMutex // guards services, hopPools and rnd
+		services     map[string]*service
+		forwardPools map[string]*relay.Pool // by name of the other entry host
+		rnd          *rand.Rand
 
-		requests      atomic.Uint64 // counter for request IDs
+		lastRequest   atomic.Uint64 // counter for request IDs
 		bodiesReading atomic.Int64  // request bodies being read
 		bufferedBytes atomic.Int64  // of all request bodies in memory
 		serving       atomic.Int64  // requests whose body has been read
 		draining      atomic.Bool   // not ready, as the host is being stopped
-		work          workCounter
+		inProgress    requestCounter
 	}
 
-	// workCounter counts the requests in progress and can refuse new ones.
-	workCounter struct {
+	// requestCounter counts the requests in progress and can refuse new ones.
+	requestCounter struct {
 		mu       sync.Mutex
-		count    int
+		active   int
 		stopped  bool
 		idle     chan struct{} // closed when stopped and no request is in progress
 		stopping chan struct{} // closed when stopped
@@ -65,16 +65,16 @@
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
 	sr := &Server{
-		cfg:      cfg,
-		start:    time.Now(),
-		metrics:  newServerMetrics(),
-		services: make(map[string]*service),
-		hopPools: make(map[string]*relay.Pool),
-		rnd:      rand.New(rand.NewPCG(cfg.Seed, 0)),
-		work:     workCounter{idle: make(chan struct{}), stopping: make(chan struct{})},
+		cfg:          cfg,
+		start:        time.Now(),
+		metrics:      newServerMetrics(),
+		services:     make(map[string]*service),
+		forwardPools: make(map[string]*relay.Pool),
+		rnd:          rand.New(rand.NewPCG(cfg.Seed, 0)),
+		inProgress:   requestCounter{idle: make(chan struct{}), stopping: make(chan struct{})},
 	}
 	sr.handler = sr.routes()
-	sr.spillHandler = sr.spillRoutes()
+	sr.spillHandler = sr.forwardRoutes()
 	sr.metrics.registerServer(sr)
 	sr.refresh(time.Now())
 	return sr
@@ -163,14 +163,14 @@
 	sr.draining.Store(true)
 	sr.cfg.Log.Info("not ready", "event", "stop", "delay", sr.cfg.Stop.Delay)
 	time.Sleep(sr.cfg.Stop.Delay)
-	sr.cfg.Log.Info("refusing new requests", "event", "stop", "inProgress", sr.work.stop())
+	sr.cfg.Log.Info("refusing new requests", "event", "stop", "inProgress", sr.inProgress.stop())
 	bound := time.NewTimer(sr.cfg.Stop.Bound)
 	defer bound.Stop()
 	select {
-	case <-sr.work.idle:
+	case <-sr.inProgress.idle:
 		sr.cfg.Log.Info("all requests finished", "event", "stop")
 	case <-bound.C:
-		sr.cfg.Log.Error("requests aborted at the stop deadline", "event", "stop", "bound", sr.cfg.Stop.Bound, "inProgress", sr.work.inProgress())
+		sr.cfg.Log.Error("requests aborted at the stop deadline", "event", "stop", "bound", sr.cfg.Stop.Bound, "inProgress", sr.inProgress.count())
 	}
 }
 
@@ -238,7 +238,7 @@
 			delete(sr.services, name)
 		}
 	}
-	sr.closeDeadHopPools(members)
+	sr.closeDeadForwardPools(members)
 }
 
 // openService returns a service and creates it if it does not exist yet.
@@ -283,55 +283,55 @@
 	for _, sv := range sr.services {
 		sv.close()
 	}
-	for _, po := range sr.hopPools {
+	for _, po := range sr.forwardPools {
 		po.Close()
 	}
 }
 
 // newID returns a request ID that is unique across hosts and their restarts.
 func (sr *Server) newID() string {
-	return fmt.Sprintf("%s-%x-%d", sr.cfg.Host, sr.start.UnixMicro(), sr.requests.Add(1))
+	return fmt.Sprintf("%s-%x-%d", sr.cfg.Host, sr.start.UnixMicro(), sr.lastRequest.Add(1))
 }
 
 // begin counts a request as in progress. ok is false if limit requests are in
 // progress already or the counter is stopped; stopped tells the two apart.
-func (wc *workCounter) begin(limit int) (ok, stopped bool) {
-	wc.mu.Lock()
-	defer wc.mu.Unlock()
-	if wc.stopped || wc.count >= limit {
-		return false, wc.stopped
+func (rc *requestCounter) begin(limit int) (ok, stopped bool) {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	if rc.stopped || rc.active >= limit {
+		return false, rc.stopped
 	}
-	wc.count++
+	rc.active++
 	return true, false
 }
 
 // end counts a request as no longer in progress.
-func (wc *workCounter) end() {
-	wc.mu.Lock()
-	defer wc.mu.Unlock()
-	wc.count--
-	if wc.stopped && wc.count == 0 {
-		close(wc.idle)
+func (rc *requestCounter) end() {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	rc.active--
+	if rc.stopped && rc.active == 0 {
+		close(rc.idle)
 	}
 }
 
 // stop refuses further requests and returns the number of those in progress.
-func (wc *workCounter) stop() int {
-	wc.mu.Lock()
-	defer wc.mu.Unlock()
-	if wc.stopped {
-		return wc.count
+func (rc *requestCounter) stop() int {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	if rc.stopped {
+		return rc.active
 	}
-	wc.stopped = true
-	close(wc.stopping)
-	if wc.count == 0 {
-		close(wc.idle)
+	rc.stopped = true
+	close(rc.stopping)
+	if rc.active == 0 {
+		close(rc.idle)
 	}
-	return wc.count
+	return rc.active
 }
 
-func (wc *workCounter) inProgress() int {
-	wc.mu.Lock()
-	defer wc.mu.Unlock()
-	return wc.count
+func (rc *requestCounter) count() int {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	return rc.active
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -195,28 +195,28 @@
 	sv.lastRequest++
 	rq.ID = sv.lastRequest
 	ds := sv.admission.Offer(time.Now(), rq)
-	var ready chan admit.Decision
+	var decided chan admit.Decision
 	if _, ok := ds[0].(admit.Queued); ok {
-		ready = make(chan admit.Decision, 1)
-		sv.waiters[rq.ID] = ready
+		decided = make(chan admit.Decision, 1)
+		sv.waiters[rq.ID] = decided
 	}
 	sv.deliver(ds[1:])
 	sv.mu.Unlock()
 	switch de := ds[0].(type) {
 	case admit.Queued:
-		return sv.await(ctx, de, ready)
+		return sv.await(ctx, de, decided)
 	default:
 		return finalResult(de)
 	}
 }
 
 // await waits for the final decision on a queued ticket.
-func (sv *service) await(ctx context.Context, qd admit.Queued, ready chan admit.Decision) (admit.Admitted, *codes.Error) {
+func (sv *service) await(ctx context.Context, qd admit.Queued, decided chan admit.Decision) (admit.Admitted, *codes.Error) {
 	timer := time.NewTimer(time.Until(qd.ExpiresAt))
 	defer timer.Stop()
 	for {
 		select {
-		case de := <-ready:
+		case de := <-decided:
 			return finalResult(de)
 		case <-timer.C:
 			sv.mu.Lock()
@@ -224,20 +224,20 @@
 			sv.mu.Unlock()
 			timer.Reset(time.Millisecond)
 		case <-ctx.Done():
-			return sv.cancel(ctx, qd, ready)
+			return sv.cancel(ctx, qd, decided)
 		}
 	}
 }
 
 // cancel removes a queued ticket whose context has ended. If the ticket was
 // admitted in the meantime, it releases the slot.
-func (sv *service) cancel(ctx context.Context, qd admit.Queued, ready chan admit.Decision) (admit.Admitted, *codes.Error) {
+func (sv *service) cancel(ctx context.Context, qd admit.Queued, decided chan admit.Decision) (admit.Admitted, *codes.Error) {
 	sv.mu.Lock()
 	cancelled := sv.admission.Cancel(qd.ID)
 	delete(sv.waiters, qd.ID)
 	sv.mu.Unlock()
 	if !cancelled {
-		if de, ok := (<-ready).(admit.Admitted); ok {
+		if de, ok := (<-decided).(admit.Admitted); ok {
 			sv.releaseSlot(de)
 		}
 	}
@@ -263,8 +263,8 @@
 func (sv *service) deliver(ds []admit.Decision) {
 	for _, de := range ds {
 		id := de.Subject().ID
-		if ready, ok := sv.waiters[id]; ok {
-			ready <- de
+		if decided, ok := sv.waiters[id]; ok {
+			decided <- de
 			delete(sv.waiters, id)
 		}
 	}
--- a/internal/entry/spill.go
+++ b/internal/entry/spill.go
@@ -16,8 +16,8 @@
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
 
-// maxHopConnections limits the connections to one entry host of another zone.
-const maxHopConnections = 1024
+// maxForwardConnections limits the connections to one entry host of another zone.
+const maxForwardConnections = 1024
 
 // emptyZoneRetry is the time for which no request is forwarded to a zone that
 // has responded that it has no usable endpoint.
@@ -27,30 +27,30 @@
 // service permits it. It returns nil once the response to the caller has been
 // written, and last if there is no host to forward to.
 func (cl *call) serveRemote(ctx context.Context, last *codes.Error) *codes.Error {
-	hops := cl.spillHops()
-	if len(hops) == 0 {
+	targets := cl.forwardTargets()
+	if len(targets) == 0 {
 		return last
 	}
 	if er := cl.claimKey(ctx); er != nil {
 		return er
 	}
-	for _, hop := range hops {
+	for _, ft := range targets {
 		if !cl.startAttempt() {
 			return last
 		}
-		er, fa := cl.attemptHop(ctx, hop, len(hops))
+		er, fa := cl.attemptForward(ctx, ft, len(targets))
 		switch {
 		case er == nil && fa == nil:
 			return nil
 		case fa != nil:
-			last = codes.New(fa.Code, "entry host %s: %v", hop.Host, fa)
+			last = codes.New(fa.Code, "entry host %s: %v", ft.Host, fa)
 			if !cl.mayRetry(fa) {
 				return last
 			}
 		default:
 			last = er
 			if er.Code == codes.NoEndpoint {
-				cl.sv.markEmpty(time.Now(), hop.Zone)
+				cl.sv.markEmpty(time.Now(), ft.Zone)
 			}
 			if er.Code.Class() != codes.NotRun {
 				return last
@@ -60,20 +60,20 @@
 	return last
 }
 
-// spillHops returns the entry hosts to forward to, in order.
-func (cl *call) spillHops() []route.ForwardTarget {
+// forwardTargets returns the entry hosts to forward to, in order.
+func (cl *call) forwardTargets() []route.ForwardTarget {
 	if cl.sr.cfg.SpillDial == nil {
 		return nil
 	}
-	rule, zones := cl.sv.spillZones(time.Now())
+	rule, zones := cl.sv.forwardZones(time.Now())
 	cl.sr.mu.Lock()
 	defer cl.sr.mu.Unlock()
 	return route.ForwardTargets(rule, cl.sr.cfg.Region, zones, cl.sr.rnd)
 }
 
-// spillZones returns the spill rule and the zones that may have a usable
+// forwardZones returns the spill rule and the zones that may have a usable
 // endpoint.
-func (sv *service) spillZones(now time.Time) (spec.Spill, []route.ForwardZone) {
+func (sv *service) forwardZones(now time.Time) (spec.Spill, []route.ForwardZone) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	var zones []route.ForwardZone
@@ -93,26 +93,26 @@
 	sv.emptyUntil[zone] = now.Add(emptyZoneRetry)
 }
 
-// attemptHop forwards the request to one entry host. It returns the error that
+// attemptForward forwards the request to one entry host. It returns the error that
 // the host itself gave, or the failure to get its response. Both are nil once
 // the response to the caller has been written.
-func (cl *call) attemptHop(ctx context.Context, hop route.ForwardTarget, candidates int) (*codes.Error, *relay.Failure) {
+func (cl *call) attemptForward(ctx context.Context, ft route.ForwardTarget, candidates int) (*codes.Error, *relay.Failure) {
 	start := time.Now()
 	rq := cl.request(ctx)
 	rq.Header.Set(headerHop, cl.sr.cfg.Zone)
 	rq.Header.Set(client.HeaderRepeatable, strconv.FormatBool(cl.repeatable))
 	rq.Target = pathServices + cl.sd.Name + cl.target
-	rp, fa := exchange(ctx, cl.sr.hopPool(hop.Host), rq)
+	rp, fa := exchange(ctx, cl.sr.forwardPool(ft.Host), rq)
 	var er *codes.Error
 	if fa == nil {
-		rp.code, er = hopOutcome(rp)
+		rp.code, er = forwardOutcome(rp)
 	}
 	if fa == nil && er == nil {
 		fa = cl.stream(rp)
 	}
-	cl.accountHop(hop, rq, rp, time.Since(start))
+	cl.accountForward(ft, rq, rp, time.Since(start))
 	line := routeLog{
-		endpoint: hop.Host, zone: hop.Zone, candidates: candidates, rejections: "none",
+		endpoint: ft.Host, zone: ft.Zone, candidates: candidates, rejections: "none",
 		code: outcomeOf(rp, fa), cause: causeOf(fa), duration: time.Since(start),
 	}
 	cl.logRoute(line)
@@ -123,14 +123,14 @@
 	return nil, cl.finishAttempt(rp, fa)
 }
 
-// accountHop accounts for the slot time and the bytes between regions of a
+// accountForward accounts for the slot time and the bytes between regions of a
 // forwarded request.
-func (cl *call) accountHop(hop route.ForwardTarget, rq relay.Request, rp upstreamResponse, took time.Duration) {
+func (cl *call) accountForward(ft route.ForwardTarget, rq relay.Request, rp upstreamResponse, took time.Duration) {
 	if rp.response == nil {
 		return
 	}
 	cl.outcome.SlotTime += took
-	if hop.Region == cl.sr.cfg.Region {
+	if ft.Region == cl.sr.cfg.Region {
 		return
 	}
 	count := int64(headerBytes(cl.r)+len(rq.Body)) + rp.response.Received()
@@ -138,9 +138,9 @@
 	cl.sr.metrics.countRegionBytes(cl.workspace, count)
 }
 
-// hopOutcome returns the code that another entry host gave. It also returns it
+// forwardOutcome returns the code that another entry host gave. It also returns it
 // as an error if the code comes from that host and not from an endpoint.
-func hopOutcome(rp upstreamResponse) (codes.Code, *codes.Error) {
+func forwardOutcome(rp upstreamResponse) (codes.Code, *codes.Error) {
 	number, err := strconv.Atoi(rp.response.Header.Get(client.HeaderCode))
 	cd := codes.Code(number)
 	if _, known := codes.Lookup(cd); err != nil || !known {
@@ -156,43 +156,43 @@
 	return cd, codes.New(cd, "%s", an.Detail).WithRetryAfter(time.Duration(an.RetryAfterMillis) * time.Millisecond)
 }
 
-// hopPool returns the connections to the spill listener of another entry host.
-func (sr *Server) hopPool(host string) *relay.Pool {
+// forwardPool returns the connections to the spill listener of another entry host.
+func (sr *Server) forwardPool(host string) *relay.Pool {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
-	po, ok := sr.hopPools[host]
+	po, ok := sr.forwardPools[host]
 	if !ok {
 		po = relay.NewPool(relay.Config{
-			Address: host, Connections: maxHopConnections, DialTimeout: hopDialTimeout,
+			Address: host, Connections: maxForwardConnections, DialTimeout: forwardDialTimeout,
 			Dial: func(ctx context.Context, address string) (net.Conn, error) {
 				return sr.cfg.SpillDial(ctx, address)
 			},
 		})
-		sr.hopPools[host] = po
+		sr.forwardPools[host] = po
 	}
 	return po
 }
 
-// hopDialTimeout allows for the round-trip time between regions.
-const hopDialTimeout = time.Second
+// forwardDialTimeout allows for the round-trip time between regions.
+const forwardDialTimeout = time.Second
 
-// closeDeadHopPools closes the connections to hosts that are no longer alive.
+// closeDeadForwardPools closes the connections to hosts that are no longer alive.
 // mu must be held.
-func (sr *Server) closeDeadHopPools(members []peers.Member) {
+func (sr *Server) closeDeadForwardPools(members []peers.Member) {
 	alive := make(map[string]bool, len(members))
 	for _, me := range members {
 		alive[me.Name] = me.Alive
 	}
-	for host, po := range sr.hopPools {
+	for host, po := range sr.forwardPools {
 		if !alive[host] {
 			po.Close()
-			delete(sr.hopPools, host)
+			delete(sr.forwardPools, host)
 		}
 	}
 }
 
-// spillRoutes returns the handler of requests forwarded by other zones.
-func (sr *Server) spillRoutes() http.Handler {
+// forwardRoutes returns the handler of requests forwarded by other zones.
+func (sr *Server) forwardRoutes() http.Handler {
 	rt := newRouter(sr)
 	handleServices(rt, sr.serveForwarded)
 	return rt
