Describe requests, decisions and expiry in admit as they are

Comments of the package admit still spoke of tickets, and some did not fit the code: Release and Resize refuse requests whose deadline has passed, not all expired ones, and InUse returns slots. The comments now say this, and also what an unknown ID means, what the charge at admission is and who removes expired requests; one test got a head.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -45,7 +45,7 @@
 		Weight    int     // for the division of slots beyond the guarantees
 	}
 
-	// Request is one request for a slot.
+	// Request asks for a slot on behalf of one request to the service.
 	Request struct {
 		ID        uint64
 		Workspace string
@@ -54,24 +54,25 @@
 		Deadline  time.Time // zero for none
 	}
 
-	// Decision is the result for one ticket, which is admitted, queued or refused.
-	// The method is called Subject because the decisions embed a field with the
-	// name Ticket.
+	// Decision is the result for one request: Admitted, Queued or Refused. The
+	// method is called Subject because the decisions embed a field with the name
+	// Request.
 	Decision interface{ Subject() Request }
 
-	// Admitted grants the ticket a slot, which Release returns.
+	// Admitted says that the request holds a slot, which Release returns.
 	Admitted struct {
 		Request
-		Waited time.Duration
+		Waited time.Duration // time in the queue
 	}
 
-	// Queued says that the ticket is queued. Expire refuses it at ExpiresAt.
+	// Queued says that the request is in the queue. Expire refuses it from
+	// ExpiresAt on.
 	Queued struct {
 		Request
 		ExpiresAt time.Time
 	}
 
-	// Refused says that the ticket is refused. It is final.
+	// Refused says that the request gets no slot. It is final.
 	Refused struct {
 		Request
 		Err *codes.Error
@@ -95,7 +96,7 @@
 )
 
 const (
-	// MaxUrgency is the highest urgency of a ticket.
+	// MaxUrgency is the highest urgency of a request.
 	MaxUrgency = 2
 
 	serviceTimeWeight = 0.05 // of a new sample in the moving average
@@ -114,19 +115,19 @@
 	}
 }
 
-// Subject returns the ticket that a decision is about.
+// Subject returns the request that a decision is about.
 func (rq Request) Subject() Request { return rq }
 
-// Resize sets the number of slots. It returns decisions on the tickets that the
-// added slots admit.
+// Resize sets the number of slots. It returns decisions on the queued requests
+// that take the added slots or whose deadline has passed.
 func (co *Controller) Resize(now time.Time, capacity int) []Decision {
 	co.capacity = capacity
 	return co.dispatch(now, nil)
 }
 
 // SetShares sets the shares of the workspaces. A workspace that is not listed
-// has no guaranteed slots and a weight of 1. It admits no queued tickets; the
-// shares count from the next decision on.
+// has no guaranteed slots and a weight of 1. SetShares admits no queued
+// requests; the shares count from the next decision on.
 func (co *Controller) SetShares(shares []Share) {
 	for _, ws := range co.workspaces {
 		ws.share = Share{Workspace: ws.share.Workspace, Weight: 1}
@@ -137,8 +138,9 @@
 	}
 }
 
-// Offer decides on a new ticket. The first decision is on that ticket; the
-// others are on tickets that were queued before.
+// Offer decides on a new request, whose ID must differ from that of any running
+// or queued request. The first decision is on that request; the others are on
+// requests that were queued before.
 func (co *Controller) Offer(now time.Time, rq Request) []Decision {
 	rq.Urgency = min(max(rq.Urgency, 0), MaxUrgency)
 	ws := co.workspace(rq.Workspace)
@@ -183,8 +185,9 @@
 	return ds
 }
 
-// Release returns the slot of an admitted ticket. It returns decisions on the
-// queued tickets that take the slot or have expired.
+// Release returns the slot of an admitted request. It returns decisions on the
+// queued requests that take the slot or whose deadline has passed. It does
+// nothing if no running request has the ID.
 func (co *Controller) Release(now time.Time, id uint64) []Decision {
 	tr, ok := co.running[id]
 	if !ok {
@@ -205,8 +208,8 @@
 	return co.dispatch(now, nil)
 }
 
-// Cancel removes a queued ticket, for example because its caller has
-// disconnected, and reports whether the ticket was queued.
+// Cancel removes a queued request, for example because its caller has
+// disconnected, and reports whether the request was queued.
 func (co *Controller) Cancel(id uint64) bool {
 	tr, ok := co.queued[id]
 	if ok {
@@ -215,8 +218,8 @@
 	return ok
 }
 
-// Expire refuses the tickets whose time in the queue is over, and drops the
-// state of idle callers.
+// Expire refuses the queued requests that have reached their expiry, and drops
+// the state of idle callers. It is meant to be called at regular intervals.
 func (co *Controller) Expire(now time.Time) []Decision {
 	var ds []Decision
 	if co.queueLen > 0 && !now.Before(co.nextExpiry) {
@@ -235,10 +238,10 @@
 	return ds
 }
 
-// QueueLength returns the number of queued tickets.
+// QueueLength returns the number of queued requests.
 func (co *Controller) QueueLength() int { return co.queueLen }
 
-// InUse returns the number of admitted tickets.
+// InUse returns the number of slots in use.
 func (co *Controller) InUse() int { return co.inUse }
 
 // Capacity returns the number of slots.
@@ -253,7 +256,7 @@
 	return ws
 }
 
-// dispatch admits queued tickets while slots are free, and refuses those whose
+// dispatch admits queued requests while slots are free, and refuses those whose
 // deadline has passed.
 func (co *Controller) dispatch(now time.Time, ds []Decision) []Decision {
 	for co.queueLen > 0 && co.inUse < co.capacity {
@@ -272,6 +275,8 @@
 	return ds
 }
 
+// admit assigns a free slot to a request and charges its caller, and its
+// workspace for a slot beyond the guarantee, for the mean service time.
 func (co *Controller) admit(now time.Time, tr *trackedRequest) Decision {
 	tr.admitted = now
 	tr.charged = co.meanServiceTime
@@ -292,6 +297,8 @@
 	return Admitted{Request: tr.Request, Waited: now.Sub(tr.offered)}
 }
 
+// observeServiceTime updates the moving average of the service time with the
+// time for which a request held its slot.
 func (co *Controller) observeServiceTime(held time.Duration) {
 	if co.meanServiceTime == 0 {
 		co.meanServiceTime = held
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -36,7 +36,7 @@
 func simulate(t testing.TB, co *admit.Controller, service, length time.Duration, loads ...load) []result {
 	const step = time.Millisecond
 	results := make([]result, len(loads))
-	owner := make(map[uint64]int)
+	owner := make(map[uint64]int) // index of the load, by request ID
 	ends := make(map[time.Duration][]uint64)
 	next := make([]time.Duration, len(loads))
 	waiting := make(map[uint64]bool)
@@ -146,6 +146,8 @@
 	}
 }
 
+// TestFairnessAmongCallers guards against a caller that takes the slots of the
+// other callers of its workspace by a high rate and a high urgency.
 func TestFairnessAmongCallers(t *testing.T) {
 	is := is.New(t)
 	co := newController(10, admit.Share{Workspace: "parish", Weight: 1})
@@ -236,7 +238,7 @@
 }
 
 // TestInvariants applies random operations to a controller: the capacity is
-// never exceeded, no slot is free while a request is queued, and each ticket
+// never exceeded, no slot is free while a request is queued, and each request
 // gets exactly one final decision.
 func TestInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -249,11 +251,11 @@
 			for _, de := range ds {
 				id := de.Subject().ID
 				if state[id] == "final" {
-					t.Fatalf("ticket %d was decided before", id)
+					t.Fatalf("request %d got a second final decision", id)
 				}
 				switch de.(type) {
 				case admit.Queued:
-					state[id] = "waits"
+					state[id] = "queued"
 				case admit.Admitted:
 					state[id] = "final"
 					running = append(running, id)
@@ -284,21 +286,21 @@
 				}))
 			}
 			if co.QueueLength() > 8 || co.InUse() != len(running) || (co.QueueLength() > 0 && co.InUse() < co.Capacity()) {
-				t.Fatalf("waiting %d, in use %d of %d, running %d", co.QueueLength(), co.InUse(), co.Capacity(), len(running))
+				t.Fatalf("%d queued, %d slots in use of %d, %d running", co.QueueLength(), co.InUse(), co.Capacity(), len(running))
 			}
 		}
 		waiting := 0
 		for _, st := range state {
-			if st == "waits" {
+			if st == "queued" {
 				waiting++
 			}
 		}
 		if waiting != co.QueueLength() {
-			t.Fatalf("%d tickets have no decision, %d wait", waiting, co.QueueLength())
+			t.Fatalf("%d requests have no final decision, but %d are queued", waiting, co.QueueLength())
 		}
 		apply(co.Expire(now.Add(time.Second)))
 		if co.QueueLength() != 0 {
-			t.Fatal("tickets outlive the queue time")
+			t.Fatal("requests are queued for longer than the queue time")
 		}
 	})
 }
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -6,13 +6,13 @@
 )
 
 type (
-	// trackedRequest is a queued or running ticket.
+	// trackedRequest is a queued or running request with its state.
 	trackedRequest struct {
 		Request
 		offered       time.Time
 		expiresAt     time.Time
 		admitted      time.Time
-		charged       time.Duration // slot time accounted for in advance at admission
+		charged       time.Duration // estimated slot time, charged at admission; Release corrects it
 		overGuarantee bool          // admitted beyond the guarantee of its workspace
 		ws            *workspace
 		ca            *caller
@@ -86,9 +86,10 @@
 	return ws.share.Workspace < other.share.Workspace
 }
 
-// collectExpired returns the queued requests whose time in the queue is over,
-// and sets nextExpiry to the earliest expiry of the others. Expire clears
-// nextExpiry before, and removes the returned requests from the queue.
+// collectExpired returns the queued requests that have reached their expiry,
+// earliest first, and sets nextExpiry to the earliest expiry of the others. The
+// caller must have cleared nextExpiry, and must remove the returned requests
+// from the queue.
 func (co *Controller) collectExpired(now time.Time) []*trackedRequest {
 	var trs []*trackedRequest
 	for _, tr := range co.queued {
--- a/internal/admit/refusal.go
+++ b/internal/admit/refusal.go
@@ -13,7 +13,7 @@
 
 	// estimateMarginDivisor sets the safety margin of wait estimates: one part
 	// in estimateMarginDivisor of the queue time. Requests that arrive later but
-	// are served earlier prolong the wait; without the margin, tickets would
+	// are served earlier prolong the wait; without the margin, requests would
 	// expire in the queue instead of being refused at once.
 	estimateMarginDivisor = 4
 )
@@ -41,7 +41,8 @@
 	return Refused{Request: tr.Request, Err: co.withJitter(codes.New(cd, "%s", detail), co.estimateWait(tr))}
 }
 
-// refuseExpired refuses a ticket whose time in the queue is over.
+// refuseExpired refuses a queued request that has reached its expiry or its
+// deadline.
 func (co *Controller) refuseExpired(now time.Time, tr *trackedRequest) Decision {
 	if !tr.Deadline.IsZero() && !now.Before(tr.Deadline) {
 		return co.refuse(tr, codes.DeadlinePassed, "the deadline passed in the queue")
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -210,7 +210,7 @@
 	}
 }
 
-// await waits for the final decision on a queued ticket.
+// await waits for the final decision on a queued request.
 func (sv *service) await(ctx context.Context, qd admit.Queued, decided chan admit.Decision) (admit.Admitted, *codes.Error) {
 	timer := time.NewTimer(time.Until(qd.ExpiresAt))
 	defer timer.Stop()
@@ -229,7 +229,7 @@
 	}
 }
 
-// cancel removes a queued ticket whose context has ended. If the ticket was
+// cancel removes a queued request whose context has ended. If the request was
 // admitted in the meantime, it releases the slot.
 func (sv *service) cancel(ctx context.Context, qd admit.Queued, decided chan admit.Decision) (admit.Admitted, *codes.Error) {
 	sv.mu.Lock()
