Name the locals of the admission tests by what they hold

In the tests of admit, a map from request to load was called owner, and the requests in the queue were called waiting beside the decision Queued. They are now loadOf and queued, as are two comments.

--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -27,7 +27,7 @@
 type result struct {
 	offered int
 	served  int
-	expired int // refused after waiting in the queue
+	expired int // refused after being queued
 	waits   []time.Duration
 }
 
@@ -36,23 +36,23 @@
 func simulate(t testing.TB, co *admit.Controller, service, length time.Duration, loads ...load) []result {
 	const step = time.Millisecond
 	results := make([]result, len(loads))
-	owner := make(map[uint64]int) // index of the load, by request ID
+	loadOf := make(map[uint64]int) // index of the load, by request ID
 	ends := make(map[time.Duration][]uint64)
 	next := make([]time.Duration, len(loads))
-	waiting := make(map[uint64]bool)
+	queued := make(map[uint64]bool)
 	id := uint64(0)
 	apply := func(at time.Duration, ds []admit.Decision) {
 		for _, de := range ds {
-			re := &results[owner[de.Subject().ID]]
+			re := &results[loadOf[de.Subject().ID]]
 			switch de := de.(type) {
 			case admit.Admitted:
 				re.served++
 				re.waits = append(re.waits, de.Waited)
 				ends[at+service] = append(ends[at+service], de.ID)
 			case admit.Queued:
-				waiting[de.ID] = true
+				queued[de.ID] = true
 			case admit.Refused:
-				if waiting[de.ID] {
+				if queued[de.ID] {
 					re.expired++
 				}
 			}
@@ -70,7 +70,7 @@
 		for i, lo := range loads {
 			for ; next[i] <= at; next[i] += lo.every {
 				id++
-				owner[id] = i
+				loadOf[id] = i
 				results[i].offered++
 				apply(at, co.Offer(now, admit.Request{
 					ID: id, Workspace: lo.workspace, Caller: lo.caller, Urgency: lo.urgency, Deadline: now.Add(5 * time.Second),
@@ -289,14 +289,14 @@
 				t.Fatalf("%d queued, %d slots in use of %d, %d running", co.QueueLength(), co.InUse(), co.Capacity(), len(running))
 			}
 		}
-		waiting := 0
+		queued := 0
 		for _, st := range state {
 			if st == "queued" {
-				waiting++
+				queued++
 			}
 		}
-		if waiting != co.QueueLength() {
-			t.Fatalf("%d requests have no final decision, but %d are queued", waiting, co.QueueLength())
+		if queued != co.QueueLength() {
+			t.Fatalf("%d requests have no final decision, but %d are queued", queued, co.QueueLength())
 		}
 		apply(co.Expire(now.Add(time.Second)))
 		if co.QueueLength() != 0 {
@@ -307,7 +307,7 @@
 
 // TestFloodIsRefusedWithoutWaiting floods a controller whose queue is bounded
 // by time only, while another workspace takes slots that the wait estimates did
-// not account for. At most one request in 1000 may be refused after waiting.
+// not account for. At most one request in 1000 may be refused after being queued.
 func TestFloodIsRefusedWithoutWaiting(t *testing.T) {
 	is := is.New(t)
 	co := admit.New(admit.Config{MaxQueue: 100000, QueueTime: time.Second, Seed: 1})
