Say in route when borrowing grows and which endpoints count

Some comments of the package route had to be read twice or did not fit the code: HigherUtilization also counts endpoints of equal utilization, canEject leaves draining endpoints out, the backoff is randomized in both directions, and the growth of borrowing named an internal field. They now say so, and the heads of tests name what must hold.

--- a/internal/route/borrow.go
+++ b/internal/route/borrow.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// borrowing lets an entry host use free slots that belong to other hosts. There
-// is no agreement between the hosts: one with queued requests tries a few slots
-// that it does not own. If the endpoint refuses, the request provably did not
-// run, the owners are using their slots, and the host backs off.
+// borrowing lets an entry host use free slots that belong to other hosts. The
+// hosts do not coordinate: one with queued requests sends a few of them to slots
+// that it does not own. If the endpoint refuses such a request, the request
+// provably did not run and the owners are using their slots, so the host backs
+// off.
 type borrowing struct {
 	limit        int // maximum number of borrowed slots
 	queuedRounds int // consecutive calls of AdjustBorrowing with queued requests
@@ -17,14 +18,15 @@
 	minQueuedRounds   = 3 // consecutive calls with queued requests before slots are borrowed
 	minHoldOff        = time.Second
 	maxHoldOff        = 8 * time.Second
-	borrowableDivisor = 2 // one in this many slots of other hosts at an endpoint may be borrowed
+	borrowableDivisor = 2 // one in this many slots of other hosts at an endpoint may be borrowed, rounded down
 )
 
-// AdjustBorrowing adapts the maximum number of borrowed slots to the number of
-// queued requests, which is waiting. If there are none, it lowers the maximum by
-// one. From the minBusyRounds-th call in a row with queued requests on, it
-// doubles the maximum, starting with 1, up to borrowable and not before
-// growAfter. It is meant to be called at regular intervals.
+// AdjustBorrowing adapts the maximum number of borrowed slots to the length of
+// the queue. If the queue is empty, it lowers the maximum by one. From the
+// minQueuedRounds-th call in a row with queued requests on, it doubles the
+// maximum, starting with 1, up to the number of slots that may be borrowed at
+// all endpoints. It does not raise the maximum while borrowing holds off after a
+// refusal. It is meant to be called at regular intervals.
 func (ta *Table) AdjustBorrowing(now time.Time, queueLength int) {
 	bo := &ta.borrowing
 	if queueLength == 0 {
@@ -39,7 +41,8 @@
 	bo.limit = min(max(2*bo.limit, 1), ta.borrowable(now))
 }
 
-// backOff halves the limit after a refusal, since the owners use their slots.
+// backOff halves the limit after a refusal, since the owners use their slots,
+// and doubles the time until it may grow again.
 func (bo *borrowing) backOff(now time.Time) {
 	bo.limit /= 2
 	bo.holdOff = min(max(2*bo.holdOff, minHoldOff), maxHoldOff)
--- a/internal/route/borrow_test.go
+++ b/internal/route/borrow_test.go
@@ -10,7 +10,7 @@
 )
 
 // zone simulates entry hosts that share endpoints with the same number of
-// slots. Each request takes one step.
+// slots. Each request takes one step of 200 ms.
 type zone struct {
 	tables []*route.Table
 	inUse  map[string]int
@@ -70,8 +70,8 @@
 	return ran, refused
 }
 
-// TestBorrowing floods one of three hosts, which borrows free slots, and then
-// the others as well, which get their slots back.
+// TestBorrowing floods one of three hosts, which must borrow free slots, and
+// then the others as well, which must get their slots back with few refusals.
 func TestBorrowing(t *testing.T) {
 	is := is.New(t)
 	zn := newZone(16, 8, "a", "b", "c") // 128 slots
--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -3,8 +3,8 @@
 import "time"
 
 type (
-	// Observation is what one attempt or probe has shown about an endpoint. It
-	// updates the endpoint's health; AttemptResult is about the request.
+	// Observation is what one attempt or probe has shown about an endpoint, and
+	// updates its health. In contrast, AttemptResult is about the request.
 	Observation interface{ isObservation() }
 
 	// Response is a complete response to a request.
@@ -37,8 +37,8 @@
 	// about the endpoint.
 	Inconclusive struct{}
 
-	// health is the result of outlier detection for one endpoint. Its counts
-	// are of consecutive events.
+	// health is the state of outlier detection for one endpoint. Its counts are
+	// of consecutive events.
 	health struct {
 		status          status
 		failures        int // failed attempts, including server errors
@@ -47,7 +47,7 @@
 		ejections       int // without a passed probation in between
 		ejectedUntil    time.Time
 		fullRefusals    int       // of requests, because the endpoint had no free slot
-		fullUntil       time.Time // nothing is sent before, after such a refusal
+		fullUntil       time.Time // no request is sent before, because of such a refusal
 	}
 
 	status uint8
@@ -83,7 +83,8 @@
 	maxFullDoublings = 4
 )
 
-// isEjected reports whether the endpoint gets no requests.
+// isEjected reports whether the endpoint gets no requests because of its
+// failures.
 func (he *health) isEjected(now time.Time) bool {
 	switch he.status {
 	case ejectedUnreachable:
@@ -154,7 +155,8 @@
 }
 
 // eject takes an endpoint out of use unless too few would remain. The backoff
-// doubles with every ejection and is randomized by up to half of it.
+// doubles with every ejection and is randomized by up to half of it in either
+// direction.
 func (ta *Table) eject(now time.Time, st *endpointState, reason status) {
 	he := &st.health
 	if he.isEjected(now) || !ta.canEject(now, st, reason) {
@@ -169,7 +171,8 @@
 }
 
 // canEject reports whether enough endpoints remain in use without st: half of
-// them if the reason is failed attempts, one if st is unreachable.
+// those that are not draining if the reason is failed attempts, one if st is
+// unreachable.
 func (ta *Table) canEject(now time.Time, st *endpointState, reason status) bool {
 	known, left := 0, 0
 	for _, other := range ta.states {
--- a/internal/route/retry.go
+++ b/internal/route/retry.go
@@ -17,8 +17,8 @@
 		ResponseStarted bool // at least a part of a response was passed on to the caller
 	}
 
-	// ForwardZone is an availability zone other than the local one, with its entry hosts
-	// that accept forwarded requests.
+	// ForwardZone is an availability zone other than the local one, with its entry
+	// hosts that accept forwarded requests.
 	ForwardZone struct {
 		Name   string
 		Region string
@@ -35,7 +35,7 @@
 
 const (
 	retryRatio = 0.1 // retries per first attempt
-	retryBurst = 10  // retries that may be saved up
+	retryBurst = 10  // maximum number of unused retries in the budget
 )
 
 // NewRetryBudget returns a budget that permits a burst of retryBurst retries.
@@ -60,9 +60,10 @@
 	return ar.NotRun || (repeatable && !ar.ResponseStarted)
 }
 
-// ForwardTargets returns the entry hosts to forward a request to, in the order in
-// which they are tried: a random one of each zone that the spill rule permits,
-// zones of the same region first, otherwise in random order.
+// ForwardTargets returns the entry hosts to forward a request to, in the order
+// in which they are tried: a random one of each zone that the spill rule
+// permits. Zones of the given region come first; apart from that, the order is
+// random.
 func ForwardTargets(rule spec.Spill, region string, zones []ForwardZone, rnd *rand.Rand) []ForwardTarget {
 	if rule != spec.SpillRegion && rule != spec.SpillAny {
 		return nil
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -59,7 +59,7 @@
 }
 
 // TestHostsTogetherStayWithinSlots uses up the slots of all hosts of a zone.
-// Each endpoint gets as many requests as it has slots.
+// Each endpoint must get exactly as many requests as it has slots.
 func TestHostsTogetherStayWithinSlots(t *testing.T) {
 	is := is.New(t)
 	hosts := []string{"a", "b", "c"}
@@ -113,8 +113,9 @@
 	is.True(ok)
 }
 
-// TestUnreachableEndpointReturnsByProbe ejects an endpoint and brings it back
-// by a probe, first on probation with one request at a time.
+// TestUnreachableEndpointReturnsByProbe checks that an unreachable endpoint
+// stays ejected until a probe succeeds, and then gets one request at a time
+// until its probation is passed.
 func TestUnreachableEndpointReturnsByProbe(t *testing.T) {
 	is := is.New(t)
 	ta := newTable(2, 4)
@@ -153,7 +154,8 @@
 	is.Equal(ta.UsableSlots(later), 12) // one failure on probation ejects it again
 }
 
-// TestNeverEjectsAllEndpoints records only failures for every endpoint.
+// TestNeverEjectsAllEndpoints records only failures for every endpoint. At
+// least one must stay in use, and at least half if they are reachable.
 func TestNeverEjectsAllEndpoints(t *testing.T) {
 	for name, ob := range map[string]route.Observation{
 		"unreachable": route.Unreachable{},
@@ -214,7 +216,7 @@
 			retries++
 		}
 	}
-	is.True(retries <= 1010) // a tenth plus the burst
+	is.True(retries <= 1010) // a tenth of the requests plus the burst
 	is.True(retries >= 990)
 }
 
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -48,14 +48,14 @@
 	Chosen struct {
 		Endpoint   Endpoint
 		Candidates int        // known endpoints, including draining and removed ones
-		Rejections Rejections // why the others were not chosen
+		Rejections Rejections // of the other endpoints
 		Borrowed   bool       // the slot belongs to another host
 	}
 
 	// None says that no endpoint can take the request.
 	None struct {
 		Candidates int        // as in Chosen
-		Rejections Rejections // why none was chosen
+		Rejections Rejections // of all endpoints
 	}
 
 	// Rejections counts the endpoints that were not chosen, by reason.
@@ -63,8 +63,8 @@
 		Draining          int // shutting down or removed from the list
 		Ejected           int // ejected after failures
 		Tried             int // tried by this request before
-		Full              int // no own slot is free, or the endpoint recently refused a request for this reason
-		HigherUtilization int // higher utilization than the chosen one
+		Full              int // this host owns no free slot there, or the endpoint recently refused a request because no slot was free
+		HigherUtilization int // not less utilized than the chosen one
 	}
 
 	// Table holds the state of the endpoints of one service on one entry host.
@@ -80,11 +80,11 @@
 	// endpointState is the state of one endpoint.
 	endpointState struct {
 		Endpoint
-		owned             int
-		inUse             int
+		owned             int  // slots that this host owns
+		inUse             int  // slots that this host uses, owned and borrowed
 		announcedDraining bool // by the endpoint itself
 		health            health
-		removed           bool
+		removed           bool // from the list, but with requests in progress
 	}
 )
 
@@ -201,7 +201,7 @@
 }
 
 // Release returns the slot of a chosen endpoint and records what the attempt
-// has shown.
+// has shown. It ignores unknown endpoints.
 func (ta *Table) Release(now time.Time, name string, ob Observation) {
 	st := ta.find(name)
 	if st == nil {
@@ -214,7 +214,8 @@
 	}
 }
 
-// Observe records the result of a probe.
+// Observe records what a probe, or a response in addition to Release, has shown
+// about an endpoint. It ignores unknown endpoints.
 func (ta *Table) Observe(now time.Time, name string, ob Observation) {
 	if st := ta.find(name); st != nil {
 		ta.record(now, st, ob)
@@ -244,6 +245,7 @@
 	return max(1, st.Connections/max(1, len(ta.hosts)))
 }
 
+// find returns the state of an endpoint, or nil if the endpoint is unknown.
 func (ta *Table) find(name string) *endpointState {
 	for _, st := range ta.states {
 		if st.Name == name {
@@ -297,8 +299,8 @@
 	}
 }
 
-// accepts reports whether the endpoint may get another request, regardless of
-// the slots that this host owns and uses there.
+// accepts reports whether the endpoint may get a request that has not been tried
+// there, regardless of the slots that this host owns and uses there.
 func (st *endpointState) accepts(now time.Time, tried []string) bool {
 	return !st.isDraining() && !slices.Contains(tried, st.Name) && !st.health.isEjected(now) && !now.Before(st.health.fullUntil)
 }
@@ -306,6 +308,7 @@
 // utilization returns the slots in use as a fraction of the owned ones.
 func (st *endpointState) utilization() float64 { return float64(st.inUse) / float64(st.owned) }
 
+// withHost returns a copy of hosts that includes host.
 func withHost(hosts []string, host string) []string {
 	if slices.Contains(hosts, host) {
 		return slices.Clone(hosts)
