Say in relay which connections are counted, taken and reused

Comments of the package relay left open what a reader has to know: that a request is known not to have run only if nothing was written or the endpoint says so, that connections being opened count as open, and that exchange and probe use connections taken out of the pool. The heads of the tests now name the failure that they guard against, and two cases have the usual names.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -10,12 +10,13 @@
 )
 
 type (
-	// clientConn is one connection and the Transport that uses it exclusively.
+	// clientConn is one connection to the endpoint and the Transport that uses it
+	// exclusively.
 	clientConn struct {
 		tr           *http.Transport
 		cn           *trackedConn
 		lastResponse time.Time // last complete response, or when the connection was opened
-		lastRequest  time.Time // last request other than a probe
+		lastRequest  time.Time // last request other than a probe, or when the connection was opened
 	}
 
 	// trackedConn counts the bytes passed to Write, limits the time of each write,
@@ -29,12 +30,12 @@
 	}
 )
 
-// maxWriteChunk is the maximum size of a write under one timeout, in bytes.
+// maxWriteChunk is the maximum number of bytes that one write timeout covers.
 const maxWriteChunk = 64 << 10
 
-// The errors of a connection that can't be used. errNotReusable is the error of
-// a Transport that tries to open a second connection, and of a connection whose
-// response belongs to another request.
+// The errors of a connection that can't be used. A Transport that tries to open
+// a second connection, and a connection whose response belongs to another
+// request, fail with errNotReusable.
 var (
 	errNotReusable = errors.New("the connection can't be reused")
 	errConnClosed  = errors.New("the connection is closed")
--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -20,7 +20,7 @@
 )
 
 // The causes. The request did not run if the cause is one of CauseDial to
-// CauseNotSent. For CauseDeadline and CauseCallerDisconnected, Failure.Code tells
+// CauseNotSent. For CauseDeadline and CauseCallerDisconnected, Failure.Code says
 // whether it may have run.
 const (
 	CauseDial               Cause = iota + 1 // the endpoint is unreachable
@@ -61,7 +61,7 @@
 	CauseCallerDisconnected: "caller",
 }
 
-// String returns the name of the cause for logs.
+// String returns the name of the cause for logs, or "none" for an unknown one.
 func (ca Cause) String() string {
 	if int(ca) < len(causeNames) && ca != 0 {
 		return causeNames[ca]
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -5,12 +5,12 @@
 // Only the retry policy may repeat a request, so each connection gets its own
 // Transport, which can't open another one: an implicit retry finds no
 // connection and fails. The connection counts the bytes written to it to tell
-// whether a request was sent. A request did not run only if no byte was
-// written, or if the endpoint says so.
+// whether a request was sent. A request is known not to have run only if no byte
+// was written, or if the endpoint says so.
 //
 // A request that must not be repeated uses a connection that has had a response
-// within Config.MaxResponseAge, or a new one. Idle connections are probed, so that an
-// unresponsive one is found before a request uses it, and writes have a
+// within Config.MaxResponseAge, or a new one. Idle connections are probed, so
+// that an unresponsive one is found before a request uses it, and writes have a
 // timeout. TCP keep-alive and user timeouts detect lost peers while a request
 // is in flight.
 package relay
@@ -45,7 +45,7 @@
 		mu       sync.Mutex
 		idle     []*clientConn        // most recently used last
 		inFlight map[*clientConn]bool // connections with a request in flight, and whether it is repeatable
-		open     int
+		open     int                  // connections that are open or being opened
 		limit    int
 		closed   bool
 	}
@@ -96,17 +96,17 @@
 	closeAll(idle)
 }
 
-// Open returns the number of open connections.
+// Open returns the number of connections that are open or being opened.
 func (po *Pool) Open() int {
 	po.mu.Lock()
 	defer po.mu.Unlock()
 	return po.open
 }
 
-// acquire returns a connection whose last response is at most maxAge ago, or a
-// new one. Before it opens one, it closes the idle connections whose last
-// response is too old for any request, as when the process was suspended and
-// nothing probed them.
+// acquire takes a connection whose last response is at most maxAge ago out of the
+// pool, or opens a new one. Before it opens one, it closes the idle connections
+// whose last response is too old for any request, as when the process was
+// suspended and nothing probed them.
 func (po *Pool) acquire(ctx context.Context, maxAge time.Duration) (*clientConn, *Failure) {
 	po.mu.Lock()
 	now := time.Now()
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -16,7 +16,7 @@
 	HasState  bool // the response gave the endpoint's state
 	Draining  bool // the endpoint is draining
 
-	unresponsive bool // the probe was sent but got no response in time
+	unresponsive bool // no response to the probe arrived in time
 }
 
 // probeAfter is the time since its last response after which an idle connection
@@ -59,14 +59,16 @@
 func (po *Pool) probeFresh(ctx context.Context) ProbeResult {
 	cc, fa := po.acquire(ctx, probeAfter)
 	if fa != nil {
-		// Every connection is in use, so there is no idle one to verify.
+		// If every connection is in use, there is none to probe, and the endpoint
+		// is taken to be reachable.
 		return ProbeResult{Reachable: fa.Cause == CauseConnections}
 	}
 	return po.probe(ctx, cc)
 }
 
-// takeForProbe removes and returns the idle connections to be probed. It closes
-// those without a request for Config.IdleTimeout, except the last.
+// takeForProbe removes the idle connections without a recent response from the
+// pool and returns them. It closes those without a request for
+// Config.IdleTimeout, except the most recently used one.
 func (po *Pool) takeForProbe(now time.Time) []*clientConn {
 	po.mu.Lock()
 	var toProbe, fresh, unused []*clientConn
@@ -89,7 +91,8 @@
 	return toProbe
 }
 
-// probe sends a probe on a connection that is not in the pool.
+// probe sends a probe on a connection that acquire or takeForProbe has taken out
+// of the pool.
 func (po *Pool) probe(ctx context.Context, cc *clientConn) ProbeResult {
 	ctx, cancel := context.WithTimeout(ctx, po.cfg.ProbeTimeout)
 	defer cancel()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -35,7 +35,7 @@
 	conns    []*pipe
 }
 
-// pipe is the caller's end of a connection, whose writes can be dropped.
+// pipe is the pool's end of a connection, whose writes can be dropped.
 type pipe struct {
 	net.Conn
 	dropped atomic.Bool
@@ -72,6 +72,7 @@
 	}
 }
 
+// dropWrites drops all further writes of the pool to the open connections.
 func (ep *endpoint) dropWrites() {
 	ep.mu.Lock()
 	defer ep.mu.Unlock()
@@ -154,7 +155,7 @@
 }
 
 // TestClosedIdleConnection sends a request after the endpoint has closed the
-// connection.
+// idle connection. It must fail as not run, and must not reach the endpoint.
 func TestClosedIdleConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -176,6 +177,8 @@
 	})
 }
 
+// TestStaleConnectionIsNotReused checks that a connection without a response for
+// 1.5 s is reused for a repeatable request, but not for any other.
 func TestStaleConnectionIsNotReused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -197,8 +200,8 @@
 	})
 }
 
-// TestUnresponsiveConnectionIsDetected probes every half second, as entry hosts
-// do.
+// TestUnresponsiveConnectionIsDetected drops all data on an idle connection. The
+// next probe must close it within two seconds, before a request uses it.
 func TestUnresponsiveConnectionIsDetected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -259,7 +262,8 @@
 	})
 }
 
-// TestStalledWrite sends to an endpoint that stops reading.
+// TestStalledWrite sends to an endpoint that reads nothing. The request must fail
+// within two seconds, long before its deadline, and with an unknown outcome.
 func TestStalledWrite(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -286,8 +290,8 @@
 		cause relay.Cause
 		class codes.Class
 	}{
-		{"busy", "HTTP/1.1 503 x\r\nEndpoint-Refused: busy\r\nContent-Length: 0\r\n\r\n", relay.CauseNoFreeSlot, codes.NotRun},
-		{"leaving", "HTTP/1.1 503 x\r\nEndpoint-Refused: leaving\r\nContent-Length: 0\r\n\r\n", relay.CauseDraining, codes.NotRun},
+		{"no free slot", "HTTP/1.1 503 x\r\nEndpoint-Refused: busy\r\nContent-Length: 0\r\n\r\n", relay.CauseNoFreeSlot, codes.NotRun},
+		{"draining", "HTTP/1.1 503 x\r\nEndpoint-Refused: leaving\r\nContent-Length: 0\r\n\r\n", relay.CauseDraining, codes.NotRun},
 		{"no response", "", relay.CauseNoResponse, codes.Unknown},
 		{"not HTTP", "hello\r\n\r\n", relay.CauseNoResponse, codes.Unknown},
 		{"truncated headers", "HTTP/1.1 200 OK\r\nContent-", relay.CauseNoResponse, codes.Unknown},
@@ -316,8 +320,8 @@
 	}
 }
 
-// TestLateResponseIsDiscarded abandons a request whose response arrives later,
-// and sends others.
+// TestLateResponseIsDiscarded guards against a response that arrives after the
+// deadline of its request and is taken for that of another request.
 func TestLateResponseIsDiscarded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -373,8 +377,8 @@
 	})
 }
 
-// TestUnprobedConnectionsAreClosed uses a pool from time to time that nothing
-// probes.
+// TestUnprobedConnectionsAreClosed guards against stale connections that pile up
+// in a pool that nothing probes.
 func TestUnprobedConnectionsAreClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -18,7 +18,7 @@
 	Request struct {
 		ID         string // sent as a header; a response with another ID is rejected
 		Method     string
-		Target     string // path and query as in the request line
+		Target     string // path and query, as in the request line
 		Host       string
 		Header     http.Header
 		Body       []byte
@@ -37,9 +37,9 @@
 		po       *Pool
 		cc       *clientConn
 		body     io.ReadCloser
-		reusable bool  // the connection can be reused after the whole body
+		reusable bool  // the connection can be reused once the whole body has been read
 		read     int64 // bytes of the body read so far
-		err      error
+		err      error // of further reads, once the response has ended
 	}
 )
 
@@ -70,7 +70,8 @@
 	return po.exchange(ctx, cc, rq)
 }
 
-// exchange sends a request on a connection that is not in the pool.
+// exchange sends a request on a connection that acquire or takeForProbe has taken
+// out of the pool.
 func (po *Pool) exchange(ctx context.Context, cc *clientConn, rq Request) (*Response, *Failure) {
 	before := cc.cn.attemptedBytes.Load()
 	rs, err := cc.tr.RoundTrip(rq.toHTTP(ctx, po.cfg.Address))
@@ -194,7 +195,8 @@
 	return hr.WithContext(ctx)
 }
 
-// targetURL returns a URL that results in the same request line.
+// targetURL returns a URL from which the Transport writes target unchanged into
+// the request line.
 func targetURL(address, target string) *url.URL {
 	raw, query, hasQuery := strings.Cut(target, "?")
 	path, err := url.PathUnescape(raw)
@@ -207,8 +209,8 @@
 	}
 }
 
-// closeDelimited reports whether the body ends with the connection, which can't
-// be told from a truncation.
+// closeDelimited reports whether the end of the body is given only by the end of
+// the connection, which can't be told from a truncation.
 func closeDelimited(rq Request, rs *http.Response) bool {
 	if rq.Method == http.MethodHead || rs.StatusCode == http.StatusNoContent || rs.StatusCode == http.StatusNotModified {
 		return false
