--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -15,12 +15,13 @@
 	typeYAML = "application/yaml"
 	typeText = "text/plain; charset=utf-8"
 
-	// defaultRetryAfter is the minimum retry-after time for retryable codes
-	// that come without one. Up to the same time is added at random.
+	// defaultRetryAfter is the minimum retry-after time of retryable codes that
+	// come without one. Up to the same time is added at random.
 	defaultRetryAfter = time.Second
 )
 
-// newAnswer returns the body of a response that the system itself gives.
+// newAnswer returns the body of a response with a code that the system itself
+// gives, as opposed to an endpoint.
 func newAnswer(request string, er *codes.Error) client.Answer {
 	inf := er.Code.Info()
 	return client.Answer{
@@ -60,7 +61,7 @@
 	}
 }
 
-// writeError writes a response with a code that the system itself gives.
+// writeError writes an error response with a code that the system itself gives.
 func (sr *Server) writeError(w http.ResponseWriter, request string, er *codes.Error) {
 	er = sr.withRetryAfter(er)
 	if closesConnection(er.Code) {
@@ -80,6 +81,7 @@
 	sr.writeBody(w, request, er, typeJSON, append(content, '\n'))
 }
 
+// writeBody writes a response with the given content and the headers of a code.
 func (sr *Server) writeBody(w http.ResponseWriter, request string, er *codes.Error, kind string, content []byte) {
 	if sr.draining.Load() {
 		w.Header().Set("Connection", "close")
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -20,12 +20,12 @@
 }
 
 // handler serves an apiRequest. It either writes the response or returns an
-// error, for which the response is then written.
+// error, from which its caller writes the response.
 type handler func(ctx context.Context, ar *apiRequest) *codes.Error
 
 const (
-	maxWait    = time.Minute      // of one request for an event
-	apiTimeout = 15 * time.Second // of one request, in addition to its wait
+	maxWait    = time.Minute      // of one request, for an event
+	apiTimeout = 15 * time.Second // of one request, in addition to its wait for an event
 )
 
 // handleAPI returns the HTTP handler of fn. It limits the number of requests in
@@ -50,6 +50,7 @@
 	}
 }
 
+// run validates the headers and the parameter wait, and calls fn with a deadline.
 func (ar *apiRequest) run(fn handler) *codes.Error {
 	if size := headerBytes(ar.r); size > ar.sr.cfg.Limits.HeaderBytes {
 		return codes.New(codes.HeaderTooLarge, "%d bytes exceed the limit of %d", size, ar.sr.cfg.Limits.HeaderBytes)
@@ -71,7 +72,7 @@
 func (ar *apiRequest) recoverPanic() {
 	if fault := recover(); fault != nil {
 		ar.sr.cfg.Log.Error("request failed", "event", "panic", "request", ar.id, "error", fault)
-		ar.refuse(codes.New(codes.InternalFailure, "see the log"))
+		ar.refuse(codes.New(codes.InternalFailure, "the request handler panicked; see the log of the host"))
 	}
 }
 
@@ -113,8 +114,9 @@
 	return ar.sr.readBody(ar.w, ar.r, limit)
 }
 
-// untilStop returns a context that ends when the host stops taking requests, so
-// that a graceful stop does not wait for requests that wait for an event.
+// untilStop returns a context that also ends when the host starts to refuse new
+// requests, so that a graceful stop does not wait for requests that wait for an
+// event.
 func (ar *apiRequest) untilStop(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -20,9 +20,10 @@
 	discardTimeout = time.Second
 )
 
-// readBody reads a request body of at most limit bytes within the read timeout.
-// The caller of readBody must call release to return the memory to the budget
-// of maxBufferedTotal, also after an error.
+// readBody reads a request body of at most limit bytes, and at most
+// Limits.BodyBytes, within the read timeout. It reserves memory from the budget
+// of maxBufferedTotal, which release returns. The caller of readBody must call
+// release, also after an error.
 func (sr *Server) readBody(w http.ResponseWriter, r *http.Request, limit int64) (body []byte, release func(), er *codes.Error) {
 	release = func() {}
 	limit = min(limit, sr.cfg.Limits.BodyBytes)
@@ -50,6 +51,7 @@
 	return body, release, er
 }
 
+// receive reads a request body of at most limit bytes within the read timeout.
 func (sr *Server) receive(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *codes.Error) {
 	control := http.NewResponseController(w)
 	if err := control.SetReadDeadline(time.Now().Add(sr.cfg.Limits.ReadTimeout)); err != nil {
@@ -92,7 +94,7 @@
 }
 
 // refuse writes an error response to a request whose body may not have arrived
-// completely.
+// completely. It discards the rest of the body, see maxDiscard.
 func (sr *Server) refuse(w http.ResponseWriter, r *http.Request, request string, er *codes.Error) {
 	control := http.NewResponseController(w)
 	bodyPending := r.ContentLength != 0 && er.Code != codes.SlowSender && er.Code != codes.CallerGone
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -17,7 +17,7 @@
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
 
-// call is a request to a service in progress.
+// call is the state of a request to a service while it is served.
 type call struct {
 	sr         *Server
 	w          http.ResponseWriter
@@ -42,7 +42,7 @@
 	slot            *admit.Admitted // nil if the request holds no slot
 	slotSince       time.Time
 	responseStarted bool // part of the response may have been written to the caller
-	accounted       bool // the outcome has been recorded
+	accounted       bool // the outcome has been recorded in the account and the metrics
 }
 
 const (
@@ -71,7 +71,8 @@
 	sr.serveCall(&call{sr: sr, w: w, r: r, id: id, began: time.Now(), originZone: r.Header.Get(headerHop)})
 }
 
-// serveCall serves a request and makes sure that it has exactly one outcome.
+// serveCall serves a request and ensures that exactly one outcome of it is
+// recorded.
 func (sr *Server) serveCall(cl *call) {
 	cl.outcome.Code = codes.InternalFailure
 	cl.r.Header.Del(headerHop)
@@ -236,7 +237,9 @@
 }
 
 // finish releases what the request holds and records its outcome, also after a
-// panic.
+// panic. counted says that the request counts as in progress. After a panic, it
+// writes an error response, or aborts the connection if a part of the response
+// may have been written.
 func (cl *call) finish(counted bool) {
 	fault := recover()
 	cl.releaseSlot()
@@ -251,12 +254,13 @@
 	case cl.responseStarted:
 		panic(http.ErrAbortHandler)
 	default:
-		cl.sr.writeError(cl.w, cl.id, codes.New(codes.InternalFailure, "see the log"))
+		cl.sr.writeError(cl.w, cl.id, codes.New(codes.InternalFailure, "the request handler panicked; see the log of the host"))
 	}
 }
 
-// account records the outcome. It runs before the caller can have the complete
-// response, so that the account never lags behind what callers know.
+// account records the outcome, unless it has been recorded before. It is called
+// before the caller can have the complete response, so that the account never
+// lags behind what callers know.
 func (cl *call) account() {
 	if cl.accounted {
 		return
@@ -270,8 +274,8 @@
 }
 
 // endRequest records the outcome of the claim and then marks the request as no
-// longer in progress, so that a graceful stop waits for it. The response does
-// not wait.
+// longer in progress, so that a graceful stop waits for the record. The caller
+// of endRequest does not wait for it.
 func (cl *call) endRequest(counted bool) {
 	if cl.claim == nil {
 		if counted {
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -81,7 +81,7 @@
 	an, err = th.order(epsim.HeaderSize, "1000000", epsim.HeaderFault, epsim.FaultHalf)
 	is.NoErr(err)
 	is.True(an.err != nil) // a truncated response must not look complete
-	eventually(t, "accounted", func() bool { return len(th.log.lines("code=3001")) == 1 })
+	eventually(t, "the truncated response is logged", func() bool { return len(th.log.lines("code=3001")) == 1 })
 	th.checkAccount(is, map[codes.Code]int{codes.RequestDone: 1, codes.AnswerBroken: 1})
 }
 
@@ -202,6 +202,8 @@
 	is.Equal(len(th.runs()), 1)
 }
 
+// TestKeyIsReusableAfterNotRun guards against an idempotency key that stays
+// claimed although its request did not run.
 func TestKeyIsReusableAfterNotRun(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 1, nil)
@@ -215,6 +217,8 @@
 	is.Equal(prior, nil)
 }
 
+// TestDrainingEndpointGetsNoNewRequests drains one of two endpoints while it serves
+// a request, which must be completed. All others must go to the other endpoint.
 func TestDrainingEndpointGetsNoNewRequests(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 2, nil)
@@ -223,13 +227,13 @@
 		an, _ := th.order(epsim.HeaderDelay, "1s")
 		inProgress <- an
 	}()
-	eventually(t, "runs", func() bool { return len(th.runs()) == 1 })
+	eventually(t, "the request runs", func() bool { return len(th.runs()) == 1 })
 	draining, other := th.endpoints[0], th.endpoints[1]
 	if draining.Busy() == 0 {
 		draining, other = other, draining
 	}
 	draining.Leave()
-	eventually(t, "seen", func() bool { return len(th.server.DrainingEndpoints()) == 1 })
+	eventually(t, "the host knows of the draining endpoint", func() bool { return len(th.server.DrainingEndpoints()) == 1 })
 	before := len(draining.Runs())
 	for range 20 {
 		an, err := th.order()
@@ -248,13 +252,15 @@
 	for range 30 {
 		an, err := th.order(client.HeaderRepeatable, "false")
 		is.NoErr(err)
-		is.Equal(an.code, codes.RequestDone) // a request is retried after a refused connection, which did not run
+		is.Equal(an.code, codes.RequestDone) // if the connection is refused, the request did not run and is retried
 	}
 	for _, n := range th.runs() {
 		is.Equal(n, 1)
 	}
 }
 
+// TestUnresponsiveConnectionsAreReplaced guards against a request that is sent on
+// an idle connection whose data is lost, and fails by its deadline.
 func TestUnresponsiveConnectionsAreReplaced(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 1, nil)
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -57,8 +57,8 @@
 	}
 }
 
-// digest returns a digest of everything that must match for two requests to
-// count as the same.
+// digest returns a digest of everything that must match for two requests with
+// the same key to count as the same: service, method, target and body.
 func (cl *call) digest() string {
 	head, err := json.Marshal([]string{cl.sd.Name, cl.r.Method, cl.target})
 	if err != nil {
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -54,7 +54,7 @@
 type Claim struct {
 	Workspace string
 	Key       string
-	Digest    string     // of service, method, target and body
+	Digest    string     // of service, method, target and body, in hex
 	Request   string     // ID of the request that holds the claim
 	Code      codes.Code // outcome of that request; zero while it is unknown
 }
@@ -91,8 +91,10 @@
 	Apply(ctx context.Context, req ApplyRequest) (client.Applied, error)
 	// Check validates declarations like Apply, but does not apply them.
 	Check(ctx context.Context, content []byte) (client.Applied, error)
-	// Declarations returns the content in force as it was applied.
+	// Declarations returns the declarations in force, as the YAML that was
+	// applied, and their revision.
 	Declarations(ctx context.Context) (content []byte, revision int64, err error)
+	// Status returns the state of the installation.
 	Status(ctx context.Context) (client.Status, error)
 	// Report returns the report of a day in the form YYYY-MM-DD, or of the
 	// current day if day is empty. The value is written as JSON, or as text if
--- a/internal/entry/connfault_test.go
+++ b/internal/entry/connfault_test.go
@@ -25,7 +25,7 @@
 		kind       string // kindCut or kindUnresponsive
 	}
 
-	// faultyProxy forwards connections from an entry host to an endpoint. The
+	// faultyProxy relays connections from an entry host to an endpoint. The
 	// first connection that carries a request has the fault; all others work.
 	faultyProxy struct {
 		net.Listener
@@ -127,7 +127,7 @@
 		})
 		an, err := th.order(client.HeaderRepeatable, fmt.Sprint(repeatable), client.HeaderTimeout, "700ms")
 		is.NoErr(err) // the entry host always responds
-		t.Logf("told %s, read %q, %v", an.code, an.body, an.err)
+		t.Logf("code %s, body %q, error %v", an.code, an.body, an.err)
 		ran := 0
 		eventually(t, "the run ends", func() bool {
 			ran = th.runs()[an.request]
@@ -154,6 +154,6 @@
 		is.True(ran >= 1)
 	case codes.Unknown:
 	default:
-		is.Fail() // not an outcome
+		is.Fail() // the code has no class
 	}
 }
--- a/internal/entry/dupkeys.go
+++ b/internal/entry/dupkeys.go
@@ -15,8 +15,8 @@
 	expectKey bool            // the next token is a key
 }
 
-// checkDuplicateKeys rejects JSON in which an object has the same key twice.
-// encoding/json would silently use the last one.
+// checkDuplicateKeys rejects content that is not JSON, or in which an object has
+// the same key twice. encoding/json would silently use the last one.
 func checkDuplicateKeys(content []byte) *codes.Error {
 	dc := json.NewDecoder(bytes.NewReader(content))
 	var scopes []*jsonScope
@@ -41,7 +41,7 @@
 	}
 }
 
-// enterOrLeave updates the enclosing scopes for a delimiter.
+// enterOrLeave returns the enclosing scopes after a delimiter.
 func enterOrLeave(scopes []*jsonScope, de json.Delim) []*jsonScope {
 	switch de {
 	case '{':
@@ -56,8 +56,8 @@
 	return scopes
 }
 
-// visit processes a key or a plain value. It returns a key that the object
-// already has.
+// visit processes a key or a plain value. It returns the key and whether the
+// object already had it.
 func (js *jsonScope) visit(token json.Token) (name string, duplicate bool) {
 	if js.keys == nil || !js.expectKey {
 		js.expectKey = true
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -16,12 +16,14 @@
 const (
 	maxAttempts = 4
 
-	// slotPollInterval is the interval at which an admitted request looks for a
-	// free slot when the endpoints have fewer than this host has accounted for.
+	// slotPollInterval is the interval at which an admitted request tries again to
+	// choose an endpoint while none has a free slot. This happens when endpoints
+	// have fewer free slots than admission assumes.
 	slotPollInterval = 20 * time.Millisecond
 
-	// hangDivisor sets the time after which an endpoint without a response
-	// counts as failed, as a fraction of the timeout of the service.
+	// hangDivisor sets the minimum duration of an attempt that ends with the
+	// deadline of the request and counts as a failure of the endpoint: one part
+	// in hangDivisor of the timeout of the service.
 	hangDivisor = 2
 )
 
@@ -63,10 +65,10 @@
 	}
 }
 
-// waitForSlot pauses if endpoints were skipped because they have no free slot,
-// and reports whether an endpoint is to be chosen again. It is not if no endpoint
-// was skipped for that reason, if the request has been in progress for longer
-// than the queue time, or if ctx ends.
+// waitForSlot waits for slotPollInterval if endpoints were skipped because they
+// have no free slot, and then reports true: the endpoint is to be chosen again.
+// It reports false if no endpoint was skipped for that reason, if the request has
+// been in progress for longer than the queue time, or if ctx ends.
 func (cl *call) waitForSlot(ctx context.Context, choice route.Choice) bool {
 	none, ok := choice.(route.None)
 	if !ok || none.Rejections.Full == 0 || time.Since(cl.began) > cl.sr.cfg.Limits.QueueTime {
@@ -105,8 +107,9 @@
 	return route.MayRetry(route.AttemptResult{NotRun: fa.Code.Class() == codes.NotRun, ResponseStarted: cl.responseStarted}, cl.repeatable)
 }
 
-// noEndpointError returns the outcome when no endpoint is left. If there was an
-// attempt, its error takes precedence, since it is more specific.
+// noEndpointError logs that no endpoint can be chosen, and returns the error for
+// it. If there was an attempt, its error takes precedence, since it is more
+// specific.
 func (cl *call) noEndpointError(ctx context.Context, choice route.Choice, last *codes.Error) *codes.Error {
 	none, ok := choice.(route.None)
 	if !ok {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -157,7 +157,8 @@
 	err     error // of reading the body
 }
 
-// call sends a request. headers are pairs of name and value.
+// call sends a request for the workspace parish. headers are pairs of name and
+// value.
 func (th *testHost) call(method, path, body string, headers ...string) (response, error) {
 	var rd io.Reader
 	if body != "" {
@@ -201,7 +202,8 @@
 	return counts
 }
 
-// checkAccount compares the account with the codes that callers got.
+// checkAccount compares the account with the number of callers that got each
+// code.
 func (th *testHost) checkAccount(is *is.I, want map[codes.Code]int) {
 	is.Helper()
 	counted := make(map[codes.Code]int)
@@ -259,6 +261,7 @@
 	return lc.text.Write(p)
 }
 
+// lines returns the log lines that contain part.
 func (lc *logCapture) lines(part string) []string {
 	lc.mu.Lock()
 	defer lc.mu.Unlock()
--- a/internal/entry/header.go
+++ b/internal/entry/header.go
@@ -65,6 +65,7 @@
 	return hd, hd.parseTimeout(r.Header)
 }
 
+// parseOptions parses and validates the headers with a fixed set of values.
 func (hd *headers) parseOptions(raw http.Header) *codes.Error {
 	switch value := raw.Get(client.HeaderRepeatable); value {
 	case "":
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -23,12 +23,12 @@
 )
 
 const (
-	maxJobBody      = 256 << 10 // bytes
-	maxAccelerators = 8         // per task
-	maxRunTime      = 90 * 24 * time.Hour
-	maxCommand      = 1024     // arguments
-	maxCommandBytes = 64 << 10 // of all arguments
-	maxSteps        = 64
+	maxJobBody      = 256 << 10           // bytes
+	maxAccelerators = 8                   // per task
+	maxRunTime      = 90 * 24 * time.Hour // per step
+	maxCommand      = 1024                // arguments
+	maxCommandBytes = 64 << 10            // of all arguments
+	maxSteps        = 64                  // of a job
 )
 
 // submitJob serves POST /v1/jobs. It accounts for a submission that is not
@@ -83,7 +83,7 @@
 	case err != nil:
 		return rc, submitError(err)
 	case !sameJob(rc.Spec, sp):
-		return rc, codes.New(codes.KeyMismatch, "job %s has the key", rc.ID)
+		return rc, codes.New(codes.KeyMismatch, "the idempotency key belongs to job %s, which differs", rc.ID)
 	}
 	return rc, nil
 }
@@ -104,6 +104,8 @@
 	return de, nil
 }
 
+// decodeSubmit parses the body of a submission. It rejects unknown and duplicate
+// keys.
 func decodeSubmit(content []byte) (client.SubmitRequest, *codes.Error) {
 	var req client.SubmitRequest
 	if er := checkDuplicateKeys(content); er != nil {
@@ -162,10 +164,11 @@
 	return runTime, nil
 }
 
-// parseThen validates the steps after the first one.
+// parseThen validates the steps after the first one and returns them as steps of
+// a job.
 func parseThen(steps []client.Step) ([]jobs.Step, *codes.Error) {
 	if len(steps) >= maxSteps {
-		return nil, codes.New(codes.BadRequest, "a job may have %d steps, not %d", maxSteps, len(steps)+1)
+		return nil, codes.New(codes.BadRequest, "a job may have at most %d steps, not %d", maxSteps, len(steps)+1)
 	}
 	var then []jobs.Step
 	for i, st := range steps {
@@ -192,6 +195,7 @@
 	return hex.EncodeToString(sum[:16])
 }
 
+// checkJob validates the fields of a submission that need no conversion.
 func checkJob(req client.SubmitRequest) *codes.Error {
 	if req.Repeatable == nil {
 		return codes.New(codes.BadRequest, "repeatable is missing")
@@ -209,9 +213,9 @@
 	case len(command) == 0:
 		return codes.New(codes.BadRequest, "command is missing")
 	case len(command) > maxCommand || size > maxCommandBytes:
-		return codes.New(codes.BadRequest, "command may have %d words and %d bytes", maxCommand, maxCommandBytes)
+		return codes.New(codes.BadRequest, "command may have at most %d arguments and %d bytes", maxCommand, maxCommandBytes)
 	case sh.Tasks < 1 || sh.Accelerators < 0:
-		return codes.New(codes.BadRequest, "shape must have at least one task and no negative number")
+		return codes.New(codes.BadRequest, "shape must have at least one task and no negative number of accelerators")
 	case sh.Tasks > spec.MaxTasks:
 		return codes.New(codes.ShapeTooLarge, "%d tasks exceed the limit of %d", sh.Tasks, spec.MaxTasks)
 	case sh.Accelerators > maxAccelerators:
@@ -225,8 +229,8 @@
 	}
 }
 
-// submitError returns the code of a failed submission. After an error without a
-// code of its own, the job may have been recorded.
+// submitError returns the error of a failed submission for the caller. If err has
+// no code of its own, the job may have been recorded.
 func submitError(err error) *codes.Error {
 	er := codes.Of(err)
 	if er.Code == codes.InternalFailure {
@@ -235,8 +239,8 @@
 	return er
 }
 
-// sameJob reports whether two submissions with the same ID request the same
-// job.
+// sameJob reports whether two submissions with the same ID request the same job,
+// whichever caller sent them.
 func sameJob(a, b jobs.Spec) bool {
 	a.Caller, b.Caller = "", ""
 	return slices.Equal(a.Command, b.Command) && reflect.DeepEqual(withoutCommand(a), withoutCommand(b))
@@ -341,7 +345,7 @@
 		return fi, er
 	}
 	if named != "" && fi.Workspace != "" && named != fi.Workspace {
-		return fi, codes.New(codes.BadRequest, "header and parameter name different workspaces")
+		return fi, codes.New(codes.BadRequest, "the header and the parameter name different workspaces")
 	}
 	if named != "" {
 		fi.Workspace = named
@@ -361,7 +365,7 @@
 	ar.write(&codes.Error{Code: rc.Code}, ar.clientJob(rc))
 }
 
-// clientJob returns a record in the form of the interface.
+// clientJob converts a record to the form that callers get.
 func (ar *apiRequest) clientJob(rc jobs.Record) client.Job {
 	jb := client.Job{
 		Answer: newAnswer(ar.id, &codes.Error{Code: rc.Code, Detail: rc.Detail}),
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -118,6 +118,8 @@
 // panickingJobs panics at every call.
 type panickingJobs struct{ jobs.Service }
 
+// TestPanicIsAnsweredWithCode guards against a panic that closes the connection
+// without a response.
 func TestPanicIsAnsweredWithCode(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 0, func(cfg *entry.Config, _ *spec.Declarations) { cfg.Jobs = panickingJobs{} })
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -21,7 +21,7 @@
 
 func newServerMetrics() *serverMetrics { return &serverMetrics{set: metrics.NewSet()} }
 
-// registerServer registers the gauges of a server.
+// registerServer registers the gauges of the whole server.
 func (sm *serverMetrics) registerServer(sr *Server) {
 	sm.set.NewGauge(`cicadawharf_work_in_progress`, func() float64 { return float64(sr.inProgress.count()) })
 	sm.set.NewGauge(`cicadawharf_bodies_buffered_bytes`, func() float64 { return float64(sr.bufferedBytes.Load()) })
@@ -64,6 +64,7 @@
 	sm.set.GetOrCreateHistogram(fmt.Sprintf(`cicadawharf_request_seconds{service=%q}`, service)).Update(took.Seconds())
 }
 
+// observeWait records the time that an admitted request spent in the queue.
 func (sm *serverMetrics) observeWait(service string, wait time.Duration) {
 	sm.set.GetOrCreateHistogram(fmt.Sprintf(`cicadawharf_wait_seconds{service=%q}`, service)).Update(wait.Seconds())
 }
@@ -72,6 +73,7 @@
 	sm.set.GetOrCreateCounter(fmt.Sprintf(`cicadawharf_repeats_total{service=%q}`, service)).Inc()
 }
 
+// countRegionBytes counts bytes sent between regions.
 func (sm *serverMetrics) countRegionBytes(workspace string, count int64) {
 	sm.set.GetOrCreateCounter(fmt.Sprintf(`cicadawharf_region_bytes_total{workspace=%q}`, workspace)).Add(int(count))
 }
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -128,5 +128,6 @@
 	return nil
 }
 
-// wantsText reports whether the operator prefers text to JSON.
+// wantsText reports whether the Accept header begins with plain text. Otherwise,
+// the operator gets JSON.
 func wantsText(r *http.Request) bool { return strings.HasPrefix(r.Header.Get("Accept"), "text/plain") }
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -14,7 +14,8 @@
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
-// upstreamResponse is the response of an endpoint or another entry host to one attempt.
+// upstreamResponse is the response of an endpoint or another entry host to one
+// attempt.
 type upstreamResponse struct {
 	response *relay.Response
 	code     codes.Code
@@ -33,7 +34,9 @@
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
 
-// exchange sends a request. If the response is small, it reads its whole body.
+// exchange sends a request and returns the response. It reads the whole body if
+// its length is known and small or if the method is HEAD. The body of any other
+// response has yet to be read, see stream.
 func exchange(ctx context.Context, pool *relay.Pool, rq relay.Request) (upstreamResponse, *relay.Failure) {
 	re, fa := pool.Send(ctx, rq)
 	if fa != nil {
@@ -79,6 +82,8 @@
 	}
 }
 
+// write writes a part of the response body to the caller by the deadline of the
+// request.
 func (cl *call) write(control *http.ResponseController, part []byte, flush bool) error {
 	if err := control.SetWriteDeadline(cl.deadline()); err != nil {
 		return err
@@ -135,7 +140,8 @@
 	cl.w.WriteHeader(rp.response.Status)
 }
 
-// outcomeOf returns the code of an attempt.
+// outcomeOf returns the code of an attempt: that of its failure, if any, or of its
+// response.
 func outcomeOf(rp upstreamResponse, fa *relay.Failure) codes.Code {
 	if fa != nil {
 		return fa.Code
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -43,6 +43,7 @@
 	return rt
 }
 
+// handleServices registers the handler of requests to services.
 func handleServices(rt *mux.Router, fn http.HandlerFunc) {
 	rt.HandleFunc(pathServices+"{service}", fn)
 	rt.HandleFunc(pathServices+"{service}/{path:.*}", fn)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -22,7 +22,7 @@
 	// Server is the HTTP interface of one entry host.
 	Server struct {
 		cfg          Config
-		start        time.Time // part of each request ID
+		start        time.Time // of this process; part of each request ID
 		metrics      *serverMetrics
 		handler      http.Handler
 		spillHandler http.Handler
@@ -37,7 +37,7 @@
 		bodiesReading atomic.Int64  // request bodies being read
 		bufferedBytes atomic.Int64  // of all request bodies in memory
 		serving       atomic.Int64  // requests whose body has been read
-		draining      atomic.Bool   // not ready, as the host is being stopped
+		draining      atomic.Bool   // the host is being stopped and reports not ready
 		inProgress    requestCounter
 	}
 
@@ -55,7 +55,7 @@
 	refreshInterval   = 200 * time.Millisecond
 	probeInterval     = 500 * time.Millisecond
 	idleTimeout       = 90 * time.Second // of a caller's connection
-	shutdownTimeout   = time.Second      // for connections to close after a stop
+	shutdownTimeout   = time.Second      // for connections to close once the requests have ended
 	headerLimitFactor = 4                // http.Server must accept more than the limit, so that the response can have a code
 )
 
@@ -174,8 +174,8 @@
 	}
 }
 
-// shutdown closes a server. After closeTimeout, it aborts the requests that are
-// still in progress.
+// shutdown closes a server. After shutdownTimeout, it aborts the requests that
+// are still in progress.
 func shutdown(hs *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
@@ -214,7 +214,8 @@
 	}
 }
 
-// refresh updates the services, their endpoints and the members.
+// refresh opens and closes services by the declarations, and updates the endpoints
+// and the entry hosts that they know.
 func (sr *Server) refresh(now time.Time) {
 	sr.refreshMu.Lock()
 	defer sr.refreshMu.Unlock()
@@ -277,6 +278,7 @@
 	return sr.cfg.Members(now)
 }
 
+// closePools closes the connections to all endpoints and other entry hosts.
 func (sr *Server) closePools() {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -17,8 +17,8 @@
 )
 
 type (
-	// service holds the admission, the routing table and the connections of one
-	// service.
+	// service holds the admission controller, the routing table and the connections
+	// of one service.
 	service struct {
 		name string
 
@@ -27,7 +27,7 @@
 		table       *route.Table
 		budget      *route.RetryBudget
 		waiters     map[uint64]chan admit.Decision
-		lastRequest uint64
+		lastRequest uint64               // ID of the last request for a slot
 		upstreams   map[string]*upstream // by endpoint
 		spillRule   spec.Spill
 		zones       []route.ForwardZone
@@ -43,11 +43,11 @@
 		lastProbed time.Time
 	}
 
-	// zoneView is the input of one refresh.
+	// zoneView is the input of one refresh, which is the same for all services.
 	zoneView struct {
 		declarations *spec.Declarations
 		endpoints    []plat.Host
-		draining     map[string]bool     // endpoints, as reported by other hosts
+		draining     map[string]bool     // endpoints that are shutting down, according to other hosts
 		hosts        []string            // other live entry hosts of the local zone
 		zones        []route.ForwardZone // other zones with ready entry hosts
 	}
@@ -78,8 +78,8 @@
 	}
 }
 
-// newZoneView returns the endpoints of the local zone and the live entry hosts
-// among the members, without this host.
+// newZoneView returns the declarations, the endpoints of the local zone, and the
+// live entry hosts among the members, without this host.
 func newZoneView(cfg Config, de *spec.Declarations, members []peers.Member) zoneView {
 	vw := zoneView{declarations: de, draining: make(map[string]bool)}
 	if cfg.Endpoints != nil {
@@ -131,9 +131,9 @@
 	sv.deliver(sv.admission.Expire(now))
 }
 
-// shares returns the guarantees of the workspaces on this host: the guaranteed
-// slots of the zone, scaled by this host's fraction of the zone's slots. mu must
-// be held.
+// shares returns the shares of the workspaces on this host. The slots guaranteed
+// in the zone are scaled by the fraction of the zone's slots that this host owns
+// and can use. mu must be held.
 func (sv *service) shares(now time.Time, de *spec.Declarations) []admit.Share {
 	usableFraction := 0.0
 	if all := sv.table.TotalSlots(); all > 0 {
@@ -148,8 +148,8 @@
 	return shares
 }
 
-// updateUpstreams opens the connections to new endpoints, and closes those to
-// endpoints that were removed or have another address. mu must be held.
+// updateUpstreams creates the connection pools of new endpoints, and closes those
+// of endpoints that were removed or have another address. mu must be held.
 func (sv *service) updateUpstreams(endpoints []route.Endpoint) {
 	kept := make(map[string]*upstream, len(endpoints))
 	for _, ep := range endpoints {
@@ -247,7 +247,7 @@
 	return admit.Admitted{}, codes.New(codes.CallerGone, "")
 }
 
-// finalResult returns the result of a final decision.
+// finalResult returns the slot or the error of a final decision.
 func finalResult(de admit.Decision) (admit.Admitted, *codes.Error) {
 	switch de := de.(type) {
 	case admit.Admitted:
--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -62,7 +62,7 @@
 }
 
 // orders sends requests concurrently to the hosts in turn, and counts those
-// that are done.
+// with the code RequestDone and the others.
 func orders(count int, delay time.Duration, hosts ...*testHost) (done, other int) {
 	results := make(chan bool, count)
 	for i := range count {
--- a/internal/entry/spill.go
+++ b/internal/entry/spill.go
@@ -16,11 +16,12 @@
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
 
-// maxForwardConnections limits the connections to one entry host of another zone.
+// maxForwardConnections limits the connections to one entry host of another
+// zone.
 const maxForwardConnections = 1024
 
-// emptyZoneRetry is the time for which no request is forwarded to a zone that
-// has responded that it has no usable endpoint.
+// emptyZoneRetry is the time for which no request is forwarded to a zone after
+// one of its entry hosts has responded that no endpoint is usable.
 const emptyZoneRetry = time.Second
 
 // serveRemote forwards the request to entry hosts of other zones, as far as the
@@ -85,17 +86,17 @@
 	return sv.spillRule, zones
 }
 
-// markEmpty excludes a zone for emptyZoneRetry, so that not every request
-// spends a retry on a zone without a usable endpoint.
+// markEmpty excludes a zone from forwarding for emptyZoneRetry, so that not every
+// request spends a retry on a zone without a usable endpoint.
 func (sv *service) markEmpty(now time.Time, zone string) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	sv.emptyUntil[zone] = now.Add(emptyZoneRetry)
 }
 
-// attemptForward forwards the request to one entry host. It returns the error that
-// the host itself gave, or the failure to get its response. Both are nil once
-// the response to the caller has been written.
+// attemptForward forwards the request to one entry host. It returns the error
+// that the host itself gave, or the failure to get its response. Both are nil
+// once the response to the caller has been written.
 func (cl *call) attemptForward(ctx context.Context, ft route.ForwardTarget, candidates int) (*codes.Error, *relay.Failure) {
 	start := time.Now()
 	rq := cl.request(ctx)
@@ -138,8 +139,8 @@
 	cl.sr.metrics.countRegionBytes(cl.workspace, count)
 }
 
-// forwardOutcome returns the code that another entry host gave. It also returns it
-// as an error if the code comes from that host and not from an endpoint.
+// forwardOutcome returns the code that another entry host gave. It also returns
+// it as an error if the code comes from that host and not from an endpoint.
 func forwardOutcome(rp upstreamResponse) (codes.Code, *codes.Error) {
 	number, err := strconv.Atoi(rp.response.Header.Get(client.HeaderCode))
 	cd := codes.Code(number)
@@ -156,7 +157,8 @@
 	return cd, codes.New(cd, "%s", an.Detail).WithRetryAfter(time.Duration(an.RetryAfterMillis) * time.Millisecond)
 }
 
-// forwardPool returns the connections to the spill listener of another entry host.
+// forwardPool returns the connections to the spill listener of another entry
+// host.
 func (sr *Server) forwardPool(host string) *relay.Pool {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -47,7 +47,7 @@
 			count(an)
 		})
 	}
-	eventually(t, "all run", func() bool { return len(th.runs()) == 4 })
+	eventually(t, "four requests run", func() bool { return len(th.runs()) == 4 })
 	stopping := make(chan struct{})
 	for range 4 {
 		short.Go(func() {
@@ -66,7 +66,7 @@
 		})
 	}
 	th.stop()
-	eventually(t, "unready", func() bool {
+	eventually(t, "the host reports not ready", func() bool {
 		an, err := th.call(http.MethodGet, "/readyz", "")
 		return err == nil && an.code == codes.Stopping
 	})
@@ -74,7 +74,7 @@
 	is.NoErr(err)
 	is.Equal(an.code, codes.RequestDone) // still serving for Stop.Delay
 	count(an)
-	eventually(t, "refused", func() bool {
+	eventually(t, "new requests are refused", func() bool {
 		an, err := th.order()
 		count(an)
 		return err == nil && an.code == codes.Stopping
@@ -91,6 +91,8 @@
 	th.checkAccount(is, counts)
 }
 
+// TestStopIsBounded stops a host while an endpoint does not respond. The stop must
+// not wait for the request longer than Stop.Bound allows.
 func TestStopIsBounded(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 1, func(cfg *entry.Config, _ *spec.Declarations) { cfg.Stop.Bound = 200 * time.Millisecond })
@@ -99,7 +101,7 @@
 		defer close(done)
 		_, _ = th.order(epsim.HeaderFault, epsim.FaultHang, client.HeaderTimeout, "8s")
 	}()
-	eventually(t, "runs", func() bool { return len(th.runs()) == 1 })
+	eventually(t, "the request runs", func() bool { return len(th.runs()) == 1 })
 	begin := time.Now()
 	th.stop()
 	err := <-th.stopped
@@ -155,27 +157,28 @@
 	running, cancelRunning := context.WithCancel(t.Context())
 	waiting, cancelWaiting := context.WithCancel(t.Context())
 	start(running, 8)
-	eventually(t, "eight run", func() bool { return len(th.runs()) == 8 })
+	eventually(t, "eight requests run", func() bool { return len(th.runs()) == 8 })
 	start(waiting, 4)
-	eventually(t, "four wait", func() bool {
+	eventually(t, "four requests are queued", func() bool {
 		an, err := th.call(http.MethodGet, "/metrics", "")
 		return err == nil && strings.Contains(an.body, "cicadawharf_requests_waiting{service=\"orders\"} 4\n")
 	})
 	cancelWaiting()
-	eventually(t, "four gone", func() bool { return len(th.log.lines("code=4024")) == 4 })
+	eventually(t, "four callers disconnected", func() bool { return len(th.log.lines("code=4024")) == 4 })
 	cancelRunning()
 	wg.Wait()
-	eventually(t, "outcomes", func() bool { return len(th.log.lines("event=refuse")) == 12 })
+	eventually(t, "all outcomes are logged", func() bool { return len(th.log.lines("event=refuse")) == 12 })
 	th.checkAccount(is, map[codes.Code]int{codes.CallerLeft: 8, codes.CallerGone: 4})
 	is.Equal(len(th.runs()), 8)
-	eventually(t, "slots free", func() bool { return th.endpoints[0].Busy() == 0 })
+	eventually(t, "all slots are free", func() bool { return th.endpoints[0].Busy() == 0 })
 	an, err := th.order()
 	is.NoErr(err)
 	is.Equal(an.code, codes.RequestDone)
 }
 
 // TestSpill forwards requests to another zone while the local one has no
-// endpoint.
+// endpoint. The caller must get the code of the endpoint there, and only the
+// first host may account for the request.
 func TestSpill(t *testing.T) {
 	is := is.New(t)
 	spillListener := listen(t)
@@ -220,12 +223,14 @@
 	for _, ep := range far.endpoints {
 		ep.Leave()
 	}
-	eventually(t, "gone", func() bool { return len(far.server.DrainingEndpoints()) == 2 })
+	eventually(t, "both endpoints drain", func() bool { return len(far.server.DrainingEndpoints()) == 2 })
 	an, err := near.order()
 	is.NoErr(err)
 	is.Equal(an.code, codes.NoEndpoint) // not forwarded again
 }
 
+// TestSpillNeedsPermission guards against a request that is forwarded to another
+// region although the service permits only its own.
 func TestSpillNeedsPermission(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 0, func(cfg *entry.Config, de *spec.Declarations) {
