--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -36,7 +36,7 @@
 	done, other := orders(30, 200*time.Millisecond, hosts[0])
 	is.Equal(other, 0)
 	is.Equal(done, 30)
-	is.True(len(hosts[0].log.lines("loan=true")) > 0)
+	is.True(len(hosts[0].log.lines("borrowed=true")) > 0)
 	is.Equal(len(hosts[0].log.lines("cause=busy")), 0)
 }
 
