Name the limits of a submission and a test's call by what they hold

In the package batch, maxMillis did not say what it limits, and maxResources read as a number of resources although it bounds the amount of each; a test of intake called an authorization open. They are now maxRunTimeMillis, maxAmount and authorize. Only identifiers change.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -111,10 +111,10 @@
 
 // The limits of a submission.
 const (
-	MaxSteps     = 64
-	MaxTasks     = 4096    // per step
-	maxMillis    = 1 << 40 // run time of a task
-	maxResources = 1 << 30 // of each kind, in its unit
+	MaxSteps         = 64
+	MaxTasks         = 4096    // per step
+	maxRunTimeMillis = 1 << 40 // run time of a task
+	maxAmount        = 1 << 30 // of each kind, in its unit
 )
 
 var stateNames = [...]string{Queued: "queued", Running: "running", Done: "done", Failed: "failed", Cancelled: "cancelled"}
@@ -236,7 +236,7 @@
 		return fmt.Errorf("needs 1 to %d tasks, not %d", MaxTasks, sp.Tasks)
 	case !sp.Needs.valid():
 		return fmt.Errorf("resources are out of range")
-	case sp.RunTime < 0 || sp.RunTime.Milliseconds() > maxMillis:
+	case sp.RunTime < 0 || sp.RunTime.Milliseconds() > maxRunTimeMillis:
 		return fmt.Errorf("run time %v is out of range", sp.RunTime)
 	case sp.PerWorker < 0 || sp.MaxUnavailable < 0:
 		return fmt.Errorf("perWorker or mayMiss is negative")
@@ -248,6 +248,6 @@
 }
 
 func (rs Resources) valid() bool {
-	inBounds := func(n int) bool { return n >= 0 && n <= maxResources }
+	inBounds := func(n int) bool { return n >= 0 && n <= maxAmount }
 	return inBounds(rs.MilliCPU) && inBounds(rs.MemoryMB) && inBounds(rs.Accelerators)
 }
--- a/internal/intake/invalidate_test.go
+++ b/internal/intake/invalidate_test.go
@@ -38,19 +38,19 @@
 	in := intake.New(intake.Config{
 		Store: fs, Decode: decodePolicy, MaxPolicyAge: 3 * time.Second, Log: slog.New(slog.DiscardHandler),
 	})
-	open := func(up time.Duration) error {
+	authorize := func(up time.Duration) error {
 		_, err := in.Authorize(t.Context(), up, "h", "/job", "")
 		return err
 	}
-	is.NoErr(open(time.Second))
+	is.NoErr(authorize(time.Second))
 	fs.down = true
-	is.NoErr(open(3 * time.Second)) // within MaxPolicyAge
+	is.NoErr(authorize(3 * time.Second)) // within MaxPolicyAge
 	in.InvalidatePolicy(3 * time.Second)
-	cause, ok := intake.CauseOf(open(3100 * time.Millisecond))
+	cause, ok := intake.CauseOf(authorize(3100 * time.Millisecond))
 	is.True(ok)
 	is.Equal(cause, intake.PolicyUnconfirmed)
 	fs.version, fs.down = 2, false
-	err := open(10 * time.Second)
+	err := authorize(10 * time.Second)
 	is.True(err != nil)
 	is.Equal(codes.Of(err).Code, codes.PathNotFound) // by the policy in force
 	is.Equal(in.Ready(10*time.Second), true)
