Say in intake and batch what a policy, a limit and a backlog cover

Several comments did not fit the code: a backlog leaves out jobs with a schedule and those accepted within the last second, a best-effort step still reserves memory, usablePolicy may return a policy that is only recent, Submit may return ErrPolicyChanged, and the objective counts from the acceptance or the due time. They now say so; two errors of a submission say what is negative or depends on what.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -36,20 +36,20 @@
 		Gang           bool          `json:"gang,omitempty"`
 		OneRack        bool          `json:"oneRack,omitempty"` // runs much slower when spread over several racks
 		Checkpoints    bool          `json:"checkpoints,omitempty"`
-		Label          string        `json:"label,omitempty"`     // required of the worker
+		Label          string        `json:"label,omitempty"`     // that a worker must have to run its tasks; empty for no restriction
 		Rack           string        `json:"rack,omitempty"`      // location of its data; runs much slower elsewhere
 		PerWorker      int           `json:"perWorker,omitempty"` // maximum number of its tasks on one worker; zero for no limit
-		LongRunning    bool          `json:"lasting,omitempty"`   // long-running: does not end until the job is cancelled
+		LongRunning    bool          `json:"lasting,omitempty"`   // does not end until the job is cancelled
 		BestEffort     bool          `json:"filling,omitempty"`   // uses only processor time that other tasks leave idle
 		TargetLatency  time.Duration `json:"target,omitempty"`    // tail latency objective of a long-running step that serves requests
-		MaxUnavailable int           `json:"mayMiss,omitempty"`   // tasks of a long-running step that may be unavailable at the same time
+		MaxUnavailable int           `json:"mayMiss,omitempty"`   // maximum number of unavailable tasks of a long-running step; zero for no limit
 	}
 
 	// Schedule repeats the steps of a job periodically.
 	Schedule struct {
-		First time.Time     `json:"first"`
-		Every time.Duration `json:"every"`
-		Count int           `json:"count"`
+		First time.Time     `json:"first"` // earliest start of the first occurrence
+		Every time.Duration `json:"every"` // between the earliest starts of two occurrences
+		Count int           `json:"count"` // number of occurrences
 	}
 
 	// Job is a job as submitted by a caller.
@@ -113,7 +113,7 @@
 const (
 	MaxSteps         = 64
 	MaxTasks         = 4096    // per step
-	maxRunTimeMillis = 1 << 40 // run time of a task
+	maxRunTimeMillis = 1 << 40 // declared run time of a task
 	maxAmount        = 1 << 30 // of each kind, in its unit
 )
 
@@ -172,7 +172,7 @@
 }
 
 // Occupied returns the part of a worker's capacity that a task of the step
-// reserves. A step that uses only idle processor time reserves none.
+// reserves. A step that uses only idle processor time reserves no processor time.
 func (sp Step) Occupied() Resources {
 	rs := sp.Needs
 	if sp.BestEffort {
@@ -229,7 +229,7 @@
 	return nil
 }
 
-// check returns an error if the step with this index is invalid.
+// check returns an error if the step, which has the given index, is invalid.
 func (sp Step) check(index int) error {
 	switch {
 	case sp.Tasks < 1 || sp.Tasks > MaxTasks:
@@ -239,14 +239,15 @@
 	case sp.RunTime < 0 || sp.RunTime.Milliseconds() > maxRunTimeMillis:
 		return fmt.Errorf("run time %v is out of range", sp.RunTime)
 	case sp.PerWorker < 0 || sp.MaxUnavailable < 0:
-		return fmt.Errorf("perWorker or mayMiss is negative")
+		return fmt.Errorf("the limit of tasks per worker or of unavailable tasks is negative")
 	}
 	if i := slices.IndexFunc(sp.After, func(dep int) bool { return dep < 0 || dep >= index }); i >= 0 {
-		return fmt.Errorf("depends on step %d, which is not an earlier one", sp.After[i])
+		return fmt.Errorf("depends on step %d, which is not an earlier step", sp.After[i])
 	}
 	return nil
 }
 
+// valid reports whether each amount is between zero and maxAmount.
 func (rs Resources) valid() bool {
 	inBounds := func(n int) bool { return n >= 0 && n <= maxAmount }
 	return inBounds(rs.MilliCPU) && inBounds(rs.MemoryMB) && inBounds(rs.Accelerators)
--- a/internal/batch/codec.go
+++ b/internal/batch/codec.go
@@ -10,10 +10,11 @@
 type (
 	// Backlog holds, for each queue, the number of jobs of which no task has
 	// been started, and for each availability zone that is being evacuated, the
-	// number of tasks that still run there.
+	// number of tasks that still run there. Jobs with a schedule and jobs
+	// accepted less than a second ago are not counted.
 	Backlog struct {
-		At         time.Time      `json:"at"`
-		Queues     map[string]int `json:"queues"`
+		At         time.Time      `json:"at"`             // when the numbers were counted
+		Queues     map[string]int `json:"queues"`         // by queue
 		Evacuating map[string]int `json:"left,omitempty"` // by availability zone
 	}
 )
@@ -24,7 +25,8 @@
 	return data, merry.Prepend(err, "encode a value for the store")
 }
 
-// Decode parses the stored form of a value.
+// Decode parses the stored form of a value. It does not validate a job, see
+// DecodeJob.
 func Decode[T Job | Backlog](data []byte) (T, error) {
 	var value T
 	err := json.Unmarshal(data, &value)
--- a/internal/batch/keys.go
+++ b/internal/batch/keys.go
@@ -9,8 +9,8 @@
 	AcceptedPrefix     = "in/"
 	ProgressPrefix     = "at/"
 	LeaderKey          = "holder"
-	HandoverRequestKey = "holder/relief" // a leader that can't keep up asks for a stronger host to take over
-	HandoverOfferKey   = "holder/offer"  // such a host responds to the request under this key
+	HandoverRequestKey = "holder/relief" // a leader that can't keep up writes its number of cores here to hand over to a stronger host
+	HandoverOfferKey   = "holder/offer"  // a stronger host responds with its number of cores here
 	BacklogKey         = "waiting"       // key of the Backlog
 	MaintenancePrefix  = "upkeep/"       // followed by the number of a maintenance wave
 	HostPrefix         = "host/"         // followed by the name of a host that accepts forwarded calls
@@ -31,8 +31,9 @@
 // HostKey returns the key under which a host registers itself.
 func HostKey(name string) string { return HostPrefix + name }
 
-// ParseAccepted parses a key under AcceptedPrefix. It returns the ID of the job;
-// cancel reports whether the key records a cancellation rather than the job.
+// ParseAccepted parses a key under AcceptedPrefix and returns the ID of the job.
+// cancel says that the key records a cancellation rather than the job; ok is
+// false for any other key.
 func ParseAccepted(key string) (id string, cancel, ok bool) {
 	rest, found := strings.CutPrefix(key, AcceptedPrefix)
 	if !found {
--- a/internal/batch/policy.go
+++ b/internal/batch/policy.go
@@ -14,18 +14,18 @@
 		Service     string        `json:"service"`             // the service whose workers run the tasks
 		Priority    int           `json:"priority"`            // zero is the highest; its jobs may preempt others
 		MaxAttempts int           `json:"maxAttempts"`         // the job fails when one of its units has failed this often
-		Stretch     float64       `json:"stretch"`             // the objective is the critical path times this factor,
-		Allowance   time.Duration `json:"allowance"`           // plus this constant
+		Stretch     float64       `json:"stretch"`             // factor of the critical path in Objective
+		Allowance   time.Duration `json:"allowance"`           // constant part of Objective
 		Timeout     time.Duration `json:"timeout"`             // of one call
 		Anonymous   bool          `json:"anonymous,omitempty"` // accepts calls without a valid key
-		Advised     bool          `json:"advised,omitempty"`   // placement requires advice of a service
+		Advised     bool          `json:"advised,omitempty"`   // an advice service decides which workers may run the tasks
 	}
 
 	// Workspace is a tenant of the installation.
 	Workspace struct {
 		Name       string
 		Keys       []string // API keys
-		Guaranteed int      // guaranteed accelerators for its jobs of priority zero
+		Guaranteed int      // accelerators guaranteed to its jobs of priority zero
 	}
 
 	// Service is a group of workers.
@@ -92,8 +92,9 @@
 	return 0
 }
 
-// Objective returns the target for the time from the submission of a job to its
-// end.
+// Objective returns the target for the time from the acceptance of a job, or from
+// the due time of an occurrence, to its end, given the run time of the critical
+// path.
 func (qu Queue) Objective(criticalPath time.Duration) time.Duration {
 	return time.Duration(qu.Stretch*float64(criticalPath)) + qu.Allowance
 }
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -7,9 +7,9 @@
 	"github.com/cicadawharf/cicadawharf/internal/wire"
 )
 
-// EncodeRecord returns the stored form of a record, which is kept small: a
-// record is written at every change of its job, and all of them are read
-// whenever the scheduler changes, possibly over slow links.
+// EncodeRecord returns the stored form of a record, a wire.Progress. It is kept
+// small: a record is written at every change of its job, and all of them are read
+// whenever another host becomes the scheduler, possibly over slow links.
 func EncodeRecord(rc Record) ([]byte, error) {
 	msg := &wire.Progress{Id: rc.ID, State: uint32(rc.State), Units: make([]*wire.UnitProgress, len(rc.Units))}
 	for i, ur := range rc.Units {
@@ -23,7 +23,8 @@
 	return data, merry.Prepend(err, "encode a record")
 }
 
-// DecodeRecord parses the stored form of a record.
+// DecodeRecord parses the stored form of a record. It rejects a record without an
+// ID or with an unknown state.
 func DecodeRecord(data []byte) (Record, error) {
 	var msg wire.Progress
 	if err := proto.Unmarshal(data, &msg); err != nil {
--- a/internal/batch/progress_test.go
+++ b/internal/batch/progress_test.go
@@ -39,8 +39,8 @@
 }
 
 // TestRecordsAreSmall limits the record of a job with 100 tasks, 60 of which
-// are done, to 2000 bytes. When the scheduler changes, the new one reads
-// hundreds of records over the link of one host.
+// are done, to 2000 bytes. A host that becomes the scheduler reads hundreds of
+// records over its own link.
 func TestRecordsAreSmall(t *testing.T) {
 	is := is.New(t)
 	rc := batch.Record{ID: "5c0e7a21d94b36f8", State: batch.Running}
--- a/internal/intake/health.go
+++ b/internal/intake/health.go
@@ -21,12 +21,12 @@
 	// over at least unreachableAfter.
 	unreachableAfter = 700 * time.Millisecond
 	minFailures      = 2
-	// probeInterval is the interval between calls while the store is
-	// unreachable.
+	// probeInterval is the minimum time between two calls to the store while it
+	// is unreachable.
 	probeInterval = 400 * time.Millisecond
 )
 
-// record records the outcome of a call that began at an uptime.
+// record records the outcome of a call to the store that began at the uptime up.
 func (sh *storeHealth) record(up time.Duration, err error) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -27,7 +27,7 @@
 	Config struct {
 		Store     store.TxnStore
 		PolicyKey string                                    // key of the policy in the store
-		Decode    func(value []byte) (*batch.Policy, error) // parses the stored policy
+		Decode    func(value []byte) (*batch.Policy, error) // parses the value under PolicyKey
 		// MaxPolicyAge is the maximum age of the last confirmation of a policy
 		// that is used while the store is unreachable.
 		MaxPolicyAge time.Duration
@@ -89,9 +89,10 @@
 	return loaded && in.CheckStore(up) == nil
 }
 
-// CheckStore returns an error for the caller if the store is unreachable. It
-// also probes the store in the background every probeInterval. No other call
-// may do so, because callers are redirected to other hosts in the meantime.
+// CheckStore returns an error for the caller if the store is unreachable. In this
+// case, it also probes the store in the background, at most once every
+// probeInterval: since callers are redirected to other hosts in the meantime,
+// there may be no other call that finds the store reachable again.
 func (in *Intake) CheckStore(up time.Duration) error {
 	if !in.health.unreachable(up) {
 		return nil
@@ -103,7 +104,7 @@
 }
 
 // StoreResponses returns the number of responses that this host has received
-// from the store. If it does not change while a call waits, the store is
+// from the store so far. If it does not change while a call waits, the store is
 // unresponsive rather than slow.
 func (in *Intake) StoreResponses() uint64 { return in.health.responseCount() }
 
@@ -142,9 +143,10 @@
 	return err
 }
 
-// usablePolicy returns the policy in force. It may have to read it twice: a
-// read that was already in progress may have been sent long ago if this host
-// was suspended since, so its result may be outdated.
+// usablePolicy returns a policy that is fresh or, if it can't be read, that was
+// confirmed within Config.MaxPolicyAge. It may have to read it twice: a read that
+// was already in progress may have been sent long ago if this host was suspended
+// since, so its result may be outdated.
 func (in *Intake) usablePolicy(ctx context.Context, up time.Duration) (policySnapshot, error) {
 	ps := in.latestSnapshot()
 	for range maxConfirmReads {
@@ -174,28 +176,28 @@
 	return in.snapshot
 }
 
-// isFresh reports whether the policy was confirmed less than freshFor before an
-// uptime.
+// isFresh reports whether the policy was confirmed less than freshFor before the
+// uptime up, and has not been invalidated since.
 func (ps policySnapshot) isFresh(up time.Duration) bool { return ps.confirmedWithin(up, freshFor) }
 
-// confirmedWithin reports whether the policy was confirmed less than within
-// before an uptime, and has not been invalidated since.
+// confirmedWithin reports whether the policy was confirmed less than the duration
+// within before the uptime up, and has not been invalidated since.
 func (ps policySnapshot) confirmedWithin(up, within time.Duration) bool {
 	return ps.policy != nil && up-ps.confirmedAt < within && ps.confirmedAt >= ps.invalidatedAt
 }
 
-// InvalidatePolicy invalidates the policy as of an uptime, because another host
-// has decided a call of this host by its own policy, which may be newer. The
-// policy is not used until it has been confirmed again, so that callers never
-// see the effect of an older policy after that of a newer one.
+// InvalidatePolicy invalidates the policy as of the uptime up, because another
+// host has decided a call of this host by its own policy, which may be newer. The
+// policy is not used until it has been confirmed again, so that callers never see
+// the effect of an older policy after that of a newer one.
 func (in *Intake) InvalidatePolicy(up time.Duration) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.snapshot.invalidatedAt = up
 }
 
-// refresh reads the policy unless the store is unreachable. Concurrent calls
-// share one read.
+// refresh reads the policy, see readPolicy. While the store is unreachable, it
+// returns store.ErrUnavailable, except once every probeInterval.
 func (in *Intake) refresh(ctx context.Context, up time.Duration) error {
 	if !in.health.allowCall(up) {
 		return store.ErrUnavailable
@@ -224,8 +226,9 @@
 	}
 }
 
-// applyEntry updates the policy from an entry that was read at an uptime. It
-// ignores entries older than the current policy.
+// applyEntry updates or confirms the policy by an entry that was read at the
+// uptime up. It ignores entries older than the current policy. It returns an
+// error if the policy can't be decoded.
 func (in *Intake) applyEntry(up time.Duration, en store.Entry) error {
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -246,8 +249,8 @@
 	return nil
 }
 
-// QueueLength returns the number of jobs of a queue of which no task has been
-// started.
+// QueueLength returns the number of waiting jobs of a queue, as counted by the
+// scheduler, see batch.Backlog.
 func (in *Intake) QueueLength(ctx context.Context, up time.Duration, queue string) (int, error) {
 	en, err := in.read(ctx, up, batch.BacklogKey)
 	if err != nil || en.Revision == 0 {
@@ -275,6 +278,8 @@
 	return en, nil
 }
 
+// storeUnavailable returns the error of a call that has not written anything
+// because the store does not respond.
 func storeUnavailable() error {
 	return newUndecided(StoreUnresponsive, codes.StoreUnavailable, "the store does not respond to this host")
 }
--- a/internal/intake/invalidate_test.go
+++ b/internal/intake/invalidate_test.go
@@ -30,8 +30,8 @@
 }
 
 // TestPolicyIsInvalidatedByForwardedDecision guards against a host that decides
-// a call by its own, older policy after it has passed on the decision of
-// another host, made by a newer policy.
+// a call by its own, older policy after it has passed on the decision that
+// another host made by a newer policy.
 func TestPolicyIsInvalidatedByForwardedDecision(t *testing.T) {
 	is := is.New(t)
 	fs := &fakeStore{version: 1}
--- a/internal/intake/jobs.go
+++ b/internal/intake/jobs.go
@@ -23,7 +23,8 @@
 
 // Submit accepts a job. It returns nil once the job is in the store, even if it
 // was there before. An error of class NotRun means that this call has not caused
-// the job to be accepted; SubmitUnknown means that it may have.
+// the job to be accepted; SubmitUnknown means that it may have. After
+// ErrPolicyChanged, the call must be authorized again.
 func (in *Intake) Submit(ctx context.Context, up time.Duration, ac Access, jb batch.Job) (err error) {
 	defer func(began time.Time) { countCall("submit", began, err) }(time.Now())
 	if !in.health.allowCall(up) {
@@ -77,7 +78,9 @@
 
 // resolveConflict returns the result of a submission whose transaction
 // conflicted: nil if the job exists, which means that it is accepted, or
-// ErrPolicyChanged.
+// ErrPolicyChanged, or NotReady if the new policy can't be decoded. ents are the
+// current entries of the keys that the transaction expected. indeterminate says
+// that the outcome of an earlier write is unknown.
 func (in *Intake) resolveConflict(up time.Duration, indeterminate bool, ents []store.Entry) error {
 	for _, en := range ents {
 		if _, _, ok := batch.ParseAccepted(en.Key); ok && en.Revision != 0 {
@@ -105,8 +108,8 @@
 // authorized again.
 var ErrPolicyChanged = errors.New("the policy has changed")
 
-// confirmRevision records that a write at an uptime has found the policy at a
-// revision.
+// confirmRevision records that a write sent at the uptime up has found the policy
+// at a revision.
 func (in *Intake) confirmRevision(up time.Duration, rev store.Revision) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
@@ -115,7 +118,8 @@
 	}
 }
 
-// State returns the state of a job.
+// State returns the state of a job, which is Queued until the scheduler has
+// recorded its progress.
 func (in *Intake) State(ctx context.Context, up time.Duration, ac Access, id string) (_ batch.State, err error) {
 	defer func(began time.Time) { countCall("state", began, err) }(time.Now())
 	en, err := in.read(ctx, up, batch.ProgressKey(id))
@@ -155,7 +159,7 @@
 }
 
 // Cancel requests the cancellation of a job. It returns nil once the request is
-// in the store.
+// in the store. CancelUnknown means that it may be there.
 func (in *Intake) Cancel(ctx context.Context, up time.Duration, ac Access, id string) (err error) {
 	defer func(began time.Time) { countCall("cancel", began, err) }(time.Now())
 	if _, err := in.readJob(ctx, up, ac, id); err != nil {
--- a/internal/intake/metrics.go
+++ b/internal/intake/metrics.go
@@ -9,7 +9,7 @@
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
-// countCall updates the metrics of one call by its result.
+// countCall records the duration and the result of a call in the metrics.
 func countCall(call string, began time.Time, err error) {
 	result := "ok"
 	if err != nil {
--- a/internal/intake/undecided.go
+++ b/internal/intake/undecided.go
@@ -54,10 +54,10 @@
 	return undecidedError{cause: cause, response: codes.New(code, "%s", detail).WithRetryAfter(retryAfter)}
 }
 
-// AuthorizeFresh authorizes a call like Authorize, but by a policy that was
-// read after an uptime. It is for calls forwarded by other hosts: they are
-// decided by a policy that is no older than the call, so that a key revoked
-// before it is rejected.
+// AuthorizeFresh authorizes a call like Authorize, but by a policy that was read
+// no earlier than the uptime up. It is for calls forwarded by other hosts: they
+// are decided by a policy that is no older than the call, so that a key revoked
+// before the call is rejected.
 func (in *Intake) AuthorizeFresh(ctx context.Context, up time.Duration, host, path, key string) (_ Access, err error) {
 	defer func(began time.Time) { countCall("open", began, err) }(time.Now())
 	ps, err := in.freshPolicy(ctx, up)
@@ -67,8 +67,8 @@
 	return ps.authorize(host, path, key)
 }
 
-// freshPolicy returns the policy by a read that began after an uptime. It may
-// share a read that began earlier, which is followed by another one.
+// freshPolicy returns the policy as of a read that began no earlier than the
+// uptime up. If it shares a read that began earlier, it reads once more.
 func (in *Intake) freshPolicy(ctx context.Context, up time.Duration) (policySnapshot, error) {
 	began := time.Now()
 	for range maxConfirmReads {
