Say in load what a run counts and what the rows of its benchmarks hold

Readers of the package load had to find out from the code that a retry-after time is recorded for any response, that requests in progress outlive the context, that maxPath is in bytes and which columns the rows of two benchmarks have. The comments and two errors now say so, and the faults of the retry benchmark have names that say what fails.

--- a/internal/load/bench_test.go
+++ b/internal/load/bench_test.go
@@ -132,7 +132,8 @@
 	return as
 }
 
-// readMetric returns the sum of all metrics with a prefix.
+// readMetric returns the sum of all metrics of a child whose names begin with
+// prefix.
 func readMetric(tb testing.TB, ch *child, prefix string) float64 {
 	tb.Helper()
 	rp, err := http.Get("http://" + ch.HTTP + "/metrics")
@@ -235,8 +236,13 @@
 	return float64(done) / (ch.cpuTime(tb) - before).Seconds()
 }
 
-// overload runs an urgent flood beside a workspace with a moderate load, once
-// with equal and once with different service times in the flood.
+// overload runs an urgent flood beside a workspace with a moderate load, which it
+// compares with the same load alone. The service times in the flood are equal or
+// different. A row has the multiple of the capacity that is offered, the service
+// times, the round, the useful fraction of the slots, the fraction of the
+// workspace's requests done relative to that alone, its 99th percentile alone and
+// beside the flood and their ratio, the requests of unknown outcome and withheld,
+// the median and 99th percentile of the refusals, and the median retry-after time.
 func (tz *testZone) overload(b *testing.B) {
 	for ro := range uint64(rounds) {
 		b.Run(fmt.Sprint(ro), func(b *testing.B) { tz.overloadRound(b, ro) })
@@ -321,8 +327,11 @@
 	}
 }
 
-// retries counts retries while two endpoints go down and come back, and while
-// the slots of two others are in use by requests that bypass the entry hosts.
+// retries counts retries without a fault, while two endpoints go down and come
+// back, and while the slots of two others are in use by requests that bypass the
+// entry hosts. A row has the fault, the caller, its requests offered, done,
+// failed, not run and of unknown outcome, the retries of all callers per request,
+// and the codes.
 func (tz *testZone) retries(b *testing.B) {
 	yes, no := true, false
 	rate := capacity(latencyDelay) / 4
@@ -335,8 +344,8 @@
 		cause func(ctx context.Context)
 	}{
 		{"none", func(context.Context) {}},
-		{"die and come back", tz.flapEndpoints},
-		{"refuse", tz.occupySlots},
+		{"two endpoints flap", tz.flapEndpoints},
+		{"two endpoints are full", tz.occupySlots},
 	}
 	for _, fa := range faults {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -365,6 +374,7 @@
 	return strings.Join(parts, " ")
 }
 
+// sumMetric returns the sum of readMetric over the entry hosts.
 func (tz *testZone) sumMetric(tb testing.TB, name string) float64 {
 	tb.Helper()
 	sum := 0.0
--- a/internal/load/children_test.go
+++ b/internal/load/children_test.go
@@ -22,13 +22,14 @@
 )
 
 type (
-	// role is the task of a child process.
+	// role is the configuration of a child process: an entry host or the plain
+	// forwarder.
 	role struct {
 		Name      string   // of the entry host; empty for the plain forwarder
 		Zone      string   // of the entry host
-		Store     string   // of the entry host
-		Seeds     []string // of the entry host
-		Endpoints []string // of the plain forwarder
+		Store     string   // address of the store of the entry host
+		Seeds     []string // peer addresses of other entry hosts
+		Endpoints []string // addresses that the plain forwarder sends to
 	}
 
 	// ports is the first line that a child prints: its addresses.
@@ -47,6 +48,7 @@
 	childProcs   = 2 // GOMAXPROCS of each child
 )
 
+// TestMain runs the tests, or a child process if roleVariable is set.
 func TestMain(m *testing.M) {
 	if text := os.Getenv(roleVariable); text != "" {
 		if err := serveRole(text); err != nil {
--- a/internal/load/class.go
+++ b/internal/load/class.go
@@ -19,14 +19,15 @@
 	rnds    []*rand.Rand    // random source of each class
 	due     []time.Duration // next arrival of each class, since began
 	began   time.Time
-	length  time.Duration
+	length  time.Duration // of the run
 }
 
 // maxDelay is the maximum service time that a class may request.
 const maxDelay = time.Minute
 
-// ParseClass parses a class in the form
-// workspace=W,caller=C,rate=R[,priority=P][,delay=D][,repeatable=true|false].
+// ParseClass parses and checks a class in the form
+// workspace=W,caller=C,rate=R[,priority=P][,delay=D][,repeatable=true|false]. The
+// keys may be in any order.
 func ParseClass(text string) (Class, error) {
 	var cl Class
 	var seen []string
@@ -48,6 +49,8 @@
 	return cl, cl.Check()
 }
 
+// set sets the field with the given key. It does not check the range of the value,
+// see Check.
 func (cl *Class) set(key, value string) error {
 	var err error
 	switch key {
@@ -94,8 +97,8 @@
 	return nil
 }
 
-// newSchedule uses a separate random source for each class, so that the
-// arrivals of one class do not depend on the other classes.
+// newSchedule returns the schedule of a run. Each class has a random source of
+// its own, so that its arrivals do not depend on the other classes.
 func newSchedule(cfg Config, began time.Time) *schedule {
 	sc := &schedule{classes: cfg.Classes, began: began, length: cfg.Duration}
 	for i := range cfg.Classes {
@@ -106,7 +109,7 @@
 	return sc
 }
 
-// next returns the next arrival, and false after the last one.
+// next returns the next arrival of any class, and false after the last one.
 func (sc *schedule) next() (arrival, bool) {
 	first := 0
 	for i, du := range sc.due {
@@ -122,7 +125,8 @@
 	return ar, true
 }
 
-// advance draws the next arrival of a class.
+// advance draws the time of the next arrival of a class. The interval between two
+// arrivals is distributed exponentially.
 func (sc *schedule) advance(class int) {
 	gap := sc.rnds[class].ExpFloat64() / sc.classes[class].Rate
 	sc.due[class] += time.Duration(min(gap*float64(time.Second), float64(2*sc.length)))
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -47,8 +47,8 @@
 
 	// arrival is one request that is due.
 	arrival struct {
-		class int // index into Config.Classes
-		due   time.Time
+		class int       // index into Config.Classes
+		due   time.Time // when the request is to be sent
 	}
 )
 
@@ -64,7 +64,8 @@
 	// maxPath is the maximum length of a path in bytes.
 	maxPath = 4096
 
-	// drainTimeout is the time to wait for responses after the end of a run.
+	// drainTimeout is the maximum time to wait for responses after the end of a
+	// run.
 	drainTimeout = 30 * time.Second
 )
 
@@ -82,7 +83,7 @@
 	case cfg.Service == "":
 		return merry.New("a service is required")
 	case len(cfg.Path) == 0 || cfg.Path[0] != '/' || len(cfg.Path) > maxPath:
-		return merry.Errorf("path %q must begin with / and have at most %d characters", cfg.Path, maxPath)
+		return merry.Errorf("path %q must begin with / and have at most %d bytes", cfg.Path, maxPath)
 	case len(cfg.Classes) == 0 || len(cfg.Classes) > MaxClasses:
 		return merry.Errorf("%d classes given; must be 1 to %d", len(cfg.Classes), MaxClasses)
 	case cfg.Duration <= 0 || cfg.Duration > MaxDuration:
@@ -98,20 +99,21 @@
 	return nil
 }
 
-// checkLoopback rejects addresses of other machines.
+// checkLoopback returns an error unless address is a loopback address with a port.
 func checkLoopback(address string) error {
 	ap, err := netip.ParseAddrPort(address)
 	if err != nil || ap.Port() == 0 {
 		return merry.Errorf("address %q must be IP:port, such as 127.0.0.1:7080", address)
 	}
 	if !ap.Addr().IsLoopback() {
-		return merry.Errorf("address %q is not of this machine; only 127.0.0.0/8 and ::1 are", address)
+		return merry.Errorf("address %q is not of this machine; it must be ::1 or in 127.0.0.0/8", address)
 	}
 	return nil
 }
 
 // Run sends the requests and returns the report once all of them have ended. If
-// ctx ends early, the report covers the requests sent until then.
+// ctx ends early, the report covers the requests that were due until then. It
+// returns an error only if the configuration is invalid.
 func Run(ctx context.Context, cfg Config) (Report, error) {
 	if err := cfg.Check(); err != nil {
 		return Report{}, err
@@ -122,8 +124,8 @@
 	for i := range tallies {
 		tallies[i] = newTally()
 	}
-	// Responses are awaited for drainTimeout after the end, and also if ctx
-	// ends.
+	// Requests in progress are not cancelled with ctx; they may take until
+	// drainTimeout after the end of the run.
 	sending, cancel := context.WithTimeout(context.WithoutCancel(ctx), cfg.Duration+drainTimeout)
 	defer cancel()
 	slots := make(chan struct{}, cfg.Concurrency)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -70,8 +70,8 @@
 	}
 }
 
-// TestReportMatchesRequestsSeenByTarget responds to the requests in four
-// different ways and compares the report with what the target has seen.
+// TestReportMatchesRequestsSeenByTarget lets requests be done, fail, be refused or
+// get no response in turn, and compares the report with what the target has seen.
 func TestReportMatchesRequestsSeenByTarget(t *testing.T) {
 	is := is.New(t)
 	var mu sync.Mutex
@@ -113,6 +113,8 @@
 	is.True(strings.Contains(out.String(), "4008 overloaded"))
 }
 
+// TestSameSeedGivesSameArrivals guards against runs that can't be repeated with
+// the same seed.
 func TestSameSeedGivesSameArrivals(t *testing.T) {
 	is := is.New(t)
 	sv := httptest.NewServer(http.NotFoundHandler())
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -17,7 +17,7 @@
 	// Report is the result of a run. Times are in milliseconds.
 	Report struct {
 		Seed    uint64        `json:"seed"`
-		Seconds float64       `json:"seconds"` // for which requests were sent
+		Seconds float64       `json:"seconds"` // duration for which requests were sent
 		Classes []ClassReport `json:"classes"`
 		Equal   []EqualReport `json:"equalDemands,omitempty"`
 	}
@@ -34,7 +34,7 @@
 		Codes      []CodeCount  `json:"codes"`
 		Latency    Distribution `json:"latencyMillis"`    // of requests that are done
 		Refusal    Distribution `json:"refusalMillis"`    // of requests that did not run
-		RetryAfter Distribution `json:"retryAfterMillis"` // given by refusals
+		RetryAfter Distribution `json:"retryAfterMillis"` // given by responses
 	}
 
 	// CodeCount is the number of responses with one result code. Code zero
@@ -75,7 +75,7 @@
 )
 
 const (
-	maxLatency        = 10 * time.Minute // recorded in a histogram; longer ones are recorded as this
+	maxLatency        = 10 * time.Minute // maximum value of a histogram; longer times are recorded as this
 	significantDigits = 3                // of the values in a histogram
 
 	noCode = "noCode" // CodeCount.Name of code zero
@@ -88,12 +88,14 @@
 	return &tally{latency: histogram(), refusal: histogram(), retryAfter: histogram()}
 }
 
+// withhold counts a request that was due but not sent.
 func (ta *tally) withhold() {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	ta.withheld++
 }
 
+// add records the outcome of a request that was sent.
 func (ta *tally) add(oc outcome) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
@@ -109,6 +111,7 @@
 	}
 }
 
+// count counts an outcome by code and class. mu must be held.
 func (ta *tally) count(oc outcome) {
 	at := slices.IndexFunc(ta.codes, func(cc CodeCount) bool { return cc.Code == oc.code && cc.Class == oc.class })
 	if at < 0 {
--- a/internal/load/sender.go
+++ b/internal/load/sender.go
@@ -40,6 +40,7 @@
 
 func (se *sender) close() { se.transport.CloseIdleConnections() }
 
+// send sends a request and returns its outcome, with the latency since it was due.
 func (se *sender) send(ctx context.Context, ar arrival) outcome {
 	oc := se.exchange(ctx, se.cfg.Classes[ar.class])
 	oc.latency = time.Since(ar.due)
@@ -48,7 +49,8 @@
 
 // exchange sends a request to the next entry host. If the response is missing
 // or incomplete, the outcome is unknown, since the request may have run. If the
-// connection can't be opened, the request has not run.
+// connection can't be opened, the request has not run. It does not set the
+// latency.
 func (se *sender) exchange(ctx context.Context, cl Class) outcome {
 	unknown := outcome{class: codes.Unknown}
 	address := se.cfg.Addresses[(se.nextAddress.Add(1)-1)%uint64(len(se.cfg.Addresses))]
@@ -79,7 +81,8 @@
 	return readOutcome(rp.Header)
 }
 
-// readOutcome reads the result code of a response.
+// readOutcome returns the outcome by the headers of a complete response. It is
+// unknown if they have no known result code.
 func readOutcome(hd http.Header) outcome {
 	number, err := strconv.Atoi(hd.Get(client.HeaderCode))
 	if _, known := codes.Lookup(codes.Code(number)); err != nil || !known {
