--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -28,7 +28,7 @@
 		spillHandler http.Handler
 
 		refreshMu    sync.Mutex   // held during a refresh
-		mu           sync.RWMutex // guards services, hopPools and rnd
+		mu           sync.RWMutex // guards services, forwardPools and rnd
 		services     map[string]*service
 		forwardPools map[string]*relay.Pool // by name of the other entry host
 		rnd          *rand.Rand
