Name the setting of a retry-after time in admit by what it sets

In the package admit, withJitter sets the retry-after time of an error, to which the jitter is a detail, and entry calls the same withRetryAfter. The method now has that name.

--- a/internal/admit/refusal.go
+++ b/internal/admit/refusal.go
@@ -23,22 +23,22 @@
 // safety margin, and nil otherwise.
 func (co *Controller) checkFeasible(now time.Time, tr *trackedRequest) *codes.Error {
 	if co.capacity == 0 {
-		return co.withJitter(codes.New(codes.NoEndpoint, "no endpoint is usable"), noEndpointRetryAfter)
+		return co.withRetryAfter(codes.New(codes.NoEndpoint, "no endpoint is usable"), noEndpointRetryAfter)
 	}
 	wait := co.estimateWait(tr)
 	switch {
 	case wait > co.cfg.QueueTime-co.cfg.QueueTime/estimateMarginDivisor:
 		er := codes.New(codes.Overloaded, "the expected wait of %v for a slot is longer than the queue allows", wait.Round(time.Millisecond))
-		return co.withJitter(er, wait)
+		return co.withRetryAfter(er, wait)
 	case !tr.Deadline.IsZero() && now.Add(wait).After(tr.Deadline):
 		er := codes.New(codes.DeadlinePassed, "the expected wait of %v for a slot ends after the deadline", wait.Round(time.Millisecond))
-		return co.withJitter(er, wait)
+		return co.withRetryAfter(er, wait)
 	}
 	return nil
 }
 
 func (co *Controller) refuse(tr *trackedRequest, cd codes.Code, detail string) Decision {
-	return Refused{Request: tr.Request, Err: co.withJitter(codes.New(cd, "%s", detail), co.estimateWait(tr))}
+	return Refused{Request: tr.Request, Err: co.withRetryAfter(codes.New(cd, "%s", detail), co.estimateWait(tr))}
 }
 
 // refuseExpired refuses a queued request that has reached its expiry or its
@@ -82,9 +82,9 @@
 	return co.fairShare(ws, guaranteedSum, weightSum)
 }
 
-// withJitter sets the retry-after time of er to wait plus a random time of up
+// withRetryAfter sets the retry-after time of er to wait plus a random time of up
 // to wait, so that refused callers do not retry at the same time.
-func (co *Controller) withJitter(er *codes.Error, wait time.Duration) *codes.Error {
+func (co *Controller) withRetryAfter(er *codes.Error, wait time.Duration) *codes.Error {
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	return er.WithRetryAfter(wait + time.Duration(co.rnd.Int64N(int64(wait))))
 }
