Tell the refusals of a full queue apart in their details

A request evicted from a full queue got the same detail as one that found the queue full, and a queued request was refused because no slot became free in time, without saying which time. The details now say so, and two fields of a service say what they hold.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -167,7 +167,7 @@
 			return []Decision{co.refuse(tr, codes.Overloaded, "the queue is full")}
 		}
 		co.remove(victim)
-		evicted = append(evicted, co.refuse(victim, codes.Overloaded, "the queue is full"))
+		evicted = append(evicted, co.refuse(victim, codes.Overloaded, "removed from the full queue in favor of another request"))
 	}
 	co.enqueue(now, tr)
 	return append([]Decision{Queued{Request: rq, ExpiresAt: tr.expiresAt}}, evicted...)
--- a/internal/admit/refusal.go
+++ b/internal/admit/refusal.go
@@ -47,7 +47,7 @@
 	if !tr.Deadline.IsZero() && !now.Before(tr.Deadline) {
 		return co.refuse(tr, codes.DeadlinePassed, "the deadline passed in the queue")
 	}
-	return co.refuse(tr, codes.Overloaded, "no slot became free in time")
+	return co.refuse(tr, codes.Overloaded, "no slot became free within the queue time")
 }
 
 // estimateWait returns the expected time until tr gets a slot: the estimated
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -30,8 +30,8 @@
 		lastRequest uint64               // ID of the last request for a slot
 		upstreams   map[string]*upstream // by endpoint
 		spillRule   spec.Spill
-		zones       []route.ForwardZone
-		emptyUntil  map[string]time.Time // by zone without a usable endpoint: no request is forwarded to it before
+		zones       []route.ForwardZone  // other zones with ready entry hosts
+		emptyUntil  map[string]time.Time // by zone that had no usable endpoint: no request is forwarded to it before this time
 	}
 
 	// upstream holds the connections to one endpoint.
