Name the offset and the codes in the tests of entry by what they hold

In the tests of entry, the loops over byte offsets called the offset after, a map of codes by request was called answers, and the function that checks one connection fault only said that it runs it. They are now offset, codeOf and checkConnFault.

--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -163,16 +163,16 @@
 				}()
 			}
 			counts := make(map[codes.Code]int)
-			answers := make(map[string]codes.Code)
+			codeOf := make(map[string]codes.Code)
 			for range tc.requests {
 				an := <-results
 				counts[an.code]++
-				answers[an.request] = an.code
+				codeOf[an.request] = an.code
 			}
 			is.Equal(counts[codes.RequestDone], tc.requests-tc.busy)
 			is.Equal(counts[codes.EndpointBusy], tc.busy)
 			runs := th.runs()
-			for request, cd := range answers {
+			for request, cd := range codeOf {
 				is.Equal(runs[request] == 1, cd == codes.RequestDone)
 			}
 			th.checkAccount(is, counts)
--- a/internal/entry/connfault_test.go
+++ b/internal/entry/connfault_test.go
@@ -103,17 +103,17 @@
 func TestConnectionFaultAtEachOffset(t *testing.T) {
 	for _, kind := range []string{kindCut, kindUnresponsive} {
 		for _, repeatable := range []bool{true, false} {
-			for after := 0; after < requestSize; after += offsetStep {
-				runConnFault(t, connFault{offset: after, kind: kind}, repeatable)
+			for offset := 0; offset < requestSize; offset += offsetStep {
+				checkConnFault(t, connFault{offset: offset, kind: kind}, repeatable)
 			}
-			for after := 0; after < responseSize; after += offsetStep {
-				runConnFault(t, connFault{onResponse: true, offset: after, kind: kind}, repeatable)
+			for offset := 0; offset < responseSize; offset += offsetStep {
+				checkConnFault(t, connFault{onResponse: true, offset: offset, kind: kind}, repeatable)
 			}
 		}
 	}
 }
 
-func runConnFault(t *testing.T, cf connFault, repeatable bool) {
+func checkConnFault(t *testing.T, cf connFault, repeatable bool) {
 	t.Run(fmt.Sprintf("%s/response=%v/after=%d/repeatable=%v", cf.kind, cf.onResponse, cf.offset, repeatable), func(t *testing.T) {
 		t.Parallel()
 		is := is.New(t)
