Name the subtests of a connection fault by its kind and offset

The subtests of TestConnectionFaultAtEachOffset were named silent/.../after=24, while the code calls the connection unresponsive and the number an offset. The names now agree with the code; the cases are the same.

--- a/internal/entry/connfault_test.go
+++ b/internal/entry/connfault_test.go
@@ -37,7 +37,7 @@
 
 const (
 	kindCut          = "cut"
-	kindUnresponsive = "silent"
+	kindUnresponsive = "unresponsive"
 	offsetStep       = 24 // bytes between two tested offsets
 	requestSize      = 480
 	responseSize     = 360
@@ -114,7 +114,7 @@
 }
 
 func checkConnFault(t *testing.T, cf connFault, repeatable bool) {
-	t.Run(fmt.Sprintf("%s/response=%v/after=%d/repeatable=%v", cf.kind, cf.onResponse, cf.offset, repeatable), func(t *testing.T) {
+	t.Run(fmt.Sprintf("%s/response=%v/offset=%d/repeatable=%v", cf.kind, cf.onResponse, cf.offset, repeatable), func(t *testing.T) {
 		t.Parallel()
 		is := is.New(t)
 		th := newTestHost(t, 1, func(cfg *entry.Config, _ *spec.Declarations) {
