Say in relay that newClientConn wraps a connection

The comment of newClientConn still named the former type link, which is now clientConn. It says what the function does.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -41,7 +41,7 @@
 	errConnClosed  = errors.New("the connection is closed")
 )
 
-// newClientConn returns a link over an open connection.
+// newClientConn wraps an open connection.
 func newClientConn(cn net.Conn, cfg Config) *clientConn {
 	tc := &trackedConn{Conn: cn, writeTimeout: cfg.WriteTimeout}
 	var dialled atomic.Bool
