--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -27,7 +27,7 @@
 type result struct {
 	offered int
 	served  int
-	expired int // refused after waiting in the queue
+	expired int // refused after being queued
 	waits   []time.Duration
 }
 
@@ -36,23 +36,23 @@
 func simulate(t testing.TB, co *admit.Controller, service, length time.Duration, loads ...load) []result {
 	const step = time.Millisecond
 	results := make([]result, len(loads))
-	owner := make(map[uint64]int)
+	loadOf := make(map[uint64]int) // index of the load, by request ID
 	ends := make(map[time.Duration][]uint64)
 	next := make([]time.Duration, len(loads))
-	waiting := make(map[uint64]bool)
+	queued := make(map[uint64]bool)
 	id := uint64(0)
 	apply := func(at time.Duration, ds []admit.Decision) {
 		for _, de := range ds {
-			re := &results[owner[de.Subject().ID]]
+			re := &results[loadOf[de.Subject().ID]]
 			switch de := de.(type) {
-			case admit.Admit:
+			case admit.Admitted:
 				re.served++
 				re.waits = append(re.waits, de.Waited)
 				ends[at+service] = append(ends[at+service], de.ID)
-			case admit.Wait:
-				waiting[de.ID] = true
-			case admit.Refuse:
-				if waiting[de.ID] {
+			case admit.Queued:
+				queued[de.ID] = true
+			case admit.Refused:
+				if queued[de.ID] {
 					re.expired++
 				}
 			}
@@ -70,9 +70,9 @@
 		for i, lo := range loads {
 			for ; next[i] <= at; next[i] += lo.every {
 				id++
-				owner[id] = i
+				loadOf[id] = i
 				results[i].offered++
-				apply(at, co.Offer(now, admit.Ticket{
+				apply(at, co.Offer(now, admit.Request{
 					ID: id, Workspace: lo.workspace, Caller: lo.caller, Urgency: lo.urgency, Deadline: now.Add(5 * time.Second),
 				}))
 			}
@@ -146,6 +146,8 @@
 	}
 }
 
+// TestFairnessAmongCallers guards against a caller that takes the slots of the
+// other callers of its workspace by a high rate and a high urgency.
 func TestFairnessAmongCallers(t *testing.T) {
 	is := is.New(t)
 	co := newController(10, admit.Share{Workspace: "parish", Weight: 1})
@@ -181,9 +183,9 @@
 	is := is.New(t)
 	co := newController(1, admit.Share{Workspace: "parish", Weight: 1})
 	offer := func(id uint64, urgency int) admit.Decision {
-		return co.Offer(epoch, admit.Ticket{ID: id, Workspace: "parish", Caller: "a", Urgency: urgency})[0]
+		return co.Offer(epoch, admit.Request{ID: id, Workspace: "parish", Caller: "a", Urgency: urgency})[0]
 	}
-	_, ok := offer(1, 0).(admit.Admit)
+	_, ok := offer(1, 0).(admit.Admitted)
 	is.True(ok)
 	offer(2, 0)
 	offer(3, 1)
@@ -216,8 +218,8 @@
 	now := epoch.Add(5 * time.Second)
 	waits := make(map[time.Duration]bool)
 	for id := range uint64(50) {
-		ds := co.Offer(now, admit.Ticket{ID: 1000 + id, Workspace: "parish", Caller: "a", Deadline: now.Add(100 * time.Millisecond)})
-		re, ok := ds[0].(admit.Refuse)
+		ds := co.Offer(now, admit.Request{ID: 1000 + id, Workspace: "parish", Caller: "a", Deadline: now.Add(100 * time.Millisecond)})
+		re, ok := ds[0].(admit.Refused)
 		is.True(ok)
 		is.Equal(re.Err.Code.Class(), codes.NotRun)
 		is.True(re.Err.RetryAfter >= 400*time.Millisecond) // at least one service time
@@ -230,13 +232,13 @@
 func TestPastDeadline(t *testing.T) {
 	is := is.New(t)
 	co := newController(1)
-	re, ok := co.Offer(epoch, admit.Ticket{ID: 1, Deadline: epoch})[0].(admit.Refuse)
+	re, ok := co.Offer(epoch, admit.Request{ID: 1, Deadline: epoch})[0].(admit.Refused)
 	is.True(ok)
 	is.Equal(re.Err.Code, codes.DeadlinePassed)
 }
 
 // TestInvariants applies random operations to a controller: the capacity is
-// never exceeded, no slot is free while a request is queued, and each ticket
+// never exceeded, no slot is free while a request is queued, and each request
 // gets exactly one final decision.
 func TestInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -249,15 +251,15 @@
 			for _, de := range ds {
 				id := de.Subject().ID
 				if state[id] == "final" {
-					t.Fatalf("ticket %d was decided before", id)
+					t.Fatalf("request %d got a second final decision", id)
 				}
 				switch de.(type) {
-				case admit.Wait:
-					state[id] = "waits"
-				case admit.Admit:
+				case admit.Queued:
+					state[id] = "queued"
+				case admit.Admitted:
 					state[id] = "final"
 					running = append(running, id)
-				case admit.Refuse:
+				case admit.Refused:
 					state[id] = "final"
 				}
 			}
@@ -275,7 +277,7 @@
 					running = running[1:]
 				}
 			default:
-				apply(co.Offer(now, admit.Ticket{
+				apply(co.Offer(now, admit.Request{
 					ID:        id,
 					Workspace: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace"),
 					Caller:    rapid.SampledFrom([]string{"x", "y"}).Draw(t, "caller"),
@@ -283,29 +285,29 @@
 					Deadline:  now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "left")) * time.Millisecond),
 				}))
 			}
-			if co.Waiting() > 8 || co.InUse() != len(running) || (co.Waiting() > 0 && co.InUse() < co.Capacity()) {
-				t.Fatalf("waiting %d, in use %d of %d, running %d", co.Waiting(), co.InUse(), co.Capacity(), len(running))
+			if co.QueueLength() > 8 || co.InUse() != len(running) || (co.QueueLength() > 0 && co.InUse() < co.Capacity()) {
+				t.Fatalf("%d queued, %d slots in use of %d, %d running", co.QueueLength(), co.InUse(), co.Capacity(), len(running))
 			}
 		}
-		waiting := 0
+		queued := 0
 		for _, st := range state {
-			if st == "waits" {
-				waiting++
+			if st == "queued" {
+				queued++
 			}
 		}
-		if waiting != co.Waiting() {
-			t.Fatalf("%d tickets have no decision, %d wait", waiting, co.Waiting())
+		if queued != co.QueueLength() {
+			t.Fatalf("%d requests have no final decision, but %d are queued", queued, co.QueueLength())
 		}
 		apply(co.Expire(now.Add(time.Second)))
-		if co.Waiting() != 0 {
-			t.Fatal("tickets outlive the queue time")
+		if co.QueueLength() != 0 {
+			t.Fatal("requests are queued for longer than the queue time")
 		}
 	})
 }
 
 // TestFloodIsRefusedWithoutWaiting floods a controller whose queue is bounded
 // by time only, while another workspace takes slots that the wait estimates did
-// not account for. At most one request in 1000 may be refused after waiting.
+// not account for. At most one request in 1000 may be refused after being queued.
 func TestFloodIsRefusedWithoutWaiting(t *testing.T) {
 	is := is.New(t)
 	co := admit.New(admit.Config{MaxQueue: 100000, QueueTime: time.Second, Seed: 1})
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -17,7 +17,7 @@
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
 
-// call is a request to a service in progress.
+// call is the state of a request to a service while it is served.
 type call struct {
 	sr         *Server
 	w          http.ResponseWriter
@@ -35,14 +35,14 @@
 	target     string // path and query sent to the endpoint
 	body       []byte
 
-	ticket          *report.Work // nil if another host accounts for the request
+	work            *report.Work // nil if another host accounts for the request
 	outcome         report.Outcome
 	attempts        int
-	claim           *Claim       // acquired, and its outcome is not recorded yet
-	slot            *admit.Admit // nil if the request holds no slot
+	claim           *Claim          // acquired, and its outcome is not recorded yet
+	slot            *admit.Admitted // nil if the request holds no slot
 	slotSince       time.Time
 	responseStarted bool // part of the response may have been written to the caller
-	accounted       bool // the outcome has been recorded
+	accounted       bool // the outcome has been recorded in the account and the metrics
 }
 
 const (
@@ -71,11 +71,12 @@
 	sr.serveCall(&call{sr: sr, w: w, r: r, id: id, began: time.Now(), originZone: r.Header.Get(headerHop)})
 }
 
-// serveCall serves a request and makes sure that it has exactly one outcome.
+// serveCall serves a request and ensures that exactly one outcome of it is
+// recorded.
 func (sr *Server) serveCall(cl *call) {
 	cl.outcome.Code = codes.InternalFailure
 	cl.r.Header.Del(headerHop)
-	ok, stopped := sr.work.begin(inProgressFactor * sr.cfg.Limits.Requests)
+	ok, stopped := sr.inProgress.begin(inProgressFactor * sr.cfg.Limits.Requests)
 	cl.identify()
 	defer cl.finish(ok)
 	switch {
@@ -104,7 +105,7 @@
 		}
 	}
 	if cl.originZone == "" && cl.sr.cfg.Account != nil {
-		cl.ticket = cl.sr.cfg.Account.Offer(cl.began, cl.workspace, cl.service)
+		cl.work = cl.sr.cfg.Account.Offer(cl.began, cl.workspace, cl.service)
 	}
 }
 
@@ -193,7 +194,7 @@
 // admit waits for a slot, which releaseSlot returns.
 func (cl *call) admit(ctx context.Context) *codes.Error {
 	deadline, _ := ctx.Deadline()
-	ad, er := cl.sv.admit(ctx, admit.Ticket{
+	ad, er := cl.sv.admit(ctx, admit.Request{
 		Workspace: cl.hd.workspace,
 		Caller:    cl.hd.caller,
 		Urgency:   int(cl.hd.priority) - 1,
@@ -236,7 +237,9 @@
 }
 
 // finish releases what the request holds and records its outcome, also after a
-// panic.
+// panic. counted says that the request counts as in progress. After a panic, it
+// writes an error response, or aborts the connection if a part of the response
+// may have been written.
 func (cl *call) finish(counted bool) {
 	fault := recover()
 	cl.releaseSlot()
@@ -245,44 +248,45 @@
 		cl.outcome.Code = codes.InternalFailure
 	}
 	cl.account()
-	cl.finishWork(counted)
+	cl.endRequest(counted)
 	switch {
 	case fault == nil:
 	case cl.responseStarted:
 		panic(http.ErrAbortHandler)
 	default:
-		cl.sr.writeError(cl.w, cl.id, codes.New(codes.InternalFailure, "see the log"))
+		cl.sr.writeError(cl.w, cl.id, codes.New(codes.InternalFailure, "the request handler panicked; see the log of the host"))
 	}
 }
 
-// account records the outcome. It runs before the caller can have the complete
-// response, so that the account never lags behind what callers know.
+// account records the outcome, unless it has been recorded before. It is called
+// before the caller can have the complete response, so that the account never
+// lags behind what callers know.
 func (cl *call) account() {
 	if cl.accounted {
 		return
 	}
 	cl.accounted = true
 	cl.outcome.Repeats = max(cl.attempts-1, 0)
-	if cl.ticket != nil {
-		cl.ticket.End(cl.outcome)
+	if cl.work != nil {
+		cl.work.End(cl.outcome)
 	}
 	cl.sr.metrics.countRequest(cl.service, cl.outcome.Code, time.Since(cl.began))
 }
 
-// finishWork records the outcome of the claim and then marks the request as no
-// longer in progress, so that a graceful stop waits for it. The response does
-// not wait.
-func (cl *call) finishWork(counted bool) {
+// endRequest records the outcome of the claim and then marks the request as no
+// longer in progress, so that a graceful stop waits for the record. The caller
+// of endRequest does not wait for it.
+func (cl *call) endRequest(counted bool) {
 	if cl.claim == nil {
 		if counted {
-			cl.sr.work.end()
+			cl.sr.inProgress.end()
 		}
 		return
 	}
 	go func() {
 		cl.recordClaimOutcome()
 		if counted {
-			cl.sr.work.end()
+			cl.sr.inProgress.end()
 		}
 	}()
 }
--- a/internal/entry/connfault_test.go
+++ b/internal/entry/connfault_test.go
@@ -25,7 +25,7 @@
 		kind       string // kindCut or kindUnresponsive
 	}
 
-	// faultyProxy forwards connections from an entry host to an endpoint. The
+	// faultyProxy relays connections from an entry host to an endpoint. The
 	// first connection that carries a request has the fault; all others work.
 	faultyProxy struct {
 		net.Listener
@@ -37,7 +37,7 @@
 
 const (
 	kindCut          = "cut"
-	kindUnresponsive = "silent"
+	kindUnresponsive = "unresponsive"
 	offsetStep       = 24 // bytes between two tested offsets
 	requestSize      = 480
 	responseSize     = 360
@@ -103,18 +103,18 @@
 func TestConnectionFaultAtEachOffset(t *testing.T) {
 	for _, kind := range []string{kindCut, kindUnresponsive} {
 		for _, repeatable := range []bool{true, false} {
-			for after := 0; after < requestSize; after += offsetStep {
-				runConnFault(t, connFault{offset: after, kind: kind}, repeatable)
+			for offset := 0; offset < requestSize; offset += offsetStep {
+				checkConnFault(t, connFault{offset: offset, kind: kind}, repeatable)
 			}
-			for after := 0; after < responseSize; after += offsetStep {
-				runConnFault(t, connFault{onResponse: true, offset: after, kind: kind}, repeatable)
+			for offset := 0; offset < responseSize; offset += offsetStep {
+				checkConnFault(t, connFault{onResponse: true, offset: offset, kind: kind}, repeatable)
 			}
 		}
 	}
 }
 
-func runConnFault(t *testing.T, cf connFault, repeatable bool) {
-	t.Run(fmt.Sprintf("%s/response=%v/after=%d/repeatable=%v", cf.kind, cf.onResponse, cf.offset, repeatable), func(t *testing.T) {
+func checkConnFault(t *testing.T, cf connFault, repeatable bool) {
+	t.Run(fmt.Sprintf("%s/response=%v/offset=%d/repeatable=%v", cf.kind, cf.onResponse, cf.offset, repeatable), func(t *testing.T) {
 		t.Parallel()
 		is := is.New(t)
 		th := newTestHost(t, 1, func(cfg *entry.Config, _ *spec.Declarations) {
@@ -127,7 +127,7 @@
 		})
 		an, err := th.order(client.HeaderRepeatable, fmt.Sprint(repeatable), client.HeaderTimeout, "700ms")
 		is.NoErr(err) // the entry host always responds
-		t.Logf("told %s, read %q, %v", an.code, an.body, an.err)
+		t.Logf("code %s, body %q, error %v", an.code, an.body, an.err)
 		ran := 0
 		eventually(t, "the run ends", func() bool {
 			ran = th.runs()[an.request]
@@ -154,6 +154,6 @@
 		is.True(ran >= 1)
 	case codes.Unknown:
 	default:
-		is.Fail() // not an outcome
+		is.Fail() // the code has no class
 	}
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/local.go
@@ -16,12 +16,14 @@
 const (
 	maxAttempts = 4
 
-	// slotPollInterval is the interval at which an admitted request looks for a
-	// free slot when the endpoints have fewer than this host has accounted for.
+	// slotPollInterval is the interval at which an admitted request tries again to
+	// choose an endpoint while none has a free slot. This happens when endpoints
+	// have fewer free slots than admission assumes.
 	slotPollInterval = 20 * time.Millisecond
 
-	// hangDivisor sets the time after which an endpoint without a response
-	// counts as failed, as a fraction of the timeout of the service.
+	// hangDivisor sets the minimum duration of an attempt that ends with the
+	// deadline of the request and counts as a failure of the endpoint: one part
+	// in hangDivisor of the timeout of the service.
 	hangDivisor = 2
 )
 
@@ -50,7 +52,7 @@
 			return last
 		}
 		fa := cl.attempt(ctx, ch, pool)
-		if fa != nil && fa.Cause != relay.CauseBusy {
+		if fa != nil && fa.Cause != relay.CauseNoFreeSlot {
 			tried = append(tried, ch.Endpoint.Name)
 		}
 		if fa == nil {
@@ -63,10 +65,10 @@
 	}
 }
 
-// waitForSlot pauses if endpoints were skipped because they have no free slot,
-// and reports whether an endpoint is to be chosen again. It is not if no endpoint
-// was skipped for that reason, if the request has been in progress for longer
-// than the queue time, or if ctx ends.
+// waitForSlot waits for slotPollInterval if endpoints were skipped because they
+// have no free slot, and then reports true: the endpoint is to be chosen again.
+// It reports false if no endpoint was skipped for that reason, if the request has
+// been in progress for longer than the queue time, or if ctx ends.
 func (cl *call) waitForSlot(ctx context.Context, choice route.Choice) bool {
 	none, ok := choice.(route.None)
 	if !ok || none.Rejections.Full == 0 || time.Since(cl.began) > cl.sr.cfg.Limits.QueueTime {
@@ -99,14 +101,15 @@
 
 // mayRetry reports whether the request may be sent again after a failed attempt.
 func (cl *call) mayRetry(fa *relay.Failure) bool {
-	if fa.Cause == relay.CauseCallerGone || fa.Cause == relay.CauseDeadline {
+	if fa.Cause == relay.CauseCallerDisconnected || fa.Cause == relay.CauseDeadline {
 		return false
 	}
 	return route.MayRetry(route.AttemptResult{NotRun: fa.Code.Class() == codes.NotRun, ResponseStarted: cl.responseStarted}, cl.repeatable)
 }
 
-// noEndpointError returns the outcome when no endpoint is left. If there was an
-// attempt, its error takes precedence, since it is more specific.
+// noEndpointError logs that no endpoint can be chosen, and returns the error for
+// it. If there was an attempt, its error takes precedence, since it is more
+// specific.
 func (cl *call) noEndpointError(ctx context.Context, choice route.Choice, last *codes.Error) *codes.Error {
 	none, ok := choice.(route.None)
 	if !ok {
@@ -141,7 +144,7 @@
 		fa = cl.stream(rp)
 	}
 	obs := []route.Observation{cl.observation(rp, fa, time.Since(start))}
-	if rp.response != nil && rp.response.Leaving {
+	if rp.response != nil && rp.response.Draining {
 		obs = append(obs, route.Draining{})
 	}
 	cl.sv.endAttempt(ch.Endpoint.Name, obs...)
@@ -172,9 +175,9 @@
 	switch fa.Cause {
 	case relay.CauseDial:
 		return route.Unreachable{}
-	case relay.CauseBusy:
-		return route.Busy{}
-	case relay.CauseLeaving:
+	case relay.CauseNoFreeSlot:
+		return route.NoFreeSlot{}
+	case relay.CauseDraining:
 		return route.Draining{}
 	case relay.CauseNoResponse, relay.CauseTruncated, relay.CauseMismatch:
 		return route.Failed{}
@@ -204,6 +207,6 @@
 		slog.String("event", "route"), slog.String("request", cl.id),
 		slog.String("workspace", cl.workspace), slog.String("service", cl.service),
 		slog.String("endpoint", rl.endpoint), slog.String("zone", rl.zone),
-		slog.Int("attempt", cl.attempts), slog.Int("of", rl.candidates), slog.String("losers", rl.rejections), slog.Bool("loan", rl.borrowed),
+		slog.Int("attempt", cl.attempts), slog.Int("candidates", rl.candidates), slog.String("losers", rl.rejections), slog.Bool("borrowed", rl.borrowed),
 		slog.Int("code", int(rl.code)), slog.String("cause", rl.cause), slog.Duration("duration", rl.duration))
 }
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -62,7 +62,7 @@
 		}
 		er = &codes.Error{Code: cd, Detail: ap.Detail}
 	}
-	er = ar.sr.withRetry(er)
+	er = ar.sr.withRetryAfter(er)
 	ap.Answer = newAnswer(ar.id, er)
 	ar.w.Header().Set(client.HeaderRevision, strconv.FormatInt(ap.Revision, 10))
 	ar.write(er, ap)
@@ -128,5 +128,6 @@
 	return nil
 }
 
-// wantsText reports whether the operator prefers text to JSON.
+// wantsText reports whether the Accept header begins with plain text. Otherwise,
+// the operator gets JSON.
 func wantsText(r *http.Request) bool { return strings.HasPrefix(r.Header.Get("Accept"), "text/plain") }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -22,29 +22,29 @@
 	// Server is the HTTP interface of one entry host.
 	Server struct {
 		cfg          Config
-		start        time.Time // part of each request ID
+		start        time.Time // of this process; part of each request ID
 		metrics      *serverMetrics
 		handler      http.Handler
 		spillHandler http.Handler
 
-		refreshMu sync.Mutex   // held during a refresh
-		mu        sync.RWMutex // guards services, hopPools and rnd
-		services  map[string]*service
-		hopPools  map[string]*relay.Pool // by name of the other entry host
-		rnd       *rand.Rand
+		refreshMu    sync.Mutex   // held during a refresh
+		mu           sync.RWMutex // guards services, forwardPools and rnd
+		services     map[string]*service
+		forwardPools map[string]*relay.Pool // by name of the other entry host
+		rnd          *rand.Rand
 
-		requests      atomic.Uint64 // counter for request IDs
+		lastRequest   atomic.Uint64 // counter for request IDs
 		bodiesReading atomic.Int64  // request bodies being read
 		bufferedBytes atomic.Int64  // of all request bodies in memory
 		serving       atomic.Int64  // requests whose body has been read
-		draining      atomic.Bool   // not ready, as the host is being stopped
-		work          workCounter
+		draining      atomic.Bool   // the host is being stopped and reports not ready
+		inProgress    requestCounter
 	}
 
-	// workCounter counts the requests in progress and can refuse new ones.
-	workCounter struct {
+	// requestCounter counts the requests in progress and can refuse new ones.
+	requestCounter struct {
 		mu       sync.Mutex
-		count    int
+		active   int
 		stopped  bool
 		idle     chan struct{} // closed when stopped and no request is in progress
 		stopping chan struct{} // closed when stopped
@@ -55,7 +55,7 @@
 	refreshInterval   = 200 * time.Millisecond
 	probeInterval     = 500 * time.Millisecond
 	idleTimeout       = 90 * time.Second // of a caller's connection
-	shutdownTimeout   = time.Second      // for connections to close after a stop
+	shutdownTimeout   = time.Second      // for connections to close once the requests have ended
 	headerLimitFactor = 4                // http.Server must accept more than the limit, so that the response can have a code
 )
 
@@ -65,16 +65,16 @@
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
 	sr := &Server{
-		cfg:      cfg,
-		start:    time.Now(),
-		metrics:  newServerMetrics(),
-		services: make(map[string]*service),
-		hopPools: make(map[string]*relay.Pool),
-		rnd:      rand.New(rand.NewPCG(cfg.Seed, 0)),
-		work:     workCounter{idle: make(chan struct{}), stopping: make(chan struct{})},
+		cfg:          cfg,
+		start:        time.Now(),
+		metrics:      newServerMetrics(),
+		services:     make(map[string]*service),
+		forwardPools: make(map[string]*relay.Pool),
+		rnd:          rand.New(rand.NewPCG(cfg.Seed, 0)),
+		inProgress:   requestCounter{idle: make(chan struct{}), stopping: make(chan struct{})},
 	}
 	sr.handler = sr.routes()
-	sr.spillHandler = sr.spillRoutes()
+	sr.spillHandler = sr.forwardRoutes()
 	sr.metrics.registerServer(sr)
 	sr.refresh(time.Now())
 	return sr
@@ -163,19 +163,19 @@
 	sr.draining.Store(true)
 	sr.cfg.Log.Info("not ready", "event", "stop", "delay", sr.cfg.Stop.Delay)
 	time.Sleep(sr.cfg.Stop.Delay)
-	sr.cfg.Log.Info("refusing new requests", "event", "stop", "inProgress", sr.work.stop())
+	sr.cfg.Log.Info("refusing new requests", "event", "stop", "inProgress", sr.inProgress.stop())
 	bound := time.NewTimer(sr.cfg.Stop.Bound)
 	defer bound.Stop()
 	select {
-	case <-sr.work.idle:
+	case <-sr.inProgress.idle:
 		sr.cfg.Log.Info("all requests finished", "event", "stop")
 	case <-bound.C:
-		sr.cfg.Log.Error("requests aborted at the stop deadline", "event", "stop", "bound", sr.cfg.Stop.Bound, "inProgress", sr.work.inProgress())
+		sr.cfg.Log.Error("requests aborted at the stop deadline", "event", "stop", "bound", sr.cfg.Stop.Bound, "inProgress", sr.inProgress.count())
 	}
 }
 
-// shutdown closes a server. After closeTimeout, it aborts the requests that are
-// still in progress.
+// shutdown closes a server. After shutdownTimeout, it aborts the requests that
+// are still in progress.
 func shutdown(hs *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
@@ -214,7 +214,8 @@
 	}
 }
 
-// refresh updates the services, their endpoints and the members.
+// refresh opens and closes services by the declarations, and updates the endpoints
+// and the entry hosts that they know.
 func (sr *Server) refresh(now time.Time) {
 	sr.refreshMu.Lock()
 	defer sr.refreshMu.Unlock()
@@ -238,7 +239,7 @@
 			delete(sr.services, name)
 		}
 	}
-	sr.closeDeadHopPools(members)
+	sr.closeDeadForwardPools(members)
 }
 
 // openService returns a service and creates it if it does not exist yet.
@@ -277,61 +278,62 @@
 	return sr.cfg.Members(now)
 }
 
+// closePools closes the connections to all endpoints and other entry hosts.
 func (sr *Server) closePools() {
 	sr.mu.Lock()
 	defer sr.mu.Unlock()
 	for _, sv := range sr.services {
 		sv.close()
 	}
-	for _, po := range sr.hopPools {
+	for _, po := range sr.forwardPools {
 		po.Close()
 	}
 }
 
 // newID returns a request ID that is unique across hosts and their restarts.
 func (sr *Server) newID() string {
-	return fmt.Sprintf("%s-%x-%d", sr.cfg.Host, sr.start.UnixMicro(), sr.requests.Add(1))
+	return fmt.Sprintf("%s-%x-%d", sr.cfg.Host, sr.start.UnixMicro(), sr.lastRequest.Add(1))
 }
 
 // begin counts a request as in progress. ok is false if limit requests are in
 // progress already or the counter is stopped; stopped tells the two apart.
-func (wc *workCounter) begin(limit int) (ok, stopped bool) {
-	wc.mu.Lock()
-	defer wc.mu.Unlock()
-	if wc.stopped || wc.count >= limit {
-		return false, wc.stopped
+func (rc *requestCounter) begin(limit int) (ok, stopped bool) {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	if rc.stopped || rc.active >= limit {
+		return false, rc.stopped
 	}
-	wc.count++
+	rc.active++
 	return true, false
 }
 
 // end counts a request as no longer in progress.
-func (wc *workCounter) end() {
-	wc.mu.Lock()
-	defer wc.mu.Unlock()
-	wc.count--
-	if wc.stopped && wc.count == 0 {
-		close(wc.idle)
+func (rc *requestCounter) end() {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	rc.active--
+	if rc.stopped && rc.active == 0 {
+		close(rc.idle)
 	}
 }
 
 // stop refuses further requests and returns the number of those in progress.
-func (wc *workCounter) stop() int {
-	wc.mu.Lock()
-	defer wc.mu.Unlock()
-	if wc.stopped {
-		return wc.count
+func (rc *requestCounter) stop() int {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	if rc.stopped {
+		return rc.active
 	}
-	wc.stopped = true
-	close(wc.stopping)
-	if wc.count == 0 {
-		close(wc.idle)
+	rc.stopped = true
+	close(rc.stopping)
+	if rc.active == 0 {
+		close(rc.idle)
 	}
-	return wc.count
+	return rc.active
 }
 
-func (wc *workCounter) inProgress() int {
-	wc.mu.Lock()
-	defer wc.mu.Unlock()
-	return wc.count
+func (rc *requestCounter) count() int {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	return rc.active
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -17,21 +17,21 @@
 )
 
 type (
-	// service holds the admission, the routing table and the connections of one
-	// service.
+	// service holds the admission controller, the routing table and the connections
+	// of one service.
 	service struct {
 		name string
 
-		mu         sync.Mutex
-		admission  *admit.Controller
-		table      *route.Table
-		budget     *route.RetryBudget
-		waiters    map[uint64]chan admit.Decision
-		lastTicket uint64
-		upstreams  map[string]*upstream // by endpoint
-		spillRule  spec.Spill
-		zones      []route.Zone
-		emptyUntil map[string]time.Time // by zone without a usable endpoint: no request is forwarded to it before
+		mu          sync.Mutex
+		admission   *admit.Controller
+		table       *route.Table
+		budget      *route.RetryBudget
+		waiters     map[uint64]chan admit.Decision
+		lastRequest uint64               // ID of the last request for a slot
+		upstreams   map[string]*upstream // by endpoint
+		spillRule   spec.Spill
+		zones       []route.ForwardZone  // other zones with ready entry hosts
+		emptyUntil  map[string]time.Time // by zone that had no usable endpoint: no request is forwarded to it before this time
 	}
 
 	// upstream holds the connections to one endpoint.
@@ -43,13 +43,13 @@
 		lastProbed time.Time
 	}
 
-	// zoneView is the input of one refresh.
+	// zoneView is the input of one refresh, which is the same for all services.
 	zoneView struct {
 		declarations *spec.Declarations
 		endpoints    []plat.Host
-		draining     map[string]bool // endpoints, as reported by other hosts
-		hosts        []string        // other live entry hosts of the local zone
-		zones        []route.Zone    // other zones with ready entry hosts
+		draining     map[string]bool     // endpoints that are shutting down, according to other hosts
+		hosts        []string            // other live entry hosts of the local zone
+		zones        []route.ForwardZone // other zones with ready entry hosts
 	}
 )
 
@@ -78,8 +78,8 @@
 	}
 }
 
-// newZoneView returns the endpoints of the local zone and the live entry hosts
-// among the members, without this host.
+// newZoneView returns the declarations, the endpoints of the local zone, and the
+// live entry hosts among the members, without this host.
 func newZoneView(cfg Config, de *spec.Declarations, members []peers.Member) zoneView {
 	vw := zoneView{declarations: de, draining: make(map[string]bool)}
 	if cfg.Endpoints != nil {
@@ -102,7 +102,7 @@
 	}
 	for _, zn := range de.Zones {
 		if hosts := others[zn.Name]; len(hosts) > 0 {
-			vw.zones = append(vw.zones, route.Zone{Name: zn.Name, Region: zn.Region, Hosts: hosts})
+			vw.zones = append(vw.zones, route.ForwardZone{Name: zn.Name, Region: zn.Region, Hosts: hosts})
 		}
 	}
 	return vw
@@ -125,15 +125,15 @@
 	sv.spillRule, sv.zones = sd.Spill, vw.zones
 	sv.table.Update(endpoints, vw.hosts)
 	sv.updateUpstreams(endpoints)
-	sv.table.AdjustBorrowing(now, sv.admission.Waiting())
+	sv.table.AdjustBorrowing(now, sv.admission.QueueLength())
 	sv.admission.SetShares(sv.shares(now, vw.declarations))
 	sv.updateCapacity(now)
 	sv.deliver(sv.admission.Expire(now))
 }
 
-// shares returns the guarantees of the workspaces on this host: the guaranteed
-// slots of the zone, scaled by this host's fraction of the zone's slots. mu must
-// be held.
+// shares returns the shares of the workspaces on this host. The slots guaranteed
+// in the zone are scaled by the fraction of the zone's slots that this host owns
+// and can use. mu must be held.
 func (sv *service) shares(now time.Time, de *spec.Declarations) []admit.Share {
 	usableFraction := 0.0
 	if all := sv.table.TotalSlots(); all > 0 {
@@ -148,8 +148,8 @@
 	return shares
 }
 
-// updateUpstreams opens the connections to new endpoints, and closes those to
-// endpoints that were removed or have another address. mu must be held.
+// updateUpstreams creates the connection pools of new endpoints, and closes those
+// of endpoints that were removed or have another address. mu must be held.
 func (sv *service) updateUpstreams(endpoints []route.Endpoint) {
 	kept := make(map[string]*upstream, len(endpoints))
 	for _, ep := range endpoints {
@@ -179,7 +179,7 @@
 func (sv *service) drainingEndpoints() []string {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	return sv.table.Draining()
+	return sv.table.DrainingNames()
 }
 
 // usableSlots returns the number of slots at endpoints that take new requests.
@@ -190,33 +190,33 @@
 }
 
 // admit waits for a slot, which releaseSlot returns.
-func (sv *service) admit(ctx context.Context, ti admit.Ticket) (admit.Admit, *codes.Error) {
+func (sv *service) admit(ctx context.Context, rq admit.Request) (admit.Admitted, *codes.Error) {
 	sv.mu.Lock()
-	sv.lastTicket++
-	ti.ID = sv.lastTicket
-	ds := sv.admission.Offer(time.Now(), ti)
-	var ready chan admit.Decision
-	if _, ok := ds[0].(admit.Wait); ok {
-		ready = make(chan admit.Decision, 1)
-		sv.waiters[ti.ID] = ready
+	sv.lastRequest++
+	rq.ID = sv.lastRequest
+	ds := sv.admission.Offer(time.Now(), rq)
+	var decided chan admit.Decision
+	if _, ok := ds[0].(admit.Queued); ok {
+		decided = make(chan admit.Decision, 1)
+		sv.waiters[rq.ID] = decided
 	}
 	sv.deliver(ds[1:])
 	sv.mu.Unlock()
 	switch de := ds[0].(type) {
-	case admit.Wait:
-		return sv.await(ctx, de, ready)
+	case admit.Queued:
+		return sv.await(ctx, de, decided)
 	default:
 		return finalResult(de)
 	}
 }
 
-// await waits for the final decision on a queued ticket.
-func (sv *service) await(ctx context.Context, wt admit.Wait, ready chan admit.Decision) (admit.Admit, *codes.Error) {
-	timer := time.NewTimer(time.Until(wt.ExpiresAt))
+// await waits for the final decision on a queued request.
+func (sv *service) await(ctx context.Context, qd admit.Queued, decided chan admit.Decision) (admit.Admitted, *codes.Error) {
+	timer := time.NewTimer(time.Until(qd.ExpiresAt))
 	defer timer.Stop()
 	for {
 		select {
-		case de := <-ready:
+		case de := <-decided:
 			return finalResult(de)
 		case <-timer.C:
 			sv.mu.Lock()
@@ -224,38 +224,38 @@
 			sv.mu.Unlock()
 			timer.Reset(time.Millisecond)
 		case <-ctx.Done():
-			return sv.cancel(ctx, wt, ready)
+			return sv.cancel(ctx, qd, decided)
 		}
 	}
 }
 
-// cancel removes a queued ticket whose context has ended. If the ticket was
+// cancel removes a queued request whose context has ended. If the request was
 // admitted in the meantime, it releases the slot.
-func (sv *service) cancel(ctx context.Context, wt admit.Wait, ready chan admit.Decision) (admit.Admit, *codes.Error) {
+func (sv *service) cancel(ctx context.Context, qd admit.Queued, decided chan admit.Decision) (admit.Admitted, *codes.Error) {
 	sv.mu.Lock()
-	cancelled := sv.admission.Cancel(wt.ID)
-	delete(sv.waiters, wt.ID)
+	cancelled := sv.admission.Cancel(qd.ID)
+	delete(sv.waiters, qd.ID)
 	sv.mu.Unlock()
 	if !cancelled {
-		if de, ok := (<-ready).(admit.Admit); ok {
+		if de, ok := (<-decided).(admit.Admitted); ok {
 			sv.releaseSlot(de)
 		}
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return admit.Admit{}, codes.New(codes.DeadlinePassed, "the deadline passed in the queue")
+		return admit.Admitted{}, codes.New(codes.DeadlinePassed, "the deadline passed in the queue")
 	}
-	return admit.Admit{}, codes.New(codes.CallerGone, "")
+	return admit.Admitted{}, codes.New(codes.CallerGone, "")
 }
 
-// finalResult returns the result of a final decision.
-func finalResult(de admit.Decision) (admit.Admit, *codes.Error) {
+// finalResult returns the slot or the error of a final decision.
+func finalResult(de admit.Decision) (admit.Admitted, *codes.Error) {
 	switch de := de.(type) {
-	case admit.Admit:
+	case admit.Admitted:
 		return de, nil
-	case admit.Refuse:
-		return admit.Admit{}, de.Err
+	case admit.Refused:
+		return admit.Admitted{}, de.Err
 	default:
-		return admit.Admit{}, codes.New(codes.InternalFailure, "decision %T", de)
+		return admit.Admitted{}, codes.New(codes.InternalFailure, "decision %T", de)
 	}
 }
 
@@ -263,15 +263,15 @@
 func (sv *service) deliver(ds []admit.Decision) {
 	for _, de := range ds {
 		id := de.Subject().ID
-		if ready, ok := sv.waiters[id]; ok {
-			ready <- de
+		if decided, ok := sv.waiters[id]; ok {
+			decided <- de
 			delete(sv.waiters, id)
 		}
 	}
 }
 
 // releaseSlot returns the slot of an admitted request.
-func (sv *service) releaseSlot(ad admit.Admit) {
+func (sv *service) releaseSlot(ad admit.Admitted) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	sv.deliver(sv.admission.Release(time.Now(), ad.ID))
@@ -354,17 +354,17 @@
 }
 
 // recordProbe records the result of a probe.
-func (sv *service) recordProbe(ctx context.Context, endpoint string, he relay.Health) {
+func (sv *service) recordProbe(ctx context.Context, endpoint string, pr relay.ProbeResult) {
 	if ctx.Err() != nil {
 		return
 	}
 	var ob route.Observation = route.Reachable{}
 	switch {
-	case !he.Reachable:
+	case !pr.Reachable:
 		ob = route.Unreachable{}
-	case he.Leaving:
+	case pr.Draining:
 		ob = route.Draining{}
-	case he.HasState:
+	case pr.HasState:
 		ob = route.Serving{}
 	}
 	sv.mu.Lock()
