conf: name identifiers of calls and injected faults for what they are

The identifier of a call of Apply was called apply, Apply and id; it is now applyID everywhere, with the stored JSON key unchanged. The function load is now loadContent. In the tests a lost reply is no longer called an answer, and the flag of the faulty store that fails all further calls is called down, since it is set for a store outage as well as for a killed host. The test of an unknown outcome is renamed, since the store goes down during the swap.

--- a/internal/conf/apply.go
+++ b/internal/conf/apply.go
@@ -35,11 +35,11 @@
 
 	// applier is the state of one call of Apply.
 	applier struct {
-		st  store.Store
-		req ApplyRequest
-		id  string
-		now time.Time
-		de  *spec.Declarations
+		st      store.Store
+		req     ApplyRequest
+		applyID string
+		now     time.Time
+		de      *spec.Declarations
 	}
 
 	// conflictError reports that another manifest, stored, replaced the expected
@@ -75,7 +75,7 @@
 	if err != nil {
 		return AcceptedFile{}, false, merry.Prepend(err, "generating apply ID")
 	}
-	ap := applier{st: st, req: req, id: id.String(), now: now.UTC().Round(0), de: doc.Declarations}
+	ap := applier{st: st, req: req, applyID: id.String(), now: now.UTC().Round(0), de: doc.Declarations}
 	return ap.run(ctx)
 }
 
@@ -117,7 +117,7 @@
 	if ap.req.Expect != nil && *ap.req.Expect != latest {
 		return ap.conflict(prev, latest)
 	}
-	next, chunks := prev.successor(latest+1, ap.id).withContent(ap.req.Content)
+	next, chunks := prev.successor(latest+1, ap.applyID).withContent(ap.req.Content)
 	next.AppliedBy = ap.req.By
 	next.AppliedAt = ap.now
 	if latest == 0 {
@@ -196,7 +196,7 @@
 // accepted, even if others have replaced it since.
 func (ap applier) wasAccepted(ent store.Entry) bool {
 	mf, err := decodeManifest(ent)
-	return err == nil && mf.revisionOf(ap.id) > 0
+	return err == nil && mf.revisionOf(ap.applyID) > 0
 }
 
 // hasContentOf reports whether mf is in the store and has the content of the
@@ -216,7 +216,7 @@
 
 func (ap applier) writeChunks(ctx context.Context, mf manifest, chunks [][]byte) error {
 	for i, chunk := range chunks {
-		req := store.SwapRequest{Key: chunkKey(mf.Apply, mf.Chunks[i]), Value: chunk}
+		req := store.SwapRequest{Key: chunkKey(mf.ApplyID, mf.Chunks[i]), Value: chunk}
 		hasContent := func(ent store.Entry) bool { return bytes.Equal(ent.Value, chunk) }
 		ent, err := store.SwapAndResolve(ctx, ap.st, req, hasContent)
 		if errors.Is(err, store.ErrConflict) && hasContent(ent) {
--- a/internal/conf/apply_test.go
+++ b/internal/conf/apply_test.go
@@ -150,7 +150,7 @@
 	}
 }
 
-func TestApplyIsUnknownIfTheStoreGoesDownAfterTheSwap(t *testing.T) {
+func TestApplyIsUnknownIfTheStoreGoesDownDuringTheSwap(t *testing.T) {
 	for _, accepted := range []bool{true, false} {
 		t.Run(fmt.Sprintf("accepted=%t", accepted), func(t *testing.T) {
 			is := is.New(t)
--- a/internal/conf/chunks.go
+++ b/internal/conf/chunks.go
@@ -16,13 +16,13 @@
 // orphaned. The write of a younger call's manifest may still be in flight.
 const minOrphanAge = time.Hour
 
-// load returns the content of a manifest, reading its chunks if it has any.
-func load(ctx context.Context, st store.Store, mf manifest) ([]byte, error) {
+// loadContent returns the content of a manifest, reading its chunks if it has any.
+func loadContent(ctx context.Context, st store.Store, mf manifest) ([]byte, error) {
 	content := mf.Content
 	if len(mf.Chunks) > 0 {
 		var buf bytes.Buffer
 		for _, dg := range mf.Chunks {
-			ent, _, err := st.Get(ctx, chunkKey(mf.Apply, dg))
+			ent, _, err := st.Get(ctx, chunkKey(mf.ApplyID, dg))
 			if err != nil {
 				return nil, err
 			}
@@ -40,7 +40,7 @@
 // the first error. Remaining chunks are left to deleteOrphanedChunks.
 func (ap applier) deleteChunks(ctx context.Context, mf manifest) {
 	for _, dg := range mf.Chunks {
-		key := chunkKey(mf.Apply, dg)
+		key := chunkKey(mf.ApplyID, dg)
 		ent, _, err := ap.st.Get(ctx, key)
 		if err != nil {
 			return
@@ -80,9 +80,9 @@
 // Apply that may still store its manifest. The age of the call is taken from its
 // identifier, a UUID of version 7.
 func (ap applier) isOrphaned(key string, cur manifest) bool {
-	apply, _, _ := strings.Cut(strings.TrimPrefix(key, chunkPrefix), "/")
-	id, err := uuid.Parse(apply)
-	if err != nil || apply == cur.Apply {
+	applyID, _, _ := strings.Cut(strings.TrimPrefix(key, chunkPrefix), "/")
+	id, err := uuid.Parse(applyID)
+	if err != nil || applyID == cur.ApplyID {
 		return false
 	}
 	began := time.Unix(id.Time().UnixTime())
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -46,7 +46,7 @@
 		AppliedBy string             `json:"appliedBy"`
 		AppliedAt time.Time          `json:"appliedAt"`
 		Since     time.Time          `json:"since,omitzero"`    // when the first manifest was applied
-		Apply     string             `json:"apply"`             // identifier of the call of Apply
+		ApplyID   string             `json:"apply"`             // identifier of the call of Apply
 		Earlier   []replacedManifest `json:"earlier,omitempty"` // replaced manifests, latest first
 	}
 
@@ -55,7 +55,7 @@
 	// manifest was accepted.
 	replacedManifest struct {
 		Revision int64  `json:"revision"`
-		Apply    string `json:"apply"`
+		ApplyID  string `json:"apply"`
 	}
 )
 
@@ -110,10 +110,10 @@
 }
 
 // successor returns a manifest without content that replaces mf.
-func (mf manifest) successor(revision int64, apply string) manifest {
-	next := manifest{Revision: revision, Apply: apply, Since: mf.Since}
+func (mf manifest) successor(revision int64, applyID string) manifest {
+	next := manifest{Revision: revision, ApplyID: applyID, Since: mf.Since}
 	if mf.Revision > 0 {
-		next.Earlier = append(next.Earlier, replacedManifest{mf.Revision, mf.Apply})
+		next.Earlier = append(next.Earlier, replacedManifest{mf.Revision, mf.ApplyID})
 	}
 	next.Earlier = append(next.Earlier, mf.Earlier[:min(len(mf.Earlier), maxReplacedManifests-1)]...)
 	return next
@@ -140,12 +140,12 @@
 
 // revisionOf returns the revision under which a call of Apply was accepted, or
 // zero if mf doesn't list it.
-func (mf manifest) revisionOf(apply string) int64 {
-	if mf.Apply == apply {
+func (mf manifest) revisionOf(applyID string) int64 {
+	if mf.ApplyID == applyID {
 		return mf.Revision
 	}
 	for _, rm := range mf.Earlier {
-		if rm.Apply == apply {
+		if rm.ApplyID == applyID {
 			return rm.Revision
 		}
 	}
@@ -159,7 +159,7 @@
 
 // chunkKey returns the key of a chunk. Calls of Apply share no chunks, so
 // deleting those of one call can't affect another.
-func chunkKey(apply, digest string) string { return chunkPrefix + apply + "/" + digest }
+func chunkKey(applyID, digest string) string { return chunkPrefix + applyID + "/" + digest }
 
 func digest(data []byte) string {
 	sum := sha256.Sum256(data)
--- a/internal/conf/matrix_test.go
+++ b/internal/conf/matrix_test.go
@@ -18,10 +18,10 @@
 type faultyStore struct {
 	store.Store
 	calls           int
-	at              int
+	faultAt         int
 	fault           callFault
 	concurrentApply func()
-	killed          bool // the host was killed; all further calls fail
+	down            bool // the host was killed; all further calls fail
 }
 
 // callFault is the fault injected at a call.
@@ -30,33 +30,33 @@
 const (
 	storeRefusesOnce callFault = "store down for one call"
 	storeDown        callFault = "store down permanently"
-	answerLost       callFault = "reply lost after the effect"
+	replyLost        callFault = "reply lost after the effect"
 	requestLost      callFault = "call lost before the effect"
 	hostKilled       callFault = "host killed before the call"
-	hostKilledLater  callFault = "host killed after the call"
+	hostKilledAfter  callFault = "host killed after the call"
 	operatorRaces    callFault = "another operator applies first"
 )
 
-var callFaults = []callFault{storeRefusesOnce, storeDown, answerLost, requestLost, hostKilled, hostKilledLater, operatorRaces}
+var callFaults = []callFault{storeRefusesOnce, storeDown, replyLost, requestLost, hostKilled, hostKilledAfter, operatorRaces}
 
 // intercept makes one call, with the fault if it is call number fs.at.
 func (fs *faultyStore) intercept(call func() error) error {
 	at := fs.calls
 	fs.calls++
-	if fs.killed {
+	if fs.down {
 		return store.ErrUnavailable
 	}
-	if at != fs.at {
+	if at != fs.faultAt {
 		return call()
 	}
 	switch fs.fault {
 	case storeRefusesOnce:
 		return store.ErrUnavailable
 	case storeDown, hostKilled:
-		fs.killed = true
+		fs.down = true
 		return store.ErrUnavailable
-	case answerLost, hostKilledLater:
-		fs.killed = fs.fault == hostKilledLater
+	case replyLost, hostKilledAfter:
+		fs.down = fs.fault == hostKilledAfter
 		if err := call(); err != nil {
 			return err
 		}
@@ -113,7 +113,7 @@
 	first, _, err := apply(t.Context(), clean, "ana", variant("first"))
 	is.NoErr(err)
 	rival := variant("rival")
-	fs := &faultyStore{Store: clean, at: at, fault: fault}
+	fs := &faultyStore{Store: clean, faultAt: at, fault: fault}
 	fs.concurrentApply = func() {
 		_, _, err := apply(t.Context(), clean, "eva", rival)
 		is.NoErr(err)
--- a/internal/conf/size_test.go
+++ b/internal/conf/size_test.go
@@ -19,7 +19,7 @@
 	is := is.New(t)
 	sv, cl := start(t)
 	fo := follow(t, conf.FollowerConfig{Store: cl, PollEvery: time.Hour})
-	const most = 16 << 10
+	const maxBytes = 16 << 10
 	for _, name := range []string{"small", strings.Repeat("workspace ", 3<<10)} {
 		content := variant(name)
 		cur, _, err := conf.Apply(context.Background(), time.Now(), cl, conf.ApplyRequest{File: "f", Content: content, By: "ana"})
@@ -28,6 +28,6 @@
 		is.True(bytes.Equal(fo.Current().Content, content))
 		value, found := sv.Value(conf.ManifestKey)
 		is.True(found)
-		is.True(len(value) < most)
+		is.True(len(value) < maxBytes)
 	}
 }
--- a/internal/conf/watch.go
+++ b/internal/conf/watch.go
@@ -109,7 +109,7 @@
 	if mf.Revision <= fo.Revision() {
 		return false, nil
 	}
-	content, err := load(ctx, fo.st, mf)
+	content, err := loadContent(ctx, fo.st, mf)
 	if err != nil {
 		return false, err
 	}
@@ -146,13 +146,13 @@
 	if err != nil {
 		return
 	}
-	ap := applier{st: fo.st, id: id.String(), now: time.Now()}
-	next := mf.successor(inForce.Revision, ap.id)
+	ap := applier{st: fo.st, applyID: id.String(), now: time.Now()}
+	next := mf.successor(inForce.Revision, ap.applyID)
 	content := inForce.Content
 	next.AppliedBy, next.AppliedAt, next.Since = inForce.AppliedBy, inForce.AppliedAt, inForce.Since
 	storedIsLater := mf.AppliedAt.After(inForce.AppliedAt)
 	if storedIsLater {
-		if content, err = load(ctx, fo.st, mf); err != nil {
+		if content, err = loadContent(ctx, fo.st, mf); err != nil {
 			return
 		}
 		next.AppliedBy, next.AppliedAt = mf.AppliedBy, mf.AppliedAt
