conf: say what replace, repairStore and the model's reads do

Doc comments left out which errors a function returns, which chunks replace deletes and how a restored store is recognized, and the log called declarations older that may be the later ones. The comments now state this, and the two log lines of the repair name the restored store.

--- a/internal/conf/apply.go
+++ b/internal/conf/apply.go
@@ -18,7 +18,7 @@
 type (
 	// ApplyRequest asks to put a file in force.
 	ApplyRequest struct {
-		File    string // name, for the positions of faults
+		File    string // file name in the positions of faults
 		Content []byte
 		Expect  *int64 // revision to replace; nil for whichever is in force
 		By      string // name of the operator
@@ -49,9 +49,9 @@
 	}
 )
 
-// errChunks reports that the chunks of a content could not be written. It takes
-// over the message of the cause but does not wrap it: an unknown outcome of
-// writing a chunk is no unknown outcome of the call.
+// errChunks reports that the chunks of a file could not be written. It has the
+// message of the cause but doesn't wrap it: if the outcome of writing a chunk is
+// ErrOutcomeUnknown, the call as a whole has certainly not taken effect.
 var errChunks = errors.New("writing chunks failed")
 
 // retryAfter is the delay after which an operator is told to retry when the
@@ -97,6 +97,7 @@
 	return doc, nil
 }
 
+// invalid returns an InvalidDeclaration error with the faults as its cause.
 func invalid(faults error) error {
 	return merry.Wrap(codes.New(codes.InvalidDeclaration, "%s", faults.Error()), merry.WithCause(faults), merry.NoCaptureStack())
 }
@@ -138,10 +139,11 @@
 	}
 }
 
-// replace replaces the manifest prev, which has the store revision expect, by
-// next. The error is a conflictError if another manifest was stored first and
-// ErrOutcomeUnknown if the outcome is unknown; any other error means that next
-// wasn't stored.
+// replace writes the chunks of next and then replaces the manifest prev, which
+// has the store revision expect, by next. It deletes the chunks of the manifest
+// that isn't in force afterwards, or none if that is unknown. The error is a
+// conflictError if another manifest was stored first and ErrOutcomeUnknown if
+// the outcome is unknown; any other error means that next wasn't stored.
 func (ap applier) replace(ctx context.Context, expect store.Revision, prev, next manifest, chunks [][]byte) error {
 	if err := ap.writeChunks(ctx, next, chunks); err != nil {
 		ap.deleteChunks(ctx, next)
@@ -179,6 +181,9 @@
 	return ap.conflict(stored, stored.Revision)
 }
 
+// conflict returns a RevisionConflict error and, as far as known, the revision
+// and the author of the declarations in force. latest may be larger than the
+// revision of stored if the store was restored from an older backup.
 func (ap applier) conflict(stored manifest, latest int64) (AcceptedFile, bool, error) {
 	cur := AcceptedFile{Revision: latest}
 	by := "an unknown operator"
@@ -214,6 +219,8 @@
 	}
 }
 
+// writeChunks writes the chunks of mf. An unknown outcome is resolved by reading
+// the chunk.
 func (ap applier) writeChunks(ctx context.Context, mf manifest, chunks [][]byte) error {
 	for i, chunk := range chunks {
 		req := store.SwapRequest{Key: chunkKey(mf.ApplyID, mf.Chunks[i]), Value: chunk}
--- a/internal/conf/chunks.go
+++ b/internal/conf/chunks.go
@@ -16,7 +16,9 @@
 // orphaned. The write of a younger call's manifest may still be in flight.
 const minOrphanAge = time.Hour
 
-// loadContent returns the content of a manifest, reading its chunks if it has any.
+// loadContent returns the content of a manifest, reading its chunks if it has
+// any. The error is one of the store, or reports that the content doesn't match
+// the manifest's digest.
 func loadContent(ctx context.Context, st store.Store, mf manifest) ([]byte, error) {
 	content := mf.Content
 	if len(mf.Chunks) > 0 {
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -89,7 +89,7 @@
 	}, nil
 }
 
-// WithSince returns a copy of cur with the time at which the first file was
+// WithSince returns a copy of af with the time at which the first file was
 // applied.
 func (af AcceptedFile) WithSince(since time.Time) AcceptedFile {
 	af.Since = since
--- a/internal/conf/follow_test.go
+++ b/internal/conf/follow_test.go
@@ -183,6 +183,9 @@
 	is.Equal(fo.Revision(), int64(3))
 }
 
+// TestApplyToARestoredStoreReachesEveryHost checks that a file that is applied
+// after a restore replaces the declarations of a host that still has later
+// revisions from before the restore.
 func TestApplyToARestoredStoreReachesEveryHost(t *testing.T) {
 	for _, names := range [][]string{{"2"}, {"2", "3"}} { // the restored store forks at the same or at a smaller revision
 		is := is.New(t)
--- a/internal/conf/matrix_test.go
+++ b/internal/conf/matrix_test.go
@@ -14,14 +14,15 @@
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
-// faultyStore injects a fault at one of the calls that an apply makes.
+// faultyStore injects a fault at one of the calls that an apply makes, number
+// faultAt, counted from zero.
 type faultyStore struct {
 	store.Store
 	calls           int
 	faultAt         int
 	fault           callFault
 	concurrentApply func()
-	down            bool // the host was killed; all further calls fail
+	down            bool // all further calls fail
 }
 
 // callFault is the fault injected at a call.
@@ -39,7 +40,7 @@
 
 var callFaults = []callFault{storeRefusesOnce, storeDown, replyLost, requestLost, hostKilled, hostKilledAfter, operatorRaces}
 
-// intercept makes one call, with the fault if it is call number fs.at.
+// intercept makes one call, with the fault if it is call number fs.faultAt.
 func (fs *faultyStore) intercept(call func() error) error {
 	at := fs.calls
 	fs.calls++
@@ -126,6 +127,7 @@
 	isRival := bytes.Equal(cur.Content, rival)
 	is.True(isNew || isRival || bytes.Equal(cur.Content, first.Content)) // one whole file, never a part
 	is.True(cur.Revision >= first.Revision)
+	// Success means that the file is in force or was replaced; NotRun means that it isn't.
 	if er := codes.Of(err); er == nil {
 		is.True(isNew || (isRival && cur.Revision > reported.Revision))
 	} else if er.Code.Class() == codes.NotRun {
--- a/internal/conf/race_test.go
+++ b/internal/conf/race_test.go
@@ -25,7 +25,8 @@
 		expect  int64
 	}
 
-	// outcome is the reply that the operator received.
+	// outcome is the reply that the operator received. A read has the code
+	// JobNotFound, which Apply never returns.
 	outcome struct {
 		code     codes.Code
 		revision int64
@@ -129,7 +130,9 @@
 	}
 }
 
-// perform reads, or applies a file expecting the revision in force.
+// perform reads the file in force and, in two of three cases, applies a file that
+// expects its revision. If the read fails, the returned attempt expects revision
+// -1, which never exists.
 func perform(ctx context.Context, st store.Store, rnd *rand.Rand, at attempt) (attempt, outcome) {
 	seen, content, err := readManifest(ctx, st)
 	if err != nil {
@@ -148,8 +151,9 @@
 	return at, outcome{code: codes.Applied, revision: cur.Revision}
 }
 
-// readManifest returns revision and author of the file in force. It learns both
-// from a deliberate revision conflict.
+// readManifest returns the revision and the author of the file in force. Files
+// are applied with their content as the author. Both are known from a deliberate
+// revision conflict.
 func readManifest(ctx context.Context, st store.Store) (int64, string, error) {
 	none := int64(-1)
 	cur, _, err := conf.Apply(ctx, noon, st, conf.ApplyRequest{File: "f.yaml", Content: variant("read"), Expect: &none})
--- a/internal/conf/watch.go
+++ b/internal/conf/watch.go
@@ -13,8 +13,9 @@
 // errWatchEnded reports that a watch ended without an error.
 var errWatchEnded = errors.New("watch ended")
 
-// watchLoop reads the manifest, watches it for changes, and starts over with a
-// growing pause when the watch ends.
+// watchLoop reads the manifest, watches it for changes, and starts over after a
+// pause when the watch ends. The pause doubles up to maxWatchPause; a watch that
+// lasted longer than that resets it.
 func (fo *Follower) watchLoop(ctx context.Context) {
 	wait := minWatchPause
 	for ctx.Err() == nil {
@@ -121,9 +122,11 @@
 	return fo.Adopt(time.Now(), cur.WithSince(mf.Since)), nil
 }
 
-// repairStore repairs a store that was restored from an older backup. Such a
-// store is recognized by a manifest older than the declarations that were in
-// force on this host before the read; otherwise revisions never decrease.
+// repairStore replaces the manifest ent of a store that was restored from an
+// older backup. Such a store is recognized by a manifest with a smaller revision
+// than the declarations that were in force on this host before the read, or with
+// the same revision and another content or time of application; otherwise
+// revisions never decrease and aren't reused.
 //
 // It writes the declarations that were accepted last, which are either those in
 // force on this host or, if a file was applied after the restore, those in the
@@ -160,9 +163,9 @@
 	if storedIsLater || mf.Revision == inForce.Revision {
 		next.Revision++
 	}
-	fo.log.Warn("store holds older declarations; replacing them", "held", mf.Revision, "inForce", inForce.Revision, "written", next.Revision)
+	fo.log.Warn("store was restored from an older backup; replacing its manifest", "held", mf.Revision, "inForce", inForce.Revision, "written", next.Revision)
 	next, chunks := next.withContent(content)
 	if err := ap.replace(ctx, ent.Revision, mf, next, chunks); err != nil {
-		fo.log.Warn("replacing older declarations in the store failed", "error", err)
+		fo.log.Warn("replacing the manifest of a restored store failed", "error", err)
 	}
 }
