conf: name a test's channel of polls polled

The channel receives a value for each poll of the peers, and its name spoke of asking. It is renamed, with no other change.

--- a/internal/conf/follow_test.go
+++ b/internal/conf/follow_test.go
@@ -146,14 +146,14 @@
 		is.NoErr(err)
 	}
 	stale := accepted(t, 1, "1")
-	asked := make(chan struct{}, 1000)
+	polled := make(chan struct{}, 1000)
 	fo := follow(t, conf.FollowerConfig{Store: st, Peers: func(context.Context, int64) (*conf.AcceptedFile, error) {
-		asked <- struct{}{}
+		polled <- struct{}{}
 		return &stale, nil
 	}})
 	kvsim.Eventually(t, func() bool { return fo.Revision() == 2 })
 	for range 3 {
-		<-asked
+		<-polled
 		is.Equal(fo.Revision(), int64(2))
 	}
 }
