claim: use the package's words for acquiring and caching

Tests spoke of taking a key and of dropping a claim where the package acquires and deletes, the flag reread was also set where nothing had been read before, and the field cached shared its name with its type. They are now acquire, TestExpiredClaimsAreDeleted, fresh, and the field cache of the type cachedBucket; the record's predicate is isLive. The test of a late write says that it is fenced off.

--- a/internal/claim/bucket.go
+++ b/internal/claim/bucket.go
@@ -99,8 +99,8 @@
 	return bk, nil
 }
 
-// live reports whether a record hasn't expired.
-func (rc record) live(now time.Time) bool { return now.Unix() < rc.Expires }
+// isLive reports whether a record hasn't expired.
+func (rc record) isLive(now time.Time) bool { return now.Unix() < rc.Expires }
 
 // toClaim returns the claim of a record, for a request with the same key. Its
 // digest is that of requested if their hashes are equal; otherwise it is the
@@ -153,6 +153,6 @@
 	if live == nil {
 		live = map[string]record{}
 	}
-	maps.DeleteFunc(live, func(_ string, rc record) bool { return !rc.live(now) })
+	maps.DeleteFunc(live, func(_ string, rc record) bool { return !rc.isLive(now) })
 	return live
 }
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -72,13 +72,13 @@
 	bucketQueue struct {
 		key      string
 		pending  pendingWork
-		due      time.Time // time of the next flush; zero if nothing is pending
-		flushing bool      // a flush is in progress
-		cached   cached    // owned by the flush in progress
+		due      time.Time    // time of the next flush; zero if nothing is pending
+		flushing bool         // a flush is in progress
+		cache    cachedBucket // owned by the flush in progress
 	}
 
-	// cached is the last known state of a bucket.
-	cached struct {
+	// cachedBucket is the last known state of a bucket.
+	cachedBucket struct {
 		valid    bool
 		revision store.Revision
 		bucket   bucket
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -105,10 +105,10 @@
 	})
 }
 
-func TestClaimsExpireAndAreDropped(t *testing.T) {
+func TestExpiredClaimsAreDeleted(t *testing.T) {
 	is := is.New(t)
 	sv := kvsim.Start(t, kvsim.Config{})
-	take := func(at time.Duration, key string) *claim.Claim {
+	acquire := func(at time.Duration, key string) *claim.Claim {
 		ho := start(t, sv, claim.Config{
 			Host: "h1", Expiry: time.Hour, Buckets: 1,
 			Clock: func() time.Time { return time.Now().Add(at) },
@@ -118,13 +118,13 @@
 		is.NoErr(err)
 		return prior
 	}
-	is.True(take(0, "a") == nil)
-	is.True(take(30*time.Minute, "a") != nil)
+	is.True(acquire(0, "a") == nil)
+	is.True(acquire(30*time.Minute, "a") != nil)
 	size := func() int { value, _ := sv.Value("claims/0000"); return len(value) }
 	before := size()
-	is.True(take(2*time.Hour, "b") == nil)
+	is.True(acquire(2*time.Hour, "b") == nil)
 	is.Equal(size(), before) // the claim of key a was dropped
-	is.True(take(2*time.Hour, "a") == nil)
+	is.True(acquire(2*time.Hour, "a") == nil)
 }
 
 func TestStoreCallsGrowWithBatches(t *testing.T) {
@@ -209,10 +209,10 @@
 	}
 }
 
-// TestLateWriteOfAFailedAcquire checks that a write that reaches the store after
+// TestLateWriteOfAFailedAcquireIsFencedOff checks that a write that reaches the store after
 // Acquire has failed is fenced off and doesn't replace the claim of another
 // request.
-func TestLateWriteOfAFailedAcquire(t *testing.T) {
+func TestLateWriteOfAFailedAcquireIsFencedOff(t *testing.T) {
 	is := is.New(t)
 	const timeout = 100 * time.Millisecond
 	sv := kvsim.Start(t, kvsim.Config{})
@@ -285,9 +285,9 @@
 	})
 }
 
-// TestKeysAreTakenAtMostOnce makes two hosts claim the same keys concurrently
+// TestKeysAreClaimedAtMostOnce makes two hosts claim the same keys concurrently
 // while replies are lost and calls fail.
-func TestKeysAreTakenAtMostOnce(t *testing.T) {
+func TestKeysAreClaimedAtMostOnce(t *testing.T) {
 	const keys, maxRetries = 60, 3
 	for seed := uint64(1); seed <= 4; seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
--- a/internal/claim/flush.go
+++ b/internal/claim/flush.go
@@ -132,24 +132,24 @@
 	}
 	batchCount.Inc()
 	claimCount.Add(len(pw.claims))
-	reread := false
+	fresh := false
 	for {
-		if !bq.cached.valid {
+		if !bq.cache.valid {
 			if err := tb.read(ctx, bq); err != nil {
 				tb.failBatch(bq, pw, nil, err)
 				return
 			}
-			reread = true
+			fresh = true
 		}
-		pl := bq.cached.bucket.plan(tb.clock(), pw, tb.recordOf)
-		if len(pl.priors) > 0 && !reread {
-			bq.cached.valid = false // another host may have released the prior claim
+		pl := bq.cache.bucket.plan(tb.clock(), pw, tb.recordOf)
+		if len(pl.priors) > 0 && !fresh {
+			bq.cache.valid = false // another host may have released the prior claim
 			continue
 		}
 		err := tb.write(ctx, bq, pl)
 		if errors.Is(err, store.ErrConflict) {
 			conflictCount.Inc()
-			reread = true
+			fresh = true
 			if err = tb.limiter.Wait(ctx); err == nil {
 				continue
 			}
@@ -173,12 +173,12 @@
 
 // updateCache replaces the cached bucket by the one of an entry.
 func (bq *bucketQueue) updateCache(ent store.Entry) error {
-	bq.cached = cached{}
+	bq.cache = cachedBucket{}
 	bk, err := decodeBucket(ent)
 	if err != nil {
 		return err
 	}
-	bq.cached = cached{valid: true, revision: ent.Revision, bucket: bk}
+	bq.cache = cachedBucket{valid: true, revision: ent.Revision, bucket: bk}
 	return nil
 }
 
@@ -195,14 +195,14 @@
 	if len(value) > store.MaxValue {
 		return fmt.Errorf("claim bucket is full: %w", store.ErrTooLarge)
 	}
-	req := store.SwapRequest{Key: bq.key, Value: value, Expect: bq.cached.revision}
+	req := store.SwapRequest{Key: bq.key, Value: value, Expect: bq.cache.revision}
 	ent, err := store.SwapAndResolve(ctx, tb.st, req, func(ent store.Entry) bool { return tb.isWritten(ent, pl) })
 	if err != nil && !errors.Is(err, store.ErrConflict) {
-		bq.cached = cached{}
+		bq.cache = cachedBucket{}
 		return err
 	}
 	if err == nil && bytes.Equal(ent.Value, value) {
-		bq.cached = cached{valid: true, revision: ent.Revision, bucket: pl.next}
+		bq.cache = cachedBucket{valid: true, revision: ent.Revision, bucket: pl.next}
 		return nil
 	}
 	if decodeErr := bq.updateCache(ent); decodeErr != nil {
