claim: state the errors and the batch's rules in the comments

Comments of the claim table left out what abandon returns, when SetOutcome fails, when a prior claim counts and which claims a plan lists, and two tests did not say what goes wrong without them.

--- a/internal/claim/bucket.go
+++ b/internal/claim/bucket.go
@@ -41,7 +41,8 @@
 		done      chan struct{} // closed when prior and err are set
 	}
 
-	// outcome is the outcome of a claim, or its release.
+	// outcome is the outcome of the request that holds a claim, or the claim's
+	// release.
 	outcome struct {
 		id     string
 		holder string
@@ -62,9 +63,9 @@
 	// plan is the result of applying a batch to a bucket.
 	plan struct {
 		next    bucket
-		added   []*pendingClaim
-		priors  map[*pendingClaim]Claim
-		changed bool // next must be written
+		added   []*pendingClaim         // claims of the batch that next has
+		priors  map[*pendingClaim]Claim // of the other claims of the batch
+		changed bool                    // next must be written
 	}
 )
 
@@ -133,6 +134,8 @@
 	return pl
 }
 
+// recordOutcome applies an outcome to pl.next. An outcome of a request that
+// doesn't hold the claim is ignored.
 func (pl *plan) recordOutcome(oc outcome) {
 	pl.changed = pl.changed || oc.mustWrite
 	rc, ok := pl.next.Claims[oc.id]
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -34,7 +34,7 @@
 		MaxBatchWait    time.Duration // longest wait of a claim for its batch
 		MaxOutcomeWait  time.Duration // longest wait of an outcome for a batch
 		Buckets         int           // must be the same on all hosts
-		WritesPerSecond int           // rate limit of this host; batches grow instead
+		WritesPerSecond int           // limit of this host; at the limit, batches grow
 		Clock           func() time.Time
 		Log             *slog.Logger
 	}
@@ -149,7 +149,7 @@
 
 // SetOutcome records cl.Code as the outcome of the request that holds a claim. A
 // code of class NotRun releases the claim. SetOutcome returns at once; the outcome
-// is written with one of the next batches.
+// is written with one of the next batches. The error is Stopping after shutdown.
 func (tb *Table) SetOutcome(_ context.Context, cl Claim) error {
 	wait := tb.maxOutcomeWait
 	if cl.Code.Class() == codes.NotRun {
@@ -162,8 +162,8 @@
 	return nil
 }
 
-// abandon stops waiting for a claim. If the claim is stored later, it is
-// released.
+// abandon stops waiting for a claim and returns its result if it has one by now,
+// or else a StoreUnavailable error. If the claim is stored later, it is released.
 func (tb *Table) abandon(pc *pendingClaim, cause error) (*Claim, error) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
@@ -176,8 +176,8 @@
 	return nil, unavailable(cause.Error())
 }
 
-// enqueue adds to the pending batch of a claim's bucket, which is flushed
-// after wait at the latest. It returns false after shutdown.
+// enqueue adds to the pending batch of a claim's bucket, whose flush is due after
+// wait at the latest. It returns false after shutdown.
 func (tb *Table) enqueue(cl Claim, wait time.Duration, add func(pw *pendingWork)) bool {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
@@ -207,6 +207,7 @@
 // hosts.
 func (tb *Table) holder(cl Claim) string { return tb.host + "/" + cl.Request }
 
+// unavailable returns the error of a claim that isn't known to be stored.
 func unavailable(detail string) *codes.Error {
 	return codes.New(codes.StoreUnavailable, "%s", detail).WithRetryAfter(retryAfter)
 }
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -209,9 +209,8 @@
 	}
 }
 
-// TestLateWriteOfAFailedAcquireIsFencedOff checks that a write that reaches the store after
-// Acquire has failed is fenced off and doesn't replace the claim of another
-// request.
+// TestLateWriteOfAFailedAcquireIsFencedOff checks that a write that reaches the
+// store after Acquire has failed doesn't replace the claim of another request.
 func TestLateWriteOfAFailedAcquireIsFencedOff(t *testing.T) {
 	is := is.New(t)
 	const timeout = 100 * time.Millisecond
@@ -233,6 +232,8 @@
 	is.Equal(prior.Request, "r2")
 }
 
+// TestAbandonedAcquireIsReleased cancels an Acquire while its claim is being
+// written. The claim must not block the key.
 func TestAbandonedAcquireIsReleased(t *testing.T) {
 	is := is.New(t)
 	sv := kvsim.Start(t, kvsim.Config{})
@@ -260,7 +261,8 @@
 }
 
 // TestStoredClaimOfAFailedAcquireIsReleased takes the store down after it has
-// performed a write and before its reply.
+// performed a write and before its reply. A claim that stayed would reject every
+// retry of the request until it expires.
 func TestStoredClaimOfAFailedAcquireIsReleased(t *testing.T) {
 	is := is.New(t)
 	sv := kvsim.Start(t, kvsim.Config{})
--- a/internal/claim/flush.go
+++ b/internal/claim/flush.go
@@ -54,7 +54,7 @@
 }
 
 // nextDue returns the bucket queue with the earliest due time and marks it as
-// flushing, or returns the time until one is due.
+// flushing. If none is due, it returns nil and the time until one is.
 func (tb *Table) nextDue(now time.Time) (*bucketQueue, time.Duration) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
@@ -125,14 +125,15 @@
 	tb.flushBatch(ctx, bq, tb.drain(bq))
 }
 
-// flushBatch applies one batch to its bucket and retries after each conflict.
+// flushBatch applies one batch to its bucket and retries after each conflict. A
+// prior claim counts only if this flush has read the bucket.
 func (tb *Table) flushBatch(ctx context.Context, bq *bucketQueue, pw pendingWork) {
 	if len(pw.claims)+len(pw.outcomes) == 0 {
 		return
 	}
 	batchCount.Inc()
 	claimCount.Add(len(pw.claims))
-	fresh := false
+	fresh := false // whether this flush has read the bucket
 	for {
 		if !bq.cache.valid {
 			if err := tb.read(ctx, bq); err != nil {
