store: give five unexported names the words of their neighbours

The once-guard of Close was called closing, a test's check for an existing key held, a raw HTTP response an answer, the index of an address at, and the value of the metric label cause causeOf. They are now closeOnce, exists, response, idx and causeLabel.

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -33,7 +33,7 @@
 		log       *slog.Logger
 		transport *http.Transport
 		preferred atomic.Uint32 // address to try first: an index modulo len(addresses)
-		closing   sync.Once
+		closeOnce sync.Once
 	}
 )
 
@@ -77,7 +77,7 @@
 
 // Close closes the idle connections.
 func (cl *Client) Close() {
-	cl.closing.Do(cl.transport.CloseIdleConnections)
+	cl.closeOnce.Do(cl.transport.CloseIdleConnections)
 }
 
 // Get implements Store.
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -87,7 +87,7 @@
 	clk := newClock()
 	_, cl := start(t, kvsim.Config{Clock: clk.now})
 	ctx := t.Context()
-	held := func() bool {
+	exists := func() bool {
 		ent, _, err := cl.Get(ctx, "role")
 		is.NoErr(err)
 		return ent.Revision > 0
@@ -100,9 +100,9 @@
 	clk.advance(4 * time.Second)
 	is.NoErr(cl.Renew(ctx, id))
 	clk.advance(4 * time.Second)
-	is.True(held())
+	is.True(exists())
 	clk.advance(time.Second)
-	is.True(!held())
+	is.True(!exists())
 	is.True(errors.Is(cl.Renew(ctx, id), store.ErrLeaseExpired))
 	_, err = cl.Swap(ctx, store.SwapRequest{Key: "role", Value: []byte("me"), Lease: id})
 	is.True(errors.Is(err, store.ErrLeaseExpired))
@@ -112,7 +112,7 @@
 	_, err = cl.Swap(ctx, store.SwapRequest{Key: "role", Value: []byte("me"), Lease: id})
 	is.NoErr(err)
 	is.NoErr(cl.Revoke(ctx, id))
-	is.True(!held())
+	is.True(!exists())
 	is.True(errors.Is(cl.Revoke(ctx, id), store.ErrLeaseExpired))
 }
 
--- a/internal/store/fault_test.go
+++ b/internal/store/fault_test.go
@@ -149,12 +149,12 @@
 			is := is.New(t)
 			var received atomic.Int64
 			address := serveRaw(t, func(nc net.Conn, br *bufio.Reader) {
-				for _, answer := range []string{ok, tt.second} {
+				for _, response := range []string{ok, tt.second} {
 					if !readRequest(br) {
 						return
 					}
 					received.Add(1)
-					_, _ = io.WriteString(nc, answer)
+					_, _ = io.WriteString(nc, response)
 				}
 			})
 			cl := client(t, kvsim.Timeout, address, address)
--- a/internal/store/send.go
+++ b/internal/store/send.go
@@ -53,11 +53,11 @@
 }
 
 func (ck callKind) countFailure(err error) {
-	name := fmt.Sprintf(`cicadawharf_store_failures_total{kind=%q,cause=%q}`, string(ck), causeOf(err))
+	name := fmt.Sprintf(`cicadawharf_store_failures_total{kind=%q,cause=%q}`, string(ck), causeLabel(err))
 	metrics.GetOrCreateCounter(name).Inc()
 }
 
-func causeOf(err error) string {
+func causeLabel(err error) string {
 	switch {
 	case errors.Is(err, ErrOutcomeUnknown):
 		return "lost"
@@ -87,10 +87,10 @@
 	cause := errors.New("no address is configured")
 	first := int(cl.preferred.Load())
 	for i := range cl.addresses {
-		at := (first + i) % len(cl.addresses)
-		res, connected, err := cl.sendTo(ctx, cl.addresses[at], path, body)
+		idx := (first + i) % len(cl.addresses)
+		res, connected, err := cl.sendTo(ctx, cl.addresses[idx], path, body)
 		if err == nil {
-			cl.preferred.CompareAndSwap(uint32(first), uint32(at))
+			cl.preferred.CompareAndSwap(uint32(first), uint32(idx))
 			return res, nil
 		}
 		cause = err
