--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -75,7 +75,7 @@
 	}
 }
 
-// Close closes the idle connections.
+// Close closes the idle connections. Calls in progress continue.
 func (cl *Client) Close() {
 	cl.closeOnce.Do(cl.transport.CloseIdleConnections)
 }
@@ -139,7 +139,7 @@
 	return LeaseID(rep.ID), nil
 }
 
-// Renew implements Store.
+// Renew implements Store. It is one message of the service's streaming call.
 func (cl *Client) Renew(ctx context.Context, id LeaseID) error {
 	var rep kvapi.Frame[kvapi.LeaseResponse]
 	err := cl.call(ctx, kindRenew, kvapi.PathKeepAlive, kvapi.LeaseRequest{ID: int64(id)}, &rep)
@@ -213,6 +213,8 @@
 	}
 }
 
+// failedSwap returns ErrConflict and the current entry, which the service read in
+// the transaction that didn't swap.
 func failedSwap(key string, rep kvapi.TxnResponse) (Entry, error) {
 	err := wrap(ErrConflict, kindSwap, nil)
 	if len(rep.Responses) == 0 || rep.Responses[0].Range == nil {
@@ -221,6 +223,7 @@
 	return firstEntry(key, rep.Responses[0].Range.KVs), err
 }
 
+// firstEntry returns the entry of key in the response to a read of that key.
 func firstEntry(key string, kvs []kvapi.KeyValue) Entry {
 	if len(kvs) == 0 {
 		return Entry{Key: key}
@@ -228,6 +231,8 @@
 	return toEntry(kvs[0])
 }
 
+// toEntry converts a key that exists. The service omits an empty value, but a nil
+// Value stands for a deleted key.
 func toEntry(kv kvapi.KeyValue) Entry {
 	value := kv.Value
 	if value == nil {
@@ -236,6 +241,8 @@
 	return Entry{Key: string(kv.Key), Value: value, Revision: Revision(kv.ModRevision), Lease: LeaseID(kv.Lease)}
 }
 
+// wrap returns an error that wraps one of the Err values, and a cause if it isn't
+// nil.
 func wrap(sentinel error, ck callKind, cause error) error {
 	ws := []merry.Wrapper{merry.NoCaptureStack(), merry.PrependMessage(string(ck))}
 	if cause != nil {
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -82,6 +82,8 @@
 	is.NoErr(err)
 }
 
+// TestLeaseDeletesItsKeys checks that a key disappears when its lease expires or is
+// revoked, and that an expired lease can't be renewed or attached to a key.
 func TestLeaseDeletesItsKeys(t *testing.T) {
 	is := is.New(t)
 	clk := newClock()
@@ -156,6 +158,8 @@
 	is.True(errors.Is(err, store.ErrCompacted))
 }
 
+// TestOneCallIsOneRequest guards against methods that cost more than one of the
+// calls that the service counts.
 func TestOneCallIsOneRequest(t *testing.T) {
 	is := is.New(t)
 	sv, cl := start(t, kvsim.Config{})
--- a/internal/store/fault_test.go
+++ b/internal/store/fault_test.go
@@ -98,6 +98,8 @@
 	is.Equal(sv.Calls().Txn, int64(1))
 }
 
+// TestUnresponsiveConnectionIsDropped checks that a client stops using a connection
+// on which calls hang.
 func TestUnresponsiveConnectionIsDropped(t *testing.T) {
 	is := is.New(t)
 	sv, _ := start(t, kvsim.Config{})
@@ -194,6 +196,8 @@
 	}
 }
 
+// TestSwapAndResolveAppliesALateWriteOnce delays a swap until after its repetition.
+// The late request must not replace the value again.
 func TestSwapAndResolveAppliesALateWriteOnce(t *testing.T) {
 	is := is.New(t)
 	sv, _ := start(t, kvsim.Config{})
--- a/internal/store/kvapi/kvapi.go
+++ b/internal/store/kvapi/kvapi.go
@@ -6,7 +6,7 @@
 package kvapi
 
 type (
-	// Header is part of every response.
+	// Header is part of every response and holds the store's revision.
 	Header struct {
 		Revision int64 `json:"revision,string,omitempty"`
 	}
@@ -16,12 +16,13 @@
 		Key            []byte `json:"key,omitempty"`
 		CreateRevision int64  `json:"create_revision,string,omitempty"`
 		ModRevision    int64  `json:"mod_revision,string,omitempty"`
-		Version        int64  `json:"version,string,omitempty"`
+		Version        int64  `json:"version,string,omitempty"` // number of writes since the key was created
 		Value          []byte `json:"value,omitempty"`
 		Lease          int64  `json:"lease,string,omitempty"`
 	}
 
-	// RangeRequest reads one key, or those from Key up to RangeEnd.
+	// RangeRequest reads one key, or those from Key up to but not including
+	// RangeEnd.
 	RangeRequest struct {
 		Key      []byte `json:"key"`
 		RangeEnd []byte `json:"range_end,omitempty"`
@@ -139,7 +140,7 @@
 		Message string `json:"message"`
 	}
 
-	// Frame wraps each message of a streaming call.
+	// Frame wraps each message of a streaming call: a result or an error.
 	Frame[T any] struct {
 		Result T      `json:"result"`
 		Error  *Error `json:"error,omitempty"`
@@ -174,7 +175,7 @@
 	CodeUnavailable       = 14
 )
 
-// Values of Error.Message that clients distinguish.
+// Parts of Error.Message by which errors are distinguished.
 const (
 	MessageLeaseNotFound = "etcdserver: requested lease not found"
 	MessageTooLarge      = "etcdserver: request is too large"
--- a/internal/store/send.go
+++ b/internal/store/send.go
@@ -42,6 +42,7 @@
 	}
 }
 
+// countCall counts a call when it is made, whatever its result.
 func (ck callKind) countCall() {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`cicadawharf_store_calls_total{kind=%q}`, string(ck))).Inc()
 }
@@ -57,6 +58,7 @@
 	metrics.GetOrCreateCounter(name).Inc()
 }
 
+// causeLabel returns the value of the metric label cause.
 func causeLabel(err error) string {
 	switch {
 	case errors.Is(err, ErrOutcomeUnknown):
@@ -70,8 +72,9 @@
 	}
 }
 
-// send makes one HTTP request. It tries the next address only if nothing was
-// sent, which is certain if no connection was obtained.
+// send makes one HTTP request, of which the caller must close the response body.
+// It tries the next address only if nothing was sent, which is certain if no
+// connection was obtained.
 //
 // The transport is used without http.Client, so redirects aren't followed. The
 // transport itself retries a request in two cases, both only on a reused
@@ -122,8 +125,8 @@
 }
 
 // classify returns the error for a response with a status other than 200. After
-// a client error a write had no effect; after a server error its outcome is
-// unknown.
+// a client error, or a message that names the reason, a write had no effect;
+// after any other status its outcome is unknown.
 func classify(ck callKind, status int, ke kvapi.Error) error {
 	cause := fmt.Errorf("status %d, code %d: %s", status, ke.Code, ke.Message)
 	if status == http.StatusForbidden {
@@ -143,6 +146,8 @@
 	}
 }
 
+// decodeError decodes the body of an error response. If the body is malformed, the
+// message is its beginning.
 func decodeError(data []byte) kvapi.Error {
 	var ke kvapi.Error
 	if err := json.Unmarshal(data, &ke); err != nil {
@@ -151,7 +156,8 @@
 	return ke
 }
 
-// drain reads the rest of a body, so that its connection can be reused.
+// drain reads the rest of a body, up to maxHeaderBytes, and closes it, so that its
+// connection can be reused.
 func drain(body io.ReadCloser) {
 	_, _ = io.CopyN(io.Discard, body, maxHeaderBytes)
 	_ = body.Close()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -5,8 +5,9 @@
 // of Client makes one call; other implementations of Store may read a list in
 // pages or poll for changes.
 //
-// A write that received no reply returns ErrOutcomeUnknown: its outcome is unknown until
-// the key is read again. The package never retries a write by itself.
+// A write that received no reply returns ErrOutcomeUnknown: its outcome is unknown
+// until the key is read again. No method of Client retries a write;
+// SwapAndResolve reads the key and repeats a swap where that is safe.
 package store
 
 import (
@@ -74,7 +75,7 @@
 	ErrLeaseExpired   = errors.New("lease has expired")
 	ErrTooLarge       = errors.New("value exceeds the store's size limit")
 	ErrForbidden      = errors.New("store does not permit the write")
-	ErrCompacted      = errors.New("requested revision has been compacted") // read again, then watch
+	ErrCompacted      = errors.New("requested revision has been compacted") // read again, then watch from there
 )
 
 // MaxValue is the largest value that the platform's service stores, in bytes.
--- a/internal/store/txn.go
+++ b/internal/store/txn.go
@@ -30,13 +30,15 @@
 		Lease LeaseID // zero for none
 	}
 
-	// TxnStore is a Store with transactions. On ErrConflict, Commit returns the
-	// current entries of the keys of Expect, a missing one with Revision zero.
+	// TxnStore is a Store with transactions.
 	TxnStore interface {
 		Store
+		// Commit performs one transaction and returns the store's revision after
+		// it. On ErrConflict it had no effect, and the returned entries are the
+		// current ones of the keys of Expect, a missing one with Revision zero.
 		Commit(ctx context.Context, tx Txn) (Revision, []Entry, error)
-		// WatchBatched is like Watch but may batch the changes of each
-		// interval. It is for prefixes that change continuously.
+		// WatchBatched is like Watch but may deliver the changes of each interval
+		// together. It is for prefixes that change continuously.
 		WatchBatched(ctx context.Context, prefix string, after Revision, interval time.Duration, fn func(Entry) error) error
 	}
 )
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -45,6 +45,8 @@
 	}
 }
 
+// deliver calls fn for each change in a message of the stream. The error is that
+// of fn or of the message.
 func deliver(fr kvapi.Frame[kvapi.WatchResponse], fn func(Entry) error) error {
 	if fr.Error != nil {
 		return kindWatch.recordFailure(classify(kindWatch, http.StatusInternalServerError, *fr.Error))
