plat: name backoffs and tests for what they are

The delays between retries were called pause beside constants called backoff, and two test names did not say what is checked. The locals are now backoff, the tests TestWatcherLearnsEveryNewList and TestRegisterStopsWhenItsContextEnds.

--- a/internal/plat/plat_test.go
+++ b/internal/plat/plat_test.go
@@ -171,7 +171,7 @@
 	is.Equal(me.hosts(is), []plat.Host{host("w2")})
 }
 
-func TestRegisterStopsWithItsContext(t *testing.T) {
+func TestRegisterStopsWhenItsContextEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		me := newMemStore()
@@ -184,14 +184,14 @@
 	})
 }
 
-func TestWatcher(t *testing.T) {
+func TestWatcherLearnsEveryNewList(t *testing.T) {
 	const poll = 10 * time.Second
 	tests := []struct {
-		name   string
-		before func(*memStore)
-		after  func(*memStore)
-		within time.Duration // longest delay until the new list is known
-		kept   bool          // the old list is known until then
+		name    string
+		before  func(*memStore)
+		after   func(*memStore)
+		within  time.Duration // longest delay until the new list is known
+		oldKept bool          // the old list is known until then
 	}{
 		{"by watch", func(*memStore) {}, func(*memStore) {}, 0, false},
 		{"through an outage", func(me *memStore) { me.down = true }, func(me *memStore) { me.down = false }, poll, true},
@@ -221,7 +221,7 @@
 					is.NoErr(err)
 					me.entry = store.Entry{Key: plat.Key(zone), Value: value, Revision: me.entry.Revision + 1}
 				})
-				if tc.kept {
+				if tc.oldKept {
 					is.Equal(wa.List().Hosts, []plat.Host{host("w1")})
 				}
 				time.Sleep(tc.within)
--- a/internal/plat/register.go
+++ b/internal/plat/register.go
@@ -63,16 +63,16 @@
 // update replaces a zone's list by the result of change. The function must be
 // idempotent, so that a retry after an unknown outcome makes no second write.
 func update(ctx context.Context, st store.Store, zone string, change func(List) (List, error)) error {
-	for pause := minBackoff; ; pause = min(2*pause, maxBackoff) {
+	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
 		err := updateOnce(ctx, st, zone, change)
 		if !retryable(err) {
 			return merry.Prependf(err, "host list of %s", zone)
 		}
 		if errors.Is(err, store.ErrConflict) {
-			pause = minBackoff
+			backoff = minBackoff
 		}
 		select {
-		case <-time.After(jitter(pause)):
+		case <-time.After(jitter(backoff)):
 		case <-ctx.Done():
 			return merry.Prependf(errors.Join(ctx.Err(), err), "host list of %s", zone)
 		}
--- a/internal/plat/watch.go
+++ b/internal/plat/watch.go
@@ -66,7 +66,7 @@
 // until the next read is due, so a stalled watch delays a change by at most
 // PollEvery.
 func (wa *Watcher) Run(ctx context.Context) {
-	pause := minBackoff
+	backoff := minBackoff
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := wa.readAndWatch(ctx)
@@ -74,18 +74,18 @@
 			return
 		}
 		if err == nil {
-			pause = minBackoff
+			backoff = minBackoff
 			continue
 		}
 		if time.Since(began) > maxBackoff {
-			pause = minBackoff
+			backoff = minBackoff
 		}
-		wa.cfg.Log.Warn("watching the host list failed", "zone", wa.cfg.Zone, "retryAfter", pause, "error", err)
+		wa.cfg.Log.Warn("watching the host list failed", "zone", wa.cfg.Zone, "retryAfter", backoff, "error", err)
 		select {
-		case <-time.After(jitter(pause)):
+		case <-time.After(jitter(backoff)):
 		case <-ctx.Done():
 		}
-		pause = min(2*pause, maxBackoff, wa.cfg.PollEvery)
+		backoff = min(2*backoff, maxBackoff, wa.cfg.PollEvery)
 	}
 }
 
