--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -1,5 +1,5 @@
-// Package plat reads and writes the platform's lists of live and leaving hosts,
-// one value of the store per availability zone.
+// Package plat reads and writes the platform's lists of live and leaving hosts.
+// There is one list, a value of the store, for each availability zone.
 //
 // A list may be stale: a listed host may be dead and a live one not listed yet,
 // so users must check with the host itself.
@@ -17,7 +17,7 @@
 // State is the last known state of a listed host.
 type State string
 
-// Host is an entry of the list.
+// Host is an entry of a list.
 type Host struct {
 	Name         string `json:"name"`
 	Kind         Kind   `json:"kind"`
@@ -48,7 +48,7 @@
 // Key returns the key of an availability zone's list.
 func Key(zone string) string { return keyPrefix + zone }
 
-// Decode decodes a list. An empty value gives an empty list.
+// Decode decodes a list from JSON. An empty value gives an empty list.
 func Decode(value []byte) (List, error) {
 	if len(value) == 0 {
 		return List{}, nil
@@ -86,7 +86,7 @@
 	return List{Zone: li.Zone, Hosts: append(hs, ho)}
 }
 
-// Without returns a copy of the list without the host of a name.
+// Without returns a copy of the list without the host with a name.
 func (li List) Without(name string) List {
 	hs := make([]Host, 0, len(li.Hosts))
 	for _, ho := range li.Hosts {
@@ -97,7 +97,7 @@
 	return List{Zone: li.Zone, Hosts: hs}
 }
 
-// Find returns the host of a name.
+// Find returns the host with a name, and whether it is on the list.
 func (li List) Find(name string) (Host, bool) {
 	for _, ho := range li.Hosts {
 		if ho.Name == name {
@@ -107,7 +107,8 @@
 	return Host{}, false
 }
 
-// Equal tells whether two lists have the same zone and hosts.
+// Equal reports whether two lists have the same zone and the same hosts in the
+// same order.
 func (li List) Equal(other List) bool {
 	return li.Zone == other.Zone && slices.Equal(li.Hosts, other.Hosts)
 }
--- a/internal/plat/plat_test.go
+++ b/internal/plat/plat_test.go
@@ -233,6 +233,8 @@
 	}
 }
 
+// TestWatcherIgnoresOlderLists reads from a replica that lags behind. The watcher
+// must not return to the older list.
 func TestWatcherIgnoresOlderLists(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/plat/register.go
+++ b/internal/plat/register.go
@@ -19,8 +19,9 @@
 	maxBackoff = 2 * time.Second
 )
 
-// Register adds hosts to their availability zone's list, or replaces those with
-// the same names, in one write. It retries until ctx ends. If the outcome of the
+// Register adds hosts to an availability zone's list, or replaces those with the
+// same names, in one write. It retries failures of the store until ctx ends, and
+// then returns the context's error with the last failure. If the outcome of the
 // write is unknown, it reads the list again to find out.
 func Register(ctx context.Context, st store.Store, zone string, hosts ...Host) error {
 	return update(ctx, st, zone, func(li List) (List, error) {
@@ -79,6 +80,7 @@
 	}
 }
 
+// updateOnce reads the list, changes it and writes it if it differs.
 func updateOnce(ctx context.Context, st store.Store, zone string, change func(List) (List, error)) error {
 	en, _, err := st.Get(ctx, Key(zone))
 	if err != nil {
@@ -104,6 +106,7 @@
 	return err
 }
 
+// retryable reports whether another attempt may succeed.
 func retryable(err error) bool {
 	return errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrOutcomeUnknown) || errors.Is(err, store.ErrUnavailable)
 }
--- a/internal/plat/watch.go
+++ b/internal/plat/watch.go
@@ -19,7 +19,7 @@
 		Log       *slog.Logger
 	}
 
-	// Watcher keeps an up-to-date copy of the list of one availability zone.
+	// Watcher holds an up-to-date copy of the list of one availability zone.
 	// It keeps the last known list while the store is unavailable and never
 	// replaces a list by an older one.
 	Watcher struct {
@@ -28,7 +28,7 @@
 		mu       sync.Mutex
 		list     List
 		revision store.Revision // of the store at which the list was current
-		changed  chan struct{}
+		changed  chan struct{}  // closed at the next change of list
 	}
 )
 
