host: name handlers, the default code and the file name clearly

register said neither what it registers nor where, wrapUnknown wraps nothing, claims named both an adapter and a table, and faultsFileName is the name of the declarations. They are now registerHandlers, ensureCode, claimAdapter and declarationsFileName; in the router's test the fields of an operation and of a change follow.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -110,7 +110,7 @@
 	})
 	ho.router = NewJobRouter(JobRouterConfig{Zone: se.Host.Zone, Local: ho.zone, Caller: ho.mesh, Members: ho.mesh.Members})
 	ho.server = entry.New(ho.entryConfig(cfg.HTTPListener))
-	ho.register()
+	ho.registerHandlers()
 	return ho, nil
 }
 
@@ -177,7 +177,7 @@
 		Limits: ho.se.Limits, Stop: ho.se.Stop,
 		Declarations: ho.declarations, Endpoints: ho.endpoints, PeerDraining: ho.leaving.names,
 		Members: ho.mesh.Members, SpillDial: ho.mesh.DialHTTP,
-		Jobs: ho.router, Claims: claims{ho.claims}, Account: ho.account, Operators: operatorAPI{ho},
+		Jobs: ho.router, Claims: claimAdapter{ho.claims}, Account: ho.account, Operators: operatorAPI{ho},
 		Log: ho.log, Seed: ho.incarnation,
 	}
 }
--- a/internal/host/operate.go
+++ b/internal/host/operate.go
@@ -26,14 +26,14 @@
 )
 
 const (
-	faultsFileName      = "declarations"
-	rolloutPollInterval = 50 * time.Millisecond
+	declarationsFileName = "declarations"
+	rolloutPollInterval  = 50 * time.Millisecond
 )
 
 // Apply implements entry.Operators.
 func (op operatorAPI) Apply(ctx context.Context, rq entry.ApplyRequest) (client.Applied, error) {
 	req := conf.ApplyRequest{
-		File: faultsFileName, Content: rq.Content, By: rq.Operator,
+		File: declarationsFileName, Content: rq.Content, By: rq.Operator,
 		HostRevision: op.ho.follower.Revision(), Check: place.Check,
 	}
 	if rq.Expect != entry.AnyRevision {
@@ -81,7 +81,7 @@
 // Check implements entry.Operators.
 func (op operatorAPI) Check(ctx context.Context, content []byte) (client.Applied, error) {
 	ad := client.Applied{Revision: op.ho.follower.Revision()}
-	doc, err := spec.Parse(faultsFileName, content)
+	doc, err := spec.Parse(declarationsFileName, content)
 	if err == nil {
 		if fas := place.Check(doc); len(fas) > 0 {
 			err = fas
--- a/internal/host/router.go
+++ b/internal/host/router.go
@@ -189,7 +189,7 @@
 			err = remote(host)
 		}
 		if !safeToRetry(err) {
-			return wrapUnknown(err, unknownCode)
+			return ensureCode(err, unknownCode)
 		}
 		if !pause.For(retryCtx, schedulerRetryInterval) {
 			return withRetryAfter(err, zone)
@@ -239,8 +239,8 @@
 	return errors.As(err, &er) && (er.Code == codes.NoScheduler || er.Code == codes.ZoneUnreachable)
 }
 
-// wrapUnknown returns err, or an error with unknownCode if err has no code.
-func wrapUnknown(err error, unknownCode codes.Code) error {
+// ensureCode returns err, or an error with unknownCode if err has no code.
+func ensureCode(err error, unknownCode codes.Code) error {
 	var er *codes.Error
 	if err == nil || errors.As(err, &er) {
 		return err
--- a/internal/host/router_test.go
+++ b/internal/host/router_test.go
@@ -35,8 +35,8 @@
 		members     []peers.Member
 		called      []string // hosts, in order of the calls
 
-		changeAt time.Time // when change is due
-		change   func()
+		changeDue time.Time // when change is due
+		change    func()
 	}
 )
 
@@ -129,7 +129,7 @@
 
 // currentMembers returns the members at a time, after a change that is due.
 func (nw *network) currentMembers(now time.Time) []peers.Member {
-	if nw.change != nil && !now.Before(nw.changeAt) {
+	if nw.change != nil && !now.Before(nw.changeDue) {
 		nw.change()
 		nw.change = nil
 	}
@@ -138,7 +138,7 @@
 
 // scheduleChange calls do after a delay, on the goroutine that makes the calls.
 func (nw *network) scheduleChange(d time.Duration, do func()) {
-	nw.changeAt = time.Now().Add(d)
+	nw.changeDue = time.Now().Add(d)
 	nw.change = do
 }
 
@@ -151,9 +151,9 @@
 
 // operation is one method of the router under test.
 type operation struct {
-	name    string
-	do      func(ctx context.Context, jr *host.JobRouter, id string) error
-	unknown codes.Code
+	name        string
+	call        func(ctx context.Context, jr *host.JobRouter, id string) error
+	unknownCode codes.Code
 }
 
 var operations = []operation{
@@ -212,7 +212,7 @@
 	forEachOperation(t, func(t *testing.T, op operation) {
 		is := is.New(t)
 		nw := newNetwork()
-		is.NoErr(op.do(t.Context(), nw.router(&scheduler{}), "cusco.a"))
+		is.NoErr(op.call(t.Context(), nw.router(&scheduler{}), "cusco.a"))
 		is.Equal(nw.called, []string{"c2"}) // the host with the largest reported epoch
 		is.Equal(nw.hosts["c2"].calls, 1)
 	})
@@ -223,14 +223,14 @@
 		is := is.New(t)
 		nw := newNetwork()
 		local := &scheduler{leads: true}
-		is.NoErr(op.do(t.Context(), nw.router(local), "lima.a"))
+		is.NoErr(op.call(t.Context(), nw.router(local), "lima.a"))
 		is.Equal(local.calls, 1)
 		is.Equal(len(nw.called), 0)
 
 		local.leads = false
 		nw.hosts["l2"] = &scheduler{leads: true}
 		nw.members = append(nw.members, member("l2", "lima", 3, "l2"))
-		is.NoErr(op.do(t.Context(), nw.router(local), "lima.a"))
+		is.NoErr(op.call(t.Context(), nw.router(local), "lima.a"))
 		is.Equal(nw.called, []string{"l2"})
 	})
 }
@@ -242,14 +242,14 @@
 		c2 := nw.hosts["c2"]
 		c2.leads = false
 		nw.scheduleChange(time.Second, func() { c2.leads = true })
-		is.NoErr(op.do(t.Context(), nw.router(&scheduler{}), "cusco.a"))
+		is.NoErr(op.call(t.Context(), nw.router(&scheduler{}), "cusco.a"))
 		is.Equal(c2.calls, 1)
 		is.True(len(nw.called) > 1)
 
 		c2.leads = false
-		begun := time.Now()
-		checkRetryableError(t, op.do(t.Context(), nw.router(&scheduler{}), "cusco.a"), codes.NoScheduler)
-		is.True(time.Since(begun) < 3*time.Second)
+		began := time.Now()
+		checkRetryableError(t, op.call(t.Context(), nw.router(&scheduler{}), "cusco.a"), codes.NoScheduler)
+		is.True(time.Since(began) < 3*time.Second)
 		is.Equal(c2.calls, 1)
 	})
 }
@@ -259,7 +259,7 @@
 		is := is.New(t)
 		nw := newNetwork()
 		nw.replyErr = errLost
-		checkRetryableError(t, op.do(t.Context(), nw.router(&scheduler{}), "cusco.a"), op.unknown)
+		checkRetryableError(t, op.call(t.Context(), nw.router(&scheduler{}), "cusco.a"), op.unknownCode)
 		is.Equal(len(nw.called), 1)
 		is.Equal(nw.hosts["c2"].calls, 1)
 	})
@@ -270,27 +270,27 @@
 		is := is.New(t)
 		nw := newNetwork()
 		nw.hosts["c2"].err = codes.New(codes.QuotaExceeded, "quota exceeded").WithRetryAfter(time.Minute)
-		err := op.do(t.Context(), nw.router(&scheduler{}), "cusco.a")
+		err := op.call(t.Context(), nw.router(&scheduler{}), "cusco.a")
 		is.True(errors.Is(err, nw.hosts["c2"].err))
 		is.Equal(len(nw.called), 1)
 	})
 }
 
-func TestUnreachableZone(t *testing.T) {
+func TestCallToAnUnreachableZoneFails(t *testing.T) {
 	forEachOperation(t, func(t *testing.T, op operation) {
 		is := is.New(t)
 		nw := newNetwork()
 		for i := range nw.members {
 			nw.members[i].Alive = nw.members[i].Zone == "lima"
 		}
-		begun := time.Now()
-		checkRetryableError(t, op.do(t.Context(), nw.router(&scheduler{}), "cusco.a"), codes.ZoneUnreachable)
+		began := time.Now()
+		checkRetryableError(t, op.call(t.Context(), nw.router(&scheduler{}), "cusco.a"), codes.ZoneUnreachable)
 		is.Equal(len(nw.called), 0)
-		is.True(time.Since(begun) < 3*time.Second)
+		is.True(time.Since(began) < 3*time.Second)
 
 		nw = newNetwork() // hosts are reported alive, but calls aren't sent
 		nw.partitioned = true
-		checkRetryableError(t, op.do(t.Context(), nw.router(&scheduler{}), "cusco.a"), codes.ZoneUnreachable)
+		checkRetryableError(t, op.call(t.Context(), nw.router(&scheduler{}), "cusco.a"), codes.ZoneUnreachable)
 		is.Equal(nw.hosts["c2"].calls, 0)
 	})
 }
@@ -304,7 +304,7 @@
 			nw.hosts["c1"].leads = true
 			nw.members[1] = member("c1", "cusco", 3, "c1")
 		})
-		is.NoErr(op.do(t.Context(), nw.router(&scheduler{}), "cusco.a"))
+		is.NoErr(op.call(t.Context(), nw.router(&scheduler{}), "cusco.a"))
 		is.Equal(nw.hosts["c1"].calls, 1)
 		is.Equal(nw.hosts["c2"].calls, 0)
 	})
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -13,11 +13,11 @@
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
-// claims adapts claim.Table to entry.Claims.
-type claims struct{ table *claim.Table }
+// claimAdapter adapts claim.Table to entry.Claims.
+type claimAdapter struct{ table *claim.Table }
 
 // Acquire implements entry.Claims.
-func (cl claims) Acquire(ctx context.Context, ec entry.Claim) (*entry.Claim, error) {
+func (cl claimAdapter) Acquire(ctx context.Context, ec entry.Claim) (*entry.Claim, error) {
 	prior, err := cl.table.Acquire(ctx, claim.Claim(ec))
 	if prior == nil {
 		return nil, err
@@ -27,14 +27,14 @@
 }
 
 // SetOutcome implements entry.Claims.
-func (cl claims) SetOutcome(ctx context.Context, ec entry.Claim) error {
+func (cl claimAdapter) SetOutcome(ctx context.Context, ec entry.Claim) error {
 	return cl.table.SetOutcome(ctx, claim.Claim(ec))
 }
 
-// register registers the handlers of calls from other hosts. Calls about jobs go
+// registerHandlers registers the handlers of calls from other hosts. Calls about jobs go
 // to the local scheduler only: a host that isn't the leader returns NoScheduler,
 // and the calling host looks for the leader.
-func (ho *Host) register() {
+func (ho *Host) registerHandlers() {
 	peers.Handle(ho.mesh, peers.MethodSubmitJob, func(ctx context.Context, _ string, rq *wire.SubmitJob) (*wire.Job, error) {
 		rc, err := ho.zone.Submit(ctx, jobs.FromWire(rq.GetJob()).Spec)
 		return jobs.ToWire(rc), err
