host: complete the comments of the router and of the start

schedulerOf did not say whose report counts, List and ListZones not what they cover, and the timeouts, the leaving endpoints and New not what they are for or which errors come back. The comments now state it.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -70,12 +70,13 @@
 )
 
 const (
-	workerTimeout     = 2 * time.Second
+	workerTimeout     = 2 * time.Second // of one call to a worker
 	epochPollInterval = 500 * time.Millisecond
-	closeTimeout      = 2 * time.Second
+	closeTimeout      = 2 * time.Second // of transferring the account on shutdown
 )
 
-// New binds the addresses and returns a host that serves nothing until Run.
+// New binds the addresses and returns a host that serves nothing until Run. The
+// error is that of an address that can't be bound.
 func New(now time.Time, cfg Config) (*Host, error) {
 	se := cfg.Settings
 	ho := &Host{
@@ -116,7 +117,7 @@
 
 // Run serves until ctx ends and then shuts down gracefully: it resigns as the
 // scheduler, finishes the requests in progress, and transfers its account to
-// another host.
+// another host. It returns the error of a component that failed, if any.
 func (ho *Host) Run(ctx context.Context) error {
 	base, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -182,7 +183,8 @@
 	}
 }
 
-// self returns this host's heartbeat to its peers.
+// self returns the state of this host that its heartbeats carry. New creates the
+// mesh before the server, so the server may be missing.
 func (ho *Host) self() peers.Member {
 	holder := ho.zone.Holder()
 	me := peers.Member{
@@ -217,6 +219,8 @@
 	}
 }
 
+// declarations returns the declarations in force and their revision, or nil and
+// zero if there are none yet.
 func (ho *Host) declarations() (*spec.Declarations, int64) {
 	cur := ho.follower.Current()
 	if cur == nil {
@@ -232,6 +236,8 @@
 
 func (ho *Host) endpoints() []plat.Host { return ho.watcher.List().ByKind(plat.KindEndpoint) }
 
+// leavingEndpoints returns the endpoints that this host knows to be draining,
+// which its heartbeats report to the peers.
 func (ho *Host) leavingEndpoints() []string {
 	if ho.server == nil {
 		return nil
--- a/internal/host/leaving.go
+++ b/internal/host/leaving.go
@@ -16,6 +16,7 @@
 // only a part of the names if there are many.
 const leavingTTL = 10 * time.Second
 
+// add records that a peer has just reported the names.
 func (ls *leavingSet) add(names []string) {
 	now := time.Now()
 	ls.mu.Lock()
@@ -28,6 +29,7 @@
 	}
 }
 
+// names returns the names that haven't expired and deletes the others.
 func (ls *leavingSet) names() []string {
 	now := time.Now()
 	ls.mu.Lock()
--- a/internal/host/operate.go
+++ b/internal/host/operate.go
@@ -26,6 +26,8 @@
 )
 
 const (
+	// declarationsFileName is the file name in the positions of faults, since
+	// operators send only the content of a file.
 	declarationsFileName = "declarations"
 	rolloutPollInterval  = 50 * time.Millisecond
 )
@@ -60,8 +62,8 @@
 	return ad, nil
 }
 
-// awaitRollout waits until all known hosts have reported a revision, and returns
-// the hosts that haven't done so in time.
+// awaitRollout waits until all other known hosts have reported a revision or a
+// later one. It returns the hosts that haven't done so in time, as zone/host.
 func (op operatorAPI) awaitRollout(ctx context.Context, revision int64, wait time.Duration) []string {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -152,7 +154,8 @@
 	return zs
 }
 
-// Report implements entry.Operators.
+// Report implements entry.Operators. Hosts, zones and the archive that can't be
+// read are listed in the report as missing.
 func (op operatorAPI) Report(ctx context.Context, name string) (any, error) {
 	now := time.Now()
 	loc := op.ho.location()
@@ -192,6 +195,7 @@
 	return sb.String()
 }
 
+// faultsOf returns the faults among the causes of an error, or nil.
 func faultsOf(err error) []client.Fault {
 	var fas spec.Faults
 	if !errors.As(err, &fas) {
--- a/internal/host/router.go
+++ b/internal/host/router.go
@@ -25,11 +25,11 @@
 		Members func(now time.Time) []peers.Member
 	}
 
-	// LocalScheduler is this host's scheduler of its own zone. It returns
-	// NoScheduler while another host is the leader.
+	// LocalScheduler is this host's scheduler of its own zone. The methods of
+	// jobs.Service return NoScheduler while this host isn't the leader.
 	LocalScheduler interface {
 		jobs.Service
-		// IsLeader tells whether this host is the leader.
+		// IsLeader reports whether this host is the leader.
 		IsLeader() bool
 		// Summary returns the counts of the zone, or false if this host isn't
 		// the leader.
@@ -75,7 +75,7 @@
 	return jr.callForJob(ctx, jobs.ZoneOf(id), peers.MethodCancelJob, &wire.CancelJob{Id: id}, codes.CancelUnknown, local)
 }
 
-// List implements jobs.Service for the own zone.
+// List implements jobs.Service. It lists only the jobs of this host's zone.
 func (jr *JobRouter) List(ctx context.Context, fi jobs.Filter) ([]jobs.Record, error) {
 	return jr.ListZone(ctx, jr.cfg.Zone, fi)
 }
@@ -103,7 +103,7 @@
 }
 
 // ListZones implements entry.ZoneLister for all zones with known hosts. It also
-// returns the names of the unreachable zones.
+// returns the names of the zones that couldn't be listed. The error is always nil.
 func (jr *JobRouter) ListZones(ctx context.Context, fi jobs.Filter) ([]jobs.Record, []string, error) {
 	var rcs []jobs.Record
 	var unreachable []string
@@ -149,8 +149,8 @@
 	return sm, err
 }
 
-// callForJob calls the scheduler of a zone about one job and returns its
-// record.
+// callForJob calls the scheduler of a zone about one job and returns the job's
+// record. local makes the call if this host is the scheduler.
 func (jr *JobRouter) callForJob(
 	ctx context.Context, zone, method string, rq proto.Message, unknownCode codes.Code, local func() (jobs.Record, error),
 ) (jobs.Record, error) {
@@ -197,11 +197,12 @@
 	}
 }
 
-// schedulerOf returns the host to call for a zone. That is the one that the
-// members of the zone report as its scheduler. If that one isn't alive, it is
-// this host in its own zone and any member in another. An empty name stands for
-// the scheduler on this host, which returns NoScheduler while it isn't the
-// leader. It returns false if no host of the zone is alive.
+// schedulerOf returns the host to call for a zone. That is this host if it is the
+// zone's leader, or else the scheduler that the alive member with the largest
+// epoch reports. If that scheduler isn't alive, it is this host in its own zone
+// and any alive member in another. An empty name stands for the scheduler on this
+// host, which returns NoScheduler while it isn't the leader. schedulerOf returns
+// false if no host of the zone is alive.
 func (jr *JobRouter) schedulerOf(now time.Time, zone string) (string, bool) {
 	if zone == jr.cfg.Zone && jr.cfg.Local.IsLeader() {
 		return "", true
--- a/internal/host/router_test.go
+++ b/internal/host/router_test.go
@@ -20,7 +20,8 @@
 )
 
 type (
-	// scheduler is a fake scheduler of one host that counts its calls.
+	// scheduler is a fake scheduler of one host that counts the calls that it
+	// receives as the leader.
 	scheduler struct {
 		leads bool
 		calls int
@@ -265,6 +266,8 @@
 	})
 }
 
+// TestSchedulerErrorIsReturnedUnchanged guards against a router that retries a
+// rejected call or replaces its code.
 func TestSchedulerErrorIsReturnedUnchanged(t *testing.T) {
 	forEachOperation(t, func(t *testing.T, op operation) {
 		is := is.New(t)
@@ -295,6 +298,8 @@
 	})
 }
 
+// TestDeadSchedulerIsSkipped lets the scheduler of a zone die and another host take
+// over a second later. The calls must reach the new scheduler.
 func TestDeadSchedulerIsSkipped(t *testing.T) {
 	forEachOperation(t, func(t *testing.T, op operation) {
 		is := is.New(t)
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -31,9 +31,9 @@
 	return cl.table.SetOutcome(ctx, claim.Claim(ec))
 }
 
-// registerHandlers registers the handlers of calls from other hosts. Calls about jobs go
-// to the local scheduler only: a host that isn't the leader returns NoScheduler,
-// and the calling host looks for the leader.
+// registerHandlers registers the handlers of calls from other hosts. Calls about
+// jobs go to the local scheduler only: a host that isn't the leader returns
+// NoScheduler, and the calling host looks for the leader.
 func (ho *Host) registerHandlers() {
 	peers.Handle(ho.mesh, peers.MethodSubmitJob, func(ctx context.Context, _ string, rq *wire.SubmitJob) (*wire.Job, error) {
 		rc, err := ho.zone.Submit(ctx, jobs.FromWire(rq.GetJob()).Spec)
