admin: name the local of the backlog and of the tests' key check

The decoded backlog was called wa, and the tests spoke of a mark where the code has the evacuation key of a zone. The names are now bl and keyExists.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -87,11 +87,11 @@
 	if err != nil || en.Revision == 0 {
 		return nil
 	}
-	wa, err := batch.Decode[batch.Backlog](en.Value)
+	bl, err := batch.Decode[batch.Backlog](en.Value)
 	if err != nil {
 		ha.cfg.Log.Warn("malformed entry of the store is ignored", "event", "foreignEntry", "key", en.Key, "reason", err)
 	}
-	return wa.Evacuating
+	return bl.Evacuating
 }
 
 // workerCounter returns a function that returns the number of workers listed in
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -56,8 +56,8 @@
 	ev, err := cl.Evacuate(t.Context(), "z1", true)
 	is.NoErr(err)
 	is.Equal(ev.Code, codes.ZoneServes)
-	_, marked := kv.Value(runsim.EvacuationPrefix + "z1")
-	is.True(!marked)
+	_, keyExists := kv.Value(runsim.EvacuationPrefix + "z1")
+	is.True(!keyExists)
 	li, err := cl.Evacuations(t.Context())
 	is.NoErr(err)
 	is.Equal(len(li.Evacuations), 0)
@@ -71,13 +71,13 @@
 		return store.Entry{}, errors.Join(store.ErrOutcomeUnknown, err)
 	}
 	tests := []struct {
-		name   string
-		onSwap func(ctx context.Context, st store.Store, rq store.SwapRequest) (store.Entry, error)
-		down   bool
-		want   codes.Code
-		marked bool
+		name      string
+		onSwap    func(ctx context.Context, st store.Store, rq store.SwapRequest) (store.Entry, error)
+		down      bool
+		want      codes.Code
+		keyExists bool
 	}{
-		{name: "lost reply", onSwap: loseReply, want: codes.ZoneEmptied, marked: true},
+		{name: "lost reply", onSwap: loseReply, want: codes.ZoneEmptied, keyExists: true},
 		{name: "lost writes", want: codes.EvacuateUnknown, onSwap: func(context.Context, store.Store, store.SwapRequest) (store.Entry, error) {
 			return store.Entry{}, store.ErrOutcomeUnknown
 		}},
@@ -104,8 +104,8 @@
 			status, err := cl.Status(t.Context())
 			is.NoErr(err)
 			is.Equal(status.StoreUp, !tt.down)
-			_, marked := kv.Value(runsim.EvacuationPrefix + "z1")
-			is.Equal(marked, tt.marked)
+			_, keyExists := kv.Value(runsim.EvacuationPrefix + "z1")
+			is.Equal(keyExists, tt.keyExists)
 		})
 	}
 }
