admin: speak of the evacuation key and state the errors

The comments called the same value a mark and a key, and did not say which errors come back, when a count is missing or why the timeout of the worker list is short.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -20,7 +20,7 @@
 type (
 	// Config configures the handler.
 	Config struct {
-		Host   string
+		Host   string // name of this host
 		Store  store.Store
 		Layout drive.StoreLayout
 		Log    *slog.Logger
@@ -32,8 +32,8 @@
 	}
 )
 
-// listWorkersTimeout limits reading the list of workers. It is short, since the
-// response needs the list only for an optional count.
+// listWorkersTimeout limits reading the list of workers. It is shorter than
+// requestTimeout, since the response needs the list only for an optional count.
 const listWorkersTimeout = 3 * time.Second
 
 // status returns what this host knows of the domain, including whether the store
@@ -58,7 +58,7 @@
 }
 
 // evacuations lists the zones under evacuation, with the workers and tasks that
-// remain there.
+// remain there. The error is StoreUnavailable. A count that can't be read is nil.
 func (ha *handler) evacuations(ctx context.Context) ([]client.Evacuation, error) {
 	evs := []client.Evacuation{}
 	if ha.cfg.Layout.EvacuationPrefix == "" {
@@ -81,7 +81,7 @@
 }
 
 // remainingTasks returns the scheduler's last count of the tasks in each zone
-// under evacuation.
+// under evacuation. It returns nil if the count can't be read.
 func (ha *handler) remainingTasks(ctx context.Context) map[string]int {
 	en, _, err := ha.cfg.Store.Get(ctx, batch.BacklogKey)
 	if err != nil || en.Revision == 0 {
@@ -94,8 +94,8 @@
 	return bl.Evacuating
 }
 
-// workerCounter returns a function that returns the number of workers listed in
-// a zone, or nil if the list can't be read.
+// workerCounter reads the list of workers once and returns a function that counts
+// those in a zone. The function returns nil if the list can't be read.
 func (ha *handler) workerCounter(ctx context.Context) func(zone string) *int {
 	ctx, cancel := context.WithTimeout(ctx, listWorkersTimeout)
 	defer cancel()
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -30,8 +30,8 @@
 	return cl
 }
 
-// TestEvacuationIsRequestedAndWithdrawn guards against a mark under a key other
-// than the platform's, and against a status without the remaining tasks.
+// TestEvacuationIsRequestedAndWithdrawn guards against an evacuation key other than
+// the platform's, and against a status without the remaining tasks.
 func TestEvacuationIsRequestedAndWithdrawn(t *testing.T) {
 	is := is.New(t)
 	kv := kvsim.Start(t, kvsim.Config{})
--- a/internal/admin/evacuation.go
+++ b/internal/admin/evacuation.go
@@ -14,7 +14,8 @@
 
 // writeEvacuation creates or deletes the evacuation key of a zone and reports
 // whether that changed anything. It reads the key before each write, which also
-// resolves an unknown outcome.
+// resolves an unknown outcome. The error is a *codes.Error: WriteForbidden,
+// EvacuateUnknown if the outcome is unknown, or StoreUnavailable.
 func (ha *handler) writeEvacuation(ctx context.Context, zone string, set bool) (bool, error) {
 	key := ha.cfg.Layout.EvacuationPrefix + zone
 	replyLost := false
--- a/internal/admin/http.go
+++ b/internal/admin/http.go
@@ -52,7 +52,7 @@
 	ha.write(wr, codes.RequestDone, client.EvacuationList{Evacuations: evs})
 }
 
-// evacuate serves requests to set or delete the evacuation mark of a zone.
+// evacuate serves requests to begin the evacuation of a zone (set) or to end it.
 func (ha *handler) evacuate(set bool) http.HandlerFunc {
 	return func(wr http.ResponseWriter, rq *http.Request) {
 		ctx, cancel := context.WithTimeout(rq.Context(), requestTimeout)
@@ -73,7 +73,8 @@
 	}
 }
 
-// setEvacuation validates a request and then sets or deletes the mark.
+// setEvacuation validates a request and then creates or deletes the evacuation
+// key of the zone. It reports whether that changed anything.
 func (ha *handler) setEvacuation(ctx context.Context, zone string, set bool) (bool, error) {
 	switch {
 	case !spec.ValidName(zone):
