--- a/internal/report/account.go
+++ b/internal/report/account.go
@@ -92,18 +92,18 @@
 // End records the outcome. A second call, or a code of class InProgress, is
 // rejected and counted by RejectedEnds.
 func (wo *Work) End(out Outcome) {
-	at, ok := codeIndex[out.Code]
+	idx, ok := codeIndex[out.Code]
 	if !ok {
-		at = codeIndex[codes.InternalFailure]
+		idx = codeIndex[codes.InternalFailure]
 	}
-	if codeList[at].Class() == codes.InProgress || !wo.ended.CompareAndSwap(false, true) {
+	if codeList[idx].Class() == codes.InProgress || !wo.ended.CompareAndSwap(false, true) {
 		wo.account.rejectedEnds.Add(1)
 		return
 	}
 	wo.row.slotNanos.Add(int64(max(out.SlotTime, 0)))
 	wo.row.regionBytes.Add(max(out.RegionBytes, 0))
 	wo.row.repeats.Add(int64(max(out.Repeats, 0)))
-	wo.row.ended[at].Add(1)
+	wo.row.ended[idx].Add(1)
 }
 
 // Snapshot returns the current values of all counters. In each row, outcomes
--- a/internal/report/archive_test.go
+++ b/internal/report/archive_test.go
@@ -59,27 +59,27 @@
 func TestArchiveSurvivesTheLossOfEveryHost(t *testing.T) {
 	for name, fault := range map[string]error{"no fault": nil, "reply lost": store.ErrOutcomeUnknown} {
 		t.Run(name, func(t *testing.T) {
-			inFleet(t, func(t *testing.T, fl *fleet) {
+			inCluster(t, func(t *testing.T, cl *cluster) {
 				is := is.New(t)
 				ms := &memStore{entries: map[string]store.Entry{}, fault: fault}
-				archive := func(fh *fleetHost, zone string) *report.Archive {
+				archive := func(ch *clusterHost, zone string) *report.Archive {
 					return report.NewArchive(report.ArchiveConfig{
-						Store: ms, Zone: zone, Replicator: fh.replicator, Location: func() *time.Location { return time.UTC },
+						Store: ms, Zone: zone, Replicator: ch.replicator, Location: func() *time.Location { return time.UTC },
 					})
 				}
-				a, b := fl.start("a", "lima"), fl.start("b", "lima")
+				a, b := cl.start("a", "lima"), cl.start("b", "lima")
 				day := report.DayOf(time.Now(), time.UTC)
 				a.account.Offer(time.Now(), "w", "orders").End(report.Outcome{Code: codes.RequestDone})
 				b.account.Offer(time.Now(), "w", "orders").End(report.Outcome{Code: codes.RequestDone})
 				b.account.Offer(time.Now(), "w", "orders")
 				is.True(errors.Is(archive(a, "lima").Save(t.Context(), time.Now()), fault))
-				fl.killAll()
+				cl.killAll()
 
 				// A new host of the zone has no counters and must not reset the archive.
-				c := fl.start("c", "lima")
+				c := cl.start("c", "lima")
 				c.account.Offer(time.Now(), "w", "orders").End(report.Outcome{Code: codes.RequestDone})
 				is.True(errors.Is(archive(c, "lima").Save(t.Context(), time.Now()), fault))
-				accounts, err := archive(fl.start("d", "cusco"), "cusco").Read(t.Context(), day)
+				accounts, err := archive(cl.start("d", "cusco"), "cusco").Read(t.Context(), day)
 				is.NoErr(err)
 				offered := int64(0)
 				for _, ac := range accounts {
--- a/internal/report/encode.go
+++ b/internal/report/encode.go
@@ -53,31 +53,31 @@
 }
 
 func (da Daily) writeRows(wr io.Writer) {
-	line(wr, "\nworkspace", "service", "offered", "done", "failed", "notRun", "unknown", "inProgress", "codes")
+	writeLine(wr, "\nworkspace", "service", "offered", "done", "failed", "notRun", "unknown", "inProgress", "codes")
 	for _, rw := range da.Rows {
 		service := rw.Service
 		if service == "" {
 			service = jobsLabel
 		}
-		line(wr, rw.Workspace, service, rw.Offered, rw.Done, rw.Failed, rw.NotRun, rw.Unknown, rw.InProgress, list(rw.Codes))
+		writeLine(wr, rw.Workspace, service, rw.Offered, rw.Done, rw.Failed, rw.NotRun, rw.Unknown, rw.InProgress, formatCodes(rw.Codes))
 	}
 }
 
 func (da Daily) writeOutcomes(wr io.Writer) {
-	line(wr, "\nrevenue", "promised", "delivered", "failed", "refused", "unknown", "inProgress", "reasons")
+	writeLine(wr, "\nrevenue", "promised", "delivered", "failed", "refused", "unknown", "inProgress", "reasons")
 	for _, ou := range da.Outcomes {
-		line(wr, ou.Workspace, ou.Offered, ou.Done, ou.Failed, ou.Refused, ou.Unknown, ou.InProgress, list(ou.Reasons))
+		writeLine(wr, ou.Workspace, ou.Offered, ou.Done, ou.Failed, ou.Refused, ou.Unknown, ou.InProgress, formatCodes(ou.Reasons))
 	}
 }
 
 func (da Daily) writeUsage(wr io.Writer) {
-	line(wr, "\ncapacity", "ran", "notRun", "inProgress", "slotTime", "heldBack", "held", "lost", "reclaimed", "regionBytes", "repeats")
+	writeLine(wr, "\ncapacity", "ran", "notRun", "inProgress", "slotTime", "heldBack", "held", "lost", "reclaimed", "regionBytes", "repeats")
 	for _, us := range da.Usage {
-		line(wr, us.Workspace, us.Ran, us.NotRun, us.InProgress, us.SlotTime, us.QueueTime, us.Held, us.Lost, us.Reclaimed, us.RegionBytes, us.Repeats)
+		writeLine(wr, us.Workspace, us.Ran, us.NotRun, us.InProgress, us.SlotTime, us.QueueTime, us.Held, us.Lost, us.Reclaimed, us.RegionBytes, us.Repeats)
 	}
 }
 
-func line(wr io.Writer, cells ...any) {
+func writeLine(wr io.Writer, cells ...any) {
 	texts := make([]string, len(cells))
 	for i, ce := range cells {
 		texts[i] = fmt.Sprint(ce)
@@ -85,7 +85,7 @@
 	fmt.Fprintln(wr, strings.Join(texts, "\t"))
 }
 
-func list(cs []CodeCount) string {
+func formatCodes(cs []CodeCount) string {
 	texts := make([]string, len(cs))
 	for i, cc := range cs {
 		texts[i] = fmt.Sprintf("%d=%d", int(cc.Code), cc.Count)
--- a/internal/report/replicator_test.go
+++ b/internal/report/replicator_test.go
@@ -22,17 +22,17 @@
 )
 
 type (
-	// fleet is a set of hosts that call each other in memory.
-	fleet struct {
+	// cluster is a set of hosts that call each other in memory.
+	cluster struct {
 		mu        sync.Mutex
-		hosts     map[string]*fleetHost
+		hosts     map[string]*clusterHost
 		loseReply bool // calls take effect but return an error
 		sentRows  int
 		sentBytes int
 	}
 
-	fleetHost struct {
-		fleet      *fleet
+	clusterHost struct {
+		cluster    *cluster
 		member     peers.Member
 		handlers   map[string]peers.RawHandler
 		account    *report.Account
@@ -42,100 +42,100 @@
 	}
 )
 
-var errLink = errors.New("connection failed")
+var errConnection = errors.New("connection failed")
 
-func (fl *fleet) start(name, zone string) *fleetHost {
-	fh := &fleetHost{
-		fleet:    fl,
+func (cl *cluster) start(name, zone string) *clusterHost {
+	ch := &clusterHost{
+		cluster:  cl,
 		member:   peers.Member{Name: name, Zone: zone, Incarnation: uint64(time.Now().UnixNano()), Alive: true},
 		handlers: make(map[string]peers.RawHandler),
 		ended:    make(chan error, 1),
 	}
-	fh.account = report.NewAccount(report.AccountConfig{Host: name, Zone: zone, Incarnation: fh.member.Incarnation})
-	fh.replicator = report.NewReplicator(report.ReplicatorConfig{
-		Account: fh.account, Copies: report.NewAccountStore(), Caller: fh, Members: fl.members,
+	ch.account = report.NewAccount(report.AccountConfig{Host: name, Zone: zone, Incarnation: ch.member.Incarnation})
+	ch.replicator = report.NewReplicator(report.ReplicatorConfig{
+		Account: ch.account, Copies: report.NewAccountStore(), Caller: ch, Members: cl.members,
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
-	fh.replicator.Register(fh)
-	fl.mu.Lock()
-	fl.hosts[name] = fh
-	fl.mu.Unlock()
+	ch.replicator.Register(ch)
+	cl.mu.Lock()
+	cl.hosts[name] = ch
+	cl.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
-	fh.cancel = cancel
-	go func() { fh.ended <- fh.replicator.Run(ctx) }()
-	return fh
+	ch.cancel = cancel
+	go func() { ch.ended <- ch.replicator.Run(ctx) }()
+	return ch
 }
 
 // kill stops a host without Close.
-func (fh *fleetHost) kill() {
-	fh.cancel()
-	<-fh.ended
-	fh.fleet.mu.Lock()
-	defer fh.fleet.mu.Unlock()
-	delete(fh.fleet.hosts, fh.member.Name)
+func (ch *clusterHost) kill() {
+	ch.cancel()
+	<-ch.ended
+	ch.cluster.mu.Lock()
+	defer ch.cluster.mu.Unlock()
+	delete(ch.cluster.hosts, ch.member.Name)
 }
 
-func (fl *fleet) killAll() {
-	for _, me := range fl.members(time.Now()) {
-		fl.hosts[me.Name].kill()
+func (cl *cluster) killAll() {
+	for _, me := range cl.members(time.Now()) {
+		cl.hosts[me.Name].kill()
 	}
 }
 
-func (fl *fleet) members(time.Time) []peers.Member {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
+func (cl *cluster) members(time.Time) []peers.Member {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
 	var ms []peers.Member
-	for _, fh := range fl.hosts {
-		ms = append(ms, fh.member)
+	for _, ch := range cl.hosts {
+		ms = append(ms, ch.member)
 	}
 	return ms
 }
 
-func (fh *fleetHost) Handle(method string, fn peers.RawHandler) { fh.handlers[method] = fn }
+func (ch *clusterHost) Handle(method string, fn peers.RawHandler) { ch.handlers[method] = fn }
 
-func (fh *fleetHost) Call(ctx context.Context, host, method string, req, reply proto.Message) error {
-	fh.fleet.mu.Lock()
-	to, loseReply := fh.fleet.hosts[host], fh.fleet.loseReply
+func (ch *clusterHost) Call(ctx context.Context, host, method string, req, reply proto.Message) error {
+	ch.cluster.mu.Lock()
+	to, loseReply := ch.cluster.hosts[host], ch.cluster.loseReply
 	if ac, ok := req.(*wire.Account); ok {
-		fh.fleet.sentRows += len(ac.GetRows())
-		fh.fleet.sentBytes += proto.Size(ac)
+		ch.cluster.sentRows += len(ac.GetRows())
+		ch.cluster.sentBytes += proto.Size(ac)
 	}
-	fh.fleet.mu.Unlock()
+	ch.cluster.mu.Unlock()
 	if to == nil {
-		return &peers.NotSentError{Host: host, Err: errLink}
+		return &peers.NotSentError{Host: host, Err: errConnection}
 	}
 	payload, err := proto.Marshal(req)
 	if err != nil {
 		return err
 	}
-	response, err := to.handlers[method](ctx, fh.member.Name, payload)
+	response, err := to.handlers[method](ctx, ch.member.Name, payload)
 	if err != nil || loseReply {
-		return errors.Join(err, errLink)
+		return errors.Join(err, errConnection)
 	}
 	return proto.Unmarshal(response, reply)
 }
 
-func (fl *fleet) setLoseReply(loseReply bool) {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	fl.loseReply = loseReply
+func (cl *cluster) setLoseReply(loseReply bool) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.loseReply = loseReply
 }
 
-func (fl *fleet) rows() int {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	return fl.sentRows
+func (cl *cluster) rows() int {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.sentRows
 }
 
 // buildReport returns the report of the current day, built on one host.
-func (fh *fleetHost) buildReport(t *testing.T) report.Daily {
+func (ch *clusterHost) buildReport(t *testing.T) report.Daily {
 	t.Helper()
 	now := time.Now()
 	day, err := report.ParseDay(report.DayOf(now, time.UTC), time.UTC)
 	if err != nil {
 		t.Fatal(err)
 	}
-	accounts, missing := fh.replicator.Collect(t.Context(), now, day.Name)
+	accounts, missing := ch.replicator.Collect(t.Context(), now, day.Name)
 	da := report.Build(day, report.Input{Accounts: accounts, Missing: missing, Now: time.Now()})
 	if err := da.Check(); err != nil {
 		t.Error(err)
@@ -143,36 +143,36 @@
 	return da
 }
 
-func (fh *fleetHost) recordRequests(count int) {
+func (ch *clusterHost) recordRequests(count int) {
 	for range count {
-		fh.account.Offer(time.Now(), "sacos", "price").End(report.Outcome{Code: codes.RequestDone})
+		ch.account.Offer(time.Now(), "sacos", "price").End(report.Outcome{Code: codes.RequestDone})
 	}
 }
 
-func inFleet(t *testing.T, fn func(t *testing.T, fl *fleet)) {
+func inCluster(t *testing.T, fn func(t *testing.T, cl *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		fl := &fleet{hosts: make(map[string]*fleetHost)}
-		fn(t, fl)
-		fl.killAll()
+		cl := &cluster{hosts: make(map[string]*clusterHost)}
+		fn(t, cl)
+		cl.killAll()
 	})
 }
 
 // TestCountersSurviveTheReplacementOfEveryHost replaces all hosts of a zone,
 // one after the other, by hosts with other names.
 func TestCountersSurviveTheReplacementOfEveryHost(t *testing.T) {
-	for _, planned := range []bool{false, true} {
-		t.Run(fmt.Sprintf("planned=%v", planned), func(t *testing.T) {
-			inFleet(t, func(t *testing.T, fl *fleet) {
+	for _, graceful := range []bool{false, true} {
+		t.Run(fmt.Sprintf("planned=%v", graceful), func(t *testing.T) {
+			inCluster(t, func(t *testing.T, cl *cluster) {
 				is := is.New(t)
-				var hs []*fleetHost
+				var hs []*clusterHost
 				for i := range 3 {
-					hs = append(hs, fl.start(fmt.Sprintf("h%d", i), "centro"))
+					hs = append(hs, cl.start(fmt.Sprintf("h%d", i), "centro"))
 				}
 				for i := 3; i < 12; i++ {
 					hs[0].recordRequests(10)
 					time.Sleep(2 * report.SnapshotEvery)
-					if planned {
+					if graceful {
 						hs[0].recordRequests(1) // after the last copy
 						hs[0].cancel()
 						is.NoErr(<-hs[0].ended)
@@ -180,11 +180,11 @@
 						hs[0].ended <- nil
 					}
 					hs[0].kill()
-					hs = append(hs[1:], fl.start(fmt.Sprintf("h%d", i), "centro"))
+					hs = append(hs[1:], cl.start(fmt.Sprintf("h%d", i), "centro"))
 				}
 				time.Sleep(2 * report.SnapshotEvery)
 				da := hs[0].buildReport(t)
-				if planned {
+				if graceful {
 					is.Equal(da.Rows[0].Done, int64(99))
 					is.Equal(len(da.Gaps), 0)
 					return
@@ -197,29 +197,29 @@
 }
 
 func TestOnlyChangedRowsAreSent(t *testing.T) {
-	inFleet(t, func(t *testing.T, fl *fleet) {
+	inCluster(t, func(t *testing.T, cl *cluster) {
 		is := is.New(t)
-		one := fl.start("h1", "centro")
-		fl.start("h2", "centro")
+		one := cl.start("h1", "centro")
+		cl.start("h2", "centro")
 		for i := range 100 {
 			one.account.Offer(time.Now(), fmt.Sprint("w", i), "price").End(report.Outcome{Code: codes.RequestDone})
 		}
 		time.Sleep(2*report.SnapshotEvery + time.Second)
-		is.Equal(fl.rows(), 100)
+		is.Equal(cl.rows(), 100)
 		one.recordRequests(1)
 		time.Sleep(2 * report.SnapshotEvery)
-		is.Equal(fl.rows(), 101)
+		is.Equal(cl.rows(), 101)
 	})
 }
 
-// TestCopyTraffic offers requests of 220 workspaces continuously. Copies and
+// TestCopyTrafficIsLimited offers requests of 220 workspaces continuously. Copies and
 // membership (at most 7 KB/s) must stay within 14 KB/s, so copies may take 7.
-func TestCopyTraffic(t *testing.T) {
-	inFleet(t, func(t *testing.T, fl *fleet) {
+func TestCopyTrafficIsLimited(t *testing.T) {
+	inCluster(t, func(t *testing.T, cl *cluster) {
 		is := is.New(t)
-		one := fl.start("h0", "centro")
+		one := cl.start("h0", "centro")
 		for i := 1; i < 8; i++ {
-			fl.start(fmt.Sprint("h", i), "centro")
+			cl.start(fmt.Sprint("h", i), "centro")
 		}
 		const span = time.Minute
 		for began := time.Now(); time.Since(began) < span; time.Sleep(time.Second) {
@@ -229,24 +229,24 @@
 				one.account.Offer(time.Now(), ws, "appraisal").End(report.Outcome{Code: codes.Overloaded})
 			}
 		}
-		fl.mu.Lock()
-		defer fl.mu.Unlock()
-		rate := float64(fl.sentBytes) / span.Seconds()
+		cl.mu.Lock()
+		defer cl.mu.Unlock()
+		rate := float64(cl.sentBytes) / span.Seconds()
 		t.Logf("bytes per second of all copies: %.0f", rate)
 		is.True(rate < 7000)
 	})
 }
 
-func TestLostRepliesOfCopies(t *testing.T) {
-	inFleet(t, func(t *testing.T, fl *fleet) {
+func TestLostRepliesOfCopiesChangeNoCounts(t *testing.T) {
+	inCluster(t, func(t *testing.T, cl *cluster) {
 		is := is.New(t)
-		one, two := fl.start("h1", "centro"), fl.start("h2", "centro")
-		fl.setLoseReply(true)
+		one, two := cl.start("h1", "centro"), cl.start("h2", "centro")
+		cl.setLoseReply(true)
 		one.recordRequests(5)
 		time.Sleep(2*report.SnapshotEvery + time.Second)
 		one.recordRequests(5)
 		time.Sleep(2 * report.SnapshotEvery)
-		fl.setLoseReply(false)
+		cl.setLoseReply(false)
 		time.Sleep(report.SnapshotEvery)
 		one.kill()
 		is.Equal(two.buildReport(t).Rows[0].Done, int64(10))
@@ -256,9 +256,9 @@
 // TestOnlyHostOfItsZoneCopiesToAnotherZone checks that a host that is alone in
 // its zone sends its account to a host of another zone.
 func TestOnlyHostOfItsZoneCopiesToAnotherZone(t *testing.T) {
-	inFleet(t, func(t *testing.T, fl *fleet) {
+	inCluster(t, func(t *testing.T, cl *cluster) {
 		is := is.New(t)
-		one, two := fl.start("h1", "centro"), fl.start("h2", "sur")
+		one, two := cl.start("h1", "centro"), cl.start("h2", "sur")
 		one.recordRequests(5)
 		time.Sleep(2*report.SnapshotEvery + time.Second)
 		one.kill()
@@ -270,11 +270,11 @@
 }
 
 func TestCollectReportsUnreachableHosts(t *testing.T) {
-	inFleet(t, func(t *testing.T, fl *fleet) {
+	inCluster(t, func(t *testing.T, cl *cluster) {
 		is := is.New(t)
-		one := fl.start("h1", "centro")
-		two := fl.start("h2", "centro")
-		fl.setLoseReply(true)
+		one := cl.start("h1", "centro")
+		two := cl.start("h2", "centro")
+		cl.setLoseReply(true)
 		_, missing := one.replicator.Collect(t.Context(), time.Now(), "2000-01-01")
 		is.Equal(missing, []string{"h2"})
 		is.True(two.account.RejectedEnds() == 0)
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -142,19 +142,19 @@
 		var copies []*wire.Account
 		offered, ended := int64(0), int64(0)
 		for range rapid.IntRange(0, 60).Draw(rt, "steps") {
-			at := rapid.IntRange(0, len(hosts)-1).Draw(rt, "host")
+			idx := rapid.IntRange(0, len(hosts)-1).Draw(rt, "host")
 			switch rapid.IntRange(0, 2).Draw(rt, "step") {
 			case 0:
-				openWork[at] = append(openWork[at], hosts[at].Offer(noon, rapid.SampledFrom([]string{"v", "w"}).Draw(rt, "workspace"), "s"))
+				openWork[idx] = append(openWork[idx], hosts[idx].Offer(noon, rapid.SampledFrom([]string{"v", "w"}).Draw(rt, "workspace"), "s"))
 				offered++
 			case 1:
-				if n := len(openWork[at]); n > 0 {
-					openWork[at][n-1].End(report.Outcome{Code: rapid.SampledFrom(outcomes).Draw(rt, "code"), Repeats: 1})
-					openWork[at] = openWork[at][:n-1]
+				if n := len(openWork[idx]); n > 0 {
+					openWork[idx][n-1].End(report.Outcome{Code: rapid.SampledFrom(outcomes).Draw(rt, "code"), Repeats: 1})
+					openWork[idx] = openWork[idx][:n-1]
 					ended++
 				}
 			default:
-				copies = append(copies, hosts[at].Snapshot(noon))
+				copies = append(copies, hosts[idx].Snapshot(noon))
 			}
 		}
 		stale := rapid.SampledFrom(append(copies, hosts[0].Snapshot(noon))).Draw(rt, "stale")
@@ -248,9 +248,9 @@
 	is.True(strings.Contains(buf.String(), "4008=1 4017=1"))
 }
 
-// TestAvailableTimeBeginsWithTheSystem checks the available accelerator time on
+// TestAvailableTimeBeginsWithTheFirstDeclarations checks the available accelerator time on
 // the day on which the first declarations were applied.
-func TestAvailableTimeBeginsWithTheSystem(t *testing.T) {
+func TestAvailableTimeBeginsWithTheFirstDeclarations(t *testing.T) {
 	is := is.New(t)
 	in := exampleInput()
 	in.Jobs = nil
--- a/internal/report/views.go
+++ b/internal/report/sums.go
@@ -10,14 +10,14 @@
 
 // sumOutcomes sums the rows, which must be sorted, by workspace.
 func sumOutcomes(rows []Row) []OutcomeSums {
-	var rs []OutcomeSums
+	var sums []OutcomeSums
 	reasons := make(map[codes.Code]int64)
 	for i, rw := range rows {
 		if i == 0 || rows[i-1].Workspace != rw.Workspace {
-			rs = append(rs, OutcomeSums{Workspace: rw.Workspace})
+			sums = append(sums, OutcomeSums{Workspace: rw.Workspace})
 			clear(reasons)
 		}
-		ou := &rs[len(rs)-1]
+		ou := &sums[len(sums)-1]
 		ou.Offered += rw.Offered
 		ou.Done += rw.Done
 		ou.Failed += rw.Failed
@@ -31,17 +31,17 @@
 		}
 		ou.Reasons = countCodes(reasons)
 	}
-	return rs
+	return sums
 }
 
 // sumUsage sums the rows, which must be sorted, by workspace.
 func sumUsage(rows []Row) []UsageSums {
-	var cs []UsageSums
+	var sums []UsageSums
 	for i, rw := range rows {
 		if i == 0 || rows[i-1].Workspace != rw.Workspace {
-			cs = append(cs, UsageSums{Workspace: rw.Workspace})
+			sums = append(sums, UsageSums{Workspace: rw.Workspace})
 		}
-		us := &cs[len(cs)-1]
+		us := &sums[len(sums)-1]
 		us.Ran += rw.Done + rw.Failed + rw.Unknown
 		us.NotRun += rw.NotRun
 		us.InProgress += rw.InProgress
@@ -53,7 +53,7 @@
 		us.RegionBytes += rw.RegionBytes
 		us.Repeats += rw.Repeats
 	}
-	return cs
+	return sums
 }
 
 // Check verifies that in every row the outcomes add up to the offers and the
