report: complete the comments of accounts, copies and gaps

A stale comment named a type that no longer exists, and others left out which hosts receive copies, which gaps are listed, the errors and the units. They now say so, and three tests say what they guard against; a subtest is called graceful as its variable is.

--- a/internal/report/account.go
+++ b/internal/report/account.go
@@ -24,7 +24,7 @@
 	// Recorder and is safe for concurrent use.
 	Account struct {
 		cfg          AccountConfig
-		rows         sync.Map // rowKey to *row
+		rows         sync.Map // rowKey to *rowCounters
 		rowCount     atomic.Int64
 		rejectedEnds atomic.Int64
 
@@ -32,7 +32,7 @@
 		sequence int64
 	}
 
-	// Work is one offered piece of work, a request or a submission of a job. It
+	// Work is one offered piece of work: a request or a submission of a job. It
 	// counts as in progress until End.
 	Work struct {
 		account *Account
@@ -90,7 +90,8 @@
 func (ac *Account) RejectedEnds() int64 { return ac.rejectedEnds.Load() }
 
 // End records the outcome. A second call, or a code of class InProgress, is
-// rejected and counted by RejectedEnds.
+// rejected and counted by RejectedEnds. An undefined code counts as
+// InternalFailure.
 func (wo *Work) End(out Outcome) {
 	idx, ok := codeIndex[out.Code]
 	if !ok {
@@ -117,7 +118,7 @@
 	return ac.snapshot(now)
 }
 
-// Close returns the last snapshot, which shows that the host has shut down
+// Close returns the last snapshot. Its sequence shows that the host has shut down
 // gracefully and that no counters are missing.
 func (ac *Account) Close(now time.Time) *wire.Account {
 	ac.mu.Lock()
@@ -199,6 +200,7 @@
 	return rw.(*rowCounters)
 }
 
+// indexCodes returns all defined codes and the index of each.
 func indexCodes() (map[codes.Code]int, []codes.Code) {
 	all := codes.All()
 	idx := make(map[codes.Code]int, len(all))
--- a/internal/report/accountstore.go
+++ b/internal/report/accountstore.go
@@ -11,8 +11,8 @@
 )
 
 type (
-	// AccountStore holds copies of the accounts of this host and of others, which
-	// outlive the hosts. It is safe for concurrent use.
+	// AccountStore holds copies of the accounts of this host and of others. The
+	// copies outlive the hosts. It is safe for concurrent use.
 	//
 	// Its rows are immutable; an update replaces them.
 	AccountStore struct {
@@ -27,14 +27,16 @@
 		incarnation uint64
 	}
 
+	// accountCopy is the copy of one account.
 	accountCopy struct {
 		zone     string
 		sequence int64
-		atNanos  int64
+		atNanos  int64 // time of the last snapshot, since 1970
 		version  int64 // of the store at the last change except of atNanos
 		rows     map[rowKey]rowCopy
 	}
 
+	// rowCopy is the copy of one row of an account.
 	rowCopy struct {
 		row     *wire.AccountRow
 		version int64 // of the store at the last change of the row
@@ -81,7 +83,8 @@
 	cp.rows[key] = rowCopy{row: merged, version: acs.version}
 }
 
-// Accounts returns the accounts of every host with their rows of a day.
+// Accounts returns the accounts of every host with their rows of a day, sorted by
+// host and incarnation. An account without rows of that day is included.
 func (acs *AccountStore) Accounts(day string) []*wire.Account {
 	acs.mu.Lock()
 	defer acs.mu.Unlock()
@@ -94,7 +97,7 @@
 }
 
 // Forget deletes the rows of days that are no longer reported, and accounts
-// without rows whose last snapshot is older than these days.
+// without rows whose last snapshot is of such a day.
 func (acs *AccountStore) Forget(now time.Time, loc *time.Location) {
 	oldest := oldestRetainedDay(now, loc)
 	acs.mu.Lock()
--- a/internal/report/archive.go
+++ b/internal/report/archive.go
@@ -74,7 +74,8 @@
 
 // Save writes the counters of the zone's hosts for the current day and for the
 // one before, whose last counters may have arrived late. It deletes days that
-// are no longer reported.
+// are no longer reported. It stops at the first error of the store; the next call
+// writes what is missing.
 func (ar *Archive) Save(ctx context.Context, now time.Time) error {
 	loc := ar.cfg.Location()
 	for _, at := range []time.Time{now.In(loc).AddDate(0, 0, -1), now} {
@@ -85,6 +86,7 @@
 	return ar.deleteOldDays(ctx, oldestRetainedDay(now, loc))
 }
 
+// saveDay merges the accounts of the zone's hosts into the value of a day.
 func (ar *Archive) saveDay(ctx context.Context, now time.Time, day string) error {
 	inZone := func(me peers.Member) bool { return me.Zone == ar.cfg.Zone }
 	accounts, _ := ar.cfg.Replicator.collect(ctx, now, day, inZone)
@@ -105,7 +107,8 @@
 	return merry.Prepend(err, key)
 }
 
-// Read returns the archived accounts of a day, of every zone.
+// Read returns the archived accounts of a day, of every zone. The error is one of
+// the store or reports a value that can't be decoded.
 func (ar *Archive) Read(ctx context.Context, day string) ([]*wire.Account, error) {
 	ens, _, err := ar.cfg.Store.List(ctx, archivePrefix+day+"/")
 	if err != nil {
--- a/internal/report/build.go
+++ b/internal/report/build.go
@@ -29,11 +29,13 @@
 		rows map[workKey]*rowSum
 	}
 
+	// workKey identifies a row of the report.
 	workKey struct {
 		workspace string
 		service   string
 	}
 
+	// rowSum is a row whose code counts aren't sorted yet.
 	rowSum struct {
 		Row
 		ended map[codes.Code]int64
@@ -42,7 +44,7 @@
 
 // abandonAfter is the time without a snapshot after which the requests in
 // progress on a host are counted as unknown. It is the longest timeout that
-// the declarations may give a service, so no request is still running.
+// the declarations may give a service, so none of them is still running.
 const abandonAfter = time.Hour
 
 // Build returns the report of a day.
@@ -64,6 +66,8 @@
 	return da
 }
 
+// mergedAccounts returns one account for each incarnation of a host, with its rows
+// of the day.
 func (bu *builder) mergedAccounts() []*wire.Account {
 	acs := NewAccountStore()
 	for _, ac := range bu.in.Accounts {
@@ -72,6 +76,9 @@
 	return acs.Accounts(bu.day.Name)
 }
 
+// addAccount adds the rows of an account. Work without an outcome counts as unknown
+// if the host has ended or has sent no snapshot for abandonAfter, else as in
+// progress.
 func (bu *builder) addAccount(ac *wire.Account, all []*wire.Account) {
 	ended := isReplaced(ac, all) || bu.sinceSnapshot(ac) > abandonAfter && !isClosed(ac)
 	for _, wr := range ac.GetRows() {
@@ -93,6 +100,7 @@
 	}
 }
 
+// addJob adds a job to the row of its workspace if it was submitted on the day.
 func (bu *builder) addJob(rc jobs.Record) {
 	if rc.Submitted.Before(bu.day.Start) || !rc.Submitted.Before(bu.day.End) {
 		return
@@ -206,8 +214,9 @@
 	return time.Duration(float64(held) * float64(bu.day.overlap(from, to)) / float64(period))
 }
 
-// gaps returns the hosts whose counters may be incomplete, except those whose
-// last snapshot was before the day.
+// gaps returns the hosts whose counters of the day may be incomplete. A host that
+// has no rows of the day and whose last snapshot was before it is left out, and so
+// is one whose last snapshot was after it, since that is complete for the day.
 func (bu *builder) gaps(accounts []*wire.Account) []Gap {
 	var gs []Gap
 	known := make(map[string]bool)
@@ -232,6 +241,7 @@
 	return gs
 }
 
+// sinceSnapshot returns the time since the last snapshot of an account.
 func (bu *builder) sinceSnapshot(ac *wire.Account) time.Duration {
 	return bu.in.Now.Sub(time.Unix(0, ac.GetAtNanos()))
 }
@@ -250,6 +260,7 @@
 	return false
 }
 
+// countCodes converts counts by code to a sorted list.
 func countCodes(ended map[codes.Code]int64) []CodeCount {
 	var cs []CodeCount
 	for cd, n := range ended {
--- a/internal/report/chart.go
+++ b/internal/report/chart.go
@@ -9,6 +9,7 @@
 	paint "github.com/wcharczuk/go-chart/v2/drawing"
 )
 
+// Sizes of the chart, in pixels except for the fonts.
 const (
 	chartHeight   = 480
 	chartMargin   = 160 // for the axis and the workspace names
@@ -31,7 +32,8 @@
 
 // WriteChart writes the sums by outcome as an SVG image with one stacked bar for
 // each workspace. The segments of a bar show the shares of the promised work by
-// outcome, with the counts as labels.
+// outcome, with the counts as labels. The error reports a day without work, or is
+// that of wr.
 func (da Daily) WriteChart(wr io.Writer) error {
 	ch := chart.StackedBarChart{
 		Title:      "Work of " + da.Day + ", by outcome",
--- a/internal/report/day.go
+++ b/internal/report/day.go
@@ -29,8 +29,8 @@
 )
 
 // Location returns the time zone of the declarations, or UTC if there are none.
-// It loads the time zone's table, so callers in the request path must cache the
-// result.
+// The error reports an unknown time zone. Location loads the time zone's table,
+// so callers in the request path must cache the result.
 func Location(de *spec.Declarations) (*time.Location, error) {
 	if de == nil {
 		return time.UTC, nil
@@ -41,7 +41,8 @@
 // DayOf returns the name of the day that contains a moment.
 func DayOf(at time.Time, loc *time.Location) string { return at.In(loc).Format(DayFormat) }
 
-// ParseDay returns the day with a name.
+// ParseDay returns the day with a name. The error reports a name that isn't in the
+// format DayFormat.
 func ParseDay(name string, loc *time.Location) (Day, error) {
 	at, err := time.Parse(DayFormat, name)
 	if err != nil {
@@ -78,6 +79,7 @@
 	return max(to.Sub(from), 0)
 }
 
+// oldestRetainedDay returns the name of the first day whose counters are kept.
 func oldestRetainedDay(now time.Time, loc *time.Location) string {
 	return now.In(loc).AddDate(0, 0, -retainDays).Format(DayFormat)
 }
--- a/internal/report/encode.go
+++ b/internal/report/encode.go
@@ -77,6 +77,7 @@
 	}
 }
 
+// writeLine writes the cells of a table's row, which are separated by tabs.
 func writeLine(wr io.Writer, cells ...any) {
 	texts := make([]string, len(cells))
 	for i, ce := range cells {
@@ -85,6 +86,7 @@
 	fmt.Fprintln(wr, strings.Join(texts, "\t"))
 }
 
+// formatCodes formats code counts, such as "4008=2 4017=1".
 func formatCodes(cs []CodeCount) string {
 	texts := make([]string, len(cs))
 	for i, cc := range cs {
--- a/internal/report/replicator.go
+++ b/internal/report/replicator.go
@@ -23,16 +23,16 @@
 		Caller   peers.Caller
 		Members  func(now time.Time) []peers.Member
 		Every    time.Duration // interval of copies; SnapshotEvery if zero
-		Timeout  time.Duration // of one call
-		Replicas int           // number of hosts that hold a copy of an account
+		Timeout  time.Duration // of one call; 2 s if zero
+		Replicas int           // number of hosts that hold a copy of an account; 2 if zero
 		Log      *slog.Logger
 	}
 
-	// Replicator replicates accounts between hosts. Each account has its replicas
-	// on live hosts of its zone. A host copies its own account to its replicas.
-	// It also copies the accounts that it holds of hosts that have left, so that
-	// counters survive the loss of one host after another. Only rows that have
-	// changed are sent.
+	// Replicator replicates accounts between hosts. A host copies its own account
+	// to other live hosts of its zone, or of other zones if it is the only one of
+	// its zone. It also copies the accounts that it holds of hosts that aren't
+	// alive, so that counters survive the loss of one host after another. Only
+	// rows that have changed are sent.
 	Replicator struct {
 		cfg ReplicatorConfig
 
@@ -113,7 +113,7 @@
 }
 
 // Close closes the account of this host and sends it for the last time, with
-// all held accounts of hosts that have left. It must be called after Run has
+// all held accounts of hosts that aren't alive. It must be called after Run has
 // returned and the last request has ended. It reports whether the account has
 // reached a replica.
 func (rp *Replicator) Close(ctx context.Context, now time.Time) bool {
@@ -121,8 +121,8 @@
 	return rp.push(ctx, now) > 0
 }
 
-// Collect requests the accounts of a day from every host, and returns the names
-// of the hosts that failed to reply.
+// Collect requests the accounts of a day from every host. It returns the accounts
+// and the names of the hosts that failed to reply.
 func (rp *Replicator) Collect(ctx context.Context, now time.Time, day string) (accounts []*wire.Account, missing []string) {
 	return rp.collect(ctx, now, day, func(peers.Member) bool { return true })
 }
@@ -149,6 +149,8 @@
 	return accounts, missing
 }
 
+// requestAccounts returns the accounts that a host holds for a day. Its own account
+// is as of now.
 func (rp *Replicator) requestAccounts(ctx context.Context, me peers.Member, day string) ([]*wire.Account, error) {
 	if me.Name == rp.cfg.Account.cfg.Host {
 		return rp.LocalAccounts(time.Now(), day), nil
@@ -202,6 +204,7 @@
 }
 
 // dueCopies returns the copies that this host must send, its own account first.
+// Hosts that are shutting down receive none.
 func (rp *Replicator) dueCopies(members []peers.Member) []copyTask {
 	self := rp.cfg.Account.cfg
 	var candidates, remote []peers.Member
@@ -232,6 +235,7 @@
 	return tasks
 }
 
+// copyTasks returns the copies of one account.
 func (rp *Replicator) copyTasks(key accountKey, candidates []peers.Member, own bool) []copyTask {
 	var tasks []copyTask
 	for _, me := range Replicas(key.host, candidates, rp.cfg.Replicas) {
@@ -257,7 +261,8 @@
 	return version, true
 }
 
-// forgetCopies deletes the state of copies on hosts that have left.
+// forgetCopies deletes the state of copies on hosts that are no longer members, and
+// of accounts that the AccountStore has forgotten.
 func (rp *Replicator) forgetCopies(members []peers.Member) {
 	known := make(map[accountKey]bool)
 	for _, me := range members {
@@ -278,4 +283,6 @@
 	return hs[:min(count, len(hs))]
 }
 
+// weight returns the rank of a candidate for the copies of an owner's account; the
+// candidates with the largest weights hold them.
 func weight(owner, candidate string) uint64 { return xxhash.Sum64String(owner + "\x00" + candidate) }
--- a/internal/report/replicator_test.go
+++ b/internal/report/replicator_test.go
@@ -31,6 +31,8 @@
 		sentBytes int
 	}
 
+	// clusterHost is one host of a cluster. It implements peers.Caller and
+	// peers.Registry.
 	clusterHost struct {
 		cluster    *cluster
 		member     peers.Member
@@ -149,6 +151,7 @@
 	}
 }
 
+// inCluster runs a test on an empty cluster in a synctest bubble.
 func inCluster(t *testing.T, fn func(t *testing.T, cl *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -159,10 +162,11 @@
 }
 
 // TestCountersSurviveTheReplacementOfEveryHost replaces all hosts of a zone,
-// one after the other, by hosts with other names.
+// one after the other, by hosts with other names. The old hosts are killed or shut
+// down gracefully.
 func TestCountersSurviveTheReplacementOfEveryHost(t *testing.T) {
 	for _, graceful := range []bool{false, true} {
-		t.Run(fmt.Sprintf("planned=%v", graceful), func(t *testing.T) {
+		t.Run(fmt.Sprintf("graceful=%v", graceful), func(t *testing.T) {
 			inCluster(t, func(t *testing.T, cl *cluster) {
 				is := is.New(t)
 				var hs []*clusterHost
@@ -212,8 +216,9 @@
 	})
 }
 
-// TestCopyTrafficIsLimited offers requests of 220 workspaces continuously. Copies and
-// membership (at most 7 KB/s) must stay within 14 KB/s, so copies may take 7.
+// TestCopyTrafficIsLimited offers requests of 220 workspaces continuously. Copies
+// and membership (at most 7 KB/s) must stay within 14 KB/s, so copies may take
+// 7 KB/s.
 func TestCopyTrafficIsLimited(t *testing.T) {
 	inCluster(t, func(t *testing.T, cl *cluster) {
 		is := is.New(t)
@@ -237,6 +242,8 @@
 	})
 }
 
+// TestLostRepliesOfCopiesChangeNoCounts lets copies take effect although the sender
+// sees an error and sends them again. No request may be lost or counted twice.
 func TestLostRepliesOfCopiesChangeNoCounts(t *testing.T) {
 	inCluster(t, func(t *testing.T, cl *cluster) {
 		is := is.New(t)
@@ -269,6 +276,8 @@
 	})
 }
 
+// TestCollectReportsUnreachableHosts guards against a report that silently lacks
+// the counters of a host.
 func TestCollectReportsUnreachableHosts(t *testing.T) {
 	inCluster(t, func(t *testing.T, cl *cluster) {
 		is := is.New(t)
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -1,15 +1,15 @@
 // Package report counts requests and jobs and builds the daily report from the
 // counts.
 //
-// The account of a host is a set of counters that only increase. At every
-// moment, for every day, workspace and service: offered = done + failed +
-// notRun + unknown + in progress. Because counters never decrease, copies of an
+// The account of a host is a set of counters that only increase. For every day,
+// workspace and service they satisfy offered = done + failed + notRun + unknown +
+// in progress at every moment. Because counters never decrease, copies of an
 // account are merged by taking the larger value of each counter; the merge is
 // commutative, associative and idempotent.
 //
 // Accepted jobs are counted from the records of the zones' schedulers,
-// everything else from the accounts of the hosts. The sums by outcome and by
-// usage, encoded as revenue and capacity, are over the same rows.
+// everything else from the accounts of the hosts. A report sums the same rows by
+// outcome, encoded as revenue, and by usage, encoded as capacity.
 package report
 
 import (
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -248,8 +248,8 @@
 	is.True(strings.Contains(buf.String(), "4008=1 4017=1"))
 }
 
-// TestAvailableTimeBeginsWithTheFirstDeclarations checks the available accelerator time on
-// the day on which the first declarations were applied.
+// TestAvailableTimeBeginsWithTheFirstDeclarations guards against accelerator time
+// that is reported as available before the first declarations were applied.
 func TestAvailableTimeBeginsWithTheFirstDeclarations(t *testing.T) {
 	is := is.New(t)
 	in := exampleInput()
@@ -260,6 +260,7 @@
 	is.Equal(report.Build(july1, in).Fleet.Available, report.TextDuration(32*12*time.Hour))
 }
 
+// TestCheckFindsEveryKindOfFault corrupts one count of a report at a time.
 func TestCheckFindsEveryKindOfFault(t *testing.T) {
 	for name, corrupt := range map[string]func(*report.Daily){
 		"offered":  func(da *report.Daily) { da.Rows[0].Offered++ },
--- a/internal/report/usage_test.go
+++ b/internal/report/usage_test.go
@@ -12,8 +12,9 @@
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
 
-// TestUsageIncludesQueuedAndPreemptedTime reports a job that ran, was
-// preempted and is queued again, and one that has ended.
+// TestUsageIncludesQueuedAndPreemptedTime reports a job that ran, was preempted and
+// is queued again, and one that has ended. The time in the queue before and after
+// the preemption must count.
 func TestUsageIncludesQueuedAndPreemptedTime(t *testing.T) {
 	is := is.New(t)
 	sp := jobs.Spec{Workspace: "sacos", Shape: spec.Shape{Tasks: 1, Accelerators: 8}}
