conf: call the follower's request for newer declarations FetchNewer

The field Peers of FollowerConfig is a function that requests declarations, not a list of hosts, and the host assigns fetchNewerConfig to it. It and the follower's field are now FetchNewer and fetchNewer.

--- a/internal/conf/follow.go
+++ b/internal/conf/follow.go
@@ -18,11 +18,11 @@
 	FollowerConfig struct {
 		Store store.Store
 
-		// Peers requests declarations newer than a revision from the other
+		// FetchNewer requests declarations newer than a revision from the other
 		// hosts. It returns nil, nil if no host has any. It is called every
 		// peerPollInterval, so it should make a remote call only if a heartbeat
 		// has shown a newer revision. The field may be nil.
-		Peers func(ctx context.Context, revision int64) (*AcceptedFile, error)
+		FetchNewer func(ctx context.Context, revision int64) (*AcceptedFile, error)
 
 		PollEvery time.Duration // average interval between reads of the store
 		Log       *slog.Logger
@@ -35,12 +35,12 @@
 	// watch can become unresponsive, and from other hosts. It is safe for
 	// concurrent use.
 	Follower struct {
-		st        store.Store
-		peers     func(ctx context.Context, revision int64) (*AcceptedFile, error)
-		pollEvery time.Duration
-		log       *slog.Logger
-		current   atomic.Pointer[AcceptedFile]
-		storeUp   atomic.Bool
+		st         store.Store
+		fetchNewer func(ctx context.Context, revision int64) (*AcceptedFile, error)
+		pollEvery  time.Duration
+		log        *slog.Logger
+		current    atomic.Pointer[AcceptedFile]
+		storeUp    atomic.Bool
 
 		mu       sync.Mutex
 		rnd      *rand.Rand
@@ -67,7 +67,7 @@
 // NewFollower returns a Follower that has no declarations yet.
 func NewFollower(cf FollowerConfig) *Follower {
 	fo := &Follower{
-		st: cf.Store, peers: cf.Peers, pollEvery: cf.PollEvery, log: cf.Log,
+		st: cf.Store, fetchNewer: cf.FetchNewer, pollEvery: cf.PollEvery, log: cf.Log,
 		rnd:     rand.New(rand.NewPCG(cf.Seed, cf.Seed)),
 		changed: make(chan struct{}),
 	}
@@ -122,7 +122,7 @@
 	eg, ctx := errgroup.WithContext(ctx)
 	eg.Go(func() error { fo.watchLoop(ctx); return nil })
 	eg.Go(func() error { fo.pollLoop(ctx); return nil })
-	if fo.peers != nil {
+	if fo.fetchNewer != nil {
 		eg.Go(func() error { fo.peerLoop(ctx); return nil })
 	}
 	return eg.Wait()
@@ -138,7 +138,7 @@
 func (fo *Follower) pollPeers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	cur, err := fo.peers(ctx, fo.Revision())
+	cur, err := fo.fetchNewer(ctx, fo.Revision())
 	if err != nil {
 		fo.log.Debug("requesting declarations from peers failed", "error", err)
 		return
--- a/internal/conf/follow_test.go
+++ b/internal/conf/follow_test.go
@@ -109,7 +109,7 @@
 		var newest atomic.Pointer[conf.AcceptedFile]
 		fo := conf.NewFollower(conf.FollowerConfig{
 			Store: unavailableStore{},
-			Peers: func(_ context.Context, revision int64) (*conf.AcceptedFile, error) {
+			FetchNewer: func(_ context.Context, revision int64) (*conf.AcceptedFile, error) {
 				cur := newest.Load()
 				if cur == nil || cur.Revision <= revision {
 					return nil, errors.New("no peer has newer ones")
@@ -147,7 +147,7 @@
 	}
 	stale := accepted(t, 1, "1")
 	polled := make(chan struct{}, 1000)
-	fo := follow(t, conf.FollowerConfig{Store: st, Peers: func(context.Context, int64) (*conf.AcceptedFile, error) {
+	fo := follow(t, conf.FollowerConfig{Store: st, FetchNewer: func(context.Context, int64) (*conf.AcceptedFile, error) {
 		polled <- struct{}{}
 		return &stale, nil
 	}})
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -87,7 +87,7 @@
 		return nil, err
 	}
 	ho.store = store.New(store.Config{Addresses: se.Store.Addresses, Timeout: se.Store.Timeout, Log: ho.log})
-	ho.follower = conf.NewFollower(conf.FollowerConfig{Store: ho.store, Peers: ho.fetchNewerConfig, Log: ho.log, Seed: ho.incarnation})
+	ho.follower = conf.NewFollower(conf.FollowerConfig{Store: ho.store, FetchNewer: ho.fetchNewerConfig, Log: ho.log, Seed: ho.incarnation})
 	ho.watcher = plat.NewWatcher(plat.WatcherConfig{Store: ho.store, Zone: se.Host.Zone, Log: ho.log})
 	ho.workers = worker.NewHTTPCaller(worker.HTTPConfig{Timeout: workerTimeout, Log: ho.log})
 	ho.zone = zone.New(zone.Config{
