store: abbreviate entries in one way

The metered store called an entry en where the rest of the package has ent. It is now ent too, so that one type has one abbreviation.

--- a/internal/store/meter.go
+++ b/internal/store/meter.go
@@ -20,9 +20,9 @@
 // Get implements Store.
 func (me metered) Get(ctx context.Context, key string) (Entry, Revision, error) {
 	began := time.Now()
-	en, rev, err := me.next.Get(ctx, key)
+	ent, rev, err := me.next.Get(ctx, key)
 	kindGet.observe(began, err)
-	return en, rev, err
+	return ent, rev, err
 }
 
 // List implements Store.
@@ -36,9 +36,9 @@
 // Swap implements Store.
 func (me metered) Swap(ctx context.Context, req SwapRequest) (Entry, error) {
 	began := time.Now()
-	en, err := me.next.Swap(ctx, req)
+	ent, err := me.next.Swap(ctx, req)
 	kindSwap.observe(began, err)
-	return en, err
+	return ent, err
 }
 
 // Commit implements TxnStore.
