conf: abbreviate entries in one way

The faulty store of the tests called entries en and ens where the rest of the package has ent and ents. They are now the same.

--- a/internal/conf/matrix_test.go
+++ b/internal/conf/matrix_test.go
@@ -71,21 +71,21 @@
 }
 
 // Get implements store.Store.
-func (fs *faultyStore) Get(ctx context.Context, key string) (en store.Entry, rev store.Revision, err error) {
-	err = fs.intercept(func() error { en, rev, err = fs.Store.Get(ctx, key); return err })
-	return en, rev, err
+func (fs *faultyStore) Get(ctx context.Context, key string) (ent store.Entry, rev store.Revision, err error) {
+	err = fs.intercept(func() error { ent, rev, err = fs.Store.Get(ctx, key); return err })
+	return ent, rev, err
 }
 
 // List implements store.Store.
-func (fs *faultyStore) List(ctx context.Context, prefix string) (ens []store.Entry, rev store.Revision, err error) {
-	err = fs.intercept(func() error { ens, rev, err = fs.Store.List(ctx, prefix); return err })
-	return ens, rev, err
+func (fs *faultyStore) List(ctx context.Context, prefix string) (ents []store.Entry, rev store.Revision, err error) {
+	err = fs.intercept(func() error { ents, rev, err = fs.Store.List(ctx, prefix); return err })
+	return ents, rev, err
 }
 
 // Swap implements store.Store.
-func (fs *faultyStore) Swap(ctx context.Context, req store.SwapRequest) (en store.Entry, err error) {
-	err = fs.intercept(func() error { en, err = fs.Store.Swap(ctx, req); return err })
-	return en, err
+func (fs *faultyStore) Swap(ctx context.Context, req store.SwapRequest) (ent store.Entry, err error) {
+	err = fs.intercept(func() error { ent, err = fs.Store.Swap(ctx, req); return err })
+	return ent, err
 }
 
 // TestApplyUnderEveryFaultAtEveryCall applies small and large files and injects
