plat: abbreviate entries of the store as the store does

Package store abbreviates an entry ent, and this package en. It is now ent here as well, so that one type has one abbreviation.

--- a/internal/plat/plat_test.go
+++ b/internal/plat/plat_test.go
@@ -40,9 +40,9 @@
 	if err := me.nextError(&me.getErrs); err != nil {
 		return store.Entry{}, 0, err
 	}
-	en := me.entry
-	en.Key = key
-	return en, en.Revision, nil
+	ent := me.entry
+	ent.Key = key
+	return ent, ent.Revision, nil
 }
 
 func (me *memStore) Swap(_ context.Context, req store.SwapRequest) (store.Entry, error) {
@@ -65,14 +65,14 @@
 func (me *memStore) Watch(ctx context.Context, _ string, after store.Revision, fn func(store.Entry) error) error {
 	for {
 		me.mu.Lock()
-		en, changed, down, stalled := me.entry, me.changed, me.down, me.stalled
+		ent, changed, down, stalled := me.entry, me.changed, me.down, me.stalled
 		me.mu.Unlock()
 		if down {
 			return store.ErrUnavailable
 		}
-		if en.Revision > after && !stalled {
-			after = en.Revision
-			if err := fn(en); err != nil {
+		if ent.Revision > after && !stalled {
+			after = ent.Revision
+			if err := fn(ent); err != nil {
 				return err
 			}
 		}
--- a/internal/plat/register.go
+++ b/internal/plat/register.go
@@ -82,11 +82,11 @@
 
 // updateOnce reads the list, changes it and writes it if it differs.
 func updateOnce(ctx context.Context, st store.Store, zone string, change func(List) (List, error)) error {
-	en, _, err := st.Get(ctx, Key(zone))
+	ent, _, err := st.Get(ctx, Key(zone))
 	if err != nil {
 		return err
 	}
-	old, err := Decode(en.Value)
+	old, err := Decode(ent.Value)
 	if err != nil {
 		return err
 	}
@@ -102,7 +102,7 @@
 	if len(value) > store.MaxValue {
 		return merry.Prependf(store.ErrTooLarge, "%d hosts", len(li.Hosts))
 	}
-	_, err = st.Swap(ctx, store.SwapRequest{Key: Key(zone), Value: value, Expect: en.Revision})
+	_, err = st.Swap(ctx, store.SwapRequest{Key: Key(zone), Value: value, Expect: ent.Revision})
 	return err
 }
 
--- a/internal/plat/watch.go
+++ b/internal/plat/watch.go
@@ -95,14 +95,14 @@
 	ctx, cancel := context.WithTimeout(ctx, jitter(wa.cfg.PollEvery))
 	defer cancel()
 	key := Key(wa.cfg.Zone)
-	en, at, err := wa.cfg.Store.Get(ctx, key)
+	ent, at, err := wa.cfg.Store.Get(ctx, key)
 	if err != nil {
 		return err
 	}
-	wa.adopt(en.Value, at)
-	err = wa.cfg.Store.Watch(ctx, key, at, func(en store.Entry) error {
-		if en.Key == key {
-			wa.adopt(en.Value, en.Revision)
+	wa.adopt(ent.Value, at)
+	err = wa.cfg.Store.Watch(ctx, key, at, func(ent store.Entry) error {
+		if ent.Key == key {
+			wa.adopt(ent.Value, ent.Revision)
 		}
 		return nil
 	})
