admin: abbreviate entries of the store as the store does

Lists of entries were called ents, and one entry en. One entry is now ent, as in package store. The comparison printed 0 for code and tags, and the tests of internal/admin passed.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -73,8 +73,8 @@
 	}
 	remaining := ha.remainingTasks(ctx)
 	countWorkers := ha.workerCounter(ctx)
-	for _, en := range ents {
-		zone := strings.TrimPrefix(en.Key, ha.cfg.Layout.EvacuationPrefix)
+	for _, ent := range ents {
+		zone := strings.TrimPrefix(ent.Key, ha.cfg.Layout.EvacuationPrefix)
 		evs = append(evs, client.Evacuation{Zone: zone, Workers: countWorkers(zone), Tasks: countOf(remaining, zone)})
 	}
 	return evs, nil
@@ -83,13 +83,13 @@
 // remainingTasks returns the scheduler's last count of the tasks in each zone
 // under evacuation. It returns nil if the count can't be read.
 func (ha *handler) remainingTasks(ctx context.Context) map[string]int {
-	en, _, err := ha.cfg.Store.Get(ctx, batch.BacklogKey)
-	if err != nil || en.Revision == 0 {
+	ent, _, err := ha.cfg.Store.Get(ctx, batch.BacklogKey)
+	if err != nil || ent.Revision == 0 {
 		return nil
 	}
-	bl, err := batch.Decode[batch.Backlog](en.Value)
+	bl, err := batch.Decode[batch.Backlog](ent.Value)
 	if err != nil {
-		ha.cfg.Log.Warn("malformed entry of the store is ignored", "event", "foreignEntry", "key", en.Key, "reason", err)
+		ha.cfg.Log.Warn("malformed entry of the store is ignored", "event", "foreignEntry", "key", ent.Key, "reason", err)
 	}
 	return bl.Evacuating
 }
@@ -104,8 +104,8 @@
 		return func(string) *int { return nil }
 	}
 	counts := map[string]int{}
-	for _, en := range ents {
-		wk, err := ha.cfg.Layout.Worker(strings.TrimPrefix(en.Key, ha.cfg.Layout.WorkerPrefix), en.Value)
+	for _, ent := range ents {
+		wk, err := ha.cfg.Layout.Worker(strings.TrimPrefix(ent.Key, ha.cfg.Layout.WorkerPrefix), ent.Value)
 		if err == nil { // the scheduler logs malformed entries
 			counts[wk.Zone]++
 		}
--- a/internal/admin/evacuation.go
+++ b/internal/admin/evacuation.go
@@ -21,14 +21,14 @@
 	replyLost := false
 	var lastErr error
 	for range maxEvacuationWrites {
-		en, _, err := ha.cfg.Store.Get(ctx, key)
+		ent, _, err := ha.cfg.Store.Get(ctx, key)
 		if err != nil {
 			return false, evacuationError(err, replyLost)
 		}
-		if (en.Revision != 0) == set {
+		if (ent.Revision != 0) == set {
 			return replyLost, nil
 		}
-		rq := store.SwapRequest{Key: key, Expect: en.Revision}
+		rq := store.SwapRequest{Key: key, Expect: ent.Revision}
 		if set {
 			rq.Value = ha.cfg.Layout.EvacuationValue
 		}
