report: abbreviate entries of the store as the store does

The archive called entries of the store en and ens where package store has ent and ents. They are now the same.

--- a/internal/report/archive.go
+++ b/internal/report/archive.go
@@ -91,34 +91,34 @@
 	inZone := func(me peers.Member) bool { return me.Zone == ar.cfg.Zone }
 	accounts, _ := ar.cfg.Replicator.collect(ctx, now, day, inZone)
 	key := archiveKey(day, ar.cfg.Zone)
-	en, _, err := ar.cfg.Store.Get(ctx, key)
+	ent, _, err := ar.cfg.Store.Get(ctx, key)
 	if err != nil {
 		return merry.Prepend(err, key)
 	}
-	merged, err := mergeAccounts(en.Value, accounts, day)
+	merged, err := mergeAccounts(ent.Value, accounts, day)
 	if err != nil {
 		return merry.Prepend(err, key)
 	}
-	if len(merged) == 0 || string(merged) == string(en.Value) {
+	if len(merged) == 0 || string(merged) == string(ent.Value) {
 		return nil
 	}
 	// An unknown outcome needs no handling: the next write merges again.
-	_, err = ar.cfg.Store.Swap(ctx, store.SwapRequest{Key: key, Value: merged, Expect: en.Revision})
+	_, err = ar.cfg.Store.Swap(ctx, store.SwapRequest{Key: key, Value: merged, Expect: ent.Revision})
 	return merry.Prepend(err, key)
 }
 
 // Read returns the archived accounts of a day, of every zone. The error is one of
 // the store or reports a value that can't be decoded.
 func (ar *Archive) Read(ctx context.Context, day string) ([]*wire.Account, error) {
-	ens, _, err := ar.cfg.Store.List(ctx, archivePrefix+day+"/")
+	ents, _, err := ar.cfg.Store.List(ctx, archivePrefix+day+"/")
 	if err != nil {
 		return nil, merry.Prepend(err, "archived accounts")
 	}
 	var accounts []*wire.Account
-	for _, en := range ens {
+	for _, ent := range ents {
 		var li wire.AccountList
-		if err := proto.Unmarshal(en.Value, &li); err != nil {
-			return nil, merry.Prepend(err, en.Key)
+		if err := proto.Unmarshal(ent.Value, &li); err != nil {
+			return nil, merry.Prepend(err, ent.Key)
 		}
 		accounts = append(accounts, li.GetAccounts()...)
 	}
@@ -128,17 +128,17 @@
 // deleteOldDays deletes the zone's values of days before the oldest retained
 // day.
 func (ar *Archive) deleteOldDays(ctx context.Context, oldest string) error {
-	ens, _, err := ar.cfg.Store.List(ctx, archivePrefix)
+	ents, _, err := ar.cfg.Store.List(ctx, archivePrefix)
 	if err != nil {
 		return merry.Prepend(err, "archived accounts")
 	}
-	for _, en := range ens {
-		day, zone, ok := strings.Cut(strings.TrimPrefix(en.Key, archivePrefix), "/")
+	for _, ent := range ents {
+		day, zone, ok := strings.Cut(strings.TrimPrefix(ent.Key, archivePrefix), "/")
 		if !ok || zone != ar.cfg.Zone || day >= oldest {
 			continue
 		}
-		if _, err := ar.cfg.Store.Swap(ctx, store.SwapRequest{Key: en.Key, Expect: en.Revision}); err != nil {
-			return merry.Prepend(err, en.Key)
+		if _, err := ar.cfg.Store.Swap(ctx, store.SwapRequest{Key: ent.Key, Expect: ent.Revision}); err != nil {
+			return merry.Prepend(err, ent.Key)
 		}
 	}
 	return nil
--- a/internal/report/archive_test.go
+++ b/internal/report/archive_test.go
@@ -30,14 +30,14 @@
 
 // List implements store.Store.
 func (ms *memStore) List(_ context.Context, prefix string) ([]store.Entry, store.Revision, error) {
-	var ens []store.Entry
-	for key, en := range ms.entries {
+	var ents []store.Entry
+	for key, ent := range ms.entries {
 		if strings.HasPrefix(key, prefix) {
-			ens = append(ens, en)
+			ents = append(ents, ent)
 		}
 	}
-	slices.SortFunc(ens, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
-	return ens, ms.last, nil
+	slices.SortFunc(ents, func(a, b store.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return ents, ms.last, nil
 }
 
 // Swap implements store.Store.
