--- a/internal/admin/evacuation.go
+++ b/internal/admin/evacuation.go
@@ -14,20 +14,21 @@
 
 // writeEvacuation creates or deletes the evacuation key of a zone and reports
 // whether that changed anything. It reads the key before each write, which also
-// resolves an unknown outcome.
+// resolves an unknown outcome. The error is a *codes.Error: WriteForbidden,
+// EvacuateUnknown if the outcome is unknown, or StoreUnavailable.
 func (ha *handler) writeEvacuation(ctx context.Context, zone string, set bool) (bool, error) {
 	key := ha.cfg.Layout.EvacuationPrefix + zone
 	replyLost := false
 	var lastErr error
 	for range maxEvacuationWrites {
-		en, _, err := ha.cfg.Store.Get(ctx, key)
+		ent, _, err := ha.cfg.Store.Get(ctx, key)
 		if err != nil {
 			return false, evacuationError(err, replyLost)
 		}
-		if (en.Revision != 0) == set {
+		if (ent.Revision != 0) == set {
 			return replyLost, nil
 		}
-		rq := store.SwapRequest{Key: key, Expect: en.Revision}
+		rq := store.SwapRequest{Key: key, Expect: ent.Revision}
 		if set {
 			rq.Value = ha.cfg.Layout.EvacuationValue
 		}
--- a/internal/claim/bucket.go
+++ b/internal/claim/bucket.go
@@ -41,7 +41,8 @@
 		done      chan struct{} // closed when prior and err are set
 	}
 
-	// outcome is the outcome of a claim, or its release.
+	// outcome is the outcome of the request that holds a claim, or the claim's
+	// release.
 	outcome struct {
 		id     string
 		holder string
@@ -62,9 +63,9 @@
 	// plan is the result of applying a batch to a bucket.
 	plan struct {
 		next    bucket
-		added   []*pendingClaim
-		priors  map[*pendingClaim]Claim
-		changed bool // next must be written
+		added   []*pendingClaim         // claims of the batch that next has
+		priors  map[*pendingClaim]Claim // of the other claims of the batch
+		changed bool                    // next must be written
 	}
 )
 
@@ -99,8 +100,8 @@
 	return bk, nil
 }
 
-// live reports whether a record hasn't expired.
-func (rc record) live(now time.Time) bool { return now.Unix() < rc.Expires }
+// isLive reports whether a record hasn't expired.
+func (rc record) isLive(now time.Time) bool { return now.Unix() < rc.Expires }
 
 // toClaim returns the claim of a record, for a request with the same key. Its
 // digest is that of requested if their hashes are equal; otherwise it is the
@@ -133,6 +134,8 @@
 	return pl
 }
 
+// recordOutcome applies an outcome to pl.next. An outcome of a request that
+// doesn't hold the claim is ignored.
 func (pl *plan) recordOutcome(oc outcome) {
 	pl.changed = pl.changed || oc.mustWrite
 	rc, ok := pl.next.Claims[oc.id]
@@ -153,6 +156,6 @@
 	if live == nil {
 		live = map[string]record{}
 	}
-	maps.DeleteFunc(live, func(_ string, rc record) bool { return !rc.live(now) })
+	maps.DeleteFunc(live, func(_ string, rc record) bool { return !rc.isLive(now) })
 	return live
 }
--- a/internal/conf/apply.go
+++ b/internal/conf/apply.go
@@ -18,7 +18,7 @@
 type (
 	// ApplyRequest asks to put a file in force.
 	ApplyRequest struct {
-		File    string // name, for the positions of faults
+		File    string // file name in the positions of faults
 		Content []byte
 		Expect  *int64 // revision to replace; nil for whichever is in force
 		By      string // name of the operator
@@ -35,11 +35,11 @@
 
 	// applier is the state of one call of Apply.
 	applier struct {
-		st  store.Store
-		req ApplyRequest
-		id  string
-		now time.Time
-		de  *spec.Declarations
+		st      store.Store
+		req     ApplyRequest
+		applyID string
+		now     time.Time
+		de      *spec.Declarations
 	}
 
 	// conflictError reports that another manifest, stored, replaced the expected
@@ -49,9 +49,9 @@
 	}
 )
 
-// errChunks reports that the chunks of a content could not be written. It takes
-// over the message of the cause but does not wrap it: an unknown outcome of
-// writing a chunk is no unknown outcome of the call.
+// errChunks reports that the chunks of a file could not be written. It has the
+// message of the cause but doesn't wrap it: if the outcome of writing a chunk is
+// ErrOutcomeUnknown, the call as a whole has certainly not taken effect.
 var errChunks = errors.New("writing chunks failed")
 
 // retryAfter is the delay after which an operator is told to retry when the
@@ -75,7 +75,7 @@
 	if err != nil {
 		return AcceptedFile{}, false, merry.Prepend(err, "generating apply ID")
 	}
-	ap := applier{st: st, req: req, id: id.String(), now: now.UTC().Round(0), de: doc.Declarations}
+	ap := applier{st: st, req: req, applyID: id.String(), now: now.UTC().Round(0), de: doc.Declarations}
 	return ap.run(ctx)
 }
 
@@ -97,6 +97,7 @@
 	return doc, nil
 }
 
+// invalid returns an InvalidDeclaration error with the faults as its cause.
 func invalid(faults error) error {
 	return merry.Wrap(codes.New(codes.InvalidDeclaration, "%s", faults.Error()), merry.WithCause(faults), merry.NoCaptureStack())
 }
@@ -117,7 +118,7 @@
 	if ap.req.Expect != nil && *ap.req.Expect != latest {
 		return ap.conflict(prev, latest)
 	}
-	next, chunks := prev.successor(latest+1, ap.id).withContent(ap.req.Content)
+	next, chunks := prev.successor(latest+1, ap.applyID).withContent(ap.req.Content)
 	next.AppliedBy = ap.req.By
 	next.AppliedAt = ap.now
 	if latest == 0 {
@@ -138,10 +139,11 @@
 	}
 }
 
-// replace replaces the manifest prev, which has the store revision expect, by
-// next. The error is a conflictError if another manifest was stored first and
-// ErrOutcomeUnknown if the outcome is unknown; any other error means that next
-// wasn't stored.
+// replace writes the chunks of next and then replaces the manifest prev, which
+// has the store revision expect, by next. It deletes the chunks of the manifest
+// that isn't in force afterwards, or none if that is unknown. The error is a
+// conflictError if another manifest was stored first and ErrOutcomeUnknown if
+// the outcome is unknown; any other error means that next wasn't stored.
 func (ap applier) replace(ctx context.Context, expect store.Revision, prev, next manifest, chunks [][]byte) error {
 	if err := ap.writeChunks(ctx, next, chunks); err != nil {
 		ap.deleteChunks(ctx, next)
@@ -179,6 +181,9 @@
 	return ap.conflict(stored, stored.Revision)
 }
 
+// conflict returns a RevisionConflict error and, as far as known, the revision
+// and the author of the declarations in force. latest may be larger than the
+// revision of stored if the store was restored from an older backup.
 func (ap applier) conflict(stored manifest, latest int64) (AcceptedFile, bool, error) {
 	cur := AcceptedFile{Revision: latest}
 	by := "an unknown operator"
@@ -196,7 +201,7 @@
 // accepted, even if others have replaced it since.
 func (ap applier) wasAccepted(ent store.Entry) bool {
 	mf, err := decodeManifest(ent)
-	return err == nil && mf.revisionOf(ap.id) > 0
+	return err == nil && mf.revisionOf(ap.applyID) > 0
 }
 
 // hasContentOf reports whether mf is in the store and has the content of the
@@ -214,9 +219,11 @@
 	}
 }
 
+// writeChunks writes the chunks of mf. An unknown outcome is resolved by reading
+// the chunk.
 func (ap applier) writeChunks(ctx context.Context, mf manifest, chunks [][]byte) error {
 	for i, chunk := range chunks {
-		req := store.SwapRequest{Key: chunkKey(mf.Apply, mf.Chunks[i]), Value: chunk}
+		req := store.SwapRequest{Key: chunkKey(mf.ApplyID, mf.Chunks[i]), Value: chunk}
 		hasContent := func(ent store.Entry) bool { return bytes.Equal(ent.Value, chunk) }
 		ent, err := store.SwapAndResolve(ctx, ap.st, req, hasContent)
 		if errors.Is(err, store.ErrConflict) && hasContent(ent) {
--- a/internal/conf/follow_test.go
+++ b/internal/conf/follow_test.go
@@ -109,7 +109,7 @@
 		var newest atomic.Pointer[conf.AcceptedFile]
 		fo := conf.NewFollower(conf.FollowerConfig{
 			Store: unavailableStore{},
-			Peers: func(_ context.Context, revision int64) (*conf.AcceptedFile, error) {
+			FetchNewer: func(_ context.Context, revision int64) (*conf.AcceptedFile, error) {
 				cur := newest.Load()
 				if cur == nil || cur.Revision <= revision {
 					return nil, errors.New("no peer has newer ones")
@@ -146,14 +146,14 @@
 		is.NoErr(err)
 	}
 	stale := accepted(t, 1, "1")
-	asked := make(chan struct{}, 1000)
-	fo := follow(t, conf.FollowerConfig{Store: st, Peers: func(context.Context, int64) (*conf.AcceptedFile, error) {
-		asked <- struct{}{}
+	polled := make(chan struct{}, 1000)
+	fo := follow(t, conf.FollowerConfig{Store: st, FetchNewer: func(context.Context, int64) (*conf.AcceptedFile, error) {
+		polled <- struct{}{}
 		return &stale, nil
 	}})
 	kvsim.Eventually(t, func() bool { return fo.Revision() == 2 })
 	for range 3 {
-		<-asked
+		<-polled
 		is.Equal(fo.Revision(), int64(2))
 	}
 }
@@ -183,6 +183,9 @@
 	is.Equal(fo.Revision(), int64(3))
 }
 
+// TestApplyToARestoredStoreReachesEveryHost checks that a file that is applied
+// after a restore replaces the declarations of a host that still has later
+// revisions from before the restore.
 func TestApplyToARestoredStoreReachesEveryHost(t *testing.T) {
 	for _, names := range [][]string{{"2"}, {"2", "3"}} { // the restored store forks at the same or at a smaller revision
 		is := is.New(t)
--- a/internal/conf/matrix_test.go
+++ b/internal/conf/matrix_test.go
@@ -14,14 +14,15 @@
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
-// faultyStore injects a fault at one of the calls that an apply makes.
+// faultyStore injects a fault at one of the calls that an apply makes, number
+// faultAt, counted from zero.
 type faultyStore struct {
 	store.Store
 	calls           int
-	at              int
+	faultAt         int
 	fault           callFault
 	concurrentApply func()
-	killed          bool // the host was killed; all further calls fail
+	down            bool // all further calls fail
 }
 
 // callFault is the fault injected at a call.
@@ -30,33 +31,33 @@
 const (
 	storeRefusesOnce callFault = "store down for one call"
 	storeDown        callFault = "store down permanently"
-	answerLost       callFault = "reply lost after the effect"
+	replyLost        callFault = "reply lost after the effect"
 	requestLost      callFault = "call lost before the effect"
 	hostKilled       callFault = "host killed before the call"
-	hostKilledLater  callFault = "host killed after the call"
+	hostKilledAfter  callFault = "host killed after the call"
 	operatorRaces    callFault = "another operator applies first"
 )
 
-var callFaults = []callFault{storeRefusesOnce, storeDown, answerLost, requestLost, hostKilled, hostKilledLater, operatorRaces}
+var callFaults = []callFault{storeRefusesOnce, storeDown, replyLost, requestLost, hostKilled, hostKilledAfter, operatorRaces}
 
-// intercept makes one call, with the fault if it is call number fs.at.
+// intercept makes one call, with the fault if it is call number fs.faultAt.
 func (fs *faultyStore) intercept(call func() error) error {
 	at := fs.calls
 	fs.calls++
-	if fs.killed {
+	if fs.down {
 		return store.ErrUnavailable
 	}
-	if at != fs.at {
+	if at != fs.faultAt {
 		return call()
 	}
 	switch fs.fault {
 	case storeRefusesOnce:
 		return store.ErrUnavailable
 	case storeDown, hostKilled:
-		fs.killed = true
+		fs.down = true
 		return store.ErrUnavailable
-	case answerLost, hostKilledLater:
-		fs.killed = fs.fault == hostKilledLater
+	case replyLost, hostKilledAfter:
+		fs.down = fs.fault == hostKilledAfter
 		if err := call(); err != nil {
 			return err
 		}
@@ -70,21 +71,21 @@
 }
 
 // Get implements store.Store.
-func (fs *faultyStore) Get(ctx context.Context, key string) (en store.Entry, rev store.Revision, err error) {
-	err = fs.intercept(func() error { en, rev, err = fs.Store.Get(ctx, key); return err })
-	return en, rev, err
+func (fs *faultyStore) Get(ctx context.Context, key string) (ent store.Entry, rev store.Revision, err error) {
+	err = fs.intercept(func() error { ent, rev, err = fs.Store.Get(ctx, key); return err })
+	return ent, rev, err
 }
 
 // List implements store.Store.
-func (fs *faultyStore) List(ctx context.Context, prefix string) (ens []store.Entry, rev store.Revision, err error) {
-	err = fs.intercept(func() error { ens, rev, err = fs.Store.List(ctx, prefix); return err })
-	return ens, rev, err
+func (fs *faultyStore) List(ctx context.Context, prefix string) (ents []store.Entry, rev store.Revision, err error) {
+	err = fs.intercept(func() error { ents, rev, err = fs.Store.List(ctx, prefix); return err })
+	return ents, rev, err
 }
 
 // Swap implements store.Store.
-func (fs *faultyStore) Swap(ctx context.Context, req store.SwapRequest) (en store.Entry, err error) {
-	err = fs.intercept(func() error { en, err = fs.Store.Swap(ctx, req); return err })
-	return en, err
+func (fs *faultyStore) Swap(ctx context.Context, req store.SwapRequest) (ent store.Entry, err error) {
+	err = fs.intercept(func() error { ent, err = fs.Store.Swap(ctx, req); return err })
+	return ent, err
 }
 
 // TestApplyUnderEveryFaultAtEveryCall applies small and large files and injects
@@ -113,7 +114,7 @@
 	first, _, err := apply(t.Context(), clean, "ana", variant("first"))
 	is.NoErr(err)
 	rival := variant("rival")
-	fs := &faultyStore{Store: clean, at: at, fault: fault}
+	fs := &faultyStore{Store: clean, faultAt: at, fault: fault}
 	fs.concurrentApply = func() {
 		_, _, err := apply(t.Context(), clean, "eva", rival)
 		is.NoErr(err)
@@ -126,6 +127,7 @@
 	isRival := bytes.Equal(cur.Content, rival)
 	is.True(isNew || isRival || bytes.Equal(cur.Content, first.Content)) // one whole file, never a part
 	is.True(cur.Revision >= first.Revision)
+	// Success means that the file is in force or was replaced; NotRun means that it isn't.
 	if er := codes.Of(err); er == nil {
 		is.True(isNew || (isRival && cur.Revision > reported.Revision))
 	} else if er.Code.Class() == codes.NotRun {
--- a/internal/host/operate.go
+++ b/internal/host/operate.go
@@ -26,14 +26,16 @@
 )
 
 const (
-	faultsFileName      = "declarations"
-	rolloutPollInterval = 50 * time.Millisecond
+	// declarationsFileName is the file name in the positions of faults, since
+	// operators send only the content of a file.
+	declarationsFileName = "declarations"
+	rolloutPollInterval  = 50 * time.Millisecond
 )
 
 // Apply implements entry.Operators.
 func (op operatorAPI) Apply(ctx context.Context, rq entry.ApplyRequest) (client.Applied, error) {
 	req := conf.ApplyRequest{
-		File: faultsFileName, Content: rq.Content, By: rq.Operator,
+		File: declarationsFileName, Content: rq.Content, By: rq.Operator,
 		HostRevision: op.ho.follower.Revision(), Check: place.Check,
 	}
 	if rq.Expect != entry.AnyRevision {
@@ -60,8 +62,8 @@
 	return ad, nil
 }
 
-// awaitRollout waits until all known hosts have reported a revision, and returns
-// the hosts that haven't done so in time.
+// awaitRollout waits until all other known hosts have reported a revision or a
+// later one. It returns the hosts that haven't done so in time, as zone/host.
 func (op operatorAPI) awaitRollout(ctx context.Context, revision int64, wait time.Duration) []string {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -81,7 +83,7 @@
 // Check implements entry.Operators.
 func (op operatorAPI) Check(ctx context.Context, content []byte) (client.Applied, error) {
 	ad := client.Applied{Revision: op.ho.follower.Revision()}
-	doc, err := spec.Parse(faultsFileName, content)
+	doc, err := spec.Parse(declarationsFileName, content)
 	if err == nil {
 		if fas := place.Check(doc); len(fas) > 0 {
 			err = fas
@@ -152,7 +154,8 @@
 	return zs
 }
 
-// Report implements entry.Operators.
+// Report implements entry.Operators. Hosts, zones and the archive that can't be
+// read are listed in the report as missing.
 func (op operatorAPI) Report(ctx context.Context, name string) (any, error) {
 	now := time.Now()
 	loc := op.ho.location()
@@ -192,6 +195,7 @@
 	return sb.String()
 }
 
+// faultsOf returns the faults among the causes of an error, or nil.
 func faultsOf(err error) []client.Fault {
 	var fas spec.Faults
 	if !errors.As(err, &fas) {
--- a/internal/plat/plat_test.go
+++ b/internal/plat/plat_test.go
@@ -40,9 +40,9 @@
 	if err := me.nextError(&me.getErrs); err != nil {
 		return store.Entry{}, 0, err
 	}
-	en := me.entry
-	en.Key = key
-	return en, en.Revision, nil
+	ent := me.entry
+	ent.Key = key
+	return ent, ent.Revision, nil
 }
 
 func (me *memStore) Swap(_ context.Context, req store.SwapRequest) (store.Entry, error) {
@@ -65,14 +65,14 @@
 func (me *memStore) Watch(ctx context.Context, _ string, after store.Revision, fn func(store.Entry) error) error {
 	for {
 		me.mu.Lock()
-		en, changed, down, stalled := me.entry, me.changed, me.down, me.stalled
+		ent, changed, down, stalled := me.entry, me.changed, me.down, me.stalled
 		me.mu.Unlock()
 		if down {
 			return store.ErrUnavailable
 		}
-		if en.Revision > after && !stalled {
-			after = en.Revision
-			if err := fn(en); err != nil {
+		if ent.Revision > after && !stalled {
+			after = ent.Revision
+			if err := fn(ent); err != nil {
 				return err
 			}
 		}
@@ -171,7 +171,7 @@
 	is.Equal(me.hosts(is), []plat.Host{host("w2")})
 }
 
-func TestRegisterStopsWithItsContext(t *testing.T) {
+func TestRegisterStopsWhenItsContextEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		me := newMemStore()
@@ -184,14 +184,14 @@
 	})
 }
 
-func TestWatcher(t *testing.T) {
+func TestWatcherLearnsEveryNewList(t *testing.T) {
 	const poll = 10 * time.Second
 	tests := []struct {
-		name   string
-		before func(*memStore)
-		after  func(*memStore)
-		within time.Duration // longest delay until the new list is known
-		kept   bool          // the old list is known until then
+		name    string
+		before  func(*memStore)
+		after   func(*memStore)
+		within  time.Duration // longest delay until the new list is known
+		oldKept bool          // the old list is known until then
 	}{
 		{"by watch", func(*memStore) {}, func(*memStore) {}, 0, false},
 		{"through an outage", func(me *memStore) { me.down = true }, func(me *memStore) { me.down = false }, poll, true},
@@ -221,7 +221,7 @@
 					is.NoErr(err)
 					me.entry = store.Entry{Key: plat.Key(zone), Value: value, Revision: me.entry.Revision + 1}
 				})
-				if tc.kept {
+				if tc.oldKept {
 					is.Equal(wa.List().Hosts, []plat.Host{host("w1")})
 				}
 				time.Sleep(tc.within)
@@ -233,6 +233,8 @@
 	}
 }
 
+// TestWatcherIgnoresOlderLists reads from a replica that lags behind. The watcher
+// must not return to the older list.
 func TestWatcherIgnoresOlderLists(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/plat/register.go
+++ b/internal/plat/register.go
@@ -19,8 +19,9 @@
 	maxBackoff = 2 * time.Second
 )
 
-// Register adds hosts to their availability zone's list, or replaces those with
-// the same names, in one write. It retries until ctx ends. If the outcome of the
+// Register adds hosts to an availability zone's list, or replaces those with the
+// same names, in one write. It retries failures of the store until ctx ends, and
+// then returns the context's error with the last failure. If the outcome of the
 // write is unknown, it reads the list again to find out.
 func Register(ctx context.Context, st store.Store, zone string, hosts ...Host) error {
 	return update(ctx, st, zone, func(li List) (List, error) {
@@ -63,28 +64,29 @@
 // update replaces a zone's list by the result of change. The function must be
 // idempotent, so that a retry after an unknown outcome makes no second write.
 func update(ctx context.Context, st store.Store, zone string, change func(List) (List, error)) error {
-	for pause := minBackoff; ; pause = min(2*pause, maxBackoff) {
+	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
 		err := updateOnce(ctx, st, zone, change)
 		if !retryable(err) {
 			return merry.Prependf(err, "host list of %s", zone)
 		}
 		if errors.Is(err, store.ErrConflict) {
-			pause = minBackoff
+			backoff = minBackoff
 		}
 		select {
-		case <-time.After(jitter(pause)):
+		case <-time.After(jitter(backoff)):
 		case <-ctx.Done():
 			return merry.Prependf(errors.Join(ctx.Err(), err), "host list of %s", zone)
 		}
 	}
 }
 
+// updateOnce reads the list, changes it and writes it if it differs.
 func updateOnce(ctx context.Context, st store.Store, zone string, change func(List) (List, error)) error {
-	en, _, err := st.Get(ctx, Key(zone))
+	ent, _, err := st.Get(ctx, Key(zone))
 	if err != nil {
 		return err
 	}
-	old, err := Decode(en.Value)
+	old, err := Decode(ent.Value)
 	if err != nil {
 		return err
 	}
@@ -100,10 +102,11 @@
 	if len(value) > store.MaxValue {
 		return merry.Prependf(store.ErrTooLarge, "%d hosts", len(li.Hosts))
 	}
-	_, err = st.Swap(ctx, store.SwapRequest{Key: Key(zone), Value: value, Expect: en.Revision})
+	_, err = st.Swap(ctx, store.SwapRequest{Key: Key(zone), Value: value, Expect: ent.Revision})
 	return err
 }
 
+// retryable reports whether another attempt may succeed.
 func retryable(err error) bool {
 	return errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrOutcomeUnknown) || errors.Is(err, store.ErrUnavailable)
 }
--- a/internal/plat/watch.go
+++ b/internal/plat/watch.go
@@ -19,7 +19,7 @@
 		Log       *slog.Logger
 	}
 
-	// Watcher keeps an up-to-date copy of the list of one availability zone.
+	// Watcher holds an up-to-date copy of the list of one availability zone.
 	// It keeps the last known list while the store is unavailable and never
 	// replaces a list by an older one.
 	Watcher struct {
@@ -28,7 +28,7 @@
 		mu       sync.Mutex
 		list     List
 		revision store.Revision // of the store at which the list was current
-		changed  chan struct{}
+		changed  chan struct{}  // closed at the next change of list
 	}
 )
 
@@ -66,7 +66,7 @@
 // until the next read is due, so a stalled watch delays a change by at most
 // PollEvery.
 func (wa *Watcher) Run(ctx context.Context) {
-	pause := minBackoff
+	backoff := minBackoff
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := wa.readAndWatch(ctx)
@@ -74,18 +74,18 @@
 			return
 		}
 		if err == nil {
-			pause = minBackoff
+			backoff = minBackoff
 			continue
 		}
 		if time.Since(began) > maxBackoff {
-			pause = minBackoff
+			backoff = minBackoff
 		}
-		wa.cfg.Log.Warn("watching the host list failed", "zone", wa.cfg.Zone, "retryAfter", pause, "error", err)
+		wa.cfg.Log.Warn("watching the host list failed", "zone", wa.cfg.Zone, "retryAfter", backoff, "error", err)
 		select {
-		case <-time.After(jitter(pause)):
+		case <-time.After(jitter(backoff)):
 		case <-ctx.Done():
 		}
-		pause = min(2*pause, maxBackoff, wa.cfg.PollEvery)
+		backoff = min(2*backoff, maxBackoff, wa.cfg.PollEvery)
 	}
 }
 
@@ -95,14 +95,14 @@
 	ctx, cancel := context.WithTimeout(ctx, jitter(wa.cfg.PollEvery))
 	defer cancel()
 	key := Key(wa.cfg.Zone)
-	en, at, err := wa.cfg.Store.Get(ctx, key)
+	ent, at, err := wa.cfg.Store.Get(ctx, key)
 	if err != nil {
 		return err
 	}
-	wa.adopt(en.Value, at)
-	err = wa.cfg.Store.Watch(ctx, key, at, func(en store.Entry) error {
-		if en.Key == key {
-			wa.adopt(en.Value, en.Revision)
+	wa.adopt(ent.Value, at)
+	err = wa.cfg.Store.Watch(ctx, key, at, func(ent store.Entry) error {
+		if ent.Key == key {
+			wa.adopt(ent.Value, ent.Revision)
 		}
 		return nil
 	})
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -82,12 +82,14 @@
 	is.NoErr(err)
 }
 
+// TestLeaseDeletesItsKeys checks that a key disappears when its lease expires or is
+// revoked, and that an expired lease can't be renewed or attached to a key.
 func TestLeaseDeletesItsKeys(t *testing.T) {
 	is := is.New(t)
 	clk := newClock()
 	_, cl := start(t, kvsim.Config{Clock: clk.now})
 	ctx := t.Context()
-	held := func() bool {
+	exists := func() bool {
 		ent, _, err := cl.Get(ctx, "role")
 		is.NoErr(err)
 		return ent.Revision > 0
@@ -100,9 +102,9 @@
 	clk.advance(4 * time.Second)
 	is.NoErr(cl.Renew(ctx, id))
 	clk.advance(4 * time.Second)
-	is.True(held())
+	is.True(exists())
 	clk.advance(time.Second)
-	is.True(!held())
+	is.True(!exists())
 	is.True(errors.Is(cl.Renew(ctx, id), store.ErrLeaseExpired))
 	_, err = cl.Swap(ctx, store.SwapRequest{Key: "role", Value: []byte("me"), Lease: id})
 	is.True(errors.Is(err, store.ErrLeaseExpired))
@@ -112,7 +114,7 @@
 	_, err = cl.Swap(ctx, store.SwapRequest{Key: "role", Value: []byte("me"), Lease: id})
 	is.NoErr(err)
 	is.NoErr(cl.Revoke(ctx, id))
-	is.True(!held())
+	is.True(!exists())
 	is.True(errors.Is(cl.Revoke(ctx, id), store.ErrLeaseExpired))
 }
 
@@ -156,6 +158,8 @@
 	is.True(errors.Is(err, store.ErrCompacted))
 }
 
+// TestOneCallIsOneRequest guards against methods that cost more than one of the
+// calls that the service counts.
 func TestOneCallIsOneRequest(t *testing.T) {
 	is := is.New(t)
 	sv, cl := start(t, kvsim.Config{})
