drive: name retry delays and encoders by what they hold

Cause: commitRetry, watchRetry and the like are delays, as in other packages, and encodeRecords also encodes the backlog. Change: renames within the package only.

--- a/internal/drive/commit.go
+++ b/internal/drive/commit.go
@@ -17,8 +17,8 @@
 	revisions map[string]store.Revision
 }
 
-// commitRetry is the pause after a failed commit.
-const commitRetry = 100 * time.Millisecond
+// commitRetryDelay is the pause after a failed commit.
+const commitRetryDelay = 100 * time.Millisecond
 
 func newRevisionTable() *revisionTable { return &revisionTable{revisions: map[string]store.Revision{}} }
 
@@ -38,7 +38,7 @@
 // requires the leader key and every record to be at their known revisions, so a
 // write whose response was lost can't overwrite a later one.
 func (te *term) commit(cm domain.Commit) {
-	puts, err := encodeRecords(cm)
+	puts, err := encodeCommit(cm)
 	if err != nil {
 		te.log.Error("can't encode commit", "event", "commitFails", "reason", err)
 		te.end()
@@ -63,7 +63,7 @@
 			// A record had another revision: retry with the revisions just read.
 		default:
 			te.log.Warn("commit failed, retrying", "event", "commitFails", "seq", cm.Seq, "reason", err)
-			if !te.pauseFor(commitRetry) {
+			if !te.pauseFor(commitRetryDelay) {
 				return
 			}
 		}
@@ -117,7 +117,7 @@
 	return all
 }
 
-func encodeRecords(cm domain.Commit) ([]store.Put, error) {
+func encodeCommit(cm domain.Commit) ([]store.Put, error) {
 	var puts []store.Put
 	for _, rc := range cm.Records {
 		data, err := batch.EncodeRecord(rc)
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -121,7 +121,7 @@
 		te, err := sc.campaign(ctx)
 		if err != nil {
 			sc.cfg.Log.Debug("election not won", "event", "election", "reason", err)
-			pause.For(ctx, electionRetry/10)
+			pause.For(ctx, electionRetryDelay/10)
 			continue
 		}
 		te.run(ctx)
--- a/internal/drive/elect.go
+++ b/internal/drive/elect.go
@@ -19,9 +19,9 @@
 	// renewInterval is the time between two renewals, which may overlap. A lease
 	// outlasts three renewals without a response.
 	renewInterval = 350 * time.Millisecond
-	// electionRetry is the pause after a failed read or watch of the leader key.
+	// electionRetryDelay is the pause after a failed read or watch of the leader key.
 	// After a failed campaign the pause is a tenth of it.
-	electionRetry = 300 * time.Millisecond
+	electionRetryDelay = 300 * time.Millisecond
 	// electionDelayUnit is the election delay of a host with half a core, which
 	// gives stronger hosts a head start. maxElectionDelay bounds the delay of the
 	// weakest host.
@@ -107,7 +107,7 @@
 func (sc *Scheduler) awaitNoLeader(ctx context.Context) bool {
 	en, at, err := sc.cfg.Store.Get(ctx, batch.LeaderKey)
 	if err != nil {
-		pause.For(ctx, electionRetry)
+		pause.For(ctx, electionRetryDelay)
 		return false
 	}
 	if en.Revision == 0 {
@@ -123,7 +123,7 @@
 		return nil
 	})
 	if !errors.Is(err, errNoLeader) {
-		pause.For(ctx, electionRetry)
+		pause.For(ctx, electionRetryDelay)
 		return false
 	}
 	return true
--- a/internal/drive/watch.go
+++ b/internal/drive/watch.go
@@ -18,13 +18,13 @@
 // has loaded its state.
 type watchStart struct {
 	acceptedRev, policyRev, workersRev store.Revision // at which each was read
-	listed                             map[string]bool
+	workerIDs                          map[string]bool
 	evacuations                        *evacuations
 }
 
 const (
-	// watchRetry is the pause after a failed watch or list.
-	watchRetry = 250 * time.Millisecond
+	// watchRetryDelay is the pause after a failed watch or list.
+	watchRetryDelay = 250 * time.Millisecond
 	// workerBatchTime is how long changes to the list of workers are batched: each
 	// worker writes its entry every second or two, mostly unchanged.
 	workerBatchTime = 200 * time.Millisecond
@@ -34,7 +34,7 @@
 func (te *term) load() (domain.Config, *watchStart, error) {
 	var (
 		gr       errgroup.Group
-		ws       = watchStart{listed: map[string]bool{}}
+		ws       = watchStart{workerIDs: map[string]bool{}}
 		accepted []store.Entry
 		progress []store.Entry
 		workers  []store.Entry
@@ -78,7 +78,7 @@
 	for _, en := range workers {
 		if wk, ok := te.decodeWorker(en); ok {
 			cf.Workers = append(cf.Workers, wk)
-			ws.listed[wk.ID] = true
+			ws.workerIDs[wk.ID] = true
 		}
 	}
 	return cf, &ws, nil
@@ -145,8 +145,8 @@
 	go te.watch(batch.AcceptedPrefix, ws.acceptedRev, 0, te.applyAccepted, te.relistAccepted)
 	go te.watch(te.cfg.Layout.PolicyKey, ws.policyRev, 0, te.applyPolicy, te.reloadPolicy)
 	ws.evacuations.start()
-	known := &workerList{term: te, ids: ws.listed}
-	go te.watch(te.cfg.Layout.WorkerPrefix, ws.workersRev, workerBatchTime, known.apply, known.relist)
+	wl := &workerList{term: te, ids: ws.workerIDs}
+	go te.watch(te.cfg.Layout.WorkerPrefix, ws.workersRev, workerBatchTime, wl.apply, wl.relist)
 }
 
 // watch applies changes under a prefix until the term ends, batched over window.
@@ -166,7 +166,7 @@
 				continue
 			}
 		}
-		te.pauseFor(watchRetry)
+		te.pauseFor(watchRetryDelay)
 	}
 }
 
--- a/internal/drive/waves.go
+++ b/internal/drive/waves.go
@@ -39,9 +39,9 @@
 )
 
 const (
-	machineTimeout = 2 * time.Second // of a call to the platform's machines
-	writeRetry     = 200 * time.Millisecond
-	writeQueueSize = 256
+	machineTimeout  = 2 * time.Second // of a call to the platform's machines
+	writeRetryDelay = 200 * time.Millisecond
+	writeQueueSize  = 256
 )
 
 // loadWaves reads the requested waves and their stored progress. It returns nil
@@ -67,7 +67,7 @@
 	wd.watchFrom = rev
 	cf := upkeep.Config{WorkerState: te.workerState, Completed: wd.completedWaves(reports)}
 	for _, en := range records {
-		rc, err := decodeUpkeep(en.Value)
+		rc, err := decodeRecord(en.Value)
 		if err != nil {
 			te.logInvalidEntry(en.Key, err)
 			continue
@@ -248,13 +248,13 @@
 			return
 		}
 		wd.log.Warn("write of maintenance state failed, retrying", "event", "reportFails", "key", tx.Puts[0].Key, "reason", err)
-		if !wd.pauseFor(writeRetry) {
+		if !wd.pauseFor(writeRetryDelay) {
 			return
 		}
 	}
 }
 
-func decodeUpkeep(data []byte) (rc upkeep.Record, err error) {
+func decodeRecord(data []byte) (rc upkeep.Record, err error) {
 	err = json.Unmarshal(data, &rc)
 	return rc, err
 }
