drive: say what each function writes, returns and waits for

Cause: some comments named fields that no longer exist (te.began), left out errors and blocking, or described a test without the failure that it guards against. Change: comments, the name of one local variable and the IDs of test jobs.

--- a/internal/drive/commit.go
+++ b/internal/drive/commit.go
@@ -70,6 +70,8 @@
 	}
 }
 
+// txn returns the transaction that writes puts, the encoded records of a
+// commit.
 func (te *term) txn(cm domain.Commit, puts []store.Put) store.Txn {
 	tx := store.Txn{Expect: []store.Expectation{{Key: batch.LeaderKey, Revision: te.token}}, Puts: puts}
 	for _, rc := range cm.Records {
@@ -79,7 +81,8 @@
 	return tx
 }
 
-// recordCommit stores the revision of the written records and tells the core.
+// recordCommit sets the known revision of the written records and tells the
+// core that they are stored.
 func (te *term) recordCommit(cm domain.Commit, rev store.Revision) {
 	for _, rc := range cm.Records {
 		te.revisions.set(batch.ProgressKey(rc.ID), rev)
@@ -98,9 +101,10 @@
 	return true
 }
 
-// updateRevisions updates the known revisions from ents and reports whether
-// every record has the value of this commit, which means that it took effect
-// and only its response was lost.
+// updateRevisions sets the known revisions to those of ents, the entries that
+// a conflict returned. It reports whether every record has the value of this
+// commit, which means that an earlier attempt took effect and its response was
+// lost.
 func (te *term) updateRevisions(puts []store.Put, ents []store.Entry) bool {
 	all := true
 	for _, en := range ents {
@@ -117,6 +121,8 @@
 	return all
 }
 
+// encodeCommit returns the writes of a commit: its records and, if it has one,
+// its backlog.
 func encodeCommit(cm domain.Commit) ([]store.Put, error) {
 	var puts []store.Put
 	for _, rc := range cm.Records {
@@ -136,8 +142,8 @@
 	return puts, nil
 }
 
-// deleteJob deletes everything stored about a job. If that fails, the next
-// leader retries.
+// deleteJob deletes everything stored about an ended job. If that fails, the
+// next leader retries.
 func (te *term) deleteJob(id string) {
 	tx := store.Txn{
 		Expect:  []store.Expectation{{Key: batch.LeaderKey, Revision: te.token}},
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -28,11 +28,12 @@
 )
 
 type (
-	// StoreLayout describes the platform's own data in the store: it gives the
-	// keys and decodes the values.
+	// StoreLayout describes the platform's own data in the store: its keys, and
+	// the functions that decode its values. They return an error if a value is
+	// invalid; its entry is then logged and ignored.
 	StoreLayout struct {
 		PolicyKey        string
-		WorkerPrefix     string
+		WorkerPrefix     string // followed by the ID of a worker
 		EvacuationPrefix string // followed by an availability zone; empty if zones are never evacuated
 		EvacuationValue  []byte // written under an evacuation key by package admin
 		Policy           func(value []byte) (*batch.Policy, error)
@@ -55,7 +56,7 @@
 		Log            *slog.Logger
 	}
 
-	// Scheduler takes part in leader election and schedules while it is the
+	// Scheduler takes part in leader elections and schedules while it is the
 	// leader.
 	Scheduler struct {
 		cfg         Config
@@ -107,8 +108,9 @@
 // IsLeader reports whether this host is the leader.
 func (sc *Scheduler) IsLeader() bool { return sc.isLeader.Load() }
 
-// Run takes part in elections and schedules during each term until ctx ends. It
-// then revokes its lease.
+// Run takes part in elections, and schedules during each of its terms, until
+// ctx ends. A leader then revokes its lease, so that another host can follow at
+// once.
 func (sc *Scheduler) Run(ctx context.Context) {
 	delay := firstElectionFactor * electionDelay(sc.cfg.Cores)
 	for ctx.Err() == nil {
@@ -158,7 +160,7 @@
 	te.resign()
 }
 
-// loop passes events to the core, one at a time.
+// loop passes events to the core, one at a time, until the term or ctx ends.
 func (te *term) loop(ctx context.Context) {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
@@ -239,7 +241,8 @@
 	}
 }
 
-// send queues an event for the loop.
+// send queues an event for the loop. It blocks while the queue is full, and
+// drops the event once the term has ended.
 func (te *term) send(ev domain.Event) {
 	queue := te.events
 	switch ev.(type) {
@@ -313,7 +316,7 @@
 	te.send(domain.Stopped{Call: ef, Err: err})
 }
 
-// advise requests placement advice. The service may be slow to respond.
+// advise requests placement advice from a service that may be slow to respond.
 func (te *term) advise(ef domain.Advise) {
 	if te.cfg.Adviser == nil {
 		te.send(domain.Advised{Call: ef, Err: errNoAdviser})
--- a/internal/drive/drive_test.go
+++ b/internal/drive/drive_test.go
@@ -113,6 +113,8 @@
 	})
 }
 
+// TestJobsRunAndAreCancelled runs a job that was accepted before there was a
+// leader and one that was accepted later, and cancels a running one.
 func TestJobsRunAndAreCancelled(t *testing.T) {
 	si := newSite(t, 2)
 	si.submit("before", 3)
@@ -120,15 +122,15 @@
 	si.await("before", batch.Done)
 	si.submit("later", 16)
 	si.await("later", batch.Done)
-	si.submit("gone", 4)
-	si.await("gone", batch.Running)
-	si.store.Put(batch.CancelKey("gone"), []byte{})
-	si.await("gone", batch.Cancelled)
+	si.submit("cancelled", 4)
+	si.await("cancelled", batch.Running)
+	si.store.Put(batch.CancelKey("cancelled"), []byte{})
+	si.await("cancelled", batch.Cancelled)
 	si.checkInvariants()
 }
 
-// TestNextLeaderTakesOver stops the leader while tasks run. The next one must
-// adopt them and start none twice.
+// TestNextLeaderTakesOver stops the leader while tasks run. The next leader
+// must let them run and start none twice.
 func TestNextLeaderTakesOver(t *testing.T) {
 	is := is.New(t)
 	si := newSite(t, 2)
@@ -146,7 +148,8 @@
 	si.workers.With(func(_ time.Time, fl *runsim.Fleet) { is.Equal(fl.Starts, 40) })
 }
 
-// TestLostStoreResponses drops the responses of writes that took effect.
+// TestLostStoreResponses guards against a leader that stops or overwrites newer
+// records when it gets no response to a write that took effect.
 func TestLostStoreResponses(t *testing.T) {
 	si := newSite(t, 2)
 	si.host("a")
@@ -211,8 +214,8 @@
 	si.checkInvariants()
 }
 
-// TestInvalidEntriesAreIgnored adds undecodable entries beside those of workers
-// and jobs.
+// TestInvalidEntriesAreIgnored guards against a leader that schedules nothing
+// because of undecodable entries of workers and jobs.
 func TestInvalidEntriesAreIgnored(t *testing.T) {
 	si := newSite(t, 1)
 	si.store.Put(runsim.WorkerPrefix+"odd", []byte("?"))
@@ -225,21 +228,23 @@
 }
 
 // TestInvalidEntryOfBusyWorker overwrites the entry of a worker that runs a
-// long job. The job must still be cancelled there, and another one must run.
+// long job by an undecodable one. The job must still be cancelled there, and
+// another one must run.
 func TestInvalidEntryOfBusyWorker(t *testing.T) {
 	si := newSite(t, 1)
 	si.host("a")
-	si.submit("gone", 80)
-	si.await("gone", batch.Running)
+	si.submit("cancelled", 80)
+	si.await("cancelled", batch.Running)
 	si.store.Put(runsim.WorkerPrefix+"w0", []byte("?"))
-	si.store.Put(batch.CancelKey("gone"), []byte{})
-	si.await("gone", batch.Cancelled)
+	si.store.Put(batch.CancelKey("cancelled"), []byte{})
+	si.await("cancelled", batch.Cancelled)
 	si.submit("j", 4)
 	si.await("j", batch.Done)
 	si.checkInvariants()
 }
 
-// TestStrongerHostWinsAtStart starts a strong host shortly after a weak one.
+// TestStrongerHostWinsAtStart guards against a weak host that becomes the
+// leader of a new domain because it starts shortly before a strong one.
 func TestStrongerHostWinsAtStart(t *testing.T) {
 	for range 3 {
 		is := is.New(t)
@@ -252,8 +257,8 @@
 	}
 }
 
-// TestStrongerHostWinsElection deletes the leader key while a weak and a strong
-// host wait for it.
+// TestStrongerHostWinsElection guards against a weak host that becomes the
+// leader although a strong one also waits for the leader key to be deleted.
 func TestStrongerHostWinsElection(t *testing.T) {
 	for range 4 {
 		is := is.New(t)
@@ -268,10 +273,11 @@
 	}
 }
 
-// TestWeakHostStartsAsKeyIsFreed guards against a weak host that wins over a
-// strong one because its first election delay ends when the leader key is
-// freed, and is too slow for the domain. This comes about when all hosts are
-// lost and restart just before the former leader's lease ends.
+// TestWeakHostStartsAsKeyIsFreed guards against a weak host whose first
+// election delay counts from its start instead of from when the leader key is
+// freed. If all hosts restart just before the former leader's lease ends, the
+// delay of a weak host may then end first, and it leads a domain for which it
+// is too slow.
 func TestWeakHostStartsAsKeyIsFreed(t *testing.T) {
 	for range 2 {
 		is := is.New(t)
@@ -282,7 +288,9 @@
 			si.hostWithCores(fmt.Sprintf("weak%d", i), 0.2)
 			time.Sleep(4 * time.Millisecond)
 		}
-		time.Sleep(300 * time.Millisecond) // the first delays of some are over
+		// By then, the first delays of some weak hosts, counted from their start, are
+		// over.
+		time.Sleep(300 * time.Millisecond)
 		si.store.Delete(batch.LeaderKey)
 		kvsim.Eventually(t, func() bool { return si.leader() != "" })
 		is.Equal(si.leader(), "strong")
--- a/internal/drive/elect.go
+++ b/internal/drive/elect.go
@@ -42,8 +42,8 @@
 )
 
 // electionDelay returns how long a host with the given number of cores waits
-// before it stands for election, so that a host able to handle a large domain
-// wins. A host whose number of cores is unknown (zero) does not wait.
+// before it campaigns, so that a host with enough cores for a large domain
+// wins. It is zero for one core or more and for an unknown number (zero).
 func electionDelay(cores float64) time.Duration {
 	if cores <= 0 || cores >= 1 {
 		return 0
@@ -51,8 +51,9 @@
 	return min(maxElectionDelay, time.Duration((1/cores-1)*float64(electionDelayUnit)))
 }
 
-// campaign tries to become the leader. It fails if there is a leader already or
-// the store can't be reached within electionTimeout.
+// campaign tries to become the leader. It returns errLeaderExists if it finds a
+// leader, and another error if it loses to a host that campaigns at the same
+// time or the store does not respond within electionTimeout.
 func (sc *Scheduler) campaign(ctx context.Context) (*term, error) {
 	ctx, cancel := context.WithTimeout(ctx, electionTimeout)
 	defer cancel()
@@ -82,7 +83,7 @@
 }
 
 // acquireLeaderKey creates the leader key and returns the revision of that
-// write.
+// write, which is the fencing token of the term.
 func (sc *Scheduler) acquireLeaderKey(ctx context.Context, lease store.LeaseID) (store.Revision, error) {
 	value := fmt.Appendf(nil, "%s %d %d", sc.cfg.Host, sc.incarnation, lease)
 	tx := store.Txn{
@@ -91,7 +92,8 @@
 	}
 	rev, ents, err := sc.cfg.Store.Commit(ctx, tx)
 	if errors.Is(err, store.ErrOutcomeUnknown) {
-		// The first write may or may not have taken effect; this one shows which.
+		// If the first write took effect, this one conflicts with it and returns
+		// its entry, whose value contains this host's lease.
 		rev, ents, err = sc.cfg.Store.Commit(ctx, tx)
 	}
 	if errors.Is(err, store.ErrConflict) && len(ents) > 0 && bytes.Equal(ents[0].Value, value) {
@@ -100,8 +102,8 @@
 	return rev, err
 }
 
-// awaitNoLeader waits for the leader key and reports whether it is free; it is
-// false if the store fails meanwhile. While it waits, it also responds to
+// awaitNoLeader waits until there is no leader key. It returns false, after a
+// pause, if the store fails meanwhile. While it waits, it also responds to
 // handover requests: the watch includes batch.HandoverRequestKey, which begins
 // with batch.LeaderKey.
 func (sc *Scheduler) awaitNoLeader(ctx context.Context) bool {
@@ -129,9 +131,10 @@
 	return true
 }
 
-// keepLease renews the leader's lease. The term ends when the store reports the
-// lease as expired, or when no renewal has succeeded for
-// domain.MaxRenewalAge, so that workers are free for the next leader in time.
+// keepLease renews the leader's lease until the term ends. The term ends when
+// the store reports the lease as expired, or when no renewal has succeeded for
+// domain.MaxRenewalAge: from then on, this host must not renew leases on
+// workers.
 func (te *term) keepLease() {
 	for te.pauseFor(renewInterval) {
 		go te.renewLease(time.Since(te.leaseRequested))
@@ -142,8 +145,8 @@
 	}
 }
 
-// renewLease renews the lease. Sent is the time of the call, counted from
-// te.began.
+// renewLease renews the lease once. Sent is the time of the call, counted from
+// te.leaseRequested. Errors other than an expired lease are left to keepLease.
 func (te *term) renewLease(sent time.Duration) {
 	ctx, cancel := context.WithTimeout(te.ctx, domain.LeaderLeaseTime)
 	defer cancel()
@@ -157,8 +160,8 @@
 	}
 }
 
-// recordRenewal records a successful renewal. Responses may arrive out of
-// order.
+// recordRenewal records a successful renewal that was sent at the given time.
+// It keeps the latest, because responses may arrive out of order.
 func (te *term) recordRenewal(sent time.Duration) {
 	for {
 		last := te.lastRenewal.Load()
--- a/internal/drive/evac.go
+++ b/internal/drive/evac.go
@@ -12,7 +12,7 @@
 )
 
 // evacuations tracks the operators' requests to evacuate availability zones. A
-// zone is evacuated while its key is in the store.
+// zone is evacuated while the key of a request for it is in the store.
 type evacuations struct {
 	*term
 	prefix    string
@@ -31,7 +31,7 @@
 	return ev, merry.Prepend(err, "list "+ev.prefix)
 }
 
-// start watches the requests.
+// start watches the requests until the term ends.
 func (ev *evacuations) start() {
 	if ev.prefix != "" {
 		go ev.watch(ev.prefix, ev.watchFrom, 0, ev.apply, ev.relist)
@@ -56,7 +56,8 @@
 
 func (ev *evacuations) zoneNames() []string { return slices.Sorted(maps.Keys(ev.zones)) }
 
-// apply handles a change of one request.
+// apply handles a change of one request and passes the new set of zones to the
+// core.
 func (ev *evacuations) apply(en store.Entry) {
 	if en.Value == nil {
 		delete(ev.zones, ev.zone(en))
@@ -66,8 +67,8 @@
 	ev.term.send(domain.EvacuationSet{Zones: ev.zoneNames()})
 }
 
-// relist reads all requests again after the watch was interrupted by a
-// compaction.
+// relist reads all requests again after the store has compacted changes that
+// the watch needs.
 func (ev *evacuations) relist() (store.Revision, error) {
 	rev, err := ev.read()
 	if err != nil {
--- a/internal/drive/handover.go
+++ b/internal/drive/handover.go
@@ -20,7 +20,8 @@
 		at time.Time
 	}
 
-	// overloadDetector detects overload by how long events wait in the queue.
+	// overloadDetector detects from the queue waits of events that the leader is
+	// overloaded.
 	overloadDetector struct {
 		delayedSince time.Time // start of the current run of delayed events
 		lastDelayed  time.Time // the last delayed event
@@ -38,8 +39,8 @@
 	maxDelayGap  = 2 * time.Second
 	// overloadReportGap is the minimum time between two overload reports.
 	overloadReportGap = 20 * time.Second
-	// offerTimeout is how long the leader waits for an offer, and offerLeaseTime
-	// how long an offer is valid.
+	// offerTimeout is how long the leader waits for an offer after its request.
+	// offerLeaseTime is how long an offer stays in the store.
 	offerTimeout   = 400 * time.Millisecond
 	offerLeaseTime = 2 * time.Second
 	// minOfferFactor is how many times the leader's cores a host must have to make
@@ -49,8 +50,8 @@
 
 var overloadCount = metrics.GetOrCreateCounter("cicadawharf_domain_overloads_total")
 
-// observe records how long an event has waited and reports whether an overload
-// is to be reported now.
+// observe records that an event has waited in the queue for a while. It reports
+// whether the leader is overloaded and this is to be reported now.
 func (od *overloadDetector) observe(now time.Time, waited time.Duration) bool {
 	if waited < delayThreshold {
 		return false
@@ -66,8 +67,8 @@
 	return true
 }
 
-// observeWait records the queue wait of an event and requests a handover if the
-// leader is overloaded.
+// observeWait records the wait of an event that was queued at the given time,
+// and requests a handover if the leader is overloaded.
 func (te *term) observeWait(at time.Time) {
 	now := time.Now()
 	waited := now.Sub(at)
@@ -79,11 +80,12 @@
 	go te.requestHandover()
 }
 
-// requestHandover requests a handover in the store, on behalf of an overloaded
-// leader. Hosts that wait for the leader key and are much stronger respond with
-// an offer. If there is one, the term ends, the leader revokes its lease, and
-// the next election goes to a strong host. Without an offer the host stays
-// leader: a weak leader is better than another change.
+// requestHandover writes a handover request of this overloaded leader to the
+// store. Hosts that wait for the leader key and have many more cores respond
+// with an offer. If there is one, the term ends, the leader revokes its lease,
+// and a host with more cores wins the next election. Without an offer the host
+// stays the leader: it is better than a change to one that is no stronger. A
+// host whose number of cores is unknown requests nothing.
 func (te *term) requestHandover() {
 	if te.cfg.Cores <= 0 {
 		return
@@ -108,8 +110,8 @@
 	te.end()
 }
 
-// offerHandover responds to a handover request if this host is much stronger
-// than the leader.
+// offerHandover responds to a handover request, whose value is the leader's
+// number of cores, if this host has at least minOfferFactor times as many.
 func (sc *Scheduler) offerHandover(ctx context.Context, en store.Entry) {
 	leaderCores, err := strconv.ParseFloat(string(en.Value), 64)
 	if err != nil {
@@ -128,8 +130,9 @@
 	}
 }
 
-// writeHandoverKey stores a number of cores under key. For an offer, it fails
-// with store.ErrConflict if there is one already.
+// writeHandoverKey stores this host's number of cores under the key of a
+// handover request or offer. For an offer, it returns store.ErrConflict if
+// there is one already.
 func (sc *Scheduler) writeHandoverKey(key string, lease store.LeaseID, cores float64) error {
 	ctx, cancel := context.WithTimeout(context.Background(), electionTimeout)
 	defer cancel()
--- a/internal/drive/handover_test.go
+++ b/internal/drive/handover_test.go
@@ -14,7 +14,8 @@
 	"github.com/cicadawharf/cicadawharf/internal/fakes/runsim"
 )
 
-// slowLog takes so long for each line that the leader falls behind.
+// slowLog is a log handler that takes so long for each line that the leader
+// falls behind.
 type slowLog struct{ slog.Handler }
 
 func (sl slowLog) Handle(context.Context, slog.Record) error {
@@ -24,7 +25,8 @@
 
 func (sl slowLog) WithAttrs([]slog.Attr) slog.Handler { return sl }
 
-// slowHost runs a scheduler that manages only a few decisions a second.
+// slowHost runs a scheduler that makes at most 40 decisions a second, since it
+// logs each.
 func (si *site) slowHost(name string, cores float64) {
 	sc := drive.New(time.Now(), drive.Config{
 		Host: name, Cores: cores, Store: si.store.Client(si.t, time.Second), Workers: si.workers,
--- a/internal/drive/log.go
+++ b/internal/drive/log.go
@@ -9,7 +9,7 @@
 	"github.com/cicadawharf/cicadawharf/internal/domain"
 )
 
-// logDecision logs a decision.
+// logDecision logs a decision of the core, without its empty fields.
 func (te *term) logDecision(ld domain.LogDecision) {
 	args := []any{"event", ld.Decision}
 	add := func(key, value string) {
@@ -67,8 +67,8 @@
 // maxLoggedShares limits the workspaces in one log line.
 const maxLoggedShares = 10
 
-// logUsage logs the workspaces with waiting work, longest wait first, if there
-// are at least two.
+// logUsage logs the shares of the workspaces with waiting work, longest wait
+// first, if there are at least two such workspaces.
 func (te *term) logUsage(br domain.BacklogReport) {
 	waiting := slices.DeleteFunc(slices.Clone(br.Shares), func(wu domain.WorkspaceUsage) bool { return wu.Units == 0 })
 	if len(waiting) < 2 {
--- a/internal/drive/metrics.go
+++ b/internal/drive/metrics.go
@@ -98,7 +98,8 @@
 	}
 }
 
-// countCall records the duration and the result of a call to a worker.
+// countCall records the duration and the result of a call to a worker that
+// began at the given time.
 func countCall(call string, began time.Time, err error) {
 	metrics.GetOrCreateHistogram(fmt.Sprintf("cicadawharf_worker_call_seconds{call=%q}", call)).UpdateDuration(began)
 	metrics.GetOrCreateCounter(fmt.Sprintf("cicadawharf_worker_calls_total{call=%q,result=%q}", call, callResult(err))).Inc()
--- a/internal/drive/metrics_test.go
+++ b/internal/drive/metrics_test.go
@@ -13,7 +13,8 @@
 )
 
 // TestOnlyLeaderReportsWaits queues more tasks than fit, and then stops the
-// leader. Its gauges must disappear.
+// leader. Its gauges of waiting work must disappear, since the next leader
+// reports them.
 func TestOnlyLeaderReportsWaits(t *testing.T) {
 	is := is.New(t)
 	si := newSite(t, 1)
--- a/internal/drive/takeover_test.go
+++ b/internal/drive/takeover_test.go
@@ -99,7 +99,7 @@
 }
 
 // takeover kills the leader of three hosts and returns the time until the next
-// one has started a task.
+// leader has started a task.
 func takeover(tb testing.TB) time.Duration {
 	si := newSite(tb, 8)
 	kills := map[string]func(){}
@@ -118,7 +118,8 @@
 	return took
 }
 
-// TestTakeoverAfterKill kills the leader, which can't revoke its lease.
+// TestTakeoverAfterKill kills the leader, so that it can't revoke its lease.
+// The next leader must start the tasks of a new job.
 func TestTakeoverAfterKill(t *testing.T) { takeover(t) }
 
 // lossyStore drops two of three lease renewals: they take no effect and get no
@@ -136,8 +137,8 @@
 	return lo.TxnStore.Renew(ctx, id)
 }
 
-// TestLostRenewals guards against a leader that resigns when two renewals in a
-// row get no response.
+// TestLostRenewals guards against a leader whose term ends when two renewals in
+// a row get no response.
 func TestLostRenewals(t *testing.T) {
 	is := is.New(t)
 	si := newSite(t, 1)
--- a/internal/drive/watch.go
+++ b/internal/drive/watch.go
@@ -15,10 +15,10 @@
 )
 
 // watchStart holds the revisions from which a term watches the store after it
-// has loaded its state.
+// has loaded its state, and the state that the watches change.
 type watchStart struct {
-	acceptedRev, policyRev, workersRev store.Revision // at which each was read
-	workerIDs                          map[string]bool
+	acceptedRev, policyRev, workersRev store.Revision  // at which each was read
+	workerIDs                          map[string]bool // of the listed workers
 	evacuations                        *evacuations
 }
 
@@ -84,6 +84,7 @@
 	return cf, &ws, nil
 }
 
+// addAccepted adds the accepted job or the cancellation in an entry to cf.
 func (te *term) addAccepted(en store.Entry, cf *domain.Config) {
 	id, cancel, ok := batch.ParseAccepted(en.Key)
 	switch {
@@ -101,6 +102,8 @@
 	}
 }
 
+// addRecord adds the progress record in an entry to cf and stores the entry's
+// revision, which the next write of the record requires.
 func (te *term) addRecord(en store.Entry, cf *domain.Config) {
 	te.revisions.set(en.Key, en.Revision)
 	rc, err := batch.DecodeRecord(en.Value)
@@ -149,8 +152,10 @@
 	go te.watch(te.cfg.Layout.WorkerPrefix, ws.workersRev, workerBatchTime, wl.apply, wl.relist)
 }
 
-// watch applies changes under a prefix until the term ends, batched over window.
-// If the store has compacted changes that it needs, it reads the state again.
+// watch applies the changes under a prefix after a revision until the term
+// ends, batched over window. If the store has compacted changes that
+// it needs, it calls relist, which reads the state again and returns the
+// revision of that read.
 func (te *term) watch(prefix string, after store.Revision, window time.Duration, apply func(store.Entry), relist func() (store.Revision, error)) {
 	for te.ctx.Err() == nil {
 		err := te.cfg.Store.WatchBatched(te.ctx, prefix, after, window, func(en store.Entry) error {
@@ -221,7 +226,8 @@
 	return rev, nil
 }
 
-// workerList tracks the platform's list of workers.
+// workerList tracks the platform's list of workers and reports its changes to
+// the core.
 type workerList struct {
 	*term
 	ids map[string]bool
@@ -240,6 +246,8 @@
 	}
 }
 
+// relist reads the list again and reports every worker that is missing from it
+// as unlisted.
 func (wl *workerList) relist() (store.Revision, error) {
 	ents, rev, err := wl.cfg.Store.List(wl.ctx, wl.cfg.Layout.WorkerPrefix)
 	if err != nil {
--- a/internal/drive/waves.go
+++ b/internal/drive/waves.go
@@ -16,17 +16,18 @@
 )
 
 type (
-	// WaveLayout gives the keys under which the platform keeps maintenance waves,
-	// and encodes and decodes their values.
+	// WaveLayout gives the keys under which the platform keeps maintenance waves
+	// and their status, and encodes and decodes the values.
 	WaveLayout struct {
-		Prefix       string
+		Prefix       string // of the requested waves
 		StatusPrefix string // followed by the number of a wave
 		Wave         func(value []byte) (upkeep.Wave, error)
 		Encode       func(pr upkeep.Progress) []byte
 		Decode       func(value []byte) (upkeep.Progress, error)
 	}
 
-	// waveDriver carries out maintenance waves during a term.
+	// waveDriver carries out maintenance waves during a term, with the core of
+	// package upkeep.
 	waveDriver struct {
 		*term
 		layout    WaveLayout
@@ -52,7 +53,7 @@
 		return nil, nil
 	}
 	wd := &waveDriver{term: te, layout: la, events: make(chan upkeep.Event, eventQueueSize), numbers: map[string]int{}, writes: make(chan store.Txn, writeQueueSize)}
-	reports, _, err := te.cfg.Store.List(te.ctx, la.StatusPrefix)
+	statuses, _, err := te.cfg.Store.List(te.ctx, la.StatusPrefix)
 	if err != nil {
 		return nil, merry.Prepend(err, "list "+la.StatusPrefix)
 	}
@@ -65,7 +66,7 @@
 		return nil, merry.Prepend(err, "list "+la.Prefix)
 	}
 	wd.watchFrom = rev
-	cf := upkeep.Config{WorkerState: te.workerState, Completed: wd.completedWaves(reports)}
+	cf := upkeep.Config{WorkerState: te.workerState, Completed: wd.completedWaves(statuses)}
 	for _, en := range records {
 		rc, err := decodeRecord(en.Value)
 		if err != nil {
@@ -83,11 +84,11 @@
 	return wd, nil
 }
 
-// completedWaves returns the numbers of the waves that were reported as
-// completed. Invalid entries are logged and skipped.
-func (wd *waveDriver) completedWaves(reports []store.Entry) []int {
+// completedWaves returns the numbers of the waves whose status says that they
+// are completed. Invalid entries are logged and skipped.
+func (wd *waveDriver) completedWaves(statuses []store.Entry) []int {
 	var numbers []int
-	for _, en := range reports {
+	for _, en := range statuses {
 		number, err := strconv.Atoi(strings.TrimPrefix(en.Key, wd.layout.StatusPrefix))
 		if err != nil {
 			wd.logInvalidEntry(en.Key, err)
@@ -105,6 +106,7 @@
 	return numbers
 }
 
+// start begins to perform queued writes and to watch the requested waves.
 func (wd *waveDriver) start() {
 	go wd.runWrites()
 	go wd.watch(wd.layout.Prefix, wd.watchFrom, 0, wd.applyWave, wd.relist)
@@ -198,8 +200,8 @@
 	wd.send(upkeep.OrderCompleted{Order: ef, Err: wd.cfg.Machines.Upkeep(ctx, ef, wd.cfg.Host, int64(wd.token))})
 }
 
-// report queues a write of a wave's progress. Once the wave is completed, it
-// also deletes the record of it.
+// report queues a write of a wave's status. If the wave is completed, the write
+// also deletes its record.
 func (wd *waveDriver) report(ef upkeep.ReportProgress) {
 	number := strconv.Itoa(ef.Wave)
 	tx := store.Txn{Puts: []store.Put{{Key: wd.layout.StatusPrefix + number, Value: wd.layout.Encode(ef.Progress)}}}
@@ -218,7 +220,8 @@
 	wd.enqueueWrite(store.Txn{Puts: []store.Put{{Key: batch.MaintenancePrefix + strconv.Itoa(rc.Number), Value: data}}})
 }
 
-// enqueueWrite queues a transaction that requires this term's leader key.
+// enqueueWrite queues a transaction and makes it require this term's leader
+// key. If the queue is full, the transaction is dropped and logged.
 func (wd *waveDriver) enqueueWrite(tx store.Txn) {
 	tx.Expect = []store.Expectation{{Key: batch.LeaderKey, Revision: wd.token}}
 	select {
--- a/internal/drive/waves_test.go
+++ b/internal/drive/waves_test.go
@@ -87,7 +87,7 @@
 	return nil
 }
 
-// waveLayout stores waves as the JSON encoding of their types.
+// waveLayout returns a layout that stores waves and their progress as JSON.
 func waveLayout() drive.StoreLayout {
 	la := runsim.Layout()
 	la.Waves = drive.WaveLayout{
@@ -99,8 +99,9 @@
 	return la
 }
 
-// TestWaveAcrossHosts carries out a wave while jobs run, with a change of
-// leader in the middle.
+// TestWaveAcrossHosts carries out a wave while jobs run. The leader stops after
+// the first two orders, and the next one must complete the wave without
+// ordering a machine twice or having too many down.
 func TestWaveAcrossHosts(t *testing.T) {
 	is := is.New(t)
 	si := newSite(t, 6)
