runner: document the units and origin of fields

Cause: fields such as Occurrence, Tickets and Clock said neither what they refer to nor on which clock. Change: doc comments only. Result: the compiler and the linters accept the file; the package has no tests of its own and no code of it changed.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -37,18 +37,19 @@
 		Born     int64         // identifies the incarnation; changes when the worker restarts under the same ID
 	}
 
-	// PollRequest polls a worker for running and ended attempts.
+	// PollRequest asks a worker for its running and ended attempts, and may extend
+	// the leases of the running ones.
 	PollRequest struct {
 		Token    int64
 		Deadline time.Duration // new lease expiry of all running attempts, on the worker's clock; zero leaves leases unchanged
-		Acked    int64         // acknowledges ends up to this number, which the worker then drops
+		Acked    int64         // largest End.Number received; the worker drops the ends up to it
 		Wait     time.Duration // how long to wait for an end if there is none yet
 	}
 
 	// Status is the state of a worker, which it returns to a poll.
 	Status struct {
-		Clock   time.Duration
-		Born    int64
+		Clock   time.Duration // reading of the worker's clock, on which leases are measured
+		Born    int64         // see Worker.Born
 		Running []Run
 		Ended   []End
 	}
@@ -57,7 +58,7 @@
 	Run struct {
 		Task       batch.TaskID
 		Attempt    int
-		Checkpoint string // the latest
+		Checkpoint string // the latest; empty for none
 		Percent    int    // progress of the attempt
 		Load       int    // of a serving task: the latency of its slow responses, in milliseconds
 	}
@@ -69,7 +70,7 @@
 		Task       batch.TaskID
 		Attempt    int
 		Reason     EndReason
-		Checkpoint string
+		Checkpoint string // the latest; empty for none
 	}
 
 	// EndReason is the reason why an attempt ended.
@@ -82,7 +83,7 @@
 		Attempt    int
 		Payload    string
 		Checkpoint string        // to resume from; empty to start from the beginning
-		Ticket     string        // issued by an Adviser; empty if the queue needs none
+		Ticket     string        // issued by an Adviser for the worker; empty if the queue needs none
 		Deadline   time.Duration // lease expiry on the worker's clock
 	}
 
@@ -93,19 +94,19 @@
 		Attempt int
 	}
 
-	// AdviceRequest asks which of the given workers may run a step.
+	// AdviceRequest asks which of the given workers may run a step of a job.
 	AdviceRequest struct {
 		Job        string
-		Occurrence int
-		Step       int
+		Occurrence int // of the job's schedule; zero for a job without one
+		Step       int // index into batch.Job.Steps
 		Workers    []string
 	}
 
 	// Advice lists the workers that may run a step, each with the ticket that a
 	// start on it requires.
 	Advice struct {
-		Tickets  map[string]string
-		ValidFor time.Duration
+		Tickets  map[string]string // by worker
+		ValidFor time.Duration     // of the tickets
 	}
 
 	// Adviser decides which workers a queue's policy allows. Its errors wrap
@@ -127,7 +128,7 @@
 	Succeeded EndReason = iota + 1
 	Failed
 	Stopped
-	LeaseExpired // its lease expired
+	LeaseExpired // no poll has extended its lease in time
 	GangBroken   // another member of its gang ended
 	GangTimeout  // the other gang members did not start in time
 )
@@ -147,8 +148,9 @@
 
 var endReasonNames = [...]string{Succeeded: "succeeded", Failed: "failed", Stopped: "stopped", LeaseExpired: "lapsed", GangBroken: "broken", GangTimeout: "alone"}
 
-// Equal reports whether two entries are equivalent. Cold times count down from
-// entry to entry, so only whether both are positive is compared.
+// Equal reports whether two listings of a worker are equivalent. Cold counts
+// down from one listing to the next, so only whether it is positive is
+// compared.
 func (wk Worker) Equal(other Worker) bool {
 	return wk.ID == other.ID && wk.Address == other.Address && wk.Service == other.Service &&
 		wk.Zone == other.Zone && wk.Rack == other.Rack && slices.Equal(wk.Labels, other.Labels) &&
