upkeep: rename errors, effects and fields after what they report

Cause: ErrBusy says that a machine is not up, WorkerGone leads to domain.WorkerDown, and answeredAt is the time of a confirmation.

--- a/internal/drive/waves.go
+++ b/internal/drive/waves.go
@@ -180,7 +180,7 @@
 		wd.save(ef.Record)
 	case upkeep.Drain:
 		wd.term.handle(domain.DrainRequested{By: ef.By})
-	case upkeep.WorkerGone:
+	case upkeep.WorkerDown:
 		wd.term.handle(domain.WorkerDown{Worker: ef.Worker})
 	case upkeep.LogDecision:
 		wd.log.Info("decision", "event", ef.Decision, "wave", ef.Wave, "machine", ef.Machine, "worker", ef.Worker, "reason", ef.Reason)
--- a/internal/upkeep/core.go
+++ b/internal/upkeep/core.go
@@ -46,12 +46,12 @@
 
 	// waveMachine is the state of one machine of a wave.
 	waveMachine struct {
-		machine    string
-		phase      phase
-		drainBy    time.Time // time from which it goes down even if work remains
-		notBefore  time.Time // earliest time of the next order
-		answeredAt time.Time // when its order was confirmed
-		worker     string    // on the machine when the order was sent
+		machine     string
+		phase       phase
+		drainBy     time.Time // time from which it goes down even if work remains
+		notBefore   time.Time // earliest time of the next order
+		confirmedAt time.Time // when its order was confirmed
+		worker      string    // on the machine when the order was sent
 	}
 
 	phase uint8
@@ -71,8 +71,8 @@
 	// downListInterval the same while a machine is down.
 	listInterval     = time.Second
 	downListInterval = 300 * time.Millisecond
-	// orderRetry is the pause after a failed order.
-	orderRetry = 500 * time.Millisecond
+	// orderRetryDelay is the pause after a failed order.
+	orderRetryDelay = 500 * time.Millisecond
 	// expectedDownTime is the estimated duration of one machine's maintenance,
 	// including the list that shows it up again.
 	expectedDownTime = 3 * time.Second
@@ -157,18 +157,18 @@
 			switch {
 			case !ok && wm.phase < ordered:
 				wm.phase = removed
-			case wm.phase == down && ev.Sent.After(wm.answeredAt):
-				co.observe(wm, ma)
+			case wm.phase == down && ev.Sent.After(wm.confirmedAt):
+				co.updateDownMachine(wm, ma)
 			}
 		}
 	}
 }
 
-// observe updates a machine after its order from a newer list. If it is up with
-// the same worker, it had its maintenance before.
-func (co *Core) observe(wm *waveMachine, ma Machine) {
+// updateDownMachine updates a machine after its order from a newer list. If it
+// is up with the same worker, it had its maintenance before.
+func (co *Core) updateDownMachine(wm *waveMachine, ma Machine) {
 	if wm.worker != "" && (!ma.Up || ma.Worker != wm.worker) {
-		co.emit(WorkerGone{Worker: wm.worker})
+		co.emit(WorkerDown{Worker: wm.worker})
 		wm.worker = ""
 	}
 	if ma.Up || ma.ID == "" {
@@ -198,7 +198,7 @@
 	ld := LogDecision{Decision: "upkeep", Wave: wv.Number, Machine: wm.machine, Worker: wm.worker}
 	switch {
 	case ev.Err == nil:
-		wm.phase, wm.answeredAt = down, now
+		wm.phase, wm.confirmedAt = down, now
 		co.emit(SaveRecord{Record: wv.record()})
 	case errors.Is(ev.Err, ErrNotInWave):
 		wm.phase = removed
@@ -209,7 +209,7 @@
 		if !errors.Is(ev.Err, ErrOutcomeUnknown) {
 			wm.phase = draining
 		}
-		wm.notBefore = now.Add(orderRetry)
+		wm.notBefore = now.Add(orderRetryDelay)
 	}
 	if ev.Err != nil {
 		ld.Decision, ld.Reason = "upkeepFails", ev.Err.Error()
@@ -364,7 +364,7 @@
 	}
 	for _, wm := range wv.states {
 		if slices.Contains(rc.Started, wm.machine) {
-			wm.phase, wm.answeredAt = down, now
+			wm.phase, wm.confirmedAt = down, now
 		}
 	}
 }
--- a/internal/upkeep/event.go
+++ b/internal/upkeep/event.go
@@ -106,8 +106,8 @@
 	// should be idle. It replaces the previous Drain.
 	Drain struct{ By map[string]time.Time }
 
-	// WorkerGone reports that everything that ran on a worker has ended.
-	WorkerGone struct{ Worker string }
+	// WorkerDown reports that everything that ran on a worker has ended.
+	WorkerDown struct{ Worker string }
 
 	// LogDecision requests a log line about a decision.
 	LogDecision struct {
@@ -128,7 +128,7 @@
 // The errors of an order. All but ErrOutcomeUnknown mean that it had no effect.
 var (
 	ErrFenced         = errors.New("a larger fencing token has been seen")
-	ErrBusy           = errors.New("the machine is not up")
+	ErrNotUp          = errors.New("the machine is not up")
 	ErrNotInWave      = errors.New("the machine is not part of the wave")
 	ErrRefused        = errors.New("the platform rejected the order")
 	ErrOutcomeUnknown = errors.New("no response; the outcome is unknown")
@@ -145,5 +145,5 @@
 func (ReportProgress) effect() {}
 func (SaveRecord) effect()     {}
 func (Drain) effect()          {}
-func (WorkerGone) effect()     {}
+func (WorkerDown) effect()     {}
 func (LogDecision) effect()    {}
--- a/internal/upkeep/upkeep_test.go
+++ b/internal/upkeep/upkeep_test.go
@@ -14,20 +14,20 @@
 type (
 	// site simulates machines with work in virtual time.
 	site struct {
-		rng        *rand.Rand
-		now        time.Time
-		core       *upkeep.Core
-		machines   map[string]*machine
-		maxDown    int
-		reports    []upkeep.Progress
-		records    map[int]upkeep.Record
-		ended      map[string]bool      // workers whose work was reported as ended
-		downed     map[string]bool      // workers whose machines went down
-		draining   map[string]time.Time // workers that get no new work
-		orders     int
-		violations []string
-		lostShare  float64 // share of orders that are carried out without a response
-		busyShare  float64 // share of orders that are rejected
+		rng           *rand.Rand
+		now           time.Time
+		core          *upkeep.Core
+		machines      map[string]*machine
+		maxDown       int
+		reports       []upkeep.Progress
+		records       map[int]upkeep.Record
+		ended         map[string]bool      // workers whose work was reported as ended
+		downed        map[string]bool      // workers whose machines went down
+		draining      map[string]time.Time // workers that get no new work
+		orders        int
+		violations    []string
+		lostShare     float64 // share of orders that are carried out without a response
+		rejectedShare float64 // share of orders that are rejected
 	}
 
 	machine struct {
@@ -84,7 +84,7 @@
 			si.records[ef.Record.Number] = ef.Record
 		case upkeep.Drain:
 			si.draining = ef.By
-		case upkeep.WorkerGone:
+		case upkeep.WorkerDown:
 			si.checkEnded(ef.Worker)
 		case upkeep.Order:
 			si.handle(upkeep.OrderCompleted{Order: ef, Err: si.order(ef)})
@@ -117,8 +117,8 @@
 	if ma.maintained {
 		return nil
 	}
-	if si.rng.Float64() < si.busyShare {
-		return upkeep.ErrBusy
+	if si.rng.Float64() < si.rejectedShare {
+		return upkeep.ErrNotUp
 	}
 	down := 0
 	for _, other := range si.machines {
@@ -164,11 +164,11 @@
 
 func TestWaves(t *testing.T) {
 	tests := []struct {
-		name              string
-		machines, maxDown int
-		work              time.Duration // remaining work when the wave is requested
-		duration          time.Duration
-		lose, busy        float64
+		name                     string
+		machines, maxDown        int
+		work                     time.Duration // remaining work when the wave is requested
+		duration                 time.Duration
+		lostShare, rejectedShare float64
 	}{
 		{"idle machines", 10, 2, 0, 30 * time.Second, 0, 0},
 		{"work that finishes in time", 4, 2, 5 * time.Second, 30 * time.Second, 0, 0},
@@ -182,7 +182,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			si := newSite(tt.machines, tt.maxDown, tt.work)
-			si.lostShare, si.busyShare = tt.lose, tt.busy
+			si.lostShare, si.rejectedShare = tt.lostShare, tt.rejectedShare
 			si.handle(upkeep.WaveRequested{Wave: si.wave(tt.duration)})
 			si.run(tt.duration)
 			is.Equal(si.countMaintained(), tt.machines)
