upkeep: describe phases, events and what a later list shows

Cause: the phases of a machine had no description where their names are close (done and removed, ordered and down), and three tests didn't say which failure they guard against. Change: comments and one text of a test.

--- a/internal/upkeep/core.go
+++ b/internal/upkeep/core.go
@@ -30,10 +30,10 @@
 		waves       map[int]*wave
 		completed   map[int]bool // waves that were reported as completed
 		machines    map[string]Machine
-		listedAt    time.Time // when the current list was requested
-		listing     bool
-		nextList    time.Time
-		draining    map[string]time.Time
+		listedAt    time.Time            // when the current list was requested; zero before the first
+		listing     bool                 // a request for a list is in flight
+		nextList    time.Time            // earliest time of the next request for a list
+		draining    map[string]time.Time // as in the last Drain
 		effects     []Effect
 	}
 
@@ -48,10 +48,10 @@
 	waveMachine struct {
 		machine     string
 		phase       phase
-		drainBy     time.Time // time from which it goes down even if work remains
+		drainBy     time.Time // from then on it goes down even if work remains
 		notBefore   time.Time // earliest time of the next order
 		confirmedAt time.Time // when its order was confirmed
-		worker      string    // on the machine when the order was sent
+		worker      string    // on the machine when the order was sent; empty once reported as down
 	}
 
 	phase uint8
@@ -60,10 +60,10 @@
 const (
 	pending  phase = iota
 	draining       // its worker gets no new work
-	ordered        // the order is in flight
-	down
-	done
-	removed // no longer listed by the platform
+	ordered        // the order is in flight, or its outcome is unknown
+	down           // the order was confirmed
+	done           // up again, or no longer listed after its order
+	removed        // no longer listed before its order, or not part of the wave
 )
 
 const (
@@ -74,14 +74,14 @@
 	// orderRetryDelay is the pause after a failed order.
 	orderRetryDelay = 500 * time.Millisecond
 	// expectedDownTime is the estimated duration of one machine's maintenance,
-	// including the list that shows it up again.
+	// until a list shows it up again.
 	expectedDownTime = 3 * time.Second
 	// slackShare is the share of a wave's duration reserved for failed orders.
 	slackShare = 0.2
 	// minDrainTime is the minimum time for work to finish.
 	minDrainTime = 500 * time.Millisecond
-	// maxUninterruptibleDelay is how much longer uninterruptible work may delay
-	// a machine.
+	// maxUninterruptibleDelay is how long after drainBy uninterruptible work may
+	// delay a machine.
 	maxUninterruptibleDelay = 3 * time.Second
 )
 
@@ -137,7 +137,7 @@
 }
 
 // updateMachines replaces the list of machines. A machine that went down is
-// done once a list that was requested after the response to its order shows it
+// done once a list that was requested after its order was confirmed shows it
 // up.
 func (co *Core) updateMachines(now time.Time, ev MachinesListed) {
 	co.listing = false
@@ -164,8 +164,9 @@
 	}
 }
 
-// updateDownMachine updates a machine after its order from a newer list. If it
-// is up with the same worker, it had its maintenance before.
+// updateDownMachine updates a machine whose order was confirmed, from a list
+// requested later. If it is up with the same worker, the order had no effect
+// because the wave had maintained the machine before.
 func (co *Core) updateDownMachine(wm *waveMachine, ma Machine) {
 	if wm.worker != "" && (!ma.Up || ma.Worker != wm.worker) {
 		co.emit(WorkerDown{Worker: wm.worker})
@@ -185,6 +186,7 @@
 	return listInterval
 }
 
+// completeOrder processes the outcome of an order.
 func (co *Core) completeOrder(now time.Time, ev OrderCompleted) {
 	wv, ok := co.waves[ev.Order.Wave]
 	if !ok {
@@ -203,9 +205,9 @@
 	case errors.Is(ev.Err, ErrNotInWave):
 		wm.phase = removed
 	default:
-		// An order whose outcome is unknown may have been carried out. It is sent
-		// again, which then has no further effect, and counts as in flight until
-		// there is a response.
+		// An order whose outcome is unknown may have been carried out. It stays in
+		// phase ordered and is sent again, which has no further effect if the first
+		// one was carried out.
 		if !errors.Is(ev.Err, ErrOutcomeUnknown) {
 			wm.phase = draining
 		}
@@ -242,8 +244,8 @@
 }
 
 // drainingWorker returns the worker of wm that gets no new work, or "" if there
-// is none. After its machine has gone down, the worker stays listed for a
-// while.
+// is none. It returns the worker of a down machine as well, because the
+// platform lists it for a while.
 func (co *Core) drainingWorker(wm *waveMachine) string {
 	switch wm.phase {
 	case draining:
@@ -255,6 +257,8 @@
 	}
 }
 
+// stepWave reports the completion of a wave or removes it, or else drains its
+// next machines and orders those that may go down.
 func (co *Core) stepWave(now time.Time, wv *wave) {
 	started := wv.count(done) + wv.count(down)
 	if started+wv.count(removed) == len(wv.states) && !co.completed[wv.Number] {
@@ -283,8 +287,9 @@
 	}
 }
 
-// drainNext starts to drain the next machines, and those of the round after, so
-// that their work has finished when their turn comes.
+// drainNext starts to drain the machines that may go down next, and as many
+// after them as may be down at a time, so that their work has finished when
+// their turn comes.
 func (co *Core) drainNext(now time.Time, wv *wave) {
 	free := wv.MaxDown - wv.count(draining) - co.countDown(wv)
 	ahead := free + wv.MaxDown
@@ -305,9 +310,10 @@
 	}
 }
 
-// drainTime returns how long work on the next machines may take to finish: the
-// time that the rest of the wave does not need, divided by the remaining
-// rounds.
+// drainTime returns how long work on the next machines may take to finish. The
+// remaining machines go down in rounds of MaxDown. Each round gets an equal part
+// of the time that is left, without slackShare, and needs expectedDownTime of
+// it.
 func (wv *wave) drainTime(now time.Time) time.Duration {
 	remaining := len(wv.states) - wv.count(done) - wv.count(removed)
 	rounds := time.Duration((remaining + wv.MaxDown - 1) / wv.MaxDown)
--- a/internal/upkeep/event.go
+++ b/internal/upkeep/event.go
@@ -38,7 +38,7 @@
 		MaxDown  int           // maximum number of machines down for it at a time
 	}
 
-	// Progress is the progress of a wave.
+	// Progress is the progress of a wave as reported to the operators.
 	Progress uint8
 
 	// Record is the stored state of a wave.
@@ -55,17 +55,19 @@
 		Wave    int
 	}
 
-	// Client calls the platform's machines. Errors of Upkeep wrap one of the Err
-	// values.
+	// Client calls the platform's machines.
 	Client interface {
+		// Machines returns all machines.
 		Machines(ctx context.Context) ([]Machine, error)
+		// Upkeep sends an order on behalf of the leader, whose host is holder, with
+		// its fencing token. Its errors wrap one of the Err values.
 		Upkeep(ctx context.Context, or Order, holder string, token int64) error
 	}
 
 	// Event is an input of the core, one of the types below.
 	Event interface{ event() }
 
-	// WaveRequested adds a wave. It is ignored if the wave is known.
+	// WaveRequested adds a wave. It is ignored if the wave is known or completed.
 	WaveRequested struct{ Wave Wave }
 
 	// WaveWithdrawn reports that a wave is no longer requested.
@@ -73,7 +75,7 @@
 
 	// MachinesListed is the outcome of a ListMachines.
 	MachinesListed struct {
-		Sent     time.Time
+		Sent     time.Time // as in the ListMachines
 		Machines []Machine
 		Err      error
 	}
@@ -84,13 +86,14 @@
 		Err   error
 	}
 
-	// Ticked reports that time has passed.
+	// Ticked reports that time has passed. The core needs it at short intervals.
 	Ticked struct{}
 
 	// Effect is an action for the caller to carry out, one of the types below.
 	Effect interface{ effect() }
 
-	// ListMachines requests a list of all machines.
+	// ListMachines requests a list of all machines. Sent is the time of the
+	// request.
 	ListMachines struct{ Sent time.Time }
 
 	// ReportProgress requests a write of a wave's progress.
@@ -106,7 +109,8 @@
 	// should be idle. It replaces the previous Drain.
 	Drain struct{ By map[string]time.Time }
 
-	// WorkerDown reports that everything that ran on a worker has ended.
+	// WorkerDown reports that the machine of a worker was shut down, so that
+	// everything that ran on the worker has ended.
 	WorkerDown struct{ Worker string }
 
 	// LogDecision requests a log line about a decision.
--- a/internal/upkeep/upkeep_test.go
+++ b/internal/upkeep/upkeep_test.go
@@ -92,12 +92,12 @@
 	}
 }
 
-// checkEnded checks that a worker that was reported as gone is not running.
+// checkEnded checks that a worker that was reported as down is not running.
 func (si *site) checkEnded(worker string) {
 	si.ended[worker] = true
 	for _, ma := range si.machines {
 		if ma.worker == worker && !si.now.Before(ma.upAt) {
-			si.violations = append(si.violations, worker+" was reported as gone but is running")
+			si.violations = append(si.violations, worker+" was reported as down but is running")
 		}
 	}
 }
@@ -162,6 +162,9 @@
 	return n
 }
 
+// TestWaves carries out waves in which work takes long, responses are lost and
+// orders are rejected. Each machine must have its maintenance once and in time,
+// with no more machines down than the wave permits.
 func TestWaves(t *testing.T) {
 	tests := []struct {
 		name                     string
@@ -196,7 +199,8 @@
 }
 
 // TestDownWorkerGetsNoWork guards against new work for a worker whose machine
-// went down but which the platform still lists.
+// went down and which the platform still lists, and against workers that get no
+// work after the wave.
 func TestDownWorkerGetsNoWork(t *testing.T) {
 	is := is.New(t)
 	si := newSite(3, 1, 0)
@@ -219,8 +223,9 @@
 	is.Equal(si.countMaintained(), 1)
 }
 
-// TestTakeover continues a wave under a new core, with and without the record
-// of the previous one, which may be lost.
+// TestTakeover guards against a new core that orders a machine again or has too
+// many machines down, because the previous core ordered some. The record of the
+// previous core may be lost.
 func TestTakeover(t *testing.T) {
 	for _, recorded := range []bool{false, true} {
 		is := is.New(t)
@@ -242,8 +247,8 @@
 	}
 }
 
-// TestCompletedWaveIsNotRepeated restarts the core after a wave was reported as
-// completed.
+// TestCompletedWaveIsNotRepeated guards against a new core that carries out a
+// wave that a previous one has completed.
 func TestCompletedWaveIsNotRepeated(t *testing.T) {
 	is := is.New(t)
 	si := newSite(2, 1, 0)
