member: call the pause between loads a delay like other packages

Cause: other packages name the pause after a failed call a retry delay, and this one constant differed. Change: rename of loadRetryPause to loadRetryDelay. Result: the package compiles; it has no tests.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -53,7 +53,7 @@
 
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 60 * time.Second
-	loadRetryPause = 200 * time.Millisecond
+	loadRetryDelay = 200 * time.Millisecond
 	loadTimeout    = time.Second
 )
 
@@ -139,7 +139,7 @@
 		cctx, cancel := context.WithTimeout(ctx, loadTimeout)
 		err := me.cfg.Intake.LoadPolicy(cctx, uptime.Now())
 		cancel()
-		if err == nil || !pause.For(ctx, loadRetryPause) {
+		if err == nil || !pause.For(ctx, loadRetryDelay) {
 			return
 		}
 	}
