calls: name the flag of a call after what it records

Cause: the flag named sending is also set by a caller that gives up, in which case nothing is sent. Result: the compiler follows every use, no statement changed.

--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -42,7 +42,7 @@
 	// the call is sent.
 	outgoing struct {
 		Call
-		sending atomic.Bool
+		decided atomic.Bool
 		result  chan result
 	}
 
@@ -93,7 +93,7 @@
 	case re := <-og.result:
 		return re.payload, re.err
 	case <-ctx.Done():
-		if og.sending.CompareAndSwap(false, true) {
+		if og.decided.CompareAndSwap(false, true) {
 			return nil, &NotSentError{Host: ca.Host, Err: ctx.Err()}
 		}
 		return nil, og.outcomeUnknown(ctx.Err())
@@ -109,7 +109,7 @@
 		return
 	}
 	defer st.Close()
-	if !og.sending.CompareAndSwap(false, true) {
+	if !og.decided.CompareAndSwap(false, true) {
 		return
 	}
 	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
