remote: rename Learn, AnswerForwarded and the response type

Cause: Learn adds members to the roster, AnswerForwarded handles a call, a reply is a response everywhere else, and test variables were figurative.

--- a/internal/remote/forward.go
+++ b/internal/remote/forward.go
@@ -64,7 +64,7 @@
 	rp, err := pe.exchange(cctx, me, timeout, rq)
 	oc := classify(rq.Call.Op, err)
 	pe.recordOutcome(me, oc, err, callerCancelled(ctx))
-	pe.Learn(rp.Members)
+	pe.AddMembers(rp.Members)
 	countCall(forwarder, rq.Cause, oc)
 	args := []any{
 		"event", "forwarded", "job", rq.Call.Job, "op", rq.Call.Op, "cause", rq.Cause,
@@ -96,14 +96,14 @@
 }
 
 // exchange makes one call to a host.
-func (pe *Peer) exchange(ctx context.Context, me Member, timeout time.Duration, rq request) (reply, error) {
+func (pe *Peer) exchange(ctx context.Context, me Member, timeout time.Duration, rq request) (response, error) {
 	msg, err := rq.toWire(pe.cfg.Self, remoteTimeout(timeout))
 	if err != nil {
-		return reply{}, &calls.NotSentError{Host: me.Name, Err: err}
+		return response{}, &calls.NotSentError{Host: me.Name, Err: err}
 	}
 	li, err := pe.pool.get(ctx, me.Address)
 	if err != nil {
-		return reply{}, &calls.NotSentError{Host: me.Name, Err: err}
+		return response{}, &calls.NotSentError{Host: me.Name, Err: err}
 	}
 	payload, err := calls.Call{
 		Session: li.sess, Host: me.Name, Message: msg, MaxResponse: maxMessageSize,
@@ -113,11 +113,11 @@
 		pe.pool.retire(li)
 	}
 	if err != nil {
-		return reply{}, err
+		return response{}, err
 	}
-	var rp reply
+	var rp response
 	if err := json.Unmarshal(payload, &rp); err != nil {
-		return reply{}, merry.Prependf(err, "response of %s", me.Name)
+		return response{}, merry.Prependf(err, "response of %s", me.Name)
 	}
 	return rp, nil
 }
--- a/internal/remote/peer.go
+++ b/internal/remote/peer.go
@@ -34,7 +34,7 @@
 		limiter *limiter
 		pool    *pool
 
-		sessions    context.Context    // ends when sessions opened by other hosts are to be closed
+		sessionsCtx context.Context    // ends when sessions opened by other hosts are to be closed
 		endSessions context.CancelFunc // cancels sessions
 
 		mu     sync.Mutex // guards the roster; never held during I/O
@@ -47,10 +47,10 @@
 	if cf.Dial == nil {
 		cf.Dial = dial.TCP
 	}
-	sessions, endSessions := context.WithCancel(context.Background())
+	sessionsCtx, endSessions := context.WithCancel(context.Background())
 	return &Peer{
 		cfg: cf, limiter: newLimiter(cf.Cores), pool: newPool(cf.Log, cf.Dial), roster: NewRoster(cf.Self),
-		sessions: sessions, endSessions: endSessions,
+		sessionsCtx: sessionsCtx, endSessions: endSessions,
 	}
 }
 
@@ -111,8 +111,8 @@
 	return pe.roster.Members()
 }
 
-// Learn adds hosts that another host has sent.
-func (pe *Peer) Learn(members []Member) {
+// AddMembers adds hosts that another host has sent.
+func (pe *Peer) AddMembers(members []Member) {
 	if len(members) == 0 {
 		return
 	}
--- a/internal/remote/peer_test.go
+++ b/internal/remote/peer_test.go
@@ -41,13 +41,13 @@
 )
 
 var (
-	submit         = remote.Call{Op: remote.Submit, Job: "j", Host: "h", Path: "/j", Key: "k", Body: []byte("{}")}
-	lookup         = remote.Call{Op: remote.Lookup, Job: "j"}
-	noStore        = codes.New(codes.StoreUnavailable, "here").WithRetryAfter(time.Second)
-	outcomeUnknown = codes.New(codes.SubmitUnknown, "here").WithRetryAfter(time.Second)
+	submit           = remote.Call{Op: remote.Submit, Job: "j", Host: "h", Path: "/j", Key: "k", Body: []byte("{}")}
+	lookup           = remote.Call{Op: remote.Lookup, Job: "j"}
+	storeUnavailable = codes.New(codes.StoreUnavailable, "here").WithRetryAfter(time.Second)
+	outcomeUnknown   = codes.New(codes.SubmitUnknown, "here").WithRetryAfter(time.Second)
 )
 
-func (ho *host) AnswerForwarded(ctx context.Context, _ remote.Call) (remote.Result, error) {
+func (ho *host) HandleForwarded(ctx context.Context, _ remote.Call) (remote.Result, error) {
 	ho.calls.Add(1)
 	return remote.Result{State: batch.Running}, ho.handler(ctx)
 }
@@ -110,14 +110,14 @@
 	b := start(t, sv, "b", "z2", accepts, nil)
 	kvsim.Eventually(t, func() bool { return len(a.Members()) == 1 && len(b.Members()) == 1 })
 	is.Equal(a.Members(), []remote.Member{b.self})
-	re, err := forward(t, a, lookup, intake.StoreUnresponsive, noStore)
+	re, err := forward(t, a, lookup, intake.StoreUnresponsive, storeUnavailable)
 	is.NoErr(err)
 	is.Equal(re.State, batch.Running)
 	b.stop()
 	_, ok := sv.Value(batch.HostKey("b"))
 	is.True(!ok)
-	_, err = forward(t, a, lookup, intake.StoreUnresponsive, noStore) // b is shutting down
-	is.Equal(err, error(noStore))
+	_, err = forward(t, a, lookup, intake.StoreUnresponsive, storeUnavailable) // b is shutting down
+	is.Equal(err, error(storeUnavailable))
 }
 
 // TestMembersLearnedFromOthers guards against a host that has started without
@@ -128,9 +128,9 @@
 	a := start(t, sv, "a", "z1", accepts, nil)
 	b := start(t, sv, "b", "z2", accepts, nil)
 	third := remote.Member{Name: "c", Address: "127.0.0.1:1", Zone: "z3", Region: "r", Started: 1}
-	a.Learn([]remote.Member{b.self})
-	b.Learn([]remote.Member{third, a.self})
-	_, err := forward(t, a, lookup, intake.StoreUnresponsive, noStore)
+	a.AddMembers([]remote.Member{b.self})
+	b.AddMembers([]remote.Member{third, a.self})
+	_, err := forward(t, a, lookup, intake.StoreUnresponsive, storeUnavailable)
 	is.NoErr(err)
 	is.Equal(len(a.Members()), 2)
 }
@@ -141,7 +141,7 @@
 func TestForwardOutcomes(t *testing.T) {
 	sv := kvsim.Start(t, kvsim.Config{})
 	rejected := codes.New(codes.UnknownWorkspace, "there")
-	storeAway := codes.New(codes.StoreUnavailable, "there").WithRetryAfter(time.Second)
+	unavailable := codes.New(codes.StoreUnavailable, "there").WithRetryAfter(time.Second)
 	unknown := codes.New(codes.SubmitUnknown, "there")
 	for _, tc := range []struct {
 		name          string
@@ -151,27 +151,27 @@
 		want          codes.Code
 		calls         int64 // received by the second host
 	}{
-		{"accepted", submit, noStore, nil, nil, 0, 0},
-		{"decided", submit, noStore, rejected, nil, codes.UnknownWorkspace, 0},
-		{"first without a store", submit, noStore, storeAway, nil, 0, 1},
-		{"none has the store", submit, noStore, storeAway, storeAway, codes.StoreUnavailable, 1},
-		{"unknown here, refused there", submit, outcomeUnknown, storeAway, storeAway, codes.SubmitUnknown, 1},
+		{"accepted", submit, storeUnavailable, nil, nil, 0, 0},
+		{"decided", submit, storeUnavailable, rejected, nil, codes.UnknownWorkspace, 0},
+		{"first without a store", submit, storeUnavailable, unavailable, nil, 0, 1},
+		{"none has the store", submit, storeUnavailable, unavailable, unavailable, codes.StoreUnavailable, 1},
+		{"unknown here, refused there", submit, outcomeUnknown, unavailable, unavailable, codes.SubmitUnknown, 1},
 		{"unknown here, decided there", submit, outcomeUnknown, rejected, nil, codes.SubmitUnknown, 0},
 		{"unknown here, accepted there", submit, outcomeUnknown, nil, nil, 0, 0},
-		{"unknown there, refused", submit, noStore, unknown, storeAway, codes.SubmitUnknown, 1},
-		{"unknown there, accepted", submit, noStore, unknown, nil, 0, 1},
-		{"unready while the policy changes", submit, noStore, codes.New(codes.NotReady, ""), nil, 0, 1},
-		{"lookup", lookup, noStore, storeAway, nil, 0, 1},
-		{"unknown cancel", remote.Call{Op: remote.Cancel}, codes.New(codes.CancelUnknown, ""), storeAway, storeAway, codes.CancelUnknown, 1},
+		{"unknown there, refused", submit, storeUnavailable, unknown, unavailable, codes.SubmitUnknown, 1},
+		{"unknown there, accepted", submit, storeUnavailable, unknown, nil, 0, 1},
+		{"unready while the policy changes", submit, storeUnavailable, codes.New(codes.NotReady, ""), nil, 0, 1},
+		{"lookup", lookup, storeUnavailable, unavailable, nil, 0, 1},
+		{"unknown cancel", remote.Call{Op: remote.Cancel}, codes.New(codes.CancelUnknown, ""), unavailable, unavailable, codes.CancelUnknown, 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			a := start(t, sv, "a", "z1", accepts, nil)
 			b := start(t, sv, "b", "z1", failsWith(tc.first), nil)
 			c := start(t, sv, "c", "z2", failsWith(tc.second), nil)
-			a.Learn([]remote.Member{b.self, c.self})
+			a.AddMembers([]remote.Member{b.self, c.self})
 			cause := intake.StoreUnresponsive
-			if tc.local != noStore {
+			if tc.local != storeUnavailable {
 				cause = intake.OutcomeUnknown
 			}
 			_, err := forward(t, a, tc.ca, cause, tc.local)
@@ -187,10 +187,10 @@
 // time, or whose missing response is taken for a refusal.
 func TestReceiverFailure(t *testing.T) {
 	sv := kvsim.Start(t, kvsim.Config{})
-	thaw := make(chan struct{})
-	t.Cleanup(func() { close(thaw) })
+	resume := make(chan struct{})
+	t.Cleanup(func() { close(resume) })
 	frozen := func(ctx context.Context) error {
-		<-thaw // regardless of the call's deadline
+		<-resume // regardless of the call's deadline
 		return nil
 	}
 	unreachable := func(ctx context.Context, _ string) (net.Conn, error) {
@@ -228,18 +228,18 @@
 				return new(net.Dialer).DialContext(ctx, "tcp", address)
 			}
 			a := start(t, sv, "a", "z1", accepts, func(cf *remote.Config) { cf.Dial = dial })
-			a.Learn([]remote.Member{b.self, c.self})
+			a.AddMembers([]remote.Member{b.self, c.self})
 			began := time.Now()
-			_, err := forward(t, a, submit, intake.StoreUnresponsive, noStore)
+			_, err := forward(t, a, submit, intake.StoreUnresponsive, storeUnavailable)
 			is.NoErr(err)
 			is.True(time.Since(began) < tc.within)
 			is.Equal(c.calls.Load(), int64(1))
-			_, err = forward(t, a, submit, intake.StoreUnresponsive, noStore)
+			_, err = forward(t, a, submit, intake.StoreUnresponsive, storeUnavailable)
 			is.NoErr(err)
 			is.Equal(dials.Load(), int64(1)) // the first host is skipped, or its session is reused
 			alone := start(t, sv, "d", "z1", accepts, func(cf *remote.Config) { cf.Dial = dial })
-			alone.Learn([]remote.Member{b.self})
-			_, err = forward(t, alone, submit, intake.StoreUnresponsive, noStore)
+			alone.AddMembers([]remote.Member{b.self})
+			_, err = forward(t, alone, submit, intake.StoreUnresponsive, storeUnavailable)
 			is.Equal(codeOf(err), tc.alone)
 		})
 	}
@@ -259,13 +259,13 @@
 		return nil
 	}, nil)
 	a := start(t, sv, "a", "z1", accepts, nil)
-	a.Learn([]remote.Member{b.self})
+	a.AddMembers([]remote.Member{b.self})
 	began := time.Now()
-	_, err := forward(t, a, submit, intake.StoreUnresponsive, noStore)
+	_, err := forward(t, a, submit, intake.StoreUnresponsive, storeUnavailable)
 	is.Equal(codeOf(err), codes.SubmitUnknown)
 	is.True(time.Since(began) < time.Second)
-	_, err = forward(t, a, submit, intake.StoreUnresponsive, noStore) // b is skipped, and there is no other host
-	is.Equal(err, error(noStore))
+	_, err = forward(t, a, submit, intake.StoreUnresponsive, storeUnavailable) // b is skipped, and there is no other host
+	is.Equal(err, error(storeUnavailable))
 }
 
 // TestReceiverShutdown guards against a planned shutdown that interrupts a
@@ -280,16 +280,16 @@
 		return nil
 	}, nil)
 	a := start(t, sv, "a", "z1", accepts, nil)
-	a.Learn([]remote.Member{b.self})
+	a.AddMembers([]remote.Member{b.self})
 	done := make(chan error, 1)
 	go func() {
-		_, err := forward(t, a, submit, intake.StoreUnresponsive, noStore)
+		_, err := forward(t, a, submit, intake.StoreUnresponsive, storeUnavailable)
 		done <- err
 	}()
 	<-begun
 	b.stop()
-	_, err := forward(t, a, submit, intake.StoreUnresponsive, noStore)
-	is.Equal(err, error(noStore)) // refused at once over the open session
+	_, err := forward(t, a, submit, intake.StoreUnresponsive, storeUnavailable)
+	is.Equal(err, error(storeUnavailable)) // refused at once over the open session
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
@@ -310,10 +310,10 @@
 		defer b.BeginLocal()()
 	}
 	a := start(t, sv, "a", "z1", accepts, nil)
-	a.Learn([]remote.Member{b.self})
+	a.AddMembers([]remote.Member{b.self})
 	began := time.Now()
-	_, err := forward(t, a, submit, intake.StoreUnresponsive, noStore)
-	is.Equal(err, error(noStore))
+	_, err := forward(t, a, submit, intake.StoreUnresponsive, storeUnavailable)
+	is.Equal(err, error(storeUnavailable))
 	is.Equal(b.calls.Load(), int64(0))
 	is.True(time.Since(began) < time.Second)
 }
@@ -326,12 +326,12 @@
 	withoutStore := func(cf *remote.Config) { cf.StoreReachable = func() bool { return false } }
 	a := start(t, sv, "a", "z1", accepts, withoutStore)
 	b := start(t, sv, "b", "z1", accepts, withoutStore)
-	a.Learn([]remote.Member{b.self})
-	b.Learn([]remote.Member{a.self})
+	a.AddMembers([]remote.Member{b.self})
+	b.AddMembers([]remote.Member{a.self})
 	for _, ho := range []*host{a, b} {
 		began := time.Now()
-		_, err := forward(t, ho, submit, intake.StoreUnresponsive, noStore)
-		is.Equal(err, error(noStore))
+		_, err := forward(t, ho, submit, intake.StoreUnresponsive, storeUnavailable)
+		is.Equal(err, error(storeUnavailable))
 		is.True(time.Since(began) < time.Second)
 		is.Equal(ho.calls.Load(), int64(0))
 	}
@@ -355,18 +355,18 @@
 		}
 	})
 	kvsim.Eventually(t, func() bool { return len(a.Members()) == 1 })
-	gone, cancel := context.WithCancel(t.Context())
+	disconnected, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, err := a.Forward(gone, submit, intake.StoreUnresponsive, noStore) // the caller has disconnected
-	is.Equal(err, error(noStore))
+	_, err := a.Forward(disconnected, submit, intake.StoreUnresponsive, storeUnavailable) // the caller has disconnected
+	is.Equal(err, error(storeUnavailable))
 	is.Equal(open.Load(), int64(0))
 	for range 3 {
-		_, err := forward(t, a, submit, intake.StoreUnresponsive, noStore)
+		_, err := forward(t, a, submit, intake.StoreUnresponsive, storeUnavailable)
 		is.NoErr(err)
 	}
 	is.Equal(open.Load(), int64(1))
 	kvsim.Eventually(t, func() bool { return open.Load() == 0 })
-	_, err = forward(t, a, submit, intake.StoreUnresponsive, noStore)
+	_, err = forward(t, a, submit, intake.StoreUnresponsive, storeUnavailable)
 	is.NoErr(err)
 	is.Equal(b.calls.Load(), int64(4))
 }
--- a/internal/remote/remote.go
+++ b/internal/remote/remote.go
@@ -49,7 +49,7 @@
 	// forwarding them again. It reads the policy after the call has arrived, so that
 	// a key revoked before the call is rejected.
 	Handler interface {
-		AnswerForwarded(ctx context.Context, ca Call) (Result, error)
+		HandleForwarded(ctx context.Context, ca Call) (Result, error)
 	}
 
 	// request is the payload of a forwarded call.
@@ -59,8 +59,8 @@
 		WantMembers bool         `json:"learn,omitempty"` // the response is to include members
 	}
 
-	// reply is the payload of the response.
-	reply struct {
+	// response is the payload of a successful response.
+	response struct {
 		Result  Result   `json:"result"`
 		Members []Member `json:"members,omitempty"`
 	}
--- a/internal/remote/roster.go
+++ b/internal/remote/roster.go
@@ -15,7 +15,7 @@
 
 	entry struct {
 		member         Member
-		lastSeen       time.Time // when it was last listed or learned
+		lastSeen       time.Time // when it was last listed or received from another host
 		skipUntil      time.Time // until then, not chosen
 		suspectedUntil time.Time // until then, chosen only if no other host is left
 	}
--- a/internal/remote/serve.go
+++ b/internal/remote/serve.go
@@ -73,7 +73,7 @@
 		return
 	}
 	defer sess.Close()
-	stop := context.AfterFunc(pe.sessions, func() { sess.Close() })
+	stop := context.AfterFunc(pe.sessionsCtx, func() { sess.Close() })
 	defer stop()
 	for {
 		st, err := sess.AcceptStream()
@@ -125,7 +125,7 @@
 		args = append(args, "reason", err.Error())
 	}
 	pe.cfg.Log.Info("forwarded call served", args...)
-	rp := reply{Result: re}
+	rp := response{Result: re}
 	if rq.WantMembers {
 		rp.Members = append(pe.Members(), pe.cfg.Self)
 	}
@@ -163,5 +163,5 @@
 			err = codes.New(codes.InternalFailure, "the handler panicked")
 		}
 	}()
-	return ha.AnswerForwarded(ctx, ca)
+	return ha.HandleForwarded(ctx, ca)
 }
