calls: say who decides whether a call is sent, and what errors mean

Cause: the comment of the flag described its old name, and the doc comments left out which errors WriteMessage, ReadMessage and ErrorOf give. Change: comments only.

--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -34,16 +34,16 @@
 		Message     *wire.Call
 		Prefix      []byte // written to the stream before the message
 		MaxResponse int    // maximum size of the response, in bytes
-		Done        func() // called once nothing of the call is in progress, possibly after Do has returned
+		Done        func() // called once Session is not in use any more, possibly after Do has returned
 	}
 
-	// outgoing is a call in progress. Either the caller that gives up or the
-	// goroutine that starts to send sets sending; the first one decides whether
-	// the call is sent.
+	// outgoing is a call in progress.
 	outgoing struct {
 		Call
+		// decided is set by Do when the caller gives up, or by exchange when it starts
+		// to send. Whichever sets it first decides whether the call is sent.
 		decided atomic.Bool
-		result  chan result
+		result  chan result // receives one result, unless the caller gives up before the call is sent
 	}
 
 	result struct {
@@ -61,12 +61,12 @@
 )
 
 const (
-	writeTimeout = time.Second
-	closeTimeout = 30 * time.Second
+	writeTimeout = time.Second      // of a write to the connection of a session
+	closeTimeout = 30 * time.Second // from when this host closes a stream until the other host closes it
 )
 
-// SessionConfig returns the configuration of a yamux session, without its
-// keep-alive.
+// SessionConfig returns the configuration of a yamux session without
+// keep-alives. Its log lines go to log at debug level.
 func SessionConfig(log *slog.Logger) *yamux.Config {
 	yc := yamux.DefaultConfig()
 	yc.EnableKeepAlive = false
@@ -81,8 +81,9 @@
 // Do makes the call and returns the payload of the response. The error is a
 // *codes.Error if the other host responded with a code, and a *NotSentError if
 // the call provably did not reach it. After any other error, the outcome is
-// unknown. Each step may block while a host is unresponsive, so a goroutine
-// takes the steps, and Do returns when ctx ends.
+// unknown. Opening, writing and reading may block while the other host is
+// unresponsive, so they run in a goroutine, and Do returns at the latest when
+// ctx ends.
 func (ca Call) Do(ctx context.Context) ([]byte, error) {
 	og := &outgoing{Call: ca, result: make(chan result, 1)}
 	go func() {
@@ -101,7 +102,7 @@
 }
 
 // exchange opens a stream, sends the call and reads the response. It sends
-// nothing if the caller has given up before.
+// nothing if the caller has given up by then.
 func (og *outgoing) exchange(ctx context.Context) {
 	st, err := og.Session.OpenStream()
 	if err != nil {
@@ -132,7 +133,8 @@
 	return merry.Wrap(err, merry.NoCaptureStack(), merry.PrependMessagef("outcome of %s at %s is unknown", og.Message.GetMethod(), og.Host))
 }
 
-// NewAnswer returns the response message for the outcome of a call.
+// NewAnswer returns the response message for the outcome of a call: the payload
+// if err is nil, and otherwise the code of err as given by codes.Of.
 func NewAnswer(payload []byte, err error) *wire.Answer {
 	if err == nil {
 		return &wire.Answer{Payload: payload}
@@ -143,7 +145,8 @@
 	}
 }
 
-// ErrorOf returns the error of a response, or nil if the call succeeded.
+// ErrorOf returns the error of a response, a *codes.Error, or nil if the call
+// succeeded.
 func ErrorOf(an *wire.Answer) error {
 	if an.GetCode() == 0 {
 		return nil
@@ -164,7 +167,8 @@
 	return max(time.Until(at).Milliseconds(), 1)
 }
 
-// WriteMessage writes prefix and a message in a single write.
+// WriteMessage writes prefix and then a message with its length, in a single
+// call of Write.
 func WriteMessage(wr io.Writer, msg proto.Message, prefix ...byte) error {
 	buf := sliceWriter(prefix)
 	if _, err := protodelim.MarshalTo(&buf, msg); err != nil {
@@ -174,7 +178,8 @@
 	return err
 }
 
-// ReadMessage reads a message of at most maxSize bytes.
+// ReadMessage reads a message written by WriteMessage. It returns an error if
+// the message has more than maxSize bytes.
 func ReadMessage(rd *bufio.Reader, msg proto.Message, maxSize int) error {
 	return protodelim.UnmarshalOptions{MaxSize: int64(maxSize)}.UnmarshalFrom(rd, msg)
 }
@@ -202,8 +207,8 @@
 // Println implements yamux.Logger.
 func (yl yamuxLogger) Println(args ...any) { yl.logLine("session event", args...) }
 
-// logLine logs an event of yamux at debug level, because the users of a session
-// report its end.
+// logLine logs an event of yamux. Debug level is enough, because the users of a
+// session report its end.
 func (yl yamuxLogger) logLine(format string, args ...any) {
 	yl.log.Debug("yamux", "event", strings.TrimPrefix(format, "[ERR] yamux: "), "args", args)
 }
