member: document the handlers, the stop grace period and Run's errors

Cause: the two shares of the grace period and the errors of Run had to be read from the code. Change: comments only.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -29,11 +29,11 @@
 		Settings  setup.Domain
 		Scheduler *drive.Scheduler
 		Intake    *intake.Intake
-		Callers   http.Handler
-		Remote    *remote.Peer   // nil if calls are not forwarded
-		Forwarded remote.Handler // handles calls forwarded by other hosts
-		Operators http.Handler   // served if the settings have an operators' address
-		Readiness func(ready func() bool) http.Handler
+		Callers   http.Handler                         // handles the calls of callers
+		Remote    *remote.Peer                         // nil if calls are not forwarded
+		Forwarded remote.Handler                       // handles calls forwarded by other hosts
+		Operators http.Handler                         // served if the settings have an operators' address
+		Readiness func(ready func() bool) http.Handler // returns the handler of the load balancer's probes
 		Log       *slog.Logger
 	}
 
@@ -45,9 +45,9 @@
 )
 
 const (
-	// unreadyShare of the stop grace period is for the load balancer to notice
-	// that the host is not ready. Calls in progress may finish until shutdownShare
-	// of it.
+	// unreadyShare is the share of the stop grace period in which the load
+	// balancer can notice that the host is not ready. Calls in progress may finish
+	// until shutdownShare of the period has passed.
 	unreadyShare  = 0.45
 	shutdownShare = 0.85
 
@@ -65,7 +65,10 @@
 	return !me.stopping.Load() && me.cfg.Intake.Ready(uptime.Now())
 }
 
-// Run serves until ctx ends, and then shuts down without interrupting calls.
+// Run serves until ctx ends, and then shuts down. Calls in progress may finish
+// within the stop grace period of the settings. It returns an error if it can't
+// listen, if a server fails, or if calls were still in progress at the end of
+// that time.
 func (me *Member) Run(ctx context.Context) error {
 	se := me.cfg.Settings
 	servers := map[string]*http.Server{
@@ -133,7 +136,8 @@
 	return err
 }
 
-// loadPolicy loads the policy, with retries, so that the host becomes ready.
+// loadPolicy loads the policy, with retries until ctx ends. The host is not
+// ready without it.
 func (me *Member) loadPolicy(ctx context.Context) {
 	for ctx.Err() == nil {
 		cctx, cancel := context.WithTimeout(ctx, loadTimeout)
