remote: state the errors, limits and origin of values in comments

Cause: Forward left out when it reports an unknown outcome, several limits named neither what they limit nor when, and the package text said that nothing else happens. Change: comments only, in source and tests.

--- a/internal/remote/forward.go
+++ b/internal/remote/forward.go
@@ -17,9 +17,11 @@
 // their members.
 const minMembers = 3
 
-// Forward has other hosts decide a call that this host could not decide, for
-// the given cause and with the given error. It returns that error if no other
-// host decides either.
+// Forward makes another host decide a call that this host could not decide for
+// the given cause, with the error err. It tries at most maxAttempts hosts, and
+// returns the result or the error of the one that decides, or err if none does.
+// If the call may have taken effect and no host has accepted it, the error is a
+// *codes.Error with SubmitUnknown or CancelUnknown.
 func (pe *Peer) Forward(ctx context.Context, ca Call, cause intake.Cause, err error) (Result, error) {
 	cs := newCallState(ca.Op, cause, err)
 	var tried []Member
@@ -56,7 +58,8 @@
 	return time.Until(at)
 }
 
-// callHost forwards a call to one host within timeout, and records the outcome.
+// callHost forwards a call to one host within timeout, records the outcome, and
+// adds the hosts in the response to the roster.
 func (pe *Peer) callHost(ctx context.Context, me Member, timeout time.Duration, rq request) (Result, outcome, error) {
 	began := time.Now()
 	cctx, cancel := context.WithTimeout(ctx, timeout)
@@ -77,7 +80,8 @@
 	return rp.Result, oc, err
 }
 
-// callerCancelled reports whether a call ended because its caller disconnected.
+// callerCancelled reports whether ctx, the context of a call, ended because the
+// caller disconnected.
 func callerCancelled(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
 
 // recordOutcome records the outcome of an attempt in the roster. If the caller
@@ -95,7 +99,9 @@
 	}
 }
 
-// exchange makes one call to a host.
+// exchange makes one call to a host over a pooled session. It returns a
+// *calls.NotSentError if the call provably did not reach the host. If there is
+// no response, it retires the session, so that the next call opens a new one.
 func (pe *Peer) exchange(ctx context.Context, me Member, timeout time.Duration, rq request) (response, error) {
 	msg, err := rq.toWire(pe.cfg.Self, remoteTimeout(timeout))
 	if err != nil {
--- a/internal/remote/limiter.go
+++ b/internal/remote/limiter.go
@@ -10,18 +10,18 @@
 // limiter limits the forwarded calls that a host serves. Calls of the host's
 // own callers have priority: they are counted but never limited.
 type limiter struct {
-	capacity  int
+	capacity  int // calls in progress up to which forwarded ones are served
 	mu        sync.Mutex
-	local     int
-	forwarded int
+	local     int // calls of the host's own callers in progress
+	forwarded int // forwarded calls in progress
 	stopping  bool
 	drained   chan struct{} // closed once the host is stopping and no forwarded call is in progress
 }
 
 const (
 	// callsPerCore is the number of concurrent calls that one core can handle. A
-	// host's capacity is between minCapacity and maxCapacity; forwarded calls may
-	// use half of it.
+	// host's capacity is between minCapacity and maxCapacity calls, and forwarded
+	// calls may use half of it.
 	callsPerCore = 64
 	minCapacity  = 12
 	maxCapacity  = 64
@@ -86,8 +86,8 @@
 	lm.closeIfDrained()
 }
 
-// closeIfDrained closes drained once there is nothing to wait for. The caller
-// holds lm.mu.
+// closeIfDrained closes drained if the host is stopping and no forwarded call
+// is in progress. The caller holds lm.mu.
 func (lm *limiter) closeIfDrained() {
 	if !lm.stopping || lm.forwarded > 0 {
 		return
--- a/internal/remote/member.go
+++ b/internal/remote/member.go
@@ -36,13 +36,14 @@
 // maxFieldLen limits each string field of a member.
 const maxFieldLen = 128 // bytes
 
-// encode returns the value of the host's entry in the store.
+// encode returns the value of the host's entry in the store, in JSON.
 func (me Member) encode() ([]byte, error) {
 	data, err := json.Marshal(me)
 	return data, merry.Prepend(err, "encode host entry")
 }
 
-// decodeMember decodes the entry of a host.
+// decodeMember decodes the entry of a host in the store. It returns an error if
+// the value is no valid member or has another name than the key.
 func decodeMember(en store.Entry) (Member, error) {
 	var me Member
 	if err := json.Unmarshal(en.Value, &me); err != nil {
--- a/internal/remote/metrics.go
+++ b/internal/remote/metrics.go
@@ -17,7 +17,8 @@
 	receiver  role = "receiver"
 )
 
-// countCall counts a forwarded call, or one attempt to forward it.
+// countCall counts one attempt to forward a call (forwarder), or one forwarded
+// call that this host has served or refused (receiver).
 func countCall(ro role, cause intake.Cause, oc outcome) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("cicadawharf_remote_calls_total{role=%q,cause=%q,outcome=%q}", ro, cause, oc)).Inc()
 }
--- a/internal/remote/outcome.go
+++ b/internal/remote/outcome.go
@@ -31,17 +31,18 @@
 	noHost      outcome = "nobody"      // there was no host to try
 )
 
-// unknownRetryAfter is the delay after which callers may retry a call with an
+// unknownRetryAfter is the retry delay returned to callers for a call with an
 // unknown outcome.
 const unknownRetryAfter = time.Second
 
-// undecidedCodes are the codes by which a host responds that it can't decide a
-// call.
+// undecidedCodes are the codes with which a host responds that it can't decide
+// a call and that the call had no effect there.
 var undecidedCodes = map[codes.Code]bool{
 	codes.StoreUnavailable: true, codes.NotReady: true, codes.Stopping: true, codes.Overloaded: true,
 }
 
-// newCallState returns the state of a call that this host could not decide.
+// newCallState returns the state of a call that this host could not decide, for
+// the given cause and with the given error.
 func newCallState(op Op, cause intake.Cause, err error) callState {
 	return callState{op: op, indeterminate: cause == intake.OutcomeUnknown && op.mutates(), err: err}
 }
--- a/internal/remote/peer.go
+++ b/internal/remote/peer.go
@@ -18,7 +18,7 @@
 	Config struct {
 		Self           Member
 		Store          store.TxnStore
-		Cores          float64     // available to the process
+		Cores          float64     // available to the process; limits the forwarded calls that it serves
 		StoreReachable func() bool // reports whether this host can reach the store
 		Log            *slog.Logger
 		// Listener accepts the connections of other hosts and is closed by Run. If
@@ -54,9 +54,10 @@
 	}
 }
 
-// Run registers the host and serves forwarded calls until ctx ends. Calls in
-// progress continue, and the host may still forward calls of its own callers,
-// until Close, which must follow.
+// Run registers the host and serves forwarded calls with ha until ctx ends.
+// Calls in progress continue, and the host may still forward calls of its own
+// callers, until Close, which must follow. It returns an error if it can't
+// listen.
 func (pe *Peer) Run(ctx context.Context, ha Handler) error {
 	ln := pe.cfg.Listener
 	if ln == nil {
@@ -111,7 +112,8 @@
 	return pe.roster.Members()
 }
 
-// AddMembers adds hosts that another host has sent.
+// AddMembers adds the hosts that another host has sent, at most maxMembers of
+// them, to the known ones.
 func (pe *Peer) AddMembers(members []Member) {
 	if len(members) == 0 {
 		return
@@ -128,7 +130,8 @@
 	pe.roster.Replace(time.Now(), members)
 }
 
-// choose returns the host to try next, which is none of tried.
+// choose returns the host to try next, which is none of tried, and reports
+// whether there is one.
 func (pe *Peer) choose(tried []Member) (Member, bool) {
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
--- a/internal/remote/peer_test.go
+++ b/internal/remote/peer_test.go
@@ -101,7 +101,7 @@
 }
 
 // TestMembershipFromStore guards against hosts that don't find each other, and
-// against an entry that outlives its host.
+// against an entry that is still in the store after its host has stopped.
 func TestMembershipFromStore(t *testing.T) {
 	is := is.New(t)
 	sv := kvsim.Start(t, kvsim.Config{})
@@ -120,8 +120,9 @@
 	is.Equal(err, error(storeUnavailable))
 }
 
-// TestMembersLearnedFromOthers guards against a host that has started without
-// the store and knows too few others.
+// TestMembersLearnedFromOthers guards against a host that could not read the
+// list of hosts from the store and doesn't ask the few hosts that it knows for
+// more.
 func TestMembersLearnedFromOthers(t *testing.T) {
 	is := is.New(t)
 	sv := kvsim.Start(t, kvsim.Config{})
@@ -183,8 +184,9 @@
 	}
 }
 
-// TestReceiverFailure guards against a first host that uses up the caller's
-// time, or whose missing response is taken for a refusal.
+// TestReceiverFailure guards against a first host that uses up the caller's time
+// so that no second one is tried, and against a missing response that is taken
+// for a refusal.
 func TestReceiverFailure(t *testing.T) {
 	sv := kvsim.Start(t, kvsim.Config{})
 	resume := make(chan struct{})
@@ -245,8 +247,8 @@
 	}
 }
 
-// TestReceiverCrash guards against a host that crashes during a call, before or
-// after its commit, and is taken to have refused it.
+// TestReceiverCrash guards against a host that crashes during a call, perhaps
+// after its commit, and is taken to have refused the call.
 func TestReceiverCrash(t *testing.T) {
 	is := is.New(t)
 	sv := kvsim.Start(t, kvsim.Config{})
--- a/internal/remote/pool.go
+++ b/internal/remote/pool.go
@@ -13,8 +13,9 @@
 )
 
 type (
-	// pool holds the sessions that this host has opened. The first call to an
-	// address opens one; it is closed when idle.
+	// pool holds the sessions that this host has opened, at most one per address
+	// for new calls. A call opens it if there is none, and it is closed after
+	// idleTimeout without calls.
 	pool struct {
 		dial  func(ctx context.Context, address string) (net.Conn, error)
 		log   *slog.Logger
@@ -29,15 +30,17 @@
 		sess    *yamux.Session
 		err     error
 
-		inFlight  int  // number of calls in progress; guarded by pool.mu
-		retired   bool // closed to new calls
-		idleTimer *time.Timer
+		// The fields below are guarded by pool.mu.
+		inFlight  int         // number of calls in progress
+		retired   bool        // gets no new calls
+		idleTimer *time.Timer // closes the link; nil before the first time without calls
 	}
 )
 
 const (
-	// dialTimeout is short compared with the three seconds that a caller waits, and
-	// covers the few tens of milliseconds between hosts.
+	// dialTimeout is short compared with the three seconds that a caller waits,
+	// and long compared with the round trip of a few tens of milliseconds between
+	// hosts.
 	dialTimeout = 300 * time.Millisecond
 	// idleTimeout is how long a session without calls stays open.
 	idleTimeout = 5 * time.Second
@@ -47,7 +50,9 @@
 	return &pool{dial: dial, log: log, links: map[string]*link{}}
 }
 
-// get returns a link to an address for one call. The caller must release it.
+// get returns an open link to an address for one call, which must release it
+// afterwards. It returns an error, and no link, if the link can't be opened or
+// ctx ends before it is open.
 func (po *pool) get(ctx context.Context, address string) (*link, error) {
 	li := po.acquire(address)
 	select {
@@ -64,8 +69,8 @@
 	return li, nil
 }
 
-// acquire returns the link to an address, and starts to open one if there is
-// none.
+// acquire returns the link to an address, which may not be open yet, and starts
+// to open one if there is none. It counts a call on the link until release.
 func (po *pool) acquire(address string) *link {
 	po.mu.Lock()
 	defer po.mu.Unlock()
@@ -82,7 +87,7 @@
 	return li
 }
 
-// isClosed reports whether an open session was closed or failed to open.
+// isClosed reports whether a link failed to open or its session was closed.
 func (li *link) isClosed() bool {
 	select {
 	case <-li.ready:
@@ -159,7 +164,7 @@
 	}
 }
 
-// closeAll closes every link.
+// closeAll closes every link, also those with calls in progress.
 func (po *pool) closeAll() {
 	po.mu.Lock()
 	var all []*link
--- a/internal/remote/register.go
+++ b/internal/remote/register.go
@@ -11,11 +11,11 @@
 	"github.com/cicadawharf/cicadawharf/internal/store"
 )
 
-// registrar maintains the host's entry in the store and reads the list of the
-// others.
+// registrar maintains the host's entry in the store and reads the entries of
+// the other hosts.
 type registrar struct {
 	peer    *Peer
-	lease   store.LeaseID // zero if there is none
+	lease   store.LeaseID // of the entry; zero if there is none
 	renewAt time.Time     // next renewal or grant
 	listAt  time.Time     // next read of the list
 }
@@ -31,13 +31,14 @@
 	firstListDelay = 1500 * time.Millisecond
 	// storeRetryDelay is the pause after a failed store call.
 	storeRetryDelay = 2 * time.Second
-	// storeTimeout limits a store call, and revokeTimeout the last one.
+	// storeTimeout limits the store calls of one renewal, registration or list,
+	// and revokeTimeout the one that removes the entry.
 	storeTimeout  = time.Second
 	revokeTimeout = 300 * time.Millisecond
 )
 
-// register keeps the host registered until ctx ends, and then removes its
-// entry.
+// register keeps the host registered and its list of hosts up to date until ctx
+// ends, and then removes the host's entry.
 func (pe *Peer) register(ctx context.Context) {
 	now := time.Now()
 	re := &registrar{peer: pe, renewAt: now, listAt: now.Add(jitter(firstListDelay))}
@@ -93,7 +94,8 @@
 	return renewInterval
 }
 
-// list reads the list of hosts. It returns the time until the next call.
+// list replaces the known hosts by those in the store. It returns the time until
+// the next call.
 func (re *registrar) list(ctx context.Context) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -132,8 +134,8 @@
 	}
 }
 
-// jitter returns 90 to 110 per cent of a pause, at random, so that hosts that
-// started together drift apart.
+// jitter returns 90 to 110 per cent of a delay, at random, so that hosts that
+// started together don't call the store at the same time.
 func jitter(span time.Duration) time.Duration {
 	return time.Duration(float64(span) * (0.9 + 0.2*rand.Float64()))
 }
--- a/internal/remote/remote.go
+++ b/internal/remote/remote.go
@@ -2,9 +2,9 @@
 // connection to the store, to another host.
 //
 // Hosts register in the store and read the list of the other hosts from it.
-// While the store responds, nothing else happens. A call that a host can't
-// decide goes to a host that can, over a connection opened on demand. That host
-// decides by its own state and never forwards the call again. Roster,
+// While they can reach the store, they don't call each other. A call that a
+// host can't decide goes to another one, over a connection opened on demand.
+// That host decides by its own state and never forwards the call again. Roster,
 // callState, limiter and the functions of times.go make the decisions, without
 // I/O; Peer does the I/O.
 //
@@ -28,8 +28,9 @@
 	// Op is the operation that a caller requests.
 	Op string
 
-	// Call is a caller's call. The body is as received, so that the host that
-	// handles the call validates it as well.
+	// Call is a caller's call. It holds the path, the key and the body as
+	// received, because the host that handles a forwarded call validates them
+	// again.
 	Call struct {
 		Op   Op     `json:"op"`
 		Job  string `json:"job,omitempty"` // for the log
@@ -45,10 +46,12 @@
 		Waiting int         `json:"waiting,omitempty"` // number of waiting jobs in the queue
 	}
 
-	// Handler handles forwarded calls by the state of this host alone, without
-	// forwarding them again. It reads the policy after the call has arrived, so that
-	// a key revoked before the call is rejected.
+	// Handler handles forwarded calls.
 	Handler interface {
+		// HandleForwarded decides a call by the state of this host alone, without
+		// forwarding it again. It reads the policy after the call has arrived, so that
+		// a key revoked before the call is rejected. The host that forwarded the call
+		// receives the code of the error as given by codes.Of.
 		HandleForwarded(ctx context.Context, ca Call) (Result, error)
 	}
 
@@ -74,18 +77,19 @@
 )
 
 const (
-	// methodForwarded marks a call as forwarded: the receiver handles or refuses
-	// it, and never forwards it.
+	// methodForwarded is the method of a forwarded call in wire.Call. The receiver
+	// decides or refuses it, and never forwards it.
 	methodForwarded = "forwarded"
 	// maxMessageSize limits a call or a response. It leaves room for a body of one
 	// megabyte in base64 and the other fields.
 	maxMessageSize = 3 << 19 // bytes
 )
 
-// mutates reports whether a call may have an effect.
+// mutates reports whether the operation may change the stored state.
 func (op Op) mutates() bool { return op == Submit || op == Cancel }
 
-// toWire returns the message of a call, to be answered within the timeout.
+// toWire returns the message of a call from a host, which asks for a response
+// within the given time.
 func (rq request) toWire(from Member, within time.Duration) (*wire.Call, error) {
 	payload, err := json.Marshal(rq)
 	if err != nil {
--- a/internal/remote/roster.go
+++ b/internal/remote/roster.go
@@ -6,8 +6,9 @@
 )
 
 type (
-	// Roster holds the other hosts known to a host, and chooses among them. It is
-	// bounded, does no I/O and is not safe for concurrent use.
+	// Roster holds the other hosts known to a host, at most maxMembers, and
+	// chooses the one to forward a call to. It does no I/O and is not safe for
+	// concurrent use.
 	Roster struct {
 		self    Member
 		entries []entry // in the order of preference
@@ -46,8 +47,8 @@
 // NewRoster returns an empty roster for the host self.
 func NewRoster(self Member) *Roster { return &Roster{self: self} }
 
-// Replace sets the hosts to the complete list from the store. Entries of hosts
-// that are missing from it are dropped.
+// Replace sets the hosts to the complete list from the store. It drops the
+// entries of other hosts, and keeps the recorded failures of those in the list.
 func (ro *Roster) Replace(now time.Time, members []Member) {
 	old := ro.entries
 	ro.entries = nil
@@ -109,7 +110,7 @@
 	slices.SortFunc(ro.entries, func(a, b entry) int { return ro.self.compare(a.member, b.member) })
 }
 
-// Members returns the known hosts, nearest first.
+// Members returns the known hosts in the order of preference, nearest first.
 func (ro *Roster) Members() []Member {
 	members := make([]Member, len(ro.entries))
 	for i, en := range ro.entries {
@@ -119,9 +120,9 @@
 }
 
 // Choose returns the host to try next, if any: the nearest one that was not
-// tried and is not skipped. Hosts that failed lately come last. After a failed
-// attempt, hosts of other zones come first, since a whole zone may have lost
-// the store.
+// tried and is not skipped. Hosts that failed within suspectedTime come last.
+// After a failed attempt, hosts of zones that were not tried come first, since
+// a whole zone may have lost its connection to the store.
 func (ro *Roster) Choose(now time.Time, tried []Member) (Member, bool) {
 	var best Member
 	bestRank := -1
@@ -163,7 +164,8 @@
 	ro.backOff(now, me, min(max(wait, minRefusalBackoff), maxRefusalBackoff))
 }
 
-// backOff skips a host for span, and then makes it a last choice for a while.
+// backOff makes Choose skip a host for span, and choose it only after others
+// for suspectedTime.
 func (ro *Roster) backOff(now time.Time, me Member, span time.Duration) {
 	for i := range ro.entries {
 		if ro.entries[i].member == me {
--- a/internal/remote/roster_test.go
+++ b/internal/remote/roster_test.go
@@ -41,11 +41,12 @@
 	is.Equal(len(ro.Members()), 12)
 	other := remote.NewRoster(remote.Member{Name: "h1", Zone: "a1", Region: "a"})
 	other.Replace(noon, others("a1", "a", 20))
-	is.True(other.Members()[0] != ro.Members()[0] || other.Members()[1] != ro.Members()[1]) // load is spread
+	is.True(other.Members()[0] != ro.Members()[0] || other.Members()[1] != ro.Members()[1]) // hosts prefer different ones
 }
 
 // TestRosterTracksRestarts guards against calls to the address of a former
-// incarnation, and to hosts that have been removed.
+// incarnation of a host, and to hosts that are missing from the list in the
+// store.
 func TestRosterTracksRestarts(t *testing.T) {
 	is := is.New(t)
 	ro := remote.NewRoster(self)
--- a/internal/remote/serve.go
+++ b/internal/remote/serve.go
@@ -20,8 +20,8 @@
 const (
 	maxSessions      = 64 // opened by other hosts
 	acceptRetryDelay = 50 * time.Millisecond
-	// readTimeout limits the arrival of a call on an open stream, and writeTimeout
-	// the sending of its response.
+	// readTimeout limits the arrival of a call after its stream was opened, and
+	// writeTimeout the sending of its response.
 	readTimeout  = 500 * time.Millisecond
 	writeTimeout = 500 * time.Millisecond
 	// storeRetryAfter is the retry delay returned for a forwarded call if this host
@@ -31,8 +31,8 @@
 	maxCallTime = 5 * time.Second
 )
 
-// serve accepts sessions of other hosts until ctx ends. Open sessions remain
-// until Close, and calls over them are refused.
+// serve accepts sessions of other hosts until ctx ends. Sessions that are open
+// then remain open until Close, but new calls over them are refused.
 func (pe *Peer) serve(ctx context.Context, ln net.Listener, ha Handler) error {
 	stop := context.AfterFunc(ctx, func() {
 		pe.limiter.stop()
@@ -92,7 +92,7 @@
 	}
 }
 
-// respond sends the outcome of a call and closes its stream.
+// respond sends the payload or the error of a call and closes its stream.
 func (pe *Peer) respond(st *yamux.Stream, payload []byte, err error) {
 	defer st.Close()
 	_ = st.SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -101,8 +101,8 @@
 	}
 }
 
-// serveCall reads and handles one call. It may outlive the session, so that
-// work that has begun is finished.
+// serveCall reads and handles one call. It continues when the session ends, so
+// that a call that has begun is completed.
 func (pe *Peer) serveCall(st *yamux.Stream, ha Handler) {
 	_ = st.SetReadDeadline(time.Now().Add(readTimeout))
 	msg := new(wire.Call)
@@ -136,7 +136,8 @@
 	pe.respond(st, payload, err)
 }
 
-// process handles a forwarded call, or refuses it right away.
+// process decodes a forwarded call and handles it, or refuses it right away if
+// this host can't reach the store.
 func (pe *Peer) process(ctx context.Context, msg *wire.Call, ha Handler) (request, Result, error) {
 	var rq request
 	if msg.GetMethod() != methodForwarded {
@@ -155,7 +156,8 @@
 	return rq, re, err
 }
 
-// callHandler runs the handler. A panic fails only its own call.
+// callHandler runs the handler. If the handler panics, only its own call fails,
+// with InternalFailure.
 func (pe *Peer) callHandler(ctx context.Context, ca Call, ha Handler) (re Result, err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
--- a/internal/remote/times.go
+++ b/internal/remote/times.go
@@ -5,22 +5,23 @@
 const (
 	// maxAttempts is the maximum number of hosts tried for one call.
 	maxAttempts = 2
-	// maxUnresponsiveTime limits the time that a host spends on a call itself
-	// while the store does not respond and there are other hosts.
-	// unresponsiveShare limits it for short deadlines.
+	// maxUnresponsiveTime is how long a host waits for the first response of the
+	// store before it forwards a call, but at most unresponsiveShare of the call's
+	// remaining time.
 	maxUnresponsiveTime = 1100 * time.Millisecond
 	unresponsiveShare   = 0.4
-	// totalShare is the share of a call's time that a host may wait for a slow
-	// store.
+	// totalShare is the share of a call's remaining time that a host may wait for
+	// a store that responds slowly.
 	totalShare = 0.75
-	// firstAttemptShare is the share of the time left for the first host, at most
-	// maxFirstAttempt: a host with a connection to the store responds in some ten
-	// milliseconds.
+	// firstAttemptShare is the share of a call's remaining time that the first
+	// other host may use, at most maxFirstAttempt. A host with a connection to the
+	// store responds in some ten milliseconds.
 	firstAttemptShare = 0.55
 	maxFirstAttempt   = time.Second
-	// minAttemptTime is the minimum time left for another attempt.
+	// minAttemptTime is the minimum remaining time for another attempt.
 	minAttemptTime = 60 * time.Millisecond
-	// responseMargin is reserved of an attempt's time for the response to arrive.
+	// responseMargin is the part of an attempt's time that is reserved for the
+	// response to arrive.
 	responseMargin = 40 * time.Millisecond
 )
 
@@ -44,6 +45,6 @@
 	}
 }
 
-// remoteTimeout returns the time in which the other host must respond, out of
-// span.
+// remoteTimeout returns how much of span, the time of an attempt, the other
+// host may use.
 func remoteTimeout(span time.Duration) time.Duration { return max(span-responseMargin, span/2) }
