peers: speak of draining endpoints in the configuration

Cause: an endpoint that takes no new requests drains in the other packages, while the configuration of peers said leaving. Change: DrainingEndpoints and OnDrainingEndpoints with their comment and uses; the field of the proto file keeps its name.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -96,7 +96,7 @@
 	})
 	ho.mesh = peers.New(peers.Config{
 		Self: ho.self, Listener: cfg.PeerListener, Seeds: se.Seeds, Log: ho.log,
-		LeavingEndpoints: ho.leavingEndpoints, OnLeavingEndpoints: ho.leaving.add, Metrics: metrics.GetDefaultSet(),
+		DrainingEndpoints: ho.leavingEndpoints, OnDrainingEndpoints: ho.leaving.add, Metrics: metrics.GetDefaultSet(),
 	})
 	ho.claims = claim.New(claim.Config{Store: ho.store, Host: se.Host.Name, Log: ho.log})
 	ho.account = report.NewAccount(report.AccountConfig{
--- a/internal/peers/heartbeat.go
+++ b/internal/peers/heartbeat.go
@@ -18,7 +18,7 @@
 	initialGossip   = 32 // members in each of the first confirmHeartbeats heartbeats of a session
 	laterGossip     = 1  // members in every gossipEvery-th heartbeat after that
 	gossipEvery     = 8  // heartbeats
-	maxLeaving      = 16 // endpoints in one heartbeat
+	maxDraining     = 16 // endpoints in one heartbeat
 	announceTimeout = time.Second
 )
 
@@ -67,7 +67,7 @@
 func (ms *Mesh) heartbeat(now time.Time, recipient, recipientZone string, number int) *wire.Heartbeat {
 	hb := &wire.Heartbeat{Self: ms.cfg.Self().ToWire()}
 	if recipientZone == ms.zone {
-		hb.LeavingEndpoints = rotate(ms.cfg.LeavingEndpoints(), int(ms.gossipPos.Load()), maxLeaving)
+		hb.LeavingEndpoints = rotate(ms.cfg.DrainingEndpoints(), int(ms.gossipPos.Load()), maxDraining)
 	}
 	limit := laterGossip
 	if number <= confirmHeartbeats {
@@ -154,7 +154,7 @@
 	}
 	ms.mergeGossip(now, hb.GetOthers())
 	if names := hb.GetLeavingEndpoints(); len(names) > 0 && me.Zone == ms.zone {
-		ms.cfg.OnLeavingEndpoints(names)
+		ms.cfg.OnDrainingEndpoints(names)
 	}
 	return true
 }
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -34,11 +34,11 @@
 		RemoteSuspectAfter   time.Duration
 		ForgetAfter          time.Duration
 
-		// LeavingEndpoints returns the names of the zone's endpoints that have
-		// announced to this host that they are leaving. OnLeavingEndpoints receives
+		// DrainingEndpoints returns the names of the zone's endpoints that have
+		// announced to this host that they are draining. OnDrainingEndpoints receives
 		// the names from other hosts of the zone.
-		LeavingEndpoints   func() []string
-		OnLeavingEndpoints func(names []string)
+		DrainingEndpoints   func() []string
+		OnDrainingEndpoints func(names []string)
 
 		Log     *slog.Logger
 		Metrics *metrics.Set
@@ -191,11 +191,11 @@
 	if cfg.Metrics == nil {
 		cfg.Metrics = metrics.NewSet()
 	}
-	if cfg.LeavingEndpoints == nil {
-		cfg.LeavingEndpoints = func() []string { return nil }
+	if cfg.DrainingEndpoints == nil {
+		cfg.DrainingEndpoints = func() []string { return nil }
 	}
-	if cfg.OnLeavingEndpoints == nil {
-		cfg.OnLeavingEndpoints = func([]string) {}
+	if cfg.OnDrainingEndpoints == nil {
+		cfg.OnDrainingEndpoints = func([]string) {}
 	}
 	return cfg
 }
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -215,20 +215,20 @@
 	})
 }
 
-func TestLeavingEndpointsReachZoneHosts(t *testing.T) {
+func TestDrainingEndpointsReachZoneHosts(t *testing.T) {
 	inBubble(t, func(t *testing.T, nw *network) {
 		is := is.New(t)
 		got := make(chan []string, 100)
 		collect := func(cfg *peers.Config) {
-			cfg.OnLeavingEndpoints = func(names []string) { got <- names }
+			cfg.OnDrainingEndpoints = func(names []string) { got <- names }
 		}
 		hs := []*host{
 			nw.start("z1/a", nil, func(cfg *peers.Config) {
-				cfg.LeavingEndpoints = func() []string { return []string{"e1", "e2"} }
+				cfg.DrainingEndpoints = func() []string { return []string{"e1", "e2"} }
 			}),
 			nw.start("z1/b", []string{"z1/a"}, collect),
 			nw.start("z2/c", []string{"z1/a"}, func(cfg *peers.Config) {
-				cfg.OnLeavingEndpoints = func([]string) { t.Error("endpoint of another zone") }
+				cfg.OnDrainingEndpoints = func([]string) { t.Error("endpoint of another zone") }
 			}),
 		}
 		time.Sleep(time.Second)
