peers: name timeouts, channels and results after what they hold

Cause: receiveTimeout also bounds the sending of a response, gone held forgotten members, and a last heartbeat had two names. Change: renames within the package.

--- a/internal/peers/call.go
+++ b/internal/peers/call.go
@@ -26,7 +26,7 @@
 const (
 	maxMessageSize     = 8 << 20 // bytes, of a call or a response
 	envelopeSize       = 4 << 10 // bytes, of a message in addition to its payload
-	receiveTimeout     = 30 * time.Second
+	streamTimeout      = 30 * time.Second
 	defaultCallTimeout = 60 * time.Second
 )
 
@@ -86,7 +86,7 @@
 // serveStream serves a stream that the other host has opened.
 func (li *link) serveStream(ctx context.Context, st *yamux.Stream) {
 	var kind [1]byte
-	_ = st.SetReadDeadline(time.Now().Add(receiveTimeout))
+	_ = st.SetReadDeadline(time.Now().Add(streamTimeout))
 	if _, err := io.ReadFull(st, kind[:]); err != nil {
 		st.Close()
 		return
@@ -114,7 +114,7 @@
 			return
 		}
 		an := li.respond(ctx, ca)
-		_ = st.SetWriteDeadline(time.Now().Add(receiveTimeout))
+		_ = st.SetWriteDeadline(time.Now().Add(streamTimeout))
 		if err := calls.WriteMessage(st, an); err != nil {
 			li.mesh.cfg.Log.Debug("response was not sent", "peer", ca.GetFrom(), "method", ca.GetMethod(), "error", err)
 			return
--- a/internal/peers/dial.go
+++ b/internal/peers/dial.go
@@ -14,11 +14,11 @@
 
 // dialTarget is a peer address that this host dials.
 type dialTarget struct {
-	address string
-	seed    bool
-	name    string        // of the last host that responded there; empty before
-	zone    string        // of the same host
-	beatNow chan struct{} // requests an immediate heartbeat
+	address      string
+	seed         bool
+	name         string        // of the last host that responded there; empty before
+	zone         string        // of the same host
+	heartbeatNow chan struct{} // requests an immediate heartbeat
 }
 
 const (
@@ -42,7 +42,7 @@
 	if _, ok := ms.targets[address]; ok {
 		return
 	}
-	ta := &dialTarget{address: address, seed: seed, beatNow: make(chan struct{}, 1)}
+	ta := &dialTarget{address: address, seed: seed, heartbeatNow: make(chan struct{}, 1)}
 	ms.targets[address] = ta
 	runCtx := ms.runCtx
 	ms.spawn(func() { ms.dialLoop(runCtx, ta) })
@@ -203,7 +203,7 @@
 		return false
 	case <-li.sess.CloseChan():
 		return false
-	case <-ta.beatNow:
+	case <-ta.heartbeatNow:
 		return true
 	case <-tm.C:
 		return true
--- a/internal/peers/heartbeat.go
+++ b/internal/peers/heartbeat.go
@@ -32,7 +32,7 @@
 	}
 	for _, ta := range ms.targets {
 		select {
-		case ta.beatNow <- struct{}{}:
+		case ta.heartbeatNow <- struct{}{}:
 		default:
 		}
 	}
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -23,12 +23,12 @@
 		dialled   bool
 		callSlots chan struct{} // one for each call in progress
 
-		mu            sync.Mutex // guards the fields below
-		peer          Member     // as of its last heartbeat
-		heartbeats    int
-		lastHeartbeat time.Time
-		retiring      bool // replaced by another session with the peer
-		watchdog      *time.Timer
+		mu         sync.Mutex // guards the fields below
+		peer       Member     // as of its last heartbeat
+		heartbeats int
+		lastHeard  time.Time
+		retiring   bool // replaced by another session with the peer
+		watchdog   *time.Timer
 	}
 
 	// countingConn counts the bytes written to the connection of a session.
@@ -132,17 +132,17 @@
 	defer li.mu.Unlock()
 	li.peer = me
 	li.heartbeats++
-	li.lastHeartbeat = now
+	li.lastHeard = now
 	if !li.sess.IsClosed() {
 		li.watchdog.Reset(li.mesh.roster.SuspectAfter(me.Zone))
 	}
 	return li.heartbeats, li.dialled || li.heartbeats >= confirmHeartbeats
 }
 
-func (li *link) lastHeard() time.Time {
+func (li *link) lastHeardAt() time.Time {
 	li.mu.Lock()
 	defer li.mu.Unlock()
-	return li.lastHeartbeat
+	return li.lastHeard
 }
 
 func (li *link) isRetiring() bool {
@@ -221,7 +221,7 @@
 	defer ms.mu.Unlock()
 	var best *link
 	for _, li := range ms.links[host] {
-		if !li.sess.IsClosed() && (best == nil || li.lastHeard().After(best.lastHeard())) {
+		if !li.sess.IsClosed() && (best == nil || li.lastHeardAt().After(best.lastHeardAt())) {
 			best = li
 		}
 	}
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -243,9 +243,9 @@
 func (ms *Mesh) forgetLoop(ctx context.Context) {
 	for pause.For(ctx, forgetInterval) {
 		ms.mu.Lock()
-		gone := ms.roster.Forget(time.Now())
+		forgotten := ms.roster.Forget(time.Now())
 		ms.mu.Unlock()
-		for _, me := range gone {
+		for _, me := range forgotten {
 			ms.cfg.Log.Info("peer forgotten", "peer", me.Name, "address", me.PeerAddress)
 		}
 	}
--- a/internal/peers/roster.go
+++ b/internal/peers/roster.go
@@ -80,7 +80,7 @@
 	if ok && me.Incarnation == old.member.Incarnation {
 		me = me.merged(old.member)
 	}
-	ch := classify(old.member, me, ok, ro.alive(now, old.member))
+	ch := changeOf(old.member, me, ok, ro.alive(now, old.member))
 	me.LastHeard = now
 	me.Alive = false // computed by Get and Members
 	ro.entries[me.Name] = entry{member: me, lastUpdate: now}
@@ -115,14 +115,14 @@
 // Forget removes the hosts without an update within ForgetAfter, and returns
 // them.
 func (ro *Roster) Forget(now time.Time) []Member {
-	var gone []Member
+	var forgotten []Member
 	for name, en := range ro.entries {
 		if now.Sub(en.lastUpdate) >= ro.cfg.ForgetAfter {
-			gone = append(gone, en.member)
+			forgotten = append(forgotten, en.member)
 			delete(ro.entries, name)
 		}
 	}
-	return gone
+	return forgotten
 }
 
 // Get returns the host with the given name, if it is known.
@@ -187,7 +187,7 @@
 	return me
 }
 
-func classify(old, me Member, known, alive bool) Change {
+func changeOf(old, me Member, known, alive bool) Change {
 	switch {
 	case !known || old.Incarnation != me.Incarnation:
 		return Added
--- a/internal/peers/roster_test.go
+++ b/internal/peers/roster_test.go
@@ -90,8 +90,8 @@
 				Name: "a", Zone: "z", Incarnation: uint64(rapid.IntRange(1, 3).Draw(rt, "incarnation")),
 				Leaving: rapid.Bool().Draw(rt, "leaving"), ConfigRevision: int64(rapid.IntRange(0, 9).Draw(rt, "revision")),
 			}
-			heard := rapid.Bool().Draw(rt, "heard")
-			if heard {
+			byHeartbeat := rapid.Bool().Draw(rt, "heard")
+			if byHeartbeat {
 				ro.RecordHeartbeat(now, me)
 			} else {
 				ro.RecordGossip(now, me)
@@ -104,7 +104,7 @@
 				is.True(got.ConfigRevision >= best.ConfigRevision)
 				is.True(got.Leaving || !best.Leaving)
 			}
-			if heard && me.Incarnation == got.Incarnation {
+			if byHeartbeat && me.Incarnation == got.Incarnation {
 				is.True(got.Alive)
 			}
 			best = got
