peers: document limits, backoff and the state that a heartbeat carries

Cause: several limits and fields had neither unit nor reference, and tests named cases by metaphor or didn't say which failure they guard against. Change: comments, names of subtests and one label of a property test.

--- a/internal/peers/call.go
+++ b/internal/peers/call.go
@@ -24,15 +24,16 @@
 )
 
 const (
-	maxMessageSize     = 8 << 20 // bytes, of a call or a response
-	envelopeSize       = 4 << 10 // bytes, of a message in addition to its payload
-	streamTimeout      = 30 * time.Second
-	defaultCallTimeout = 60 * time.Second
+	maxMessageSize     = 8 << 20          // bytes, of a call or a response
+	envelopeSize       = 4 << 10          // bytes, at most, of a message in addition to its payload
+	streamTimeout      = 30 * time.Second // for the first call after a stream was opened, and for writing a response
+	defaultCallTimeout = 60 * time.Second // of a handler, if the call has no timeout
 )
 
 var errNoSession = errors.New("no session with the host")
 
-// Call implements Caller. A call to this host itself is handled locally.
+// Call implements Caller. A call to this host itself is handled without a
+// session.
 func (ms *Mesh) Call(ctx context.Context, host, method string, req, reply proto.Message) error {
 	payload, err := proto.Marshal(req)
 	if err != nil {
@@ -59,8 +60,8 @@
 	return li.call(ctx, host, method, payload)
 }
 
-// call makes one call over its own stream, once one of the session's slots is
-// free.
+// call makes one call over its own stream, once one of the session's call slots
+// is free. It returns errors as Caller does.
 func (li *link) call(ctx context.Context, host, method string, payload []byte) ([]byte, error) {
 	if len(payload) > maxMessageSize-envelopeSize {
 		return nil, &NotSentError{Host: host, Err: merry.Errorf("call of %d bytes exceeds the limit", len(payload))}
@@ -83,7 +84,8 @@
 	}.Do(ctx)
 }
 
-// serveStream serves a stream that the other host has opened.
+// serveStream serves a stream that the other host has opened, by the protocol
+// that its first byte names.
 func (li *link) serveStream(ctx context.Context, st *yamux.Stream) {
 	var kind [1]byte
 	_ = st.SetReadDeadline(time.Now().Add(streamTimeout))
@@ -123,6 +125,7 @@
 	}
 }
 
+// respond handles one call and returns its response.
 func (li *link) respond(ctx context.Context, ca *wire.Call) *wire.Answer {
 	var payload []byte
 	var err error
@@ -143,8 +146,9 @@
 	return calls.NewAnswer(payload, err)
 }
 
-// dispatch runs the handler of a method and returns the encoded response. A
-// panic fails only its own call.
+// dispatch runs the handler of a method and returns the encoded response. Its
+// errors are *codes.Error. If the handler panics, only its own call fails, with
+// InternalFailure.
 func (ms *Mesh) dispatch(ctx context.Context, from, method string, payload []byte) (response []byte, err error) {
 	ms.handlersMu.RLock()
 	fn := ms.handlers[method]
--- a/internal/peers/dial.go
+++ b/internal/peers/dial.go
@@ -15,16 +15,21 @@
 // dialTarget is a peer address that this host dials.
 type dialTarget struct {
 	address      string
-	seed         bool
+	seed         bool          // from the configuration; dialled forever
 	name         string        // of the last host that responded there; empty before
 	zone         string        // of the same host
 	heartbeatNow chan struct{} // requests an immediate heartbeat
 }
 
 const (
-	minBackoff        = 100 * time.Millisecond
-	maxLocalBackoff   = time.Second
-	maxRemoteBackoff  = 10 * time.Second
+	// minBackoff is the pause after the first failure to connect. It doubles up to
+	// maxLocalBackoff for a host of this zone, and up to maxRemoteBackoff for
+	// others and for those that are rejected.
+	minBackoff       = 100 * time.Millisecond
+	maxLocalBackoff  = time.Second
+	maxRemoteBackoff = 10 * time.Second
+	// idleCheckInterval is the interval of checks whether this host should dial
+	// again, while it need not.
 	idleCheckInterval = 500 * time.Millisecond
 )
 
@@ -34,7 +39,8 @@
 	errSelf    = errors.New("address belongs to this host")
 )
 
-// addTarget starts to dial an address. The caller holds mu.
+// addTarget starts to dial an address, unless it is that of this host or is
+// dialled already. The caller holds mu.
 func (ms *Mesh) addTarget(address string, seed bool) {
 	if address == "" || address == ms.cfg.Self().PeerAddress || ms.runCtx == nil || ms.stopped {
 		return
@@ -48,7 +54,8 @@
 	ms.spawn(func() { ms.dialLoop(runCtx, ta) })
 }
 
-// dialLoop maintains a session with the address while one is needed.
+// dialLoop maintains a session with the address while one is needed, until ctx
+// ends or the address is no longer that of a seed or a known host.
 func (ms *Mesh) dialLoop(ctx context.Context, ta *dialTarget) {
 	backoff := minBackoff
 	for ms.keepTarget(ta) {
@@ -99,7 +106,7 @@
 
 // shouldDial reports whether this host should dial. Of two hosts, the one with
 // the smaller name dials. The other one dials only while there is no session
-// dialled by the first one, which a firewall may prevent.
+// dialled by the first one: a firewall may prevent those.
 func (ms *Mesh) shouldDial(ta *dialTarget) bool {
 	if ta.name == "" {
 		return true
@@ -107,7 +114,7 @@
 	if ta.name < ms.name {
 		return !ms.hasLink(ta.name, false) // unless the peer has dialled
 	}
-	return !ms.hasLink(ta.name, true) // once, even if the peer has dialled as well
+	return !ms.hasLink(ta.name, true) // even if the peer has dialled as well
 }
 
 // hasLink reports whether there is an open session with a host that was dialled
@@ -123,8 +130,8 @@
 	return false
 }
 
-// connect dials, and sends heartbeats until the session fails or is no longer
-// needed.
+// connect dials, and sends heartbeats until the session fails or is retired. It
+// always returns an error.
 func (ms *Mesh) connect(ctx context.Context, ta *dialTarget) error {
 	dctx, cancel := context.WithTimeout(ctx, ms.suspectAfter(ta))
 	defer cancel()
@@ -179,10 +186,10 @@
 	}
 }
 
-// retireLink retires a session that this host has dialled once the peer, if it
-// has the smaller name, has dialled one as well. It reports whether the session
-// can be closed: it was retired by an earlier call, and no stream other than
-// that of the heartbeats is open.
+// retireLink retires a session that this host has dialled if the peer has the
+// smaller name and has dialled one as well. It reports whether the session can
+// be closed: it was retired by an earlier call of retireLink, and no stream
+// other than that of the heartbeats is open.
 func (ms *Mesh) retireLink(li *link, me Member) bool {
 	if me.Name > ms.name || !ms.hasLink(me.Name, false) {
 		return false
@@ -210,6 +217,8 @@
 	}
 }
 
+// suspectAfter returns the time without a response after which a peer counts as
+// failed, by its zone if that is known.
 func (ms *Mesh) suspectAfter(ta *dialTarget) time.Duration {
 	if ta.zone == "" {
 		return ms.cfg.SuspectAfter
@@ -225,7 +234,7 @@
 }
 
 // jitter returns 90 to 110 per cent of a delay, at random, so that hosts that
-// started together drift apart.
+// started together don't act at the same time.
 func jitter(delay time.Duration) time.Duration {
 	return time.Duration(float64(delay) * (0.9 + 0.2*rand.Float64()))
 }
--- a/internal/peers/fakenet_test.go
+++ b/internal/peers/fakenet_test.go
@@ -19,8 +19,9 @@
 )
 
 type (
-	// network is a fake network of hosts whose links can be cut. A cut link holds
-	// data back, as TCP does, and delivers it once the link is restored.
+	// network is a fake network of hosts. Each direction between two hosts can be
+	// cut: data is then held back, as TCP does, and delivered once the direction is
+	// restored.
 	network struct {
 		t         *testing.T
 		mu        sync.Mutex
@@ -83,6 +84,8 @@
 	nw.accepting[name] = accepting
 }
 
+// setFrozen makes a host unresponsive, or responsive again: it receives and
+// sends nothing, but its kernel accepts connections.
 func (nw *network) setFrozen(name string, others []string, frozen bool) {
 	nw.setAccepting(name, frozen)
 	for _, ot := range others {
@@ -91,6 +94,7 @@
 	}
 }
 
+// setRefused makes dials from one host to another fail, or succeed again.
 func (nw *network) setRefused(from, to string, refused bool) {
 	nw.mu.Lock()
 	defer nw.mu.Unlock()
--- a/internal/peers/heartbeat.go
+++ b/internal/peers/heartbeat.go
@@ -15,15 +15,15 @@
 )
 
 const (
-	initialGossip   = 32 // members in each of the first confirmHeartbeats heartbeats of a session
-	laterGossip     = 1  // members in every gossipEvery-th heartbeat after that
-	gossipEvery     = 8  // heartbeats
-	maxDraining     = 16 // endpoints in one heartbeat
-	announceTimeout = time.Second
+	initialGossip   = 32          // members in each of the first confirmHeartbeats heartbeats of a session
+	laterGossip     = 1           // members in every gossipEvery-th heartbeat after that
+	gossipEvery     = 8           // heartbeats
+	maxDraining     = 16          // endpoints in one heartbeat
+	announceTimeout = time.Second // of a heartbeat over a session that the other host has dialled
 )
 
-// Announce sends a heartbeat to every host right away. Hosts call it when their
-// state has changed, above all when they are leaving.
+// Announce starts to send a heartbeat to every host right away. A host calls it
+// when its state has changed, above all when it is leaving.
 func (ms *Mesh) Announce() {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
@@ -61,9 +61,9 @@
 	}
 }
 
-// heartbeat returns the heartbeat with the given number in its session for a
-// host of recipientZone. The name and zone of the host are empty until it has
-// responded once.
+// heartbeat returns the heartbeat to send to a host. Number is that of the
+// heartbeat in its session and determines how many other hosts it lists. The
+// name and the zone of the recipient are empty until it has responded once.
 func (ms *Mesh) heartbeat(now time.Time, recipient, recipientZone string, number int) *wire.Heartbeat {
 	hb := &wire.Heartbeat{Self: ms.cfg.Self().ToWire()}
 	if recipientZone == ms.zone {
@@ -89,7 +89,9 @@
 	return hb
 }
 
-// sendHeartbeat sends a heartbeat and processes the response.
+// sendHeartbeat sends a heartbeat over a dialled session, processes the response
+// and returns the host that sent it. It returns errSelf if that is this host,
+// and errIgnored if the roster does not accept it.
 func (ms *Mesh) sendHeartbeat(li *link, ta *dialTarget, wr io.Writer, rd *bufio.Reader) (Member, error) {
 	number := li.heartbeatCount() + 1
 	payload, err := proto.Marshal(ms.heartbeat(time.Now(), ta.name, ta.zone, number))
@@ -121,7 +123,9 @@
 	return me, nil
 }
 
-// handleHeartbeat processes a heartbeat and returns the one to respond with.
+// handleHeartbeat processes a heartbeat and returns the one to respond with. It
+// returns BadRequest if the payload is invalid or the roster does not accept the
+// heartbeat.
 func (ms *Mesh) handleHeartbeat(li *link, payload []byte) ([]byte, error) {
 	hb := new(wire.Heartbeat)
 	if err := proto.Unmarshal(payload, hb); err != nil {
@@ -159,6 +163,8 @@
 	return true
 }
 
+// mergeGossip records what another host reports about others, and starts to dial
+// those that are new.
 func (ms *Mesh) mergeGossip(now time.Time, others []*wire.Member) {
 	if len(others) > initialGossip {
 		others = others[:initialGossip]
@@ -188,6 +194,7 @@
 	return li.heartbeats
 }
 
+// member returns the other host as of its last heartbeat.
 func (li *link) member() Member {
 	li.mu.Lock()
 	defer li.mu.Unlock()
--- a/internal/peers/http.go
+++ b/internal/peers/http.go
@@ -23,11 +23,13 @@
 		err error
 	}
 
-	// httpAddress is the peer address of the host.
+	// httpAddress is the net.Addr of an httpListener: the peer address of the
+	// host.
 	httpAddress string
 )
 
-// maxPendingConns limits the connections that wait for Accept.
+// maxPendingConns limits the connections that wait for Accept. Further ones are
+// closed.
 const maxPendingConns = 256
 
 // DialHTTP opens an HTTP connection to another host, or to this one. The error
@@ -63,7 +65,8 @@
 	}
 }
 
-// openHTTP opens an HTTP stream. It may block while the host is unresponsive.
+// openHTTP opens an HTTP stream. It may block while the other host is
+// unresponsive.
 func (li *link) openHTTP() (*yamux.Stream, error) {
 	st, err := li.sess.OpenStream()
 	if err != nil {
@@ -80,7 +83,8 @@
 // DialHTTP. It is closed when Run ends.
 func (ms *Mesh) HTTPListener() net.Listener { return ms.http }
 
-// withHTTPCounter wraps a connection in an httpConn.
+// withHTTPCounter returns the connection with its written bytes counted as those
+// of HTTP streams.
 func (ms *Mesh) withHTTPCounter(conn net.Conn) net.Conn {
 	return httpConn{Conn: conn, sent: ms.httpSent}
 }
--- a/internal/peers/http_test.go
+++ b/internal/peers/http_test.go
@@ -68,7 +68,8 @@
 }
 
 // TestUnresponsiveHostDoesNotBlockOthers makes many calls with short deadlines
-// to an unresponsive host while other hosts are called.
+// to an unresponsive host. Calls to another host must not be delayed, and the
+// unresponsive one must be called again once it responds.
 func TestUnresponsiveHostDoesNotBlockOthers(t *testing.T) {
 	inBubble(t, func(t *testing.T, nw *network) {
 		is := is.New(t)
@@ -102,7 +103,7 @@
 			}
 		}
 		is.True(time.Since(began) <= 300*time.Millisecond)
-		is.True(notSent > 0)           // those that waited for a stream
+		is.True(notSent > 0)           // those that waited for a call slot
 		is.True(notSent < cap(done)-1) // the others have an unknown outcome
 		nw.setFrozen("z1/b", []string{"z1/a", "z1/c"}, false)
 		time.Sleep(3 * time.Second)
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -20,15 +20,15 @@
 	link struct {
 		mesh      *Mesh
 		sess      *yamux.Session
-		dialled   bool
+		dialled   bool          // by this host
 		callSlots chan struct{} // one for each call in progress
 
 		mu         sync.Mutex // guards the fields below
 		peer       Member     // as of its last heartbeat
-		heartbeats int
+		heartbeats int        // number received
 		lastHeard  time.Time
-		retiring   bool // replaced by another session with the peer
-		watchdog   *time.Timer
+		retiring   bool        // replaced by another session with the peer
+		watchdog   *time.Timer // closes the session if there are no heartbeats
 	}
 
 	// countingConn counts the bytes written to the connection of a session.
@@ -42,8 +42,9 @@
 	maxLinkCalls   = 256 // calls in progress over one session, made by this host
 	maxLinkStreams = 512 // concurrent streams served over one session
 
-	// A heartbeat is only sent after the response to the previous one, so the
-	// second one proves that both directions work.
+	// confirmHeartbeats is the number of heartbeats from which a session counts as
+	// working in both directions: the second one is only sent after the response
+	// to the first.
 	confirmHeartbeats = 2
 )
 
@@ -78,7 +79,8 @@
 	li.serve(ctx)
 }
 
-// serve serves the streams that the other host opens until the session ends.
+// serve serves the streams that the other host opens, at most maxLinkStreams at
+// a time, until the session ends.
 func (li *link) serve(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -103,7 +105,7 @@
 	}
 }
 
-// expire closes a session without recent heartbeats.
+// expire closes the session and logs that there were no heartbeats.
 func (li *link) expire() {
 	if li.sess.IsClosed() {
 		return
@@ -214,8 +216,8 @@
 	return !before
 }
 
-// pickLink returns the session to a host with the latest heartbeat, or nil if
-// there is none.
+// pickLink returns the session with a host that has received a heartbeat last,
+// or nil if there is no open session.
 func (ms *Mesh) pickLink(host string) *link {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
@@ -235,6 +237,8 @@
 	return n, err
 }
 
+// isTemporary reports whether accepting connections may succeed again after an
+// error.
 func isTemporary(err error) bool {
 	var ne net.Error
 	if errors.As(err, &ne) && ne.Timeout() {
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -17,7 +17,8 @@
 )
 
 type (
-	// Config describes a Mesh.
+	// Config constructs a Mesh. Self and one of Listener and ListenAddress are
+	// required; the other fields have defaults.
 	Config struct {
 		// Self returns the current state of this host. Its name, zone, peer address
 		// and incarnation must not change.
@@ -28,11 +29,11 @@
 		Dial          func(ctx context.Context, address string) (net.Conn, error)
 		Seeds         []string // peer addresses, never forgotten
 
-		HeartbeatEvery       time.Duration
+		HeartbeatEvery       time.Duration // to hosts of this availability zone
 		RemoteHeartbeatEvery time.Duration // to hosts of other availability zones
-		SuspectAfter         time.Duration
-		RemoteSuspectAfter   time.Duration
-		ForgetAfter          time.Duration
+		SuspectAfter         time.Duration // time without heartbeats of a host of this zone
+		RemoteSuspectAfter   time.Duration // time without heartbeats of a host of another zone
+		ForgetAfter          time.Duration // time without heartbeats and gossip
 
 		// DrainingEndpoints returns the names of the zone's endpoints that have
 		// announced to this host that they are draining. OnDrainingEndpoints receives
@@ -54,9 +55,9 @@
 		sent     *metrics.Counter
 		httpSent *metrics.Counter
 
-		// gossipPos grows with each heartbeat. Modulo the length of the list, it is
-		// the index at which a heartbeat begins to list the living members and the
-		// leaving endpoints.
+		// gossipPos grows with each heartbeat. A heartbeat lists only some of the
+		// living members and of the draining endpoints, and begins at this position
+		// modulo their number.
 		gossipPos    atomic.Int64
 		inboundSlots chan struct{} // one for each session that another host has dialled
 
@@ -116,7 +117,8 @@
 }
 
 // Run accepts and dials sessions until ctx ends, and returns when every session
-// is closed. It must be called only once.
+// is closed. It returns an error if it can't listen or accept. It must be called
+// only once.
 func (ms *Mesh) Run(ctx context.Context) error {
 	ln := ms.cfg.Listener
 	if ln == nil {
@@ -173,6 +175,7 @@
 // of HTTP streams.
 func (ms *Mesh) ControlBytes() uint64 { return ms.sent.Get() - ms.httpSent.Get() }
 
+// withDefaults returns the configuration with defaults in place of zero values.
 func (cfg Config) withDefaults() Config {
 	setDefault(&cfg.HeartbeatEvery, defaultHeartbeatEvery)
 	setDefault(&cfg.RemoteHeartbeatEvery, defaultRemoteHeartbeatEvery)
@@ -206,8 +209,8 @@
 	}
 }
 
-// spawn runs fn as a task that Run waits for. It is called by other tasks or by
-// Run, so that the count can't drop to zero in between.
+// spawn runs fn as a task that Run waits for. Once Run waits, only running tasks
+// may call it, so that the number of tasks can't reach zero before.
 func (ms *Mesh) spawn(fn func()) { ms.tasks.Go(fn) }
 
 func (ms *Mesh) acceptLoop(ctx context.Context, ln net.Listener) error {
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -109,7 +109,9 @@
 	})
 }
 
-// TestSingleHostFaults makes one host of three fail and recover.
+// TestSingleHostFaults makes one host of three fail and recover. The other two
+// must suspect it, keep their own session, and accept it again once it has
+// recovered.
 func TestSingleHostFaults(t *testing.T) {
 	others := []string{"z1/a", "z1/c"}
 	cutAll := func(nw *network, in, out, cut bool) {
@@ -128,9 +130,9 @@
 		alone bool // the failed host sees no others
 	}{
 		{"cutBothWays", func(nw *network, failed bool) { cutAll(nw, true, true, failed) }, true},
-		{"cutTowardsIt", func(nw *network, failed bool) { cutAll(nw, true, false, failed) }, true},
-		{"cutFromIt", func(nw *network, failed bool) { cutAll(nw, false, true, failed) }, true},
-		{"answersOfItLost", func(nw *network, failed bool) {
+		{"cutToHost", func(nw *network, failed bool) { cutAll(nw, true, false, failed) }, true},
+		{"cutFromHost", func(nw *network, failed bool) { cutAll(nw, false, true, failed) }, true},
+		{"responsesLost", func(nw *network, failed bool) {
 			nw.setAccepting("z1/b", failed)
 			cutAll(nw, false, true, failed)
 		}, true},
@@ -172,6 +174,9 @@
 	}
 }
 
+// TestKilledHostIsReplaced guards against a host that is not found again after a
+// restart, because its address is no longer dialled or its former incarnation is
+// still known.
 func TestKilledHostIsReplaced(t *testing.T) {
 	inBubble(t, func(t *testing.T, nw *network) {
 		is := is.New(t)
@@ -238,7 +243,8 @@
 	})
 }
 
-// TestOneWayFirewall allows only one of two hosts to dial the other.
+// TestOneWayFirewall allows only one of two hosts to dial the other, and then
+// both. Calls must work in both directions, also while sessions are replaced.
 func TestOneWayFirewall(t *testing.T) {
 	for _, tc := range []struct{ from, to string }{{"z1/a", "z1/b"}, {"z1/b", "z1/a"}} {
 		t.Run(tc.from, func(t *testing.T) {
@@ -285,6 +291,8 @@
 	return &wire.JobList{}, nil
 }
 
+// TestSeedIsSelf guards against a host that treats itself as a peer when a seed
+// is its own address or another name of it.
 func TestSeedIsSelf(t *testing.T) {
 	inBubble(t, func(t *testing.T, nw *network) {
 		is := is.New(t)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -28,14 +28,14 @@
 	Region         string
 	PeerAddress    string
 	HTTPAddress    string
-	Incarnation    uint64 // start time of its process, nanoseconds since 1970
-	Ready          bool
-	Leaving        bool
-	ConfigRevision int64
-	SchedulerEpoch int64  // the largest epoch of its zone that it has seen
-	Scheduler      string // name of the host that is the leader in that epoch
-	LastHeard      time.Time
-	Alive          bool // not suspected
+	Incarnation    uint64    // start time of its process, nanoseconds since 1970
+	Ready          bool      // for callers' requests
+	Leaving        bool      // is shutting down
+	ConfigRevision int64     // store revision of the configuration that it uses
+	SchedulerEpoch int64     // the largest epoch of its zone that it has seen
+	Scheduler      string    // name of the host that is the leader in that epoch
+	LastHeard      time.Time // of its last heartbeat; zero if there was none
+	Alive          bool      // not suspected
 }
 
 // Caller makes calls to other hosts. The error is a *codes.Error if the other
@@ -70,7 +70,8 @@
 	MethodGetSummary  = "getSummary"
 )
 
-// Handle registers a handler of typed messages.
+// Handle registers a handler with typed messages, whose from is the name of the
+// calling host. The caller receives the code of its error as given by codes.Of.
 func Handle[Req, Reply any, PReq message[Req], PReply message[Reply]](
 	rg Registry, method string, fn func(ctx context.Context, from string, req PReq) (PReply, error),
 ) {
--- a/internal/peers/roster.go
+++ b/internal/peers/roster.go
@@ -14,7 +14,7 @@
 		Zone               string // of this host
 		SuspectAfter       time.Duration
 		RemoteSuspectAfter time.Duration // for hosts of other availability zones
-		ForgetAfter        time.Duration
+		ForgetAfter        time.Duration // time without an update
 	}
 
 	// Roster holds the other hosts that one host knows. It depends only on its
@@ -65,7 +65,8 @@
 	return ro.cfg.RemoteSuspectAfter
 }
 
-// RecordHeartbeat records a host's own heartbeat.
+// RecordHeartbeat records a host's own heartbeat, which makes it alive unless
+// the heartbeat is Ignored.
 func (ro *Roster) RecordHeartbeat(now time.Time, me Member) Change {
 	if me.Name == "" || me.Name == ro.cfg.Self {
 		return Ignored
@@ -170,13 +171,14 @@
 	return out
 }
 
+// alive reports whether the last heartbeat of a host is recent enough.
 func (ro *Roster) alive(now time.Time, me Member) bool {
 	return !me.LastHeard.IsZero() && now.Sub(me.LastHeard) < ro.SuspectAfter(me.Zone)
 }
 
-// merged returns the member with the larger of the two values of each field that
-// only grows during one incarnation, because heartbeats over two sessions may
-// arrive out of order.
+// merged returns the member with the later of the two values of each field that
+// only grows during one incarnation (Leaving, ConfigRevision and SchedulerEpoch),
+// because heartbeats over two sessions may arrive out of order.
 func (me Member) merged(old Member) Member {
 	me.Leaving = me.Leaving || old.Leaving
 	me.ConfigRevision = max(me.ConfigRevision, old.ConfigRevision)
@@ -187,6 +189,9 @@
 	return me
 }
 
+// changeOf returns the effect of a heartbeat that changes a member from old to
+// me. Known reports whether there was an old one, and alive whether that was
+// alive.
 func changeOf(old, me Member, known, alive bool) Change {
 	switch {
 	case !known || old.Incarnation != me.Incarnation:
--- a/internal/peers/roster_test.go
+++ b/internal/peers/roster_test.go
@@ -77,14 +77,16 @@
 	is.True(!ro.HasAddress("a:1"))
 }
 
-// TestRosterIsMonotonic applies updates in random order.
+// TestRosterIsMonotonic applies random updates. It guards against a return to an
+// older incarnation, or to an older state of the same one, when heartbeats and
+// gossip arrive out of order.
 func TestRosterIsMonotonic(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		is := is.New(t)
 		ro := newRoster()
 		now := began
 		var best peers.Member
-		for range rapid.IntRange(1, 50).Draw(rt, "news") {
+		for range rapid.IntRange(1, 50).Draw(rt, "updates") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "millis")) * time.Millisecond)
 			me := peers.Member{
 				Name: "a", Zone: "z", Incarnation: uint64(rapid.IntRange(1, 3).Draw(rt, "incarnation")),
--- a/internal/peers/traffic_test.go
+++ b/internal/peers/traffic_test.go
@@ -22,7 +22,7 @@
 // second. All control traffic of a host may take 14 KB/s, half of which is for
 // membership.
 func TestControlTraffic(t *testing.T) {
-	const perHost = 14_000
+	const perHost = 14_000 // bytes per second
 	for _, tc := range []struct {
 		zones, hostsOfZone int
 		bound              float64
