drive: name the codecs of maintenance waves after what they convert

Cause: Wave, Encode and Decode in WaveLayout didn't say that the first decodes a wave and the others convert its progress.

--- a/internal/drive/waves.go
+++ b/internal/drive/waves.go
@@ -19,11 +19,11 @@
 	// WaveLayout gives the keys under which the platform keeps maintenance waves
 	// and their status, and encodes and decodes the values.
 	WaveLayout struct {
-		Prefix       string // of the requested waves
-		StatusPrefix string // followed by the number of a wave
-		Wave         func(value []byte) (upkeep.Wave, error)
-		Encode       func(pr upkeep.Progress) []byte
-		Decode       func(value []byte) (upkeep.Progress, error)
+		Prefix         string // of the requested waves
+		StatusPrefix   string // followed by the number of a wave
+		DecodeWave     func(value []byte) (upkeep.Wave, error)
+		EncodeProgress func(pr upkeep.Progress) []byte
+		DecodeProgress func(value []byte) (upkeep.Progress, error)
 	}
 
 	// waveDriver carries out maintenance waves during a term, with the core of
@@ -94,7 +94,7 @@
 			wd.logInvalidEntry(en.Key, err)
 			continue
 		}
-		progress, err := wd.layout.Decode(en.Value)
+		progress, err := wd.layout.DecodeProgress(en.Value)
 		if err != nil {
 			wd.logInvalidEntry(en.Key, err)
 			continue
@@ -115,7 +115,7 @@
 // decodeWave decodes a wave and remembers its number. It reports whether the
 // entry is valid.
 func (wd *waveDriver) decodeWave(en store.Entry) (upkeep.Wave, bool) {
-	wa, err := wd.layout.Wave(en.Value)
+	wa, err := wd.layout.DecodeWave(en.Value)
 	if err != nil {
 		wd.logInvalidEntry(en.Key, err)
 		return upkeep.Wave{}, false
@@ -204,7 +204,7 @@
 // also deletes its record.
 func (wd *waveDriver) report(ef upkeep.ReportProgress) {
 	number := strconv.Itoa(ef.Wave)
-	tx := store.Txn{Puts: []store.Put{{Key: wd.layout.StatusPrefix + number, Value: wd.layout.Encode(ef.Progress)}}}
+	tx := store.Txn{Puts: []store.Put{{Key: wd.layout.StatusPrefix + number, Value: wd.layout.EncodeProgress(ef.Progress)}}}
 	if ef.Progress == upkeep.Completed {
 		tx.Deletes = []string{batch.MaintenancePrefix + number}
 	}
--- a/internal/drive/waves_test.go
+++ b/internal/drive/waves_test.go
@@ -92,9 +92,9 @@
 	la := runsim.Layout()
 	la.Waves = drive.WaveLayout{
 		Prefix: "waves/", StatusPrefix: "status/",
-		Wave:   func(value []byte) (wa upkeep.Wave, err error) { return wa, json.Unmarshal(value, &wa) },
-		Encode: func(pr upkeep.Progress) []byte { return fmt.Append(nil, int(pr)) },
-		Decode: func(value []byte) (pr upkeep.Progress, err error) { return pr, json.Unmarshal(value, &pr) },
+		DecodeWave:     func(value []byte) (wa upkeep.Wave, err error) { return wa, json.Unmarshal(value, &wa) },
+		EncodeProgress: func(pr upkeep.Progress) []byte { return fmt.Append(nil, int(pr)) },
+		DecodeProgress: func(value []byte) (pr upkeep.Progress, err error) { return pr, json.Unmarshal(value, &pr) },
 	}
 	return la
 }
