--- a/internal/peers/fakenet_test.go
+++ b/internal/peers/fakenet_test.go
@@ -302,9 +302,9 @@
 	return names
 }
 
-// dropPools empties yamux's pool of timers, because a timer that was created in
-// one synctest bubble must not be used in another.
-func dropPools(t *testing.T) {
+// emptyTimerPool empties yamux's pool of timers, because a timer that was
+// created in one synctest bubble must not be used in another.
+func emptyTimerPool(t *testing.T) {
 	t.Helper()
 	runtime.GC()
 	runtime.GC()
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -21,7 +21,7 @@
 // inBubble runs a test with a fake network in a synctest bubble.
 func inBubble(t *testing.T, fn func(t *testing.T, nw *network)) {
 	t.Helper()
-	dropPools(t)
+	emptyTimerPool(t)
 	synctest.Test(t, func(t *testing.T) { fn(t, newNetwork(t)) })
 }
 
