--- a/internal/drive/handover.go
+++ b/internal/drive/handover.go
@@ -84,8 +84,8 @@
 // store. Hosts that wait for the leader key and have many more cores respond
 // with an offer. If there is one, the term ends, the leader revokes its lease,
 // and a host with more cores wins the next election. Without an offer the host
-// stays the leader: it is better than a change to one that is no stronger. A
-// host whose number of cores is unknown requests nothing.
+// stays the leader, because a weak leader is better than a change to another
+// weak one. A host whose number of cores is unknown requests nothing.
 func (te *term) requestHandover() {
 	if te.cfg.Cores <= 0 {
 		return
--- a/internal/remote/remote.go
+++ b/internal/remote/remote.go
@@ -62,7 +62,7 @@
 		WantMembers bool         `json:"learn,omitempty"` // the response is to include members
 	}
 
-	// response is the payload of a successful response.
+	// response is the payload of the response to a successful call.
 	response struct {
 		Result  Result   `json:"result"`
 		Members []Member `json:"members,omitempty"`
