--- a/internal/drive/commit.go
+++ b/internal/drive/commit.go
@@ -17,8 +17,8 @@
 	revisions map[string]store.Revision
 }
 
-// commitRetry is the pause after a failed commit.
-const commitRetry = 100 * time.Millisecond
+// commitRetryDelay is the pause after a failed commit.
+const commitRetryDelay = 100 * time.Millisecond
 
 func newRevisionTable() *revisionTable { return &revisionTable{revisions: map[string]store.Revision{}} }
 
@@ -38,7 +38,7 @@
 // requires the leader key and every record to be at their known revisions, so a
 // write whose response was lost can't overwrite a later one.
 func (te *term) commit(cm domain.Commit) {
-	puts, err := encodeRecords(cm)
+	puts, err := encodeCommit(cm)
 	if err != nil {
 		te.log.Error("can't encode commit", "event", "commitFails", "reason", err)
 		te.end()
@@ -63,13 +63,15 @@
 			// A record had another revision: retry with the revisions just read.
 		default:
 			te.log.Warn("commit failed, retrying", "event", "commitFails", "seq", cm.Seq, "reason", err)
-			if !te.pauseFor(commitRetry) {
+			if !te.pauseFor(commitRetryDelay) {
 				return
 			}
 		}
 	}
 }
 
+// txn returns the transaction that writes puts, the encoded records of a
+// commit.
 func (te *term) txn(cm domain.Commit, puts []store.Put) store.Txn {
 	tx := store.Txn{Expect: []store.Expectation{{Key: batch.LeaderKey, Revision: te.token}}, Puts: puts}
 	for _, rc := range cm.Records {
@@ -79,7 +81,8 @@
 	return tx
 }
 
-// recordCommit stores the revision of the written records and tells the core.
+// recordCommit sets the known revision of the written records and tells the
+// core that they are stored.
 func (te *term) recordCommit(cm domain.Commit, rev store.Revision) {
 	for _, rc := range cm.Records {
 		te.revisions.set(batch.ProgressKey(rc.ID), rev)
@@ -98,9 +101,10 @@
 	return true
 }
 
-// updateRevisions updates the known revisions from ents and reports whether
-// every record has the value of this commit, which means that it took effect
-// and only its response was lost.
+// updateRevisions sets the known revisions to those of ents, the entries that
+// a conflict returned. It reports whether every record has the value of this
+// commit, which means that an earlier attempt took effect and its response was
+// lost.
 func (te *term) updateRevisions(puts []store.Put, ents []store.Entry) bool {
 	all := true
 	for _, en := range ents {
@@ -117,7 +121,9 @@
 	return all
 }
 
-func encodeRecords(cm domain.Commit) ([]store.Put, error) {
+// encodeCommit returns the writes of a commit: its records and, if it has one,
+// its backlog.
+func encodeCommit(cm domain.Commit) ([]store.Put, error) {
 	var puts []store.Put
 	for _, rc := range cm.Records {
 		data, err := batch.EncodeRecord(rc)
@@ -136,8 +142,8 @@
 	return puts, nil
 }
 
-// deleteJob deletes everything stored about a job. If that fails, the next
-// leader retries.
+// deleteJob deletes everything stored about an ended job. If that fails, the
+// next leader retries.
 func (te *term) deleteJob(id string) {
 	tx := store.Txn{
 		Expect:  []store.Expectation{{Key: batch.LeaderKey, Revision: te.token}},
--- a/internal/drive/watch.go
+++ b/internal/drive/watch.go
@@ -15,16 +15,16 @@
 )
 
 // watchStart holds the revisions from which a term watches the store after it
-// has loaded its state.
+// has loaded its state, and the state that the watches change.
 type watchStart struct {
-	acceptedRev, policyRev, workersRev store.Revision // at which each was read
-	listed                             map[string]bool
+	acceptedRev, policyRev, workersRev store.Revision  // at which each was read
+	workerIDs                          map[string]bool // of the listed workers
 	evacuations                        *evacuations
 }
 
 const (
-	// watchRetry is the pause after a failed watch or list.
-	watchRetry = 250 * time.Millisecond
+	// watchRetryDelay is the pause after a failed watch or list.
+	watchRetryDelay = 250 * time.Millisecond
 	// workerBatchTime is how long changes to the list of workers are batched: each
 	// worker writes its entry every second or two, mostly unchanged.
 	workerBatchTime = 200 * time.Millisecond
@@ -34,7 +34,7 @@
 func (te *term) load() (domain.Config, *watchStart, error) {
 	var (
 		gr       errgroup.Group
-		ws       = watchStart{listed: map[string]bool{}}
+		ws       = watchStart{workerIDs: map[string]bool{}}
 		accepted []store.Entry
 		progress []store.Entry
 		workers  []store.Entry
@@ -78,12 +78,13 @@
 	for _, en := range workers {
 		if wk, ok := te.decodeWorker(en); ok {
 			cf.Workers = append(cf.Workers, wk)
-			ws.listed[wk.ID] = true
+			ws.workerIDs[wk.ID] = true
 		}
 	}
 	return cf, &ws, nil
 }
 
+// addAccepted adds the accepted job or the cancellation in an entry to cf.
 func (te *term) addAccepted(en store.Entry, cf *domain.Config) {
 	id, cancel, ok := batch.ParseAccepted(en.Key)
 	switch {
@@ -101,6 +102,8 @@
 	}
 }
 
+// addRecord adds the progress record in an entry to cf and stores the entry's
+// revision, which the next write of the record requires.
 func (te *term) addRecord(en store.Entry, cf *domain.Config) {
 	te.revisions.set(en.Key, en.Revision)
 	rc, err := batch.DecodeRecord(en.Value)
@@ -145,12 +148,14 @@
 	go te.watch(batch.AcceptedPrefix, ws.acceptedRev, 0, te.applyAccepted, te.relistAccepted)
 	go te.watch(te.cfg.Layout.PolicyKey, ws.policyRev, 0, te.applyPolicy, te.reloadPolicy)
 	ws.evacuations.start()
-	known := &workerList{term: te, ids: ws.listed}
-	go te.watch(te.cfg.Layout.WorkerPrefix, ws.workersRev, workerBatchTime, known.apply, known.relist)
+	wl := &workerList{term: te, ids: ws.workerIDs}
+	go te.watch(te.cfg.Layout.WorkerPrefix, ws.workersRev, workerBatchTime, wl.apply, wl.relist)
 }
 
-// watch applies changes under a prefix until the term ends, batched over window.
-// If the store has compacted changes that it needs, it reads the state again.
+// watch applies the changes under a prefix after a revision until the term
+// ends, batched over window. If the store has compacted changes that
+// it needs, it calls relist, which reads the state again and returns the
+// revision of that read.
 func (te *term) watch(prefix string, after store.Revision, window time.Duration, apply func(store.Entry), relist func() (store.Revision, error)) {
 	for te.ctx.Err() == nil {
 		err := te.cfg.Store.WatchBatched(te.ctx, prefix, after, window, func(en store.Entry) error {
@@ -166,7 +171,7 @@
 				continue
 			}
 		}
-		te.pauseFor(watchRetry)
+		te.pauseFor(watchRetryDelay)
 	}
 }
 
@@ -221,7 +226,8 @@
 	return rev, nil
 }
 
-// workerList tracks the platform's list of workers.
+// workerList tracks the platform's list of workers and reports its changes to
+// the core.
 type workerList struct {
 	*term
 	ids map[string]bool
@@ -240,6 +246,8 @@
 	}
 }
 
+// relist reads the list again and reports every worker that is missing from it
+// as unlisted.
 func (wl *workerList) relist() (store.Revision, error) {
 	ents, rev, err := wl.cfg.Store.List(wl.ctx, wl.cfg.Layout.WorkerPrefix)
 	if err != nil {
--- a/internal/drive/waves_test.go
+++ b/internal/drive/waves_test.go
@@ -87,20 +87,21 @@
 	return nil
 }
 
-// waveLayout stores waves as the JSON encoding of their types.
+// waveLayout returns a layout that stores waves and their progress as JSON.
 func waveLayout() drive.StoreLayout {
 	la := runsim.Layout()
 	la.Waves = drive.WaveLayout{
 		Prefix: "waves/", StatusPrefix: "status/",
-		Wave:   func(value []byte) (wa upkeep.Wave, err error) { return wa, json.Unmarshal(value, &wa) },
-		Encode: func(pr upkeep.Progress) []byte { return fmt.Append(nil, int(pr)) },
-		Decode: func(value []byte) (pr upkeep.Progress, err error) { return pr, json.Unmarshal(value, &pr) },
+		DecodeWave:     func(value []byte) (wa upkeep.Wave, err error) { return wa, json.Unmarshal(value, &wa) },
+		EncodeProgress: func(pr upkeep.Progress) []byte { return fmt.Append(nil, int(pr)) },
+		DecodeProgress: func(value []byte) (pr upkeep.Progress, err error) { return pr, json.Unmarshal(value, &pr) },
 	}
 	return la
 }
 
-// TestWaveAcrossHosts carries out a wave while jobs run, with a change of
-// leader in the middle.
+// TestWaveAcrossHosts carries out a wave while jobs run. The leader stops after
+// the first two orders, and the next one must complete the wave without
+// ordering a machine twice or having too many down.
 func TestWaveAcrossHosts(t *testing.T) {
 	is := is.New(t)
 	si := newSite(t, 6)
--- a/internal/remote/forward.go
+++ b/internal/remote/forward.go
@@ -17,9 +17,11 @@
 // their members.
 const minMembers = 3
 
-// Forward has other hosts decide a call that this host could not decide, for
-// the given cause and with the given error. It returns that error if no other
-// host decides either.
+// Forward makes another host decide a call that this host could not decide for
+// the given cause, with the error err. It tries at most maxAttempts hosts, and
+// returns the result or the error of the one that decides, or err if none does.
+// If the call may have taken effect and no host has accepted it, the error is a
+// *codes.Error with SubmitUnknown or CancelUnknown.
 func (pe *Peer) Forward(ctx context.Context, ca Call, cause intake.Cause, err error) (Result, error) {
 	cs := newCallState(ca.Op, cause, err)
 	var tried []Member
@@ -56,7 +58,8 @@
 	return time.Until(at)
 }
 
-// callHost forwards a call to one host within timeout, and records the outcome.
+// callHost forwards a call to one host within timeout, records the outcome, and
+// adds the hosts in the response to the roster.
 func (pe *Peer) callHost(ctx context.Context, me Member, timeout time.Duration, rq request) (Result, outcome, error) {
 	began := time.Now()
 	cctx, cancel := context.WithTimeout(ctx, timeout)
@@ -64,7 +67,7 @@
 	rp, err := pe.exchange(cctx, me, timeout, rq)
 	oc := classify(rq.Call.Op, err)
 	pe.recordOutcome(me, oc, err, callerCancelled(ctx))
-	pe.Learn(rp.Members)
+	pe.AddMembers(rp.Members)
 	countCall(forwarder, rq.Cause, oc)
 	args := []any{
 		"event", "forwarded", "job", rq.Call.Job, "op", rq.Call.Op, "cause", rq.Cause,
@@ -77,7 +80,8 @@
 	return rp.Result, oc, err
 }
 
-// callerCancelled reports whether a call ended because its caller disconnected.
+// callerCancelled reports whether ctx, the context of a call, ended because the
+// caller disconnected.
 func callerCancelled(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
 
 // recordOutcome records the outcome of an attempt in the roster. If the caller
@@ -95,15 +99,17 @@
 	}
 }
 
-// exchange makes one call to a host.
-func (pe *Peer) exchange(ctx context.Context, me Member, timeout time.Duration, rq request) (reply, error) {
+// exchange makes one call to a host over a pooled session. It returns a
+// *calls.NotSentError if the call provably did not reach the host. If there is
+// no response, it retires the session, so that the next call opens a new one.
+func (pe *Peer) exchange(ctx context.Context, me Member, timeout time.Duration, rq request) (response, error) {
 	msg, err := rq.toWire(pe.cfg.Self, remoteTimeout(timeout))
 	if err != nil {
-		return reply{}, &calls.NotSentError{Host: me.Name, Err: err}
+		return response{}, &calls.NotSentError{Host: me.Name, Err: err}
 	}
 	li, err := pe.pool.get(ctx, me.Address)
 	if err != nil {
-		return reply{}, &calls.NotSentError{Host: me.Name, Err: err}
+		return response{}, &calls.NotSentError{Host: me.Name, Err: err}
 	}
 	payload, err := calls.Call{
 		Session: li.sess, Host: me.Name, Message: msg, MaxResponse: maxMessageSize,
@@ -113,11 +119,11 @@
 		pe.pool.retire(li)
 	}
 	if err != nil {
-		return reply{}, err
+		return response{}, err
 	}
-	var rp reply
+	var rp response
 	if err := json.Unmarshal(payload, &rp); err != nil {
-		return reply{}, merry.Prependf(err, "response of %s", me.Name)
+		return response{}, merry.Prependf(err, "response of %s", me.Name)
 	}
 	return rp, nil
 }
--- a/internal/remote/peer.go
+++ b/internal/remote/peer.go
@@ -18,7 +18,7 @@
 	Config struct {
 		Self           Member
 		Store          store.TxnStore
-		Cores          float64     // available to the process
+		Cores          float64     // available to the process; limits the forwarded calls that it serves
 		StoreReachable func() bool // reports whether this host can reach the store
 		Log            *slog.Logger
 		// Listener accepts the connections of other hosts and is closed by Run. If
@@ -34,7 +34,7 @@
 		limiter *limiter
 		pool    *pool
 
-		sessions    context.Context    // ends when sessions opened by other hosts are to be closed
+		sessionsCtx context.Context    // ends when sessions opened by other hosts are to be closed
 		endSessions context.CancelFunc // cancels sessions
 
 		mu     sync.Mutex // guards the roster; never held during I/O
@@ -47,16 +47,17 @@
 	if cf.Dial == nil {
 		cf.Dial = dial.TCP
 	}
-	sessions, endSessions := context.WithCancel(context.Background())
+	sessionsCtx, endSessions := context.WithCancel(context.Background())
 	return &Peer{
 		cfg: cf, limiter: newLimiter(cf.Cores), pool: newPool(cf.Log, cf.Dial), roster: NewRoster(cf.Self),
-		sessions: sessions, endSessions: endSessions,
+		sessionsCtx: sessionsCtx, endSessions: endSessions,
 	}
 }
 
-// Run registers the host and serves forwarded calls until ctx ends. Calls in
-// progress continue, and the host may still forward calls of its own callers,
-// until Close, which must follow.
+// Run registers the host and serves forwarded calls with ha until ctx ends.
+// Calls in progress continue, and the host may still forward calls of its own
+// callers, until Close, which must follow. It returns an error if it can't
+// listen.
 func (pe *Peer) Run(ctx context.Context, ha Handler) error {
 	ln := pe.cfg.Listener
 	if ln == nil {
@@ -111,8 +112,9 @@
 	return pe.roster.Members()
 }
 
-// Learn adds hosts that another host has sent.
-func (pe *Peer) Learn(members []Member) {
+// AddMembers adds the hosts that another host has sent, at most maxMembers of
+// them, to the known ones.
+func (pe *Peer) AddMembers(members []Member) {
 	if len(members) == 0 {
 		return
 	}
@@ -128,7 +130,8 @@
 	pe.roster.Replace(time.Now(), members)
 }
 
-// choose returns the host to try next, which is none of tried.
+// choose returns the host to try next, which is none of tried, and reports
+// whether there is one.
 func (pe *Peer) choose(tried []Member) (Member, bool) {
 	pe.mu.Lock()
 	defer pe.mu.Unlock()
--- a/internal/upkeep/upkeep_test.go
+++ b/internal/upkeep/upkeep_test.go
@@ -14,20 +14,20 @@
 type (
 	// site simulates machines with work in virtual time.
 	site struct {
-		rng        *rand.Rand
-		now        time.Time
-		core       *upkeep.Core
-		machines   map[string]*machine
-		maxDown    int
-		reports    []upkeep.Progress
-		records    map[int]upkeep.Record
-		ended      map[string]bool      // workers whose work was reported as ended
-		downed     map[string]bool      // workers whose machines went down
-		draining   map[string]time.Time // workers that get no new work
-		orders     int
-		violations []string
-		lostShare  float64 // share of orders that are carried out without a response
-		busyShare  float64 // share of orders that are rejected
+		rng           *rand.Rand
+		now           time.Time
+		core          *upkeep.Core
+		machines      map[string]*machine
+		maxDown       int
+		reports       []upkeep.Progress
+		records       map[int]upkeep.Record
+		ended         map[string]bool      // workers whose work was reported as ended
+		downed        map[string]bool      // workers whose machines went down
+		draining      map[string]time.Time // workers that get no new work
+		orders        int
+		violations    []string
+		lostShare     float64 // share of orders that are carried out without a response
+		rejectedShare float64 // share of orders that are rejected
 	}
 
 	machine struct {
@@ -84,7 +84,7 @@
 			si.records[ef.Record.Number] = ef.Record
 		case upkeep.Drain:
 			si.draining = ef.By
-		case upkeep.WorkerGone:
+		case upkeep.WorkerDown:
 			si.checkEnded(ef.Worker)
 		case upkeep.Order:
 			si.handle(upkeep.OrderCompleted{Order: ef, Err: si.order(ef)})
@@ -92,12 +92,12 @@
 	}
 }
 
-// checkEnded checks that a worker that was reported as gone is not running.
+// checkEnded checks that a worker that was reported as down is not running.
 func (si *site) checkEnded(worker string) {
 	si.ended[worker] = true
 	for _, ma := range si.machines {
 		if ma.worker == worker && !si.now.Before(ma.upAt) {
-			si.violations = append(si.violations, worker+" was reported as gone but is running")
+			si.violations = append(si.violations, worker+" was reported as down but is running")
 		}
 	}
 }
@@ -117,8 +117,8 @@
 	if ma.maintained {
 		return nil
 	}
-	if si.rng.Float64() < si.busyShare {
-		return upkeep.ErrBusy
+	if si.rng.Float64() < si.rejectedShare {
+		return upkeep.ErrNotUp
 	}
 	down := 0
 	for _, other := range si.machines {
@@ -162,13 +162,16 @@
 	return n
 }
 
+// TestWaves carries out waves in which work takes long, responses are lost and
+// orders are rejected. Each machine must have its maintenance once and in time,
+// with no more machines down than the wave permits.
 func TestWaves(t *testing.T) {
 	tests := []struct {
-		name              string
-		machines, maxDown int
-		work              time.Duration // remaining work when the wave is requested
-		duration          time.Duration
-		lose, busy        float64
+		name                     string
+		machines, maxDown        int
+		work                     time.Duration // remaining work when the wave is requested
+		duration                 time.Duration
+		lostShare, rejectedShare float64
 	}{
 		{"idle machines", 10, 2, 0, 30 * time.Second, 0, 0},
 		{"work that finishes in time", 4, 2, 5 * time.Second, 30 * time.Second, 0, 0},
@@ -182,7 +185,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			si := newSite(tt.machines, tt.maxDown, tt.work)
-			si.lostShare, si.busyShare = tt.lose, tt.busy
+			si.lostShare, si.rejectedShare = tt.lostShare, tt.rejectedShare
 			si.handle(upkeep.WaveRequested{Wave: si.wave(tt.duration)})
 			si.run(tt.duration)
 			is.Equal(si.countMaintained(), tt.machines)
@@ -196,7 +199,8 @@
 }
 
 // TestDownWorkerGetsNoWork guards against new work for a worker whose machine
-// went down but which the platform still lists.
+// went down and which the platform still lists, and against workers that get no
+// work after the wave.
 func TestDownWorkerGetsNoWork(t *testing.T) {
 	is := is.New(t)
 	si := newSite(3, 1, 0)
@@ -219,8 +223,9 @@
 	is.Equal(si.countMaintained(), 1)
 }
 
-// TestTakeover continues a wave under a new core, with and without the record
-// of the previous one, which may be lost.
+// TestTakeover guards against a new core that orders a machine again or has too
+// many machines down, because the previous core ordered some. The record of the
+// previous core may be lost.
 func TestTakeover(t *testing.T) {
 	for _, recorded := range []bool{false, true} {
 		is := is.New(t)
@@ -242,8 +247,8 @@
 	}
 }
 
-// TestCompletedWaveIsNotRepeated restarts the core after a wave was reported as
-// completed.
+// TestCompletedWaveIsNotRepeated guards against a new core that carries out a
+// wave that a previous one has completed.
 func TestCompletedWaveIsNotRepeated(t *testing.T) {
 	is := is.New(t)
 	si := newSite(2, 1, 0)
