Rename vague identifiers of package domain

Some names had two meanings or differed from the setting that they hold. waitingCount counted units in jobs and jobs in commits, now waitingUnits and waitingJobs, counted by countWaitingJobs. A unit whose class is late is now found by isLate instead of infeasible. minMoveRunTime has the name of the setting, and minSuspension that of its counterpart in package sched.

--- a/internal/domain/commit.go
+++ b/internal/domain/commit.go
@@ -18,9 +18,9 @@
 	dirty          []*job // in the order of their first change
 	dirtySet       map[*job]bool
 	urgent         bool           // a start waits for the next commit
-	waitingCounts  map[string]int // as last written, by queue; see countWaiting
+	waitingJobs    map[string]int // as last written, by queue; see countWaitingJobs
 	evacuatedTasks map[string]int // as last written, by evacuated availability zone
-	countedAt      time.Time      // when countWaiting last counted
+	countedAt      time.Time      // when countWaitingJobs last counted
 }
 
 // jobVersion is the version of a job that a commit writes.
@@ -31,7 +31,7 @@
 
 func newCommitQueue() commitQueue {
 	return commitQueue{
-		inFlight: map[int64][]jobVersion{}, inFlightJobs: map[*job]bool{}, dirtySet: map[*job]bool{}, waitingCounts: map[string]int{},
+		inFlight: map[int64][]jobVersion{}, inFlightJobs: map[*job]bool{}, dirtySet: map[*job]bool{}, waitingJobs: map[string]int{},
 	}
 }
 
@@ -58,7 +58,7 @@
 	if !cq.canCommit() || now.Sub(cq.lastCommit) < co.commitInterval() {
 		return
 	}
-	cm := Commit{Backlog: co.countWaiting(now)}
+	cm := Commit{Backlog: co.countWaitingJobs(now)}
 	next := cq.nextBatch()
 	versions := make([]jobVersion, len(next))
 	for i, jb := range next {
@@ -128,11 +128,11 @@
 	}
 }
 
-// countWaiting returns the number of jobs of each queue that have not begun, and
-// the tasks left in evacuated zones. It returns nil if neither has changed, or
-// if waitingCountInterval has not passed since the last count. Jobs with a
+// countWaitingJobs returns the number of jobs of each queue that have not begun,
+// and the tasks left in evacuated zones. It returns nil if neither has changed,
+// or if waitingCountInterval has not passed since the last count. Jobs with a
 // schedule, and those accepted less than waitingCountInterval ago, don't count.
-func (co *Core) countWaiting(now time.Time) *batch.Backlog {
+func (co *Core) countWaitingJobs(now time.Time) *batch.Backlog {
 	if now.Sub(co.commits.countedAt) < waitingCountInterval {
 		return nil
 	}
@@ -144,9 +144,9 @@
 			counts[jb.Queue.Name]++
 		}
 	}
-	if maps.Equal(counts, co.commits.waitingCounts) && maps.Equal(left, co.commits.evacuatedTasks) {
+	if maps.Equal(counts, co.commits.waitingJobs) && maps.Equal(left, co.commits.evacuatedTasks) {
 		return nil
 	}
-	co.commits.waitingCounts, co.commits.evacuatedTasks = counts, left
+	co.commits.waitingJobs, co.commits.evacuatedTasks = counts, left
 	return &batch.Backlog{At: now, Queues: counts, Evacuating: left}
 }
--- a/internal/domain/detector.go
+++ b/internal/domain/detector.go
@@ -39,9 +39,9 @@
 )
 
 const (
-	// suspension is the length of the first suspension. It doubles with each
+	// minSuspension is the length of the first suspension. It doubles with each
 	// further one, up to maxSuspension.
-	suspension    = 4 * time.Second
+	minSuspension = 4 * time.Second
 	maxSuspension = 16 * time.Second
 	// stableTime is the time in service after which a worker's next suspension
 	// is as short as the first one.
@@ -165,7 +165,7 @@
 		he.suspensions = 0
 	}
 	he.state = suspended
-	he.suspendedUntil = now.Add(min(maxSuspension, suspension<<min(he.suspensions, 4)))
+	he.suspendedUntil = now.Add(min(maxSuspension, minSuspension<<min(he.suspensions, 4)))
 	he.suspensions++
 	co.passDue = true
 	co.emit(LogDecision{Decision: "suspects", Worker: nd.worker.ID, Reason: he.describe(now)})
@@ -253,7 +253,7 @@
 			continue
 		}
 		he := &nd.health
-		he.suspected = counts.failuresCorrelated(nd) && now.Sub(he.lastSuccess) > suspension
+		he.suspected = counts.failuresCorrelated(nd) && now.Sub(he.lastSuccess) > minSuspension
 		if he.suspected {
 			co.detector.impairedServices[nd.worker.Service] = true
 		}
@@ -283,8 +283,8 @@
 
 // recordNodeFailure records a failure that can't be caused by a job against a
 // worker, and adds the given amount to its score.
-func (co *Core) recordNodeFailure(now time.Time, nd *node, score float64) {
-	nd.health.setScore(now, nd.health.scoreAt(now)+score)
+func (co *Core) recordNodeFailure(now time.Time, nd *node, amount float64) {
+	nd.health.setScore(now, nd.health.scoreAt(now)+amount)
 	co.detector.withEvidence[nd] = true
 	co.detector.due = true
 }
--- a/internal/domain/evac.go
+++ b/internal/domain/evac.go
@@ -17,9 +17,9 @@
 
 	// evacuationState holds the settings and the last report of evacuations.
 	evacuationState struct {
-		minRemaining time.Duration // see Config.MinMoveRunTime
-		reported     []ZoneStatus  // the last report
-		reportedAt   time.Time
+		minMoveRunTime time.Duration // see Config.MinMoveRunTime
+		reported       []ZoneStatus  // the last report
+		reportedAt     time.Time
 	}
 )
 
@@ -101,7 +101,7 @@
 			continue
 		}
 		for _, ru := range nd.sortedRuns() {
-			if un := ru.unit; un != nil && un.mayMove(ps.now, co.evacuation.minRemaining) && co.moveUnit(ps, un) {
+			if un := ru.unit; un != nil && un.mayMove(ps.now, co.evacuation.minMoveRunTime) && co.moveUnit(ps, un) {
 				co.passDue = true // to move the next one
 				return
 			}
@@ -111,16 +111,16 @@
 
 // mayMove reports whether a unit may be moved out of its zone now. An
 // evacuation has no deadline, so only work that loses little is moved: work
-// with a fresh checkpoint and more than minRemaining left to run, and
+// with a fresh checkpoint and more than minMoveRunTime left to run, and
 // long-running work within its disruption limit (MaxUnavailable).
-func (un *unit) mayMove(now time.Time, minRemaining time.Duration) bool {
+func (un *unit) mayMove(now time.Time, minMoveRunTime time.Duration) bool {
 	switch {
 	case un.phase != live, un.guaranteed, !un.allRunning():
 		return false
 	case un.step.LongRunning:
 		return now.Sub(un.moveFailedAt) >= moveRetryInterval && (un.step.MaxUnavailable == 0 || un.job.unavailableTasks(un)+un.tasks <= un.step.MaxUnavailable)
 	default:
-		return un.step.Checkpoints && !un.checkpointAt.IsZero() && now.Sub(un.checkpointAt) <= checkpointFreshness && un.remainingTime(now) > minRemaining
+		return un.step.Checkpoints && !un.checkpointAt.IsZero() && now.Sub(un.checkpointAt) <= checkpointFreshness && un.remainingTime(now) > minMoveRunTime
 	}
 }
 
--- a/internal/domain/evac_test.go
+++ b/internal/domain/evac_test.go
@@ -14,11 +14,11 @@
 	"github.com/cicadawharf/cicadawharf/internal/runner"
 )
 
-// minRemaining is the remaining run time above which work is moved out of an
+// minMoveRunTime is the remaining run time above which work is moved out of an
 // evacuated zone, and maxEvacuationDelay the time after which no start may be
 // sent there.
 const (
-	minRemaining       = 3 * time.Second
+	minMoveRunTime     = 3 * time.Second
 	maxEvacuationDelay = 50 * time.Millisecond
 )
 
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -18,7 +18,7 @@
 		criticalPath   time.Duration // declared run time of the longest chain of steps
 		stepUnitsLeft  []int         // units not finished, by occurrence and step
 		unitsLeft      int           // units not finished; units of long-running steps (batch.Step.LongRunning) never finish
-		waitingCount   int           // units in phase waiting
+		waitingUnits   int           // units in phase waiting
 		everGuaranteed bool          // some unit counts or has counted against the guarantee of the workspace
 		currentQueue   batch.Queue   // the queue as of queuePolicy
 		queuePolicy    *batch.Policy // the policy that currentQueue was read from
@@ -92,7 +92,7 @@
 		}
 	}
 	jo.unitsLeft = len(jo.units)
-	jo.waitingCount = len(jo.units)
+	jo.waitingUnits = len(jo.units)
 	return jo
 }
 
@@ -349,10 +349,10 @@
 // setPhase sets the phase of a unit.
 func (un *unit) setPhase(ph unitPhase) {
 	if un.phase == waiting {
-		un.job.waitingCount--
+		un.job.waitingUnits--
 	}
 	if ph == waiting {
-		un.job.waitingCount++
+		un.job.waitingUnits++
 	}
 	un.phase = ph
 }
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -51,7 +51,7 @@
 	now := ps.now
 	used := co.guaranteeUsage()
 	for _, jb := range co.arrivals {
-		if jb.state.Final() || jb.waitingCount == 0 {
+		if jb.state.Final() || jb.waitingUnits == 0 {
 			continue
 		}
 		qu := co.queueOf(jb)
@@ -142,7 +142,7 @@
 	switch {
 	case un.step.LongRunning:
 		return classTimely
-	case un.infeasible(now):
+	case un.isLate(now):
 		return classLate
 	case !un.job.begun && now.Add(un.step.RunTime).After(un.deadline()):
 		return classOverdue
@@ -201,9 +201,9 @@
 	}
 }
 
-// infeasible reports whether a unit started now would end after its job has
+// isLate reports whether a unit started now would end after its job has
 // lost all value.
-func (un *unit) infeasible(now time.Time) bool {
+func (un *unit) isLate(now time.Time) bool {
 	objective := un.deadline().Sub(un.objectiveStart())
 	return now.Add(un.step.RunTime).After(un.objectiveStart().Add(noValueFactor * objective))
 }
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -207,7 +207,7 @@
 // or continues without the store if it is partitioned.
 func (sim *simulation) elect() *leader {
 	sim.token += 10
-	cf := domain.Config{Token: sim.token, Policy: sim.policy, EvacuatedZones: sim.evacuated, MinMoveRunTime: minRemaining, FairShares: sim.fairShares}
+	cf := domain.Config{Token: sim.token, Policy: sim.policy, EvacuatedZones: sim.evacuated, MinMoveRunTime: minMoveRunTime, FairShares: sim.fairShares}
 	for _, id := range sim.accepted {
 		cf.Jobs = append(cf.Jobs, sim.jobs[id])
 		if _, ok := sim.cancelled[id]; ok {
--- a/internal/domain/trust.go
+++ b/internal/domain/trust.go
@@ -74,7 +74,7 @@
 			return notSuspectedFirst
 		}
 		return notAvoidedFirst
-	case un.infeasible(ps.now):
+	case un.isLate(ps.now):
 		// The job has no value any more, so the last attempt does not wait.
 		return provenFirst
 	}
