Rename the reservations of unused units in package place

The field unitWorkers of the fleet held the reservations of unused units only, while the exported UnitWorkers of a gang or decision holds the workers of the unit in use. The field is now named reservations, and its comment says that a used unit has no entry. The list of workers with enough capacity in fitZone is no longer named all, and the simulation's share of usable accelerators no longer fragmentation, which is its opposite.

--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -146,7 +146,7 @@
 func (fl *Fleet) unitCandidates(rq Request, unit int) [][]int {
 	var out [][]int
 	avoided := func(at int) bool { return slices.Contains(rq.Avoid, fl.workers[at].Name) }
-	if workers := fl.unitWorkers[unit]; workers != nil && !slices.ContainsFunc(workers, avoided) {
+	if workers := fl.reservations[unit]; workers != nil && !slices.ContainsFunc(workers, avoided) {
 		out = append(out, workers)
 	} else {
 		out = append(out, nil)
--- a/internal/place/fit.go
+++ b/internal/place/fit.go
@@ -111,13 +111,13 @@
 
 // fitZone places a gang on workers of the whole zone.
 func (fl *Fleet) fitZone(fc freeCapacity, sh spec.Shape) ([]int, bool) {
-	all := make([]int, 0, len(fl.workers))
+	ats := make([]int, 0, len(fl.workers))
 	for at := range fl.workers {
 		if fc.taskCount(at, sh.Accelerators) > 0 {
-			all = append(all, at)
+			ats = append(ats, at)
 		}
 	}
-	return fill(fc, sh, all)
+	return fill(fc, sh, ats)
 }
 
 // fill assigns tasks to workers, those with the least free capacity first, so
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -71,7 +71,7 @@
 		gangs            map[string]Gang
 		jobsOn           [][]string     // IDs of the jobs on each worker
 		unitUsed         []bool         // by unit
-		unitWorkers      [][]int        // reservation by unit; nil if there is none
+		reservations     [][]int        // by unit; nil if it is used or has none
 		free             freeCapacity   // not used by any gang
 		reclaimable      freeCapacity   // free, or used by preemptible gangs outside the reservations of used units
 		unreserved       freeCapacity   // reclaimable, without the reservations of unused units
@@ -95,15 +95,15 @@
 // same guarantee as long as the declarations don't change.
 func NewFleet(workers []Worker, units []Unit) *Fleet {
 	fl := &Fleet{
-		workers:     workers,
-		units:       units,
-		gangs:       map[string]Gang{},
-		jobsOn:      make([][]string, len(workers)),
-		unitUsed:    make([]bool, len(units)),
-		unitWorkers: make([][]int, len(units)),
-		reserveDue:  true,
-		usage:       map[string]int{},
-		rackOf:      make([]int, len(workers)),
+		workers:      workers,
+		units:        units,
+		gangs:        map[string]Gang{},
+		jobsOn:       make([][]string, len(workers)),
+		unitUsed:     make([]bool, len(units)),
+		reservations: make([][]int, len(units)),
+		reserveDue:   true,
+		usage:        map[string]int{},
+		rackOf:       make([]int, len(workers)),
 	}
 	rackIndex := map[string]int{}
 	for i, wo := range workers {
@@ -253,7 +253,7 @@
 			continue
 		}
 		unused++
-		if fl.unitWorkers[i] != nil {
+		if fl.reservations[i] != nil {
 			reserved++
 		}
 	}
--- a/internal/place/simulate_test.go
+++ b/internal/place/simulate_test.go
@@ -56,7 +56,7 @@
 	// urgent ones.
 	simResult struct {
 		small, large, urgent []float64
-		fragmentation        float64 // share of the free accelerators that the largest waiting gang could use
+		usableShare          float64 // share of the free accelerators that the largest waiting gang could use
 		unfinished           int     // jobs that have not ended
 	}
 )
@@ -271,9 +271,9 @@
 			rs.urgent = append(rs.urgent, jb.firstStart.Sub(jb.Submitted).Hours())
 		}
 	}
-	rs.fragmentation = 1
+	rs.usableShare = 1
 	if sm.free > 0 {
-		rs.fragmentation = float64(sm.usable) / float64(sm.free)
+		rs.usableShare = float64(sm.usable) / float64(sm.free)
 	}
 	return rs
 }
@@ -305,7 +305,7 @@
 		for name, rs := range map[string]simResult{"full": full, "firstFit": base} {
 			t.Logf("seed=%d policy=%s smallMean=%.2fh smallP95=%.2fh largeMean=%.2fh largeP95=%.2fh urgentWaitMean=%.3fh usable=%.3f unfinished=%d",
 				simSeed+seed, name, mean(rs.small), quantile(rs.small, 0.95), mean(rs.large), quantile(rs.large, 0.95),
-				mean(rs.urgent), rs.fragmentation, rs.unfinished)
+				mean(rs.urgent), rs.usableShare, rs.unfinished)
 		}
 		is.Equal(full.unfinished, 0)                      // no job starves
 		is.True(mean(full.small) < mean(base.small))      // small jobs end sooner
--- a/internal/place/units.go
+++ b/internal/place/units.go
@@ -30,7 +30,7 @@
 	fl.unitUsed[ga.Unit] = false
 	fl.reclaimable.adjust(ga.UnitWorkers, sh.Accelerators, 1)
 	if len(ga.UnitWorkers) == sh.Tasks && fl.allUsable(ga.UnitWorkers) {
-		fl.unitWorkers[ga.Unit] = ga.UnitWorkers
+		fl.reservations[ga.Unit] = ga.UnitWorkers
 		return
 	}
 	fl.unreserved.adjust(ga.UnitWorkers, sh.Accelerators, 1)
@@ -71,9 +71,9 @@
 
 // dropReservation removes the reservation of an unused unit.
 func (fl *Fleet) dropReservation(unit int) {
-	if workers := fl.unitWorkers[unit]; workers != nil {
+	if workers := fl.reservations[unit]; workers != nil {
 		fl.unreserved.adjust(workers, fl.units[unit].Shape.Accelerators, 1)
-		fl.unitWorkers[unit] = nil
+		fl.reservations[unit] = nil
 	}
 }
 
@@ -82,7 +82,7 @@
 func (fl *Fleet) reassignOvercommitted() {
 	for at := range fl.workers {
 		if fl.unreserved.accelerators[at] < 0 || fl.unreserved.tasks[at] < 0 {
-			fl.unitWorkers = fl.reassignUnits(fl.reclaimable, NoUnit)
+			fl.reservations = fl.reassignUnits(fl.reclaimable, NoUnit)
 			fl.recomputeUnreserved()
 			return
 		}
@@ -93,7 +93,7 @@
 // capacity and the reservations.
 func (fl *Fleet) recomputeUnreserved() {
 	fl.unreserved = fl.reclaimable.clone()
-	for i, workers := range fl.unitWorkers {
+	for i, workers := range fl.reservations {
 		fl.unreserved.adjust(workers, fl.units[i].Shape.Accelerators, -1)
 		if workers == nil && !fl.unitUsed[i] {
 			fl.reserveDue = true
@@ -111,7 +111,7 @@
 	fl.reserveDue = false
 	lacking := 0
 	for _, ui := range fl.reservationOrder {
-		if fl.unitUsed[ui] || fl.unitWorkers[ui] != nil {
+		if fl.unitUsed[ui] || fl.reservations[ui] != nil {
 			continue
 		}
 		sh := fl.units[ui].Shape
@@ -120,14 +120,14 @@
 			lacking++
 			continue
 		}
-		fl.unitWorkers[ui] = workers
+		fl.reservations[ui] = workers
 		fl.unreserved.adjust(workers, sh.Accelerators, -1)
 	}
 	if lacking == 0 {
 		return
 	}
-	if reassigned := fl.reassignUnits(fl.reclaimable, NoUnit); countReserved(reassigned) > countReserved(fl.unitWorkers) {
-		fl.unitWorkers = reassigned
+	if reassigned := fl.reassignUnits(fl.reclaimable, NoUnit); countReserved(reassigned) > countReserved(fl.reservations) {
+		fl.reservations = reassigned
 		fl.recomputeUnreserved()
 		fl.reserveDue = false
 	}
@@ -158,14 +158,14 @@
 func (fl *Fleet) keepsGuarantees(sh spec.Shape, workers []int, skip int) bool {
 	unreserved := fl.unreserved.clone()
 	if skip != NoUnit {
-		unreserved.adjust(fl.unitWorkers[skip], fl.units[skip].Shape.Accelerators, 1)
+		unreserved.adjust(fl.reservations[skip], fl.units[skip].Shape.Accelerators, 1)
 	}
 	unreserved.adjust(workers, sh.Accelerators, -1)
 	if !unreserved.overcommitted(workers) {
 		return true
 	}
-	before := countReserved(fl.unitWorkers)
-	if skip != NoUnit && fl.unitWorkers[skip] != nil {
+	before := countReserved(fl.reservations)
+	if skip != NoUnit && fl.reservations[skip] != nil {
 		before--
 	}
 	reclaimable := fl.reclaimable.clone()
@@ -176,10 +176,10 @@
 	return countReserved(fl.reassignUnits(reclaimable, skip)) >= before
 }
 
-// countReserved counts the units that have a reservation.
-func countReserved(unitWorkers [][]int) int {
+// countReserved counts the unused units that have a reservation.
+func countReserved(reservations [][]int) int {
 	n := 0
-	for _, workers := range unitWorkers {
+	for _, workers := range reservations {
 		if workers != nil {
 			n++
 		}
