Rename identifiers with two meanings in package sched

The number of changes of a job is its version, as in package domain, so that revision means only that of the store. The key of jobs that are placed alike is named fitKey, also as in domain; the word class is left for run times.

--- a/internal/sched/adopt.go
+++ b/internal/sched/adopt.go
@@ -46,7 +46,7 @@
 		tasks := co.tasksOf(jb, attempt, epoch)
 		if !slices.ContainsFunc(tasks, func(ta jobs.Task) bool { return ta.Worker == "" }) {
 			jb.rec.Tasks = tasks
-			jb.rec.Started = jb.begunAt
+			jb.rec.Started = jb.beganAt
 			jb.rec = jb.rec.WithState(jobs.Starting)
 			jb.reserved = slices.Repeat([]bool{true}, len(tasks))
 			jb.succeeded = make([]bool, len(tasks))
--- a/internal/sched/bucket.go
+++ b/internal/sched/bucket.go
@@ -26,8 +26,8 @@
 
 // snapshot is a record as contained in a write.
 type snapshot struct {
-	rec      jobs.Record
-	revision int // of the job when the write was sent
+	rec     jobs.Record
+	version int // of the job when the write was sent
 }
 
 // retryAfter is the retry delay given to callers whose request may succeed later.
@@ -40,7 +40,7 @@
 
 // markUnsaved notes that the job's record has changed and has to be written.
 func (co *Core) markUnsaved(jb *job) {
-	jb.revision++
+	jb.version++
 	co.buckets[jb.bucket].writeDue = true
 }
 
@@ -52,7 +52,7 @@
 
 // isSaved reports whether the store has the current record. A change of only the
 // detail of why a job waits is ignored, as it doesn't justify a write.
-func (jb *job) isSaved() bool { return jb.saved.ID != "" && jb.savedRevision == jb.revision }
+func (jb *job) isSaved() bool { return jb.saved.ID != "" && jb.savedVersion == jb.version }
 
 // HasUnsaved reports whether any change may not be in the store yet.
 func (co *Core) HasUnsaved() bool {
@@ -72,7 +72,7 @@
 		bu.sent = map[string]snapshot{}
 		for id, jb := range co.jobs {
 			if jb.bucket == i {
-				bu.sent[id] = snapshot{jb.rec, jb.revision}
+				bu.sent[id] = snapshot{jb.rec, jb.version}
 			}
 		}
 		rcs := make([]jobs.Record, 0, len(bu.sent))
@@ -128,7 +128,7 @@
 		rc := sn.rec
 		ended := rc.State == jobs.Ended && jb.saved.State != jobs.Ended
 		jb.saved = rc
-		jb.savedRevision = sn.revision
+		jb.savedVersion = sn.version
 		co.markChanged(id)
 		co.answerSaved(jb)
 		if ended {
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -47,14 +47,14 @@
 	job struct {
 		rec              jobs.Record
 		saved            jobs.Record // record in the store; its ID is empty if there is none
-		revision         int         // number of changes of rec
-		savedRevision    int         // revision of saved
+		version          int         // number of changes of rec
+		savedVersion     int         // version of saved
 		bucket           int
 		fromEarlierEpoch bool              // loaded from the store; this core has neither begun nor ended an attempt since
 		reserved         []bool            // by task: its worker has made the reservation
 		succeeded        []bool            // tasks known to have succeeded, also after a restart of their worker
 		startSent        bool              // commands to start tasks were sent
-		begunAt          time.Time         // start of the attempt, or of this core for an attempt of an earlier one
+		beganAt          time.Time         // start of the attempt, or of this core for an attempt of an earlier one
 		startDeadline    time.Time         // for the start of all tasks
 		cause            cause             // why the attempt is stopped
 		unit             int               // index of the guaranteed unit in use, or place.NoUnit
@@ -118,7 +118,7 @@
 		for i := range jb.reserved {
 			jb.reserved[i] = true
 		}
-		jb.begunAt = now
+		jb.beganAt = now
 		jb.startDeadline = now.Add(takeoverTimeout + startTimeout)
 		if rc.State == jobs.Stopping {
 			jb.cause = cause{requeue: true, detail: "was being stopped when the leadership changed"}
--- a/internal/sched/core_test.go
+++ b/internal/sched/core_test.go
@@ -221,13 +221,13 @@
 	is.True(rus[0].Started.Sub(begin) < 4900*time.Millisecond)
 	mine, _ := sim.record("z1.mine")
 	is.True(mine.Waited > 0 && mine.Waited < 4900*time.Millisecond)
-	var reclaimed time.Duration
+	var preempted time.Duration
 	for i := range 8 {
 		rc, _ := sim.record(fmt.Sprintf("z1.fill%d", i))
-		reclaimed += rc.PreemptedTime
+		preempted += rc.PreemptedTime
 		is.True(rc.PreemptedTime == 0 || rc.PreemptedTime == rc.AcceleratorTime)
 	}
-	is.True(reclaimed >= 4*8*time.Second) // four workers of eight accelerators, for at least a second
+	is.True(preempted >= 4*8*time.Second) // four workers of eight accelerators, for at least a second
 }
 
 // TestRandomFaults injects random faults and then ends them. Every job must end,
--- a/internal/sched/faults_test.go
+++ b/internal/sched/faults_test.go
@@ -12,9 +12,9 @@
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
-// stepFault is a fault to be injected at any step, with the codes that are
-// allowed for the job afterwards.
-type stepFault struct {
+// faultCase is a fault to be injected at any point of a job's life, with the
+// codes that are allowed for the job afterwards.
+type faultCase struct {
 	name          string
 	inject        func(sim *simulation)
 	duration      time.Duration // until it is ended by heal; zero if it needs no end
@@ -27,7 +27,7 @@
 	interrupted = []codes.Code{codes.JobDone, codes.AttemptLost, codes.AttemptsUsed}
 	cancelled   = []codes.Code{codes.JobDone, codes.JobCancelled, codes.CancelledUnstarted, codes.CancelledInDoubt}
 
-	stepFaults = []stepFault{
+	faultCases = []faultCase{
 		{"host killed", func(sim *simulation) {
 			sim.current().stopped = true
 			sim.after(2*time.Second, func() { sim.takeOver() })
@@ -76,8 +76,9 @@
 	sim.after(6*time.Second, func() { sim.resume(old) })
 }
 
-// stepOf returns the step at which the job is when a fault is injected.
-func stepOf(sim *simulation) string {
+// lifecyclePoint returns the point of its life that the job has reached when a
+// fault is injected.
+func lifecyclePoint(sim *simulation) string {
 	rc, ok := sim.current().core.Get("z1.a")
 	if !ok {
 		return "submit"
@@ -96,16 +97,16 @@
 // invariant may be violated, and the job must end with a code that the fault
 // allows.
 func TestEveryFaultAtEveryStep(t *testing.T) {
-	for i, sf := range stepFaults {
+	for i, fc := range faultCases {
 		for _, repeatable := range []bool{true, false} {
-			t.Run(fmt.Sprintf("%s/repeatable=%v", sf.name, repeatable), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%s/repeatable=%v", fc.name, repeatable), func(t *testing.T) {
 				t.Parallel()
 				seen := map[string]int{}
-				for events := i % *stride; faultAtStep(t, sf, repeatable, events, seen); events += *stride {
+				for events := i % *stride; runWithFault(t, fc, repeatable, events, seen); events += *stride {
 				}
-				for _, step := range []string{"submit", "queued", "starting", "start", "running", "ended"} {
-					if seen[step] == 0 {
-						t.Errorf("no fault was injected at step %s: %v", step, seen)
+				for _, point := range []string{"submit", "queued", "starting", "start", "running", "ended"} {
+					if seen[point] == 0 {
+						t.Errorf("no fault was injected at step %s: %v", point, seen)
 					}
 				}
 			})
@@ -113,9 +114,9 @@
 	}
 }
 
-// faultAtStep runs one job and injects the fault after a number of events. It
+// runWithFault runs one job and injects the fault after a number of events. It
 // returns false if the job had ended before.
-func faultAtStep(t *testing.T, sf stepFault, repeatable bool, events int, seen map[string]int) bool {
+func runWithFault(t *testing.T, fc faultCase, repeatable bool, events int, seen map[string]int) bool {
 	t.Helper()
 	sim := newSimulation(2, small)
 	sim.run(time.Second)
@@ -124,30 +125,30 @@
 	sp.Repeatable = repeatable
 	rid := sim.submit(sp)
 	sim.runEvents(events)
-	step := stepOf(sim)
-	seen[step]++
-	sf.inject(sim)
-	if sf.duration > 0 {
-		sim.after(sf.duration, func() { sim.heal(0) })
+	point := lifecyclePoint(sim)
+	seen[point]++
+	fc.inject(sim)
+	if fc.duration > 0 {
+		sim.after(fc.duration, func() { sim.heal(0) })
 	}
 	sim.run(90 * time.Second)
 	sim.heal(30 * time.Second)
 	if violations := sim.checkInvariants(); len(violations) > 0 {
-		t.Fatalf("after %d events, at step %s: %v", events, step, violations[0])
+		t.Fatalf("after %d events, at step %s: %v", events, point, violations[0])
 	}
-	checkStepEnd(t, sim, sf, repeatable, rid, fmt.Sprintf("after %d events, at step %s", events, step))
+	checkFaultEnd(t, sim, fc, repeatable, rid, fmt.Sprintf("after %d events, at step %s", events, point))
 	rc, ok := sim.record("z1.a")
-	return !ok || step != jobs.Ended.String() || rc.State != jobs.Ended
+	return !ok || point != jobs.Ended.String() || rc.State != jobs.Ended
 }
 
-// checkStepEnd checks the job's code against those that the fault allows. A job
+// checkFaultEnd checks the job's code against those that the fault allows. A job
 // may be missing if it was refused, or if its caller was told that the outcome
 // is unknown.
-func checkStepEnd(t *testing.T, sim *simulation, sf stepFault, repeatable bool, rid sched.RequestID, where string) {
+func checkFaultEnd(t *testing.T, sim *simulation, fc faultCase, repeatable bool, rid sched.RequestID, where string) {
 	t.Helper()
-	allowed := sf.notRepeatable
+	allowed := fc.notRepeatable
 	if repeatable {
-		allowed = sf.repeatable
+		allowed = fc.repeatable
 	}
 	rc, ok := sim.record("z1.a")
 	an, answered := sim.answers[rid]
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -82,7 +82,7 @@
 
 // reserveGang queues commands for the missing reservations.
 func (co *Core) reserveGang(now time.Time, jb *job, tl tally) {
-	if !jb.fromEarlierEpoch && now.Sub(jb.begunAt) > reserveTimeout {
+	if !jb.fromEarlierEpoch && now.Sub(jb.beganAt) > reserveTimeout {
 		co.stop(jb, cause{requeue: true, detail: "not every worker made its reservation in time"})
 		return
 	}
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -12,11 +12,11 @@
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
 
-// requestClass identifies jobs that are placed alike, so that once one of them
+// fitKey identifies jobs that are placed alike, so that once one of them
 // can't be placed, the others are skipped in the same pass. Of the workers to be
 // avoided only the number is compared: a job that avoids other workers may be
 // skipped as well, until a later pass.
-type requestClass struct {
+type fitKey struct {
 	workspace   string
 	shape       spec.Shape
 	priority    jobs.Priority
@@ -31,7 +31,7 @@
 	if co.fleet == nil {
 		co.buildFleet(now)
 	}
-	reasons := map[requestClass]place.WaitReason{}
+	reasons := map[fitKey]place.WaitReason{}
 	qu := place.NewQueue(now, co.fleet, co.weight, co.placeable(now))
 	for {
 		qj, aged, ok := qu.Next()
@@ -71,26 +71,26 @@
 }
 
 // placeOne tries to place a job. It returns why the job waits, or an empty
-// reason if it is placed or preempts others. The reasons are those of the classes
+// reason if it is placed or preempts others. The reasons are those of the keys
 // that could not be placed in this pass.
-func (co *Core) placeOne(now time.Time, jb *job, aged bool, reasons map[requestClass]place.WaitReason) place.WaitReason {
-	rcl := requestClass{jb.rec.Workspace, jb.rec.CurrentStep().Shape, jb.rec.Priority, jb.rec.Preemptible(), len(jb.avoid), aged, bits.Len64(uint64(co.runTimes.expect(jb.rec)))}
-	if reason, ok := reasons[rcl]; ok {
+func (co *Core) placeOne(now time.Time, jb *job, aged bool, reasons map[fitKey]place.WaitReason) place.WaitReason {
+	key := fitKey{jb.rec.Workspace, jb.rec.CurrentStep().Shape, jb.rec.Priority, jb.rec.Preemptible(), len(jb.avoid), aged, bits.Len64(uint64(co.runTimes.expect(jb.rec)))}
+	if reason, ok := reasons[key]; ok {
 		jb.rec = jb.rec.WithDetail(string(reason))
 		return reason
 	}
 	ws, ok := co.decl.Workspace(jb.rec.Workspace)
 	if !ok {
-		return co.recordWait(jb, rcl, reasons, waitsForWorkspace)
+		return co.recordWait(jb, key, reasons, waitsForWorkspace)
 	}
 	if ws.Quota > 0 && co.fleet.Usage(ws.Name)+jb.rec.CurrentStep().Shape.Total() > ws.Quota {
-		return co.recordWait(jb, rcl, reasons, waitsForQuota)
+		return co.recordWait(jb, key, reasons, waitsForQuota)
 	}
 	if !jb.rec.Repeatable && co.buckets[jb.bucket].failing {
 		jb.rec = jb.rec.WithDetail(string(waitsForStore))
 		return waitsForStore
 	}
-	return co.decide(now, jb, co.request(now, jb, aged), rcl, reasons)
+	return co.decide(now, jb, co.request(now, jb, aged), key, reasons)
 }
 
 // The reasons for waiting that are independent of free capacity.
@@ -101,7 +101,7 @@
 )
 
 // decide has the fleet decide on a request, and carries the decision out.
-func (co *Core) decide(now time.Time, jb *job, rq place.Request, rcl requestClass, reasons map[requestClass]place.WaitReason) place.WaitReason {
+func (co *Core) decide(now time.Time, jb *job, rq place.Request, key fitKey, reasons map[fitKey]place.WaitReason) place.WaitReason {
 	switch de := co.fleet.Decide(now, rq).(type) {
 	case place.Placed:
 		co.startAttempt(now, jb, placement{de.Workers, de.Unit, de.UnitWorkers}, de)
@@ -114,7 +114,7 @@
 		if !co.fleet.Fits(jb.rec.CurrentStep().Shape) {
 			reason = place.NeverFits
 		}
-		return co.recordWait(jb, rcl, reasons, reason)
+		return co.recordWait(jb, key, reasons, reason)
 	}
 	return ""
 }
@@ -128,10 +128,10 @@
 	}
 }
 
-// recordWait records why a job waits, for the job and for those of its class, and
+// recordWait records why a job waits, for the job and for those with its key, and
 // logs the reason if it has changed. It returns the reason.
-func (co *Core) recordWait(jb *job, rcl requestClass, reasons map[requestClass]place.WaitReason, reason place.WaitReason) place.WaitReason {
-	reasons[rcl] = reason
+func (co *Core) recordWait(jb *job, key fitKey, reasons map[fitKey]place.WaitReason, reason place.WaitReason) place.WaitReason {
+	reasons[key] = reason
 	if jb.rec.Detail != string(reason) {
 		jb.rec = jb.rec.WithDetail(string(reason))
 		co.logDecision(jb, "waits", string(reason))
@@ -167,7 +167,7 @@
 	jb.unitWorkers = pl.unitWorkers
 	jb.fromEarlierEpoch = false
 	jb.startSent = false
-	jb.begunAt = now
+	jb.beganAt = now
 	jb.startDeadline = now.Add(reserveTimeout + startTimeout)
 	jb.reserved = make([]bool, len(tasks))
 	jb.succeeded = make([]bool, len(tasks))
