Complete comments of package domain where a reader has to stop

Some comments said less than the code does or could be read in two ways: what a placement pass includes, whose leases expire, that a failure on probation suspends a worker again, which of two hang timeouts applies, and that an entitlement is the fair share. They now say it. The heads of two tests name the failures that they guard against in full sentences.

--- a/internal/domain/advise.go
+++ b/internal/domain/advise.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// requestAdvice requests advice about the workers with the most free capacity
-// for which none is known.
+// requestAdvice requests advice about workers that are not known to be allowed or
+// refused, those with the most free capacity first.
 func (co *Core) requestAdvice(ps *pass, un *unit, ad *advice) {
 	if ad.inFlight || co.adviceCalls >= maxAdviceCalls || ps.now.Before(ad.notBefore) {
 		return
--- a/internal/domain/backlog.go
+++ b/internal/domain/backlog.go
@@ -7,7 +7,8 @@
 )
 
 type (
-	// Backlog sums up the waiting units of one queue and class.
+	// Backlog sums up the waiting units of one queue and class. The backlog in the
+	// store, batch.Backlog, counts jobs instead.
 	Backlog struct {
 		Queue        string
 		Class        string // assured (within a guarantee), timely, overdue or late
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -16,7 +16,7 @@
 		Token          int64 // fencing token (the epoch in package sched); larger than that of every earlier term
 		Policy         *batch.Policy
 		Jobs           []batch.Job
-		Cancelled      []string
+		Cancelled      []string // IDs of the jobs whose cancellation was requested
 		Records        []batch.Record
 		Workers        []runner.Worker
 		EvacuatedZones []string // availability zones to be evacuated
--- a/internal/domain/detector.go
+++ b/internal/domain/detector.go
@@ -245,8 +245,8 @@
 }
 
 // suspectCorrelated marks workers without evidence of their own as suspected if
-// failures are correlated in their rack or zone, unless they have succeeded
-// recently.
+// failures are correlated in their rack or zone, unless an attempt there has
+// succeeded within minSuspension.
 func (co *Core) suspectCorrelated(now time.Time, counts locationCounts) {
 	for _, nd := range co.sortedNodes {
 		if co.detector.withEvidence[nd] {
@@ -261,7 +261,8 @@
 }
 
 // recordFailure records the failure of a unit's attempt against a worker, unless
-// its step is considered faulty itself.
+// its step is considered faulty itself. A worker on probation is suspended
+// again.
 func (co *Core) recordFailure(now time.Time, nd *node, un *unit, weight float64) {
 	jb := un.job
 	if jb.isFaultyStep(un.stepIndex) {
--- a/internal/domain/domain_test.go
+++ b/internal/domain/domain_test.go
@@ -282,9 +282,9 @@
 // workers crash, restart and become unreachable, and leaders are killed and
 // partitioned. No invariant is violated, and once the faults are over every job
 // ends. A single seed is run by -run 'RandomFaults/^580$' -domain.seeds 581.
-// Three seeds are always run, since they have found faults: 580 workers reserved
-// for a gang whose last attempt rejects them, 215 and 428 late small work that
-// overtakes late gangs again and again.
+// Three seeds are always run, since they have found faults. With 580, workers
+// were reserved for a gang whose last attempt rejected them; with 215 and 428,
+// late small work overtook late gangs again and again.
 func TestRandomFaults(t *testing.T) {
 	chosen := map[int]bool{}
 	for _, seed := range []int{215, 428, 580} {
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -8,8 +8,8 @@
 )
 
 type (
-	// Event is an input of the core. The types from Configured to Prompted are
-	// all of them.
+	// Event is an input of the core. The types from Configured to Prompted
+	// implement it.
 	Event interface{ event() }
 
 	// Configured replaces the policy in force.
@@ -77,7 +77,7 @@
 	Prompted struct{}
 
 	// Effect is an action for package drive to carry out. The types from Commit
-	// to Resign are all of them.
+	// to Resign implement it.
 	Effect interface{ effect() }
 
 	// Commit writes records to the store. Committed confirms it. Several
@@ -115,7 +115,7 @@
 		Request runner.AdviceRequest
 	}
 
-	// Forget deletes a job from the store that ended more than
+	// Forget deletes from the store a job that ended more than
 	// endedJobRetention ago.
 	Forget struct{ ID string }
 
--- a/internal/domain/fair.go
+++ b/internal/domain/fair.go
@@ -62,8 +62,9 @@
 	return tu
 }
 
-// recountUsage recomputes usage and weights after a change of the policy, which
-// may assign queues to other services.
+// recountUsage recomputes the usage of the tenants after a change of the policy,
+// which may assign queues to other services. The next pass derives the weights
+// anew.
 func (co *Core) recountUsage() {
 	for _, tu := range co.fair.tenants {
 		tu.resources = batch.Resources{}
--- a/internal/domain/faultyworkers_test.go
+++ b/internal/domain/faultyworkers_test.go
@@ -61,7 +61,7 @@
 			sim.fleet.FailShare(ids[i], 0.4)
 		}
 	}},
-	{name: "one kind poisoned", timely: 0.99, inject: func(sim *simulation, _ []string) { sim.failUrgent = true }},
+	{name: "every other urgent job fails", timely: 0.99, inject: func(sim *simulation, _ []string) { sim.failUrgent = true }},
 }
 
 // TestFaultyWorkers replays a load of three kinds of jobs on sets of workers of
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -200,8 +200,9 @@
 	return nd.lastResponse.IsZero() || nd.lastFailure.After(nd.lastResponse)
 }
 
-// expireLeases ends the runs of an unresponsive worker once all of its leases
-// have expired.
+// expireLeases ends the runs of a worker that is unresponsive or no longer listed
+// once all of its leases have expired, and then removes an unlisted worker. The
+// last run of a broken gang may end before that; see endUnreportedMember.
 func (co *Core) expireLeases(now time.Time, nd *node) {
 	if nd.listed && !nd.unresponsive() {
 		return
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -67,7 +67,9 @@
 	}
 }
 
-// placeWaiting places all waiting units that fit, in order.
+// placeWaiting runs a placement pass: it places the units whose claimed capacity
+// is free, then all waiting units that fit, in order, and moves one unit out of
+// the evacuated zones.
 func (co *Core) placeWaiting(now time.Time) {
 	co.placeClaimed(now)
 	ps := newPass(now)
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -275,7 +275,7 @@
 
 // preemptibleBy reports whether a unit yields to another: to work within a
 // guarantee any does, and to other work those of lower priority. A unit that
-// was stopped since it was listed does not.
+// was stopped after victimsOn had listed it does not.
 func (co *Core) preemptibleBy(target, by *unit) bool {
 	if target.phase != live {
 		return false
--- a/internal/domain/progress.go
+++ b/internal/domain/progress.go
@@ -10,7 +10,7 @@
 	// considered hung and stopped.
 	hangTimeout = 3 * time.Second
 	// hangTimeoutShare is the same as a fraction of the declared run time, for
-	// long tasks whose percentage rises slowly.
+	// long tasks whose percentage rises slowly. The longer of the two applies.
 	hangTimeoutShare = 0.04
 )
 
--- a/internal/domain/share.go
+++ b/internal/domain/share.go
@@ -32,8 +32,8 @@
 // are ordered by size.
 const ageOffset = time.Second
 
-// addUsage adds the resources of a run to the usage of its job's queue. A
-// negative amount frees them.
+// addUsage adds the resources of a run to the usage of its job's queue and
+// tenant. A negative amount frees them.
 func (co *Core) addUsage(jb *job, rs batch.Resources) {
 	co.fair.addUsage(co.tenantOf(jb), rs)
 	name := jb.Queue.Name
--- a/internal/domain/trust_test.go
+++ b/internal/domain/trust_test.go
@@ -12,8 +12,8 @@
 
 // TestLastAttemptOfGangIsNotStarved makes a gang of two workers, which has
 // failed twice on one of three, wait while small work runs on another one. It
-// guards against reserving the worker that the gang rejects: then small work
-// followed small work on the third worker, and the gang waited forever.
+// guards against reserving the worker that the gang rejects: one small job after
+// another would then run on the third worker, and the gang would wait forever.
 func TestLastAttemptOfGangIsNotStarved(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(3)
--- a/internal/domain/workspace.go
+++ b/internal/domain/workspace.go
@@ -12,9 +12,9 @@
 type WorkspaceUsage struct {
 	Workspace    string
 	Service      string
-	Entitled     float64 // by weight, among the workspaces with work
+	Entitled     float64 // its fair share: by weight, among the workspaces with work
 	Used         float64
-	Borrowed     float64       // used beyond the entitlement
+	Borrowed     float64       // used beyond Entitled
 	Excess       float64       // usage relative to the fair share, at the service where it is highest; see fairness.maxRelativeUsage
 	Units        int           // waiting
 	Accelerators int           // requested by the waiting units
