Describe the decisions and their order in packages sched and place

The log of package sched uses names such as reclaim and aside for decisions, which nothing explained; the type now lists them with their meanings. Decide of package place says in which order it tries the ways to place a gang, and the records of package jobs say what their wait time includes. Texts of a test say point instead of step.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -3,8 +3,8 @@
 //
 // A record is immutable: every change of a job makes a new one. Its state only
 // moves forward, with two exceptions: a job whose attempt was interrupted and
-// that may run again is queued for its next attempt, and a job with another
-// step is queued for that.
+// that may run again is queued for its next attempt, and a job of which a step
+// other than the last has succeeded is queued for the next one.
 package jobs
 
 import (
@@ -20,7 +20,8 @@
 // State is the state of a job in its life cycle.
 type State uint8
 
-// Priority orders the jobs of one workspace.
+// Priority orders the jobs of one workspace. An urgent job may also preempt less
+// urgent jobs of a workspace that uses more than its fair share.
 type Priority uint8
 
 // Step is a gang and the command that its tasks run.
@@ -69,7 +70,7 @@
 	AcceleratorTime time.Duration // of all attempts: number of accelerators times duration
 	LostTime        time.Duration // part of AcceleratorTime in attempts whose work was lost
 	PreemptedTime   time.Duration // part of AcceleratorTime in attempts that were preempted or moved
-	Waited          time.Duration // total time in the queue, before all attempts
+	Waited          time.Duration // total time in the queue, without the present stay; see QueueTime
 	Queued          time.Time     // when it was last queued
 }
 
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -57,7 +57,7 @@
 const (
 	WaitsForCapacity  WaitReason = "noRoom"             // not enough free accelerators of the shape
 	WaitsForGuarantee WaitReason = "guaranteedToOthers" // enough is free, but a guarantee needs it
-	NeverFits         WaitReason = "neverFits"          // infeasible even on empty workers; set by the caller of Decide
+	NeverFits         WaitReason = "neverFits"          // does not fit even on empty workers; set by the caller of Decide
 )
 
 // maxCandidates bounds the placements that one search returns, as each of them
@@ -80,7 +80,9 @@
 	return ok
 }
 
-// Decide decides where one gang is placed, or why it waits. It may assign
+// Decide decides where one gang is placed, or why it waits. It tries the workers
+// reserved for a unit that covers the gang, then free capacity, then preemption
+// for an urgent gang, and last defragmentation for an aged one. It may assign
 // reservations to units, but doesn't add, move or remove gangs.
 func (fl *Fleet) Decide(now time.Time, rq Request) Decision {
 	fl.reserveUnits()
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -209,7 +209,8 @@
 	return sum
 }
 
-// FreeAccelerators returns the number of accelerators of usable workers that no gang uses.
+// FreeAccelerators returns the number of accelerators of usable workers that no
+// gang uses.
 func (fl *Fleet) FreeAccelerators() int {
 	sum := 0
 	for i := range fl.workers {
--- a/internal/place/units.go
+++ b/internal/place/units.go
@@ -77,8 +77,8 @@
 	}
 }
 
-// reassignOvercommitted moves the reservations of unused units if the protected work
-// on some worker leaves too little capacity for those reserved there.
+// reassignOvercommitted moves the reservations of unused units if the protected
+// work on some worker leaves too little capacity for those reserved there.
 func (fl *Fleet) reassignOvercommitted() {
 	for at := range fl.workers {
 		if fl.unreserved.accelerators[at] < 0 || fl.unreserved.tasks[at] < 0 {
--- a/internal/sched/core_test.go
+++ b/internal/sched/core_test.go
@@ -371,8 +371,8 @@
 	is.Equal(len(sim.runsOf("z1.a")), 6)
 }
 
-// TestStepThatNeverFits submits a job whose second step is infeasible. It must be
-// refused as a whole, not fail after its first step.
+// TestStepThatNeverFits submits a job whose second step fits on no worker. It
+// must be refused as a whole, not fail after its first step.
 func TestStepThatNeverFits(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulation(2, small, large)
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -38,7 +38,8 @@
 	// is answered.
 	RequestID uint64
 
-	// Event is an input of the core. The types up to Tick are events.
+	// Event is an input of the core. The types from DeclarationsChanged to Tick
+	// implement it.
 	Event interface{ event() }
 
 	// DeclarationsChanged carries the declarations now in force.
@@ -88,7 +89,8 @@
 	// WriteResult is the outcome of a write.
 	WriteResult uint8
 
-	// Effect is an output of the core. The types below are effects.
+	// Effect is an output of the core. The types from Write to Resign implement
+	// it.
 	Effect interface{ effect() }
 
 	// Write requests the replacement of a bucket in the store. Seq grows with
@@ -116,11 +118,22 @@
 	// JobEnded says that the end of a job is in the store.
 	JobEnded struct{ Record jobs.Record }
 
-	// Decision is a decision about a job or a worker, for the log.
+	// Decision is a decision about a job or a worker, for the log. Its field
+	// Decision is one of these:
+	//
+	//   - placed: the next attempt of a job has begun on the workers
+	//   - reclaim: victims are being stopped for a job
+	//   - waits: the reason why a job waits has changed
+	//   - started: all tasks of a gang run
+	//   - stopping: an attempt is being stopped
+	//   - requeued: a job whose attempt was stopped is queued again
+	//   - stepDone: a step has succeeded, and the job is queued for the next one
+	//   - ended: a job has reached its final state
+	//   - aside: a worker is suspended
 	Decision struct {
 		Job        string
 		Workspace  string
-		Decision   string // placed, reclaim, waits, started, stopping, requeued, stepDone, ended, aside
+		Decision   string
 		Workers    []string
 		Candidates int    // number of placements considered
 		Rejected   string // why the other placements were rejected, as reason:count
--- a/internal/sched/faults_test.go
+++ b/internal/sched/faults_test.go
@@ -106,7 +106,7 @@
 				}
 				for _, point := range []string{"submit", "queued", "starting", "start", "running", "ended"} {
 					if seen[point] == 0 {
-						t.Errorf("no fault was injected at step %s: %v", point, seen)
+						t.Errorf("no fault was injected at point %s: %v", point, seen)
 					}
 				}
 			})
@@ -134,9 +134,9 @@
 	sim.run(90 * time.Second)
 	sim.heal(30 * time.Second)
 	if violations := sim.checkInvariants(); len(violations) > 0 {
-		t.Fatalf("after %d events, at step %s: %v", events, point, violations[0])
+		t.Fatalf("after %d events, at point %s: %v", events, point, violations[0])
 	}
-	checkFaultEnd(t, sim, fc, repeatable, rid, fmt.Sprintf("after %d events, at step %s", events, point))
+	checkFaultEnd(t, sim, fc, repeatable, rid, fmt.Sprintf("after %d events, at point %s", events, point))
 	rc, ok := sim.record("z1.a")
 	return !ok || point != jobs.Ended.String() || rc.State != jobs.Ended
 }
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -260,7 +260,8 @@
 	delete(zo.endWaits, id)
 }
 
-// logDecision logs a scheduling decision.
+// logDecision logs a scheduling decision. The key from has the number of
+// placements considered, and losers why the others were rejected.
 func (zo *Zone) logDecision(dec sched.Decision) {
 	zo.cfg.Log.Info("scheduling decision", "event", "place", "zone", zo.cfg.Zone, "decision", dec.Decision, "job", dec.Job,
 		"workspace", dec.Workspace, "attempt", dec.Attempt, "workers", dec.Workers, "from", dec.Candidates, "losers", dec.Rejected,
