Complete comments on leases and on the protocol with workers

The comment on the longest lease named 10 s without a source; it is the limit that workers have for a lease. grantLease says that it grants nothing without a known clock, and classify that it marks guaranteed units. Package worker used the word caller for the scheduler, which elsewhere means the user of the service.

--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -186,8 +186,8 @@
 	// TaskLeaseTime is the length of a task lease on a worker's clock. It
 	// covers a change of leadership and one unanswered poll.
 	TaskLeaseTime = 6 * time.Second
-	// MaxRenewalAge is the maximum age of the last renewal of a scheduler's own
-	// lease up to which it continues to renew leases on workers.
+	// MaxRenewalAge is how long after the last renewal of its own lease a
+	// scheduler continues to renew leases on workers.
 	MaxRenewalAge = 5500 * time.Millisecond
 	// LeaderLeaseTime is the length of a scheduler's own lease. A successor
 	// begins no earlier than that after its predecessor's last renewal.
@@ -208,7 +208,8 @@
 	maxCallDelay = 12 * time.Second
 	// maxLeaseTime is the longest lease that such a call grants if it reaches
 	// another incarnation of the worker, whose clock its deadline does not refer
-	// to: 10 s by a clock that is slow by maxClockDrift, and replyMargin.
+	// to: the limit of 10 s that workers have for a lease, by a clock that is slow
+	// by maxClockDrift, and replyMargin.
 	maxLeaseTime = 10*time.Second + 400*time.Millisecond
 
 	// pollWait is how long a poll waits for an end.
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -225,7 +225,8 @@
 }
 
 // grantLease returns a new lease deadline on the worker's clock, and extends
-// leaseEnd to the time by which that lease has expired.
+// leaseEnd to the time by which that lease has expired. It grants no lease, and
+// returns zero, as long as the worker's clock is unknown.
 func (nd *node) grantLease(now time.Time) time.Duration {
 	if nd.clockAt.IsZero() {
 		return 0
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -115,8 +115,8 @@
 	}
 }
 
-// classify groups the units of a step by class. It adds the accelerators of
-// those within a guarantee to used, by workspace.
+// classify groups the units of a step by class. It marks those within a guarantee
+// as guaranteed, and adds their accelerators to used, by workspace.
 func (co *Core) classify(now time.Time, qu *batch.Queue, units []*unit, used map[string]int) []unitGroup {
 	var covered, others []*unit
 	for _, un := range units {
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -28,7 +28,7 @@
 		partitioned   map[string]bool // workers that can't be reached
 		losesReplies  map[string]bool // workers whose replies are lost
 		unlisted      string          // worker missing from the platform's list
-		slow          map[string]bool // workers that handle calls only after the caller's timeout
+		slow          map[string]bool // workers that handle calls after slowDelay and whose replies are lost
 		store         fakeStore
 		leaders       []*leader
 		lastRequestID sched.RequestID
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -3,7 +3,7 @@
 //
 // A call, POST /v1/tasks, carries a batch of commands and returns the worker's
 // lease table, which is authoritative for what runs on the worker. Every call
-// carries the caller's epoch as a fencing token: a worker refuses an epoch
+// carries the scheduler's epoch as a fencing token: a worker refuses an epoch
 // smaller than the largest it has seen, so that a former leader can't change
 // anything.
 //
@@ -52,7 +52,7 @@
 type Request struct {
 	Epoch    int64         `json:"epoch"`
 	Holder   string        `json:"holder"`         // name of the calling host, for the worker's log
-	Version  int64         `json:"version"`        // of the table that the caller has; -1 if it has none
+	Version  int64         `json:"version"`        // of the table that the scheduler has; -1 if it has none
 	Boot     string        `json:"boot,omitempty"` // incarnation to which Sent refers; empty before the first reply
 	Sent     time.Duration `json:"sent,omitempty"` // the worker's clock when the call was sent, or earlier
 	Wait     time.Duration `json:"wait"`
