Use the term ageing for long waits in package domain as in place

Package place calls a job aged that has waited long enough to take precedence, while package domain called the same of a late gang or large task starving, a word that it also uses for what its shares prevent. Its identifiers, comments and the file now say aged and ageing. The comparison reports no change of code or numbers, and the tests of packages domain and drive pass.

--- a/internal/domain/starve.go
+++ b/internal/domain/ageing.go
@@ -2,16 +2,16 @@
 
 import "time"
 
-// starveTime is how long a gang or large task waits before it takes precedence
+// ageingTime is how long a gang or large task waits before it takes precedence
 // although its job has lost all value (ageing).
-const starveTime = 30 * time.Second
+const ageingTime = 30 * time.Second
 
-// starving returns the index of the group of the late gang or large task that
+// agedGroup returns the index of the group of the late gang or large task that
 // has waited longest since its due time or acceptance, if that exceeds
-// starveTime, or -1. Workers are reserved for late work only within its queue's
+// ageingTime, or -1. Workers are reserved for late work only within its queue's
 // share, so late small work could overtake a gang again and again.
-func starving(now time.Time, ugs []unitGroup) int {
-	longest, index := starveTime, -1
+func agedGroup(now time.Time, ugs []unitGroup) int {
+	longest, index := ageingTime, -1
 	for i, ug := range ugs {
 		un := ug.units[0]
 		if ug.class != classLate || un.tasks == 1 && !un.large() {
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -10,17 +10,17 @@
 
 // unitGroup holds waiting units of one step that are equal for placement, with
 // their place in the order of placement. Work within a guarantee comes first,
-// since it has to begin at once. A gang that starves is next, and then work
-// within its queue's share of the workers, so that no queue starves. The rest,
-// and work of the same kind, is ordered by its remaining value, and then by
-// priority.
+// since it has to begin at once. An aged gang or large task is next, and then
+// work within its queue's share of the workers, so that no queue starves. The
+// rest, and work of the same kind, is ordered by its remaining value, and then
+// by priority.
 type unitGroup struct {
 	units       []*unit
 	service     string // whose workers may run the units
 	priority    int    // of their queue; zero is the most urgent
 	class       int    // one of the constants below
 	withinShare bool   // within their queue's share
-	starves     bool   // its gang or large task takes precedence; see starving
+	aged        bool   // its gang or large task takes precedence; see agedGroup
 }
 
 // The classes of units, by what their jobs would be worth if the units started
@@ -100,13 +100,13 @@
 }
 
 // tier returns the first criterion of the order, lowest first: units within a
-// guarantee, a starving gang or large task, units within their queue's share,
-// and all others.
+// guarantee, an aged gang or large task, units within their queue's share, and
+// all others.
 func (ug unitGroup) tier() int {
 	switch {
 	case ug.class == classGuaranteed:
 		return 0
-	case ug.starves:
+	case ug.aged:
 		return 1
 	case ug.withinShare:
 		return 2
--- a/internal/domain/share.go
+++ b/internal/domain/share.go
@@ -87,7 +87,7 @@
 // markWithinShare marks the units that are within the shares of their queues:
 // first those of jobs that still have some value, and within these by
 // descending response ratio. A group that is only partly within its share is
-// split. One unit of a starving group counts as within, too.
+// split. One unit of an aged group counts as within, too.
 func (co *Core) markWithinShare(ps *pass, ugs []unitGroup) []unitGroup {
 	qs := co.remainingShares(ps, ugs)
 	within := make([]int, len(ugs))
@@ -95,9 +95,9 @@
 		within[i] = qs.take(ugs[i])
 		return float64(within[i]) * ugs[i].unitShare(qs.capacity)
 	})
-	if i := starving(ps.now, ugs); i >= 0 {
+	if i := agedGroup(ps.now, ugs); i >= 0 {
 		within[i] = max(within[i], 1)
-		ugs[i].starves = true
+		ugs[i].aged = true
 	}
 	out := make([]unitGroup, 0, len(ugs)+len(qs.remaining))
 	for i, ug := range ugs {
