Rename normalize and stopUnknown in package domain

The function normalize relates a share of a service to a tenant's fair share, so it is now relativeShare, next to relativeUsage. The run that no record names is called unrecorded, as in package sched, since unknown stands for calls whose outcome is not known.

--- a/internal/domain/fair.go
+++ b/internal/domain/fair.go
@@ -152,12 +152,12 @@
 		return 0
 	}
 	placed := max(0, dominantShare(tu.resources, fa.capacity[te.service])-tu.used)
-	return fa.normalize(te, (tu.used+tu.recent)/2+placed+tu.planned)
+	return fa.relativeShare(te, (tu.used+tu.recent)/2+placed+tu.planned)
 }
 
-// normalize returns what a share of a service adds to the relative usage of a
+// relativeShare returns what a share of a service adds to the relative usage of a
 // tenant.
-func (fa *fairness) normalize(te tenant, share float64) float64 {
+func (fa *fairness) relativeShare(te tenant, share float64) float64 {
 	return share * fa.weightSums[te.service] / fa.weightOf(te.workspace)
 }
 
@@ -174,7 +174,7 @@
 	for te, tu := range fa.tenants {
 		if te.workspace == workspace {
 			used := dominantShare(tu.resources, fa.capacity[te.service])
-			most = max(most, fa.normalize(te, (used+tu.recent)/2))
+			most = max(most, fa.relativeShare(te, (used+tu.recent)/2))
 		}
 	}
 	return most
--- a/internal/domain/fairplace.go
+++ b/internal/domain/fairplace.go
@@ -153,7 +153,7 @@
 	for len(tqs) > 0 {
 		tq := tqs[0]
 		tqs = tqs[1:]
-		tq.usage += co.fair.normalize(tq.tenant, take(tq))
+		tq.usage += co.fair.relativeShare(tq.tenant, take(tq))
 		if len(tq.groups) > 0 {
 			tqs = insertQueue(tqs, tq)
 		}
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -127,7 +127,7 @@
 func (co *Core) observeRun(now time.Time, nd *node, key runKey, rn runner.Run) {
 	ru, ok := nd.runs[key]
 	if !ok {
-		co.stopUnknown(now, nd, rn)
+		co.stopUnrecorded(now, nd, rn)
 		return
 	}
 	if ru.stage == starting || ru.stage == adopted {
@@ -159,9 +159,9 @@
 	}
 }
 
-// stopUnknown stops a run that no record names, and tracks it until it has
+// stopUnrecorded stops a run that no record names, and tracks it until it has
 // ended. No capacity is allocated for it.
-func (co *Core) stopUnknown(now time.Time, nd *node, rn runner.Run) {
+func (co *Core) stopUnrecorded(now time.Time, nd *node, rn runner.Run) {
 	ru := &run{task: rn.Task, attempt: rn.Attempt, node: nd, stage: running, confirmedAt: now}
 	nd.attach(ru)
 	co.emit(LogDecision{Decision: "stops", Job: rn.Task.Job, Task: rn.Task.String(), Attempt: rn.Attempt, Worker: nd.worker.ID, Reason: "no record names the attempt"})
