Use one term for recent usage and say when attempts are stopped

The decayed usage of a tenant was called recent in the code and former or decayed in comments of package domain; all now say recent. In package sched the comments of reserveGang and startGang left out that both may stop the attempt. The reports say by what their lists are sorted.

--- a/internal/domain/commit_test.go
+++ b/internal/domain/commit_test.go
@@ -119,5 +119,5 @@
 	}
 	at, ok := ss.written["other"]
 	is.True(ok)                                 // written while urgent jobs arrive
-	is.True(at.Sub(submittedAt) <= time.Second) // and soon
+	is.True(at.Sub(submittedAt) <= time.Second) // and within a second
 }
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -160,8 +160,8 @@
 	// pass, at most once a second while units wait, and once more when none
 	// does.
 	BacklogReport struct {
-		Backlogs     []Backlog
-		Shares       []WorkspaceUsage // by service and workspace
+		Backlogs     []Backlog        // sorted by queue and class
+		Shares       []WorkspaceUsage // sorted by service and workspace
 		Accelerators Accelerators
 	}
 
--- a/internal/domain/fair.go
+++ b/internal/domain/fair.go
@@ -10,7 +10,7 @@
 type (
 	// fairness tracks how far each workspace is above or below its fair share
 	// of the workers of each service. It is not stored: a new term takes the
-	// usage at its first pass as the former usage.
+	// usage at its first pass as the recent usage.
 	fairness struct {
 		tenants       map[tenant]*tenantUsage
 		capacity      map[string]batch.Resources // of schedulable workers, by service
@@ -25,7 +25,7 @@
 	tenant struct{ workspace, service string }
 
 	// tenantUsage holds the resources allocated to a tenant, and its present,
-	// former and planned usage, from which its distance from the fair share is
+	// recent and planned usage, from which its distance from the fair share is
 	// computed.
 	tenantUsage struct {
 		resources batch.Resources // allocated to its runs
@@ -37,9 +37,9 @@
 )
 
 const (
-	// usageHalfLife is the half-life of former usage.
+	// usageHalfLife is the half-life of recent usage.
 	usageHalfLife = 10 * time.Second
-	// minRecentUsage is the dominant share below which former usage is dropped.
+	// minRecentUsage is the dominant share below which recent usage is dropped.
 	minRecentUsage = 1e-4
 )
 
@@ -111,8 +111,8 @@
 	return fa.defaultWeight
 }
 
-// beginPass prepares a placement pass: former usage decays towards present
-// usage, and tenants without recent usage or waiting work are dropped.
+// beginPass prepares a placement pass: recent usage decays towards present
+// usage, and tenants without either and without waiting work are dropped.
 func (fa *fairness) beginPass(now time.Time, po *batch.Policy, capacity map[string]batch.Resources, ugs []unitGroup) {
 	if fa.weights == nil {
 		fa.deriveWeights(po)
@@ -144,8 +144,8 @@
 }
 
 // relativeUsage returns the usage of a service by a tenant relative to its fair
-// share; above 1 it exceeds that share. Usage is the mean of present and
-// decayed usage, plus everything granted in this pass.
+// share; above 1 it exceeds that share. Usage is the mean of present and recent
+// usage, plus everything granted in this pass.
 func (fa *fairness) relativeUsage(te tenant) float64 {
 	tu, ok := fa.tenants[te]
 	if !ok || fa.weightSums[te.service] == 0 {
@@ -155,8 +155,8 @@
 	return fa.relativeShare(te, (tu.used+tu.recent)/2+placed+tu.planned)
 }
 
-// relativeShare returns what a share of a service adds to the relative usage of a
-// tenant.
+// relativeShare returns a share of a service relative to a tenant's fair share,
+// which is what it adds to the relative usage of the tenant.
 func (fa *fairness) relativeShare(te tenant, share float64) float64 {
 	return share * fa.weightSums[te.service] / fa.weightOf(te.workspace)
 }
@@ -165,7 +165,7 @@
 // pass.
 func (fa *fairness) addPlanned(te tenant, share float64) { fa.usageOf(te).planned += share }
 
-// maxRelativeUsage returns the mean of the present and decayed usage of a
+// maxRelativeUsage returns the mean of the present and recent usage of a
 // workspace relative to its fair share, at the service where that is highest;
 // above 1 it exceeds its share. Unlike relativeUsage, it does not count what is
 // only planned.
--- a/internal/domain/fairplace.go
+++ b/internal/domain/fairplace.go
@@ -26,8 +26,8 @@
 )
 
 // finishesStep reports whether the group is the small remainder of a step that
-// has begun. It is placed before work that has not begun, so that completed
-// work is not lost.
+// has begun. It is placed before work that has not begun, since the completed
+// part is worth nothing if the job ends too late.
 func (ug unitGroup) finishesStep(capacity map[string]batch.Resources) bool {
 	un := ug.units[0]
 	return un.job.begun && len(ug.units) < un.job.unitCount(un.stepIndex) && float64(len(ug.units))*ug.unitShare(capacity) <= maxFinishShare
--- a/internal/domain/starve_test.go
+++ b/internal/domain/starve_test.go
@@ -172,7 +172,7 @@
 
 // TestTakeoverWithClockSkew accepts jobs by a clock that is seconds ahead or
 // behind, or completely wrong, and elects a new scheduler while they run and
-// wait. All of them end, and the waiting job keeps its place.
+// wait. All of them end, and the waiting job keeps its place in the order.
 func TestTakeoverWithClockSkew(t *testing.T) {
 	for _, skew := range []time.Duration{3 * time.Second, -3 * time.Second, time.Hour, -24 * time.Hour} {
 		is := is.New(t)
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -80,7 +80,8 @@
 	}
 }
 
-// reserveGang queues commands for the missing reservations.
+// reserveGang queues commands for the missing reservations, and stops the attempt
+// if they take longer than reserveTimeout.
 func (co *Core) reserveGang(now time.Time, jb *job, tl tally) {
 	if !jb.fromEarlierEpoch && now.Sub(jb.beganAt) > reserveTimeout {
 		co.stop(jb, cause{requeue: true, detail: "not every worker made its reservation in time"})
@@ -97,7 +98,8 @@
 }
 
 // startGang starts the reserved tasks of a fully reserved gang if the attempt
-// may run.
+// may run. It stops an attempt that has to be recorded first while the store is
+// unavailable.
 func (co *Core) startGang(now time.Time, jb *job, tl tally) {
 	if !co.mayStart(jb) {
 		if co.storeUnavailable() && !jb.startSent && tl.ran == 0 {
