Rename two failure fields of package sched

A job counts its failures, and a worker had a field of the same name that holds a history of failures, so the latter is now history. The tally of an attempt had failed, failure and failedOn; the text among them is now taskError.

--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -168,7 +168,7 @@
 	}
 	jb.failures++
 	co.recordFailure(now, jb, tl.failedOn)
-	detail := fmt.Sprintf("a task failed on worker %s: %s", tl.failedOn, tl.failure)
+	detail := fmt.Sprintf("a task failed on worker %s: %s", tl.failedOn, tl.taskError)
 	if jb.rec.Repeatable && jb.failures <= maxFailureRetries {
 		jb.avoid = append(jb.avoid, tl.failedOn)
 		return cause{requeue: true, code: codes.JobFailed, detail: detail}
@@ -182,7 +182,7 @@
 func (co *Core) recordFailure(now time.Time, jb *job, name string) {
 	if jb.failures > 1 {
 		for _, wst := range co.workers {
-			wst.failures = wst.failures.withoutJob(jb.rec.ID)
+			wst.history = wst.history.withoutJob(jb.rec.ID)
 		}
 		return
 	}
@@ -191,7 +191,7 @@
 		return
 	}
 	var suspended bool
-	wst.failures, suspended = wst.failures.recordFailure(now, jb.rec.ID)
+	wst.history, suspended = wst.history.recordFailure(now, jb.rec.ID)
 	if suspended {
 		co.emit(Decision{Decision: "aside", Workers: []string{name}, Reason: "tasks of different jobs failed on it, or one on probation"})
 		co.resetFleet()
@@ -203,7 +203,7 @@
 func (co *Core) recordSuccess(jb *job) {
 	for _, ta := range jb.rec.Tasks {
 		if wst, ok := co.workers[ta.Worker]; ok {
-			wst.failures = wst.failures.recordSuccess()
+			wst.history = wst.history.recordSuccess()
 		}
 	}
 }
--- a/internal/sched/tally.go
+++ b/internal/sched/tally.go
@@ -27,7 +27,7 @@
 		ran          int    // known to have run
 		mayHaveRun   int    // of which it is unknown whether they ran
 		checkpointed int    // stopped after a checkpoint
-		failure      string // error of the last task that failed
+		taskError    string // error of the last task that failed
 		failedOn     string // worker of the last task that failed or was interrupted
 	}
 )
@@ -102,7 +102,7 @@
 	case worker.PhaseFailed:
 		tl.states[at] = taskFailed
 		tl.failed++
-		tl.failure = entry.Error
+		tl.taskError = entry.Error
 		tl.failedOn = name
 	default:
 		tl.states[at] = taskInterrupted
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -25,7 +25,7 @@
 	callInFlight   bool                             // a call with commands is unanswered
 	lastCallFailed bool                             // until the next reply
 	commands       map[worker.TaskID]worker.Command // to be sent with the next call
-	failures       failureHistory
+	history        failureHistory
 	wasUsable      bool // whether it was usable when the fleet was built
 }
 
@@ -309,7 +309,7 @@
 // usable reports whether a worker may get new work.
 func (wst *workerState) usable(now time.Time) bool {
 	return wst.listed && !wst.lastReply.IsZero() && now.Sub(wst.lastReply) < MaxReplyAge && !wst.lastCallFailed &&
-		!wst.isDraining() && !wst.failures.suspended(now)
+		!wst.isDraining() && !wst.history.suspended(now)
 }
 
 // isDraining reports whether the platform or the worker itself says that the
