--- a/internal/place/bench_test.go
+++ b/internal/place/bench_test.go
@@ -28,7 +28,7 @@
 		sh := []spec.Shape{shape(4, 1, spec.SameRack), shape(2, 4, spec.SameRack), shape(2, 8, spec.SameRack), shape(8, 1, spec.SameZone)}[i%4]
 		units = append(units, place.Unit{Workspace: fmt.Sprintf("w%d", i), Shape: sh})
 	}
-	fl := place.NewFleet(racks((workers + 7) / 8)[:workers], units)
+	fl := place.NewFleet(rackWorkers((workers + 7) / 8)[:workers], units)
 	placed := 0
 	for i := 0; placed < int(tasksPerWorker*float64(workers)); i++ {
 		sh := shape([]int{1, 2, 4, 8, 16, 32}[rnd.IntN(6)], []int{0, 0, 0, 0, 1, 1, 2, 4}[rnd.IntN(8)], spec.SameZone)
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -25,8 +25,8 @@
 
 var start = time.Unix(1_800_000_000, 0)
 
-// racks returns the workers of n racks, eight each with eight accelerators.
-func racks(n int) []place.Worker {
+// rackWorkers returns the workers of n racks, eight each with eight accelerators.
+func rackWorkers(n int) []place.Worker {
 	zn := spec.Zone{Name: "z1"}
 	for i := range n {
 		zn.Racks = append(zn.Racks, spec.Rack{Name: fmt.Sprintf("r%d", i), Workers: 8, Accelerators: 8, Cores: 64})
@@ -82,7 +82,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			fl := place.NewFleet(racks(tt.racks), units)
+			fl := place.NewFleet(rackWorkers(tt.racks), units)
 			is.New(t).Equal(fl.Decide(start, tt.request), tt.want)
 		})
 	}
@@ -92,7 +92,7 @@
 // workers and so leave none entirely free for a gang that needs a whole one.
 func TestGangsFillPartlyUsedWorkersFirst(t *testing.T) {
 	is := is.New(t)
-	fl := place.NewFleet(racks(2), nil)
+	fl := place.NewFleet(rackWorkers(2), nil)
 	rq := place.Request{Job: "a", Workspace: "w", Shape: shape(3, 1, spec.SameZone), Preemptible: true}
 	first := decideAndApply(fl, start, rq).(place.Placed)
 	rq.Job = "b"
@@ -126,7 +126,7 @@
 func TestPreemptionLosesLeastWork(t *testing.T) {
 	is := is.New(t)
 	units := []place.Unit{{Workspace: "large", Shape: shape(8, 8, spec.SameRack)}}
-	fl := place.NewFleet(racks(2), units)
+	fl := place.NewFleet(rackWorkers(2), units)
 	for i := range 16 {
 		rq := place.Request{Job: fmt.Sprintf("j%02d", i), Workspace: "small", Shape: shape(1, 8, spec.SameWorker), Preemptible: true}
 		decideAndApply(fl, start.Add(time.Duration(i)*time.Minute), rq)
@@ -162,7 +162,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			fl := place.NewFleet(racks(1), nil)
+			fl := place.NewFleet(rackWorkers(1), nil)
 			for at := range 8 {
 				fl.Add(place.Gang{
 					Job: fmt.Sprintf("g%d", at), Workspace: "w", Shape: shape(1, tt.perWorker, spec.SameZone), Unit: place.NoUnit,
@@ -187,7 +187,7 @@
 // its own share.
 func TestUrgentJobsStayWithinFairShare(t *testing.T) {
 	is := is.New(t)
-	fl := place.NewFleet(racks(1), nil)
+	fl := place.NewFleet(rackWorkers(1), nil)
 	for i := range 8 {
 		decideAndApply(fl, start, place.Request{Job: fmt.Sprintf("j%d", i), Workspace: "busy", Shape: shape(1, 8, spec.SameWorker), Priority: jobs.Normal, Preemptible: true})
 	}
@@ -206,7 +206,7 @@
 func TestEveryUnusedUnitKeepsReservation(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		units := randomUnits(rt)
-		fl := place.NewFleet(racks(4), units)
+		fl := place.NewFleet(rackWorkers(4), units)
 		unused, reserved := fl.UnusedUnits()
 		if reserved < unused {
 			rt.Skip("declarations that Check rejects")
--- a/internal/place/simulate_test.go
+++ b/internal/place/simulate_test.go
@@ -82,7 +82,7 @@
 			Shape:     []spec.Shape{shape(4, 1, spec.SameRack), shape(2, 4, spec.SameRack), shape(2, 8, spec.SameRack), shape(4, 2, spec.SameZone)}[i%4],
 		})
 	}
-	sm.fleet = place.NewFleet(racks(simRacks), units)
+	sm.fleet = place.NewFleet(rackWorkers(simRacks), units)
 	for i := range simJobs {
 		at := start.Add(time.Duration(rnd.Int64N(int64(24 * time.Hour))))
 		jb := randomJob(rnd, i, at)
