--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -14,9 +14,9 @@
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
 
-// ended counts the jobs in the store by code; zero is the key of those that have
-// not ended.
-func ended(sim *simulation) map[codes.Code]int {
+// countByCode counts the jobs in the store by code; zero is the key of those that
+// have not ended.
+func countByCode(sim *simulation) map[codes.Code]int {
 	counts := map[codes.Code]int{}
 	for _, bu := range sim.store.buckets {
 		for _, rc := range bu {
@@ -41,10 +41,10 @@
 		sim.submit(gang(fmt.Sprintf("z1.s%d", i), 1, 1, "sleep", "500ms"))
 	}
 	begin := sim.now
-	for sim.now.Sub(begin) < time.Minute && ended(sim)[codes.JobDone] < 500 {
+	for sim.now.Sub(begin) < time.Minute && countByCode(sim)[codes.JobDone] < 500 {
 		sim.run(100 * time.Millisecond)
 	}
-	is.Equal(ended(sim), map[codes.Code]int{codes.JobDone: 500})
+	is.Equal(countByCode(sim), map[codes.Code]int{codes.JobDone: 500})
 	is.Equal(sim.checkInvariants(), nil)
 	periods := int(sim.now.Sub(begin)/(100*time.Millisecond)) + 1
 	is.True(sim.store.writes-before <= periods*len(sim.store.buckets)) // at most one write of a bucket every 100 ms
@@ -67,7 +67,7 @@
 	sim.submit(gang("z1.small", 1, 8, "sleep", "1s"))
 	sim.run(8 * time.Second)
 	checkEnd(t, sim, "z1.small", codes.JobDone)
-	is.True(ended(sim)[0] > 150) // the large workspace still has jobs waiting
+	is.True(countByCode(sim)[0] > 150) // the large workspace still has jobs waiting
 }
 
 // TestLargeGangDoesNotStarve keeps the zone busy with small jobs while a gang
@@ -136,7 +136,7 @@
 		sim.cancel(fmt.Sprintf("z1.c%d", i))
 	}
 	sim.run(time.Minute)
-	counts := ended(sim)
+	counts := countByCode(sim)
 	is.Equal(counts[codes.JobDone], 30)
 	is.Equal(counts[codes.JobCancelled]+counts[codes.CancelledUnstarted], 30)
 	is.True(counts[codes.JobCancelled] > 0 && counts[codes.CancelledUnstarted] > 0)
@@ -159,7 +159,7 @@
 		sim.partitioned[hs.Name] = hs.Rack == sim.hosts[0].Rack
 	}
 	sim.run(2 * time.Minute)
-	counts := ended(sim)
+	counts := countByCode(sim)
 	is.Equal(counts[0], 0)
 	is.Equal(counts[codes.JobDone]+counts[codes.AttemptLost], 4)
 	is.Equal(sim.checkInvariants(), nil)
@@ -190,7 +190,7 @@
 	sim.tables[faulty].SetFailStarts(false)
 	sim.run(2 * time.Minute)
 	is.Equal(sim.current().core.Summary(sim.now).Workers, 4) // used again, on probation
-	is.Equal(ended(sim), map[codes.Code]int{codes.JobFailed: 3, codes.JobDone: 12})
+	is.Equal(countByCode(sim), map[codes.Code]int{codes.JobFailed: 3, codes.JobDone: 12})
 	is.Equal(sim.checkInvariants(), nil)
 }
 
@@ -233,7 +233,7 @@
 	is.True(moved[1].Worker != name && moved[1].Ended.IsZero() || moved[0].Worker != name && moved[0].Ended.IsZero())
 	is.Equal(len(sim.runsOf("z1.efalse")), 1) // it keeps running where it is
 	sim.run(2 * time.Minute)
-	is.Equal(ended(sim), map[codes.Code]int{codes.JobDone: 2})
+	is.Equal(countByCode(sim), map[codes.Code]int{codes.JobDone: 2})
 	is.Equal(sim.checkInvariants(), nil)
 }
 
@@ -252,7 +252,7 @@
 	sim.store.down = true
 	sim.run(time.Hour)
 	sim.heal(time.Hour)
-	is.Equal(ended(sim), map[codes.Code]int{codes.JobDone: 20})
+	is.Equal(countByCode(sim), map[codes.Code]int{codes.JobDone: 20})
 	is.Equal(sim.checkInvariants(), nil)
 }
 
@@ -282,7 +282,7 @@
 			rid := sim.submit(sp)
 			sim.run(time.Second)
 			is.Equal(codes.Of(sim.answers[rid].Err).Code.String(), tt.want.String())
-			is.Equal(len(ended(sim)), 0)
+			is.Equal(len(countByCode(sim)), 0)
 		})
 	}
 }
