Say what two tests of package domain check without ambiguity

The head of the test of broken gangs left open which event the gang has to be restarted before, and the bound on timely jobs could be read as counting other jobs. Both now say it in plain words. Only comments change, the comparison reports no change of code, and the linters are clean.

--- a/internal/domain/domain_test.go
+++ b/internal/domain/domain_test.go
@@ -121,7 +121,8 @@
 
 // TestBrokenGangRestartsBeforeLeaseExpiry loses the worker of one task of a
 // gang. The other gang members end as broken, which shows that this task has
-// ended, before its lease has expired. The gang has to be restarted by then.
+// ended, too. The gang has to be restarted before the lease of the task has
+// expired.
 func TestBrokenGangRestartsBeforeLeaseExpiry(t *testing.T) {
 	is := is.New(t)
 	sim := startSimulation(4)
--- a/internal/domain/faultyworkers_test.go
+++ b/internal/domain/faultyworkers_test.go
@@ -18,7 +18,7 @@
 		name             string
 		inject           func(sim *simulation, ids []string) // called when the load has run for a few seconds
 		failed           int                                 // maximum number of failed jobs that could succeed, per seed
-		timely           float64                             // minimum fraction of the jobs that could succeed and met their objectives
+		timely           float64                             // minimum fraction, of the jobs that could succeed, that met their objectives
 		repeatedFailures int                                 // maximum number of failed attempts on workers known to fail, per seed
 	}
 
