--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -16,7 +16,7 @@
 		Token          int64 // fencing token (the epoch in package sched); larger than that of every earlier term
 		Policy         *batch.Policy
 		Jobs           []batch.Job
-		Cancelled      []string
+		Cancelled      []string // IDs of the jobs whose cancellation was requested
 		Records        []batch.Record
 		Workers        []runner.Worker
 		EvacuatedZones []string // availability zones to be evacuated
@@ -67,7 +67,7 @@
 // New returns a core that has not polled any worker yet.
 func New(now time.Time, cf Config) *Core {
 	co := &Core{
-		token: cf.Token, beganAt: now, coreFraction: min(1, cf.Cores), policy: cf.Policy, evacuation: evacuationState{minRemaining: cf.MinMoveRunTime},
+		token: cf.Token, beganAt: now, coreFraction: min(1, cf.Cores), policy: cf.Policy, evacuation: evacuationState{minMoveRunTime: cf.MinMoveRunTime},
 		jobs: map[string]*job{}, nodes: map[string]*node{}, changed: map[*unit]bool{},
 		addresses: map[string][]*node{}, unsavedEnds: map[*node]bool{}, queueUsage: map[string]usage{}, detector: newFailureDetector(), fair: newFairness(), fairShares: cf.FairShares, commits: newCommitQueue(),
 	}
--- a/internal/domain/fairplace.go
+++ b/internal/domain/fairplace.go
@@ -26,8 +26,8 @@
 )
 
 // finishesStep reports whether the group is the small remainder of a step that
-// has begun. It is placed before work that has not begun, so that completed
-// work is not lost.
+// has begun. It is placed before work that has not begun, since the completed
+// part is worth nothing if the job ends too late.
 func (ug unitGroup) finishesStep(capacity map[string]batch.Resources) bool {
 	un := ug.units[0]
 	return un.job.begun && len(ug.units) < un.job.unitCount(un.stepIndex) && float64(len(ug.units))*ug.unitShare(capacity) <= maxFinishShare
@@ -153,7 +153,7 @@
 	for len(tqs) > 0 {
 		tq := tqs[0]
 		tqs = tqs[1:]
-		tq.usage += co.fair.normalize(tq.tenant, take(tq))
+		tq.usage += co.fair.relativeShare(tq.tenant, take(tq))
 		if len(tq.groups) > 0 {
 			tqs = insertQueue(tqs, tq)
 		}
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -200,8 +200,9 @@
 	return nd.lastResponse.IsZero() || nd.lastFailure.After(nd.lastResponse)
 }
 
-// expireLeases ends the runs of an unresponsive worker once all of its leases
-// have expired.
+// expireLeases ends the runs of a worker that is unresponsive or no longer listed
+// once all of its leases have expired, and then removes an unlisted worker. The
+// last run of a broken gang may end before that; see endUnreportedMember.
 func (co *Core) expireLeases(now time.Time, nd *node) {
 	if nd.listed && !nd.unresponsive() {
 		return
@@ -224,7 +225,8 @@
 }
 
 // grantLease returns a new lease deadline on the worker's clock, and extends
-// leaseEnd to the time by which that lease has expired.
+// leaseEnd to the time by which that lease has expired. It grants no lease, and
+// returns zero, as long as the worker's clock is unknown.
 func (nd *node) grantLease(now time.Time) time.Duration {
 	if nd.clockAt.IsZero() {
 		return 0
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -10,17 +10,17 @@
 
 // unitGroup holds waiting units of one step that are equal for placement, with
 // their place in the order of placement. Work within a guarantee comes first,
-// since it has to begin at once. A gang that starves is next, and then work
-// within its queue's share of the workers, so that no queue starves. The rest,
-// and work of the same kind, is ordered by its remaining value, and then by
-// priority.
+// since it has to begin at once. An aged gang or large task is next, and then
+// work within its queue's share of the workers, so that no queue starves. The
+// rest, and work of the same kind, is ordered by its remaining value, and then
+// by priority.
 type unitGroup struct {
 	units       []*unit
 	service     string // whose workers may run the units
 	priority    int    // of their queue; zero is the most urgent
 	class       int    // one of the constants below
 	withinShare bool   // within their queue's share
-	starves     bool   // its gang or large task takes precedence; see starving
+	aged        bool   // its gang or large task takes precedence; see agedGroup
 }
 
 // The classes of units, by what their jobs would be worth if the units started
@@ -51,7 +51,7 @@
 	now := ps.now
 	used := co.guaranteeUsage()
 	for _, jb := range co.arrivals {
-		if jb.state.Final() || jb.waitingCount == 0 {
+		if jb.state.Final() || jb.waitingUnits == 0 {
 			continue
 		}
 		qu := co.queueOf(jb)
@@ -100,13 +100,13 @@
 }
 
 // tier returns the first criterion of the order, lowest first: units within a
-// guarantee, a starving gang or large task, units within their queue's share,
-// and all others.
+// guarantee, an aged gang or large task, units within their queue's share, and
+// all others.
 func (ug unitGroup) tier() int {
 	switch {
 	case ug.class == classGuaranteed:
 		return 0
-	case ug.starves:
+	case ug.aged:
 		return 1
 	case ug.withinShare:
 		return 2
@@ -115,8 +115,8 @@
 	}
 }
 
-// classify groups the units of a step by class. It adds the accelerators of
-// those within a guarantee to used, by workspace.
+// classify groups the units of a step by class. It marks those within a guarantee
+// as guaranteed, and adds their accelerators to used, by workspace.
 func (co *Core) classify(now time.Time, qu *batch.Queue, units []*unit, used map[string]int) []unitGroup {
 	var covered, others []*unit
 	for _, un := range units {
@@ -142,7 +142,7 @@
 	switch {
 	case un.step.LongRunning:
 		return classTimely
-	case un.infeasible(now):
+	case un.isLate(now):
 		return classLate
 	case !un.job.begun && now.Add(un.step.RunTime).After(un.deadline()):
 		return classOverdue
@@ -201,9 +201,9 @@
 	}
 }
 
-// infeasible reports whether a unit started now would end after its job has
+// isLate reports whether a unit started now would end after its job has
 // lost all value.
-func (un *unit) infeasible(now time.Time) bool {
+func (un *unit) isLate(now time.Time) bool {
 	objective := un.deadline().Sub(un.objectiveStart())
 	return now.Add(un.step.RunTime).After(un.objectiveStart().Add(noValueFactor * objective))
 }
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -80,9 +80,10 @@
 	}
 }
 
-// reserveGang queues commands for the missing reservations.
+// reserveGang queues commands for the missing reservations, and stops the attempt
+// if they take longer than reserveTimeout.
 func (co *Core) reserveGang(now time.Time, jb *job, tl tally) {
-	if !jb.fromEarlierEpoch && now.Sub(jb.begunAt) > reserveTimeout {
+	if !jb.fromEarlierEpoch && now.Sub(jb.beganAt) > reserveTimeout {
 		co.stop(jb, cause{requeue: true, detail: "not every worker made its reservation in time"})
 		return
 	}
@@ -97,7 +98,8 @@
 }
 
 // startGang starts the reserved tasks of a fully reserved gang if the attempt
-// may run.
+// may run. It stops an attempt that has to be recorded first while the store is
+// unavailable.
 func (co *Core) startGang(now time.Time, jb *job, tl tally) {
 	if !co.mayStart(jb) {
 		if co.storeUnavailable() && !jb.startSent && tl.ran == 0 {
@@ -166,7 +168,7 @@
 	}
 	jb.failures++
 	co.recordFailure(now, jb, tl.failedOn)
-	detail := fmt.Sprintf("a task failed on worker %s: %s", tl.failedOn, tl.failure)
+	detail := fmt.Sprintf("a task failed on worker %s: %s", tl.failedOn, tl.taskError)
 	if jb.rec.Repeatable && jb.failures <= maxFailureRetries {
 		jb.avoid = append(jb.avoid, tl.failedOn)
 		return cause{requeue: true, code: codes.JobFailed, detail: detail}
@@ -180,7 +182,7 @@
 func (co *Core) recordFailure(now time.Time, jb *job, name string) {
 	if jb.failures > 1 {
 		for _, wst := range co.workers {
-			wst.failures = wst.failures.withoutJob(jb.rec.ID)
+			wst.history = wst.history.withoutJob(jb.rec.ID)
 		}
 		return
 	}
@@ -189,7 +191,7 @@
 		return
 	}
 	var suspended bool
-	wst.failures, suspended = wst.failures.recordFailure(now, jb.rec.ID)
+	wst.history, suspended = wst.history.recordFailure(now, jb.rec.ID)
 	if suspended {
 		co.emit(Decision{Decision: "aside", Workers: []string{name}, Reason: "tasks of different jobs failed on it, or one on probation"})
 		co.resetFleet()
@@ -201,7 +203,7 @@
 func (co *Core) recordSuccess(jb *job) {
 	for _, ta := range jb.rec.Tasks {
 		if wst, ok := co.workers[ta.Worker]; ok {
-			wst.failures = wst.failures.recordSuccess()
+			wst.history = wst.history.recordSuccess()
 		}
 	}
 }
