upkeep: name the list of machine states after its elements

Cause: wave.states sat beside the embedded Machines and did not say whose states it lists. Change: rename to machineStates within the package.

--- a/internal/upkeep/core.go
+++ b/internal/upkeep/core.go
@@ -40,8 +40,8 @@
 	// wave is a wave with the state of its machines.
 	wave struct {
 		Wave
-		firstSeen time.Time
-		states    []*waveMachine
+		firstSeen     time.Time
+		machineStates []*waveMachine
 	}
 
 	// waveMachine is the state of one machine of a wave.
@@ -127,7 +127,7 @@
 	}
 	wv := &wave{Wave: wa, firstSeen: now}
 	for _, id := range wa.Machines {
-		wv.states = append(wv.states, &waveMachine{machine: id})
+		wv.machineStates = append(wv.machineStates, &waveMachine{machine: id})
 	}
 	wv.restore(now, rc)
 	co.waves[wa.Number] = wv
@@ -152,7 +152,7 @@
 	}
 	co.listedAt = ev.Sent
 	for _, wv := range co.waves {
-		for _, wm := range wv.states {
+		for _, wm := range wv.machineStates {
 			ma, ok := co.machines[wm.machine]
 			switch {
 			case !ok && wm.phase < ordered:
@@ -192,11 +192,11 @@
 	if !ok {
 		return
 	}
-	i := slices.IndexFunc(wv.states, func(wm *waveMachine) bool { return wm.machine == ev.Order.Machine })
+	i := slices.IndexFunc(wv.machineStates, func(wm *waveMachine) bool { return wm.machine == ev.Order.Machine })
 	if i < 0 {
 		return
 	}
-	wm := wv.states[i]
+	wm := wv.machineStates[i]
 	ld := LogDecision{Decision: "upkeep", Wave: wv.Number, Machine: wm.machine, Worker: wm.worker}
 	switch {
 	case ev.Err == nil:
@@ -231,7 +231,7 @@
 		if !co.listedAt.IsZero() {
 			co.stepWave(now, wv)
 		}
-		for _, wm := range wv.states {
+		for _, wm := range wv.machineStates {
 			if worker := co.drainingWorker(wm); worker != "" {
 				by[worker] = wm.drainBy
 			}
@@ -261,17 +261,17 @@
 // next machines and orders those that may go down.
 func (co *Core) stepWave(now time.Time, wv *wave) {
 	started := wv.count(done) + wv.count(down)
-	if started+wv.count(removed) == len(wv.states) && !co.completed[wv.Number] {
+	if started+wv.count(removed) == len(wv.machineStates) && !co.completed[wv.Number] {
 		co.completed[wv.Number] = true
 		co.emit(ReportProgress{Wave: wv.Number, Progress: Completed})
 	}
-	if wv.count(done)+wv.count(removed) == len(wv.states) {
+	if wv.count(done)+wv.count(removed) == len(wv.machineStates) {
 		delete(co.waves, wv.Number)
 		co.emit(LogDecision{Decision: "waveEnds", Wave: wv.Number, Reason: "took " + now.Sub(wv.firstSeen).Round(time.Millisecond).String()})
 		return
 	}
 	co.drainNext(now, wv)
-	for _, wm := range wv.states {
+	for _, wm := range wv.machineStates {
 		ready := wm.phase == draining || wm.phase == ordered && !wm.notBefore.IsZero()
 		if !ready || now.Before(wm.notBefore) || !co.mayGoDown(now, wm) {
 			continue
@@ -293,7 +293,7 @@
 func (co *Core) drainNext(now time.Time, wv *wave) {
 	free := wv.MaxDown - wv.count(draining) - co.countDown(wv)
 	ahead := free + wv.MaxDown
-	for _, wm := range wv.states {
+	for _, wm := range wv.machineStates {
 		if ahead <= 0 {
 			return
 		}
@@ -315,7 +315,7 @@
 // of the time that is left, without slackShare, and needs expectedDownTime of
 // it.
 func (wv *wave) drainTime(now time.Time) time.Duration {
-	remaining := len(wv.states) - wv.count(done) - wv.count(removed)
+	remaining := len(wv.machineStates) - wv.count(done) - wv.count(removed)
 	rounds := time.Duration((remaining + wv.MaxDown - 1) / wv.MaxDown)
 	end := wv.firstSeen.Add(time.Duration((1 - slackShare) * float64(wv.Duration)))
 	return max(minDrainTime, end.Sub(now)/max(1, rounds)-expectedDownTime)
@@ -343,7 +343,7 @@
 // machine that is not up counts, since a previous core may have ordered it.
 func (co *Core) countDown(wv *wave) int {
 	n := 0
-	for _, wm := range wv.states {
+	for _, wm := range wv.machineStates {
 		ma, ok := co.machines[wm.machine]
 		if wm.phase == ordered || wm.phase == down || (wm.phase == pending && ok && !ma.Up) {
 			n++
@@ -355,7 +355,7 @@
 // record returns the state of a wave to be stored.
 func (wv *wave) record() Record {
 	rc := Record{Number: wv.Number, FirstSeen: wv.firstSeen, Started: []string{}}
-	for _, wm := range wv.states {
+	for _, wm := range wv.machineStates {
 		if wm.phase == down || wm.phase == done {
 			rc.Started = append(rc.Started, wm.machine)
 		}
@@ -368,7 +368,7 @@
 	if !rc.FirstSeen.IsZero() && rc.FirstSeen.Before(now) {
 		wv.firstSeen = rc.FirstSeen
 	}
-	for _, wm := range wv.states {
+	for _, wm := range wv.machineStates {
 		if slices.Contains(rc.Started, wm.machine) {
 			wm.phase, wm.confirmedAt = down, now
 		}
@@ -377,7 +377,7 @@
 
 func (wv *wave) count(ph phase) int {
 	n := 0
-	for _, wm := range wv.states {
+	for _, wm := range wv.machineStates {
 		if wm.phase == ph {
 			n++
 		}
