peers: name two constants as names of metrics

Cause: sentName and httpSentName didn't say that they are names of metrics. Change: renames within the package; the values are unchanged.

--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -84,8 +84,8 @@
 	forgetInterval   = time.Second
 	maxInbound       = 2048 // sessions that others have dialled
 	acceptRetryDelay = 50 * time.Millisecond
-	sentName         = "cicadawharf_peer_sent_bytes_total"
-	httpSentName     = "cicadawharf_peer_http_sent_bytes_total"
+	sentMetric       = "cicadawharf_peer_sent_bytes_total"
+	httpSentMetric   = "cicadawharf_peer_http_sent_bytes_total"
 )
 
 var (
@@ -102,8 +102,8 @@
 		name:         self.Name,
 		zone:         self.Zone,
 		http:         newHTTPListener(self.PeerAddress),
-		sent:         cfg.Metrics.GetOrCreateCounter(sentName),
-		httpSent:     cfg.Metrics.GetOrCreateCounter(httpSentName),
+		sent:         cfg.Metrics.GetOrCreateCounter(sentMetric),
+		httpSent:     cfg.Metrics.GetOrCreateCounter(httpSentMetric),
 		inboundSlots: make(chan struct{}, maxInbound),
 		handlers:     make(map[string]RawHandler),
 		roster: NewRoster(RosterConfig{
