--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -46,6 +46,7 @@
 		result  chan result // receives one result, unless the caller gives up before the call is sent
 	}
 
+	// result is the result of a call, as Do returns it.
 	result struct {
 		payload []byte
 		err     error
--- a/internal/peers/http.go
+++ b/internal/peers/http.go
@@ -18,6 +18,7 @@
 		done    chan struct{}
 	}
 
+	// openResult is the result of opening an HTTP stream.
 	openResult struct {
 		st  *yamux.Stream
 		err error
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -52,8 +52,8 @@
 		name     string
 		zone     string
 		http     *httpListener
-		sent     *metrics.Counter
-		httpSent *metrics.Counter
+		sent     *metrics.Counter // bytes written to the connections of sessions
+		httpSent *metrics.Counter // bytes written to HTTP streams, which are part of sent
 
 		// gossipPos grows with each heartbeat. A heartbeat lists only some of the
 		// living members and of the draining endpoints, and begins at this position
@@ -62,7 +62,7 @@
 		inboundSlots chan struct{} // one for each session that another host has dialled
 
 		handlersMu sync.RWMutex
-		handlers   map[string]RawHandler
+		handlers   map[string]RawHandler // by method
 
 		mu      sync.Mutex      // guards the fields below; never held during I/O
 		runCtx  context.Context // of Run; nil before
