drive: call the batching time of a watch an interval, as the store does

Cause: term.watch named window what store.TxnStore.WatchBatched names interval. Change: rename of one parameter.

--- a/internal/drive/watch.go
+++ b/internal/drive/watch.go
@@ -153,12 +153,12 @@
 }
 
 // watch applies the changes under a prefix after a revision until the term
-// ends, batched over window. If the store has compacted changes that
+// ends, batched over interval. If the store has compacted changes that
 // it needs, it calls relist, which reads the state again and returns the
 // revision of that read.
-func (te *term) watch(prefix string, after store.Revision, window time.Duration, apply func(store.Entry), relist func() (store.Revision, error)) {
+func (te *term) watch(prefix string, after store.Revision, interval time.Duration, apply func(store.Entry), relist func() (store.Revision, error)) {
 	for te.ctx.Err() == nil {
-		err := te.cfg.Store.WatchBatched(te.ctx, prefix, after, window, func(en store.Entry) error {
+		err := te.cfg.Store.WatchBatched(te.ctx, prefix, after, interval, func(en store.Entry) error {
 			after = max(after, en.Revision)
 			apply(en)
 			return nil
