--- a/internal/drive/elect.go
+++ b/internal/drive/elect.go
@@ -19,8 +19,8 @@
 	// renewInterval is the time between two renewals, which may overlap. A lease
 	// outlasts three renewals without a response.
 	renewInterval = 350 * time.Millisecond
-	// electionRetryDelay is the pause after a failed read or watch of the leader key.
-	// After a failed campaign the pause is a tenth of it.
+	// electionRetryDelay is the pause after a failed read or watch of the leader
+	// key. After a failed campaign the pause is a tenth of it.
 	electionRetryDelay = 300 * time.Millisecond
 	// electionDelayUnit is the election delay of a host with half a core, which
 	// gives stronger hosts a head start. maxElectionDelay bounds the delay of the
--- a/internal/drive/watch.go
+++ b/internal/drive/watch.go
@@ -152,10 +152,10 @@
 	go te.watch(te.cfg.Layout.WorkerPrefix, ws.workersRev, workerBatchTime, wl.apply, wl.relist)
 }
 
-// watch applies the changes under a prefix after a revision until the term
-// ends, batched over interval. If the store has compacted changes that
-// it needs, it calls relist, which reads the state again and returns the
-// revision of that read.
+// watch applies the changes under a prefix after a revision until the term ends.
+// They arrive in batches, see store.TxnStore.WatchBatched for interval. If the
+// store has compacted changes that the watch needs, relist reads the state again
+// and returns the revision of that read.
 func (te *term) watch(prefix string, after store.Revision, interval time.Duration, apply func(store.Entry), relist func() (store.Revision, error)) {
 	for te.ctx.Err() == nil {
 		err := te.cfg.Store.WatchBatched(te.ctx, prefix, after, interval, func(en store.Entry) error {
@@ -175,6 +175,7 @@
 	}
 }
 
+// applyAccepted passes a new job or cancellation to the core.
 func (te *term) applyAccepted(en store.Entry) {
 	if en.Value == nil {
 		return // deleteJob has deleted the entry of an ended job
@@ -189,6 +190,8 @@
 	}
 }
 
+// relistAccepted reads all accepted jobs and cancellations again and passes them
+// to the core, which ignores those that it knows.
 func (te *term) relistAccepted() (store.Revision, error) {
 	ents, rev, err := te.cfg.Store.List(te.ctx, batch.AcceptedPrefix)
 	if err != nil {
@@ -207,6 +210,8 @@
 	return rev, nil
 }
 
+// applyPolicy passes a changed policy to the core. The core keeps its policy if
+// the new one is invalid or was deleted.
 func (te *term) applyPolicy(en store.Entry) {
 	if en.Key != te.cfg.Layout.PolicyKey || en.Value == nil {
 		return
