--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -52,8 +52,8 @@
 		name     string
 		zone     string
 		http     *httpListener
-		sent     *metrics.Counter
-		httpSent *metrics.Counter
+		sent     *metrics.Counter // bytes written to the connections of sessions
+		httpSent *metrics.Counter // bytes written to HTTP streams, which are part of sent
 
 		// gossipPos grows with each heartbeat. A heartbeat lists only some of the
 		// living members and of the draining endpoints, and begins at this position
@@ -62,7 +62,7 @@
 		inboundSlots chan struct{} // one for each session that another host has dialled
 
 		handlersMu sync.RWMutex
-		handlers   map[string]RawHandler
+		handlers   map[string]RawHandler // by method
 
 		mu      sync.Mutex      // guards the fields below; never held during I/O
 		runCtx  context.Context // of Run; nil before
@@ -84,8 +84,8 @@
 	forgetInterval   = time.Second
 	maxInbound       = 2048 // sessions that others have dialled
 	acceptRetryDelay = 50 * time.Millisecond
-	sentName         = "cicadawharf_peer_sent_bytes_total"
-	httpSentName     = "cicadawharf_peer_http_sent_bytes_total"
+	sentMetric       = "cicadawharf_peer_sent_bytes_total"
+	httpSentMetric   = "cicadawharf_peer_http_sent_bytes_total"
 )
 
 var (
@@ -102,8 +102,8 @@
 		name:         self.Name,
 		zone:         self.Zone,
 		http:         newHTTPListener(self.PeerAddress),
-		sent:         cfg.Metrics.GetOrCreateCounter(sentName),
-		httpSent:     cfg.Metrics.GetOrCreateCounter(httpSentName),
+		sent:         cfg.Metrics.GetOrCreateCounter(sentMetric),
+		httpSent:     cfg.Metrics.GetOrCreateCounter(httpSentMetric),
 		inboundSlots: make(chan struct{}, maxInbound),
 		handlers:     make(map[string]RawHandler),
 		roster: NewRoster(RosterConfig{
