Tell apart two meanings of active, backlog and share in admit

A first reader took the callers with queued requests and an active workspace for one idea, and a backlog per weight for a number of requests. The list of callers is now queuedCallers, the weighted backlog is backlogPerWeight, the test of the fair share names it, and a position in the queue is no longer called ahead, since it includes the request itself.

--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -25,10 +25,10 @@
 
 // result counts the outcomes of the requests of a load.
 type result struct {
-	offered int
-	served  int
-	expired int // refused after being queued
-	waits   []time.Duration
+	offered      int
+	served       int
+	refusedLater int // refused after being queued
+	waits        []time.Duration
 }
 
 // simulate offers loads to a controller for a given length of virtual time.
@@ -53,7 +53,7 @@
 				queued[de.ID] = true
 			case admit.Refused:
 				if queued[de.ID] {
-					re.expired++
+					re.refusedLater++
 				}
 			}
 		}
@@ -110,7 +110,7 @@
 				load{"hotels", "flood", 2, time.Second / time.Duration(960*times)},
 				load{"parish", "a", 0, 4 * time.Millisecond},
 			)
-			t.Logf("served %d and %d of 9600, expired %d, wait of parish %v, of hotels %v", re[0].served, re[1].served, re[0].expired, re[1].wait(0.99), re[0].wait(0.99))
+			t.Logf("served %d and %d of 9600, expired %d, wait of parish %v, of hotels %v", re[0].served, re[1].served, re[0].refusedLater, re[1].wait(0.99), re[0].wait(0.99))
 			is.True(re[1].rate() >= 0.99)
 			is.True(re[1].wait(0.99) <= 12500*time.Microsecond) // a quarter of the service time
 			is.True(re[0].served+re[1].served >= 9120)          // 95% of the capacity
@@ -229,7 +229,7 @@
 	is.True(len(waits) > 25) // jitter
 }
 
-func TestPastDeadline(t *testing.T) {
+func TestRequestPastItsDeadlineIsRefused(t *testing.T) {
 	is := is.New(t)
 	co := newController(1)
 	re, ok := co.Offer(epoch, admit.Request{ID: 1, Deadline: epoch})[0].(admit.Refused)
@@ -318,7 +318,7 @@
 		load{"hotels", "flood", 0, 700 * time.Microsecond},
 		load{"parish", "a", 0, 20 * time.Millisecond},
 	)
-	t.Logf("offered %d, served %d, expired %d", re[0].offered, re[0].served, re[0].expired)
-	is.True(re[0].expired*1000 <= re[0].offered)
+	t.Logf("offered %d, served %d, expired %d", re[0].offered, re[0].served, re[0].refusedLater)
+	is.True(re[0].refusedLater*1000 <= re[0].offered)
 	is.True(re[0].served+re[1].served >= 3040) // 95% of the capacity
 }
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -25,14 +25,14 @@
 	// corrects it. The start tag of the next request is the finish tag or the
 	// virtual time, whichever is later.
 	workspace struct {
-		share       Share
-		finishTag   float64 // in seconds of slot time beyond the guarantee per weight
-		virtualTime float64 // start tag of the caller served last, see caller.finishTag
-		inUse       int
-		queueLen    int
-		lastSeen    time.Time
-		callers     map[string]*caller
-		active      []*caller // with queued requests
+		share         Share
+		finishTag     float64 // in seconds of slot time beyond the guarantee per weight
+		virtualTime   float64 // start tag of the caller served last, see caller.finishTag
+		inUse         int
+		queueLen      int
+		lastSeen      time.Time
+		callers       map[string]*caller
+		queuedCallers []*caller // with queued requests
 	}
 
 	// caller is the queueing state of one caller within a workspace.
@@ -113,7 +113,7 @@
 		co.nextExpiry = tr.expiresAt
 	}
 	if tr.ca.queueLen() == 0 {
-		tr.ws.active = append(tr.ws.active, tr.ca)
+		tr.ws.queuedCallers = append(tr.ws.queuedCallers, tr.ca)
 	}
 	tr.ca.queues[tr.Urgency] = append(tr.ca.queues[tr.Urgency], tr)
 	tr.ws.queueLen++
@@ -125,8 +125,8 @@
 	qu := tr.ca.queues[tr.Urgency]
 	tr.ca.queues[tr.Urgency] = slices.Delete(qu, slices.Index(qu, tr), slices.Index(qu, tr)+1)
 	if tr.ca.queueLen() == 0 {
-		at := slices.Index(tr.ws.active, tr.ca)
-		tr.ws.active = slices.Delete(tr.ws.active, at, at+1)
+		at := slices.Index(tr.ws.queuedCallers, tr.ca)
+		tr.ws.queuedCallers = slices.Delete(tr.ws.queuedCallers, at, at+1)
 	}
 	tr.ws.queueLen--
 	co.queueLen--
@@ -138,17 +138,17 @@
 // backlog in the workspace with the largest backlog per weight. It returns nil
 // if tr itself is to be refused.
 func (co *Controller) victim(tr *trackedRequest) *trackedRequest {
-	longest := tr.ws
+	mostBacklogged := tr.ws
 	for _, ws := range co.workspaces {
-		if ws.backlog(tr) > longest.backlog(tr) {
-			longest = ws
+		if ws.backlogPerWeight(tr) > mostBacklogged.backlogPerWeight(tr) {
+			mostBacklogged = ws
 		}
 	}
 	busiest := tr.ca
-	if longest != tr.ws {
-		busiest = longest.active[0]
+	if mostBacklogged != tr.ws {
+		busiest = mostBacklogged.queuedCallers[0]
 	}
-	for _, ca := range longest.active {
+	for _, ca := range mostBacklogged.queuedCallers {
 		if ca.backlog(tr) > busiest.backlog(tr) {
 			busiest = ca
 		}
@@ -172,9 +172,9 @@
 // perWeight divides a number of requests by the weight of the workspace.
 func (ws *workspace) perWeight(n int) float64 { return float64(n) / float64(ws.share.Weight) }
 
-// backlog returns the number of queued requests per weight, counting extra as
+// backlogPerWeight returns the number of queued requests per weight, counting extra as
 // queued.
-func (ws *workspace) backlog(extra *trackedRequest) float64 {
+func (ws *workspace) backlogPerWeight(extra *trackedRequest) float64 {
 	if extra.ws == ws {
 		return ws.perWeight(ws.queueLen + 1)
 	}
@@ -193,8 +193,8 @@
 // nextRequest returns the next request of the caller with the earliest start
 // tag.
 func (ws *workspace) nextRequest() *trackedRequest {
-	best := ws.active[0]
-	for _, ca := range ws.active[1:] {
+	best := ws.queuedCallers[0]
+	for _, ca := range ws.queuedCallers[1:] {
 		if max(ca.finishTag, ws.virtualTime) < max(best.finishTag, ws.virtualTime) {
 			best = ca
 		}
--- a/internal/admit/refusal.go
+++ b/internal/admit/refusal.go
@@ -57,16 +57,16 @@
 // least as urgent, times the number of callers with queued requests, and at
 // most the number of all queued requests of the workspace plus tr.
 func (co *Controller) estimateWait(tr *trackedRequest) time.Duration {
-	ahead := 1
+	position := 1
 	for urgency := tr.Urgency; urgency <= MaxUrgency; urgency++ {
-		ahead += len(tr.ca.queues[urgency])
+		position += len(tr.ca.queues[urgency])
 	}
-	callers := len(tr.ws.active)
+	callers := len(tr.ws.queuedCallers)
 	if tr.ca.queueLen() == 0 {
 		callers++
 	}
-	ahead = min(ahead*callers, tr.ws.queueLen+1)
-	return time.Duration(float64(ahead) * float64(co.meanServiceTime) / co.expectedSlots(tr.ws))
+	position = min(position*callers, tr.ws.queueLen+1)
+	return time.Duration(float64(position) * float64(co.meanServiceTime) / co.expectedSlots(tr.ws))
 }
 
 // expectedSlots returns the slots that ws gets as long as the workspaces that
--- a/internal/admit/share.go
+++ b/internal/admit/share.go
@@ -14,12 +14,12 @@
 	if free <= 0 {
 		return false
 	}
-	return free > co.capacity/reserveDivisor || !co.reachesShare(now, ws)
+	return free > co.capacity/reserveDivisor || !co.reachesFairShare(now, ws)
 }
 
-// reachesShare reports whether ws uses at least its fair share of the slots
+// reachesFairShare reports whether ws uses at least its fair share of the slots
 // while other workspaces are active.
-func (co *Controller) reachesShare(now time.Time, ws *workspace) bool {
+func (co *Controller) reachesFairShare(now time.Time, ws *workspace) bool {
 	guaranteedSum, weightSum := ws.share.Slots, ws.share.Weight
 	alone := true
 	for _, other := range co.workspaces {
