Say in admit what expiry, fair share and finish tag mean

The comments called a request expired without saying that this means its deadline or the end of its queue time, and four tests did not say which failure they guard against.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -11,7 +11,7 @@
 // One slot in 20, rounded down, is reserved for workspaces that use less than
 // their fair share. Without the reserve, a workspace that floods the host could
 // hold every slot, and the others would have to wait until one of them is
-// released. A capacity of fewer than 20 slots has no reserve.
+// released. With fewer than 20 slots there is no reserve.
 //
 // Invariants: apart from the reserve, no slot is free while a request is queued
 // (after SetShares, from the next Release or Resize on); the length of the queue
@@ -38,7 +38,9 @@
 		Seed      uint64
 	}
 
-	// Share is the entitlement of one workspace to slots.
+	// Share is the entitlement of one workspace to slots. The fair share of a
+	// workspace is the number of slots that results from the shares of all
+	// workspaces that compete for the slots.
 	Share struct {
 		Workspace string
 		Slots     float64 // guaranteed
@@ -66,7 +68,8 @@
 	}
 
 	// Queued says that the request is in the queue. Expire refuses it from
-	// ExpiresAt on.
+	// ExpiresAt on, which is the end of its queue time or its deadline,
+	// whichever is earlier.
 	Queued struct {
 		Request
 		ExpiresAt time.Time
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -110,7 +110,7 @@
 				load{"hotels", "flood", 2, time.Second / time.Duration(960*times)},
 				load{"parish", "a", 0, 4 * time.Millisecond},
 			)
-			t.Logf("served %d and %d of 9600, expired %d, wait of parish %v, of hotels %v", re[0].served, re[1].served, re[0].refusedLater, re[1].wait(0.99), re[0].wait(0.99))
+			t.Logf("served %d and %d of 9600, refused after being queued %d, wait of parish %v, of hotels %v", re[0].served, re[1].served, re[0].refusedLater, re[1].wait(0.99), re[0].wait(0.99))
 			is.True(re[1].rate() >= 0.99)
 			is.True(re[1].wait(0.99) <= 12500*time.Microsecond) // a quarter of the service time
 			is.True(re[0].served+re[1].served >= 9120)          // 95% of the capacity
@@ -167,6 +167,8 @@
 	is.True(sum*sum/(10*squares) >= 0.95) // Jain's fairness index
 }
 
+// TestGuaranteedSlotsAreServedFirst guards against a workspace that takes the
+// slots guaranteed to another one by its higher weight and urgency.
 func TestGuaranteedSlotsAreServedFirst(t *testing.T) {
 	is := is.New(t)
 	co := newController(10, admit.Share{Workspace: "hotels", Slots: 7, Weight: 1}, admit.Share{Workspace: "parish", Weight: 5})
@@ -179,6 +181,8 @@
 	is.True(re[1].served >= 400)
 }
 
+// TestUrgencyOrdersWithinCaller checks that one caller's queued requests are
+// admitted by urgency, and by age if they are equally urgent.
 func TestUrgencyOrdersWithinCaller(t *testing.T) {
 	is := is.New(t)
 	co := newController(1, admit.Share{Workspace: "parish", Weight: 1})
@@ -200,6 +204,8 @@
 	is.Equal(order, []uint64{4, 5, 3, 2})
 }
 
+// TestLowUrgencyIsNotStarvedWithinCaller guards against urgent requests of a
+// caller that use all of its slots, so that its other requests never run.
 func TestLowUrgencyIsNotStarvedWithinCaller(t *testing.T) {
 	is := is.New(t)
 	co := newController(4, admit.Share{Workspace: "parish", Weight: 1})
@@ -211,6 +217,9 @@
 	is.True(re[1].served > 0)
 }
 
+// TestInfeasibleRequestIsRefusedImmediately guards against requests that are
+// queued although they can't get a slot before their deadline. The retry-after
+// times must differ, so that the refused callers do not retry at the same time.
 func TestInfeasibleRequestIsRefusedImmediately(t *testing.T) {
 	is := is.New(t)
 	co := newController(1, admit.Share{Workspace: "parish", Weight: 1})
@@ -318,7 +327,7 @@
 		load{"hotels", "flood", 0, 700 * time.Microsecond},
 		load{"parish", "a", 0, 20 * time.Millisecond},
 	)
-	t.Logf("offered %d, served %d, expired %d", re[0].offered, re[0].served, re[0].refusedLater)
+	t.Logf("offered %d, served %d, refused after being queued %d", re[0].offered, re[0].served, re[0].refusedLater)
 	is.True(re[0].refusedLater*1000 <= re[0].offered)
 	is.True(re[0].served+re[1].served >= 3040) // 95% of the capacity
 }
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -21,9 +21,9 @@
 	// workspace is the queueing state of one workspace. Slots beyond the
 	// guarantees are divided by start-time fair queueing among the workspaces, as
 	// are the slots of a workspace among its callers. A finish tag is the virtual
-	// time at which the last request ends, by the mean service time until Release
-	// corrects it. The start tag of the next request is the finish tag or the
-	// virtual time, whichever is later.
+	// time at which the request that was admitted last ends; admission estimates
+	// it from the mean service time, and Release corrects it. The start tag of
+	// the next request is the finish tag or the virtual time, whichever is later.
 	workspace struct {
 		share         Share
 		finishTag     float64 // in seconds of slot time beyond the guarantee per weight
@@ -51,7 +51,7 @@
 const oldestFirstInterval = 4
 
 // nextWorkspace returns the workspace that gets the next free slot, or nil if
-// the slot is reserved and no queued workspace may take it.
+// the slot is reserved and no workspace with queued requests may take it.
 func (co *Controller) nextWorkspace(now time.Time) *workspace {
 	var best *workspace
 	for _, ws := range co.workspaces {
@@ -172,8 +172,8 @@
 // perWeight divides a number of requests by the weight of the workspace.
 func (ws *workspace) perWeight(n int) float64 { return float64(n) / float64(ws.share.Weight) }
 
-// backlogPerWeight returns the number of queued requests per weight, counting extra as
-// queued.
+// backlogPerWeight returns the number of queued requests divided by the weight,
+// counting extra as queued.
 func (ws *workspace) backlogPerWeight(extra *trackedRequest) float64 {
 	if extra.ws == ws {
 		return ws.perWeight(ws.queueLen + 1)
--- a/internal/admit/refusal.go
+++ b/internal/admit/refusal.go
@@ -41,8 +41,8 @@
 	return Refused{Request: tr.Request, Err: co.withRetryAfter(codes.New(cd, "%s", detail), co.estimateWait(tr))}
 }
 
-// refuseExpired refuses a queued request that has reached its expiry or its
-// deadline.
+// refuseExpired refuses a request that has been in the queue until its deadline
+// or for the whole queue time.
 func (co *Controller) refuseExpired(now time.Time, tr *trackedRequest) Decision {
 	if !tr.Deadline.IsZero() && !now.Before(tr.Deadline) {
 		return co.refuse(tr, codes.DeadlinePassed, "the deadline passed in the queue")
