Name the counted endpoints in canEject by what they are

The locals known and left counted the endpoints that are not draining and those that remain in use; Chosen.Candidates calls all endpoints known, which is another number. They are now notDraining and remaining. Renames only; the tests of route pass.

--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -174,20 +174,20 @@
 // those that are not draining if the reason is failed attempts, one if st is
 // unreachable.
 func (ta *Table) canEject(now time.Time, st *endpointState, reason status) bool {
-	known, left := 0, 0
+	notDraining, remaining := 0, 0
 	for _, other := range ta.states {
 		if other.isDraining() {
 			continue
 		}
-		known++
+		notDraining++
 		if other != st && !other.health.isEjected(now) {
-			left++
+			remaining++
 		}
 	}
 	if reason == ejectedFailing {
-		return left >= (known+1)/2
+		return remaining >= (notDraining+1)/2
 	}
-	return left >= 1
+	return remaining >= 1
 }
 
 // recordSuccess records a successful attempt. On probation, probationSuccesses
