Say in route what a borrowed choice and the hold-off count

Chosen.Rejections was said to count the other endpoints only, but a borrowed choice counts the chosen one, too, as full. Failed left out responses of another request, and the hold-off had no comment. Four tests now say what they check. Comments only; the tests of route pass.

--- a/internal/route/borrow.go
+++ b/internal/route/borrow.go
@@ -8,10 +8,10 @@
 // provably did not run and the owners are using their slots, so the host backs
 // off.
 type borrowing struct {
-	limit        int // maximum number of borrowed slots
-	queuedRounds int // consecutive calls of AdjustBorrowing with queued requests
-	holdOff      time.Duration
-	growAfter    time.Time // earliest time at which the limit may grow
+	limit        int           // maximum number of borrowed slots
+	queuedRounds int           // consecutive calls of AdjustBorrowing with queued requests
+	holdOff      time.Duration // after a refusal, before the limit may grow; zero if the queue was empty since
+	growAfter    time.Time     // earliest time at which the limit may grow
 }
 
 const (
--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -30,7 +30,7 @@
 	Unreachable struct{}
 
 	// Failed is a connection that broke or a deadline that passed while a
-	// request was in progress.
+	// request was in progress, or a response that belongs to another request.
 	Failed struct{}
 
 	// Inconclusive is an attempt that the caller ended, which shows nothing
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -77,6 +77,8 @@
 	}
 }
 
+// TestPickSpreadsLoad checks that requests are spread evenly over endpoints, and
+// that endpoints which a request has tried are not chosen again.
 func TestPickSpreadsLoad(t *testing.T) {
 	is := is.New(t)
 	ta := newTable(4, 8)
@@ -137,6 +139,8 @@
 	is.Equal(ta.UsableSlots(later), 8)
 }
 
+// TestFailingEndpointReturnsAfterBackoff checks that an endpoint whose attempts
+// fail is ejected, and returns on probation without a probe.
 func TestFailingEndpointReturnsAfterBackoff(t *testing.T) {
 	is := is.New(t)
 	ta := newTable(4, 4)
@@ -206,6 +210,8 @@
 	is.Equal(ta.Capacity(epoch), 0)
 }
 
+// TestRetryBudget guards against retries that multiply the load of a service
+// whose requests fail.
 func TestRetryBudget(t *testing.T) {
 	is := is.New(t)
 	rb := route.NewRetryBudget()
@@ -228,6 +234,8 @@
 	is.True(!route.MayRetry(route.AttemptResult{ResponseStarted: true}, true))
 }
 
+// TestForwardingOrder checks which zones each spill rule permits, and that zones
+// of the same region come first.
 func TestForwardingOrder(t *testing.T) {
 	zones := []route.ForwardZone{
 		{Name: "talca", Region: "chile", Hosts: []string{"t"}},
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -48,7 +48,7 @@
 	Chosen struct {
 		Endpoint   Endpoint
 		Candidates int        // known endpoints, including draining and removed ones
-		Rejections Rejections // of the other endpoints
+		Rejections Rejections // of the other endpoints; if Borrowed, this one counts as well
 		Borrowed   bool       // the slot belongs to another host
 	}
 
