Name limits, the forwarding pause and a content type in entry

maxCommand and maxDeclarations read like counts of commands and declarations, kind was a content type, listZones lists jobs, and an empty zone means an evacuated one elsewhere, but here a zone whose host had no usable endpoint. They are named after what they hold, with the unit where the type has none.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -82,12 +82,12 @@
 }
 
 // writeBody writes a response with the given content and the headers of a code.
-func (sr *Server) writeBody(w http.ResponseWriter, request string, er *codes.Error, kind string, content []byte) {
+func (sr *Server) writeBody(w http.ResponseWriter, request string, er *codes.Error, contentType string, content []byte) {
 	if sr.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	setOutcomeHeaders(w.Header(), request, er.Code, er.RetryAfter)
-	w.Header().Set("Content-Type", kind)
+	w.Header().Set("Content-Type", contentType)
 	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	w.WriteHeader(er.Code.Info().HTTPStatus)
 	_, _ = w.Write(content)
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -70,8 +70,8 @@
 
 // recoverPanic writes an error response if a handler has panicked.
 func (ar *apiRequest) recoverPanic() {
-	if fault := recover(); fault != nil {
-		ar.sr.cfg.Log.Error("request failed", "event", "panic", "request", ar.id, "error", fault)
+	if recovered := recover(); recovered != nil {
+		ar.sr.cfg.Log.Error("request failed", "event", "panic", "request", ar.id, "error", recovered)
 		ar.refuse(codes.New(codes.InternalFailure, "the request handler panicked; see the log of the host"))
 	}
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -241,16 +241,16 @@
 // writes an error response, or aborts the connection if a part of the response
 // may have been written.
 func (cl *call) finish(counted bool) {
-	fault := recover()
+	recovered := recover()
 	cl.releaseSlot()
-	if fault != nil && fault != http.ErrAbortHandler {
-		cl.sr.cfg.Log.Error("request failed", "event", "panic", "request", cl.id, "error", fault)
+	if recovered != nil && recovered != http.ErrAbortHandler {
+		cl.sr.cfg.Log.Error("request failed", "event", "panic", "request", cl.id, "error", recovered)
 		cl.outcome.Code = codes.InternalFailure
 	}
 	cl.account()
 	cl.endRequest(counted)
 	switch {
-	case fault == nil:
+	case recovered == nil:
 	case cl.responseStarted:
 		panic(http.ErrAbortHandler)
 	default:
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -26,7 +26,7 @@
 	maxJobBody      = 256 << 10           // bytes
 	maxAccelerators = 8                   // per task
 	maxRunTime      = 90 * 24 * time.Hour // per step
-	maxCommand      = 1024                // arguments
+	maxCommandArgs  = 1024                // arguments
 	maxCommandBytes = 64 << 10            // of all arguments
 	maxSteps        = 64                  // of a job
 )
@@ -212,8 +212,8 @@
 	switch {
 	case len(command) == 0:
 		return codes.New(codes.BadRequest, "command is missing")
-	case len(command) > maxCommand || size > maxCommandBytes:
-		return codes.New(codes.BadRequest, "command may have at most %d arguments and %d bytes", maxCommand, maxCommandBytes)
+	case len(command) > maxCommandArgs || size > maxCommandBytes:
+		return codes.New(codes.BadRequest, "command may have at most %d arguments and %d bytes", maxCommandArgs, maxCommandBytes)
 	case sh.Tasks < 1 || sh.Accelerators < 0:
 		return codes.New(codes.BadRequest, "shape must have at least one task and no negative number of accelerators")
 	case sh.Tasks > spec.MaxTasks:
@@ -314,7 +314,7 @@
 	if er != nil {
 		return er
 	}
-	rcs, unreachable, err := sr.listZones(ctx, fi)
+	rcs, unreachable, err := sr.listAcrossZones(ctx, fi)
 	if err != nil {
 		return codes.Of(err)
 	}
@@ -326,9 +326,9 @@
 	return nil
 }
 
-// listZones returns the jobs that match a filter, and the zones that were
+// listAcrossZones returns the jobs that match a filter, and the zones that were
 // unreachable.
-func (sr *Server) listZones(ctx context.Context, fi jobs.Filter) ([]jobs.Record, []string, error) {
+func (sr *Server) listAcrossZones(ctx context.Context, fi jobs.Filter) ([]jobs.Record, []string, error) {
 	if zl, ok := sr.cfg.Jobs.(ZoneLister); ok {
 		return zl.ListZones(ctx, fi)
 	}
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -12,7 +12,7 @@
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
-const maxDeclarations = 8 << 20 // bytes
+const maxDeclarationsBytes = 8 << 20 // bytes
 
 // applyDeclarations serves PUT /v1/declarations.
 func (sr *Server) applyDeclarations(ctx context.Context, ar *apiRequest) *codes.Error {
@@ -24,7 +24,7 @@
 	if er != nil {
 		return er
 	}
-	content, release, er := ar.body(maxDeclarations)
+	content, release, er := ar.body(maxDeclarationsBytes)
 	defer release()
 	if er != nil {
 		return er
@@ -42,7 +42,7 @@
 
 // checkDeclarations serves POST /v1/declarations/check.
 func (sr *Server) checkDeclarations(ctx context.Context, ar *apiRequest) *codes.Error {
-	content, release, er := ar.body(maxDeclarations)
+	content, release, er := ar.body(maxDeclarationsBytes)
 	defer release()
 	if er != nil {
 		return er
--- a/internal/entry/remote.go
+++ b/internal/entry/remote.go
@@ -20,9 +20,9 @@
 // zone.
 const maxForwardConnections = 1024
 
-// emptyZoneRetry is the time for which no request is forwarded to a zone after
+// forwardPause is the time for which no request is forwarded to a zone after
 // one of its entry hosts has responded that no endpoint is usable.
-const emptyZoneRetry = time.Second
+const forwardPause = time.Second
 
 // serveRemote forwards the request to entry hosts of other zones, as far as the
 // service permits it. It returns nil once the response to the caller has been
@@ -51,7 +51,7 @@
 		default:
 			last = er
 			if er.Code == codes.NoEndpoint {
-				cl.sv.markEmpty(time.Now(), ft.Zone)
+				cl.sv.pauseForwarding(time.Now(), ft.Zone)
 			}
 			if er.Code.Class() != codes.NotRun {
 				return last
@@ -79,19 +79,19 @@
 	defer sv.mu.Unlock()
 	var zones []route.ForwardZone
 	for _, zn := range sv.zones {
-		if now.After(sv.emptyUntil[zn.Name]) {
+		if now.After(sv.forwardAfter[zn.Name]) {
 			zones = append(zones, zn)
 		}
 	}
 	return sv.spillRule, zones
 }
 
-// markEmpty excludes a zone from forwarding for emptyZoneRetry, so that not every
+// pauseForwarding excludes a zone from forwarding for forwardPause, so that not every
 // request spends a retry on a zone without a usable endpoint.
-func (sv *service) markEmpty(now time.Time, zone string) {
+func (sv *service) pauseForwarding(now time.Time, zone string) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	sv.emptyUntil[zone] = now.Add(emptyZoneRetry)
+	sv.forwardAfter[zone] = now.Add(forwardPause)
 }
 
 // attemptForward forwards the request to one entry host. It returns the error
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -29,10 +29,10 @@
 	// caller gets a code instead of a part of the response.
 	maxBufferedResponse = 64 << 10
 
-	copyBuffer = 32 << 10 // bytes
+	copyBufferBytes = 32 << 10 // bytes
 )
 
-var copyBuffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
+var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
 // exchange sends a request and returns the response. It reads the whole body if
 // its length is known and small or if the method is HEAD. The body of any other
@@ -64,7 +64,7 @@
 	defer rp.response.Close()
 	cl.writeHead(rp)
 	control := http.NewResponseController(cl.w)
-	buffer := copyBuffers.Get().(*[copyBuffer]byte)
+	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
 	defer copyBuffers.Put(buffer)
 	for {
 		n, err := rp.response.Read(buffer[:])
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -22,16 +22,16 @@
 	service struct {
 		name string
 
-		mu          sync.Mutex
-		admission   *admit.Controller
-		table       *route.Table
-		budget      *route.RetryBudget
-		waiters     map[uint64]chan admit.Decision
-		lastRequest uint64               // ID of the last request for a slot
-		upstreams   map[string]*upstream // by endpoint
-		spillRule   spec.Spill
-		zones       []route.ForwardZone  // other zones with ready entry hosts
-		emptyUntil  map[string]time.Time // by zone that had no usable endpoint: no request is forwarded to it before this time
+		mu           sync.Mutex
+		admission    *admit.Controller
+		table        *route.Table
+		budget       *route.RetryBudget
+		waiters      map[uint64]chan admit.Decision
+		lastRequest  uint64               // ID of the last request for a slot
+		upstreams    map[string]*upstream // by endpoint
+		spillRule    spec.Spill
+		zones        []route.ForwardZone  // other zones with ready entry hosts
+		forwardAfter map[string]time.Time // by zone that had no usable endpoint: no request is forwarded to it before this time
 	}
 
 	// upstream holds the connections to one endpoint.
@@ -70,11 +70,11 @@
 			QueueTime: cfg.Limits.QueueTime,
 			Seed:      cfg.Seed,
 		}),
-		table:      route.New(route.Config{Host: cfg.Host, Seed: cfg.Seed}),
-		budget:     route.NewRetryBudget(),
-		waiters:    make(map[uint64]chan admit.Decision),
-		upstreams:  make(map[string]*upstream),
-		emptyUntil: make(map[string]time.Time),
+		table:        route.New(route.Config{Host: cfg.Host, Seed: cfg.Seed}),
+		budget:       route.NewRetryBudget(),
+		waiters:      make(map[uint64]chan admit.Decision),
+		upstreams:    make(map[string]*upstream),
+		forwardAfter: make(map[string]time.Time),
 	}
 }
 
