--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -236,8 +236,8 @@
 		slog.Duration("retryAfter", er.RetryAfter), slog.Duration("duration", time.Since(cl.began)))
 }
 
-// finish releases what the request holds and records its outcome, also after a
-// panic. counted says that the request counts as in progress. After a panic, it
+// finish releases the slot of the request and records its outcome, also after a
+// panic. counted says that inProgress counts the request. After a panic, finish
 // writes an error response, or aborts the connection if a part of the response
 // may have been written.
 func (cl *call) finish(counted bool) {
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -16,6 +16,8 @@
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
 
+// TestForward sends a request with an escaped path and a query to an endpoint. It
+// must run once, and be logged and accounted for once.
 func TestForward(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 2, nil)
@@ -69,6 +71,8 @@
 	}
 }
 
+// TestLargeResponse guards against a streamed response that is truncated but
+// looks complete to the caller, or that belongs to another request.
 func TestLargeResponse(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 1, nil)
@@ -180,6 +184,8 @@
 	}
 }
 
+// TestIdempotencyKey guards against a request that runs although its key was used
+// before, for the same or another request, or could not be claimed.
 func TestIdempotencyKey(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 2, nil)
@@ -245,6 +251,8 @@
 	is.Equal((<-inProgress).code, codes.RequestDone) // not interrupted
 }
 
+// TestDeadEndpointIsAvoided guards against requests that fail, or run twice,
+// because one of three endpoints refuses connections.
 func TestDeadEndpointIsAvoided(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 3, nil)
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -26,7 +26,7 @@
 	maxJobBody      = 256 << 10           // bytes
 	maxAccelerators = 8                   // per task
 	maxRunTime      = 90 * 24 * time.Hour // per step
-	maxCommandArgs  = 1024                // arguments
+	maxCommandArgs  = 1024
 	maxCommandBytes = 64 << 10            // of all arguments
 	maxSteps        = 64                  // of a job
 )
@@ -327,7 +327,7 @@
 }
 
 // listAcrossZones returns the jobs that match a filter, and the zones that were
-// unreachable.
+// unreachable. If Config.Jobs is not a ZoneLister, no zone counts as unreachable.
 func (sr *Server) listAcrossZones(ctx context.Context, fi jobs.Filter) ([]jobs.Record, []string, error) {
 	if zl, ok := sr.cfg.Jobs.(ZoneLister); ok {
 		return zl.ListZones(ctx, fi)
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -17,6 +17,8 @@
 
 const goodJob = `{"zone":"lima","shape":{"tasks":4,"accelerators":8,"adjacency":"rack"},"runTime":"45m","repeatable":true,"command":["sort"]}`
 
+// TestSubmitJob submits a job, submits it again and a different one under the same
+// idempotency key, and then queries, cancels and lists it.
 func TestSubmitJob(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 0, nil)
@@ -50,6 +52,8 @@
 	is.Equal(an.body, `{"jobs":[]}`+"\n")
 }
 
+// TestSubmitSteps guards against submissions under the same idempotency key that
+// count as the same job although their later steps differ.
 func TestSubmitSteps(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 0, nil)
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -12,7 +12,7 @@
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
-const maxDeclarationsBytes = 8 << 20 // bytes
+const maxDeclarationsBytes = 8 << 20
 
 // applyDeclarations serves PUT /v1/declarations.
 func (sr *Server) applyDeclarations(ctx context.Context, ar *apiRequest) *codes.Error {
--- a/internal/entry/remote.go
+++ b/internal/entry/remote.go
@@ -86,8 +86,8 @@
 	return sv.spillRule, zones
 }
 
-// pauseForwarding excludes a zone from forwarding for forwardPause, so that not every
-// request spends a retry on a zone without a usable endpoint.
+// pauseForwarding excludes a zone from forwarding for forwardPause, so that not
+// every request spends a retry on a zone without a usable endpoint.
 func (sv *service) pauseForwarding(now time.Time, zone string) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -29,7 +29,7 @@
 	// caller gets a code instead of a part of the response.
 	maxBufferedResponse = 64 << 10
 
-	copyBufferBytes = 32 << 10 // bytes
+	copyBufferBytes = 32 << 10
 )
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
