Name the eviction of idle connections and the invalid response in relay

takeStale also removes a connection that is not stale, if the pool is at its limit, and errNoLength is also the error of a response with an invalid status. They are now evictIdle and errInvalidResponse.

--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -116,37 +116,37 @@
 		po.mu.Unlock()
 		return cc, nil
 	}
-	stale := po.takeStale(now)
+	evicted := po.evictIdle(now)
 	if po.open >= po.limit {
 		po.mu.Unlock()
-		closeAll(stale)
+		closeAll(evicted)
 		return nil, newFailure(CauseConnections, nil)
 	}
 	po.open++
 	po.mu.Unlock()
-	closeAll(stale)
+	closeAll(evicted)
 	return po.dial(ctx)
 }
 
-// takeStale removes and returns the idle connections whose last response is too
+// evictIdle removes and returns the idle connections whose last response is too
 // old for any request, and the least recently used one if the pool is still at
 // its limit. The caller holds po.mu.
-func (po *Pool) takeStale(now time.Time) []*clientConn {
-	var stale []*clientConn
+func (po *Pool) evictIdle(now time.Time) []*clientConn {
+	var evicted []*clientConn
 	po.idle = slices.DeleteFunc(po.idle, func(cc *clientConn) bool {
 		old := now.Sub(cc.lastResponse) > repeatableMaxResponseAge
 		if old {
-			stale = append(stale, cc)
+			evicted = append(evicted, cc)
 		}
 		return old
 	})
-	po.open -= len(stale)
+	po.open -= len(evicted)
 	if po.open >= po.limit && len(po.idle) > 0 {
-		stale = append(stale, po.idle[0])
+		evicted = append(evicted, po.idle[0])
 		po.idle = slices.Delete(po.idle, 0, 1)
 		po.open--
 	}
-	return stale
+	return evicted
 }
 
 // closeAll closes connections that have been removed from the pool.
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -48,9 +48,9 @@
 	maxStatus      = 999
 )
 
-// errNoLength is the failure of a response whose end can't be told from a
+// errInvalidResponse is the failure of a response whose end can't be told from a
 // truncation.
-var errNoLength = errors.New("the response has neither a length nor chunks")
+var errInvalidResponse = errors.New("the response has neither a length nor chunks")
 
 // Send sends a request once and returns the response as soon as its headers
 // have arrived. The class of a Failure's code says whether the request ran.
@@ -110,8 +110,8 @@
 		}
 		return nil, newFailure(CauseNoFreeSlot, nil)
 	case re.Status < http.StatusOK, re.Status > maxStatus, closeDelimited(rq, rs):
-		re.fail(errNoLength)
-		return nil, newFailure(CauseTruncated, errNoLength)
+		re.fail(errInvalidResponse)
+		return nil, newFailure(CauseTruncated, errInvalidResponse)
 	}
 	return re, nil
 }
