Say in relay which idle connections a dial closes and what is invalid

acquire closes also a connection that is not stale, if the pool is at its limit, and the error for a response with an invalid status spoke of its length only. The comments and the error say both.

--- a/internal/relay/failure.go
+++ b/internal/relay/failure.go
@@ -29,7 +29,7 @@
 	CauseDraining                            // the endpoint refused because it is draining
 	CauseNotSent                             // the connection failed before the first byte was sent
 	CauseNoResponse                          // the connection failed before a response
-	CauseTruncated                           // the response ended early
+	CauseTruncated                           // the response ended early or is invalid, see errInvalidResponse
 	CauseMismatch                            // the response belongs to another request
 	CauseDeadline                            // the deadline passed
 	CauseCallerDisconnected                  // the caller disconnected
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -44,7 +44,7 @@
 		cfg      Config
 		mu       sync.Mutex
 		idle     []*clientConn        // most recently used last
-		inFlight map[*clientConn]bool // connections with a request in flight, and whether it is repeatable
+		inFlight map[*clientConn]bool // connections with a request other than a probe in flight, and whether it is repeatable
 		open     int                  // connections that are open or being opened
 		limit    int
 		closed   bool
@@ -104,9 +104,9 @@
 }
 
 // acquire takes a connection whose last response is at most maxAge ago out of the
-// pool, or opens a new one. Before it opens one, it closes the idle connections
-// whose last response is too old for any request, as when the process was
-// suspended and nothing probed them.
+// pool, or opens a new one. Before it opens one, it closes the connections that
+// evictIdle removes. If the process was suspended and nothing probed them, these
+// may be all idle ones.
 func (po *Pool) acquire(ctx context.Context, maxAge time.Duration) (*clientConn, *Failure) {
 	po.mu.Lock()
 	now := time.Now()
@@ -128,9 +128,9 @@
 	return po.dial(ctx)
 }
 
-// evictIdle removes and returns the idle connections whose last response is too
-// old for any request, and the least recently used one if the pool is still at
-// its limit. The caller holds po.mu.
+// evictIdle removes from the pool, and returns, the idle connections whose last
+// response is too old for any request. If the pool is still at its limit, it also
+// evicts the least recently used one. mu must be held.
 func (po *Pool) evictIdle(now time.Time) []*clientConn {
 	var evicted []*clientConn
 	po.idle = slices.DeleteFunc(po.idle, func(cc *clientConn) bool {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -48,9 +48,9 @@
 	maxStatus      = 999
 )
 
-// errInvalidResponse is the failure of a response whose end can't be told from a
-// truncation.
-var errInvalidResponse = errors.New("the response has neither a length nor chunks")
+// errInvalidResponse is the error of a response with an informational or invalid
+// status, or whose end can't be told from a truncation.
+var errInvalidResponse = errors.New("the response has an invalid status, or neither a length nor chunks")
 
 // Send sends a request once and returns the response as soon as its headers
 // have arrived. The class of a Failure's code says whether the request ran.
