--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -27,8 +27,8 @@
 	maxAccelerators = 8                   // per task
 	maxRunTime      = 90 * 24 * time.Hour // per step
 	maxCommandArgs  = 1024
-	maxCommandBytes = 64 << 10            // of all arguments
-	maxSteps        = 64                  // of a job
+	maxCommandBytes = 64 << 10 // of all arguments
+	maxSteps        = 64       // of a job
 )
 
 // submitJob serves POST /v1/jobs. It accounts for a submission that is not
