Say in intake which codes its calls return

The doc comments of Authorize, State and Cancel did not name the codes of their errors, readJob said that it hides jobs of other workspaces but not that anonymous callers see all, and a lost write that arrives late was a riddle.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,10 +1,11 @@
-// Package intake accepts, inspects and cancels jobs on any host, independent of
-// the host that runs the scheduler. It communicates with the scheduler through
-// the store only.
+// Package intake accepts, inspects and cancels batch jobs (package batch) on any
+// host, independent of the host that runs the scheduler. It communicates with the
+// scheduler through the store only.
 //
 // Every response is based on a policy that is confirmed to be in force: a call
 // that needs the policy first confirms this host's copy with the store, unless
-// that happened within freshFor. A job is written on the condition that the
+// that happened within freshFor. While the store is unreachable, a policy that was
+// confirmed within Config.MaxPolicyAge is used. A job is written on the condition that the
 // policy under which it was authorized is still in force.
 package intake
 
@@ -109,7 +110,9 @@
 func (in *Intake) StoreResponses() uint64 { return in.health.responseCount() }
 
 // Authorize authorizes a call: it finds the queue that the call addresses and
-// checks the caller's key.
+// checks the caller's key. The code of the error is PathNotFound if there is no
+// such queue, UnknownWorkspace for an invalid key, and StoreUnavailable or
+// NotReady if this host has no usable policy, see CauseOf.
 func (in *Intake) Authorize(ctx context.Context, up time.Duration, host, path, key string) (_ Access, err error) {
 	defer func(began time.Time) { countCall("open", began, err) }(time.Now())
 	ps, err := in.usablePolicy(ctx, up)
@@ -137,7 +140,7 @@
 }
 
 // LoadPolicy reads the policy, so that the host becomes ready before its first
-// call.
+// call. It returns an error if no usable policy could be read.
 func (in *Intake) LoadPolicy(ctx context.Context, up time.Duration) error {
 	_, err := in.usablePolicy(ctx, up)
 	return err
@@ -250,7 +253,7 @@
 }
 
 // QueueLength returns the number of waiting jobs of a queue, as counted by the
-// scheduler, see batch.Backlog.
+// scheduler, see batch.Backlog. It is zero before the first count.
 func (in *Intake) QueueLength(ctx context.Context, up time.Duration, queue string) (int, error) {
 	en, err := in.read(ctx, up, batch.BacklogKey)
 	if err != nil || en.Revision == 0 {
--- a/internal/intake/jobs.go
+++ b/internal/intake/jobs.go
@@ -44,8 +44,8 @@
 }
 
 // submit retries the write until its outcome is known. All of the writes expect
-// that the job does not exist, so at most one of them takes effect, even if a
-// lost one arrives late.
+// that the job does not exist, so at most one of them takes effect, even if one
+// that timed out reaches the store after a retry.
 func (in *Intake) submit(ctx context.Context, up time.Duration, tx store.Txn) error {
 	began := time.Now()
 	indeterminate := false
@@ -119,7 +119,7 @@
 }
 
 // State returns the state of a job, which is Queued until the scheduler has
-// recorded its progress.
+// recorded its progress. The code of the error is JobNotFound for an unknown job.
 func (in *Intake) State(ctx context.Context, up time.Duration, ac Access, id string) (_ batch.State, err error) {
 	defer func(began time.Time) { countCall("state", began, err) }(time.Now())
 	en, err := in.read(ctx, up, batch.ProgressKey(id))
@@ -139,7 +139,9 @@
 	return batch.Queued, nil
 }
 
-// readJob reads an accepted job, unless it belongs to another workspace.
+// readJob reads an accepted job. It returns JobNotFound if the job does not exist
+// or belongs to another workspace than the caller. An anonymous caller may read
+// every job, and every caller an anonymous job.
 func (in *Intake) readJob(ctx context.Context, up time.Duration, ac Access, id string) (batch.Job, error) {
 	en, err := in.read(ctx, up, batch.JobKey(id))
 	if err != nil {
@@ -159,7 +161,8 @@
 }
 
 // Cancel requests the cancellation of a job. It returns nil once the request is
-// in the store. CancelUnknown means that it may be there.
+// in the store, even if it was there before. CancelUnknown means that it may be
+// there, JobNotFound is as in readJob.
 func (in *Intake) Cancel(ctx context.Context, up time.Duration, ac Access, id string) (err error) {
 	defer func(began time.Time) { countCall("cancel", began, err) }(time.Now())
 	if _, err := in.readJob(ctx, up, ac, id); err != nil {
