Say in batch what an attempt, a failure and the leader key hold

The fields of a unit's record had no comment, and neither had the leader key, although a watch relies on it being the prefix of the handover keys.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -30,19 +30,19 @@
 	// Step is a number of identical tasks.
 	Step struct {
 		Tasks          int           `json:"tasks"`
-		Needs          Resources     `json:"needs"`             // of each task
-		RunTime        time.Duration `json:"runTime,omitempty"` // of each task, as declared by the caller; may be far off
-		After          []int         `json:"after,omitempty"`   // indices of the steps it depends on, all lower than its own
-		Gang           bool          `json:"gang,omitempty"`
-		OneRack        bool          `json:"oneRack,omitempty"` // runs much slower when spread over several racks
-		Checkpoints    bool          `json:"checkpoints,omitempty"`
-		Label          string        `json:"label,omitempty"`     // that a worker must have to run its tasks; empty for no restriction
-		Rack           string        `json:"rack,omitempty"`      // location of its data; runs much slower elsewhere
-		PerWorker      int           `json:"perWorker,omitempty"` // maximum number of its tasks on one worker; zero for no limit
-		LongRunning    bool          `json:"lasting,omitempty"`   // does not end until the job is cancelled
-		BestEffort     bool          `json:"filling,omitempty"`   // uses only processor time that other tasks leave idle
-		TargetLatency  time.Duration `json:"target,omitempty"`    // tail latency objective of a long-running step that serves requests
-		MaxUnavailable int           `json:"mayMiss,omitempty"`   // maximum number of unavailable tasks of a long-running step; zero for no limit
+		Needs          Resources     `json:"needs"`                 // of each task
+		RunTime        time.Duration `json:"runTime,omitempty"`     // of each task, as declared by the caller; may be far off
+		After          []int         `json:"after,omitempty"`       // indices of the steps it depends on, all lower than its own
+		Gang           bool          `json:"gang,omitempty"`        // its tasks start and end together
+		OneRack        bool          `json:"oneRack,omitempty"`     // runs much slower when spread over several racks
+		Checkpoints    bool          `json:"checkpoints,omitempty"` // its tasks save checkpoints and resume from them
+		Label          string        `json:"label,omitempty"`       // that a worker must have to run its tasks; empty for no restriction
+		Rack           string        `json:"rack,omitempty"`        // location of its data; runs much slower elsewhere
+		PerWorker      int           `json:"perWorker,omitempty"`   // maximum number of its tasks on one worker; zero for no limit
+		LongRunning    bool          `json:"lasting,omitempty"`     // does not end until the job is cancelled
+		BestEffort     bool          `json:"filling,omitempty"`     // uses only processor time that other tasks leave idle
+		TargetLatency  time.Duration `json:"target,omitempty"`      // tail latency objective of a long-running step that serves requests
+		MaxUnavailable int           `json:"mayMiss,omitempty"`     // maximum number of unavailable tasks of a long-running step; zero for no limit
 	}
 
 	// Schedule repeats the steps of a job periodically.
@@ -89,10 +89,10 @@
 		Occurrence int
 		Step       int
 		Index      int // of the task within its step; zero for a gang
-		Attempt    int
-		Failures   int
+		Attempt    int // number of the last attempt, from 1
+		Failures   int // number of failed attempts; not counted for a long-running step
 		Workers    []string
-		Checkpoint string
+		Checkpoint string // the newest one reported, from which an attempt resumes; empty for none
 		Live       bool
 		Done       bool
 		FailedOn   []string // workers on which attempts failed
@@ -213,7 +213,8 @@
 	return longest
 }
 
-// Validate returns an error if the submission is invalid.
+// Validate returns an error if the number of steps, a step or the schedule is
+// invalid.
 func (jb Job) Validate() error {
 	if len(jb.Steps) == 0 || len(jb.Steps) > MaxSteps {
 		return fmt.Errorf("a job needs 1 to %d steps, not %d", MaxSteps, len(jb.Steps))
--- a/internal/batch/keys.go
+++ b/internal/batch/keys.go
@@ -6,9 +6,9 @@
 // acceptance and the cancellation of a job; only the scheduler writes its
 // progress.
 const (
-	AcceptedPrefix     = "in/"
-	ProgressPrefix     = "at/"
-	LeaderKey          = "holder"
+	AcceptedPrefix     = "in/"           // of JobKey and CancelKey
+	ProgressPrefix     = "at/"           // of ProgressKey
+	LeaderKey          = "holder"        // names the leader, the host that runs the scheduler; also the prefix of the handover keys
 	HandoverRequestKey = "holder/relief" // a leader that can't keep up writes its number of cores here to hand over to a stronger host
 	HandoverOfferKey   = "holder/offer"  // a stronger host responds with its number of cores here
 	BacklogKey         = "waiting"       // key of the Backlog
