Name the fairness of a load report and the requests in progress

Report.Equal and EqualReport do not say that they hold fairness, the limit on concurrency was a channel called slots, which are places at an endpoint elsewhere, and a type called ports held addresses. JSON tags stay.

--- a/internal/load/bench_test.go
+++ b/internal/load/bench_test.go
@@ -323,7 +323,7 @@
 		for _, cr := range rp.Classes[:small] {
 			lowest = min(lowest, doneRatio(cr))
 		}
-		b.Logf("| %d | %.4f | %.3f | %.3f |", ro, rp.Equal[0].Jain, lowest, doneRatio(rp.Classes[small]))
+		b.Logf("| %d | %.4f | %.3f | %.3f |", ro, rp.Fairness[0].Jain, lowest, doneRatio(rp.Classes[small]))
 	}
 }
 
--- a/internal/load/children_test.go
+++ b/internal/load/children_test.go
@@ -32,12 +32,12 @@
 		Endpoints []string // addresses that the plain forwarder sends to
 	}
 
-	// ports is the first line that a child prints: its addresses.
-	ports struct{ HTTP, Peer string }
+	// listenAddrs is the first line that a child prints: its addresses.
+	listenAddrs struct{ HTTP, Peer string }
 
 	// child is a process under test. It runs the same binary in another role.
 	child struct {
-		ports
+		listenAddrs
 		stdin  io.WriteCloser
 		stdout *bufio.Scanner
 	}
@@ -75,12 +75,12 @@
 	if err != nil {
 		return err
 	}
-	pt := ports{HTTP: callers.Addr().String(), Peer: peers.Addr().String()}
+	la := listenAddrs{HTTP: callers.Addr().String(), Peer: peers.Addr().String()}
 	if ro.Name == "" {
 		go func() { _ = http.Serve(callers, newForwarder(ro.Endpoints)) }()
 	} else {
 		ho, err := host.New(time.Now(), host.Config{
-			Settings: ro.settings(pt), HTTPListener: callers, PeerListener: peers,
+			Settings: ro.settings(la), HTTPListener: callers, PeerListener: peers,
 			Log: slog.New(slog.NewTextHandler(os.Stderr, nil)),
 		})
 		if err != nil {
@@ -88,7 +88,7 @@
 		}
 		go func() { _ = ho.Run(context.Background()) }()
 	}
-	if err := json.NewEncoder(os.Stdout).Encode(pt); err != nil {
+	if err := json.NewEncoder(os.Stdout).Encode(la); err != nil {
 		return err
 	}
 	for sc := bufio.NewScanner(os.Stdin); sc.Scan(); {
@@ -101,9 +101,9 @@
 	return nil
 }
 
-func (ro role) settings(pt ports) setup.Settings {
+func (ro role) settings(la listenAddrs) setup.Settings {
 	return setup.Settings{
-		Host:  setup.Host{Name: ro.Name, Zone: ro.Zone, Region: ro.Zone, HTTPAddress: pt.HTTP, PeerAddress: pt.Peer},
+		Host:  setup.Host{Name: ro.Name, Zone: ro.Zone, Region: ro.Zone, HTTPAddress: la.HTTP, PeerAddress: la.Peer},
 		Seeds: ro.Seeds,
 		Store: setup.Store{Addresses: []string{ro.Store}, Timeout: 2 * time.Second},
 		Log:   setup.Log{Level: "info"},
@@ -133,7 +133,7 @@
 		_ = cmd.Wait()
 	})
 	ch.stdout.Scan()
-	must(tb, json.Unmarshal(ch.stdout.Bytes(), &ch.ports))
+	must(tb, json.Unmarshal(ch.stdout.Bytes(), &ch.listenAddrs))
 	return ch
 }
 
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -128,20 +128,20 @@
 	// drainTimeout after the end of the run.
 	sending, cancel := context.WithTimeout(context.WithoutCancel(ctx), cfg.Duration+drainTimeout)
 	defer cancel()
-	slots := make(chan struct{}, cfg.Concurrency)
+	inProgress := make(chan struct{}, cfg.Concurrency)
 	var group sync.WaitGroup
 	began := time.Now()
 	sc := newSchedule(cfg, began)
 	for ar, ok := sc.next(); ok && sleepUntil(ctx, ar.due); ar, ok = sc.next() {
 		ta := tallies[ar.class]
 		select {
-		case slots <- struct{}{}:
+		case inProgress <- struct{}{}:
 		default:
 			ta.withhold()
 			continue
 		}
 		group.Go(func() {
-			defer func() { <-slots }()
+			defer func() { <-inProgress }()
 			ta.add(se.send(sending, ar))
 		})
 	}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -165,7 +165,7 @@
 	is.True(cr.Latency.Max >= float64(cfg.Duration.Milliseconds()))
 }
 
-func TestJainIndex(t *testing.T) {
+func TestJainIndexAndEqualDemands(t *testing.T) {
 	is := is.New(t)
 	is.Equal(load.JainIndex([]float64{3, 3, 3}), 1.0)
 	is.Equal(load.JainIndex([]float64{1, 0, 0, 0}), 0.25)
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -16,10 +16,10 @@
 type (
 	// Report is the result of a run. Times are in milliseconds.
 	Report struct {
-		Seed    uint64        `json:"seed"`
-		Seconds float64       `json:"seconds"` // duration for which requests were sent
-		Classes []ClassReport `json:"classes"`
-		Equal   []EqualReport `json:"equalDemands,omitempty"`
+		Seed     uint64           `json:"seed"`
+		Seconds  float64          `json:"seconds"` // duration for which requests were sent
+		Classes  []ClassReport    `json:"classes"`
+		Fairness []FairnessReport `json:"equalDemands,omitempty"`
 	}
 
 	// ClassReport is the result of one class.
@@ -56,9 +56,9 @@
 		Max   float64 `json:"max"`
 	}
 
-	// EqualReport is the fairness among classes of equal demand, by the
+	// FairnessReport is the fairness among classes of equal demand, by the
 	// fraction of their requests that are done.
-	EqualReport struct {
+	FairnessReport struct {
 		Callers []string `json:"callers"`
 		Jain    float64  `json:"jain"`
 	}
@@ -135,15 +135,15 @@
 		rp.Classes = append(rp.Classes, ta.report(cfg.Classes[i]))
 	}
 	for _, group := range EqualDemands(cfg.Classes) {
-		var eq EqualReport
+		var fr FairnessReport
 		var shares []float64
 		for _, at := range group {
 			cr := rp.Classes[at]
-			eq.Callers = append(eq.Callers, cr.Workspace+"/"+cr.Caller)
+			fr.Callers = append(fr.Callers, cr.Workspace+"/"+cr.Caller)
 			shares = append(shares, float64(cr.Done)/float64(max(cr.Offered, 1)))
 		}
-		eq.Jain = JainIndex(shares)
-		rp.Equal = append(rp.Equal, eq)
+		fr.Jain = JainIndex(shares)
+		rp.Fairness = append(rp.Fairness, fr)
 	}
 	return rp
 }
@@ -217,8 +217,8 @@
 				cr.Refusal.P50, cr.Refusal.P99, cr.RetryAfter.P50, cr.RetryAfter.Max)
 		}
 	}
-	for _, eq := range rp.Equal {
-		fmt.Fprintf(tw, "\nJain's index over the %d classes of equal demand from %s on: %.4f\n", len(eq.Callers), eq.Callers[0], eq.Jain)
+	for _, fr := range rp.Fairness {
+		fmt.Fprintf(tw, "\nJain's index over the %d classes of equal demand from %s on: %.4f\n", len(fr.Callers), fr.Callers[0], fr.Jain)
 	}
 	return tw.Flush()
 }
