Say in load what the service, the path and the fairness are

The path is within the service, a status of 400 and more counts as failed, and fairness is Jain's index of the classes that EqualDemands groups; the comments left that open. Three tests say which failure they guard against.

--- a/internal/load/children_test.go
+++ b/internal/load/children_test.go
@@ -32,7 +32,8 @@
 		Endpoints []string // addresses that the plain forwarder sends to
 	}
 
-	// listenAddrs is the first line that a child prints: its addresses.
+	// listenAddrs holds the addresses at which a child listens. They are the first
+	// line that it prints, as JSON.
 	listenAddrs struct{ HTTP, Peer string }
 
 	// child is a process under test. It runs the same binary in another role.
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -26,13 +26,13 @@
 	// Config is the configuration of a run.
 	Config struct {
 		Addresses   []string // IP:port, used in turn
-		Service     string
-		Path        string
+		Service     string   // name of the service that all requests are for
+		Path        string   // of all requests, within the service
 		Classes     []Class
 		Duration    time.Duration
 		Concurrency int // maximum number of requests in progress
 		Seed        uint64
-		Plain       bool // the target gives no result codes; a status below 400 counts as done
+		Plain       bool // the target gives no result codes; a status below 400 counts as done, any other as failed
 	}
 
 	// Class is a group of callers with identical requests.
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -59,6 +59,8 @@
 	}
 }
 
+// TestRunRefusesNonLoopbackAddresses guards against load that is sent to another
+// machine.
 func TestRunRefusesNonLoopbackAddresses(t *testing.T) {
 	for _, address := range []string{"10.0.0.1:80", "128.0.0.1:80", "[::2]:80", "localhost:80", "127.0.0.1:0", "0.0.0.0:80"} {
 		cfg := config(address)
@@ -70,8 +72,9 @@
 	}
 }
 
-// TestReportMatchesRequestsSeenByTarget lets requests be done, fail, be refused or
-// get no response in turn, and compares the report with what the target has seen.
+// TestReportMatchesRequestsSeenByTarget guards against a report that counts a
+// request under the wrong class, twice or not at all. The target lets requests be
+// done, fail, be refused and get no response in turn.
 func TestReportMatchesRequestsSeenByTarget(t *testing.T) {
 	is := is.New(t)
 	var mu sync.Mutex
@@ -132,6 +135,8 @@
 	is.True(offered[0] != offered[2])
 }
 
+// TestUnreachableTargetCountsAsNotRun guards against refused connections that
+// count as requests of unknown outcome.
 func TestUnreachableTargetCountsAsNotRun(t *testing.T) {
 	is := is.New(t)
 	li, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -37,8 +37,8 @@
 		RetryAfter Distribution `json:"retryAfterMillis"` // given by responses
 	}
 
-	// CodeCount is the number of responses with one result code. Code zero
-	// stands for requests without a result code.
+	// CodeCount is the number of requests with one result code. Code zero stands
+	// for requests without a result code.
 	CodeCount struct {
 		Code  codes.Code  `json:"code"`
 		Name  string      `json:"name"`
@@ -56,11 +56,11 @@
 		Max   float64 `json:"max"`
 	}
 
-	// FairnessReport is the fairness among classes of equal demand, by the
-	// fraction of their requests that are done.
+	// FairnessReport is the fairness among classes of equal demand, see
+	// EqualDemands, by the fraction of their requests that are done.
 	FairnessReport struct {
-		Callers []string `json:"callers"`
-		Jain    float64  `json:"jain"`
+		Callers []string `json:"callers"` // of the classes, as workspace/caller
+		Jain    float64  `json:"jain"`    // Jain's fairness index
 	}
 
 	// tally accumulates the outcomes of one class.
