Tell the runners of processes apart from the run of a command in cmds

env.run held the implementations of the commands that start hosts, and command.run is the function that executes any command. The field and the parameter are now runners. Renames only; the tests of cmds pass.

--- a/internal/cmds/main.go
+++ b/internal/cmds/main.go
@@ -39,7 +39,7 @@
 		args    []string // arguments after the command's name
 		out     io.Writer
 		errOut  io.Writer
-		run     Runners
+		runners Runners
 		json    bool // whether results, and errors without a result, are written to out as JSON
 		emitted bool // whether a result has been written to out
 	}
@@ -62,8 +62,8 @@
 
 // Main runs the command given by args, which don't include the program's name,
 // and returns the exit code.
-func Main(ctx context.Context, args []string, out, errOut io.Writer, run Runners) int {
-	en := &env{out: out, errOut: errOut, run: run}
+func Main(ctx context.Context, args []string, out, errOut io.Writer, runners Runners) int {
+	en := &env{out: out, errOut: errOut, runners: runners}
 	if len(args) == 0 {
 		return en.finish(program, usageErrorf("a command is required; see %s --help", program))
 	}
--- a/internal/cmds/procs.go
+++ b/internal/cmds/procs.go
@@ -77,7 +77,7 @@
 			if err != nil {
 				return err
 			}
-			return en.run.Serve(ctx, se, en.errOut)
+			return en.runners.Serve(ctx, se, en.errOut)
 		},
 	}
 }
@@ -93,7 +93,7 @@
 			if file == "" {
 				return usageErrorf("a settings file is required; see %s domain --help", program)
 			}
-			return en.run.Domain(ctx, file, en.out)
+			return en.runners.Domain(ctx, file, en.out)
 		},
 	}
 }
@@ -116,7 +116,7 @@
 				return err
 			}
 			op.Out, op.Log = en.out, en.errOut
-			return en.run.Local(ctx, op)
+			return en.runners.Local(ctx, op)
 		},
 	}
 }
@@ -160,7 +160,7 @@
 			if err := op.check(); err != nil {
 				return err
 			}
-			return en.run.Standin(ctx, op)
+			return en.runners.Standin(ctx, op)
 		},
 	}
 }
