Call the retry-after time one name in client and say what its tests guard

The client spoke of a retry delay, the entry host of a retry-after time. The client's comments now use the latter, the states and the number of steps of a job are listed, and three tests say which failure they guard against. Comments and a subtest name only; the tests of client and cmds pass.

--- a/internal/cmds/main_test.go
+++ b/internal/cmds/main_test.go
@@ -278,7 +278,7 @@
 }
 
 // TestClientErrors guards against the output of an error without its result code
-// and retry delay, as text and as JSON.
+// and retry-after time, as text and as JSON.
 func TestClientErrors(t *testing.T) {
 	is := is.New(t)
 	sy := newSystem(t, map[string]string{"GET /v1/jobs": `{"code":4012,"retryAfterMillis":2000}`})
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -52,6 +52,8 @@
 	return cl
 }
 
+// TestSubmitSendsHeadersAndBody guards against a job that is submitted without its
+// idempotency key, its workspace or a part of its body.
 func TestSubmitSendsHeadersAndBody(t *testing.T) {
 	is := is.New(t)
 	cl, rr := serve(t, 202, nil, `{"code":1000,"name":"jobAccepted","class":"inProgress","id":"z.1","state":"queued"}`)
@@ -131,6 +133,8 @@
 	}
 }
 
+// TestSubmitErrors guards against a response without a valid result that is taken
+// for an accepted job, and against errors that lose their retry-after time.
 func TestSubmitErrors(t *testing.T) {
 	for name, tc := range map[string]struct {
 		status int
@@ -141,7 +145,7 @@
 	}{
 		"code in the body":       {429, nil, `{"code":4008,"detail":"d","retryAfterMillis":1500}`, codes.Overloaded, 1500 * time.Millisecond},
 		"code in the headers":    {429, map[string]string{client.HeaderCode: "4008", client.HeaderRetryAfter: "250"}, "", codes.Overloaded, 250 * time.Millisecond},
-		"retry delay in seconds": {503, map[string]string{client.HeaderCode: "4009", "Retry-After": "2"}, "", codes.NoEndpoint, 2 * time.Second},
+		"retry-after in seconds": {503, map[string]string{client.HeaderCode: "4009", "Retry-After": "2"}, "", codes.NoEndpoint, 2 * time.Second},
 		"no code":                {502, nil, "<html>", codes.SubmitUnknown, 0},
 		"malformed success":      {202, nil, "<html>", codes.SubmitUnknown, 0},
 		"redirect not followed":  {307, map[string]string{"Location": "/v1/jobs"}, "", codes.SubmitUnknown, 0},
@@ -179,6 +183,8 @@
 	is.Equal(rr.header.Get("X-A"), "1")
 }
 
+// TestApplyReturnsFaultsWithError guards against a refusal that does not tell the
+// operator what is wrong with the declarations.
 func TestApplyReturnsFaultsWithError(t *testing.T) {
 	is := is.New(t)
 	cl, _ := serve(t, 422, nil, `{"code":4023,"revision":4,"faults":[{"line":2,"column":3,"message":"m"}]}`)
--- a/pkg/client/response.go
+++ b/pkg/client/response.go
@@ -89,8 +89,8 @@
 	return withRetryAfter(er, rp.header)
 }
 
-// withRetryAfter returns er with the retry delay of the headers, unless it has
-// one already.
+// withRetryAfter returns er with the retry-after time of the headers, unless it
+// has one already.
 func withRetryAfter(er *codes.Error, header http.Header) *codes.Error {
 	if er.RetryAfter > 0 {
 		return er
--- a/pkg/client/types.go
+++ b/pkg/client/types.go
@@ -47,10 +47,10 @@
 	Workspace  string     `json:"workspace"`
 	Caller     string     `json:"caller,omitempty"`
 	Zone       string     `json:"zone"`
-	State      string     `json:"state"`
+	State      string     `json:"state"` // queued, starting, running, stopping or ended
 	Shape      spec.Shape `json:"shape"` // of the current step
 	Step       int        `json:"step"`  // number of the current step, from 1
-	Steps      int        `json:"steps"`
+	Steps      int        `json:"steps"` // number of steps
 	Priority   string     `json:"priority"`
 	Repeatable bool       `json:"repeatable"`
 	Checkpoint bool       `json:"checkpoint,omitempty"`
