Name a response and a listed endpoint by their types in entry

The tests held a response in a variable called an, short for answer, another word for the same idea, and a listed endpoint was called ho like an entry host.

--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -21,14 +21,14 @@
 func TestForward(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 2, nil)
-	an, err := th.call(http.MethodPost, "/v1/services/orders/a%2Fb?x=1", "crates=1")
+	re, err := th.call(http.MethodPost, "/v1/services/orders/a%2Fb?x=1", "crates=1")
 	is.NoErr(err)
-	is.NoErr(an.err)
-	is.Equal(an.code, codes.RequestDone)
-	is.Equal(an.class, "done")
-	is.Equal(an.body, "crates=1")
-	is.Equal(th.runs()[an.request], 1)
-	is.Equal(len(th.log.lines("event=route request="+an.request)), 1)
+	is.NoErr(re.err)
+	is.Equal(re.code, codes.RequestDone)
+	is.Equal(re.class, "done")
+	is.Equal(re.body, "crates=1")
+	is.Equal(th.runs()[re.request], 1)
+	is.Equal(len(th.log.lines("event=route request="+re.request)), 1)
 	th.checkAccount(is, map[codes.Code]int{codes.RequestDone: 1})
 }
 
@@ -60,12 +60,12 @@
 			if tc.repeatable {
 				repeatable = "true"
 			}
-			an, err := th.order(append(tc.headers, client.HeaderRepeatable, repeatable)...)
+			re, err := th.order(append(tc.headers, client.HeaderRepeatable, repeatable)...)
 			is.NoErr(err)
-			is.NoErr(an.err)
-			is.Equal(an.code, tc.code)
-			is.Equal(an.class, tc.code.Class().String())
-			is.Equal(th.runs()[an.request], tc.runs)
+			is.NoErr(re.err)
+			is.Equal(re.code, tc.code)
+			is.Equal(re.class, tc.code.Class().String())
+			is.Equal(th.runs()[re.request], tc.runs)
 			th.checkAccount(is, map[codes.Code]int{tc.code: 1})
 		})
 	}
@@ -76,15 +76,15 @@
 func TestLargeResponse(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 1, nil)
-	an, err := th.order(epsim.HeaderSize, "1000000")
+	re, err := th.order(epsim.HeaderSize, "1000000")
 	is.NoErr(err)
-	is.NoErr(an.err)
-	is.Equal(len(an.body), 1000000)
-	is.True(strings.HasPrefix(an.body, an.request+"\n")) // the response to this request
+	is.NoErr(re.err)
+	is.Equal(len(re.body), 1000000)
+	is.True(strings.HasPrefix(re.body, re.request+"\n")) // the response to this request
 
-	an, err = th.order(epsim.HeaderSize, "1000000", epsim.HeaderFault, epsim.FaultHalf)
+	re, err = th.order(epsim.HeaderSize, "1000000", epsim.HeaderFault, epsim.FaultHalf)
 	is.NoErr(err)
-	is.True(an.err != nil) // a truncated response must not look complete
+	is.True(re.err != nil) // a truncated response must not look complete
 	eventually(t, "the truncated response is logged", func() bool { return len(th.log.lines("code=3001")) == 1 })
 	th.checkAccount(is, map[codes.Code]int{codes.RequestDone: 1, codes.AnswerBroken: 1})
 }
@@ -114,11 +114,11 @@
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			th := newTestHost(t, 1, nil)
-			an, err := th.call(tc.method, tc.path, tc.body, tc.headers...)
+			re, err := th.call(tc.method, tc.path, tc.body, tc.headers...)
 			is.NoErr(err)
-			is.Equal(an.code, tc.code)
-			is.Equal(an.status, tc.code.Info().HTTPStatus)
-			is.True(strings.Contains(an.body, tc.code.Info().Name))
+			is.Equal(re.code, tc.code)
+			is.Equal(re.status, tc.code.Info().HTTPStatus)
+			is.True(strings.Contains(re.body, tc.code.Info().Name))
 			is.Equal(len(th.runs()), 0)
 		})
 	}
@@ -162,16 +162,16 @@
 			results := make(chan response)
 			for range tc.requests {
 				go func() {
-					an, _ := th.order(epsim.HeaderDelay, tc.delay, client.HeaderRepeatable, "false")
-					results <- an
+					re, _ := th.order(epsim.HeaderDelay, tc.delay, client.HeaderRepeatable, "false")
+					results <- re
 				}()
 			}
 			counts := make(map[codes.Code]int)
 			codeOf := make(map[string]codes.Code)
 			for range tc.requests {
-				an := <-results
-				counts[an.code]++
-				codeOf[an.request] = an.code
+				re := <-results
+				counts[re.code]++
+				codeOf[re.request] = re.code
 			}
 			is.Equal(counts[codes.RequestDone], tc.requests-tc.busy)
 			is.Equal(counts[codes.EndpointBusy], tc.busy)
@@ -215,9 +215,9 @@
 	th := newTestHost(t, 1, nil)
 	th.endpoints[0].Leave()
 	keyed := []string{client.HeaderRepeatable, "false", client.HeaderKey, "k1"}
-	an, err := th.order(keyed...)
+	re, err := th.order(keyed...)
 	is.NoErr(err)
-	is.Equal(an.code, codes.NoEndpoint)
+	is.Equal(re.code, codes.NoEndpoint)
 	prior, err := th.claims.Acquire(t.Context(), entry.Claim{Workspace: "parish", Key: "k1"})
 	is.NoErr(err)
 	is.Equal(prior, nil)
@@ -230,8 +230,8 @@
 	th := newTestHost(t, 2, nil)
 	inProgress := make(chan response, 1)
 	go func() {
-		an, _ := th.order(epsim.HeaderDelay, "1s")
-		inProgress <- an
+		re, _ := th.order(epsim.HeaderDelay, "1s")
+		inProgress <- re
 	}()
 	eventually(t, "the request runs", func() bool { return len(th.runs()) == 1 })
 	draining, other := th.endpoints[0], th.endpoints[1]
@@ -242,9 +242,9 @@
 	eventually(t, "the host knows of the draining endpoint", func() bool { return len(th.server.DrainingEndpoints()) == 1 })
 	before := len(draining.Runs())
 	for range 20 {
-		an, err := th.order()
+		re, err := th.order()
 		is.NoErr(err)
-		is.Equal(an.code, codes.RequestDone)
+		is.Equal(re.code, codes.RequestDone)
 	}
 	is.Equal(len(draining.Runs()), before)
 	is.Equal(len(other.Runs()), 20)
@@ -258,9 +258,9 @@
 	th := newTestHost(t, 3, nil)
 	th.endpoints[0].Close()
 	for range 30 {
-		an, err := th.order(client.HeaderRepeatable, "false")
+		re, err := th.order(client.HeaderRepeatable, "false")
 		is.NoErr(err)
-		is.Equal(an.code, codes.RequestDone) // if the connection is refused, the request did not run and is retried
+		is.Equal(re.code, codes.RequestDone) // if the connection is refused, the request did not run and is retried
 	}
 	for _, n := range th.runs() {
 		is.Equal(n, 1)
@@ -279,9 +279,9 @@
 	th.endpoints[0].SilenceConnections()
 	// Probes detect the unresponsive connections within 2 s.
 	time.Sleep(2 * time.Second)
-	an, err := th.order(client.HeaderTimeout, "2s", client.HeaderRepeatable, "false")
+	re, err := th.order(client.HeaderTimeout, "2s", client.HeaderRepeatable, "false")
 	is.NoErr(err)
-	is.Equal(an.code, codes.RequestDone)
+	is.Equal(re.code, codes.RequestDone)
 }
 
 func TestNotReadyWithoutDeclarations(t *testing.T) {
@@ -290,14 +290,14 @@
 		cfg.Declarations = func() (*spec.Declarations, int64) { return nil, 0 }
 		cfg.Endpoints = func() []plat.Host { return nil }
 	})
-	an, err := th.order()
+	re, err := th.order()
 	is.NoErr(err)
-	is.Equal(an.code, codes.NotReady)
-	is.True(an.header.Get(client.HeaderRetryAfter) != "")
-	an, err = th.call(http.MethodGet, "/readyz", "")
+	is.Equal(re.code, codes.NotReady)
+	is.True(re.header.Get(client.HeaderRetryAfter) != "")
+	re, err = th.call(http.MethodGet, "/readyz", "")
 	is.NoErr(err)
-	is.Equal(an.status, http.StatusServiceUnavailable)
-	an, err = th.call(http.MethodGet, "/healthz", "")
+	is.Equal(re.status, http.StatusServiceUnavailable)
+	re, err = th.call(http.MethodGet, "/healthz", "")
 	is.NoErr(err)
-	is.Equal(an.status, http.StatusOK)
+	is.Equal(re.status, http.StatusOK)
 }
--- a/internal/entry/connfault_test.go
+++ b/internal/entry/connfault_test.go
@@ -125,28 +125,28 @@
 			endpoints[0].Address = fp.Addr().String()
 			cfg.Endpoints = func() []plat.Host { return endpoints }
 		})
-		an, err := th.order(client.HeaderRepeatable, fmt.Sprint(repeatable), client.HeaderTimeout, "700ms")
+		re, err := th.order(client.HeaderRepeatable, fmt.Sprint(repeatable), client.HeaderTimeout, "700ms")
 		is.NoErr(err) // the entry host always responds
-		t.Logf("code %s, body %q, error %v", an.code, an.body, an.err)
+		t.Logf("code %s, body %q, error %v", re.code, re.body, re.err)
 		ran := 0
 		eventually(t, "the run ends", func() bool {
-			ran = th.runs()[an.request]
-			return an.code.Class() != codes.Done || ran > 0
+			ran = th.runs()[re.request]
+			return re.code.Class() != codes.Done || ran > 0
 		})
-		checkOutcome(is, an, ran, repeatable)
+		checkOutcome(is, re, ran, repeatable)
 	})
 }
 
 // checkOutcome compares a response with the number of times that its request
 // ran.
-func checkOutcome(is *is.I, an response, ran int, repeatable bool) {
+func checkOutcome(is *is.I, re response, ran int, repeatable bool) {
 	is.Helper()
 	is.True(repeatable || ran <= 1)
-	switch an.code.Class() {
+	switch re.code.Class() {
 	case codes.Done:
 		is.True(ran >= 1)
-		if an.err == nil {
-			is.Equal(an.body, "crates=1") // complete
+		if re.err == nil {
+			is.Equal(re.body, "crates=1") // complete
 		}
 	case codes.NotRun:
 		is.Equal(ran, 0)
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -78,11 +78,11 @@
 		log:     &logCapture{},
 		stopped: make(chan error, 1),
 	}
-	var hosts []plat.Host
+	var listed []plat.Host
 	for i := range endpoints {
 		ep := startEndpoint(t, fmt.Sprintf("ep-%d", i))
 		th.endpoints = append(th.endpoints, ep)
-		hosts = append(hosts, plat.Host{Name: ep.Name(), Kind: plat.KindEndpoint, Address: ep.Addr(), State: plat.StateLive, Service: "orders"})
+		listed = append(listed, plat.Host{Name: ep.Name(), Kind: plat.KindEndpoint, Address: ep.Addr(), State: plat.StateLive, Service: "orders"})
 	}
 	de := declarations()
 	ln := listen(t)
@@ -94,7 +94,7 @@
 		},
 		Stop:         setup.Stop{Delay: 50 * time.Millisecond, Bound: 10 * time.Second},
 		Declarations: func() (*spec.Declarations, int64) { return de, 1 },
-		Endpoints:    func() []plat.Host { return hosts },
+		Endpoints:    func() []plat.Host { return listed },
 		Members:      func(time.Time) []peers.Member { return nil },
 		Jobs:         newFakeJobs(),
 		Claims:       th.claims,
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -22,11 +22,11 @@
 func TestSubmitJob(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 0, nil)
-	an, err := th.call(http.MethodPost, "/v1/jobs", goodJob, client.HeaderKey, "j1")
+	re, err := th.call(http.MethodPost, "/v1/jobs", goodJob, client.HeaderKey, "j1")
 	is.NoErr(err)
-	is.Equal(an.code, codes.JobAccepted)
+	is.Equal(re.code, codes.JobAccepted)
 	var jb client.Job
-	is.NoErr(json.Unmarshal([]byte(an.body), &jb))
+	is.NoErr(json.Unmarshal([]byte(re.body), &jb))
 	is.Equal(jb.Zone, "lima")
 	is.Equal(jb.State, "queued")
 
@@ -37,19 +37,19 @@
 	is.Equal(same.ID, jb.ID)
 
 	other := `{"zone":"lima","shape":{"tasks":1,"accelerators":8,"adjacency":"rack"},"runTime":"45m","repeatable":true,"command":["sort"]}`
-	an, err = th.call(http.MethodPost, "/v1/jobs", other, client.HeaderKey, "j1")
+	re, err = th.call(http.MethodPost, "/v1/jobs", other, client.HeaderKey, "j1")
 	is.NoErr(err)
-	is.Equal(an.code, codes.KeyMismatch)
+	is.Equal(re.code, codes.KeyMismatch)
 
-	an, err = th.call(http.MethodGet, "/v1/jobs/"+jb.ID+"?wait=1ms", "")
+	re, err = th.call(http.MethodGet, "/v1/jobs/"+jb.ID+"?wait=1ms", "")
 	is.NoErr(err)
-	is.Equal(an.code, codes.JobQueued)
-	an, err = th.call(http.MethodDelete, "/v1/jobs/"+jb.ID, "")
+	is.Equal(re.code, codes.JobQueued)
+	re, err = th.call(http.MethodDelete, "/v1/jobs/"+jb.ID, "")
 	is.NoErr(err)
-	is.Equal(an.code, codes.CancelledUnstarted)
-	an, err = th.call(http.MethodGet, "/v1/jobs?active=true", "")
+	is.Equal(re.code, codes.CancelledUnstarted)
+	re, err = th.call(http.MethodGet, "/v1/jobs?active=true", "")
 	is.NoErr(err)
-	is.Equal(an.body, `{"jobs":[]}`+"\n")
+	is.Equal(re.body, `{"jobs":[]}`+"\n")
 }
 
 // TestSubmitSteps guards against submissions under the same idempotency key that
@@ -58,19 +58,19 @@
 	is := is.New(t)
 	th := newTestHost(t, 0, nil)
 	steps := goodJob[:len(goodJob)-1] + `,"then":[{"shape":{"tasks":1,"accelerators":2,"adjacency":"zone"},"runTime":"5m","command":["sum"]}]}`
-	an, err := th.call(http.MethodPost, "/v1/jobs", steps, client.HeaderKey, "j1")
+	re, err := th.call(http.MethodPost, "/v1/jobs", steps, client.HeaderKey, "j1")
 	is.NoErr(err)
-	is.Equal(an.code, codes.JobAccepted)
+	is.Equal(re.code, codes.JobAccepted)
 	var jb client.Job
-	is.NoErr(json.Unmarshal([]byte(an.body), &jb))
+	is.NoErr(json.Unmarshal([]byte(re.body), &jb))
 	is.Equal(jb.Step, 1)
 	is.Equal(jb.Steps, 2)
-	an, err = th.call(http.MethodPost, "/v1/jobs", steps, client.HeaderKey, "j1")
+	re, err = th.call(http.MethodPost, "/v1/jobs", steps, client.HeaderKey, "j1")
 	is.NoErr(err)
-	is.Equal(an.code, codes.JobAccepted) // the same job
-	an, err = th.call(http.MethodPost, "/v1/jobs", goodJob, client.HeaderKey, "j1")
+	is.Equal(re.code, codes.JobAccepted) // the same job
+	re, err = th.call(http.MethodPost, "/v1/jobs", goodJob, client.HeaderKey, "j1")
 	is.NoErr(err)
-	is.Equal(an.code, codes.KeyMismatch) // the second step is missing
+	is.Equal(re.code, codes.KeyMismatch) // the second step is missing
 }
 
 func TestRefusedJobs(t *testing.T) {
@@ -95,9 +95,9 @@
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			th := newTestHost(t, 0, nil)
-			an, err := th.call(http.MethodPost, "/v1/jobs", tc.body)
+			re, err := th.call(http.MethodPost, "/v1/jobs", tc.body)
 			is.NoErr(err)
-			is.Equal(an.code, tc.code)
+			is.Equal(re.code, tc.code)
 			th.checkAccount(is, map[codes.Code]int{tc.code: 1})
 		})
 	}
@@ -106,10 +106,10 @@
 func TestJobsOfOtherWorkspacesAreHidden(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 0, nil)
-	an, err := th.call(http.MethodPost, "/v1/jobs", goodJob)
+	re, err := th.call(http.MethodPost, "/v1/jobs", goodJob)
 	is.NoErr(err)
 	var jb client.Job
-	is.NoErr(json.Unmarshal([]byte(an.body), &jb))
+	is.NoErr(json.Unmarshal([]byte(re.body), &jb))
 	rq, err := http.NewRequest(http.MethodDelete, th.url+"/v1/jobs/"+jb.ID, nil)
 	is.NoErr(err)
 	rq.Header.Set(client.HeaderWorkspace, "hotels")
@@ -127,7 +127,7 @@
 func TestPanicIsAnsweredWithCode(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 0, func(cfg *entry.Config, _ *spec.Declarations) { cfg.Jobs = panickingJobs{} })
-	an, err := th.call(http.MethodGet, "/v1/jobs/lima.1", "")
+	re, err := th.call(http.MethodGet, "/v1/jobs/lima.1", "")
 	is.NoErr(err)
-	is.Equal(an.code, codes.InternalFailure)
+	is.Equal(re.code, codes.InternalFailure)
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -112,11 +112,11 @@
 // hosts, and expires queued requests.
 func (sv *service) refresh(now time.Time, sd spec.Service, vw zoneView) {
 	var endpoints []route.Endpoint
-	for _, ho := range vw.endpoints {
-		if ho.Service == sd.Name {
+	for _, ph := range vw.endpoints {
+		if ph.Service == sd.Name {
 			endpoints = append(endpoints, route.Endpoint{
-				Name: ho.Name, Address: ho.Address, Slots: sd.Slots, Connections: sd.Connections,
-				Draining: ho.State == plat.StateLeaving || vw.draining[ho.Name],
+				Name: ph.Name, Address: ph.Address, Slots: sd.Slots, Connections: sd.Connections,
+				Draining: ph.State == plat.StateLeaving || vw.draining[ph.Name],
 			})
 		}
 	}
--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -67,8 +67,8 @@
 	results := make(chan bool, count)
 	for i := range count {
 		go func() {
-			an, err := hosts[i%len(hosts)].order(epsim.HeaderDelay, delay.String(), client.HeaderRepeatable, "false")
-			results <- err == nil && an.code == codes.RequestDone
+			re, err := hosts[i%len(hosts)].order(epsim.HeaderDelay, delay.String(), client.HeaderRepeatable, "false")
+			results <- err == nil && re.code == codes.RequestDone
 		}()
 	}
 	for range count {
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -31,20 +31,20 @@
 	th := newTestHost(t, 2, func(cfg *entry.Config, _ *spec.Declarations) { cfg.Stop.Delay = 300 * time.Millisecond })
 	var mu sync.Mutex
 	counts := make(map[codes.Code]int)
-	count := func(an response) {
+	count := func(re response) {
 		mu.Lock()
 		defer mu.Unlock()
-		counts[an.code]++
+		counts[re.code]++
 	}
 	var long, short sync.WaitGroup
 	var cut atomic.Int64
 	for range 4 {
 		long.Go(func() {
-			an, err := th.order(epsim.HeaderDelay, "1200ms", client.HeaderRepeatable, "false")
-			if err != nil || an.err != nil {
+			re, err := th.order(epsim.HeaderDelay, "1200ms", client.HeaderRepeatable, "false")
+			if err != nil || re.err != nil {
 				cut.Add(1)
 			}
-			count(an)
+			count(re)
 		})
 	}
 	eventually(t, "four requests run", func() bool { return len(th.runs()) == 4 })
@@ -57,27 +57,27 @@
 					return
 				default:
 				}
-				an, err := th.order()
-				if err != nil || an.err != nil {
+				re, err := th.order()
+				if err != nil || re.err != nil {
 					cut.Add(1)
 				}
-				count(an)
+				count(re)
 			}
 		})
 	}
 	th.stop()
 	eventually(t, "the host reports not ready", func() bool {
-		an, err := th.call(http.MethodGet, "/readyz", "")
-		return err == nil && an.code == codes.Stopping
+		re, err := th.call(http.MethodGet, "/readyz", "")
+		return err == nil && re.code == codes.Stopping
 	})
-	an, err := th.order()
+	re, err := th.order()
 	is.NoErr(err)
-	is.Equal(an.code, codes.RequestDone) // still serving for Stop.Delay
-	count(an)
+	is.Equal(re.code, codes.RequestDone) // still serving for Stop.Delay
+	count(re)
 	eventually(t, "new requests are refused", func() bool {
-		an, err := th.order()
-		count(an)
-		return err == nil && an.code == codes.Stopping
+		re, err := th.order()
+		count(re)
+		return err == nil && re.code == codes.Stopping
 	})
 	close(stopping)
 	short.Wait()
@@ -125,9 +125,9 @@
 		is.NoErr(err)
 		slow = append(slow, cn)
 	}
-	an, err := th.order()
+	re, err := th.order()
 	is.NoErr(err)
-	is.Equal(an.code, codes.RequestDone)
+	is.Equal(re.code, codes.RequestDone)
 	for _, cn := range slow {
 		rs, err := http.ReadResponse(bufio.NewReader(cn), nil)
 		is.NoErr(err)
@@ -160,8 +160,8 @@
 	eventually(t, "eight requests run", func() bool { return len(th.runs()) == 8 })
 	start(waiting, 4)
 	eventually(t, "four requests are queued", func() bool {
-		an, err := th.call(http.MethodGet, "/metrics", "")
-		return err == nil && strings.Contains(an.body, "cicadawharf_requests_waiting{service=\"orders\"} 4\n")
+		re, err := th.call(http.MethodGet, "/metrics", "")
+		return err == nil && strings.Contains(re.body, "cicadawharf_requests_waiting{service=\"orders\"} 4\n")
 	})
 	cancelWaiting()
 	eventually(t, "four callers disconnected", func() bool { return len(th.log.lines("code=4024")) == 4 })
@@ -171,9 +171,9 @@
 	th.checkAccount(is, map[codes.Code]int{codes.CallerLeft: 8, codes.CallerGone: 4})
 	is.Equal(len(th.runs()), 8)
 	eventually(t, "all slots are free", func() bool { return th.endpoints[0].Busy() == 0 })
-	an, err := th.order()
+	re, err := th.order()
 	is.NoErr(err)
-	is.Equal(an.code, codes.RequestDone)
+	is.Equal(re.code, codes.RequestDone)
 }
 
 // TestSpill forwards requests to another zone while the local one has no
@@ -204,11 +204,11 @@
 		{[]string{epsim.HeaderFault, epsim.FaultDropAfter}, codes.OutcomeUnknown},
 		{[]string{epsim.HeaderFault, epsim.FaultHalf}, codes.AnswerBroken},
 	} {
-		an, err := near.order(append(tc.headers, client.HeaderRepeatable, "false")...)
+		re, err := near.order(append(tc.headers, client.HeaderRepeatable, "false")...)
 		is.NoErr(err)
-		is.NoErr(an.err)
-		is.Equal(an.code, tc.code)
-		is.Equal(far.runs()[an.request], 1) // under the same request ID
+		is.NoErr(re.err)
+		is.Equal(re.code, tc.code)
+		is.Equal(far.runs()[re.request], 1) // under the same request ID
 	}
 	near.checkAccount(is, map[codes.Code]int{
 		codes.RequestDone: 2, codes.EndpointError: 1, codes.OutcomeUnknown: 1, codes.AnswerBroken: 1,
@@ -224,9 +224,9 @@
 		ep.Leave()
 	}
 	eventually(t, "both endpoints drain", func() bool { return len(far.server.DrainingEndpoints()) == 2 })
-	an, err := near.order()
+	re, err := near.order()
 	is.NoErr(err)
-	is.Equal(an.code, codes.NoEndpoint) // not forwarded again
+	is.Equal(re.code, codes.NoEndpoint) // not forwarded again
 }
 
 // TestSpillNeedsPermission guards against a request that is forwarded to another
@@ -243,8 +243,8 @@
 			return nil, net.ErrClosed
 		}
 	})
-	an, err := th.order()
+	re, err := th.order()
 	is.NoErr(err)
-	is.Equal(an.code, codes.NoEndpoint)
-	is.True(an.header.Get("Retry-After") != "")
+	is.Equal(re.code, codes.NoEndpoint)
+	is.True(re.header.Get("Retry-After") != "")
 }
