Say who decides on retries in relay and where the log of domain goes

relay spoke of a retry policy without naming it, cmds said that nothing but results goes to standard output although the log of domain does, and the step from a priority to an urgency had no reason.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -52,7 +52,7 @@
 		ID        uint64
 		Workspace string
 		Caller    string
-		Urgency   int       // 0 to MaxUrgency
+		Urgency   int       // 0 to MaxUrgency; orders the requests of the same caller
 		Deadline  time.Time // zero for none
 	}
 
--- a/internal/cmds/main.go
+++ b/internal/cmds/main.go
@@ -3,7 +3,8 @@
 // The exit code is 0 for success, 1 for work that was refused or failed, and 2
 // for a usage error, such as a wrong flag, a missing file or an invalid field.
 // The result code of refused or failed work is printed to standard error.
-// Results go to standard output and everything else to standard error.
+// Results go to standard output and everything else to standard error, except the
+// log of domain, which goes to standard output.
 //
 // The flags are parsed by flaggy, which prints and exits on its own if they are
 // invalid. All arguments are therefore validated first, against the flags that
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -30,7 +30,7 @@
 	workspace  string       // declared name, or undeclared, for accounting
 	service    string       // declared name, or undeclared, for accounting
 	sd         spec.Service // declaration of the service
-	sv         *service
+	sv         *service     // admission, endpoints and connections of the service
 	repeatable bool
 	target     string // path and query sent to the endpoint
 	body       []byte
@@ -197,7 +197,7 @@
 	ad, er := cl.sv.admit(ctx, admit.Request{
 		Workspace: cl.hd.workspace,
 		Caller:    cl.hd.caller,
-		Urgency:   int(cl.hd.priority) - 1,
+		Urgency:   int(cl.hd.priority) - 1, // jobs.Low is 1
 		Deadline:  deadline,
 	})
 	if er != nil {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -2,11 +2,11 @@
 // net/http's Transport.
 //
 // The Transport retries a request by itself when a reused connection fails.
-// Only the retry policy may repeat a request, so each connection gets its own
-// Transport, which can't open another one: an implicit retry finds no
-// connection and fails. The connection counts the bytes written to it to tell
-// whether a request was sent. A request is known not to have run only if no byte
-// was written, or if the endpoint says so.
+// Retries are for the caller of Send to decide (see package route), so each
+// connection gets its own Transport, which can't open another one: an implicit
+// retry finds no connection and fails. The connection counts the bytes written to
+// it to tell whether a request was sent. A request is known not to have run only
+// if no byte was written, or if the endpoint says so.
 //
 // A request that must not be repeated uses a connection that has had a response
 // within Config.MaxResponseAge, or a new one. Idle connections are probed, so
@@ -46,7 +46,7 @@
 		idle     []*clientConn        // most recently used last
 		inFlight map[*clientConn]bool // connections with a request other than a probe in flight, and whether it is repeatable
 		open     int                  // connections that are open or being opened
-		limit    int
+		limit    int                  // maximum of open
 		closed   bool
 	}
 )
