Name the caller with the largest backlog in admit

The caller from whose queue a request is evicted was called busiest, but busy is said of endpoints without a free slot. It is the one with the most queued requests. Rename of a local variable only; the tests of admit pass.

--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -144,17 +144,17 @@
 			mostBacklogged = ws
 		}
 	}
-	busiest := tr.ca
+	mostQueued := tr.ca
 	if mostBacklogged != tr.ws {
-		busiest = mostBacklogged.queuedCallers[0]
+		mostQueued = mostBacklogged.queuedCallers[0]
 	}
 	for _, ca := range mostBacklogged.queuedCallers {
-		if ca.backlog(tr) > busiest.backlog(tr) {
-			busiest = ca
+		if ca.backlog(tr) > mostQueued.backlog(tr) {
+			mostQueued = ca
 		}
 	}
-	last := busiest.leastUrgent()
-	if busiest == tr.ca && (last == nil || last.Urgency >= tr.Urgency) {
+	last := mostQueued.leastUrgent()
+	if mostQueued == tr.ca && (last == nil || last.Urgency >= tr.Urgency) {
 		return nil
 	}
 	return last
