Name the function that returns the code of an attempt in entry

outcomeOf returned a code, while an outcome is the record for the account. It is now codeOf, as in the client.

--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -150,7 +150,7 @@
 	cl.sv.endAttempt(ch.Endpoint.Name, obs...)
 	cl.logRoute(routeLog{
 		endpoint: ch.Endpoint.Name, zone: cl.sr.cfg.Zone, candidates: ch.Candidates, rejections: ch.Rejections.String(), borrowed: ch.Borrowed,
-		code: outcomeOf(rp, fa), cause: causeOf(fa), duration: time.Since(start),
+		code: codeOf(rp, fa), cause: causeOf(fa), duration: time.Since(start),
 	})
 	return cl.finishAttempt(rp, fa)
 }
--- a/internal/entry/remote.go
+++ b/internal/entry/remote.go
@@ -114,7 +114,7 @@
 	cl.accountForward(ft, rq, rp, time.Since(start))
 	line := routeLog{
 		endpoint: ft.Host, zone: ft.Zone, candidates: candidates, rejections: "none",
-		code: outcomeOf(rp, fa), cause: causeOf(fa), duration: time.Since(start),
+		code: codeOf(rp, fa), cause: causeOf(fa), duration: time.Since(start),
 	}
 	cl.logRoute(line)
 	if er != nil {
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -104,7 +104,7 @@
 	if fa != nil && !cl.responseStarted {
 		return fa
 	}
-	cl.outcome.Code = outcomeOf(rp, fa)
+	cl.outcome.Code = codeOf(rp, fa)
 	cl.releaseSlot()
 	if fa != nil {
 		panic(http.ErrAbortHandler)
@@ -140,9 +140,9 @@
 	cl.w.WriteHeader(rp.response.Status)
 }
 
-// outcomeOf returns the code of an attempt: that of its failure, if any, or of its
+// codeOf returns the code of an attempt: that of its failure, if any, or of its
 // response.
-func outcomeOf(rp upstreamResponse, fa *relay.Failure) codes.Code {
+func codeOf(rp upstreamResponse, fa *relay.Failure) codes.Code {
 	if fa != nil {
 		return fa.Code
 	}
