--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -89,11 +89,11 @@
 	return pi.Conn.Write(p)
 }
 
-func reply(text string) script {
+func respondWith(text string) script {
 	return func(_ *http.Request, cn net.Conn) { _, _ = io.WriteString(cn, text) }
 }
 
-const okReply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 func newPool(ep *endpoint) *relay.Pool {
 	return relay.NewPool(relay.Config{Address: "endpoint", Dial: ep.dial, Connections: 4})
@@ -136,7 +136,7 @@
 			ep := &endpoint{}
 			ep.script = func(rq *http.Request, cn net.Conn) {
 				if ep.requests.Load() == 1 {
-					reply(okReply)(rq, cn)
+					respondWith(okResponse)(rq, cn)
 					return
 				}
 				_ = cn.Close() // the reused connection, without a response
@@ -161,7 +161,7 @@
 		is := is.New(t)
 		ep := &endpoint{}
 		ep.script = func(rq *http.Request, cn net.Conn) {
-			reply(okReply)(rq, cn)
+			respondWith(okResponse)(rq, cn)
 			_ = cn.Close()
 		}
 		po := newPool(ep)
@@ -182,7 +182,7 @@
 func TestStaleConnectionIsNotReused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		ep := &endpoint{script: reply(okReply)}
+		ep := &endpoint{script: respondWith(okResponse)}
 		po := newPool(ep)
 		defer po.Close()
 		_, fa := send(t.Context(), po, post("first"))
@@ -205,7 +205,7 @@
 func TestUnresponsiveConnectionIsDetected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		ep := &endpoint{script: reply(okReply)}
+		ep := &endpoint{script: respondWith(okResponse)}
 		po := newPool(ep)
 		defer po.Close()
 		_, fa := send(t.Context(), po, post("first"))
@@ -230,7 +230,7 @@
 		ep := &endpoint{script: func(rq *http.Request, cn net.Conn) {
 			if rq.Header.Get("X-Hang") == "" {
 				time.Sleep(10 * time.Millisecond)
-				reply(okReply)(rq, cn)
+				respondWith(okResponse)(rq, cn)
 			}
 		}}
 		po := newPool(ep)
@@ -285,10 +285,10 @@
 
 func TestFailures(t *testing.T) {
 	for _, tc := range []struct {
-		name  string
-		reply string
-		cause relay.Cause
-		class codes.Class
+		name     string
+		response string
+		cause    relay.Cause
+		class    codes.Class
 	}{
 		{"busy", "HTTP/1.1 503 x\r\nEndpoint-Refused: busy\r\nContent-Length: 0\r\n\r\n", relay.CauseNoFreeSlot, codes.NotRun},
 		{"leaving", "HTTP/1.1 503 x\r\nEndpoint-Refused: leaving\r\nContent-Length: 0\r\n\r\n", relay.CauseDraining, codes.NotRun},
@@ -305,7 +305,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				ep := &endpoint{script: func(rq *http.Request, cn net.Conn) {
-					reply(tc.reply)(rq, cn)
+					respondWith(tc.response)(rq, cn)
 					_ = cn.Close()
 				}}
 				po := newPool(ep)
@@ -352,7 +352,7 @@
 		is := is.New(t)
 		ep := &endpoint{script: func(rq *http.Request, cn net.Conn) {
 			time.Sleep(time.Second)
-			reply(okReply)(rq, cn)
+			respondWith(okResponse)(rq, cn)
 		}}
 		po := newPool(ep)
 		defer po.Close()
@@ -382,7 +382,7 @@
 func TestUnprobedConnectionsAreClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		ep := &endpoint{script: reply(okReply)}
+		ep := &endpoint{script: respondWith(okResponse)}
 		po := newPool(ep)
 		defer po.Close()
 		for range 4 {
