Call a response by one name in client

The client kept a response whose body has been read in a type called reply, a second word for the same idea.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -61,8 +61,8 @@
 		indeterminate codes.Code    // result if the request was sent and its outcome is unknown
 	}
 
-	// reply is a response whose body has been read.
-	reply struct {
+	// response is a response whose body has been read.
+	response struct {
 		status int
 		header http.Header
 		body   []byte
@@ -128,9 +128,9 @@
 // do sends a call to the addresses in turn until a host accepts it. The error
 // is an *UnreachableError, the error of a host that is stopping or not ready,
 // or a *codes.Error for a call whose response was lost or truncated.
-func (cl *Client) do(ctx context.Context, ca call) (reply, error) {
+func (cl *Client) do(ctx context.Context, ca call) (response, error) {
 	if len(cl.cfg.Addresses) == 0 {
-		return reply{}, &UnreachableError{Err: errNoAddress}
+		return response{}, &UnreachableError{Err: errNoAddress}
 	}
 	first := int(cl.next.Add(1)-1) % len(cl.cfg.Addresses)
 	var failure error
@@ -144,7 +144,7 @@
 		case sent:
 			failure = indeterminateError(rp, ca, err)
 			if !ca.readOnly {
-				return reply{}, failure
+				return response{}, failure
 			}
 		case failure == nil:
 			failure = &UnreachableError{Err: err}
@@ -153,12 +153,12 @@
 			break
 		}
 	}
-	return reply{}, failure
+	return response{}, failure
 }
 
 // send makes one attempt at an address and reports whether any part of the
 // request may have been sent.
-func (cl *Client) send(ctx context.Context, address string, ca call) (rp reply, sent bool, err error) {
+func (cl *Client) send(ctx context.Context, address string, ca call) (rp response, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, cl.cfg.Timeout+ca.timeout)
 	defer cancel()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -166,7 +166,7 @@
 	})
 	req, err := newRequest(ctx, address, ca)
 	if err != nil {
-		return reply{}, false, err
+		return response{}, false, err
 	}
 	hc := cl.unpooled
 	if ca.readOnly || ca.repeatable {
@@ -174,10 +174,10 @@
 	}
 	rs, err := hc.Do(req)
 	if err != nil {
-		return reply{}, sent, err
+		return response{}, sent, err
 	}
 	defer rs.Body.Close()
-	rp = reply{status: rs.StatusCode, header: rs.Header}
+	rp = response{status: rs.StatusCode, header: rs.Header}
 	rp.body, err = readAll(rs)
 	return rp, true, err
 }
@@ -199,7 +199,7 @@
 
 // hostUnavailable reports whether a host rejected the request only because it
 // is stopping or not ready itself, so that another host may accept it.
-func hostUnavailable(rp reply) bool {
+func hostUnavailable(rp response) bool {
 	switch codeOf(rp.header) {
 	case codes.Stopping, codes.NotReady:
 		return true
--- a/pkg/client/response.go
+++ b/pkg/client/response.go
@@ -45,7 +45,7 @@
 // indeterminateError returns the error of a call that was sent and whose
 // response was lost or truncated. A result code among the headers received
 // takes precedence over the call's indeterminate code.
-func indeterminateError(rp reply, ca call, err error) error {
+func indeterminateError(rp response, ca call, err error) error {
 	if rp.status == 0 {
 		return codes.New(ca.indeterminate, "no response: %v", err)
 	}
@@ -71,7 +71,7 @@
 
 // responseError returns the error of an unsuccessful response of the system. A
 // code in the headers takes precedence over one in the body.
-func responseError(rp reply, ca call) *codes.Error {
+func responseError(rp response, ca call) *codes.Error {
 	var an Answer
 	decoded := json.Unmarshal(rp.body, &an) == nil
 	cd := codeOf(rp.header)
@@ -115,7 +115,7 @@
 
 // decode decodes the JSON body of a successful response. If that fails, the
 // outcome of the call is unknown.
-func decode[T any](rp reply, ca call) (T, error) {
+func decode[T any](rp response, ca call) (T, error) {
 	var out T
 	if rp.status < 200 || rp.status > 299 {
 		return out, responseError(rp, ca)
