Tell the handler of an API request apart from an HTTP handler in entry

The type handler serves an apiRequest, while the field handler of the server is an http.Handler. The type is now apiHandler.

--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -19,9 +19,9 @@
 	hd    headers
 }
 
-// handler serves an apiRequest. It either writes the response or returns an
+// apiHandler serves an apiRequest. It either writes the response or returns an
 // error, from which its caller writes the response.
-type handler func(ctx context.Context, ar *apiRequest) *codes.Error
+type apiHandler func(ctx context.Context, ar *apiRequest) *codes.Error
 
 const (
 	maxWait    = time.Minute      // of one request, for an event
@@ -30,7 +30,7 @@
 
 // handleAPI returns the HTTP handler of fn. It limits the number of requests in
 // progress.
-func (sr *Server) handleAPI(fn handler) http.HandlerFunc {
+func (sr *Server) handleAPI(fn apiHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		ar := &apiRequest{sr: sr, w: w, r: r, id: sr.newID(), began: time.Now()}
 		ok, stopped := sr.inProgress.begin(inProgressFactor * sr.cfg.Limits.Requests)
@@ -51,7 +51,7 @@
 }
 
 // run validates the headers and the parameter wait, and calls fn with a deadline.
-func (ar *apiRequest) run(fn handler) *codes.Error {
+func (ar *apiRequest) run(fn apiHandler) *codes.Error {
 	if size := headerBytes(ar.r); size > ar.sr.cfg.Limits.HeaderBytes {
 		return codes.New(codes.HeaderTooLarge, "%d bytes exceed the limit of %d", size, ar.sr.cfg.Limits.HeaderBytes)
 	}
