Say in client what a response holds

The doc comment of the type response repeated its name after the rename. It says now whose response it is and that the body is complete.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -61,7 +61,7 @@
 		indeterminate codes.Code    // result if the request was sent and its outcome is unknown
 	}
 
-	// response is a response whose body has been read.
+	// response is a response of an entry host, with its whole body.
 	response struct {
 		status int
 		header http.Header
