Say in route what a probe without a request or an open attempt shows

entry reports a probe as reachable also when every connection is in use, and an attempt as inconclusive also when nothing was sent or the deadline was short; the doc comments named only one case each.

--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -32,7 +32,7 @@
 		queueLen      int
 		lastSeen      time.Time
 		callers       map[string]*caller
-		queuedCallers []*caller // with queued requests
+		queuedCallers []*caller
 	}
 
 	// caller is the queueing state of one caller within a workspace.
--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -10,8 +10,9 @@
 	// Response is a complete response to a request.
 	Response struct{ ServerError bool }
 
-	// Reachable is a response to a probe that does not state whether the endpoint
-	// is in service.
+	// Reachable is a successful probe whose response does not state whether the
+	// endpoint is in service, or one that was not sent because every permitted
+	// connection to the endpoint is in use.
 	Reachable struct{}
 
 	// Serving is a response to a probe in which the endpoint states that it is
@@ -25,16 +26,17 @@
 	// NoFreeSlot is a refusal because the endpoint has no free slot.
 	NoFreeSlot struct{}
 
-	// Unreachable is a connection that could not be opened, or a probe without
-	// a response.
+	// Unreachable is a connection that could not be opened for a request, or a
+	// failed probe.
 	Unreachable struct{}
 
 	// Failed is a connection that broke or a deadline that passed while a
 	// request was in progress, or a response that belongs to another request.
 	Failed struct{}
 
-	// Inconclusive is an attempt that the caller ended, which shows nothing
-	// about the endpoint.
+	// Inconclusive is an attempt that shows nothing about the endpoint: the
+	// request was not sent, the caller disconnected, or the deadline was too
+	// short to tell a slow endpoint from one that hangs.
 	Inconclusive struct{}
 
 	// health is the state of outlier detection for one endpoint. Its counts are
