Tell a policy that was read since a call from a fresh one in intake

isFresh means confirmed within freshFor, while freshPolicy returns a policy that was read after a call began, which is a stricter idea. It is now policyReadSince.

--- a/internal/intake/undecided.go
+++ b/internal/intake/undecided.go
@@ -60,16 +60,16 @@
 // before the call is rejected.
 func (in *Intake) AuthorizeFresh(ctx context.Context, up time.Duration, host, path, key string) (_ Access, err error) {
 	defer func(began time.Time) { countCall("open", began, err) }(time.Now())
-	ps, err := in.freshPolicy(ctx, up)
+	ps, err := in.policyReadSince(ctx, up)
 	if err != nil {
 		return Access{}, err
 	}
 	return ps.authorize(host, path, key)
 }
 
-// freshPolicy returns the policy as of a read that began no earlier than the
+// policyReadSince returns the policy as of a read that began no earlier than the
 // uptime up. If it shares a read that began earlier, it reads once more.
-func (in *Intake) freshPolicy(ctx context.Context, up time.Duration) (policySnapshot, error) {
+func (in *Intake) policyReadSince(ctx context.Context, up time.Duration) (policySnapshot, error) {
 	began := time.Now()
 	for range maxConfirmReads {
 		if err := in.refresh(ctx, up+time.Since(began)); err != nil {
