--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -21,18 +21,18 @@
 	// workspace is the queueing state of one workspace. Slots beyond the
 	// guarantees are divided by start-time fair queueing among the workspaces, as
 	// are the slots of a workspace among its callers. A finish tag is the virtual
-	// time at which the last request ends, by the mean service time until Release
-	// corrects it. The start tag of the next request is the finish tag or the
-	// virtual time, whichever is later.
+	// time at which the request that was admitted last ends; admission estimates
+	// it from the mean service time, and Release corrects it. The start tag of
+	// the next request is the finish tag or the virtual time, whichever is later.
 	workspace struct {
-		share       Share
-		finishTag   float64 // in seconds of slot time beyond the guarantee per weight
-		virtualTime float64 // start tag of the caller served last, see caller.finishTag
-		inUse       int
-		queueLen    int
-		lastSeen    time.Time
-		callers     map[string]*caller
-		active      []*caller // with queued requests
+		share         Share
+		finishTag     float64 // in seconds of slot time beyond the guarantee per weight
+		virtualTime   float64 // start tag of the caller served last, see caller.finishTag
+		inUse         int
+		queueLen      int
+		lastSeen      time.Time
+		callers       map[string]*caller
+		queuedCallers []*caller
 	}
 
 	// caller is the queueing state of one caller within a workspace.
@@ -51,7 +51,7 @@
 const oldestFirstInterval = 4
 
 // nextWorkspace returns the workspace that gets the next free slot, or nil if
-// the slot is reserved and no queued workspace may take it.
+// the slot is reserved and no workspace with queued requests may take it.
 func (co *Controller) nextWorkspace(now time.Time) *workspace {
 	var best *workspace
 	for _, ws := range co.workspaces {
@@ -113,7 +113,7 @@
 		co.nextExpiry = tr.expiresAt
 	}
 	if tr.ca.queueLen() == 0 {
-		tr.ws.active = append(tr.ws.active, tr.ca)
+		tr.ws.queuedCallers = append(tr.ws.queuedCallers, tr.ca)
 	}
 	tr.ca.queues[tr.Urgency] = append(tr.ca.queues[tr.Urgency], tr)
 	tr.ws.queueLen++
@@ -125,8 +125,8 @@
 	qu := tr.ca.queues[tr.Urgency]
 	tr.ca.queues[tr.Urgency] = slices.Delete(qu, slices.Index(qu, tr), slices.Index(qu, tr)+1)
 	if tr.ca.queueLen() == 0 {
-		at := slices.Index(tr.ws.active, tr.ca)
-		tr.ws.active = slices.Delete(tr.ws.active, at, at+1)
+		at := slices.Index(tr.ws.queuedCallers, tr.ca)
+		tr.ws.queuedCallers = slices.Delete(tr.ws.queuedCallers, at, at+1)
 	}
 	tr.ws.queueLen--
 	co.queueLen--
@@ -138,23 +138,23 @@
 // backlog in the workspace with the largest backlog per weight. It returns nil
 // if tr itself is to be refused.
 func (co *Controller) victim(tr *trackedRequest) *trackedRequest {
-	longest := tr.ws
+	mostBacklogged := tr.ws
 	for _, ws := range co.workspaces {
-		if ws.backlog(tr) > longest.backlog(tr) {
-			longest = ws
+		if ws.backlogPerWeight(tr) > mostBacklogged.backlogPerWeight(tr) {
+			mostBacklogged = ws
 		}
 	}
-	busiest := tr.ca
-	if longest != tr.ws {
-		busiest = longest.active[0]
+	mostQueued := tr.ca
+	if mostBacklogged != tr.ws {
+		mostQueued = mostBacklogged.queuedCallers[0]
 	}
-	for _, ca := range longest.active {
-		if ca.backlog(tr) > busiest.backlog(tr) {
-			busiest = ca
+	for _, ca := range mostBacklogged.queuedCallers {
+		if ca.backlog(tr) > mostQueued.backlog(tr) {
+			mostQueued = ca
 		}
 	}
-	last := busiest.leastUrgent()
-	if busiest == tr.ca && (last == nil || last.Urgency >= tr.Urgency) {
+	last := mostQueued.leastUrgent()
+	if mostQueued == tr.ca && (last == nil || last.Urgency >= tr.Urgency) {
 		return nil
 	}
 	return last
@@ -172,9 +172,9 @@
 // perWeight divides a number of requests by the weight of the workspace.
 func (ws *workspace) perWeight(n int) float64 { return float64(n) / float64(ws.share.Weight) }
 
-// backlog returns the number of queued requests per weight, counting extra as
-// queued.
-func (ws *workspace) backlog(extra *trackedRequest) float64 {
+// backlogPerWeight returns the number of queued requests divided by the weight,
+// counting extra as queued.
+func (ws *workspace) backlogPerWeight(extra *trackedRequest) float64 {
 	if extra.ws == ws {
 		return ws.perWeight(ws.queueLen + 1)
 	}
@@ -193,8 +193,8 @@
 // nextRequest returns the next request of the caller with the earliest start
 // tag.
 func (ws *workspace) nextRequest() *trackedRequest {
-	best := ws.active[0]
-	for _, ca := range ws.active[1:] {
+	best := ws.queuedCallers[0]
+	for _, ca := range ws.queuedCallers[1:] {
 		if max(ca.finishTag, ws.virtualTime) < max(best.finishTag, ws.virtualTime) {
 			best = ca
 		}
--- a/internal/admit/refusal.go
+++ b/internal/admit/refusal.go
@@ -41,8 +41,8 @@
 	return Refused{Request: tr.Request, Err: co.withRetryAfter(codes.New(cd, "%s", detail), co.estimateWait(tr))}
 }
 
-// refuseExpired refuses a queued request that has reached its expiry or its
-// deadline.
+// refuseExpired refuses a request that has been in the queue until its deadline
+// or for the whole queue time.
 func (co *Controller) refuseExpired(now time.Time, tr *trackedRequest) Decision {
 	if !tr.Deadline.IsZero() && !now.Before(tr.Deadline) {
 		return co.refuse(tr, codes.DeadlinePassed, "the deadline passed in the queue")
@@ -57,16 +57,16 @@
 // least as urgent, times the number of callers with queued requests, and at
 // most the number of all queued requests of the workspace plus tr.
 func (co *Controller) estimateWait(tr *trackedRequest) time.Duration {
-	ahead := 1
+	position := 1
 	for urgency := tr.Urgency; urgency <= MaxUrgency; urgency++ {
-		ahead += len(tr.ca.queues[urgency])
+		position += len(tr.ca.queues[urgency])
 	}
-	callers := len(tr.ws.active)
+	callers := len(tr.ws.queuedCallers)
 	if tr.ca.queueLen() == 0 {
 		callers++
 	}
-	ahead = min(ahead*callers, tr.ws.queueLen+1)
-	return time.Duration(float64(ahead) * float64(co.meanServiceTime) / co.expectedSlots(tr.ws))
+	position = min(position*callers, tr.ws.queueLen+1)
+	return time.Duration(float64(position) * float64(co.meanServiceTime) / co.expectedSlots(tr.ws))
 }
 
 // expectedSlots returns the slots that ws gets as long as the workspaces that
--- a/internal/cmds/main.go
+++ b/internal/cmds/main.go
@@ -3,7 +3,8 @@
 // The exit code is 0 for success, 1 for work that was refused or failed, and 2
 // for a usage error, such as a wrong flag, a missing file or an invalid field.
 // The result code of refused or failed work is printed to standard error.
-// Results go to standard output and everything else to standard error.
+// Results go to standard output and everything else to standard error, except the
+// log of domain, which goes to standard output.
 //
 // The flags are parsed by flaggy, which prints and exits on its own if they are
 // invalid. All arguments are therefore validated first, against the flags that
@@ -39,7 +40,7 @@
 		args    []string // arguments after the command's name
 		out     io.Writer
 		errOut  io.Writer
-		run     Runners
+		runners Runners
 		json    bool // whether results, and errors without a result, are written to out as JSON
 		emitted bool // whether a result has been written to out
 	}
@@ -62,8 +63,8 @@
 
 // Main runs the command given by args, which don't include the program's name,
 // and returns the exit code.
-func Main(ctx context.Context, args []string, out, errOut io.Writer, run Runners) int {
-	en := &env{out: out, errOut: errOut, run: run}
+func Main(ctx context.Context, args []string, out, errOut io.Writer, runners Runners) int {
+	en := &env{out: out, errOut: errOut, runners: runners}
 	if len(args) == 0 {
 		return en.finish(program, usageErrorf("a command is required; see %s --help", program))
 	}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -30,7 +30,7 @@
 	workspace  string       // declared name, or undeclared, for accounting
 	service    string       // declared name, or undeclared, for accounting
 	sd         spec.Service // declaration of the service
-	sv         *service
+	sv         *service     // admission, endpoints and connections of the service
 	repeatable bool
 	target     string // path and query sent to the endpoint
 	body       []byte
@@ -197,7 +197,7 @@
 	ad, er := cl.sv.admit(ctx, admit.Request{
 		Workspace: cl.hd.workspace,
 		Caller:    cl.hd.caller,
-		Urgency:   int(cl.hd.priority) - 1,
+		Urgency:   int(cl.hd.priority) - 1, // jobs.Low is 1
 		Deadline:  deadline,
 	})
 	if er != nil {
@@ -236,21 +236,21 @@
 		slog.Duration("retryAfter", er.RetryAfter), slog.Duration("duration", time.Since(cl.began)))
 }
 
-// finish releases what the request holds and records its outcome, also after a
-// panic. counted says that the request counts as in progress. After a panic, it
+// finish releases the slot of the request and records its outcome, also after a
+// panic. counted says that inProgress counts the request. After a panic, finish
 // writes an error response, or aborts the connection if a part of the response
 // may have been written.
 func (cl *call) finish(counted bool) {
-	fault := recover()
+	recovered := recover()
 	cl.releaseSlot()
-	if fault != nil && fault != http.ErrAbortHandler {
-		cl.sr.cfg.Log.Error("request failed", "event", "panic", "request", cl.id, "error", fault)
+	if recovered != nil && recovered != http.ErrAbortHandler {
+		cl.sr.cfg.Log.Error("request failed", "event", "panic", "request", cl.id, "error", recovered)
 		cl.outcome.Code = codes.InternalFailure
 	}
 	cl.account()
 	cl.endRequest(counted)
 	switch {
-	case fault == nil:
+	case recovered == nil:
 	case cl.responseStarted:
 		panic(http.ErrAbortHandler)
 	default:
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -29,10 +29,10 @@
 	// caller gets a code instead of a part of the response.
 	maxBufferedResponse = 64 << 10
 
-	copyBuffer = 32 << 10 // bytes
+	copyBufferBytes = 32 << 10
 )
 
-var copyBuffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
+var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
 // exchange sends a request and returns the response. It reads the whole body if
 // its length is known and small or if the method is HEAD. The body of any other
@@ -64,7 +64,7 @@
 	defer rp.response.Close()
 	cl.writeHead(rp)
 	control := http.NewResponseController(cl.w)
-	buffer := copyBuffers.Get().(*[copyBuffer]byte)
+	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
 	defer copyBuffers.Put(buffer)
 	for {
 		n, err := rp.response.Read(buffer[:])
@@ -104,7 +104,7 @@
 	if fa != nil && !cl.responseStarted {
 		return fa
 	}
-	cl.outcome.Code = outcomeOf(rp, fa)
+	cl.outcome.Code = codeOf(rp, fa)
 	cl.releaseSlot()
 	if fa != nil {
 		panic(http.ErrAbortHandler)
@@ -140,9 +140,9 @@
 	cl.w.WriteHeader(rp.response.Status)
 }
 
-// outcomeOf returns the code of an attempt: that of its failure, if any, or of its
+// codeOf returns the code of an attempt: that of its failure, if any, or of its
 // response.
-func outcomeOf(rp upstreamResponse, fa *relay.Failure) codes.Code {
+func codeOf(rp upstreamResponse, fa *relay.Failure) codes.Code {
 	if fa != nil {
 		return fa.Code
 	}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -26,13 +26,13 @@
 	// Config is the configuration of a run.
 	Config struct {
 		Addresses   []string // IP:port, used in turn
-		Service     string
-		Path        string
+		Service     string   // name of the service that all requests are for
+		Path        string   // of all requests, within the service
 		Classes     []Class
 		Duration    time.Duration
 		Concurrency int // maximum number of requests in progress
 		Seed        uint64
-		Plain       bool // the target gives no result codes; a status below 400 counts as done
+		Plain       bool // the target gives no result codes; a status below 400 counts as done, any other as failed
 	}
 
 	// Class is a group of callers with identical requests.
@@ -128,20 +128,20 @@
 	// drainTimeout after the end of the run.
 	sending, cancel := context.WithTimeout(context.WithoutCancel(ctx), cfg.Duration+drainTimeout)
 	defer cancel()
-	slots := make(chan struct{}, cfg.Concurrency)
+	inProgress := make(chan struct{}, cfg.Concurrency)
 	var group sync.WaitGroup
 	began := time.Now()
 	sc := newSchedule(cfg, began)
 	for ar, ok := sc.next(); ok && sleepUntil(ctx, ar.due); ar, ok = sc.next() {
 		ta := tallies[ar.class]
 		select {
-		case slots <- struct{}{}:
+		case inProgress <- struct{}{}:
 		default:
 			ta.withhold()
 			continue
 		}
 		group.Go(func() {
-			defer func() { <-slots }()
+			defer func() { <-inProgress }()
 			ta.add(se.send(sending, ar))
 		})
 	}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -2,11 +2,11 @@
 // net/http's Transport.
 //
 // The Transport retries a request by itself when a reused connection fails.
-// Only the retry policy may repeat a request, so each connection gets its own
-// Transport, which can't open another one: an implicit retry finds no
-// connection and fails. The connection counts the bytes written to it to tell
-// whether a request was sent. A request is known not to have run only if no byte
-// was written, or if the endpoint says so.
+// Retries are for the caller of Send to decide (see package route), so each
+// connection gets its own Transport, which can't open another one: an implicit
+// retry finds no connection and fails. The connection counts the bytes written to
+// it to tell whether a request was sent. A request is known not to have run only
+// if no byte was written, or if the endpoint says so.
 //
 // A request that must not be repeated uses a connection that has had a response
 // within Config.MaxResponseAge, or a new one. Idle connections are probed, so
@@ -44,9 +44,9 @@
 		cfg      Config
 		mu       sync.Mutex
 		idle     []*clientConn        // most recently used last
-		inFlight map[*clientConn]bool // connections with a request in flight, and whether it is repeatable
+		inFlight map[*clientConn]bool // connections with a request other than a probe in flight, and whether it is repeatable
 		open     int                  // connections that are open or being opened
-		limit    int
+		limit    int                  // maximum of open
 		closed   bool
 	}
 )
@@ -104,9 +104,9 @@
 }
 
 // acquire takes a connection whose last response is at most maxAge ago out of the
-// pool, or opens a new one. Before it opens one, it closes the idle connections
-// whose last response is too old for any request, as when the process was
-// suspended and nothing probed them.
+// pool, or opens a new one. Before it opens one, it closes the connections that
+// evictIdle removes. If the process was suspended and nothing probed them, these
+// may be all idle ones.
 func (po *Pool) acquire(ctx context.Context, maxAge time.Duration) (*clientConn, *Failure) {
 	po.mu.Lock()
 	now := time.Now()
@@ -116,37 +116,37 @@
 		po.mu.Unlock()
 		return cc, nil
 	}
-	stale := po.takeStale(now)
+	evicted := po.evictIdle(now)
 	if po.open >= po.limit {
 		po.mu.Unlock()
-		closeAll(stale)
+		closeAll(evicted)
 		return nil, newFailure(CauseConnections, nil)
 	}
 	po.open++
 	po.mu.Unlock()
-	closeAll(stale)
+	closeAll(evicted)
 	return po.dial(ctx)
 }
 
-// takeStale removes and returns the idle connections whose last response is too
-// old for any request, and the least recently used one if the pool is still at
-// its limit. The caller holds po.mu.
-func (po *Pool) takeStale(now time.Time) []*clientConn {
-	var stale []*clientConn
+// evictIdle removes from the pool, and returns, the idle connections whose last
+// response is too old for any request. If the pool is still at its limit, it also
+// evicts the least recently used one. mu must be held.
+func (po *Pool) evictIdle(now time.Time) []*clientConn {
+	var evicted []*clientConn
 	po.idle = slices.DeleteFunc(po.idle, func(cc *clientConn) bool {
 		old := now.Sub(cc.lastResponse) > repeatableMaxResponseAge
 		if old {
-			stale = append(stale, cc)
+			evicted = append(evicted, cc)
 		}
 		return old
 	})
-	po.open -= len(stale)
+	po.open -= len(evicted)
 	if po.open >= po.limit && len(po.idle) > 0 {
-		stale = append(stale, po.idle[0])
+		evicted = append(evicted, po.idle[0])
 		po.idle = slices.Delete(po.idle, 0, 1)
 		po.open--
 	}
-	return stale
+	return evicted
 }
 
 // closeAll closes connections that have been removed from the pool.
