--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -56,7 +56,7 @@
 		return reply, err
 	})
 	peers.Handle(ho.mesh, peers.MethodGetConfig, func(_ context.Context, _ string, rq *wire.GetConfig) (*wire.Config, error) {
-		return ho.newerConfig(rq.GetRevision()), nil
+		return ho.newerDeclarations(rq.GetRevision()), nil
 	})
 	peers.Handle(ho.mesh, peers.MethodGetSummary, func(context.Context, string, *wire.GetSummary) (*wire.Summary, error) {
 		sm, ok := ho.zone.Summary(time.Now())
@@ -71,9 +71,9 @@
 	ho.replicator.Register(ho.mesh)
 }
 
-// newerConfig returns the declarations in force if they are newer than a
+// newerDeclarations returns the declarations in force if they are newer than a
 // revision, or an empty message.
-func (ho *Host) newerConfig(revision int64) *wire.Config {
+func (ho *Host) newerDeclarations(revision int64) *wire.Config {
 	cur := ho.follower.Current()
 	if cur == nil || cur.Revision <= revision {
 		return &wire.Config{}
@@ -84,9 +84,9 @@
 	}
 }
 
-// fetchNewerConfig requests declarations newer than a revision from the peer
+// fetchNewerDeclarations requests declarations newer than a revision from the peer
 // with the largest revision. It returns nil, nil if no peer has newer ones.
-func (ho *Host) fetchNewerConfig(ctx context.Context, revision int64) (*conf.AcceptedFile, error) {
+func (ho *Host) fetchNewerDeclarations(ctx context.Context, revision int64) (*conf.AcceptedFile, error) {
 	newest := peers.Member{ConfigRevision: revision}
 	for _, me := range ho.mesh.Members(time.Now()) {
 		if me.Alive && me.ConfigRevision > newest.ConfigRevision {
@@ -103,14 +103,14 @@
 	if reply.GetRevision() <= revision {
 		return nil, nil
 	}
-	cur, err := conf.Parse(reply.GetRevision(), reply.GetContent(), reply.GetAppliedBy(), time.Unix(0, reply.GetAppliedNanos()).UTC())
+	af, err := conf.Parse(reply.GetRevision(), reply.GetContent(), reply.GetAppliedBy(), time.Unix(0, reply.GetAppliedNanos()).UTC())
 	if err != nil {
 		return nil, err
 	}
 	if nanos := reply.GetSinceNanos(); nanos != 0 {
-		cur = cur.WithSince(time.Unix(0, nanos).UTC())
+		af = af.WithSince(time.Unix(0, nanos).UTC())
 	}
-	return &cur, nil
+	return &af, nil
 }
 
 // sinceNanos encodes a time in nanoseconds since 1970, an unknown one as zero.
