conf: name accepted files that aren't in force yet after their type

Cause: Adopt, its callers and a test called a file that may come into force cur, which reads as the current one, and an applier's declarations were a field de. Change: local names and one unexported field are renamed.

--- a/internal/conf/apply.go
+++ b/internal/conf/apply.go
@@ -35,11 +35,11 @@
 
 	// applier is the state of one call of Apply.
 	applier struct {
-		st      store.Store
-		req     ApplyRequest
-		applyID string
-		now     time.Time
-		de      *spec.Declarations
+		st           store.Store
+		req          ApplyRequest
+		applyID      string
+		now          time.Time
+		declarations *spec.Declarations
 	}
 
 	// conflictError reports that another manifest, stored, replaced the expected
@@ -75,7 +75,7 @@
 	if err != nil {
 		return AcceptedFile{}, false, merry.Prepend(err, "generating apply ID")
 	}
-	ap := applier{st: st, req: req, applyID: id.String(), now: now.UTC().Round(0), de: doc.Declarations}
+	ap := applier{st: st, req: req, applyID: id.String(), now: now.UTC().Round(0), declarations: doc.Declarations}
 	return ap.run(ctx)
 }
 
@@ -214,7 +214,7 @@
 // request.
 func (ap applier) acceptedFile(mf manifest) AcceptedFile {
 	return AcceptedFile{
-		Revision: mf.Revision, Content: ap.req.Content, Declarations: ap.de,
+		Revision: mf.Revision, Content: ap.req.Content, Declarations: ap.declarations,
 		AppliedBy: mf.AppliedBy, AppliedAt: mf.AppliedAt, Since: mf.Since,
 	}
 }
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -153,8 +153,8 @@
 }
 
 // matches reports whether mf and cur describe the same accepted file.
-func (mf manifest) matches(cur *AcceptedFile) bool {
-	return mf.Revision == cur.Revision && mf.Digest == digest(cur.Content) && mf.AppliedAt.Equal(cur.AppliedAt)
+func (mf manifest) matches(af *AcceptedFile) bool {
+	return mf.Revision == af.Revision && mf.Digest == digest(af.Content) && mf.AppliedAt.Equal(af.AppliedAt)
 }
 
 // chunkKey returns the key of a chunk. Calls of Apply share no chunks, so
--- a/internal/conf/follow.go
+++ b/internal/conf/follow.go
@@ -104,16 +104,16 @@
 
 // Adopt puts declarations in force on this host if their revision is larger
 // than the one in force, and reports whether it did.
-func (fo *Follower) Adopt(now time.Time, cur AcceptedFile) bool {
+func (fo *Follower) Adopt(now time.Time, af AcceptedFile) bool {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	if cur.Revision <= fo.Revision() {
+	if af.Revision <= fo.Revision() {
 		return false
 	}
-	fo.current.Store(&cur)
+	fo.current.Store(&af)
 	close(fo.changed)
 	fo.changed = make(chan struct{})
-	fo.log.Info("declarations adopted", "revision", cur.Revision, "appliedBy", cur.AppliedBy, "delay", now.Sub(cur.AppliedAt))
+	fo.log.Info("declarations adopted", "revision", af.Revision, "appliedBy", af.AppliedBy, "delay", now.Sub(af.AppliedAt))
 	return true
 }
 
@@ -138,13 +138,13 @@
 func (fo *Follower) pollPeers(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	cur, err := fo.fetchNewer(ctx, fo.Revision())
+	af, err := fo.fetchNewer(ctx, fo.Revision())
 	if err != nil {
 		fo.log.Debug("requesting declarations from peers failed", "error", err)
 		return
 	}
-	if cur != nil {
-		fo.Adopt(time.Now(), *cur)
+	if af != nil {
+		fo.Adopt(time.Now(), *af)
 	}
 }
 
--- a/internal/conf/follow_test.go
+++ b/internal/conf/follow_test.go
@@ -34,11 +34,11 @@
 
 func accepted(t *testing.T, revision int64, name string) conf.AcceptedFile {
 	t.Helper()
-	cur, err := conf.Parse(revision, variant(name), "ana", noon)
+	af, err := conf.Parse(revision, variant(name), "ana", noon)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return cur
+	return af
 }
 
 func TestAdoptAcceptsOnlyLargerRevisions(t *testing.T) {
--- a/internal/conf/watch.go
+++ b/internal/conf/watch.go
@@ -114,12 +114,12 @@
 	if err != nil {
 		return false, err
 	}
-	cur, err := Parse(mf.Revision, content, mf.AppliedBy, mf.AppliedAt)
+	af, err := Parse(mf.Revision, content, mf.AppliedBy, mf.AppliedAt)
 	if err != nil {
 		fo.log.Error("parsing the declarations failed", "revision", mf.Revision, "error", err)
 		return false, err
 	}
-	return fo.Adopt(time.Now(), cur.WithSince(mf.Since)), nil
+	return fo.Adopt(time.Now(), af.WithSince(mf.Since)), nil
 }
 
 // repairStore replaces the manifest ent of a store that was restored from an
