setup: give the limit of the memory setting its unit

Cause: the limit of memoryMegabytes was named without a unit and its comment said megabytes, while the setting is in MiB.

--- a/internal/setup/domain.go
+++ b/internal/setup/domain.go
@@ -81,8 +81,8 @@
 
 // The upper limits of the settings of a host of a scheduling domain.
 const (
-	maxMemory = 1 << 20 // megabytes
-	maxCores  = 1 << 10
+	maxMemoryMiB = 1 << 20 // megabytes
+	maxCores     = 1 << 10
 )
 
 // LoadDomain reads and validates a settings file. The error wraps that of
@@ -136,8 +136,8 @@
 		checkAddress(doc, "$.machines.address", do.Machines.Address)
 	}
 	checkLevel(doc, do.Log.Level)
-	if do.Memory < 0 || do.Memory > maxMemory {
-		doc.Report("$.memoryMegabytes", "memoryMegabytes must be between 0 and %d", maxMemory)
+	if do.Memory < 0 || do.Memory > maxMemoryMiB {
+		doc.Report("$.memoryMegabytes", "memoryMegabytes must be between 0 and %d", maxMemoryMiB)
 	}
 	if do.Processor.Share <= 0 || do.Processor.Share > 1 {
 		doc.Report("$.processor.share", "share must be above 0 and at most 1")
