spec: name the limit of a guarantee's count after it

Cause: maxCount stood among limits of the declarations without saying which count it limits, so a reader had to search for its use. Change: it becomes maxGuaranteeCount. Result: go vet passes; the value and the message are as before.

--- a/pkg/spec/check.go
+++ b/pkg/spec/check.go
@@ -18,22 +18,22 @@
 
 // The limits of the values in a declarations file.
 const (
-	maxNameLength   = 63
-	maxZones        = 64
-	maxServices     = 1024
-	maxWorkspaces   = 10_000
-	maxRacks        = 256       // per zone
-	maxWorkers      = 1024      // per rack
-	maxAccelerators = 8         // per worker
-	maxCores        = 4096      // per worker
-	maxMemoryGiB    = 64 * 1024 // per worker
-	maxWeight       = 1_000_000
-	maxQuota        = maxRacks * maxWorkers * maxAccelerators
-	maxCount        = maxQuota
-	maxSlots        = 100_000 // per endpoint, and guaranteed per zone
-	minTimeout      = time.Millisecond
-	maxTimeout      = time.Hour
-	maxMaxBody      = 1 << 30 // bytes
+	maxNameLength     = 63
+	maxZones          = 64
+	maxServices       = 1024
+	maxWorkspaces     = 10_000
+	maxRacks          = 256       // per zone
+	maxWorkers        = 1024      // per rack
+	maxAccelerators   = 8         // per worker
+	maxCores          = 4096      // per worker
+	maxMemoryGiB      = 64 * 1024 // per worker
+	maxWeight         = 1_000_000
+	maxQuota          = maxRacks * maxWorkers * maxAccelerators
+	maxGuaranteeCount = maxQuota
+	maxSlots          = 100_000 // per endpoint, and guaranteed per zone
+	minTimeout        = time.Millisecond
+	maxTimeout        = time.Hour
+	maxMaxBody        = 1 << 30 // bytes
 )
 
 var (
@@ -162,7 +162,7 @@
 
 // guarantee checks one guarantee of a workspace.
 func (ch checker) guarantee(path string, gu Guarantee) bool {
-	count := ch.field(path, "count", gu.Count, 1, maxCount)
+	count := ch.field(path, "count", gu.Count, 1, maxGuaranteeCount)
 	zone := ch.required(path, "zone")
 	shape := ch.required(path, "shape")
 	if !zone || !shape {
