claim, conf, store: state all results and errors of the documented calls

Cause: Apply's comment left out BodyTooLarge and errors without a code, StoreUp's left out watches, Swap's the entry on success, and some sentences had to be read twice. Change: comments only; a stall of a watch and interchangeable servers have one word each.

--- a/internal/claim/bucket.go
+++ b/internal/claim/bucket.go
@@ -17,7 +17,8 @@
 )
 
 type (
-	// bucket is one value of the store: records by recordID. It is immutable.
+	// bucket is the value of one key of the store: records by recordID. It is
+	// immutable.
 	bucket struct {
 		Claims map[string]record `json:"claims"`
 	}
@@ -103,9 +104,10 @@
 // isLive reports whether a record hasn't expired.
 func (rc record) isLive(now time.Time) bool { return now.Unix() < rc.Expires }
 
-// toClaim returns the claim of a record, for a request with the same key. Its
-// digest is that of requested if their hashes are equal; otherwise it is the
-// stored hash, which differs from any digest.
+// toClaim returns the claim of a record for the requested claim of the same key.
+// The record has only a hash of its digest. If that is the hash of the requested
+// digest, the returned claim has the requested digest; otherwise it has the hash,
+// which is shorter than a digest and so equals none.
 func (rc record) toClaim(requested Claim) *Claim {
 	_, request, _ := strings.Cut(rc.Holder, "/")
 	cl := &Claim{Workspace: requested.Workspace, Key: requested.Key, Digest: rc.Digest, Request: request, Code: rc.Code}
--- a/internal/conf/apply.go
+++ b/internal/conf/apply.go
@@ -49,23 +49,26 @@
 	}
 )
 
-// errChunks reports that the chunks of a file could not be written. It has the
-// message of the cause but doesn't wrap it: if the outcome of writing a chunk is
-// ErrOutcomeUnknown, the call as a whole has certainly not taken effect.
+// errChunks reports that the chunks of a file could not be written. Errors that
+// wrap it have the message of the cause but don't wrap the cause: if the outcome
+// of writing a chunk is unknown, the manifest was certainly not written, so the
+// error of the call must not be ErrOutcomeUnknown.
 var errChunks = errors.New("writing chunks failed")
 
 // retryAfter is the delay after which an operator is told to retry when the
 // store fails.
 const retryAfter = 2 * time.Second
 
-// Apply atomically puts a file in force and returns its accepted form. It
-// returns unchanged if the file in force has the same content.
+// Apply atomically puts a file in force and returns its accepted form. If the
+// file in force has the same content, it returns that one and true.
 //
-// Errors carry a *codes.Error: InvalidDeclaration (with the spec.Faults among
-// its causes), RevisionConflict if other declarations were accepted first,
-// StoreUnavailable if these were certainly not accepted, and ApplyUnknown if
-// the outcome is unknown. On RevisionConflict the returned AcceptedFile has only
-// the revision and, if known, the author of the declarations in force.
+// The error is or wraps a *codes.Error: BodyTooLarge, InvalidDeclaration (with the
+// spec.Faults among its causes), RevisionConflict if other declarations were
+// accepted first, StoreUnavailable if these were certainly not accepted, and
+// ApplyUnknown if the outcome is unknown. Errors in generating the ID of the call
+// or decoding the stored manifest have no code. On RevisionConflict the returned
+// AcceptedFile has only the revision of the declarations in force and, if known, by
+// whom and when they were applied.
 func Apply(ctx context.Context, now time.Time, st store.Store, req ApplyRequest) (cur AcceptedFile, unchanged bool, err error) {
 	doc, err := check(req)
 	if err != nil {
@@ -181,9 +184,10 @@
 	return ap.conflict(stored, stored.Revision)
 }
 
-// conflict returns a RevisionConflict error and, as far as known, the revision
-// and the author of the declarations in force. latest may be larger than the
-// revision of stored if the store was restored from an older backup.
+// conflict returns a RevisionConflict error, and the revision of the declarations
+// in force with who applied them and when. That is unknown if the store was
+// restored from an older backup, so that latest is larger than the revision of
+// stored.
 func (ap applier) conflict(stored manifest, latest int64) (AcceptedFile, bool, error) {
 	cur := AcceptedFile{Revision: latest}
 	by := "an unknown operator"
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -50,9 +50,9 @@
 		Earlier   []replacedManifest `json:"earlier,omitempty"` // replaced manifests, latest first
 	}
 
-	// replacedManifest identifies a manifest that was replaced. Later manifests keep it,
-	// so that a call of Apply whose reply was lost can still find out that its
-	// manifest was accepted.
+	// replacedManifest identifies a manifest that was replaced. Later manifests
+	// list it, so that a call of Apply whose reply was lost can still find out
+	// that its manifest was accepted.
 	replacedManifest struct {
 		Revision int64  `json:"revision"`
 		ApplyID  string `json:"apply"`
--- a/internal/conf/follow.go
+++ b/internal/conf/follow.go
@@ -31,9 +31,8 @@
 
 	// Follower holds the declarations in force on one host and keeps them up to
 	// date; it takes no part in the election of a scheduler. It learns of newer
-	// declarations from a watch of the store, from infrequent polls, because a
-	// watch can become unresponsive, and from other hosts. It is safe for
-	// concurrent use.
+	// declarations from a watch of the store, from polls of the store, since a
+	// watch can stall, and from other hosts. It is safe for concurrent use.
 	Follower struct {
 		st         store.Store
 		fetchNewer func(ctx context.Context, revision int64) (*AcceptedFile, error)
@@ -92,7 +91,8 @@
 	return 0
 }
 
-// StoreUp reports whether the last read of the store succeeded.
+// StoreUp reports whether the last read of the store succeeded or a watch has
+// delivered a change since.
 func (fo *Follower) StoreUp() bool { return fo.storeUp.Load() }
 
 // Changed returns a channel that is closed when the declarations next change.
@@ -103,7 +103,8 @@
 }
 
 // Adopt puts declarations in force on this host if their revision is larger
-// than the one in force, and reports whether it did.
+// than the one in force, and reports whether it did. The time now is only logged,
+// as the delay since the file was applied.
 func (fo *Follower) Adopt(now time.Time, af AcceptedFile) bool {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
--- a/internal/conf/follow_test.go
+++ b/internal/conf/follow_test.go
@@ -87,7 +87,7 @@
 	_, _, err := apply(t.Context(), st, "ana", variant("1"))
 	is.NoErr(err)
 	kvsim.Eventually(t, func() bool { return fo.Revision() == 1 })
-	kvsim.Eventually(t, func() bool { return sv.Calls().Watch > 1 }) // the unresponsive watch was restarted
+	kvsim.Eventually(t, func() bool { return sv.Calls().Watch > 1 }) // the stalled watch was restarted
 }
 
 func TestFollowerRecoversFromAStoreOutage(t *testing.T) {
--- a/internal/conf/race_test.go
+++ b/internal/conf/race_test.go
@@ -151,9 +151,9 @@
 	return at, outcome{code: codes.Applied, revision: cur.Revision}
 }
 
-// readManifest returns the revision and the author of the file in force. Files
-// are applied with their content as the author. Both are known from a deliberate
-// revision conflict.
+// readManifest returns the revision of the file in force and its name as given to
+// variant, which the tests also use as the name of the operator. Both come from the
+// result of a deliberate revision conflict.
 func readManifest(ctx context.Context, st store.Store) (int64, string, error) {
 	none := int64(-1)
 	cur, _, err := conf.Apply(ctx, noon, st, conf.ApplyRequest{File: "f.yaml", Content: variant("read"), Expect: &none})
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -20,7 +20,7 @@
 type (
 	// Config configures a Client.
 	Config struct {
-		Addresses []string      // IP:port of equivalent servers
+		Addresses []string      // IP:port of interchangeable servers
 		Timeout   time.Duration // of one call, or of opening a watch
 		Log       *slog.Logger
 	}
@@ -191,8 +191,8 @@
 	return nil
 }
 
-// failOver closes the idle connections and prefers the next address after a
-// call without a reply, since the next call on the same path may get none either.
+// failOver closes the idle connections and prefers the next address after a call
+// without a reply, since further calls to that address may get none either.
 func (cl *Client) failOver() {
 	cl.preferred.Add(1)
 	cl.transport.CloseIdleConnections()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -46,10 +46,12 @@
 	// Get returns the entry of a key and the store's revision at the read;
 	// a missing key gives an Entry with Revision zero and no error.
 	Get(ctx context.Context, key string) (Entry, Revision, error)
-	// List returns the entries whose keys begin with prefix, in key order.
+	// List returns the entries whose keys begin with prefix, in key order, and
+	// the store's revision at the read.
 	List(ctx context.Context, prefix string) ([]Entry, Revision, error)
-	// Swap performs one compare-and-swap. On ErrConflict the returned entry
-	// is the current one.
+	// Swap performs one compare-and-swap and returns the written entry, which
+	// has Revision zero after a deletion. On ErrConflict the returned entry is
+	// the current one.
 	Swap(ctx context.Context, req SwapRequest) (Entry, error)
 	// Grant creates a lease. The implementation may round ttl up to its unit,
 	// such as whole seconds.
