report, host: say what a gap may stand for, and reword two error details

Cause: the comments of Gap and Input.Missing spoke of hosts and zones only, although the archive of accounts may be missing too; the router called a job's ID its name, and an invalid declaration was reported as a bare number of faults. Change: comments, two details of error responses and texts of test failures.

--- a/internal/host/operate.go
+++ b/internal/host/operate.go
@@ -91,7 +91,7 @@
 	}
 	if err != nil {
 		ad.Faults = faultsOf(err)
-		return ad, codes.New(codes.InvalidDeclaration, "%d faults", len(ad.Faults))
+		return ad, codes.New(codes.InvalidDeclaration, "the declarations have %d faults", len(ad.Faults))
 	}
 	ad.Code = codes.RequestDone
 	ad.Warnings = op.warnings(ctx, doc.Declarations)
--- a/internal/host/router.go
+++ b/internal/host/router.go
@@ -37,7 +37,8 @@
 	}
 
 	// JobRouter is the jobs.Service of all zones. It routes a call to the scheduler
-	// of the zone that is part of the job's name, on this or another host.
+	// of the zone that is part of the job's ID, on this or another host. The leader
+	// of a zone is the host whose scheduler was elected.
 	JobRouter struct{ cfg JobRouterConfig }
 )
 
@@ -55,7 +56,7 @@
 // Submit implements jobs.Service.
 func (jr *JobRouter) Submit(ctx context.Context, sp jobs.Spec) (jobs.Record, error) {
 	if sp.ID == "" {
-		return jobs.Record{}, codes.New(codes.BadRequest, "job without a name")
+		return jobs.Record{}, codes.New(codes.BadRequest, "job without an ID")
 	}
 	local := func() (jobs.Record, error) { return jr.cfg.Local.Submit(ctx, sp) }
 	rq := &wire.SubmitJob{Job: jobs.ToWire(jobs.Record{Spec: sp})}
--- a/internal/host/router_test.go
+++ b/internal/host/router_test.go
@@ -100,7 +100,7 @@
 		reply.(*wire.Summary).Workers = 3
 		return errors.Join(sc.handle(), nw.replyErr)
 	default:
-		return fmt.Errorf("method %s", method)
+		return fmt.Errorf("unexpected call of %s", method)
 	}
 	if err != nil {
 		return err
@@ -177,7 +177,7 @@
 	{"summary", func(ctx context.Context, jr *host.JobRouter, id string) error {
 		sm, err := jr.Summary(ctx, time.Now(), jobs.ZoneOf(id))
 		if err == nil && sm.Workers != 3 {
-			return fmt.Errorf("summary %+v", sm)
+			return fmt.Errorf("unexpected summary %+v", sm)
 		}
 		return err
 	}, codes.ZoneUnreachable},
@@ -185,7 +185,7 @@
 
 func checkID(rc jobs.Record, id string, err error) error {
 	if err == nil && rc.ID != id {
-		return fmt.Errorf("record of %q", rc.ID)
+		return fmt.Errorf("record of job %q", rc.ID)
 	}
 	return err
 }
--- a/internal/report/build.go
+++ b/internal/report/build.go
@@ -17,7 +17,7 @@
 		Accounts     []*wire.Account // duplicate and stale copies are harmless
 		Jobs         []jobs.Record   // of every zone, of any day
 		Declarations *spec.Declarations
-		Missing      []string // names of hosts and zones that didn't reply
+		Missing      []string // hosts, zones and archives that couldn't be read
 		Now          time.Time
 		Since        time.Time // when the first declarations were applied; zero if unknown
 	}
--- a/internal/report/daily.go
+++ b/internal/report/daily.go
@@ -33,7 +33,7 @@
 		InProgress  int64        `json:"inProgress"`
 		Codes       []CodeCount  `json:"codes,omitempty"` // of ended work, by code
 		SlotTime    TextDuration `json:"slotTime"`
-		Held        TextDuration `json:"held"`      // accelerator time of the jobs
+		Held        TextDuration `json:"held"`      // accelerator time of the jobs, also on other days
 		Lost        TextDuration `json:"lost"`      // part of Held in attempts whose work was lost
 		Reclaimed   TextDuration `json:"reclaimed"` // part of Held in attempts that were preempted
 		QueueTime   TextDuration `json:"heldBack"`  // time that the jobs spent in the queue
@@ -87,9 +87,10 @@
 		Idle         TextDuration `json:"idle"`
 	}
 
-	// Gap is a host whose counters may be incomplete.
+	// Gap is a host whose counters may be incomplete, or another source of counts
+	// that couldn't be read.
 	Gap struct {
-		Host     string       `json:"host"`
+		Host     string       `json:"host"` // name of the host, or of the entry of Input.Missing
 		Zone     string       `json:"zone,omitempty"`
 		Last     time.Time    `json:"last,omitzero"` // time of its last snapshot; zero if there is none
 		AtMost   TextDuration `json:"atMost"`        // longest period of counters lost if the host has ended
--- a/internal/report/replicator.go
+++ b/internal/report/replicator.go
@@ -283,6 +283,6 @@
 	return hs[:min(count, len(hs))]
 }
 
-// weight returns the rank of a candidate for the copies of an owner's account; the
-// candidates with the largest weights hold them.
+// weight returns the rendezvous hash of a candidate for the copies of an owner's
+// account; the candidates with the largest weights hold them.
 func weight(owner, candidate string) uint64 { return xxhash.Sum64String(owner + "\x00" + candidate) }
