setup, strict, spec: give units and meanings of slots, connections and positions

Cause: connections and slots of a service were documented as "per endpoint" only, a limit in MiB as megabytes, and the spill rule once as an overflow policy. Change: comments only.

--- a/internal/setup/domain.go
+++ b/internal/setup/domain.go
@@ -81,7 +81,7 @@
 
 // The upper limits of the settings of a host of a scheduling domain.
 const (
-	maxMemoryMiB = 1 << 20 // megabytes
+	maxMemoryMiB = 1 << 20
 	maxCores     = 1 << 10
 )
 
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -19,7 +19,7 @@
 	Name        string `yaml:"name"`
 	Zone        string `yaml:"zone"`
 	Region      string `yaml:"region"`
-	HTTPAddress string `yaml:"httpAddress"` // IP:port for callers, operators and the balancer
+	HTTPAddress string `yaml:"httpAddress"` // IP:port for callers, operators and the load balancer
 	PeerAddress string `yaml:"peerAddress"` // IP:port for other entry hosts
 }
 
--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -42,10 +42,10 @@
 		faults    Faults
 	}
 
-	// position is the position of a value.
+	// position is a place in a file.
 	position struct {
-		line   int
-		column int
+		line   int // from 1
+		column int // from 1
 	}
 )
 
--- a/pkg/spec/check.go
+++ b/pkg/spec/check.go
@@ -30,7 +30,7 @@
 	maxWeight         = 1_000_000
 	maxQuota          = maxRacks * maxWorkers * maxAccelerators
 	maxGuaranteeCount = maxQuota
-	maxSlots          = 100_000 // per endpoint, and guaranteed per zone
+	maxSlots          = 100_000 // per endpoint, and guaranteed per zone; also limits connections
 	minTimeout        = time.Millisecond
 	maxTimeout        = time.Hour
 	maxMaxBody        = 1 << 30 // bytes
--- a/pkg/spec/spec.go
+++ b/pkg/spec/spec.go
@@ -12,7 +12,7 @@
 // must be placed.
 type Adjacency string
 
-// Spill is the overflow policy of a service: where requests may be routed when
+// Spill is the spill rule of a service: where requests may be routed when
 // their own availability zone has no endpoint for them.
 type Spill string
 
@@ -75,8 +75,8 @@
 // Service is a set of interchangeable endpoints.
 type Service struct {
 	Name        string        `yaml:"name" json:"name"`
-	Slots       int           `yaml:"slots" json:"slots"`             // per endpoint
-	Connections int           `yaml:"connections" json:"connections"` // per endpoint
+	Slots       int           `yaml:"slots" json:"slots"`             // number of requests that an endpoint processes at once
+	Connections int           `yaml:"connections" json:"connections"` // maximum number per endpoint, over all entry hosts; at least Slots
 	Repeatable  bool          `yaml:"repeatable" json:"repeatable"`   // whether a request may run twice, unless it says otherwise
 	Spill       Spill         `yaml:"spill" json:"spill"`
 	Timeout     time.Duration `yaml:"timeout" json:"timeout"` // of one request, unless it sets a shorter one
