report: name the key of a row of sums after the row

Cause: workKey identified a row of the report, while Work is one piece of offered work and rowKey a row of counters, so the name pointed to another type. Change: it becomes sumKey. Result: go test ./internal/report passes; nothing else uses it.

--- a/internal/report/build.go
+++ b/internal/report/build.go
@@ -26,11 +26,11 @@
 	builder struct {
 		day  Day
 		in   Input
-		rows map[workKey]*rowSum
+		rows map[sumKey]*rowSum
 	}
 
-	// workKey identifies a row of the report.
-	workKey struct {
+	// sumKey identifies a row of the report.
+	sumKey struct {
 		workspace string
 		service   string
 	}
@@ -49,7 +49,7 @@
 
 // Build returns the report of a day.
 func Build(day Day, in Input) Daily {
-	bu := &builder{day: day, in: in, rows: make(map[workKey]*rowSum)}
+	bu := &builder{day: day, in: in, rows: make(map[sumKey]*rowSum)}
 	accounts := bu.mergedAccounts()
 	for _, ac := range accounts {
 		bu.addAccount(ac, accounts)
@@ -125,7 +125,7 @@
 }
 
 func (bu *builder) row(workspace, service string) *rowSum {
-	key := workKey{workspace: workspace, service: service}
+	key := sumKey{workspace: workspace, service: service}
 	su := bu.rows[key]
 	if su == nil {
 		su = &rowSum{Row: Row{Workspace: workspace, Service: service}, ended: make(map[codes.Code]int64)}
