store, admin: document Revoke at the interface and name the operator API once

Cause: only the client's Revoke said that it returns ErrLeaseExpired, although both implementations do and callers see the interface; admin called its API an interface for operators while setup says operator API. Change: comments only.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -1,7 +1,7 @@
-// Package admin is the HTTP interface for the operators of a scheduling domain.
-// They request and withdraw the evacuation of availability zones and see how many
-// workers and tasks remain there. Every host serves it, leader or not, since all
-// state is in the store.
+// Package admin serves the operator API of a scheduling domain over HTTP. Operators
+// request and withdraw the evacuation of availability zones and see how many workers
+// and tasks remain there. Every host serves the API, leader or not, since all state
+// is in the store.
 package admin
 
 import (
@@ -26,7 +26,7 @@
 		Log    *slog.Logger
 	}
 
-	// handler serves the calls of operators.
+	// handler serves the operator API.
 	handler struct {
 		cfg Config
 	}
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -19,7 +19,7 @@
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
-// newClient serves the interface on a store and returns a client of it.
+// newClient serves the operator API on a store and returns a client of it.
 func newClient(t *testing.T, st store.Store) *client.Client {
 	sv := httptest.NewServer(admin.New(admin.Config{
 		Host: "a", Store: st, Layout: runsim.Layout(), Log: slog.New(slog.DiscardHandler),
--- a/internal/admin/http.go
+++ b/internal/admin/http.go
@@ -22,7 +22,7 @@
 	retryAfter = time.Second
 )
 
-// New returns the handler of the operators' interface.
+// New returns the handler of the operator API.
 func New(cf Config) http.Handler {
 	ha := &handler{cfg: cf}
 	rt := mux.NewRouter()
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -155,8 +155,7 @@
 	return nil
 }
 
-// Revoke implements Store. The error is ErrLeaseExpired if the lease has ended
-// already.
+// Revoke implements Store.
 func (cl *Client) Revoke(ctx context.Context, id LeaseID) error {
 	var rep kvapi.LeaseResponse
 	return cl.call(ctx, kindRevoke, kvapi.PathRevoke, kvapi.LeaseRequest{ID: int64(id)}, &rep)
--- a/internal/store/kvapi/kvapi.go
+++ b/internal/store/kvapi/kvapi.go
@@ -119,7 +119,8 @@
 		StartRevision int64  `json:"start_revision,string,omitempty"`
 	}
 
-	// WatchResponse is one message of a stream of changes.
+	// WatchResponse is one message of a stream of changes. CompactRevision isn't
+	// zero if the changes from the requested revision on are no longer available.
 	WatchResponse struct {
 		Header          Header  `json:"header"`
 		Created         bool    `json:"created,omitempty"`
@@ -130,7 +131,7 @@
 
 	// Event is one change of a key.
 	Event struct {
-		Type string   `json:"type,omitempty"` // absent or EventPut, or EventDelete
+		Type string   `json:"type,omitempty"` // EventPut, EventDelete, or absent for EventPut
 		KV   KeyValue `json:"kv"`
 	}
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -59,7 +59,8 @@
 	// Renew extends a lease by its time to live. The error is ErrLeaseExpired
 	// if the lease has expired.
 	Renew(ctx context.Context, id LeaseID) error
-	// Revoke ends a lease and deletes the keys attached to it.
+	// Revoke ends a lease and deletes the keys attached to it. The error is
+	// ErrLeaseExpired if the lease has ended already.
 	Revoke(ctx context.Context, id LeaseID) error
 	// Watch calls fn for each change, after a revision, of the keys that begin
 	// with prefix. For a deleted key, Value is nil and Revision is that of the
