--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -50,9 +50,9 @@
 		Earlier   []replacedManifest `json:"earlier,omitempty"` // replaced manifests, latest first
 	}
 
-	// replacedManifest identifies a manifest that was replaced. Later manifests keep it,
-	// so that a call of Apply whose reply was lost can still find out that its
-	// manifest was accepted.
+	// replacedManifest identifies a manifest that was replaced. Later manifests
+	// list it, so that a call of Apply whose reply was lost can still find out
+	// that its manifest was accepted.
 	replacedManifest struct {
 		Revision int64  `json:"revision"`
 		ApplyID  string `json:"apply"`
@@ -153,8 +153,8 @@
 }
 
 // matches reports whether mf and cur describe the same accepted file.
-func (mf manifest) matches(cur *AcceptedFile) bool {
-	return mf.Revision == cur.Revision && mf.Digest == digest(cur.Content) && mf.AppliedAt.Equal(cur.AppliedAt)
+func (mf manifest) matches(af *AcceptedFile) bool {
+	return mf.Revision == af.Revision && mf.Digest == digest(af.Content) && mf.AppliedAt.Equal(af.AppliedAt)
 }
 
 // chunkKey returns the key of a chunk. Calls of Apply share no chunks, so
--- a/internal/conf/follow_test.go
+++ b/internal/conf/follow_test.go
@@ -34,11 +34,11 @@
 
 func accepted(t *testing.T, revision int64, name string) conf.AcceptedFile {
 	t.Helper()
-	cur, err := conf.Parse(revision, variant(name), "ana", noon)
+	af, err := conf.Parse(revision, variant(name), "ana", noon)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return cur
+	return af
 }
 
 func TestAdoptAcceptsOnlyLargerRevisions(t *testing.T) {
@@ -87,7 +87,7 @@
 	_, _, err := apply(t.Context(), st, "ana", variant("1"))
 	is.NoErr(err)
 	kvsim.Eventually(t, func() bool { return fo.Revision() == 1 })
-	kvsim.Eventually(t, func() bool { return sv.Calls().Watch > 1 }) // the unresponsive watch was restarted
+	kvsim.Eventually(t, func() bool { return sv.Calls().Watch > 1 }) // the stalled watch was restarted
 }
 
 func TestFollowerRecoversFromAStoreOutage(t *testing.T) {
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -20,7 +20,7 @@
 type (
 	// Config configures a Client.
 	Config struct {
-		Addresses []string      // IP:port of equivalent servers
+		Addresses []string      // IP:port of interchangeable servers
 		Timeout   time.Duration // of one call, or of opening a watch
 		Log       *slog.Logger
 	}
@@ -155,8 +155,7 @@
 	return nil
 }
 
-// Revoke implements Store. The error is ErrLeaseExpired if the lease has ended
-// already.
+// Revoke implements Store.
 func (cl *Client) Revoke(ctx context.Context, id LeaseID) error {
 	var rep kvapi.LeaseResponse
 	return cl.call(ctx, kindRevoke, kvapi.PathRevoke, kvapi.LeaseRequest{ID: int64(id)}, &rep)
@@ -191,8 +190,8 @@
 	return nil
 }
 
-// failOver closes the idle connections and prefers the next address after a
-// call without a reply, since the next call on the same path may get none either.
+// failOver closes the idle connections and prefers the next address after a call
+// without a reply, since further calls to that address may get none either.
 func (cl *Client) failOver() {
 	cl.preferred.Add(1)
 	cl.transport.CloseIdleConnections()
