Rename runsim's MaxHold and AttemptsBeside

Config.MaxHold bounds the lease of a worker and AttemptsBeside counts the attempts on the worker of a task, which neither name said. They are now MaxLease and AttemptsOnWorkerOf, and the local variable in the test is called attempts.

--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -125,7 +125,7 @@
 		}, Workspaces: []batch.Workspace{{Name: "a", Guaranteed: 16}, {Name: "b", Guaranteed: 16}}},
 	}
 	sim.fleet = runsim.NewFleet(startTime, runsim.Config{
-		MaxHold: 10 * time.Second, GangTimeout: 3 * time.Second, CheckpointInterval: 2 * time.Second, Plan: sim.planOf,
+		MaxLease: 10 * time.Second, GangTimeout: 3 * time.Second, CheckpointInterval: 2 * time.Second, Plan: sim.planOf,
 	})
 	return sim
 }
--- a/internal/domain/stepkinds_test.go
+++ b/internal/domain/stepkinds_test.go
@@ -73,11 +73,11 @@
 	sim.run(time.Second)
 	is.Equal(sim.fleet.Running("fill"), 4)
 	ti := batch.TaskID{Job: "serves"}
-	beside := sim.fleet.AttemptsBeside(ti)
-	is.True(beside > 1) // best-effort work runs on the same worker
+	attempts := sim.fleet.AttemptsOnWorkerOf(ti)
+	is.True(attempts > 1) // best-effort work runs on the same worker
 	sim.fleet.Loads[ti] = 80
 	sim.run(3 * time.Second)
-	is.Equal(sim.fleet.AttemptsBeside(ti), 1)
+	is.Equal(sim.fleet.AttemptsOnWorkerOf(ti), 1)
 	is.Equal(sim.fleet.Running("fill"), 4) // on the other worker
 	is.Equal(sim.check(), nil)
 }
--- a/internal/drive/drive_test.go
+++ b/internal/drive/drive_test.go
@@ -32,7 +32,7 @@
 func newSite(t testing.TB, workers int) *site {
 	si := &site{t: t, store: kvsim.Start(t, kvsim.Config{}), jobs: map[string]batch.Job{}}
 	fl := runsim.NewFleet(time.Now(), runsim.Config{
-		MaxHold: 10 * time.Second, GangTimeout: 3 * time.Second, CheckpointInterval: time.Second,
+		MaxLease: 10 * time.Second, GangTimeout: 3 * time.Second, CheckpointInterval: time.Second,
 		Plan: func(ti batch.TaskID) runsim.Plan {
 			return runsim.Plan{Work: taskTime, Payload: "do " + ti.Job, Needs: batch.Resources{Accelerators: 1}}
 		},
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -17,7 +17,7 @@
 type (
 	// Config configures a Fleet.
 	Config struct {
-		MaxHold            time.Duration // longest lease
+		MaxLease           time.Duration // longest lease
 		GangTimeout        time.Duration // how long the tasks of a gang wait for the rest of it
 		CheckpointInterval time.Duration // work between two checkpoints
 		Plan               func(ti batch.TaskID) Plan
@@ -209,9 +209,9 @@
 	return 0
 }
 
-// AttemptsBeside returns the number of attempts on the worker that runs a task,
+// AttemptsOnWorkerOf returns the number of attempts on the worker that runs a task,
 // with that task's own included, or zero if no worker runs it.
-func (fl *Fleet) AttemptsBeside(ti batch.TaskID) int {
+func (fl *Fleet) AttemptsOnWorkerOf(ti batch.TaskID) int {
 	for _, wo := range fl.workers {
 		if _, ok := wo.runs[ti]; ok {
 			return len(wo.runs)
@@ -247,7 +247,7 @@
 	if err != nil {
 		return err
 	}
-	wo.extendLease(now, rq.Deadline, fl.cfg.MaxHold)
+	wo.extendLease(now, rq.Deadline, fl.cfg.MaxLease)
 	if ru, ok := wo.runs[rq.Task]; ok && ru.attempt == rq.Attempt {
 		return nil
 	}
@@ -366,7 +366,7 @@
 	if err != nil {
 		return runner.Status{}, err
 	}
-	wo.extendLease(now, rq.Deadline, fl.cfg.MaxHold)
+	wo.extendLease(now, rq.Deadline, fl.cfg.MaxLease)
 	fl.acknowledge(wo, rq.Acked)
 	st := runner.Status{Clock: wo.clock(now), Born: wo.born, Ended: slices.Clone(wo.ends)}
 	for _, ru := range wo.sortedRuns() {
--- a/internal/local/steps.go
+++ b/internal/local/steps.go
@@ -49,7 +49,7 @@
 	}
 	jb := stepsJob(queue)
 	workers := runsim.NewClient(runsim.NewFleet(time.Now(), runsim.Config{
-		MaxHold: stepsTimeout, GangTimeout: stepsTimeout, CheckpointInterval: time.Second, Plan: func(ti batch.TaskID) runsim.Plan { return stepsPlan(jb, ti) },
+		MaxLease: stepsTimeout, GangTimeout: stepsTimeout, CheckpointInterval: time.Second, Plan: func(ti batch.TaskID) runsim.Plan { return stepsPlan(jb, ti) },
 	}))
 	if err := runsim.Put(ctx, dp.store, runsim.PolicyKey, batch.Policy{Version: 1, Queues: []batch.Queue{queue}}); err != nil {
 		return err
