Rename epsim's Server.Busy to SlotsInUse

Busy reads as a yes or no, and collides with the code for a refused request, while the method returns a number. It is now SlotsInUse, and the tests wait for a slot in use.

--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -229,7 +229,7 @@
 	}()
 	eventually(t, "the request runs", func() bool { return len(th.runs()) == 1 })
 	draining, other := th.endpoints[0], th.endpoints[1]
-	if draining.Busy() == 0 {
+	if draining.SlotsInUse() == 0 {
 		draining, other = other, draining
 	}
 	draining.Leave()
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -170,7 +170,7 @@
 	eventually(t, "all outcomes are logged", func() bool { return len(th.log.lines("event=refuse")) == 12 })
 	th.checkAccount(is, map[codes.Code]int{codes.CallerLeft: 8, codes.CallerGone: 4})
 	is.Equal(len(th.runs()), 8)
-	eventually(t, "all slots are free", func() bool { return th.endpoints[0].Busy() == 0 })
+	eventually(t, "all slots are free", func() bool { return th.endpoints[0].SlotsInUse() == 0 })
 	an, err := th.order()
 	is.NoErr(err)
 	is.Equal(an.code, codes.RequestDone)
--- a/internal/fakes/epsim/epsim.go
+++ b/internal/fakes/epsim/epsim.go
@@ -89,8 +89,8 @@
 	sv.cfg.Log.Info("endpoint leaving", "endpoint", sv.cfg.Name)
 }
 
-// Busy returns the number of slots in use.
-func (sv *Server) Busy() int { return int(sv.inUse.Load()) }
+// SlotsInUse returns the number of requests that hold a slot.
+func (sv *Server) SlotsInUse() int { return int(sv.inUse.Load()) }
 
 // SetFaults replaces the injected faults.
 func (sv *Server) SetFaults(fa Faults) {
--- a/internal/fakes/epsim/epsim_test.go
+++ b/internal/fakes/epsim/epsim_test.go
@@ -122,7 +122,7 @@
 				is.Equal(runs[0].Workspace, "velas")
 				is.Equal(runs[0].Count, 1)
 			}
-			waitFor(t, "free slot", func() bool { return sv.Busy() == 0 })
+			waitFor(t, "free slot", func() bool { return sv.SlotsInUse() == 0 })
 		})
 	}
 }
@@ -135,7 +135,7 @@
 	go func() {
 		hung <- ca.send(ctx, http.MethodPost, "/", strings.NewReader("x"), map[string]string{epsim.HeaderFault: epsim.FaultHang})
 	}()
-	waitFor(t, "busy slot", func() bool { return sv.Busy() == 1 })
+	waitFor(t, "slot in use", func() bool { return sv.SlotsInUse() == 1 })
 	rs := ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil)
 	is.NoErr(rs.err)
 	is.Equal(rs.status, http.StatusServiceUnavailable)
@@ -148,7 +148,7 @@
 	rs = ca.send(t.Context(), http.MethodGet, plat.ProbePath, nil, nil)
 	is.Equal(rs.status, http.StatusOK)
 	is.Equal(rs.header.Get(plat.HeaderState), string(plat.StateLeaving))
-	is.Equal(sv.Busy(), 1) // the request in progress continues
+	is.Equal(sv.SlotsInUse(), 1) // the request in progress continues
 	cancel()
 	is.True(errors.Is((<-hung).err, context.Canceled))
 	is.Equal(len(sv.Runs()), 1)
@@ -160,7 +160,7 @@
 	body, sender := io.Pipe()
 	finished := make(chan response, 1)
 	go func() { finished <- ca.send(t.Context(), http.MethodPost, "/", body, nil) }()
-	waitFor(t, "busy slot", func() bool { return sv.Busy() == 1 })
+	waitFor(t, "slot in use", func() bool { return sv.SlotsInUse() == 1 })
 	sv.Leave()
 	_, err := sender.Write([]byte("x"))
 	is.NoErr(err)
