Rename kvapi's PathRevokeOlder to PathRevokeAlias

The store serves the revocation of a lease under two paths, and neither is deprecated, so that Older misled. The constant is now PathRevokeAlias with a comment; its value is unchanged.

--- a/internal/fakes/kvsim/kvsim.go
+++ b/internal/fakes/kvsim/kvsim.go
@@ -130,7 +130,7 @@
 	post(kvapi.PathGrant, handler(sv, &co.grant, sv.handleGrant))
 	post(kvapi.PathKeepAlive, handler(sv, &co.keepAlive, sv.handleKeepAlive))
 	post(kvapi.PathRevoke, handler(sv, &co.revoke, sv.handleRevoke))
-	post(kvapi.PathRevokeOlder, handler(sv, &co.revoke, sv.handleRevoke))
+	post(kvapi.PathRevokeAlias, handler(sv, &co.revoke, sv.handleRevoke))
 	post(kvapi.PathWatch, sv.handleWatch)
 	post("/standin/faults", sv.handleFaults)
 	post("/standin/snapshot", sv.handleSnapshot)
--- a/internal/store/kvapi/kvapi.go
+++ b/internal/store/kvapi/kvapi.go
@@ -154,7 +154,7 @@
 	PathGrant       = "/v3/lease/grant"
 	PathKeepAlive   = "/v3/lease/keepalive"
 	PathRevoke      = "/v3/lease/revoke"
-	PathRevokeOlder = "/v3/kv/lease/revoke"
+	PathRevokeAlias = "/v3/kv/lease/revoke" // second path of the same call as PathRevoke
 	PathWatch       = "/v3/watch"
 )
 
