Rename worker's Boot, PhaseLapsed and ReasonNoRoom

The fields that hold an incarnation were called Boot, an expired lease Lapsed and a lack of accelerators NoRoom. They are now Incarnation, PhaseExpired and ReasonNoCapacity; the tags and values on the wire are unchanged. Comments and test names follow.

--- a/internal/fakes/wksim/command.go
+++ b/internal/fakes/wksim/command.go
@@ -39,7 +39,7 @@
 		return refused(worker.ReasonDraining)
 	}
 	if cm.Accelerators > tb.Free() {
-		return refused(worker.ReasonNoRoom)
+		return refused(worker.ReasonNoCapacity)
 	}
 	ta = &task{
 		row: worker.Task{
--- a/internal/fakes/wksim/server_test.go
+++ b/internal/fakes/wksim/server_test.go
@@ -151,7 +151,7 @@
 	is.Equal(resp.StatusCode, http.StatusNoContent)
 	reply, err := hc.Call(t.Context(), sv.Addr(), worker.Request{Epoch: 1, Commands: []worker.Command{reserve(first, 1), run(first, "forever")}})
 	is.NoErr(err)
-	is.True(reply.Boot != before.Boot)
+	is.True(reply.Incarnation != before.Incarnation)
 	is.Equal(reply.Tasks[0].Phase, worker.PhaseFailed)
 	resp, err = http.Get("http://" + sv.Addr() + wksim.RunsPath)
 	is.NoErr(err)
--- a/internal/fakes/wksim/table.go
+++ b/internal/fakes/wksim/table.go
@@ -6,7 +6,7 @@
 //
 // Invariants: the tasks that have not ended hold no more accelerators than the
 // worker has; a call with an epoch smaller than the largest seen changes
-// nothing; only a task whose reservation has not lapsed can be started; an
+// nothing; only a task whose reservation has not expired can be started; an
 // ended task is kept until it is acknowledged, and its Run permanently.
 package wksim
 
@@ -94,13 +94,13 @@
 // carries, since its leases count from that time. A call for another boot grants
 // no leases: valid is false.
 func (tb *Table) requestAge(now time.Time, req worker.Request) (age time.Duration, valid bool) {
-	if req.Boot == "" {
+	if req.Incarnation == "" {
 		return 0, true
 	}
-	return max(0, now.Sub(tb.origin)-req.Sent), req.Boot == tb.cfg.Boot
+	return max(0, now.Sub(tb.origin)-req.Sent), req.Incarnation == tb.cfg.Boot
 }
 
-// Advance moves the table's time forward: leases lapse, tasks finish and
+// Advance moves the table's time forward: leases expire, tasks finish and
 // checkpoints end, each at its due time. It returns the table's time, which
 // never decreases.
 func (tb *Table) Advance(now time.Time) time.Time {
@@ -187,7 +187,7 @@
 // header returns a reply without results and rows.
 func (tb *Table) header() worker.Reply {
 	return worker.Reply{
-		Worker: tb.cfg.Worker, Boot: tb.cfg.Boot, Clock: tb.now.Sub(tb.origin), Epoch: tb.epoch, Version: tb.version,
+		Worker: tb.cfg.Worker, Incarnation: tb.cfg.Boot, Clock: tb.now.Sub(tb.origin), Epoch: tb.epoch, Version: tb.version,
 		Accelerators: tb.cfg.Accelerators, Draining: tb.draining,
 	}
 }
--- a/internal/fakes/wksim/table_test.go
+++ b/internal/fakes/wksim/table_test.go
@@ -66,11 +66,11 @@
 	}{
 		{"reserve", []worker.Command{reserve(first, 8)}, 0, "", worker.PhaseReserved, 0, false},
 		{"reserve again", []worker.Command{reserve(first, 8), reserve(first, 8)}, 0, "", worker.PhaseReserved, 0, false},
-		{"no room", []worker.Command{reserve(first, 5), reserve(other, 4)}, 0, worker.ReasonNoRoom, worker.PhaseReserved, 0, false},
-		{"reservation lapses", []worker.Command{reserve(first, 8)}, lease, "", worker.PhaseLapsed, 0, false},
-		{"lapsed can't start", []worker.Command{
+		{"no capacity", []worker.Command{reserve(first, 5), reserve(other, 4)}, 0, worker.ReasonNoCapacity, worker.PhaseReserved, 0, false},
+		{"reservation expires", []worker.Command{reserve(first, 8)}, lease, "", worker.PhaseExpired, 0, false},
+		{"expired can't start", []worker.Command{
 			{Op: worker.OpReserve, Task: first, Lease: time.Millisecond}, run(first, "forever"),
-		}, 0, worker.ReasonEnded, worker.PhaseLapsed, 0, false},
+		}, 0, worker.ReasonEnded, worker.PhaseExpired, 0, false},
 		{"start unreserved", []worker.Command{run(first, "forever")}, 0, worker.ReasonNoTask, "", 0, false},
 		{"sleep", []worker.Command{reserve(first, 1), run(first, "sleep", "2s")}, 2 * time.Second, "", worker.PhaseSucceeded, 2 * time.Second, false},
 		{"fail", []worker.Command{reserve(first, 1), run(first, "fail", "2s")}, time.Hour, "", worker.PhaseFailed, 2 * time.Second, false},
@@ -80,7 +80,7 @@
 		{"sleep with two durations", []worker.Command{reserve(first, 1), run(first, "sleep", "2s", "3s")}, 0, "", worker.PhaseFailed, 0, false},
 		{"forever with an argument", []worker.Command{reserve(first, 1), run(first, "forever", "2s")}, 0, "", worker.PhaseFailed, 0, false},
 		{"no command", []worker.Command{reserve(first, 1), run(first)}, 0, "", worker.PhaseFailed, 0, false},
-		{"running lapses", []worker.Command{reserve(first, 1), run(first, "forever")}, lease, "", worker.PhaseLapsed, lease - time.Second, false},
+		{"running task expires", []worker.Command{reserve(first, 1), run(first, "forever")}, lease, "", worker.PhaseExpired, lease - time.Second, false},
 		{"start again", []worker.Command{reserve(first, 1), run(first, "sleep", "2s"), run(first, "sleep", "2s")}, time.Second, "", worker.PhaseSucceeded, 2 * time.Second, false},
 		{"release", []worker.Command{reserve(first, 8), command(worker.OpRelease, first)}, 0, "", "", 0, false},
 		{"release started", []worker.Command{reserve(first, 8), run(first, "forever"), command(worker.OpRelease, first)}, 0, worker.ReasonActive, worker.PhaseRunning, time.Second, false},
@@ -151,7 +151,7 @@
 	_, err = tb.Apply(renewed, worker.Request{Epoch: 1, Lease: time.Nanosecond}) // a shorter lease doesn't move the end back
 	is.NoErr(err)
 	is.Equal(tb.Tasks(tb.Advance(renewed.Add(lease - 1)))[0].Phase, worker.PhaseReserved)
-	is.Equal(tb.Tasks(tb.Advance(renewed.Add(lease)))[0].Phase, worker.PhaseLapsed)
+	is.Equal(tb.Tasks(tb.Advance(renewed.Add(lease)))[0].Phase, worker.PhaseExpired)
 }
 
 // TestLeaseStartsWhenCallWasSent delivers a reservation, sent when the worker's
@@ -178,7 +178,7 @@
 			tb := newTable()
 			tb.Advance(start)
 			reply, err := tb.Apply(start.Add(tc.arrives), worker.Request{
-				Epoch: 1, Boot: tc.boot, Sent: sent, Commands: []worker.Command{reserve(first, 4)},
+				Epoch: 1, Incarnation: tc.boot, Sent: sent, Commands: []worker.Command{reserve(first, 4)},
 			})
 			is.NoErr(err)
 			is.Equal(reply.Clock, tc.arrives)
@@ -229,7 +229,7 @@
 	reply, err := tb.Apply(start, worker.Request{Epoch: 3})
 	is.True(errors.Is(err, worker.ErrStaleEpoch))
 	is.Equal(reply.Epoch, int64(4))
-	is.Equal(reply.Boot, "b2")
+	is.Equal(reply.Incarnation, "b2")
 }
 
 func TestOverlaps(t *testing.T) {
--- a/internal/fakes/wksim/task.go
+++ b/internal/fakes/wksim/task.go
@@ -39,13 +39,13 @@
 func (ta *task) nextTransition() (time.Time, worker.Phase, bool) {
 	switch ta.row.Phase {
 	case worker.PhaseReserved:
-		return ta.expires, worker.PhaseLapsed, true
+		return ta.expires, worker.PhaseExpired, true
 	case worker.PhaseStopping:
 		return ta.stopBy, worker.PhaseStopped, true
 	case worker.PhaseRunning:
 		at, finishes := ta.finishTime()
 		if !finishes || at.After(ta.expires) {
-			return ta.expires, worker.PhaseLapsed, true
+			return ta.expires, worker.PhaseExpired, true
 		}
 		if ta.plan.failure != "" {
 			return at, worker.PhaseFailed, true
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -247,7 +247,7 @@
 func (sim *simulation) call(ld *leader, name string, cms []worker.Command) {
 	rq := worker.Request{Epoch: ld.epoch, Version: -1, Commands: cms}
 	if cs := ld.clocks[name]; cs.incarnation != "" {
-		rq.Boot = cs.incarnation
+		rq.Incarnation = cs.incarnation
 		rq.Sent = cs.clock + sim.now.Sub(cs.at)
 		if sim.now.Sub(cs.at) < sched.MaxReplyAge {
 			rq.Lease = sched.TaskLease
@@ -271,7 +271,7 @@
 			panic(err)
 		}
 		sim.after(linkDelay, func() {
-			ld.clocks[name] = clockSample{reply.Boot, reply.Clock, sim.now}
+			ld.clocks[name] = clockSample{reply.Incarnation, reply.Clock, sim.now}
 			sim.dispatch(ld, sched.WorkerReplied{Worker: name, Reply: reply, Commands: cms})
 		})
 	})
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -121,11 +121,11 @@
 // updateTasks applies the lease table of a reply, unless a newer one was applied
 // before.
 func (co *Core) updateTasks(wst *workerState, ev WorkerReplied) {
-	outdated := ev.Reply.Boot == wst.incarnation && ev.Reply.Version < wst.version
+	outdated := ev.Reply.Incarnation == wst.incarnation && ev.Reply.Version < wst.version
 	if ev.Unchanged || outdated {
 		return
 	}
-	wst.incarnation = ev.Reply.Boot
+	wst.incarnation = ev.Reply.Incarnation
 	wst.version = ev.Reply.Version
 	for id := range wst.tasks {
 		co.markChanged(id.Job)
--- a/internal/worker/http.go
+++ b/internal/worker/http.go
@@ -141,7 +141,7 @@
 		return Reply{}, merry.Prependf(err, "reply of status %d", status)
 	}
 	if status == http.StatusConflict {
-		return Reply{Worker: reply.Worker, Boot: reply.Boot, Epoch: reply.Epoch}, ErrStaleEpoch
+		return Reply{Worker: reply.Worker, Incarnation: reply.Incarnation, Epoch: reply.Epoch}, ErrStaleEpoch
 	}
 	return reply, nil
 }
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -50,14 +50,14 @@
 // Request is one call. Without commands it renews the leases and waits up to
 // Wait for the table to differ from Version. Durations are in nanoseconds.
 type Request struct {
-	Epoch    int64         `json:"epoch"`
-	Holder   string        `json:"holder"`         // name of the calling host, for the worker's log
-	Version  int64         `json:"version"`        // of the table that the caller has; -1 if it has none
-	Boot     string        `json:"boot,omitempty"` // incarnation to which Sent refers; empty before the first reply
-	Sent     time.Duration `json:"sent,omitempty"` // the worker's clock when the call was sent, or earlier
-	Wait     time.Duration `json:"wait"`
-	Lease    time.Duration `json:"lease"` // if not zero, every lease in the table is renewed for this long
-	Commands []Command     `json:"commands,omitempty"`
+	Epoch       int64         `json:"epoch"`
+	Holder      string        `json:"holder"`         // name of the calling host, for the worker's log
+	Version     int64         `json:"version"`        // of the table that the caller has; -1 if it has none
+	Incarnation string        `json:"boot,omitempty"` // to which Sent refers; empty before the first reply
+	Sent        time.Duration `json:"sent,omitempty"` // the worker's clock when the call was sent, or earlier
+	Wait        time.Duration `json:"wait"`
+	Lease       time.Duration `json:"lease"` // if not zero, every lease in the table is renewed for this long
+	Commands    []Command     `json:"commands,omitempty"`
 }
 
 // Result is the result of one command, in the order of the request.
@@ -84,7 +84,7 @@
 // request.
 type Reply struct {
 	Worker       string        `json:"worker"`
-	Boot         string        `json:"boot"`    // incarnation; changes when the worker restarts with an empty table
+	Incarnation  string        `json:"boot"`    // changes when the worker restarts with an empty table
 	Clock        time.Duration `json:"clock"`   // monotonic within one incarnation, nanoseconds
 	Epoch        int64         `json:"epoch"`   // the largest that the worker has seen
 	Version      int64         `json:"version"` // of the lease table, within one incarnation
@@ -120,22 +120,22 @@
 	PhaseSucceeded Phase = "succeeded"
 	PhaseFailed    Phase = "failed"
 	PhaseStopped   Phase = "stopped" // by command
-	PhaseLapsed    Phase = "lapsed"  // its lease expired
+	PhaseExpired   Phase = "lapsed"  // its lease expired
 )
 
 // The reasons of a Result that is not OK.
 const (
-	ReasonNoRoom   = "noRoom"   // too few accelerators are free
-	ReasonNoTask   = "noTask"   // the task is not in the lease table
-	ReasonDraining = "draining" // the worker makes no new reservations
-	ReasonEnded    = "ended"    // the task has ended already
-	ReasonLate     = "late"     // the lease had expired when the call arrived, or is of another incarnation
+	ReasonNoCapacity = "noRoom"   // too few accelerators are free
+	ReasonNoTask     = "noTask"   // the task is not in the lease table
+	ReasonDraining   = "draining" // the worker makes no new reservations
+	ReasonEnded      = "ended"    // the task has ended already
+	ReasonLate       = "late"     // the lease had expired when the call arrived, or is of another incarnation
 )
 
 // Ended reports whether a task in this phase has ended.
 func (ph Phase) Ended() bool {
 	switch ph {
-	case PhaseSucceeded, PhaseFailed, PhaseStopped, PhaseLapsed:
+	case PhaseSucceeded, PhaseFailed, PhaseStopped, PhaseExpired:
 		return true
 	default:
 		return false
--- a/internal/zone/calls.go
+++ b/internal/zone/calls.go
@@ -111,13 +111,13 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if !wc.report(wa, reply, err, nil, version == reply.Version && incarnation == reply.Boot) {
+		if !wc.report(wa, reply, err, nil, version == reply.Version && incarnation == reply.Incarnation) {
 			version = -1
 			pause.For(ctx, renewalRetryDelay)
 			continue
 		}
 		version = reply.Version
-		incarnation = reply.Boot
+		incarnation = reply.Incarnation
 	}
 }
 
@@ -148,7 +148,7 @@
 	wc.mu.Lock()
 	cs := wc.clocks[wa]
 	wc.mu.Unlock()
-	rq.Boot = cs.incarnation
+	rq.Incarnation = cs.incarnation
 	rq.Sent = cs.clock + now.Sub(cs.at)
 	if cs.incarnation == "" || now.Sub(cs.at) > sched.MaxReplyAge {
 		rq.Lease = 0
@@ -159,8 +159,8 @@
 	}
 	wc.mu.Lock()
 	defer wc.mu.Unlock()
-	if last := wc.clocks[wa]; reply.Boot != last.incarnation || reply.Clock > last.clock {
-		wc.clocks[wa] = clockSample{incarnation: reply.Boot, clock: reply.Clock, at: time.Now()}
+	if last := wc.clocks[wa]; reply.Incarnation != last.incarnation || reply.Clock > last.clock {
+		wc.clocks[wa] = clockSample{incarnation: reply.Incarnation, clock: reply.Clock, at: time.Now()}
 	}
 	return reply, nil
 }
--- a/test/procs/zone_test.go
+++ b/test/procs/zone_test.go
@@ -45,9 +45,9 @@
 	is.NoErr(err)
 	is.True(slices.Contains(list.Unreachable, cusco))
 	checkZoneServes(t, sy, lima)
-	eventually(t, "the leases of the zone's tasks lapse", func() error {
+	eventually(t, "the leases of the zone's tasks expire", func() error {
 		for _, rn := range sy.taskRuns(t, notRepeatable.ID) {
-			if rn.Phase != worker.PhaseLapsed {
+			if rn.Phase != worker.PhaseExpired {
 				return fmt.Errorf("run %+v", rn)
 			}
 		}
