Rename wksim's Boot to Incarnation

The worker of the fakes called its incarnation Boot, as the worker package did before. The configuration field, the counter and the method that makes a new name now say incarnation, as do the comments and test names.

--- a/internal/fakes/wksim/server.go
+++ b/internal/fakes/wksim/server.go
@@ -40,11 +40,11 @@
 		*serve.Server
 		cfg Config
 
-		mu      sync.Mutex
-		table   *Table
-		faults  Faults
-		boots   int           // number of boots so far
-		changed chan struct{} // closed at the next change
+		mu           sync.Mutex
+		table        *Table
+		faults       Faults
+		incarnations int           // number of incarnations so far
+		changed      chan struct{} // closed at the next change
 	}
 )
 
@@ -65,7 +65,7 @@
 	}
 	sv := &Server{cfg: cfg, changed: make(chan struct{})}
 	sv.table = NewTable(TableConfig{
-		Worker: cfg.Name, Boot: sv.nextBoot(), Accelerators: cfg.Accelerators,
+		Worker: cfg.Name, Incarnation: sv.nextIncarnation(), Accelerators: cfg.Accelerators,
 		RunScale: cfg.RunScale, UsageLag: cfg.UsageLag, Version: cfg.Clock().UnixNano(),
 	})
 	hs := &http.Server{Handler: sv.routes(), ReadHeaderTimeout: headerTimeout}
@@ -96,11 +96,11 @@
 }
 
 // Restart ends every task as failed and continues with an empty table and a new
-// boot name. The largest epoch seen is kept unless forgetEpoch is set.
+// incarnation. The largest epoch seen is kept unless forgetEpoch is set.
 func (sv *Server) Restart(forgetEpoch bool) {
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	sv.table.Restart(sv.cfg.Clock(), sv.nextBoot(), forgetEpoch)
+	sv.table.Restart(sv.cfg.Clock(), sv.nextIncarnation(), forgetEpoch)
 	sv.broadcast()
 	sv.cfg.Log.Info("worker restarted", "worker", sv.cfg.Name, "forgetEpoch", forgetEpoch)
 }
@@ -128,10 +128,10 @@
 	return sv.table.Free()
 }
 
-// nextBoot returns a new boot name. The caller holds mu.
-func (sv *Server) nextBoot() string {
-	sv.boots++
-	return fmt.Sprintf("%d-%d", sv.cfg.Clock().UnixNano(), sv.boots)
+// nextIncarnation returns the name of a new incarnation. The caller holds mu.
+func (sv *Server) nextIncarnation() string {
+	sv.incarnations++
+	return fmt.Sprintf("%d-%d", sv.cfg.Clock().UnixNano(), sv.incarnations)
 }
 
 // broadcast wakes the waiting calls after a change. The caller holds mu.
--- a/internal/fakes/wksim/table.go
+++ b/internal/fakes/wksim/table.go
@@ -22,7 +22,7 @@
 	// TableConfig configures a Table.
 	TableConfig struct {
 		Worker       string
-		Boot         string
+		Incarnation  string
 		Accelerators int
 		RunScale     float64       // factor on the run times of commands; 1 if zero
 		UsageLag     time.Duration // delay with which usage is reported
@@ -91,13 +91,13 @@
 }
 
 // requestAge returns how long ago a call was sent, by the clock reading that it
-// carries, since its leases count from that time. A call for another boot grants
-// no leases: valid is false.
+// carries, since its leases count from that time. A call for another incarnation
+// grants no leases: valid is false.
 func (tb *Table) requestAge(now time.Time, req worker.Request) (age time.Duration, valid bool) {
 	if req.Incarnation == "" {
 		return 0, true
 	}
-	return max(0, now.Sub(tb.origin)-req.Sent), req.Incarnation == tb.cfg.Boot
+	return max(0, now.Sub(tb.origin)-req.Sent), req.Incarnation == tb.cfg.Incarnation
 }
 
 // Advance moves the table's time forward: leases expire, tasks finish and
@@ -162,9 +162,9 @@
 // SetFailStarts sets whether every task fails as soon as it is started.
 func (tb *Table) SetFailStarts(fail bool) { tb.failStarts = fail }
 
-// Restart ends every task as failed and empties the table under a new boot name.
+// Restart ends every task as failed and empties the table under a new incarnation.
 // The largest epoch seen is kept unless forgetEpoch is set.
-func (tb *Table) Restart(now time.Time, boot string, forgetEpoch bool) {
+func (tb *Table) Restart(now time.Time, inc string, forgetEpoch bool) {
 	now = tb.Advance(now)
 	for _, ta := range tb.tasks {
 		if !ta.row.Phase.Ended() {
@@ -172,7 +172,7 @@
 			tb.end(ta, now, worker.PhaseFailed)
 		}
 	}
-	tb.cfg.Boot = boot
+	tb.cfg.Incarnation = inc
 	tb.tasks = nil
 	tb.runOf = map[worker.TaskID]int{}
 	tb.version++
@@ -187,7 +187,7 @@
 // header returns a reply without results and rows.
 func (tb *Table) header() worker.Reply {
 	return worker.Reply{
-		Worker: tb.cfg.Worker, Incarnation: tb.cfg.Boot, Clock: tb.now.Sub(tb.origin), Epoch: tb.epoch, Version: tb.version,
+		Worker: tb.cfg.Worker, Incarnation: tb.cfg.Incarnation, Clock: tb.now.Sub(tb.origin), Epoch: tb.epoch, Version: tb.version,
 		Accelerators: tb.cfg.Accelerators, Draining: tb.draining,
 	}
 }
--- a/internal/fakes/wksim/table_test.go
+++ b/internal/fakes/wksim/table_test.go
@@ -34,7 +34,7 @@
 }
 
 func newTable() *wksim.Table {
-	return wksim.NewTable(wksim.TableConfig{Worker: "w", Boot: "b1", Accelerators: 8, UsageLag: 5 * time.Second})
+	return wksim.NewTable(wksim.TableConfig{Worker: "w", Incarnation: "b1", Accelerators: 8, UsageLag: 5 * time.Second})
 }
 
 func reserve(id worker.TaskID, accelerators int) worker.Command {
@@ -160,16 +160,16 @@
 func TestLeaseStartsWhenCallWasSent(t *testing.T) {
 	const sent = 10 * time.Second
 	tests := []struct {
-		name    string
-		boot    string
-		arrives time.Duration // by the worker's clock
-		reason  string
-		ends    time.Duration
+		name        string
+		incarnation string
+		arrives     time.Duration // by the worker's clock
+		reason      string
+		ends        time.Duration
 	}{
 		{"in time", "b1", sent + time.Second, "", sent + lease},
 		{"clock estimated too high", "b1", sent - time.Second, "", sent - time.Second + lease},
 		{"at the end of its lease", "b1", sent + lease, worker.ReasonLate, 0},
-		{"of another boot", "b0", sent, worker.ReasonLate, 0},
+		{"of another incarnation", "b0", sent, worker.ReasonLate, 0},
 		{"without a clock", "", sent + lease, "", sent + 2*lease},
 	}
 	for _, tc := range tests {
@@ -178,7 +178,7 @@
 			tb := newTable()
 			tb.Advance(start)
 			reply, err := tb.Apply(start.Add(tc.arrives), worker.Request{
-				Epoch: 1, Incarnation: tc.boot, Sent: sent, Commands: []worker.Command{reserve(first, 4)},
+				Epoch: 1, Incarnation: tc.incarnation, Sent: sent, Commands: []worker.Command{reserve(first, 4)},
 			})
 			is.NoErr(err)
 			is.Equal(reply.Clock, tc.arrives)
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -105,7 +105,7 @@
 		for i := range rack.Workers {
 			name := fmt.Sprintf("%s-%s-%d", zn.Name, rack.Name, i+1)
 			sim.hosts = append(sim.hosts, plat.Host{Name: name, Kind: plat.KindWorker, Address: name, State: plat.StateLive, Rack: rack.Name, Accelerators: 8})
-			sim.tables[name] = wksim.NewTable(wksim.TableConfig{Worker: name, Boot: "b1", Accelerators: 8})
+			sim.tables[name] = wksim.NewTable(wksim.TableConfig{Worker: name, Incarnation: "b1", Accelerators: 8})
 		}
 	}
 	sim.decl = &spec.Declarations{Zones: []spec.Zone{zn}, Workspaces: workspaces}
--- a/internal/zone/harness_test.go
+++ b/internal/zone/harness_test.go
@@ -316,7 +316,7 @@
 			ha.list = ha.list.With(plat.Host{
 				Name: name, Kind: plat.KindWorker, Address: name, State: plat.StateLive, Rack: rack.Name, Accelerators: 8,
 			})
-			ha.workers.tables[name] = wksim.NewTable(wksim.TableConfig{Worker: name, Boot: "b1", Accelerators: 8})
+			ha.workers.tables[name] = wksim.NewTable(wksim.TableConfig{Worker: name, Incarnation: "b1", Accelerators: 8})
 		}
 		t.Cleanup(func() { time.Sleep(waitLimit) }) // lets calls in flight end
 		fn(t, ha)
