Rename zone.Holder to Leader

The package calls the host that schedules a zone its leader, except in the type Holder, its method, the field, the key function and the errors of the election. These now say leader, too, as do variables in host and test/procs; the stored key and JSON are unchanged.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -186,12 +186,12 @@
 // self returns the state of this host that its heartbeats carry. New creates the
 // mesh before the server, so the server may be missing.
 func (ho *Host) self() peers.Member {
-	holder := ho.zone.Holder()
+	leader := ho.zone.Leader()
 	me := peers.Member{
 		Name: ho.se.Host.Name, Zone: ho.se.Host.Zone, Region: ho.se.Host.Region,
 		PeerAddress: ho.se.Host.PeerAddress, HTTPAddress: ho.se.Host.HTTPAddress,
 		Incarnation: ho.incarnation, ConfigRevision: ho.follower.Revision(),
-		SchedulerEpoch: holder.Epoch, Scheduler: holder.Host,
+		SchedulerEpoch: leader.Epoch, Scheduler: leader.Host,
 	}
 	if ho.server != nil {
 		me.Ready = ho.server.Ready()
@@ -212,7 +212,7 @@
 		case now := <-ticker.C:
 			for _, me := range ho.mesh.Members(now) {
 				if me.Zone == ho.se.Host.Zone && me.Name != ho.se.Host.Name {
-					ho.zone.ObserveLeader(zone.Holder{Host: me.Scheduler, Epoch: me.SchedulerEpoch})
+					ho.zone.ObserveLeader(zone.Leader{Host: me.Scheduler, Epoch: me.SchedulerEpoch})
 				}
 			}
 		}
--- a/internal/host/router_test.go
+++ b/internal/host/router_test.go
@@ -112,9 +112,9 @@
 	return nil
 }
 
-// member returns an alive host that reports holder as its zone's scheduler.
-func member(name, zn string, epoch int64, holder string) peers.Member {
-	return peers.Member{Name: name, Zone: zn, Alive: true, SchedulerEpoch: epoch, Scheduler: holder}
+// member returns an alive host that reports leader as its zone's scheduler.
+func member(name, zn string, epoch int64, leader string) peers.Member {
+	return peers.Member{Name: name, Zone: zn, Alive: true, SchedulerEpoch: epoch, Scheduler: leader}
 }
 
 // newNetwork returns a network of this host l1 in zone lima and of zone cusco
--- a/internal/zone/elect.go
+++ b/internal/zone/elect.go
@@ -23,10 +23,10 @@
 	shutdownTimeout      = 2 * time.Second // of due writes, and of revoking the lease
 )
 
-// holderKey is the key of the current Holder, which is deleted when the lease
-// ends. epochKey is the key of the Holder with the last epoch that was assigned;
+// leaderKey is the key of the current Leader, which is deleted when the lease
+// ends. epochKey is the key of the Leader with the last epoch that was assigned;
 // it is never deleted.
-func holderKey(zone string) string { return "zone/" + zone + "/holder" }
+func leaderKey(zone string) string { return "zone/" + zone + "/holder" }
 func epochKey(zone string) string  { return "zone/" + zone + "/epoch" }
 
 // Run takes part in the leader election, and schedules the zone while this host
@@ -50,12 +50,12 @@
 	if zo.cfg.Declarations() == nil {
 		return 0, 0, merry.New("no declarations yet")
 	}
-	en, _, err := zo.cfg.Store.Get(ctx, holderKey(zo.cfg.Zone))
+	en, _, err := zo.cfg.Store.Get(ctx, leaderKey(zo.cfg.Zone))
 	if err != nil {
-		return 0, 0, merry.Prepend(err, "read the holder")
+		return 0, 0, merry.Prepend(err, "read the leader")
 	}
 	if en.Revision != 0 {
-		zo.observeHolder(en.Value)
+		zo.observeStoredLeader(en.Value)
 		return 0, 0, merry.New("another host holds the lease")
 	}
 	epoch, err := zo.nextEpoch(ctx)
@@ -66,14 +66,14 @@
 	if err != nil {
 		return 0, 0, merry.Prepend(err, "grant a lease")
 	}
-	value, err := json.Marshal(Holder{Host: zo.cfg.Host, Epoch: epoch})
+	value, err := json.Marshal(Leader{Host: zo.cfg.Host, Epoch: epoch})
 	if err != nil {
 		return 0, 0, merry.Wrap(err)
 	}
-	rq := store.SwapRequest{Key: holderKey(zo.cfg.Zone), Value: value, Lease: lease}
+	rq := store.SwapRequest{Key: leaderKey(zo.cfg.Zone), Value: value, Lease: lease}
 	isOwn := func(en store.Entry) bool { return string(en.Value) == string(value) }
 	if _, err := store.SwapAndResolve(ctx, zo.cfg.Store, rq, isOwn); err != nil {
-		return 0, 0, merry.Prepend(err, "write the holder")
+		return 0, 0, merry.Prepend(err, "write the leader")
 	}
 	return lease, epoch, nil
 }
@@ -86,14 +86,14 @@
 	if err != nil {
 		return 0, err
 	}
-	var last Holder
+	var last Leader
 	if len(en.Value) > 0 {
 		if err := json.Unmarshal(en.Value, &last); err != nil {
 			return 0, merry.Prepend(err, "value of "+key)
 		}
 	}
 	zo.mu.Lock()
-	next := Holder{Host: zo.cfg.Host, Epoch: max(last.Epoch, zo.maxEpoch, zo.holder.Epoch) + 1}
+	next := Leader{Host: zo.cfg.Host, Epoch: max(last.Epoch, zo.maxEpoch, zo.leader.Epoch) + 1}
 	zo.mu.Unlock()
 	value, err := json.Marshal(next)
 	if err != nil {
@@ -104,34 +104,34 @@
 	return next.Epoch, err
 }
 
-// observeHolder records the leader that a value of holderKey names.
-func (zo *Zone) observeHolder(value []byte) {
-	var ho Holder
-	if json.Unmarshal(value, &ho) != nil {
+// observeStoredLeader records the leader that a value of leaderKey names.
+func (zo *Zone) observeStoredLeader(value []byte) {
+	var le Leader
+	if json.Unmarshal(value, &le) != nil {
 		return
 	}
 	zo.mu.Lock()
 	defer zo.mu.Unlock()
-	if ho.Epoch >= zo.holder.Epoch {
-		zo.holder = ho
+	if le.Epoch >= zo.leader.Epoch {
+		zo.leader = le
 	}
-	zo.maxEpoch = max(zo.maxEpoch, ho.Epoch)
+	zo.maxEpoch = max(zo.maxEpoch, le.Epoch)
 }
 
-// waitForVacancy waits until the zone may have no leader: until holderKey is
+// waitForVacancy waits until the zone may have no leader: until leaderKey is
 // deleted, or for electionPollInterval or electionRetryDelay.
 func (zo *Zone) waitForVacancy(ctx context.Context) {
 	if zo.cfg.Declarations() == nil {
 		pause.For(ctx, electionRetryDelay)
 		return
 	}
-	key := holderKey(zo.cfg.Zone)
+	key := leaderKey(zo.cfg.Zone)
 	en, at, err := zo.cfg.Store.Get(ctx, key)
 	if err != nil || en.Revision == 0 {
 		pause.For(ctx, electionRetryDelay)
 		return
 	}
-	zo.observeHolder(en.Value)
+	zo.observeStoredLeader(en.Value)
 	watchCtx, stop := context.WithTimeout(ctx, electionPollInterval)
 	defer stop()
 	vacant := errors.New("vacant")
@@ -139,7 +139,7 @@
 		if en.Value == nil {
 			return vacant
 		}
-		zo.observeHolder(en.Value)
+		zo.observeStoredLeader(en.Value)
 		return nil
 	})
 	if err != nil && !errors.Is(err, vacant) && watchCtx.Err() == nil {
@@ -180,7 +180,7 @@
 // startTerm creates the core of a term.
 func (zo *Zone) startTerm(termCtx context.Context, bs *bucketStore, rcs []jobs.Record, epoch int64, resign context.CancelFunc) {
 	zo.mu.Lock()
-	zo.holder = Holder{Host: zo.cfg.Host, Epoch: epoch}
+	zo.leader = Leader{Host: zo.cfg.Host, Epoch: epoch}
 	zo.storeUnavailable = false
 	zo.resign = resign
 	zo.buckets = bs
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -40,8 +40,8 @@
 		Log                 *slog.Logger
 	}
 
-	// Holder is the leader of a zone: its host and epoch.
-	Holder struct {
+	// Leader names the entry host that schedules a zone, and the epoch of its term.
+	Leader struct {
 		Host  string `json:"host"`
 		Epoch int64  `json:"epoch"`
 	}
@@ -58,7 +58,7 @@
 		endWaits        map[string][]chan struct{} // channels to be closed at the end of a job, by its ID
 		pendingRequests map[sched.RequestID]pendingRequest
 		lastRequestID   sched.RequestID
-		holder          Holder             // last leader known to this host
+		leader          Leader             // last leader known to this host
 		maxEpoch        int64              // largest epoch seen
 		resign          context.CancelFunc // ends the term
 
@@ -89,11 +89,11 @@
 	}
 }
 
-// Holder returns the last leader known to this host.
-func (zo *Zone) Holder() Holder {
+// Leader returns the last leader known to this host.
+func (zo *Zone) Leader() Leader {
 	zo.mu.Lock()
 	defer zo.mu.Unlock()
-	return zo.holder
+	return zo.leader
 }
 
 // IsLeader reports whether this host is the leader.
@@ -276,16 +276,16 @@
 
 // ObserveLeader records the leader known to a peer. If this host is the leader
 // with a smaller epoch, it resigns.
-func (zo *Zone) ObserveLeader(ho Holder) {
+func (zo *Zone) ObserveLeader(le Leader) {
 	zo.mu.Lock()
 	defer zo.mu.Unlock()
-	zo.maxEpoch = max(zo.maxEpoch, ho.Epoch)
-	if zo.core != nil && ho.Epoch > zo.holder.Epoch {
+	zo.maxEpoch = max(zo.maxEpoch, le.Epoch)
+	if zo.core != nil && le.Epoch > zo.leader.Epoch {
 		zo.cfg.Log.Warn("scheduler resigns", "event", "resign", "zone", zo.cfg.Zone, "reason", "a peer has seen a larger epoch")
 		zo.resign()
 		return
 	}
-	if ho.Epoch > zo.holder.Epoch {
-		zo.holder = ho
+	if le.Epoch > zo.leader.Epoch {
+		zo.leader = le
 	}
 }
--- a/internal/zone/zone_test.go
+++ b/internal/zone/zone_test.go
@@ -61,7 +61,7 @@
 		first := ha.startElected("entry-1")
 		second := ha.start("entry-2")
 		ha.await("the other host knows the leader", func() bool {
-			return second.Holder() == zone.Holder{Host: "entry-1", Epoch: 1}
+			return second.Leader() == zone.Leader{Host: "entry-1", Epoch: 1}
 		})
 		is.True(!second.IsLeader())
 		_, err := second.Submit(context.Background(), job("a", time.Second))
@@ -70,7 +70,7 @@
 
 		first.stop()
 		ha.await("the other host schedules", second.IsLeader)
-		is.Equal(second.Holder(), zone.Holder{Host: "entry-2", Epoch: 2})
+		is.Equal(second.Leader(), zone.Leader{Host: "entry-2", Epoch: 2})
 		rc, err := second.Get(context.Background(), zoneName+".a", 0)
 		is.NoErr(err)
 		is.Equal(rc.Code, codes.JobDone)
@@ -90,7 +90,7 @@
 		ha.await("the first resigns", func() bool { return !first.IsLeader() })
 		time.Sleep(waitLimit)
 		is.True(second.IsLeader() && !first.IsLeader())
-		is.Equal(second.Holder().Epoch, int64(2))
+		is.Equal(second.Leader().Epoch, int64(2))
 		runsToEnd(t, ha, second, "a")
 	})
 }
@@ -108,7 +108,7 @@
 				for i := range 3 {
 					runsToEnd(t, ha, ho, fmt.Sprintf("j%d", i))
 				}
-				is.New(t).Equal(ho.Holder().Epoch, int64(1)) // same term
+				is.New(t).Equal(ho.Leader().Epoch, int64(1)) // same term
 			})
 		})
 	}
@@ -120,7 +120,7 @@
 	withHarness(t, func(t *testing.T, ha *harness) {
 		ho := ha.startElected("entry-1")
 		ha.store.expireAll()
-		ha.await("the next term", func() bool { return ho.IsLeader() && ho.Holder().Epoch == 2 })
+		ha.await("the next term", func() bool { return ho.IsLeader() && ho.Leader().Epoch == 2 })
 		runsToEnd(t, ha, ho, "a")
 	})
 }
@@ -144,7 +144,7 @@
 		is.NoErr(err)
 		is.Equal(rc.Code, codes.JobDone)
 		is.Equal(ha.workers.runs(rc.ID), 1)
-		is.Equal(ho.Holder().Epoch, int64(1)) // an own write is no conflict
+		is.Equal(ho.Leader().Epoch, int64(1)) // an own write is no conflict
 	})
 }
 
@@ -168,7 +168,7 @@
 		fence(t, ha, 2)
 		rc, err := ho.Submit(context.Background(), job("a", time.Second))
 		is.True(err != nil)
-		ha.await("a later term begins", func() bool { return ho.IsLeader() && ho.Holder().Epoch > 1 })
+		ha.await("a later term begins", func() bool { return ho.IsLeader() && ho.Leader().Epoch > 1 })
 		time.Sleep(waitLimit)
 		is.Equal(ha.workers.runs(rc.ID), 0)
 		is.Equal(len(ha.recorded()), 0)
@@ -182,7 +182,7 @@
 	withHarness(t, func(t *testing.T, ha *harness) {
 		fence(t, ha, 1000)
 		ho := ha.startElected("entry-1")
-		is.New(t).True(ho.Holder().Epoch > 1000)
+		is.New(t).True(ho.Leader().Epoch > 1000)
 		runsToEnd(t, ha, ho, "a")
 	})
 }
@@ -194,7 +194,7 @@
 		_, err := ha.workers.tables["w3"].Apply(time.Now(), worker.Request{Epoch: 1000})
 		is.New(t).NoErr(err)
 		ho := ha.startElected("entry-1") // every worker accepts its epoch
-		is.New(t).True(ho.Holder().Epoch > 1000)
+		is.New(t).True(ho.Leader().Epoch > 1000)
 		runsToEnd(t, ha, ho, "a")
 	})
 }
@@ -205,9 +205,9 @@
 	withHarness(t, func(t *testing.T, ha *harness) {
 		is := is.New(t)
 		ho := ha.startElected("entry-1")
-		ho.ObserveLeader(zone.Holder{Host: "entry-2", Epoch: 7})
-		ha.await("the next term", func() bool { return ho.IsLeader() && ho.Holder().Epoch > 1 })
-		is.Equal(ho.Holder(), zone.Holder{Host: "entry-1", Epoch: 8})
+		ho.ObserveLeader(zone.Leader{Host: "entry-2", Epoch: 7})
+		ha.await("the next term", func() bool { return ho.IsLeader() && ho.Leader().Epoch > 1 })
+		is.Equal(ho.Leader(), zone.Leader{Host: "entry-1", Epoch: 8})
 	})
 }
 
@@ -273,7 +273,7 @@
 			_, err := ho.Submit(ctx, job("new", time.Second))
 			return err == nil
 		})
-		is.Equal(ho.Holder().Epoch, int64(1))
+		is.Equal(ho.Leader().Epoch, int64(1))
 		_, ok := ha.recorded()[zoneName+".refused"]
 		is.True(!ok)
 	})
@@ -346,7 +346,7 @@
 		cancelled := background(func() (jobs.Record, error) { return ho.Cancel(ctx, known.ID) })
 		time.Sleep(500 * time.Millisecond)
 		start := time.Now()
-		ho.ObserveLeader(zone.Holder{Host: "entry-2", Epoch: 7})
+		ho.ObserveLeader(zone.Leader{Host: "entry-2", Epoch: 7})
 		is.Equal(codeOf((<-submitted).err), codes.SubmitUnknown)
 		is.Equal(codeOf((<-cancelled).err), codes.CancelUnknown)
 		is.True(time.Since(start) < time.Second)
--- a/test/procs/killed_test.go
+++ b/test/procs/killed_test.go
@@ -33,14 +33,14 @@
 func TestKilledScheduler(t *testing.T) {
 	is := is.New(t)
 	sy := start(t)
-	holder, other := sy.scheduler(t, lima)
-	jb := holder.submit(t, gang(lima, false, 12*time.Second))
-	holder.awaitState(t, jb.ID, jobs.Running)
+	leader, other := sy.scheduler(t, lima)
+	jb := leader.submit(t, gang(lima, false, 12*time.Second))
+	leader.awaitState(t, jb.ID, jobs.Running)
 
 	// The requests go on until the host has stored a snapshot of its usage counts.
-	atHolder := callFor(t, sy, holder, report.SnapshotEvery+time.Second)
+	atLeader := callFor(t, sy, leader, report.SnapshotEvery+time.Second)
 	atOther := callFor(t, sy, other, time.Second)
-	holder.kill()
+	leader.kill()
 
 	jb = other.awaitState(t, jb.ID, jobs.Ended)
 	is.Equal(jb.Code, codes.JobDone)
@@ -55,7 +55,7 @@
 			return err
 		}
 		for _, ga := range da.Gaps {
-			if ga.Host == holder.host {
+			if ga.Host == leader.host {
 				gap = ga
 				return nil
 			}
@@ -67,9 +67,9 @@
 	is.Equal(jobRow.Offered, int64(1))
 	is.Equal(jobRow.Done, int64(1))
 	done := row(da, orders).Done
-	all := int64(len(atHolder) + len(atOther))
-	t.Logf("%d of %d requests counted, the gap begins after %d of %d", done, all, atHolder.before(gap.Last), len(atHolder))
-	is.True(done >= int64(len(atOther))+atHolder.before(gap.Last)) // results before the last snapshot are counted
+	all := int64(len(atLeader) + len(atOther))
+	t.Logf("%d of %d requests counted, the gap begins after %d of %d", done, all, atLeader.before(gap.Last), len(atLeader))
+	is.True(done >= int64(len(atOther))+atLeader.before(gap.Last)) // results before the last snapshot are counted
 	is.True(done <= all)                                           // nothing is counted twice
 }
 
--- a/test/procs/peer_test.go
+++ b/test/procs/peer_test.go
@@ -54,22 +54,22 @@
 func TestFrozenPeer(t *testing.T) {
 	is := is.New(t)
 	sy := start(t)
-	holder, frozen := sy.scheduler(t, lima)
-	before, err := holder.zoneStatus(lima)
+	leader, frozen := sy.scheduler(t, lima)
+	before, err := leader.zoneStatus(lima)
 	is.NoErr(err)
 	for _, eh := range sy.hostsIn(lima) {
 		eh.awaitSlots(t, 8*endpointsPerZone/hostsPerZone)
 	}
 
-	freezeUntilDetected(t, holder, frozen)
-	holder.awaitSlots(t, 8*endpointsPerZone)
-	an, err := holder.call("/alone", client.CallOptions{})
+	freezeUntilDetected(t, leader, frozen)
+	leader.awaitSlots(t, 8*endpointsPerZone)
+	an, err := leader.call("/alone", client.CallOptions{})
 	is.NoErr(err)
 	is.Equal(an.Code, codes.RequestDone)
 
 	frozen.signal(t, syscall.SIGCONT)
-	awaitReachable(t, holder, frozen.host, true)
-	awaitReachable(t, frozen, holder.host, true)
+	awaitReachable(t, leader, frozen.host, true)
+	awaitReachable(t, frozen, leader.host, true)
 	for _, eh := range sy.hostsIn(lima) {
 		eh.awaitSlots(t, 8*endpointsPerZone/hostsPerZone)
 		an, err := eh.call("/back", client.CallOptions{})
@@ -78,8 +78,8 @@
 	}
 	is.Equal(sy.runsOfPath(t, "/alone"), 1)
 	is.Equal(sy.runsOfPath(t, "/back"), hostsPerZone)
-	after, err := holder.zoneStatus(lima)
+	after, err := leader.zoneStatus(lima)
 	is.NoErr(err)
-	is.Equal(after.Scheduler, holder.host) // freezing a host that isn't the scheduler doesn't change the scheduler
+	is.Equal(after.Scheduler, leader.host) // freezing a host that isn't the scheduler doesn't change the scheduler
 	is.Equal(after.Epoch, before.Epoch)
 }
--- a/test/procs/store_test.go
+++ b/test/procs/store_test.go
@@ -21,20 +21,20 @@
 	is := is.New(t)
 	sy := start(t)
 	var ids []string
-	var holders []*entryHost
+	var leaders []*entryHost
 	for _, zn := range zones {
-		holder, _ := sy.scheduler(t, zn)
-		jb := holder.submit(t, gang(zn, false, 6*time.Second))
-		holder.awaitState(t, jb.ID, jobs.Running)
+		leader, _ := sy.scheduler(t, zn)
+		jb := leader.submit(t, gang(zn, false, 6*time.Second))
+		leader.awaitState(t, jb.ID, jobs.Running)
 		ids = append(ids, jb.ID)
-		holders = append(holders, holder)
+		leaders = append(leaders, leader)
 	}
 	sy.setStoreDown(t, true)
 	for _, eh := range sy.hosts {
 		eventually(t, eh.host+" detects that the store is down", func() error { return checkStoreUp(eh, false) })
 	}
 
-	for _, eh := range holders { // before that, a refused job might still have been recorded
+	for _, eh := range leaders { // before that, a refused job might still have been recorded
 		eventually(t, eh.host+" can't renew its lease", func() error {
 			if !eh.logContains("event=store", "store does not answer the scheduler") {
 				return errors.New("not logged")
--- a/test/procs/system_test.go
+++ b/test/procs/system_test.go
@@ -215,8 +215,8 @@
 		}
 	}
 	for _, zs := range st.Zones {
-		holder := sy.hostNamed(zs.Scheduler)
-		if holder == nil {
+		leader := sy.hostNamed(zs.Scheduler)
+		if leader == nil {
 			return fmt.Errorf("no scheduler of %s: %+v", zs.Name, zs)
 		}
 		if zs.Scheduler == eh.host && zs.Workers != workersPerZone {
@@ -250,10 +250,10 @@
 }
 
 // scheduler returns the host that schedules a zone and another host of the zone.
-func (sy *system) scheduler(t *testing.T, zn string) (holder, other *entryHost) {
+func (sy *system) scheduler(t *testing.T, zn string) (leader, other *entryHost) {
 	t.Helper()
 	eventually(t, "scheduler of "+zn, func() error {
-		holder, other = nil, nil
+		leader, other = nil, nil
 		for _, eh := range sy.running() {
 			if eh.zone != zn {
 				continue
@@ -263,17 +263,17 @@
 				return err
 			}
 			if zs.Scheduler == eh.host && zs.Workers == workersPerZone {
-				holder = eh
+				leader = eh
 			} else {
 				other = eh
 			}
 		}
-		if holder == nil || other == nil {
-			return fmt.Errorf("scheduler %v, other host %v", holder, other)
+		if leader == nil || other == nil {
+			return fmt.Errorf("scheduler %v, other host %v", leader, other)
 		}
 		return nil
 	})
-	return holder, other
+	return leader, other
 }
 
 // hostsIn returns the running hosts in a zone.
--- a/test/procs/zone_test.go
+++ b/test/procs/zone_test.go
@@ -23,11 +23,11 @@
 	sy := start(t)
 	ctx := context.Background()
 	lost, near := sy.hostsIn(cusco), sy.hostsIn(lima)[0]
-	holder, _ := sy.scheduler(t, cusco)
-	repeatable := holder.submit(t, gang(cusco, true, 12*time.Second))
-	notRepeatable := holder.submit(t, gangOf(2, cusco, false, time.Minute))
+	leader, _ := sy.scheduler(t, cusco)
+	repeatable := leader.submit(t, gang(cusco, true, 12*time.Second))
+	notRepeatable := leader.submit(t, gangOf(2, cusco, false, time.Minute))
 	for _, jb := range []client.Job{repeatable, notRepeatable} {
-		holder.awaitState(t, jb.ID, jobs.Running)
+		leader.awaitState(t, jb.ID, jobs.Running)
 	}
 	for _, eh := range lost {
 		eh.kill()
