Rename entry's SpillListener, SpillDial and SpillHandler

The package forwards requests, and spill is only the name of the rule that allows it. The listener, the dial function and the handler of forwarded requests are now ForwardListener, ForwardDial and ForwardHandler, and the comments follow.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -16,15 +16,15 @@
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
 
-// Config is the configuration of a Server. SpillListener, Endpoints,
-// PeerDraining, Members, SpillDial, Claims, Account and Log may be nil.
+// Config is the configuration of a Server. ForwardListener, Endpoints,
+// PeerDraining, Members, ForwardDial, Claims, Account and Log may be nil.
 type Config struct {
 	Host   string // name of this entry host
 	Zone   string
 	Region string
 
-	Listener      net.Listener // for callers, operators and the load balancer
-	SpillListener net.Listener // for requests forwarded by entry hosts of other zones
+	Listener        net.Listener // for callers, operators and the load balancer
+	ForwardListener net.Listener // for requests forwarded by entry hosts of other zones
 
 	Limits setup.Limits
 	Stop   setup.Stop
@@ -39,8 +39,8 @@
 	PeerDraining func() []string
 	// Members returns the entry hosts of all zones. It may include this host.
 	Members func(now time.Time) []peers.Member
-	// SpillDial opens a connection to the SpillListener of another host.
-	SpillDial func(ctx context.Context, host string) (net.Conn, error)
+	// ForwardDial opens a connection to the ForwardListener of another host.
+	ForwardDial func(ctx context.Context, host string) (net.Conn, error)
 
 	Jobs      jobs.Service
 	Claims    Claims
--- a/internal/entry/header.go
+++ b/internal/entry/header.go
@@ -25,7 +25,7 @@
 	maxKeyLength  = 128
 
 	// headerHop names the zone that forwarded a request. It is only trusted in
-	// requests that arrive at the spill listener.
+	// requests that arrive at Config.ForwardListener.
 	headerHop = "Cicadawharf-Hop"
 )
 
--- a/internal/entry/remote.go
+++ b/internal/entry/remote.go
@@ -63,7 +63,7 @@
 
 // forwardTargets returns the entry hosts to forward to, in order.
 func (cl *call) forwardTargets() []route.ForwardTarget {
-	if cl.sr.cfg.SpillDial == nil {
+	if cl.sr.cfg.ForwardDial == nil {
 		return nil
 	}
 	rule, zones := cl.sv.forwardZones(time.Now())
@@ -157,7 +157,7 @@
 	return cd, codes.New(cd, "%s", an.Detail).WithRetryAfter(time.Duration(an.RetryAfterMillis) * time.Millisecond)
 }
 
-// forwardPool returns the connections to the spill listener of another entry
+// forwardPool returns the connections to the ForwardListener of another entry
 // host.
 func (sr *Server) forwardPool(host string) *relay.Pool {
 	sr.mu.Lock()
@@ -167,7 +167,7 @@
 		po = relay.NewPool(relay.Config{
 			Address: host, Connections: maxForwardConnections, DialTimeout: forwardDialTimeout,
 			Dial: func(ctx context.Context, address string) (net.Conn, error) {
-				return sr.cfg.SpillDial(ctx, address)
+				return sr.cfg.ForwardDial(ctx, address)
 			},
 		})
 		sr.forwardPools[host] = po
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -21,11 +21,11 @@
 type (
 	// Server is the HTTP interface of one entry host.
 	Server struct {
-		cfg          Config
-		start        time.Time // of this process; part of each request ID
-		metrics      *serverMetrics
-		handler      http.Handler
-		spillHandler http.Handler
+		cfg            Config
+		start          time.Time // of this process; part of each request ID
+		metrics        *serverMetrics
+		handler        http.Handler
+		forwardHandler http.Handler
 
 		refreshMu    sync.Mutex   // held during a refresh
 		mu           sync.RWMutex // guards services, forwardPools and rnd
@@ -74,7 +74,7 @@
 		inProgress:   requestCounter{idle: make(chan struct{}), stopping: make(chan struct{})},
 	}
 	sr.handler = sr.routes()
-	sr.spillHandler = sr.forwardRoutes()
+	sr.forwardHandler = sr.forwardRoutes()
 	sr.metrics.registerServer(sr)
 	sr.refresh(time.Now())
 	return sr
@@ -83,9 +83,9 @@
 // Handler returns the handler of callers, operators and the load balancer.
 func (sr *Server) Handler() http.Handler { return sr.handler }
 
-// SpillHandler returns the handler of requests that entry hosts of other zones
+// ForwardHandler returns the handler of requests that entry hosts of other zones
 // forward. Such a request is never forwarded again.
-func (sr *Server) SpillHandler() http.Handler { return sr.spillHandler }
+func (sr *Server) ForwardHandler() http.Handler { return sr.forwardHandler }
 
 // Ready reports whether the load balancer may send callers to this host.
 func (sr *Server) Ready() bool {
@@ -122,8 +122,8 @@
 
 	failed := make(chan error, 2)
 	servers := []*http.Server{sr.serve(sr.cfg.Listener, sr.handler, failed)}
-	if sr.cfg.SpillListener != nil {
-		servers = append(servers, sr.serve(sr.cfg.SpillListener, sr.spillHandler, failed))
+	if sr.cfg.ForwardListener != nil {
+		servers = append(servers, sr.serve(sr.cfg.ForwardListener, sr.forwardHandler, failed))
 	}
 	var err error
 	select {
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -181,17 +181,17 @@
 // first host may account for the request.
 func TestSpill(t *testing.T) {
 	is := is.New(t)
-	spillListener := listen(t)
+	forwardListener := listen(t)
 	far := newTestHost(t, 2, func(cfg *entry.Config, _ *spec.Declarations) {
 		cfg.Host, cfg.Zone, cfg.Region = "talca-a", "talca", "chile"
-		cfg.SpillListener = spillListener
+		cfg.ForwardListener = forwardListener
 	})
 	near := newTestHost(t, 0, func(cfg *entry.Config, _ *spec.Declarations) {
 		cfg.Members = func(now time.Time) []peers.Member {
 			return []peers.Member{{Name: "talca-a", Zone: "talca", Region: "chile", Alive: true, Ready: true, LastHeard: now}}
 		}
-		cfg.SpillDial = func(ctx context.Context, _ string) (net.Conn, error) {
-			return (&net.Dialer{}).DialContext(ctx, "tcp", spillListener.Addr().String())
+		cfg.ForwardDial = func(ctx context.Context, _ string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", forwardListener.Addr().String())
 		}
 	})
 	for _, tc := range []struct {
@@ -238,7 +238,7 @@
 		cfg.Members = func(time.Time) []peers.Member {
 			return []peers.Member{{Name: "talca-a", Zone: "talca", Region: "chile", Alive: true, Ready: true}}
 		}
-		cfg.SpillDial = func(context.Context, string) (net.Conn, error) {
+		cfg.ForwardDial = func(context.Context, string) (net.Conn, error) {
 			t.Error("dialed another region")
 			return nil, net.ErrClosed
 		}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -174,10 +174,10 @@
 func (ho *Host) entryConfig(listener net.Listener) entry.Config {
 	return entry.Config{
 		Host: ho.se.Host.Name, Zone: ho.se.Host.Zone, Region: ho.se.Host.Region,
-		Listener: listener, SpillListener: ho.mesh.HTTPListener(),
+		Listener: listener, ForwardListener: ho.mesh.HTTPListener(),
 		Limits: ho.se.Limits, Stop: ho.se.Stop,
 		Declarations: ho.declarations, Endpoints: ho.endpoints, PeerDraining: ho.leaving.names,
-		Members: ho.mesh.Members, SpillDial: ho.mesh.DialHTTP,
+		Members: ho.mesh.Members, ForwardDial: ho.mesh.DialHTTP,
 		Jobs: ho.router, Claims: claimAdapter{ho.claims}, Account: ho.account, Operators: operatorAPI{ho},
 		Log: ho.log, Seed: ho.incarnation,
 	}
