Rename plat's StateLeaving and RefusedLeaving

The code calls an endpoint or worker that shuts down draining, and only the platform's values say leaving. The constants are now StateDraining and RefusedDraining with the values unchanged, and comments and test names follow.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -116,7 +116,7 @@
 		if ho.Service == sd.Name {
 			endpoints = append(endpoints, route.Endpoint{
 				Name: ho.Name, Address: ho.Address, Slots: sd.Slots, Connections: sd.Connections,
-				Draining: ho.State == plat.StateLeaving || vw.draining[ho.Name],
+				Draining: ho.State == plat.StateDraining || vw.draining[ho.Name],
 			})
 		}
 	}
--- a/internal/fakes/epsim/epsim.go
+++ b/internal/fakes/epsim/epsim.go
@@ -7,7 +7,7 @@
 //
 // Invariants: a request whose response carries plat.HeaderRefused was not
 // executed; every executed request is recorded before any part of its response
-// is sent; a leaving endpoint starts no new requests and completes those in
+// is sent; a draining endpoint starts no new requests and completes those in
 // progress.
 package epsim
 
@@ -83,7 +83,7 @@
 func (sv *Server) Name() string { return sv.cfg.Name }
 
 // Leave starts a graceful shutdown: new requests are refused, and every
-// response reports the leaving state.
+// response reports plat.StateDraining.
 func (sv *Server) Leave() {
 	sv.leaving.Store(true)
 	sv.cfg.Log.Info("endpoint leaving", "endpoint", sv.cfg.Name)
--- a/internal/fakes/epsim/epsim_test.go
+++ b/internal/fakes/epsim/epsim_test.go
@@ -144,10 +144,10 @@
 
 	is.Equal(ca.send(t.Context(), http.MethodPost, epsim.LeavePath, nil, nil).status, http.StatusNoContent)
 	rs = ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil)
-	is.Equal(rs.header.Get(plat.HeaderRefused), plat.RefusedLeaving)
+	is.Equal(rs.header.Get(plat.HeaderRefused), plat.RefusedDraining)
 	rs = ca.send(t.Context(), http.MethodGet, plat.ProbePath, nil, nil)
 	is.Equal(rs.status, http.StatusOK)
-	is.Equal(rs.header.Get(plat.HeaderState), string(plat.StateLeaving))
+	is.Equal(rs.header.Get(plat.HeaderState), string(plat.StateDraining))
 	is.Equal(sv.SlotsInUse(), 1) // the request in progress continues
 	cancel()
 	is.True(errors.Is((<-hung).err, context.Canceled))
@@ -168,7 +168,7 @@
 	rs := <-finished
 	is.NoErr(rs.err)
 	is.Equal(rs.body, "x")
-	is.Equal(rs.header.Get(plat.HeaderState), string(plat.StateLeaving))
+	is.Equal(rs.header.Get(plat.HeaderState), string(plat.StateDraining))
 }
 
 func TestRefusesBeyondConnectionLimit(t *testing.T) {
--- a/internal/fakes/epsim/handler.go
+++ b/internal/fakes/epsim/handler.go
@@ -97,7 +97,7 @@
 		return
 	}
 	if sv.leaving.Load() {
-		sv.refuse(w, plat.RefusedLeaving)
+		sv.refuse(w, plat.RefusedDraining)
 		return
 	}
 	if !sv.acquireSlot() {
@@ -174,7 +174,7 @@
 func (sv *Server) writeHeaders(w http.ResponseWriter) {
 	state := plat.StateLive
 	if sv.leaving.Load() {
-		state = plat.StateLeaving
+		state = plat.StateDraining
 	}
 	w.Header().Set(plat.HeaderState, string(state))
 	w.Header().Set(HeaderEndpoint, sv.cfg.Name)
--- a/internal/plat/endpoint.go
+++ b/internal/plat/endpoint.go
@@ -9,9 +9,9 @@
 	HeaderRequest = "Cicadawharf-Request"
 
 	// ProbePath returns 200 and HeaderState while the endpoint is live or
-	// leaving. It takes no slot.
+	// draining. It takes no slot.
 	ProbePath = "/healthz"
 
-	RefusedBusy    = "busy"
-	RefusedLeaving = "leaving"
+	RefusedBusy     = "busy"
+	RefusedDraining = "leaving"
 )
--- a/internal/plat/plat.go
+++ b/internal/plat/plat.go
@@ -1,4 +1,4 @@
-// Package plat reads and writes the platform's lists of live and leaving hosts.
+// Package plat reads and writes the platform's lists of live and draining hosts.
 // There is one list, a value of the store, for each availability zone.
 //
 // A list may be stale: a listed host may be dead and a live one not listed yet,
@@ -39,8 +39,8 @@
 	KindWorker   Kind = "worker"
 	KindEndpoint Kind = "endpoint"
 
-	StateLive    State = "live"
-	StateLeaving State = "leaving"
+	StateLive     State = "live"
+	StateDraining State = "leaving"
 )
 
 const keyPrefix = "platform/hosts/"
--- a/internal/plat/plat_test.go
+++ b/internal/plat/plat_test.go
@@ -161,12 +161,12 @@
 func TestSetStateAndRemove(t *testing.T) {
 	is := is.New(t)
 	me := newMemStore()
-	is.True(errors.Is(plat.SetState(t.Context(), me, zone, "w1", plat.StateLeaving), plat.ErrNoHost))
+	is.True(errors.Is(plat.SetState(t.Context(), me, zone, "w1", plat.StateDraining), plat.ErrNoHost))
 	is.NoErr(plat.Register(t.Context(), me, zone, host("w1"), host("w2")))
-	is.NoErr(plat.SetState(t.Context(), me, zone, "w1", plat.StateLeaving))
-	is.NoErr(plat.SetState(t.Context(), me, zone, "w1", plat.StateLeaving))
+	is.NoErr(plat.SetState(t.Context(), me, zone, "w1", plat.StateDraining))
+	is.NoErr(plat.SetState(t.Context(), me, zone, "w1", plat.StateDraining))
 	is.Equal(me.swaps, 2)
-	is.Equal(me.hosts(is)[1].State, plat.StateLeaving)
+	is.Equal(me.hosts(is)[1].State, plat.StateDraining)
 	is.NoErr(plat.Remove(t.Context(), me, zone, "w1", "w9"))
 	is.Equal(me.hosts(is), []plat.Host{host("w2")})
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -291,7 +291,7 @@
 		class codes.Class
 	}{
 		{"busy", "HTTP/1.1 503 x\r\nEndpoint-Refused: busy\r\nContent-Length: 0\r\n\r\n", relay.CauseNoFreeSlot, codes.NotRun},
-		{"leaving", "HTTP/1.1 503 x\r\nEndpoint-Refused: leaving\r\nContent-Length: 0\r\n\r\n", relay.CauseDraining, codes.NotRun},
+		{"draining", "HTTP/1.1 503 x\r\nEndpoint-Refused: leaving\r\nContent-Length: 0\r\n\r\n", relay.CauseDraining, codes.NotRun},
 		{"no response", "", relay.CauseNoResponse, codes.Unknown},
 		{"not HTTP", "hello\r\n\r\n", relay.CauseNoResponse, codes.Unknown},
 		{"truncated headers", "HTTP/1.1 200 OK\r\nContent-", relay.CauseNoResponse, codes.Unknown},
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -86,7 +86,7 @@
 		Status:   rs.StatusCode,
 		Header:   endToEnd(rs.Header),
 		Length:   rs.ContentLength,
-		Draining: rs.Header.Get(plat.HeaderState) == string(plat.StateLeaving),
+		Draining: rs.Header.Get(plat.HeaderState) == string(plat.StateDraining),
 		HasState: rs.Header.Get(plat.HeaderState) != "",
 		ctx:      ctx, po: po, cc: cc, body: rs.Body,
 		reusable: !rs.Close,
@@ -105,7 +105,7 @@
 	case refused != "" && re.Status == http.StatusServiceUnavailable:
 		_, _ = io.CopyN(io.Discard, re, maxRefusalBody)
 		re.Close()
-		if refused == plat.RefusedLeaving {
+		if refused == plat.RefusedDraining {
 			return nil, newFailure(CauseDraining, nil)
 		}
 		return nil, newFailure(CauseNoFreeSlot, nil)
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -314,7 +314,9 @@
 
 // isDraining reports whether the platform or the worker itself says that the
 // worker is going to stop.
-func (wst *workerState) isDraining() bool { return wst.draining || wst.host.State == plat.StateLeaving }
+func (wst *workerState) isDraining() bool {
+	return wst.draining || wst.host.State == plat.StateDraining
+}
 
 // lost reports whether all leases on a worker have certainly expired.
 func (wst *workerState) lost(now time.Time) bool {
--- a/test/procs/endpoints_test.go
+++ b/test/procs/endpoints_test.go
@@ -50,7 +50,7 @@
 	mixPause      = 30 * time.Millisecond
 	mixDelay      = 150 * time.Millisecond // of every second pair of requests
 	mixSpan       = 4 * time.Second        // for which the load continues after a fault
-	leaveBound    = 3 * time.Second        // time after which no host may send new requests to a leaving endpoint
+	leaveBound    = 3 * time.Second        // time after which no host may send new requests to a draining endpoint
 	spareEndpoint = "endpoint-spare"
 )
 
