Rename epsim's leaving flag to draining

The endpoint of the fakes reports plat.StateDraining, but its flag and two tests still said leaving. They now say draining, as the rest of the code does; path, header values and log message are unchanged.

--- a/internal/fakes/epsim/epsim.go
+++ b/internal/fakes/epsim/epsim.go
@@ -47,10 +47,10 @@
 		cfg      Config
 		listener *listener
 
-		inUse   atomic.Int64 // slots in use
-		leaving atomic.Bool
-		delay   atomic.Int64 // nanoseconds
-		runs    runLog
+		inUse    atomic.Int64 // slots in use
+		draining atomic.Bool
+		delay    atomic.Int64 // nanoseconds
+		runs     runLog
 	}
 )
 
@@ -85,7 +85,7 @@
 // Leave starts a graceful shutdown: new requests are refused, and every
 // response reports plat.StateDraining.
 func (sv *Server) Leave() {
-	sv.leaving.Store(true)
+	sv.draining.Store(true)
 	sv.cfg.Log.Info("endpoint leaving", "endpoint", sv.cfg.Name)
 }
 
--- a/internal/fakes/epsim/epsim_test.go
+++ b/internal/fakes/epsim/epsim_test.go
@@ -127,7 +127,7 @@
 	}
 }
 
-func TestRefusesBeyondSlotsAndWhileLeaving(t *testing.T) {
+func TestRefusesBeyondSlotsAndWhileDraining(t *testing.T) {
 	is := is.New(t)
 	sv, ca := startServer(t, 1, 8)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -154,7 +154,7 @@
 	is.Equal(len(sv.Runs()), 1)
 }
 
-func TestRequestInProgressFinishesWhileLeaving(t *testing.T) {
+func TestRequestInProgressFinishesWhileDraining(t *testing.T) {
 	is := is.New(t)
 	sv, ca := startServer(t, 1, 8)
 	body, sender := io.Pipe()
--- a/internal/fakes/epsim/handler.go
+++ b/internal/fakes/epsim/handler.go
@@ -96,7 +96,7 @@
 		sv.refuse(w, plat.RefusedBusy)
 		return
 	}
-	if sv.leaving.Load() {
+	if sv.draining.Load() {
 		sv.refuse(w, plat.RefusedDraining)
 		return
 	}
@@ -173,7 +173,7 @@
 
 func (sv *Server) writeHeaders(w http.ResponseWriter) {
 	state := plat.StateLive
-	if sv.leaving.Load() {
+	if sv.draining.Load() {
 		state = plat.StateDraining
 	}
 	w.Header().Set(plat.HeaderState, string(state))
