Rename peers.Member.Leaving to Draining

A member that shuts down is draining in the rest of the code, while the field of Member was called Leaving. It is now Draining, with the local variables, test names and comments; the message, the client's type and the log key are unchanged.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -93,7 +93,7 @@
 	others := make(map[string][]string)
 	for _, me := range members {
 		switch {
-		case !me.Alive || me.Leaving || me.Name == cfg.Host:
+		case !me.Alive || me.Draining || me.Name == cfg.Host:
 		case me.Zone == cfg.Zone:
 			vw.hosts = append(vw.hosts, me.Name)
 		case me.Ready:
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -195,7 +195,7 @@
 	}
 	if ho.server != nil {
 		me.Ready = ho.server.Ready()
-		me.Leaving = ho.server.Draining()
+		me.Draining = ho.server.Draining()
 	}
 	return me
 }
--- a/internal/host/operate.go
+++ b/internal/host/operate.go
@@ -115,7 +115,7 @@
 	for _, me := range op.ho.mesh.Members(now) {
 		st.Hosts = append(st.Hosts, client.HostStatus{
 			Name: me.Name, Zone: me.Zone, Address: me.HTTPAddress, Revision: me.ConfigRevision,
-			Ready: me.Ready, Leaving: me.Leaving, Reachable: me.Alive,
+			Ready: me.Ready, Leaving: me.Draining, Reachable: me.Alive,
 		})
 		zs := statuses[me.Zone]
 		zs.Reachable = zs.Reachable || me.Alive
--- a/internal/peers/heartbeat.go
+++ b/internal/peers/heartbeat.go
@@ -23,7 +23,7 @@
 )
 
 // Announce starts to send a heartbeat to every host right away. A host calls it
-// when its state has changed, above all when it is leaving.
+// when its state has changed, above all when it is draining.
 func (ms *Mesh) Announce() {
 	ms.mu.Lock()
 	defer ms.mu.Unlock()
@@ -184,7 +184,7 @@
 		return
 	}
 	ms.cfg.Log.Info("peer added, changed or recovered", "peer", me.Name, "zone", me.Zone, "address", me.PeerAddress,
-		"incarnation", me.Incarnation, "ready", me.Ready, "leaving", me.Leaving, "returned", ch == Recovered)
+		"incarnation", me.Incarnation, "ready", me.Ready, "leaving", me.Draining, "returned", ch == Recovered)
 }
 
 // heartbeatCount returns the number of heartbeats received over the session.
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -207,20 +207,20 @@
 	})
 }
 
-func TestLeavingIsAnnounced(t *testing.T) {
+func TestDrainingIsAnnounced(t *testing.T) {
 	inBubble(t, func(t *testing.T, nw *network) {
 		is := is.New(t)
 		hs := startAll(nw, "z1/a", "z1/b", "z2/c")
-		hs[1].set(func(me *peers.Member) { me.Leaving = true })
+		hs[1].set(func(me *peers.Member) { me.Draining = true })
 		hs[1].Announce()
 		synctest.Wait()
-		is.True(hs[0].view("z1/b").Leaving)
-		is.True(hs[2].view("z1/b").Leaving)
+		is.True(hs[0].view("z1/b").Draining)
+		is.True(hs[2].view("z1/b").Draining)
 		stopAll(t, hs)
 	})
 }
 
-func TestLeavingEndpointsReachZoneHosts(t *testing.T) {
+func TestDrainingEndpointsReachZoneHosts(t *testing.T) {
 	inBubble(t, func(t *testing.T, nw *network) {
 		is := is.New(t)
 		got := make(chan []string, 100)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -30,7 +30,7 @@
 	HTTPAddress    string
 	Incarnation    uint64    // start time of its process, nanoseconds since 1970
 	Ready          bool      // for callers' requests
-	Leaving        bool      // is shutting down
+	Draining       bool      // is shutting down
 	ConfigRevision int64     // store revision of the configuration that it uses
 	SchedulerEpoch int64     // the largest epoch of its zone that it has seen
 	Scheduler      string    // name of the host that is the leader in that epoch
@@ -93,7 +93,7 @@
 	return &wire.Member{
 		Name: me.Name, Zone: me.Zone, Region: me.Region,
 		PeerAddress: me.PeerAddress, HttpAddress: me.HTTPAddress, Incarnation: me.Incarnation,
-		Ready: me.Ready, Leaving: me.Leaving, ConfigRevision: me.ConfigRevision,
+		Ready: me.Ready, Leaving: me.Draining, ConfigRevision: me.ConfigRevision,
 		SchedulerEpoch: me.SchedulerEpoch, Scheduler: me.Scheduler,
 	}
 }
@@ -104,7 +104,7 @@
 	return Member{
 		Name: wm.GetName(), Zone: wm.GetZone(), Region: wm.GetRegion(),
 		PeerAddress: wm.GetPeerAddress(), HTTPAddress: wm.GetHttpAddress(), Incarnation: wm.GetIncarnation(),
-		Ready: wm.GetReady(), Leaving: wm.GetLeaving(), ConfigRevision: wm.GetConfigRevision(),
+		Ready: wm.GetReady(), Draining: wm.GetLeaving(), ConfigRevision: wm.GetConfigRevision(),
 		SchedulerEpoch: wm.GetSchedulerEpoch(), Scheduler: wm.GetScheduler(),
 	}
 }
--- a/internal/peers/roster.go
+++ b/internal/peers/roster.go
@@ -21,7 +21,7 @@
 	// inputs and the given time, and is not safe for concurrent use.
 	//
 	// Only a host's own heartbeat makes it alive. Gossip makes a host known, and
-	// can report that it is leaving.
+	// can report that it is draining.
 	Roster struct {
 		cfg     RosterConfig
 		entries map[string]entry
@@ -103,8 +103,8 @@
 		me.Alive = false
 		ro.entries[me.Name] = entry{member: me, lastUpdate: now}
 		return Added
-	case me.Leaving && !old.member.Leaving:
-		old.member.Leaving = true
+	case me.Draining && !old.member.Draining:
+		old.member.Draining = true
 		old.lastUpdate = now
 		ro.entries[me.Name] = old
 		return Changed
@@ -177,10 +177,10 @@
 }
 
 // merged returns the member with the later of the two values of each field that
-// only grows during one incarnation (Leaving, ConfigRevision and SchedulerEpoch),
+// only grows during one incarnation (Draining, ConfigRevision and SchedulerEpoch),
 // because heartbeats over two sessions may arrive out of order.
 func (me Member) merged(old Member) Member {
-	me.Leaving = me.Leaving || old.Leaving
+	me.Draining = me.Draining || old.Draining
 	me.ConfigRevision = max(me.ConfigRevision, old.ConfigRevision)
 	if me.SchedulerEpoch < old.SchedulerEpoch {
 		me.SchedulerEpoch = old.SchedulerEpoch
@@ -200,7 +200,7 @@
 		return Added
 	case !alive:
 		return Recovered
-	case old.Ready != me.Ready || old.Leaving != me.Leaving || old.PeerAddress != me.PeerAddress:
+	case old.Ready != me.Ready || old.Draining != me.Draining || old.PeerAddress != me.PeerAddress:
 		return Changed
 	default:
 		return Unchanged
--- a/internal/peers/roster_test.go
+++ b/internal/peers/roster_test.go
@@ -48,12 +48,12 @@
 	is.True(!alive(at(2), "a"))
 	is.Equal(ro.RecordHeartbeat(at(3), a), peers.Recovered)
 
-	leaving := a
-	leaving.Leaving = true
-	is.Equal(ro.RecordGossip(at(3), leaving), peers.Changed) // accepted at once, from any host
-	is.Equal(ro.RecordHeartbeat(at(3), a), peers.Unchanged)  // and not revoked
+	draining := a
+	draining.Draining = true
+	is.Equal(ro.RecordGossip(at(3), draining), peers.Changed) // accepted at once, from any host
+	is.Equal(ro.RecordHeartbeat(at(3), a), peers.Unchanged)   // and not revoked
 	me, _ := ro.Get(at(3), "a")
-	is.True(me.Leaving)
+	is.True(me.Draining)
 
 	older, newer := a, a
 	older.Incarnation, newer.Incarnation = 4, 6
@@ -64,7 +64,7 @@
 	is.True(!alive(at(3), "a")) // the old process has ended
 	is.Equal(ro.RecordHeartbeat(at(3), newer), peers.Added)
 	me, _ = ro.Get(at(3), "a")
-	is.True(me.Alive && !me.Leaving)
+	is.True(me.Alive && !me.Draining)
 	is.Equal(me.ConfigRevision, int64(0))
 
 	far := peers.Member{Name: "b", Zone: "other", PeerAddress: "b:1"}
@@ -90,7 +90,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "millis")) * time.Millisecond)
 			me := peers.Member{
 				Name: "a", Zone: "z", Incarnation: uint64(rapid.IntRange(1, 3).Draw(rt, "incarnation")),
-				Leaving: rapid.Bool().Draw(rt, "leaving"), ConfigRevision: int64(rapid.IntRange(0, 9).Draw(rt, "revision")),
+				Draining: rapid.Bool().Draw(rt, "draining"), ConfigRevision: int64(rapid.IntRange(0, 9).Draw(rt, "revision")),
 			}
 			byHeartbeat := rapid.Bool().Draw(rt, "heard")
 			if byHeartbeat {
@@ -104,7 +104,7 @@
 			is.True(got.Incarnation >= me.Incarnation)
 			if got.Incarnation == best.Incarnation {
 				is.True(got.ConfigRevision >= best.ConfigRevision)
-				is.True(got.Leaving || !best.Leaving)
+				is.True(got.Draining || !best.Draining)
 			}
 			if byHeartbeat && me.Incarnation == got.Incarnation {
 				is.True(got.Alive)
--- a/internal/report/replicator.go
+++ b/internal/report/replicator.go
@@ -215,7 +215,7 @@
 		}
 		alive[accountKey{me.Name, me.Incarnation}] = true
 		switch {
-		case me.Name == self.Host || me.Leaving:
+		case me.Name == self.Host || me.Draining:
 		case me.Zone == self.Zone:
 			candidates = append(candidates, me)
 		default:
