Rename host's leavingSet to drainingSet

The set of endpoints that peers report as draining, its expiry, the field that holds it and the function that fills heartbeats were named after the wire word leaving.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -57,7 +57,7 @@
 		archive     *report.Archive
 		router      *JobRouter
 		server      *entry.Server
-		leaving     leavingSet
+		draining    drainingSet
 		dayLocation atomic.Pointer[dayLocation]
 	}
 
@@ -97,7 +97,7 @@
 	})
 	ho.mesh = peers.New(peers.Config{
 		Self: ho.self, Listener: cfg.PeerListener, Seeds: se.Seeds, Log: ho.log,
-		DrainingEndpoints: ho.leavingEndpoints, OnDrainingEndpoints: ho.leaving.add, Metrics: metrics.GetDefaultSet(),
+		DrainingEndpoints: ho.drainingEndpoints, OnDrainingEndpoints: ho.draining.add, Metrics: metrics.GetDefaultSet(),
 	})
 	ho.claims = claim.New(claim.Config{Store: ho.store, Host: se.Host.Name, Log: ho.log})
 	ho.account = report.NewAccount(report.AccountConfig{
@@ -176,7 +176,7 @@
 		Host: ho.se.Host.Name, Zone: ho.se.Host.Zone, Region: ho.se.Host.Region,
 		Listener: listener, ForwardListener: ho.mesh.HTTPListener(),
 		Limits: ho.se.Limits, Stop: ho.se.Stop,
-		Declarations: ho.declarations, Endpoints: ho.endpoints, PeerDraining: ho.leaving.names,
+		Declarations: ho.declarations, Endpoints: ho.endpoints, PeerDraining: ho.draining.names,
 		Members: ho.mesh.Members, ForwardDial: ho.mesh.DialHTTP,
 		Jobs: ho.router, Claims: claimAdapter{ho.claims}, Account: ho.account, Operators: operatorAPI{ho},
 		Log: ho.log, Seed: ho.incarnation,
@@ -236,9 +236,9 @@
 
 func (ho *Host) endpoints() []plat.Host { return ho.watcher.List().ByKind(plat.KindEndpoint) }
 
-// leavingEndpoints returns the endpoints that this host knows to be draining,
+// drainingEndpoints returns the endpoints that this host knows to be draining,
 // which its heartbeats report to the peers.
-func (ho *Host) leavingEndpoints() []string {
+func (ho *Host) drainingEndpoints() []string {
 	if ho.server == nil {
 		return nil
 	}
