Rename batch.Step.Occupied to Reserved

The method returns what a task of the step reserves on a worker, which its comment said and its name did not: a step that uses idle processor time occupies some, but reserves none. It is now Reserved.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -171,9 +171,9 @@
 	return rs.MilliCPU >= other.MilliCPU && rs.MemoryMB >= other.MemoryMB && rs.Accelerators >= other.Accelerators
 }
 
-// Occupied returns the part of a worker's capacity that a task of the step
+// Reserved returns the part of a worker's capacity that a task of the step
 // reserves. A step that uses only idle processor time reserves no processor time.
-func (sp Step) Occupied() Resources {
+func (sp Step) Reserved() Resources {
 	rs := sp.Needs
 	if sp.BestEffort {
 		rs.MilliCPU = 0
--- a/internal/domain/evac.go
+++ b/internal/domain/evac.go
@@ -142,7 +142,7 @@
 	co.claimed = append(co.claimed, un)
 	names := make([]string, len(nodes))
 	for i, nd := range nodes {
-		nd.used = nd.used.Plus(un.step.Occupied())
+		nd.used = nd.used.Plus(un.step.Reserved())
 		names[i] = nd.worker.ID
 	}
 	co.emit(LogDecision{
--- a/internal/domain/fair.go
+++ b/internal/domain/fair.go
@@ -71,7 +71,7 @@
 	for _, nd := range co.sortedNodes {
 		for _, ru := range nd.runs {
 			if ru.unit != nil {
-				co.fair.addUsage(co.tenantOf(ru.unit.job), ru.unit.step.Occupied())
+				co.fair.addUsage(co.tenantOf(ru.unit.job), ru.unit.step.Reserved())
 			}
 		}
 	}
@@ -185,5 +185,5 @@
 // takes.
 func (ug unitGroup) unitShare(capacity map[string]batch.Resources) float64 {
 	un := ug.units[0]
-	return float64(un.tasks) * dominantShare(un.step.Occupied(), capacity[ug.service])
+	return float64(un.tasks) * dominantShare(un.step.Reserved(), capacity[ug.service])
 }
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -242,8 +242,8 @@
 	ru.node = nd
 	nd.attach(ru)
 	co.considerPoll(nd)
-	nd.used = nd.used.Plus(ru.unit.step.Occupied())
-	co.addUsage(ru.unit.job, ru.unit.step.Occupied())
+	nd.used = nd.used.Plus(ru.unit.step.Reserved())
+	co.addUsage(ru.unit.job, ru.unit.step.Reserved())
 }
 
 func (nd *node) attach(ru *run) {
@@ -257,7 +257,7 @@
 	delete(nd.runs, runKey{ru.task, ru.attempt})
 	nd.runsByTask = nil
 	if ru.unit != nil {
-		nd.used = nd.used.Minus(ru.unit.step.Occupied())
+		nd.used = nd.used.Minus(ru.unit.step.Reserved())
 	}
 }
 
--- a/internal/domain/pick.go
+++ b/internal/domain/pick.go
@@ -83,7 +83,7 @@
 	if un.step.PerWorker > 0 {
 		limit = min(limit, un.step.PerWorker-nd.taskCount(un))
 	}
-	needs := un.step.Occupied()
+	needs := un.step.Reserved()
 	for n < limit && free.Covers(needs) {
 		free = free.Minus(needs)
 		n++
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -137,7 +137,7 @@
 // waited long enough for capacity near its data.
 func (co *Core) fitKeyOf(ps *pass, ug unitGroup, un *unit) fitKey {
 	key := fitKey{
-		service: co.queueOf(un.job).Service, needs: un.step.Occupied(), tasks: un.tasks,
+		service: co.queueOf(un.job).Service, needs: un.step.Reserved(), tasks: un.tasks,
 		label: un.step.Label, rack: un.step.Rack, anyRack: un.localityWaitOver(ps.now), class: ug.class,
 	}
 	if !un.interchangeable() || co.placedIndividually(un, key.service) {
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -89,7 +89,7 @@
 	un.claim = best.nodes
 	co.claimed = append(co.claimed, un)
 	for _, nd := range un.claim {
-		nd.used = nd.used.Plus(un.step.Occupied())
+		nd.used = nd.used.Plus(un.step.Reserved())
 	}
 	co.emit(LogDecision{Decision: "preempts", Job: un.job.ID, Task: un.taskID(0).String(), Reason: "guaranteed or more urgent work"})
 	return true
@@ -193,13 +193,13 @@
 	for _, vi := range op.victims {
 		pp.victims[vi.un] = true
 		for _, ru := range vi.un.runs {
-			pp.freed[ru.node] = pp.freed[ru.node].Plus(vi.un.step.Occupied())
+			pp.freed[ru.node] = pp.freed[ru.node].Plus(vi.un.step.Reserved())
 			changed = append(changed, ru.node)
 		}
 	}
 	pp.cost += op.cost
 	pp.taken[nd]++
-	pp.freed[nd] = pp.freed[nd].Minus(un.step.Occupied())
+	pp.freed[nd] = pp.freed[nd].Minus(un.step.Reserved())
 	pp.nodes = append(pp.nodes, nd)
 	return changed
 }
@@ -210,7 +210,7 @@
 	var rs batch.Resources
 	for _, ru := range nd.runs {
 		if ru.unit != nil && ru.stop.requested {
-			rs = rs.Plus(ru.unit.step.Occupied())
+			rs = rs.Plus(ru.unit.step.Reserved())
 		}
 	}
 	return rs
@@ -225,7 +225,7 @@
 	if un.step.PerWorker > 0 && nd.taskCount(un)+pp.taken[nd] >= un.step.PerWorker {
 		return nodeOption{}
 	}
-	needs := un.step.Occupied()
+	needs := un.step.Reserved()
 	free := nd.free().Plus(nd.stoppingResources()).Plus(pp.freed[nd])
 	if free.Covers(needs) {
 		return nodeOption{possible: true}
@@ -239,7 +239,7 @@
 		op.cost += vi.cost
 		for _, ru := range vi.un.runs {
 			if ru.node == nd {
-				free = free.Plus(vi.un.step.Occupied())
+				free = free.Plus(vi.un.step.Reserved())
 			}
 		}
 		if free.Covers(needs) {
@@ -347,7 +347,7 @@
 // releaseClaim releases the claim of a unit.
 func (co *Core) releaseClaim(un *unit) {
 	for _, nd := range un.claim {
-		nd.used = nd.used.Minus(un.step.Occupied())
+		nd.used = nd.used.Minus(un.step.Reserved())
 	}
 	un.claim = nil
 }
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -206,7 +206,7 @@
 	ru.stage = ended
 	ru.node.detach(ru)
 	if ru.unit != nil {
-		co.addUsage(ru.unit.job, batch.Resources{}.Minus(ru.unit.step.Occupied()))
+		co.addUsage(ru.unit.job, batch.Resources{}.Minus(ru.unit.step.Reserved()))
 	}
 	co.markChanged(ru.unit)
 	co.passDue = true
--- a/internal/domain/share.go
+++ b/internal/domain/share.go
@@ -161,7 +161,7 @@
 func (qs queueShares) take(ug unitGroup) int {
 	queue := ug.queue()
 	un := ug.units[0]
-	each := float64(un.tasks) * dominantShare(un.step.Occupied(), qs.capacity[ug.service])
+	each := float64(un.tasks) * dominantShare(un.step.Reserved(), qs.capacity[ug.service])
 	n := 0
 	for n < len(ug.units) && qs.remaining[queue] > 0 {
 		qs.remaining[queue] -= each
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -143,7 +143,7 @@
 	step := jb.Steps[ti.Step]
 	tp := sim.plans[ti.Job][ti.Step]
 	pl := runsim.Plan{
-		Work: tp.work, Fails: tp.fails, Needs: step.Occupied(), MaxAttempts: jb.Queue.MaxAttempts, Checkpoints: step.Checkpoints,
+		Work: tp.work, Fails: tp.fails, Needs: step.Reserved(), MaxAttempts: jb.Queue.MaxAttempts, Checkpoints: step.Checkpoints,
 		Payload: jb.Payload, PerWorker: step.PerWorker, LongRunning: step.LongRunning, Tickets: sim.tickets[ti.Job],
 	}
 	if step.Gang {
--- a/internal/local/steps.go
+++ b/internal/local/steps.go
@@ -78,7 +78,7 @@
 // rules that its starts must obey.
 func stepsPlan(jb batch.Job, ti batch.TaskID) runsim.Plan {
 	step := jb.Steps[ti.Step]
-	pl := runsim.Plan{Work: stepsRunTime, Needs: step.Occupied(), Payload: jb.Payload}
+	pl := runsim.Plan{Work: stepsRunTime, Needs: step.Reserved(), Payload: jb.Payload}
 	if step.Gang {
 		pl.Gang = step.Tasks
 	}
