--- a/internal/host/draining.go
+++ b/internal/host/draining.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// drainingSet holds the endpoints that peers report as leaving in their
+// drainingSet holds the endpoints that peers report as draining in their
 // heartbeats. A name expires drainingTTL after the last report.
 type drainingSet struct {
 	mu       sync.Mutex
