--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -151,7 +151,7 @@
 	}
 	if ru.unit != nil && ru.unit.attempt == ru.attempt {
 		ru.unit.job.begun = true
-		co.observeLatency(now, ru, rn.Load)
+		co.observeLatency(now, ru, rn.LatencyMillis)
 		// In this order, since a checkpoint is fresh only if it was not set
 		// yet.
 		co.markCheckpointFresh(now, ru, rn.Checkpoint)
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -376,7 +376,7 @@
 		} else if work := ru.workDone(now); work > 0 {
 			percent = min(100, int(100*work/ru.plan.Work))
 		}
-		st.Running = append(st.Running, runner.Run{Task: ru.task, Attempt: ru.attempt, Checkpoint: ru.checkpoint(now, fl.cfg.CheckpointInterval, false), Percent: percent, Load: fl.Loads[ru.task]})
+		st.Running = append(st.Running, runner.Run{Task: ru.task, Attempt: ru.attempt, Checkpoint: ru.checkpoint(now, fl.cfg.CheckpointInterval, false), Percent: percent, LatencyMillis: fl.Loads[ru.task]})
 	}
 	return st, nil
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -56,11 +56,11 @@
 
 	// Run is a running attempt, which holds a lease.
 	Run struct {
-		Task       batch.TaskID
-		Attempt    int
-		Checkpoint string // the latest; empty for none
-		Percent    int    // progress of the attempt
-		Load       int    // of a serving task: the latency of its slow responses, in milliseconds
+		Task          batch.TaskID
+		Attempt       int
+		Checkpoint    string // the latest; empty for none
+		Percent       int    // progress of the attempt
+		LatencyMillis int    // of a serving task: the latency of its slow responses
 	}
 
 	// End is the end of an attempt. Numbers increase within an incarnation of the
