Rename runsim's Fleet.Loads to LatencyMillis

The map sets the latency in milliseconds that a worker of the fakes reports for a task, which is runner.Run.LatencyMillis. It now has the same name, and its comment no longer calls a latency a load.

--- a/internal/domain/stepkinds_test.go
+++ b/internal/domain/stepkinds_test.go
@@ -75,7 +75,7 @@
 	ti := batch.TaskID{Job: "serves"}
 	attempts := sim.fleet.AttemptsOnWorkerOf(ti)
 	is.True(attempts > 1) // best-effort work runs on the same worker
-	sim.fleet.Loads[ti] = 80
+	sim.fleet.LatencyMillis[ti] = 80
 	sim.run(3 * time.Second)
 	is.Equal(sim.fleet.AttemptsOnWorkerOf(ti), 1)
 	is.Equal(sim.fleet.Running("fill"), 4) // on the other worker
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -48,7 +48,7 @@
 		ackedFailures  map[batch.TaskID]int  // acknowledged failures
 		ackedSuccesses map[batch.TaskID]bool // acknowledged successes
 		succeeded      map[batch.TaskID]bool // all successes, acknowledged or not
-		Loads          map[batch.TaskID]int  // load that workers report for long-running tasks: latency of slow responses, in milliseconds
+		LatencyMillis  map[batch.TaskID]int  // latency of slow responses that workers report for long-running tasks
 		Violations     []string              // descriptions of the scheduler's violations of the protocol
 		RefusedStarts  int                   // starts refused for lack of a valid ticket
 		Starts         int                   // attempts started
@@ -90,7 +90,7 @@
 func NewFleet(now time.Time, cf Config) *Fleet {
 	return &Fleet{
 		cfg: cf, now: now, workers: map[string]*worker{}, replaced: map[string]bool{}, ackedFailures: map[batch.TaskID]int{},
-		ackedSuccesses: map[batch.TaskID]bool{}, succeeded: map[batch.TaskID]bool{}, Loads: map[batch.TaskID]int{},
+		ackedSuccesses: map[batch.TaskID]bool{}, succeeded: map[batch.TaskID]bool{}, LatencyMillis: map[batch.TaskID]int{},
 	}
 }
 
@@ -376,7 +376,7 @@
 		} else if work := ru.workDone(now); work > 0 {
 			percent = min(100, int(100*work/ru.plan.Work))
 		}
-		st.Running = append(st.Running, runner.Run{Task: ru.task, Attempt: ru.attempt, Checkpoint: ru.checkpoint(now, fl.cfg.CheckpointInterval, false), Percent: percent, LatencyMillis: fl.Loads[ru.task]})
+		st.Running = append(st.Running, runner.Run{Task: ru.task, Attempt: ru.attempt, Checkpoint: ru.checkpoint(now, fl.cfg.CheckpointInterval, false), Percent: percent, LatencyMillis: fl.LatencyMillis[ru.task]})
 	}
 	return st, nil
 }
