Rename domain's Backlog, Accelerators and Shares

Backlog shared its name with another type in batch, Accelerators is a count in other structs and Shares holds values of type WorkspaceUsage. They are now QueueBacklog, AcceleratorCounts and BacklogReport.Usage. The use of QueueBacklog as a sum by workspace says which fields it lacks.

--- a/internal/domain/backlog.go
+++ b/internal/domain/backlog.go
@@ -7,8 +7,8 @@
 )
 
 type (
-	// Backlog sums up the waiting units of one queue and class.
-	Backlog struct {
+	// QueueBacklog sums up the waiting units of one queue and class.
+	QueueBacklog struct {
 		Queue        string
 		Class        string // assured (within a guarantee), timely, overdue or late
 		Units        int
@@ -16,8 +16,8 @@
 		Oldest       time.Duration // since the oldest unit's due time or, without one, acceptance
 	}
 
-	// Accelerators counts the accelerators of the workers that take new work.
-	Accelerators struct {
+	// AcceleratorCounts counts the accelerators of the workers that take new work.
+	AcceleratorCounts struct {
 		Total    int
 		Free     int
 		Reserved int // the free ones that are reserved for gangs and large tasks; see reserve.go
@@ -46,12 +46,12 @@
 	}
 	co.backlogReportedAt = ps.now
 	co.backlogged = len(backlogs) > 0
-	co.emit(BacklogReport{Backlogs: backlogs, Shares: co.reportUsage(ps, ugs), Accelerators: co.countAccelerators(ps)})
+	co.emit(BacklogReport{Backlogs: backlogs, Usage: co.reportUsage(ps, ugs), Accelerators: co.countAccelerators(ps)})
 }
 
 // backlogsOf sums up the units that were not placed, by queue and class.
-func backlogsOf(now time.Time, ugs []unitGroup) []Backlog {
-	sums := map[backlogKey]*Backlog{}
+func backlogsOf(now time.Time, ugs []unitGroup) []QueueBacklog {
+	sums := map[backlogKey]*QueueBacklog{}
 	for _, ug := range ugs {
 		key := backlogKey{queue: ug.queue(), class: ug.class}
 		for _, un := range ug.units {
@@ -59,22 +59,22 @@
 				continue
 			}
 			if sums[key] == nil {
-				sums[key] = &Backlog{Queue: key.queue, Class: classNames[key.class]}
+				sums[key] = &QueueBacklog{Queue: key.queue, Class: classNames[key.class]}
 			}
 			sums[key].add(now, un)
 		}
 	}
-	backlogs := make([]Backlog, 0, len(sums))
+	backlogs := make([]QueueBacklog, 0, len(sums))
 	for _, sum := range sums {
 		backlogs = append(backlogs, *sum)
 	}
-	slices.SortFunc(backlogs, func(a, b Backlog) int {
+	slices.SortFunc(backlogs, func(a, b QueueBacklog) int {
 		return cmp.Or(cmp.Compare(a.Queue, b.Queue), cmp.Compare(a.Class, b.Class))
 	})
 	return backlogs
 }
 
-func (bl *Backlog) add(now time.Time, un *unit) {
+func (bl *QueueBacklog) add(now time.Time, un *unit) {
 	bl.Units++
 	bl.Accelerators += un.tasks * un.step.Needs.Accelerators
 	bl.Oldest = max(bl.Oldest, now.Sub(un.objectiveStart()))
@@ -82,8 +82,8 @@
 
 // countAccelerators sums up the accelerators of the workers that a pass has
 // examined.
-func (co *Core) countAccelerators(ps *pass) Accelerators {
-	var sum Accelerators
+func (co *Core) countAccelerators(ps *pass) AcceleratorCounts {
+	var sum AcceleratorCounts
 	for _, nds := range ps.nodesByService {
 		for _, nd := range nds {
 			free := max(0, nd.free().Accelerators)
--- a/internal/domain/backlog_test.go
+++ b/internal/domain/backlog_test.go
@@ -31,16 +31,16 @@
 	sim.run(900 * time.Millisecond)
 	is.Equal(len(sim.backlogReports), 1) // at most one a second
 	br := sim.backlogReports[0]
-	is.Equal(br.Accelerators, domain.Accelerators{Total: 16, Free: 4, Reserved: 4})
+	is.Equal(br.Accelerators, domain.AcceleratorCounts{Total: 16, Free: 4, Reserved: 4})
 	is.Equal(len(br.Backlogs), 2)
 	is.True(br.Backlogs[0].Oldest > 0)
 	br.Backlogs[0].Oldest, br.Backlogs[1].Oldest = 0, 0
-	is.Equal(br.Backlogs, []domain.Backlog{
+	is.Equal(br.Backlogs, []domain.QueueBacklog{
 		{Queue: "q1", Class: "timely", Units: 1, Accelerators: 16},
 		{Queue: "q2", Class: "timely", Units: 1, Accelerators: 1},
 	})
 	sim.run(20 * time.Second)
-	is.Equal(sim.backlogReports[len(sim.backlogReports)-1].Backlogs, []domain.Backlog{}) // an empty backlog is reported once
+	is.Equal(sim.backlogReports[len(sim.backlogReports)-1].Backlogs, []domain.QueueBacklog{}) // an empty backlog is reported once
 }
 
 // TestEndedJobsReportWaitTime ends a job that has begun at once, one that was
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -160,9 +160,9 @@
 	// pass, at most once a second while units wait, and once more when none
 	// does.
 	BacklogReport struct {
-		Backlogs     []Backlog
-		Shares       []WorkspaceUsage // by service and workspace
-		Accelerators Accelerators
+		Backlogs     []QueueBacklog
+		Usage        []WorkspaceUsage // by service and workspace
+		Accelerators AcceleratorCounts
 	}
 
 	// EvacuationReport reports the tasks left in evacuated availability zones
--- a/internal/domain/fair_test.go
+++ b/internal/domain/fair_test.go
@@ -116,7 +116,7 @@
 		sim.run(200 * time.Millisecond)
 	}
 	sim.run(2 * time.Second)
-	wus := sim.backlogReports[len(sim.backlogReports)-1].Shares
+	wus := sim.backlogReports[len(sim.backlogReports)-1].Usage
 	is.Equal(len(wus), 2)
 	is.Equal(wus[0].Workspace, "a")
 	is.Equal(wus[0].Entitled, 0.5)
@@ -227,14 +227,14 @@
 	var longest time.Duration
 	for _, br := range sim.backlogReports {
 		above := ""
-		for _, wu := range br.Shares {
+		for _, wu := range br.Usage {
 			if wu.Borrowed > 0 {
 				above = wu.Workspace
 			}
 		}
 		for _, name := range workspaces {
-			at := slices.IndexFunc(br.Shares, func(wu domain.WorkspaceUsage) bool { return wu.Workspace == string(name) })
-			if at < 0 || above == "" || br.Shares[at].Units == 0 || br.Shares[at].Used >= br.Shares[at].Entitled/2 {
+			at := slices.IndexFunc(br.Usage, func(wu domain.WorkspaceUsage) bool { return wu.Workspace == string(name) })
+			if at < 0 || above == "" || br.Usage[at].Units == 0 || br.Usage[at].Used >= br.Usage[at].Entitled/2 {
 				lengths[string(name)] = 0
 				continue
 			}
--- a/internal/domain/workspace.go
+++ b/internal/domain/workspace.go
@@ -24,11 +24,11 @@
 // reportUsage returns the usage of the workspaces with running or waiting
 // work after a pass.
 func (co *Core) reportUsage(ps *pass, ugs []unitGroup) []WorkspaceUsage {
-	waits := map[tenant]*Backlog{}
+	waits := map[tenant]*QueueBacklog{} // without Queue and Class
 	for _, ug := range ugs {
 		te := ug.tenant()
 		if waits[te] == nil {
-			waits[te] = &Backlog{}
+			waits[te] = &QueueBacklog{}
 		}
 		for _, un := range ug.units {
 			if un.phase == waiting && un.claim == nil {
--- a/internal/drive/log.go
+++ b/internal/drive/log.go
@@ -67,10 +67,10 @@
 // maxLoggedShares limits the workspaces in one log line.
 const maxLoggedShares = 10
 
-// logUsage logs the shares of the workspaces with waiting work, longest wait
+// logUsage logs the usage of the workspaces with waiting work, longest wait
 // first, if there are at least two such workspaces.
 func (te *term) logUsage(br domain.BacklogReport) {
-	waiting := slices.DeleteFunc(slices.Clone(br.Shares), func(wu domain.WorkspaceUsage) bool { return wu.Units == 0 })
+	waiting := slices.DeleteFunc(slices.Clone(br.Usage), func(wu domain.WorkspaceUsage) bool { return wu.Units == 0 })
 	if len(waiting) < 2 {
 		return
 	}
--- a/internal/drive/metrics.go
+++ b/internal/drive/metrics.go
@@ -49,7 +49,7 @@
 	for _, bl := range br.Backlogs {
 		set(float64(bl.Units), "cicadawharf_domain_waiting_units{queue=%q,rank=%q}", bl.Queue, bl.Class)
 	}
-	for _, wu := range br.Shares {
+	for _, wu := range br.Usage {
 		set(wu.Entitled, "cicadawharf_domain_workspace_share{workspace=%q,service=%q,part=\"entitled\"}", wu.Workspace, wu.Service)
 		set(wu.Used, "cicadawharf_domain_workspace_share{workspace=%q,service=%q,part=\"used\"}", wu.Workspace, wu.Service)
 		set(wu.Borrowed, "cicadawharf_domain_workspace_share{workspace=%q,service=%q,part=\"borrowed\"}", wu.Workspace, wu.Service)
