Rename drive's maxLoggedShares to maxLoggedWorkspaces

The constant limits the workspaces in one log line, as its comment says, and its name came from the former field BacklogReport.Shares. It is now maxLoggedWorkspaces.

--- a/internal/drive/log.go
+++ b/internal/drive/log.go
@@ -64,8 +64,8 @@
 	te.log.Info("numbers of suspected and suspended workers", "event", "evidence", "doubted", hr.Suspected, "suspended", hr.Suspended, "probation", hr.OnProbation)
 }
 
-// maxLoggedShares limits the workspaces in one log line.
-const maxLoggedShares = 10
+// maxLoggedWorkspaces limits the workspaces in one log line.
+const maxLoggedWorkspaces = 10
 
 // logUsage logs the usage of the workspaces with waiting work, longest wait
 // first, if there are at least two such workspaces.
@@ -76,7 +76,7 @@
 	}
 	slices.SortStableFunc(waiting, func(a, b domain.WorkspaceUsage) int { return cmp.Compare(b.Oldest, a.Oldest) })
 	var lines []string
-	for _, wu := range waiting[:min(maxLoggedShares, len(waiting))] {
+	for _, wu := range waiting[:min(maxLoggedWorkspaces, len(waiting))] {
 		lines = append(lines, fmt.Sprintf("%s entitled=%.3f used=%.3f borrowed=%.3f excess=%.2f units=%d accelerators=%d oldest=%v",
 			wu.Workspace, wu.Entitled, wu.Used, wu.Borrowed, wu.Excess, wu.Units, wu.Accelerators, wu.Oldest.Round(time.Millisecond)))
 	}
