Log rejected alternatives under the key rejected

The log lines of routing and scheduling decisions listed the candidates that were not chosen, with the reasons, under the figurative key losers. The key is now rejected in both, as the fields behind it say; no test matched the old key.

--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -207,6 +207,6 @@
 		slog.String("event", "route"), slog.String("request", cl.id),
 		slog.String("workspace", cl.workspace), slog.String("service", cl.service),
 		slog.String("endpoint", rl.endpoint), slog.String("zone", rl.zone),
-		slog.Int("attempt", cl.attempts), slog.Int("candidates", rl.candidates), slog.String("losers", rl.rejections), slog.Bool("borrowed", rl.borrowed),
+		slog.Int("attempt", cl.attempts), slog.Int("candidates", rl.candidates), slog.String("rejected", rl.rejections), slog.Bool("borrowed", rl.borrowed),
 		slog.Int("code", int(rl.code)), slog.String("cause", rl.cause), slog.Duration("duration", rl.duration))
 }
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -263,7 +263,7 @@
 // logDecision logs a scheduling decision.
 func (zo *Zone) logDecision(dec sched.Decision) {
 	zo.cfg.Log.Info("scheduling decision", "event", "place", "zone", zo.cfg.Zone, "decision", dec.Decision, "job", dec.Job,
-		"workspace", dec.Workspace, "attempt", dec.Attempt, "workers", dec.Workers, "from", dec.Candidates, "losers", dec.Rejected,
+		"workspace", dec.Workspace, "attempt", dec.Attempt, "workers", dec.Workers, "from", dec.Candidates, "rejected", dec.Rejected,
 		"victims", dec.Victims, "reason", dec.Reason)
 }
 
