Rename package upkeep to maint

Rolling maintenance had two names: the package was called upkeep after the platform's order, while its comments speak of maintenance waves. The package is now internal/maint, with its imports, qualifiers and comments; the platform's order, keys and fields and the logged decisions keep the word upkeep.

--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -21,10 +21,10 @@
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
 	"github.com/cicadawharf/cicadawharf/internal/domain"
+	"github.com/cicadawharf/cicadawharf/internal/maint"
 	"github.com/cicadawharf/cicadawharf/internal/pause"
 	"github.com/cicadawharf/cicadawharf/internal/runner"
 	"github.com/cicadawharf/cicadawharf/internal/store"
-	"github.com/cicadawharf/cicadawharf/internal/upkeep"
 )
 
 type (
@@ -48,7 +48,7 @@
 		Store    store.TxnStore
 		Workers  runner.Client
 		Adviser  runner.Adviser // nil if no queue needs placement advice
-		Machines upkeep.Client  // for package upkeep; nil if machines need no maintenance
+		Machines maint.Client   // for package maint; nil if machines need no maintenance
 		// FairShares orders work of equal urgency by the workspaces' fair shares.
 		FairShares     bool
 		MinMoveRunTime time.Duration // see domain.Config
@@ -198,7 +198,7 @@
 			te.waves.handle(ev)
 		case now := <-tick.C:
 			if te.waves != nil {
-				te.waves.handle(upkeep.Ticked{})
+				te.waves.handle(maint.Ticked{})
 			}
 			if te.core.NeedsTicks() || now.Sub(last) >= idleTickInterval {
 				last = now
@@ -225,7 +225,7 @@
 
 // waveEvents returns the events of the wave driver, or nil, which blocks
 // forever, if there is none.
-func (te *term) waveEvents() <-chan upkeep.Event {
+func (te *term) waveEvents() <-chan maint.Event {
 	if te.waves == nil {
 		return nil
 	}
--- a/internal/drive/waves.go
+++ b/internal/drive/waves.go
@@ -11,8 +11,8 @@
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
 	"github.com/cicadawharf/cicadawharf/internal/domain"
+	"github.com/cicadawharf/cicadawharf/internal/maint"
 	"github.com/cicadawharf/cicadawharf/internal/store"
-	"github.com/cicadawharf/cicadawharf/internal/upkeep"
 )
 
 type (
@@ -21,18 +21,18 @@
 	WaveLayout struct {
 		Prefix         string // of the requested waves
 		StatusPrefix   string // followed by the number of a wave
-		DecodeWave     func(value []byte) (upkeep.Wave, error)
-		EncodeProgress func(pr upkeep.Progress) []byte
-		DecodeProgress func(value []byte) (upkeep.Progress, error)
+		DecodeWave     func(value []byte) (maint.Wave, error)
+		EncodeProgress func(pr maint.Progress) []byte
+		DecodeProgress func(value []byte) (maint.Progress, error)
 	}
 
 	// waveDriver carries out maintenance waves during a term, with the core of
-	// package upkeep.
+	// package maint.
 	waveDriver struct {
 		*term
 		layout    WaveLayout
-		core      *upkeep.Core
-		events    chan upkeep.Event
+		core      *maint.Core
+		events    chan maint.Event
 		numbers   map[string]int // wave numbers by key
 		watchFrom store.Revision
 		writes    chan store.Txn // pending writes, in order
@@ -52,7 +52,7 @@
 	if te.cfg.Machines == nil || la.Prefix == "" {
 		return nil, nil
 	}
-	wd := &waveDriver{term: te, layout: la, events: make(chan upkeep.Event, eventQueueSize), numbers: map[string]int{}, writes: make(chan store.Txn, writeQueueSize)}
+	wd := &waveDriver{term: te, layout: la, events: make(chan maint.Event, eventQueueSize), numbers: map[string]int{}, writes: make(chan store.Txn, writeQueueSize)}
 	statuses, _, err := te.cfg.Store.List(te.ctx, la.StatusPrefix)
 	if err != nil {
 		return nil, merry.Prepend(err, "list "+la.StatusPrefix)
@@ -66,7 +66,7 @@
 		return nil, merry.Prepend(err, "list "+la.Prefix)
 	}
 	wd.watchFrom = rev
-	cf := upkeep.Config{WorkerState: te.workerState, Completed: wd.completedWaves(statuses)}
+	cf := maint.Config{WorkerState: te.workerState, Completed: wd.completedWaves(statuses)}
 	for _, en := range records {
 		rc, err := decodeRecord(en.Value)
 		if err != nil {
@@ -80,7 +80,7 @@
 			cf.Waves = append(cf.Waves, wa)
 		}
 	}
-	wd.core = upkeep.New(now, cf)
+	wd.core = maint.New(now, cf)
 	return wd, nil
 }
 
@@ -99,7 +99,7 @@
 			wd.logInvalidEntry(en.Key, err)
 			continue
 		}
-		if progress == upkeep.Completed {
+		if progress == maint.Completed {
 			numbers = append(numbers, number)
 		}
 	}
@@ -114,11 +114,11 @@
 
 // decodeWave decodes a wave and remembers its number. It reports whether the
 // entry is valid.
-func (wd *waveDriver) decodeWave(en store.Entry) (upkeep.Wave, bool) {
+func (wd *waveDriver) decodeWave(en store.Entry) (maint.Wave, bool) {
 	wa, err := wd.layout.DecodeWave(en.Value)
 	if err != nil {
 		wd.logInvalidEntry(en.Key, err)
-		return upkeep.Wave{}, false
+		return maint.Wave{}, false
 	}
 	wd.numbers[en.Key] = wa.Number
 	return wa, true
@@ -127,12 +127,12 @@
 func (wd *waveDriver) applyWave(en store.Entry) {
 	if en.Value == nil {
 		if number, ok := wd.numbers[en.Key]; ok {
-			wd.send(upkeep.WaveWithdrawn{Number: number})
+			wd.send(maint.WaveWithdrawn{Number: number})
 		}
 		return
 	}
 	if wa, ok := wd.decodeWave(en); ok {
-		wd.send(upkeep.WaveRequested{Wave: wa})
+		wd.send(maint.WaveRequested{Wave: wa})
 	}
 }
 
@@ -147,71 +147,71 @@
 	return rev, nil
 }
 
-func (wd *waveDriver) send(ev upkeep.Event) {
+func (wd *waveDriver) send(ev maint.Event) {
 	select {
 	case wd.events <- ev:
 	case <-wd.ctx.Done():
 	}
 }
 
-// workerState converts a worker's domain.Occupancy for package upkeep. Only the
+// workerState converts a worker's domain.Occupancy for package maint. Only the
 // loop's goroutine may call it.
-func (te *term) workerState(worker string) upkeep.WorkerState {
+func (te *term) workerState(worker string) maint.WorkerState {
 	oc := te.core.Occupancy(worker)
-	return upkeep.WorkerState{Idle: oc.Idle, Uninterruptible: oc.Uninterruptible, Draining: oc.Draining}
+	return maint.WorkerState{Idle: oc.Idle, Uninterruptible: oc.Uninterruptible, Draining: oc.Draining}
 }
 
-func (wd *waveDriver) handle(ev upkeep.Event) {
+func (wd *waveDriver) handle(ev maint.Event) {
 	for _, ef := range wd.core.Handle(time.Now(), ev) {
 		wd.perform(ef)
 	}
 }
 
 // perform starts the action that an effect requests, without waiting for it.
-func (wd *waveDriver) perform(ef upkeep.Effect) {
+func (wd *waveDriver) perform(ef maint.Effect) {
 	switch ef := ef.(type) {
-	case upkeep.ListMachines:
+	case maint.ListMachines:
 		go wd.listMachines(ef)
-	case upkeep.Order:
+	case maint.Order:
 		go wd.sendOrder(ef)
-	case upkeep.ReportProgress:
+	case maint.ReportProgress:
 		wd.report(ef)
-	case upkeep.SaveRecord:
+	case maint.SaveRecord:
 		wd.save(ef.Record)
-	case upkeep.Drain:
+	case maint.Drain:
 		wd.term.handle(domain.DrainRequested{By: ef.By})
-	case upkeep.WorkerDown:
+	case maint.WorkerDown:
 		wd.term.handle(domain.WorkerDown{Worker: ef.Worker})
-	case upkeep.LogDecision:
+	case maint.LogDecision:
 		wd.log.Info("decision", "event", ef.Decision, "wave", ef.Wave, "machine", ef.Machine, "worker", ef.Worker, "reason", ef.Reason)
 	}
 }
 
-func (wd *waveDriver) listMachines(ef upkeep.ListMachines) {
+func (wd *waveDriver) listMachines(ef maint.ListMachines) {
 	ctx, cancel := context.WithTimeout(wd.ctx, machineTimeout)
 	defer cancel()
 	mas, err := wd.cfg.Machines.Machines(ctx)
-	wd.send(upkeep.MachinesListed{Sent: ef.Sent, Machines: mas, Err: err})
+	wd.send(maint.MachinesListed{Sent: ef.Sent, Machines: mas, Err: err})
 }
 
-func (wd *waveDriver) sendOrder(ef upkeep.Order) {
+func (wd *waveDriver) sendOrder(ef maint.Order) {
 	ctx, cancel := context.WithTimeout(wd.ctx, machineTimeout)
 	defer cancel()
-	wd.send(upkeep.OrderCompleted{Order: ef, Err: wd.cfg.Machines.Upkeep(ctx, ef, wd.cfg.Host, int64(wd.token))})
+	wd.send(maint.OrderCompleted{Order: ef, Err: wd.cfg.Machines.Upkeep(ctx, ef, wd.cfg.Host, int64(wd.token))})
 }
 
 // report queues a write of a wave's status. If the wave is completed, the write
 // also deletes its record.
-func (wd *waveDriver) report(ef upkeep.ReportProgress) {
+func (wd *waveDriver) report(ef maint.ReportProgress) {
 	number := strconv.Itoa(ef.Wave)
 	tx := store.Txn{Puts: []store.Put{{Key: wd.layout.StatusPrefix + number, Value: wd.layout.EncodeProgress(ef.Progress)}}}
-	if ef.Progress == upkeep.Completed {
+	if ef.Progress == maint.Completed {
 		tx.Deletes = []string{batch.MaintenancePrefix + number}
 	}
 	wd.enqueueWrite(tx)
 }
 
-func (wd *waveDriver) save(rc upkeep.Record) {
+func (wd *waveDriver) save(rc maint.Record) {
 	data, err := json.Marshal(rc)
 	if err != nil {
 		wd.log.Error("can't encode maintenance record", "event", "reportFails", "wave", rc.Number, "reason", err)
@@ -257,7 +257,7 @@
 	}
 }
 
-func decodeRecord(data []byte) (rc upkeep.Record, err error) {
+func decodeRecord(data []byte) (rc maint.Record, err error) {
 	err = json.Unmarshal(data, &rc)
 	return rc, err
 }
--- a/internal/drive/waves_test.go
+++ b/internal/drive/waves_test.go
@@ -15,8 +15,8 @@
 	"github.com/cicadawharf/cicadawharf/internal/drive"
 	"github.com/cicadawharf/cicadawharf/internal/fakes/kvsim"
 	"github.com/cicadawharf/cicadawharf/internal/fakes/runsim"
+	"github.com/cicadawharf/cicadawharf/internal/maint"
 	"github.com/cicadawharf/cicadawharf/internal/runner"
-	"github.com/cicadawharf/cicadawharf/internal/upkeep"
 )
 
 // fakeMachines simulates the platform's machines, one under each worker of a
@@ -51,17 +51,17 @@
 	return name
 }
 
-func (fm *fakeMachines) Machines(context.Context) ([]upkeep.Machine, error) {
+func (fm *fakeMachines) Machines(context.Context) ([]maint.Machine, error) {
 	fm.mu.Lock()
 	defer fm.mu.Unlock()
-	var mas []upkeep.Machine
+	var mas []maint.Machine
 	for id, at := range fm.upAt {
-		mas = append(mas, upkeep.Machine{ID: id, Worker: fm.worker(id), Up: time.Now().After(at)})
+		mas = append(mas, maint.Machine{ID: id, Worker: fm.worker(id), Up: time.Now().After(at)})
 	}
 	return mas, nil
 }
 
-func (fm *fakeMachines) Upkeep(_ context.Context, or upkeep.Order, _ string, _ int64) error {
+func (fm *fakeMachines) Upkeep(_ context.Context, or maint.Order, _ string, _ int64) error {
 	fm.mu.Lock()
 	defer fm.mu.Unlock()
 	if fm.ordered[or.Machine] {
@@ -92,9 +92,9 @@
 	la := runsim.Layout()
 	la.Waves = drive.WaveLayout{
 		Prefix: "waves/", StatusPrefix: "status/",
-		DecodeWave:     func(value []byte) (wa upkeep.Wave, err error) { return wa, json.Unmarshal(value, &wa) },
-		EncodeProgress: func(pr upkeep.Progress) []byte { return fmt.Append(nil, int(pr)) },
-		DecodeProgress: func(value []byte) (pr upkeep.Progress, err error) { return pr, json.Unmarshal(value, &pr) },
+		DecodeWave:     func(value []byte) (wa maint.Wave, err error) { return wa, json.Unmarshal(value, &wa) },
+		EncodeProgress: func(pr maint.Progress) []byte { return fmt.Append(nil, int(pr)) },
+		DecodeProgress: func(value []byte) (pr maint.Progress, err error) { return pr, json.Unmarshal(value, &pr) },
 	}
 	return la
 }
@@ -119,7 +119,7 @@
 	stop := host("a")
 	si.submit("before", 20)
 	si.await("before", batch.Running)
-	si.put("waves/1", upkeep.Wave{Number: 1, Machines: []string{"m0", "m1", "m2", "m3", "m4", "m5"}, Duration: 20 * time.Second, MaxDown: 2})
+	si.put("waves/1", maint.Wave{Number: 1, Machines: []string{"m0", "m1", "m2", "m3", "m4", "m5"}, Duration: 20 * time.Second, MaxDown: 2})
 	countOrders := func() int {
 		fm.mu.Lock()
 		defer fm.mu.Unlock()
@@ -130,7 +130,7 @@
 	host("b")
 	si.submit("later", 20)
 	status := func() string { value, _ := si.store.Value("status/1"); return string(value) }
-	kvsim.Eventually(t, func() bool { return status() == fmt.Sprint(int(upkeep.Completed)) })
+	kvsim.Eventually(t, func() bool { return status() == fmt.Sprint(int(maint.Completed)) })
 	si.await("before", batch.Done)
 	si.await("later", batch.Done)
 	si.checkInvariants()
--- a/internal/upkeep/core.go
+++ b/internal/maint/core.go
@@ -1,4 +1,4 @@
-package upkeep
+package maint
 
 import (
 	"errors"
--- a/internal/upkeep/event.go
+++ b/internal/maint/event.go
@@ -1,4 +1,4 @@
-// Package upkeep carries out maintenance waves that operators request: each
+// Package maint carries out maintenance waves that operators request: each
 // machine of a wave goes down for a while, within the duration of the wave and
 // with a limited number of machines down at once. It does no I/O and reads no
 // clock: events and the current time go in, effects come out, and the caller
@@ -14,7 +14,7 @@
 //   - The work on a worker is reported as ended only when its machine is listed
 //     as down or with another worker.
 //   - Work is moved off a machine first, as far as the wave's duration allows.
-package upkeep
+package maint
 
 import (
 	"context"
--- a/internal/upkeep/upkeep_test.go
+++ b/internal/maint/maint_test.go
@@ -1,4 +1,4 @@
-package upkeep_test
+package maint_test
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cicadawharf/cicadawharf/internal/upkeep"
+	"github.com/cicadawharf/cicadawharf/internal/maint"
 )
 
 type (
@@ -16,11 +16,11 @@
 	site struct {
 		rng           *rand.Rand
 		now           time.Time
-		core          *upkeep.Core
+		core          *maint.Core
 		machines      map[string]*machine
 		maxDown       int
-		reports       []upkeep.Progress
-		records       map[int]upkeep.Record
+		reports       []maint.Progress
+		records       map[int]maint.Record
 		ended         map[string]bool      // workers whose work was reported as ended
 		downed        map[string]bool      // workers whose machines went down
 		draining      map[string]time.Time // workers that get no new work
@@ -46,48 +46,48 @@
 )
 
 func newSite(machines, maxDown int, work time.Duration) *site {
-	si := &site{rng: rand.New(rand.NewPCG(1, 1)), now: start, machines: map[string]*machine{}, maxDown: maxDown, records: map[int]upkeep.Record{}, ended: map[string]bool{}, downed: map[string]bool{}}
+	si := &site{rng: rand.New(rand.NewPCG(1, 1)), now: start, machines: map[string]*machine{}, maxDown: maxDown, records: map[int]maint.Record{}, ended: map[string]bool{}, downed: map[string]bool{}}
 	for i := range machines {
 		si.machines[id(i)] = &machine{worker: "w" + id(i), busyUntil: start.Add(work)}
 	}
-	si.core = upkeep.New(start, upkeep.Config{WorkerState: si.workerState})
+	si.core = maint.New(start, maint.Config{WorkerState: si.workerState})
 	return si
 }
 
 func id(i int) string { return fmt.Sprintf("m%02d", i) }
 
-func (si *site) workerState(worker string) upkeep.WorkerState {
+func (si *site) workerState(worker string) maint.WorkerState {
 	for _, ma := range si.machines {
 		if ma.worker == worker {
-			return upkeep.WorkerState{Idle: !si.now.Before(ma.busyUntil)}
+			return maint.WorkerState{Idle: !si.now.Before(ma.busyUntil)}
 		}
 	}
-	return upkeep.WorkerState{Idle: true}
+	return maint.WorkerState{Idle: true}
 }
 
-func (si *site) wave(duration time.Duration) upkeep.Wave {
-	wa := upkeep.Wave{Number: 1, Duration: duration, MaxDown: si.maxDown}
+func (si *site) wave(duration time.Duration) maint.Wave {
+	wa := maint.Wave{Number: 1, Duration: duration, MaxDown: si.maxDown}
 	for i := range len(si.machines) {
 		wa.Machines = append(wa.Machines, id(i))
 	}
 	return wa
 }
 
-func (si *site) handle(ev upkeep.Event) {
+func (si *site) handle(ev maint.Event) {
 	for _, ef := range si.core.Handle(si.now, ev) {
 		switch ef := ef.(type) {
-		case upkeep.ListMachines:
-			si.handle(upkeep.MachinesListed{Sent: ef.Sent, Machines: si.list()})
-		case upkeep.ReportProgress:
+		case maint.ListMachines:
+			si.handle(maint.MachinesListed{Sent: ef.Sent, Machines: si.list()})
+		case maint.ReportProgress:
 			si.reports = append(si.reports, ef.Progress)
-		case upkeep.SaveRecord:
+		case maint.SaveRecord:
 			si.records[ef.Record.Number] = ef.Record
-		case upkeep.Drain:
+		case maint.Drain:
 			si.draining = ef.By
-		case upkeep.WorkerDown:
+		case maint.WorkerDown:
 			si.checkEnded(ef.Worker)
-		case upkeep.Order:
-			si.handle(upkeep.OrderCompleted{Order: ef, Err: si.order(ef)})
+		case maint.Order:
+			si.handle(maint.OrderCompleted{Order: ef, Err: si.order(ef)})
 		}
 	}
 }
@@ -102,23 +102,23 @@
 	}
 }
 
-func (si *site) list() []upkeep.Machine {
-	var mas []upkeep.Machine
+func (si *site) list() []maint.Machine {
+	var mas []maint.Machine
 	for i := range len(si.machines) {
 		ma := si.machines[id(i)]
-		mas = append(mas, upkeep.Machine{ID: id(i), Worker: ma.worker, Up: !si.now.Before(ma.upAt)})
+		mas = append(mas, maint.Machine{ID: id(i), Worker: ma.worker, Up: !si.now.Before(ma.upAt)})
 	}
 	return mas
 }
 
 // order carries out an order as the platform does.
-func (si *site) order(or upkeep.Order) error {
+func (si *site) order(or maint.Order) error {
 	ma := si.machines[or.Machine]
 	if ma.maintained {
 		return nil
 	}
 	if si.rng.Float64() < si.rejectedShare {
-		return upkeep.ErrNotUp
+		return maint.ErrNotUp
 	}
 	down := 0
 	for _, other := range si.machines {
@@ -135,7 +135,7 @@
 	ma.worker += "'"
 	si.orders++
 	if si.rng.Float64() < si.lostShare {
-		return upkeep.ErrOutcomeUnknown
+		return maint.ErrOutcomeUnknown
 	}
 	return nil
 }
@@ -143,7 +143,7 @@
 func (si *site) run(d time.Duration) {
 	for end := si.now.Add(d); si.now.Before(end); {
 		si.now = si.now.Add(tick)
-		si.handle(upkeep.Ticked{})
+		si.handle(maint.Ticked{})
 		for worker := range si.downed {
 			if _, ok := si.draining[worker]; !ok && !si.ended[worker] {
 				si.violations = append(si.violations, worker+" may get work although its machine is down")
@@ -186,13 +186,13 @@
 			is := is.New(t)
 			si := newSite(tt.machines, tt.maxDown, tt.work)
 			si.lostShare, si.rejectedShare = tt.lostShare, tt.rejectedShare
-			si.handle(upkeep.WaveRequested{Wave: si.wave(tt.duration)})
+			si.handle(maint.WaveRequested{Wave: si.wave(tt.duration)})
 			si.run(tt.duration)
 			is.Equal(si.countMaintained(), tt.machines)
 			is.Equal(si.orders, tt.machines)
 			is.Equal(si.violations, nil)
 			si.run(10 * time.Second)
-			is.Equal(si.reports, []upkeep.Progress{upkeep.Running, upkeep.Completed})
+			is.Equal(si.reports, []maint.Progress{maint.Running, maint.Completed})
 			is.Equal(len(si.ended), tt.machines)
 		})
 	}
@@ -204,7 +204,7 @@
 func TestDownWorkerGetsNoWork(t *testing.T) {
 	is := is.New(t)
 	si := newSite(3, 1, 0)
-	si.handle(upkeep.WaveRequested{Wave: si.wave(30 * time.Second)})
+	si.handle(maint.WaveRequested{Wave: si.wave(30 * time.Second)})
 	si.run(20 * time.Second)
 	is.Equal(si.countMaintained(), 3)
 	is.Equal(si.violations, nil)
@@ -216,7 +216,7 @@
 func TestWorkMayFinish(t *testing.T) {
 	is := is.New(t)
 	si := newSite(1, 1, 5*time.Second)
-	si.handle(upkeep.WaveRequested{Wave: si.wave(30 * time.Second)})
+	si.handle(maint.WaveRequested{Wave: si.wave(30 * time.Second)})
 	si.run(4900 * time.Millisecond)
 	is.Equal(si.countMaintained(), 0)
 	si.run(200 * time.Millisecond)
@@ -231,14 +231,14 @@
 		is := is.New(t)
 		si := newSite(6, 2, 0)
 		wa := si.wave(30 * time.Second)
-		si.handle(upkeep.WaveRequested{Wave: wa})
+		si.handle(maint.WaveRequested{Wave: wa})
 		si.run(4 * time.Second)
 		is.True(si.countMaintained() > 2)
-		cf := upkeep.Config{Waves: []upkeep.Wave{wa}, WorkerState: si.workerState}
+		cf := maint.Config{Waves: []maint.Wave{wa}, WorkerState: si.workerState}
 		if recorded {
-			cf.Records = []upkeep.Record{si.records[1]}
+			cf.Records = []maint.Record{si.records[1]}
 		}
-		si.core = upkeep.New(si.now, cf)
+		si.core = maint.New(si.now, cf)
 		clear(si.downed) // the new core does not drain workers of machines that are down
 		si.run(25 * time.Second)
 		is.Equal(si.countMaintained(), 6)
@@ -252,7 +252,7 @@
 func TestCompletedWaveIsNotRepeated(t *testing.T) {
 	is := is.New(t)
 	si := newSite(2, 1, 0)
-	si.core = upkeep.New(si.now, upkeep.Config{Waves: []upkeep.Wave{si.wave(time.Minute)}, Completed: []int{1}, WorkerState: si.workerState})
+	si.core = maint.New(si.now, maint.Config{Waves: []maint.Wave{si.wave(time.Minute)}, Completed: []int{1}, WorkerState: si.workerState})
 	si.run(5 * time.Second)
 	is.Equal(si.orders, 0)
 	is.Equal(len(si.reports), 0)
