--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -160,9 +160,9 @@
 	// pass, at most once a second while units wait, and once more when none
 	// does.
 	BacklogReport struct {
-		Backlogs     []Backlog        // sorted by queue and class
-		Shares       []WorkspaceUsage // sorted by service and workspace
-		Accelerators Accelerators
+		Backlogs     []QueueBacklog   // sorted by queue and class
+		Usage        []WorkspaceUsage // sorted by service and workspace
+		Accelerators AcceleratorCounts
 	}
 
 	// EvacuationReport reports the tasks left in evacuated availability zones
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -125,7 +125,7 @@
 		}, Workspaces: []batch.Workspace{{Name: "a", Guaranteed: 16}, {Name: "b", Guaranteed: 16}}},
 	}
 	sim.fleet = runsim.NewFleet(startTime, runsim.Config{
-		MaxHold: 10 * time.Second, GangTimeout: 3 * time.Second, CheckpointInterval: 2 * time.Second, Plan: sim.planOf,
+		MaxLease: 10 * time.Second, GangTimeout: 3 * time.Second, CheckpointInterval: 2 * time.Second, Plan: sim.planOf,
 	})
 	return sim
 }
@@ -143,7 +143,7 @@
 	step := jb.Steps[ti.Step]
 	tp := sim.plans[ti.Job][ti.Step]
 	pl := runsim.Plan{
-		Work: tp.work, Fails: tp.fails, Needs: step.Occupied(), MaxAttempts: jb.Queue.MaxAttempts, Checkpoints: step.Checkpoints,
+		Work: tp.work, Fails: tp.fails, Needs: step.Reserved(), MaxAttempts: jb.Queue.MaxAttempts, Checkpoints: step.Checkpoints,
 		Payload: jb.Payload, PerWorker: step.PerWorker, LongRunning: step.LongRunning, Tickets: sim.tickets[ti.Job],
 	}
 	if step.Gang {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -93,7 +93,7 @@
 	others := make(map[string][]string)
 	for _, me := range members {
 		switch {
-		case !me.Alive || me.Leaving || me.Name == cfg.Host:
+		case !me.Alive || me.Draining || me.Name == cfg.Host:
 		case me.Zone == cfg.Zone:
 			vw.hosts = append(vw.hosts, me.Name)
 		case me.Ready:
@@ -116,7 +116,7 @@
 		if ph.Service == sd.Name {
 			endpoints = append(endpoints, route.Endpoint{
 				Name: ph.Name, Address: ph.Address, Slots: sd.Slots, Connections: sd.Connections,
-				Draining: ph.State == plat.StateLeaving || vw.draining[ph.Name],
+				Draining: ph.State == plat.StateDraining || vw.draining[ph.Name],
 			})
 		}
 	}
--- a/internal/fakes/epsim/epsim.go
+++ b/internal/fakes/epsim/epsim.go
@@ -7,7 +7,7 @@
 //
 // Invariants: a request whose response carries plat.HeaderRefused was not
 // executed; every executed request is recorded before any part of its response
-// is sent; a leaving endpoint starts no new requests and completes those in
+// is sent; a draining endpoint starts no new requests and completes those in
 // progress.
 package epsim
 
@@ -47,10 +47,10 @@
 		cfg      Config
 		listener *listener
 
-		inUse   atomic.Int64 // slots in use
-		leaving atomic.Bool
-		delay   atomic.Int64 // nanoseconds
-		runs    runLog
+		inUse    atomic.Int64 // slots in use
+		draining atomic.Bool
+		delay    atomic.Int64 // nanoseconds
+		runs     runLog
 	}
 )
 
@@ -83,14 +83,14 @@
 func (sv *Server) Name() string { return sv.cfg.Name }
 
 // Leave starts a graceful shutdown: new requests are refused, and every
-// response reports the leaving state.
+// response reports plat.StateDraining.
 func (sv *Server) Leave() {
-	sv.leaving.Store(true)
+	sv.draining.Store(true)
 	sv.cfg.Log.Info("endpoint leaving", "endpoint", sv.cfg.Name)
 }
 
-// Busy returns the number of slots in use.
-func (sv *Server) Busy() int { return int(sv.inUse.Load()) }
+// SlotsInUse returns the number of requests that hold a slot.
+func (sv *Server) SlotsInUse() int { return int(sv.inUse.Load()) }
 
 // SetFaults replaces the injected faults.
 func (sv *Server) SetFaults(fa Faults) {
--- a/internal/fakes/epsim/epsim_test.go
+++ b/internal/fakes/epsim/epsim_test.go
@@ -122,12 +122,12 @@
 				is.Equal(runs[0].Workspace, "velas")
 				is.Equal(runs[0].Count, 1)
 			}
-			waitFor(t, "free slot", func() bool { return sv.Busy() == 0 })
+			waitFor(t, "free slot", func() bool { return sv.SlotsInUse() == 0 })
 		})
 	}
 }
 
-func TestRefusesBeyondSlotsAndWhileLeaving(t *testing.T) {
+func TestRefusesBeyondSlotsAndWhileDraining(t *testing.T) {
 	is := is.New(t)
 	sv, ca := startServer(t, 1, 8)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -135,7 +135,7 @@
 	go func() {
 		hung <- ca.send(ctx, http.MethodPost, "/", strings.NewReader("x"), map[string]string{epsim.HeaderFault: epsim.FaultHang})
 	}()
-	waitFor(t, "busy slot", func() bool { return sv.Busy() == 1 })
+	waitFor(t, "slot in use", func() bool { return sv.SlotsInUse() == 1 })
 	rs := ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil)
 	is.NoErr(rs.err)
 	is.Equal(rs.status, http.StatusServiceUnavailable)
@@ -144,23 +144,23 @@
 
 	is.Equal(ca.send(t.Context(), http.MethodPost, epsim.LeavePath, nil, nil).status, http.StatusNoContent)
 	rs = ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil)
-	is.Equal(rs.header.Get(plat.HeaderRefused), plat.RefusedLeaving)
+	is.Equal(rs.header.Get(plat.HeaderRefused), plat.RefusedDraining)
 	rs = ca.send(t.Context(), http.MethodGet, plat.ProbePath, nil, nil)
 	is.Equal(rs.status, http.StatusOK)
-	is.Equal(rs.header.Get(plat.HeaderState), string(plat.StateLeaving))
-	is.Equal(sv.Busy(), 1) // the request in progress continues
+	is.Equal(rs.header.Get(plat.HeaderState), string(plat.StateDraining))
+	is.Equal(sv.SlotsInUse(), 1) // the request in progress continues
 	cancel()
 	is.True(errors.Is((<-hung).err, context.Canceled))
 	is.Equal(len(sv.Runs()), 1)
 }
 
-func TestRequestInProgressFinishesWhileLeaving(t *testing.T) {
+func TestRequestInProgressFinishesWhileDraining(t *testing.T) {
 	is := is.New(t)
 	sv, ca := startServer(t, 1, 8)
 	body, sender := io.Pipe()
 	finished := make(chan response, 1)
 	go func() { finished <- ca.send(t.Context(), http.MethodPost, "/", body, nil) }()
-	waitFor(t, "busy slot", func() bool { return sv.Busy() == 1 })
+	waitFor(t, "slot in use", func() bool { return sv.SlotsInUse() == 1 })
 	sv.Leave()
 	_, err := sender.Write([]byte("x"))
 	is.NoErr(err)
@@ -168,7 +168,7 @@
 	rs := <-finished
 	is.NoErr(rs.err)
 	is.Equal(rs.body, "x")
-	is.Equal(rs.header.Get(plat.HeaderState), string(plat.StateLeaving))
+	is.Equal(rs.header.Get(plat.HeaderState), string(plat.StateDraining))
 }
 
 func TestRefusesBeyondConnectionLimit(t *testing.T) {
--- a/internal/fakes/epsim/handler.go
+++ b/internal/fakes/epsim/handler.go
@@ -96,8 +96,8 @@
 		sv.refuse(w, plat.RefusedBusy)
 		return
 	}
-	if sv.leaving.Load() {
-		sv.refuse(w, plat.RefusedLeaving)
+	if sv.draining.Load() {
+		sv.refuse(w, plat.RefusedDraining)
 		return
 	}
 	if !sv.acquireSlot() {
@@ -173,8 +173,8 @@
 
 func (sv *Server) writeHeaders(w http.ResponseWriter) {
 	state := plat.StateLive
-	if sv.leaving.Load() {
-		state = plat.StateLeaving
+	if sv.draining.Load() {
+		state = plat.StateDraining
 	}
 	w.Header().Set(plat.HeaderState, string(state))
 	w.Header().Set(HeaderEndpoint, sv.cfg.Name)
--- a/internal/local/steps.go
+++ b/internal/local/steps.go
@@ -49,7 +49,7 @@
 	}
 	jb := stepsJob(queue)
 	workers := runsim.NewClient(runsim.NewFleet(time.Now(), runsim.Config{
-		MaxHold: stepsTimeout, GangTimeout: stepsTimeout, CheckpointInterval: time.Second, Plan: func(ti batch.TaskID) runsim.Plan { return stepsPlan(jb, ti) },
+		MaxLease: stepsTimeout, GangTimeout: stepsTimeout, CheckpointInterval: time.Second, Plan: func(ti batch.TaskID) runsim.Plan { return stepsPlan(jb, ti) },
 	}))
 	if err := runsim.Put(ctx, dp.store, runsim.PolicyKey, batch.Policy{Version: 1, Queues: []batch.Queue{queue}}); err != nil {
 		return err
@@ -78,7 +78,7 @@
 // rules that its starts must obey.
 func stepsPlan(jb batch.Job, ti batch.TaskID) runsim.Plan {
 	step := jb.Steps[ti.Step]
-	pl := runsim.Plan{Work: stepsRunTime, Needs: step.Occupied(), Payload: jb.Payload}
+	pl := runsim.Plan{Work: stepsRunTime, Needs: step.Reserved(), Payload: jb.Payload}
 	if step.Gang {
 		pl.Gang = step.Tasks
 	}
--- a/internal/sched/workers.go
+++ b/internal/sched/workers.go
@@ -121,11 +121,11 @@
 // updateTasks applies the lease table of a reply, unless a newer one was applied
 // before.
 func (co *Core) updateTasks(wst *workerState, ev WorkerReplied) {
-	outdated := ev.Reply.Boot == wst.incarnation && ev.Reply.Version < wst.version
+	outdated := ev.Reply.Incarnation == wst.incarnation && ev.Reply.Version < wst.version
 	if ev.Unchanged || outdated {
 		return
 	}
-	wst.incarnation = ev.Reply.Boot
+	wst.incarnation = ev.Reply.Incarnation
 	wst.version = ev.Reply.Version
 	for id := range wst.tasks {
 		co.markChanged(id.Job)
@@ -314,7 +314,9 @@
 
 // isDraining reports whether the platform or the worker itself says that the
 // worker is going to stop.
-func (wst *workerState) isDraining() bool { return wst.draining || wst.host.State == plat.StateLeaving }
+func (wst *workerState) isDraining() bool {
+	return wst.draining || wst.host.State == plat.StateDraining
+}
 
 // lost reports whether all leases on a worker have certainly expired.
 func (wst *workerState) lost(now time.Time) bool {
