Replace figurative event values of log lines by the usual terms

Several values of the log key "event" were figures of speech, so an operator who sees them for the first time can't tell what happened, and the value doesn't match the message beside it.

deposed -> leadershipLost reliefFails -> handoverFails relieved -> handedOver foreignEntry -> invalidEntry evidence -> workerHealth leaseLeft -> revokeFails leaseLapsed -> leaseExpired forgetFails -> deleteFails lostWrite -> writeFencedOff reread -> relisted leftOut -> linesDropped list (of a failed registration) -> registerFails

Saved queries that match an old value must change with them. None of the values is that of a metric label, of stored data or of a decision.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -89,7 +89,7 @@
 	}
 	bl, err := batch.Decode[batch.Backlog](ent.Value)
 	if err != nil {
-		ha.cfg.Log.Warn("malformed entry of the store is ignored", "event", "foreignEntry", "key", ent.Key, "reason", err)
+		ha.cfg.Log.Warn("malformed entry of the store is ignored", "event", "invalidEntry", "key", ent.Key, "reason", err)
 	}
 	return bl.Evacuating
 }
--- a/internal/drive/commit.go
+++ b/internal/drive/commit.go
@@ -52,7 +52,7 @@
 			return
 		case errors.Is(err, store.ErrConflict):
 			if te.leadershipLost(ents) {
-				te.log.Warn("the leader key has changed", "event", "deposed")
+				te.log.Warn("the leader key has changed", "event", "leadershipLost")
 				te.end()
 				return
 			}
@@ -150,6 +150,6 @@
 		Deletes: []string{batch.JobKey(id), batch.CancelKey(id), batch.ProgressKey(id)},
 	}
 	if _, _, err := te.cfg.Store.Commit(te.ctx, tx); err != nil {
-		te.log.Warn("can't delete ended job", "event", "forgetFails", "job", id, "reason", err)
+		te.log.Warn("can't delete ended job", "event", "deleteFails", "job", id, "reason", err)
 	}
 }
--- a/internal/drive/elect.go
+++ b/internal/drive/elect.go
@@ -155,7 +155,7 @@
 	case err == nil:
 		te.recordRenewal(sent)
 	case errors.Is(err, store.ErrLeaseExpired):
-		te.log.Warn("lease expired", "event", "leaseLapsed")
+		te.log.Warn("lease expired", "event", "leaseExpired")
 		te.end()
 	}
 }
@@ -177,6 +177,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
 	defer cancel()
 	if err := te.cfg.Store.Revoke(ctx, te.lease); err != nil && !errors.Is(err, store.ErrLeaseExpired) {
-		te.log.Warn("lease was not revoked", "event", "leaseLeft", "reason", err)
+		te.log.Warn("lease was not revoked", "event", "revokeFails", "reason", err)
 	}
 }
--- a/internal/drive/handover.go
+++ b/internal/drive/handover.go
@@ -91,7 +91,7 @@
 		return
 	}
 	if err := te.writeHandoverKey(batch.HandoverRequestKey, te.lease, te.cfg.Cores); err != nil {
-		te.log.Warn("can't request a handover", "event", "reliefFails", "reason", err)
+		te.log.Warn("can't request a handover", "event", "handoverFails", "reason", err)
 		return
 	}
 	if !te.pauseFor(offerTimeout) {
@@ -99,14 +99,14 @@
 	}
 	en, _, err := te.cfg.Store.Get(te.ctx, batch.HandoverOfferKey)
 	if err != nil {
-		te.log.Warn("can't read handover offers", "event", "reliefFails", "reason", err)
+		te.log.Warn("can't read handover offers", "event", "handoverFails", "reason", err)
 		return
 	}
 	if en.Revision == 0 {
-		te.log.Info("no handover offer, staying leader", "event", "reliefFails", "reason", "no stronger host responded")
+		te.log.Info("no handover offer, staying leader", "event", "handoverFails", "reason", "no stronger host responded")
 		return
 	}
-	te.log.Info("handing over to a stronger host", "event", "relieved", "cores", string(en.Value))
+	te.log.Info("handing over to a stronger host", "event", "handedOver", "cores", string(en.Value))
 	te.end()
 }
 
@@ -115,7 +115,7 @@
 func (sc *Scheduler) offerHandover(ctx context.Context, en store.Entry) {
 	leaderCores, err := strconv.ParseFloat(string(en.Value), 64)
 	if err != nil {
-		sc.cfg.Log.Warn("malformed entry of the store is ignored", "event", "foreignEntry", "key", en.Key, "reason", err)
+		sc.cfg.Log.Warn("malformed entry of the store is ignored", "event", "invalidEntry", "key", en.Key, "reason", err)
 		return
 	}
 	if sc.cfg.Cores < minOfferFactor*leaderCores {
@@ -126,7 +126,7 @@
 		err = sc.writeHandoverKey(batch.HandoverOfferKey, lease, sc.cfg.Cores)
 	}
 	if err != nil && !errors.Is(err, store.ErrConflict) { // ErrConflict: another host made an offer first
-		sc.cfg.Log.Warn("can't make a handover offer", "event", "reliefFails", "reason", err)
+		sc.cfg.Log.Warn("can't make a handover offer", "event", "handoverFails", "reason", err)
 	}
 }
 
--- a/internal/drive/log.go
+++ b/internal/drive/log.go
@@ -61,7 +61,7 @@
 // logHealth logs the numbers of suspected and suspended workers and of those
 // on probation.
 func (te *term) logHealth(hr domain.HealthReport) {
-	te.log.Info("numbers of suspected and suspended workers", "event", "evidence", "doubted", hr.Suspected, "suspended", hr.Suspended, "probation", hr.OnProbation)
+	te.log.Info("numbers of suspected and suspended workers", "event", "workerHealth", "doubted", hr.Suspected, "suspended", hr.Suspended, "probation", hr.OnProbation)
 }
 
 // maxLoggedShares limits the workspaces in one log line.
--- a/internal/drive/watch.go
+++ b/internal/drive/watch.go
@@ -140,7 +140,7 @@
 
 // logInvalidEntry reports a store entry that can't be decoded and is ignored.
 func (te *term) logInvalidEntry(key string, err error) {
-	te.log.Warn("malformed entry of the store is ignored", "event", "foreignEntry", "key", key, "reason", err)
+	te.log.Warn("malformed entry of the store is ignored", "event", "invalidEntry", "key", key, "reason", err)
 }
 
 // start watches the store from the revisions at which the state was loaded.
@@ -167,7 +167,7 @@
 			rev, err := relist()
 			if err == nil {
 				after = rev
-				te.log.Info("state read again because the store has compacted changes", "event", "reread", "prefix", prefix, "revision", rev)
+				te.log.Info("state read again because the store has compacted changes", "event", "relisted", "prefix", prefix, "revision", rev)
 				continue
 			}
 		}
--- a/internal/intake/jobs.go
+++ b/internal/intake/jobs.go
@@ -98,7 +98,7 @@
 	if indeterminate {
 		// The write expects the previous policy, so it can no longer take
 		// effect.
-		in.cfg.Log.Debug("a write of unknown outcome can no longer take effect", "event", "lostWrite")
+		in.cfg.Log.Debug("a write of unknown outcome can no longer take effect", "event", "writeFencedOff")
 	}
 	return ErrPolicyChanged
 }
--- a/internal/local/standin.go
+++ b/internal/local/standin.go
@@ -80,7 +80,7 @@
 		if err == nil {
 			return
 		}
-		log.Warn("registration failed, retrying", "event", "list", "error", err)
+		log.Warn("registration failed, retrying", "event", "registerFails", "error", err)
 		time.Sleep(pollInterval)
 	}
 }
--- a/internal/logbuf/logbuf.go
+++ b/internal/logbuf/logbuf.go
@@ -81,7 +81,7 @@
 		return
 	}
 	dropped := wr.dropped
-	line := fmt.Appendf(nil, "time=%s level=WARN msg=\"log lines dropped\" event=leftOut lines=%d\n", now.UTC().Format(time.RFC3339Nano), dropped)
+	line := fmt.Appendf(nil, "time=%s level=WARN msg=\"log lines dropped\" event=linesDropped lines=%d\n", now.UTC().Format(time.RFC3339Nano), dropped)
 	wr.dropped = 0
 	if !wr.enqueue(line) {
 		wr.dropped = dropped
--- a/internal/logbuf/logbuf_test.go
+++ b/internal/logbuf/logbuf_test.go
@@ -48,7 +48,7 @@
 		is.NoErr(err)
 		wr.Close(time.Second)
 		is.Equal(strings.Count(buf.String(), "line "), 10)
-		is.True(strings.Contains(buf.String(), "event=leftOut lines=15"))
+		is.True(strings.Contains(buf.String(), "event=linesDropped lines=15"))
 		is.True(strings.HasSuffix(buf.String(), "later\n"))
 	})
 }
--- a/internal/remote/register.go
+++ b/internal/remote/register.go
@@ -107,7 +107,7 @@
 	for _, en := range ents {
 		me, err := decodeMember(en)
 		if err != nil {
-			re.peer.cfg.Log.Warn("malformed entry of the store is ignored", "event", "foreignEntry", "key", en.Key, "reason", err)
+			re.peer.cfg.Log.Warn("malformed entry of the store is ignored", "event", "invalidEntry", "key", en.Key, "reason", err)
 			continue
 		}
 		members = append(members, me)
