Rename tests whose names hide the failure they guard against

Several tests were named after private words of the project ("leaving" endpoints, "former" usage, "busy" endpoints), or after something that they don't vary, so a failed run didn't say what broke.

The tests check what they did before; the header values that relay sends are unchanged.

--- a/internal/domain/fair_test.go
+++ b/internal/domain/fair_test.go
@@ -46,10 +46,10 @@
 	}
 }
 
-// TestFormerUsageCounts fills all workers by one workspace. Then that one and
+// TestRecentUsageCounts fills all workers by one workspace. Then that one and
 // another one, which has used nothing, wait for the same capacity. The other
 // one begins first, although it came later.
-func TestFormerUsageCounts(t *testing.T) {
+func TestRecentUsageCounts(t *testing.T) {
 	is := is.New(t)
 	sim := startFairSimulation(1)
 	submit := func(id, workspace string) {
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -16,9 +16,9 @@
 	"github.com/cicadawharf/cicadawharf/pkg/spec"
 )
 
-// TestForward sends a request with an escaped path and a query to an endpoint. It
-// must run once, and be logged and accounted for once.
-func TestForward(t *testing.T) {
+// TestRequestIsSentToEndpoint sends a request with an escaped path and a query
+// to an endpoint. It must run once, and be logged and accounted for once.
+func TestRequestIsSentToEndpoint(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 2, nil)
 	re, err := th.call(http.MethodPost, "/v1/services/orders/a%2Fb?x=1", "crates=1")
@@ -145,9 +145,9 @@
 	th.checkAccount(is, map[codes.Code]int{codes.BadRequest: 1, codes.UnknownWorkspace: 1, codes.ServiceNotAllowed: 1})
 }
 
-// TestBusyEndpointsDidNotRun declares more slots than the endpoint has, so that
+// TestRefusedRequestDidNotRun declares more slots than the endpoint has, so that
 // it refuses requests. A refused request must not have run.
-func TestBusyEndpointsDidNotRun(t *testing.T) {
+func TestRefusedRequestDidNotRun(t *testing.T) {
 	for _, tc := range []struct {
 		delay    string
 		requests int
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -220,7 +220,7 @@
 	})
 }
 
-func TestLeavingEndpointsReachZoneHosts(t *testing.T) {
+func TestDrainingEndpointsReachZoneHosts(t *testing.T) {
 	inBubble(t, func(t *testing.T, nw *network) {
 		is := is.New(t)
 		got := make(chan []string, 100)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -290,8 +290,8 @@
 		cause    relay.Cause
 		class    codes.Class
 	}{
-		{"busy", "HTTP/1.1 503 x\r\nEndpoint-Refused: busy\r\nContent-Length: 0\r\n\r\n", relay.CauseNoFreeSlot, codes.NotRun},
-		{"leaving", "HTTP/1.1 503 x\r\nEndpoint-Refused: leaving\r\nContent-Length: 0\r\n\r\n", relay.CauseDraining, codes.NotRun},
+		{"no free slot", "HTTP/1.1 503 x\r\nEndpoint-Refused: busy\r\nContent-Length: 0\r\n\r\n", relay.CauseNoFreeSlot, codes.NotRun},
+		{"draining", "HTTP/1.1 503 x\r\nEndpoint-Refused: leaving\r\nContent-Length: 0\r\n\r\n", relay.CauseDraining, codes.NotRun},
 		{"no response", "", relay.CauseNoResponse, codes.Unknown},
 		{"not HTTP", "hello\r\n\r\n", relay.CauseNoResponse, codes.Unknown},
 		{"truncated headers", "HTTP/1.1 200 OK\r\nContent-", relay.CauseNoResponse, codes.Unknown},
--- a/internal/sched/faults_test.go
+++ b/internal/sched/faults_test.go
@@ -56,7 +56,7 @@
 )
 
 // stride is the number of events between two injections of a fault in
-// TestEveryFaultAtEveryStep.
+// TestEveryFaultAtEveryPoint.
 var stride = flag.Int("stride", 4, "simulated events between two injections of a fault; 1 for every event")
 
 // targetWorker returns a worker of the job, or the first of the zone if the job
@@ -92,11 +92,11 @@
 	return rc.State.String()
 }
 
-// TestEveryFaultAtEveryStep submits a gang and injects each fault after a number
+// TestEveryFaultAtEveryPoint submits a gang and injects each fault after a number
 // of events, which grows by stride until the job ends before the fault. No
 // invariant may be violated, and the job must end with a code that the fault
 // allows.
-func TestEveryFaultAtEveryStep(t *testing.T) {
+func TestEveryFaultAtEveryPoint(t *testing.T) {
 	for i, fc := range faultCases {
 		for _, repeatable := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s/repeatable=%v", fc.name, repeatable), func(t *testing.T) {
