Name a panic in the log line of a panicked request handler

The log line of event "panic" said "request failed", which reads like an ordinary failed request, though it reports a fault of the program that the handler has recovered from. The answer to the caller already says that the request handler panicked, so the line now says the same.

request failed -> request handler panicked (event=panic)

--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -71,7 +71,7 @@
 // recoverPanic writes an error response if a handler has panicked.
 func (ar *apiRequest) recoverPanic() {
 	if recovered := recover(); recovered != nil {
-		ar.sr.cfg.Log.Error("request failed", "event", "panic", "request", ar.id, "error", recovered)
+		ar.sr.cfg.Log.Error("request handler panicked", "event", "panic", "request", ar.id, "error", recovered)
 		ar.refuse(codes.New(codes.InternalFailure, "the request handler panicked; see the log of the host"))
 	}
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -244,7 +244,7 @@
 	recovered := recover()
 	cl.releaseSlot()
 	if recovered != nil && recovered != http.ErrAbortHandler {
-		cl.sr.cfg.Log.Error("request failed", "event", "panic", "request", cl.id, "error", recovered)
+		cl.sr.cfg.Log.Error("request handler panicked", "event", "panic", "request", cl.id, "error", recovered)
 		cl.outcome.Code = codes.InternalFailure
 	}
 	cl.account()
