worker: rename Caller and HTTPCaller to Client and HTTPClient

Everywhere else in the project a caller is a user of the service, and package runner calls the same kind of interface Client. So worker.Caller becomes Client, HTTPCaller becomes HTTPClient and NewHTTPCaller becomes NewHTTPClient, with the comments that name them.

--- a/internal/fakes/fleet/fleet_test.go
+++ b/internal/fakes/fleet/fleet_test.go
@@ -63,7 +63,7 @@
 	is.Equal(workers[3].Name, "centro-r2-1")
 	is.Equal(workers[3].Rack, "r2")
 
-	hc := worker.NewHTTPCaller(worker.HTTPConfig{})
+	hc := worker.NewHTTPClient(worker.HTTPConfig{})
 	defer hc.Close()
 	reply, err := hc.Call(t.Context(), workers[3].Address, worker.Request{Epoch: 1})
 	is.NoErr(err)
--- a/internal/fakes/wksim/server_test.go
+++ b/internal/fakes/wksim/server_test.go
@@ -18,14 +18,14 @@
 // waitTimeout bounds waits that take far less time unless something is broken.
 const waitTimeout = 30 * time.Second
 
-func startServer(t *testing.T) (*wksim.Server, *worker.HTTPCaller) {
+func startServer(t *testing.T) (*wksim.Server, *worker.HTTPClient) {
 	t.Helper()
 	is := is.New(t)
 	sv, err := wksim.New(wksim.Config{Name: "w", Listen: "127.0.0.1:0", Accelerators: 8})
 	is.NoErr(err)
 	ended := make(chan error, 1)
 	go func() { ended <- sv.Run(t.Context()) }()
-	hc := worker.NewHTTPCaller(worker.HTTPConfig{Timeout: waitTimeout})
+	hc := worker.NewHTTPClient(worker.HTTPConfig{Timeout: waitTimeout})
 	t.Cleanup(func() {
 		hc.Close()
 		sv.Close()
@@ -62,22 +62,22 @@
 func TestWaitReturnsOnChange(t *testing.T) {
 	tests := []struct {
 		name   string
-		change func(*wksim.Server, *worker.HTTPCaller) error
+		change func(*wksim.Server, *worker.HTTPClient) error
 		err    error
 	}{
-		{"by command", func(sv *wksim.Server, hc *worker.HTTPCaller) error {
+		{"by command", func(sv *wksim.Server, hc *worker.HTTPClient) error {
 			_, err := hc.Call(context.Background(), sv.Addr(), worker.Request{Epoch: 1, Commands: []worker.Command{reserve(first, 1)}})
 			return err
 		}, nil},
-		{"by larger epoch", func(sv *wksim.Server, hc *worker.HTTPCaller) error {
+		{"by larger epoch", func(sv *wksim.Server, hc *worker.HTTPClient) error {
 			_, err := hc.Call(context.Background(), sv.Addr(), worker.Request{Epoch: 2})
 			return err
 		}, worker.ErrStaleEpoch},
-		{"by draining", func(sv *wksim.Server, _ *worker.HTTPCaller) error {
+		{"by draining", func(sv *wksim.Server, _ *worker.HTTPClient) error {
 			sv.SetFaults(wksim.Faults{Draining: true})
 			return nil
 		}, nil},
-		{"by lease expiry", func(sv *wksim.Server, hc *worker.HTTPCaller) error {
+		{"by lease expiry", func(sv *wksim.Server, hc *worker.HTTPClient) error {
 			cm := reserve(first, 1)
 			cm.Lease = time.Millisecond
 			_, err := hc.Call(context.Background(), sv.Addr(), worker.Request{Epoch: 1, Commands: []worker.Command{cm}})
@@ -119,7 +119,7 @@
 		_, err := hc.Call(context.Background(), sv.Addr(), worker.Request{Epoch: 1, Commands: []worker.Command{reserve(first, 1)}})
 		answered <- err
 	}()
-	brief := worker.NewHTTPCaller(worker.HTTPConfig{Timeout: 20 * time.Millisecond})
+	brief := worker.NewHTTPClient(worker.HTTPConfig{Timeout: 20 * time.Millisecond})
 	_, err := brief.Call(t.Context(), sv.Addr(), worker.Request{Epoch: 1})
 	is.True(errors.Is(err, context.DeadlineExceeded))
 	is.Equal(len(sv.Tasks()), 0)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -48,7 +48,7 @@
 		store       *store.Client
 		follower    *conf.Follower
 		watcher     *plat.Watcher
-		workers     *worker.HTTPCaller
+		workers     *worker.HTTPClient
 		zone        *zone.Zone
 		mesh        *peers.Mesh
 		claims      *claim.Table
@@ -89,7 +89,7 @@
 	ho.store = store.New(store.Config{Addresses: se.Store.Addresses, Timeout: se.Store.Timeout, Log: ho.log})
 	ho.follower = conf.NewFollower(conf.FollowerConfig{Store: ho.store, FetchNewer: ho.fetchNewerDeclarations, Log: ho.log, Seed: ho.incarnation})
 	ho.watcher = plat.NewWatcher(plat.WatcherConfig{Store: ho.store, Zone: se.Host.Zone, Log: ho.log})
-	ho.workers = worker.NewHTTPCaller(worker.HTTPConfig{Timeout: workerTimeout, Log: ho.log})
+	ho.workers = worker.NewHTTPClient(worker.HTTPConfig{Timeout: workerTimeout, Log: ho.log})
 	ho.zone = zone.New(zone.Config{
 		Host: se.Host.Name, Zone: se.Host.Zone, Store: ho.store, Workers: ho.workers,
 		Declarations: ho.currentDeclarations, DeclarationsChanged: ho.follower.Changed,
--- a/internal/worker/http.go
+++ b/internal/worker/http.go
@@ -17,19 +17,19 @@
 )
 
 type (
-	// HTTPConfig configures an HTTPCaller.
+	// HTTPConfig configures an HTTPClient.
 	HTTPConfig struct {
 		Timeout time.Duration // of one call, in addition to the Wait of its request; 2 s if not positive
 		Log     *slog.Logger  // gets calls that failed; nothing is logged if it is nil
 	}
 
-	// HTTPCaller is a Caller that uses HTTP.
+	// HTTPClient is a Client that uses HTTP.
 	//
 	// The transport may repeat a request whose reused connection failed before
 	// any byte of a response was received. That is harmless because every
 	// command is idempotent. A call that times out closes its connection, so
 	// that an unresponsive connection is used at most once.
-	HTTPCaller struct {
+	HTTPClient struct {
 		timeout   time.Duration
 		log       *slog.Logger
 		transport *http.Transport
@@ -52,8 +52,8 @@
 	maxDetailBytes = 512 // part of an error's response body that the error quotes
 )
 
-// NewHTTPCaller returns a caller with its own connection pool.
-func NewHTTPCaller(cfg HTTPConfig) *HTTPCaller {
+// NewHTTPClient returns a client with its own connection pool.
+func NewHTTPClient(cfg HTTPConfig) *HTTPClient {
 	if cfg.Timeout <= 0 {
 		cfg.Timeout = defaultTimeout
 	}
@@ -73,14 +73,14 @@
 			return http.ErrUseLastResponse
 		},
 	}
-	return &HTTPCaller{timeout: cfg.Timeout, log: cfg.Log, transport: tr, client: cl}
+	return &HTTPClient{timeout: cfg.Timeout, log: cfg.Log, transport: tr, client: cl}
 }
 
 // Close closes idle connections.
-func (hc *HTTPCaller) Close() { hc.transport.CloseIdleConnections() }
+func (hc *HTTPClient) Close() { hc.transport.CloseIdleConnections() }
 
-// Call implements Caller.
-func (hc *HTTPCaller) Call(ctx context.Context, address string, req Request) (Reply, error) {
+// Call implements Client.
+func (hc *HTTPClient) Call(ctx context.Context, address string, req Request) (Reply, error) {
 	body, err := json.Marshal(req)
 	if err != nil {
 		return Reply{}, merry.Wrap(fmt.Errorf("%w: %w", ErrRefused, err))
@@ -98,7 +98,7 @@
 
 // post sends a call and returns its reply. Without a connection the error is a
 // NotSentError.
-func (hc *HTTPCaller) post(ctx context.Context, address string, body []byte) (Reply, error) {
+func (hc *HTTPClient) post(ctx context.Context, address string, body []byte) (Reply, error) {
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -94,11 +94,11 @@
 	Results      []Result      `json:"results,omitempty"`
 }
 
-// Caller makes calls to workers by address. The error is or wraps ErrStaleEpoch
+// Client makes calls to workers by address. The error is or wraps ErrStaleEpoch
 // (with the reply's Epoch set), ErrRefused if the call is malformed, or a
 // *NotSentError if the call was not sent. With any other error it is unknown
 // whether the commands took effect.
-type Caller interface {
+type Client interface {
 	Call(ctx context.Context, address string, req Request) (Reply, error)
 }
 
--- a/internal/zone/harness_test.go
+++ b/internal/zone/harness_test.go
@@ -266,7 +266,7 @@
 	}
 }
 
-// Call implements worker.Caller.
+// Call implements worker.Client.
 func (fw *fakeWorkers) Call(ctx context.Context, address string, rq worker.Request) (worker.Reply, error) {
 	time.Sleep(callDelay)
 	for end := time.Now().Add(rq.Wait); ; time.Sleep(callDelay) {
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -32,7 +32,7 @@
 		Host                string // name of this entry host
 		Zone                string // name of the availability zone
 		Store               store.Store
-		Workers             worker.Caller
+		Workers             worker.Client
 		Declarations        func() *spec.Declarations // returns nil until there are any
 		DeclarationsChanged func() <-chan struct{}    // closed at the next change of the declarations
 		Hosts               func() plat.List
