domain: rename WorkspaceUsage.Excess to RelativeUsage

The field holds the usage divided by the fair share, so 1 means that a workspace is at its share, while Excess reads as the part beyond it, which is Borrowed.

--- a/internal/domain/fair_test.go
+++ b/internal/domain/fair_test.go
@@ -125,7 +125,7 @@
 	is.Equal(wus[0].Accelerators, 4)
 	is.Equal(wus[1].Used, 0.0)
 	is.Equal(wus[1].Units, 12)
-	is.True(wus[0].Excess > 1)
+	is.True(wus[0].RelativeUsage > 1)
 	is.True(wus[1].Oldest > time.Second)
 }
 
--- a/internal/domain/workspace.go
+++ b/internal/domain/workspace.go
@@ -10,15 +10,15 @@
 // waiting work. Entitled, Used and Borrowed are fractions of the service's
 // workers, by the workspace's dominant resource.
 type WorkspaceUsage struct {
-	Workspace    string
-	Service      string
-	Entitled     float64 // its fair share: by weight, among the workspaces with work
-	Used         float64
-	Borrowed     float64       // used beyond Entitled
-	Excess       float64       // usage relative to the fair share, at the service where it is highest; see fairness.maxRelativeUsage
-	Units        int           // waiting
-	Accelerators int           // requested by the waiting units
-	Oldest       time.Duration // since the oldest waiting unit's due time or, without one, acceptance
+	Workspace     string
+	Service       string
+	Entitled      float64 // its fair share: by weight, among the workspaces with work
+	Used          float64
+	Borrowed      float64       // used beyond Entitled
+	RelativeUsage float64       // usage relative to the fair share, at the service where it is highest; see fairness.maxRelativeUsage
+	Units         int           // waiting
+	Accelerators  int           // requested by the waiting units
+	Oldest        time.Duration // since the oldest waiting unit's due time or, without one, acceptance
 }
 
 // reportUsage returns the usage of the workspaces with running or waiting
@@ -41,7 +41,7 @@
 		sum := co.fair.weightSums[te.service]
 		wu := WorkspaceUsage{
 			Workspace: te.workspace, Service: te.service, Used: dominantShare(tu.resources, ps.capacity[te.service]),
-			Excess: co.fair.maxRelativeUsage(te.workspace),
+			RelativeUsage: co.fair.maxRelativeUsage(te.workspace),
 		}
 		if sum > 0 {
 			wu.Entitled = co.fair.weightOf(te.workspace) / sum
--- a/internal/drive/log.go
+++ b/internal/drive/log.go
@@ -78,7 +78,7 @@
 	var lines []string
 	for _, wu := range waiting[:min(maxLoggedWorkspaces, len(waiting))] {
 		lines = append(lines, fmt.Sprintf("%s entitled=%.3f used=%.3f borrowed=%.3f excess=%.2f units=%d accelerators=%d oldest=%v",
-			wu.Workspace, wu.Entitled, wu.Used, wu.Borrowed, wu.Excess, wu.Units, wu.Accelerators, wu.Oldest.Round(time.Millisecond)))
+			wu.Workspace, wu.Entitled, wu.Used, wu.Borrowed, wu.RelativeUsage, wu.Units, wu.Accelerators, wu.Oldest.Round(time.Millisecond)))
 	}
 	te.log.Info("workspaces with waiting work", "event", "shares", "workspaces", len(waiting), "longest", lines)
 }
