jobs: rename the interface Service to Scheduler

Service is the word for what an endpoint or worker serves, and for the key of a queue. The interface is that of a zone's scheduler, which submits, lists and cancels jobs, so it becomes Scheduler, and the comments that name it follow.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -42,7 +42,7 @@
 	// ForwardDial opens a connection to the ForwardListener of another host.
 	ForwardDial func(ctx context.Context, host string) (net.Conn, error)
 
-	Jobs      jobs.Service
+	Jobs      jobs.Scheduler
 	Claims    Claims
 	Account   report.Recorder
 	Operators Operators
@@ -77,7 +77,7 @@
 	Wait     time.Duration // maximum wait until all hosts report the new revision
 }
 
-// ZoneLister is implemented by a jobs.Service that queries several zones and
+// ZoneLister is implemented by a jobs.Scheduler that queries several zones and
 // reports those that were unreachable.
 type ZoneLister interface {
 	ListZones(ctx context.Context, fi jobs.Filter) (rcs []jobs.Record, unreachable []string, err error)
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -274,7 +274,7 @@
 	return found
 }
 
-// fakeJobs is a jobs.Service that stores jobs in memory and never starts them.
+// fakeJobs is a jobs.Scheduler that stores jobs in memory and never starts them.
 type fakeJobs struct {
 	mu      sync.Mutex
 	records map[string]jobs.Record
--- a/internal/entry/jobs_test.go
+++ b/internal/entry/jobs_test.go
@@ -120,7 +120,7 @@
 }
 
 // panickingJobs panics at every call.
-type panickingJobs struct{ jobs.Service }
+type panickingJobs struct{ jobs.Scheduler }
 
 // TestPanicIsAnsweredWithCode guards against a panic that closes the connection
 // without a response.
--- a/internal/host/router.go
+++ b/internal/host/router.go
@@ -26,9 +26,9 @@
 	}
 
 	// LocalScheduler is this host's scheduler of its own zone. The methods of
-	// jobs.Service return NoScheduler while this host isn't the leader.
+	// jobs.Scheduler return NoScheduler while this host isn't the leader.
 	LocalScheduler interface {
-		jobs.Service
+		jobs.Scheduler
 		// IsLeader reports whether this host is the leader.
 		IsLeader() bool
 		// Summary returns the counts of the zone, or false if this host isn't
@@ -36,7 +36,7 @@
 		Summary(now time.Time) (sched.Summary, bool)
 	}
 
-	// JobRouter is the jobs.Service of all zones. It routes a call to the scheduler
+	// JobRouter is the jobs.Scheduler of all zones. It routes a call to the scheduler
 	// of the zone that is part of the job's ID, on this or another host. The leader
 	// of a zone is the host whose scheduler was elected.
 	JobRouter struct{ cfg JobRouterConfig }
@@ -53,7 +53,7 @@
 // NewJobRouter returns a JobRouter.
 func NewJobRouter(cfg JobRouterConfig) *JobRouter { return &JobRouter{cfg: cfg} }
 
-// Submit implements jobs.Service.
+// Submit implements jobs.Scheduler.
 func (jr *JobRouter) Submit(ctx context.Context, sp jobs.Spec) (jobs.Record, error) {
 	if sp.ID == "" {
 		return jobs.Record{}, codes.New(codes.BadRequest, "job without an ID")
@@ -63,20 +63,20 @@
 	return jr.callForJob(ctx, jobs.ZoneOf(sp.ID), peers.MethodSubmitJob, rq, codes.SubmitUnknown, local)
 }
 
-// Get implements jobs.Service.
+// Get implements jobs.Scheduler.
 func (jr *JobRouter) Get(ctx context.Context, id string, wait time.Duration) (jobs.Record, error) {
 	local := func() (jobs.Record, error) { return jr.cfg.Local.Get(ctx, id, wait) }
 	rq := &wire.GetJob{Id: id, WaitMillis: wait.Milliseconds()}
 	return jr.callForJob(ctx, jobs.ZoneOf(id), peers.MethodGetJob, rq, codes.ZoneUnreachable, local)
 }
 
-// Cancel implements jobs.Service.
+// Cancel implements jobs.Scheduler.
 func (jr *JobRouter) Cancel(ctx context.Context, id string) (jobs.Record, error) {
 	local := func() (jobs.Record, error) { return jr.cfg.Local.Cancel(ctx, id) }
 	return jr.callForJob(ctx, jobs.ZoneOf(id), peers.MethodCancelJob, &wire.CancelJob{Id: id}, codes.CancelUnknown, local)
 }
 
-// List implements jobs.Service. It lists only the jobs of this host's zone.
+// List implements jobs.Scheduler. It lists only the jobs of this host's zone.
 func (jr *JobRouter) List(ctx context.Context, fi jobs.Filter) ([]jobs.Record, error) {
 	return jr.ListZone(ctx, jr.cfg.Zone, fi)
 }
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -80,9 +80,9 @@
 	Active    bool   // only those that have not ended
 }
 
-// Service is the interface of a zone's scheduler for callers. Errors are
+// Scheduler is the interface of a zone's scheduler for callers. Errors are
 // *codes.Error.
-type Service interface {
+type Scheduler interface {
 	// Submit records a job. Submitting the same job again returns its current
 	// record. The code is codes.KeyMismatch if the ID has other content, and
 	// codes.SubmitUnknown if it is unknown whether the job was recorded.
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -47,7 +47,7 @@
 	}
 
 	// Zone is the part of an availability zone's scheduler that runs on one
-	// entry host. It implements jobs.Service; unless this host is the leader,
+	// entry host. It implements jobs.Scheduler; unless this host is the leader,
 	// the methods return codes.NoScheduler.
 	Zone struct {
 		cfg             Config
@@ -114,7 +114,7 @@
 	return zo.core.Summary(now), true
 }
 
-// Submit implements jobs.Service.
+// Submit implements jobs.Scheduler.
 func (zo *Zone) Submit(ctx context.Context, sp jobs.Spec) (jobs.Record, error) {
 	if err := zo.checkNewJob(sp.ID); err != nil {
 		return jobs.Record{}, err
@@ -124,14 +124,14 @@
 	})
 }
 
-// Cancel implements jobs.Service.
+// Cancel implements jobs.Scheduler.
 func (zo *Zone) Cancel(ctx context.Context, id string) (jobs.Record, error) {
 	return zo.request(ctx, codes.CancelUnknown, func(rid sched.RequestID) sched.Event {
 		return sched.CancelRequested{RequestID: rid, ID: id}
 	})
 }
 
-// Get implements jobs.Service.
+// Get implements jobs.Scheduler.
 func (zo *Zone) Get(ctx context.Context, id string, wait time.Duration) (jobs.Record, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -150,7 +150,7 @@
 	}
 }
 
-// List implements jobs.Service.
+// List implements jobs.Scheduler.
 func (zo *Zone) List(_ context.Context, fi jobs.Filter) ([]jobs.Record, error) {
 	zo.mu.Lock()
 	defer zo.mu.Unlock()
