sched: rename Tick, Decision, TaskLease and RenewEvery after domain

Packages domain and maint call the same ideas Ticked and LogDecision, and TaskLease named a duration like a lease and RenewEvery a bound like a period. So Tick becomes Ticked, Decision LogDecision, TaskLease TaskLeaseTime and RenewEvery MaxRenewInterval; variables of type LogDecision are called ld. The field Decision and its values stay.

--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -154,7 +154,7 @@
 		co.handleCallFailure(now, ev)
 	case WriteDone:
 		co.handleWrite(now, ev)
-	case Tick:
+	case Ticked:
 		co.tick(now)
 	}
 	co.advance(now)
@@ -300,13 +300,13 @@
 
 // logDecision emits a decision about a job, with the workers of its attempt.
 func (co *Core) logDecision(jb *job, decision, reason string) {
-	dec := Decision{Job: jb.rec.ID, Workspace: jb.rec.Workspace, Decision: decision, Reason: reason, Attempt: jb.rec.Attempt}
+	ld := LogDecision{Job: jb.rec.ID, Workspace: jb.rec.Workspace, Decision: decision, Reason: reason, Attempt: jb.rec.Attempt}
 	for _, ta := range jb.rec.Tasks {
-		if len(dec.Workers) == 0 || dec.Workers[len(dec.Workers)-1] != ta.Worker {
-			dec.Workers = append(dec.Workers, ta.Worker)
+		if len(ld.Workers) == 0 || ld.Workers[len(ld.Workers)-1] != ta.Worker {
+			ld.Workers = append(ld.Workers, ta.Worker)
 		}
 	}
-	co.emit(dec)
+	co.emit(ld)
 }
 
 func (jb *job) taskID(at int) worker.TaskID {
--- a/internal/sched/event.go
+++ b/internal/sched/event.go
@@ -38,7 +38,7 @@
 	// is answered.
 	RequestID uint64
 
-	// Event is an input of the core. The types from DeclarationsChanged to Tick
+	// Event is an input of the core. The types from DeclarationsChanged to Ticked
 	// implement it.
 	Event interface{ event() }
 
@@ -83,8 +83,8 @@
 		Result WriteResult
 	}
 
-	// Tick is the periodic event that has the core check its timeouts.
-	Tick struct{}
+	// Ticked is the periodic event that has the core check its timeouts.
+	Ticked struct{}
 
 	// WriteResult is the outcome of a write.
 	WriteResult uint8
@@ -118,8 +118,8 @@
 	// JobEnded says that the end of a job is in the store.
 	JobEnded struct{ Record jobs.Record }
 
-	// Decision is a decision about a job or a worker, for the log. Its field
-	// Decision is one of these:
+	// LogDecision requests a log line about a decision on a job or a worker. Its
+	// field Decision is one of these:
 	//
 	//   - placed: the next attempt of a job has begun on the workers
 	//   - reclaim: victims are being stopped for a job
@@ -130,7 +130,7 @@
 	//   - stepDone: a step has succeeded, and the job is queued for the next one
 	//   - ended: a job has reached its final state
 	//   - aside: a worker is suspended
-	Decision struct {
+	LogDecision struct {
 		Job        string
 		Workspace  string
 		Decision   string
@@ -157,10 +157,11 @@
 
 // The timeouts and intervals of the core.
 const (
-	// TaskLease is how long a worker keeps a task without renewal.
-	TaskLease = 12 * time.Second
-	// RenewEvery is the longest interval between renewals of a worker's leases.
-	RenewEvery = 6 * time.Second
+	// TaskLeaseTime is how long a worker keeps a task without renewal.
+	TaskLeaseTime = 12 * time.Second
+	// MaxRenewInterval is the longest interval between renewals of a worker's
+	// leases.
+	MaxRenewInterval = 6 * time.Second
 	// MaxReplyAge is the time since a worker's last reply up to which a call may
 	// grant leases on it, commands are sent to it, and it is usable.
 	MaxReplyAge = 8 * time.Second
@@ -169,7 +170,7 @@
 	leaseMargin = time.Second
 	// lostAfter is the time without a reply after which all leases on a worker
 	// have certainly expired, and its tasks with them.
-	lostAfter = MaxReplyAge + TaskLease + leaseMargin
+	lostAfter = MaxReplyAge + TaskLeaseTime + leaseMargin
 	// unresponsiveAfter is the time without a reply after which a worker whose
 	// last call failed is sent no commands.
 	unresponsiveAfter = 2500 * time.Millisecond
@@ -205,11 +206,11 @@
 func (WorkerReplied) event()       {}
 func (WorkerCallFailed) event()    {}
 func (WriteDone) event()           {}
-func (Tick) event()                {}
-
-func (Write) effect()    {}
-func (Send) effect()     {}
-func (Answer) effect()   {}
-func (JobEnded) effect() {}
-func (Decision) effect() {}
-func (Resign) effect()   {}
+func (Ticked) event()              {}
+
+func (Write) effect()       {}
+func (Send) effect()        {}
+func (Answer) effect()      {}
+func (JobEnded) effect()    {}
+func (LogDecision) effect() {}
+func (Resign) effect()      {}
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -91,7 +91,7 @@
 		if st == taskMissing {
 			co.queueCommand(jb, i, worker.Command{
 				Op: worker.OpReserve, Workspace: jb.rec.Workspace,
-				Accelerators: jb.rec.CurrentStep().Shape.Accelerators, Lease: TaskLease,
+				Accelerators: jb.rec.CurrentStep().Shape.Accelerators, Lease: TaskLeaseTime,
 			})
 		}
 	}
@@ -113,7 +113,7 @@
 	}
 	for i, st := range tl.states {
 		if st == taskReserved {
-			co.queueCommand(jb, i, worker.Command{Op: worker.OpStart, Workspace: jb.rec.Workspace, Lease: TaskLease, Command: jb.rec.CurrentStep().Command})
+			co.queueCommand(jb, i, worker.Command{Op: worker.OpStart, Workspace: jb.rec.Workspace, Lease: TaskLeaseTime, Command: jb.rec.CurrentStep().Command})
 		}
 	}
 }
@@ -193,7 +193,7 @@
 	var suspended bool
 	wst.history, suspended = wst.history.recordFailure(now, jb.rec.ID)
 	if suspended {
-		co.emit(Decision{Decision: "aside", Workers: []string{name}, Reason: "tasks of different jobs failed on it, or one on probation"})
+		co.emit(LogDecision{Decision: "aside", Workers: []string{name}, Reason: "tasks of different jobs failed on it, or one on probation"})
 		co.resetFleet()
 	}
 }
--- a/internal/sched/load_test.go
+++ b/internal/sched/load_test.go
@@ -177,7 +177,7 @@
 		sim.run(5 * time.Second)
 	}
 	suspended := func() bool {
-		return slices.ContainsFunc(sim.decisions, func(de sched.Decision) bool { return de.Decision == "aside" })
+		return slices.ContainsFunc(sim.decisions, func(ld sched.LogDecision) bool { return ld.Decision == "aside" })
 	}
 	is.True(!suspended())
 	faulty := sim.hosts[0].Name
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -176,15 +176,15 @@
 	co.fleet.Add(co.gang(jb))
 	co.markUnsaved(jb)
 	co.markChanged(jb.rec.ID)
-	dec := Decision{Job: jb.rec.ID, Workspace: jb.rec.Workspace, Decision: "placed", Candidates: de.Candidates, Rejected: rejectedSummary(de), Attempt: jb.rec.Attempt}
+	ld := LogDecision{Job: jb.rec.ID, Workspace: jb.rec.Workspace, Decision: "placed", Candidates: de.Candidates, Rejected: rejectedSummary(de), Attempt: jb.rec.Attempt}
 	if pl.unit != place.NoUnit {
-		dec.Reason = "guaranteed"
+		ld.Reason = "guaranteed"
 	}
 	for _, ta := range tasks {
-		dec.Workers = append(dec.Workers, ta.Worker)
+		ld.Workers = append(ld.Workers, ta.Worker)
 	}
-	dec.Workers = slices.Compact(dec.Workers)
-	co.emit(dec)
+	ld.Workers = slices.Compact(ld.Workers)
+	co.emit(ld)
 }
 
 // rejectedSummary counts the candidate placements that were not chosen, by
@@ -209,7 +209,7 @@
 	ga.Stopping = true // keeps other jobs from choosing it as a victim
 	co.fleet.Add(ga)
 	jb.rec = jb.rec.WithDetail("waits for preempted jobs to stop")
-	co.emit(Decision{
+	co.emit(LogDecision{
 		Job: jb.rec.ID, Workspace: jb.rec.Workspace, Decision: "reclaim", Victims: de.Victims,
 		Reason: "lost work " + de.Lost.String(), Attempt: jb.rec.Attempt,
 	})
--- a/internal/sched/simulation_test.go
+++ b/internal/sched/simulation_test.go
@@ -34,7 +34,7 @@
 		lastRequestID sched.RequestID
 		answers       map[sched.RequestID]sched.Answer
 		submitted     map[sched.RequestID]string // ID of the job by request
-		decisions     []sched.Decision
+		decisions     []sched.LogDecision
 	}
 
 	// attemptID identifies an attempt of a job. Two schedulers may begin attempts
@@ -175,7 +175,7 @@
 	if ld.stopped {
 		return
 	}
-	sim.dispatch(ld, sched.Tick{})
+	sim.dispatch(ld, sched.Ticked{})
 	sim.after(tickInterval, func() { sim.tick(ld) })
 }
 
@@ -196,7 +196,7 @@
 			sim.call(ld, ef.Worker, ef.Commands)
 		case sched.Answer:
 			sim.answers[ef.RequestID] = ef
-		case sched.Decision:
+		case sched.LogDecision:
 			sim.decisions = append(sim.decisions, ef)
 		case sched.Resign:
 			ld.stopped = true
@@ -250,7 +250,7 @@
 		rq.Incarnation = cs.incarnation
 		rq.Sent = cs.clock + sim.now.Sub(cs.at)
 		if sim.now.Sub(cs.at) < sched.MaxReplyAge {
-			rq.Lease = sched.TaskLease
+			rq.Lease = sched.TaskLeaseTime
 		}
 	}
 	delay := linkDelay
@@ -407,7 +407,7 @@
 // checkGang checks that no task of an incomplete gang ran for longer than its
 // lease allows.
 func (sim *simulation) checkGang(rc jobs.Record, attempt attemptID, rus []wksim.Run) []string {
-	const bound = sched.TaskLease + 10*time.Second
+	const bound = sched.TaskLeaseTime + 10*time.Second
 	if len(rus) == rc.Shape.Tasks {
 		return nil
 	}
--- a/internal/zone/calls.go
+++ b/internal/zone/calls.go
@@ -100,7 +100,7 @@
 	for ctx.Err() == nil {
 		rq := worker.Request{
 			Epoch: wc.epoch, Holder: wc.zone.cfg.Host, Version: version,
-			Wait: sched.RenewEvery, Lease: sched.TaskLease,
+			Wait: sched.MaxRenewInterval, Lease: sched.TaskLeaseTime,
 		}
 		if version < 0 {
 			rq.Wait = 0
@@ -128,7 +128,7 @@
 		defer cancel()
 		rq := worker.Request{
 			Epoch: wc.epoch, Holder: wc.zone.cfg.Host, Version: -1,
-			Lease: sched.TaskLease, Commands: ef.Commands,
+			Lease: sched.TaskLeaseTime, Commands: ef.Commands,
 		}
 		wa := workerAddress{name: ef.Worker, address: ef.Address}
 		reply, err := wc.call(ctx, wa, rq)
--- a/internal/zone/elect.go
+++ b/internal/zone/elect.go
@@ -214,7 +214,7 @@
 			hostsChanged = zo.cfg.HostsChanged()
 			zo.listWorkers()
 		case <-ticker.C:
-			zo.handle(sched.Tick{})
+			zo.handle(sched.Ticked{})
 			zo.updateCalls()
 		}
 	}
@@ -266,7 +266,7 @@
 	ctx, stop := context.WithTimeout(termCtx, shutdownTimeout)
 	defer stop()
 	for ctx.Err() == nil && zo.hasUnsaved() {
-		zo.handle(sched.Tick{})
+		zo.handle(sched.Ticked{})
 		pause.For(ctx, tickInterval/10)
 	}
 }
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -243,7 +243,7 @@
 		}
 	case sched.JobEnded:
 		zo.notifyEnd(ef.Record.ID)
-	case sched.Decision:
+	case sched.LogDecision:
 		zo.logDecision(ef)
 	case sched.Resign:
 		zo.cfg.Log.Warn("scheduler resigns", "event", "resign", "zone", zo.cfg.Zone, "reason", ef.Reason)
@@ -262,10 +262,10 @@
 
 // logDecision logs a scheduling decision. The key from has the number of
 // placements considered, and losers why the others were rejected.
-func (zo *Zone) logDecision(dec sched.Decision) {
-	zo.cfg.Log.Info("scheduling decision", "event", "place", "zone", zo.cfg.Zone, "decision", dec.Decision, "job", dec.Job,
-		"workspace", dec.Workspace, "attempt", dec.Attempt, "workers", dec.Workers, "from", dec.Candidates, "rejected", dec.Rejected,
-		"victims", dec.Victims, "reason", dec.Reason)
+func (zo *Zone) logDecision(ld sched.LogDecision) {
+	zo.cfg.Log.Info("scheduling decision", "event", "place", "zone", zo.cfg.Zone, "decision", ld.Decision, "job", ld.Job,
+		"workspace", ld.Workspace, "attempt", ld.Attempt, "workers", ld.Workers, "from", ld.Candidates, "rejected", ld.Rejected,
+		"victims", ld.Victims, "reason", ld.Reason)
 }
 
 // observeEpoch records an epoch that a worker or a bucket has.
