drive: rename StoreLayout.Policy and Worker to DecodePolicy and DecodeWorker

The two fields are functions that decode a value of the store, but read like the policy and a worker themselves.

--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -66,7 +66,7 @@
 		layout.EvacuationPrefix = ""
 	}
 	in := intake.New(intake.Config{
-		Store: st, PolicyKey: layout.PolicyKey, Decode: layout.Policy,
+		Store: st, PolicyKey: layout.PolicyKey, Decode: layout.DecodePolicy,
 		MaxPolicyAge: max(0, se.Timing.Revoke-policyAgeMargin), Log: log,
 	})
 	dc := drive.Config{
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -105,7 +105,7 @@
 	}
 	counts := map[string]int{}
 	for _, ent := range ents {
-		wk, err := ha.cfg.Layout.Worker(strings.TrimPrefix(ent.Key, ha.cfg.Layout.WorkerPrefix), ent.Value)
+		wk, err := ha.cfg.Layout.DecodeWorker(strings.TrimPrefix(ent.Key, ha.cfg.Layout.WorkerPrefix), ent.Value)
 		if err == nil { // the scheduler logs malformed entries
 			counts[wk.Zone]++
 		}
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -36,8 +36,8 @@
 		WorkerPrefix     string // followed by the ID of a worker
 		EvacuationPrefix string // followed by an availability zone; empty if zones are never evacuated
 		EvacuationValue  []byte // written under an evacuation key by package admin
-		Policy           func(value []byte) (*batch.Policy, error)
-		Worker           func(id string, value []byte) (runner.Worker, error)
+		DecodePolicy     func(value []byte) (*batch.Policy, error)
+		DecodeWorker     func(id string, value []byte) (runner.Worker, error)
 		Waves            WaveLayout // empty if the platform has no maintenance waves
 	}
 
--- a/internal/drive/watch.go
+++ b/internal/drive/watch.go
@@ -116,7 +116,7 @@
 
 // decodeWorker decodes a worker and reports whether the entry is valid.
 func (te *term) decodeWorker(en store.Entry) (runner.Worker, bool) {
-	wk, err := te.cfg.Layout.Worker(strings.TrimPrefix(en.Key, te.cfg.Layout.WorkerPrefix), en.Value)
+	wk, err := te.cfg.Layout.DecodeWorker(strings.TrimPrefix(en.Key, te.cfg.Layout.WorkerPrefix), en.Value)
 	if err != nil {
 		te.logInvalidEntry(en.Key, err)
 		return runner.Worker{}, false
@@ -130,7 +130,7 @@
 	if en.Revision == 0 {
 		return nil
 	}
-	po, err := te.cfg.Layout.Policy(en.Value)
+	po, err := te.cfg.Layout.DecodePolicy(en.Value)
 	if err != nil {
 		te.logInvalidEntry(en.Key, err)
 		return nil
--- a/internal/fakes/runsim/layout.go
+++ b/internal/fakes/runsim/layout.go
@@ -25,11 +25,11 @@
 func Layout() drive.StoreLayout {
 	return drive.StoreLayout{
 		PolicyKey: PolicyKey, WorkerPrefix: WorkerPrefix, EvacuationPrefix: EvacuationPrefix, EvacuationValue: []byte("{}"),
-		Policy: func(value []byte) (*batch.Policy, error) {
+		DecodePolicy: func(value []byte) (*batch.Policy, error) {
 			var po batch.Policy
 			return &po, json.Unmarshal(value, &po)
 		},
-		Worker: func(id string, value []byte) (wk runner.Worker, err error) {
+		DecodeWorker: func(id string, value []byte) (wk runner.Worker, err error) {
 			err = json.Unmarshal(value, &wk)
 			wk.ID = id
 			return wk, err
--- a/internal/local/steps.go
+++ b/internal/local/steps.go
@@ -65,7 +65,7 @@
 	}
 	layout := runsim.Layout()
 	go drive.New(time.Now(), drive.Config{Host: stepsHost, Store: dp.store, Workers: workers, Layout: layout, Log: log}).Run(ctx)
-	in := intake.New(intake.Config{Store: dp.store, PolicyKey: layout.PolicyKey, Decode: layout.Policy, MaxPolicyAge: stepsTimeout, Log: log})
+	in := intake.New(intake.Config{Store: dp.store, PolicyKey: layout.PolicyKey, Decode: layout.DecodePolicy, MaxPolicyAge: stepsTimeout, Log: log})
 	st, err := runSteps(ctx, in, jb)
 	if err != nil {
 		return merry.Prepend(err, "sample job with two steps")
