entry, host: rename ListZones to ListAcrossZones

ListZones reads as a list of zones, but it lists the jobs of all zones, like the function listAcrossZones that calls it. The interface entry.ZoneLister and host.JobRouter change together, since entry finds the method by a type assertion, and jobs of other zones would silently be missing between two commits.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -80,7 +80,7 @@
 // ZoneLister is implemented by a jobs.Scheduler that queries several zones and
 // reports those that were unreachable.
 type ZoneLister interface {
-	ListZones(ctx context.Context, fi jobs.Filter) (rcs []jobs.Record, unreachable []string, err error)
+	ListAcrossZones(ctx context.Context, fi jobs.Filter) (rcs []jobs.Record, unreachable []string, err error)
 }
 
 // Operators implements the operations of the operator interface. Errors are
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -330,7 +330,7 @@
 // unreachable. If Config.Jobs is not a ZoneLister, no zone counts as unreachable.
 func (sr *Server) listAcrossZones(ctx context.Context, fi jobs.Filter) ([]jobs.Record, []string, error) {
 	if zl, ok := sr.cfg.Jobs.(ZoneLister); ok {
-		return zl.ListZones(ctx, fi)
+		return zl.ListAcrossZones(ctx, fi)
 	}
 	rcs, err := sr.cfg.Jobs.List(ctx, fi)
 	return rcs, nil, err
--- a/internal/host/affected.go
+++ b/internal/host/affected.go
@@ -17,7 +17,7 @@
 		return nil
 	}
 	warnings := removedServiceUses(current, next)
-	rcs, unreachable, err := op.ho.router.ListZones(ctx, jobs.Filter{Active: true})
+	rcs, unreachable, err := op.ho.router.ListAcrossZones(ctx, jobs.Filter{Active: true})
 	if err != nil {
 		return append(warnings, fmt.Sprintf("listing active jobs failed: %v", err))
 	}
--- a/internal/host/operate.go
+++ b/internal/host/operate.go
@@ -175,7 +175,7 @@
 	if cur := op.ho.follower.Current(); cur != nil {
 		in.Since = cur.Since
 	}
-	rcs, unreachable, err := op.ho.router.ListZones(ctx, jobs.Filter{})
+	rcs, unreachable, err := op.ho.router.ListAcrossZones(ctx, jobs.Filter{})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/host/router.go
+++ b/internal/host/router.go
@@ -103,9 +103,10 @@
 	return rcs, err
 }
 
-// ListZones implements entry.ZoneLister for all zones with known hosts. It also
-// returns the names of the zones that couldn't be listed. The error is always nil.
-func (jr *JobRouter) ListZones(ctx context.Context, fi jobs.Filter) ([]jobs.Record, []string, error) {
+// ListAcrossZones implements entry.ZoneLister for all zones with known hosts. It
+// also returns the names of the zones that couldn't be listed. The error is
+// always nil.
+func (jr *JobRouter) ListAcrossZones(ctx context.Context, fi jobs.Filter) ([]jobs.Record, []string, error) {
 	var rcs []jobs.Record
 	var unreachable []string
 	seen := map[string]bool{jr.cfg.Zone: true}
--- a/internal/host/router_test.go
+++ b/internal/host/router_test.go
@@ -320,7 +320,7 @@
 		is := is.New(t)
 		nw := newNetwork()
 		nw.partitioned = true
-		rcs, unreachable, err := nw.router(&scheduler{leads: true}).ListZones(t.Context(), jobs.Filter{})
+		rcs, unreachable, err := nw.router(&scheduler{leads: true}).ListAcrossZones(t.Context(), jobs.Filter{})
 		is.NoErr(err)
 		is.Equal(len(rcs), 1)
 		is.Equal(unreachable, []string{"cusco"})
