entry: rename the interface Operators to OperatorAPI

Operators names people; the interface has the operations that the host carries out for them, and host calls its implementation operatorAPI already. The type and the field of Config that holds it become OperatorAPI, and comments follow.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -42,12 +42,12 @@
 	// ForwardDial opens a connection to the ForwardListener of another host.
 	ForwardDial func(ctx context.Context, host string) (net.Conn, error)
 
-	Jobs      jobs.Scheduler
-	Claims    Claims
-	Account   report.Recorder
-	Operators Operators
-	Log       *slog.Logger
-	Seed      uint64 // of all random choices
+	Jobs        jobs.Scheduler
+	Claims      Claims
+	Account     report.Recorder
+	OperatorAPI OperatorAPI
+	Log         *slog.Logger
+	Seed        uint64 // of all random choices
 }
 
 // Claim is the use of an idempotency key by one request.
@@ -83,9 +83,8 @@
 	ListAcrossZones(ctx context.Context, fi jobs.Filter) (rcs []jobs.Record, unreachable []string, err error)
 }
 
-// Operators implements the operations of the operator interface. Errors are
-// *codes.Error.
-type Operators interface {
+// OperatorAPI carries out the requests of operators. Errors are *codes.Error.
+type OperatorAPI interface {
 	// Apply replaces the declarations. Its result is also valid if there is an
 	// error; it then contains, for example, the faults of the declarations.
 	Apply(ctx context.Context, req ApplyRequest) (client.Applied, error)
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -29,7 +29,7 @@
 	if er != nil {
 		return er
 	}
-	ap, err := sr.cfg.Operators.Apply(ctx, ApplyRequest{
+	ap, err := sr.cfg.OperatorAPI.Apply(ctx, ApplyRequest{
 		Content: content, Operator: ar.r.Header.Get(client.HeaderOperator), Expect: expect, Wait: wait,
 	})
 	er = codes.Of(err)
@@ -47,7 +47,7 @@
 	if er != nil {
 		return er
 	}
-	ap, err := sr.cfg.Operators.Check(ctx, content)
+	ap, err := sr.cfg.OperatorAPI.Check(ctx, content)
 	ar.writeApplied(ap, codes.Of(err))
 	return nil
 }
@@ -84,7 +84,7 @@
 
 // getDeclarations serves GET /v1/declarations.
 func (sr *Server) getDeclarations(ctx context.Context, ar *apiRequest) *codes.Error {
-	content, revision, err := sr.cfg.Operators.Declarations(ctx)
+	content, revision, err := sr.cfg.OperatorAPI.Declarations(ctx)
 	if err != nil {
 		return codes.Of(err)
 	}
@@ -95,7 +95,7 @@
 
 // getStatus serves GET /v1/status.
 func (sr *Server) getStatus(ctx context.Context, ar *apiRequest) *codes.Error {
-	st, err := sr.cfg.Operators.Status(ctx)
+	st, err := sr.cfg.OperatorAPI.Status(ctx)
 	if err != nil {
 		return codes.Of(err)
 	}
@@ -115,7 +115,7 @@
 			return codes.New(codes.BadRequest, "parameter day must be YYYY-MM-DD")
 		}
 	}
-	rp, err := sr.cfg.Operators.Report(ctx, day)
+	rp, err := sr.cfg.OperatorAPI.Report(ctx, day)
 	if err != nil {
 		return codes.Of(err)
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -178,7 +178,7 @@
 		Limits: ho.se.Limits, Stop: ho.se.Stop,
 		Declarations: ho.declarations, Endpoints: ho.endpoints, PeerDraining: ho.draining.names,
 		Members: ho.mesh.Members, ForwardDial: ho.mesh.DialHTTP,
-		Jobs: ho.router, Claims: claimAdapter{ho.claims}, Account: ho.account, Operators: operatorAPI{ho},
+		Jobs: ho.router, Claims: claimAdapter{ho.claims}, Account: ho.account, OperatorAPI: operatorAPI{ho},
 		Log: ho.log, Seed: ho.incarnation,
 	}
 }
--- a/internal/host/operate.go
+++ b/internal/host/operate.go
@@ -18,7 +18,7 @@
 )
 
 type (
-	// operatorAPI implements entry.Operators on a Host.
+	// operatorAPI implements entry.OperatorAPI on a Host.
 	operatorAPI struct{ ho *Host }
 
 	// dailyReport is encoded as JSON, or as text by String.
@@ -32,7 +32,7 @@
 	rolloutPollInterval  = 50 * time.Millisecond
 )
 
-// Apply implements entry.Operators.
+// Apply implements entry.OperatorAPI.
 func (op operatorAPI) Apply(ctx context.Context, rq entry.ApplyRequest) (client.Applied, error) {
 	req := conf.ApplyRequest{
 		File: declarationsFileName, Content: rq.Content, By: rq.Operator,
@@ -80,7 +80,7 @@
 	}
 }
 
-// Check implements entry.Operators.
+// Check implements entry.OperatorAPI.
 func (op operatorAPI) Check(ctx context.Context, content []byte) (client.Applied, error) {
 	ad := client.Applied{Revision: op.ho.follower.Revision()}
 	doc, err := spec.Parse(declarationsFileName, content)
@@ -98,7 +98,7 @@
 	return ad, nil
 }
 
-// Declarations implements entry.Operators.
+// Declarations implements entry.OperatorAPI.
 func (op operatorAPI) Declarations(context.Context) ([]byte, int64, error) {
 	cur := op.ho.follower.Current()
 	if cur == nil {
@@ -107,7 +107,7 @@
 	return cur.Content, cur.Revision, nil
 }
 
-// Status implements entry.Operators.
+// Status implements entry.OperatorAPI.
 func (op operatorAPI) Status(ctx context.Context) (client.Status, error) {
 	now := time.Now()
 	st := client.Status{Host: op.ho.se.Host.Name, Revision: op.ho.follower.Revision(), StoreUp: op.ho.follower.StoreUp()}
@@ -154,7 +154,7 @@
 	return zs
 }
 
-// Report implements entry.Operators. Hosts, zones and the archive that can't be
+// Report implements entry.OperatorAPI. Hosts, zones and the archive that can't be
 // read are listed in the report as missing.
 func (op operatorAPI) Report(ctx context.Context, name string) (any, error) {
 	now := time.Now()
