intake: rename StoreUnresponsive and AuthorizeFresh

The package calls a store that does not respond to this host unreachable, except in the cause StoreUnresponsive, which becomes StoreUnreachable; its value stays. AuthorizeFresh becomes AuthorizeSince, since a fresh policy is elsewhere one that was confirmed within freshFor, while this method takes the earliest time of the read.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -284,7 +284,7 @@
 // storeUnavailable returns the error of a call that has not written anything
 // because the store does not respond.
 func storeUnavailable() error {
-	return newUndecided(StoreUnresponsive, codes.StoreUnavailable, "the store does not respond to this host")
+	return newUndecided(StoreUnreachable, codes.StoreUnavailable, "the store does not respond to this host")
 }
 
 // isConflict reports whether a transaction failed because a key had another
--- a/internal/intake/undecided.go
+++ b/internal/intake/undecided.go
@@ -23,13 +23,13 @@
 // The causes. Their values are passed between hosts.
 const (
 	PolicyUnconfirmed Cause = "policy"  // there is no policy, or it can't be confirmed
-	StoreUnresponsive Cause = "store"   // the store is unresponsive, and nothing was written
+	StoreUnreachable  Cause = "store"   // the store is unreachable, and nothing was written
 	OutcomeUnknown    Cause = "outcome" // a write may have taken effect
 )
 
 // Known reports whether ca is one of the defined causes.
 func (ca Cause) Known() bool {
-	return ca == PolicyUnconfirmed || ca == StoreUnresponsive || ca == OutcomeUnknown
+	return ca == PolicyUnconfirmed || ca == StoreUnreachable || ca == OutcomeUnknown
 }
 
 // CauseOf returns the cause if err says that this host can't decide a call.
@@ -54,11 +54,11 @@
 	return undecidedError{cause: cause, response: codes.New(code, "%s", detail).WithRetryAfter(retryAfter)}
 }
 
-// AuthorizeFresh authorizes a call like Authorize, but by a policy that was read
+// AuthorizeSince authorizes a call like Authorize, but by a policy that was read
 // no earlier than the uptime up. It is for calls forwarded by other hosts: they
 // are decided by a policy that is no older than the call, so that a key revoked
 // before the call is rejected.
-func (in *Intake) AuthorizeFresh(ctx context.Context, up time.Duration, host, path, key string) (_ Access, err error) {
+func (in *Intake) AuthorizeSince(ctx context.Context, up time.Duration, host, path, key string) (_ Access, err error) {
 	defer func(began time.Time) { countCall("open", began, err) }(time.Now())
 	ps, err := in.policyReadSince(ctx, up)
 	if err != nil {
--- a/internal/remote/peer_test.go
+++ b/internal/remote/peer_test.go
@@ -110,13 +110,13 @@
 	b := start(t, sv, "b", "z2", accepts, nil)
 	kvsim.Eventually(t, func() bool { return len(a.Members()) == 1 && len(b.Members()) == 1 })
 	is.Equal(a.Members(), []remote.Member{b.self})
-	re, err := forward(t, a, lookup, intake.StoreUnresponsive, storeUnavailable)
+	re, err := forward(t, a, lookup, intake.StoreUnreachable, storeUnavailable)
 	is.NoErr(err)
 	is.Equal(re.State, batch.Running)
 	b.stop()
 	_, ok := sv.Value(batch.HostKey("b"))
 	is.True(!ok)
-	_, err = forward(t, a, lookup, intake.StoreUnresponsive, storeUnavailable) // b is shutting down
+	_, err = forward(t, a, lookup, intake.StoreUnreachable, storeUnavailable) // b is shutting down
 	is.Equal(err, error(storeUnavailable))
 }
 
@@ -131,7 +131,7 @@
 	third := remote.Member{Name: "c", Address: "127.0.0.1:1", Zone: "z3", Region: "r", Started: 1}
 	a.AddMembers([]remote.Member{b.self})
 	b.AddMembers([]remote.Member{third, a.self})
-	_, err := forward(t, a, lookup, intake.StoreUnresponsive, storeUnavailable)
+	_, err := forward(t, a, lookup, intake.StoreUnreachable, storeUnavailable)
 	is.NoErr(err)
 	is.Equal(len(a.Members()), 2)
 }
@@ -171,7 +171,7 @@
 			b := start(t, sv, "b", "z1", failsWith(tc.first), nil)
 			c := start(t, sv, "c", "z2", failsWith(tc.second), nil)
 			a.AddMembers([]remote.Member{b.self, c.self})
-			cause := intake.StoreUnresponsive
+			cause := intake.StoreUnreachable
 			if tc.local != storeUnavailable {
 				cause = intake.OutcomeUnknown
 			}
@@ -232,16 +232,16 @@
 			a := start(t, sv, "a", "z1", accepts, func(cf *remote.Config) { cf.Dial = dial })
 			a.AddMembers([]remote.Member{b.self, c.self})
 			began := time.Now()
-			_, err := forward(t, a, submit, intake.StoreUnresponsive, storeUnavailable)
+			_, err := forward(t, a, submit, intake.StoreUnreachable, storeUnavailable)
 			is.NoErr(err)
 			is.True(time.Since(began) < tc.within)
 			is.Equal(c.calls.Load(), int64(1))
-			_, err = forward(t, a, submit, intake.StoreUnresponsive, storeUnavailable)
+			_, err = forward(t, a, submit, intake.StoreUnreachable, storeUnavailable)
 			is.NoErr(err)
 			is.Equal(dials.Load(), int64(1)) // the first host is skipped, or its session is reused
 			alone := start(t, sv, "d", "z1", accepts, func(cf *remote.Config) { cf.Dial = dial })
 			alone.AddMembers([]remote.Member{b.self})
-			_, err = forward(t, alone, submit, intake.StoreUnresponsive, storeUnavailable)
+			_, err = forward(t, alone, submit, intake.StoreUnreachable, storeUnavailable)
 			is.Equal(codeOf(err), tc.alone)
 		})
 	}
@@ -263,10 +263,10 @@
 	a := start(t, sv, "a", "z1", accepts, nil)
 	a.AddMembers([]remote.Member{b.self})
 	began := time.Now()
-	_, err := forward(t, a, submit, intake.StoreUnresponsive, storeUnavailable)
+	_, err := forward(t, a, submit, intake.StoreUnreachable, storeUnavailable)
 	is.Equal(codeOf(err), codes.SubmitUnknown)
 	is.True(time.Since(began) < time.Second)
-	_, err = forward(t, a, submit, intake.StoreUnresponsive, storeUnavailable) // b is skipped, and there is no other host
+	_, err = forward(t, a, submit, intake.StoreUnreachable, storeUnavailable) // b is skipped, and there is no other host
 	is.Equal(err, error(storeUnavailable))
 }
 
@@ -285,12 +285,12 @@
 	a.AddMembers([]remote.Member{b.self})
 	done := make(chan error, 1)
 	go func() {
-		_, err := forward(t, a, submit, intake.StoreUnresponsive, storeUnavailable)
+		_, err := forward(t, a, submit, intake.StoreUnreachable, storeUnavailable)
 		done <- err
 	}()
 	<-begun
 	b.stop()
-	_, err := forward(t, a, submit, intake.StoreUnresponsive, storeUnavailable)
+	_, err := forward(t, a, submit, intake.StoreUnreachable, storeUnavailable)
 	is.Equal(err, error(storeUnavailable)) // refused at once over the open session
 	closed := make(chan struct{})
 	go func() {
@@ -314,7 +314,7 @@
 	a := start(t, sv, "a", "z1", accepts, nil)
 	a.AddMembers([]remote.Member{b.self})
 	began := time.Now()
-	_, err := forward(t, a, submit, intake.StoreUnresponsive, storeUnavailable)
+	_, err := forward(t, a, submit, intake.StoreUnreachable, storeUnavailable)
 	is.Equal(err, error(storeUnavailable))
 	is.Equal(b.calls.Load(), int64(0))
 	is.True(time.Since(began) < time.Second)
@@ -332,7 +332,7 @@
 	b.AddMembers([]remote.Member{a.self})
 	for _, ho := range []*host{a, b} {
 		began := time.Now()
-		_, err := forward(t, ho, submit, intake.StoreUnresponsive, storeUnavailable)
+		_, err := forward(t, ho, submit, intake.StoreUnreachable, storeUnavailable)
 		is.Equal(err, error(storeUnavailable))
 		is.True(time.Since(began) < time.Second)
 		is.Equal(ho.calls.Load(), int64(0))
@@ -359,16 +359,16 @@
 	kvsim.Eventually(t, func() bool { return len(a.Members()) == 1 })
 	disconnected, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, err := a.Forward(disconnected, submit, intake.StoreUnresponsive, storeUnavailable) // the caller has disconnected
+	_, err := a.Forward(disconnected, submit, intake.StoreUnreachable, storeUnavailable) // the caller has disconnected
 	is.Equal(err, error(storeUnavailable))
 	is.Equal(open.Load(), int64(0))
 	for range 3 {
-		_, err := forward(t, a, submit, intake.StoreUnresponsive, storeUnavailable)
+		_, err := forward(t, a, submit, intake.StoreUnreachable, storeUnavailable)
 		is.NoErr(err)
 	}
 	is.Equal(open.Load(), int64(1))
 	kvsim.Eventually(t, func() bool { return open.Load() == 0 })
-	_, err = forward(t, a, submit, intake.StoreUnresponsive, storeUnavailable)
+	_, err = forward(t, a, submit, intake.StoreUnreachable, storeUnavailable)
 	is.NoErr(err)
 	is.Equal(b.calls.Load(), int64(4))
 }
