batch: rename Step.Rack to DataRack

The field is the rack of a step's data, near which its tasks run faster, while runner.Worker.Rack is the rack that a worker stands in; both stand side by side in the placement code. The JSON tag stays rack, so stored jobs read as before.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -37,7 +37,7 @@
 		OneRack        bool          `json:"oneRack,omitempty"`     // runs much slower when spread over several racks
 		Checkpoints    bool          `json:"checkpoints,omitempty"` // its tasks save checkpoints and resume from them
 		Label          string        `json:"label,omitempty"`       // that a worker must have to run its tasks; empty for no restriction
-		Rack           string        `json:"rack,omitempty"`        // location of its data; runs much slower elsewhere
+		DataRack       string        `json:"rack,omitempty"`        // location of its data; runs much slower elsewhere
 		PerWorker      int           `json:"perWorker,omitempty"`   // maximum number of its tasks on one worker; zero for no limit
 		LongRunning    bool          `json:"lasting,omitempty"`     // does not end until the job is cancelled
 		BestEffort     bool          `json:"filling,omitempty"`     // uses only processor time that other tasks leave idle
--- a/internal/domain/domain_test.go
+++ b/internal/domain/domain_test.go
@@ -249,7 +249,7 @@
 	sim.notify(domain.Unlisted{ID: "w02"})
 	sim.run(100 * time.Millisecond)
 	jb, pl := oneStepJob("j", 1, 1, time.Second)
-	jb.Steps[0].Rack = "r0"
+	jb.Steps[0].DataRack = "r0"
 	jb.Queue.MaxAttempts = 2
 	sim.submit(jb, pl)
 	sim.run(70 * time.Millisecond)
@@ -398,7 +398,7 @@
 			step.After = []int{at - 1}
 		}
 		if rng.IntN(6) == 0 {
-			step.Rack = "r0"
+			step.DataRack = "r0"
 		}
 		if rng.IntN(8) == 0 && !step.Gang {
 			step.PerWorker = 2
--- a/internal/domain/pick.go
+++ b/internal/domain/pick.go
@@ -13,10 +13,10 @@
 // the workers with the least free capacity first.
 func (un *unit) packTasks(sls []slot, number int, anyRack bool) []*node {
 	slices.SortFunc(sls, preferWarm(compareFree))
-	if un.step.Rack == "" {
+	if un.step.DataRack == "" {
 		return takeFrom(sls, number)
 	}
-	isNear := func(sl slot) bool { return sl.node.worker.Rack == un.step.Rack }
+	isNear := func(sl slot) bool { return sl.node.worker.Rack == un.step.DataRack }
 	near := slices.DeleteFunc(slices.Clone(sls), func(sl slot) bool { return !isNear(sl) })
 	nodes := takeFrom(near, number)
 	if anyRack {
@@ -123,7 +123,7 @@
 // one rack for a gang that needs it. Others are taken only if any rack is
 // allowed. It returns nil if not all tasks fit.
 func (un *unit) pick(sls []slot, anyRack bool) []*node {
-	if rack := un.step.Rack; rack != "" {
+	if rack := un.step.DataRack; rack != "" {
 		near := slices.DeleteFunc(slices.Clone(sls), func(sl slot) bool { return sl.node.worker.Rack != rack })
 		if nodes := un.assign(near); nodes != nil {
 			return nodes
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -140,7 +140,7 @@
 func (co *Core) fitKeyOf(ps *pass, ug unitGroup, un *unit) fitKey {
 	key := fitKey{
 		service: co.queueOf(un.job).Service, needs: un.step.Reserved(), tasks: un.tasks,
-		label: un.step.Label, rack: un.step.Rack, anyRack: un.localityWaitOver(ps.now), class: ug.class,
+		label: un.step.Label, rack: un.step.DataRack, anyRack: un.localityWaitOver(ps.now), class: ug.class,
 	}
 	if !un.interchangeable() || co.placedIndividually(un, key.service) {
 		key.uniqueTo = un
@@ -151,7 +151,7 @@
 // localityWaitOver reports whether a unit has waited long enough for capacity
 // near its data.
 func (un *unit) localityWaitOver(now time.Time) bool {
-	if un.step.Rack == "" && !(un.step.Gang && un.step.OneRack) {
+	if un.step.DataRack == "" && !(un.step.Gang && un.step.OneRack) {
 		return true
 	}
 	slack := un.deadline().Sub(un.objectiveStart()) - un.step.RunTime
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -115,15 +115,15 @@
 // rackGroups returns the workers of the rack of a unit's data, or of each rack
 // if it needs a single one. The workers of a group are sorted by ID.
 func (co *Core) rackGroups(ps *pass, un *unit, service string) [][]*node {
-	if un.step.Rack == "" && !un.step.OneRack {
+	if un.step.DataRack == "" && !un.step.OneRack {
 		return nil
 	}
 	racks := co.racksOf(ps, service)
-	if un.step.Rack == "" {
+	if un.step.DataRack == "" {
 		return slices.Clone(racks)
 	}
 	for _, rack := range racks {
-		if rack[0].worker.Rack == un.step.Rack {
+		if rack[0].worker.Rack == un.step.DataRack {
 			return [][]*node{rack}
 		}
 	}
--- a/internal/domain/probation.go
+++ b/internal/domain/probation.go
@@ -52,7 +52,7 @@
 // before the deadline. The time is irrelevant if the unit misses its deadline
 // anyway.
 func (co *Core) toleratesFailure(now time.Time, un *unit) bool {
-	if un.tasks > 1 || un.step.LongRunning || un.step.PerWorker > 0 || un.step.Rack != "" || un.job.advice != nil || co.queueOf(un.job).Advised {
+	if un.tasks > 1 || un.step.LongRunning || un.step.PerWorker > 0 || un.step.DataRack != "" || un.job.advice != nil || co.queueOf(un.job).Advised {
 		return false
 	}
 	if un.failures+2 >= co.maxAttempts(un.job) || un.job.state == batch.Failed {
--- a/internal/domain/trust.go
+++ b/internal/domain/trust.go
@@ -50,7 +50,7 @@
 // Workers of a rack often fail within a second of each other, so a recent
 // success there proves little.
 func (co *Core) sharesRack(un *unit, nd *node) bool {
-	if nd.worker.Rack == "" || un.step.Rack != "" {
+	if nd.worker.Rack == "" || un.step.DataRack != "" {
 		return false
 	}
 	for id := range un.avoided {
