domain: rename fitKey.rack to dataRack

The field copies batch.Step.DataRack, the rack of a step's data, and stands in the key that tells which units fit on the same workers, so it takes the same name.

--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -32,7 +32,7 @@
 		needs    batch.Resources
 		tasks    int
 		label    string
-		rack     string
+		dataRack string
 		uniqueTo *unit // the unit, if whether it fits depends on more than the other fields; nil otherwise
 		anyRack  bool  // may be placed outside the rack of its data, or on several racks
 		class    int   // see unitGroup
@@ -140,7 +140,7 @@
 func (co *Core) fitKeyOf(ps *pass, ug unitGroup, un *unit) fitKey {
 	key := fitKey{
 		service: co.queueOf(un.job).Service, needs: un.step.Reserved(), tasks: un.tasks,
-		label: un.step.Label, rack: un.step.DataRack, anyRack: un.localityWaitOver(ps.now), class: ug.class,
+		label: un.step.Label, dataRack: un.step.DataRack, anyRack: un.localityWaitOver(ps.now), class: ug.class,
 	}
 	if !un.interchangeable() || co.placedIndividually(un, key.service) {
 		key.uniqueTo = un
