domain, host: say that a relative usage of 1 is the fair share

The comment of WorkspaceUsage.RelativeUsage repeated its name; it now says that the value is a quotient and what 1 means.

--- a/internal/domain/workspace.go
+++ b/internal/domain/workspace.go
@@ -15,7 +15,7 @@
 	Entitled      float64 // its fair share: by weight, among the workspaces with work
 	Used          float64
 	Borrowed      float64       // used beyond Entitled
-	RelativeUsage float64       // usage relative to the fair share, at the service where it is highest; see fairness.maxRelativeUsage
+	RelativeUsage float64       // usage divided by the fair share, at the service where it is highest: 1 at the share; see fairness.maxRelativeUsage
 	Units         int           // waiting
 	Accelerators  int           // requested by the waiting units
 	Oldest        time.Duration // since the oldest waiting unit's due time or, without one, acceptance
--- a/internal/host/router.go
+++ b/internal/host/router.go
@@ -36,9 +36,9 @@
 		Summary(now time.Time) (sched.Summary, bool)
 	}
 
-	// JobRouter is the jobs.Scheduler of all zones. It routes a call to the scheduler
-	// of the zone that is part of the job's ID, on this or another host. The leader
-	// of a zone is the host whose scheduler was elected.
+	// JobRouter is the jobs.Scheduler of all zones. It routes a call to the
+	// scheduler of the zone that is part of the job's ID, on this or another host.
+	// The leader of a zone is the host whose scheduler was elected.
 	JobRouter struct{ cfg JobRouterConfig }
 )
 
