drive: log the relative usage of a workspace under its name

The list of workspaces with waiting work showed the quotient of usage and fair share as excess, so excess=1.00 read as twice the share, but means exactly the share. The key in the text is now relativeUsage.

--- a/internal/drive/log.go
+++ b/internal/drive/log.go
@@ -77,7 +77,7 @@
 	slices.SortStableFunc(waiting, func(a, b domain.WorkspaceUsage) int { return cmp.Compare(b.Oldest, a.Oldest) })
 	var lines []string
 	for _, wu := range waiting[:min(maxLoggedWorkspaces, len(waiting))] {
-		lines = append(lines, fmt.Sprintf("%s entitled=%.3f used=%.3f borrowed=%.3f excess=%.2f units=%d accelerators=%d oldest=%v",
+		lines = append(lines, fmt.Sprintf("%s entitled=%.3f used=%.3f borrowed=%.3f relativeUsage=%.2f units=%d accelerators=%d oldest=%v",
 			wu.Workspace, wu.Entitled, wu.Used, wu.Borrowed, wu.RelativeUsage, wu.Units, wu.Accelerators, wu.Oldest.Round(time.Millisecond)))
 	}
 	te.log.Info("workspaces with waiting work", "event", "shares", "workspaces", len(waiting), "longest", lines)
