--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -32,7 +32,7 @@
 		Host                string // name of this entry host
 		Zone                string // name of the availability zone
 		Store               store.Store
-		Workers             worker.Caller
+		Workers             worker.Client
 		Declarations        func() *spec.Declarations // returns nil until there are any
 		DeclarationsChanged func() <-chan struct{}    // closed at the next change of the declarations
 		Hosts               func() plat.List
@@ -47,7 +47,7 @@
 	}
 
 	// Zone is the part of an availability zone's scheduler that runs on one
-	// entry host. It implements jobs.Service; unless this host is the leader,
+	// entry host. It implements jobs.Scheduler; unless this host is the leader,
 	// the methods return codes.NoScheduler.
 	Zone struct {
 		cfg             Config
@@ -114,7 +114,7 @@
 	return zo.core.Summary(now), true
 }
 
-// Submit implements jobs.Service.
+// Submit implements jobs.Scheduler.
 func (zo *Zone) Submit(ctx context.Context, sp jobs.Spec) (jobs.Record, error) {
 	if err := zo.checkNewJob(sp.ID); err != nil {
 		return jobs.Record{}, err
@@ -124,14 +124,14 @@
 	})
 }
 
-// Cancel implements jobs.Service.
+// Cancel implements jobs.Scheduler.
 func (zo *Zone) Cancel(ctx context.Context, id string) (jobs.Record, error) {
 	return zo.request(ctx, codes.CancelUnknown, func(rid sched.RequestID) sched.Event {
 		return sched.CancelRequested{RequestID: rid, ID: id}
 	})
 }
 
-// Get implements jobs.Service.
+// Get implements jobs.Scheduler.
 func (zo *Zone) Get(ctx context.Context, id string, wait time.Duration) (jobs.Record, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -150,7 +150,7 @@
 	}
 }
 
-// List implements jobs.Service.
+// List implements jobs.Scheduler.
 func (zo *Zone) List(_ context.Context, fi jobs.Filter) ([]jobs.Record, error) {
 	zo.mu.Lock()
 	defer zo.mu.Unlock()
@@ -243,7 +243,7 @@
 		}
 	case sched.JobEnded:
 		zo.notifyEnd(ef.Record.ID)
-	case sched.Decision:
+	case sched.LogDecision:
 		zo.logDecision(ef)
 	case sched.Resign:
 		zo.cfg.Log.Warn("scheduler resigns", "event", "resign", "zone", zo.cfg.Zone, "reason", ef.Reason)
@@ -262,10 +262,10 @@
 
 // logDecision logs a scheduling decision. The key from has the number of
 // placements considered, and losers why the others were rejected.
-func (zo *Zone) logDecision(dec sched.Decision) {
-	zo.cfg.Log.Info("scheduling decision", "event", "place", "zone", zo.cfg.Zone, "decision", dec.Decision, "job", dec.Job,
-		"workspace", dec.Workspace, "attempt", dec.Attempt, "workers", dec.Workers, "from", dec.Candidates, "rejected", dec.Rejected,
-		"victims", dec.Victims, "reason", dec.Reason)
+func (zo *Zone) logDecision(ld sched.LogDecision) {
+	zo.cfg.Log.Info("scheduling decision", "event", "place", "zone", zo.cfg.Zone, "decision", ld.Decision, "job", ld.Job,
+		"workspace", ld.Workspace, "attempt", ld.Attempt, "workers", ld.Workers, "from", ld.Candidates, "rejected", ld.Rejected,
+		"victims", ld.Victims, "reason", ld.Reason)
 }
 
 // observeEpoch records an epoch that a worker or a bucket has.
