drive: rename functions that write maintenance state

Package drive decodes two kinds of records, the progress record of a job and the record of a maintenance wave, and decodeRecord did not say that it decodes the second one; report and save did not say what they write. They are now decodeMaintenanceRecord, reportProgress and saveRecord.

--- a/internal/drive/waves.go
+++ b/internal/drive/waves.go
@@ -68,7 +68,7 @@
 	wd.watchFrom = rev
 	cf := maint.Config{WorkerState: te.workerState, Completed: wd.completedWaves(statuses)}
 	for _, en := range records {
-		rc, err := decodeRecord(en.Value)
+		rc, err := decodeMaintenanceRecord(en.Value)
 		if err != nil {
 			te.logInvalidEntry(en.Key, err)
 			continue
@@ -175,9 +175,9 @@
 	case maint.Order:
 		go wd.sendOrder(ef)
 	case maint.ReportProgress:
-		wd.report(ef)
+		wd.reportProgress(ef)
 	case maint.SaveRecord:
-		wd.save(ef.Record)
+		wd.saveRecord(ef.Record)
 	case maint.Drain:
 		wd.term.handle(domain.DrainRequested{By: ef.By})
 	case maint.WorkerDown:
@@ -200,9 +200,9 @@
 	wd.send(maint.OrderCompleted{Order: ef, Err: wd.cfg.Machines.Upkeep(ctx, ef, wd.cfg.Host, int64(wd.token))})
 }
 
-// report queues a write of a wave's status. If the wave is completed, the write
+// reportProgress queues a write of a wave's status. If the wave is completed, the write
 // also deletes its record.
-func (wd *waveDriver) report(ef maint.ReportProgress) {
+func (wd *waveDriver) reportProgress(ef maint.ReportProgress) {
 	number := strconv.Itoa(ef.Wave)
 	tx := store.Txn{Puts: []store.Put{{Key: wd.layout.StatusPrefix + number, Value: wd.layout.EncodeProgress(ef.Progress)}}}
 	if ef.Progress == maint.Completed {
@@ -211,7 +211,7 @@
 	wd.enqueueWrite(tx)
 }
 
-func (wd *waveDriver) save(rc maint.Record) {
+func (wd *waveDriver) saveRecord(rc maint.Record) {
 	data, err := json.Marshal(rc)
 	if err != nil {
 		wd.log.Error("can't encode maintenance record", "event", "reportFails", "wave", rc.Number, "reason", err)
@@ -257,7 +257,7 @@
 	}
 }
 
-func decodeRecord(data []byte) (rc maint.Record, err error) {
+func decodeMaintenanceRecord(data []byte) (rc maint.Record, err error) {
 	err = json.Unmarshal(data, &rc)
 	return rc, err
 }
