member: rename the function that stops the scheduler

In Run, resign cancelled the context of the scheduler, while resigning in package drive means that a leader ends its term and revokes its lease, which a host that is not the leader never does. The variable is now stopScheduler.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -90,8 +90,8 @@
 		go func() { failed <- sv.Serve(ln) }()
 	}
 	me.cfg.Log.Info("host started", "event", "begins", "host", se.Host.Name, "zone", se.Host.Zone, "callers", se.Host.CallersAddress)
-	sctx, resign := context.WithCancel(ctx)
-	defer resign()
+	sctx, stopScheduler := context.WithCancel(ctx)
+	defer stopScheduler()
 	var wg sync.WaitGroup
 	wg.Go(func() { me.cfg.Scheduler.Run(sctx) })
 	if me.cfg.Remote != nil {
