remote: tell entries of the roster from entries of the store

In package remote, an entry was both the store's record of a host and the roster's knowledge about it, and BeginLocal returned a function leave whose counterpart in the limiter is endLocal. The type of the roster is now rosterEntry, and the result is end. The tests of internal/remote passed.

--- a/internal/remote/peer.go
+++ b/internal/remote/peer.go
@@ -85,8 +85,8 @@
 }
 
 // BeginLocal counts a call of one of this host's own callers as in progress
-// until leave is called.
-func (pe *Peer) BeginLocal() (leave func()) {
+// until end is called.
+func (pe *Peer) BeginLocal() (end func()) {
 	pe.limiter.beginLocal()
 	return pe.limiter.endLocal
 }
--- a/internal/remote/roster.go
+++ b/internal/remote/roster.go
@@ -11,10 +11,10 @@
 	// concurrent use.
 	Roster struct {
 		self    Member
-		entries []entry // in the order of preference
+		entries []rosterEntry // in the order of preference
 	}
 
-	entry struct {
+	rosterEntry struct {
 		member         Member
 		lastSeen       time.Time // when it was last listed or received from another host
 		skipUntil      time.Time // until then, not chosen
@@ -69,22 +69,22 @@
 			ro.upsert(now, me)
 		}
 	}
-	ro.entries = slices.DeleteFunc(ro.entries, func(en entry) bool { return now.Sub(en.lastSeen) >= entryLifetime })
-	slices.SortFunc(ro.entries, func(a, b entry) int { return ro.self.compare(a.member, b.member) })
+	ro.entries = slices.DeleteFunc(ro.entries, func(en rosterEntry) bool { return now.Sub(en.lastSeen) >= entryLifetime })
+	slices.SortFunc(ro.entries, func(a, b rosterEntry) int { return ro.self.compare(a.member, b.member) })
 	ro.trim()
 }
 
 // upsert adds a host. A later start of a host replaces the earlier one, along
 // with its recorded failures.
 func (ro *Roster) upsert(now time.Time, me Member) {
-	index := slices.IndexFunc(ro.entries, func(en entry) bool { return en.member.Name == me.Name })
+	index := slices.IndexFunc(ro.entries, func(en rosterEntry) bool { return en.member.Name == me.Name })
 	switch {
 	case index < 0:
-		ro.entries = append(ro.entries, entry{member: me, lastSeen: now})
+		ro.entries = append(ro.entries, rosterEntry{member: me, lastSeen: now})
 	case ro.entries[index].member == me:
 		ro.entries[index].lastSeen = now
 	case me.Started >= ro.entries[index].member.Started:
-		ro.entries[index] = entry{member: me, lastSeen: now}
+		ro.entries[index] = rosterEntry{member: me, lastSeen: now}
 	}
 }
 
@@ -96,7 +96,7 @@
 	}
 	bounds := [numDistances]int{sameZone: maxInZone, sameRegion: maxInRegion, elsewhere: maxMembers}
 	var counts [numDistances]int
-	var kept, rest []entry
+	var kept, rest []rosterEntry
 	for _, en := range ro.entries {
 		di := ro.self.distanceTo(en.member)
 		counts[di]++
@@ -107,7 +107,7 @@
 		}
 	}
 	ro.entries = append(kept, rest[:maxMembers-len(kept)]...)
-	slices.SortFunc(ro.entries, func(a, b entry) int { return ro.self.compare(a.member, b.member) })
+	slices.SortFunc(ro.entries, func(a, b rosterEntry) int { return ro.self.compare(a.member, b.member) })
 }
 
 // Members returns the known hosts in the order of preference, nearest first.
