maint: state when the work on a worker counts as ended

The package comment and that of WorkerDown named a machine that is listed as down, but updateDownMachine also reports a machine that is no longer listed, and only after its order was confirmed. The comments now give all these conditions; that of expectedDownTime says between which events the time passes. The tests of internal/maint passed.

--- a/internal/maint/core.go
+++ b/internal/maint/core.go
@@ -73,8 +73,8 @@
 	downListInterval = 300 * time.Millisecond
 	// orderRetryDelay is the pause after a failed order.
 	orderRetryDelay = 500 * time.Millisecond
-	// expectedDownTime is the estimated duration of one machine's maintenance,
-	// until a list shows it up again.
+	// expectedDownTime is the estimated time from the order to a machine until a
+	// list shows the machine up again.
 	expectedDownTime = 3 * time.Second
 	// slackShare is the share of a wave's duration reserved for failed orders.
 	slackShare = 0.2
--- a/internal/maint/event.go
+++ b/internal/maint/event.go
@@ -11,8 +11,9 @@
 //     the response shows it up.
 //   - A wave is reported as completed only when each of its machines has
 //     started its maintenance or is no longer listed.
-//   - The work on a worker is reported as ended only when its machine is listed
-//     as down or with another worker.
+//   - The work on a worker is reported as ended only when its machine was ordered
+//     to go down and is then listed as down or with another worker, or is no
+//     longer listed.
 //   - Work is moved off a machine first, as far as the wave's duration allows.
 package maint
 
@@ -109,8 +110,8 @@
 	// should be idle. It replaces the previous Drain.
 	Drain struct{ By map[string]time.Time }
 
-	// WorkerDown reports that the machine of a worker was shut down, so that
-	// everything that ran on the worker has ended.
+	// WorkerDown reports that the machine of a worker went down or is no longer
+	// listed, so that everything that ran on the worker has ended.
 	WorkerDown struct{ Worker string }
 
 	// LogDecision requests a log line about a decision.
