remote: correct the comment of closeAll

closeAll was said to close every link, but a retired link is not in the map any more and closes after its last call. The comment says so. Another one says why the cause of a forwarded call is dropped if it is unknown: it becomes a label of a metric.

--- a/internal/remote/pool.go
+++ b/internal/remote/pool.go
@@ -164,7 +164,8 @@
 	}
 }
 
-// closeAll closes every link, also those with calls in progress.
+// closeAll closes every link that takes new calls, even if it has calls in
+// progress. A retired link closes when its last call ends.
 func (po *pool) closeAll() {
 	po.mu.Lock()
 	var all []*link
--- a/internal/remote/serve.go
+++ b/internal/remote/serve.go
@@ -147,7 +147,7 @@
 		return rq, Result{}, codes.New(codes.BadRequest, "%v", merry.Prepend(err, "forwarded call"))
 	}
 	if !rq.Cause.Known() {
-		rq.Cause = ""
+		rq.Cause = "" // the cause is a label of a metric, whose values must be few
 	}
 	if !pe.cfg.StoreReachable() {
 		return rq, Result{}, codes.New(codes.StoreUnavailable, "the host that the call was forwarded to can't reach the store either").WithRetryAfter(storeRetryAfter)
