peers: say which failures the tests guard against

Eight tests of package peers had a name but no head, so that a reader of a failure had to infer from the checks what went wrong. Each head now names the failures in two or three lines; the tests themselves are unchanged.

--- a/internal/peers/http_test.go
+++ b/internal/peers/http_test.go
@@ -16,6 +16,8 @@
 	"github.com/cicadawharf/cicadawharf/internal/wire"
 )
 
+// TestHTTPBetweenHosts guards against bodies that are corrupted on the way to
+// another host or that count as control traffic.
 func TestHTTPBetweenHosts(t *testing.T) {
 	inBubble(t, func(t *testing.T, nw *network) {
 		is := is.New(t)
@@ -51,6 +53,8 @@
 	})
 }
 
+// TestHTTPToSelf guards against a host that can't open an HTTP connection to
+// itself, since it has no session with itself.
 func TestHTTPToSelf(t *testing.T) {
 	is := is.New(t)
 	ms := peers.New(peers.Config{Self: func() peers.Member { return peers.Member{Name: "a"} }})
--- a/internal/peers/mesh_test.go
+++ b/internal/peers/mesh_test.go
@@ -43,6 +43,9 @@
 	}
 }
 
+// TestDiscoveryThroughOneSeed guards against hosts that know only their seed and
+// not the other hosts that it knows, and against calls that fail between hosts
+// that found each other through it.
 func TestDiscoveryThroughOneSeed(t *testing.T) {
 	inBubble(t, func(t *testing.T, nw *network) {
 		is := is.New(t)
@@ -64,6 +67,9 @@
 	})
 }
 
+// TestCallErrors guards against a caller that can't tell a rejected call from one
+// that was not sent or has an unknown outcome, and against a handler that gets
+// more time than the caller has.
 func TestCallErrors(t *testing.T) {
 	inBubble(t, func(t *testing.T, nw *network) {
 		is := is.New(t)
@@ -207,6 +213,8 @@
 	})
 }
 
+// TestDrainingIsAnnounced guards against hosts that learn only by a later
+// heartbeat, or never, that another host is draining.
 func TestDrainingIsAnnounced(t *testing.T) {
 	inBubble(t, func(t *testing.T, nw *network) {
 		is := is.New(t)
@@ -220,6 +228,8 @@
 	})
 }
 
+// TestDrainingEndpointsReachZoneHosts guards against draining endpoints that other
+// hosts of the zone don't learn, or that hosts of other zones receive.
 func TestDrainingEndpointsReachZoneHosts(t *testing.T) {
 	inBubble(t, func(t *testing.T, nw *network) {
 		is := is.New(t)
--- a/internal/peers/roster_test.go
+++ b/internal/peers/roster_test.go
@@ -28,6 +28,9 @@
 	})
 }
 
+// TestRoster checks which updates the roster accepts, and how long a host stays
+// alive and known without them. It guards against gossip that makes a failed host
+// alive and against an older incarnation that replaces a newer one.
 func TestRoster(t *testing.T) {
 	is := is.New(t)
 	ro := newRoster()
@@ -114,6 +117,8 @@
 	})
 }
 
+// TestGossipRotates guards against gossip that repeats the same hosts, or lists the
+// recipient or hosts that are not alive.
 func TestGossipRotates(t *testing.T) {
 	is := is.New(t)
 	ro := newRoster()
