remote: name durations by what they are

Two functions of package remote called their argument span while their comments spoke of a delay and of the time of an attempt, and the jitter of package peers calls it delay. The arguments are now delay and timeout.

--- a/internal/remote/register.go
+++ b/internal/remote/register.go
@@ -136,6 +136,6 @@
 
 // jitter returns 90 to 110 per cent of a delay, at random, so that hosts that
 // started together don't call the store at the same time.
-func jitter(span time.Duration) time.Duration {
-	return time.Duration(float64(span) * (0.9 + 0.2*rand.Float64()))
+func jitter(delay time.Duration) time.Duration {
+	return time.Duration(float64(delay) * (0.9 + 0.2*rand.Float64()))
 }
--- a/internal/remote/times.go
+++ b/internal/remote/times.go
@@ -45,6 +45,8 @@
 	}
 }
 
-// remoteTimeout returns how much of span, the time of an attempt, the other
+// remoteTimeout returns how much of timeout, that of an attempt, the other
 // host may use.
-func remoteTimeout(span time.Duration) time.Duration { return max(span-responseMargin, span/2) }
+func remoteTimeout(timeout time.Duration) time.Duration {
+	return max(timeout-responseMargin, timeout/2)
+}
