Log a zone's terms in the words of the domain's log

The zone's scheduler logged "scheduler begins", "scheduler ends" and "scheduler resigns" where the domain's scheduler and docs/OPERATIONS.md say "term started", "term ended" and "leader resigns" for the same events. The zone now says the latter; event values and keys stay, and OPERATIONS.md was right already.

TestFrozenScheduler matches the new text of the same line, with its closing quote, so "term ended: jobs could not be loaded" does not match.

The tests of internal/zone and test/pages and those of test/procs that match Frozen passed.

--- a/internal/zone/elect.go
+++ b/internal/zone/elect.go
@@ -166,7 +166,7 @@
 		return
 	}
 	zo.startTerm(termCtx, bs, rcs, epoch, resign)
-	log.Info("scheduler begins", "event", "elect", "jobs", len(rcs))
+	log.Info("term started", "event", "elect", "jobs", len(rcs))
 	zo.loop(ctx, termCtx)
 	if ctx.Err() != nil {
 		zo.flushWrites(termCtx)
@@ -174,7 +174,7 @@
 	resign()
 	zo.endTerm()
 	zo.revoke(lease)
-	log.Info("scheduler ends", "event", "elect")
+	log.Info("term ended", "event", "elect")
 }
 
 // startTerm creates the core of a term.
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -246,7 +246,7 @@
 	case sched.Decision:
 		zo.logDecision(ef)
 	case sched.Resign:
-		zo.cfg.Log.Warn("scheduler resigns", "event", "resign", "zone", zo.cfg.Zone, "reason", ef.Reason)
+		zo.cfg.Log.Warn("leader resigns", "event", "resign", "zone", zo.cfg.Zone, "reason", ef.Reason)
 		zo.resign()
 	}
 }
@@ -282,7 +282,7 @@
 	defer zo.mu.Unlock()
 	zo.maxEpoch = max(zo.maxEpoch, le.Epoch)
 	if zo.core != nil && le.Epoch > zo.leader.Epoch {
-		zo.cfg.Log.Warn("scheduler resigns", "event", "resign", "zone", zo.cfg.Zone, "reason", "a peer has seen a larger epoch")
+		zo.cfg.Log.Warn("leader resigns", "event", "resign", "zone", zo.cfg.Zone, "reason", "a peer has seen a larger epoch")
 		zo.resign()
 		return
 	}
--- a/test/procs/frozen_test.go
+++ b/test/procs/frozen_test.go
@@ -83,8 +83,8 @@
 	frozen.signal(t, syscall.SIGCONT)
 
 	eventually(t, "the old scheduler gives up its role", func() error {
-		if !frozen.logContains("event=resign") || !frozen.logContains(`msg="scheduler ends"`) {
-			return errors.New("the old scheduler has not logged that it ends")
+		if !frozen.logContains("event=resign") || !frozen.logContains(`msg="term ended"`) {
+			return errors.New("the old scheduler has not logged the end of its term")
 		}
 		return nil
 	})
