Name the leader, the declarations' revision and a job ID's suffix

ArchiveConfig.IsScheduler holds Zone.IsLeader, Member.ConfigRevision the revision of the declarations, and jobName returned the part of a job's ID after the zone. They are now IsLeader, DeclarationsRevision and jobIDSuffix: jobID would say that the zone is included. The field config_revision on the wire stays.

Formatter and linters printed nothing. The tests of entry, peers, report, host and test/pages passed.

--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -150,7 +150,7 @@
 		return jobs.Spec{}, codes.New(codes.BadRequest, "a job with an idempotency key must name its zone, so that every entry host finds it")
 	}
 	return jobs.Spec{
-		ID: jobs.NewID(zone, ar.jobName()), Workspace: ar.hd.workspace, Caller: ar.hd.caller, Key: ar.hd.key,
+		ID: jobs.NewID(zone, ar.jobIDSuffix()), Workspace: ar.hd.workspace, Caller: ar.hd.caller, Key: ar.hd.key,
 		Shape: req.Shape, RunTime: runTime, Priority: priority,
 		Repeatable: *req.Repeatable, Checkpoint: req.Checkpoint, Command: req.Command, Then: then,
 	}, nil
@@ -184,10 +184,10 @@
 	return then, nil
 }
 
-// jobName returns the name of the job: a digest of workspace and idempotency
-// key, so that repeated submissions have the same ID, or a random one if there
-// is no key.
-func (ar *apiRequest) jobName() string {
+// jobIDSuffix returns the part of a job's ID after the zone: a digest of workspace
+// and idempotency key, so that repeated submissions have the same ID, or a random
+// UUID if there is no key.
+func (ar *apiRequest) jobIDSuffix() string {
 	if ar.hd.key == "" {
 		return uuid.NewString()
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -107,7 +107,7 @@
 		Account: ho.account, Copies: report.NewAccountStore(), Caller: ho.mesh, Members: ho.mesh.Members, Log: ho.log,
 	})
 	ho.archive = report.NewArchive(report.ArchiveConfig{
-		Store: ho.store, Zone: se.Host.Zone, Replicator: ho.replicator, IsScheduler: ho.zone.IsLeader, Location: ho.location, Log: ho.log,
+		Store: ho.store, Zone: se.Host.Zone, Replicator: ho.replicator, IsLeader: ho.zone.IsLeader, Location: ho.location, Log: ho.log,
 	})
 	ho.router = NewJobRouter(JobRouterConfig{Zone: se.Host.Zone, Local: ho.zone, Caller: ho.mesh, Members: ho.mesh.Members})
 	ho.server = entry.New(ho.entryConfig(cfg.HTTPListener))
@@ -190,7 +190,7 @@
 	me := peers.Member{
 		Name: ho.se.Host.Name, Zone: ho.se.Host.Zone, Region: ho.se.Host.Region,
 		PeerAddress: ho.se.Host.PeerAddress, HTTPAddress: ho.se.Host.HTTPAddress,
-		Incarnation: ho.incarnation, ConfigRevision: ho.follower.Revision(),
+		Incarnation: ho.incarnation, DeclarationsRevision: ho.follower.Revision(),
 		SchedulerEpoch: leader.Epoch, Scheduler: leader.Host,
 	}
 	if ho.server != nil {
--- a/internal/host/operate.go
+++ b/internal/host/operate.go
@@ -70,7 +70,7 @@
 	for {
 		var pending []string
 		for _, me := range op.ho.mesh.Members(time.Now()) {
-			if me.Name != op.ho.se.Host.Name && me.ConfigRevision < revision {
+			if me.Name != op.ho.se.Host.Name && me.DeclarationsRevision < revision {
 				pending = append(pending, me.Zone+"/"+me.Name)
 			}
 		}
@@ -114,7 +114,7 @@
 	statuses := map[string]client.ZoneStatus{}
 	for _, me := range op.ho.mesh.Members(now) {
 		st.Hosts = append(st.Hosts, client.HostStatus{
-			Name: me.Name, Zone: me.Zone, Address: me.HTTPAddress, Revision: me.ConfigRevision,
+			Name: me.Name, Zone: me.Zone, Address: me.HTTPAddress, Revision: me.DeclarationsRevision,
 			Ready: me.Ready, Leaving: me.Draining, Reachable: me.Alive,
 		})
 		zs := statuses[me.Zone]
--- a/internal/host/serve.go
+++ b/internal/host/serve.go
@@ -87,9 +87,9 @@
 // fetchNewerDeclarations requests declarations newer than a revision from the peer
 // with the largest revision. It returns nil, nil if no peer has newer ones.
 func (ho *Host) fetchNewerDeclarations(ctx context.Context, revision int64) (*conf.AcceptedFile, error) {
-	newest := peers.Member{ConfigRevision: revision}
+	newest := peers.Member{DeclarationsRevision: revision}
 	for _, me := range ho.mesh.Members(time.Now()) {
-		if me.Alive && me.ConfigRevision > newest.ConfigRevision {
+		if me.Alive && me.DeclarationsRevision > newest.DeclarationsRevision {
 			newest = me
 		}
 	}
--- a/internal/peers/fakenet_test.go
+++ b/internal/peers/fakenet_test.go
@@ -249,7 +249,7 @@
 	ho := &host{name: name, ended: make(chan error, 1)}
 	ho.self = peers.Member{
 		Name: name, Zone: zone, Region: "r", PeerAddress: name, HTTPAddress: "127.0.0.1:8080",
-		Incarnation: uint64(time.Now().UnixNano()), Ready: true, ConfigRevision: 12345, SchedulerEpoch: 77, Scheduler: zone + "/a",
+		Incarnation: uint64(time.Now().UnixNano()), Ready: true, DeclarationsRevision: 12345, SchedulerEpoch: 77, Scheduler: zone + "/a",
 	}
 	cfg := peers.Config{
 		Self: func() peers.Member {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -23,19 +23,19 @@
 
 // Member is an entry host as another one sees it.
 type Member struct {
-	Name           string
-	Zone           string
-	Region         string
-	PeerAddress    string
-	HTTPAddress    string
-	Incarnation    uint64    // start time of its process, nanoseconds since 1970
-	Ready          bool      // for callers' requests
-	Draining       bool      // is shutting down
-	ConfigRevision int64     // store revision of the configuration that it uses
-	SchedulerEpoch int64     // the largest epoch of its zone that it has seen
-	Scheduler      string    // name of the host that is the leader in that epoch
-	LastHeard      time.Time // of its last heartbeat; zero if there was none
-	Alive          bool      // not suspected
+	Name                 string
+	Zone                 string
+	Region               string
+	PeerAddress          string
+	HTTPAddress          string
+	Incarnation          uint64    // start time of its process, nanoseconds since 1970
+	Ready                bool      // for callers' requests
+	Draining             bool      // is shutting down
+	DeclarationsRevision int64     // store revision of the declarations that it uses
+	SchedulerEpoch       int64     // the largest epoch of its zone that it has seen
+	Scheduler            string    // name of the host that is the leader in that epoch
+	LastHeard            time.Time // of its last heartbeat; zero if there was none
+	Alive                bool      // not suspected
 }
 
 // Caller makes calls to other hosts. The error is a *codes.Error if the other
@@ -93,7 +93,7 @@
 	return &wire.Member{
 		Name: me.Name, Zone: me.Zone, Region: me.Region,
 		PeerAddress: me.PeerAddress, HttpAddress: me.HTTPAddress, Incarnation: me.Incarnation,
-		Ready: me.Ready, Leaving: me.Draining, ConfigRevision: me.ConfigRevision,
+		Ready: me.Ready, Leaving: me.Draining, ConfigRevision: me.DeclarationsRevision,
 		SchedulerEpoch: me.SchedulerEpoch, Scheduler: me.Scheduler,
 	}
 }
@@ -104,7 +104,7 @@
 	return Member{
 		Name: wm.GetName(), Zone: wm.GetZone(), Region: wm.GetRegion(),
 		PeerAddress: wm.GetPeerAddress(), HTTPAddress: wm.GetHttpAddress(), Incarnation: wm.GetIncarnation(),
-		Ready: wm.GetReady(), Draining: wm.GetLeaving(), ConfigRevision: wm.GetConfigRevision(),
+		Ready: wm.GetReady(), Draining: wm.GetLeaving(), DeclarationsRevision: wm.GetConfigRevision(),
 		SchedulerEpoch: wm.GetSchedulerEpoch(), Scheduler: wm.GetScheduler(),
 	}
 }
--- a/internal/peers/roster.go
+++ b/internal/peers/roster.go
@@ -177,11 +177,11 @@
 }
 
 // merged returns the member with the later of the two values of each field that
-// only grows during one incarnation (Draining, ConfigRevision and SchedulerEpoch),
-// because heartbeats over two sessions may arrive out of order.
+// only grows during one incarnation (Draining, DeclarationsRevision and
+// SchedulerEpoch), because heartbeats over two sessions may arrive out of order.
 func (me Member) merged(old Member) Member {
 	me.Draining = me.Draining || old.Draining
-	me.ConfigRevision = max(me.ConfigRevision, old.ConfigRevision)
+	me.DeclarationsRevision = max(me.DeclarationsRevision, old.DeclarationsRevision)
 	if me.SchedulerEpoch < old.SchedulerEpoch {
 		me.SchedulerEpoch = old.SchedulerEpoch
 		me.Scheduler = old.Scheduler
--- a/internal/peers/roster_test.go
+++ b/internal/peers/roster_test.go
@@ -36,7 +36,7 @@
 		me, _ := ro.Get(now, name)
 		return me.Alive
 	}
-	a := peers.Member{Name: "a", Zone: "z", Incarnation: 5, PeerAddress: "a:1", ConfigRevision: 3, SchedulerEpoch: 2, Scheduler: "a"}
+	a := peers.Member{Name: "a", Zone: "z", Incarnation: 5, PeerAddress: "a:1", DeclarationsRevision: 3, SchedulerEpoch: 2, Scheduler: "a"}
 
 	is.Equal(ro.RecordHeartbeat(at(0), peers.Member{Name: "self"}), peers.Ignored)
 	is.Equal(ro.RecordHeartbeat(at(0), peers.Member{}), peers.Ignored)
@@ -57,7 +57,7 @@
 
 	older, newer := a, a
 	older.Incarnation, newer.Incarnation = 4, 6
-	newer.ConfigRevision = 0
+	newer.DeclarationsRevision = 0
 	is.Equal(ro.RecordHeartbeat(at(3), older), peers.Ignored)
 	is.Equal(ro.RecordGossip(at(3), older), peers.Ignored)
 	is.Equal(ro.RecordGossip(at(3), newer), peers.Added)
@@ -65,7 +65,7 @@
 	is.Equal(ro.RecordHeartbeat(at(3), newer), peers.Added)
 	me, _ = ro.Get(at(3), "a")
 	is.True(me.Alive && !me.Draining)
-	is.Equal(me.ConfigRevision, int64(0))
+	is.Equal(me.DeclarationsRevision, int64(0))
 
 	far := peers.Member{Name: "b", Zone: "other", PeerAddress: "b:1"}
 	ro.RecordHeartbeat(at(3), far)
@@ -90,7 +90,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "millis")) * time.Millisecond)
 			me := peers.Member{
 				Name: "a", Zone: "z", Incarnation: uint64(rapid.IntRange(1, 3).Draw(rt, "incarnation")),
-				Draining: rapid.Bool().Draw(rt, "draining"), ConfigRevision: int64(rapid.IntRange(0, 9).Draw(rt, "revision")),
+				Draining: rapid.Bool().Draw(rt, "draining"), DeclarationsRevision: int64(rapid.IntRange(0, 9).Draw(rt, "revision")),
 			}
 			byHeartbeat := rapid.Bool().Draw(rt, "heard")
 			if byHeartbeat {
@@ -103,7 +103,7 @@
 			is.True(got.Incarnation >= best.Incarnation)
 			is.True(got.Incarnation >= me.Incarnation)
 			if got.Incarnation == best.Incarnation {
-				is.True(got.ConfigRevision >= best.ConfigRevision)
+				is.True(got.DeclarationsRevision >= best.DeclarationsRevision)
 				is.True(got.Draining || !best.Draining)
 			}
 			if byHeartbeat && me.Incarnation == got.Incarnation {
--- a/internal/report/archive.go
+++ b/internal/report/archive.go
@@ -17,20 +17,20 @@
 type (
 	// ArchiveConfig configures an Archive.
 	ArchiveConfig struct {
-		Store       store.Store
-		Zone        string
-		Replicator  *Replicator
-		IsScheduler func() bool           // whether this host is the zone's scheduler
-		Location    func() *time.Location // time zone of the days
-		Every       time.Duration         // interval of writes; ArchiveEvery if zero
-		Log         *slog.Logger
+		Store      store.Store
+		Zone       string
+		Replicator *Replicator
+		IsLeader   func() bool           // whether this host is the zone's leader
+		Location   func() *time.Location // time zone of the days
+		Every      time.Duration         // interval of writes; ArchiveEvery if zero
+		Log        *slog.Logger
 	}
 
 	// Archive saves the accounts of a zone's hosts in the platform's store, one
 	// value per day, so that losing all hosts of the zone loses at most one
-	// interval of counters. Only the host that is the zone's scheduler writes,
+	// interval of counters. Only the host that is the zone's leader writes,
 	// so the number of calls doesn't grow with hosts or work. Two hosts that
-	// both consider themselves the scheduler do no harm, since a value is only
+	// both consider themselves the leader do no harm, since a value is only
 	// replaced by a merge of itself with other accounts.
 	Archive struct {
 		cfg ArchiveConfig
@@ -62,7 +62,7 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			if !ar.cfg.IsScheduler() {
+			if !ar.cfg.IsLeader() {
 				continue
 			}
 			if err := ar.Save(ctx, now); err != nil {
