Call the stop setting a timeout and give the memory setting its unit

setup.Stop.Bound holds a timeout, and setup.Domain.Memory a number whose unit only its comment told. They are now Stop.Timeout, with DefaultStopTimeout, and Domain.MemoryMiB. The tags `bound` and `memoryMegabytes` and the log key `bound` stay. Comments of entry name the setting anew, and its timer is called timeout.

--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -47,8 +47,8 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1) // the CPU quota of a host is less than one core
-	if se.Memory > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(se.Memory) * megabyte))
+	if se.MemoryMiB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(se.MemoryMiB) * megabyte))
 	}
 	wr := logbuf.New(logbuf.Config{To: out})
 	defer wr.Close(logFlushTimeout)
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -92,7 +92,7 @@
 			Requests: 1000, HeaderBytes: 16 << 10, BodyBytes: 4 << 20,
 			ReadTimeout: 2 * time.Second, QueueTime: 2 * time.Second,
 		},
-		Stop:         setup.Stop{Delay: 50 * time.Millisecond, Bound: 10 * time.Second},
+		Stop:         setup.Stop{Delay: 50 * time.Millisecond, Timeout: 10 * time.Second},
 		Declarations: func() (*spec.Declarations, int64) { return de, 1 },
 		Endpoints:    func() []plat.Host { return listed },
 		Members:      func(time.Time) []peers.Member { return nil },
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -110,7 +110,7 @@
 
 // Run serves until ctx ends, then stops gracefully and returns nil: it reports
 // not ready, keeps serving for Stop.Delay, then refuses new requests, and
-// returns when all requests in progress have ended or Stop.Bound has passed. It
+// returns when all requests in progress have ended or Stop.Timeout has passed. It
 // returns an error if a listener fails.
 func (sr *Server) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -164,13 +164,13 @@
 	sr.cfg.Log.Info("not ready", "event", "stop", "delay", sr.cfg.Stop.Delay)
 	time.Sleep(sr.cfg.Stop.Delay)
 	sr.cfg.Log.Info("refusing new requests", "event", "stop", "inProgress", sr.inProgress.stop())
-	bound := time.NewTimer(sr.cfg.Stop.Bound)
-	defer bound.Stop()
+	timeout := time.NewTimer(sr.cfg.Stop.Timeout)
+	defer timeout.Stop()
 	select {
 	case <-sr.inProgress.idle:
 		sr.cfg.Log.Info("all requests finished", "event", "stop")
-	case <-bound.C:
-		sr.cfg.Log.Error("requests aborted at the stop deadline", "event", "stop", "bound", sr.cfg.Stop.Bound, "inProgress", sr.inProgress.count())
+	case <-timeout.C:
+		sr.cfg.Log.Error("requests aborted at the stop deadline", "event", "stop", "bound", sr.cfg.Stop.Timeout, "inProgress", sr.inProgress.count())
 	}
 }
 
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -92,10 +92,10 @@
 }
 
 // TestStopIsBounded stops a host while an endpoint does not respond. The stop must
-// not wait for the request longer than Stop.Bound allows.
+// not wait for the request longer than Stop.Timeout allows.
 func TestStopIsBounded(t *testing.T) {
 	is := is.New(t)
-	th := newTestHost(t, 1, func(cfg *entry.Config, _ *spec.Declarations) { cfg.Stop.Bound = 200 * time.Millisecond })
+	th := newTestHost(t, 1, func(cfg *entry.Config, _ *spec.Declarations) { cfg.Stop.Timeout = 200 * time.Millisecond })
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/load/children_test.go
+++ b/internal/load/children_test.go
@@ -112,7 +112,7 @@
 			Requests: setup.DefaultRequests, HeaderBytes: setup.DefaultHeaderBytes, BodyBytes: setup.DefaultBodyBytes,
 			ReadTimeout: setup.DefaultReadTimeout, QueueTime: setup.DefaultQueueTime,
 		},
-		Stop: setup.Stop{Bound: time.Second},
+		Stop: setup.Stop{Timeout: time.Second},
 	}
 }
 
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -144,7 +144,7 @@
 			Requests: setup.DefaultRequests, HeaderBytes: setup.DefaultHeaderBytes, BodyBytes: setup.DefaultBodyBytes,
 			ReadTimeout: setup.DefaultReadTimeout, QueueTime: setup.DefaultQueueTime,
 		},
-		Stop: setup.Stop{Delay: 0, Bound: stopTimeout},
+		Stop: setup.Stop{Delay: 0, Timeout: stopTimeout},
 	}
 }
 
--- a/internal/setup/domain.go
+++ b/internal/setup/domain.go
@@ -17,7 +17,7 @@
 		Advice    Advice      `yaml:"advice"`
 		Machines  Machines    `yaml:"machines"`
 		Log       Log         `yaml:"log"`
-		Memory    int         `yaml:"memoryMegabytes"` // memory limit of the process, MiB; zero for no limit
+		MemoryMiB int         `yaml:"memoryMegabytes"` // memory limit of the process, MiB; zero for no limit
 		Processor Processor   `yaml:"processor"`
 		Timing    Timing      `yaml:"timing"`
 
@@ -136,7 +136,7 @@
 		checkAddress(doc, "$.machines.address", do.Machines.Address)
 	}
 	checkLevel(doc, do.Log.Level)
-	if do.Memory < 0 || do.Memory > maxMemoryMiB {
+	if do.MemoryMiB < 0 || do.MemoryMiB > maxMemoryMiB {
 		doc.Report("$.memoryMegabytes", "memoryMegabytes must be between 0 and %d", maxMemoryMiB)
 	}
 	if do.Processor.Share <= 0 || do.Processor.Share > 1 {
--- a/internal/setup/parse.go
+++ b/internal/setup/parse.go
@@ -23,7 +23,7 @@
 	DefaultReadTimeout  = 10 * time.Second
 	DefaultQueueTime    = time.Second
 	DefaultStopDelay    = 5 * time.Second
-	DefaultStopBound    = 60 * time.Second
+	DefaultStopTimeout  = 60 * time.Second
 )
 
 // The upper limits of the settings of an entry host.
@@ -69,7 +69,7 @@
 			ReadTimeout: DefaultReadTimeout,
 			QueueTime:   DefaultQueueTime,
 		},
-		Stop: Stop{Delay: DefaultStopDelay, Bound: DefaultStopBound},
+		Stop: Stop{Delay: DefaultStopDelay, Timeout: DefaultStopTimeout},
 	}
 }
 
@@ -89,7 +89,7 @@
 	checkLevel(doc, se.Log.Level)
 	checkLimits(doc, se.Limits)
 	checkDuration(doc, "$.stop.delay", se.Stop.Delay, 0)
-	checkDuration(doc, "$.stop.bound", se.Stop.Bound, 1)
+	checkDuration(doc, "$.stop.bound", se.Stop.Timeout, 1)
 }
 
 func checkLevel(doc *strict.Document, level string) {
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -46,6 +46,6 @@
 
 // Stop configures the graceful shutdown.
 type Stop struct {
-	Delay time.Duration `yaml:"delay"` // between becoming unready and rejecting new work
-	Bound time.Duration `yaml:"bound"` // timeout for requests in progress to finish
+	Delay   time.Duration `yaml:"delay"` // between becoming unready and rejecting new work
+	Timeout time.Duration `yaml:"bound"` // timeout for requests in progress to finish
 }
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -29,7 +29,7 @@
 	is.NoErr(err)
 	is.Equal(se.Host.Name, "entry-centro-1a")
 	is.Equal(len(se.Seeds), 3)
-	is.Equal(se.Stop.Bound, time.Minute)
+	is.Equal(se.Stop.Timeout, time.Minute)
 }
 
 func TestLoadMissingFile(t *testing.T) {
@@ -48,7 +48,7 @@
 		Requests: setup.DefaultRequests, HeaderBytes: setup.DefaultHeaderBytes, BodyBytes: setup.DefaultBodyBytes,
 		ReadTimeout: setup.DefaultReadTimeout, QueueTime: setup.DefaultQueueTime,
 	})
-	is.Equal(se.Stop, setup.Stop{Delay: setup.DefaultStopDelay, Bound: setup.DefaultStopBound})
+	is.Equal(se.Stop, setup.Stop{Delay: setup.DefaultStopDelay, Timeout: setup.DefaultStopTimeout})
 }
 
 // TestParseFaults makes one error at a time in a valid file and guards against
--- a/test/size/main_test.go
+++ b/test/size/main_test.go
@@ -157,6 +157,6 @@
 			Requests: setup.DefaultRequests, HeaderBytes: setup.DefaultHeaderBytes, BodyBytes: setup.DefaultBodyBytes,
 			ReadTimeout: setup.DefaultReadTimeout, QueueTime: setup.DefaultQueueTime,
 		},
-		Stop: setup.Stop{Bound: time.Second},
+		Stop: setup.Stop{Timeout: time.Second},
 	}
 }
