Name the time to live of a claim as such

claim.Config.Expiry held a time to live, not a time of expiry. It is now TTL, its default DefaultTTL, and the field of Table follows as ttl. The key under which a claim's expiry is stored stays.

The tests of claim, entry and host passed, and those of load with -short.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -30,7 +30,7 @@
 	Config struct {
 		Store           store.Store
 		Host            string        // name of this entry host
-		Expiry          time.Duration // time to live of a claim
+		TTL             time.Duration // time to live of a claim
 		MaxBatchWait    time.Duration // longest wait of a claim for its batch
 		MaxOutcomeWait  time.Duration // longest wait of an outcome for a batch
 		Buckets         int           // must be the same on all hosts
@@ -53,7 +53,7 @@
 	Table struct {
 		st             store.Store
 		host           string
-		expiry         time.Duration
+		ttl            time.Duration
 		maxBatchWait   time.Duration
 		maxOutcomeWait time.Duration
 		limiter        *rate.Limiter
@@ -87,7 +87,7 @@
 
 // Defaults for the fields of Config that aren't set.
 const (
-	DefaultExpiry          = 10 * time.Minute
+	DefaultTTL             = 10 * time.Minute
 	DefaultMaxBatchWait    = 25 * time.Millisecond
 	DefaultMaxOutcomeWait  = 10 * time.Second
 	DefaultBuckets         = 64
@@ -110,7 +110,7 @@
 func New(cf Config) *Table {
 	tb := &Table{
 		st: cf.Store, host: cf.Host, clock: cf.Clock, log: cf.Log,
-		expiry:         orDefault(cf.Expiry, DefaultExpiry),
+		ttl:            orDefault(cf.TTL, DefaultTTL),
 		maxBatchWait:   orDefault(cf.MaxBatchWait, DefaultMaxBatchWait),
 		maxOutcomeWait: orDefault(cf.MaxOutcomeWait, DefaultMaxOutcomeWait),
 		limiter:        rate.NewLimiter(rate.Limit(orDefault(cf.WritesPerSecond, DefaultWritesPerSecond)), 1),
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -110,7 +110,7 @@
 	sv := kvsim.Start(t, kvsim.Config{})
 	acquire := func(at time.Duration, key string) *claim.Claim {
 		ho := start(t, sv, claim.Config{
-			Host: "h1", Expiry: time.Hour, Buckets: 1,
+			Host: "h1", TTL: time.Hour, Buckets: 1,
 			Clock: func() time.Time { return time.Now().Add(at) },
 		})
 		defer ho.stop()
--- a/internal/claim/flush.go
+++ b/internal/claim/flush.go
@@ -281,6 +281,6 @@
 	return record{
 		Digest:  shortHash(pc.claim.Digest),
 		Holder:  tb.holder(pc.claim),
-		Expires: tb.clock().Add(tb.expiry).Unix(),
+		Expires: tb.clock().Add(tb.ttl).Unix(),
 	}
 }
