Call the sender of a worker call the leader

worker.Request.Holder names the host that leads the zone, which the code elsewhere calls the leader. The field is now Leader; its JSON name `holder` stays, and so does the key of the same name in the debug line of the simulated worker.

The tests of worker, zone and wksim passed.

--- a/internal/fakes/wksim/handler.go
+++ b/internal/fakes/wksim/handler.go
@@ -78,7 +78,7 @@
 	if sv.table.version != version || sv.table.epoch != epoch {
 		sv.broadcast()
 	}
-	sv.cfg.Log.Debug("worker call", "worker", sv.cfg.Name, "holder", req.Holder,
+	sv.cfg.Log.Debug("worker call", "worker", sv.cfg.Name, "holder", req.Leader,
 		"epoch", req.Epoch, "commands", len(req.Commands), "version", reply.Version, "error", err)
 	return outcome{reply: reply, err: err}
 }
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -51,7 +51,7 @@
 // Wait for the table to differ from Version. Durations are in nanoseconds.
 type Request struct {
 	Epoch       int64         `json:"epoch"`
-	Holder      string        `json:"holder"`         // name of the calling host, for the worker's log
+	Leader      string        `json:"holder"`         // name of the calling host, for the worker's log
 	Version     int64         `json:"version"`        // of the table that the scheduler has; -1 if it has none
 	Incarnation string        `json:"boot,omitempty"` // to which Sent refers; empty before the first reply
 	Sent        time.Duration `json:"sent,omitempty"` // the worker's clock when the call was sent, or earlier
--- a/internal/zone/calls.go
+++ b/internal/zone/calls.go
@@ -99,7 +99,7 @@
 	incarnation := ""
 	for ctx.Err() == nil {
 		rq := worker.Request{
-			Epoch: wc.epoch, Holder: wc.zone.cfg.Host, Version: version,
+			Epoch: wc.epoch, Leader: wc.zone.cfg.Host, Version: version,
 			Wait: sched.RenewEvery, Lease: sched.TaskLease,
 		}
 		if version < 0 {
@@ -127,7 +127,7 @@
 		ctx, cancel := context.WithTimeout(wc.ctx, commandTimeout)
 		defer cancel()
 		rq := worker.Request{
-			Epoch: wc.epoch, Holder: wc.zone.cfg.Host, Version: -1,
+			Epoch: wc.epoch, Leader: wc.zone.cfg.Host, Version: -1,
 			Lease: sched.TaskLease, Commands: ef.Commands,
 		}
 		wa := workerAddress{name: ef.Worker, address: ef.Address}
