Name what orders, simulated endpoints and fleets do

maint.Client.Upkeep sends an Order, epsim's Leave sets the state that the platform's contract calls draining, and runsim's lapsedAt holds when a lease expired. They are now SendOrder, Drain with DrainPath, and expiredAt. The path /standin/leave stays, and so does the log line "endpoint leaving". The handler and the test of the order's errors follow their methods' names.

--- a/internal/drive/waves.go
+++ b/internal/drive/waves.go
@@ -197,7 +197,7 @@
 func (wd *waveDriver) sendOrder(ef maint.Order) {
 	ctx, cancel := context.WithTimeout(wd.ctx, machineTimeout)
 	defer cancel()
-	wd.send(maint.OrderCompleted{Order: ef, Err: wd.cfg.Machines.Upkeep(ctx, ef, wd.cfg.Host, int64(wd.token))})
+	wd.send(maint.OrderCompleted{Order: ef, Err: wd.cfg.Machines.SendOrder(ctx, ef, wd.cfg.Host, int64(wd.token))})
 }
 
 // report queues a write of a wave's status. If the wave is completed, the write
--- a/internal/drive/waves_test.go
+++ b/internal/drive/waves_test.go
@@ -61,7 +61,7 @@
 	return mas, nil
 }
 
-func (fm *fakeMachines) Upkeep(_ context.Context, or maint.Order, _ string, _ int64) error {
+func (fm *fakeMachines) SendOrder(_ context.Context, or maint.Order, _ string, _ int64) error {
 	fm.mu.Lock()
 	defer fm.mu.Unlock()
 	if fm.ordered[or.Machine] {
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -213,7 +213,7 @@
 func TestKeyIsReusableAfterNotRun(t *testing.T) {
 	is := is.New(t)
 	th := newTestHost(t, 1, nil)
-	th.endpoints[0].Leave()
+	th.endpoints[0].Drain()
 	keyed := []string{client.HeaderRepeatable, "false", client.HeaderKey, "k1"}
 	re, err := th.order(keyed...)
 	is.NoErr(err)
@@ -238,7 +238,7 @@
 	if draining.SlotsInUse() == 0 {
 		draining, other = other, draining
 	}
-	draining.Leave()
+	draining.Drain()
 	eventually(t, "the host knows of the draining endpoint", func() bool { return len(th.server.DrainingEndpoints()) == 1 })
 	before := len(draining.Runs())
 	for range 20 {
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -221,7 +221,7 @@
 	is.True(bytes > 500000 && bytes < 510000)
 
 	for _, ep := range far.endpoints {
-		ep.Leave()
+		ep.Drain()
 	}
 	eventually(t, "both endpoints drain", func() bool { return len(far.server.DrainingEndpoints()) == 2 })
 	re, err := near.order()
--- a/internal/fakes/epsim/epsim.go
+++ b/internal/fakes/epsim/epsim.go
@@ -82,9 +82,9 @@
 // Name returns the name of the endpoint.
 func (sv *Server) Name() string { return sv.cfg.Name }
 
-// Leave starts a graceful shutdown: new requests are refused, and every
+// Drain starts a graceful shutdown: new requests are refused, and every
 // response reports plat.StateDraining.
-func (sv *Server) Leave() {
+func (sv *Server) Drain() {
 	sv.draining.Store(true)
 	sv.cfg.Log.Info("endpoint leaving", "endpoint", sv.cfg.Name)
 }
--- a/internal/fakes/epsim/epsim_test.go
+++ b/internal/fakes/epsim/epsim_test.go
@@ -142,7 +142,7 @@
 	is.Equal(rs.header.Get(plat.HeaderRefused), plat.RefusedBusy)
 	is.Equal(rs.header.Get(plat.HeaderState), string(plat.StateLive))
 
-	is.Equal(ca.send(t.Context(), http.MethodPost, epsim.LeavePath, nil, nil).status, http.StatusNoContent)
+	is.Equal(ca.send(t.Context(), http.MethodPost, epsim.DrainPath, nil, nil).status, http.StatusNoContent)
 	rs = ca.send(t.Context(), http.MethodPost, "/", strings.NewReader("x"), nil)
 	is.Equal(rs.header.Get(plat.HeaderRefused), plat.RefusedDraining)
 	rs = ca.send(t.Context(), http.MethodGet, plat.ProbePath, nil, nil)
@@ -161,7 +161,7 @@
 	finished := make(chan response, 1)
 	go func() { finished <- ca.send(t.Context(), http.MethodPost, "/", body, nil) }()
 	waitFor(t, "slot in use", func() bool { return sv.SlotsInUse() == 1 })
-	sv.Leave()
+	sv.Drain()
 	_, err := sender.Write([]byte("x"))
 	is.NoErr(err)
 	is.NoErr(sender.Close())
--- a/internal/fakes/epsim/handler.go
+++ b/internal/fakes/epsim/handler.go
@@ -63,7 +63,7 @@
 const (
 	FaultsPath = "/standin/faults"
 	RunsPath   = "/standin/runs"
-	LeavePath  = "/standin/leave"
+	DrainPath  = "/standin/leave"
 )
 
 const (
@@ -75,7 +75,7 @@
 	rt := mux.NewRouter().SkipClean(true)
 	rt.HandleFunc(plat.ProbePath, sv.serveProbe)
 	rt.HandleFunc(RunsPath, sv.serveRuns).Methods(http.MethodGet)
-	rt.HandleFunc(LeavePath, sv.serveLeave).Methods(http.MethodPost)
+	rt.HandleFunc(DrainPath, sv.serveDrain).Methods(http.MethodPost)
 	rt.HandleFunc(FaultsPath, sv.serveFaults).Methods(http.MethodPost)
 	rt.PathPrefix("/").HandlerFunc(sv.serveRequest)
 	return rt
@@ -211,8 +211,8 @@
 	_ = json.NewEncoder(w).Encode(sv.Runs())
 }
 
-func (sv *Server) serveLeave(w http.ResponseWriter, _ *http.Request) {
-	sv.Leave()
+func (sv *Server) serveDrain(w http.ResponseWriter, _ *http.Request) {
+	sv.Drain()
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -71,7 +71,7 @@
 		ends         []runner.End         // not yet acknowledged, in order
 		lastNumber   int64                // of an end
 		endedAt      []time.Time          // times of ends
-		lapsedAt     time.Time            // when the last lease that wasn't renewed in time expired
+		expiredAt    time.Time            // when the last lease that wasn't renewed in time expired
 	}
 
 	// run is an attempt on a worker, running or waiting for its gang.
@@ -388,7 +388,7 @@
 		en, at := wo.ends[0], wo.endedAt[0]
 		wo.ends, wo.endedAt = wo.ends[1:], wo.endedAt[1:]
 		switch {
-		case !wo.lapsedAt.Before(at):
+		case !wo.expiredAt.Before(at):
 			// A lease expired after this end, so the scheduler that acknowledges
 			// it may have restarted the task in the meantime.
 		case en.Reason == runner.Succeeded:
@@ -537,7 +537,7 @@
 // never back and no further than maxLease from now.
 func (wo *worker) extendLease(now time.Time, deadline, maxLease time.Duration) {
 	if wo.deadline > 0 && now.After(wo.leaseEnd()) {
-		wo.lapsedAt = wo.leaseEnd()
+		wo.expiredAt = wo.leaseEnd()
 	}
 	wo.deadline = max(wo.deadline, min(deadline, wo.clock(now)+maxLease))
 }
--- a/internal/maint/event.go
+++ b/internal/maint/event.go
@@ -59,9 +59,9 @@
 	Client interface {
 		// Machines returns all machines.
 		Machines(ctx context.Context) ([]Machine, error)
-		// Upkeep sends an order on behalf of the leader, whose host is holder, with
-		// its fencing token. Its errors wrap one of the Err values.
-		Upkeep(ctx context.Context, or Order, holder string, token int64) error
+		// SendOrder sends an order on behalf of the leader, whose host is holder,
+		// with its fencing token. Its errors wrap one of the Err values.
+		SendOrder(ctx context.Context, or Order, holder string, token int64) error
 	}
 
 	// Event is an input of the core, one of the types below.
--- a/test/procs/endpoints_test.go
+++ b/test/procs/endpoints_test.go
@@ -288,7 +288,7 @@
 		}
 		return errors.New("no slow request runs")
 	})
-	rs, err := http.Post("http://"+address+epsim.LeavePath, "", nil)
+	rs, err := http.Post("http://"+address+epsim.DrainPath, "", nil)
 	is.NoErr(err)
 	is.NoErr(rs.Body.Close())
 	is.Equal(rs.StatusCode, http.StatusNoContent)
--- a/test/procs/spill_far_test.go
+++ b/test/procs/spill_far_test.go
@@ -18,7 +18,7 @@
 	eh := sy.servePuno(t)
 	awaitSpill(t, eh)
 	for _, address := range sy.endpoints[:endpointsPerZone] { // lima's
-		rs, err := http.Post("http://"+address+epsim.LeavePath, "", nil)
+		rs, err := http.Post("http://"+address+epsim.DrainPath, "", nil)
 		is.NoErr(err)
 		is.NoErr(rs.Body.Close())
 	}
