Say what the test of a malformed peer address checks

TestPeerAddress named the setting, not the failure that it guards against. It is now TestMalformedPeerAddressIsRejected; its checks stay as they were.

--- a/internal/setup/domain_test.go
+++ b/internal/setup/domain_test.go
@@ -53,9 +53,9 @@
 	}
 }
 
-// TestPeerAddress guards against a host that starts with a malformed peer
-// address, at which no other host could reach it.
-func TestPeerAddress(t *testing.T) {
+// TestMalformedPeerAddressIsRejected guards against a host that starts with a
+// malformed peer address, at which no other host could reach it.
+func TestMalformedPeerAddressIsRejected(t *testing.T) {
 	is := is.New(t)
 	do, err := setup.ParseDomain("settings", []byte(domainFile))
 	is.NoErr(err)
