zone: log the number of placements as candidates

The comment of logDecision named the log key losers, which does not exist, and the key from held the number of placements considered, which package entry logs as candidates.

--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -260,11 +260,12 @@
 	delete(zo.endWaits, id)
 }
 
-// logDecision logs a scheduling decision. The key from has the number of
-// placements considered, and losers why the others were rejected.
+// logDecision logs a scheduling decision. The key candidates has the number of
+// placements considered, and rejected how many of them were not chosen, by
+// reason.
 func (zo *Zone) logDecision(ld sched.LogDecision) {
 	zo.cfg.Log.Info("scheduling decision", "event", "place", "zone", zo.cfg.Zone, "decision", ld.Decision, "job", ld.Job,
-		"workspace", ld.Workspace, "attempt", ld.Attempt, "workers", ld.Workers, "from", ld.Candidates, "rejected", ld.Rejected,
+		"workspace", ld.Workspace, "attempt", ld.Attempt, "workers", ld.Workers, "candidates", ld.Candidates, "rejected", ld.Rejected,
 		"victims", ld.Victims, "reason", ld.Reason)
 }
 
