peers: name the limits for hosts of other zones OtherZone

Remote names another host in package remote, while the fields and constants of package peers meant a host of another availability zone. They are renamed to OtherZoneHeartbeatEvery, OtherZoneSuspectAfter, maxSameZoneBackoff and maxOtherZoneBackoff, a pure rename; no page below docs/ names them.

--- a/internal/peers/dial.go
+++ b/internal/peers/dial.go
@@ -23,11 +23,11 @@
 
 const (
 	// minBackoff is the pause after the first failure to connect. It doubles up to
-	// maxLocalBackoff for a host of this zone, and up to maxRemoteBackoff for
+	// maxSameZoneBackoff for a host of this zone, and up to maxOtherZoneBackoff for
 	// others and for those that are rejected.
-	minBackoff       = 100 * time.Millisecond
-	maxLocalBackoff  = time.Second
-	maxRemoteBackoff = 10 * time.Second
+	minBackoff          = 100 * time.Millisecond
+	maxSameZoneBackoff  = time.Second
+	maxOtherZoneBackoff = 10 * time.Second
 	// idleCheckInterval is the interval of checks whether this host should dial
 	// again, while it need not.
 	idleCheckInterval = 500 * time.Millisecond
@@ -79,11 +79,11 @@
 		}
 		switch {
 		case errors.Is(err, errSelf):
-			backoff = maxRemoteBackoff
+			backoff = maxOtherZoneBackoff
 		case errors.Is(err, errIgnored):
 			ms.cfg.Log.Warn("host rejected: it has no name or is of an older incarnation, or the roster is full",
 				"address", ta.address, "peer", ta.name)
-			backoff = maxRemoteBackoff
+			backoff = maxOtherZoneBackoff
 		}
 		if !pause.For(ctx, jitter(backoff)) {
 			return
@@ -228,9 +228,9 @@
 
 func (ms *Mesh) backoffLimit(ta *dialTarget) time.Duration {
 	if ta.zone == ms.zone {
-		return maxLocalBackoff
+		return maxSameZoneBackoff
 	}
-	return maxRemoteBackoff
+	return maxOtherZoneBackoff
 }
 
 // jitter returns 90 to 110 per cent of a delay, at random, so that hosts that
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -62,7 +62,7 @@
 		return nil, err
 	}
 	li := &link{mesh: ms, sess: sess, dialled: dialled, callSlots: make(chan struct{}, maxLinkCalls)}
-	li.watchdog = time.AfterFunc(ms.cfg.RemoteSuspectAfter, li.expire)
+	li.watchdog = time.AfterFunc(ms.cfg.OtherZoneSuspectAfter, li.expire)
 	return li, nil
 }
 
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -29,11 +29,11 @@
 		Dial          func(ctx context.Context, address string) (net.Conn, error)
 		Seeds         []string // peer addresses, never forgotten
 
-		HeartbeatEvery       time.Duration // to hosts of this availability zone
-		RemoteHeartbeatEvery time.Duration // to hosts of other availability zones
-		SuspectAfter         time.Duration // time without heartbeats of a host of this zone
-		RemoteSuspectAfter   time.Duration // time without heartbeats of a host of another zone
-		ForgetAfter          time.Duration // time without heartbeats and gossip
+		HeartbeatEvery          time.Duration // to hosts of this availability zone
+		OtherZoneHeartbeatEvery time.Duration // to hosts of other availability zones
+		SuspectAfter            time.Duration // time without heartbeats of a host of this zone
+		OtherZoneSuspectAfter   time.Duration // time without heartbeats of a host of another zone
+		ForgetAfter             time.Duration // time without heartbeats and gossip
 
 		// DrainingEndpoints returns the names of the zone's endpoints that have
 		// announced to this host that they are draining. OnDrainingEndpoints receives
@@ -75,11 +75,11 @@
 )
 
 const (
-	defaultHeartbeatEvery       = 500 * time.Millisecond
-	defaultRemoteHeartbeatEvery = 2 * time.Second
-	defaultSuspectAfter         = 2 * time.Second
-	defaultRemoteSuspectAfter   = 8 * time.Second
-	defaultForgetAfter          = 10 * time.Minute
+	defaultHeartbeatEvery          = 500 * time.Millisecond
+	defaultOtherZoneHeartbeatEvery = 2 * time.Second
+	defaultSuspectAfter            = 2 * time.Second
+	defaultOtherZoneSuspectAfter   = 8 * time.Second
+	defaultForgetAfter             = 10 * time.Minute
 
 	forgetInterval   = time.Second
 	maxInbound       = 2048 // sessions that others have dialled
@@ -108,7 +108,7 @@
 		handlers:     make(map[string]RawHandler),
 		roster: NewRoster(RosterConfig{
 			Self: self.Name, Zone: self.Zone,
-			SuspectAfter: cfg.SuspectAfter, RemoteSuspectAfter: cfg.RemoteSuspectAfter,
+			SuspectAfter: cfg.SuspectAfter, OtherZoneSuspectAfter: cfg.OtherZoneSuspectAfter,
 			ForgetAfter: cfg.ForgetAfter,
 		}),
 		links:   make(map[string][]*link),
@@ -178,9 +178,9 @@
 // withDefaults returns the configuration with defaults in place of zero values.
 func (cfg Config) withDefaults() Config {
 	setDefault(&cfg.HeartbeatEvery, defaultHeartbeatEvery)
-	setDefault(&cfg.RemoteHeartbeatEvery, defaultRemoteHeartbeatEvery)
+	setDefault(&cfg.OtherZoneHeartbeatEvery, defaultOtherZoneHeartbeatEvery)
 	setDefault(&cfg.SuspectAfter, defaultSuspectAfter)
-	setDefault(&cfg.RemoteSuspectAfter, defaultRemoteSuspectAfter)
+	setDefault(&cfg.OtherZoneSuspectAfter, defaultOtherZoneSuspectAfter)
 	setDefault(&cfg.ForgetAfter, defaultForgetAfter)
 	if cfg.Dial == nil {
 		var dr net.Dialer
@@ -259,5 +259,5 @@
 	if zone == ms.zone {
 		return ms.cfg.HeartbeatEvery
 	}
-	return ms.cfg.RemoteHeartbeatEvery
+	return ms.cfg.OtherZoneHeartbeatEvery
 }
--- a/internal/peers/roster.go
+++ b/internal/peers/roster.go
@@ -10,11 +10,11 @@
 type (
 	// RosterConfig configures a Roster.
 	RosterConfig struct {
-		Self               string // name of this host, which never has an entry
-		Zone               string // of this host
-		SuspectAfter       time.Duration
-		RemoteSuspectAfter time.Duration // for hosts of other availability zones
-		ForgetAfter        time.Duration // time without an update
+		Self                  string // name of this host, which never has an entry
+		Zone                  string // of this host
+		SuspectAfter          time.Duration
+		OtherZoneSuspectAfter time.Duration // for hosts of other availability zones
+		ForgetAfter           time.Duration // time without an update
 	}
 
 	// Roster holds the other hosts that one host knows. It depends only on its
@@ -62,7 +62,7 @@
 	if zone == ro.cfg.Zone {
 		return ro.cfg.SuspectAfter
 	}
-	return ro.cfg.RemoteSuspectAfter
+	return ro.cfg.OtherZoneSuspectAfter
 }
 
 // RecordHeartbeat records a host's own heartbeat, which makes it alive unless
--- a/internal/peers/roster_test.go
+++ b/internal/peers/roster_test.go
@@ -24,7 +24,7 @@
 
 func newRoster() *peers.Roster {
 	return peers.NewRoster(peers.RosterConfig{
-		Self: "self", Zone: "z", SuspectAfter: 2 * time.Second, RemoteSuspectAfter: 8 * time.Second, ForgetAfter: time.Minute,
+		Self: "self", Zone: "z", SuspectAfter: 2 * time.Second, OtherZoneSuspectAfter: 8 * time.Second, ForgetAfter: time.Minute,
 	})
 }
 
