member: rename Config.Operators to OperatorHandler

The field Operators held an http.Handler, while its name says that it holds operators. It is now OperatorHandler, with its use in cmd/cicadawharf; a pure rename.

--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -88,7 +88,7 @@
 	return member.New(member.Config{
 		Settings: se, Scheduler: drive.New(time.Now(), dc), Intake: in, Log: log, Readiness: platform.Ready,
 		Callers: fr, Remote: pe, Forwarded: fr,
-		Operators: admin.New(admin.Config{Host: se.Host.Name, Store: st, Layout: layout, Log: log}),
+		OperatorHandler: admin.New(admin.Config{Host: se.Host.Name, Store: st, Layout: layout, Log: log}),
 	})
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -26,15 +26,15 @@
 type (
 	// Config constructs a Member.
 	Config struct {
-		Settings  setup.Domain
-		Scheduler *drive.Scheduler
-		Intake    *intake.Intake
-		Callers   http.Handler                         // handles the calls of callers
-		Remote    *remote.Peer                         // nil if calls are not forwarded
-		Forwarded remote.Handler                       // handles calls forwarded by other hosts
-		Operators http.Handler                         // served if the settings have an operators' address
-		Readiness func(ready func() bool) http.Handler // returns the handler of the load balancer's probes
-		Log       *slog.Logger
+		Settings        setup.Domain
+		Scheduler       *drive.Scheduler
+		Intake          *intake.Intake
+		Callers         http.Handler                         // handles the calls of callers
+		Remote          *remote.Peer                         // nil if calls are not forwarded
+		Forwarded       remote.Handler                       // handles calls forwarded by other hosts
+		OperatorHandler http.Handler                         // served if the settings have an operators' address
+		Readiness       func(ready func() bool) http.Handler // returns the handler of the load balancer's probes
+		Log             *slog.Logger
 	}
 
 	// Member is one host of a domain.
@@ -79,7 +79,7 @@
 		servers[se.Host.MetricsAddress] = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout}
 	}
 	if se.Host.OperatorsAddress != "" {
-		servers[se.Host.OperatorsAddress] = &http.Server{Handler: me.cfg.Operators, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		servers[se.Host.OperatorsAddress] = &http.Server{Handler: me.cfg.OperatorHandler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	}
 	failed := make(chan error, len(servers)+1)
 	for address, sv := range servers {
