--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -152,7 +152,7 @@
 	return 0
 }
 
-// matches reports whether mf and cur describe the same accepted file.
+// matches reports whether mf and af describe the same accepted file.
 func (mf manifest) matches(af *AcceptedFile) bool {
 	return mf.Revision == af.Revision && mf.Digest == digest(af.Content) && mf.AppliedAt.Equal(af.AppliedAt)
 }
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -54,7 +54,7 @@
 		failUrgent        bool                         // every other urgent job fails on every worker
 	}
 
-	// taskPlan is the simulated behavior of the tasks of a step.
+	// taskPlan is the simulated behaviour of the tasks of a step.
 	taskPlan struct {
 		work          time.Duration // actual run time
 		firstTaskWork time.Duration // overrides the work of the first task unless zero
@@ -137,7 +137,7 @@
 	}
 }
 
-// planOf returns the simulated behavior of a task.
+// planOf returns the simulated behaviour of a task.
 func (sim *simulation) planOf(ti batch.TaskID) runsim.Plan {
 	jb := sim.jobs[ti.Job]
 	step := jb.Steps[ti.Step]
