peers: say why a new session gets the limit of other zones

The watchdog of a new session starts with OtherZoneSuspectAfter whichever host is at its other end, and a reader could take that for a mistake.

--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -62,6 +62,7 @@
 		return nil, err
 	}
 	li := &link{mesh: ms, sess: sess, dialled: dialled, callSlots: make(chan struct{}, maxLinkCalls)}
+	// The zone of the other host is unknown until its first heartbeat.
 	li.watchdog = time.AfterFunc(ms.cfg.OtherZoneSuspectAfter, li.expire)
 	return li, nil
 }
