domain, place: correct comments that are imprecise

A check of the comments reworded since against the code found some that say less or something else than the code. The list of decisions now says that leases of unlisted workers expire as well and when a failed poll is logged, tallyRetention says that all tallies are dropped, assignShares and classTimely name their exceptions, and the heads of two tests in place match their cases.

--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -133,9 +133,10 @@
 	//   - evacuation: the set of evacuated zones has changed, or a unit is being
 	//     moved out of one
 	//   - jobEnds: a job has reached its final state
-	//   - lookFails: a poll has failed; of several failures in a row, only the first
-	//     is logged
-	//   - silent: the leases on an unresponsive worker have expired
+	//   - lookFails: a poll has failed; it is logged only if no other call to the
+	//     worker has failed since its last reply to a poll
+	//   - silent: the leases on a worker that is unresponsive or no longer listed
+	//     have expired, and its tasks are considered ended
 	//   - reborn: a worker has restarted
 	//   - unlisted: the platform no longer lists a worker
 	//   - suspects: a worker is suspended
--- a/internal/domain/fairplace.go
+++ b/internal/domain/fairplace.go
@@ -120,9 +120,9 @@
 }
 
 // assignShares assigns the queues' shares to groups by calling take for each
-// group. With fair shares, the workspace furthest below its own comes first in
-// each queue. Within a workspace, and without fair shares, the given order
-// applies. Jobs without any value left come last.
+// group that is not within a guarantee. With fair shares, the workspace furthest
+// below its own comes first in each queue. Within a workspace, and without fair
+// shares, the given order applies. Jobs without any value left come last.
 func (co *Core) assignShares(qs queueShares, ugs []unitGroup, order []int, take func(i int) float64) {
 	type shareKey struct {
 		queue string
--- a/internal/domain/health.go
+++ b/internal/domain/health.go
@@ -66,8 +66,8 @@
 	// negligibleScore is the score below which evidence is dropped.
 	negligibleScore = 0.2
 	// tallyRetention is the minimum time for which the tally of a job is kept
-	// after its last outcome, unless the worker has maxTallies more recent
-	// ones.
+	// after its last outcome. All tallies of a worker are dropped earlier if
+	// maxTallies of them are more recent than that.
 	tallyRetention = time.Minute
 	// maxTallies bounds the number of tallies of a worker.
 	maxTallies = 64
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -27,7 +27,7 @@
 // now.
 const (
 	classGuaranteed = iota // within the guarantee of the workspace
-	classTimely            // meets the objective, is long-running, or its job has begun
+	classTimely            // meets the objective, is long-running, or its job has begun and is not late
 	classOverdue           // misses the objective, but still has some value
 	classLate              // ends after the job has lost all value
 )
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -193,7 +193,7 @@
 }
 
 // schedulable reports whether a worker takes new work: it is in service, and
-// acceptsWorkIfHealthy.
+// nothing else prevents that; see acceptsWorkIfHealthy.
 func (nd *node) schedulable(now time.Time) bool {
 	return nd.health.isInService() && nd.acceptsWorkIfHealthy(now)
 }
--- a/internal/domain/replay_test.go
+++ b/internal/domain/replay_test.go
@@ -25,7 +25,7 @@
 		pause   time.Duration                                // between bursts, with pauseLoad
 		length  time.Duration                                // of the time in which jobs are submitted
 		demand  []float64                                    // fractions of the load by workspace
-		during  func(sim *simulation, elapsed time.Duration) // called after each submission; may be nil
+		during  func(sim *simulation, elapsed time.Duration) // called at every tickInterval, after the submissions; may be nil
 	}
 
 	// workKind is one kind of work.
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -62,7 +62,8 @@
 }
 
 // TestNonPreemptibleWorkKeepsGuarantees submits work to a rack of which all
-// accelerators are guaranteed to another workspace.
+// accelerators are guaranteed to one workspace. It guards against work of another
+// workspace that can't be preempted and takes guaranteed capacity.
 func TestNonPreemptibleWorkKeepsGuarantees(t *testing.T) {
 	units := []place.Unit{{Workspace: "large", Shape: shape(8, 8, spec.SameRack)}}
 	nonPreemptible := place.Request{Job: "gang", Workspace: "small", Shape: shape(1, 1, spec.SameZone), Priority: jobs.Normal}
--- a/internal/place/simulate_test.go
+++ b/internal/place/simulate_test.go
@@ -295,8 +295,9 @@
 }
 
 // TestSimulatedDay compares the scheduler's policy with first fit on the same
-// workload of a day. It fails if a job starves, if small jobs take longer than
-// with first fit, or if large ones take over 10 % longer. The results are logged.
+// workload of a day. It fails if a job starves, or if on average small jobs
+// take longer than with first fit or large ones over 10 % longer. The results are
+// logged.
 func TestSimulatedDay(t *testing.T) {
 	is := is.New(t)
 	for seed := range uint64(3) {
