admit, route: correct comments that left out a bound

The comments of admit.withRetryAfter and of borrowing.backOff did not name the limits of the values that they set, and that of Rejections.Full did not say that an endpoint on probation may count as full. They now do; the comment of Controller.admit is easier to read. Only comments change, so no tests were run.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -278,8 +278,8 @@
 	return ds
 }
 
-// admit assigns a free slot to a request and charges its caller, and its
-// workspace for a slot beyond the guarantee, for the mean service time.
+// admit assigns a free slot to a request. It charges the mean service time to the
+// caller and, for a slot beyond the guarantee, also to the workspace.
 func (co *Controller) admit(now time.Time, tr *trackedRequest) Decision {
 	tr.admitted = now
 	tr.charged = co.meanServiceTime
--- a/internal/admit/refusal.go
+++ b/internal/admit/refusal.go
@@ -82,8 +82,9 @@
 	return co.fairShare(ws, guaranteedSum, weightSum)
 }
 
-// withRetryAfter sets the retry-after time of er to wait plus a random time of up
-// to wait, so that refused callers do not retry at the same time.
+// withRetryAfter sets the retry-after time of er to wait, which it limits to the
+// range from minRetryAfter to maxRetryAfter, plus a random time of up to as much,
+// so that refused callers do not retry at the same time.
 func (co *Controller) withRetryAfter(er *codes.Error, wait time.Duration) *codes.Error {
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	return er.WithRetryAfter(wait + time.Duration(co.rnd.Int64N(int64(wait))))
--- a/internal/route/borrow.go
+++ b/internal/route/borrow.go
@@ -42,7 +42,7 @@
 }
 
 // backOff halves the limit after a refusal, since the owners use their slots,
-// and doubles the time until it may grow again.
+// and doubles the time until it may grow again, up to maxHoldOff.
 func (bo *borrowing) backOff(now time.Time) {
 	bo.limit /= 2
 	bo.holdOff = min(max(2*bo.holdOff, minHoldOff), maxHoldOff)
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -63,7 +63,7 @@
 		Draining          int // shutting down or removed from the list
 		Ejected           int // ejected after failures
 		Tried             int // tried by this request before
-		Full              int // this host owns no free slot there, or the endpoint recently refused a request because no slot was free
+		Full              int // none of the slots that this host owns and may use there is free, or the endpoint recently refused a request because no slot was free
 		HigherUtilization int // not less utilized than the chosen one
 	}
 
