--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -274,8 +274,8 @@
 }
 
 // endRequest records the outcome of the claim and then marks the request as no
-// longer in progress, so that a graceful stop waits for the record. The caller
-// of endRequest does not wait for it.
+// longer in progress, so that a graceful stop waits for the record. The
+// response does not wait for it.
 func (cl *call) endRequest(counted bool) {
 	if cl.claim == nil {
 		if counted {
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -16,9 +16,9 @@
 // claimKey claims the idempotency key of a request that is not repeatable,
 // before it is sent to any endpoint or host. For a forwarded request, the
 // forwarding host has claimed the key. The code of the error is StoreUnavailable
-// if it is not known whether the claim is stored, KeyMismatch if another request
-// has used the key, and DuplicateKey if the same request has used it, as told by
-// its digest.
+// if claims are not supported or it is not known whether the claim is stored,
+// KeyMismatch if another request has used the key, and DuplicateKey if the same
+// request has used it, as told by its digest.
 func (cl *call) claimKey(ctx context.Context) *codes.Error {
 	if cl.repeatable || cl.hd.key == "" || cl.originZone != "" || cl.claim != nil {
 		return nil
--- a/internal/entry/connfault_test.go
+++ b/internal/entry/connfault_test.go
@@ -154,6 +154,6 @@
 		is.True(ran >= 1)
 	case codes.Unknown:
 	default:
-		is.Fail() // the code has no class
+		is.Fail() // a request can't end with a code of another class
 	}
 }
--- a/internal/entry/dupkeys.go
+++ b/internal/entry/dupkeys.go
@@ -15,8 +15,9 @@
 	expectKey bool            // the next token is a key
 }
 
-// checkDuplicateKeys rejects content that is not JSON, or in which an object has
-// the same key twice. encoding/json would silently use the last one.
+// checkDuplicateKeys rejects JSON in which an object has the same key twice;
+// encoding/json would silently use the last one. It also rejects content that is
+// not JSON, but accepts content that ends between two tokens.
 func checkDuplicateKeys(content []byte) *codes.Error {
 	dc := json.NewDecoder(bytes.NewReader(content))
 	var scopes []*jsonScope
@@ -56,8 +57,8 @@
 	return scopes
 }
 
-// visit processes a key or a plain value. It returns the key and whether the
-// object already had it.
+// visit processes a key or a plain value. For a key, it returns the key and
+// whether the object already had it.
 func (js *jsonScope) visit(token json.Token) (name string, duplicate bool) {
 	if js.keys == nil || !js.expectKey {
 		js.expectKey = true
--- a/internal/entry/remote.go
+++ b/internal/entry/remote.go
@@ -26,7 +26,8 @@
 
 // serveRemote forwards the request to entry hosts of other zones, as far as the
 // service permits it. It returns nil once the response to the caller has been
-// written, and last if there is no host to forward to.
+// written. Otherwise, it returns the error of the claim or of the last attempt, or
+// last if there was neither.
 func (cl *call) serveRemote(ctx context.Context, last *codes.Error) *codes.Error {
 	targets := cl.forwardTargets()
 	if len(targets) == 0 {
@@ -140,7 +141,8 @@
 }
 
 // forwardOutcome returns the code that another entry host gave. It also returns
-// it as an error if the code comes from that host and not from an endpoint.
+// it as an error if the code comes from that host and not from an endpoint. The
+// code is OutcomeUnknown if the response has no known one.
 func forwardOutcome(rp upstreamResponse) (codes.Code, *codes.Error) {
 	number, err := strconv.Atoi(rp.response.Header.Get(client.HeaderCode))
 	cd := codes.Code(number)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -48,7 +48,7 @@
 		declarations *spec.Declarations
 		endpoints    []plat.Host
 		draining     map[string]bool     // endpoints that are shutting down, according to other hosts
-		hosts        []string            // other live entry hosts of the local zone
+		hosts        []string            // other entry hosts of the local zone that are alive and not draining
 		zones        []route.ForwardZone // other zones with ready entry hosts
 	}
 )
@@ -79,7 +79,8 @@
 }
 
 // newZoneView returns the declarations, the endpoints of the local zone, and the
-// live entry hosts among the members, without this host.
+// entry hosts among the members that are alive and not draining, without this
+// host. Those of other zones must also be ready.
 func newZoneView(cfg Config, de *spec.Declarations, members []peers.Member) zoneView {
 	vw := zoneView{declarations: de, draining: make(map[string]bool)}
 	if cfg.Endpoints != nil {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,8 +5,8 @@
 // Every response is based on a policy that is confirmed to be in force: a call
 // that needs the policy first confirms this host's copy with the store, unless
 // that happened within freshFor. While the store is unreachable, a policy that was
-// confirmed within Config.MaxPolicyAge is used. A job is written on the condition that the
-// policy under which it was authorized is still in force.
+// confirmed within Config.MaxPolicyAge is used. A job is written on the condition
+// that the policy under which it was authorized is still in force.
 package intake
 
 import (
--- a/internal/intake/jobs.go
+++ b/internal/intake/jobs.go
@@ -119,7 +119,8 @@
 }
 
 // State returns the state of a job, which is Queued until the scheduler has
-// recorded its progress. The code of the error is JobNotFound for an unknown job.
+// recorded its progress. The code of the error is JobNotFound for an unknown job,
+// and for a job of another workspace whose progress has not been recorded yet.
 func (in *Intake) State(ctx context.Context, up time.Duration, ac Access, id string) (_ batch.State, err error) {
 	defer func(began time.Time) { countCall("state", began, err) }(time.Now())
 	en, err := in.read(ctx, up, batch.ProgressKey(id))
@@ -162,7 +163,8 @@
 
 // Cancel requests the cancellation of a job. It returns nil once the request is
 // in the store, even if it was there before. CancelUnknown means that it may be
-// there, JobNotFound is as in readJob.
+// there, and JobNotFound that the job does not exist or belongs to another
+// workspace than the caller.
 func (in *Intake) Cancel(ctx context.Context, up time.Duration, ac Access, id string) (err error) {
 	defer func(began time.Time) { countCall("cancel", began, err) }(time.Now())
 	if _, err := in.readJob(ctx, up, ac, id); err != nil {
