load, cmds: correct comments on timeouts, rows and spaces

The drain timeout of a load run counts from its planned end also if the run is interrupted, the refusal figures of a flood cover only its first class, and oneLine also collapses white space. The comments now say so. Only comments change, so no tests were run.

--- a/internal/cmds/main.go
+++ b/internal/cmds/main.go
@@ -146,7 +146,8 @@
 
 func isHelp(arg string) bool { return arg == "--help" || arg == "-h" }
 
-// oneLine returns text with its line breaks replaced by semicolons.
+// oneLine returns text with its line breaks replaced by semicolons, and other
+// white space by single spaces.
 func oneLine(text string) string {
 	return strings.Join(strings.Fields(strings.ReplaceAll(text, "\n", "; ")), " ")
 }
--- a/internal/load/bench_test.go
+++ b/internal/load/bench_test.go
@@ -243,6 +243,8 @@
 // workspace's requests done relative to that alone, its 99th percentile alone and
 // beside the flood and their ratio, the requests of unknown outcome and withheld,
 // the median and 99th percentile of the refusals, and the median retry-after time.
+// Of a flood with several service times, the last five count only the requests
+// with the first one.
 func (tz *testZone) overload(b *testing.B) {
 	for ro := range uint64(rounds) {
 		b.Run(fmt.Sprint(ro), func(b *testing.B) { tz.overloadRound(b, ro) })
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -64,8 +64,8 @@
 	// maxPath is the maximum length of a path in bytes.
 	maxPath = 4096
 
-	// drainTimeout is the maximum time to wait for responses after the end of a
-	// run.
+	// drainTimeout is the maximum time to wait for responses after the planned
+	// end of a run.
 	drainTimeout = 30 * time.Second
 )
 
@@ -125,7 +125,7 @@
 		tallies[i] = newTally()
 	}
 	// Requests in progress are not cancelled with ctx; they may take until
-	// drainTimeout after the end of the run.
+	// drainTimeout after the planned end of the run.
 	sending, cancel := context.WithTimeout(context.WithoutCancel(ctx), cfg.Duration+drainTimeout)
 	defer cancel()
 	inProgress := make(chan struct{}, cfg.Concurrency)
