relay, entry, cmds: correct comments of three tests

TestUnresponsiveConnectionIsDetected had lost why it probes after half a second, which is the interval of an entry host; checkAccount compares with the expected number of requests, not of callers; and TestRunners named one implementation for several commands. The comments now say so. Only comments change, so no tests were run.

--- a/internal/cmds/main_test.go
+++ b/internal/cmds/main_test.go
@@ -341,8 +341,8 @@
 	}
 }
 
-// TestRunners checks that the settings and flags of the commands that run a
-// process reach its implementation, and that its error sets the exit code.
+// TestRunners checks that the settings and flags of commands reach their
+// implementations in Runners, and that an error of these sets the exit code.
 func TestRunners(t *testing.T) {
 	is := is.New(t)
 	var (
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -202,8 +202,8 @@
 	return counts
 }
 
-// checkAccount compares the account with the number of callers that got each
-// code.
+// checkAccount compares the account with want, the number of requests that ended
+// with each code.
 func (th *testHost) checkAccount(is *is.I, want map[codes.Code]int) {
 	is.Helper()
 	counted := make(map[codes.Code]int)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -201,7 +201,8 @@
 }
 
 // TestUnresponsiveConnectionIsDetected drops all data on an idle connection. The
-// next probe must close it within two seconds, before a request uses it.
+// next probe, half a second later as in an entry host, must close it within two
+// seconds, before a request uses it.
 func TestUnresponsiveConnectionIsDetected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
