sched: correct comments that don't fit the code

Comments that were reworded lately left out cases that the code handles. They now say that a failed write is due again, that New also waits for declarations and a worker, how evaluateStarting ends, that reserveTimeout doesn't apply to attempts of an earlier epoch, and that failureCause records no interruptions. No tests were run, as only comments change.

--- a/internal/sched/bucket.go
+++ b/internal/sched/bucket.go
@@ -16,7 +16,7 @@
 // the next one, so that the number of calls to the store is bounded by time and
 // does not grow with the number of jobs.
 type bucket struct {
-	writeDue  bool                // a record has changed since the last write was sent
+	writeDue  bool                // a record has changed since the last write was sent, or that write failed
 	inFlight  bool                // a write is unanswered
 	writeSeq  int64               // sequence number of the last write
 	sent      map[string]snapshot // content of the write in flight
--- a/internal/sched/core.go
+++ b/internal/sched/core.go
@@ -47,7 +47,7 @@
 	job struct {
 		rec              jobs.Record
 		saved            jobs.Record // record in the store; its ID is empty if there is none
-		version          int         // number of changes of rec
+		version          int         // number of changes of rec, without those of only its detail
 		savedVersion     int         // version of saved
 		bucket           int
 		fromEarlierEpoch bool              // loaded from the store; this core has neither begun nor ended an attempt since
@@ -103,8 +103,9 @@
 // interrupted by failures.
 const MaxAttempts = 20
 
-// New returns a core with the recorded jobs. It places jobs only after all known
-// workers have replied, or after takeoverTimeout.
+// New returns a core with the recorded jobs. It places no job before it has
+// declarations and knows a worker, and all known workers have replied or
+// takeoverTimeout is over.
 func New(now time.Time, cf Config) *Core {
 	co := &Core{
 		zone: cf.Zone, epoch: cf.Epoch, startedAt: now, decl: cf.Declarations,
--- a/internal/sched/gang.go
+++ b/internal/sched/gang.go
@@ -56,7 +56,8 @@
 }
 
 // evaluateStarting reserves the missing tasks and then starts the reserved ones.
-// It stops the attempt if that fails or takes too long, or if the job was
+// Once all tasks run or have succeeded, the job is running. It stops the attempt
+// if a task fails, is interrupted or takes too long to start, or if the job was
 // cancelled.
 func (co *Core) evaluateStarting(now time.Time, jb *job) {
 	tl := co.tally(now, jb)
@@ -81,7 +82,8 @@
 }
 
 // reserveGang queues commands for the missing reservations, and stops the attempt
-// if they take longer than reserveTimeout.
+// if they take longer than reserveTimeout. An attempt of an earlier epoch has only
+// its startDeadline.
 func (co *Core) reserveGang(now time.Time, jb *job, tl tally) {
 	if !jb.fromEarlierEpoch && now.Sub(jb.beganAt) > reserveTimeout {
 		co.stop(jb, cause{requeue: true, detail: "not every worker made its reservation in time"})
@@ -161,7 +163,8 @@
 }
 
 // failureCause returns the cause for stopping an attempt of which a task has
-// failed or was interrupted, and records a failure against its worker.
+// failed or was interrupted. It records a failure against the worker, but no
+// interruption.
 func (co *Core) failureCause(now time.Time, jb *job, tl tally) cause {
 	if tl.failed == 0 {
 		return cause{requeue: true, detail: "a task was interrupted on worker " + tl.failedOn}
