worker, jobs: correct three comments

Calls with commands send version -1 although the scheduler has the table, an urgent job may also preempt jobs of its own workspace, and FromWire also decodes values from other hosts. The comments said otherwise or less. No tests were run, as only comments change.

--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -21,7 +21,8 @@
 type State uint8
 
 // Priority orders the jobs of one workspace. An urgent job may also preempt less
-// urgent jobs of a workspace that uses more than its fair share.
+// urgent jobs of its own workspace, and those of a workspace that uses more than
+// its fair share as long as its own stays within its share.
 type Priority uint8
 
 // Step is a gang and the command that its tasks run.
--- a/internal/jobs/wire.go
+++ b/internal/jobs/wire.go
@@ -58,7 +58,7 @@
 			Shape: shapeFromWire(st.GetShape()), RunTime: time.Duration(st.GetRunTimeNanos()), Command: st.GetCommand(),
 		})
 	}
-	rc.Step = min(max(rc.Step, 0), len(rc.Then)) // a stored value may be out of range
+	rc.Step = min(max(rc.Step, 0), len(rc.Then)) // a value from the store or another host may be out of range
 	return rc
 }
 
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -52,7 +52,7 @@
 type Request struct {
 	Epoch       int64         `json:"epoch"`
 	Leader      string        `json:"holder"`         // name of the calling host, for the worker's log
-	Version     int64         `json:"version"`        // of the table that the scheduler has; -1 if it has none
+	Version     int64         `json:"version"`        // of the table that the scheduler has; -1 to get the table in any case
 	Incarnation string        `json:"boot,omitempty"` // to which Sent refers; empty before the first reply
 	Sent        time.Duration `json:"sent,omitempty"` // the worker's clock when the call was sent, or earlier
 	Wait        time.Duration `json:"wait"`
