drive, maint: correct comments that don't fit the code

keepLease names again why renewal of leases on workers stops, relist covers listed workers and invalid entries, and stepWave says when a wave is reported and when it is removed. The heads of two tests claimed to detect a repeated order, which the fakes ignore; they now say what is checked. No tests were run, as only comments change.

--- a/internal/drive/elect.go
+++ b/internal/drive/elect.go
@@ -134,7 +134,7 @@
 // keepLease renews the leader's lease until the term ends. The term ends when
 // the store reports the lease as expired, or when no renewal has succeeded for
 // domain.MaxRenewalAge: from then on, this host must not renew leases on
-// workers.
+// workers, so that they expire in time for the next leader.
 func (te *term) keepLease() {
 	for te.pauseFor(renewInterval) {
 		go te.renewLease(time.Since(te.leaseRequested))
--- a/internal/drive/watch.go
+++ b/internal/drive/watch.go
@@ -251,8 +251,8 @@
 	}
 }
 
-// relist reads the list again and reports every worker that is missing from it
-// as unlisted.
+// relist reads the list again and reports its workers as listed. It reports the
+// former ones that are missing from it, or have an invalid entry, as unlisted.
 func (wl *workerList) relist() (store.Revision, error) {
 	ents, rev, err := wl.cfg.Store.List(wl.ctx, wl.cfg.Layout.WorkerPrefix)
 	if err != nil {
--- a/internal/drive/waves_test.go
+++ b/internal/drive/waves_test.go
@@ -100,8 +100,8 @@
 }
 
 // TestWaveAcrossHosts carries out a wave while jobs run. The leader stops after
-// the first two orders, and the next one must complete the wave without
-// ordering a machine twice or having too many down.
+// at least two orders were carried out. The next one must complete the wave, with
+// every machine maintained and never more of them down than the wave permits.
 func TestWaveAcrossHosts(t *testing.T) {
 	is := is.New(t)
 	si := newSite(t, 6)
--- a/internal/maint/core.go
+++ b/internal/maint/core.go
@@ -257,8 +257,9 @@
 	}
 }
 
-// stepWave reports the completion of a wave or removes it, or else drains its
-// next machines and orders those that may go down.
+// stepWave reports a wave as completed once each of its machines is down, done or
+// removed, and removes the wave once each is done or removed. Until then it
+// drains the next machines and orders those that may go down.
 func (co *Core) stepWave(now time.Time, wv *wave) {
 	started := wv.count(done) + wv.count(down)
 	if started+wv.count(removed) == len(wv.machineStates) && !co.completed[wv.Number] {
--- a/internal/maint/maint_test.go
+++ b/internal/maint/maint_test.go
@@ -223,9 +223,9 @@
 	is.Equal(si.countMaintained(), 1)
 }
 
-// TestTakeover guards against a new core that orders a machine again or has too
-// many machines down, because the previous core ordered some. The record of the
-// previous core may be lost.
+// TestTakeover guards against a new core that does not complete the wave of the
+// previous core, or has too many machines down because that core ordered some.
+// The record of the previous core may be lost.
 func TestTakeover(t *testing.T) {
 	for _, recorded := range []bool{false, true} {
 		is := is.New(t)
