remote, member: correct comments that don't fit the code

The comments left out that a refusal also makes a host the last choice, that a session is retired too if the call did not reach the host, that time limits need another host to try, and that calls in progress may finish only until shutdownShare of the grace period. One named a field that was renamed. No tests were run, as only comments change.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -66,9 +66,9 @@
 }
 
 // Run serves until ctx ends, and then shuts down. Calls in progress may finish
-// within the stop grace period of the settings. It returns an error if it can't
-// listen, if a server fails, or if calls were still in progress at the end of
-// that time.
+// until shutdownShare of the stop grace period has passed. It returns an error if
+// it can't listen, if a server fails, or if calls of callers or operators were
+// still in progress at that time.
 func (me *Member) Run(ctx context.Context) error {
 	se := me.cfg.Settings
 	servers := map[string]*http.Server{
--- a/internal/remote/forward.go
+++ b/internal/remote/forward.go
@@ -100,8 +100,9 @@
 }
 
 // exchange makes one call to a host over a pooled session. It returns a
-// *calls.NotSentError if the call provably did not reach the host. If there is
-// no response, it retires the session, so that the next call opens a new one.
+// *calls.NotSentError if the call provably did not reach the host. If it did not,
+// or there is no response, the session is retired, so that the next call opens a
+// new one; a call that the caller has cancelled leaves the session in use.
 func (pe *Peer) exchange(ctx context.Context, me Member, timeout time.Duration, rq request) (response, error) {
 	msg, err := rq.toWire(pe.cfg.Self, remoteTimeout(timeout))
 	if err != nil {
--- a/internal/remote/peer.go
+++ b/internal/remote/peer.go
@@ -35,7 +35,7 @@
 		pool    *pool
 
 		sessionsCtx context.Context    // ends when sessions opened by other hosts are to be closed
-		endSessions context.CancelFunc // cancels sessions
+		endSessions context.CancelFunc // cancels sessionsCtx
 
 		mu     sync.Mutex // guards the roster; never held during I/O
 		roster *Roster
--- a/internal/remote/roster.go
+++ b/internal/remote/roster.go
@@ -47,8 +47,9 @@
 // NewRoster returns an empty roster for the host self.
 func NewRoster(self Member) *Roster { return &Roster{self: self} }
 
-// Replace sets the hosts to the complete list from the store. It drops the
-// entries of other hosts, and keeps the recorded failures of those in the list.
+// Replace sets the hosts to the complete list from the store. Entries of hosts
+// that are missing from it are dropped, and the others keep their recorded
+// failures unless the host has restarted.
 func (ro *Roster) Replace(now time.Time, members []Member) {
 	old := ro.entries
 	ro.entries = nil
@@ -120,9 +121,9 @@
 }
 
 // Choose returns the host to try next, if any: the nearest one that was not
-// tried and is not skipped. Hosts that failed within suspectedTime come last.
-// After a failed attempt, hosts of zones that were not tried come first, since
-// a whole zone may have lost its connection to the store.
+// tried and is not skipped. Hosts that failed or refused a call within
+// suspectedTime come last. After a failed attempt, hosts of zones that were not
+// tried come first, since a whole zone may have lost its connection to the store.
 func (ro *Roster) Choose(now time.Time, tried []Member) (Member, bool) {
 	var best Member
 	bestRank := -1
--- a/internal/remote/times.go
+++ b/internal/remote/times.go
@@ -7,7 +7,7 @@
 	maxAttempts = 2
 	// maxUnresponsiveTime is how long a host waits for the first response of the
 	// store before it forwards a call, but at most unresponsiveShare of the call's
-	// remaining time.
+	// remaining time. Neither limits a call if there is no other host to try.
 	maxUnresponsiveTime = 1100 * time.Millisecond
 	unresponsiveShare   = 0.4
 	// totalShare is the share of a call's remaining time that a host may wait for
