Correct comments on backoff, polls, retries and chart errors

A comparison of each with the code beside it found five that were imprecise or had lost a fact: a rejected host is dialled again after the longest pause at once, gossip delays forgetting a host only if it is new, the polls of the declarations are infrequent, Register retries only some errors, and a chart may fail to render. Comments only: the comparison with the state before shows 0 differences in code, tags, proto and numbers; gofumpt, go vet and revive print nothing.

--- a/internal/conf/follow.go
+++ b/internal/conf/follow.go
@@ -31,8 +31,8 @@
 
 	// Follower holds the declarations in force on one host and keeps them up to
 	// date; it takes no part in the election of a scheduler. It learns of newer
-	// declarations from a watch of the store, from polls of the store, since a
-	// watch can stall, and from other hosts. It is safe for concurrent use.
+	// declarations from a watch of the store, from infrequent polls of the store,
+	// since a watch can stall, and from other hosts. It is safe for concurrent use.
 	Follower struct {
 		st         store.Store
 		fetchNewer func(ctx context.Context, revision int64) (*AcceptedFile, error)
--- a/internal/peers/dial.go
+++ b/internal/peers/dial.go
@@ -22,9 +22,10 @@
 }
 
 const (
-	// minBackoff is the pause after the first failure to connect. It doubles up to
-	// maxSameZoneBackoff for a host of this zone, and up to maxOtherZoneBackoff for
-	// others and for those that are rejected.
+	// minBackoff is the pause after the first failure to connect. It doubles with
+	// each further one, up to maxSameZoneBackoff for a host of this zone and up to
+	// maxOtherZoneBackoff for others. The pause after a host was rejected, or turned
+	// out to be this one, is maxOtherZoneBackoff at once.
 	minBackoff          = 100 * time.Millisecond
 	maxSameZoneBackoff  = time.Second
 	maxOtherZoneBackoff = 10 * time.Second
--- a/internal/peers/mesh.go
+++ b/internal/peers/mesh.go
@@ -33,7 +33,7 @@
 		OtherZoneHeartbeatEvery time.Duration // to hosts of other availability zones
 		SuspectAfter            time.Duration // time without heartbeats of a host of this zone
 		OtherZoneSuspectAfter   time.Duration // time without heartbeats of a host of another zone
-		ForgetAfter             time.Duration // time without heartbeats and gossip
+		ForgetAfter             time.Duration // time without heartbeats and without new gossip
 
 		// DrainingEndpoints returns the names of the zone's endpoints that have
 		// announced to this host that they are draining. OnDrainingEndpoints receives
--- a/internal/plat/register.go
+++ b/internal/plat/register.go
@@ -20,9 +20,11 @@
 )
 
 // Register adds hosts to an availability zone's list, or replaces those with the
-// same names, in one write. It retries failures of the store until ctx ends, and
-// then returns the context's error with the last failure. If the outcome of the
-// write is unknown, it reads the list again to find out.
+// same names, in one write. It retries conflicts, unknown outcomes and calls
+// during an outage of the store until ctx ends, and then returns the context's
+// error with the last failure. Any other error, such as store.ErrTooLarge, is
+// returned at once. If the outcome of the write is unknown, it reads the list
+// again to find out.
 func Register(ctx context.Context, st store.Store, zone string, hosts ...Host) error {
 	return update(ctx, st, zone, func(li List) (List, error) {
 		for _, ho := range hosts {
--- a/internal/report/chart.go
+++ b/internal/report/chart.go
@@ -32,8 +32,8 @@
 
 // WriteChart writes the sums by outcome as an SVG image with one stacked bar for
 // each workspace. The segments of a bar show the shares of the promised work by
-// outcome, with the counts as labels. The error reports a day without work, or is
-// that of wr.
+// outcome, with the counts as labels. The error reports a day without work, or a
+// failure to render the image or to write it to wr.
 func (da Daily) WriteChart(wr io.Writer) error {
 	ch := chart.StackedBarChart{
 		Title:      "Work of " + da.Day + ", by outcome",
