test: say what overlaps, killed endpoints and startTime mean

The comment of checkOverlaps was hard to read, the head of TestEndpointKilled promised an unknown outcome for repeatable requests too, which must succeed, and startTime also bounds a submission and the start of the system.

--- a/test/procs/endpoints_test.go
+++ b/test/procs/endpoints_test.go
@@ -204,8 +204,9 @@
 	})
 }
 
-// startSlowRequests makes slow requests of both kinds until an endpoint is processing one of
-// each, and returns the pending results and the paths in progress there.
+// startSlowRequests makes slow requests, repeatable and not, until an endpoint is
+// processing one of each kind. It returns the pending results and the paths in
+// progress there.
 func startSlowRequests(t *testing.T, ehs []*entryHost, address string) (all []<-chan result[callRecord], paths map[string]bool) {
 	t.Helper()
 	eventually(t, "the endpoint is processing requests of both kinds", func() error {
@@ -319,8 +320,8 @@
 }
 
 // TestEndpointKilled checks that no request runs twice unless it is repeatable, and
-// that callers of requests in progress at a killed endpoint learn that the outcome
-// is unknown.
+// that every repeatable one succeeds. The callers of the other requests in progress
+// at a killed endpoint must learn that the outcome is unknown.
 func TestEndpointKilled(t *testing.T) {
 	sy := start(t)
 	pr, address := sy.addEndpoint(t)
--- a/test/procs/work_test.go
+++ b/test/procs/work_test.go
@@ -90,7 +90,8 @@
 	sy.checkOverlaps(t)
 }
 
-// checkOverlaps checks that no two runs of a job overlap that must not.
+// checkOverlaps checks that no task ran twice at the same time, and that no tasks
+// of two attempts of one job ran at the same time.
 func (sy *system) checkOverlaps(t *testing.T) {
 	t.Helper()
 	for _, ov := range wksim.Overlaps(sy.taskRuns(t, "")) {
--- a/test/size/main_test.go
+++ b/test/size/main_test.go
@@ -49,7 +49,7 @@
 	configVariable = "CICADAWHARF_SIZE_ORDER" // environment variable with the childConfig as JSON
 	listenAddress  = "127.0.0.1:0"
 	storeTimeout   = 2 * time.Second
-	startTime      = 30 * time.Second // bounds the start and the stop of a child
+	startTime      = 30 * time.Second // bounds the start of the system, the stop of a child and a submission
 )
 
 // discardLog formats every log line as in production and discards it, so that it
