Say in the silent decision what holds for unlisted workers too

The reason of the decision silent spoke of a worker that sends no reply, but it is also logged for an unlisted worker that still replies. It now names both conditions and the expired leases. No test, page or query in the repository matched the old text.

--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -216,7 +216,7 @@
 		return
 	}
 	if len(nd.runs) > 0 {
-		co.emit(LogDecision{Decision: "silent", Worker: nd.worker.ID, Reason: "no reply until all of its leases had expired; its tasks are considered ended"})
+		co.emit(LogDecision{Decision: "silent", Worker: nd.worker.ID, Reason: "the worker is unresponsive or no longer listed and all of its leases have expired; its tasks are considered ended"})
 		co.recordNodeFailure(now, nd, weightWorkerLost*maxJobPenalty)
 	}
 	if len(nd.runs) > 0 || !nd.listed {
