Name refusals in the comment on suspectedTime

The comment spoke only of hosts that failed, while backOff applies the time to hosts that refused a call as well, as the comment on Choose says. Only the comment changed.

--- a/internal/remote/roster.go
+++ b/internal/remote/roster.go
@@ -34,9 +34,9 @@
 	entryLifetime = 15 * time.Minute
 	// failureBackoff is how long a host that did not respond is skipped.
 	failureBackoff = 1500 * time.Millisecond
-	// suspectedTime is how long a host that failed is chosen only after others. It
-	// is longer than failureBackoff because partitions last longer and there are
-	// only two attempts.
+	// suspectedTime is how long a host that failed or refused a call is chosen only
+	// after others. It is longer than failureBackoff because partitions last longer
+	// and there are only two attempts.
 	suspectedTime = 10 * time.Second
 	// minRefusalBackoff and maxRefusalBackoff bound how long a host that refused a
 	// call is skipped.
