--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	megabyte = 1 << 20 // bytes
+	mebibyte = 1 << 20 // bytes
 	// memoryLimitShare is the fraction of the configured memory that is set as
 	// the soft memory limit of the Go runtime.
 	memoryLimitShare = 0.8
@@ -48,7 +48,7 @@
 	}
 	runtime.GOMAXPROCS(1) // the CPU quota of a host is less than one core
 	if se.MemoryMiB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(se.MemoryMiB) * megabyte))
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(se.MemoryMiB) * mebibyte))
 	}
 	wr := logbuf.New(logbuf.Config{To: out})
 	defer wr.Close(logFlushTimeout)
