Rename peers.TestRoster to TestRosterUpdates

The test checks which updates the roster accepts and how long a host stays known without them; the old name named only the type.

--- a/internal/peers/roster_test.go
+++ b/internal/peers/roster_test.go
@@ -28,10 +28,10 @@
 	})
 }
 
-// TestRoster checks which updates the roster accepts, and how long a host stays
-// alive and known without them. It guards against gossip that makes a failed host
-// alive and against an older incarnation that replaces a newer one.
-func TestRoster(t *testing.T) {
+// TestRosterUpdates checks which updates the roster accepts, and how long a host
+// stays alive and known without them. It guards against gossip that makes a failed
+// host alive and against an older incarnation that replaces a newer one.
+func TestRosterUpdates(t *testing.T) {
 	is := is.New(t)
 	ro := newRoster()
 	at := func(seconds float64) time.Time { return began.Add(time.Duration(seconds * float64(time.Second))) }
