Give started test processes addresses that nothing else takes

The one of test/procs took ports below the ephemeral range, but by process ID, so two test processes could choose the same. startSlowRequests sent two requests of 2.5 s every 100 ms until the spare endpoint held one of each kind; when that took long they filled slots and queue for longer than limits.queueTime, and refusing them was right.

At most half of the slots that are left without the spare endpoint hold slow requests at a time. Both tests check what they checked.

--- a/test/procs/endpoints_test.go
+++ b/test/procs/endpoints_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -52,6 +53,10 @@
 	mixSpan       = 4 * time.Second        // for which the load continues after a fault
 	leaveBound    = 3 * time.Second        // time after which no host may send new requests to a draining endpoint
 	spareEndpoint = "endpoint-spare"
+	// maxSlow is how many slow requests of startSlowRequests are in progress at a
+	// time: half of the slots that are left without the spare endpoint, so that
+	// no request waits in the queue for longer than limits.queueTime.
+	maxSlow = 8 * endpointsPerZone / 2
 )
 
 func startMixedLoad(t *testing.T, ehs []*entryHost) *mixedLoad {
@@ -204,16 +209,24 @@
 	})
 }
 
-// startSlowRequests makes slow requests, repeatable and not, until an endpoint is
-// processing one of each kind. It returns the pending results and the paths in
-// progress there.
+// startSlowRequests makes slow requests, repeatable and not, at most maxSlow at a
+// time, until an endpoint is processing one of each kind. It returns the pending
+// results and the paths in progress there.
 func startSlowRequests(t *testing.T, ehs []*entryHost, address string) (all []<-chan result[callRecord], paths map[string]bool) {
 	t.Helper()
+	var inProgress atomic.Int64
+	send := func(eh *entryHost, path string, repeatable bool) {
+		inProgress.Add(1)
+		all = append(all, background(func() (callRecord, error) {
+			defer inProgress.Add(-1)
+			return eh.record(path, repeatable, slowDelay), nil
+		}))
+	}
 	eventually(t, "the endpoint is processing requests of both kinds", func() error {
-		for _, repeatable := range []bool{true, false} {
+		if inProgress.Load()+2 <= maxSlow {
 			eh := ehs[len(all)/2%len(ehs)]
-			path := fmt.Sprintf("/held/%t/%d", repeatable, len(all))
-			all = append(all, background(func() (callRecord, error) { return eh.record(path, repeatable, slowDelay), nil }))
+			send(eh, fmt.Sprintf("/held/true/%d", len(all)), true)
+			send(eh, fmt.Sprintf("/held/false/%d", len(all)), false)
 		}
 		paths = map[string]bool{}
 		kinds := map[string]bool{}
--- a/test/procs/process_test.go
+++ b/test/procs/process_test.go
@@ -3,15 +3,14 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/fakes/ports"
 )
 
 type (
@@ -36,30 +35,16 @@
 	waitTimeout  = 60 * time.Second // for every wait
 	pollInterval = 50 * time.Millisecond
 	logTail      = 24 << 10 // bytes of a log that are printed
-
-	// The ports are below the ephemeral port range, so that they don't
-	// collide with outgoing connections.
-	firstPort = 12_000
-	portCount = 20_000
 )
 
-var portsTaken atomic.Int64
-
 // freeAddress returns a loopback address on which nothing is listening.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range portCount {
-		at := (int64(os.Getpid())*131 + portsTaken.Add(1)) % portCount
-		address := net.JoinHostPort("127.0.0.1", fmt.Sprint(firstPort+at))
-		ln, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = ln.Close()
-		return address
+	address, err := ports.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return ""
+	return address
 }
 
 // spawn starts the program. It is killed when the test ends, and its log is
