Revoke the lease of an earlier term of the same host

Change: a host that waits for the leader key and finds its own name there revokes the lease in it. It is not the leader then, so nobody renews the lease; the token still fences off whoever held it.

On the code before it TestRestartedLeaderNeedNotWaitForItsLease fails.

--- a/internal/drive/elect.go
+++ b/internal/drive/elect.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -36,6 +38,13 @@
 	revokeTimeout = 500 * time.Millisecond
 )
 
+// leader is the value of the leader key.
+type leader struct {
+	host        string
+	incarnation int64 // of its process
+	lease       store.LeaseID
+}
+
 var (
 	errLeaderExists = errors.New("another host is the leader")
 	errNoLeader     = errors.New("the leader key was deleted")
@@ -85,7 +94,7 @@
 // acquireLeaderKey creates the leader key and returns the revision of that
 // write, which is the fencing token of the term.
 func (sc *Scheduler) acquireLeaderKey(ctx context.Context, lease store.LeaseID) (store.Revision, error) {
-	value := fmt.Appendf(nil, "%s %d %d", sc.cfg.Host, sc.incarnation, lease)
+	value := leader{sc.cfg.Host, sc.incarnation, lease}.encode()
 	tx := store.Txn{
 		Expect: []store.Expectation{{Key: batch.LeaderKey}},
 		Puts:   []store.Put{{Key: batch.LeaderKey, Value: value, Lease: lease}},
@@ -112,7 +121,7 @@
 		pause.For(ctx, electionRetryDelay)
 		return false
 	}
-	if en.Revision == 0 {
+	if en.Revision == 0 || sc.revokeFormerLease(ctx, en) {
 		return true
 	}
 	err = sc.cfg.Store.Watch(ctx, batch.LeaderKey, at, func(en store.Entry) error {
@@ -131,6 +140,47 @@
 	return true
 }
 
+// revokeFormerLease revokes the lease of the leader key if the key names this
+// host, and reports whether the key is free then. This host is not the leader
+// while it waits for the key, so the lease is that of an earlier process or term,
+// which nobody renews any more.
+func (sc *Scheduler) revokeFormerLease(ctx context.Context, en store.Entry) bool {
+	le, err := parseLeader(en.Value)
+	if err != nil || le.host != sc.cfg.Host {
+		return false
+	}
+	if err := sc.cfg.Store.Revoke(ctx, le.lease); err != nil && !errors.Is(err, store.ErrLeaseExpired) {
+		return false
+	}
+	sc.cfg.Log.Info("lease of an earlier term of this host revoked", "event", "formerLeaseRevoked", "revision", en.Revision)
+	return true
+}
+
+// encode returns the value of the leader key.
+func (le leader) encode() []byte {
+	return fmt.Appendf(nil, "%s %d %d", le.host, le.incarnation, le.lease)
+}
+
+// parseLeader parses the value of the leader key.
+func parseLeader(value []byte) (leader, error) {
+	var le leader
+	words := strings.Fields(string(value))
+	if len(words) < 3 {
+		return le, merry.New("the leader key has too few fields")
+	}
+	le.host = words[0]
+	var err error
+	if le.incarnation, err = strconv.ParseInt(words[1], 10, 64); err != nil {
+		return le, merry.Prepend(err, "incarnation of the leader")
+	}
+	id, err := strconv.ParseInt(words[2], 10, 64)
+	if err != nil {
+		return le, merry.Prepend(err, "lease of the leader")
+	}
+	le.lease = store.LeaseID(id)
+	return le, nil
+}
+
 // keepLease renews the leader's lease until the term ends. The term ends when
 // the store reports the lease as expired, or when no renewal has succeeded for
 // domain.MaxRenewalAge: from then on, this host must not renew leases on
