Tell the leader of accepted and cancelled jobs

Cause: the leader learns of jobs from its watch alone. A store that loses its history lets watches hear nothing for a second and then leaves their requests without an end, so the leader saw new jobs only when its request timed out and the list was read again.

Change: a host that has written a job or a cancellation sends it to the leader, whose address is in the leader key, over the connections that calls are forwarded on. Only a host's own write is announced, so that the job is the stored one. Notices may be lost: the watch reports the same. If it does not within 0.5 s, the watches are taken to be behind and everything under them is read again.

--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/admin"
+	"github.com/cicadawharf/cicadawharf/internal/batch"
 	"github.com/cicadawharf/cicadawharf/internal/drive"
 	"github.com/cicadawharf/cicadawharf/internal/intake"
 	"github.com/cicadawharf/cicadawharf/internal/logbuf"
@@ -65,9 +66,11 @@
 	if se.Timing.Evacuate == 0 {
 		layout.EvacuationPrefix = ""
 	}
+	var sc *drive.Scheduler
 	in := intake.New(intake.Config{
 		Store: st, PolicyKey: layout.PolicyKey, Decode: layout.DecodePolicy,
 		MaxPolicyAge: max(0, se.Timing.Revoke-policyAgeMargin), Log: log,
+		Announce: func(no batch.Notice) { sc.Announce(no) },
 	})
 	dc := drive.Config{
 		Host: se.Host.Name, Cores: se.Processor.AvailableCores(), Store: st, Workers: platform.NewWorkers(),
@@ -80,13 +83,15 @@
 		dc.Machines = platform.NewMachines(se.Machines.Address)
 	}
 	fc := platform.FrontConfig{Intake: in, Uptime: uptime.Now, Log: log}
-	pe := newPeer(se, st, in, log)
+	pe := newPeer(se, st, in, log, func(no batch.Notice) bool { return sc.Deliver(no) })
 	if pe != nil {
 		fc.Forwarder = pe
+		dc.PeerAddress, dc.Notify = se.Host.PeerAddress, pe.Notify
 	}
+	sc = drive.New(time.Now(), dc)
 	fr := platform.NewFront(fc)
 	return member.New(member.Config{
-		Settings: se, Scheduler: drive.New(time.Now(), dc), Intake: in, Log: log, Readiness: platform.Ready,
+		Settings: se, Scheduler: sc, Intake: in, Log: log, Readiness: platform.Ready,
 		Callers: fr, Remote: pe, Forwarded: fr,
 		OperatorHandler: admin.New(admin.Config{Host: se.Host.Name, Store: st, Layout: layout, Log: log}),
 	})
@@ -94,7 +99,7 @@
 
 // newPeer returns the peer that serves the calls of other hosts and forwards
 // calls to them. It returns nil if the settings have no peer address.
-func newPeer(se setup.Domain, st store.TxnStore, in *intake.Intake, log *slog.Logger) *remote.Peer {
+func newPeer(se setup.Domain, st store.TxnStore, in *intake.Intake, log *slog.Logger, deliver func(batch.Notice) bool) *remote.Peer {
 	if se.Host.PeerAddress == "" {
 		return nil
 	}
@@ -103,7 +108,8 @@
 			Name: se.Host.Name, Address: se.Host.PeerAddress, Zone: se.Host.Zone, Region: se.Host.Region,
 			Started: time.Now().UnixNano(),
 		},
-		Store: st, Cores: se.Processor.AvailableCores(), StoreReachable: func() bool { return in.Ready(uptime.Now()) }, Log: log,
+		Store: st, Cores: se.Processor.AvailableCores(), StoreReachable: func() bool { return in.Ready(uptime.Now()) },
+		Deliver: deliver, Log: log,
 	})
 }
 
--- a/internal/batch/codec.go
+++ b/internal/batch/codec.go
@@ -17,6 +17,15 @@
 		Queues     map[string]int `json:"queues"`         // by queue
 		Evacuating map[string]int `json:"left,omitempty"` // by availability zone
 	}
+
+	// Notice tells the leader of a job or a cancellation that a host has just
+	// written to the store, so that the leader need not wait until its watch
+	// reports the write.
+	Notice struct {
+		Job       *Job   `json:"job,omitempty"`       // the accepted job; nil for a cancellation
+		Cancelled string `json:"cancelled,omitempty"` // ID of the cancelled job
+		Revision  int64  `json:"revision"`            // of the write; zero if unknown
+	}
 )
 
 // Encode returns the stored form of a value, which is JSON.
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -43,12 +43,17 @@
 
 	// Config constructs a Scheduler.
 	Config struct {
-		Host     string
-		Cores    float64 // available to the process; zero if unknown
-		Store    store.TxnStore
-		Workers  runner.Client
-		Adviser  runner.Adviser // nil if no queue needs placement advice
-		Machines maint.Client   // for package maint; nil if machines need no maintenance
+		Host    string
+		Cores   float64 // available to the process; zero if unknown
+		Store   store.TxnStore
+		Workers runner.Client
+		Adviser runner.Adviser // nil if no queue needs placement advice
+		// PeerAddress is the IP:port at which other hosts send notices to this one;
+		// empty if they don't. Notify sends a notice to another host, without
+		// waiting for it; nil if notices are not sent.
+		PeerAddress string
+		Notify      func(address string, no batch.Notice)
+		Machines    maint.Client // for package maint; nil if machines need no maintenance
 		// FairShares orders work of equal urgency by the workspaces' fair shares.
 		FairShares     bool
 		MinMoveRunTime time.Duration // see domain.Config
@@ -61,7 +66,9 @@
 	Scheduler struct {
 		cfg         Config
 		isLeader    atomic.Bool
-		incarnation int64 // start time, nanoseconds since 1970; distinguishes processes of the same host
+		current     atomic.Pointer[term]   // of this host; nil unless it holds the leader key
+		leader      atomic.Pointer[leader] // another host that is the leader, as last read; nil if unknown
+		incarnation int64                  // start time, nanoseconds since 1970; distinguishes processes of the same host
 	}
 
 	// term is one period of leadership.
@@ -82,6 +89,8 @@
 		waitGauges     map[string]bool // registered gauges of waiting work
 		zoneGauges     map[string]bool // registered gauges of evacuated zones
 		overload       overloadDetector
+		monitor        watchMonitor
+		watches        watchGeneration
 	}
 )
 
@@ -133,6 +142,8 @@
 // run schedules until the term or ctx ends.
 func (te *term) run(ctx context.Context) {
 	defer te.end()
+	te.current.Store(te)
+	defer te.current.Store(nil)
 	te.log.Info("term started", "event", "termBegins")
 	defer debug.SetGCPercent(debug.SetGCPercent(termGCPercent))
 	termCount.Inc()
@@ -197,6 +208,7 @@
 		case ev := <-te.waveEvents():
 			te.waves.handle(ev)
 		case now := <-tick.C:
+			te.checkWatches(now)
 			if te.waves != nil {
 				te.waves.handle(maint.Ticked{})
 			}
--- a/internal/drive/elect.go
+++ b/internal/drive/elect.go
@@ -43,6 +43,7 @@
 	host        string
 	incarnation int64 // of its process
 	lease       store.LeaseID
+	address     string // IP:port at which other hosts reach it; empty if they don't
 }
 
 var (
@@ -94,7 +95,7 @@
 // acquireLeaderKey creates the leader key and returns the revision of that
 // write, which is the fencing token of the term.
 func (sc *Scheduler) acquireLeaderKey(ctx context.Context, lease store.LeaseID) (store.Revision, error) {
-	value := leader{sc.cfg.Host, sc.incarnation, lease}.encode()
+	value := leader{sc.cfg.Host, sc.incarnation, lease, sc.cfg.PeerAddress}.encode()
 	tx := store.Txn{
 		Expect: []store.Expectation{{Key: batch.LeaderKey}},
 		Puts:   []store.Put{{Key: batch.LeaderKey, Value: value, Lease: lease}},
@@ -124,10 +125,14 @@
 	if en.Revision == 0 || sc.revokeFormerLease(ctx, en) {
 		return true
 	}
+	sc.setLeader(en)
+	defer sc.leader.Store(nil)
 	err = sc.cfg.Store.Watch(ctx, batch.LeaderKey, at, func(en store.Entry) error {
 		switch {
 		case en.Key == batch.LeaderKey && en.Value == nil:
 			return errNoLeader
+		case en.Key == batch.LeaderKey:
+			sc.setLeader(en)
 		case en.Key == batch.HandoverRequestKey && en.Value != nil:
 			go sc.offerHandover(ctx, en)
 		}
@@ -156,9 +161,24 @@
 	return true
 }
 
+// setLeader remembers the leader in an entry of the leader key.
+func (sc *Scheduler) setLeader(en store.Entry) {
+	le, err := parseLeader(en.Value)
+	if err != nil {
+		sc.cfg.Log.Warn("malformed entry of the store is ignored", "event", "invalidEntry", "key", en.Key, "reason", err)
+		sc.leader.Store(nil)
+		return
+	}
+	sc.leader.Store(&le)
+}
+
 // encode returns the value of the leader key.
 func (le leader) encode() []byte {
-	return fmt.Appendf(nil, "%s %d %d", le.host, le.incarnation, le.lease)
+	value := fmt.Appendf(nil, "%s %d %d", le.host, le.incarnation, le.lease)
+	if le.address != "" {
+		value = fmt.Appendf(value, " %s", le.address)
+	}
+	return value
 }
 
 // parseLeader parses the value of the leader key.
@@ -178,6 +198,9 @@
 		return le, merry.Prepend(err, "lease of the leader")
 	}
 	le.lease = store.LeaseID(id)
+	if len(words) > 3 {
+		le.address = words[3]
+	}
 	return le, nil
 }
 
--- a/internal/drive/watch.go
+++ b/internal/drive/watch.go
@@ -1,8 +1,10 @@
 package drive
 
 import (
+	"context"
 	"errors"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -30,6 +32,14 @@
 	workerBatchTime = 200 * time.Millisecond
 )
 
+// watchGeneration is the context of the watches in progress. It is replaced when
+// they are suspected of missing changes.
+type watchGeneration struct {
+	mu     sync.Mutex
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
 // load reads the state of the domain from the store.
 func (te *term) load() (domain.Config, *watchStart, error) {
 	var (
@@ -145,6 +155,7 @@
 
 // start watches the store from the revisions at which the state was loaded.
 func (ws *watchStart) start(te *term) {
+	te.monitor.reported(ws.acceptedRev)
 	go te.watch(batch.AcceptedPrefix, ws.acceptedRev, 0, te.applyAccepted, te.relistAccepted)
 	go te.watch(te.cfg.Layout.PolicyKey, ws.policyRev, 0, te.applyPolicy, te.reloadPolicy)
 	ws.evacuations.start()
@@ -154,20 +165,25 @@
 
 // watch applies the changes under a prefix after a revision until the term ends.
 // They arrive in batches, see store.TxnStore.WatchBatched for interval. If the
-// store has compacted changes that the watch needs, relist reads the state again
-// and returns the revision of that read.
+// store has compacted changes that the watch needs, or the watches are suspected,
+// relist reads the state again and returns the revision of that read.
 func (te *term) watch(prefix string, after store.Revision, interval time.Duration, apply func(store.Entry), relist func() (store.Revision, error)) {
 	for te.ctx.Err() == nil {
-		err := te.cfg.Store.WatchBatched(te.ctx, prefix, after, interval, func(en store.Entry) error {
+		ctx := te.watches.context(te.ctx)
+		err := te.cfg.Store.WatchBatched(ctx, prefix, after, interval, func(en store.Entry) error {
 			after = max(after, en.Revision)
 			apply(en)
 			return nil
 		})
-		if errors.Is(err, store.ErrCompacted) {
+		reason := "the store has compacted changes"
+		if ctx.Err() != nil {
+			reason = "the watches are behind"
+		}
+		if ctx.Err() != nil || errors.Is(err, store.ErrCompacted) {
 			rev, err := relist()
 			if err == nil {
 				after = rev
-				te.log.Info("state read again because the store has compacted changes", "event", "relisted", "prefix", prefix, "revision", rev)
+				te.log.Info("state read again", "event", "relisted", "prefix", prefix, "revision", rev, "reason", reason)
 				continue
 			}
 		}
@@ -175,8 +191,38 @@
 	}
 }
 
+// checkWatches makes all watches read their state again if that of accepted jobs
+// is behind: what keeps one watch from reporting changes concerns them all.
+func (te *term) checkWatches(now time.Time) {
+	if te.monitor.lagging(now) {
+		te.watches.restart(te.ctx)
+	}
+}
+
+// context returns the context of the watches, which ends with parent or when
+// they are to read their state again.
+func (wg *watchGeneration) context(parent context.Context) context.Context {
+	wg.mu.Lock()
+	defer wg.mu.Unlock()
+	if wg.ctx == nil {
+		wg.ctx, wg.cancel = context.WithCancel(parent)
+	}
+	return wg.ctx
+}
+
+// restart ends the context of the watches. Those that begin later get a new one.
+func (wg *watchGeneration) restart(parent context.Context) {
+	wg.mu.Lock()
+	defer wg.mu.Unlock()
+	if wg.cancel != nil {
+		wg.cancel()
+	}
+	wg.ctx, wg.cancel = context.WithCancel(parent)
+}
+
 // applyAccepted passes a new job or cancellation to the core.
 func (te *term) applyAccepted(en store.Entry) {
+	te.monitor.reported(en.Revision)
 	if en.Value == nil {
 		return // deleteJob has deleted the entry of an ended job
 	}
@@ -207,6 +253,7 @@
 	for _, id := range cf.Cancelled {
 		te.send(domain.CancelRequested{ID: id})
 	}
+	te.monitor.reported(rev)
 	return rev, nil
 }
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -32,7 +32,10 @@
 		// MaxPolicyAge is the maximum age of the last confirmation of a policy
 		// that is used while the store is unreachable.
 		MaxPolicyAge time.Duration
-		Log          *slog.Logger
+		// Announce is called after each job or cancellation that this host has
+		// written to the store. It must not block. It may be nil.
+		Announce func(batch.Notice)
+		Log      *slog.Logger
 	}
 
 	// Intake serves the calls of callers. It is safe for concurrent use. The
@@ -79,7 +82,12 @@
 )
 
 // New returns an Intake without a policy.
-func New(cf Config) *Intake { return &Intake{cfg: cf} }
+func New(cf Config) *Intake {
+	if cf.Announce == nil {
+		cf.Announce = func(batch.Notice) {}
+	}
+	return &Intake{cfg: cf}
+}
 
 // Ready reports whether this host can serve calls: it has a policy and the
 // store is reachable.
--- a/internal/intake/jobs.go
+++ b/internal/intake/jobs.go
@@ -40,28 +40,33 @@
 		Expect: []store.Expectation{{Key: batch.JobKey(jb.ID)}, {Key: in.cfg.PolicyKey, Revision: ac.revision}},
 		Puts:   []store.Put{{Key: batch.JobKey(jb.ID), Value: data}},
 	}
-	return in.submit(ctx, up, tx)
+	rev, err := in.submit(ctx, up, tx)
+	if rev != 0 {
+		in.cfg.Announce(batch.Notice{Job: &jb, Revision: int64(rev)})
+	}
+	return err
 }
 
 // submit retries the write until its outcome is known. All of the writes expect
 // that the job does not exist, so at most one of them takes effect, even if one
-// that timed out reaches the store after a retry.
-func (in *Intake) submit(ctx context.Context, up time.Duration, tx store.Txn) error {
+// that timed out reaches the store after a retry. The revision is that of the
+// write if this call knows that it has taken effect, and zero otherwise.
+func (in *Intake) submit(ctx context.Context, up time.Duration, tx store.Txn) (store.Revision, error) {
 	began := time.Now()
 	indeterminate := false
 	for {
 		wctx, cancel := context.WithTimeout(ctx, writeTimeout)
 		sent := up + time.Since(began)
-		_, ents, err := in.cfg.Store.Commit(wctx, tx)
+		rev, ents, err := in.cfg.Store.Commit(wctx, tx)
 		cancel()
 		switch {
 		case err == nil:
 			in.health.record(sent, nil)
 			in.confirmRevision(sent, tx.Expect[1].Revision)
-			return nil
+			return rev, nil
 		case isConflict(err):
 			in.health.record(sent, nil)
-			return in.resolveConflict(sent, indeterminate, ents)
+			return 0, in.resolveConflict(sent, indeterminate, ents)
 		case errors.Is(err, store.ErrOutcomeUnknown):
 			indeterminate = true
 		}
@@ -71,9 +76,9 @@
 		}
 	}
 	if indeterminate {
-		return newUndecided(OutcomeUnknown, codes.SubmitUnknown, "the store's response was lost")
+		return 0, newUndecided(OutcomeUnknown, codes.SubmitUnknown, "the store's response was lost")
 	}
-	return storeUnavailable()
+	return 0, storeUnavailable()
 }
 
 // resolveConflict returns the result of a submission whose transaction
@@ -179,10 +184,11 @@
 	defer cancel()
 	for {
 		wctx, stop := context.WithTimeout(ctx, writeTimeout)
-		_, _, err := in.cfg.Store.Commit(wctx, tx)
+		rev, _, err := in.cfg.Store.Commit(wctx, tx)
 		stop()
 		if err == nil || isConflict(err) {
 			in.health.record(up, nil)
+			in.cfg.Announce(batch.Notice{Cancelled: id, Revision: int64(rev)})
 			return nil
 		}
 		in.health.record(up+time.Since(began), err)
--- a/internal/remote/peer.go
+++ b/internal/remote/peer.go
@@ -5,10 +5,12 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/cicadawharf/cicadawharf/internal/batch"
 	"github.com/cicadawharf/cicadawharf/internal/dial"
 	"github.com/cicadawharf/cicadawharf/internal/store"
 )
@@ -20,7 +22,10 @@
 		Store          store.TxnStore
 		Cores          float64     // available to the process; limits the forwarded calls that it serves
 		StoreReachable func() bool // reports whether this host can reach the store
-		Log            *slog.Logger
+		// Deliver passes a notice of another host to the scheduler, and reports
+		// whether this host is the leader. If nil, no notices are taken.
+		Deliver func(batch.Notice) bool
+		Log     *slog.Logger
 		// Listener accepts the connections of other hosts and is closed by Run. If
 		// nil, Run listens on Self.Address.
 		Listener net.Listener
@@ -33,6 +38,7 @@
 		cfg     Config
 		limiter *limiter
 		pool    *pool
+		notices atomic.Int64 // being sent
 
 		sessionsCtx context.Context    // ends when sessions opened by other hosts are to be closed
 		endSessions context.CancelFunc // cancels sessionsCtx
--- a/internal/remote/peer_test.go
+++ b/internal/remote/peer_test.go
@@ -390,3 +390,28 @@
 		}
 	}
 }
+
+// TestNoticeReachesOtherHost guards against notices that are lost although the
+// other host can be reached, and against a host that takes an invalid one.
+func TestNoticeReachesOtherHost(t *testing.T) {
+	is := is.New(t)
+	sv := kvsim.Start(t, kvsim.Config{})
+	received := make(chan batch.Notice, 3)
+	a := start(t, sv, "a", "z1", accepts, nil)
+	b := start(t, sv, "b", "z2", accepts, func(cf *remote.Config) {
+		cf.StoreReachable = func() bool { return false } // a notice needs no store
+		cf.Deliver = func(no batch.Notice) bool {
+			received <- no
+			return true
+		}
+	})
+	a.Notify(b.self.Address, batch.Notice{Job: &batch.Job{ID: "bad"}}) // has no steps
+	jb := batch.Job{ID: "j", Payload: "p", Steps: []batch.Step{{Tasks: 2}}}
+	for _, no := range []batch.Notice{{Job: &jb, Revision: 7}, {Cancelled: "j"}} {
+		a.Notify(b.self.Address, no)
+		is.Equal(<-received, no)
+	}
+	a.Notify(a.self.Address, batch.Notice{Cancelled: "j"}) // no leader there
+	a.Notify("127.0.0.1:1", batch.Notice{Cancelled: "j"})  // nobody listens
+	is.Equal(len(received), 0)
+}
--- a/internal/remote/remote.go
+++ b/internal/remote/remote.go
@@ -1,8 +1,9 @@
 // Package remote forwards calls that this host can't decide, because it has no
-// connection to the store, to another host.
+// connection to the store, to another host, and tells the leader what this host
+// has written to the store (batch.Notice).
 //
 // Hosts register in the store and read the list of the other hosts from it.
-// While they can reach the store, they don't call each other. A call that a
+// While they can reach the store, they exchange nothing but notices. A call that a
 // host can't decide goes to another one, over a connection opened on demand.
 // That host decides by its own state and never forwards the call again. Roster,
 // callState, limiter and the functions of times.go make the decisions, without
--- a/internal/remote/serve.go
+++ b/internal/remote/serve.go
@@ -110,6 +110,10 @@
 		st.Close()
 		return
 	}
+	if msg.GetMethod() == methodNotice {
+		pe.respond(st, nil, pe.receiveNotice(msg.GetPayload()))
+		return
+	}
 	began := time.Now()
 	timeout := min(max(time.Duration(msg.GetTimeoutMillis())*time.Millisecond, 0), maxCallTime)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
