Count waits of the log from the acceptance of a job

Cause: the wait in the lines of the scheduler began when it learned of a job. Jobs that were in the store for three seconds unseen had lines like 'waited 22ms'.

Change: placed and jobEnds count from the acceptance, by the clock of the host that accepted the job, and placed has the unseen part from 100 ms on. Deadlines and order still count from when the scheduler learned of the job, since clocks of hosts may differ by seconds.

Measured: TestWaitCountsFromAcceptance; the policy is untouched.

--- a/internal/domain/backlog_test.go
+++ b/internal/domain/backlog_test.go
@@ -65,3 +65,28 @@
 	}
 	is.Equal(waited, map[string]time.Duration{"first": 0, "second": 0, "third": 5 * time.Second})
 }
+
+// TestWaitCountsFromAcceptance guards against an account that hides how long a
+// job was in the store before the scheduler learned of it.
+func TestWaitCountsFromAcceptance(t *testing.T) {
+	is := is.New(t)
+	sim := startSimulation(1)
+	jb, pl := oneStepJob("late", 1, 1, time.Second)
+	sim.clockSkew = -3 * time.Second // of the time of acceptance
+	sim.submit(jb, pl)
+	sim.run(5 * time.Second)
+	lines := 0
+	for _, ld := range sim.decisions {
+		switch ld.Decision {
+		case "placed":
+			is.Equal(ld.Unseen.Round(time.Second), 3*time.Second)
+			is.Equal(ld.Waited.Round(time.Second), 3*time.Second)
+			lines++
+		case "jobEnds":
+			is.Equal(ld.Waited.Round(time.Second), 3*time.Second)
+			is.Equal(ld.Duration.Round(time.Second), 4*time.Second)
+			lines++
+		}
+	}
+	is.Equal(lines, 2)
+}
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -148,6 +148,7 @@
 		Task        string
 		Queue       string        // of the unit or job
 		Waited      time.Duration // by a placed unit since its due time or acceptance, earlier attempts included; by a job that ends, until its first placement
+		Unseen      time.Duration // by a placed unit's job, until this scheduler learned of its acceptance; part of Waited
 		Duration    time.Duration // by a job that ends, since its acceptance
 		Lost        time.Duration // processor time in core equivalents, by a stop, or by all preemptions of a job that ends
 		Preemptions int           // of a job that ends: its preempted attempts, in this term
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -23,6 +23,7 @@
 		currentQueue   batch.Queue   // the queue as of queuePolicy
 		queuePolicy    *batch.Policy // the policy that currentQueue was read from
 		acceptedAt     time.Time
+		unseen         time.Duration // from its acceptance until acceptedAt, by the clock of the host that accepted it; for the log
 		endedAt        time.Time
 		advice         map[stepKey]*advice
 		begun          bool                  // some task is known to have run
@@ -152,7 +153,9 @@
 	if _, ok := co.jobs[jb.ID]; ok {
 		return
 	}
-	co.addJob(newJob(jb, now))
+	jo := newJob(jb, now)
+	jo.unseen = ageOf(now, jb)
+	co.addJob(jo)
 	co.passDue = true
 }
 
@@ -172,7 +175,7 @@
 	jb.endedAt = now
 	co.markDirty(jb)
 	co.emit(LogDecision{
-		Decision: "jobEnds", Job: jb.ID, Queue: jb.Queue.Name, Waited: waited, Duration: now.Sub(jb.acceptedAt),
+		Decision: "jobEnds", Job: jb.ID, Queue: jb.Queue.Name, Waited: waited, Duration: jb.unseen + now.Sub(jb.acceptedAt),
 		Preemptions: jb.preemptions, Lost: jb.lostTime, Reason: st.String() + ": " + reason,
 	})
 	for _, un := range jb.units {
@@ -187,9 +190,9 @@
 func (jb *job) waited(now time.Time) time.Duration {
 	switch {
 	case !jb.firstPlacedAt.IsZero():
-		return jb.firstPlacedAt.Sub(jb.acceptedAt)
+		return jb.unseen + jb.firstPlacedAt.Sub(jb.acceptedAt)
 	case jb.state == batch.Queued:
-		return now.Sub(jb.acceptedAt)
+		return jb.unseen + now.Sub(jb.acceptedAt)
 	default:
 		return 0
 	}
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -234,8 +234,11 @@
 	co.commits.urgent = true
 	un.recordVersion = un.job.version
 	waited := now.Sub(un.objectiveStart())
+	if un.job.Schedule == nil {
+		waited += un.job.unseen
+	}
 	co.emit(LogDecision{
 		Decision: "placed", Job: un.job.ID, Task: un.taskID(0).String(), Attempt: un.attempt, Workers: slices.Compact(names),
-		Queue: un.job.Queue.Name, Waited: waited, Reason: "waited " + waited.Round(time.Millisecond).String(),
+		Queue: un.job.Queue.Name, Waited: waited, Unseen: un.job.unseen, Reason: "waited " + waited.Round(time.Millisecond).String(),
 	})
 }
--- a/internal/drive/log.go
+++ b/internal/drive/log.go
@@ -9,6 +9,10 @@
 	"github.com/cicadawharf/cicadawharf/internal/domain"
 )
 
+// minLoggedUnseen is the time from which a line says how long a job was accepted
+// before the scheduler learned of it. Clocks of hosts may differ by less.
+const minLoggedUnseen = 100 * time.Millisecond
+
 // logDecision logs a decision of the core, without its empty fields.
 func (te *term) logDecision(ld domain.LogDecision) {
 	args := []any{"event", ld.Decision}
@@ -32,6 +36,9 @@
 	if len(ld.Workers) > 0 {
 		args = append(args, "workers", ld.Workers)
 	}
+	if ld.Unseen >= minLoggedUnseen {
+		addTime("unseen", ld.Unseen)
+	}
 	if ld.Decision == "jobEnds" {
 		addTime("took", ld.Duration)
 		addTime("waited", ld.Waited)
