Send starts and stops without a response a second time

Cause: a worker may leave a call without a response and carry it out seconds later. The start of one task then held up its whole gang: the call timed out after a second, the gang was stopped and begun anew. A stop without a response kept its capacity for more than a second.

--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -314,7 +314,7 @@
 	ctx, cancel := context.WithTimeout(te.ctx, callTimeout)
 	defer cancel()
 	began := time.Now()
-	err := te.cfg.Workers.Start(ctx, ef.Worker, ef.Request)
+	err := callTwice(ctx, func(ctx context.Context) error { return te.cfg.Workers.Start(ctx, ef.Worker, ef.Request) })
 	countCall("start", began, err)
 	te.send(domain.Started{Call: ef, Err: err})
 }
@@ -323,7 +323,7 @@
 	ctx, cancel := context.WithTimeout(te.ctx, callTimeout)
 	defer cancel()
 	began := time.Now()
-	err := te.cfg.Workers.Stop(ctx, ef.Worker, ef.Request)
+	err := callTwice(ctx, func(ctx context.Context) error { return te.cfg.Workers.Stop(ctx, ef.Worker, ef.Request) })
 	countCall("stop", began, err)
 	te.send(domain.Stopped{Call: ef, Err: err})
 }
--- a/internal/drive/metrics.go
+++ b/internal/drive/metrics.go
@@ -18,7 +18,9 @@
 	// takeoverTime is the time from a new leader's request for its lease until its
 	// state is loaded.
 	takeoverTime = metrics.GetOrCreateHistogram("cicadawharf_domain_takeover_seconds")
-	termCount    = metrics.GetOrCreateCounter("cicadawharf_domain_terms_total")
+	// repeatedCalls counts starts and stops that were sent a second time.
+	repeatedCalls = metrics.GetOrCreateCounter("cicadawharf_domain_repeated_calls_total")
+	termCount     = metrics.GetOrCreateCounter("cicadawharf_domain_terms_total")
 )
 
 // countDecision counts a decision and records the durations and losses that it
