Write the end of a job at once

Cause: callers ask for the state of a job just after its last task has ended.

Change: a commit with the end of a job waits for no interval after the last one.

TestEndsOfJobsAreWrittenAtOnce fails on the code before it.

The test now takes eight seeds with the same bounds a seed.

--- a/internal/domain/commit.go
+++ b/internal/domain/commit.go
@@ -18,6 +18,7 @@
 	dirty          []*job // in the order of their first change
 	dirtySet       map[*job]bool
 	urgent         bool           // a start waits for the next commit
+	jobEnded       bool           // a job has ended, and its caller may be waiting for the next commit
 	waitingJobs    map[string]int // as last written, by queue; see countWaitingJobs
 	evacuatedTasks map[string]int // as last written, by evacuated availability zone
 	countedAt      time.Time      // when countWaitingJobs last counted
@@ -72,6 +73,7 @@
 	}
 	cq.dirty = slices.DeleteFunc(cq.dirty, func(jb *job) bool { return !cq.dirtySet[jb] })
 	cq.urgent = cq.urgent && len(cq.dirty) > 0
+	cq.jobEnded = cq.jobEnded && len(cq.dirty) > 0
 	cq.seq++
 	cm.Seq = cq.seq
 	cq.inFlight[cq.seq] = versions
@@ -93,12 +95,17 @@
 }
 
 // commitInterval is the minimum time between two commits. It is shorter if a
-// start waits.
+// start waits, and zero if a job has ended: callers often ask for the state of a
+// job just after its last task has ended, and ask again only some time later.
 func (co *Core) commitInterval() time.Duration {
-	if co.commits.urgent {
+	switch {
+	case co.commits.jobEnded:
+		return 0
+	case co.commits.urgent:
 		return urgentCommitInterval
+	default:
+		return routineCommitInterval
 	}
-	return routineCommitInterval
 }
 
 // handleCommit processes the success of a commit. Attempts that it has recorded
--- a/internal/domain/commit_test.go
+++ b/internal/domain/commit_test.go
@@ -19,6 +19,7 @@
 	now     time.Time
 	replies map[time.Time][]domain.Committed // by the time at which they arrive
 	polled  bool                             // the worker was polled
+	poll    domain.Poll                      // the last one
 	starts  int                              // number of tasks started
 	written map[string]time.Time             // time of the first commit, by job
 }
@@ -45,6 +46,7 @@
 	for _, ef := range ss.core.Handle(ss.now, ev) {
 		switch ef := ef.(type) {
 		case domain.Poll:
+			ss.poll = ef
 			if !ss.polled { // later polls wait for an end
 				ss.polled = true
 				ss.handle(domain.Polled{Call: ef, Status: runner.Status{Born: 1}})
@@ -67,6 +69,12 @@
 	}
 }
 
+// end reports the end of the only task of a job in reply to the last poll.
+func (ss *slowStore) end(number int64, id string, reason runner.EndReason) {
+	ti := batch.TaskID{Job: id}
+	ss.handle(domain.Polled{Call: ss.poll, Status: runner.Status{Born: 1, Ended: []runner.End{{Number: number, Task: ti, Attempt: 1, Reason: reason}}}})
+}
+
 // step advances the time by storeStep.
 func (ss *slowStore) step() {
 	ss.now = ss.now.Add(storeStep)
@@ -121,3 +129,27 @@
 	is.True(ok)                                 // written while urgent jobs arrive
 	is.True(at.Sub(submittedAt) <= time.Second) // and within a second
 }
+
+// TestEndsOfJobsAreWrittenAtOnce guards against callers that ask for the state of
+// a job just after its end and are told that it runs, since the commit of another
+// end has just been made.
+func TestEndsOfJobsAreWrittenAtOnce(t *testing.T) {
+	is := is.New(t)
+	ss := newSlowStore(2)
+	ss.submit("a", 1)
+	ss.submit("b", 1)
+	for ss.starts < 2 {
+		ss.step()
+	}
+	for range 40 { // until no commit is in flight
+		ss.step()
+	}
+	ss.written = map[string]time.Time{}
+	ss.end(1, "a", runner.Succeeded)
+	is.Equal(ss.written["a"], ss.now)
+	for range 19 { // the commit takes 90 ms
+		ss.step()
+	}
+	ss.end(2, "b", runner.Succeeded)
+	is.Equal(ss.written["b"], ss.now)
+}
--- a/internal/domain/faultyworkers_test.go
+++ b/internal/domain/faultyworkers_test.go
@@ -9,7 +9,7 @@
 	"github.com/cicadawharf/cicadawharf/internal/batch"
 )
 
-var replays = flag.Int("domain.replays", 2, "number of seeds for each replay of faulty workers")
+var replays = flag.Int("domain.replays", 8, "number of seeds for each replay of faulty workers")
 
 type (
 	// faultyFleet is a set of workers with one kind of fault, and the bounds
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -174,6 +174,7 @@
 	jb.state = st
 	jb.endedAt = now
 	co.markDirty(jb)
+	co.commits.jobEnded = true
 	co.emit(LogDecision{
 		Decision: "jobEnds", Job: jb.ID, Queue: jb.Queue.Name, Waited: waited, Duration: jb.unseen + now.Sub(jb.acceptedAt),
 		Preemptions: jb.preemptions, Lost: jb.lostTime, Reason: st.String() + ": " + reason,
