Acknowledge the ends of stopped tasks without waiting for the store

Cause: while an end of a worker is not in the store, the worker is polled each 400 ms in place of a poll that waits for the next end. A preempted task whose end was reported first so delayed the ends of the others on the same worker, and with them the gang that was to get their room.

Change: the end of a stopped task without a checkpoint is acknowledged at once. No record depends on it: a successor that doesn't find the attempt on the worker restarts the task, as it does when it finds that end.

TestStoppedTasksAreAcknowledgedAtOnce fails on the code before it.

--- a/internal/domain/commit_test.go
+++ b/internal/domain/commit_test.go
@@ -153,3 +153,23 @@
 	ss.end(2, "b", runner.Succeeded)
 	is.Equal(ss.written["b"], ss.now)
 }
+
+// TestStoppedTasksAreAcknowledgedAtOnce guards against a worker whose other ends
+// are seen late while the end of a stopped task, which a successor needs no
+// record of, waits for the store.
+func TestStoppedTasksAreAcknowledgedAtOnce(t *testing.T) {
+	is := is.New(t)
+	ss := newSlowStore(2)
+	ss.submit("stopped", 1)
+	ss.submit("other", 1)
+	for ss.starts < 2 {
+		ss.step()
+	}
+	ss.handle(domain.CancelRequested{ID: "stopped"})
+	ss.end(1, "stopped", runner.Stopped)
+	is.Equal(ss.poll.Request.Acked, int64(1))
+	is.True(ss.poll.Request.Wait > 0) // until the next end
+	is.True(len(ss.replies) > 0)      // the store has not replied yet
+	ss.end(2, "other", runner.Succeeded)
+	is.Equal(ss.poll.Request.Acked, int64(1))
+}
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -188,9 +188,13 @@
 func happenedBefore(at, sent time.Time) bool { return !at.IsZero() && !at.After(sent) }
 
 // newPendingEnd returns an end with the version of its job that accounts for
-// it.
+// it. The end of a stopped task without a checkpoint needs no record: a successor
+// that does not find the run restarts the task as well.
 func (co *Core) newPendingEnd(en runner.End) pendingEnd {
 	pe := pendingEnd{number: en.Number}
+	if en.Reason == runner.Stopped && en.Checkpoint == "" {
+		return pe
+	}
 	if jb, ok := co.jobs[en.Task.Job]; ok && jb.savedVersion < jb.version {
 		pe.job = jb
 		pe.version = jb.version
