--- a/internal/drive/elect.go
+++ b/internal/drive/elect.go
@@ -4,9 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -38,14 +35,6 @@
 	revokeTimeout = 500 * time.Millisecond
 )
 
-// leader is the value of the leader key.
-type leader struct {
-	host        string
-	incarnation int64 // of its process
-	lease       store.LeaseID
-	address     string // IP:port at which other hosts reach it; empty if they don't
-}
-
 var (
 	errLeaderExists = errors.New("another host is the leader")
 	errNoLeader     = errors.New("the leader key was deleted")
@@ -172,38 +161,6 @@
 	sc.leader.Store(&le)
 }
 
-// encode returns the value of the leader key.
-func (le leader) encode() []byte {
-	value := fmt.Appendf(nil, "%s %d %d", le.host, le.incarnation, le.lease)
-	if le.address != "" {
-		value = fmt.Appendf(value, " %s", le.address)
-	}
-	return value
-}
-
-// parseLeader parses the value of the leader key.
-func parseLeader(value []byte) (leader, error) {
-	var le leader
-	words := strings.Fields(string(value))
-	if len(words) < 3 {
-		return le, merry.New("the leader key has too few fields")
-	}
-	le.host = words[0]
-	var err error
-	if le.incarnation, err = strconv.ParseInt(words[1], 10, 64); err != nil {
-		return le, merry.Prepend(err, "incarnation of the leader")
-	}
-	id, err := strconv.ParseInt(words[2], 10, 64)
-	if err != nil {
-		return le, merry.Prepend(err, "lease of the leader")
-	}
-	le.lease = store.LeaseID(id)
-	if len(words) > 3 {
-		le.address = words[3]
-	}
-	return le, nil
-}
-
 // keepLease renews the leader's lease until the term ends. The term ends when
 // the store reports the lease as expired, or when no renewal has succeeded for
 // domain.MaxRenewalAge: from then on, this host must not renew leases on
--- a/internal/drive/elect_test.go
+++ b/internal/drive/elect_test.go
@@ -1,6 +1,7 @@
 package drive_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -12,27 +13,32 @@
 	"github.com/cicadawharf/cicadawharf/internal/store"
 )
 
-// leaderKeyPut returns the transaction that writes the leader key under a lease.
-func leaderKeyPut(value []byte, lease store.LeaseID) store.Txn {
-	return store.Txn{Puts: []store.Put{{Key: batch.LeaderKey, Value: value, Lease: lease}}}
+// putLeader writes the leader key under a lease of an hour and returns its value,
+// which begins with the name of a host.
+func (si *site) putLeader(host, address string) string {
+	kv := si.store.Client(si.t, time.Second)
+	lease, err := kv.Grant(context.Background(), time.Hour)
+	if err != nil {
+		si.t.Fatal(err)
+	}
+	value := fmt.Sprintf("%s 1 %d%s", host, lease, address)
+	_, _, err = kv.Commit(context.Background(), store.Txn{Puts: []store.Put{{Key: batch.LeaderKey, Value: []byte(value), Lease: lease}}})
+	if err != nil {
+		si.t.Fatal(err)
+	}
+	return value
 }
 
 // TestRestartedLeaderNeedNotWaitForItsLease guards against hosts that, after all
 // of them have restarted, wait until the lease of the former leader expires.
 func TestRestartedLeaderNeedNotWaitForItsLease(t *testing.T) {
-	is := is.New(t)
 	si := newSite(t, 1)
-	kv := si.store.Client(t, time.Second)
-	lease, err := kv.Grant(t.Context(), time.Hour)
-	is.NoErr(err)
-	value := fmt.Appendf(nil, "a 1 %d", lease)
-	_, _, err = kv.Commit(t.Context(), leaderKeyPut(value, lease))
-	is.NoErr(err)
+	former := si.putLeader("a", "")
 	si.host("b")
 	si.host("a")
 	kvsim.Eventually(t, func() bool {
 		now, held := si.store.Value(batch.LeaderKey)
-		return held && string(now) != string(value)
+		return held && string(now) != former
 	})
 }
 
@@ -41,16 +47,11 @@
 func TestOtherHostsLeaseIsKept(t *testing.T) {
 	is := is.New(t)
 	si := newSite(t, 1)
-	kv := si.store.Client(t, time.Second)
-	lease, err := kv.Grant(t.Context(), time.Hour)
-	is.NoErr(err)
-	value := fmt.Appendf(nil, "ab 1 %d 10.0.0.1:1", lease)
-	_, _, err = kv.Commit(t.Context(), leaderKeyPut(value, lease))
-	is.NoErr(err)
+	former := si.putLeader("ab", " 10.0.0.1:1")
 	si.host("a")
 	si.host("b")
 	time.Sleep(2 * taskTime)
 	now, held := si.store.Value(batch.LeaderKey)
 	is.True(held)
-	is.Equal(string(now), string(value))
+	is.Equal(string(now), former)
 }
