--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -67,9 +67,21 @@
 // New returns a core that has not polled any worker yet.
 func New(now time.Time, cf Config) *Core {
 	co := &Core{
-		token: cf.Token, beganAt: now, coreFraction: min(1, cf.Cores), policy: cf.Policy, evacuation: evacuationState{minMoveRunTime: cf.MinMoveRunTime},
-		jobs: map[string]*job{}, nodes: map[string]*node{}, changed: map[*unit]bool{},
-		addresses: map[string][]*node{}, unsavedEnds: map[*node]bool{}, queueUsage: map[string]usage{}, detector: newFailureDetector(), fair: newFairness(), fairShares: cf.FairShares, commits: newCommitQueue(),
+		token:        cf.Token,
+		beganAt:      now,
+		coreFraction: min(1, cf.Cores),
+		policy:       cf.Policy,
+		evacuation:   evacuationState{minMoveRunTime: cf.MinMoveRunTime},
+		jobs:         map[string]*job{},
+		nodes:        map[string]*node{},
+		addresses:    map[string][]*node{},
+		changed:      map[*unit]bool{},
+		unsavedEnds:  map[*node]bool{},
+		queueUsage:   map[string]usage{},
+		detector:     newFailureDetector(),
+		fair:         newFairness(),
+		fairShares:   cf.FairShares,
+		commits:      newCommitQueue(),
 	}
 	for _, wk := range cf.Workers {
 		co.listWorker(now, wk)
--- a/internal/drive/elect.go
+++ b/internal/drive/elect.go
@@ -144,6 +144,7 @@
 		return false
 	}
 	if err := sc.cfg.Store.Revoke(ctx, le.lease); err != nil && !errors.Is(err, store.ErrLeaseExpired) {
+		sc.cfg.Log.Warn("lease of an earlier term was not revoked", "event", "revokeFails", "reason", err)
 		return false
 	}
 	sc.cfg.Log.Info("lease of an earlier term of this host revoked", "event", "formerLeaseRevoked", "revision", en.Revision)
--- a/internal/remote/notice.go
+++ b/internal/remote/notice.go
@@ -75,6 +75,9 @@
 	if err := json.Unmarshal(payload, &no); err != nil {
 		return codes.New(codes.BadRequest, "notice: %v", err)
 	}
+	if no.Job == nil && no.Cancelled == "" {
+		return codes.New(codes.BadRequest, "the notice names no job")
+	}
 	if no.Job != nil {
 		if err := no.Job.Validate(); err != nil {
 			return codes.New(codes.BadRequest, "job of a notice: %v", err)
--- a/internal/remote/peer_test.go
+++ b/internal/remote/peer_test.go
@@ -405,6 +405,7 @@
 			return true
 		}
 	})
+	a.Notify(b.self.Address, batch.Notice{})                           // names no job
 	a.Notify(b.self.Address, batch.Notice{Job: &batch.Job{ID: "bad"}}) // has no steps
 	jb := batch.Job{ID: "j", Payload: "p", Steps: []batch.Step{{Tasks: 2}}}
 	for _, no := range []batch.Notice{{Job: &jb, Revision: 7}, {Cancelled: "j"}} {
