ports: bind the connection of a test to 127.0.0.1

The test opened its connection from the wildcard address, which can't be bound to a port on which another test process listens, at whatever loopback address.

Change: the connection comes from 127.0.0.1, as every outgoing loopback connection does. The test asserts what it asserted.

--- a/internal/fakes/ports/ports_test.go
+++ b/internal/fakes/ports/ports_test.go
@@ -24,7 +24,7 @@
 	is.NoErr(err)
 	number, err := strconv.Atoi(port)
 	is.NoErr(err)
-	dialer := net.Dialer{LocalAddr: &net.TCPAddr{Port: number}}
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: number}}
 	conn, err := dialer.Dial("tcp", server.Addr().String())
 	is.NoErr(err)
 	defer conn.Close()
