domain: log runs that end without a report of their worker

Change: event=lost for each such run, with the cause by which the scheduler knows, bounds of the run's age at the loss of the worker, and the number of runs beside it; a counter by cause. Decisions stay the same.

--- a/internal/domain/drain.go
+++ b/internal/domain/drain.go
@@ -54,7 +54,7 @@
 func (co *Core) workerDown(now time.Time, id string) {
 	if nd, ok := co.nodes[id]; ok {
 		nd.listed = false
-		co.endIncarnation(now, nd)
+		co.endIncarnation(now, nd, ShutDown)
 	}
 }
 
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -125,6 +125,8 @@
 	//   - placed: an attempt of a unit was placed, and its record is written next
 	//   - startFails: a start was refused, failed, or got no reply
 	//   - ends: a worker has reported the end of a run
+	//   - lost: a run has ended, or is considered ended, without a report of its
+	//     worker; see Cause
 	//   - endsLate: an attempt succeeded although it had been given up
 	//   - stops: an attempt, or a run that no record names, is being stopped
 	//   - overdue: a stop is not confirmed although all leases have expired
@@ -147,6 +149,10 @@
 		Job         string
 		Task        string
 		Queue       string        // of the unit or job
+		Cause       LossCause     // of a lost run
+		MinAge      time.Duration // of a lost run at the loss of its worker, since the confirmation of its start
+		MaxAge      time.Duration // the same as an upper bound; zero if the start was not confirmed
+		Beside      int           // number of other runs on the worker of a lost run
 		Waited      time.Duration // by a placed unit since its due time or acceptance, earlier attempts included; by a job that ends, until its first placement
 		Unseen      time.Duration // by a placed unit's job, until this scheduler learned of its acceptance; part of Waited
 		Duration    time.Duration // by a job that ends, since its acceptance
--- /dev/null
+++ b/internal/domain/loss.go
@@ -0,0 +1,93 @@
+package domain
+
+import "time"
+
+type (
+	// LossCause is the reason why a run is considered ended although no worker
+	// has reported its end.
+	LossCause uint8
+
+	// loss is the loss of a run, as far as it is known.
+	loss struct {
+		cause LossCause
+		age   ageRange
+	}
+
+	// ageRange bounds the age of a run, since the confirmation of its start, at
+	// which its worker was lost.
+	ageRange struct{ min, max time.Duration }
+)
+
+// The causes of a loss. Restarted and Replaced are the ones that show a crash of
+// the worker.
+const (
+	notLost      LossCause = iota
+	Restarted              // the worker has restarted under the same ID
+	Replaced               // another worker, or another incarnation, has the worker's address
+	Departed               // as Restarted or Replaced, but the worker was leaving or to be drained
+	ShutDown               // the worker's machine was shut down on request
+	LeaseExpired           // the worker is silent or no longer listed, and its leases have expired
+	GangEnded              // the rest of the gang has ended, and the worker is silent and no longer listed
+	NotListed              // the worker runs, but does not list the run
+)
+
+var lossCauseNames = [...]string{
+	notLost: "none", Restarted: "restarted", Replaced: "replaced", Departed: "departed", ShutDown: "shutDown",
+	LeaseExpired: "leaseExpired", GangEnded: "gangEnded", NotListed: "notListed",
+}
+
+// String returns the name of the cause for logs and metrics.
+func (lc LossCause) String() string {
+	if int(lc) >= len(lossCauseNames) {
+		return lossCauseNames[notLost]
+	}
+	return lossCauseNames[lc]
+}
+
+// unlessDeparting returns the cause, or Departed for a worker that was leaving or
+// to be drained, which has not crashed.
+func (lc LossCause) unlessDeparting(nd *node) LossCause {
+	if nd.worker.Draining || !nd.drainBy.IsZero() {
+		return Departed
+	}
+	return lc
+}
+
+// loseRun ends a run without a report of its worker. A run whose start was not
+// sent yet is not lost.
+func (co *Core) loseRun(ru *run, ls loss, beside int) {
+	if ru.stage != ended && ru.stage != planned {
+		co.emit(LogDecision{
+			Decision: "lost", Job: ru.task.Job, Task: ru.task.String(), Attempt: ru.attempt, Worker: ru.node.worker.ID,
+			Cause: ls.cause, MinAge: ls.age.min, MaxAge: ls.age.max, Beside: beside,
+		})
+	}
+	co.endRun(ru)
+}
+
+// ageAtLoss returns the bounds of a run's age at the loss of its worker: the
+// last response that listed the run, and the first call after the last response
+// that failed, or the present if none did. They are zero if the start was never
+// confirmed.
+func (ru *run) ageAtLoss(now time.Time) ageRange {
+	if ru.confirmedAt.IsZero() {
+		return ageRange{}
+	}
+	lostBy := now
+	if !ru.node.silentSince.IsZero() {
+		lostBy = ru.node.silentSince
+	}
+	ar := ageRange{max: max(0, lostBy.Sub(ru.confirmedAt))}
+	if !ru.listedAt.IsZero() {
+		ar.min = min(ar.max, ru.listedAt.Sub(ru.confirmedAt))
+	}
+	return ar
+}
+
+// recordSilence records a call to a worker that got no response.
+func (nd *node) recordSilence(now time.Time) {
+	if !nd.unresponsive() || nd.silentSince.IsZero() {
+		nd.silentSince = now
+	}
+	nd.lastFailure = now
+}
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -22,6 +22,7 @@
 		clockAt                time.Time
 		lastResponse           time.Time    // to a poll
 		lastFailure            time.Time    // of a call
+		silentSince            time.Time    // when the first call since lastResponse failed; zero if none did
 		lastRefusal            time.Time    // of a start
 		leaseEnd               time.Time    // when every lease granted here has expired
 		polling                bool         // the long poll for ends is in flight
@@ -79,7 +80,7 @@
 	for _, nd := range slices.Clone(co.addresses[wk.Address]) {
 		if nd.worker.ID != wk.ID && nd.worker.Born < wk.Born {
 			nd.listed = false
-			co.endIncarnation(now, nd)
+			co.endIncarnation(now, nd, Replaced.unlessDeparting(nd))
 		}
 	}
 }
@@ -156,6 +157,7 @@
 	co.emit(LogDecision{Decision: "reborn", Worker: nd.worker.ID, Reason: "the worker has restarted"})
 	for _, ru := range nd.runs {
 		ru.stop.ackedAt = time.Time{}
+		ru.lostBy = loss{cause: Restarted.unlessDeparting(nd), age: ru.ageAtLoss(now)}
 	}
 	if end := now.Add(maxCallDelay + maxLeaseTime); len(nd.runs) > 0 && end.After(nd.leaseEnd) {
 		nd.leaseEnd = end
@@ -182,9 +184,10 @@
 
 // endIncarnation ends all runs of a worker that certainly runs nothing any
 // more, and removes the worker unless it is listed.
-func (co *Core) endIncarnation(now time.Time, nd *node) {
+func (co *Core) endIncarnation(now time.Time, nd *node, cause LossCause) {
+	beside := len(nd.runs) - 1
 	for _, ru := range nd.sortedRuns() {
-		co.endRun(ru)
+		co.loseRun(ru, loss{cause: cause, age: ru.ageAtLoss(now)}, beside)
 	}
 	nd.pendingEnds = nil
 	if !nd.listed {
@@ -209,7 +212,7 @@
 	}
 	for _, ru := range nd.sortedRuns() {
 		if ru.unit != nil {
-			co.endUnreportedMember(ru.unit)
+			co.endUnreportedMember(now, ru.unit)
 		}
 	}
 	if now.Before(nd.leaseEnd) {
@@ -220,7 +223,7 @@
 		co.recordNodeFailure(now, nd, weightWorkerLost*maxJobPenalty)
 	}
 	if len(nd.runs) > 0 || !nd.listed {
-		co.endIncarnation(now, nd)
+		co.endIncarnation(now, nd, LeaseExpired)
 	}
 }
 
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -73,7 +73,7 @@
 	if nd.lastResponse.IsZero() || nd.lastFailure.After(nd.lastResponse) {
 		co.passDue = true
 	}
-	nd.lastResponse = now
+	nd.lastResponse, nd.silentSince = now, time.Time{}
 	nd.clock, nd.clockAt = ev.Status.Clock, now
 	nd.ackedEnd = max(nd.ackedEnd, ev.Call.Request.Acked)
 	co.reconcile(now, nd, ev)
@@ -90,10 +90,10 @@
 	if nd.lastFailure.Before(nd.lastResponse) || nd.lastFailure.IsZero() {
 		co.emit(LogDecision{Decision: "lookFails", Worker: nd.worker.ID, Reason: ev.Err.Error()})
 	}
-	nd.lastFailure = now
+	nd.recordSilence(now)
 	if errors.Is(ev.Err, runner.ErrRestarted) {
 		nd.listed = false
-		co.endIncarnation(now, nd)
+		co.endIncarnation(now, nd, Replaced.unlessDeparting(nd))
 	}
 }
 
@@ -114,9 +114,10 @@
 		nd.pendingEnds = append(nd.pendingEnds, co.newPendingEnd(en))
 		co.unsavedEnds[nd] = true
 	}
+	present := len(nd.runs)
 	for _, ru := range nd.sortedRuns() {
 		if !reported[runKey{ru.task, ru.attempt}] {
-			co.handleMissing(now, ru, ev.Call.Sent)
+			co.handleMissing(now, ru, ev.Call.Sent, present-1)
 		}
 	}
 	co.advanceSavedEnd(nd)
@@ -135,6 +136,7 @@
 		ru.progressAt = now
 	}
 	ru.startLostAt = time.Time{}
+	ru.listedAt, ru.lostBy = now, loss{}
 	if ru.confirmedAt.IsZero() {
 		ru.confirmedAt = now
 		ru.beganAt = now
@@ -169,20 +171,29 @@
 }
 
 // handleMissing processes a run that is missing in the reply to a poll, which
-// was sent at the given time.
-func (co *Core) handleMissing(now time.Time, ru *run, sent time.Time) {
+// was sent at the given time. beside is the number of other runs that the worker
+// was supposed to have.
+func (co *Core) handleMissing(now time.Time, ru *run, sent time.Time, beside int) {
 	switch {
 	case ru.stage == adopted:
 		// The poll carries the larger token, so a start of the former term
 		// can't take effect any more.
-		co.endRun(ru)
+		co.loseRun(ru, ru.lossIfMissing(now), beside)
 	case happenedBefore(ru.confirmedAt, sent), happenedBefore(ru.stop.ackedAt, sent):
-		co.endRun(ru)
+		co.loseRun(ru, ru.lossIfMissing(now), beside)
 	case happenedBefore(ru.startLostAt, sent):
 		co.stopAfterLostStart(now, ru)
 	}
 }
 
+// lossIfMissing returns the loss of a run that its worker does not list.
+func (ru *run) lossIfMissing(now time.Time) loss {
+	if ru.lostBy.cause != notLost {
+		return ru.lostBy
+	}
+	return loss{cause: NotListed, age: ru.ageAtLoss(now)}
+}
+
 // happenedBefore reports whether something happened before a poll was sent. A
 // zero time means that it has not happened.
 func happenedBefore(at, sent time.Time) bool { return !at.IsZero() && !at.After(sent) }
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -19,6 +19,8 @@
 		stage            runStage
 		startLostAt      time.Time // when the reply to its start was lost
 		confirmedAt      time.Time // when its start was confirmed, or a poll first listed the run
+		listedAt         time.Time // when a poll last listed the run
+		lostBy           loss      // set if its worker has restarted since; see handleRestart
 		beganAt          time.Time // estimated from its progress if the start was not confirmed
 		stop             stopState
 		outcome          runner.EndReason // set if the worker has reported its end
@@ -231,13 +233,13 @@
 		ru.unit.job.begun = true
 	case errors.Is(ev.Err, runner.ErrOutcomeUnknown):
 		ru.startLostAt = now
-		nd.lastFailure = now
+		nd.recordSilence(now)
 		co.recordFailure(now, nd, ru.unit, weightOutcomeUnknown)
 		co.pollNow(now, nd)
 	default:
 		nd.lastRefusal = now
 		if errors.Is(ev.Err, runner.ErrUnreachable) {
-			nd.lastFailure = now
+			nd.recordSilence(now)
 		}
 		ru.unit.avoidWorker(nd.worker.ID)
 		if ru.unit.job.advice == nil { // otherwise the ticket may be the cause
@@ -268,9 +270,9 @@
 			co.pollNow(now, nd)
 		}
 	case errors.Is(ev.Err, runner.ErrRestarted):
-		co.endRun(ru)
+		co.loseRun(ru, loss{cause: Replaced.unlessDeparting(nd), age: ru.ageAtLoss(now)}, len(nd.runs)-1)
 	default:
-		nd.lastFailure = now
+		nd.recordSilence(now)
 	}
 }
 
@@ -300,7 +302,7 @@
 	case runner.Failed:
 		co.handleFailure(now, nd, un)
 	case runner.GangBroken:
-		co.endUnreportedMember(un)
+		co.endUnreportedMember(now, un)
 	}
 }
 
@@ -331,7 +333,7 @@
 // have ended as runner.GangBroken and its worker is unresponsive and no longer
 // listed. The end of that task must have caused the others, but nobody will
 // report it. A worker that is still listed reports the end itself.
-func (co *Core) endUnreportedMember(un *unit) {
+func (co *Core) endUnreportedMember(now time.Time, un *unit) {
 	var unreported *run
 	broken := 0
 	for _, ru := range un.runs {
@@ -345,7 +347,7 @@
 		}
 	}
 	if unreported != nil && broken == un.tasks-1 && broken > 0 && !unreported.node.listed && unreported.node.unresponsive() {
-		co.endRun(unreported)
+		co.loseRun(unreported, loss{cause: GangEnded, age: unreported.ageAtLoss(now)}, len(unreported.node.runs)-1)
 	}
 }
 
--- a/internal/drive/log.go
+++ b/internal/drive/log.go
@@ -44,6 +44,9 @@
 		addTime("waited", ld.Waited)
 		args = append(args, "stops", ld.Preemptions)
 	}
+	if ld.Decision == "lost" {
+		args = append(args, "cause", ld.Cause, "minAge", ld.MinAge.Round(time.Millisecond), "maxAge", ld.MaxAge.Round(time.Millisecond), "beside", ld.Beside)
+	}
 	addTime("lost", ld.Lost)
 	add("reason", ld.Reason)
 	te.log.Info("decision", args...)
--- a/internal/drive/metrics.go
+++ b/internal/drive/metrics.go
@@ -33,6 +33,8 @@
 	switch ld.Decision {
 	case "stops":
 		metrics.GetOrCreateFloatCounter(fmt.Sprintf("cicadawharf_domain_lost_core_seconds_total{queue=%q}", ld.Queue)).Add(ld.Lost.Seconds())
+	case "lost":
+		metrics.GetOrCreateCounter(fmt.Sprintf("cicadawharf_domain_lost_runs_total{cause=%q}", ld.Cause)).Inc()
 	case "jobEnds":
 		metrics.GetOrCreateHistogram(fmt.Sprintf("cicadawharf_domain_job_seconds{queue=%q}", ld.Queue)).Update(ld.Duration.Seconds())
 	}
