domain: tests of a task that crashes every worker, known to fail

Cause: callers see a job that never ends, and lose work on worker after worker: an attempt that ends with its worker leaves no trace at its task.

Change: the simulated workers can be crashed by a task, return under the same ID or a new one, and record a start that follows too many crashes; the simulation also records a job that fails without a cause.

--- /dev/null
+++ b/internal/domain/crash_test.go
@@ -0,0 +1,200 @@
+package domain_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/domain"
+)
+
+// crashVariant is a way in which a task crashes its workers and these return.
+type crashVariant struct {
+	name     string
+	newIDs   bool
+	downtime time.Duration
+	gang     bool
+	lasting  bool
+}
+
+var crashVariants = []crashVariant{
+	{name: "same ID", downtime: 3 * time.Second},
+	{name: "new ID", newIDs: true, downtime: 3 * time.Second},
+	{name: "gang", newIDs: true, downtime: 3 * time.Second, gang: true},
+	{name: "lasting", newIDs: true, downtime: 3 * time.Second, lasting: true},
+	{name: "back after the leases, same ID", downtime: 9 * time.Second},
+	{name: "back after the leases, new ID", newIDs: true, downtime: 9 * time.Second},
+	{name: "gang, back after the leases", newIDs: true, downtime: 9 * time.Second, gang: true},
+}
+
+// start starts a simulation of 8 workers and submits a job whose first task
+// crashes its workers, beside a job that fills half of them.
+func (cv crashVariant) start() *simulation {
+	sim := newSimulation(1)
+	sim.newIDs, sim.downtime = cv.newIDs, cv.downtime
+	sim.start(8)
+	beside, pl := oneStepJob("beside", 1, 32, 4*time.Second)
+	sim.submit(beside, pl)
+	sim.run(100 * time.Millisecond)
+	jb, pl := oneStepJob("crashes", 1, 3, 2*time.Second)
+	jb.Steps[0].Gang, jb.Steps[0].LongRunning = cv.gang, cv.lasting
+	pl.crashes = true
+	sim.submit(jb, pl)
+	return sim
+}
+
+// checkGivenUp fails the test unless the crashing job has failed, has left
+// nothing running and has broken no rule, and the job beside it is done.
+func (sim *simulation) checkGivenUp(t *testing.T) {
+	t.Helper()
+	if violations := sim.check(); len(violations) > 0 {
+		t.Fatalf("violations: %v\n%s", violations, sim.logTail())
+	}
+	if st := sim.state("crashes"); st != batch.Failed || sim.fleet.Running("crashes") > 0 {
+		t.Fatalf("the job that crashes workers is %v, and %d of its tasks run\n%s", st, sim.fleet.Running("crashes"), sim.logTail())
+	}
+	if st := sim.state("beside"); st != batch.Done {
+		t.Fatalf("the job beside it is %v\n%s", st, sim.logTail())
+	}
+}
+
+// TestTaskThatCrashesWorkersIsGivenUp guards against a task that crashes one
+// worker after the other without end, since an attempt that ends with its worker
+// does not count as failed.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	for _, cv := range crashVariants {
+		t.Run(cv.name, func(t *testing.T) {
+			sim := cv.start()
+			sim.run(time.Minute)
+			sim.checkGivenUp(t)
+		})
+	}
+}
+
+// TestCrashesCountAcrossTakeovers elects a new scheduler again and again, before
+// or after the last crash is noticed. It guards against a count of crashes that
+// is lost with the memory of a scheduler.
+func TestCrashesCountAcrossTakeovers(t *testing.T) {
+	for _, cv := range crashVariants[:3] {
+		for _, period := range []time.Duration{700 * time.Millisecond, 2900 * time.Millisecond, 3300 * time.Millisecond, 5 * time.Second} {
+			t.Run(fmt.Sprintf("%s/%v", cv.name, period), func(t *testing.T) {
+				sim := cv.start()
+				for range 2 * time.Minute / period {
+					sim.run(period)
+					sim.elect()
+				}
+				sim.run(time.Minute)
+				sim.checkGivenUp(t)
+			})
+		}
+	}
+}
+
+// TestCrashesCountWithoutStore keeps the scheduler from the store while workers
+// crash, and replaces it after that. It guards against a next attempt that
+// starts before the crash of the last one is stored.
+func TestCrashesCountWithoutStore(t *testing.T) {
+	for _, cv := range crashVariants[:3] {
+		t.Run(cv.name, func(t *testing.T) {
+			sim := cv.start()
+			for range 12 {
+				sim.run(time.Second)
+				sim.leader.partitioned = true
+				sim.run(3 * time.Second)
+				sim.leader.partitioned = false
+			}
+			sim.elect()
+			sim.run(time.Minute)
+			sim.checkGivenUp(t)
+		})
+	}
+}
+
+// TestPlainCrashesFailNoJob crashes a quarter of the workers at once, again and
+// again. It guards against giving up work because the workers under it crash for
+// another reason.
+func TestPlainCrashesFailNoJob(t *testing.T) {
+	for _, newIDs := range []bool{false, true} {
+		t.Run(fmt.Sprintf("newIDs=%v", newIDs), func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(1)
+			sim.newIDs = newIDs
+			sim.start(16)
+			for i := range 12 {
+				jb, pl := oneStepJob(fmt.Sprintf("j%02d", i), i%3, 8, 4*time.Second)
+				jb.Steps[0].Gang = i%4 == 0
+				sim.submit(jb, pl)
+			}
+			for range 8 {
+				sim.run(4 * time.Second)
+				ids := sim.workerIDs()
+				for _, at := range sim.rng.Perm(len(ids))[:4] {
+					sim.fleet.Remove(sim.now, ids[at])
+					sim.restartCrashed(ids[at])
+				}
+			}
+			sim.run(time.Minute)
+			for id := range sim.jobs {
+				is.Equal(sim.state(id), batch.Done)
+			}
+			is.Equal(sim.check(), nil)
+		})
+	}
+}
+
+// TestDepartedWorkersAreNoCrashes takes a worker away 10 ms after each start of a
+// task, after an announcement, or has the machine shut down on request. It guards
+// against giving up a task for that.
+func TestDepartedWorkersAreNoCrashes(t *testing.T) {
+	for _, announced := range []bool{false, true} {
+		t.Run(fmt.Sprintf("announced=%v", announced), func(t *testing.T) {
+			is := is.New(t)
+			sim := startSimulation(2)
+			jb, pl := oneStepJob("j", 1, 1, 2*time.Second)
+			sim.submit(jb, pl)
+			for i := range 8 {
+				for sim.fleet.Running("j") == 0 {
+					sim.run(time.Millisecond)
+				}
+				sim.run(10 * time.Millisecond)
+				sim.takeAway(sim.workerOf("j"), fmt.Sprintf("n%d%d", i%2, i), announced)
+			}
+			sim.run(time.Minute)
+			is.Equal(sim.state("j"), batch.Done)
+		})
+	}
+}
+
+// takeAway replaces a worker after its departure was announced, or after its
+// machine was shut down.
+func (sim *simulation) takeAway(id, next string, announced bool) {
+	if announced {
+		sim.announceDeparture(id)
+		sim.run(2 * storeDelay)
+		wk := sim.workers[id]
+		wk.Draining = false // of the next worker
+		sim.workers[id] = wk
+	} else {
+		sim.fleet.Remove(sim.now, id)
+		sim.handle(sim.leader, domain.WorkerDown{Worker: id})
+	}
+	sim.replaceWorker(id, next, 50*time.Millisecond)
+}
+
+// workerIDs returns the IDs of the workers that the platform lists, sorted.
+func (sim *simulation) workerIDs() []string { return slices.Sorted(maps.Keys(sim.workers)) }
+
+// workerOf returns a worker that runs a task of a job, or "" if none does.
+func (sim *simulation) workerOf(job string) string {
+	for _, id := range sim.workerIDs() {
+		if sim.fleet.Runs(id, job) {
+			return id
+		}
+	}
+	return ""
+}
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -52,6 +52,9 @@
 		handleTimes       []time.Duration              // real time that the core took for each event
 		fairShares        bool                         // see domain.Config
 		failUrgent        bool                         // every other urgent job fails on every worker
+		downtime          time.Duration                // of a worker that a task has crashed
+		newIDs            bool                         // workers that have crashed return under new IDs
+		restarts          int                          // of workers that have crashed
 	}
 
 	// taskPlan is the simulated behaviour of the tasks of a step.
@@ -59,6 +62,7 @@
 		work          time.Duration // actual run time
 		firstTaskWork time.Duration // overrides the work of the first task unless zero
 		fails         bool
+		crashes       bool // the first task crashes each worker that starts it
 	}
 
 	// faults holds the fractions of calls that get no reply.
@@ -117,7 +121,7 @@
 
 func newSimulation(seed uint64) *simulation {
 	sim := &simulation{
-		rng: rand.New(rand.NewPCG(seed, 1)), now: startTime, workers: map[string]runner.Worker{}, unreachable: map[string]bool{},
+		rng: rand.New(rand.NewPCG(seed, 1)), now: startTime, downtime: 3 * time.Second, workers: map[string]runner.Worker{}, unreachable: map[string]bool{},
 		jobs: map[string]batch.Job{}, plans: map[string][]taskPlan{}, cancelled: map[string]time.Time{},
 		records: map[string]batch.Record{}, endTimes: map[string]time.Time{},
 		policy: &batch.Policy{Version: 1, Queues: []batch.Queue{
@@ -125,7 +129,7 @@
 		}, Workspaces: []batch.Workspace{{Name: "a", Guaranteed: 16}, {Name: "b", Guaranteed: 16}}},
 	}
 	sim.fleet = runsim.NewFleet(startTime, runsim.Config{
-		MaxLease: 10 * time.Second, GangTimeout: 3 * time.Second, CheckpointInterval: 2 * time.Second, Plan: sim.planOf,
+		MaxLease: 10 * time.Second, GangTimeout: 3 * time.Second, CheckpointInterval: 2 * time.Second, Plan: sim.planOf, Crashed: sim.restartCrashed,
 	})
 	return sim
 }
@@ -144,7 +148,7 @@
 	tp := sim.plans[ti.Job][ti.Step]
 	pl := runsim.Plan{
 		Work: tp.work, Fails: tp.fails, Needs: step.Reserved(), MaxAttempts: jb.Queue.MaxAttempts, Checkpoints: step.Checkpoints,
-		Payload: jb.Payload, PerWorker: step.PerWorker, LongRunning: step.LongRunning, Tickets: sim.tickets[ti.Job],
+		Crashes: tp.crashes && ti.Index == 0, Payload: jb.Payload, PerWorker: step.PerWorker, LongRunning: step.LongRunning, Tickets: sim.tickets[ti.Job],
 	}
 	if step.Gang {
 		pl.Gang = step.Tasks
@@ -188,6 +192,19 @@
 	sim.after(2*lag, func() { sim.notify(domain.Unlisted{ID: former}) })
 }
 
+// restartCrashed brings a worker that has crashed back after the downtime.
+func (sim *simulation) restartCrashed(id string) {
+	wk := sim.workers[id]
+	sim.after(sim.downtime, func() {
+		sim.restarts++
+		if sim.newIDs {
+			sim.replaceWorker(id, fmt.Sprintf("c%s%d", id[1:2], sim.restarts), 50*time.Millisecond)
+			return
+		}
+		sim.addWorker(id, wk.Capacity.Accelerators)
+	})
+}
+
 func (sim *simulation) submit(jb batch.Job, plans ...taskPlan) {
 	jb.Accepted = sim.now.Add(sim.clockSkew)
 	sim.jobs[jb.ID] = jb
@@ -455,6 +472,9 @@
 	violations := slices.Clone(sim.fleet.Violations)
 	for _, id := range sim.accepted {
 		jb := sim.jobs[id]
+		if sim.state(id) == batch.Failed && !sim.mayHaveFailed(jb) {
+			violations = append(violations, "job "+id+" is stored as failed without a cause")
+		}
 		if sim.state(id) != batch.Done {
 			continue
 		}
@@ -470,6 +490,33 @@
 	return violations
 }
 
+// mayHaveFailed reports whether some unit of a job may be given up. The failures
+// of a gang may be those of different members.
+func (sim *simulation) mayHaveFailed(jb batch.Job) bool {
+	for oc := range jb.Occurrences() {
+		for at, step := range jb.Steps {
+			if sim.stepMayHaveFailed(jb, step, batch.TaskID{Job: jb.ID, Occurrence: oc, Step: at}) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (sim *simulation) stepMayHaveFailed(jb batch.Job, step batch.Step, ti batch.TaskID) bool {
+	attempts := jb.Queue.MaxAttempts
+	if step.Gang {
+		attempts = (attempts + step.Tasks - 1) / step.Tasks // at least one member has failed this often
+	}
+	for i := range step.Tasks {
+		ti.Index = i
+		if sim.fleet.MayBeGivenUp(ti, attempts) {
+			return true
+		}
+	}
+	return false
+}
+
 // logTail returns the last 60 lines of the log.
 func (sim *simulation) logTail() string {
 	return strings.Join(sim.log[max(0, len(sim.log)-60):], "\n")
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -21,12 +21,14 @@
 		GangTimeout        time.Duration // how long the tasks of a gang wait for the rest of it
 		CheckpointInterval time.Duration // work between two checkpoints
 		Plan               func(ti batch.TaskID) Plan
+		Crashed            func(worker string) // called when a task has crashed its worker; may be nil
 	}
 
 	// Plan describes what a task does and which rules its starts must obey.
 	Plan struct {
 		Work        time.Duration // run time from the beginning, without a checkpoint
 		Fails       bool          // each attempt fails when its work is done
+		Crashes     bool          // each attempt crashes its worker crashDelay after its start
 		Gang        int           // number of tasks in its gang; zero for none
 		Needs       batch.Resources
 		MaxAttempts int
@@ -48,6 +50,9 @@
 		ackedFailures  map[batch.TaskID]int  // acknowledged failures
 		ackedSuccesses map[batch.TaskID]bool // acknowledged successes
 		succeeded      map[batch.TaskID]bool // all successes, acknowledged or not
+		failures       map[batch.TaskID]int  // all failures, acknowledged or not
+		crashes        map[batch.TaskID]int  // workers that have crashed, or were removed, under a task
+		startsPastMax  map[batch.TaskID]int  // starts of tasks that crash their workers, after maxCrashes crashes
 		LatencyMillis  map[batch.TaskID]int  // latency of slow responses that workers report for long-running tasks
 		Violations     []string              // descriptions of the scheduler's violations of the protocol
 		RefusedStarts  int                   // starts refused for lack of a valid ticket
@@ -86,11 +91,24 @@
 	}
 )
 
+const (
+	crashDelay = 10 * time.Millisecond
+	// maxCrashes is the number of workers that may crash under a task that
+	// crashes each of them. Fewer than maxStartsPastMax starts may follow, by a
+	// scheduler that has not noticed the last crashes yet.
+	maxCrashes       = 3
+	maxStartsPastMax = 3
+	// minCrashesToGiveUp is the number of crashed workers from which a task may
+	// be given up.
+	minCrashesToGiveUp = 2
+)
+
 // NewFleet returns a fleet without workers.
 func NewFleet(now time.Time, cf Config) *Fleet {
 	return &Fleet{
 		cfg: cf, now: now, workers: map[string]*worker{}, replaced: map[string]bool{}, ackedFailures: map[batch.TaskID]int{},
-		ackedSuccesses: map[batch.TaskID]bool{}, succeeded: map[batch.TaskID]bool{}, LatencyMillis: map[batch.TaskID]int{},
+		ackedSuccesses: map[batch.TaskID]bool{}, succeeded: map[batch.TaskID]bool{},
+		failures: map[batch.TaskID]int{}, crashes: map[batch.TaskID]int{}, startsPastMax: map[batch.TaskID]int{}, LatencyMillis: map[batch.TaskID]int{},
 	}
 }
 
@@ -116,10 +134,30 @@
 	if !ok {
 		return
 	}
+	fl.remove(wo)
+}
+
+func (fl *Fleet) remove(wo *worker) {
 	for _, ru := range wo.sortedRuns() {
+		fl.crashes[ru.task]++
 		fl.endRun(ru, runner.GangBroken)
 	}
-	delete(fl.workers, id)
+	delete(fl.workers, wo.id)
+}
+
+// crash removes a worker that one of its tasks has crashed.
+func (fl *Fleet) crash(wo *worker) {
+	fl.remove(wo)
+	fl.idleUntil = time.Time{}
+	if fl.cfg.Crashed != nil {
+		fl.cfg.Crashed(wo.id)
+	}
+}
+
+// MayBeGivenUp reports whether a task has failed as often as it may, or has had
+// enough workers crash under it.
+func (fl *Fleet) MayBeGivenUp(ti batch.TaskID, maxAttempts int) bool {
+	return fl.failures[ti] >= maxAttempts || fl.crashes[ti] >= minCrashesToGiveUp
 }
 
 // Replace ends a worker and starts another one at its address, whose start time
@@ -209,6 +247,18 @@
 	return 0
 }
 
+// Runs reports whether a worker runs an attempt of a job.
+func (fl *Fleet) Runs(id, job string) bool {
+	if wo, ok := fl.workers[id]; ok {
+		for ti := range wo.runs {
+			if ti.Job == job {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // AttemptsOnWorkerOf returns the number of attempts on the worker that runs a task,
 // with that task's own included, or zero if no worker runs it.
 func (fl *Fleet) AttemptsOnWorkerOf(ti batch.TaskID) int {
@@ -297,6 +347,7 @@
 	if pl.MaxAttempts > 0 && fl.ackedFailures[rq.Task] >= pl.MaxAttempts {
 		fl.recordViolation("%s attempt %d starts after %d failures", rq.Task, rq.Attempt, fl.ackedFailures[rq.Task])
 	}
+	fl.checkCrashes(rq, pl)
 	if rq.Payload != pl.Payload {
 		fl.recordViolation("%s starts with the wrong payload %q", rq.Task, rq.Payload)
 	}
@@ -320,6 +371,18 @@
 	}
 }
 
+// checkCrashes records a violation if a task that crashes its workers is started
+// too often.
+func (fl *Fleet) checkCrashes(rq runner.StartRequest, pl Plan) {
+	if !pl.Crashes || fl.crashes[rq.Task] < maxCrashes {
+		return
+	}
+	fl.startsPastMax[rq.Task]++
+	if fl.startsPastMax[rq.Task] >= maxStartsPastMax {
+		fl.recordViolation("%s attempt %d starts after it has crashed %d workers", rq.Task, rq.Attempt, fl.crashes[rq.Task])
+	}
+}
+
 func (fl *Fleet) recordViolation(format string, args ...any) {
 	fl.Violations = append(fl.Violations, fmt.Sprintf("%v: ", fl.now.Format("05.000"))+fmt.Sprintf(format, args...))
 }
@@ -435,6 +498,8 @@
 		for _, ru := range wo.sortedRuns() {
 			consider(wo.leaseEnd(), func() { fl.expireLeases(wo) })
 			switch {
+			case ru.plan.Crashes:
+				consider(ru.startedAt.Add(crashDelay), func() { fl.crash(wo) })
 			case wo.stalled && !ru.runningSince.IsZero():
 			case ru.runningSince.IsZero():
 				consider(ru.startedAt.Add(fl.cfg.GangTimeout), func() { fl.endRun(ru, runner.GangTimeout) })
@@ -515,6 +580,9 @@
 	if reason == runner.Succeeded {
 		fl.succeeded[ru.task] = true
 	}
+	if reason == runner.Failed {
+		fl.failures[ru.task]++
+	}
 	wo.lastNumber++
 	wo.endedAt = append(wo.endedAt, fl.now)
 	wo.ends = append(wo.ends, runner.End{
