domain: give up a task that crashes every worker that starts it

Cause: an attempt that ends with its worker left nothing at its task. Only reported failures count against the permitted attempts, so a retry without a bound followed each crash.

Change: each task has a history of the crashes under it. A crash is known by the next incarnation of the worker, also if the run was given up before. It is suspect if it follows shortly after the start and no other worker is lost at the same time. At three suspect crashes the job fails; at five of any kind, if all were at about the same age of the attempt, as a crash at another age clears the task. A suspected task is placed alone, where it can harm the least, and its crashes are no evidence against workers. The history is in the job's record, which is written before the next start; the record also names the address and incarnation of each worker, so that a successor recognizes a crash that its predecessor has not seen. No call to the store is added.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -97,6 +97,19 @@
 		Done       bool
 		FailedOn   []string // workers on which attempts failed
 		Counted    bool     // Failures includes a failure of this attempt
+		Addresses  []string // of Workers, as far as known
+		Born       []int64  // incarnations of Workers, as far as known; see runner.Worker.Born
+		Crashes    []TaskCrashes
+	}
+
+	// TaskCrashes sums up the crashes of workers under a task. MinAge and MaxAge
+	// bound the ages that the task's attempts had at all of these crashes.
+	TaskCrashes struct {
+		Index     int // of the task within its step
+		Count     int
+		Suspected int // crashes that the task has probably caused
+		MinAge    time.Duration
+		MaxAge    time.Duration // zero if there is no upper bound
 	}
 )
 
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -1,6 +1,8 @@
 package batch
 
 import (
+	"time"
+
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/protobuf/proto"
 
@@ -17,6 +19,7 @@
 			Occurrence: uint32(ur.Occurrence), Step: uint32(ur.Step), Index: uint32(ur.Index),
 			Attempt: uint32(ur.Attempt), Failures: uint32(ur.Failures), Workers: ur.Workers,
 			Checkpoint: ur.Checkpoint, Live: ur.Live, Done: ur.Done, FailedOn: ur.FailedOn, Counted: ur.Counted,
+			Addresses: ur.Addresses, Born: ur.Born, Crashes: encodeCrashes(ur.Crashes),
 		}
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(msg)
@@ -40,7 +43,30 @@
 			Attempt: int(un.GetAttempt()), Failures: int(un.GetFailures()), Workers: un.GetWorkers(),
 			Checkpoint: un.GetCheckpoint(), Live: un.GetLive(), Done: un.GetDone(),
 			FailedOn: un.GetFailedOn(), Counted: un.GetCounted(),
+			Addresses: un.GetAddresses(), Born: un.GetBorn(), Crashes: decodeCrashes(un.GetCrashes()),
 		})
 	}
 	return rc, nil
 }
+
+func encodeCrashes(tcs []TaskCrashes) []*wire.TaskCrashes {
+	var msgs []*wire.TaskCrashes
+	for _, tc := range tcs {
+		msgs = append(msgs, &wire.TaskCrashes{
+			Index: uint32(tc.Index), Count: uint32(tc.Count), Suspected: uint32(tc.Suspected),
+			MinAgeMillis: uint64(tc.MinAge.Milliseconds()), MaxAgeMillis: uint64(tc.MaxAge.Milliseconds()),
+		})
+	}
+	return msgs
+}
+
+func decodeCrashes(msgs []*wire.TaskCrashes) []TaskCrashes {
+	var tcs []TaskCrashes
+	for _, msg := range msgs {
+		tcs = append(tcs, TaskCrashes{
+			Index: int(msg.GetIndex()), Count: int(msg.GetCount()), Suspected: int(msg.GetSuspected()),
+			MinAge: time.Duration(msg.GetMinAgeMillis()) * time.Millisecond, MaxAge: time.Duration(msg.GetMaxAgeMillis()) * time.Millisecond,
+		})
+	}
+	return tcs
+}
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -58,7 +58,9 @@
 		fair                *fairness
 		fairShares          bool // see Config
 		commits             commitQueue
-		adviceCalls         int // advice calls in flight
+		silences            map[string]silence // of workers, by ID
+		openLosses          []lostRun          // runs of which it is unknown whether their workers have crashed
+		adviceCalls         int                // advice calls in flight
 		effects             []Effect
 		resigned            bool // leadership was lost
 	}
@@ -82,6 +84,7 @@
 		fair:         newFairness(),
 		fairShares:   cf.FairShares,
 		commits:      newCommitQueue(),
+		silences:     map[string]silence{},
 	}
 	for _, wk := range cf.Workers {
 		co.listWorker(now, wk)
@@ -238,6 +241,7 @@
 	co.pollCandidates = append(co.pollCandidates[:0], co.nodesByID()...)
 	co.reportEvacuation(now)
 	co.forgetEnded(now)
+	co.forgetSilences(now)
 	co.reportStuckStops(now)
 	co.passDue = true
 }
--- a/internal/domain/crash_test.go
+++ b/internal/domain/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,6 +45,9 @@
 	jb, pl := oneStepJob("crashes", 1, 3, 2*time.Second)
 	jb.Steps[0].Gang, jb.Steps[0].LongRunning = cv.gang, cv.lasting
 	pl.crashes = true
+	if cv.lasting {
+		pl.work = time.Hour
+	}
 	sim.submit(jb, pl)
 	return sim
 }
@@ -140,13 +144,23 @@
 			}
 			sim.run(time.Minute)
 			for id := range sim.jobs {
-				is.Equal(sim.state(id), batch.Done)
+				if sim.state(id) != batch.Done {
+					t.Errorf("job %s is %v\n%s", id, sim.state(id), sim.crashLog(id))
+				}
 			}
 			is.Equal(sim.check(), nil)
 		})
 	}
 }
 
+// crashLog returns the log lines of a job that tell of crashes.
+func (sim *simulation) crashLog(job string) string {
+	lines := slices.DeleteFunc(slices.Clone(sim.log), func(line string) bool {
+		return !strings.Contains(line, "Job:"+job) || !strings.Contains(line, "Decision:crashed") && !strings.Contains(line, "Decision:lost") && !strings.Contains(line, "Decision:jobEnds")
+	})
+	return strings.Join(lines, "\n")
+}
+
 // TestDepartedWorkersAreNoCrashes takes a worker away 10 ms after each start of a
 // task, after an announcement, or has the machine shut down on request. It guards
 // against giving up a task for that.
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -127,6 +127,7 @@
 	//   - ends: a worker has reported the end of a run
 	//   - lost: a run has ended, or is considered ended, without a report of its
 	//     worker; see Cause
+	//   - crashed: a worker has crashed under a task
 	//   - endsLate: an attempt succeeded although it had been given up
 	//   - stops: an attempt, or a run that no record names, is being stopped
 	//   - overdue: a stop is not confirmed although all leases have expired
@@ -150,9 +151,11 @@
 		Task        string
 		Queue       string        // of the unit or job
 		Cause       LossCause     // of a lost run
-		MinAge      time.Duration // of a lost run at the loss of its worker, since the confirmation of its start
-		MaxAge      time.Duration // the same as an upper bound; zero if the start was not confirmed
+		MinAge      time.Duration // of a lost run at the loss of its worker, since its start was sent
+		MaxAge      time.Duration // the same as an upper bound
 		Beside      int           // number of other runs on the worker of a lost run
+		Crashes     int           // of workers under a task, by the last one
+		Suspected   int           // how many of these crashes the task has probably caused
 		Waited      time.Duration // by a placed unit since its due time or acceptance, earlier attempts included; by a job that ends, until its first placement
 		Unseen      time.Duration // by a placed unit's job, until this scheduler learned of its acceptance; part of Waited
 		Duration    time.Duration // by a job that ends, since its acceptance
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
 )
 
 type (
@@ -46,7 +47,8 @@
 		phase             unitPhase
 		attempt           int
 		failures          int
-		failureCounted    bool // failures includes a failure of the current attempt
+		failureCounted    bool                 // failures includes a failure of the current attempt
+		crashes           map[int]crashHistory // by index of the task within its step; nil if no worker has crashed
 		checkpoint        string
 		checkpointAt      time.Time       // when a new checkpoint was last reported
 		moveFailedAt      time.Time       // when a search for capacity to move it to last found none
@@ -209,27 +211,45 @@
 		ur := batch.UnitRecord{
 			Occurrence: un.occurrence, Step: un.stepIndex, Index: un.index,
 			Attempt: un.attempt, Failures: un.failures, Checkpoint: un.checkpoint,
-			Done: un.phase == finished, Counted: un.failureCounted,
+			Done: un.phase == finished, Counted: un.failureCounted, Crashes: un.crashRecords(),
 		}
 		if len(un.avoided) > 0 {
 			ur.FailedOn = slices.Sorted(maps.Keys(un.avoided))
 		}
-		for _, ru := range un.runs {
-			name := ""
-			if ru.stage != ended {
-				ur.Live = true
-				name = ru.node.worker.ID
-			}
-			ur.Workers = append(ur.Workers, name)
-		}
-		if !ur.Live {
-			ur.Workers = nil
-		}
+		un.recordWorkers(&ur)
 		rc.Units = append(rc.Units, ur)
 	}
 	return rc
 }
 
+// recordWorkers adds to a record the workers of the runs that have not ended.
+func (un *unit) recordWorkers(ur *batch.UnitRecord) {
+	if un.allEnded() {
+		return
+	}
+	ur.Live = true
+	for _, ru := range un.runs {
+		var id, address string
+		if ru.stage != ended {
+			id, address = ru.node.worker.ID, ru.node.worker.Address
+		}
+		ur.Workers = append(ur.Workers, id)
+		ur.Addresses = append(ur.Addresses, address)
+		ur.Born = append(ur.Born, ru.born)
+	}
+}
+
+// restoreNode returns the node of a recorded worker. If the platform does not
+// list the worker, the recorded address tells whether another one has taken its
+// place.
+func (co *Core) restoreNode(now time.Time, id string, ur batch.UnitRecord, at int) *node {
+	nd := co.nodeFor(now, id)
+	if nd.worker.Address == "" && at < len(ur.Addresses) && at < len(ur.Born) {
+		co.setWorker(nd, runner.Worker{ID: id, Address: ur.Addresses[at], Born: ur.Born[at]})
+	}
+	return nd
+}
+
 // restoreRecord restores the state of a job from the record of an earlier term.
 func (co *Core) restoreRecord(now time.Time, jb *job, rc batch.Record) {
 	jb.state = rc.State
@@ -257,6 +277,7 @@
 		un.avoidWorker(id)
 	}
 	co.restoreFailures(now, un, ur.FailedOn)
+	un.restoreCrashes(ur.Crashes)
 	un.checkpoint = ur.Checkpoint
 	un.job.begun = un.job.begun || ur.Done || ur.Failures > 0 || ur.Checkpoint != ""
 	if ur.Done {
@@ -274,7 +295,10 @@
 			continue
 		}
 		ru := &run{unit: un, task: un.taskID(i), attempt: un.attempt, stage: adopted}
-		co.addRun(ru, co.nodeFor(now, id))
+		co.addRun(ru, co.restoreNode(now, id, ur, i))
+		if i < len(ur.Born) {
+			ru.born = ur.Born[i]
+		}
 		un.runs = append(un.runs, ru)
 	}
 	co.markChanged(un)
--- a/internal/domain/loss.go
+++ b/internal/domain/loss.go
@@ -1,6 +1,9 @@
 package domain
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 type (
 	// LossCause is the reason why a run is considered ended although no worker
@@ -13,8 +16,8 @@
 		age   ageRange
 	}
 
-	// ageRange bounds the age of a run, since the confirmation of its start, at
-	// which its worker was lost.
+	// ageRange bounds the age of a run, since its start was sent, at which its
+	// worker was lost.
 	ageRange struct{ min, max time.Duration }
 )
 
@@ -31,6 +34,9 @@
 	NotListed              // the worker runs, but does not list the run
 )
 
+// anyAge is the range of the ages of a run whose start is unknown.
+var anyAge = ageRange{max: math.MaxInt64}
+
 var lossCauseNames = [...]string{
 	notLost: "none", Restarted: "restarted", Replaced: "replaced", Departed: "departed", ShutDown: "shutDown",
 	LeaseExpired: "leaseExpired", GangEnded: "gangEnded", NotListed: "notListed",
@@ -55,39 +61,37 @@
 
 // loseRun ends a run without a report of its worker. A run whose start was not
 // sent yet is not lost.
-func (co *Core) loseRun(ru *run, ls loss, beside int) {
+func (co *Core) loseRun(now time.Time, ru *run, ls loss, beside int) {
 	if ru.stage != ended && ru.stage != planned {
 		co.emit(LogDecision{
 			Decision: "lost", Job: ru.task.Job, Task: ru.task.String(), Attempt: ru.attempt, Worker: ru.node.worker.ID,
 			Cause: ls.cause, MinAge: ls.age.min, MaxAge: ls.age.max, Beside: beside,
 		})
+		co.recordLoss(now, ru, ls)
 	}
 	co.endRun(ru)
 }
 
 // ageAtLoss returns the bounds of a run's age at the loss of its worker: the
 // last response that listed the run, and the first call after the last response
-// that failed, or the present if none did. They are zero if the start was never
-// confirmed.
+// that failed, or the present if none did. Any age is possible if an earlier term
+// has started the run.
 func (ru *run) ageAtLoss(now time.Time) ageRange {
-	if ru.confirmedAt.IsZero() {
-		return ageRange{}
-	}
-	lostBy := now
-	if !ru.node.silentSince.IsZero() {
-		lostBy = ru.node.silentSince
+	if ru.sentAt.IsZero() {
+		return anyAge
 	}
-	ar := ageRange{max: max(0, lostBy.Sub(ru.confirmedAt))}
+	ar := ageRange{max: max(0, ru.node.lostBy(now).Sub(ru.sentAt))}
 	if !ru.listedAt.IsZero() {
-		ar.min = min(ar.max, ru.listedAt.Sub(ru.confirmedAt))
+		ar.min = min(ar.max, ru.listedAt.Sub(ru.sentAt))
 	}
 	return ar
 }
 
-// recordSilence records a call to a worker that got no response.
-func (nd *node) recordSilence(now time.Time) {
-	if !nd.unresponsive() || nd.silentSince.IsZero() {
-		nd.silentSince = now
+// lostBy returns the time by which a worker was lost, if it was: that of the
+// first call after the last response that failed, or the present if none did.
+func (nd *node) lostBy(now time.Time) time.Time {
+	if nd.silentSince.IsZero() {
+		return now
 	}
-	nd.lastFailure = now
+	return nd.silentSince
 }
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -72,6 +72,7 @@
 	nd.setCold(now)
 	co.drainNode(now, nd)
 	co.endPredecessors(now, wk)
+	co.resolveLosses(now, wk)
 	co.passDue = true
 }
 
@@ -156,13 +157,15 @@
 func (co *Core) handleRestart(now time.Time, nd *node, born int64) {
 	co.emit(LogDecision{Decision: "reborn", Worker: nd.worker.ID, Reason: "the worker has restarted"})
 	for _, ru := range nd.runs {
+		if ru.stop.ackedAt.IsZero() {
+			ru.lostBy = loss{cause: Restarted.unlessDeparting(nd), age: ru.ageAtLoss(now)}
+		}
 		ru.stop.ackedAt = time.Time{}
-		ru.lostBy = loss{cause: Restarted.unlessDeparting(nd), age: ru.ageAtLoss(now)}
 	}
 	if end := now.Add(maxCallDelay + maxLeaseTime); len(nd.runs) > 0 && end.After(nd.leaseEnd) {
 		nd.leaseEnd = end
 	}
-	co.resetHealth(now, nd, len(nd.runs) > 0)
+	co.resetHealth(now, nd, len(nd.runs) > 0 && !nd.runsSuspected())
 	nd.worker.Born = born
 	nd.lastEnd, nd.savedEnd, nd.ackedEnd = 0, 0, 0
 	nd.pendingEnds = nil
@@ -172,6 +175,17 @@
 	co.considerPoll(nd)
 }
 
+// runsSuspected reports whether a run of a worker belongs to a unit that is
+// suspected of crashing workers.
+func (nd *node) runsSuspected() bool {
+	for _, ru := range nd.runs {
+		if ru.unit != nil && ru.unit.isSuspected() {
+			return true
+		}
+	}
+	return false
+}
+
 // stopAfterLostStart stops a run whose start got no reply, together with the
 // rest of its unit.
 func (co *Core) stopAfterLostStart(now time.Time, ru *run) {
@@ -187,7 +201,7 @@
 func (co *Core) endIncarnation(now time.Time, nd *node, cause LossCause) {
 	beside := len(nd.runs) - 1
 	for _, ru := range nd.sortedRuns() {
-		co.loseRun(ru, loss{cause: cause, age: ru.ageAtLoss(now)}, beside)
+		co.loseRun(now, ru, loss{cause: cause, age: ru.ageAtLoss(now)}, beside)
 	}
 	nd.pendingEnds = nil
 	if !nd.listed {
@@ -244,7 +258,7 @@
 
 // addRun adds a run to a node and allocates its capacity.
 func (co *Core) addRun(ru *run, nd *node) {
-	ru.node = nd
+	ru.node, ru.born = nd, nd.worker.Born
 	nd.attach(ru)
 	co.considerPoll(nd)
 	nd.used = nd.used.Plus(ru.unit.step.Reserved())
--- a/internal/domain/pick.go
+++ b/internal/domain/pick.go
@@ -167,9 +167,14 @@
 }
 
 // assign returns a worker for each task of a unit, or nil if not all fit. A
-// gang fails with any of its workers, so it is assigned to as few as possible.
+// gang fails with any of its workers, so it is assigned to as few as possible. A
+// unit that may crash its workers is assigned to those where it can harm the
+// least.
 func (un *unit) assign(sls []slot) []*node {
 	slices.SortFunc(sls, preferWarm(func(a, b slot) int { return cmp.Or(cmp.Compare(b.tasks, a.tasks), compareFree(a, b)) }))
+	if un.isSuspected() {
+		slices.SortStableFunc(sls, func(a, b slot) int { return cmp.Compare(len(a.node.runs), len(b.node.runs)) })
+	}
 	if nodes := takeFrom(sls, un.tasks); len(nodes) == un.tasks {
 		return nodes
 	}
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -132,7 +132,7 @@
 
 // interchangeable reports whether a unit fits wherever others of its group do.
 func (un *unit) interchangeable() bool {
-	return un.step.PerWorker == 0 && len(un.avoided) == 0 && un.job.advice == nil
+	return un.step.PerWorker == 0 && len(un.avoided) == 0 && un.job.advice == nil && !un.isSuspected()
 }
 
 // fitKeyOf returns the key of a unit at present. It changes when the unit has
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -66,6 +66,8 @@
 	}
 	if ev.Status.Born > nd.worker.Born && nd.worker.Born != 0 {
 		co.handleRestart(now, nd, ev.Status.Born)
+	} else {
+		delete(co.silences, nd.worker.ID)
 	}
 	if nd.worker.Born == 0 {
 		nd.worker.Born = ev.Status.Born
@@ -76,6 +78,7 @@
 	nd.lastResponse, nd.silentSince = now, time.Time{}
 	nd.clock, nd.clockAt = ev.Status.Clock, now
 	nd.ackedEnd = max(nd.ackedEnd, ev.Call.Request.Acked)
+	co.resolveLosses(now, nd.worker)
 	co.reconcile(now, nd, ev)
 	nd.nextPoll = now
 	if len(nd.pendingEnds) > 0 {
@@ -90,7 +93,7 @@
 	if nd.lastFailure.Before(nd.lastResponse) || nd.lastFailure.IsZero() {
 		co.emit(LogDecision{Decision: "lookFails", Worker: nd.worker.ID, Reason: ev.Err.Error()})
 	}
-	nd.recordSilence(now)
+	co.recordSilence(now, nd)
 	if errors.Is(ev.Err, runner.ErrRestarted) {
 		nd.listed = false
 		co.endIncarnation(now, nd, Replaced.unlessDeparting(nd))
@@ -136,7 +139,7 @@
 		ru.progressAt = now
 	}
 	ru.startLostAt = time.Time{}
-	ru.listedAt, ru.lostBy = now, loss{}
+	ru.listedAt, ru.born, ru.lostBy = now, nd.worker.Born, loss{}
 	if ru.confirmedAt.IsZero() {
 		ru.confirmedAt = now
 		ru.beganAt = now
@@ -178,9 +181,9 @@
 	case ru.stage == adopted:
 		// The poll carries the larger token, so a start of the former term
 		// can't take effect any more.
-		co.loseRun(ru, ru.lossIfMissing(now), beside)
+		co.loseRun(now, ru, ru.lossIfMissing(now), beside)
 	case happenedBefore(ru.confirmedAt, sent), happenedBefore(ru.stop.ackedAt, sent):
-		co.loseRun(ru, ru.lossIfMissing(now), beside)
+		co.loseRun(now, ru, ru.lossIfMissing(now), beside)
 	case happenedBefore(ru.startLostAt, sent):
 		co.stopAfterLostStart(now, ru)
 	}
@@ -191,6 +194,9 @@
 	if ru.lostBy.cause != notLost {
 		return ru.lostBy
 	}
+	if ru.born != 0 && ru.node.worker.Born > ru.born {
+		return loss{cause: Restarted.unlessDeparting(ru.node), age: anyAge}
+	}
 	return loss{cause: NotListed, age: ru.ageAtLoss(now)}
 }
 
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -17,6 +17,8 @@
 		attempt          int
 		node             *node
 		stage            runStage
+		sentAt           time.Time // when its start was sent; zero if an earlier term may have started it
+		born             int64     // incarnation of its worker; zero if unknown
 		startLostAt      time.Time // when the reply to its start was lost
 		confirmedAt      time.Time // when its start was confirmed, or a poll first listed the run
 		listedAt         time.Time // when a poll last listed the run
@@ -121,6 +123,7 @@
 	un.setPhase(live)
 	for _, ru := range un.runs {
 		ru.stage = starting
+		ru.sentAt = now
 		co.emit(Start{Worker: ru.node.worker, Request: runner.StartRequest{
 			Token: co.token, Task: ru.task, Attempt: ru.attempt, Payload: un.job.Payload,
 			Checkpoint: un.checkpoint, Ticket: un.ticket(ru.node), Deadline: ru.node.grantLease(now),
@@ -233,13 +236,13 @@
 		ru.unit.job.begun = true
 	case errors.Is(ev.Err, runner.ErrOutcomeUnknown):
 		ru.startLostAt = now
-		nd.recordSilence(now)
+		co.recordSilence(now, nd)
 		co.recordFailure(now, nd, ru.unit, weightOutcomeUnknown)
 		co.pollNow(now, nd)
 	default:
 		nd.lastRefusal = now
 		if errors.Is(ev.Err, runner.ErrUnreachable) {
-			nd.recordSilence(now)
+			co.recordSilence(now, nd)
 		}
 		ru.unit.avoidWorker(nd.worker.ID)
 		if ru.unit.job.advice == nil { // otherwise the ticket may be the cause
@@ -270,9 +273,9 @@
 			co.pollNow(now, nd)
 		}
 	case errors.Is(ev.Err, runner.ErrRestarted):
-		co.loseRun(ru, loss{cause: Replaced.unlessDeparting(nd), age: ru.ageAtLoss(now)}, len(nd.runs)-1)
+		co.loseRun(now, ru, loss{cause: Replaced.unlessDeparting(nd), age: ru.ageAtLoss(now)}, len(nd.runs)-1)
 	default:
-		nd.recordSilence(now)
+		co.recordSilence(now, nd)
 	}
 }
 
@@ -291,6 +294,7 @@
 		return
 	}
 	un.setCheckpoint(ru, en.Checkpoint)
+	un.clearSurvivor(ru)
 	un.job.begun = true
 	co.markDirty(un.job)
 	switch en.Reason {
@@ -347,7 +351,7 @@
 		}
 	}
 	if unreported != nil && broken == un.tasks-1 && broken > 0 && !unreported.node.listed && unreported.node.unresponsive() {
-		co.loseRun(unreported, loss{cause: GangEnded, age: unreported.ageAtLoss(now)}, len(unreported.node.runs)-1)
+		co.loseRun(now, unreported, loss{cause: GangEnded, age: unreported.ageAtLoss(now)}, len(unreported.node.runs)-1)
 	}
 }
 
--- a/internal/drive/log.go
+++ b/internal/drive/log.go
@@ -47,6 +47,9 @@
 	if ld.Decision == "lost" {
 		args = append(args, "cause", ld.Cause, "minAge", ld.MinAge.Round(time.Millisecond), "maxAge", ld.MaxAge.Round(time.Millisecond), "beside", ld.Beside)
 	}
+	if ld.Crashes > 0 {
+		args = append(args, "crashes", ld.Crashes, "suspected", ld.Suspected)
+	}
 	addTime("lost", ld.Lost)
 	add("reason", ld.Reason)
 	te.log.Info("decision", args...)
