domain: follow a worker whose capacity shrinks while work is placed there

Callers would see starts refused for want of room, or workers brought over their capacity, and urgent work that waits although there is room.

Cause: the capacity is read when an attempt is placed, and used when its start is sent, after its record was written, which takes seconds while the store is slow. A claim on a worker that has shrunk below it was kept until the capacity came back. A decision that relies on an outdated reading.

Change: an attempt that no longer fits is stopped before its start is sent, and placed anew; claims on a worker that shrinks are released.

--- a/internal/domain/attempt_test.go
+++ b/internal/domain/attempt_test.go
@@ -111,14 +111,17 @@
 
 // submitMixed submits work that fills most of the workers, and a gang within a
 // guarantee that has to preempt some of it.
-func submitMixed(rt *rapid.T, sim *simulation) {
-	small, pl := oneStepJob("small", 2, rapid.IntRange(8, 40).Draw(rt, "small"), 1500*time.Millisecond)
+func submitMixed(rt *rapid.T, sim *simulation) { submitMixedAs(rt, sim, "") }
+
+// submitMixedAs is submitMixed with a suffix of the jobs' IDs.
+func submitMixedAs(rt *rapid.T, sim *simulation, suffix string) {
+	small, pl := oneStepJob("small"+suffix, 2, rapid.IntRange(8, 40).Draw(rt, "small"), 1500*time.Millisecond)
 	small.Workspace = "b"
 	small.Steps[0].Checkpoints = rapid.Bool().Draw(rt, "saves")
 	sim.submit(small, pl)
 	sim.run(time.Duration(rapid.IntRange(0, 300).Draw(rt, "between")) * time.Millisecond)
 	for i, priority := range []int{0, 1} {
-		gang, pl := oneStepJob(fmt.Sprintf("gang%d", i), priority, 4, time.Second)
+		gang, pl := oneStepJob(fmt.Sprintf("gang%d%s", i, suffix), priority, 4, time.Second)
 		gang.Steps[0].Gang = true
 		gang.Steps[0].Needs.Accelerators = 4
 		sim.submit(gang, pl)
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -66,8 +66,12 @@
 	if nd.worker.Born != 0 && wk.Born != 0 && nd.worker.Born != wk.Born {
 		co.handleRestart(now, nd, wk.Born)
 	}
+	former := nd.worker.Capacity
 	co.setWorker(nd, wk)
 	nd.listed = true
+	if !wk.Capacity.Covers(former) {
+		co.handleShrink(nd)
+	}
 	nd.setDepartsAt(now)
 	nd.setCold(now)
 	co.drainNode(now, nd)
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -63,6 +63,8 @@
 			co.stopUnit(now, un, "one of its workers was lost before the start")
 		} else if un.inEvacuatedZone() {
 			co.stopUnit(now, un, "the availability zone of its worker is evacuated")
+		} else if un.exceedsCapacity() {
+			co.stopUnit(now, un, "the capacity of its worker has shrunk")
 		} else if un.job.savedVersion >= un.recordVersion {
 			co.sendStarts(now, un)
 		}
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -55,6 +55,7 @@
 		downtime          time.Duration                // of a worker that a task has crashed
 		newIDs            bool                         // workers that have crashed return under new IDs
 		restarts          int                          // of workers that have crashed
+		commitDelay       time.Duration                // of the store, beside the usual one
 	}
 
 	// taskPlan is the simulated behaviour of the tasks of a step.
@@ -180,6 +181,15 @@
 	sim.notify(domain.Listed{Worker: wk})
 }
 
+// resize changes the capacity of a worker, and its entry at the platform.
+func (sim *simulation) resize(id string, accelerators int) {
+	wk := sim.workers[id]
+	wk.Capacity = batch.Resources{MilliCPU: 8000 * accelerators, MemoryMB: 1000 * accelerators, Accelerators: accelerators}
+	sim.workers[id] = wk
+	sim.fleet.Resize(sim.now, id, wk.Capacity)
+	sim.notify(domain.Listed{Worker: wk})
+}
+
 // replaceWorker ends a worker and starts another one at its address. The
 // platform's list follows after a lag.
 func (sim *simulation) replaceWorker(former, id string, lag time.Duration) {
@@ -290,7 +300,7 @@
 func (sim *simulation) perform(le *leader, ef domain.Effect) {
 	switch ef := ef.(type) {
 	case domain.Commit:
-		sim.after(storeDelay, func() { sim.commit(le, ef) })
+		sim.after(storeDelay+sim.commitDelay, func() { sim.commit(le, ef) })
 	case domain.Poll:
 		sim.poll(le, ef)
 	case domain.Start:
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -62,11 +62,12 @@
 	worker struct {
 		id           string
 		capacity     batch.Resources
-		rate         float64 // of its clock, relative to true time
-		failAll      bool    // every attempt fails 10 ms after it began to work
-		failShare    float64 // share of the attempts that fail when half of their work is done
-		stalled      bool    // running tasks make no progress
-		losesStops   bool    // stop calls are lost
+		former       []formerCapacity // in the order of the changes
+		rate         float64          // of its clock, relative to true time
+		failAll      bool             // every attempt fails 10 ms after it began to work
+		failShare    float64          // share of the attempts that fail when half of their work is done
+		stalled      bool             // running tasks make no progress
+		losesStops   bool             // stop calls are lost
 		started      time.Time
 		born         int64         // start time in Unix milliseconds
 		token        int64         // largest fencing token seen
@@ -79,6 +80,12 @@
 		expiredAt    time.Time            // when the last lease that wasn't renewed in time expired
 	}
 
+	// formerCapacity is a capacity on which a start may still rely for some time.
+	formerCapacity struct {
+		capacity batch.Resources
+		until    time.Time
+	}
+
 	// run is an attempt on a worker, running or waiting for its gang.
 	run struct {
 		worker       *worker
@@ -101,6 +108,9 @@
 	// minCrashesToGiveUp is the number of crashed workers from which a task may
 	// be given up.
 	minCrashesToGiveUp = 2
+	// resizeGrace is the time within which a scheduler has to follow a change of
+	// a worker's capacity.
+	resizeGrace = 5 * time.Second
 )
 
 // NewFleet returns a fleet without workers.
@@ -137,6 +147,22 @@
 	fl.remove(wo)
 }
 
+// Resize changes the capacity of a worker. A start may rely on the former capacity
+// for resizeGrace.
+func (fl *Fleet) Resize(now time.Time, id string, capacity batch.Resources) {
+	if wo, ok := fl.workers[id]; ok {
+		wo.former = append(wo.former, formerCapacity{wo.capacity, now.Add(resizeGrace)})
+		wo.capacity = capacity
+	}
+}
+
+// allows reports whether a worker may run tasks that need the given amount.
+func (wo *worker) allows(now time.Time, used batch.Resources) bool {
+	return wo.capacity.Covers(used) || slices.ContainsFunc(wo.former, func(fc formerCapacity) bool {
+		return now.Before(fc.until) && fc.capacity.Covers(used)
+	})
+}
+
 func (fl *Fleet) remove(wo *worker) {
 	for _, ru := range wo.sortedRuns() {
 		fl.crashes[ru.task]++
@@ -366,7 +392,7 @@
 	if pl.PerWorker > 0 && beside >= pl.PerWorker {
 		fl.recordViolation("%s attempt %d starts on %s, which already runs %d tasks of its step", rq.Task, rq.Attempt, wo.id, beside)
 	}
-	if !wo.capacity.Covers(used) {
+	if !wo.allows(fl.now, used) {
 		fl.recordViolation("%s attempt %d exceeds the capacity of %s: %v", rq.Task, rq.Attempt, wo.id, used)
 	}
 }
