batch: record addresses and incarnations of workers in 12 bytes a task

Cause: with the address and the incarnation of each worker as text and number, the record of a job of 100 tasks, 40 of them running, grows from 1,378 to 2,378 bytes; TestRecordsAreSmall permits 2,000. A host that becomes the scheduler reads hundreds of records.

Change: addresses are stored as the bytes of IP and port, incarnations as a short form that tells them apart. The test's record has both now, with the same bound. A run that was lost after its worker had restarted keeps that cause.

Measured: 1,378 bytes without, 2,378 in the long form; TestRecordsAreSmall passes with the short form, and the tests of crashes across takeovers too.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -97,9 +97,12 @@
 		Done       bool
 		FailedOn   []string // workers on which attempts failed
 		Counted    bool     // Failures includes a failure of this attempt
-		Addresses  []string // of Workers, as far as known
-		Born       []int64  // incarnations of Workers, as far as known; see runner.Worker.Born
-		Crashes    []TaskCrashes
+		// Addresses and Incarnations belong to Workers, as far as they are known,
+		// so that a successor recognizes a worker that has restarted or was
+		// replaced; see runner.Worker.Incarnation.
+		Addresses    []string // IP:port
+		Incarnations []uint32
+		Crashes      []TaskCrashes
 	}
 
 	// TaskCrashes sums up the crashes of workers under a task. MinAge and MaxAge
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -19,7 +20,7 @@
 			Occurrence: uint32(ur.Occurrence), Step: uint32(ur.Step), Index: uint32(ur.Index),
 			Attempt: uint32(ur.Attempt), Failures: uint32(ur.Failures), Workers: ur.Workers,
 			Checkpoint: ur.Checkpoint, Live: ur.Live, Done: ur.Done, FailedOn: ur.FailedOn, Counted: ur.Counted,
-			Addresses: ur.Addresses, Born: ur.Born, Crashes: encodeCrashes(ur.Crashes),
+			Addresses: encodeAddresses(ur.Addresses), Incarnations: ur.Incarnations, Crashes: encodeCrashes(ur.Crashes),
 		}
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(msg)
@@ -43,12 +44,41 @@
 			Attempt: int(un.GetAttempt()), Failures: int(un.GetFailures()), Workers: un.GetWorkers(),
 			Checkpoint: un.GetCheckpoint(), Live: un.GetLive(), Done: un.GetDone(),
 			FailedOn: un.GetFailedOn(), Counted: un.GetCounted(),
-			Addresses: un.GetAddresses(), Born: un.GetBorn(), Crashes: decodeCrashes(un.GetCrashes()),
+			Addresses: decodeAddresses(un.GetAddresses()), Incarnations: un.GetIncarnations(), Crashes: decodeCrashes(un.GetCrashes()),
 		})
 	}
 	return rc, nil
 }
 
+// encodeAddresses returns the binary form of addresses, which is empty for one
+// that is not an IP and a port.
+func encodeAddresses(addresses []string) [][]byte {
+	var out [][]byte
+	for _, address := range addresses {
+		var data []byte
+		if ap, err := netip.ParseAddrPort(address); err == nil {
+			data, _ = ap.MarshalBinary() // never fails
+		}
+		out = append(out, data)
+	}
+	return out
+}
+
+// decodeAddresses reverses encodeAddresses. An address that can't be decoded is
+// unknown, and therefore empty.
+func decodeAddresses(datas [][]byte) []string {
+	var out []string
+	for _, data := range datas {
+		var ap netip.AddrPort
+		address := ""
+		if len(data) > 0 && ap.UnmarshalBinary(data) == nil {
+			address = ap.String()
+		}
+		out = append(out, address)
+	}
+	return out
+}
+
 func encodeCrashes(tcs []TaskCrashes) []*wire.TaskCrashes {
 	var msgs []*wire.TaskCrashes
 	for _, tc := range tcs {
--- a/internal/batch/progress_test.go
+++ b/internal/batch/progress_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -24,10 +25,19 @@
 			}
 			if ur.Live {
 				ur.Workers = names.Draw(rt, "workers")
+				ur.Addresses = rapid.SliceOfN(rapid.SampledFrom([]string{"", "10.1.64.7:8747", "[fd00::1]:80"}), 1, 4).Draw(rt, "addresses")
+				ur.Incarnations = rapid.SliceOfN(rapid.Uint32(), 1, 4).Draw(rt, "incarnations")
 			}
 			if ur.Failures > 0 {
 				ur.FailedOn = names.Draw(rt, "failedOn")
 			}
+			for range rapid.IntRange(0, 2).Draw(rt, "crashes") {
+				millis := rapid.Custom(func(rt *rapid.T) time.Duration { return time.Duration(small.Draw(rt, "millis")) * time.Millisecond })
+				ur.Crashes = append(ur.Crashes, batch.TaskCrashes{
+					Index: small.Draw(rt, "task"), Count: small.Draw(rt, "count"), Suspected: small.Draw(rt, "suspected"),
+					MinAge: millis.Draw(rt, "minAge"), MaxAge: millis.Draw(rt, "maxAge"),
+				})
+			}
 			rc.Units = append(rc.Units, ur)
 		}
 		data, err := batch.EncodeRecord(rc)
@@ -48,6 +58,8 @@
 		ur := batch.UnitRecord{Index: i, Attempt: 1, Done: i < 60, Live: i >= 60}
 		if ur.Live {
 			ur.Workers = []string{fmt.Sprintf("i-%010x", i)}
+			ur.Addresses = []string{fmt.Sprintf("10.1.64.%d:8747", i)}
+			ur.Incarnations = []uint32{1<<21 - 1}
 		}
 		rc.Units = append(rc.Units, ur)
 	}
--- a/internal/domain/crash.go
+++ b/internal/domain/crash.go
@@ -169,7 +169,6 @@
 		unit: un, task: ru.task, attempt: ru.attempt, worker: ru.node.worker, age: ls.age,
 		suspect: co.isSuspect(now, ru, ls.age), at: now,
 	}
-	lr.worker.Born = ru.born
 	switch ls.cause {
 	case Restarted, Replaced:
 		co.recordCrash(now, lr)
@@ -187,13 +186,12 @@
 	open := co.openLosses
 	co.openLosses = nil
 	for _, lr := range open {
-		sameWorker := lr.worker.ID == wk.ID
+		restarted := lr.worker.ID == wk.ID && lr.worker.Born != 0
+		replaced := lr.worker.ID != wk.ID && lr.worker.Address == wk.Address
 		switch {
-		case lr.worker.Born == 0 || !sameWorker && lr.worker.Address != wk.Address, wk.Born < lr.worker.Born:
-			co.openLosses = append(co.openLosses, lr)
-		case wk.Born > lr.worker.Born:
+		case (restarted || replaced) && wk.Born > lr.worker.Born:
 			co.recordCrash(now, lr)
-		case !sameWorker:
+		case lr.worker.ID != wk.ID || wk.Born < lr.worker.Born:
 			co.openLosses = append(co.openLosses, lr)
 		}
 	}
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -229,13 +229,13 @@
 	}
 	ur.Live = true
 	for _, ru := range un.runs {
-		var id, address string
+		var wk runner.Worker
 		if ru.stage != ended {
-			id, address = ru.node.worker.ID, ru.node.worker.Address
+			wk = ru.node.worker
 		}
-		ur.Workers = append(ur.Workers, id)
-		ur.Addresses = append(ur.Addresses, address)
-		ur.Born = append(ur.Born, ru.born)
+		ur.Workers = append(ur.Workers, wk.ID)
+		ur.Addresses = append(ur.Addresses, wk.Address)
+		ur.Incarnations = append(ur.Incarnations, ru.incarnation)
 	}
 }
 
@@ -244,8 +244,8 @@
 // place.
 func (co *Core) restoreNode(now time.Time, id string, ur batch.UnitRecord, at int) *node {
 	nd := co.nodeFor(now, id)
-	if nd.worker.Address == "" && at < len(ur.Addresses) && at < len(ur.Born) {
-		co.setWorker(nd, runner.Worker{ID: id, Address: ur.Addresses[at], Born: ur.Born[at]})
+	if !nd.listed && nd.worker.Address == "" && at < len(ur.Addresses) {
+		co.setWorker(nd, runner.Worker{ID: id, Address: ur.Addresses[at]})
 	}
 	return nd
 }
@@ -296,8 +296,9 @@
 		}
 		ru := &run{unit: un, task: un.taskID(i), attempt: un.attempt, stage: adopted}
 		co.addRun(ru, co.restoreNode(now, id, ur, i))
-		if i < len(ur.Born) {
-			ru.born = ur.Born[i]
+		ru.incarnation = 0
+		if i < len(ur.Incarnations) {
+			ru.incarnation = ur.Incarnations[i]
 		}
 		un.runs = append(un.runs, ru)
 	}
--- a/internal/domain/loss.go
+++ b/internal/domain/loss.go
@@ -60,8 +60,12 @@
 }
 
 // loseRun ends a run without a report of its worker. A run whose start was not
-// sent yet is not lost.
+// sent yet is not lost. What is known of the loss since a restart of the worker
+// replaces ls.
 func (co *Core) loseRun(now time.Time, ru *run, ls loss, beside int) {
+	if ru.lostBy.cause != notLost {
+		ls = ru.lostBy
+	}
 	if ru.stage != ended && ru.stage != planned {
 		co.emit(LogDecision{
 			Decision: "lost", Job: ru.task.Job, Task: ru.task.String(), Attempt: ru.attempt, Worker: ru.node.worker.ID,
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -262,7 +262,7 @@
 
 // addRun adds a run to a node and allocates its capacity.
 func (co *Core) addRun(ru *run, nd *node) {
-	ru.node, ru.born = nd, nd.worker.Born
+	ru.node, ru.incarnation = nd, nd.worker.Incarnation()
 	nd.attach(ru)
 	co.considerPoll(nd)
 	nd.used = nd.used.Plus(ru.unit.step.Reserved())
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -139,7 +139,7 @@
 		ru.progressAt = now
 	}
 	ru.startLostAt = time.Time{}
-	ru.listedAt, ru.born, ru.lostBy = now, nd.worker.Born, loss{}
+	ru.listedAt, ru.incarnation, ru.lostBy = now, nd.worker.Incarnation(), loss{}
 	if ru.confirmedAt.IsZero() {
 		ru.confirmedAt = now
 		ru.beganAt = now
@@ -191,10 +191,7 @@
 
 // lossIfMissing returns the loss of a run that its worker does not list.
 func (ru *run) lossIfMissing(now time.Time) loss {
-	if ru.lostBy.cause != notLost {
-		return ru.lostBy
-	}
-	if ru.born != 0 && ru.node.worker.Born > ru.born {
+	if ru.incarnation != 0 && ru.incarnation != ru.node.worker.Incarnation() {
 		return loss{cause: Restarted.unlessDeparting(ru.node), age: anyAge}
 	}
 	return loss{cause: NotListed, age: ru.ageAtLoss(now)}
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -18,7 +18,7 @@
 		node             *node
 		stage            runStage
 		sentAt           time.Time // when its start was sent; zero if an earlier term may have started it
-		born             int64     // incarnation of its worker; zero if unknown
+		incarnation      uint32    // of its worker; zero if unknown
 		startLostAt      time.Time // when the reply to its start was lost
 		confirmedAt      time.Time // when its start was confirmed, or a poll first listed the run
 		listedAt         time.Time // when a poll last listed the run
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -123,6 +123,11 @@
 	}
 )
 
+// maxIncarnation bounds Worker.Incarnation to three bytes of a record. Two
+// incarnations have the same only if they were born a multiple of that many
+// milliseconds, which is 35 minutes, apart.
+const maxIncarnation = 1<<21 - 1
+
 // The reasons why an attempt ends.
 const (
 	Succeeded EndReason = iota + 1
@@ -158,6 +163,15 @@
 		wk.Leaves == other.Leaves && (wk.Cold > 0) == (other.Cold > 0) && wk.Born == other.Born
 }
 
+// Incarnation returns a short form of Born for records. It differs between the
+// incarnations of a worker, but is not ordered. It is zero if Born is unknown.
+func (wk Worker) Incarnation() uint32 {
+	if wk.Born == 0 {
+		return 0
+	}
+	return uint32(wk.Born%maxIncarnation) + 1
+}
+
 // String returns the name of the reason for logs, or "none" if it is not one
 // of the constants.
 func (er EndReason) String() string {
