--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -131,6 +131,14 @@
 	MaxTasks         = 4096    // per step
 	maxRunTimeMillis = 1 << 40 // declared run time of a task
 	maxAmount        = 1 << 30 // of each kind, in its unit
+
+	// maxJobTasks bounds the tasks of all occurrences of a job, which the
+	// scheduler holds in memory.
+	maxJobTasks = MaxSteps * MaxTasks
+	// maxYear is the last year that the stored form of a time can express.
+	maxYear = 9999
+	// maxScheduleSpan bounds the time between the first and the last occurrence.
+	maxScheduleSpan = 100 * 365 * 24 * time.Hour
 )
 
 var stateNames = [...]string{Queued: "queued", Running: "running", Done: "done", Failed: "failed", Cancelled: "cancelled"}
@@ -240,8 +248,36 @@
 			return fmt.Errorf("step %d: %w", i, err)
 		}
 	}
-	if sc := jb.Schedule; sc != nil && (sc.Count < 1 || sc.Every < 0) {
+	if jb.Schedule != nil {
+		if err := jb.Schedule.check(); err != nil {
+			return err
+		}
+	}
+	if n := jb.taskCount(); n > maxJobTasks/jb.Occurrences() {
+		return fmt.Errorf("%d occurrences of %d tasks are more than %d tasks", jb.Occurrences(), n, maxJobTasks)
+	}
+	return nil
+}
+
+// taskCount returns the number of tasks of an occurrence.
+func (jb Job) taskCount() int {
+	n := 0
+	for _, sp := range jb.Steps {
+		n += sp.Tasks
+	}
+	return n
+}
+
+// check returns an error if the schedule is invalid. The due time of every
+// occurrence has to be a time that can be stored.
+func (sc Schedule) check() error {
+	switch {
+	case sc.Count < 1 || sc.Every < 0:
 		return fmt.Errorf("a schedule needs a positive count and a non-negative interval")
+	case sc.First.UTC().Year() < 0 || sc.First.UTC().Year() > maxYear:
+		return fmt.Errorf("the first occurrence is due after the year %d", maxYear)
+	case sc.Every > maxScheduleSpan/time.Duration(sc.Count):
+		return fmt.Errorf("%d occurrences every %v exceed a span of %v", sc.Count, sc.Every, maxScheduleSpan)
 	}
 	return nil
 }
@@ -251,7 +287,7 @@
 	switch {
 	case sp.Tasks < 1 || sp.Tasks > MaxTasks:
 		return fmt.Errorf("needs 1 to %d tasks, not %d", MaxTasks, sp.Tasks)
-	case !sp.Needs.valid():
+	case !sp.Needs.Valid():
 		return fmt.Errorf("resources are out of range")
 	case sp.RunTime < 0 || sp.RunTime.Milliseconds() > maxRunTimeMillis:
 		return fmt.Errorf("run time %v is out of range", sp.RunTime)
@@ -264,8 +300,8 @@
 	return nil
 }
 
-// valid reports whether each amount is between zero and maxAmount.
-func (rs Resources) valid() bool {
+// Valid reports whether each amount is between zero and maxAmount.
+func (rs Resources) Valid() bool {
 	inBounds := func(n int) bool { return n >= 0 && n <= maxAmount }
 	return inBounds(rs.MilliCPU) && inBounds(rs.MemoryMB) && inBounds(rs.Accelerators)
 }
