--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -288,6 +288,15 @@
 	return 0
 }
 
+// Born returns the start time of a worker in Unix milliseconds, or zero if it is
+// not up.
+func (fl *Fleet) Born(id string) int64 {
+	if wo, ok := fl.workers[id]; ok {
+		return wo.born
+	}
+	return 0
+}
+
 // IsUp reports whether there is a worker with the given ID.
 func (fl *Fleet) IsUp(id string) bool { return fl.workers[id] != nil }
 
