--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -242,6 +242,7 @@
 	co.reportEvacuation(now)
 	co.forgetEnded(now)
 	co.forgetSilences(now)
+	co.forgetOpenLosses(now)
 	co.reportStuckStops(now)
 	co.passDue = true
 }
--- a/internal/domain/loss.go
+++ b/internal/domain/loss.go
@@ -103,3 +103,9 @@
 	}
 	return nd.silentSince
 }
+
+// stoppedBefore reports whether the worker has confirmed the stop of a run before
+// a time.
+func (ru *run) stoppedBefore(at time.Time) bool {
+	return !ru.stop.ackedAt.IsZero() && ru.stop.ackedAt.Before(at)
+}
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -239,7 +239,9 @@
 	}
 	if len(nd.runs) > 0 {
 		co.emit(LogDecision{Decision: "silent", Worker: nd.worker.ID, Reason: "the worker is unresponsive or no longer listed and all of its leases have expired; its tasks are considered ended"})
-		co.recordNodeFailure(now, nd, weightWorkerLost*maxJobPenalty)
+		if !nd.runsSuspected() {
+			co.recordNodeFailure(now, nd, weightWorkerLost*maxJobPenalty)
+		}
 	}
 	if len(nd.runs) > 0 || !nd.listed {
 		co.endIncarnation(now, nd, LeaseExpired)
