--- a/internal/domain/attempt_test.go
+++ b/internal/domain/attempt_test.go
@@ -98,17 +98,23 @@
 		sim.run(3 * time.Second)
 		sim.clearFaults()
 		sim.run(maxAttemptDelay + 10*time.Second) // plus the run time of the work
-		for id := range sim.jobs {
-			if !sim.state(id).Final() {
-				rt.Fatalf("job %s is %v\n%s", id, sim.state(id), sim.logTail())
-			}
-		}
-		if violations := sim.check(); len(violations) > 0 {
-			rt.Fatalf("violations: %v\n%s", violations, sim.logTail())
-		}
+		sim.checkAllEnded(rt)
 	})
 }
 
+// checkAllEnded fails a property test unless every job has ended and no rule was
+// broken.
+func (sim *simulation) checkAllEnded(rt *rapid.T) {
+	for id := range sim.jobs {
+		if !sim.state(id).Final() {
+			rt.Fatalf("job %s is %v\n%s", id, sim.state(id), sim.logTail())
+		}
+	}
+	if violations := sim.check(); len(violations) > 0 {
+		rt.Fatalf("violations: %v\n%s", violations, sim.logTail())
+	}
+}
+
 // submitMixed submits work that fills most of the workers, and a gang within a
 // guarantee that has to preempt some of it.
 func submitMixed(rt *rapid.T, sim *simulation) { submitMixedAs(rt, sim, "") }
--- a/internal/domain/crash.go
+++ b/internal/domain/crash.go
@@ -103,11 +103,9 @@
 	var tcs []batch.TaskCrashes
 	for _, index := range slices.Sorted(maps.Keys(un.crashes)) {
 		ch := un.crashes[index]
-		tc := batch.TaskCrashes{Index: index, Count: ch.count, Confirmed: ch.confirmed, Suspected: ch.suspects, MinAge: ch.ages.min}
-		if ch.ages.max != anyAge.max {
-			tc.MaxAge = max(time.Millisecond, ch.ages.max) // zero stands for no bound
-		}
-		tcs = append(tcs, tc)
+		tcs = append(tcs, batch.TaskCrashes{
+			Index: index, Count: ch.count, Confirmed: ch.confirmed, Suspected: ch.suspects, MinAge: ch.ages.min, MaxAge: ch.ages.bound(),
+		})
 	}
 	return tcs
 }
--- a/internal/domain/crash_test.go
+++ b/internal/domain/crash_test.go
@@ -244,13 +244,6 @@
 		sim.run(3 * time.Second)
 		sim.clearFaults()
 		sim.run(2 * time.Minute)
-		for id := range sim.jobs {
-			if !sim.state(id).Final() {
-				rt.Fatalf("job %s is %v\n%s", id, sim.state(id), sim.logTail())
-			}
-		}
-		if violations := sim.check(); len(violations) > 0 {
-			rt.Fatalf("violations: %v\n%s", violations, sim.logTail())
-		}
+		sim.checkAllEnded(rt)
 	})
 }
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -152,7 +152,7 @@
 		Queue       string        // of the unit or job
 		Cause       LossCause     // of a lost run
 		MinAge      time.Duration // of a lost run at the loss of its worker, since its start was sent
-		MaxAge      time.Duration // the same as an upper bound
+		MaxAge      time.Duration // the same as an upper bound; zero if unknown
 		Beside      int           // number of other runs on the worker of a lost run
 		Crashes     int           // of workers under a task, by the last one
 		Suspected   int           // how many of these crashes the task has probably caused
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -296,7 +296,7 @@
 		}
 		ru := &run{unit: un, task: un.taskID(i), attempt: un.attempt, stage: adopted}
 		co.addRun(ru, co.restoreNode(now, id, ur, i))
-		ru.incarnation = 0
+		ru.incarnation = 0 // the worker may have restarted since the record was written
 		if i < len(ur.Incarnations) {
 			ru.incarnation = ur.Incarnations[i]
 		}
--- a/internal/domain/loss.go
+++ b/internal/domain/loss.go
@@ -42,6 +42,15 @@
 	LeaseExpired: "leaseExpired", GangEnded: "gangEnded", NotListed: "notListed",
 }
 
+// bound returns the upper bound of the ages, at least a millisecond, or zero if
+// there is none.
+func (ar ageRange) bound() time.Duration {
+	if ar.max == anyAge.max {
+		return 0
+	}
+	return max(time.Millisecond, ar.max)
+}
+
 // String returns the name of the cause for logs and metrics.
 func (lc LossCause) String() string {
 	if int(lc) >= len(lossCauseNames) {
@@ -71,7 +80,7 @@
 	if ru.stage != ended && ru.stage != planned {
 		co.emit(LogDecision{
 			Decision: "lost", Job: ru.task.Job, Task: ru.task.String(), Attempt: ru.attempt, Worker: ru.node.worker.ID,
-			Cause: ls.cause, MinAge: ls.age.min, MaxAge: ls.age.max, Beside: beside,
+			Cause: ls.cause, MinAge: ls.age.min, MaxAge: ls.age.bound(), Beside: beside,
 		})
 		if !wasStopped {
 			co.recordLoss(now, ru, ls)
--- a/internal/domain/resize_test.go
+++ b/internal/domain/resize_test.go
@@ -99,13 +99,6 @@
 			sim.resize(id, 8)
 		}
 		sim.run(2 * time.Minute)
-		for id := range sim.jobs {
-			if !sim.state(id).Final() {
-				rt.Fatalf("job %s is %v\n%s", id, sim.state(id), sim.logTail())
-			}
-		}
-		if violations := sim.check(); len(violations) > 0 {
-			rt.Fatalf("violations: %v\n%s", violations, sim.logTail())
-		}
+		sim.checkAllEnded(rt)
 	})
 }
--- a/internal/drive/log.go
+++ b/internal/drive/log.go
@@ -45,7 +45,9 @@
 		args = append(args, "stops", ld.Preemptions)
 	}
 	if ld.Decision == "lost" {
-		args = append(args, "cause", ld.Cause, "minAge", ld.MinAge.Round(time.Millisecond), "maxAge", ld.MaxAge.Round(time.Millisecond), "beside", ld.Beside)
+		args = append(args, "cause", ld.Cause, "beside", ld.Beside)
+		addTime("minAge", ld.MinAge)
+		addTime("maxAge", ld.MaxAge)
 	}
 	if ld.Crashes > 0 {
 		args = append(args, "crashes", ld.Crashes, "suspected", ld.Suspected)
