entry: keep waiting for a slot after an endpoint was full

Cause: while an endpoint drains, one host has borrowed slots of the other one that the owner needs again. The owner is refused and tries again after pauses of 50 to 800 ms, but each of these counted as one of four attempts and as a retry of the budget, which the first ten use up.

Change: an attempt after one that found no free slot continues the wait for one. The queue time limits it, and the pause of the endpoint its rate.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -38,6 +38,8 @@
 	work            *report.Work // nil if another host accounts for the request
 	outcome         report.Outcome
 	attempts        int
+	failedAttempts  int             // attempts that failed for another reason than the lack of a free slot
+	lackedSlot      bool            // the last attempt was refused because the endpoint had no free slot
 	claim           *Claim          // acquired, and its outcome is not recorded yet
 	slot            *admit.Admitted // nil if the request holds no slot
 	slotSince       time.Time
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -184,6 +184,33 @@
 	}
 }
 
+// TestRefusedRequestWaitsForSlot occupies every slot of the endpoint for most of
+// the queue time, as requests of another host do that has borrowed them. It
+// guards against a request that is given up after a few refusals although the
+// slots are free again within the queue time.
+func TestRefusedRequestWaitsForSlot(t *testing.T) {
+	is := is.New(t)
+	th := newTestHost(t, 1, nil)
+	ep := th.endpoints[0]
+	for range 8 {
+		go func() {
+			rq, _ := http.NewRequest(http.MethodGet, "http://"+ep.Addr()+"/held", nil)
+			rq.Header.Set(epsim.HeaderDelay, "1s")
+			if rs, err := http.DefaultTransport.RoundTrip(rq); err == nil {
+				_ = rs.Body.Close()
+			}
+		}()
+	}
+	eventually(t, "every slot is in use", func() bool { return ep.SlotsInUse() == 8 })
+	for _, repeatable := range []string{"true", "false"} {
+		re, err := th.order(client.HeaderRepeatable, repeatable)
+		is.NoErr(err)
+		is.Equal(re.code, codes.RequestDone)
+		is.Equal(th.runs()[re.request], 1)
+	}
+	is.True(len(th.log.lines("cause=busy")) > 0)
+}
+
 // TestIdempotencyKey guards against a request that runs although its key was used
 // before, for the same or another request, or could not be claimed.
 func TestIdempotencyKey(t *testing.T) {
--- a/internal/entry/local.go
+++ b/internal/entry/local.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	maxAttempts = 4
+	maxAttempts = 4 // that fail for another reason than the lack of a free slot
 
 	// slotPollInterval is the interval at which an admitted request tries again to
 	// choose an endpoint while none has a free slot. This happens when endpoints
@@ -52,12 +52,14 @@
 			return last
 		}
 		fa := cl.attempt(ctx, ch, pool)
-		if fa != nil && fa.Cause != relay.CauseNoFreeSlot {
-			tried = append(tried, ch.Endpoint.Name)
-		}
 		if fa == nil {
 			return nil
 		}
+		cl.lackedSlot = fa.Cause == relay.CauseNoFreeSlot
+		if !cl.lackedSlot {
+			cl.failedAttempts++
+			tried = append(tried, ch.Endpoint.Name)
+		}
 		last = codes.New(fa.Code, "endpoint %s: %v", ch.Endpoint.Name, fa)
 		if !cl.mayRetry(fa) {
 			return last
@@ -85,12 +87,14 @@
 }
 
 // startAttempt reports whether another attempt may be made, by maxAttempts and
-// the retry budget, and counts it if so.
+// the retry budget, and counts it if so. An attempt after one that found no free
+// slot continues the wait for one, which the queue time limits, and is no retry.
 func (cl *call) startAttempt() bool {
 	switch {
 	case cl.attempts == 0:
 		cl.sv.depositRetry()
-	case cl.attempts >= maxAttempts || !cl.sv.withdrawRetry():
+	case cl.lackedSlot:
+	case cl.failedAttempts >= maxAttempts || !cl.sv.withdrawRetry():
 		return false
 	default:
 		cl.sr.metrics.countRetry(cl.service)
