--- a/internal/domain/crash_test.go
+++ b/internal/domain/crash_test.go
@@ -247,3 +247,72 @@
 		sim.checkAllEnded(rt)
 	})
 }
+
+// TestSuspectedTaskHarmsNoOtherWork guards against the next attempt of a task
+// that has crashed a worker being placed beside other work while workers are
+// empty.
+func TestSuspectedTaskHarmsNoOtherWork(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1)
+	sim.start(8)
+	for i := range 4 {
+		beside, pl := oneStepJob(fmt.Sprintf("beside%d", i), 1, 4, time.Minute)
+		beside.Steps[0].Gang = true
+		beside.Steps[0].PerWorker = 1
+		sim.submit(beside, pl)
+	}
+	sim.run(time.Second)
+	jb, pl := oneStepJob("crashes", 1, 1, 2*time.Second)
+	pl.crashes = true
+	sim.submit(jb, pl)
+	for !sim.decided("crashed", "crashes") {
+		sim.run(time.Millisecond)
+	}
+	firstCrash := len(sim.decisions)
+	sim.run(30 * time.Second)
+	is.Equal(sim.state("crashes"), batch.Failed)
+	for _, ld := range sim.decisions[firstCrash:] {
+		if ld.Decision == "lost" && ld.Job != "crashes" {
+			t.Errorf("%s was lost with %s beside the task that crashes workers", ld.Task, ld.Worker)
+		}
+	}
+}
+
+// TestCrashesOfSuspectedTaskAreNoEvidence has a task crash the same worker twice,
+// which is back before or after its leases have expired. It guards against a
+// worker that stays suspected because a task crashes it that has crashed one
+// before.
+func TestCrashesOfSuspectedTaskAreNoEvidence(t *testing.T) {
+	for _, tt := range []struct {
+		downtime time.Duration
+		noticed  string // the decision that tells of the loss
+	}{
+		{3 * time.Second, "reborn"},
+		{20 * time.Second, "silent"},
+	} {
+		t.Run(tt.noticed, func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(1)
+			sim.downtime = tt.downtime
+			sim.start(1)
+			jb, pl := oneStepJob("crashes", 1, 1, 2*time.Second)
+			pl.crashes = true
+			sim.submit(jb, pl)
+			is.Equal(sim.healthAfter(tt.noticed, 1).Suspected, 1)
+			is.Equal(sim.healthAfter(tt.noticed, 2), domain.HealthReport{})
+		})
+	}
+}
+
+// healthAfter runs the simulation until a decision was made a number of times and
+// the state of the workers after it was reported, and returns the last report.
+func (sim *simulation) healthAfter(decision string, times int) domain.HealthReport {
+	made := func() int {
+		return len(slices.DeleteFunc(slices.Clone(sim.decisions), func(ld domain.LogDecision) bool { return ld.Decision != decision }))
+	}
+	for end := sim.now.Add(time.Minute); made() < times && sim.now.Before(end); {
+		sim.run(10 * time.Millisecond)
+	}
+	sim.run(1500 * time.Millisecond)
+	return sim.healthReports[len(sim.healthReports)-1]
+}
