--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -276,7 +276,7 @@
 	case sc.Count < 1 || sc.Every < 0:
 		return fmt.Errorf("a schedule needs a positive count and a non-negative interval")
 	case sc.First.UTC().Year() < 0 || sc.First.UTC().Year() > maxYear:
-		return fmt.Errorf("the first occurrence is due after the year %d", maxYear)
+		return fmt.Errorf("the first occurrence is due outside of the years 0 to %d", maxYear)
 	case sc.Every > maxScheduleSpan/time.Duration(sc.Count):
 		return fmt.Errorf("%d occurrences every %v exceed a span of %v", sc.Count, sc.Every, maxScheduleSpan)
 	}
