batch: encode the units of a record in one allocation

Change: one allocation for all units, also when the scheduler collects them, and none for crashes where there are none.

Packages batch and domain pass.

--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -14,14 +14,16 @@
 // small: a record is written at every change of its job, and all of them are read
 // whenever another host becomes the scheduler, possibly over slow links.
 func EncodeRecord(rc Record) ([]byte, error) {
+	units := make([]wire.UnitProgress, len(rc.Units)) // in one allocation
 	msg := &wire.Progress{Id: rc.ID, State: uint32(rc.State), Units: make([]*wire.UnitProgress, len(rc.Units))}
 	for i, ur := range rc.Units {
-		msg.Units[i] = &wire.UnitProgress{
+		units[i] = wire.UnitProgress{
 			Occurrence: uint32(ur.Occurrence), Step: uint32(ur.Step), Index: uint32(ur.Index),
 			Attempt: uint32(ur.Attempt), Failures: uint32(ur.Failures), Workers: ur.Workers,
 			Checkpoint: ur.Checkpoint, Live: ur.Live, Done: ur.Done, FailedOn: ur.FailedOn, Counted: ur.Counted,
 			Addresses: encodeAddresses(ur.Addresses), Incarnations: ur.Incarnations, Crashes: encodeCrashes(ur.Crashes),
 		}
+		msg.Units[i] = &units[i]
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(msg)
 	return data, merry.Prepend(err, "encode a record")
@@ -53,13 +55,14 @@
 // encodeAddresses returns the binary form of addresses, which is empty for one
 // that is not an IP and a port.
 func encodeAddresses(addresses []string) [][]byte {
-	var out [][]byte
-	for _, address := range addresses {
-		var data []byte
+	if len(addresses) == 0 {
+		return nil
+	}
+	out := make([][]byte, len(addresses))
+	for i, address := range addresses {
 		if ap, err := netip.ParseAddrPort(address); err == nil {
-			data, _ = ap.MarshalBinary() // never fails
+			out[i], _ = ap.MarshalBinary() // never fails
 		}
-		out = append(out, data)
 	}
 	return out
 }
--- a/internal/domain/crash.go
+++ b/internal/domain/crash.go
@@ -100,6 +100,9 @@
 
 // crashRecords returns the crash histories of a unit for the store.
 func (un *unit) crashRecords() []batch.TaskCrashes {
+	if len(un.crashes) == 0 {
+		return nil
+	}
 	var tcs []batch.TaskCrashes
 	for _, index := range slices.Sorted(maps.Keys(un.crashes)) {
 		ch := un.crashes[index]
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -203,7 +203,7 @@
 
 // record returns the state of a job for the store.
 func (jb *job) record() batch.Record {
-	rc := batch.Record{ID: jb.ID, State: jb.state}
+	rc := batch.Record{ID: jb.ID, State: jb.state, Units: make([]batch.UnitRecord, 0, jb.attempted())}
 	for _, un := range jb.units {
 		if un.attempt == 0 {
 			continue
@@ -222,6 +222,17 @@
 	return rc
 }
 
+// attempted returns the number of units of which there was an attempt.
+func (jb *job) attempted() int {
+	n := 0
+	for _, un := range jb.units {
+		if un.attempt > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // recordWorkers adds to a record the workers of the runs that have not ended.
 // Their addresses and incarnations are added as long as some run may crash its
 // worker, which most of these tasks do at once.
