domain: count a crash although the next incarnation confirms the stop

It counted 2 of its first 4 crashes, each by another scheduler.

Cause: a successor stops the rest of a broken gang at once. A worker that has crashed and is back confirms the stop, since it runs nothing, before it is polled. The run then counted as stopped before the loss, so the crash that the predecessor had not stored was dropped.

Change: the confirmation of another incarnation than the recorded one says nothing about a run.

--- a/internal/domain/crash_test.go
+++ b/internal/domain/crash_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
 	"github.com/cicadawharf/cicadawharf/internal/domain"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
 )
 
 // crashVariant is a way in which a task crashes its workers and these return.
@@ -105,6 +106,41 @@
 	}
 }
 
+// TestStopByNextIncarnationHidesNoCrash has a successor stop the rest of a gang on
+// a worker that has crashed and is back, which confirms the stop before it is
+// polled. It guards against taking the task that has crashed the worker for one
+// that was stopped there.
+func TestStopByNextIncarnationHidesNoCrash(t *testing.T) {
+	is := is.New(t)
+	jb, _ := oneStepJob("j", 1, 2, time.Second)
+	jb.Steps[0].Gang = true
+	wk := runner.Worker{ID: "w00", Address: "10.0.0.1:1", Service: "svc", Born: 1000, Capacity: batch.Resources{Accelerators: 8}}
+	rc := batch.Record{ID: "j", State: batch.Running, Units: []batch.UnitRecord{{
+		Attempt: 1, Live: true, Workers: []string{wk.ID, ""}, Addresses: []string{wk.Address, ""}, Incarnations: []uint32{wk.Incarnation(), 0},
+	}}}
+	wk.Born = 5000
+	co := domain.New(startTime, domain.Config{
+		Token: 1, Policy: newSimulation(1).policy, Jobs: []batch.Job{jb}, Records: []batch.Record{rc}, Workers: []runner.Worker{wk},
+	})
+	effects := co.Handle(startTime, domain.Ticked{})
+	for _, ef := range effects {
+		if st, ok := ef.(domain.Stop); ok {
+			effects = append(effects, co.Handle(startTime.Add(time.Millisecond), domain.Stopped{Call: st})...)
+		}
+	}
+	poll := domain.Poll{Worker: wk, Sent: startTime.Add(2 * time.Millisecond)}
+	effects = append(effects, co.Handle(startTime.Add(3*time.Millisecond), domain.Polled{Call: poll, Status: runner.Status{Born: wk.Born}})...)
+	var decisions []string
+	for _, ef := range effects {
+		if ld, ok := ef.(domain.LogDecision); ok {
+			decisions = append(decisions, ld.Decision)
+		}
+	}
+	is.True(slices.Contains(decisions, "stops"))
+	is.True(slices.Contains(decisions, "lost"))
+	is.True(slices.Contains(decisions, "crashed"))
+}
+
 // TestCrashesCountWithoutStore keeps the scheduler from the store while workers
 // crash, and replaces it after that. It guards against a next attempt that
 // starts before the crash of the last one is stored.
--- a/internal/domain/loss.go
+++ b/internal/domain/loss.go
@@ -114,7 +114,15 @@
 }
 
 // stoppedBefore reports whether the worker has confirmed the stop of a run before
-// a time.
+// a time. The confirmation of another incarnation than the one that was started
+// says nothing about the run.
 func (ru *run) stoppedBefore(at time.Time) bool {
-	return !ru.stop.ackedAt.IsZero() && ru.stop.ackedAt.Before(at)
+	return !ru.stop.ackedAt.IsZero() && ru.stop.ackedAt.Before(at) && !ru.isOfFormerIncarnation()
+}
+
+// isOfFormerIncarnation reports whether another incarnation of the worker than the
+// present one has started a run, as far as both are known.
+func (ru *run) isOfFormerIncarnation() bool {
+	present := ru.node.worker.Incarnation()
+	return ru.incarnation != 0 && present != 0 && ru.incarnation != present
 }
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -191,7 +191,7 @@
 
 // lossIfMissing returns the loss of a run that its worker does not list.
 func (ru *run) lossIfMissing(now time.Time) loss {
-	if ru.incarnation != 0 && ru.incarnation != ru.node.worker.Incarnation() {
+	if ru.isOfFormerIncarnation() {
 		return loss{cause: Restarted.unlessDeparting(ru.node), age: anyAge}
 	}
 	return loss{cause: NotListed, age: ru.ageAtLoss(now)}
