--- a/internal/domain/openloss.go
+++ b/internal/domain/openloss.go
@@ -72,7 +72,7 @@
 	}
 	var resolved []*lostRun
 	for _, lr := range co.openLosses.at(wk) {
-		known, crashed := lr.fate(wk)
+		known, crashed := lr.resolvedBy(wk)
 		if !known {
 			continue
 		}
@@ -93,9 +93,9 @@
 	co.openLosses.remove(func(lr *lostRun) bool { return now.Sub(lr.at) > openLossRetention })
 }
 
-// fate reports whether it is known, now that a worker runs, what has become of the
-// one of a lost run, and whether that has crashed.
-func (lr *lostRun) fate(wk runner.Worker) (known, crashed bool) {
+// resolvedBy reports whether a sign of life of a worker shows what became of the
+// worker of a lost run, and whether that one has crashed.
+func (lr *lostRun) resolvedBy(wk runner.Worker) (known, crashed bool) {
 	switch {
 	case lr.worker.ID == wk.ID:
 		known = wk.Born >= lr.worker.Born
