--- a/review/rig/ledger.go
+++ b/review/rig/ledger.go
@@ -16,6 +16,9 @@
 		mu     sync.Mutex
 		runs   map[string][]*runEntry // by work unit
 		broken []string
+		// crashes and late count the workers that have crashed under a work unit,
+		// and its starts after maxCrashes of them.
+		crashes, late map[string]int
 	}
 
 	// runEntry is one run of a work unit.
@@ -31,7 +34,14 @@
 	}
 )
 
-func newLedger(rec *record) *ledger { return &ledger{rec: rec, runs: map[string][]*runEntry{}} }
+const (
+	maxCrashes = 3 // workers that may crash under a work unit
+	maxLate    = 3 // starts after that which break the rule BUDGET
+)
+
+func newLedger(rec *record) *ledger {
+	return &ledger{rec: rec, runs: map[string][]*runEntry{}, crashes: map[string]int{}, late: map[string]int{}}
+}
 
 // start records that a worker has begun a work unit. Two runs at the same time
 // break the rule TWICE.
@@ -46,9 +56,23 @@
 		}
 	}
 	le.runs[task] = append(le.runs[task], en)
+	if le.crashes[task] >= maxCrashes {
+		le.late[task]++
+		if le.late[task] == maxLate {
+			le.report("BUDGET: %s run %d on %s is the third start after three workers had crashed under it; now it is %d", task, run, worker, le.crashes[task])
+		}
+	}
 	return en
 }
 
+// crash records that a worker has crashed under a work unit.
+func (le *ledger) crash(task string) {
+	le.mu.Lock()
+	defer le.mu.Unlock()
+	le.crashes[task]++
+	le.rec.write("%d workers have crashed under %s", le.crashes[task], task)
+}
+
 // end records the end of a run.
 func (le *ledger) end(en *runEntry, how string) {
 	le.mu.Lock()
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -51,6 +51,7 @@
 		work   time.Duration // that is left at its start
 		saved  time.Duration // done in earlier runs
 		saves  bool          // whether it saves checkpoints
+		deadly bool          // whether it crashes its worker when its work is done
 		stopAt time.Time     // zero unless it is being stopped
 	}
 
@@ -100,6 +101,7 @@
 	// registerTime is the time from when a worker listens until it writes its
 	// first entry: it registers once it serves.
 	registerTime = 500 * time.Millisecond
+	crashTime    = 3 * time.Second // that a worker is down after a work unit has crashed it
 	maxWait      = 2 * time.Second
 	saveEvery    = 2 * time.Second // checkpoint_s
 	zone         = "centro-a"
@@ -133,6 +135,7 @@
 	wo.server = nil
 	for task, jo := range wo.runs {
 		wo.pl.ledger.end(jo.entry, "lost")
+		delete(wo.runs, task)
 		wo.pl.rec.write("%s run %d is lost with %s", task, jo.run, wo.id)
 	}
 	wo.runs = map[string]*job{}
@@ -143,6 +146,20 @@
 	}
 }
 
+// crashUnder crashes the worker because of a work unit, and has it return after
+// crashTime. It does nothing if the lifetime of the server has ended.
+func (wo *worker) crashUnder(task string, sv *http.Server) {
+	if !wo.isUp(sv) {
+		return
+	}
+	wo.crash()
+	wo.pl.ledger.crash(task)
+	time.Sleep(crashTime)
+	if err := wo.start(); err != nil {
+		wo.pl.rec.write("worker %s doesn't start: %v", wo.id, err)
+	}
+}
+
 // isUp reports whether the lifetime of a server goes on.
 func (wo *worker) isUp(sv *http.Server) bool {
 	wo.mu.Lock()
@@ -196,6 +213,9 @@
 			wo.end(task, jo, "lapsed")
 		case !jo.stopAt.IsZero() && now.After(jo.stopAt):
 			wo.end(task, jo, "stopped")
+		case now.Sub(jo.began) >= jo.work && jo.deadly:
+			go wo.crashUnder(task, wo.server)
+			return
 		case now.Sub(jo.began) >= jo.work:
 			wo.end(task, jo, "done")
 		}
@@ -340,8 +360,17 @@
 
 // newJob returns the run that a start asks for. The spec that the case has
 // submitted says how long it works: milliseconds, how many more for each index,
-// and whether it saves checkpoints.
+// and whether it saves checkpoints. A deadly work unit crashes its worker after
+// the first of two times in its odd runs, and after the second in the others.
 func newJob(ca workerCall) (*job, error) {
+	var odd, even int
+	if _, err := fmt.Sscanf(ca.Spec, "deadly after %d or %d", &odd, &even); err == nil {
+		jo := &job{run: ca.Run, began: time.Now(), deadly: true, work: time.Duration(even) * time.Millisecond}
+		if ca.Run%2 == 1 {
+			jo.work = time.Duration(odd) * time.Millisecond
+		}
+		return jo, nil
+	}
 	var base, step, index int
 	var saves bool
 	if _, err := fmt.Sscanf(ca.Spec, "work %d step %d saves %t", &base, &step, &saves); err != nil {
