--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the case against the built programs; see claim.txt. With TROUBLE=0
-# another writer puts no entry.
+# Plays the case against the built programs and writes record.txt; see claim.txt.
+# With TROUBLE=0 another writer puts no entry.
 cd "$(dirname "$0")/../.." || exit 2
 exec timeout --preserve-status --signal=TERM --kill-after=5 115 target/review/rig foreign review/2
