domain: take no absence from a full list of ends for a loss

Cause: a worker returns its unacknowledged ends 500 at a time. A run that was neither in its list of running attempts nor among these ends was taken for lost, although its end may be behind the first 500. The status of a worker did not say that its list can be cut off.

An attempt in neither list is then left as it is until a later page, and is not called hung. event=endsOmitted tells it in the log. The ends behind the first page are read once those before are on record: nothing is acknowledged earlier than before. A successor does the same.

All generated tests of package domain now run with a small page.

--- a/internal/domain/commit_test.go
+++ b/internal/domain/commit_test.go
@@ -72,7 +72,7 @@
 // end reports the end of the only task of a job in reply to the last poll.
 func (ss *slowStore) end(number int64, id string, reason runner.EndReason) {
 	ti := batch.TaskID{Job: id}
-	ss.handle(domain.Polled{Call: ss.poll, Status: runner.Status{Born: 1, Ended: []runner.End{{Number: number, Task: ti, Attempt: 1, Reason: reason}}}})
+	ss.handle(domain.Polled{Call: ss.poll, Status: runner.Status{Born: 1, Ended: runner.EndPage{Ends: []runner.End{{Number: number, Task: ti, Attempt: 1, Reason: reason}}}}})
 }
 
 // step advances the time by storeStep.
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -128,6 +128,8 @@
 	//   - lost: a run has ended, or is considered ended, without a report of its
 	//     worker; see Cause
 	//   - crashed: a worker has crashed under a task
+	//   - endsOmitted: a worker has more ends than it returns at a time, and attempts
+	//     that it does not list as running may be among the others; see Beside
 	//   - endsLate: an attempt succeeded although it had been given up
 	//   - stops: an attempt, or a run that no record names, is being stopped
 	//   - overdue: a stop is not confirmed although all leases have expired
@@ -153,7 +155,7 @@
 		Cause       LossCause     // of a lost run
 		MinAge      time.Duration // of a lost run at the loss of its worker, since its start was sent
 		MaxAge      time.Duration // the same as an upper bound; zero if unknown
-		Beside      int           // number of other runs on the worker of a lost run
+		Beside      int           // number of other runs on the worker of a lost run; of runs whose ends may be omitted
 		Crashes     int           // of workers under a task, by the last one
 		Suspected   int           // how many of these crashes the task has probably caused
 		Waited      time.Duration // by a placed unit since its due time or acceptance, earlier attempts included; by a job that ends, until its first placement
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -31,6 +31,7 @@
 		pendingEnds            []pendingEnd // processed, but not in the store yet
 		savedEnd               int64        // number of the last end in the store
 		ackedEnd               int64        // number of the last end acknowledged to the worker
+		endsOmitted            bool         // the last reply to a poll may have omitted ends of runs
 		health                 health
 		bestEffortBlockedUntil time.Time // see besteffort.go
 		hasShrunk              bool      // its capacity was reduced in this term
--- a/internal/domain/passbench_test.go
+++ b/internal/domain/passbench_test.go
@@ -101,7 +101,7 @@
 	st := runner.Status{Born: 1, Clock: time.Second}
 	for _, rn := range iw.running[wk.ID] {
 		if rn.Task == ti {
-			st.Ended = append(st.Ended, runner.End{Number: iw.lastEnds[wk.ID], Task: ti, Attempt: rn.Attempt, Reason: reason})
+			st.Ended.Ends = append(st.Ended.Ends, runner.End{Number: iw.lastEnds[wk.ID], Task: ti, Attempt: rn.Attempt, Reason: reason})
 			continue
 		}
 		st.Running = append(st.Running, rn)
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -108,7 +108,7 @@
 		reported[key] = true
 		co.observeRun(now, nd, key, rn)
 	}
-	for _, en := range ev.Status.Ended {
+	for _, en := range ev.Status.Ended.Ends {
 		if en.Number <= nd.lastEnd {
 			continue
 		}
@@ -117,13 +117,31 @@
 		nd.pendingEnds = append(nd.pendingEnds, co.newPendingEnd(en))
 		co.unsavedEnds[nd] = true
 	}
-	present := len(nd.runs)
+	co.handleUnlisted(now, nd, ev, reported)
+	co.advanceSavedEnd(nd)
+}
+
+// handleUnlisted processes the runs of a worker that its reply to a poll does not
+// list. They are lost, unless the reply may omit their ends.
+func (co *Core) handleUnlisted(now time.Time, nd *node, ev Polled, listed map[runKey]bool) {
+	present, unknown := len(nd.runs), 0
 	for _, ru := range nd.sortedRuns() {
-		if !reported[runKey{ru.task, ru.attempt}] {
+		switch {
+		case listed[runKey{ru.task, ru.attempt}]:
+		case ev.Status.ShowsAbsence():
 			co.handleMissing(now, ru, ev.Call.Sent, present-1)
+		default:
+			ru.mayHaveEnded = true
+			unknown++
 		}
 	}
-	co.advanceSavedEnd(nd)
+	if unknown > 0 && !nd.endsOmitted {
+		co.emit(LogDecision{
+			Decision: "endsOmitted", Worker: nd.worker.ID, Beside: unknown,
+			Reason: "the list of ends is full, so attempts that are not listed may have ended",
+		})
+	}
+	nd.endsOmitted = unknown > 0
 }
 
 // observeRun processes a run that a worker lists. A run that no record names is
@@ -140,6 +158,7 @@
 	}
 	ru.startLostAt = time.Time{}
 	ru.listedAt, ru.incarnation, ru.lostBy = now, nd.worker.Incarnation(), loss{}
+	ru.mayHaveEnded = false
 	if ru.confirmedAt.IsZero() {
 		ru.confirmedAt = now
 		ru.beganAt = now
--- a/internal/domain/progress.go
+++ b/internal/domain/progress.go
@@ -22,7 +22,7 @@
 	}
 	for _, ru := range nd.sortedRuns() {
 		un := ru.unit
-		if un == nil || un.phase != live || ru.stage != running || un.step.LongRunning || !un.allRunning() || un.waitsForGang(ru) {
+		if un == nil || un.phase != live || ru.stage != running || ru.mayHaveEnded || un.step.LongRunning || !un.allRunning() || un.waitsForGang(ru) {
 			continue
 		}
 		timeout := max(hangTimeout, time.Duration(hangTimeoutShare*float64(un.step.RunTime)))
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -25,6 +25,7 @@
 		lostBy           loss      // set if its worker has restarted since; see handleRestart
 		beganAt          time.Time // estimated from its progress if the start was not confirmed
 		stop             stopState
+		mayHaveEnded     bool             // the last poll did not list it, but may have omitted its end
 		outcome          runner.EndReason // set if the worker has reported its end
 		percent          int
 		progressAt       time.Time // when percent last rose
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -100,6 +100,8 @@
 	callTimeout  = time.Second
 	tickInterval = 100 * time.Millisecond
 	promptDelay  = 15 * time.Millisecond
+	// endPageSize is small, so that ends behind a full page occur in many tests.
+	endPageSize = 6
 )
 
 var startTime = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
@@ -130,7 +132,7 @@
 		}, Workspaces: []batch.Workspace{{Name: "a", Guaranteed: 16}, {Name: "b", Guaranteed: 16}}},
 	}
 	sim.fleet = runsim.NewFleet(startTime, runsim.Config{
-		MaxLease: 10 * time.Second, GangTimeout: 3 * time.Second, CheckpointInterval: 2 * time.Second, Plan: sim.planOf, Crashed: sim.restartCrashed,
+		MaxLease: 10 * time.Second, GangTimeout: 3 * time.Second, CheckpointInterval: 2 * time.Second, EndPageSize: endPageSize, Plan: sim.planOf, Crashed: sim.restartCrashed,
 	})
 	return sim
 }
@@ -414,7 +416,7 @@
 		}
 		st, err := sim.fleet.Poll(sim.now, id, rq)
 		rq.Acked, rq.Deadline = 0, 0 // applied once, when the call arrives
-		if err == nil && len(st.Ended) == 0 && sim.now.Before(until) {
+		if err == nil && len(st.Ended.Ends) == 0 && sim.now.Before(until) {
 			sim.after(50*time.Millisecond, try)
 			return
 		}
--- a/internal/drive/log.go
+++ b/internal/drive/log.go
@@ -49,6 +49,9 @@
 		addTime("minAge", ld.MinAge)
 		addTime("maxAge", ld.MaxAge)
 	}
+	if ld.Decision == "endsOmitted" {
+		args = append(args, "attempts", ld.Beside)
+	}
 	if ld.Crashes > 0 {
 		args = append(args, "crashes", ld.Crashes, "suspected", ld.Suspected)
 	}
--- a/internal/fakes/runsim/client.go
+++ b/internal/fakes/runsim/client.go
@@ -40,7 +40,7 @@
 		var st runner.Status
 		var err error
 		cl.With(func(now time.Time, fl *Fleet) { st, err = fl.Poll(now, wk.ID, rq) })
-		if err != nil || len(st.Ended) > 0 || !time.Now().Before(until) {
+		if err != nil || len(st.Ended.Ends) > 0 || !time.Now().Before(until) {
 			return st, err
 		}
 		rq.Acked, rq.Deadline = 0, 0 // applied once, when the call arrives
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -20,6 +20,7 @@
 		MaxLease           time.Duration // longest lease
 		GangTimeout        time.Duration // how long the tasks of a gang wait for the rest of it
 		CheckpointInterval time.Duration // work between two checkpoints
+		EndPageSize        int           // largest number of ends in the reply to a poll; zero for no limit
 		Plan               func(ti batch.TaskID) Plan
 		Crashed            func(worker string) // called when a task has crashed its worker; may be nil
 	}
@@ -484,7 +485,7 @@
 	}
 	wo.extendLease(now, rq.Deadline, fl.cfg.MaxLease)
 	fl.acknowledge(wo, rq.Acked)
-	st := runner.Status{Clock: wo.clock(now), Born: wo.born, Ended: slices.Clone(wo.ends)}
+	st := runner.Status{Clock: wo.clock(now), Born: wo.born, Ended: fl.endPage(wo)}
 	for _, ru := range wo.sortedRuns() {
 		percent := 0
 		if ru.plan.LongRunning {
@@ -497,6 +498,15 @@
 	return st, nil
 }
 
+// endPage returns the oldest ends of a worker, at most Config.EndPageSize.
+func (fl *Fleet) endPage(wo *worker) runner.EndPage {
+	ends := slices.Clone(wo.ends)
+	if size := fl.cfg.EndPageSize; size > 0 && len(ends) >= size {
+		return runner.EndPage{Ends: ends[:size], More: true}
+	}
+	return runner.EndPage{Ends: ends}
+}
+
 // acknowledge drops the ends up to a number, and counts them as known to the
 // scheduler.
 func (fl *Fleet) acknowledge(wo *worker, acked int64) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -51,7 +51,14 @@
 		Clock   time.Duration // reading of the worker's clock, on which leases are measured
 		Born    int64         // see Worker.Born
 		Running []Run
-		Ended   []End
+		Ended   EndPage
+	}
+
+	// EndPage holds the oldest ends of which a worker has no acknowledgement, in
+	// the order of their numbers.
+	EndPage struct {
+		Ends []End
+		More bool // the worker may have further ends, and lists them once these are acknowledged
 	}
 
 	// Run is a running attempt, which holds a lease.
@@ -163,6 +170,10 @@
 		wk.Leaves == other.Leaves && (wk.Cold > 0) == (other.Cold > 0) && wk.Born == other.Born
 }
 
+// ShowsAbsence reports whether an attempt that the status lists neither as running
+// nor as ended is not on the worker. Otherwise it may have ended.
+func (st Status) ShowsAbsence() bool { return !st.Ended.More }
+
 // Incarnation returns a short form of Born for records. It differs between the
 // incarnations of a worker, but is not ordered. It is zero if Born is unknown.
 func (wk Worker) Incarnation() uint32 {
