domain: count the ends of attempts that were given up

Cause: an attempt is given up once its leases have expired. If a late reply then lists it as running, it was tracked without its unit, and its end was ignored: no record was waited for and the end was acknowledged. Ends that no reply had listed again went another way, which took successes and dropped failures. Beside that, the next attempt was started while a worker was known to run the former one.

Change: one path for every end, by task and attempt, whatever is believed of the attempt. A success finishes the unit, a failure counts, once for each attempt: the record names the attempts that were counted, so that a successor which reads an end again does not count it twice. While a worker lists a run of an attempt that was given up, its unit is not started.

Evidence: TestEndsOfAbandonedAttemptsCount failed before in 3 of 4 ways, and TestAbandonedAttemptThatRunsBlocksTheNext failed before.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -96,7 +96,9 @@
 		Live       bool
 		Done       bool
 		FailedOn   []string // workers on which attempts failed
-		Counted    bool     // Failures includes a failure of this attempt
+		// FailedAttempts are the numbers of the attempts that Failures includes. A
+		// record of a former version names the last attempt at most.
+		FailedAttempts []int
 		// Addresses and Incarnations belong to Workers, as far as they are known,
 		// so that a successor recognizes a worker that has restarted or was
 		// replaced; see runner.Worker.Incarnation.
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -20,7 +21,8 @@
 		units[i] = wire.UnitProgress{
 			Occurrence: uint32(ur.Occurrence), Step: uint32(ur.Step), Index: uint32(ur.Index),
 			Attempt: uint32(ur.Attempt), Failures: uint32(ur.Failures), Workers: ur.Workers,
-			Checkpoint: ur.Checkpoint, Live: ur.Live, Done: ur.Done, FailedOn: ur.FailedOn, Counted: ur.Counted,
+			Checkpoint: ur.Checkpoint, Live: ur.Live, Done: ur.Done, FailedOn: ur.FailedOn,
+			Counted: slices.Contains(ur.FailedAttempts, ur.Attempt), FailedAttempts: encodeAttempts(ur.FailedAttempts),
 			Addresses: encodeAddresses(ur.Addresses), Incarnations: ur.Incarnations, Crashes: encodeCrashes(ur.Crashes),
 		}
 		msg.Units[i] = &units[i]
@@ -45,13 +47,34 @@
 			Occurrence: int(un.GetOccurrence()), Step: int(un.GetStep()), Index: int(un.GetIndex()),
 			Attempt: int(un.GetAttempt()), Failures: int(un.GetFailures()), Workers: un.GetWorkers(),
 			Checkpoint: un.GetCheckpoint(), Live: un.GetLive(), Done: un.GetDone(),
-			FailedOn: un.GetFailedOn(), Counted: un.GetCounted(),
+			FailedOn: un.GetFailedOn(), FailedAttempts: decodeAttempts(un),
 			Addresses: decodeAddresses(un.GetAddresses()), Incarnations: un.GetIncarnations(), Crashes: decodeCrashes(un.GetCrashes()),
 		})
 	}
 	return rc, nil
 }
 
+func encodeAttempts(attempts []int) []uint32 {
+	var nums []uint32
+	for _, at := range attempts {
+		nums = append(nums, uint32(at))
+	}
+	return nums
+}
+
+// decodeAttempts returns the attempts that the failures of a unit include. Former
+// versions have written only whether the last one is among them.
+func decodeAttempts(un *wire.UnitProgress) []int {
+	var attempts []int
+	for _, num := range un.GetFailedAttempts() {
+		attempts = append(attempts, int(num))
+	}
+	if len(attempts) == 0 && un.GetCounted() {
+		attempts = append(attempts, int(un.GetAttempt()))
+	}
+	return attempts
+}
+
 // encodeAddresses returns the binary form of addresses, which is empty for one
 // that is not an IP and a port.
 func encodeAddresses(addresses []string) [][]byte {
--- a/internal/batch/progress_test.go
+++ b/internal/batch/progress_test.go
@@ -21,7 +21,10 @@
 			ur := batch.UnitRecord{
 				Occurrence: small.Draw(rt, "occurrence"), Step: small.Draw(rt, "step"), Index: small.Draw(rt, "index"),
 				Attempt: small.Draw(rt, "attempt"), Failures: small.Draw(rt, "failures"), Checkpoint: rapid.String().Draw(rt, "checkpoint"),
-				Live: rapid.Bool().Draw(rt, "live"), Done: rapid.Bool().Draw(rt, "done"), Counted: rapid.Bool().Draw(rt, "counted"),
+				Live: rapid.Bool().Draw(rt, "live"), Done: rapid.Bool().Draw(rt, "done"),
+			}
+			for range rapid.IntRange(0, 3).Draw(rt, "failedAttempts") {
+				ur.FailedAttempts = append(ur.FailedAttempts, small.Draw(rt, "failedAttempt"))
 			}
 			if ur.Live {
 				ur.Workers = names.Draw(rt, "workers")
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -47,7 +47,8 @@
 		phase             unitPhase
 		attempt           int
 		failures          int
-		failureCounted    bool                 // failures includes a failure of the current attempt
+		failedAttempts    []int                // attempts that failures includes, as far as they are known
+		abandonedRuns     int                  // runs of attempts that were given up and that workers still list
 		crashes           map[int]crashHistory // by index of the task within its step; nil if no worker has crashed
 		checkpoint        string
 		checkpointAt      time.Time       // when a new checkpoint was last reported
@@ -211,7 +212,7 @@
 		ur := batch.UnitRecord{
 			Occurrence: un.occurrence, Step: un.stepIndex, Index: un.index,
 			Attempt: un.attempt, Failures: un.failures, Checkpoint: un.checkpoint,
-			Done: un.phase == finished, Counted: un.failureCounted, Crashes: un.crashRecords(),
+			Done: un.phase == finished, FailedAttempts: un.failedAttempts, Crashes: un.crashRecords(),
 		}
 		if len(un.avoided) > 0 {
 			ur.FailedOn = slices.Sorted(maps.Keys(un.avoided))
@@ -288,7 +289,7 @@
 func (co *Core) restoreUnit(now time.Time, un *unit, ur batch.UnitRecord) {
 	un.attempt = ur.Attempt
 	un.failures = ur.Failures
-	un.failureCounted = ur.Counted
+	un.failedAttempts = slices.Clone(ur.FailedAttempts)
 	for _, id := range ur.FailedOn {
 		un.avoidWorker(id)
 	}
--- /dev/null
+++ b/internal/domain/lateend_test.go
@@ -0,0 +1,85 @@
+package domain_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/domain"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
+)
+
+// giveUpAttempt returns a core that has given up the first attempt of job j on
+// worker w1, since the worker was unresponsive until its leases had expired. There
+// is no capacity for another attempt.
+func giveUpAttempt(t *testing.T) (*scriptedCore, batch.TaskID) {
+	is := is.New(t)
+	sc := newScriptedCore(domain.Config{}, "w1")
+	jb, _ := oneStepJob("j", 1, 1, time.Minute)
+	sc.handle(domain.Accepted{Job: jb})
+	sc.pass(tickInterval)
+	sc.commitAll()
+	starts := effectsOf[domain.Start](sc)
+	is.Equal(len(starts), 1)
+	sc.handle(domain.Started{Call: starts[0]})
+	sc.reply("w1", runner.Status{Running: []runner.Run{{Task: starts[0].Request.Task, Attempt: 1}}})
+	sc.pass(time.Second)
+	sc.fail("w1", runner.ErrOutcomeUnknown)
+	sc.pass(20 * time.Second)
+	sc.commitAll()
+	sc.effects = nil
+	return sc, starts[0].Request.Task
+}
+
+// TestEndsOfAbandonedAttemptsCount reports the end of an attempt that was given
+// up, either at once or after a late reply has listed the attempt as running. It
+// guards against ends that are dropped and acknowledged, so that the task runs
+// again or fails more often than its queue permits.
+func TestEndsOfAbandonedAttemptsCount(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		for _, reason := range []runner.EndReason{runner.Succeeded, runner.Failed} {
+			t.Run(fmt.Sprintf("listed=%v,%v", listed, reason), func(t *testing.T) {
+				is := is.New(t)
+				sc, ti := giveUpAttempt(t)
+				if listed {
+					sc.reply("w1", runner.Status{Running: []runner.Run{{Task: ti, Attempt: 1}}})
+				}
+				en := runner.End{Number: 1, Task: ti, Attempt: 1, Reason: reason}
+				sc.reply("w1", runner.Status{Ended: runner.EndPage{Ends: []runner.End{en}}})
+				sc.pass(time.Second)
+				for _, po := range effectsOf[domain.Poll](sc) {
+					is.Equal(po.Request.Acked, int64(0)) // no record holds the end yet
+				}
+				ur := sc.lastUnit("j")
+				is.Equal(ur.Done, reason == runner.Succeeded)
+				is.Equal(ur.Failures == 1, reason == runner.Failed)
+				sc.commitAll()
+				sc.reply("w1", runner.Status{Ended: runner.EndPage{Ends: []runner.End{en}}})
+				sc.pass(time.Second)
+				polls := effectsOf[domain.Poll](sc)
+				is.Equal(polls[len(polls)-1].Request.Acked, int64(1))
+			})
+		}
+	}
+}
+
+// TestAbandonedAttemptThatRunsBlocksTheNext lists an attempt that was given up as
+// running, while there is capacity for another one. It guards against two attempts
+// of a task at the same time.
+func TestAbandonedAttemptThatRunsBlocksTheNext(t *testing.T) {
+	is := is.New(t)
+	sc, ti := giveUpAttempt(t)
+	sc.reply("w1", runner.Status{Running: []runner.Run{{Task: ti, Attempt: 1}}})
+	sc.pass(time.Second)
+	sc.commitAll()
+	sc.pass(time.Second)
+	is.Equal(len(effectsOf[domain.Start](sc)), 0)
+	is.True(len(effectsOf[domain.Stop](sc)) > 0)
+	sc.reply("w1", runner.Status{Ended: runner.EndPage{Ends: []runner.End{{Number: 1, Task: ti, Attempt: 1, Reason: runner.Stopped}}}})
+	sc.pass(time.Second)
+	sc.commitAll()
+	is.Equal(len(effectsOf[domain.Start](sc)), 1)
+}
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -92,7 +92,7 @@
 func readyUnits(now time.Time, units []*unit) []*unit {
 	var ready []*unit
 	for _, un := range units {
-		if un.phase == waiting && un.claim == nil && !now.Before(un.notBefore) {
+		if un.phase == waiting && un.claim == nil && un.abandonedRuns == 0 && !now.Before(un.notBefore) {
 			ready = append(ready, un)
 		}
 	}
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -216,7 +216,6 @@
 // includes earlier attempts.
 func (co *Core) place(now time.Time, un *unit, nodes []*node) {
 	un.attempt++
-	un.failureCounted = false
 	un.setPhase(placed)
 	un.runs = nil
 	if un.job.state == batch.Queued {
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -184,10 +184,16 @@
 }
 
 // stopUnrecorded stops a run that no record names, and tracks it until it has
-// ended. No capacity is allocated for it.
+// ended. No capacity is allocated for it. Its task is not started again before
+// that, unless the task has succeeded.
 func (co *Core) stopUnrecorded(now time.Time, nd *node, rn runner.Run) {
 	ru := &run{task: rn.Task, attempt: rn.Attempt, node: nd, stage: running, confirmedAt: now}
 	nd.attach(ru)
+	if un := co.unitOf(rn.Task); un != nil && un.phase != finished {
+		ru.abandonedBy = un
+		un.abandonedRuns++
+		co.markChanged(un)
+	}
 	co.emit(LogDecision{Decision: "stops", Job: rn.Task.Job, Task: rn.Task.String(), Attempt: rn.Attempt, Worker: nd.worker.ID, Reason: "no record names the attempt"})
 	co.stopRun(now, ru)
 }
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -332,7 +332,7 @@
 			co.releaseClaim(un)
 		case un.phase != waiting:
 			co.updateMoveClaim(now, un)
-		case slices.ContainsFunc(un.claim, func(nd *node) bool { return !nd.free().Covers(batch.Resources{}) }):
+		case un.abandonedRuns > 0, slices.ContainsFunc(un.claim, func(nd *node) bool { return !nd.free().Covers(batch.Resources{}) }):
 			// The free capacity is negative while victims still run beside
 			// the claim.
 			co.claimed = append(co.claimed, un)
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
@@ -13,6 +14,7 @@
 	// until it has ended.
 	run struct {
 		unit             *unit // nil if no record names the run
+		abandonedBy      *unit // the unit that gave the run's attempt up; nil unless unit is nil
 		task             batch.TaskID
 		attempt          int
 		node             *node
@@ -60,6 +62,8 @@
 	case placed:
 		if un.job.state.Final() {
 			co.stopUnit(now, un, "the job has ended")
+		} else if un.abandonedRuns > 0 {
+			co.stopUnit(now, un, "an earlier attempt still runs")
 		} else if un.anyEnded() {
 			co.stopUnit(now, un, "one of its workers was lost before the start")
 		} else if un.inEvacuatedZone() {
@@ -214,6 +218,9 @@
 	}
 	ru.stage = ended
 	ru.node.detach(ru)
+	if ru.abandonedBy != nil {
+		ru.abandonedBy.abandonedRuns--
+	}
 	if ru.unit != nil {
 		co.addUsage(ru.unit.job, batch.Resources{}.Minus(ru.unit.step.Reserved()))
 	}
@@ -283,58 +290,80 @@
 	}
 }
 
-// handleEnd processes the end of a run that a worker reports.
+// handleEnd processes the end of an attempt that a worker reports, whatever is
+// believed of the attempt.
 func (co *Core) handleEnd(now time.Time, nd *node, en runner.End) {
 	ru := nd.runs[runKey{en.Task, en.Attempt}]
-	if ru == nil {
-		co.handleLateEnd(now, nd, en)
-		return
+	if ru != nil {
+		co.emit(LogDecision{Decision: "ends", Job: en.Task.Job, Task: en.Task.String(), Attempt: en.Attempt, Worker: nd.worker.ID, Reason: en.Reason.String()})
+		ru.outcome = en.Reason
+		co.endRun(ru)
 	}
-	co.emit(LogDecision{Decision: "ends", Job: en.Task.Job, Task: en.Task.String(), Attempt: en.Attempt, Worker: nd.worker.ID, Reason: en.Reason.String()})
-	ru.outcome = en.Reason
-	co.endRun(ru)
-	un := ru.unit
-	if un == nil || un.phase == finished || un.attempt != ru.attempt {
-		return
+	un := co.unitOf(en.Task)
+	switch {
+	case un == nil, un.phase == finished:
+	case ru != nil && ru.unit == un && ru.attempt == un.attempt:
+		co.handleCurrentEnd(now, ru, en)
+	default:
+		co.handleAbandonedEnd(now, nd, un, en)
+	}
+}
+
+// unitOf returns the unit of a task, or nil if there is none.
+func (co *Core) unitOf(ti batch.TaskID) *unit {
+	jb, ok := co.jobs[ti.Job]
+	if !ok {
+		return nil
 	}
+	return jb.unitAt(ti)
+}
+
+// handleCurrentEnd processes the end of a run of its unit's current attempt.
+func (co *Core) handleCurrentEnd(now time.Time, ru *run, en runner.End) {
+	un := ru.unit
 	un.setCheckpoint(ru, en.Checkpoint)
 	un.clearSurvivor(ru)
 	un.job.begun = true
 	co.markDirty(un.job)
 	switch en.Reason {
 	case runner.Succeeded:
-		co.recordSuccess(now, nd, un)
+		co.recordSuccess(now, ru.node, un)
 		if !un.step.LongRunning {
 			co.finishUnit(now, un)
 		}
 	case runner.Failed:
-		co.handleFailure(now, nd, un)
+		co.handleFailure(now, ru.node, un, en.Attempt)
 	case runner.GangBroken:
 		co.endUnreportedMember(now, un)
 	}
 }
 
-// handleLateEnd processes the end of an attempt that was given up because its
-// worker was unresponsive. If the attempt succeeded, the unit is finished, and
-// what runs of a later attempt is stopped.
-func (co *Core) handleLateEnd(now time.Time, nd *node, en runner.End) {
-	jb, ok := co.jobs[en.Task.Job]
-	if !ok || jb.state.Final() || en.Reason != runner.Succeeded {
+// handleAbandonedEnd processes the end of an attempt that was given up. If the
+// attempt succeeded, the unit is finished, and what runs of a later attempt is
+// stopped. If it failed, the failure counts.
+func (co *Core) handleAbandonedEnd(now time.Time, nd *node, un *unit, en runner.End) {
+	if un.job.state.Final() || un.step.LongRunning || en.Attempt > un.attempt {
 		return
 	}
-	un := jb.unitAt(en.Task)
-	if un == nil || un.step.LongRunning || un.phase == finished || en.Attempt > un.attempt {
+	switch en.Reason {
+	case runner.Succeeded:
+		for _, other := range un.runs {
+			co.stopRun(now, other)
+		}
+		co.finishUnit(now, un)
+		co.releaseClaim(un)
+		co.markChanged(un)
+	case runner.Failed:
+		co.handleFailure(now, nd, un, en.Attempt)
+	default:
 		return
 	}
-	co.emit(LogDecision{Decision: "endsLate", Job: jb.ID, Task: en.Task.String(), Attempt: en.Attempt, Worker: nd.worker.ID, Reason: "the attempt was given up, but has succeeded"})
-	for _, other := range un.runs {
-		co.stopRun(now, other)
-	}
-	jb.begun = true
-	co.markDirty(jb)
-	co.finishUnit(now, un)
-	co.releaseClaim(un)
-	co.markChanged(un)
+	un.job.begun = true
+	co.markDirty(un.job)
+	co.emit(LogDecision{
+		Decision: "endsLate", Job: un.job.ID, Task: en.Task.String(), Attempt: en.Attempt, Worker: nd.worker.ID,
+		Reason: "the attempt was given up, but has " + en.Reason.String(),
+	})
 }
 
 // endUnreportedMember ends the last run of a gang if all other gang members
@@ -377,14 +406,14 @@
 
 // handleFailure counts the failure of an attempt, once per gang, and records it
 // against the step and the worker.
-func (co *Core) handleFailure(now time.Time, nd *node, un *unit) {
+func (co *Core) handleFailure(now time.Time, nd *node, un *unit, attempt int) {
 	un.avoidWorker(nd.worker.ID)
 	co.recordStepFailure(now, nd, un)
 	co.recordFailure(now, nd, un, weightFailed)
-	if un.failureCounted || un.step.LongRunning {
+	if slices.Contains(un.failedAttempts, attempt) || un.step.LongRunning {
 		return
 	}
-	un.failureCounted = true
+	un.failedAttempts = append(un.failedAttempts, attempt)
 	un.failures++
 	if un.failures >= co.maxAttempts(un.job) && !un.job.state.Final() {
 		co.endJob(now, un.job, batch.Failed, "a task has failed in all attempts that its queue permits")
