domain: keep ends to be acknowledged after their leases have expired

Cause: when the leases on an unresponsive worker expired, its ends that no record held yet were dropped from the list of those to be acknowledged. The next end of the worker was then acknowledged with all before it, so a successor would not learn of them: the task would run again (TWICE) or a failure would not count (BUDGET).

Change: these ends stay in the list.

Evidence: TestExpiredLeasesAcknowledgeNoEnd failed before.

--- a/internal/domain/lateend_test.go
+++ b/internal/domain/lateend_test.go
@@ -83,3 +83,33 @@
 	sc.commitAll()
 	is.Equal(len(effectsOf[domain.Start](sc)), 1)
 }
+
+// TestExpiredLeasesAcknowledgeNoEnd lets the leases on a worker expire while the
+// store has not confirmed the record of an end that the worker has reported. It
+// guards against acknowledging that end with a later one: a successor would not
+// learn of it.
+func TestExpiredLeasesAcknowledgeNoEnd(t *testing.T) {
+	is := is.New(t)
+	sc := newScriptedCore(domain.Config{}, "w1")
+	for _, id := range []string{"a", "b"} {
+		jb, _ := oneStepJob(id, 1, 1, time.Minute)
+		sc.handle(domain.Accepted{Job: jb})
+	}
+	sc.pass(time.Second)
+	sc.commitAll()
+	for _, st := range effectsOf[domain.Start](sc) {
+		sc.handle(domain.Started{Call: st})
+	}
+	done := runner.End{Number: 1, Task: batch.TaskID{Job: "a"}, Attempt: 1, Reason: runner.Succeeded}
+	stopped := runner.End{Number: 2, Task: batch.TaskID{Job: "b"}, Attempt: 1, Reason: runner.Stopped}
+	running := []runner.Run{{Task: batch.TaskID{Job: "b"}, Attempt: 1}}
+	sc.reply("w1", runner.Status{Running: running, Ended: runner.EndPage{Ends: []runner.End{done}}})
+	sc.pass(time.Second)
+	sc.fail("w1", runner.ErrOutcomeUnknown)
+	sc.pass(20 * time.Second)
+	sc.reply("w1", runner.Status{Ended: runner.EndPage{Ends: []runner.End{done, stopped}}})
+	sc.pass(time.Second)
+	for _, po := range effectsOf[domain.Poll](sc) {
+		is.Equal(po.Request.Acked, int64(0))
+	}
+}
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -210,7 +210,9 @@
 	for _, ru := range nd.sortedRuns() {
 		co.loseRun(now, ru, loss{cause: cause, age: ru.ageAtLoss(now)}, beside)
 	}
-	nd.pendingEnds = nil
+	if cause != LeaseExpired { // otherwise the worker may still wait for their acknowledgement
+		nd.pendingEnds = nil
+	}
 	if !nd.listed {
 		co.removeNode(nd)
 	}
