domain: let no foreign entry end the runs of a worker

Cause: an entry with the address of an earlier worker and a later start was taken for proof that this worker has ended. Anybody may write an entry, and neither the former worker nor the address was asked. The same for crashes: such an entry counted as the crash of a worker, under each task that had been given up there.

Change: the entry has the former worker polled at once. A refusal there (a call that expects another worker) ends its runs, and so does a reply of the new worker under its own ID, which is polled when it is listed. A successor is noticed a round trip after its entry. An entry under the ID of a worker that contradicts it by its replies no longer makes those replies void. Lost runs at an address are decided by replies alone.

--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -262,7 +262,7 @@
 func (co *Core) restoreNode(now time.Time, id string, ur batch.UnitRecord, at int) *node {
 	nd := co.nodeFor(now, id)
 	if !nd.listed && nd.worker.Address == "" && at < len(ur.Addresses) {
-		co.setWorker(nd, runner.Worker{ID: id, Address: ur.Addresses[at]})
+		co.setWorker(now, nd, runner.Worker{ID: id, Address: ur.Addresses[at]})
 	}
 	return nd
 }
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -14,6 +14,7 @@
 	// node is the state of one worker.
 	node struct {
 		worker                 runner.Worker
+		bornAt                 time.Time // when worker.Born changed
 		listed                 bool
 		runs                   map[runKey]*run // that have not ended
 		runsByTask             []*run          // nil if outdated; see sortedRuns
@@ -70,7 +71,7 @@
 		co.handleRestart(now, nd, wk.Born)
 	}
 	former := nd.worker.Capacity
-	co.setWorker(nd, wk)
+	co.setWorker(now, nd, wk)
 	nd.listed = true
 	if !wk.Capacity.Covers(former) {
 		co.handleShrink(nd)
@@ -78,19 +79,40 @@
 	nd.setDepartsAt(now)
 	nd.setCold(now)
 	co.drainNode(now, nd)
-	co.endPredecessors(now, wk)
-	co.resolveLosses(now, wk)
+	co.pollPredecessors(now, nd)
+	co.resolveOwnLosses(now, wk)
 	co.passDue = true
 }
 
-// endPredecessors ends the incarnations of earlier workers at the same address.
-func (co *Core) endPredecessors(now time.Time, wk runner.Worker) {
-	for _, nd := range slices.Clone(co.addresses[wk.Address]) {
-		if nd.worker.ID != wk.ID && nd.worker.Born < wk.Born {
-			nd.listed = false
-			co.endIncarnation(now, nd, Replaced.unlessDeparting(nd))
+// pollPredecessors polls the earlier workers at the address of a worker that was
+// listed. Anybody may write an entry, so it ends nothing by itself: the refusal of
+// a call that expects a former worker does (runner.ErrRestarted), and so does a
+// reply of the new one; see endPredecessors.
+func (co *Core) pollPredecessors(now time.Time, nd *node) {
+	for _, former := range co.predecessors(nd) {
+		co.pollNow(now, former)
+	}
+}
+
+// endPredecessors ends the earlier workers at the address of a worker that has
+// replied there.
+func (co *Core) endPredecessors(now time.Time, nd *node) {
+	for _, former := range co.predecessors(nd) {
+		former.listed = false
+		co.endIncarnation(now, former, Replaced.unlessDeparting(former))
+	}
+}
+
+// predecessors returns the other workers that have a worker's address, by their
+// entries, and were born earlier.
+func (co *Core) predecessors(nd *node) []*node {
+	var nds []*node
+	for _, other := range co.addresses[nd.worker.Address] {
+		if other != nd && other.worker.Born < nd.worker.Born {
+			nds = append(nds, other)
 		}
 	}
+	return nds
 }
 
 // nodeFor returns the node of a worker, and adds one if there is none. The
@@ -107,11 +129,14 @@
 }
 
 // setWorker stores the platform entry of a worker.
-func (co *Core) setWorker(nd *node, wk runner.Worker) {
+func (co *Core) setWorker(now time.Time, nd *node, wk runner.Worker) {
 	if nd.worker.Address != wk.Address {
 		co.removeAddress(nd)
 		co.addresses[wk.Address] = append(co.addresses[wk.Address], nd)
 	}
+	if nd.worker.Born != wk.Born {
+		nd.bornAt = now
+	}
 	nd.worker = wk
 	nd.evacuated = co.evacuatedZones[wk.Zone]
 	co.considerPoll(nd)
@@ -173,7 +198,7 @@
 		nd.leaseEnd = end
 	}
 	co.resetHealth(now, nd, len(nd.runs) > 0 && !nd.runsSuspected())
-	nd.worker.Born = born
+	nd.worker.Born, nd.bornAt = born, now
 	nd.lastEnd, nd.savedEnd, nd.ackedEnd = 0, 0, 0
 	nd.pendingEnds = nil
 	nd.lastResponse = time.Time{}
--- a/internal/domain/openloss.go
+++ b/internal/domain/openloss.go
@@ -70,8 +70,23 @@
 	if wk.Born == 0 {
 		return
 	}
+	co.resolve(now, wk, co.openLosses.at(wk))
+}
+
+// resolveOwnLosses decides about the runs that were given up on a worker whose
+// entry was read. An entry says nothing about others at its address.
+func (co *Core) resolveOwnLosses(now time.Time, wk runner.Worker) {
+	if wk.Born == 0 {
+		return
+	}
+	co.resolve(now, wk, slices.DeleteFunc(co.openLosses.at(wk), func(lr *lostRun) bool { return lr.worker.ID != wk.ID }))
+}
+
+// resolve decides about those of some lost runs of which a worker that is known to
+// run shows whether their worker has crashed.
+func (co *Core) resolve(now time.Time, wk runner.Worker, lost []*lostRun) {
 	var resolved []*lostRun
-	for _, lr := range co.openLosses.at(wk) {
+	for _, lr := range lost {
 		known, crashed := lr.resolvedBy(wk)
 		if !known {
 			continue
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -61,10 +61,10 @@
 		co.handlePollFailure(now, nd, ev)
 		return
 	}
-	if ev.Status.Born != 0 && nd.worker.Born != 0 && ev.Status.Born < nd.worker.Born {
-		return // of an earlier incarnation
+	if nd.predates(ev) {
+		return
 	}
-	if ev.Status.Born > nd.worker.Born && nd.worker.Born != 0 {
+	if ev.Status.Born != nd.worker.Born && ev.Status.Born != 0 && nd.worker.Born != 0 {
 		co.handleRestart(now, nd, ev.Status.Born)
 	} else {
 		delete(co.silences, nd.worker.ID)
@@ -72,6 +72,7 @@
 	if nd.worker.Born == 0 {
 		nd.worker.Born = ev.Status.Born
 	}
+	co.endPredecessors(now, nd)
 	if nd.lastResponse.IsZero() || nd.lastFailure.After(nd.lastResponse) {
 		co.passDue = true
 	}
@@ -86,6 +87,14 @@
 	}
 }
 
+// predates reports whether the reply to a poll is of an earlier incarnation of the
+// worker than the known one. A poll that was sent since that one became known shows
+// instead that the worker has not restarted, whatever its entry says.
+func (nd *node) predates(ev Polled) bool {
+	born := ev.Status.Born
+	return born != 0 && born < nd.worker.Born && !ev.Call.Sent.After(nd.bornAt)
+}
+
 // handlePollFailure processes a failed poll. runner.ErrRestarted shows that
 // everything that ran on the worker has ended.
 func (co *Core) handlePollFailure(now time.Time, nd *node, ev Polled) {
