domain: place nothing on a new incarnation before its entry was read

Cause: a reply to a poll shows the new start time of the worker some hundred milliseconds before its entry says what it is now. Until then it was taken to be of its former kind and capacity, and got work. Attempts whose record was being written were started there, too.

Change: a node knows which incarnation its entry describes, and takes no new work while replies show another one. An attempt whose worker has restarted since its placement is not started.

TestNewIncarnationGetsNoWorkBeforeItsEntry failed before, in both ways.

--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -15,6 +15,7 @@
 	node struct {
 		worker                 runner.Worker
 		bornAt                 time.Time // when worker.Born changed
+		entryBorn              int64     // worker.Born by its last entry, zero if that has none; replies may show another one
 		listed                 bool
 		runs                   map[runKey]*run // that have not ended
 		runsByTask             []*run          // nil if outdated; see sortedRuns
@@ -61,7 +62,7 @@
 // listWorker adds or updates the node of a worker by its platform entry.
 func (co *Core) listWorker(now time.Time, wk runner.Worker) {
 	nd, ok := co.nodes[wk.ID]
-	if ok && nd.listed && nd.worker.Equal(wk) {
+	if ok && nd.listed && nd.worker.Equal(wk) && nd.entryBorn == wk.Born {
 		return // the platform rewrites entries that have not changed
 	}
 	if !ok {
@@ -138,6 +139,7 @@
 		nd.bornAt = now
 	}
 	nd.worker = wk
+	nd.entryBorn = wk.Born
 	nd.evacuated = co.evacuatedZones[wk.Zone]
 	co.considerPoll(nd)
 }
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -202,6 +202,8 @@
 // in service, regardless of its health state.
 func (nd *node) acceptsWorkIfHealthy(now time.Time) bool {
 	switch {
+	case nd.entryBorn != 0 && nd.entryBorn != nd.worker.Born: // its kind and capacity are not known yet
+		return false
 	case !nd.listed, nd.worker.Draining, nd.evacuated, !nd.drainBy.IsZero(), nd.lastResponse.IsZero(), nd.lastFailure.After(nd.lastResponse):
 		return false
 	case now.Sub(nd.lastRefusal) < refusalBackoff && !nd.lastRefusal.IsZero():
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -64,6 +64,8 @@
 			co.stopUnit(now, un, "the job has ended")
 		} else if un.abandonedRuns > 0 {
 			co.stopUnit(now, un, "an earlier attempt still runs")
+		} else if un.anyWorkerRestarted() {
+			co.stopUnit(now, un, "one of its workers has restarted before the start")
 		} else if un.anyEnded() {
 			co.stopUnit(now, un, "one of its workers was lost before the start")
 		} else if un.inEvacuatedZone() {
@@ -115,6 +117,12 @@
 	return false
 }
 
+// anyWorkerRestarted reports whether the worker of some run of the current attempt
+// has restarted since the run was placed there.
+func (un *unit) anyWorkerRestarted() bool {
+	return slices.ContainsFunc(un.runs, (*run).isOfFormerIncarnation)
+}
+
 // allEnded reports whether every run of the current attempt has ended.
 func (un *unit) allEnded() bool {
 	for _, ru := range un.runs {
