domain: ignore a reply that a later one of the worker has overtaken

Cause: responses on different connections overtake each other. A reply to a poll that the worker had given before another one, but that arrived after it, was taken for the present state: what had ended in between was stopped as unknown, and what had begun could be lost.

Change: of two replies of one incarnation the one with the earlier clock reading is ignored if it arrives last. Its ends are among those of the later one, or acknowledged.

Evidence: TestOvertakenReplyIsIgnored failed before.

--- a/internal/domain/lateend_test.go
+++ b/internal/domain/lateend_test.go
@@ -113,3 +113,17 @@
 		is.Equal(po.Request.Acked, int64(0))
 	}
 }
+
+// TestOvertakenReplyIsIgnored delivers a reply that a worker has given before
+// another one that arrived earlier. It guards against stopping, or losing, what has
+// happened between the two.
+func TestOvertakenReplyIsIgnored(t *testing.T) {
+	is := is.New(t)
+	sc, running := startOn(t, "w1", "w2")
+	sc.pass(time.Second)
+	en := runner.End{Number: 1, Task: batch.TaskID{Job: "j"}, Attempt: 1, Reason: runner.Failed}
+	sc.reply("w1", runner.Status{Ended: runner.EndPage{Ends: []runner.End{en}}})
+	running.Clock, running.Born = time.Second, 1
+	sc.handle(domain.Polled{Call: domain.Poll{Worker: scriptedWorker("w1"), Sent: sc.now}, Status: running})
+	is.Equal(len(effectsOf[domain.Stop](sc)), 0)
+}
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -61,7 +61,7 @@
 		co.handlePollFailure(now, nd, ev)
 		return
 	}
-	if nd.predates(ev) {
+	if nd.predates(ev) || nd.hasOvertaken(ev) {
 		return
 	}
 	if ev.Status.Born != nd.worker.Born && ev.Status.Born != 0 && nd.worker.Born != 0 {
@@ -95,6 +95,12 @@
 	return born != 0 && born < nd.worker.Born && !ev.Call.Sent.After(nd.bornAt)
 }
 
+// hasOvertaken reports whether the worker has given a reply that was processed
+// already later than the reply to a poll, which is out of date then.
+func (nd *node) hasOvertaken(ev Polled) bool {
+	return ev.Status.Born == nd.worker.Born && !nd.clockAt.IsZero() && ev.Status.Clock < nd.clock
+}
+
 // handlePollFailure processes a failed poll. runner.ErrRestarted shows that
 // everything that ran on the worker has ended.
 func (co *Core) handlePollFailure(now time.Time, nd *node, ev Polled) {
