domain: hold units of due occurrences alone, and name succeeded tasks by ranges

Cause: the scheduler made a unit of some 350 bytes for each task of each occurrence when a job was accepted, and whenever a leader loaded it, due or not. Its record lists each unit that was ever started, so that a wide or long job has a record of more than the megabyte that the store takes; its commit was tried again without end, and the jobs of others went only fourteen at a time beside it.

Change: a job holds units of its open occurrences alone: those that are due and have not finished, as many at a time as fit. Stored jobs load the same way. A job whose end is on record gives its units and payload back. At most 5,000 tasks of a job are started and not yet succeeded, so that a record always fits.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -74,12 +74,23 @@
 	// State is the state of a job.
 	State uint8
 
-	// Record is the persistent progress of a job. It lists the units that have
-	// been started at least once.
+	// Record is the persistent progress of a job. Units lists the units that have
+	// been started at least once, except for those that Finished and Succeeded
+	// cover.
 	Record struct {
-		ID    string
-		State State
-		Units []UnitRecord
+		ID        string
+		State     State
+		Finished  int // all tasks of this many first occurrences have succeeded
+		Succeeded []TaskRange
+		Units     []UnitRecord
+	}
+
+	// TaskRange is a range of units of one step of an occurrence.
+	TaskRange struct {
+		Occurrence int
+		Step       int
+		First      int // index of the first unit
+		Count      int
 	}
 
 	// UnitRecord is the persistent progress of one unit. Live says that tasks
@@ -176,6 +187,19 @@
 	return rc
 }
 
+// WithLiveUnits returns a copy of the record with only those units of which tasks
+// may be running.
+func (rc Record) WithLiveUnits() Record {
+	var live []UnitRecord
+	for _, ur := range rc.Units {
+		if ur.Live {
+			live = append(live, ur)
+		}
+	}
+	rc.Units, rc.Succeeded = live, nil
+	return rc
+}
+
 // Plus returns the sum of two amounts of resources.
 func (rs Resources) Plus(other Resources) Resources {
 	rs.MilliCPU += other.MilliCPU
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -16,7 +16,14 @@
 // whenever another host becomes the scheduler, possibly over slow links.
 func EncodeRecord(rc Record) ([]byte, error) {
 	units := make([]wire.UnitProgress, len(rc.Units)) // in one allocation
-	msg := &wire.Progress{Id: rc.ID, State: uint32(rc.State), Units: make([]*wire.UnitProgress, len(rc.Units))}
+	msg := &wire.Progress{
+		Id: rc.ID, State: uint32(rc.State), Finished: uint32(rc.Finished), Units: make([]*wire.UnitProgress, len(rc.Units)),
+	}
+	for _, tr := range rc.Succeeded {
+		msg.Succeeded = append(msg.Succeeded, &wire.SucceededTasks{
+			Occurrence: uint32(tr.Occurrence), Step: uint32(tr.Step), First: uint32(tr.First), Count: uint32(tr.Count),
+		})
+	}
 	for i, ur := range rc.Units {
 		units[i] = wire.UnitProgress{
 			Occurrence: uint32(ur.Occurrence), Step: uint32(ur.Step), Index: uint32(ur.Index),
@@ -38,10 +45,15 @@
 	if err := proto.Unmarshal(data, &msg); err != nil {
 		return Record{}, merry.Prepend(err, "decode a stored record")
 	}
-	rc := Record{ID: msg.GetId(), State: State(msg.GetState())}
+	rc := Record{ID: msg.GetId(), State: State(msg.GetState()), Finished: int(msg.GetFinished())}
 	if rc.ID == "" || rc.State < Queued || rc.State > Cancelled {
 		return Record{}, merry.New("stored record has no ID or an unknown state")
 	}
+	for _, st := range msg.GetSucceeded() {
+		rc.Succeeded = append(rc.Succeeded, TaskRange{
+			Occurrence: int(st.GetOccurrence()), Step: int(st.GetStep()), First: int(st.GetFirst()), Count: int(st.GetCount()),
+		})
+	}
 	for _, un := range msg.GetUnits() {
 		rc.Units = append(rc.Units, UnitRecord{
 			Occurrence: int(un.GetOccurrence()), Step: int(un.GetStep()), Index: int(un.GetIndex()),
--- a/internal/batch/progress_test.go
+++ b/internal/batch/progress_test.go
@@ -17,6 +17,12 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		is := is.New(rt)
 		rc := batch.Record{ID: "5c0e7a21d94b36f8", State: batch.State(rapid.IntRange(int(batch.Queued), int(batch.Cancelled)).Draw(rt, "state"))}
+		rc.Finished = small.Draw(rt, "finished")
+		for range rapid.IntRange(0, 3).Draw(rt, "succeeded") {
+			rc.Succeeded = append(rc.Succeeded, batch.TaskRange{
+				Occurrence: small.Draw(rt, "occurrence"), Step: small.Draw(rt, "step"), First: small.Draw(rt, "first"), Count: small.Draw(rt, "count"),
+			})
+		}
 		for range rapid.IntRange(0, 5).Draw(rt, "units") {
 			ur := batch.UnitRecord{
 				Occurrence: small.Draw(rt, "occurrence"), Step: small.Draw(rt, "step"), Index: small.Draw(rt, "index"),
--- a/internal/domain/commit.go
+++ b/internal/domain/commit.go
@@ -124,6 +124,8 @@
 				co.markChanged(un)
 			}
 		}
+		jv.job.closeFinished()
+		jv.job.releaseEnded()
 	}
 	for _, nd := range slices.SortedFunc(maps.Keys(co.unsavedEnds), compareNodes) {
 		co.advanceSavedEnd(nd)
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -1,6 +1,7 @@
 package domain
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -27,6 +28,7 @@
 		// FairShares orders work of equal urgency by how far its workspace is
 		// below its fair share.
 		FairShares bool
+		MaxUnits   int // units held in memory beyond which no further occurrence of a job is opened; zero for defaultMaxUnits
 	}
 
 	// Core is the state of a scheduling domain during one term of leadership.
@@ -62,6 +64,7 @@
 		openLosses          openLosses
 		adviceCalls         int // advice calls in flight
 		effects             []Effect
+		maxUnits            int  // see Config
 		resigned            bool // leadership was lost
 	}
 )
@@ -86,6 +89,7 @@
 		commits:      newCommitQueue(),
 		silences:     map[string]silence{},
 		openLosses:   newOpenLosses(),
+		maxUnits:     cmp.Or(cf.MaxUnits, defaultMaxUnits),
 	}
 	for _, wk := range cf.Workers {
 		co.listWorker(now, wk)
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -2,12 +2,9 @@
 
 import (
 	"cmp"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
-	"github.com/cicadawharf/cicadawharf/internal/runner"
 )
 
 type (
@@ -15,9 +12,11 @@
 	job struct {
 		batch.Job
 		state          batch.State
-		units          []*unit       // sorted by occurrence, step and index
+		units          []*unit       // of the open occurrences, sorted by occurrence, step and index
+		firstOpen      int           // the first open occurrence; all before it have finished
+		nextOpen       int           // the first occurrence that is not open yet
 		criticalPath   time.Duration // declared run time of the longest chain of steps
-		stepUnitsLeft  []int         // units not finished, by occurrence and step
+		stepUnitsLeft  []int         // units not finished, by open occurrence and step
 		unitsLeft      int           // units not finished; units of long-running steps (batch.Step.LongRunning) never finish
 		waitingUnits   int           // units in phase waiting
 		everGuaranteed bool          // some unit counts or has counted against the guarantee of the workspace
@@ -83,20 +82,11 @@
 // any more.
 const noValueFactor = 3
 
-// newJob returns a queued job with all of its units. acceptedAt is by the local
-// clock; see ageOf.
+// newJob returns a queued job without units; see openDue. acceptedAt is by the
+// local clock; see ageOf.
 func newJob(jb batch.Job, acceptedAt time.Time) *job {
-	jo := &job{
-		Job: jb, state: batch.Queued, acceptedAt: acceptedAt, criticalPath: jb.CriticalPath(),
-		stepUnitsLeft: make([]int, jb.Occurrences()*len(jb.Steps)),
-	}
-	for oc := range jb.Occurrences() {
-		for stepIndex := range jb.Steps {
-			jo.addUnits(oc, stepIndex)
-		}
-	}
-	jo.unitsLeft = len(jo.units)
-	jo.waitingUnits = len(jo.units)
+	jo := &job{Job: jb, state: batch.Queued, acceptedAt: acceptedAt, criticalPath: jb.CriticalPath()}
+	jo.unitsLeft = jb.Occurrences() * jo.unitsPerOccurrence()
 	return jo
 }
 
@@ -109,7 +99,8 @@
 	for i := range count {
 		jb.units = append(jb.units, &unit{job: jb, occurrence: occurrence, stepIndex: stepIndex, index: i, step: step, tasks: tasks})
 	}
-	jb.stepUnitsLeft[occurrence*len(jb.Steps)+stepIndex] = count
+	jb.stepUnitsLeft = append(jb.stepUnitsLeft, count)
+	jb.waitingUnits += count
 }
 
 // unitCount returns the number of units of a step in each occurrence.
@@ -120,9 +111,10 @@
 	return jb.Steps[stepIndex].Tasks
 }
 
-// unitAt returns the unit of a task, or nil if there is none.
+// unitAt returns the unit of a task, or nil if there is none or its occurrence is
+// not open.
 func (jb *job) unitAt(ti batch.TaskID) *unit {
-	if ti.Step < 0 || ti.Step >= len(jb.Steps) || ti.Occurrence < 0 || ti.Occurrence >= jb.Occurrences() {
+	if ti.Step < 0 || ti.Step >= len(jb.Steps) || ti.Occurrence < jb.firstOpen || ti.Occurrence >= jb.nextOpen || len(jb.units) == 0 {
 		return nil
 	}
 	unitsPerOccurrence, before := 0, 0
@@ -139,7 +131,7 @@
 	if index < 0 || index >= jb.unitCount(ti.Step) {
 		return nil
 	}
-	return jb.units[ti.Occurrence*unitsPerOccurrence+before+index]
+	return jb.units[(ti.Occurrence-jb.firstOpen)*unitsPerOccurrence+before+index]
 }
 
 // ageOf returns the time since a job was accepted, by the clock of the host
@@ -202,126 +194,6 @@
 	}
 }
 
-// record returns the state of a job for the store.
-func (jb *job) record() batch.Record {
-	rc := batch.Record{ID: jb.ID, State: jb.state, Units: make([]batch.UnitRecord, 0, jb.attempted())}
-	for _, un := range jb.units {
-		if un.attempt == 0 {
-			continue
-		}
-		ur := batch.UnitRecord{
-			Occurrence: un.occurrence, Step: un.stepIndex, Index: un.index,
-			Attempt: un.attempt, Failures: un.failures, Checkpoint: un.checkpoint,
-			Done: un.phase == finished, FailedAttempts: un.failedAttempts, Crashes: un.crashRecords(),
-		}
-		if len(un.avoided) > 0 {
-			ur.FailedOn = slices.Sorted(maps.Keys(un.avoided))
-		}
-		un.recordWorkers(&ur)
-		rc.Units = append(rc.Units, ur)
-	}
-	return rc
-}
-
-// attempted returns the number of units of which there was an attempt.
-func (jb *job) attempted() int {
-	n := 0
-	for _, un := range jb.units {
-		if un.attempt > 0 {
-			n++
-		}
-	}
-	return n
-}
-
-// recordWorkers adds to a record the workers of the runs that have not ended.
-// Their addresses and incarnations are added as long as some run may crash its
-// worker, which most of these tasks do at once.
-func (un *unit) recordWorkers(ur *batch.UnitRecord) {
-	if un.allEnded() {
-		return
-	}
-	ur.Live = true
-	identify := slices.ContainsFunc(un.runs, (*run).mayBeStarting)
-	for _, ru := range un.runs {
-		id, address := "", ""
-		if ru.stage != ended {
-			id, address = ru.node.worker.ID, ru.node.worker.Address
-		}
-		ur.Workers = append(ur.Workers, id)
-		if identify {
-			ur.Addresses = append(ur.Addresses, address)
-			ur.Incarnations = append(ur.Incarnations, ru.incarnation)
-		}
-	}
-}
-
-// restoreNode returns the node of a recorded worker. If the platform does not
-// list the worker, the recorded address tells whether another one has taken its
-// place.
-func (co *Core) restoreNode(now time.Time, id string, ur batch.UnitRecord, at int) *node {
-	nd := co.nodeFor(now, id)
-	if !nd.listed && nd.worker.Address == "" && at < len(ur.Addresses) {
-		co.setWorker(now, nd, runner.Worker{ID: id, Address: ur.Addresses[at]})
-	}
-	return nd
-}
-
-// restoreRecord restores the state of a job from the record of an earlier term.
-func (co *Core) restoreRecord(now time.Time, jb *job, rc batch.Record) {
-	jb.state = rc.State
-	if rc.State.Final() {
-		jb.endedAt = now
-	}
-	byPosition := make(map[[3]int]*unit, len(jb.units))
-	for _, un := range jb.units {
-		byPosition[[3]int{un.occurrence, un.stepIndex, un.index}] = un
-	}
-	for _, ur := range rc.Units {
-		if un, ok := byPosition[[3]int{ur.Occurrence, ur.Step, ur.Index}]; ok {
-			co.restoreUnit(now, un, ur)
-		}
-	}
-}
-
-// restoreUnit restores a unit. Each task whose record names a worker gets a run
-// in the stage adopted, until a poll shows whether the task runs there.
-func (co *Core) restoreUnit(now time.Time, un *unit, ur batch.UnitRecord) {
-	un.attempt = ur.Attempt
-	un.failures = ur.Failures
-	un.failedAttempts = slices.Clone(ur.FailedAttempts)
-	for _, id := range ur.FailedOn {
-		un.avoidWorker(id)
-	}
-	co.restoreFailures(now, un, ur.FailedOn)
-	un.restoreCrashes(ur.Crashes)
-	un.checkpoint = ur.Checkpoint
-	un.job.begun = un.job.begun || ur.Done || ur.Failures > 0 || ur.Checkpoint != ""
-	if ur.Done {
-		un.markFinished()
-	}
-	if !ur.Live {
-		return
-	}
-	if un.phase != finished {
-		un.setPhase(live)
-	}
-	for i, id := range ur.Workers {
-		if id == "" {
-			un.markMemberEnded()
-			continue
-		}
-		ru := &run{unit: un, task: un.taskID(i), attempt: un.attempt, stage: adopted}
-		co.addRun(ru, co.restoreNode(now, id, ur, i))
-		ru.incarnation = 0 // the worker may have restarted since the record was written
-		if i < len(ur.Incarnations) {
-			ru.incarnation = ur.Incarnations[i]
-		}
-		un.runs = append(un.runs, ru)
-	}
-	co.markChanged(un)
-}
-
 // avoidWorker adds a worker to those that a unit avoids.
 func (un *unit) avoidWorker(worker string) {
 	if un.avoided == nil {
@@ -389,7 +261,13 @@
 
 // stepDone reports whether all units of a step are finished in an occurrence.
 func (jb *job) stepDone(occurrence, stepIndex int) bool {
-	return jb.stepUnitsLeft[occurrence*len(jb.Steps)+stepIndex] == 0
+	return jb.stepUnitsLeft[jb.stepPosition(occurrence, stepIndex)] == 0
+}
+
+// stepPosition returns the position of a step of an open occurrence in
+// stepUnitsLeft.
+func (jb *job) stepPosition(occurrence, stepIndex int) int {
+	return (occurrence-jb.firstOpen)*len(jb.Steps) + stepIndex
 }
 
 // setPhase sets the phase of a unit.
@@ -407,7 +285,7 @@
 func (un *unit) markFinished() {
 	un.setPhase(finished)
 	un.job.unitsLeft--
-	un.job.stepUnitsLeft[un.occurrence*len(un.job.Steps)+un.stepIndex]--
+	un.job.stepUnitsLeft[un.job.stepPosition(un.occurrence, un.stepIndex)]--
 }
 
 // objectiveStart returns the time from which the objective of a unit's
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -49,6 +49,7 @@
 func (co *Core) waitingGroups(ps *pass) []unitGroup {
 	var ugs []unitGroup
 	now := ps.now
+	co.openDue(now)
 	used := co.guaranteeUsage()
 	for _, jb := range co.arrivals {
 		if jb.state.Final() || jb.waitingUnits == 0 {
@@ -76,11 +77,12 @@
 func (jb *job) readySteps(now time.Time) [][]*unit {
 	var steps [][]*unit
 	rest := jb.units
+	startable := jb.startableTasks()
 	for len(rest) > 0 {
 		first := rest[0]
 		n := jb.unitCount(first.stepIndex)
 		if first.stepReady(now) {
-			if units := readyUnits(now, rest[:n]); len(units) > 0 {
+			if units := takeStartable(readyUnits(now, rest[:n]), &startable); len(units) > 0 {
 				steps = append(steps, units)
 			}
 		}
@@ -89,6 +91,40 @@
 	return steps
 }
 
+// startableTasks returns how many tasks of a job may be started for the first time
+// beside those that have not succeeded yet. At least one unit may always be.
+func (jb *job) startableTasks() int {
+	tasks := 0
+	for i := range jb.Steps {
+		tasks += jb.Steps[i].Tasks
+	}
+	startable := maxUnfinishedTasks
+	if tasks*(jb.nextOpen-jb.firstOpen) <= startable {
+		return startable
+	}
+	for _, un := range jb.units {
+		if un.attempt > 0 && un.isOpen() {
+			startable -= un.tasks
+		}
+	}
+	return startable
+}
+
+// takeStartable returns the units that were started before and, in their order,
+// as many of the others as startable permits, and subtracts their tasks from it.
+func takeStartable(units []*unit, startable *int) []*unit {
+	return slices.DeleteFunc(units, func(un *unit) bool {
+		if un.attempt > 0 {
+			return false
+		}
+		if *startable < min(un.tasks, maxUnfinishedTasks) {
+			return true
+		}
+		*startable -= un.tasks
+		return false
+	})
+}
+
 func readyUnits(now time.Time, units []*unit) []*unit {
 	var ready []*unit
 	for _, un := range units {
--- a/internal/domain/scripted_test.go
+++ b/internal/domain/scripted_test.go
@@ -49,10 +49,12 @@
 }
 
 // reply replies to a poll of a worker that was sent at the present time.
-func (sc *scriptedCore) reply(id string, st runner.Status) {
+func (sc *scriptedCore) reply(id string, st runner.Status) { sc.replyOf(scriptedWorker(id), st) }
+
+func (sc *scriptedCore) replyOf(wk runner.Worker, st runner.Status) {
 	st.Clock = sc.now.Sub(startTime) + time.Second
 	st.Born = max(1, st.Born)
-	sc.handle(domain.Polled{Call: domain.Poll{Worker: scriptedWorker(id), Sent: sc.now}, Status: st})
+	sc.handle(domain.Polled{Call: domain.Poll{Worker: wk, Sent: sc.now}, Status: st})
 }
 
 // fail lets a poll of a worker fail.
