intake: refuse jobs that the scheduler has no memory for

A leader over its memory is killed, and so is each successor.

Change: the scheduler reports the estimated memory of all jobs in the backlog that it writes anyhow, once that is above an eighth of the limit, in steps of a 64th. A host that accepts a job adds what it has accepted since, and refuses beyond the limit: 429 queueFull with a retry-after time, or 422 shapeTooLarge for a job that alone needs more than half of it. A job that was accepted before is accepted again. The limit is 0.3 of the configured memory; without one it is 512 MiB. New gauges show jobs, units, the estimate and the limit.

Evidence: TestJobsBeyondTheSchedulersMemoryAreRefused, TestOwnJobsCountBeforeTheNextReport and TestJobLargerThanMemoryIsRefusedForGood; before, every job was accepted.

--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -48,8 +48,8 @@
 		return err
 	}
 	runtime.GOMAXPROCS(1) // the CPU quota of a host is less than one core
-	if se.MemoryMiB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(se.MemoryMiB) * mebibyte))
+	if limit := memoryLimit(se); limit > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(limit)))
 	}
 	wr := logbuf.New(logbuf.Config{To: out})
 	defer wr.Close(logFlushTimeout)
@@ -58,6 +58,9 @@
 	return newMember(se, log).Run(ctx)
 }
 
+// memoryLimit returns the configured memory limit in bytes, zero for none.
+func memoryLimit(se setup.Domain) int64 { return int64(se.MemoryMiB) * mebibyte }
+
 // newMember returns a host of a scheduling domain with its clients, scheduler
 // and servers.
 func newMember(se setup.Domain, log *slog.Logger) *member.Member {
@@ -70,10 +73,10 @@
 	in := intake.New(intake.Config{
 		Store: st, PolicyKey: layout.PolicyKey, Decode: layout.DecodePolicy,
 		MaxPolicyAge: max(0, se.Timing.Revoke-policyAgeMargin), Log: log,
-		Announce: func(no batch.Notice) { sc.Announce(no) },
+		Announce: func(no batch.Notice) { sc.Announce(no) }, MemoryLimit: memoryLimit(se),
 	})
 	dc := drive.Config{
-		Host: se.Host.Name, Cores: se.Processor.AvailableCores(), Store: st, Workers: platform.NewWorkers(),
+		Host: se.Host.Name, Cores: se.Processor.AvailableCores(), MemoryLimit: memoryLimit(se), Store: st, Workers: platform.NewWorkers(),
 		Layout: layout, MinMoveRunTime: se.Timing.Evacuate, FairShares: se.Scheduling.FairShares, Log: log,
 	}
 	if se.Advice.Address != "" {
--- a/internal/batch/codec.go
+++ b/internal/batch/codec.go
@@ -16,6 +16,7 @@
 		At         time.Time      `json:"at"`             // when the numbers were counted
 		Queues     map[string]int `json:"queues"`         // by queue
 		Evacuating map[string]int `json:"left,omitempty"` // by availability zone
+		Held       int64          `json:"held,omitempty"` // bytes that all jobs need in the scheduler's memory, estimated; zero if few
 	}
 
 	// Notice tells the leader of a job or a cancellation that a host has just
--- a/internal/domain/commit.go
+++ b/internal/domain/commit.go
@@ -21,6 +21,7 @@
 	jobEnded       bool           // a job has ended, and its caller may be waiting for the next commit
 	waitingJobs    map[string]int // as last written, by queue; see countWaitingJobs
 	evacuatedTasks map[string]int // as last written, by evacuated availability zone
+	held           int64          // as last written; see reportedState
 	countedAt      time.Time      // when countWaitingJobs last counted
 }
 
@@ -138,7 +139,7 @@
 }
 
 // countWaitingJobs returns the number of jobs of each queue that have not begun,
-// and the tasks left in evacuated zones. It returns nil if neither has changed,
+// the tasks left in evacuated zones and the memory in use. It returns nil if none has changed,
 // or if waitingCountInterval has not passed since the last count. Jobs with a
 // schedule, and those accepted less than waitingCountInterval ago, don't count.
 func (co *Core) countWaitingJobs(now time.Time) *batch.Backlog {
@@ -153,9 +154,10 @@
 			counts[jb.Queue.Name]++
 		}
 	}
-	if maps.Equal(counts, co.commits.waitingJobs) && maps.Equal(left, co.commits.evacuatedTasks) {
+	held := co.reportedState()
+	if maps.Equal(counts, co.commits.waitingJobs) && maps.Equal(left, co.commits.evacuatedTasks) && held == co.commits.held {
 		return nil
 	}
-	co.commits.waitingJobs, co.commits.evacuatedTasks = counts, left
-	return &batch.Backlog{At: now, Queues: counts, Evacuating: left}
+	co.commits.waitingJobs, co.commits.evacuatedTasks, co.commits.held = counts, left, held
+	return &batch.Backlog{At: now, Queues: counts, Evacuating: left, Held: held}
 }
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -28,7 +28,7 @@
 		// FairShares orders work of equal urgency by how far its workspace is
 		// below its fair share.
 		FairShares bool
-		MaxUnits   int // units held in memory beyond which no further occurrence of a job is opened; zero for defaultMaxUnits
+		StateLimit int64 // bytes that the jobs may need in memory, see batch.StateLimit; zero if unknown
 	}
 
 	// Core is the state of a scheduling domain during one term of leadership.
@@ -64,7 +64,10 @@
 		openLosses          openLosses
 		adviceCalls         int // advice calls in flight
 		effects             []Effect
-		maxUnits            int  // see Config
+		stateLimit          int64 // see Config
+		maxUnits            int   // held in memory, beyond which no further occurrence is opened
+		stateReportedAt     time.Time
+		lastState           StateReport
 		resigned            bool // leadership was lost
 	}
 )
@@ -89,8 +92,9 @@
 		commits:      newCommitQueue(),
 		silences:     map[string]silence{},
 		openLosses:   newOpenLosses(),
-		maxUnits:     cmp.Or(cf.MaxUnits, defaultMaxUnits),
+		stateLimit:   cmp.Or(cf.StateLimit, batch.StateLimit(0)),
 	}
+	co.maxUnits = batch.MaxUnits(co.stateLimit)
 	for _, wk := range cf.Workers {
 		co.listWorker(now, wk)
 	}
@@ -243,6 +247,7 @@
 	}
 	co.evaluateHealth(now)
 	co.reportHealth(now)
+	co.reportState(now)
 	co.pollCandidates = append(co.pollCandidates[:0], co.nodesByID()...)
 	co.reportEvacuation(now)
 	co.forgetEnded(now)
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -190,6 +190,15 @@
 		OnProbation int // get only work that tolerates a failure
 	}
 
+	// StateReport says what the core holds in memory. It is emitted when that
+	// changes, at most once a second.
+	StateReport struct {
+		Jobs  int   // accepted ones, ended ones included for a while
+		Units int   // of open occurrences
+		Held  int64 // estimated bytes for both
+		Limit int64 // bytes from which further jobs are refused
+	}
+
 	// Resign ends the term: leadership is lost to the holder of a larger token.
 	Resign struct{ Reason string }
 )
@@ -296,4 +305,5 @@
 func (BacklogReport) effect()    {}
 func (EvacuationReport) effect() {}
 func (HealthReport) effect()     {}
+func (StateReport) effect()      {}
 func (Resign) effect()           {}
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -86,7 +86,7 @@
 // local clock; see ageOf.
 func newJob(jb batch.Job, acceptedAt time.Time) *job {
 	jo := &job{Job: jb, state: batch.Queued, acceptedAt: acceptedAt, criticalPath: jb.CriticalPath()}
-	jo.unitsLeft = jb.Occurrences() * jo.unitsPerOccurrence()
+	jo.unitsLeft = jb.Occurrences() * jo.UnitsPerOccurrence()
 	return jo
 }
 
@@ -105,10 +105,7 @@
 
 // unitCount returns the number of units of a step in each occurrence.
 func (jb *job) unitCount(stepIndex int) int {
-	if jb.Steps[stepIndex].Gang {
-		return 1
-	}
-	return jb.Steps[stepIndex].Tasks
+	return jb.Steps[stepIndex].Units()
 }
 
 // unitAt returns the unit of a task, or nil if there is none or its occurrence is
--- a/internal/domain/memory_test.go
+++ b/internal/domain/memory_test.go
@@ -43,7 +43,7 @@
 			b.Run(fmt.Sprintf("%s/%d", kind, jobs), func(b *testing.B) {
 				for range b.N {
 					before := heapInUse()
-					sc := newScriptedCore(domain.Config{MaxUnits: 1 << 30}, "w1")
+					sc := newScriptedCore(domain.Config{StateLimit: 1 << 40}, "w1")
 					for i := range jobs {
 						sc.core.Handle(sc.now, domain.Accepted{Job: kinds[kind](fmt.Sprintf("%016x", i))})
 					}
--- a/internal/domain/occurrence.go
+++ b/internal/domain/occurrence.go
@@ -17,20 +17,8 @@
 	// maxJobUnits bounds the units of a job beyond which no further occurrence is
 	// opened while others of it are open.
 	maxJobUnits = 8192
-	// defaultMaxUnits bounds the units of all jobs beyond which no further
-	// occurrence is opened, unless Config.MaxUnits says otherwise.
-	defaultMaxUnits = 200_000
 )
 
-// unitsPerOccurrence returns the number of units of each occurrence.
-func (jb *job) unitsPerOccurrence() int {
-	n := 0
-	for stepIndex := range jb.Steps {
-		n += jb.unitCount(stepIndex)
-	}
-	return n
-}
-
 // mayOpen reports whether the next occurrence of a job should get its units.
 func (jb *job) mayOpen(now time.Time) bool {
 	switch {
@@ -54,10 +42,7 @@
 // openDue opens the occurrences that are due, in the order of acceptance of their
 // jobs, as long as there are fewer units than maxUnits.
 func (co *Core) openDue(now time.Time) {
-	held := 0
-	for _, jb := range co.arrivals {
-		held += len(jb.units)
-	}
+	_, held := co.heldState()
 	for _, jb := range co.arrivals {
 		for held < co.maxUnits && jb.mayOpen(now) {
 			before := len(jb.units)
@@ -73,7 +58,7 @@
 	if jb.Schedule == nil {
 		return
 	}
-	n := jb.unitsPerOccurrence()
+	n := jb.UnitsPerOccurrence()
 	for len(jb.units) > 0 && !slices.ContainsFunc(jb.units[:n], (*unit).isOpen) {
 		jb.units = slices.Delete(jb.units, 0, n)
 		jb.stepUnitsLeft = slices.Delete(jb.stepUnitsLeft, 0, len(jb.Steps))
@@ -89,7 +74,7 @@
 func (jb *job) skipFinished(occurrences int) {
 	jb.firstOpen = min(occurrences, jb.Occurrences())
 	jb.nextOpen = jb.firstOpen
-	jb.unitsLeft -= jb.firstOpen * jb.unitsPerOccurrence()
+	jb.unitsLeft -= jb.firstOpen * jb.UnitsPerOccurrence()
 }
 
 // openThrough opens all occurrences up to a given one.
--- a/internal/domain/record.go
+++ b/internal/domain/record.go
@@ -24,7 +24,7 @@
 // record returns the state of a job for the store.
 func (jb *job) record() batch.Record {
 	rc := batch.Record{ID: jb.ID, State: jb.state}
-	compact := jb.firstOpen*jb.unitsPerOccurrence()+jb.finishedUnits() > maxPlainUnits
+	compact := jb.firstOpen*jb.UnitsPerOccurrence()+jb.finishedUnits() > maxPlainUnits
 	if compact {
 		rc.Finished = jb.firstOpen
 	} else {
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -43,11 +43,14 @@
 
 	// Config constructs a Scheduler.
 	Config struct {
-		Host    string
-		Cores   float64 // available to the process; zero if unknown
-		Store   store.TxnStore
-		Workers runner.Client
-		Adviser runner.Adviser // nil if no queue needs placement advice
+		Host  string
+		Cores float64 // available to the process; zero if unknown
+		// MemoryLimit is the memory limit of the process, in bytes; zero if there is
+		// none.
+		MemoryLimit int64
+		Store       store.TxnStore
+		Workers     runner.Client
+		Adviser     runner.Adviser // nil if no queue needs placement advice
 		// PeerAddress is the IP:port at which other hosts send notices to this one;
 		// empty if they don't. Notify sends a notice to another host, without
 		// waiting for it; nil if notices are not sent.
@@ -159,6 +162,7 @@
 	defer te.setBacklogGauges(domain.BacklogReport{})
 	defer te.setEvacuationGauges(domain.EvacuationReport{})
 	defer setHealthGauges(domain.HealthReport{})
+	defer setStateGauges(domain.StateReport{})
 	te.core = domain.New(time.Now(), cf)
 	takeoverTime.UpdateDuration(te.leaseRequested)
 	te.log.Info("state loaded", "event", "loaded", "jobs", len(cf.Jobs), "records", len(cf.Records),
@@ -292,6 +296,8 @@
 	case domain.EvacuationReport:
 		te.setEvacuationGauges(ef)
 		te.logEvacuation(ef)
+	case domain.StateReport:
+		setStateGauges(ef)
 	case domain.HealthReport:
 		setHealthGauges(ef)
 		te.logHealth(ef)
--- a/internal/drive/load.go
+++ b/internal/drive/load.go
@@ -52,12 +52,15 @@
 	cf := domain.Config{
 		Token: int64(te.token), Cores: te.cfg.Cores, Policy: te.decodePolicy(policy), EvacuatedZones: ws.evacuations.zoneNames(),
 		MinMoveRunTime: te.cfg.MinMoveRunTime, FairShares: te.cfg.FairShares,
+		StateLimit: batch.StateLimit(te.cfg.MemoryLimit),
 	}
-	for _, en := range accepted {
+	for i, en := range accepted {
 		te.addAccepted(en, &cf)
+		accepted[i] = store.Entry{} // its value may be large
 	}
-	for _, en := range progress {
+	for i, en := range progress {
 		te.addRecord(en, &cf)
+		progress[i] = store.Entry{}
 	}
 	for _, en := range workers {
 		if wk, ok := te.decodeWorker(en); ok {
--- a/internal/drive/metrics.go
+++ b/internal/drive/metrics.go
@@ -102,6 +102,15 @@
 	}
 }
 
+// setStateGauges sets the gauges of what the scheduler holds in memory.
+func setStateGauges(sr domain.StateReport) {
+	metrics.GetOrCreateGauge("cicadawharf_domain_jobs", nil).Set(float64(sr.Jobs))
+	metrics.GetOrCreateGauge("cicadawharf_domain_units", nil).Set(float64(sr.Units))
+	for part, bytes := range map[string]int64{"held": sr.Held, "limit": sr.Limit} {
+		metrics.GetOrCreateGauge(fmt.Sprintf("cicadawharf_domain_state_bytes{part=%q}", part), nil).Set(float64(bytes))
+	}
+}
+
 // countCall records the duration and the result of a call to a worker that
 // began at the given time.
 func countCall(call string, began time.Time, err error) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -36,6 +36,9 @@
 		// written to the store. It must not block. It may be nil.
 		Announce func(batch.Notice)
 		Log      *slog.Logger
+		// MemoryLimit is the memory limit of this process and of those that may run
+		// the scheduler, in bytes; zero if there is none.
+		MemoryLimit int64
 	}
 
 	// Intake serves the calls of callers. It is safe for concurrent use. The
@@ -45,6 +48,7 @@
 		cfg         Config
 		policyReads singleflight.Group
 		health      storeHealth
+		state       stateGauge
 		mu          sync.Mutex
 		snapshot    policySnapshot
 	}
@@ -271,6 +275,7 @@
 	if err != nil {
 		return 0, codes.New(codes.InternalFailure, "%v", err)
 	}
+	in.state.reported(up, bl.Held)
 	return bl.Queues[queue], nil
 }
 
--- a/internal/intake/jobs.go
+++ b/internal/intake/jobs.go
@@ -30,6 +30,9 @@
 	if !in.health.allowCall(up) {
 		return storeUnavailable()
 	}
+	if err := in.checkState(ctx, up, jb); err != nil {
+		return err
+	}
 	data, err := batch.Encode(jb)
 	if err != nil {
 		return codes.New(codes.InternalFailure, "%v", err)
@@ -42,6 +45,7 @@
 	}
 	rev, err := in.submit(ctx, up, tx)
 	if rev != 0 {
+		in.state.add(jb.Footprint(jb.UnitsPerOccurrence()))
 		in.cfg.Announce(batch.Notice{Job: &jb, Revision: int64(rev)})
 	}
 	return err
