maint: a refused repetition says nothing of an order without a response

What callers saw: a machine of a wave went down beside another one, with max_count 1 (LIMIT).

Cause: the response to an order was lost, and its repetition was refused (503, or the machine is not up). The refusal was taken to mean that the machine is up, so that it no longer counted as down.

Change: once the outcome of an order is unknown, its machine counts as down until an order is confirmed or the wave is done with it, whatever refusals follow.

TestRefusedRepeatLeavesMachineDown failed before. The simulated platform also refuses repeated orders now, as the real one may.

--- a/internal/maint/core.go
+++ b/internal/maint/core.go
@@ -52,6 +52,7 @@
 		notBefore   time.Time // earliest time of the next order
 		confirmedAt time.Time // when its order was confirmed
 		worker      string    // on the machine when the order was sent; empty once reported as down
+		mayBeDown   bool      // the outcome of an order is unknown
 	}
 
 	phase uint8
@@ -207,8 +208,9 @@
 	default:
 		// An order whose outcome is unknown may have been carried out. It stays in
 		// phase ordered and is sent again, which has no further effect if the first
-		// one was carried out.
-		if !errors.Is(ev.Err, ErrOutcomeUnknown) {
+		// one was carried out. A refusal of the second one says nothing of the first.
+		wm.mayBeDown = wm.mayBeDown || errors.Is(ev.Err, ErrOutcomeUnknown)
+		if !wm.mayBeDown {
 			wm.phase = draining
 		}
 		wm.notBefore = now.Add(orderRetryDelay)
--- a/internal/maint/maint_test.go
+++ b/internal/maint/maint_test.go
@@ -28,6 +28,7 @@
 		violations    []string
 		lostShare     float64 // share of orders that are carried out without a response
 		rejectedShare float64 // share of orders that are rejected
+		firstErrors   []error // of the first orders, in place of what the shares say
 	}
 
 	machine struct {
@@ -114,12 +115,17 @@
 // order carries out an order as the platform does.
 func (si *site) order(or maint.Order) error {
 	ma := si.machines[or.Machine]
+	lost, rejected := si.rng.Float64() < si.lostShare, si.rng.Float64() < si.rejectedShare
+	if len(si.firstErrors) > 0 {
+		lost, rejected = si.firstErrors[0] == maint.ErrOutcomeUnknown, si.firstErrors[0] == maint.ErrNotUp
+		si.firstErrors = si.firstErrors[1:]
+	}
+	if rejected {
+		return maint.ErrNotUp // also a repeated order
+	}
 	if ma.maintained {
 		return nil
 	}
-	if si.rng.Float64() < si.rejectedShare {
-		return maint.ErrNotUp
-	}
 	down := 0
 	for _, other := range si.machines {
 		if si.now.Before(other.upAt) {
@@ -134,7 +140,7 @@
 	ma.upAt = si.now.Add(upkeepTime)
 	ma.worker += "'"
 	si.orders++
-	if si.rng.Float64() < si.lostShare {
+	if lost {
 		return maint.ErrOutcomeUnknown
 	}
 	return nil
@@ -198,6 +204,19 @@
 	}
 }
 
+// TestRefusedRepeatLeavesMachineDown loses the response to the first order, which is
+// carried out, and rejects its repetition. It guards against taking the machine for
+// up, and ordering the next one beside it.
+func TestRefusedRepeatLeavesMachineDown(t *testing.T) {
+	is := is.New(t)
+	si := newSite(3, 1, 0)
+	si.firstErrors = []error{maint.ErrOutcomeUnknown, maint.ErrNotUp}
+	si.handle(maint.WaveRequested{Wave: si.wave(30 * time.Second)})
+	si.run(30 * time.Second)
+	is.Equal(si.countMaintained(), 3)
+	is.Equal(si.violations, nil)
+}
+
 // TestDownWorkerGetsNoWork guards against new work for a worker whose machine
 // went down and which the platform still lists, and against workers that get no
 // work after the wave.
