drive: order a machine only on a lease that is known to hold

Cause: an order was sent without asking how old the last confirmed renewal of the lease is. A term ends 5.5 s after that renewal, while the lease lasts 1 s, and after a freeze the tick that has become due is handled before the next renewal can tell that the lease has ended. Starts, stops and polls are refused by workers that a successor has polled; the platform need not check the numbers of orders for machines.

Change: before an order the lease has to have been renewed within 0.7 s, or is renewed first; otherwise the order is not sent, and is tried again later. Writes to the store require the leader key as before.

--- a/internal/drive/elect.go
+++ b/internal/drive/elect.go
@@ -31,6 +31,9 @@
 	firstElectionFactor = 3
 	// electionTimeout bounds all calls of one election.
 	electionTimeout = 2 * time.Second
+	// confirmMargin is subtracted from the time for which a renewed lease certainly
+	// holds, for the way of an order to its receiver.
+	confirmMargin = 300 * time.Millisecond
 	// revokeTimeout bounds the call that revokes the lease.
 	revokeTimeout = 500 * time.Millisecond
 )
@@ -38,6 +41,10 @@
 var (
 	errLeaderExists = errors.New("another host is the leader")
 	errNoLeader     = errors.New("the leader key was deleted")
+	errTermEnded    = errors.New("the term has ended")
+	// errLeaseUnconfirmed means that the store has not confirmed in time that this
+	// host still leads.
+	errLeaseUnconfirmed = errors.New("the lease can't be confirmed")
 )
 
 // electionDelay returns how long a host with the given number of cores waits
@@ -169,7 +176,7 @@
 func (te *term) keepLease() {
 	for te.pauseFor(renewInterval) {
 		go te.renewLease(time.Since(te.leaseRequested))
-		if time.Since(te.leaseRequested)-time.Duration(te.lastRenewal.Load()) > domain.MaxRenewalAge {
+		if te.leaseAge() > domain.MaxRenewalAge {
 			te.log.Warn("lease state unknown", "event", "leaseUnknown", "reason", "no renewal was confirmed in time")
 			te.end()
 		}
@@ -191,6 +198,30 @@
 	}
 }
 
+// confirmLease returns nil if this host certainly leads at present: a renewal of its
+// lease was sent so recently that the lease can't have expired. Otherwise it renews
+// the lease. A host that was suspended notices here that its lease has expired.
+func (te *term) confirmLease() error {
+	if te.leaseAge() < domain.LeaderLeaseTime-confirmMargin {
+		return nil
+	}
+	te.renewLease(time.Since(te.leaseRequested))
+	switch {
+	case te.ctx.Err() != nil:
+		return errTermEnded
+	case te.leaseAge() >= domain.LeaderLeaseTime-confirmMargin:
+		return errLeaseUnconfirmed
+	default:
+		return nil
+	}
+}
+
+// leaseAge returns the time since the last successful renewal of the lease was
+// sent.
+func (te *term) leaseAge() time.Duration {
+	return time.Since(te.leaseRequested) - time.Duration(te.lastRenewal.Load())
+}
+
 // recordRenewal records a successful renewal that was sent at the given time.
 // It keeps the latest, because responses may arrive out of order.
 func (te *term) recordRenewal(sent time.Duration) {
--- a/internal/drive/waves.go
+++ b/internal/drive/waves.go
@@ -194,7 +194,13 @@
 	wd.send(maint.MachinesListed{Sent: ef.Sent, Machines: mas, Err: err})
 }
 
+// sendOrder sends an order if this host still leads. The platform need not check
+// the fencing token of an order, so nothing else would hold a former leader back.
 func (wd *waveDriver) sendOrder(ef maint.Order) {
+	if err := wd.confirmLease(); err != nil {
+		wd.send(maint.OrderCompleted{Order: ef, Err: merry.Prepend(maint.ErrNotSent, err.Error())})
+		return
+	}
 	ctx, cancel := context.WithTimeout(wd.ctx, machineTimeout)
 	defer cancel()
 	wd.send(maint.OrderCompleted{Order: ef, Err: wd.cfg.Machines.SendOrder(ctx, ef, wd.cfg.Host, int64(wd.token))})
--- a/internal/drive/waves_test.go
+++ b/internal/drive/waves_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/cicadawharf/cicadawharf/internal/fakes/runsim"
 	"github.com/cicadawharf/cicadawharf/internal/maint"
 	"github.com/cicadawharf/cicadawharf/internal/runner"
+	"github.com/cicadawharf/cicadawharf/internal/store"
 )
 
 // fakeMachines simulates the platform's machines, one under each worker of a
@@ -29,6 +31,7 @@
 	ordered map[string]bool
 	maxDown int // largest number of machines down at the same time
 	orders  int
+	tokens  []int64 // of all orders, repeated ones included
 }
 
 const downTime = 200 * time.Millisecond
@@ -61,9 +64,10 @@
 	return mas, nil
 }
 
-func (fm *fakeMachines) SendOrder(_ context.Context, or maint.Order, _ string, _ int64) error {
+func (fm *fakeMachines) SendOrder(_ context.Context, or maint.Order, _ string, token int64) error {
 	fm.mu.Lock()
 	defer fm.mu.Unlock()
+	fm.tokens = append(fm.tokens, token)
 	if fm.ordered[or.Machine] {
 		return nil
 	}
@@ -139,3 +143,49 @@
 	_, kept := si.store.Value(batch.MaintenancePrefix + "1")
 	is.True(!kept) // the record of a completed wave is deleted
 }
+
+// unrenewable is a store whose leases can't be renewed once stop is closed.
+type unrenewable struct {
+	store.TxnStore
+	stop chan struct{}
+}
+
+func (ur unrenewable) Renew(ctx context.Context, id store.LeaseID) error {
+	select {
+	case <-ur.stop:
+		<-ctx.Done()
+		return store.ErrOutcomeUnknown
+	default:
+		return ur.TxnStore.Renew(ctx, id)
+	}
+}
+
+// TestFormerLeaderOrdersNoMachine lets the lease of a leader end while a wave goes
+// on, without the leader's knowledge. It guards against orders of a former leader
+// after those of its successor, which the platform need not refuse.
+func TestFormerLeaderOrdersNoMachine(t *testing.T) {
+	is := is.New(t)
+	si := newSite(t, 6)
+	fm := newFakeMachines(si, 6)
+	stop := make(chan struct{})
+	host := func(name string, st store.TxnStore) {
+		sc := drive.New(time.Now(), drive.Config{
+			Host: name, Store: st, Workers: si.workers, Machines: fm, Log: slog.New(slog.DiscardHandler), Layout: waveLayout(),
+		})
+		kvsim.Background(t, func(ctx context.Context) error {
+			sc.Run(ctx)
+			return nil
+		})
+	}
+	host("a", unrenewable{si.store.Client(t, time.Second), stop})
+	si.submit("before", 1)
+	si.await("before", batch.Done)
+	host("b", si.store.Client(t, time.Second))
+	close(stop)
+	si.put("waves/1", maint.Wave{Number: 1, Machines: []string{"m0", "m1", "m2", "m3", "m4", "m5"}, Duration: 20 * time.Second, MaxDown: 1})
+	status := func() string { value, _ := si.store.Value("status/1"); return string(value) }
+	kvsim.Eventually(t, func() bool { return status() == fmt.Sprint(int(maint.Completed)) })
+	fm.mu.Lock()
+	defer fm.mu.Unlock()
+	is.True(slices.IsSorted(fm.tokens))
+}
--- a/internal/maint/event.go
+++ b/internal/maint/event.go
@@ -136,6 +136,7 @@
 	ErrNotUp          = errors.New("the machine is not up")
 	ErrNotInWave      = errors.New("the machine is not part of the wave")
 	ErrRefused        = errors.New("the platform rejected the order")
+	ErrNotSent        = errors.New("the order was not sent")
 	ErrOutcomeUnknown = errors.New("no response; the outcome is unknown")
 )
 
