domain: give up a task that crashes its workers at varying ages

Cause: a crash at an age that had nothing in common with those of the earlier crashes began the count anew, so that the limits were never reached.

Change: beside the crashes at a common age the record counts the workers that were lost alone under a task, at any age of its attempts, and the task is given up at five of them. An attempt whose end a worker reports and that has lived longer than all of these begins that count anew.

Evidence: four new variants of TestTaskThatCrashesWorkersIsGivenUp failed before. TestPlainCrashesFailNoJob and TestRandomFaultsBesideCrashes pass.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -127,6 +127,8 @@
 		Suspected int // crashes that the task has probably caused
 		MinAge    time.Duration
 		MaxAge    time.Duration // zero if there is no upper bound
+		Lone      int           // crashes of workers that were lost alone, at any age
+		LoneAge   time.Duration // largest age of an attempt at one of these
 	}
 )
 
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -123,6 +123,7 @@
 		msgs = append(msgs, &wire.TaskCrashes{
 			Index: uint32(tc.Index), Count: uint32(tc.Count), Confirmed: uint32(tc.Confirmed), Suspected: uint32(tc.Suspected),
 			MinAgeMillis: uint64(tc.MinAge.Milliseconds()), MaxAgeMillis: uint64(tc.MaxAge.Milliseconds()),
+			Lone: uint32(tc.Lone), LoneAgeMillis: uint64(tc.LoneAge.Milliseconds()),
 		})
 	}
 	return msgs
@@ -134,6 +135,7 @@
 		tcs = append(tcs, TaskCrashes{
 			Index: int(msg.GetIndex()), Count: int(msg.GetCount()), Confirmed: int(msg.GetConfirmed()), Suspected: int(msg.GetSuspected()),
 			MinAge: time.Duration(msg.GetMinAgeMillis()) * time.Millisecond, MaxAge: time.Duration(msg.GetMaxAgeMillis()) * time.Millisecond,
+			Lone: int(msg.GetLone()), LoneAge: time.Duration(msg.GetLoneAgeMillis()) * time.Millisecond,
 		})
 	}
 	return tcs
--- a/internal/batch/progress_test.go
+++ b/internal/batch/progress_test.go
@@ -45,6 +45,7 @@
 				ur.Crashes = append(ur.Crashes, batch.TaskCrashes{
 					Index: small.Draw(rt, "task"), Count: small.Draw(rt, "count"), Confirmed: small.Draw(rt, "confirmed"), Suspected: small.Draw(rt, "suspected"),
 					MinAge: millis.Draw(rt, "minAge"), MaxAge: millis.Draw(rt, "maxAge"),
+					Lone: small.Draw(rt, "lone"), LoneAge: millis.Draw(rt, "loneAge"),
 				})
 			}
 			rc.Units = append(rc.Units, ur)
--- a/internal/domain/crash.go
+++ b/internal/domain/crash.go
@@ -9,15 +9,20 @@
 	"github.com/cicadawharf/cicadawharf/internal/batch"
 )
 
-// crashHistory sums up the crashes of workers under a task. Its ages are
-// those that all of these crashes have in common: a task that crashes its
-// workers does so after the same time, and workers that crash for another
-// reason do so at any time.
+// crashHistory sums up the crashes of workers under a task. Its ages are those that
+// all of these crashes have in common: most tasks that crash their workers do so
+// after the same time, and workers that crash for another reason do so at any time.
+// A task that does so after varying times is recognized by workers that were lost
+// alone, again and again, with no attempt that has lived longer between.
 type crashHistory struct {
 	count     int // crashes
 	confirmed int // crashes of workers that had confirmed the start of the task
 	suspects  int // crashes that the task has probably caused; see isSuspect
 	ages      ageRange
+	// lone counts the crashes of workers that were lost alone, at any age. No
+	// attempt has outlived loneAge since.
+	lone    int
+	loneAge time.Duration
 }
 
 const (
@@ -32,6 +37,9 @@
 	// or not, known to have started it or not, each at about the same age of its
 	// attempt.
 	maxCrashes = 5
+	// maxLoneCrashes is the number of workers that may be lost alone under a task, at
+	// any age of its attempts.
+	maxLoneCrashes = 5
 	// ageTolerance is the error of the ages of attempts, which contain the
 	// latency of calls and the delay of their processing.
 	ageTolerance = 500 * time.Millisecond
@@ -53,7 +61,11 @@
 // the earlier ones clears the task of these.
 func (ch crashHistory) withCrash(lr lostRun) crashHistory {
 	if ch.count == 0 || !ch.ages.overlaps(lr.age) {
-		ch = crashHistory{ages: lr.age}
+		ch = crashHistory{ages: lr.age, lone: ch.lone, loneAge: ch.loneAge}
+	}
+	if lr.lone {
+		ch.lone++
+		ch.loneAge = max(ch.loneAge, lr.age.atMost())
 	}
 	ch.count++
 	if lr.confirmed {
@@ -67,13 +79,16 @@
 }
 
 // isGuilty reports whether a task has crashed so many workers that it is given
-// up. open is the number of its runs of which it is unknown whether their workers
+// up. The arguments describe its runs of which it is unknown whether their workers
 // have crashed.
-func (ch crashHistory) isGuilty(open int) bool {
+func (ch crashHistory) isGuilty(open openRuns) bool {
+	if ch.lone+open.lone >= maxLoneCrashes {
+		return true
+	}
 	if ch.confirmed < minConfirmedCrashes {
 		return ch.count >= maxCrashes
 	}
-	return ch.suspects >= maxSuspectCrashes || ch.count+open >= maxCrashes
+	return ch.suspects >= maxSuspectCrashes || ch.count+open.sameAge >= maxCrashes
 }
 
 // recordCrash counts the crash of a worker against a task that ran there, and
@@ -108,6 +123,7 @@
 		ch := un.crashes[index]
 		tcs = append(tcs, batch.TaskCrashes{
 			Index: index, Count: ch.count, Confirmed: ch.confirmed, Suspected: ch.suspects, MinAge: ch.ages.min, MaxAge: ch.ages.bound(),
+			Lone: ch.lone, LoneAge: ch.loneAge,
 		})
 	}
 	return tcs
@@ -123,7 +139,9 @@
 		if tc.MaxAge == 0 {
 			ages.max = anyAge.max
 		}
-		un.crashes[tc.Index] = crashHistory{count: tc.Count, confirmed: tc.Confirmed, suspects: tc.Suspected, ages: ages}
+		un.crashes[tc.Index] = crashHistory{
+			count: tc.Count, confirmed: tc.Confirmed, suspects: tc.Suspected, ages: ages, lone: tc.Lone, loneAge: tc.LoneAge,
+		}
 	}
 }
 
@@ -138,7 +156,16 @@
 	if ru.stop.triedAt.After(aliveAt) {
 		aliveAt = ru.stop.triedAt
 	}
-	if aliveAt.Sub(ru.sentAt)-ageTolerance > ch.ages.max {
+	lived := aliveAt.Sub(ru.sentAt) - ageTolerance
+	if lived > ch.loneAge {
+		ch.lone, ch.loneAge = 0, 0
+	}
+	if lived > ch.ages.max {
+		ch = crashHistory{lone: ch.lone, loneAge: ch.loneAge}
+	}
+	if ch == (crashHistory{}) {
 		delete(un.crashes, ru.task.Index)
+		return
 	}
+	un.crashes[ru.task.Index] = ch
 }
--- a/internal/domain/crash_test.go
+++ b/internal/domain/crash_test.go
@@ -23,6 +23,7 @@
 	downtime time.Duration
 	gang     bool
 	lasting  bool
+	ages     []time.Duration // of the attempts at the crashes; nil for at once
 }
 
 var crashVariants = []crashVariant{
@@ -33,8 +34,16 @@
 	{name: "back after the leases, same ID", downtime: 9 * time.Second},
 	{name: "back after the leases, new ID", newIDs: true, downtime: 9 * time.Second},
 	{name: "gang, back after the leases", newIDs: true, downtime: 9 * time.Second, gang: true},
+	{name: "varying ages", downtime: 3 * time.Second, ages: varyingAges},
+	{name: "varying ages, new ID", newIDs: true, downtime: 3 * time.Second, ages: varyingAges},
+	{name: "varying ages, gang", newIDs: true, downtime: 3 * time.Second, gang: true, ages: varyingAges},
+	{name: "varying ages, back after the leases", newIDs: true, downtime: 9 * time.Second, ages: varyingAges},
 }
 
+// varyingAges are ages that have nothing in common, even for workers whose speeds
+// differ.
+var varyingAges = []time.Duration{3 * time.Second, time.Second, 10 * time.Millisecond}
+
 // start starts a simulation of 8 workers and submits a job whose first task
 // crashes its workers, beside a job that fills half of them.
 func (cv crashVariant) start() *simulation {
@@ -46,10 +55,13 @@
 	sim.run(100 * time.Millisecond)
 	jb, pl := oneStepJob("crashes", 1, 3, 2*time.Second)
 	jb.Steps[0].Gang, jb.Steps[0].LongRunning = cv.gang, cv.lasting
-	pl.crashes = true
+	pl.crashes, pl.crashAges = true, cv.ages
 	if cv.lasting {
 		pl.work = time.Hour
 	}
+	if cv.ages != nil {
+		pl.work = 2 * slices.Max(cv.ages)
+	}
 	sim.submit(jb, pl)
 	return sim
 }
--- a/internal/domain/loss.go
+++ b/internal/domain/loss.go
@@ -51,6 +51,14 @@
 	return max(time.Millisecond, ar.max)
 }
 
+// atMost returns the upper bound of the ages or, without one, the lower bound.
+func (ar ageRange) atMost() time.Duration {
+	if ar.max == anyAge.max {
+		return ar.min
+	}
+	return ar.max
+}
+
 // String returns the name of the cause for logs and metrics.
 func (lc LossCause) String() string {
 	if int(lc) >= len(lossCauseNames) {
--- a/internal/domain/openloss.go
+++ b/internal/domain/openloss.go
@@ -20,9 +20,17 @@
 		age       ageRange
 		confirmed bool // the worker had confirmed the start
 		suspect   bool
+		lone      bool      // no other worker was lost at the same time
 		at        time.Time // when the run was considered ended
 	}
 
+	// openRuns counts the lost runs of a task of which it is unknown whether their
+	// workers have crashed.
+	openRuns struct {
+		sameAge int // at about the same age of the attempt
+		lone    int // whose workers were lost alone
+	}
+
 	// openLosses holds the lost runs of which it is unknown whether their workers
 	// have crashed. There may be thousands after the loss of a zone, so each
 	// response of a worker looks up only those that it may resolve.
@@ -50,7 +58,7 @@
 	}
 	lr := lostRun{
 		unit: un, task: ru.task, attempt: ru.attempt, worker: ru.node.worker, age: ls.age,
-		confirmed: !ru.confirmedAt.IsZero(), suspect: co.isSuspect(now, ru, ls.age), at: now,
+		confirmed: !ru.confirmedAt.IsZero(), suspect: co.isSuspect(now, ru, ls.age), lone: co.wasLostAlone(now, ru.node), at: now,
 	}
 	switch ls.cause {
 	case Restarted, Replaced:
@@ -169,13 +177,19 @@
 	}
 }
 
-// count counts the other lost runs of a run's task at about the same age.
-func (ol *openLosses) count(lr lostRun) int {
-	n := 0
+// count counts the other lost runs of a run's task.
+func (ol *openLosses) count(lr lostRun) openRuns {
+	var open openRuns
 	for _, other := range ol.all {
-		if other.unit == lr.unit && other.task == lr.task && other.attempt != lr.attempt && other.age.overlaps(lr.age) {
-			n++
+		if other.unit != lr.unit || other.task != lr.task || other.attempt == lr.attempt {
+			continue
+		}
+		if other.age.overlaps(lr.age) {
+			open.sameAge++
+		}
+		if other.lone {
+			open.lone++
 		}
 	}
-	return n
+	return open
 }
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -63,7 +63,8 @@
 		work          time.Duration // actual run time
 		firstTaskWork time.Duration // overrides the work of the first task unless zero
 		fails         bool
-		crashes       bool // the first task crashes each worker that starts it
+		crashes       bool            // the first task crashes each worker that starts it
+		crashAges     []time.Duration // see runsim.Plan
 	}
 
 	// faults holds the fractions of calls that get no reply.
@@ -151,7 +152,7 @@
 	tp := sim.plans[ti.Job][ti.Step]
 	pl := runsim.Plan{
 		Work: tp.work, Fails: tp.fails, Needs: step.Reserved(), MaxAttempts: jb.Queue.MaxAttempts, Checkpoints: step.Checkpoints,
-		Crashes: tp.crashes && ti.Index == 0, Payload: jb.Payload, PerWorker: step.PerWorker, LongRunning: step.LongRunning, Tickets: sim.tickets[ti.Job],
+		Crashes: tp.crashes && ti.Index == 0, CrashAges: tp.crashAges, Payload: jb.Payload, PerWorker: step.PerWorker, LongRunning: step.LongRunning, Tickets: sim.tickets[ti.Job],
 	}
 	if step.Gang {
 		pl.Gang = step.Tasks
--- a/internal/domain/suspect.go
+++ b/internal/domain/suspect.go
@@ -60,6 +60,18 @@
 	return true
 }
 
+// wasLostAlone reports whether no other worker was lost at the same time as a given
+// one.
+func (co *Core) wasLostAlone(now time.Time, nd *node) bool {
+	lostAt := nd.lostBy(now)
+	for id, si := range co.silences {
+		if id != nd.worker.ID && si.at.Sub(lostAt).Abs() <= crashCorrelation {
+			return false
+		}
+	}
+	return true
+}
+
 // isSuspected reports whether some task of a unit is suspected of having crashed
 // a worker.
 func (un *unit) isSuspected() bool {
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -27,10 +27,11 @@
 
 	// Plan describes what a task does and which rules its starts must obey.
 	Plan struct {
-		Work        time.Duration // run time from the beginning, without a checkpoint
-		Fails       bool          // each attempt fails when its work is done
-		Crashes     bool          // each attempt crashes its worker crashDelay after its start
-		Gang        int           // number of tasks in its gang; zero for none
+		Work        time.Duration   // run time from the beginning, without a checkpoint
+		Fails       bool            // each attempt fails when its work is done
+		Crashes     bool            // each attempt crashes its worker, crashDelay after its start unless CrashAges says otherwise
+		CrashAges   []time.Duration // the ages of the attempts at these crashes, in turn
+		Gang        int             // number of tasks in its gang; zero for none
 		Needs       batch.Resources
 		MaxAttempts int
 		After       []batch.TaskID    // tasks that must succeed before it starts
@@ -562,7 +563,7 @@
 			consider(wo.leaseEnd(), func() { fl.expireLeases(wo) })
 			switch {
 			case ru.plan.Crashes:
-				consider(ru.startedAt.Add(crashDelay), func() { fl.crash(wo) })
+				consider(ru.startedAt.Add(ru.crashAge()), func() { fl.crash(wo) })
 			case wo.stalled && !ru.runningSince.IsZero():
 			case ru.runningSince.IsZero():
 				consider(ru.startedAt.Add(fl.cfg.GangTimeout), func() { fl.endRun(ru, runner.GangTimeout) })
@@ -582,6 +583,14 @@
 	return first, event
 }
 
+// crashAge returns the age at which a run crashes its worker.
+func (ru *run) crashAge() time.Duration {
+	if n := len(ru.plan.CrashAges); n > 0 {
+		return ru.plan.CrashAges[ru.attempt%n]
+	}
+	return crashDelay
+}
+
 // gangDoneAt returns when a run and its whole gang will have completed their work:
 // a task that has less to do than the others stays at 100 percent until then. It
 // returns false while one of them is waiting or stalled.
