cmd: catch SIGHUP until the process of a domain exits

A SIGHUP in the middle of a planned stop ended the process, with the calls that it was still answering.

Cause: the handler was taken off when the stop began, which restored the default action.

Change: the signal is caught from the start of the process to its exit.

--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -39,6 +39,10 @@
 // domain runs a host of a scheduling domain, whose settings are in file, until
 // ctx is done. It writes the log to out.
 func domain(ctx context.Context, file string, out io.Writer) error {
+	// The signal is caught until the process exits: otherwise it would end a host
+	// that starts or stops.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	se, err := setup.LoadDomain(file)
 	if err != nil {
 		return err
@@ -54,7 +58,7 @@
 	wr := logbuf.New(logbuf.Config{To: out})
 	defer wr.Close(logFlushTimeout)
 	log := slog.New(slog.NewTextHandler(wr, &slog.HandlerOptions{Level: level}))
-	go checkSettingsOnHangup(ctx, file, log)
+	go checkSettings(file, hangups, log)
 	return newMember(se, log).Run(ctx)
 }
 
@@ -116,19 +120,11 @@
 	})
 }
 
-// checkSettingsOnHangup rereads and validates the settings file on SIGHUP and
+// checkSettings rereads and validates the settings file on each hangup signal and
 // logs the result. The settings of the running process don't change.
-func checkSettingsOnHangup(ctx context.Context, file string, log *slog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-			se, err := setup.LoadDomain(file)
-			log.Info("settings file checked", "event", "reload", "host", se.Host.Name, "error", err)
-		}
+func checkSettings(file string, hangups <-chan os.Signal, log *slog.Logger) {
+	for range hangups {
+		se, err := setup.LoadDomain(file)
+		log.Info("settings file checked", "event", "reload", "host", se.Host.Name, "error", err)
 	}
 }
