domain: end no gang while entries of workers may return after an outage

Cause: the entry of a worker lapsed while the store was away. A successor that loaded the list took the last task of a broken gang for ended, since its worker was neither listed nor reachable without an entry, and started the gang again. A second later the worker was back in the list and reported that the task had failed.

Change: each host notices when the store responds again after failed calls, and tells the core, a successor with its first state. For 2.5 s a worker that is not listed may return, so the last task of a gang is not taken for ended; that waits for the report, or for the leases.

Evidence: TestEntriesThatLapsedEndNoGang failed with the check switched off.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -28,7 +28,10 @@
 		// FairShares orders work of equal urgency by how far its workspace is
 		// below its fair share.
 		FairShares bool
-		StateLimit int64 // bytes that the jobs may need in memory, see batch.StateLimit; zero if unknown
+		// StoreReturnedAt is when the store last responded again after an outage; zero
+		// if there was none.
+		StoreReturnedAt time.Time
+		StateLimit      int64 // bytes that the jobs may need in memory, see batch.StateLimit; zero if unknown
 	}
 
 	// Core is the state of a scheduling domain during one term of leadership.
@@ -44,6 +47,7 @@
 		addresses           map[string][]*node // nodes by address
 		evacuatedZones      map[string]bool    // availability zones to be evacuated
 		evacuation          evacuationState
+		storeReturnedAt     time.Time      // see Config
 		unsavedEnds         map[*node]bool // nodes with ends that are not in the store yet
 		pollCandidates      []*node        // nodes to be polled if their next poll is due; may contain duplicates
 		changed             map[*unit]bool // units to be evaluated
@@ -92,7 +96,9 @@
 		commits:      newCommitQueue(),
 		silences:     map[string]silence{},
 		openLosses:   newOpenLosses(),
-		stateLimit:   cmp.Or(cf.StateLimit, batch.StateLimit(0)),
+
+		storeReturnedAt: cf.StoreReturnedAt,
+		stateLimit:      cmp.Or(cf.StateLimit, batch.StateLimit(0)),
 	}
 	co.maxUnits = batch.MaxUnits(co.stateLimit)
 	for _, wk := range cf.Workers {
@@ -137,6 +143,8 @@
 		co.listWorker(now, ev.Worker)
 	case Unlisted:
 		co.unlistWorker(now, ev.ID)
+	case StoreReturned:
+		co.storeReturnedAt = now
 	case EvacuationSet:
 		co.setEvacuatedZones(ev.Zones)
 	case DrainRequested:
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -27,6 +27,10 @@
 	// Unlisted reports that the platform no longer lists a worker.
 	Unlisted struct{ ID string }
 
+	// StoreReturned reports that the store responds again after an outage, in which
+	// entries of workers may have expired. Those of workers that run are back soon.
+	StoreReturned struct{}
+
 	// DrainRequested names the workers that get no new work, with the time by
 	// which each should be drained. It replaces the previous set.
 	DrainRequested struct{ By map[string]time.Time }
@@ -239,6 +243,9 @@
 	// pendingEndPollDelay is the minimum time between the reply to a poll and
 	// the next poll while an end that it reported is not in the store yet.
 	pendingEndPollDelay = 400 * time.Millisecond
+	// entryReturnTime is how long after an outage of the store the entry of a worker
+	// that runs may be missing: two seconds by the platform, and a margin.
+	entryReturnTime = 2500 * time.Millisecond
 	// pollRetryDelay is the pause after a failed poll.
 	pollRetryDelay = 500 * time.Millisecond
 	// stopRetryDelay is the minimum time between two calls to stop the same
@@ -284,6 +291,7 @@
 func (CancelRequested) event() {}
 func (Listed) event()          {}
 func (Unlisted) event()        {}
+func (StoreReturned) event()   {}
 func (Polled) event()          {}
 func (DrainRequested) event()  {}
 func (EvacuationSet) event()   {}
--- a/internal/domain/lateend_test.go
+++ b/internal/domain/lateend_test.go
@@ -127,3 +127,41 @@
 	sc.handle(domain.Polled{Call: domain.Poll{Worker: scriptedWorker("w1"), Sent: sc.now}, Status: running})
 	is.Equal(len(effectsOf[domain.Stop](sc)), 0)
 }
+
+// TestEntriesThatLapsedEndNoGang has the entry of a worker lapse while the store is
+// away, and the rest of a gang end as broken. It guards against taking the last task
+// of the gang for ended, and starting the gang again, before the worker is back in
+// the list and reports that the task has failed.
+func TestEntriesThatLapsedEndNoGang(t *testing.T) {
+	is := is.New(t)
+	sc := newScriptedCore(domain.Config{}, "w1", "w2", "w3", "w4")
+	jb, _ := oneStepJob("j", 1, 2, time.Minute)
+	jb.Steps[0].Gang, jb.Steps[0].Needs.Accelerators = true, 8
+	sc.handle(domain.Accepted{Job: jb})
+	sc.pass(tickInterval)
+	sc.commitAll()
+	starts := effectsOf[domain.Start](sc)
+	is.Equal(len(starts), 2)
+	for _, st := range starts {
+		sc.handle(domain.Started{Call: st})
+	}
+	sc.pass(time.Second)
+	kept, lost := starts[0], starts[1]
+	sc.fail(lost.Worker.ID, runner.ErrOutcomeUnknown)
+	sc.handle(domain.StoreReturned{})
+	sc.handle(domain.Unlisted{ID: lost.Worker.ID})
+	broken := runner.End{Number: 1, Task: kept.Request.Task, Attempt: 1, Reason: runner.GangBroken}
+	sc.reply(kept.Worker.ID, runner.Status{Ended: runner.EndPage{Ends: []runner.End{broken}}})
+	sc.commitAll()
+	sc.effects = nil
+	sc.pass(2 * time.Second)
+	sc.commitAll()
+	is.Equal(len(effectsOf[domain.Start](sc)), 0)
+	sc.handle(domain.Listed{Worker: scriptedWorker(lost.Worker.ID)})
+	failed := runner.End{Number: 1, Task: lost.Request.Task, Attempt: 1, Reason: runner.Failed}
+	sc.reply(lost.Worker.ID, runner.Status{Ended: runner.EndPage{Ends: []runner.End{failed}}})
+	sc.pass(time.Second)
+	is.Equal(sc.lastUnit("j").Failures, 1)
+	sc.commitAll()
+	is.Equal(len(effectsOf[domain.Start](sc)), 2)
+}
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -377,8 +377,12 @@
 // endUnreportedMember ends the last run of a gang if all other gang members
 // have ended as runner.GangBroken and its worker is unresponsive and no longer
 // listed. The end of that task must have caused the others, but nobody will
-// report it. A worker that is still listed reports the end itself.
+// report it. A worker that is still listed, or that may be listed again soon,
+// reports the end itself.
 func (co *Core) endUnreportedMember(now time.Time, un *unit) {
+	if !co.storeReturnedAt.IsZero() && now.Sub(co.storeReturnedAt) < entryReturnTime {
+		return
+	}
 	var unreported *run
 	broken := 0
 	for _, ru := range un.runs {
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -72,6 +72,7 @@
 		current     atomic.Pointer[term]   // of this host; nil unless it holds the leader key
 		leader      atomic.Pointer[leader] // another host that is the leader, as last read; nil if unknown
 		incarnation int64                  // start time, nanoseconds since 1970; distinguishes processes of the same host
+		outages     outageMonitor
 	}
 
 	// term is one period of leadership.
--- a/internal/drive/elect.go
+++ b/internal/drive/elect.go
@@ -64,6 +64,7 @@
 	ctx, cancel := context.WithTimeout(ctx, electionTimeout)
 	defer cancel()
 	en, _, err := sc.cfg.Store.Get(ctx, batch.LeaderKey)
+	sc.outages.observe(time.Now(), err)
 	if err != nil {
 		return nil, merry.Prepend(err, "read the leader key")
 	}
@@ -114,6 +115,7 @@
 // with batch.LeaderKey.
 func (sc *Scheduler) awaitNoLeader(ctx context.Context) bool {
 	en, at, err := sc.cfg.Store.Get(ctx, batch.LeaderKey)
+	sc.outages.observe(time.Now(), err)
 	if err != nil {
 		pause.For(ctx, electionRetryDelay)
 		return false
@@ -135,6 +137,7 @@
 		return nil
 	})
 	if !errors.Is(err, errNoLeader) {
+		sc.outages.observe(time.Now(), err)
 		pause.For(ctx, electionRetryDelay)
 		return false
 	}
@@ -196,6 +199,9 @@
 		te.log.Warn("lease expired", "event", "leaseExpired")
 		te.end()
 	}
+	if te.ctx.Err() == nil {
+		te.observeStore(err)
+	}
 }
 
 // confirmLease returns nil if this host certainly leads at present: a renewal of its
--- a/internal/drive/watch.go
+++ b/internal/drive/watch.go
@@ -55,9 +55,13 @@
 		ctx := te.watches.context(te.ctx)
 		err := te.cfg.Store.WatchBatched(ctx, prefix, after, interval, func(en store.Entry) error {
 			after = max(after, en.Revision)
+			te.observeStore(nil)
 			apply(en)
 			return nil
 		})
+		if ctx.Err() == nil {
+			te.observeStore(err)
+		}
 		reason := "the store has compacted changes"
 		if ctx.Err() != nil {
 			reason = "the watches are behind"
