--- a/pkg/codes/codes.go
+++ b/pkg/codes/codes.go
@@ -152,7 +152,7 @@
 		{Stopping, "stopping", NotRun, 503, true, "The entry host is being shut down.", "Retry immediately; the load balancer picks another host."},
 		{NotReady, "notReady", NotRun, 503, true, "The entry host has no declarations yet.", "Retry after the time given."},
 		{ZoneUnreachable, "zoneUnreachable", NotRun, 503, true, "The availability zone that is responsible can't be reached.", "Retry after the time given."},
-		{ShapeTooLarge, "shapeTooLarge", NotRun, 422, false, "The shape exceeds a limit, such as 32 tasks in a gang.", "Submit a smaller job."},
+		{ShapeTooLarge, "shapeTooLarge", NotRun, 422, false, "The shape exceeds a limit, such as 32 tasks in a gang, or half of a scheduler's memory.", "Submit a smaller job."},
 		{ShapeNeverFits, "shapeNeverFits", NotRun, 422, false, "The shape does not fit the workers of the zone, even if all are idle.", "Submit another shape, or to another zone."},
 		{QuotaExceeded, "quotaExceeded", NotRun, 422, false, "The job alone is larger than the quota of its workspace.", "Submit a smaller job, or have the quota raised."},
 		{CancelledUnstarted, "cancelledUnstarted", NotRun, 200, false, "The job was cancelled before any part of it started.", "Nothing."},
@@ -163,7 +163,7 @@
 		{CallerGone, "callerGone", NotRun, statusClientClosedRequest, false, "The caller closed its connection before the request was sent on.", "Nothing."},
 		{PathNotFound, "pathNotFound", NotRun, 404, false, "The path is not part of the API.", "See docs/API.md."},
 		{MethodNotAllowed, "methodNotAllowed", NotRun, 405, false, "The path does not support this method.", "See docs/API.md."},
-		{QueueFull, "queueFull", NotRun, 429, true, "The zone's queue is full.", "Retry after the time given."},
+		{QueueFull, "queueFull", NotRun, 429, true, "The queue is full, or the scheduler has no memory for further jobs.", "Retry after the time given."},
 		{WriteForbidden, "writeForbidden", NotRun, 403, false, "The platform does not permit this write to its store.", "Ask the platform for the permission, or have a client with the permission write the key."},
 
 		{OutcomeUnknown, "outcomeUnknown", Unknown, 502, false, "The request was forwarded, and the connection failed before a response.", "Find out by the service's own means before repeating it."},
