domain: generated mixtures of late replies, cut-off lists, foreign entries and outages

TestRandomMixtures lets replies arrive late and out of order, lists of ends be cut off, the store be away and drop the entries of workers, other writers put entries, workers crash, return as others or be cut off, and leaders be killed or cut off, in any order. It checks beside the former rules that no end is acknowledged that no record holds, and that no task is started whose success a worker still lists.

--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -56,6 +56,10 @@
 		newIDs            bool                         // workers that have crashed return under new IDs
 		restarts          int                          // of workers that have crashed
 		commitDelay       time.Duration                // of the store, beside the usual one
+		awayUntil         time.Time                    // until when the store does not respond
+		storeReturnedAt   time.Time                    // when it last responded again
+		lapsed            map[string]bool              // workers whose entries have expired
+		violations        []string                     // beside those that the fleet has seen
 	}
 
 	// taskPlan is the simulated behaviour of the tasks of a step.
@@ -72,6 +76,7 @@
 		lost float64 // carried out without a reply
 		late float64 // carried out seconds later without a reply
 		drop float64 // neither carried out nor replied to
+		slow float64 // carried out, and replied to just before the timeout
 	}
 
 	// leader is a core with its connection to the store.
@@ -127,13 +132,13 @@
 	sim := &simulation{
 		rng: rand.New(rand.NewPCG(seed, 1)), now: startTime, downtime: 3 * time.Second, workers: map[string]runner.Worker{}, unreachable: map[string]bool{},
 		jobs: map[string]batch.Job{}, plans: map[string][]taskPlan{}, cancelled: map[string]time.Time{},
-		records: map[string]batch.Record{}, endTimes: map[string]time.Time{},
+		records: map[string]batch.Record{}, endTimes: map[string]time.Time{}, lapsed: map[string]bool{},
 		policy: &batch.Policy{Version: 1, Queues: []batch.Queue{
 			queueOf(0), queueOf(1), queueOf(2),
 		}, Workspaces: []batch.Workspace{{Name: "a", Guaranteed: 16}, {Name: "b", Guaranteed: 16}}},
 	}
 	sim.fleet = runsim.NewFleet(startTime, runsim.Config{
-		MaxLease: 10 * time.Second, GangTimeout: 3 * time.Second, CheckpointInterval: 2 * time.Second, EndPageSize: endPageSize, Plan: sim.planOf, Crashed: sim.restartCrashed,
+		MaxLease: 10 * time.Second, GangTimeout: 3 * time.Second, CheckpointInterval: 2 * time.Second, EndPageSize: endPageSize, Plan: sim.planOf, Crashed: sim.restartCrashed, Acknowledged: sim.checkAcknowledged,
 	})
 	return sim
 }
@@ -251,9 +256,11 @@
 			cf.Records = append(cf.Records, rc)
 		}
 	}
+	cf.StoreReturnedAt = sim.storeReturnedAt
 	for _, id := range slices.Sorted(maps.Keys(sim.workers)) {
-		wk := sim.workers[id]
-		cf.Workers = append(cf.Workers, wk)
+		if !sim.lapsed[id] {
+			cf.Workers = append(cf.Workers, sim.workers[id])
+		}
 	}
 	if sim.leader != nil && !sim.leader.partitioned {
 		sim.leader.dead = true
@@ -276,7 +283,7 @@
 // notify sends an event from the store to the current leader.
 func (sim *simulation) notify(ev domain.Event) {
 	if le := sim.leader; le != nil {
-		sim.after(storeDelay, func() {
+		sim.after(storeDelay+max(0, sim.awayUntil.Sub(sim.now)), func() {
 			if !le.partitioned {
 				sim.handle(le, ev)
 			}
@@ -352,7 +359,7 @@
 	if le.dead {
 		return
 	}
-	if le.partitioned {
+	if le.partitioned || sim.now.Before(sim.awayUntil) {
 		sim.after(commitRetry, func() { sim.commit(le, cm) })
 		return
 	}
@@ -396,9 +403,13 @@
 		sim.after(networkDelay, func() { _ = do() })
 		lost()
 	default:
+		replyDelay := networkDelay
+		if draw < fa.drop+fa.late+fa.lost+fa.slow {
+			replyDelay = time.Duration(sim.rng.Float64() * float64(callTimeout))
+		}
 		sim.after(networkDelay, func() {
 			err := do()
-			sim.after(networkDelay, func() { sim.handle(le, outcome(err)) })
+			sim.after(replyDelay, func() { sim.handle(le, outcome(err)) })
 		})
 	}
 }
@@ -421,7 +432,11 @@
 			sim.after(50*time.Millisecond, try)
 			return
 		}
-		sim.after(networkDelay, func() {
+		replyDelay := networkDelay
+		if sim.faults.slow > 0 && sim.rng.Float64() < sim.faults.slow {
+			replyDelay = time.Duration(sim.rng.Float64() * float64(callTimeout+until.Sub(sim.now)))
+		}
+		sim.after(replyDelay, func() {
 			if err != nil {
 				fail(err)
 				return
@@ -486,7 +501,7 @@
 // check returns violated invariants, and jobs whose stored state does not agree
 // with what has run.
 func (sim *simulation) check() []string {
-	violations := slices.Clone(sim.fleet.Violations)
+	violations := slices.Concat(sim.fleet.Violations, sim.violations)
 	for _, id := range sim.accepted {
 		jb := sim.jobs[id]
 		if sim.state(id) == batch.Failed && !sim.mayHaveFailed(jb) {
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -23,6 +23,7 @@
 		EndPageSize        int           // largest number of ends in the reply to a poll; zero for no limit
 		Plan               func(ti batch.TaskID) Plan
 		Crashed            func(worker string) // called when a task has crashed its worker; may be nil
+		Acknowledged       func(en runner.End) // called when an end is acknowledged whose worker's leases have not expired since; may be nil
 	}
 
 	// Plan describes what a task does and which rules its starts must obey.
@@ -396,6 +397,7 @@
 			fl.recordViolation("%s runs twice: attempt %d on %s, attempt %d on %s", rq.Task, ru.attempt, other.id, rq.Attempt, wo.id)
 		}
 	}
+	fl.checkUnacknowledged(rq, pl)
 	if fl.ackedSuccesses[rq.Task] {
 		fl.recordViolation("%s attempt %d starts after it had succeeded", rq.Task, rq.Attempt)
 	}
@@ -426,6 +428,27 @@
 	}
 }
 
+// checkUnacknowledged records a violation if a worker that runs still lists the
+// success of a task that is started, and its leases have not expired since.
+func (fl *Fleet) checkUnacknowledged(rq runner.StartRequest, pl Plan) {
+	for _, wo := range fl.workers {
+		for i, en := range wo.ends {
+			same := en.Task == rq.Task || pl.Gang > 0 && en.Task.Job == rq.Task.Job && en.Task.Occurrence == rq.Task.Occurrence && en.Task.Step == rq.Task.Step
+			if same && en.Reason == runner.Succeeded && wo.expiredAt.Before(wo.endedAt[i]) && !fl.now.After(wo.leaseEnd()) {
+				fl.recordViolation("%s attempt %d starts although %s lists its success", rq.Task, rq.Attempt, wo.id)
+			}
+		}
+	}
+}
+
+// Misdirect makes calls that expect a worker fail with ErrRestarted: another one has
+// its address.
+func (fl *Fleet) Misdirect(id string) {
+	if _, ok := fl.workers[id]; !ok {
+		fl.replaced[id] = true
+	}
+}
+
 // checkCrashes records a violation if a task that crashes its workers is started
 // too often.
 func (fl *Fleet) checkCrashes(rq runner.StartRequest, pl Plan) {
@@ -518,11 +541,15 @@
 		case !wo.expiredAt.Before(at):
 			// A lease expired after this end, so the scheduler that acknowledges
 			// it may have restarted the task in the meantime.
+			continue
 		case en.Reason == runner.Succeeded:
 			fl.ackedSuccesses[en.Task] = true
 		case en.Reason == runner.Failed:
 			fl.ackedFailures[en.Task]++
 		}
+		if fl.cfg.Acknowledged != nil {
+			fl.cfg.Acknowledged(en)
+		}
 	}
 }
 
