--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -148,8 +148,7 @@
 	maxRunTimeMillis = 1 << 40 // declared run time of a task
 	maxAmount        = 1 << 30 // of each kind, in its unit
 
-	// maxJobTasks bounds the tasks of all occurrences of a job, which the
-	// scheduler holds in memory.
+	// maxJobTasks bounds the tasks of all occurrences of a job.
 	maxJobTasks = MaxSteps * MaxTasks
 	// maxYear is the last year that the stored form of a time can express.
 	maxYear = 9999
--- a/internal/domain/doc.go
+++ b/internal/domain/doc.go
@@ -21,7 +21,12 @@
 //     task has ended, or until the lease of the task has expired even on the
 //     slowest clock that is allowed for (maxClockDrift).
 //   - The end of a task is acknowledged to the worker only after the record
-//     that accounts for it is in the store.
+//     that accounts for it is in the store, also if the attempt was given up.
+//   - A run that its worker does not list has ended only if the reply is the
+//     latest one and its list of ends is whole (runner.Status.ShowsAbsence). A
+//     worker has ended only if it, or its address, says so, or its leases have
+//     expired; entries in the store alone end nothing.
+//   - Only occurrences that are due have units in memory.
 //   - Every action carries the fencing token of one term. The holder of a
 //     larger token ends this core.
 package domain
--- a/internal/domain/occurrence.go
+++ b/internal/domain/occurrence.go
@@ -62,6 +62,9 @@
 	for len(jb.units) > 0 && !slices.ContainsFunc(jb.units[:n], (*unit).isOpen) {
 		jb.units = slices.Delete(jb.units, 0, n)
 		jb.stepUnitsLeft = slices.Delete(jb.stepUnitsLeft, 0, len(jb.Steps))
+		for stepIndex := range jb.Steps {
+			delete(jb.advice, stepKey{jb.firstOpen, stepIndex})
+		}
 		jb.firstOpen++
 	}
 }
