--- a/internal/domain/commit.go
+++ b/internal/domain/commit.go
@@ -139,8 +139,8 @@
 }
 
 // countWaitingJobs returns the number of jobs of each queue that have not begun,
-// the tasks left in evacuated zones and the memory in use. It returns nil if none has changed,
-// or if waitingCountInterval has not passed since the last count. Jobs with a
+// the tasks left in evacuated zones and the memory in use. It returns nil if none of
+// them has changed, or if waitingCountInterval has not passed since the last count. Jobs with a
 // schedule, and those accepted less than waitingCountInterval ago, don't count.
 func (co *Core) countWaitingJobs(now time.Time) *batch.Backlog {
 	if now.Sub(co.commits.countedAt) < waitingCountInterval {
--- a/internal/domain/crash.go
+++ b/internal/domain/crash.go
@@ -79,8 +79,8 @@
 }
 
 // isGuilty reports whether a task has crashed so many workers that it is given
-// up. The arguments describe its runs of which it is unknown whether their workers
-// have crashed.
+// up. open counts its runs of which it is unknown whether their workers have
+// crashed.
 func (ch crashHistory) isGuilty(open openRuns) bool {
 	if ch.lone+open.lone >= maxLoneCrashes {
 		return true
