intake: let no submission wait for the report of the memory unless it may decide

What callers saw: a submission got no response within its deadline, while the network between a host and the store dropped responses.

Cause: read what the scheduler says of its memory before each write that was due for it, for up to 0.8 s, and again for each submission as long as the read failed.

Change: the read goes on beside the submission, at most one a second; a submission waits for it 0.25 s at most, and only if the job is large or half of the limit is in use.

Evidence: TestSubmissionsDoNotWaitForTheReport failed before (16 s for 20 submissions).

--- a/internal/intake/memory.go
+++ b/internal/intake/memory.go
@@ -13,10 +13,10 @@
 // what the scheduler reported last, and what this host has accepted since.
 type stateGauge struct {
 	mu       sync.Mutex
-	held     int64 // bytes, as reported
-	accepted int64 // bytes, by this host since the report was read
-	readAt   time.Duration
-	read     bool
+	held     int64         // bytes, as reported
+	accepted int64         // bytes, by this host since the report was read
+	triedAt  time.Duration // uptime at which the report was last read, or could not be
+	tried    bool
 }
 
 const (
@@ -25,11 +25,16 @@
 	// use, since several hosts accept jobs at the same time.
 	stateReadInterval     = 10 * time.Second
 	stateBusyReadInterval = time.Second
+	// stateReadTimeout bounds the time for which a submission waits for that read.
+	stateReadTimeout = 250 * time.Millisecond
 	// stateRetryAfter is the retry-after time in refusals for want of memory, which
 	// becomes free as jobs end.
 	stateRetryAfter = 10 * time.Second
 	// maxJobShare is the part of the limit that one job may need.
 	maxJobShare = 2 // a half
+	// largeJobShare is the part of the limit from which a job waits for the
+	// scheduler's report. Other jobs do so only beyond half of the limit.
+	largeJobShare = 16
 )
 
 // checkState returns an error if the scheduler may not have the memory for another
@@ -41,7 +46,7 @@
 		return codes.New(codes.ShapeTooLarge, "the job has %d tasks that may be due at once, which need more than half of a scheduler's memory", jb.UnitsPerOccurrence())
 	}
 	if in.state.due(up, need, limit) {
-		in.readState(ctx, up)
+		in.refreshState(ctx, up, need, limit)
 	}
 	if in.state.fits(need, limit) {
 		return nil
@@ -52,10 +57,25 @@
 	return codes.New(codes.QueueFull, "the accepted jobs need all of the memory that the scheduler has for them").WithRetryAfter(stateRetryAfter)
 }
 
+// refreshState reads the scheduler's report. A submission waits for it only if it
+// may decide: callers have deadlines, and the store may not respond.
+func (in *Intake) refreshState(ctx context.Context, up time.Duration, need, limit int64) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stateReadTimeout)
+	done := make(chan struct{})
+	go func() {
+		defer cancel()
+		defer close(done)
+		in.readState(ctx, up)
+	}()
+	if in.state.mayExceed(need, limit) {
+		<-done
+	}
+}
+
 // readState reads the scheduler's report. If that fails, the last one remains in
 // use.
 func (in *Intake) readState(ctx context.Context, up time.Duration) {
-	en, err := in.read(ctx, up, batch.BacklogKey)
+	en, _, err := in.cfg.Store.Get(ctx, batch.BacklogKey)
 	if err != nil {
 		in.cfg.Log.Debug("the scheduler's report can't be read", "event", "stateUnread", "reason", err)
 		return
@@ -73,15 +93,26 @@
 }
 
 // due reports whether the scheduler's report should be read before a job with a
-// footprint is accepted.
+// footprint is accepted, and takes it for read then, so that one caller reads it.
 func (sg *stateGauge) due(up time.Duration, need, limit int64) bool {
 	sg.mu.Lock()
 	defer sg.mu.Unlock()
-	age := up - sg.readAt
+	interval := stateReadInterval
 	if sg.held+sg.accepted+need > limit/2 {
-		return !sg.read || age >= stateBusyReadInterval
+		interval = stateBusyReadInterval
 	}
-	return !sg.read || age >= stateReadInterval
+	if sg.tried && up-sg.triedAt < interval {
+		return false
+	}
+	sg.triedAt, sg.tried = up, true
+	return true
+}
+
+// mayExceed reports whether the scheduler's report may decide about a job.
+func (sg *stateGauge) mayExceed(need, limit int64) bool {
+	sg.mu.Lock()
+	defer sg.mu.Unlock()
+	return sg.held+sg.accepted+need > limit/2 || need > limit/largeJobShare
 }
 
 // fits reports whether a job with a footprint fits beside what is held.
@@ -95,7 +126,7 @@
 func (sg *stateGauge) reported(up time.Duration, held int64) {
 	sg.mu.Lock()
 	defer sg.mu.Unlock()
-	sg.held, sg.accepted, sg.readAt, sg.read = held, 0, up, true
+	sg.held, sg.accepted, sg.triedAt, sg.tried = held, 0, up, true
 }
 
 // add counts a job that this host has accepted.
--- a/internal/intake/memory_test.go
+++ b/internal/intake/memory_test.go
@@ -13,6 +13,7 @@
 	"github.com/cicadawharf/cicadawharf/internal/batch"
 	"github.com/cicadawharf/cicadawharf/internal/fakes/kvsim"
 	"github.com/cicadawharf/cicadawharf/internal/intake"
+	"github.com/cicadawharf/cicadawharf/internal/store"
 	"github.com/cicadawharf/cicadawharf/pkg/codes"
 )
 
@@ -104,3 +105,32 @@
 	is.Equal(code, codes.ShapeTooLarge)
 	is.Equal(after, time.Duration(0))
 }
+
+// silentBacklog is a store that never returns the scheduler's report.
+type silentBacklog struct{ store.TxnStore }
+
+func (sb silentBacklog) Get(ctx context.Context, key string) (store.Entry, store.Revision, error) {
+	if key == batch.BacklogKey {
+		<-ctx.Done()
+		return store.Entry{}, 0, store.ErrUnavailable
+	}
+	return sb.TxnStore.Get(ctx, key)
+}
+
+// TestSubmissionsDoNotWaitForTheReport guards against submissions that miss their
+// deadlines since they wait for the scheduler's report of its memory, one after the
+// other, while the store does not return it.
+func TestSubmissionsDoNotWaitForTheReport(t *testing.T) {
+	is := is.New(t)
+	mh := newMemoryHost(t)
+	mh.in = intake.New(intake.Config{
+		Store: silentBacklog{mh.store.Client(t, time.Second)}, PolicyKey: "policy", Decode: decodePolicy, MaxPolicyAge: time.Hour,
+		Log: slog.New(slog.DiscardHandler),
+	})
+	began := time.Now()
+	for i := range 20 {
+		code, _ := mh.submit(time.Duration(i)*time.Second, fmt.Sprintf("j%02d", i), 1)
+		is.Equal(code, codes.Code(0))
+	}
+	is.True(time.Since(began) < time.Second)
+}
