domain: play crashes at varying ages over takeovers, too

TestCrashesCountAcrossTakeovers played tasks that crash their workers at once alone, so that nothing showed the count over all ages to outlast a scheduler. It plays three variants at varying ages beside them now; all pass. A test alone, no code changed.

--- a/internal/domain/crash_test.go
+++ b/internal/domain/crash_test.go
@@ -103,7 +103,7 @@
 // or after the last crash is noticed. It guards against a count of crashes that
 // is lost with the memory of a scheduler.
 func TestCrashesCountAcrossTakeovers(t *testing.T) {
-	for _, cv := range crashVariants[:3] {
+	for _, cv := range slices.Concat(crashVariants[:3], crashVariants[7:10]) { // at once, and at varying ages
 		for _, period := range []time.Duration{700 * time.Millisecond, 2900 * time.Millisecond, 3300 * time.Millisecond, 5 * time.Second} {
 			t.Run(fmt.Sprintf("%s/%v", cv.name, period), func(t *testing.T) {
 				sim := cv.start()
@@ -157,7 +157,7 @@
 // crash, and replaces it after that. It guards against a next attempt that
 // starts before the crash of the last one is stored.
 func TestCrashesCountWithoutStore(t *testing.T) {
-	for _, cv := range crashVariants[:3] {
+	for _, cv := range slices.Concat(crashVariants[:3], crashVariants[7:10]) { // at once, and at varying ages
 		t.Run(cv.name, func(t *testing.T) {
 			sim := cv.start()
 			for range 12 {
