domain: name the hold of each job that stands still, once a second

The log and the metrics could not tell why accepted work stood still: 'waits' counts units that wait for room, and a unit that is believed to run, that is being stopped, or that finds room only on reserved workers looked the same.

The core now determines, for each job of which nothing runs although a task's turn has come, the one condition that decides, since when and until when. Up to five lines event=held and counts by reason (cicadawharf_domain_held_jobs, cicadawharf_domain_held_oldest_seconds) come once a second. Work that waits because there is no room is counted and not logged.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -57,9 +57,12 @@
 		groupCount          int     // number of groups in the last pass
 		coreFraction        float64 // CPU cores available to the scheduler, at most 1; zero if unknown
 		backlogReportedAt   time.Time
-		backlogged          bool             // some units waited at the last report
-		stuckStopsCheckedAt time.Time        // when unconfirmed stops were last searched for
-		queueUsage          map[string]usage // by queue; no entry if nothing of the queue runs
+		backlogged          bool // some units waited at the last report
+		holdsReportedAt     time.Time
+		holding             bool               // some jobs stood still at the last report
+		heldSince           map[*job]time.Time // since when jobs stand still
+		stuckStopsCheckedAt time.Time          // when unconfirmed stops were last searched for
+		queueUsage          map[string]usage   // by queue; no entry if nothing of the queue runs
 		detector            failureDetector
 		fair                *fairness
 		fairShares          bool // see Config
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -182,6 +182,15 @@
 		Accelerators AcceleratorCounts
 	}
 
+	// HoldReport reports the jobs of which nothing runs although they have a task
+	// whose turn has come, after a pass, at most once a second while there are any,
+	// and once more when there are none.
+	HoldReport struct {
+		Jobs   map[HoldReason]int           // number of jobs
+		Oldest map[HoldReason]time.Duration // for which a job has stood still
+		Holds  []Hold                       // the oldest ones but for those that wait for room
+	}
+
 	// EvacuationReport reports the tasks left in evacuated availability zones
 	// when they change, at most once a second.
 	EvacuationReport struct{ Zones []ZoneStatus }
@@ -311,6 +320,7 @@
 func (Forget) effect()           {}
 func (LogDecision) effect()      {}
 func (BacklogReport) effect()    {}
+func (HoldReport) effect()       {}
 func (EvacuationReport) effect() {}
 func (HealthReport) effect()     {}
 func (StateReport) effect()      {}
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -79,6 +79,7 @@
 	co.placeGroups(ps, ugs)
 	co.evacuateNext(ps)
 	co.reportBacklog(ps, ugs)
+	co.reportHolds(ps)
 }
 
 // placeGroup places the units of a group that fit. If an interchangeable unit
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -45,6 +45,7 @@
 		clockSkew         time.Duration // of the clock of the host that accepts jobs
 		decisions         []domain.LogDecision
 		backlogReports    []domain.BacklogReport
+		holdReports       []domain.HoldReport
 		healthReports     []domain.HealthReport
 		tickets           map[string]map[string]string // by job and worker, for queues that need advice
 		adviceCalls       int                          // number of calls to the advice service
@@ -331,6 +332,8 @@
 		sim.log = append(sim.log, fmt.Sprintf("%s token %d %+v", sim.now.Format("05.000"), le.token, ef))
 	case domain.BacklogReport:
 		sim.backlogReports = append(sim.backlogReports, ef)
+	case domain.HoldReport:
+		sim.holdReports = append(sim.holdReports, ef)
 	case domain.EvacuationReport:
 		sim.evacuationReports = append(sim.evacuationReports, ef)
 	case domain.HealthReport:
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -91,6 +91,7 @@
 		revisions      *revisionTable
 		waves          *waveDriver     // nil if machines need no maintenance
 		waitGauges     map[string]bool // registered gauges of waiting work
+		holdGauges     map[string]bool // registered gauges of jobs that stand still
 		zoneGauges     map[string]bool // registered gauges of evacuated zones
 		overload       overloadDetector
 		monitor        watchMonitor
@@ -161,6 +162,7 @@
 	te.Scheduler.isLeader.Store(true)
 	defer te.Scheduler.isLeader.Store(false)
 	defer te.setBacklogGauges(domain.BacklogReport{})
+	defer te.setHoldGauges(domain.HoldReport{})
 	defer te.setEvacuationGauges(domain.EvacuationReport{})
 	defer setHealthGauges(domain.HealthReport{})
 	defer setStateGauges(domain.StateReport{})
@@ -294,6 +296,9 @@
 		te.setBacklogGauges(ef)
 		te.logBacklog(ef)
 		te.logUsage(ef)
+	case domain.HoldReport:
+		te.setHoldGauges(ef)
+		te.logHolds(time.Now(), ef)
 	case domain.EvacuationReport:
 		te.setEvacuationGauges(ef)
 		te.logEvacuation(ef)
--- a/internal/drive/log.go
+++ b/internal/drive/log.go
@@ -69,6 +69,24 @@
 	}
 }
 
+// logHolds logs one line for each of the jobs that have stood still for the longest
+// time although there may be room for them, with the hold that decides.
+func (te *term) logHolds(now time.Time, hr domain.HoldReport) {
+	for _, ho := range hr.Holds {
+		args := []any{
+			"event", "held", "job", ho.Job, "task", ho.Task, "queue", ho.Queue, "attempt", ho.Attempt,
+			"hold", ho.Reason, "age", now.Sub(ho.Since).Round(time.Millisecond), "jobs", hr.Jobs[ho.Reason],
+		}
+		if !ho.Until.IsZero() {
+			args = append(args, "left", ho.Until.Sub(now).Round(time.Millisecond))
+		}
+		if len(ho.Workers) > 0 {
+			args = append(args, "workers", ho.Workers)
+		}
+		te.log.Info("nothing of a job runs although a task's turn has come", args...)
+	}
+}
+
 // logEvacuation logs one line for each evacuated availability zone.
 func (te *term) logEvacuation(er domain.EvacuationReport) {
 	for _, zl := range er.Zones {
--- a/internal/drive/metrics.go
+++ b/internal/drive/metrics.go
@@ -66,6 +66,22 @@
 	acceleratorGauge("kept").Set(float64(br.Accelerators.Reserved))
 }
 
+// setHoldGauges sets the gauges of the jobs that stand still and unregisters those
+// of other reasons.
+func (te *term) setHoldGauges(hr domain.HoldReport) {
+	present := map[string]bool{}
+	set := func(value float64, format string, reason domain.HoldReason) {
+		name := fmt.Sprintf(format, reason)
+		present[name] = true
+		metrics.GetOrCreateGauge(name, nil).Set(value)
+	}
+	for reason, n := range hr.Jobs {
+		set(float64(n), "cicadawharf_domain_held_jobs{hold=%q}", reason)
+		set(hr.Oldest[reason].Seconds(), "cicadawharf_domain_held_oldest_seconds{hold=%q}", reason)
+	}
+	te.holdGauges = unregisterStale(te.holdGauges, present)
+}
+
 // setEvacuationGauges sets the gauges of evacuated availability zones and
 // unregisters those of other zones.
 func (te *term) setEvacuationGauges(er domain.EvacuationReport) {
