domain: let no reservation keep a service mostly unused for long

What callers saw: jobs with nothing running for tens of seconds although most workers of the service were free; several jobs of a workspace at once, and some of them moved later.

Cause: waiting gangs and large tasks reserve whole workers, up to twelve units in each pass, and nothing bounds that. If one of the reserved workers has a long task, the others stand idle until it ends, and each pass reserves them again. In a small fleet a few gangs reserve every worker.

Change: once reservations have kept less than half of a service in use for 1.5 s, no worker of it is reserved until more is in use. Small work and gangs that fit then start; a gang that needs more than the free half waits. In use are the core equivalents of runs, of the capacity of all listed workers, whether they take work or not.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -54,8 +54,9 @@
 		claimed             []*unit        // units with claims on nodes; some may have been released since
 		passDue             bool           // a placement pass is to follow as soon as passInterval permits
 		lastPass            time.Time
-		groupCount          int     // number of groups in the last pass
-		coreFraction        float64 // CPU cores available to the scheduler, at most 1; zero if unknown
+		idleReservations    map[string]time.Time // see updateIdleReservations; by service
+		groupCount          int                  // number of groups in the last pass
+		coreFraction        float64              // CPU cores available to the scheduler, at most 1; zero if unknown
 		backlogReportedAt   time.Time
 		backlogged          bool // some units waited at the last report
 		holdsReportedAt     time.Time
@@ -100,6 +101,8 @@
 		silences:     map[string]silence{},
 		openLosses:   newOpenLosses(),
 
+		idleReservations: map[string]time.Time{},
+
 		storeReturnedAt: cf.StoreReturnedAt,
 		stateLimit:      cmp.Or(cf.StateLimit, batch.StateLimit(0)),
 	}
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -19,6 +19,7 @@
 		unplaceable    map[fitKey]bool
 		reservations   int                // number of units with reserved workers
 		reserved       map[*node]bool     // for waiting gangs and large tasks
+		reserving      map[string]bool    // services with units for which workers are to be reserved
 		victims        map[*node][]victim // see victimsOn
 		minTrust       map[*unit]trust    // see Core.minTrust
 
@@ -63,7 +64,7 @@
 func newPass(now time.Time) *pass {
 	return &pass{
 		now: now, nodesByService: map[string][]*node{}, racksByService: map[string][][]*node{}, nodesByDemand: map[demand][]*node{}, unplaceable: map[fitKey]bool{},
-		reserved: map[*node]bool{}, victims: map[*node][]victim{}, minTrust: map[*unit]trust{},
+		reserved: map[*node]bool{}, reserving: map[string]bool{}, victims: map[*node][]victim{}, minTrust: map[*unit]trust{},
 	}
 }
 
@@ -77,6 +78,7 @@
 	co.groupCount = len(ugs)
 	ugs = co.placeOnProbation(ps, ugs)
 	co.placeGroups(ps, ugs)
+	co.updateIdleReservations(ps)
 	co.evacuateNext(ps)
 	co.reportBacklog(ps, ugs)
 	co.reportHolds(ps)
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -317,8 +317,12 @@
 
 // coreEquivalents returns the cores of a unit, with acceleratorCores for each
 // accelerator.
-func (un *unit) coreEquivalents() int {
-	return un.tasks * (un.step.Needs.MilliCPU/1000 + acceleratorCores*un.step.Needs.Accelerators)
+func (un *unit) coreEquivalents() int { return un.tasks * coreEquivalents(un.step.Needs) }
+
+// coreEquivalents returns the cores of an amount of resources, with acceleratorCores
+// for each accelerator.
+func coreEquivalents(rs batch.Resources) int {
+	return rs.MilliCPU/1000 + acceleratorCores*rs.Accelerators
 }
 
 // placeClaimed places the units whose claimed capacity is free.
