domain: count no leases anew when a worker restarts unless a start may be late

What callers saw: work of a worker that restarted and then went away, or was cut off, before it had replied to a call stood still for 22.6 s.

Cause: at each restart all leases on the worker were counted anew, as the longest delay of a call (12 s) and the longest lease (10.4 s). That is needed only for a start whose call may still reach the next incarnation under the same ID.

Change: a run keeps a time of its own, and only if its start is unconfirmed, was made twice, or is of a former term and was not listed since its calls must have arrived. The others end with the leases that were granted. callTwice says whether it made a call twice.

Evidence: TestWorkerThatRestartsAndVanishesHoldsNoWork failed before (in virtual time 22.6 s). TestLateStartOnRestartedWorkerIsWaitedFor passed before, and fails with this change if no start is waited for.

--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -53,8 +53,9 @@
 
 	// Started is the outcome of a Start.
 	Started struct {
-		Call Start
-		Err  error
+		Call     Start
+		Err      error
+		Repeated bool // the call was made twice, and only one may have a reply
 	}
 
 	// Stopped is the outcome of a Stop.
--- a/internal/domain/hold.go
+++ b/internal/domain/hold.go
@@ -175,8 +175,8 @@
 func (un *unit) explainRuns() (HoldReason, time.Time) {
 	var until time.Time
 	for _, ru := range un.runs {
-		if ru.stage != ended && (ru.node.unresponsive() || !ru.node.listed) && ru.node.leaseEnd.After(until) {
-			until = ru.node.leaseEnd
+		if ru.stage != ended && (ru.node.unresponsive() || !ru.node.listed) {
+			until = latest(until, ru.node.leaseEnd, ru.lateUntil)
 		}
 	}
 	switch {
@@ -189,6 +189,9 @@
 	}
 }
 
+// latest returns the latest of some times.
+func latest(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
+
 func claimedWorkers(un *unit) []string {
 	ids := map[string]bool{}
 	for _, nd := range un.claim {
--- a/internal/domain/loss_test.go
+++ b/internal/domain/loss_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cicadawharf/cicadawharf/internal/domain"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
 )
 
 // TestLostRunsTellTheirCause ends a worker in each way that loses its runs. It
@@ -60,3 +61,55 @@
 	sim.workers[id] = wk
 	sim.notify(domain.Listed{Worker: wk})
 }
+
+// calmLimit is how long work may stand still after the last trouble: the time until
+// it counts as calm, and maxIdleTime.
+const calmLimit = 4*time.Second + maxIdleTime
+
+// TestWorkerThatRestartsAndVanishesHoldsNoWork lets a worker come back, as its entry
+// says, and go away for good before it has replied to a call. It guards against
+// counting the leases of an attempt whose start was confirmed from the restart.
+func TestWorkerThatRestartsAndVanishesHoldsNoWork(t *testing.T) {
+	is := is.New(t)
+	sim := startSimulation(3)
+	sim.run(10 * time.Second)
+	sim.submitTasks("j", 1, 1)
+	sim.run(5 * time.Second)
+	id := sim.workerWith("j")
+	sim.unreachable[id] = true
+	sim.addWorker(id, 8)
+	sim.run(500 * time.Millisecond)
+	sim.vanish(id)
+	sim.run(calmLimit)
+	is.Equal(sim.fleet.Running("j"), 1)
+}
+
+// TestLateStartOnRestartedWorkerIsWaitedFor gives no reply to a start and restarts the
+// worker, where the start arrives late. It guards against a second run beside it.
+func TestLateStartOnRestartedWorkerIsWaitedFor(t *testing.T) {
+	for _, repeated := range []bool{false, true} {
+		is := is.New(t)
+		sc := newScriptedCore(domain.Config{}, "w1", "w2")
+		jb, _ := oneStepJob("j", 1, 1, time.Minute)
+		sc.handle(domain.Accepted{Job: jb})
+		sc.pass(tickInterval)
+		sc.commitAll()
+		starts := effectsOf[domain.Start](sc)
+		is.Equal(len(starts), 1)
+		var err error = runner.ErrOutcomeUnknown
+		if repeated {
+			err = nil // the second call got a reply
+		}
+		sc.handle(domain.Started{Call: starts[0], Err: err, Repeated: repeated})
+		wk := starts[0].Worker
+		wk.Born = 7
+		sc.handle(domain.Listed{Worker: wk})
+		sc.fail(wk.ID, runner.ErrOutcomeUnknown)
+		sc.pass(20 * time.Second)
+		sc.commitAll()
+		is.Equal(len(effectsOf[domain.Start](sc)), 1)
+		sc.pass(5 * time.Second)
+		sc.commitAll()
+		is.Equal(len(effectsOf[domain.Start](sc)), 2)
+	}
+}
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -186,8 +186,10 @@
 }
 
 // handleRestart resets the state of a worker that has restarted and lost all
-// that it knew and ran. A start may have reached the new incarnation already,
-// or may still reach it, so the next poll decides what runs there.
+// that it knew and ran. A start that is not confirmed may have reached the new
+// incarnation already, or may still reach it, so the next poll decides what runs
+// there. The leases of the former one still hold if the worker has not restarted,
+// since anybody may write an entry.
 func (co *Core) handleRestart(now time.Time, nd *node, born int64) {
 	co.emit(LogDecision{Decision: "reborn", Worker: nd.worker.ID, Reason: "the worker has restarted"})
 	for _, ru := range nd.runs {
@@ -195,9 +197,7 @@
 			ru.lostBy = loss{cause: Restarted.unlessDeparting(nd), age: ru.ageAtLoss(now)}
 		}
 		ru.stop.ackedAt = time.Time{}
-	}
-	if end := now.Add(maxCallDelay + maxLeaseTime); len(nd.runs) > 0 && end.After(nd.leaseEnd) {
-		nd.leaseEnd = end
+		ru.lateUntil = co.lateStartEnd(now, ru)
 	}
 	co.resetHealth(now, nd, len(nd.runs) > 0 && !nd.runsSuspected())
 	nd.worker.Born, nd.bornAt = born, now
@@ -233,10 +233,7 @@
 // endIncarnation ends all runs of a worker that certainly runs nothing any
 // more, and removes the worker unless it is listed.
 func (co *Core) endIncarnation(now time.Time, nd *node, cause LossCause) {
-	beside := len(nd.runs) - 1
-	for _, ru := range nd.sortedRuns() {
-		co.loseRun(now, ru, loss{cause: cause, age: ru.ageAtLoss(now)}, beside)
-	}
+	co.loseRuns(now, nd.sortedRuns(), cause)
 	if cause != LeaseExpired { // otherwise the worker may still wait for their acknowledgement
 		nd.pendingEnds = nil
 	}
@@ -247,6 +244,13 @@
 	co.considerPoll(nd)
 }
 
+// loseRuns ends runs of a worker that certainly do not run any more.
+func (co *Core) loseRuns(now time.Time, rus []*run, cause LossCause) {
+	for _, ru := range rus {
+		co.loseRun(now, ru, loss{cause: cause, age: ru.ageAtLoss(now)}, len(rus)-1)
+	}
+}
+
 // unresponsive reports whether the last call to a worker got no reply, or no
 // call got one yet.
 func (nd *node) unresponsive() bool {
@@ -268,17 +272,33 @@
 	if now.Before(nd.leaseEnd) {
 		return
 	}
-	if len(nd.runs) > 0 {
+	expired := nd.expiredRuns(now)
+	if len(expired) > 0 {
 		co.emit(LogDecision{Decision: "silent", Worker: nd.worker.ID, Reason: "the worker is unresponsive or no longer listed and all of its leases have expired; its tasks are considered ended"})
 		if !nd.runsSuspected() {
 			co.recordNodeFailure(now, nd, weightWorkerLost*maxJobPenalty)
 		}
 	}
-	if len(nd.runs) > 0 || !nd.listed {
+	switch {
+	case len(expired) < len(nd.runs):
+		co.loseRuns(now, expired, LeaseExpired)
+	case len(expired) > 0 || !nd.listed:
 		co.endIncarnation(now, nd, LeaseExpired)
 	}
 }
 
+// expiredRuns returns the runs of a worker whose leases have expired, given that
+// those of the worker have. A start that may still arrive grants a lease of its own.
+func (nd *node) expiredRuns(now time.Time) []*run {
+	var expired []*run
+	for _, ru := range nd.sortedRuns() {
+		if !now.Before(ru.lateUntil) {
+			expired = append(expired, ru)
+		}
+	}
+	return expired
+}
+
 // grantLease returns a new lease deadline on the worker's clock, and extends
 // leaseEnd to the time by which that lease has expired. It grants no lease, and
 // returns zero, as long as the worker's clock is unknown.
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -22,6 +22,8 @@
 		sentAt           time.Time // when its start was sent; zero if an earlier term may have started it
 		incarnation      uint32    // of its worker; zero if unknown
 		startLostAt      time.Time // when the reply to its start was lost
+		startRepeated    bool      // its start was sent twice, so a call without a reply may still arrive
+		lateUntil        time.Time // until when a start that reaches the worker's next incarnation late may run there; zero if none can
 		confirmedAt      time.Time // when its start was confirmed, or a poll first listed the run
 		listedAt         time.Time // when a poll last listed the run
 		lostBy           loss      // set if its worker has restarted since; see handleRestart
@@ -147,6 +149,25 @@
 	}
 }
 
+// lateStartEnd returns when every lease has expired of an attempt whose start may
+// reach another incarnation of the worker late, or zero if it can't: a start that was
+// sent once and got a reply, or one so old that each of its calls had arrived when
+// the worker last listed the run.
+func (co *Core) lateStartEnd(now time.Time, ru *run) time.Time {
+	sent := ru.sentAt
+	if sent.IsZero() {
+		sent = co.beganAt.Add(MaxRenewalAge) // the former term may have sent it until then
+	}
+	switch {
+	case ru.stage == planned, !ru.confirmedAt.IsZero() && !ru.sentAt.IsZero() && !ru.startRepeated:
+		return time.Time{}
+	case ru.listedAt.Sub(sent) >= maxCallDelay:
+		return time.Time{}
+	default:
+		return now.Add(maxCallDelay + maxLeaseTime)
+	}
+}
+
 // stopUnit stops every task of a unit that has not ended.
 func (co *Core) stopUnit(now time.Time, un *unit, reason string) {
 	un.setPhase(stopping)
@@ -246,6 +267,7 @@
 	if ru == nil || ru.stage != starting {
 		return
 	}
+	ru.startRepeated = ev.Repeated
 	switch {
 	case ev.Err == nil:
 		ru.stage = running
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -326,16 +326,16 @@
 	ctx, cancel := context.WithTimeout(te.ctx, callTimeout)
 	defer cancel()
 	began := time.Now()
-	err := callTwice(ctx, func(ctx context.Context) error { return te.cfg.Workers.Start(ctx, ef.Worker, ef.Request) })
+	repeated, err := callTwice(ctx, func(ctx context.Context) error { return te.cfg.Workers.Start(ctx, ef.Worker, ef.Request) })
 	countCall("start", began, err)
-	te.send(domain.Started{Call: ef, Err: err})
+	te.send(domain.Started{Call: ef, Err: err, Repeated: repeated})
 }
 
 func (te *term) stop(ef domain.Stop) {
 	ctx, cancel := context.WithTimeout(te.ctx, callTimeout)
 	defer cancel()
 	began := time.Now()
-	err := callTwice(ctx, func(ctx context.Context) error { return te.cfg.Workers.Stop(ctx, ef.Worker, ef.Request) })
+	_, err := callTwice(ctx, func(ctx context.Context) error { return te.cfg.Workers.Stop(ctx, ef.Worker, ef.Request) })
 	countCall("stop", began, err)
 	te.send(domain.Stopped{Call: ef, Err: err})
 }
--- a/internal/drive/repeat.go
+++ b/internal/drive/repeat.go
@@ -17,8 +17,8 @@
 // repeatDelay or was lost. A worker that leaves calls without a response and
 // carries them out seconds later would otherwise hold up a whole gang. It returns
 // the first response, but runner.ErrOutcomeUnknown in place of a refusal of one
-// call if the other may still take effect.
-func callTwice(ctx context.Context, call func(context.Context) error) error {
+// call if the other may still take effect, and whether it made the call twice.
+func callTwice(ctx context.Context, call func(context.Context) error) (repeated bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan error, 2)
@@ -34,16 +34,16 @@
 	select {
 	case first = <-results:
 		if !errors.Is(first, runner.ErrOutcomeUnknown) {
-			return first
+			return false, first
 		}
 		go resend()
 	case <-repeat.C:
 		go resend()
 		if first = <-results; isDecided(first) {
-			return first
+			return true, first
 		}
 	}
-	return combine(first, <-results)
+	return true, combine(first, <-results)
 }
 
 // isDecided reports whether the error of one call holds although another one was
