domain: let leases of a former term end within six seconds of a takeover

What callers saw: work of a worker that was lost shortly before the scheduler stood still for 11 s of the new term, 12.8 s in all, and a second takeover began the time anew.

Cause: a scheduler that the store does not answer went on for 5.5 s after the last renewal of its own lease, and granted leases of 6 s all the while. A successor that can't reach a worker had to wait for the sum.

Change: no lease on a worker lasts beyond 6.6 s after the last renewal that the store has confirmed. With a store that responds, leases are as long as before. When it responds again after more than a second, the leases on all workers with work are renewed at once, in addition to the long polls. The scheduler itself now goes on for 6.5 s, since its grants are bounded without that. A successor waits 5.9 s.

Evidence: TestTakeoversHoldNoWorkOfVanishedWorkers failed before, with one and with two takeovers.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -39,6 +39,7 @@
 	Core struct {
 		token               int64
 		beganAt             time.Time
+		leaseConfirmedAt    time.Time // see ConfirmLease; zero if the scheduler's own lease is not known
 		policy              *batch.Policy
 		jobs                map[string]*job
 		arrivals            []*job // in order of acceptance
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -223,8 +223,8 @@
 	// covers a change of leadership and one unanswered poll.
 	TaskLeaseTime = 6 * time.Second
 	// MaxRenewalAge is how long after the last renewal of its own lease a
-	// scheduler continues to renew leases on workers.
-	MaxRenewalAge = 5500 * time.Millisecond
+	// scheduler continues.
+	MaxRenewalAge = 6500 * time.Millisecond
 	// LeaderLeaseTime is the length of a scheduler's own lease. A successor
 	// begins no earlier than that after its predecessor's last renewal.
 	LeaderLeaseTime = time.Second
@@ -233,12 +233,16 @@
 	// replyMargin is added to the end of a lease to cover the latency of
 	// replies.
 	replyMargin = 200 * time.Millisecond
+	// maxGrantTime is how long after the last renewal of a scheduler's own lease the
+	// leases that it grants on workers may last. While the store does not respond,
+	// they get shorter with each grant.
+	maxGrantTime = 6600 * time.Millisecond
 	// formerLeaseTime is the time after which leases of an earlier term have
-	// expired on a worker that was never reached. The predecessor may renew them
-	// until MaxRenewalAge after its last renewal, and this term begins no earlier
-	// than LeaderLeaseTime after that. The last 500 ms cover a slow clock and
-	// the latency of replies, as maxClockDrift and replyMargin do.
-	formerLeaseTime = MaxRenewalAge - LeaderLeaseTime + TaskLeaseTime + 500*time.Millisecond
+	// expired on a worker that was never reached. The predecessor grants none beyond
+	// maxGrantTime after its last renewal, and this term begins no earlier than
+	// LeaderLeaseTime after that. The last 300 ms cover a slow clock since its last
+	// reading, as maxClockDrift does.
+	formerLeaseTime = maxGrantTime - LeaderLeaseTime + 300*time.Millisecond
 	// maxCallDelay bounds the time after which a call without a reply may still
 	// be carried out.
 	maxCallDelay = 12 * time.Second
--- /dev/null
+++ b/internal/domain/lease.go
@@ -0,0 +1,63 @@
+package domain
+
+import (
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/runner"
+)
+
+// ConfirmLease tells the core when the last renewal of the scheduler's own lease that
+// the store has confirmed was sent. After a time without one, leases on workers are
+// short, so those are renewed at once.
+func (co *Core) ConfirmLease(now, sent time.Time) {
+	if !sent.After(co.leaseConfirmedAt) {
+		return
+	}
+	shortened := !co.leaseConfirmedAt.IsZero() && now.Sub(co.leaseConfirmedAt) > shortLeaseAge
+	co.leaseConfirmedAt = sent
+	if !shortened {
+		return
+	}
+	for _, nd := range co.nodesByID() {
+		if len(nd.runs) > 0 && !nd.unresponsive() && nd.worker.Address != "" {
+			co.renewNow(now, nd)
+		}
+	}
+}
+
+// shortLeaseAge is the age of the last confirmation from which a lease on a worker is
+// so short that it is renewed at once when the store responds again.
+const shortLeaseAge = time.Second
+
+// renewNow renews the lease on a worker, in addition to the long poll, which has
+// granted a shorter one.
+func (co *Core) renewNow(now time.Time, nd *node) {
+	rq := runner.PollRequest{Token: co.token, Acked: nd.savedEnd, Deadline: co.grantLease(now, nd)}
+	co.emit(Poll{Worker: nd.worker, Sent: now, Request: rq, Extra: true})
+}
+
+// leaseTime returns the length of a lease that may be granted on a worker at present.
+// It is not limited if the scheduler's own lease is not known.
+func (co *Core) leaseTime(now time.Time) time.Duration {
+	if co.leaseConfirmedAt.IsZero() {
+		return TaskLeaseTime
+	}
+	return min(TaskLeaseTime, co.leaseConfirmedAt.Add(maxGrantTime).Sub(now))
+}
+
+// grantLease returns a new lease deadline on a worker's clock, and extends leaseEnd
+// to the time by which that lease has expired. It grants no lease, and returns zero,
+// as long as the worker's clock is unknown or the scheduler's own lease was not
+// renewed for maxGrantTime.
+func (co *Core) grantLease(now time.Time, nd *node) time.Duration {
+	lease := co.leaseTime(now)
+	if nd.clockAt.IsZero() || lease <= 0 {
+		return 0
+	}
+	deadline := nd.clock + now.Sub(nd.clockAt) + lease
+	span := time.Duration(float64(deadline-nd.clock)/(1-maxClockDrift)) + replyMargin
+	if end := nd.clockAt.Add(span); end.After(nd.leaseEnd) {
+		nd.leaseEnd = end
+	}
+	return deadline
+}
--- a/internal/domain/loss_test.go
+++ b/internal/domain/loss_test.go
@@ -113,3 +113,52 @@
 		is.Equal(len(effectsOf[domain.Start](sc)), 2)
 	}
 }
+
+// TestTakeoversHoldNoWorkOfVanishedWorkers lets a worker go away for good shortly
+// before the scheduler is killed, once or twice in a row. It guards against counting
+// leases of the former term for longer than it can have granted them.
+func TestTakeoversHoldNoWorkOfVanishedWorkers(t *testing.T) {
+	for _, takeovers := range []int{1, 2} {
+		is := is.New(t)
+		sim := startSimulation(3)
+		sim.run(10 * time.Second)
+		sim.submitTasks("j", 1, 1)
+		sim.run(5 * time.Second)
+		sim.vanish(sim.workerWith("j"))
+		killed := sim.now
+		for range takeovers {
+			sim.run(200 * time.Millisecond)
+			killed = sim.now
+			sim.leader.dead = true
+			sim.run(domain.LeaderLeaseTime)
+			sim.elect()
+		}
+		sim.run(calmLimit - sim.now.Sub(killed))
+		is.Equal(sim.fleet.Running("j"), 1)
+	}
+}
+
+// TestLeasesOutlastOutages has the store not respond for some seconds while work runs,
+// with the same scheduler before and after and with a new one. It guards against work
+// that is lost in outages that the platform announces.
+func TestLeasesOutlastOutages(t *testing.T) {
+	for _, expires := range []bool{false, true} {
+		is := is.New(t)
+		sim := startSimulation(3)
+		sim.submitTasks("j", 4, 1)
+		sim.run(10 * time.Second)
+		const outage = 5 * time.Second
+		sim.awayUntil = sim.now.Add(outage)
+		if expires {
+			sim.leader.partitioned = true
+		}
+		sim.run(outage)
+		if expires {
+			sim.leader.dead = true
+			sim.run(300 * time.Millisecond)
+			sim.elect()
+		}
+		sim.run(5 * time.Second)
+		is.Equal(sim.fleet.Starts, 4)
+	}
+}
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -299,21 +299,6 @@
 	return expired
 }
 
-// grantLease returns a new lease deadline on the worker's clock, and extends
-// leaseEnd to the time by which that lease has expired. It grants no lease, and
-// returns zero, as long as the worker's clock is unknown.
-func (nd *node) grantLease(now time.Time) time.Duration {
-	if nd.clockAt.IsZero() {
-		return 0
-	}
-	deadline := nd.clock + now.Sub(nd.clockAt) + TaskLeaseTime
-	span := time.Duration(float64(deadline-nd.clock)/(1-maxClockDrift)) + replyMargin
-	if end := nd.clockAt.Add(span); end.After(nd.leaseEnd) {
-		nd.leaseEnd = end
-	}
-	return deadline
-}
-
 // addRun adds a run to a node and allocates its capacity.
 func (co *Core) addRun(ru *run, nd *node) {
 	ru.node, ru.incarnation = nd, nd.worker.Incarnation()
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -23,7 +23,7 @@
 			// leases of an unresponsive worker without bound. An idle worker is
 			// polled, too, until it replies.
 		case len(nd.runs) > 0:
-			rq.Deadline = nd.grantLease(now)
+			rq.Deadline = co.grantLease(now, nd)
 			rq.Wait = pollWait
 			if len(nd.pendingEnds) > 0 {
 				rq.Wait = 0
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -144,7 +144,7 @@
 		ru.sentAt = now
 		co.emit(Start{Worker: ru.node.worker, Request: runner.StartRequest{
 			Token: co.token, Task: ru.task, Attempt: ru.attempt, Payload: un.job.Payload,
-			Checkpoint: un.checkpoint, Ticket: un.ticket(ru.node), Deadline: ru.node.grantLease(now),
+			Checkpoint: un.checkpoint, Ticket: un.ticket(ru.node), Deadline: co.grantLease(now, ru.node),
 		}})
 	}
 }
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -297,6 +297,9 @@
 	if le.dead {
 		return
 	}
+	if !le.partitioned && !sim.now.Before(sim.awayUntil) && le.token == sim.token {
+		le.core.ConfirmLease(sim.now, sim.now)
+	}
 	began := time.Now()
 	effects := le.core.Handle(sim.now, ev)
 	sim.handleTimes = append(sim.handleTimes, time.Since(began))
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -253,6 +253,7 @@
 
 func (te *term) handle(ev domain.Event) {
 	began := time.Now()
+	te.core.ConfirmLease(began, te.leaseConfirmedAt())
 	effects := te.core.Handle(began, ev)
 	eventTime.UpdateDuration(began)
 	for _, ef := range effects {
--- a/internal/drive/elect.go
+++ b/internal/drive/elect.go
@@ -224,8 +224,11 @@
 
 // leaseAge returns the time since the last successful renewal of the lease was
 // sent.
-func (te *term) leaseAge() time.Duration {
-	return time.Since(te.leaseRequested) - time.Duration(te.lastRenewal.Load())
+func (te *term) leaseAge() time.Duration { return time.Since(te.leaseConfirmedAt()) }
+
+// leaseConfirmedAt returns when the last successful renewal of the lease was sent.
+func (te *term) leaseConfirmedAt() time.Time {
+	return te.leaseRequested.Add(time.Duration(te.lastRenewal.Load()))
 }
 
 // recordRenewal records a successful renewal that was sent at the given time.
