domain: wait for a sign of life only of workers that the platform lists

What callers saw: a task whose worker was lost for good five times waited ten seconds more after each lease had expired.

Cause: a task that would be given up if its last worker had crashed is not started again for ten seconds, unless that worker shows up. A worker that went away for good never does, and nobody compared the ten seconds with what callers were promised.

Change: the wait is only for workers that the platform lists, and ends when the entry is gone. An entry outlives its worker by three heartbeats, which is less than the leases of the run.

Evidence: TestVanishedWorkersAreNoCrashesToWaitFor failed before.

--- a/internal/domain/loss_test.go
+++ b/internal/domain/loss_test.go
@@ -162,3 +162,19 @@
 		is.Equal(sim.fleet.Starts, 4)
 	}
 }
+
+// TestVanishedWorkersAreNoCrashesToWaitFor has one worker after another go away for
+// good under a task. It guards against a task that waits for signs of life of workers
+// that the platform no longer lists.
+func TestVanishedWorkersAreNoCrashesToWaitFor(t *testing.T) {
+	is := is.New(t)
+	sim := startSimulation(8)
+	sim.run(10 * time.Second)
+	sim.submitTasks("j", 1, 1)
+	sim.run(time.Second)
+	for range 6 {
+		sim.vanish(sim.workerWith("j"))
+		sim.run(calmLimit)
+		is.Equal(sim.fleet.Running("j"), 1)
+	}
+}
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -181,6 +181,7 @@
 		return
 	}
 	nd.listed = false
+	co.releaseHolds(id)
 	co.emit(LogDecision{Decision: "unlisted", Worker: id, Reason: "the platform no longer lists the worker"})
 	co.expireLeases(now, nd)
 }
--- a/internal/domain/openloss.go
+++ b/internal/domain/openloss.go
@@ -45,7 +45,8 @@
 	// worker of a lost run has crashed.
 	openLossRetention = time.Minute
 	// openLossHold is how long a task is not started again that would be given up
-	// if its last worker turned out to have crashed.
+	// if its last worker turned out to have crashed, as long as the platform lists
+	// that worker.
 	openLossHold = 10 * time.Second
 )
 
@@ -66,7 +67,7 @@
 	case LeaseExpired, GangEnded:
 		open := co.openLosses.count(lr)
 		co.openLosses.add(lr)
-		if un.crashes[lr.task.Index].withCrash(lr).isGuilty(open) {
+		if ru.node.listed && un.crashes[lr.task.Index].withCrash(lr).isGuilty(open) {
 			un.notBefore = now.Add(openLossHold)
 		}
 	}
@@ -111,6 +112,17 @@
 	}
 }
 
+// releaseHolds lets the tasks be started again that wait for a sign of life of a
+// worker that the platform no longer lists.
+func (co *Core) releaseHolds(worker string) {
+	for _, lr := range co.openLosses.byWorker[worker] {
+		if lr.worker.ID == worker {
+			lr.unit.notBefore = time.Time{}
+			co.passDue = true
+		}
+	}
+}
+
 // forgetOpenLosses drops open losses after openLossRetention.
 func (co *Core) forgetOpenLosses(now time.Time) {
 	co.openLosses.remove(func(lr *lostRun) bool { return now.Sub(lr.at) > openLossRetention })
