--- a/internal/domain/mixture_test.go
+++ b/internal/domain/mixture_test.go
@@ -42,7 +42,9 @@
 	}
 }
 
-func runMixture(t *testing.T, seed uint64) {
+// newMixture returns a mixture with six workers and a scheduler, in which a few calls
+// are lost or late.
+func newMixture(seed uint64) *mixture {
 	mx := &mixture{simulation: newSimulation(seed), counts: map[string]int{}}
 	for i := range 6 {
 		id := fmt.Sprintf("w%d%d", i%2, i)
@@ -53,13 +55,11 @@
 	mx.faults = faults{
 		lost: 0.03 * mx.rng.Float64(), late: 0.02 * mx.rng.Float64(), drop: 0.03 * mx.rng.Float64(), slow: 0.2 * mx.rng.Float64(),
 	}
-	for step := range 80 {
-		mx.run(time.Duration(mx.rng.IntN(600)) * time.Millisecond)
-		mx.inject(step)
-		if violations := mx.check(); len(violations) > 0 {
-			t.Fatalf("violations: %v\n%s", violations, mx.logTail())
-		}
-	}
+	return mx
+}
+
+// endTroubles ends all troubles, and elects a scheduler if there is none.
+func (mx *mixture) endTroubles() {
 	mx.clearFaults()
 	for _, id := range mx.ids {
 		mx.fleet.Fail(id, false)
@@ -68,6 +68,18 @@
 	if mx.leader.dead || mx.leader.partitioned {
 		mx.elect()
 	}
+}
+
+func runMixture(t *testing.T, seed uint64) {
+	mx := newMixture(seed)
+	for step := range 80 {
+		mx.run(time.Duration(mx.rng.IntN(600)) * time.Millisecond)
+		mx.inject(step)
+		if violations := mx.check(); len(violations) > 0 {
+			t.Fatalf("violations: %v\n%s", violations, mx.logTail())
+		}
+	}
+	mx.endTroubles()
 	mx.run(2 * time.Minute)
 	if violations := mx.check(); len(violations) > 0 {
 		t.Fatalf("violations: %v\n%s", violations, mx.logTail())
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -743,3 +743,17 @@
 	}
 	return fmt.Sprintf("%s/%d", ru.task.Job, work)
 }
+
+// Free returns the part of a worker's capacity that no attempt uses, or nothing if it
+// is not up.
+func (fl *Fleet) Free(id string) batch.Resources {
+	wo, ok := fl.workers[id]
+	if !ok {
+		return batch.Resources{}
+	}
+	free := wo.capacity
+	for _, ru := range wo.runs {
+		free = free.Minus(ru.plan.Needs)
+	}
+	return free
+}
