domain: test that suspended workers hold no work

A worker fails some tasks, is suspended and repaired, while all others are busy for an hour. Work that does not tolerate a failure (toleratesFailure) is not placed there until the suspension and the time for probation are over.

Measured: a gang and a task whose queue permits two attempts begin 24.1 s after the repair: 4 s of suspension, 20 s of probation; by the constants it may be 16 s + 20 s. The bound is 7 s, 4 s until it is calm and 3 s of calm. The test fails, no code changed.

--- a/internal/domain/hold_test.go
+++ b/internal/domain/hold_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/domain"
 )
 
 const (
@@ -31,6 +32,23 @@
 	}
 }
 
+// fillAllBut occupies all workers but one with work of an hour.
+func (sim *simulation) fillAllBut(idle string) {
+	jb, pl := oneStepJob("all", 1, len(sim.workers)-1, time.Hour)
+	jb.Workspace = "c"
+	jb.Steps[0].Needs.Accelerators = 8
+	jb.Steps[0].Label = "busy"
+	for id, wk := range sim.workers {
+		if id != idle {
+			wk.Labels = append(wk.Labels, "busy")
+			sim.workers[id] = wk
+			sim.notify(domain.Listed{Worker: wk})
+		}
+	}
+	sim.submit(jb, pl)
+	sim.run(time.Second)
+}
+
 // TestSmallTasksAreNotHeldByReservations makes gangs wait for whole workers, each of
 // which has some tasks that run for an hour. It guards against small tasks that stand
 // still beside these gangs, although most of the capacity is idle.
@@ -53,3 +71,52 @@
 	is.True(sim.begins("small", maxHold))
 	is.Equal(sim.check(), nil)
 }
+
+// TestWorkIsNotHeldForSuspendedWorkers repairs a worker that has failed tasks, while
+// all others are busy. It guards against work that does not run there, since the
+// worker is still suspended or on probation.
+func TestWorkIsNotHeldForSuspendedWorkers(t *testing.T) {
+	for name, change := range map[string]func(jb *batch.Job){
+		"gang":                          func(jb *batch.Job) { jb.Steps[0].Gang, jb.Steps[0].Tasks = true, 2 },
+		"task that may fail only twice": func(jb *batch.Job) { jb.Queue.Name, jb.Queue.MaxAttempts = "twice", 2 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim := startSimulation(4)
+			sim.fillAllBut("w00")
+			sim.fleet.Fail("w00", true)
+			for i := range 6 {
+				jb, pl := oneStepJob(fmt.Sprintf("f%d", i), 2, 1, 500*time.Millisecond)
+				sim.submit(jb, pl)
+			}
+			for len(sim.suspended()) == 0 {
+				sim.run(tickInterval)
+				if sim.now.Sub(startTime) > time.Minute {
+					t.Fatalf("no worker is suspended\n%s", sim.logTail())
+				}
+			}
+			sim.fleet.Fail("w00", false)
+			for id := range sim.jobs {
+				if id != "all" {
+					sim.cancel(id)
+				}
+			}
+			jb, pl := oneStepJob("j", 1, 1, 20*time.Second)
+			change(&jb)
+			sim.submit(jb, pl)
+			is.True(sim.begins("j", calmTime+maxHold))
+			is.Equal(sim.check(), nil)
+		})
+	}
+}
+
+// suspended returns the workers that have been suspended.
+func (sim *simulation) suspended() []string {
+	var ids []string
+	for _, ld := range sim.decisions {
+		if ld.Decision == "suspects" {
+			ids = append(ids, ld.Worker)
+		}
+	}
+	return ids
+}
