domain: test that last attempts are not held for busy workers

trustLevels leaves out the levels below one that enough workers would meet if they were empty (couldFit), until the job has lost all value. A last attempt so stands beside an idle worker on which it has failed, or which is suspected, while the others are busy for an hour.

Measured: 2m43s for a task of 20 s that has failed on the idle worker, 17.7 s for one whose queue permits one attempt while the idle worker is suspected; the bound is 7 s. The test fails, no code changed.

--- a/internal/domain/hold_test.go
+++ b/internal/domain/hold_test.go
@@ -32,6 +32,33 @@
 	}
 }
 
+// TestLastAttemptIsNotHeldForBusyWorkers leaves a worker idle that a last attempt
+// does not prefer, while work of an hour occupies the others. It guards against an
+// attempt that waits for these, as if they were empty, until its job has lost all
+// value.
+func TestLastAttemptIsNotHeldForBusyWorkers(t *testing.T) {
+	for _, name := range []string{"it failed there", "the worker is suspected"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim := startSimulation(2)
+			jb, pl := oneStepJob("j", 1, 1, 20*time.Second)
+			if name == "it failed there" {
+				sim.records["j"] = batch.Record{ID: "j", State: batch.Running, Units: []batch.UnitRecord{
+					{Attempt: 2, Failures: 2, FailedOn: []string{"w00"}},
+				}}
+			} else {
+				sim.policy.Queues[1].MaxAttempts = 1
+				sim.suspect("w00")
+			}
+			sim.fillAllBut("w00")
+			sim.submit(jb, pl)
+			sim.elect()
+			is.True(sim.begins("j", calmTime+maxHold))
+			is.Equal(sim.check(), nil)
+		})
+	}
+}
+
 // fillAllBut occupies all workers but one with work of an hour.
 func (sim *simulation) fillAllBut(idle string) {
 	jb, pl := oneStepJob("all", 1, len(sim.workers)-1, time.Hour)
@@ -49,6 +76,17 @@
 	sim.run(time.Second)
 }
 
+// suspect makes a worker suspected, but not suspended: two jobs fail there, one
+// of which could be the cause.
+func (sim *simulation) suspect(id string) {
+	sim.records["failed"] = batch.Record{ID: "failed", State: batch.Running, Units: []batch.UnitRecord{
+		{Attempt: 1, Failures: 1, FailedOn: []string{id}},
+	}}
+	jb, pl := oneStepJob("failed", 2, 1, time.Hour)
+	jb.Steps[0].Label = "none" // it does not run again
+	sim.submit(jb, pl)
+}
+
 // TestSmallTasksAreNotHeldByReservations makes gangs wait for whole workers, each of
 // which has some tasks that run for an hour. It guards against small tasks that stand
 // still beside these gangs, although most of the capacity is idle.
