domain: test that work is not held for its rack

localityWaitOver waits for the rack of the data, or for one rack for a gang, for 0.8 of the slack, whether that rack is busy for an hour or has no worker at all. The slack follows from the declared run time.

Measured: 33 s for a task of 20 s in all three cases; the bound is 3 s. The test fails, no code changed.

--- a/internal/domain/hold_test.go
+++ b/internal/domain/hold_test.go
@@ -110,6 +110,31 @@
 	is.Equal(sim.check(), nil)
 }
 
+// TestWorkIsNotHeldForItsRack leaves workers idle outside the rack of a task's data,
+// or in two racks together for a gang that needs one. It guards against work that
+// waits for a rack for most of the time until its objective, also if the rack has no
+// worker any more.
+func TestWorkIsNotHeldForItsRack(t *testing.T) {
+	for name, prepare := range map[string]func(sim *simulation, sp *batch.Step){
+		"the rack of the data is busy": func(sim *simulation, sp *batch.Step) { sim.fillAllBut("w11"); sp.DataRack = "r0" },
+		"the rack of the data is gone": func(_ *simulation, sp *batch.Step) { sp.DataRack = "r7" },
+		"a gang fits into no rack": func(_ *simulation, sp *batch.Step) {
+			sp.Gang, sp.OneRack, sp.Tasks, sp.Needs.Accelerators = true, true, 2, 8
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim := startSimulation(2)
+			jb, pl := oneStepJob("j", 1, 1, 20*time.Second)
+			prepare(sim, &jb.Steps[0])
+			sim.run(calmTime)
+			sim.submit(jb, pl)
+			is.True(sim.begins("j", maxHold))
+			is.Equal(sim.check(), nil)
+		})
+	}
+}
+
 // TestWorkIsNotHeldForSuspendedWorkers repairs a worker that has failed tasks, while
 // all others are busy. It guards against work that does not run there, since the
 // worker is still suspended or on probation.
