domain: test that idle workers get best-effort work again

bestEffortBlocked compares the end of the block with the time of the worker's last reply to a poll. Idle workers are not polled (sendPolls), so a worker on which nothing runs any more never gets best-effort work again before other work runs there.

The test fails, no code changed.

--- a/internal/domain/hold_test.go
+++ b/internal/domain/hold_test.go
@@ -32,6 +32,29 @@
 	}
 }
 
+// TestBestEffortWorkIsNotHeldByPastInterference ends the task whose latency
+// best-effort work raised. It guards against a worker that gets no best-effort work
+// as long as it is idle, since only replies to polls end its block and idle workers
+// are not polled.
+func TestBestEffortWorkIsNotHeldByPastInterference(t *testing.T) {
+	is := is.New(t)
+	sim := startSimulation(1)
+	serves, pl := longRunningJob("serves", 1)
+	serves.Steps[0].TargetLatency = 50 * time.Millisecond
+	sim.submit(serves, pl)
+	sim.run(time.Second)
+	sim.fleet.LatencyMillis[batch.TaskID{Job: "serves"}] = 80
+	sim.run(3 * time.Second)
+	sim.cancel("serves")
+	sim.run(calmTime)
+	is.Equal(sim.fleet.RunningOn("w00"), 0)
+	fill, pl := oneStepJob("fill", 2, 2, time.Second)
+	fill.Steps[0].BestEffort = true
+	sim.submit(fill, pl)
+	is.True(sim.begins("fill", maxHold))
+	is.Equal(sim.check(), nil)
+}
+
 // TestLastAttemptIsNotHeldForBusyWorkers leaves a worker idle that a last attempt
 // does not prefer, while work of an hour occupies the others. It guards against an
 // attempt that waits for these, as if they were empty, until its job has lost all
