domain: test that best-effort work holds no other work

fitKey does not say whether a step is best-effort work. Such a step reserves no processor time, so its key equals that of a step that needs none; once the one is blocked on all workers (bestEffortBlocked), the other is not tried, in every pass.

The test fails, no code changed.

--- a/internal/domain/hold_test.go
+++ b/internal/domain/hold_test.go
@@ -206,3 +206,25 @@
 	}
 	return ids
 }
+
+// TestUnitsThatFitAreNotHeldByBestEffortWork makes best-effort work wait since it
+// interfered on the only worker, and submits a task of the same size that needs no
+// processor time either. It guards against taking the two for interchangeable.
+func TestUnitsThatFitAreNotHeldByBestEffortWork(t *testing.T) {
+	is := is.New(t)
+	sim := startSimulation(1)
+	serves, pl := longRunningJob("serves", 1)
+	serves.Steps[0].TargetLatency = 50 * time.Millisecond
+	sim.submit(serves, pl)
+	sim.run(time.Second)
+	sim.fleet.LatencyMillis[batch.TaskID{Job: "serves"}] = 80
+	sim.run(calmTime)
+	for _, id := range []string{"fill", "other"} {
+		jb, pl := oneStepJob(id, 1, 1, 20*time.Second)
+		jb.Steps[0].Needs = batch.Resources{MemoryMB: 100}
+		jb.Steps[0].BestEffort = id == "fill"
+		sim.submit(jb, pl)
+	}
+	is.True(sim.begins("other", maxHold))
+	is.Equal(sim.check(), nil)
+}
