domain: test that tickets of former incarnations hold no work

A ticket counts for one life of a worker. advice keeps it over a restart until it expires, so each start there is refused and tried again, and the worker is not asked about.

The test fails, no code changed.

--- a/internal/domain/hold_test.go
+++ b/internal/domain/hold_test.go
@@ -228,3 +228,22 @@
 	is.True(sim.begins("other", maxHold))
 	is.Equal(sim.check(), nil)
 }
+
+// TestWorkIsNotHeldByTicketsOfFormerIncarnations restarts the only worker that may run
+// a step. It guards against starts with the ticket of the worker's former life, which
+// the worker refuses until the ticket expires.
+func TestWorkIsNotHeldByTicketsOfFormerIncarnations(t *testing.T) {
+	is := is.New(t)
+	sim := startSimulation(2)
+	sim.policy.Queues[1].Advised = true
+	sim.ticketTime = time.Minute
+	jb, pl := oneStepJob("j", 1, 1, 20*time.Second)
+	jb.Queue = sim.policy.Queues[1]
+	sim.tickets = map[string]map[string]string{"j": {"w00": "first life"}}
+	sim.submit(jb, pl)
+	is.True(sim.begins("j", maxHold))
+	sim.tickets["j"]["w00"] = "second life"
+	sim.addWorker("w00", 8)
+	is.True(sim.begins("j", calmTime+maxHold))
+	is.Equal(sim.check(), nil)
+}
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -1,6 +1,7 @@
 package domain_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"maps"
@@ -48,6 +49,7 @@
 		healthReports     []domain.HealthReport
 		tickets           map[string]map[string]string // by job and worker, for queues that need advice
 		adviceCalls       int                          // number of calls to the advice service
+		ticketTime        time.Duration                // validity of its tickets; zero for 3 s
 		log               []string                     // decisions of all leaders
 		handleTimes       []time.Duration              // real time that the core took for each event
 		fairShares        bool                         // see domain.Config
@@ -344,7 +346,7 @@
 // tickets.
 func (sim *simulation) advise(le *leader, ef domain.Advise) {
 	sim.adviceCalls++
-	ad := runner.Advice{Tickets: map[string]string{}, ValidFor: 3 * time.Second}
+	ad := runner.Advice{Tickets: map[string]string{}, ValidFor: cmp.Or(sim.ticketTime, 3*time.Second)}
 	for _, id := range ef.Request.Workers {
 		if text, allowed := sim.tickets[ef.Request.Job][id]; allowed {
 			ad.Tickets[id] = text
