domain: test that refusals of former incarnations hold no work

A worker may return under its ID as one of another kind. advice keeps the refusal of the former one forever, so that a step whose only allowed worker it is now never begins.

The test fails, no code changed.

--- a/internal/domain/hold_test.go
+++ b/internal/domain/hold_test.go
@@ -247,3 +247,21 @@
 	is.True(sim.begins("j", calmTime+maxHold))
 	is.Equal(sim.check(), nil)
 }
+
+// TestWorkIsNotHeldByRefusalsOfFormerIncarnations restarts a worker as one of another
+// kind, which may run a step that the former kind may not. It guards against a worker
+// that the advice service is never asked about again.
+func TestWorkIsNotHeldByRefusalsOfFormerIncarnations(t *testing.T) {
+	is := is.New(t)
+	sim := startSimulation(2)
+	sim.policy.Queues[1].Advised = true
+	jb, pl := oneStepJob("j", 1, 1, 20*time.Second)
+	jb.Queue = sim.policy.Queues[1]
+	sim.tickets = map[string]map[string]string{"j": {}}
+	sim.submit(jb, pl)
+	sim.run(time.Second)
+	sim.tickets["j"]["w00"] = "second life"
+	sim.addWorker("w00", 8)
+	is.True(sim.begins("j", calmTime+maxHold))
+	is.Equal(sim.check(), nil)
+}
