domain: test that claims hold no unit

A unit that preempts others waits for their ends with its claim. Its workers lose the stops, are cut off, do not reply or carry the stops out seconds later, and an idle worker is added.

The test passes, no code changed.

--- a/internal/domain/hold_test.go
+++ b/internal/domain/hold_test.go
@@ -265,3 +265,37 @@
 	is.True(sim.begins("j", calmTime+maxHold))
 	is.Equal(sim.check(), nil)
 }
+
+// TestClaimDoesNotHoldUnit lets urgent work preempt tasks whose stops are not
+// confirmed, and adds an idle worker. It guards against a unit that waits with its
+// claim although it could run elsewhere.
+func TestClaimDoesNotHoldUnit(t *testing.T) {
+	for name, lose := range map[string]func(sim *simulation, id string){
+		"the worker loses stops":    func(sim *simulation, id string) { sim.fleet.LoseStops(id) },
+		"the worker is cut off":     func(sim *simulation, id string) { sim.unreachable[id] = true },
+		"stops get no reply":        func(sim *simulation, _ string) { sim.faults.lost = 1 },
+		"stops arrive seconds late": func(sim *simulation, _ string) { sim.faults.late = 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim := startSimulation(2)
+			long, pl := oneStepJob("long", 2, 2, time.Hour)
+			long.Workspace = "c"
+			long.Steps[0].Needs.Accelerators = 8
+			sim.submit(long, pl)
+			sim.run(time.Second)
+			for id := range sim.workers {
+				lose(sim, id)
+			}
+			now, pl := oneStepJob("now", 0, 1, 20*time.Second)
+			now.Steps[0].Needs.Accelerators = 8
+			sim.submit(now, pl)
+			sim.run(50 * time.Millisecond)
+			is.True(sim.stops("long") > 0) // it is preempted
+			sim.addWorker("w02", 8)
+			sim.faults = faults{}
+			is.True(sim.begins("now", maxHold))
+			is.Equal(sim.check(), nil)
+		})
+	}
+}
