domain: watch calm in short steps, with entries written again and again

TestCalmHoldsNoWork looked each 100 ms, so it missed tasks that ran for less, and its workers wrote their entries once, so that an older entry that arrived after a newer one stayed. It looks each 20 ms now, its workers write their entries each 1.5 s as the platform's do, and no outage of the store lasts into the calm.

No code changed.

--- a/internal/domain/calm_test.go
+++ b/internal/domain/calm_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/domain"
 )
 
 // holdWatch measures for how long jobs have had nothing running although a task of
@@ -21,6 +22,8 @@
 	calmWorlds   = 20
 	calmInterval = 1200 * time.Millisecond // between two jobs in calm
 	calmSpan     = 30 * time.Second        // for which holds are watched
+	watchStep    = 20 * time.Millisecond   // between two looks
+	entryBeat    = 1500 * time.Millisecond // between two writes of a worker's entry
 	maxFitCount  = 64                      // of tasks on one worker
 )
 
@@ -44,15 +47,14 @@
 	}
 	mx.run(max(0, mx.awayUntil.Sub(mx.now)))
 	mx.endTroubles()
+	mx.writeEntries()
 	mx.run(calmTime)
 	hw := holdWatch{simulation: mx.simulation, since: map[string]time.Time{}}
-	until := mx.now.Add(calmSpan)
-	next := mx.now
-	for n := 0; mx.now.Before(until); mx.run(tickInterval) {
-		if !mx.now.Before(next) {
-			mx.submitRandom(fmt.Sprintf("calm%02d", n))
-			n, next = n+1, mx.now.Add(calmInterval)
+	for i := range int(calmSpan / watchStep) {
+		if i%int(calmInterval/watchStep) == 0 {
+			mx.submitRandom(fmt.Sprintf("calm%03d", i))
 		}
+		mx.run(watchStep)
 		hw.observe()
 	}
 	if len(hw.longer) > 0 {
@@ -63,6 +65,16 @@
 	}
 }
 
+// writeEntries makes the workers write their entries again and again.
+func (sim *simulation) writeEntries() {
+	for id, wk := range sim.workers {
+		if !sim.lapsed[id] {
+			sim.notify(domain.Listed{Worker: wk})
+		}
+	}
+	sim.after(entryBeat, sim.writeEntries)
+}
+
 // observe looks at all jobs at the present time.
 func (hw *holdWatch) observe() {
 	for _, id := range hw.accepted {
