domain: give the gang that fits into no rack room for two

The workers of TestWorkIsNotHeldForItsRack had room for one such gang, while LOST counts capacity for a task twice over. There are four racks of one worker each now. No code changed.

--- a/internal/domain/hold_test.go
+++ b/internal/domain/hold_test.go
@@ -141,7 +141,9 @@
 	for name, prepare := range map[string]func(sim *simulation, sp *batch.Step){
 		"the rack of the data is busy": func(sim *simulation, sp *batch.Step) { sim.fillAllBut("w11"); sp.DataRack = "r0" },
 		"the rack of the data is gone": func(_ *simulation, sp *batch.Step) { sp.DataRack = "r7" },
-		"a gang fits into no rack": func(_ *simulation, sp *batch.Step) {
+		"a gang fits into no rack": func(sim *simulation, sp *batch.Step) {
+			sim.addWorker("w22", 8)
+			sim.addWorker("w33", 8)
 			sp.Gang, sp.OneRack, sp.Tasks, sp.Needs.Accelerators = true, true, 2, 8
 		},
 	} {
