domain: test that advice for steps without room holds no others

ensureAdvice asks for advice about every step that can't be placed, also if no worker has room for it, and asks again as tickets expire. The service answers one call at a time for each caller, so a step that has room waits behind all of these, in their order.

Measured: with 40 steps that need a whole worker each, tickets valid for 3 s and 0.2 s a call, a step that fits twice over on each of two workers begins after 37.9 s; the bound is 3 s after 4 s of calm. The test fails, no code changed.

--- a/internal/domain/hold_test.go
+++ b/internal/domain/hold_test.go
@@ -268,6 +268,36 @@
 	is.Equal(sim.check(), nil)
 }
 
+// TestWorkIsNotHeldByAdviceForOthers makes many steps wait that fit on no worker, and
+// submits one that does. It guards against calls for advice about workers without
+// room, which keep the service busy, one call at a time.
+func TestWorkIsNotHeldByAdviceForOthers(t *testing.T) {
+	is := is.New(t)
+	sim := startSimulation(2)
+	sim.policy.Queues[1].Advised = true
+	sim.adviceTime = 200 * time.Millisecond
+	sim.tickets = map[string]map[string]string{}
+	half, pl := oneStepJob("half", 2, 2, time.Hour)
+	half.Steps[0].PerWorker = 1
+	half.Steps[0].Needs.Accelerators = 4
+	sim.submit(half, pl)
+	advised := func(id string, accelerators int) {
+		jb, pl := oneStepJob(id, 1, 1, 20*time.Second)
+		jb.Queue = sim.policy.Queues[1]
+		jb.Steps[0].Needs.Accelerators = accelerators
+		sim.tickets[id] = map[string]string{"w00": "t", "w11": "t"}
+		sim.submit(jb, pl)
+	}
+	sim.run(time.Second)
+	for i := range 40 {
+		advised(fmt.Sprintf("large%d", i), 8)
+	}
+	sim.run(calmTime)
+	advised("small", 1)
+	is.True(sim.begins("small", maxHold))
+	is.Equal(sim.check(), nil)
+}
+
 // TestClaimDoesNotHoldUnit lets urgent work preempt tasks whose stops are not
 // confirmed, and adds an idle worker. It guards against a unit that waits with its
 // claim although it could run elsewhere.
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -49,6 +49,8 @@
 		healthReports     []domain.HealthReport
 		tickets           map[string]map[string]string // by job and worker, for queues that need advice
 		adviceCalls       int                          // number of calls to the advice service
+		adviceTime        time.Duration                // of a call, one at a time; zero for 100 ms, all at once
+		adviceBusyUntil   time.Time                    // when the calls so far will have been answered
 		ticketTime        time.Duration                // validity of its tickets; zero for 3 s
 		log               []string                     // decisions of all leaders
 		handleTimes       []time.Duration              // real time that the core took for each event
@@ -352,7 +354,19 @@
 			ad.Tickets[id] = text
 		}
 	}
-	sim.after(100*time.Millisecond, func() { sim.handle(le, domain.Advised{Call: ef, Advice: ad}) })
+	latency := 100 * time.Millisecond
+	if sim.adviceTime > 0 {
+		sim.adviceBusyUntil = later(sim.adviceBusyUntil, sim.now).Add(sim.adviceTime)
+		latency = sim.adviceBusyUntil.Sub(sim.now)
+	}
+	sim.after(latency, func() { sim.handle(le, domain.Advised{Call: ef, Advice: ad}) })
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // commit writes records if the leader is the current one, and ends it
