--- a/internal/domain/hold_test.go
+++ b/internal/domain/hold_test.go
@@ -279,21 +279,21 @@
 	sim.tickets = map[string]map[string]string{}
 	half, pl := oneStepJob("half", 2, 2, time.Hour)
 	half.Steps[0].PerWorker = 1
-	half.Steps[0].Needs.Accelerators = 4
+	half.Steps[0].Needs.MilliCPU = 40_000
 	sim.submit(half, pl)
-	advised := func(id string, accelerators int) {
+	advised := func(id string, milliCPU int) {
 		jb, pl := oneStepJob(id, 1, 1, 20*time.Second)
 		jb.Queue = sim.policy.Queues[1]
-		jb.Steps[0].Needs.Accelerators = accelerators
+		jb.Steps[0].Needs.MilliCPU = milliCPU
 		sim.tickets[id] = map[string]string{"w00": "t", "w11": "t"}
 		sim.submit(jb, pl)
 	}
 	sim.run(time.Second)
 	for i := range 40 {
-		advised(fmt.Sprintf("large%d", i), 8)
+		advised(fmt.Sprintf("large%d", i), 40_000) // one accelerator, so no worker is reserved for it
 	}
 	sim.run(calmTime)
-	advised("small", 1)
+	advised("small", 1000)
 	is.True(sim.begins("small", maxHold))
 	is.Equal(sim.check(), nil)
 }
