--- a/internal/domain/loss_test.go
+++ b/internal/domain/loss_test.go
@@ -62,9 +62,8 @@
 	sim.notify(domain.Listed{Worker: wk})
 }
 
-// calmLimit is how long work may stand still after the last trouble: the time until
-// it counts as calm, and maxIdleTime.
-const calmLimit = 4*time.Second + maxIdleTime
+// calmLimit is how long work may stand still after the last trouble.
+const calmLimit = calmTime + maxHold
 
 // TestWorkerThatRestartsAndVanishesHoldsNoWork lets a worker come back, as its entry
 // says, and go away for good before it has replied to a call. It guards against
--- a/internal/domain/reserve_test.go
+++ b/internal/domain/reserve_test.go
@@ -10,9 +10,6 @@
 	"github.com/cicadawharf/cicadawharf/internal/batch"
 )
 
-// maxIdleTime is how long work may stand still while most of its service is unused.
-const maxIdleTime = 3 * time.Second
-
 // TestReservationsLeaveNoFleetIdle has a gang wait for a worker with a long task, with
 // all other workers reserved for it. It guards against small work that stands still
 // until the long task ends, although most of the service is unused.
@@ -26,7 +23,7 @@
 	for i := range 5 {
 		id := fmt.Sprintf("small%d", i)
 		sim.submitTasks(id, 2, 1)
-		sim.run(maxIdleTime)
+		sim.run(maxHold)
 		is.True(sim.fleet.Running(id) > 0)
 	}
 }
@@ -41,7 +38,7 @@
 	sim.submitGang("large", 6, 8)
 	sim.run(time.Second)
 	sim.submitGang("gang", 2, 8)
-	sim.run(maxIdleTime)
+	sim.run(maxHold)
 	is.Equal(sim.fleet.Running("gang"), 2)
 }
 
