domain: block best-effort work only beside a task that serves requests

What callers saw: best-effort work never started on a worker where such work had raised the latency of a task, once that task had ended. Cause: the block of 15 s is compared with the time of the worker's last reply, and an idle worker is not polled, so the block never ended. Change: the block holds only while a task with a target latency runs there.

--- a/internal/domain/besteffort.go
+++ b/internal/domain/besteffort.go
@@ -28,7 +28,17 @@
 
 // bestEffortBlocked reports whether a unit is best-effort work and a worker
 // gets none because such work interfered there recently, as of the worker's
-// last reply to a poll.
+// last reply to a poll, with a task that still runs. An idle worker is not polled.
 func (un *unit) bestEffortBlocked(nd *node) bool {
-	return un.step.BestEffort && nd.clockAt.Before(nd.bestEffortBlockedUntil)
+	return un.step.BestEffort && nd.clockAt.Before(nd.bestEffortBlockedUntil) && nd.servesRequests()
+}
+
+// servesRequests reports whether a task with a target latency runs on a worker.
+func (nd *node) servesRequests() bool {
+	for _, ru := range nd.runs {
+		if ru.unit != nil && ru.unit.step.TargetLatency > 0 {
+			return true
+		}
+	}
+	return false
 }
