domain: tell best-effort work from other work of the same size

What callers saw: a task never started although it fitted, beside best-effort work of the same size that had to wait. Cause: a pass tries no unit with the key of one that did not fit, and the key did not say whether a unit is best-effort work, which is blocked on some workers. Change: the key says so.

--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -29,14 +29,15 @@
 	// fitKey holds everything that determines whether a unit fits. Units with
 	// equal keys fit on the same workers.
 	fitKey struct {
-		service  string
-		needs    batch.Resources
-		tasks    int
-		label    string
-		dataRack string
-		uniqueTo *unit // the unit, if whether it fits depends on more than the other fields; nil otherwise
-		anyRack  bool  // may be placed outside the rack of its data, or on several racks
-		class    int   // see unitGroup
+		service    string
+		needs      batch.Resources
+		tasks      int
+		label      string
+		dataRack   string
+		uniqueTo   *unit // the unit, if whether it fits depends on more than the other fields; nil otherwise
+		anyRack    bool  // may be placed outside the rack of its data, or on several racks
+		class      int   // see unitGroup
+		bestEffort bool  // may be blocked where others fit; see bestEffortBlocked
 	}
 
 	// demand determines whether a worker has enough free capacity for one task.
@@ -144,6 +145,7 @@
 	key := fitKey{
 		service: co.queueOf(un.job).Service, needs: un.step.Reserved(), tasks: un.tasks,
 		label: un.step.Label, dataRack: un.step.DataRack, anyRack: un.localityWaitOver(ps.now), class: ug.class,
+		bestEffort: un.step.BestEffort,
 	}
 	if !un.interchangeable() || co.placedIndividually(un, key.service) {
 		key.uniqueTo = un
