domain: drop advice about a worker that has restarted

What callers saw: a step waited for the expiry of a ticket, a minute with a validity of a minute, or never ran on the only worker that would take it. Cause: tickets are void and refusals out of date once a worker has restarted, but both were kept by the worker's ID. Change: a restart drops both, and the next pass asks again.

--- a/internal/domain/advise.go
+++ b/internal/domain/advise.go
@@ -78,6 +78,17 @@
 	}
 }
 
+// dropAdvice drops what is known about a worker that has restarted: tickets are void
+// then, and the new incarnation may be of another kind.
+func (co *Core) dropAdvice(worker string) {
+	for _, jb := range co.arrivals {
+		for _, ad := range jb.advice {
+			delete(ad.tickets, worker)
+			delete(ad.refused, worker)
+		}
+	}
+}
+
 // requestAdvice requests advice about workers that are not known to be allowed or
 // refused, those with the most free capacity first.
 func (co *Core) requestAdvice(ps *pass, un *unit, ad *advice) {
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -201,6 +201,7 @@
 		ru.lateUntil = co.lateStartEnd(now, ru)
 	}
 	co.resetHealth(now, nd, len(nd.runs) > 0 && !nd.runsSuspected())
+	co.dropAdvice(nd.worker.ID)
 	nd.worker.Born, nd.bornAt = born, now
 	nd.lastEnd, nd.savedEnd, nd.ackedEnd = 0, 0, 0
 	nd.pendingEnds = nil
