domain: keep an advice call for steps that have room

What callers saw: a step with room stood still for 38 s in a queue that needs advice, while steps without room asked again and again. Cause: the advice service answers one call at a time, and at most four are in flight; steps that fit nowhere at present took all of them. Change: they take at most three.

--- a/internal/domain/advise.go
+++ b/internal/domain/advise.go
@@ -37,6 +37,9 @@
 	// maxAdviceCalls bounds the calls in flight, which the advice service
 	// processes one by one.
 	maxAdviceCalls = 4
+	// maxAdviceCallsWithoutRoom bounds those for units that would not fit anywhere at
+	// present, so that the others need not wait for them.
+	maxAdviceCallsWithoutRoom = 3
 	// adviceRetryDelay is the pause after a failed call before the next one for
 	// the same step.
 	adviceRetryDelay = 500 * time.Millisecond
@@ -95,6 +98,9 @@
 	if ad.inFlight || co.adviceCalls >= maxAdviceCalls || ps.now.Before(ad.notBefore) {
 		return
 	}
+	if co.adviceCalls >= maxAdviceCallsWithoutRoom && !co.hasRoom(ps, un) {
+		return
+	}
 	var nds []*node
 	for _, nd := range co.schedulableNodes(ps, co.queueOf(un.job).Service) {
 		_, known := ad.tickets[nd.worker.ID]
@@ -117,6 +123,19 @@
 	co.emit(Advise{Sent: ps.now, Request: rq})
 }
 
+// hasRoom reports whether a unit would fit on the workers of its service now if all
+// of them were allowed.
+func (co *Core) hasRoom(ps *pass, un *unit) bool {
+	n := 0
+	for _, nd := range co.schedulableNodes(ps, co.queueOf(un.job).Service) {
+		n += un.fitCount(nd, nd.free(), un.tasks-n)
+		if n >= un.tasks {
+			return true
+		}
+	}
+	return false
+}
+
 // handleAdvice processes the outcome of an advice call.
 func (co *Core) handleAdvice(now time.Time, ev Advised) {
 	co.adviceCalls--
