domain: let no preference keep a job from running beside free workers

Cause: four decisions about where work had better run held work back, each with a time of its own or none, and nobody compared them with what callers were promised.

Change: after a pass, a job of which nothing runs, and for two of whose units there has been room for two seconds, gets one unit placed; a unit of a long-running step counts alone. Reservations, racks, trust and health are only preferences then. Capacity, labels, tickets, the limit for each worker, drains, evacuations and isolation hold as before. A worker that the unit would avoid, or that is out of service, must not have failed anything for four seconds. Workspaces that are furthest below their fair share come first.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -37,47 +37,49 @@
 	// Core is the state of a scheduling domain during one term of leadership.
 	// It is not safe for concurrent use.
 	Core struct {
-		token               int64
-		beganAt             time.Time
-		leaseConfirmedAt    time.Time // see ConfirmLease; zero if the scheduler's own lease is not known
-		policy              *batch.Policy
-		jobs                map[string]*job
-		arrivals            []*job // in order of acceptance
-		nodes               map[string]*node
-		sortedNodes         []*node            // by ID
-		addresses           map[string][]*node // nodes by address
-		evacuatedZones      map[string]bool    // availability zones to be evacuated
-		evacuation          evacuationState
-		storeReturnedAt     time.Time      // see Config
-		unsavedEnds         map[*node]bool // nodes with ends that are not in the store yet
-		pollCandidates      []*node        // nodes to be polled if their next poll is due; may contain duplicates
-		changed             map[*unit]bool // units to be evaluated
-		claimed             []*unit        // units with claims on nodes; some may have been released since
-		passDue             bool           // a placement pass is to follow as soon as passInterval permits
-		lastPass            time.Time
-		idleReservations    map[string]time.Time // see updateIdleReservations; by service
-		groupCount          int                  // number of groups in the last pass
-		coreFraction        float64              // CPU cores available to the scheduler, at most 1; zero if unknown
-		backlogReportedAt   time.Time
-		backlogged          bool // some units waited at the last report
-		holdsReportedAt     time.Time
-		holding             bool               // some jobs stood still at the last report
-		heldSince           map[*job]time.Time // since when jobs stand still
-		stuckStopsCheckedAt time.Time          // when unconfirmed stops were last searched for
-		queueUsage          map[string]usage   // by queue; no entry if nothing of the queue runs
-		detector            failureDetector
-		fair                *fairness
-		fairShares          bool // see Config
-		commits             commitQueue
-		silences            map[string]silence // of workers, by ID
-		openLosses          openLosses
-		adviceCalls         int // advice calls in flight
-		effects             []Effect
-		stateLimit          int64 // see Config
-		maxUnits            int   // held in memory, beyond which no further occurrence is opened
-		stateReportedAt     time.Time
-		lastState           StateReport
-		resigned            bool // leadership was lost
+		token                int64
+		beganAt              time.Time
+		leaseConfirmedAt     time.Time // see ConfirmLease; zero if the scheduler's own lease is not known
+		policy               *batch.Policy
+		jobs                 map[string]*job
+		arrivals             []*job // in order of acceptance
+		nodes                map[string]*node
+		sortedNodes          []*node            // by ID
+		addresses            map[string][]*node // nodes by address
+		evacuatedZones       map[string]bool    // availability zones to be evacuated
+		evacuation           evacuationState
+		storeReturnedAt      time.Time      // see Config
+		unsavedEnds          map[*node]bool // nodes with ends that are not in the store yet
+		pollCandidates       []*node        // nodes to be polled if their next poll is due; may contain duplicates
+		changed              map[*unit]bool // units to be evaluated
+		claimed              []*unit        // units with claims on nodes; some may have been released since
+		passDue              bool           // a placement pass is to follow as soon as passInterval permits
+		lastPass             time.Time
+		idleReservations     map[string]time.Time   // see updateIdleReservations; by service
+		standingSince        map[standKey]time.Time // since when there has been room for what stands still
+		standstillsCheckedAt time.Time
+		groupCount           int     // number of groups in the last pass
+		coreFraction         float64 // CPU cores available to the scheduler, at most 1; zero if unknown
+		backlogReportedAt    time.Time
+		backlogged           bool // some units waited at the last report
+		holdsReportedAt      time.Time
+		holding              bool               // some jobs stood still at the last report
+		heldSince            map[*job]time.Time // since when jobs stand still
+		stuckStopsCheckedAt  time.Time          // when unconfirmed stops were last searched for
+		queueUsage           map[string]usage   // by queue; no entry if nothing of the queue runs
+		detector             failureDetector
+		fair                 *fairness
+		fairShares           bool // see Config
+		commits              commitQueue
+		silences             map[string]silence // of workers, by ID
+		openLosses           openLosses
+		adviceCalls          int // advice calls in flight
+		effects              []Effect
+		stateLimit           int64 // see Config
+		maxUnits             int   // held in memory, beyond which no further occurrence is opened
+		stateReportedAt      time.Time
+		lastState            StateReport
+		resigned             bool // leadership was lost
 	}
 )
 
--- a/internal/domain/detector.go
+++ b/internal/domain/detector.go
@@ -274,6 +274,7 @@
 	if nd.health.scoreAt(now) < suspectScore {
 		co.detector.baselines[name] = bl.record(now, weight)
 	}
+	nd.health.lastFailure = now
 	nd.health.recordOutcome(now, jb.ID, amount)
 	if nd.health.state == onProbation {
 		co.suspend(now, nd)
@@ -285,6 +286,7 @@
 // recordNodeFailure records a failure that can't be caused by a job against a
 // worker, and adds the given amount to its score.
 func (co *Core) recordNodeFailure(now time.Time, nd *node, amount float64) {
+	nd.health.lastFailure = now
 	nd.health.setScore(now, nd.health.scoreAt(now)+amount)
 	co.detector.withEvidence[nd] = true
 	co.detector.due = true
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -140,6 +140,7 @@
 	//   - overdue: a stop is not confirmed although all leases have expired
 	//   - hangs: a task makes no progress
 	//   - preempts: other work is being stopped for a unit
+	//   - unheld: a unit is placed whatever workers it had rather run on
 	//   - evacuation: the set of evacuated zones has changed, or a unit is being
 	//     moved out of one
 	//   - jobEnds: a job has reached its final state
--- a/internal/domain/health.go
+++ b/internal/domain/health.go
@@ -18,6 +18,7 @@
 		scoredAt       time.Time
 		tallies        map[string]*jobTally // by job
 		lastSuccess    time.Time
+		lastFailure    time.Time // of an attempt or of the worker
 		state          healthState
 		suspected      bool // other workers are preferred
 		suspendedUntil time.Time
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -79,6 +79,7 @@
 	co.groupCount = len(ugs)
 	ugs = co.placeOnProbation(ps, ugs)
 	co.placeGroups(ps, ugs)
+	co.endStandstills(ps, ugs)
 	co.updateIdleReservations(ps)
 	co.evacuateNext(ps)
 	co.reportBacklog(ps, ugs)
