--- a/internal/domain/domain_test.go
+++ b/internal/domain/domain_test.go
@@ -374,6 +374,7 @@
 func (sim *simulation) partitionLeader() {
 	former := sim.leader
 	former.partitioned = true
+	sim.disturb(domain.MaxRenewalAge)
 	sim.after(1500*time.Millisecond, func() {
 		if sim.leader == former {
 			sim.elect()
