domain: show that a takeover holds the work of a vanished worker for 11 s

nodeFor sets node.leaseEnd to formerLeaseTime (11 s) after the term has begun, for every worker. A worker that vanishes up to some seconds before or after a takeover holds its tasks until then. Rule LOST allows 7 s of calm.

Fails on the present code: the task runs again 12 s after its worker has vanished, in both cases.

--- a/internal/domain/standstill_test.go
+++ b/internal/domain/standstill_test.go
@@ -1,8 +1,11 @@
 package domain_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 // termSettles is a time after which nothing depends on the beginning of a term any more.
@@ -34,3 +37,28 @@
 		}
 	}
 }
+
+// TestTakeoverHoldsNoWorkOfVanishedWorker lets a worker vanish shortly before or after
+// the leader is killed. It guards against a successor that takes the worker's tasks for
+// running until the longest lease of the former term has expired, counted from its own
+// beginning.
+func TestTakeoverHoldsNoWorkOfVanishedWorker(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		t.Run(fmt.Sprintf("vanishesBefore=%v", before), func(t *testing.T) {
+			is := is.New(t)
+			sim, id := startLong(4)
+			watch := sim.watchCalm()
+			if before {
+				sim.vanishWorker(id, true, entryTimeout)
+				sim.run(time.Second)
+			}
+			sim.elect()
+			if !before {
+				sim.run(time.Second)
+				sim.vanishWorker(id, true, entryTimeout)
+			}
+			sim.run(20 * time.Second)
+			is.Equal(watch.found, nil)
+		})
+	}
+}
