domain: show that a new term holds work of its own for leases of the former one

node.leaseEnd is one time for a worker, and formerLeaseTime sets it for workers that have replied to this term and run nothing of the former one. A task that this term has started 1 s after it began waits for 11 s of the term, not for its own lease.

Fails on the present code.

--- a/internal/domain/standstill_test.go
+++ b/internal/domain/standstill_test.go
@@ -62,3 +62,19 @@
 		})
 	}
 }
+
+// TestNewTermHoldsNoWorkOfItsOwn lets a worker vanish under a task that a new leader has
+// started there, seconds after its term has begun. It guards against waiting for leases of
+// the former term for work that it knew nothing of.
+func TestNewTermHoldsNoWorkOfItsOwn(t *testing.T) {
+	is := is.New(t)
+	sim := startSimulation(4)
+	sim.run(termSettles)
+	watch := sim.watchCalm()
+	sim.elect()
+	sim.submit(oneStepJob("j", 1, 1, time.Minute))
+	sim.run(time.Second)
+	sim.vanishWorker(sim.workerOf("j"), true, entryTimeout)
+	sim.run(20 * time.Second)
+	is.Equal(watch.found, nil)
+}
