domain: show that a worker added in the middle of a term holds its work for 11 s

nodeFor sets node.leaseEnd to formerLeaseTime (11 s) after the worker was first listed, also for one that no former term can have known. If it vanishes within these seconds, its tasks wait for that time.

--- a/internal/domain/standstill_test.go
+++ b/internal/domain/standstill_test.go
@@ -78,3 +78,22 @@
 	sim.run(20 * time.Second)
 	is.Equal(watch.found, nil)
 }
+
+// TestNewWorkerHoldsNoWork lets a worker vanish that was added in the middle of a term. It
+// guards against waiting for leases of a former term, which did not know the worker.
+func TestNewWorkerHoldsNoWork(t *testing.T) {
+	is := is.New(t)
+	sim := startSimulation(4)
+	sim.run(termSettles)
+	watch := sim.watchCalm()
+	sim.addWorker("w24", 8)
+	jb, pl := oneStepJob("j", 1, 1, time.Minute)
+	jb.Steps[0].DataRack = "r2"
+	sim.submit(jb, pl)
+	sim.run(time.Second)
+	sim.vanishWorker("w24", true, entryTimeout)
+	sim.run(2 * time.Second)
+	sim.addWorker("w26", 8)
+	sim.run(20 * time.Second)
+	is.Equal(watch.found, nil)
+}
