domain: show that takeovers in series hold work anew each

Each term counts formerLeaseTime from its own beginning, since records do not say how long the leases on a worker can still last. Fails on the present code: four takeovers at 3 s intervals after a worker has vanished hold its task for 23 s.

--- a/internal/domain/standstill_test.go
+++ b/internal/domain/standstill_test.go
@@ -97,3 +97,18 @@
 	sim.run(20 * time.Second)
 	is.Equal(watch.found, nil)
 }
+
+// TestTakeoversInSeriesHoldNoWork kills leaders in series after a worker has vanished. It
+// guards against a wait for its leases that begins anew with each term.
+func TestTakeoversInSeriesHoldNoWork(t *testing.T) {
+	is := is.New(t)
+	sim, id := startLong(4)
+	watch := sim.watchCalm()
+	sim.vanishWorker(id, true, entryTimeout)
+	for range 4 {
+		sim.run(3 * time.Second)
+		sim.elect()
+	}
+	sim.run(20 * time.Second)
+	is.Equal(watch.found, nil)
+}
