domain: show that a restart and a loss soon after hold work for 22 s

handleRestart sets node.leaseEnd to maxCallDelay + maxLeaseTime (22.4 s) from the restart, for a late start that the new incarnation may carry out. If that one ends before it has replied, the runs of the first one wait for that time.

Fails on the present code, for a worker that refuses calls and for a silent one. The task runs again after 22.5 s.

--- a/internal/domain/standstill_test.go
+++ b/internal/domain/standstill_test.go
@@ -112,3 +112,21 @@
 	sim.run(20 * time.Second)
 	is.Equal(watch.found, nil)
 }
+
+// TestRestartThenLossHoldsNoWork restarts a worker under a task and then lets it vanish,
+// or has it cut off for good. It guards against waiting for a lease that a late call may
+// have been granted by the new incarnation, which has ended as well.
+func TestRestartThenLossHoldsNoWork(t *testing.T) {
+	for _, silent := range []bool{true, false} {
+		t.Run(fmt.Sprintf("silent=%v", silent), func(t *testing.T) {
+			is := is.New(t)
+			sim, id := startLong(4)
+			watch := sim.watchCalm()
+			sim.addWorker(id, 8)
+			sim.run(time.Millisecond)
+			sim.vanishWorker(id, silent, entryTimeout)
+			sim.run(30 * time.Second)
+			is.Equal(watch.found, nil)
+		})
+	}
+}
