domain: show that an earlier restart holds later work of the worker

The 22.4 s of handleRestart are kept in node.leaseEnd, not in the runs that were lost. A task that is started on the worker afterwards, and confirmed by it, waits for the same time if the worker vanishes within these seconds.

--- a/internal/domain/standstill_test.go
+++ b/internal/domain/standstill_test.go
@@ -130,3 +130,20 @@
 		})
 	}
 }
+
+// TestEarlierRestartHoldsNoLaterWork restarts a worker under a task, starts another one
+// there, and lets the worker vanish some seconds later. It guards against holding the
+// second task until a lease has expired that only the first one's start may have got.
+func TestEarlierRestartHoldsNoLaterWork(t *testing.T) {
+	is := is.New(t)
+	sim, id := startLong(1)
+	watch := sim.watchCalm()
+	sim.addWorker(id, 8)
+	sim.run(5 * time.Second)
+	is.True(sim.fleet.Runs(id, "j"))
+	sim.addWorker("w11", 8)
+	sim.run(time.Second)
+	sim.vanishWorker(id, false, entryTimeout)
+	sim.run(30 * time.Second)
+	is.Equal(watch.found, nil)
+}
