domain: show that a start to a vanished worker holds its task

Workers without runs are not polled, so an idle worker that has vanished silently gets work until its entry is gone, up to 4.5 s later. sendStarts grants a lease to the start, and its loss (runner.ErrOutcomeUnknown) holds the task for 6.7 s from there, up to 10.8 s after the worker has vanished.

--- a/internal/domain/standstill_test.go
+++ b/internal/domain/standstill_test.go
@@ -147,3 +147,23 @@
 	sim.run(30 * time.Second)
 	is.Equal(watch.found, nil)
 }
+
+// TestStartToVanishedWorkerHoldsNoWork starts a task on an idle worker that has vanished
+// silently and is still listed. It guards against a start that finds nobody and then holds
+// its task for the length of a lease: idle workers aren't polled, so nothing else shows
+// that the worker is gone.
+func TestStartToVanishedWorkerHoldsNoWork(t *testing.T) {
+	for _, pause := range []time.Duration{time.Second, 3 * time.Second, 4 * time.Second} {
+		t.Run(pause.String(), func(t *testing.T) {
+			is := is.New(t)
+			sim := startSimulation(4)
+			sim.run(termSettles)
+			watch := sim.watchCalm()
+			sim.vanishWorker("w00", true, entryTimeout)
+			sim.run(pause)
+			sim.submit(oneStepJob("j", 1, 1, time.Minute))
+			sim.run(20 * time.Second)
+			is.Equal(watch.found, nil)
+		})
+	}
+}
