domain: show that openLossHold holds work for 10 s beyond the lease

After two crashes just after its start, the loss of a third worker under a task sets unit.notBefore to 10 s after the lease has expired. The worker never shows up again, so nothing ends the hold sooner.

Fails on the present code: the lease is over after 6.6 s, and the task runs again 10 s later.

--- a/internal/domain/standstill_test.go
+++ b/internal/domain/standstill_test.go
@@ -167,3 +167,25 @@
 		})
 	}
 }
+
+// TestSuspicionHoldsNoWork crashes two workers just after the start of a task, which come
+// back without room, and lets the third one vanish for good. It guards against waiting for a sign of life of a worker
+// that never gives one.
+func TestSuspicionHoldsNoWork(t *testing.T) {
+	is := is.New(t)
+	sim := startSimulation(6)
+	sim.run(termSettles)
+	watch := sim.watchCalm()
+	sim.submit(oneStepJob("j", 1, 1, time.Minute))
+	for range 2 {
+		sim.run(200 * time.Millisecond)
+		sim.addWorker(sim.workerOf("j"), 0)
+		for sim.fleet.Running("j") == 0 {
+			sim.run(10 * time.Millisecond)
+		}
+	}
+	sim.run(200 * time.Millisecond)
+	sim.vanishWorker(sim.workerOf("j"), false, entryTimeout)
+	sim.run(30 * time.Second)
+	is.Equal(watch.found, nil)
+}
