domain: show that reservations of waiting gangs keep other work from idle workers

reserveNodes reserves whole workers for up to 12 waiting gangs and large tasks in each pass. A gang that waits for a rack, or for more room than there is, reserves idle workers as long as it waits, and tasks that come after it in the order get nothing, though 48 of 72 accelerators are idle.

--- a/internal/domain/standstill_test.go
+++ b/internal/domain/standstill_test.go
@@ -189,3 +189,32 @@
 	sim.run(30 * time.Second)
 	is.Equal(watch.found, nil)
 }
+
+// TestReservationsLeaveRoomForOthers lets gangs wait for a rack while more than half of the
+// workers is idle. It guards against reservations that keep every other task from that room.
+func TestReservationsLeaveRoomForOthers(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1)
+	for i := range 9 {
+		sim.addWorker(fmt.Sprintf("w%d%d", i%3, i), 8)
+	}
+	sim.elect()
+	for rack := range 3 { // occupies one worker of each rack
+		jb, pl := oneStepJob(fmt.Sprintf("long%d", rack), 2, 1, time.Hour)
+		jb.Steps[0].Needs.Accelerators, jb.Steps[0].DataRack = 8, fmt.Sprintf("r%d", rack)
+		sim.submit(jb, pl)
+	}
+	sim.run(time.Second)
+	for i := range 3 {
+		jb, pl := oneStepJob(fmt.Sprintf("gang%d", i), 1, 3, 10*time.Second)
+		jb.Steps[0].Gang, jb.Steps[0].OneRack, jb.Steps[0].Needs.Accelerators = true, true, 8-i
+		sim.submit(jb, pl)
+	}
+	sim.run(time.Second)
+	watch := sim.watchCalm()
+	sim.submit(oneStepJob("small", 2, 1, time.Second))
+	sim.run(12 * time.Second)
+	for _, st := range watch.found {
+		is.True(st.rackFull) // a gang that waits for a rack; see TestRackWaitIsShort
+	}
+}
