--- a/internal/domain/standstill_test.go
+++ b/internal/domain/standstill_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
 )
 
 // termSettles is a time after which nothing depends on the beginning of a term any more.
@@ -218,3 +220,35 @@
 		is.True(st.rackFull) // a gang that waits for a rack; see TestRackWaitIsShort
 	}
 }
+
+// TestRackWaitIsShort submits a task whose rack of data is full, or a gang for which no
+// single rack has room, beside idle workers of other racks. It guards against a wait for
+// locality that is bounded by the job's slack alone.
+func TestRackWaitIsShort(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gang=%v", gang), func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(1)
+			for i := range 9 {
+				sim.addWorker(fmt.Sprintf("w%d%d", i%3, i), 8)
+			}
+			sim.elect()
+			fill, pl := oneStepJob("fill", 1, 3, time.Hour)
+			fill.Steps[0].Needs.Accelerators, fill.Steps[0].DataRack = 8, "r0"
+			sim.submit(fill, pl)
+			sim.run(time.Second)
+			watch := sim.watchCalm()
+			jb, pl := oneStepJob("j", 1, 1, 10*time.Second)
+			jb.Steps[0].DataRack = "r0"
+			if gang {
+				jb.Steps[0] = batch.Step{Tasks: 4, Gang: true, OneRack: true, RunTime: 10 * time.Second, Needs: batch.Resources{Accelerators: 5}}
+				for i := range 3 {
+					sim.addWorker(fmt.Sprintf("w%d%d", 3+i, 9+i), 8)
+				}
+			}
+			sim.submit(jb, pl)
+			sim.run(15 * time.Second)
+			is.Equal(watch.found, nil)
+		})
+	}
+}
