domain: show that a gang waits for a rack that cannot hold it

localityWaitOver does not ask whether any rack could hold the gang if it were empty. A gang that needs more than that waits for 0.8 of its slack, beside idle workers, in vain.

--- a/internal/domain/standstill_test.go
+++ b/internal/domain/standstill_test.go
@@ -252,3 +252,21 @@
 		})
 	}
 }
+
+// TestGangWiderThanAnyRackWaitsForNone submits a gang that needs one rack, but more room
+// than any rack has when it is empty. It guards against waiting for such a rack.
+func TestGangWiderThanAnyRackWaitsForNone(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1)
+	for i := range 9 {
+		sim.addWorker(fmt.Sprintf("w%d%d", i%3, i), 8)
+	}
+	sim.elect()
+	sim.run(time.Second)
+	watch := sim.watchCalm()
+	jb, pl := oneStepJob("j", 1, 4, 10*time.Second)
+	jb.Steps[0].Gang, jb.Steps[0].OneRack, jb.Steps[0].Needs.Accelerators = true, true, 8
+	sim.submit(jb, pl)
+	sim.run(15 * time.Second)
+	is.Equal(watch.found, nil)
+}
