domain: show that a last attempt waits for full workers

trustLevels lets a last attempt wait for workers that it does not avoid if couldFit, which counts them as if they were empty. If these stay full, the task waits beside an idle worker until its job has lost all value.

--- a/internal/domain/standstill_test.go
+++ b/internal/domain/standstill_test.go
@@ -270,3 +270,22 @@
 	sim.run(15 * time.Second)
 	is.Equal(watch.found, nil)
 }
+
+// TestLastAttemptRunsWhereRoomIs lets a task fail on one worker while the others that it
+// may use are full. It guards against a last attempt that waits for these, counted as if
+// they were empty, until its job has lost all value.
+func TestLastAttemptRunsWhereRoomIs(t *testing.T) {
+	is := is.New(t)
+	sim := startSimulation(4)
+	fill, pl := oneStepJob("fill", 1, 3, time.Hour)
+	fill.Steps[0].Needs.Accelerators = 8
+	sim.submit(fill, pl)
+	sim.run(8 * time.Second)
+	watch := sim.watchCalm()
+	jb, pl := oneStepJob("j", 1, 1, 10*time.Second)
+	jb.Queue.MaxAttempts = 2
+	pl.fails, pl.work = true, time.Second
+	sim.submit(jb, pl)
+	sim.run(20 * time.Second)
+	is.Equal(watch.found, nil)
+}
