domain: show that a suspended worker gets no work though no other has room

updateHealth suspends a worker for 4 to 16 s and keeps it on probation for up to 20 s more, for single tasks that tolerate a failure. A gang, a last attempt, lasting work or work with a rack of data waits for all of that if no other worker has room.

--- a/internal/domain/standstill_test.go
+++ b/internal/domain/standstill_test.go
@@ -289,3 +289,37 @@
 	sim.run(20 * time.Second)
 	is.Equal(watch.found, nil)
 }
+
+// TestSuspendedWorkerRunsWhatFindsNoOther has a worker fail its tasks until it is
+// suspended, while all others are full, and then recover. It guards against work that
+// waits for the end of a suspension, and for work on probation that never comes.
+func TestSuspendedWorkerRunsWhatFindsNoOther(t *testing.T) {
+	is := is.New(t)
+	sim := startSimulation(6)
+	fill, pl := oneStepJob("fill", 1, 5, time.Hour)
+	fill.Steps[0].Needs.Accelerators = 8
+	sim.submit(fill, pl)
+	sim.run(time.Second)
+	idle := ""
+	for _, id := range sim.workerIDs() {
+		if sim.fleet.RunningOn(id) == 0 {
+			idle = id
+		}
+	}
+	sim.fleet.Fail(idle, true)
+	for i := range 4 {
+		id := fmt.Sprintf("fails%d", i)
+		sim.submit(oneStepJob(id, 1, 1, time.Second))
+		sim.run(200 * time.Millisecond)
+		sim.cancel(id)
+	}
+	sim.fleet.Fail(idle, false)
+	sim.disturb(0)
+	is.True(sim.decided("suspects", ""))
+	watch := sim.watchCalm()
+	jb, pl := oneStepJob("gang", 1, 2, time.Second)
+	jb.Steps[0].Gang = true
+	sim.submit(jb, pl)
+	sim.run(30 * time.Second)
+	is.Equal(watch.found, nil)
+}
