--- a/internal/domain/mixture_test.go
+++ b/internal/domain/mixture_test.go
@@ -37,7 +37,7 @@
 		seed := *firstMixture + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			runMixture(t, seed)
+			runMixture(t, newMixture(seed))
 		})
 	}
 }
@@ -70,8 +70,8 @@
 	}
 }
 
-func runMixture(t *testing.T, seed uint64) {
-	mx := newMixture(seed)
+// runMixture plays a mixture, and returns what stood still once its troubles were over.
+func runMixture(t *testing.T, mx *mixture) *calmWatch {
 	for step := range 80 {
 		mx.run(time.Duration(mx.rng.IntN(600)) * time.Millisecond)
 		mx.inject(step)
@@ -80,6 +80,7 @@
 		}
 	}
 	mx.endTroubles()
+	watch := mx.watchCalm()
 	mx.run(2 * time.Minute)
 	if violations := mx.check(); len(violations) > 0 {
 		t.Fatalf("violations: %v\n%s", violations, mx.logTail())
@@ -92,6 +93,7 @@
 	for _, kind := range slices.Sorted(maps.Keys(mx.counts)) {
 		t.Logf("%s: %d", kind, mx.counts[kind])
 	}
+	return watch
 }
 
 // inject submits a job, or injects or ends one trouble.
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -66,7 +66,7 @@
 		return // the platform rewrites entries that have not changed
 	}
 	if !ok {
-		nd = co.nodeFor(now, wk.ID)
+		nd = co.nodeFor(wk.ID)
 	}
 	if nd.worker.Born != 0 && wk.Born != 0 && nd.worker.Born != wk.Born {
 		co.handleRestart(now, nd, wk.Born)
@@ -118,10 +118,10 @@
 
 // nodeFor returns the node of a worker, and adds one if there is none. The
 // worker need not be listed.
-func (co *Core) nodeFor(now time.Time, id string) *node {
+func (co *Core) nodeFor(id string) *node {
 	nd, ok := co.nodes[id]
 	if !ok {
-		nd = &node{worker: runner.Worker{ID: id}, runs: map[runKey]*run{}, leaseEnd: now.Add(formerLeaseTime)}
+		nd = &node{worker: runner.Worker{ID: id}, runs: map[runKey]*run{}, leaseEnd: co.beganAt.Add(formerLeaseTime)}
 		co.nodes[id] = nd
 		at, _ := slices.BinarySearchFunc(co.sortedNodes, id, compareID)
 		co.sortedNodes = slices.Insert(co.sortedNodes, at, nd)
--- a/internal/domain/record.go
+++ b/internal/domain/record.go
@@ -131,7 +131,7 @@
 // list the worker, the recorded address tells whether another one has taken its
 // place.
 func (co *Core) restoreNode(now time.Time, id string, ur batch.UnitRecord, at int) *node {
-	nd := co.nodeFor(now, id)
+	nd := co.nodeFor(id)
 	if !nd.listed && nd.worker.Address == "" && at < len(ur.Addresses) {
 		co.setWorker(now, nd, runner.Worker{ID: id, Address: ur.Addresses[at]})
 	}
--- a/internal/domain/standstill.go
+++ b/internal/domain/standstill.go
@@ -33,8 +33,8 @@
 	maxStandstill = 2 * time.Second
 	// standstillInterval is the minimum time between two searches for such jobs.
 	standstillInterval = 200 * time.Millisecond
-	// quietTime is how long nothing may have failed on a worker for it to take work
-	// that would rather run elsewhere.
+	// quietTime is how long nothing may have failed on a worker that is out of service
+	// for it to take work that would rather run elsewhere.
 	quietTime = 4 * time.Second
 )
 
@@ -108,14 +108,14 @@
 }
 
 // quietNodes returns the workers of a service that could take a unit if it had no
-// preferences: they take work, and a worker that the unit would avoid, or that is out
-// of service, has not failed anything for quietTime.
+// preferences: they take work, and a worker that is out of service has not failed
+// anything for quietTime.
 func (co *Core) quietNodes(ps *pass, un *unit, service string) []*node {
 	var nds []*node
 	for _, nd := range co.nodesByID() {
 		switch {
 		case nd.worker.Service != service, !nd.acceptsWorkIfHealthy(ps.now), ps.now.Before(nd.isolatedUntil):
-		case (un.avoided[nd.worker.ID] || !nd.health.isInService()) && ps.now.Sub(nd.health.lastFailure) < quietTime:
+		case !nd.health.isInService() && ps.now.Sub(nd.health.lastFailure) < quietTime:
 		default:
 			nds = append(nds, nd)
 		}
