guard: bound what the clients of a host make it hold

What callers saw: a host ran out of memory when clients sent many large bodies at once and stopped just short of their end, or sent far more than the limit.

Cause: a body of up to 1 MiB was read of anybody, for any time, by io.ReadAll, which grows by copies; nothing bounded all bodies together, the connections or the headers.

Change: package guard serves all listeners of a host of a domain. Room for bodies is reserved as they arrive, a fifth of memoryMegabytes in all, and a body is received until the deadline of its call. Connections and headers are bounded, too. When a limit is reached, connections give way that are idle, then those without a valid key, then others whose request is incomplete, of each kind the oldest; a request that has arrived as a whole never does. They are closed without a response, since the same job may have been accepted by an earlier call.

--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -14,6 +14,7 @@
 	"github.com/cicadawharf/cicadawharf/internal/admin"
 	"github.com/cicadawharf/cicadawharf/internal/batch"
 	"github.com/cicadawharf/cicadawharf/internal/drive"
+	"github.com/cicadawharf/cicadawharf/internal/guard"
 	"github.com/cicadawharf/cicadawharf/internal/intake"
 	"github.com/cicadawharf/cicadawharf/internal/logbuf"
 	"github.com/cicadawharf/cicadawharf/internal/member"
@@ -89,7 +90,8 @@
 	if se.Machines.Address != "" {
 		dc.Machines = platform.NewMachines(se.Machines.Address)
 	}
-	fc := platform.FrontConfig{Intake: in, Uptime: uptime.Now, Log: log}
+	gu := guard.New(guard.Config{MemoryLimit: memoryLimit(se), Log: log})
+	fc := platform.FrontConfig{Intake: in, Guard: gu, Uptime: uptime.Now, Log: log}
 	pe := newPeer(se, st, in, log, func(no batch.Notice) bool { return sc.Deliver(no) })
 	if pe != nil {
 		fc.Forwarder = pe
@@ -98,7 +100,7 @@
 	sc = drive.New(time.Now(), dc)
 	fr := platform.NewFront(fc)
 	return member.New(member.Config{
-		Settings: se, Scheduler: sc, Intake: in, Log: log, Readiness: platform.Ready,
+		Settings: se, Scheduler: sc, Intake: in, Log: log, Readiness: platform.Ready, Guard: gu,
 		Callers: fr, Remote: pe, Forwarded: fr,
 		OperatorHandler: admin.New(admin.Config{Host: se.Host.Name, Store: st, Layout: layout, Log: log}),
 	})
--- /dev/null
+++ b/internal/guard/guard_test.go
@@ -0,0 +1,204 @@
+package guard_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/guard"
+)
+
+// site is a server behind a Guard. It answers 200 with the size of the body, 413 for
+// one that is too large, and closes the connection of one that is incomplete.
+type site struct {
+	t       *testing.T
+	gu      *guard.Guard
+	address string
+	hold    chan struct{} // complete requests wait for it; nil if they don't
+}
+
+const (
+	bodyLimit   = 100_000 // bytes
+	memoryLimit = 2 << 20 // bytes, of which a fifth is for bodies
+	waitTimeout = 20 * time.Second
+)
+
+func startSite(t *testing.T, memory int64, connections int, hold chan struct{}) *site {
+	t.Helper()
+	si := &site{t: t, gu: guard.New(guard.Config{MemoryLimit: memory}), hold: hold}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	si.address = ln.Addr().String()
+	sv := si.gu.Server(http.HandlerFunc(si.serve))
+	go func() { _ = sv.Serve(si.gu.Listen(ln, connections)) }()
+	t.Cleanup(func() { sv.Close() })
+	return si
+}
+
+func (si *site) serve(wr http.ResponseWriter, rq *http.Request) {
+	ctx, cancel := context.WithTimeout(rq.Context(), waitTimeout)
+	defer cancel()
+	body, release, err := si.gu.ReadBody(ctx, wr, rq, bodyLimit, rq.Header.Get("Authorization") != "")
+	defer release()
+	switch {
+	case errors.Is(err, guard.ErrTooLarge):
+		wr.WriteHeader(http.StatusRequestEntityTooLarge)
+	case err != nil:
+		panic(http.ErrAbortHandler)
+	default:
+		if si.hold != nil {
+			<-si.hold
+		}
+		fmt.Fprint(wr, len(body))
+	}
+}
+
+// send opens a connection and sends the head of a request and a part of its body.
+func (si *site) send(head string, body int) net.Conn {
+	si.t.Helper()
+	cn, err := net.Dial("tcp", si.address)
+	if err != nil {
+		si.t.Fatal(err)
+	}
+	si.t.Cleanup(func() { cn.Close() })
+	_, _ = io.WriteString(cn, "POST / HTTP/1.1\r\nHost: h\r\n"+head+"\r\n"+strings.Repeat("x", body))
+	return cn
+}
+
+// post sends a whole request over a new connection and returns the status.
+func (si *site) post(size int) (int, error) {
+	cl := http.Client{Timeout: waitTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	rs, err := cl.Post("http://"+si.address, "application/json", strings.NewReader(strings.Repeat("x", size)))
+	if err != nil {
+		return 0, err
+	}
+	defer rs.Body.Close()
+	return rs.StatusCode, nil
+}
+
+// isClosed reports whether the server closes a connection.
+func isClosed(cn net.Conn) bool {
+	_ = cn.SetReadDeadline(time.Now().Add(waitTimeout))
+	_, err := io.ReadAll(cn)
+	return err == nil || !errors.Is(err, context.DeadlineExceeded)
+}
+
+// TestUnfinishedBodiesGiveWay fills the room for bodies with some that stop short of
+// their end. It guards against a crowd that locks ordinary callers out until a deadline.
+func TestUnfinishedBodiesGiveWay(t *testing.T) {
+	is := is.New(t)
+	si := startSite(t, memoryLimit, 100, nil)
+	for range 20 {
+		si.send(fmt.Sprintf("Content-Length: %d\r\n", bodyLimit), bodyLimit-1)
+	}
+	for range 5 {
+		status, err := si.post(bodyLimit)
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+	}
+}
+
+// TestBodiesWithoutKeyGiveWayFirst guards against a crowd without a key that displaces
+// the slow request of a caller with one.
+func TestBodiesWithoutKeyGiveWayFirst(t *testing.T) {
+	is := is.New(t)
+	si := startSite(t, memoryLimit, 100, nil)
+	slow := si.send(fmt.Sprintf("Authorization: Bearer k\r\nContent-Length: %d\r\n", bodyLimit), bodyLimit-1)
+	for range 20 {
+		si.send(fmt.Sprintf("Content-Length: %d\r\n", bodyLimit), bodyLimit-1)
+	}
+	status, err := si.post(bodyLimit)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	_, err = io.WriteString(slow, "x")
+	is.NoErr(err)
+	line := make([]byte, 12)
+	_ = slow.SetReadDeadline(time.Now().Add(waitTimeout))
+	_, err = io.ReadFull(slow, line)
+	is.NoErr(err)
+	is.Equal(string(line), "HTTP/1.1 200")
+}
+
+// TestAnnouncementsTakeNoRoom guards against connections that only announce large
+// bodies and displace those that send theirs.
+func TestAnnouncementsTakeNoRoom(t *testing.T) {
+	is := is.New(t)
+	si := startSite(t, memoryLimit, 100, nil)
+	kept := si.send(fmt.Sprintf("Content-Length: %d\r\n", bodyLimit), bodyLimit-1)
+	for range 10 {
+		si.send(fmt.Sprintf("Content-Length: %d\r\n", bodyLimit), 1)
+	}
+	status, err := si.post(10)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	_, err = io.WriteString(kept, "x")
+	is.NoErr(err)
+	_ = kept.SetReadDeadline(time.Now().Add(waitTimeout))
+	n, _ := kept.Read(make([]byte, 12))
+	is.Equal(n, 12) // it is answered
+}
+
+// TestWholeRequestsNeverGiveWay guards against closing the connection of a request that
+// is being decided: its caller would not learn whether it has taken effect.
+func TestWholeRequestsNeverGiveWay(t *testing.T) {
+	is := is.New(t)
+	hold := make(chan struct{})
+	si := startSite(t, memoryLimit, 2, hold)
+	statuses := make(chan int, 2)
+	for range 2 {
+		go func() {
+			status, _ := si.post(100)
+			statuses <- status
+		}()
+	}
+	time.Sleep(200 * time.Millisecond) // both have arrived
+	for range 20 {
+		si.send("Content-Length: 10\r\n", 1)
+	}
+	close(hold)
+	is.Equal(<-statuses, http.StatusOK)
+	is.Equal(<-statuses, http.StatusOK)
+}
+
+// TestOldConnectionsGiveWay opens more connections than may be open. It guards against
+// clients that hold all of them.
+func TestOldConnectionsGiveWay(t *testing.T) {
+	is := is.New(t)
+	si := startSite(t, memoryLimit, 10, nil)
+	first := si.send("Content-Length: 10\r\n", 1)
+	for range 30 {
+		si.send("Content-Length: 10\r\n", 1)
+	}
+	status, err := si.post(100)
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.True(isClosed(first))
+}
+
+// TestBodiesBeyondTheLimit guards against reading more than allowed, announced or not.
+func TestBodiesBeyondTheLimit(t *testing.T) {
+	for _, tt := range []struct{ head, body string }{
+		{fmt.Sprintf("Content-Length: %d\r\n", bodyLimit+1), ""},
+		{"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s", 2*bodyLimit, strings.Repeat("x", 2*bodyLimit))},
+	} {
+		is := is.New(t)
+		si := startSite(t, memoryLimit, 10, nil)
+		cn := si.send(tt.head, 0)
+		_, _ = io.WriteString(cn, tt.body)
+		line := make([]byte, 12)
+		_ = cn.SetReadDeadline(time.Now().Add(waitTimeout))
+		_, err := io.ReadFull(cn, line)
+		is.NoErr(err)
+		is.Equal(string(line), "HTTP/1.1 413")
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -151,6 +151,17 @@
 	return ac, nil
 }
 
+// Recognizes reports whether a call would be authorized by this host's copy of the
+// policy, which may be outdated. It says only whose requests give way first.
+func (in *Intake) Recognizes(host, path, key string) bool {
+	ps := in.latestSnapshot()
+	if ps.policy == nil {
+		return false
+	}
+	_, err := ps.authorize(host, path, key)
+	return err == nil
+}
+
 // LoadPolicy reads the policy, so that the host becomes ready before its first
 // call. It returns an error if no usable policy could be read.
 func (in *Intake) LoadPolicy(ctx context.Context, up time.Duration) error {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -16,6 +16,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/cicadawharf/cicadawharf/internal/drive"
+	"github.com/cicadawharf/cicadawharf/internal/guard"
 	"github.com/cicadawharf/cicadawharf/internal/intake"
 	"github.com/cicadawharf/cicadawharf/internal/pause"
 	"github.com/cicadawharf/cicadawharf/internal/remote"
@@ -34,6 +35,7 @@
 		Forwarded       remote.Handler                       // handles calls forwarded by other hosts
 		OperatorHandler http.Handler                         // served if the settings have an operators' address
 		Readiness       func(ready func() bool) http.Handler // returns the handler of the load balancer's probes
+		Guard           *guard.Guard                         // bounds what clients make the host hold
 		Log             *slog.Logger
 	}
 
@@ -51,8 +53,10 @@
 	unreadyShare  = 0.45
 	shutdownShare = 0.85
 
-	headerTimeout  = 5 * time.Second
-	idleTimeout    = 60 * time.Second
+	// maxServiceConnections bounds the connections to each of the addresses that are not
+	// for callers.
+	maxServiceConnections = 32
+
 	loadRetryDelay = 200 * time.Millisecond
 	loadTimeout    = time.Second
 )
@@ -71,15 +75,16 @@
 // still in progress at that time.
 func (me *Member) Run(ctx context.Context) error {
 	se := me.cfg.Settings
+	gu := me.cfg.Guard
 	servers := map[string]*http.Server{
-		se.Host.CallersAddress:   {Handler: me.cfg.Callers, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
-		se.Host.ReadinessAddress: {Handler: me.cfg.Readiness(me.Ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
+		se.Host.CallersAddress:   gu.Server(me.cfg.Callers),
+		se.Host.ReadinessAddress: gu.Server(me.cfg.Readiness(me.Ready)),
 	}
 	if se.Host.MetricsAddress != "" {
-		servers[se.Host.MetricsAddress] = &http.Server{Handler: metricsHandler(), ReadHeaderTimeout: headerTimeout}
+		servers[se.Host.MetricsAddress] = gu.Server(metricsHandler())
 	}
 	if se.Host.OperatorsAddress != "" {
-		servers[se.Host.OperatorsAddress] = &http.Server{Handler: me.cfg.OperatorHandler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		servers[se.Host.OperatorsAddress] = gu.Server(me.cfg.OperatorHandler)
 	}
 	failed := make(chan error, len(servers)+1)
 	for address, sv := range servers {
@@ -87,7 +92,11 @@
 		if err != nil {
 			return merry.Prepend(err, "listen")
 		}
-		go func() { failed <- sv.Serve(ln) }()
+		connections := maxServiceConnections
+		if address == se.Host.CallersAddress {
+			connections = gu.MaxConnections()
+		}
+		go func() { failed <- sv.Serve(gu.Listen(ln, connections)) }()
 	}
 	me.cfg.Log.Info("host started", "event", "begins", "host", se.Host.Name, "zone", se.Host.Zone, "callers", se.Host.CallersAddress)
 	sctx, stopScheduler := context.WithCancel(ctx)
