--- a/internal/batch/footprint.go
+++ b/internal/batch/footprint.go
@@ -4,7 +4,9 @@
 const (
 	jobFootprint  = 1 << 10
 	stepFootprint = 256
-	unitFootprint = 400 // a waiting unit; few of them run at the same time
+	// afterFootprint is that of a step that another one comes after.
+	afterFootprint = 8
+	unitFootprint  = 400 // a waiting unit; few of them run at the same time
 )
 
 // defaultStateLimit bounds the state of a scheduler, in bytes, whose memory limit is
@@ -31,7 +33,11 @@
 // Footprint estimates the memory, in bytes, that a scheduler needs for a job of
 // which it holds a number of units.
 func (jb Job) Footprint(units int) int64 {
-	return jobFootprint + int64(len(jb.Payload)) + int64(len(jb.Steps))*stepFootprint + int64(units)*unitFootprint
+	bytes := jobFootprint + int64(len(jb.Payload)) + int64(units)*unitFootprint
+	for _, sp := range jb.Steps {
+		bytes += stepFootprint + int64(len(sp.After))*afterFootprint + int64(len(sp.Label)+len(sp.DataRack))
+	}
+	return bytes
 }
 
 // UnitsPerOccurrence returns the number of units of each occurrence.
