remote: bound what the streams of other hosts hold

What callers saw: 960 streams with unfinished messages at the address for other hosts took a host to four times its memory, for half a minute after they had been refused. Cause: a message's announced size was allocated before it had arrived, and a refused stream keeps what it has received until both sides have closed it; only sessions were bounded, not streams. Change: a message is read as it arrives. TestAnnouncedMessagesTakeNoMemory fails with the former ReadMessage.

--- a/cmd/cicadawharf/domain.go
+++ b/cmd/cicadawharf/domain.go
@@ -92,7 +92,7 @@
 	}
 	gu := guard.New(guard.Config{MemoryLimit: memoryLimit(se), Log: log})
 	fc := platform.FrontConfig{Intake: in, Guard: gu, Uptime: uptime.Now, Log: log}
-	pe := newPeer(se, st, in, log, func(no batch.Notice) bool { return sc.Deliver(no) })
+	pe := newPeer(se, st, in, gu, log, func(no batch.Notice) bool { return sc.Deliver(no) })
 	if pe != nil {
 		fc.Forwarder = pe
 		dc.PeerAddress, dc.Notify = se.Host.PeerAddress, pe.Notify
@@ -108,7 +108,7 @@
 
 // newPeer returns the peer that serves the calls of other hosts and forwards
 // calls to them. It returns nil if the settings have no peer address.
-func newPeer(se setup.Domain, st store.TxnStore, in *intake.Intake, log *slog.Logger, deliver func(batch.Notice) bool) *remote.Peer {
+func newPeer(se setup.Domain, st store.TxnStore, in *intake.Intake, gu *guard.Guard, log *slog.Logger, deliver func(batch.Notice) bool) *remote.Peer {
 	if se.Host.PeerAddress == "" {
 		return nil
 	}
@@ -118,7 +118,7 @@
 			Started: time.Now().UnixNano(),
 		},
 		Store: st, Cores: se.Processor.AvailableCores(), StoreReachable: func() bool { return in.Ready(uptime.Now()) },
-		Deliver: deliver, Log: log,
+		MaxStreams: gu.MaxStreams(), Deliver: deliver, Log: log,
 	})
 }
 
--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -4,7 +4,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/binary"
+	"errors"
 	"io"
 	"log/slog"
 	"strings"
@@ -62,6 +65,10 @@
 )
 
 const (
+	// maxUnaccepted bounds the streams of a session that were opened and are not
+	// accepted yet. Each of them may already hold a window of data.
+	maxUnaccepted = 16
+
 	writeTimeout = time.Second      // of a write to the connection of a session
 	closeTimeout = 30 * time.Second // from when this host closes a stream until the other host closes it
 )
@@ -74,6 +81,7 @@
 	yc.ConnectionWriteTimeout = writeTimeout
 	yc.StreamOpenTimeout = 0
 	yc.StreamCloseTimeout = closeTimeout
+	yc.AcceptBacklog = maxUnaccepted
 	yc.LogOutput = nil
 	yc.Logger = yamuxLogger{log: log}
 	return yc
@@ -180,9 +188,29 @@
 }
 
 // ReadMessage reads a message written by WriteMessage. It returns an error if
-// the message has more than maxSize bytes.
+// the message has more than maxSize bytes. Memory is taken for what has arrived, not
+// for the size that is announced.
 func ReadMessage(rd *bufio.Reader, msg proto.Message, maxSize int) error {
-	return protodelim.UnmarshalOptions{MaxSize: int64(maxSize)}.UnmarshalFrom(rd, msg)
+	size, err := binary.ReadUvarint(rd)
+	if err != nil {
+		return err
+	}
+	if size > uint64(maxSize) {
+		return merry.Errorf("the message has %d bytes, the limit is %d", size, maxSize)
+	}
+	var buf bytes.Buffer
+	if _, err := io.CopyN(&buf, rd, int64(size)); err != nil {
+		return unexpectedEOF(err)
+	}
+	return proto.Unmarshal(buf.Bytes(), msg)
+}
+
+// unexpectedEOF returns the error for the end of the input within a message.
+func unexpectedEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
 }
 
 // Write implements io.Writer.
--- a/internal/remote/peer.go
+++ b/internal/remote/peer.go
@@ -22,6 +22,9 @@
 		Store          store.TxnStore
 		Cores          float64     // available to the process; limits the forwarded calls that it serves
 		StoreReachable func() bool // reports whether this host can reach the store
+		// MaxStreams bounds the streams that other hosts may have open in all; zero for
+		// the default.
+		MaxStreams int
 		// Deliver passes a notice of another host to the scheduler, and reports
 		// whether this host is the leader. If nil, no notices are taken.
 		Deliver func(batch.Notice) bool
@@ -37,6 +40,7 @@
 	Peer struct {
 		cfg     Config
 		limiter *limiter
+		inbound *inbound
 		pool    *pool
 		notices atomic.Int64 // being sent
 
@@ -55,7 +59,7 @@
 	}
 	sessionsCtx, endSessions := context.WithCancel(context.Background())
 	return &Peer{
-		cfg: cf, limiter: newLimiter(cf.Cores), pool: newPool(cf.Log, cf.Dial), roster: NewRoster(cf.Self),
+		cfg: cf, limiter: newLimiter(cf.Cores), inbound: newInbound(cf.MaxStreams), pool: newPool(cf.Log, cf.Dial), roster: NewRoster(cf.Self),
 		sessionsCtx: sessionsCtx, endSessions: endSessions,
 	}
 }
--- a/internal/remote/serve.go
+++ b/internal/remote/serve.go
@@ -73,6 +73,8 @@
 		return
 	}
 	defer sess.Close()
+	pe.inbound.add(sess)
+	defer pe.inbound.remove(sess)
 	stop := context.AfterFunc(pe.sessionsCtx, func() { sess.Close() })
 	defer stop()
 	for {
@@ -80,6 +82,11 @@
 		if err != nil {
 			return
 		}
+		if worst := pe.inbound.excess(); worst != nil {
+			pe.cfg.Log.Warn("a session is closed, since other hosts have too many streams open", "event", "crowded", "from", worst.RemoteAddr(), "streams", worst.NumStreams())
+			worst.Close()
+			continue
+		}
 		if err := pe.limiter.beginForwarded(); err != nil {
 			countCall(receiver, "", refused)
 			pe.respond(st, nil, err)
