--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -146,9 +146,10 @@
 		control := http.NewResponseController(wr)
 		now := time.Now()
 		_ = control.SetWriteDeadline(now.Add(maxRequestTime))
-		_ = control.SetReadDeadline(now.Add(maxRequestTime))
 		if rq.ContentLength == 0 {
 			gu.Complete(rq)
+		} else {
+			_ = control.SetReadDeadline(now.Add(maxRequestTime))
 		}
 		ha.ServeHTTP(wr, rq)
 		// What is left of the body is discarded before the next request, for a short
