domain: bound the drift of workers' clocks, and wait for leases of a resigned term

A lease is counted from the last reading of the worker's clock, and idle workers were not polled: after a minute of idle time a slow clock made it last longer than a successor waited. And a scheduler that resigns, or whose host starts anew, frees its key at once, so that its successor began sooner than the wait allowed for.

Change: idle workers are polled every ten seconds, and each reading of a clock brings the end of the leases there up to date. A successor waits 6.4 s: leases of TaskLeaseTime of a term that has resigned, or 7 s (was 6.6) after its last renewal.

Evidence: found by a review.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -31,7 +31,10 @@
 		// StoreReturnedAt is when the store last responded again after an outage; zero
 		// if there was none.
 		StoreReturnedAt time.Time
-		StateLimit      int64 // bytes that the jobs may need in memory, see batch.StateLimit; zero if unknown
+		// FormerBounded says that the predecessor bounds its leases on workers by
+		// maxGrantTime. Schedulers of former versions don't.
+		FormerBounded bool
+		StateLimit    int64 // bytes that the jobs may need in memory, see batch.StateLimit; zero if unknown
 	}
 
 	// Core is the state of a scheduling domain during one term of leadership.
@@ -39,6 +42,7 @@
 	Core struct {
 		token                int64
 		beganAt              time.Time
+		formerLeasesEnd      time.Time // when the leases of earlier terms have expired
 		leaseConfirmedAt     time.Time // see ConfirmLease; zero if the scheduler's own lease is not known
 		policy               *batch.Policy
 		jobs                 map[string]*job
@@ -110,6 +114,10 @@
 		stateLimit:      cmp.Or(cf.StateLimit, batch.StateLimit(0)),
 	}
 	co.maxUnits = batch.MaxUnits(co.stateLimit)
+	co.formerLeasesEnd = now.Add(unboundedLeaseTime)
+	if cf.FormerBounded {
+		co.formerLeasesEnd = now.Add(formerLeaseTime)
+	}
 	for _, wk := range cf.Workers {
 		co.listWorker(now, wk)
 	}
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -237,13 +237,17 @@
 	// maxGrantTime is how long after the last renewal of a scheduler's own lease the
 	// leases that it grants on workers may last. While the store does not respond,
 	// they get shorter with each grant.
-	maxGrantTime = 6600 * time.Millisecond
+	maxGrantTime = 7 * time.Second
 	// formerLeaseTime is the time after which leases of an earlier term have
 	// expired on a worker that was never reached. The predecessor grants none beyond
 	// maxGrantTime after its last renewal, and this term begins no earlier than
-	// LeaderLeaseTime after that. The last 300 ms cover a slow clock since its last
-	// reading, as maxClockDrift does.
-	formerLeaseTime = maxGrantTime - LeaderLeaseTime + 300*time.Millisecond
+	// LeaderLeaseTime after that; or it has resigned, and its last leases are
+	// TaskLeaseTime long. The rest covers a slow clock since its last reading, which
+	// idlePollInterval bounds.
+	formerLeaseTime = maxGrantTime - LeaderLeaseTime + 400*time.Millisecond
+	// unboundedLeaseTime is the same for a predecessor that may be of a former version,
+	// which grants leases of TaskLeaseTime until 5.5 s after its last renewal.
+	unboundedLeaseTime = 11 * time.Second
 	// maxCallDelay bounds the time after which a call without a reply may still
 	// be carried out.
 	maxCallDelay = 12 * time.Second
@@ -261,6 +265,8 @@
 	// entryReturnTime is how long after an outage of the store the entry of a worker
 	// that runs may be missing: two seconds by the platform, and a margin.
 	entryReturnTime = 2500 * time.Millisecond
+	// idlePollInterval is the time between two polls of an idle worker.
+	idlePollInterval = 10 * time.Second
 	// pollRetryDelay is the pause after a failed poll.
 	pollRetryDelay = 500 * time.Millisecond
 	// stopRetryDelay is the minimum time between two calls to stop the same
--- a/internal/domain/lease.go
+++ b/internal/domain/lease.go
@@ -55,9 +55,21 @@
 		return 0
 	}
 	deadline := nd.clock + now.Sub(nd.clockAt) + lease
-	span := time.Duration(float64(deadline-nd.clock)/(1-maxClockDrift)) + replyMargin
+	nd.deadline = max(nd.deadline, deadline)
+	nd.updateLeaseEnd()
+	return deadline
+}
+
+// updateLeaseEnd sets leaseEnd by the latest deadline granted and the last reading of
+// the worker's clock. The older the reading, the later a slow clock may reach the
+// deadline, so each reading brings the end closer.
+func (nd *node) updateLeaseEnd() {
+	nd.leaseEnd = nd.earlierLeases
+	if nd.deadline == 0 || nd.clockAt.IsZero() {
+		return
+	}
+	span := time.Duration(float64(nd.deadline-nd.clock)/(1-maxClockDrift)) + replyMargin
 	if end := nd.clockAt.Add(span); end.After(nd.leaseEnd) {
 		nd.leaseEnd = end
 	}
-	return deadline
 }
--- a/internal/domain/loss_test.go
+++ b/internal/domain/loss_test.go
@@ -108,6 +108,7 @@
 		sc.commitAll()
 		is.Equal(len(effectsOf[domain.Start](sc)), 1)
 		sc.pass(5 * time.Second)
+		sc.reply("w2", runner.Status{})
 		sc.commitAll()
 		is.Equal(len(effectsOf[domain.Start](sc)), 2)
 	}
@@ -177,3 +178,17 @@
 		is.Equal(sim.fleet.Running("j"), 1)
 	}
 }
+
+// TestIdleTimeOfWorkerHoldsNoWork starts work on a worker that was idle for an hour,
+// which then vanishes. It guards against counting the drift of its clock since its last
+// reading, long ago, although a later reply has read the clock again.
+func TestIdleTimeOfWorkerHoldsNoWork(t *testing.T) {
+	is := is.New(t)
+	sim := startSimulation(3)
+	sim.run(time.Hour)
+	sim.submitTasks("j", 1, 1)
+	sim.run(5 * time.Second)
+	sim.vanish(sim.workerWith("j"))
+	sim.run(calmLimit)
+	is.Equal(sim.fleet.Running("j"), 1)
+}
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -22,18 +22,20 @@
 		used                   batch.Resources // by runs and claims
 		clock                  time.Duration   // the worker's clock, read at clockAt or shortly before
 		clockAt                time.Time
-		lastResponse           time.Time    // to a poll
-		lastFailure            time.Time    // of a call
-		silentSince            time.Time    // when the first call since lastResponse failed; zero if none did
-		lastRefusal            time.Time    // of a start
-		leaseEnd               time.Time    // when every lease granted here has expired
-		polling                bool         // the long poll for ends is in flight
-		nextPoll               time.Time    // earliest time of the next poll
-		lastEnd                int64        // number of the last end processed
-		pendingEnds            []pendingEnd // processed, but not in the store yet
-		savedEnd               int64        // number of the last end in the store
-		ackedEnd               int64        // number of the last end acknowledged to the worker
-		endsOmitted            bool         // the last reply to a poll may have omitted ends of runs
+		lastResponse           time.Time     // to a poll
+		lastFailure            time.Time     // of a call
+		silentSince            time.Time     // when the first call since lastResponse failed; zero if none did
+		lastRefusal            time.Time     // of a start
+		leaseEnd               time.Time     // when every lease granted here has expired
+		earlierLeases          time.Time     // the same for those of an earlier term or incarnation
+		deadline               time.Duration // the latest one granted to this incarnation in this term, on its clock
+		polling                bool          // the long poll for ends is in flight
+		nextPoll               time.Time     // earliest time of the next poll
+		lastEnd                int64         // number of the last end processed
+		pendingEnds            []pendingEnd  // processed, but not in the store yet
+		savedEnd               int64         // number of the last end in the store
+		ackedEnd               int64         // number of the last end acknowledged to the worker
+		endsOmitted            bool          // the last reply to a poll may have omitted ends of runs
 		health                 health
 		bestEffortBlockedUntil time.Time // see besteffort.go
 		hasShrunk              bool      // its capacity was reduced in this term
@@ -121,7 +123,8 @@
 func (co *Core) nodeFor(id string) *node {
 	nd, ok := co.nodes[id]
 	if !ok {
-		nd = &node{worker: runner.Worker{ID: id}, runs: map[runKey]*run{}, leaseEnd: co.beganAt.Add(formerLeaseTime)}
+		nd = &node{worker: runner.Worker{ID: id}, runs: map[runKey]*run{}, earlierLeases: co.formerLeasesEnd}
+		nd.leaseEnd = nd.earlierLeases
 		co.nodes[id] = nd
 		at, _ := slices.BinarySearchFunc(co.sortedNodes, id, compareID)
 		co.sortedNodes = slices.Insert(co.sortedNodes, at, nd)
@@ -202,6 +205,7 @@
 	}
 	co.resetHealth(now, nd, len(nd.runs) > 0 && !nd.runsSuspected())
 	co.dropAdvice(nd.worker.ID)
+	nd.earlierLeases, nd.deadline = nd.leaseEnd, 0
 	nd.worker.Born, nd.bornAt = born, now
 	nd.lastEnd, nd.savedEnd, nd.ackedEnd = 0, 0, 0
 	nd.pendingEnds = nil
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -29,6 +29,8 @@
 				rq.Wait = 0
 			}
 		case nd.savedEnd > nd.ackedEnd:
+		case nd.listed && now.Sub(nd.clockAt) >= idlePollInterval:
+			// The older the reading of its clock, the longer a lease may last there.
 		default:
 			continue
 		}
@@ -78,6 +80,7 @@
 	}
 	nd.lastResponse, nd.silentSince = now, time.Time{}
 	nd.clock, nd.clockAt = ev.Status.Clock, now
+	nd.updateLeaseEnd()
 	nd.ackedEnd = max(nd.ackedEnd, ev.Call.Request.Acked)
 	co.resolveLosses(now, nd.worker)
 	co.reconcile(now, nd, ev)
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -71,6 +71,7 @@
 		isLeader    atomic.Bool
 		current     atomic.Pointer[term]   // of this host; nil unless it holds the leader key
 		leader      atomic.Pointer[leader] // another host that is the leader, as last read; nil if unknown
+		former      atomic.Pointer[leader] // the last leader that this host has seen
 		incarnation int64                  // start time, nanoseconds since 1970; distinguishes processes of the same host
 		outages     outageMonitor
 	}
--- a/internal/drive/elect.go
+++ b/internal/drive/elect.go
@@ -92,7 +92,7 @@
 // acquireLeaderKey creates the leader key and returns the revision of that
 // write, which is the fencing token of the term.
 func (sc *Scheduler) acquireLeaderKey(ctx context.Context, lease store.LeaseID) (store.Revision, error) {
-	value := leader{sc.cfg.Host, sc.incarnation, lease, sc.cfg.PeerAddress}.encode()
+	value := leader{sc.cfg.Host, sc.incarnation, lease, sc.cfg.PeerAddress, true}.encode()
 	tx := store.Txn{
 		Expect: []store.Expectation{{Key: batch.LeaderKey}},
 		Puts:   []store.Put{{Key: batch.LeaderKey, Value: value, Lease: lease}},
@@ -120,6 +120,9 @@
 		pause.For(ctx, electionRetryDelay)
 		return false
 	}
+	if en.Revision != 0 {
+		sc.setFormer(en)
+	}
 	if en.Revision == 0 || sc.revokeFormerLease(ctx, en) {
 		return true
 	}
@@ -170,6 +173,22 @@
 		return
 	}
 	sc.leader.Store(&le)
+	sc.former.Store(&le)
+}
+
+// setFormer remembers the leader in an entry of the leader key, which may be gone when
+// this host is elected.
+func (sc *Scheduler) setFormer(en store.Entry) {
+	if le, err := parseLeader(en.Value); err == nil {
+		sc.former.Store(&le)
+	}
+}
+
+// formerBounded reports whether the last leader that this host has seen bounds its
+// leases on workers by its own lease. It is not known if this host has seen none.
+func (sc *Scheduler) formerBounded() bool {
+	le := sc.former.Load()
+	return le != nil && le.boundedLeases
 }
 
 // keepLease renews the leader's lease until the term ends. The term ends when
--- a/internal/drive/leader.go
+++ b/internal/drive/leader.go
@@ -1,6 +1,7 @@
 package drive
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"strings"
@@ -16,11 +17,24 @@
 	incarnation int64 // of its process
 	lease       store.LeaseID
 	address     string // IP:port at which other hosts reach it; empty if they don't
+	// boundedLeases says that its leases on workers end with its own lease, as
+	// domain.Config.FormerBounded asks for. Former versions don't say so.
+	boundedLeases bool
 }
 
+// The words of a leader key's value that stand for a missing address and for
+// boundedLeases.
+const (
+	noAddress     = "-"
+	boundedLeases = "boundedLeases"
+)
+
 // encode returns the value of the leader key.
 func (le leader) encode() []byte {
 	value := fmt.Appendf(nil, "%s %d %d", le.host, le.incarnation, le.lease)
+	if le.boundedLeases {
+		return fmt.Appendf(value, " %s %s", cmp.Or(le.address, noAddress), boundedLeases)
+	}
 	if le.address != "" {
 		value = fmt.Appendf(value, " %s", le.address)
 	}
@@ -44,8 +58,9 @@
 		return le, merry.Prepend(err, "lease of the leader")
 	}
 	le.lease = store.LeaseID(id)
-	if len(words) > 3 {
+	if len(words) > 3 && words[3] != noAddress {
 		le.address = words[3]
 	}
+	le.boundedLeases = len(words) > 4 && words[4] == boundedLeases
 	return le, nil
 }
--- a/internal/drive/load.go
+++ b/internal/drive/load.go
@@ -52,7 +52,7 @@
 	cf := domain.Config{
 		Token: int64(te.token), Cores: te.cfg.Cores, Policy: te.decodePolicy(policy), EvacuatedZones: ws.evacuations.zoneNames(),
 		MinMoveRunTime: te.cfg.MinMoveRunTime, FairShares: te.cfg.FairShares,
-		StoreReturnedAt: te.outages.lastReturn(), StateLimit: batch.StateLimit(te.cfg.MemoryLimit),
+		FormerBounded: te.formerBounded(), StoreReturnedAt: te.outages.lastReturn(), StateLimit: batch.StateLimit(te.cfg.MemoryLimit),
 	}
 	for i, en := range accepted {
 		te.addAccepted(en, &cf)
