domain: ignore advice about a worker that has restarted since it was asked for

What could go wrong: an answer in flight while a worker restarts brought the tickets and refusals of its former incarnation back, and a refusal does not expire. Change: workers that restart meanwhile are left out of the answer. No test of its own.

--- a/internal/domain/advise.go
+++ b/internal/domain/advise.go
@@ -21,6 +21,7 @@
 		notBefore time.Time // earliest time of the next call
 		refused   map[string]bool
 		tickets   map[string]ticket
+		outdated  map[string]bool // workers that have restarted since the call in flight was made
 	}
 
 	// ticket permits the start of a step's tasks on one worker.
@@ -62,7 +63,7 @@
 	key := stepKey{un.occurrence, un.stepIndex}
 	ad, ok := un.job.advice[key]
 	if !ok {
-		ad = &advice{refused: map[string]bool{}, tickets: map[string]ticket{}}
+		ad = &advice{refused: map[string]bool{}, tickets: map[string]ticket{}, outdated: map[string]bool{}}
 		un.job.advice[key] = ad
 	}
 	ad.expire(ps.now)
@@ -88,6 +89,9 @@
 		for _, ad := range jb.advice {
 			delete(ad.tickets, worker)
 			delete(ad.refused, worker)
+			if ad.inFlight {
+				ad.outdated[worker] = true
+			}
 		}
 	}
 }
@@ -149,6 +153,7 @@
 		return
 	}
 	ad.inFlight = false
+	defer clear(ad.outdated)
 	ad.notBefore = now.Add(adviceRetryDelay)
 	co.passDue = true
 	if ev.Err != nil {
@@ -158,6 +163,9 @@
 	ad.notBefore = now
 	until := now.Add(ev.Advice.ValidFor - ticketMargin)
 	for _, id := range rq.Workers {
+		if ad.outdated[id] {
+			continue
+		}
 		if text, allowed := ev.Advice.Tickets[id]; allowed {
 			ad.tickets[id] = ticket{text: text, until: until}
 			continue
