--- a/internal/calls/calls.go
+++ b/internal/calls/calls.go
@@ -65,10 +65,6 @@
 )
 
 const (
-	// maxUnaccepted bounds the streams of a session that were opened and are not
-	// accepted yet. Each of them may already hold a window of data.
-	maxUnaccepted = 16
-
 	writeTimeout = time.Second      // of a write to the connection of a session
 	closeTimeout = 30 * time.Second // from when this host closes a stream until the other host closes it
 )
@@ -81,7 +77,6 @@
 	yc.ConnectionWriteTimeout = writeTimeout
 	yc.StreamOpenTimeout = 0
 	yc.StreamCloseTimeout = closeTimeout
-	yc.AcceptBacklog = maxUnaccepted
 	yc.LogOutput = nil
 	yc.Logger = yamuxLogger{log: log}
 	return yc
--- a/internal/guard/body.go
+++ b/internal/guard/body.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// maxRequestTime bounds the time for which a request may be received and
-	// processed, whatever its client asks for.
+	// maxRequestTime bounds the time for which a body may be received, whatever its
+	// client asks for.
 	maxRequestTime = 30 * time.Second
 	// writeTimeout bounds the sending of a response, and discardTimeout the reading of
 	// what is left of a body after it.
@@ -22,7 +22,7 @@
 	chunkBytes = 16 << 10
 	// reserveRetry is how long a body waits for room before further connections give
 	// way.
-	reserveRetry = 20 * time.Millisecond
+	reserveRetry = 250 * time.Millisecond
 )
 
 var (
@@ -41,7 +41,7 @@
 	if rq.ContentLength > limit {
 		return nil, bo.release, ErrTooLarge
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, maxRequestTime)
 	defer cancel()
 	bo.begin(hasKey, cancel)
 	control := http.NewResponseController(wr)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -140,14 +140,14 @@
 }
 
 // track bounds the reading of a request's body and the writing of its response, and
-// marks requests without a body as complete.
+// marks requests whose body nobody waits for as complete.
 func (gu *Guard) track(ha http.Handler) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
 		control := http.NewResponseController(wr)
 		now := time.Now()
 		_ = control.SetWriteDeadline(now.Add(maxRequestTime))
-		if rq.ContentLength == 0 {
-			gu.Complete(rq)
+		if rq.ContentLength == 0 || rq.Method != http.MethodPost {
+			gu.Complete(rq) // no handler reads other bodies
 		} else {
 			_ = control.SetReadDeadline(now.Add(maxRequestTime))
 		}
