domain: look at each job once when standstills are searched

Cause: each waiting unit of a job that doesn't fit asked anew whether something of the job runs, over all of its units, five times a second. Change: that is remembered for a search, and the other units of a group are left out once one that is interchangeable doesn't fit. Read, not run: a job of which nothing runs.

--- a/internal/domain/standstill.go
+++ b/internal/domain/standstill.go
@@ -47,11 +47,18 @@
 	co.standstillsCheckedAt = ps.now
 	since := make(map[standKey]time.Time, len(co.standingSince))
 	fits := map[fitKey]bool{}
+	active := map[*job]bool{}
 	var due []standUnit
 	for _, ug := range ugs {
 		for _, un := range ug.units {
 			key := un.standKey()
-			if _, seen := since[key]; seen || un.phase != waiting || un.claim != nil || key.isActive() || !co.fitsTwice(ps, ug, un, fits) {
+			if _, seen := since[key]; seen || un.phase != waiting || un.claim != nil || key.isActive(active) {
+				continue
+			}
+			if !co.fitsTwice(ps, ug, un, fits) {
+				if un.interchangeable() {
+					break // the others of the group don't fit, either
+				}
 				continue
 			}
 			at, ok := co.standingSince[key]
@@ -86,9 +93,18 @@
 	return standKey{job: un.job}
 }
 
-// isActive reports whether something of a job runs or is about to.
-func (sk standKey) isActive() bool {
-	return sk.unit == nil && slices.ContainsFunc(sk.job.units, func(un *unit) bool { return un.phase == placed || un.phase == live })
+// isActive reports whether something of a job runs or is about to, and remembers that
+// by job, since a job may have thousands of units.
+func (sk standKey) isActive(known map[*job]bool) bool {
+	if sk.unit != nil {
+		return false
+	}
+	active, ok := known[sk.job]
+	if !ok {
+		active = slices.ContainsFunc(sk.job.units, func(un *unit) bool { return un.phase == placed || un.phase == live })
+		known[sk.job] = active
+	}
+	return active
 }
 
 // fitsTwice reports whether there is room for two units like the given one. It
