domain: search for standstills among the workers that have room

Cause: the search that ends standstills went over all 1,100 workers for each waiting shape, five times a second, on hosts with less than half a core. Change: the workers that could take anything are determined once for each search. At high load there are few.

--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -19,6 +19,7 @@
 		unplaceable    map[fitKey]bool
 		reservations   int                // number of units with reserved workers
 		reserved       map[*node]bool     // for waiting gangs and large tasks
+		quiet          map[string][]*node // see quietNodes; by service
 		reserving      map[string]bool    // services with units for which workers are to be reserved
 		victims        map[*node][]victim // see victimsOn
 		minTrust       map[*unit]trust    // see Core.minTrust
--- a/internal/domain/standstill.go
+++ b/internal/domain/standstill.go
@@ -48,6 +48,7 @@
 	since := make(map[standKey]time.Time, len(co.standingSince))
 	fits := map[fitKey]bool{}
 	active := map[*job]bool{}
+	ps.quiet = map[string][]*node{}
 	var due []standUnit
 	for _, ug := range ugs {
 		for _, un := range ug.units {
@@ -116,7 +117,7 @@
 		return fits
 	}
 	n := 0
-	for _, sl := range un.slots(co.quietNodes(ps, un, ug.service), 2*un.tasks) {
+	for _, sl := range un.slots(co.quietNodes(ps, ug.service), 2*un.tasks) {
 		n += sl.tasks
 	}
 	known[key] = n >= 2*un.tasks
@@ -124,25 +125,31 @@
 }
 
 // quietNodes returns the workers of a service that could take a unit if it had no
-// preferences: they take work, and a worker that is out of service has not failed
-// anything for quietTime.
-func (co *Core) quietNodes(ps *pass, un *unit, service string) []*node {
+// preferences: they take work and have some room, and a worker that is out of service
+// has not failed anything for quietTime. There are few when load is high.
+func (co *Core) quietNodes(ps *pass, service string) []*node {
+	if nds, ok := ps.quiet[service]; ok {
+		return nds
+	}
 	var nds []*node
 	for _, nd := range co.nodesByID() {
-		switch {
-		case nd.worker.Service != service, !nd.acceptsWorkIfHealthy(ps.now), ps.now.Before(nd.isolatedUntil):
+		switch free := nd.free(); {
+		case nd.worker.Service != service, free.MilliCPU <= 0, free.MemoryMB <= 0:
+		case free.Accelerators <= 0 && nd.worker.Capacity.Accelerators > 0:
+		case !nd.acceptsWorkIfHealthy(ps.now), ps.now.Before(nd.isolatedUntil):
 		case !nd.health.isInService() && ps.now.Sub(nd.health.lastFailure) < quietTime:
 		default:
 			nds = append(nds, nd)
 		}
 	}
+	ps.quiet[service] = nds
 	return nds
 }
 
 // chooseDespitePreferences returns a worker for each task of a unit if there is room
 // for two such units, the preferred ones first, and nil otherwise.
 func (co *Core) chooseDespitePreferences(ps *pass, un *unit, service string) []*node {
-	sls := un.slots(co.quietNodes(ps, un, service), 2*un.tasks)
+	sls := un.slots(co.quietNodes(ps, service), 2*un.tasks)
 	n := 0
 	for i := range sls {
 		n += sls[i].tasks
