drive, domain: say in the log on which incarnation a lost run was started

What callers saw: tasks ran twice after workers had restarted under their IDs. The log could not tell a lease granted by the clock of the former incarnation from a start that a lost reply hides: reborn named neither what showed the restart nor whether a lease had just been granted, and lost did not name the incarnation.

The reply to a start carries the worker's clock, and the write of a record the store's revision. Both reach the core now; nothing is decided by them yet.

--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -54,6 +54,7 @@
 	// Started is the outcome of a Start.
 	Started struct {
 		Call     Start
+		Clock    time.Duration // the worker's, when it replied; zero if unknown
 		Err      error
 		Repeated bool // the call was made twice, and only one may have a reply
 	}
@@ -74,8 +75,9 @@
 	// Committed reports that a Commit is in the store, but for the records of some
 	// jobs that the store refuses for good.
 	Committed struct {
-		Seq     int64
-		Refused []string // IDs of these jobs
+		Seq      int64
+		Revision int64    // of the store by this write; zero if unknown
+		Refused  []string // IDs of these jobs
 	}
 
 	// Ticked is a periodic event for everything that depends on the time.
@@ -152,7 +154,7 @@
 	//     worker has failed since its last reply to a poll
 	//   - silent: the leases on a worker that is unresponsive or no longer listed
 	//     have expired, and its tasks are considered ended
-	//   - reborn: a worker has restarted
+	//   - reborn: a worker has restarted; Reason says what shows it
 	//   - unlisted: the platform no longer lists a worker
 	//   - suspects: a worker is suspended
 	//   - reinstates: a worker returns to service
@@ -165,6 +167,8 @@
 		Cause       LossCause     // of a lost run
 		MinAge      time.Duration // of a lost run at the loss of its worker, since its start was sent
 		MaxAge      time.Duration // the same as an upper bound; zero if unknown
+		Life        string        // incarnation of the worker of a lost run: present, former or unknown
+		Granted     time.Duration // since the last lease was granted to a worker that has restarted; zero if none was
 		Beside      int           // number of other runs on the worker of a lost run; of runs whose ends may be omitted
 		Crashes     int           // of workers under a task, by the last one
 		Suspected   int           // how many of these crashes the task has probably caused
--- a/internal/domain/loss.go
+++ b/internal/domain/loss.go
@@ -88,7 +88,7 @@
 	if ru.stage != ended && ru.stage != planned {
 		co.emit(LogDecision{
 			Decision: "lost", Job: ru.task.Job, Task: ru.task.String(), Attempt: ru.attempt, Worker: ru.node.worker.ID,
-			Cause: ls.cause, MinAge: ls.age.min, MaxAge: ls.age.bound(), Beside: beside,
+			Cause: ls.cause, MinAge: ls.age.min, MaxAge: ls.age.bound(), Beside: beside, Life: ru.life(),
 		})
 		if !wasStopped {
 			co.recordLoss(now, ru, ls)
@@ -128,6 +128,18 @@
 	return !ru.stop.ackedAt.IsZero() && ru.stop.ackedAt.Before(at) && !ru.isOfFormerIncarnation()
 }
 
+// life names the incarnation of the worker that a run was started on, for logs.
+func (ru *run) life() string {
+	switch {
+	case ru.incarnation == 0 || ru.node.worker.Incarnation() == 0:
+		return "unknown"
+	case ru.isOfFormerIncarnation():
+		return "former"
+	default:
+		return "present"
+	}
+}
+
 // isOfFormerIncarnation reports whether another incarnation of the worker than the
 // present one has started a run, as far as both are known.
 func (ru *run) isOfFormerIncarnation() bool {
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -72,7 +72,7 @@
 		nd = co.nodeFor(wk.ID)
 	}
 	if nd.worker.Born != 0 && wk.Born != 0 && nd.worker.Born != wk.Born {
-		co.handleRestart(now, nd, wk.Born)
+		co.handleRestart(now, nd, wk.Born, "the worker has restarted, by its entry")
 	}
 	former := nd.worker.Capacity
 	co.setWorker(now, nd, wk)
@@ -195,8 +195,12 @@
 // incarnation already, or may still reach it, so the next poll decides what runs
 // there. The leases of the former one still hold if the worker has not restarted,
 // since anybody may write an entry.
-func (co *Core) handleRestart(now time.Time, nd *node, born int64) {
-	co.emit(LogDecision{Decision: "reborn", Worker: nd.worker.ID, Reason: "the worker has restarted"})
+func (co *Core) handleRestart(now time.Time, nd *node, born int64, reason string) {
+	ld := LogDecision{Decision: "reborn", Worker: nd.worker.ID, Beside: len(nd.runs), Reason: reason}
+	if !nd.leaseSentAt.IsZero() {
+		ld.Granted = max(time.Millisecond, now.Sub(nd.leaseSentAt))
+	}
+	co.emit(ld)
 	for _, ru := range nd.runs {
 		if !ru.stoppedBefore(nd.lostBy(now)) {
 			ru.lostBy = loss{cause: Restarted.unlessDeparting(nd), age: ru.ageAtLoss(now)}
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -67,7 +67,7 @@
 		return
 	}
 	if ev.Status.Born != nd.worker.Born && ev.Status.Born != 0 && nd.worker.Born != 0 {
-		co.handleRestart(now, nd, ev.Status.Born)
+		co.handleRestart(now, nd, ev.Status.Born, "the worker has restarted, by its reply to a poll")
 	} else {
 		delete(co.silences, nd.worker.ID)
 	}
--- a/internal/domain/scripted_test.go
+++ b/internal/domain/scripted_test.go
@@ -13,6 +13,7 @@
 type scriptedCore struct {
 	core    *domain.Core
 	now     time.Time
+	commits int64 // confirmed
 	effects []domain.Effect
 }
 
@@ -67,7 +68,8 @@
 	for i := 0; i < len(sc.effects); i++ {
 		if cm, ok := sc.effects[i].(domain.Commit); ok {
 			sc.effects[i] = nil
-			sc.handle(domain.Committed{Seq: cm.Seq})
+			sc.commits++
+			sc.handle(domain.Committed{Seq: cm.Seq, Revision: 1 + sc.commits})
 		}
 	}
 }
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -36,6 +36,7 @@
 		waiting           map[string]int          // number of jobs that have not begun, by queue
 		evacuatedTasks    map[string]int          // tasks left in evacuated zones, as stored
 		endTimes          map[string]time.Time    // of jobs, as stored
+		revision          int64                   // of the store
 		token             int64                   // of the current leader
 		leader            *leader
 		faults            faults
@@ -270,7 +271,8 @@
 // elect creates a new core from the stored state. The former leader is killed,
 // or continues without the store if it is partitioned.
 func (sim *simulation) elect() *leader {
-	sim.token += 10
+	sim.revision++
+	sim.token = sim.revision
 	sim.disturb(0)
 	cf := domain.Config{Token: sim.token, Policy: sim.policy, EvacuatedZones: sim.evacuated, MinMoveRunTime: minMoveRunTime, FairShares: sim.fairShares, FormerBounded: true}
 	for _, id := range sim.accepted {
@@ -348,8 +350,17 @@
 		sim.poll(le, ef)
 	case domain.Start:
 		sim.checkStart(ef.Worker)
-		sim.call(le, ef.Worker.ID, func() error { return sim.fleet.Start(sim.now, ef.Worker.ID, ef.Request) },
-			func(err error) domain.Event { return domain.Started{Call: ef, Err: err} })
+		var clock time.Duration
+		sim.call(le, ef.Worker.ID, func() error {
+			err := sim.fleet.Start(sim.now, ef.Worker.ID, ef.Request)
+			clock = sim.fleet.Clock(sim.now, ef.Worker.ID)
+			return err
+		}, func(err error) domain.Event {
+			if err != nil {
+				return domain.Started{Call: ef, Err: err}
+			}
+			return domain.Started{Call: ef, Clock: clock}
+		})
 	case domain.Stop:
 		sim.call(le, ef.Worker.ID, func() error { return sim.fleet.Stop(sim.now, ef.Worker.ID, ef.Request) },
 			func(err error) domain.Event { return domain.Stopped{Call: ef, Err: err} })
@@ -421,8 +432,10 @@
 	if cm.Backlog != nil {
 		sim.waiting, sim.evacuatedTasks = cm.Backlog.Queues, cm.Backlog.Evacuating
 	}
+	sim.revision++
+	committed := domain.Committed{Seq: cm.Seq, Revision: sim.revision}
 	took := storeDelay + time.Duration(sim.rng.Int64N(int64(5*storeDelay)))
-	sim.after(took, func() { sim.handle(le, domain.Committed{Seq: cm.Seq}) })
+	sim.after(took, func() { sim.handle(le, committed) })
 }
 
 const commitRetry = 200 * time.Millisecond
--- a/internal/drive/commit.go
+++ b/internal/drive/commit.go
@@ -34,39 +34,44 @@
 	return rt.revisions[key]
 }
 
+// written is the outcome of a commit.
+type written struct {
+	revision store.Revision // zero if unknown
+	refused  []string       // IDs of the jobs whose records the store refuses for good
+}
+
 // commit writes records until they are stored or refused, or the term ends, and
 // tells the core.
 func (te *term) commit(cm domain.Commit) {
-	if refused, ok := te.write(cm); ok {
-		te.send(domain.Committed{Seq: cm.Seq, Refused: refused})
+	if wr, ok := te.write(cm); ok {
+		te.send(domain.Committed{Seq: cm.Seq, Revision: int64(wr.revision), Refused: wr.refused})
 	}
 }
 
 // write writes records until they are stored or the term ends, which it reports
-// by ok. It returns the IDs of the jobs whose records the store refuses for good.
-// Each write requires the leader key and every record to be at their known
+// by ok. Each write requires the leader key and every record to be at their known
 // revisions, so a write whose response was lost can't overwrite a later one.
-func (te *term) write(cm domain.Commit) (refused []string, ok bool) {
+func (te *term) write(cm domain.Commit) (wr written, ok bool) {
 	puts, err := encodeCommit(cm)
 	if err != nil {
 		te.log.Error("can't encode commit", "event", "commitFails", "reason", err)
 		te.end()
-		return nil, false
+		return written{}, false
 	}
 	for {
 		rev, ents, err := te.cfg.Store.Commit(te.ctx, te.txn(cm, puts))
 		switch {
 		case err == nil:
 			te.setRevisions(cm, rev)
-			return nil, true
+			return written{revision: rev}, true
 		case errors.Is(err, store.ErrConflict):
 			if te.leadershipLost(ents) {
 				te.log.Warn("the leader key has changed", "event", "leadershipLost")
 				te.end()
-				return nil, false
+				return written{}, false
 			}
 			if te.updateRevisions(puts, ents) {
-				return nil, true
+				return written{}, true
 			}
 			// A record had another revision: retry with the revisions just read.
 		case errors.Is(err, store.ErrTooLarge):
@@ -75,7 +80,7 @@
 		default:
 			te.log.Warn("commit failed, retrying", "event", "commitFails", "seq", cm.Seq, "reason", err)
 			if !te.pauseFor(commitRetryDelay) {
-				return nil, false
+				return written{}, false
 			}
 		}
 	}
@@ -84,12 +89,12 @@
 // writeEach writes the parts of a commit that the store has refused one by one, so
 // that one of them does not keep the others from the store. A part that can't be
 // divided is refused.
-func (te *term) writeEach(cm domain.Commit) (refused []string, ok bool) {
+func (te *term) writeEach(cm domain.Commit) (wr written, ok bool) {
 	if len(cm.Records) == 0 {
-		return nil, true
+		return written{}, true
 	}
 	if len(cm.Records) == 1 && cm.Backlog == nil {
-		return []string{cm.Records[0].ID}, true
+		return written{refused: []string{cm.Records[0].ID}}, true
 	}
 	parts := make([]domain.Commit, 0, len(cm.Records)+1)
 	for _, rc := range cm.Records {
@@ -99,13 +104,14 @@
 		parts = append(parts, domain.Commit{Seq: cm.Seq, Backlog: cm.Backlog})
 	}
 	for _, part := range parts {
-		ids, ok := te.write(part)
+		one, ok := te.write(part)
 		if !ok {
-			return nil, false
+			return written{}, false
 		}
-		refused = append(refused, ids...)
+		wr.revision = max(wr.revision, one.revision)
+		wr.refused = append(wr.refused, one.refused...)
 	}
-	return refused, true
+	return wr, true
 }
 
 // txn returns the transaction that writes puts, the encoded records of a
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -328,16 +328,20 @@
 	ctx, cancel := context.WithTimeout(te.ctx, callTimeout)
 	defer cancel()
 	began := time.Now()
-	repeated, err := callTwice(ctx, func(ctx context.Context) error { return te.cfg.Workers.Start(ctx, ef.Worker, ef.Request) })
+	clock, repeated, err := callTwice(ctx, func(ctx context.Context) (time.Duration, error) {
+		return te.cfg.Workers.Start(ctx, ef.Worker, ef.Request)
+	})
 	countCall("start", began, err)
-	te.send(domain.Started{Call: ef, Err: err, Repeated: repeated})
+	te.send(domain.Started{Call: ef, Clock: clock, Err: err, Repeated: repeated})
 }
 
 func (te *term) stop(ef domain.Stop) {
 	ctx, cancel := context.WithTimeout(te.ctx, callTimeout)
 	defer cancel()
 	began := time.Now()
-	_, err := callTwice(ctx, func(ctx context.Context) error { return te.cfg.Workers.Stop(ctx, ef.Worker, ef.Request) })
+	_, _, err := callTwice(ctx, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, te.cfg.Workers.Stop(ctx, ef.Worker, ef.Request)
+	})
 	countCall("stop", began, err)
 	te.send(domain.Stopped{Call: ef, Err: err})
 }
--- a/internal/drive/log.go
+++ b/internal/drive/log.go
@@ -45,13 +45,14 @@
 		args = append(args, "stops", ld.Preemptions)
 	}
 	if ld.Decision == "lost" {
-		args = append(args, "cause", ld.Cause, "beside", ld.Beside)
+		args = append(args, "cause", ld.Cause, "life", ld.Life, "beside", ld.Beside)
 		addTime("minAge", ld.MinAge)
 		addTime("maxAge", ld.MaxAge)
 	}
-	if ld.Decision == "endsOmitted" {
+	if ld.Decision == "endsOmitted" || ld.Decision == "reborn" {
 		args = append(args, "attempts", ld.Beside)
 	}
+	addTime("granted", ld.Granted)
 	if ld.Crashes > 0 {
 		args = append(args, "crashes", ld.Crashes, "suspected", ld.Suspected)
 	}
--- a/internal/drive/repeat.go
+++ b/internal/drive/repeat.go
@@ -8,6 +8,12 @@
 	"github.com/cicadawharf/cicadawharf/internal/runner"
 )
 
+// result is the outcome of one call.
+type result[T any] struct {
+	value T
+	err   error
+}
+
 // repeatDelay is how long a start or a stop may be without a response before it
 // is sent a second time. It is several round trips between distant regions.
 const repeatDelay = 300 * time.Millisecond
@@ -18,11 +24,14 @@
 // carries them out seconds later would otherwise hold up a whole gang. It returns
 // the first response, but runner.ErrOutcomeUnknown in place of a refusal of one
 // call if the other may still take effect, and whether it made the call twice.
-func callTwice(ctx context.Context, call func(context.Context) error) (repeated bool, err error) {
+func callTwice[T any](ctx context.Context, call func(context.Context) (T, error)) (value T, repeated bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan error, 2)
-	send := func() { results <- call(ctx) }
+	results := make(chan result[T], 2)
+	send := func() {
+		value, err := call(ctx)
+		results <- result[T]{value, err}
+	}
 	resend := func() {
 		repeatedCalls.Inc()
 		send()
@@ -30,20 +39,21 @@
 	go send()
 	repeat := time.NewTimer(repeatDelay)
 	defer repeat.Stop()
-	var first error
+	var first result[T]
 	select {
 	case first = <-results:
-		if !errors.Is(first, runner.ErrOutcomeUnknown) {
-			return false, first
+		if !errors.Is(first.err, runner.ErrOutcomeUnknown) {
+			return first.value, false, first.err
 		}
 		go resend()
 	case <-repeat.C:
 		go resend()
-		if first = <-results; isDecided(first) {
-			return true, first
+		if first = <-results; isDecided(first.err) {
+			return first.value, true, first.err
 		}
 	}
-	return true, combine(first, <-results)
+	decisive := combine(first, <-results)
+	return decisive.value, true, decisive.err
 }
 
 // isDecided reports whether the error of one call holds although another one was
@@ -54,8 +64,8 @@
 }
 
 // combine returns the outcome of two calls, the first of which was not decided.
-func combine(first, second error) error {
-	if !isDecided(second) && errors.Is(first, runner.ErrOutcomeUnknown) {
+func combine[T any](first, second result[T]) result[T] {
+	if !isDecided(second.err) && errors.Is(first.err, runner.ErrOutcomeUnknown) {
 		return first
 	}
 	return second
--- a/internal/drive/repeat_test.go
+++ b/internal/drive/repeat_test.go
@@ -40,13 +40,13 @@
 	return true
 }
 
-func (lc *lateClient) Start(ctx context.Context, wk runner.Worker, rq runner.StartRequest) error {
+func (lc *lateClient) Start(ctx context.Context, wk runner.Worker, rq runner.StartRequest) (time.Duration, error) {
 	if !lc.isLate("start", rq.Task) {
 		return lc.Client.Start(ctx, wk, rq)
 	}
-	time.AfterFunc(lateDelay, func() { _ = lc.Client.Start(context.Background(), wk, rq) })
+	time.AfterFunc(lateDelay, func() { _, _ = lc.Client.Start(context.Background(), wk, rq) })
 	<-ctx.Done()
-	return runner.ErrOutcomeUnknown
+	return 0, runner.ErrOutcomeUnknown
 }
 
 func (lc *lateClient) Stop(ctx context.Context, wk runner.Worker, rq runner.StopRequest) error {
--- a/internal/drive/takeover_test.go
+++ b/internal/drive/takeover_test.go
@@ -55,9 +55,9 @@
 	return ks.TxnStore.Commit(ctx, tx)
 }
 
-func (kw killableWorkers) Start(ctx context.Context, wk runner.Worker, rq runner.StartRequest) error {
+func (kw killableWorkers) Start(ctx context.Context, wk runner.Worker, rq runner.StartRequest) (time.Duration, error) {
 	if kw.dead.Load() {
-		return runner.ErrUnreachable
+		return 0, runner.ErrUnreachable
 	}
 	return kw.Client.Start(ctx, wk, rq)
 }
--- a/internal/fakes/runsim/client.go
+++ b/internal/fakes/runsim/client.go
@@ -57,9 +57,12 @@
 }
 
 // Start implements runner.Client.
-func (cl *Client) Start(_ context.Context, wk runner.Worker, rq runner.StartRequest) (err error) {
-	cl.With(func(now time.Time, fl *Fleet) { err = fl.Start(now, wk.ID, rq) })
-	return err
+func (cl *Client) Start(_ context.Context, wk runner.Worker, rq runner.StartRequest) (clock time.Duration, err error) {
+	cl.With(func(now time.Time, fl *Fleet) {
+		err = fl.Start(now, wk.ID, rq)
+		clock = fl.Clock(now, wk.ID)
+	})
+	return clock, err
 }
 
 // Stop implements runner.Client.
--- a/internal/fakes/runsim/fleet.go
+++ b/internal/fakes/runsim/fleet.go
@@ -316,6 +316,14 @@
 	return 0
 }
 
+// Clock returns the reading of a worker's clock, or zero if it is not up.
+func (fl *Fleet) Clock(now time.Time, id string) time.Duration {
+	if wo, ok := fl.workers[id]; ok {
+		return wo.clock(now)
+	}
+	return 0
+}
+
 // IsUp reports whether there is a worker with the given ID.
 func (fl *Fleet) IsUp(id string) bool { return fl.workers[id] != nil }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -122,10 +122,11 @@
 		Advise(ctx context.Context, rq AdviceRequest) (Advice, error)
 	}
 
-	// Client calls workers. Its errors wrap one of the Err values.
+	// Client calls workers. Its errors wrap one of the Err values. Start returns the
+	// reading of the worker's clock with which it confirms the start.
 	Client interface {
 		Poll(ctx context.Context, wk Worker, rq PollRequest) (Status, error)
-		Start(ctx context.Context, wk Worker, rq StartRequest) error
+		Start(ctx context.Context, wk Worker, rq StartRequest) (time.Duration, error)
 		Stop(ctx context.Context, wk Worker, rq StopRequest) error
 	}
 )
