domain: tests of calls that another incarnation of the worker carries out

The simulation dropped each call whose worker had restarted, so no test could see it. Now transit carries calls to workers that are down, held up or cut off, and the incarnation that is there up to 12 s after the call was sent carries it out. Starts and stops without a reply are sent twice, as hosts do. Other simulations keep their random course.

--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -66,6 +66,8 @@
 		awayUntil         time.Time                    // until when the store does not respond
 		storeReturnedAt   time.Time                    // when it last responded again
 		lapsed            map[string]bool              // workers whose entries have expired
+		transit           *transit                     // of calls, in place of faults; nil in most simulations
+		formerUnbounded   bool                         // see domain.Config.FormerBounded
 		violations        []string                     // beside those that the fleet has seen
 		troubleUntil      time.Time                    // end of the last trouble; see disturb
 	}
@@ -88,6 +90,13 @@
 		slow float64 // carried out, and replied to just before the timeout
 	}
 
+	// reply is a worker's reply to a start or a stop.
+	reply struct {
+		clock    time.Duration // of the worker; zero if unknown
+		err      error
+		repeated bool // the call was made twice
+	}
+
 	// leader is a core with its connection to the store.
 	leader struct {
 		core          *domain.Core
@@ -121,6 +130,7 @@
 	callTimeout  = time.Second
 	tickInterval = 100 * time.Millisecond
 	promptDelay  = 15 * time.Millisecond
+	pollStep     = 50 * time.Millisecond // of a long poll
 	// endPageSize is small, so that ends behind a full page occur in many tests.
 	endPageSize = 6
 )
@@ -274,7 +284,7 @@
 	sim.revision++
 	sim.token = sim.revision
 	sim.disturb(0)
-	cf := domain.Config{Token: sim.token, Policy: sim.policy, EvacuatedZones: sim.evacuated, MinMoveRunTime: minMoveRunTime, FairShares: sim.fairShares, FormerBounded: true}
+	cf := domain.Config{Token: sim.token, Policy: sim.policy, EvacuatedZones: sim.evacuated, MinMoveRunTime: minMoveRunTime, FairShares: sim.fairShares, FormerBounded: !sim.formerUnbounded}
 	for _, id := range sim.accepted {
 		cf.Jobs = append(cf.Jobs, sim.jobs[id])
 		if _, ok := sim.cancelled[id]; ok {
@@ -350,20 +360,18 @@
 		sim.poll(le, ef)
 	case domain.Start:
 		sim.checkStart(ef.Worker)
-		var clock time.Duration
-		sim.call(le, ef.Worker.ID, func() error {
+		sim.call(le, ef.Worker.ID, func() reply {
 			err := sim.fleet.Start(sim.now, ef.Worker.ID, ef.Request)
-			clock = sim.fleet.Clock(sim.now, ef.Worker.ID)
-			return err
-		}, func(err error) domain.Event {
-			if err != nil {
-				return domain.Started{Call: ef, Err: err}
+			return reply{clock: sim.fleet.Clock(sim.now, ef.Worker.ID), err: err}
+		}, func(rp reply) domain.Event {
+			if rp.err != nil {
+				return domain.Started{Call: ef, Err: rp.err, Repeated: rp.repeated}
 			}
-			return domain.Started{Call: ef, Clock: clock}
+			return domain.Started{Call: ef, Clock: rp.clock, Repeated: rp.repeated}
 		})
 	case domain.Stop:
-		sim.call(le, ef.Worker.ID, func() error { return sim.fleet.Stop(sim.now, ef.Worker.ID, ef.Request) },
-			func(err error) domain.Event { return domain.Stopped{Call: ef, Err: err} })
+		sim.call(le, ef.Worker.ID, func() reply { return reply{err: sim.fleet.Stop(sim.now, ef.Worker.ID, ef.Request)} },
+			func(rp reply) domain.Event { return domain.Stopped{Call: ef, Err: rp.err} })
 	case domain.Advise:
 		sim.advise(le, ef)
 	case domain.LogDecision:
@@ -441,9 +449,15 @@
 const commitRetry = 200 * time.Millisecond
 
 // call makes a call to a worker, subject to the simulated faults.
-func (sim *simulation) call(le *leader, id string, do func() error, outcome func(error) domain.Event) {
+func (sim *simulation) call(le *leader, id string, do func() reply, outcome func(reply) domain.Event) {
+	if sim.transit != nil {
+		sim.transit.call(le, id, do, outcome)
+		return
+	}
 	draw := sim.rng.Float64()
-	lost := func() { sim.after(callTimeout, func() { sim.handle(le, outcome(runner.ErrOutcomeUnknown)) }) }
+	lost := func() {
+		sim.after(callTimeout, func() { sim.handle(le, outcome(reply{err: runner.ErrOutcomeUnknown})) })
+	}
 	fa := sim.faults
 	switch {
 	case sim.unreachable[id], draw < fa.drop:
@@ -467,14 +481,18 @@
 			replyDelay = time.Duration(sim.rng.Float64() * float64(callTimeout))
 		}
 		sim.after(networkDelay, func() {
-			err := do()
-			sim.after(replyDelay, func() { sim.handle(le, outcome(err)) })
+			rp := do()
+			sim.after(replyDelay, func() { sim.handle(le, outcome(rp)) })
 		})
 	}
 }
 
 // poll polls a worker. A long poll is simulated in steps.
 func (sim *simulation) poll(le *leader, ef domain.Poll) {
+	if sim.transit != nil {
+		sim.transit.poll(le, ef)
+		return
+	}
 	id := ef.Worker.ID
 	rq := ef.Request
 	until := sim.now.Add(rq.Wait)
@@ -488,7 +506,7 @@
 		st, err := sim.fleet.Poll(sim.now, id, rq)
 		rq.Acked, rq.Deadline = 0, 0 // applied once, when the call arrives
 		if err == nil && len(st.Ended.Ends) == 0 && sim.now.Before(until) {
-			sim.after(50*time.Millisecond, try)
+			sim.after(pollStep, try)
 			return
 		}
 		replyDelay := networkDelay
--- /dev/null
+++ b/internal/domain/transit_test.go
@@ -0,0 +1,196 @@
+package domain_test
+
+import (
+	"errors"
+	"time"
+
+	"github.com/cicadawharf/cicadawharf/internal/domain"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
+)
+
+type (
+	// transit carries calls to workers that restart under their IDs while calls are on
+	// their way. The incarnation that is there when a call arrives carries it out, as
+	// the call names the worker alike.
+	transit struct {
+		sim       *simulation
+		dark      map[string]bool      // workers that are down; calls to them wait for their return
+		heldUntil map[string]time.Time // calls that are sent to a worker now are carried out then
+		dropped   float64              // fraction of calls that never arrive
+		held      float64              // fraction of calls that arrive up to maxCallAge after they were sent
+		lost      float64              // fraction of replies that are lost
+		counts    map[string]int       // of calls that another incarnation has carried out, by kind
+	}
+
+	// delivery is a call on its way.
+	delivery struct {
+		id       string
+		born     int64 // of the worker when the call was sent, zero if it was down
+		sent     time.Time
+		received bool // the machine of the worker has the call, so that no cut stops it
+		kind     string
+		do       func()
+	}
+)
+
+const (
+	// maxCallAge is the time after which a call is no longer carried out.
+	maxCallAge = 12 * time.Second
+	// maxArrivalDelay is the longest time until a call arrives at a worker that is back.
+	maxArrivalDelay = 200 * time.Millisecond
+	// repeatDelay is how long a start or a stop may be without a reply before it is sent
+	// a second time.
+	repeatDelay = 300 * time.Millisecond
+)
+
+// carryCallsOver makes calls that are on their way to a worker reach its next
+// incarnation.
+func (sim *simulation) carryCallsOver() *transit {
+	sim.transit = &transit{sim: sim, dark: map[string]bool{}, heldUntil: map[string]time.Time{}, counts: map[string]int{}}
+	return sim.transit
+}
+
+// crash ends a worker, so that calls to it get no reply, and starts it again under its
+// ID after the downtime. Its entry shows that after a lag.
+func (tr *transit) crash(id string, downtime, lag time.Duration) {
+	sim := tr.sim
+	wk := sim.workers[id]
+	sim.fleet.Remove(sim.now, id)
+	tr.dark[id] = true
+	sim.after(downtime, func() {
+		delete(tr.dark, id)
+		wk.Born = sim.fleet.Add(sim.now, id, wk.Capacity, 1-0.02*sim.rng.Float64())
+		sim.after(lag, func() {
+			if sim.fleet.Born(id) != wk.Born {
+				return // it has crashed again
+			}
+			sim.workers[id] = wk
+			sim.notify(domain.Listed{Worker: wk})
+		})
+	})
+}
+
+// send carries a call to a worker, which may happen late or never.
+func (tr *transit) send(id, kind string, do func()) {
+	sim := tr.sim
+	de := delivery{id: id, born: sim.fleet.Born(id), sent: sim.now, kind: kind, do: do}
+	delay := networkDelay
+	draw := sim.rng.Float64()
+	switch {
+	case tr.heldUntil[id].After(sim.now):
+		de.received = true
+		delay = tr.heldUntil[id].Sub(sim.now)
+	case draw < tr.dropped:
+		return
+	case draw < tr.dropped+tr.held:
+		de.received = sim.rng.IntN(2) == 0
+		delay = sim.upTo(maxCallAge)
+	}
+	sim.after(delay, func() { tr.arrive(de) })
+}
+
+// arrive has a call carried out. It waits while the worker is down or can't be reached.
+func (tr *transit) arrive(de delivery) {
+	sim := tr.sim
+	switch {
+	case sim.now.Sub(de.sent) > maxCallAge:
+	case tr.dark[de.id], sim.unreachable[de.id] && !de.received:
+		sim.after(sim.upTo(maxArrivalDelay), func() { tr.arrive(de) })
+	default:
+		if sim.fleet.Born(de.id) != de.born {
+			tr.counts[de.kind]++
+		}
+		de.do()
+	}
+}
+
+// answer delivers a worker's reply, unless it is lost or the worker can't be reached.
+func (tr *transit) answer(id string, receive func()) {
+	sim := tr.sim
+	if sim.rng.Float64() < tr.lost {
+		return
+	}
+	sim.after(networkDelay, func() {
+		if !sim.unreachable[id] {
+			receive()
+		}
+	})
+}
+
+// call makes a start or a stop, and makes it again if there is no reply for
+// repeatDelay.
+func (tr *transit) call(le *leader, id string, do func() reply, outcome func(reply) domain.Event) {
+	sim := tr.sim
+	sent, received, settled := 0, 0, false
+	settle := func(rp reply) {
+		if !settled {
+			settled = true
+			rp.repeated = sent > 1
+			sim.handle(le, outcome(rp))
+		}
+	}
+	send := func() {
+		sent++
+		tr.send(id, "call", func() {
+			rp := do()
+			tr.answer(id, func() {
+				received++
+				if received == sent || isDecided(rp.err) {
+					settle(rp)
+				}
+			})
+		})
+	}
+	send()
+	sim.after(repeatDelay, func() {
+		if !settled && !le.dead {
+			send()
+		}
+	})
+	sim.after(callTimeout, func() { settle(reply{err: runner.ErrOutcomeUnknown}) })
+}
+
+// isDecided reports whether the error of one call holds although another one may still
+// arrive.
+func isDecided(err error) bool {
+	return err == nil || errors.Is(err, runner.ErrFenced) || errors.Is(err, runner.ErrRestarted)
+}
+
+// poll polls a worker.
+func (tr *transit) poll(le *leader, ef domain.Poll) {
+	sim := tr.sim
+	id := ef.Worker.ID
+	settled := false
+	settle := func(st runner.Status, err error) {
+		if !settled {
+			settled = true
+			sim.handle(le, domain.Polled{Call: ef, Status: st, Err: err})
+		}
+	}
+	tr.send(id, "poll", func() {
+		tr.wait(id, ef.Request, func(st runner.Status, err error) {
+			tr.answer(id, func() { settle(st, err) })
+		})
+	})
+	sim.after(callTimeout+ef.Request.Wait, func() { settle(runner.Status{}, runner.ErrOutcomeUnknown) })
+}
+
+// wait has a worker carry out a poll. A poll that waits for an end is lost in a crash.
+func (tr *transit) wait(id string, rq runner.PollRequest, answer func(runner.Status, error)) {
+	sim := tr.sim
+	born, until := sim.fleet.Born(id), sim.now.Add(rq.Wait)
+	var try func()
+	try = func() {
+		if sim.fleet.Born(id) != born {
+			return
+		}
+		st, err := sim.fleet.Poll(sim.now, id, rq)
+		rq.Acked, rq.Deadline = 0, 0 // applied once, when the call arrives
+		if err == nil && len(st.Ended.Ends) == 0 && sim.now.Before(until) {
+			sim.after(pollStep, try)
+			return
+		}
+		answer(st, err)
+	}
+	try()
+}
