domain: fence the incarnations of a worker

Cause: a start or poll that was sent to one incarnation of a worker can be carried out by the next one, which knows no fencing token, and whose clock begins anew. The lease that it grants ends at the worker's own limit (10 s) and not where the scheduler takes it to end. The scheduler extended its wait only at the first reply of the new incarnation, and only if the last lease was sent after that one had begun: a call that arrived later and a worker that never replied were missed. The class is a message for a former incarnation that arrives at the next one; longer waits alone rest on a guess of how late a call can be.

Change: the calls to a worker that has restarted carry a larger token than all orders to its former incarnations, a revision of the store by a write of this scheduler, and it gets no lease, no acknowledgement and no start before it has replied to a poll with that token. What that reply doesn't list is lost, and what leases it may hold from before ends 10.4 s after it. The clock in the reply to a start shows a restart, too, and which incarnation has carried the start out; only what may run on one that has never replied is waited for by the longest delay of a call. A call that was refused for its token ends the term only if it carried the largest that was used for the worker. Workers that don't respond get no acknowledgement. A successor waits as long for a run whose record names another incarnation than the entry does.

The reply in TestNewIncarnationGetsNoWorkBeforeItsEntry answers a poll that the fenced worker gets, since one to the former incarnation proves nothing any more.

--- a/internal/domain/commit.go
+++ b/internal/domain/commit.go
@@ -93,7 +93,10 @@
 		delete(cq.dirtySet, jb)
 	}
 	if len(versions) == 0 && cm.Backlog == nil {
-		return
+		if !co.tokens.wanted {
+			return
+		}
+		cm.Backlog = co.backlog(now) // written for the revision
 	}
 	cq.dirty = slices.DeleteFunc(cq.dirty, func(jb *job) bool { return !cq.dirtySet[jb] })
 	cq.urgent = cq.urgent && len(cq.dirty) > 0
@@ -140,6 +143,7 @@
 		return
 	}
 	delete(co.commits.inFlight, ev.Seq)
+	co.addToken(now, ev.Revision)
 	for _, jv := range versions {
 		delete(co.commits.inFlightJobs, jv.job)
 		if slices.Contains(ev.Refused, jv.job.ID) {
@@ -198,18 +202,24 @@
 	if now.Sub(co.commits.countedAt) < waitingCountInterval {
 		return nil
 	}
+	former := co.commits
+	bl := co.backlog(now)
+	if maps.Equal(bl.Queues, former.waitingJobs) && maps.Equal(bl.Evacuating, former.evacuatedTasks) && bl.Held == former.held {
+		return nil
+	}
+	return bl
+}
+
+// backlog counts what countWaitingJobs returns.
+func (co *Core) backlog(now time.Time) *batch.Backlog {
 	co.commits.countedAt = now
-	left := co.tasksByZone()
 	counts := map[string]int{}
 	for _, jb := range co.jobs {
 		if !jb.begun && !jb.state.Final() && jb.Schedule == nil && now.Sub(jb.acceptedAt) >= waitingCountInterval {
 			counts[jb.Queue.Name]++
 		}
 	}
-	held := co.reportedState()
-	if maps.Equal(counts, co.commits.waitingJobs) && maps.Equal(left, co.commits.evacuatedTasks) && held == co.commits.held {
-		return nil
-	}
+	left, held := co.tasksByZone(), co.reportedState()
 	co.commits.waitingJobs, co.commits.evacuatedTasks, co.commits.held = counts, left, held
 	return &batch.Backlog{At: now, Queues: counts, Evacuating: left, Held: held}
 }
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -41,6 +41,8 @@
 	// It is not safe for concurrent use.
 	Core struct {
 		token                int64
+		tokens               fenceTokens
+		formerWorkers        map[string]formerWorker // workers that were removed, by ID
 		beganAt              time.Time
 		formerLeasesEnd      time.Time // when the leases of earlier terms have expired
 		leaseConfirmedAt     time.Time // see ConfirmLease; zero if the scheduler's own lease is not known
@@ -92,6 +94,7 @@
 func New(now time.Time, cf Config) *Core {
 	co := &Core{
 		token:        cf.Token,
+		tokens:       fenceTokens{newest: cf.Token, used: cf.Token},
 		beganAt:      now,
 		coreFraction: min(1, cf.Cores),
 		policy:       cf.Policy,
@@ -99,15 +102,18 @@
 		jobs:         map[string]*job{},
 		nodes:        map[string]*node{},
 		addresses:    map[string][]*node{},
-		changed:      map[*unit]bool{},
-		unsavedEnds:  map[*node]bool{},
-		queueUsage:   map[string]usage{},
-		detector:     newFailureDetector(),
-		fair:         newFairness(),
-		fairShares:   cf.FairShares,
-		commits:      newCommitQueue(),
-		silences:     map[string]silence{},
-		openLosses:   newOpenLosses(),
+
+		formerWorkers: map[string]formerWorker{},
+
+		changed:     map[*unit]bool{},
+		unsavedEnds: map[*node]bool{},
+		queueUsage:  map[string]usage{},
+		detector:    newFailureDetector(),
+		fair:        newFairness(),
+		fairShares:  cf.FairShares,
+		commits:     newCommitQueue(),
+		silences:    map[string]silence{},
+		openLosses:  newOpenLosses(),
 
 		idleReservations: map[string]time.Time{},
 
@@ -231,7 +237,7 @@
 // NeedsPrompt reports whether work was deferred by a few milliseconds, so that
 // a Prompted event is needed.
 func (co *Core) NeedsPrompt() bool {
-	return co.passDue || (len(co.commits.dirty) > 0 && co.commits.canCommit())
+	return co.passDue || ((len(co.commits.dirty) > 0 || co.tokens.wanted) && co.commits.canCommit())
 }
 
 // settle processes the consequences of an event: it evaluates changed units,
@@ -278,6 +284,7 @@
 	co.reportEvacuation(now)
 	co.forgetEnded(now)
 	co.forgetSilences(now)
+	co.forgetRemoved(now)
 	co.forgetOpenLosses(now)
 	co.reportStuckStops(now)
 	co.passDue = true
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -155,6 +155,8 @@
 	//   - silent: the leases on a worker that is unresponsive or no longer listed
 	//     have expired, and its tasks are considered ended
 	//   - reborn: a worker has restarted; Reason says what shows it
+	//   - fenced: orders to a former incarnation of a worker can't take effect any
+	//     more
 	//   - unlisted: the platform no longer lists a worker
 	//   - suspects: a worker is suspended
 	//   - reinstates: a worker returns to service
@@ -168,13 +170,15 @@
 		MinAge      time.Duration // of a lost run at the loss of its worker, since its start was sent
 		MaxAge      time.Duration // the same as an upper bound; zero if unknown
 		Life        string        // incarnation of the worker of a lost run: present, former or unknown
+		Token       int64         // that a worker has confirmed after a restart
+		Leases      time.Duration // by which leases that it may have been granted before that expire at the latest; zero if there are none
 		Granted     time.Duration // since the last lease was granted to a worker that has restarted; zero if none was
 		Beside      int           // number of other runs on the worker of a lost run; of runs whose ends may be omitted
 		Crashes     int           // of workers under a task, by the last one
 		Suspected   int           // how many of these crashes the task has probably caused
 		Waited      time.Duration // by a placed unit since its due time or acceptance, earlier attempts included; by a job that ends, until its first placement
 		Unseen      time.Duration // by a placed unit's job, until this scheduler learned of its acceptance; part of Waited
-		Duration    time.Duration // by a job that ends, since its acceptance
+		Duration    time.Duration // by a job that ends, since its acceptance; by a worker that is fenced, since its restart became known
 		Lost        time.Duration // processor time in core equivalents, by a stop, or by all preemptions of a job that ends
 		Preemptions int           // of a job that ends: its preempted attempts, in this term
 		Attempt     int
--- a/internal/domain/incarnation_test.go
+++ b/internal/domain/incarnation_test.go
@@ -31,6 +31,8 @@
 			}
 			sc.commitAll()
 			sc.pass(time.Second)
+			sc.reply("w1", runner.Status{Born: 7}) // to a poll with a larger token than the start
+			sc.pass(time.Second)
 			sc.commitAll()
 			is.Equal(len(effectsOf[domain.Start](sc)), 0)
 			wk := scriptedWorker("w1")
--- a/internal/domain/lease.go
+++ b/internal/domain/lease.go
@@ -32,7 +32,7 @@
 // renewNow renews the lease on a worker, in addition to the long poll, which has
 // granted a shorter one.
 func (co *Core) renewNow(now time.Time, nd *node) {
-	rq := runner.PollRequest{Token: co.token, Acked: nd.savedEnd, Deadline: co.grantLease(now, nd)}
+	rq := runner.PollRequest{Token: nd.fence.nextOrder(), Deadline: co.grantLease(now, nd)}
 	co.emit(Poll{Worker: nd.worker, Sent: now, Request: rq, Extra: true})
 }
 
@@ -80,17 +80,24 @@
 // the scheduler knows that the worker has restarted, with its timeout and margin.
 const maxStaleGrantTime = pollWait + 1500*time.Millisecond
 
-// boundStaleLeases extends the earlier leases of a worker whose incarnation has just
-// become known, with its clock, to the end of those that it may have been granted by
-// the clock of its former incarnation. Such a lease is only limited by the worker.
+// boundStaleLeases extends the earlier leases of a worker to the end of those that it
+// may have been granted by the clock of its former incarnation. Such a lease is only
+// limited by the worker. The reply that has just arrived, with the worker's clock,
+// shows that none is granted any more; see fence.
 func (co *Core) boundStaleLeases(now time.Time, nd *node, clock time.Duration) {
 	startedAt := now.Add(-clock)
-	var end time.Time
-	switch {
-	case startedAt.Before(co.beganAt):
-		end = startedAt.Add(maxStaleGrantTime + maxLeaseTime)
-	case !nd.leaseSentAt.Before(startedAt):
-		end = now.Add(maxLeaseTime)
+	var granted time.Time // the last one
+	if startedAt.Before(co.beganAt) {
+		granted = startedAt.Add(maxStaleGrantTime)
 	}
-	nd.earlierLeases = latest(nd.earlierLeases, end)
+	if nd.fence.staleToken > 0 {
+		granted = latest(granted, nd.leaseSentAt.Add(maxCallDelay))
+	}
+	if granted.Before(startedAt) {
+		return
+	}
+	if granted.After(now) {
+		granted = now
+	}
+	nd.earlierLeases = latest(nd.earlierLeases, granted.Add(maxLeaseTime))
 }
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -29,14 +29,16 @@
 		leaseEnd               time.Time     // when every lease granted here has expired
 		earlierLeases          time.Time     // the same for those of an earlier term or incarnation
 		deadline               time.Duration // the latest one granted to this incarnation in this term, on its clock
-		leaseSentAt            time.Time     // when it was last granted
-		polling                bool          // the long poll for ends is in flight
-		nextPoll               time.Time     // earliest time of the next poll
-		lastEnd                int64         // number of the last end processed
-		pendingEnds            []pendingEnd  // processed, but not in the store yet
-		savedEnd               int64         // number of the last end in the store
-		ackedEnd               int64         // number of the last end acknowledged to the worker
-		endsOmitted            bool          // the last reply to a poll may have omitted ends of runs
+		leaseSentAt            time.Time     // when one was last granted here in this term
+		clockReadAfter         time.Time     // when the poll was sent whose reply has the clock
+		fence                  fence
+		polling                bool         // the long poll for ends is in flight
+		nextPoll               time.Time    // earliest time of the next poll
+		lastEnd                int64        // number of the last end processed
+		pendingEnds            []pendingEnd // processed, but not in the store yet
+		savedEnd               int64        // number of the last end in the store
+		ackedEnd               int64        // number of the last end acknowledged to the worker
+		endsOmitted            bool         // the last reply to a poll may have omitted ends of runs
 		health                 health
 		bestEffortBlockedUntil time.Time // see besteffort.go
 		hasShrunk              bool      // its capacity was reduced in this term
@@ -126,6 +128,8 @@
 	if !ok {
 		nd = &node{worker: runner.Worker{ID: id}, runs: map[runKey]*run{}, earlierLeases: co.formerLeasesEnd}
 		nd.leaseEnd = nd.earlierLeases
+		nd.fence.token = co.tokens.used
+		co.restoreRemoved(nd)
 		co.nodes[id] = nd
 		at, _ := slices.BinarySearchFunc(co.sortedNodes, id, compareID)
 		co.sortedNodes = slices.Insert(co.sortedNodes, at, nd)
@@ -158,9 +162,10 @@
 	co.addresses[address] = nds
 }
 
-// removeNode removes a node. It copies the sorted slice, so that loops over the
+// removeNode removes a node but for what formerWorker holds. It copies the sorted slice, so that loops over the
 // old one are not affected.
-func (co *Core) removeNode(nd *node) {
+func (co *Core) removeNode(now time.Time, nd *node) {
+	co.rememberRemoved(now, nd)
 	delete(co.nodes, nd.worker.ID)
 	delete(co.unsavedEnds, nd)
 	co.removeAddress(nd)
@@ -191,10 +196,10 @@
 }
 
 // handleRestart resets the state of a worker that has restarted and lost all
-// that it knew and ran. A start that is not confirmed may have reached the new
-// incarnation already, or may still reach it, so the next poll decides what runs
-// there. The leases of the former one still hold if the worker has not restarted,
-// since anybody may write an entry.
+// that it knew and ran. Orders to the former incarnation may have reached the new
+// one already, or may still reach it, so the worker is fenced, and the reply that
+// shows that decides what runs there. The leases of the former one still hold if the
+// worker has not restarted, since anybody may write an entry.
 func (co *Core) handleRestart(now time.Time, nd *node, born int64, reason string) {
 	ld := LogDecision{Decision: "reborn", Worker: nd.worker.ID, Beside: len(nd.runs), Reason: reason}
 	if !nd.leaseSentAt.IsZero() {
@@ -206,8 +211,10 @@
 			ru.lostBy = loss{cause: Restarted.unlessDeparting(nd), age: ru.ageAtLoss(now)}
 		}
 		ru.stop.ackedAt = time.Time{}
-		ru.lateUntil = co.lateStartEnd(now, ru)
+		ru.lateUntil = latest(ru.lateUntil, co.lateStartEnd(now, ru))
+		ru.seen = false
 	}
+	co.openFence(now, nd)
 	co.resetHealth(now, nd, len(nd.runs) > 0 && !nd.runsSuspected())
 	co.dropAdvice(nd.worker.ID)
 	nd.earlierLeases, nd.deadline = nd.leaseEnd, 0
@@ -249,7 +256,7 @@
 		nd.pendingEnds = nil
 	}
 	if !nd.listed {
-		co.removeNode(nd)
+		co.removeNode(now, nd)
 	}
 	nd.nextPoll = now
 	co.considerPoll(nd)
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -16,12 +16,14 @@
 		if nd.polling || now.Before(nd.nextPoll) || nd.worker.Address == "" || co.nodes[nd.worker.ID] != nd {
 			continue
 		}
-		rq := runner.PollRequest{Token: co.token, Acked: nd.savedEnd}
+		rq := runner.PollRequest{Token: nd.fence.token, Acked: nd.savedEnd}
 		switch {
 		case nd.unresponsive() && (nd.listed || len(nd.runs) > 0):
 			// This poll grants no lease, since repeated polls would extend the
-			// leases of an unresponsive worker without bound. An idle worker is
-			// polled, too, until it replies.
+			// leases of an unresponsive worker without bound, and acknowledges
+			// nothing, since the worker may have restarted. An idle worker is polled,
+			// too, until it replies.
+			rq.Acked = 0
 		case len(nd.runs) > 0:
 			rq.Deadline = co.grantLease(now, nd)
 			rq.Wait = pollWait
@@ -34,23 +36,21 @@
 		default:
 			continue
 		}
+		nd.fence.noteOrder(rq)
 		nd.polling = true
 		co.emit(Poll{Worker: nd.worker, Sent: now, Request: rq})
 	}
 }
 
-// pollNow polls a worker at once, in addition to a long poll.
+// pollNow polls a worker at once, in addition to a long poll, which acknowledges ends.
 func (co *Core) pollNow(now time.Time, nd *node) {
-	rq := runner.PollRequest{Token: co.token, Acked: nd.savedEnd}
+	rq := runner.PollRequest{Token: nd.fence.token}
 	co.emit(Poll{Worker: nd.worker, Sent: now, Request: rq, Extra: true})
 }
 
 // handlePoll processes the outcome of a poll.
 func (co *Core) handlePoll(now time.Time, ev Polled) {
-	if errors.Is(ev.Err, runner.ErrFenced) {
-		co.resign("worker " + ev.Call.Worker.ID + " has accepted a larger fencing token")
-		return
-	}
+	co.resignIfSuperseded(ev.Call.Worker.ID, ev.Call.Request.Token, ev.Err)
 	nd, ok := co.nodes[ev.Call.Worker.ID]
 	if !ok {
 		return
@@ -75,14 +75,24 @@
 		nd.worker.Born = ev.Status.Born
 	}
 	co.endPredecessors(now, nd)
+	if !nd.fence.isClosedBy(ev.Call.Request.Token) {
+		co.observeUnfenced(now, nd, ev)
+		return
+	}
+	co.handleStatus(now, nd, ev)
+}
+
+// handleStatus processes the status of a worker that no order to a former incarnation
+// can change any more.
+func (co *Core) handleStatus(now time.Time, nd *node, ev Polled) {
 	if nd.lastResponse.IsZero() || nd.lastFailure.After(nd.lastResponse) {
 		co.passDue = true
 	}
 	if nd.lastResponse.IsZero() {
-		co.boundStaleLeases(now, nd, ev.Status.Clock)
+		co.closeFence(now, nd, ev.Status.Clock)
 	}
 	nd.lastResponse, nd.silentSince = now, time.Time{}
-	nd.clock, nd.clockAt = ev.Status.Clock, now
+	nd.clock, nd.clockAt, nd.clockReadAfter = ev.Status.Clock, now, ev.Call.Sent
 	nd.updateLeaseEnd()
 	nd.ackedEnd = max(nd.ackedEnd, ev.Call.Request.Acked)
 	co.resolveLosses(now, nd.worker)
@@ -110,6 +120,9 @@
 // handlePollFailure processes a failed poll. runner.ErrRestarted shows that
 // everything that ran on the worker has ended.
 func (co *Core) handlePollFailure(now time.Time, nd *node, ev Polled) {
+	if errors.Is(ev.Err, runner.ErrFenced) {
+		return // it was sent before the worker was fenced
+	}
 	nd.nextPoll = now.Add(pollRetryDelay)
 	if nd.lastFailure.Before(nd.lastResponse) || nd.lastFailure.IsZero() {
 		co.emit(LogDecision{Decision: "lookFails", Worker: nd.worker.ID, Reason: ev.Err.Error()})
@@ -129,7 +142,14 @@
 		reported[key] = true
 		co.observeRun(now, nd, key, rn)
 	}
-	for _, en := range ev.Status.Ended.Ends {
+	co.processEnds(now, nd, ev.Status.Ended)
+	co.handleUnlisted(now, nd, ev, reported)
+	co.advanceSavedEnd(nd)
+}
+
+// processEnds processes the ends that a worker has not reported before.
+func (co *Core) processEnds(now time.Time, nd *node, page runner.EndPage) {
+	for _, en := range page.Ends {
 		if en.Number <= nd.lastEnd {
 			continue
 		}
@@ -138,8 +158,6 @@
 		nd.pendingEnds = append(nd.pendingEnds, co.newPendingEnd(en))
 		co.unsavedEnds[nd] = true
 	}
-	co.handleUnlisted(now, nd, ev, reported)
-	co.advanceSavedEnd(nd)
 }
 
 // handleUnlisted processes the runs of a worker that its reply to a poll does not
@@ -150,7 +168,7 @@
 		switch {
 		case listed[runKey{ru.task, ru.attempt}]:
 		case ev.Status.ShowsAbsence():
-			co.handleMissing(now, ru, ev.Call.Sent, present-1)
+			co.handleMissing(now, ru, ev.Call, present-1)
 		default:
 			ru.mayHaveEnded = true
 			unknown++
@@ -179,6 +197,7 @@
 	}
 	ru.startLostAt = time.Time{}
 	ru.listedAt, ru.incarnation, ru.lostBy = now, nd.worker.Incarnation(), loss{}
+	ru.seen = true
 	ru.mayHaveEnded = false
 	if ru.confirmedAt.IsZero() {
 		ru.confirmedAt = now
@@ -208,7 +227,7 @@
 // ended. No capacity is allocated for it. Its task is not started again before
 // that, unless the task has succeeded.
 func (co *Core) stopUnrecorded(now time.Time, nd *node, rn runner.Run) {
-	ru := &run{task: rn.Task, attempt: rn.Attempt, node: nd, stage: running, confirmedAt: now}
+	ru := &run{task: rn.Task, attempt: rn.Attempt, node: nd, stage: running, confirmedAt: now, token: nd.fence.token}
 	nd.attach(ru)
 	if un := co.unitOf(rn.Task); un != nil && un.phase != finished {
 		ru.abandonedBy = un
@@ -219,14 +238,14 @@
 	co.stopRun(now, ru)
 }
 
-// handleMissing processes a run that is missing in the reply to a poll, which
-// was sent at the given time. beside is the number of other runs that the worker
-// was supposed to have.
-func (co *Core) handleMissing(now time.Time, ru *run, sent time.Time, beside int) {
+// handleMissing processes a run that is missing in the reply to a poll. beside is
+// the number of other runs that the worker was supposed to have.
+func (co *Core) handleMissing(now time.Time, ru *run, po Poll, beside int) {
+	sent := po.Sent
 	switch {
-	case ru.stage == adopted:
-		// The poll carries the larger token, so a start of the former term
-		// can't take effect any more.
+	case ru.stage == adopted, ru.stage != planned && ru.token < po.Request.Token:
+		// The poll carries a larger token than the start, which can't take effect
+		// any more.
 		co.loseRun(now, ru, ru.lossIfMissing(now), beside)
 	case happenedBefore(ru.confirmedAt, sent), happenedBefore(ru.stop.ackedAt, sent):
 		co.loseRun(now, ru, ru.lossIfMissing(now), beside)
--- a/internal/domain/record.go
+++ b/internal/domain/record.go
@@ -208,6 +208,9 @@
 		if i < len(ur.Incarnations) {
 			ru.incarnation = ur.Incarnations[i]
 		}
+		if ru.isOfFormerIncarnation() {
+			ru.lateUntil = co.lateStartEnd(now, ru)
+		}
 		un.runs = append(un.runs, ru)
 	}
 	co.markChanged(un)
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -19,16 +19,20 @@
 		attempt          int
 		node             *node
 		stage            runStage
-		sentAt           time.Time // when its start was sent; zero if an earlier term may have started it
-		incarnation      uint32    // of its worker; zero if unknown
-		startLostAt      time.Time // when the reply to its start was lost
-		startAnswered    bool      // the outcome of its start is known
-		startRepeated    bool      // its start was sent twice, so a call without a reply may still arrive
-		lateUntil        time.Time // until when a start that reaches the worker's next incarnation late may run there; zero if none can
-		confirmedAt      time.Time // when its start was confirmed, or a poll first listed the run
-		listedAt         time.Time // when a poll last listed the run
-		lostBy           loss      // set if its worker has restarted since; see handleRestart
-		beganAt          time.Time // estimated from its progress if the start was not confirmed
+		sentAt           time.Time     // when its start was sent; zero if an earlier term may have started it
+		incarnation      uint32        // of its worker; zero if unknown
+		token            int64         // of its start; zero if it was not sent in this term
+		clockSent        time.Duration // the worker's clock as last read before the start was sent
+		clockReadAfter   time.Time     // see node.clockReadAfter, for clockSent
+		seen             bool          // the present incarnation of its worker has confirmed or listed it
+		startLostAt      time.Time     // when the reply to its start was lost
+		startAnswered    bool          // the outcome of its start is known
+		startRepeated    bool          // its start was sent twice, so a call without a reply may still arrive
+		lateUntil        time.Time     // until when a start that reaches the worker's next incarnation late may run there; zero if none can
+		confirmedAt      time.Time     // when its start was confirmed, or a poll first listed the run
+		listedAt         time.Time     // when a poll last listed the run
+		lostBy           loss          // set if its worker has restarted since; see handleRestart
+		beganAt          time.Time     // estimated from its progress if the start was not confirmed
 		stop             stopState
 		mayHaveEnded     bool             // the last poll did not list it, but may have omitted its end
 		outcome          runner.EndReason // set if the worker has reported its end
@@ -63,18 +67,8 @@
 func (co *Core) evaluate(now time.Time, un *unit) {
 	switch un.phase {
 	case placed:
-		if un.job.state.Final() {
-			co.stopUnit(now, un, "the job has ended")
-		} else if un.abandonedRuns > 0 {
-			co.stopUnit(now, un, "an earlier attempt still runs")
-		} else if un.anyWorkerRestarted() {
-			co.stopUnit(now, un, "one of its workers has restarted before the start")
-		} else if un.anyEnded() {
-			co.stopUnit(now, un, "one of its workers was lost before the start")
-		} else if un.inEvacuatedZone() {
-			co.stopUnit(now, un, "the availability zone of its worker is evacuated")
-		} else if un.exceedsCapacity() {
-			co.stopUnit(now, un, "the capacity of its worker has shrunk")
+		if reason := un.startObstacle(); reason != "" {
+			co.stopUnit(now, un, reason)
 		} else if un.job.savedVersion >= un.recordVersion {
 			co.sendStarts(now, un)
 		}
@@ -96,6 +90,27 @@
 	}
 }
 
+// startObstacle returns why a placed unit must not be started where it was placed, or
+// an empty string if it may be.
+func (un *unit) startObstacle() string {
+	switch {
+	case un.job.state.Final():
+		return "the job has ended"
+	case un.abandonedRuns > 0:
+		return "an earlier attempt still runs"
+	case un.anyWorkerRestarted(), un.anyWorkerUnfenced():
+		return "one of its workers has restarted before the start"
+	case un.anyEnded():
+		return "one of its workers was lost before the start"
+	case un.inEvacuatedZone():
+		return "the availability zone of its worker is evacuated"
+	case un.exceedsCapacity():
+		return "the capacity of its worker has shrunk"
+	default:
+		return ""
+	}
+}
+
 // stopFinished stops what still runs of a finished unit whose job did not
 // succeed, and drops runs that have all ended.
 func (co *Core) stopFinished(now time.Time, un *unit) {
@@ -126,6 +141,12 @@
 	return slices.ContainsFunc(un.runs, (*run).isOfFormerIncarnation)
 }
 
+// anyWorkerUnfenced reports whether orders to a former incarnation may still take effect
+// on some worker of the current attempt.
+func (un *unit) anyWorkerUnfenced() bool {
+	return slices.ContainsFunc(un.runs, func(ru *run) bool { return ru.node.fence.open })
+}
+
 // allEnded reports whether every run of the current attempt has ended.
 func (un *unit) allEnded() bool {
 	for _, ru := range un.runs {
@@ -142,31 +163,35 @@
 	un.isolate(now)
 	for _, ru := range un.runs {
 		ru.stage = starting
-		ru.sentAt = now
+		ru.sentAt, ru.token = now, ru.node.fence.nextOrder()
+		ru.clockSent, ru.clockReadAfter = ru.node.clock, ru.node.clockReadAfter
 		co.emit(Start{Worker: ru.node.worker, Request: runner.StartRequest{
-			Token: co.token, Task: ru.task, Attempt: ru.attempt, Payload: un.job.Payload,
+			Token: ru.token, Task: ru.task, Attempt: ru.attempt, Payload: un.job.Payload,
 			Checkpoint: un.checkpoint, Ticket: un.ticket(ru.node), Deadline: co.grantLease(now, ru.node),
 		}})
 	}
 }
 
-// lateStartEnd returns when every lease has expired of an attempt whose start may
-// reach another incarnation of the worker late, or zero if it can't: a start that was
-// sent once and got a reply, or one so old that each of its calls had arrived when
-// the worker last listed the run.
+// lateStartEnd returns when every lease has expired of an attempt whose start may have
+// reached another incarnation of the worker than the one that was known so far, or may
+// still reach it. It returns zero if it can't: a start that was sent once and which the
+// known incarnation has carried out, or one so old that each of its calls had arrived
+// when that one last listed the run.
 func (co *Core) lateStartEnd(now time.Time, ru *run) time.Time {
 	sent := ru.sentAt
 	if sent.IsZero() {
 		sent = co.beganAt.Add(MaxRenewalAge) // the former term may have sent it until then
 	}
 	switch {
-	case ru.stage == planned, !ru.confirmedAt.IsZero() && ru.startAnswered && !ru.startRepeated:
+	case ru.stage == planned, ru.seen && ru.startAnswered && !ru.startRepeated:
 		return time.Time{}
-	case ru.listedAt.Sub(sent) >= maxCallDelay:
+	case ru.seen && ru.listedAt.Sub(sent) >= maxCallDelay:
 		return time.Time{}
-	default:
-		return now.Add(maxCallDelay + maxLeaseTime)
 	}
+	if sent.After(now) {
+		sent = now
+	}
+	return latest(sent, ru.node.leaseSentAt).Add(maxCallDelay + maxLeaseTime)
 }
 
 // stopUnit stops every task of a unit that has not ended.
@@ -196,7 +221,7 @@
 func (co *Core) sendStop(now time.Time, ru *run) {
 	ru.stop.inFlight = true
 	ru.stop.triedAt = now
-	co.emit(Stop{Worker: ru.node.worker, Request: runner.StopRequest{Token: co.token, Task: ru.task, Attempt: ru.attempt}})
+	co.emit(Stop{Worker: ru.node.worker, Request: runner.StopRequest{Token: ru.node.fence.token, Task: ru.task, Attempt: ru.attempt}})
 }
 
 // reportStuckStops reports units whose attempt has been stopping for longer than
@@ -260,19 +285,21 @@
 
 // handleStart processes the outcome of a start.
 func (co *Core) handleStart(now time.Time, ev Started) {
-	if errors.Is(ev.Err, runner.ErrFenced) {
-		co.resign("worker " + ev.Call.Worker.ID + " has accepted a larger fencing token")
-		return
-	}
+	co.resignIfSuperseded(ev.Call.Worker.ID, ev.Call.Request.Token, ev.Err)
 	nd, ru := co.findRun(ev.Call.Worker.ID, ev.Call.Request.Task, ev.Call.Request.Attempt)
 	if ru == nil {
 		return
 	}
-	ru.startAnswered, ru.startRepeated = true, ev.Repeated
+	if nd.fence.isClosedBy(ev.Call.Request.Token) {
+		ru.startAnswered, ru.startRepeated = true, ev.Repeated
+		co.checkStartClock(now, nd, ru, ev.Clock)
+	}
 	if ru.stage != starting {
 		return
 	}
 	switch {
+	case errors.Is(ev.Err, runner.ErrFenced):
+		ru.startLostAt = now // the worker has restarted since, and its fencing decides
 	case ev.Err == nil:
 		ru.stage = running
 		ru.confirmedAt = now
@@ -302,16 +329,15 @@
 
 // handleStop processes the outcome of a stop.
 func (co *Core) handleStop(now time.Time, ev Stopped) {
-	if errors.Is(ev.Err, runner.ErrFenced) {
-		co.resign("worker " + ev.Call.Worker.ID + " has accepted a larger fencing token")
-		return
-	}
+	co.resignIfSuperseded(ev.Call.Worker.ID, ev.Call.Request.Token, ev.Err)
 	nd, ru := co.findRun(ev.Call.Worker.ID, ev.Call.Request.Task, ev.Call.Request.Attempt)
 	if ru == nil {
 		return
 	}
 	ru.stop.inFlight = false
 	switch {
+	case !nd.fence.isClosedBy(ev.Call.Request.Token) && !errors.Is(ev.Err, runner.ErrRestarted):
+		// A former incarnation may have replied. The stop is repeated.
 	case ev.Err == nil:
 		ru.stop.ackedAt = now
 		if ru.confirmedAt.IsZero() {
--- a/internal/domain/scripted_test.go
+++ b/internal/domain/scripted_test.go
@@ -55,7 +55,18 @@
 func (sc *scriptedCore) replyOf(wk runner.Worker, st runner.Status) {
 	st.Clock = sc.now.Sub(startTime) + time.Second
 	st.Born = max(1, st.Born)
-	sc.handle(domain.Polled{Call: domain.Poll{Worker: wk, Sent: sc.now}, Status: st})
+	sc.handle(domain.Polled{Call: domain.Poll{Worker: wk, Sent: sc.now, Request: runner.PollRequest{Token: sc.lastToken(wk.ID)}}, Status: st})
+}
+
+// lastToken returns the token of the last poll of a worker.
+func (sc *scriptedCore) lastToken(id string) int64 {
+	token := int64(1)
+	for _, po := range effectsOf[domain.Poll](sc) {
+		if po.Worker.ID == id {
+			token = po.Request.Token
+		}
+	}
+	return token
 }
 
 // fail lets a poll of a worker fail.
--- a/internal/drive/log.go
+++ b/internal/drive/log.go
@@ -53,6 +53,11 @@
 		args = append(args, "attempts", ld.Beside)
 	}
 	addTime("granted", ld.Granted)
+	if ld.Decision == "fenced" {
+		args = append(args, "fence", ld.Token)
+		addTime("took", ld.Duration)
+		addTime("left", ld.Leases)
+	}
 	if ld.Crashes > 0 {
 		args = append(args, "crashes", ld.Crashes, "suspected", ld.Suspected)
 	}
