--- a/internal/drive/metrics_test.go
+++ b/internal/drive/metrics_test.go
@@ -20,9 +20,13 @@
 	si := newSite(t, 1)
 	stop := si.host("a")
 	si.submit("j", 40)
-	kvsim.Eventually(t, func() bool { return strings.Contains(metricsText(), `waiting_units{queue="q",rank=`) })
-	is.True(strings.Contains(metricsText(), `cicadawharf_domain_accelerators{state="total"} 8`))
-	is.True(strings.Contains(metricsText(), `cicadawharf_domain_workspace_share{`))
+	// The gauges of a report are set one after the other.
+	kvsim.Eventually(t, func() bool {
+		text := metricsText()
+		return strings.Contains(text, `waiting_units{queue="q",rank=`) &&
+			strings.Contains(text, `cicadawharf_domain_accelerators{state="total"} 8`) &&
+			strings.Contains(text, `cicadawharf_domain_workspace_share{`)
+	})
 	si.await("j", batch.Done)
 	stop()
 	is.True(!strings.Contains(metricsText(), `waiting_units`))
