domain: tests of calls in another life of a worker

A worker may start again under its ID, and calls and replies of its former life still arrive. Six scripted tests show what holds already: the reply to a former long poll, the ends of the next incarnation, a crash that counts once, advice in flight, the departure announced for the former incarnation, and its availability zone.

--- /dev/null
+++ b/internal/domain/otherlife_test.go
@@ -0,0 +1,235 @@
+package domain_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/domain"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
+)
+
+// nextBorn identifies the incarnation of a worker that follows that of
+// scriptedWorker.
+const nextBorn = 7
+
+// nextIncarnation returns the entry of a worker that has restarted.
+func nextIncarnation(id string) runner.Worker {
+	wk := scriptedWorker(id)
+	wk.Born = nextBorn
+	return wk
+}
+
+// pollRunning returns a core as startOn does, with the long poll of worker w1, which
+// runs job j.
+func pollRunning(t *testing.T, ids ...string) (*scriptedCore, runner.Status) {
+	sc, running := startOn(t, ids...)
+	sc.reply("w1", running)
+	return sc, running
+}
+
+// lastPoll returns the last poll of a worker, which has to exist.
+func (sc *scriptedCore) lastPoll(id string) domain.Poll {
+	polls := effectsOf[domain.Poll](sc)
+	for _, po := range slices.Backward(polls) {
+		if po.Worker.ID == id {
+			return po
+		}
+	}
+	panic("there is no poll of " + id)
+}
+
+// answer replies to a poll as an incarnation whose clock began at the given time.
+func (sc *scriptedCore) answer(po domain.Poll, born int64, began time.Time, st runner.Status) {
+	st.Born, st.Clock = born, sc.now.Sub(began)+time.Second
+	sc.handle(domain.Polled{Call: po, Status: st})
+}
+
+// restart lists the next incarnation of a worker and lets it reply to a poll that
+// was sent to it.
+func (sc *scriptedCore) restart(wk runner.Worker, st runner.Status) time.Time {
+	began := sc.now
+	sc.handle(domain.Listed{Worker: wk})
+	sc.commitAll()
+	sc.pass(tickInterval)
+	sc.commitAll()
+	sc.handle(domain.Polled{Call: sc.lastPoll(wk.ID), Err: runner.ErrOutcomeUnknown}) // sent to the former one
+	sc.pass(time.Second)
+	sc.commitAll()
+	sc.answer(sc.lastPoll(wk.ID), wk.Born, began, st)
+	return began
+}
+
+// countDecisions counts the decisions of a kind that were logged.
+func (sc *scriptedCore) countDecisions(decision string) (n int) {
+	for _, ld := range effectsOf[domain.LogDecision](sc) {
+		if ld.Decision == decision {
+			n++
+		}
+	}
+	return n
+}
+
+// startsOn counts the starts that were sent to a worker.
+func (sc *scriptedCore) startsOn(id string) (n int) {
+	for _, st := range effectsOf[domain.Start](sc) {
+		if st.Worker.ID == id {
+			n++
+		}
+	}
+	return n
+}
+
+// TestReplyOfFormerIncarnationIsNotTheNextOnes delivers the reply to a long poll that
+// the former incarnation of a worker has given after its entry has shown the next one.
+// It guards against acknowledging ends by the former numbers to the next one.
+func TestReplyOfFormerIncarnationIsNotTheNextOnes(t *testing.T) {
+	is := is.New(t)
+	sc, _ := pollRunning(t, "w1")
+	long := sc.lastPoll("w1")
+	sc.pass(tickInterval)
+	sc.handle(domain.Listed{Worker: nextIncarnation("w1")})
+	en := runner.End{Number: 9, Task: batch.TaskID{Job: "j"}, Attempt: 1, Reason: runner.Stopped}
+	sc.effects = nil
+	sc.answer(long, 1, startTime, runner.Status{Ended: runner.EndPage{Ends: []runner.End{en}}})
+	for range 3 {
+		sc.pass(time.Second)
+		sc.commitAll()
+	}
+	for _, po := range effectsOf[domain.Poll](sc) {
+		is.Equal(po.Request.Acked, int64(0))
+	}
+}
+
+// TestEndsOfNextIncarnationAreRead restarts a worker whose ends were acknowledged. It
+// guards against taking the first ends of the next incarnation, whose numbers begin
+// anew, for known ones, and against acknowledging them unread.
+func TestEndsOfNextIncarnationAreRead(t *testing.T) {
+	is := is.New(t)
+	sc, _ := pollRunning(t, "w1")
+	stopped := runner.End{Number: 5, Task: batch.TaskID{Job: "j"}, Attempt: 1, Reason: runner.Stopped}
+	sc.reply("w1", runner.Status{Ended: runner.EndPage{Ends: []runner.End{stopped}}})
+	sc.pass(time.Second)
+	sc.commitAll()
+	began := sc.restart(nextIncarnation("w1"), runner.Status{})
+	sc.pass(time.Second)
+	sc.commitAll()
+	starts := effectsOf[domain.Start](sc)
+	st := starts[len(starts)-1]
+	sc.handle(domain.Started{Call: st, Clock: sc.now.Sub(began)})
+	sc.pass(time.Second)
+	for _, po := range effectsOf[domain.Poll](sc) {
+		is.True(po.Worker.Born != nextBorn || po.Request.Acked == 0)
+	}
+	done := runner.End{Number: 1, Task: st.Request.Task, Attempt: st.Request.Attempt, Reason: runner.Succeeded}
+	sc.answer(sc.lastPoll("w1"), nextBorn, began, runner.Status{Ended: runner.EndPage{Ends: []runner.End{done}}})
+	sc.pass(time.Second)
+	is.True(sc.lastUnit("j").Done)
+}
+
+// TestCrashOfFormerIncarnationCountsOnce lets the leases on a worker expire whose entry
+// has shown a restart, and the worker reply after that. It guards against counting one
+// crash against a task twice.
+func TestCrashOfFormerIncarnationCountsOnce(t *testing.T) {
+	is := is.New(t)
+	sc, _ := pollRunning(t, "w1")
+	sc.handle(domain.Listed{Worker: nextIncarnation("w1")})
+	began := sc.now
+	sc.pass(time.Second)
+	sc.fail("w1", runner.ErrOutcomeUnknown)
+	sc.pass(25 * time.Second)
+	sc.commitAll()
+	is.Equal(sc.countDecisions("crashed"), 1)
+	sc.answer(sc.lastPoll("w1"), nextBorn, began, runner.Status{})
+	sc.pass(time.Second)
+	sc.commitAll()
+	is.Equal(sc.countDecisions("crashed"), 1)
+}
+
+// TestAdviceInFlightDuringRestartIsDropped restarts a worker while a call for advice
+// about it is in flight. It guards against a start with the ticket of its former life.
+func TestAdviceInFlightDuringRestartIsDropped(t *testing.T) {
+	is := is.New(t)
+	sc := newScriptedCore(domain.Config{}, "w1")
+	jb, _ := oneStepJob("j", 1, 1, time.Minute)
+	jb.Queue.Name, jb.Queue.Advised = "advised", true
+	sc.handle(domain.Accepted{Job: jb})
+	sc.pass(tickInterval)
+	calls := effectsOf[domain.Advise](sc)
+	is.Equal(len(calls), 1)
+	sc.restart(nextIncarnation("w1"), runner.Status{})
+	ad := runner.Advice{Tickets: map[string]string{"w1": "first life"}, ValidFor: time.Minute}
+	sc.handle(domain.Advised{Call: calls[0], Advice: ad})
+	sc.pass(time.Second)
+	sc.commitAll()
+	is.Equal(sc.startsOn("w1"), 0)
+	calls = effectsOf[domain.Advise](sc)
+	is.Equal(len(calls), 2)
+	ad.Tickets["w1"] = "second life"
+	sc.handle(domain.Advised{Call: calls[1], Advice: ad})
+	sc.pass(time.Second)
+	sc.commitAll()
+	starts := effectsOf[domain.Start](sc)
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Request.Ticket, "second life")
+}
+
+// TestNextIncarnationHasItsOwnDeparture restarts a worker that was draining, or that
+// was not. It guards against judging the next incarnation by what the entry of the
+// former one said of its departure.
+func TestNextIncarnationHasItsOwnDeparture(t *testing.T) {
+	for _, wasDraining := range []bool{false, true} {
+		t.Run(fmt.Sprintf("wasDraining=%v", wasDraining), func(t *testing.T) {
+			is := is.New(t)
+			sc := newScriptedCore(domain.Config{}, "w1")
+			former, next := scriptedWorker("w1"), nextIncarnation("w1")
+			leaving := &next
+			if wasDraining {
+				leaving = &former
+			}
+			leaving.Draining, leaving.Leaves = true, 3*time.Second
+			sc.handle(domain.Listed{Worker: former})
+			sc.pass(time.Second)
+			began := sc.restart(next, runner.Status{})
+			jb, _ := oneStepJob("j", 1, 1, time.Minute)
+			sc.handle(domain.Accepted{Job: jb})
+			sc.pass(time.Second)
+			sc.commitAll()
+			starts := effectsOf[domain.Start](sc)
+			is.Equal(len(starts) == 1, wasDraining)
+			is.Equal(sc.core.Occupancy("w1").Draining, !wasDraining)
+			if !wasDraining {
+				return
+			}
+			sc.handle(domain.Started{Call: starts[0], Clock: sc.now.Sub(began) + time.Second})
+			sc.answer(sc.lastPoll("w1"), nextBorn, began, runner.Status{Running: []runner.Run{{Task: starts[0].Request.Task, Attempt: 1}}})
+			sc.pass(5 * time.Second)
+			is.Equal(len(effectsOf[domain.Stop](sc)), 0)
+		})
+	}
+}
+
+// TestNextIncarnationInAnotherZone restarts a worker in another availability zone, one
+// of the two of which is evacuated. It guards against judging it by its former zone.
+func TestNextIncarnationInAnotherZone(t *testing.T) {
+	for _, evacuated := range []string{"z0", "z1"} {
+		t.Run(evacuated, func(t *testing.T) {
+			is := is.New(t)
+			sc := newScriptedCore(domain.Config{}, "w1")
+			former, next := scriptedWorker("w1"), nextIncarnation("w1")
+			former.Zone, next.Zone = "z0", "z1"
+			sc.handle(domain.Listed{Worker: former})
+			sc.handle(domain.EvacuationSet{Zones: []string{evacuated}})
+			sc.restart(next, runner.Status{})
+			jb, _ := oneStepJob("j", 1, 1, time.Minute)
+			sc.handle(domain.Accepted{Job: jb})
+			sc.pass(time.Second)
+			sc.commitAll()
+			is.Equal(sc.startsOn("w1") == 1, evacuated == "z0")
+		})
+	}
+}
