domain: release a claim on a worker that may not run the unit any more

Cause: a unit that waits for victims keeps a claim on their worker.

Change: a pass releases a claim on a worker that doesn't suit the unit any more.

--- a/internal/domain/otherlife_test.go
+++ b/internal/domain/otherlife_test.go
@@ -233,3 +233,43 @@
 		})
 	}
 }
+
+// TestClaimIsForOneIncarnation restarts a worker, on which a unit has claimed capacity,
+// as one of another kind, which replies before the next placement pass. It guards
+// against a start that the unit's label forbids.
+func TestClaimIsForOneIncarnation(t *testing.T) {
+	is := is.New(t)
+	sc := newScriptedCore(domain.Config{}, "w1")
+	labelled := scriptedWorker("w1")
+	labelled.Labels = []string{"one"}
+	sc.handle(domain.Listed{Worker: labelled})
+	low, _ := oneStepJob("low", 2, 1, time.Hour)
+	low.Workspace, low.Steps[0].Needs.Accelerators = "c", 8
+	sc.handle(domain.Accepted{Job: low})
+	sc.pass(time.Second)
+	sc.commitAll()
+	sc.handle(domain.Started{Call: effectsOf[domain.Start](sc)[0], Clock: sc.now.Sub(startTime) + time.Second})
+	sc.pass(time.Second)
+	now, _ := oneStepJob("now", 0, 1, time.Minute)
+	now.Steps[0].Label, now.Steps[0].Needs.Accelerators = "one", 8
+	sc.handle(domain.Accepted{Job: now})
+	for len(effectsOf[domain.Stop](sc)) == 0 && sc.now.Before(startTime.Add(time.Minute)) {
+		sc.pass(tickInterval)
+	}
+	is.Equal(len(effectsOf[domain.Stop](sc)), 1)
+	long := sc.lastPoll("w1")
+	sc.commitAll()
+	sc.effects = nil
+	began := sc.now
+	next := nextIncarnation("w1")
+	next.Labels = []string{"other"}
+	sc.handle(domain.Listed{Worker: next})
+	sc.commitAll()
+	po := domain.Poll{Worker: next, Sent: sc.now, Request: long.Request, Extra: true}
+	sc.answer(po, nextBorn, began, runner.Status{})
+	sc.pass(3 * time.Second)
+	sc.commitAll()
+	for _, st := range effectsOf[domain.Start](sc) {
+		is.True(st.Request.Task.Job != "now")
+	}
+}
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -349,7 +349,7 @@
 	for _, un := range claimed {
 		switch {
 		case un.claim == nil: // released since
-		case slices.ContainsFunc(un.claim, func(nd *node) bool { return !nd.schedulable(now) }):
+		case slices.ContainsFunc(un.claim, func(nd *node) bool { return !nd.schedulable(now) || !co.suitsClaim(un, nd) }):
 			co.releaseClaim(un)
 		case un.phase != waiting:
 			co.updateMoveClaim(now, un)
@@ -365,6 +365,12 @@
 	}
 }
 
+// suitsClaim reports whether a worker on which a unit has a claim may still run it. It
+// may have restarted as one of another kind.
+func (co *Core) suitsClaim(un *unit, nd *node) bool {
+	return nd.worker.Service == co.queueOf(un.job).Service && un.suits(nd)
+}
+
 // waitForClaim keeps the claim of a unit or, after maxClaimWait, places the unit where
 // there is room by now: some victims end late.
 func (co *Core) waitForClaim(now time.Time, un *unit) {
