domain: count a crash that a successor finds by the entry of a restarted worker

Cause: a successor knows a restarted worker only as its next incarnation. If that one doesn't reply until the leases have expired, a run that the record names on the former incarnation was remembered as an open loss of the next one. Its reply then seemed to show that it had not crashed, and the crash counted against no task.

Change: the open loss says that another incarnation had run it, and the reply of the worker under its ID shows the crash.

Result: TestCrashBeforeTakeoverIsRecognized failed before and passes; so do the other tests of crashes and losses (go test ./internal/domain -run 'Crash|Loss|Lost').

--- a/internal/domain/openloss.go
+++ b/internal/domain/openloss.go
@@ -20,6 +20,7 @@
 		age       ageRange
 		confirmed bool // the worker had confirmed the start
 		suspect   bool
+		former    bool      // another incarnation of the worker than the one known since had run it
 		lone      bool      // no other worker was lost at the same time
 		at        time.Time // when the run was considered ended
 	}
@@ -59,7 +60,8 @@
 	}
 	lr := lostRun{
 		unit: un, task: ru.task, attempt: ru.attempt, worker: ru.node.worker, age: ls.age,
-		confirmed: !ru.confirmedAt.IsZero(), suspect: co.isSuspect(now, ru, ls.age), lone: co.wasLostAlone(now, ru.node), at: now,
+		confirmed: !ru.confirmedAt.IsZero(), suspect: co.isSuspect(now, ru, ls.age), former: ru.isOfFormerIncarnation(),
+		lone: co.wasLostAlone(now, ru.node), at: now,
 	}
 	switch ls.cause {
 	case Restarted, Replaced:
@@ -134,7 +136,7 @@
 	switch {
 	case lr.worker.ID == wk.ID:
 		known = wk.Born >= lr.worker.Born
-		crashed = known && lr.worker.Born != 0 && wk.Born != lr.worker.Born
+		crashed = known && (lr.former || lr.worker.Born != 0 && wk.Born != lr.worker.Born)
 	case lr.worker.Address == wk.Address:
 		crashed = wk.Born > lr.worker.Born
 		known = crashed
--- a/internal/domain/otherlife_test.go
+++ b/internal/domain/otherlife_test.go
@@ -273,3 +273,30 @@
 		is.True(st.Request.Task.Job != "now")
 	}
 }
+
+// TestCrashBeforeTakeoverIsRecognized has a successor find a restarted worker, by its
+// entry, under a task that the former incarnation has run, and the worker reply only
+// after the leases have expired. It guards against a crash that counts against no task.
+func TestCrashBeforeTakeoverIsRecognized(t *testing.T) {
+	is := is.New(t)
+	jb, _ := oneStepJob("j", 1, 1, time.Minute)
+	former := scriptedWorker("w1")
+	rc := batch.Record{ID: "j", State: batch.Running, Units: []batch.UnitRecord{{
+		Attempt: 1, Live: true, Workers: []string{"w1"}, Addresses: []string{former.Address}, Incarnations: []uint32{former.Incarnation()},
+	}}}
+	next := nextIncarnation("w1")
+	sc := &scriptedCore{now: startTime}
+	sc.core = domain.New(sc.now, domain.Config{
+		Token: 1, Policy: newSimulation(1).policy, Jobs: []batch.Job{jb}, Records: []batch.Record{rc}, Workers: []runner.Worker{next},
+	})
+	sc.handle(domain.Ticked{})
+	sc.fail("w1", runner.ErrOutcomeUnknown)
+	sc.pass(40 * time.Second)
+	sc.commitAll()
+	is.Equal(sc.countDecisions("lost"), 1)
+	sc.pass(time.Second)
+	sc.commitAll()
+	sc.answer(sc.lastPoll("w1"), nextBorn, startTime, runner.Status{})
+	sc.pass(time.Second)
+	is.Equal(sc.countDecisions("crashed"), 1)
+}
