maint: don't report the next incarnation of a worker as down

Cause: when a list shows a machine down after its order, or with another worker, the worker that was on it at the order is reported as down, by its ID alone. A list may be up to two seconds old.

Change: the wave keeps the incarnation that the scheduler knew at the order, and reports the worker only if that is still the one that it knows. Otherwise the restart has told what the former incarnation ran.

Whether the platform brings a machine's worker back under its ID after an upkeep is not known; it says that a worker may start again under the ID that it had.

--- a/internal/domain/drain.go
+++ b/internal/domain/drain.go
@@ -7,9 +7,10 @@
 
 // Occupancy describes what occupies a worker.
 type Occupancy struct {
-	Idle            bool // nothing runs, by the worker's own report
-	Uninterruptible bool // some long-running work can't be interrupted now
-	Draining        bool // the platform has announced that the worker leaves
+	Idle            bool  // nothing runs, by the worker's own report
+	Uninterruptible bool  // some long-running work can't be interrupted now
+	Draining        bool  // the platform has announced that the worker leaves
+	Born            int64 // identifies its incarnation; zero if unknown
 }
 
 const (
@@ -64,7 +65,7 @@
 	if !ok {
 		return Occupancy{Idle: true}
 	}
-	oc := Occupancy{Idle: len(nd.runs) == 0 && !nd.unresponsive(), Draining: nd.worker.Draining}
+	oc := Occupancy{Idle: len(nd.runs) == 0 && !nd.unresponsive(), Draining: nd.worker.Draining, Born: nd.worker.Born}
 	for _, ru := range nd.runs {
 		if un := ru.unit; un != nil && un.step.LongRunning && !un.preemptible() {
 			oc.Uninterruptible = true
--- a/internal/drive/waves.go
+++ b/internal/drive/waves.go
@@ -158,7 +158,7 @@
 // loop's goroutine may call it.
 func (te *term) workerState(worker string) maint.WorkerState {
 	oc := te.core.Occupancy(worker)
-	return maint.WorkerState{Idle: oc.Idle, Uninterruptible: oc.Uninterruptible, Draining: oc.Draining}
+	return maint.WorkerState{Idle: oc.Idle, Uninterruptible: oc.Uninterruptible, Draining: oc.Draining, Born: oc.Born}
 }
 
 func (wd *waveDriver) handle(ev maint.Event) {
--- a/internal/maint/core.go
+++ b/internal/maint/core.go
@@ -22,6 +22,7 @@
 		Idle            bool
 		Uninterruptible bool // some of its work must not be interrupted now
 		Draining        bool
+		Born            int64 // identifies its incarnation; zero if unknown
 	}
 
 	// Core holds the state of all waves. It is not safe for concurrent use.
@@ -52,6 +53,7 @@
 		notBefore   time.Time // earliest time of the next order
 		confirmedAt time.Time // when its order was confirmed
 		worker      string    // on the machine when the order was sent; empty once reported as down
+		born        int64     // of the worker then; see WorkerState
 		mayBeDown   bool      // the outcome of an order is unknown
 	}
 
@@ -167,10 +169,13 @@
 
 // updateDownMachine updates a machine whose order was confirmed, from a list
 // requested later. If it is up with the same worker, the order had no effect
-// because the wave had maintained the machine before.
+// because the wave had maintained the machine before. If the worker is known to have
+// restarted since the order, the list may be older than its next incarnation.
 func (co *Core) updateDownMachine(wm *waveMachine, ma Machine) {
 	if wm.worker != "" && (!ma.Up || ma.Worker != wm.worker) {
-		co.emit(WorkerDown{Worker: wm.worker})
+		if co.workerState(wm.worker).Born == wm.born {
+			co.emit(WorkerDown{Worker: wm.worker})
+		}
 		wm.worker = ""
 	}
 	if ma.Up || ma.ID == "" {
@@ -284,6 +289,7 @@
 		}
 		if wm.phase == draining {
 			wm.worker = co.machines[wm.machine].Worker
+			wm.born = co.workerState(wm.worker).Born
 		}
 		wm.phase, wm.notBefore = ordered, time.Time{}
 		co.emit(Order{Machine: wm.machine, Wave: wv.Number})
--- a/internal/maint/event.go
+++ b/internal/maint/event.go
@@ -13,7 +13,7 @@
 //     started its maintenance or is no longer listed.
 //   - The work on a worker is reported as ended only when its machine was ordered
 //     to go down and is then listed as down or with another worker, or is no
-//     longer listed.
+//     longer listed, and the worker is not known to have restarted since the order.
 //   - Work is moved off a machine first, as far as the wave's duration allows.
 package maint
 
@@ -111,7 +111,8 @@
 	Drain struct{ By map[string]time.Time }
 
 	// WorkerDown reports that the machine of a worker went down or is no longer
-	// listed, so that everything that ran on the worker has ended.
+	// listed, so that everything that ran on the worker has ended. The worker is of the
+	// incarnation that its state shows at present.
 	WorkerDown struct{ Worker string }
 
 	// LogDecision requests a log line about a decision.
