--- a/internal/domain/otherlife_test.go
+++ b/internal/domain/otherlife_test.go
@@ -300,3 +300,40 @@
 	sc.pass(time.Second)
 	is.Equal(sc.countDecisions("crashed"), 1)
 }
+
+// TestUnheardIncarnationIsGrantedNoLease renews the leases on all workers after an
+// outage of the store, while a worker has restarted that has not replied yet. It guards
+// against a lease by the clock of its former incarnation.
+func TestUnheardIncarnationIsGrantedNoLease(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		t.Run(fmt.Sprintf("restarted=%v", restarted), func(t *testing.T) {
+			is := is.New(t)
+			sc, _ := pollRunning(t, "w1")
+			sc.core.ConfirmLease(sc.now, sc.now)
+			sc.pass(1500 * time.Millisecond)
+			if restarted {
+				sc.handle(domain.Listed{Worker: nextIncarnation("w1")})
+			}
+			sc.effects = nil
+			sc.core.ConfirmLease(sc.now, sc.now)
+			sc.pass(time.Second)
+			granted := false
+			for _, po := range effectsOf[domain.Poll](sc) {
+				granted = granted || po.Request.Deadline > 0
+			}
+			is.Equal(granted, !restarted)
+		})
+	}
+}
+
+// TestUnheardIncarnationIsNotIdle guards against a machine that goes down for
+// maintenance since its worker has restarted and has not said yet what it runs.
+func TestUnheardIncarnationIsNotIdle(t *testing.T) {
+	is := is.New(t)
+	sc := newScriptedCore(domain.Config{}, "w1")
+	is.True(sc.core.Occupancy("w1").Idle)
+	sc.handle(domain.Listed{Worker: nextIncarnation("w1")})
+	is.True(!sc.core.Occupancy("w1").Idle)
+	sc.restart(nextIncarnation("w1"), runner.Status{})
+	is.True(sc.core.Occupancy("w1").Idle)
+}
