domain: poll the next incarnation of a worker at once, and blame it for no former poll

Cause: a worker had one long poll at a time, also if that was sent to its former incarnation. The next one was polled when that had timed out, up to 3 s later, and the time-out counted as its own silence. The same held for a start without a reply.

Change: a restart ends the wait for the poll in flight, and what was sent before it became known says nothing of the present incarnation.

--- a/internal/domain/fence.go
+++ b/internal/domain/fence.go
@@ -19,11 +19,11 @@
 type (
 	// fence is the state of the fencing of a worker.
 	fence struct {
-		token      int64 // of the calls to the worker
-		orderToken int64 // largest token of an order to it: a start, or a poll that grants a lease or acknowledges ends; zero if there was none
-		staleToken int64 // the same for orders to its former incarnations
-		open       bool  // such an order may still take effect on the present incarnation
-		openedAt   time.Time
+		token      int64     // of the calls to the worker
+		orderToken int64     // largest token of an order to it: a start, or a poll that grants a lease or acknowledges ends; zero if there was none
+		staleToken int64     // the same for orders to its former incarnations
+		open       bool      // such an order may still take effect on the present incarnation
+		openedAt   time.Time // when a restart last became known; zero if none did
 	}
 
 	// fenceTokens are the fencing tokens of a term.
@@ -65,6 +65,11 @@
 // that of the orders of former terms.
 func (fe *fence) isClosedBy(token int64) bool { return fe.staleToken == 0 || token > fe.staleToken }
 
+// precedes reports whether a poll was meant for a former incarnation.
+func (fe *fence) precedes(po Poll) bool {
+	return po.Sent.Before(fe.openedAt) || po.Sent.Equal(fe.openedAt) && !fe.isClosedBy(po.Request.Token)
+}
+
 // needsToken reports whether calls to the worker must carry a larger token.
 func (fe *fence) needsToken() bool { return fe.open && fe.token <= fe.staleToken }
 
@@ -72,9 +77,8 @@
 // former incarnation.
 func (co *Core) openFence(now time.Time, nd *node) {
 	nd.fence.staleToken = nd.fence.orderToken
-	if !nd.fence.open {
-		nd.fence.open, nd.fence.openedAt = true, now
-	}
+	nd.fence.open, nd.fence.openedAt = true, now
+	nd.polling = false // what is in flight may never get a reply
 	co.raiseToken(nd)
 }
 
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -55,7 +55,7 @@
 	if !ok {
 		return
 	}
-	if !ev.Call.Extra {
+	if !ev.Call.Extra && !ev.Call.Sent.Before(nd.fence.openedAt) {
 		nd.polling = false
 	}
 	co.considerPoll(nd)
@@ -120,8 +120,8 @@
 // handlePollFailure processes a failed poll. runner.ErrRestarted shows that
 // everything that ran on the worker has ended.
 func (co *Core) handlePollFailure(now time.Time, nd *node, ev Polled) {
-	if errors.Is(ev.Err, runner.ErrFenced) {
-		return // it was sent before the worker was fenced
+	if errors.Is(ev.Err, runner.ErrFenced) || nd.fence.precedes(ev.Call) {
+		return // it says nothing of the present incarnation
 	}
 	nd.nextPoll = now.Add(pollRetryDelay)
 	if nd.lastFailure.Before(nd.lastResponse) || nd.lastFailure.IsZero() {
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -298,7 +298,7 @@
 		return
 	}
 	switch {
-	case errors.Is(ev.Err, runner.ErrFenced):
+	case errors.Is(ev.Err, runner.ErrFenced), errors.Is(ev.Err, runner.ErrOutcomeUnknown) && !nd.fence.isClosedBy(ev.Call.Request.Token):
 		ru.startLostAt = now // the worker has restarted since, and its fencing decides
 	case ev.Err == nil:
 		ru.stage = running
