domain: acknowledge ends to a worker once

Cause: each poll repeated the number of the last end in the store, also when a reply had shown that the worker had it. A poll that reaches the next incarnation of the worker late makes that one forget ends that nobody has read.

Change: a poll acknowledges only what no reply has shown to be acknowledged, so that most carry no number at all. TestEndsAreAcknowledgedOnce failed before and passes.

--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -16,7 +16,10 @@
 		if nd.polling || now.Before(nd.nextPoll) || nd.worker.Address == "" || co.nodes[nd.worker.ID] != nd {
 			continue
 		}
-		rq := runner.PollRequest{Token: nd.fence.token, Acked: nd.savedEnd}
+		rq := runner.PollRequest{Token: nd.fence.token}
+		if nd.savedEnd > nd.ackedEnd {
+			rq.Acked = nd.savedEnd
+		}
 		switch {
 		case nd.unresponsive() && (nd.listed || len(nd.runs) > 0):
 			// This poll grants no lease, since repeated polls would extend the
@@ -30,7 +33,7 @@
 			if len(nd.pendingEnds) > 0 {
 				rq.Wait = 0
 			}
-		case nd.savedEnd > nd.ackedEnd:
+		case rq.Acked > 0:
 		case nd.listed && now.Sub(nd.clockAt) >= idlePollInterval:
 			// The older the reading of its clock, the longer a lease may last there.
 		default:
