domain: blame a restart on what ran, at the age that it had

Cause: a restart forgot that the worker had confirmed a stop, so the loss of the stopped run counted as a crash under its task. A second restart before any reply replaced the age of the run at the first, so that a task which crashes its worker at once seemed to have lived until then.

Change: what the former incarnation has confirmed is remembered, and the first loss stays. TestStoppedRunIsNoCrash and TestSecondRestartKeepsAgeOfCrash failed before and pass.

--- a/internal/domain/loss.go
+++ b/internal/domain/loss.go
@@ -85,6 +85,7 @@
 	if ru.lostBy.cause != notLost {
 		ls, wasStopped = ru.lostBy, false
 	}
+	wasStopped = wasStopped || ru.stop.ackedByFormer
 	if ru.stage != ended && ru.stage != planned {
 		co.emit(LogDecision{
 			Decision: "lost", Job: ru.task.Job, Task: ru.task.String(), Attempt: ru.attempt, Worker: ru.node.worker.ID,
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -207,7 +207,9 @@
 	}
 	co.emit(ld)
 	for _, ru := range nd.runs {
-		if !ru.stoppedBefore(nd.lostBy(now)) {
+		if ru.stoppedBefore(nd.lostBy(now)) {
+			ru.stop.ackedByFormer = true
+		} else if ru.lostBy.cause == notLost {
 			ru.lostBy = loss{cause: Restarted.unlessDeparting(nd), age: ru.ageAtLoss(now)}
 		}
 		ru.stop.ackedAt = time.Time{}
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -200,7 +200,7 @@
 	}
 	ru.startLostAt = time.Time{}
 	ru.listedAt, ru.incarnation, ru.lostBy = now, nd.worker.Incarnation(), loss{}
-	ru.seen = true
+	ru.seen, ru.stop.ackedByFormer = true, false
 	ru.mayHaveEnded = false
 	if ru.confirmedAt.IsZero() {
 		ru.confirmedAt = now
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -47,10 +47,11 @@
 
 	// stopState is the state of the request to stop a run.
 	stopState struct {
-		requested bool
-		inFlight  bool      // a call is in flight
-		triedAt   time.Time // when the last call was sent
-		ackedAt   time.Time // when the worker replied; zero before
+		requested     bool
+		inFlight      bool      // a call is in flight
+		triedAt       time.Time // when the last call was sent
+		ackedAt       time.Time // when the worker replied; zero before
+		ackedByFormer bool      // a former incarnation had replied, before it was lost
 	}
 )
 
