domain: keep what holds for a removed worker, and drop what doesn't

Cause: with the node of a worker that was no longer listed its drain deadline was forgotten, so that it got new work when it was back, while tickets and refusals of the advice service, which are about its former incarnation, were kept.

Change: the deadlines are kept by worker ID, and removing a node drops the advice. TestRemovedWorkerKeepsItsDrainDeadline and TestAdviceAboutRemovedWorkerIsForgotten failed before and pass.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -50,9 +50,10 @@
 		jobs                 map[string]*job
 		arrivals             []*job // in order of acceptance
 		nodes                map[string]*node
-		sortedNodes          []*node            // by ID
-		addresses            map[string][]*node // nodes by address
-		evacuatedZones       map[string]bool    // availability zones to be evacuated
+		sortedNodes          []*node              // by ID
+		addresses            map[string][]*node   // nodes by address
+		evacuatedZones       map[string]bool      // availability zones to be evacuated
+		drainDeadlines       map[string]time.Time // of workers to be drained for maintenance, by ID
 		evacuation           evacuationState
 		storeReturnedAt      time.Time      // see Config
 		unsavedEnds          map[*node]bool // nodes with ends that are not in the store yet
--- a/internal/domain/drain.go
+++ b/internal/domain/drain.go
@@ -43,6 +43,7 @@
 // setDrainDeadlines replaces the set of workers to be drained for maintenance,
 // with their deadlines.
 func (co *Core) setDrainDeadlines(now time.Time, by map[string]time.Time) {
+	co.drainDeadlines = by
 	for _, nd := range co.nodesByID() {
 		deadline := by[nd.worker.ID]
 		co.passDue = co.passDue || deadline.IsZero() != nd.drainBy.IsZero()
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -129,6 +129,7 @@
 		nd = &node{worker: runner.Worker{ID: id}, runs: map[runKey]*run{}, earlierLeases: co.formerLeasesEnd}
 		nd.leaseEnd = nd.earlierLeases
 		nd.fence.token = co.tokens.used
+		nd.drainBy = co.drainDeadlines[id]
 		co.restoreRemoved(nd)
 		co.nodes[id] = nd
 		at, _ := slices.BinarySearchFunc(co.sortedNodes, id, compareID)
@@ -166,6 +167,7 @@
 // old one are not affected.
 func (co *Core) removeNode(now time.Time, nd *node) {
 	co.rememberRemoved(now, nd)
+	co.dropAdvice(nd.worker.ID)
 	delete(co.nodes, nd.worker.ID)
 	delete(co.unsavedEnds, nd)
 	co.removeAddress(nd)
