domain: take a refusal at a former address for nothing else

Cause: a refusal that names another worker at the address (ErrRestarted) ended the runs of the worker even if that had restarted at another address meanwhile.

Change: it counts only if the call went to the worker's present address. TestRefusalAtFormerAddressEndsNothing failed before and passes.

--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -131,7 +131,7 @@
 		co.emit(LogDecision{Decision: "lookFails", Worker: nd.worker.ID, Reason: ev.Err.Error()})
 	}
 	co.recordSilence(now, nd)
-	if errors.Is(ev.Err, runner.ErrRestarted) {
+	if errors.Is(ev.Err, runner.ErrRestarted) && ev.Call.Worker.Address == nd.worker.Address {
 		nd.listed = false
 		co.endIncarnation(now, nd, Replaced.unlessDeparting(nd))
 	}
