--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -360,7 +360,7 @@
 		sim.poll(le, ef)
 	case domain.Start:
 		sim.checkStart(ef.Worker)
-		sim.call(le, ef.Worker.ID, func() reply {
+		sim.call(le, ef.Worker.ID, ef, func() reply {
 			err := sim.fleet.Start(sim.now, ef.Worker.ID, ef.Request)
 			return reply{clock: sim.fleet.Clock(sim.now, ef.Worker.ID), err: err}
 		}, func(rp reply) domain.Event {
@@ -370,7 +370,7 @@
 			return domain.Started{Call: ef, Clock: rp.clock, Repeated: rp.repeated}
 		})
 	case domain.Stop:
-		sim.call(le, ef.Worker.ID, func() reply { return reply{err: sim.fleet.Stop(sim.now, ef.Worker.ID, ef.Request)} },
+		sim.call(le, ef.Worker.ID, ef, func() reply { return reply{err: sim.fleet.Stop(sim.now, ef.Worker.ID, ef.Request)} },
 			func(rp reply) domain.Event { return domain.Stopped{Call: ef, Err: rp.err} })
 	case domain.Advise:
 		sim.advise(le, ef)
@@ -449,9 +449,9 @@
 const commitRetry = 200 * time.Millisecond
 
 // call makes a call to a worker, subject to the simulated faults.
-func (sim *simulation) call(le *leader, id string, do func() reply, outcome func(reply) domain.Event) {
+func (sim *simulation) call(le *leader, id string, ef domain.Effect, do func() reply, outcome func(reply) domain.Event) {
 	if sim.transit != nil {
-		sim.transit.call(le, id, do, outcome)
+		sim.transit.call(le, id, ef, do, outcome)
 		return
 	}
 	draw := sim.rng.Float64()
--- a/internal/domain/transit_test.go
+++ b/internal/domain/transit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/domain"
@@ -15,7 +16,9 @@
 	transit struct {
 		sim       *simulation
 		dark      map[string]bool      // workers that are down; calls to them wait for their return
+		crashes   map[string]int       // of a worker so far
 		heldUntil map[string]time.Time // calls that are sent to a worker now are carried out then
+		crashLoss bool                 // calls that were sent before a crash are lost in it
 		dropped   float64              // fraction of calls that never arrive
 		held      float64              // fraction of calls that arrive up to maxCallAge after they were sent
 		lost      float64              // fraction of replies that are lost
@@ -26,9 +29,10 @@
 	delivery struct {
 		id       string
 		born     int64 // of the worker when the call was sent, zero if it was down
+		crashes  int   // of the worker until then
 		sent     time.Time
 		received bool // the machine of the worker has the call, so that no cut stops it
-		kind     string
+		call     domain.Effect
 		do       func()
 	}
 )
@@ -46,7 +50,7 @@
 // carryCallsOver makes calls that are on their way to a worker reach its next
 // incarnation.
 func (sim *simulation) carryCallsOver() *transit {
-	sim.transit = &transit{sim: sim, dark: map[string]bool{}, heldUntil: map[string]time.Time{}, counts: map[string]int{}}
+	sim.transit = &transit{sim: sim, dark: map[string]bool{}, crashes: map[string]int{}, heldUntil: map[string]time.Time{}, counts: map[string]int{}}
 	return sim.transit
 }
 
@@ -57,13 +61,17 @@
 	wk := sim.workers[id]
 	sim.fleet.Remove(sim.now, id)
 	tr.dark[id] = true
+	tr.crashes[id]++
+	tr.log("", id+" crashes")
 	sim.after(downtime, func() {
 		delete(tr.dark, id)
+		tr.log("", id+" is back")
 		wk.Born = sim.fleet.Add(sim.now, id, wk.Capacity, 1-0.02*sim.rng.Float64())
 		sim.after(lag, func() {
 			if sim.fleet.Born(id) != wk.Born {
 				return // it has crashed again
 			}
+			tr.log("", id+" is listed as restarted")
 			sim.workers[id] = wk
 			sim.notify(domain.Listed{Worker: wk})
 		})
@@ -71,9 +79,9 @@
 }
 
 // send carries a call to a worker, which may happen late or never.
-func (tr *transit) send(id, kind string, do func()) {
+func (tr *transit) send(id string, call domain.Effect, do func()) {
 	sim := tr.sim
-	de := delivery{id: id, born: sim.fleet.Born(id), sent: sim.now, kind: kind, do: do}
+	de := delivery{id: id, born: sim.fleet.Born(id), crashes: tr.crashes[id], sent: sim.now, call: call, do: do}
 	delay := networkDelay
 	draw := sim.rng.Float64()
 	switch {
@@ -93,15 +101,44 @@
 func (tr *transit) arrive(de delivery) {
 	sim := tr.sim
 	switch {
-	case sim.now.Sub(de.sent) > maxCallAge:
+	case sim.now.Sub(de.sent) > maxCallAge, tr.crashLoss && de.crashes != tr.crashes[de.id]:
 	case tr.dark[de.id], sim.unreachable[de.id] && !de.received:
 		sim.after(sim.upTo(maxArrivalDelay), func() { tr.arrive(de) })
 	default:
-		if sim.fleet.Born(de.id) != de.born {
-			tr.counts[de.kind]++
-		}
 		de.do()
+		tr.note(de)
+	}
+}
+
+// note logs that a call was carried out, and counts it if that was by another incarnation
+// than the one that was there when it was sent.
+func (tr *transit) note(de delivery) {
+	sim := tr.sim
+	over := sim.fleet.Born(de.id) != de.born
+	job, text := "", ""
+	switch ef := de.call.(type) {
+	case domain.Poll:
+		if !over {
+			return
+		}
+		text = fmt.Sprintf("poll acked %d deadline %v token %d", ef.Request.Acked, ef.Request.Deadline, ef.Request.Token)
+	case domain.Start:
+		job, text = ef.Request.Task.Job, fmt.Sprintf("start %s#%d token %d", ef.Request.Task, ef.Request.Attempt, ef.Request.Token)
+	case domain.Stop:
+		job, text = ef.Request.Task.Job, fmt.Sprintf("stop %s#%d token %d", ef.Request.Task, ef.Request.Attempt, ef.Request.Token)
+	}
+	if over {
+		text += " by another incarnation"
+		tr.counts[fmt.Sprintf("%T carried over", de.call)]++
 	}
+	tr.log(job, fmt.Sprintf("%s carries out %s, sent at %s", de.id, text, de.sent.Format("05.000")))
+}
+
+// log adds a line to the log of the simulation; its job is empty if it is about none.
+func (tr *transit) log(job, text string) {
+	line := tr.sim.now.Format("05.000") + " " + text
+	tr.sim.log = append(tr.sim.log, line)
+	tr.sim.logged = append(tr.sim.logged, logLine{tr.sim.now, job, line})
 }
 
 // answer delivers a worker's reply, unless it is lost or the worker can't be reached.
@@ -119,7 +156,7 @@
 
 // call makes a start or a stop, and makes it again if there is no reply for
 // repeatDelay.
-func (tr *transit) call(le *leader, id string, do func() reply, outcome func(reply) domain.Event) {
+func (tr *transit) call(le *leader, id string, ef domain.Effect, do func() reply, outcome func(reply) domain.Event) {
 	sim := tr.sim
 	sent, received, settled := 0, 0, false
 	settle := func(rp reply) {
@@ -131,7 +168,7 @@
 	}
 	send := func() {
 		sent++
-		tr.send(id, "call", func() {
+		tr.send(id, ef, func() {
 			rp := do()
 			tr.answer(id, func() {
 				received++
@@ -167,7 +204,7 @@
 			sim.handle(le, domain.Polled{Call: ef, Status: st, Err: err})
 		}
 	}
-	tr.send(id, "poll", func() {
+	tr.send(id, ef, func() {
 		tr.wait(id, ef.Request, func(st runner.Status, err error) {
 			tr.answer(id, func() { settle(st, err) })
 		})
