domain: take no attempt for over while the call that starts it is open

Cause: a confirmed stop, or the reply that closes the fence of a worker, ended an attempt although the call to start it had not returned yet. It may be sent a second time after that, and reach another incarnation of the worker, which knows neither the stop nor the token, beside the next attempt.

Change: such an attempt is over only when the call has returned, which takes at most its time-out.

Evidence: TestStartInFlightIsNotOver fails before and passes.

--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -246,6 +246,8 @@
 func (co *Core) handleMissing(now time.Time, ru *run, po Poll, beside int) {
 	sent := po.Sent
 	switch {
+	case ru.stage == starting && !ru.startReturned:
+		// The call may still reach this incarnation or another one.
 	case ru.stage == adopted, ru.stage != planned && ru.token < po.Request.Token:
 		// The poll carries a larger token than the start, which can't take effect
 		// any more.
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -26,6 +26,7 @@
 		clockReadAfter   time.Time     // see node.clockReadAfter, for clockSent
 		seen             bool          // the present incarnation of its worker has confirmed or listed it
 		startLostAt      time.Time     // when the reply to its start was lost
+		startReturned    bool          // the call to start it has returned, with or without a reply
 		startAnswered    bool          // the outcome of its start is known
 		startRepeated    bool          // its start was sent twice, so a call without a reply may still arrive
 		lateUntil        time.Time     // until when a start that reaches the worker's next incarnation late may run there; zero if none can
@@ -291,6 +292,7 @@
 	if ru == nil {
 		return
 	}
+	ru.startReturned = true
 	if nd.fence.isClosedBy(ev.Call.Request.Token) {
 		ru.startAnswered, ru.startRepeated = true, ev.Repeated
 		co.checkStartClock(now, nd, ru, ev.Clock)
@@ -301,6 +303,7 @@
 	switch {
 	case errors.Is(ev.Err, runner.ErrFenced), errors.Is(ev.Err, runner.ErrOutcomeUnknown) && !nd.fence.isClosedBy(ev.Call.Request.Token):
 		ru.startLostAt = now // the worker has restarted since, and its fencing decides
+		co.pollNow(now, nd)
 	case ev.Err == nil:
 		ru.stage = running
 		ru.confirmedAt = now
--- a/internal/domain/staleevidence_test.go
+++ b/internal/domain/staleevidence_test.go
@@ -355,3 +355,39 @@
 	sim.transit.crash("w00", downtime, 10*time.Millisecond)
 	sim.run(arrival.Sub(sim.now) + 10*time.Second)
 }
+
+// TestStartInFlightIsNotOver has a gang end while the call that starts its other task has
+// not returned, confirms the stop of that one, and doesn't list it. It guards against a
+// next attempt beside one that the same call still begins on another incarnation of the
+// worker.
+func TestStartInFlightIsNotOver(t *testing.T) {
+	is := is.New(t)
+	sc := newScriptedCore(domain.Config{}, "w1", "w2", "w3", "w4")
+	jb, _ := oneStepJob("j", 1, 2, time.Minute)
+	jb.Steps[0].Gang, jb.Steps[0].Needs.Accelerators = true, 8
+	sc.handle(domain.Accepted{Job: jb})
+	sc.pass(tickInterval)
+	sc.commitAll()
+	starts := effectsOf[domain.Start](sc)
+	is.Equal(len(starts), 2)
+	open, begun := starts[0], starts[1]
+	sc.handle(domain.Started{Call: begun})
+	sc.pass(tickInterval)
+	failed := runner.End{Number: 1, Task: begun.Request.Task, Attempt: 1, Reason: runner.Failed}
+	sc.reply(begun.Worker.ID, runner.Status{Ended: runner.EndPage{Ends: []runner.End{failed}}})
+	sc.commitAll()
+	stops := effectsOf[domain.Stop](sc)
+	is.Equal(len(stops), 1)
+	sc.handle(domain.Stopped{Call: stops[0]})
+	sc.pass(tickInterval)
+	sc.reply(open.Worker.ID, runner.Status{})
+	sc.pass(time.Second)
+	sc.commitAll()
+	is.Equal(len(effectsOf[domain.Start](sc)), 2)
+	sc.handle(domain.Started{Call: open, Err: runner.ErrOutcomeUnknown})
+	sc.pass(tickInterval)
+	sc.reply(open.Worker.ID, runner.Status{})
+	sc.pass(time.Second)
+	sc.commitAll()
+	is.Equal(len(effectsOf[domain.Start](sc)), 4)
+}
