domain: let the test of a claim reply with the token that fences

Since calls are fenced by incarnation, the worker of TestClaimIsForOneIncarnation was not fenced, so a pass released the claim in any case. Now the test fails again when the check of the claim is taken out (trial on this tree).

--- a/internal/domain/otherlife_test.go
+++ b/internal/domain/otherlife_test.go
@@ -257,7 +257,6 @@
 		sc.pass(tickInterval)
 	}
 	is.Equal(len(effectsOf[domain.Stop](sc)), 1)
-	long := sc.lastPoll("w1")
 	sc.commitAll()
 	sc.effects = nil
 	began := sc.now
@@ -265,7 +264,7 @@
 	next.Labels = []string{"other"}
 	sc.handle(domain.Listed{Worker: next})
 	sc.commitAll()
-	po := domain.Poll{Worker: next, Sent: sc.now, Request: long.Request, Extra: true}
+	po := domain.Poll{Worker: next, Sent: sc.now, Request: runner.PollRequest{Token: 1 + sc.commits}, Extra: true}
 	sc.answer(po, nextBorn, began, runner.Status{})
 	sc.pass(3 * time.Second)
 	sc.commitAll()
