domain: acknowledge nothing to an unlisted worker that doesn't respond

Cause: a worker that doesn't respond gets no acknowledgement, as it may have restarted, but only if it is listed or has runs. One whose runs have all ended and whose entry has expired was polled every 0.5 s with the number of the last end, which the next incarnation takes for one of its own ends and forgets unread.

Change: such a worker is polled without it, and acknowledged once it has replied.

--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -18,7 +18,7 @@
 		}
 		rq := runner.PollRequest{Token: nd.fence.token, Acked: nd.savedEnd}
 		switch {
-		case nd.unresponsive() && (nd.listed || len(nd.runs) > 0):
+		case nd.unresponsive() && (nd.listed || len(nd.runs) > 0 || nd.savedEnd > nd.ackedEnd):
 			// This poll grants no lease, since repeated polls would extend the
 			// leases of an unresponsive worker without bound, and acknowledges
 			// nothing, since the worker may have restarted. An idle worker is polled,
