domain: wait for a start whose reply leaves the incarnation open

Cause: the clock in the reply to a start shows a restart if it is smaller than the last reading, and none if it is too large for one. A worker that was read soon after its own start and restarts later may reply with a clock between the two. That was taken for no restart: if the worker is cut off before its entry shows one, the run was lost 6.4 s after its start, while the lease by the former clock lasts for 10 s.

Change: such a run is waited for by the longest lease, until a poll lists it. Readings that are older than some 2% of the worker's age aren't concerned.

Evidence: TestStartConfirmedByYoungNextIncarnation fails before (a second start within 10 s) and passes.

--- a/internal/domain/fence.go
+++ b/internal/domain/fence.go
@@ -171,7 +171,8 @@
 
 // checkStartClock compares the clock in the reply to a start with that of the worker
 // when the start was sent. A smaller one shows that the worker has restarted. One that
-// no incarnation can have that began since shows that it has not.
+// no incarnation can have that began since shows that it has not. Any other leaves it
+// open until a poll lists the run.
 func (co *Core) checkStartClock(now time.Time, nd *node, ru *run, clock time.Duration) {
 	switch {
 	case clock == 0 || ru.clockSent == 0:
@@ -179,6 +180,8 @@
 		co.handleRestart(now, nd, nd.worker.Born, "the worker has restarted, by its clock in the reply to a start")
 	case clock > now.Sub(ru.clockReadAfter):
 		ru.seen = true
+	default: // if it has restarted, only the worker limits the lease
+		ru.lateUntil = latest(ru.lateUntil, now.Add(maxLeaseTime))
 	}
 }
 
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -197,7 +197,7 @@
 	}
 	ru.startLostAt = time.Time{}
 	ru.listedAt, ru.incarnation, ru.lostBy = now, nd.worker.Incarnation(), loss{}
-	ru.seen = true
+	ru.seen, ru.lateUntil = true, time.Time{}
 	ru.mayHaveEnded = false
 	if ru.confirmedAt.IsZero() {
 		ru.confirmedAt = now
--- a/internal/domain/review57_test.go
+++ b/internal/domain/review57_test.go
@@ -21,6 +21,25 @@
 	return starts[0]
 }
 
+// TestStartConfirmedByYoungNextIncarnation has a start confirmed by a clock that is
+// larger than the one read last, but too small for the time since, by a worker that is
+// cut off at once. It guards against a second run of the task while the lease by the
+// former incarnation's clock lasts on the next one.
+func TestStartConfirmedByYoungNextIncarnation(t *testing.T) {
+	is := is.New(t)
+	sc := newScriptedCore(domain.Config{}, "w1", "w2") // their clocks are at 1 s
+	sc.pass(9 * time.Second)                           // without another reading
+	st := sc.startOne(is)
+	sc.handle(domain.Started{Call: st, Clock: 1500 * time.Millisecond})
+	began := sc.now
+	for sc.now.Sub(began) < 10*time.Second {
+		sc.fail(st.Worker.ID, runner.ErrOutcomeUnknown)
+		sc.pass(500 * time.Millisecond)
+		sc.commitAll()
+	}
+	is.Equal(len(effectsOf[domain.Start](sc)), 1)
+}
+
 // TestUnlistedWorkerWithoutRunsGetsNoAcknowledgement has a worker report the end of its
 // only task, leave the list and fall silent. It guards against an acknowledgement that
 // the worker's next incarnation takes for one of its own ends.
