domain: bound a worker's start by the time its poll was sent

Cause: an order of before can't have been carried out by an incarnation that began later. When that one began was computed from the time at which its reply was processed, which is late by the reply's wait in the event queue and by a slow clock. So an order that had arrived just after the start was taken for one that can't have.

Change: the earliest start counts, by the time at which the poll was sent and the slowest clock.

Evidence: TestReplyThatWaitsHidesLateLease, a start that arrives 11.9 s after it was sent and a reply that waits for 1 s, fails before (a second start) and passes.

--- a/internal/domain/fence.go
+++ b/internal/domain/fence.go
@@ -115,8 +115,8 @@
 
 // closeFence processes the first reply that shows that no order to a former
 // incarnation can take effect any more.
-func (co *Core) closeFence(now time.Time, nd *node, clock time.Duration) {
-	co.boundStaleLeases(now, nd, clock)
+func (co *Core) closeFence(now time.Time, nd *node, sent time.Time, clock time.Duration) {
+	co.boundStaleLeases(now, nd, sent, clock)
 	if !nd.fence.open {
 		return
 	}
--- a/internal/domain/lease.go
+++ b/internal/domain/lease.go
@@ -84,16 +84,16 @@
 // may have been granted by the clock of its former incarnation. Such a lease is only
 // limited by the worker. The reply that has just arrived, with the worker's clock,
 // shows that none is granted any more; see fence.
-func (co *Core) boundStaleLeases(now time.Time, nd *node, clock time.Duration) {
-	startedAt := now.Add(-clock)
+func (co *Core) boundStaleLeases(now time.Time, nd *node, sent time.Time, clock time.Duration) {
+	startedAfter, startedBefore := sent.Add(-time.Duration(float64(clock)/(1-maxClockDrift))), now.Add(-clock)
 	var granted time.Time // the last one
-	if startedAt.Before(co.beganAt) {
-		granted = startedAt.Add(maxStaleGrantTime)
+	if startedBefore.Before(co.beganAt) {
+		granted = startedBefore.Add(maxStaleGrantTime)
 	}
 	if nd.fence.staleToken > 0 {
 		granted = latest(granted, nd.leaseSentAt.Add(maxCallDelay))
 	}
-	if granted.Before(startedAt) {
+	if granted.Before(startedAfter) {
 		return
 	}
 	if granted.After(now) {
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -89,7 +89,7 @@
 		co.passDue = true
 	}
 	if nd.lastResponse.IsZero() {
-		co.closeFence(now, nd, ev.Status.Clock)
+		co.closeFence(now, nd, ev.Call.Sent, ev.Status.Clock)
 	}
 	nd.lastResponse, nd.silentSince = now, time.Time{}
 	nd.clock, nd.clockAt, nd.clockReadAfter = ev.Status.Clock, now, ev.Call.Sent
--- a/internal/domain/review57_test.go
+++ b/internal/domain/review57_test.go
@@ -71,3 +71,35 @@
 	}
 	return kept
 }
+
+// TestReplyThatWaitsHidesLateLease has a start arrive 11.9 s after it was sent at a worker
+// that has just restarted, and its reply to a poll wait for a second in the scheduler. It
+// guards against an estimate of the worker's start that is late by that second, by which
+// no order of before can have been carried out since.
+func TestReplyThatWaitsHidesLateLease(t *testing.T) {
+	is := is.New(t)
+	sc := newScriptedCore(domain.Config{}, "w1", "w2")
+	sc.pass(30 * time.Second) // so that the leases of earlier terms have expired
+	sc.reply("w1", runner.Status{})
+	sc.reply("w2", runner.Status{})
+	st := sc.startOne(is)
+	sent := sc.now
+	sc.handle(domain.Started{Call: st, Err: runner.ErrOutcomeUnknown})
+	wk := st.Worker
+	wk.Born = 7
+	sc.handle(domain.Listed{Worker: wk})
+	sc.fail(wk.ID, runner.ErrOutcomeUnknown)
+	sc.pass(time.Second)
+	sc.commitAll()
+	sc.pass(11 * time.Second)
+	po := domain.Poll{Worker: wk, Sent: sc.now, Request: runner.PollRequest{Token: sc.lastToken(wk.ID)}}
+	sc.pass(time.Second)
+	run := runner.Run{Task: st.Request.Task, Attempt: st.Request.Attempt}
+	sc.handle(domain.Polled{Call: po, Status: runner.Status{Born: 7, Clock: 200 * time.Millisecond, Running: []runner.Run{run}}})
+	for sc.now.Sub(sent) < 21900*time.Millisecond {
+		sc.pass(100 * time.Millisecond)
+		sc.fail(wk.ID, runner.ErrOutcomeUnknown)
+		sc.commitAll()
+	}
+	is.Equal(len(effectsOf[domain.Start](sc)), 1)
+}
