domain: bound leases by calls of an earlier term that arrive late

Cause: a call of an earlier term can be carried out by an incarnation that begins in this term, up to 12 s after it was sent. At the first reply after such a restart only leases were considered that this term had granted, or that the earlier one had granted within 3.5 s of a start before this term. So a run that the worker had begun by the former clock was lost with the leases of the earlier term, 11 s after the takeover, if the worker was cut off again.

Change: if a worker has runs that an earlier term may have started, leases are bounded by the longest delay of a call, too. The first replies at a takeover aren't concerned: formerLeasesEnd covers what was carried out until then.

Not covered: a lease that a late poll of the earlier term grants to a worker without recorded runs.

--- a/internal/domain/lease.go
+++ b/internal/domain/lease.go
@@ -90,6 +90,15 @@
 	if startedBefore.Before(co.beganAt) {
 		granted = startedBefore.Add(maxStaleGrantTime)
 	}
+	// Calls of an earlier term may have arrived late. Those that arrived as this term
+	// began are accounted for by formerLeasesEnd.
+	if nd.hasRunsOfEarlierTerm() && now.Sub(co.beganAt) > unboundedLeaseTime-maxLeaseTime {
+		lastSent := co.beganAt.Add(MaxRenewalAge)
+		if known := startedBefore.Add(maxStaleGrantTime); known.Before(lastSent) {
+			lastSent = known
+		}
+		granted = latest(granted, lastSent.Add(maxCallDelay))
+	}
 	if nd.fence.staleToken > 0 {
 		granted = latest(granted, nd.leaseSentAt.Add(maxCallDelay))
 	}
@@ -101,3 +110,14 @@
 	}
 	nd.earlierLeases = latest(nd.earlierLeases, granted.Add(maxLeaseTime))
 }
+
+// hasRunsOfEarlierTerm reports whether a worker has runs that an earlier term may have
+// started, so that calls of that term may still arrive there.
+func (nd *node) hasRunsOfEarlierTerm() bool {
+	for _, ru := range nd.runs {
+		if ru.stage != planned && ru.sentAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/domain/review57_test.go
+++ b/internal/domain/review57_test.go
@@ -103,3 +103,29 @@
 	}
 	is.Equal(len(effectsOf[domain.Start](sc)), 1)
 }
+
+// TestRestartAfterTakeoverCarriesOutFormerStart has a start of the former term arrive
+// at a worker that has restarted in the present one, which replies once and is cut off.
+// It guards against a successor that takes the lease of that start, which only the
+// worker limits, to have ended with those of its predecessor.
+func TestRestartAfterTakeoverCarriesOutFormerStart(t *testing.T) {
+	eachFormerLife(t, func(sim *simulation) {
+		sim.run(10 * time.Second)
+		arrival := sim.now.Add(6*time.Second + sim.upTo(5*time.Second))
+		sim.transit.heldUntil["w00"] = arrival
+		sim.submitTo(30 * time.Second)
+		sim.run(200 * time.Millisecond)
+		sim.leader.dead = true
+		delete(sim.transit.heldUntil, "w00")
+		sim.run(domain.LeaderLeaseTime)
+		sim.unreachable["w00"] = true // so that the call is not refused for the new token
+		sim.elect()
+		sim.run(arrival.Sub(sim.now) - crashDowntime - 100*time.Millisecond)
+		sim.transit.crash("w00", crashDowntime, sim.upTo(shortEntryLag))
+		sim.run(arrival.Sub(sim.now) + time.Millisecond)
+		delete(sim.unreachable, "w00")
+		sim.run(700 * time.Millisecond)
+		sim.unreachable["w00"] = true
+		sim.run(20 * time.Second)
+	})
+}
