--- a/internal/domain/fence.go
+++ b/internal/domain/fence.go
@@ -119,8 +119,8 @@
 
 // closeFence processes the first reply that shows that no order to a former
 // incarnation can take effect any more.
-func (co *Core) closeFence(now time.Time, nd *node, clock time.Duration) {
-	co.boundStaleLeases(now, nd, clock)
+func (co *Core) closeFence(now time.Time, nd *node, sent time.Time, clock time.Duration) {
+	co.boundStaleLeases(now, nd, sent, clock)
 	if !nd.fence.open {
 		return
 	}
@@ -175,7 +175,8 @@
 
 // checkStartClock compares the clock in the reply to a start with that of the worker
 // when the start was sent. A smaller one shows that the worker has restarted. One that
-// no incarnation can have that began since shows that it has not.
+// no incarnation can have that began since shows that it has not. Any other leaves it
+// open until a poll lists the run.
 func (co *Core) checkStartClock(now time.Time, nd *node, ru *run, clock time.Duration) {
 	switch {
 	case clock == 0 || ru.clockSent == 0:
@@ -183,6 +184,8 @@
 		co.handleRestart(now, nd, nd.worker.Born, "the worker has restarted, by its clock in the reply to a start")
 	case clock > now.Sub(ru.clockReadAfter):
 		ru.seen = true
+	default: // if it has restarted, only the worker limits the lease
+		ru.lateUntil = latest(ru.lateUntil, now.Add(maxLeaseTime))
 	}
 }
 
--- a/internal/domain/lease.go
+++ b/internal/domain/lease.go
@@ -84,16 +84,25 @@
 // may have been granted by the clock of its former incarnation. Such a lease is only
 // limited by the worker. The reply that has just arrived, with the worker's clock,
 // shows that none is granted any more; see fence.
-func (co *Core) boundStaleLeases(now time.Time, nd *node, clock time.Duration) {
-	startedAt := now.Add(-clock)
+func (co *Core) boundStaleLeases(now time.Time, nd *node, sent time.Time, clock time.Duration) {
+	startedAfter, startedBefore := sent.Add(-time.Duration(float64(clock)/(1-maxClockDrift))), now.Add(-clock)
 	var granted time.Time // the last one
-	if startedAt.Before(co.beganAt) {
-		granted = startedAt.Add(maxStaleGrantTime)
+	if startedBefore.Before(co.beganAt) {
+		granted = startedBefore.Add(maxStaleGrantTime)
+	}
+	// Calls of an earlier term may have arrived late. Those that arrived as this term
+	// began are accounted for by formerLeasesEnd.
+	if nd.hasRunsOfEarlierTerm() && now.Sub(co.beganAt) > unboundedLeaseTime-maxLeaseTime {
+		lastSent := co.beganAt.Add(MaxRenewalAge)
+		if known := startedBefore.Add(maxStaleGrantTime); known.Before(lastSent) {
+			lastSent = known
+		}
+		granted = latest(granted, lastSent.Add(maxCallDelay))
 	}
 	if nd.fence.staleToken > 0 {
 		granted = latest(granted, nd.leaseSentAt.Add(maxCallDelay))
 	}
-	if granted.Before(startedAt) {
+	if granted.Before(startedAfter) {
 		return
 	}
 	if granted.After(now) {
@@ -101,3 +110,14 @@
 	}
 	nd.earlierLeases = latest(nd.earlierLeases, granted.Add(maxLeaseTime))
 }
+
+// hasRunsOfEarlierTerm reports whether a worker has runs that an earlier term may have
+// started, so that calls of that term may still arrive there.
+func (nd *node) hasRunsOfEarlierTerm() bool {
+	for _, ru := range nd.runs {
+		if ru.stage != planned && ru.sentAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -21,7 +21,7 @@
 			rq.Acked = nd.savedEnd
 		}
 		switch {
-		case nd.unresponsive() && (nd.listed || len(nd.runs) > 0):
+		case nd.unresponsive() && (nd.listed || len(nd.runs) > 0 || nd.savedEnd > nd.ackedEnd):
 			// This poll grants no lease, since repeated polls would extend the
 			// leases of an unresponsive worker without bound, and acknowledges
 			// nothing, since the worker may have restarted. An idle worker is polled,
@@ -92,7 +92,7 @@
 		co.passDue = true
 	}
 	if nd.lastResponse.IsZero() {
-		co.closeFence(now, nd, ev.Status.Clock)
+		co.closeFence(now, nd, ev.Call.Sent, ev.Status.Clock)
 	}
 	nd.lastResponse, nd.silentSince = now, time.Time{}
 	nd.clock, nd.clockAt, nd.clockReadAfter = ev.Status.Clock, now, ev.Call.Sent
@@ -200,7 +200,7 @@
 	}
 	ru.startLostAt = time.Time{}
 	ru.listedAt, ru.incarnation, ru.lostBy = now, nd.worker.Incarnation(), loss{}
-	ru.seen, ru.stop.ackedByFormer = true, false
+	ru.seen, ru.lateUntil, ru.stop.ackedByFormer = true, time.Time{}, false
 	ru.mayHaveEnded = false
 	if ru.confirmedAt.IsZero() {
 		ru.confirmedAt = now
