domain: don't take a refusal at a former address for silence

A stop that is refused at the address that the worker had before its restart made the worker count as silent, and got no work for a moment. It is repeated at the present address.

--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -347,7 +347,9 @@
 		if ru.confirmedAt.IsZero() {
 			co.pollNow(now, nd)
 		}
-	case errors.Is(ev.Err, runner.ErrRestarted) && ev.Call.Worker.Address == nd.worker.Address:
+	case errors.Is(ev.Err, runner.ErrRestarted) && ev.Call.Worker.Address != nd.worker.Address:
+		// The worker has another address since. The stop is repeated there.
+	case errors.Is(ev.Err, runner.ErrRestarted):
 		co.loseRun(now, ru, loss{cause: Replaced.unlessDeparting(nd), age: ru.ageAtLoss(now)}, len(nd.runs)-1)
 	default:
 		co.recordSilence(now, nd)
