--- a/internal/domain/doc.go
+++ b/internal/domain/doc.go
@@ -27,6 +27,9 @@
 //     worker has ended only if it, or its address, says so, or its leases have
 //     expired; entries in the store alone end nothing.
 //   - Only occurrences that are due have units in memory.
-//   - Every action carries the fencing token of one term. The holder of a
+//   - Every action carries a fencing token of one term. The holder of a
 //     larger token ends this core.
+//   - A worker that has restarted gets no order before no order to its former
+//     incarnations can take effect any more. What a reply proves, it proves for
+//     the incarnation that has given it; see fence.go.
 package domain
