domain: count what unrecorded runs occupy

Cause: a run that no record names, as one whose start another incarnation of the worker has carried out late, is stopped, and its task waits for its end.

Change: such a run occupies what its step needs, if its job is known, until it has ended.

Evidence: TestUnrecordedRunOccupiesItsWorker fails before (a start beside the run) and passes.

--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -335,14 +335,19 @@
 	nd.runsByTask = nil
 }
 
-// detach removes a run from a node and frees its capacity. A run without a unit
-// has none allocated.
+// detach removes a run from a node and frees its capacity.
 func (nd *node) detach(ru *run) {
 	delete(nd.runs, runKey{ru.task, ru.attempt})
 	nd.runsByTask = nil
-	if ru.unit != nil {
-		nd.used = nd.used.Minus(ru.unit.step.Reserved())
+	nd.used = nd.used.Minus(ru.reserved())
+}
+
+// reserved returns what a run occupies of its worker.
+func (ru *run) reserved() batch.Resources {
+	if ru.unit == nil {
+		return ru.unrecorded
 	}
+	return ru.unit.step.Reserved()
 }
 
 func (nd *node) free() batch.Resources { return nd.worker.Capacity.Minus(nd.used) }
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -227,11 +227,15 @@
 }
 
 // stopUnrecorded stops a run that no record names, and tracks it until it has
-// ended. No capacity is allocated for it. Its task is not started again before
-// that, unless the task has succeeded.
+// ended. Until then it occupies its worker, and its task is not started again,
+// unless the task has succeeded.
 func (co *Core) stopUnrecorded(now time.Time, nd *node, rn runner.Run) {
 	ru := &run{task: rn.Task, attempt: rn.Attempt, node: nd, stage: running, confirmedAt: now, token: nd.fence.token}
+	if jb, ok := co.jobs[rn.Task.Job]; ok && rn.Task.Step < len(jb.Steps) {
+		ru.unrecorded = jb.Steps[rn.Task.Step].Reserved()
+	}
 	nd.attach(ru)
+	nd.used = nd.used.Plus(ru.unrecorded)
 	if un := co.unitOf(rn.Task); un != nil && un.phase != finished {
 		ru.abandonedBy = un
 		un.abandonedRuns++
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -213,8 +213,8 @@
 func (nd *node) stoppingResources() batch.Resources {
 	var rs batch.Resources
 	for _, ru := range nd.runs {
-		if ru.unit != nil && ru.stop.requested {
-			rs = rs.Plus(ru.unit.step.Reserved())
+		if ru.stop.requested {
+			rs = rs.Plus(ru.reserved())
 		}
 	}
 	return rs
--- a/internal/domain/resize.go
+++ b/internal/domain/resize.go
@@ -31,9 +31,7 @@
 func (nd *node) usedByRuns() batch.Resources {
 	var used batch.Resources
 	for _, ru := range nd.runs {
-		if ru.unit != nil {
-			used = used.Plus(ru.unit.step.Reserved())
-		}
+		used = used.Plus(ru.reserved())
 	}
 	return used
 }
--- a/internal/domain/review57_test.go
+++ b/internal/domain/review57_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cicadawharf/cicadawharf/internal/batch"
 	"github.com/cicadawharf/cicadawharf/internal/domain"
 	"github.com/cicadawharf/cicadawharf/internal/runner"
 )
@@ -72,6 +73,32 @@
 	return kept
 }
 
+// TestRestartAfterTakeoverCarriesOutFormerStart has a start of the former term arrive
+// at a worker that has restarted in the present one, which replies once and is cut off.
+// It guards against a successor that takes the lease of that start, which only the
+// worker limits, to have ended with those of its predecessor.
+func TestRestartAfterTakeoverCarriesOutFormerStart(t *testing.T) {
+	eachFormerLife(t, func(sim *simulation) {
+		sim.run(10 * time.Second)
+		arrival := sim.now.Add(6*time.Second + sim.upTo(5*time.Second))
+		sim.transit.heldUntil["w00"] = arrival
+		sim.submitTo(30 * time.Second)
+		sim.run(200 * time.Millisecond)
+		sim.leader.dead = true
+		delete(sim.transit.heldUntil, "w00")
+		sim.run(domain.LeaderLeaseTime)
+		sim.unreachable["w00"] = true // so that the call is not refused for the new token
+		sim.elect()
+		sim.run(arrival.Sub(sim.now) - crashDowntime - 100*time.Millisecond)
+		sim.transit.crash("w00", crashDowntime, sim.upTo(shortEntryLag))
+		sim.run(arrival.Sub(sim.now) + time.Millisecond)
+		delete(sim.unreachable, "w00")
+		sim.run(700 * time.Millisecond)
+		sim.unreachable["w00"] = true
+		sim.run(20 * time.Second)
+	})
+}
+
 // TestReplyThatWaitsHidesLateLease has a start arrive 11.9 s after it was sent at a worker
 // that has just restarted, and its reply to a poll wait for a second in the scheduler. It
 // guards against an estimate of the worker's start that is late by that second, by which
@@ -104,28 +131,28 @@
 	is.Equal(len(effectsOf[domain.Start](sc)), 1)
 }
 
-// TestRestartAfterTakeoverCarriesOutFormerStart has a start of the former term arrive
-// at a worker that has restarted in the present one, which replies once and is cut off.
-// It guards against a successor that takes the lease of that start, which only the
-// worker limits, to have ended with those of its predecessor.
-func TestRestartAfterTakeoverCarriesOutFormerStart(t *testing.T) {
-	eachFormerLife(t, func(sim *simulation) {
-		sim.run(10 * time.Second)
-		arrival := sim.now.Add(6*time.Second + sim.upTo(5*time.Second))
-		sim.transit.heldUntil["w00"] = arrival
-		sim.submitTo(30 * time.Second)
-		sim.run(200 * time.Millisecond)
-		sim.leader.dead = true
-		delete(sim.transit.heldUntil, "w00")
-		sim.run(domain.LeaderLeaseTime)
-		sim.unreachable["w00"] = true // so that the call is not refused for the new token
-		sim.elect()
-		sim.run(arrival.Sub(sim.now) - crashDowntime - 100*time.Millisecond)
-		sim.transit.crash("w00", crashDowntime, sim.upTo(shortEntryLag))
-		sim.run(arrival.Sub(sim.now) + time.Millisecond)
-		delete(sim.unreachable, "w00")
-		sim.run(700 * time.Millisecond)
-		sim.unreachable["w00"] = true
-		sim.run(20 * time.Second)
-	})
+// TestUnrecordedRunOccupiesItsWorker has a worker list a run of a cancelled job that no
+// record names. It guards against a start above the worker's capacity while that run is
+// being stopped.
+func TestUnrecordedRunOccupiesItsWorker(t *testing.T) {
+	is := is.New(t)
+	sc := newScriptedCore(domain.Config{}, "w1")
+	jb, _ := oneStepJob("j", 1, 1, time.Minute)
+	jb.Steps[0].Needs = batch.Resources{MilliCPU: 8000, MemoryMB: 8000, Accelerators: 8}
+	sc.handle(domain.Accepted{Job: jb})
+	sc.handle(domain.CancelRequested{ID: "j"})
+	run := runner.Run{Task: batch.TaskID{Job: "j"}, Attempt: 1}
+	sc.reply("w1", runner.Status{Running: []runner.Run{run}})
+	other, _ := oneStepJob("other", 1, 1, time.Minute)
+	other.Steps[0].Needs = jb.Steps[0].Needs
+	sc.handle(domain.Accepted{Job: other})
+	sc.pass(time.Second)
+	sc.commitAll()
+	is.Equal(len(effectsOf[domain.Stop](sc)) > 0, true)
+	is.Equal(len(effectsOf[domain.Start](sc)), 0)
+	end := runner.End{Number: 1, Task: run.Task, Attempt: run.Attempt, Reason: runner.Stopped}
+	sc.reply("w1", runner.Status{Ended: runner.EndPage{Ends: []runner.End{end}}})
+	sc.pass(time.Second)
+	sc.commitAll()
+	is.Equal(len(effectsOf[domain.Start](sc)), 1)
 }
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -13,8 +13,9 @@
 	// run is an attempt of one task on one worker. It occupies capacity there
 	// until it has ended.
 	run struct {
-		unit             *unit // nil if no record names the run
-		abandonedBy      *unit // the unit that gave the run's attempt up; nil unless unit is nil
+		unit             *unit           // nil if no record names the run
+		abandonedBy      *unit           // the unit that gave the run's attempt up; nil unless unit is nil
+		unrecorded       batch.Resources // what a run without a unit occupies, as far as it is known
 		task             batch.TaskID
 		attempt          int
 		node             *node
--- a/internal/domain/standstill.go
+++ b/internal/domain/standstill.go
@@ -338,8 +338,8 @@
 func (nd *node) idle() batch.Resources {
 	idle := nd.worker.Capacity
 	for _, ru := range nd.runs {
-		if ru.unit != nil && ru.stage != planned {
-			idle = idle.Minus(ru.unit.step.Reserved())
+		if ru.stage != planned {
+			idle = idle.Minus(ru.reserved())
 		}
 	}
 	return idle
