domain: tests of starts that wait on their way while their worker restarts

Two orders of events in which a call of before a restart still takes effect wrongly, found by reading and by random worlds with calls in transit.

A third, a start that the former incarnation of its worker was told to stop, is tested by TestLateStartAfterItsStopPrecedesFirstReply already.

--- a/internal/domain/review57_test.go
+++ b/internal/domain/review57_test.go
@@ -99,6 +99,47 @@
 	})
 }
 
+// TestStartWithoutReplyBeginsAfterLongCrash has a start arrive at the next incarnation of
+// a worker that is down for longer than a lease lasts. It guards against a second run of
+// the task, which the scheduler takes for ended although the start can still arrive.
+func TestStartWithoutReplyBeginsAfterLongCrash(t *testing.T) {
+	eachFormerLife(t, func(sim *simulation) {
+		sim.run(10 * time.Second)
+		sim.transit.crash("w00", 7*time.Second+sim.upTo(3*time.Second), sim.upTo(shortEntryLag))
+		sim.run(100 * time.Millisecond)
+		sim.submitTo(20 * time.Second)
+		sim.run(30 * time.Second)
+	})
+}
+
+// TestLateStartEndsBeforeLateAcknowledgement has a start and a poll of before a crash arrive
+// after it, while the worker is cut off: the start, whose task succeeds, and then the poll,
+// which acknowledges ends of the former incarnation. It guards against a success that is
+// forgotten unread, and its task run again.
+func TestLateStartEndsBeforeLateAcknowledgement(t *testing.T) {
+	eachFormerLife(t, func(sim *simulation) {
+		sim.keepBusy()
+		jb, pl := oneStepJob("many", 1, 16, time.Second)
+		sim.submit(jb, pl)
+		for sim.fleet.Running("many") == 0 {
+			sim.run(time.Millisecond)
+		}
+		sim.run(time.Second + sim.upTo(100*time.Millisecond)) // until the ends are acknowledged
+		began := sim.now
+		sim.transit.heldUntil["w00"] = began.Add(8 * time.Second) // a poll
+		sim.run(2*time.Second + sim.upTo(500*time.Millisecond))
+		sim.transit.heldUntil["w00"] = began.Add(5 * time.Second) // a start
+		sim.submitTo(time.Second)
+		sim.run(500 * time.Millisecond)
+		delete(sim.transit.heldUntil, "w00")
+		sim.unreachable["w00"] = true
+		sim.transit.crash("w00", crashDowntime, sim.upTo(shortEntryLag))
+		sim.run(began.Add(8*time.Second + 10*time.Millisecond).Sub(sim.now))
+		delete(sim.unreachable, "w00")
+		sim.run(20 * time.Second)
+	})
+}
+
 // TestReplyThatWaitsHidesLateLease has a start arrive 11.9 s after it was sent at a worker
 // that has just restarted, and its reply to a poll wait for a second in the scheduler. It
 // guards against an estimate of the worker's start that is late by that second, by which
