domain: ignore the step of a run that its job can't have

A worker may list a run by a name whose step is negative. What it occupies is then unknown, as of a run whose job is not known. Read, not seen.

--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -231,7 +231,7 @@
 // unless the task has succeeded.
 func (co *Core) stopUnrecorded(now time.Time, nd *node, rn runner.Run) {
 	ru := &run{task: rn.Task, attempt: rn.Attempt, node: nd, stage: running, confirmedAt: now, token: nd.fence.token}
-	if jb, ok := co.jobs[rn.Task.Job]; ok && rn.Task.Step < len(jb.Steps) {
+	if jb, ok := co.jobs[rn.Task.Job]; ok && rn.Task.Step >= 0 && rn.Task.Step < len(jb.Steps) {
 		ru.unrecorded = jb.Steps[rn.Task.Step].Reserved()
 	}
 	nd.attach(ru)
