domain: a worker that has replied since is no former one at an address

Cause: a reply of a worker ends the others at its address that were born earlier, by the clocks of the two. If the new worker's clock is behind, or the former one's was ahead, a late reply of the former one ended the new worker and took all that runs there for lost, without a wait for its leases (TWICE).

Change: a worker that has replied since the poll was sent is not ended by its reply.

Evidence: TestLateReplyOfReplacedWorker fails before (the run is lost) and passes.

--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -101,9 +101,13 @@
 }
 
 // endPredecessors ends the earlier workers at the address of a worker that has
-// replied there.
-func (co *Core) endPredecessors(now time.Time, nd *node) {
+// replied there to a poll. One that has replied since that was sent is no earlier one,
+// whatever the clocks of the two say.
+func (co *Core) endPredecessors(now time.Time, nd *node, sent time.Time) {
 	for _, former := range co.predecessors(nd) {
+		if former.lastResponse.After(sent) {
+			continue
+		}
 		former.listed = false
 		co.endIncarnation(now, former, Replaced.unlessDeparting(former))
 	}
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -77,7 +77,7 @@
 	if nd.worker.Born == 0 {
 		nd.worker.Born = ev.Status.Born
 	}
-	co.endPredecessors(now, nd)
+	co.endPredecessors(now, nd, ev.Call.Sent)
 	if !nd.fence.isClosedBy(ev.Call.Request.Token) {
 		co.observeUnfenced(now, nd, ev)
 		return
--- a/internal/domain/review57_test.go
+++ b/internal/domain/review57_test.go
@@ -172,6 +172,27 @@
 	is.Equal(len(effectsOf[domain.Start](sc)), 1)
 }
 
+// TestLateReplyOfReplacedWorker has a worker that is replaced at its address, by one whose
+// clock is behind, reply late. It guards against a reply that was sent for before the new
+// worker replied, and ends all that runs there.
+func TestLateReplyOfReplacedWorker(t *testing.T) {
+	is := is.New(t)
+	sc := newScriptedCore(domain.Config{}, "w1")
+	former := scriptedWorker("w0")
+	former.Address, former.Service, former.Born = scriptedWorker("w1").Address, "other", 50
+	sc.handle(domain.Listed{Worker: former})
+	po := domain.Poll{Worker: former, Sent: sc.now, Request: runner.PollRequest{Token: 1}}
+	sc.pass(time.Second)
+	sc.reply("w1", runner.Status{})
+	st := sc.startOne(is)
+	sc.handle(domain.Started{Call: st, Clock: time.Minute})
+	sc.handle(domain.Polled{Call: po, Status: runner.Status{Born: 50, Clock: time.Second}})
+	sc.pass(tickInterval)
+	for _, ld := range effectsOf[domain.LogDecision](sc) {
+		is.True(ld.Decision != "lost")
+	}
+}
+
 // TestUnrecordedRunOccupiesItsWorker has a worker list a run of a cancelled job that no
 // record names. It guards against a start above the worker's capacity while that run is
 // being stopped.
