domain: test of a start that is made again after its end

drive.callTwice makes a start again if there is no reply for 0.3 s, also if a poll has shown meanwhile that the attempt runs or has ended. If the worker restarts just then, its next incarnation begins a task that has succeeded.

--- a/internal/domain/review57_test.go
+++ b/internal/domain/review57_test.go
@@ -140,6 +140,24 @@
 	})
 }
 
+// TestStartIsRepeatedAfterItsEnd loses the reply to a start, whose task succeeds before the
+// start is made again, and restarts the worker just then. It guards against a second call
+// although a poll has shown the outcome of the first.
+func TestStartIsRepeatedAfterItsEnd(t *testing.T) {
+	eachFormerLife(t, func(sim *simulation) {
+		sim.keepBusy()
+		sim.submitTo(50 * time.Millisecond)
+		sim.transit.lost = 1
+		for sim.fleet.Running("j") == 0 {
+			sim.run(time.Millisecond)
+		}
+		sim.transit.lost = 0
+		sim.run(repeatDelay - 20*time.Millisecond)
+		sim.transit.crash("w00", 100*time.Millisecond, sim.upTo(shortEntryLag))
+		sim.run(20 * time.Second)
+	})
+}
+
 // TestReplyThatWaitsHidesLateLease has a start arrive 11.9 s after it was sent at a worker
 // that has just restarted, and its reply to a poll wait for a second in the scheduler. It
 // guards against an estimate of the worker's start that is late by that second, by which
