--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -21,7 +21,7 @@
 			rq.Acked = nd.savedEnd
 		}
 		switch {
-		case nd.unresponsive() && (nd.listed || len(nd.runs) > 0 || nd.savedEnd > nd.ackedEnd):
+		case nd.unresponsive() && nd.isAwaited():
 			// This poll grants no lease, since repeated polls would extend the
 			// leases of an unresponsive worker without bound, and acknowledges
 			// nothing, since the worker may have restarted. An idle worker is polled,
@@ -45,6 +45,11 @@
 	}
 }
 
+// isAwaited reports whether a worker that doesn't respond is polled until it does.
+func (nd *node) isAwaited() bool {
+	return nd.listed || len(nd.runs) > 0 || nd.savedEnd > nd.ackedEnd
+}
+
 // pollNow polls a worker at once, in addition to a long poll, which acknowledges ends.
 func (co *Core) pollNow(now time.Time, nd *node) {
 	rq := runner.PollRequest{Token: nd.fence.token}
