domain: failing test of a refused start that counts as a crash

Jobs were given up in the worlds of restarts, though their tasks had crashed one worker at most: a start that the next incarnation has refused for its token, and that was made once, counts as a crash under its task, and five of those end the job.

--- a/internal/domain/formerlife_test.go
+++ b/internal/domain/formerlife_test.go
@@ -5,8 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/cicadawharf/cicadawharf/internal/batch"
 	"github.com/cicadawharf/cicadawharf/internal/domain"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
 )
 
 const (
@@ -155,3 +158,33 @@
 		sim.run(10 * time.Second)
 	})
 }
+
+// TestStartRefusedByTokenIsNoCrash sends a start to a worker that has just restarted and
+// refuses it for its token. It guards against counting the restart as a crash under a task
+// that has not run, and giving its job up after some of these.
+func TestStartRefusedByTokenIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	sc := newScriptedCore(domain.Config{}, "w1")
+	jb, _ := oneStepJob("j", 1, 1, time.Minute)
+	sc.handle(domain.Accepted{Job: jb})
+	sc.pass(tickInterval)
+	sc.commitAll()
+	starts := effectsOf[domain.Start](sc)
+	is.Equal(len(starts), 1)
+	wk := scriptedWorker("w1")
+	wk.Born = 7
+	sc.handle(domain.Listed{Worker: wk})
+	sc.pass(tickInterval)
+	sc.commitAll()
+	sc.handle(domain.Started{Call: starts[0], Err: runner.ErrFenced})
+	sc.pass(time.Second)
+	sc.commitAll()
+	polls := effectsOf[domain.Poll](sc)
+	sc.handle(domain.Polled{Call: polls[len(polls)-1], Status: runner.Status{Clock: time.Second, Born: 7}})
+	lost := false
+	for _, ld := range effectsOf[domain.LogDecision](sc) {
+		is.True(ld.Decision != "crashed")
+		lost = lost || ld.Decision == "lost"
+	}
+	is.True(lost)
+}
