remote: serve a call that arrives while another session is to be closed

A host closes the session with the most streams when there are too many in all, and notices that with each stream that it accepts. It then dropped the stream that it had just accepted, also if that belonged to another session, so the other host waited for a response until its deadline and told its caller 4011 storeUnavailable. Only a stream of the closed session is dropped now.

--- a/internal/remote/serve.go
+++ b/internal/remote/serve.go
@@ -87,7 +87,9 @@
 		if worst := pe.inbound.excess(); worst != nil {
 			pe.logExcess(worst)
 			worst.Close()
-			continue
+			if worst == sess {
+				continue
+			}
 		}
 		if err := pe.limiter.beginForwarded(); err != nil {
 			countCall(receiver, "", refused)
