domain: don't blame a restart on a task whose start was refused

Cause: a start that a restarted worker refuses for its token was lost like one that may have run, so the restart counted as a crash under its task, and after five of these its job was given up.

Change: a start that was sent once and refused was carried out by no incarnation; its loss doesn't count.

--- a/internal/domain/loss.go
+++ b/internal/domain/loss.go
@@ -81,17 +81,17 @@
 // replaces ls. The loss of a worker after it has stopped the run does not count
 // against the run.
 func (co *Core) loseRun(now time.Time, ru *run, ls loss, beside int) {
-	wasStopped := ru.stoppedBefore(ru.node.lostBy(now))
+	isBlameless := ru.stoppedBefore(ru.node.lostBy(now))
 	if ru.lostBy.cause != notLost {
-		ls, wasStopped = ru.lostBy, false
+		ls, isBlameless = ru.lostBy, false
 	}
-	wasStopped = wasStopped || ru.stop.ackedByFormer
+	isBlameless = isBlameless || ru.stop.ackedByFormer || ru.startRefused
 	if ru.stage != ended && ru.stage != planned {
 		co.emit(LogDecision{
 			Decision: "lost", Job: ru.task.Job, Task: ru.task.String(), Attempt: ru.attempt, Worker: ru.node.worker.ID,
 			Cause: ls.cause, MinAge: ls.age.min, MaxAge: ls.age.bound(), Beside: beside, Life: ru.life(),
 		})
-		if !wasStopped {
+		if !isBlameless {
 			co.recordLoss(now, ru, ls)
 		}
 	}
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -27,6 +27,7 @@
 		clockReadAfter   time.Time     // see node.clockReadAfter, for clockSent
 		seen             bool          // the present incarnation of its worker has confirmed or listed it
 		startLostAt      time.Time     // when the reply to its start was lost
+		startRefused     bool          // no incarnation of the worker has carried its start out
 		startReturned    bool          // the call to start it has returned, with or without a reply
 		startAnswered    bool          // the outcome of its start is known
 		startRepeated    bool          // its start was sent twice, so a call without a reply may still arrive
@@ -303,7 +304,9 @@
 	}
 	switch {
 	case errors.Is(ev.Err, runner.ErrFenced), errors.Is(ev.Err, runner.ErrOutcomeUnknown) && !nd.fence.isClosedBy(ev.Call.Request.Token):
-		ru.startLostAt = now // the worker has restarted since, and its fencing decides
+		// The worker has restarted since, and its fencing decides.
+		ru.startRefused = errors.Is(ev.Err, runner.ErrFenced) && !ev.Repeated
+		ru.startLostAt = now
 		co.pollNow(now, nd)
 	case ev.Err == nil:
 		ru.stage = running
