drive: give up a start whose outcome is known otherwise

Cause: a start without a reply is sent again after 0.3 s, also if a poll has listed the attempt or its end meanwhile. If the worker has restarted since, the next incarnation begins the attempt again.

Change: the core withdraws a start that has not returned once the run is listed or has ended, which cancels the call and keeps it from being sent again.

--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -113,6 +113,14 @@
 		Request runner.StartRequest
 	}
 
+	// Withdraw gives up the call that starts an attempt, since its outcome is known
+	// otherwise: the call must not be sent again.
+	Withdraw struct {
+		Worker  string
+		Task    batch.TaskID
+		Attempt int
+	}
+
 	// Stop stops an attempt of a task.
 	Stop struct {
 		Worker  runner.Worker
@@ -339,6 +347,7 @@
 func (Commit) effect()           {}
 func (Poll) effect()             {}
 func (Start) effect()            {}
+func (Withdraw) effect()         {}
 func (Stop) effect()             {}
 func (Advise) effect()           {}
 func (Forget) effect()           {}
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -206,6 +206,7 @@
 	ru.startLostAt = time.Time{}
 	ru.listedAt, ru.incarnation, ru.lostBy = now, nd.worker.Incarnation(), loss{}
 	ru.seen, ru.lateUntil, ru.stop.ackedByFormer = true, time.Time{}, false
+	co.withdrawStart(ru)
 	ru.mayHaveEnded = false
 	if ru.confirmedAt.IsZero() {
 		ru.confirmedAt = now
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -28,6 +28,7 @@
 		seen             bool          // the present incarnation of its worker has confirmed or listed it
 		startLostAt      time.Time     // when the reply to its start was lost
 		startRefused     bool          // no incarnation of the worker has carried its start out
+		startWithdrawn   bool          // the call was given up before it returned
 		startReturned    bool          // the call to start it has returned, with or without a reply
 		startAnswered    bool          // the outcome of its start is known
 		startRepeated    bool          // its start was sent twice, so a call without a reply may still arrive
@@ -270,11 +271,21 @@
 	}
 }
 
+// withdrawStart gives up the call that starts a run if it has not returned.
+func (co *Core) withdrawStart(ru *run) {
+	if ru.sentAt.IsZero() || ru.startReturned || ru.startWithdrawn {
+		return
+	}
+	ru.startWithdrawn = true
+	co.emit(Withdraw{Worker: ru.node.worker.ID, Task: ru.task, Attempt: ru.attempt})
+}
+
 // endRun ends a run and frees its capacity.
 func (co *Core) endRun(ru *run) {
 	if ru.stage == ended {
 		return
 	}
+	co.withdrawStart(ru)
 	ru.stage = ended
 	ru.node.detach(ru)
 	if ru.abandonedBy != nil {
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -369,6 +369,10 @@
 			}
 			return domain.Started{Call: ef, Clock: rp.clock, Repeated: rp.repeated}
 		})
+	case domain.Withdraw:
+		if sim.transit != nil {
+			sim.transit.withdraws[ef]()
+		}
 	case domain.Stop:
 		sim.call(le, ef.Worker.ID, ef, func() reply { return reply{err: sim.fleet.Stop(sim.now, ef.Worker.ID, ef.Request)} },
 			func(rp reply) domain.Event { return domain.Stopped{Call: ef, Err: rp.err} })
--- a/internal/domain/transit_test.go
+++ b/internal/domain/transit_test.go
@@ -19,10 +19,11 @@
 		crashedAt map[string][]time.Time
 		heldUntil map[string]time.Time // calls that are sent to a worker now are carried out then
 		crashLoss crashLoss
-		dropped   float64        // fraction of calls that never arrive
-		held      float64        // fraction of calls that arrive up to maxCallAge after they were sent
-		lost      float64        // fraction of replies that are lost
-		counts    map[string]int // of calls that another incarnation has carried out, by kind
+		dropped   float64                    // fraction of calls that never arrive
+		held      float64                    // fraction of calls that arrive up to maxCallAge after they were sent
+		lost      float64                    // fraction of replies that are lost
+		withdraws map[domain.Withdraw]func() // give up the starts that were made, by the effects that ask for it
+		counts    map[string]int             // of calls that another incarnation has carried out, by kind
 	}
 
 	// crashLoss says which calls are lost in a crash and don't reach the next incarnation.
@@ -60,7 +61,7 @@
 // carryCallsOver makes calls that are on their way to a worker reach its next
 // incarnation.
 func (sim *simulation) carryCallsOver() *transit {
-	sim.transit = &transit{sim: sim, dark: map[string]bool{}, crashedAt: map[string][]time.Time{}, heldUntil: map[string]time.Time{}, counts: map[string]int{}}
+	sim.transit = &transit{sim: sim, dark: map[string]bool{}, crashedAt: map[string][]time.Time{}, heldUntil: map[string]time.Time{}, counts: map[string]int{}, withdraws: map[domain.Withdraw]func(){}}
 	return sim.transit
 }
 
@@ -212,6 +213,11 @@
 			return rp.err
 		}))
 	}
+	if st, ok := ef.(domain.Start); ok {
+		tr.withdraws[domain.Withdraw{Worker: id, Task: st.Request.Task, Attempt: st.Request.Attempt}] = func() {
+			sim.after(0, func() { settle(reply{err: runner.ErrOutcomeUnknown}) })
+		}
+	}
 	send()
 	sim.after(repeatDelay, func() {
 		if !settled && !le.dead {
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -90,6 +90,7 @@
 		events         chan queuedEvent
 		priorityEvents chan queuedEvent // taken before events: requests of callers and operators, and completed commits
 		revisions      *revisionTable
+		starts         openStarts
 		waves          *waveDriver     // nil if machines need no maintenance
 		waitGauges     map[string]bool // registered gauges of waiting work
 		holdGauges     map[string]bool // registered gauges of jobs that stand still
@@ -286,7 +287,9 @@
 	case domain.Poll:
 		go te.poll(ef)
 	case domain.Start:
-		go te.start(ef)
+		go te.start(te.starts.begin(te.ctx, ef), ef)
+	case domain.Withdraw:
+		te.starts.withdraw(ef)
 	case domain.Stop:
 		go te.stop(ef)
 	case domain.Advise:
@@ -324,8 +327,9 @@
 	te.send(domain.Polled{Call: ef, Status: st, Err: err})
 }
 
-func (te *term) start(ef domain.Start) {
-	ctx, cancel := context.WithTimeout(te.ctx, callTimeout)
+func (te *term) start(ctx context.Context, ef domain.Start) {
+	defer te.starts.end(ef)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	began := time.Now()
 	clock, repeated, err := callTwice(ctx, func(ctx context.Context) (time.Duration, error) {
--- a/internal/drive/repeat.go
+++ b/internal/drive/repeat.go
@@ -42,7 +42,7 @@
 	var first result[T]
 	select {
 	case first = <-results:
-		if !errors.Is(first.err, runner.ErrOutcomeUnknown) {
+		if !errors.Is(first.err, runner.ErrOutcomeUnknown) || ctx.Err() != nil {
 			return first.value, false, first.err
 		}
 		go resend()
