domain: clearer names for the fencing of workers

A reviewer who had not seen the code read an open fence as one that lets orders pass: it is pending now until a reply confirms it. What an order is stands at the head of the file. seen is startedHere. takeBacklog says that it notes what it counts. No change of behaviour; tests of restarts pass.

--- a/internal/domain/commit.go
+++ b/internal/domain/commit.go
@@ -96,7 +96,7 @@
 		if !co.tokens.wanted {
 			return
 		}
-		cm.Backlog = co.backlog(now) // written for the revision
+		cm.Backlog = co.takeBacklog(now) // only for the revision, which is a token
 	}
 	cq.dirty = slices.DeleteFunc(cq.dirty, func(jb *job) bool { return !cq.dirtySet[jb] })
 	cq.urgent = cq.urgent && len(cq.dirty) > 0
@@ -203,15 +203,15 @@
 		return nil
 	}
 	former := co.commits
-	bl := co.backlog(now)
+	bl := co.takeBacklog(now)
 	if maps.Equal(bl.Queues, former.waitingJobs) && maps.Equal(bl.Evacuating, former.evacuatedTasks) && bl.Held == former.held {
 		return nil
 	}
 	return bl
 }
 
-// backlog counts what countWaitingJobs returns.
-func (co *Core) backlog(now time.Time) *batch.Backlog {
+// takeBacklog counts what countWaitingJobs returns, and notes it as written.
+func (co *Core) takeBacklog(now time.Time) *batch.Backlog {
 	co.commits.countedAt = now
 	counts := map[string]int{}
 	for _, jb := range co.jobs {
--- a/internal/domain/fence.go
+++ b/internal/domain/fence.go
@@ -12,18 +12,23 @@
 // one, which knows no fencing token yet and whose clock begins anew. So after a restart
 // the calls to a worker carry a larger token than all orders to its former
 // incarnations, and it gets no order before it has replied to a poll with that token.
-// From then on none of the former orders can take effect there. The tokens are
-// revisions of the store by this scheduler's writes: each requires the leader key, so
-// they are larger than the term's token, and smaller than that of every successor.
+// From then on none of the former orders can take effect there. An order is a call that
+// means something else to another incarnation: a start, or a poll that grants a lease or
+// acknowledges ends. A stop is none, since attempts are numbered and a stop ends only
+// those up to its own.
+//
+// The tokens are revisions of the store by this scheduler's writes: each requires the
+// leader key, so they are larger than the term's token, and smaller than that of every
+// successor.
 
 type (
 	// fence is the state of the fencing of a worker.
 	fence struct {
-		token      int64     // of the calls to the worker
-		orderToken int64     // largest token of an order to it: a start, or a poll that grants a lease or acknowledges ends; zero if there was none
-		staleToken int64     // the same for orders to its former incarnations
-		open       bool      // such an order may still take effect on the present incarnation
-		openedAt   time.Time // when a restart last became known; zero if none did
+		token          int64     // of the calls to the worker
+		orderToken     int64     // largest token of an order to it; zero if this term has sent none
+		staleToken     int64     // the same for orders to its former incarnations
+		pending        bool      // such an order may still take effect on the present incarnation
+		restartKnownAt time.Time // when a restart last became known; zero if none did
 	}
 
 	// fenceTokens are the fencing tokens of a term.
@@ -60,24 +65,24 @@
 	}
 }
 
-// isClosedBy reports whether a reply to a call with the given token shows that no
+// isConfirmedBy reports whether a reply to a call with the given token shows that no
 // order to a former incarnation can take effect any more. Every call of this term shows
 // that of the orders of former terms.
-func (fe *fence) isClosedBy(token int64) bool { return fe.staleToken == 0 || token > fe.staleToken }
+func (fe *fence) isConfirmedBy(token int64) bool { return fe.staleToken == 0 || token > fe.staleToken }
 
 // precedes reports whether a poll was meant for a former incarnation.
 func (fe *fence) precedes(po Poll) bool {
-	return po.Sent.Before(fe.openedAt) || po.Sent.Equal(fe.openedAt) && !fe.isClosedBy(po.Request.Token)
+	return po.Sent.Before(fe.restartKnownAt) || po.Sent.Equal(fe.restartKnownAt) && !fe.isConfirmedBy(po.Request.Token)
 }
 
 // needsToken reports whether calls to the worker must carry a larger token.
-func (fe *fence) needsToken() bool { return fe.open && fe.token <= fe.staleToken }
+func (fe *fence) needsToken() bool { return fe.pending && fe.token <= fe.staleToken }
 
-// openFence begins the fencing of a worker whose orders so far were meant for a
+// beginFencing begins the fencing of a worker whose orders so far were meant for a
 // former incarnation.
-func (co *Core) openFence(now time.Time, nd *node) {
+func (co *Core) beginFencing(now time.Time, nd *node) {
 	nd.fence.staleToken = nd.fence.orderToken
-	nd.fence.open, nd.fence.openedAt = true, now
+	nd.fence.pending, nd.fence.restartKnownAt = true, now
 	nd.polling = false // what is in flight may never get a reply
 	co.raiseToken(nd)
 }
@@ -117,19 +122,19 @@
 	}
 }
 
-// closeFence processes the first reply that shows that no order to a former
+// endFencing processes the first reply that shows that no order to a former
 // incarnation can take effect any more.
-func (co *Core) closeFence(now time.Time, nd *node, sent time.Time, clock time.Duration) {
+func (co *Core) endFencing(now time.Time, nd *node, sent time.Time, clock time.Duration) {
 	co.boundStaleLeases(now, nd, sent, clock)
-	if !nd.fence.open {
+	if !nd.fence.pending {
 		return
 	}
-	nd.fence.open = false
+	nd.fence.pending = false
 	for _, ru := range nd.runs {
 		ru.lateUntil = time.Time{} // the reply decides whether it runs there
 	}
 	co.emit(LogDecision{
-		Decision: "fenced", Worker: nd.worker.ID, Token: nd.fence.token, Duration: now.Sub(nd.fence.openedAt),
+		Decision: "fenced", Worker: nd.worker.ID, Token: nd.fence.token, Duration: now.Sub(nd.fence.restartKnownAt),
 		Leases: max(0, nd.earlierLeases.Sub(now)), Reason: "the worker has confirmed the token; orders to its former incarnation can't take effect any more",
 	})
 }
@@ -168,13 +173,14 @@
 }
 
 // staleLeaseEnd returns when the last lease has expired that a worker may have been
-// granted by the clock of a former incarnation, as long as its fence is open.
+// granted by the clock of a former incarnation, while its fencing is pending.
 func (co *Core) staleLeaseEnd(now time.Time, nd *node) time.Time {
 	return latest(now, nd.leaseSentAt.Add(maxCallDelay)).Add(maxLeaseTime)
 }
 
 // checkStartClock compares the clock in the reply to a start with that of the worker
-// when the start was sent. A smaller one shows that the worker has restarted. One that
+// when the start was sent. A smaller one shows that the worker has restarted, which is
+// processed at once. One that
 // no incarnation can have that began since shows that it has not. Any other leaves it
 // open until a poll lists the run.
 func (co *Core) checkStartClock(now time.Time, nd *node, ru *run, clock time.Duration) {
@@ -183,7 +189,7 @@
 	case clock < ru.clockSent:
 		co.handleRestart(now, nd, nd.worker.Born, "the worker has restarted, by its clock in the reply to a start")
 	case clock > now.Sub(ru.clockReadAfter):
-		ru.seen = true
+		ru.startedHere = true
 	default: // if it has restarted, only the worker limits the lease
 		ru.lateUntil = latest(ru.lateUntil, now.Add(maxLeaseTime))
 	}
@@ -206,7 +212,7 @@
 	delete(co.formerWorkers, nd.worker.ID)
 	nd.leaseSentAt = fw.leaseSentAt
 	nd.fence.orderToken = fw.orderToken
-	co.openFence(fw.removedAt, nd)
+	co.beginFencing(fw.removedAt, nd)
 }
 
 // forgetRemoved drops removed workers after formerWorkerRetention.
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -167,8 +167,8 @@
 	co.addresses[address] = nds
 }
 
-// removeNode removes a node but for what formerWorker holds. It copies the sorted slice, so that loops over the
-// old one are not affected.
+// removeNode removes a node. What formerWorker holds is kept. It copies the sorted
+// slice, so that loops over the old one are not affected.
 func (co *Core) removeNode(now time.Time, nd *node) {
 	co.rememberRemoved(now, nd)
 	co.dropAdvice(nd.worker.ID)
@@ -220,9 +220,9 @@
 		}
 		ru.stop.ackedAt = time.Time{}
 		ru.lateUntil = latest(ru.lateUntil, co.lateStartEnd(now, ru))
-		ru.seen = false
+		ru.startedHere = false
 	}
-	co.openFence(now, nd)
+	co.beginFencing(now, nd)
 	co.resetHealth(now, nd, len(nd.runs) > 0 && !nd.runsSuspected())
 	co.dropAdvice(nd.worker.ID)
 	nd.earlierLeases, nd.deadline = nd.leaseEnd, 0
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -63,7 +63,7 @@
 	if !ok {
 		return
 	}
-	if !ev.Call.Extra && !ev.Call.Sent.Before(nd.fence.openedAt) {
+	if !ev.Call.Extra && !ev.Call.Sent.Before(nd.fence.restartKnownAt) {
 		nd.polling = false
 	}
 	co.considerPoll(nd)
@@ -83,7 +83,7 @@
 		nd.worker.Born = ev.Status.Born
 	}
 	co.endPredecessors(now, nd, ev.Call.Sent)
-	if !nd.fence.isClosedBy(ev.Call.Request.Token) {
+	if !nd.fence.isConfirmedBy(ev.Call.Request.Token) {
 		co.observeUnfenced(now, nd, ev)
 		return
 	}
@@ -97,7 +97,7 @@
 		co.passDue = true
 	}
 	if nd.lastResponse.IsZero() {
-		co.closeFence(now, nd, ev.Call.Sent, ev.Status.Clock)
+		co.endFencing(now, nd, ev.Call.Sent, ev.Status.Clock)
 	}
 	nd.lastResponse, nd.silentSince = now, time.Time{}
 	nd.clock, nd.clockAt, nd.clockReadAfter = ev.Status.Clock, now, ev.Call.Sent
@@ -205,7 +205,7 @@
 	}
 	ru.startLostAt = time.Time{}
 	ru.listedAt, ru.incarnation, ru.lostBy = now, nd.worker.Incarnation(), loss{}
-	ru.seen, ru.lateUntil, ru.stop.ackedByFormer = true, time.Time{}, false
+	ru.startedHere, ru.lateUntil, ru.stop.ackedByFormer = true, time.Time{}, false
 	co.withdrawStart(ru)
 	ru.mayHaveEnded = false
 	if ru.confirmedAt.IsZero() {
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -25,7 +25,7 @@
 		token            int64         // of its start; zero if it was not sent in this term
 		clockSent        time.Duration // the worker's clock as last read before the start was sent
 		clockReadAfter   time.Time     // see node.clockReadAfter, for clockSent
-		seen             bool          // the present incarnation of its worker has confirmed or listed it
+		startedHere      bool          // the present incarnation of its worker has confirmed or listed it
 		startLostAt      time.Time     // when the reply to its start was lost
 		startRefused     bool          // no incarnation of the worker has carried its start out
 		startWithdrawn   bool          // the call was given up before it returned
@@ -149,7 +149,7 @@
 // anyWorkerUnfenced reports whether orders to a former incarnation may still take effect
 // on some worker of the current attempt.
 func (un *unit) anyWorkerUnfenced() bool {
-	return slices.ContainsFunc(un.runs, func(ru *run) bool { return ru.node.fence.open })
+	return slices.ContainsFunc(un.runs, func(ru *run) bool { return ru.node.fence.pending })
 }
 
 // allEnded reports whether every run of the current attempt has ended.
@@ -188,9 +188,9 @@
 		sent = co.beganAt.Add(MaxRenewalAge) // the former term may have sent it until then
 	}
 	switch {
-	case ru.stage == planned, ru.seen && ru.startAnswered && !ru.startRepeated:
+	case ru.stage == planned, ru.startedHere && ru.startAnswered && !ru.startRepeated:
 		return time.Time{}
-	case ru.seen && ru.listedAt.Sub(sent) >= maxCallDelay:
+	case ru.startedHere && ru.listedAt.Sub(sent) >= maxCallDelay:
 		return time.Time{}
 	}
 	if sent.After(now) {
@@ -306,7 +306,7 @@
 		return
 	}
 	ru.startReturned = true
-	if nd.fence.isClosedBy(ev.Call.Request.Token) {
+	if nd.fence.isConfirmedBy(ev.Call.Request.Token) {
 		ru.startAnswered, ru.startRepeated = true, ev.Repeated
 		co.checkStartClock(now, nd, ru, ev.Clock)
 	}
@@ -314,7 +314,7 @@
 		return
 	}
 	switch {
-	case errors.Is(ev.Err, runner.ErrFenced), errors.Is(ev.Err, runner.ErrOutcomeUnknown) && !nd.fence.isClosedBy(ev.Call.Request.Token):
+	case errors.Is(ev.Err, runner.ErrFenced), errors.Is(ev.Err, runner.ErrOutcomeUnknown) && !nd.fence.isConfirmedBy(ev.Call.Request.Token):
 		// The worker has restarted since, and its fencing decides.
 		ru.startRefused = errors.Is(ev.Err, runner.ErrFenced) && !ev.Repeated
 		ru.startLostAt = now
@@ -355,7 +355,7 @@
 	}
 	ru.stop.inFlight = false
 	switch {
-	case !nd.fence.isClosedBy(ev.Call.Request.Token) && !errors.Is(ev.Err, runner.ErrRestarted):
+	case !nd.fence.isConfirmedBy(ev.Call.Request.Token) && !errors.Is(ev.Err, runner.ErrRestarted):
 		// A former incarnation may have replied. The stop is repeated.
 	case ev.Err == nil:
 		ru.stop.ackedAt = now
