--- a/internal/domain/transit_test.go
+++ b/internal/domain/transit_test.go
@@ -137,8 +137,8 @@
 	}
 }
 
-// note logs that a call was carried out or refused, and counts it if that was by another incarnation
-// than the one that was there when it was sent.
+// note logs that a call was carried out or refused, and counts it if that was by another
+// incarnation than the one that was there when it was sent.
 func (tr *transit) note(de *delivery, err error) {
 	sim := tr.sim
 	over := sim.fleet.Born(de.id) != de.born
