drive: log the load of the scheduler, and measure passes and waits

A scheduler that falls behind said so in one line, event=overloaded, once events had been late for seconds. Nothing told whether placement passes, other events or a queue that had just filled were the cause: the hypotheses for too little served on a fleet of 1,100 workers.

event=schedulerLoad is logged each 10 s, and each second while events wait for 0.1 s or longer, with the time of events and of passes and the longest wait. Two histograms hold the same.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -62,6 +62,7 @@
 		claimed              []*unit        // units with claims on nodes; some may have been released since
 		passDue              bool           // a placement pass is to follow as soon as passInterval permits
 		lastPass             time.Time
+		passes               int                   // made in this term
 		idleReservations     map[string]time.Time  // see updateIdleReservations; by service
 		standings            map[standKey]standing // what stands still although there is room for it
 		standUnits           []standUnit           // that could end these standstills, as of the last search
@@ -241,6 +242,9 @@
 	return co.passDue || ((len(co.commits.dirty) > 0 || co.tokens.wanted) && co.commits.canCommit())
 }
 
+// Passes returns the number of placement passes made so far.
+func (co *Core) Passes() int { return co.passes }
+
 // settle processes the consequences of an event: it evaluates changed units,
 // places waiting ones, and emits the due polls and commits.
 func (co *Core) settle(now time.Time) {
@@ -251,6 +255,7 @@
 	if co.passDue && now.Sub(co.lastPass) >= co.passInterval() && co.takeoverDone(now) {
 		co.passDue = false
 		co.lastPass = now
+		co.passes++
 		co.placeWaiting(now)
 		co.evaluateChanged(now)
 	}
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -96,6 +96,7 @@
 		holdGauges     map[string]bool // registered gauges of jobs that stand still
 		zoneGauges     map[string]bool // registered gauges of evacuated zones
 		overload       overloadDetector
+		meter          workMeter
 		monitor        watchMonitor
 		watches        watchGeneration
 	}
@@ -185,6 +186,7 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	last := time.Now()
+	te.meter.since = last
 	te.handle(domain.Ticked{})
 	deferred := time.NewTimer(deferredDelay)
 	armed := true // whether the deferred timer is running
@@ -218,6 +220,7 @@
 			te.waves.handle(ev)
 		case now := <-tick.C:
 			te.checkWatches(now)
+			te.logLoad(now)
 			if te.waves != nil {
 				te.waves.handle(maint.Ticked{})
 			}
@@ -256,13 +259,23 @@
 func (te *term) handle(ev domain.Event) {
 	began := time.Now()
 	te.core.ConfirmLease(began, te.leaseConfirmedAt())
+	passes := te.core.Passes()
 	effects := te.core.Handle(began, ev)
-	eventTime.UpdateDuration(began)
+	te.observeWork(time.Since(began), te.core.Passes() > passes)
 	for _, ef := range effects {
 		te.perform(ef)
 	}
 }
 
+// observeWork records the time that the core took for an event.
+func (te *term) observeWork(took time.Duration, withPass bool) {
+	eventTime.Update(took.Seconds())
+	if withPass {
+		passTime.Update(took.Seconds())
+	}
+	te.meter.observeEvent(took, withPass)
+}
+
 // send queues an event for the loop. It blocks while the queue is full, and
 // drops the event once the term has ended.
 func (te *term) send(ev domain.Event) {
--- a/internal/drive/handover.go
+++ b/internal/drive/handover.go
@@ -72,6 +72,8 @@
 func (te *term) observeWait(at time.Time) {
 	now := time.Now()
 	waited := now.Sub(at)
+	eventWait.Update(waited.Seconds())
+	te.meter.observeWait(waited)
 	if !te.overload.observe(now, waited) {
 		return
 	}
