domain: failing test of a scheduler whose processor is too small for its fleet

What callers saw: too little served on a fleet of 1,100 workers. On hosts with 0.3 of their processor the scheduler falls behind when the first jobs come and stays behind: events wait for 13 s, leases expire although workers reply, gangs start in part.

The core counts its work as workers, runs, jobs and units that it examines (Core.Steps). The simulation gets a processor: the loop and each call take it in turn, an event costs its steps, a call its way out and back, and its timeouts run while it waits. TestCatchesUpAfterBurst fills a fleet within two seconds and asks that events are on time again six seconds later and that no lease of a worker that replies expires.

--- a/internal/domain/commit.go
+++ b/internal/domain/commit.go
@@ -84,6 +84,7 @@
 		return
 	}
 	cm := Commit{Backlog: co.countWaitingJobs(now)}
+	co.examine(len(cq.dirty))
 	next := cq.nextBatch()
 	versions := make([]jobVersion, len(next))
 	for i, jb := range next {
@@ -151,6 +152,7 @@
 			continue
 		}
 		jv.job.savedVersion = jv.version
+		co.examine(len(jv.job.units))
 		for _, un := range jv.job.units {
 			if un.phase == placed {
 				co.markChanged(un)
@@ -214,6 +216,7 @@
 func (co *Core) takeBacklog(now time.Time) *batch.Backlog {
 	co.commits.countedAt = now
 	counts := map[string]int{}
+	co.examine(len(co.jobs) + len(co.nodes))
 	for _, jb := range co.jobs {
 		if !jb.begun && !jb.state.Final() && jb.Schedule == nil && now.Sub(jb.acceptedAt) >= waitingCountInterval {
 			counts[jb.Queue.Name]++
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -63,6 +63,7 @@
 		passDue              bool           // a placement pass is to follow as soon as passInterval permits
 		lastPass             time.Time
 		passes               int                   // made in this term
+		steps                int64                 // see Steps
 		idleReservations     map[string]time.Time  // see updateIdleReservations; by service
 		standings            map[standKey]standing // what stands still although there is room for it
 		standUnits           []standUnit           // that could end these standstills, as of the last search
@@ -156,6 +157,7 @@
 	if co.resigned {
 		return nil
 	}
+	co.examine(1)
 	switch ev := ev.(type) {
 	case Configured:
 		co.policy = ev.Policy
@@ -245,6 +247,13 @@
 // Passes returns the number of placement passes made so far.
 func (co *Core) Passes() int { return co.passes }
 
+// Steps returns the work done so far, as the number of workers, runs, jobs and units that
+// were examined, and of events.
+func (co *Core) Steps() int64 { return co.steps }
+
+// examine counts the examination of some workers, runs, jobs or units.
+func (co *Core) examine(n int) { co.steps += int64(n) }
+
 // settle processes the consequences of an event: it evaluates changed units,
 // places waiting ones, and emits the due polls and commits.
 func (co *Core) settle(now time.Time) {
@@ -267,6 +276,7 @@
 	for len(co.changed) > 0 {
 		units := slices.SortedFunc(maps.Keys(co.changed), compareUnits)
 		clear(co.changed)
+		co.examine(len(units))
 		for _, un := range units {
 			co.evaluate(now, un)
 		}
@@ -277,6 +287,7 @@
 // due.
 func (co *Core) tick(now time.Time) {
 	for _, nd := range co.nodesByID() {
+		co.examine(1 + len(nd.runs))
 		co.expireLeases(now, nd)
 		co.retryStops(now, nd)
 		co.stopHung(now, nd)
@@ -323,6 +334,7 @@
 	if now.Sub(co.beganAt) > takeoverTimeout {
 		return true
 	}
+	co.examine(len(co.nodes))
 	for _, nd := range co.nodes {
 		if nd.listed && nd.lastResponse.IsZero() && nd.lastFailure.IsZero() {
 			return false
--- a/internal/domain/detector.go
+++ b/internal/domain/detector.go
@@ -83,6 +83,7 @@
 	if len(co.detector.withEvidence) == 0 {
 		return
 	}
+	co.examine(len(co.detector.withEvidence))
 	clear(co.detector.impairedServices)
 	for nd := range co.detector.withEvidence {
 		nd.health.setScore(now, nd.health.scoreAt(now))
@@ -184,6 +185,7 @@
 // suspected ones among them.
 func (co *Core) countLocations() locationCounts {
 	counts := locationCounts{}
+	co.examine(len(co.sortedNodes))
 	for _, nd := range co.sortedNodes {
 		if !nd.listed {
 			continue
@@ -248,6 +250,7 @@
 // failures are correlated in their rack or zone, unless an attempt there has
 // succeeded within minSuspension.
 func (co *Core) suspectCorrelated(now time.Time, counts locationCounts) {
+	co.examine(len(co.sortedNodes))
 	for _, nd := range co.sortedNodes {
 		if co.detector.withEvidence[nd] {
 			continue
--- a/internal/domain/fullload_test.go
+++ b/internal/domain/fullload_test.go
@@ -180,15 +180,15 @@
 }
 
 // electOn elects the first scheduler, on a host with some CPU cores.
-func (fw *fullWorld) electOn(cores float64) {
-	fw.token += 10
-	fw.disturb(0)
-	cf := domain.Config{Token: fw.token, Policy: fw.policy, MinMoveRunTime: minMoveRunTime, FairShares: true, FormerBounded: true, Cores: cores}
-	for _, id := range fw.workerIDs() {
-		cf.Workers = append(cf.Workers, fw.workers[id])
+func (sim *simulation) electOn(cores float64) {
+	sim.token += 10
+	sim.disturb(0)
+	cf := domain.Config{Token: sim.token, Policy: sim.policy, MinMoveRunTime: minMoveRunTime, FairShares: true, FormerBounded: true, Cores: cores}
+	for _, id := range sim.workerIDs() {
+		cf.Workers = append(cf.Workers, sim.workers[id])
 	}
-	fw.leader = &leader{core: domain.New(fw.now, cf), token: fw.token}
-	fw.tick(fw.leader)
+	sim.leader = &leader{core: domain.New(sim.now, cf), token: sim.token}
+	sim.tick(sim.leader)
 }
 
 // planOf returns the simulated behaviour of a task.
--- a/internal/domain/hold.go
+++ b/internal/domain/hold.go
@@ -107,6 +107,7 @@
 		if jb.state.Final() {
 			continue
 		}
+		co.examine(1 + len(jb.units))
 		un := jb.firstIdle(now)
 		if un == nil {
 			continue
@@ -233,6 +234,7 @@
 // conditions of a reason and of those before it are left out.
 func (co *Core) fitsWithout(ps *pass, un *unit, key fitKey, reason HoldReason) bool {
 	required := co.minTrust(ps, un, key.service)
+	co.examine(len(co.sortedNodes))
 	nds := slices.DeleteFunc(slices.Clone(co.sortedNodes), func(nd *node) bool {
 		switch {
 		case nd.worker.Service != key.service, !nd.acceptsWorkIfHealthy(ps.now):
--- a/internal/domain/lease.go
+++ b/internal/domain/lease.go
@@ -18,6 +18,7 @@
 	if !shortened {
 		return
 	}
+	co.examine(len(co.sortedNodes))
 	for _, nd := range co.nodesByID() {
 		if len(nd.runs) > 0 && !nd.unresponsive() && nd.worker.Address != "" {
 			co.renewNow(now, nd)
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -55,6 +55,7 @@
 		if jb.state.Final() || jb.waitingUnits == 0 {
 			continue
 		}
+		co.examine(1 + len(jb.units))
 		qu := co.queueOf(jb)
 		for _, units := range jb.readySteps(now) {
 			ugs = append(ugs, co.classify(now, qu, units, used)...)
--- a/internal/domain/pick.go
+++ b/internal/domain/pick.go
@@ -32,6 +32,7 @@
 	if len(nds) == 0 {
 		return nil
 	}
+	co.examine(len(nds))
 	sls := un.slots(nds, un.tasks)
 	for _, tr := range co.trustLevels(ps, un, key.service) {
 		if tr == trustAny {
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -167,7 +167,9 @@
 	for n < len(ug.units) && ug.units[n].interchangeable() {
 		n++
 	}
-	nodes := un.packTasks(un.slots(co.nodesWithCapacity(ps, key), n), n, key.anyRack)
+	sls := un.slots(co.nodesWithCapacity(ps, key), n)
+	co.examine(len(sls))
+	nodes := un.packTasks(sls, n, key.anyRack)
 	for i, nd := range nodes {
 		co.place(ps.now, ug.units[i], []*node{nd})
 	}
@@ -213,6 +215,7 @@
 		return nds
 	}
 	var nds []*node
+	co.examine(len(co.sortedNodes))
 	for _, nd := range co.nodesByID() {
 		if nd.worker.Service == service && nd.schedulable(ps.now) {
 			nds = append(nds, nd)
@@ -230,6 +233,7 @@
 	if !ok {
 		nds = slices.Clone(co.schedulableNodes(ps, key.service))
 	}
+	co.examine(len(nds))
 	nds = slices.DeleteFunc(nds, func(nd *node) bool {
 		return !nd.free().Covers(de.needs) || (ps.isReserved(nd) && !de.guaranteed) || ps.now.Before(nd.isolatedUntil)
 	})
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -144,6 +144,7 @@
 
 // reconcile updates the runs of a worker from its reply to a poll.
 func (co *Core) reconcile(now time.Time, nd *node, ev Polled) {
+	co.examine(len(ev.Status.Running))
 	reported := make(map[runKey]bool, len(ev.Status.Running))
 	for _, rn := range ev.Status.Running {
 		key := runKey{rn.Task, rn.Attempt}
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -162,6 +162,7 @@
 	}
 	for len(pp.nodes) < un.tasks {
 		best := pp.cheapest(nds, options)
+		co.examine(len(nds))
 		if best < 0 {
 			return nil
 		}
@@ -223,6 +224,7 @@
 // optionOn returns what has to be stopped on a worker for one more task of a
 // unit, beside what a plan stops and places already.
 func (co *Core) optionOn(ps *pass, un *unit, nd *node, pp *preemptionPlan) nodeOption {
+	co.examine(1)
 	if !un.suits(nd) || co.rejects(ps, un, nd) {
 		return nodeOption{}
 	}
@@ -230,12 +232,14 @@
 		return nodeOption{}
 	}
 	needs := un.step.Reserved()
+	co.examine(len(nd.runs))
 	free := nd.free().Plus(nd.stoppingResources()).Plus(pp.freed[nd])
 	if free.Covers(needs) {
 		return nodeOption{possible: true}
 	}
 	var op nodeOption
 	for _, vi := range co.victimsOn(ps, nd) {
+		co.examine(1)
 		if pp.victims[vi.un] || !co.preemptibleBy(ps.now, vi.un, un) {
 			continue
 		}
@@ -261,6 +265,7 @@
 		return vis
 	}
 	var vis []victim
+	co.examine(len(nd.runs))
 	seen := map[*unit]bool{}
 	for _, ru := range nd.runs {
 		un := ru.unit
--- a/internal/domain/reserve.go
+++ b/internal/domain/reserve.go
@@ -107,10 +107,14 @@
 		groups = append(groups, co.schedulableNodes(ps, key.service))
 	}
 	if len(co.schedulableNodes(ps, key.service)) > maxExaminedWorkers {
+		for _, group := range groups {
+			co.examine(len(group))
+		}
 		return reservation{nodes: un.mostFree(groups, accepts), madeAt: ps.now}
 	}
 	best := reservation{madeAt: ps.now}
 	for _, group := range groups {
+		co.examine(len(group))
 		nodes, at := ps.firstFree(un, group, accepts)
 		if nodes != nil && (best.nodes == nil || at.Before(best.start)) {
 			best.nodes, best.start = nodes, at
@@ -172,6 +176,7 @@
 		return false
 	}
 	required := co.minTrust(ps, un, key.service)
+	co.examine(len(ps.reserved))
 	nds := slices.DeleteFunc(slices.Clone(ps.backfillNodes(bk)), func(nd *node) bool { return !co.meetsTrust(ps.now, un, nd, required) })
 	nodes := un.pick(un.slots(nds, un.tasks), key.anyRack)
 	if nodes == nil {
--- a/internal/domain/share.go
+++ b/internal/domain/share.go
@@ -76,6 +76,7 @@
 // capacities sums up the capacity of the schedulable workers, by service.
 func (co *Core) capacities(now time.Time) map[string]batch.Resources {
 	sums := map[string]batch.Resources{}
+	co.examine(len(co.nodes))
 	for _, nd := range co.nodes {
 		if nd.schedulable(now) {
 			sums[nd.worker.Service] = sums[nd.worker.Service].Plus(nd.worker.Capacity)
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -67,6 +67,7 @@
 		storeReturnedAt   time.Time                    // when it last responded again
 		lapsed            map[string]bool              // workers whose entries have expired
 		transit           *transit                     // of calls, in place of faults; nil in most simulations
+		processor         *processor                   // of the scheduler's host; nil if it takes no time
 		formerUnbounded   bool                         // see domain.Config.FormerBounded
 		violations        []string                     // beside those that the fleet has seen
 		troubleUntil      time.Time                    // end of the last trouble; see disturb
@@ -334,6 +335,10 @@
 	if le.dead {
 		return
 	}
+	if sim.processor != nil {
+		sim.processor.queue(le, ev)
+		return
+	}
 	if !le.partitioned && !sim.now.Before(sim.awayUntil) && le.token == sim.token {
 		le.core.ConfirmLease(sim.now, sim.now)
 	}
@@ -343,19 +348,32 @@
 	for _, ef := range effects {
 		sim.perform(le, ef)
 	}
-	if le.core.NeedsPrompt() && !le.promptPending {
-		le.promptPending = true
-		sim.after(promptDelay, func() {
-			le.promptPending = false
-			sim.handle(le, domain.Prompted{})
-		})
+	if le.core.NeedsPrompt() {
+		sim.promptLater(le)
+	}
+}
+
+// promptLater sends a Prompted event to a leader after promptDelay.
+func (sim *simulation) promptLater(le *leader) {
+	if le.promptPending {
+		return
 	}
+	le.promptPending = true
+	sim.after(promptDelay, func() {
+		le.promptPending = false
+		sim.handle(le, domain.Prompted{})
+	})
 }
 
 func (sim *simulation) perform(le *leader, ef domain.Effect) {
 	switch ef := ef.(type) {
 	case domain.Commit:
-		sim.after(storeDelay+sim.commitDelay, func() { sim.commit(le, ef) })
+		write := func() { sim.after(storeDelay+sim.commitDelay, func() { sim.commit(le, ef) }) }
+		if sim.processor != nil {
+			sim.processor.cost(sendCost+time.Duration(len(ef.Records))*recordCost, write)
+			return
+		}
+		write()
 	case domain.Poll:
 		sim.poll(le, ef)
 	case domain.Start:
@@ -373,6 +391,9 @@
 		if sim.transit != nil {
 			sim.transit.withdraws[ef]()
 		}
+		if sim.processor != nil {
+			sim.processor.withdraws[ef]()
+		}
 	case domain.Stop:
 		sim.call(le, ef.Worker.ID, ef, func() reply { return reply{err: sim.fleet.Stop(sim.now, ef.Worker.ID, ef.Request)} },
 			func(rp reply) domain.Event { return domain.Stopped{Call: ef, Err: rp.err} })
@@ -454,6 +475,10 @@
 
 // call makes a call to a worker, subject to the simulated faults.
 func (sim *simulation) call(le *leader, id string, ef domain.Effect, do func() reply, outcome func(reply) domain.Event) {
+	if sim.processor != nil {
+		sim.processor.call(le, ef, do, outcome)
+		return
+	}
 	if sim.transit != nil {
 		sim.transit.call(le, id, ef, do, outcome)
 		return
@@ -497,6 +522,10 @@
 		sim.transit.poll(le, ef)
 		return
 	}
+	if sim.processor != nil {
+		sim.processor.poll(le, ef)
+		return
+	}
 	id := ef.Worker.ID
 	rq := ef.Request
 	until := sim.now.Add(rq.Wait)
--- a/internal/domain/standstill.go
+++ b/internal/domain/standstill.go
@@ -260,6 +260,7 @@
 		if n >= 2*un.tasks {
 			break
 		}
+		co.examine(1)
 		if un.mayUse(nr.node) && co.isQuietFor(ps.now, un, nr.node) {
 			n += un.fitCount(nr.node, nr.idle, 2*un.tasks)
 		}
@@ -277,8 +278,10 @@
 		return rooms
 	}
 	var rooms []nodeRoom
+	co.examine(len(co.sortedNodes))
 	for _, nd := range co.nodesByID() {
 		if nd.mayEndStandstill(ps.now, service) {
+			co.examine(len(nd.runs))
 			if idle := nd.idle(); key.hasRoom(idle) {
 				rooms = append(rooms, nodeRoom{nd, idle})
 			}
@@ -296,6 +299,7 @@
 		return nds
 	}
 	var nds []*node
+	co.examine(len(co.sortedNodes))
 	for _, nd := range co.nodesByID() {
 		if key.hasRoom(nd.free()) && nd.mayEndStandstill(ps.now, service) {
 			nds = append(nds, nd)
@@ -351,6 +355,7 @@
 	var sls []slot
 	tasks := 0
 	for _, nd := range co.freeNodes(ps, service, un) {
+		co.examine(1)
 		if !un.suits(nd) || !co.isQuietFor(ps.now, un, nd) || ps.now.Before(nd.isolatedUntil) {
 			continue
 		}
--- a/internal/domain/trust.go
+++ b/internal/domain/trust.go
@@ -137,6 +137,7 @@
 func (co *Core) couldFit(ps *pass, un *unit, service string, tr trust) bool {
 	n := 0
 	for _, nd := range co.schedulableNodes(ps, service) {
+		co.examine(1)
 		if co.meetsTrust(ps.now, un, nd, tr) && un.suits(nd) {
 			n += un.fitCount(nd, nd.worker.Capacity, un.tasks)
 		}
