domain: an event with evidence about many workers examines none of the others

What callers saw: nothing was served any more once the scheduler of 1,100 workers was late. Cause: each start or poll that failed made it judge the health of all workers anew: it counted the workers of all locations and went through all of them, 3,300 steps an event at 1,100 workers and 15,000 at 5,000. Calls fail in numbers when it is late.

The listed workers of each location are kept up to date when entries change. Suspected ones are counted from the workers with evidence, and only the workers of a location with correlated failures are examined. Evidence about more than 64 workers is judged by the next pass or tick instead of at once. With fewer it still follows each event: a trial that always waited for the next pass let 319 failures be repeated in TestFaultyWorkers (35 permitted), since a step was taken for faulty before its rack was suspected.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -257,12 +257,13 @@
 // settle processes the consequences of an event: it evaluates changed units,
 // places waiting ones, and emits the due polls and commits.
 func (co *Core) settle(now time.Time) {
-	if co.detector.due {
-		co.evaluateHealth(now)
-	}
+	co.evaluateHealthNow(now)
 	co.evaluateChanged(now)
 	if co.passDue && now.Sub(co.lastPass) >= co.passInterval() && co.takeoverDone(now) {
 		co.passDue = false
+		if co.detector.due {
+			co.evaluateHealth(now)
+		}
 		co.lastPass = now
 		co.passes++
 		co.placeWaiting(now)
--- a/internal/domain/detector.go
+++ b/internal/domain/detector.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
 )
 
 type (
@@ -15,15 +16,19 @@
 
 	// failureDetector holds the evidence about the health of all workers.
 	failureDetector struct {
-		baselines        map[string]baseline // by queue
-		withEvidence     map[*node]bool      // nodes that have a score or are out of service
-		impairedServices map[string]bool     // services with workers that are suspected or out of service
-		due              bool                // the health states have to be updated
-		lastReport       HealthReport
-		reportedAt       time.Time
+		baselines        map[string]baseline            // by queue
+		withEvidence     map[*node]bool                 // nodes that have a score or are out of service
+		impairedServices map[string]bool                // services with workers that are suspected or out of service
+		listed           map[locationKey]map[*node]bool // the listed workers
+		// suspectedByLocation holds the workers that are suspected without evidence of
+		// their own.
+		suspectedByLocation []*node
+		due                 bool // the health states have to be updated
+		lastReport          HealthReport
+		reportedAt          time.Time
 	}
 
-	// locationCount counts the workers of a rack, a zone or a service.
+	// locationCount counts the listed workers of a rack, a zone or a service.
 	locationCount struct{ total, suspected int }
 
 	// locationKey identifies a rack or, with an empty rack, a zone or, with
@@ -63,18 +68,30 @@
 	// correlatedScore is added to the score of workers where failures are
 	// correlated.
 	correlatedScore = suspectScore
+	// maxEvaluatedAtOnce is the number of workers with evidence up to which their health
+	// states follow each event.
+	maxEvaluatedAtOnce = 64
 	// restoredFailureScore is the score of a failure that is restored from the
 	// record of an earlier term.
 	restoredFailureScore = 1.5
 )
 
 func newFailureDetector() failureDetector {
-	return failureDetector{baselines: map[string]baseline{}, withEvidence: map[*node]bool{}, impairedServices: map[string]bool{}}
+	return failureDetector{baselines: map[string]baseline{}, listed: map[locationKey]map[*node]bool{}, withEvidence: map[*node]bool{}, impairedServices: map[string]bool{}}
 }
 
 // isInService reports whether the worker is neither suspended nor on probation.
 func (he *health) isInService() bool { return he.state == inService }
 
+// evaluateHealthNow updates the health states after an event that has brought evidence.
+// If there is evidence about many workers, that is left to the next pass or tick:
+// failures come in numbers when a scheduler is late.
+func (co *Core) evaluateHealthNow(now time.Time) {
+	if co.detector.due && len(co.detector.withEvidence) <= maxEvaluatedAtOnce {
+		co.evaluateHealth(now)
+	}
+}
+
 // evaluateHealth updates the health states of workers by the evidence, those
 // with the highest score first, since only some of them may be suspended. It
 // does nothing as long as there is no evidence.
@@ -88,7 +105,7 @@
 	for nd := range co.detector.withEvidence {
 		nd.health.setScore(now, nd.health.scoreAt(now))
 	}
-	counts := co.countLocations()
+	correlated := co.detector.correlatedLocations()
 	nds := slices.SortedFunc(maps.Keys(co.detector.withEvidence), func(a, b *node) int {
 		return cmp.Or(cmp.Compare(b.health.score, a.health.score), compareNodes(a, b))
 	})
@@ -98,8 +115,8 @@
 			delete(co.detector.withEvidence, nd)
 			continue
 		}
-		limit := int(maxSuspendedShare * float64(counts.at(locationKey{service: nd.worker.Service}).total))
-		co.updateHealth(now, nd, counts.failuresCorrelated(nd), outOfService[nd.worker.Service] < limit)
+		limit := int(maxSuspendedShare * float64(len(co.detector.listed[locationKey{service: nd.worker.Service}])))
+		co.updateHealth(now, nd, nd.isAtAny(correlated), outOfService[nd.worker.Service] < limit)
 		if !nd.health.isInService() {
 			outOfService[nd.worker.Service]++
 		}
@@ -107,7 +124,7 @@
 			co.detector.impairedServices[nd.worker.Service] = true
 		}
 	}
-	co.suspectCorrelated(now, counts)
+	co.suspectCorrelated(now, correlated)
 }
 
 // updateHealth advances the health state of one worker. maySuspend is false if
@@ -179,45 +196,30 @@
 	co.emit(LogDecision{Decision: "reinstates", Worker: nd.worker.ID, Reason: reason})
 }
 
-type locationCounts map[locationKey]*locationCount
-
-// countLocations counts the workers of services, zones and racks, and the
-// suspected ones among them.
-func (co *Core) countLocations() locationCounts {
-	counts := locationCounts{}
-	co.examine(len(co.sortedNodes))
-	for _, nd := range co.sortedNodes {
-		if !nd.listed {
-			continue
-		}
-		suspected := co.detector.withEvidence[nd] && nd.health.score >= suspectScore
-		for _, key := range nd.locationKeys() {
-			lc, ok := counts[key]
-			if !ok {
-				lc = &locationCount{}
-				counts[key] = lc
-			}
-			lc.total++
-			if suspected {
-				lc.suspected++
-			}
+// countNode counts a worker at its locations if it is listed, and no longer at its former
+// ones. It is called after each change of its entry.
+func (co *Core) countNode(nd *node, listed bool) {
+	for _, key := range nd.countedAt {
+		delete(co.detector.listed[key], nd)
+		if len(co.detector.listed[key]) == 0 {
+			delete(co.detector.listed, key)
 		}
 	}
-	return counts
-}
-
-// at returns the counts of a location.
-func (lcs locationCounts) at(key locationKey) locationCount {
-	if lc, ok := lcs[key]; ok {
-		return *lc
+	nd.locations, nd.countedAt = locationKeys(nd.worker), nil
+	if listed {
+		nd.countedAt = nd.locations
+	}
+	for _, key := range nd.countedAt {
+		if co.detector.listed[key] == nil {
+			co.detector.listed[key] = map[*node]bool{}
+		}
+		co.detector.listed[key][nd] = true
 	}
-	return locationCount{}
 }
 
 // locationKeys returns the locations of a worker: its service first, then its
 // zone and its rack.
-func (nd *node) locationKeys() []locationKey {
-	wk := nd.worker
+func locationKeys(wk runner.Worker) []locationKey {
 	keys := []locationKey{{service: wk.Service}}
 	if wk.Zone != "" {
 		keys = append(keys, locationKey{wk.Service, wk.Zone, ""})
@@ -228,37 +230,64 @@
 	return keys
 }
 
-// failuresCorrelated reports whether failures are correlated in a worker's rack
-// or zone; see minCorrelated.
-func (lcs locationCounts) failuresCorrelated(nd *node) bool {
-	keys := nd.locationKeys()
-	total := lcs.at(keys[0])
-	for _, key := range keys[1:] {
-		here := lcs.at(key)
-		elsewhere := locationCount{total.total - here.total, total.suspected - here.suspected}
-		if here.suspected < minCorrelated || float64(here.suspected) < correlatedShare*float64(here.total) || elsewhere.total == 0 {
+// correlatedLocations returns the racks and zones where failures are correlated; see
+// minCorrelated.
+func (fd *failureDetector) correlatedLocations() map[locationKey]bool {
+	suspected := map[locationKey]int{}
+	for nd := range fd.withEvidence {
+		if nd.health.score < suspectScore {
 			continue
 		}
-		if float64(here.suspected)*float64(elsewhere.total) >= correlatedFactor*float64(elsewhere.suspected)*float64(here.total) {
-			return true
+		for _, key := range nd.countedAt {
+			suspected[key]++
 		}
 	}
-	return false
+	correlated := map[locationKey]bool{}
+	for key, n := range suspected {
+		service := locationKey{service: key.service}
+		if key != service && isCorrelated(locationCount{len(fd.listed[key]), n}, locationCount{len(fd.listed[service]), suspected[service]}) {
+			correlated[key] = true
+		}
+	}
+	return correlated
+}
+
+// isCorrelated reports whether failures are correlated in a rack or zone, given the counts
+// of its service.
+func isCorrelated(here, total locationCount) bool {
+	elsewhere := locationCount{total.total - here.total, total.suspected - here.suspected}
+	if here.suspected < minCorrelated || float64(here.suspected) < correlatedShare*float64(here.total) || elsewhere.total == 0 {
+		return false
+	}
+	return float64(here.suspected)*float64(elsewhere.total) >= correlatedFactor*float64(elsewhere.suspected)*float64(here.total)
+}
+
+// isAtAny reports whether a worker is at some location.
+func (nd *node) isAtAny(locations map[locationKey]bool) bool {
+	return len(locations) > 0 && slices.ContainsFunc(nd.locations, func(key locationKey) bool { return locations[key] })
 }
 
 // suspectCorrelated marks workers without evidence of their own as suspected if
 // failures are correlated in their rack or zone, unless an attempt there has
 // succeeded within minSuspension.
-func (co *Core) suspectCorrelated(now time.Time, counts locationCounts) {
-	co.examine(len(co.sortedNodes))
-	for _, nd := range co.sortedNodes {
-		if co.detector.withEvidence[nd] {
-			continue
+func (co *Core) suspectCorrelated(now time.Time, correlated map[locationKey]bool) {
+	fd := &co.detector
+	former := fd.suspectedByLocation
+	fd.suspectedByLocation = nil
+	for _, nd := range former {
+		if !fd.withEvidence[nd] {
+			nd.health.suspected = false
 		}
-		he := &nd.health
-		he.suspected = counts.failuresCorrelated(nd) && now.Sub(he.lastSuccess) > minSuspension
-		if he.suspected {
-			co.detector.impairedServices[nd.worker.Service] = true
+	}
+	for key := range correlated {
+		co.examine(len(fd.listed[key]))
+		for nd := range fd.listed[key] {
+			if fd.withEvidence[nd] || now.Sub(nd.health.lastSuccess) <= minSuspension {
+				continue
+			}
+			nd.health.suspected = true
+			fd.suspectedByLocation = append(fd.suspectedByLocation, nd)
+			fd.impairedServices[nd.worker.Service] = true
 		}
 	}
 }
--- a/internal/domain/drain.go
+++ b/internal/domain/drain.go
@@ -55,7 +55,7 @@
 // workerDown ends all runs of a worker whose machine was shut down on request.
 func (co *Core) workerDown(now time.Time, id string) {
 	if nd, ok := co.nodes[id]; ok {
-		nd.listed = false
+		co.setListed(nd, false)
 		co.endIncarnation(now, nd, ShutDown)
 	}
 }
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -40,14 +40,16 @@
 		ackedEnd               int64        // number of the last end acknowledged to the worker
 		endsOmitted            bool         // the last reply to a poll may have omitted ends of runs
 		health                 health
-		bestEffortBlockedUntil time.Time // see besteffort.go
-		hasShrunk              bool      // its capacity was reduced in this term
-		isolatedUntil          time.Time // until when no other work is placed there; see unit.isolate
-		departsAt              time.Time // when the platform may take the worker away at the earliest; zero if unknown
-		evacuated              bool      // its availability zone is to be evacuated
-		coldUntil              time.Time // see cold.go
-		cold                   bool      // coldUntil was in the future when last checked
-		drainBy                time.Time // when it should be free of work for maintenance; zero if there is no deadline
+		locations              []locationKey // see locationKeys
+		countedAt              []locationKey // the same if it is listed, see countNode; nil otherwise
+		bestEffortBlockedUntil time.Time     // see besteffort.go
+		hasShrunk              bool          // its capacity was reduced in this term
+		isolatedUntil          time.Time     // until when no other work is placed there; see unit.isolate
+		departsAt              time.Time     // when the platform may take the worker away at the earliest; zero if unknown
+		evacuated              bool          // its availability zone is to be evacuated
+		coldUntil              time.Time     // see cold.go
+		cold                   bool          // coldUntil was in the future when last checked
+		drainBy                time.Time     // when it should be free of work for maintenance; zero if there is no deadline
 	}
 
 	runKey struct {
@@ -78,7 +80,7 @@
 	}
 	former := nd.worker.Capacity
 	co.setWorker(now, nd, wk)
-	nd.listed = true
+	co.setListed(nd, true)
 	if !wk.Capacity.Covers(former) {
 		co.handleShrink(nd)
 	}
@@ -108,7 +110,7 @@
 		if former.lastResponse.After(sent) {
 			continue
 		}
-		former.listed = false
+		co.setListed(former, false)
 		co.endIncarnation(now, former, Replaced.unlessDeparting(former))
 	}
 }
@@ -157,6 +159,12 @@
 	co.considerPoll(nd)
 }
 
+// setListed notes whether the platform lists a worker.
+func (co *Core) setListed(nd *node, listed bool) {
+	nd.listed = listed
+	co.countNode(nd, listed)
+}
+
 func (co *Core) removeAddress(nd *node) {
 	address := nd.worker.Address
 	nds := slices.DeleteFunc(co.addresses[address], func(other *node) bool { return other == nd })
@@ -174,6 +182,7 @@
 	co.dropAdvice(nd.worker.ID)
 	delete(co.nodes, nd.worker.ID)
 	delete(co.unsavedEnds, nd)
+	co.countNode(nd, false)
 	co.removeAddress(nd)
 	if at, ok := slices.BinarySearchFunc(co.sortedNodes, nd.worker.ID, compareID); ok {
 		co.sortedNodes = slices.Concat(co.sortedNodes[:at], co.sortedNodes[at+1:])
@@ -195,7 +204,7 @@
 	if !ok {
 		return
 	}
-	nd.listed = false
+	co.setListed(nd, false)
 	co.releaseHolds(id)
 	co.emit(LogDecision{Decision: "unlisted", Worker: id, Reason: "the platform no longer lists the worker"})
 	co.expireLeases(now, nd)
--- a/internal/domain/passbench_test.go
+++ b/internal/domain/passbench_test.go
@@ -24,13 +24,7 @@
 // twice their capacity, so that some of it waits.
 func newInstantWorkers(workers int) *instantWorkers {
 	iw := &instantWorkers{now: startTime, running: map[string][]runner.Run{}, lastEnds: map[string]int64{}}
-	for i := range workers {
-		iw.workers = append(iw.workers, runner.Worker{
-			ID: fmt.Sprintf("w%05d", i), Address: fmt.Sprintf("w%05d:1", i), Service: "svc", Born: 1,
-			Rack:     fmt.Sprintf("r%d", i/8),
-			Capacity: batch.Resources{MilliCPU: 64_000, MemoryMB: 256_000, Accelerators: 8},
-		})
-	}
+	iw.workers = manyWorkers(workers)
 	iw.core = domain.New(iw.now, iw.config())
 	for _, wk := range iw.workers {
 		iw.handle(domain.Polled{Call: domain.Poll{Worker: wk, Sent: iw.now}, Status: runner.Status{Born: 1, Clock: time.Second}})
@@ -41,11 +35,29 @@
 	return iw
 }
 
+// manyWorkers returns workers in racks of eight.
+func manyWorkers(number int) []runner.Worker {
+	workers := make([]runner.Worker, number)
+	for i := range workers {
+		workers[i] = runner.Worker{
+			ID: fmt.Sprintf("w%05d", i), Address: fmt.Sprintf("w%05d:1", i), Service: "svc", Born: 1,
+			Rack:     fmt.Sprintf("r%d", i/8),
+			Capacity: batch.Resources{MilliCPU: 64_000, MemoryMB: 256_000, Accelerators: 8},
+		}
+	}
+	return workers
+}
+
 func (iw *instantWorkers) config() domain.Config {
-	return domain.Config{Token: 1, Workers: iw.workers, Jobs: iw.jobs(len(iw.workers)), Policy: &batch.Policy{
+	return domain.Config{Token: 1, Workers: iw.workers, Jobs: iw.jobs(len(iw.workers)), Policy: iw.policy(len(iw.workers))}
+}
+
+// policy returns the policy, in which one workspace has some guaranteed accelerators.
+func (iw *instantWorkers) policy(guaranteed int) *batch.Policy {
+	return &batch.Policy{
 		Version: 1, Queues: []batch.Queue{queueOf(0), queueOf(1), queueOf(2)},
-		Workspaces: []batch.Workspace{{Name: "a", Guaranteed: len(iw.workers)}},
-	}}
+		Workspaces: []batch.Workspace{{Name: "a", Guaranteed: guaranteed}},
+	}
 }
 
 // jobs returns gangs of many tasks, small urgent gangs, and jobs of many small
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -137,7 +137,7 @@
 	}
 	co.recordSilence(now, nd)
 	if errors.Is(ev.Err, runner.ErrRestarted) && ev.Call.Worker.Address == nd.worker.Address {
-		nd.listed = false
+		co.setListed(nd, false)
 		co.endIncarnation(now, nd, Replaced.unlessDeparting(nd))
 	}
 }
--- a/internal/domain/slowhost_test.go
+++ b/internal/domain/slowhost_test.go
@@ -291,11 +291,9 @@
 	sim := newSimulation(uint64(workers))
 	iw := &instantWorkers{}
 	sim.policy.Workspaces = []batch.Workspace{{Name: "a", Guaranteed: workers}}
-	for i := range workers {
-		id := fmt.Sprintf("w%05d", i)
-		capacity := batch.Resources{MilliCPU: 64_000, MemoryMB: 256_000, Accelerators: 8}
-		born := sim.fleet.Add(sim.now, id, capacity, 1)
-		sim.workers[id] = runner.Worker{ID: id, Address: id + ":1", Service: "svc", Rack: fmt.Sprintf("r%d", i/8), Capacity: capacity, Born: born}
+	for _, wk := range manyWorkers(workers) {
+		wk.Born = sim.fleet.Add(sim.now, wk.ID, wk.Capacity, 1)
+		sim.workers[wk.ID] = wk
 	}
 	bu := &burst{simulation: sim, processor: sim.slowDown(cores)}
 	sim.electOn(cores)
