domain: send no more starts than the host can follow

What callers saw: too little served, and gangs of which one task waited for the others for 5 s (GANG). Cause: the starts of a pass were sent all at once, 2,047 of them when the first jobs came to 1,100 workers. Their timers ran while they waited for the processor of the scheduler's own host: after 0.3 s they were sent again, after 1 s given up as unknown, and each of them led to an additional poll. What is late made more work.

An attempt that is recorded is started if fewer than 256 calls for each core of the host (at least 32) to start or stop runs are open. Otherwise it waits: units within guarantees first, each gang as a whole. A call without a response counts for 0.3 s, so that workers which do not respond keep nothing from others. Stops are sent at once, and starts wait for them.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -81,6 +81,7 @@
 		fair                 *fairness
 		fairShares           bool // see Config
 		commits              commitQueue
+		pacer                pacer
 		silences             map[string]silence // of workers, by ID
 		openLosses           openLosses
 		adviceCalls          int // advice calls in flight
@@ -115,6 +116,7 @@
 		fair:        newFairness(),
 		fairShares:  cf.FairShares,
 		commits:     newCommitQueue(),
+		pacer:       newPacer(cf.Cores),
 		silences:    map[string]silence{},
 		openLosses:  newOpenLosses(),
 
@@ -269,6 +271,8 @@
 		co.placeWaiting(now)
 		co.evaluateChanged(now)
 	}
+	co.sendQueuedStarts(now)
+	co.evaluateChanged(now)
 	co.sendPolls(now)
 	co.flush(now)
 }
--- a/internal/domain/hold.go
+++ b/internal/domain/hold.go
@@ -41,7 +41,7 @@
 	heldForEarlierRun                    // a worker lists a run of an attempt that was given up
 	heldForClaim                         // the work that was preempted for it has not ended
 	heldForRecord                        // its attempt is being recorded
-	heldForStart                         // its starts have no reply yet
+	heldForStart                         // its starts are yet to be sent, or have no reply yet
 	heldForStop                          // its last attempt is being stopped
 	heldForLease                         // its worker is silent, and its leases have not expired
 )
@@ -164,6 +164,9 @@
 		}
 	case placed:
 		ho.Reason = heldForRecord
+		if un.startQueued {
+			ho.Reason = heldForStart
+		}
 	default:
 		ho.Reason, ho.Until = un.explainRuns()
 		ho.Workers = un.pendingWorkers()
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -38,6 +38,8 @@
 		lostBy           loss          // set if its worker has restarted since; see handleRestart
 		beganAt          time.Time     // estimated from its progress if the start was not confirmed
 		stop             stopState
+		openStarts       int              // calls to start it that count in the pacer
+		openStops        int              // the same to stop it
 		mayHaveEnded     bool             // the last poll did not list it, but may have omitted its end
 		outcome          runner.EndReason // set if the worker has reported its end
 		percent          int
@@ -75,7 +77,7 @@
 		if reason := un.startObstacle(); reason != "" {
 			co.stopUnit(now, un, reason)
 		} else if un.job.savedVersion >= un.recordVersion {
-			co.sendStarts(now, un)
+			co.startOrQueue(now, un)
 		}
 	case live:
 		if un.job.state.Final() {
@@ -170,6 +172,7 @@
 		ru.stage = starting
 		ru.sentAt, ru.token = now, ru.node.fence.nextOrder()
 		ru.clockSent, ru.clockReadAfter = ru.node.clock, ru.node.clockReadAfter
+		co.pacer.callSent(now, ru, false)
 		co.emit(Start{Worker: ru.node.worker, Request: runner.StartRequest{
 			Token: ru.token, Task: ru.task, Attempt: ru.attempt, Payload: un.job.Payload,
 			Checkpoint: un.checkpoint, Ticket: un.ticket(ru.node), Deadline: co.grantLease(now, ru.node),
@@ -226,6 +229,7 @@
 func (co *Core) sendStop(now time.Time, ru *run) {
 	ru.stop.inFlight = true
 	ru.stop.triedAt = now
+	co.pacer.callSent(now, ru, true)
 	co.emit(Stop{Worker: ru.node.worker, Request: runner.StopRequest{Token: ru.node.fence.token, Task: ru.task, Attempt: ru.attempt}})
 }
 
@@ -306,6 +310,7 @@
 		return
 	}
 	ru.startReturned = true
+	co.pacer.callReturned(ru, false)
 	if nd.fence.isConfirmedBy(ev.Call.Request.Token) {
 		ru.startAnswered, ru.startRepeated = true, ev.Repeated
 		co.checkStartClock(now, nd, ru, ev.Clock)
@@ -354,6 +359,7 @@
 		return
 	}
 	ru.stop.inFlight = false
+	co.pacer.callReturned(ru, true)
 	switch {
 	case !nd.fence.isConfirmedBy(ev.Call.Request.Token) && !errors.Is(ev.Err, runner.ErrRestarted):
 		// A former incarnation may have replied. The stop is repeated.
