--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -20,6 +20,7 @@
 		runs                   map[runKey]*run // that have not ended
 		runsByTask             []*run          // nil if outdated; see sortedRuns
 		used                   batch.Resources // by runs and claims
+		stopping               batch.Resources // the part of it that runs which are being stopped will free
 		clock                  time.Duration   // the worker's clock, read at clockAt or shortly before
 		clockAt                time.Time
 		lastResponse           time.Time     // to a poll
@@ -353,6 +354,9 @@
 	delete(nd.runs, runKey{ru.task, ru.attempt})
 	nd.runsByTask = nil
 	nd.used = nd.used.Minus(ru.reserved())
+	if ru.stop.requested {
+		nd.stopping = nd.stopping.Minus(ru.reserved())
+	}
 }
 
 // reserved returns what a run occupies of its worker.
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -155,7 +155,7 @@
 // sorted by ID; nil if there is none. It is greedy: the cost is low, but not
 // always the lowest possible.
 func (co *Core) planPreemption(ps *pass, un *unit, nds []*node) *preemptionPlan {
-	pp := &preemptionPlan{victims: map[*unit]bool{}, freed: map[*node]batch.Resources{}, taken: map[*node]int{}}
+	pp := &preemptionPlan{}
 	options := make([]nodeOption, len(nds))
 	for i, nd := range nds {
 		options[i] = co.optionOn(ps, un, nd, pp)
@@ -194,6 +194,9 @@
 // add adds a task on a node to a plan and returns the nodes whose options
 // change by that.
 func (pp *preemptionPlan) add(un *unit, nd *node, op nodeOption) []*node {
+	if pp.taken == nil {
+		pp.victims, pp.freed, pp.taken = map[*unit]bool{}, map[*node]batch.Resources{}, map[*node]int{}
+	}
 	changed := []*node{nd}
 	for _, vi := range op.victims {
 		pp.victims[vi.un] = true
@@ -209,18 +212,6 @@
 	return changed
 }
 
-// stoppingResources returns the resources that tasks which are being stopped on
-// a worker will free.
-func (nd *node) stoppingResources() batch.Resources {
-	var rs batch.Resources
-	for _, ru := range nd.runs {
-		if ru.stop.requested {
-			rs = rs.Plus(ru.reserved())
-		}
-	}
-	return rs
-}
-
 // optionOn returns what has to be stopped on a worker for one more task of a
 // unit, beside what a plan stops and places already.
 func (co *Core) optionOn(ps *pass, un *unit, nd *node, pp *preemptionPlan) nodeOption {
@@ -232,8 +223,7 @@
 		return nodeOption{}
 	}
 	needs := un.step.Reserved()
-	co.examine(len(nd.runs))
-	free := nd.free().Plus(nd.stoppingResources()).Plus(pp.freed[nd])
+	free := nd.free().Plus(nd.stopping).Plus(pp.freed[nd])
 	if free.Covers(needs) {
 		return nodeOption{possible: true}
 	}
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -222,6 +222,7 @@
 		co.endRun(ru)
 	case ru.stage != ended && !ru.stop.requested:
 		ru.stop.requested = true
+		ru.node.stopping = ru.node.stopping.Plus(ru.reserved())
 		co.sendStop(now, ru)
 	}
 }
