domain: pause between passes for a multiple of what passes really take

The pause after a placement pass was computed from constants, 2 us a worker and 5 us a group, by the cores of the host.

The driver tells the core how long each pass has taken. Between two passes lie four times the smoothed time, at most 0.4 s; the constants serve until a pass was measured. Passes take less than a fifth of the time of the host, however large the fleet and weak the host is, unless they take over 0.1 s.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -228,16 +228,34 @@
 	return false
 }
 
+// ObservePass tells the core how long the last placement pass has taken, from the event
+// that has caused it to its effects.
+func (co *Core) ObservePass(took time.Duration) {
+	if co.passTime == 0 {
+		co.passTime = took
+	}
+	co.passTime += (took - co.passTime) / passTimeWeight
+}
+
 // passInterval returns the minimum time between the beginnings of two placement
-// passes. It grows with the number of groups and nodes that a pass examines,
-// and is longer on hosts with less than one core, so that passes leave time for
-// other work.
+// passes, so that they leave time for other work: a multiple of what passes take on this
+// host at present.
 func (co *Core) passInterval() time.Duration {
+	took := co.passTime
+	if took == 0 {
+		took = co.estimatePass()
+	}
+	return minPassInterval + min(maxPassPause, took*passPauseFactor)
+}
+
+// estimatePass returns the time of a pass that was not measured: it grows with the number
+// of groups and nodes that are examined, and is longer on hosts with less than one core.
+func (co *Core) estimatePass() time.Duration {
 	work := time.Duration(co.groupCount)*passTimePerGroup + time.Duration(len(co.nodes))*passTimePerNode
 	if co.coreFraction > 0 {
 		work = time.Duration(float64(work) / co.coreFraction)
 	}
-	return minPassInterval + work*passPauseFactor
+	return work
 }
 
 // NeedsPrompt reports whether work was deferred by a few milliseconds, so that
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -294,13 +294,16 @@
 	stopRetryDelay = 400 * time.Millisecond
 
 	// minPassInterval is the minimum time between two placement passes.
-	// passTimePerGroup and passTimePerNode estimate the time of a pass on one
-	// core, per waiting group and per node. A pass is followed by a pause of
-	// passPauseFactor times its estimated time.
+	// Beside that, passPauseFactor times the time of a pass lie between two of them, up
+	// to maxPassPause. passTimeWeight is the number of passes over which that time is
+	// smoothed. passTimePerGroup and passTimePerNode estimate it on one core, per waiting
+	// group and per node, before a pass has been measured.
 	minPassInterval  = 15 * time.Millisecond
 	passTimePerGroup = 5 * time.Microsecond
 	passTimePerNode  = 2 * time.Microsecond
 	passPauseFactor  = 4
+	maxPassPause     = 400 * time.Millisecond
+	passTimeWeight   = 4
 	// preemptInterval is the minimum time between two searches for victims for
 	// the same unit.
 	preemptInterval = 100 * time.Millisecond
--- a/internal/domain/slowhost_test.go
+++ b/internal/domain/slowhost_test.go
@@ -29,6 +29,7 @@
 		waits     []eventWait   // of all events
 		longest   time.Duration // that the core has taken for an event
 		spent     time.Duration // by the core
+		passCost  time.Duration // by its passes
 	}
 
 	// work does something and returns its cost on one core and what follows it.
@@ -157,9 +158,13 @@
 	sim, co := pr.sim, late.le.core
 	pr.waits = append(pr.waits, eventWait{sim.now, sim.now.Sub(late.at)})
 	co.ConfirmLease(sim.now, pr.confirmed)
-	former := co.Steps()
+	former, passes := co.Steps(), co.Passes()
 	effects := co.Handle(sim.now, late.ev)
 	cost := eventCost + time.Duration(co.Steps()-former)*stepCost
+	if co.Passes() > passes {
+		co.ObservePass(pr.scale(cost))
+		pr.passCost += cost
+	}
 	pr.spent += cost
 	pr.longest = max(pr.longest, cost)
 	return cost, func() {
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -267,11 +267,13 @@
 	}
 }
 
-// observeWork records the time that the core took for an event.
+// observeWork records the time that the core took for an event, and tells the core that of
+// a pass.
 func (te *term) observeWork(took time.Duration, withPass bool) {
 	eventTime.Update(took.Seconds())
 	if withPass {
 		passTime.Update(took.Seconds())
+		te.core.ObservePass(took)
 	}
 	te.meter.observeEvent(took, withPass)
 }
