domain: a late confirmation of the own lease renews only short leases

A scheduler whose own lease was confirmed after more than a second renewed the leases on all workers at once, 1,100 calls in a row, also when the store had been there all the time and only the host was late. The leases had five to six seconds left, and the long polls renew them within two.

Leases that end before the next long poll and its timeout, 3.5 s, are renewed at once; after an outage of the store of 2.5 s these are all that were granted meanwhile, as before.

--- a/internal/domain/lease.go
+++ b/internal/domain/lease.go
@@ -8,7 +8,7 @@
 
 // ConfirmLease tells the core when the last renewal of the scheduler's own lease that
 // the store has confirmed was sent. After a time without one, leases on workers are
-// short, so those are renewed at once.
+// short, and those that may end before the next long poll are renewed at once.
 func (co *Core) ConfirmLease(now, sent time.Time) {
 	if !sent.After(co.leaseConfirmedAt) {
 		return
@@ -20,15 +20,27 @@
 	}
 	co.examine(len(co.sortedNodes))
 	for _, nd := range co.nodesByID() {
-		if len(nd.runs) > 0 && !nd.unresponsive() && nd.worker.Address != "" {
+		if len(nd.runs) > 0 && !nd.unresponsive() && nd.worker.Address != "" && nd.leaseLeft(now) < minLeaseLeft {
 			co.renewNow(now, nd)
 		}
 	}
 }
 
-// shortLeaseAge is the age of the last confirmation from which a lease on a worker is
-// so short that it is renewed at once when the store responds again.
-const shortLeaseAge = time.Second
+const (
+	// shortLeaseAge is the age of the last confirmation from which leases on workers are
+	// examined when the store responds again.
+	shortLeaseAge = time.Second
+	// minLeaseLeft is the rest of a lease that the next long poll certainly renews: the
+	// time until that, its timeout and a margin. A host that is late itself must not poll
+	// all workers at once for nothing.
+	minLeaseLeft = pollWait + 1500*time.Millisecond
+)
+
+// leaseLeft returns the time until the last lease that was granted to a worker ends on its
+// clock.
+func (nd *node) leaseLeft(now time.Time) time.Duration {
+	return nd.deadline - nd.clock - now.Sub(nd.clockAt)
+}
 
 // renewNow renews the lease on a worker, in addition to the long poll, which has
 // granted a shorter one.
