--- a/internal/domain/slowhost_test.go
+++ b/internal/domain/slowhost_test.go
@@ -354,3 +354,35 @@
 		}
 	}
 }
+
+// recovers reports whether a host with some cores handles all events in time again soon
+// after a burst, without having taken a lease for expired.
+func recovers(workers int, cores float64) bool {
+	bu := newBurst(workers, cores)
+	bu.run(catchUpTime)
+	calm := bu.now
+	bu.run(2 * time.Second)
+	return bu.processor.longestWait(calm, bu.now) <= maxCalmWait && bu.expiredLeases() == 0
+}
+
+// BenchmarkLeastCores finds the part of a processor below which a scheduler does not recover
+// from a burst, and what it schedules for each core there.
+func BenchmarkLeastCores(b *testing.B) {
+	for _, workers := range []int{48, 350, 1100, 5000} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			for range b.N {
+				fails, least := 0.0, 2.0
+				for least-fails > least/10 {
+					cores := (fails + least) / 2
+					if recovers(workers, cores) {
+						least = cores
+					} else {
+						fails = cores
+					}
+				}
+				b.ReportMetric(least, "cores")
+				b.ReportMetric(float64(workers)/least, "workers/core")
+			}
+		})
+	}
+}
