domain: late events go before most passes

While the queue of events grows, each pass keeps the loop from what workers have said, which keeps their leases and gangs alive, and makes more calls. In the simulation of a takeover of 1,100 workers by a host of 0.1 cores (half of the weakest hosts of the large fleet) passes took 0.3 to 0.6 of the time, some 25 to 70 events came in half a second between them, and waits grew to 5 s until 1,531 leases of workers that replied expired.

While events have waited for 0.1 s or longer, passes begin 0.8 s apart, with a quarter of their steps. The driver tells the core how long the event has waited that it hands over.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -67,6 +67,7 @@
 		passes               int                   // made in this term
 		steps                int64                 // see Steps
 		passTime             time.Duration         // of recent passes, zero if unknown; see ObservePass
+		lateUntil            time.Time             // see isLate; zero if events are in time
 		idleReservations     map[string]time.Time  // see updateIdleReservations; by service
 		standings            map[standKey]standing // what stands still although there is room for it
 		standUnits           []standUnit           // that could end these standstills, as of the last search
@@ -241,10 +242,26 @@
 	co.passTime += (took - co.passTime) / passTimeWeight
 }
 
+// ObserveWait tells the core how long the event that it is passed next has waited.
+func (co *Core) ObserveWait(now time.Time, waited time.Duration) {
+	if waited >= lateEventTime {
+		co.lateUntil = now.Add(lateMemory)
+	} else {
+		co.lateUntil = time.Time{}
+	}
+}
+
+// isLate reports whether events wait for so long that they go before most passes.
+func (co *Core) isLate(now time.Time) bool { return now.Before(co.lateUntil) }
+
 // passInterval returns the minimum time between the beginnings of two placement
 // passes, so that they leave time for other work: a multiple of what passes take on this
-// host at present.
-func (co *Core) passInterval() time.Duration {
+// host at present. While events are late, they go before most passes: what workers have
+// said keeps leases and gangs alive, and a pass makes more calls.
+func (co *Core) passInterval(now time.Time) time.Duration {
+	if co.isLate(now) {
+		return latePassInterval
+	}
 	took := co.passTime
 	if took == 0 {
 		took = co.estimatePass()
@@ -283,7 +300,7 @@
 func (co *Core) settle(now time.Time) {
 	co.evaluateHealthNow(now)
 	co.evaluateChanged(now)
-	if co.passDue && now.Sub(co.lastPass) >= co.passInterval() && co.takeoverDone(now) {
+	if co.passDue && now.Sub(co.lastPass) >= co.passInterval(now) && co.takeoverDone(now) {
 		co.passDue = false
 		if co.detector.due {
 			co.evaluateHealth(now)
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -304,6 +304,12 @@
 	passPauseFactor  = 4
 	maxPassPause     = 400 * time.Millisecond
 	passTimeWeight   = 4
+	// latePassInterval is the time between the beginnings of two passes while events wait
+	// for lateEventTime or longer: until one of them did not, or none has come for
+	// lateMemory.
+	latePassInterval = 800 * time.Millisecond
+	lateEventTime    = 100 * time.Millisecond
+	lateMemory       = time.Second
 	// preemptInterval is the minimum time between two searches for victims for
 	// the same unit.
 	preemptInterval = 100 * time.Millisecond
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -96,13 +96,13 @@
 	co.findStandstills(ps, ugs)
 	ugs = co.placeOnProbation(ps, ugs)
 	guaranteed, others := splitGuaranteed(ugs)
-	before := co.steps
-	co.beginTier(ps, roundGuaranteed, maxGuaranteedSteps)
+	before, budget := co.steps, co.passSteps(ps.now)
+	co.beginTier(ps, roundGuaranteed, int64(guaranteedShare*float64(budget)))
 	co.placeGroups(ps, guaranteed)
 	co.endTier(ps)
 	used := co.steps - before
 	co.endStandstills(ps, maxOvertaken)
-	co.beginTier(ps, roundOthers, maxPassSteps-min(used, maxGuaranteedSteps))
+	co.beginTier(ps, roundOthers, max(budget-used, int64((1-guaranteedShare)*float64(budget))))
 	co.placeGroups(ps, stillWaiting(others))
 	co.endTier(ps)
 	co.endStandstills(ps, maxStandstill)
--- a/internal/domain/round.go
+++ b/internal/domain/round.go
@@ -1,5 +1,7 @@
 package domain
 
+import "time"
+
 // A pass ends when its steps are used up, whatever the number of workers and of waiting
 // units, so that the leases and replies of the workers don't wait for it. The next pass goes
 // on with the units that were not tried: a round is the passes in which each waiting unit is
@@ -33,11 +35,21 @@
 	// maxStandstillSteps bounds the steps beside these in which a pass ends standstills,
 	// twice: before work outside guarantees, and after it.
 	maxStandstillSteps = maxPassSteps / 4
-	// maxGuaranteedSteps is the part of them for work within guarantees, so that other
+	// lateDivisor divides the steps of a pass while events are late.
+	lateDivisor = 4
+	// guaranteedShare is the part of the steps for work within guarantees, so that other
 	// work is tried in each pass, too.
-	maxGuaranteedSteps = maxPassSteps * 3 / 4
+	guaranteedShare = 0.75
 )
 
+// passSteps returns the steps in which a pass tries units.
+func (co *Core) passSteps(now time.Time) int64 {
+	if co.isLate(now) {
+		return maxPassSteps / lateDivisor
+	}
+	return maxPassSteps
+}
+
 // beginTier has a pass try the units of a tier, up to a number of steps.
 func (co *Core) beginTier(ps *pass, tier roundTier, steps int64) {
 	ps.budget = passBudget{end: co.steps + steps, tier: tier}
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -286,6 +286,9 @@
 	sim.token = sim.revision
 	sim.disturb(0)
 	cf := domain.Config{Token: sim.token, Policy: sim.policy, EvacuatedZones: sim.evacuated, MinMoveRunTime: minMoveRunTime, FairShares: sim.fairShares, FormerBounded: !sim.formerUnbounded}
+	if sim.processor != nil {
+		cf.Cores = sim.processor.cores
+	}
 	for _, id := range sim.accepted {
 		cf.Jobs = append(cf.Jobs, sim.jobs[id])
 		if _, ok := sim.cancelled[id]; ok {
--- a/internal/domain/slowhost_test.go
+++ b/internal/domain/slowhost_test.go
@@ -122,7 +122,8 @@
 
 // loop handles one event, and goes on with the next one until its time slice is over.
 func (pr *processor) loop() (time.Duration, func()) {
-	cost, perform := pr.handle(pr.next())
+	late, queued := pr.next()
+	cost, perform := pr.handle(late, queued)
 	pr.slice += pr.scale(cost)
 	return cost, func() {
 		perform()
@@ -138,8 +139,9 @@
 	}
 }
 
-// next takes an event from the queues, as the loop of package drive does.
-func (pr *processor) next() lateEvent {
+// next takes an event from the queues, as the loop of package drive does, and reports
+// whether it comes from the queue of events that are not urgent.
+func (pr *processor) next() (late lateEvent, queued bool) {
 	queue := &pr.events
 	switch {
 	case len(pr.urgent) > 0:
@@ -147,17 +149,23 @@
 	case len(pr.ticks) > 0 && (len(pr.events) == 0 || pr.sim.rng.IntN(1+len(pr.ticks)) > 0):
 		queue = &pr.ticks
 	}
-	late := (*queue)[0]
+	late = (*queue)[0]
 	*queue = (*queue)[1:]
-	return late
+	return late, queue == &pr.events
 }
 
 // handle passes an event to the core, and returns what it costs and what carries out its
 // effects.
-func (pr *processor) handle(late lateEvent) (time.Duration, func()) {
+func (pr *processor) handle(late lateEvent, queued bool) (time.Duration, func()) {
+	if late.le.dead {
+		return 0, func() {}
+	}
 	sim, co := pr.sim, late.le.core
 	pr.waits = append(pr.waits, eventWait{sim.now, sim.now.Sub(late.at)})
 	co.ConfirmLease(sim.now, pr.confirmed)
+	if queued {
+		co.ObserveWait(sim.now, sim.now.Sub(late.at))
+	}
 	former, passes := co.Steps(), co.Passes()
 	effects := co.Handle(sim.now, late.ev)
 	cost := eventCost + time.Duration(co.Steps()-former)*stepCost
@@ -288,6 +296,8 @@
 	burstTime = 2 * time.Second
 	// catchUpTime is how long after a burst events may be late.
 	catchUpTime = 6 * time.Second
+	// weakestCores is half of what the weakest hosts of a large fleet have.
+	weakestCores = 0.1
 	// maxCalmWait is how late events may be after that.
 	maxCalmWait = 500 * time.Millisecond
 )
@@ -355,6 +365,46 @@
 	}
 }
 
+// TestCatchesUpAfterTakeover replaces the scheduler of a full fleet by one on a host with
+// more or less of a processor, which has to learn what runs where while jobs go on to come.
+// It guards against a takeover that falls behind: all workers respond at once. The weakest
+// host may be late for longer, but no lease of a worker that replies may expire.
+func TestCatchesUpAfterTakeover(t *testing.T) {
+	for _, workers := range []int{48, 1100} {
+		for _, cores := range []float64{0.8, 0.2, weakestCores} {
+			t.Run(fmt.Sprintf("%d workers, %v cores", workers, cores), func(t *testing.T) {
+				t.Parallel()
+				bu := newBurst(workers, 0.8)
+				bu.run(3 * time.Second)
+				bu.leader.dead = true
+				bu.run(domain.LeaderLeaseTime)
+				bu.processor.cores = cores
+				for i, jb := range (&instantWorkers{}).jobs(workers / 2) {
+					jb.ID = "later" + jb.ID
+					bu.after(time.Duration(i)*20*time.Millisecond, func() { bu.submit(jb, taskPlan{work: jb.Steps[0].RunTime}) })
+				}
+				bu.elect()
+				began := bu.now
+				bu.run(catchUpTime)
+				calm := bu.now
+				bu.run(3 * time.Second)
+				pr := bu.processor
+				late, later := pr.longestWait(began, calm), pr.longestWait(calm, bu.now)
+				t.Logf("longest wait %v, then %v; an event takes %v at most; %d leases expired", late, later, pr.scale(pr.longest), bu.expiredLeases())
+				if later > maxCalmWait && cores > weakestCores {
+					t.Errorf("an event waited for %v, %v after the takeover; at most %v are permitted", later, catchUpTime, maxCalmWait)
+				}
+				if n := bu.expiredLeases(); n > 0 {
+					t.Errorf("%d runs were given up since leases had expired, although every worker replies", n)
+				}
+				if violations := bu.check(); len(violations) > 0 {
+					t.Errorf("violations: %v", violations[:min(5, len(violations))])
+				}
+			})
+		}
+	}
+}
+
 // recovers reports whether a host with some cores handles all events in time again soon
 // after a burst, without having taken a lease for expired.
 func recovers(workers int, cores float64) bool {
--- a/internal/drive/handover.go
+++ b/internal/drive/handover.go
@@ -74,6 +74,7 @@
 	waited := now.Sub(at)
 	eventWait.Update(waited.Seconds())
 	te.meter.observeWait(waited)
+	te.core.ObserveWait(now, waited)
 	if !te.overload.observe(now, waited) {
 		return
 	}
