domain: a call for a run that has ended is no longer open

Starts wait while many calls to start and stop runs are open. When a poll reported the end of a run before the call for it returned, the response found no run, and the call counted for the rest of its 0.3 s: after a wave of preemptions the next starts waited for calls of which nothing was expected.

The end of a run takes its calls out. TestEndedRunsHaveNoOpenCalls: no start followed 32 ends before, 32 do now.

--- a/internal/domain/pace.go
+++ b/internal/domain/pace.go
@@ -94,6 +94,13 @@
 	}
 }
 
+// runEnded no longer counts the calls for a run whose end is known otherwise: their responses
+// find no run any more.
+func (pa *pacer) runEnded(ru *run) {
+	pa.open -= ru.openStarts + ru.openStops
+	ru.openStarts, ru.openStops = 0, 0
+}
+
 // expire no longer counts the calls that have had no response for openCallTime.
 func (pa *pacer) expire(now time.Time) {
 	for len(pa.calls) > 0 && now.Sub(pa.calls[0].sent) >= openCallTime {
--- a/internal/domain/pace_test.go
+++ b/internal/domain/pace_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
 	"github.com/cicadawharf/cicadawharf/internal/domain"
+	"github.com/cicadawharf/cicadawharf/internal/runner"
 )
 
 // pacedStarts runs a core without responses to its starts, in steps of ten milliseconds,
@@ -80,6 +81,27 @@
 	is.Equal(gangs, 3)
 }
 
+// TestEndedRunsHaveNoOpenCalls lets tasks end that polls report before the calls to start
+// them have a response. It guards against calls that count although nobody waits for them.
+func TestEndedRunsHaveNoOpenCalls(t *testing.T) {
+	is := is.New(t)
+	iw := newIdleWorkers(100)
+	iw.core.Handle(iw.now, domain.Accepted{Job: pacedJob("j", 2, 400, false)})
+	_, starts := pacedStarts(iw, 10)
+	is.Equal(len(starts), weakHostCalls)
+	more := 0
+	for i, st := range starts {
+		ended := runner.Status{Born: 1, Clock: 2 * time.Second}
+		ended.Ended.Ends = []runner.End{{Number: int64(i + 1), Task: st.Request.Task, Attempt: 1, Reason: runner.Succeeded}}
+		for _, ef := range iw.core.Handle(iw.now, domain.Polled{Call: domain.Poll{Worker: st.Worker, Sent: iw.now, Extra: true}, Status: ended}) {
+			if _, ok := ef.(domain.Start); ok {
+				more++
+			}
+		}
+	}
+	is.Equal(more, weakHostCalls)
+}
+
 // TestGuaranteedStartsGoFirst accepts work within a guarantee while many other starts
 // wait. It guards against urgent work that waits behind all that was placed before.
 func TestGuaranteedStartsGoFirst(t *testing.T) {
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -291,6 +291,7 @@
 		return
 	}
 	co.withdrawStart(ru)
+	co.pacer.runEnded(ru)
 	ru.stage = ended
 	ru.node.detach(ru)
 	if ru.abandonedBy != nil {
