domain: don't start work that has waited on a worker that drains by now

Starts may wait for other calls to return, on a slow host for seconds. A worker may have asked to be drained meanwhile, or may serve another queue after a change of the configuration; only the job, the capacity, restarts and evacuations were looked at again before the start.

A queued start is given up, and its unit placed anew, if one of its workers drains or does not suit it any more. TestQueuedStartsAvoidDrainingWorkers: starts were sent to workers that had drained for up to 3 s before.

--- a/internal/domain/pace.go
+++ b/internal/domain/pace.go
@@ -1,6 +1,9 @@
 package domain
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A host sends no more starts than it can follow. If all starts of a large pass were sent
 // at once, they would wait for the processor of the host, be repeated and given up there,
@@ -127,6 +130,20 @@
 	co.pacer.queueStart(un)
 }
 
+// queuedStartObstacle returns why a unit whose start has waited must not be started where
+// it was placed, or an empty string if it may be. It may have waited for seconds.
+func (co *Core) queuedStartObstacle(un *unit) string {
+	if reason := un.startObstacle(); reason != "" {
+		return reason
+	}
+	if slices.ContainsFunc(un.runs, func(ru *run) bool {
+		return ru.node.worker.Draining || !ru.node.drainBy.IsZero() || !co.suitsClaim(un, ru.node)
+	}) {
+		return "one of its workers takes no such work any more"
+	}
+	return ""
+}
+
 // sendQueuedStarts starts queued units as far as few enough calls are open.
 func (co *Core) sendQueuedStarts(now time.Time) {
 	co.pacer.expire(now)
@@ -135,7 +152,7 @@
 		if un.phase != placed || un.job.savedVersion < un.recordVersion {
 			continue // it was stopped, and may have been placed again since
 		}
-		if reason := un.startObstacle(); reason != "" {
+		if reason := co.queuedStartObstacle(un); reason != "" {
 			co.stopUnit(now, un, reason)
 			co.markChanged(un)
 			continue
--- a/internal/domain/pace_test.go
+++ b/internal/domain/pace_test.go
@@ -102,6 +102,27 @@
 	is.Equal(more, weakHostCalls)
 }
 
+// TestQueuedStartsAvoidDrainingWorkers has workers drain while starts wait. It guards against
+// work that is started long after its worker has asked to be drained.
+func TestQueuedStartsAvoidDrainingWorkers(t *testing.T) {
+	is := is.New(t)
+	iw := newIdleWorkers(100)
+	iw.core.Handle(iw.now, domain.Accepted{Job: pacedJob("j", 2, 400, false)})
+	_, starts := pacedStarts(iw, 10)
+	is.Equal(len(starts), weakHostCalls)
+	draining := map[string]bool{}
+	for _, wk := range iw.workers[:50] {
+		wk.Draining = true
+		draining[wk.ID] = true
+		iw.core.Handle(iw.now, domain.Listed{Worker: wk})
+	}
+	_, starts = pacedStarts(iw, 300)
+	is.True(len(starts) > 200)
+	for _, st := range starts {
+		is.True(!draining[st.Worker.ID])
+	}
+}
+
 // TestGuaranteedStartsGoFirst accepts work within a guarantee while many other starts
 // wait. It guards against urgent work that waits behind all that was placed before.
 func TestGuaranteedStartsGoFirst(t *testing.T) {
