--- a/review/stand2/hosts.go
+++ b/review/stand2/hosts.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -49,6 +50,8 @@
 	tenantKey    = "key-of-tenant-1"
 	clientTime   = 3 * time.Second // until its deadline
 	memorySample = 10 * time.Millisecond
+	firstPort    = 12_000
+	portCount    = 18_000
 )
 
 // The layout of deploy/settings.yaml.tmpl with the figures of the site.
@@ -83,14 +86,17 @@
 	return ln.Addr().String()
 }
 
-// freeAddress returns a loopback address on which nothing listens.
+// freeAddress returns a loopback address on which nothing listens. Its port is below
+// those that the system gives to outgoing channels, which could take it before a host
+// listens there.
 func freeAddress() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		if ln, err := net.Listen("tcp", address); err == nil {
+			ln.Close()
+			return address
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
 }
 
 // newHost writes the settings of a host in a temporary folder.
--- a/review/stand2/pending.go
+++ b/review/stand2/pending.go
@@ -28,7 +28,7 @@
 			return fmt.Errorf("a job that fills a worker gets status %d", status)
 		}
 	}
-	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(checkPause) {
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(checkPause) {
 		n := 0
 		for _, wk := range wks {
 			wk.mu.Lock()
@@ -68,7 +68,9 @@
 	if err != nil {
 		return couldNot, err
 	}
-	if err := fill(de, startWorkers(de.store, 4)); err != nil {
+	wks := startWorkers(de.store, 4)
+	time.Sleep(2 * time.Second) // the hosts learn of the workers
+	if err := fill(de, wks); err != nil {
 		return couldNot, err
 	}
 	time.Sleep(3 * time.Second)
