--- a/review/stand2/memory.go
+++ b/review/stand2/memory.go
@@ -70,7 +70,7 @@
 func startWorkers(st *metaStore, count int) []*worker {
 	var wks []*worker
 	for i := range count {
-		wks = append(wks, startWorker(st, fmt.Sprintf("w%d", i), "r1", capacity{64000, 262144, 8}, nil))
+		wks = append(wks, startWorker(st, fmt.Sprintf("w%d", i), "r1", capacity{64000, 262144, 8}))
 	}
 	return wks
 }
--- a/review/stand2/stale.go
+++ b/review/stand2/stale.go
@@ -24,7 +24,7 @@
 		return couldNot, err
 	}
 	for _, ma := range cl.machines {
-		startWorker(de.store, ma.worker, "r1", capacity{64000, 262144, 8}, nil)
+		startWorker(de.store, ma.worker, "r1", capacity{64000, 262144, 8})
 	}
 	time.Sleep(3 * time.Second)
 	leader := de.awaitLeader(nil, 5*time.Second)
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -50,6 +50,7 @@
 	pageBytes   = 1 << 20
 	storeTime   = 4 * time.Millisecond // of an answer
 	expiryPause = 10 * time.Millisecond
+	silentTime  = 20 * time.Second // until a channel without an answer is cut
 )
 
 func newStore() *metaStore {
@@ -74,8 +75,8 @@
 	respond(wr, status, body)
 }
 
-// serveTxn carries out a transaction. One that is late gets no answer: its channel
-// is cut, and it is carried out some seconds later if its condition still holds.
+// serveTxn carries out a transaction. One that is late gets no answer on its channel,
+// and is carried out some seconds later if its condition still holds.
 func (st *metaStore) serveTxn(wr http.ResponseWriter, rq *http.Request) {
 	var tx txn
 	if err := json.NewDecoder(rq.Body).Decode(&tx); err != nil {
@@ -91,6 +92,10 @@
 				status, _ := st.commit(tx)
 				logf("store: a late transaction is carried out, status %d, puts %s", status, putKeys(tx))
 			})
+			select { // the channel returns nothing further
+			case <-rq.Context().Done():
+			case <-time.After(silentTime):
+			}
 			panic(http.ErrAbortHandler)
 		}
 	}
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,10 +27,10 @@
 		highest  map[string]int // number of the last run by work unit that was stopped or has ended
 		ended    []end
 		done     map[string]bool
+		begun    []*run // all, in order
 		nextEnd  int64
 		changed  chan struct{} // closed at the next end
 		sequence int
-		starts   func(wk *worker, ru *run)
 	}
 
 	capacity struct {
@@ -70,10 +71,10 @@
 )
 
 // startWorker starts a worker that registers itself in the store.
-func startWorker(st *metaStore, id, rack string, ca capacity, starts func(wk *worker, ru *run)) *worker {
+func startWorker(st *metaStore, id, rack string, ca capacity) *worker {
 	wk := &worker{
 		id: id, rack: rack, capacity: ca, born: time.Now(), running: map[string]*run{}, highest: map[string]int{}, done: map[string]bool{},
-		changed: make(chan struct{}), starts: starts,
+		changed: make(chan struct{}),
 	}
 	wk.address = serve(wk)
 	go func() {
@@ -104,6 +105,13 @@
 	st.put("servers/"+wk.id, entry)
 }
 
+// all returns all runs that have begun.
+func (wk *worker) all() []*run {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	return slices.Clone(wk.begun)
+}
+
 func (wk *worker) clock() time.Duration { return time.Since(wk.born) }
 
 // advance ends what has done its work or has lost its lease.
@@ -201,10 +209,8 @@
 	}
 	ru := &run{task: ca.Task, number: ca.Run, began: time.Now(), work: workOf(ca.Spec)}
 	wk.running[ca.Task] = ru
+	wk.begun = append(wk.begun, ru)
 	logf("worker %s: starts run %d of %s by token %d", wk.id, ca.Run, ca.Task, ca.Token)
-	if wk.starts != nil {
-		wk.starts(wk, ru)
-	}
 	return ""
 }
 
