--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -2,4 +2,4 @@
 # Runs case 7 and writes review/7/record.txt. TROUBLE=0 leaves the disruptions out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/cicadawharf ] && [ -x target/review-2/stand2 ] || exit 2
-exec target/review-2/stand2 stale review/7
+exec target/review-2/stand2 reborn review/7
--- a/review/stand2/hosts.go
+++ b/review/stand2/hosts.go
@@ -29,7 +29,6 @@
 		mu        sync.Mutex
 		cmd       *exec.Cmd
 		done      chan struct{}
-		peak      int64 // bytes of memory, of all its processes
 	}
 
 	// call is a call of a client.
--- a/review/stand2/memory.go
+++ b/review/stand2/memory.go
@@ -44,9 +44,7 @@
 
 	// watcher follows when work units of jobs run on the workers.
 	watcher struct {
-		mu      sync.Mutex
 		workers []*worker
-		ended   map[string]bool // jobs whose work unit has ended as done
 		idle    map[string]time.Time
 		longest map[string]time.Duration
 	}
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -31,6 +31,9 @@
 		nextEnd  int64
 		changed  chan struct{} // closed at the next end
 		sequence int
+		down     bool // it has crashed
+		cut      bool // neither hosts nor the store reach it
+		late     func(ca workerCall) time.Duration
 	}
 
 	capacity struct {
@@ -43,6 +46,7 @@
 		task   string
 		number int
 		began  time.Time
+		over   time.Time // zero while it runs
 		work   time.Duration
 	}
 
@@ -95,6 +99,10 @@
 // register writes the worker's report about itself.
 func (wk *worker) register(st *metaStore) {
 	wk.mu.Lock()
+	if wk.down || wk.cut {
+		wk.mu.Unlock()
+		return
+	}
 	wk.sequence++
 	entry := map[string]any{
 		"service": serviceName, "address": wk.address, "zone": "z1", "version": "1", "slots": 8, "state": "ready",
@@ -130,6 +138,7 @@
 
 func (wk *worker) finish(ru *run, how string) {
 	delete(wk.running, ru.task)
+	ru.over = time.Now()
 	wk.highest[ru.task] = max(wk.highest[ru.task], ru.number)
 	wk.done[ru.task] = wk.done[ru.task] || how == "done"
 	wk.nextEnd++
@@ -141,6 +150,15 @@
 
 // ServeHTTP implements http.Handler.
 func (wk *worker) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
+	born := wk.reached()
+	if born.IsZero() {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() {
+		if wk.reached() != born { // it was cut off meanwhile
+			panic(http.ErrAbortHandler)
+		}
+	}()
 	var ca workerCall
 	if err := json.NewDecoder(rq.Body).Decode(&ca); err != nil {
 		respond(wr, http.StatusBadRequest, nil)
@@ -152,6 +170,7 @@
 	}
 	switch rq.URL.Path {
 	case "/run-start":
+		wk.delay(rq, ca)
 		wk.mu.Lock()
 		reason := wk.start(ca)
 		wk.answer(wr, reason)
@@ -207,6 +226,9 @@
 	if wk.deadline <= wk.clock() {
 		return "late"
 	}
+	if former, ok := wk.running[ca.Task]; ok {
+		wk.finish(former, "stopped")
+	}
 	ru := &run{task: ca.Task, number: ca.Run, began: time.Now(), work: workOf(ca.Spec)}
 	wk.running[ca.Task] = ru
 	wk.begun = append(wk.begun, ru)
