--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -109,7 +109,7 @@
 func main() {
 	cases := map[string]func(trouble bool) (int, error){
 		"memory": memoryCase, "cancel": cancelCase, "pending": pendingCase, "stale": staleCase,
-		"reborn": rebornCase, "vanish": vanishCase,
+		"reborn": rebornCase, "vanish": vanishCase, "due": dueCase,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand2 CASE FOLDER")
