--- a/review/stand2/due.go
+++ b/review/stand2/due.go
@@ -14,11 +14,13 @@
 // large jobs.
 
 const (
-	dueIn     = 15 * time.Second
-	largeJobs = 8
-	largeStep = 4096 // work units
-	dueWork   = 60 * time.Second
-	dueWatch  = 20 * time.Second
+	dueIn      = 15 * time.Second
+	largeJobs  = 8
+	largeStep  = 4096 // work units
+	dueWork    = 60 * time.Second
+	dueWatch   = 20 * time.Second
+	dueRoom    = dueWorkers * 64000 // work units, by their cores
+	dueWorkers = 16
 )
 
 // dueJob returns the body of a job that is due once, at a time, with a number of steps.
@@ -36,7 +38,7 @@
 	if err != nil {
 		return couldNot, err
 	}
-	wks := startWorkers(de.store, 16)
+	wks := startWorkers(de.store, dueWorkers)
 	time.Sleep(5 * time.Second) // the store is stable for contact_ms
 	due := time.Now().Add(dueIn)
 	accepted := 0
@@ -63,10 +65,13 @@
 	for _, wk := range wks {
 		total += len(wk.all())
 	}
-	logf("%d work units were started in all, of room for %d", total, 16*64000)
+	logf("%d work units were started in all, of room for %d", total, dueRoom)
 	logf("the small job had nothing running for %.1f s on end", wa.longest[id].Seconds())
 	status, state := de.hosts[1].state(id)
 	logf("client: GET of the small job to h2: %d %q", status, state)
+	if total*2 >= dueRoom {
+		return couldNot, fmt.Errorf("half of the room or more was in use")
+	}
 	if wa.longest[id] >= maxStandstill {
 		return broken, nil
 	}
--- a/review/stand2/hosts.go
+++ b/review/stand2/hosts.go
@@ -22,6 +22,7 @@
 	// host is one process of the system, started with the command of the deploy file.
 	host struct {
 		name      string
+		gate      *gate  // its path to the store
 		callers   string // address
 		readiness string // address
 		settings  string // file
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -48,9 +48,10 @@
 	}
 	de := &deployment{dir: dir, store: newStore()}
 	de.store.put("op/config", configuration())
-	address := serve(de.store)
 	for i := range hosts {
-		ho := newHost(dir, fmt.Sprintf("h%d", i+1), address, machines)
+		ga := &gate{store: de.store}
+		ho := newHost(dir, fmt.Sprintf("h%d", i+1), serve(ga), machines)
+		ho.gate = ga
 		ho.start()
 		de.hosts = append(de.hosts, ho)
 	}
--- a/review/stand2/reborn.go
+++ b/review/stand2/reborn.go
@@ -57,8 +57,9 @@
 	panic(http.ErrAbortHandler)
 }
 
-// crashBehindCut partitions a worker from the hosts and the store. It crashes, and begins a
-// new life under the same ID and at the same address, which knows nothing of before.
+// crashBehindCut partitions a worker from all hosts. It crashes, and begins a new life
+// under the same ID and at the same address, which knows nothing of before and reports itself
+// to the store at once.
 func (wk *worker) crashBehindCut(st *metaStore) {
 	wk.mu.Lock()
 	wk.cut, wk.down = true, true
@@ -75,13 +76,13 @@
 	wk.token, wk.deadline, wk.nextEnd, wk.sequence = 0, 0, 0, 0
 	wk.running, wk.highest, wk.ended = map[string]*run{}, map[string]int{}, nil
 	wk.mu.Unlock()
+	wk.register(st)
 	logf("worker %s has started again, still cut off", wk.id)
 	time.Sleep(cutTime - backAfter)
 	wk.mu.Lock()
 	wk.cut = false
 	wk.mu.Unlock()
 	logf("the cut of worker %s ends", wk.id)
-	wk.register(st)
 }
 
 // holdStarts makes the first worker that is told to start a work unit late with all
--- a/review/stand2/stale.go
+++ b/review/stand2/stale.go
@@ -2,20 +2,20 @@
 
 import (
 	"fmt"
-	"syscall"
 	"time"
 )
 
-// The stale case: the operator asks for a wave, and the host that leads freezes while
-// it sends the orders, and wakes again. The rule is ONE.
+// The stale case: the operator asks for a wave, answers of the platform's machines are
+// slow for a second, and the host that leads is cut off from the store. Another host
+// follows. The rule is ONE.
 
 const (
-	freezeAfter = 50 * time.Millisecond // after the first order
-	freezeTime  = 1750 * time.Millisecond
+	storeCutAfter = 50 * time.Millisecond // after the first order
+	storeCutTime  = 4 * time.Second
 )
 
 func staleCase(trouble bool) (int, error) {
-	cl := newCloud(cloudTime)
+	cl := newCloud()
 	de, err := deploy(3, serve(cl))
 	if de != nil {
 		defer de.end()
@@ -42,13 +42,13 @@
 	case <-time.After(20 * time.Second):
 		return couldNot, fmt.Errorf("no order has come")
 	}
-	time.Sleep(freezeAfter)
+	time.Sleep(storeCutAfter)
 	if trouble {
-		logf("host %s freezes", leader.name)
-		leader.signal(syscall.SIGSTOP)
-		time.Sleep(freezeTime)
-		logf("host %s wakes", leader.name)
-		leader.signal(syscall.SIGCONT)
+		logf("host %s is cut off from the store", leader.name)
+		leader.gate.cut.Store(true)
+		time.Sleep(storeCutTime)
+		leader.gate.cut.Store(false)
+		logf("the cut of host %s ends", leader.name)
 	}
 	time.Sleep(8 * time.Second)
 	cl.mu.Lock()
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -24,6 +25,12 @@
 		delay    time.Duration // of each response
 	}
 
+	// gate is the path of one host to the store. While it is cut, nothing passes.
+	gate struct {
+		store *metaStore
+		cut   atomic.Bool
+	}
+
 	item struct {
 		Key      string `json:"key"`
 		Value    []byte `json:"value"`
@@ -53,6 +60,21 @@
 	silentTime  = 20 * time.Second // until a channel without an answer is cut
 )
 
+// ServeHTTP implements http.Handler. What is cut off gets no answer.
+func (ga *gate) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
+	if ga.cut.Load() {
+		select {
+		case <-rq.Context().Done():
+		case <-time.After(silentTime):
+		}
+		panic(http.ErrAbortHandler)
+	}
+	ga.store.ServeHTTP(wr, rq)
+	if ga.cut.Load() {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 func newStore() *metaStore {
 	st := &metaStore{items: map[string]item{}, leases: map[int64]*lease{}, revision: 1, changed: make(chan struct{}), delay: storeTime}
 	go func() {
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -32,7 +32,7 @@
 		changed  chan struct{} // closed at the next end
 		sequence int
 		down     bool // it has crashed
-		cut      bool // neither hosts nor the store reach it
+		cut      bool // no host reaches it
 		late     func(ca workerCall) time.Duration
 	}
 
@@ -99,7 +99,7 @@
 // register writes the worker's report about itself.
 func (wk *worker) register(st *metaStore) {
 	wk.mu.Lock()
-	if wk.down || wk.cut {
+	if wk.down {
 		wk.mu.Unlock()
 		return
 	}
