domain, launch: a start without a reply keeps the next attempt on its worker

The start of its first attempt got no reply; the worker said that it didn't run it and confirmed a stop, so the next attempt began on another worker. The first worker was cut off and crashed behind the cut, and its next incarnation, which knows of no stop and of no token, carried a copy of the start out, up to 12 s after it was sent.

Cause: what an attempt may still do was kept by its run, in startReturned, startAnswered, startRepeated, startWithdrawn and lateUntil, and ended with it. After loseRun nothing knew that copies were on their way. What one incarnation had confirmed was taken to hold for the next ones.

Change: package launch keeps the account of the calls, beside the run and beyond its end: worker, incarnation, when the first and the last copy was sent, whether each copy has an outcome, whether one was carried out. It answers one question, over stops, ends, crashes, cuts and takeovers: where may the next attempt begin? - While the worker is in touch the start is made again there with the same number (5 s; a gang member's once, as the others wait for 3 s), so that every copy, in every incarnation, is the same attempt. A successor does so with what its predecessor has recorded and the worker doesn't list. - Where that can't be (the worker drains, is evacuated, refuses), the next attempt waits for that worker for 5 s after the last copy, 10 s after the first, and goes elsewhere only once the worker has replied after that. - While the worker is silent, the attempt waits until no copy can run (22.4 s), unless the entry is gone, or shows 6 s later that the incarnation which has run it lives on. - A start that is refused while an earlier copy is out no longer ends its run: the run is stopped, or its end is looked for.

Why this works: another worker gets the attempt only if no copy can arrive, or if the worker would have to crash, and be cut off, after it has replied to a poll sent 5 s after the copy. An attempt that stays on its worker under its number can't run beside itself.

Weighed: to wait for 12 or 22.4 s after each lost reply (holds work of every worker that vanishes), no second copy (each late start is a caller who waits).

TestStopConfirmedByFormerIncarnationEndsNoLateStart has its worker drain, as a start is no longer stopped for a lost reply elsewhere; it asks the same.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -60,6 +60,7 @@
 		pollCandidates       []*node        // nodes to be polled if their next poll is due; may contain duplicates
 		changed              map[*unit]bool // units to be evaluated
 		claimed              []*unit        // units with claims on nodes; some may have been released since
+		bound                []*unit        // units that are bound, see bound.go; some may have been placed since
 		passDue              bool           // a placement pass is to follow as soon as passInterval permits
 		lastPass             time.Time
 		awaitedAt            int                   // index in sortedNodes, see takeoverDone
--- a/internal/domain/doc.go
+++ b/internal/domain/doc.go
@@ -27,6 +27,9 @@
 //     worker has ended only if it, or its address, says so, or its leases have
 //     expired; entries in the store alone end nothing.
 //   - Only occurrences that are due have units in memory.
+//   - While a copy of a start may take effect on a worker, the next attempt of its
+//     task begins there or waits, as package launch says; see bound.go. It begins
+//     elsewhere before that only if two more things would have to go wrong.
 //   - Every action carries a fencing token of one term. The holder of a
 //     larger token ends this core.
 //   - A worker that has restarted gets no order before no order to its former
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/launch"
 	"github.com/cicadawharf/cicadawharf/internal/runner"
 )
 
@@ -268,14 +269,10 @@
 	// unboundedLeaseTime is the same for a predecessor that may be of a former version,
 	// which grants leases of TaskLeaseTime until 5.5 s after its last renewal.
 	unboundedLeaseTime = 11 * time.Second
-	// maxCallDelay bounds the time after which a call without a reply may still
-	// be carried out.
-	maxCallDelay = 12 * time.Second
-	// maxLeaseTime is the longest lease that such a call grants if it reaches
-	// another incarnation of the worker, whose clock its deadline does not refer
-	// to: the limit of 10 s that workers have for a lease, by a clock that is slow
-	// by maxClockDrift, and replyMargin.
-	maxLeaseTime = 10*time.Second + 400*time.Millisecond
+	// maxCallDelay and maxLeaseTime bound how late a call without a reply may take effect,
+	// and the lease that it grants then.
+	maxCallDelay = launch.MaxDelay
+	maxLeaseTime = launch.MaxLease
 
 	// pollWait is how long a poll waits for an end.
 	pollWait = 2 * time.Second
--- a/internal/domain/hold.go
+++ b/internal/domain/hold.go
@@ -207,7 +207,7 @@
 // explainWaiting returns why a waiting unit has not been placed.
 func (co *Core) explainWaiting(ps *pass, un *unit) HoldReason {
 	switch {
-	case un.abandonedRuns > 0:
+	case un.abandonedRuns > 0, un.bound:
 		return heldForEarlierRun
 	case ps.now.Before(un.notBefore):
 		return heldForCrashCheck
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -33,6 +33,7 @@
 		leaseSentAt            time.Time     // when one was last granted here in this term
 		clockReadAfter         time.Time     // when the poll was sent whose reply has the clock
 		fence                  fence
+		bindingAskedAt         time.Time    // see askBinding
 		polling                bool         // the long poll for ends is in flight
 		nextPoll               time.Time    // earliest time of the next poll
 		lastEnd                int64        // number of the last end processed
@@ -308,7 +309,7 @@
 	if now.Before(nd.leaseEnd) {
 		return
 	}
-	expired := nd.expiredRuns(now)
+	expired := co.expiredRuns(now, nd)
 	if len(expired) > 0 {
 		co.emit(LogDecision{Decision: "silent", Worker: nd.worker.ID, Reason: "the worker is unresponsive or no longer listed and all of its leases have expired; its tasks are considered ended"})
 		if !nd.runsSuspected() {
@@ -324,11 +325,12 @@
 }
 
 // expiredRuns returns the runs of a worker whose leases have expired, given that
-// those of the worker have. A start that may still arrive grants a lease of its own.
-func (nd *node) expiredRuns(now time.Time) []*run {
+// those of the worker have. A start that may still arrive grants a lease of its own; a
+// worker that has never confirmed it may have restarted, unless it left the platform.
+func (co *Core) expiredRuns(now time.Time, nd *node) []*run {
 	var expired []*run
 	for _, ru := range nd.sortedRuns() {
-		if !now.Before(ru.lateUntil) {
+		if !now.Before(ru.lateUntil) && !(nd.listed && ru.confirmedAt.IsZero() && now.Before(co.lateStartEnd(now, ru))) {
 			expired = append(expired, ru)
 		}
 	}
--- a/internal/domain/order.go
+++ b/internal/domain/order.go
@@ -129,7 +129,7 @@
 func readyUnits(now time.Time, units []*unit) []*unit {
 	var ready []*unit
 	for _, un := range units {
-		if un.phase == waiting && un.claim == nil && un.abandonedRuns == 0 && !now.Before(un.notBefore) {
+		if un.phase == waiting && un.claim == nil && un.abandonedRuns == 0 && !un.bound && !now.Before(un.notBefore) {
 			ready = append(ready, un)
 		}
 	}
--- a/internal/domain/place.go
+++ b/internal/domain/place.go
@@ -89,8 +89,10 @@
 // is free, then all waiting units that fit, in order, and moves one unit out of
 // the evacuated zones.
 func (co *Core) placeWaiting(now time.Time) {
+	co.checkBound(now)
 	co.placeClaimed(now)
 	ps := newPass(now)
+	co.placeBound(ps)
 	ugs := co.waitingGroups(ps)
 	co.groupCount = len(ugs)
 	co.findStandstills(ps, ugs)
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -204,6 +204,7 @@
 		ru.stage = running
 		ru.progressAt = now
 	}
+	ru.see()
 	ru.startLostAt = time.Time{}
 	ru.listedAt, ru.incarnation, ru.lostBy = now, nd.worker.Incarnation(), loss{}
 	ru.startedHere, ru.lateUntil, ru.stop.ackedByFormer = true, time.Time{}, false
@@ -257,14 +258,18 @@
 func (co *Core) handleMissing(now time.Time, ru *run, po Poll, beside int) {
 	sent := po.Sent
 	switch {
-	case ru.stage == starting && !ru.startReturned:
+	case ru.stage == starting && ru.call.IsOpen():
 		// The call may still reach this incarnation or another one.
+	case ru.stage == adopted && co.mayRepeatStart(now, ru):
+		co.repeatStart(now, ru, "the earlier term may not have started the attempt")
 	case ru.stage == adopted, ru.stage != planned && ru.token < po.Request.Token:
 		// The poll carries a larger token than the start, which can't take effect
 		// any more.
 		co.loseRun(now, ru, ru.lossIfMissing(now), beside)
 	case happenedBefore(ru.confirmedAt, sent), happenedBefore(ru.stop.ackedAt, sent):
 		co.loseRun(now, ru, ru.lossIfMissing(now), beside)
+	case happenedBefore(ru.startLostAt, sent) && co.mayRepeatStart(now, ru):
+		co.repeatStart(now, ru, "the reply to a start was lost")
 	case happenedBefore(ru.startLostAt, sent):
 		co.stopAfterLostStart(now, ru)
 	}
--- a/internal/domain/preempt.go
+++ b/internal/domain/preempt.go
@@ -348,7 +348,7 @@
 			co.releaseClaim(un)
 		case un.phase != waiting:
 			co.updateMoveClaim(now, un)
-		case un.abandonedRuns > 0, slices.ContainsFunc(un.claim, func(nd *node) bool { return !nd.free().Covers(batch.Resources{}) }):
+		case un.abandonedRuns > 0, un.bound, slices.ContainsFunc(un.claim, func(nd *node) bool { return !nd.free().Covers(batch.Resources{}) }):
 			// The free capacity is negative while victims still run beside
 			// the claim.
 			co.waitForClaim(now, un)
@@ -369,7 +369,7 @@
 // waitForClaim keeps the claim of a unit or, after maxClaimWait, places the unit where
 // there is room by now: some victims end late.
 func (co *Core) waitForClaim(now time.Time, un *unit) {
-	if un.abandonedRuns == 0 && now.Sub(un.preemptTriedAt) >= maxClaimWait && now.Sub(un.claimCheckedAt) >= maxClaimWait {
+	if un.abandonedRuns == 0 && !un.bound && now.Sub(un.preemptTriedAt) >= maxClaimWait && now.Sub(un.claimCheckedAt) >= maxClaimWait {
 		un.claimCheckedAt = now
 		claim := un.claim
 		co.releaseClaim(un)
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/launch"
 	"github.com/cicadawharf/cicadawharf/internal/runner"
 )
 
@@ -26,12 +27,9 @@
 		clockSent        time.Duration // the worker's clock as last read before the start was sent
 		clockReadAfter   time.Time     // see node.clockReadAfter, for clockSent
 		startedHere      bool          // the present incarnation of its worker has confirmed or listed it
+		call             *launch.Call  // that starts it; nil if it was not sent and no record names it
 		startLostAt      time.Time     // when the reply to its start was lost
 		startRefused     bool          // no incarnation of the worker has carried its start out
-		startWithdrawn   bool          // the call was given up before it returned
-		startReturned    bool          // the call to start it has returned, with or without a reply
-		startAnswered    bool          // the outcome of its start is known
-		startRepeated    bool          // its start was sent twice, so a call without a reply may still arrive
 		lateUntil        time.Time     // until when a start that reaches the worker's next incarnation late may run there; zero if none can
 		confirmedAt      time.Time     // when its start was confirmed, or a poll first listed the run
 		listedAt         time.Time     // when a poll last listed the run
@@ -92,6 +90,7 @@
 		un.setPhase(waiting)
 		un.runs = nil
 		un.memberEnded = false
+		co.bind(now, un)
 		co.markDirty(un.job)
 		co.passDue = true
 	}
@@ -128,6 +127,7 @@
 	}
 	if len(un.runs) > 0 && un.allEnded() {
 		un.runs = nil
+		un.calls = launch.Ledger{}
 		co.markDirty(un.job)
 	}
 }
@@ -169,37 +169,24 @@
 	un.setPhase(live)
 	un.isolate(now)
 	for _, ru := range un.runs {
-		ru.stage = starting
-		ru.sentAt, ru.token = now, ru.node.fence.nextOrder()
-		ru.clockSent, ru.clockReadAfter = ru.node.clock, ru.node.clockReadAfter
-		co.pacer.callSent(now, ru, false)
-		co.emit(Start{Worker: ru.node.worker, Request: runner.StartRequest{
-			Token: ru.token, Task: ru.task, Attempt: ru.attempt, Payload: un.job.Payload,
-			Checkpoint: un.checkpoint, Ticket: un.ticket(ru.node), Deadline: co.grantLease(now, ru.node),
-		}})
+		ru.call = un.calls.Begin(now, ru.node.worker.ID, ru.node.worker.Born, ru.task.Index, ru.attempt)
+		co.sendStart(now, ru)
 	}
 }
 
-// lateStartEnd returns when every lease has expired of an attempt whose start may have
-// reached another incarnation of the worker than the one that was known so far, or may
-// still reach it. It returns zero if it can't: a start that was sent once and which the
-// known incarnation has carried out, or one so old that each of its calls had arrived
-// when that one last listed the run.
-func (co *Core) lateStartEnd(now time.Time, ru *run) time.Time {
-	sent := ru.sentAt
-	if sent.IsZero() {
-		sent = co.beganAt.Add(MaxRenewalAge) // the former term may have sent it until then
-	}
-	switch {
-	case ru.stage == planned, ru.startedHere && ru.startAnswered && !ru.startRepeated:
-		return time.Time{}
-	case ru.startedHere && ru.listedAt.Sub(sent) >= maxCallDelay:
-		return time.Time{}
-	}
-	if sent.After(now) {
-		sent = now
-	}
-	return latest(sent, ru.node.leaseSentAt).Add(maxCallDelay + maxLeaseTime)
+// sendStart makes the call that starts a run, for the first time or again.
+func (co *Core) sendStart(now time.Time, ru *run) {
+	un := ru.unit
+	ru.call.Send(now)
+	ru.stage = starting
+	ru.startLostAt = time.Time{}
+	ru.sentAt, ru.token = now, ru.node.fence.nextOrder()
+	ru.clockSent, ru.clockReadAfter = ru.node.clock, ru.node.clockReadAfter
+	co.pacer.callSent(now, ru, false)
+	co.emit(Start{Worker: ru.node.worker, Request: runner.StartRequest{
+		Token: ru.token, Task: ru.task, Attempt: ru.attempt, Payload: un.job.Payload,
+		Checkpoint: un.checkpoint, Ticket: un.ticket(ru.node), Deadline: co.grantLease(now, ru.node),
+	}})
 }
 
 // stopUnit stops every task of a unit that has not ended.
@@ -276,15 +263,6 @@
 	}
 }
 
-// withdrawStart gives up the call that starts a run if it has not returned.
-func (co *Core) withdrawStart(ru *run) {
-	if ru.sentAt.IsZero() || ru.startReturned || ru.startWithdrawn {
-		return
-	}
-	ru.startWithdrawn = true
-	co.emit(Withdraw{Worker: ru.node.worker.ID, Task: ru.task, Attempt: ru.attempt})
-}
-
 // endRun ends a run and frees its capacity.
 func (co *Core) endRun(ru *run) {
 	if ru.stage == ended {
@@ -307,14 +285,13 @@
 // handleStart processes the outcome of a start.
 func (co *Core) handleStart(now time.Time, ev Started) {
 	co.resignIfSuperseded(ev.Call.Worker.ID, ev.Call.Request.Token, ev.Err)
+	co.noteStartReturned(now, ev)
 	nd, ru := co.findRun(ev.Call.Worker.ID, ev.Call.Request.Task, ev.Call.Request.Attempt)
 	if ru == nil {
 		return
 	}
-	ru.startReturned = true
 	co.pacer.callReturned(ru, false)
 	if nd.fence.isConfirmedBy(ev.Call.Request.Token) {
-		ru.startAnswered, ru.startRepeated = true, ev.Repeated
 		co.checkStartClock(now, nd, ru, ev.Clock)
 	}
 	if ru.stage != starting {
@@ -327,6 +304,7 @@
 		ru.startLostAt = now
 		co.pollNow(now, nd)
 	case ev.Err == nil:
+		ru.call.See()
 		ru.stage = running
 		ru.confirmedAt = now
 		ru.beganAt = now
@@ -337,6 +315,10 @@
 		co.recordSilence(now, nd)
 		co.recordFailure(now, nd, ru.unit, weightOutcomeUnknown)
 		co.pollNow(now, nd)
+	case errors.Is(ev.Err, runner.ErrStaleAttempt) && !ru.call.Settled():
+		// An earlier copy has run the attempt, or it was stopped. Its end may be listed.
+		ru.stop.ackedAt = now
+		co.pollNow(now, nd)
 	default:
 		nd.lastRefusal = now
 		if errors.Is(ev.Err, runner.ErrUnreachable) {
@@ -346,7 +328,7 @@
 		if ru.unit.job.advice == nil { // otherwise the ticket may be the cause
 			co.recordFailure(now, nd, ru.unit, weightRefused)
 		}
-		co.endRun(ru)
+		co.endRefused(now, ru)
 	}
 	if ev.Err != nil {
 		co.emit(LogDecision{Decision: "startFails", Job: ru.task.Job, Task: ru.task.String(), Attempt: ru.attempt, Worker: nd.worker.ID, Reason: ev.Err.Error()})
@@ -386,6 +368,7 @@
 	if ru != nil {
 		co.emit(LogDecision{Decision: "ends", Job: en.Task.Job, Task: en.Task.String(), Attempt: en.Attempt, Worker: nd.worker.ID, Reason: en.Reason.String()})
 		ru.outcome = en.Reason
+		ru.see()
 		co.endRun(ru)
 	}
 	un := co.unitOf(en.Task)
--- a/internal/domain/staleevidence_test.go
+++ b/internal/domain/staleevidence_test.go
@@ -47,6 +47,9 @@
 	id := start.Worker.ID
 	sc.pass(time.Second)
 	sc.handle(domain.Started{Call: start, Err: runner.ErrOutcomeUnknown})
+	leaving := scriptedWorker(id)
+	leaving.Draining = true // so that the start is not made again there
+	sc.handle(domain.Listed{Worker: leaving})
 	sc.answer(sc.lastPoll(id), 1, startTime, runner.Status{})
 	stops := effectsOf[domain.Stop](sc)
 	is.Equal(len(stops), 1)
--- a/internal/domain/standstill.go
+++ b/internal/domain/standstill.go
@@ -171,7 +171,7 @@
 		if unplaceable[key] {
 			continue
 		}
-		if su.un.phase != waiting || su.un.abandonedRuns > 0 || ps.now.Before(su.un.notBefore) || su.un.job.state.Final() || su.un.standKey().isActive(active) || !co.ensureAdvice(ps, su.un) {
+		if su.un.phase != waiting || su.un.abandonedRuns > 0 || su.un.bound || ps.now.Before(su.un.notBefore) || su.un.job.state.Final() || su.un.standKey().isActive(active) || !co.ensureAdvice(ps, su.un) {
 			continue
 		}
 		nodes := co.chooseDespitePreferences(ps, su.un, su.group.service)
--- /dev/null
+++ b/internal/launch/launch_test.go
@@ -0,0 +1,164 @@
+package launch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/cicadawharf/cicadawharf/internal/launch"
+)
+
+var began = time.Date(2026, time.March, 1, 12, 0, 0, 0, time.UTC)
+
+// contacts returns what is known of worker w, and nothing of any other.
+func contacts(co launch.Contact) func(string) launch.Contact {
+	return func(worker string) launch.Contact {
+		if worker == "w" {
+			return co
+		}
+		return launch.Contact{}
+	}
+}
+
+// lostCall returns a ledger with a call to worker w that was lost a second after it was
+// made.
+func lostCall(task int) (*launch.Ledger, *launch.Call) {
+	le := &launch.Ledger{}
+	ca := le.Begin(began, "w", 1, task, 1)
+	ca.Send(began)
+	ca.Return(began.Add(time.Second), false)
+	return le, ca
+}
+
+// TestNextAttemptAfterCall guards against a next attempt on another worker while a copy of
+// the last start may take effect, and against one that waits although none can.
+func TestNextAttemptAfterCall(t *testing.T) {
+	heard := func(at time.Duration) launch.Contact {
+		return launch.Contact{InTouch: true, Born: 1, HeardAt: began.Add(at)}
+	}
+	silent := launch.Contact{Born: 1, HeardAt: began.Add(2 * time.Second)}
+	restarted := heard(3 * time.Second)
+	restarted.Born = 2
+	for _, tc := range []struct {
+		name     string
+		at       time.Duration
+		contact  launch.Contact
+		change   func(ca *launch.Call)
+		anywhere bool
+	}{
+		{"lost, in touch", 2 * time.Second, heard(2 * time.Second), nil, false},
+		{"lost long ago, not heard of since", 7 * time.Second, heard(5 * time.Second), nil, false},
+		{"lost long ago, heard of since", 7 * time.Second, heard(time.Second + launch.Patience), nil, true},
+		{"lost, silent", 20 * time.Second, silent, nil, false},
+		{"lost, silent until nothing can run", 24 * time.Second, silent, nil, true},
+		{"lost, heard of after all copies have arrived", 14 * time.Second, launch.Contact{HeardAt: began.Add(13 * time.Second)}, nil, true},
+		{"lost, worker gone", 2 * time.Second, launch.Contact{Gone: true}, nil, true},
+		{"lost, restarted and in touch", 3 * time.Second, restarted, nil, true},
+		{"carried out, in touch", 2 * time.Second, heard(2 * time.Second), (*launch.Call).See, true},
+		{"carried out, silent", 20 * time.Second, silent, (*launch.Call).See, false},
+		{"made again, not returned", 30 * time.Second, silent, func(ca *launch.Call) { ca.Send(began.Add(2 * time.Second)) }, false},
+		{"made again and confirmed", 2 * time.Second, heard(time.Second), func(ca *launch.Call) {
+			ca.Send(began.Add(time.Second))
+			ca.Return(began.Add(2*time.Second), true)
+		}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			le, ca := lostCall(3)
+			if tc.change != nil {
+				tc.change(ca)
+			}
+			now := began.Add(tc.at)
+			choice := launch.Choice{Worker: "w"}
+			if tc.anywhere {
+				choice = launch.Choice{Anywhere: true}
+			}
+			is.Equal(le.Next(now, 3, contacts(tc.contact)), choice)
+			is.Equal(le.Next(now, 2, contacts(tc.contact)), launch.Choice{Anywhere: true})
+		})
+	}
+}
+
+// TestCallsToTwoWorkers guards against a next attempt on either of two workers to which
+// starts of a task were lost.
+func TestCallsToTwoWorkers(t *testing.T) {
+	is := is.New(t)
+	le, _ := lostCall(0)
+	ca := le.Begin(began, "v", 1, 0, 2)
+	ca.Send(began)
+	ca.Return(began, false)
+	is.Equal(le.Next(began, 0, contacts(launch.Contact{})), launch.Choice{})
+	is.Equal(le.Next(began, 0, contacts(launch.Contact{Gone: true})), launch.Choice{Worker: "v"})
+}
+
+// TestAdoptedCall guards against work that is kept on its worker after a takeover although
+// no start of it was lost.
+func TestAdoptedCall(t *testing.T) {
+	is := is.New(t)
+	le := &launch.Ledger{}
+	ca := le.Begin(began, "w", 0, 0, 1)
+	ca.Adopt(began, began.Add(time.Second))
+	inTouch, silent := contacts(launch.Contact{InTouch: true}), contacts(launch.Contact{})
+	is.True(le.Next(began, 0, inTouch).Anywhere)
+	is.Equal(le.Next(began.Add(20*time.Second), 0, silent), launch.Choice{Worker: "w"})
+	ca.See()
+	is.True(le.Next(began, 0, silent).Anywhere)
+}
+
+// TestWithdrawnOnce guards against giving up a call that is not open, or twice.
+func TestWithdrawnOnce(t *testing.T) {
+	is := is.New(t)
+	le := &launch.Ledger{}
+	ca := le.Begin(began, "w", 1, 0, 1)
+	is.True(!ca.Withdraw())
+	ca.Send(began)
+	is.True(ca.Withdraw())
+	is.True(!ca.Withdraw())
+	ca.Return(began, false)
+	is.True(!ca.Settled())
+	is.Equal(le.Find("w", 0, 1), ca)
+	is.True(!le.MayBar(began.Add(launch.MaxDelay + launch.MaxLease)))
+}
+
+// TestOnlyCopyThatRanIsSettled guards against waiting for a call that was given up since a
+// list of its worker has shown that its only copy was carried out.
+func TestOnlyCopyThatRanIsSettled(t *testing.T) {
+	is := is.New(t)
+	le := &launch.Ledger{}
+	ca := le.Begin(began, "w", 1, 0, 1)
+	ca.Send(began)
+	is.True(!ca.IsCarriedOut())
+	ca.See()
+	is.True(ca.IsCarriedOut())
+	ca.Send(began)
+	is.True(!ca.IsCarriedOut())
+}
+
+// TestNoCopyBesideNextAttempt generates calls with the times at which their copies truly
+// arrive at a worker that stays silent. It guards against a next attempt elsewhere before
+// the last copy has arrived and its lease is over.
+func TestNoCopyBesideNextAttempt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		le := &launch.Ledger{}
+		now, free := began, began
+		for i := range rapid.IntRange(1, 5).Draw(t, "calls") {
+			ca := le.Begin(now, "w", 1, 0, i+1)
+			for range rapid.IntRange(1, 3).Draw(t, "times") {
+				ca.Send(now)
+				settled := rapid.Bool().Draw(t, "settled")
+				now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
+				ca.Return(now, settled)
+				if !settled { // the second copy was sent at any time until then
+					free = now.Add(launch.MaxDelay + launch.MaxLease)
+				}
+			}
+		}
+		at := now.Add(time.Duration(rapid.IntRange(0, 30_000).Draw(t, "later")) * time.Millisecond)
+		silent := contacts(launch.Contact{HeardAt: began})
+		if got := le.Next(at, 0, silent).Anywhere; got == at.Before(free) {
+			t.Fatalf("anywhere is %v %v after the last start, a copy may run until %v after it", got, at.Sub(now), free.Sub(now))
+		}
+	})
+}
