domain: acknowledge a success 3 s later while a copy of its start is out

What callers may see (TWICE): a task whose start was sent twice, one copy of which is late, succeeds and is acknowledged; its worker crashes, and its next incarnation runs the task again.

Cause: the success was acknowledged as soon as its record stood, and a success that was taken note of must never run again. A copy of the start could still arrive.

Change: the acknowledgement of a success waits until no copy of its start can arrive, 3 s at most, and not where the worker's list of ends is full. The record and the answer to the caller do not wait. A worker that crashes before that has lost its end unread, so that the late run breaks no rule and is stopped when it is seen. Longer would leave ends of calm seconds unacknowledged for 5 s.

--- a/internal/domain/bound.go
+++ b/internal/domain/bound.go
@@ -20,6 +20,9 @@
 	// gangRepeatTime is how long after it was first sent the start of a gang member is
 	// made again. The other members wait for it for 3 s at least.
 	gangRepeatTime = 1500 * time.Millisecond
+	// maxAckDelay is how long the acknowledgement of a success waits for late copies of
+	// its start. Within 5 s all ends have to be acknowledged.
+	maxAckDelay = 3 * time.Second
 	// entryLapseTime is the time after which the entry of a worker that has ended is gone:
 	// the platform removes it after three reports that it misses, 4.5 s, and a margin.
 	entryLapseTime = 6 * time.Second
@@ -86,6 +89,21 @@
 	return latest(sent, ru.node.leaseSentAt).Add(maxCallDelay + maxLeaseTime)
 }
 
+// ackTime returns when the success of a task may be acknowledged to its worker. If the
+// worker restarts before that, a late copy of the start runs the task again, but the
+// worker's success was never taken note of.
+func (co *Core) ackTime(now time.Time, nd *node, ti batch.TaskID) time.Time {
+	un := co.unitOf(ti)
+	if un == nil {
+		return time.Time{}
+	}
+	until := un.calls.ArrivesUntil(now, nd.worker.ID, ti.Index)
+	if limit := now.Add(maxAckDelay); until.After(limit) {
+		return limit
+	}
+	return until
+}
+
 // mayRepeatStart reports whether the start of a run that its worker doesn't list is made
 // again there. The worker has just replied.
 func (co *Core) mayRepeatStart(now time.Time, ru *run) bool {
--- a/internal/domain/commit.go
+++ b/internal/domain/commit.go
@@ -162,7 +162,7 @@
 		jv.job.releaseEnded()
 	}
 	for _, nd := range slices.SortedFunc(maps.Keys(co.unsavedEnds), compareNodes) {
-		co.advanceSavedEnd(nd)
+		co.advanceSavedEnd(now, nd)
 		if len(nd.pendingEnds) == 0 {
 			delete(co.unsavedEnds, nd)
 			nd.nextPoll = now
--- a/internal/domain/latestart_test.go
+++ b/internal/domain/latestart_test.go
@@ -209,6 +209,42 @@
 	is.Equal(len(effectsOf[domain.Start](sc)), 2)
 }
 
+// TestSuccessWaitsForLateCopies guards against a success that is acknowledged at once
+// although a copy of its start may arrive at the worker's next incarnation, and against an
+// acknowledgement that waits for longer than 5 s.
+func TestSuccessWaitsForLateCopies(t *testing.T) {
+	for _, repeated := range []bool{false, true} {
+		t.Run(fmt.Sprintf("repeated=%v", repeated), func(t *testing.T) {
+			is := is.New(t)
+			sc := newScriptedCore(domain.Config{}, "w1", "w2")
+			st := sc.startOne(is)
+			sc.handle(domain.Started{Call: st, Repeated: repeated})
+			end := runner.EndPage{Ends: []runner.End{{Number: 1, Task: st.Request.Task, Attempt: 1, Reason: runner.Succeeded}}}
+			sc.reply(st.Worker.ID, runner.Status{Ended: end})
+			sc.pass(time.Second)
+			is.True(sc.lastUnit("j").Done) // callers don't wait for the acknowledgement
+			sc.commitAll()
+			acked := func() bool {
+				sc.effects = nil
+				sc.reply(st.Worker.ID, runner.Status{Ended: end})
+				sc.pass(500 * time.Millisecond)
+				for _, po := range effectsOf[domain.Poll](sc) {
+					if po.Request.Acked == 1 {
+						return true
+					}
+				}
+				return false
+			}
+			is.Equal(acked(), !repeated)
+			if !repeated {
+				return
+			}
+			sc.pass(2500 * time.Millisecond)
+			is.True(acked())
+		})
+	}
+}
+
 // TestTakeoverStartsAgainWhatIsNotListed guards against a successor that begins the next
 // attempt on another worker although a start of its predecessor may still be on its way.
 func TestTakeoverStartsAgainWhatIsNotListed(t *testing.T) {
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -62,9 +62,10 @@
 	// pendingEnd is an end that is acknowledged once a version of a job is
 	// saved.
 	pendingEnd struct {
-		number  int64
-		job     *job // nil if the end changed nothing
-		version int
+		number    int64
+		job       *job // nil if the end changed nothing
+		version   int
+		notBefore time.Time // see ackTime
 	}
 )
 
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -153,7 +153,7 @@
 	}
 	co.processEnds(now, nd, ev.Status.Ended)
 	co.handleUnlisted(now, nd, ev, reported)
-	co.advanceSavedEnd(nd)
+	co.advanceSavedEnd(now, nd)
 }
 
 // processEnds processes the ends that a worker has not reported before.
@@ -164,7 +164,7 @@
 		}
 		nd.lastEnd = en.Number
 		co.handleEnd(now, nd, en)
-		nd.pendingEnds = append(nd.pendingEnds, co.newPendingEnd(en))
+		nd.pendingEnds = append(nd.pendingEnds, co.newPendingEnd(now, nd, en, page.More))
 		co.unsavedEnds[nd] = true
 	}
 }
@@ -290,8 +290,11 @@
 // newPendingEnd returns an end with the version of its job that accounts for
 // it. The end of a stopped task without a checkpoint needs no record: a successor
 // that does not find the run restarts the task as well.
-func (co *Core) newPendingEnd(en runner.End) pendingEnd {
+func (co *Core) newPendingEnd(now time.Time, nd *node, en runner.End, more bool) pendingEnd {
 	pe := pendingEnd{number: en.Number}
+	if en.Reason == runner.Succeeded && !more { // otherwise others wait behind it
+		pe.notBefore = co.ackTime(now, nd, en.Task)
+	}
 	if en.Reason == runner.Stopped && en.Checkpoint == "" {
 		return pe
 	}
@@ -302,12 +305,12 @@
 	return pe
 }
 
-// advanceSavedEnd advances savedEnd past the ends that are in the store. The
-// next poll acknowledges them to the worker.
-func (co *Core) advanceSavedEnd(nd *node) {
+// advanceSavedEnd advances savedEnd past the ends that are in the store and may be
+// acknowledged. The next poll acknowledges them to the worker.
+func (co *Core) advanceSavedEnd(now time.Time, nd *node) {
 	for len(nd.pendingEnds) > 0 {
 		pe := nd.pendingEnds[0]
-		if pe.job != nil && pe.job.savedVersion < pe.version {
+		if now.Before(pe.notBefore) || pe.job != nil && pe.job.savedVersion < pe.version {
 			return
 		}
 		nd.savedEnd = pe.number
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -129,6 +129,20 @@
 	return len(le.calls) > 0
 }
 
+// ArrivesUntil returns until when a copy of a call of this term for a task may arrive at a
+// worker, or zero if none can.
+func (le *Ledger) ArrivesUntil(now time.Time, worker string, task int) time.Time {
+	var until time.Time
+	for _, ca := range le.calls {
+		if ca.worker == worker && ca.task == task && !ca.Settled() && !ca.presumed {
+			if at := ca.Last(now).Add(MaxDelay); at.After(until) && at.After(now) {
+				until = at
+			}
+		}
+	}
+	return until
+}
+
 // LastUnsettled returns when the last copy was sent of the calls for a task on a worker
 // that are not settled, other than a given one; zero if there is none.
 func (le *Ledger) LastUnsettled(now time.Time, worker string, task int, except *Call) time.Time {
--- a/internal/launch/launch_test.go
+++ b/internal/launch/launch_test.go
@@ -103,6 +103,7 @@
 	inTouch, silent := contacts(launch.Contact{InTouch: true}), contacts(launch.Contact{})
 	is.True(le.Next(began, 0, inTouch).Anywhere)
 	is.Equal(le.Next(began.Add(20*time.Second), 0, silent), launch.Choice{Worker: "w"})
+	is.True(le.ArrivesUntil(began, "w", 0).IsZero())
 	ca.See()
 	is.True(le.Next(began, 0, silent).Anywhere)
 }
