--- a/internal/domain/bound.go
+++ b/internal/domain/bound.go
@@ -222,7 +222,7 @@
 func (co *Core) placeBound(ps *pass) {
 	for _, un := range co.bound {
 		co.examine(un.tasks)
-		if un.claim != nil || un.abandonedRuns > 0 || ps.now.Before(un.notBefore) || !co.ensureAdvice(ps, un) {
+		if un.claim != nil || un.abandonedRuns > 0 || ps.now.Before(un.notBefore) || !co.bindingAccepts(ps, un) || !co.ensureAdvice(ps, un) {
 			continue
 		}
 		if nodes := co.chooseBound(ps, un); nodes != nil {
@@ -231,6 +231,18 @@
 	}
 }
 
+// bindingAccepts reports whether the workers that the tasks of a unit are restricted to take
+// work, so that advice about them is of use.
+func (co *Core) bindingAccepts(ps *pass, un *unit) bool {
+	for i := range un.tasks {
+		ch := un.calls.Next(ps.now, un.index+i, co.contacts(ps.now))
+		if nd := co.nodes[ch.Worker]; !ch.Anywhere && (nd == nil || !nd.acceptsWorkIfHealthy(ps.now)) {
+			return false
+		}
+	}
+	return true
+}
+
 // chooseBound returns a worker for each task of a bound unit: the one that the task is
 // restricted to, and any others for the rest of a gang. It returns nil if not all fit.
 func (co *Core) chooseBound(ps *pass, un *unit) []*node {
