launch: a start that a successor makes again binds the next attempt, too

The successor made the start again for 5 s, gave it up and began the next attempt on another worker at once; a copy ran beside it.

Cause: a call of an earlier term has no incarnation, and making it again did not set the one it was sent to. So the worker counted as restarted since.

Change: each time that a call is made sets its incarnation. TestAdoptedCallThatIsMadeAgain has the next attempt bound to its worker, which is not so before.

--- a/internal/domain/record.go
+++ b/internal/domain/record.go
@@ -202,7 +202,7 @@
 			un.markMemberEnded()
 			continue
 		}
-		ru := &run{unit: un, task: un.taskID(i), attempt: un.attempt, stage: adopted, call: un.calls.Begin(now, id, 0, un.index+i, un.attempt)}
+		ru := &run{unit: un, task: un.taskID(i), attempt: un.attempt, stage: adopted, call: un.calls.Begin(now, id, un.index+i, un.attempt)}
 		ru.call.Adopt(now, now.Add(MaxRenewalAge))
 		co.addRun(ru, co.restoreNode(now, id, ur, i))
 		ru.incarnation = 0 // the worker may have restarted since the record was written
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -169,7 +169,7 @@
 	un.setPhase(live)
 	un.isolate(now)
 	for _, ru := range un.runs {
-		ru.call = un.calls.Begin(now, ru.node.worker.ID, ru.node.worker.Born, ru.task.Index, ru.attempt)
+		ru.call = un.calls.Begin(now, ru.node.worker.ID, ru.task.Index, ru.attempt)
 		co.sendStart(now, ru)
 	}
 }
@@ -177,7 +177,7 @@
 // sendStart makes the call that starts a run, for the first time or again.
 func (co *Core) sendStart(now time.Time, ru *run) {
 	un := ru.unit
-	ru.call.Send(now)
+	ru.call.Send(now, ru.node.worker.Born)
 	ru.stage = starting
 	ru.startLostAt = time.Time{}
 	ru.sentAt, ru.token = now, ru.node.fence.nextOrder()
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -17,7 +17,7 @@
 		worker    string
 		task      int // index within its gang, or zero
 		attempt   int
-		born      int64     // identifies the incarnation of the worker that it was sent to
+		born      int64     // identifies the incarnation of the worker that it was last sent to; zero if unknown
 		first     time.Time // when its first copy was sent
 		last      time.Time // by when its last copy was sent
 		times     int       // that it was made
@@ -76,9 +76,9 @@
 )
 
 // Begin adds a call and drops those that no longer matter.
-func (le *Ledger) Begin(now time.Time, worker string, born int64, task, attempt int) *Call {
+func (le *Ledger) Begin(now time.Time, worker string, task, attempt int) *Call {
 	le.prune(now)
-	ca := &Call{worker: worker, born: born, task: task, attempt: attempt}
+	ca := &Call{worker: worker, task: task, attempt: attempt}
 	le.calls = append(le.calls, ca)
 	return ca
 }
@@ -178,8 +178,9 @@
 // See notes that the worker has carried out a copy.
 func (ca *Call) See() { ca.seen = true }
 
-// Send notes that the call is made.
-func (ca *Call) Send(now time.Time) {
+// Send notes that the call is made to an incarnation of the worker.
+func (ca *Call) Send(now time.Time, born int64) {
+	ca.born = born
 	if ca.first.IsZero() {
 		ca.first = now
 	}
--- a/internal/launch/launch_test.go
+++ b/internal/launch/launch_test.go
@@ -26,8 +26,8 @@
 // made.
 func lostCall(task int) (*launch.Ledger, *launch.Call) {
 	le := &launch.Ledger{}
-	ca := le.Begin(began, "w", 1, task, 1)
-	ca.Send(began)
+	ca := le.Begin(began, "w", task, 1)
+	ca.Send(began, 1)
 	ca.Return(began.Add(time.Second), false)
 	return le, ca
 }
@@ -58,9 +58,9 @@
 		{"lost, restarted and in touch", 3 * time.Second, restarted, nil, true},
 		{"carried out, in touch", 2 * time.Second, heard(2 * time.Second), (*launch.Call).See, true},
 		{"carried out, silent", 20 * time.Second, silent, (*launch.Call).See, false},
-		{"made again, not returned", 30 * time.Second, silent, func(ca *launch.Call) { ca.Send(began.Add(2 * time.Second)) }, false},
+		{"made again, not returned", 30 * time.Second, silent, func(ca *launch.Call) { ca.Send(began.Add(2*time.Second), 1) }, false},
 		{"made again and confirmed", 2 * time.Second, heard(time.Second), func(ca *launch.Call) {
-			ca.Send(began.Add(time.Second))
+			ca.Send(began.Add(time.Second), 1)
 			ca.Return(began.Add(2*time.Second), true)
 		}, false},
 	} {
@@ -86,8 +86,8 @@
 func TestCallsToTwoWorkers(t *testing.T) {
 	is := is.New(t)
 	le, _ := lostCall(0)
-	ca := le.Begin(began, "v", 1, 0, 2)
-	ca.Send(began)
+	ca := le.Begin(began, "v", 0, 2)
+	ca.Send(began, 1)
 	ca.Return(began, false)
 	is.Equal(le.Next(began, 0, contacts(launch.Contact{})), launch.Choice{})
 	is.Equal(le.Next(began, 0, contacts(launch.Contact{Gone: true})), launch.Choice{Worker: "v"})
@@ -98,7 +98,7 @@
 func TestAdoptedCall(t *testing.T) {
 	is := is.New(t)
 	le := &launch.Ledger{}
-	ca := le.Begin(began, "w", 0, 0, 1)
+	ca := le.Begin(began, "w", 0, 1)
 	ca.Adopt(began, began.Add(time.Second))
 	inTouch, silent := contacts(launch.Contact{InTouch: true}), contacts(launch.Contact{})
 	is.True(le.Next(began, 0, inTouch).Anywhere)
@@ -108,13 +108,26 @@
 	is.True(le.Next(began, 0, silent).Anywhere)
 }
 
+// TestAdoptedCallThatIsMadeAgain guards against a successor that makes a start again, loses
+// its reply, too, and then takes its worker for another incarnation than the one it called.
+func TestAdoptedCallThatIsMadeAgain(t *testing.T) {
+	is := is.New(t)
+	le := &launch.Ledger{}
+	ca := le.Begin(began, "w", 0, 1)
+	ca.Adopt(began, began)
+	ca.Send(began, 7)
+	ca.Return(began.Add(time.Second), false)
+	inTouch := contacts(launch.Contact{InTouch: true, Born: 7, HeardAt: began.Add(2 * time.Second)})
+	is.Equal(le.Next(began.Add(2*time.Second), 0, inTouch), launch.Choice{Worker: "w"})
+}
+
 // TestWithdrawnOnce guards against giving up a call that is not open, or twice.
 func TestWithdrawnOnce(t *testing.T) {
 	is := is.New(t)
 	le := &launch.Ledger{}
-	ca := le.Begin(began, "w", 1, 0, 1)
+	ca := le.Begin(began, "w", 0, 1)
 	is.True(!ca.Withdraw())
-	ca.Send(began)
+	ca.Send(began, 1)
 	is.True(ca.Withdraw())
 	is.True(!ca.Withdraw())
 	ca.Return(began, false)
@@ -128,12 +141,12 @@
 func TestOnlyCopyThatRanIsSettled(t *testing.T) {
 	is := is.New(t)
 	le := &launch.Ledger{}
-	ca := le.Begin(began, "w", 1, 0, 1)
-	ca.Send(began)
+	ca := le.Begin(began, "w", 0, 1)
+	ca.Send(began, 1)
 	is.True(!ca.IsCarriedOut())
 	ca.See()
 	is.True(ca.IsCarriedOut())
-	ca.Send(began)
+	ca.Send(began, 1)
 	is.True(!ca.IsCarriedOut())
 }
 
@@ -145,9 +158,9 @@
 		le := &launch.Ledger{}
 		now, free := began, began
 		for i := range rapid.IntRange(1, 5).Draw(t, "calls") {
-			ca := le.Begin(now, "w", 1, 0, i+1)
+			ca := le.Begin(now, "w", 0, i+1)
 			for range rapid.IntRange(1, 3).Draw(t, "times") {
-				ca.Send(now)
+				ca.Send(now, 1)
 				settled := rapid.Bool().Draw(t, "settled")
 				now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
 				ca.Return(now, settled)
