--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -5,8 +5,8 @@
 // carried out up to MaxDelay after it was sent, also by a later incarnation of its
 // worker, which knows nothing of what an earlier one has run, stopped or refused. So a
 // call outlives its attempt: until no copy of it can arrive, the next attempt begins on
-// the same worker, or waits. There, attempts are numbered and replace each other, and
-// whatever arrives is seen in the worker's replies.
+// the same worker, or waits. There the call is made again with the same number, or the
+// former attempt was stopped first, and whatever arrives is seen in the worker's replies.
 package launch
 
 import "time"
@@ -200,8 +200,8 @@
 	}
 }
 
-// IsCarriedOut reports whether the worker has carried out the only copy, if just one was
-// sent each time.
+// IsCarriedOut reports whether the call was made once and the worker has carried out a copy
+// of it, so that nothing is left of it if that was the only one.
 func (ca *Call) IsCarriedOut() bool { return ca.seen && ca.times == 1 }
 
 // Withdraw notes that the call is given up, and reports whether it was open until now.
