launch: test what a silent worker that is known to live on allows

What the entry of a silent worker shows (Contact.Alive) had no test: it frees the next attempt only if the worker has run the last one. The two new rows pass on; without the case of Alive in bars the first of them fails, as its contact is then that of the row "carried out, silent", which bars.

--- a/internal/launch/launch_test.go
+++ b/internal/launch/launch_test.go
@@ -39,6 +39,8 @@
 		return launch.Contact{InTouch: true, Born: 1, HeardAt: began.Add(at)}
 	}
 	silent := launch.Contact{Born: 1, HeardAt: began.Add(2 * time.Second)}
+	alive := silent
+	alive.Alive = true
 	restarted := heard(3 * time.Second)
 	restarted.Born = 2
 	for _, tc := range []struct {
@@ -58,6 +60,8 @@
 		{"lost, restarted and in touch", 3 * time.Second, restarted, nil, true},
 		{"carried out, in touch", 2 * time.Second, heard(2 * time.Second), (*launch.Call).See, true},
 		{"carried out, silent", 20 * time.Second, silent, (*launch.Call).See, false},
+		{"carried out, silent but alive", 20 * time.Second, alive, (*launch.Call).See, true},
+		{"lost, silent but alive", 20 * time.Second, alive, nil, false},
 		{"made again, not returned", 30 * time.Second, silent, func(ca *launch.Call) { ca.Send(began.Add(2*time.Second), 1) }, false},
 		{"made again and confirmed", 2 * time.Second, heard(time.Second), func(ca *launch.Call) {
 			ca.Send(began.Add(time.Second), 1)
