--- /dev/null
+++ b/review/cases3/units.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"strings"
+	"time"
+)
+
+type (
+	// unitState is what the workers have seen of a work unit of a step with may_miss.
+	unitState struct {
+		atWork  bool
+		ordered bool      // it was last ended by a stop or an upkeep
+		since   time.Time // since when it is not at work
+	}
+
+	// availability checks AVAIL for the only step of a job.
+	availability struct {
+		job     string
+		mayMiss int
+		units   map[string]*unitState
+	}
+)
+
+// noticeTime is notice_ms of the site.
+const noticeTime = 5500 * time.Millisecond
+
+// watch begins to check AVAIL for the only step of a job.
+func (rg *rig) watch(job string, count, mayMiss int) {
+	rg.watched = &availability{job: job, mayMiss: mayMiss, units: map[string]*unitState{}}
+	for i := range count {
+		rg.watched.units[taskOf(job, i)] = &unitState{since: time.Now()}
+	}
+}
+
+// unitBegins notes that a work unit is at work. Those of the scenarios need no time to
+// start up.
+func (rg *rig) unitBegins(_ *worker, task string) {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	if un := rg.watched.unit(task); un != nil {
+		un.atWork, un.ordered = true, false
+	}
+}
+
+// unitEnds notes that a work unit is not at work any more.
+func (rg *rig) unitEnds(_ *worker, task, how string) {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	if un := rg.watched.unit(task); un != nil && un.atWork {
+		un.atWork, un.since = false, time.Now()
+		un.ordered = how == "stopped" || how == "upkeep"
+	}
+}
+
+// unitStopped checks AVAIL as an order of the system ends a work unit that is at work.
+func (rg *rig) unitStopped(wo *worker, task string) {
+	rg.mu.Lock()
+	un := rg.watched.unit(task)
+	if un == nil || !un.atWork {
+		rg.mu.Unlock()
+		return
+	}
+	away := 0
+	for name, other := range rg.watched.units {
+		if name != task && !other.atWork && (other.ordered || time.Since(other.since) >= noticeTime) {
+			away++
+		}
+	}
+	mayMiss := rg.watched.mayMiss
+	rg.mu.Unlock()
+	rg.note("an order ends %s on %s while %d others of its step are away; may_miss is %d", task, wo.id, away, mayMiss)
+	if away >= mayMiss {
+		rg.breakRule("AVAIL: an order ends %s, at work on the sound worker %s, while %d others of its step are away (may_miss %d)", task, wo.id, away, mayMiss)
+	}
+}
+
+func (av *availability) unit(task string) *unitState {
+	if av == nil || !strings.HasPrefix(task, av.job+".") {
+		return nil
+	}
+	return av.units[task]
+}
