--- a/review/cases3/cases.go
+++ b/review/cases3/cases.go
@@ -200,29 +200,29 @@
 	return nil
 }
 
-// upkeepOfTheLastUnit asks for the upkeep of a machine with a work unit of a step that
-// may miss one, while the other one has lost its worker for good. No other worker has
-// the label that they require.
+// upkeepOfTheLastUnit asks for the upkeep of two machines, one at a time, whose workers
+// are the only ones with a label. Each runs one of two work units that last, of which one
+// may be missed. A more urgent job waits for such a worker.
 func upkeepOfTheLastUnit(rg *rig, trouble bool) error {
 	if err := rg.startMachines(); err != nil {
 		return err
 	}
-	if err := rg.begin(6, 2, []tenant{{"ana", 0}}); err != nil {
+	if err := rg.begin(6, 2, []tenant{{"ana", 0}, {"bea", 0}}); err != nil {
 		return err
 	}
-	rg.watch(jobA, 2, 1)
+	rg.watch(jobB, 2, 1)
 	serving := step{Count: 2, CPU: 26000, MemMB: 75000, GPU: 8, Requires: "b", LongRunning: true, MayMiss: 1}
-	if err := rg.submitAndAwait(jobA, "serve", "ana", serving); err != nil {
+	if err := rg.submitAndAwait(jobB, "bulk", "bea", serving); err != nil {
 		return err
 	}
-	last := rg.runningOn(taskOf(jobA, 1))
 	if trouble {
-		rg.machines.lose(rg.runningOn(taskOf(jobA, 0)))
-		time.Sleep(noticeTime + calm)
+		if err := rg.submit(jobA, "serve", "ana", step{Count: 1, CPU: 26000, MemMB: 75000, GPU: 8, Requires: "b", LongRunning: true}); err != nil {
+			return err
+		}
 	}
-	name := rg.machines.nameOf(last)
-	rg.store.Put("op/wave/1", object{"wave": 1, "machines": []string{name}, "duration_s": 20, "max_count": 1})
-	rg.note("op/wave/1 asks for the upkeep of %s within 20 s", name)
+	time.Sleep(calm)
+	rg.store.Put("op/wave/1", object{"wave": 1, "machines": []string{"m-7", "m-8"}, "duration_s": 20, "max_count": 1})
+	rg.note("op/wave/1 asks for the upkeep of m-7 and m-8 within 20 s, one at a time")
 	time.Sleep(watchTime)
 	if value, ok := rg.store.Value("status/wave/1"); ok {
 		rg.note("status/wave/1: %s", value)
--- a/review/cases3/machines.go
+++ b/review/cases3/machines.go
@@ -50,30 +50,6 @@
 	ms.list = append(ms.list, &machine{name: name, state: "up", worker: wo})
 }
 
-// lose takes the machine of a worker down for good, as its worker crashes.
-func (ms *machines) lose(wo *worker) {
-	ms.mu.Lock()
-	for _, ma := range ms.list {
-		if ma.worker == wo {
-			ma.state = "down"
-		}
-	}
-	ms.mu.Unlock()
-	wo.leave(true)
-}
-
-// nameOf returns the name of the machine of a worker.
-func (ms *machines) nameOf(wo *worker) string {
-	ms.mu.Lock()
-	defer ms.mu.Unlock()
-	for _, ma := range ms.list {
-		if ma.worker == wo {
-			return ma.name
-		}
-	}
-	return ""
-}
-
 // ServeHTTP implements http.Handler.
 func (ms *machines) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
 	if rq.URL.Path == "/machines" {
@@ -135,7 +111,7 @@
 
 // comeBack ends the former worker of a machine and starts a new one after the upkeep.
 func (ms *machines) comeBack(ma *machine, former *worker) {
-	former.leave(false)
+	former.leave()
 	time.Sleep(upkeepTime)
 	wo, err := ms.rg.addWorker(former.id+"n", former.labels...)
 	if err != nil {
--- a/review/cases3/worker.go
+++ b/review/cases3/worker.go
@@ -122,9 +122,8 @@
 	wo.rg.unitEnds(wo, task, how)
 }
 
-// leave ends the worker and all that runs on it. If it crashes, its entry stays until it
-// has been silent for three heartbeats.
-func (wo *worker) leave(crash bool) {
+// leave ends the worker and all that runs on it.
+func (wo *worker) leave() {
 	wo.mu.Lock()
 	wo.gone = true
 	tasks := make([]string, 0, len(wo.runs))
@@ -138,9 +137,6 @@
 	for _, task := range tasks {
 		wo.rg.unitEnds(wo, task, "gone")
 	}
-	if crash {
-		time.Sleep(3 * heartbeat)
-	}
 	wo.rg.store.Remove("servers/" + wo.id)
 }
 
