--- a/review/cases3/cases.go
+++ b/review/cases3/cases.go
@@ -25,8 +25,9 @@
 	errNotBegun = errors.New("the jobs before the trouble have not begun")
 
 	scenarios = map[int]scenario{
-		11: underestimatedWork, 12: workWithoutGuarantee, 13: movedGuarantee, 14: blockedFiller, 15: upkeepOfTheLastUnit,
-		16: lastingWorkInTheWay,
+		11: lateStartAfterRestart, 12: underestimatedWork, 13: workWithoutGuarantee, 14: movedGuarantee, 15: blockedFiller,
+		// Plays without a case.
+		16: upkeepOfTheLastUnit, 17: lastingWorkInTheWay, 18: allFillersStopped,
 	}
 	queues = []route{{"urgent", 0}, {"serve", 1}, {"bulk", 2}}
 )
@@ -83,6 +84,44 @@
 	return nil
 }
 
+// lateStartAfterRestart leaves the first start of a work unit unanswered. Its repetition
+// runs the work unit, and the end is taken note of. Then the worker is cut off and restarts
+// behind the cut, and the first start is carried out late. Another job has work on each
+// worker all the while.
+func lateStartAfterRestart(rg *rig, trouble bool) error {
+	const late, cutAfter, cut = 11 * time.Second, 6500 * time.Millisecond, 5500 * time.Millisecond
+	rg.work, rg.endless = 1500*time.Millisecond, jobB
+	if trouble {
+		rg.late, rg.lateTask = late, taskOf(jobA, 0)
+	}
+	if err := rg.begin(8, 0, []tenant{{"ana", 0}, {"bea", 0}}); err != nil {
+		return err
+	}
+	if err := rg.submitAndAwait(jobB, "bulk", "bea", step{Count: 8, CPU: 5600, MemMB: 29000, GPU: 1, AntiAffinity: 1, LongRunning: true}); err != nil {
+		return err
+	}
+	if err := rg.submit(jobA, "serve", "ana", step{Count: 20, CPU: 7500, MemMB: 31000, GPU: 1, EstimateMS: 1500}); err != nil {
+		return err
+	}
+	if !until(calm, func() bool { return rg.runningOn(taskOf(jobA, 0)) != nil }) {
+		return errNotBegun
+	}
+	wo, began := rg.runningOn(taskOf(jobA, 0)), time.Now()
+	if !until(cutAfter, func() bool { return rg.isNoted(taskOf(jobA, 0)) }) {
+		return errNotBegun
+	}
+	time.Sleep(time.Until(began.Add(cutAfter)))
+	rg.state(jobA, "serve", "ana")
+	if trouble {
+		wo.cutOff(cut)
+		time.Sleep(time.Second)
+		wo.restart(time.Second)
+	}
+	time.Sleep(2 * calm)
+	rg.state(jobA, "serve", "ana")
+	return nil
+}
+
 // underestimatedWork runs a sound work unit of twenty minutes, for which its consumer
 // estimates a sixth of that, on the only worker with a label, before a tenant asks for a
 // part of this worker that it is guaranteed. Without trouble the estimate is right.
@@ -200,6 +239,34 @@
 	return nil
 }
 
+// allFillersStopped lets two work units that fill, and of which one may be missed, disturb
+// one that serves on the same worker.
+func allFillersStopped(rg *rig, trouble bool) error {
+	added := 10 // ms by each work unit that fills
+	if trouble {
+		added = 40
+	}
+	rg.latencyOf = func(wo *worker, task string) int {
+		if task != taskOf(jobA, 0) {
+			return 0
+		}
+		return 50 + added*wo.countOf(jobB)
+	}
+	rg.note("each filling work unit adds %d ms to response times of 50 ms, with a target of 100 ms", added)
+	if err := rg.begin(2, 0, []tenant{{"ana", 0}, {"bea", 0}}); err != nil {
+		return err
+	}
+	rg.watch(jobB, 2, 1)
+	if err := rg.submitAndAwait(jobA, "serve", "ana", step{Count: 1, CPU: 8000, MemMB: 1024, GPU: 1, LongRunning: true, TargetMS: 100}); err != nil {
+		return err
+	}
+	if err := rg.submitAndAwait(jobB, "bulk", "bea", step{Count: 2, CPU: 8000, MemMB: 1024, LongRunning: true, Fills: true, MayMiss: 1}); err != nil {
+		return err
+	}
+	time.Sleep(2 * calm)
+	return nil
+}
+
 // upkeepOfTheLastUnit asks for the upkeep of two machines, one at a time, whose workers
 // are the only ones with a label. Each runs one of two work units that last, of which one
 // may be missed. A more urgent job waits for such a worker.
--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -25,7 +25,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	number := flag.Int("case", 0, "number of the case")
+	number := flag.Int("case", 0, "number of the case, or of a play without one")
 	record := flag.String("record", "", "file for the record")
 	program := flag.String("program", "target/cicadawharf", "program under test")
 	logs := flag.String("logs", "", "folder that keeps the logs of the hosts; empty for none")
--- a/review/cases3/rig.go
+++ b/review/cases3/rig.go
@@ -37,6 +37,10 @@
 
 		machines  *machines                         // nil if the case has none
 		work      time.Duration                     // of each work unit; zero if all last
+		endless   string                            // job whose work units last all the same
+		late      time.Duration                     // of the first start of lateTask
+		lateTask  string                            // empty if none is late
+		noted     map[string]bool                   // work units that are done, as was taken note of
 		watched   *availability                     // nil if the case checks none
 		latencyOf func(wo *worker, task string) int // of a work unit; nil if none serves. The worker is locked
 	}
@@ -70,7 +74,7 @@
 )
 
 func newRig(record, program, logs string) (*rig, error) {
-	rg := &rig{began: time.Now(), program: program, logs: logs, store: plsim.New(1), workers: map[string]*worker{}}
+	rg := &rig{began: time.Now(), program: program, logs: logs, store: plsim.New(1), workers: map[string]*worker{}, noted: map[string]bool{}, endless: "none"}
 	var err error
 	if rg.dir, err = os.MkdirTemp("", "cases3"); err != nil {
 		return nil, err
--- a/review/cases3/units.go
+++ b/review/cases3/units.go
@@ -32,9 +32,39 @@
 	}
 }
 
+// noteDone notes that the end of a work unit that is done was taken note of.
+func (rg *rig) noteDone(task string) {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	rg.noted[task] = true
+	rg.write("the end of %s is taken note of", task)
+}
+
+// isNoted reports whether that has happened.
+func (rg *rig) isNoted(task string) bool {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	return rg.noted[task]
+}
+
+// lateness returns how much later a call is to be carried out, without an answer; zero for
+// at once. Only the first start of the work unit that the case names is late.
+func (rg *rig) lateness(path string, ca workerCall) time.Duration {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	if path != "/run-start" || ca.Task != rg.lateTask {
+		return 0
+	}
+	rg.lateTask = ""
+	return rg.late
+}
+
 // unitBegins notes that a work unit is at work. Those of the scenarios need no time to
-// start up.
-func (rg *rig) unitBegins(_ *worker, task string) {
+// start up. It checks TWICE.
+func (rg *rig) unitBegins(wo *worker, task string) {
+	if rg.isNoted(task) {
+		rg.breakRule("TWICE: %s begins on %s after a run of it has ended done, which was taken note of", task, wo.id)
+	}
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
 	if un := rg.watched.unit(task); un != nil {
--- a/review/cases3/worker.go
+++ b/review/cases3/worker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -22,6 +23,7 @@
 
 		mu       sync.Mutex
 		gone     bool
+		cutUntil time.Time
 		token    int64
 		deadline time.Duration // of its leases, on its clock
 		runs     map[string]*unitRun
@@ -101,13 +103,15 @@
 
 func (wo *worker) clock() time.Duration { return time.Since(wo.born) }
 
-// expire ends what has lapsed. The caller holds wo.mu.
+// expire ends what is done or has lapsed. The caller holds wo.mu.
 func (wo *worker) expire() {
-	if wo.clock() <= wo.deadline {
-		return
-	}
-	for task := range wo.runs {
-		wo.end(task, "lapsed")
+	for task, ru := range wo.runs {
+		switch {
+		case wo.clock() > wo.deadline:
+			wo.end(task, "lapsed")
+		case wo.rg.work > 0 && !strings.HasPrefix(task, wo.rg.endless) && time.Since(ru.began) >= wo.rg.work:
+			wo.end(task, "done")
+		}
 	}
 }
 
@@ -140,6 +144,61 @@
 	wo.rg.store.Remove("servers/" + wo.id)
 }
 
+// cutOff cuts the worker off from all hosts for some time, but not from the store.
+func (wo *worker) cutOff(span time.Duration) {
+	wo.mu.Lock()
+	defer wo.mu.Unlock()
+	wo.cutUntil = time.Now().Add(span)
+	wo.rg.note("worker %s is cut off for %v", wo.id, span)
+}
+
+// restart crashes the worker and starts it again after some time, under its id and at its
+// address. It holds and knows nothing then, and reports itself at once.
+func (wo *worker) restart(down time.Duration) {
+	wo.mu.Lock()
+	wo.gone = true
+	wo.runs, wo.ends, wo.last = map[string]*unitRun{}, nil, map[string]int{}
+	wo.mu.Unlock()
+	wo.rg.note("worker %s has crashed", wo.id)
+	time.Sleep(down)
+	wo.mu.Lock()
+	wo.gone, wo.born, wo.token, wo.deadline, wo.number, wo.sequence = false, time.Now(), 0, 0, 0, 0
+	wo.mu.Unlock()
+	wo.rg.note("worker %s has started again", wo.id)
+	go wo.live()
+}
+
+// isSilent reports whether the worker is cut off.
+func (wo *worker) isSilent() bool {
+	wo.mu.Lock()
+	defer wo.mu.Unlock()
+	return time.Now().Before(wo.cutUntil)
+}
+
+// silence leaves a call without an answer if the worker is cut off.
+func (wo *worker) silence(rq *http.Request) {
+	if wo.isSilent() {
+		<-rq.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// delay leaves a call unanswered and has it carried out late, by whatever life the worker
+// has then.
+func (wo *worker) delay(path string, ca workerCall, by time.Duration) {
+	wo.rg.note("%s of %s run %d to %s is left unanswered and carried out %v later", path, ca.Task, ca.Run, wo.id, by)
+	go func() {
+		time.Sleep(by)
+		wo.mu.Lock()
+		defer wo.mu.Unlock()
+		if wo.gone {
+			return
+		}
+		reason, _ := wo.dispatch(path, ca)
+		wo.rg.note("late %s of %s run %d at %s: refused because of %q", path, ca.Task, ca.Run, wo.id, reason)
+	}()
+}
+
 // ServeHTTP implements http.Handler.
 func (wo *worker) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
 	var ca workerCall
@@ -147,6 +206,7 @@
 		wr.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	wo.silence(rq)
 	wo.mu.Lock()
 	if wo.gone {
 		wo.mu.Unlock()
@@ -158,6 +218,12 @@
 		return
 	}
 	wo.expire()
+	if by := wo.rg.lateness(rq.URL.Path, ca); by > 0 {
+		wo.mu.Unlock()
+		wo.delay(rq.URL.Path, ca, by)
+		<-rq.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	reason, body := wo.dispatch(rq.URL.Path, ca)
 	wo.mu.Unlock()
 	if reason == "" && rq.URL.Path == "/hold" && ca.Wait > 0 {
@@ -190,12 +256,23 @@
 			wo.rg.note("%s run %d on %s is paced to %d percent", ca.Task, ca.Run, wo.id, ca.Percent)
 		}
 	case "/hold":
-		wo.ends = slices.DeleteFunc(wo.ends, func(en []any) bool { return en[0].(int) <= ca.LastSeen })
+		wo.acknowledge(ca.LastSeen)
 		wo.list(body)
 	}
 	return "", body
 }
 
+// acknowledge forgets the ends up to a number, which are taken note of.
+func (wo *worker) acknowledge(number int) {
+	wo.ends = slices.DeleteFunc(wo.ends, func(en []any) bool {
+		noted := en[0].(int) <= number
+		if noted && en[3] == "done" {
+			wo.rg.noteDone(en[1].(string))
+		}
+		return noted
+	})
+}
+
 func (wo *worker) start(ca workerCall) string {
 	if ru, ok := wo.runs[ca.Task]; ok && ru.number == ca.Run {
 		return ""
@@ -245,16 +322,28 @@
 	return min(fullPace, int(fullPace*time.Since(ru.began)/rg.work))
 }
 
+// countOf returns the number of runs of a job on the worker. The caller holds wo.mu.
+func (wo *worker) countOf(job string) int {
+	count := 0
+	for task := range wo.runs {
+		if strings.HasPrefix(task, job) {
+			count++
+		}
+	}
+	return count
+}
+
 // waitForEnd waits for an end as a call asks for.
 func (wo *worker) waitForEnd(rq *http.Request, ca workerCall, body object) object {
 	for end := time.Now().Add(time.Duration(ca.Wait) * time.Millisecond); time.Now().Before(end) && rq.Context().Err() == nil; time.Sleep(tickTime) {
 		wo.mu.Lock()
-		found := len(wo.ends) > 0 || wo.gone || ca.Token < wo.token
+		found := len(wo.ends) > 0 || wo.gone || ca.Token < wo.token || time.Now().Before(wo.cutUntil)
 		wo.mu.Unlock()
 		if found {
 			break
 		}
 	}
+	wo.silence(rq)
 	wo.mu.Lock()
 	defer wo.mu.Unlock()
 	if wo.gone {
