--- a/review/cases3/cases.go
+++ b/review/cases3/cases.go
@@ -12,9 +12,10 @@
 
 	// reclaimTime is reclaim_ms of the site.
 	reclaimTime = 2700 * time.Millisecond
-	// idleTime is how long a work unit that lasts may be idle beside room for it: 3 s, from
-	// 6 s after its last run.
-	idleTime = 9 * time.Second
+	// idleTime is how long a work unit that lasts may be idle beside room for it twice over,
+	// from sinceLastRun after its last run.
+	idleTime     = 3 * time.Second
+	sinceLastRun = 6 * time.Second
 	// calm is how long a case lets the system run before it goes on.
 	calm = 5 * time.Second
 	// watchTime is how long a case goes on after the rule was broken, to show the result.
@@ -25,9 +26,9 @@
 	errNotBegun = errors.New("the jobs before the trouble have not begun")
 
 	scenarios = map[int]scenario{
-		11: lateStartAfterRestart, 12: underestimatedWork, 13: workWithoutGuarantee, 14: movedGuarantee, 15: blockedFiller,
+		11: lateStartAfterRestart, 12: underestimatedWork, 13: workWithoutGuarantee, 14: lastingWorkInTheWay, 15: blockedFiller,
 		// Plays without a case.
-		16: upkeepOfTheLastUnit, 17: lastingWorkInTheWay, 18: allFillersStopped,
+		16: upkeepOfTheLastUnit, 17: movedGuarantee, 18: allFillersStopped,
 	}
 	queues = []route{{"urgent", 0}, {"serve", 1}, {"bulk", 2}}
 )
@@ -70,7 +71,7 @@
 		return err
 	}
 	acked := time.Now()
-	begun := func() bool { return rg.runsAll(jobA, st.Count) }
+	begun := func() bool { return rg.begunOf(jobA) == st.Count }
 	if until(reclaimTime, begun) {
 		rg.note("all work units of %s have begun", jobA)
 		return nil
@@ -122,6 +123,29 @@
 	return nil
 }
 
+// checkIdle checks LOST for a work unit that lasts: it may have no run for 3 s, from 6 s
+// after its last one, only while there is no capacity for it twice over.
+func (rg *rig) checkIdle(task string, st step) {
+	idleSince, broken := time.Now(), false
+	lastRun := idleSince
+	for end := time.Now().Add(watchTime); time.Now().Before(end); time.Sleep(tickTime) {
+		now := time.Now()
+		if rg.runningOn(task) != nil {
+			lastRun, idleSince, broken = now, now, false
+			continue
+		}
+		fits, used := rg.capacity(st)
+		if fits < 2 || now.Sub(lastRun) < sinceLastRun {
+			idleSince = now
+		}
+		if !broken && now.Sub(idleSince) > idleTime {
+			broken = true
+			rg.breakRule("LOST: %s has had nothing running for %v, from %v after its last run; there is room for it %d times, and %.0f%% of the capacity is in use",
+				task, idleTime, sinceLastRun, fits, 100*used)
+		}
+	}
+}
+
 // underestimatedWork runs a sound work unit of twenty minutes, for which its consumer
 // estimates a sixth of that, on the only worker with a label, before a tenant asks for a
 // part of this worker that it is guaranteed. Without trouble the estimate is right.
@@ -224,18 +248,11 @@
 	if err := rg.submitAndAwait(jobA, "serve", "ana", serving); err != nil {
 		return err
 	}
-	if err := rg.submitAndAwait(jobB, "bulk", "bea", step{Count: 1, CPU: 8000, MemMB: 1024, LongRunning: true, Fills: true}); err != nil {
+	filling := step{Count: 1, CPU: 8000, MemMB: 1024, LongRunning: true, Fills: true}
+	if err := rg.submitAndAwait(jobB, "bulk", "bea", filling); err != nil {
 		return err
 	}
-	last, broken := time.Now(), false
-	for end := time.Now().Add(watchTime); time.Now().Before(end); time.Sleep(tickTime) {
-		if rg.runsAll(jobB, 1) {
-			last, broken = time.Now(), false
-		} else if !broken && time.Since(last) > idleTime {
-			broken = true
-			rg.breakRule("LOST: %s has not run for %v, though its turn has come and each of two workers has room for it", taskOf(jobB, 0), idleTime)
-		}
-	}
+	rg.checkIdle(taskOf(jobB, 0), filling)
 	return nil
 }
 
--- a/review/cases3/client.go
+++ b/review/cases3/client.go
@@ -76,6 +76,9 @@
 	if err != nil {
 		return err
 	}
+	rg.mu.Lock()
+	rg.steps[id] = st
+	rg.mu.Unlock()
 	rg.note("POST /%s/%s by %s: %s", queue, id, key, body)
 	i := 0
 	accepted := until(acceptTime, func() bool {
@@ -91,6 +94,13 @@
 	return nil
 }
 
+// stepOf returns the step of a work unit.
+func (rg *rig) stepOf(task string) step {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	return rg.steps[strings.SplitN(task, ".", 2)[0]]
+}
+
 // call makes one call and returns the status, zero without an answer, and the body.
 func (rg *rig) call(ho *host, method, path, key string, body []byte) (int, string) {
 	rq, err := http.NewRequestWithContext(rg.ctx, method, "http://"+ho.callers+path, bytes.NewReader(body))
--- a/review/cases3/rig.go
+++ b/review/cases3/rig.go
@@ -40,6 +40,8 @@
 		endless   string                            // job whose work units last all the same
 		late      time.Duration                     // of the first start of lateTask
 		lateTask  string                            // empty if none is late
+		begun     map[string]bool                   // work units that have begun
+		steps     map[string]step                   // by job
 		noted     map[string]bool                   // work units that are done, as was taken note of
 		watched   *availability                     // nil if the case checks none
 		latencyOf func(wo *worker, task string) int // of a work unit; nil if none serves. The worker is locked
@@ -74,7 +76,7 @@
 )
 
 func newRig(record, program, logs string) (*rig, error) {
-	rg := &rig{began: time.Now(), program: program, logs: logs, store: plsim.New(1), workers: map[string]*worker{}, noted: map[string]bool{}, endless: "none"}
+	rg := &rig{began: time.Now(), program: program, logs: logs, store: plsim.New(1), workers: map[string]*worker{}, noted: map[string]bool{}, begun: map[string]bool{}, steps: map[string]step{}, endless: "none"}
 	var err error
 	if rg.dir, err = os.MkdirTemp("", "cases3"); err != nil {
 		return nil, err
--- a/review/cases3/units.go
+++ b/review/cases3/units.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -21,8 +23,12 @@
 	}
 )
 
-// noticeTime is notice_ms of the site.
-const noticeTime = 5500 * time.Millisecond
+const (
+	// noticeTime is notice_ms of the site.
+	noticeTime = 5500 * time.Millisecond
+	// maxFits is how much room is counted.
+	maxFits = 100
+)
 
 // watch begins to check AVAIL for the only step of a job.
 func (rg *rig) watch(job string, count, mayMiss int) {
@@ -67,11 +73,53 @@
 	}
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
+	rg.begun[task] = true
 	if un := rg.watched.unit(task); un != nil {
 		un.atWork, un.ordered = true, false
 	}
 }
 
+// begunOf returns how many work units of a job have begun, whether they still run or not.
+func (rg *rig) begunOf(job string) int {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	count := 0
+	for task := range rg.begun {
+		if strings.HasPrefix(task, job+".") {
+			count++
+		}
+	}
+	return count
+}
+
+// capacity returns how many work units of a step have room on the workers, and the larger
+// one of the shares of cores and accelerators that are in use.
+func (rg *rig) capacity(st step) (fits int, used float64) {
+	rg.mu.Lock()
+	workers := slices.Collect(maps.Values(rg.workers))
+	rg.mu.Unlock()
+	var sum step
+	for _, wo := range workers {
+		taken := wo.taken()
+		sum.CPU, sum.GPU = sum.CPU+taken.CPU, sum.GPU+taken.GPU
+		left := step{CPU: workerCPU - taken.CPU, MemMB: workerMem - taken.MemMB, GPU: workerGPU - taken.GPU}
+		for left.CPU >= st.cores() && left.MemMB >= st.MemMB && left.GPU >= st.GPU && fits < maxFits {
+			left = step{CPU: left.CPU - st.cores(), MemMB: left.MemMB - st.MemMB, GPU: left.GPU - st.GPU}
+			fits++
+		}
+	}
+	n := len(workers)
+	return fits, max(float64(sum.CPU)/float64(n*workerCPU), float64(sum.GPU)/float64(n*workerGPU))
+}
+
+// cores returns what a work unit counts against the capacity of its worker.
+func (st step) cores() int {
+	if st.Fills {
+		return 0
+	}
+	return st.CPU
+}
+
 // unitEnds notes that a work unit is not at work any more.
 func (rg *rig) unitEnds(_ *worker, task, how string) {
 	rg.mu.Lock()
--- a/review/cases3/worker.go
+++ b/review/cases3/worker.go
@@ -31,6 +31,9 @@
 		ends     [][]any
 		number   int
 		sequence int
+
+		lapses    int         // how often its leases have lapsed
+		endLapses map[int]int // the same as of each end, by its number
 	}
 
 	// unitRun is a run of a work unit.
@@ -65,7 +68,7 @@
 
 // addWorker starts a worker.
 func (rg *rig) addWorker(id string, labels ...string) (*worker, error) {
-	wo := &worker{rg: rg, id: id, labels: labels, born: time.Now(), runs: map[string]*unitRun{}, last: map[string]int{}}
+	wo := &worker{rg: rg, id: id, labels: labels, born: time.Now(), runs: map[string]*unitRun{}, last: map[string]int{}, endLapses: map[int]int{}}
 	var err error
 	if wo.address, err = rg.serve(wo); err != nil {
 		return nil, err
@@ -122,6 +125,7 @@
 	wo.last[task] = max(wo.last[task], ru.number)
 	wo.number++
 	wo.ends = append(wo.ends, []any{wo.number, task, ru.number, how, ""})
+	wo.endLapses[wo.number] = wo.lapses
 	wo.rg.note("%s run %d on %s has ended: %s", task, ru.number, wo.id, how)
 	wo.rg.unitEnds(wo, task, how)
 }
@@ -244,7 +248,7 @@
 		return fenceError, body
 	}
 	wo.token = ca.Token
-	wo.deadline = max(wo.deadline, min(time.Duration(ca.Deadline)*time.Millisecond, wo.clock()+maxHold))
+	wo.extendLease(time.Duration(ca.Deadline) * time.Millisecond)
 	switch path {
 	case "/run-start":
 		return wo.start(ca), body
@@ -262,17 +266,38 @@
 	return "", body
 }
 
-// acknowledge forgets the ends up to a number, which are taken note of.
+// acknowledge forgets the ends up to a number. They are taken note of, unless the lease
+// has lapsed since.
 func (wo *worker) acknowledge(number int) {
 	wo.ends = slices.DeleteFunc(wo.ends, func(en []any) bool {
-		noted := en[0].(int) <= number
-		if noted && en[3] == "done" {
+		acked := en[0].(int) <= number
+		if acked && en[3] == "done" && wo.lapses == wo.endLapses[en[0].(int)] {
 			wo.rg.noteDone(en[1].(string))
 		}
-		return noted
+		return acked
 	})
 }
 
+// extendLease moves the end of the leases on, but never back. The caller holds wo.mu.
+func (wo *worker) extendLease(deadline time.Duration) {
+	if wo.deadline > 0 && wo.clock() > wo.deadline {
+		wo.lapses++
+	}
+	wo.deadline = max(wo.deadline, min(deadline, wo.clock()+maxHold))
+}
+
+// taken returns what the runs on the worker count against its capacity.
+func (wo *worker) taken() step {
+	wo.mu.Lock()
+	defer wo.mu.Unlock()
+	var sum step
+	for task := range wo.runs {
+		st := wo.rg.stepOf(task)
+		sum.CPU, sum.MemMB, sum.GPU = sum.CPU+st.cores(), sum.MemMB+st.MemMB, sum.GPU+st.GPU
+	}
+	return sum
+}
+
 func (wo *worker) start(ca workerCall) string {
 	if ru, ok := wo.runs[ca.Task]; ok && ru.number == ca.Run {
 		return ""
