launch, domain: the ledger of calls decides when an end is acknowledged, over takeovers

Cause: whether an end may be acknowledged was decided beside the account of the calls, once, when the end was first read, and for 3 s at most, though a copy may arrive for 12 s. The account was state of a unit and ended with it, and a successor knew nothing of copies and acknowledged at once.

Change: package launch has one ledger for the scheduler, which outlives attempts, units and jobs, and answers for ends, too: an end of a task that has succeeded or failed is acknowledged once no copy of a start of it can arrive at that worker, asked each time that a poll is about to be sent. If the worker restarts before, its end is lost with the incarnation, so that the late copy is the only run that counts. So that a successor knows, the store names a start as repeated before its second copy is sent: the call reports that it is unanswered, the core records that and permits the copy. Of any other start of an earlier term there is one copy at most, and none is left if the worker has carried it out. If both copies are answered, nothing waits. Ends wait in order, so at most a tenth of the ends of a term may be late; beyond that, and if a worker has more ends than it lists, they are acknowledged as before. Callers see the end of their job without that wait.

Tests that changed: those of package launch say how many copies were sent; TestSuccessWaitsForLateCopies asks for the whole time in which a copy may arrive instead of 3 s; the scripted tests confirm the record before a start is made again.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -83,6 +83,17 @@
 		Finished  int // all tasks of this many first occurrences have succeeded
 		Succeeded []TaskRange
 		Units     []UnitRecord
+		// RepeatedStarts are the starts that were, or may be, sent to their workers more
+		// than once, so that a copy may arrive although another one was carried out. They
+		// outlive their units and the job.
+		RepeatedStarts []RepeatedStart
+	}
+
+	// RepeatedStart names a start of an attempt on a worker.
+	RepeatedStart struct {
+		Task    TaskID // of the record's job
+		Attempt int
+		Worker  string
 	}
 
 	// TaskRange is a range of units of one step of an occurrence.
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -24,6 +24,11 @@
 			Occurrence: uint32(tr.Occurrence), Step: uint32(tr.Step), First: uint32(tr.First), Count: uint32(tr.Count),
 		})
 	}
+	for _, rs := range rc.RepeatedStarts {
+		msg.RepeatedStarts = append(msg.RepeatedStarts, &wire.RepeatedStart{
+			Occurrence: uint32(rs.Task.Occurrence), Step: uint32(rs.Task.Step), Index: uint32(rs.Task.Index), Attempt: uint32(rs.Attempt), Worker: rs.Worker,
+		})
+	}
 	for i, ur := range rc.Units {
 		units[i] = wire.UnitProgress{
 			Occurrence: uint32(ur.Occurrence), Step: uint32(ur.Step), Index: uint32(ur.Index),
@@ -54,6 +59,10 @@
 			Occurrence: int(st.GetOccurrence()), Step: int(st.GetStep()), First: int(st.GetFirst()), Count: int(st.GetCount()),
 		})
 	}
+	for _, rs := range msg.GetRepeatedStarts() {
+		ti := TaskID{Job: rc.ID, Occurrence: int(rs.GetOccurrence()), Step: int(rs.GetStep()), Index: int(rs.GetIndex())}
+		rc.RepeatedStarts = append(rc.RepeatedStarts, RepeatedStart{Task: ti, Attempt: int(rs.GetAttempt()), Worker: rs.GetWorker()})
+	}
 	for _, un := range msg.GetUnits() {
 		rc.Units = append(rc.Units, UnitRecord{
 			Occurrence: int(un.GetOccurrence()), Step: int(un.GetStep()), Index: int(un.GetIndex()),
--- a/internal/batch/progress_test.go
+++ b/internal/batch/progress_test.go
@@ -50,6 +50,10 @@
 			}
 			rc.Units = append(rc.Units, ur)
 		}
+		for range rapid.IntRange(0, 2).Draw(rt, "repeated") {
+			ti := batch.TaskID{Job: rc.ID, Occurrence: small.Draw(rt, "occurrence"), Step: small.Draw(rt, "step"), Index: small.Draw(rt, "index")}
+			rc.RepeatedStarts = append(rc.RepeatedStarts, batch.RepeatedStart{Task: ti, Attempt: small.Draw(rt, "attempt"), Worker: rapid.String().Draw(rt, "worker")})
+		}
 		data, err := batch.EncodeRecord(rc)
 		is.NoErr(err)
 		got, err := batch.DecodeRecord(data)
--- a/internal/domain/bound.go
+++ b/internal/domain/bound.go
@@ -20,9 +20,6 @@
 	// gangRepeatTime is how long after it was first sent the start of a gang member is
 	// made again. The other members wait for it for 3 s at least.
 	gangRepeatTime = 1500 * time.Millisecond
-	// maxAckDelay is how long the acknowledgement of a success waits for late copies of
-	// its start. Within 5 s all ends have to be acknowledged.
-	maxAckDelay = 3 * time.Second
 	// entryLapseTime is the time after which the entry of a worker that has ended is gone:
 	// the platform removes it after three reports that it misses, 4.5 s, and a margin.
 	entryLapseTime = 6 * time.Second
@@ -32,24 +29,32 @@
 // run that it was for has ended or not.
 func (co *Core) noteStartReturned(now time.Time, ev Started) {
 	rq := ev.Call.Request
-	un := co.unitOf(rq.Task)
-	if un == nil {
-		return
-	}
-	if ca := un.calls.Find(ev.Call.Worker.ID, rq.Task.Index, rq.Attempt); ca != nil {
-		ca.Return(now, isSettled(ev) || !ev.Repeated && ca.IsCarriedOut())
+	if ca := co.calls.Find(ev.Call.Worker.ID, rq.Task, rq.Attempt); ca != nil {
+		ca.Return(now, ev.Repeated, ev.lostCopies())
 	}
 }
 
-// isSettled reports whether the outcome of each copy of a start is known.
-func isSettled(ev Started) bool {
+// lostCopies returns the number of copies of a start whose outcome is unknown.
+func (ev Started) lostCopies() int {
+	copies := 1
+	if ev.Repeated {
+		copies = 2
+	}
 	switch {
 	case errors.Is(ev.Err, runner.ErrOutcomeUnknown):
-		return false
+		return copies
 	case ev.Err == nil, errors.Is(ev.Err, runner.ErrFenced), errors.Is(ev.Err, runner.ErrRestarted):
-		return !ev.Repeated // the outcome of one copy decides for both
+		return copies - 1 // the outcome of one copy decides for both
 	default:
-		return true
+		return 0
+	}
+}
+
+// handleAnswered notes that the second reply to a start has arrived that was sent twice.
+func (co *Core) handleAnswered(ev Answered) {
+	rq := ev.Call.Request
+	if ca := co.calls.Find(ev.Call.Worker.ID, rq.Task, rq.Attempt); ca != nil {
+		ca.Answer()
 	}
 }
 
@@ -80,30 +85,13 @@
 	if !ru.startedHere || !ru.call.Settled() {
 		sent = ru.call.Last(now)
 	}
-	if ru.unit != nil {
-		sent = latest(sent, ru.unit.calls.LastUnsettled(now, ru.node.worker.ID, ru.task.Index, ru.call))
-	}
+	sent = latest(sent, co.calls.LastUnsettled(now, ru.node.worker.ID, ru.task, ru.call))
 	if sent.IsZero() || ru.startedHere && ru.listedAt.Sub(sent) >= maxCallDelay {
 		return time.Time{}
 	}
 	return latest(sent, ru.node.leaseSentAt).Add(maxCallDelay + maxLeaseTime)
 }
 
-// ackTime returns when the success of a task may be acknowledged to its worker. If the
-// worker restarts before that, a late copy of the start runs the task again, but the
-// worker's success was never taken note of.
-func (co *Core) ackTime(now time.Time, nd *node, ti batch.TaskID) time.Time {
-	un := co.unitOf(ti)
-	if un == nil {
-		return time.Time{}
-	}
-	until := un.calls.ArrivesUntil(now, nd.worker.ID, ti.Index)
-	if limit := now.Add(maxAckDelay); until.After(limit) {
-		return limit
-	}
-	return until
-}
-
 // mayRepeatStart reports whether the start of a run that its worker doesn't list is made
 // again there. The worker has just replied.
 func (co *Core) mayRepeatStart(now time.Time, ru *run) bool {
@@ -126,8 +114,13 @@
 	}
 }
 
-// repeatStart makes the start of a run again on the same worker.
+// repeatStart makes the start of a run again on the same worker, once the store names it
+// as repeated.
 func (co *Core) repeatStart(now time.Time, ru *run, reason string) {
+	if !ru.isRepeatRecorded() {
+		co.recordRepeat(ru)
+		return
+	}
 	co.emit(LogDecision{Decision: "startsAgain", Job: ru.task.Job, Task: ru.task.String(), Attempt: ru.attempt, Worker: ru.node.worker.ID, Reason: reason})
 	co.sendStart(now, ru)
 }
@@ -146,7 +139,7 @@
 
 // bind binds a unit whose attempt is over if a start of it may still take effect.
 func (co *Core) bind(now time.Time, un *unit) {
-	if un.calls.MayBar(now) && !un.bound {
+	if co.mayBar(now, un) && !un.bound {
 		un.bound = true
 		co.bound = append(co.bound, un)
 	}
@@ -189,7 +182,7 @@
 	})
 	for _, un := range co.bound {
 		for i := range un.tasks {
-			for _, worker := range un.calls.Asks(now, un.index+i, co.contacts(now)) {
+			for _, worker := range co.calls.Asks(now, un.taskID(i), co.contacts(now)) {
 				co.askBinding(now, co.nodes[worker])
 			}
 		}
@@ -207,17 +200,24 @@
 
 // mayBeginAnywhere reports whether no task of a unit is restricted to a worker.
 func (co *Core) mayBeginAnywhere(now time.Time, un *unit) bool {
-	if !un.calls.MayBar(now) {
-		return true
-	}
 	for i := range un.tasks {
-		if !un.calls.Next(now, un.index+i, co.contacts(now)).Anywhere {
+		if !co.calls.Next(now, un.taskID(i), co.contacts(now)).Anywhere {
 			return false
 		}
 	}
 	return true
 }
 
+// mayBar reports whether some call may restrict where the next attempt of a unit begins.
+func (co *Core) mayBar(now time.Time, un *unit) bool {
+	for i := range un.tasks {
+		if co.calls.MayBar(now, un.taskID(i)) {
+			return true
+		}
+	}
+	return false
+}
+
 // placeBound places the bound units for which their workers have room.
 func (co *Core) placeBound(ps *pass) {
 	for _, un := range co.bound {
@@ -235,7 +235,7 @@
 // work, so that advice about them is of use.
 func (co *Core) bindingAccepts(ps *pass, un *unit) bool {
 	for i := range un.tasks {
-		ch := un.calls.Next(ps.now, un.index+i, co.contacts(ps.now))
+		ch := co.calls.Next(ps.now, un.taskID(i), co.contacts(ps.now))
 		if nd := co.nodes[ch.Worker]; !ch.Anywhere && (nd == nil || !nd.acceptsWorkIfHealthy(ps.now)) {
 			return false
 		}
@@ -251,7 +251,7 @@
 	taken := map[*node]int{}
 	rack := ""
 	for i := range nodes {
-		ch := un.calls.Next(ps.now, un.index+i, co.contacts(ps.now))
+		ch := co.calls.Next(ps.now, un.taskID(i), co.contacts(ps.now))
 		if ch.Anywhere {
 			continue
 		}
--- a/internal/domain/commit.go
+++ b/internal/domain/commit.go
@@ -88,7 +88,7 @@
 	next := cq.nextBatch()
 	versions := make([]jobVersion, len(next))
 	for i, jb := range next {
-		cm.Records = append(cm.Records, jb.record())
+		cm.Records = append(cm.Records, co.recordOf(now, jb))
 		versions[i] = jobVersion{jb, jb.version}
 		cq.inFlightJobs[jb] = true
 		delete(cq.dirtySet, jb)
@@ -161,6 +161,7 @@
 		jv.job.closeFinished()
 		jv.job.releaseEnded()
 	}
+	co.sendRepeats(now)
 	for _, nd := range slices.SortedFunc(maps.Keys(co.unsavedEnds), compareNodes) {
 		co.advanceSavedEnd(now, nd)
 		if len(nd.pendingEnds) == 0 {
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
+	"github.com/cicadawharf/cicadawharf/internal/launch"
 	"github.com/cicadawharf/cicadawharf/internal/runner"
 )
 
@@ -60,8 +61,11 @@
 		pollCandidates       []*node        // nodes to be polled if their next poll is due; may contain duplicates
 		changed              map[*unit]bool // units to be evaluated
 		claimed              []*unit        // units with claims on nodes; some may have been released since
-		bound                []*unit        // units that are bound, see bound.go; some may have been placed since
-		passDue              bool           // a placement pass is to follow as soon as passInterval permits
+		calls                launch.Ledger  // that start attempts, as long as they matter
+		repeats              []*run         // whose starts are to be sent again once the store names them; see recordRepeat
+		ends                 endCounts
+		bound                []*unit // units that are bound, see bound.go; some may have been placed since
+		passDue              bool    // a placement pass is to follow as soon as passInterval permits
 		lastPass             time.Time
 		awaitedAt            int                   // index in sortedNodes, see takeoverDone
 		rounds               rounds                // of passes
@@ -187,7 +191,7 @@
 		co.setDrainDeadlines(now, ev.By)
 	case WorkerDown:
 		co.workerDown(now, ev.Worker)
-	case Polled, Started, Stopped, Advised, Committed:
+	case Polled, Started, Unanswered, Answered, Stopped, Advised, Committed:
 		co.handleOutcome(now, ev)
 	case Ticked:
 		co.tick(now)
@@ -206,6 +210,10 @@
 		co.handlePoll(now, ev)
 	case Started:
 		co.handleStart(now, ev)
+	case Unanswered:
+		co.handleUnanswered(now, ev)
+	case Answered:
+		co.handleAnswered(ev)
 	case Stopped:
 		co.handleStop(now, ev)
 	case Advised:
@@ -347,6 +355,8 @@
 	co.forgetEnded(now)
 	co.forgetSilences(now)
 	co.forgetRemoved(now)
+	co.calls.Prune(now)
+	co.reportEnds(now)
 	co.forgetOpenLosses(now)
 	co.reportStuckStops(now)
 	co.passDue = true
--- a/internal/domain/event.go
+++ b/internal/domain/event.go
@@ -60,6 +60,14 @@
 		Repeated bool // the call was made twice, and only one may have a reply
 	}
 
+	// Unanswered reports that a Start has had no reply for a while. Repeat has it sent a
+	// second time.
+	Unanswered struct{ Call Start }
+
+	// Answered reports that the other copy of a Start has an outcome, too, that was sent
+	// twice and has returned with the outcome of one.
+	Answered struct{ Call Start }
+
 	// Stopped is the outcome of a Stop.
 	Stopped struct {
 		Call Stop
@@ -114,6 +122,14 @@
 		Request runner.StartRequest
 	}
 
+	// Repeat has the call that starts an attempt sent a second time if it has not returned.
+	// The store names the attempt as one of which several copies may arrive.
+	Repeat struct {
+		Worker  string
+		Task    batch.TaskID
+		Attempt int
+	}
+
 	// Withdraw gives up the call that starts an attempt, since its outcome is known
 	// otherwise: the call must not be sent again.
 	Withdraw struct {
@@ -166,6 +182,9 @@
 	//   - reborn: a worker has restarted; Reason says what shows it
 	//   - fenced: orders to a former incarnation of a worker can't take effect any
 	//     more
+	//   - holdsEnds: a worker's ends are not acknowledged in time, since a copy of a
+	//     start of the task of the first one may still arrive; see Beside
+	//   - releasesEnds: they are acknowledged all the same, since too many wait
 	//   - unlisted: the platform no longer lists a worker
 	//   - suspects: a worker is suspended
 	//   - reinstates: a worker returns to service
@@ -182,7 +201,7 @@
 		Token       int64         // that a worker has confirmed after a restart
 		Leases      time.Duration // by which leases that it may have been granted before that expire at the latest; zero if there are none
 		Granted     time.Duration // since the last lease was granted to a worker that has restarted; zero if none was
-		Beside      int           // number of other runs on the worker of a lost run; of runs whose ends may be omitted
+		Beside      int           // number of other runs on the worker of a lost run; of runs whose ends may be omitted; of ends that wait
 		Crashes     int           // of workers under a task, by the last one
 		Suspected   int           // how many of these crashes the task has probably caused
 		Waited      time.Duration // by a placed unit since its due time or acceptance, earlier attempts included; by a job that ends, until its first placement
@@ -235,6 +254,13 @@
 		Limit int64 // bytes from which further jobs are refused
 	}
 
+	// EndReport counts the ends that workers have listed in this term. It is emitted when
+	// the counts change, at most once a second.
+	EndReport struct {
+		Read int // processed
+		Late int // those that were not acknowledged in time since copies of their starts may arrive
+	}
+
 	// Resign ends the term: leadership is lost to the holder of a larger token.
 	Resign struct{ Reason string }
 )
@@ -344,6 +370,8 @@
 func (EvacuationSet) event()   {}
 func (WorkerDown) event()      {}
 func (Started) event()         {}
+func (Unanswered) event()      {}
+func (Answered) event()        {}
 func (Stopped) event()         {}
 func (Advised) event()         {}
 func (Committed) event()       {}
@@ -353,6 +381,7 @@
 func (Commit) effect()           {}
 func (Poll) effect()             {}
 func (Start) effect()            {}
+func (Repeat) effect()           {}
 func (Withdraw) effect()         {}
 func (Stop) effect()             {}
 func (Advise) effect()           {}
@@ -363,4 +392,5 @@
 func (EvacuationReport) effect() {}
 func (HealthReport) effect()     {}
 func (StateReport) effect()      {}
+func (EndReport) effect()        {}
 func (Resign) effect()           {}
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
-	"github.com/cicadawharf/cicadawharf/internal/launch"
 )
 
 type (
@@ -55,8 +54,7 @@
 		checkpointAt      time.Time       // when a new checkpoint was last reported
 		moveFailedAt      time.Time       // when a search for capacity to move it to last found none
 		runs              []*run          // of the current attempt, by task
-		calls             launch.Ledger   // that have started its attempts, as long as they may take effect
-		bound             bool            // these calls restrict where its next attempt begins; see bound.go
+		bound             bool            // calls that have started its attempts restrict where the next one begins; see bound.go
 		recordVersion     int             // version of the job that records the attempt
 		avoided           map[string]bool // IDs of workers that failed it, let it hang or refused its start
 		preemptions       int             // in this term
--- a/internal/domain/latestart_test.go
+++ b/internal/domain/latestart_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
 	"github.com/cicadawharf/cicadawharf/internal/domain"
+	"github.com/cicadawharf/cicadawharf/internal/launch"
 	"github.com/cicadawharf/cicadawharf/internal/runner"
 )
 
@@ -73,11 +74,20 @@
 	is := is.New(t)
 	sc := newScriptedCore(domain.Config{}, "w1", "w2")
 	st := sc.startOne(is)
+	sc.repeat(st)
 	sc.pass(time.Second)
 	sc.handle(domain.Started{Call: st, Err: runner.ErrOutcomeUnknown, Repeated: true})
 	return sc, st
 }
 
+// repeat reports that a start has had no reply, and confirms that the store names it as
+// repeated.
+func (sc *scriptedCore) repeat(st domain.Start) {
+	sc.handle(domain.Unanswered{Call: st})
+	sc.pass(tickInterval)
+	sc.commitAll()
+}
+
 // TestLostStartIsMadeAgain guards against an attempt that is given up, and stopped, since
 // the reply to its start was lost, although its worker is in touch.
 func TestLostStartIsMadeAgain(t *testing.T) {
@@ -172,6 +182,7 @@
 	is.Equal(len(starts), 2)
 	lost, kept := starts[1], starts[0]
 	sc.handle(domain.Started{Call: kept})
+	sc.repeat(lost)
 	for range 2 {
 		sc.pass(time.Second)
 		sc.handle(domain.Started{Call: lost, Err: runner.ErrOutcomeUnknown, Repeated: true})
@@ -215,14 +226,18 @@
 
 // TestSuccessWaitsForLateCopies guards against a success that is acknowledged at once
 // although a copy of its start may arrive at the worker's next incarnation, and against an
-// acknowledgement that waits for longer than 5 s.
+// acknowledgement that waits for longer than a copy can be late.
 func TestSuccessWaitsForLateCopies(t *testing.T) {
 	for _, repeated := range []bool{false, true} {
 		t.Run(fmt.Sprintf("repeated=%v", repeated), func(t *testing.T) {
 			is := is.New(t)
 			sc := newScriptedCore(domain.Config{}, "w1", "w2")
 			st := sc.startOne(is)
+			if repeated {
+				sc.repeat(st)
+			}
 			sc.handle(domain.Started{Call: st, Repeated: repeated})
+			returned := sc.now
 			end := runner.EndPage{Ends: []runner.End{{Number: 1, Task: st.Request.Task, Attempt: 1, Reason: runner.Succeeded}}}
 			sc.reply(st.Worker.ID, runner.Status{Ended: end})
 			sc.pass(time.Second)
@@ -243,7 +258,10 @@
 			if !repeated {
 				return
 			}
-			sc.pass(2500 * time.Millisecond)
+			for sc.now.Sub(returned) < launch.MaxDelay-700*time.Millisecond {
+				is.True(!acked())
+			}
+			sc.pass(time.Second)
 			is.True(acked())
 		})
 	}
@@ -263,7 +281,10 @@
 	sc.handle(domain.Ticked{})
 	sc.reply("w1", runner.Status{})
 	sc.reply("w2", runner.Status{})
+	is.Equal(len(effectsOf[domain.Start](sc)), 0) // the store doesn't name the repetition yet
+	sc.pass(tickInterval)
 	sc.commitAll()
+	sc.reply("w2", runner.Status{})
 	starts := effectsOf[domain.Start](sc)
 	is.Equal(len(starts), 1)
 	is.Equal(starts[0].Worker.ID, "w2")
--- a/internal/domain/node.go
+++ b/internal/domain/node.go
@@ -37,7 +37,9 @@
 		polling                bool         // the long poll for ends is in flight
 		nextPoll               time.Time    // earliest time of the next poll
 		lastEnd                int64        // number of the last end processed
-		pendingEnds            []pendingEnd // processed, but not in the store yet
+		pendingEnds            []pendingEnd // processed, but not in the store yet, or not to be acknowledged yet
+		moreEnds               bool         // the last reply has not listed all ends
+		lateEnds               int          // how many of the first of these are counted as late
 		savedEnd               int64        // number of the last end in the store
 		ackedEnd               int64        // number of the last end acknowledged to the worker
 		endsOmitted            bool         // the last reply to a poll may have omitted ends of runs
@@ -58,15 +60,6 @@
 		task    batch.TaskID
 		attempt int
 	}
-
-	// pendingEnd is an end that is acknowledged once a version of a job is
-	// saved.
-	pendingEnd struct {
-		number    int64
-		job       *job // nil if the end changed nothing
-		version   int
-		notBefore time.Time // see ackTime
-	}
 )
 
 // listWorker adds or updates the node of a worker by its platform entry.
@@ -240,7 +233,7 @@
 	nd.earlierLeases, nd.deadline = nd.leaseEnd, 0
 	nd.worker.Born, nd.bornAt = born, now
 	nd.lastEnd, nd.savedEnd, nd.ackedEnd = 0, 0, 0
-	nd.pendingEnds = nil
+	nd.dropPendingEnds()
 	nd.lastResponse = time.Time{}
 	nd.clockAt = time.Time{}
 	nd.nextPoll = now
@@ -273,7 +266,7 @@
 func (co *Core) endIncarnation(now time.Time, nd *node, cause LossCause) {
 	co.loseRuns(now, nd.sortedRuns(), cause)
 	if cause != LeaseExpired { // otherwise the worker may still wait for their acknowledgement
-		nd.pendingEnds = nil
+		nd.dropPendingEnds()
 	}
 	if !nd.listed {
 		co.removeNode(now, nd)
--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -16,6 +16,7 @@
 		if nd.polling || now.Before(nd.nextPoll) || nd.worker.Address == "" || co.nodes[nd.worker.ID] != nd {
 			continue
 		}
+		co.advanceSavedEnd(now, nd)
 		rq := runner.PollRequest{Token: nd.fence.token}
 		if nd.savedEnd > nd.ackedEnd {
 			rq.Acked = nd.savedEnd
@@ -158,14 +159,16 @@
 
 // processEnds processes the ends that a worker has not reported before.
 func (co *Core) processEnds(now time.Time, nd *node, page runner.EndPage) {
+	nd.moreEnds = page.More
 	for _, en := range page.Ends {
 		if en.Number <= nd.lastEnd {
 			continue
 		}
 		nd.lastEnd = en.Number
 		co.handleEnd(now, nd, en)
-		nd.pendingEnds = append(nd.pendingEnds, co.newPendingEnd(now, nd, en, page.More))
+		nd.pendingEnds = append(nd.pendingEnds, co.newPendingEnd(now, en))
 		co.unsavedEnds[nd] = true
+		co.ends.read++
 	}
 }
 
@@ -208,7 +211,9 @@
 	ru.startLostAt = time.Time{}
 	ru.listedAt, ru.incarnation, ru.lostBy = now, nd.worker.Incarnation(), loss{}
 	ru.startedHere, ru.lateUntil, ru.stop.ackedByFormer = true, time.Time{}, false
-	co.withdrawStart(ru)
+	if ru.call != nil && ru.call.MayRepeat() {
+		co.withdrawStart(ru)
+	}
 	ru.mayHaveEnded = false
 	if ru.confirmedAt.IsZero() {
 		ru.confirmedAt = now
@@ -286,34 +291,3 @@
 // happenedBefore reports whether something happened before a poll was sent. A
 // zero time means that it has not happened.
 func happenedBefore(at, sent time.Time) bool { return !at.IsZero() && !at.After(sent) }
-
-// newPendingEnd returns an end with the version of its job that accounts for
-// it. The end of a stopped task without a checkpoint needs no record: a successor
-// that does not find the run restarts the task as well.
-func (co *Core) newPendingEnd(now time.Time, nd *node, en runner.End, more bool) pendingEnd {
-	pe := pendingEnd{number: en.Number}
-	if en.Reason == runner.Succeeded && !more { // otherwise others wait behind it
-		pe.notBefore = co.ackTime(now, nd, en.Task)
-	}
-	if en.Reason == runner.Stopped && en.Checkpoint == "" {
-		return pe
-	}
-	if jb, ok := co.jobs[en.Task.Job]; ok && jb.savedVersion < jb.version {
-		pe.job = jb
-		pe.version = jb.version
-	}
-	return pe
-}
-
-// advanceSavedEnd advances savedEnd past the ends that are in the store and may be
-// acknowledged. The next poll acknowledges them to the worker.
-func (co *Core) advanceSavedEnd(now time.Time, nd *node) {
-	for len(nd.pendingEnds) > 0 {
-		pe := nd.pendingEnds[0]
-		if now.Before(pe.notBefore) || pe.job != nil && pe.job.savedVersion < pe.version {
-			return
-		}
-		nd.savedEnd = pe.number
-		nd.pendingEnds = nd.pendingEnds[1:]
-	}
-}
--- a/internal/domain/record.go
+++ b/internal/domain/record.go
@@ -140,6 +140,7 @@
 
 // restoreRecord restores the state of a job from the record of an earlier term.
 func (co *Core) restoreRecord(now time.Time, jb *job, rc batch.Record) {
+	co.restoreRepeats(now, rc)
 	jb.state = rc.State
 	if rc.State.Final() {
 		jb.endedAt = now
@@ -202,8 +203,7 @@
 			un.markMemberEnded()
 			continue
 		}
-		ru := &run{unit: un, task: un.taskID(i), attempt: un.attempt, stage: adopted, call: un.calls.Begin(now, id, un.index+i, un.attempt)}
-		ru.call.Adopt(now, now.Add(MaxRenewalAge))
+		ru := &run{unit: un, task: un.taskID(i), attempt: un.attempt, stage: adopted, call: co.adoptCall(now, id, un.taskID(i), un.attempt)}
 		co.addRun(ru, co.restoreNode(now, id, ur, i))
 		ru.incarnation = 0 // the worker may have restarted since the record was written
 		if i < len(ur.Incarnations) {
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -28,6 +28,7 @@
 		clockReadAfter   time.Time     // see node.clockReadAfter, for clockSent
 		startedHere      bool          // the present incarnation of its worker has confirmed or listed it
 		call             *launch.Call  // that starts it; nil if it was not sent and no record names it
+		repeatVersion    int           // version of the job that names the start as repeated; zero before recordRepeat
 		startLostAt      time.Time     // when the reply to its start was lost
 		startRefused     bool          // no incarnation of the worker has carried its start out
 		lateUntil        time.Time     // until when a start that reaches the worker's next incarnation late may run there; zero if none can
@@ -127,7 +128,6 @@
 	}
 	if len(un.runs) > 0 && un.allEnded() {
 		un.runs = nil
-		un.calls = launch.Ledger{}
 		co.markDirty(un.job)
 	}
 }
@@ -169,7 +169,7 @@
 	un.setPhase(live)
 	un.isolate(now)
 	for _, ru := range un.runs {
-		ru.call = un.calls.Begin(now, ru.node.worker.ID, ru.task.Index, ru.attempt)
+		ru.call = co.calls.Begin(ru.node.worker.ID, ru.task, ru.attempt)
 		co.sendStart(now, ru)
 	}
 }
@@ -368,9 +368,11 @@
 	if ru != nil {
 		co.emit(LogDecision{Decision: "ends", Job: en.Task.Job, Task: en.Task.String(), Attempt: en.Attempt, Worker: nd.worker.ID, Reason: en.Reason.String()})
 		ru.outcome = en.Reason
-		ru.see()
 		co.endRun(ru)
 	}
+	if ca := co.calls.Find(nd.worker.ID, en.Task, en.Attempt); ca != nil {
+		ca.See()
+	}
 	un := co.unitOf(en.Task)
 	switch {
 	case un == nil, un.phase == finished:
--- a/internal/domain/simulation_test.go
+++ b/internal/domain/simulation_test.go
@@ -390,6 +390,13 @@
 			}
 			return domain.Started{Call: ef, Clock: rp.clock, Repeated: rp.repeated}
 		})
+	case domain.Repeat:
+		if sim.transit != nil {
+			sim.transit.repeats[ef]()
+		}
+		if sim.processor != nil {
+			sim.processor.repeats[ef]()
+		}
 	case domain.Withdraw:
 		if sim.transit != nil {
 			sim.transit.withdraws[ef]()
--- a/internal/domain/slowhost_test.go
+++ b/internal/domain/slowhost_test.go
@@ -25,6 +25,7 @@
 		urgent    []lateEvent // handled before events, as in package drive
 		ticks     []lateEvent // one Ticked and one Prompted at most
 		withdraws map[domain.Withdraw]func()
+		repeats   map[domain.Repeat]func()
 		confirmed time.Time     // when the last confirmed renewal of the scheduler's lease was sent
 		waits     []eventWait   // of all events
 		longest   time.Duration // that the core has taken for an event
@@ -63,7 +64,7 @@
 
 // slowDown gives the host of the scheduler a part of a processor.
 func (sim *simulation) slowDown(cores float64) *processor {
-	pr := &processor{sim: sim, cores: cores, withdraws: map[domain.Withdraw]func(){}, confirmed: sim.now}
+	pr := &processor{sim: sim, cores: cores, withdraws: map[domain.Withdraw]func(){}, repeats: map[domain.Repeat]func(){}, confirmed: sim.now}
 	sim.processor = pr
 	pr.renew()
 	return pr
@@ -213,6 +214,12 @@
 			pr.queue(le, outcome(rp))
 		}
 	}
+	answer := func(rp reply) {
+		if st, ok := ef.(domain.Start); ok && settled && repeated {
+			pr.queue(le, domain.Answered{Call: st})
+		}
+		settle(rp)
+	}
 	send := func() {
 		pr.cost(sendCost, func() {
 			if settled {
@@ -220,19 +227,27 @@
 			}
 			sim.after(networkDelay, func() {
 				rp := do()
-				sim.after(networkDelay, func() { pr.cost(replyCost, func() { settle(rp) }) })
+				sim.after(networkDelay, func() { pr.cost(replyCost, func() { answer(rp) }) })
 			})
 		})
 	}
 	giveUp := func() { settle(reply{err: runner.ErrOutcomeUnknown}) }
+	resend := func() {
+		if !settled {
+			repeated = true
+			send()
+		}
+	}
+	late := resend
 	if st, ok := ef.(domain.Start); ok {
 		pr.withdraws[domain.Withdraw{Worker: st.Worker.ID, Task: st.Request.Task, Attempt: st.Request.Attempt}] = giveUp
+		pr.repeats[domain.Repeat{Worker: st.Worker.ID, Task: st.Request.Task, Attempt: st.Request.Attempt}] = resend
+		late = func() { pr.queue(le, domain.Unanswered{Call: st}) }
 	}
 	send()
 	sim.after(repeatDelay, func() {
 		if !settled {
-			repeated = true
-			send()
+			late()
 		}
 	})
 	sim.after(callTimeout, giveUp)
--- a/internal/domain/transit_test.go
+++ b/internal/domain/transit_test.go
@@ -18,11 +18,13 @@
 		dark      map[string]bool // workers that are down; calls to them wait for their return
 		crashedAt map[string][]time.Time
 		heldUntil map[string]time.Time // calls that are sent to a worker now are carried out then
+		lateStart map[string]time.Time // the next start that is sent to a worker is carried out then, without a reply
 		crashLoss crashLoss
 		dropped   float64                    // fraction of calls that never arrive
 		held      float64                    // fraction of calls that arrive up to maxCallAge after they were sent
 		lost      float64                    // fraction of replies that are lost
 		withdraws map[domain.Withdraw]func() // give up the starts that were made, by the effects that ask for it
+		repeats   map[domain.Repeat]func()   // send them a second time
 		counts    map[string]int             // of calls that another incarnation has carried out, by kind
 	}
 
@@ -61,7 +63,7 @@
 // carryCallsOver makes calls that are on their way to a worker reach its next
 // incarnation.
 func (sim *simulation) carryCallsOver() *transit {
-	sim.transit = &transit{sim: sim, dark: map[string]bool{}, crashedAt: map[string][]time.Time{}, heldUntil: map[string]time.Time{}, counts: map[string]int{}, withdraws: map[domain.Withdraw]func(){}}
+	sim.transit = &transit{sim: sim, dark: map[string]bool{}, crashedAt: map[string][]time.Time{}, heldUntil: map[string]time.Time{}, lateStart: map[string]time.Time{}, counts: map[string]int{}, withdraws: map[domain.Withdraw]func(){}, repeats: map[domain.Repeat]func(){}}
 	return sim.transit
 }
 
@@ -95,7 +97,12 @@
 	de := &delivery{id: id, born: sim.fleet.Born(id), crashes: len(tr.crashedAt[id]), sent: sim.now, call: call, do: do}
 	delay := networkDelay
 	draw := sim.rng.Float64()
+	_, isStart := call.(domain.Start)
 	switch {
+	case isStart && tr.lateStart[id].After(sim.now):
+		de.received = true
+		delay = tr.lateStart[id].Sub(sim.now)
+		delete(tr.lateStart, id)
 	case tr.heldUntil[id].After(sim.now):
 		de.received = true
 		delay = tr.heldUntil[id].Sub(sim.now)
@@ -189,9 +196,12 @@
 func (tr *transit) call(le *leader, id string, ef domain.Effect, do func() reply, outcome func(reply) domain.Event) {
 	sim := tr.sim
 	var sent []*delivery
-	received, settled := 0, false
+	received, settled, givenUp := 0, false, false
 	settle := func(rp reply) {
 		if settled {
+			if st, ok := ef.(domain.Start); ok && !givenUp && len(sent) > 1 && received == len(sent) {
+				sim.handle(le, domain.Answered{Call: st})
+			}
 			return
 		}
 		settled = true
@@ -213,18 +223,30 @@
 			return rp.err
 		}))
 	}
+	giveUp := func() {
+		settle(reply{err: runner.ErrOutcomeUnknown})
+		givenUp = true
+	}
+	resend := func() {
+		if !settled && !le.dead {
+			send()
+		}
+	}
+	late := resend
 	if st, ok := ef.(domain.Start); ok {
+		late = func() { sim.handle(le, domain.Unanswered{Call: st}) }
+		tr.repeats[domain.Repeat{Worker: id, Task: st.Request.Task, Attempt: st.Request.Attempt}] = resend
 		tr.withdraws[domain.Withdraw{Worker: id, Task: st.Request.Task, Attempt: st.Request.Attempt}] = func() {
-			sim.after(0, func() { settle(reply{err: runner.ErrOutcomeUnknown}) })
+			sim.after(0, func() { giveUp() })
 		}
 	}
 	send()
 	sim.after(repeatDelay, func() {
-		if !settled && !le.dead {
-			send()
+		if !settled {
+			late()
 		}
 	})
-	sim.after(callTimeout, func() { settle(reply{err: runner.ErrOutcomeUnknown}) })
+	sim.after(callTimeout, giveUp)
 }
 
 // isDecided reports whether the error of one call holds although another one may still
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -169,6 +169,7 @@
 	defer te.setEvacuationGauges(domain.EvacuationReport{})
 	defer setHealthGauges(domain.HealthReport{})
 	defer setStateGauges(domain.StateReport{})
+	defer setEndGauges(domain.EndReport{})
 	te.core = domain.New(time.Now(), cf)
 	takeoverTime.UpdateDuration(te.leaseRequested)
 	te.log.Info("state loaded", "event", "loaded", "jobs", len(cf.Jobs), "records", len(cf.Records),
@@ -302,7 +303,10 @@
 	case domain.Poll:
 		go te.poll(ef)
 	case domain.Start:
-		go te.start(te.starts.begin(te.ctx, ef), ef)
+		ctx, os := te.starts.begin(te.ctx, ef)
+		go te.start(ctx, os)
+	case domain.Repeat:
+		te.starts.permitRepeat(ef)
 	case domain.Withdraw:
 		te.starts.withdraw(ef)
 	case domain.Stop:
@@ -312,6 +316,17 @@
 	case domain.LogDecision:
 		countDecision(ef)
 		te.logDecision(ef)
+	case domain.Resign:
+		te.log.Warn("leader resigns", "event", "resigns", "reason", ef.Reason)
+		te.end()
+	default:
+		te.report(ef)
+	}
+}
+
+// report publishes a report of the core as metrics and log lines.
+func (te *term) report(ef domain.Effect) {
+	switch ef := ef.(type) {
 	case domain.BacklogReport:
 		te.setBacklogGauges(ef)
 		te.logBacklog(ef)
@@ -324,12 +339,11 @@
 		te.logEvacuation(ef)
 	case domain.StateReport:
 		setStateGauges(ef)
+	case domain.EndReport:
+		setEndGauges(ef)
 	case domain.HealthReport:
 		setHealthGauges(ef)
 		te.logHealth(ef)
-	case domain.Resign:
-		te.log.Warn("leader resigns", "event", "resigns", "reason", ef.Reason)
-		te.end()
 	}
 }
 
@@ -342,18 +356,6 @@
 	te.send(domain.Polled{Call: ef, Status: st, Err: err})
 }
 
-func (te *term) start(ctx context.Context, ef domain.Start) {
-	defer te.starts.end(ef)
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	began := time.Now()
-	clock, repeated, err := callTwice(ctx, func(ctx context.Context) (time.Duration, error) {
-		return te.cfg.Workers.Start(ctx, ef.Worker, ef.Request)
-	})
-	countCall("start", began, err)
-	te.send(domain.Started{Call: ef, Clock: clock, Err: err, Repeated: repeated})
-}
-
 func (te *term) stop(ef domain.Stop) {
 	ctx, cancel := context.WithTimeout(te.ctx, callTimeout)
 	defer cancel()
--- a/internal/drive/log.go
+++ b/internal/drive/log.go
@@ -52,6 +52,9 @@
 	if ld.Decision == "endsOmitted" || ld.Decision == "reborn" {
 		args = append(args, "attempts", ld.Beside)
 	}
+	if ld.Decision == "holdsEnds" || ld.Decision == "releasesEnds" {
+		args = append(args, "behind", ld.Beside)
+	}
 	addTime("granted", ld.Granted)
 	if ld.Decision == "fenced" {
 		args = append(args, "fence", ld.Token)
--- a/internal/drive/metrics.go
+++ b/internal/drive/metrics.go
@@ -127,6 +127,13 @@
 	}
 }
 
+// setEndGauges sets the gauges of the ends that workers have listed in this term.
+func setEndGauges(er domain.EndReport) {
+	for kind, n := range map[string]int{"read": er.Read, "late": er.Late} {
+		metrics.GetOrCreateGauge(fmt.Sprintf("cicadawharf_domain_ends{kind=%q}", kind), nil).Set(float64(n))
+	}
+}
+
 // countCall records the duration and the result of a call to a worker that
 // began at the given time.
 func countCall(call string, began time.Time, err error) {
--- a/internal/launch/launch_test.go
+++ b/internal/launch/launch_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/cicadawharf/cicadawharf/internal/batch"
 	"github.com/cicadawharf/cicadawharf/internal/launch"
 )
 
@@ -22,13 +23,16 @@
 	}
 }
 
-// lostCall returns a ledger with a call to worker w that was lost a second after it was
-// made.
+// taskAt returns a task of job j.
+func taskAt(index int) batch.TaskID { return batch.TaskID{Job: "j", Index: index} }
+
+// lostCall returns a ledger with a call to worker w both copies of which were lost, a second
+// after it was made.
 func lostCall(task int) (*launch.Ledger, *launch.Call) {
 	le := &launch.Ledger{}
-	ca := le.Begin(began, "w", task, 1)
+	ca := le.Begin("w", taskAt(task), 1)
 	ca.Send(began, 1)
-	ca.Return(began.Add(time.Second), false)
+	ca.Return(began.Add(time.Second), true, 2)
 	return le, ca
 }
 
@@ -65,7 +69,7 @@
 		{"made again, not returned", 30 * time.Second, silent, func(ca *launch.Call) { ca.Send(began.Add(2*time.Second), 1) }, false},
 		{"made again and confirmed", 2 * time.Second, heard(time.Second), func(ca *launch.Call) {
 			ca.Send(began.Add(time.Second), 1)
-			ca.Return(began.Add(2*time.Second), true)
+			ca.Return(began.Add(2*time.Second), false, 0)
 		}, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -79,8 +83,8 @@
 			if tc.anywhere {
 				choice = launch.Choice{Anywhere: true}
 			}
-			is.Equal(le.Next(now, 3, contacts(tc.contact)), choice)
-			is.Equal(le.Next(now, 2, contacts(tc.contact)), launch.Choice{Anywhere: true})
+			is.Equal(le.Next(now, taskAt(3), contacts(tc.contact)), choice)
+			is.Equal(le.Next(now, taskAt(2), contacts(tc.contact)), launch.Choice{Anywhere: true})
 		})
 	}
 }
@@ -90,11 +94,11 @@
 func TestCallsToTwoWorkers(t *testing.T) {
 	is := is.New(t)
 	le, _ := lostCall(0)
-	ca := le.Begin(began, "v", 0, 2)
+	ca := le.Begin("v", taskAt(0), 2)
 	ca.Send(began, 1)
-	ca.Return(began, false)
-	is.Equal(le.Next(began, 0, contacts(launch.Contact{})), launch.Choice{})
-	is.Equal(le.Next(began, 0, contacts(launch.Contact{Gone: true})), launch.Choice{Worker: "v"})
+	ca.Return(began, false, 1)
+	is.Equal(le.Next(began, taskAt(0), contacts(launch.Contact{})), launch.Choice{})
+	is.Equal(le.Next(began, taskAt(0), contacts(launch.Contact{Gone: true})), launch.Choice{Worker: "v"})
 }
 
 // TestAdoptedCall guards against work that is kept on its worker after a takeover although
@@ -102,14 +106,15 @@
 func TestAdoptedCall(t *testing.T) {
 	is := is.New(t)
 	le := &launch.Ledger{}
-	ca := le.Begin(began, "w", 0, 1)
+	ca := le.Begin("w", taskAt(0), 1)
 	ca.Adopt(began, began.Add(time.Second))
 	inTouch, silent := contacts(launch.Contact{InTouch: true}), contacts(launch.Contact{})
-	is.True(le.Next(began, 0, inTouch).Anywhere)
-	is.Equal(le.Next(began.Add(20*time.Second), 0, silent), launch.Choice{Worker: "w"})
-	is.True(le.ArrivesUntil(began, "w", 0).IsZero())
+	is.True(le.Next(began, taskAt(0), inTouch).Anywhere)
+	is.Equal(le.Next(began.Add(20*time.Second), taskAt(0), silent), launch.Choice{Worker: "w"})
+	is.Equal(le.ArrivesUntil(began, "w", taskAt(0)), began.Add(launch.MaxDelay))
 	ca.See()
-	is.True(le.Next(began, 0, silent).Anywhere)
+	is.True(le.ArrivesUntil(began, "w", taskAt(0)).IsZero())
+	is.True(le.Next(began, taskAt(0), silent).Anywhere)
 }
 
 // TestAdoptedCallThatIsMadeAgain guards against a successor that makes a start again, loses
@@ -117,41 +122,46 @@
 func TestAdoptedCallThatIsMadeAgain(t *testing.T) {
 	is := is.New(t)
 	le := &launch.Ledger{}
-	ca := le.Begin(began, "w", 0, 1)
+	ca := le.Begin("w", taskAt(0), 1)
 	ca.Adopt(began, began)
 	ca.Send(began, 7)
-	ca.Return(began.Add(time.Second), false)
+	ca.Return(began.Add(time.Second), true, 2)
 	inTouch := contacts(launch.Contact{InTouch: true, Born: 7, HeardAt: began.Add(2 * time.Second)})
-	is.Equal(le.Next(began.Add(2*time.Second), 0, inTouch), launch.Choice{Worker: "w"})
+	is.Equal(le.Next(began.Add(2*time.Second), taskAt(0), inTouch), launch.Choice{Worker: "w"})
 }
 
 // TestWithdrawnOnce guards against giving up a call that is not open, or twice.
 func TestWithdrawnOnce(t *testing.T) {
 	is := is.New(t)
 	le := &launch.Ledger{}
-	ca := le.Begin(began, "w", 0, 1)
+	ca := le.Begin("w", taskAt(0), 1)
 	is.True(!ca.Withdraw())
 	ca.Send(began, 1)
 	is.True(ca.Withdraw())
 	is.True(!ca.Withdraw())
-	ca.Return(began, false)
+	ca.Return(began, false, 1)
 	is.True(!ca.Settled())
-	is.Equal(le.Find("w", 0, 1), ca)
-	is.True(!le.MayBar(began.Add(launch.MaxDelay + launch.MaxLease)))
+	is.Equal(le.Find("w", taskAt(0), 1), ca)
+	is.True(!le.MayBar(began.Add(launch.MaxDelay+launch.MaxLease), taskAt(0)))
 }
 
-// TestOnlyCopyThatRanIsSettled guards against waiting for a call that was given up since a
-// list of its worker has shown that its only copy was carried out.
+// TestOnlyCopyThatRanIsSettled guards against waiting for a call without a reply whose only
+// copy was carried out, as a list of its worker has shown before or after the call returned.
 func TestOnlyCopyThatRanIsSettled(t *testing.T) {
 	is := is.New(t)
-	le := &launch.Ledger{}
-	ca := le.Begin(began, "w", 0, 1)
-	ca.Send(began, 1)
-	is.True(!ca.IsCarriedOut())
-	ca.See()
-	is.True(ca.IsCarriedOut())
-	ca.Send(began, 1)
-	is.True(!ca.IsCarriedOut())
+	for _, seenFirst := range []bool{false, true} {
+		le := &launch.Ledger{}
+		ca := le.Begin("w", taskAt(0), 1)
+		ca.Send(began, 1)
+		if seenFirst {
+			ca.See()
+		}
+		ca.Return(began, false, 1)
+		ca.See()
+		is.True(ca.Settled())
+		ca.Send(began, 1)
+		is.True(!ca.Settled())
+	}
 }
 
 // TestNoCopyBesideNextAttempt generates calls with the times at which their copies truly
@@ -162,12 +172,16 @@
 		le := &launch.Ledger{}
 		now, free := began, began
 		for i := range rapid.IntRange(1, 5).Draw(t, "calls") {
-			ca := le.Begin(now, "w", 0, i+1)
+			ca := le.Begin("w", taskAt(0), i+1)
 			for range rapid.IntRange(1, 3).Draw(t, "times") {
 				ca.Send(now, 1)
 				settled := rapid.Bool().Draw(t, "settled")
 				now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
-				ca.Return(now, settled)
+				lost := 0
+				if !settled {
+					lost = 2
+				}
+				ca.Return(now, true, lost)
 				if !settled { // the second copy was sent at any time until then
 					free = now.Add(launch.MaxDelay + launch.MaxLease)
 				}
@@ -175,7 +189,7 @@
 		}
 		at := now.Add(time.Duration(rapid.IntRange(0, 30_000).Draw(t, "later")) * time.Millisecond)
 		silent := contacts(launch.Contact{HeardAt: began})
-		if got := le.Next(at, 0, silent).Anywhere; got == at.Before(free) {
+		if got := le.Next(at, taskAt(0), silent).Anywhere; got == at.Before(free) {
 			t.Fatalf("anywhere is %v %v after the last start, a copy may run until %v after it", got, at.Sub(now), free.Sub(now))
 		}
 	})
