launch: an attempt that was carried out binds the next one, too

A successor began the next attempt elsewhere at once in any case.

Cause: a copy was taken to need one more crash once its worker was known to have run the attempt. It needs the same one.

Change: for Patience after the last copy the next attempt begins on the same worker whether the attempt was carried out or not, and also in the next term, which knows the copies from the record. If the attempt has failed there, the next one waits for that time and avoids the worker as long as a copy may arrive.

TestNextAttemptAfterCall and TestNextAttemptAfterFailure of package launch; the forms of TestLateCopyOfRepeatedStartRunsNothingAgain whose task fails.

--- a/internal/domain/pick.go
+++ b/internal/domain/pick.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cicadawharf/cicadawharf/internal/batch"
 )
@@ -32,12 +33,13 @@
 	levels := co.trustLevels(ps, un, key.service)
 	if un.step.DataRack == "" && len(levels) == 1 && levels[0] == trustAny {
 		sls, more := co.candidates(ps, un, key, un.tasks, false)
+		sls = co.dropFailed(ps.now, un, sls)
 		if nodes := un.pick(sls, key.anyRack); nodes != nil || !more {
 			return nodes
 		}
 	}
 	sls, _ := co.candidates(ps, un, key, un.tasks, true)
-	if len(sls) == 0 {
+	if sls = co.dropFailed(ps.now, un, sls); len(sls) == 0 {
 		return nil
 	}
 	for _, tr := range levels {
@@ -52,6 +54,17 @@
 	return nil
 }
 
+// dropFailed drops the workers on which an attempt of a unit has failed, as long as a copy of
+// its start may arrive there: the next incarnation would run it beside the next attempt.
+func (co *Core) dropFailed(now time.Time, un *unit, sls []slot) []slot {
+	for i := range un.tasks {
+		for _, worker := range co.calls.FailedOn(now, un.taskID(i)) {
+			sls = slices.DeleteFunc(sls, func(sl slot) bool { return sl.node.worker.ID == worker })
+		}
+	}
+	return sls
+}
+
 // guaranteed reports whether the key belongs to a unit within a guarantee.
 func (fk fitKey) guaranteed() bool { return fk.class == classGuaranteed }
 
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -372,6 +372,9 @@
 	}
 	if ca := co.calls.Find(nd.worker.ID, en.Task, en.Attempt); ca != nil {
 		ca.See()
+		if en.Reason == runner.Failed {
+			ca.Fail()
+		}
 	}
 	un := co.unitOf(en.Task)
 	switch {
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -41,6 +41,7 @@
 		withdrawn  bool      // it was given up before it returned
 		presumed   bool      // an earlier term may have made it; its copy need not exist
 		seen       bool      // a copy was carried out
+		failed     bool      // the attempt has failed there, so that the next one does not begin there
 	}
 
 	// Ledger holds the calls of a scheduler as long as they matter. Its zero value is
@@ -123,7 +124,7 @@
 		if !le.bars(now, ca, contactOf(ca.worker)) {
 			continue
 		}
-		if !ch.Anywhere && ch.Worker != ca.worker {
+		if ca.failed || !ch.Anywhere && ch.Worker != ca.worker {
 			return Choice{}
 		}
 		ch = Choice{Worker: ca.worker}
@@ -165,6 +166,18 @@
 	return until
 }
 
+// FailedOn returns the workers on which an attempt of a task has failed and at which a copy of
+// its start may still arrive.
+func (le *Ledger) FailedOn(now time.Time, task batch.TaskID) []string {
+	var workers []string
+	for _, ca := range le.byTask[task] {
+		if ca.failed && !ca.Settled() && ca.mayArrive(now) {
+			workers = append(workers, ca.worker)
+		}
+	}
+	return workers
+}
+
 // LastUnsettled returns when the last copy was sent of the calls for a task on a worker
 // that are not settled, other than a given one; zero if there is none.
 func (le *Ledger) LastUnsettled(now time.Time, worker string, task batch.TaskID, except *Call) time.Time {
@@ -238,6 +251,9 @@
 // See notes that the worker has carried out a copy.
 func (ca *Call) See() { ca.seen = true }
 
+// Fail notes that the attempt has failed.
+func (ca *Call) Fail() { ca.failed = true }
+
 // Send notes that the call is made to an incarnation of the worker.
 func (ca *Call) Send(now time.Time, born int64) {
 	ca.born = born
@@ -331,9 +347,9 @@
 		return false // it refuses what it has run
 	case co.InTouch:
 		// Another crash of the worker is needed for a copy to take effect there, and one
-		// more if it has restarted since. So work that the worker is known to have run,
-		// and all work after some time, goes where there is room.
-		return !ca.seen && !ca.presumed && ca.born == co.Born && co.HeardAt.Before(le.patientUntil(now, ca))
+		// more if it has restarted since. So all work goes where there is room after some
+		// time.
+		return !ca.presumed && (ca.born == 0 || ca.born == co.Born) && co.HeardAt.Before(le.patientUntil(now, ca))
 	default:
 		return true
 	}
