drive: give a start up only before its second copy was sent

A start that a poll shows as carried out is given up, so that it is not sent again. Once the second copy was permitted, that no longer happened, and the copy was sent for nothing; after both copies were sent, giving up lost their replies, so that the ends of the task had to wait for them. Now a start is given up until its second copy is sent, and after that its replies are waited for.

--- a/internal/domain/poll.go
+++ b/internal/domain/poll.go
@@ -211,9 +211,7 @@
 	ru.startLostAt = time.Time{}
 	ru.listedAt, ru.incarnation, ru.lostBy = now, nd.worker.Incarnation(), loss{}
 	ru.startedHere, ru.lateUntil, ru.stop.ackedByFormer = true, time.Time{}, false
-	if ru.call != nil && ru.call.MayRepeat() {
-		co.withdrawStart(ru)
-	}
+	co.withdrawStart(ru)
 	ru.mayHaveEnded = false
 	if ru.confirmedAt.IsZero() {
 		ru.confirmedAt = now
--- a/internal/domain/slowhost_test.go
+++ b/internal/domain/slowhost_test.go
@@ -240,7 +240,11 @@
 	}
 	late, lateAfter := resend, repeatDelay
 	if st, ok := ef.(domain.Start); ok {
-		pr.withdraws[domain.Withdraw{Worker: st.Worker.ID, Task: st.Request.Task, Attempt: st.Request.Attempt}] = giveUp
+		pr.withdraws[domain.Withdraw{Worker: st.Worker.ID, Task: st.Request.Task, Attempt: st.Request.Attempt}] = func() {
+			if !repeated {
+				giveUp()
+			}
+		}
 		due := sim.now.Add(repeatDelay)
 		pr.repeats[domain.Repeat{Worker: st.Worker.ID, Task: st.Request.Task, Attempt: st.Request.Attempt}] = func() {
 			sim.after(max(0, due.Sub(sim.now)), resend)
--- a/internal/domain/transit_test.go
+++ b/internal/domain/transit_test.go
@@ -243,7 +243,11 @@
 			sim.after(max(0, due.Sub(sim.now)), resend)
 		}
 		tr.withdraws[domain.Withdraw{Worker: id, Task: st.Request.Task, Attempt: st.Request.Attempt}] = func() {
-			sim.after(0, func() { giveUp() })
+			sim.after(0, func() {
+				if len(sent) == 1 {
+					giveUp()
+				}
+			})
 		}
 	}
 	send()
--- a/internal/drive/starts.go
+++ b/internal/drive/starts.go
@@ -62,15 +62,24 @@
 	}
 }
 
-// withdraw gives up a call.
+// withdraw gives up a call unless both copies were sent, whose outcomes may still come.
 func (op *openStarts) withdraw(wd domain.Withdraw) {
 	op.mu.Lock()
 	defer op.mu.Unlock()
-	if os, ok := op.calls[wd]; ok {
+	if os, ok := op.calls[wd]; ok && !os.repeated {
 		os.cancel()
 	}
 }
 
+// mayResend reports whether the second copy of a call may be sent now, since it was not
+// given up, and notes that it is.
+func (op *openStarts) mayResend(ctx context.Context, os *openStart) bool {
+	op.mu.Lock()
+	defer op.mu.Unlock()
+	os.repeated = ctx.Err() == nil
+	return os.repeated
+}
+
 // permitRepeat permits the second copy of a call.
 func (op *openStarts) permitRepeat(rp domain.Repeat) {
 	op.mu.Lock()
@@ -123,7 +132,9 @@
 	case answered:
 		return outcome, false
 	}
-	te.resend(ctx, os)
+	if !te.resend(ctx, os) {
+		return <-os.results, false
+	}
 	if outcome = <-os.results; isDecided(outcome.err) {
 		return outcome, true
 	}
@@ -151,16 +162,21 @@
 func (te *term) repeatLost(ctx context.Context, os *openStart, lost result[time.Duration]) result[time.Duration] {
 	select {
 	case <-os.permitted:
-		te.resend(ctx, os)
+		if !te.resend(ctx, os) {
+			return lost
+		}
 		return combine(lost, <-os.results)
 	case <-ctx.Done():
 		return lost
 	}
 }
 
-// resend sends the second copy of a call.
-func (te *term) resend(ctx context.Context, os *openStart) {
-	os.repeated = true
+// resend sends the second copy of a call, and reports whether it did.
+func (te *term) resend(ctx context.Context, os *openStart) bool {
+	if !te.starts.mayResend(ctx, os) {
+		return false
+	}
 	repeatedCalls.Inc()
 	go te.sendStart(ctx, os)
+	return true
 }
