domain: a worker that falls silent keeps the next attempt, whatever it was before

What callers could see (TWICE): a start without a reply whose worker stays in touch and can't take the task again; 5 s later the task may begin anywhere and waits for room; the worker falls silent, room comes elsewhere, and the task begins there while the next incarnation of the worker carries out a copy.

Cause: a unit was no longer bound once its next attempt could begin anywhere, and was not looked at again. Units with calls that may take effect are now watched until they begin or no call matters, and bound whenever one bars the next attempt.

TestWorkerThatFallsSilentKeepsTheNextAttempt fails before.

--- a/internal/domain/bound.go
+++ b/internal/domain/bound.go
@@ -137,11 +137,12 @@
 	co.pollNow(now, ru.node)
 }
 
-// bind binds a unit whose attempt is over if a start of it may still take effect.
-func (co *Core) bind(now time.Time, un *unit) {
-	if co.mayBar(now, un) && !un.bound {
-		un.bound = true
-		co.bound = append(co.bound, un)
+// watchCalls notes that a unit has no attempt and that a start of it may still take effect,
+// so that checkBound decides whether it is bound.
+func (co *Core) watchCalls(now time.Time, un *unit) {
+	if co.mayBar(now, un) && !un.watched {
+		un.watched, un.bound = true, true
+		co.watched = append(co.watched, un)
 	}
 }
 
@@ -172,15 +173,19 @@
 		now.Sub(co.leaseConfirmedAt) < shortLeaseAge // the store answers
 }
 
-// checkBound releases the units that are no longer bound, and polls the workers that the
-// others wait for.
+// checkBound determines which units are bound, and polls the workers that they wait for. A
+// unit may be bound again, since a worker that was in touch may fall silent.
 func (co *Core) checkBound(now time.Time) {
-	co.bound = slices.DeleteFunc(co.bound, func(un *unit) bool {
+	co.watched = slices.DeleteFunc(co.watched, func(un *unit) bool {
 		co.examine(un.tasks)
-		un.bound = un.phase == waiting && !un.job.state.Final() && !co.mayBeginAnywhere(now, un)
-		return !un.bound
+		un.watched = un.phase == waiting && !un.job.state.Final() && co.mayBar(now, un)
+		un.bound = un.watched && !co.mayBeginAnywhere(now, un)
+		return !un.watched
 	})
-	for _, un := range co.bound {
+	for _, un := range co.watched {
+		if !un.bound {
+			continue
+		}
 		for i := range un.tasks {
 			for _, worker := range co.calls.Asks(now, un.taskID(i), co.contacts(now)) {
 				co.askBinding(now, co.nodes[worker])
@@ -220,9 +225,9 @@
 
 // placeBound places the bound units for which their workers have room.
 func (co *Core) placeBound(ps *pass) {
-	for _, un := range co.bound {
+	for _, un := range co.watched {
 		co.examine(un.tasks)
-		if un.claim != nil || un.abandonedRuns > 0 || ps.now.Before(un.notBefore) || !co.bindingAccepts(ps, un) || !co.ensureAdvice(ps, un) {
+		if !un.bound || un.claim != nil || un.abandonedRuns > 0 || ps.now.Before(un.notBefore) || !co.bindingAccepts(ps, un) || !co.ensureAdvice(ps, un) {
 			continue
 		}
 		if nodes := co.chooseBound(ps, un); nodes != nil {
--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -64,7 +64,7 @@
 		calls                launch.Ledger  // that start attempts, as long as they matter
 		repeats              []*run         // whose starts are to be sent again once the store names them; see recordRepeat
 		ends                 endCounts
-		bound                []*unit // units that are bound, see bound.go; some may have been placed since
+		watched              []*unit // waiting units of which starts may take effect, see bound.go; some may have been placed since
 		passDue              bool    // a placement pass is to follow as soon as passInterval permits
 		lastPass             time.Time
 		awaitedAt            int                   // index in sortedNodes, see takeoverDone
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -54,6 +54,7 @@
 		checkpointAt      time.Time       // when a new checkpoint was last reported
 		moveFailedAt      time.Time       // when a search for capacity to move it to last found none
 		runs              []*run          // of the current attempt, by task
+		watched           bool            // see Core.watched
 		bound             bool            // calls that have started its attempts restrict where the next one begins; see bound.go
 		recordVersion     int             // version of the job that records the attempt
 		avoided           map[string]bool // IDs of workers that failed it, let it hang or refused its start
--- a/internal/domain/lateack_test.go
+++ b/internal/domain/lateack_test.go
@@ -193,6 +193,37 @@
 	}
 }
 
+// TestWorkerThatFallsSilentKeepsTheNextAttempt has the start of a task get no reply from a
+// worker that is to be emptied, so that the task waits for another one, and that falls silent
+// before there is one. It guards against an attempt there while a copy may be carried out.
+func TestWorkerThatFallsSilentKeepsTheNextAttempt(t *testing.T) {
+	is := is.New(t)
+	sc := newScriptedCore(domain.Config{}, "w1")
+	st := sc.startOne(is)
+	sent := sc.now
+	sc.repeat(st)
+	sc.handle(domain.DrainRequested{By: map[string]time.Time{"w1": sc.now.Add(time.Hour)}})
+	sc.pass(time.Second)
+	sc.handle(domain.Started{Call: st, Err: runner.ErrOutcomeUnknown, Repeated: true})
+	for sc.now.Sub(sent) < 8*time.Second {
+		sc.reply("w1", runner.Status{})
+		for _, sp := range effectsOf[domain.Stop](sc) {
+			sc.handle(domain.Stopped{Call: sp})
+		}
+		sc.pass(time.Second)
+		sc.commitAll()
+	}
+	sc.fail("w1", runner.ErrOutcomeUnknown)
+	sc.handle(domain.Listed{Worker: scriptedWorker("w2")})
+	for sc.startsOn("w2") == 0 && sc.now.Sub(sent) < time.Minute {
+		sc.reply("w2", runner.Status{})
+		sc.pass(tickInterval)
+		sc.commitAll()
+	}
+	is.Equal(sc.startsOn("w2"), 1)
+	is.True(sc.now.Sub(sent) >= launch.MaxDelay+launch.MaxLease)
+}
+
 // TestAnsweredCopiesHoldNoEnd has both copies of a start answered, one after the other. It
 // guards against ends that wait since a worker, or the scheduler's host, was merely slow.
 func TestAnsweredCopiesHoldNoEnd(t *testing.T) {
--- a/internal/domain/record.go
+++ b/internal/domain/record.go
@@ -193,6 +193,7 @@
 		un.markFinished()
 	}
 	if !ur.Live {
+		co.watchCalls(now, un)
 		return
 	}
 	if un.phase != finished {
--- a/internal/domain/run.go
+++ b/internal/domain/run.go
@@ -91,7 +91,7 @@
 		un.setPhase(waiting)
 		un.runs = nil
 		un.memberEnded = false
-		co.bind(now, un)
+		co.watchCalls(now, un)
 		co.markDirty(un.job)
 		co.passDue = true
 	}
