launch: a start keeps the next attempt on a worker that has restarted since

What callers could see (TWICE): a worker crashes with copies of a start on their way, is back and confirms a larger token; the attempt is over and the next one begins elsewhere at once. The worker crashes again behind a cut, and the incarnation after that, which has seen no token, carries a copy out beside it.

Change: such a call binds the next attempt for Patience like any other. If the worker has room, which it mostly has after a restart, nothing waits.

--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -346,10 +346,9 @@
 	case co.Alive && ca.seen && ca.born == co.Born:
 		return false // it refuses what it has run
 	case co.InTouch:
-		// Another crash of the worker is needed for a copy to take effect there, and one
-		// more if it has restarted since. So all work goes where there is room after some
-		// time.
-		return !ca.presumed && (ca.born == 0 || ca.born == co.Born) && co.HeardAt.Before(le.patientUntil(now, ca))
+		// Another crash of the worker is needed for a copy to take effect there. So the
+		// work goes where there is room after some time.
+		return !ca.presumed && co.HeardAt.Before(le.patientUntil(now, ca))
 	default:
 		return true
 	}
