--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -95,6 +95,7 @@
 		waitGauges     map[string]bool // registered gauges of waiting work
 		holdGauges     map[string]bool // registered gauges of jobs that stand still
 		zoneGauges     map[string]bool // registered gauges of evacuated zones
+		lateEnds       int             // as last logged
 		overload       overloadDetector
 		meter          workMeter
 		monitor        watchMonitor
@@ -341,6 +342,7 @@
 		setStateGauges(ef)
 	case domain.EndReport:
 		setEndGauges(ef)
+		te.logEnds(ef)
 	case domain.HealthReport:
 		setHealthGauges(ef)
 		te.logHealth(ef)
--- a/internal/drive/log.go
+++ b/internal/drive/log.go
@@ -69,6 +69,15 @@
 	te.log.Info("decision", args...)
 }
 
+// logEnds logs how many ends were not acknowledged in time if that has changed.
+func (te *term) logEnds(er domain.EndReport) {
+	if er.Late == te.lateEnds {
+		return
+	}
+	te.lateEnds = er.Late
+	te.log.Info("ends wait for copies of starts", "event", "lateEnds", "late", er.Late, "read", er.Read)
+}
+
 // logBacklog logs one line for each queue and class with waiting units.
 func (te *term) logBacklog(br domain.BacklogReport) {
 	for _, bl := range br.Backlogs {
