launch: drop settled calls once a second, and count that work

Each tick looked at all calls of the ledger; now one tick a second does, and its steps count like other loops.

--- a/internal/domain/core.go
+++ b/internal/domain/core.go
@@ -62,7 +62,8 @@
 		changed              map[*unit]bool // units to be evaluated
 		claimed              []*unit        // units with claims on nodes; some may have been released since
 		calls                launch.Ledger  // that start attempts, as long as they matter
-		repeats              []*run         // whose starts are to be sent again once the store names them; see recordRepeat
+		callsPrunedAt        time.Time
+		repeats              []*run // whose starts are to be sent again once the store names them; see recordRepeat
 		ends                 endCounts
 		watched              []*unit // waiting units of which starts may take effect, see bound.go; some may have been placed since
 		passDue              bool    // a placement pass is to follow as soon as passInterval permits
@@ -355,7 +356,7 @@
 	co.forgetEnded(now)
 	co.forgetSilences(now)
 	co.forgetRemoved(now)
-	co.calls.Prune(now)
+	co.pruneCalls(now)
 	co.reportEnds(now)
 	co.forgetOpenLosses(now)
 	co.reportStuckStops(now)
--- a/internal/domain/repeat.go
+++ b/internal/domain/repeat.go
@@ -78,6 +78,17 @@
 	}
 }
 
+// callPruneInterval is the time between two searches for calls that no longer matter.
+const callPruneInterval = time.Second
+
+// pruneCalls drops the calls that no longer matter, from time to time.
+func (co *Core) pruneCalls(now time.Time) {
+	if now.Sub(co.callsPrunedAt) >= callPruneInterval {
+		co.callsPrunedAt = now
+		co.examine(co.calls.Prune(now))
+	}
+}
+
 // adoptCall returns the call of an earlier term that may have started an attempt.
 func (co *Core) adoptCall(now time.Time, worker string, ti batch.TaskID, attempt int) *launch.Call {
 	if ca := co.calls.Find(worker, ti, attempt); ca != nil {
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -304,8 +304,8 @@
 	case domain.Poll:
 		go te.poll(ef)
 	case domain.Start:
-		ctx, os := te.starts.begin(te.ctx, ef)
-		go te.start(ctx, os)
+		ctx, ost := te.starts.begin(te.ctx, ef)
+		go te.start(ctx, ost)
 	case domain.Repeat:
 		te.starts.permitRepeat(ef)
 	case domain.Withdraw:
--- a/internal/drive/starts.go
+++ b/internal/drive/starts.go
@@ -41,23 +41,23 @@
 // begin returns a call and its context, which ends when the call is given up.
 func (op *openStarts) begin(ctx context.Context, st domain.Start) (context.Context, *openStart) {
 	ctx, cancel := context.WithCancel(ctx)
-	os := &openStart{call: st, cancel: cancel, permitted: make(chan struct{}), results: make(chan result[time.Duration], 2)}
-	os.permit = sync.OnceFunc(func() { close(os.permitted) })
+	ost := &openStart{call: st, cancel: cancel, permitted: make(chan struct{}), results: make(chan result[time.Duration], 2)}
+	ost.permit = sync.OnceFunc(func() { close(ost.permitted) })
 	op.mu.Lock()
 	defer op.mu.Unlock()
 	if op.calls == nil {
 		op.calls = map[domain.Withdraw]*openStart{}
 	}
-	op.calls[keyOf(st)] = os
-	return ctx, os
+	op.calls[keyOf(st)] = ost
+	return ctx, ost
 }
 
 // end forgets a call that has returned.
-func (op *openStarts) end(os *openStart) {
+func (op *openStarts) end(ost *openStart) {
 	op.mu.Lock()
 	defer op.mu.Unlock()
-	os.cancel()
-	if key := keyOf(os.call); op.calls[key] == os {
+	ost.cancel()
+	if key := keyOf(ost.call); op.calls[key] == ost {
 		delete(op.calls, key)
 	}
 }
@@ -66,85 +66,85 @@
 func (op *openStarts) withdraw(wd domain.Withdraw) {
 	op.mu.Lock()
 	defer op.mu.Unlock()
-	if os, ok := op.calls[wd]; ok && !os.repeated {
-		os.cancel()
+	if ost, ok := op.calls[wd]; ok && !ost.repeated {
+		ost.cancel()
 	}
 }
 
 // mayResend reports whether the second copy of a call may be sent now, since it was not
 // given up, and notes that it is.
-func (op *openStarts) mayResend(ctx context.Context, os *openStart) bool {
+func (op *openStarts) mayResend(ctx context.Context, ost *openStart) bool {
 	op.mu.Lock()
 	defer op.mu.Unlock()
-	os.repeated = ctx.Err() == nil
-	return os.repeated
+	ost.repeated = ctx.Err() == nil
+	return ost.repeated
 }
 
 // permitRepeat permits the second copy of a call.
 func (op *openStarts) permitRepeat(rp domain.Repeat) {
 	op.mu.Lock()
 	defer op.mu.Unlock()
-	if os, ok := op.calls[domain.Withdraw(rp)]; ok {
-		os.permit()
+	if ost, ok := op.calls[domain.Withdraw(rp)]; ok {
+		ost.permit()
 	}
 }
 
 // start makes a call that starts an attempt, and reports its outcome. Of two copies, the
 // first decisive reply is the outcome. The other copy is waited for after that, since the
 // worker may restart before a copy arrives that got no reply.
-func (te *term) start(ctx context.Context, os *openStart) {
-	defer te.starts.end(os)
+func (te *term) start(ctx context.Context, ost *openStart) {
+	defer te.starts.end(ost)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	began := time.Now()
-	outcome, pending := te.awaitStart(ctx, os)
+	outcome, pending := te.awaitStart(ctx, ost)
 	countCall("start", began, outcome.err)
-	te.send(domain.Started{Call: os.call, Clock: outcome.value, Err: outcome.err, Repeated: os.repeated})
-	if pending && !errors.Is((<-os.results).err, runner.ErrOutcomeUnknown) {
-		te.send(domain.Answered{Call: os.call})
+	te.send(domain.Started{Call: ost.call, Clock: outcome.value, Err: outcome.err, Repeated: ost.repeated})
+	if pending && !errors.Is((<-ost.results).err, runner.ErrOutcomeUnknown) {
+		te.send(domain.Answered{Call: ost.call})
 	}
 }
 
 // sendStart sends one copy of a call.
-func (te *term) sendStart(ctx context.Context, os *openStart) {
-	clock, err := te.cfg.Workers.Start(ctx, os.call.Worker, os.call.Request)
-	os.results <- result[time.Duration]{clock, err}
+func (te *term) sendStart(ctx context.Context, ost *openStart) {
+	clock, err := te.cfg.Workers.Start(ctx, ost.call.Worker, ost.call.Request)
+	ost.results <- result[time.Duration]{clock, err}
 }
 
 // awaitStart sends a call and returns its outcome, and whether the result of another copy
 // is still to come.
-func (te *term) awaitStart(ctx context.Context, os *openStart) (outcome result[time.Duration], pending bool) {
+func (te *term) awaitStart(ctx context.Context, ost *openStart) (outcome result[time.Duration], pending bool) {
 	due := time.Now().Add(repeatDelay)
-	go te.sendStart(ctx, os)
-	outcome, answered := awaitResult(os, time.After(unansweredDelay))
+	go te.sendStart(ctx, ost)
+	outcome, answered := awaitResult(ost, time.After(unansweredDelay))
 	if !answered || isLost(ctx, outcome) {
-		te.send(domain.Unanswered{Call: os.call})
+		te.send(domain.Unanswered{Call: ost.call})
 	}
 	if !answered {
-		outcome, answered = awaitResult(os, os.permitted)
+		outcome, answered = awaitResult(ost, ost.permitted)
 	}
 	if !answered {
-		outcome, answered = awaitResult(os, time.After(time.Until(due)))
+		outcome, answered = awaitResult(ost, time.After(time.Until(due)))
 	}
 	switch {
 	case answered && isLost(ctx, outcome):
-		return te.repeatLost(ctx, os, outcome), false
+		return te.repeatLost(ctx, ost, outcome), false
 	case answered:
 		return outcome, false
 	}
-	if !te.resend(ctx, os) {
-		return <-os.results, false
+	if !te.resend(ctx, ost) {
+		return <-ost.results, false
 	}
-	if outcome = <-os.results; isDecided(outcome.err) {
+	if outcome = <-ost.results; isDecided(outcome.err) {
 		return outcome, true
 	}
-	return combine(outcome, <-os.results), false
+	return combine(outcome, <-ost.results), false
 }
 
 // awaitResult returns the first result of a call, or false if something else happens before.
-func awaitResult[T any](os *openStart, until <-chan T) (result[time.Duration], bool) {
+func awaitResult[T any](ost *openStart, until <-chan T) (result[time.Duration], bool) {
 	select {
-	case rs := <-os.results:
+	case rs := <-ost.results:
 		return rs, true
 	case <-until:
 		return result[time.Duration]{}, false
@@ -159,24 +159,24 @@
 
 // repeatLost sends the second copy of a call whose first one was lost, once that is
 // permitted, and returns the outcome of both.
-func (te *term) repeatLost(ctx context.Context, os *openStart, lost result[time.Duration]) result[time.Duration] {
+func (te *term) repeatLost(ctx context.Context, ost *openStart, lost result[time.Duration]) result[time.Duration] {
 	select {
-	case <-os.permitted:
-		if !te.resend(ctx, os) {
+	case <-ost.permitted:
+		if !te.resend(ctx, ost) {
 			return lost
 		}
-		return combine(lost, <-os.results)
+		return combine(lost, <-ost.results)
 	case <-ctx.Done():
 		return lost
 	}
 }
 
 // resend sends the second copy of a call, and reports whether it did.
-func (te *term) resend(ctx context.Context, os *openStart) bool {
-	if !te.starts.mayResend(ctx, os) {
+func (te *term) resend(ctx context.Context, ost *openStart) bool {
+	if !te.starts.mayResend(ctx, ost) {
 		return false
 	}
 	repeatedCalls.Inc()
-	go te.sendStart(ctx, os)
+	go te.sendStart(ctx, ost)
 	return true
 }
--- a/internal/launch/launch.go
+++ b/internal/launch/launch.go
@@ -211,11 +211,17 @@
 	return slices.DeleteFunc(slices.Clone(le.repeatable[job]), func(ca *Call) bool { return ca.Settled() || !ca.mayArrive(now) })
 }
 
-// Prune drops the calls that no longer matter.
-func (le *Ledger) Prune(now time.Time) {
-	drop := func(ca *Call) bool { return ca.open == 0 && (ca.Settled() || ca.isOver(now)) }
+// Prune drops the calls that no longer matter, and returns the number of calls that it has
+// looked at.
+func (le *Ledger) Prune(now time.Time) int {
+	examined := 0
+	drop := func(ca *Call) bool {
+		examined++
+		return ca.open == 0 && (ca.Settled() || ca.isOver(now))
+	}
 	prune(le.byTask, drop)
 	prune(le.repeatable, drop)
+	return examined
 }
 
 // prune drops calls and the keys that have none left.
