--- a/internal/domain/repeat.go
+++ b/internal/domain/repeat.go
@@ -12,6 +12,9 @@
 // start that at most one copy was sent, and that none is left if the worker has carried it
 // out.
 
+// callPruneInterval is the time between two searches for calls that no longer matter.
+const callPruneInterval = time.Second
+
 // handleUnanswered has a start sent a second time that has had no reply.
 func (co *Core) handleUnanswered(now time.Time, ev Unanswered) {
 	rq := ev.Call.Request
@@ -78,9 +81,6 @@
 	}
 }
 
-// callPruneInterval is the time between two searches for calls that no longer matter.
-const callPruneInterval = time.Second
-
 // pruneCalls drops the calls that no longer matter, from time to time.
 func (co *Core) pruneCalls(now time.Time) {
 	if now.Sub(co.callsPrunedAt) >= callPruneInterval {
