--- a/internal/drive/repeat.go
+++ b/internal/drive/repeat.go
@@ -23,7 +23,8 @@
 // repeatDelay or was lost. A worker that leaves calls without a response and
 // carries them out seconds later would otherwise hold up a whole gang. It returns
 // the first response, but runner.ErrOutcomeUnknown in place of a refusal of one
-// call if the other may still take effect, and whether it made the call twice.
+// call if the other may still take effect, and whether it made the call twice. Stops are
+// made this way; the second copy of a start needs a record before it, see awaitStart.
 func callTwice[T any](ctx context.Context, call func(context.Context) (T, error)) (value T, repeated bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
